Lay out the workspace: kernel, settings, peer messages and the interfaces

Cause: everything else stands on shared types, so they come first. Change: nine packages with one-way dependencies; the kernel, registries, coded errors, numbered events, hybrid clock, settings checked with cattrs; the Cap'n Proto schema with one codec for all messages; interfaces of the platform and the engines; the types of a bundle.

--- /dev/null
+++ b/packages/core/src/sassafrastally/core/__init__.py
@@ -0,0 +1,47 @@
+"""Kernel, clock, settings, errors, events and metrics that every process shares."""
+
+from __future__ import annotations
+
+from sassafrastally.core.clock import Clock
+from sassafrastally.core.errors import ERRORS, CodedError, error
+from sassafrastally.core.events import CATALOGUE, EventKind, EventLog, EventRecord, event
+from sassafrastally.core.findings import Finding, FindingsError, Place
+from sassafrastally.core.hlc import HybridClock, stamp_wall_s
+from sassafrastally.core.ids import Incarnation, RequestId, new_incarnation, new_request_id
+from sassafrastally.core.kernel import Kernel, KernelError, Service
+from sassafrastally.core.metrics import METRICS, MetricKind, counter, gauge, histogram
+from sassafrastally.core.network import Address, Network, TcpNetwork
+from sassafrastally.core.registry import Registry
+
+__all__ = [
+    "CATALOGUE",
+    "ERRORS",
+    "METRICS",
+    "Address",
+    "Clock",
+    "CodedError",
+    "EventKind",
+    "EventLog",
+    "EventRecord",
+    "Finding",
+    "FindingsError",
+    "HybridClock",
+    "Incarnation",
+    "Kernel",
+    "KernelError",
+    "MetricKind",
+    "Network",
+    "Place",
+    "Registry",
+    "RequestId",
+    "Service",
+    "TcpNetwork",
+    "counter",
+    "error",
+    "event",
+    "gauge",
+    "histogram",
+    "new_incarnation",
+    "new_request_id",
+    "stamp_wall_s",
+]
--- /dev/null
+++ b/packages/core/src/sassafrastally/core/errors.py
@@ -0,0 +1,54 @@
+"""Exceptions with codes.
+
+Every exception that the project raises on purpose descends from `CodedError` and carries a number
+that is registered once. The numbers of a package start with its own thousand: core 1, wire 2,
+platform 3, control 4, serving 5, entry 6, sidecar 7, cli 8, testing 9.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, ClassVar, TypeVar
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+E = TypeVar("E", bound="type[CodedError]")
+
+ERRORS: dict[int, type[CodedError]] = {}
+"""Every registered exception by its code; the errors page of the docs is made from it."""
+
+
+class CodedError(Exception):
+    """Base of all exceptions of the project."""
+
+    code: ClassVar[int] = 0
+    """The number under which the errors page lists the exception."""
+
+    def __str__(self) -> str:
+        return f"[E{self.code}] {super().__str__()}"
+
+    @property
+    def detail(self) -> str:
+        """The message without the code."""
+        return super().__str__()
+
+
+def error(code: int) -> Callable[[E], E]:
+    """Return a class decorator that registers an exception under its code.
+
+    Raises
+    ------
+    ValueError
+        When the code is taken or the exception has no docstring.
+    """
+
+    def decorate(cls: E) -> E:
+        if code in ERRORS:
+            raise ValueError(f"error code {code} is taken by {ERRORS[code].__name__}")
+        if not cls.__doc__:
+            raise ValueError(f"{cls.__name__} needs a docstring for the errors page")
+        cls.code = code
+        ERRORS[code] = cls
+        return cls
+
+    return decorate
--- /dev/null
+++ b/packages/core/src/sassafrastally/core/kernel.py
@@ -0,0 +1,150 @@
+"""The micro-kernel: named services, started in order of need and stopped in reverse."""
+
+from __future__ import annotations
+
+import random
+from graphlib import CycleError, TopologicalSorter
+from typing import TYPE_CHECKING, Any, ClassVar, NamedTuple, TypeVar
+
+import trio
+
+from sassafrastally.core.clock import Clock
+from sassafrastally.core.errors import CodedError, error
+from sassafrastally.core.events import EventLog, event
+from sassafrastally.core.ids import Incarnation, new_incarnation
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+S = TypeVar("S", bound="Service")
+
+
+@error(1002)
+class KernelError(CodedError):
+    """Services can't be put together: a name is missing, doubled or in a cycle."""
+
+
+@event(1001)
+class ProcessStarted(NamedTuple):
+    """All services of the process have started."""
+
+    services: int
+    data_centre: str
+
+
+@event(1002)
+class ProcessStopped(NamedTuple):
+    """All services of the process have stopped."""
+
+
+class Service:
+    """One part of a process that others find by its name.
+
+    A service takes what it needs from the kernel in `start` and may run tasks in the kernel's
+    nursery. The kernel calls `stop` in reverse order; after that it cancels what still runs.
+    """
+
+    name: ClassVar[str] = ""
+    """Name under which other services find this one."""
+
+    needs: ClassVar[tuple[str, ...]] = ()
+    """Names of the services that are started before this one and stopped after it."""
+
+    kernel: Kernel
+    """The kernel that runs the service; set when the service is added."""
+
+    async def start(self, nursery: trio.Nursery) -> None:
+        """Make the service ready; tasks that run on go into the nursery."""
+
+    async def stop(self) -> None:
+        """Finish what is under way; new work is no longer taken."""
+
+
+class Kernel:
+    """The services of one process.
+
+    Parameters
+    ----------
+    vm
+        Name of the VM.
+    data_centre
+        Name of the data centre.
+    clock
+        The process's clock.
+    seed
+        Seed of the random source; taken from the system when it is ``None``.
+    """
+
+    def __init__(
+        self, vm: str, data_centre: str, clock: Clock | None = None, seed: int | None = None
+    ) -> None:
+        self.vm = vm
+        self.data_centre = data_centre
+        self.clock = clock or Clock()
+        self.random = random.SystemRandom() if seed is None else random.Random(seed)
+        self.incarnation: Incarnation = new_incarnation(self.random)
+        self.events = EventLog(vm, self.incarnation, self.clock)
+        self.stopping = trio.Event()
+        self._services: dict[str, Service] = {}
+
+    def add(self, service: S) -> S:
+        """Add a service and return it.
+
+        Raises
+        ------
+        KernelError
+            When its name is empty or taken.
+        """
+        if not service.name or service.name in self._services:
+            raise KernelError(f"service name {service.name!r} is empty or taken")
+        service.kernel = self
+        self._services[service.name] = service
+        return service
+
+    def get(self, name: str, kind: type[S]) -> S:
+        """Return the service of a name.
+
+        Raises
+        ------
+        KernelError
+            When there is none of that name and kind.
+        """
+        found = self._services.get(name)
+        if not isinstance(found, kind):
+            raise KernelError(f"no service {name!r} of kind {kind.__name__}")
+        return found
+
+    def has(self, name: str) -> bool:
+        """Return whether a service of that name was added."""
+        return name in self._services
+
+    def request_stop(self) -> None:
+        """Ask the kernel to stop; `run` returns after the services have stopped."""
+        self.stopping.set()
+
+    async def run(self, *, task_status: Any = trio.TASK_STATUS_IGNORED) -> None:
+        """Start all services, wait for a request to stop, and stop them in reverse order."""
+        order = self._start_order()
+        async with trio.open_nursery() as nursery:
+            for service in order:
+                await service.start(nursery)
+            self.events.emit(ProcessStarted(len(order), self.data_centre))
+            task_status.started()
+            await self.stopping.wait()
+            for service in reversed(order):
+                await service.stop()
+            self.events.emit(ProcessStopped())
+            nursery.cancel_scope.cancel()
+
+    def _start_order(self) -> Sequence[Service]:
+        graph = {name: self._known(service) for name, service in self._services.items()}
+        try:
+            return [self._services[name] for name in TopologicalSorter(graph).static_order()]
+        except CycleError as cause:
+            raise KernelError(f"services need each other in a cycle: {cause.args[1]}") from cause
+
+    def _known(self, service: Service) -> tuple[str, ...]:
+        for need in service.needs:
+            if need not in self._services:
+                raise KernelError(f"service {service.name!r} needs {need!r}, which is missing")
+        return service.needs
--- /dev/null
+++ b/packages/core/src/sassafrastally/core/network.py
@@ -0,0 +1,59 @@
+"""The network as an interface, so that tests run the real code over memory streams."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, NamedTuple, Protocol
+
+import trio
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+
+class Address(NamedTuple):
+    """A TCP endpoint by IP number."""
+
+    host: str
+    """IP number, never a name."""
+    port: int
+
+    def __str__(self) -> str:
+        host = f"[{self.host}]" if ":" in self.host else self.host
+        return f"{host}:{self.port}"
+
+
+class Network(Protocol):
+    """Opens and accepts byte streams."""
+
+    async def connect(self, address: Address) -> trio.abc.Stream:
+        """Open a stream; raises OSError when nobody answers."""
+        ...
+
+    async def listen(
+        self,
+        address: Address,
+        handler: Callable[[trio.abc.Stream], Awaitable[None]],
+        nursery: trio.Nursery,
+    ) -> Address:
+        """Accept streams in the nursery and return the bound address (port 0 takes a free one)."""
+        ...
+
+
+class TcpNetwork:
+    """Network over trio's TCP streams."""
+
+    async def connect(self, address: Address) -> trio.abc.Stream:
+        """Open a TCP stream."""
+        return await trio.open_tcp_stream(address.host, address.port)
+
+    async def listen(
+        self,
+        address: Address,
+        handler: Callable[[trio.abc.Stream], Awaitable[None]],
+        nursery: trio.Nursery,
+    ) -> Address:
+        """Accept TCP streams in the nursery."""
+        listeners = await trio.open_tcp_listeners(address.port, host=address.host)
+        name = listeners[0].socket.getsockname()
+        nursery.start_soon(trio.serve_listeners, handler, listeners)
+        return Address(name[0], name[1])
--- /dev/null
+++ b/packages/entry/src/sassafrastally/entry/__init__.py
@@ -0,0 +1,1 @@
+"""Package entry."""
--- /dev/null
+++ b/packages/wire/src/sassafrastally/wire/messages.py
@@ -0,0 +1,419 @@
+"""Typed messages of the peer protocol and their Cap'n Proto form.
+
+Each message is a `NamedTuple` whose fields mirror a struct of ``peer.capnp`` by name, in snake
+case. One codec serves them all.
+"""
+
+from __future__ import annotations
+
+import importlib.resources
+from typing import Any, NamedTuple, TypeAlias, cast
+
+import capnp
+
+from sassafrastally.core import CodedError, error
+
+SCHEMA_VERSION = 1
+"""Version that both ends of a link must share."""
+
+MAX_FRAME_BYTES = 256 * 1024
+"""Longest frame that is sent or accepted."""
+
+MAX_CHUNK_BYTES = 64 * 1024
+"""Most data in one chunk."""
+
+_TRAVERSAL_LIMIT_WORDS = MAX_FRAME_BYTES
+
+
+@error(2001)
+class BadFrame(CodedError):
+    """A frame can't be decoded or breaks a bound."""
+
+
+class Hello(NamedTuple):
+    """Opens a link: who dials."""
+
+    schema_version: int = 0
+    vm: str = ""
+    role: str = ""
+    data_centre: str = ""
+    incarnation: str = ""
+    """Life of the process that the message speaks of."""
+    nonce: bytes = b""
+
+
+class HelloAck(NamedTuple):
+    """Answers `Hello`: who was dialled, and proof that it knows the link secret."""
+
+    schema_version: int = 0
+    vm: str = ""
+    role: str = ""
+    data_centre: str = ""
+    incarnation: str = ""
+    """Life of the process that the message speaks of."""
+    nonce: bytes = b""
+    proof: bytes = b""
+
+
+class HelloConfirm(NamedTuple):
+    """Ends the handshake with the dialler's proof."""
+
+    proof: bytes = b""
+
+
+class Credit(NamedTuple):
+    """Allows the peer to send that many further bytes of chunk data on the stream."""
+
+    size_bytes: int = 0
+
+
+class StreamClosed(NamedTuple):
+    """The sender has closed the stream; a code other than 0 says why."""
+
+    code: int = 0
+    """Code of the refusal or failure; empty when there is none."""
+    reason: str = ""
+
+
+class Reserve(NamedTuple):
+    """Asks a sidecar for room for one attempt at a request."""
+
+    request_id: str = ""
+    """Name of the request, 32 hexadecimal digits."""
+    attempt: int = 0
+    """Number of the attempt, counted by the entry from 1."""
+    model: str = ""
+    """Name of a model; empty for a plain service."""
+    service: str = ""
+    """Name of a plain service; empty for a model."""
+    customer: str = ""
+    prompt_tokens: int = 0
+    max_output_tokens: int = 0
+    prefix_hashes: tuple[int, ...] = ()
+    time_limit_s: float = 0.0
+    """Seconds left until the time limit of the whole request."""
+    idempotent: bool = False
+    priority: int = 0
+    body_size_bytes: int = 0
+    generation: int = 0
+    """Generation of the bundle in force at the sender."""
+    commit_now: bool = False
+    """Whether the reservation is committed by the same message; only for idempotent requests."""
+    shown_tokens: int = 0
+    """Tokens of an earlier attempt that the caller has seen; the run resumes after them."""
+    operation: str = ""
+    """Method and path that the caller used, such as ``POST /v1/completions``."""
+
+
+class Reserved(NamedTuple):
+    """Room is kept until it lapses on the clock of the sidecar."""
+
+    request_id: str = ""
+    """Name of the request, 32 hexadecimal digits."""
+    attempt: int = 0
+    """Number of the attempt, counted by the entry from 1."""
+    incarnation: str = ""
+    """Life of the process that the message speaks of."""
+    predicted_first_token_s: float = 0.0
+    predicted_total_s: float = 0.0
+    lapse_s: float = 0.0
+    """After how many seconds the reservation lapses."""
+    cached_tokens: int = 0
+
+
+class Refused(NamedTuple):
+    """The sidecar takes no part of the attempt; it has not run."""
+
+    request_id: str = ""
+    """Name of the request, 32 hexadecimal digits."""
+    attempt: int = 0
+    """Number of the attempt, counted by the entry from 1."""
+    code: str = ""
+    """Code of the refusal or failure; empty when there is none."""
+    limit: float = 0.0
+    measured: float = 0.0
+    retry_after_s: float = 0.0
+    detail: str = ""
+
+
+class Commit(NamedTuple):
+    """Spends a reservation; the request's body follows as chunks."""
+
+    request_id: str = ""
+    """Name of the request, 32 hexadecimal digits."""
+    attempt: int = 0
+    """Number of the attempt, counted by the entry from 1."""
+    incarnation: str = ""
+    """Life of the process that the message speaks of."""
+    time_limit_s: float = 0.0
+    """Seconds left until the time limit of the whole request."""
+
+
+class Chunk(NamedTuple):
+    """A piece of a request body or of an answer."""
+
+    request_id: str = ""
+    """Name of the request, 32 hexadecimal digits."""
+    attempt: int = 0
+    """Number of the attempt, counted by the entry from 1."""
+    sequence: int = 0
+    """Number of the chunk, from 0."""
+    tokens: int = 0
+    """Tokens in the chunk; 0 for plain bytes."""
+    data: bytes = b""
+
+
+class End(NamedTuple):
+    """The end mark of an answer."""
+
+    request_id: str = ""
+    """Name of the request, 32 hexadecimal digits."""
+    attempt: int = 0
+    """Number of the attempt, counted by the entry from 1."""
+    outcome: str = ""
+    """One of `Outcome`."""
+    chunks: int = 0
+    """How many chunks the answer has; the reader checks that it got them all."""
+    status: int = 0
+    """HTTP status."""
+    prompt_tokens: int = 0
+    cached_tokens: int = 0
+    output_tokens: int = 0
+    finish_reason: str = ""
+    code: str = ""
+    """Code of the refusal or failure; empty when there is none."""
+    detail: str = ""
+    retry_after_s: float = 0.0
+    content_type: str = ""
+
+
+class Cancel(NamedTuple):
+    """Gives an attempt up: a reservation is released, a run is cancelled and freed."""
+
+    request_id: str = ""
+    """Name of the request, 32 hexadecimal digits."""
+    attempt: int = 0
+    """Number of the attempt, counted by the entry from 1."""
+    reason: str = ""
+
+
+class Query(NamedTuple):
+    """Asks an incarnation what became of an attempt, and may void it there."""
+
+    request_id: str = ""
+    """Name of the request, 32 hexadecimal digits."""
+    attempt: int = 0
+    """Number of the attempt, counted by the entry from 1."""
+    incarnation: str = ""
+    """Life of the process that the message speaks of."""
+    void_if_uncommitted: bool = False
+
+
+class QueryReply(NamedTuple):
+    """Answers `Query`."""
+
+    request_id: str = ""
+    """Name of the request, 32 hexadecimal digits."""
+    attempt: int = 0
+    """Number of the attempt, counted by the entry from 1."""
+    incarnation: str = ""
+    """Life of the process that the message speaks of."""
+    state: str = ""
+    """One of `AttemptState`."""
+
+
+class Attach(NamedTuple):
+    """Asks for the chunks of a committed attempt from a sequence number on."""
+
+    request_id: str = ""
+    """Name of the request, 32 hexadecimal digits."""
+    attempt: int = 0
+    """Number of the attempt, counted by the entry from 1."""
+    incarnation: str = ""
+    """Life of the process that the message speaks of."""
+    from_sequence: int = 0
+    time_limit_s: float = 0.0
+    """Seconds left until the time limit of the whole request."""
+
+
+class LoadReport(NamedTuple):
+    """What a sidecar tells its peers about itself; lags by nature."""
+
+    models: tuple[str, ...] = ()
+    services: tuple[str, ...] = ()
+    queued_tokens: int = 0
+    running: int = 0
+    free_blocks: int = 0
+    total_blocks: int = 0
+    first_token_s: tuple[float, ...] = ()
+    """Predicted first token for a new request of each lane, in seconds."""
+    prefill_tokens_per_s: float = 0.0
+    leaving: bool = False
+    generation: int = 0
+    """Generation of the bundle in force at the sender."""
+    digest: str = ""
+    block_tokens: int = 0
+
+
+class HeadNotice(NamedTuple):
+    """The signed head of the bundle in force at the sender."""
+
+    generation: int = 0
+    """Generation of the bundle in force at the sender."""
+    digest: str = ""
+    head: bytes = b""
+    """Canonical bytes of the head with its signature."""
+
+
+class PartsRequest(NamedTuple):
+    """Asks a peer for parts of a bundle."""
+
+    digests: tuple[str, ...] = ()
+
+
+class PartsReply(NamedTuple):
+    """Parts in the order asked for; an empty one is not held."""
+
+    parts: tuple[bytes, ...] = ()
+
+
+class AdminCall(NamedTuple):
+    """An operator command for this process."""
+
+    method: str = ""
+    body: bytes = b""
+
+
+class AdminReturn(NamedTuple):
+    """Answers `AdminCall`; the body is JSON."""
+
+    status: int = 0
+    """HTTP status."""
+    body: bytes = b""
+
+
+class Ping(NamedTuple):
+    """Asks for a sign of life."""
+
+    nonce: int = 0
+
+
+class Pong(NamedTuple):
+    """Answers `Ping`."""
+
+    nonce: int = 0
+
+
+Message: TypeAlias = (
+    Hello
+    | HelloAck
+    | HelloConfirm
+    | Credit
+    | StreamClosed
+    | Reserve
+    | Reserved
+    | Refused
+    | Commit
+    | Chunk
+    | End
+    | Cancel
+    | Query
+    | QueryReply
+    | Attach
+    | LoadReport
+    | HeadNotice
+    | PartsRequest
+    | PartsReply
+    | AdminCall
+    | AdminReturn
+    | Ping
+    | Pong
+)
+"""Any message of the peer protocol."""
+
+
+class Frame(NamedTuple):
+    """One message on its stream."""
+
+    stream: int
+    """Stream on the link; 0 carries the link's own messages and notices."""
+    stamp: int
+    """Hybrid logical stamp of the sender."""
+    message: Message
+
+
+def _camel(name: str) -> str:
+    head, *rest = name.split("_")
+    return head + "".join(part.capitalize() for part in rest)
+
+
+def _union_name(kind: type[Any]) -> str:
+    return kind.__name__[0].lower() + kind.__name__[1:]
+
+
+_KINDS: tuple[type[Any], ...] = Message.__args__
+_FIELDS = {kind: tuple((name, _camel(name)) for name in kind._fields) for kind in _KINDS}
+_BY_UNION_NAME = {_union_name(kind): kind for kind in _KINDS}
+_UNION_NAME = {kind: _union_name(kind) for kind in _KINDS}
+_LISTS = {
+    kind: frozenset(name for name, default in kind._field_defaults.items() if default == ())
+    for kind in _KINDS
+}
+
+
+def _load_schema() -> Any:
+    with importlib.resources.as_file(
+        importlib.resources.files("sassafrastally.wire").joinpath("peer.capnp")
+    ) as path:
+        return capnp.load(str(path))
+
+
+_SCHEMA = _load_schema()
+
+
+def encode_frame(frame: Frame) -> bytes:
+    """Return the bytes of a frame, without its length.
+
+    Raises
+    ------
+    BadFrame
+        When it would be longer than `MAX_FRAME_BYTES` or a value doesn't fit its field.
+    """
+    message = frame.message
+    kind = type(message)
+    builder = _SCHEMA.Frame.new_message(stream=frame.stream, stamp=frame.stamp)
+    body = builder.body.init(_UNION_NAME[kind])
+    lists = _LISTS[kind]
+    try:
+        for (name, wire_name), value in zip(_FIELDS[kind], message, strict=True):
+            setattr(
+                body, wire_name, list(cast("tuple[Any, ...]", value)) if name in lists else value
+            )
+    except (capnp.KjException, OverflowError, TypeError) as cause:
+        raise BadFrame(f"{kind.__name__} doesn't fit the schema: {cause}") from cause
+    data: bytes = builder.to_bytes()
+    if len(data) > MAX_FRAME_BYTES:
+        raise BadFrame(f"{kind.__name__} of {len(data)} bytes is over {MAX_FRAME_BYTES}")
+    return data
+
+
+def decode_frame(data: bytes) -> Frame:
+    """Return the frame that the bytes hold.
+
+    Raises
+    ------
+    BadFrame
+        When they aren't a frame of this schema.
+    """
+    try:
+        with _SCHEMA.Frame.from_bytes(data, traversal_limit_in_words=_TRAVERSAL_LIMIT_WORDS) as raw:
+            kind = _BY_UNION_NAME[str(raw.body.which())]
+            body = getattr(raw.body, _UNION_NAME[kind])
+            lists = _LISTS[kind]
+            values = [
+                tuple(getattr(body, wire_name)) if name in lists else getattr(body, wire_name)
+                for name, wire_name in _FIELDS[kind]
+            ]
+            return Frame(raw.stream, raw.stamp, kind(*values))
+    except (capnp.KjException, KeyError, UnicodeDecodeError, ValueError) as cause:
+        raise BadFrame(f"not a frame: {type(cause).__name__}") from cause
