--- /dev/null
+++ b/packages/platform/src/sassafrastally/platform/service.py
@@ -0,0 +1,21 @@
+"""The platform as a service of the kernel."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, ClassVar
+
+from sassafrastally.core import Service
+
+if TYPE_CHECKING:
+    from sassafrastally.platform.interfaces import Kv, VmList, WeightStore
+
+
+class PlatformService(Service):
+    """Holds the clients of the platform for the other services of the process."""
+
+    name: ClassVar[str] = "platform"
+
+    def __init__(self, kv: Kv, vm_list: VmList, weight_store: WeightStore | None = None) -> None:
+        self.kv = kv
+        self.vm_list = vm_list
+        self.weight_store = weight_store
