--- /dev/null
+++ b/packages/serving/tests/test_lanes.py
@@ -0,0 +1,223 @@
+"""Tests of the scheduler with lanes by prompt length."""
+
+from __future__ import annotations
+
+from random import Random
+
+import pytest
+
+from sassafrastally.control.bundle import Weights
+from sassafrastally.serving.lanes import (
+    LANES,
+    LONG,
+    MAX_PREFILLS,
+    RESERVED_SHARE,
+    SHORT,
+    LanesScheduler,
+    lane_of,
+    lane_probe_tokens,
+)
+from sassafrastally.serving.scheduling import EngineState, Running, Work
+from sassafrastally.testing.bench.stepped import STEP_S, FixedCost, SteppedEngine
+
+SHORT_FIRST = Weights(short_slowdown=4.0, long_first_token=1.0)
+LONG_FIRST = Weights(short_slowdown=1.0, long_first_token=4.0)
+
+
+def make_work(
+    name: str,
+    prompt_tokens: int,
+    arrived_s: float = 0.0,
+    output_tokens: int = 10,
+    priority: int = 0,
+    limit_s: float = 900.0,
+) -> Work:
+    end_s = arrived_s + limit_s
+    return Work(name, 1, "c", prompt_tokens, 0, output_tokens, priority, arrived_s, end_s)
+
+
+def make_scheduler(weights: Weights = SHORT_FIRST, without: tuple[str, ...] = ()) -> LanesScheduler:
+    scheduler = LanesScheduler(weights, without)
+    scheduler.cost = FixedCost()
+    return scheduler
+
+
+def idle(now_s: float = 0.0, free_blocks: int = 20_000) -> EngineState:
+    return EngineState(now_s, 100, 20_000, free_blocks, ())
+
+
+class TestLane:
+    def test_bounds_come_from_the_weights(self) -> None:
+        weights = Weights(short_tokens=1_000, long_tokens=64_000)
+        lanes = [lane_of(tokens, weights) for tokens in (1, 1_000, 1_001, 8_000, 8_001, 63_999)]
+        assert lanes == [0, 0, 1, 1, 2, 2]
+        assert lane_of(64_000, weights) == LONG
+
+    def test_each_lane_has_a_probe_of_its_own_length(self) -> None:
+        lanes = [lane_of(tokens, Weights()) for tokens in lane_probe_tokens(Weights())]
+        assert lanes == list(range(LANES))
+
+
+class TestPick:
+    def test_short_overtakes_long(self) -> None:
+        waiting = [make_work("long", 300_000), make_work("short", 1_000, 5.0)]
+        picked = make_scheduler().pick(waiting, idle(5.0))
+        assert picked is not None
+        assert picked.request_id == "short"
+
+    def test_time_limit_that_comes_near_goes_first(self) -> None:
+        relaxed = make_work("relaxed", 20_000)
+        pressed = make_work("pressed", 90_000, limit_s=9.5)
+        picked = make_scheduler(without=("shares",)).pick([relaxed, pressed], idle())
+        assert picked is not None
+        assert picked.request_id == "pressed"
+
+    def test_customer_of_lower_priority_number_goes_first(self) -> None:
+        waiting = [make_work("second", 2_000, priority=1), make_work("first", 2_000, 0.2)]
+        picked = make_scheduler().pick(waiting, idle(0.2))
+        assert picked is not None
+        assert picked.request_id == "first"
+
+    def test_long_prefills_are_bounded_beside_short_ones(self) -> None:
+        scheduler = make_scheduler()
+        running = tuple(
+            Running(make_work(f"l{number}", 200_000), 0.0, None, 0)
+            for number in range(MAX_PREFILLS[LONG])
+        )
+        state = idle()._replace(running=running)
+        long, short = make_work("long", 200_000), make_work("short", 1_000)
+        assert scheduler.pick([long], state) is None
+        assert scheduler.pick([long, short], state) == short
+
+    def test_short_work_does_not_keep_the_memory_from_overdue_long_work(self) -> None:
+        """A dossier waits for hours while one-line notes go on and on.
+
+        It needs half of the memory at once. Notes end all the time, and each block that they give
+        back is taken by the next note before enough of them are free together.
+        """
+        waits = {}
+        for without in ((), ("backfill",)):
+            engine = SteppedEngine(make_scheduler(LONG_FIRST, without), total_blocks=400)
+            engine.step([make_work("long", 20_000, output_tokens=400)])
+            engine = SteppedEngine(make_scheduler(LONG_FIRST, without), total_blocks=400)
+            random = Random(2)
+            for number in range(6):
+                engine.step([make_work(f"s{number}", 4_000, engine.now_s, 3_000)])
+            engine.waiting.append(make_work("long", 30_000, engine.now_s))
+            for number in range(4_000):
+                new = random.random() < 0.02
+                work = make_work(f"n{number}", 4_000, engine.now_s, 2_000)
+                engine.step([work] if new else [])
+            waits[without] = engine.first_tokens.get("long", float("inf"))
+        assert waits[()] < 60.0 < waits[("backfill",)]
+
+
+class TestStarvation:
+    @pytest.mark.parametrize("weights", [SHORT_FIRST, LONG_FIRST])
+    @pytest.mark.parametrize("seed", range(3))
+    def test_no_lane_waits_without_bound(self, weights: Weights, seed: int) -> None:
+        """A dossier never begins while short notes come faster than the engine can serve them.
+
+        Short prompts alone ask for more than the whole engine. If they always went first, the
+        long one would wait for as long as that lasts.
+        """
+        engine, longs = self._overload(make_scheduler(weights), seed, weights)
+        for work in longs:
+            patience_s = engine.scheduler.due_s(work) - work.arrived_s  # type: ignore[attr-defined]
+            own_s = work.prompt_tokens / 10_000
+            bound_s = 2 * (patience_s + own_s) / (1 - RESERVED_SHARE)
+            assert engine.first_tokens[work.request_id] - work.arrived_s <= bound_s
+
+    def test_without_ageing_the_long_one_starves(self) -> None:
+        scheduler = make_scheduler(SHORT_FIRST, ("aging",))
+        engine, longs = self._overload(scheduler, 0, SHORT_FIRST)
+        assert any(work.request_id not in engine.first_tokens for work in longs)
+
+    def _overload(
+        self, scheduler: LanesScheduler, seed: int, weights: Weights
+    ) -> tuple[SteppedEngine, list[Work]]:
+        random = Random(seed)
+        engine = SteppedEngine(scheduler, total_blocks=20_000)
+        longs = [make_work("l0", 120_000, 1.0)]
+        for number in range(int(180 / STEP_S)):
+            arrivals = []
+            if random.random() < 1.2 * STEP_S / 0.2:
+                arrivals.append(make_work(f"s{number}", 2_000, engine.now_s, 2, limit_s=30.0))
+            if engine.now_s <= 1.0 < engine.now_s + STEP_S:
+                arrivals += longs
+            engine.waiting = [one for one in engine.waiting if one.deadline_s > engine.now_s]
+            engine.step(arrivals)
+        return engine, longs
+
+
+class TestShares:
+    def test_short_lane_keeps_its_share_beside_an_overdue_long_prefill(self) -> None:
+        """A note waits for a minute behind a dossier that has become overdue.
+
+        The long prefill is past its due time and goes before all later arrivals; without a share
+        of its own the short lane would stand still until it ends.
+        """
+        firsts = {}
+        for without in ((), ("shares",)):
+            engine = SteppedEngine(make_scheduler(LONG_FIRST, without), total_blocks=20_000)
+            engine.step([make_work("long", 400_000)])
+            while engine.now_s < 6.0:
+                engine.step()
+            engine.step([make_work("short", 1_000, engine.now_s)])
+            firsts[without] = engine.run_until_first_token("short", 60.0)
+        assert firsts[()] < 0.5 < 20.0 < firsts[("shares",)]
+
+    def test_share_is_bounded(self) -> None:
+        scheduler = make_scheduler(LONG_FIRST)
+        engine = SteppedEngine(scheduler, total_blocks=20_000)
+        engine.step([make_work("long", 400_000)])
+        number = 0
+        while "long" not in engine.first_tokens and engine.now_s < 120.0:
+            number += 1
+            engine.step([make_work(f"s{number}", 500, engine.now_s, 2, limit_s=5.0)])
+            engine.waiting = [one for one in engine.waiting if one.deadline_s > engine.now_s]
+        # Short prompts ask for ten times the engine; the long lane's patience is 2.5 s.
+        assert engine.first_tokens["long"] < 1.35 * 40.0
+
+
+class TestEnginePriority:
+    def test_follows_the_due_time(self) -> None:
+        scheduler = make_scheduler(without=("shares",))
+        short, long = make_work("short", 1_000, 1.0), make_work("long", 300_000)
+        assert scheduler.engine_priority(short, 1.0) < scheduler.engine_priority(long, 1.0)
+
+    def test_is_the_place_given_when_picked(self) -> None:
+        scheduler = make_scheduler()
+        work = make_work("short", 1_000)
+        before = scheduler.engine_priority(work, 0.0)
+        scheduler.pick([make_work("long", 300_000)], idle())
+        scheduler.pick([work], idle())
+        assert scheduler.engine_priority(work, 0.0) < before
+
+
+class TestPredict:
+    @pytest.mark.parametrize("weights", [SHORT_FIRST, LONG_FIRST])
+    @pytest.mark.parametrize("seed", range(16))
+    def test_agrees_with_the_stepped_engine(self, weights: Weights, seed: int) -> None:
+        random = Random(seed)
+        engine = SteppedEngine(make_scheduler(weights), total_blocks=random.choice((600, 20_000)))
+        for number in range(random.randrange(1, 10)):
+            tokens = random.choice((500, 3_000, 15_000, 30_000))
+            engine.step([make_work(f"w{number}", tokens, engine.now_s)])
+        target = make_work("target", random.choice((800, 3_500, 25_000)), engine.now_s)
+        predicted = engine.scheduler.predict(target, engine.waiting, engine.state())
+        engine.waiting.append(target)
+        actual_s = engine.run_until_first_token("target", 120.0)
+        assert -0.1 < predicted.first_token_s - actual_s < 0.16
+
+    def test_changes_nothing(self) -> None:
+        scheduler = make_scheduler()
+        long, short = make_work("long", 300_000), make_work("short", 1_000)
+        before = scheduler.engine_priority(short, 0.0)
+        scheduler.predict(short, [long], idle())
+        assert scheduler.engine_priority(short, 0.0) == before
+
+    def test_of_work_that_can_never_fit_is_never(self) -> None:
+        prediction = make_scheduler().predict(make_work("x", 10_000), [], idle(free_blocks=10))
+        assert prediction.first_token_s == float("inf")
+        assert SHORT == 0
--- /dev/null
+++ b/packages/serving/tests/test_limits.py
@@ -0,0 +1,251 @@
+"""Tests of the limits of customers over entries whose homes change and whose links are cut."""
+
+from __future__ import annotations
+
+from random import Random
+
+import pytest
+import trio
+import trio.testing
+
+from sassafrastally.control.bundle import Bundle, BundleInForce, Customer
+from sassafrastally.serving.limits import LimitService
+from sassafrastally.serving.refusals import Refusal
+from sassafrastally.serving.rendezvous import home_of
+from sassafrastally.serving.slices import LAPSE_S, TokenBucket
+from sassafrastally.testing.entry_fleet import EntryFleet
+
+NAMES = tuple(f"entry-{number}" for number in range(5))
+LIMIT = 20
+RATE = 1_000.0
+BURST = 4_000
+CONCURRENT = Customer("yeso", (), max_concurrent=LIMIT)
+RATED = Customer("yeso", (), rate_tokens_per_s=RATE, burst_tokens=BURST)
+
+
+class Limits:
+    """Entries with their limit services, and a count of what they admit together."""
+
+    def __init__(self, nursery: trio.Nursery, customer: Customer):
+        self.customer = customer
+        self.fleet = EntryFleet(nursery)
+        self.services: dict[str, LimitService] = {}
+        self.open_requests = 0
+        self.most_open = 0
+        self.admitted_tokens = 0
+        self.refused = 0
+
+    async def start(self):
+        bundle = BundleInForce(1, "00" * 32, Bundle("b", (), (self.customer,)))
+        for name in NAMES:
+            self.services[name] = LimitService()
+            await self.fleet.start(name, NAMES, [self.services[name]], bundle=bundle)
+        return self
+
+    async def request(self, entry, duration_s, tokens=1, actual_tokens=None):
+        try:
+            async with self.services[entry].admit(self.customer, tokens) as admission:
+                self.open_requests += 1
+                self.most_open = max(self.most_open, self.open_requests)
+                self.admitted_tokens += tokens
+                await trio.sleep(duration_s)
+                self.open_requests -= 1
+                if actual_tokens is not None:
+                    admission.settle(actual_tokens)
+        except Refusal:
+            self.refused += 1
+
+    def home(self) -> str:
+        return home_of("limits/yeso", self.fleet.entries[NAMES[0]].membership).vm
+
+    def remove(self, vm: str, *viewers: str):
+        for viewer in viewers or NAMES:
+            membership = self.fleet.entries[viewer].membership
+            membership.names = [name for name in NAMES if name != vm]
+
+    def isolate(self, *names: str):
+        others = [name for name in NAMES if name not in names]
+        self.fleet.cuts = {frozenset((a, b)) for a in names for b in others}
+
+
+@pytest.fixture
+async def concurrent(nursery):
+    return await Limits(nursery, CONCURRENT).start()
+
+
+@pytest.fixture
+async def rated(nursery):
+    return await Limits(nursery, RATED).start()
+
+
+class TestConcurrency:
+    async def test_limit_holds_over_all_entries(self, concurrent, autojump_clock):
+        async with trio.open_nursery() as nursery:
+            for number in range(60):
+                nursery.start_soon(concurrent.request, NAMES[number % 5], 10.0)
+        assert (concurrent.most_open, concurrent.refused) == (LIMIT, 40)
+
+    async def test_one_entry_may_use_the_whole_limit(self, concurrent, autojump_clock):
+        async with trio.open_nursery() as nursery:
+            for _ in range(LIMIT):
+                nursery.start_soon(concurrent.request, NAMES[3], 1.0)
+        assert (concurrent.most_open, concurrent.refused) == (LIMIT, 0)
+
+    async def test_room_comes_back_within_a_report(self, concurrent, autojump_clock):
+        async with trio.open_nursery() as nursery:
+            for _ in range(LIMIT):
+                nursery.start_soon(concurrent.request, NAMES[3], 1.0)
+        await trio.sleep(6.0)
+        async with trio.open_nursery() as nursery:
+            for _ in range(LIMIT):
+                nursery.start_soon(concurrent.request, NAMES[1], 1.0)
+        assert concurrent.refused == 0
+
+    async def test_refusal_carries_true_figures(self, concurrent, autojump_clock):
+        async with trio.open_nursery() as nursery:
+            for number in range(LIMIT):
+                nursery.start_soon(concurrent.request, NAMES[number % 2], 10.0)
+            await trio.sleep(1.0)
+            with pytest.raises(Refusal) as caught:
+                await concurrent.services[NAMES[2]].admit(CONCURRENT, 1).__aenter__()
+        figures = caught.value.figures
+        assert caught.value.kind.code == "concurrency-limit"
+        assert (figures.limit, figures.measured) == (LIMIT, LIMIT)
+        assert figures.retry_after_s > 0
+
+    async def test_no_limit_admits_without_a_message(self, nursery, autojump_clock):
+        limits = await Limits(nursery, Customer("yeso", ())).start()
+        await limits.request(NAMES[0], 1.0)
+        assert (limits.most_open, limits.fleet.message_bytes) == (1, [])
+
+    async def test_entries_cut_off_act_on_their_share(self, concurrent, autojump_clock):
+        """Two entries lose the home: they admit a fifth of the limit each, and say so."""
+        cut = [name for name in NAMES if name != concurrent.home()][:2]
+        concurrent.isolate(*cut)
+        async with trio.open_nursery() as nursery:
+            for name in cut * 10:
+                nursery.start_soon(concurrent.request, name, 10.0)
+            await trio.sleep(2.0)
+            with pytest.raises(Refusal) as caught:
+                await concurrent.services[cut[0]].admit(CONCURRENT, 1).__aenter__()
+        assert concurrent.most_open == 2 * LIMIT // 5
+        assert caught.value.figures.limit == LIMIT // 5
+        assert "share" in caught.value.figures.detail
+
+
+class TestRate:
+    async def test_rate_holds_over_all_entries(self, rated, autojump_clock):
+        async with trio.open_nursery() as nursery:
+            for number in range(600):
+                nursery.start_soon(rated.request, NAMES[number % 5], 0.1, 200)
+                await trio.sleep(0.1)
+        assert 0.9 * (60 * RATE + BURST) <= rated.admitted_tokens <= 60 * RATE + BURST + 200
+
+    async def test_refusal_comes_back_in_time(self, rated, autojump_clock):
+        service = rated.services[NAMES[0]]
+        async with service.admit(RATED, BURST):
+            pass
+        with pytest.raises(Refusal) as caught:
+            await service.admit(RATED, 1_000).__aenter__()
+        figures = caught.value.figures
+        assert figures.limit == RATE
+        assert figures.measured > RATE
+        await trio.sleep(figures.retry_after_s + 0.01)
+        async with service.admit(RATED, 1_000):
+            pass
+
+    async def test_unused_output_is_given_back(self, rated, autojump_clock):
+        """A request reserves many output tokens and ends after a few; the rest isn't charged."""
+        await rated.request(NAMES[0], 0.0, BURST, actual_tokens=100)
+        await rated.request(NAMES[0], 0.0, BURST - 200)
+        assert rated.refused == 0
+
+    async def test_given_back_tokens_serve_other_entries(self, rated, autojump_clock):
+        await rated.request(NAMES[0], 0.0, BURST, actual_tokens=0)
+        await trio.sleep(6.5)
+        await rated.request(NAMES[1], 0.0, BURST)
+        assert rated.refused == 0
+
+    async def test_dossier_beyond_the_burst_passes_once(self, rated, autojump_clock):
+        """A dossier of ten bursts is admitted when the bucket is full and paid off afterwards."""
+        await rated.request(NAMES[0], 0.0, 10 * BURST)
+        await rated.request(NAMES[1], 0.0, 10)
+        assert (rated.admitted_tokens, rated.refused) == (10 * BURST, 1)
+        await trio.sleep(10 * BURST / RATE + 1)
+        await rated.request(NAMES[1], 0.0, 10)
+        assert rated.refused == 1
+
+    def test_bucket_never_exceeds_a_central_reference(self):
+        random = Random(3)
+        bucket, now_s, taken = TokenBucket(RATE, BURST, 0.0), 0.0, 0
+        for _ in range(2_000):
+            now_s += random.expovariate(5.0)
+            tokens = random.randint(1, BURST)
+            if bucket.take(tokens, now_s) == 0:
+                taken += tokens
+            assert taken <= now_s * RATE + BURST + 1e-6
+
+
+class TestOvershoot:
+    @pytest.mark.parametrize("seed", range(4))
+    async def test_random_faults(self, nursery, autojump_clock, seed):
+        """Homes come and go and links are cut while a customer asks for thrice its limit.
+
+        A new home doesn't know what the old one granted, and entries cut off act on their share:
+        the limit is overshot, at most once over and the shares, and no longer than slices and
+        requests last.
+        """
+        limits = await Limits(nursery, CONCURRENT).start()
+        random = Random(seed)
+        settled_s = trio.current_time() + 120.0
+        for name in NAMES:
+            nursery.start_soon(_ask_for_ever, limits, name, Random(seed))
+        while trio.current_time() < settled_s:
+            await _one_fault(limits, random)
+            assert limits.most_open <= 2 * LIMIT + (2 * LIMIT // 5 if limits.fleet.cuts else 0)
+            limits.most_open = 0
+            await trio.sleep(LAPSE_S + MAX_DURATION_S + 3.0)
+            limits.most_open = 0
+            await trio.sleep(5.0)
+            if not limits.fleet.cuts:
+                assert limits.most_open <= LIMIT
+        assert limits.refused > 0
+
+    async def test_tokens_while_homes_change(self, rated, autojump_clock):
+        """Each new home begins with a full bucket: a change gives away one burst at most."""
+        started_s, changes = trio.current_time(), 0
+        random = Random(2)
+        for number in range(3_000):
+            if number % 600 == 599:
+                rated.remove(rated.home())
+                changes += 1
+            await rated.request(random.choice(NAMES), 0.0, random.randint(1, 400))
+            await trio.sleep(0.02)
+        elapsed_s = trio.current_time() - started_s
+        bound = elapsed_s * RATE + (1 + changes) * BURST + 400
+        assert 0.8 * elapsed_s * RATE < rated.admitted_tokens <= bound
+
+
+MAX_DURATION_S = 4.0
+
+
+async def _ask_for_ever(limits, name, random):
+    async with trio.open_nursery() as nursery:
+        while True:
+            nursery.start_soon(limits.request, name, random.uniform(0.5, MAX_DURATION_S))
+            await trio.sleep(random.expovariate(4.0))
+
+
+async def _one_fault(limits, random):
+    home = limits.home()
+    kind = random.choice(["leaves", "lags", "cut", "heals"])
+    if kind == "leaves":
+        limits.remove(home)
+    elif kind == "lags":
+        for name in NAMES:
+            limits.remove(home, name)
+            await trio.sleep(random.uniform(0.0, 1.0))
+    elif kind == "cut":
+        limits.isolate(*random.sample(NAMES, 2))
+    else:
+        limits.fleet.cuts = set()
--- /dev/null
+++ b/packages/sidecar/src/sassafrastally/sidecar/conversation.py
@@ -0,0 +1,384 @@
+"""The sidecar's end of each stream: one task a stream, written straight down."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import trio
+
+from sassafrastally.serving.outcome import AttemptState, Outcome
+from sassafrastally.serving.refusals import Figures, Refusal
+from sassafrastally.sidecar.answer import AnswerNotKept
+from sassafrastally.sidecar.attempts import AttemptKey, GivenUp
+from sassafrastally.sidecar.events import (
+    REFUSALS,
+    RESERVATIONS,
+    AttemptCommitted,
+    AttemptRefused,
+    AttemptReserved,
+    ReservationVoided,
+)
+from sassafrastally.sidecar.runner import end_of
+from sassafrastally.wire.link import LinkCut, StreamEnded
+from sassafrastally.wire.messages import (
+    Attach,
+    Cancel,
+    Chunk,
+    Commit,
+    End,
+    Query,
+    QueryReply,
+    Refused,
+    Reserve,
+    Reserved,
+)
+
+if TYPE_CHECKING:
+    from sassafrastally.core import Kernel
+    from sassafrastally.sidecar.admission import Admission, Reservation
+    from sassafrastally.sidecar.answer import Answer, AnswerStore
+    from sassafrastally.sidecar.attempts import Attempt, AttemptTable
+    from sassafrastally.sidecar.runner import Runner
+    from sassafrastally.sidecar.settings import SidecarSettings
+    from sassafrastally.wire.link import Peers, Stream
+    from sassafrastally.wire.messages import Message
+
+_OUTCOMES = {
+    AttemptState.VOIDED: Outcome.NOT_RUN,
+    AttemptState.COMPLETED: Outcome.COMPLETED,
+    AttemptState.FAILED: Outcome.FAILED,
+}
+
+
+class Conversations:
+    """Serves the streams of entries.
+
+    Parameters
+    ----------
+    kernel
+        The process.
+    settings
+        Lapse and grace.
+    admission
+        Decides on reservations.
+    table
+        All attempts.
+    answers
+        Their answers.
+    runner
+        Runs what is committed.
+    nursery
+        Where runs go on when their stream is gone.
+    """
+
+    def __init__(
+        self,
+        kernel: Kernel,
+        settings: SidecarSettings,
+        admission: Admission,
+        table: AttemptTable,
+        answers: AnswerStore,
+        runner: Runner,
+        nursery: trio.Nursery,
+    ) -> None:
+        self._kernel = kernel
+        self._settings = settings
+        self._admission = admission
+        self._table = table
+        self._answers = answers
+        self._runner = runner
+        self._nursery = nursery
+
+    def register(self, peers: Peers) -> None:
+        """Take the streams that begin with a message of the request path."""
+        peers.on_stream(Reserve, self.on_reserve)
+        peers.on_stream(Commit, self.on_commit)
+        peers.on_stream(Cancel, self.on_cancel)
+        peers.on_stream(Query, self.on_query)
+        peers.on_stream(Attach, self.on_attach)
+
+    async def on_reserve(self, stream: Stream, message: Message) -> None:
+        """Serve an attempt from its reservation to its end mark."""
+        assert isinstance(message, Reserve)
+        try:
+            reservation = self._admission.reserve(message)
+        except Refusal as refusal:
+            await self._refuse(stream, AttemptKey(message.request_id, message.attempt), refusal)
+            return
+        attempt = reservation.attempt
+        try:
+            await stream.send(self._reserved(reservation))
+            if await self._wait_commit(stream, attempt) and await self._receive_body(
+                stream, attempt
+            ):
+                self._hand_over(reservation)
+        finally:
+            # Any way out before the whole body is here, a cut of the link among them, leaves an
+            # attempt that no server has seen. It is voided, so that nothing can run it later.
+            if not attempt.is_handed_over:
+                self._void(attempt, "the stream ended before the whole body came")
+        if attempt.is_handed_over:
+            await self._relay(stream, attempt.answer, attempt, 0)
+
+    async def on_commit(self, stream: Stream, message: Message) -> None:
+        """Refuse a commit that comes without its reservation's stream."""
+        assert isinstance(message, Commit)
+        key = AttemptKey(message.request_id, message.attempt)
+        if message.incarnation != self._kernel.incarnation:
+            refusal = Refusal("no-replica", Figures(detail="another incarnation"))
+        else:
+            refusal = self._admission.refuse_commit(key)
+        await self._refuse(stream, key, refusal)
+
+    async def on_cancel(self, stream: Stream, message: Message) -> None:
+        """Cancel an attempt of another stream and tell how it ended."""
+        assert isinstance(message, Cancel)
+        key = AttemptKey(message.request_id, message.attempt)
+        now_s = self._kernel.clock.now_s()
+        attempt = self._table.find(key, now_s)
+        if attempt is None:
+            await stream.send(self._end_of_settled(key))
+            return
+        self._cancel(attempt, message.reason)
+        await attempt.settled.wait()
+        await stream.send(self._end_of_settled(key))
+
+    async def on_query(self, stream: Stream, message: Message) -> None:
+        """Tell what became of an attempt, and void it if asked to."""
+        assert isinstance(message, Query)
+        key = AttemptKey(message.request_id, message.attempt)
+        if message.incarnation != self._kernel.incarnation:
+            state = AttemptState.OTHER_INCARNATION
+        else:
+            state = self._query(key, message.void_if_uncommitted)
+        await stream.send(QueryReply(*key, self._kernel.incarnation, state.value))
+
+    async def on_attach(self, stream: Stream, message: Message) -> None:
+        """Give the chunks of a committed attempt from a number on, and follow it live."""
+        assert isinstance(message, Attach)
+        key = AttemptKey(message.request_id, message.attempt)
+        now_s = self._kernel.clock.now_s()
+        if message.incarnation != self._kernel.incarnation:
+            refusal = Refusal("outcome-unknown", Figures(detail="another incarnation"))
+            await self._refuse(stream, key, refusal)
+            return
+        attempt = self._table.find(key, now_s)
+        if attempt is not None and attempt.state is AttemptState.RESERVED:
+            refusal = Refusal("no-replica", Figures(detail="reserved, not committed"))
+            await self._refuse(stream, key, refusal)
+            return
+        answer = attempt.answer if attempt is not None else self._answers.find(key)
+        if answer is not None:
+            await self._relay(stream, answer, attempt, message.from_sequence)
+        elif (state := self._table.state(key, now_s)) in _OUTCOMES:
+            await stream.send(self._end_of_settled(key))
+        else:
+            refusal = Refusal("outcome-unknown", Figures(detail=f"{state.value} here"))
+            await self._refuse(stream, key, refusal)
+
+    def _query(self, key: AttemptKey, voids: bool) -> AttemptState:
+        now_s = self._kernel.clock.now_s()
+        attempt = self._table.find(key, now_s)
+        if voids and attempt is not None and attempt.state is AttemptState.RESERVED:
+            self._void(attempt, "voided by a query")
+        state = self._table.state(key, now_s)
+        if voids and state is AttemptState.ABSENT:
+            self._table.void_absent(key, now_s)
+        return state
+
+    def _reserved(self, reservation: Reservation) -> Reserved:
+        attempt, admitted = reservation.attempt, reservation.admitted
+        prediction = admitted.prediction
+        RESERVATIONS.add(1)
+        self._kernel.events.emit(AttemptReserved(*attempt.key, prediction.total_s))
+        return Reserved(
+            *attempt.key,
+            self._kernel.incarnation,
+            prediction.first_token_s,
+            prediction.total_s,
+            self._settings.reservation_lapse_s,
+            admitted.cached_tokens,
+        )
+
+    def _hand_over(self, reservation: Reservation) -> None:
+        attempt = reservation.attempt
+        attempt.is_handed_over = True
+        self._kernel.events.emit(AttemptCommitted(*attempt.key))
+        self._nursery.start_soon(self._runner.run, attempt, reservation.backend)
+
+    async def _wait_commit(self, stream: Stream, attempt: Attempt) -> bool:
+        if attempt.reserve.commit_now:
+            attempt.commit(self._kernel.clock.now_s(), attempt.reserve.time_limit_s)
+            return True
+        message: Message | None = None
+        with trio.move_on_at(attempt.lapses_at_s):
+            message = await stream.receive()
+        if message is None:
+            return await self._say_lapsed(stream, attempt)
+        return await self._take_commit(stream, attempt, message)
+
+    async def _take_commit(self, stream: Stream, attempt: Attempt, message: Message) -> bool:
+        now_s = self._kernel.clock.now_s()
+        if isinstance(message, Cancel):
+            self._cancel(attempt, message.reason)
+            await stream.send(self._end_of_settled(attempt.key))
+            return False
+        # The time is looked at here and not left to the timer: when this process was frozen, the
+        # commit may be read before the timer has run, long after the sender has given it up.
+        if self._table.find(attempt.key, now_s) is None:
+            return await self._say_lapsed(stream, attempt)
+        if not isinstance(message, Commit) or message[:2] != attempt.key:
+            return await self._say_bad(stream, attempt, "its commit was expected")
+        if message.incarnation != self._kernel.incarnation:
+            self._void(attempt, "committed to another incarnation")
+            refusal = Refusal("no-replica", Figures(detail="another incarnation"))
+            await self._refuse(stream, attempt.key, refusal)
+            return False
+        attempt.commit(now_s, message.time_limit_s)
+        return True
+
+    async def _receive_body(self, stream: Stream, attempt: Attempt) -> bool:
+        left_bytes = attempt.reserve.body_size_bytes
+        while left_bytes > 0:
+            message: Message | None = None
+            with trio.move_on_at(attempt.deadline_s):
+                message = await stream.receive()
+            if message is None:
+                return await self._say_too_slow(stream, attempt)
+            if isinstance(message, Cancel) or attempt.settled.is_set():
+                self._void(attempt, "cancelled before the whole body came")
+                await stream.send(self._end_of_settled(attempt.key))
+                return False
+            if not isinstance(message, Chunk) or not _is_next(attempt, message):
+                return await self._say_bad(stream, attempt, "its next chunk was expected")
+            attempt.body.append(message.data)
+            left_bytes -= len(message.data)
+        if left_bytes < 0:
+            return await self._say_bad(stream, attempt, "the body is longer than announced")
+        return not attempt.settled.is_set()
+
+    async def _relay(
+        self, stream: Stream, answer: Answer, attempt: Attempt | None, sequence: int
+    ) -> None:
+        """Send an answer from a chunk on to its end mark, and listen for a cancellation."""
+        answer.readers += 1
+        delivered = False
+        try:
+            async with trio.open_nursery() as nursery:
+                if attempt is not None:
+                    nursery.start_soon(self._listen, stream, attempt, nursery.cancel_scope)
+                delivered = await self._send_answer(stream, answer, sequence)
+                nursery.cancel_scope.cancel()
+        finally:
+            answer.leave()
+            if attempt is not None and attempt.reserve.idempotent and not answer.readers:
+                self._let_go(attempt, delivered)
+
+    async def _send_answer(self, stream: Stream, answer: Answer, sequence: int) -> bool:
+        try:
+            while True:
+                chunk = answer.chunk(sequence)
+                if chunk is not None:
+                    await stream.send(chunk)
+                    answer.mark_sent(chunk)
+                    sequence += 1
+                elif answer.end is not None:
+                    await stream.send(answer.end)
+                    answer.is_delivered = True
+                    return True
+                else:
+                    await answer.wait_change()
+        except AnswerNotKept as cause:
+            outcome = answer.end.outcome if answer.end else Outcome.UNKNOWN.value
+            end = End(*answer.key, outcome=outcome, code="answer-not-kept", detail=cause.detail)
+            await stream.send(end)
+            return True
+        except (LinkCut, StreamEnded):
+            return False
+
+    async def _listen(self, stream: Stream, attempt: Attempt, scope: trio.CancelScope) -> None:
+        """Cancel the attempt when the entry says so; end the relay when the entry is gone.
+
+        A further commit on this stream is passed over: an answer to it between the chunks could be
+        read as one to the attempt.
+        """
+        try:
+            while True:
+                message = await stream.receive()
+                if isinstance(message, Cancel):
+                    self._cancel(attempt, message.reason)
+        except (LinkCut, StreamEnded):
+            scope.cancel()
+
+    def _let_go(self, attempt: Attempt, delivered: bool) -> None:
+        """Give up what nobody reads: it may be run again, so nothing is lost but its memory."""
+        if delivered:
+            self._answers.drop(attempt.key)
+        elif not attempt.settled.is_set():
+            self._nursery.start_soon(self._give_up_unread, attempt)
+
+    async def _give_up_unread(self, attempt: Attempt) -> None:
+        with trio.move_on_after(self._settings.reattach_grace_s):
+            await attempt.settled.wait()
+        if not attempt.answer.readers and not attempt.settled.is_set():
+            attempt.give_up(GivenUp("", "nobody reads the answer any more"))
+
+    def _cancel(self, attempt: Attempt, reason: str) -> None:
+        if attempt.is_handed_over:
+            attempt.give_up(GivenUp("", f"cancelled: {reason}"))
+        else:
+            self._void(attempt, f"cancelled: {reason}")
+
+    def _void(self, attempt: Attempt, reason: str) -> None:
+        if attempt.settled.is_set():
+            self._answers.drop(attempt.key)
+            return
+        self._table.void(attempt, self._kernel.clock.now_s())
+        # Whoever has attached while the body was on its way waits for an end mark.
+        attempt.answer.finish(end_of(attempt, Outcome.NOT_RUN, "", reason))
+        self._answers.drop(attempt.key)
+        self._kernel.events.emit(ReservationVoided(*attempt.key, reason))
+
+    async def _say_lapsed(self, stream: Stream, attempt: Attempt) -> bool:
+        self._void(attempt, "lapsed")
+        refusal = Refusal("no-replica", Figures(detail="reservation lapsed"))
+        await self._refuse(stream, attempt.key, refusal)
+        return False
+
+    async def _say_too_slow(self, stream: Stream, attempt: Attempt) -> bool:
+        self._void(attempt, "the time limit passed before the whole body came")
+        detail = "the whole body didn't come within it"
+        await stream.send(end_of(attempt, Outcome.NOT_RUN, "time-limit-passed", detail))
+        return False
+
+    async def _say_bad(self, stream: Stream, attempt: Attempt, detail: str) -> bool:
+        self._void(attempt, detail)
+        refusal = Refusal("bad-request", Figures(detail=detail))
+        await self._refuse(stream, attempt.key, refusal)
+        return False
+
+    async def _refuse(self, stream: Stream, key: AttemptKey, refusal: Refusal) -> None:
+        code, figures = refusal.kind.code, refusal.figures
+        REFUSALS.add(1, {"code": code})
+        self._kernel.events.emit(
+            AttemptRefused(*key, code, figures.limit, figures.measured, figures.detail)
+        )
+        await stream.send(Refused(*key, code, **figures._asdict()))
+
+    def _end_of_settled(self, key: AttemptKey) -> End:
+        """Return the end mark of an attempt that isn't live."""
+        answer = self._answers.find(key)
+        if answer is not None and answer.end is not None:
+            return answer.end
+        state = self._table.state(key, self._kernel.clock.now_s())
+        if state is AttemptState.ABSENT:
+            self._table.void_absent(key, self._kernel.clock.now_s())
+            state = AttemptState.VOIDED
+        outcome = _OUTCOMES.get(state, Outcome.UNKNOWN)
+        code = "answer-not-kept" if outcome is Outcome.COMPLETED else ""
+        return End(*key, outcome=outcome.value, code=code)
+
+
+def _is_next(attempt: Attempt, chunk: Chunk) -> bool:
+    """Return whether a chunk is the next one of the attempt's own body."""
+    return chunk[:3] == (*attempt.key, len(attempt.body))
--- /dev/null
+++ b/packages/sidecar/src/sassafrastally/sidecar/dialects.py
@@ -0,0 +1,229 @@
+"""Engine clients over the published interfaces of model engines."""
+
+from __future__ import annotations
+
+from contextlib import asynccontextmanager
+from typing import TYPE_CHECKING, Any, TypeVar, cast
+
+import httpx
+import trio
+
+from sassafrastally.sidecar.engine import (
+    ENGINE_DIALECTS,
+    CacheEvent,
+    EngineFailed,
+    EngineInfo,
+    EngineRefused,
+    EngineStream,
+    EngineUnavailable,
+)
+from sassafrastally.sidecar.openai_form import (
+    MAX_ANSWER_BYTES,
+    OpenAiEvents,
+    OpenAiWhole,
+    engine_body,
+    parse_load,
+    parse_object,
+    raise_status,
+    read_bounded,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator, Sequence
+
+    from sassafrastally.core import Address
+    from sassafrastally.sidecar.engine import EngineLoad, EngineOrder, EngineRequest
+
+T = TypeVar("T")
+
+CONNECT_LIMIT_S = 2.0
+
+CALL_LIMIT_S = 10.0
+"""Bound of a call that isn't a run; the run's own bound is its time limit."""
+
+ORDER_LIMIT_S = 600.0
+"""Bound of an order: loading a model takes its time."""
+
+CANCEL_LIMIT_S = 2.0
+"""Bound of the cancel on the way out of a run; the sweep frees what it misses."""
+
+_NOT_SENT = (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout)
+"""Failures after which the engine certainly got nothing."""
+
+_ADAPTER_PATHS = {
+    "load_adapter": "/v1/load_lora_adapter",
+    "unload_adapter": "/v1/unload_lora_adapter",
+}
+
+
+@ENGINE_DIALECTS.register("openai")
+class OpenAiDialect:
+    """Implements `Engine` over the completion interface that most engines publish.
+
+    What that interface lacks (streams, KV export and import, cache events, orders) goes to paths
+    under ``/extension``.
+
+    Parameters
+    ----------
+    address
+        The engine's address.
+    """
+
+    def __init__(self, address: Address) -> None:
+        self.address = address
+        limits = httpx.Limits(max_connections=None, max_keepalive_connections=32)
+        self._client = httpx.AsyncClient(
+            base_url=f"http://{address}",
+            timeout=httpx.Timeout(CALL_LIMIT_S, connect=CONNECT_LIMIT_S),
+            limits=limits,
+            # The bodies are read raw, so that their bounds hold for what arrives.
+            headers={"Accept-Encoding": "identity"},
+            trust_env=False,
+        )
+
+    async def aclose(self) -> None:
+        """Close the connections."""
+        await self._client.aclose()
+
+    async def describe(self) -> EngineInfo:
+        """Return what the engine is and holds."""
+        document = await self._call("GET", "/extension/describe")
+        return _parse({**document, "models": tuple(document.get("models") or ())}, EngineInfo)
+
+    @asynccontextmanager
+    async def generate(self, request: EngineRequest) -> AsyncIterator[OpenAiEvents | OpenAiWhole]:
+        """Begin a run; leaving the context cancels what still runs."""
+        body = engine_body(request)
+        run: OpenAiEvents | OpenAiWhole | None = None
+        may_run = True
+        try:
+            async with self._stream(request, body.content) as response:
+                if body.is_streamed:
+                    run = OpenAiEvents(response, body.shows_usage)
+                else:
+                    run = OpenAiWhole(response)
+                yield run
+        except (EngineUnavailable, EngineRefused):
+            may_run = run is not None
+            raise
+        finally:
+            # A finished prefill without output holds its memory until exported or cancelled.
+            is_over = run is not None and run.usage is not None and request.max_output_tokens > 0
+            if may_run and not is_over:
+                await self._cancel_quietly(request.stream_id)
+
+    async def cancel(self, stream_id: str) -> bool:
+        """Cancel a run and free its memory; return whether the engine knew it."""
+        document = await self._call("POST", "/abort_request", {"rid": stream_id})
+        return bool(document.get("found", True))
+
+    async def list_streams(self) -> list[EngineStream]:
+        """Return every holder of memory."""
+        document = await self._call("GET", "/extension/streams")
+        return _parse_list(document, "streams", EngineStream)
+
+    async def export_kv(self, stream_id: str, handle: str) -> int:
+        """Keep a finished prefill's KV cache under a handle; return its blocks."""
+        body = {"stream_id": stream_id, "handle": handle}
+        document = await self._call("POST", "/extension/exports", body)
+        return int(document.get("blocks", 0))
+
+    async def import_kv(self, handle: str, source: Address, blocks: int) -> None:
+        """Fetch an export from another engine and hold it under the same handle."""
+        body = {"handle": handle, "source": str(source), "blocks": blocks}
+        await self._call("POST", "/extension/imports", body)
+
+    async def free_export(self, handle: str) -> bool:
+        """Free an export or import; return whether the engine knew it."""
+        document = await self._call("DELETE", f"/extension/exports/{handle}")
+        return bool(document.get("found"))
+
+    async def load(self) -> EngineLoad:
+        """Return the engine's lagging load."""
+        return parse_load(await self._fetch("GET", "/metrics"))
+
+    async def cache_events(self, after: int) -> Sequence[CacheEvent]:
+        """Return the cache events after a sequence number, those that are known by now."""
+        document = await self._call("GET", f"/extension/cache_events?after={after}")
+        return _parse_list(document, "events", CacheEvent)
+
+    async def order(self, order: EngineOrder) -> None:
+        """Carry out an order; raises `EngineRefused` when the fence is old and checked."""
+        path = _ADAPTER_PATHS.get(order.action)
+        if path is None:
+            await self._call("POST", "/extension/orders", order._asdict(), ORDER_LIMIT_S)
+        else:
+            body = {"lora_name": order.adapter, "lora_path": order.adapter, "fence": order.fence}
+            await self._call("POST", path, body, ORDER_LIMIT_S)
+
+    @asynccontextmanager
+    async def _stream(
+        self, request: EngineRequest, content: bytes
+    ) -> AsyncIterator[httpx.Response]:
+        method, _, path = request.operation.partition(" ")
+        built = self._client.build_request(
+            method,
+            path,
+            content=content,
+            headers={"X-Request-Id": request.stream_id, "Content-Type": "application/json"},
+            # The prefill may be long: reading is bounded by the time limit of the request.
+            timeout=httpx.Timeout(None, connect=CONNECT_LIMIT_S),
+        )
+        response = await self._send(built)
+        try:
+            if response.status_code != httpx.codes.OK:
+                await raise_status(response)
+            yield response
+        finally:
+            with trio.move_on_after(CANCEL_LIMIT_S, shield=True):
+                await response.aclose()
+
+    async def _send(self, built: httpx.Request) -> httpx.Response:
+        try:
+            return await self._client.send(built, stream=True)
+        except _NOT_SENT as cause:
+            raise EngineUnavailable(f"no connection: {cause}") from cause
+        except httpx.HTTPError as cause:
+            raise EngineFailed(f"the connection broke: {cause!r}") from cause
+
+    async def _call(
+        self, method: str, path: str, body: Any = None, limit_s: float = CALL_LIMIT_S
+    ) -> dict[str, Any]:
+        content = await self._fetch(method, path, body, limit_s)
+        return parse_object(content) if content else {}
+
+    async def _fetch(
+        self, method: str, path: str, body: Any = None, limit_s: float = CALL_LIMIT_S
+    ) -> bytes:
+        timeout = httpx.Timeout(limit_s, connect=CONNECT_LIMIT_S)
+        built = self._client.build_request(method, path, json=body, timeout=timeout)
+        response = await self._send(built)
+        try:
+            if response.status_code != httpx.codes.OK:
+                await raise_status(response)
+            return await read_bounded(response, MAX_ANSWER_BYTES)
+        finally:
+            with trio.move_on_after(CANCEL_LIMIT_S, shield=True):
+                await response.aclose()
+
+    async def _cancel_quietly(self, stream_id: str) -> None:
+        with trio.move_on_after(CANCEL_LIMIT_S, shield=True):
+            try:
+                await self.cancel(stream_id)
+            except (EngineUnavailable, EngineFailed, EngineRefused):
+                return  # The sidecar's sweep finds the stream in the engine's list.
+
+
+def _parse(document: dict[str, Any], kind: type[T]) -> T:
+    fields = cast("Any", kind)._fields
+    try:
+        return kind(**{name: document[name] for name in fields if name in document})
+    except TypeError as cause:
+        raise EngineFailed(f"the engine sent another form of {kind.__name__}: {cause}") from cause
+
+
+def _parse_list(document: dict[str, Any], key: str, kind: type[T]) -> list[T]:
+    items = document.get(key)
+    if not isinstance(items, list) or not all(isinstance(item, dict) for item in items):
+        raise EngineFailed(f"the engine sent no list of {key}")
+    return [_parse(item, kind) for item in items]
--- /dev/null
+++ b/packages/sidecar/src/sassafrastally/sidecar/leaving.py
@@ -0,0 +1,52 @@
+"""Leaving: from whichever word comes first, no new reservation is made here."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import trio
+
+from sassafrastally.sidecar.events import LeavingBegan
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from sassafrastally.core import Kernel
+
+
+class Leaving:
+    """Whether this backend server leaves.
+
+    Parameters
+    ----------
+    kernel
+        The process; its stop signal is one way to say it.
+    """
+
+    def __init__(self, kernel: Kernel) -> None:
+        self._kernel = kernel
+        self._began = trio.Event()
+        self.on_begin: Callable[[], None] = lambda: None
+        """Called once when leaving begins."""
+
+    @property
+    def is_leaving(self) -> bool:
+        """Whether new reservations are refused.
+
+        The kernel's signal is looked at itself: a reservation that comes between the signal and
+        the first step of `stop` must be refused too.
+        """
+        return self._began.is_set() or self._kernel.stopping.is_set()
+
+    def begin(self, reason: str) -> None:
+        """Refuse new reservations from now on; there is no way back in this incarnation."""
+        if self._began.is_set():
+            return
+        self._began.set()
+        self._kernel.events.emit(LeavingBegan(reason))
+        self.on_begin()
+
+    async def watch(self, reason: str, event: trio.Event) -> None:
+        """Begin to leave when an event is set."""
+        await event.wait()
+        self.begin(reason)
--- /dev/null
+++ b/packages/sidecar/src/sassafrastally/sidecar/plain.py
@@ -0,0 +1,187 @@
+"""Plain services: the same promises as for engines, with a bound on calls at a time."""
+
+from __future__ import annotations
+
+from collections import deque
+from typing import TYPE_CHECKING, Protocol
+
+import trio
+
+from sassafrastally.serving.refusals import Figures, Refusal
+from sassafrastally.serving.scheduling import Prediction
+from sassafrastally.sidecar.backend import Admitted, RunResult
+from sassafrastally.sidecar.engine import EngineFailed, EngineUnavailable
+from sassafrastally.sidecar.events import AttemptStarted
+from sassafrastally.sidecar.plain_client import PlainMaybeRan, PlainNotSent
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator, Callable, Mapping
+    from contextlib import AbstractAsyncContextManager
+
+    from sassafrastally.core import Kernel
+    from sassafrastally.sidecar.answer import AnswerStore
+    from sassafrastally.sidecar.attempts import Attempt, AttemptTable
+    from sassafrastally.wire.messages import Reserve
+
+FIRST_CALL_S = 0.05
+"""Expected duration of a call before any was seen."""
+
+BODY_TYPE = "application/json"
+"""Type under which bodies are sent; a reservation carries none."""
+
+SMOOTHING = 0.2
+"""Weight of the newest call in the learned duration."""
+
+
+class CallAnswer(Protocol):
+    """An answer whose head has come; iterate over its body."""
+
+    @property
+    def status(self) -> int:
+        """HTTP status."""
+        ...
+
+    @property
+    def content_type(self) -> str:
+        """Content type of the body."""
+        ...
+
+    @property
+    def is_complete(self) -> bool:
+        """Whether the whole body has been read."""
+        ...
+
+    def __aiter__(self) -> AsyncIterator[bytes]: ...
+
+
+class Caller(Protocol):
+    """Calls one plain service; `sassafrastally.sidecar.plain_client.PlainClient` does."""
+
+    def call(
+        self, method: str, path: str, headers: Mapping[str, str], body: bytes, timeout_s: float
+    ) -> AbstractAsyncContextManager[CallAnswer]:
+        """Call the service once, never again by itself.
+
+        Raises
+        ------
+        PlainNotSent
+            It certainly did not run.
+        PlainMaybeRan
+            It may have run.
+        """
+        ...
+
+
+class PlainBackend:
+    """One plain service as a `Backend`.
+
+    Parameters
+    ----------
+    kernel
+        The process.
+    name
+        Name of the service.
+    client
+        Calls it.
+    max_concurrent
+        Returns the most calls at a time, which the bundle may change.
+    table
+        All attempts.
+    answers
+        Where answers grow.
+    """
+
+    def __init__(
+        self,
+        kernel: Kernel,
+        name: str,
+        client: Caller,
+        max_concurrent: Callable[[], int],
+        table: AttemptTable,
+        answers: AnswerStore,
+    ) -> None:
+        self.name = name
+        self._kernel = kernel
+        self._client = client
+        self._max_concurrent = max_concurrent
+        self._table = table
+        self._answers = answers
+        self._waiting: deque[tuple[Attempt, trio.Event]] = deque()
+        self._running: set[Attempt] = set()
+        self._call_s = FIRST_CALL_S
+
+    @property
+    def running_count(self) -> int:
+        """Calls under way."""
+        return len(self._running)
+
+    def admit(self, reserve: Reserve, now_s: float) -> Admitted:
+        """Return the prediction for an attempt; raises `Refusal`."""
+        ahead = sum(
+            1 for a in self._table.live if a.reserve.service == self.name and not a.has_started
+        )
+        rounds = (ahead + self.running_count) // max(1, self._max_concurrent())
+        total_s = (rounds + 1) * self._call_s
+        if total_s > reserve.time_limit_s:
+            retry_after_s = 0.0 if self._call_s > reserve.time_limit_s else rounds * self._call_s
+            figures = Figures(reserve.time_limit_s, total_s, retry_after_s)
+            raise Refusal("time-limit-unreachable", figures)
+        return Admitted(Prediction(total_s, total_s), 0)
+
+    def register(self, attempt: Attempt, admitted: Admitted) -> None:
+        """Note nothing further: the table already counts the attempt."""
+
+    async def run(self, attempt: Attempt) -> RunResult:
+        """Wait for a free place and call the service once."""
+        await self._turn(attempt)
+        started_s = self._kernel.clock.now_s()
+        self._kernel.events.emit(AttemptStarted(*attempt.key, started_s - attempt.arrived_s))
+        attempt.has_started = True
+        try:
+            result = await self._call(attempt, attempt.deadline_s - started_s)
+        except PlainNotSent as cause:
+            attempt.has_started = False
+            raise EngineUnavailable(cause.detail) from cause
+        except PlainMaybeRan as cause:
+            raise EngineFailed(cause.detail) from cause
+        elapsed_s = self._kernel.clock.now_s() - started_s
+        self._call_s += SMOOTHING * (elapsed_s - self._call_s)
+        return result
+
+    async def release(self, attempt: Attempt) -> None:
+        """Give the place to the next call."""
+        self._running.discard(attempt)
+        self._hand_out()
+        await trio.lowlevel.checkpoint()
+
+    async def _call(self, attempt: Attempt, timeout_s: float) -> RunResult:
+        method, _, path = attempt.reserve.operation.partition(" ")
+        body = attempt.take_body()
+        headers = {"Content-Type": BODY_TYPE} if body else {}
+        async with self._client.call(method, path, headers, body, timeout_s) as answer:
+            self._table.release_body(attempt)
+            async for piece in answer:
+                self._answers.append(attempt.answer, piece, 0)
+                await self._answers.wait_room(attempt.answer)
+            if not answer.is_complete:
+                raise EngineFailed("the service ended its answer before the end")
+            return RunResult(answer.status, answer.content_type)
+
+    async def _turn(self, attempt: Attempt) -> None:
+        entry = (attempt, trio.Event())
+        self._waiting.append(entry)
+        self._hand_out()
+        try:
+            await entry[1].wait()
+        finally:
+            if entry in self._waiting:
+                self._waiting.remove(entry)
+
+    def _hand_out(self) -> None:
+        now_s = self._kernel.clock.now_s()
+        while self._waiting and len(self._running) < max(1, self._max_concurrent()):
+            attempt, turn = self._waiting.popleft()
+            # After a freeze this may run before the time limit has cancelled the waiting task.
+            if attempt.deadline_s > now_s:
+                self._running.add(attempt)
+                turn.set()
--- /dev/null
+++ b/packages/sidecar/src/sassafrastally/sidecar/queue.py
@@ -0,0 +1,136 @@
+"""Waiting work, handed to the engine one by one as the scheduler picks it."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, NamedTuple
+
+import trio
+
+from sassafrastally.serving.scheduling import EngineState, Running
+from sassafrastally.sidecar.attempts import AttemptKey
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from sassafrastally.core import Clock
+    from sassafrastally.serving.scheduling import Scheduler, Work
+    from sassafrastally.sidecar.ledger import Ledger
+
+
+class _Waiter(NamedTuple):
+    work: Work
+    stream_id: str
+    turn: trio.Event
+
+
+class WorkQueue:
+    """Work of one engine, waiting and running.
+
+    Parameters
+    ----------
+    scheduler
+        Decides what goes next.
+    ledger
+        The engine's memory; blocks are held from the hand-over on, not while work waits.
+    clock
+        The process's clock.
+    interval_s
+        How often waiting work is looked at when nothing changes.
+    """
+
+    def __init__(
+        self, scheduler: Scheduler, ledger: Ledger, clock: Clock, interval_s: float
+    ) -> None:
+        self.scheduler = scheduler
+        self._ledger = ledger
+        self._clock = clock
+        self._interval_s = interval_s
+        self._waiting: dict[AttemptKey, _Waiter] = {}
+        self._running: dict[AttemptKey, Running] = {}
+        self._changed = trio.Event()
+        self.is_open: Callable[[], bool] = lambda: True
+        """Whether the engine can take work at all."""
+
+    @property
+    def waiting(self) -> list[Work]:
+        """Work that waits for its turn."""
+        return [waiter.work for waiter in self._waiting.values()]
+
+    @property
+    def running_count(self) -> int:
+        """How many runs are on the engine."""
+        return len(self._running)
+
+    def state(self) -> EngineState:
+        """Return what the scheduler needs to know of the engine."""
+        return EngineState(
+            self._clock.now_s(),
+            self._ledger.block_tokens,
+            self._ledger.total_blocks,
+            self._ledger.free_blocks,
+            tuple(self._running.values()),
+        )
+
+    async def turn(self, work: Work, stream_id: str) -> None:
+        """Wait until the work has its turn; its blocks are then held under the stream id."""
+        key = AttemptKey(work.request_id, work.attempt)
+        waiter = _Waiter(work, stream_id, trio.Event())
+        self._waiting[key] = waiter
+        self.notice_change()
+        try:
+            await waiter.turn.wait()
+        finally:
+            self._waiting.pop(key, None)
+
+    def note_tokens(self, key: AttemptKey, tokens: int) -> None:
+        """Take in tokens that a run has shown."""
+        running = self._running.get(key)
+        if running is None:
+            return
+        first_token_s = running.first_token_s
+        if first_token_s is None:
+            first_token_s = self._clock.now_s()
+        self._running[key] = running._replace(
+            first_token_s=first_token_s, shown_tokens=running.shown_tokens + tokens
+        )
+
+    def leave(self, key: AttemptKey) -> None:
+        """Take a run off the list; its memory is the ledger's matter."""
+        self._running.pop(key, None)
+        self.notice_change()
+
+    def notice_change(self) -> None:
+        """Look at the waiting work soon."""
+        self._changed.set()
+
+    async def dispatch(self) -> None:
+        """Hand out work for as long as the process runs."""
+        while True:
+            self._changed = trio.Event()
+            self._hand_out()
+            if self._waiting:
+                with trio.move_on_after(self._interval_s):
+                    await self._changed.wait()
+            else:
+                await self._changed.wait()
+
+    def _hand_out(self) -> None:
+        while self._waiting and self.is_open():
+            state = self.state()
+            # After a freeze of the process this may run before the time limits have cancelled
+            # their tasks: what is past its limit must not be started.
+            ready = [work for work in self.waiting if work.deadline_s > state.now_s]
+            work = self.scheduler.pick(ready, state) if ready else None
+            if work is None or not self._start(work, state):
+                return
+
+    def _start(self, work: Work, state: EngineState) -> bool:
+        key = AttemptKey(work.request_id, work.attempt)
+        waiter = self._waiting[key]
+        blocks = self._ledger.blocks_for(work.prompt_tokens + work.output_tokens)
+        if not self._ledger.hold(waiter.stream_id, blocks, state.now_s):
+            return False
+        del self._waiting[key]
+        self._running[key] = Running(work, state.now_s, None, 0)
+        waiter.turn.set()
+        return True
--- /dev/null
+++ b/packages/sidecar/src/sassafrastally/sidecar/runner.py
@@ -0,0 +1,127 @@
+"""One task for each committed attempt: from its turn to its end mark and freed memory."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import trio
+
+from sassafrastally.serving.outcome import AttemptState, Outcome
+from sassafrastally.serving.refusals import Refusal
+from sassafrastally.sidecar.engine import EngineFailed, EngineRefused, EngineUnavailable
+from sassafrastally.sidecar.events import SETTLED, AttemptSettled
+from sassafrastally.wire.messages import End
+
+if TYPE_CHECKING:
+    from sassafrastally.core import Kernel
+    from sassafrastally.sidecar.answer import AnswerStore
+    from sassafrastally.sidecar.attempts import Attempt, AttemptTable
+    from sassafrastally.sidecar.backend import Backend, RunResult
+    from sassafrastally.sidecar.settings import SidecarSettings
+
+_STATES = {
+    Outcome.COMPLETED: AttemptState.COMPLETED,
+    Outcome.NOT_RUN: AttemptState.VOIDED,
+    Outcome.FAILED: AttemptState.FAILED,
+    Outcome.UNKNOWN: AttemptState.FAILED,
+}
+
+
+class Runner:
+    """Runs committed attempts.
+
+    Parameters
+    ----------
+    kernel
+        The process.
+    settings
+        The limit for freeing.
+    table
+        All attempts.
+    answers
+        Where answers grow.
+    """
+
+    def __init__(
+        self, kernel: Kernel, settings: SidecarSettings, table: AttemptTable, answers: AnswerStore
+    ) -> None:
+        self._kernel = kernel
+        self._settings = settings
+        self._table = table
+        self._answers = answers
+
+    async def run(self, attempt: Attempt, backend: Backend) -> None:
+        """Run an attempt to its end, its time limit or its cancellation, and free its memory.
+
+        The end mark is there before the memory is freed: whoever waits for a passed time limit
+        must not wait for the engine as well.
+        """
+        end: End | None = None
+        attempt.scope.deadline = attempt.deadline_s
+        try:
+            with attempt.scope:
+                end = await self._run_to_end(attempt, backend)
+        finally:
+            self.settle(attempt, end or self._cut_end(attempt))
+            limit_s = self._settings.cancel_limit_s
+            with trio.CancelScope(shield=True, deadline=trio.current_time() + limit_s):
+                await backend.release(attempt)
+
+    def settle(self, attempt: Attempt, end: End) -> None:
+        """Record how an attempt ended and let its readers see it."""
+        now_s = self._kernel.clock.now_s()
+        outcome = Outcome(end.outcome)
+        self._table.settle(attempt, _STATES[outcome], now_s)
+        attempt.answer.finish(end)
+        if outcome is Outcome.NOT_RUN:
+            self._answers.drop(attempt.key)
+        else:
+            self._answers.keep(attempt.answer, now_s)
+        SETTLED.add(1, {"outcome": end.outcome})
+        elapsed_s = now_s - attempt.arrived_s
+        self._kernel.events.emit(
+            AttemptSettled(*attempt.key, end.outcome, end.code, end.detail, elapsed_s)
+        )
+
+    async def _run_to_end(self, attempt: Attempt, backend: Backend) -> End:
+        try:
+            return _completed(attempt, await backend.run(attempt))
+        except (EngineUnavailable, EngineRefused) as cause:
+            return end_of(attempt, Outcome.NOT_RUN, "no-replica", cause.detail)
+        except Refusal as cause:
+            return end_of(attempt, cause.outcome, cause.kind.code, cause.figures.detail)
+        except EngineFailed as cause:
+            if attempt.answer.chunk_count or attempt.answer.size_bytes:
+                return end_of(attempt, Outcome.FAILED, "backend-failed", cause.detail)
+            # Nothing came back: whether the engine had begun can't be told.
+            return end_of(attempt, Outcome.UNKNOWN, "outcome-unknown", cause.detail)
+
+    def _cut_end(self, attempt: Attempt) -> End:
+        outcome = Outcome.FAILED if attempt.has_started else Outcome.NOT_RUN
+        if attempt.given_up is not None:
+            return end_of(attempt, outcome, *attempt.given_up)
+        if self._kernel.clock.now_s() >= attempt.deadline_s:
+            return end_of(attempt, outcome, "time-limit-passed", _limit_detail(attempt))
+        return end_of(attempt, outcome, "backend-failed", "the sidecar was ended")
+
+
+def end_of(attempt: Attempt, outcome: Outcome, code: str, detail: str) -> End:
+    """Return the end mark of an attempt that didn't complete."""
+    return End(*attempt.key, outcome=outcome.value, code=code, detail=detail)
+
+
+def _limit_detail(attempt: Attempt) -> str:
+    return f"limit {attempt.deadline_s - attempt.arrived_s:.3f} s"
+
+
+def _completed(attempt: Attempt, result: RunResult) -> End:
+    return End(
+        *attempt.key,
+        outcome=Outcome.COMPLETED.value,
+        status=result.status,
+        prompt_tokens=result.prompt_tokens,
+        cached_tokens=result.cached_tokens,
+        output_tokens=result.output_tokens,
+        finish_reason=result.finish_reason,
+        content_type=result.content_type,
+    )
--- /dev/null
+++ b/packages/sidecar/tests/test_answer.py
@@ -0,0 +1,79 @@
+"""Answers: numbered chunks, joining and the bound of what is kept."""
+
+from __future__ import annotations
+
+import pytest
+
+from sassafrastally.sidecar.answer import JOINED_BYTES, Answer, AnswerNotKept, AnswerStore
+from sassafrastally.sidecar.attempts import AttemptKey
+from sassafrastally.sidecar.settings import SidecarSettings
+from sassafrastally.wire.messages import MAX_CHUNK_BYTES, End
+
+
+def key(number):
+    return AttemptKey(f"{number:032x}", 1)
+
+
+class TestAnswer:
+    async def test_pieces_join_and_keep_their_number(self):
+        answer = Answer(key(1))
+        answer.append(b"a", 1)
+        answer.append(b"b", 2)
+        first = answer.chunk(0)
+        answer.append(b"c", 1)
+        assert (first.data, first.tokens) == (b"ab", 3)
+        assert answer.chunk(0) == first
+        assert answer.chunk(1).data == b"c"
+        assert answer.chunk(2) is None
+
+    async def test_long_pieces_are_cut(self):
+        answer = Answer(key(1))
+        answer.append(b"x" * (3 * JOINED_BYTES + 1), 5)
+        answer.finish(End(*key(1)))
+        chunks = [answer.chunk(number) for number in range(answer.chunk_count)]
+        assert max(len(chunk.data) for chunk in chunks) <= MAX_CHUNK_BYTES
+        assert sum(len(chunk.data) for chunk in chunks) == 3 * JOINED_BYTES + 1
+        assert sum(chunk.tokens for chunk in chunks) == 5
+        assert answer.end.chunks == len(chunks)
+
+
+class TestAnswerStore:
+    async def test_oldest_finished_answer_leaves_first(self):
+        store = AnswerStore(SidecarSettings(max_answer_bytes=250))
+        for number in range(3):
+            answer = store.begin(key(number))
+            store.append(answer, b"x" * 100, 1)
+            answer.finish(End(*key(number)))
+            store.keep(answer, float(number))
+        assert store.find(key(0)) is None
+        assert store.find(key(1)) and store.find(key(2))
+        assert store.size_bytes == 200
+
+    async def test_growing_answer_lets_go_what_was_sent(self):
+        store = AnswerStore(SidecarSettings(max_answer_bytes=250))
+        answer = store.begin(key(1))
+        answer.readers = 1
+        for number in range(4):
+            store.append(answer, b"x" * 100, 1)
+            answer.mark_sent(answer.chunk(number))
+        assert store.size_bytes <= 300
+        assert answer.chunk(3) is not None
+        with pytest.raises(AnswerNotKept):
+            answer.chunk(0)
+
+    async def test_unsent_bytes_of_a_reader_are_never_let_go(self):
+        store = AnswerStore(SidecarSettings(max_answer_bytes=250))
+        answer = store.begin(key(1))
+        answer.readers = 1
+        for _ in range(4):
+            store.append(answer, b"x" * 100, 1)
+        assert len(answer.chunk(0).data) == 400
+
+    async def test_old_answers_leave(self):
+        store = AnswerStore(SidecarSettings(answer_age_s=10.0))
+        answer = store.begin(key(1))
+        store.append(answer, b"x", 1)
+        answer.finish(End(*key(1)))
+        store.keep(answer, 0.0)
+        store.expire(11.0)
+        assert (store.find(key(1)), store.size_bytes) == (None, 0)
--- /dev/null
+++ b/packages/sidecar/tests/test_event_stream.py
@@ -0,0 +1,38 @@
+"""Tests of the reading of server-sent events."""
+
+from __future__ import annotations
+
+from itertools import pairwise
+
+import pytest
+from hypothesis import given, seed, settings
+from hypothesis import strategies as st
+
+from sassafrastally.sidecar.event_stream import MAX_EVENT_BYTES, BadEventStream, EventReader
+
+STREAM = (
+    b": comment\r\ndata: one\r\n\r\ndata:two\ndata: lines\n\nevent: x\ndata: [DONE]\n\nid: 4\n\n"
+)
+
+
+class TestEventReader:
+    @seed(1)
+    @settings(max_examples=100, database=None)
+    @given(st.lists(st.integers(0, len(STREAM)), max_size=6))
+    def test_cuts_anywhere_give_the_same_events(self, cuts: list[int]) -> None:
+        reader = EventReader()
+        bounds = [0, *sorted(cuts), len(STREAM)]
+        pieces = [STREAM[start:end] for start, end in pairwise(bounds)]
+        events = [event for piece in pieces for event in reader.feed(piece)]
+        assert events == [b"one", b"two\nlines", b"[DONE]"]
+
+    @pytest.mark.parametrize("line", [b"data: " + b"x" * 4096, b"data: " + b"x" * 4096 + b"\n"])
+    def test_endless_events_are_refused(self, line: bytes) -> None:
+        """A broken engine would fill the sidecar's memory and take every run with it.
+
+        It sends one event that never ends, as one long line or as ever more lines.
+        """
+        reader = EventReader()
+        with pytest.raises(BadEventStream):
+            for _ in range(2 * MAX_EVENT_BYTES // len(line)):
+                list(reader.feed(line))
--- /dev/null
+++ b/packages/testing/src/sassafrastally/testing/deployment.py
@@ -0,0 +1,281 @@
+"""A whole deployment in one process: real entries and sidecars on stand-ins of all else.
+
+On trio's mock clock it runs over a `MemoryNetwork`; over `TcpNetwork` it is the demo. Its nodes are
+killed, stopped, restarted and cut as a test or scenario says.
+"""
+
+from __future__ import annotations
+
+import hashlib
+from contextlib import asynccontextmanager
+from random import Random
+from typing import TYPE_CHECKING, NamedTuple
+
+import trio
+
+from sassafrastally.control.publish import publish_bundle, sign_bundle
+from sassafrastally.control.rolling import RollOrder, read_head, roll_bundle
+from sassafrastally.control.signing import BundleSettings, SigningKey
+from sassafrastally.core import Address, Clock
+from sassafrastally.core.settings import Secret, load_settings
+from sassafrastally.entry import build_entry
+from sassafrastally.entry.assemble import build_path
+from sassafrastally.platform import PlatformService, VmState
+from sassafrastally.sidecar import build_sidecar
+from sassafrastally.testing.engine_fake import FakeEngine
+from sassafrastally.testing.engine_model import EngineModel, EngineShape
+from sassafrastally.testing.kv_fake import FakeKv
+from sassafrastally.testing.kv_model import KvModel
+from sassafrastally.testing.network import MemoryNetwork
+from sassafrastally.testing.plain_service import PlainService, serve_plain
+from sassafrastally.testing.vm_list import FakeVmList, VmListModel
+from sassafrastally.testing.weight_store import FakeWeightStore, WeightStoreModel
+from sassafrastally.wire.peers import PeerService
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator, Callable
+
+    from sassafrastally.control.bundle import Bundle
+    from sassafrastally.core import Kernel, Network
+    from sassafrastally.core.settings import Settings
+
+EPOCH_S = 1_800_000_000.0
+LOADS_PER_S = 2.0
+SIGNER = SigningKey("operator", Secret("11" * 32))
+RECEIPT_KEY = "22" * 32
+LINK_SECRET = "33" * 32
+SEED_BYTES = 4
+KV_SEED = 7
+ANY_PORT = Address("127.0.0.1", 0)
+
+SETTINGS = """
+role = "{role}"
+[process]
+vm = "{vm}"
+data_centre = "{data_centre}"
+region = "{region}"
+[peer]
+listen_address = "{listen}"
+link_secret = "{link_secret}"
+[kv]
+address = "127.0.0.1:1"
+[vm_list]
+address = "127.0.0.1:1"
+poll_interval_s = 1.0
+[[bundle.trusted_signers]]
+name = "{signer}"
+public_key = "{public_key}"
+"""
+
+ENTRY_SETTINGS = """
+[http]
+listen_address = "127.0.0.1:0"
+[[receipts.keys]]
+key_id = "k1"
+secret = "{receipt_key}"
+"""
+
+SIDECAR_SETTINGS = """
+[sidecar]
+scheduler = "{scheduler}"
+"""
+
+SERVICE_SETTINGS = """
+[[sidecar.services]]
+name = "{name}"
+address = "{address}"
+"""
+
+
+class VmSpec(NamedTuple):
+    """One VM of the deployment."""
+
+    vm: str
+    role: str
+    data_centre: str = "dc-1"
+    service: str = ""
+    """Plain service beside a sidecar; empty for a model engine."""
+
+
+class DeploymentShape(NamedTuple):
+    """What a deployment consists of."""
+
+    vms: tuple[VmSpec, ...]
+    bundle: Bundle
+    engine: EngineShape = EngineShape()
+    region: str = "region-1"
+    scheduler: str = "lanes"
+    extra_settings: str = ""
+    """TOML added to every process's settings."""
+
+
+class Node:
+    """One VM and what runs on it; the engine or plain service outlives its sidecar."""
+
+    def __init__(self, spec: VmSpec, kernel: Kernel) -> None:
+        self.spec = spec
+        self.kernel = kernel
+        self.scope = trio.CancelScope()
+        self.ended = trio.Event()
+
+
+class Deployment:
+    """The running deployment; made by `open_deployment`."""
+
+    def __init__(
+        self, shape: DeploymentShape, nursery: trio.Nursery, network: Network | MemoryNetwork
+    ) -> None:
+        self.shape = shape
+        self.network = network
+        self.kv = KvModel(Random(KV_SEED))
+        self.vm_list = VmListModel()
+        self.weight_store = WeightStoreModel(LOADS_PER_S)
+        self.engines: dict[str, EngineModel] = {}
+        self.engine_clients: dict[str, FakeEngine] = {}
+        self.services: dict[str, PlainService] = {}
+        self.nodes: dict[str, Node] = {}
+        self._service_addresses: dict[str, Address] = {}
+        self._peer_addresses: dict[str, Address] = {}
+        self._nursery = nursery
+        self._starts = 0
+
+    @property
+    def memory_network(self) -> MemoryNetwork:
+        """The network when it is one in memory, for its faults."""
+        assert isinstance(self.network, MemoryNetwork)
+        return self.network
+
+    def node(self, vm: str) -> Node:
+        """Return a running node."""
+        return self.nodes[vm]
+
+    def peer_address(self, vm: str) -> Address:
+        """Return where a VM takes links."""
+        return self._peer_addresses[vm]
+
+    async def start(self, vm: str) -> Node:
+        """Start a VM's process, with a new life, and list it."""
+        spec = next(spec for spec in self.shape.vms if spec.vm == vm)
+        await self._start_backend(spec)
+        kernel = await self._build(spec)
+        node = Node(spec, kernel)
+        self.nodes[vm] = node
+        await self._nursery.start(self._run_node, node)
+        self._peer_addresses[vm] = kernel.get("peers", PeerService).bound_address
+        self.vm_list.put(
+            VmState(vm, spec.role, spec.data_centre, self.shape.region, self._peer_addresses[vm])
+        )
+        return node
+
+    async def kill(self, vm: str) -> None:
+        """End a process at once, as if its VM had lost power; its engine lives on."""
+        node = self.nodes.pop(vm)
+        if isinstance(self.network, MemoryNetwork):
+            self.network.kill(vm)
+        node.scope.cancel()
+        await node.ended.wait()
+
+    async def stop(self, vm: str) -> None:
+        """Ask a process to stop and wait until it has."""
+        node = self.nodes.pop(vm)
+        node.kernel.request_stop()
+        await node.ended.wait()
+        if isinstance(self.network, MemoryNetwork):
+            self.network.kill(vm)
+
+    async def roll(self, bundle: Bundle) -> int:
+        """Publish, sign and roll a bundle; return its generation."""
+        kv = FakeKv(self.kv)
+        settings = self.bundle_settings
+        published = await publish_bundle(kv, bundle)
+        await sign_bundle(kv, published.digest, SIGNER, settings)
+        head = await read_head(kv)
+        order = RollOrder(published.digest, head.generation if head else 0)
+        return (await roll_bundle(kv, order, SIGNER, settings)).head.generation
+
+    @property
+    def bundle_settings(self) -> BundleSettings:
+        """Settings of the bundle service, the same on all nodes."""
+        return self._settings(self.shape.vms[0], "").get(BundleSettings)
+
+    async def _start_backend(self, spec: VmSpec) -> None:
+        if spec.role != "sidecar" or spec.vm in self.engines or spec.vm in self.services:
+            return
+        if spec.service:
+            service = self.services[spec.vm] = PlainService()
+            bound: Address = await self._nursery.start(serve_plain, service, ANY_PORT)
+            self._service_addresses[spec.vm] = bound
+            return
+        model = EngineModel(self.shape.engine, seed=_seed(spec.vm, 0))
+        self.engines[spec.vm] = model
+        self.engine_clients[spec.vm] = FakeEngine(model)
+        self._nursery.start_soon(model.run)
+
+    async def _build(self, spec: VmSpec) -> Kernel:
+        self._starts += 1
+        seed = _seed(spec.vm, self._starts)
+        clock = Clock(0.0, EPOCH_S) if isinstance(self.network, MemoryNetwork) else Clock()
+        platform = PlatformService(
+            FakeKv(self.kv), FakeVmList(self.vm_list), FakeWeightStore(self.weight_store)
+        )
+        if isinstance(self.network, MemoryNetwork):
+            known = self._peer_addresses.get(spec.vm)
+            settings = self._settings(spec, str(known) if known else "127.0.0.1:0")
+            network: Network = self.network.host(spec.vm)
+            build: Callable[..., Kernel] = build_path
+        else:
+            settings = self._settings(spec, "127.0.0.1:0")
+            network, build = self.network, build_entry
+        if spec.role == "entry":
+            return build(settings, platform, network, clock, seed)
+        engine = self.engine_clients.get(spec.vm)
+        return build_sidecar(settings, platform, network, engine, clock, seed)
+
+    def _settings(self, spec: VmSpec, listen: str) -> Settings:
+        text = SETTINGS.format(
+            role=spec.role,
+            vm=spec.vm,
+            data_centre=spec.data_centre,
+            region=self.shape.region,
+            listen=listen or "127.0.0.1:0",
+            link_secret=LINK_SECRET,
+            signer=SIGNER.signer,
+            public_key=SIGNER.public_key,
+        )
+        if spec.role == "entry":
+            text += ENTRY_SETTINGS.format(receipt_key=RECEIPT_KEY)
+        else:
+            text += SIDECAR_SETTINGS.format(scheduler=self.shape.scheduler)
+            if spec.service:
+                address = self._service_addresses[spec.vm]
+                text += SERVICE_SETTINGS.format(name=spec.service, address=address)
+        return load_settings(text + self.shape.extra_settings, f"{spec.vm}.toml")
+
+    async def _run_node(self, node: Node, *, task_status: trio.TaskStatus[None]) -> None:
+        with node.scope:
+            await node.kernel.run(task_status=task_status)
+        node.ended.set()
+
+
+@asynccontextmanager
+async def open_deployment(
+    shape: DeploymentShape, network: Network | MemoryNetwork
+) -> AsyncIterator[Deployment]:
+    """Run a deployment while the context lasts: all VMs started and the bundle in force."""
+    async with trio.open_nursery() as nursery:
+        deployment = Deployment(shape, nursery, network)
+        await deployment.roll(shape.bundle)
+        for spec in shape.vms:
+            await deployment.start(spec.vm)
+        yield deployment
+        nursery.cancel_scope.cancel()
+
+
+def key_digest(key: str) -> str:
+    """Return the digest under which a bundle lists a bearer key."""
+    return hashlib.sha256(key.encode()).hexdigest()
+
+
+def _seed(vm: str, start: int) -> int:
+    digest = hashlib.sha256(f"{vm}/{start}".encode()).digest()
+    return int.from_bytes(digest[:SEED_BYTES], "big")
--- /dev/null
+++ b/packages/wire/src/sassafrastally/wire/events.py
@@ -0,0 +1,72 @@
+"""Events and the gauge of the links."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from sassafrastally.core import event, gauge
+
+LINKS_UP = gauge("sassafrastally.peer.links", "{link}", "Links to peers that stand.")
+
+
+@event(2001)
+class PeersListening(NamedTuple):
+    """The process accepts peers."""
+
+    address: str
+
+
+@event(2002)
+class LinkUp(NamedTuple):
+    """A link stands: both ends have proved themselves."""
+
+    peer_vm: str
+    peer_incarnation: str
+    direction: str
+    """``dialled`` or ``accepted``."""
+
+
+@event(2003)
+class LinkDown(NamedTuple):
+    """A link is gone."""
+
+    peer_vm: str
+    peer_incarnation: str
+    reason: str
+
+
+@event(2004, "warning")
+class HandshakeRefused(NamedTuple):
+    """A connection didn't become a link."""
+
+    direction: str
+    """``dialled`` or ``accepted``."""
+    peer_vm: str
+    """VM that was dialled; empty for an accepted connection, whose claims are unproved."""
+    reason: str
+
+
+@event(2005, "warning")
+class StreamFailed(NamedTuple):
+    """A stream was closed with an error's code."""
+
+    peer_vm: str
+    code: int
+    reason: str
+
+
+@event(2006, "warning")
+class NoticeDropped(NamedTuple):
+    """A peer sends notices faster than they are handled; the oldest was dropped."""
+
+    peer_vm: str
+    notice: str
+
+
+@event(2007, "warning")
+class PeerHandlerFailed(NamedTuple):
+    """A handler of notices or of new links raised an error."""
+
+    peer_vm: str
+    code: int
+    reason: str
--- a/packages/wire/src/sassafrastally/wire/link.py
+++ b/packages/wire/src/sassafrastally/wire/link.py
@@ -28,6 +28,11 @@
 class StreamEnded(CodedError):
     """The peer has closed the stream; nothing more comes on it."""
 
+    def __init__(self, message: str = "", peer_code: int = 0) -> None:
+        super().__init__(message)
+        self.peer_code = peer_code
+        """Code of the error for which the peer closed it; 0 when it was done."""
+
 
 class PeerIdentity(NamedTuple):
     """Who is at the other end of a link, proved by the handshake."""
--- a/packages/wire/src/sassafrastally/wire/messages.py
+++ b/packages/wire/src/sassafrastally/wire/messages.py
@@ -304,6 +304,81 @@
     nonce: int = 0
 
 
+class ClaimRequest(NamedTuple):
+    """Asks the home of an idempotency key's shard to claim, replace or look up."""
+
+    operation: str = ""
+    """One of `sassafrastally.serving.claim_shard.ClaimOperation`."""
+    key_hash: bytes = b""
+    """Keyed hash of customer and idempotency key, 16 bytes."""
+    body_digest: bytes = b""
+    """Digest of the request's body, 16 bytes."""
+    vm: str = ""
+    """Placement that is to hold the key, in this and the next three fields."""
+    incarnation: str = ""
+    """Life of the process that the message speaks of."""
+    request_id: str = ""
+    """Name of the request, 32 hexadecimal digits."""
+    attempt: int = 0
+    """Number of the attempt, counted by the entry from 1."""
+    old_vm: str = ""
+    """Placement that is to be replaced, in this and the next three fields."""
+    old_incarnation: str = ""
+    old_request_id: str = ""
+    old_attempt: int = 0
+    time_limit_s: float = 0.0
+    """Seconds that the sender waits for the answer."""
+
+
+class ClaimReply(NamedTuple):
+    """Answers `ClaimRequest`: who holds the key."""
+
+    state: str = ""
+    """One of `sassafrastally.serving.claim_shard.ClaimState`."""
+    vm: str = ""
+    """Placement that holds the key, in this and the next three fields."""
+    incarnation: str = ""
+    """Life of the process that the message speaks of."""
+    request_id: str = ""
+    """Name of the request, 32 hexadecimal digits."""
+    attempt: int = 0
+    """Number of the attempt, counted by the entry from 1."""
+    retry_after_s: float = 0.0
+
+
+class SliceRequest(NamedTuple):
+    """Reports an entry's use of customers' limits to their home and asks for more.
+
+    The lists run side by side, one place for each customer.
+    """
+
+    customers: tuple[str, ...] = ()
+    open_requests: tuple[int, ...] = ()
+    """Requests that are open at the sender."""
+    want_requests: tuple[int, ...] = ()
+    """Most requests that the sender would like to have open."""
+    want_tokens: tuple[int, ...] = ()
+    """Tokens that the sender would like to use beyond what it has."""
+    returned_tokens: tuple[int, ...] = ()
+    """Granted tokens that were not used."""
+
+
+class SliceReply(NamedTuple):
+    """Answers `SliceRequest`; the lists run side by side with the request's."""
+
+    customers: tuple[str, ...] = ()
+    requests: tuple[int, ...] = ()
+    """Requests that the asker may have open until the slice lapses."""
+    tokens: tuple[int, ...] = ()
+    """Tokens that the asker may use in addition until the slice lapses."""
+    held_requests: tuple[int, ...] = ()
+    """Requests granted to all entries together."""
+    retry_after_s: tuple[float, ...] = ()
+    """After how many seconds the tokens asked for would be there; 0 when they were granted."""
+    lapse_s: float = 0.0
+    """For how many seconds the slices hold."""
+
+
 Message: TypeAlias = (
     Hello
     | HelloAck
@@ -328,6 +403,10 @@
     | AdminReturn
     | Ping
     | Pong
+    | ClaimRequest
+    | ClaimReply
+    | SliceRequest
+    | SliceReply
 )
 """Any message of the peer protocol."""
 
--- a/packages/wire/src/sassafrastally/wire/peer.capnp
+++ b/packages/wire/src/sassafrastally/wire/peer.capnp
@@ -30,6 +30,10 @@
     adminReturn @22 :AdminReturn;
     ping @23 :Ping;
     pong @24 :Pong;
+    claimRequest @25 :ClaimRequest;
+    claimReply @26 :ClaimReply;
+    sliceRequest @27 :SliceRequest;
+    sliceReply @28 :SliceReply;
   }
 }
 
@@ -209,3 +213,44 @@
 struct Pong {
   nonce @0 :UInt64;
 }
+
+struct ClaimRequest {
+  operation @0 :Text;
+  keyHash @1 :Data;
+  bodyDigest @2 :Data;
+  vm @3 :Text;
+  incarnation @4 :Text;
+  requestId @5 :Text;
+  attempt @6 :UInt32;
+  oldVm @7 :Text;
+  oldIncarnation @8 :Text;
+  oldRequestId @9 :Text;
+  oldAttempt @10 :UInt32;
+  timeLimitS @11 :Float64;
+}
+
+struct ClaimReply {
+  state @0 :Text;
+  vm @1 :Text;
+  incarnation @2 :Text;
+  requestId @3 :Text;
+  attempt @4 :UInt32;
+  retryAfterS @5 :Float64;
+}
+
+struct SliceRequest {
+  customers @0 :List(Text);
+  openRequests @1 :List(UInt32);
+  wantRequests @2 :List(UInt32);
+  wantTokens @3 :List(UInt64);
+  returnedTokens @4 :List(UInt64);
+}
+
+struct SliceReply {
+  customers @0 :List(Text);
+  requests @1 :List(UInt32);
+  tokens @2 :List(UInt64);
+  heldRequests @3 :List(UInt32);
+  retryAfterS @4 :List(Float64);
+  lapseS @5 :Float64;
+}
--- /dev/null
+++ b/packages/wire/tests/test_framing.py
@@ -0,0 +1,94 @@
+"""Tests of frames on a byte stream, with damaged input among them."""
+
+from __future__ import annotations
+
+from contextlib import suppress
+
+import pytest
+import trio
+import trio.testing
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from sassafrastally.wire import BadFrame, Chunk, Frame, LinkCut, Query, decode_frame, encode_frame
+from sassafrastally.wire.framing import FrameReader, FrameWriter, frame_bytes
+
+FRAMES = [Frame(n, n, Chunk("r" * 32, 1, n, 1, b"token" * n)) for n in range(40)]
+FIXED = settings(derandomize=True, max_examples=300, deadline=None, database=None)
+VALID = b"".join(frame_bytes(frame) for frame in FRAMES[:6])
+
+
+@st.composite
+def damaged(draw, valid):
+    """Return valid bytes with some of them changed, cut off or put in."""
+    data = bytearray(valid)
+    for _ in range(draw(st.integers(1, 8))):
+        place = draw(st.integers(0, len(data)))
+        data[place : place + draw(st.integers(0, 4))] = draw(st.binary(max_size=4))
+    return bytes(data)
+
+
+async def read_all(*pieces):
+    stream = trio.testing.MemoryReceiveStream()
+    for piece in pieces:
+        stream.put_data(piece)
+    stream.put_eof()
+    reader = FrameReader(stream)
+    frames = []
+    with pytest.raises((LinkCut, BadFrame)):
+        while True:
+            frames.append(await reader.read())
+    return frames
+
+
+class TestFrameReader:
+    async def test_frames_come_whole_however_the_bytes_are_cut(self):
+        data = b"".join(frame_bytes(frame) for frame in FRAMES)
+        assert await read_all(data) == FRAMES
+        assert await read_all(*(data[n : n + 1] for n in range(len(data)))) == FRAMES
+
+    @FIXED
+    @given(damaged(VALID))
+    def test_damaged_bytes_raise_coded_errors(self, data):
+        """A peer's memory or its program is broken: the reader ends with an error of its own."""
+        trio.run(read_all, data)
+
+
+class TestDecodeFrame:
+    @FIXED
+    @given(st.one_of(st.binary(max_size=300), damaged(encode_frame(FRAMES[5]))))
+    def test_any_bytes_are_a_frame_or_a_coded_error(self, data):
+        with suppress(BadFrame):
+            assert isinstance(decode_frame(data), Frame)
+
+
+class TestFrameWriter:
+    async def test_ready_frames_leave_in_one_send(self, autojump_clock):
+        sends = []
+        stream = trio.testing.MemorySendStream()
+
+        async def record():
+            sends.append(bytes(stream.get_data_nowait()))
+
+        stream.send_all_hook = record
+        writer = FrameWriter(stream)
+        for frame in FRAMES:
+            writer.put(frame)
+        with trio.move_on_after(0.01):
+            await writer.run()
+        assert sends == [b"".join(frame_bytes(frame) for frame in FRAMES)]
+
+    async def test_senders_wait_for_room(self, autojump_clock):
+        writer = FrameWriter(trio.testing.MemorySendStream())
+        with trio.move_on_after(1) as scope:
+            while True:
+                await writer.wait_room()
+                writer.put(Frame(1, 1, Query("r" * 1000)))
+        assert scope.cancelled_caught
+        with trio.move_on_after(1) as scope:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(writer.run)
+                await writer.wait_room()
+                await writer.wait_idle()
+                nursery.cancel_scope.cancel()
+        assert not scope.cancelled_caught
--- /dev/null
+++ b/packages/wire/tests/test_handshake.py
@@ -0,0 +1,116 @@
+"""Tests of the mutual proof: who has no secret gets in nowhere."""
+
+from __future__ import annotations
+
+import pytest
+import trio
+
+from sassafrastally.core.settings import Secret
+from sassafrastally.wire import (
+    SCHEMA_VERSION,
+    Frame,
+    Hello,
+    HelloAck,
+    HelloConfirm,
+    LinkCut,
+    LinkRefused,
+    Query,
+    StreamClosed,
+)
+from sassafrastally.wire.framing import FrameReader, frame_bytes
+
+HELLO = Hello(SCHEMA_VERSION, "stranger", "entry", "sala-cerro", "f" * 32, b"n" * 32)
+
+
+async def send(stream, message):
+    await stream.send_all(frame_bytes(Frame(0, 1, message)))
+
+
+class TestAcceptor:
+    @pytest.fixture
+    async def stream(self, pair):
+        return await pair.fleet.network.host("stranger").connect(pair.sidecar.bound_address)
+
+    async def assert_refused(self, pair, events_of, stream):
+        with pytest.raises(LinkCut):
+            reader = FrameReader(stream)
+            while True:
+                assert isinstance((await reader.read()).message, HelloAck | StreamClosed)
+        assert pair.sidecar.links() == []
+        assert "HandshakeRefused" in events_of(pair.sidecar)
+        assert "LinkUp" not in events_of(pair.sidecar)
+
+    async def test_wrong_secret(self, pair, events_of, stream, autojump_clock):
+        handshake = pair.fleet.handshake(stream, Secret("another secret, as long"))
+        with pytest.raises(LinkRefused, match="proof"):
+            await handshake.dial("sidecar-1")
+        await send(stream, HelloConfirm(b"p" * 32))
+        await self.assert_refused(pair, events_of, stream)
+
+    @pytest.mark.parametrize(
+        "message",
+        [
+            HELLO._replace(schema_version=SCHEMA_VERSION + 1),
+            HELLO._replace(nonce=b""),
+            HELLO._replace(vm="v" * 10_000),
+            Query("r1"),
+        ],
+        ids=["other version", "no nonce", "long frame", "no handshake"],
+    )
+    async def test_bad_hello(self, pair, events_of, stream, message, autojump_clock):
+        await send(stream, message)
+        await self.assert_refused(pair, events_of, stream)
+
+    async def test_streams_wait_for_the_proof(self, pair, events_of, stream, autojump_clock):
+        """A stranger sends a query behind its hello, before any proof: nobody handles it."""
+        await send(stream, HELLO)
+        await send(stream, Query("r1"))
+        await self.assert_refused(pair, events_of, stream)
+
+    async def test_silent_peer_is_dropped_in_time(self, pair, events_of, stream, autojump_clock):
+        with trio.fail_after(5.1):
+            await self.assert_refused(pair, events_of, stream)
+
+    async def test_mirrored_proof(self, pair, events_of, stream, autojump_clock):
+        """A stranger returns the acceptor's own proof as its confirmation.
+
+        Were the direction not part of the proof, it would be right and the stranger would be in.
+        """
+        await send(stream, HELLO)
+        ack = (await FrameReader(stream).read()).message
+        await send(stream, HelloConfirm(ack.proof))
+        await self.assert_refused(pair, events_of, stream)
+
+
+class TestDialler:
+    async def test_reflected_hello(self, pair, events_of, autojump_clock):
+        """A stranger has taken over an address. It hands the dialler's hello to the dialler itself
+        on a second connection and gets an answer with a right proof, which it returns on the
+        first. The dialler would send its requests to the stranger.
+        """
+        network = pair.fleet.network.host("entry-1")
+
+        async def reflect(front):
+            back = await network.connect(pair.entry.bound_address)
+            await back.send_all(await front.receive_some())
+            await front.send_all(await back.receive_some())
+
+        address = await network.listen(
+            pair.sidecar.bound_address._replace(port=1), reflect, pair.fleet.nursery
+        )
+        with pytest.raises(LinkRefused):
+            await pair.entry.link_to("entry-1", address)
+        assert pair.entry.links() == []
+        assert events_of(pair.entry).count("HandshakeRefused") == 2
+
+    async def test_reason_of_the_acceptor_is_told(self, pair, autojump_clock):
+        """A fleet is updated half: the operator reads why two processes have no link."""
+
+        async def refuse(stream):
+            await send(stream, StreamClosed(LinkRefused.code, "schema version 1, not 2"))
+
+        network = pair.fleet.network.host("sidecar-2")
+        address = pair.sidecar.bound_address._replace(port=1)
+        await network.listen(address, refuse, pair.fleet.nursery)
+        with pytest.raises(LinkRefused, match="schema version 1, not 2"):
+            await pair.entry.link_to("sidecar-2", address)
