--- a/packages/platform/src/sassafrastally/platform/etcd.py
+++ b/packages/platform/src/sassafrastally/platform/etcd.py
@@ -51,7 +51,9 @@
         self._settings = settings
         self._client = GatewayClient(settings)
         self._budgets = PurposeBudgets(settings.budgets)
-        limits = BackoffLimits(settings.backoff_base_s, settings.backoff_cap_s, settings.reentry_s)
+        # The wait for re-entry comes out of the call's time limit; half of it stays for the call.
+        reentry_s = min(settings.reentry_s, settings.call_time_limit_s / 2)
+        limits = BackoffLimits(settings.backoff_base_s, settings.backoff_cap_s, reentry_s)
         self._gates = {purpose: Gate(limits, random) for purpose in self._budgets.purposes}
 
     async def aclose(self) -> None:
@@ -145,7 +147,7 @@
             gate = self._gate(purpose)
             with gate.admit() as wait_s:
                 self._budgets.spend(purpose)
-                yield min(wait_s, self._settings.call_time_limit_s / 2)
+                yield wait_s
         except CodedError as cause:
             result = type(cause).__name__
             raise
--- a/packages/platform/tests/test_etcd.py
+++ b/packages/platform/tests/test_etcd.py
@@ -18,6 +18,7 @@
     EtcdKv,
     Kv,
     KvBudgetSpent,
+    KvEvent,
     KvSettings,
     KvUnavailable,
     KvWrite,
@@ -34,6 +35,7 @@
 
 LOOPBACK = Address("127.0.0.1", 0)
 SHORT_S = 0.2
+LAST_KEY = "last"
 WRITE = KvWrite("a/x", b"1", 0)
 
 
@@ -215,6 +217,21 @@
                     )
             assert remote_model.range_prefix("") == local_model.range_prefix("")
             assert remote_model.counts == local_model.counts
+            for model in (remote_model, local_model):
+                model.set_faults(KvFaults())
+                model.transact([KvWrite(LAST_KEY, b"", ANY_REVISION)])
+            assert await watched(remote) == await watched(local)
+
+
+async def watched(kv: Kv) -> list[KvEvent]:
+    """Return all changes since the service began."""
+    seen: list[KvEvent] = []
+    async with kv.watch("", from_revision=1, purpose="admin") as changes:
+        async for change in changes:
+            seen.append(change)
+            if change.key == LAST_KEY:
+                return seen
+    raise AssertionError("the watch ended")
 
 
 async def outcome(kv: Kv, step: Step, model: KvModel) -> object:
