--- a/packages/control/src/sassafrastally/control/fetch.py
+++ b/packages/control/src/sassafrastally/control/fetch.py
@@ -8,13 +8,19 @@
 
 from sassafrastally.control.bundle_events import BundlePartRefused
 from sassafrastally.control.canonical import BadEncoding
-from sassafrastally.control.keys import PURPOSE_SPREAD, manifest_key, part_key
-from sassafrastally.control.parts import MAX_BUNDLE_BYTES, BundleTooLarge, DigestMismatch
+from sassafrastally.control.keys import PURPOSE_SPREAD, group_key, manifest_key
+from sassafrastally.control.parts import (
+    MAX_BUNDLE_BYTES,
+    BundleTooLarge,
+    DigestMismatch,
+    split_group,
+)
 from sassafrastally.control.publish import within_budget
 from sassafrastally.core import CodedError, error
 from sassafrastally.platform.interfaces import KvUnavailable
+from sassafrastally.wire.codec import BadFrame
 from sassafrastally.wire.link import LinkCut, LinkRefused, StreamEnded
-from sassafrastally.wire.messages import BadFrame, PartsReply, PartsRequest
+from sassafrastally.wire.messages import PartsReply, PartsRequest
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -53,7 +59,7 @@
         """Return a manifest's bytes, unverified; empty when there are none."""
         ...
 
-    async def parts(self, digests: Sequence[str]) -> Sequence[bytes]:
+    async def parts(self, manifest: Manifest, digests: Sequence[str]) -> Sequence[bytes]:
         """Return the parts' bytes, unverified; empty ones aren't had or come with a later call."""
         ...
 
@@ -70,9 +76,12 @@
         """Return a manifest's bytes."""
         return await self._value(manifest_key(digest))
 
-    async def parts(self, digests: Sequence[str]) -> Sequence[bytes]:
-        """Return the first of the parts; the others come with later calls."""
-        return [await self._value(part_key(digest)) for digest in digests[:1]]
+    async def parts(self, manifest: Manifest, digests: Sequence[str]) -> Sequence[bytes]:
+        """Return the parts of the first one's group; the others come with later calls."""
+        group = next(group for group in manifest.groups if digests[0] in group)
+        data = await self._value(group_key(group))
+        found = split_group(group, data) if data else {}
+        return [found.get(digest, b"") for digest in digests]
 
     async def _value(self, key: str) -> bytes:
         entry = await within_budget(lambda: self._kv.get(key, purpose=PURPOSE_SPREAD))
@@ -92,11 +101,14 @@
 
     async def manifest(self, digest: str) -> bytes:
         """Return a manifest's bytes."""
-        parts = await self.parts([digest])
+        parts = await self._ask([digest])
         return parts[0] if parts else b""
 
-    async def parts(self, digests: Sequence[str]) -> Sequence[bytes]:
+    async def parts(self, manifest: Manifest, digests: Sequence[str]) -> Sequence[bytes]:
         """Return what the peer sends of the parts in one reply."""
+        return await self._ask(digests)
+
+    async def _ask(self, digests: Sequence[str]) -> Sequence[bytes]:
         reply = await self._link.call(PartsRequest(tuple(digests)))
         return reply.parts if isinstance(reply, PartsReply) else ()
 
@@ -163,7 +175,7 @@
     if not missing:
         return False
     with trio.fail_after(CALL_TIME_LIMIT_S):
-        parts = await source.parts(missing)
+        parts = await source.parts(manifest, missing)
     took_any = False
     for digest, data in zip(missing, parts, strict=False):
         if data:
--- a/packages/control/tests/test_parts.py
+++ b/packages/control/tests/test_parts.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import json
-from typing import Any
 
 import pytest
 from hypothesis import given, settings
@@ -22,7 +21,8 @@
     unpack_bundle,
 )
 from sassafrastally.control.signing import decode_signature
-from sassafrastally.wire.messages import Frame, PartsReply, encode_frame
+from sassafrastally.wire.codec import encode_frame
+from sassafrastally.wire.messages import Frame, PartsReply
 
 FIXED = settings(derandomize=True, deadline=None, max_examples=40, database=None)
 
@@ -43,7 +43,7 @@
 )
 
 
-def unique(entries: Any) -> Any:
+def unique(entries):
     return st.lists(entries, max_size=4, unique_by=lambda entry: entry.name).map(
         lambda found: tuple(sorted(found, key=lambda entry: entry.name))
     )
@@ -67,17 +67,17 @@
 class TestRoundTrip:
     @FIXED
     @given(bundles)
-    def test_any_bundle(self, bundle: Bundle) -> None:
+    def test_any_bundle(self, bundle):
         packed = pack_bundle(bundle)
         assert unpack_bundle(packed) == bundle
         assert pack_bundle(unpack_bundle(packed)) == packed
 
-    def test_order_of_entries_is_no_content(self, make_bundle_of: Any) -> None:
+    def test_order_of_entries_is_no_content(self, make_bundle_of):
         bundle = make_bundle_of(customers=50)
         turned = bundle._replace(customers=bundle.customers[::-1])
         assert pack_bundle(turned) == pack_bundle(bundle)
 
-    def test_one_customer_of_many_changes_one_shard(self, make_bundle_of: Any) -> None:
+    def test_one_customer_of_many_changes_one_shard(self, make_bundle_of):
         before = pack_bundle(make_bundle_of(customers=5_000))
         after = pack_bundle(make_bundle_of(customers=5_000, share=2.0))
         assert len(after.parts.keys() - before.parts.keys()) == 1
@@ -85,13 +85,13 @@
         assert largest <= MAX_PART_BYTES
         encode_frame(Frame(1, 1, PartsReply((after.manifest,))))
 
-    def test_too_large(self, make_bundle_of: Any) -> None:
+    def test_too_large(self, make_bundle_of):
         with pytest.raises(BundleTooLarge):
             pack_bundle(make_bundle_of(customers=30_000))
 
 
 class TestDecoders:
-    def test_altered_bytes(self, make_bundle_of: Any) -> None:
+    def test_altered_bytes(self, make_bundle_of):
         packed = pack_bundle(make_bundle_of())
         with pytest.raises(DigestMismatch):
             decode_manifest(packed.digest, packed.manifest + b" ")
@@ -110,7 +110,7 @@
             {"unknown": 1},
         ],
     )
-    def test_part_out_of_bounds(self, value: Any) -> None:
+    def test_part_out_of_bounds(self, value):
         data = canonical_bytes(value)
         with pytest.raises(BadEncoding):
             decode_part(digest_of(data), data)
@@ -132,7 +132,7 @@
             st.sampled_from([b"[" * 100_000, b'{"a":' * 5_000, b"9" * 5_000, b'{"a":NaN}']),
         )
     )
-    def test_noise_is_refused(self, data: bytes) -> None:
+    def test_noise_is_refused(self, data):
         for decode in (decode_head, decode_signature):
             with pytest.raises(BadEncoding):
                 decode(data)
--- a/packages/serving/tests/test_claim_shard.py
+++ b/packages/serving/tests/test_claim_shard.py
@@ -24,7 +24,8 @@
 )
 from sassafrastally.serving.claim_store import HEAD_CLAIMS, SEGMENT_CLAIMS
 from sassafrastally.serving.claim_wire import ask_of, reply_of, request_of, result_of
-from sassafrastally.wire.messages import Frame, decode_frame, encode_frame
+from sassafrastally.wire.codec import decode_frame, encode_frame
+from sassafrastally.wire.messages import Frame
 
 KV_VALUE_BYTES = 1_000_000
 
--- a/packages/testing/src/sassafrastally/testing/entry_fleet.py
+++ b/packages/testing/src/sassafrastally/testing/entry_fleet.py
@@ -14,13 +14,15 @@
 from sassafrastally.core import Address, Clock, Kernel, Service
 from sassafrastally.platform.interfaces import VmState
 from sassafrastally.platform.service import PlatformService
+from sassafrastally.wire.codec import decode_frame, encode_frame
 from sassafrastally.wire.link import LinkCut, LinkRefused, PeerIdentity
-from sassafrastally.wire.messages import Frame, decode_frame, encode_frame
+from sassafrastally.wire.messages import Frame
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable, Sequence
 
     from sassafrastally.control.bundle import BundleInForce
+    from sassafrastally.control.interfaces import PeerLoad
     from sassafrastally.platform.interfaces import Kv
 
 EPOCH_S = 1_800_000_000.0
@@ -51,9 +53,13 @@
         ]
 
     def is_leaving(self, vm: str) -> bool:
-        """Return whether a VM leaves; none does."""
+        """Return whether a VM leaves."""
         return vm not in self.names
 
+    def loads(self) -> list[PeerLoad]:
+        """Return no reports: the fleet has no sidecars."""
+        return []
+
 
 class FakeBundle(Service):
     """A bundle in force that never changes."""
--- a/packages/wire/src/sassafrastally/wire/__init__.py
+++ b/packages/wire/src/sassafrastally/wire/__init__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from sassafrastally.wire.codec import BadFrame, decode_frame, encode_frame
 from sassafrastally.wire.link import (
     Link,
     LinkCut,
@@ -18,7 +19,6 @@
     AdminCall,
     AdminReturn,
     Attach,
-    BadFrame,
     Cancel,
     Chunk,
     ClaimReply,
@@ -47,8 +47,6 @@
     SliceReply,
     SliceRequest,
     StreamClosed,
-    decode_frame,
-    encode_frame,
 )
 from sassafrastally.wire.peers import NoHandler, PeerService, PeersStopping
 from sassafrastally.wire.settings import PeerSettings, PeerSettingsError
--- a/packages/wire/src/sassafrastally/wire/framing.py
+++ b/packages/wire/src/sassafrastally/wire/framing.py
@@ -8,8 +8,9 @@
 import trio
 
 from sassafrastally.core import counter
+from sassafrastally.wire.codec import BadFrame, decode_frame, encode_frame
 from sassafrastally.wire.link import LinkCut
-from sassafrastally.wire.messages import MAX_FRAME_BYTES, BadFrame, decode_frame, encode_frame
+from sassafrastally.wire.messages import MAX_FRAME_BYTES
 
 if TYPE_CHECKING:
     from sassafrastally.wire.messages import Frame
--- a/packages/wire/src/sassafrastally/wire/handshake.py
+++ b/packages/wire/src/sassafrastally/wire/handshake.py
@@ -13,12 +13,12 @@
 import trio
 
 from sassafrastally.core import Incarnation
+from sassafrastally.wire.codec import BadFrame
 from sassafrastally.wire.framing import FrameReader, frame_bytes
 from sassafrastally.wire.link import LinkCut, LinkRefused, PeerIdentity
 from sassafrastally.wire.messages import (
     MAX_FRAME_BYTES,
     SCHEMA_VERSION,
-    BadFrame,
     Frame,
     Hello,
     HelloAck,
--- a/packages/wire/src/sassafrastally/wire/messages.py
+++ b/packages/wire/src/sassafrastally/wire/messages.py
@@ -1,17 +1,12 @@
-"""Typed messages of the peer protocol and their Cap'n Proto form.
+"""Typed messages of the peer protocol.
 
 Each message is a `NamedTuple` whose fields mirror a struct of ``peer.capnp`` by name, in snake
-case. One codec serves them all.
+case. `sassafrastally.wire.codec` turns them into bytes and back.
 """
 
 from __future__ import annotations
 
-import importlib.resources
-from typing import Any, NamedTuple, TypeAlias, cast
-
-import capnp
-
-from sassafrastally.core import CodedError, error
+from typing import NamedTuple, TypeAlias
 
 SCHEMA_VERSION = 1
 """Version that both ends of a link must share."""
@@ -22,13 +17,6 @@
 MAX_CHUNK_BYTES = 64 * 1024
 """Most data in one chunk."""
 
-_TRAVERSAL_LIMIT_WORDS = MAX_FRAME_BYTES
-
-
-@error(2001)
-class BadFrame(CodedError):
-    """A frame can't be decoded or breaks a bound."""
-
 
 class Hello(NamedTuple):
     """Opens a link: who dials."""
@@ -451,80 +439,3 @@
     stamp: int
     """Hybrid logical stamp of the sender."""
     message: Message
-
-
-def _camel(name: str) -> str:
-    head, *rest = name.split("_")
-    return head + "".join(part.capitalize() for part in rest)
-
-
-def _union_name(kind: type[Any]) -> str:
-    return kind.__name__[0].lower() + kind.__name__[1:]
-
-
-_KINDS: tuple[type[Any], ...] = Message.__args__
-_FIELDS = {kind: tuple((name, _camel(name)) for name in kind._fields) for kind in _KINDS}
-_BY_UNION_NAME = {_union_name(kind): kind for kind in _KINDS}
-_UNION_NAME = {kind: _union_name(kind) for kind in _KINDS}
-_LISTS = {
-    kind: frozenset(name for name, default in kind._field_defaults.items() if default == ())
-    for kind in _KINDS
-}
-
-
-def _load_schema() -> Any:
-    with importlib.resources.as_file(
-        importlib.resources.files("sassafrastally.wire").joinpath("peer.capnp")
-    ) as path:
-        return capnp.load(str(path))
-
-
-_SCHEMA = _load_schema()
-
-
-def encode_frame(frame: Frame) -> bytes:
-    """Return the bytes of a frame, without its length.
-
-    Raises
-    ------
-    BadFrame
-        When it would be longer than `MAX_FRAME_BYTES` or a value doesn't fit its field.
-    """
-    message = frame.message
-    kind = type(message)
-    builder = _SCHEMA.Frame.new_message(stream=frame.stream, stamp=frame.stamp)
-    body = builder.body.init(_UNION_NAME[kind])
-    lists = _LISTS[kind]
-    try:
-        for (name, wire_name), value in zip(_FIELDS[kind], message, strict=True):
-            setattr(
-                body, wire_name, list(cast("tuple[Any, ...]", value)) if name in lists else value
-            )
-    except (capnp.KjException, OverflowError, TypeError) as cause:
-        raise BadFrame(f"{kind.__name__} doesn't fit the schema: {cause}") from cause
-    data: bytes = builder.to_bytes()
-    if len(data) > MAX_FRAME_BYTES:
-        raise BadFrame(f"{kind.__name__} of {len(data)} bytes is over {MAX_FRAME_BYTES}")
-    return data
-
-
-def decode_frame(data: bytes) -> Frame:
-    """Return the frame that the bytes hold.
-
-    Raises
-    ------
-    BadFrame
-        When they aren't a frame of this schema.
-    """
-    try:
-        with _SCHEMA.Frame.from_bytes(data, traversal_limit_in_words=_TRAVERSAL_LIMIT_WORDS) as raw:
-            kind = _BY_UNION_NAME[str(raw.body.which())]
-            body = getattr(raw.body, _UNION_NAME[kind])
-            lists = _LISTS[kind]
-            values = [
-                tuple(getattr(body, wire_name)) if name in lists else getattr(body, wire_name)
-                for name, wire_name in _FIELDS[kind]
-            ]
-            return Frame(raw.stream, raw.stamp, kind(*values))
-    except (capnp.KjException, KeyError, UnicodeDecodeError, ValueError) as cause:
-        raise BadFrame(f"not a frame: {type(cause).__name__}") from cause
--- a/packages/wire/src/sassafrastally/wire/mux.py
+++ b/packages/wire/src/sassafrastally/wire/mux.py
@@ -11,11 +11,11 @@
 
 import trio
 
+from sassafrastally.wire.codec import BadFrame
 from sassafrastally.wire.events import NoticeDropped, StreamFailed
 from sassafrastally.wire.framing import FrameWriter, count_received
 from sassafrastally.wire.link import LinkCut, StreamEnded
 from sassafrastally.wire.messages import (
-    BadFrame,
     Credit,
     Frame,
     Hello,
--- a/packages/wire/src/sassafrastally/wire/streams.py
+++ b/packages/wire/src/sassafrastally/wire/streams.py
@@ -8,8 +8,9 @@
 import trio
 
 from sassafrastally.core import CodedError, error
+from sassafrastally.wire.codec import BadFrame
 from sassafrastally.wire.link import LinkCut, StreamEnded
-from sassafrastally.wire.messages import MAX_CHUNK_BYTES, BadFrame, Chunk, Credit, StreamClosed
+from sassafrastally.wire.messages import MAX_CHUNK_BYTES, Chunk, Credit, StreamClosed
 from sassafrastally.wire.settings import CHUNK_OVERHEAD_BYTES
 
 if TYPE_CHECKING:
