--- a/packages/sidecar/src/sassafrastally/sidecar/assemble.py
+++ b/packages/sidecar/src/sassafrastally/sidecar/assemble.py
@@ -24,11 +24,13 @@
     from sassafrastally.core import Clock, Network
     from sassafrastally.core.settings import Settings
     from sassafrastally.platform.service import PlatformService
-    from sassafrastally.sidecar import dialects
 from sassafrastally.sidecar.engine import Engine
 
 ROLE = "sidecar"
 
+_DIALECT_MODULES = (dialects,)
+"""Imported so that their dialects are registered."""
+
 
 def build_sidecar(
     settings: Settings,
--- a/packages/sidecar/src/sassafrastally/sidecar/reports.py
+++ b/packages/sidecar/src/sassafrastally/sidecar/reports.py
@@ -35,21 +35,28 @@
     peers
         The links.
     make
-        Returns the report of this moment.
+        Returns the whole report of this moment.
+    look
+        Returns the report without its predictions.
     """
 
     def __init__(
-        self, settings: SidecarSettings, peers: Peers, make: Callable[[], LoadReport]
+        self,
+        settings: SidecarSettings,
+        peers: Peers,
+        make: Callable[[], LoadReport],
+        look: Callable[[], LoadReport],
     ) -> None:
         self._settings = settings
         self._peers = peers
         self._make = make
+        self._look = look
         self._hurry = trio.Event()
         self._last = LoadReport()
 
     def check(self) -> None:
         """Report soon if much has changed since the last report."""
-        if _is_big_change(self._last, self._make()):
+        if _is_big_change(self._last, self._look()):
             self._hurry.set()
 
     def hurry(self) -> None:
--- a/packages/sidecar/src/sassafrastally/sidecar/service.py
+++ b/packages/sidecar/src/sassafrastally/sidecar/service.py
@@ -89,7 +89,7 @@
             kernel.clock, self._settings, self.table, self.answers, self.leaving
         )
         runner = Runner(kernel, self._settings, self.table, self.answers)
-        self.reports = Reports(self._settings, peers, self.load_report)
+        self.reports = Reports(self._settings, peers, self.load_report, self.load)
         self.leaving.on_begin = self.reports.hurry
         if self._engine is not None:
             await self._start_engine(self._engine, nursery)
@@ -130,7 +130,20 @@
             await self._wait_idle(scope)
 
     def load_report(self) -> LoadReport:
-        """Return the load of this moment."""
+        """Return the load of this moment with the predicted first token of each lane."""
+        report = self.load()
+        if self.queue is None or self._engine_backend is None:
+            return report
+        expected = self._engine_backend.expected_work()
+        probes = lane_probe_tokens(self._weights())
+        prefill_s = self.queue.scheduler.cost.prefill_s(probes[0])
+        return report._replace(
+            first_token_s=tuple(self._probe_s(tokens, expected) for tokens in probes),
+            prefill_tokens_per_s=probes[0] / prefill_s if prefill_s > 0 else 0.0,
+        )
+
+    def load(self) -> LoadReport:
+        """Return the load of this moment without predictions, which cost more than the rest."""
         in_force = self._bundle.in_force
         generation, digest = (in_force.generation, in_force.digest) if in_force else (0, "")
         report = LoadReport(
@@ -140,19 +153,15 @@
             generation=generation,
             digest=digest,
         )
-        if self.watch is None or self.queue is None or self._engine_backend is None:
+        if self.watch is None or self._engine_backend is None:
             return report
         expected = self._engine_backend.expected_work()
-        probes = lane_probe_tokens(self._weights())
-        prefill_s = self.queue.scheduler.cost.prefill_s(probes[0])
         return report._replace(
             models=self.watch.models,
             queued_tokens=sum(work.prompt_tokens - work.cached_tokens for work in expected),
             free_blocks=self.ledger.free_blocks,
             total_blocks=self.ledger.total_blocks,
             block_tokens=self.ledger.block_tokens,
-            first_token_s=tuple(self._probe_s(tokens, expected) for tokens in probes),
-            prefill_tokens_per_s=probes[0] / prefill_s if prefill_s > 0 else 0.0,
         )
 
     async def _start_engine(self, engine: Engine, nursery: trio.Nursery) -> None:
