--- a/packages/serving/src/sassafrastally/serving/claims.py
+++ b/packages/serving/src/sassafrastally/serving/claims.py
@@ -83,6 +83,11 @@
         self._nursery: trio.Nursery
         self._homes: HomeCalls
 
+    @property
+    def layout(self) -> ClaimLayout | None:
+        """The fleet's layout; ``None`` before this entry has read it."""
+        return self._layout
+
     async def start(self, nursery: trio.Nursery) -> None:
         """Take claims of other entries."""
         self._nursery = nursery
--- a/packages/serving/src/sassafrastally/serving/lanes.py
+++ b/packages/serving/src/sassafrastally/serving/lanes.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING, NamedTuple
 
 from sassafrastally.serving.cost import OnlineCostModel
@@ -59,8 +60,9 @@
 RANKS_KEPT = 256
 """Ranks of picked work beyond which those that no longer run are dropped."""
 
-PRIORITY_STEPS_PER_S = 20
-"""Resolution of the engine priority."""
+PRIORITY_STEPS_PER_S = 100
+"""Resolution of the engine priority; due times are cut to it, so that queue, engine and prediction
+see the same order."""
 
 PARTS = ("aging", "slack", "shares", "long-bound", "backfill", "engine-priority")
 """Parts of `LanesScheduler` that can be left out by name."""
@@ -153,7 +155,7 @@
 
     def engine_priority(self, work: Work, now_s: float) -> int:
         """Return the rank in steps, so that the engine orders prefills as the queue does."""
-        return int(self._rank(work) * PRIORITY_STEPS_PER_S)
+        return round(self._rank(work) * PRIORITY_STEPS_PER_S)
 
     def predict(self, work: Work, waiting: Sequence[Work], state: EngineState) -> Prediction:
         """Return when new work would be served behind what waits and runs."""
@@ -171,8 +173,10 @@
         due_s = work.arrived_s + alone_s * self._stretch[lane]
         due_s += work.priority * (PRIORITY_STEP * alone_s + PRIORITY_STEP_S)
         if "aging" in self._without:
-            return latest_s
-        return due_s if "slack" in self._without else min(due_s, latest_s)
+            due_s = latest_s
+        elif "slack" not in self._without:
+            due_s = min(due_s, latest_s)
+        return math.floor(due_s * PRIORITY_STEPS_PER_S) / PRIORITY_STEPS_PER_S
 
     def _rank(self, work: Work) -> float:
         return self._rank_in(_Books(self._served, self._ranks), work)
@@ -195,7 +199,7 @@
         books.served.decay(state.now_s)
         plans = {work: self._plan(work, state, books.served) for work in waiting}
         startable = [work for work in waiting if self._has_slot(plans[work].lane, state)]
-        startable.sort(key=lambda work: (plans[work].rank, work.request_id))
+        startable.sort(key=lambda work: (plans[work].rank, work.arrived_s, work.request_id))
         chosen = self._choose(startable, plans, state)
         if chosen is not None:
             plan = plans[chosen]
--- a/packages/serving/src/sassafrastally/serving/policies.py
+++ b/packages/serving/src/sassafrastally/serving/policies.py
@@ -13,9 +13,15 @@
 
     from sassafrastally.serving.routing import Candidate, RouteRequest
 
-MAX_ASKED = 4
+MAX_ASKED = 8
 """Most candidates asked for one attempt."""
 
+BOUND_S = 0.005
+BOUND_SHARE = 0.05
+"""Wait behind other work that a replica may add to the first token: fixed part, and share of the
+prefill. The replica knows its wait, where a report is seconds old; beyond the bound it refuses and
+the next one is asked, which costs a round trip."""
+
 AFFINITY_BLOCK = 3
 """Place of the hash by which prompts are told apart: about the first two thousand tokens."""
 
@@ -39,7 +45,7 @@
 """Half of the customary piece in which engines compute prefills: what even urgent work waits on
 average while another prefill is under way."""
 
-PARTS = ("affinity", "in-flight", "choices", "near", "ageing", "occupied")
+PARTS = ("affinity", "in-flight", "choices", "near", "ageing", "occupied", "bound")
 """Parts of `PrefixAffinity` that can be left out by name."""
 
 
@@ -117,7 +123,11 @@
         if home and home.first_token_s <= best.first_token_s + AFFINITY_SHARE * home.alone_s:
             order.insert(0, home)
         order += rated
-        return list({one.candidate.vm: one.candidate for one in order}.values())[:MAX_ASKED]
+        asked = list({one.candidate.vm: one.candidate for one in order}.values())[:MAX_ASKED]
+        if "bound" in self._without:
+            return asked
+        max_wait_s = BOUND_S + BOUND_SHARE * best.alone_s
+        return [one._replace(max_wait_s=max_wait_s) for one in asked]
 
     def _rate(self, request: RouteRequest, candidates: Sequence[Candidate]) -> list[_Rated]:
         # The report's figure is for a typical prompt of the lane, not for this one; what it is
--- a/packages/serving/src/sassafrastally/serving/prefix.py
+++ b/packages/serving/src/sassafrastally/serving/prefix.py
@@ -35,8 +35,8 @@
     """Return rolling hashes of a prompt's leading blocks, shortest prefix first.
 
     Each hash covers the prompt up to the end of its block, so equal hashes mean equal prefixes.
-    Block lengths double beyond the first `MAX_PREFIX_HASHES` halves, so that a bounded number of
-    hashes reaches through a prompt of any length.
+    The blocks of the second half of the hashes grow, so that a bounded number of them reaches
+    through a prompt of a million tokens.
     """
     hashes: list[int] = []
     state = hashlib.blake2b(digest_size=_HASH_BYTES)
@@ -134,14 +134,15 @@
         return max(0, min(guess, prompt_tokens - 1))
 
     def correct(self, hashes: Sequence[int], guessed_tokens: int, counted_tokens: int) -> None:
-        """Take in the engine's own count of cached tokens at the end of a run."""
-        if guessed_tokens <= 0:
-            return
-        share = min(1.0, counted_tokens / guessed_tokens)
-        self._trust += TRUST_STEP * (share - self._trust)
-        if counted_tokens == 0:
-            for prefix_hash in hashes:
-                self._held.pop(prefix_hash, None)
+        """Take in the engine's own count of cached tokens at the end of a run.
+
+        The run itself has left its prefix in the cache, which makes good for lost events.
+        """
+        if guessed_tokens > 0:
+            share = min(1.0, counted_tokens / guessed_tokens)
+            self._trust += TRUST_STEP * (share - self._trust)
+        for prefix_hash in reversed(hashes):
+            self._keep(prefix_hash)
 
     def _keep(self, prefix_hash: int) -> None:
         self._held[prefix_hash] = None
--- a/packages/serving/src/sassafrastally/serving/routing.py
+++ b/packages/serving/src/sassafrastally/serving/routing.py
@@ -45,6 +45,8 @@
     in_flight: int
     """Attempts of this entry itself on the sidecar that the report can't know yet."""
     in_flight_tokens: int
+    max_wait_s: float = 0.0
+    """Set by the policy: how long other work there may delay the first token; 0 is any time."""
 
 
 class RoutingPolicy(Protocol):
--- a/packages/serving/src/sassafrastally/serving/slice_use.py
+++ b/packages/serving/src/sassafrastally/serving/slice_use.py
@@ -69,10 +69,13 @@
         self._share_bucket: TokenBucket | None = None
 
     def is_idle(self, now_s: float) -> bool:
-        """Whether nothing is open, held or to be given back."""
+        """Whether nothing is open, held or owed, so that it can be forgotten."""
         self._lapse(now_s)
+        # A bucket that was forgotten would come back full: an entry that is cut off would admit a
+        # burst on each return of the customer.
+        is_owing = self._share_bucket is not None and not self._share_bucket.is_full(now_s)
         used = self.open_requests or self.waiting_requests or self._granted_requests
-        return not (used or self._stock_tokens or self._returned_tokens)
+        return not (used or self._stock_tokens or self._returned_tokens or is_owing)
 
     def covers(self, tokens: int, now_s: float) -> bool:
         """Return whether the slices held suffice for one more request."""
--- a/packages/serving/src/sassafrastally/serving/slices.py
+++ b/packages/serving/src/sassafrastally/serving/slices.py
@@ -91,6 +91,11 @@
             return 0.0
         return (needed - self.balance) / self.rate_per_s
 
+    def is_full(self, now_s: float) -> bool:
+        """Return whether it is as full as a new one."""
+        self._refill(now_s)
+        return self.balance >= self.burst_tokens
+
     def give_back(self, tokens: float) -> None:
         """Put unused tokens back."""
         self.balance = min(self.balance + tokens, self.burst_tokens)
@@ -130,8 +135,7 @@
     def is_idle(self, now_s: float) -> bool:
         """Whether no entry holds a slice and the bucket is full, so that it can be forgotten."""
         self._drop_lapsed(now_s)
-        waited = self._bucket.take(0, now_s)
-        return not self._held and not waited and self._bucket.balance >= self._bucket.burst_tokens
+        return not self._held and self._bucket.is_full(now_s)
 
     def update(self, customer: Customer, now_s: float) -> None:
         """Take over the limits of a new bundle."""
