--- a/packages/core/tests/test_events.py
+++ b/packages/core/tests/test_events.py
@@ -9,7 +9,7 @@
 from sassafrastally.core import CATALOGUE, Clock, EventLog, Incarnation, event
 
 
-@event(1901)
+@event(9901)
 class Sampled(NamedTuple):
     """An event for these tests."""
 
@@ -30,13 +30,13 @@
         log = EventLog("vm-1", Incarnation("i"), Clock())
         log.emit(Sampled("a"))
         log.emit(Sampled("b"))
-        assert [record["number"] for record in log.records({"request_id": "b"})] == [1901]
+        assert [record["number"] for record in log.records({"request_id": "b"})] == [9901]
 
 
 class TestCatalogue:
     """`event`."""
 
     def test_number_can_be_taken_once(self):
-        assert CATALOGUE[1901].meaning == "An event for these tests."
+        assert CATALOGUE[9901].meaning == "An event for these tests."
         with pytest.raises(ValueError, match="taken by Sampled"):
-            event(1901)(Sampled)
+            event(9901)(Sampled)
