Prove the entry's half of the request path: whole own answers, true outcomes, bounded retries

Promises: own and whole answer; not run; at most once; time limits; graceful stop. Faults found on the way, mended: refusals given on the path carried no request id; a link with all streams taken broke a request off.

--- a/packages/entry/bench/relay.py
+++ b/packages/entry/bench/relay.py
@@ -91,10 +91,10 @@
     )
 
 
-async def run_entry(linger_s: float) -> None:
+async def run_entry() -> None:
     """Run the entry until the process is ended."""
     kernel = Kernel("e1", "dc")
-    settings = EntrySettings(routing_policy="round-robin", max_linger_s=linger_s)
+    settings = EntrySettings(routing_policy="round-robin")
     kernel.add(_peers(ENTRY_PORT, "entry"))
     kernel.add(_Membership())
     kernel.add(_Bundles())
@@ -186,15 +186,15 @@
     return 0.0
 
 
-def _start(role: str, number: int = 0, linger_s: float = 0.0) -> subprocess.Popen[bytes]:
-    options = ["--number", str(number), "--linger-s", str(linger_s)]
+def _start(role: str, number: int = 0) -> subprocess.Popen[bytes]:
+    options = ["--number", str(number)]
     return subprocess.Popen([sys.executable, __file__, role, *options])
 
 
-def measure(streams: int, tokens: int, linger_s: float) -> dict[str, Any]:
+def measure(streams: int, tokens: int) -> dict[str, Any]:
     """Run the three processes and return the figures."""
     started = [
-        _start("entry", 0, linger_s),
+        _start("entry"),
         *(_start("sidecar", number) for number in range(SIDECARS)),
     ]
     try:
@@ -208,7 +208,6 @@
         spent_s = _cpu_s(entry) - cpu_s
         cuts = quantiles(alone.first_ms, n=20)
         return {
-            "linger_s": linger_s,
             "streams": streams,
             "warm": warm.whole,
             "whole": seen.whole,
@@ -232,17 +231,16 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("role", nargs="?", choices=("entry", "sidecar"))
     parser.add_argument("--number", type=int, default=0)
-    parser.add_argument("--linger-s", type=float, default=EntrySettings().max_linger_s)
     parser.add_argument("--streams", type=int, default=280)
     parser.add_argument("--tokens", type=int, default=300)
     arguments = parser.parse_args()
     configure_logs("error")
     if arguments.role == "entry":
-        trio.run(run_entry, arguments.linger_s)
+        trio.run(run_entry)
     elif arguments.role == "sidecar":
         trio.run(run_sidecar, arguments.number)
     else:
-        print(json.dumps(measure(arguments.streams, arguments.tokens, arguments.linger_s)))
+        print(json.dumps(measure(arguments.streams, arguments.tokens)))
 
 
 if __name__ == "__main__":
--- a/packages/entry/src/sassafrastally/entry/execution.py
+++ b/packages/entry/src/sassafrastally/entry/execution.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from itertools import count
 from typing import TYPE_CHECKING, NamedTuple
 
 import trio
@@ -15,7 +14,6 @@
     Failed,
     Gone,
     Lost,
-    Site,
     TurnedDown,
     Unreached,
     Whole,
@@ -25,15 +23,14 @@
     AttemptCut,
     AttemptRefused,
     AttemptRepeated,
-    AttemptResolved,
 )
-from sassafrastally.serving.outcome import AttemptState, Outcome
+from sassafrastally.entry.resolution import COME_BACK_S, Resolution
+from sassafrastally.serving.outcome import Outcome
 from sassafrastally.serving.refusals import REFUSALS, Figures, Refusal
 from sassafrastally.serving.retries import (
     Attempted,
     RetryBudget,
     RetryRules,
-    backoff_s,
     decide_retry,
 )
 from sassafrastally.serving.routing import RouteRequest
@@ -49,22 +46,9 @@
     from sassafrastally.entry.relay import Answer
     from sassafrastally.entry.request import CallerRequest
     from sassafrastally.entry.settings import EntrySettings
-    from sassafrastally.serving.claims import Placement
     from sassafrastally.serving.routing import RoutingPolicy
     from sassafrastally.wire.link import Peers
 
-PROVED_NOT_RUN = frozenset({AttemptState.ABSENT, AttemptState.VOIDED, AttemptState.REFUSED})
-"""States that prove it, given by a query that voids."""
-
-MAX_BROKEN_ANSWERS = 2
-"""How often an answer that broke the protocol is asked for again before it counts as failed."""
-
-CONTACT_BACKOFF = RetryRules(base_backoff_s=0.05, max_backoff_s=1.0)
-"""Pauses between tries to reach a sidecar that may have run a request."""
-
-COME_BACK_S = 1.0
-"""When to come back after no replica was reached: a new link stands within that."""
-
 
 class Surroundings(NamedTuple):
     """What all executions of a process share."""
@@ -224,17 +208,25 @@
             self._claim,
         )
         self._current = attempt
+        around = self._around
+        resolution = Resolution(attempt, around.candidates, around.events, around.random)
         tokens = self._request.prompt_tokens + self._request.max_output_tokens
-        with self._around.candidates.in_flight(reachable.candidate.vm, tokens):
+        with around.candidates.in_flight(reachable.candidate.vm, tokens):
             result = await attempt.run()
             if isinstance(result, Elsewhere):
-                result = await self._join_owner(attempt, result.owner)
+                result = await resolution.join_owner(result.owner)
             elif isinstance(result, Lost):
-                result = await self._resolve(attempt, result)
+                result = await resolution.after_cut(result, self._patience_s())
         self._note(attempt, result)
         self._current = None
         return result
 
+    def _patience_s(self) -> float:
+        """Return how long a lost sidecar is asked; the time limit ends it in any case."""
+        if self._request.is_idempotent:
+            return self._around.settings.contact_patience_s
+        return float("inf")
+
     def _plan(self, reachable: Reachable) -> AttemptPlan:
         settings, request = self._around.settings, self._request
         commits_now = (
@@ -255,77 +247,6 @@
             max_answer_bytes=settings.max_answer_bytes,
         )
 
-    async def _resolve(self, attempt: Attempt, lost: Lost) -> AttemptResult:
-        """Learn what became of a committed attempt after contact was lost.
-
-        The request may be running now. Only that one incarnation can tell, so it is asked until
-        it answers; a non-idempotent request waits for that up to its time limit, since running it
-        anywhere else could run it twice. An idempotent one goes on elsewhere after a while.
-        """
-        plan = attempt.plan
-        event = AttemptCut(plan.request_id, plan.number, plan.vm, True, lost.cause)
-        self._around.events.emit(event)
-        if not attempt.site.incarnation:
-            return lost
-        is_idempotent = self._request.is_idempotent
-        patience_s = self._around.settings.contact_patience_s if is_idempotent else float("inf")
-        with trio.move_on_after(patience_s):
-            return await self._keep_asking(attempt, lost)
-        return lost
-
-    async def _keep_asking(self, attempt: Attempt, lost: Lost) -> AttemptResult:
-        tries = broken = 0
-        result: AttemptResult = lost
-        while True:
-            if isinstance(result, Lost) and result.is_broken:
-                broken += 1
-                if broken > MAX_BROKEN_ANSWERS:
-                    return result
-            state = await attempt.query(void_if_uncommitted=True)
-            if state is not None:
-                self._note_state(attempt, state)
-            if state in PROVED_NOT_RUN:
-                return _not_run_of(attempt)
-            if state == AttemptState.OTHER_INCARNATION:
-                return Gone(attempt.site.vm)
-            if state is not None and state != AttemptState.RESERVED:
-                result = await attempt.attach()
-                if not isinstance(result, Lost):
-                    return result
-            await trio.sleep(self._contact_pause_s(tries))
-            tries += 1
-
-    def _contact_pause_s(self, tries: int) -> float:
-        return backoff_s(CONTACT_BACKOFF, tries, 0.0, self._around.random)
-
-    async def _join_owner(self, attempt: Attempt, owner: Placement) -> AttemptResult:
-        """Read the answer of the attempt that owns the idempotency key.
-
-        The owner may be about to commit, so it is asked without voiding: a reservation that is
-        never committed lapses by itself. Once it is proved that the owner never runs, the key may
-        be taken from it by the next attempt.
-        """
-        address = self._around.candidates.address_of(owner.vm)
-        if address is None:
-            return Gone(owner.vm)
-        attempt.adopt(Site(owner.vm, address, owner.incarnation, owner.request_id, owner.attempt))
-        for tries in count():
-            state = await attempt.query(void_if_uncommitted=False)
-            if state == AttemptState.ABSENT:
-                state = await attempt.query(void_if_uncommitted=True)
-            if state is not None:
-                self._note_state(attempt, state)
-            if state in PROVED_NOT_RUN:
-                return _not_run_of(attempt)
-            if state == AttemptState.OTHER_INCARNATION:
-                return Gone(owner.vm)
-            if state is not None and state != AttemptState.RESERVED:
-                result = await attempt.attach()
-                if not isinstance(result, Lost):
-                    return result
-            await trio.sleep(self._contact_pause_s(tries))
-        raise AssertionError("unreachable")
-
     async def _after_run(self, result: AttemptResult) -> None:
         """Go on after an attempt that may have run, or raise why not."""
         refusal, hint_s = self._why_not_whole(result)
@@ -393,36 +314,27 @@
         return Refusal("no-replica", Figures(retry_after_s=COME_BACK_S, detail=detail))
 
     def _note(self, attempt: Attempt, result: AttemptResult) -> None:
-        plan = attempt.plan
+        plan, around = attempt.plan, self._around
+        where = (plan.request_id, plan.number, plan.vm)
         match result:
-            case Whole() | Unreached():
+            case Whole():
                 return
+            case Unreached(cause):
+                around.events.emit(AttemptCut(*where, False, cause))
             case TurnedDown(refused):
                 if self._claim is not None:
                     self._claim.release(attempt.site)
-                self._around.events.emit(
-                    AttemptRefused(plan.request_id, plan.number, plan.vm, refused.code)
-                )
+                around.events.emit(AttemptRefused(*where, refused.code))
             case _:
                 self._failed_vms.add(plan.vm)
                 self._history.add(attempt)
                 if self._claim is not None and self._request.is_idempotent:
                     self._claim.release(attempt.site)
 
-    def _note_state(self, attempt: Attempt, state: AttemptState) -> None:
-        plan = attempt.plan
-        self._around.events.emit(AttemptResolved(plan.request_id, plan.number, plan.vm, state))
-
     def _time_left_s(self) -> float:
         return max(0.0, self._request.deadline_s - trio.current_time())
 
 
-def _not_run_of(attempt: Attempt) -> TurnedDown:
-    plan = attempt.plan
-    detail = "Contact was lost before the commit arrived; the attempt was voided."
-    return TurnedDown(Refused(plan.request_id, plan.number, "no-replica", detail=detail))
-
-
 def _come_back_s(refused: Refused) -> float:
     return refused.retry_after_s or float("inf")
 
--- a/packages/entry/src/sassafrastally/entry/path.py
+++ b/packages/entry/src/sassafrastally/entry/path.py
@@ -24,7 +24,6 @@
 )
 from sassafrastally.entry.execution import Execution, Surroundings
 from sassafrastally.entry.hooks import admitted
-from sassafrastally.entry.pace import Pace
 from sassafrastally.entry.relay import Answer
 from sassafrastally.serving.outcome import Outcome
 from sassafrastally.serving.refusals import Figures, Refusal
@@ -78,7 +77,6 @@
         self._open: dict[str, OpenRequest] = {}
         self._held_body_bytes = 0
         self._is_closed = False
-        self._pace = Pace(settings.max_linger_s)
         self._idle = trio.lowlevel.ParkingLot()
         self._around: Surroundings
 
@@ -96,7 +94,6 @@
             random=kernel.random,
         )
         nursery.start_soon(self._hurry)
-        nursery.start_soon(self._pace.follow)
 
     async def stop(self) -> None:
         """Take no new requests and wait until those in progress have ended by themselves."""
@@ -154,6 +151,10 @@
             raise Refusal("no-bundle", Figures(retry_after_s=SOON_S))
         return in_force
 
+    def new_id(self) -> RequestId:
+        """Return the name for a new request."""
+        return new_request_id(self.kernel.random)
+
     @asynccontextmanager
     async def open(self, request: CallerRequest) -> AsyncIterator[Answer]:
         """Execute a request while the context lasts; leaving it early cancels the request.
@@ -170,8 +171,8 @@
             When there is no answer.
         """
         in_force = self.bundle()
-        request_id = new_request_id(self.kernel.random)
-        answer = Answer(request_id, self._settings.max_buffered_bytes, self._pace)
+        request_id = request.request_id or self.new_id()
+        answer = Answer(request_id, self._settings.max_buffered_bytes)
         refusal: Refusal | None = None
         with self._counted(request_id, request) as scope:
             async with trio.open_nursery() as nursery:
--- a/packages/entry/src/sassafrastally/entry/relay.py
+++ b/packages/entry/src/sassafrastally/entry/relay.py
@@ -11,7 +11,6 @@
 
 if TYPE_CHECKING:
     from sassafrastally.core import RequestId
-    from sassafrastally.entry.pace import Pace
     from sassafrastally.serving.refusals import Refusal
 
 EVENT_STREAM = "text/event-stream"
@@ -38,7 +37,8 @@
 class Answer:
     """The answer to one request: written by its execution, read by the caller.
 
-    The reader takes all data that is ready as one piece, after the pace's pause for more.
+    The reader takes all data that is ready as one piece, so that a busy entry makes fewer and
+    larger sends.
 
     Parameters
     ----------
@@ -46,11 +46,9 @@
         Name of the request.
     max_buffered_bytes
         Data that waits for the reader before the writer is held back.
-    pace
-        How long to wait for more data.
     """
 
-    def __init__(self, request_id: RequestId, max_buffered_bytes: int, pace: Pace) -> None:
+    def __init__(self, request_id: RequestId, max_buffered_bytes: int) -> None:
         self.request_id = request_id
         self.head = Head(_STATUS_OK, EVENT_STREAM)
         self.end: End | None = None
@@ -59,7 +57,6 @@
         """Why there is no whole answer."""
         self.shown_tokens = 0
         """Tokens that the caller has seen or can't be kept from seeing."""
-        self._pace = pace
         self._max_buffered_bytes = max_buffered_bytes
         self._parts: list[bytes] = []
         self._size_bytes = 0
@@ -118,26 +115,12 @@
             if self.end is not None:
                 raise StopAsyncIteration
             await self._readers.park()
-            await self._gather()
-            if self._pace.linger_s and self._parts and not self.is_over:
-                await trio.sleep(self._pace.linger_s)
         data = b"".join(self._parts)
         self._parts.clear()
         self._size_bytes = 0
         self._writers.unpark_all()
         return data
 
-    async def _gather(self) -> None:
-        """Wait while the writer still adds data at each of its turns.
-
-        What a link has read at once reaches the writer one chunk a turn of the scheduler; a send
-        at the first chunk would cut it up again.
-        """
-        count = 0
-        while count < len(self._parts) and self._size_bytes < self._max_buffered_bytes:
-            count = len(self._parts)
-            await trio.lowlevel.checkpoint()
-
     def _wake(self) -> None:
         self._has_started.set()
         self._readers.unpark_all()
--- a/packages/entry/src/sassafrastally/entry/request.py
+++ b/packages/entry/src/sassafrastally/entry/request.py
@@ -7,6 +7,7 @@
 import re
 from typing import TYPE_CHECKING, Any, NamedTuple, NoReturn, Protocol
 
+from sassafrastally.core import RequestId
 from sassafrastally.serving.prompt import (
     MAX_TOKEN_ID,
     PromptShape,
@@ -62,6 +63,8 @@
     prompt_tokens: int = 0
     max_output_tokens: int = 0
     prefix_hashes: tuple[int, ...] = ()
+    request_id: RequestId = RequestId("")
+    """Name of the request; the request path makes one when it is empty."""
 
     @property
     def target(self) -> str:
--- a/packages/entry/src/sassafrastally/entry/routes.py
+++ b/packages/entry/src/sassafrastally/entry/routes.py
@@ -166,27 +166,29 @@
 
     async def _answer(self, asked: CallerRequest) -> Response:
         """Open the request and answer; the request lasts until the answer is sent."""
+        asked = asked._replace(request_id=self._path.new_id())
         stack = cast("EntryRequest", request._get_current_object()).stack  # type: ignore[attr-defined]
-        answer = await stack.enter_async_context(self._path.open(asked))
-        if asked.is_streamed:
-            response = Response(
-                self._events(answer, asked),
-                answer.head.status,
-                content_type=answer.head.content_type,
-            )
-            response.headers["Cache-Control"] = "no-store"
-            response.headers[REQUEST_ID] = answer.request_id
-            return response
         try:
+            answer = await stack.enter_async_context(self._path.open(asked))
+            if asked.is_streamed:
+                return self._streamed(answer, asked)
             body = b"".join([data async for data in answer])
         except Refusal as refusal:
-            refused = RefusedCall(answer.request_id, asked.customer.name)
+            refused = RefusedCall(asked.request_id, asked.customer.name)
             return self._problem_response(refusal, refused)
         response = Response(body, answer.head.status, content_type=answer.head.content_type)
         response.headers[REQUEST_ID] = answer.request_id
         response.headers[OUTCOME] = str(Outcome.COMPLETED)
         return response
 
+    def _streamed(self, answer: Answer, asked: CallerRequest) -> Response:
+        head = answer.head
+        events = self._events(answer, asked)
+        response = Response(events, head.status, content_type=head.content_type)
+        response.headers["Cache-Control"] = "no-store"
+        response.headers[REQUEST_ID] = answer.request_id
+        return response
+
     async def _events(self, answer: Answer, asked: CallerRequest) -> AsyncIterator[bytes]:
         try:
             async for data in answer:
--- a/packages/entry/src/sassafrastally/entry/settings.py
+++ b/packages/entry/src/sassafrastally/entry/settings.py
@@ -36,9 +36,6 @@
     """Longest whole answer that is held until its end is proved."""
     max_buffered_bytes: int = 262_144
     """Streamed data that waits for a slow caller before the sidecar is held back."""
-    max_linger_s: float = 0.06
-    """Longest pause before a piece of a streamed answer is sent, so that tokens leave together;
-    it is used only while the process is busy."""
     max_candidates: int = 4
     """Sidecars asked for a reservation in one round."""
     commit_now_tokens: int = 4_000
--- a/packages/entry/tests/conftest.py
+++ b/packages/entry/tests/conftest.py
@@ -39,6 +39,7 @@
     Reserve,
     Reserved,
 )
+from sassafrastally.wire.streams import TooManyStreams
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Awaitable, Callable
@@ -82,6 +83,7 @@
     def __init__(self, vm: str) -> None:
         self.vm = vm
         self.is_cut = False
+        self.has_number = True
         self.up, self.down = _Pipe(), _Pipe()
 
     @property
@@ -92,6 +94,8 @@
         await trio.lowlevel.checkpoint()
         if self.is_cut:
             raise LinkCut("cut")
+        if not self.has_number:
+            raise TooManyStreams("all streams are open")
         try:
             self.up.sender.send_nowait(message)
         except (trio.BrokenResourceError, trio.ClosedResourceError):
@@ -154,6 +158,7 @@
         self.vm = vm
         self.incarnation = f"life-1-of-{vm}"
         self.is_down = False
+        self.has_streams_left = True
         self.words = ("ha", "ho", "hi")
         self.scripts: list[Script] = []
         self.log: list[Message] = []
@@ -259,6 +264,7 @@
 
     def open_stream(self) -> FakeStream:
         stream = FakeStream(self._sidecar.vm)
+        stream.has_number = self._sidecar.has_streams_left
         self._nursery.start_soon(self._sidecar.serve, stream)
         return stream
 
@@ -365,7 +371,7 @@
 
 @pytest.fixture
 def entry_settings() -> EntrySettings:
-    return EntrySettings(routing_policy="round-robin", drain_s=3.0, max_linger_s=0.0)
+    return EntrySettings(routing_policy="round-robin", drain_s=3.0)
 
 
 @pytest.fixture
@@ -374,11 +380,19 @@
     return None
 
 
+@pytest.fixture
+def claims() -> Service | None:
+    """The service that keeps claims; a module that wants one overrides this."""
+    return None
+
+
 @pytest.fixture
 async def world(
-    entry_settings: EntrySettings, http_settings: HttpSettings | None
+    entry_settings: EntrySettings, http_settings: HttpSettings | None, claims: Service | None
 ) -> AsyncIterator[World]:
     built = World(entry_settings)
+    if claims is not None:
+        built.kernel.add(claims)
     if http_settings is not None:
         built.kernel.add(HttpService(http_settings, entry_settings))
     async with trio.open_nursery() as nursery:
--- /dev/null
+++ b/packages/entry/tests/test_claiming.py
@@ -0,0 +1,229 @@
+"""Idempotency keys: one run for a key, whichever entry the repeats come through."""
+
+from __future__ import annotations
+
+from typing import Any, ClassVar
+
+import pytest
+import trio
+
+from sassafrastally.core import Incarnation, RequestId, Service
+from sassafrastally.serving.claims import ClaimResult, ClaimState, Placement
+from sassafrastally.serving.outcome import AttemptState, Outcome
+from sassafrastally.serving.refusals import Refusal
+from sassafrastally.wire.messages import Cancel, Commit, Query, QueryReply, Reserve
+
+THREE = b'data: {"w":"ha"}\n\ndata: {"w":"ho"}\n\ndata: {"w":"hi"}\n\n'
+OWNER = Placement("s1", Incarnation("life-1-of-s1"), RequestId("0" * 31 + "9"), 1)
+OWN = (OWNER.request_id, OWNER.attempt)
+
+
+class FakeClaims(Service):
+    """Claims in memory; the world's sidecars are the placements."""
+
+    name: ClassVar[str] = "claims"
+
+    def __init__(self) -> None:
+        self.held: dict[tuple[str, str], tuple[bytes, Placement]] = {}
+        self.is_down = False
+        self.asked: list[Placement] = []
+
+    async def claim(
+        self, customer: str, key: str, body_digest: bytes, placement: Placement, time_limit_s: float
+    ) -> ClaimResult:
+        self.asked.append(placement)
+        await trio.sleep(0.01)
+        if self.is_down:
+            raise Refusal("claims-unavailable")
+        digest, holder = self.held.setdefault((customer, key), (body_digest, placement))
+        if digest != body_digest and digest:
+            return ClaimResult(ClaimState.KEY_REUSED)
+        state = ClaimState.GRANTED if holder == placement else ClaimState.HELD
+        return ClaimResult(state, holder)
+
+    async def replace(
+        self,
+        customer: str,
+        key: str,
+        old: Placement,
+        new: Placement,
+        body_digest: bytes,
+        time_limit_s: float,
+    ) -> ClaimResult:
+        await trio.sleep(0.01)
+        if self.held[customer, key][1] != old:
+            return ClaimResult(ClaimState.HELD, self.held[customer, key][1])
+        self.held[customer, key] = (body_digest, new)
+        return ClaimResult(ClaimState.GRANTED, new)
+
+    def hold(self) -> None:
+        """Let another request have the key of the tests, for any body."""
+        self.held["yeso-justo", "k"] = (b"", OWNER)
+
+
+@pytest.fixture
+def claims() -> FakeClaims:
+    return FakeClaims()
+
+
+async def refusal_of(world: Any, request: Any) -> Refusal:
+    with pytest.raises(Refusal) as caught:
+        await world.ask(request)
+    return caught.value
+
+
+def all_of(world: Any, kind: type[Any]) -> list[Any]:
+    return [*world.s1.of(kind), *world.s2.of(kind)]
+
+
+class TestOwnKey:
+    async def test_claimed_between_reservation_and_commit(
+        self, world: Any, claims: FakeClaims, autojump_clock: Any
+    ) -> None:
+        order: list[str] = []
+
+        async def script(sidecar: Any, end: Any, reserve: Reserve) -> None:
+            order.append(f"reserved after {len(claims.asked)} claims")
+            await sidecar.accept(end, reserve)
+            order.append(f"committed after {len(claims.asked)} claims")
+            await sidecar.answer(end, reserve)
+
+        world.s1.scripts, world.s2.scripts = [script], [script]
+        assert (await world.ask(world.booking(key="k"))).body == THREE
+        assert order == ["reserved after 0 claims", "committed after 1 claims"]
+
+    async def test_unavailable_claims_refuse_and_release(
+        self, world: Any, claims: FakeClaims, autojump_clock: Any
+    ) -> None:
+        claims.is_down = True
+        refusal = await refusal_of(world, world.booking(key="k"))
+        assert (refusal.kind.code, refusal.outcome) == ("claims-unavailable", Outcome.NOT_RUN)
+        await trio.sleep(0.1)
+        assert not all_of(world, Commit)
+        assert world.ran() == 0
+
+    async def test_same_key_with_another_body_is_told(
+        self, world: Any, claims: FakeClaims, autojump_clock: Any
+    ) -> None:
+        await world.ask(world.booking(key="k"))
+        refusal = await refusal_of(world, world.booking(key="k", body=b"other"))
+        assert (refusal.kind.code, refusal.outcome) == ("key-reused", Outcome.NOT_RUN)
+        assert world.ran() == 1
+
+    async def test_claimed_run_goes_on_when_its_caller_leaves(
+        self, world: Any, autojump_clock: Any
+    ) -> None:
+        """A phone loses its connection, repeats the booking with its key, and reads that it
+        failed: the entry had cancelled the run because the first connection was gone."""
+
+        async def hang(sidecar: Any, end: Any, reserve: Reserve) -> None:
+            await sidecar.accept(end, reserve)
+            await end.receive()
+
+        world.s1.scripts, world.s2.scripts = [hang], [hang]
+        with trio.move_on_after(1.0):
+            await world.ask(world.booking(key="k"))
+        await trio.sleep(0.1)
+        assert all_of(world, Commit)
+        assert not all_of(world, Cancel)
+
+
+class TestKeyOfAnotherRequest:
+    async def test_repeat_joins_the_first_run(
+        self, world: Any, claims: FakeClaims, autojump_clock: Any
+    ) -> None:
+        """Two crews are sent to one house: the caller repeated the booking through another entry
+        while the first run was under way, and both ran."""
+        claims.hold()
+        world.s1.states[OWN] = AttemptState.COMMITTED
+        world.s1.ran.append(OWN)
+        assert (await world.ask(world.booking(key="k"))).body == THREE
+        assert world.ran() == 1
+        await trio.sleep(0.1)
+        assert not all_of(world, Commit)
+
+    async def test_both_at_once_run_once(
+        self, world: Any, claims: FakeClaims, autojump_clock: Any
+    ) -> None:
+        bodies: list[bytes] = []
+
+        async def ask() -> None:
+            bodies.append((await world.ask(world.booking(key="k"))).body)
+
+        async with trio.open_nursery() as nursery:
+            for _ in range(5):
+                nursery.start_soon(ask)
+        assert bodies == [THREE] * 5
+        assert world.ran() == 1
+
+    async def test_owner_proved_void_is_replaced(
+        self, world: Any, claims: FakeClaims, autojump_clock: Any
+    ) -> None:
+        """The first entry died after its claim and before its commit. The key must not be dead
+        for as long as claims are kept, nor may the run begin while the owner could still."""
+        claims.hold()
+        assert (await world.ask(world.booking(key="k"))).body == THREE
+        assert world.s1.states[OWN] == AttemptState.VOIDED
+        assert world.ran() == 1
+
+    async def test_owner_that_may_still_commit_is_not_voided(
+        self, world: Any, claims: FakeClaims, autojump_clock: Any
+    ) -> None:
+        claims.hold()
+        world.s1.states[OWN] = AttemptState.RESERVED
+
+        async def commit_later() -> None:
+            await trio.sleep(0.5)
+            world.s1.states[OWN] = AttemptState.COMMITTED
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(commit_later)
+            assert (await world.ask(world.booking(key="k"))).body == THREE
+        assert not any(query.void_if_uncommitted for query in world.s1.of(Query))
+        assert world.s1.ran == [OWN]
+
+    async def test_owner_whose_sidecar_was_replaced_is_unknown(
+        self, world: Any, claims: FakeClaims, autojump_clock: Any
+    ) -> None:
+        claims.hold()
+        world.s1.incarnation = "life-2"
+        refusal = await refusal_of(world, world.booking(key="k"))
+        assert (refusal.kind.code, refusal.outcome) == ("outcome-unknown", Outcome.UNKNOWN)
+        assert world.ran() == 0
+
+    async def test_failed_owner_is_told_and_not_repeated(
+        self, world: Any, claims: FakeClaims, autojump_clock: Any
+    ) -> None:
+        claims.hold()
+        world.s1.states[OWN] = AttemptState.FAILED
+
+        async def fail(sidecar: Any, end: Any, message: Any) -> None:
+            if isinstance(message, Query):
+                await end.send(QueryReply(*OWN, sidecar.incarnation, AttemptState.FAILED))
+            elif isinstance(message, Reserve):
+                await sidecar.behave(end, message)
+            else:
+                await end.send(sidecar.end(OWN, 0, "failed"))
+
+        world.s1.scripts = [fail] * 9
+        refusal = await refusal_of(world, world.booking(key="k"))
+        assert (refusal.kind.code, refusal.outcome) == ("key-failed", Outcome.FAILED)
+        assert world.ran() == 0
+
+    async def test_second_reader_never_cancels_the_run(
+        self, world: Any, claims: FakeClaims, autojump_clock: Any
+    ) -> None:
+        claims.hold()
+        world.s1.states[OWN] = AttemptState.COMMITTED
+
+        async def wait(sidecar: Any, end: Any, message: Any) -> None:
+            if isinstance(message, Query | Reserve):
+                await sidecar.behave(end, message)
+            else:
+                await end.receive()
+
+        world.s1.scripts = [wait] * 9
+        refusal = await refusal_of(world, world.booking(key="k", time_limit_s=2.0))
+        assert (refusal.kind.code, refusal.outcome) == ("time-limit-passed", Outcome.UNKNOWN)
+        await trio.sleep(0.1)
+        assert all((each.request_id, each.attempt) != OWN for each in all_of(world, Cancel))
--- a/packages/entry/tests/test_execution.py
+++ b/packages/entry/tests/test_execution.py
@@ -115,15 +115,19 @@
         """A caller stops reading. Its answer fills the buffer and the reader of the sidecar
         waits. Were the time limit checked where the caller reads, the engine would keep the
         run's memory for as long as the caller pleases."""
-        world.s1.scripts = world.s2.scripts = []
-        big = ("z" * 200_000,) * 5
-        script = sending(lambda s, own: s.chunks(own, big))
-        world.s1.scripts, world.s2.scripts = [script], [script]
+
+        async def flood(sidecar: Any, end: Any, reserve: Reserve) -> None:
+            await sidecar.accept(end, reserve)
+            await end.send(*sidecar.chunks(own_of(reserve), ("z" * 200_000,) * 5))
+            await end.receive()
+
+        world.s1.scripts, world.s2.scripts = [flood], [flood]
         async with world.path.open(world.request(time_limit_s=0.5)) as answer:
             await trio.sleep(2)
             assert answer.refusal is not None
             assert answer.refusal.kind.code == "time-limit-passed"
-            assert len(world.s1.of(Cancel) + world.s2.of(Cancel)) in (0, 1)
+            assert answer.shown_tokens < 5
+            assert len(world.s1.of(Cancel) + world.s2.of(Cancel)) == 1
 
 
 class TestOwnAndWholeAnswer:
@@ -131,8 +135,10 @@
         "first",
         [
             pytest.param(lambda s, own: s.chunks(own, s.words[:1]) * 3, id="repeated"),
-            pytest.param(lambda s, own: s.chunks((own[0], 9), s.words), id="other attempt"),
-            pytest.param(lambda s, own: s.chunks(("f" * 32, own[1]), s.words), id="other request"),
+            pytest.param(lambda s, own: s.chunks((own[0], 9), ("not", "mine")), id="other attempt"),
+            pytest.param(
+                lambda s, own: s.chunks(("f" * 32, own[1]), ("not", "mine")), id="other request"
+            ),
         ],
     )
     async def test_chunks_that_are_not_next_are_dropped(
@@ -274,6 +280,14 @@
         for _ in range(3):
             assert (await world.ask(world.request())).body == THREE
 
+    async def test_link_with_all_streams_taken_is_passed_over(
+        self, world: Any, autojump_clock: Any
+    ) -> None:
+        world.s1.has_streams_left = False
+        for _ in range(3):
+            assert (await world.ask(world.request())).body == THREE
+        assert not world.s1.log
+
     async def test_resumed_after_the_shown_tokens(self, world: Any, autojump_clock: Any) -> None:
         """Two words are on the caller's screen when the sidecar dies. Begun anew, the other engine
         would show them again or others in their place."""
@@ -341,6 +355,19 @@
         assert world.ran() == 1
         assert len(world.s1.of(Reserve) + world.s2.of(Reserve)) == 1
 
+    async def test_refused_joining_is_no_proof(self, world: Any, autojump_clock: Any) -> None:
+        """A booking is made twice: the entry asked to join its run again, the sidecar turned that
+        down for a moment, and the entry read it as "the attempt was refused"."""
+
+        async def turn_down(sidecar: Any, end: Any, attach: Attach) -> None:
+            await end.send(Refused(*own_of(attach), "overloaded"))
+
+        for sidecar in (world.s1, world.s2):
+            sidecar.scripts = [cut_after_two, type(sidecar).behave, turn_down]
+        assert (await world.ask(world.booking())).body == THREE
+        assert world.ran() == 1
+        assert len(world.s1.of(Reserve) + world.s2.of(Reserve)) == 1
+
     async def test_other_incarnation_is_unknown_and_never_elsewhere(
         self, world: Any, autojump_clock: Any
     ) -> None:
--- a/packages/entry/tests/test_http.py
+++ b/packages/entry/tests/test_http.py
@@ -23,7 +23,7 @@
 
 @pytest.fixture
 def entry_settings() -> EntrySettings:
-    return EntrySettings(routing_policy="round-robin", drain_s=1.0, max_linger_s=0.0)
+    return EntrySettings(routing_policy="round-robin", drain_s=1.0)
 
 
 @pytest.fixture
--- a/packages/entry/tests/test_routes.py
+++ b/packages/entry/tests/test_routes.py
@@ -117,7 +117,7 @@
     "half a surrogate pair": (b'{"model": "yeso-small", "prompt": "\\ud800"}', 400, "bad-request"),
     "nested too deeply": (b"[" * 50_000, 400, "bad-request"),
     "no object": (b"[1]", 400, "bad-request"),
-    "NaN": (b'{"model": "yeso-small", "prompt": "a", "temperature": NaN}', 400, "bad-request"),
+    "NaN": (b'{"model": "yeso-small", "prompt": "a", "seed": NaN}', 400, "bad-request"),
     "no model": ({"prompt": "a"}, 400, "bad-request"),
     "model of a wrong type": ({**GOOD, "model": 3}, 400, "bad-request"),
     "no prompt": ({"model": "yeso-small"}, 400, "bad-request"),
@@ -177,6 +177,7 @@
     async def test_body_that_never_ends(self, world: Any, client: Any, autojump_clock: Any) -> None:
         """A caller keeps its connection and sends a body that stays incomplete. The request's
         time limit must hold from its arrival on, or such callers fill the entry."""
+        started_s = trio.current_time()
         async with client.request(
             "/v1/completions", method="POST", headers=AUTHORIZATION
         ) as connection:
@@ -185,6 +186,19 @@
             response = await connection.as_response()
         problem = json.loads(await response.get_data())
         assert (problem["code"], problem["outcome"]) == ("time-limit-passed", "not_run")
+        assert trio.current_time() < started_s + 32
+
+
+class TestKeys:
+    async def test_key_that_a_roll_takes_away_is_refused_at_once(
+        self, world: Any, client: Any, autojump_clock: Any
+    ) -> None:
+        """A stolen key still works after the roll that withdrew it, until the entry restarts."""
+        assert (await post(client, GOOD)).status_code == 200
+        in_force = world.bundles.in_force
+        bundle = in_force.bundle._replace(customers=in_force.bundle.customers[1:])
+        world.bundles.in_force = in_force._replace(generation=8, bundle=bundle)
+        assert (await post(client, GOOD)).status_code == 401
 
 
 class TestProblemDetails:
