Treat a sidecar's refusal of a second commit as unknown, not as proof of not run

Cause: the sidecar refuses a repeated reservation or commit with outcome-unknown; the entry read every refusal as "not run" and asked the next replica, so that a booking could be made twice. Ruled out: taking the catalogue's outcome for every refusal (an end mark "not run" with the code time-limit-passed is proof although the catalogue says failed). Change: a refusal whose outcome isn't "not run" counts as committed and is resolved by asking. Red without the guard (outcome not_run, a second reservation), green with it; 108 entry tests pass. The administration interface hands an accepted head to its own process at once.

--- a/packages/entry/src/sassafrastally/entry/admin.py
+++ b/packages/entry/src/sassafrastally/entry/admin.py
@@ -15,10 +15,11 @@
 
 from sassafrastally.control import operations
 from sassafrastally.control.admin import AdminService
-from sassafrastally.control.head import decode_head
+from sassafrastally.control.head import decode_head, encode_head
 from sassafrastally.control.publish import add_signature
 from sassafrastally.control.rolling import read_history, submit_head
 from sassafrastally.control.signing import BundleSettings, Signature
+from sassafrastally.control.spread import BundleService
 from sassafrastally.control.timeline import merge_events
 from sassafrastally.core import Address, CodedError, FindingsError, Service, error, event
 from sassafrastally.core.settings import section
@@ -206,6 +207,9 @@
     async def _roll(self) -> Body:
         head = decode_head(cast("bytes", await request.get_data(as_text=False)))
         result = await submit_head(self._kv, head, self._bundle_settings)
+        # Taken here at once: if the KV service went down now, before any watch has reported the
+        # head, nobody but it would know the accepted bundle.
+        self.kernel.get("bundle", BundleService).on_kv_head(encode_head(result.head))
         return cast("Body", operations.plain(result))
 
     @property
--- a/packages/entry/src/sassafrastally/entry/attempt.py
+++ b/packages/entry/src/sassafrastally/entry/attempt.py
@@ -9,6 +9,7 @@
 from sassafrastally.core import CodedError
 from sassafrastally.entry.relay import EVENT_STREAM, JSON, Answer, AnswerBroken, ChunkOrder, Head
 from sassafrastally.serving.outcome import AttemptState, Outcome
+from sassafrastally.serving.refusals import REFUSALS
 from sassafrastally.wire.link import LinkCut, LinkRefused, StreamEnded
 from sassafrastally.wire.messages import (
     MAX_CHUNK_BYTES,
@@ -265,7 +266,7 @@
         if answered is None:
             return Unreached(f"no reservation within {self.plan.reserve_timeout_s:g} s")
         if isinstance(answered, Refused):
-            return TurnedDown(answered)
+            return self._after_refusal(answered)
         self.site = self.site._replace(incarnation=answered.incarnation)
         if self._claim is not None:
             # Taken while the reservation stands: a claim that outlives it would be followed by a
@@ -328,7 +329,7 @@
             case Reserved() if self._is_own(message):
                 self.site = self.site._replace(incarnation=message.incarnation)
             case Refused() if self._is_own(message):
-                return TurnedDown(message)
+                return self._after_refusal(message)
             case End() if self._order.owns(message):
                 return self._conclude(message)
         return None
@@ -366,6 +367,15 @@
         self._answer.finish(end, Head(status, content_type), b"".join(self._held))
         return Whole(end)
 
+    def _after_refusal(self, refused: Refused) -> AttemptResult:
+        kind = REFUSALS.get(refused.code)
+        if kind is None or kind.outcome is Outcome.NOT_RUN:
+            return TurnedDown(refused)
+        # A sidecar that has the attempt already, by a repeated reservation or commit, refuses the
+        # second one as unknown. Taken for "not run", a booking would be made once more elsewhere.
+        self.is_committed = True
+        return Lost(refused.detail)
+
     def _after_cut(self, cause: CodedError) -> AttemptResult:
         return Lost(cause.detail) if self.is_committed else Unreached(cause.detail)
 
--- a/packages/entry/tests/test_execution.py
+++ b/packages/entry/tests/test_execution.py
@@ -368,6 +368,21 @@
         assert world.ran() == 1
         assert len(world.s1.of(Reserve) + world.s2.of(Reserve)) == 1
 
+    async def test_refused_as_already_committed_is_no_proof(
+        self, world: Any, autojump_clock: Any
+    ) -> None:
+        """A booking is made twice: the sidecar got its commit a second time and refused that one
+        as unknown, and the entry read every refusal as "not run"."""
+
+        async def refuse_second(sidecar: Any, end: Any, reserve: Reserve) -> None:
+            await end.send(Refused(*own_of(reserve), "outcome-unknown", detail="already committed"))
+
+        for sidecar in (world.s1, world.s2):
+            sidecar.scripts = [refuse_second]
+        refusal = await refusal_of(world, world.booking(time_limit_s=8.0))
+        assert refusal.outcome == Outcome.UNKNOWN
+        assert len(world.s1.of(Reserve) + world.s2.of(Reserve)) == 1
+
     async def test_other_incarnation_is_unknown_and_never_elsewhere(
         self, world: Any, autojump_clock: Any
     ) -> None:
