Serve callers, operators and stand-ins through one HTTP server

Cause: the same server, with its two mends, stood three times: a client that asked for Connection: close waited for ever (the disconnect cancels the send that closes), and a client that reads nothing holds its request past every time limit (hypercorn shields its sends). The administration interface had neither mend. Change: one AsgiServer with both; its three users keep their bounds.

--- a/packages/entry/src/sassafrastally/entry/admin.py
+++ b/packages/entry/src/sassafrastally/entry/admin.py
@@ -23,7 +23,7 @@
 from sassafrastally.control.timeline import merge_events
 from sassafrastally.core import Address, CodedError, FindingsError, Service, error, event
 from sassafrastally.core.settings import section
-from sassafrastally.entry.asgi import AsgiServer, bind_socket
+from sassafrastally.entry.asgi import AsgiServer, ServerBounds
 from sassafrastally.platform.interfaces import KvConflict, KvUnavailable, MaybeApplied
 from sassafrastally.platform.service import PlatformService
 from sassafrastally.serving.explanations import explain
@@ -114,8 +114,7 @@
 
     async def start(self, nursery: trio.Nursery) -> None:
         """Accept operators."""
-        bound = bind_socket(self._settings.listen_address)
-        self._server = AsgiServer(self._make_app(), bound)
+        self._server = AsgiServer(self._make_app(), self._settings.listen_address, ServerBounds())
         await nursery.start(self._server.run)
         self.kernel.events.emit(AdminListening(str(self.bound_address)))
 
--- a/packages/testing/tests/test_http_serving.py
+++ b/packages/testing/tests/test_http_serving.py
@@ -20,7 +20,8 @@
         A client asks for a long answer and reads none of it, the buffers fill, and the server's
         task is stuck in a send that can't be cancelled.
         """
-        monkeypatch.setattr(http_serving, "UNREAD_LIMIT_S", 0.5)
+        bounds = http_serving.BOUNDS._replace(unread_limit_s=0.5)
+        monkeypatch.setattr(http_serving, "BOUNDS", bounds)
         app = QuartTrio(__name__)
         left = trio.Event()
 
