--- a/packages/cli/src/sassafrastally/cli/daemon.py
+++ b/packages/cli/src/sassafrastally/cli/daemon.py
@@ -14,6 +14,7 @@
 from sassafrastally.cli.loading import load_for_role
 from sassafrastally.core import FindingsError, Registry, TcpNetwork
 from sassafrastally.core.logs import configure_logs
+from sassafrastally.core.metrics_text import start_metrics
 from sassafrastally.core.settings import ProcessSettings
 from sassafrastally.entry import build_entry
 from sassafrastally.platform import make_platform
@@ -52,6 +53,7 @@
         print(f"{arguments.settings}: no findings")
         return ExitCode.OK
     configure_logs(settings.get(ProcessSettings).log_level)
+    start_metrics()
     trio.run(run_process, settings)
     return ExitCode.OK
 
--- a/packages/control/src/sassafrastally/control/admin.py
+++ b/packages/control/src/sassafrastally/control/admin.py
@@ -8,6 +8,7 @@
 import trio
 
 from sassafrastally.core import CodedError, Kernel, Registry, Service, error
+from sassafrastally.core.metrics_text import metrics_text
 from sassafrastally.wire.link import LinkCut, LinkRefused, StreamEnded
 from sassafrastally.wire.messages import MAX_FRAME_BYTES, AdminCall, AdminReturn, Message
 
@@ -122,3 +123,9 @@
             service.name: figures for service in kernel.services() if (figures := service.status())
         },
     }
+
+
+@ADMIN_METHODS.register("metrics")
+async def answer_metrics(_kernel: Kernel, _body: dict[str, Any]) -> dict[str, Any]:
+    """Return the figures of this process's instruments."""
+    return {"text": metrics_text()}
--- a/packages/entry/src/sassafrastally/entry/admin.py
+++ b/packages/entry/src/sassafrastally/entry/admin.py
@@ -14,7 +14,7 @@
 from quart_trio import QuartTrio
 
 from sassafrastally.control import operations
-from sassafrastally.control.admin import AdminService
+from sassafrastally.control.admin import AdminAnswer, AdminService
 from sassafrastally.control.head import decode_head, encode_head
 from sassafrastally.control.publish import add_signature
 from sassafrastally.control.rolling import read_history, submit_head
@@ -34,7 +34,6 @@
 
     import trio
 
-    from sassafrastally.control.admin import AdminAnswer
     from sassafrastally.control.interfaces import Membership
     from sassafrastally.platform.interfaces import Kv, VmState
 
@@ -46,6 +45,8 @@
 BEARER = "Bearer "
 
 UNAUTHORIZED = 401
+BAD_GATEWAY = 502
+TEXT = "text/plain; version=0.0.4; charset=utf-8"
 
 Body = dict[str, Any]
 
@@ -134,6 +135,7 @@
         app.register_error_handler(CodedError, _problem)
         app.add_url_rule("/admin/status", view_func=self._status)
         app.add_url_rule("/admin/events", view_func=self._events)
+        app.add_url_rule("/admin/metrics", view_func=self._metrics)
         app.add_url_rule("/admin/explain", view_func=self._explain, methods=["POST"])
         app.add_url_rule("/admin/bundle", view_func=self._bundle)
         app.add_url_rule("/admin/bundle/history", view_func=self._history)
@@ -177,6 +179,20 @@
             "silent": {answer.vm: answer.problem for answer in answers if answer.body is None},
         }
 
+    async def _metrics(self) -> Response:
+        """Give one process's figures: ``?vm=NAME``, this entry's by default."""
+        vm = request.args.get("vm", self.kernel.vm)
+        state = next((state for state in self._states() if state.vm == vm), None)
+        if vm == self.kernel.vm:
+            answer = AdminAnswer(vm, await self._admin.ask_here("metrics", {}))
+        elif state is not None:
+            answer = await self._admin.ask(state, "metrics", {})
+        else:
+            raise AdminBodyInvalid(f"the VM list has no {vm!r}")
+        if answer.body is None:
+            return Response(answer.problem, BAD_GATEWAY, content_type=TEXT)
+        return Response(answer.body["text"], content_type=TEXT)
+
     async def _explain(self) -> Body:
         receipt = (await _json_body()).get("receipt")
         facts = self.kernel.get("receipts", ReceiptService).open(str(receipt))
