--- a/packages/testing/src/sassafrastally/testing/deployment.py
+++ b/packages/testing/src/sassafrastally/testing/deployment.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import hashlib
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, contextmanager
 from random import Random
 from typing import TYPE_CHECKING, NamedTuple
 
@@ -22,18 +22,20 @@
 from sassafrastally.entry.assemble import build_path
 from sassafrastally.platform import PlatformService, VmState
 from sassafrastally.sidecar import build_sidecar
+from sassafrastally.sidecar.service import SidecarService
 from sassafrastally.testing.engine_fake import FakeEngine
 from sassafrastally.testing.engine_model import EngineModel, EngineShape
 from sassafrastally.testing.kv_fake import FakeKv
 from sassafrastally.testing.kv_model import KvModel
 from sassafrastally.testing.network import MemoryNetwork
+from sassafrastally.testing.plain_fake import FakePlainClient
 from sassafrastally.testing.plain_service import PlainService, serve_plain
 from sassafrastally.testing.vm_list import FakeVmList, VmListModel
 from sassafrastally.testing.weight_store import FakeWeightStore, WeightStoreModel
 from sassafrastally.wire.peers import PeerService
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator, Callable
+    from collections.abc import AsyncIterator, Callable, Iterator
 
     from sassafrastally.control.bundle import Bundle
     from sassafrastally.core import Kernel, Network
@@ -44,6 +46,7 @@
 SIGNER = SigningKey("operator", Secret("11" * 32))
 RECEIPT_KEY = "22" * 32
 LINK_SECRET = "33" * 32
+ADMIN_TOKEN = "operator-token"
 SEED_BYTES = 4
 KV_SEED = 7
 ANY_PORT = Address("127.0.0.1", 0)
@@ -70,6 +73,8 @@
 ENTRY_SETTINGS = """
 [http]
 listen_address = "127.0.0.1:0"
+[admin]
+token_digests = ["{token_digest}"]
 [[receipts.keys]]
 key_id = "k1"
 secret = "{receipt_key}"
@@ -107,6 +112,8 @@
     scheduler: str = "lanes"
     extra_settings: str = ""
     """TOML added to every process's settings."""
+    seed: int = 0
+    """Seed of all processes and engines."""
 
 
 class Node:
@@ -117,6 +124,23 @@
         self.kernel = kernel
         self.scope = trio.CancelScope()
         self.ended = trio.Event()
+        self._calls: set[trio.CancelScope] = set()
+
+    @contextmanager
+    def call(self) -> Iterator[trio.CancelScope]:
+        """Let a caller's task end with the process while the context lasts."""
+        with trio.CancelScope() as scope:
+            self._calls.add(scope)
+            try:
+                yield scope
+            finally:
+                self._calls.discard(scope)
+
+    def end(self) -> None:
+        """End the process's tasks and those of its callers."""
+        self.scope.cancel()
+        for scope in list(self._calls):
+            scope.cancel()
 
 
 class Deployment:
@@ -172,7 +196,7 @@
         node = self.nodes.pop(vm)
         if isinstance(self.network, MemoryNetwork):
             self.network.kill(vm)
-        node.scope.cancel()
+        node.end()
         await node.ended.wait()
 
     async def stop(self, vm: str) -> None:
@@ -183,14 +207,24 @@
         if isinstance(self.network, MemoryNetwork):
             self.network.kill(vm)
 
-    async def roll(self, bundle: Bundle) -> int:
-        """Publish, sign and roll a bundle; return its generation."""
+    async def roll(self, bundle: Bundle, from_generation: int | None = None) -> int:
+        """Publish, sign and roll a bundle; return its generation.
+
+        Parameters
+        ----------
+        bundle
+            The bundle.
+        from_generation
+            Generation that the operator saw in force; read just before the roll by default.
+        """
         kv = FakeKv(self.kv)
         settings = self.bundle_settings
         published = await publish_bundle(kv, bundle)
         await sign_bundle(kv, published.digest, SIGNER, settings)
-        head = await read_head(kv)
-        order = RollOrder(published.digest, head.generation if head else 0)
+        if from_generation is None:
+            head = await read_head(kv)
+            from_generation = head.generation if head else 0
+        order = RollOrder(published.digest, from_generation)
         return (await roll_bundle(kv, order, SIGNER, settings)).head.generation
 
     @property
@@ -203,17 +237,20 @@
             return
         if spec.service:
             service = self.services[spec.vm] = PlainService()
-            bound: Address = await self._nursery.start(serve_plain, service, ANY_PORT)
+            # Real sockets don't go with the mock clock, which jumps while the kernel is at work.
+            bound = ANY_PORT
+            if not isinstance(self.network, MemoryNetwork):
+                bound = await self._nursery.start(serve_plain, service, ANY_PORT)
             self._service_addresses[spec.vm] = bound
             return
-        model = EngineModel(self.shape.engine, seed=_seed(spec.vm, 0))
+        model = EngineModel(self.shape.engine, seed=self._seed(spec.vm, 0))
         self.engines[spec.vm] = model
         self.engine_clients[spec.vm] = FakeEngine(model)
         self._nursery.start_soon(model.run)
 
     async def _build(self, spec: VmSpec) -> Kernel:
         self._starts += 1
-        seed = _seed(spec.vm, self._starts)
+        seed = self._seed(spec.vm, self._starts)
         clock = Clock(0.0, EPOCH_S) if isinstance(self.network, MemoryNetwork) else Clock()
         platform = PlatformService(
             FakeKv(self.kv), FakeVmList(self.vm_list), FakeWeightStore(self.weight_store)
@@ -229,7 +266,11 @@
         if spec.role == "entry":
             return build(settings, platform, network, clock, seed)
         engine = self.engine_clients.get(spec.vm)
-        return build_sidecar(settings, platform, network, engine, clock, seed)
+        kernel = build_sidecar(settings, platform, network, engine, clock, seed)
+        if spec.service and isinstance(self.network, MemoryNetwork):
+            client = FakePlainClient(self.services[spec.vm])
+            kernel.get("sidecar", SidecarService)._clients = {spec.service: client}
+        return kernel
 
     def _settings(self, spec: VmSpec, listen: str) -> Settings:
         text = SETTINGS.format(
@@ -243,7 +284,9 @@
             public_key=SIGNER.public_key,
         )
         if spec.role == "entry":
-            text += ENTRY_SETTINGS.format(receipt_key=RECEIPT_KEY)
+            text += ENTRY_SETTINGS.format(
+                receipt_key=RECEIPT_KEY, token_digest=key_digest(ADMIN_TOKEN)
+            )
         else:
             text += SIDECAR_SETTINGS.format(scheduler=self.shape.scheduler)
             if spec.service:
@@ -251,6 +294,10 @@
                 text += SERVICE_SETTINGS.format(name=spec.service, address=address)
         return load_settings(text + self.shape.extra_settings, f"{spec.vm}.toml")
 
+    def _seed(self, vm: str, start: int) -> int:
+        digest = hashlib.sha256(f"{self.shape.seed}/{vm}/{start}".encode()).digest()
+        return int.from_bytes(digest[:SEED_BYTES], "big")
+
     async def _run_node(self, node: Node, *, task_status: trio.TaskStatus[None]) -> None:
         with node.scope:
             await node.kernel.run(task_status=task_status)
@@ -274,8 +321,3 @@
 def key_digest(key: str) -> str:
     """Return the digest under which a bundle lists a bearer key."""
     return hashlib.sha256(key.encode()).hexdigest()
-
-
-def _seed(vm: str, start: int) -> int:
-    digest = hashlib.sha256(f"{vm}/{start}".encode()).digest()
-    return int.from_bytes(digest[:SEED_BYTES], "big")
