Measure the slopes of each role and bring an entry's control traffic under its bound

Cause: the first sum for an entry at the target size was 3,441 bytes/s of control, over 3,000: reports of 256 bytes, a third of them a digest that nobody reads, and signs of life asked between two reports. Ruled out: a smaller subset (fewer replicas in sight), rarer reports (herding). Change: reports carry the generation only (192 bytes); signs of life are asked after 2.6 s, longer than a sidecar's pause between reports, and answered within 2.4 s, so that a frozen peer is still found in 5 s.

--- a/packages/testing/src/sassafrastally/testing/capacity.py
+++ b/packages/testing/src/sassafrastally/testing/capacity.py
@@ -27,6 +27,8 @@
     LoadReport,
     PeerService,
     PeerSettings,
+    Ping,
+    Pong,
     decode_frame,
     encode_frame,
 )
@@ -47,6 +49,10 @@
 """Sidecars to which an entry links by default."""
 REPORTS_PER_S = 1 / 2.25
 """Load reports that a sidecar sends on each link while its load moves slowly."""
+PINGS_PER_S = 1 / 2.6
+"""Signs of life asked on an idle link: by the sidecar only, since its reports are the entry's."""
+VM_LIST_BYTES_PER_S = (181 + 162) / 2.0
+"""An unchanged poll of the VM list each 2 s, question and answer (docs/design/membership.md)."""
 EXCHANGES_PER_S = 1 / 5.0
 """Comparisons of heads with a peer."""
 TOKENS_PER_CHUNK = 8
@@ -56,11 +62,12 @@
 LIMIT_BYTES_PER_S = 3_000.0
 
 LINKS = 100
+IDLE_S = 6.0
+"""How long idle links are watched."""
 ROUNDS = 5_000
 APPLY_ROUNDS = 10
 BLOCK_TOKENS = 16
 SIGNER = SigningKey("capacity", Secret("11" * 32))
-DIGEST = "0" * 64
 
 
 class Slopes(NamedTuple):
@@ -68,6 +75,10 @@
 
     link_bytes: float
     """Memory of one end of a link."""
+    idle_link_s: float
+    """Processor time that one end of an idle link takes in a second, for its signs of life."""
+    ping_bytes: float
+    """A sign of life, asked and answered."""
     report_bytes: float
     """A load report in its frame."""
     report_s: float
@@ -121,7 +132,6 @@
         first_token_s=(0.1, 0.2, 0.4, 2.0, 8.0),
         prefill_tokens_per_s=19_000.0,
         generation=1_234,
-        digest=DIGEST,
         block_tokens=BLOCK_TOKENS,
     )
     chunk = Chunk("ab" * 16, 1, 7, TOKENS_PER_CHUNK, b"x" * 240 * TOKENS_PER_CHUNK)
@@ -130,8 +140,11 @@
     head = sign_head(SIGNER, Head(2, new.digest, 1, SIGNER.signer, "nonce", (digest,)))
     notice = HeadNotice(2, new.digest, b"0" * 700)
     changed = sum(len(new.parts[key]) for key in new.parts.keys() - old.parts.keys())
+    link_bytes, idle_link_s = trio.run(_link_slopes)
     return Slopes(
-        link_bytes=trio.run(_link_bytes),
+        link_bytes=link_bytes,
+        idle_link_s=idle_link_s,
+        ping_bytes=_frame_bytes(Ping(1)) + _frame_bytes(Pong(1)),
         report_bytes=_frame_bytes(report),
         report_s=_codec_s(report),
         head_bytes=_frame_bytes(notice),
@@ -149,11 +162,15 @@
     exchange_bytes_per_s = EXCHANGES_PER_S * slopes.head_bytes
     change_bytes_per_s = changes_per_s * slopes.change_bytes
     entry_bytes = SUBSET * REPORTS_PER_S * slopes.report_bytes
-    entry_bytes += exchange_bytes_per_s + change_bytes_per_s
-    entry_core = SUBSET * REPORTS_PER_S * slopes.report_s + changes_per_s * slopes.change_s
+    common_bytes = exchange_bytes_per_s + change_bytes_per_s + VM_LIST_BYTES_PER_S
+    ping_bytes_per_s = PINGS_PER_S * slopes.ping_bytes
+    entry_bytes += common_bytes + SUBSET * ping_bytes_per_s
+    entry_core = SUBSET * slopes.idle_link_s
+    entry_core += SUBSET * REPORTS_PER_S * slopes.report_s + changes_per_s * slopes.change_s
     sidecar_bytes = links_of_sidecar * REPORTS_PER_S * slopes.report_bytes
-    sidecar_bytes += exchange_bytes_per_s + change_bytes_per_s
-    sidecar_core = links_of_sidecar * REPORTS_PER_S * slopes.report_s
+    sidecar_bytes += common_bytes + links_of_sidecar * ping_bytes_per_s
+    sidecar_core = links_of_sidecar * slopes.idle_link_s
+    sidecar_core += links_of_sidecar * REPORTS_PER_S * slopes.report_s
     sidecar_core += changes_per_s * slopes.change_s
     tokens_of_entry = TOKENS_PER_S / ENTRIES
     tokens_of_sidecar = TOKENS_PER_S / SIDECARS
@@ -190,7 +207,7 @@
     return Bundle("capacity", models, customers)
 
 
-def _frame_bytes(message: LoadReport | HeadNotice) -> float:
+def _frame_bytes(message: LoadReport | HeadNotice | Ping | Pong) -> float:
     return float(len(encode_frame(Frame(0, 1, message))))
 
 
@@ -237,8 +254,14 @@
     return (time.process_time() - started_s) / rounds
 
 
-async def _link_bytes() -> float:
-    """Open links from many kernels to one over loopback TCP and see what an end takes."""
+async def _link_slopes() -> tuple[float, float]:
+    """Open links from many kernels to one over loopback TCP and see what an end takes.
+
+    Returns
+    -------
+    tuple
+        Memory in bytes, and seconds of processor time in a second without messages.
+    """
     settings = PeerSettings(Address("127.0.0.1", 0), Secret("a secret for measuring"))
     async with trio.open_nursery() as nursery:
         services = []
@@ -254,5 +277,8 @@
         gc.collect()
         size_bytes, _ = tracemalloc.get_traced_memory()
         tracemalloc.stop()
+        started_s = time.process_time()
+        await trio.sleep(IDLE_S)
+        idle_s = (time.process_time() - started_s) / IDLE_S
         nursery.cancel_scope.cancel()
-    return size_bytes / LINKS / 2
+    return size_bytes / LINKS / 2, idle_s / LINKS / 2
--- a/packages/wire/src/sassafrastally/wire/settings.py
+++ b/packages/wire/src/sassafrastally/wire/settings.py
@@ -36,9 +36,10 @@
     """Secret that all processes of the fleet share, at least 16 characters."""
     handshake_time_limit_s: float = 5.0
     """How long connecting and proving who one is may take together."""
-    ping_interval_s: float = 2.0
-    """After how long without a sign of life a peer is asked for one."""
-    ping_time_limit_s: float = 3.0
+    ping_interval_s: float = 2.6
+    """After how long without a sign of life a peer is asked for one; longer than a sidecar's
+    pause between reports, so that reports spare the questions."""
+    ping_time_limit_s: float = 2.4
     """How long it may take to answer before the link is cut."""
     stop_time_limit_s: float = 10.0
     """How long a stopping process waits for the streams that are in progress."""
