Let a bundle say which backend servers leave

Cause: leaving counts from whichever word comes first, list, signal or bundle; the bundle had none. Change: a table [drain] in the bundle; entries pass its VMs over and their sidecars refuse new work, each by itself. Load reports no longer carry a digest that nobody read. Red first: without the entry's look at the bundle (sidecar cut off, so that its report can't tell), and without the sidecar's. The test was too weak at first: the entry learned it from the report.

--- a/packages/control/src/sassafrastally/control/bundle.py
+++ b/packages/control/src/sassafrastally/control/bundle.py
@@ -76,6 +76,14 @@
     """Most retries for each first attempt, over a window."""
 
 
+class Drain(NamedTuple):
+    """Which backend servers are to leave."""
+
+    vms: tuple[str, ...] = ()
+    """VMs whose sidecars take no new work from the moment this bundle is in force there; a sidecar
+    that has begun to leave takes none until it is started anew."""
+
+
 class Bundle(NamedTuple):
     """Everything that operators decide, as one value."""
 
@@ -85,6 +93,7 @@
     services: tuple[PlainService, ...] = ()
     weights: Weights = Weights()
     limits: Limits = Limits()
+    drain: Drain = Drain()
 
 
 class BundleInForce(NamedTuple):
--- a/packages/control/src/sassafrastally/control/compile.py
+++ b/packages/control/src/sassafrastally/control/compile.py
@@ -9,6 +9,7 @@
 from sassafrastally.control.bundle import (
     Bundle,
     Customer,
+    Drain,
     Limits,
     Model,
     PlainService,
@@ -76,6 +77,7 @@
         services = self._entries("services", PlainService)
         weights = self._table("weights", Weights)
         limits = self._table("limits", Limits)
+        drain = self._table("drain", Drain)
         self._check_whole(models, customers, services)
         if self._findings:
             raise FindingsError(self._findings)
@@ -86,6 +88,7 @@
             _sorted(services),
             weights or Weights(),
             limits or Limits(),
+            drain or Drain(),
         )
 
     def _name(self) -> str:
--- a/packages/control/src/sassafrastally/control/diff.py
+++ b/packages/control/src/sassafrastally/control/diff.py
@@ -28,7 +28,7 @@
         changes.append(Change("name", before.name, after.name))
     for key in ("models", "customers", "services"):
         changes += _entry_changes(key, getattr(before, key), getattr(after, key))
-    for key in ("weights", "limits"):
+    for key in ("weights", "limits", "drain"):
         changes += _field_changes(key, getattr(before, key), getattr(after, key))
     return changes
 
--- a/packages/control/src/sassafrastally/control/interfaces.py
+++ b/packages/control/src/sassafrastally/control/interfaces.py
@@ -40,7 +40,7 @@
         ...
 
     def is_leaving(self, vm: str) -> bool:
-        """Return whether the VM list or the VM itself has said that it leaves."""
+        """Return whether the VM list, the bundle or the VM itself says that it leaves."""
         ...
 
     def loads(self) -> list[PeerLoad]:
--- a/packages/control/src/sassafrastally/control/membership.py
+++ b/packages/control/src/sassafrastally/control/membership.py
@@ -17,6 +17,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
+    from sassafrastally.control.interfaces import BundleSource
     from sassafrastally.core import Incarnation
     from sassafrastally.platform import VmState
     from sassafrastally.wire.link import Link, PeerIdentity, Peers
@@ -24,6 +25,7 @@
 
 ENTRY_ROLE = "entry"
 SIDECAR_ROLE = "sidecar"
+BUNDLE = "bundle"
 
 POLL_JITTER = 0.25
 """Part of the poll interval by which each poll is moved at random, earlier or later."""
@@ -139,13 +141,20 @@
         return [state for state in self._vms.values() if state.role == role]
 
     def is_leaving(self, vm: str) -> bool:
-        """Return whether the VM list or the VM itself has said that it leaves.
+        """Return whether the VM list, the bundle in force or the VM itself says that it leaves.
 
         A VM that the list no longer shows counts as leaving while a link to it stands.
         """
         state = self._vms.get(vm)
         listed_leaving = state is not None and state.leaving
-        return listed_leaving or vm in self._leaving or vm in self._removed
+        said_by_itself = vm in self._leaving or vm in self._removed
+        return listed_leaving or said_by_itself or vm in self._drained()
+
+    def _drained(self) -> tuple[str, ...]:
+        if not self.kernel.has(BUNDLE):
+            return ()
+        in_force = cast("BundleSource", self.kernel.get(BUNDLE, Service)).in_force
+        return in_force.bundle.drain.vms if in_force else ()
 
     def loads(self) -> list[PeerLoad]:
         """Return the last reports of the sidecars to which a link stands.
--- a/packages/control/src/sassafrastally/control/parts.py
+++ b/packages/control/src/sassafrastally/control/parts.py
@@ -13,6 +13,7 @@
 from sassafrastally.control.bundle import (
     Bundle,
     Customer,
+    Drain,
     Limits,
     Model,
     PlainService,
@@ -107,6 +108,7 @@
     services: tuple[PlainService, ...] = ()
     weights: Weights = Weights()
     limits: Limits = Limits()
+    drain: Drain = Drain()
 
 
 def pack_bundle(bundle: Bundle) -> PackedBundle:
@@ -123,6 +125,7 @@
             "services": _dicts(bundle.services),
             "weights": bundle.weights._asdict(),
             "limits": bundle.limits._asdict(),
+            "drain": bundle.drain._asdict(),
         }
     )
     shards = _shards(bundle.customers)
@@ -178,7 +181,8 @@
     part, problems = check_table(value, DecodedPart)
     if part is None:
         raise BadEncoding(f"part: {problems[0]}")
-    entries = (*part.models, *part.customers, *part.services, part.weights, part.limits)
+    tables = (part.weights, part.limits, part.drain)
+    entries = (*part.models, *part.customers, *part.services, *tables)
     for entry in entries:
         for problem in entry_problems(entry, type(entry).__name__):
             raise BadEncoding(f"part: {problem.key} {problem.message}")
@@ -205,6 +209,7 @@
         policy.services,
         policy.weights,
         policy.limits,
+        policy.drain,
     )
     for problem in whole_problems(bundle):
         raise BadEncoding(f"bundle: {problem.key} {problem.message}")
--- a/packages/control/src/sassafrastally/control/rules.py
+++ b/packages/control/src/sassafrastally/control/rules.py
@@ -8,6 +8,7 @@
 from sassafrastally.control.bundle import (
     Bundle,
     Customer,
+    Drain,
     Limits,
     Model,
     PlainService,
@@ -70,11 +71,12 @@
         "max_attempts": Bound(1, 100),
         "retry_ratio": Bound(0, 1),
     },
+    Drain: {},
 }
 
 
 def entry_problems(entry: object, key: str) -> Iterator[Problem]:
-    """Yield what is wrong with one model, customer, service, weights or limits."""
+    """Yield what is wrong with one entry or table."""
     for field, bound in _BOUNDS[type(entry)].items():
         value = getattr(entry, field)
         if not bound.low <= value <= bound.high:
@@ -89,6 +91,8 @@
     elif isinstance(entry, PlainService):
         methods = entry.idempotent_methods
         yield from _list_problems(methods, f"{key}.idempotent_methods", _is_method, "a method")
+    elif isinstance(entry, Drain):
+        yield from _list_problems(entry.vms, f"{key}.vms", _is_name, "a name")
     elif isinstance(entry, Limits) and entry.default_time_limit_s > entry.max_time_limit_s:
         yield Problem(f"{key}.default_time_limit_s", "must not be over max_time_limit_s")
     elif isinstance(entry, Weights) and entry.short_tokens >= entry.long_tokens:
--- a/packages/sidecar/src/sassafrastally/sidecar/leaving.py
+++ b/packages/sidecar/src/sassafrastally/sidecar/leaving.py
@@ -11,6 +11,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from sassafrastally.control.interfaces import BundleSource
     from sassafrastally.core import Kernel
 
 
@@ -46,6 +47,15 @@
         self._kernel.events.emit(LeavingBegan(reason))
         self.on_begin()
 
+    async def watch_bundle(self, source: BundleSource) -> None:
+        """Begin to leave when a bundle in force lists this VM."""
+        generation = 0
+        while True:
+            in_force = await source.wait_for(generation + 1)
+            generation = in_force.generation
+            if self._kernel.vm in in_force.bundle.drain.vms:
+                self.begin("bundle")
+
     async def watch(self, reason: str, event: trio.Event) -> None:
         """Begin to leave when an event is set."""
         await event.wait()
--- a/packages/sidecar/src/sassafrastally/sidecar/service.py
+++ b/packages/sidecar/src/sassafrastally/sidecar/service.py
@@ -105,6 +105,7 @@
             membership = kernel.get("membership", MembershipService)
             membership.on_leaving(lambda: self.leaving.begin("VM list"))
         nursery.start_soon(self.leaving.watch, "signal", kernel.stopping)
+        nursery.start_soon(self.leaving.watch_bundle, self._bundle)
         nursery.start_soon(self.reports.run)
         nursery.start_soon(self._keep_tidy)
 
@@ -145,13 +146,11 @@
     def load(self) -> LoadReport:
         """Return the load of this moment without predictions, which cost more than the rest."""
         in_force = self._bundle.in_force
-        generation, digest = (in_force.generation, in_force.digest) if in_force else (0, "")
         report = LoadReport(
             services=tuple(self._clients),
             running=sum(1 for attempt in self.table.live if attempt.has_started),
             leaving=self.leaving.is_leaving,
-            generation=generation,
-            digest=digest,
+            generation=in_force.generation if in_force else 0,
         )
         if self.watch is None or self._engine_backend is None:
             return report
