Put both roles together from one place

Cause: the services that every process has were listed twice, and the entry lacked the import that registers the time line but for another module's. Change: make_kernel in control; benchmarks of all packages under one folder name. Behaviour unchanged: the deployment, administration and service tests pass before and after.

--- /dev/null
+++ b/packages/control/src/sassafrastally/control/assemble.py
@@ -0,0 +1,49 @@
+"""Puts together what a process of either role has."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, NamedTuple
+
+# Imported for what it registers: the time line's admin method.
+from sassafrastally.control import timeline  # noqa: F401
+from sassafrastally.control.admin import AdminService
+from sassafrastally.control.membership import MembershipService, MembershipSettings
+from sassafrastally.control.signing import BundleSettings
+from sassafrastally.control.spread import BundleService
+from sassafrastally.core import Kernel
+from sassafrastally.core.settings import ProcessSettings
+from sassafrastally.platform.settings import VmListSettings
+from sassafrastally.wire.peers import PeerService
+from sassafrastally.wire.settings import PeerSettings
+
+if TYPE_CHECKING:
+    from sassafrastally.core import Clock, Network
+    from sassafrastally.core.settings import Settings
+    from sassafrastally.platform.service import PlatformService
+
+
+class Surroundings(NamedTuple):
+    """What a process stands on; tests put fakes in its place."""
+
+    platform: PlatformService
+    """Clients of the platform."""
+    network: Network
+    """Where links come from."""
+    clock: Clock | None = None
+    """The process's clock; one that follows the system's when it is ``None``."""
+    seed: int | None = None
+    """Seed of the random source; the system's when it is ``None``."""
+
+
+def make_kernel(settings: Settings, around: Surroundings) -> Kernel:
+    """Return a kernel with the services of both roles: links, membership, bundle, admin."""
+    process = settings.get(ProcessSettings)
+    kernel = Kernel(process.vm, process.data_centre, around.clock, around.seed)
+    kernel.add(around.platform)
+    kernel.add(PeerService(settings.get(PeerSettings), around.network, settings.role))
+    poll_interval_s = settings.get(VmListSettings).poll_interval_s
+    membership = settings.get(MembershipSettings)
+    kernel.add(MembershipService(settings.role, membership, poll_interval_s))
+    kernel.add(BundleService(settings.get(BundleSettings)))
+    kernel.add(AdminService())
+    return kernel
--- a/packages/entry/src/sassafrastally/entry/assemble.py
+++ b/packages/entry/src/sassafrastally/entry/assemble.py
@@ -4,32 +4,23 @@
 
 from typing import TYPE_CHECKING
 
-from sassafrastally.control.admin import AdminService
-from sassafrastally.control.membership import MembershipService, MembershipSettings
+from sassafrastally.control.assemble import Surroundings, make_kernel
 from sassafrastally.control.signing import BundleSettings
-from sassafrastally.control.spread import BundleService
-from sassafrastally.core import Kernel
-from sassafrastally.core.settings import ProcessSettings
 from sassafrastally.entry.admin import AdminHttpService, AdminSettings
 from sassafrastally.entry.http import HttpService
 from sassafrastally.entry.path import RequestPath
 from sassafrastally.entry.settings import EntrySettings, HttpSettings
-from sassafrastally.platform.settings import VmListSettings
 from sassafrastally.serving import policies  # noqa: F401 - fills the registry of policies
 from sassafrastally.serving.claim_layout import ClaimSettings
 from sassafrastally.serving.claims import ClaimService
 from sassafrastally.serving.limits import LimitService
 from sassafrastally.serving.receipts import ReceiptService, ReceiptSettings
-from sassafrastally.wire.peers import PeerService
-from sassafrastally.wire.settings import PeerSettings
 
 if TYPE_CHECKING:
-    from sassafrastally.core import Clock, Network
+    from sassafrastally.core import Clock, Kernel, Network
     from sassafrastally.core.settings import Settings
     from sassafrastally.platform.service import PlatformService
 
-ROLE = "entry"
-
 
 def build_entry(
     settings: Settings,
@@ -71,14 +62,7 @@
 
     The parameters are those of `build_entry`.
     """
-    process = settings.get(ProcessSettings)
-    kernel = Kernel(process.vm, process.data_centre, clock, seed)
-    kernel.add(platform)
-    kernel.add(PeerService(settings.get(PeerSettings), network, ROLE))
-    poll_interval_s = settings.get(VmListSettings).poll_interval_s
-    kernel.add(MembershipService(ROLE, settings.get(MembershipSettings), poll_interval_s))
-    kernel.add(BundleService(settings.get(BundleSettings)))
-    kernel.add(AdminService())
+    kernel = make_kernel(settings, Surroundings(platform, network, clock, seed))
     kernel.add(ClaimService(settings.get(ClaimSettings)))
     kernel.add(LimitService())
     receipts = settings.get(ReceiptSettings)
--- a/packages/sidecar/bench/request_path.py
+++ b/packages/sidecar/benchmarks/request_path.py
@@ -1,6 +1,6 @@
 """Measure the sidecar's processor time on the request path, on one core and in one process.
 
-Run as ``python packages/sidecar/bench/request_path.py``. The engine is a stub without cost and the
+Run as ``python packages/sidecar/benchmarks/request_path.py``. The engine is a stub without cost and the
 streams are lists, so that what is measured is the sidecar alone; links and engine come on top.
 """
 
