Say "not run" to a keyed request only if no earlier one of its key may have run

Cause, found by using the system as a caller: a booking ran, its sidecar was killed, the repeat with the same key found no replica and was told no-replica, not_run, while the service counted one execution. So it was for every refusal given before the claim, since the claims were asked only after a reservation. Ruled out: looking every key up first (a round trip on each request, and "absent" proves nothing by the time of the claim). Change: a refusal of a keyed request is checked against a fresh read of its claim; if another request holds the key, or it can't be read, the outcome is unknown and the detail says that this request has not run. An entry that stops or is full says unknown without reading. A lookup that can't read raises. Red without the guards: two new tests (earlier request holds the key; full entry). Two tests changed, both stricter: "absent" on an unreadable shard, "not run" while claims are down.

--- a/packages/entry/src/sassafrastally/entry/claiming.py
+++ b/packages/entry/src/sassafrastally/entry/claiming.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from contextlib import contextmanager
 from hashlib import sha256
 from typing import TYPE_CHECKING, Protocol
 
@@ -9,13 +10,18 @@
 
 from sassafrastally.core import Incarnation, RequestId
 from sassafrastally.serving.claims import ClaimState, Placement
+from sassafrastally.serving.outcome import Outcome
 from sassafrastally.serving.refusals import Figures, Refusal
 
 if TYPE_CHECKING:
+    from collections.abc import Iterator
+
     from sassafrastally.entry.attempt import Site
     from sassafrastally.entry.request import CallerRequest
     from sassafrastally.serving.claims import ClaimResult
 
+EARLIER_MAY_HAVE_RUN = "This request has not run; an earlier one with its idempotency key may have."
+
 MAX_REPLACEMENTS = 8
 """Owners proved void that one claim takes the key from, one after the other."""
 
@@ -41,6 +47,10 @@
         """Take a key from a placement that never runs."""
         ...
 
+    async def lookup(self, customer: str, key: str, body_digest: bytes) -> ClaimResult:
+        """Return who holds a key; raises `Refusal` when that isn't known."""
+        ...
+
 
 class KeyClaim:
     """Claims the key of one request for one attempt after the other.
@@ -64,6 +74,18 @@
         request may be repeated and this one gave the site up."""
         self._replaceable.add(_placement(site))
 
+    async def earlier_may_have_run(self, request_id: str) -> bool:
+        """Return whether another request of the key may have run; not known counts as yes."""
+        request = self._request
+        try:
+            result = await self._claims.lookup(request.customer.name, request.key, self._digest)
+        except Refusal:
+            return True
+        if result.state is not ClaimState.HELD or result.placement is None:
+            return False
+        is_own = result.placement.request_id == request_id
+        return not is_own and result.placement not in self._replaceable
+
     async def take(self, site: Site, limit_s: float) -> Placement | None:
         """Claim the key for a site.
 
@@ -96,6 +118,27 @@
         raise Refusal("claims-unavailable", Figures(detail="The key changes hands too often."))
 
 
+def uncertain_of_key(refusal: Refusal) -> Refusal:
+    """Return a refusal that says what is known when an earlier request of the key may have run."""
+    detail = f"{refusal.figures.detail} {EARLIER_MAY_HAVE_RUN}".strip()
+    return Refusal(refusal.kind.code, refusal.figures._replace(detail=detail), Outcome.UNKNOWN)
+
+
+@contextmanager
+def covering_unread_key(key: str | None) -> Iterator[None]:
+    """Turn "not run" into "unknown" for a request with a key that is refused unread.
+
+    The entry that stops or is full has no time to look its key up, and so can't rule out that an
+    earlier request of the key has run.
+    """
+    try:
+        yield
+    except Refusal as refusal:
+        if key and refusal.outcome == Outcome.NOT_RUN:
+            raise uncertain_of_key(refusal) from refusal
+        raise
+
+
 def _placement(site: Site) -> Placement:
     return Placement(
         site.vm, Incarnation(site.incarnation), RequestId(site.request_id), site.attempt
--- a/packages/entry/src/sassafrastally/entry/path.py
+++ b/packages/entry/src/sassafrastally/entry/path.py
@@ -9,7 +9,7 @@
 
 from sassafrastally.core import KernelError, Service, new_request_id
 from sassafrastally.entry.candidates import Candidates
-from sassafrastally.entry.claiming import Claims, KeyClaim
+from sassafrastally.entry.claiming import Claims, KeyClaim, covering_unread_key, uncertain_of_key
 from sassafrastally.entry.events import (
     ELAPSED,
     FIRST_DATA,
@@ -170,7 +170,9 @@
         Refusal
             When there is no answer.
         """
-        in_force = self.bundle()
+        with covering_unread_key(request.key):
+            in_force = self.bundle()
+            self._check_bounds(request)
         request_id = request.request_id or self.new_id()
         answer = Answer(request_id, self._settings.max_buffered_bytes)
         refusal: Refusal | None = None
@@ -196,9 +198,12 @@
         scope: trio.CancelScope,
     ) -> None:
         """Run to the end or the time limit, whether or not the caller reads."""
-        execution = Execution(self._around, in_force, request, answer, self._claim_of(request))
+        claim = self._claim_of(request)
+        execution = Execution(self._around, in_force, request, answer, claim)
         try:
-            await self._execute_within(scope, execution, request, answer)
+            refusal = await self._execute_within(scope, execution, request, answer)
+            if refusal is not None:
+                answer.fail(await _covering_key(refusal, claim, answer.request_id))
         finally:
             self._note_end(request, answer, execution)
 
@@ -215,7 +220,7 @@
         execution: Execution,
         request: CallerRequest,
         answer: Answer,
-    ) -> None:
+    ) -> Refusal | None:
         tokens = request.prompt_tokens + request.max_output_tokens
         self.kernel.events.emit(
             RequestOpened(
@@ -232,9 +237,10 @@
                     await execution.run()
                     admission.settle(_used_tokens(request, answer))
             if scope.cancelled_caught:
-                answer.fail(self._given_up(request, execution.outcome))
+                return self._given_up(request, execution.outcome)
         except Refusal as refusal:
-            answer.fail(refusal)
+            return refusal
+        return None
 
     def _given_up(self, request: CallerRequest, outcome: Outcome) -> Refusal:
         elapsed_s = trio.current_time() - request.arrived_s
@@ -244,15 +250,18 @@
             return Refusal("stopping", figures, outcome)
         return Refusal("time-limit-passed", figures, outcome)
 
+    def _check_bounds(self, request: CallerRequest) -> None:
+        settings = self._settings
+        if len(self._open) >= settings.max_open_requests:
+            raise _overloaded(settings.max_open_requests, len(self._open), "requests in progress")
+        held = self._held_body_bytes + len(request.body)
+        if held > settings.max_held_body_bytes:
+            raise _overloaded(settings.max_held_body_bytes, held, "bytes of bodies")
+
     @contextmanager
     def _counted(self, request_id: RequestId, request: CallerRequest) -> Iterator[trio.CancelScope]:
         """Count a request against the entry's own bounds while the context lasts."""
         settings, size = self._settings, len(request.body)
-        if len(self._open) >= settings.max_open_requests:
-            raise _overloaded(settings.max_open_requests, len(self._open), "requests in progress")
-        if self._held_body_bytes + size > settings.max_held_body_bytes:
-            held = self._held_body_bytes + size
-            raise _overloaded(settings.max_held_body_bytes, held, "bytes of bodies")
         scope = trio.CancelScope(deadline=request.deadline_s)
         if self.kernel.hurrying.is_set():
             scope.deadline = min(scope.deadline, trio.current_time() + settings.stop_limit_s)
@@ -313,6 +322,20 @@
         )
 
 
+async def _covering_key(refusal: Refusal, claim: KeyClaim | None, request_id: str) -> Refusal:
+    """Return the refusal with an outcome that is also true of earlier requests of its key.
+
+    A caller that repeats a booking asks about the booking, not about this repeat. Were the repeat
+    refused as "not run" before it came to the claim, the caller would book again under another
+    key, although the first request had run.
+    """
+    if claim is None or refusal.outcome != Outcome.NOT_RUN:
+        return refusal
+    if not await claim.earlier_may_have_run(request_id):
+        return refusal
+    return uncertain_of_key(refusal)
+
+
 def _overloaded(limit: int, measured: int, what: str) -> Refusal:
     figures = Figures(limit, measured, SOON_S, f"The bound counts {what}.")
     return Refusal("overloaded", figures)
--- a/packages/entry/src/sassafrastally/entry/routes.py
+++ b/packages/entry/src/sassafrastally/entry/routes.py
@@ -10,6 +10,7 @@
 from quart_trio import QuartTrio
 
 from sassafrastally.entry.callers import Callers
+from sassafrastally.entry.claiming import covering_unread_key
 from sassafrastally.entry.connection import EntryConnection, EntryRequest
 from sassafrastally.entry.hooks import RefusedCall, seal_receipt
 from sassafrastally.entry.problems import (
@@ -25,6 +26,7 @@
 from sassafrastally.entry.request import (
     CHAT_COMPLETIONS,
     COMPLETIONS,
+    IDEMPOTENCY_KEY,
     CallerRequest,
     read_completion,
     read_options,
@@ -160,7 +162,8 @@
             return self._problem_response(refusal, _refused(call))
 
     def _identify(self, arrived_s: float) -> Call:
-        in_force = self._path.bundle()
+        with covering_unread_key(request.headers.get(IDEMPOTENCY_KEY)):
+            in_force = self._path.bundle()
         customer = self._callers.customer(in_force, request.headers.get("Authorization"))
         return Call(arrived_s, in_force, customer)
 
--- a/packages/entry/tests/test_claiming.py
+++ b/packages/entry/tests/test_claiming.py
@@ -56,6 +56,16 @@
         self.held[customer, key] = (body_digest, new)
         return ClaimResult(ClaimState.GRANTED, new)
 
+    async def lookup(self, customer: str, key: str, body_digest: bytes) -> ClaimResult:
+        if self.is_down:
+            raise Refusal("claims-unavailable")
+        digest, holder = self.held.get((customer, key), (b"", None))
+        if holder is None:
+            return ClaimResult(ClaimState.ABSENT)
+        if digest != body_digest and digest:
+            return ClaimResult(ClaimState.KEY_REUSED, holder)
+        return ClaimResult(ClaimState.HELD, holder)
+
     def hold(self) -> None:
         """Let another request have the key of the tests, for any body."""
         self.held["yeso-justo", "k"] = (b"", OWNER)
@@ -97,7 +107,9 @@
     ) -> None:
         claims.is_down = True
         refusal = await refusal_of(world, world.booking(key="k"))
-        assert (refusal.kind.code, refusal.outcome) == ("claims-unavailable", Outcome.NOT_RUN)
+        # Unknown, since nobody can rule out an earlier request of the key; this one has not run.
+        assert (refusal.kind.code, refusal.outcome) == ("claims-unavailable", Outcome.UNKNOWN)
+        assert refusal.figures.detail.startswith("This request has not run;")
         await trio.sleep(0.1)
         assert not all_of(world, Commit)
         assert world.ran() == 0
@@ -128,6 +140,33 @@
         assert not all_of(world, Cancel)
 
 
+class TestRefusedBeforeItsClaim:
+    """Promise: when a citizen is told "not run", it truly was not run."""
+
+    @pytest.mark.parametrize(
+        ("holds", "outcome"), [(True, Outcome.UNKNOWN), (False, Outcome.NOT_RUN)]
+    )
+    async def test_outcome_covers_earlier_requests_of_the_key(
+        self, world: Any, claims: FakeClaims, autojump_clock: Any, holds: bool, outcome: Outcome
+    ) -> None:
+        """A booking is made twice: the first request ran, its sidecar died, the repeat found no
+        replica and was told "not run", so the caller booked again under another key."""
+        if holds:
+            claims.hold()
+        for sidecar in (world.s1, world.s2):
+            sidecar.is_down = True
+        refusal = await refusal_of(world, world.booking(key="k"))
+        assert (refusal.kind.code, refusal.outcome) == ("no-replica", outcome)
+
+    async def test_full_entry_does_not_speak_for_the_key(
+        self, world: Any, autojump_clock: Any
+    ) -> None:
+        """As above, but the repeat met an entry that was at its bound and never read the key."""
+        world.path._settings = world.path._settings._replace(max_open_requests=0)
+        assert (await refusal_of(world, world.booking(key="k"))).outcome == Outcome.UNKNOWN
+        assert (await refusal_of(world, world.booking())).outcome == Outcome.NOT_RUN
+
+
 class TestKeyOfAnotherRequest:
     async def test_repeat_joins_the_first_run(
         self, world: Any, claims: FakeClaims, autojump_clock: Any
--- a/packages/serving/src/sassafrastally/serving/claim_batches.py
+++ b/packages/serving/src/sassafrastally/serving/claim_batches.py
@@ -201,10 +201,11 @@
 
     async def _settle_all(self, batch: list[PendingClaim]) -> None:
         conflicts = 0
-        if any(pending.ask.operation is ClaimOperation.REPLACE for pending in batch):
+        if any(pending.ask.operation is not ClaimOperation.CLAIM for pending in batch):
             # A cached holder may itself have been replaced. A claim may be told of it, since the
             # asker queries that placement next; a replacement needs the present holder, or two
-            # entries with old views could send it round in circles.
+            # entries with old views could send it round in circles. A lookup's "absent" is taken
+            # as proof that no request of the key has run, which an old view can't give.
             self._store.forget()
         await self._load()
         while claims := self._answer(batch):
--- a/packages/serving/src/sassafrastally/serving/claims.py
+++ b/packages/serving/src/sassafrastally/serving/claims.py
@@ -156,16 +156,16 @@
     async def lookup(
         self, customer: str, key: str, body_digest: bytes, time_limit_s: float = LOOKUP_TIME_LIMIT_S
     ) -> ClaimResult:
-        """Return who is known to hold a key, to save a reservation.
+        """Return who holds a key at this moment.
 
-        ``ABSENT`` proves nothing: the claim decides. Raises nothing when the shard can't be read.
+        Raises
+        ------
+        Refusal
+            ``claims-unavailable``: the shard can't be read, so nothing is known.
         """
-        try:
-            return await self._settle(
-                ClaimOperation.LOOKUP, customer, key, body_digest, NO_PLACEMENT, None, time_limit_s
-            )
-        except Refusal:
-            return ClaimResult(ClaimState.ABSENT)
+        return await self._settle(
+            ClaimOperation.LOOKUP, customer, key, body_digest, NO_PLACEMENT, None, time_limit_s
+        )
 
     async def _settle(
         self,
@@ -226,8 +226,6 @@
             result = await self._ask_home(home, ask, limit_s)
             if result is not None and result.state is not ClaimState.UNAVAILABLE:
                 return result
-            if ask.operation is ClaimOperation.LOOKUP:
-                return ClaimResult(ClaimState.ABSENT)
         # The home may have written the claim although its answer was lost. A write here meets a
         # conflict then, reads the shard again and finds this entry's own placement in it.
         return await self._worker(layout, shard).ask(ask, time_limit_s)
--- a/packages/serving/tests/test_claims.py
+++ b/packages/serving/tests/test_claims.py
@@ -225,7 +225,9 @@
         await claims.start()
         with pytest.raises(Refusal):
             await claims.claim("entry-1", 1)
-        assert (await claims.lookup("entry-1")).state is ClaimState.ABSENT
+        # Not "absent": nothing is known, and absent would be taken for a proof of not run.
+        with pytest.raises(Refusal):
+            await claims.lookup("entry-1")
 
     async def test_broken_value_grants_nothing(self, nursery, autojump_clock):
         """Somebody overwrites a shard by hand: its keys are refused, not granted a second time."""
