--- a/packages/cli/src/sassafrastally/cli/admin_client.py
+++ b/packages/cli/src/sassafrastally/cli/admin_client.py
@@ -50,7 +50,10 @@
     AdminDenied
         When it refuses; the message is the entry's own.
     """
-    headers = {"Authorization": f"Bearer {os.environ.get(TOKEN_VARIABLE, '')}"}
+    token = os.environ.get(TOKEN_VARIABLE, "")
+    if not token:
+        raise AdminDenied(f"the environment variable {TOKEN_VARIABLE} holds no token")
+    headers = {"Authorization": f"Bearer {token}"}
     try:
         async with httpx.AsyncClient(timeout=CALL_TIME_LIMIT_S) as client:
             reply = await client.request(
--- a/packages/cli/src/sassafrastally/cli/bench.py
+++ b/packages/cli/src/sassafrastally/cli/bench.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-import argparse
 from typing import TYPE_CHECKING
 
 import trio
 
 if TYPE_CHECKING:
+    import argparse
     from collections.abc import Callable
 
 
@@ -17,10 +17,11 @@
 
 def add_parser(subparsers: argparse._SubParsersAction[argparse.ArgumentParser]) -> None:
     """Add the command."""
+    # Options of the bench start with a dash; this parser must pass them on unread.
     parser = subparsers.add_parser(
-        "bench", help="measure policies on the mock clock", add_help=False
+        "bench", help="measure policies on the mock clock", add_help=False, prefix_chars="+"
     )
-    parser.add_argument("options", nargs=argparse.REMAINDER, help="capacity, or see bench --help")
+    parser.add_argument("options", nargs="*", help="capacity, or see bench --help")
     parser.set_defaults(run=run)
 
 
--- a/packages/entry/src/sassafrastally/entry/admin.py
+++ b/packages/entry/src/sassafrastally/entry/admin.py
@@ -8,6 +8,7 @@
 
 import hashlib
 import hmac
+import json
 from typing import TYPE_CHECKING, Any, ClassVar, NamedTuple, cast
 
 from quart import Response, request
@@ -152,7 +153,8 @@
         if header.startswith(BEARER) and any(known):
             return None
         self.kernel.events.emit(AdminTurnedAway(request.path))
-        return Response("{}", UNAUTHORIZED, content_type="application/json")
+        body = json.dumps({"title": "Unauthorized", "detail": "The token is missing or wrong."})
+        return Response(body, UNAUTHORIZED, content_type="application/json")
 
     async def _status(self) -> Body:
         states = self._states()
--- a/packages/entry/src/sassafrastally/entry/candidates.py
+++ b/packages/entry/src/sassafrastally/entry/candidates.py
@@ -6,6 +6,7 @@
 from contextlib import contextmanager
 from typing import TYPE_CHECKING, NamedTuple
 
+from sassafrastally.serving.lanes import lane_of
 from sassafrastally.serving.routing import Candidate
 
 if TYPE_CHECKING:
@@ -119,11 +120,6 @@
 
 
 def _first_token_s(by_lane: tuple[float, ...], prompt_tokens: int, weights: Weights) -> float:
-    """Return the report's prediction for the lane of a prompt: short first, longest last."""
-    if not by_lane:
-        return 0.0
-    if prompt_tokens <= weights.short_tokens:
-        return by_lane[0]
-    if prompt_tokens >= weights.long_tokens:
-        return by_lane[-1]
-    return by_lane[len(by_lane) // 2]
+    """Return the report's prediction for the lane of a prompt; 0 when it has none."""
+    lane = lane_of(prompt_tokens, weights)
+    return by_lane[lane] if lane < len(by_lane) else 0.0
--- a/packages/entry/src/sassafrastally/entry/path.py
+++ b/packages/entry/src/sassafrastally/entry/path.py
@@ -79,15 +79,16 @@
         self._is_closed = False
         self._idle = trio.lowlevel.ParkingLot()
         self._around: Surroundings
+        self._membership: Membership
 
     async def start(self, nursery: trio.Nursery) -> None:
         """Find the services that the path stands on."""
         kernel, settings = self.kernel, self._settings
-        membership = cast("Membership", kernel.get("membership", Service))
+        self._membership = cast("Membership", kernel.get("membership", Service))
         self._around = Surroundings(
             settings=settings,
             peers=cast("Peers", kernel.get("peers", Service)),
-            candidates=Candidates(membership, kernel.data_centre),
+            candidates=Candidates(self._membership, kernel.data_centre),
             policy=ROUTING_POLICIES.get(settings.routing_policy)(kernel.random),
             budget=RetryBudget(settings.retry_burst),
             events=kernel.events,
@@ -128,8 +129,13 @@
 
     @property
     def is_ready(self) -> bool:
-        """Whether the balancer should send requests here."""
-        return not self.kernel.stopping.is_set() and self.in_force is not None
+        """Whether the balancer should send requests here.
+
+        An entry that the VM list shows as leaving isn't, nor one that no sidecar has reported to:
+        it would refuse what another entry can serve.
+        """
+        leaves = self.kernel.stopping.is_set() or self._membership.is_leaving(self.kernel.vm)
+        return bool(self._membership.loads()) and not leaves and self.in_force is not None
 
     @property
     def open_requests(self) -> int:
--- a/packages/entry/tests/test_routes.py
+++ b/packages/entry/tests/test_routes.py
@@ -235,6 +235,20 @@
         response = await post(client, GOOD)
         assert json.loads(await response.get_data())["code"] == "no-bundle"
 
+    async def test_not_ready_without_a_sidecar(
+        self, world: Any, client: Any, autojump_clock: Any
+    ) -> None:
+        """Callers are refused by an entry with a wrong link secret while its neighbours could
+        serve them: it had a bundle, so the balancer was told that it was ready."""
+        world.membership.loads = list
+        assert (await client.get("/readyz")).status_code == 503
+
+    async def test_not_ready_when_its_vm_leaves(
+        self, world: Any, client: Any, autojump_clock: Any
+    ) -> None:
+        world.membership.leaving.add(world.kernel.vm)
+        assert (await client.get("/readyz")).status_code == 503
+
     async def test_not_ready_from_the_signal_on(
         self, world: Any, client: Any, autojump_clock: Any
     ) -> None:
--- a/packages/serving/src/sassafrastally/serving/lanes.py
+++ b/packages/serving/src/sassafrastally/serving/lanes.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import math
+from functools import partial
 from typing import TYPE_CHECKING, NamedTuple
 
 from sassafrastally.serving.cost import OnlineCostModel
@@ -267,6 +268,8 @@
 
 
 SCHEDULERS.register("lanes")(LanesScheduler)
+for _part in PARTS:
+    SCHEDULERS.register(f"lanes-without-{_part}")(partial(LanesScheduler, without=(_part,)))
 
 
 def _stretches(weights: Weights) -> tuple[float, ...]:
--- a/packages/serving/src/sassafrastally/serving/policies.py
+++ b/packages/serving/src/sassafrastally/serving/policies.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-import hashlib
+from functools import partial
 from typing import TYPE_CHECKING, NamedTuple
 
+from sassafrastally.serving.rendezvous import rendezvous_score
 from sassafrastally.serving.routing import ROUTING_POLICIES
 
 if TYPE_CHECKING:
@@ -41,11 +42,22 @@
 PRIOR_RATE_TOKENS_PER_S = 8_000.0
 """Prefill rate assumed of a replica that hasn't reported one."""
 
+SPARED_SHARE = 0.15
+"""Share of the replicas that long prompts leave to short ones, the same in all entries: with every
+replica in a long prefill a short prompt waits at least for the piece under way."""
+
+SPARED_FROM_TOKENS = 4_001
+"""Prompts from this on keep off the spared replicas."""
+
+SPARED_PENALTY = 0.5
+"""Share of its prefill that a long prompt waits elsewhere before it takes a spared replica; so
+under overload all replicas are used."""
+
 PIECE_TOKENS = 1_024
 """Half of the customary piece in which engines compute prefills: what even urgent work waits on
 average while another prefill is under way."""
 
-PARTS = ("affinity", "in-flight", "choices", "near", "ageing", "occupied", "bound")
+PARTS = ("affinity", "in-flight", "choices", "near", "ageing", "occupied", "bound", "sparing")
 """Parts of `PrefixAffinity` that can be left out by name."""
 
 
@@ -115,6 +127,9 @@
         if not candidates:
             return []
         rated = sorted(self._rate(request, candidates), key=_order)
+        spared = self._spared(request, rated)
+        if request.prompt_tokens >= SPARED_FROM_TOKENS:
+            rated, spared = _keep_off(rated, spared), []
         best = rated[0]
         bound_s = best.first_token_s + NEAR_BEST_S + NEAR_BEST_SHARE * best.alone_s
         near = [one for one in rated if one.first_token_s <= bound_s]
@@ -122,6 +137,8 @@
         home = self._home(request, rated)
         if home and home.first_token_s <= best.first_token_s + AFFINITY_SHARE * home.alone_s:
             order.insert(0, home)
+        # What the draw meets may have changed since its report; no long prompt is on these.
+        order += spared
         order += rated
         asked = list({one.candidate.vm: one.candidate for one in order}.values())[:MAX_ASKED]
         if "bound" in self._without:
@@ -150,6 +167,17 @@
         far_s = 0.0 if one.is_near or "near" in self._without else FAR_S
         return _Rated(one, alone_s, alone_s + wait_s + far_s)
 
+    def _spared(self, request: RouteRequest, rated: list[_Rated]) -> list[_Rated]:
+        """Return the replicas that are left to short prompts, in the order given."""
+        if "sparing" in self._without:
+            return []
+        scores = {
+            one.candidate.vm: rendezvous_score(request.target, one.candidate.vm) for one in rated
+        }
+        count = int(SPARED_SHARE * len(rated))
+        vms = set(sorted(scores, key=lambda vm: scores[vm], reverse=True)[:count])
+        return [one for one in rated if one.candidate.vm in vms]
+
     def _draw(self, near: list[_Rated]) -> list[_Rated]:
         if "choices" in self._without:
             return near
@@ -160,7 +188,7 @@
         if "affinity" in self._without or not request.prefix_hashes:
             return None
         key = request.prefix_hashes[min(AFFINITY_BLOCK, len(request.prefix_hashes) - 1)]
-        return max(rated, key=lambda one: rendezvous_weight(key, one.candidate.vm))
+        return max(rated, key=lambda one: rendezvous_score(f"{key:x}", one.candidate.vm))
 
 
 def _interruption_s(one: Candidate, rate: float) -> float:
@@ -177,13 +205,14 @@
 ROUTING_POLICIES.register("prefix-affinity")(PrefixAffinity)
 
 
-def rendezvous_weight(key: int, vm: str) -> int:
-    """Return the weight of a VM for a key; the highest is the key's home.
+def _keep_off(rated: list[_Rated], spared: list[_Rated]) -> list[_Rated]:
+    """Return what is open to a long prompt: all replicas if it waits too long for the others."""
+    others = [one for one in rated if one not in spared]
+    gain_s = others[0].first_token_s - rated[0].first_token_s
+    return others if gain_s <= SPARED_PENALTY * rated[0].alone_s else rated
 
-    Notes
-    -----
-    Thaler and Ravishankar, "Using Name-Based Mappings to Increase Hit Rates" (1998): when a VM
-    goes only its own keys move.
-    """
-    digest = hashlib.blake2b(f"{key:x} {vm}".encode(), digest_size=8).digest()
-    return int.from_bytes(digest, "big")
+
+for _part in PARTS:
+    ROUTING_POLICIES.register(f"prefix-affinity-without-{_part}")(
+        partial(PrefixAffinity, without=(_part,))
+    )
