Place models by one lease holder under a fencing number that only grows

Promises behind it: a version change takes no last ready replica; an old order is never obeyed; in a KV outage placement stands still and serving goes on. Change: a holder by lease whose fence key and holder key change in one transaction; a record in parts, each write tied to the fence; orders in waves over links; an agent in each sidecar that keeps the highest fence, learns it again after a restart before it obeys, and puts right what an engine that ignores fencing runs. Ruled out (docs/design/placement.md): a lease alone, orders without a record, a heartbeat a sidecar. Red first: 23 guards taken out one at a time on a scratch copy, one of them by hanging; the agent's fence and restart guards not again in their final form. No test tells a lost lease on renewal apart. Not run: real processes with placement.

--- /dev/null
+++ b/packages/control/src/sassafrastally/control/placement_orders.py
@@ -0,0 +1,114 @@
+"""Orders of placement and questions about engines, over the links to the sidecars."""
+
+from __future__ import annotations
+
+from enum import StrEnum
+from typing import TYPE_CHECKING, NamedTuple
+
+import trio
+
+from sassafrastally.wire.link import LinkCut, LinkRefused, StreamEnded
+from sassafrastally.wire.messages import PlacementOrder, PlacementReply
+from sassafrastally.wire.streams import TooManyStreams
+
+if TYPE_CHECKING:
+    from sassafrastally.control.lease_holder import Tenure
+    from sassafrastally.control.placement_plan import Step
+    from sassafrastally.platform.interfaces import VmState
+    from sassafrastally.wire.link import Peers
+
+
+class PlacementAction(StrEnum):
+    """What an order asks for."""
+
+    OBSERVE = "observe"
+    """Nothing but the answer; the sidecar refuses older fencing numbers from then on."""
+    LOAD = "load"
+    UNLOAD = "unload"
+    LOAD_ADAPTER = "load_adapter"
+    UNLOAD_ADAPTER = "unload_adapter"
+    SET_ROLE = "set_role"
+
+
+class PlacementState(StrEnum):
+    """What became of an order."""
+
+    DONE = "done"
+    OUTDATED = "outdated"
+    """The sidecar or its engine knows a higher fencing number."""
+    FENCE_UNKNOWN = "fence-unknown"
+    """The sidecar has restarted and can't read the highest fencing number; nothing was done."""
+    LAST_READY = "last-ready"
+    """The model that must be ready for the unload isn't; nothing was done."""
+    FAILED = "failed"
+    """The engine refused, failed or didn't answer; it may have been done."""
+    NO_ENGINE = "no-engine"
+    """No model engine stands beside the sidecar."""
+
+
+class OrderTimes(NamedTuple):
+    """Time limits of the calls to sidecars."""
+
+    observe_s: float
+    order_s: float
+
+
+class OrderSender:
+    """Sends one tenure's orders.
+
+    Parameters
+    ----------
+    peers
+        The links.
+    tenure
+        Under whose fencing number the orders go; checked before each.
+    times
+        Time limits.
+    """
+
+    def __init__(self, peers: Peers, tenure: Tenure, times: OrderTimes) -> None:
+        self._peers = peers
+        self._tenure = tenure
+        self._times = times
+
+    @property
+    def fence(self) -> int:
+        """Fencing number of the tenure."""
+        return self._tenure.fence
+
+    async def observe(self, state: VmState) -> PlacementReply | None:
+        """Return what a sidecar's engine serves; ``None`` when there is no answer in time."""
+        order = PlacementOrder(fence=self._tenure.fence, action=PlacementAction.OBSERVE)
+        return await self._call(state, order, self._times.observe_s)
+
+    async def order(self, state: VmState, step: Step) -> PlacementReply | None:
+        """Send an order; ``None`` when there is no answer: it may have been carried out."""
+        order = PlacementOrder(
+            self._tenure.fence,
+            step.action,
+            step.model,
+            step.version,
+            step.adapter,
+            step.role,
+            step.needed,
+        )
+        return await self._call(state, order, self._times.order_s)
+
+    async def _call(
+        self, state: VmState, order: PlacementOrder, time_limit_s: float
+    ) -> PlacementReply | None:
+        with trio.move_on_after(time_limit_s):
+            try:
+                link = await self._peers.link_to(state.vm, state.peer_address)
+                # The dial may have taken long, or this process may have stood still in it.
+                self._tenure.check()
+                reply = await link.call(order)
+            except (LinkRefused, LinkCut, StreamEnded, TooManyStreams):
+                return None
+            if not isinstance(reply, PlacementReply):
+                return None
+            if reply.fence > self._tenure.fence:
+                self._tenure.end(f"{state.vm} knows the fencing number {reply.fence}")
+                self._tenure.check()
+            return reply
+        return None
--- /dev/null
+++ b/packages/control/src/sassafrastally/control/placement_record.py
@@ -0,0 +1,126 @@
+"""The record of placement in the KV service: one line for each engine, in parts.
+
+Notes
+-----
+Every write goes with the fence key in one transaction (`Tenure.write`), so a holder that was
+replaced can't write any more. Lines don't depend on each other: a record whose parts were written
+in several transactions is valid at each moment between them.
+"""
+
+from __future__ import annotations
+
+from hashlib import blake2b
+from typing import TYPE_CHECKING, Any, NamedTuple
+
+from sassafrastally.control.canonical import BadEncoding, canonical_bytes, load_object
+from sassafrastally.control.lease_holder import HolderKeys, decode_fence
+from sassafrastally.control.placement_plan import EngineLine
+from sassafrastally.core.settings import check_table
+from sassafrastally.platform.interfaces import MAX_VALUE_BYTES, KvWrite
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Mapping
+
+    from sassafrastally.control.lease_holder import Tenure
+    from sassafrastally.platform.interfaces import Kv
+
+ROOT = "sassafrastally/placement/"
+PART_PREFIX = ROOT + "part/"
+PURPOSE = "placement"
+KEYS = HolderKeys(ROOT + "fence", ROOT + "holder", PURPOSE)
+
+PARTS = 16
+"""Parts of the record: at 1,500 sidecars one holds about 20 kilobytes."""
+
+MAX_TRANSACTION_BYTES = 900_000
+
+
+class _Part(NamedTuple):
+    """Value of one part."""
+
+    lines: tuple[EngineLine, ...] = ()
+
+
+class RecordedLine(NamedTuple):
+    """What the KV service says to one sidecar."""
+
+    fence: int
+    """Fencing number of the last holder; 0 before the first one."""
+    line: EngineLine | None
+    """``None`` when placement says nothing about the VM."""
+
+
+def part_key(index: int) -> str:
+    """Return the key of a part."""
+    return f"{PART_PREFIX}{index:02d}"
+
+
+def part_of(vm: str) -> int:
+    """Return the index of the part that holds a VM's line."""
+    return blake2b(vm.encode(), digest_size=1).digest()[0] % PARTS
+
+
+async def read_lines(kv: Kv) -> dict[str, EngineLine]:
+    """Return all lines by VM; raises `KvUnavailable`, `BadEncoding`."""
+    entries = await kv.get_prefix(PART_PREFIX, purpose=PURPOSE)
+    return {line.vm: line for entry in entries for line in _decode(entry.value).lines}
+
+
+async def read_line(kv: Kv, vm: str) -> RecordedLine:
+    """Return the fencing number and the line of one VM; raises `KvUnavailable`, `BadEncoding`.
+
+    Notes
+    -----
+    The fence is read last: were it first, a holder that took over in between could have written
+    the line, and the line would be obeyed together with the older number.
+    """
+    part = await kv.get(part_key(part_of(vm)), purpose=PURPOSE)
+    fence = await kv.get(KEYS.fence, purpose=PURPOSE)
+    lines = _decode(part.value).lines if part else ()
+    line = next((line for line in lines if line.vm == vm), None)
+    return RecordedLine(decode_fence(fence.value).number if fence else 0, line)
+
+
+async def write_lines(
+    tenure: Tenure, before: Mapping[str, EngineLine], after: Mapping[str, EngineLine]
+) -> None:
+    """Write the parts that differ, in as few transactions as their size allows.
+
+    Raises
+    ------
+    TenureOver
+        When another holder took over; nothing more is written.
+    KvUnavailable, MaybeApplied
+        When the KV service doesn't answer; some parts may have been written.
+    """
+    batch: list[KvWrite] = []
+    size_bytes = 0
+    for index in range(PARTS):
+        value = _encode(after.values(), index)
+        if value == _encode(before.values(), index):
+            continue
+        if batch and size_bytes + len(value) > MAX_TRANSACTION_BYTES:
+            await tenure.write(batch)
+            batch, size_bytes = [], 0
+        batch.append(KvWrite(part_key(index), value, expected_revision=-1))
+        size_bytes += len(value)
+    if batch:
+        await tenure.write(batch)
+
+
+def _encode(lines: Iterable[EngineLine], index: int) -> bytes:
+    own = sorted(line for line in lines if part_of(line.vm) == index)
+    return canonical_bytes({"lines": [_as_dict(line) for line in own]})
+
+
+def _as_dict(line: EngineLine) -> dict[str, Any]:
+    value = line._asdict()
+    value["models"] = [placed._asdict() for placed in line.models]
+    return value
+
+
+def _decode(data: bytes) -> _Part:
+    part, problems = check_table(load_object(data, MAX_VALUE_BYTES, "placement part"), _Part)
+    if part is None:
+        raise BadEncoding(f"placement part: {problems[0]}")
+    return part
--- /dev/null
+++ b/packages/control/src/sassafrastally/control/placement_work.py
@@ -0,0 +1,192 @@
+"""The holder's work on the engines: one task for each engine that is to change."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, NamedTuple
+
+import trio
+
+from sassafrastally.control.placement_events import (
+    ORDERS,
+    PlacementHeldBack,
+    PlacementOrdered,
+    PlacementOrderFailed,
+    WeightStoreLost,
+)
+from sassafrastally.control.placement_orders import PlacementAction, PlacementState
+from sassafrastally.control.placement_plan import VERSION_MARK, may_unload, next_step, serves
+from sassafrastally.platform.interfaces import PlatformUnavailable
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping, Sequence
+
+    from sassafrastally.control.bundle import Model
+    from sassafrastally.control.placement_fleet import EngineFleet
+    from sassafrastally.control.placement_orders import OrderSender
+    from sassafrastally.control.placement_plan import EngineLine, Step
+    from sassafrastally.control.placement_settings import PlacementSettings
+    from sassafrastally.core import Kernel
+    from sassafrastally.platform.interfaces import WeightStore
+    from sassafrastally.wire.messages import PlacementReply
+
+_LOADS = (PlacementAction.LOAD, PlacementAction.LOAD_ADAPTER)
+
+
+class _Pause(NamedTuple):
+    """An engine is left alone after failures."""
+
+    until_s: float
+    failures: int
+
+
+class PlacementWork:
+    """Brings engines to their lines, order by order.
+
+    Parameters
+    ----------
+    kernel
+        The process.
+    fleet
+        What is known of the engines.
+    sender
+        Sends the orders.
+    weight_store
+        Whose rate spreads the loads; without it nothing is loaded.
+    settings
+        Times between attempts.
+    """
+
+    def __init__(
+        self,
+        kernel: Kernel,
+        fleet: EngineFleet,
+        sender: OrderSender,
+        weight_store: WeightStore | None,
+        settings: PlacementSettings,
+    ) -> None:
+        self._kernel = kernel
+        self._fleet = fleet
+        self._sender = sender
+        self._weight_store = weight_store
+        self._settings = settings
+        self._models: Sequence[Model] = ()
+        self._lines: Mapping[str, EngineLine] = {}
+        self._busy: set[str] = set()
+        self._pauses: dict[str, _Pause] = {}
+        self._shedding = trio.Lock()
+        """Held from counting the ready replicas to the answer: two engines that give up a model
+        at the same time would each count the other."""
+
+    def adopt(self, models: Sequence[Model], lines: Mapping[str, EngineLine]) -> None:
+        """Take the bundle's models and the lines that the record holds now."""
+        self._models = models
+        self._lines = lines
+        self._pauses = {vm: pause for vm, pause in self._pauses.items() if vm in lines}
+
+    def due(self) -> list[str]:
+        """Return the engines that aren't at their line and that no task works on; claims them."""
+        now_s = trio.current_time()
+        states = self._fleet.states()
+        due = [
+            vm
+            for vm in self._lines
+            if vm in states
+            and vm not in self._busy
+            and (vm not in self._pauses or self._pauses[vm].until_s <= now_s)
+            and self._next_step(vm) is not None
+        ]
+        self._busy.update(due)
+        return due
+
+    async def advance(self, vm: str) -> None:
+        """Send an engine its orders until it is at its line or one fails."""
+        try:
+            last: Step | None = None
+            while (step := self._next_step(vm)) is not None:
+                # An engine that says that it is done and isn't would be ordered without end.
+                if step == last or not await self._take_step(step):
+                    self._pause(vm)
+                    return
+                last = step
+            self._pauses.pop(vm, None)
+        finally:
+            self._busy.discard(vm)
+
+    def _next_step(self, vm: str) -> Step | None:
+        line, view = self._lines.get(vm), self._fleet.view(vm)
+        if line is None or view is None or not view.is_ready:
+            return None
+        return next_step(line, view)
+
+    async def _take_step(self, step: Step) -> bool:
+        """Carry out a step; return whether to go on with the engine."""
+        if step.action in _LOADS:
+            if not await self._wait_for_weights(step):
+                return False
+            # The wait may have been long: the line, or what the engine runs, may be another now.
+            return self._next_step(step.vm) != step or await self._order(step)
+        if step.action == PlacementAction.UNLOAD and not step.needed:
+            async with self._shedding:
+                return await self._is_spare(step) and await self._order(step)
+        return await self._order(step)
+
+    async def _wait_for_weights(self, step: Step) -> bool:
+        if self._weight_store is None:
+            self._kernel.events.emit(WeightStoreLost("no weight store in the settings"))
+            return False
+        subject = step.adapter or step.model
+        try:
+            wait_s = await self._weight_store.reserve_load(subject, step.version)
+        except PlatformUnavailable as cause:
+            self._kernel.events.emit(WeightStoreLost(cause.detail))
+            return False
+        await trio.sleep(wait_s)
+        return True
+
+    async def _is_spare(self, step: Step) -> bool:
+        """Return whether enough other engines serve the model, by their answers of this moment.
+
+        An answer of a while ago may be of an engine that has died since: with it counted, the
+        last ready replica would be taken and every request for the model refused.
+        """
+        model = next((model for model in self._models if model.name == step.model), None)
+        if model is None:
+            return True
+        others = [
+            vm
+            for vm in self._fleet.states()
+            if vm != step.vm and (view := self._fleet.view(vm)) and serves(view, model.name)
+        ]
+        await self._fleet.ask(others)
+        views = [view for vm in others if (view := self._fleet.view(vm)) is not None]
+        if may_unload(step, self._models, views):
+            return True
+        self._kernel.events.emit(PlacementHeldBack(step.vm, model.name, model.min_replicas))
+        return False
+
+    async def _order(self, step: Step) -> bool:
+        state = self._fleet.states().get(step.vm)
+        if state is None:
+            return False
+        began_s = trio.current_time()
+        reply = await self._sender.order(state, step)
+        self._fleet.take(step.vm, reply)
+        return self._note(step, reply, trio.current_time() - began_s)
+
+    def _note(self, step: Step, reply: PlacementReply | None, elapsed_s: float) -> bool:
+        fence = self._sender.fence
+        subject = step.adapter or step.role or f"{step.model}{VERSION_MARK}{step.version}"
+        outcome = reply.state if reply else "no-answer"
+        ORDERS.add(1, {"action": step.action, "state": outcome})
+        emit = self._kernel.events.emit
+        if reply is not None and reply.state == PlacementState.DONE:
+            emit(PlacementOrdered(fence, step.vm, step.action, subject, elapsed_s))
+            return True
+        detail = reply.detail if reply else ""
+        emit(PlacementOrderFailed(fence, step.vm, step.action, subject, outcome, detail))
+        return False
+
+    def _pause(self, vm: str) -> None:
+        failures = self._pauses[vm].failures + 1 if vm in self._pauses else 1
+        pause_s = min(self._settings.retry_s * 2 ** (failures - 1), self._settings.retry_cap_s)
+        self._pauses[vm] = _Pause(trio.current_time() + pause_s, failures)
--- a/packages/entry/src/sassafrastally/entry/assemble.py
+++ b/packages/entry/src/sassafrastally/entry/assemble.py
@@ -5,6 +5,8 @@
 from typing import TYPE_CHECKING
 
 from sassafrastally.control.assemble import Surroundings, make_kernel
+from sassafrastally.control.placement import PlacementService
+from sassafrastally.control.placement_settings import PlacementSettings
 from sassafrastally.control.signing import BundleSettings
 from sassafrastally.entry.admin import AdminHttpService, AdminSettings
 from sassafrastally.entry.http import HttpService
@@ -69,4 +71,5 @@
     if receipts.keys:
         kernel.add(ReceiptService(receipts))
     kernel.add(RequestPath(settings.get(EntrySettings)))
+    kernel.add(PlacementService(settings.get(PlacementSettings)))
     return kernel
--- a/packages/sidecar/src/sassafrastally/sidecar/assemble.py
+++ b/packages/sidecar/src/sassafrastally/sidecar/assemble.py
@@ -7,6 +7,7 @@
 from sassafrastally.control.assemble import Surroundings, make_kernel
 from sassafrastally.sidecar import dialects
 from sassafrastally.sidecar.engine import ENGINE_DIALECTS
+from sassafrastally.sidecar.placement_agent import PlacementAgent, PlacementAgentSettings
 from sassafrastally.sidecar.plain_client import PlainClient
 from sassafrastally.sidecar.service import SidecarService
 from sassafrastally.sidecar.settings import SidecarSettings
@@ -52,4 +53,5 @@
         engine = ENGINE_DIALECTS.get(own.dialect)(own.engine_address)
     services = {service.name: PlainClient(service.address) for service in own.services}
     kernel.add(SidecarService(own, engine, services))
+    kernel.add(PlacementAgent(settings.get(PlacementAgentSettings), engine, own.models))
     return kernel
--- a/packages/sidecar/tests/conftest.py
+++ b/packages/sidecar/tests/conftest.py
@@ -18,6 +18,7 @@
 from sassafrastally.platform.interfaces import VmState
 from sassafrastally.platform.settings import VmListSettings
 from sassafrastally.sidecar import SidecarService, SidecarSettings, build_sidecar
+from sassafrastally.sidecar.placement_agent import PlacementAgentSettings
 from sassafrastally.testing.engine_fake import FakeEngine
 from sassafrastally.testing.engine_model import EngineModel, EngineShape
 from sassafrastally.testing.kv_fake import FakeKv
@@ -80,6 +81,7 @@
             "membership": MembershipSettings(),
             "vm_list": VmListSettings(PORT),
             "bundle": BundleSettings(),
+            "placement_agent": PlacementAgentSettings(),
         }
         kv = FakeKv(KvModel(random.Random(3)))
         self.kernel = build_sidecar(
