--- a/packages/cli/src/sassafrastally/cli/demo.py
+++ b/packages/cli/src/sassafrastally/cli/demo.py
@@ -31,7 +31,9 @@
 DOSSIER_REPEATS = 6_000
 DOSSIER_ANSWER_TOKENS = 24
 NOTE_ANSWER_TOKENS = 16
-TOO_MANY_TOKENS = 3_000
+MANY_TOKENS = 300
+MAX_REQUESTS = 6
+"""So many answers of `MANY_TOKENS` are surely over the customer's rate."""
 HEAD_WIDTH = 72
 
 
@@ -70,11 +72,14 @@
     async def show_refusal(self, deployment: Deployment) -> None:
         """Go over a rate limit, show the refusal and open its receipt on the other entry."""
         _head("A refusal with its reason, opened from its receipt on the other entry")
-        reply = await self._clients[0].post(
-            STREAM,
-            json=_body(self._user.model, self._user.note, TOO_MANY_TOKENS),
-            headers=_bearer(self._user.small_customer),
-        )
+        for _ in range(MAX_REQUESTS):
+            reply = await self._clients[0].post(
+                STREAM,
+                json=_body(self._user.model, self._user.note, MANY_TOKENS),
+                headers=_bearer(self._user.small_customer),
+            )
+            if reply.is_error:
+                break
         problem: dict[str, Any] = reply.json()
         receipt = problem.pop("receipt", "")
         print(f"{reply.status_code}  {json.dumps(problem, indent=2)}")
--- a/packages/testing/src/sassafrastally/testing/deployment.py
+++ b/packages/testing/src/sassafrastally/testing/deployment.py
@@ -43,6 +43,7 @@
 
 EPOCH_S = 1_800_000_000.0
 LOADS_PER_S = 2.0
+CALL_CHECK_S = 0.0001
 SIGNER = SigningKey("operator", Secret("11" * 32))
 RECEIPT_KEY = "22" * 32
 LINK_SECRET = "33" * 32
@@ -136,11 +137,18 @@
             finally:
                 self._calls.discard(scope)
 
-    def end(self) -> None:
-        """End the process's tasks and those of its callers."""
-        self.scope.cancel()
-        for scope in list(self._calls):
+    async def end(self) -> None:
+        """End the process's tasks and those of its callers.
+
+        The callers go first: their requests run outside of the kernel, and would go on for a
+        moment in a process that is no more.
+        """
+        for scope in self._calls:
             scope.cancel()
+        while self._calls:
+            await trio.sleep(CALL_CHECK_S)
+        self.scope.cancel()
+        await self.ended.wait()
 
 
 class Deployment:
@@ -196,8 +204,7 @@
         node = self.nodes.pop(vm)
         if isinstance(self.network, MemoryNetwork):
             self.network.kill(vm)
-        node.end()
-        await node.ended.wait()
+        await node.end()
 
     async def stop(self, vm: str) -> None:
         """Ask a process to stop and wait until it has."""
--- a/packages/testing/src/sassafrastally/testing/deployments.py
+++ b/packages/testing/src/sassafrastally/testing/deployments.py
@@ -62,7 +62,7 @@
 USER_DEPLOYMENTS = (YESO_JUSTO, SONDRIO)
 
 SMALL_RATE_TOKENS_PER_S = 50.0
-SMALL_BURST_TOKENS = 4_000
+SMALL_BURST_TOKENS = 600
 
 
 def customer_key(customer: str) -> str:
--- a/packages/testing/src/sassafrastally/testing/network.py
+++ b/packages/testing/src/sassafrastally/testing/network.py
@@ -225,7 +225,10 @@
         self._connections = [*self._live(), connection]
         self._set_frozen(vm, lambda _: None)
         there, back = connection.pipes
-        listener.nursery.start_soon(listener.handler, MemoryStream(there, back))
+        try:
+            listener.nursery.start_soon(listener.handler, MemoryStream(there, back))
+        except RuntimeError as cause:
+            raise ConnectionRefusedError(f"{address} is closing") from cause
         return MemoryStream(back, there)
 
     def add_listener(self, address: Address, listener: _Listener) -> Address:
