Hold the longest prompts on spans of engines, and bound the wait that routing accepts

Cause: a prompt that needs more than one engine's memory was refused. Change: the entry reserves a segment on each engine of the least set, all or nothing in the order of VM names, computes them in prompt order by KV export and import, and runs on the last one; engines promised to a span take only short work that ends before it starts. Ruled out (docs/design/spans.md): a planner in a sidecar, a lock in the KV service. Change: a reservation states how long other work may delay the first token; a busy sidecar refuses and the next is asked; if all are busy, the least so without the bound. Mended, each by its scenario: a repeat joins only an attempt that begins at the first token; after words were shown the outcome is failed, not unknown. An engine's refusal that lies in the request is told as bad-request.

--- a/packages/entry/src/sassafrastally/entry/attempt.py
+++ b/packages/entry/src/sassafrastally/entry/attempt.py
@@ -113,6 +113,8 @@
     commits_now: bool
     reserve_timeout_s: float
     max_answer_bytes: int
+    max_wait_s: float = 0.0
+    """How long other work there may delay the first token; 0 is any time."""
 
 
 class Attempt:
@@ -272,7 +274,7 @@
             # Taken while the reservation stands: a claim that outlives it would be followed by a
             # commit that the sidecar refuses.
             limit_s = min(self._time_left_s(), answered.lapse_s)
-            owner = await self._claim.take(self.site, limit_s)
+            owner = await self._claim.take(self.site, limit_s, self.plan.shown_tokens)
             if owner is not None:
                 return Elsewhere(owner)
         # From here on a cut leaves it open whether the commit arrived, so this comes before the
@@ -405,4 +407,5 @@
             commit_now=plan.commits_now,
             shown_tokens=plan.shown_tokens,
             operation=request.operation,
+            max_wait_s=plan.max_wait_s,
         )
--- a/packages/entry/src/sassafrastally/entry/claiming.py
+++ b/packages/entry/src/sassafrastally/entry/claiming.py
@@ -86,7 +86,18 @@
         is_own = result.placement.request_id == request_id
         return not is_own and result.placement not in self._replaceable
 
-    async def take(self, site: Site, limit_s: float) -> Placement | None:
+    def _can_join(self, owner: Placement, shown_tokens: int) -> bool:
+        """Return whether an owner's stream begins where this request's reader stands.
+
+        A later attempt goes on after the words that its own reader has seen. Joined by a reader
+        who has seen fewer, its tail would pass as a whole answer; by one who has seen more, words
+        would come twice. Such a request may be repeated, so it takes the key and runs by itself.
+        """
+        if not (self._request.is_idempotent and self._request.is_streamed):
+            return True
+        return owner.attempt == 1 and shown_tokens == 0
+
+    async def take(self, site: Site, limit_s: float, shown_tokens: int = 0) -> Placement | None:
         """Claim the key for a site.
 
         Returns
@@ -109,12 +120,11 @@
                 raise Refusal("key-reused")
             if result.is_granted or result.placement in (None, own):
                 return None
-            if result.placement not in self._replaceable:
-                return result.placement
+            owner = result.placement
+            if owner not in self._replaceable and self._can_join(owner, shown_tokens):
+                return owner
             left_s = max(0.0, until_s - trio.current_time())
-            result = await self._claims.replace(
-                customer, key, result.placement, own, self._digest, left_s
-            )
+            result = await self._claims.replace(customer, key, owner, own, self._digest, left_s)
         raise Refusal("claims-unavailable", Figures(detail="The key changes hands too often."))
 
 
--- a/packages/entry/src/sassafrastally/entry/execution.py
+++ b/packages/entry/src/sassafrastally/entry/execution.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import deque
 from typing import TYPE_CHECKING, NamedTuple
 
 import trio
@@ -25,6 +26,8 @@
     AttemptRepeated,
 )
 from sassafrastally.entry.resolution import COME_BACK_S, Resolution
+from sassafrastally.entry.span import NO_SPAN, Span, needs_span
+from sassafrastally.entry.span_try import SpanRequest
 from sassafrastally.serving.outcome import Outcome
 from sassafrastally.serving.refusals import REFUSALS, Figures, Refusal
 from sassafrastally.serving.retries import (
@@ -46,10 +49,19 @@
     from sassafrastally.entry.relay import Answer
     from sassafrastally.entry.request import CallerRequest
     from sassafrastally.entry.settings import EntrySettings
+    from sassafrastally.entry.span_try import MakeAttempt
     from sassafrastally.serving.routing import RoutingPolicy
     from sassafrastally.wire.link import Peers
 
 
+_PASSING = frozenset({"leaving", "no-replica"})
+"""Refusals of one sidecar that another or its successor lifts, so that coming back helps."""
+
+
+BUSY = "busy"
+"""Code of a sidecar's refusal to keep to the bound on the wait."""
+
+
 class Surroundings(NamedTuple):
     """What all executions of a process share."""
 
@@ -73,6 +85,11 @@
         self.spent_tokens = 0
         self.outcome = Outcome.NOT_RUN
 
+    def next_number(self) -> int:
+        """Return the number of one more attempt."""
+        self.asked += 1
+        return self.asked
+
     def add(self, attempt: Attempt) -> None:
         """Take in an attempt that ended without a whole answer and without proof of not run."""
         if not attempt.is_committed:
@@ -151,6 +168,9 @@
             while not await self._round():
                 pass
         except Refusal as refusal:
+            if refusal.kind.code == "outcome-unknown" and self.outcome == Outcome.FAILED:
+                # Words were shown, so it is known that it ran.
+                raise Refusal("backend-failed", refusal.figures) from refusal
             if refusal.outcome != Outcome.NOT_RUN or self.outcome == Outcome.NOT_RUN:
                 raise
             raise Refusal(refusal.kind.code, refusal.figures, self.outcome) from refusal
@@ -158,12 +178,22 @@
     async def _round(self) -> bool:
         """Ask candidates one after the other; return whether the whole answer came."""
         refused: list[Refused] = []
-        chosen = self._choose()
-        for reachable in chosen:
+        known = self._known()
+        waits: dict[str, float] = {}
+        chosen = self._choose(known)
+        asks = deque(chosen)
+        while asks:
+            reachable = asks.popleft()
             result = await self._attempt(reachable)
             match result:
                 case Whole():
                     return True
+                case TurnedDown(refusal) if refusal.code == BUSY:
+                    waits[reachable.candidate.vm] = refusal.measured
+                case TurnedDown(refusal) if refusal.code == NO_SPAN and needs_span(
+                    self._request, known
+                ):
+                    return await self._span_round()
                 case TurnedDown(refusal):
                     # Nothing ran, so the next one is asked at once: no retry, no pause.
                     refused.append(refusal)
@@ -172,16 +202,44 @@
                 case _:
                     await self._after_run(result)
                     return False
+            if not asks and waits:
+                # All are busy: the one that would begin first is asked again, without a bound.
+                least = min(waits, key=lambda vm: waits[vm])
+                asks.extend(_unbounded(one) for one in chosen if one.candidate.vm == least)
+                waits.clear()
         if refused:
             raise _refusal_of(min(refused, key=_come_back_s))
         await self._pause_before_retry(0.0, self._no_replica(len(chosen)))
         return False
 
-    def _choose(self) -> list[Reachable]:
-        around, request = self._around, self._request
-        known = around.candidates.for_request(
-            request, self._in_force.bundle.weights, trio.current_time()
+    async def _span_round(self) -> bool:
+        asked = SpanRequest(
+            self._request,
+            self._answer.request_id,
+            self._in_force.generation,
+            self._known,
+            self._failed_vms,
+            self._rounds > 1,
+            self._history.next_number,
         )
+        match await Span(self._around, asked, self._attempt).run():
+            case Whole():
+                return True
+            case TurnedDown(refused):
+                await self._pause_before_retry(refused.retry_after_s, _refusal_of(refused))
+            case Unreached(cause):
+                await self._pause_before_retry(0.0, Refusal("no-replica", Figures(detail=cause)))
+            case result:
+                await self._after_run(result)
+        return False
+
+    def _known(self) -> dict[str, Reachable]:
+        return self._around.candidates.for_request(
+            self._request, self._in_force.bundle.weights, trio.current_time()
+        )
+
+    def _choose(self, known: dict[str, Reachable]) -> list[Reachable]:
+        around, request = self._around, self._request
         # Another replica after a failure; the failed ones only when there is no other.
         fresh = {vm: item for vm, item in known.items() if vm not in self._failed_vms}
         if not (fresh or known):
@@ -197,12 +255,15 @@
         )
         usable = fresh or known
         ordered = around.policy.choose(route, [item.candidate for item in usable.values()])
-        return [usable[candidate.vm] for candidate in ordered[: around.settings.max_candidates]]
-
-    async def _attempt(self, reachable: Reachable) -> AttemptResult:
-        self._history.asked += 1
-        attempt = Attempt(
-            self._plan(reachable),
+        # The policy sets its bound on the wait in the candidates that it returns.
+        return [
+            usable[candidate.vm]._replace(candidate=candidate)
+            for candidate in ordered[: around.settings.max_candidates]
+        ]
+
+    async def _attempt(self, reachable: Reachable, make: MakeAttempt = Attempt) -> AttemptResult:
+        attempt = make(
+            self._plan(reachable, self._history.next_number()),
             self._around.peers,
             self._answer,
             self._claim,
@@ -227,7 +288,7 @@
             return self._around.settings.contact_patience_s
         return float("inf")
 
-    def _plan(self, reachable: Reachable) -> AttemptPlan:
+    def _plan(self, reachable: Reachable, number: int) -> AttemptPlan:
         settings, request = self._around.settings, self._request
         commits_now = (
             request.is_idempotent
@@ -237,7 +298,7 @@
         return AttemptPlan(
             request=request,
             request_id=self._answer.request_id,
-            number=self._history.asked,
+            number=number,
             vm=reachable.candidate.vm,
             address=reachable.address,
             generation=self._in_force.generation,
@@ -245,6 +306,7 @@
             commits_now=commits_now,
             reserve_timeout_s=settings.reserve_timeout_s,
             max_answer_bytes=settings.max_answer_bytes,
+            max_wait_s=reachable.candidate.max_wait_s,
         )
 
     async def _after_run(self, result: AttemptResult) -> None:
@@ -335,11 +397,16 @@
         return max(0.0, self._request.deadline_s - trio.current_time())
 
 
+def _unbounded(reachable: Reachable) -> Reachable:
+    return reachable._replace(candidate=reachable.candidate._replace(max_wait_s=0.0))
+
+
 def _come_back_s(refused: Refused) -> float:
     return refused.retry_after_s or float("inf")
 
 
 def _refusal_of(refused: Refused) -> Refusal:
     code = refused.code if refused.code in REFUSALS else "no-replica"
-    figures = Figures(refused.limit, refused.measured, refused.retry_after_s, refused.detail)
+    retry_after_s = refused.retry_after_s or (COME_BACK_S if code in _PASSING else 0.0)
+    figures = Figures(refused.limit, refused.measured, retry_after_s, refused.detail)
     return Refusal(code, figures, Outcome.NOT_RUN)
--- a/packages/entry/src/sassafrastally/entry/settings.py
+++ b/packages/entry/src/sassafrastally/entry/settings.py
@@ -36,7 +36,7 @@
     """Longest whole answer that is held until its end is proved."""
     max_buffered_bytes: int = 262_144
     """Streamed data that waits for a slow caller before the sidecar is held back."""
-    max_candidates: int = 4
+    max_candidates: int = 8
     """Sidecars asked for a reservation in one round."""
     commit_now_tokens: int = 4_000
     """Idempotent requests up to this many tokens reserve and commit in one message."""
--- /dev/null
+++ b/packages/entry/src/sassafrastally/entry/span_member.py
@@ -0,0 +1,302 @@
+"""One engine's part in a span, as the entry sees it: reserved, computed, then held."""
+
+from __future__ import annotations
+
+from contextlib import AsyncExitStack
+from typing import TYPE_CHECKING, NamedTuple
+
+import trio
+
+from sassafrastally.core import CodedError, error
+from sassafrastally.entry.attempt import CANCEL_LIMIT_S
+from sassafrastally.serving.spans import decode_done, handle_of
+from sassafrastally.wire.link import LinkCut, LinkRefused, StreamEnded
+from sassafrastally.wire.messages import (
+    MAX_CHUNK_BYTES,
+    Attach,
+    Cancel,
+    Chunk,
+    Commit,
+    End,
+    Refused,
+    Reserve,
+    Reserved,
+)
+from sassafrastally.wire.streams import TooManyStreams
+
+if TYPE_CHECKING:
+    from types import TracebackType
+
+    from sassafrastally.core import Address
+    from sassafrastally.entry.request import CallerRequest
+    from sassafrastally.serving.spans import Segment, SegmentDone
+    from sassafrastally.wire.link import Peers, Stream
+    from sassafrastally.wire.messages import Message
+
+REJOIN_LIMIT_S = 1.0
+"""How long a member is sought after its link was cut; shorter than the sidecars' grace, so that
+what was given up here is never taken for held."""
+
+REJOIN_PAUSE_S = 0.05
+
+_LINK_ERRORS = (LinkCut, LinkRefused, StreamEnded, TooManyStreams)
+
+
+@error(6002)
+class SpanBroken(CodedError):
+    """A segment of a span is gone, so the span can't go on."""
+
+
+class Imports(NamedTuple):
+    """The KV exports that a segment starts from, in prompt order."""
+
+    handles: tuple[str, ...] = ()
+    sources: tuple[str, ...] = ()
+    tokens: tuple[int, ...] = ()
+
+    def with_member(self, member: Member) -> Imports:
+        """Return these and one further export."""
+        return Imports(
+            (*self.handles, member.handle),
+            (*self.sources, member.engine_address),
+            (*self.tokens, member.segment.tokens),
+        )
+
+
+class Place(NamedTuple):
+    """Which attempt computes a segment, and where."""
+
+    request_id: str
+    number: int
+    """Number of the attempt; each member of each try has its own."""
+    vm: str
+    address: Address
+    generation: int
+    reserve_timeout_s: float
+
+
+class Member:
+    """A segment on one engine. Leaving its context gives the segment up there.
+
+    Parameters
+    ----------
+    peers
+        The links of the process.
+    place
+        Which attempt, and where.
+    segment
+        Its part of the prompt.
+    request
+        The request.
+    """
+
+    def __init__(
+        self, peers: Peers, place: Place, segment: Segment, request: CallerRequest
+    ) -> None:
+        self.place = place
+        self.segment = segment
+        self.handle = handle_of(place.request_id, place.number)
+        self.engine_address = ""
+        """Where other engines fetch its export; known when it is reserved."""
+        self._peers = peers
+        self._request = request
+        self._incarnation = ""
+        self._is_committed = False
+        self._is_over = False
+        self._chunks = 0
+        self._streams = AsyncExitStack()
+        self._stream: Stream | None = None
+
+    async def __aenter__(self) -> Member:
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        value: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        await self.give_up()
+        await self._streams.aclose()
+
+    async def reserve(self, starts_in_s: float, imports: Imports) -> Reserved | Refused | None:
+        """Ask for the segment's memory; ``None`` when the sidecar isn't reached."""
+        answered: Reserved | Refused | None = None
+        try:
+            with trio.move_on_after(self.place.reserve_timeout_s):
+                stream = await self._open()
+                await stream.send(self._reserve_message(starts_in_s, imports))
+                answered = await self._receive_reserved(stream)
+        except _LINK_ERRORS:
+            return None
+        if isinstance(answered, Reserved):
+            self._incarnation = answered.incarnation
+            self.engine_address = answered.engine_address
+        elif isinstance(answered, Refused):
+            self._is_over = True
+        return answered
+
+    async def compute(self) -> SegmentDone:
+        """Commit the segment and wait until it is exported.
+
+        Raises
+        ------
+        SpanBroken
+            When it never will be.
+        """
+        self._is_committed = True
+        place = self.place
+        cause: SpanBroken | None = None
+        async with trio.open_nursery() as nursery:
+            try:
+                assert self._stream is not None
+                limit_s = self._time_left_s()
+                await self._stream.send(
+                    Commit(place.request_id, place.number, self._incarnation, limit_s)
+                )
+                nursery.start_soon(self._send_body, self._stream)
+                done = await self._receive_done()
+            except _LINK_ERRORS as lost:
+                cause = self._broken(lost.detail)
+            except SpanBroken as broken:
+                # Kept out of the nursery, which would wrap it into a group.
+                cause = broken
+            nursery.cancel_scope.cancel()
+        if cause is not None:
+            raise cause
+        return done
+
+    async def watch(self) -> None:
+        """Wait for as long as the export is held.
+
+        Raises
+        ------
+        SpanBroken
+            When it isn't any more, or can't be known to be.
+        """
+        while True:
+            await self._receive()
+
+    async def give_up(self) -> None:
+        """Tell the sidecar to free the segment, if there may be something to free."""
+        if self._is_over or self._stream is None:
+            return
+        self._is_over = True
+        cancel = Cancel(self.place.request_id, self.place.number, "the span is over")
+        is_ending = trio.current_effective_deadline() == float("-inf")
+        with trio.move_on_after(CANCEL_LIMIT_S, shield=True):
+            try:
+                await self._stream.send(cancel)
+            except (LinkCut, StreamEnded):
+                if not is_ending:
+                    await self._cancel_anew(cancel)
+
+    async def _cancel_anew(self, cancel: Cancel) -> None:
+        try:
+            link = await self._peers.link_to(self.place.vm, self.place.address)
+            await link.call(cancel)
+        except _LINK_ERRORS:
+            return  # The sidecar frees it after its grace.
+
+    async def _open(self) -> Stream:
+        link = await self._peers.link_to(self.place.vm, self.place.address)
+        self._stream = await self._streams.enter_async_context(link.open_stream())
+        return self._stream
+
+    async def _receive_reserved(self, stream: Stream) -> Reserved | Refused:
+        while True:
+            message = await stream.receive()
+            if isinstance(message, Reserved | Refused) and message[:2] == self._key:
+                return message
+
+    async def _receive_done(self) -> SegmentDone:
+        while True:
+            message = await self._receive()
+            if isinstance(message, Chunk) and message[:3] == (*self._key, 0):
+                self._chunks = 1
+                try:
+                    return decode_done(message.data)
+                except ValueError as cause:
+                    raise self._broken(f"announced as {cause}") from cause
+
+    async def _receive(self) -> Message:
+        """Return the next message; joins again after a cut of the link."""
+        while True:
+            assert self._stream is not None
+            try:
+                message = await self._stream.receive()
+            except (LinkCut, StreamEnded) as cause:
+                if not await self._rejoin():
+                    raise self._broken(cause.detail) from cause
+                continue
+            if isinstance(message, End | Refused) and message[:2] == self._key:
+                self._is_over = True
+                raise self._broken(f"{message.code} {message.detail}".strip())
+            return message
+
+    async def _rejoin(self) -> bool:
+        attach = Attach(*self._key, self._incarnation, self._chunks, self._time_left_s())
+        with trio.move_on_after(REJOIN_LIMIT_S):
+            while True:
+                try:
+                    stream = await self._open()
+                    await stream.send(attach)
+                    return True
+                except _LINK_ERRORS:
+                    await trio.sleep(REJOIN_PAUSE_S)
+        return False
+
+    async def _send_body(self, stream: Stream) -> None:
+        body = self._request.body
+        try:
+            for sequence, start in enumerate(range(0, len(body), MAX_CHUNK_BYTES)):
+                part = body[start : start + MAX_CHUNK_BYTES]
+                await stream.send(Chunk(*self._key, sequence, 0, part))
+        except (LinkCut, StreamEnded):
+            return  # The reader of the same stream meets the cut too.
+
+    def _broken(self, detail: str) -> SpanBroken:
+        return SpanBroken(f"segment on {self.place.vm}: {detail}")
+
+    @property
+    def _key(self) -> tuple[str, int]:
+        return self.place.request_id, self.place.number
+
+    def _time_left_s(self) -> float:
+        return max(0.0, self._request.deadline_s - trio.current_time())
+
+    def _reserve_message(self, starts_in_s: float, imports: Imports) -> Reserve:
+        request = self._request
+        return segment_reserve(
+            Reserve(
+                request_id=self.place.request_id,
+                attempt=self.place.number,
+                model=request.model,
+                customer=request.customer.name,
+                time_limit_s=self._time_left_s(),
+                # Computing a segment shows nothing to anybody and may be repeated; only the
+                # leader's run is the request's execution.
+                idempotent=True,
+                priority=request.customer.priority,
+                body_size_bytes=len(request.body),
+                generation=self.place.generation,
+                operation=request.operation,
+            ),
+            self.segment,
+            starts_in_s,
+            imports,
+        )
+
+
+def segment_reserve(
+    reserve: Reserve, segment: Segment, starts_in_s: float, imports: Imports
+) -> Reserve:
+    """Return a reservation that asks for one segment of the prompt."""
+    return reserve._replace(
+        prompt_tokens=segment.end_tokens,
+        segment_tokens=segment.tokens,
+        starts_in_s=starts_in_s,
+        import_handles=imports.handles,
+        import_sources=imports.sources,
+        import_tokens=imports.tokens,
+    )
--- a/packages/entry/tests/test_execution.py
+++ b/packages/entry/tests/test_execution.py
@@ -215,6 +215,23 @@
         assert (await world.ask(world.request())).body == THREE
         assert trio.current_time() == started_s
 
+    async def test_least_busy_is_asked_again_when_all_are_busy(
+        self, world: Any, autojump_clock: Any
+    ) -> None:
+        """A request is refused although every replica would serve it in time: each kept to the
+        bound on the wait that routing had set, and none was asked without it."""
+
+        def busy(wait_s: float) -> Any:
+            async def script(sidecar: Any, end: Any, reserve: Reserve) -> None:
+                await end.send(Refused(*own_of(reserve), "busy", measured=wait_s))
+
+            return script
+
+        world.s1.scripts, world.s2.scripts = [busy(2.0)], [busy(1.0)]
+        assert (await world.ask(world.request())).body == THREE
+        assert len(world.s1.of(Reserve)) == 1
+        assert [reserve.max_wait_s for reserve in world.s2.of(Reserve)][1:] == [0.0]
+
     async def test_refused_everywhere_is_told_at_once_with_the_first_return(
         self, world: Any, autojump_clock: Any
     ) -> None:
--- a/packages/serving/src/sassafrastally/serving/refusals.py
+++ b/packages/serving/src/sassafrastally/serving/refusals.py
@@ -65,9 +65,6 @@
     "no-span", 422, Outcome.NOT_RUN, "No set of engines can hold a prompt of this length.", "tokens"
 )
 _define("key-reused", 422, Outcome.NOT_RUN, "The idempotency key was used with another body.")
-_define(
-    "key-in-progress", 409, Outcome.UNKNOWN, "The first request of this idempotency key still runs."
-)
 _define("rate-limit", 429, Outcome.NOT_RUN, "The customer's token rate is used up.", "tokens/s")
 _define(
     "concurrency-limit",
@@ -86,6 +83,9 @@
 _define("no-replica", 503, Outcome.NOT_RUN, "No replica that serves this target can be reached.")
 _define("memory-full", 503, Outcome.NOT_RUN, "The engines' memory is taken.", "blocks")
 _define("leaving", 503, Outcome.NOT_RUN, "The backend server is leaving.")
+_define(
+    "busy", 503, Outcome.NOT_RUN, "Other work would delay the first token here for too long.", "s"
+)
 _define("stopping", 503, Outcome.NOT_RUN, "The entry is stopping.")
 _define("no-bundle", 503, Outcome.NOT_RUN, "No bundle is in force here yet.")
 _define(
@@ -94,7 +94,6 @@
 _define(
     "claims-unavailable", 503, Outcome.NOT_RUN, "Idempotency keys can't be claimed at the moment."
 )
-_define("retries-spent", 503, Outcome.NOT_RUN, "The retries allowed for it are spent.", "attempts")
 _define("time-limit-passed", 504, Outcome.FAILED, "The time limit passed before the end.", "s")
 _define("backend-failed", 502, Outcome.FAILED, "The backend server broke the answer off.")
 _define("outcome-unknown", 502, Outcome.UNKNOWN, "Contact was lost; whether it ran is not known.")
--- a/packages/sidecar/benchmarks/request_path.py
+++ b/packages/sidecar/benchmarks/request_path.py
@@ -1,7 +1,7 @@
 """Measure the sidecar's processor time on the request path, on one core and in one process.
 
-Run as ``python packages/sidecar/benchmarks/request_path.py``. The engine is a stub without cost and the
-streams are lists, so that what is measured is the sidecar alone; links and engine come on top.
+Run as ``python packages/sidecar/benchmarks/request_path.py``. The engine is a stub without cost and
+the streams are lists, so that what is measured is the sidecar alone; links and engine come on top.
 """
 
 from __future__ import annotations
@@ -23,6 +23,7 @@
 from sassafrastally.sidecar import SidecarService, SidecarSettings, build_sidecar
 from sassafrastally.sidecar.conversation import Conversations
 from sassafrastally.sidecar.engine import EngineChunk, EngineInfo, EngineUsage
+from sassafrastally.sidecar.placement_agent import PlacementAgentSettings
 from sassafrastally.testing.kv_fake import FakeKv
 from sassafrastally.testing.kv_model import KvModel
 from sassafrastally.testing.network import MemoryNetwork
--- a/packages/sidecar/src/sassafrastally/sidecar/admission.py
+++ b/packages/sidecar/src/sassafrastally/sidecar/admission.py
@@ -7,6 +7,7 @@
 from sassafrastally.serving.outcome import AttemptState
 from sassafrastally.serving.refusals import Figures, Refusal
 from sassafrastally.sidecar.attempts import RETRY_FULL_S, Attempt, AttemptKey
+from sassafrastally.sidecar.segments import LAPSE_STRETCH
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -87,6 +88,9 @@
         answer = self._answers.begin(AttemptKey(reserve.request_id, reserve.attempt))
         attempt = Attempt(reserve, answer, now_s, self._settings.reservation_lapse_s)
         backend.register(attempt, admitted)
+        if attempt.segment is not None:
+            wait_s = LAPSE_STRETCH * reserve.starts_in_s
+            attempt.lapses_at_s = min(attempt.lapses_at_s + wait_s, attempt.deadline_s)
         self._table.add(attempt)
         return Reservation(attempt, backend, admitted)
 
--- a/packages/sidecar/src/sassafrastally/sidecar/attempts.py
+++ b/packages/sidecar/src/sassafrastally/sidecar/attempts.py
@@ -12,6 +12,7 @@
 if TYPE_CHECKING:
     from sassafrastally.serving.scheduling import Work
     from sassafrastally.sidecar.answer import Answer
+    from sassafrastally.sidecar.segments import Segment
     from sassafrastally.sidecar.settings import SidecarSettings
     from sassafrastally.wire.messages import Reserve
 
@@ -67,6 +68,8 @@
         """Whether the body came whole and its run has begun to wait for its turn."""
         self.stream_id = ""
         """Name of its stream on the engine."""
+        self.segment: Segment | None = None
+        """Its part of a span; ``None`` when the engine computes the whole prompt."""
         self.has_started = False
         """Whether it was handed to the backend server; before that it has certainly not run."""
         self.settled = trio.Event()
--- a/packages/sidecar/src/sassafrastally/sidecar/conversation.py
+++ b/packages/sidecar/src/sassafrastally/sidecar/conversation.py
@@ -43,6 +43,9 @@
     from sassafrastally.wire.link import Peers, Stream
     from sassafrastally.wire.messages import Message
 
+MEMBER_GRACES = 2
+"""So many times the usual grace a segment is kept for its leader when both lost their reader."""
+
 _OUTCOMES = {
     AttemptState.VOIDED: Outcome.NOT_RUN,
     AttemptState.COMPLETED: Outcome.COMPLETED,
@@ -196,8 +199,9 @@
             self._kernel.incarnation,
             prediction.first_token_s,
             prediction.total_s,
-            self._settings.reservation_lapse_s,
+            attempt.lapses_at_s - attempt.arrived_s,
             admitted.cached_tokens,
+            str(self._settings.engine_address or "") if attempt.segment else "",
         )
 
     def _hand_over(self, reservation: Reservation) -> None:
@@ -271,7 +275,7 @@
                 nursery.cancel_scope.cancel()
         finally:
             answer.leave()
-            if attempt is not None and attempt.reserve.idempotent and not answer.readers:
+            if attempt is not None and not answer.readers and _ends_unread(attempt):
                 self._let_go(attempt, delivered)
 
     async def _send_answer(self, stream: Stream, answer: Answer, sequence: int) -> bool:
@@ -318,11 +322,16 @@
             self._nursery.start_soon(self._give_up_unread, attempt)
 
     async def _give_up_unread(self, attempt: Attempt) -> None:
-        with trio.move_on_after(self._settings.reattach_grace_s):
+        with trio.move_on_after(self._grace_s(attempt)):
             await attempt.settled.wait()
         if not attempt.answer.readers and not attempt.settled.is_set():
             attempt.give_up(GivenUp("", "nobody reads the answer any more"))
 
+    def _grace_s(self, attempt: Attempt) -> float:
+        """Return how long a run may go unread; a segment's memory outlasts its leader's run."""
+        is_member = attempt.segment is not None and not attempt.segment.is_leader
+        return self._settings.reattach_grace_s * (MEMBER_GRACES if is_member else 1)
+
     def _cancel(self, attempt: Attempt, reason: str) -> None:
         if attempt.is_handed_over:
             attempt.give_up(GivenUp("", f"cancelled: {reason}"))
@@ -379,6 +388,15 @@
         return End(*key, outcome=outcome.value, code=code)
 
 
+def _ends_unread(attempt: Attempt) -> bool:
+    """Return whether a run ends when nobody reads its answer any more.
+
+    A leader of a span does even when it may not be repeated: the entry that is gone held the
+    other segments, and without them it would go on over memory that others write to.
+    """
+    return attempt.reserve.idempotent or attempt.segment is not None
+
+
 def _is_next(attempt: Attempt, chunk: Chunk) -> bool:
     """Return whether a chunk is the next one of the attempt's own body."""
     return chunk[:3] == (*attempt.key, len(attempt.body))
--- a/packages/sidecar/src/sassafrastally/sidecar/engine.py
+++ b/packages/sidecar/src/sassafrastally/sidecar/engine.py
@@ -122,6 +122,11 @@
 class EngineRefused(CodedError):
     """The engine took no part of the call and says so: nothing ran."""
 
+    def __init__(self, message: str, refusal_code: str = "no-replica") -> None:
+        super().__init__(message)
+        self.refusal_code = refusal_code
+        """Code of the refusal catalogue that is true of it."""
+
 
 class EngineRun(Protocol):
     """A run that has begun; iterate over its chunks, then read its usage."""
--- a/packages/sidecar/src/sassafrastally/sidecar/engine_watch.py
+++ b/packages/sidecar/src/sassafrastally/sidecar/engine_watch.py
@@ -7,6 +7,7 @@
 import trio
 
 from sassafrastally.serving.prefix import PrefixGuess
+from sassafrastally.serving.spans import handle_of
 from sassafrastally.sidecar.attempts import GivenUp
 from sassafrastally.sidecar.engine import EngineFailed, EngineRefused, EngineUnavailable
 from sassafrastally.sidecar.events import (
@@ -16,6 +17,7 @@
     EngineRestarted,
     OrphanFreed,
 )
+from sassafrastally.sidecar.segments import holds_of
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -126,8 +128,23 @@
         except _ENGINE_ERRORS:
             return
         self._ledger.settle_missing(listed, asked_s)
+        self._give_up_missing(listed, asked_s)
         self.on_change()
 
+    def _give_up_missing(self, listed: list[EngineStream], asked_s: float) -> None:
+        """End the exported segments that the engine no longer lists.
+
+        An engine that died and came back between two looks, just after an export, has none of it,
+        and no connection broke: a segment that is only kept has none.
+        """
+        present = {stream.stream_id for stream in listed}
+        for attempt in self._table.live:
+            hold = self._ledger.held.get(handle_of(*attempt.key))
+            if hold is None or not hold.blocks or hold.since_s >= asked_s:
+                continue
+            if handle_of(*attempt.key) not in present:
+                attempt.give_up(GivenUp("backend-failed", "the engine lost the segment"))
+
     async def run(self, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
         """Look and sweep for as long as the process runs; started after the first look."""
         await self.look()
@@ -162,8 +179,20 @@
         if self.info is not None:
             self._kernel.events.emit(EngineLost(detail))
             self.info = None
+            self._give_up_exports()
             self.on_change()
 
+    def _give_up_exports(self) -> None:
+        """End the exported segments of an engine that doesn't answer.
+
+        Their leader reads from this engine's memory and doesn't notice that it is gone. The entry
+        does when the segment ends here, and ends the leader's run, whose answer would not rest on
+        the whole prompt.
+        """
+        for attempt in self._table.live:
+            if self._ledger.holds(handle_of(*attempt.key)):
+                attempt.give_up(GivenUp("backend-failed", "the engine doesn't answer"))
+
     async def _begin_life(self, info: EngineInfo) -> None:
         """Start anew with an engine of another incarnation.
 
@@ -175,7 +204,7 @@
             gone = set(self._ledger.empty_before(self._life_confirmed_s))
             self._kernel.events.emit(EngineRestarted(info.incarnation, len(gone)))
             for attempt in self._table.live:
-                if attempt.stream_id in gone:
+                if not gone.isdisjoint(holds_of(attempt)):
                     attempt.give_up(GivenUp("backend-failed", "the engine restarted"))
         self._life = info.incarnation
         self._prefixes.restart()
--- a/packages/sidecar/src/sassafrastally/sidecar/events.py
+++ b/packages/sidecar/src/sassafrastally/sidecar/events.py
@@ -120,6 +120,16 @@
     attempts: int
 
 
+@event(7115)
+class SegmentExported(NamedTuple):
+    """A segment of a span is computed and its KV cache can be fetched."""
+
+    request_id: str
+    attempt: int
+    tokens: int
+    blocks: int
+
+
 RESERVATIONS = counter("sassafrastally.sidecar.reservations", "{attempt}", "Reservations made.")
 REFUSALS = counter(
     "sassafrastally.sidecar.refusals", "{attempt}", "Reservations and commits refused, by code."
--- a/packages/sidecar/src/sassafrastally/sidecar/openai_form.py
+++ b/packages/sidecar/src/sassafrastally/sidecar/openai_form.py
@@ -227,10 +227,15 @@
     return content
 
 
+CALLERS_STATUSES = frozenset({400, 413, 422})
+"""Refusals that lie in the request itself: another replica, or coming back, would not help."""
+
+
 async def raise_status(response: httpx.Response) -> NoReturn:
     """Raise `EngineRefused` or `EngineFailed`, as the status says."""
     content = (await read_bounded(response, MAX_ANSWER_BYTES))[:MAX_ERROR_BYTES]
     text = f"status {response.status_code}: {content.decode(errors='replace')}"
     if response.status_code in REFUSING_STATUSES:
-        raise EngineRefused(text)
+        is_callers = response.status_code in CALLERS_STATUSES
+        raise EngineRefused(text, "bad-request" if is_callers else "no-replica")
     raise EngineFailed(text)
--- a/packages/sidecar/src/sassafrastally/sidecar/queue.py
+++ b/packages/sidecar/src/sassafrastally/sidecar/queue.py
@@ -8,6 +8,7 @@
 
 from sassafrastally.serving.scheduling import EngineState, Running
 from sassafrastally.sidecar.attempts import AttemptKey
+from sassafrastally.sidecar.segments import beside_promises
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -15,6 +16,7 @@
     from sassafrastally.core import Clock
     from sassafrastally.serving.scheduling import Scheduler, Work
     from sassafrastally.sidecar.ledger import Ledger
+    from sassafrastally.sidecar.segments import Promise
 
 
 class _Waiter(NamedTuple):
@@ -50,6 +52,8 @@
         self._changed = trio.Event()
         self.is_open: Callable[[], bool] = lambda: True
         """Whether the engine can take work at all."""
+        self.promises: Callable[[], list[Promise]] = list
+        """Memory that is kept for segments of spans."""
 
     @property
     def waiting(self) -> list[Work]:
@@ -120,10 +124,25 @@
             # After a freeze of the process this may run before the time limits have cancelled
             # their tasks: what is past its limit must not be started.
             ready = [work for work in self.waiting if work.deadline_s > state.now_s]
-            work = self.scheduler.pick(ready, state) if ready else None
+            work = self._pick(ready, state) if ready else None
             if work is None or not self._start(work, state):
                 return
 
+    def _pick(self, ready: list[Work], state: EngineState) -> Work | None:
+        promises = self.promises()
+        if not promises:
+            return self.scheduler.pick(ready, state)
+        due = {promise.key for promise in promises}
+        for segment in [work for work in ready if AttemptKey(*work[:2]) in due]:
+            # Its own promise stands for it; the others' memory is not its to take.
+            others = sum(p.blocks for p in promises if p.key != AttemptKey(*segment[:2]))
+            own = state._replace(free_blocks=max(0, state.free_blocks - others))
+            if self.scheduler.pick([segment], own) is not None:
+                return segment
+        rest = [work for work in ready if AttemptKey(*work[:2]) not in due]
+        rest = beside_promises(rest, state, promises, self.scheduler.cost)
+        return self.scheduler.pick(rest, state) if rest else None
+
     def _start(self, work: Work, state: EngineState) -> bool:
         key = AttemptKey(work.request_id, work.attempt)
         waiter = self._waiting[key]
--- a/packages/sidecar/src/sassafrastally/sidecar/runner.py
+++ b/packages/sidecar/src/sassafrastally/sidecar/runner.py
@@ -86,7 +86,9 @@
     async def _run_to_end(self, attempt: Attempt, backend: Backend) -> End:
         try:
             return _completed(attempt, await backend.run(attempt))
-        except (EngineUnavailable, EngineRefused) as cause:
+        except EngineRefused as cause:
+            return end_of(attempt, Outcome.NOT_RUN, cause.refusal_code, cause.detail)
+        except EngineUnavailable as cause:
             return end_of(attempt, Outcome.NOT_RUN, "no-replica", cause.detail)
         except Refusal as cause:
             return end_of(attempt, cause.outcome, cause.kind.code, cause.figures.detail)
--- /dev/null
+++ b/packages/sidecar/src/sassafrastally/sidecar/segments.py
@@ -0,0 +1,322 @@
+"""Segments of spans on this engine: what they are promised, import, export and hold."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, NamedTuple
+
+import trio
+
+from sassafrastally.core import Address
+from sassafrastally.serving.forecast import blocks_needed, service_s
+from sassafrastally.serving.refusals import Figures, Refusal
+from sassafrastally.serving.spans import (
+    SegmentDone,
+    blocks_of,
+    encode_done,
+    handle_of,
+    import_blocks,
+    span_blocks,
+)
+from sassafrastally.sidecar.attempts import AttemptKey
+from sassafrastally.sidecar.engine import EngineFailed, EngineRefused, EngineUnavailable
+from sassafrastally.sidecar.events import CancelUnconfirmed, SegmentExported
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Sequence
+
+    from sassafrastally.core import Kernel
+    from sassafrastally.serving.scheduling import CostModel, EngineState, Work
+    from sassafrastally.sidecar.attempts import Attempt, AttemptTable
+    from sassafrastally.sidecar.engine import Engine
+    from sassafrastally.sidecar.ledger import Ledger
+    from sassafrastally.sidecar.settings import SidecarSettings
+    from sassafrastally.wire.messages import Reserve
+
+LAPSE_STRETCH = 3.0
+"""A segment's reservation stands for so many times the expected wait for the segments before it,
+beside the usual lapse: costs of engines are learned, and a first guess may be far off."""
+
+MIN_RETRY_S = 0.5
+"""Least time after which to come back to an engine whose memory is promised."""
+
+
+class Import(NamedTuple):
+    """One KV export to fetch from another engine."""
+
+    handle: str
+    source: str
+    tokens: int
+
+
+class Segment(NamedTuple):
+    """An attempt's part of a span."""
+
+    blocks: int
+    """Blocks for its own tokens, its imports and its answer."""
+    imports: tuple[Import, ...]
+    is_leader: bool
+    """Whether it is the last one, which answers."""
+    made_s: float
+    """When it was reserved."""
+    starts_at_s: float
+    """When the segments before it are expected to be done."""
+    done_at_s: float
+    """When its own prefill is expected to be done."""
+
+
+class Promise(NamedTuple):
+    """Blocks that are kept for a segment which doesn't hold them yet."""
+
+    key: AttemptKey
+    blocks: int
+    made_s: float
+    starts_at_s: float
+
+
+def own_tokens(reserve: Reserve) -> int:
+    """Return the tokens of a prompt that this engine has to hold itself."""
+    return reserve.segment_tokens or reserve.prompt_tokens
+
+
+def imports_of(reserve: Reserve) -> tuple[Import, ...]:
+    """Return what a segment imports; raises `Refusal` when the lists don't match."""
+    lengths = {
+        len(reserve.import_handles),
+        len(reserve.import_sources),
+        len(reserve.import_tokens),
+    }
+    if len(lengths) > 1:
+        raise Refusal("bad-request", Figures(detail="imports without source or size"))
+    parts = zip(reserve.import_handles, reserve.import_sources, reserve.import_tokens, strict=True)
+    return tuple(Import(*part) for part in parts)
+
+
+class Promises:
+    """Memory promised to segments, read off the live attempts, so that none outlives its owner.
+
+    Parameters
+    ----------
+    table
+        All attempts.
+    ledger
+        The engine's memory.
+    """
+
+    def __init__(self, table: AttemptTable, ledger: Ledger) -> None:
+        self._table = table
+        self._ledger = ledger
+
+    def open(self) -> list[Promise]:
+        """Return the promises of segments that hold no memory yet."""
+        return [
+            Promise(a.key, a.segment.blocks, a.segment.made_s, a.segment.starts_at_s)
+            for a in self._table.live
+            if a.segment is not None and not a.has_started and not self._ledger.holds(a.stream_id)
+        ]
+
+    def spans(self) -> list[Segment]:
+        """Return the segments here, those that hold their memory included."""
+        return [a.segment for a in self._table.live if a.segment is not None]
+
+    def check_room(self, blocks: int, now_s: float) -> None:
+        """Refuse a segment that the memory for spans has no room for.
+
+        The sum over all spans stays within the engine's memory. A segment therefore only ever
+        waits for other work, which ends by itself, and never for another span: no two spans can
+        wait for each other.
+        """
+        most = span_blocks(self._ledger.total_blocks)
+        here = self.spans()
+        taken = sum(segment.blocks for segment in here)
+        if blocks > most:
+            raise Refusal("no-span", _tokens(most, blocks, self._ledger.block_tokens))
+        if taken + blocks > most:
+            soonest_s = min(segment.done_at_s for segment in here) - now_s
+            detail = "promised to other spans"
+            raise Refusal(
+                "memory-full",
+                Figures(most, taken + blocks, max(MIN_RETRY_S, soonest_s), detail),
+            )
+
+    def check_beside(self, work: Work, ends_in_s: float, now_s: float) -> None:
+        """Refuse work that would need memory which a segment is promised or holds.
+
+        Work that ends before the segment is expected to start may have the memory until then.
+        """
+        here = self.spans()
+        if not here:
+            return
+        need = blocks_needed(work, self._ledger.block_tokens)
+        beside = self._ledger.total_blocks - sum(segment.blocks for segment in here)
+        if need <= beside:
+            return
+        promises = self.open()
+        if len(promises) == len(here):
+            opens_s = min(promise.starts_at_s for promise in promises) - now_s
+            if ends_in_s <= opens_s:
+                return
+        retry_s = max(MIN_RETRY_S, min(segment.done_at_s for segment in here) - now_s)
+        raise Refusal("memory-full", Figures(beside, need, retry_s, "a span has the rest"))
+
+
+def beside_promises(
+    ready: Sequence[Work], state: EngineState, promises: Iterable[Promise], cost: CostModel
+) -> list[Work]:
+    """Return the work that may start without taking memory from a segment when it is due.
+
+    That is work which fits beside the promises, work which ends before the segments start
+    (backfill), and work that was admitted before the promise was made: the segment's prediction
+    counts it, and it is bound to its own time limit. What doesn't fit at all stays in the list, so
+    that the scheduler can keep room free for it.
+    """
+    kept = list(promises)
+    token_s = cost.token_s(len(state.running) + 1)
+    allowed = []
+    for work in ready:
+        binding = [
+            promise
+            for promise in kept
+            if promise.made_s <= work.arrived_s and promise.key != _key(work)
+        ]
+        need = blocks_needed(work, state.block_tokens)
+        fits = need <= state.free_blocks - sum(promise.blocks for promise in binding)
+        opens_s = min((promise.starts_at_s for promise in binding), default=float("inf"))
+        ends_s = state.now_s + service_s(work, cost) + work.output_tokens * token_s
+        if fits or need > state.free_blocks or ends_s <= opens_s:
+            allowed.append(work)
+    return allowed
+
+
+class Segments:
+    """Imports, exports and frees the KV caches of segments on the engine.
+
+    Parameters
+    ----------
+    kernel
+        The process.
+    settings
+        Limits.
+    engine
+        Client of the engine.
+    ledger
+        Its memory; it owns each handle before the engine does, so that a sweep in between doesn't
+        take it for an orphan.
+    """
+
+    def __init__(
+        self, kernel: Kernel, settings: SidecarSettings, engine: Engine, ledger: Ledger
+    ) -> None:
+        self._kernel = kernel
+        self._settings = settings
+        self._engine = engine
+        self._ledger = ledger
+
+    def describe(
+        self, reserve: Reserve, now_s: float, prefill_s: float, done_in_s: float
+    ) -> Segment | None:
+        """Return what a reservation is of a span; ``None`` when it is of none."""
+        if not reserve.segment_tokens:
+            return None
+        imports = imports_of(reserve)
+        return Segment(
+            self.blocks(reserve),
+            imports,
+            reserve.max_output_tokens > 0,
+            now_s,
+            now_s + max(reserve.starts_in_s, done_in_s - prefill_s),
+            now_s + done_in_s,
+        )
+
+    def blocks(self, reserve: Reserve) -> int:
+        """Return all blocks that a segment takes on this engine."""
+        size = self._ledger.block_tokens
+        own = self._ledger.blocks_for(reserve.segment_tokens + reserve.max_output_tokens)
+        return own + sum(import_blocks(blocks_of(n, size)) for n in reserve.import_tokens)
+
+    async def fetch(self, attempt: Attempt) -> None:
+        """Import the segments before this one, all at once.
+
+        Raises
+        ------
+        EngineUnavailable, EngineRefused, EngineFailed
+            When one didn't come; nothing ran.
+        """
+        assert attempt.segment is not None
+        failures: list[EngineUnavailable | EngineRefused | EngineFailed] = []
+
+        async def fetch_one(wanted: Import) -> None:
+            blocks = blocks_of(wanted.tokens, self._ledger.block_tokens)
+            # The blocks are counted in the hold of the run.
+            self._ledger.hold(wanted.handle, 0, self._kernel.clock.now_s())
+            try:
+                await self._engine.import_kv(wanted.handle, _address(wanted.source), blocks)
+            except (EngineUnavailable, EngineRefused, EngineFailed) as cause:
+                failures.append(cause)
+                nursery.cancel_scope.cancel()
+
+        async with trio.open_nursery() as nursery:
+            for wanted in attempt.segment.imports:
+                nursery.start_soon(fetch_one, wanted)
+        if failures:
+            raise EngineRefused(f"import: {failures[0].detail}") from failures[0]
+
+    async def export(self, attempt: Attempt) -> bytes:
+        """Keep the finished prefill under the attempt's handle; return the announcement."""
+        handle, now_s = handle_of(*attempt.key), self._kernel.clock.now_s
+        self._ledger.hold_export(handle, 0, now_s(), float("inf"))
+        blocks = await self._engine.export_kv(attempt.stream_id, handle)
+        self._ledger.free(attempt.stream_id)
+        self._ledger.hold_export(handle, blocks, now_s(), float("inf"))
+        tokens = attempt.reserve.segment_tokens
+        self._kernel.events.emit(SegmentExported(*attempt.key, tokens, blocks))
+        return encode_done(SegmentDone(handle, tokens, blocks))
+
+    async def free_imports(self, attempt: Attempt) -> None:
+        """Free what the attempt imported."""
+        for name in _import_handles(attempt):
+            await self._free(name)
+
+    async def free_all(self, attempt: Attempt) -> None:
+        """Free imports and export of an attempt."""
+        await self.free_imports(attempt)
+        await self._free(handle_of(*attempt.key))
+
+    async def _free(self, handle: str) -> None:
+        if not self._ledger.holds(handle):
+            return
+        # Until the engine confirms it, the sweep goes on trying.
+        self._ledger.disown(handle, self._kernel.clock.now_s())
+        with trio.move_on_after(self._settings.cancel_limit_s):
+            try:
+                await self._engine.free_export(handle)
+            except (EngineUnavailable, EngineFailed, EngineRefused):
+                self._kernel.events.emit(CancelUnconfirmed(handle))
+                return
+            self._ledger.free(handle)
+
+
+def holds_of(attempt: Attempt) -> set[str]:
+    """Return the names under which an attempt may hold memory."""
+    if attempt.segment is None:
+        return {attempt.stream_id}
+    return {attempt.stream_id, handle_of(*attempt.key), *_import_handles(attempt)}
+
+
+def _import_handles(attempt: Attempt) -> list[str]:
+    return [wanted.handle for wanted in attempt.segment.imports] if attempt.segment else []
+
+
+def _address(text: str) -> Address:
+    host, _, port = text.rpartition(":")
+    try:
+        return Address(host.strip("[]"), int(port))
+    except ValueError as cause:
+        raise EngineRefused(f"no address of an engine: {text!r}") from cause
+
+
+def _key(work: Work) -> AttemptKey:
+    return AttemptKey(work.request_id, work.attempt)
+
+
+def _tokens(limit_blocks: int, measured_blocks: int, block_tokens: int) -> Figures:
+    return Figures(limit_blocks * block_tokens, measured_blocks * block_tokens)
--- a/packages/sidecar/src/sassafrastally/sidecar/service.py
+++ b/packages/sidecar/src/sassafrastally/sidecar/service.py
@@ -158,11 +158,15 @@
         return report._replace(
             models=self.watch.models,
             queued_tokens=sum(work.prompt_tokens - work.cached_tokens for work in expected),
-            free_blocks=self.ledger.free_blocks,
+            free_blocks=max(0, self.ledger.free_blocks - self._promised_blocks()),
             total_blocks=self.ledger.total_blocks,
             block_tokens=self.ledger.block_tokens,
         )
 
+    def _promised_blocks(self) -> int:
+        assert self._engine_backend is not None
+        return sum(promise.blocks for promise in self._engine_backend.promises.open())
+
     async def _start_engine(self, engine: Engine, nursery: trio.Nursery) -> None:
         make = SCHEDULERS.get(self._settings.scheduler)
         self.queue = WorkQueue(
@@ -184,6 +188,7 @@
             self.table,
             self.answers,
         )
+        self.queue.promises = self._engine_backend.promises.open
         nursery.start_soon(self.queue.dispatch)
         await nursery.start(self.watch.run)
 
--- a/packages/wire/src/sassafrastally/wire/messages.py
+++ b/packages/wire/src/sassafrastally/wire/messages.py
@@ -91,6 +91,18 @@
     """Tokens of an earlier attempt that the caller has seen; the run resumes after them."""
     operation: str = ""
     """Method and path that the caller used, such as ``POST /v1/completions``."""
+    segment_tokens: int = 0
+    """Tokens of the prompt that this engine computes as its segment of a span; 0 for the whole
+    prompt. `prompt_tokens` then ends with the segment; no output is asked of any but the last."""
+    starts_in_s: float = 0.0
+    """In how many seconds the segments before it are expected to be done."""
+    import_handles: tuple[str, ...] = ()
+    """KV exports of the segments before it, in prompt order, in this and the next two fields."""
+    import_sources: tuple[str, ...] = ()
+    """Addresses of their engines."""
+    import_tokens: tuple[int, ...] = ()
+    max_wait_s: float = 0.0
+    """How long other work may delay the first token; refused as ``busy`` beyond. 0: any time."""
 
 
 class Reserved(NamedTuple):
@@ -107,6 +119,8 @@
     lapse_s: float = 0.0
     """After how many seconds the reservation lapses."""
     cached_tokens: int = 0
+    engine_address: str = ""
+    """Where other engines fetch KV exports of the sidecar's engine; only for spans."""
 
 
 class Refused(NamedTuple):
--- a/packages/wire/src/sassafrastally/wire/peer.capnp
+++ b/packages/wire/src/sassafrastally/wire/peer.capnp
@@ -88,6 +88,12 @@
   commitNow @13 :Bool;
   shownTokens @14 :UInt32;
   operation @15 :Text;
+  segmentTokens @16 :UInt32;
+  startsInS @17 :Float64;
+  importHandles @18 :List(Text);
+  importSources @19 :List(Text);
+  importTokens @20 :List(UInt32);
+  maxWaitS @21 :Float64;
 }
 
 struct Reserved {
@@ -98,6 +104,7 @@
   predictedTotalS @4 :Float64;
   lapseS @5 :Float64;
   cachedTokens @6 :UInt32;
+  engineAddress @7 :Text;
 }
 
 struct Refused {
