--- a/packages/entry/src/sassafrastally/entry/request.py
+++ b/packages/entry/src/sassafrastally/entry/request.py
@@ -9,6 +9,7 @@
 
 from sassafrastally.core import RequestId
 from sassafrastally.serving.prompt import (
+    BYTES_PER_TOKEN,
     MAX_TOKEN_ID,
     PromptShape,
     shape_of_text,
@@ -28,6 +29,10 @@
 COMPLETIONS = "POST /v1/completions"
 CHAT_COMPLETIONS = "POST /v1/chat/completions"
 
+MOST_BYTES_PER_TOKEN = 128
+"""Most UTF-8 bytes that one token stands for: the longest entry of the vocabularies in use. By it
+a text has at least so many tokens, whatever they are."""
+
 _KEY_FORM = re.compile(r"[\x21-\x7e]{1,128}")
 _MAX_DEPTH_DETAIL = "The body is nested too deeply."
 
@@ -140,18 +145,8 @@
     _check_numbers(fields)
     max_output_tokens = _read_max_output(fields, bundle.limits)
     shape = _SHAPES[operation](fields)
-    total = shape.tokens + (max_output_tokens or 1)
-    if total > model.max_context_tokens:
-        counted = "" if shape.is_exact else " The prompt was estimated at 4 bytes a token."
-        raise Refusal(
-            "prompt-too-long",
-            Figures(
-                limit=model.max_context_tokens,
-                measured=total,
-                detail=f"Prompt and answer asked for, together.{counted}",
-            ),
-        )
-    room = model.max_context_tokens - shape.tokens
+    _check_length(shape, max_output_tokens or 1, model)
+    room = max(1, model.max_context_tokens - shape.tokens)
     return CallerRequest(
         customer=customer,
         arrived_s=arrived_s,
@@ -289,6 +284,30 @@
     return model
 
 
+def _check_length(shape: PromptShape, output_tokens: int, model: Model) -> None:
+    """Refuse a prompt that can't fit, whatever its tokens are.
+
+    An estimate would turn away texts that fit. What is too long by the engine's own count only,
+    the engine refuses.
+    """
+    least = shape.tokens if shape.is_exact else _least_tokens(shape.tokens)
+    if least + output_tokens <= model.max_context_tokens:
+        return
+    counted = "" if shape.is_exact else f" No token has over {MOST_BYTES_PER_TOKEN} bytes."
+    figures = Figures(
+        limit=model.max_context_tokens,
+        measured=least + output_tokens,
+        detail=f"Least of prompt and answer asked for, together.{counted}",
+    )
+    raise Refusal("prompt-too-long", figures)
+
+
+def _least_tokens(estimated_tokens: int) -> int:
+    """Return how many tokens a text has at least, from its estimate."""
+    least_bytes = (estimated_tokens - 1) * BYTES_PER_TOKEN + 1
+    return -(-least_bytes // MOST_BYTES_PER_TOKEN)
+
+
 def _completion_shape(fields: Mapping[str, Any]) -> PromptShape:
     prompt = fields.get("prompt")
     if isinstance(prompt, str) and prompt:
