--- a/packages/sidecar/benchmarks/request_path.py
+++ b/packages/sidecar/benchmarks/request_path.py
@@ -166,6 +166,7 @@
         "membership": MembershipSettings(),
         "vm_list": VmListSettings(Address("10.0.0.1", 1)),
         "bundle": BundleSettings(),
+        "placement_agent": PlacementAgentSettings(),
     }
     platform = PlatformService(FakeKv(KvModel(random.Random(1))), FakeVmList(VmListModel()))
     network = MemoryNetwork().host("reader-1")
