--- a/packages/entry/tests/test_span.py
+++ b/packages/entry/tests/test_span.py
@@ -10,14 +10,13 @@
 import trio
 
 from sassafrastally.control.bundle import Bundle, Customer, Limits, Model
-from sassafrastally.core import Address
 from sassafrastally.entry.path import RequestPath
 from sassafrastally.serving.outcome import AttemptState, Outcome
 from sassafrastally.serving.refusals import Refusal
 from sassafrastally.sidecar.service import SidecarService
 from sassafrastally.testing.deployment import Deployment, DeploymentShape, VmSpec, key_digest
 from sassafrastally.testing.engine_fake import FakeEngine
-from sassafrastally.testing.engine_model import EngineModel, EngineShape, EngineTiming
+from sassafrastally.testing.engine_model import EngineShape, EngineTiming
 from sassafrastally.testing.network import MemoryNetwork
 from sassafrastally.testing.scenario_sent import MODEL, Asked
 
@@ -101,32 +100,12 @@
 
     def __init__(self, shape, nursery):
         super().__init__(shape, nursery, MemoryNetwork(LATENCY_S))
-        self.directory = {}
         self.runs = Counter()
         self.nursery = nursery
         self.sent = []
 
-    def _settings(self, spec, listen):
-        if spec and spec.role == "sidecar":
-            plain = self.shape
-            address = f'engine_address = "{self.engine_address(spec.vm)}"\n'
-            self.shape = plain._replace(extra_settings=address + plain.extra_settings)
-            try:
-                return super()._settings(spec, listen)
-            finally:
-                self.shape = plain
-        return super()._settings(spec, listen)
-
-    async def _start_backend(self, spec):
-        if spec.role != "sidecar" or spec.vm in self.engines:
-            return
-        model = self.engines[spec.vm] = EngineModel(self.shape.engine, seed=len(self.engines))
-        self.engine_clients[spec.vm] = CountingEngine(model, self.directory, self.runs)
-        self.directory[self.engine_address(spec.vm)] = model
-        self._nursery.start_soon(model.run)
-
-    def engine_address(self, vm):
-        return Address("10.9.0.1", 9000 + int(vm.rpartition("-")[2]))
+    def make_engine_client(self, model):
+        return CountingEngine(model, self.engines_by_address, self.runs)
 
     def send(self, marker, entry="entry-1", **options):
         asked = Asked(marker, time_limit_s=60.0)._replace(**options)
--- a/packages/testing/src/sassafrastally/testing/deployment.py
+++ b/packages/testing/src/sassafrastally/testing/deployment.py
@@ -51,6 +51,8 @@
 SEED_BYTES = 4
 KV_SEED = 7
 ANY_PORT = Address("127.0.0.1", 0)
+ENGINE_HOST = "10.9.0.1"
+FIRST_ENGINE_PORT = 9_000
 
 SETTINGS = """
 role = "{role}"
@@ -86,6 +88,10 @@
 scheduler = "{scheduler}"
 """
 
+ENGINE_SETTINGS = """
+engine_address = "{address}"
+"""
+
 SERVICE_SETTINGS = """
 [[sidecar.services]]
 name = "{name}"
@@ -166,6 +172,9 @@
         self.engine_clients: dict[str, FakeEngine] = {}
         self.services: dict[str, PlainService] = {}
         self.nodes: dict[str, Node] = {}
+        self.engines_by_address: dict[Address, EngineModel] = {}
+        """From where engines fetch KV exports of each other; nothing listens there."""
+        self._engine_addresses: dict[str, Address] = {}
         self._service_addresses: dict[str, Address] = {}
         self._peer_addresses: dict[str, Address] = {}
         self._nursery = nursery
@@ -239,6 +248,10 @@
         """Settings of the bundle service, the same on all nodes."""
         return self._settings(self.shape.vms[0], "").get(BundleSettings)
 
+    def make_engine_client(self, model: EngineModel) -> FakeEngine:
+        """Return the client of an engine; a test may count or spoil its calls."""
+        return FakeEngine(model, self.engines_by_address)
+
     async def _start_backend(self, spec: VmSpec) -> None:
         if spec.role != "sidecar" or spec.vm in self.engines or spec.vm in self.services:
             return
@@ -251,8 +264,11 @@
             self._service_addresses[spec.vm] = bound
             return
         model = EngineModel(self.shape.engine, seed=self._seed(spec.vm, 0))
+        address = Address(ENGINE_HOST, FIRST_ENGINE_PORT + len(self.engines))
         self.engines[spec.vm] = model
-        self.engine_clients[spec.vm] = FakeEngine(model)
+        self.engines_by_address[address] = model
+        self._engine_addresses[spec.vm] = address
+        self.engine_clients[spec.vm] = self.make_engine_client(model)
         self._nursery.start_soon(model.run)
 
     async def _build(self, spec: VmSpec) -> Kernel:
@@ -296,6 +312,8 @@
             )
         else:
             text += SIDECAR_SETTINGS.format(scheduler=self.shape.scheduler)
+            if spec.vm in self._engine_addresses:
+                text += ENGINE_SETTINGS.format(address=self._engine_addresses[spec.vm])
             if spec.service:
                 address = self._service_addresses[spec.vm]
                 text += SERVICE_SETTINGS.format(name=spec.service, address=address)
