--- a/packages/serving/src/sassafrastally/serving/lanes.py
+++ b/packages/serving/src/sassafrastally/serving/lanes.py
@@ -85,14 +85,26 @@
     return weights.short_tokens, middle, max(middle, weights.long_tokens - 1), weights.long_tokens
 
 
-class _Plan(NamedTuple):
-    rank: float
-    """Due time; a day earlier inside the lane's guarantee."""
+class _Need(NamedTuple):
+    """What some work needs, the same through a whole prediction."""
+
     lane: int
+    due_s: float
     blocks: int
     alone_s: float
 
 
+class _Plan(NamedTuple):
+    """Some work in the order of picking."""
+
+    rank: float
+    """Due time; a day earlier inside the lane's guarantee."""
+    arrived_s: float
+    request_id: str
+    need: _Need
+    work: Work
+
+
 class _Served:
     """Prefill seconds that each lane got of late, halved with each half-life."""
 
@@ -126,6 +138,8 @@
 
     served: _Served
     ranks: dict[tuple[str, int], float]
+    needs: dict[tuple[str, int], _Need]
+    """Needs that were worked out; a prediction asks for the same ones at each of its steps."""
 
 
 class LanesScheduler:
@@ -152,7 +166,7 @@
     def pick(self, waiting: Sequence[Work], state: EngineState) -> Work | None:
         """Return the work to hand to the engine now, ``None`` to wait."""
         self._forget(state)
-        return self._pick(waiting, state, _Books(self._served, self._ranks))
+        return self._pick(waiting, state, _Books(self._served, self._ranks, {}))
 
     def engine_priority(self, work: Work, now_s: float) -> int:
         """Return the rank in steps, so that the engine orders prefills as the queue does."""
@@ -161,7 +175,7 @@
     def predict(self, work: Work, waiting: Sequence[Work], state: EngineState) -> Prediction:
         """Return when new work would be served behind what waits and runs."""
         left_s = self._progress.update(state, self.cost)
-        books = _Books(self._served.copy(), dict(self._ranks))
+        books = _Books(self._served.copy(), dict(self._ranks), {})
         playback = Playback(state, left_s, self.cost, lambda one: self._rank_in(books, one))
         return playback.first_token(work, waiting, lambda q, s: self._pick(q, s, books))
 
@@ -180,7 +194,7 @@
         return math.floor(due_s * PRIORITY_STEPS_PER_S) / PRIORITY_STEPS_PER_S
 
     def _rank(self, work: Work) -> float:
-        return self._rank_in(_Books(self._served, self._ranks), work)
+        return self._rank_in(_Books(self._served, self._ranks, {}), work)
 
     def _rank_in(self, books: _Books, work: Work) -> float:
         """Return the place that the work got when it was picked; its due time before that."""
@@ -198,49 +212,61 @@
         if not waiting:
             return None
         books.served.decay(state.now_s)
-        plans = {work: self._plan(work, state, books.served) for work in waiting}
-        startable = [work for work in waiting if self._has_slot(plans[work].lane, state)]
-        startable.sort(key=lambda work: (plans[work].rank, work.arrived_s, work.request_id))
-        chosen = self._choose(startable, plans, state)
-        if chosen is not None:
-            plan = plans[chosen]
-            books.served.add(plan.lane, plan.alone_s, state.now_s)
-            books.ranks[chosen.request_id, chosen.attempt] = plan.rank
-        return chosen
-
-    def _plan(self, work: Work, state: EngineState, served: _Served) -> _Plan:
-        lane = lane_of(work.prompt_tokens, self._weights)
-        alone_s = service_s(work, self.cost)
-        rank = self.due_s(work)
-        if "shares" not in self._without and served.has_room(lane, alone_s, self._guarantee[lane]):
+        slots = self._free_slots(state)
+        order = [
+            self._plan(work, need, books.served)
+            for work in waiting
+            if slots[(need := self._need(work, state, books)).lane] > 0
+        ]
+        order.sort(key=lambda plan: plan[:3])
+        chosen = self._choose(order, state)
+        if chosen is None:
+            return None
+        work, need = chosen.work, chosen.need
+        books.served.add(need.lane, need.alone_s, state.now_s)
+        books.ranks[work.request_id, work.attempt] = chosen.rank
+        return work
+
+    def _need(self, work: Work, state: EngineState, books: _Books) -> _Need:
+        key = work.request_id, work.attempt
+        need = books.needs.get(key)
+        if need is None:
+            need = books.needs[key] = _Need(
+                lane_of(work.prompt_tokens, self._weights),
+                self.due_s(work),
+                blocks_needed(work, state.block_tokens),
+                service_s(work, self.cost),
+            )
+        return need
+
+    def _plan(self, work: Work, need: _Need, served: _Served) -> _Plan:
+        rank = need.due_s
+        guarantee = self._guarantee[need.lane]
+        if "shares" not in self._without and served.has_room(need.lane, need.alone_s, guarantee):
             rank -= URGENT_LEAD_S
-        return _Plan(rank, lane, blocks_needed(work, state.block_tokens), alone_s)
+        return _Plan(rank, work.arrived_s, work.request_id, need, work)
 
-    def _has_slot(self, lane: int, state: EngineState) -> bool:
+    def _free_slots(self, state: EngineState) -> list[float]:
+        """Return how many more prefills of each lane may be under way."""
         if "long-bound" in self._without:
-            return True
-        unfinished = sum(
-            lane_of(run.work.prompt_tokens, self._weights) == lane
-            for run in state.running
-            if run.first_token_s is None
-        )
-        return unfinished < MAX_PREFILLS[lane]
-
-    def _choose(
-        self, order: Sequence[Work], plans: dict[Work, _Plan], state: EngineState
-    ) -> Work | None:
+            return [math.inf] * LANES
+        slots: list[float] = list(MAX_PREFILLS)
+        for run in state.running:
+            if run.first_token_s is None:
+                slots[lane_of(run.work.prompt_tokens, self._weights)] -= 1
+        return slots
+
+    def _choose(self, order: Sequence[_Plan], state: EngineState) -> _Plan | None:
         if not order:
             return None
         head = order[0]
-        if plans[head].blocks <= state.free_blocks:
+        if head.need.blocks <= state.free_blocks:
             return head
-        if plans[head].rank <= state.now_s and "backfill" not in self._without:
-            return self._backfill(head, order, plans, state)
-        return next((work for work in order if plans[work].blocks <= state.free_blocks), None)
+        if head.rank <= state.now_s and "backfill" not in self._without:
+            return self._backfill(head, order, state)
+        return next((plan for plan in order if plan.need.blocks <= state.free_blocks), None)
 
-    def _backfill(
-        self, head: Work, order: Sequence[Work], plans: dict[Work, _Plan], state: EngineState
-    ) -> Work | None:
+    def _backfill(self, head: _Plan, order: Sequence[_Plan], state: EngineState) -> _Plan | None:
         """Return work that ends before overdue work gets its blocks.
 
         Without this bound short work would take each block as it comes free, and a long prompt
@@ -257,13 +283,14 @@
             for run in state.running
         )
         for end_s, blocks in ends:
-            if free >= plans[head].blocks:
+            if free >= head.need.blocks:
                 break
             free, open_s = free + blocks, end_s
-        for work in order:
-            run_s = service_s(work, self.cost) + work.output_tokens * pace_s
-            if work is not head and plans[work].blocks <= state.free_blocks and run_s <= open_s:
-                return work
+        for plan in order:
+            run_s = plan.need.alone_s + plan.work.output_tokens * pace_s
+            fits = plan.need.blocks <= state.free_blocks and run_s <= open_s
+            if plan is not head and fits:
+                return plan
         return None
 
 
