--- a/packages/cli/src/sassafrastally/cli/daemon.py
+++ b/packages/cli/src/sassafrastally/cli/daemon.py
@@ -12,6 +12,7 @@
 
 from sassafrastally.cli.exit_codes import ExitCode
 from sassafrastally.cli.loading import load_for_role
+from sassafrastally.control.assemble import Surroundings
 from sassafrastally.core import FindingsError, Registry, TcpNetwork
 from sassafrastally.core.logs import configure_logs
 from sassafrastally.core.metrics_text import start_metrics
@@ -32,12 +33,12 @@
 
 @BUILDERS.register("entry")
 def _build_entry(settings: Settings) -> Kernel:
-    return build_entry(settings, make_platform(settings), TcpNetwork())
+    return build_entry(settings, Surroundings(make_platform(settings), TcpNetwork()))
 
 
 @BUILDERS.register("sidecar")
 def _build_sidecar(settings: Settings) -> Kernel:
-    return build_sidecar(settings, make_platform(settings), TcpNetwork())
+    return build_sidecar(settings, Surroundings(make_platform(settings), TcpNetwork()))
 
 
 def main(argv: Sequence[str] | None = None) -> int:
--- a/packages/entry/src/sassafrastally/entry/assemble.py
+++ b/packages/entry/src/sassafrastally/entry/assemble.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from sassafrastally.control.assemble import Surroundings, make_kernel
+from sassafrastally.control.assemble import make_kernel
 from sassafrastally.control.placement import PlacementService
 from sassafrastally.control.placement_settings import PlacementSettings
 from sassafrastally.control.signing import BundleSettings
@@ -19,52 +19,34 @@
 from sassafrastally.serving.receipts import ReceiptService, ReceiptSettings
 
 if TYPE_CHECKING:
-    from sassafrastally.core import Clock, Kernel, Network
+    from sassafrastally.control.assemble import Surroundings
+    from sassafrastally.core import Kernel
     from sassafrastally.core.settings import Settings
-    from sassafrastally.platform.service import PlatformService
 
 
-def build_entry(
-    settings: Settings,
-    platform: PlatformService,
-    network: Network,
-    clock: Clock | None = None,
-    seed: int | None = None,
-) -> Kernel:
+def build_entry(settings: Settings, around: Surroundings) -> Kernel:
     """Return the kernel of an entry that serves callers over HTTP, ready to run.
 
     Parameters
     ----------
     settings
         Checked settings of the role ``entry``.
-    platform
-        Clients of the platform.
-    network
-        Where links come from.
-    clock
-        The process's clock.
-    seed
-        Seed of the random source; the system's when it is ``None``.
+    around
+        What the process stands on.
     """
-    kernel = build_path(settings, platform, network, clock, seed)
+    kernel = build_path(settings, around)
     bundle_settings = settings.get(BundleSettings)
     kernel.add(AdminHttpService(settings.get(AdminSettings), bundle_settings))
     kernel.add(HttpService(settings.get(HttpSettings), settings.get(EntrySettings)))
     return kernel
 
 
-def build_path(
-    settings: Settings,
-    platform: PlatformService,
-    network: Network,
-    clock: Clock | None = None,
-    seed: int | None = None,
-) -> Kernel:
-    """Return the kernel of an entry without its HTTP server, for tests on the mock clock.
+def build_path(settings: Settings, around: Surroundings) -> Kernel:
+    """Return the kernel of an entry without its HTTP servers, for tests on the mock clock.
 
     The parameters are those of `build_entry`.
     """
-    kernel = make_kernel(settings, Surroundings(platform, network, clock, seed))
+    kernel = make_kernel(settings, around)
     kernel.add(ClaimService(settings.get(ClaimSettings)))
     kernel.add(LimitService())
     receipts = settings.get(ReceiptSettings)
--- a/packages/sidecar/benchmarks/request_path.py
+++ b/packages/sidecar/benchmarks/request_path.py
@@ -14,6 +14,7 @@
 import structlog
 import trio
 
+from sassafrastally.control.assemble import Surroundings
 from sassafrastally.control.membership import MembershipSettings
 from sassafrastally.control.signing import BundleSettings
 from sassafrastally.core import Address
@@ -171,7 +172,7 @@
     platform = PlatformService(FakeKv(KvModel(random.Random(1))), FakeVmList(VmListModel()))
     network = MemoryNetwork().host("reader-1")
     engine = _Engine()
-    kernel = build_sidecar(Settings("sidecar", sections), platform, network, engine)
+    kernel = build_sidecar(Settings("sidecar", sections), Surroundings(platform, network), engine)
     service = kernel.get("sidecar", SidecarService)
     async with trio.open_nursery() as nursery:
         await nursery.start(kernel.run)
--- a/packages/sidecar/tests/conftest.py
+++ b/packages/sidecar/tests/conftest.py
@@ -10,6 +10,7 @@
 import pytest
 import trio
 
+from sassafrastally.control.assemble import Surroundings
 from sassafrastally.control.membership import MembershipSettings
 from sassafrastally.control.signing import BundleSettings
 from sassafrastally.core import Address, Clock, Kernel
@@ -86,14 +87,16 @@
         kv = FakeKv(KvModel(random.Random(3)))
         self.kernel = build_sidecar(
             Settings("sidecar", sections),
-            PlatformService(kv, FakeVmList(self.vm_list)),
-            self.network.host(SIDECAR),
+            Surroundings(
+                PlatformService(kv, FakeVmList(self.vm_list)),
+                self.network.host(SIDECAR),
+                Clock(epoch_s=1e9),
+                seed=self.lives,
+            ),
             self.engine,
-            Clock(epoch_s=1e9),
-            seed=self.lives,
+            dict(callers),
         )
         self.service = self.kernel.get("sidecar", SidecarService)
-        self.service._clients = dict(callers)
         self.life = trio.CancelScope()
         await self.nursery.start(self._live)
 
--- a/packages/testing/src/sassafrastally/testing/deployment.py
+++ b/packages/testing/src/sassafrastally/testing/deployment.py
@@ -13,6 +13,7 @@
 
 import trio
 
+from sassafrastally.control.assemble import Surroundings
 from sassafrastally.control.publish import publish_bundle, sign_bundle
 from sassafrastally.control.rolling import RollOrder, read_head, roll_bundle
 from sassafrastally.control.signing import BundleSettings, SigningKey
@@ -22,7 +23,6 @@
 from sassafrastally.entry.assemble import build_path
 from sassafrastally.platform import PlatformService, VmState
 from sassafrastally.sidecar import build_sidecar
-from sassafrastally.sidecar.service import SidecarService
 from sassafrastally.testing.engine_fake import FakeEngine
 from sassafrastally.testing.engine_model import EngineModel, EngineShape
 from sassafrastally.testing.kv_fake import FakeKv
@@ -283,17 +283,19 @@
             settings = self._settings(spec, str(known) if known else "127.0.0.1:0")
             network: Network = self.network.host(spec.vm)
             build: Callable[..., Kernel] = build_path
+            services = self._in_process(spec)
         else:
             settings = self._settings(spec, "127.0.0.1:0")
-            network, build = self.network, build_entry
+            network, build, services = self.network, build_entry, None
+        around = Surroundings(platform, network, clock, seed)
         if spec.role == "entry":
-            return build(settings, platform, network, clock, seed)
-        engine = self.engine_clients.get(spec.vm)
-        kernel = build_sidecar(settings, platform, network, engine, clock, seed)
-        if spec.service and isinstance(self.network, MemoryNetwork):
-            client = FakePlainClient(self.services[spec.vm])
-            kernel.get("sidecar", SidecarService)._clients = {spec.service: client}
-        return kernel
+            return build(settings, around)
+        return build_sidecar(settings, around, self.engine_clients.get(spec.vm), services)
+
+    def _in_process(self, spec: VmSpec) -> dict[str, FakePlainClient]:
+        if not spec.service:
+            return {}
+        return {spec.service: FakePlainClient(self.services[spec.vm])}
 
     def _settings(self, spec: VmSpec, listen: str) -> Settings:
         text = SETTINGS.format(
