--- a/packages/testing/src/sassafrastally/testing/measure_path.py
+++ b/packages/testing/src/sassafrastally/testing/measure_path.py
@@ -26,6 +26,8 @@
 REQUESTS = 200
 TOKENS = 8
 CONCURRENCIES = (1, 8)
+STREAMS = 24
+STREAM_TOKENS = 300
 WARM_UP = 20
 IDLE_S = 5.0
 MEGABYTE = 1e6
@@ -44,8 +46,9 @@
 class Series:
     """Answers of one target."""
 
-    def __init__(self, url: str) -> None:
+    def __init__(self, url: str, tokens: int = TOKENS) -> None:
         self.url = url
+        self.tokens = tokens
         self.timings: list[Timing] = []
 
     async def ask(self, client: httpx.AsyncClient, number: int) -> None:
@@ -53,7 +56,7 @@
         body = {
             "model": "parcel-reader",
             "prompt": f"duty {number}?",
-            "max_tokens": TOKENS,
+            "max_tokens": self.tokens,
             "stream": True,
         }
         began_s, first_s = time.perf_counter(), 0.0
@@ -97,10 +100,35 @@
         for vm, before_s in used_s.items():
             each_ms = 1e3 * (fleet.processor_s(vm) - before_s) / (WARM_UP + REQUESTS)
             print(f"  {vm}: {each_ms:.1f} ms of processor time a request")
+    _measure_streams(fleet, path)
     for vm in DAEMONS:
         print(f"{vm}: {fleet.resident_bytes(vm) / MEGABYTE:.0f} MB resident, after the requests")
 
 
+def _measure_streams(fleet: ProcessFleet, path: str) -> None:
+    """Print how many tokens a second one core of each daemon relays."""
+    used_s = {vm: fleet.processor_s(vm) for vm in DAEMONS}
+    began_s = time.perf_counter()
+    trio.run(_stream_many, path)
+    tokens = STREAMS * STREAM_TOKENS
+    rate = tokens / (time.perf_counter() - began_s)
+    print(f"{STREAMS} streams of {STREAM_TOKENS} tokens at once: {rate:,.0f} tokens/s")
+    for vm, before_s in used_s.items():
+        spent_s = fleet.processor_s(vm) - before_s
+        print(f"  {vm}: {tokens / spent_s:,.0f} tokens for each second of its processor time")
+
+
+async def _stream_many(path: str) -> None:
+    series = Series(path, STREAM_TOKENS)
+    limits = httpx.Limits(max_connections=STREAMS)
+    async with (
+        httpx.AsyncClient(limits=limits, timeout=60.0, trust_env=False) as client,
+        trio.open_nursery() as nursery,
+    ):
+        for number in range(STREAMS):
+            nursery.start_soon(series.ask, client, number)
+
+
 def _answers(url: str) -> bool:
     body = {"model": "parcel-reader", "prompt": "ready?", "max_tokens": 1}
     try:
