Let a shown answer wait out a passing refusal of its retry

Cause: any refusal ended the request at once, also that of a retry: a stream with two words shown and ten minutes left failed after 0.09 s because the only other replica was full at that moment (found by a scenario). Ruled out: pausing on a first refusal (a request that was never begun is answered at once). Change: once something has run, a refusal of all candidates is a pause within the bounds of retries. Red before, green after: test_passing_refusal_does_not_end_a_shown_answer. One test gives its refusals four times now, since one no longer ends the request; what it asserts is unchanged.

--- a/packages/entry/src/sassafrastally/entry/execution.py
+++ b/packages/entry/src/sassafrastally/entry/execution.py
@@ -208,7 +208,12 @@
                 asks.extend(_unbounded(one) for one in chosen if one.candidate.vm == least)
                 waits.clear()
         if refused:
-            raise _refusal_of(min(refused, key=_come_back_s))
+            best = min(refused, key=_come_back_s)
+            if not self._history.begun:
+                raise _refusal_of(best)
+            # Something ran already, so this is a retry's refusal: it may pass before the limit.
+            await self._pause_before_retry(best.retry_after_s, _refusal_of(best))
+            return False
         await self._pause_before_retry(0.0, self._no_replica(len(chosen)))
         return False
 
