--- a/packages/cli/src/sassafrastally/cli/__init__.py
+++ b/packages/cli/src/sassafrastally/cli/__init__.py
@@ -1,1 +1,1 @@
-"""Package cli."""
+"""The two programs: ``sassafrastallyd``, one process, and ``sassafrastally``, for operators."""
--- a/packages/testing/src/sassafrastally/testing/__init__.py
+++ b/packages/testing/src/sassafrastally/testing/__init__.py
@@ -1,1 +1,1 @@
-"""Package testing."""
+"""Stand-ins of what the system meets, whole deployments, scenarios, measures and the bench."""
