Compare the frame reader with a naive one, and cut its bytes for real

Cause: the test of frames "however the bytes are cut" fed trio's memory stream, which joins what waits in it, so that the reader always got all bytes at once: a reader that forgot the rest of its buffer stayed green. Change: a stream that gives one piece a read; a differential test over damaged bytes and cuts drawn with a fixed seed.

--- a/packages/wire/tests/test_framing.py
+++ b/packages/wire/tests/test_framing.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 from contextlib import suppress
 
 import pytest
@@ -11,6 +12,7 @@
 from hypothesis import strategies as st
 
 from sassafrastally.wire import (
+    MAX_FRAME_BYTES,
     BadFrame,
     Chunk,
     Frame,
@@ -20,7 +22,7 @@
     decode_frame,
     encode_frame,
 )
-from sassafrastally.wire.framing import FrameReader, FrameWriter, frame_bytes
+from sassafrastally.wire.framing import LENGTH_BYTES, FrameReader, FrameWriter, frame_bytes
 
 FRAMES = [Frame(n, n, Chunk("r" * 32, 1, n, 1, b"token" * n)) for n in range(40)]
 FIXED = settings(derandomize=True, max_examples=300, deadline=None, database=None)
@@ -37,12 +39,22 @@
     return bytes(data)
 
 
+class Pieces(trio.abc.ReceiveStream):
+    """Gives one piece for each read; trio's memory stream would join what waits in it."""
+
+    def __init__(self, pieces):
+        self._pieces = [piece for piece in pieces if piece]
+
+    async def receive_some(self, max_bytes=None):
+        await trio.lowlevel.checkpoint()
+        return self._pieces.pop(0) if self._pieces else b""
+
+    async def aclose(self):
+        self._pieces.clear()
+
+
 async def read_all(*pieces):
-    stream = trio.testing.MemoryReceiveStream()
-    for piece in pieces:
-        stream.put_data(piece)
-    stream.put_eof()
-    reader = FrameReader(stream)
+    reader = FrameReader(Pieces(pieces))
     frames = []
     with pytest.raises((LinkCut, BadFrame)):
         while True:
@@ -50,6 +62,20 @@
     return frames
 
 
+def read_naively(data):
+    frames = []
+    while len(data) >= LENGTH_BYTES:
+        size = int.from_bytes(data[:LENGTH_BYTES], "big")
+        body, data = data[LENGTH_BYTES : LENGTH_BYTES + size], data[LENGTH_BYTES + size :]
+        if size > MAX_FRAME_BYTES or len(body) < size:
+            return frames
+        try:
+            frames.append(decode_frame(body))
+        except BadFrame:
+            return frames
+    return frames
+
+
 class TestFrameReader:
     async def test_frames_come_whole_however_the_bytes_are_cut(self):
         data = b"".join(frame_bytes(frame) for frame in FRAMES)
@@ -62,6 +88,14 @@
         """A peer's memory or its program is broken: the reader ends with an error of its own."""
         trio.run(read_all, data)
 
+    @FIXED
+    @given(damaged(VALID), st.lists(st.integers(0, len(VALID)), max_size=12))
+    def test_agrees_with_a_naive_reader(self, data, cuts):
+        """The naive reader has all bytes at once and cuts frame after frame off their front."""
+        edges = sorted({0, *(min(cut, len(data)) for cut in cuts), len(data)})
+        pieces = [data[begin:end] for begin, end in itertools.pairwise(edges)]
+        assert trio.run(read_all, *pieces) == read_naively(data)
+
 
 class TestDecodeFrame:
     @FIXED
