--- a/packages/serving/src/sassafrastally/serving/claim_batches.py
+++ b/packages/serving/src/sassafrastally/serving/claim_batches.py
@@ -45,8 +45,12 @@
 CONFLICT_BASE_S = 0.005
 CONFLICT_CAP_S = 0.2
 
-BATCH_SIZE = histogram("claims.batch", "claims", "Claims in one write to the KV service.")
-CONFLICTS = counter("claims.conflicts", "writes", "Writes that met another entry's write.")
+BATCH_SIZE = histogram(
+    "sassafrastally.claims.batch", "claims", "Claims in one write to the KV service."
+)
+CONFLICTS = counter(
+    "sassafrastally.claims.conflicts", "writes", "Writes that met another entry's write."
+)
 
 
 FAILURE_REPORT_S = 10.0
--- a/packages/serving/src/sassafrastally/serving/claims.py
+++ b/packages/serving/src/sassafrastally/serving/claims.py
@@ -58,8 +58,10 @@
 
 MAX_RETRY_AFTER_S = 3_600.0
 
-SETTLED = counter("claims.settled", "claims", "Answers to claims of this entry, by state.")
-CLAIM_TIME = histogram("claims.time", "s", "Time from a claim to its answer.")
+SETTLED = counter(
+    "sassafrastally.claims.settled", "claims", "Answers to claims of this entry, by state."
+)
+CLAIM_TIME = histogram("sassafrastally.claims.time", "s", "Time from a claim to its answer.")
 
 
 class ClaimService(Service):
--- a/packages/serving/src/sassafrastally/serving/explanations.py
+++ b/packages/serving/src/sassafrastally/serving/explanations.py
@@ -38,7 +38,7 @@
     when = datetime.fromtimestamp(facts.wall_s, UTC).strftime("%Y-%m-%d %H:%M:%S UTC")
     person = [title, *_figures(facts), _outcome(facts), _return(facts)]
     operator = [
-        f"Request     {facts.request_id}",
+        f"Request     {facts.request_id or 'refused before it got a name'}",
         f"Given       {when} by {facts.vm} in {facts.data_centre}",
         f"Customer    {facts.customer or 'not known'}",
         f"Code        {facts.code}, outcome {facts.outcome}",
--- a/packages/serving/src/sassafrastally/serving/limits.py
+++ b/packages/serving/src/sassafrastally/serving/limits.py
@@ -40,8 +40,12 @@
 RELAXED_REPORT_S = 5.0
 """How often a customer is reported that is far from its limit."""
 
-REFUSED = counter("limits.refused", "requests", "Requests over a customer's limit, by code.")
-ON_SHARE = counter("limits.on_share", "requests", "Requests judged by the entry's equal share.")
+REFUSED = counter(
+    "sassafrastally.limits.refused", "requests", "Requests over a customer's limit, by code."
+)
+ON_SHARE = counter(
+    "sassafrastally.limits.on_share", "requests", "Requests judged by the entry's equal share."
+)
 
 
 @event(5111, "warning")
