Call the package of store clients stores, and move the KV interface to core

Change: packages/platform becomes packages/stores; KvEntry, KvWrite, their errors and the Kv interface move to sassafrastally.core.kv. No behaviour changes.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 PYTHON ?= python3
 VENV := .venv
 BIN := $(VENV)/bin
-PACKAGES := core wire platform control serving entry sidecar testing cli
+PACKAGES := core wire stores control serving entry sidecar testing cli
 STAMP := $(VENV)/.installed
 TOOLS := hatchling editables pytest pytest-trio syrupy hypothesis mypy ruff black trustme
 
--- a/packages/cli/src/sassafrastally/cli/bundle.py
+++ b/packages/cli/src/sassafrastally/cli/bundle.py
@@ -25,8 +25,8 @@
 )
 from sassafrastally.core import Finding, FindingsError, Place
 from sassafrastally.core.settings import check_table
-from sassafrastally.platform import EtcdKv
-from sassafrastally.platform.settings import KvSettings, PurposeBudget
+from sassafrastally.stores import EtcdKv
+from sassafrastally.stores.settings import KvSettings, PurposeBudget
 
 if TYPE_CHECKING:
     import argparse
@@ -35,7 +35,7 @@
     from sassafrastally.control.bundle import Bundle
     from sassafrastally.control.diff import Change
     from sassafrastally.control.head import Head
-    from sassafrastally.platform.interfaces import Kv
+    from sassafrastally.core.kv import Kv
 
     Run = Callable[[argparse.Namespace], Awaitable[int]]
     Subparsers = argparse._SubParsersAction[argparse.ArgumentParser]
--- a/packages/cli/src/sassafrastally/cli/command.py
+++ b/packages/cli/src/sassafrastally/cli/command.py
@@ -12,7 +12,7 @@
 from sassafrastally.cli.admin_client import AdminUnavailable
 from sassafrastally.cli.exit_codes import ExitCode
 from sassafrastally.core import CodedError, FindingsError
-from sassafrastally.platform import KvConflict, KvUnavailable, MaybeApplied
+from sassafrastally.stores import KvConflict, KvUnavailable, MaybeApplied
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
--- a/packages/cli/src/sassafrastally/cli/daemon.py
+++ b/packages/cli/src/sassafrastally/cli/daemon.py
@@ -18,8 +18,8 @@
 from sassafrastally.core.metrics_text import start_metrics
 from sassafrastally.core.settings import ProcessSettings
 from sassafrastally.entry import build_entry
-from sassafrastally.platform import make_platform
 from sassafrastally.sidecar import build_sidecar
+from sassafrastally.stores import make_platform
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
--- a/packages/control/benchmarks/bundle_processes.py
+++ b/packages/control/benchmarks/bundle_processes.py
@@ -24,7 +24,7 @@
 from sassafrastally.control.spread import BundleService
 from sassafrastally.core import Address, Kernel, TcpNetwork
 from sassafrastally.core.settings import Secret
-from sassafrastally.platform import (
+from sassafrastally.stores import (
     EtcdKv,
     KvSettings,
     PlatformService,
--- a/packages/control/src/sassafrastally/control/admin.py
+++ b/packages/control/src/sassafrastally/control/admin.py
@@ -15,7 +15,7 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable, Sequence
 
-    from sassafrastally.platform.interfaces import VmState
+    from sassafrastally.stores.interfaces import VmState
     from sassafrastally.wire.link import Peers, Stream
 
 ASK_TIME_LIMIT_S = 3.0
--- a/packages/control/src/sassafrastally/control/assemble.py
+++ b/packages/control/src/sassafrastally/control/assemble.py
@@ -12,14 +12,14 @@
 from sassafrastally.control.spread import BundleService
 from sassafrastally.core import Kernel
 from sassafrastally.core.settings import ProcessSettings
-from sassafrastally.platform.settings import VmListSettings
+from sassafrastally.stores.settings import VmListSettings
 from sassafrastally.wire.peers import PeerService
 from sassafrastally.wire.settings import PeerSettings
 
 if TYPE_CHECKING:
     from sassafrastally.core import Clock, Network
     from sassafrastally.core.settings import Settings
-    from sassafrastally.platform.service import PlatformService
+    from sassafrastally.stores.service import PlatformService
 
 
 class Surroundings(NamedTuple):
--- a/packages/control/src/sassafrastally/control/fetch.py
+++ b/packages/control/src/sassafrastally/control/fetch.py
@@ -17,7 +17,7 @@
 )
 from sassafrastally.control.publish import within_budget
 from sassafrastally.core import CodedError, error
-from sassafrastally.platform.interfaces import KvUnavailable
+from sassafrastally.core.kv import KvUnavailable
 from sassafrastally.wire.codec import BadFrame
 from sassafrastally.wire.link import LinkCut, LinkRefused, StreamEnded
 from sassafrastally.wire.messages import PartsReply, PartsRequest
@@ -29,7 +29,7 @@
     from sassafrastally.control.parts import Manifest
     from sassafrastally.control.store import PartStore
     from sassafrastally.core import EventLog
-    from sassafrastally.platform.interfaces import Kv
+    from sassafrastally.core.kv import Kv
     from sassafrastally.wire.link import Link
 
 MAX_REPLY_BYTES = 192 * 1024
--- a/packages/control/src/sassafrastally/control/interfaces.py
+++ b/packages/control/src/sassafrastally/control/interfaces.py
@@ -6,7 +6,7 @@
 
 if TYPE_CHECKING:
     from sassafrastally.control.bundle import BundleInForce
-    from sassafrastally.platform.interfaces import VmState
+    from sassafrastally.stores.interfaces import VmState
     from sassafrastally.wire.messages import LoadReport
 
 
--- a/packages/control/src/sassafrastally/control/lease_holder.py
+++ b/packages/control/src/sassafrastally/control/lease_holder.py
@@ -15,21 +15,15 @@
 
 from sassafrastally.control.canonical import BadEncoding, canonical_bytes, load_object
 from sassafrastally.core import CodedError, error
+from sassafrastally.core.kv import KvConflict, KvUnavailable, KvWrite, LeaseLost, MaybeApplied
 from sassafrastally.core.settings import check_table
-from sassafrastally.platform.interfaces import (
-    KvConflict,
-    KvUnavailable,
-    KvWrite,
-    LeaseLost,
-    MaybeApplied,
-)
-from sassafrastally.platform.readback import write_with_readback
+from sassafrastally.stores.readback import write_with_readback
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
     from sassafrastally.core import Kernel
-    from sassafrastally.platform.interfaces import Kv, KvEntry
+    from sassafrastally.core.kv import Kv, KvEntry
 
 RENEWALS_PER_LEASE = 3
 MAX_FENCE_BYTES = 1024
--- a/packages/control/src/sassafrastally/control/membership.py
+++ b/packages/control/src/sassafrastally/control/membership.py
@@ -10,7 +10,7 @@
 from sassafrastally.control.subset import choose_subset
 from sassafrastally.core import Service, counter, event
 from sassafrastally.core.settings import section
-from sassafrastally.platform import PlatformService, PlatformUnavailable, full_jitter
+from sassafrastally.stores import PlatformService, PlatformUnavailable, full_jitter
 from sassafrastally.wire.link import LinkCut, LinkRefused
 from sassafrastally.wire.messages import LoadReport
 
@@ -19,7 +19,7 @@
 
     from sassafrastally.control.interfaces import BundleSource
     from sassafrastally.core import Incarnation
-    from sassafrastally.platform import VmState
+    from sassafrastally.stores import VmState
     from sassafrastally.wire.link import Link, PeerIdentity, Peers
     from sassafrastally.wire.messages import Message
 
--- a/packages/control/src/sassafrastally/control/operations.py
+++ b/packages/control/src/sassafrastally/control/operations.py
@@ -39,7 +39,7 @@
     from sassafrastally.control.bundle import Bundle
     from sassafrastally.control.head import Head
     from sassafrastally.control.signing import BundleSettings
-    from sassafrastally.platform.interfaces import Kv
+    from sassafrastally.core.kv import Kv
 
 WATCHERS = ROOT + "watcher/"
 
--- a/packages/control/src/sassafrastally/control/parts.py
+++ b/packages/control/src/sassafrastally/control/parts.py
@@ -28,8 +28,8 @@
 )
 from sassafrastally.control.rules import entry_problems, name_problems, whole_problems
 from sassafrastally.core import CodedError, error
+from sassafrastally.core.kv import MAX_VALUE_BYTES
 from sassafrastally.core.settings import check_table
-from sassafrastally.platform.interfaces import MAX_VALUE_BYTES
 
 if TYPE_CHECKING:
     from collections.abc import Mapping, Sequence
--- a/packages/control/src/sassafrastally/control/placement.py
+++ b/packages/control/src/sassafrastally/control/placement.py
@@ -26,8 +26,8 @@
 from sassafrastally.control.placement_settings import PlacementSettings
 from sassafrastally.control.placement_work import PlacementWork
 from sassafrastally.core import CodedError, Service
-from sassafrastally.platform.interfaces import KvUnavailable, LeaseLost, MaybeApplied
-from sassafrastally.platform.service import PlatformService
+from sassafrastally.core.kv import KvUnavailable, LeaseLost, MaybeApplied
+from sassafrastally.stores.service import PlatformService
 
 if TYPE_CHECKING:
     from sassafrastally.control.bundle import Model
--- a/packages/control/src/sassafrastally/control/placement_fleet.py
+++ b/packages/control/src/sassafrastally/control/placement_fleet.py
@@ -16,7 +16,7 @@
     from sassafrastally.control.interfaces import Membership
     from sassafrastally.control.placement_orders import OrderSender
     from sassafrastally.control.placement_plan import EngineLine
-    from sassafrastally.platform.interfaces import VmState
+    from sassafrastally.stores.interfaces import VmState
     from sassafrastally.wire.messages import PlacementReply
 
 SIDECAR_ROLE = "sidecar"
--- a/packages/control/src/sassafrastally/control/placement_orders.py
+++ b/packages/control/src/sassafrastally/control/placement_orders.py
@@ -14,7 +14,7 @@
 if TYPE_CHECKING:
     from sassafrastally.control.lease_holder import Tenure
     from sassafrastally.control.placement_plan import Step
-    from sassafrastally.platform.interfaces import VmState
+    from sassafrastally.stores.interfaces import VmState
     from sassafrastally.wire.link import Peers
 
 
--- a/packages/control/src/sassafrastally/control/placement_record.py
+++ b/packages/control/src/sassafrastally/control/placement_record.py
@@ -15,14 +15,14 @@
 from sassafrastally.control.canonical import BadEncoding, canonical_bytes, load_object
 from sassafrastally.control.lease_holder import HolderKeys, decode_fence
 from sassafrastally.control.placement_plan import EngineLine
+from sassafrastally.core.kv import MAX_VALUE_BYTES, KvWrite
 from sassafrastally.core.settings import check_table
-from sassafrastally.platform.interfaces import MAX_VALUE_BYTES, KvWrite
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Mapping
 
     from sassafrastally.control.lease_holder import Tenure
-    from sassafrastally.platform.interfaces import Kv
+    from sassafrastally.core.kv import Kv
 
 ROOT = "sassafrastally/placement/"
 PART_PREFIX = ROOT + "part/"
--- a/packages/control/src/sassafrastally/control/placement_work.py
+++ b/packages/control/src/sassafrastally/control/placement_work.py
@@ -15,7 +15,7 @@
 )
 from sassafrastally.control.placement_orders import PlacementAction, PlacementState
 from sassafrastally.control.placement_plan import VERSION_MARK, may_unload, next_step, serves
-from sassafrastally.platform.interfaces import PlatformUnavailable
+from sassafrastally.stores.interfaces import PlatformUnavailable
 
 if TYPE_CHECKING:
     from collections.abc import Mapping, Sequence
@@ -26,7 +26,7 @@
     from sassafrastally.control.placement_plan import EngineLine, Step
     from sassafrastally.control.placement_settings import PlacementSettings
     from sassafrastally.core import Kernel
-    from sassafrastally.platform.interfaces import WeightStore
+    from sassafrastally.stores.interfaces import WeightStore
     from sassafrastally.wire.messages import PlacementReply
 
 _LOADS = (PlacementAction.LOAD, PlacementAction.LOAD_ADAPTER)
--- a/packages/control/src/sassafrastally/control/publish.py
+++ b/packages/control/src/sassafrastally/control/publish.py
@@ -37,18 +37,13 @@
     verify_signature,
 )
 from sassafrastally.core import CodedError, error
-from sassafrastally.platform.interfaces import (
-    KvBudgetSpent,
-    KvConflict,
-    KvWrite,
-    MaybeApplied,
-)
+from sassafrastally.core.kv import KvBudgetSpent, KvConflict, KvWrite, MaybeApplied
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
     from sassafrastally.control.bundle import Bundle
-    from sassafrastally.platform.interfaces import Kv, KvEntry
+    from sassafrastally.core.kv import Kv, KvEntry
 
 MAX_WRITE_ATTEMPTS = 5
 T = TypeVar("T")
--- a/packages/control/src/sassafrastally/control/rolling.py
+++ b/packages/control/src/sassafrastally/control/rolling.py
@@ -11,15 +11,10 @@
 from sassafrastally.control.publish import load_bundle, load_signatures, within_budget
 from sassafrastally.control.signing import BundleSettings, Signature, SigningKey, verify_signature
 from sassafrastally.core import CodedError, error
-from sassafrastally.platform.interfaces import (
-    KvConflict,
-    KvUnavailable,
-    KvWrite,
-    MaybeApplied,
-)
+from sassafrastally.core.kv import KvConflict, KvUnavailable, KvWrite, MaybeApplied
 
 if TYPE_CHECKING:
-    from sassafrastally.platform.interfaces import Kv, KvEntry
+    from sassafrastally.core.kv import Kv, KvEntry
 
 MAX_ROLL_ATTEMPTS = 5
 NONCE_CHARACTERS = 32
--- a/packages/control/src/sassafrastally/control/spread.py
+++ b/packages/control/src/sassafrastally/control/spread.py
@@ -39,14 +39,14 @@
 from sassafrastally.control.store import PartStore
 from sassafrastally.control.watching import Watcher
 from sassafrastally.core import CodedError, Service
-from sassafrastally.platform.interfaces import KvUnavailable
-from sassafrastally.platform.service import PlatformService
+from sassafrastally.core.kv import KvUnavailable
+from sassafrastally.stores.service import PlatformService
 from sassafrastally.wire.link import LinkCut, StreamEnded
 from sassafrastally.wire.messages import HeadNotice, Message, PartsRequest
 
 if TYPE_CHECKING:
     from sassafrastally.control.signing import BundleSettings
-    from sassafrastally.platform.interfaces import Kv
+    from sassafrastally.core.kv import Kv
     from sassafrastally.wire.link import Link, PeerIdentity, Peers, Stream
 
 KV = "kv"
--- a/packages/control/src/sassafrastally/control/watching.py
+++ b/packages/control/src/sassafrastally/control/watching.py
@@ -20,18 +20,12 @@
     watcher_key,
     watcher_prefix,
 )
-from sassafrastally.platform.interfaces import (
-    KvConflict,
-    KvUnavailable,
-    KvWrite,
-    LeaseLost,
-    MaybeApplied,
-)
+from sassafrastally.core.kv import KvConflict, KvUnavailable, KvWrite, LeaseLost, MaybeApplied
 
 if TYPE_CHECKING:
     from sassafrastally.control.signing import BundleSettings
     from sassafrastally.core import Kernel
-    from sassafrastally.platform.interfaces import Kv, KvEvent
+    from sassafrastally.core.kv import Kv, KvEvent
 
 FIRST_ATTEMPT_S = 1.0
 RETRY_CAP_S = 5.0
--- a/packages/control/tests/test_membership.py
+++ b/packages/control/tests/test_membership.py
@@ -12,7 +12,7 @@
 from sassafrastally.control.membership import MembershipService, MembershipSettings
 from sassafrastally.control.subset import choose_subset
 from sassafrastally.core import Address, Incarnation, Kernel, Service
-from sassafrastally.platform import PlatformService, VmState
+from sassafrastally.stores import PlatformService, VmState
 from sassafrastally.testing.vm_list import FakeVmList, VmListFaults, VmListModel
 from sassafrastally.wire.link import Link, LinkRefused, PeerIdentity
 from sassafrastally.wire.messages import LoadReport
@@ -21,7 +21,7 @@
     from collections.abc import AsyncIterator, Awaitable, Callable
     from contextlib import AbstractAsyncContextManager
 
-    from sassafrastally.platform import Kv
+    from sassafrastally.stores import Kv
     from sassafrastally.wire.messages import Message
 
 POLL_S = 2.0
--- a/packages/control/tests/test_placement.py
+++ b/packages/control/tests/test_placement.py
@@ -20,9 +20,9 @@
 from sassafrastally.control.placement_work import PlacementWork
 from sassafrastally.core import Address, Kernel
 from sassafrastally.entry import CallerRequest, RequestPath
-from sassafrastally.platform import KvWrite, VmState
 from sassafrastally.serving.refusals import Refusal
 from sassafrastally.sidecar.placement_agent import PlacementAgent, PlacementAgentSettings
+from sassafrastally.stores import KvWrite, VmState
 from sassafrastally.testing.deployment import Deployment, DeploymentShape, VmSpec, key_digest
 from sassafrastally.testing.engine_model import EngineShape
 from sassafrastally.testing.kv_fake import FakeKv
--- a/packages/control/tests/test_rolling.py
+++ b/packages/control/tests/test_rolling.py
@@ -30,7 +30,7 @@
     WithdrawnSigner,
     make_key,
 )
-from sassafrastally.platform import KvUnavailable, KvWrite, MaybeApplied
+from sassafrastally.stores import KvUnavailable, KvWrite, MaybeApplied
 from sassafrastally.testing.kv_fake import FakeKv
 from sassafrastally.testing.kv_model import KvFaults, KvModel
 
--- a/packages/control/tests/test_spread_history.py
+++ b/packages/control/tests/test_spread_history.py
@@ -6,7 +6,7 @@
 import trio
 
 from sassafrastally.control.rolling import RollLost
-from sassafrastally.platform import KvUnavailable, MaybeApplied
+from sassafrastally.stores import KvUnavailable, MaybeApplied
 from sassafrastally.testing.kv_model import KvFaults
 from sassafrastally.wire.link import LinkCut
 from sassafrastally.wire.messages import HeadNotice
--- a/packages/core/src/sassafrastally/core/__init__.py
+++ b/packages/core/src/sassafrastally/core/__init__.py
@@ -9,6 +9,18 @@
 from sassafrastally.core.hlc import HybridClock, stamp_wall_s
 from sassafrastally.core.ids import Incarnation, RequestId, new_incarnation, new_request_id
 from sassafrastally.core.kernel import Kernel, KernelError, Service
+from sassafrastally.core.kv import (
+    MAX_VALUE_BYTES,
+    Kv,
+    KvBudgetSpent,
+    KvConflict,
+    KvEntry,
+    KvEvent,
+    KvUnavailable,
+    KvWrite,
+    LeaseLost,
+    MaybeApplied,
+)
 from sassafrastally.core.metrics import METRICS, MetricKind, counter, gauge, histogram
 from sassafrastally.core.network import Address, Network, TcpNetwork
 from sassafrastally.core.registry import Registry
@@ -16,6 +28,7 @@
 __all__ = [
     "CATALOGUE",
     "ERRORS",
+    "MAX_VALUE_BYTES",
     "METRICS",
     "Address",
     "Clock",
@@ -29,6 +42,15 @@
     "Incarnation",
     "Kernel",
     "KernelError",
+    "Kv",
+    "KvBudgetSpent",
+    "KvConflict",
+    "KvEntry",
+    "KvEvent",
+    "KvUnavailable",
+    "KvWrite",
+    "LeaseLost",
+    "MaybeApplied",
     "MetricKind",
     "Network",
     "Place",
--- a/packages/platform/src/sassafrastally/platform/interfaces.py
+++ b/packages/core/src/sassafrastally/core/kv.py
@@ -1,14 +1,10 @@
-"""Interfaces of the platform: KV service, VM list and weight store.
-
-The HTTP clients of this package implement them; tests put fakes in their place.
-"""
+"""The key-value service as an interface, with the types and errors of its calls."""
 
 from __future__ import annotations
 
 from typing import TYPE_CHECKING, NamedTuple, Protocol
 
-# Address at run time too: settings of a VM list are checked against the types below.
-from sassafrastally.core import Address, CodedError, error
+from sassafrastally.core.errors import CodedError, error
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Sequence
@@ -77,11 +73,6 @@
     """The lease has lapsed or was revoked."""
 
 
-@error(3006)
-class PlatformUnavailable(CodedError):
-    """The VM list or the weight store doesn't answer."""
-
-
 class Kv(Protocol):
     """The platform's key-value service.
 
@@ -134,32 +125,3 @@
         watches anew.
         """
         ...
-
-
-class VmState(NamedTuple):
-    """One line of the VM list."""
-
-    vm: str
-    role: str
-    """``entry`` or ``sidecar``."""
-    data_centre: str
-    region: str
-    peer_address: Address
-    """Where the process takes links."""
-    leaving: bool = False
-
-
-class VmList(Protocol):
-    """The platform's lagging list of VMs."""
-
-    async def list_vms(self) -> list[VmState]:
-        """Return the live and leaving VMs; raises `PlatformUnavailable`."""
-        ...
-
-
-class WeightStore(Protocol):
-    """The platform's rate-limited store of model weights."""
-
-    async def reserve_load(self, model: str, version: str) -> float:
-        """Return after how many seconds a load may begin; raises `PlatformUnavailable`."""
-        ...
--- a/packages/entry/benchmarks/relay.py
+++ b/packages/entry/benchmarks/relay.py
@@ -27,8 +27,8 @@
 from sassafrastally.entry.http import HttpService
 from sassafrastally.entry.path import RequestPath
 from sassafrastally.entry.settings import EntrySettings, HttpSettings
-from sassafrastally.platform.interfaces import VmState
 from sassafrastally.serving import policies  # noqa: F401
+from sassafrastally.stores.interfaces import VmState
 from sassafrastally.wire.link import LinkCut, Stream, StreamEnded
 from sassafrastally.wire.messages import Chunk, Commit, End, LoadReport, Message, Reserve, Reserved
 from sassafrastally.wire.peers import PeerService
--- a/packages/entry/src/sassafrastally/entry/admin.py
+++ b/packages/entry/src/sassafrastally/entry/admin.py
@@ -23,12 +23,12 @@
 from sassafrastally.control.spread import BundleService
 from sassafrastally.control.timeline import merge_events
 from sassafrastally.core import Address, CodedError, FindingsError, Service, error, event
+from sassafrastally.core.kv import KvConflict, KvUnavailable, MaybeApplied
 from sassafrastally.core.settings import section
 from sassafrastally.entry.asgi import AsgiServer, ServerBounds
-from sassafrastally.platform.interfaces import KvConflict, KvUnavailable, MaybeApplied
-from sassafrastally.platform.service import PlatformService
 from sassafrastally.serving.explanations import explain
 from sassafrastally.serving.receipts import ReceiptService
+from sassafrastally.stores.service import PlatformService
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -36,7 +36,8 @@
     import trio
 
     from sassafrastally.control.interfaces import Membership
-    from sassafrastally.platform.interfaces import Kv, VmState
+    from sassafrastally.core.kv import Kv
+    from sassafrastally.stores.interfaces import VmState
 
 ROLES = ("entry", "sidecar")
 
--- a/packages/entry/tests/conftest.py
+++ b/packages/entry/tests/conftest.py
@@ -23,9 +23,9 @@
 from sassafrastally.entry.relay import EVENT_STREAM
 from sassafrastally.entry.request import COMPLETIONS, CallerRequest
 from sassafrastally.entry.settings import EntrySettings, HttpSettings
-from sassafrastally.platform.interfaces import VmState
 from sassafrastally.serving import policies  # noqa: F401
 from sassafrastally.serving.outcome import AttemptState
+from sassafrastally.stores.interfaces import VmState
 from sassafrastally.wire.link import LinkCut, LinkRefused, StreamEnded
 from sassafrastally.wire.messages import (
     Attach,
--- a/packages/serving/src/sassafrastally/serving/claim_batches.py
+++ b/packages/serving/src/sassafrastally/serving/claim_batches.py
@@ -8,14 +8,7 @@
 import trio
 
 from sassafrastally.core import counter, event, histogram
-from sassafrastally.platform.backoff import full_jitter
-from sassafrastally.platform.interfaces import (
-    KvBudgetSpent,
-    KvConflict,
-    KvUnavailable,
-    LeaseLost,
-    MaybeApplied,
-)
+from sassafrastally.core.kv import KvBudgetSpent, KvConflict, KvUnavailable, LeaseLost, MaybeApplied
 from sassafrastally.serving.claim_shard import (
     BadClaimValue,
     Claim,
@@ -25,6 +18,7 @@
     ClaimState,
 )
 from sassafrastally.serving.claim_store import ShardFull
+from sassafrastally.stores.backoff import full_jitter
 
 if TYPE_CHECKING:
     from random import Random
--- a/packages/serving/src/sassafrastally/serving/claim_layout.py
+++ b/packages/serving/src/sassafrastally/serving/claim_layout.py
@@ -11,14 +11,14 @@
 from hashlib import blake2b
 from typing import TYPE_CHECKING, NamedTuple
 
+from sassafrastally.core.kv import KvConflict, KvWrite, MaybeApplied
 from sassafrastally.core.settings import section
-from sassafrastally.platform.interfaces import KvConflict, KvWrite, MaybeApplied
 from sassafrastally.serving.claim_shard import HASH_BYTES, BadClaimValue
 
 if TYPE_CHECKING:
     from random import Random
 
-    from sassafrastally.platform.interfaces import Kv
+    from sassafrastally.core.kv import Kv
 
 PURPOSE = "claims"
 """Purpose under which the KV service's calls are budgeted."""
--- a/packages/serving/src/sassafrastally/serving/claim_store.py
+++ b/packages/serving/src/sassafrastally/serving/claim_store.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from sassafrastally.core import CodedError, error
-from sassafrastally.platform.interfaces import KvWrite, MaybeApplied
+from sassafrastally.core.kv import KvWrite, MaybeApplied
 from sassafrastally.serving.claim_layout import PURPOSE
 from sassafrastally.serving.claim_shard import (
     ClaimBlock,
@@ -22,7 +22,7 @@
     from collections.abc import Sequence
 
     from sassafrastally.core import Clock
-    from sassafrastally.platform.interfaces import Kv
+    from sassafrastally.core.kv import Kv
     from sassafrastally.serving.claim_layout import ClaimLayout
     from sassafrastally.serving.claim_shard import Claim
 
--- a/packages/serving/src/sassafrastally/serving/claims.py
+++ b/packages/serving/src/sassafrastally/serving/claims.py
@@ -16,8 +16,7 @@
 import trio
 
 from sassafrastally.core import Service, counter, histogram
-from sassafrastally.platform.interfaces import KvUnavailable, MaybeApplied
-from sassafrastally.platform.service import PlatformService
+from sassafrastally.core.kv import KvUnavailable, MaybeApplied
 from sassafrastally.serving.claim_batches import ShardWorker
 from sassafrastally.serving.claim_layout import ClaimSettings, read_or_create_layout
 from sassafrastally.serving.claim_shard import (
@@ -42,12 +41,13 @@
 from sassafrastally.serving.home_calls import HomeCalls
 from sassafrastally.serving.refusals import Figures, Refusal
 from sassafrastally.serving.rendezvous import home_of
+from sassafrastally.stores.service import PlatformService
 from sassafrastally.wire.messages import ClaimReply, ClaimRequest
 
 if TYPE_CHECKING:
     from sassafrastally.control.interfaces import Membership
-    from sassafrastally.platform.interfaces import VmState
     from sassafrastally.serving.claim_layout import ClaimLayout
+    from sassafrastally.stores.interfaces import VmState
     from sassafrastally.wire.link import Peers, Stream
     from sassafrastally.wire.messages import Message
 
--- a/packages/serving/src/sassafrastally/serving/home_calls.py
+++ b/packages/serving/src/sassafrastally/serving/home_calls.py
@@ -10,7 +10,7 @@
 from sassafrastally.wire.streams import TooManyStreams
 
 if TYPE_CHECKING:
-    from sassafrastally.platform.interfaces import VmState
+    from sassafrastally.stores.interfaces import VmState
     from sassafrastally.wire.link import Peers
     from sassafrastally.wire.messages import Message
 
--- a/packages/serving/src/sassafrastally/serving/limits.py
+++ b/packages/serving/src/sassafrastally/serving/limits.py
@@ -26,8 +26,8 @@
 
     from sassafrastally.control.bundle import Customer
     from sassafrastally.control.interfaces import BundleSource, Membership
-    from sassafrastally.platform.interfaces import VmState
     from sassafrastally.serving.slices import SliceAsk, SliceGrant
+    from sassafrastally.stores.interfaces import VmState
     from sassafrastally.wire.link import Peers, Stream
     from sassafrastally.wire.messages import Message
 
--- a/packages/serving/src/sassafrastally/serving/rendezvous.py
+++ b/packages/serving/src/sassafrastally/serving/rendezvous.py
@@ -15,7 +15,7 @@
     from collections.abc import Iterable
 
     from sassafrastally.control.interfaces import Membership
-    from sassafrastally.platform.interfaces import VmState
+    from sassafrastally.stores.interfaces import VmState
 
 SCORE_BYTES = 8
 
--- a/packages/serving/tests/test_home_calls.py
+++ b/packages/serving/tests/test_home_calls.py
@@ -10,11 +10,11 @@
 from sassafrastally.control.bundle import Bundle, BundleInForce, Customer
 from sassafrastally.core import Address, Clock, Kernel
 from sassafrastally.core.settings import Secret
-from sassafrastally.platform.interfaces import VmState
-from sassafrastally.platform.service import PlatformService
 from sassafrastally.serving.claims import ClaimService
 from sassafrastally.serving.limits import LimitService
 from sassafrastally.serving.refusals import Refusal
+from sassafrastally.stores.interfaces import VmState
+from sassafrastally.stores.service import PlatformService
 from sassafrastally.testing.claim_fleet import BODY, NAMES, placement
 from sassafrastally.testing.entry_fleet import EPOCH_S, FakeBundle, FakeMembership
 from sassafrastally.testing.kv_fake import FakeKv
--- a/packages/sidecar/benchmarks/request_path.py
+++ b/packages/sidecar/benchmarks/request_path.py
@@ -19,12 +19,12 @@
 from sassafrastally.control.signing import BundleSettings
 from sassafrastally.core import Address
 from sassafrastally.core.settings import ProcessSettings, Secret, Settings
-from sassafrastally.platform import PlatformService
-from sassafrastally.platform.settings import VmListSettings
 from sassafrastally.sidecar import SidecarService, SidecarSettings, build_sidecar
 from sassafrastally.sidecar.conversation import Conversations
 from sassafrastally.sidecar.engine import EngineChunk, EngineInfo, EngineUsage
 from sassafrastally.sidecar.placement_agent import PlacementAgentSettings
+from sassafrastally.stores import PlatformService
+from sassafrastally.stores.settings import VmListSettings
 from sassafrastally.testing.kv_fake import FakeKv
 from sassafrastally.testing.kv_model import KvModel
 from sassafrastally.testing.network import MemoryNetwork
--- a/packages/sidecar/src/sassafrastally/sidecar/placement_agent.py
+++ b/packages/sidecar/src/sassafrastally/sidecar/placement_agent.py
@@ -15,15 +15,16 @@
 from sassafrastally.control.placement_plan import EngineView, Step, base_name, next_step
 from sassafrastally.control.placement_record import read_line
 from sassafrastally.core import Service, counter, event
+from sassafrastally.core.kv import KvUnavailable
 from sassafrastally.core.settings import section
-from sassafrastally.platform.interfaces import KvUnavailable, PlatformUnavailable
-from sassafrastally.platform.service import PlatformService
 from sassafrastally.sidecar.engine import (
     EngineFailed,
     EngineOrder,
     EngineRefused,
     EngineUnavailable,
 )
+from sassafrastally.stores.interfaces import PlatformUnavailable
+from sassafrastally.stores.service import PlatformService
 from sassafrastally.wire.messages import PlacementOrder, PlacementReply
 
 if TYPE_CHECKING:
--- a/packages/sidecar/tests/conftest.py
+++ b/packages/sidecar/tests/conftest.py
@@ -15,11 +15,11 @@
 from sassafrastally.control.signing import BundleSettings
 from sassafrastally.core import Address, Clock, Kernel
 from sassafrastally.core.settings import ProcessSettings, Secret, Settings
-from sassafrastally.platform import PlatformService
-from sassafrastally.platform.interfaces import VmState
-from sassafrastally.platform.settings import VmListSettings
 from sassafrastally.sidecar import SidecarService, SidecarSettings, build_sidecar
 from sassafrastally.sidecar.placement_agent import PlacementAgentSettings
+from sassafrastally.stores import PlatformService
+from sassafrastally.stores.interfaces import VmState
+from sassafrastally.stores.settings import VmListSettings
 from sassafrastally.testing.engine_fake import FakeEngine
 from sassafrastally.testing.engine_model import EngineModel, EngineShape
 from sassafrastally.testing.kv_fake import FakeKv
--- a/packages/sidecar/tests/test_placement_agent.py
+++ b/packages/sidecar/tests/test_placement_agent.py
@@ -14,9 +14,9 @@
 from sassafrastally.control.placement_plan import EngineLine, PlacedModel
 from sassafrastally.control.placement_record import KEYS, write_lines
 from sassafrastally.core import Kernel, Service
-from sassafrastally.platform import PlatformService
 from sassafrastally.sidecar.engine import EngineOrder
 from sassafrastally.sidecar.placement_agent import PlacementAgent, PlacementAgentSettings
+from sassafrastally.stores import PlatformService
 from sassafrastally.testing.engine_fake import FakeEngine
 from sassafrastally.testing.engine_model import EngineModel, EngineShape, EngineTiming
 from sassafrastally.testing.kv_fake import FakeKv
--- a/packages/platform/src/sassafrastally/platform/__init__.py
+++ b/packages/stores/src/sassafrastally/stores/__init__.py
@@ -2,10 +2,7 @@
 
 from __future__ import annotations
 
-from sassafrastally.platform.backoff import BackoffLimits, Gate, full_jitter
-from sassafrastally.platform.budget import PurposeBudgets, TokenBucket
-from sassafrastally.platform.etcd import EtcdKv
-from sassafrastally.platform.interfaces import (
+from sassafrastally.core.kv import (
     MAX_VALUE_BYTES,
     Kv,
     KvBudgetSpent,
@@ -16,24 +13,24 @@
     KvWrite,
     LeaseLost,
     MaybeApplied,
-    PlatformUnavailable,
-    VmList,
-    VmState,
-    WeightStore,
 )
-from sassafrastally.platform.readback import write_with_readback
-from sassafrastally.platform.requests import ANY_REVISION, KvRequestInvalid
-from sassafrastally.platform.service import PlatformService
-from sassafrastally.platform.settings import (
+from sassafrastally.stores.backoff import BackoffLimits, Gate, full_jitter
+from sassafrastally.stores.budget import PurposeBudgets, TokenBucket
+from sassafrastally.stores.etcd import EtcdKv
+from sassafrastally.stores.interfaces import PlatformUnavailable, VmList, VmState, WeightStore
+from sassafrastally.stores.readback import write_with_readback
+from sassafrastally.stores.requests import ANY_REVISION, KvRequestInvalid
+from sassafrastally.stores.service import PlatformService
+from sassafrastally.stores.settings import (
     DEFAULT_BUDGETS,
     KvSettings,
     PurposeBudget,
     VmListSettings,
     WeightStoreSettings,
 )
-from sassafrastally.platform.setup import make_platform
-from sassafrastally.platform.vm_list import HttpVmList
-from sassafrastally.platform.weight_store import HttpWeightStore
+from sassafrastally.stores.setup import make_platform
+from sassafrastally.stores.vm_list import HttpVmList
+from sassafrastally.stores.weight_store import HttpWeightStore
 
 __all__ = [
     "ANY_REVISION",
--- a/packages/platform/src/sassafrastally/platform/backoff.py
+++ b/packages/stores/src/sassafrastally/stores/backoff.py
@@ -13,13 +13,7 @@
 
 import trio
 
-from sassafrastally.platform.interfaces import (
-    KvBudgetSpent,
-    KvConflict,
-    KvUnavailable,
-    LeaseLost,
-    MaybeApplied,
-)
+from sassafrastally.core.kv import KvBudgetSpent, KvConflict, KvUnavailable, LeaseLost, MaybeApplied
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
--- a/packages/platform/src/sassafrastally/platform/budget.py
+++ b/packages/stores/src/sassafrastally/stores/budget.py
@@ -10,14 +10,14 @@
 
 import trio
 
-from sassafrastally.platform.interfaces import KvBudgetSpent
-from sassafrastally.platform.requests import KvRequestInvalid
-from sassafrastally.platform.settings import DEFAULT_BUDGETS
+from sassafrastally.core.kv import KvBudgetSpent
+from sassafrastally.stores.requests import KvRequestInvalid
+from sassafrastally.stores.settings import DEFAULT_BUDGETS
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from sassafrastally.platform.settings import PurposeBudget
+    from sassafrastally.stores.settings import PurposeBudget
 
 
 class TokenBucket:
--- a/packages/platform/src/sassafrastally/platform/etcd.py
+++ b/packages/stores/src/sassafrastally/stores/etcd.py
@@ -9,19 +9,13 @@
 import trio
 
 from sassafrastally.core import CodedError, counter
-from sassafrastally.platform import gateway
-from sassafrastally.platform.backoff import BackoffLimits, Gate
-from sassafrastally.platform.budget import PurposeBudgets
-from sassafrastally.platform.gateway_client import GatewayClient
-from sassafrastally.platform.interfaces import (
-    KvConflict,
-    KvEntry,
-    KvUnavailable,
-    LeaseLost,
-    MaybeApplied,
-)
-from sassafrastally.platform.requests import check_writes
-from sassafrastally.platform.watch import EtcdWatch
+from sassafrastally.core.kv import KvConflict, KvEntry, KvUnavailable, LeaseLost, MaybeApplied
+from sassafrastally.stores import gateway
+from sassafrastally.stores.backoff import BackoffLimits, Gate
+from sassafrastally.stores.budget import PurposeBudgets
+from sassafrastally.stores.gateway_client import GatewayClient
+from sassafrastally.stores.requests import check_writes
+from sassafrastally.stores.watch import EtcdWatch
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Iterator, Mapping, Sequence
@@ -29,9 +23,9 @@
 
     import httpx
 
-    from sassafrastally.platform.gateway_client import Lost
-    from sassafrastally.platform.interfaces import KvEvent, KvWrite
-    from sassafrastally.platform.settings import KvSettings
+    from sassafrastally.core.kv import KvEvent, KvWrite
+    from sassafrastally.stores.gateway_client import Lost
+    from sassafrastally.stores.settings import KvSettings
 
 KV_CALLS = counter("sassafrastally.kv.calls", "1", "Calls of the KV service by purpose and result.")
 
--- a/packages/platform/src/sassafrastally/platform/gateway.py
+++ b/packages/stores/src/sassafrastally/stores/gateway.py
@@ -9,8 +9,8 @@
 import base64
 from typing import TYPE_CHECKING, Any, TypedDict
 
-from sassafrastally.platform.interfaces import KvEntry, KvEvent, KvWrite
-from sassafrastally.platform.requests import ANY_REVISION, prefix_end
+from sassafrastally.core.kv import KvEntry, KvEvent, KvWrite
+from sassafrastally.stores.requests import ANY_REVISION, prefix_end
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
--- a/packages/platform/src/sassafrastally/platform/gateway_client.py
+++ b/packages/stores/src/sassafrastally/stores/gateway_client.py
@@ -8,13 +8,13 @@
 import httpx
 import trio
 
-from sassafrastally.platform import gateway
-from sassafrastally.platform.interfaces import KvUnavailable, LeaseLost, MaybeApplied
+from sassafrastally.core.kv import KvUnavailable, LeaseLost, MaybeApplied
+from sassafrastally.stores import gateway
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
-    from sassafrastally.platform.settings import KvSettings
+    from sassafrastally.stores.settings import KvSettings
 
 SENT_EVENT = "send_request_headers.started"
 """End of the name of the transport's trace event after which a request may have left."""
--- a/packages/platform/src/sassafrastally/platform/readback.py
+++ b/packages/stores/src/sassafrastally/stores/readback.py
@@ -11,15 +11,15 @@
 
 import trio
 
-from sassafrastally.platform.backoff import full_jitter
-from sassafrastally.platform.interfaces import KvConflict, KvUnavailable, MaybeApplied
-from sassafrastally.platform.requests import ANY_REVISION, KvRequestInvalid
+from sassafrastally.core.kv import KvConflict, KvUnavailable, MaybeApplied
+from sassafrastally.stores.backoff import full_jitter
+from sassafrastally.stores.requests import ANY_REVISION, KvRequestInvalid
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
     from random import Random
 
-    from sassafrastally.platform.interfaces import Kv, KvEntry, KvWrite
+    from sassafrastally.core.kv import Kv, KvEntry, KvWrite
 
 READBACK_BASE_S = 0.02
 READBACK_CAP_S = 1.0
--- a/packages/platform/src/sassafrastally/platform/requests.py
+++ b/packages/stores/src/sassafrastally/stores/requests.py
@@ -5,12 +5,12 @@
 from typing import TYPE_CHECKING
 
 from sassafrastally.core import CodedError, error
-from sassafrastally.platform.interfaces import MAX_VALUE_BYTES
+from sassafrastally.core.kv import MAX_VALUE_BYTES
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-    from sassafrastally.platform.interfaces import KvWrite
+    from sassafrastally.core.kv import KvWrite
 
 ANY_REVISION = -1
 """`KvWrite.expected_revision` of an unconditional write."""
--- a/packages/platform/src/sassafrastally/platform/service.py
+++ b/packages/stores/src/sassafrastally/stores/service.py
@@ -7,7 +7,8 @@
 from sassafrastally.core import Service
 
 if TYPE_CHECKING:
-    from sassafrastally.platform.interfaces import Kv, VmList, WeightStore
+    from sassafrastally.core.kv import Kv
+    from sassafrastally.stores.interfaces import VmList, WeightStore
 
 
 class PlatformService(Service):
--- a/packages/platform/src/sassafrastally/platform/setup.py
+++ b/packages/stores/src/sassafrastally/stores/setup.py
@@ -5,11 +5,11 @@
 from random import SystemRandom
 from typing import TYPE_CHECKING
 
-from sassafrastally.platform.etcd import EtcdKv
-from sassafrastally.platform.service import PlatformService
-from sassafrastally.platform.settings import KvSettings, VmListSettings, WeightStoreSettings
-from sassafrastally.platform.vm_list import HttpVmList
-from sassafrastally.platform.weight_store import HttpWeightStore
+from sassafrastally.stores.etcd import EtcdKv
+from sassafrastally.stores.service import PlatformService
+from sassafrastally.stores.settings import KvSettings, VmListSettings, WeightStoreSettings
+from sassafrastally.stores.vm_list import HttpVmList
+from sassafrastally.stores.weight_store import HttpWeightStore
 
 if TYPE_CHECKING:
     from random import Random
--- a/packages/platform/src/sassafrastally/platform/vm_list.py
+++ b/packages/stores/src/sassafrastally/stores/vm_list.py
@@ -14,10 +14,10 @@
 import trio
 
 from sassafrastally.core import Address
-from sassafrastally.platform.interfaces import PlatformUnavailable, VmState
+from sassafrastally.stores.interfaces import PlatformUnavailable, VmState
 
 if TYPE_CHECKING:
-    from sassafrastally.platform.settings import VmListSettings
+    from sassafrastally.stores.settings import VmListSettings
 
 VMS_PATH = "/vms"
 
--- a/packages/platform/src/sassafrastally/platform/watch.py
+++ b/packages/stores/src/sassafrastally/stores/watch.py
@@ -9,13 +9,13 @@
 import httpx
 import trio
 
-from sassafrastally.platform import gateway
-from sassafrastally.platform.interfaces import KvUnavailable
+from sassafrastally.core.kv import KvUnavailable
+from sassafrastally.stores import gateway
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Awaitable, Callable, Mapping
 
-    from sassafrastally.platform.interfaces import KvEvent
+    from sassafrastally.core.kv import KvEvent
 
 
 class EtcdWatch:
--- a/packages/platform/src/sassafrastally/platform/weight_store.py
+++ b/packages/stores/src/sassafrastally/stores/weight_store.py
@@ -11,7 +11,7 @@
 import httpx
 import trio
 
-from sassafrastally.platform.interfaces import PlatformUnavailable
+from sassafrastally.stores.interfaces import PlatformUnavailable
 
 if TYPE_CHECKING:
     from sassafrastally.core import Address
--- a/packages/platform/tests/test_backoff.py
+++ b/packages/stores/tests/test_backoff.py
@@ -9,7 +9,7 @@
 import pytest
 import trio
 
-from sassafrastally.platform import BackoffLimits, Gate, KvConflict, KvUnavailable, full_jitter
+from sassafrastally.stores import BackoffLimits, Gate, KvConflict, KvUnavailable, full_jitter
 from sassafrastally.testing.kv_fake import FakeKv
 from sassafrastally.testing.kv_model import KvFaults, KvModel
 
--- a/packages/platform/tests/test_budget.py
+++ b/packages/stores/tests/test_budget.py
@@ -5,7 +5,7 @@
 import pytest
 import trio
 
-from sassafrastally.platform import (
+from sassafrastally.stores import (
     KvBudgetSpent,
     KvRequestInvalid,
     PurposeBudget,
--- a/packages/platform/tests/test_etcd.py
+++ b/packages/stores/tests/test_etcd.py
@@ -13,7 +13,7 @@
 from hypothesis import strategies as st
 
 from sassafrastally.core import Address, CodedError
-from sassafrastally.platform import (
+from sassafrastally.stores import (
     ANY_REVISION,
     EtcdKv,
     Kv,
--- a/packages/platform/tests/test_readback.py
+++ b/packages/stores/tests/test_readback.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from sassafrastally.platform import (
+from sassafrastally.stores import (
     ANY_REVISION,
     KvConflict,
     KvEntry,
--- a/packages/platform/tests/test_setup.py
+++ b/packages/stores/tests/test_setup.py
@@ -6,7 +6,7 @@
 
 from sassafrastally.core import Address
 from sassafrastally.core.settings import Settings, check_table
-from sassafrastally.platform import (
+from sassafrastally.stores import (
     KvSettings,
     PurposeBudget,
     VmListSettings,
--- a/packages/platform/tests/test_watch.py
+++ b/packages/stores/tests/test_watch.py
@@ -9,8 +9,8 @@
 import pytest
 import trio
 
-from sassafrastally.platform import KvEvent, KvUnavailable, KvWrite, gateway
-from sassafrastally.platform.watch import EtcdWatch
+from sassafrastally.stores import KvEvent, KvUnavailable, KvWrite, gateway
+from sassafrastally.stores.watch import EtcdWatch
 from sassafrastally.testing.kv_fake import FakeKv
 from sassafrastally.testing.kv_model import KvFaults, KvModel
 
--- a/packages/testing/src/sassafrastally/testing/claim_fleet.py
+++ b/packages/testing/src/sassafrastally/testing/claim_fleet.py
@@ -8,11 +8,11 @@
 import trio
 
 from sassafrastally.core import Incarnation, RequestId
-from sassafrastally.platform import KvWrite
 from sassafrastally.serving.claim_layout import ClaimSettings
 from sassafrastally.serving.claims import ClaimResult, ClaimService, Placement
 from sassafrastally.serving.refusals import Refusal
 from sassafrastally.serving.rendezvous import home_of
+from sassafrastally.stores import KvWrite
 from sassafrastally.testing.entry_fleet import EntryFleet
 from sassafrastally.testing.kv_fake import FakeKv
 from sassafrastally.testing.kv_model import KvFaults, KvModel
--- a/packages/testing/src/sassafrastally/testing/deployment.py
+++ b/packages/testing/src/sassafrastally/testing/deployment.py
@@ -21,8 +21,8 @@
 from sassafrastally.core.settings import Secret, load_settings
 from sassafrastally.entry import build_entry
 from sassafrastally.entry.assemble import build_path
-from sassafrastally.platform import PlatformService, VmState
 from sassafrastally.sidecar import build_sidecar
+from sassafrastally.stores import PlatformService, VmState
 from sassafrastally.testing.engine_fake import FakeEngine
 from sassafrastally.testing.engine_model import EngineModel, EngineShape
 from sassafrastally.testing.kv_fake import FakeKv
--- a/packages/testing/src/sassafrastally/testing/entry_fleet.py
+++ b/packages/testing/src/sassafrastally/testing/entry_fleet.py
@@ -12,8 +12,8 @@
 import trio
 
 from sassafrastally.core import Address, Clock, Kernel, Service
-from sassafrastally.platform.interfaces import VmState
-from sassafrastally.platform.service import PlatformService
+from sassafrastally.stores.interfaces import VmState
+from sassafrastally.stores.service import PlatformService
 from sassafrastally.wire.codec import decode_frame, encode_frame
 from sassafrastally.wire.link import LinkCut, LinkRefused, PeerIdentity
 from sassafrastally.wire.messages import Frame
@@ -23,7 +23,7 @@
 
     from sassafrastally.control.bundle import BundleInForce
     from sassafrastally.control.interfaces import PeerLoad
-    from sassafrastally.platform.interfaces import Kv
+    from sassafrastally.core.kv import Kv
 
 EPOCH_S = 1_800_000_000.0
 
--- a/packages/testing/src/sassafrastally/testing/kv_fake.py
+++ b/packages/testing/src/sassafrastally/testing/kv_fake.py
@@ -8,14 +8,14 @@
 
 import trio
 
-from sassafrastally.platform import KvUnavailable, LeaseLost, MaybeApplied
-from sassafrastally.platform.budget import PurposeBudgets
-from sassafrastally.platform.requests import check_writes
+from sassafrastally.stores import KvUnavailable, LeaseLost, MaybeApplied
+from sassafrastally.stores.budget import PurposeBudgets
+from sassafrastally.stores.requests import check_writes
 
 if TYPE_CHECKING:
     from collections.abc import AsyncGenerator, AsyncIterator, Callable, Sequence
 
-    from sassafrastally.platform import KvEntry, KvEvent, KvWrite
+    from sassafrastally.stores import KvEntry, KvEvent, KvWrite
     from sassafrastally.testing.kv_model import KvModel
 
 T = TypeVar("T")
--- a/packages/testing/src/sassafrastally/testing/kv_model.py
+++ b/packages/testing/src/sassafrastally/testing/kv_model.py
@@ -10,7 +10,7 @@
 
 import trio
 
-from sassafrastally.platform import (
+from sassafrastally.stores import (
     ANY_REVISION,
     KvConflict,
     KvEntry,
@@ -20,13 +20,13 @@
     MaybeApplied,
     TokenBucket,
 )
-from sassafrastally.platform.gateway import NO_LEADER, REQUEST_TIMED_OUT, TOO_MANY_REQUESTS
+from sassafrastally.stores.gateway import NO_LEADER, REQUEST_TIMED_OUT, TOO_MANY_REQUESTS
 
 if TYPE_CHECKING:
     from collections.abc import AsyncGenerator, Callable, Sequence
     from random import Random
 
-    from sassafrastally.platform import KvWrite
+    from sassafrastally.stores import KvWrite
 
 T = TypeVar("T")
 
--- a/packages/testing/src/sassafrastally/testing/kv_server.py
+++ b/packages/testing/src/sassafrastally/testing/kv_server.py
@@ -17,7 +17,7 @@
 from quart_trio import QuartTrio
 
 from sassafrastally.core.settings import check_table
-from sassafrastally.platform import KvConflict, KvUnavailable, LeaseLost, MaybeApplied, gateway
+from sassafrastally.stores import KvConflict, KvUnavailable, LeaseLost, MaybeApplied, gateway
 from sassafrastally.testing.http_serving import run_program, serve_app
 from sassafrastally.testing.kv_model import KvFaults, KvModel, KvRates
 from sassafrastally.testing.listen_option import add_listen_option
--- a/packages/testing/src/sassafrastally/testing/vm_list.py
+++ b/packages/testing/src/sassafrastally/testing/vm_list.py
@@ -22,8 +22,8 @@
 
 from sassafrastally.core import Finding, FindingsError, Place
 from sassafrastally.core.settings import check_table
-from sassafrastally.platform import PlatformUnavailable, VmState
-from sassafrastally.platform.vm_list import VMS_PATH, decode_vm, encode_vm
+from sassafrastally.stores import PlatformUnavailable, VmState
+from sassafrastally.stores.vm_list import VMS_PATH, decode_vm, encode_vm
 from sassafrastally.testing.http_serving import run_program, serve_app
 from sassafrastally.testing.listen_option import add_listen_option
 
--- a/packages/testing/src/sassafrastally/testing/weight_store.py
+++ b/packages/testing/src/sassafrastally/testing/weight_store.py
@@ -10,8 +10,8 @@
 from quart import request
 from quart_trio import QuartTrio
 
-from sassafrastally.platform import PlatformUnavailable
-from sassafrastally.platform.weight_store import LOADS_PATH
+from sassafrastally.stores import PlatformUnavailable
+from sassafrastally.stores.weight_store import LOADS_PATH
 from sassafrastally.testing.http_serving import run_program, serve_app
 from sassafrastally.testing.listen_option import add_listen_option
 
--- a/packages/testing/tests/test_kv_model.py
+++ b/packages/testing/tests/test_kv_model.py
@@ -7,7 +7,7 @@
 import pytest
 import trio
 
-from sassafrastally.platform import KvUnavailable, KvWrite, LeaseLost, MaybeApplied
+from sassafrastally.stores import KvUnavailable, KvWrite, LeaseLost, MaybeApplied
 from sassafrastally.testing.kv_fake import FakeKv
 from sassafrastally.testing.kv_model import KvFaults, KvModel, KvRates
 
--- a/packages/testing/tests/test_vm_list.py
+++ b/packages/testing/tests/test_vm_list.py
@@ -7,14 +7,14 @@
 import trio
 
 from sassafrastally.core import Address, FindingsError
-from sassafrastally.platform import (
+from sassafrastally.stores import (
     HttpVmList,
     HttpWeightStore,
     PlatformUnavailable,
     VmListSettings,
     VmState,
 )
-from sassafrastally.platform.vm_list import encode_vm
+from sassafrastally.stores.vm_list import encode_vm
 from sassafrastally.testing.http_serving import serve_app
 from sassafrastally.testing.vm_list import VmListFaults, VmListModel, load_vms, make_vm_list_app
 from sassafrastally.testing.weight_store import WeightStoreModel, make_weight_store_app
