Let entries that start together find each other

Cause: each entry read the others' addresses before it wrote its own; started together, all read nothing, and no load was shared (the log said peers=0 in every placement; servers' load 3.5 times uneven). Ruled out: lost datagrams, and the lanes' order. Change: the address is written first, then the others are read.

--- a/packages/proxy/src/sassafrastally/proxy/peers.py
+++ b/packages/proxy/src/sassafrastally/proxy/peers.py
@@ -240,8 +240,10 @@
         while True:
             try:
                 if lease_id == 0:
-                    await self._learn()
+                    # Written before the others are read: of two entries that start together, the
+                    # one that writes last then finds the other.
                     lease_id = await self._write_address()
+                    await self._learn()
                 else:
                     await self._store.keep_lease(lease_id)
                 pause_s = ANNOUNCED_S / 3
