--- a/packages/proxy/src/sassafrastally/proxy/generation.py
+++ b/packages/proxy/src/sassafrastally/proxy/generation.py
@@ -21,6 +21,8 @@
 from sassafrastally.proxy.task import Progress, RequestTask, Stopped
 
 if TYPE_CHECKING:
+    from collections.abc import Mapping
+
     from sassafrastally.proxy.attempt import Answer
     from sassafrastally.proxy.model import EngineFigures, PromptSize
     from sassafrastally.proxy.path import RequestPath
@@ -32,16 +34,15 @@
 COME_BACK_S = 0.5
 """When to come back after no engine had room: some answers end in that time."""
 
-SILENT_FIRST_S = 2.5
-SILENT_FIRST_FACTOR = 3.0
-"""An engine without a first event after this many times the predicted time, and this long at
-least, is given up while another may be tried. Predictions are off by up to two where others'
-prompts arrive at the same moment."""
+PATIENCE_S = 2.0
+PATIENCE_GOALS = 4.0
+PATIENCE_PAUSES = 8.0
+"""Callers leave a stream after a silence of two seconds, four times the goal of the first event or
+eight times that of a pause, whichever is longest."""
 
-SILENT_PAUSE_S = 1.2
-SILENT_PAUSE_FACTOR = 1.5
-"""An engine without a next event for this many times the route's pause goal, and this long at
-least, is given up while another may be tried: callers leave after two seconds."""
+SILENCE_SHARE = 0.65
+"""Share of a caller's patience after which a silent engine is given up while another may be tried;
+the rest is for the other one's first event."""
 
 
 class Generation:
@@ -93,7 +94,8 @@
         if not views:
             return None
         lanes = split_lanes(views, self._figures)
-        return place_prompt(lanes, self._lane, self._prompt, self._figures)
+        goal_s = self._task.route.goal_s or self._task.time_limit_s
+        return place_prompt(lanes, self._lane, self._prompt, goal_s, self._figures)
 
     def _may_try_again(self) -> bool:
         """Return whether another attempt is allowed; counts it in the budget."""
@@ -124,8 +126,8 @@
         self.progress.tried.add(server_id)
         begin_s = self._clock.now_s()
         self._note_placed(placement, begin_s)
-        tokens = self._prompt.prompt_tokens + self._prompt.output_tokens
-        flight = Flight(server_id, placement.lane, tokens, placement.parts)
+        memory = {holding.server.server_id: holding.tokens for holding in placement.holdings}
+        flight = Flight(server_id, placement.lane, memory, placement.parts)
         self._path.sight.ledger.add(flight, begin_s)
         may_have_run_before = self.progress.may_have_run
         self.progress.may_have_run = True
@@ -153,26 +155,32 @@
             last_event_id=self._last_event_id,
             helpers=tuple(Helper(server) for server in placement.helpers),
         )
-        guard = _SilenceGuard(self._clock.now_s() + self._first_limit_s(placement))
+        guard = _SilenceGuard(self._clock.now_s() + self._silence_limit_s())
         with guard.scope:
-            async with self._path.attempts.send(
-                task.request, terms, may_reuse=task.route.is_repeatable
-            ) as answer:
+            async with (
+                self._path.reservations.hold(placement.holdings[1:]) as reserved,
+                self._path.attempts.send(
+                    task.request,
+                    terms._replace(helpers=_with_reservations(terms.helpers, reserved)),
+                    may_reuse=task.route.is_repeatable,
+                ) as answer,
+            ):
                 if answer.status >= 300:
                     return await self._pass_failure(placement, answer)
                 await self._pass_stream(placement, flight, answer, guard)
                 return True
         raise AttemptUnknown("the engine went silent")
 
-    def _first_limit_s(self, placement: Placement) -> float:
-        if not self._can_go_elsewhere():
-            return self._task.time_limit_s + 1.0
-        return max(SILENT_FIRST_S, SILENT_FIRST_FACTOR * placement.predicted_s)
-
-    def _pause_limit_s(self) -> float:
+    def _silence_limit_s(self) -> float:
         if not self._can_go_elsewhere():
-            return self._task.time_limit_s + 1.0
-        return max(SILENT_PAUSE_S, SILENT_PAUSE_FACTOR * (self._task.route.pause_goal_s or 0.0))
+            return self._task.time_limit_s + 1.0  # The limit of the whole request ends it.
+        route = self._task.route
+        patience_s = max(
+            PATIENCE_S,
+            PATIENCE_GOALS * (route.goal_s or 0.0),
+            PATIENCE_PAUSES * (route.pause_goal_s or 0.0),
+        )
+        return SILENCE_SHARE * patience_s
 
     def _can_go_elsewhere(self) -> bool:
         route = self._task.route
@@ -206,7 +214,7 @@
             for event in splitter.feed(chunk):
                 now_s = self._clock.now_s()
                 self._path.sight.ledger.first_event(flight, now_s)
-                guard.extend(now_s + self._pause_limit_s())
+                guard.extend(now_s + self._silence_limit_s())
                 await self._pass_event(event, now_s)
         if splitter.rest:
             await self._reply.send(splitter.rest)
@@ -287,6 +295,16 @@
         self._path.sight.note_failure(server_id, cause, self._request_id)
 
 
+def _with_reservations(
+    helpers: tuple[Helper, ...], reserved: Mapping[str, str]
+) -> tuple[Helper, ...]:
+    """Return the helpers, those with reserved memory first: it is filled in this order."""
+    named = [
+        helper._replace(reservation_id=reserved.get(helper.server.server_id)) for helper in helpers
+    ]
+    return tuple(sorted(named, key=lambda helper: helper.reservation_id is None))
+
+
 class _SilenceGuard:
     """Ends an attempt at an engine that says nothing until a moment that moves on."""
 
--- a/packages/proxy/src/sassafrastally/proxy/load.py
+++ b/packages/proxy/src/sassafrastally/proxy/load.py
@@ -66,18 +66,22 @@
         Backend server that answers.
     lane
         What the request means for others there.
-    tokens
-        Memory that it takes there.
+    memory
+        Tokens that it takes, by backend server.
     parts
         Reading by backend server, the answering one included.
     """
 
     def __init__(
-        self, server_id: str, lane: Lane, tokens: int = 0, parts: tuple[Part, ...] = ()
+        self,
+        server_id: str,
+        lane: Lane,
+        memory: Mapping[str, int] | None = None,
+        parts: tuple[Part, ...] = (),
     ) -> None:
         self.server_id = server_id
         self.lane = lane
-        self.tokens = tokens
+        self.memory = memory or {}
         self.parts = parts
         self.is_reading = bool(parts)
 
@@ -141,8 +145,10 @@
                 short_requests=at_server.short_requests + (flight.lane is Lane.SHORT),
                 long_requests=at_server.long_requests + (flight.lane is Lane.LONG),
                 plain_requests=at_server.plain_requests + (flight.lane is Lane.PLAIN),
-                tokens=at_server.tokens + flight.tokens,
             )
+            for server_id, tokens in flight.memory.items():
+                holder = totals.get(server_id, NO_WORK)
+                totals[server_id] = holder._replace(tokens=holder.tokens + tokens)
             if flight.is_reading:
                 for part in flight.parts:
                     self._count_reading(totals, part.server_id, now_s)
--- a/packages/proxy/src/sassafrastally/proxy/log_events.py
+++ b/packages/proxy/src/sassafrastally/proxy/log_events.py
@@ -247,3 +247,22 @@
 
     status: int
     problem: str
+
+
+@event(10025, "warning")
+class ReservationFailed(NamedTuple):
+    """An engine didn't reserve or renew memory."""
+
+    reservation_id: str
+    server_id: str
+    tokens: int
+    outcome: str
+
+
+@event(10026)
+class ReservationReleased(NamedTuple):
+    """Reserved memory was given back; without a status the end of its lease frees it."""
+
+    reservation_id: str
+    server_id: str
+    status: int
--- a/packages/proxy/src/sassafrastally/proxy/path.py
+++ b/packages/proxy/src/sassafrastally/proxy/path.py
@@ -22,6 +22,7 @@
     Refusal,
     refusal_body,
 )
+from sassafrastally.proxy.reservations import Reservations
 from sassafrastally.proxy.routes import UnknownKey, choose_service, find_customer, find_route
 from sassafrastally.proxy.sight import Sight
 from sassafrastally.proxy.task import Progress, RequestTask, Stopped
@@ -56,6 +57,9 @@
     name: ClassVar[str] = "path"
     needs: ClassVar[tuple[str, ...]] = ("beliefs", "sight")
 
+    reservations: Reservations
+    """Memory reserved at engines."""
+
     def __init__(self, dialect: Dialect, attempts: Attempts, budget: RetryBudget) -> None:
         self.dialect = dialect
         self.attempts = attempts
@@ -63,6 +67,7 @@
 
     async def start(self, nursery: trio.Nursery) -> None:
         """Find the services that decisions rest on."""
+        self.reservations = Reservations(self.dialect, self.kernel, nursery)
         self.sight = self.kernel.get("sight", Sight)
         self._beliefs = self.kernel.get("beliefs", Beliefs)
 
--- a/packages/proxy/src/sassafrastally/proxy/placement.py
+++ b/packages/proxy/src/sassafrastally/proxy/placement.py
@@ -26,9 +26,9 @@
 """Routes that allow longer pauses belong to the long lane. An event takes about 50 ms and the
 reading of a short prompt as much; a part of a long one takes 0.1 to 0.5 s."""
 
-SHORT_FILL = 0.6
-"""Share of an engine's slots that the short lane is sized for. At 0.6 a pass with the reading of
-new prompts stays under 100 ms, and a swing of two thirds fits before the lane grows."""
+SHORT_FILL = 0.75
+"""Share of an engine's slots that the short lane is sized for. A pass takes the same time with six
+requests as with three; the rest is room for what other entries place at the same moment."""
 
 LONG_LANE_SHARE = 0.12
 """Least share of the engines in the long lane, so that the first long prompt after a quiet time
@@ -41,6 +41,18 @@
 """Longest reading on one engine for a short prompt; larger ones get helpers. Two of them in one
 pass stay inside a pause of 250 ms."""
 
+SAFE_GOAL_SHARE = 0.6
+"""A plan predicted within this share of the goal counts as timely: predictions were short by up to
+a third where several entries placed at the same moment."""
+
+THIN_PENALTY = 0.05
+"""What thin parts in the short lane count for, as a share of the goal missed: they hold a pass up
+by less than the reading of one short prompt."""
+
+DISTURBING_PENALTY = 0.25
+"""What parts on engines that write for short requests count for. Each such request gets a pause
+beyond its goal; a long prompt is worth some ten of them."""
+
 MOST_HELPERS = 16
 """Helpers that an engine accepts for one prompt."""
 
@@ -57,6 +69,13 @@
     """Recent answers speak against it; it is used only when no other is left."""
 
 
+class Holding(NamedTuple):
+    """Memory that a prompt takes at one engine."""
+
+    server: BackendServer
+    tokens: int
+
+
 class Placement(NamedTuple):
     """Where a prompt goes."""
 
@@ -64,6 +83,8 @@
     helpers: tuple[BackendServer, ...]
     lane: Lane
     parts: tuple[Part, ...]
+    holdings: tuple[Holding, ...]
+    """The prompt's memory, the answering engine's first; what others hold has to be reserved."""
     predicted_s: float
     """Predicted time to the first event."""
 
@@ -109,68 +130,156 @@
 
 
 def place_prompt(
-    lanes: Lanes, lane: Lane, prompt: PromptSize, figures: EngineFigures
+    lanes: Lanes, lane: Lane, prompt: PromptSize, goal_s: float, figures: EngineFigures
 ) -> Placement | None:
-    """Return where a prompt goes; ``None`` when no engine has room."""
+    """Return where a prompt goes; ``None`` when no engine has room.
+
+    Parameters
+    ----------
+    lanes
+        The engines.
+    lane
+        Lane of the prompt.
+    prompt
+        Its size.
+    goal_s
+        Time within which its first event is wanted.
+    figures
+        Figures of the engines.
+    """
     if lane is Lane.SHORT:
         return _place_short(lanes, prompt, figures)
-    return _place_long(lanes, prompt, figures)
+    return _place_long(lanes, prompt, goal_s, figures)
 
 
 def _place_short(lanes: Lanes, prompt: PromptSize, figures: EngineFigures) -> Placement | None:
+    """Return the engine for a short prompt.
+
+    Engines are filled from the end of the order, one after the other, as long as they have few
+    requests and little to read. The long lane begins at the other end; when it grows, it finds
+    engines on which no short request is under way.
+    """
     own_ms = reading_ms(figures, prompt.prompt_tokens)
     fitting = [view for view in lanes.short if _has_room(view, prompt, figures)]
     if not fitting:
         fitting = [view for view in lanes.long if _has_room(view, prompt, figures)]
     if not fitting:
         return None
-    ranked = sorted(fitting, key=lambda view: _first_event_ms(view, 0.0, figures))
-    first = ranked[0]
-    helper_count = min(math.ceil(own_ms / SHORT_PART_MS) - 1, MOST_HELPERS, len(ranked) - 1)
-    chosen = ranked[: max(0, helper_count) + 1]
-    part_ms = own_ms / len(chosen)
-    predicted_ms = max(_first_event_ms(view, part_ms, figures) for view in chosen)
-    return _placement(first, chosen, Lane.SHORT, part_ms, predicted_ms)
+    filled = SHORT_FILL * figures.slots
 
+    def cost(view: ServerView) -> tuple[bool, float]:
+        is_busy = view.work.requests >= filled or view.work.reading_ms > SHORT_PART_MS
+        return is_busy, _first_event_ms(view, 0.0, figures) if is_busy else 0.0
+
+    from_the_end = list(reversed(fitting))
+    ranked = sorted(from_the_end, key=cost)
+    group_size = min(math.ceil(own_ms / SHORT_PART_MS), MOST_HELPERS + 1, len(ranked))
+    group = ranked[: max(1, group_size)]
+    holdings = (Holding(group[0].server, prompt.prompt_tokens + prompt.output_tokens),)
+    return _placement(group, holdings, Lane.SHORT, own_ms / len(group), figures)
+
+
+def _place_long(
+    lanes: Lanes, prompt: PromptSize, goal_s: float, figures: EngineFigures
+) -> Placement | None:
+    """Return the cheapest of three plans.
 
-def _place_long(lanes: Lanes, prompt: PromptSize, figures: EngineFigures) -> Placement | None:
+    Engines of the long lane without short requests come first. When they would miss the goal, the
+    prompt may be read in thin parts by the short lane, or by engines of the long lane that still
+    write for short requests: just after the mix has turned, these are most of them.
+    """
     own_ms = reading_ms(figures, prompt.prompt_tokens)
+    clean = [view for view in lanes.long if not view.work.short_requests]
+    plans = [
+        (_read_apart(clean, prompt, own_ms, figures), 0.0),
+        (_read_thinly(lanes.short, prompt, own_ms, figures), THIN_PENALTY),
+        (_read_apart(lanes.long, prompt, own_ms, figures), DISTURBING_PENALTY),
+    ]
+    possible = [(plan, penalty) for plan, penalty in plans if plan is not None]
+    if not possible:
+        return _read_apart(lanes.short, prompt, own_ms, figures)
+
+    def cost(choice: tuple[Placement, float]) -> float:
+        plan, penalty = choice
+        return max(0.0, plan.predicted_s / goal_s - SAFE_GOAL_SHARE) + penalty
+
+    return min(possible, key=cost)[0]
+
+
+def _read_thinly(
+    views: Sequence[ServerView], prompt: PromptSize, own_ms: float, figures: EngineFigures
+) -> Placement | None:
+    """Return a plan whose parts are too small to hold up short requests."""
+    group_size = math.ceil(own_ms / SHORT_PART_MS)
+    if group_size > min(len(views), MOST_HELPERS + 1):
+        return None
+    return _read_apart(views, prompt, own_ms, figures, least_group=group_size)
+
+
+def _read_apart(
+    views: Sequence[ServerView],
+    prompt: PromptSize,
+    own_ms: float,
+    figures: EngineFigures,
+    least_group: int = 1,
+) -> Placement | None:
+    """Return the plan by which a group of these engines has read a prompt first."""
     ranked = sorted(
-        (view for view in lanes.long if view.work.reading_requests < figures.slots),
-        key=lambda view: (view.work.short_requests > 0, view.work.reading_ms),
+        (view for view in views if view.work.reading_requests < figures.slots),
+        key=lambda view: view.work.reading_ms,
     )
-    leaders = [view for view in ranked if _has_room(view, prompt, figures)]
-    if not leaders:
-        leaders = [view for view in lanes.short if _has_room(view, prompt, figures)]
-        ranked = [*ranked, *leaders]
+    most = min(MOST_HELPERS + 1, len(ranked), max(least_group, int(own_ms / PART_MS)))
+    needed = prompt.prompt_tokens + prompt.output_tokens
+    best: tuple[float, tuple[Holding, ...], Sequence[ServerView]] | None = None
+    for size in range(least_group, most + 1):
+        group: Sequence[ServerView] = ranked[:size]
+        holdings = _holdings(group, needed, figures)
+        if holdings is None:
+            continue
+        end_ms = group[-1].work.reading_ms + own_ms / size
+        if best is None or end_ms < best[0]:
+            best = end_ms, holdings, group
+    if best is None:
+        return None
+    end_ms, holdings, group = best
+    return _placement(group, holdings, Lane.LONG, own_ms / len(group), figures)
+
+
+def _holdings(
+    group: Sequence[ServerView], needed: int, figures: EngineFigures
+) -> tuple[Holding, ...] | None:
+    """Return where a prompt's memory lies; ``None`` when the group hasn't enough.
+
+    One engine holds it if one can. Otherwise the one with most room answers, and the others hold
+    as much as they can, those with most room first.
+    """
+    roomy = sorted(group, key=lambda view: _free_tokens(view, figures), reverse=True)
+    leaders = [view for view in roomy if view.work.requests < figures.slots]
+    fitting = [view for view in leaders if _free_tokens(view, figures) >= needed]
+    if fitting:
+        leader = min(fitting, key=lambda view: (view.work.requests, view.work.tokens))
+        return (Holding(leader.server, needed),)
     if not leaders:
         return None
-    leader = min(leaders, key=lambda view: (view.work.short_requests, view.work.tokens))
-    others = [view for view in ranked if view is not leader]
-    chosen = [leader, *others[: _helper_count(leader, others, own_ms)]]
-    part_ms = own_ms / len(chosen)
-    predicted_ms = max(_first_event_ms(view, part_ms, figures) for view in chosen)
-    return _placement(leader, chosen, Lane.LONG, part_ms, predicted_ms)
-
-
-def _helper_count(leader: ServerView, others: Sequence[ServerView], own_ms: float) -> int:
-    """Return with how many helpers the reading ends first."""
-    best = 0
-    best_ms = leader.work.reading_ms + own_ms
-    most = min(MOST_HELPERS, len(others), max(0, int(own_ms / PART_MS) - 1))
-    queue_ms = leader.work.reading_ms
-    for count in range(1, most + 1):
-        queue_ms = max(queue_ms, others[count - 1].work.reading_ms)
-        end_ms = queue_ms + own_ms / (count + 1)
-        if end_ms < best_ms:
-            best, best_ms = count, end_ms
-    return best
+    leader = leaders[0]
+    left = needed - _free_tokens(leader, figures)
+    holdings = [Holding(leader.server, _free_tokens(leader, figures))]
+    for view in roomy:
+        if view is not leader and left > 0:
+            tokens = min(left, _free_tokens(view, figures))
+            if tokens > 0:
+                holdings.append(Holding(view.server, tokens))
+                left -= tokens
+    return tuple(holdings) if left <= 0 else None
+
+
+def _free_tokens(view: ServerView, figures: EngineFigures) -> int:
+    return int(MEMORY_SHARE * figures.memory_tokens) - view.work.tokens
 
 
 def _has_room(view: ServerView, prompt: PromptSize, figures: EngineFigures) -> bool:
     needed = prompt.prompt_tokens + prompt.output_tokens
-    fits = view.work.tokens + needed <= MEMORY_SHARE * figures.memory_tokens
-    return fits and view.work.requests < figures.slots
+    return _free_tokens(view, figures) >= needed and view.work.requests < figures.slots
 
 
 def _first_event_ms(view: ServerView, part_ms: float, figures: EngineFigures) -> float:
@@ -182,16 +291,19 @@
 
 
 def _placement(
-    first: ServerView,
-    chosen: Sequence[ServerView],
+    group: Sequence[ServerView],
+    holdings: tuple[Holding, ...],
     lane: Lane,
     part_ms: float,
-    predicted_ms: float,
+    figures: EngineFigures,
 ) -> Placement:
+    server = holdings[0].server
+    predicted_ms = max(_first_event_ms(view, part_ms, figures) for view in group)
     return Placement(
-        server=first.server,
-        helpers=tuple(view.server for view in chosen if view is not first),
+        server=server,
+        helpers=tuple(view.server for view in group if view.server is not server),
         lane=lane,
-        parts=tuple(Part(view.server.server_id, part_ms) for view in chosen),
+        parts=tuple(Part(view.server.server_id, part_ms) for view in group),
+        holdings=holdings,
         predicted_s=predicted_ms / 1000,
     )
