Choose the engines of a long prompt by the harm to what they write

Cause: a plan took engines without regard to what they write; pauses of 1 to 1.5 s followed where several parts met in one pass (long writers), and short requests on engines that changed lanes were late. Change: every group size is weighed by one cost: short requests made late, long ones by their size, own lateness.

--- a/packages/proxy/src/sassafrastally/proxy/placement.py
+++ b/packages/proxy/src/sassafrastally/proxy/placement.py
@@ -45,13 +45,25 @@
 """A plan predicted within this share of the goal counts as timely: predictions were short by up to
 a third where several entries placed at the same moment."""
 
-THIN_PENALTY = 0.05
-"""What thin parts in the short lane count for, as a share of the goal missed: they hold a pass up
-by less than the reading of one short prompt."""
+SHORT_PAUSES_MS = (170.0, 260.0)
+LONG_PAUSES_MS = (450.0, 900.0)
+"""Pauses from which on events of short and long requests come too late, and at which all do. The
+routes allow 250 ms, and 600 to 1,000 ms; predictions of a pass are off by about a third."""
 
-DISTURBING_PENALTY = 0.25
-"""What parts on engines that write for short requests count for. Each such request gets a pause
-beyond its goal; a long prompt is worth some ten of them."""
+LONG_VALUE_PER_K = 0.1
+"""What a late long request counts for, in late short ones for each 1,000 tokens: a caller with a
+dossier of 180,000 tokens waits on as much work as some twenty with a short note."""
+
+DELAY_COST = 0.05
+"""Part of a request's value lost by a first event at its goal rather than at once: among plans that
+harm nobody the fastest is taken."""
+
+SHORT_LANE_PART_MS = 250.0
+"""A part of this length on an engine of the short lane makes one future short request late."""
+
+OPENING_COST = 0.5
+"""What it costs to let an engine write for its first long request. Engines that only read harm
+nobody, so long requests are answered by few engines and read by the others."""
 
 MOST_HELPERS = 16
 """Helpers that an engine accepts for one prompt."""
@@ -182,67 +194,97 @@
 def _place_long(
     lanes: Lanes, prompt: PromptSize, goal_s: float, figures: EngineFigures
 ) -> Placement | None:
-    """Return the cheapest of three plans.
+    """Return the cheapest plan to read a long prompt, over all sizes of the group that reads it.
 
-    Engines of the long lane without short requests come first. When they would miss the goal, the
-    prompt may be read in thin parts by the short lane, or by engines of the long lane that still
-    write for short requests: just after the mix has turned, these are most of them.
+    More engines read it sooner but hold up more of what others write. Both are counted in the same
+    unit, short requests that become late.
     """
     own_ms = reading_ms(figures, prompt.prompt_tokens)
-    clean = [view for view in lanes.long if not view.work.short_requests]
-    plans = [
-        (_read_apart(clean, prompt, own_ms, figures), 0.0),
-        (_read_thinly(lanes.short, prompt, own_ms, figures), THIN_PENALTY),
-        (_read_apart(lanes.long, prompt, own_ms, figures), DISTURBING_PENALTY),
+    in_short_lane = {view.server.server_id for view in lanes.short} - {
+        view.server.server_id for view in lanes.long
+    }
+    views = [
+        view
+        for view in dict.fromkeys([*lanes.long, *lanes.short])
+        if view.work.reading_requests < figures.slots
     ]
-    possible = [(plan, penalty) for plan, penalty in plans if plan is not None]
-    if not possible:
-        return _read_apart(lanes.short, prompt, own_ms, figures)
-
-    def cost(choice: tuple[Placement, float]) -> float:
-        plan, penalty = choice
-        return max(0.0, plan.predicted_s / goal_s - SAFE_GOAL_SHARE) + penalty
-
-    return min(possible, key=cost)[0]
-
-
-def _read_thinly(
-    views: Sequence[ServerView], prompt: PromptSize, own_ms: float, figures: EngineFigures
-) -> Placement | None:
-    """Return a plan whose parts are too small to hold up short requests."""
-    group_size = math.ceil(own_ms / SHORT_PART_MS)
-    if group_size > min(len(views), MOST_HELPERS + 1):
-        return None
-    return _read_apart(views, prompt, own_ms, figures, least_group=group_size)
+    best: Placement | None = None
+    best_cost = math.inf
+    for size in range(1, min(MOST_HELPERS + 1, len(views), max(1, int(own_ms / PART_MS))) + 1):
+        part_ms = own_ms / size
+        harms = {
+            view.server.server_id: _harm(view, part_ms, figures)
+            + (part_ms / SHORT_LANE_PART_MS if view.server.server_id in in_short_lane else 0.0)
+            for view in views
+        }
+        plan = _plan_group(views, harms, size, part_ms, prompt, figures)
+        if plan is None:
+            continue
+        cost = _late_cost(prompt, plan.predicted_s / goal_s)
+        cost += sum(harms[part.server_id] for part in plan.parts)
+        if cost < best_cost:
+            best, best_cost = plan, cost
+    return best
 
 
-def _read_apart(
+def _plan_group(
     views: Sequence[ServerView],
+    harms: dict[str, float],
+    size: int,
+    part_ms: float,
     prompt: PromptSize,
-    own_ms: float,
     figures: EngineFigures,
-    least_group: int = 1,
 ) -> Placement | None:
-    """Return the plan by which a group of these engines has read a prompt first."""
-    ranked = sorted(
-        (view for view in views if view.work.reading_requests < figures.slots),
-        key=lambda view: view.work.reading_ms,
-    )
-    most = min(MOST_HELPERS + 1, len(ranked), max(least_group, int(own_ms / PART_MS)))
+    """Return the plan with the least harm for a group of that size."""
+    ranked = sorted(views, key=lambda view: (harms[view.server.server_id], view.work.reading_ms))
     needed = prompt.prompt_tokens + prompt.output_tokens
-    best: tuple[float, tuple[Holding, ...], Sequence[ServerView]] | None = None
-    for size in range(least_group, most + 1):
-        group: Sequence[ServerView] = ranked[:size]
-        holdings = _holdings(group, needed, figures)
+    leaders = [
+        view
+        for view in ranked
+        if view.work.requests < figures.slots and _free_tokens(view, figures) >= needed
+    ]
+    if not leaders:
+        holdings = _holdings(ranked[: MOST_HELPERS + 1], needed, figures)
         if holdings is None:
-            continue
-        end_ms = group[-1].work.reading_ms + own_ms / size
-        if best is None or end_ms < best[0]:
-            best = end_ms, holdings, group
-    if best is None:
-        return None
-    end_ms, holdings, group = best
-    return _placement(group, holdings, Lane.LONG, own_ms / len(group), figures)
+            return None
+        holders = {holding.server.server_id for holding in holdings}
+        group = [view for view in ranked if view.server.server_id in holders]
+        group += [view for view in ranked if view not in group][: max(0, size - len(group))]
+        return _placement(group, holdings, Lane.LONG, part_ms * size / len(group), figures)
+
+    def leader_cost(view: ServerView) -> tuple[float, float]:
+        opens = 0.0 if view.work.long_requests else OPENING_COST
+        return harms[view.server.server_id] + opens, view.work.reading_ms
+
+    leader = min(leaders, key=leader_cost)
+    group = [leader, *[view for view in ranked if view is not leader][: size - 1]]
+    return _placement(group, (Holding(leader.server, needed),), Lane.LONG, part_ms, figures)
+
+
+def _late_cost(prompt: PromptSize, share_of_goal: float) -> float:
+    """Return what a first event at that share of its goal costs."""
+    value = max(1.0, LONG_VALUE_PER_K * prompt.prompt_tokens / 1000)
+    late = min(1.0, max(0.0, share_of_goal - SAFE_GOAL_SHARE) / (1.2 - SAFE_GOAL_SHARE))
+    return value * (late + DELAY_COST * share_of_goal)
+
+
+def _harm(view: ServerView, part_ms: float, figures: EngineFigures) -> float:
+    """Return how many requests there become late by a part, counted in short ones."""
+    work = view.work
+    before_ms = pass_ms(figures, work.requests, work.tokens) + work.reading_ms
+    after_ms = before_ms + part_ms
+    short = work.short_requests * (
+        _lateness(after_ms, SHORT_PAUSES_MS) - _lateness(before_ms, SHORT_PAUSES_MS)
+    )
+    value = LONG_VALUE_PER_K * work.tokens / 1000 if work.long_requests else 0.0
+    long = value * (_lateness(after_ms, LONG_PAUSES_MS) - _lateness(before_ms, LONG_PAUSES_MS))
+    return short + long
+
+
+def _lateness(pause_ms: float, limits_ms: tuple[float, float]) -> float:
+    """Return how likely a pause is too long, rising between two limits."""
+    low_ms, high_ms = limits_ms
+    return min(1.0, max(0.0, (pause_ms - low_ms) / (high_ms - low_ms)))
 
 
 def _holdings(
