Open the callers' port before the program is loaded; share and probe suspects

Ruled out: slow first reads of the store (10 ms). Change: the port is bound by a module that loads nothing; clear failures are gossiped, unclear ones probed by one connection; connections refused don't count as attempts; changes at or below the known revision are passed over.

--- a/packages/cli/src/sassafrastally/cli/reference.py
+++ b/packages/cli/src/sassafrastally/cli/reference.py
@@ -18,7 +18,7 @@
 from sassafrastally.cli.exit_codes import ExitCode
 from sassafrastally.core import CATALOGUE, ERRORS, METRICS, Registry
 from sassafrastally.core.settings import ROLES, SECTIONS
-from sassafrastally.platform import __main__ as _platform_daemon  # noqa: F401 (registers events)
+from sassafrastally.platform import process as _platform_process  # noqa: F401 (registers events)
 from sassafrastally.serving.refusals import REFUSALS
 
 if TYPE_CHECKING:
--- a/packages/control/benchmarks/bundle_processes.py
+++ b/packages/control/benchmarks/bundle_processes.py
@@ -23,7 +23,7 @@
 from sassafrastally.control.signing import BundleSettings, SigningKey, TrustedSigner
 from sassafrastally.control.spread import BundleService
 from sassafrastally.core import Address, Kernel, TcpNetwork
-from sassafrastally.core.settings import Secret
+from sassafrastally.core.secret import Secret
 from sassafrastally.stores import (
     EtcdKv,
     KvSettings,
--- a/packages/control/src/sassafrastally/control/signing.py
+++ b/packages/control/src/sassafrastally/control/signing.py
@@ -18,7 +18,8 @@
 from sassafrastally.control.canonical import BadEncoding, canonical_bytes, is_digest, load_object
 from sassafrastally.control.rules import name_problems
 from sassafrastally.core import CodedError, error
-from sassafrastally.core.settings import Secret, check_table, section
+from sassafrastally.core.secret import Secret
+from sassafrastally.core.settings import check_table, section
 
 BUNDLE_CONTEXT = b"sassafrastally bundle digest v1\0"
 """Stands before the digest in what is signed, so that the signature means nothing elsewhere."""
--- a/packages/control/tests/conftest.py
+++ b/packages/control/tests/conftest.py
@@ -20,7 +20,7 @@
 )
 from sassafrastally.control.spread import BundleService
 from sassafrastally.core import Address, Clock, Kernel
-from sassafrastally.core.settings import Secret
+from sassafrastally.core.secret import Secret
 from sassafrastally.stores import KvUnavailable, PlatformService
 from sassafrastally.testing.kv_fake import FakeKv
 from sassafrastally.testing.kv_model import KvModel
--- a/packages/core/src/sassafrastally/core/logs.py
+++ b/packages/core/src/sassafrastally/core/logs.py
@@ -7,7 +7,7 @@
 
 import structlog
 
-from sassafrastally.core.settings import Secret
+from sassafrastally.core.secret import Secret
 
 
 def configure_logs(level: str) -> None:
--- a/packages/core/src/sassafrastally/core/settings.py
+++ b/packages/core/src/sassafrastally/core/settings.py
@@ -18,6 +18,7 @@
 
 from sassafrastally.core.findings import Finding, FindingsError, Place
 from sassafrastally.core.network import Address
+from sassafrastally.core.secret import Secret
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator, Mapping, Sequence
@@ -39,13 +40,6 @@
 _TOML_LINE = re.compile(r"at line (\d+)")
 
 
-class Secret(str):
-    """A value that no log and no error shows."""
-
-    def __repr__(self) -> str:
-        return "Secret(...)"
-
-
 def section(name: str, *roles: str) -> Callable[[T], T]:
     """Return a class decorator that declares a settings table for some roles (none: all)."""
 
--- a/packages/core/tests/test_settings.py
+++ b/packages/core/tests/test_settings.py
@@ -7,12 +7,8 @@
 import pytest
 
 from sassafrastally.core import Address, FindingsError
-from sassafrastally.core.settings import (
-    Secret,
-    check_table,
-    load_settings,
-    toml_lines,
-)
+from sassafrastally.core.secret import Secret
+from sassafrastally.core.settings import check_table, load_settings, toml_lines
 
 GOOD = """
 role = "entry"
--- a/packages/entry/benchmarks/relay.py
+++ b/packages/entry/benchmarks/relay.py
@@ -23,7 +23,7 @@
 from sassafrastally.control.interfaces import PeerLoad
 from sassafrastally.core import Address, Kernel, Service, TcpNetwork
 from sassafrastally.core.logs import configure_logs
-from sassafrastally.core.settings import Secret
+from sassafrastally.core.secret import Secret
 from sassafrastally.entry.http import HttpService
 from sassafrastally.entry.path import RequestPath
 from sassafrastally.entry.settings import EntrySettings, HttpSettings
--- /dev/null
+++ b/packages/proxy/src/sassafrastally/proxy/answerer.py
@@ -0,0 +1,149 @@
+"""What all ways to answer a request share: counting attempts, the budget of repeats, the log."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from sassafrastally.proxy.attempt import AttemptNotRun, AttemptUnknown
+from sassafrastally.proxy.log_events import AttemptFailed, RequestPlaced, RetryBudgetSpent
+from sassafrastally.proxy.task import Progress, RequestTask, Stopped
+
+if TYPE_CHECKING:
+    from sassafrastally.proxy.model import BackendServer
+    from sassafrastally.proxy.path import RequestPath
+    from sassafrastally.proxy.placement import Placement
+    from sassafrastally.proxy.reply import Reply
+
+MOST_UNREACHABLE = 3
+"""Servers that nobody answers at, after which a request is turned away: then it is not the servers
+but this VM's network that is broken."""
+
+
+class Answerer:
+    """Answers one request by attempts at backend servers.
+
+    Parameters
+    ----------
+    path
+        The services that an answer needs.
+    task
+        The request.
+    reply
+        Where the answer goes.
+    """
+
+    def __init__(self, path: RequestPath, task: RequestTask, reply: Reply) -> None:
+        self.progress = Progress()
+        self._path = path
+        self._task = task
+        self._reply = reply
+        self._clock = path.kernel.clock
+        self._emit = path.kernel.events.emit
+
+    async def run(self) -> Stopped | None:
+        """Answer the request; return why it wasn't answered, or not to the end."""
+        raise NotImplementedError
+
+    @property
+    def _request_id(self) -> str:
+        return self._task.request.facts.request_id
+
+    def _can_go_elsewhere(self) -> bool:
+        """Return whether the request may still be sent to another server."""
+        route = self._task.route
+        return route.is_repeatable and self.progress.sent < route.max_attempts
+
+    def _begin_attempt(self, server: BackendServer) -> None:
+        self.progress.attempts += 1
+        self.progress.sent += 1
+        self.progress.tried.add(server.server_id)
+        self.progress.has_pending = True
+
+    def _may_try_again(self) -> bool:
+        """Return whether another attempt is allowed; counts it in the budget."""
+        route = self._task.route
+        if self.progress.may_have_run and not route.is_repeatable:
+            return False
+        if self.progress.sent >= route.max_attempts:
+            return False
+        if self.progress.unreachable > 0 and self.progress.sent == 0:
+            return self.progress.unreachable < MOST_UNREACHABLE
+        return self._take_from_budget()
+
+    def _take_from_budget(self) -> bool:
+        service = self._task.service
+        now_s = self._clock.now_s()
+        budget = self._path.budget
+        entries = self._path.sight.entries
+        if budget.take(service, entries, now_s):
+            return True
+        self._emit(
+            RetryBudgetSpent(
+                self._request_id,
+                service,
+                budget.repeats(service, now_s),
+                round(budget.allowed(service, entries, now_s), 1),
+            )
+        )
+        return False
+
+    def _note_not_run(self, server: BackendServer, begin_s: float, cause: AttemptNotRun) -> None:
+        """Note an attempt that certainly didn't run."""
+        self.progress.has_pending = False
+        if cause.is_unreachable:
+            # Nothing was sent, so it counts neither as an attempt nor as a repeat.
+            self.progress.sent -= 1
+            self.progress.unreachable += 1
+        self._log_failure(server, begin_s, cause.detail, is_proved_not_run=True)
+        self._path.sight.note_failure(
+            server, cause.detail, self._request_id, is_clear=cause.is_unreachable
+        )
+        if cause.server_at_fault is not None:
+            self._path.sight.note_fault_at(
+                self._task.service, cause.server_at_fault, self._request_id
+            )
+
+    def _note_unknown(
+        self, server: BackendServer, begin_s: float, cause: AttemptUnknown | str
+    ) -> None:
+        """Note an attempt that may have run."""
+        self.progress.has_pending = False
+        self.progress.may_have_run = True
+        detail = cause if isinstance(cause, str) else cause.detail
+        self._log_failure(server, begin_s, detail, is_proved_not_run=False)
+        self._path.sight.note_failure(server, detail, self._request_id)
+
+    def _log_failure(
+        self, server: BackendServer, begin_s: float, cause: str, *, is_proved_not_run: bool
+    ) -> None:
+        self._emit(
+            AttemptFailed(
+                self._request_id,
+                server.server_id,
+                self.progress.attempts,
+                is_proved_not_run,
+                round(self._clock.now_s() - begin_s, 4),
+                cause,
+            )
+        )
+
+    def _log_placed(self, server: BackendServer, placement: Placement | None = None) -> None:
+        task = self._task
+        prompt = task.request.facts.prompt
+        self._emit(
+            RequestPlaced(
+                self._request_id,
+                task.route.name,
+                task.configuration.version,
+                task.customer_name or "",
+                server.server_id,
+                self.progress.attempts,
+                prompt.prompt_tokens if prompt else 0,
+                tuple(server.server_id for server in placement.helpers) if placement else (),
+                placement.lanes if placement else "",
+                round(placement.predicted_s, 4) if placement else 0.0,
+                round(task.deadline_s - self._clock.now_s(), 4),
+                round(self._path.sight.beliefs_age_s, 4),
+                self._path.sight.entries - 1,
+            )
+        )
--- a/packages/proxy/src/sassafrastally/proxy/attempt.py
+++ b/packages/proxy/src/sassafrastally/proxy/attempt.py
@@ -30,6 +30,8 @@
 
     server_at_fault: Address | None = None
     """Another backend server because of which it didn't."""
+    is_unreachable = False
+    """Whether no connection came about, so that nothing was sent."""
 
 
 @error(10006)
@@ -139,7 +141,9 @@
         try:
             return await self._pool.open(server)
         except ConnectionLost as cause:
-            raise AttemptNotRun(cause.detail) from cause
+            unreachable = AttemptNotRun(cause.detail)
+            unreachable.is_unreachable = True
+            raise unreachable from cause
 
     def _head(self, request: Request, terms: AttemptTerms) -> h11.Request:
         headers = [
--- a/packages/proxy/src/sassafrastally/proxy/beliefs.py
+++ b/packages/proxy/src/sassafrastally/proxy/beliefs.py
@@ -104,7 +104,10 @@
     def apply(self, events: Iterable[KvEvent], revision: int, source: str) -> None:
         """Take changes that follow on what is known."""
         for event in events:
-            if not self._is_ours(event.key) or event.mod_revision <= self._known_at(event.key):
+            # Peers tell changes that the store told already; an old one after a newer one would
+            # bring a server back that has left.
+            known = max(self.revision, self._known_at(event.key))
+            if not self._is_ours(event.key) or event.mod_revision <= known:
                 continue
             self._changes.append(event)
             if len(self._changes) == self._changes.maxlen:
--- a/packages/proxy/src/sassafrastally/proxy/callers.py
+++ b/packages/proxy/src/sassafrastally/proxy/callers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import traceback
 from typing import TYPE_CHECKING, ClassVar, NamedTuple
 
 import h11
@@ -11,8 +12,9 @@
 from sassafrastally.proxy.attempt import Request
 from sassafrastally.proxy.beliefs import Beliefs
 from sassafrastally.proxy.dialect import DocumentInvalid
+from sassafrastally.proxy.early_listener import BACKLOG
 from sassafrastally.proxy.http_stream import ConnectionLost, HttpStream, watch_silence
-from sassafrastally.proxy.log_events import ProcessDraining, RequestMalformed
+from sassafrastally.proxy.log_events import ConnectionCrashed, ProcessDraining, RequestMalformed
 from sassafrastally.proxy.model import RequestLimits
 from sassafrastally.proxy.path import RequestPath
 from sassafrastally.proxy.refusals import (
@@ -26,6 +28,8 @@
 from sassafrastally.proxy.reply import Reply
 
 if TYPE_CHECKING:
+    import socket
+
     from sassafrastally.proxy.dialect import Dialect, Headers
     from sassafrastally.proxy.settings import ProxySettings
 
@@ -34,9 +38,6 @@
 )
 """Limits until a configuration is known; the usual ones of operators."""
 
-BACKLOG = 512
-"""Connections that wait to be accepted: a burst of all of a data centre's callers at once."""
-
 ACCEPT_AFTER_SIGNAL_S = 2.6
 """The balancer asks for readiness each second and takes a VM out after two misses, so new
 connections come for a little over two seconds after the signal to stop."""
@@ -45,6 +46,9 @@
 """Requests on kept connections are taken until this long after the signal to stop; after that the
 idle ones are closed. A request that is sent just before the end would be cut with the process."""
 
+TRACE_FRAMES = 12
+"""Frames of a fault's trace in the log; the innermost ones name its place."""
+
 STOP_MARGIN_S = 0.5
 """Time left between the last answer and the kill."""
 
@@ -65,16 +69,21 @@
         Addresses and bounds of the process.
     dialect
         Translator of headers.
+    listener
+        The port, if it is open already.
     """
 
     name: ClassVar[str] = "callers"
     needs: ClassVar[tuple[str, ...]] = ("beliefs", "path")
 
-    def __init__(self, settings: ProxySettings, dialect: Dialect) -> None:
+    def __init__(
+        self, settings: ProxySettings, dialect: Dialect, listener: socket.socket | None = None
+    ) -> None:
         self.open_requests = 0
         """Requests that were read and have no complete answer yet."""
         self._settings = settings
         self._dialect = dialect
+        self._open_listener = listener
         self._stopping_since_s: float | None = None
         self._reading: set[trio.CancelScope] = set()
         self._is_closing_idle = False
@@ -84,9 +93,14 @@
         """Listen."""
         self._beliefs = self.kernel.get("beliefs", Beliefs)
         self._path = self.kernel.get("path", RequestPath)
+        nursery.start_soon(self._listen, [await self._listener()], nursery)
+
+    async def _listener(self) -> trio.SocketListener:
+        if self._open_listener is not None:
+            return trio.SocketListener(trio.socket.from_stdlib_socket(self._open_listener))
         address = self._settings.callers_address
         listeners = await trio.open_tcp_listeners(address.port, host=address.host, backlog=BACKLOG)
-        nursery.start_soon(self._listen, listeners, nursery)
+        return listeners[0]
 
     async def stop(self) -> None:
         """Finish what runs.
@@ -132,6 +146,10 @@
         except ConnectionLost:
             # The caller has gone; whatever ran for it was logged and cancelled by the path.
             return
+        except Exception:
+            # A fault of the program met by one request would otherwise end the process and with it
+            # the answers of all other callers. This caller's connection is closed without an end.
+            self.kernel.events.emit(ConnectionCrashed(traceback.format_exc(limit=TRACE_FRAMES)))
         finally:
             await connection.close()
 
@@ -162,10 +180,17 @@
         return reply.has_ended and _can_continue(connection)
 
     async def _answer(self, connection: HttpStream, request: Request, reply: Reply) -> None:
+        failure: Exception | None = None
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._watch_departure, connection, nursery.cancel_scope)
-            await self._path.answer(request, reply)
+            try:
+                await self._path.answer(request, reply)
+            except Exception as cause:
+                # Carried out of the nursery, which would wrap it in a group.
+                failure = cause
             nursery.cancel_scope.cancel()
+        if failure is not None:
+            raise failure
 
     async def _watch_departure(self, connection: HttpStream, answering: trio.CancelScope) -> None:
         """Stop answering when the caller closes its connection.
--- a/packages/proxy/src/sassafrastally/proxy/daemon.py
+++ b/packages/proxy/src/sassafrastally/proxy/daemon.py
@@ -22,6 +22,7 @@
 from sassafrastally.proxy.watch import StoreWatch
 
 if TYPE_CHECKING:
+    import socket
     from collections.abc import Callable
 
     from sassafrastally.proxy.dialect import Dialect
@@ -29,7 +30,12 @@
     from sassafrastally.proxy.store import Store
 
 
-def make_kernel(settings: ProxySettings, dialect: Dialect, store: Store) -> Kernel:
+def make_kernel(
+    settings: ProxySettings,
+    dialect: Dialect,
+    store: Store,
+    listener: socket.socket | None = None,
+) -> Kernel:
     """Return an entry's kernel with all its services; to be called inside trio."""
     kernel = Kernel(settings.vm, settings.data_centre, Clock())
     bounds = settings.bounds
@@ -41,7 +47,7 @@
     kernel.add(Peers(settings, dialect, store, ledger))
     kernel.add(Sight(ledger))
     kernel.add(RequestPath(dialect, Attempts(dialect, pool), budget))
-    kernel.add(Callers(settings, dialect))
+    kernel.add(Callers(settings, dialect, listener))
     kernel.add(Answering(settings, _metrics_text))
     return kernel
 
@@ -50,6 +56,7 @@
     settings: ProxySettings,
     dialect: Dialect,
     store: Store,
+    listener: socket.socket | None,
     reread: Callable[[], ProxySettings | str],
 ) -> None:
     """Run an entry until it is asked to stop.
@@ -62,10 +69,12 @@
         Translator of the wire.
     store
         The store.
+    listener
+        The callers' port, if it is open already.
     reread
         Reads the settings again; returns them, or what is wrong with them.
     """
-    kernel = make_kernel(settings, dialect, store)
+    kernel = make_kernel(settings, dialect, store, listener)
     async with trio.open_nursery() as nursery:
         await nursery.start(_take_signals, kernel, settings, reread)
         await kernel.run()
--- a/packages/proxy/src/sassafrastally/proxy/generation.py
+++ b/packages/proxy/src/sassafrastally/proxy/generation.py
@@ -6,19 +6,15 @@
 
 import trio
 
+from sassafrastally.proxy.answerer import Answerer
 from sassafrastally.proxy.attempt import AttemptNotRun, AttemptUnknown
 from sassafrastally.proxy.event_stream import EventSplitter, StreamEvent
 from sassafrastally.proxy.load import Flight
-from sassafrastally.proxy.log_events import (
-    AttemptFailed,
-    RequestAnswered,
-    RequestPlaced,
-    RetryBudgetSpent,
-)
+from sassafrastally.proxy.log_events import RequestAnswered
 from sassafrastally.proxy.model import AttemptTerms, Helper
 from sassafrastally.proxy.placement import lane_of, place_prompt, split_lanes
 from sassafrastally.proxy.refusals import MAY_HAVE_RUN, NO_ROOM, NO_SERVER, TURNED_AWAY
-from sassafrastally.proxy.task import Progress, RequestTask, Stopped
+from sassafrastally.proxy.task import RequestTask, Stopped
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -45,7 +41,7 @@
 the rest is for the other one's first event."""
 
 
-class Generation:
+class Generation(Answerer):
     """Answers one request by model engines."""
 
     def __init__(
@@ -56,15 +52,10 @@
         figures: EngineFigures,
         prompt: PromptSize,
     ) -> None:
-        self.progress = Progress()
-        self._path = path
-        self._task = task
-        self._reply = reply
+        super().__init__(path, task, reply)
         self._figures = figures
         self._prompt = prompt
         self._lane = lane_of(task.route, prompt, figures)
-        self._clock = path.kernel.clock
-        self._emit = path.kernel.events.emit
         self._last_event_id = task.request.facts.last_event_id
         self._first_s: float | None = None
         self._previous_s = 0.0
@@ -95,53 +86,24 @@
             return None
         lanes = split_lanes(views, self._figures)
         goal_s = self._task.route.goal_s or self._task.time_limit_s
-        return place_prompt(lanes, self._lane, self._prompt, goal_s, self._figures)
-
-    def _may_try_again(self) -> bool:
-        """Return whether another attempt is allowed; counts it in the budget."""
-        task = self._task
-        if self.progress.may_have_run and not task.route.is_repeatable:
-            return False
-        if self.progress.attempts >= task.route.max_attempts:
-            return False
-        now_s = self._clock.now_s()
-        budget = self._path.budget
-        entries = self._path.sight.entries
-        if budget.take(task.service, entries, now_s):
-            return True
-        self._emit(
-            RetryBudgetSpent(
-                task.request.facts.request_id,
-                task.service,
-                budget.repeats(task.service, now_s),
-                budget.allowed(task.service, entries, now_s),
-            )
-        )
-        return False
+        placement = place_prompt(lanes, self._lane, self._prompt, goal_s, self._figures)
+        return placement and placement._replace(lanes=f"{len(lanes.long)}+{len(lanes.short)}")
 
     async def _try(self, placement: Placement) -> bool:
         """Make one attempt; return whether the caller has its answer."""
-        self.progress.attempts += 1
-        server_id = placement.server.server_id
-        self.progress.tried.add(server_id)
+        server = placement.server
+        self._begin_attempt(server)
         begin_s = self._clock.now_s()
-        self._note_placed(placement, begin_s)
+        self._log_placed(server, placement)
         memory = {holding.server.server_id: holding.tokens for holding in placement.holdings}
-        flight = Flight(server_id, placement.lane, memory, placement.parts)
+        flight = Flight(server.server_id, placement.lane, memory, placement.parts)
         self._path.sight.ledger.add(flight, begin_s)
-        may_have_run_before = self.progress.may_have_run
-        self.progress.may_have_run = True
         try:
             return await self._exchange(placement, flight, begin_s)
         except AttemptNotRun as cause:
-            self.progress.may_have_run = may_have_run_before
-            self._note_failure(placement, begin_s, cause.detail, is_proved_not_run=True)
-            if cause.server_at_fault is not None:
-                self._path.sight.note_fault_at(
-                    self._task.service, cause.server_at_fault, self._request_id
-                )
+            self._note_not_run(server, begin_s, cause)
         except AttemptUnknown as cause:
-            self._note_failure(placement, begin_s, cause.detail)
+            self._note_unknown(server, begin_s, cause)
         finally:
             self._path.sight.ledger.remove(flight, self._clock.now_s())
         return False
@@ -182,10 +144,6 @@
         )
         return SILENCE_SHARE * patience_s
 
-    def _can_go_elsewhere(self) -> bool:
-        route = self._task.route
-        return route.is_repeatable and self.progress.attempts < route.max_attempts
-
     async def _pass_failure(self, placement: Placement, answer: Answer) -> bool:
         """Pass on an engine's answer that is no stream, or leave it for another attempt."""
         body = await answer.read()
@@ -236,28 +194,6 @@
             self._last_event_id = event.event_id
             self.progress.last_event_id = event.event_id
 
-    @property
-    def _request_id(self) -> str:
-        return self._task.request.facts.request_id
-
-    def _note_placed(self, placement: Placement, now_s: float) -> None:
-        task = self._task
-        self._emit(
-            RequestPlaced(
-                self._request_id,
-                task.route.name,
-                task.configuration.version,
-                task.customer_name or "",
-                placement.server.server_id,
-                self.progress.attempts,
-                len(placement.helpers),
-                round(placement.predicted_s, 4),
-                round(task.deadline_s - now_s, 4),
-                round(self._path.sight.beliefs_age_s, 4),
-                self._path.sight.entries - 1,
-            )
-        )
-
     def _note_answered(self, placement: Placement, status: int) -> None:
         now_s = self._clock.now_s()
         self._emit(
@@ -273,27 +209,6 @@
             )
         )
 
-    def _note_failure(
-        self,
-        placement: Placement,
-        begin_s: float,
-        cause: str,
-        *,
-        is_proved_not_run: bool = False,
-    ) -> None:
-        server_id = placement.server.server_id
-        self._emit(
-            AttemptFailed(
-                self._request_id,
-                server_id,
-                self.progress.attempts,
-                is_proved_not_run,
-                self._clock.now_s() - begin_s,
-                cause,
-            )
-        )
-        self._path.sight.note_failure(server_id, cause, self._request_id)
-
 
 def _with_reservations(
     helpers: tuple[Helper, ...], reserved: Mapping[str, str]
--- a/packages/proxy/src/sassafrastally/proxy/load.py
+++ b/packages/proxy/src/sassafrastally/proxy/load.py
@@ -104,14 +104,15 @@
         while self.change_count == change_count:
             await self._changed.wait()
 
-    def _note_change(self) -> None:
+    def note_change(self) -> None:
+        """Wake those who wait for a change."""
         self.change_count += 1
         self._changed.set()
         self._changed = trio.Event()
 
     def add(self, flight: Flight, now_s: float) -> None:
         """Count an attempt that begins."""
-        self._note_change()
+        self.note_change()
         self._flights.add(flight)
         for part in flight.parts:
             begin_s = max(now_s, self._read_until_s.get(part.server_id, now_s))
@@ -121,7 +122,7 @@
         """Note that the prompt of an attempt has been read."""
         if not flight.is_reading:
             return
-        self._note_change()
+        self.note_change()
         flight.is_reading = False
         still_reading = {
             part.server_id for other in self._flights if other.is_reading for part in other.parts
@@ -133,7 +134,7 @@
     def remove(self, flight: Flight, now_s: float) -> None:
         """Stop counting an attempt that has ended."""
         self.first_event(flight, now_s)
-        self._note_change()
+        self.note_change()
         self._flights.discard(flight)
 
     def work(self, now_s: float) -> dict[str, Work]:
--- a/packages/proxy/src/sassafrastally/proxy/log_events.py
+++ b/packages/proxy/src/sassafrastally/proxy/log_events.py
@@ -118,7 +118,11 @@
     customer: str
     server_id: str
     attempt: int
-    helpers: int
+    prompt_tokens: int
+    helpers: tuple[str, ...]
+    """Ids of the engines that help to read the prompt."""
+    lanes: str
+    """Engines of the long and of the short lane; empty for plain services."""
     predicted_s: float
     """Predicted time to the first event; 0 when none is made."""
     time_left_s: float
@@ -266,3 +270,10 @@
     reservation_id: str
     server_id: str
     status: int
+
+
+@event(10027, "error")
+class ConnectionCrashed(NamedTuple):
+    """A fault of the program ended one caller's connection."""
+
+    trace: str
--- a/packages/proxy/src/sassafrastally/proxy/path.py
+++ b/packages/proxy/src/sassafrastally/proxy/path.py
@@ -199,5 +199,7 @@
 
     Only a request of which no attempt may have run may be called "not run".
     """
-    refusal: Refusal = NO_ANSWER_IN_TIME if progress.may_have_run else NOT_SENT_IN_TIME
+    refusal: Refusal = NOT_SENT_IN_TIME
+    if progress.may_have_run or progress.has_pending:
+        refusal = NO_ANSWER_IN_TIME
     return Stopped(refusal, "the time limit is over")
--- a/packages/proxy/src/sassafrastally/proxy/peers.py
+++ b/packages/proxy/src/sassafrastally/proxy/peers.py
@@ -23,7 +23,7 @@
 from sassafrastally.proxy.store import AnswerLost, Snapshot
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator, Mapping
+    from collections.abc import Callable, Iterator, Mapping
 
     from sassafrastally.proxy.dialect import Dialect
     from sassafrastally.proxy.load import Ledger, Work
@@ -82,6 +82,8 @@
         self._peers: dict[str, Peer] = {}
         self._sequence = 0
         self._is_stopping = False
+        self.own_suspects: Callable[[], dict[int, float]] = dict
+        """Asked for the servers that this entry suspects: seconds left by hash of the id."""
 
     async def start(self, nursery: trio.Nursery) -> None:
         """Open the port and begin to send."""
@@ -134,7 +136,7 @@
                 server_hash(server_id): work for server_id, work in self._ledger.work(now_s).items()
             },
             peers=tuple(self.live_hosts()),
-            suspects={},
+            suspects=self.own_suspects(),
         )
 
     def _live(self) -> Iterator[Peer]:
--- a/packages/proxy/src/sassafrastally/proxy/plain.py
+++ b/packages/proxy/src/sassafrastally/proxy/plain.py
@@ -6,24 +6,18 @@
 
 import trio
 
+from sassafrastally.proxy.answerer import Answerer
 from sassafrastally.proxy.attempt import AttemptNotRun, AttemptUnknown
 from sassafrastally.proxy.load import Flight, Lane
-from sassafrastally.proxy.log_events import (
-    AttemptFailed,
-    RequestAnswered,
-    RequestPlaced,
-    RetryBudgetSpent,
-)
+from sassafrastally.proxy.log_events import RequestAnswered
 from sassafrastally.proxy.model import AttemptTerms
 from sassafrastally.proxy.plain_placement import place_plain
 from sassafrastally.proxy.refusals import MAY_HAVE_RUN, NO_SERVER, TURNED_AWAY
-from sassafrastally.proxy.task import Progress, RequestTask, Stopped
+from sassafrastally.proxy.task import Stopped
 
 if TYPE_CHECKING:
     from sassafrastally.proxy.dialect import Headers
     from sassafrastally.proxy.model import BackendServer
-    from sassafrastally.proxy.path import RequestPath
-    from sassafrastally.proxy.reply import Reply
 
 FIRST_TRY_SHARE = 0.45
 """Share of the time left that an attempt gets while another one may follow. A server that hangs
@@ -44,17 +38,9 @@
     server_id: str
 
 
-class PlainRequest:
+class PlainRequest(Answerer):
     """Answers one request by a plain service."""
 
-    def __init__(self, path: RequestPath, task: RequestTask, reply: Reply) -> None:
-        self.progress = Progress()
-        self._path = path
-        self._task = task
-        self._reply = reply
-        self._clock = path.kernel.clock
-        self._emit = path.kernel.events.emit
-
     async def run(self) -> Stopped | None:
         """Answer the request; return why it wasn't answered."""
         failed: WholeAnswer | None = None
@@ -67,7 +53,7 @@
                 await self._pass_on(answer)
                 return None
             failed = answer or failed
-            if not self._may_try_again():
+            if not self._has_others() or not self._may_try_again():
                 break
         if failed is not None:
             await self._pass_on(failed)
@@ -85,62 +71,36 @@
         views = self._path.sight.views(self._task.service, self.progress.tried)
         return place_plain(views, self._path.kernel.data_centre)
 
+    def _has_others(self) -> bool:
+        return bool(self._path.sight.views(self._task.service, self.progress.tried))
+
     def _is_worth_another(self, answer: WholeAnswer) -> bool:
         return answer.status >= SERVER_ERROR and self._task.route.is_repeatable
 
-    def _may_try_again(self) -> bool:
-        """Return whether another attempt is allowed; counts it in the budget."""
-        task = self._task
-        if self.progress.may_have_run and not task.route.is_repeatable:
-            return False
-        if self.progress.attempts >= task.route.max_attempts:
-            return False
-        if not self._path.sight.views(task.service, self.progress.tried):
-            return False
-        now_s = self._clock.now_s()
-        budget = self._path.budget
-        entries = self._path.sight.entries
-        if budget.take(task.service, entries, now_s):
-            return True
-        self._emit(
-            RetryBudgetSpent(
-                task.request.facts.request_id,
-                task.service,
-                budget.repeats(task.service, now_s),
-                budget.allowed(task.service, entries, now_s),
-            )
-        )
-        return False
-
     async def _try(self, server: BackendServer) -> WholeAnswer | None:
         """Make one attempt; return the answer, ``None`` when none came."""
-        self.progress.attempts += 1
-        self.progress.tried.add(server.server_id)
+        self._begin_attempt(server)
         begin_s = self._clock.now_s()
-        self._note_placed(server, begin_s)
+        self._log_placed(server)
         flight = Flight(server.server_id, Lane.PLAIN)
         self._path.sight.ledger.add(flight, begin_s)
-        may_have_run_before = self.progress.may_have_run
-        self.progress.may_have_run = True
         try:
             with trio.move_on_at(self._attempt_end_s(begin_s)):
                 answer = await self._exchange(server, begin_s)
                 self._path.sight.note_success(server.server_id)
                 return answer
-            self._note_failure(server, begin_s, "no answer in its share of the time")
+            self._note_unknown(server, begin_s, "no answer in its share of the time")
         except AttemptNotRun as cause:
-            self.progress.may_have_run = may_have_run_before
-            self._note_failure(server, begin_s, cause.detail, is_proved_not_run=True)
+            self._note_not_run(server, begin_s, cause)
         except AttemptUnknown as cause:
-            self._note_failure(server, begin_s, cause.detail)
+            self._note_unknown(server, begin_s, cause)
         finally:
             self._path.sight.ledger.remove(flight, self._clock.now_s())
         return None
 
     def _attempt_end_s(self, begin_s: float) -> float:
-        route = self._task.route
         deadline_s = self._task.deadline_s
-        if not route.is_repeatable or self.progress.attempts >= route.max_attempts:
+        if not self._can_go_elsewhere():
             return deadline_s + 1.0  # The limit of the whole request ends it.
         return begin_s + FIRST_TRY_SHARE * (deadline_s - begin_s)
 
@@ -165,7 +125,7 @@
         )
         self._emit(
             RequestAnswered(
-                task.request.facts.request_id,
+                self._request_id,
                 task.route.name,
                 answer.server_id,
                 answer.status,
@@ -175,42 +135,3 @@
                 0.0,
             )
         )
-
-    def _note_placed(self, server: BackendServer, now_s: float) -> None:
-        task = self._task
-        self._emit(
-            RequestPlaced(
-                task.request.facts.request_id,
-                task.route.name,
-                task.configuration.version,
-                task.customer_name or "",
-                server.server_id,
-                self.progress.attempts,
-                0,
-                0.0,
-                task.deadline_s - now_s,
-                self._path.sight.beliefs_age_s,
-                self._path.sight.entries - 1,
-            )
-        )
-
-    def _note_failure(
-        self,
-        server: BackendServer,
-        begin_s: float,
-        cause: str,
-        *,
-        is_proved_not_run: bool = False,
-    ) -> None:
-        request_id = self._task.request.facts.request_id
-        self._emit(
-            AttemptFailed(
-                request_id,
-                server.server_id,
-                self.progress.attempts,
-                is_proved_not_run,
-                self._clock.now_s() - begin_s,
-                cause,
-            )
-        )
-        self._path.sight.note_failure(server.server_id, cause, request_id)
--- a/packages/proxy/src/sassafrastally/proxy/reservations.py
+++ b/packages/proxy/src/sassafrastally/proxy/reservations.py
@@ -82,16 +82,18 @@
             _Reservation(holding, f"{self._kernel.random.getrandbits(64):016x}")
             for holding in holdings
         ]
+        renewing = trio.CancelScope()
         try:
             await self._reserve_all(reservations)
-            async with trio.open_nursery() as renewing:
-                renewing.start_soon(self._renew, reservations)
-                yield {
-                    reservation.holding.server.server_id: reservation.reservation_id
-                    for reservation in reservations
-                }
-                renewing.cancel_scope.cancel()
+            # Renewed by a task of the service and not of a nursery around the yield: that one would
+            # wrap the errors of the attempt, which nobody expects in a group.
+            self._nursery.start_soon(self._renew, reservations, renewing)
+            yield {
+                reservation.holding.server.server_id: reservation.reservation_id
+                for reservation in reservations
+            }
         finally:
+            renewing.cancel()
             for reservation in reservations:
                 self._nursery.start_soon(self._release, reservation)
 
@@ -123,12 +125,15 @@
             )
         return outcome
 
-    async def _renew(self, reservations: Sequence[_Reservation]) -> None:
-        while True:
-            await trio.sleep(RENEW_S)
-            async with trio.open_nursery() as nursery:
-                for reservation in reservations:
-                    nursery.start_soon(self._reserve, reservation)
+    async def _renew(
+        self, reservations: Sequence[_Reservation], renewing: trio.CancelScope
+    ) -> None:
+        with renewing:
+            while True:
+                await trio.sleep(RENEW_S)
+                async with trio.open_nursery() as nursery:
+                    for reservation in reservations:
+                        nursery.start_soon(self._reserve, reservation)
 
     async def _release(self, reservation: _Reservation) -> None:
         holding, reservation_id = reservation
--- a/packages/proxy/src/sassafrastally/proxy/sight.py
+++ b/packages/proxy/src/sassafrastally/proxy/sight.py
@@ -4,18 +4,21 @@
 
 from typing import TYPE_CHECKING, ClassVar
 
+import trio
+
 from sassafrastally.core import Service
 from sassafrastally.proxy.beliefs import Beliefs
+from sassafrastally.proxy.http_stream import ConnectionLost, connect
 from sassafrastally.proxy.load import Ledger, WorkView, merge, server_hash
 from sassafrastally.proxy.log_events import ServerSuspected
 from sassafrastally.proxy.peers import Peers
 from sassafrastally.proxy.placement import ServerView
+from sassafrastally.proxy.pool import CONNECT_TIME_S
 from sassafrastally.proxy.suspicion import Suspicion
 
 if TYPE_CHECKING:
-    import trio
-
     from sassafrastally.core import Address
+    from sassafrastally.proxy.model import BackendServer
 
 
 class Sight(Service):
@@ -27,11 +30,14 @@
     def __init__(self, ledger: Ledger) -> None:
         self.ledger = ledger
         self.suspicion = Suspicion()
+        self._probing: set[str] = set()
 
     async def start(self, nursery: trio.Nursery) -> None:
         """Find the services whose knowledge is joined."""
         self._beliefs = self.kernel.get("beliefs", Beliefs)
         self._peers = self.kernel.get("peers", Peers)
+        self._peers.own_suspects = self._own_suspects
+        self._nursery = nursery
 
     @property
     def entries(self) -> int:
@@ -62,11 +68,13 @@
         """
         now_s = self.kernel.clock.now_s()
         work = self.work()
+        of_peers = self._peers.suspects()
         views = [
             ServerView(
                 server,
                 work.at(server.server_id),
-                self.suspicion.is_suspect(server.server_id, now_s),
+                self.suspicion.is_suspect(server.server_id, now_s)
+                or of_peers.get(server_hash(server.server_id), 0.0) > 0,
             )
             for server in self._beliefs.servers_of(service)
             if server.server_id not in avoid
@@ -80,17 +88,50 @@
         self.suspicion.succeeded(server_id)
 
     def note_failure(
-        self, server_id: str, reason: str, request_id: str, *, is_clear: bool = False
+        self, server: BackendServer, reason: str, request_id: str, *, is_clear: bool = False
     ) -> None:
-        """Note a failed answer."""
+        """Note a failed answer.
+
+        Parameters
+        ----------
+        server
+            Who failed.
+        reason
+            How.
+        request_id
+            The request that met it.
+        is_clear
+            Whether nobody answers at the server's address. Otherwise a connection is tried, which
+            tells a server that has died from one that broke off one answer.
+        """
         now_s = self.kernel.clock.now_s()
-        for_s = self.suspicion.failed(server_id, now_s, is_clear=is_clear)
+        for_s = self.suspicion.failed(server.server_id, now_s, is_clear=is_clear)
         if for_s:
-            self.kernel.events.emit(ServerSuspected(server_id, reason, for_s, request_id))
+            self.ledger.note_change()  # So that peers hear of it at once.
+            self.kernel.events.emit(ServerSuspected(server.server_id, reason, for_s, request_id))
+        elif server.server_id not in self._probing:
+            self._probing.add(server.server_id)
+            self._nursery.start_soon(self._probe, server, request_id)
 
     def note_fault_at(self, service: str, address: Address, request_id: str) -> None:
         """Note that an answer named another server as the cause of its failure."""
         for server in self._beliefs.servers_of(service):
             if server.address == address:
                 reason = "named as the cause by another server"
-                self.note_failure(server.server_id, reason, request_id, is_clear=True)
+                self.note_failure(server, reason, request_id, is_clear=True)
+
+    async def _probe(self, server: BackendServer, request_id: str) -> None:
+        try:
+            stream = await connect(server.address, CONNECT_TIME_S)
+            await trio.aclose_forcefully(stream)
+        except ConnectionLost as cause:
+            self.note_failure(server, f"probe: {cause.detail}", request_id, is_clear=True)
+        finally:
+            self._probing.discard(server.server_id)
+
+    def _own_suspects(self) -> dict[int, float]:
+        now_s = self.kernel.clock.now_s()
+        return {
+            server_hash(server_id): left_s
+            for server_id, left_s in self.suspicion.suspects(now_s).items()
+        }
--- a/packages/proxy/src/sassafrastally/proxy/suspicion.py
+++ b/packages/proxy/src/sassafrastally/proxy/suspicion.py
@@ -37,6 +37,14 @@
         record = self._records.get(server_id)
         return record is not None and now_s < record.until_s
 
+    def suspects(self, now_s: float) -> dict[str, float]:
+        """Return the servers to be left alone, with the seconds left."""
+        return {
+            server_id: record.until_s - now_s
+            for server_id, record in self._records.items()
+            if now_s < record.until_s
+        }
+
     def succeeded(self, server_id: str) -> None:
         """Note a good answer: all failures are forgotten."""
         self._records.pop(server_id, None)
--- a/packages/proxy/src/sassafrastally/proxy/task.py
+++ b/packages/proxy/src/sassafrastally/proxy/task.py
@@ -58,9 +58,15 @@
 
     def __init__(self) -> None:
         self.attempts = 0
-        """Attempts at backend servers so far."""
+        """Attempts begun."""
+        self.sent = 0
+        """Attempts whose request reached a server, or may have."""
+        self.unreachable = 0
+        """Attempts at servers that nobody answered at."""
+        self.has_pending = False
+        """Whether an attempt is under way."""
         self.may_have_run = False
-        """Whether some attempt may have run."""
+        """Whether an earlier attempt may have run."""
         self.last_event_id = 0
         """Last event of the stream that was passed on."""
         self.tried: set[str] = set()
--- a/packages/serving/src/sassafrastally/serving/receipts.py
+++ b/packages/serving/src/sassafrastally/serving/receipts.py
@@ -18,7 +18,8 @@
 from cryptography.hazmat.primitives.ciphers.aead import AESGCM
 
 from sassafrastally.core import CodedError, Service, error
-from sassafrastally.core.settings import Secret, section
+from sassafrastally.core.secret import Secret
+from sassafrastally.core.settings import section
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
--- a/packages/serving/tests/test_home_calls.py
+++ b/packages/serving/tests/test_home_calls.py
@@ -9,7 +9,7 @@
 
 from sassafrastally.control.bundle import Bundle, BundleInForce, Customer
 from sassafrastally.core import Address, Clock, Kernel
-from sassafrastally.core.settings import Secret
+from sassafrastally.core.secret import Secret
 from sassafrastally.serving.claims import ClaimService
 from sassafrastally.serving.limits import LimitService
 from sassafrastally.serving.refusals import Refusal
--- a/packages/serving/tests/test_receipts.py
+++ b/packages/serving/tests/test_receipts.py
@@ -11,7 +11,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from sassafrastally.core.settings import Secret
+from sassafrastally.core.secret import Secret
 from sassafrastally.serving.explanations import explain
 from sassafrastally.serving.receipts import (
     MAX_RECEIPT_CHARS,
--- a/packages/sidecar/benchmarks/request_path.py
+++ b/packages/sidecar/benchmarks/request_path.py
@@ -18,7 +18,8 @@
 from sassafrastally.control.membership import MembershipSettings
 from sassafrastally.control.signing import BundleSettings
 from sassafrastally.core import Address
-from sassafrastally.core.settings import ProcessSettings, Secret, Settings
+from sassafrastally.core.secret import Secret
+from sassafrastally.core.settings import ProcessSettings, Settings
 from sassafrastally.sidecar import SidecarService, SidecarSettings, build_sidecar
 from sassafrastally.sidecar.conversation import Conversations
 from sassafrastally.sidecar.engine import EngineChunk, EngineInfo, EngineUsage
--- a/packages/testing/src/sassafrastally/testing/capacity.py
+++ b/packages/testing/src/sassafrastally/testing/capacity.py
@@ -19,7 +19,7 @@
 from sassafrastally.control.signing import BundleSettings, SigningKey, TrustedSigner, sign_digest
 from sassafrastally.control.store import PartStore
 from sassafrastally.core import Address, Kernel, TcpNetwork
-from sassafrastally.core.settings import Secret
+from sassafrastally.core.secret import Secret
 from sassafrastally.wire import (
     Chunk,
     Frame,
--- a/packages/testing/src/sassafrastally/testing/deployment.py
+++ b/packages/testing/src/sassafrastally/testing/deployment.py
@@ -18,7 +18,8 @@
 from sassafrastally.control.rolling import RollOrder, read_head, roll_bundle
 from sassafrastally.control.signing import BundleSettings, SigningKey
 from sassafrastally.core import Address, Clock
-from sassafrastally.core.settings import Secret, load_settings
+from sassafrastally.core.secret import Secret
+from sassafrastally.core.settings import load_settings
 from sassafrastally.entry import build_entry
 from sassafrastally.entry.assemble import build_path
 from sassafrastally.sidecar import build_sidecar
--- a/packages/testing/src/sassafrastally/testing/measure_link.py
+++ b/packages/testing/src/sassafrastally/testing/measure_link.py
@@ -17,7 +17,7 @@
 import trio
 
 from sassafrastally.core import Address, Kernel, TcpNetwork
-from sassafrastally.core.settings import Secret
+from sassafrastally.core.secret import Secret
 from sassafrastally.wire import (
     AdminCall,
     AdminReturn,
--- a/packages/wire/src/sassafrastally/wire/handshake.py
+++ b/packages/wire/src/sassafrastally/wire/handshake.py
@@ -30,7 +30,7 @@
     from random import Random
 
     from sassafrastally.core import HybridClock
-    from sassafrastally.core.settings import Secret
+    from sassafrastally.core.secret import Secret
     from sassafrastally.wire.messages import Message
 
 NONCE_BYTES = 32
--- a/packages/wire/src/sassafrastally/wire/settings.py
+++ b/packages/wire/src/sassafrastally/wire/settings.py
@@ -5,7 +5,8 @@
 from typing import NamedTuple
 
 from sassafrastally.core import Address, CodedError, error
-from sassafrastally.core.settings import Secret, section
+from sassafrastally.core.secret import Secret
+from sassafrastally.core.settings import section
 from sassafrastally.wire.messages import MAX_CHUNK_BYTES
 
 CHUNK_OVERHEAD_BYTES = 128
--- a/packages/wire/tests/conftest.py
+++ b/packages/wire/tests/conftest.py
@@ -9,7 +9,7 @@
 import trio
 
 from sassafrastally.core import Address, Clock, HybridClock, Incarnation, Kernel
-from sassafrastally.core.settings import Secret
+from sassafrastally.core.secret import Secret
 from sassafrastally.testing.network import MemoryNetwork
 from sassafrastally.wire import Frame, PeerIdentity, PeerService, PeerSettings, Query, QueryReply
 from sassafrastally.wire.framing import FrameReader, frame_bytes
--- a/packages/wire/tests/test_handshake.py
+++ b/packages/wire/tests/test_handshake.py
@@ -5,7 +5,7 @@
 import pytest
 import trio
 
-from sassafrastally.core.settings import Secret
+from sassafrastally.core.secret import Secret
 from sassafrastally.wire import (
     SCHEMA_VERSION,
     Frame,
--- a/packages/wire/tests/test_peers.py
+++ b/packages/wire/tests/test_peers.py
@@ -8,7 +8,7 @@
 import trio
 import trustme
 
-from sassafrastally.core.settings import Secret
+from sassafrastally.core.secret import Secret
 from sassafrastally.wire import (
     Chunk,
     End,
