Fill the short lane from one end; a small platform of stand-ins, and tests of the path

Change: short requests are packed again; the testing package gets a metadata store, engines that work in passes and replicas over HTTP, on which entries run as on the platform.

--- a/packages/proxy/src/sassafrastally/proxy/beliefs.py
+++ b/packages/proxy/src/sassafrastally/proxy/beliefs.py
@@ -10,6 +10,8 @@
 from collections import deque
 from typing import TYPE_CHECKING, ClassVar, NamedTuple
 
+import trio
+
 from sassafrastally.core import KvEntry, KvEvent, Service
 from sassafrastally.proxy.dialect import DocumentInvalid
 from sassafrastally.proxy.log_events import (
@@ -56,6 +58,8 @@
         """The store's revision up to which changes are known; 0 before the first."""
         self.confirmed_s = float("-inf")
         """When the store or a peer last confirmed the revision."""
+        self.configuration_known = trio.Event()
+        """Set when the first configuration is known."""
         self.store_returned_s = float("-inf")
         """When the store was last reached again after an outage."""
         self._dialect = dialect
@@ -152,6 +156,7 @@
         if known is not None and configuration.version <= known.version:
             return
         self.configuration = configuration
+        self.configuration_known.set()
         self.kernel.events.emit(
             ConfigurationInForce(configuration.version, len(configuration.routes), source)
         )
--- a/packages/proxy/src/sassafrastally/proxy/callers.py
+++ b/packages/proxy/src/sassafrastally/proxy/callers.py
@@ -238,6 +238,9 @@
         self, connection: HttpStream, head: h11.Request, arrived_s: float, limits: RequestLimits
     ) -> Request | BadRequest:
         headers: Headers = list(head.headers)
+        if _header_size(head) > limits.header_bytes:
+            # The parser only bounds what it waits for, not a header that arrives at once.
+            return BadRequest(HEADER_TOO_LARGE, f"over {limits.header_bytes} bytes")
         problem = _framing_problem(headers)
         if problem:
             return BadRequest(MALFORMED, problem)
@@ -272,6 +275,13 @@
         )
 
 
+def _header_size(head: h11.Request) -> int:
+    """Return the bytes of a header as they stood on the wire, about."""
+    separators = len(": \r\n")
+    fields = sum(len(name) + len(value) + separators for name, value in head.headers)
+    return len(head.method) + len(head.target) + fields
+
+
 def _framing_problem(headers: Headers) -> str:
     """Return what is wrong with the declared length of a body.
 
--- a/packages/proxy/src/sassafrastally/proxy/path.py
+++ b/packages/proxy/src/sassafrastally/proxy/path.py
@@ -38,6 +38,10 @@
 """When to come back while no configuration is known: a process learns it within a second of its
 start, and other entries have it."""
 
+START_TIME_S = 0.5
+"""Requests that arrive this soon after the start wait for the first configuration. The store gives
+it within some milliseconds; longer than this, it is away, and a wait would be in vain."""
+
 NO_ROUTE_NAME = "-"
 
 
@@ -68,11 +72,15 @@
     async def start(self, nursery: trio.Nursery) -> None:
         """Find the services that decisions rest on."""
         self.reservations = Reservations(self.dialect, self.kernel, nursery)
+        self._started_s = self.kernel.clock.now_s()
         self.sight = self.kernel.get("sight", Sight)
         self._beliefs = self.kernel.get("beliefs", Beliefs)
 
     async def answer(self, request: Request, reply: Reply) -> None:
         """Answer a request; raises `ConnectionLost` when the caller can't be reached."""
+        if self._beliefs.configuration is None:
+            with trio.move_on_at(self._started_s + START_TIME_S):
+                await self._beliefs.configuration_known.wait()
         configuration = self._beliefs.configuration
         if configuration is None:
             await self._refuse(request, reply, Stopped(NO_CONFIGURATION, "", COME_BACK_S))
--- a/packages/proxy/src/sassafrastally/proxy/placement.py
+++ b/packages/proxy/src/sassafrastally/proxy/placement.py
@@ -12,7 +12,6 @@
 from __future__ import annotations
 
 import math
-import random
 from typing import TYPE_CHECKING, NamedTuple
 
 from sassafrastally.proxy.engine_time import pass_ms, reading_ms
@@ -31,14 +30,6 @@
 """Share of an engine's slots that the short lane is sized for. A pass takes the same time with six
 requests as with three; the rest is room for what other entries place at the same moment."""
 
-SHORT_LANE_SHARE = 0.25
-"""Least share of the engines in the short lane: room for the burst of short requests that comes
-before any of them is seen in progress."""
-
-REQUEST_COST_MS = 6.0
-"""What a request in progress counts for against a new short one: the reading of a short prompt
-takes 34 ms, and one in six requests is being read at any time."""
-
 LONG_LANE_SHARE = 0.12
 """Least share of the engines in the long lane, so that the first long prompt after a quiet time
 finds engines without short requests."""
@@ -147,7 +138,6 @@
         return Lanes(tuple(views), tuple(views))
     short_requests = sum(view.work.short_requests for view in views)
     wanted = math.ceil(short_requests / (SHORT_FILL * figures.slots)) + 1
-    wanted = max(wanted, math.ceil(SHORT_LANE_SHARE * count))
     least_long = max(1, math.ceil(LONG_LANE_SHARE * count))
     short = max(1, min(wanted, count - least_long))
     return Lanes(tuple(views[: count - short]), tuple(views[count - short :]))
@@ -177,11 +167,11 @@
 
 
 def _place_short(lanes: Lanes, prompt: PromptSize, figures: EngineFigures) -> Placement | None:
-    """Return the engine on which a short prompt's first event comes first.
+    """Return the engine for a short prompt.
 
-    Entries place at the same moment without seeing each other's last choice. If all filled one
-    engine after the other, a burst (callers that return together after an outage) would meet on
-    one engine; so the lane's order is shuffled before the least loaded one is taken.
+    Engines are filled from the end of the order, one after the other, as long as they have few
+    requests and little to read. The long lane begins at the other end; when it grows, it finds
+    engines on which no short request is under way.
     """
     own_ms = reading_ms(figures, prompt.prompt_tokens)
     fitting = [view for view in lanes.short if _has_room(view, prompt, figures)]
@@ -189,17 +179,19 @@
         fitting = [view for view in lanes.long if _has_room(view, prompt, figures)]
     if not fitting:
         return None
-    random.shuffle(fitting)
-    ranked = sorted(fitting, key=lambda view: _short_cost_ms(view, figures))
+    from_the_end = list(reversed(fitting))
+    ranked = sorted(from_the_end, key=lambda view: _short_rank(view, figures))
     group_size = min(math.ceil(own_ms / SHORT_PART_MS), MOST_HELPERS + 1, len(ranked))
     group = ranked[: max(1, group_size)]
     holdings = (Holding(group[0].server, prompt.prompt_tokens + prompt.output_tokens),)
     return _placement(group, holdings, Lane.SHORT, own_ms / len(group), figures)
 
 
-def _short_cost_ms(view: ServerView, figures: EngineFigures) -> float:
-    """Return when a first event would come, plus what each request already there counts for."""
-    return _first_event_ms(view, 0.0, figures) + REQUEST_COST_MS * view.work.requests
+def _short_rank(view: ServerView, figures: EngineFigures) -> tuple[bool, float]:
+    """Return the rank of an engine: all that aren't busy alike, then by the first event's time."""
+    is_full = view.work.requests >= SHORT_FILL * figures.slots
+    is_busy = is_full or view.work.reading_ms > SHORT_PART_MS
+    return is_busy, _first_event_ms(view, 0.0, figures) if is_busy else 0.0
 
 
 def _place_long(
--- /dev/null
+++ b/packages/proxy/tests/test_beliefs.py
@@ -0,0 +1,110 @@
+"""What a process believes, from the store, from peers, and through outages."""
+
+from __future__ import annotations
+
+import json
+
+import pytest
+
+from sassafrastally.core import Clock, Kernel, KvEntry, KvEvent
+from sassafrastally.proxy.beliefs import LAPSE_GRACE_S, Beliefs
+from sassafrastally.proxy.dialect import DocumentInvalid, StoreKeys
+from sassafrastally.proxy.model import BackendServer, Configuration, RequestLimits
+from sassafrastally.proxy.store import Snapshot
+
+LIMITS = RequestLimits(1000, 1000, 1.0, 1.0)
+
+
+class PlainDialect:
+    """Spells everything as JSON lists."""
+
+    keys = StoreKeys("config", "servers/", "entries/")
+
+    def decode_configuration(self, value: bytes) -> Configuration:
+        try:
+            return Configuration(int(value), (), {}, LIMITS, None)
+        except ValueError as cause:
+            raise DocumentInvalid(str(cause)) from cause
+
+    def decode_server(self, key: str, value: bytes) -> BackendServer:
+        is_draining = json.loads(value)
+        return BackendServer(key.removeprefix("servers/"), "s", None, "dc", 1, is_draining)
+
+
+@pytest.fixture
+async def beliefs(autojump_clock):
+    kernel = Kernel("vm", "dc", Clock(), seed=1)
+    return kernel.add(Beliefs(PlainDialect()))
+
+
+def put(key: str, value: str, revision: int) -> KvEvent:
+    """Return a change."""
+    return KvEvent(key, value.encode(), revision)
+
+
+class TestConfiguration:
+    """Versions only move forward."""
+
+    async def test_older_version_from_a_late_answer_is_ignored(self, beliefs):
+        """A read of the store is answered late, after a newer version came by a watch. Taking it
+        would bring routes and keys back that operators have taken away."""
+        beliefs.apply([put("config", "7", 10)], 10, "store")
+        beliefs.replace(Snapshot((KvEntry("config", b"5", 11),), 11), "store")
+        assert beliefs.configuration.version == 7
+
+    async def test_document_that_cannot_be_read_leaves_the_last_one_in_force(self, beliefs):
+        beliefs.apply([put("config", "7", 10)], 10, "store")
+        beliefs.apply([put("config", "broken", 11)], 11, "store")
+        assert beliefs.configuration.version == 7
+
+
+class TestServers:
+    """Backend servers come, drain and go."""
+
+    async def test_draining_server_is_known_but_gets_no_work(self, beliefs):
+        beliefs.apply([put("servers/a", "false", 1), put("servers/b", "true", 2)], 2, "store")
+        assert [server.server_id for server in beliefs.servers_of("s")] == ["a"]
+        assert beliefs.server("b") is not None
+
+    async def test_old_change_told_by_a_peer_does_not_bring_a_server_back(self, beliefs):
+        """A server left. A peer that is behind tells its entry's last change again, under its old
+        revision; the server would get requests again, long after it has gone."""
+        beliefs.apply([put("servers/a", "false", 1)], 1, "store")
+        beliefs.apply([KvEvent("servers/a", None, 5)], 5, "store")
+        beliefs.apply([put("servers/a", "false", 3)], 3, "peer")
+        assert beliefs.server("a") is None
+
+    async def test_snapshot_that_is_behind_is_ignored(self, beliefs):
+        beliefs.apply([put("servers/a", "false", 9)], 9, "store")
+        beliefs.replace(Snapshot((), 4), "peer")
+        assert beliefs.server("a") is not None
+
+    async def test_entry_that_lapsed_with_the_store_keeps_its_place_for_a_moment(
+        self, beliefs, autojump_clock
+    ):
+        """The store was away and leases ran out; its first changes on return remove live servers.
+        They are back within two seconds. Dropped at once, all requests would be refused."""
+        beliefs.apply([put("servers/a", "false", 1), put("servers/b", "false", 2)], 2, "store")
+        beliefs.store_returned_s = beliefs.kernel.clock.now_s()
+        gone = [KvEvent("servers/a", None, 3), KvEvent("servers/b", None, 4)]
+        beliefs.apply(gone, 4, "store")
+        assert len(beliefs.servers_of("s")) == 2
+        beliefs.apply([put("servers/a", "false", 5)], 5, "store")
+        autojump_clock.jump(LAPSE_GRACE_S + 0.1)
+        assert [server.server_id for server in beliefs.servers_of("s")] == ["a"]
+
+    async def test_entry_removed_in_calm_times_is_gone_at_once(self, beliefs):
+        beliefs.apply([put("servers/a", "false", 1)], 1, "store")
+        beliefs.apply([KvEvent("servers/a", None, 2)], 2, "store")
+        assert beliefs.servers_of("s") == []
+
+
+class TestDelta:
+    """What a peer that is behind is told."""
+
+    async def test_changes_when_they_are_kept_and_everything_otherwise(self, beliefs):
+        beliefs.replace(Snapshot((KvEntry("config", b"1", 4),), 4), "store")
+        beliefs.apply([put("servers/a", "false", 6)], 6, "store")
+        assert [event.key for event in beliefs.delta_after(4).events] == ["servers/a"]
+        assert beliefs.delta_after(4).entries is None
+        assert len(beliefs.delta_after(2).entries) == 2
--- /dev/null
+++ b/packages/proxy/tests/test_decisions.py
@@ -0,0 +1,137 @@
+"""Decisions without I/O: routes, the budget of repeats, suspicion, events, load."""
+
+from __future__ import annotations
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from sassafrastally.core import Address
+from sassafrastally.proxy.budget import RetryBudget
+from sassafrastally.proxy.event_stream import EventSplitter
+from sassafrastally.proxy.load import Flight, Lane, Ledger, Part, Work, merge, server_hash
+from sassafrastally.proxy.model import BackendServer, ServiceShare
+from sassafrastally.proxy.peer_messages import Hello, decode_hello, encode_hello
+from sassafrastally.proxy.placement import ServerView
+from sassafrastally.proxy.plain_placement import place_plain
+from sassafrastally.proxy.routes import choose_service
+from sassafrastally.proxy.suspicion import Suspicion
+
+
+class TestRetryBudget:
+    """Repeats while many servers fail."""
+
+    def test_all_entries_together_stay_within_the_window(self):
+        """All servers fail at once and every request wants a repeat. Four entries, each with its
+        part of the budget, must not send more than the operators allow for all."""
+        budgets = [RetryBudget(0.2, 100, 10.0) for _ in range(4)]
+        sent = 0
+        for step in range(1000):
+            budget = budgets[step % 4]
+            budget.count_request("s", step / 100)
+            sent += budget.take("s", 4, step / 100)
+        assert 100 < sent <= 0.2 * 1000 + 100
+
+    def test_window_moves_on(self):
+        budget = RetryBudget(0.0, 10, 10.0)
+        assert sum(budget.take("s", 1, 0.0) for _ in range(20)) == 6
+        assert budget.take("s", 1, 11.0)
+
+
+class TestSuspicion:
+    """Servers left alone."""
+
+    def test_one_failure_is_not_enough_unless_it_is_clear(self):
+        suspicion = Suspicion()
+        suspicion.failed("a", 0.0, is_clear=False)
+        assert not suspicion.is_suspect("a", 0.0)
+        suspicion.failed("b", 0.0, is_clear=True)
+        assert suspicion.is_suspect("b", 0.5)
+
+    def test_time_doubles_up_to_a_bound_and_success_ends_it(self):
+        suspicion = Suspicion()
+        times = [suspicion.failed("a", 100.0 * n, is_clear=True) for n in range(6)]
+        assert times == [1.0, 2.0, 4.0, 8.0, 8.0, 8.0]
+        suspicion.succeeded("a")
+        assert not suspicion.is_suspect("a", 500.1)
+
+
+class TestServices:
+    """Choices between services and plain servers."""
+
+    @given(st.floats(0, 0.999), st.lists(st.floats(0.1, 100), min_size=1, max_size=5))
+    def test_some_service_is_always_chosen(self, draw, weights):
+        shares = tuple(ServiceShare(str(n), weight) for n, weight in enumerate(weights))
+        assert choose_service(shares, draw) in {share.service for share in shares}
+
+    def test_weights_count(self):
+        shares = (ServiceShare("a", 90), ServiceShare("b", 10))
+        chosen = [choose_service(shares, n / 1000) for n in range(1000)]
+        assert chosen.count("a") == 900
+
+    def test_plain_request_goes_to_the_least_busy_server_and_then_to_a_near_one(self):
+        def view(name: str, place: str, requests: int) -> ServerView:
+            server = BackendServer(name, "desk", Address("10.0.0.1", 1), place, 6, False)
+            return ServerView(server, Work(plain_requests=requests))
+
+        both = [view("far", "there", 1), view("near", "here", 1)]
+        assert place_plain(both, "here").server_id == "near"
+        busy = [view("far", "there", 0), view("near", "here", 1)]
+        assert place_plain(busy, "here").server_id == "far"
+        assert place_plain([], "here") is None
+
+
+class TestEvents:
+    """Events cut out of a body."""
+
+    @given(st.lists(st.integers(1, 60), min_size=1), st.integers(1, 20))
+    def test_any_cut_of_the_bytes_gives_the_same_events(self, sizes, step):
+        body = b"".join(f"id: {n}\ndata: {'x' * size}\n\n".encode() for n, size in enumerate(sizes))
+        splitter = EventSplitter()
+        events = []
+        for start in range(0, len(body), step):
+            events += splitter.feed(body[start : start + step])
+        assert [event.event_id for event in events] == list(range(len(sizes)))
+        assert b"".join(event.data for event in events) == body
+        assert splitter.rest == b""
+
+
+class TestLoad:
+    """Work by backend server."""
+
+    def test_reading_counts_until_the_first_event_and_memory_until_the_end(self):
+        ledger = Ledger()
+        flight = Flight("a", Lane.LONG, {"a": 100, "b": 50}, (Part("a", 500.0), Part("b", 500.0)))
+        ledger.add(flight, 0.0)
+        work = ledger.work(0.1)
+        assert work["b"] == Work(reading_requests=1, tokens=50, reading_ms=400.0)
+        ledger.first_event(flight, 0.4)
+        assert ledger.work(0.4)["a"] == Work(long_requests=1, tokens=100)
+        ledger.remove(flight, 0.5)
+        assert ledger.work(0.5) == {}
+
+    def test_work_of_peers_is_added(self):
+        own = {"a": Work(short_requests=1)}
+        peers = [{server_hash("a"): Work(short_requests=2)}, {server_hash("b"): Work(tokens=7)}]
+        view = merge(own, peers)
+        assert view.at("a").short_requests == 3
+        assert view.at("b").tokens == 7
+        assert view.at("c") == Work()
+
+    def test_datagram_carries_it(self):
+        hello = Hello(
+            host="10.0.0.1",
+            boot_id=7,
+            sequence=3,
+            revision=12,
+            confirmed_age_s=0.5,
+            is_stopping=False,
+            loads={5: Work(1, 2, 3, 4, 5000, 60.0)},
+            peers=("10.0.0.2",),
+            suspects={9: 1.5},
+        )
+        assert decode_hello(encode_hello(hello)) == hello
+
+    def test_datagram_stays_small(self):
+        loads = {n << 40: Work(1, 2, 3, 4, 400_000, 60_000.0) for n in range(200)}
+        hello = Hello("10.0.0.1", 7, 3, 12, 0.5, False, loads, (), {})
+        assert len(encode_hello(hello)) < 1400
--- /dev/null
+++ b/packages/proxy/tests/test_placement.py
@@ -0,0 +1,229 @@
+"""Where prompts go, by the loads that the placement answers."""
+
+from __future__ import annotations
+
+import random
+from typing import NamedTuple
+
+import pytest
+
+from sassafrastally.core import Address
+from sassafrastally.proxy.engine_time import pass_ms, reading_ms
+from sassafrastally.proxy.load import Flight, Lane, Ledger, Work, merge
+from sassafrastally.proxy.model import (
+    BackendServer,
+    EngineFigures,
+    PromptSize,
+    Route,
+    RouteKind,
+    ServiceShare,
+)
+from sassafrastally.proxy.placement import ServerView, lane_of, place_prompt, split_lanes
+
+FIGURES = EngineFigures(
+    slots=8,
+    memory_tokens=405_000,
+    step_ms=1.31,
+    per_request_ms=0.0018,
+    context_ms_per_k=0.00213,
+    read_tokens_per_ms=154.0,
+    pairs_ms_per_million=0.162,
+    chunk_tokens=2048,
+    stride_steps=34,
+    hop_ms=0.1,
+)
+
+SHORT = PromptSize(5000, 1300)
+LONG = PromptSize(182_000, 650)
+
+
+def server(number: int) -> BackendServer:
+    """Return an engine."""
+    return BackendServer(f"e{number}", "engines", Address("10.0.0.1", number), "here", 8, False)
+
+
+def views(works: list[Work]) -> list[ServerView]:
+    """Return engines with this work, in the shared order."""
+    return [ServerView(server(number), work) for number, work in enumerate(works)]
+
+
+def route(pause_goal_s: float) -> Route:
+    """Return a route of streams."""
+    shares = (ServiceShare("engines", 1.0),)
+    return Route(
+        "r", "h", "/", RouteKind.STREAM, shares, 10.0, 3.0, pause_goal_s, 1, 2, False, True
+    )
+
+
+class TestEngineTime:
+    """The model against the published arithmetic."""
+
+    @pytest.mark.parametrize(
+        ("tokens", "expected_ms"), [(5000, 34), (45_000, 456), (182_000, 3865)]
+    )
+    def test_reading(self, tokens, expected_ms):
+        assert reading_ms(FIGURES, tokens) == pytest.approx(expected_ms, rel=0.03)
+
+    def test_pass_with_eight_writers_of_short_prompts(self):
+        assert pass_ms(FIGURES, 8, 40_000) == pytest.approx(48, rel=0.03)
+
+
+class TestLanes:
+    """How engines are divided."""
+
+    def test_lane_follows_the_pause_that_a_route_allows(self):
+        assert lane_of(route(0.25), SHORT, FIGURES) is Lane.SHORT
+        assert lane_of(route(1.0), SHORT, FIGURES) is Lane.LONG
+        assert lane_of(route(0.25), PromptSize(900_000, 1), FIGURES) is Lane.LONG
+
+    def test_short_lane_gets_what_it_needs_and_the_long_one_the_rest(self):
+        quiet = split_lanes(views([Work()] * 23), FIGURES)
+        assert (len(quiet.long), len(quiet.short)) == (22, 1)
+        busy = split_lanes(views([Work(short_requests=4)] * 23), FIGURES)
+        assert len(busy.short) == 17
+        flooded = split_lanes(views([Work(short_requests=8)] * 23), FIGURES)
+        assert len(flooded.long) == 3
+
+    def test_one_engine_is_in_both(self):
+        only = split_lanes(views([Work()]), FIGURES)
+        assert only.long == only.short
+
+
+class TestShortPrompts:
+    """Short prompts beside long ones."""
+
+    def test_goes_where_nothing_long_is_read(self):
+        works = [Work(reading_ms=900.0, long_requests=1)] * 4 + [Work(short_requests=2)] * 2
+        placement = place_prompt(
+            split_lanes(views(works), FIGURES), Lane.SHORT, SHORT, 0.3, FIGURES
+        )
+        assert placement.server.server_id in ("e4", "e5")
+        assert placement.predicted_s < 0.2
+
+    def test_largest_short_prompt_gets_helpers(self):
+        works = [Work(short_requests=4)] * 10
+        placement = place_prompt(
+            split_lanes(views(works), FIGURES), Lane.SHORT, PromptSize(20_000, 500), 0.3, FIGURES
+        )
+        assert len(placement.helpers) == 2
+
+    def test_nothing_fits_when_all_slots_are_taken(self):
+        works = [Work(short_requests=8)] * 3
+        assert (
+            place_prompt(split_lanes(views(works), FIGURES), Lane.SHORT, SHORT, 0.3, FIGURES)
+            is None
+        )
+
+
+class TestLongPrompts:
+    """Long prompts beside short ones."""
+
+    def test_is_read_by_enough_idle_engines_to_meet_its_goal(self):
+        placement = place_prompt(
+            split_lanes(views([Work()] * 23), FIGURES), Lane.LONG, LONG, 3.0, FIGURES
+        )
+        assert len(placement.helpers) >= 8
+        assert placement.predicted_s < 1.0
+
+    def test_does_not_hold_up_short_requests_when_others_are_free(self):
+        works = [Work()] * 8 + [Work(short_requests=5)] * 15
+        placement = place_prompt(split_lanes(views(works), FIGURES), Lane.LONG, LONG, 3.0, FIGURES)
+        used = {part.server_id for part in placement.parts}
+        assert used <= {f"e{number}" for number in range(8)}
+
+    def test_does_not_queue_behind_a_dossier_when_thin_parts_are_possible(self):
+        """A dossier of ten seconds is being read by the few engines of the long lane, in a time of
+        many short requests. A prompt of medium length behind it would miss its goal by far, though
+        the short lane could read it in parts that nobody notices."""
+        works = [Work(reading_ms=9000.0, reading_requests=1, long_requests=1)] * 3
+        works += [Work(short_requests=5)] * 20
+        placement = place_prompt(
+            split_lanes(views(works), FIGURES), Lane.LONG, PromptSize(32_000, 700), 1.5, FIGURES
+        )
+        assert placement.predicted_s < 0.9
+
+    def test_memory_over_one_engine_is_held_by_several(self):
+        placement = place_prompt(
+            split_lanes(views([Work()] * 12), FIGURES),
+            Lane.LONG,
+            PromptSize(900_000, 700),
+            3.0,
+            FIGURES,
+        )
+        assert sum(holding.tokens for holding in placement.holdings) == 900_700
+        assert all(holding.tokens <= 405_000 for holding in placement.holdings)
+        assert placement.holdings[0].server == placement.server
+        helpers = {helper.server_id for helper in placement.helpers}
+        assert all(holding.server.server_id in helpers for holding in placement.holdings[1:])
+
+    def test_engine_whose_memory_is_given_out_does_not_answer(self):
+        works = [Work(tokens=300_000, long_requests=1)] * 2 + [Work()] + [Work(short_requests=3)]
+        placement = place_prompt(split_lanes(views(works), FIGURES), Lane.LONG, LONG, 3.0, FIGURES)
+        assert placement.server.server_id == "e2"
+
+    def test_prompt_over_all_memory_has_no_place(self):
+        lanes = split_lanes(views([Work()] * 2), FIGURES)
+        assert place_prompt(lanes, Lane.LONG, PromptSize(900_000, 1), 3.0, FIGURES) is None
+
+
+class Outcome(NamedTuple):
+    """What a replay counted."""
+
+    asked: int
+    timely: int
+
+
+class TestReplay:
+    """A day's swing: short requests flood, then long ones, then short ones again."""
+
+    LONG_FROM_S = 6.0
+    LONG_UNTIL_S = 14.0
+    LENGTH_S = 20.0
+
+    def arrivals(self) -> list[tuple[float, Lane, PromptSize]]:
+        """Return the requests of the day: 55 short ones a second, or 9 and three long ones."""
+        draw = random.Random(4)
+        found = []
+        now_s = 0.0
+        while now_s < self.LENGTH_S:
+            is_long_time = self.LONG_FROM_S <= now_s < self.LONG_UNTIL_S
+            short_rate, long_rate = (9.0, 3.0) if is_long_time else (55.0, 0.6)
+            now_s += draw.expovariate(short_rate + long_rate)
+            if draw.random() < short_rate / (short_rate + long_rate):
+                tokens = int(min(23_800, draw.lognormvariate(8.1, 0.9)))
+                found.append((now_s, Lane.SHORT, PromptSize(tokens, 1300)))
+            else:
+                tokens = int(min(380_000, draw.lognormvariate(11.2, 0.8)))
+                found.append((now_s, Lane.LONG, PromptSize(tokens, 650)))
+        return found
+
+    def replay(self) -> dict[Lane, Outcome]:
+        """Place all requests by the predictions alone and count the timely first events."""
+        ledger = Ledger()
+        ends: list[tuple[float, str, Flight]] = []
+        counts = {Lane.SHORT: [0, 0], Lane.LONG: [0, 0]}
+        for now_s, lane, prompt in self.arrivals():
+            for moment in [end for end in ends if end[0] <= now_s]:
+                _, what, flight = moment
+                (ledger.first_event if what == "first" else ledger.remove)(flight, moment[0])
+                ends.remove(moment)
+            work = merge(ledger.work(now_s), [])
+            order = [ServerView(server(n), work.at(f"e{n}")) for n in range(23)]
+            goal_s = 0.3 if lane is Lane.SHORT else 3.0
+            placement = place_prompt(split_lanes(order, FIGURES), lane, prompt, goal_s, FIGURES)
+            counts[lane][0] += 1
+            if placement is None:
+                continue
+            counts[lane][1] += placement.predicted_s <= goal_s
+            memory = {holding.server.server_id: holding.tokens for holding in placement.holdings}
+            flight = Flight(placement.server.server_id, lane, memory, placement.parts)
+            ledger.add(flight, now_s)
+            first_s = now_s + placement.predicted_s
+            ends += [(first_s, "first", flight), (first_s + 1.8, "end", flight)]
+        return {lane: Outcome(*count) for lane, count in counts.items()}
+
+    def test_both_kinds_are_served_in_time_through_the_swing(self):
+        outcome = self.replay()
+        short, long = outcome[Lane.SHORT], outcome[Lane.LONG]
+        assert short.timely >= 0.97 * short.asked
+        assert long.timely >= 0.9 * long.asked
--- /dev/null
+++ b/packages/testing/src/sassafrastally/testing/http_stand_in.py
@@ -0,0 +1,136 @@
+"""A small HTTP server for stand-ins on the loopback interface."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, NamedTuple
+
+import h11
+import trio
+
+from sassafrastally.proxy.http_stream import ConnectionLost, HttpStream
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+
+class StandInRequest(NamedTuple):
+    """A request as a stand-in sees it."""
+
+    method: str
+    target: str
+    headers: dict[str, str]
+    body: bytes
+
+
+class StandInConnection:
+    """The connection on which a request came; answers it."""
+
+    def __init__(self, connection: HttpStream) -> None:
+        self._connection = connection
+        self.stream = connection.stream
+
+    async def answer(
+        self, status: int, body: bytes = b"", headers: dict[str, str] | None = None
+    ) -> None:
+        """Send a whole answer."""
+        await self._connection.send(
+            h11.Response(
+                status_code=status,
+                headers=[*(headers or {}).items(), ("content-length", str(len(body)))],
+            ),
+            h11.Data(data=body),
+            h11.EndOfMessage(),
+        )
+
+    async def begin(self, status: int, headers: dict[str, str]) -> None:
+        """Send the header of a chunked answer."""
+        await self._connection.send(h11.Response(status_code=status, headers=[*headers.items()]))
+
+    async def send(self, data: bytes) -> None:
+        """Send a piece of the body."""
+        await self._connection.send(h11.Data(data=data))
+
+    async def end(self) -> None:
+        """End the body."""
+        await self._connection.send(h11.EndOfMessage())
+
+    async def send_raw(self, data: bytes) -> None:
+        """Send bytes past the HTTP state machine."""
+        await self._connection.send_bytes(data)
+
+    async def reset(self) -> None:
+        """Close at once."""
+        await self._connection.close()
+
+
+async def serve_http(
+    host: str,
+    port: int,
+    handler: Callable[[StandInRequest, StandInConnection], Awaitable[None]],
+    nursery: trio.Nursery,
+) -> int:
+    """Serve in the nursery; return the port."""
+
+    async def serve(stream: trio.abc.Stream) -> None:
+        connection = HttpStream(stream, h11.SERVER)
+        try:
+            while True:
+                request = await _read_request(connection)
+                if request is None:
+                    return
+                await _handle(connection, request, handler)
+                if connection.http.our_state is not h11.DONE:
+                    return
+                connection.http.start_next_cycle()
+        except (ConnectionLost, h11.RemoteProtocolError, h11.LocalProtocolError):
+            return  # The caller has gone, or the test broke the connection.
+        finally:
+            await connection.close()
+
+    listeners = await trio.open_tcp_listeners(port, host=host)
+    nursery.start_soon(trio.serve_listeners, serve, listeners)
+    bound: int = listeners[0].socket.getsockname()[1]
+    return bound
+
+
+async def _handle(
+    connection: HttpStream,
+    request: StandInRequest,
+    handler: Callable[[StandInRequest, StandInConnection], Awaitable[None]],
+) -> None:
+    """Run the handler until it ends or the caller closes its connection."""
+
+    async def watch(scope: trio.CancelScope) -> None:
+        try:
+            goes_on = await connection.receive_bytes()
+        except ConnectionLost:
+            goes_on = False
+        if not goes_on:
+            scope.cancel()
+
+    failure: Exception | None = None
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(watch, nursery.cancel_scope)
+        try:
+            await handler(request, StandInConnection(connection))
+        except Exception as cause:
+            failure = cause  # Carried out of the nursery, which would wrap it in a group.
+        nursery.cancel_scope.cancel()
+    if failure is not None:
+        raise failure
+
+
+async def _read_request(connection: HttpStream) -> StandInRequest | None:
+    head: h11.Request | None = None
+    body = b""
+    while True:
+        event = await connection.receive()
+        if isinstance(event, h11.Request):
+            head = event
+        elif isinstance(event, h11.Data):
+            body += event.data
+        elif isinstance(event, h11.EndOfMessage) and head is not None:
+            headers = {name.decode(): value.decode("latin-1") for name, value in head.headers}
+            return StandInRequest(head.method.decode(), head.target.decode(), headers, body)
+        elif isinstance(event, h11.ConnectionClosed):
+            return None
--- /dev/null
+++ b/packages/testing/src/sassafrastally/testing/metadata_store.py
@@ -0,0 +1,156 @@
+"""Stand-in of the platform's metadata store: items, revisions, watches, leases, and its faults."""
+
+from __future__ import annotations
+
+import base64
+import json
+from typing import TYPE_CHECKING, Any
+from urllib.parse import parse_qsl, urlsplit
+
+import trio
+
+from sassafrastally.testing.http_stand_in import StandInConnection, StandInRequest, serve_http
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+PAGE_ITEMS = 50
+"""Items in one page of a range."""
+
+
+class MetadataStore:
+    """The store; set the attributes to let it misbehave."""
+
+    def __init__(self) -> None:
+        self.revision = 0
+        self.calls: list[str] = []
+        """Paths of all calls."""
+        self.refuses_with = 0
+        """Status of every answer; 0: it works."""
+        self.is_silent = False
+        """Calls are read and never answered."""
+        self.loses_answers = False
+        """Writes take effect and their connection is closed without an answer."""
+        self._items: dict[str, dict[str, Any]] = {}
+        self._history: list[dict[str, Any]] = []
+        self._kept_from = 0
+        self._leases: dict[int, float] = {}
+        self._changed = trio.Event()
+
+    async def start(self, host: str, nursery: trio.Nursery, port: int = 0) -> int:
+        """Serve in the nursery; return the port."""
+        return await serve_http(host, port, self._handle, nursery)
+
+    def put(self, key: str, value: bytes, lease: int = 0) -> int:
+        """Write an item as the operator or a backend server does; return the revision."""
+        self.revision += 1
+        known = self._items.get(key)
+        item = {
+            "key": key,
+            "value": base64.b64encode(value).decode(),
+            "revision": self.revision,
+            "created": known["created"] if known else self.revision,
+            "lease": lease,
+        }
+        self._items[key] = item
+        self._note(item)
+        return self.revision
+
+    def remove(self, key: str) -> None:
+        """Remove an item."""
+        if self._items.pop(key, None) is not None:
+            self.revision += 1
+            self._note({"key": key, "revision": self.revision, "tombstone": True})
+
+    def forget_history(self) -> None:
+        """Drop all changes; watches that continue from before must read everything."""
+        self._history.clear()
+        self._kept_from = self.revision
+
+    def keys(self) -> list[str]:
+        """Return all keys."""
+        return sorted(self._items)
+
+    def _note(self, change: dict[str, Any]) -> None:
+        self._history.append(change)
+        self._changed.set()
+        self._changed = trio.Event()
+
+    async def _handle(self, request: StandInRequest, connection: StandInConnection) -> None:
+        parts = urlsplit(request.target)
+        query = dict(parse_qsl(parts.query, keep_blank_values=True))
+        self.calls.append(parts.path)
+        if self.is_silent:
+            await trio.sleep_forever()
+        if self.refuses_with:
+            await connection.answer(self.refuses_with)
+            return
+        status, body = await self._call(request.method, parts.path, query, request.body)
+        if self.loses_answers and request.method == "POST":
+            await connection.reset()
+            return
+        await connection.answer(
+            status, json.dumps(body).encode(), {"content-type": "application/json"}
+        )
+
+    async def _call(
+        self, method: str, path: str, query: dict[str, str], raw: bytes
+    ) -> tuple[int, dict[str, Any]]:
+        if path == "/kv-watch":
+            return await self._watch(query)
+        body = json.loads(raw or b"{}")
+        routes: dict[str, Callable[[], tuple[int, dict[str, Any]]]] = {
+            "/kv-key": lambda: self._read(query["key"]),
+            "/kv-range": lambda: self._range(query["pathPrefix"], query.get("after", "")),
+            "/kv-txn": lambda: self._transact(body),
+            "/kv-lease": lambda: self._grant(body["ttlMs"]),
+        }
+        if path in routes:
+            return routes[path]()
+        if path.startswith("/kv-keep/"):
+            known = int(path.rpartition("/")[2]) in self._leases
+            return (200, {"ttlMs": 60_000}) if known else (404, {})
+        return 404, {}
+
+    def _read(self, key: str) -> tuple[int, dict[str, Any]]:
+        item = self._items.get(key)
+        return (200, {**item, "currentRev": self.revision}) if item else (404, {})
+
+    def _range(self, prefix: str, after: str) -> tuple[int, dict[str, Any]]:
+        keys = [key for key in self.keys() if key.startswith(prefix) and key > after]
+        page = [self._items[key] for key in keys[:PAGE_ITEMS]]
+        more = len(keys) > PAGE_ITEMS
+        return 200, {"items": page, "morePages": more, "currentRev": self.revision}
+
+    async def _watch(self, query: dict[str, str]) -> tuple[int, dict[str, Any]]:
+        after = int(query["after"])
+        prefix = query["pathPrefix"]
+        if after < self._kept_from:
+            return 410, {}
+        with trio.move_on_after(int(query["waitMs"]) / 1000):
+            while not self._events(prefix, after):
+                await self._changed.wait()
+        return 200, {"events": self._events(prefix, after), "currentRev": self.revision}
+
+    def _events(self, prefix: str, after: int) -> list[dict[str, Any]]:
+        return [
+            change
+            for change in self._history
+            if change["revision"] > after and change["key"].startswith(prefix)
+        ]
+
+    def _transact(self, body: dict[str, Any]) -> tuple[int, dict[str, Any]]:
+        for row in body.get("expected", []):
+            item = self._items.get(row["key"])
+            if (item["revision"] if item else 0) != row["revision"]:
+                return 412, {"items": []}
+        for write in body.get("writes", []):
+            self.put(write["key"], base64.b64decode(write["value"]), write.get("lease", 0))
+        for key in body.get("remove", []):
+            self.remove(key)
+        return 200, {"revision": self.revision}
+
+    def _grant(self, ttl_ms: int) -> tuple[int, dict[str, Any]]:
+        lease = len(self._leases) + 1
+        self._leases[lease] = trio.current_time() + ttl_ms / 1000
+        return 200, {"lease": lease, "ttlMs": ttl_ms}
--- /dev/null
+++ b/packages/testing/src/sassafrastally/testing/platform_fleet.py
@@ -0,0 +1,265 @@
+"""The users' platform in small: store, backend servers, configuration, and entries before them.
+
+Each entry is the real program's kernel on an address of its own in the loopback range; all else is
+a stand-in on real sockets.
+"""
+
+from __future__ import annotations
+
+import json
+import secrets
+from contextlib import asynccontextmanager
+from typing import TYPE_CHECKING, Any, NamedTuple
+
+import h11
+import trio
+
+from sassafrastally.core import Address
+from sassafrastally.platform.adapter import PlatformDialect
+from sassafrastally.platform.store import StoreClient
+from sassafrastally.proxy.calls import CallClient
+from sassafrastally.proxy.daemon import make_kernel
+from sassafrastally.proxy.http_stream import ConnectionLost, HttpStream, connect
+from sassafrastally.proxy.settings import Bounds, ProxySettings
+from sassafrastally.proxy.store import AnswerLost
+from sassafrastally.testing.metadata_store import MetadataStore
+from sassafrastally.testing.replica import Replica
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    from sassafrastally.core import Kernel
+
+STORE_HOST = "127.20.0.1"
+SERVERS_HOST = "127.20.0.2"
+
+HOST_NAME = "front.example"
+KEY = "key-of-ana"
+
+ENGINE: dict[str, Any] = {
+    "slots": 8,
+    "kvCapacity": 405_000,
+    "stride": 34,
+    "step_ms": 1.31,
+    "per_seq_ms": 0.0018,
+    "context_per_k": 0.00213,
+    "read_per_s": 154_000.0,
+    "pairs_per_m": 0.162,
+    "chunk": 2048,
+    "hopMs": 0.1,
+}
+"""Figures of an engine, as the configuration publishes them."""
+
+BOUNDS = Bounds(
+    stop_time_s=8.0,
+    drain_time_s=2.0,
+    retry_ratio=0.2,
+    retry_window_s=10.0,
+    retry_extra=100,
+    stall_time_s=1.5,
+    reservation_time_s=20.0,
+)
+
+
+class Received(NamedTuple):
+    """An answer as a caller gets it."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+    is_whole: bool
+
+
+def make_route(name: str, kind: str, service: str, **fields: Any) -> dict[str, Any]:
+    """Return a route of the configuration's document."""
+    return {
+        "name": name,
+        "host": HOST_NAME,
+        "pathPrefix": f"/{name}/",
+        "routeKind": kind,
+        "timeoutMs": 5000,
+        "goalMs": 300,
+        "priority": 1,
+        "service": service,
+        "maxAttempts": 2,
+        "public": False,
+        "sticky": False,
+        "resumable": kind == "streaming",
+        **fields,
+    }
+
+
+def make_configuration(version: int, **fields: Any) -> dict[str, Any]:
+    """Return the configuration's document, with some fields replaced."""
+    return {
+        "version": version,
+        "routes": [
+            make_route("note", "streaming", "engines", gapGoalMs=250),
+            make_route("dossier", "streaming", "engines", gapGoalMs=1000, goalMs=3000),
+            make_route("look", "idempotent", "desk"),
+            make_route("book", "non_idempotent", "desk", maxAttempts=1),
+        ],
+        "services": [
+            {"name": "engines", "maxConns": 264, "engine": ENGINE},
+            {"name": "desk", "maxConns": 100},
+        ],
+        "limits": {
+            "maxHeaderBytes": 4096,
+            "maxBodyBytes": 100_000,
+            "headerTimeoutMs": 500,
+            "idleTimeoutMs": 5000,
+        },
+        "tenants": [{"name": "ana", "apiKeys": [KEY], "priority": 1}],
+        **fields,
+    }
+
+
+class PlatformFleet:
+    """All of it, in one nursery."""
+
+    def __init__(self, nursery: trio.Nursery) -> None:
+        self.store = MetadataStore()
+        self.replicas: dict[str, Replica] = {}
+        self.kernels: list[Kernel] = []
+        self.cut_from_store: set[int] = set()
+        """Numbers of the entries whose calls don't reach the store."""
+        self._nursery = nursery
+        self._by_address: dict[Address, Replica] = {}
+        self._ports = 20_000 + secrets.randbelow(20_000)
+
+    async def start_store(self) -> None:
+        """Start the store with the first configuration."""
+        self._store_address = Address(STORE_HOST, await self.store.start(STORE_HOST, self._nursery))
+        self.configure(make_configuration(1))
+
+    def configure(self, document: dict[str, Any]) -> None:
+        """Put a configuration into the store."""
+        self.store.put("op/config", json.dumps(document).encode())
+
+    async def add_replica(self, server_id: str, service: str = "engines", **fields: Any) -> Replica:
+        """Start a backend server and register it."""
+        figures = None
+        if service == "engines":
+            document = json.dumps(make_configuration(1)).encode()
+            engine = PlatformDialect().decode_configuration(document).services["engines"].engine
+            assert engine is not None
+            figures = engine._replace(**fields)
+        replica = Replica(server_id, service, self._by_address, figures)
+        await replica.start(SERVERS_HOST, self._nursery)
+        self.replicas[server_id] = replica
+        self.store.put(f"servers/{server_id}", replica.entry())
+        return replica
+
+    async def add_entry(self, number: int = 1) -> Kernel:
+        """Start an entry and wait until it knows the configuration and a peer, if there is one."""
+        kernel = make_kernel(
+            self.entry_settings(number), PlatformDialect(), self._store_client(number)
+        )
+        await self._nursery.start(kernel.run)
+        self.kernels.append(kernel)
+        return kernel
+
+    def entry_settings(self, number: int) -> ProxySettings:
+        """Return the settings of an entry; each has an address of its own."""
+        host = f"127.20.1.{number}"
+        return ProxySettings(
+            vm=f"entry-{number}",
+            host=host,
+            data_centre="here",
+            callers_address=Address(host, self._ports),
+            readiness_address=Address(host, self._ports + 1),
+            peer_port=self._ports + 2,
+            metrics_port=self._ports + 3,
+            store_address=self._store_address,
+            bounds=BOUNDS,
+        )
+
+    def _store_client(self, number: int) -> StoreClient:
+        calls = CallClient(self._store_address)
+
+        async def exchange(
+            method: str, target: str, body: bytes, time_limit_s: float
+        ) -> tuple[int, bytes]:
+            if number in self.cut_from_store:
+                raise AnswerLost("cut off")
+            return await calls.exchange(method, target, [], body, time_limit_s)
+
+        return StoreClient(exchange, 0.3)
+
+    async def connect(self, number: int = 1) -> HttpStream:
+        """Open a caller's connection to an entry."""
+        address = self.entry_settings(number).callers_address
+        return HttpStream(await connect(address, 1.0), h11.CLIENT)
+
+    async def call(
+        self,
+        path: str,
+        *,
+        entry: int = 1,
+        method: str = "POST",
+        body: bytes = b"{}",
+        headers: dict[str, str] | None = None,
+        prompt: str | None = None,
+        request_id: str | None = None,
+    ) -> Received:
+        """Send one request on a new connection and return its answer."""
+        connection = await self.connect(entry)
+        try:
+            request_headers = request_fields(headers, prompt, request_id)
+            return await exchange_on(connection, method, path, request_headers, body)
+        finally:
+            await connection.close()
+
+
+def request_fields(
+    headers: dict[str, str] | None = None,
+    prompt: str | None = None,
+    request_id: str | None = None,
+) -> dict[str, str]:
+    """Return the header of a caller's request."""
+    fields = {
+        "Host": HOST_NAME,
+        "Attempt-Id": request_id or secrets.token_hex(8),
+        "Deadline-Ms": "4000",
+        "Authorization": f"Bearer {KEY}",
+    }
+    if prompt is not None:
+        fields["Token-Counts"] = prompt
+    return {**fields, **(headers or {})}
+
+
+async def exchange_on(
+    connection: HttpStream, method: str, path: str, headers: dict[str, str], body: bytes
+) -> Received:
+    """Send a request on an open connection and read its answer."""
+    length = {"Content-Length": str(len(body))}
+    await connection.send(
+        h11.Request(method=method, target=path, headers=[*headers.items(), *length.items()]),
+        h11.Data(data=body),
+        h11.EndOfMessage(),
+    )
+    status, fields, received = 0, {}, b""
+    try:
+        while True:
+            event = await connection.receive()
+            if isinstance(event, h11.Response):
+                status = event.status_code
+                fields = {name.decode(): value.decode() for name, value in event.headers}
+            elif isinstance(event, h11.Data):
+                received += event.data
+            elif isinstance(event, h11.EndOfMessage):
+                return Received(status, fields, received, True)
+            elif isinstance(event, h11.ConnectionClosed):
+                return Received(status, fields, received, False)
+    except (h11.RemoteProtocolError, ConnectionLost):
+        return Received(status, fields, received, False)
+
+
+@asynccontextmanager
+async def platform_fleet() -> AsyncIterator[PlatformFleet]:
+    """Run a fleet with its store; replicas and entries are added by the test."""
+    async with trio.open_nursery() as nursery:
+        fleet = PlatformFleet(nursery)
+        await fleet.start_store()
+        yield fleet
+        nursery.cancel_scope.cancel()
--- /dev/null
+++ b/packages/testing/src/sassafrastally/testing/replica.py
@@ -0,0 +1,174 @@
+"""Stand-in of a backend server on the users' platform: a model engine or a plain service."""
+
+from __future__ import annotations
+
+import json
+from typing import TYPE_CHECKING, Any
+
+import trio
+
+from sassafrastally.core import Address
+from sassafrastally.testing.http_stand_in import StandInConnection, StandInRequest, serve_http
+from sassafrastally.testing.passing_engine import Full, PassingEngine
+
+if TYPE_CHECKING:
+    from sassafrastally.proxy.model import EngineFigures
+
+EVENT_BYTES = 20
+"""Text of one event."""
+
+
+class Replica:
+    """A backend server; set the attributes to let it misbehave.
+
+    Attributes
+    ----------
+    runs
+        Ids of the requests that it began to run, in order.
+    seen
+        Headers of all requests that reached it.
+    """
+
+    def __init__(
+        self,
+        server_id: str,
+        service: str,
+        peers: dict[Address, Replica],
+        figures: EngineFigures | None = None,
+        work_s: float = 0.005,
+    ) -> None:
+        self.server_id = server_id
+        self.service = service
+        self.engine = PassingEngine(figures) if figures else None
+        self.work_s = work_s
+        self.runs: list[str] = []
+        self.finished: list[str] = []
+        self.seen: list[dict[str, str]] = []
+        self.refuses = False
+        """It turns all requests away without running them."""
+        self.answers_with = 0
+        """Status of its answers after it has run; 0: 200."""
+        self.resets_after_run = False
+        """It runs a request and resets the connection in place of the answer."""
+        self.breaks_after_events = -1
+        """Events after which it breaks off a stream in the middle of the next one."""
+        self.is_mute = False
+        """It reads requests and never answers."""
+        self.extra_answer = False
+        """It sends a second answer after each."""
+        self.address = Address("", 0)
+        self._peers = peers
+
+    async def start(self, host: str, nursery: trio.Nursery) -> None:
+        """Serve in the nursery."""
+        port = await serve_http(host, 0, self._handle, nursery)
+        self.address = Address(host, port)
+        self._peers[self.address] = self
+        if self.engine is not None:
+            nursery.start_soon(self.engine.work)
+
+    def entry(self, *, is_draining: bool = False) -> bytes:
+        """Return the value of its entry in the store."""
+        return json.dumps(
+            {
+                "service": self.service,
+                "address": str(self.address),
+                "zone": "here",
+                "version": "v1",
+                "slots": self.engine.figures.slots if self.engine else 6,
+                "state": "draining" if is_draining else "ready",
+                "coldLeftMs": 0,
+                "seqNo": 0,
+            }
+        ).encode()
+
+    async def _handle(self, request: StandInRequest, connection: StandInConnection) -> None:
+        if request.target == "/order":
+            await self._order(json.loads(request.body), connection)
+            return
+        self.seen.append(request.headers)
+        request_id = request.headers.get("attempt-id", "")
+        expected = request.headers.get("expect-replica")
+        if expected is not None and expected != self.server_id:
+            await connection.answer(421, b"", {"Replica-Id": self.server_id})
+            return
+        if self.refuses:
+            await connection.answer(503, b"", {"Not-Executed": "1", "Attempt-Id": request_id})
+            return
+        if self.is_mute:
+            await trio.sleep_forever()
+        if self.engine is not None and "token-counts" in request.headers:
+            await self._stream(request, connection)
+        else:
+            await self._plain(request, connection)
+
+    async def _plain(self, request: StandInRequest, connection: StandInConnection) -> None:
+        request_id = request.headers.get("attempt-id", "")
+        self.runs.append(request_id)
+        await trio.sleep(self.work_s)
+        self.finished.append(request_id)
+        if self.resets_after_run:
+            await connection.reset()
+            return
+        body = json.dumps({"target": request.target, "length": len(request.body)}).encode()
+        await connection.answer(self.answers_with or 200, body, self._headers(request_id))
+        if self.extra_answer:
+            other = b"HTTP/1.1 200 OK\r\nAttempt-Id: other\r\nContent-Length: 5\r\n\r\nother"
+            await connection.send_raw(other)
+
+    async def _stream(self, request: StandInRequest, connection: StandInConnection) -> None:
+        assert self.engine is not None
+        prompt_tokens, output_tokens = map(int, request.headers["token-counts"].split(","))
+        first = int(request.headers.get("last-event-id", -1)) + 1
+        total = max(1, output_tokens // self.engine.figures.stride_steps)
+        helpers, held = self._helpers(request.headers.get("helpers", ""))
+        if helpers is None:
+            await connection.answer(503, b"", {"Not-Executed": "1"})
+            return
+        request_id = request.headers.get("attempt-id", "")
+        try:
+            number = first
+            async for _ in self.engine.run(prompt_tokens, total - first, helpers, held):
+                if number == first:
+                    self.runs.append(request_id)
+                    await connection.begin(200, self._headers(request_id))
+                if number == self.breaks_after_events:
+                    await connection.send(f"id: {number}\nda".encode())
+                    await connection.reset()
+                    return
+                text = "x" * EVENT_BYTES
+                await connection.send(f"id: {number}\ndata: {text}\n\n".encode())
+                number += 1
+            await connection.end()
+            self.finished.append(request_id)
+        except Full:
+            await connection.answer(503, b"", {"Not-Executed": "1"})
+
+    def _helpers(self, value: str) -> tuple[list[PassingEngine] | None, int]:
+        """Return the engines that help and the tokens that lie in their reservations."""
+        engines: list[PassingEngine] = []
+        held = 0
+        for entry in filter(None, value.split(",")):
+            address, _, reservation = entry.partition("/")
+            host, _, port = address.rpartition(":")
+            peer = self._peers.get(Address(host, int(port)))
+            if peer is None or peer.engine is None:
+                return None, 0
+            if reservation:
+                if reservation not in peer.engine.reservations:
+                    return None, 0
+                held += peer.engine.reservations[reservation].tokens
+            engines.append(peer.engine)
+        return engines, held
+
+    async def _order(self, order: dict[str, Any], connection: StandInConnection) -> None:
+        assert self.engine is not None
+        if order["operation"] == "release":
+            self.engine.release(order["id"])
+            await connection.answer(200, b"{}")
+            return
+        is_held = self.engine.reserve(order["id"], order["tokenCount"], order["holdMs"] / 1000)
+        await connection.answer(200 if is_held else 409, b"{}")
+
+    def _headers(self, request_id: str) -> dict[str, str]:
+        return {"Attempt-Id": request_id, "Replica-Seal": f"seal.{self.server_id}"}
