Limit an engine's silence without cutting writes to the caller

Cause: the limit of an engine's silence was one cancel scope around the whole attempt. Change: the limit covers waits for the engine's header and for each piece of its body, nothing else.

--- a/packages/proxy/src/sassafrastally/proxy/attempt.py
+++ b/packages/proxy/src/sassafrastally/proxy/attempt.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from contextlib import asynccontextmanager
 from typing import TYPE_CHECKING, NamedTuple
 
@@ -20,6 +21,8 @@
     from sassafrastally.proxy.model import AnswerFacts, AttemptTerms, BackendServer, RequestFacts
     from sassafrastally.proxy.pool import ConnectionPool
 
+SILENT = "nothing came in time"
+
 FOREIGN_ANSWERS = 2
 """Answers to earlier requests that are passed over on one connection before it is given up."""
 
@@ -69,24 +72,34 @@
         self.facts = facts
         self._connection = connection
 
-    async def chunks(self) -> AsyncIterator[bytes]:
-        """Yield the body as it arrives.
+    async def chunk(self, silence_limit_s: float = math.inf) -> bytes | None:
+        """Return the next piece of the body, ``None`` after the last.
+
+        Parameters
+        ----------
+        silence_limit_s
+            How long to wait for it.
 
         Raises
         ------
         AttemptUnknown
-            When it ends early.
+            When the body ends early or nothing comes in time.
         """
-        while True:
-            event = await _receive(self._connection)
-            if isinstance(event, h11.Data):
-                yield bytes(event.data)
-            elif isinstance(event, h11.EndOfMessage):
-                return
+        with trio.move_on_after(silence_limit_s):
+            while True:
+                event = await _receive(self._connection)
+                if isinstance(event, h11.Data):
+                    return bytes(event.data)
+                if isinstance(event, h11.EndOfMessage):
+                    return None
+        raise AttemptUnknown(SILENT)
 
     async def read(self) -> bytes:
         """Return the whole body; raises `AttemptUnknown` when it ends early."""
-        return b"".join([chunk async for chunk in self.chunks()])
+        body = b""
+        while (chunk := await self.chunk()) is not None:
+            body += chunk
+        return body
 
 
 class Attempts:
@@ -98,7 +111,12 @@
 
     @asynccontextmanager
     async def send(
-        self, request: Request, terms: AttemptTerms, *, may_reuse: bool
+        self,
+        request: Request,
+        terms: AttemptTerms,
+        *,
+        may_reuse: bool,
+        silence_limit_s: float = math.inf,
     ) -> AsyncIterator[Answer]:
         """Send a request and give its answer; the connection is closed or kept at the end.
 
@@ -114,6 +132,8 @@
             Whether a kept connection may be used. One that the server has dropped meanwhile looks
             the same as one on which the request was lost after it had begun to run, so requests
             that must not run twice take a new one.
+        silence_limit_s
+            How long to wait for the answer's header.
 
         Raises
         ------
@@ -126,7 +146,11 @@
         is_kept = False
         try:
             head = self._head(request, terms)
-            answer = await self._exchange(connection, request, head)
+            answer = None
+            with trio.move_on_after(silence_limit_s):
+                answer = await self._exchange(connection, request, head)
+            if answer is None:
+                raise AttemptUnknown(SILENT)
             yield answer
             is_kept = _is_reusable(connection)
         finally:
--- a/packages/proxy/src/sassafrastally/proxy/generation.py
+++ b/packages/proxy/src/sassafrastally/proxy/generation.py
@@ -2,10 +2,9 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
-import trio
-
 from sassafrastally.proxy.answerer import Answerer
 from sassafrastally.proxy.attempt import AttemptNotRun, AttemptUnknown
 from sassafrastally.proxy.event_stream import EventSplitter, StreamEvent
@@ -117,25 +116,23 @@
             last_event_id=self._last_event_id,
             helpers=tuple(Helper(server) for server in placement.helpers),
         )
-        guard = _SilenceGuard(self._clock.now_s() + self._silence_limit_s())
-        with guard.scope:
-            async with (
-                self._path.reservations.hold(placement.holdings[1:]) as reserved,
-                self._path.attempts.send(
-                    task.request,
-                    terms._replace(helpers=_with_reservations(terms.helpers, reserved)),
-                    may_reuse=task.route.is_repeatable,
-                ) as answer,
-            ):
-                if answer.status >= 300:
-                    return await self._pass_failure(placement, answer)
-                await self._pass_stream(placement, flight, answer, guard)
-                return True
-        raise AttemptUnknown("the engine went silent")
+        async with (
+            self._path.reservations.hold(placement.holdings[1:]) as reserved,
+            self._path.attempts.send(
+                task.request,
+                terms._replace(helpers=_with_reservations(terms.helpers, reserved)),
+                may_reuse=task.route.is_repeatable,
+                silence_limit_s=self._silence_limit_s(),
+            ) as answer,
+        ):
+            if answer.status >= 300:
+                return await self._pass_failure(placement, answer)
+            await self._pass_stream(placement, flight, answer)
+            return True
 
     def _silence_limit_s(self) -> float:
         if not self._can_go_elsewhere():
-            return self._task.time_limit_s + 1.0  # The limit of the whole request ends it.
+            return math.inf  # The limit of the whole request ends it.
         route = self._task.route
         patience_s = max(
             PATIENCE_S,
@@ -156,23 +153,22 @@
         self._note_answered(placement, answer.status)
         return True
 
-    async def _pass_stream(
-        self, placement: Placement, flight: Flight, answer: Answer, guard: _SilenceGuard
-    ) -> None:
+    async def _pass_stream(self, placement: Placement, flight: Flight, answer: Answer) -> None:
         """Pass a stream on, event by event, so that a broken one can be continued.
 
         Bytes of an event that isn't complete are held: if the engine dies within it, the next one
-        sends it from its beginning, and the caller must not see both.
+        sends it from its beginning, and the caller must not see both. The limit of silence covers
+        the engine alone: a write to the caller that were cut by it would leave half a piece on the
+        wire, and the next attempt's bytes behind it.
         """
         splitter = EventSplitter()
         if not self._reply.has_begun:
             headers = self._path.dialect.answer_headers(answer.headers)
             await self._reply.begin(answer.status, headers)
-        async for chunk in answer.chunks():
+        while (chunk := await answer.chunk(self._silence_limit_s())) is not None:
             for event in splitter.feed(chunk):
                 now_s = self._clock.now_s()
                 self._path.sight.ledger.first_event(flight, now_s)
-                guard.extend(now_s + self._silence_limit_s())
                 await self._pass_event(event, now_s)
         if splitter.rest:
             await self._reply.send(splitter.rest)
@@ -218,14 +214,3 @@
         helper._replace(reservation_id=reserved.get(helper.server.server_id)) for helper in helpers
     ]
     return tuple(sorted(named, key=lambda helper: helper.reservation_id is None))
-
-
-class _SilenceGuard:
-    """Ends an attempt at an engine that says nothing until a moment that moves on."""
-
-    def __init__(self, until_s: float) -> None:
-        self.scope = trio.CancelScope(deadline=until_s)
-
-    def extend(self, until_s: float) -> None:
-        """Allow silence until then."""
-        self.scope.deadline = until_s
--- a/packages/testing/src/sassafrastally/testing/platform_fleet.py
+++ b/packages/testing/src/sassafrastally/testing/platform_fleet.py
@@ -238,7 +238,14 @@
         h11.Data(data=body),
         h11.EndOfMessage(),
     )
-    status, fields, received = 0, {}, b""
+    return await read_answer(connection)
+
+
+async def read_answer(connection: HttpStream) -> Received:
+    """Read the answer to a request that was sent."""
+    status = 0
+    fields: dict[str, str] = {}
+    received = b""
     try:
         while True:
             event = await connection.receive()
--- a/packages/testing/src/sassafrastally/testing/replica.py
+++ b/packages/testing/src/sassafrastally/testing/replica.py
@@ -15,7 +15,7 @@
     from sassafrastally.proxy.model import EngineFigures
 
 EVENT_BYTES = 20
-"""Text of one event."""
+"""Usual text of one event."""
 
 
 class Replica:
@@ -52,6 +52,8 @@
         """It runs a request and resets the connection in place of the answer."""
         self.breaks_after_events = -1
         """Events after which it breaks off a stream in the middle of the next one."""
+        self.event_bytes = EVENT_BYTES
+        """Text of one event."""
         self.is_mute = False
         """It reads requests and never answers."""
         self.extra_answer = False
@@ -136,7 +138,7 @@
                     await connection.send(f"id: {number}\nda".encode())
                     await connection.reset()
                     return
-                text = "x" * EVENT_BYTES
+                text = "x" * self.event_bytes
                 await connection.send(f"id: {number}\ndata: {text}\n\n".encode())
                 number += 1
             await connection.end()
