Let two entries watch the store and tell the others

Cause: every entry's watch costs a call a second; on the grown deployments 21 and 27 entries' calls were the dearest price. Ruled out: longer waits (a connection gone silent must show within two seconds), stale reads (seconds old). Change: an entry watches only while fewer than two of higher rank have had an answer of the store lately; datagrams are sent less often the more peers there are; a return of the store is told to those who only hear of it.

--- a/packages/proxy/src/sassafrastally/proxy/beliefs.py
+++ b/packages/proxy/src/sassafrastally/proxy/beliefs.py
@@ -60,6 +60,8 @@
         """When the store or a peer last confirmed the revision."""
         self.configuration_known = trio.Event()
         """Set when the first configuration is known."""
+        self.store_answered_s = float("-inf")
+        """When the store itself last answered this process."""
         self.store_returned_s = float("-inf")
         """When the store was last reached again after an outage."""
         self._dialect = dialect
--- a/packages/proxy/src/sassafrastally/proxy/peer_messages.py
+++ b/packages/proxy/src/sassafrastally/proxy/peer_messages.py
@@ -43,6 +43,10 @@
     peers: tuple[str, ...]
     suspects: dict[int, float]
     """Seconds for which a backend server is left alone, by hash of its id."""
+    store_age_s: float
+    """Time since the sender itself had an answer of the store."""
+    returned_age_s: float
+    """Time since the store last returned from an outage, as far as the sender knows."""
 
 
 @cache
@@ -59,7 +63,7 @@
         bootId=hello.boot_id,
         sequence=hello.sequence,
         revision=hello.revision,
-        confirmedAgeMs=min(int(hello.confirmed_age_s * 1000), 0xFFFFFFFF),
+        confirmedAgeMs=_milliseconds(hello.confirmed_age_s),
         isStopping=hello.is_stopping,
         loads=[_encode_load(key, work) for key, work in busiest],
         peers=list(hello.peers[:MOST_PEERS]),
@@ -67,6 +71,8 @@
             {"server": key, "forMs": int(for_s * 1000)}
             for key, for_s in list(hello.suspects.items())[:MOST_LOADS]
         ],
+        storeAgeMs=_milliseconds(hello.store_age_s),
+        returnedAgeMs=_milliseconds(hello.returned_age_s),
     )
     data: bytes = message.to_bytes_packed()
     return data
@@ -86,11 +92,18 @@
             loads={load.server: _decode_load(load) for load in message.loads},
             peers=tuple(message.peers),
             suspects={suspect.server: suspect.forMs / 1000 for suspect in message.suspects},
+            store_age_s=message.storeAgeMs / 1000,
+            returned_age_s=message.returnedAgeMs / 1000,
         )
     except (capnp.KjException, ValueError) as cause:
         raise DocumentInvalid(f"datagram of a peer: {cause!r}") from cause
 
 
+def _milliseconds(time_s: float) -> int:
+    """Return the figure of the schema, which ends at 49 days."""
+    return int(min(time_s * 1000, 0xFFFFFFFF))
+
+
 def _encode_load(key: int, work: Work) -> dict[str, int]:
     return {
         "server": key,
--- a/packages/proxy/src/sassafrastally/proxy/peers.capnp
+++ b/packages/proxy/src/sassafrastally/proxy/peers.capnp
@@ -11,6 +11,8 @@
   loads @6 :List(Load);       # the sender's own requests, by backend server
   peers @7 :List(Text);       # IP numbers of entries that the sender hears
   suspects @8 :List(Suspect);
+  storeAgeMs @9 :UInt32;      # time since the sender itself had an answer of the store
+  returnedAgeMs @10 :UInt32;  # time since the store last returned from an outage
 }
 
 struct Load {
--- a/packages/proxy/src/sassafrastally/proxy/peers.py
+++ b/packages/proxy/src/sassafrastally/proxy/peers.py
@@ -21,6 +21,7 @@
 from sassafrastally.proxy.log_events import PeerHeard, PeerSilent, StoreLost
 from sassafrastally.proxy.peer_messages import Hello, decode_delta, decode_hello, encode_hello
 from sassafrastally.proxy.store import AnswerLost, Snapshot
+from sassafrastally.proxy.watch_duty import OtherEntry
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator, Mapping
@@ -37,6 +38,11 @@
 """Shortest time between two datagrams: changes within it go together. An engine's pass takes about
 50 ms, so what peers know is never older than half a pass."""
 
+CLOSE_PEERS = 5
+"""With more peers than this the shortest time grows in proportion, so that an entry sends no more
+than some 250 datagrams a second (1 % of a small VM's core) however many entries there are. More
+entries mean fewer requests at each, so that each one's news is less."""
+
 AGED_OUT_S = 1.0
 """A peer counts as gone after four missed datagrams; one or two are lost now and then."""
 
@@ -108,6 +114,20 @@
         """Return the IP numbers of the peers that are heard."""
         return [peer.host for peer in self._live()]
 
+    def others_at_the_store(self) -> list[OtherEntry]:
+        """Return the live peers with the age of the store's last answer to each."""
+        now_s = self.kernel.clock.now_s()
+        return [
+            OtherEntry(peer.host, peer.hello.store_age_s + now_s - peer.heard_s)
+            for peer in self._live()
+            if peer.hello and not peer.hello.is_stopping
+        ]
+
+    @property
+    def host(self) -> str:
+        """IP number of this entry."""
+        return self._settings.host
+
     def loads(self) -> list[Mapping[int, Work]]:
         """Return the work of each live peer by hash of the backend server's id."""
         return [peer.hello.loads for peer in self._live() if peer.hello]
@@ -130,13 +150,15 @@
             boot_id=self._boot_id,
             sequence=self._sequence,
             revision=self._beliefs.revision,
-            confirmed_age_s=min(now_s - self._beliefs.confirmed_s, 1e6),
+            confirmed_age_s=now_s - self._beliefs.confirmed_s,
             is_stopping=self._is_stopping,
             loads={
                 server_hash(server_id): work for server_id, work in self._ledger.work(now_s).items()
             },
             peers=tuple(self.live_hosts()),
             suspects=self.own_suspects(),
+            store_age_s=now_s - self._beliefs.store_answered_s,
+            returned_age_s=now_s - self._beliefs.store_returned_s,
         )
 
     def _live(self) -> Iterator[Peer]:
@@ -175,6 +197,10 @@
             self.kernel.events.emit(PeerHeard(peer.host, round(min(silent_s, 1e6), 3)))
         peer.hello = hello
         peer.heard_s = now_s
+        # Known before the changes themselves: entries that lapsed with the store keep their place
+        # for a moment also with those who only hear of it.
+        returned_s = now_s - hello.returned_age_s
+        self._beliefs.store_returned_s = max(self._beliefs.store_returned_s, returned_s)
         if hello.revision > self._beliefs.revision and not peer.is_fetching:
             peer.is_fetching = True
             self._nursery.start_soon(self._fetch, peer)
@@ -207,8 +233,9 @@
             seen = self._ledger.change_count
             await self._send_hello()
             self._note_silent(silent)
-            await trio.sleep(LEAST_GAP_S)
-            with trio.move_on_after(MOST_SILENT_S - LEAST_GAP_S):
+            gap_s = min(MOST_SILENT_S, LEAST_GAP_S * max(1.0, self.live_count() / CLOSE_PEERS))
+            await trio.sleep(gap_s)
+            with trio.move_on_after(MOST_SILENT_S - gap_s):
                 await self._ledger.changed_since(seen)
 
     async def _send_hello(self) -> None:
--- a/packages/proxy/src/sassafrastally/proxy/watch.py
+++ b/packages/proxy/src/sassafrastally/proxy/watch.py
@@ -9,7 +9,9 @@
 from sassafrastally.core import KvUnavailable, Service
 from sassafrastally.proxy.beliefs import Beliefs
 from sassafrastally.proxy.log_events import HistoryReread, StoreLost, StoreRegained
+from sassafrastally.proxy.peers import Peers
 from sassafrastally.proxy.store import HistoryGone
+from sassafrastally.proxy.watch_duty import has_duty
 
 if TYPE_CHECKING:
     from sassafrastally.proxy.store import Store
@@ -22,6 +24,9 @@
 store client's time limit, inside the two seconds that operators allow for a change to be in force.
 Each end of a wait costs a call, so shorter is dearer."""
 
+LOOK_S = 0.1
+"""How often an entry that doesn't watch looks whether it has to."""
+
 FIRST_PAUSE_S = 0.05
 LONGEST_PAUSE_S = 0.5
 """Pause after a failed call, doubled with each one in a row, with jitter: entries must not return
@@ -32,7 +37,7 @@
     """Keeps `Beliefs` up to date from the store."""
 
     name: ClassVar[str] = "store-watch"
-    needs: ClassVar[tuple[str, ...]] = ("beliefs",)
+    needs: ClassVar[tuple[str, ...]] = ("beliefs", "peers")
 
     def __init__(self, store: Store) -> None:
         self._store = store
@@ -41,6 +46,7 @@
     async def start(self, nursery: trio.Nursery) -> None:
         """Begin to follow."""
         self._beliefs = self.kernel.get("beliefs", Beliefs)
+        self._peers = self.kernel.get("peers", Peers)
         nursery.start_soon(self._follow)
 
     @property
@@ -52,6 +58,9 @@
         pause_s = FIRST_PAUSE_S
         must_read = True
         while True:
+            if not must_read and not has_duty(self._peers.host, self._peers.others_at_the_store()):
+                await trio.sleep(LOOK_S)
+                continue
             try:
                 if must_read:
                     self._beliefs.replace(await self._store.read_prefix(EVERYTHING), "store")
@@ -80,9 +89,10 @@
         )
 
     def _note_regained(self) -> None:
+        now_s = self.kernel.clock.now_s()
+        self._beliefs.store_answered_s = now_s
         if self._lost_since_s is None:
             return
-        now_s = self.kernel.clock.now_s()
         self._beliefs.store_returned_s = now_s
         away_s = round(now_s - self._lost_since_s, 3)
         self._lost_since_s = None
--- a/packages/proxy/tests/test_decisions.py
+++ b/packages/proxy/tests/test_decisions.py
@@ -15,6 +15,7 @@
 from sassafrastally.proxy.plain_placement import place_plain
 from sassafrastally.proxy.routes import choose_service
 from sassafrastally.proxy.suspicion import Suspicion
+from sassafrastally.proxy.watch_duty import OtherEntry, has_duty
 
 
 class TestRetryBudget:
@@ -80,6 +81,37 @@
         assert place_plain([], "here") is None
 
 
+class TestWatchDuty:
+    """Who watches the store."""
+
+    HOSTS = tuple(f"10.0.0.{number}" for number in range(1, 28))
+
+    def duties(self, ages_s: dict[str, float]) -> list[str]:
+        """Return the entries that watch, each seeing all others."""
+        return [
+            host
+            for host in ages_s
+            if has_duty(
+                host, [OtherEntry(other, age_s) for other, age_s in ages_s.items() if other != host]
+            )
+        ]
+
+    def test_two_of_many_watch(self):
+        assert len(self.duties(dict.fromkeys(self.HOSTS, 0.5))) == 2
+
+    def test_all_watch_when_none_has_an_answer(self):
+        assert len(self.duties(dict.fromkeys(self.HOSTS, 9.0))) == 27
+
+    def test_next_one_steps_in_for_one_that_is_cut_off(self):
+        """One of the two watchers is cut off from the store and goes on telling its peers what it
+        knows. If they relied on it, the other one's death would leave everyone without changes."""
+        first, second = self.duties(dict.fromkeys(self.HOSTS, 0.5))
+        ages_s = {**dict.fromkeys(self.HOSTS, 0.5), first: 5.0}
+        watching = self.duties(ages_s)
+        assert second in watching
+        assert len(set(watching) - {first}) == 2
+
+
 class TestEvents:
     """Events cut out of a body."""
 
@@ -128,10 +160,12 @@
             loads={5: Work(1, 2, 3, 4, 5000, 60.0)},
             peers=("10.0.0.2",),
             suspects={9: 1.5},
+            store_age_s=0.25,
+            returned_age_s=7.5,
         )
         assert decode_hello(encode_hello(hello)) == hello
 
     def test_datagram_stays_small(self):
         loads = {n << 40: Work(1, 2, 3, 4, 400_000, 60_000.0) for n in range(200)}
-        hello = Hello("10.0.0.1", 7, 3, 12, 0.5, False, loads, (), {})
+        hello = Hello("10.0.0.1", 7, 3, 12, 0.5, False, loads, (), {}, 0.0, 0.0)
         assert len(encode_hello(hello)) < 1400
