--- a/packages/proxy/src/sassafrastally/proxy/log_events.py
+++ b/packages/proxy/src/sassafrastally/proxy/log_events.py
@@ -277,3 +277,11 @@
     """A fault of the program ended one caller's connection."""
 
     trace: str
+
+
+@event(10028)
+class WatchTakenOver(NamedTuple):
+    """This entry watches the store, because those who did have had no answer lately."""
+
+    peers: int
+    revision: int
--- a/packages/proxy/src/sassafrastally/proxy/watch.py
+++ b/packages/proxy/src/sassafrastally/proxy/watch.py
@@ -8,7 +8,12 @@
 
 from sassafrastally.core import KvUnavailable, Service
 from sassafrastally.proxy.beliefs import Beliefs
-from sassafrastally.proxy.log_events import HistoryReread, StoreLost, StoreRegained
+from sassafrastally.proxy.log_events import (
+    HistoryReread,
+    StoreLost,
+    StoreRegained,
+    WatchTakenOver,
+)
 from sassafrastally.proxy.peers import Peers
 from sassafrastally.proxy.store import HistoryGone
 from sassafrastally.proxy.watch_duty import has_duty
@@ -42,6 +47,7 @@
     def __init__(self, store: Store) -> None:
         self._store = store
         self._lost_since_s: float | None = None
+        self._is_watching = True
 
     async def start(self, nursery: trio.Nursery) -> None:
         """Begin to follow."""
@@ -78,6 +84,21 @@
                 await trio.sleep(pause_s * self.kernel.random.uniform(0.5, 1.0))
                 pause_s = min(LONGEST_PAUSE_S, 2 * pause_s)
 
+    def _has_duty(self) -> bool:
+        """Return whether this entry watches; note when it takes the watch over.
+
+        Those who watched had no answer lately, so the store may just have been away. The entry that
+        takes over never saw that itself; entries that lapsed meanwhile must keep their place with
+        it too.
+        """
+        others = self._peers.others_at_the_store()
+        had_duty, self._is_watching = self._is_watching, has_duty(self._peers.host, others)
+        if self._is_watching and not had_duty:
+            self.kernel.events.emit(WatchTakenOver(len(others), self._beliefs.revision))
+            if self._lost_since_s is None:
+                self._lost_since_s = self.kernel.clock.now_s()
+        return self._is_watching
+
     def _note_lost(self, cause: KvUnavailable) -> None:
         if self._lost_since_s is not None:
             return
