Call the check that notes when an entry takes the watch over

Cause: the commit before added _has_duty but the loop still called the bare rule (a replacement missed its line), so it changed nothing; its message says otherwise.

--- a/packages/proxy/src/sassafrastally/proxy/watch.py
+++ b/packages/proxy/src/sassafrastally/proxy/watch.py
@@ -64,7 +64,7 @@
         pause_s = FIRST_PAUSE_S
         must_read = True
         while True:
-            if not must_read and not has_duty(self._peers.host, self._peers.others_at_the_store()):
+            if not must_read and not self._has_duty():
                 await trio.sleep(LOOK_S)
                 continue
             try:
