--- a/packages/proxy/src/sassafrastally/proxy/placement.py
+++ b/packages/proxy/src/sassafrastally/proxy/placement.py
@@ -162,25 +162,31 @@
         Figures of the engines.
     """
     if lane is Lane.SHORT:
-        return _place_short(lanes, prompt, figures)
+        return _place_short(lanes, prompt, goal_s, figures)
     return _place_long(lanes, prompt, goal_s, figures)
 
 
-def _place_short(lanes: Lanes, prompt: PromptSize, figures: EngineFigures) -> Placement | None:
+def _place_short(
+    lanes: Lanes, prompt: PromptSize, goal_s: float, figures: EngineFigures
+) -> Placement | None:
     """Return the engine for a short prompt.
 
     Engines are filled from the end of the order, one after the other, as long as they have few
     requests and little to read. The long lane begins at the other end; when it grows, it finds
     engines on which no short request is under way.
+
+    When the mix turns from long to short, the engines that the lane gains are still reading. An
+    engine of the long lane that reads nothing is then better than those.
     """
     own_ms = reading_ms(figures, prompt.prompt_tokens)
-    fitting = [view for view in lanes.short if _has_room(view, prompt, figures)]
-    if not fitting:
-        fitting = [view for view in lanes.long if _has_room(view, prompt, figures)]
-    if not fitting:
+    fitting = [view for view in reversed(lanes.short) if _has_room(view, prompt, figures)]
+    ranked = sorted(fitting, key=lambda view: _short_rank(view, figures))
+    latest_ms = SAFE_GOAL_SHARE * goal_s * 1000 - own_ms
+    if not ranked or _first_event_ms(ranked[0], 0.0, figures) > latest_ms:
+        fitting += [view for view in reversed(lanes.long) if _has_room(view, prompt, figures)]
+        ranked = sorted(fitting, key=lambda view: _first_event_ms(view, 0.0, figures))
+    if not ranked:
         return None
-    from_the_end = list(reversed(fitting))
-    ranked = sorted(from_the_end, key=lambda view: _short_rank(view, figures))
     group_size = min(math.ceil(own_ms / SHORT_PART_MS), MOST_HELPERS + 1, len(ranked))
     group = ranked[: max(1, group_size)]
     holdings = (Holding(group[0].server, prompt.prompt_tokens + prompt.output_tokens),)
--- a/packages/proxy/tests/test_placement.py
+++ b/packages/proxy/tests/test_placement.py
@@ -100,6 +100,17 @@
         assert placement.server.server_id in ("e4", "e5")
         assert placement.predicted_s < 0.2
 
+    def test_uses_an_idle_engine_of_the_long_lane_when_its_own_lane_still_reads(self):
+        """The mix turns from long to short within a second. The short lane grows by engines that
+        still read a dossier; a short prompt there waits for over a second, though an engine of the
+        long lane is idle."""
+        busy = Work(reading_ms=1200.0, reading_requests=1, long_requests=1)
+        works = [Work()] * 2 + [busy] * 6 + [Work(short_requests=8)] * 4
+        placement = place_prompt(
+            split_lanes(views(works), FIGURES), Lane.SHORT, SHORT, 0.3, FIGURES
+        )
+        assert placement.predicted_s < 0.3
+
     def test_largest_short_prompt_gets_helpers(self):
         works = [Work(short_requests=4)] * 10
         placement = place_prompt(
