Ask callers to come back spread over their time; never count negative memory; a command that reads logs

Ruled out: the memory limit of the machine (25 MB at the peak). Change: room is never below nothing, and an engine without any doesn't answer; callers come back after 0.20 to 0.32 of their time left, spread; such failures blame nobody. `sassafrastally why ID` shows a request's lines among the changes of belief.

--- a/packages/cli/tests/test_processes.py
+++ b/packages/cli/tests/test_processes.py
@@ -23,6 +23,7 @@
 EXAMPLES = Path(__file__).parents[3] / "examples"
 DAEMONS = ("reader-1", "reader-2", "crossings-1", "entry-1", "entry-2")
 ENTRY_PORTS = {"entry-1": 8001, "entry-2": 8002}
+ADMIN_PORTS = {"entry-1": 8101, "entry-2": 8102}
 ENGINE_PORTS = {"reader-1": 9101, "reader-2": 9102}
 LONG_TOKENS = 160
 """About a second of the stand-in's decoding."""
@@ -70,13 +71,13 @@
         self.start(vm)
         for entry in ENTRY_PORTS:
             self.wait(lambda entry=entry: self.is_ready(entry), f"{entry} is ready")
-        # A link to the sidecar that came back: both engines serve again.
-        self.wait(self.serves_everywhere, "both readers serve")
+            # A link to the sidecar that came back: both engines serve this entry again.
+            self.wait(lambda entry=entry: self.serves_everywhere(entry), f"all serve {entry}")
 
-    def serves_everywhere(self) -> bool:
-        """Whether every process answers the entry that asks."""
+    def serves_everywhere(self, entry: str = "entry-1") -> bool:
+        """Whether every process answers an entry."""
         answer = httpx.get(
-            f"http://{self.address(8101)}/admin/status",
+            f"http://{self.address(ADMIN_PORTS[entry])}/admin/status",
             headers={"Authorization": "Bearer operator-token"},
             timeout=10.0,
         )
@@ -151,6 +152,7 @@
     sent = {**HEADERS, **(headers or {})}
     url = fleet.url(entry, "/v1/completions")
     with httpx.stream("POST", url, json=_body(marker), headers=sent, timeout=30.0) as answer:
+        assert answer.status_code == 200, answer.read()
         yield Streamed(marker, answer)
 
 
--- /dev/null
+++ b/packages/cli/tests/test_why.py
@@ -0,0 +1,49 @@
+"""What the logs say about one request."""
+
+from __future__ import annotations
+
+import json
+
+from sassafrastally.cli.command import main
+from sassafrastally.cli.exit_codes import ExitCode
+
+
+def line(second: float, vm: str, event: str, **fields: object) -> str:
+    """Return a line as a collector may hand it on, with a prefix."""
+    moment = f"2026-04-12T21:25:{second:09.6f}Z"
+    return "pod-1 " + json.dumps({"vm": vm, "event": event, **fields, "timestamp": moment})
+
+
+LOG = "\n".join(
+    [
+        line(1, "e1", "ConfigurationInForce", version=3),
+        line(18, "e1", "ServerKnown", server_id="s1", is_draining=True),
+        line(18.5, "e1", "ServerKnown", server_id="s9", is_draining=True),
+        line(19, "e2", "StoreLost", cause="busy"),
+        line(20, "e1", "RequestPlaced", request_id="r1", server_id="s1"),
+        "Traceback (most recent call last):",
+        line(20.2, "e1", "RequestPlaced", request_id="r2", server_id="s1"),
+        line(20.5, "e1", "AttemptFailed", request_id="r1", server_id="s1", cause="reset"),
+        line(20.6, "e1", "RequestFailed", request_id="r1", status=502),
+        line(30, "e1", "StoreLost", cause="later"),
+    ]
+)
+
+
+class TestWhy:
+    """The command."""
+
+    def test_shows_the_request_among_what_its_vm_believed(self, tmp_path, capsys):
+        file = tmp_path / "log"
+        file.write_text(LOG)
+        assert main(["why", "r1", str(file)]) == ExitCode.OK
+        shown = capsys.readouterr().out.splitlines()
+        events = [text.lstrip("> ").split()[2] for text in shown]
+        assert events == ["ServerKnown", "RequestPlaced", "AttemptFailed", "RequestFailed"]
+        assert [text[0] for text in shown] == [" ", ">", ">", ">"]
+
+    def test_unknown_request_is_said_so(self, tmp_path, capsys):
+        file = tmp_path / "log"
+        file.write_text(LOG)
+        assert main(["why", "nobody", str(file)]) == ExitCode.FAILED
+        assert "no line about nobody" in capsys.readouterr().err
--- a/packages/proxy/src/sassafrastally/proxy/answerer.py
+++ b/packages/proxy/src/sassafrastally/proxy/answerer.py
@@ -8,6 +8,7 @@
 from sassafrastally.proxy.log_events import AttemptFailed, RequestPlaced, RetryBudgetSpent
 from sassafrastally.proxy.metrics import ATTEMPTS_FAILED
 from sassafrastally.proxy.task import Progress, RequestTask, Stopped
+from sassafrastally.proxy.turning_away import come_back_after_s
 
 if TYPE_CHECKING:
     from sassafrastally.proxy.model import BackendServer
@@ -49,6 +50,11 @@
     def _request_id(self) -> str:
         return self._task.request.facts.request_id
 
+    def _come_back_s(self) -> float:
+        """Return when the caller should come back, if nothing has run."""
+        time_left_s = self._task.time_left_s(self._clock.now_s())
+        return come_back_after_s(time_left_s, self._path.kernel.random.random())
+
     def _can_go_elsewhere(self) -> bool:
         """Return whether the request may still be sent to another server."""
         route = self._task.route
@@ -96,9 +102,10 @@
             self.progress.sent -= 1
             self.progress.unreachable += 1
         self._log_failure(server, begin_s, cause.detail, is_proved_not_run=True)
-        self._path.sight.note_failure(
-            server, cause.detail, self._request_id, is_clear=cause.is_unreachable
-        )
+        if cause.is_servers_fault:
+            self._path.sight.note_failure(
+                server, cause.detail, self._request_id, is_clear=cause.is_unreachable
+            )
         if cause.server_at_fault is not None:
             self._path.sight.note_fault_at(
                 self._task.service, cause.server_at_fault, self._request_id
--- a/packages/proxy/src/sassafrastally/proxy/attempt.py
+++ b/packages/proxy/src/sassafrastally/proxy/attempt.py
@@ -35,6 +35,8 @@
     """Another backend server because of which it didn't."""
     is_unreachable = False
     """Whether no connection came about, so that nothing was sent."""
+    is_servers_fault = True
+    """Whether the failure says something about the server that was asked."""
 
 
 @error(10006)
--- a/packages/proxy/src/sassafrastally/proxy/generation.py
+++ b/packages/proxy/src/sassafrastally/proxy/generation.py
@@ -27,9 +27,6 @@
 
 SERVER_ERROR = 500
 
-COME_BACK_S = 0.5
-"""When to come back after no engine had room: some answers end in that time."""
-
 PATIENCE_S = 2.0
 PATIENCE_GOALS = 4.0
 PATIENCE_PAUSES = 8.0
@@ -76,9 +73,9 @@
         if self.progress.may_have_run:
             return Stopped(MAY_HAVE_RUN, detail)
         if not self._path.sight.views(self._task.service, set()):
-            return Stopped(NO_SERVER, f"service {self._task.service}", COME_BACK_S)
+            return Stopped(NO_SERVER, f"service {self._task.service}", self._come_back_s())
         refusal = TURNED_AWAY if self.progress.attempts else NO_ROOM
-        return Stopped(refusal, detail, COME_BACK_S)
+        return Stopped(refusal, detail, self._come_back_s())
 
     def _place(self) -> Placement | None:
         views = self._path.sight.views(self._task.service, self.progress.tried)
--- a/packages/proxy/src/sassafrastally/proxy/placement.py
+++ b/packages/proxy/src/sassafrastally/proxy/placement.py
@@ -309,7 +309,11 @@
     as much as they can, those with most room first.
     """
     roomy = sorted(group, key=lambda view: _free_tokens(view, figures), reverse=True)
-    leaders = [view for view in roomy if view.work.requests < figures.slots]
+    leaders = [
+        view
+        for view in roomy
+        if view.work.requests < figures.slots and _free_tokens(view, figures) > 0
+    ]
     fitting = [view for view in leaders if _free_tokens(view, figures) >= needed]
     if fitting:
         leader = min(fitting, key=lambda view: (view.work.requests, view.work.tokens))
@@ -329,7 +333,8 @@
 
 
 def _free_tokens(view: ServerView, figures: EngineFigures) -> int:
-    return int(MEMORY_SHARE * figures.memory_tokens) - view.work.tokens
+    # Entries that place at the same moment can give out more than there is, for a while.
+    return max(0, int(MEMORY_SHARE * figures.memory_tokens) - view.work.tokens)
 
 
 def _has_room(view: ServerView, prompt: PromptSize, figures: EngineFigures) -> bool:
--- a/packages/proxy/src/sassafrastally/proxy/plain.py
+++ b/packages/proxy/src/sassafrastally/proxy/plain.py
@@ -26,9 +26,6 @@
 
 SERVER_ERROR = 500
 
-COME_BACK_S = 0.2
-"""When to come back after all servers turned a request away: some work times of a plain service."""
-
 
 class WholeAnswer(NamedTuple):
     """A backend server's answer with its body."""
@@ -65,8 +62,8 @@
         if self.progress.may_have_run:
             return Stopped(MAY_HAVE_RUN, "no whole answer came")
         if self.progress.attempts == 0:
-            return Stopped(NO_SERVER, f"service {self._task.service}", COME_BACK_S)
-        return Stopped(TURNED_AWAY, f"{self.progress.attempts} attempts", COME_BACK_S)
+            return Stopped(NO_SERVER, f"service {self._task.service}", self._come_back_s())
+        return Stopped(TURNED_AWAY, f"{self.progress.attempts} attempts", self._come_back_s())
 
     def _choose(self) -> BackendServer | None:
         views = self._path.sight.views(self._task.service, self.progress.tried)
--- a/packages/proxy/src/sassafrastally/proxy/reservations.py
+++ b/packages/proxy/src/sassafrastally/proxy/reservations.py
@@ -107,7 +107,9 @@
             for reservation in reservations:
                 nursery.start_soon(reserve, reservation)
         if any(outcome is not ReservationOutcome.HELD for outcome in outcomes):
-            raise AttemptNotRun("memory could not be reserved at all engines")
+            failure = AttemptNotRun("memory could not be reserved at all engines")
+            failure.is_servers_fault = False
+            raise failure
 
     async def _reserve(self, reservation: _Reservation) -> ReservationOutcome:
         holding, reservation_id = reservation
--- a/packages/proxy/tests/test_decisions.py
+++ b/packages/proxy/tests/test_decisions.py
@@ -15,6 +15,7 @@
 from sassafrastally.proxy.plain_placement import place_plain
 from sassafrastally.proxy.routes import choose_service
 from sassafrastally.proxy.suspicion import Suspicion
+from sassafrastally.proxy.turning_away import come_back_after_s
 from sassafrastally.proxy.watch_duty import OtherEntry, has_duty
 
 
@@ -81,6 +82,23 @@
         assert place_plain([], "here") is None
 
 
+class TestTurningAway:
+    """When callers come back."""
+
+    def test_callers_of_one_burst_come_back_spread_and_within_what_they_honour(self):
+        """A burst of six times what the engines take lasts for six seconds. Told to come back in
+        half a second, all of them met the same burst again, and were turned away for good."""
+        times_s = [come_back_after_s(9.9, n / 200) for n in range(200)]
+        assert min(times_s) > 1.9
+        assert max(times_s) <= 9.9 / 3
+        assert max(times_s) - min(times_s) > 1.0
+
+    def test_short_deadline_gets_a_short_time(self):
+        assert come_back_after_s(0.5, 1.0) < 0.17
+        assert come_back_after_s(0.0, 0.5) > 0
+        assert come_back_after_s(None, 0.5) > 1
+
+
 class TestWatchDuty:
     """Who watches the store."""
 
--- a/packages/proxy/tests/test_placement.py
+++ b/packages/proxy/tests/test_placement.py
@@ -172,6 +172,16 @@
         placement = place_prompt(split_lanes(views(works), FIGURES), Lane.LONG, LONG, 3.0, FIGURES)
         assert placement.server.server_id == "e2"
 
+    def test_memory_that_is_given_out_twice_is_never_negative(self):
+        """Under a flood, entries that place at the same moment give out more memory of an engine
+        than it has. A plan that counted the lack as negative room ended the process, because its
+        share could not be told to the peers."""
+        works = [Work(tokens=420_000, long_requests=2)] + [Work(short_requests=8)] * 11
+        placement = place_prompt(
+            split_lanes(views(works), FIGURES), Lane.LONG, PromptSize(60_000, 700), 3.0, FIGURES
+        )
+        assert placement is None or all(holding.tokens > 0 for holding in placement.holdings)
+
     def test_prompt_over_all_memory_has_no_place(self):
         lanes = split_lanes(views([Work()] * 2), FIGURES)
         assert place_prompt(lanes, Lane.LONG, PromptSize(900_000, 1), 3.0, FIGURES) is None
