Count what answers tell of loads that no peer tells of

Ruled out: slower ageing of silent peers (their old load is wrong within two seconds). Change: the load that answers carry, beyond the known requests and one, counts as short requests for a second.

--- a/packages/proxy/src/sassafrastally/proxy/generation.py
+++ b/packages/proxy/src/sassafrastally/proxy/generation.py
@@ -123,6 +123,7 @@
                 silence_limit_s=self._silence_limit_s(),
             ) as answer,
         ):
+            self._path.sight.note_load(placement.server.server_id, answer.facts.load)
             if answer.status >= 300:
                 return await self._pass_failure(placement, answer)
             await self._pass_stream(placement, flight, answer)
--- a/packages/proxy/src/sassafrastally/proxy/sight.py
+++ b/packages/proxy/src/sassafrastally/proxy/sight.py
@@ -9,17 +9,18 @@
 from sassafrastally.core import Service
 from sassafrastally.proxy.beliefs import Beliefs
 from sassafrastally.proxy.http_stream import ConnectionLost, connect
-from sassafrastally.proxy.load import Ledger, WorkView, merge, server_hash
+from sassafrastally.proxy.load import Ledger, Work, WorkView, merge, server_hash
 from sassafrastally.proxy.log_events import ServerSuspected
 from sassafrastally.proxy.metrics import SUSPICIONS
 from sassafrastally.proxy.peers import Peers
 from sassafrastally.proxy.placement import ServerView
 from sassafrastally.proxy.pool import CONNECT_TIME_S
 from sassafrastally.proxy.suspicion import Suspicion
+from sassafrastally.proxy.unseen import UnseenRequests
 
 if TYPE_CHECKING:
     from sassafrastally.core import Address
-    from sassafrastally.proxy.model import BackendServer
+    from sassafrastally.proxy.model import BackendServer, ServerLoad
 
 
 class Sight(Service):
@@ -31,6 +32,7 @@
     def __init__(self, ledger: Ledger) -> None:
         self.ledger = ledger
         self.suspicion = Suspicion()
+        self._unseen = UnseenRequests()
         self._probing: set[str] = set()
 
     async def start(self, nursery: trio.Nursery) -> None:
@@ -73,7 +75,7 @@
         views = [
             ServerView(
                 server,
-                work.at(server.server_id),
+                self._with_unseen(server.server_id, work, now_s),
                 self.suspicion.is_suspect(server.server_id, now_s)
                 or of_peers.get(server_hash(server.server_id), 0.0) > 0,
             )
@@ -84,6 +86,17 @@
         trusted = [view for view in views if not view.is_suspect]
         return trusted or views
 
+    def _with_unseen(self, server_id: str, work: WorkView, now_s: float) -> Work:
+        known = work.at(server_id)
+        unseen = self._unseen.at(server_id, now_s)
+        return known._replace(short_requests=known.short_requests + unseen) if unseen else known
+
+    def note_load(self, server_id: str, load: ServerLoad | None) -> None:
+        """Note the load that a server told with an answer."""
+        if load is not None:
+            known = self.work().at(server_id).requests
+            self._unseen.note(server_id, load, known, self.kernel.clock.now_s())
+
     def note_success(self, server_id: str) -> None:
         """Note a good answer."""
         self.suspicion.succeeded(server_id)
--- a/packages/proxy/tests/test_decisions.py
+++ b/packages/proxy/tests/test_decisions.py
@@ -9,13 +9,14 @@
 from sassafrastally.proxy.budget import RetryBudget
 from sassafrastally.proxy.event_stream import EventSplitter
 from sassafrastally.proxy.load import Flight, Lane, Ledger, Part, Work, merge, server_hash
-from sassafrastally.proxy.model import BackendServer, ServiceShare
+from sassafrastally.proxy.model import BackendServer, ServerLoad, ServiceShare
 from sassafrastally.proxy.peer_messages import Hello, decode_hello, encode_hello
 from sassafrastally.proxy.placement import ServerView
 from sassafrastally.proxy.plain_placement import place_plain
 from sassafrastally.proxy.routes import choose_service
 from sassafrastally.proxy.suspicion import Suspicion
 from sassafrastally.proxy.turning_away import come_back_after_s
+from sassafrastally.proxy.unseen import UnseenRequests
 from sassafrastally.proxy.watch_duty import OtherEntry, has_duty
 
 
@@ -82,6 +83,20 @@
         assert place_plain([], "here") is None
 
 
+class TestUnseenRequests:
+    """Requests of entries that aren't heard."""
+
+    def test_excess_counts_for_a_while(self):
+        """An entry is cut off from its peers and fills the same engines. What an answer tells
+        beyond the known requests keeps further ones away, until newer answers tell less."""
+        unseen = UnseenRequests()
+        unseen.note("a", ServerLoad(7, 1, 8), known=2, now_s=0.0)
+        assert unseen.at("a", 0.5) == 5
+        assert unseen.at("a", 1.5) == 0
+        unseen.note("a", ServerLoad(3, 0, 8), known=2, now_s=0.6)
+        assert unseen.at("a", 0.7) == 0
+
+
 class TestTurningAway:
     """When callers come back."""
 
