--- a/packages/proxy/src/sassafrastally/proxy/generation.py
+++ b/packages/proxy/src/sassafrastally/proxy/generation.py
@@ -63,7 +63,7 @@
         while True:
             placement = self._place()
             if placement is None:
-                return self._stopped(NO_ROOM.meaning)
+                return self._stopped(f"no engine has room: {self._room()}")
             if await self._try(placement):
                 return None
             if not self._may_try_again():
@@ -77,6 +77,17 @@
         refusal = TURNED_AWAY if self.progress.attempts else NO_ROOM
         return Stopped(refusal, detail, self._come_back_s())
 
+    def _room(self) -> str:
+        """Return what is known of the engines' room, for the log and the caller."""
+        views = self._path.sight.views(self._task.service, self.progress.tried)
+        requests = sum(view.work.requests for view in views)
+        reading_s = max((view.work.reading_ms for view in views), default=0.0) / 1000
+        return (
+            f"{len(views)} engines with {self._figures.slots} slots, {requests} requests, "
+            f"up to {reading_s:.1f} s of reading, {self._path.sight.entries - 1} peers heard, "
+            f"servers confirmed {self._path.sight.beliefs_age_s:.1f} s ago"
+        )
+
     def _place(self) -> Placement | None:
         views = self._path.sight.views(self._task.service, self.progress.tried)
         if not views:
--- a/packages/proxy/src/sassafrastally/proxy/path.py
+++ b/packages/proxy/src/sassafrastally/proxy/path.py
@@ -169,9 +169,9 @@
                 route_name,
                 stopped.refusal.code,
                 stopped.refusal.status,
-                stopped.retry_after_s or 0.0,
+                round(stopped.retry_after_s or 0.0, 3),
                 attempts,
-                self.kernel.clock.now_s() - request.arrived_s,
+                round(self.kernel.clock.now_s() - request.arrived_s, 4),
                 stopped.detail,
             )
         )
@@ -192,7 +192,7 @@
                 route_name,
                 stopped.refusal.status,
                 progress.attempts,
-                self.kernel.clock.now_s() - request.arrived_s,
+                round(self.kernel.clock.now_s() - request.arrived_s, 4),
                 f"{stopped.refusal.code}: {stopped.detail}",
             )
         )
--- a/packages/proxy/src/sassafrastally/proxy/plain.py
+++ b/packages/proxy/src/sassafrastally/proxy/plain.py
@@ -129,8 +129,8 @@
                 answer.server_id,
                 answer.status,
                 self.progress.attempts,
-                elapsed_s,
-                elapsed_s,
+                round(elapsed_s, 4),
+                round(elapsed_s, 4),
                 0.0,
             )
         )
