--- a/packages/proxy/src/sassafrastally/proxy/generation.py
+++ b/packages/proxy/src/sassafrastally/proxy/generation.py
@@ -37,6 +37,11 @@
 """Share of a caller's patience after which a silent engine is given up while another may be tried;
 the rest is for the other one's first event."""
 
+LATE_FACTOR = 1.5
+LATEST_SHARE = 0.95
+"""A first event is waited for this many times the predicted time, but not beyond this share of the
+caller's patience. Predictions were short by up to a third."""
+
 
 class Generation(Answerer):
     """Answers one request by model engines."""
@@ -131,7 +136,7 @@
                 task.request,
                 terms._replace(helpers=_with_reservations(terms.helpers, reserved)),
                 may_reuse=task.route.is_repeatable,
-                silence_limit_s=self._silence_limit_s(),
+                silence_limit_s=self._first_limit_s(placement),
             ) as answer,
         ):
             self._path.sight.note_load(placement.server.server_id, answer.facts.load)
@@ -140,16 +145,28 @@
             await self._pass_stream(placement, flight, answer)
             return True
 
+    def _first_limit_s(self, placement: Placement) -> float:
+        """Return how long to wait for an engine's first event.
+
+        Under a flood the entry knows that an engine will be slow. Another one would be no faster,
+        so such an engine is given up only well after the time that was predicted.
+        """
+        expected_s = min(LATE_FACTOR * placement.predicted_s, LATEST_SHARE * self._patience_s())
+        return max(self._silence_limit_s(), expected_s)
+
     def _silence_limit_s(self) -> float:
         if not self._can_go_elsewhere():
             return math.inf  # The limit of the whole request ends it.
+        return SILENCE_SHARE * self._patience_s()
+
+    def _patience_s(self) -> float:
+        """Return after how long a silence the caller leaves."""
         route = self._task.route
-        patience_s = max(
+        return max(
             PATIENCE_S,
             PATIENCE_GOALS * (route.goal_s or 0.0),
             PATIENCE_PAUSES * (route.pause_goal_s or 0.0),
         )
-        return SILENCE_SHARE * patience_s
 
     async def _pass_failure(self, placement: Placement, answer: Answer) -> bool:
         """Pass on an engine's answer that is no stream, or leave it for another attempt."""
--- a/packages/proxy/src/sassafrastally/proxy/path.py
+++ b/packages/proxy/src/sassafrastally/proxy/path.py
@@ -84,18 +84,18 @@
                 await self._beliefs.configuration_known.wait()
         configuration = self._beliefs.configuration
         if configuration is None:
-            await self._refuse(request, reply, Stopped(NO_CONFIGURATION, "", COME_BACK_S))
+            await self._answer_ourselves(request, reply, Stopped(NO_CONFIGURATION, "", COME_BACK_S))
             return
         path = request.target.split(b"?", 1)[0].decode("latin-1")
         route = find_route(configuration, request.facts.host, path)
         if route is None:
             detail = f"version {configuration.version}"
-            await self._refuse(request, reply, Stopped(NO_ROUTE, detail))
+            await self._answer_ourselves(request, reply, Stopped(NO_ROUTE, detail))
             return
         customer = find_customer(configuration, route, request.facts)
         if isinstance(customer, UnknownKey):
             detail = f"version {configuration.version}"
-            await self._refuse(request, reply, Stopped(UNKNOWN_KEY, detail), route.name)
+            await self._answer_ourselves(request, reply, Stopped(UNKNOWN_KEY, detail), route.name)
             return
         await self._answer_within_limit(request, reply, configuration, route, customer)
 
@@ -130,10 +130,7 @@
         if reply.has_begun:
             self._note_broken(task, progress, stopped)
             return
-        if stopped.refusal in (MAY_HAVE_RUN, NO_ANSWER_IN_TIME):
-            await self._fail(request, reply, stopped, route.name, progress)
-            return
-        await self._refuse(request, reply, stopped, route.name, progress.attempts)
+        await self._answer_ourselves(request, reply, stopped, route.name, progress.attempts)
 
     def _answerer(self, task: RequestTask, reply: Reply) -> Generation | PlainRequest:
         engine = task.configuration.services[task.service].engine
@@ -154,7 +151,7 @@
             )
         )
 
-    async def _refuse(
+    async def _answer_ourselves(
         self,
         request: Request,
         reply: Reply,
@@ -162,40 +159,31 @@
         route_name: str = NO_ROUTE_NAME,
         attempts: int = 0,
     ) -> None:
+        """Give an answer of our own: a refusal, or a failure of a request that may have run."""
         REFUSALS.add(1, {"code": stopped.refusal.code})
-        self.kernel.events.emit(
-            RequestRefused(
-                request.facts.request_id,
-                route_name,
-                stopped.refusal.code,
-                stopped.refusal.status,
-                round(stopped.retry_after_s or 0.0, 3),
-                attempts,
-                round(self.kernel.clock.now_s() - request.arrived_s, 4),
-                stopped.detail,
+        held_s = round(self.kernel.clock.now_s() - request.arrived_s, 4)
+        request_id = request.facts.request_id
+        status = stopped.refusal.status
+        if stopped.refusal in (MAY_HAVE_RUN, NO_ANSWER_IN_TIME):
+            detail = f"{stopped.refusal.code}: {stopped.detail}"
+            self.kernel.events.emit(
+                RequestFailed(request_id, route_name, status, attempts, held_s, detail)
             )
-        )
-        await self._send(request, reply, stopped)
-
-    async def _fail(
-        self,
-        request: Request,
-        reply: Reply,
-        stopped: Stopped,
-        route_name: str,
-        progress: Progress,
-    ) -> None:
-        REFUSALS.add(1, {"code": stopped.refusal.code})
-        self.kernel.events.emit(
-            RequestFailed(
-                request.facts.request_id,
-                route_name,
-                stopped.refusal.status,
-                progress.attempts,
-                round(self.kernel.clock.now_s() - request.arrived_s, 4),
-                f"{stopped.refusal.code}: {stopped.detail}",
+        else:
+            code = stopped.refusal.code
+            retry_after_s = round(stopped.retry_after_s or 0.0, 3)
+            self.kernel.events.emit(
+                RequestRefused(
+                    request_id,
+                    route_name,
+                    code,
+                    status,
+                    retry_after_s,
+                    attempts,
+                    held_s,
+                    stopped.detail,
+                )
             )
-        )
         await self._send(request, reply, stopped)
 
     async def _send(self, request: Request, reply: Reply, stopped: Stopped) -> None:
--- a/packages/proxy/src/sassafrastally/proxy/settings.py
+++ b/packages/proxy/src/sassafrastally/proxy/settings.py
@@ -12,18 +12,12 @@
 
     stop_time_s: float
     """From the signal to stop until the process is killed."""
-    drain_time_s: float
-    """After this a backend server that is draining gets no new request."""
     retry_ratio: float
     """Repeats that all entries together may send, as a share of requests."""
     retry_window_s: float
     """Window over which repeats are counted."""
     retry_extra: int
     """Repeats in a window beside the share."""
-    stall_time_s: float
-    """How long work waits at an engine for another engine that doesn't answer."""
-    reservation_time_s: float
-    """Longest lease of reserved memory."""
 
 
 class ProxySettings(NamedTuple):
--- a/packages/testing/src/sassafrastally/testing/platform_fleet.py
+++ b/packages/testing/src/sassafrastally/testing/platform_fleet.py
@@ -52,12 +52,9 @@
 
 BOUNDS = Bounds(
     stop_time_s=8.0,
-    drain_time_s=2.0,
     retry_ratio=0.2,
     retry_window_s=10.0,
     retry_extra=100,
-    stall_time_s=1.5,
-    reservation_time_s=20.0,
 )
 
 
--- a/packages/testing/tests/platform/test_settings.py
+++ b/packages/testing/tests/platform/test_settings.py
@@ -20,12 +20,9 @@
     "internalPorts": [7340, 7355],
     "bounds": {
         "graceS": 8,
-        "drainMs": 2000,
         "retryBudgetRatio": 0.2,
         "budgetWindowS": 10,
         "budgetExtraTries": 102,
-        "stall_ms": 1500,
-        "holdMaxMs": 20000,
     },
     "platform": {"address": "10.200.1.7:8223"},
     "something new": True,
@@ -38,7 +35,7 @@
     def test_good_file(self):
         settings = decode_settings(json.dumps(GOOD), "settings.json")
         assert settings.callers_address.port == 8227
-        assert settings.bounds.stall_time_s == 1.5
+        assert settings.bounds.retry_window_s == 10.0
 
     def test_all_findings_come_together_with_their_place(self):
         bad = {**GOOD, "ip": None, "listen": {"front": "nowhere"}}
