Drop what belongs to servers that left; refuse for good what no engines can share

Cause: ConnectionPool.close_idle and Suspicion.forget_gone had no caller, call clients of engines and peers that left were kept, so an entry's open connections and records grew with each replacement. Ruled out: closing at the store's removal only (an entry that lapses comes back with its connections). Before: TestReplacedServers red with the round left out (idle connections stay). After: green, packages/proxy and tests/platform green.

--- a/packages/proxy/src/sassafrastally/proxy/answerer.py
+++ b/packages/proxy/src/sassafrastally/proxy/answerer.py
@@ -7,11 +7,12 @@
 from sassafrastally.proxy.attempt import AttemptNotRun, AttemptUnknown
 from sassafrastally.proxy.log_events import AttemptFailed, RequestPlaced, RetryBudgetSpent
 from sassafrastally.proxy.metrics import ATTEMPTS_FAILED
+from sassafrastally.proxy.model import AttemptTerms
 from sassafrastally.proxy.task import Progress, RequestTask, Stopped
 from sassafrastally.proxy.turning_away import come_back_after_s
 
 if TYPE_CHECKING:
-    from sassafrastally.proxy.model import BackendServer
+    from sassafrastally.proxy.model import BackendServer, Helper
     from sassafrastally.proxy.path import RequestPath
     from sassafrastally.proxy.placement import Placement
     from sassafrastally.proxy.reply import Reply
@@ -60,6 +61,22 @@
         route = self._task.route
         return route.is_repeatable and self.progress.sent < route.max_attempts
 
+    def _terms(
+        self,
+        server: BackendServer,
+        begin_s: float,
+        last_event_id: int | None,
+        helpers: tuple[Helper, ...] = (),
+    ) -> AttemptTerms:
+        """Return what is set for an attempt."""
+        return AttemptTerms(
+            server=server,
+            time_left_s=self._task.time_left_s(begin_s),
+            customer=self._task.customer_name,
+            last_event_id=last_event_id,
+            helpers=helpers,
+        )
+
     def _begin_attempt(self, server: BackendServer) -> None:
         self.progress.attempts += 1
         self.progress.sent += 1
--- a/packages/proxy/src/sassafrastally/proxy/attempt.py
+++ b/packages/proxy/src/sassafrastally/proxy/attempt.py
@@ -111,6 +111,11 @@
         self._dialect = dialect
         self._pool = pool
 
+    @property
+    def pool(self) -> ConnectionPool:
+        """Connections kept between attempts."""
+        return self._pool
+
     @asynccontextmanager
     async def send(
         self,
--- a/packages/proxy/src/sassafrastally/proxy/beliefs.py
+++ b/packages/proxy/src/sassafrastally/proxy/beliefs.py
@@ -82,6 +82,10 @@
         """Return a known backend server."""
         return self._servers.get(server_id)
 
+    def servers(self) -> list[BackendServer]:
+        """Return all known backend servers, draining ones included."""
+        return list(self._servers.values())
+
     def server_count(self) -> int:
         """Return the number of known backend servers, draining ones included."""
         return len(self._servers)
--- a/packages/proxy/src/sassafrastally/proxy/generation.py
+++ b/packages/proxy/src/sassafrastally/proxy/generation.py
@@ -11,9 +11,14 @@
 from sassafrastally.proxy.load import Flight
 from sassafrastally.proxy.log_events import RequestAnswered
 from sassafrastally.proxy.metrics import count_answer
-from sassafrastally.proxy.model import AttemptTerms, Helper
-from sassafrastally.proxy.placement import lane_of, place_prompt, split_lanes
-from sassafrastally.proxy.refusals import MAY_HAVE_RUN, NO_ROOM, NO_SERVER, TURNED_AWAY
+from sassafrastally.proxy.model import Helper
+from sassafrastally.proxy.placement import (
+    lane_of,
+    most_prompt_tokens,
+    place_prompt,
+    split_lanes,
+)
+from sassafrastally.proxy.refusals import MAY_HAVE_RUN, NO_ROOM, NO_SERVER, TOO_LONG, TURNED_AWAY
 from sassafrastally.proxy.task import RequestTask, Stopped
 
 if TYPE_CHECKING:
@@ -65,6 +70,9 @@
 
     async def run(self) -> Stopped | None:
         """Answer the request; return why it wasn't answered, or not to the end."""
+        most_tokens = most_prompt_tokens(self._figures)
+        if self._prompt.prompt_tokens > most_tokens:
+            return Stopped(TOO_LONG, f"at most {most_tokens} tokens")
         while True:
             placement = self._place()
             if placement is None:
@@ -123,13 +131,8 @@
 
     async def _exchange(self, placement: Placement, flight: Flight, begin_s: float) -> bool:
         task = self._task
-        terms = AttemptTerms(
-            server=placement.server,
-            time_left_s=task.time_left_s(begin_s),
-            customer=task.customer_name,
-            last_event_id=self._last_event_id,
-            helpers=tuple(Helper(server) for server in placement.helpers),
-        )
+        helpers = tuple(Helper(server) for server in placement.helpers)
+        terms = self._terms(placement.server, begin_s, self._last_event_id, helpers)
         async with (
             self._path.reservations.hold(placement.holdings[1:]) as reserved,
             self._path.attempts.send(
--- a/packages/proxy/src/sassafrastally/proxy/path.py
+++ b/packages/proxy/src/sassafrastally/proxy/path.py
@@ -45,6 +45,10 @@
 
 NO_ROUTE_NAME = "-"
 
+TIDY_S = 5.0
+"""Time between two rounds that drop what belongs to servers that have left. A replacement takes
+longer, so that at most one generation of connections is held in vain."""
+
 
 class RequestPath(Service):
     """Answers callers' requests.
@@ -76,6 +80,16 @@
         self._started_s = self.kernel.clock.now_s()
         self.sight = self.kernel.get("sight", Sight)
         self._beliefs = self.kernel.get("beliefs", Beliefs)
+        nursery.start_soon(self._tidy)
+
+    async def _tidy(self) -> None:
+        while True:
+            await trio.sleep(TIDY_S)
+            await self.attempts.pool.close_idle()
+            await self.reservations.forget_gone(
+                {server.address for server in self._beliefs.servers()}
+            )
+            self.sight.forget_gone()
 
     async def answer(self, request: Request, reply: Reply) -> None:
         """Answer a request; raises `ConnectionLost` when the caller can't be reached."""
--- a/packages/proxy/src/sassafrastally/proxy/peers.py
+++ b/packages/proxy/src/sassafrastally/proxy/peers.py
@@ -244,6 +244,7 @@
         for peer in list(self._peers.values()):
             if peer.hello is not None and peer.heard_s < oldest_s:
                 del self._peers[peer.host]
+                await peer.calls.close()
                 continue
             try:
                 await self._socket.sendto(data, (peer.host, self._settings.peer_port))
--- a/packages/proxy/src/sassafrastally/proxy/placement.py
+++ b/packages/proxy/src/sassafrastally/proxy/placement.py
@@ -119,6 +119,11 @@
     return Lane.LONG if reading_ms(figures, prompt.prompt_tokens) > too_long_ms else Lane.SHORT
 
 
+def most_prompt_tokens(figures: EngineFigures) -> int:
+    """Return the largest prompt that any number of engines could hold."""
+    return (MOST_HELPERS + 1) * figures.memory_tokens
+
+
 def split_lanes(views: Sequence[ServerView], figures: EngineFigures) -> Lanes:
     """Divide the engines by the short requests in progress.
 
--- a/packages/proxy/src/sassafrastally/proxy/plain.py
+++ b/packages/proxy/src/sassafrastally/proxy/plain.py
@@ -11,7 +11,6 @@
 from sassafrastally.proxy.load import Flight, Lane
 from sassafrastally.proxy.log_events import RequestAnswered
 from sassafrastally.proxy.metrics import count_answer
-from sassafrastally.proxy.model import AttemptTerms
 from sassafrastally.proxy.plain_placement import place_plain
 from sassafrastally.proxy.refusals import MAY_HAVE_RUN, NO_SERVER, TURNED_AWAY
 from sassafrastally.proxy.task import Stopped
@@ -104,12 +103,7 @@
 
     async def _exchange(self, server: BackendServer, begin_s: float) -> WholeAnswer:
         task = self._task
-        terms = AttemptTerms(
-            server=server,
-            time_left_s=task.time_left_s(begin_s),
-            customer=task.customer_name,
-            last_event_id=task.request.facts.last_event_id,
-        )
+        terms = self._terms(server, begin_s, task.request.facts.last_event_id)
         may_reuse = task.route.is_repeatable
         async with self._path.attempts.send(task.request, terms, may_reuse=may_reuse) as answer:
             body = await answer.read()
--- a/packages/proxy/src/sassafrastally/proxy/pool.py
+++ b/packages/proxy/src/sassafrastally/proxy/pool.py
@@ -61,8 +61,16 @@
         connection.http.start_next_cycle()
         kept.append(_Idle(connection, trio.current_time()))
 
+    def idle_count(self) -> int:
+        """Return the number of idle connections."""
+        return sum(len(kept) for kept in self._idle.values())
+
     async def close_idle(self) -> None:
-        """Close the connections that have been idle for too long."""
+        """Close the connections that have been idle for too long.
+
+        A server that left gets no more requests, so that nobody would ever look at its connections
+        again; over days of replacements they would use up the process's descriptors.
+        """
         oldest_s = trio.current_time() - IDLE_TIME_S
         for server_id, kept in list(self._idle.items()):
             expired = [idle for idle in kept if idle.since_s < oldest_s]
--- a/packages/proxy/src/sassafrastally/proxy/refusals.py
+++ b/packages/proxy/src/sassafrastally/proxy/refusals.py
@@ -33,7 +33,7 @@
     "turned-away", 503, "The backend servers turned the request away. It has not run."
 )
 TOO_LONG = Refusal(
-    "prompt-too-long", 413, "The prompt is larger than the memory of all engines together."
+    "prompt-too-long", 413, "The prompt is larger than the memory of all engines that can share it."
 )
 NOT_SENT_IN_TIME = Refusal(
     "not-sent-in-time", 503, "Time ran out before the request was sent. It has not run."
@@ -43,23 +43,6 @@
     "no-answer-in-time", 504, "Time ran out before the answer came. The request may have run."
 )
 
-CATALOGUE = (
-    MALFORMED,
-    UNKNOWN_KEY,
-    NO_ROUTE,
-    TOO_SLOW,
-    BODY_TOO_LARGE,
-    HEADER_TOO_LARGE,
-    NO_CONFIGURATION,
-    NO_SERVER,
-    NO_ROOM,
-    TURNED_AWAY,
-    TOO_LONG,
-    NOT_SENT_IN_TIME,
-    MAY_HAVE_RUN,
-    NO_ANSWER_IN_TIME,
-)
-
 
 def refusal_body(refusal: Refusal, request_id: str, detail: str) -> bytes:
     """Return the problem details (RFC 9457) that the caller gets."""
--- a/packages/proxy/src/sassafrastally/proxy/reservations.py
+++ b/packages/proxy/src/sassafrastally/proxy/reservations.py
@@ -97,6 +97,11 @@
             for reservation in reservations:
                 self._nursery.start_soon(self._release, reservation)
 
+    async def forget_gone(self, known: set[Address]) -> None:
+        """Close the connections for orders to engines that no longer exist."""
+        for address in self._calls.keys() - known:
+            await self._calls.pop(address).close()
+
     async def _reserve_all(self, reservations: Sequence[_Reservation]) -> None:
         outcomes: list[ReservationOutcome] = []
 
--- a/packages/proxy/src/sassafrastally/proxy/sight.py
+++ b/packages/proxy/src/sassafrastally/proxy/sight.py
@@ -91,6 +91,11 @@
         unseen = self._unseen.at(server_id, now_s)
         return known._replace(short_requests=known.short_requests + unseen) if unseen else known
 
+    def forget_gone(self) -> None:
+        """Forget what was noted of servers that no longer exist."""
+        self.suspicion.forget_gone({server.server_id for server in self._beliefs.servers()})
+        self._unseen.forget_old(self.kernel.clock.now_s())
+
     def note_load(self, server_id: str, load: ServerLoad | None) -> None:
         """Note the load that a server told with an answer."""
         if load is not None:
--- a/packages/proxy/src/sassafrastally/proxy/unseen.py
+++ b/packages/proxy/src/sassafrastally/proxy/unseen.py
@@ -39,6 +39,14 @@
         else:
             self._counts.pop(server_id, None)
 
+    def forget_old(self, now_s: float) -> None:
+        """Forget counts that nobody would believe any more, also of servers that have left."""
+        self._counts = {
+            server_id: count
+            for server_id, count in self._counts.items()
+            if now_s - count.at_s < FRESH_S
+        }
+
     def at(self, server_id: str, now_s: float) -> int:
         """Return the requests at a server that nobody tells of."""
         count = self._counts.get(server_id)
--- a/packages/proxy/src/sassafrastally/proxy/watch.py
+++ b/packages/proxy/src/sassafrastally/proxy/watch.py
@@ -56,11 +56,6 @@
         self._peers = self.kernel.get("peers", Peers)
         nursery.start_soon(self._follow)
 
-    @property
-    def is_lost(self) -> bool:
-        """Whether the store doesn't answer."""
-        return self._lost_since_s is not None
-
     async def _follow(self) -> None:
         pause_s = FIRST_PAUSE_S
         must_read = True
--- a/packages/testing/tests/platform/test_entries.py
+++ b/packages/testing/tests/platform/test_entries.py
@@ -4,7 +4,9 @@
 
 import trio
 
+from sassafrastally.proxy import pool
 from sassafrastally.proxy.beliefs import Beliefs
+from sassafrastally.proxy.path import RequestPath
 from sassafrastally.proxy.peers import Peers
 from sassafrastally.proxy.sight import Sight
 from sassafrastally.testing.platform_fleet import (
@@ -174,6 +176,26 @@
         assert all(belief.servers_of("desk") for belief in beliefs)
 
 
+class TestReplacedServers:
+    """Servers that leave for good, one after the other."""
+
+    async def test_nothing_is_kept_of_a_server_that_left(self, served, monkeypatch):
+        """Engines are replaced all day long. The idle connections to each one that left stay open,
+        with what was noted of it, until the entry has no descriptors left and refuses callers."""
+        monkeypatch.setattr(pool, "IDLE_TIME_S", 0.1)
+        kernel = served.kernels[0]
+        path = kernel.get("path", RequestPath)
+        for number in (1, 2):
+            await served.call("/look/x")
+            desk = kernel.get("beliefs", Beliefs).server(f"desk-{number}")
+            path.sight.note_failure(desk, "nobody answers", "r", is_clear=True)
+        assert path.attempts.pool.idle_count() > 0
+        for number in (1, 2):
+            served.store.remove(f"servers/desk-{number}")
+        await until(lambda: path.attempts.pool.idle_count() == 0, 7.0)
+        await until(lambda: not path.sight.suspicion.suspects(0.0), 1.0)
+
+
 class TestStopping:
     """A process that is asked to stop."""
 
--- a/packages/testing/tests/platform/test_path.py
+++ b/packages/testing/tests/platform/test_path.py
@@ -259,12 +259,22 @@
         await trio.sleep(0.2)
         assert all(engine.used_tokens == 0 for engine in engines)
 
-    async def test_prompt_over_all_memories_is_refused_at_once(self, served):
+    async def test_prompt_over_the_memory_of_the_live_engines_may_come_back(self, served):
+        """Most engines are down. What two can't hold, more could: it is refused at once, and the
+        caller is told when to come back."""
         begin_s = trio.current_time()
         answer = await served.call("/dossier/x", prompt="990000,340")
-        assert answer.status in (413, 503)
+        assert answer.status == 503
+        assert float(answer.headers["retry-after"]) > 0
         assert trio.current_time() - begin_s < 0.5
 
+    async def test_prompt_that_no_engines_can_share_is_refused_for_good(self, served):
+        """A prompt is larger than what an engine and all helpers it accepts can hold. Told to come
+        back, its caller would do so in vain."""
+        answer = await served.call("/dossier/x", prompt="7000000,340")
+        assert answer.status == 413
+        assert "retry-after" not in answer.headers
+
 
 class TestKeysInLogs:
     """What must not show."""
