--- a/packages/proxy/src/sassafrastally/proxy/calls.py
+++ b/packages/proxy/src/sassafrastally/proxy/calls.py
@@ -27,10 +27,18 @@
 
     A kept connection that fails is never tried twice in silence: the caller learns `AnswerLost`
     and decides whether the call may be repeated.
+
+    Parameters
+    ----------
+    address
+        Where the calls go.
+    host_name
+        Name by which they ask for the host; the address if not given.
     """
 
-    def __init__(self, address: Address) -> None:
+    def __init__(self, address: Address, host_name: str | None = None) -> None:
         self.address = address
+        self._host = (host_name or str(address)).encode()
         self._idle: list[HttpStream] = []
 
     async def exchange(
@@ -65,7 +73,7 @@
                     method=method,
                     target=target,
                     headers=[
-                        (b"host", str(self.address).encode()),
+                        (b"host", self._host),
                         (b"content-length", str(len(body)).encode()),
                         *headers,
                     ],
--- a/packages/testing/src/sassafrastally/testing/metadata_store.py
+++ b/packages/testing/src/sassafrastally/testing/metadata_store.py
@@ -29,6 +29,8 @@
         """Status of every answer; 0: it works."""
         self.is_silent = False
         """Calls are read and never answered."""
+        self.delay_s = 0.0
+        """How long each answer takes beyond its work."""
         self.loses_answers = False
         """Writes take effect and their connection is closed without an answer."""
         self._items: dict[str, dict[str, Any]] = {}
@@ -82,6 +84,8 @@
         self.calls.append(parts.path)
         if self.is_silent:
             await trio.sleep_forever()
+        if self.delay_s:
+            await trio.sleep(self.delay_s)
         if self.refuses_with:
             await connection.answer(self.refuses_with)
             return
--- a/packages/testing/src/sassafrastally/testing/replica.py
+++ b/packages/testing/src/sassafrastally/testing/replica.py
@@ -18,15 +18,48 @@
 """Usual text of one event."""
 
 
+class Arrival:
+    """A request that reached a backend server.
+
+    Attributes
+    ----------
+    request
+        As it came.
+    at_s
+        When its header and body were complete.
+    has_run
+        Whether the server began to work on it.
+    finished_s
+        When its answer was complete; ``None`` before, and if it never was.
+    """
+
+    def __init__(self, request: StandInRequest) -> None:
+        self.request = request
+        self.at_s = trio.current_time()
+        self.has_run = False
+        self.finished_s: float | None = None
+
+    @property
+    def request_id(self) -> str:
+        """Id of the caller's request."""
+        return self.request.headers.get("attempt-id", "")
+
+    def run(self) -> None:
+        """Note that the server begins to work on it."""
+        self.has_run = True
+
+    def finish(self) -> None:
+        """Note that its answer is complete."""
+        self.finished_s = trio.current_time()
+
+
 class Replica:
     """A backend server; set the attributes to let it misbehave.
 
     Attributes
     ----------
-    runs
-        Ids of the requests that it began to run, in order.
-    seen
-        Headers of all requests that reached it.
+    arrivals
+        All requests that reached it, in order.
     """
 
     def __init__(
@@ -41,9 +74,7 @@
         self.service = service
         self.engine = PassingEngine(figures) if figures else None
         self.work_s = work_s
-        self.runs: list[str] = []
-        self.finished: list[str] = []
-        self.seen: list[dict[str, str]] = []
+        self.arrivals: list[Arrival] = []
         self.refuses = False
         """It turns all requests away without running them."""
         self.answers_with = 0
@@ -61,6 +92,16 @@
         self.address = Address("", 0)
         self._peers = peers
 
+    @property
+    def runs(self) -> list[str]:
+        """Ids of the requests that it began to run, in the order of their arrival."""
+        return [arrival.request_id for arrival in self.arrivals if arrival.has_run]
+
+    @property
+    def seen(self) -> list[dict[str, str]]:
+        """Headers of all requests that reached it."""
+        return [arrival.request.headers for arrival in self.arrivals]
+
     async def start(self, host: str, nursery: trio.Nursery) -> None:
         """Serve in the nursery."""
         port = await serve_http(host, 0, self._handle, nursery)
@@ -88,7 +129,8 @@
         if request.target == "/order":
             await self._order(json.loads(request.body), connection)
             return
-        self.seen.append(request.headers)
+        arrival = Arrival(request)
+        self.arrivals.append(arrival)
         request_id = request.headers.get("attempt-id", "")
         expected = request.headers.get("expect-replica")
         if expected is not None and expected != self.server_id:
@@ -100,15 +142,15 @@
         if self.is_mute:
             await trio.sleep_forever()
         if self.engine is not None and "token-counts" in request.headers:
-            await self._stream(request, connection)
+            await self._stream(arrival, connection)
         else:
-            await self._plain(request, connection)
+            await self._plain(arrival, connection)
 
-    async def _plain(self, request: StandInRequest, connection: StandInConnection) -> None:
-        request_id = request.headers.get("attempt-id", "")
-        self.runs.append(request_id)
+    async def _plain(self, arrival: Arrival, connection: StandInConnection) -> None:
+        request, request_id = arrival.request, arrival.request_id
+        arrival.run()
         await trio.sleep(self.work_s)
-        self.finished.append(request_id)
+        arrival.finish()
         if self.resets_after_run:
             await connection.reset()
             return
@@ -118,8 +160,9 @@
             other = b"HTTP/1.1 200 OK\r\nAttempt-Id: other\r\nContent-Length: 5\r\n\r\nother"
             await connection.send_raw(other)
 
-    async def _stream(self, request: StandInRequest, connection: StandInConnection) -> None:
+    async def _stream(self, arrival: Arrival, connection: StandInConnection) -> None:
         assert self.engine is not None
+        request, request_id = arrival.request, arrival.request_id
         prompt_tokens, output_tokens = map(int, request.headers["token-counts"].split(","))
         first = int(request.headers.get("last-event-id", -1)) + 1
         total = max(1, output_tokens // self.engine.figures.stride_steps)
@@ -127,12 +170,11 @@
         if helpers is None:
             await connection.answer(503, b"", {"Not-Executed": "1"})
             return
-        request_id = request.headers.get("attempt-id", "")
         try:
             number = first
             async for _ in self.engine.run(prompt_tokens, total - first, helpers, held):
                 if number == first:
-                    self.runs.append(request_id)
+                    arrival.run()
                     await connection.begin(200, self._headers(request_id))
                 if number == self.breaks_after_events:
                     await connection.send(f"id: {number}\nda".encode())
@@ -142,7 +184,7 @@
                 await connection.send(f"id: {number}\ndata: {text}\n\n".encode())
                 number += 1
             await connection.end()
-            self.finished.append(request_id)
+            arrival.finish()
         except Full:
             await connection.answer(503, b"", {"Not-Executed": "1"})
 
--- /dev/null
+++ b/packages/testing/src/sassafrastally/testing/soak/__init__.py
@@ -0,0 +1,7 @@
+"""A randomized soak: the real programs as processes, harmed from outside, judged from outside."""
+
+from __future__ import annotations
+
+from sassafrastally.testing.soak.runner import SoakReport, SoakSize, run_soak
+
+__all__ = ["SoakReport", "SoakSize", "run_soak"]
--- /dev/null
+++ b/packages/testing/src/sassafrastally/testing/soak/callers.py
@@ -0,0 +1,137 @@
+"""Callers: they press, keep connections open, leave early, and come back as they are told."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import h11
+import trio
+
+from sassafrastally.proxy.http_stream import ConnectionLost, HttpStream, connect
+from sassafrastally.testing.platform_fleet import request_fields
+from sassafrastally.testing.soak.record import Attempt, Kind
+
+if TYPE_CHECKING:
+    from sassafrastally.testing.soak.fleet import SoakFleet
+
+TIME_LEFT_S = 4.0
+"""How long a caller waits."""
+
+GIVES_UP_S = TIME_LEFT_S + 1.5
+"""After this a caller closes its connection; an entry must have answered long before."""
+
+THINK_S = 0.5
+"""Mean pause of a caller between two requests at the usual load."""
+
+CONNECT_TIME_S = 1.0
+
+KEPT_SHARE = 0.7
+"""Share of the requests that go on a connection that is open already."""
+
+LEAVING_SHARE = 0.05
+"""Share of the callers that leave before their answer is complete."""
+
+STRIDE = 34
+"""Tokens in an event, as the engines' figures say."""
+
+KIND_WEIGHTS = {Kind.NOTE: 50, Kind.DOSSIER: 3, Kind.LOOK: 22, Kind.BOOK: 22}
+PROMPT_TOKENS = {Kind.NOTE: (500, 12_000), Kind.DOSSIER: (40_000, 260_000)}
+MOST_EVENTS = 24
+
+
+class Caller:
+    """One caller, who sends one request after the other."""
+
+    def __init__(self, fleet: SoakFleet) -> None:
+        self._fleet = fleet
+        self._random = fleet.random
+        self._connection: HttpStream | None = None
+        self._entry = 0
+
+    async def press(self) -> None:
+        """Send requests until cancelled."""
+        while True:
+            await trio.sleep(self._random.expovariate(self._fleet.rate / THINK_S))
+            kinds = list(KIND_WEIGHTS)
+            (kind,) = self._random.choices(kinds, weights=list(KIND_WEIGHTS.values()))
+            retry_after_s = await self.call(kind)
+            if retry_after_s is not None:
+                await trio.sleep(retry_after_s)
+                await self.call(kind)
+
+    async def call(self, kind: Kind, entry: int | None = None) -> float | None:
+        """Send one request; return when to come back if it was turned away."""
+        try:
+            await self._connect(entry)
+        except ConnectionLost:
+            return None  # Nobody took the connection: no request, no promise.
+        attempt, prompt = self._attempt(kind)
+        self._fleet.record.attempts[attempt.attempt_id] = attempt
+        patience_s = GIVES_UP_S
+        if self._random.random() < LEAVING_SHARE:
+            patience_s = self._random.uniform(0.0, 1.0)
+        with trio.move_on_after(patience_s) as scope:
+            await self._exchange(attempt, prompt)
+        attempt.ended_s = trio.current_time()
+        attempt.has_left = scope.cancelled_caught and patience_s < GIVES_UP_S
+        if not attempt.is_whole or attempt.headers.get("connection") == "close":
+            await self.hang_up()
+        elif self._connection is not None:
+            self._connection.http.start_next_cycle()
+        return float(attempt.headers["retry-after"]) if attempt.status == 503 else None
+
+    async def hang_up(self) -> None:
+        """Close the connection, if there is one."""
+        connection, self._connection = self._connection, None
+        if connection is not None:
+            await connection.close()
+
+    async def _connect(self, entry: int | None) -> None:
+        if self._connection is not None:
+            is_usable = not self._connection.has_unread_input()
+            if is_usable and entry is None and self._random.random() < KEPT_SHARE:
+                return
+            await self.hang_up()
+        self._entry = entry or self._random.choice(self._fleet.ready_entries())
+        stream = await connect(self._fleet.callers_address(self._entry), CONNECT_TIME_S)
+        self._connection = HttpStream(stream, h11.CLIENT)
+
+    def _attempt(self, kind: Kind) -> tuple[Attempt, str | None]:
+        attempt_id = f"{self._random.getrandbits(64):016x}"
+        if not kind.is_stream:
+            return Attempt(attempt_id, kind, self._entry, 0), None
+        events = self._random.randint(1, MOST_EVENTS)
+        prompt = f"{self._random.randint(*PROMPT_TOKENS[kind])},{events * STRIDE}"
+        return Attempt(attempt_id, kind, self._entry, events), prompt
+
+    async def _exchange(self, attempt: Attempt, prompt: str | None) -> None:
+        assert self._connection is not None
+        fields = request_fields(
+            {"Deadline-Ms": str(int(TIME_LEFT_S * 1000))}, prompt, attempt.attempt_id
+        )
+        body = attempt.attempt_id.encode()
+        head = h11.Request(
+            method="POST",
+            target=attempt.target,
+            headers=[*fields.items(), ("Content-Length", str(len(body)))],
+        )
+        try:
+            await self._connection.send(head, h11.Data(data=body), h11.EndOfMessage())
+            await self._read(attempt)
+        except (ConnectionLost, h11.RemoteProtocolError):
+            return  # The attempt stays without a whole answer; the checks judge that.
+
+    async def _read(self, attempt: Attempt) -> None:
+        assert self._connection is not None
+        while True:
+            event = await self._connection.receive()
+            if isinstance(event, h11.Response):
+                attempt.status = event.status_code
+                attempt.headers = {n.decode(): v.decode("latin-1") for n, v in event.headers}
+            elif isinstance(event, h11.Data):
+                attempt.body += event.data
+            elif isinstance(event, h11.EndOfMessage):
+                attempt.is_whole = True
+                return
+            elif isinstance(event, h11.ConnectionClosed):
+                return
--- /dev/null
+++ b/packages/testing/src/sassafrastally/testing/soak/entry_process.py
@@ -0,0 +1,141 @@
+"""Entries as separate processes of the real program, each signalled and ended by its id."""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+from typing import TYPE_CHECKING, Any
+
+from sassafrastally.core import Address
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+MODULE = "sassafrastally.platform"
+SETTINGS_VARIABLE = "SASSAFRASTALLY_CONFIG"
+
+STOP_TIME_S = 8.0
+"""Time between the request to stop and the end of a process, as on the users' platform."""
+
+END_LIMIT_S = 10.0
+
+
+class EntryProcess:
+    """One entry: its settings, its process and its log.
+
+    Parameters
+    ----------
+    number
+        Names it.
+    host
+        Its IP number; no two entries share one.
+    folder
+        Where settings and logs lie.
+    base_port
+        First of the ports that all entries use, each on its own address.
+    store
+        Where it reaches the store.
+    """
+
+    def __init__(
+        self, number: int, host: str, folder: Path, base_port: int, store: Address
+    ) -> None:
+        self.number = number
+        self.host = host
+        self.callers_address = Address(self.host, base_port)
+        self.readiness_address = Address(self.host, base_port + 1)
+        self.settings_changes = 0
+        """How often its settings file was rewritten."""
+        self.expected_ends = 0
+        """How often the soak itself has asked the process to end."""
+        self.ends = 0
+        """How often a process has ended."""
+        self._base_port = base_port
+        self._store = store
+        self._process: subprocess.Popen[bytes] | None = None
+        self._settings_file = folder / f"entry-{number}.json"
+        self.log_file = folder / f"entry-{number}.log"
+
+    @property
+    def is_running(self) -> bool:
+        """Whether its process lives; one that is paused does."""
+        return self._process is not None and self._process.poll() is None
+
+    def start(self) -> None:
+        """Start a process."""
+        self.write_settings()
+        environment = {**os.environ, SETTINGS_VARIABLE: str(self._settings_file)}
+        with self.log_file.open("ab") as log:
+            self._process = subprocess.Popen(
+                [sys.executable, "-P", "-m", MODULE],
+                env=environment,
+                stdin=subprocess.DEVNULL,
+                stdout=log,
+                stderr=subprocess.STDOUT,
+            )
+
+    def write_settings(self) -> None:
+        """Write the settings file in one step, as a reader may look at any time."""
+        draft = self._settings_file.with_suffix(".draft")
+        draft.write_text(json.dumps(self._settings()))
+        draft.replace(self._settings_file)
+        self.settings_changes += 1
+
+    def signal(self, number: signal.Signals) -> None:
+        """Send a signal, if the process lives."""
+        if self._process is not None and self.is_running:
+            self._process.send_signal(number)
+
+    def note_end(self) -> bool:
+        """Return whether a process has ended since the last call."""
+        if self._process is None or self.is_running:
+            return False
+        self._process = None
+        self.ends += 1
+        return True
+
+    def kill(self) -> None:
+        """End the process at once, also a paused one."""
+        if self._process is None:
+            return
+        self.signal(signal.SIGCONT)
+        self._process.kill()
+        self._process.wait(END_LIMIT_S)
+
+    def accepts_callers(self) -> bool:
+        """Return whether the callers' port is open."""
+        address = self.callers_address
+        with socket.socket() as probe:
+            return probe.connect_ex((address.host, address.port)) == 0
+
+    def open_files(self) -> int:
+        """Return the number of the process's descriptors."""
+        assert self._process is not None
+        return len(os.listdir(f"/proc/{self._process.pid}/fd"))
+
+    def resident_mb(self) -> float:
+        """Return the process's resident memory."""
+        assert self._process is not None
+        with open(f"/proc/{self._process.pid}/statm") as file:
+            return int(file.read().split()[1]) * os.sysconf("SC_PAGE_SIZE") / 1e6
+
+    def _settings(self) -> dict[str, Any]:
+        port = self._base_port
+        return {
+            "node": f"entry-{self.number}",
+            "ip": self.host,
+            "zone": "here",
+            "listen": {"front": str(self.callers_address), "readiness": f"{self.host}:{port + 1}"},
+            "internalPorts": [port + 2, port + 9],
+            "platform": {"address": str(self._store)},
+            "bounds": {
+                "graceS": STOP_TIME_S,
+                "retryBudgetRatio": 0.2,
+                "budgetWindowS": 10,
+                "budgetExtraTries": 100,
+            },
+        }
--- /dev/null
+++ b/packages/testing/src/sassafrastally/testing/soak/fleet.py
@@ -0,0 +1,257 @@
+"""The soak's fleet: entries as processes, stand-ins before and behind them, proxies between."""
+
+from __future__ import annotations
+
+import json
+import signal
+from typing import TYPE_CHECKING
+
+import trio
+
+from sassafrastally.core import Address
+from sassafrastally.platform.adapter import PlatformDialect
+from sassafrastally.proxy.calls import CallClient
+from sassafrastally.proxy.store import AnswerLost
+from sassafrastally.testing.metadata_store import MetadataStore
+from sassafrastally.testing.platform_fleet import make_configuration, make_route
+from sassafrastally.testing.replica import Replica
+from sassafrastally.testing.soak.entry_process import STOP_TIME_S, EntryProcess
+from sassafrastally.testing.soak.proxying import LoopbackProxy
+from sassafrastally.testing.soak.record import Record
+
+if TYPE_CHECKING:
+    import random
+    from pathlib import Path
+
+RESTART_S = 0.3
+"""Time between the end of a process and the start of the next one."""
+
+LOOK_S = 0.05
+"""How often ended processes are looked for."""
+
+BALANCER_S = 1.0
+"""How often the balancer asks whether an entry is ready."""
+
+MISSES = 2
+"""Answers without a 200 in a row after which an entry gets no new connections."""
+
+MUTE_LIMIT_S = 1.0
+"""Time for the answer to a question whether an entry is ready."""
+
+
+class Server:
+    """A backend server with the proxy before it; its life may change, its address stays."""
+
+    def __init__(self, replica: Replica, proxy: LoopbackProxy, address: Address) -> None:
+        self.replica = replica
+        self.proxy = proxy
+        self.address = address
+        self.life = trio.CancelScope()
+        self.is_claimed = False
+        """Whether a trouble is replacing it."""
+
+
+class SoakFleet:
+    """All of it; started and ended by one nursery.
+
+    Parameters
+    ----------
+    random_source
+        Of this soak alone.
+    folder
+        Where settings and logs of the entries go.
+    nursery
+        Where everything runs.
+    """
+
+    def __init__(self, random_source: random.Random, folder: Path, nursery: trio.Nursery) -> None:
+        self.random = random_source
+        self.record = Record()
+        self.store = MetadataStore()
+        self.entries: dict[int, EntryProcess] = {}
+        self.callers_proxies: dict[int, LoopbackProxy] = {}
+        self.store_proxies: dict[int, LoopbackProxy] = {}
+        self.servers: list[Server] = []
+        self.all_replicas: list[Replica] = []
+        """Every life of every backend server."""
+        self.drained: dict[str, float] = {}
+        """When the store had accepted that a server is draining, by the life's id."""
+        self.version = 1
+        self.configured_s: dict[int, float] = {}
+        """When the store had accepted a version."""
+        self.rate = 1.0
+        """How many times the usual load callers press with."""
+        self.nursery = nursery
+        self._folder = folder
+        self._in_rotation: dict[int, bool] = {}
+        self._base_port = 10_000 + self.random.randrange(15_000)
+        self._hosts = f"127.21.{2 + self.random.randrange(250)}."
+        self._by_address: dict[Address, Replica] = {}
+        self._lives = 0
+
+    async def start(self, entries: int, engines: int, plain: int) -> None:
+        """Start everything and wait until all entries are ready."""
+        self._store_address = Address(
+            self._hosts + "1", await self.store.start(self._hosts + "1", self.nursery)
+        )
+        self.configure()
+        for _ in range(engines):
+            await self._add_server("engines")
+        for _ in range(plain):
+            await self._add_server("desk")
+        for number in range(1, entries + 1):
+            await self._add_entry(number)
+        self.nursery.start_soon(self._restart_ended)
+        self.nursery.start_soon(self._balance)
+        with trio.fail_after(30.0):
+            while not all(self._in_rotation.values()):
+                await trio.sleep(LOOK_S)
+
+    def end(self) -> None:
+        """End the processes that this soak has started."""
+        for entry in self.entries.values():
+            entry.kill()
+
+    def ready_entries(self) -> list[int]:
+        """Return the entries that new connections go to."""
+        rotated = [number for number, is_in in self._in_rotation.items() if is_in]
+        return rotated if 2 * len(rotated) >= len(self.entries) else list(self.entries)
+
+    def configure(self) -> None:
+        """Put the configuration of the present version into the store.
+
+        Each version has a route of its own and drops that of the version before, so that what is in
+        force shows from outside.
+        """
+        document = make_configuration(self.version)
+        own = make_route(self.route_of(self.version), "idempotent", "desk", public=True)
+        document["routes"].append(own)
+        document["tenants"].append(
+            {"name": "ben", "apiKeys": [self.key_of(self.version)], "priority": 1}
+        )
+        self.store.put("op/config", json.dumps(document).encode())
+        self.configured_s[self.version] = trio.current_time()
+
+    @staticmethod
+    def route_of(version: int) -> str:
+        """Return the name of the route that only one version has."""
+        return f"only-{version}"
+
+    @staticmethod
+    def key_of(version: int) -> str:
+        """Return the key that only one version has."""
+        return f"key-of-ben-{version}"
+
+    def register(self, server: Server, *, is_draining: bool = False) -> None:
+        """Write a server's entry to the store."""
+        server.replica.address = server.address
+        value = server.replica.entry(is_draining=is_draining)
+        self.store.put(f"servers/{server.replica.server_id}", value)
+
+    def unregister(self, server: Server) -> None:
+        """Remove a server's entry."""
+        self.store.remove(f"servers/{server.replica.server_id}")
+
+    async def begin_life(self, server: Server) -> None:
+        """Start a new life of a server at its address."""
+        server.replica = self._make_replica(server.replica.service)
+        await self._run_replica(server)
+
+    def end_life(self, server: Server) -> None:
+        """Let a server die: its connections break and nobody answers any more."""
+        server.proxy.target = None
+        server.life.cancel()
+
+    async def _add_server(self, service: str) -> None:
+        proxy = LoopbackProxy(None)
+        host = self._hosts + "2"
+        address = Address(host, await proxy.start(host, 0, self.nursery))
+        server = Server(self._make_replica(service), proxy, address)
+        await self._run_replica(server)
+        self.servers.append(server)
+        self.register(server)
+
+    def _make_replica(self, service: str) -> Replica:
+        self._lives += 1
+        figures = None
+        if service == "engines":
+            document = json.dumps(make_configuration(1)).encode()
+            figures = PlatformDialect().decode_configuration(document).services[service].engine
+        replica = Replica(f"{service}-{self._lives}", service, self._by_address, figures, 0.03)
+        self.all_replicas.append(replica)
+        return replica
+
+    async def _run_replica(self, server: Server) -> None:
+        replica = server.replica
+        server.life = trio.CancelScope()
+
+        async def live(task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
+            with server.life:
+                async with trio.open_nursery() as nursery:
+                    await replica.start(self._hosts + "2", nursery)
+                    task_status.started()
+
+        await self.nursery.start(live)
+        server.proxy.target = replica.address
+        self._by_address[server.address] = replica
+
+    async def _add_entry(self, number: int) -> None:
+        host = self._hosts + str(100 + number)
+        store_proxy = LoopbackProxy(self._store_address)
+        store = Address(
+            self._hosts + "3", await store_proxy.start(self._hosts + "3", 0, self.nursery)
+        )
+        entry = EntryProcess(number, host, self._folder, self._base_port, store)
+        proxy = LoopbackProxy(entry.callers_address)
+        await proxy.start(self._hosts + "4", self._base_port + number, self.nursery)
+        self.entries[number] = entry
+        self.store_proxies[number] = store_proxy
+        self.callers_proxies[number] = proxy
+        self._in_rotation[number] = False
+        entry.start()
+
+    def callers_address(self, number: int) -> Address:
+        """Return where callers reach an entry."""
+        return Address(self._hosts + "4", self._base_port + number)
+
+    async def _restart_ended(self) -> None:
+        while True:
+            await trio.sleep(LOOK_S)
+            for entry in self.entries.values():
+                if entry.note_end():
+                    self.nursery.start_soon(self._restart, entry)
+
+    async def _restart(self, entry: EntryProcess) -> None:
+        await trio.sleep(RESTART_S)
+        entry.start()
+
+    async def _balance(self) -> None:
+        async with trio.open_nursery() as nursery:
+            for number, entry in self.entries.items():
+                nursery.start_soon(self._watch_ready, number, entry)
+
+    async def _watch_ready(self, number: int, entry: EntryProcess) -> None:
+        calls = CallClient(entry.readiness_address)
+        misses = 0
+        while True:
+            try:
+                status, _ = await calls.exchange("GET", "/readyz", [], b"", MUTE_LIMIT_S)
+            except AnswerLost:
+                status = 0
+            misses = 0 if status == 200 else misses + 1
+            self._in_rotation[number] = misses < MISSES and (
+                status == 200 or self._in_rotation[number]
+            )
+            await trio.sleep(BALANCER_S if status == 200 else BALANCER_S / 2)
+
+    async def stop_entry(self, number: int) -> None:
+        """Ask an entry to stop and wait until it has ended, by force in the end."""
+        entry = self.entries[number]
+        ends = entry.ends
+        entry.expected_ends += 1
+        entry.signal(signal.SIGTERM)
+        with trio.move_on_after(STOP_TIME_S + 1.0):
+            while entry.ends == ends:
+                await trio.sleep(LOOK_S)
+            return
+        entry.signal(signal.SIGKILL)
--- /dev/null
+++ b/packages/testing/src/sassafrastally/testing/soak/probing.py
@@ -0,0 +1,145 @@
+"""Questions of the soak's own: which configuration is in force, and whether the fleet is well."""
+
+from __future__ import annotations
+
+import secrets
+from typing import TYPE_CHECKING
+
+import trio
+
+from sassafrastally.proxy.calls import CallClient
+from sassafrastally.proxy.store import AnswerLost
+from sassafrastally.testing.platform_fleet import HOST_NAME
+from sassafrastally.testing.soak.callers import Caller
+from sassafrastally.testing.soak.record import Kind
+
+if TYPE_CHECKING:
+    from sassafrastally.testing.soak.entry_process import EntryProcess
+    from sassafrastally.testing.soak.fleet import SoakFleet
+
+PROBE_S = 0.5
+"""How often each entry is asked which version it has in force."""
+
+IN_FORCE_S = 2.5
+"""How long after the store's word a version must be in force: two seconds and the time that a busy
+machine takes."""
+
+RECOVER_S = 12.0
+"""How long after the last trouble the fleet must serve again."""
+
+FREE_S = 5.0
+"""How long after the last request all memory of the engines must be free."""
+
+MOST_MEMORY_MB = 128.0
+MOST_FILES = 600
+"""What an entry may take at the end of a soak; descriptors grow with callers and servers."""
+
+CRASH_SIGNS = ("Traceback (most recent call last)", "ConnectionCrashed")
+
+NO_ROUTE = 404
+OK = 200
+
+
+async def watch_versions(fleet: SoakFleet) -> None:
+    """Ask each entry which configuration it has in force, until cancelled."""
+    async with trio.open_nursery() as nursery:
+        for number in fleet.entries:
+            nursery.start_soon(_watch_entry, fleet, number)
+
+
+async def _watch_entry(fleet: SoakFleet, number: int) -> None:
+    entry = fleet.entries[number]
+    seen: dict[int, int] = {}
+    while True:
+        await trio.sleep(PROBE_S)
+        life, version, sent_s = entry.ends, fleet.version, trio.current_time()
+        status = await _ask(entry, fleet.route_of(version))
+        if status not in (OK, NO_ROUTE) or version != fleet.version or life != entry.ends:
+            continue  # It couldn't tell, or what it was asked for has changed meanwhile.
+        if status == OK:
+            seen[life] = version
+            await _check_dropped(fleet, number, version, sent_s)
+        elif seen.get(life) == version:
+            fleet.record.note_broken("never reverts", f"entry {number}, version {version}")
+        elif _is_due(fleet, number, version, sent_s):
+            fleet.record.note_broken("in force in time", f"entry {number}, version {version}")
+
+
+async def _check_dropped(fleet: SoakFleet, number: int, version: int, sent_s: float) -> None:
+    """Check that what the version before allowed is no longer served."""
+    older = [known for known in fleet.configured_s if known < version]
+    if not older or not _is_due(fleet, number, version, sent_s):
+        return
+    if await _ask(fleet.entries[number], fleet.route_of(max(older))) == OK:
+        detail = f"entry {number} serves a route that version {version} dropped"
+        fleet.record.note_broken("in force in time", detail)
+
+
+def _is_due(fleet: SoakFleet, number: int, version: int, sent_s: float) -> bool:
+    configured_s = fleet.configured_s[version]
+    is_calm = fleet.record.is_calm(number, configured_s, sent_s, with_store=True)
+    return sent_s > configured_s + IN_FORCE_S and is_calm
+
+
+async def _ask(entry: EntryProcess, route: str) -> int:
+    """Return the status of a request of the soak's own; 0 when the entry doesn't answer."""
+    headers = [(b"Attempt-Id", secrets.token_hex(8).encode()), (b"Deadline-Ms", b"2000")]
+    calls = CallClient(entry.callers_address, HOST_NAME)
+    try:
+        status, _ = await calls.exchange("GET", f"/{route}/x", headers, b"", 2.0)
+    except AnswerLost:
+        status = 0
+    await calls.close()
+    return status
+
+
+async def check_recovered(fleet: SoakFleet) -> None:
+    """Check that each entry serves again and that nothing was lost or left behind."""
+    for number in fleet.entries:
+        for kind in (Kind.LOOK, Kind.NOTE):
+            if not await _serves(fleet, number, kind):
+                fleet.record.note_broken("recovers", f"entry {number} doesn't serve {kind.value}")
+    await _check_memory(fleet)
+    for entry in fleet.entries.values():
+        _check_process(fleet, entry)
+
+
+async def _serves(fleet: SoakFleet, number: int, kind: Kind) -> bool:
+    caller = Caller(fleet)
+    with trio.move_on_after(RECOVER_S):
+        while True:
+            known = set(fleet.record.attempts)
+            await caller.call(kind, number)
+            await caller.hang_up()
+            new = [a for key, a in fleet.record.attempts.items() if key not in known]
+            if new and new[0].status == OK and new[0].is_whole:
+                return True
+            await trio.sleep(0.2)
+    return False
+
+
+async def _check_memory(fleet: SoakFleet) -> None:
+    engines = [server.replica.engine for server in fleet.servers if server.replica.engine]
+    with trio.move_on_after(FREE_S):
+        while any(engine.used_tokens or engine.running for engine in engines):
+            await trio.sleep(0.1)
+        return
+    left = [engine.used_tokens for engine in engines]
+    fleet.record.note_broken("memory is free in the end", f"tokens in use: {left}")
+
+
+def _check_process(fleet: SoakFleet, entry: EntryProcess) -> None:
+    name = f"entry {entry.number}"
+    if entry.ends > entry.expected_ends:
+        detail = f"{name}: {entry.ends} ends, {entry.expected_ends} were asked for"
+        fleet.record.note_broken("no process ends by itself", detail)
+    if not entry.is_running:
+        fleet.record.note_broken("recovers", f"{name} doesn't run")
+        return
+    if entry.resident_mb() > MOST_MEMORY_MB or entry.open_files() > MOST_FILES:
+        detail = f"{name}: {entry.resident_mb():.0f} MB, {entry.open_files()} descriptors"
+        fleet.record.note_broken("bounded", detail)
+    log = entry.log_file.read_text(errors="replace")
+    for sign in CRASH_SIGNS:
+        if sign in log:
+            fleet.record.note_broken("no crash", f"{name}: {sign} in its log")
--- /dev/null
+++ b/packages/testing/src/sassafrastally/testing/soak/proxying.py
@@ -0,0 +1,128 @@
+"""A loopback proxy that harms the connections that pass through it."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import trio
+
+if TYPE_CHECKING:
+    from sassafrastally.core import Address
+
+PIECE_BYTES = 65_536
+"""Most bytes passed on at once."""
+
+CONNECT_TIME_S = 1.0
+"""Time for the connection behind the proxy; on loopback it is there at once or refused."""
+
+
+class _Connection:
+    """One connection with its two halves."""
+
+    def __init__(self, caller: trio.SocketStream, server: trio.SocketStream) -> None:
+        self.caller = caller
+        self.server = server
+        self.is_silenced = False
+
+
+class LoopbackProxy:
+    """Passes connections on to a target.
+
+    Attributes
+    ----------
+    target
+        Where connections go; ``None`` closes them at once, as a process that is gone does.
+    delay_s
+        How long each piece is held back, in both directions.
+    cuts_requests
+        Bytes towards the target stay on the way; those back pass.
+    cuts_answers
+        Bytes back stay on the way; those towards the target pass.
+    """
+
+    def __init__(self, target: Address | None) -> None:
+        self.target = target
+        self.delay_s = 0.0
+        self.cuts_requests = False
+        self.cuts_answers = False
+        self._connections: set[_Connection] = set()
+        self._healed = trio.Event()
+
+    async def start(self, host: str, port: int, nursery: trio.Nursery) -> int:
+        """Listen in the nursery; return the port."""
+        listeners = await trio.open_tcp_listeners(port, host=host)
+        nursery.start_soon(trio.serve_listeners, self._serve, listeners)
+        bound: int = listeners[0].socket.getsockname()[1]
+        return bound
+
+    def reset_all(self) -> None:
+        """Close all open connections without a farewell."""
+        for connection in self._connections:
+            for stream in (connection.caller, connection.server):
+                _shut(stream)
+
+    def silence_open(self) -> None:
+        """Let the open connections go silent for good, without a reset; new ones work."""
+        for connection in self._connections:
+            connection.is_silenced = True
+
+    def heal(self) -> None:
+        """Let new connections pass and bytes that were held back go on."""
+        self.delay_s = 0.0
+        self.cuts_requests = self.cuts_answers = False
+        self._healed.set()
+        self._healed = trio.Event()
+
+    async def _serve(self, caller: trio.SocketStream) -> None:
+        server = await self._connect()
+        if server is None:
+            await trio.aclose_forcefully(caller)
+            return
+        connection = _Connection(caller, server)
+        self._connections.add(connection)
+        try:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._pump, connection, caller, server)
+                nursery.start_soon(self._pump, connection, server, caller)
+        finally:
+            self._connections.discard(connection)
+            await trio.aclose_forcefully(caller)
+            await trio.aclose_forcefully(server)
+
+    async def _connect(self) -> trio.SocketStream | None:
+        if self.target is None:
+            return None
+        with trio.move_on_after(CONNECT_TIME_S):
+            try:
+                return await trio.open_tcp_stream(self.target.host, self.target.port)
+            except OSError:
+                return None  # Nobody listens: the caller sees a closed connection.
+        return None
+
+    async def _pump(
+        self, connection: _Connection, source: trio.SocketStream, sink: trio.SocketStream
+    ) -> None:
+        try:
+            while data := await source.receive_some(PIECE_BYTES):
+                if self.delay_s:
+                    await trio.sleep(self.delay_s)
+                while self._is_cut(connection, source):
+                    await self._healed.wait()
+                await sink.send_all(data)
+            await sink.send_eof()
+        except (trio.BrokenResourceError, trio.ClosedResourceError, OSError):
+            # One half is gone; the other one is shut, so that both ends see it.
+            for stream in (source, sink):
+                _shut(stream)
+
+    def _is_cut(self, connection: _Connection, source: trio.SocketStream) -> bool:
+        if connection.is_silenced:
+            return True
+        return self.cuts_requests if source is connection.caller else self.cuts_answers
+
+
+def _shut(stream: trio.SocketStream) -> None:
+    try:
+        stream.socket.shutdown(trio.socket.SHUT_RDWR)
+    except OSError:
+        return  # It is shut already.
--- /dev/null
+++ b/packages/testing/src/sassafrastally/testing/soak/record.py
@@ -0,0 +1,165 @@
+"""What a soak has seen: callers' attempts, troubles with their times, broken promises."""
+
+from __future__ import annotations
+
+import math
+from contextlib import contextmanager
+from enum import Enum
+from typing import TYPE_CHECKING, NamedTuple
+
+import trio
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Iterator
+
+CALM_AFTER_S = 3.0
+"""Time after a trouble until promises with a time bound hold again, as on the users' platform."""
+
+
+class Kind(Enum):
+    """Kinds of request."""
+
+    NOTE = "note"
+    """A stream for a short prompt."""
+    DOSSIER = "dossier"
+    """A stream for a long prompt."""
+    LOOK = "look"
+    """A request that may be repeated."""
+    BOOK = "book"
+    """A request that must run at most once."""
+
+    @property
+    def is_stream(self) -> bool:
+        """Whether the answer is a series of events."""
+        return self in (Kind.NOTE, Kind.DOSSIER)
+
+
+class Attempt:
+    """One attempt of a caller, with its answer.
+
+    Attributes
+    ----------
+    events
+        Events that a whole answer has; 0 for requests without a stream.
+    status
+        0 while there is none.
+    has_left
+        The caller closed its connection on purpose.
+    """
+
+    def __init__(self, attempt_id: str, kind: Kind, entry: int, events: int) -> None:
+        self.attempt_id = attempt_id
+        self.kind = kind
+        self.entry = entry
+        self.events = events
+        self.sent_s = trio.current_time()
+        self.ended_s: float | None = None
+        self.status = 0
+        self.headers: dict[str, str] = {}
+        self.body = b""
+        self.is_whole = False
+        self.has_left = False
+
+    @property
+    def target(self) -> str:
+        """Path of the request; names the attempt, so that a foreign answer shows."""
+        return f"/{self.kind.value}/{self.attempt_id}"
+
+
+class TroubleSpan:
+    """A trouble from its beginning to its end.
+
+    Attributes
+    ----------
+    entries
+        Entries that it harms; ``None``: all.
+    is_planned
+        Planned work excuses no lost answer.
+    """
+
+    def __init__(
+        self, name: str, entries: frozenset[int] | None, *, is_at_store: bool, is_planned: bool
+    ) -> None:
+        self.name = name
+        self.entries = entries
+        self.is_at_store = is_at_store
+        self.is_planned = is_planned
+        self.begin_s = trio.current_time()
+        self.end_s = math.inf
+
+    def __str__(self) -> str:
+        harmed = "all" if self.entries is None else sorted(self.entries)
+        return f"{self.name} at {harmed}"
+
+
+class Broken(NamedTuple):
+    """A broken promise."""
+
+    promise: str
+    detail: str
+
+
+class Record:
+    """All of it."""
+
+    def __init__(self) -> None:
+        self.attempts: dict[str, Attempt] = {}
+        self.spans: list[TroubleSpan] = []
+        self.broken: list[Broken] = []
+        self.begin_s = trio.current_time()
+
+    @contextmanager
+    def trouble(
+        self,
+        name: str,
+        entries: Iterable[int] | None = None,
+        *,
+        at_store: bool = False,
+        planned: bool = False,
+    ) -> Iterator[TroubleSpan]:
+        """Note a trouble for as long as the block takes."""
+        harmed = None if entries is None else frozenset(entries)
+        span = TroubleSpan(name, harmed, is_at_store=at_store, is_planned=planned)
+        self.spans.append(span)
+        try:
+            yield span
+        finally:
+            span.end_s = trio.current_time()
+
+    def is_calm(
+        self,
+        entry: int,
+        begin_s: float,
+        end_s: float,
+        *,
+        with_store: bool = False,
+        with_planned: bool = False,
+    ) -> bool:
+        """Return whether no trouble harmed an entry in a time and shortly before it.
+
+        Parameters
+        ----------
+        entry
+            The entry.
+        begin_s, end_s
+            The time.
+        with_store
+            Whether troubles of the store count.
+        with_planned
+            Whether planned work counts.
+        """
+        for span in self.spans:
+            if span.is_planned and not with_planned:
+                continue
+            is_concerned = span.entries is None or entry in span.entries
+            if span.is_at_store and not with_store:
+                is_concerned = False
+            overlaps = span.begin_s <= end_s and span.end_s + CALM_AFTER_S >= begin_s
+            if is_concerned and overlaps:
+                return False
+        return True
+
+    def note_broken(self, promise: str, detail: str) -> None:
+        """Note a broken promise with the time since the beginning."""
+        elapsed_s = trio.current_time() - self.begin_s
+        self.broken.append(Broken(promise, f"{elapsed_s:.2f} s: {detail}"))
