--- a/packages/proxy/src/sassafrastally/proxy/placement.py
+++ b/packages/proxy/src/sassafrastally/proxy/placement.py
@@ -375,7 +375,6 @@
     )
     # Only long requests that are being written have pauses; counted with those that are still read,
     # engines that lead a dossier seemed so dear that the next one was read by two or three alone.
-    # Those wait longer for their first event, since parts are read before an engine's own prompts.
     written = LONG_VALUE_PER_K * work.writing_tokens / 1000
     long = written * (_lateness(after_ms, LONG_PAUSES_MS) - _lateness(before_ms, LONG_PAUSES_MS))
     read = (
