--- a/packages/proxy/src/sassafrastally/proxy/placement.py
+++ b/packages/proxy/src/sassafrastally/proxy/placement.py
@@ -58,9 +58,6 @@
 """Pauses from which on events of short and long requests come too late, and at which all do. The
 routes allow 250 ms, and 600 to 1,000 ms; predictions of a pass are off by about a third."""
 
-LONG_GOAL_MS = 3000.0
-"""Usual goal for the first event of a dossier; reading before it uses up that share of it."""
-
 LONG_VALUE_PER_K = 0.1
 """What a late long request counts for, in late short ones for each 1,000 tokens: a caller with a
 dossier of 180,000 tokens waits on as much work as some twenty with a short note."""
@@ -377,10 +374,7 @@
     # engines that lead a dossier seemed so dear that the next one was read by two or three alone.
     written = LONG_VALUE_PER_K * work.writing_tokens / 1000
     long = written * (_lateness(after_ms, LONG_PAUSES_MS) - _lateness(before_ms, LONG_PAUSES_MS))
-    read = (
-        LONG_VALUE_PER_K * (work.tokens - work.writing_tokens) / 1000 if work.long_requests else 0
-    )
-    return short + long + read * part_ms / LONG_GOAL_MS
+    return short + long
 
 
 def _lateness(pause_ms: float, limits_ms: tuple[float, float]) -> float:
