Divide placement by job: lanes, plans, short and long prompts

Cause: placement.py had grown to 450 lines with four jobs. Change: moved only; names that other modules use lose their underscore. Tests unchanged but for imports. After: packages/proxy and tests/platform green.

--- a/packages/proxy/src/sassafrastally/proxy/answerer.py
+++ b/packages/proxy/src/sassafrastally/proxy/answerer.py
@@ -14,7 +14,7 @@
 if TYPE_CHECKING:
     from sassafrastally.proxy.model import BackendServer, Helper
     from sassafrastally.proxy.path import RequestPath
-    from sassafrastally.proxy.placement import Placement
+    from sassafrastally.proxy.plan import Placement
     from sassafrastally.proxy.reply import Reply
 
 MOST_UNREACHABLE = 3
--- a/packages/proxy/src/sassafrastally/proxy/generation.py
+++ b/packages/proxy/src/sassafrastally/proxy/generation.py
@@ -8,17 +8,13 @@
 from sassafrastally.proxy.answerer import Answerer
 from sassafrastally.proxy.attempt import AttemptNotRun, AttemptUnknown
 from sassafrastally.proxy.event_stream import EventSplitter, StreamEvent
+from sassafrastally.proxy.lanes import Scatter, lane_of, split_lanes
 from sassafrastally.proxy.load import Flight
 from sassafrastally.proxy.log_events import RequestAnswered
 from sassafrastally.proxy.metrics import count_answer
 from sassafrastally.proxy.model import Helper
-from sassafrastally.proxy.placement import (
-    Scatter,
-    lane_of,
-    most_prompt_tokens,
-    place_prompt,
-    split_lanes,
-)
+from sassafrastally.proxy.placement import place_prompt
+from sassafrastally.proxy.plan import most_prompt_tokens
 from sassafrastally.proxy.refusals import MAY_HAVE_RUN, NO_ROOM, NO_SERVER, TOO_LONG, TURNED_AWAY
 from sassafrastally.proxy.slowness import slow_event_time_s
 from sassafrastally.proxy.task import RequestTask, Stopped
@@ -30,7 +26,7 @@
     from sassafrastally.proxy.attempt import Answer
     from sassafrastally.proxy.model import EngineFigures, PromptSize
     from sassafrastally.proxy.path import RequestPath
-    from sassafrastally.proxy.placement import Placement
+    from sassafrastally.proxy.plan import Placement
     from sassafrastally.proxy.reply import Reply
 
 SERVER_ERROR = 500
--- /dev/null
+++ b/packages/proxy/src/sassafrastally/proxy/lanes.py
@@ -0,0 +1,112 @@
+"""Engines divided into those that answer short prompts and those that read long ones.
+
+The load that it answers: short prompts, whose callers notice a pause of a quarter of a second,
+beside prompts that take an engine seconds to read, in a mix that swings by a factor of ten within
+seconds. An engine that reads a long prompt holds up all that it writes, so short requests and long
+ones are kept on different engines.
+"""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING, NamedTuple
+
+from sassafrastally.proxy.engine_time import reading_ms
+from sassafrastally.proxy.load import Lane, Work
+from sassafrastally.proxy.plan import MOST_HELPERS, SHORT_PART_MS
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+    from random import Random
+
+    from sassafrastally.proxy.model import BackendServer, EngineFigures, PromptSize, Route
+
+LONG_PAUSE_GOAL_S = 0.4
+"""Routes that allow longer pauses belong to the long lane. An event takes about 50 ms and the
+reading of a short prompt as much; a part of a long one takes 0.1 to 0.5 s."""
+
+SHORT_REQUEST_S = 1.5
+"""Usual time that a short request keeps its slot; from it and the requests in progress follows how
+many begin in a moment."""
+
+SHORT_FILL = 0.75
+"""Share of an engine's slots that the short lane is sized for. A pass takes the same time with six
+requests as with three; the rest is room for what other entries place at the same moment."""
+
+LONG_LANE_SHARE = 0.12
+"""Least share of the engines in the long lane, so that the first long prompt after a quiet time
+finds engines without short requests."""
+
+
+class ServerView(NamedTuple):
+    """What is known of one engine when a prompt is placed."""
+
+    server: BackendServer
+    work: Work
+    is_suspect: bool = False
+    """Recent answers speak against it; it is used only when no other is left."""
+
+
+class Lanes(NamedTuple):
+    """Engines by lane, in the order that all entries share."""
+
+    long: tuple[ServerView, ...]
+    short: tuple[ServerView, ...]
+
+
+class Scatter(NamedTuple):
+    """How entries that can't see each other's latest choices keep out of each other's way.
+
+    The load that it answers: twenty entries place 150 requests a second and hear of each other
+    after a tenth of a second. If each took the best engine by the same rule, all would take the
+    same one until they hear of it, and fill it far beyond its slots while its neighbours idle: a
+    third of the short requests had their first event late, by 0.7 s in the mean. So each draws
+    among as many equally good engines as there are requests under way that it hasn't heard of.
+    """
+
+    random: Random
+    news_age_s: float = 0.0
+    """How old the latest news of other entries is."""
+
+    def unheard(self, short_requests: int) -> float:
+        """Return how many short requests others have begun since their latest news."""
+        return short_requests * self.news_age_s / SHORT_REQUEST_S
+
+
+def lane_of(route: Route, prompt: PromptSize, figures: EngineFigures) -> Lane:
+    """Return the lane of a request."""
+    pause_goal_s = route.pause_goal_s or 0.0
+    if pause_goal_s >= LONG_PAUSE_GOAL_S:
+        return Lane.LONG
+    too_long_ms = SHORT_PART_MS * (MOST_HELPERS + 1)
+    return Lane.LONG if reading_ms(figures, prompt.prompt_tokens) > too_long_ms else Lane.SHORT
+
+
+def split_lanes(
+    views: Sequence[ServerView], figures: EngineFigures, scatter: Scatter | None = None
+) -> Lanes:
+    """Divide the engines by the short requests in progress.
+
+    The short lane gets what its requests need, the long lane all the rest: long prompts gain from
+    each engine, short ones gain nothing beyond room. Entries that see the same load divide alike,
+    because the order is fixed by the servers' ids.
+
+    Parameters
+    ----------
+    views
+        Engines that may get work, in the shared order.
+    figures
+        Figures of the engines.
+    scatter
+        Tells how many requests others may have placed since.
+    """
+    count = len(views)
+    if count < 2:
+        return Lanes(tuple(views), tuple(views))
+    short_requests: float = sum(view.work.short_requests for view in views)
+    if scatter is not None:
+        short_requests += scatter.unheard(int(short_requests))
+    wanted = math.ceil(short_requests / (SHORT_FILL * figures.slots)) + 1
+    least_long = max(1, math.ceil(LONG_LANE_SHARE * count))
+    short = max(1, min(wanted, count - least_long))
+    return Lanes(tuple(views[: count - short]), tuple(views[count - short :]))
--- a/packages/proxy/src/sassafrastally/proxy/plain_placement.py
+++ b/packages/proxy/src/sassafrastally/proxy/plain_placement.py
@@ -7,8 +7,8 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
+    from sassafrastally.proxy.lanes import ServerView
     from sassafrastally.proxy.model import BackendServer
-    from sassafrastally.proxy.placement import ServerView
 
 FAR_REQUESTS = 0.5
 """What the way to another data centre counts for, in requests in progress. A request takes 20 to
--- a/packages/proxy/src/sassafrastally/proxy/reservations.py
+++ b/packages/proxy/src/sassafrastally/proxy/reservations.py
@@ -26,7 +26,7 @@
 
     from sassafrastally.core import Kernel
     from sassafrastally.proxy.dialect import Call, Dialect
-    from sassafrastally.proxy.placement import Holding
+    from sassafrastally.proxy.plan import Holding
 
 LEASE_S = 3.5
 """Operators want memory free four seconds after its last use, also when the process that reserved
--- /dev/null
+++ b/packages/proxy/src/sassafrastally/proxy/short_placement.py
@@ -0,0 +1,96 @@
+"""Which engine answers a short prompt.
+
+The load that it answers: bursts of 50 to 150 short prompts a second over several entries that hear
+of each other's choices a moment later, beside engines that read long ones.
+"""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING
+
+from sassafrastally.proxy.engine_time import reading_ms
+from sassafrastally.proxy.lanes import SHORT_FILL
+from sassafrastally.proxy.load import Lane
+from sassafrastally.proxy.plan import (
+    MOST_HELPERS,
+    SAFE_GOAL_SHARE,
+    SHORT_PART_MS,
+    Holding,
+    first_event_ms,
+    has_room,
+    make_placement,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from sassafrastally.proxy.lanes import Lanes, Scatter, ServerView
+    from sassafrastally.proxy.model import EngineFigures, PromptSize
+    from sassafrastally.proxy.plan import Placement
+
+WINDOW_SHARE = 4.0
+"""Engines among which a short request is drawn, for each one that others have placed unheard."""
+
+
+def place_short(
+    lanes: Lanes,
+    prompt: PromptSize,
+    goal_s: float,
+    figures: EngineFigures,
+    scatter: Scatter,
+) -> Placement | None:
+    """Return the engine for a short prompt.
+
+    Engines are filled from the end of the order, one after the other, as long as they have few
+    requests and little to read. The long lane begins at the other end; when it grows, it finds
+    engines on which no short request is under way.
+
+    When the mix turns from long to short, the engines that the lane gains are still reading. An
+    engine of the long lane that reads nothing is then better than those.
+    """
+    own_ms = reading_ms(figures, prompt.prompt_tokens)
+    fitting = [view for view in reversed(lanes.short) if has_room(view, prompt, figures)]
+    ranked = _scattered(fitting, figures, scatter)
+    latest_ms = SAFE_GOAL_SHARE * goal_s * 1000 - own_ms
+    if not ranked or first_event_ms(ranked[0], 0.0, figures) > latest_ms:
+        fitting += [view for view in reversed(lanes.long) if has_room(view, prompt, figures)]
+        ranked = sorted(fitting, key=lambda view: first_event_ms(view, 0.0, figures))
+    if not ranked:
+        return None
+    group_size = min(math.ceil(own_ms / SHORT_PART_MS), MOST_HELPERS + 1, len(ranked))
+    group = ranked[: max(1, group_size)]
+    holdings = (Holding(group[0].server, prompt.prompt_tokens + prompt.output_tokens),)
+    return make_placement(group, holdings, Lane.SHORT, own_ms / len(group), figures)
+
+
+def _scattered(
+    fitting: Sequence[ServerView], figures: EngineFigures, scatter: Scatter
+) -> list[ServerView]:
+    """Return engines in the order in which they are taken.
+
+    Those that aren't busy come first. Among the first of them the order is drawn: of two at a time
+    the one with fewer requests.
+    """
+    ranked = sorted(fitting, key=lambda view: _short_rank(view, figures))
+    if not ranked:
+        return []
+    unheard = scatter.unheard(sum(view.work.short_requests for view in fitting))
+    latest_ms = first_event_ms(ranked[0], 0.0, figures) + SHORT_PART_MS
+    width = 1 + math.ceil(WINDOW_SHARE * unheard)
+    window = [view for view in ranked[:width] if first_event_ms(view, 0.0, figures) <= latest_ms]
+    rest = [view for view in ranked if view not in window]
+    drawn = []
+    while window:
+        pair = scatter.random.sample(window, min(2, len(window)))
+        best = min(pair, key=lambda view: view.work.requests)
+        window.remove(best)
+        drawn.append(best)
+    return drawn + rest
+
+
+def _short_rank(view: ServerView, figures: EngineFigures) -> tuple[bool, float]:
+    """Return the rank of an engine: all that aren't busy alike, then by the first event's time."""
+    is_full = view.work.requests >= SHORT_FILL * figures.slots
+    is_busy = is_full or view.work.reading_ms > SHORT_PART_MS
+    return is_busy, first_event_ms(view, 0.0, figures) if is_busy else 0.0
--- a/packages/proxy/src/sassafrastally/proxy/sight.py
+++ b/packages/proxy/src/sassafrastally/proxy/sight.py
@@ -9,11 +9,11 @@
 from sassafrastally.core import Service
 from sassafrastally.proxy.beliefs import Beliefs
 from sassafrastally.proxy.http_stream import ConnectionLost, connect
+from sassafrastally.proxy.lanes import ServerView
 from sassafrastally.proxy.load import NO_WORK, Ledger, Work, WorkView, add_work, merge, server_hash
 from sassafrastally.proxy.log_events import ServerSuspected
 from sassafrastally.proxy.metrics import SUSPICIONS
 from sassafrastally.proxy.peers import Peers
-from sassafrastally.proxy.placement import ServerView
 from sassafrastally.proxy.pool import CONNECT_TIME_S
 from sassafrastally.proxy.slowness import LEFT_ALONE_S, MOST_SHARE, Slowness
 from sassafrastally.proxy.suspicion import Suspicion
--- a/packages/proxy/tests/test_decisions.py
+++ b/packages/proxy/tests/test_decisions.py
@@ -9,6 +9,7 @@
 from sassafrastally.proxy.budget import RetryBudget
 from sassafrastally.proxy.engine_time import pass_ms, reading_ms
 from sassafrastally.proxy.event_stream import EventSplitter
+from sassafrastally.proxy.lanes import ServerView
 from sassafrastally.proxy.load import Flight, Lane, Ledger, Part, Work, merge, server_hash
 from sassafrastally.proxy.model import (
     BackendServer,
@@ -19,7 +20,6 @@
     ServiceShare,
 )
 from sassafrastally.proxy.peer_messages import Hello, decode_hello, encode_hello
-from sassafrastally.proxy.placement import ServerView
 from sassafrastally.proxy.plain_placement import place_plain
 from sassafrastally.proxy.routes import RouteTable, choose_service
 from sassafrastally.proxy.slowness import Slowness, slow_event_time_s
--- a/packages/proxy/tests/test_placement.py
+++ b/packages/proxy/tests/test_placement.py
@@ -10,6 +10,7 @@
 
 from sassafrastally.core import Address
 from sassafrastally.proxy.engine_time import pass_ms, reading_ms
+from sassafrastally.proxy.lanes import Scatter, ServerView, lane_of, split_lanes
 from sassafrastally.proxy.load import Flight, Lane, Ledger, Work, merge
 from sassafrastally.proxy.model import (
     BackendServer,
@@ -19,13 +20,7 @@
     RouteKind,
     ServiceShare,
 )
-from sassafrastally.proxy.placement import (
-    Scatter,
-    ServerView,
-    lane_of,
-    place_prompt,
-    split_lanes,
-)
+from sassafrastally.proxy.placement import place_prompt
 
 FIGURES = EngineFigures(
     slots=8,
