Keep the bound on slow engines with what finds them

Cause: whether an engine may be left alone was decided in sight.py, by taking a finding back. Change: Slowness decides with the number of the service's engines, and forgets engines that left.

--- a/packages/proxy/src/sassafrastally/proxy/sight.py
+++ b/packages/proxy/src/sassafrastally/proxy/sight.py
@@ -15,7 +15,7 @@
 from sassafrastally.proxy.metrics import SUSPICIONS
 from sassafrastally.proxy.peers import Peers
 from sassafrastally.proxy.pool import CONNECT_TIME_S
-from sassafrastally.proxy.slowness import LEFT_ALONE_S, MOST_SHARE, Slowness
+from sassafrastally.proxy.slowness import LEFT_ALONE_S, Slowness
 from sassafrastally.proxy.suspicion import Suspicion
 from sassafrastally.proxy.unseen import UnseenRequests
 
@@ -106,7 +106,9 @@
 
     def forget_gone(self) -> None:
         """Forget what was noted of servers that no longer exist."""
-        self.suspicion.forget_gone({server.server_id for server in self._beliefs.servers()})
+        known = {server.server_id for server in self._beliefs.servers()}
+        self.suspicion.forget_gone(known)
+        self._slowness.forget_gone(known)
         self._unseen.forget_old(self.kernel.clock.now_s())
 
     def note_load(self, server_id: str, load: ServerLoad | None) -> None:
@@ -132,14 +134,14 @@
         request_id
             The request that it belongs to.
         """
+        if waited_s <= limit_s:
+            self._slowness.note_usual(server.server_id)
+            return
         now_s = self.kernel.clock.now_s()
-        if waited_s > limit_s and self._work_at(server.server_id, now_s).reading_requests:
+        if self._work_at(server.server_id, now_s).reading_requests:
             return  # Reading explains it.
-        if not self._slowness.note_event(server.server_id, waited_s, limit_s, now_s):
-            return
-        slow = len(self._slowness.slow_servers(now_s))
-        if slow > MOST_SHARE * len(self._beliefs.servers_of(server.service)):
-            self._slowness.forgive(server.server_id)
+        servers = len(self._beliefs.servers_of(server.service))
+        if not self._slowness.note_slow(server.server_id, servers, now_s):
             return
         SUSPICIONS.add(1)
         self.ledger.note_change()  # So that peers hear of it at once.
--- a/packages/proxy/src/sassafrastally/proxy/slowness.py
+++ b/packages/proxy/src/sassafrastally/proxy/slowness.py
@@ -38,34 +38,35 @@
         self._in_a_row: dict[str, int] = {}
         self._until_s: dict[str, float] = {}
 
-    def note_event(self, server_id: str, waited_s: float, limit_s: float, now_s: float) -> bool:
-        """Note how long an event was waited for; return whether the engine is found slow.
+    def note_usual(self, server_id: str) -> None:
+        """Note an event that came in its usual time."""
+        self._in_a_row.pop(server_id, None)
+
+    def note_slow(self, server_id: str, servers: int, now_s: float) -> bool:
+        """Note a slow event that no reading explains; return whether to leave its engine alone.
 
         Parameters
         ----------
         server_id
             The engine.
-        waited_s
-            Time from the wait for the event to its arrival.
-        limit_s
-            Time from which on an event is slow; see `slow_event_time_s`.
+        servers
+            Number of the service's engines.
         now_s
             Present time.
         """
-        if waited_s <= limit_s:
-            self._in_a_row.pop(server_id, None)
-            return False
         count = self._in_a_row.get(server_id, 0) + 1
         self._in_a_row[server_id] = count
-        if count < SLOW_EVENTS:
+        others = self.slow_servers(now_s).keys() - {server_id}
+        if count < SLOW_EVENTS or len(others) + 1 > MOST_SHARE * servers:
             return False
         del self._in_a_row[server_id]
         self._until_s[server_id] = now_s + LEFT_ALONE_S
         return True
 
-    def forgive(self, server_id: str) -> None:
-        """Take a finding back."""
-        self._until_s.pop(server_id, None)
+    def forget_gone(self, known: set[str]) -> None:
+        """Forget engines that no longer exist."""
+        for server_id in self._in_a_row.keys() - known:
+            del self._in_a_row[server_id]
 
     def slow_servers(self, now_s: float) -> dict[str, float]:
         """Return the engines to be left alone, with the seconds left."""
--- a/packages/proxy/tests/test_decisions.py
+++ b/packages/proxy/tests/test_decisions.py
@@ -115,7 +115,7 @@
         """An engine turns four times slower. It answers everything, so that nothing fails, and each
         dossier that it reads a part of waits for that part."""
         slowness = Slowness()
-        found = [slowness.note_event("a", 0.2, 0.15, 0.2 * n) for n in range(4)]
+        found = [slowness.note_slow("a", 8, 0.2 * n) for n in range(4)]
         assert found == [False, False, False, True]
         assert "a" in slowness.slow_servers(1.0)
         assert slowness.slow_servers(9.0) == {}
@@ -123,7 +123,18 @@
     def test_one_usual_event_between_them_clears_it(self):
         slowness = Slowness()
         for n in range(20):
-            assert not slowness.note_event("a", 0.05 if n % 4 == 3 else 0.4, 0.15, 0.2 * n)
+            if n % 4 == 3:
+                slowness.note_usual("a")
+            else:
+                assert not slowness.note_slow("a", 8, 0.2 * n)
+
+    def test_most_engines_are_never_left_alone(self):
+        """This process is starved or its link loses packets, so that all engines seem slow. Without
+        most of them the rest would be flooded."""
+        slowness = Slowness()
+        names = [f"e{n}" for n in range(8)] * 6
+        assert sum(slowness.note_slow(name, 8, 0.01 * n) for n, name in enumerate(names)) == 2
+        assert len(slowness.slow_servers(1.0)) == 2
 
     def test_usual_events_beside_a_prompt_of_their_own_length_are_not_slow(self):
         """A full engine writes for eight requests, and reads a short prompt in some passes."""
