--- a/packages/testing/src/sassafrastally/testing/soak/entry_process.py
+++ b/packages/testing/src/sassafrastally/testing/soak/entry_process.py
@@ -50,12 +50,8 @@
         self.readiness_address = Address(self.host, base_port + 1)
         self.settings_changes = 0
         """How often its settings file was rewritten."""
-        self.expected_ends = 0
-        """How often the soak itself has asked the process to end."""
-        self.ends = 0
-        """How often a process has ended."""
         self.exit_codes: list[int] = []
-        """How each one ended; negative: by that signal."""
+        """How each process has ended; negative: by that signal."""
         self._base_port = base_port
         self._store = store
         self._process: subprocess.Popen[bytes] | None = None
@@ -67,6 +63,11 @@
         """Whether its process lives; one that is paused does."""
         return self._process is not None and self._process.poll() is None
 
+    @property
+    def ends(self) -> int:
+        """How many of its processes have ended."""
+        return len(self.exit_codes)
+
     def start(self) -> None:
         """Start a process that writes to its log file."""
         with self.log_file.open("ab") as log:
@@ -102,7 +103,6 @@
             return False
         self.exit_codes.append(self._process.returncode)
         self._process = None
-        self.ends += 1
         return True
 
     def kill(self) -> None:
--- a/packages/testing/src/sassafrastally/testing/soak/fleet.py
+++ b/packages/testing/src/sassafrastally/testing/soak/fleet.py
@@ -254,7 +254,6 @@
         """Ask an entry to stop and wait until it has ended, by force in the end."""
         entry = self.entries[number]
         ends = entry.ends
-        entry.expected_ends += 1
         entry.signal(signal.SIGTERM)
         with trio.move_on_after(STOP_TIME_S + 1.0):
             while entry.ends == ends:
--- a/packages/testing/src/sassafrastally/testing/soak/probing.py
+++ b/packages/testing/src/sassafrastally/testing/soak/probing.py
@@ -2,14 +2,14 @@
 
 from __future__ import annotations
 
-import secrets
+import signal
 from typing import TYPE_CHECKING
 
 import trio
 
 from sassafrastally.proxy.calls import CallClient
 from sassafrastally.proxy.store import AnswerLost
-from sassafrastally.testing.platform_fleet import HOST_NAME
+from sassafrastally.testing.platform_fleet import HOST_NAME, KEY, request_fields
 from sassafrastally.testing.soak.callers import Caller
 from sassafrastally.testing.soak.record import Kind
 
@@ -34,6 +34,10 @@
 MOST_FILES = 600
 """What an entry may take at the end of a soak; descriptors grow with callers and servers."""
 
+ASKED_TO_END = frozenset({0, -signal.SIGTERM, -signal.SIGKILL})
+"""Exit codes of processes that the soak itself ended: in order, by a signal that met the
+interpreter before the program's first statement, or by force."""
+
 CRASH_SIGNS = ("Traceback (most recent call last)", "ConnectionCrashed")
 
 NO_ROUTE = 404
@@ -70,9 +74,13 @@
     older = [known for known in fleet.configured_s if known < version]
     if not older or not _is_due(fleet, number, version, sent_s):
         return
-    if await _ask(fleet.entries[number], fleet.route_of(max(older))) == OK:
+    entry = fleet.entries[number]
+    if await _ask(entry, fleet.route_of(max(older))) == OK:
         detail = f"entry {number} serves a route that version {version} dropped"
         fleet.record.note_broken("in force in time", detail)
+    if await _ask(entry, Kind.LOOK.value, fleet.key_of(max(older))) == OK:
+        detail = f"entry {number} takes a key that version {version} dropped"
+        fleet.record.note_broken("in force in time", detail)
 
 
 def _is_due(fleet: SoakFleet, number: int, version: int, sent_s: float) -> bool:
@@ -81,9 +89,11 @@
     return sent_s > configured_s + IN_FORCE_S and is_calm
 
 
-async def _ask(entry: EntryProcess, route: str) -> int:
+async def _ask(entry: EntryProcess, route: str, key: str = KEY) -> int:
     """Return the status of a request of the soak's own; 0 when the entry doesn't answer."""
-    headers = [(b"Attempt-Id", secrets.token_hex(8).encode()), (b"Deadline-Ms", b"2000")]
+    fields = request_fields({"Authorization": f"Bearer {key}"})
+    del fields["Host"]  # The call client names it.
+    headers = [(name.encode(), value.encode()) for name, value in fields.items()]
     calls = CallClient(entry.callers_address, HOST_NAME)
     try:
         status, _ = await calls.exchange("GET", f"/{route}/x", headers, b"", 2.0)
@@ -130,9 +140,8 @@
 
 def _check_process(fleet: SoakFleet, entry: EntryProcess) -> None:
     name = f"entry {entry.number}"
-    if entry.ends > entry.expected_ends:
-        codes = f"exit codes {entry.exit_codes[-20:]}"
-        detail = f"{name}: {entry.ends} ends, {entry.expected_ends} were asked for, {codes}"
+    if not set(entry.exit_codes) <= ASKED_TO_END:
+        detail = f"{name}: exit codes {entry.exit_codes[-20:]}"
         fleet.record.note_broken("no process ends by itself", detail)
     if not entry.is_running:
         fleet.record.note_broken("recovers", f"{name} doesn't run")
--- a/packages/testing/src/sassafrastally/testing/soak/troubles.py
+++ b/packages/testing/src/sassafrastally/testing/soak/troubles.py
@@ -29,7 +29,6 @@
 SERVES_ON_S = 2.5
 """How long a draining server goes on serving after the store has accepted its report."""
 
-
 LAPSE_SHARE = 0.4
 """Share of the store's outages in which a server's entry lapses."""
 
@@ -109,7 +108,6 @@
 async def _kill(fleet: SoakFleet, numbers: list[int], name: str) -> None:
     with fleet.record.trouble(name, numbers):
         for number in numbers:
-            fleet.entries[number].expected_ends += fleet.entries[number].is_running
             fleet.entries[number].signal(signal.SIGCONT)
             fleet.entries[number].signal(signal.SIGKILL)
         await trio.sleep(STARTED_S)
