Drop the oldest changes first, by revision

Cause: of a batch only the last change of each key is kept, at the place of its first one; with over 512 changed keys a newer change could be dropped before older ones and the mark moved back, so that a peer between the two never got it. Found by reading the diff; no run has shown it (the deployments have fewer keys). Ruled out: fewer than 512 changed keys, where nothing is dropped. Change: a batch is taken in the order of its revisions. Before: test_no_change_is_missing red. After: packages/proxy and tests/platform green.

--- a/packages/proxy/src/sassafrastally/proxy/beliefs.py
+++ b/packages/proxy/src/sassafrastally/proxy/beliefs.py
@@ -117,7 +117,10 @@
 
     def apply(self, events: Iterable[KvEvent], revision: int, source: str) -> None:
         """Take changes that follow on what is known."""
-        for event in {event.key: event for event in events}.values():
+        latest = {event.key: event for event in events}
+        # In the order of their revisions: the oldest changes are dropped first when there are many,
+        # and which revision they reach back to is read off the last one dropped.
+        for event in sorted(latest.values(), key=lambda event: event.mod_revision):
             # Peers tell changes that the store told already; an old one after a newer one would
             # bring a server back that has left.
             known = max(self.revision, self._known_at(event.key))
--- a/packages/proxy/tests/test_beliefs.py
+++ b/packages/proxy/tests/test_beliefs.py
@@ -62,6 +62,15 @@
         assert [event.key for event in delta.events] == ["config", "servers/a"]
         assert delta.events[0].value == b"200"
 
+    async def test_no_change_is_missing_for_a_peer_when_many_are_dropped(self, beliefs):
+        """A batch changes the configuration, six hundred servers, and the configuration again.
+        Dropped as the oldest of too many changes, the last version would never reach a peer that
+        lacks some of the servers' changes only."""
+        servers = [put(f"servers/{n}", "false", n) for n in range(2, 602)]
+        changes = [put("config", "1", 1), *servers, put("config", "2", 602)]
+        beliefs.apply(changes, 602, "store")
+        assert "config" in {event.key for event in beliefs.delta_after(300).events}
+
     async def test_document_that_cannot_be_read_leaves_the_last_one_in_force(self, beliefs):
         beliefs.apply([put("config", "7", 10)], 10, "store")
         beliefs.apply([put("config", "broken", 11)], 11, "store")
