Tell the lives of a server apart by their start; entries of other writers name no server

Cause: a replica may start again under its id, and everything noted of its former life (suspicion, slowness, load, connections, reservations, failures named by address) was kept by id. `born` was read by nobody. An address given as a number raised an uncaught error, an unknown state counted as ready, a good entry that was overwritten stayed in use, a deeply nested document ended the watch. Ruled out: comparing the order counts (seqNo) alone: they start anew with a life, but also stay equal over it. Change: `BackendServer.life_id` (id and start) is the key of all that is noted and told between entries; an entry of a lower start than the latest known is ignored and logged; reservations aren't renewed at a later life; a fault named by address is looked for among the engines that were asked to help. Entries are checked field by field; one that isn't a server's drops the server that stood there. Before: 32 of the new cases red on the code before (test_malformed, test_beliefs). After: green, with those of proxy and platform (171).

--- a/packages/proxy/src/sassafrastally/proxy/answerer.py
+++ b/packages/proxy/src/sassafrastally/proxy/answerer.py
@@ -80,7 +80,7 @@
     def _begin_attempt(self, server: BackendServer) -> None:
         self.progress.attempts += 1
         self.progress.sent += 1
-        self.progress.tried.add(server.server_id)
+        self.progress.tried.add(server.life_id)
         self.progress.has_pending = True
 
     def _may_try_again(self) -> bool:
@@ -111,7 +111,13 @@
         )
         return False
 
-    def _note_not_run(self, server: BackendServer, begin_s: float, cause: AttemptNotRun) -> None:
+    def _note_not_run(
+        self,
+        server: BackendServer,
+        begin_s: float,
+        cause: AttemptNotRun,
+        helpers: tuple[BackendServer, ...] = (),
+    ) -> None:
         """Note an attempt that certainly didn't run."""
         self.progress.has_pending = False
         if cause.is_unreachable:
@@ -123,10 +129,12 @@
             self._path.sight.note_failure(
                 server, cause.detail, self._request_id, is_clear=cause.is_unreachable
             )
-        if cause.server_at_fault is not None:
-            self._path.sight.note_fault_at(
-                self._task.service, cause.server_at_fault, self._request_id
-            )
+        # Looked for among the servers that were asked to help: one that has started again at the
+        # same address since is not at fault.
+        for helper in helpers:
+            if helper.address == cause.server_at_fault:
+                reason = "named as the cause by another server"
+                self._path.sight.note_failure(helper, reason, self._request_id, is_clear=True)
 
     def _note_unknown(
         self, server: BackendServer, begin_s: float, cause: AttemptUnknown | str
--- a/packages/proxy/src/sassafrastally/proxy/beliefs.py
+++ b/packages/proxy/src/sassafrastally/proxy/beliefs.py
@@ -16,6 +16,7 @@
 from sassafrastally.proxy.log_events import (
     ConfigurationInForce,
     DocumentRejected,
+    FormerLifeIgnored,
     ServerGone,
     ServerKnown,
     ServerLapsed,
@@ -39,6 +40,11 @@
 return; the platform states the figure. Until then they still count as live."""
 
 
+KEPT_LIVES = 4096
+"""Ids whose latest life is remembered after they have left: some hours of replacements at 1,500
+servers. A late entry of an earlier life comes within seconds."""
+
+
 class Delta(NamedTuple):
     """Changes after a revision, or everything when those are no longer kept."""
 
@@ -72,6 +78,7 @@
         self._entries: dict[str, KvEntry] = {}
         self._servers: dict[str, BackendServer] = {}
         self._lapsing: dict[str, float] = {}
+        self._latest_born_ms: dict[str, int] = {}
         self._by_service: dict[str, list[BackendServer]] = {}
         self._changes: dict[str, KvEvent] = {}
         self._changes_from = 0
@@ -86,6 +93,11 @@
         """Return a known backend server."""
         return self._servers.get(server_id)
 
+    def is_current(self, server: BackendServer) -> bool:
+        """Return whether nothing newer than this life of a backend server is known."""
+        known = self._servers.get(server.server_id)
+        return known is None or known.life_id == server.life_id
+
     def servers(self) -> list[BackendServer]:
         """Return all known backend servers, draining ones included."""
         return list(self._servers.values())
@@ -157,15 +169,31 @@
 
     def _put(self, entry: KvEntry, source: str) -> None:
         self._entries[entry.key] = entry
+        is_server = entry.key != self._dialect.keys.configuration
         try:
-            if entry.key == self._dialect.keys.configuration:
-                self._take_configuration(self._dialect.decode_configuration(entry.value), source)
+            if is_server:
+                self._take_server(
+                    self._dialect.decode_server(entry.key, entry.value), entry, source
+                )
             else:
-                self._take_server(entry, source)
+                self._take_configuration(self._dialect.decode_configuration(entry.value), source)
         except DocumentInvalid as cause:
             self.kernel.events.emit(
                 DocumentRejected(entry.key, entry.mod_revision, source, cause.detail)
             )
+            if is_server:
+                self._disown(entry.key, source)
+
+    def _disown(self, key: str, source: str) -> None:
+        """Drop the server whose entry somebody else has overwritten.
+
+        Nothing says any more where it is or whether it drains, so requests would go by what is no
+        longer stated. The server's own next entry brings it back.
+        """
+        server = self._servers.get(key.removeprefix(self._dialect.keys.servers_prefix))
+        if server is not None:
+            self._lapsing.pop(server.server_id, None)
+            self._drop(server, source)
 
     def _take_configuration(self, configuration: Configuration, source: str) -> None:
         # A read that was answered late, or by a peer that is behind, brings an older version. It
@@ -180,8 +208,18 @@
             ConfigurationInForce(configuration.version, len(configuration.routes), source)
         )
 
-    def _take_server(self, entry: KvEntry, source: str) -> None:
-        server = self._dialect.decode_server(entry.key, entry.value)
+    def _take_server(self, server: BackendServer, entry: KvEntry, source: str) -> None:
+        latest_ms = self._latest_born_ms.get(server.server_id)
+        if latest_ms is not None and (server.born_ms is None or server.born_ms < latest_ms):
+            # A write of a server that has crashed may be carried out seconds later, after the first
+            # entry of its next life. Taken, it would drain that one, or name an address of nobody.
+            self.kernel.events.emit(
+                FormerLifeIgnored(
+                    server.server_id, server.born_ms, latest_ms, entry.mod_revision, source
+                )
+            )
+            return
+        self._note_life(server)
         known = self._servers.get(server.server_id)
         self._lapsing.pop(server.server_id, None)
         if known == server:
@@ -191,6 +229,7 @@
         self.kernel.events.emit(
             ServerKnown(
                 server.server_id,
+                server.born_ms,
                 server.service,
                 str(server.address),
                 server.is_draining,
@@ -199,6 +238,14 @@
             )
         )
 
+    def _note_life(self, server: BackendServer) -> None:
+        if server.born_ms is None:
+            return
+        self._latest_born_ms.pop(server.server_id, None)
+        self._latest_born_ms[server.server_id] = server.born_ms
+        if len(self._latest_born_ms) > KEPT_LIVES:
+            del self._latest_born_ms[next(iter(self._latest_born_ms))]
+
     def _remove(self, key: str, source: str) -> None:
         self._entries.pop(key, None)
         server = self._servers.get(key.removeprefix(self._dialect.keys.servers_prefix))
--- a/packages/proxy/src/sassafrastally/proxy/generation.py
+++ b/packages/proxy/src/sassafrastally/proxy/generation.py
@@ -120,13 +120,13 @@
         self._begin_attempt(server)
         begin_s = self._clock.now_s()
         self._log_placed(server, placement)
-        memory = {holding.server.server_id: holding.tokens for holding in placement.holdings}
-        flight = Flight(server.server_id, placement.lane, memory, placement.parts)
+        memory = {holding.server.life_id: holding.tokens for holding in placement.holdings}
+        flight = Flight(server.life_id, placement.lane, memory, placement.parts)
         self._path.sight.ledger.add(flight, begin_s)
         try:
             return await self._exchange(placement, flight, begin_s)
         except AttemptNotRun as cause:
-            self._note_not_run(server, begin_s, cause)
+            self._note_not_run(server, begin_s, cause, placement.helpers)
         except AttemptUnknown as cause:
             self._note_unknown(server, begin_s, cause)
         finally:
@@ -146,7 +146,7 @@
                 silence_limit_s=self._first_limit_s(placement),
             ) as answer,
         ):
-            self._path.sight.note_load(placement.server.server_id, answer.facts.load)
+            self._path.sight.note_load(placement.server.life_id, answer.facts.load)
             if answer.status >= 300:
                 return await self._pass_failure(placement, answer)
             await self._pass_stream(placement, flight, answer)
@@ -217,7 +217,7 @@
         if splitter.rest:
             await self._reply.send(splitter.rest)
         await self._reply.end()
-        self._path.sight.note_success(placement.server.server_id)
+        self._path.sight.note_success(placement.server.life_id)
         self._note_answered(placement, answer.status)
 
     async def _pass_event(self, event: StreamEvent, now_s: float) -> None:
@@ -257,6 +257,6 @@
 ) -> tuple[Helper, ...]:
     """Return the helpers, those with reserved memory first: it is filled in this order."""
     named = [
-        helper._replace(reservation_id=reserved.get(helper.server.server_id)) for helper in helpers
+        helper._replace(reservation_id=reserved.get(helper.server.life_id)) for helper in helpers
     ]
     return tuple(sorted(named, key=lambda helper: helper.reservation_id is None))
--- a/packages/proxy/src/sassafrastally/proxy/load.py
+++ b/packages/proxy/src/sassafrastally/proxy/load.py
@@ -56,7 +56,7 @@
 class Part(NamedTuple):
     """Reading that one backend server does for a request."""
 
-    server_id: str
+    life_id: str
     reading_ms: float
 
 
@@ -65,7 +65,7 @@
 
     Attributes
     ----------
-    server_id
+    life_id
         Backend server that answers.
     lane
         What the request means for others there.
@@ -77,12 +77,12 @@
 
     def __init__(
         self,
-        server_id: str,
+        life_id: str,
         lane: Lane,
         memory: Mapping[str, int] | None = None,
         parts: tuple[Part, ...] = (),
     ) -> None:
-        self.server_id = server_id
+        self.life_id = life_id
         self.lane = lane
         self.memory = memory or {}
         self.parts = parts
@@ -118,8 +118,8 @@
         self.note_change()
         self._flights.add(flight)
         for part in flight.parts:
-            begin_s = max(now_s, self._read_until_s.get(part.server_id, now_s))
-            self._read_until_s[part.server_id] = begin_s + part.reading_ms / 1000
+            begin_s = max(now_s, self._read_until_s.get(part.life_id, now_s))
+            self._read_until_s[part.life_id] = begin_s + part.reading_ms / 1000
 
     def first_event(self, flight: Flight, now_s: float) -> None:
         """Note that the prompt of an attempt has been read."""
@@ -128,11 +128,11 @@
         self.note_change()
         flight.is_reading = False
         still_reading = {
-            part.server_id for other in self._flights if other.is_reading for part in other.parts
+            part.life_id for other in self._flights if other.is_reading for part in other.parts
         }
         for part in flight.parts:
-            if part.server_id not in still_reading:
-                self._read_until_s.pop(part.server_id, None)
+            if part.life_id not in still_reading:
+                self._read_until_s.pop(part.life_id, None)
 
     def remove(self, flight: Flight, now_s: float) -> None:
         """Stop counting an attempt that has ended."""
@@ -144,28 +144,28 @@
         """Return the work by backend server."""
         totals: dict[str, Work] = {}
         for flight in self._flights:
-            at_server = totals.get(flight.server_id, NO_WORK)
-            totals[flight.server_id] = at_server._replace(
+            at_server = totals.get(flight.life_id, NO_WORK)
+            totals[flight.life_id] = at_server._replace(
                 short_requests=at_server.short_requests + (flight.lane is Lane.SHORT),
                 long_requests=at_server.long_requests + (flight.lane is Lane.LONG),
                 plain_requests=at_server.plain_requests + (flight.lane is Lane.PLAIN),
             )
             is_writing = flight.lane is Lane.LONG and not flight.is_reading
-            for server_id, tokens in flight.memory.items():
-                holder = totals.get(server_id, NO_WORK)
-                totals[server_id] = holder._replace(
+            for life_id, tokens in flight.memory.items():
+                holder = totals.get(life_id, NO_WORK)
+                totals[life_id] = holder._replace(
                     tokens=holder.tokens + tokens,
                     writing_tokens=holder.writing_tokens + tokens * is_writing,
                 )
             if flight.is_reading:
                 for part in flight.parts:
-                    self._count_reading(totals, part.server_id, now_s)
+                    self._count_reading(totals, part.life_id, now_s)
         return totals
 
-    def _count_reading(self, totals: dict[str, Work], server_id: str, now_s: float) -> None:
-        at_server = totals.get(server_id, NO_WORK)
-        left_ms = (self._read_until_s.get(server_id, now_s) - now_s) * 1000
-        totals[server_id] = at_server._replace(
+    def _count_reading(self, totals: dict[str, Work], life_id: str, now_s: float) -> None:
+        at_server = totals.get(life_id, NO_WORK)
+        left_ms = (self._read_until_s.get(life_id, now_s) - now_s) * 1000
+        totals[life_id] = at_server._replace(
             reading_requests=at_server.reading_requests + 1,
             reading_ms=max(left_ms, UNFINISHED_READING_MS),
         )
@@ -179,8 +179,8 @@
 def merge(own: Mapping[str, Work], of_peers: Iterable[Mapping[int, Work]]) -> WorkView:
     """Return a view of all entries' work."""
     by_hash: dict[int, list[Work]] = {}
-    for server_id, work in own.items():
-        by_hash.setdefault(server_hash(server_id), []).append(work)
+    for life_id, work in own.items():
+        by_hash.setdefault(server_hash(life_id), []).append(work)
     for loads in of_peers:
         for key, work in loads.items():
             by_hash.setdefault(key, []).append(work)
@@ -192,12 +192,12 @@
 
     by_hash: dict[int, Work]
 
-    def at(self, server_id: str) -> Work:
+    def at(self, life_id: str) -> Work:
         """Return the work at a backend server."""
-        return self.by_hash.get(server_hash(server_id), NO_WORK)
+        return self.by_hash.get(server_hash(life_id), NO_WORK)
 
 
 @lru_cache(maxsize=8192)
-def server_hash(server_id: str) -> int:
+def server_hash(life_id: str) -> int:
     """Return 64 bits that stand for a backend server between entries and give the shared order."""
-    return int.from_bytes(hashlib.blake2b(server_id.encode(), digest_size=8).digest(), "big")
+    return int.from_bytes(hashlib.blake2b(life_id.encode(), digest_size=8).digest(), "big")
--- a/packages/proxy/src/sassafrastally/proxy/log_events.py
+++ b/packages/proxy/src/sassafrastally/proxy/log_events.py
@@ -18,7 +18,10 @@
 
 @event(10002, "warning")
 class DocumentRejected(NamedTuple):
-    """An entry of the store can't be understood; what was known before stays in force."""
+    """An entry of the store can't be understood.
+
+    A configuration known before stays in force; of a backend server nothing is left.
+    """
 
     key: str
     revision: int
@@ -28,9 +31,11 @@
 
 @event(10003)
 class ServerKnown(NamedTuple):
-    """A backend server is new, or its state changed."""
+    """A backend server is new, has started again, or its state changed."""
 
     server_id: str
+    born_ms: int | None
+    """Start of this life; ``None`` where the server doesn't say."""
     service: str
     address: str
     is_draining: bool
@@ -296,3 +301,14 @@
     """What this process knows."""
     peer_revision: int
     cause: str
+
+
+@event(10030, "warning")
+class FormerLifeIgnored(NamedTuple):
+    """An entry tells of an earlier life of a backend server that has started again since."""
+
+    server_id: str
+    born_ms: int | None
+    known_born_ms: int
+    revision: int
+    source: str
--- a/packages/proxy/src/sassafrastally/proxy/long_placement.py
+++ b/packages/proxy/src/sassafrastally/proxy/long_placement.py
@@ -64,8 +64,8 @@
     unit, short requests that become late.
     """
     own_ms = reading_ms(figures, prompt.prompt_tokens)
-    in_short_lane = {view.server.server_id for view in lanes.short} - {
-        view.server.server_id for view in lanes.long
+    in_short_lane = {view.server.life_id for view in lanes.short} - {
+        view.server.life_id for view in lanes.long
     }
     views = [
         view
@@ -80,8 +80,8 @@
     for size in range(1, min(MOST_HELPERS + 1, len(views), max(1, int(own_ms / PART_MS))) + 1):
         part_ms = own_ms / size
         harms = {
-            view.server.server_id: _harm(view, part_ms, figures)
-            + (part_ms / SHORT_LANE_PART_MS if view.server.server_id in in_short_lane else 0.0)
+            view.server.life_id: _harm(view, part_ms, figures)
+            + (part_ms / SHORT_LANE_PART_MS if view.server.life_id in in_short_lane else 0.0)
             for view in views
         }
         # Engines with much to read already are harmed least by more, and would be taken first;
@@ -92,7 +92,7 @@
             if plan is None:
                 continue
             cost = _late_cost(prompt, plan.predicted_s / goal_s)
-            cost += sum(harms[part.server_id] for part in plan.parts)
+            cost += sum(harms[part.life_id] for part in plan.parts)
             if cost < best_cost:
                 best, best_cost = plan, cost
     return best
@@ -107,7 +107,7 @@
     figures: EngineFigures,
 ) -> Placement | None:
     """Return the plan with the least harm for a group of that size."""
-    ranked = sorted(views, key=lambda view: (harms[view.server.server_id], view.work.reading_ms))
+    ranked = sorted(views, key=lambda view: (harms[view.server.life_id], view.work.reading_ms))
     needed = prompt.prompt_tokens + prompt.output_tokens
     leaders = [
         view
@@ -118,14 +118,14 @@
         holdings = _holdings(ranked[: MOST_HELPERS + 1], needed, figures)
         if holdings is None:
             return None
-        holders = {holding.server.server_id for holding in holdings}
-        group = [view for view in ranked if view.server.server_id in holders]
+        holders = {holding.server.life_id for holding in holdings}
+        group = [view for view in ranked if view.server.life_id in holders]
         group += [view for view in ranked if view not in group][: max(0, size - len(group))]
         return make_placement(group, holdings, Lane.LONG, part_ms * size / len(group), figures)
 
     def leader_cost(view: ServerView) -> tuple[float, float]:
         opens = 0.0 if view.work.long_requests else OPENING_COST
-        return harms[view.server.server_id] + opens, view.work.reading_ms
+        return harms[view.server.life_id] + opens, view.work.reading_ms
 
     leader = min(leaders, key=leader_cost)
     group = [leader, *[view for view in ranked if view is not leader][: size - 1]]
--- a/packages/proxy/src/sassafrastally/proxy/model.py
+++ b/packages/proxy/src/sassafrastally/proxy/model.py
@@ -123,12 +123,20 @@
     """One life of a backend server, as discovery tells of it."""
 
     server_id: str
-    """Names this life; a restart has another id."""
+    """Its id; a server that starts again may keep it."""
     service: str
     address: Address
     data_centre: str
     slots: int
     is_draining: bool
+    born_ms: int | None = None
+    """When it started, in Unix milliseconds; tells the lives of one id apart. ``None`` where the
+    server doesn't say."""
+
+    @property
+    def life_id(self) -> str:
+        """Names this life: what is known of an earlier one under the same id says nothing of it."""
+        return self.server_id if self.born_ms is None else f"{self.server_id}@{self.born_ms}"
 
 
 class PromptSize(NamedTuple):
--- a/packages/proxy/src/sassafrastally/proxy/path.py
+++ b/packages/proxy/src/sassafrastally/proxy/path.py
@@ -76,10 +76,10 @@
 
     async def start(self, nursery: trio.Nursery) -> None:
         """Find the services that decisions rest on."""
-        self.reservations = Reservations(self.dialect, self.kernel, nursery)
         self._started_s = self.kernel.clock.now_s()
         self.sight = self.kernel.get("sight", Sight)
         self._beliefs = self.kernel.get("beliefs", Beliefs)
+        self.reservations = Reservations(self.dialect, self.kernel, self._beliefs, nursery)
         nursery.start_soon(self._tidy)
 
     async def _tidy(self) -> None:
--- a/packages/proxy/src/sassafrastally/proxy/peers.py
+++ b/packages/proxy/src/sassafrastally/proxy/peers.py
@@ -157,7 +157,7 @@
             confirmed_age_s=now_s - self._beliefs.confirmed_s,
             is_stopping=self._is_stopping,
             loads={
-                server_hash(server_id): work for server_id, work in self._ledger.work(now_s).items()
+                server_hash(life_id): work for life_id, work in self._ledger.work(now_s).items()
             },
             peers=tuple(self.live_hosts()),
             suspects=self.own_suspects(),
--- a/packages/proxy/src/sassafrastally/proxy/plain.py
+++ b/packages/proxy/src/sassafrastally/proxy/plain.py
@@ -79,12 +79,12 @@
         self._begin_attempt(server)
         begin_s = self._clock.now_s()
         self._log_placed(server)
-        flight = Flight(server.server_id, Lane.PLAIN)
+        flight = Flight(server.life_id, Lane.PLAIN)
         self._path.sight.ledger.add(flight, begin_s)
         try:
             with trio.move_on_at(self._attempt_end_s(begin_s)):
                 answer = await self._exchange(server, begin_s)
-                self._path.sight.note_success(server.server_id)
+                self._path.sight.note_success(server.life_id)
                 return answer
             self._note_unknown(server, begin_s, "no answer in its share of the time")
         except AttemptNotRun as cause:
--- a/packages/proxy/src/sassafrastally/proxy/plan.py
+++ b/packages/proxy/src/sassafrastally/proxy/plan.py
@@ -104,7 +104,7 @@
         server=server,
         helpers=tuple(view.server for view in group if view.server is not server),
         lane=lane,
-        parts=tuple(Part(view.server.server_id, part_ms) for view in group),
+        parts=tuple(Part(view.server.life_id, part_ms) for view in group),
         holdings=holdings,
         predicted_s=predicted_ms / 1000,
     )
--- a/packages/proxy/src/sassafrastally/proxy/pool.py
+++ b/packages/proxy/src/sassafrastally/proxy/pool.py
@@ -41,7 +41,7 @@
 
     async def take(self, server: BackendServer) -> HttpStream | None:
         """Return an idle connection that shows no sign of its end, if there is one."""
-        kept = self._idle.get(server.server_id, [])
+        kept = self._idle.get(server.life_id, [])
         while kept:
             idle = kept.pop()
             # A second answer to an earlier request, or the server's end of the connection, shows
@@ -54,7 +54,7 @@
 
     async def put_back(self, server: BackendServer, connection: HttpStream) -> None:
         """Keep a connection whose answer was complete."""
-        kept = self._idle.setdefault(server.server_id, [])
+        kept = self._idle.setdefault(server.life_id, [])
         if len(kept) >= KEPT_PER_SERVER or connection.has_unread_input():
             await connection.close()
             return
@@ -72,10 +72,10 @@
         again; over days of replacements they would use up the process's descriptors.
         """
         oldest_s = trio.current_time() - IDLE_TIME_S
-        for server_id, kept in list(self._idle.items()):
+        for life_id, kept in list(self._idle.items()):
             expired = [idle for idle in kept if idle.since_s < oldest_s]
             kept[:] = [idle for idle in kept if idle.since_s >= oldest_s]
             if not kept:
-                del self._idle[server_id]
+                del self._idle[life_id]
             for idle in expired:
                 await idle.connection.close()
--- a/packages/proxy/src/sassafrastally/proxy/reservations.py
+++ b/packages/proxy/src/sassafrastally/proxy/reservations.py
@@ -25,6 +25,7 @@
     from collections.abc import AsyncIterator, Mapping, Sequence
 
     from sassafrastally.core import Kernel
+    from sassafrastally.proxy.beliefs import Beliefs
     from sassafrastally.proxy.dialect import Call, Dialect
     from sassafrastally.proxy.plan import Holding
 
@@ -56,12 +57,17 @@
         Translator of orders.
     kernel
         Clock, random source and log.
+    beliefs
+        Tells whether an engine has started again since.
     nursery
         Where releases go on after the request has ended.
     """
 
-    def __init__(self, dialect: Dialect, kernel: Kernel, nursery: trio.Nursery) -> None:
+    def __init__(
+        self, dialect: Dialect, kernel: Kernel, beliefs: Beliefs, nursery: trio.Nursery
+    ) -> None:
         self._dialect = dialect
+        self._beliefs = beliefs
         self._kernel = kernel
         self._nursery = nursery
         self._calls: dict[Address, CallClient] = {}
@@ -89,7 +95,7 @@
             # wrap the errors of the attempt, which nobody expects in a group.
             self._nursery.start_soon(self._renew, reservations, renewing)
             yield {
-                reservation.holding.server.server_id: reservation.reservation_id
+                reservation.holding.server.life_id: reservation.reservation_id
                 for reservation in reservations
             }
         finally:
@@ -140,7 +146,10 @@
                 await trio.sleep(RENEW_S)
                 async with trio.open_nursery() as nursery:
                     for reservation in reservations:
-                        nursery.start_soon(self._reserve, reservation)
+                        # An engine that has started again knows nothing of the reservation. Renewed
+                        # there, it would set aside memory that no request will ever use.
+                        if self._beliefs.is_current(reservation.holding.server):
+                            nursery.start_soon(self._reserve, reservation)
 
     async def _release(self, reservation: _Reservation) -> None:
         holding, reservation_id = reservation
--- a/packages/proxy/src/sassafrastally/proxy/sight.py
+++ b/packages/proxy/src/sassafrastally/proxy/sight.py
@@ -20,7 +20,6 @@
 from sassafrastally.proxy.unseen import UnseenRequests
 
 if TYPE_CHECKING:
-    from sassafrastally.core import Address
     from sassafrastally.proxy.model import BackendServer, ServerLoad
 
 NEWS_WAY_S = 0.02
@@ -87,36 +86,36 @@
         views = [
             ServerView(
                 server,
-                self._with_unseen(server.server_id, work, now_s),
-                self.suspicion.is_suspect(server.server_id, now_s)
-                or server.server_id in slow
-                or of_peers.get(server_hash(server.server_id), 0.0) > 0,
+                self._with_unseen(server.life_id, work, now_s),
+                self.suspicion.is_suspect(server.life_id, now_s)
+                or server.life_id in slow
+                or of_peers.get(server_hash(server.life_id), 0.0) > 0,
             )
             for server in self._beliefs.servers_of(service)
-            if server.server_id not in avoid
+            if server.life_id not in avoid
         ]
-        views.sort(key=lambda view: server_hash(view.server.server_id))
+        views.sort(key=lambda view: server_hash(view.server.life_id))
         trusted = [view for view in views if not view.is_suspect]
         return trusted or views
 
-    def _with_unseen(self, server_id: str, work: WorkView, now_s: float) -> Work:
-        known = work.at(server_id)
-        unseen = self._unseen.at(server_id, now_s)
+    def _with_unseen(self, life_id: str, work: WorkView, now_s: float) -> Work:
+        known = work.at(life_id)
+        unseen = self._unseen.at(life_id, now_s)
         return known._replace(short_requests=known.short_requests + unseen) if unseen else known
 
     def forget_gone(self) -> None:
         """Forget what was noted of servers that no longer exist."""
-        known = {server.server_id for server in self._beliefs.servers()}
+        known = {server.life_id for server in self._beliefs.servers()}
         self.suspicion.forget_gone(known)
         self._slowness.forget_gone(known)
         self._unseen.forget_old(self.kernel.clock.now_s())
 
-    def note_load(self, server_id: str, load: ServerLoad | None) -> None:
+    def note_load(self, life_id: str, load: ServerLoad | None) -> None:
         """Note the load that a server told with an answer."""
         if load is not None:
             now_s = self.kernel.clock.now_s()
-            known = self._work_at(server_id, now_s).requests
-            self._unseen.note(server_id, load, known, now_s)
+            known = self._work_at(life_id, now_s).requests
+            self._unseen.note(life_id, load, known, now_s)
 
     def note_event(
         self, server: BackendServer, waited_s: float, limit_s: float, request_id: str
@@ -135,28 +134,28 @@
             The request that it belongs to.
         """
         if waited_s <= limit_s:
-            self._slowness.note_usual(server.server_id)
+            self._slowness.note_usual(server.life_id)
             return
         now_s = self.kernel.clock.now_s()
-        if self._work_at(server.server_id, now_s).reading_requests:
+        if self._work_at(server.life_id, now_s).reading_requests:
             return  # Reading explains it.
         servers = len(self._beliefs.servers_of(server.service))
-        if not self._slowness.note_slow(server.server_id, servers, now_s):
+        if not self._slowness.note_slow(server.life_id, servers, now_s):
             return
         SUSPICIONS.add(1)
         self.ledger.note_change()  # So that peers hear of it at once.
         reason = f"slow: events take over {limit_s:.2f} s, the last one {waited_s:.2f} s"
         self.kernel.events.emit(ServerSuspected(server.server_id, reason, LEFT_ALONE_S, request_id))
 
-    def _work_at(self, server_id: str, now_s: float) -> Work:
+    def _work_at(self, life_id: str, now_s: float) -> Work:
         """Return the work at one server; the whole view takes 0.25 ms with 20 peers."""
-        key = server_hash(server_id)
-        own = self.ledger.work(now_s).get(server_id, NO_WORK)
+        key = server_hash(life_id)
+        own = self.ledger.work(now_s).get(life_id, NO_WORK)
         return add_work([own, *(loads.get(key, NO_WORK) for loads in self._peers.loads())])
 
-    def note_success(self, server_id: str) -> None:
+    def note_success(self, life_id: str) -> None:
         """Note a good answer."""
-        self.suspicion.succeeded(server_id)
+        self.suspicion.succeeded(life_id)
 
     def note_failure(
         self, server: BackendServer, reason: str, request_id: str, *, is_clear: bool = False
@@ -176,22 +175,15 @@
             tells a server that has died from one that broke off one answer.
         """
         now_s = self.kernel.clock.now_s()
-        for_s = self.suspicion.failed(server.server_id, now_s, is_clear=is_clear)
+        for_s = self.suspicion.failed(server.life_id, now_s, is_clear=is_clear)
         if for_s:
             SUSPICIONS.add(1)
             self.ledger.note_change()  # So that peers hear of it at once.
             self.kernel.events.emit(ServerSuspected(server.server_id, reason, for_s, request_id))
-        elif server.server_id not in self._probing:
-            self._probing.add(server.server_id)
+        elif server.life_id not in self._probing:
+            self._probing.add(server.life_id)
             self._nursery.start_soon(self._probe, server, request_id)
 
-    def note_fault_at(self, service: str, address: Address, request_id: str) -> None:
-        """Note that an answer named another server as the cause of its failure."""
-        for server in self._beliefs.servers_of(service):
-            if server.address == address:
-                reason = "named as the cause by another server"
-                self.note_failure(server, reason, request_id, is_clear=True)
-
     async def _probe(self, server: BackendServer, request_id: str) -> None:
         try:
             stream = await connect(server.address, CONNECT_TIME_S)
@@ -199,9 +191,9 @@
         except ConnectionLost as cause:
             self.note_failure(server, f"probe: {cause.detail}", request_id, is_clear=True)
         finally:
-            self._probing.discard(server.server_id)
+            self._probing.discard(server.life_id)
 
     def _own_suspects(self) -> dict[int, float]:
         now_s = self.kernel.clock.now_s()
         left = {**self._slowness.slow_servers(now_s), **self.suspicion.suspects(now_s)}
-        return {server_hash(server_id): left_s for server_id, left_s in left.items()}
+        return {server_hash(life_id): left_s for life_id, left_s in left.items()}
--- a/packages/proxy/src/sassafrastally/proxy/slowness.py
+++ b/packages/proxy/src/sassafrastally/proxy/slowness.py
@@ -38,35 +38,35 @@
         self._in_a_row: dict[str, int] = {}
         self._until_s: dict[str, float] = {}
 
-    def note_usual(self, server_id: str) -> None:
+    def note_usual(self, life_id: str) -> None:
         """Note an event that came in its usual time."""
-        self._in_a_row.pop(server_id, None)
+        self._in_a_row.pop(life_id, None)
 
-    def note_slow(self, server_id: str, servers: int, now_s: float) -> bool:
+    def note_slow(self, life_id: str, servers: int, now_s: float) -> bool:
         """Note a slow event that no reading explains; return whether to leave its engine alone.
 
         Parameters
         ----------
-        server_id
+        life_id
             The engine.
         servers
             Number of the service's engines.
         now_s
             Present time.
         """
-        count = self._in_a_row.get(server_id, 0) + 1
-        self._in_a_row[server_id] = count
-        others = self.slow_servers(now_s).keys() - {server_id}
+        count = self._in_a_row.get(life_id, 0) + 1
+        self._in_a_row[life_id] = count
+        others = self.slow_servers(now_s).keys() - {life_id}
         if count < SLOW_EVENTS or len(others) + 1 > MOST_SHARE * servers:
             return False
-        del self._in_a_row[server_id]
-        self._until_s[server_id] = now_s + LEFT_ALONE_S
+        del self._in_a_row[life_id]
+        self._until_s[life_id] = now_s + LEFT_ALONE_S
         return True
 
     def forget_gone(self, known: set[str]) -> None:
         """Forget engines that no longer exist."""
-        for server_id in self._in_a_row.keys() - known:
-            del self._in_a_row[server_id]
+        for life_id in self._in_a_row.keys() - known:
+            del self._in_a_row[life_id]
 
     def slow_servers(self, now_s: float) -> dict[str, float]:
         """Return the engines to be left alone, with the seconds left."""
--- a/packages/proxy/src/sassafrastally/proxy/suspicion.py
+++ b/packages/proxy/src/sassafrastally/proxy/suspicion.py
@@ -32,45 +32,45 @@
     def __init__(self) -> None:
         self._records: dict[str, _Record] = {}
 
-    def is_suspect(self, server_id: str, now_s: float) -> bool:
+    def is_suspect(self, life_id: str, now_s: float) -> bool:
         """Return whether the server is to be left alone."""
-        record = self._records.get(server_id)
+        record = self._records.get(life_id)
         return record is not None and now_s < record.until_s
 
     def suspects(self, now_s: float) -> dict[str, float]:
         """Return the servers to be left alone, with the seconds left."""
         return {
-            server_id: record.until_s - now_s
-            for server_id, record in self._records.items()
+            life_id: record.until_s - now_s
+            for life_id, record in self._records.items()
             if now_s < record.until_s
         }
 
-    def succeeded(self, server_id: str) -> None:
+    def succeeded(self, life_id: str) -> None:
         """Note a good answer: all failures are forgotten."""
-        self._records.pop(server_id, None)
+        self._records.pop(life_id, None)
 
-    def failed(self, server_id: str, now_s: float, *, is_clear: bool) -> float:
+    def failed(self, life_id: str, now_s: float, *, is_clear: bool) -> float:
         """Note a failure; return for how long the server is suspect, 0 if it isn't.
 
         Parameters
         ----------
-        server_id
+        life_id
             The backend server.
         now_s
             Present time.
         is_clear
             Whether one failure is enough: nobody answers at its address.
         """
-        record = self._records.get(server_id, _Record())
+        record = self._records.get(life_id, _Record())
         failures = record.failures + 1
         if not is_clear and failures < FAILURES_IN_A_ROW:
-            self._records[server_id] = record._replace(failures=failures)
+            self._records[life_id] = record._replace(failures=failures)
             return 0.0
         for_s = min(LONGEST_TIME_S, max(FIRST_TIME_S, 2 * record.for_s))
-        self._records[server_id] = _Record(failures, for_s, now_s + for_s)
+        self._records[life_id] = _Record(failures, for_s, now_s + for_s)
         return for_s
 
     def forget_gone(self, known: set[str]) -> None:
         """Forget servers that no longer exist."""
-        for server_id in self._records.keys() - known:
-            del self._records[server_id]
+        for life_id in self._records.keys() - known:
+            del self._records[life_id]
--- a/packages/proxy/src/sassafrastally/proxy/unseen.py
+++ b/packages/proxy/src/sassafrastally/proxy/unseen.py
@@ -31,23 +31,23 @@
     def __init__(self) -> None:
         self._counts: dict[str, _Count] = {}
 
-    def note(self, server_id: str, load: ServerLoad, known: int, now_s: float) -> None:
+    def note(self, life_id: str, load: ServerLoad, known: int, now_s: float) -> None:
         """Note the load that an answer told, beside the requests known there."""
         excess = load.running + load.waiting - known - TOLERANCE
         if excess > 0:
-            self._counts[server_id] = _Count(excess, now_s)
+            self._counts[life_id] = _Count(excess, now_s)
         else:
-            self._counts.pop(server_id, None)
+            self._counts.pop(life_id, None)
 
     def forget_old(self, now_s: float) -> None:
         """Forget counts that nobody would believe any more, also of servers that have left."""
         self._counts = {
-            server_id: count
-            for server_id, count in self._counts.items()
+            life_id: count
+            for life_id, count in self._counts.items()
             if now_s - count.at_s < FRESH_S
         }
 
-    def at(self, server_id: str, now_s: float) -> int:
+    def at(self, life_id: str, now_s: float) -> int:
         """Return the requests at a server that nobody tells of."""
-        count = self._counts.get(server_id)
+        count = self._counts.get(life_id)
         return count.requests if count and now_s - count.at_s < FRESH_S else 0
--- a/packages/proxy/tests/test_beliefs.py
+++ b/packages/proxy/tests/test_beliefs.py
@@ -27,8 +27,13 @@
             raise DocumentInvalid(str(cause)) from cause
 
     def decode_server(self, key: str, value: bytes) -> BackendServer:
-        is_draining = json.loads(value)
-        return BackendServer(key.removeprefix("servers/"), "s", None, "dc", 1, is_draining)
+        """Return a server of ``[is_draining, born_ms]``, or of ``is_draining`` alone."""
+        try:
+            body = json.loads(value)
+        except ValueError as cause:
+            raise DocumentInvalid(str(cause)) from cause
+        is_draining, born_ms = body if isinstance(body, list) else (body, None)
+        return BackendServer(key.removeprefix("servers/"), "s", None, "dc", 1, is_draining, born_ms)
 
 
 @pytest.fixture
@@ -118,6 +123,65 @@
         assert beliefs.servers_of("s") == []
 
 
+class TestLives:
+    """Servers that start again under the id that they had."""
+
+    async def test_next_life_is_another_server(self, beliefs):
+        beliefs.apply([put("servers/a", "[false, 1000]", 1)], 1, "store")
+        (first,) = beliefs.servers_of("s")
+        beliefs.apply([put("servers/a", "[false, 2000]", 2)], 2, "store")
+        (second,) = beliefs.servers_of("s")
+        assert first.server_id == second.server_id
+        assert first.life_id != second.life_id
+        assert not beliefs.is_current(first)
+        assert beliefs.is_current(second)
+
+    @pytest.mark.parametrize("late", ["[true, 1000]", "false"])
+    async def test_late_entry_of_the_former_life_changes_nothing(self, beliefs, late):
+        """A server crashes while its last write is on the way, and starts again under its id. The
+        late write says that it drains; believed, the healthy new life would get no request until
+        its own next change."""
+        beliefs.apply([put("servers/a", "[false, 1000]", 1)], 1, "store")
+        beliefs.apply([put("servers/a", "[false, 2000]", 2)], 2, "store")
+        beliefs.apply([put("servers/a", late, 3)], 3, "store")
+        assert [server.born_ms for server in beliefs.servers_of("s")] == [2000]
+
+    async def test_late_entry_does_not_come_to_life_after_the_server_has_left(self, beliefs):
+        beliefs.apply([put("servers/a", "[false, 2000]", 2)], 2, "store")
+        beliefs.apply([KvEvent("servers/a", None, 3)], 3, "store")
+        beliefs.apply([put("servers/a", "[false, 1000]", 4)], 4, "peer")
+        assert beliefs.servers_of("s") == []
+
+    async def test_memory_of_lives_is_bounded(self, beliefs, monkeypatch):
+        monkeypatch.setattr("sassafrastally.proxy.beliefs.KEPT_LIVES", 3)
+        for number in range(6):
+            beliefs.apply([put(f"servers/{number}", "[false, 5]", number + 1)], number + 1, "store")
+        beliefs.apply(
+            [put("servers/0", "[true, 4]", 9), put("servers/5", "[true, 4]", 10)], 10, "s"
+        )
+        assert beliefs.server("0").is_draining
+        assert not beliefs.server("5").is_draining
+
+
+class TestForeignEntries:
+    """Entries that another writer put where servers have theirs."""
+
+    async def test_overwritten_server_gets_no_request_until_it_writes_again(self, beliefs):
+        """A script of somebody else writes over a server's entry. Whether the server drains can't
+        be read there any more; kept in use as it was, it would get requests after it has left."""
+        beliefs.apply([put("servers/a", "false", 1), put("servers/b", "false", 2)], 2, "store")
+        beliefs.apply([put("servers/a", "{not JSON", 3)], 3, "store")
+        assert [server.server_id for server in beliefs.servers_of("s")] == ["b"]
+        beliefs.apply([put("servers/a", "false", 4)], 4, "store")
+        assert [server.server_id for server in beliefs.servers_of("s")] == ["a", "b"]
+
+    async def test_one_of_many_does_not_hold_up_the_rest(self, beliefs):
+        events = [put("servers/a", "{", 1), put("servers/b", "false", 2), put("config", "1", 3)]
+        beliefs.apply(events, 3, "store")
+        assert [server.server_id for server in beliefs.servers_of("s")] == ["b"]
+        assert beliefs.configuration is not None
+
+
 class TestDelta:
     """What a peer that is behind is told."""
 
--- a/packages/proxy/tests/test_placement.py
+++ b/packages/proxy/tests/test_placement.py
@@ -151,7 +151,7 @@
         placement = place_prompt(
             split_lanes(views(works), FIGURES), Lane.LONG, LONG, 3.0, FIGURES, ALONE
         )
-        used = {part.server_id for part in placement.parts}
+        used = {part.life_id for part in placement.parts}
         assert used <= {f"e{number}" for number in range(8)}
 
     def test_engines_that_lead_dossiers_still_being_read_help_with_the_next(self):
--- a/packages/testing/src/sassafrastally/testing/replica.py
+++ b/packages/testing/src/sassafrastally/testing/replica.py
@@ -90,6 +90,8 @@
         self.extra_answer = False
         """It sends a second answer after each."""
         self.address = Address("", 0)
+        self.born_ms: int | None = None
+        """Start of its present life, if it tells."""
         self._peers = peers
 
     @property
@@ -112,18 +114,19 @@
 
     def entry(self, *, is_draining: bool = False) -> bytes:
         """Return the value of its entry in the store."""
-        return json.dumps(
-            {
-                "service": self.service,
-                "address": str(self.address),
-                "zone": "here",
-                "version": "v1",
-                "slots": self.engine.figures.slots if self.engine else 6,
-                "state": "draining" if is_draining else "ready",
-                "coldLeftMs": 0,
-                "seqNo": 0,
-            }
-        ).encode()
+        fields = {
+            "service": self.service,
+            "address": str(self.address),
+            "zone": "here",
+            "version": "v1",
+            "slots": self.engine.figures.slots if self.engine else 6,
+            "state": "draining" if is_draining else "ready",
+            "coldLeftMs": 0,
+            "seqNo": 0,
+        }
+        if self.born_ms is not None:
+            fields["born"] = self.born_ms
+        return json.dumps(fields).encode()
 
     async def _handle(self, request: StandInRequest, connection: StandInConnection) -> None:
         if request.target == "/order":
--- a/packages/testing/tests/platform/test_entries.py
+++ b/packages/testing/tests/platform/test_entries.py
@@ -10,6 +10,7 @@
 from sassafrastally.proxy import answering, pool
 from sassafrastally.proxy.beliefs import Beliefs
 from sassafrastally.proxy.daemon import make_kernel
+from sassafrastally.proxy.load import Flight, Lane
 from sassafrastally.proxy.path import RequestPath
 from sassafrastally.proxy.peer_messages import encode_delta
 from sassafrastally.proxy.peers import Peers
@@ -193,6 +194,64 @@
         assert not served.replicas["desk-1"].runs
 
 
+class TestLives:
+    """Servers that start again under the id that they had."""
+
+    def start_again(self, fleet, server_id: str) -> None:
+        replica = fleet.replicas[server_id]
+        replica.born_ms = (replica.born_ms or 1_790_000_000_000) + 60_000
+        fleet.store.put(f"servers/{server_id}", replica.entry())
+
+    async def test_next_life_is_not_suspected_for_the_former_one(self, served):
+        """An engine crashes, is suspected for eight seconds, and is back after one under its id.
+        Everything known of the dead one would keep requests from the healthy new one, and what it
+        had under way would fill slots that are free."""
+        kernel = served.kernels[0]
+        beliefs, sight = kernel.get("beliefs", Beliefs), kernel.get("sight", Sight)
+        self.start_again(served, "engine-1")
+        await until(lambda: beliefs.server("engine-1").born_ms is not None)
+        former = beliefs.server("engine-1")
+        for _ in range(4):
+            sight.note_failure(former, "nobody answers", "r", is_clear=True)
+        sight.ledger.add(Flight(former.life_id, Lane.SHORT, {former.life_id: 9_000}), 0.0)
+        self.start_again(served, "engine-1")
+        await until(lambda: beliefs.server("engine-1") != former)
+        views = {view.server.server_id: view for view in sight.views("engines", set())}
+        assert not views["engine-1"].is_suspect
+        assert views["engine-1"].work.tokens == 0
+
+    async def test_booking_that_may_have_run_in_the_former_life_is_not_repeated(self, served):
+        """A desk takes a booking, crashes and is back under its id before the caller has heard.
+        Sent again to the new life, which knows nothing of before, the booking would be made twice.
+        """
+        for number in (1, 2):
+            served.replicas[f"desk-{number}"].resets_after_run = True
+            served.replicas[f"desk-{number}"].work_s = 0.3
+        async with trio.open_nursery() as nursery:
+            answers = []
+
+            async def book() -> None:
+                answers.append(await served.call("/book/x", request_id="b1"))
+
+            nursery.start_soon(book)
+            await trio.sleep(0.1)
+            for number in (1, 2):
+                self.start_again(served, f"desk-{number}")
+        assert answers[0].status in (502, 504)
+        assert sum(served.replicas[f"desk-{n}"].runs.count("b1") for n in (1, 2)) == 1
+
+    async def test_connection_kept_from_the_former_life_is_not_used(self, served):
+        kernel = served.kernels[0]
+        beliefs = kernel.get("beliefs", Beliefs)
+        connections = kernel.get("path", RequestPath).attempts.pool
+        for _ in range(4):
+            await served.call("/look/x")
+        former = beliefs.server("desk-1")
+        self.start_again(served, "desk-1")
+        await until(lambda: beliefs.server("desk-1") != former)
+        assert await connections.take(beliefs.server("desk-1")) is None
+
+
 class TestLapsedEntries:
     """Entries of servers that ran out while the store was away."""
 
--- a/packages/testing/tests/platform/test_malformed.py
+++ b/packages/testing/tests/platform/test_malformed.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import json
+
 import h11
 import pytest
 import trio
@@ -10,7 +12,8 @@
 
 from sassafrastally.platform.adapter import PlatformDialect
 from sassafrastally.proxy.dialect import DocumentInvalid
-from sassafrastally.testing.platform_fleet import HOST_NAME
+from sassafrastally.proxy.peer_messages import decode_hello
+from sassafrastally.testing.platform_fleet import HOST_NAME, make_configuration
 
 HEAD = f"POST /look/x HTTP/1.1\r\nHost: {HOST_NAME}\r\nAuthorization: Bearer key-of-ana\r\n"
 
@@ -111,3 +114,104 @@
         )
         with pytest.raises(h11.RemoteProtocolError):
             connection.next_event()
+
+
+GOOD_ENTRY = {
+    "service": "engines",
+    "address": "10.0.0.7:8080",
+    "zone": "here",
+    "version": "v1",
+    "slots": 8,
+    "state": "ready",
+    "coldLeftMs": 0,
+    "seqNo": 3,
+    "born": 1_790_000_000_000,
+}
+
+ANY_JSON = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=12),
+    lambda inner: st.lists(inner, max_size=3) | st.dictionaries(st.text(max_size=4), inner),
+    max_leaves=8,
+)
+
+
+class TestForeignDocuments:
+    """Entries, configurations and datagrams that somebody else wrote."""
+
+    def test_entry_as_servers_write_it_names_one(self):
+        server = PlatformDialect().decode_server("servers/i-1", json.dumps(GOOD_ENTRY).encode())
+        assert server.born_ms == GOOD_ENTRY["born"]
+        assert str(server.address) == GOOD_ENTRY["address"]
+
+    @pytest.mark.parametrize("name", [name for name in GOOD_ENTRY if name != "born"])
+    def test_entry_without_a_field_names_no_server(self, name):
+        fields = {key: value for key, value in GOOD_ENTRY.items() if key != name}
+        with pytest.raises(DocumentInvalid):
+            PlatformDialect().decode_server("servers/i-1", json.dumps(fields).encode())
+
+    @pytest.mark.parametrize(
+        "change",
+        [
+            {"address": 8080},
+            {"address": "10.0.0.7"},
+            {"address": "host:80"},
+            {"address": "10.0.0.7:99999999"},
+            {"state": "paused"},
+            {"state": None},
+            {"slots": "8"},
+            {"slots": True},
+            {"slots": 0},
+            {"born": 1.5},
+            {"born": "1790000000000"},
+            {"born": None},
+            {"service": ["engines"]},
+            {"seqNo": "3"},
+        ],
+    )
+    def test_entry_with_a_foreign_field_names_no_server(self, change):
+        fields = json.dumps({**GOOD_ENTRY, **change}).encode()
+        with pytest.raises(DocumentInvalid):
+            PlatformDialect().decode_server("servers/i-1", fields)
+
+    @pytest.mark.parametrize("server_id", ["", "a/b", "i-1\r\nTenant: x", "x" * 200])
+    def test_key_that_is_no_id_names_no_server(self, server_id):
+        """The id becomes a header field of requests; a line break in it would add fields."""
+        with pytest.raises(DocumentInvalid):
+            PlatformDialect().decode_server(f"servers/{server_id}", json.dumps(GOOD_ENTRY).encode())
+
+    @pytest.mark.parametrize("value", [b"[" * 50_000, b"[" * 900_000, b'"' + b"a" * 900_000 + b'"'])
+    def test_huge_or_deep_document_is_a_typed_error(self, value):
+        dialect = PlatformDialect()
+        for decode in (dialect.decode_configuration, lambda raw: dialect.decode_server("k", raw)):
+            with pytest.raises(DocumentInvalid):
+                decode(value)
+
+    @settings(max_examples=300, deadline=None)
+    @given(st.sampled_from(sorted(GOOD_ENTRY)), ANY_JSON)
+    def test_entry_with_any_value_is_a_server_or_a_typed_error(self, name, value):
+        fields = json.dumps({**GOOD_ENTRY, name: value}).encode()
+        try:
+            server = PlatformDialect().decode_server("servers/i-1", fields)
+        except DocumentInvalid:
+            return
+        assert server.slots >= 1
+        assert 0 < server.address.port < 65536
+
+    @settings(max_examples=300, deadline=None)
+    @given(st.data())
+    def test_configuration_with_any_value_is_one_or_a_typed_error(self, data):
+        document = make_configuration(1)
+        part = data.draw(st.sampled_from([document, document["routes"][0], document["limits"]]))
+        part[data.draw(st.sampled_from(sorted(part)))] = data.draw(ANY_JSON)
+        try:
+            PlatformDialect().decode_configuration(json.dumps(document).encode())
+        except DocumentInvalid:
+            return
+
+    @settings(max_examples=300, deadline=None)
+    @given(st.binary(max_size=400))
+    def test_datagram_of_any_bytes_is_a_message_or_a_typed_error(self, data):
+        try:
+            decode_hello(data)
+        except DocumentInvalid:
+            return
