Derive what reading may add to a pass from the routes' pauses and the engines' figures

Hypothesis: lanes and parts take one workload for granted: pauses of 170 to 900 ms, parts of 40, 60 and 250 ms, a threshold of 0.4 s between the lanes. With other pauses or engines short requests get parts that are too long, and routes fall into the wrong lane. Change: `reading_limits` gives all of them from the strictest pause that a service's routes declare, from the tolerant routes' pauses and from the length of a full pass; lanes are told apart by proportion (1.6). On the given sites it gives the former figures within 5 %. What binds next where passes are long: short requests filled into few engines hold each other up.

--- a/packages/proxy/src/sassafrastally/proxy/generation.py
+++ b/packages/proxy/src/sassafrastally/proxy/generation.py
@@ -70,7 +70,8 @@
         super().__init__(path, task, reply)
         self._figures = figures
         self._prompt = prompt
-        self._lane = lane_of(task.route, prompt, figures)
+        self._limits = path.reading_limits(task.configuration, task.service, figures)
+        self._lane = lane_of(task.route, prompt, figures, self._limits)
         self._last_event_id = task.request.facts.last_event_id
         self._first_s: float | None = None
         self._previous_s = 0.0
@@ -119,7 +120,13 @@
         views = self._path.sight.views(self._task.service, self.progress.tried)
         scatter = Scatter(self._path.kernel.random, self._path.sight.news_age_s)
         return place_request(
-            views, self._lane, self._prompt, self._goal_s(), self._figures, scatter
+            views,
+            self._lane,
+            self._prompt,
+            self._goal_s(),
+            self._figures,
+            self._limits,
+            scatter,
         )
 
     def _goal_s(self) -> float:
--- a/packages/proxy/src/sassafrastally/proxy/lanes.py
+++ b/packages/proxy/src/sassafrastally/proxy/lanes.py
@@ -13,17 +13,14 @@
 
 from sassafrastally.proxy.engine_time import reading_ms
 from sassafrastally.proxy.load import Lane, Work
-from sassafrastally.proxy.plan import MOST_HELPERS, SHORT_PART_MS
+from sassafrastally.proxy.plan import MOST_HELPERS
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
     from random import Random
 
     from sassafrastally.proxy.model import BackendServer, EngineFigures, PromptSize, Route
-
-LONG_PAUSE_GOAL_S = 0.4
-"""Routes that allow longer pauses belong to the long lane. An event takes about 50 ms and the
-reading of a short prompt as much; a part of a long one takes 0.1 to 0.5 s."""
+    from sassafrastally.proxy.reading_limits import ReadingLimits
 
 SHORT_REQUEST_S = 1.5
 """Usual time that a short request keeps its slot; from it and the requests in progress follows how
@@ -75,12 +72,13 @@
         return short_requests * self.news_age_s / SHORT_REQUEST_S
 
 
-def lane_of(route: Route, prompt: PromptSize, figures: EngineFigures) -> Lane:
+def lane_of(
+    route: Route, prompt: PromptSize, figures: EngineFigures, limits: ReadingLimits
+) -> Lane:
     """Return the lane of a request."""
-    pause_goal_s = route.pause_goal_s or 0.0
-    if pause_goal_s >= LONG_PAUSE_GOAL_S:
+    if limits.is_tolerant(route.pause_goal_s):
         return Lane.LONG
-    too_long_ms = SHORT_PART_MS * (MOST_HELPERS + 1)
+    too_long_ms = limits.short_part_ms * (MOST_HELPERS + 1)
     return Lane.LONG if reading_ms(figures, prompt.prompt_tokens) > too_long_ms else Lane.SHORT
 
 
--- a/packages/proxy/src/sassafrastally/proxy/long_placement.py
+++ b/packages/proxy/src/sassafrastally/proxy/long_placement.py
@@ -26,14 +26,7 @@
 
     from sassafrastally.proxy.lanes import Lanes, Scatter, ServerView
     from sassafrastally.proxy.model import EngineFigures, PromptSize
-
-PART_MS = 40.0
-"""Least reading time of a part; below this another helper gains less than one pass."""
-
-SHORT_PAUSES_MS = (170.0, 260.0)
-LONG_PAUSES_MS = (450.0, 900.0)
-"""Pauses from which on events of short and long requests come too late, and at which all do. The
-routes allow 250 ms, and 600 to 1,000 ms; predictions of a pass are off by about a third."""
+    from sassafrastally.proxy.reading_limits import ReadingLimits
 
 LONG_VALUE_PER_K = 0.1
 """What a late long request counts for, in late short ones for each 1,000 tokens: a caller with a
@@ -43,9 +36,6 @@
 """Part of a request's value lost by a first event at its goal rather than at once: among plans that
 harm nobody the fastest is taken."""
 
-SHORT_LANE_PART_MS = 250.0
-"""A part of this length on an engine of the short lane makes one future short request late."""
-
 OPENING_COST = 0.5
 """What it costs to let an engine write for its first long request. Engines that only read harm
 nobody, so long requests are answered by few engines and read by the others."""
@@ -56,6 +46,7 @@
     prompt: PromptSize,
     goal_s: float,
     figures: EngineFigures,
+    limits: ReadingLimits,
     scatter: Scatter,
 ) -> Placement | None:
     """Return the cheapest plan to read a long prompt, over all sizes of the group that reads it.
@@ -77,11 +68,14 @@
     scatter.random.shuffle(views)
     best: Placement | None = None
     best_cost = math.inf
-    for size in range(1, min(MOST_HELPERS + 1, len(views), max(1, int(own_ms / PART_MS))) + 1):
+    for size in range(
+        1, min(MOST_HELPERS + 1, len(views), max(1, int(own_ms / limits.least_part_ms))) + 1
+    ):
         part_ms = own_ms / size
         harms = {
-            view.server.life_id: _harm(view, part_ms, figures)
-            + (part_ms / SHORT_LANE_PART_MS if view.server.life_id in in_short_lane else 0.0)
+            view.server.life_id: _harm(view, part_ms, figures, limits)
+            # A part as long as a pause in the short lane makes one future request late.
+            + (part_ms / limits.strict_pause_ms if view.server.life_id in in_short_lane else 0.0)
             for view in views
         }
         # Engines with much to read already are harmed least by more, and would be taken first;
@@ -139,18 +133,20 @@
     return value * (late + DELAY_COST * share_of_goal)
 
 
-def _harm(view: ServerView, part_ms: float, figures: EngineFigures) -> float:
+def _harm(view: ServerView, part_ms: float, figures: EngineFigures, limits: ReadingLimits) -> float:
     """Return how many requests there become late by a part, counted in short ones."""
     work = view.work
     before_ms = pass_ms(figures, work.requests, work.tokens) * view.pace + work.reading_ms
     after_ms = before_ms + part_ms * view.pace
     short = work.short_requests * (
-        _lateness(after_ms, SHORT_PAUSES_MS) - _lateness(before_ms, SHORT_PAUSES_MS)
+        _lateness(after_ms, limits.short_pauses_ms) - _lateness(before_ms, limits.short_pauses_ms)
     )
     # Only long requests that are being written have pauses; counted with those that are still read,
     # engines that lead a dossier seemed so dear that the next one was read by two or three alone.
     written = LONG_VALUE_PER_K * work.writing_tokens / 1000
-    long = written * (_lateness(after_ms, LONG_PAUSES_MS) - _lateness(before_ms, LONG_PAUSES_MS))
+    long = written * (
+        _lateness(after_ms, limits.long_pauses_ms) - _lateness(before_ms, limits.long_pauses_ms)
+    )
     return short + long
 
 
--- a/packages/proxy/src/sassafrastally/proxy/path.py
+++ b/packages/proxy/src/sassafrastally/proxy/path.py
@@ -13,6 +13,7 @@
 from sassafrastally.proxy.metrics import REFUSALS, REQUESTS
 from sassafrastally.proxy.model import RouteKind
 from sassafrastally.proxy.plain import PlainRequest
+from sassafrastally.proxy.reading_limits import ReadingLimits, reading_limits
 from sassafrastally.proxy.refusals import (
     MAY_HAVE_RUN,
     NO_ANSWER_IN_TIME,
@@ -32,7 +33,7 @@
     from sassafrastally.proxy.attempt import Attempts, Request
     from sassafrastally.proxy.budget import RetryBudget
     from sassafrastally.proxy.dialect import Dialect, Headers
-    from sassafrastally.proxy.model import Configuration, Customer, Route
+    from sassafrastally.proxy.model import Configuration, Customer, EngineFigures, Route
     from sassafrastally.proxy.reply import Reply
 
 COME_BACK_S = 0.3
@@ -73,6 +74,8 @@
         self.dialect = dialect
         self.attempts = attempts
         self.budget = budget
+        self._limits: dict[str, ReadingLimits] = {}
+        self._limits_version: int | None = None
 
     async def start(self, nursery: trio.Nursery) -> None:
         """Find the services that decisions rest on."""
@@ -146,6 +149,22 @@
             return
         await self._answer_ourselves(request, reply, stopped, route.name, progress.attempts)
 
+    def reading_limits(
+        self, configuration: Configuration, service: str, figures: EngineFigures
+    ) -> ReadingLimits:
+        """Return what reading may add to a pass at the engines of a service."""
+        if self._limits_version != configuration.version:
+            self._limits_version = configuration.version
+            self._limits.clear()
+        if service not in self._limits:
+            routes = (
+                route
+                for route in configuration.routes
+                if any(share.service == service for share in route.shares)
+            )
+            self._limits[service] = reading_limits(routes, figures)
+        return self._limits[service]
+
     def _answerer(self, task: RequestTask, reply: Reply) -> Generation | PlainRequest:
         engine = task.configuration.services[task.service].engine
         prompt = task.request.facts.prompt
--- a/packages/proxy/src/sassafrastally/proxy/placement.py
+++ b/packages/proxy/src/sassafrastally/proxy/placement.py
@@ -19,6 +19,7 @@
     from sassafrastally.proxy.lanes import Lanes, Scatter, ServerView
     from sassafrastally.proxy.model import EngineFigures, PromptSize
     from sassafrastally.proxy.plan import Placement
+    from sassafrastally.proxy.reading_limits import ReadingLimits
 
 
 def place_request(
@@ -27,6 +28,7 @@
     prompt: PromptSize,
     goal_s: float,
     figures: EngineFigures,
+    limits: ReadingLimits,
     scatter: Scatter,
 ) -> Placement | None:
     """Return where a prompt goes among all engines; ``None`` when none has room.
@@ -39,14 +41,18 @@
     ----------
     views
         The engines, in the shared order.
-    lane, prompt, goal_s, figures, scatter
+    lane, prompt, goal_s, figures, limits, scatter
         As for `place_prompt`.
     """
     usual = [view for view in views if view.pace < SLOW_PACE]
     plans = []
     for candidates in (usual, views) if len(usual) < len(views) else (views,):
         lanes = split_lanes(candidates, figures, scatter)
-        plan = place_prompt(lanes, lane, prompt, goal_s, figures, scatter) if candidates else None
+        plan = (
+            place_prompt(lanes, lane, prompt, goal_s, figures, limits, scatter)
+            if candidates
+            else None
+        )
         if plan is not None:
             sizes = f"{len(lanes.long)}+{len(lanes.short)}"
             plans.append(plan._replace(lanes=sizes))
@@ -61,6 +67,7 @@
     prompt: PromptSize,
     goal_s: float,
     figures: EngineFigures,
+    limits: ReadingLimits,
     scatter: Scatter,
 ) -> Placement | None:
     """Return where a prompt goes; ``None`` when no engine has room.
@@ -77,9 +84,11 @@
         Time within which its first event is wanted.
     figures
         Figures of the engines.
+    limits
+        What reading may add to a pass.
     scatter
         Draws among engines that are equally good.
     """
     if lane is Lane.SHORT:
-        return place_short(lanes, prompt, goal_s, figures, scatter)
-    return place_long(lanes, prompt, goal_s, figures, scatter)
+        return place_short(lanes, prompt, goal_s, figures, limits, scatter)
+    return place_long(lanes, prompt, goal_s, figures, limits, scatter)
--- a/packages/proxy/src/sassafrastally/proxy/plan.py
+++ b/packages/proxy/src/sassafrastally/proxy/plan.py
@@ -16,10 +16,6 @@
 MOST_HELPERS = 16
 """Helpers that an engine accepts for one prompt."""
 
-SHORT_PART_MS = 60.0
-"""Longest reading on one engine for a short prompt; larger ones get helpers. Two of them in one
-pass stay inside a pause of 250 ms."""
-
 MEMORY_SHARE = 0.96
 """Share of an engine's memory that is given out; the rest covers what counts of others miss."""
 
--- a/packages/proxy/src/sassafrastally/proxy/short_placement.py
+++ b/packages/proxy/src/sassafrastally/proxy/short_placement.py
@@ -15,7 +15,6 @@
 from sassafrastally.proxy.plan import (
     MOST_HELPERS,
     SAFE_GOAL_SHARE,
-    SHORT_PART_MS,
     Holding,
     first_event_ms,
     has_room,
@@ -28,6 +27,7 @@
     from sassafrastally.proxy.lanes import Lanes, Scatter, ServerView
     from sassafrastally.proxy.model import EngineFigures, PromptSize
     from sassafrastally.proxy.plan import Placement
+    from sassafrastally.proxy.reading_limits import ReadingLimits
 
 WINDOW_SHARE = 4.0
 """Engines among which a short request is drawn, for each one that others have placed unheard."""
@@ -38,6 +38,7 @@
     prompt: PromptSize,
     goal_s: float,
     figures: EngineFigures,
+    limits: ReadingLimits,
     scatter: Scatter,
 ) -> Placement | None:
     """Return the engine for a short prompt.
@@ -51,32 +52,35 @@
     """
     own_ms = reading_ms(figures, prompt.prompt_tokens)
     fitting = [view for view in reversed(lanes.short) if has_room(view, prompt, figures)]
-    ranked = _scattered(fitting, figures, scatter)
+    ranked = _scattered(fitting, figures, limits, scatter)
     latest_ms = SAFE_GOAL_SHARE * goal_s * 1000 - own_ms
     if not ranked or first_event_ms(ranked[0], 0.0, figures) > latest_ms:
         fitting += [view for view in reversed(lanes.long) if has_room(view, prompt, figures)]
         ranked = sorted(fitting, key=lambda view: first_event_ms(view, 0.0, figures))
     if not ranked:
         return None
-    group_size = min(math.ceil(own_ms / SHORT_PART_MS), MOST_HELPERS + 1, len(ranked))
+    group_size = min(math.ceil(own_ms / limits.short_part_ms), MOST_HELPERS + 1, len(ranked))
     group = ranked[: max(1, group_size)]
     holdings = (Holding(group[0].server, prompt.prompt_tokens + prompt.output_tokens),)
     return make_placement(group, holdings, Lane.SHORT, own_ms / len(group), figures)
 
 
 def _scattered(
-    fitting: Sequence[ServerView], figures: EngineFigures, scatter: Scatter
+    fitting: Sequence[ServerView],
+    figures: EngineFigures,
+    limits: ReadingLimits,
+    scatter: Scatter,
 ) -> list[ServerView]:
     """Return engines in the order in which they are taken.
 
     Those that aren't busy come first. Among the first of them the order is drawn: of two at a time
     the one with fewer requests.
     """
-    ranked = sorted(fitting, key=lambda view: _short_rank(view, figures))
+    ranked = sorted(fitting, key=lambda view: _short_rank(view, figures, limits))
     if not ranked:
         return []
     unheard = scatter.unheard(sum(view.work.short_requests for view in fitting))
-    latest_ms = first_event_ms(ranked[0], 0.0, figures) + SHORT_PART_MS
+    latest_ms = first_event_ms(ranked[0], 0.0, figures) + limits.short_part_ms
     width = 1 + math.ceil(WINDOW_SHARE * unheard)
     window = [view for view in ranked[:width] if first_event_ms(view, 0.0, figures) <= latest_ms]
     rest = [view for view in ranked if view not in window]
@@ -89,8 +93,10 @@
     return drawn + rest
 
 
-def _short_rank(view: ServerView, figures: EngineFigures) -> tuple[bool, float]:
+def _short_rank(
+    view: ServerView, figures: EngineFigures, limits: ReadingLimits
+) -> tuple[bool, float]:
     """Return the rank of an engine: all that aren't busy alike, then by the first event's time."""
     is_full = view.work.requests >= SHORT_FILL * figures.slots
-    is_busy = is_full or view.work.reading_ms > SHORT_PART_MS
+    is_busy = is_full or view.work.reading_ms > limits.short_part_ms
     return is_busy, first_event_ms(view, 0.0, figures) if is_busy else 0.0
--- a/packages/proxy/tests/test_placement.py
+++ b/packages/proxy/tests/test_placement.py
@@ -21,6 +21,7 @@
     ServiceShare,
 )
 from sassafrastally.proxy.placement import place_prompt, place_request
+from sassafrastally.proxy.reading_limits import ReadingLimits, reading_limits
 
 FIGURES = EngineFigures(
     slots=8,
@@ -38,6 +39,15 @@
 ALONE = Scatter(random.Random(1))
 """An entry that sees all requests."""
 
+LIMITS = ReadingLimits(
+    strict_pause_ms=250.0,
+    short_part_ms=60.0,
+    least_part_ms=40.0,
+    short_pauses_ms=(170.0, 260.0),
+    long_pauses_ms=(450.0, 900.0),
+)
+"""Limits of routes that allow pauses of 250, 600 and 1,000 ms."""
+
 SHORT = PromptSize(5000, 1300)
 LONG = PromptSize(182_000, 650)
 
@@ -73,13 +83,41 @@
         assert pass_ms(FIGURES, 8, 40_000) == pytest.approx(48, rel=0.03)
 
 
+class TestReadingLimits:
+    """What reading may add to a pass, by routes and engines."""
+
+    def test_usual_routes_on_usual_engines(self):
+        limits = reading_limits([route(0.25), route(0.6), route(1.0)], FIGURES)
+        for derived, usual in zip(limits, LIMITS, strict=True):
+            assert derived == pytest.approx(usual, rel=0.05)
+
+    def test_short_prompt_is_read_in_smaller_parts_where_pauses_are_short_and_passes_long(self):
+        """Engines that are 2.5 times slower, and callers who notice a pause of 120 ms. A prompt of
+        5,000 tokens read in one piece makes the pauses of all that the engine writes too long."""
+        slow = FIGURES._replace(step_ms=3.3, read_tokens_per_ms=62.0, stride_steps=17)
+        limits = reading_limits([route(0.12), route(0.29), route(0.48)], slow)
+        assert pass_ms(slow, 8, 0) + 3 * limits.short_part_ms < 120
+        lanes = split_lanes(views([Work(short_requests=3)] * 21), slow)
+        placement = place_prompt(lanes, Lane.SHORT, SHORT, 0.3, slow, limits, ALONE)
+        assert len(placement.parts) >= 3
+
+    def test_lanes_are_told_apart_by_proportion(self):
+        limits = reading_limits([route(0.12), route(0.29), route(0.48)], FIGURES)
+        assert lane_of(route(0.12), SHORT, FIGURES, limits) is Lane.SHORT
+        assert lane_of(route(0.29), SHORT, FIGURES, limits) is Lane.LONG
+
+    def test_routes_that_allow_the_same_share_one_lane(self):
+        limits = reading_limits([route(0.6), route(0.6)], FIGURES)
+        assert lane_of(route(0.6), SHORT, FIGURES, limits) is Lane.SHORT
+
+
 class TestLanes:
     """How engines are divided."""
 
     def test_lane_follows_the_pause_that_a_route_allows(self):
-        assert lane_of(route(0.25), SHORT, FIGURES) is Lane.SHORT
-        assert lane_of(route(1.0), SHORT, FIGURES) is Lane.LONG
-        assert lane_of(route(0.25), PromptSize(900_000, 1), FIGURES) is Lane.LONG
+        assert lane_of(route(0.25), SHORT, FIGURES, LIMITS) is Lane.SHORT
+        assert lane_of(route(1.0), SHORT, FIGURES, LIMITS) is Lane.LONG
+        assert lane_of(route(0.25), PromptSize(900_000, 1), FIGURES, LIMITS) is Lane.LONG
 
     def test_short_lane_gets_what_it_needs_and_the_long_one_the_rest(self):
         quiet = split_lanes(views([Work()] * 23), FIGURES)
@@ -100,7 +138,7 @@
     def test_goes_where_nothing_long_is_read(self):
         works = [Work(reading_ms=900.0, long_requests=1)] * 4 + [Work(short_requests=2)] * 2
         placement = place_prompt(
-            split_lanes(views(works), FIGURES), Lane.SHORT, SHORT, 0.3, FIGURES, ALONE
+            split_lanes(views(works), FIGURES), Lane.SHORT, SHORT, 0.3, FIGURES, LIMITS, ALONE
         )
         assert placement.server.server_id in ("e4", "e5")
         assert placement.predicted_s < 0.2
@@ -112,7 +150,7 @@
         busy = Work(reading_ms=1200.0, reading_requests=1, long_requests=1)
         works = [Work()] * 2 + [busy] * 6 + [Work(short_requests=8)] * 4
         placement = place_prompt(
-            split_lanes(views(works), FIGURES), Lane.SHORT, SHORT, 0.3, FIGURES, ALONE
+            split_lanes(views(works), FIGURES), Lane.SHORT, SHORT, 0.3, FIGURES, LIMITS, ALONE
         )
         assert placement.predicted_s < 0.3
 
@@ -124,6 +162,7 @@
             PromptSize(20_000, 500),
             0.3,
             FIGURES,
+            LIMITS,
             ALONE,
         )
         assert len(placement.helpers) == 2
@@ -131,7 +170,9 @@
     def test_nothing_fits_when_all_slots_are_taken(self):
         works = [Work(short_requests=8)] * 3
         assert (
-            place_prompt(split_lanes(views(works), FIGURES), Lane.SHORT, SHORT, 0.3, FIGURES, ALONE)
+            place_prompt(
+                split_lanes(views(works), FIGURES), Lane.SHORT, SHORT, 0.3, FIGURES, LIMITS, ALONE
+            )
             is None
         )
 
@@ -141,7 +182,7 @@
 
     def test_is_read_by_enough_idle_engines_to_meet_its_goal(self):
         placement = place_prompt(
-            split_lanes(views([Work()] * 23), FIGURES), Lane.LONG, LONG, 3.0, FIGURES, ALONE
+            split_lanes(views([Work()] * 23), FIGURES), Lane.LONG, LONG, 3.0, FIGURES, LIMITS, ALONE
         )
         assert len(placement.helpers) >= 8
         assert placement.predicted_s < 1.0
@@ -149,7 +190,7 @@
     def test_does_not_hold_up_short_requests_when_others_are_free(self):
         works = [Work()] * 8 + [Work(short_requests=5)] * 15
         placement = place_prompt(
-            split_lanes(views(works), FIGURES), Lane.LONG, LONG, 3.0, FIGURES, ALONE
+            split_lanes(views(works), FIGURES), Lane.LONG, LONG, 3.0, FIGURES, LIMITS, ALONE
         )
         used = {part.life_id for part in placement.parts}
         assert used <= {f"e{number}" for number in range(8)}
@@ -161,7 +202,7 @@
         leading = Work(long_requests=1, reading_requests=1, tokens=200_000, reading_ms=450.0)
         works = [leading] * 12 + [Work(short_requests=5)] * 8
         lanes = split_lanes(views(works), FIGURES)
-        placement = place_prompt(lanes, Lane.LONG, LONG, 3.0, FIGURES, ALONE)
+        placement = place_prompt(lanes, Lane.LONG, LONG, 3.0, FIGURES, LIMITS, ALONE)
         assert len(placement.parts) >= 6
         assert placement.predicted_s < 0.5 * 3.0
 
@@ -177,6 +218,7 @@
             PromptSize(32_000, 700),
             1.5,
             FIGURES,
+            LIMITS,
             ALONE,
         )
         assert placement.predicted_s < 0.9
@@ -188,6 +230,7 @@
             PromptSize(900_000, 700),
             3.0,
             FIGURES,
+            LIMITS,
             ALONE,
         )
         assert sum(holding.tokens for holding in placement.holdings) == 900_700
@@ -199,7 +242,7 @@
     def test_engine_whose_memory_is_given_out_does_not_answer(self):
         works = [Work(tokens=300_000, long_requests=1)] * 2 + [Work()] + [Work(short_requests=3)]
         placement = place_prompt(
-            split_lanes(views(works), FIGURES), Lane.LONG, LONG, 3.0, FIGURES, ALONE
+            split_lanes(views(works), FIGURES), Lane.LONG, LONG, 3.0, FIGURES, LIMITS, ALONE
         )
         assert placement.server.server_id == "e2"
 
@@ -214,13 +257,17 @@
             PromptSize(60_000, 700),
             3.0,
             FIGURES,
+            LIMITS,
             ALONE,
         )
         assert placement is None or all(holding.tokens > 0 for holding in placement.holdings)
 
     def test_prompt_over_all_memory_has_no_place(self):
         lanes = split_lanes(views([Work()] * 2), FIGURES)
-        assert place_prompt(lanes, Lane.LONG, PromptSize(900_000, 1), 3.0, FIGURES, ALONE) is None
+        assert (
+            place_prompt(lanes, Lane.LONG, PromptSize(900_000, 1), 3.0, FIGURES, LIMITS, ALONE)
+            is None
+        )
 
 
 class TestSlowEngines:
@@ -239,7 +286,7 @@
         """A prompt is read in parts by many engines and waits for the slowest. With one slow engine
         among sixteen, dossiers predicted within 0.4 s began after four."""
         prompt, goal_s = (SHORT, 0.3) if lane is Lane.SHORT else (LONG, 3.0)
-        placement = place_request(self.fleet(), lane, prompt, goal_s, FIGURES, ALONE)
+        placement = place_request(self.fleet(), lane, prompt, goal_s, FIGURES, LIMITS, ALONE)
         assert placement.predicted_s < goal_s
         assert not {part.life_id for part in placement.parts} & {f"e{n}" for n in self.SLOW}
 
@@ -248,13 +295,13 @@
         views = [
             view if view.pace > 1.0 else view._replace(work=full) for view in self.fleet(pace=2.0)
         ]
-        placement = place_request(views, Lane.SHORT, SHORT, 0.3, FIGURES, ALONE)
+        placement = place_request(views, Lane.SHORT, SHORT, 0.3, FIGURES, LIMITS, ALONE)
         assert int(placement.server.server_id[1:]) in self.SLOW
 
     def test_service_goes_on_when_all_are_slow(self):
         views = [view._replace(pace=4.0) for view in self.fleet()]
-        placement = place_request(views, Lane.LONG, LONG, 3.0, FIGURES, ALONE)
-        quick = place_request(self.fleet(), Lane.LONG, LONG, 3.0, FIGURES, ALONE)
+        placement = place_request(views, Lane.LONG, LONG, 3.0, FIGURES, LIMITS, ALONE)
+        quick = place_request(self.fleet(), Lane.LONG, LONG, 3.0, FIGURES, LIMITS, ALONE)
         assert placement.predicted_s > 2 * quick.predicted_s
 
 
@@ -303,7 +350,7 @@
             order = [ServerView(server(n), work.at(f"e{n}")) for n in range(23)]
             goal_s = 0.3 if lane is Lane.SHORT else 3.0
             placement = place_prompt(
-                split_lanes(order, FIGURES), lane, prompt, goal_s, FIGURES, ALONE
+                split_lanes(order, FIGURES), lane, prompt, goal_s, FIGURES, LIMITS, ALONE
             )
             counts[lane][0] += 1
             if placement is None:
@@ -357,7 +404,9 @@
             )
             works = [Work(short_requests=heard[f"e{n}"]) for n in range(self.ENGINES)]
             lanes = split_lanes(views(works), figures, scatters[entry])
-            placement = place_prompt(lanes, Lane.SHORT, SHORT, 0.3, figures, scatters[entry])
+            placement = place_prompt(
+                lanes, Lane.SHORT, SHORT, 0.3, figures, LIMITS, scatters[entry]
+            )
             if placement is None:
                 continue
             asked += 1
