Ask a silent engine for its report before it is left alone; find dark engines by their reports

Hypothesis: under overload engines that only lag are taken for dead. Change: silence alone no longer counts as a failure of an engine; it is asked for its report at once, and one that doesn't report is left alone (at once, not after two silences). So is one that misses two regular reports in a row, before a request meets it.

--- a/packages/proxy/src/sassafrastally/proxy/answerer.py
+++ b/packages/proxy/src/sassafrastally/proxy/answerer.py
@@ -142,7 +142,10 @@
         """Note an attempt that may have run, and that speaks against its server."""
         detail = cause if isinstance(cause, str) else cause.detail
         self._note_given_up(server, begin_s, detail)
-        self._path.sight.note_failure(server, detail, self._request_id)
+        if isinstance(cause, AttemptUnknown) and cause.is_silence:
+            self._path.sight.note_silence(server, self._request_id)
+        else:
+            self._path.sight.note_failure(server, detail, self._request_id)
 
     def _note_given_up(self, server: BackendServer, begin_s: float, detail: str) -> None:
         """Note an attempt that may have run."""
--- a/packages/proxy/src/sassafrastally/proxy/attempt.py
+++ b/packages/proxy/src/sassafrastally/proxy/attempt.py
@@ -43,6 +43,9 @@
 class AttemptUnknown(CodedError):
     """The attempt brought no whole answer; the request may have run."""
 
+    is_silence = False
+    """Whether nothing came in time, and nothing else went wrong."""
+
 
 class Request(NamedTuple):
     """A caller's request with its whole body."""
@@ -94,7 +97,7 @@
                     return bytes(event.data)
                 if isinstance(event, h11.EndOfMessage):
                     return None
-        raise AttemptUnknown(SILENT)
+        raise silence()
 
     async def read(self) -> bytes:
         """Return the whole body; raises `AttemptUnknown` when it ends early."""
@@ -157,7 +160,7 @@
             with waiting or trio.CancelScope():
                 answer = await self._exchange(connection, request, head)
             if answer is None:
-                raise AttemptUnknown(SILENT)
+                raise silence()
             yield answer
             is_kept = _is_reusable(connection)
         finally:
@@ -225,6 +228,13 @@
                 raise AttemptUnknown(f"closed without an answer to {request_id}")
 
 
+def silence() -> AttemptUnknown:
+    """Return the error of an attempt on which nothing came in time."""
+    error = AttemptUnknown(SILENT)
+    error.is_silence = True
+    return error
+
+
 async def _receive(connection: HttpStream) -> h11.Event | type[h11.PAUSED]:
     try:
         event = await connection.receive()
--- a/packages/proxy/src/sassafrastally/proxy/log_events.py
+++ b/packages/proxy/src/sassafrastally/proxy/log_events.py
@@ -337,3 +337,5 @@
 
     server_id: str
     cause: str
+    request_id: str
+    """Request whose silence asked for it; empty for a regular report."""
--- a/packages/proxy/src/sassafrastally/proxy/reports.py
+++ b/packages/proxy/src/sassafrastally/proxy/reports.py
@@ -25,6 +25,10 @@
 TICK_S = 0.1
 """Time between two looks at what is due: a third of the shortest interval of reports."""
 
+FAILURES_IN_A_ROW = 2
+"""Reports in a row that don't come and make an engine suspect, beside a request's silence: a single
+one may be lost on the way."""
+
 REPORT_TIME_S = 0.4
 """Time for a report; an engine answers it from memory within some milliseconds."""
 
@@ -48,6 +52,8 @@
         self._dialect = dialect
         self._calls: dict[Address, CallClient] = {}
         self._asked_s: dict[str, float] = {}
+        self._asking: set[str] = set()
+        self._failures: dict[str, int] = {}
 
     async def start(self, nursery: trio.Nursery) -> None:
         """Begin to ask."""
@@ -55,6 +61,7 @@
         self._peers = self.kernel.get("peers", Peers)
         self._sight = self.kernel.get("sight", Sight)
         self._nursery = nursery
+        self._sight.ask_report = self._ask_for_request
         nursery.start_soon(self._run)
 
     async def _run(self) -> None:
@@ -95,7 +102,20 @@
                 due.append(engine)
         return due
 
-    async def _ask(self, engine: BackendServer) -> None:
+    def _ask_for_request(self, engine: BackendServer, request_id: str) -> None:
+        """Ask an engine at once: one that doesn't report is left alone."""
+        if engine.life_id not in self._asking:
+            self._nursery.start_soon(self._ask, engine, request_id)
+
+    async def _ask(self, engine: BackendServer, request_id: str = "") -> None:
+        """Ask an engine for its report and note what it says, or that it says nothing."""
+        self._asking.add(engine.life_id)
+        try:
+            await self._exchange(engine, request_id)
+        finally:
+            self._asking.discard(engine.life_id)
+
+    async def _exchange(self, engine: BackendServer, request_id: str) -> None:
         client = self._calls.setdefault(engine.address, CallClient(engine.address))
         call = self._dialect.report_call(engine)
         try:
@@ -104,9 +124,14 @@
             )
             report = self._dialect.read_report(status, body)
         except (AnswerLost, DocumentInvalid) as cause:
-            # The belief ages out; requests find out what is wrong with the engine.
-            self.kernel.events.emit(ReportFailed(engine.server_id, cause.detail))
+            self.kernel.events.emit(ReportFailed(engine.server_id, cause.detail, request_id))
+            failures = self._failures.get(engine.life_id, 0) + 1
+            self._failures[engine.life_id] = failures
+            if request_id or failures >= FAILURES_IN_A_ROW:
+                reason = f"no report: {cause.detail}"
+                self._sight.note_failure(engine, reason, request_id, is_clear=True)
             return
+        self._failures.pop(engine.life_id, None)
         if report.born_ms is not None and report.born_ms != engine.born_ms:
             return  # Another life of it answers at the address; its entry will tell of it.
         was_slow = engine.life_id in self._sight.paces()
@@ -120,6 +145,7 @@
         known = {engine.life_id for engine in engines}
         for life_id in self._asked_s.keys() - known:
             del self._asked_s[life_id]
+            self._failures.pop(life_id, None)
         addresses = {engine.address for engine in engines}
         for address in self._calls.keys() - addresses:
             await self._calls.pop(address).close()
--- a/packages/proxy/src/sassafrastally/proxy/sight.py
+++ b/packages/proxy/src/sassafrastally/proxy/sight.py
@@ -73,6 +73,8 @@
         self._paces = Paces()
         self._waiting: set[WaitingAttempt] = set()
         self._probing: set[str] = set()
+        self.ask_report: Callable[[BackendServer, str], None] | None = None
+        """Asks an engine for its report on behalf of a request; notes a failure if none comes."""
 
     async def start(self, nursery: trio.Nursery) -> None:
         """Find the services whose knowledge is joined."""
@@ -271,6 +273,22 @@
             self._probing.add(server.life_id)
             self._nursery.start_soon(self._probe, server, request_id)
 
+    def note_silence(self, server: BackendServer, request_id: str) -> None:
+        """Note that nothing came of a server in time.
+
+        An engine under a flood is as silent as a dead one. Left alone for it, it is lost to a fleet
+        that lacks engines already, and its load falls on the others; so its report decides.
+        """
+        if self.ask_report is None or not self._has_engine(server.service):
+            self.note_failure(server, "nothing came in time", request_id)
+        else:
+            self.ask_report(server, request_id)
+
+    def _has_engine(self, service: str) -> bool:
+        configuration = self._beliefs.configuration
+        known = configuration.services.get(service) if configuration else None
+        return known is not None and known.engine is not None
+
     async def _probe(self, server: BackendServer, request_id: str) -> None:
         try:
             stream = await connect(server.address, CONNECT_TIME_S)
--- a/packages/testing/src/sassafrastally/testing/replica.py
+++ b/packages/testing/src/sassafrastally/testing/replica.py
@@ -87,6 +87,8 @@
         """Text of one event."""
         self.is_mute = False
         """It reads requests and never answers."""
+        self.reports_nothing = False
+        """It doesn't answer when it is asked for its report."""
         self.extra_answer = False
         """It sends a second answer after each."""
         self.address = Address("", 0)
@@ -147,6 +149,8 @@
             await self._order(json.loads(request.body), connection)
             return
         if request.target == "/report" and self.engine is not None:
+            if self.reports_nothing:
+                await trio.sleep_forever()
             await connection.answer(200, self._report(), {"Content-Type": "application/json"})
             return
         arrival = Arrival(request)
--- a/packages/testing/tests/platform/test_path.py
+++ b/packages/testing/tests/platform/test_path.py
@@ -10,6 +10,7 @@
 
 from sassafrastally.core import Address
 from sassafrastally.proxy.calls import CallClient
+from sassafrastally.proxy.sight import Sight
 from sassafrastally.testing.platform_fleet import (
     KEY,
     exchange_on,
@@ -192,6 +193,39 @@
         assert len(slow.seen) == met
 
 
+class TestSilentEngines:
+    """Engines on which nothing comes in time."""
+
+    async def test_engine_that_only_lags_stays_in_use(self, served):
+        """Under a flood two engines are silent for longer than callers wait. Two silent requests in
+        a row made such an engine suspect for up to eight seconds, told to all peers; the others got
+        its load and went silent as well."""
+        kernel = served.kernels[0]
+        sight = kernel.get("sight", Sight)
+        engines = [replica.engine for replica in served.replicas.values() if replica.engine]
+        for engine in engines:
+            engine.is_stalled = True
+        async with trio.open_nursery() as nursery:
+            for number in range(4):
+                path = f"/note/{number}"
+                nursery.start_soon(partial(served.call, path, prompt="1000,340"))
+        silent = [arrival for arrival in arrivals(served) if arrival.finished_s is None]
+        assert len(silent) >= 4
+        assert sight.suspicion.suspects(kernel.clock.now_s()) == {}
+
+    async def test_engine_that_reports_nothing_is_left_alone_before_a_request_meets_it(
+        self, served
+    ):
+        """An engine goes dark. Each entry would learn it from two prompts that wait in vain, for
+        more than a second each."""
+        kernel = served.kernels[0]
+        sight = kernel.get("sight", Sight)
+        served.replicas["engine-1"].reports_nothing = True
+        await until(lambda: "engine-1" in sight.suspicion.suspects(kernel.clock.now_s()), 5.0)
+        await served.call("/note/x", prompt="1000,34")
+        assert not served.replicas["engine-1"].seen
+
+
 class TestSlowHelpers:
     """Engines that turn slow while they only help to read."""
 
