--- a/packages/proxy/src/sassafrastally/proxy/reports.py
+++ b/packages/proxy/src/sassafrastally/proxy/reports.py
@@ -29,6 +29,10 @@
 """Reports in a row that don't come and make an engine suspect, beside a request's silence: a single
 one may be lost on the way."""
 
+MOST_FAILING_SHARE = 0.5
+"""Share of the engines asked by a process whose reports may fail for reasons of their own; more
+don't crash at a time where each zone has its own power."""
+
 REPORT_TIME_S = 0.4
 """Time for a report; an engine answers it from memory within some milliseconds."""
 
@@ -127,6 +131,8 @@
             self.kernel.events.emit(ReportFailed(engine.server_id, cause.detail, request_id))
             failures = self._failures.get(engine.life_id, 0) + 1
             self._failures[engine.life_id] = failures
+            if self._is_own_fault():
+                return
             if request_id or failures >= FAILURES_IN_A_ROW:
                 reason = f"no report: {cause.detail}"
                 self._sight.note_failure(engine, reason, request_id, is_clear=True)
@@ -141,6 +147,13 @@
         elif report.pace < SLOW_PACE and was_slow:
             self.kernel.events.emit(EngineUsual(engine.server_id, report.pace))
 
+    def _is_own_fault(self) -> bool:
+        """Return whether so many reports fail that this process is cut off, not the engines.
+
+        Its suspicions are told to the peers, which would leave healthy engines alone for them.
+        """
+        return len(self._failures) > MOST_FAILING_SHARE * len(self._asked_s)
+
     async def _forget_gone(self, engines: list[BackendServer]) -> None:
         known = {engine.life_id for engine in engines}
         for life_id in self._asked_s.keys() - known:
--- a/packages/testing/tests/platform/test_path.py
+++ b/packages/testing/tests/platform/test_path.py
@@ -225,6 +225,19 @@
         await served.call("/note/x", prompt="1000,34")
         assert not served.replicas["engine-1"].seen
 
+    async def test_entry_that_hears_no_engine_suspects_none(self, served):
+        """An entry is cut off from the engines, but not from its peers. Told to them, its suspicion
+        of all engines would keep the peers from engines that are well."""
+        kernel = served.kernels[0]
+        for replica in served.replicas.values():
+            replica.reports_nothing = True
+
+        def failures() -> int:
+            return sum(record["name"] == "ReportFailed" for record in kernel.events.records())
+
+        await until(lambda: failures() >= 5, 9.0)
+        assert kernel.get("sight", Sight).suspicion.suspects(kernel.clock.now_s()) == {}
+
 
 class TestSlowHelpers:
     """Engines that turn slow while they only help to read."""
