Judge blocked logs and early refusals by the order of events, not by wall time

Nobody reads the pipe at all, so that answers counted while it is full show what the time was to show; lines are written while the reader is still stalled; a refusal at once comes while a lookup of a second, sent before, is under way. As strict: a process that waits answers none of the 200, a writer that waits ends only with the reader, a refusal after the wait comes behind the lookup. The check that nothing of a refused prompt was sent now looks at the engines alone, since the lookup reaches a desk. Left: upper bounds of wall time in test_path (time limit) and test_calls (stalled answer).

--- a/packages/core/tests/test_log_writer.py
+++ b/packages/core/tests/test_log_writer.py
@@ -19,17 +19,16 @@
         written: list[bytes] = []
 
         def write(data: bytes) -> int:
-            stalled.wait(5)
+            stalled.wait(60)
             written.append(data)
             return len(data)
 
         writer = LogWriter(write)
         writer.write("first\n")
         time.sleep(0.15)
-        begin_s = time.monotonic()
         for _ in range(QUEUE_LINES + 100):
             writer.write("line\n")
-        assert time.monotonic() - begin_s < 0.5
+        assert written == [], "the reader is back: the lines may have waited for it"
         assert writer.dropped >= 100
         stalled.set()
         writer.close()
--- a/packages/testing/tests/platform/test_path.py
+++ b/packages/testing/tests/platform/test_path.py
@@ -28,6 +28,20 @@
     return sorted(found, key=lambda arrival: arrival.at_s)
 
 
+async def answered_during_a_lookup(fleet, prompt: str):
+    """Return the answer to a dossier, which must come while a lookup of a second is under way."""
+    desks = [replica for name, replica in fleet.replicas.items() if name.startswith("desk")]
+    for desk in desks:
+        desk.work_s = 1.0
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(fleet.call, "/look/x")
+        await until(lambda: any(desk.arrivals for desk in desks))
+        answer = await fleet.call("/dossier/x", prompt=prompt)
+        assert all(arrival.finished_s is None for desk in desks for arrival in desk.arrivals)
+        nursery.cancel_scope.cancel()
+    return answer
+
+
 def event_ids(body: bytes) -> list[int]:
     """Return the ids of a stream's events in the order in which they came."""
     return [int(line[3:]) for line in body.decode().splitlines() if line.startswith("id:")]
@@ -382,21 +396,18 @@
     async def test_prompt_whose_answer_would_begin_too_late_is_refused_at_once(self, served):
         """Two engines would read a prompt for eight seconds, and its caller waits for four. It must
         hear so now, and the engines must not read for nobody."""
-        begin_s = trio.current_time()
-        answer = await served.call("/dossier/x", prompt="380000,340")
+        answer = await answered_during_a_lookup(served, "380000,340")
         assert answer.status == 503
         assert float(answer.headers["retry-after"]) > 0
-        assert trio.current_time() - begin_s < 0.5
-        assert not any(replica.seen for replica in served.replicas.values())
+        engines = [replica for replica in served.replicas.values() if replica.engine]
+        assert not any(engine.seen for engine in engines)
 
     async def test_prompt_over_the_memory_of_the_live_engines_may_come_back(self, served):
         """Most engines are down. What two can't hold, more could: it is refused at once, and the
         caller is told when to come back."""
-        begin_s = trio.current_time()
-        answer = await served.call("/dossier/x", prompt="990000,340")
+        answer = await answered_during_a_lookup(served, "990000,340")
         assert answer.status == 503
         assert float(answer.headers["retry-after"]) > 0
-        assert trio.current_time() - begin_s < 0.5
 
     async def test_prompt_that_no_engines_can_share_is_refused_for_good(self, served):
         """A prompt is larger than what an engine and all helpers it accepts can hold. Told to come
--- a/packages/testing/tests/soak/test_entry_process.py
+++ b/packages/testing/tests/soak/test_entry_process.py
@@ -57,7 +57,8 @@
 
     REQUESTS = 1200
     AT_ONCE = 20
-    LATEST_S = 0.5
+    LEAST_AFTER = 200
+    """Answers that must come while the pipe is full: ten times those that may be under way then."""
 
     async def test_no_request_waits_for_the_reader_of_the_log(self, tmp_path):
         """The collector of the logs stalls for seconds under load. The pipe takes 64 KB; a process
@@ -73,26 +74,29 @@
                 with trio.fail_after(10.0):
                     while not entry.accepts_callers():
                         await trio.sleep(0.05)
-                times_s: list[float] = []
-                nursery.start_soon(self._call_all, fleet, entry, times_s, nursery.cancel_scope)
+                is_full: list[bool] = []
+
+                def note_answer() -> None:
+                    _, writable, _ = select.select([], [writer], [], 0)
+                    is_full.append(not writable)
+
+                nursery.start_soon(self._call_all, fleet, entry, note_answer, nursery.cancel_scope)
                 with trio.fail_after(60.0):
                     await trio.sleep_forever()
             finally:
-                _, writable, _ = select.select([], [writer], [], 0)
                 entry.kill()
                 os.close(writer)
                 os.close(reader)
-        assert len(times_s) == self.REQUESTS
-        assert not writable, "the pipe was not full"
-        assert max(times_s[self.AT_ONCE :]) < self.LATEST_S
+        # Nobody ever reads: a process that waited for the pipe would answer none of these.
+        assert len(is_full) == self.REQUESTS
+        assert sum(is_full) >= self.LEAST_AFTER
 
-    async def _call_all(self, fleet, entry, times_s, scope) -> None:
+    async def _call_all(self, fleet, entry, note_answer, scope) -> None:
         async def call_in_turn() -> None:
             for _ in range(self.REQUESTS // self.AT_ONCE):
-                begin_s = trio.current_time()
                 answer = await fleet.call_at(entry.callers_address, "/look/x", request_fields())
                 assert answer.status == 200
-                times_s.append(trio.current_time() - begin_s)
+                note_answer()
 
         async with trio.open_nursery() as nursery:
             for _ in range(self.AT_ONCE):
