--- a/packages/testing/tests/platform/test_malformed.py
+++ b/packages/testing/tests/platform/test_malformed.py
@@ -215,3 +215,19 @@
             decode_hello(data)
         except DocumentInvalid:
             return
+
+    @settings(max_examples=300, deadline=None)
+    @given(st.sampled_from(["pace", "running", "queued", "born"]), ANY_JSON)
+    def test_report_with_any_value_is_one_or_a_typed_error(self, name, value):
+        body = json.dumps({"pace": 1.0, "running": 2, "queued": 0, name: value}).encode()
+        try:
+            report = PlatformDialect().read_report(200, body)
+        except DocumentInvalid:
+            return
+        assert not report.pace < 1.0
+
+    @settings(max_examples=200, deadline=None)
+    @given(st.binary(max_size=300))
+    def test_report_of_any_bytes_is_a_typed_error(self, data):
+        with pytest.raises(DocumentInvalid):
+            PlatformDialect().read_report(200, data)
