Keep the reason of a move with its attempt; divide pace and sight by job

Cause: the reason for which a prompt was to move elsewhere was kept for the whole request. Where the attempt then ended by itself, not run (a reservation that fails), the next attempt's failure was logged as a move and not counted against its engine. Found in review; test red before (cause of attempt 2: "an engine is 20.0 times slower" for a reset connection), green after. Change: `WaitingAttempt` holds scope and reason of one attempt; waiting attempts, the decision to move and the duty to ask for reports have modules of their own. Nothing else decides differently.

--- a/packages/proxy/src/sassafrastally/proxy/attempt.py
+++ b/packages/proxy/src/sassafrastally/proxy/attempt.py
@@ -97,7 +97,7 @@
                     return bytes(event.data)
                 if isinstance(event, h11.EndOfMessage):
                     return None
-        raise silence()
+        raise _silent()
 
     async def read(self) -> bytes:
         """Return the whole body; raises `AttemptUnknown` when it ends early."""
@@ -160,7 +160,7 @@
             with waiting or trio.CancelScope():
                 answer = await self._exchange(connection, request, head)
             if answer is None:
-                raise silence()
+                raise _silent()
             yield answer
             is_kept = _is_reusable(connection)
         finally:
@@ -228,7 +228,7 @@
                 raise AttemptUnknown(f"closed without an answer to {request_id}")
 
 
-def silence() -> AttemptUnknown:
+def _silent() -> AttemptUnknown:
     """Return the error of an attempt on which nothing came in time."""
     error = AttemptUnknown(SILENT)
     error.is_silence = True
--- a/packages/proxy/src/sassafrastally/proxy/generation.py
+++ b/packages/proxy/src/sassafrastally/proxy/generation.py
@@ -4,7 +4,6 @@
 
 import math
 from contextlib import ExitStack
-from functools import partial
 from typing import TYPE_CHECKING
 
 import trio
@@ -17,14 +16,14 @@
 from sassafrastally.proxy.log_events import RequestAnswered
 from sassafrastally.proxy.metrics import count_answer
 from sassafrastally.proxy.model import Helper
-from sassafrastally.proxy.pace import is_worth_moving, remaining_s
+from sassafrastally.proxy.moving import is_worth_moving, remaining_s
 from sassafrastally.proxy.placement import place_request
 from sassafrastally.proxy.plan import most_prompt_tokens
 from sassafrastally.proxy.refusals import MAY_HAVE_RUN, NO_ROOM, NO_SERVER, TOO_LONG, TURNED_AWAY
-from sassafrastally.proxy.sight import WaitingAttempt
 from sassafrastally.proxy.slowness import slow_event_time_s
 from sassafrastally.proxy.task import RequestTask, Stopped
 from sassafrastally.proxy.turning_away import is_hopeless
+from sassafrastally.proxy.waiting_attempts import WaitingAttempt
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -77,7 +76,6 @@
         self._previous_s = 0.0
         self._longest_pause_s = 0.0
         self._considered_s = -math.inf
-        self._moving_reason = ""
 
     async def run(self) -> Stopped | None:
         """Answer the request; return why it wasn't answered, or not to the end."""
@@ -141,67 +139,66 @@
         memory = {holding.server.life_id: holding.tokens for holding in placement.holdings}
         flight = Flight(server.life_id, placement.lane, memory, placement.parts)
         self._path.sight.ledger.add(flight, begin_s)
+        waiting = trio.CancelScope(deadline=trio.current_time() + self._first_limit_s(placement))
+        attempt = WaitingAttempt(
+            tuple(part.life_id for part in placement.parts),
+            begin_s,
+            placement.predicted_s,
+            waiting,
+            self._consider_moving,
+        )
         try:
-            return await self._exchange(placement, flight, begin_s)
+            return await self._exchange(placement, flight, attempt)
         except AttemptNotRun as cause:
             self._note_not_run(server, begin_s, cause, placement.helpers)
         except AttemptUnknown as cause:
-            if self._moving_reason:
-                self._note_given_up(server, begin_s, self._moving_reason)
-                self._moving_reason = ""
+            if attempt.moving_reason:
+                self._note_given_up(server, begin_s, attempt.moving_reason)
             else:
                 self._note_unknown(server, begin_s, cause)
         finally:
             self._path.sight.ledger.remove(flight, self._clock.now_s())
         return False
 
-    async def _exchange(self, placement: Placement, flight: Flight, begin_s: float) -> bool:
+    async def _exchange(
+        self, placement: Placement, flight: Flight, attempt: WaitingAttempt
+    ) -> bool:
         task = self._task
         helpers = tuple(Helper(server) for server in placement.helpers)
-        terms = self._terms(placement.server, begin_s, self._last_event_id, helpers)
-        waiting = trio.CancelScope(deadline=trio.current_time() + self._first_limit_s(placement))
-        waiting_attempt = WaitingAttempt(
-            tuple(part.life_id for part in placement.parts),
-            begin_s,
-            placement.predicted_s,
-            partial(self._consider_moving, placement, begin_s, waiting),
-        )
+        terms = self._terms(placement.server, attempt.begin_s, self._last_event_id, helpers)
         with ExitStack() as until_begun:
-            until_begun.enter_context(self._path.sight.waiting(waiting_attempt))
+            until_begun.enter_context(self._path.sight.waiting_attempts.hold(attempt))
             async with (
                 self._path.reservations.hold(placement.holdings[1:]) as reserved,
                 self._path.attempts.send(
                     task.request,
                     terms._replace(helpers=_with_reservations(terms.helpers, reserved)),
                     may_reuse=task.route.is_repeatable,
-                    waiting=waiting,
+                    waiting=attempt.waiting,
                 ) as answer,
             ):
                 until_begun.close()
-                self._moving_reason = ""
+                attempt.moving_reason = ""  # The answer came before the wait was ended.
                 self._path.sight.note_load(placement.server.life_id, answer.facts.load)
                 if answer.status >= 300:
                     return await self._pass_failure(placement, answer)
                 await self._pass_stream(placement, flight, answer)
                 return True
 
-    def _consider_moving(
-        self, placement: Placement, begin_s: float, waiting: trio.CancelScope, pace: float
-    ) -> None:
+    def _consider_moving(self, attempt: WaitingAttempt, pace: float) -> None:
         """Give an attempt up that waits for a slow engine, if another place is much sooner."""
         now_s = self._clock.now_s()
         if not self._can_go_elsewhere() or now_s - self._considered_s < RECONSIDER_S:
             return
         self._considered_s = now_s
-        left_s = remaining_s(now_s - begin_s, placement.predicted_s, pace)
+        left_s = remaining_s(now_s - attempt.begin_s, attempt.predicted_s, pace)
         goal_left_s = self._goal_s() - (now_s - self._task.request.arrived_s)
         elsewhere = self._place()
         if elsewhere and is_worth_moving(left_s, elsewhere.predicted_s, goal_left_s):
-            self._moving_reason = (
+            attempt.give_up(
                 f"an engine is {pace:.1f} times slower: {left_s:.2f} s more, "
                 f"{elsewhere.predicted_s:.2f} s elsewhere"
             )
-            waiting.cancel()
 
     def _first_limit_s(self, placement: Placement) -> float:
         """Return how long to wait for an engine's first event.
--- a/packages/proxy/src/sassafrastally/proxy/model.py
+++ b/packages/proxy/src/sassafrastally/proxy/model.py
@@ -194,8 +194,6 @@
 
     pace: float
     """How many times slower than its figures it works."""
-    running: int
-    waiting: int
     born_ms: int | None
     """When it started; ``None`` where it doesn't say."""
 
--- a/packages/proxy/src/sassafrastally/proxy/placement.py
+++ b/packages/proxy/src/sassafrastally/proxy/placement.py
@@ -45,19 +45,18 @@
         As for `place_prompt`.
     """
     usual = [view for view in views if view.pace < SLOW_PACE]
+    has_slow = 0 < len(usual) < len(views)
     plans = []
-    for candidates in (usual, views) if len(usual) < len(views) else (views,):
+    for candidates in (usual, views) if has_slow else (views,):
+        if not candidates:
+            continue
         lanes = split_lanes(candidates, figures, scatter)
-        plan = (
-            place_prompt(lanes, lane, prompt, goal_s, figures, limits, scatter)
-            if candidates
-            else None
-        )
-        if plan is not None:
-            sizes = f"{len(lanes.long)}+{len(lanes.short)}"
-            plans.append(plan._replace(lanes=sizes))
-            if plan.predicted_s <= goal_s:
-                break
+        plan = place_prompt(lanes, lane, prompt, goal_s, figures, limits, scatter)
+        if plan is None:
+            continue
+        plans.append(plan._replace(lanes=f"{len(lanes.long)}+{len(lanes.short)}"))
+        if plan.predicted_s <= goal_s:
+            break
     return min(plans, key=lambda plan: plan.predicted_s, default=None)
 
 
--- /dev/null
+++ b/packages/proxy/src/sassafrastally/proxy/report_duty.py
@@ -0,0 +1,46 @@
+"""Which engines a process asks for their reports, and how often.
+
+The load that it answers: many entries before many engines. If each asked all, reports would cost
+more than they bring; so each engine is asked by one entry, which tells the others what is slow.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from sassafrastally.proxy.load import server_hash
+from sassafrastally.proxy.pace import SLOW_PACE
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+REPORT_INTERVAL_S = 1.0
+"""Time between two reports of an engine, to all entries together. A report costs as much as two
+connections; at one a second they cost a thousandth of what the requests are worth."""
+
+SLOW_INTERVAL_S = 0.5
+"""Time between two reports of a slow engine, so that one that has recovered is used again soon."""
+
+DOUBTED_INTERVAL_S = 0.3
+"""Time between two reports of an engine on which a late first event waits: what a report says is
+some hundred milliseconds old, so that asking more often brings nothing new."""
+
+
+def has_report_duty(life_id: str, own_host: str, hosts: Iterable[str]) -> bool:
+    """Return whether this entry asks an engine for its reports.
+
+    All entries choose alike. When one leaves, only its own engines change hands.
+    """
+    own_rank = _rank(life_id, own_host)
+    return all(_rank(life_id, host) < own_rank for host in hosts if host != own_host)
+
+
+def report_interval_s(pace: float, *, is_doubted: bool) -> float:
+    """Return the time between two reports of an engine."""
+    if is_doubted:
+        return DOUBTED_INTERVAL_S
+    return SLOW_INTERVAL_S if pace >= SLOW_PACE else REPORT_INTERVAL_S
+
+
+def _rank(life_id: str, host: str) -> int:
+    return server_hash(f"{host} {life_id}")
--- a/packages/proxy/src/sassafrastally/proxy/reports.py
+++ b/packages/proxy/src/sassafrastally/proxy/reports.py
@@ -11,8 +11,9 @@
 from sassafrastally.proxy.calls import CallClient
 from sassafrastally.proxy.dialect import DocumentInvalid
 from sassafrastally.proxy.log_events import EngineSlow, EngineUsual, ReportFailed
-from sassafrastally.proxy.pace import SLOW_PACE, USUAL_PACE, has_report_duty, report_interval_s
+from sassafrastally.proxy.pace import SLOW_PACE, USUAL_PACE
 from sassafrastally.proxy.peers import Peers
+from sassafrastally.proxy.report_duty import has_report_duty, report_interval_s
 from sassafrastally.proxy.sight import Sight
 from sassafrastally.proxy.store import AnswerLost
 
@@ -76,7 +77,7 @@
             for engine in self._due(engines):
                 self._asked_s[engine.life_id] = self.kernel.clock.now_s()
                 self._nursery.start_soon(self._ask, engine)
-            self._sight.tell_waiting()
+            self._sight.waiting_attempts.tell(self._sight.paces())
 
     def _engines(self) -> list[BackendServer]:
         configuration = self._beliefs.configuration
@@ -92,7 +93,7 @@
     def _due(self, engines: list[BackendServer]) -> list[BackendServer]:
         now_s = self.kernel.clock.now_s()
         hosts = self._peers.live_hosts()
-        doubted = self._sight.doubted()
+        doubted = self._sight.waiting_attempts.doubted(now_s)
         paces = self._sight.paces()
         due = []
         for engine in engines:
--- a/packages/proxy/src/sassafrastally/proxy/sight.py
+++ b/packages/proxy/src/sassafrastally/proxy/sight.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from contextlib import contextmanager
 from typing import TYPE_CHECKING, ClassVar
 
 import trio
@@ -14,15 +13,16 @@
 from sassafrastally.proxy.load import NO_WORK, Ledger, Work, WorkView, add_work, merge, server_hash
 from sassafrastally.proxy.log_events import ServerSuspected
 from sassafrastally.proxy.metrics import SUSPICIONS
-from sassafrastally.proxy.pace import SLOW_PACE, USUAL_PACE, Paces, is_overdue, slowest
+from sassafrastally.proxy.pace import SLOW_PACE, USUAL_PACE, Paces
 from sassafrastally.proxy.peers import Peers
 from sassafrastally.proxy.pool import CONNECT_TIME_S
 from sassafrastally.proxy.slowness import LEFT_ALONE_S, Slowness
 from sassafrastally.proxy.suspicion import Suspicion
 from sassafrastally.proxy.unseen import UnseenRequests
+from sassafrastally.proxy.waiting_attempts import WaitingAttempts
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterator
+    from collections.abc import Callable
 
     from sassafrastally.proxy.model import BackendServer, ServerLoad
 
@@ -31,34 +31,6 @@
 and both processes' turn."""
 
 
-class WaitingAttempt:
-    """An attempt whose first event is still due.
-
-    Attributes
-    ----------
-    life_ids
-        Engines that read its prompt.
-    begin_s
-        When it began.
-    predicted_s
-        Time to the first event that was predicted then.
-    on_slow
-        Called with the pace of the slowest of them, again and again while one is slow.
-    """
-
-    def __init__(
-        self,
-        life_ids: tuple[str, ...],
-        begin_s: float,
-        predicted_s: float,
-        on_slow: Callable[[float], None],
-    ) -> None:
-        self.life_ids = life_ids
-        self.begin_s = begin_s
-        self.predicted_s = predicted_s
-        self.on_slow = on_slow
-
-
 class Sight(Service):
     """Joins what this process knows with what its peers tell."""
 
@@ -68,10 +40,10 @@
     def __init__(self, ledger: Ledger) -> None:
         self.ledger = ledger
         self.suspicion = Suspicion()
+        self.waiting_attempts = WaitingAttempts()
         self._unseen = UnseenRequests()
         self._slowness = Slowness()
         self._paces = Paces()
-        self._waiting: set[WaitingAttempt] = set()
         self._probing: set[str] = set()
         self.ask_report: Callable[[BackendServer, str], None] | None = None
         """Asks an engine for its report on behalf of a request; notes a failure if none comes."""
@@ -153,35 +125,6 @@
         if pace >= SLOW_PACE:
             self.ledger.note_change()  # So that peers hear of it at once.
 
-    @contextmanager
-    def waiting(self, attempt: WaitingAttempt) -> Iterator[None]:
-        """Tell an attempt of slow engines while the block runs."""
-        self._waiting.add(attempt)
-        try:
-            yield
-        finally:
-            self._waiting.discard(attempt)
-
-    def doubted(self) -> set[str]:
-        """Return the engines on which late first events wait."""
-        now_s = self.kernel.clock.now_s()
-        return {
-            life_id
-            for attempt in self._waiting
-            if is_overdue(now_s - attempt.begin_s, attempt.predicted_s)
-            for life_id in attempt.life_ids
-        }
-
-    def tell_waiting(self) -> None:
-        """Tell the attempts that wait for a slow engine's part."""
-        paces = self.paces()
-        if not paces:
-            return
-        for attempt in list(self._waiting):
-            pace = slowest(paces, attempt.life_ids)
-            if pace >= SLOW_PACE:
-                attempt.on_slow(pace)
-
     def _own_paces(self) -> dict[int, float]:
         slow = self._paces.slow(self.kernel.clock.now_s())
         return {server_hash(life_id): pace for life_id, pace in slow.items()}
--- a/packages/proxy/tests/test_decisions.py
+++ b/packages/proxy/tests/test_decisions.py
@@ -20,15 +20,11 @@
     ServerLoad,
     ServiceShare,
 )
-from sassafrastally.proxy.pace import (
-    BELIEVED_S,
-    Paces,
-    has_report_duty,
-    is_worth_moving,
-    remaining_s,
-)
+from sassafrastally.proxy.moving import is_worth_moving, remaining_s
+from sassafrastally.proxy.pace import BELIEVED_S, Paces
 from sassafrastally.proxy.peer_messages import Hello, decode_hello, encode_hello
 from sassafrastally.proxy.plain_placement import place_plain
+from sassafrastally.proxy.report_duty import has_report_duty
 from sassafrastally.proxy.routes import RouteTable, choose_service
 from sassafrastally.proxy.slowness import Slowness, slow_event_time_s
 from sassafrastally.proxy.suspicion import Suspicion
--- a/packages/testing/tests/platform/test_path.py
+++ b/packages/testing/tests/platform/test_path.py
@@ -3,13 +3,16 @@
 from __future__ import annotations
 
 import json
+from contextlib import asynccontextmanager
 from functools import partial
 
 import h11
 import trio
 
 from sassafrastally.core import Address
+from sassafrastally.proxy.attempt import AttemptNotRun
 from sassafrastally.proxy.calls import CallClient
+from sassafrastally.proxy.path import RequestPath
 from sassafrastally.proxy.sight import Sight
 from sassafrastally.testing.platform_fleet import (
     KEY,
@@ -289,6 +292,51 @@
         _, second = arrivals(served)
         assert str(helper.address) not in second.request.headers["helpers"]
 
+    async def test_move_that_came_to_nothing_does_not_excuse_the_next_failure(
+        self, served, monkeypatch
+    ):
+        """While memory is being reserved for a dossier, one of its engines turns slow, and the
+        dossier is to move. The reservation fails by itself, so that nothing moves. The next engine
+        resets the connection; logged as the move, that failure would name a wrong cause and
+        wouldn't count against its engine."""
+        for number in range(3, 9):
+            await served.add_replica(f"engine-{number}")
+        kernel = served.kernels[0]
+        path, sight = kernel.get("path", RequestPath), kernel.get("sight", Sight)
+        hold = path.reservations.hold
+        tries = []
+
+        @asynccontextmanager
+        async def hold_after_a_slow_engine_is_known(holdings):
+            tries.append(holdings)
+            if len(tries) == 1:
+                placed = kernel.events.records()[-1]
+                assert placed["name"] == "RequestPlaced"
+                helper = served.replicas[placed["fields"]["helpers"][0]]
+                helper.engine.pace = 20.0
+                await until(sight.paces, 5.0)
+                await trio.sleep(0.5)
+                failure = AttemptNotRun("no memory")
+                failure.is_servers_fault = False
+                raise failure
+            async with hold(holdings) as reserved:
+                yield reserved
+
+        async def reset(_arrival, connection) -> None:
+            await connection.reset()
+
+        monkeypatch.setattr(path.reservations, "hold", hold_after_a_slow_engine_is_known)
+        for replica in served.replicas.values():
+            monkeypatch.setattr(replica, "_stream", reset)
+        await served.call("/dossier/x", prompt="182000,340", headers={"Deadline-Ms": "5000"})
+        causes = [
+            record["fields"]["cause"]
+            for record in kernel.events.records()
+            if record["name"] == "AttemptFailed"
+        ]
+        assert len(causes) == 2
+        assert "slower" not in causes[1]
+
 
 class TestContinuing:
     """Streams that break off."""
