--- a/packages/testing/tests/platform/test_path.py
+++ b/packages/testing/tests/platform/test_path.py
@@ -45,6 +45,15 @@
     return answer
 
 
+def failure_causes(kernel) -> list[str]:
+    """Return why attempts failed, in their order."""
+    return [
+        record["fields"]["cause"]
+        for record in kernel.events.records()
+        if record["name"] == "AttemptFailed"
+    ]
+
+
 def event_ids(body: bytes) -> list[int]:
     """Return the ids of a stream's events in the order in which they came."""
     return [int(line[3:]) for line in body.decode().splitlines() if line.startswith("id:")]
@@ -291,6 +300,8 @@
         assert answers[0].is_whole
         _, second = arrivals(served)
         assert str(helper.address) not in second.request.headers["helpers"]
+        (cause,) = failure_causes(served.kernels[0])
+        assert "20.0 times slower" in cause
 
     async def test_move_that_came_to_nothing_does_not_excuse_the_next_failure(
         self, served, monkeypatch
@@ -329,11 +340,7 @@
         for replica in served.replicas.values():
             monkeypatch.setattr(replica, "_stream", reset)
         await served.call("/dossier/x", prompt="182000,340", headers={"Deadline-Ms": "5000"})
-        causes = [
-            record["fields"]["cause"]
-            for record in kernel.events.records()
-            if record["name"] == "AttemptFailed"
-        ]
+        causes = failure_causes(kernel)
         assert len(causes) == 2
         assert "slower" not in causes[1]
 
