Ask the store less at starts and while it is lost

Cause: each entry that starts made six calls (everything, a lease, its address, the others' addresses, a watch until it knew of others), and each one tried a lost store twice a second. Ruled out: watches of entries on duty, two calls a second in all. Change: addresses come with the first reading and the watch; an address that a former process wrote is renewed, not written again; a starter waits 0.4 s to hear of others before it watches; six entries (the relays, where there are) try a lost store often, the rest every 1.5 s at the longest. By the test, a killed entry that starts again reads everything and renews its lease.

--- a/packages/proxy/src/sassafrastally/proxy/announcing.py
+++ b/packages/proxy/src/sassafrastally/proxy/announcing.py
@@ -11,7 +11,9 @@
 from sassafrastally.proxy.log_events import StoreLost
 
 if TYPE_CHECKING:
-    from sassafrastally.core import Kernel
+    from collections.abc import Iterable, Sequence
+
+    from sassafrastally.core import Kernel, KvEntry, KvEvent
     from sassafrastally.proxy.beliefs import Beliefs
     from sassafrastally.proxy.peer_table import PeerTable
     from sassafrastally.proxy.settings import ProxySettings
@@ -23,7 +25,7 @@
 
 
 class Announcing:
-    """Writes an entry's address and learns those of the others.
+    """Keeps an entry's address in the store, and takes those of the others from there.
 
     Parameters
     ----------
@@ -54,43 +56,59 @@
         self._settings = settings
         self._store = store
         self._prefix = prefix
+        self._key = prefix + settings.host
         self._beliefs = beliefs
         self._table = table
+        self._has_read = trio.Event()
+        self._lease_id = 0
+
+    def note_entries(self, entries: Iterable[KvEntry | KvEvent]) -> None:
+        """Take addresses from what was read of the store."""
+        now_s = self._kernel.clock.now_s()
+        for entry in entries:
+            if entry.key.startswith(self._prefix) and entry.value is not None:
+                host = entry.key.removeprefix(self._prefix)
+                self._table.know(host, entry.value.decode(errors="replace"), now_s)
+
+    def note_snapshot(self, entries: Sequence[KvEntry]) -> None:
+        """Take everything that stands in the store, this entry's own address too.
+
+        A process that starts again within a minute finds the one that it wrote before, and renews
+        its lease: one call at the price of a read, where a new lease and a write are two.
+        """
+        self.note_entries(entries)
+        for entry in entries:
+            if entry.key == self._key and not self._has_read.is_set():
+                self._lease_id = entry.lease_id
+        self._has_read.set()
 
     async def run(self) -> None:
-        """Keep the address in the store, until cancelled."""
+        """Keep the address in the store, until cancelled.
+
+        Of two entries that start together and both read before either wrote, each finds the other
+        by the watch, which they begin only after their reading.
+        """
+        await self._has_read.wait()
         pause_s = 0.1
-        lease_id = 0
         while True:
             try:
-                if lease_id == 0:
-                    # Written before the others are read: of two entries that start together, the
-                    # one that writes last then finds the other.
-                    lease_id = await self._write_address()
-                    await self._learn()
+                if self._lease_id == 0:
+                    self._lease_id = await self._write_address()
                 else:
-                    await self._store.keep_lease(lease_id)
+                    await self._store.keep_lease(self._lease_id)
                 pause_s = ANNOUNCED_S / 3
             except (LeaseLost, KvConflict):
-                lease_id, pause_s = 0, 0.1
+                self._lease_id, pause_s = 0, 0.1
             except (KvUnavailable, MaybeApplied) as cause:
                 self._note_store_lost(cause)
                 pause_s = min(ANNOUNCED_S / 6, 2 * pause_s)
             await trio.sleep(pause_s * self._kernel.random.uniform(0.7, 1.0))
 
-    async def _learn(self) -> None:
-        now_s = self._kernel.clock.now_s()
-        for entry in (await self._store.read_prefix(self._prefix)).entries:
-            data_centre = entry.value.decode(errors="replace")
-            self._table.know(entry.key.removeprefix(self._prefix), data_centre, now_s)
-
     async def _write_address(self) -> int:
-        key = self._prefix + self._settings.host
         lease_id = await self._store.grant_lease(ANNOUNCED_S)
         any_revision = -1
-        await self._store.write(
-            [KvWrite(key, self._settings.data_centre.encode(), any_revision, lease_id)]
-        )
+        value = self._settings.data_centre.encode()
+        await self._store.write([KvWrite(self._key, value, any_revision, lease_id)])
         return lease_id
 
     def _note_store_lost(self, cause: Exception) -> None:
--- a/packages/proxy/src/sassafrastally/proxy/peer_table.py
+++ b/packages/proxy/src/sassafrastally/proxy/peer_table.py
@@ -9,7 +9,7 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from sassafrastally.proxy.load import add_work
-from sassafrastally.proxy.sharing import Member, is_relay, tells_all
+from sassafrastally.proxy.sharing import FIRST_IN_LINE, RELAYS, Member, is_first, tells_all
 from sassafrastally.proxy.watch_duty import OtherEntry, watchers
 
 if TYPE_CHECKING:
@@ -208,8 +208,18 @@
 
     def is_relay(self, now_s: float) -> bool:
         """Return whether this entry tells the sum of its data centre."""
-        members = (_member(peer) for peer in self.near(now_s))
-        return self.has_relay(now_s) and is_relay(self._own, members)
+        near = map(_member, self.near(now_s))
+        return self.has_relay(now_s) and is_first(self._own, near, RELAYS)
+
+    def knows_others(self) -> bool:
+        """Return whether the address of another entry is known."""
+        return bool(self._peers)
+
+    def is_first_in_line(self, now_s: float) -> bool:
+        """Return whether this entry is one of the few that try a lost store often."""
+        if self.has_relay(now_s):
+            return self.is_relay(now_s)
+        return is_first(self._own, map(_member, self.live(now_s)), FIRST_IN_LINE)
 
     def has_relay(self, now_s: float) -> bool:
         """Return whether some entry tells the sum of this data centre."""
--- a/packages/proxy/src/sassafrastally/proxy/peers.py
+++ b/packages/proxy/src/sassafrastally/proxy/peers.py
@@ -26,8 +26,9 @@
 from sassafrastally.proxy.watch_duty import OtherEntry
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable, Mapping
+    from collections.abc import Callable, Iterable, Mapping, Sequence
 
+    from sassafrastally.core import KvEntry, KvEvent
     from sassafrastally.proxy.dialect import Dialect
     from sassafrastally.proxy.load import Ledger, Work
     from sassafrastally.proxy.settings import ProxySettings
@@ -87,7 +88,7 @@
         self._catching_up = CatchingUp(
             self.kernel, self._beliefs, self._sources, self._waits_for_near
         )
-        announcing = Announcing(
+        self._announcing = Announcing(
             self.kernel,
             self._settings,
             self._store,
@@ -99,12 +100,28 @@
         nursery.start_soon(self._receive)
         nursery.start_soon(self._send)
         nursery.start_soon(self._send_sums)
-        nursery.start_soon(announcing.run)
+        nursery.start_soon(self._announcing.run)
 
     async def stop(self) -> None:
         """Tell the peers that this entry is leaving."""
         self._is_stopping = True
 
+    def note_snapshot(self, entries: Sequence[KvEntry]) -> None:
+        """Take the entries' addresses from all that stands in the store."""
+        self._announcing.note_snapshot(entries)
+
+    def note_changes(self, events: Sequence[KvEvent]) -> None:
+        """Take the entries' addresses from changes of the store."""
+        self._announcing.note_entries(events)
+
+    def knows_others(self) -> bool:
+        """Return whether the address of another entry is known."""
+        return self._table.knows_others()
+
+    def is_first_in_line(self) -> bool:
+        """Return whether this entry tries a store that answers nobody more often than others."""
+        return self._table.is_first_in_line(self._now_s)
+
     def live_count(self) -> int:
         """Return the number of other live entries."""
         return self._table.entries(self._now_s) - 1
--- a/packages/proxy/src/sassafrastally/proxy/sharing.py
+++ b/packages/proxy/src/sassafrastally/proxy/sharing.py
@@ -25,6 +25,11 @@
 RELAYS = 2
 """Entries of a data centre that tell the others its sum. When one dies, the other one's goes on."""
 
+FIRST_IN_LINE = 6
+"""Entries that try a store which answers nobody twice a second. Each refused call is paid for, and
+the first that is answered tells all others; six also find a store that turns a third of the entries
+away."""
+
 FAR_NEWS_MS = 250.0
 """Reading on one engine of which other data centres hear at once: what is shorter is over when they
 would act on it, since they hear of it a quarter of a second later anyway."""
@@ -44,17 +49,20 @@
     return peers <= MOST_TOLD
 
 
-def is_relay(own: Member, others: Iterable[Member]) -> bool:
-    """Return whether an entry tells other data centres the sum of its own.
+def is_first(own: Member, others: Iterable[Member], count: int) -> bool:
+    """Return whether an entry is among the first of several, fastest links first.
 
-    All choose alike. The fastest links do it: a sum goes to every entry of the other data centres.
+    All choose alike, so that nobody has to appoint the relays of a data centre: the fastest links
+    do it, since a sum goes to every entry of the other data centres.
 
     Parameters
     ----------
     own
         The entry.
     others
-        The live entries of its data centre.
+        The other live ones.
+    count
+        How many are chosen.
     """
     own_rank = link_rank(own.host, own.link_mbps)
     before = sum(
@@ -62,7 +70,7 @@
         for other in others
         if not other.is_stopping and link_rank(other.host, other.link_mbps) < own_rank
     )
-    return before < RELAYS
+    return before < count
 
 
 def is_news_afar(known: Mapping[int, Work], told: Mapping[int, Work]) -> bool:
--- a/packages/proxy/src/sassafrastally/proxy/watch.py
+++ b/packages/proxy/src/sassafrastally/proxy/watch.py
@@ -39,6 +39,14 @@
 """Pause after a failed call, doubled with each one in a row, with jitter: entries must not return
 all at once to a store that has just come back, and must be back well within two seconds."""
 
+IN_LINE_PAUSE_S = 1.5
+"""Longest pause of entries that leave it to a few others to try a lost store often. Should it
+answer none of those, it is still found within the two seconds."""
+
+FIRST_HEARING_S = 0.4
+"""How long an entry that starts waits to hear of the others before it watches itself. Most find
+that others do; until then each start cost a call that waits."""
+
 
 class StoreWatch(Service):
     """Keeps `Beliefs` up to date from the store."""
@@ -66,12 +74,13 @@
                 continue
             try:
                 if must_read:
-                    self._beliefs.replace(await self._store.read_prefix(EVERYTHING), "store")
-                    must_read = False
-                    self._note_regained()
+                    await self._read_everything()
+                    must_read, pause_s = False, FIRST_PAUSE_S
+                    continue
                 changes = await self._store.watch(EVERYTHING, self._beliefs.revision, WAIT_S)
                 self._note_regained()
                 configuration = self._beliefs.configuration
+                self._peers.note_changes(changes.events)
                 self._beliefs.apply(changes.events, changes.revision, "store")
                 pause_s = FIRST_PAUSE_S
                 if self._beliefs.configuration is not configuration:
@@ -82,7 +91,19 @@
             except KvUnavailable as cause:
                 self._note_lost(cause)
                 await trio.sleep(pause_s * self.kernel.random.uniform(0.5, 1.0))
-                pause_s = min(LONGEST_PAUSE_S, 2 * pause_s)
+                pause_s = min(self._longest_pause_s(), 2 * pause_s)
+
+    async def _read_everything(self) -> None:
+        snapshot = await self._store.read_prefix(EVERYTHING)
+        is_first = self._beliefs.revision == 0
+        self._beliefs.replace(snapshot, "store")
+        self._note_regained()
+        self._peers.note_snapshot(snapshot.entries)
+        if is_first and self._peers.knows_others():
+            await trio.sleep(FIRST_HEARING_S)
+
+    def _longest_pause_s(self) -> float:
+        return LONGEST_PAUSE_S if self._peers.is_first_in_line() else IN_LINE_PAUSE_S
 
     def _has_duty(self) -> bool:
         """Return whether this entry watches; note when it takes the watch over.
--- a/packages/proxy/tests/test_sharing.py
+++ b/packages/proxy/tests/test_sharing.py
@@ -10,7 +10,7 @@
 from sassafrastally.proxy.load import Flight, Lane, Ledger, Work
 from sassafrastally.proxy.peer_messages import Hello, decode_hello, encode_hello
 from sassafrastally.proxy.peer_table import SUM_WAY_S, PeerTable
-from sassafrastally.proxy.sharing import MOST_TOLD, RELAYS, Member, is_news_afar, is_relay
+from sassafrastally.proxy.sharing import MOST_TOLD, RELAYS, Member, is_first, is_news_afar
 from sassafrastally.proxy.watch_duty import WATCHERS, OtherEntry, has_duty
 
 STEP_S = 0.25
@@ -247,7 +247,7 @@
         chosen = [
             own.host
             for own in members
-            if is_relay(own, [other for other in members if other is not own])
+            if is_first(own, [other for other in members if other is not own], RELAYS)
         ]
         assert set(chosen) - {"h0"} == {"h1", "h2"}
         assert len(set(chosen) - {"h0"}) == RELAYS
--- a/packages/testing/src/sassafrastally/testing/platform_fleet.py
+++ b/packages/testing/src/sassafrastally/testing/platform_fleet.py
@@ -8,6 +8,7 @@
 
 import json
 import secrets
+from collections import Counter
 from contextlib import asynccontextmanager
 from typing import TYPE_CHECKING, Any, NamedTuple
 
@@ -127,6 +128,8 @@
         self.kernels: list[Kernel] = []
         self.cut_from_store: set[int] = set()
         """Numbers of the entries whose calls don't reach the store."""
+        self.store_calls: Counter[tuple[int, str]] = Counter()
+        """Calls of the store by number of the entry and path."""
         self._nursery = nursery
         self._by_address: dict[Address, Replica] = {}
         self._ports = 20_000 + secrets.randbelow(12_000)
@@ -186,6 +189,7 @@
         async def exchange(
             method: str, target: str, body: bytes, time_limit_s: float
         ) -> tuple[int, bytes]:
+            self.store_calls[number, "/" + target.split("?")[0].split("/")[1]] += 1
             if number in self.cut_from_store:
                 raise AnswerLost("cut off")
             return await calls.exchange(method, target, [], body, time_limit_s)
--- a/packages/testing/tests/platform/test_entries.py
+++ b/packages/testing/tests/platform/test_entries.py
@@ -14,6 +14,7 @@
 from sassafrastally.proxy.path import RequestPath
 from sassafrastally.proxy.peer_messages import encode_delta
 from sassafrastally.proxy.peers import Peers
+from sassafrastally.proxy.sharing import link_rank
 from sassafrastally.proxy.sight import Sight
 from sassafrastally.testing.platform_fleet import (
     exchange_on,
@@ -246,6 +247,52 @@
         assert await connections.take(beliefs.server("desk-1")) is None
 
 
+class TestCallsOfTheStore:
+    """What the store is asked, and by how many."""
+
+    async def test_entry_that_starts_finds_the_others_and_does_not_watch(self, fleet):
+        """All entries are killed and start together. Each wrote its address, read the others', and
+        watched until it knew that others do: six calls each, and each call is paid for."""
+        numbers = sorted((1, 2, 3, 4), key=lambda n: link_rank(fleet.entry_settings(n).host, 1000))
+        for number in numbers[:3]:
+            await fleet.add_entry(number)
+        last = numbers[3]
+        kernel = await fleet.add_entry(last)
+        await until(lambda: kernel.get("peers", Peers).live_count() == 3)
+        await trio.sleep(0.8)
+        calls = {
+            path: count for (number, path), count in fleet.store_calls.items() if number == last
+        }
+        assert calls == {"/kv-range": 1, "/kv-lease": 1, "/kv-txn": 1}
+
+    async def test_entry_that_starts_again_renews_its_address(self, fleet):
+        """A killed process is back within a second; its address still stands in the store."""
+        settings, store = fleet.entry_settings(1), fleet.store_client(1)
+        for _ in range(2):
+            async with trio.open_nursery() as nursery:
+                await nursery.start(make_kernel(settings, PlatformDialect(), store).run)
+                await trio.sleep(0.3)
+                nursery.cancel_scope.cancel()
+        assert fleet.store_calls[1, "/kv-txn"] == fleet.store_calls[1, "/kv-lease"] == 1
+        assert fleet.store_calls[1, "/kv-keep"] == 1
+
+    async def test_lost_store_is_tried_often_by_few(self, fleet):
+        """The store turns all away for some seconds. Each entry tried it twice a second; the first
+        that is answered tells the others, so that six of them are enough."""
+        entries = [await fleet.add_entry(number) for number in range(1, 13)]
+        await until(lambda: all(k.get("peers", Peers).live_count() == 11 for k in entries))
+        fleet.store.refuses_with = 503
+        await trio.sleep(4.0)
+        fleet.store_calls.clear()
+        await trio.sleep(3.0)
+        tries = sorted(fleet.store_calls[number, "/kv-watch"] for number in range(1, 13))
+        assert tries[5] <= 4
+        assert tries[6] >= 5
+        fleet.store.refuses_with = 0
+        fleet.configure(make_configuration(5))
+        await until(lambda: all(version_of(kernel) == 5 for kernel in entries), 2.0)
+
+
 class TestLapsedEntries:
     """Entries of servers that ran out while the store was away."""
 
