Answer short prompts in their own data centre where it has engines enough

Ruled out: the draw among equal engines; it is sized by the news of the own data centre, and wider draws only spread the same mistake. Change: where each data centre has at least 34 engines, lanes are split for each by itself, and a short prompt looks near by first; all engines are asked when it would be late there. Long prompts still take engines everywhere. The index of servers is made when it is asked for. Small twins have nine engines a data centre and don't change.

--- a/packages/proxy/src/sassafrastally/proxy/beliefs.py
+++ b/packages/proxy/src/sassafrastally/proxy/beliefs.py
@@ -13,6 +13,7 @@
 
 from sassafrastally.core import KvEntry, KvEvent, Service
 from sassafrastally.proxy.dialect import DocumentInvalid
+from sassafrastally.proxy.load import server_hash
 from sassafrastally.proxy.log_events import (
     ConfigurationInForce,
     DocumentRejected,
@@ -21,6 +22,7 @@
     ServerKnown,
     ServerLapsed,
 )
+from sassafrastally.proxy.pools import divide
 from sassafrastally.proxy.routes import RouteTable
 
 if TYPE_CHECKING:
@@ -54,6 +56,14 @@
     revision: int
 
 
+class _Index(NamedTuple):
+    """Live backend servers that aren't draining."""
+
+    by_service: dict[str, list[BackendServer]]
+    pools: dict[str, dict[str, list[BackendServer]]]
+    """By service and data centre, where these are fleets of their own."""
+
+
 class Beliefs(Service):
     """Configuration in force and known backend servers."""
 
@@ -81,15 +91,21 @@
         self._servers: dict[str, BackendServer] = {}
         self._lapsing: dict[str, float] = {}
         self._latest_born_ms: dict[str, int] = {}
-        self._by_service: dict[str, list[BackendServer]] = {}
+        self._index: _Index | None = None
         self._changes: dict[str, KvEvent] = {}
         self._changes_from = 0
 
     def servers_of(self, service: str) -> list[BackendServer]:
-        """Return the live backend servers of a service that aren't draining."""
-        if self._lapsing:
-            self._expire_lapsed()
-        return self._by_service.get(service, [])
+        """Return the live servers of a service that don't drain, in the order of all entries."""
+        return self._indexed().by_service.get(service, [])
+
+    def pool(self, service: str, data_centre: str) -> list[BackendServer] | None:
+        """Return those in one data centre; ``None`` where they aren't a fleet of their own."""
+        return self._indexed().pools.get(service, {}).get(data_centre)
+
+    def is_divided(self, service: str) -> bool:
+        """Return whether each data centre's servers of a service are a fleet of their own."""
+        return bool(self._indexed().pools.get(service))
 
     def server(self, server_id: str) -> BackendServer | None:
         """Return a known backend server."""
@@ -230,7 +246,7 @@
         if known == server:
             return
         self._servers[server.server_id] = server
-        self._index()
+        self._index = None
         self.kernel.events.emit(
             ServerKnown(
                 server.server_id,
@@ -265,7 +281,7 @@
 
     def _drop(self, server: BackendServer, source: str) -> None:
         del self._servers[server.server_id]
-        self._index()
+        self._index = None
         self.kernel.events.emit(ServerGone(server.server_id, server.service, source))
 
     def _expire_lapsed(self) -> None:
@@ -275,8 +291,19 @@
                 del self._lapsing[server_id]
                 self._drop(self._servers[server_id], "not back after an outage of the store")
 
-    def _index(self) -> None:
-        self._by_service = {}
-        for server in sorted(self._servers.values()):
-            if not server.is_draining:
-                self._by_service.setdefault(server.service, []).append(server)
+    def _indexed(self) -> _Index:
+        """Return the live servers by service.
+
+        Made when it is asked for: a process that starts takes hundreds of entries at once, and an
+        index for each of them took longer than all else that a start does with them.
+        """
+        if self._lapsing:
+            self._expire_lapsed()
+        if self._index is None:
+            by_service: dict[str, list[BackendServer]] = {}
+            for server in sorted(self._servers.values(), key=lambda one: server_hash(one.life_id)):
+                if not server.is_draining:
+                    by_service.setdefault(server.service, []).append(server)
+            pools = {service: divide(servers) for service, servers in by_service.items()}
+            self._index = _Index(by_service, pools)
+        return self._index
--- a/packages/proxy/src/sassafrastally/proxy/generation.py
+++ b/packages/proxy/src/sassafrastally/proxy/generation.py
@@ -12,13 +12,14 @@
 from sassafrastally.proxy.attempt import AttemptNotRun, AttemptUnknown
 from sassafrastally.proxy.event_stream import EventSplitter, StreamEvent
 from sassafrastally.proxy.lanes import Scatter, lane_of
-from sassafrastally.proxy.load import Flight
+from sassafrastally.proxy.load import Flight, Lane
 from sassafrastally.proxy.log_events import RequestAnswered
 from sassafrastally.proxy.metrics import count_answer
 from sassafrastally.proxy.model import Helper
 from sassafrastally.proxy.moving import is_worth_moving, remaining_s
 from sassafrastally.proxy.placement import place_request
 from sassafrastally.proxy.plan import most_prompt_tokens
+from sassafrastally.proxy.pools import stays_near
 from sassafrastally.proxy.refusals import MAY_HAVE_RUN, NO_ROOM, NO_SERVER, TOO_LONG, TURNED_AWAY
 from sassafrastally.proxy.slowness import slow_event_time_s
 from sassafrastally.proxy.task import RequestTask, Stopped
@@ -26,9 +27,10 @@
 from sassafrastally.proxy.waiting_attempts import WaitingAttempt
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
+    from collections.abc import Mapping, Sequence
 
     from sassafrastally.proxy.attempt import Answer
+    from sassafrastally.proxy.lanes import ServerView
     from sassafrastally.proxy.model import EngineFigures, PromptSize
     from sassafrastally.proxy.path import RequestPath
     from sassafrastally.proxy.plan import Placement
@@ -115,8 +117,15 @@
         )
 
     def _place(self) -> Placement | None:
-        views = self._path.sight.views(self._task.service, self.progress.tried)
-        scatter = Scatter(self._path.kernel.random, self._path.sight.news_age_s)
+        service, tried = self._task.service, self.progress.tried
+        if self._lane is Lane.SHORT and (near := self._path.sight.near_views(service, tried)):
+            plan = self._place_among(near)
+            if stays_near(plan, self._goal_s()):
+                return plan
+        return self._place_among(self._path.sight.views(service, tried))
+
+    def _place_among(self, views: Sequence[ServerView]) -> Placement | None:
+        sight = self._path.sight
         return place_request(
             views,
             self._lane,
@@ -124,7 +133,8 @@
             self._goal_s(),
             self._figures,
             self._limits,
-            scatter,
+            Scatter(self._path.kernel.random, sight.news_age_s),
+            by_centre=sight.is_divided(self._task.service),
         )
 
     def _goal_s(self) -> float:
--- a/packages/proxy/src/sassafrastally/proxy/lanes.py
+++ b/packages/proxy/src/sassafrastally/proxy/lanes.py
@@ -82,6 +82,26 @@
     return Lane.LONG if reading_ms(figures, prompt.prompt_tokens) > too_long_ms else Lane.SHORT
 
 
+def split_by_centre(
+    views: Sequence[ServerView], figures: EngineFigures, scatter: Scatter | None = None
+) -> Lanes:
+    """Divide the engines of each data centre by itself, as its own entries do.
+
+    Parameters
+    ----------
+    views, figures, scatter
+        As for `split_lanes`.
+    """
+    centres: dict[str, list[ServerView]] = {}
+    for view in views:
+        centres.setdefault(view.server.data_centre, []).append(view)
+    split = [split_lanes(of_one, figures, scatter) for of_one in centres.values()]
+    return Lanes(
+        tuple(view for lanes in split for view in lanes.long),
+        tuple(view for lanes in split for view in lanes.short),
+    )
+
+
 def split_lanes(
     views: Sequence[ServerView], figures: EngineFigures, scatter: Scatter | None = None
 ) -> Lanes:
--- a/packages/proxy/src/sassafrastally/proxy/placement.py
+++ b/packages/proxy/src/sassafrastally/proxy/placement.py
@@ -7,7 +7,7 @@
 
 from typing import TYPE_CHECKING
 
-from sassafrastally.proxy.lanes import split_lanes
+from sassafrastally.proxy.lanes import split_by_centre, split_lanes
 from sassafrastally.proxy.load import Lane
 from sassafrastally.proxy.long_placement import place_long
 from sassafrastally.proxy.pace import SLOW_PACE
@@ -30,6 +30,8 @@
     figures: EngineFigures,
     limits: ReadingLimits,
     scatter: Scatter,
+    *,
+    by_centre: bool = False,
 ) -> Placement | None:
     """Return where a prompt goes among all engines; ``None`` when none has room.
 
@@ -43,14 +45,17 @@
         The engines, in the shared order.
     lane, prompt, goal_s, figures, limits, scatter
         As for `place_prompt`.
+    by_centre
+        Whether each data centre's engines have lanes of their own.
     """
+    split = split_by_centre if by_centre else split_lanes
     usual = [view for view in views if view.pace < SLOW_PACE]
     has_slow = 0 < len(usual) < len(views)
     plans = []
     for candidates in (usual, views) if has_slow else (views,):
         if not candidates:
             continue
-        lanes = split_lanes(candidates, figures, scatter)
+        lanes = split(candidates, figures, scatter)
         plan = place_prompt(lanes, lane, prompt, goal_s, figures, limits, scatter)
         if plan is None:
             continue
--- a/packages/proxy/src/sassafrastally/proxy/short_placement.py
+++ b/packages/proxy/src/sassafrastally/proxy/short_placement.py
@@ -83,7 +83,8 @@
     latest_ms = first_event_ms(ranked[0], 0.0, figures) + limits.short_part_ms
     width = 1 + math.ceil(WINDOW_SHARE * unheard)
     window = [view for view in ranked[:width] if first_event_ms(view, 0.0, figures) <= latest_ms]
-    rest = [view for view in ranked if view not in window]
+    in_window = {id(view) for view in window}
+    rest = [view for view in ranked if id(view) not in in_window]
     drawn = []
     while window:
         pair = scatter.random.sample(window, min(2, len(window)))
--- a/packages/proxy/src/sassafrastally/proxy/sight.py
+++ b/packages/proxy/src/sassafrastally/proxy/sight.py
@@ -22,7 +22,7 @@
 from sassafrastally.proxy.waiting_attempts import WaitingAttempts
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Sequence
 
     from sassafrastally.proxy.model import BackendServer, ServerLoad
 
@@ -88,27 +88,41 @@
         avoid
             Servers that were tried for this request; left out.
         """
+        return self._views(self._beliefs.servers_of(service), avoid)
+
+    def near_views(self, service: str, avoid: set[str]) -> list[ServerView]:
+        """Return those of the own data centre, as `views`; none where they aren't enough."""
+        pool = self._beliefs.pool(service, self.kernel.data_centre)
+        return self._views(pool, avoid) if pool else []
+
+    def is_divided(self, service: str) -> bool:
+        """Return whether each data centre's servers of a service are a fleet of their own."""
+        return self._beliefs.is_divided(service)
+
+    def _views(self, servers: Sequence[BackendServer], avoid: set[str]) -> list[ServerView]:
         now_s = self.kernel.clock.now_s()
         work = self.work()
-        of_peers = self._peers.suspects()
-        slow = self._slowness.slow_servers(now_s)
+        left_alone = self._left_alone(now_s)
         paces = self.paces()
         views = [
             ServerView(
                 server,
-                self._with_unseen(server.life_id, work, now_s),
-                self.suspicion.is_suspect(server.life_id, now_s)
-                or server.life_id in slow
-                or of_peers.get(server_hash(server.life_id), 0.0) > 0,
-                paces.get(server.life_id, USUAL_PACE),
+                self._with_unseen(life_id, work, now_s),
+                life_id in left_alone or server_hash(life_id) in left_alone,
+                paces.get(life_id, USUAL_PACE),
             )
-            for server in self._beliefs.servers_of(service)
-            if server.life_id not in avoid
+            for server in servers
+            if (life_id := server.life_id) not in avoid
         ]
-        views.sort(key=lambda view: server_hash(view.server.life_id))
         trusted = [view for view in views if not view.is_suspect]
         return trusted or views
 
+    def _left_alone(self, now_s: float) -> set[str | int]:
+        """Return the servers to be left alone: own ones by id, those of peers by its hash."""
+        of_peers = (key for key, left_s in self._peers.suspects().items() if left_s > 0)
+        own = (self.suspicion.suspects(now_s), self._slowness.slow_servers(now_s))
+        return {*of_peers, *own[0], *own[1]}
+
     def paces(self) -> dict[str, float]:
         """Return the pace of each engine that is slow, as this process or a peer has heard."""
         of_peers = self._peers.paces()
--- /dev/null
+++ b/packages/proxy/tests/test_pools.py
@@ -0,0 +1,141 @@
+"""Engines of one data centre as a fleet of their own."""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+from typing import NamedTuple
+
+from sassafrastally.core import Address
+from sassafrastally.proxy.lanes import Scatter, ServerView, split_by_centre, split_lanes
+from sassafrastally.proxy.load import Lane, Work
+from sassafrastally.proxy.model import BackendServer, EngineFigures, PromptSize
+from sassafrastally.proxy.placement import place_request
+from sassafrastally.proxy.pools import LEAST_ENGINES, divide, stays_near
+from sassafrastally.proxy.reading_limits import ReadingLimits
+
+FIGURES = EngineFigures(
+    slots=5,
+    memory_tokens=405_000,
+    step_ms=1.31,
+    per_request_ms=0.0018,
+    context_ms_per_k=0.00213,
+    read_tokens_per_ms=154.0,
+    pairs_ms_per_million=0.162,
+    chunk_tokens=2048,
+    stride_steps=53,
+    hop_ms=0.1,
+)
+
+LIMITS = ReadingLimits(300.0, 69.0, 62.0, (210.0, 315.0), (600.0, 1080.0))
+
+SHORT = PromptSize(5000, 1300)
+GOAL_S = 0.42
+CENTRES = 5
+
+
+def server(number: int, centres: int = CENTRES) -> BackendServer:
+    """Return an engine; neighbours in the order lie in different data centres."""
+    centre = f"dc-{number % centres}"
+    return BackendServer(f"e{number:03}", "m", Address("10.0.0.1", number + 1), centre, 5, False)
+
+
+class Outcome(NamedTuple):
+    """What a replay counted, as shares of all short requests."""
+
+    overfilled: float
+    """Those that met an engine whose slots were all taken."""
+    far: float
+    """Those that another data centre answered."""
+
+
+class TestDivision:
+    """Where a data centre's engines are a fleet of their own."""
+
+    def test_many_engines_in_each(self):
+        pools = divide(server(number) for number in range(195))
+        assert sorted(pools) == [f"dc-{n}" for n in range(CENTRES)]
+        assert sum(len(pool) for pool in pools.values()) == 195
+
+    def test_not_with_too_few_in_one_or_one_data_centre_only(self):
+        assert divide(server(number) for number in range(45)) == {}
+        assert divide(server(number, 1) for number in range(100)) == {}
+        uneven = [server(n, 1) for n in range(100)]
+        uneven += [server(n, 2) for n in range(1, 2 * LEAST_ENGINES - 2, 2)]
+        assert divide(uneven) == {}
+
+    def test_lanes_of_a_data_centre_are_those_that_its_own_entries_see(self):
+        """An entry elsewhere reads a dossier in the lanes of all engines together; where these end
+        differently, it reads on engines that write short answers for their own data centre."""
+        views = [
+            ServerView(server(n), Work(short_requests=4 if n % CENTRES == 0 else 0))
+            for n in range(195)
+        ]
+        lanes = split_by_centre(views, FIGURES)
+        for centre in range(CENTRES):
+            near = [view for view in views if view.server.data_centre == f"dc-{centre}"]
+            seen_there = split_lanes(near, FIGURES)
+            assert set(seen_there.short) == {view for view in lanes.short if view in near}
+            assert set(seen_there.long) == {view for view in lanes.long if view in near}
+
+
+class TestBurst:
+    """A burst of short prompts at 68 entries before 195 engines."""
+
+    ENTRIES = 68
+    ENGINES = 195
+    RATE_PER_S = 330.0
+    NEAR_NEWS_S = 0.07
+    FAR_NEWS_S = 0.3
+    SECONDS = 3.0
+
+    def replay(self, *, is_near_first: bool) -> Outcome:
+        """Place a burst; entries hear of their own data centre soon, of others a sum later."""
+        draw = random.Random(11)
+        servers = [server(number) for number in range(self.ENGINES)]
+        scatter = Scatter(random.Random(3), self.NEAR_NEWS_S)
+        placed: list[tuple[float, float, int, str]] = []
+        asked = late = far = 0
+        now_s = 0.0
+        while now_s < self.SECONDS:
+            now_s += draw.expovariate(self.RATE_PER_S)
+            entry = draw.randrange(self.ENTRIES)
+            placed = [row for row in placed if row[1] > now_s]
+            running = Counter(row[3] for row in placed)
+            heard = Counter(row[3] for row in placed if self.has_heard(entry, row, now_s))
+            views = [ServerView(s, Work(short_requests=heard[s.server_id])) for s in servers]
+            centre = f"dc-{entry % CENTRES}"
+            near = [view for view in views if view.server.data_centre == centre]
+            plan = None
+            for choice in (near, views) if is_near_first else (views,):
+                plan = place_request(
+                    choice, Lane.SHORT, SHORT, GOAL_S, FIGURES, LIMITS, scatter, by_centre=True
+                )
+                if stays_near(plan, GOAL_S):
+                    break
+            asked += 1
+            if plan is None:
+                continue
+            late += running[plan.server.server_id] >= FIGURES.slots
+            far += plan.server.data_centre != centre
+            length_s = draw.uniform(0.9, 2.7)
+            placed.append((now_s, now_s + length_s, entry, plan.server.server_id))
+        return Outcome(late / asked, far / asked)
+
+    def has_heard(self, entry: int, row: tuple[float, float, int, str], now_s: float) -> bool:
+        """Return whether an entry knows of a request that another placed."""
+        begin_s, _, other, _ = row
+        if entry == other:
+            return True
+        is_near = entry % CENTRES == other % CENTRES
+        return begin_s < now_s - (self.NEAR_NEWS_S if is_near else self.FAR_NEWS_S)
+
+    def test_is_answered_near_by_and_meets_free_slots(self):
+        """Entries that choose among the engines of all data centres hear of most of them late, and
+        fill the same ones; four in five answers pass between data centres."""
+        everywhere = self.replay(is_near_first=False)
+        near_first = self.replay(is_near_first=True)
+        assert everywhere.far > 0.7
+        assert everywhere.overfilled > 0.5
+        assert near_first.far < 0.1
+        assert near_first.overfilled < 0.1
