Step in for the watchers a few at a time

Change: six step in at once, twice as many 0.3 s later, all after 0.9 s; the first watch of one that steps in waits 0.1 s, so that its answer is heard before the next ones step in.

--- a/packages/proxy/src/sassafrastally/proxy/watch.py
+++ b/packages/proxy/src/sassafrastally/proxy/watch.py
@@ -34,6 +34,10 @@
 LOOK_S = 0.1
 """How often an entry that doesn't watch looks whether it has to."""
 
+FIRST_WAIT_S = 0.1
+"""The same for the first watch of an entry that steps in: its answer tells the others that they
+needn't."""
+
 FIRST_PAUSE_S = 0.05
 LONGEST_PAUSE_S = 0.5
 """Pause after a failed call, doubled with each one in a row, with jitter: entries must not return
@@ -58,6 +62,7 @@
         self._store = store
         self._lost_since_s: float | None = None
         self._is_watching = True
+        self._wait_s = WAIT_S
 
     async def start(self, nursery: trio.Nursery) -> None:
         """Begin to follow."""
@@ -77,7 +82,8 @@
                     await self._read_everything()
                     must_read, pause_s = False, FIRST_PAUSE_S
                     continue
-                changes = await self._store.watch(EVERYTHING, self._beliefs.revision, WAIT_S)
+                wait_s, self._wait_s = self._wait_s, WAIT_S
+                changes = await self._store.watch(EVERYTHING, self._beliefs.revision, wait_s)
                 self._note_regained()
                 configuration = self._beliefs.configuration
                 self._peers.note_changes(changes.events)
@@ -115,6 +121,7 @@
         others = self._peers.others_at_the_store()
         had_duty, self._is_watching = self._is_watching, has_duty(self._peers.own_entry, others)
         if self._is_watching and not had_duty:
+            self._wait_s = FIRST_WAIT_S
             self.kernel.events.emit(WatchTakenOver(len(others), self._beliefs.revision))
             if self._lost_since_s is None:
                 self._lost_since_s = self.kernel.clock.now_s()
--- a/packages/proxy/src/sassafrastally/proxy/watch_duty.py
+++ b/packages/proxy/src/sassafrastally/proxy/watch_duty.py
@@ -22,6 +22,14 @@
 and the next entry steps in, in time for changes to be in force two seconds after them."""
 
 
+STEP_S = 0.3
+FIRST_STEP = 6
+LAST_STEP_S = 0.9
+"""When the watchers have no answers, the first six entries step in at once, twice as many after a
+further 0.3 s, and all 0.9 s later: enough for the first of them to be answered and heard. When all
+stepped in together, a pause of the store of two seconds cost three calls of each of 68 entries."""
+
+
 class OtherEntry(NamedTuple):
     """Another entry, as it tells of itself."""
 
@@ -36,10 +44,9 @@
     """How much longer its news takes than those of an entry that tells of itself. Without it, an
     entry that hears of the watchers by way of others would step in and out all the time."""
 
-    @property
-    def is_answered(self) -> bool:
-        """Whether the store has answered it lately."""
-        return self.store_age_s - self.way_s < FRESH_S
+    def is_answered(self, within_s: float = FRESH_S) -> bool:
+        """Return whether the store has answered it lately."""
+        return self.store_age_s - self.way_s < within_s
 
 
 def has_duty(own: OtherEntry, others: Iterable[OtherEntry]) -> bool:
@@ -53,11 +60,21 @@
         The entries that it hears.
     """
     own_rank = link_rank(own.host, own.link_mbps)
-    before = (other for other in others if link_rank(other.host, other.link_mbps) < own_rank)
-    return sum(1 for other in before if other.is_answered) < WATCHERS
+    before = [other for other in others if link_rank(other.host, other.link_mbps) < own_rank]
+    within_s = FRESH_S + stepping_in_s(len(before))
+    return sum(1 for other in before if other.is_answered(within_s)) < WATCHERS
+
+
+def stepping_in_s(place: int) -> float:
+    """Return how much longer than the first ones an entry waits before it steps in."""
+    wait_s, last = 0.0, FIRST_STEP
+    while place >= last and wait_s < LAST_STEP_S:
+        wait_s += STEP_S
+        last += 2 * last
+    return min(wait_s, LAST_STEP_S)
 
 
 def watchers(entries: Iterable[OtherEntry]) -> list[OtherEntry]:
     """Return those of some entries that may watch for all: the first that the store answers."""
-    fresh = (entry for entry in entries if entry.is_answered)
+    fresh = (entry for entry in entries if entry.is_answered())
     return sorted(fresh, key=lambda entry: link_rank(entry.host, entry.link_mbps))[:WATCHERS]
--- a/packages/proxy/tests/test_decisions.py
+++ b/packages/proxy/tests/test_decisions.py
@@ -39,7 +39,13 @@
 from sassafrastally.proxy.suspicion import Suspicion
 from sassafrastally.proxy.turning_away import come_back_after_s, is_hopeless
 from sassafrastally.proxy.unseen import UnseenRequests
-from sassafrastally.proxy.watch_duty import OtherEntry, has_duty
+from sassafrastally.proxy.watch_duty import (
+    FIRST_STEP,
+    FRESH_S,
+    LAST_STEP_S,
+    OtherEntry,
+    has_duty,
+)
 
 FIGURES = EngineFigures(8, 405_000, 1.31, 0.0018, 0.00213, 154.0, 0.162, 2048, 34, 0.1)
 
@@ -242,6 +248,14 @@
     def test_all_watch_when_none_has_an_answer(self):
         assert len(self.duties(dict.fromkeys(self.HOSTS, 9.0))) == 27
 
+    def test_few_step_in_when_the_watchers_have_no_answer(self):
+        """The store keeps its watches waiting for two seconds. If all entries stepped in together,
+        each would watch, and read everything when the store has dropped its history."""
+        hosts = [f"10.0.0.{n}" for n in range(68)]
+        assert len(self.duties(dict.fromkeys(hosts, 1.6))) == FIRST_STEP
+        assert len(self.duties(dict.fromkeys(hosts, 1.9))) == 3 * FIRST_STEP
+        assert len(self.duties(dict.fromkeys(hosts, FRESH_S + LAST_STEP_S))) == 68
+
     def test_the_fastest_links_watch(self):
         """Twenty versions of half a megabyte come within two seconds. A watcher on a link of ten
         megabits a second would have the last one after nine, and everyone behind it too."""
