--- a/packages/testing/src/sassafrastally/testing/passing_engine.py
+++ b/packages/testing/src/sassafrastally/testing/passing_engine.py
@@ -111,11 +111,8 @@
         self.reservations.pop(reservation_id, None)
 
     def read_part(self, part_ms: float) -> trio.Event:
-        """Read a part of another engine's prompt, ahead of this engine's own; set when done."""
-        reading = _Reading(part_ms)
-        self._parts.append(reading)
-        self._wake()
-        return reading.done
+        """Read a part of another engine's prompt, ahead of all else; set when done."""
+        return self._take_part(part_ms).done
 
     async def run(
         self,
@@ -145,9 +142,7 @@
         try:
             part_ms = reading_ms(self.figures, prompt_tokens) / (len(helpers) + 1)
             done = [helper.read_part(part_ms) for helper in helpers]
-            own = _Reading(part_ms)
-            (self._parts if helpers else self._prompts).append(own)
-            self._wake()
+            own = self._take_part(part_ms) if helpers else self._take_prompt(part_ms)
             for event in (own.done, *done):
                 await event.wait()
             run.is_writing = True
@@ -157,6 +152,19 @@
         finally:
             self._leave(run)
 
+    def _take_part(self, part_ms: float) -> _Reading:
+        """Put a part before all that is to be read, other parts too, as the users' engines do."""
+        reading = _Reading(part_ms)
+        self._parts.appendleft(reading)
+        self._wake()
+        return reading
+
+    def _take_prompt(self, own_ms: float) -> _Reading:
+        reading = _Reading(own_ms)
+        self._prompts.append(reading)
+        self._wake()
+        return reading
+
     async def work(self) -> None:
         """Make passes as long as there is something to do."""
         while True:
@@ -183,9 +191,9 @@
             reading.left_ms -= ms
             if reading.left_ms <= 1e-9:
                 reading.done.set()
-        for queue in (self._parts, self._prompts):
-            while queue and queue[0].done.is_set():
-                queue.popleft()
+        # Parts that came during the pass stand before those that it has read.
+        self._parts = deque(part for part in self._parts if not part.done.is_set())
+        self._prompts = deque(prompt for prompt in self._prompts if not prompt.done.is_set())
         for run in writers:
             if run in self._runs and run.events_left:
                 run.events_left -= 1
