Leave servers alone that turn requests away unexplained while no news comes

The engine that a refusal names was left alone for one second by the one entry, 231 times. Change: a refusal that the known load doesn't explain, while the servers' news is over a second old, is taken for leaving: left alone for 8 s, or until news confirms the server two seconds later; told to peers at once.

--- a/packages/proxy/src/sassafrastally/proxy/answerer.py
+++ b/packages/proxy/src/sassafrastally/proxy/answerer.py
@@ -125,16 +125,18 @@
             self.progress.sent -= 1
             self.progress.unreachable += 1
         self._log_failure(server, begin_s, cause.detail, is_proved_not_run=True)
-        if cause.is_servers_fault:
-            self._path.sight.note_failure(
-                server, cause.detail, self._request_id, is_clear=cause.is_unreachable
-            )
         # Looked for among the servers that were asked to help: one that has started again at the
         # same address since is not at fault.
-        for helper in helpers:
-            if helper.address == cause.server_at_fault:
-                reason = "named as the cause by another server"
-                self._path.sight.note_failure(helper, reason, self._request_id, is_clear=True)
+        at_fault = [helper for helper in helpers if helper.address == cause.server_at_fault]
+        for helper in at_fault:
+            reason = "named as the cause by another server"
+            self._path.sight.note_refusal(helper, reason, self._request_id, is_clear=True)
+        if at_fault or not cause.is_servers_fault:
+            return
+        if cause.is_unreachable:
+            self._path.sight.note_failure(server, cause.detail, self._request_id, is_clear=True)
+        else:
+            self._path.sight.note_refusal(server, cause.detail, self._request_id)
 
     def _note_unknown(
         self, server: BackendServer, begin_s: float, cause: AttemptUnknown | str
--- a/packages/proxy/src/sassafrastally/proxy/sight.py
+++ b/packages/proxy/src/sassafrastally/proxy/sight.py
@@ -10,6 +10,8 @@
 from sassafrastally.proxy.beliefs import Beliefs
 from sassafrastally.proxy.http_stream import ConnectionLost, connect
 from sassafrastally.proxy.lanes import ServerView
+from sassafrastally.proxy.leaving import LEFT_ALONE_S as LEAVING_S
+from sassafrastally.proxy.leaving import LeavingServers, looks_leaving
 from sassafrastally.proxy.load import NO_WORK, Ledger, Work, WorkView, add_work, merge, server_hash
 from sassafrastally.proxy.log_events import ServerSuspected
 from sassafrastally.proxy.metrics import SUSPICIONS
@@ -43,6 +45,7 @@
         self.waiting_attempts = WaitingAttempts()
         self._unseen = UnseenRequests()
         self._slowness = Slowness()
+        self._leaving = LeavingServers()
         self._paces = Paces()
         self._probing: set[str] = set()
         self.ask_report: Callable[[BackendServer, str], None] | None = None
@@ -120,8 +123,15 @@
     def _left_alone(self, now_s: float) -> set[str | int]:
         """Return the servers to be left alone: own ones by id, those of peers by its hash."""
         of_peers = (key for key, left_s in self._peers.suspects().items() if left_s > 0)
-        own = (self.suspicion.suspects(now_s), self._slowness.slow_servers(now_s))
-        return {*of_peers, *own[0], *own[1]}
+        return {*of_peers, *self._own_left_alone(now_s)}
+
+    def _own_left_alone(self, now_s: float) -> dict[str, float]:
+        """Return the servers that this process leaves alone, with the seconds left."""
+        return {
+            **self._slowness.slow_servers(now_s),
+            **self.suspicion.suspects(now_s),
+            **self._leaving.left_alone(now_s, self._beliefs.confirmed_s),
+        }
 
     def paces(self) -> dict[str, float]:
         """Return the pace of each engine that is slow, as this process or a peer has heard."""
@@ -230,6 +240,29 @@
             self._probing.add(server.life_id)
             self._nursery.start_soon(self._probe, server, request_id)
 
+    def note_refusal(
+        self, server: BackendServer, reason: str, request_id: str, *, is_clear: bool = False
+    ) -> None:
+        """Note that a server turned a request away, or is named as the cause of that.
+
+        Parameters
+        ----------
+        server
+            Who did.
+        reason, request_id, is_clear
+            As for `note_failure`.
+        """
+        now_s = self.kernel.clock.now_s()
+        work = self._work_at(server.life_id, now_s)
+        if not looks_leaving(work, server.slots, self.beliefs_age_s):
+            self.note_failure(server, reason, request_id, is_clear=is_clear)
+            return
+        SUSPICIONS.add(1)
+        self._leaving.note(server.life_id, now_s)
+        self.ledger.note_change(is_urgent=True)
+        reason = f"{reason}, and its load doesn't say why: it may be leaving"
+        self.kernel.events.emit(ServerSuspected(server.server_id, reason, LEAVING_S, request_id))
+
     def note_silence(self, server: BackendServer, request_id: str) -> None:
         """Note that nothing came of a server in time.
 
@@ -256,6 +289,5 @@
             self._probing.discard(server.life_id)
 
     def _own_suspects(self) -> dict[int, float]:
-        now_s = self.kernel.clock.now_s()
-        left = {**self._slowness.slow_servers(now_s), **self.suspicion.suspects(now_s)}
+        left = self._own_left_alone(self.kernel.clock.now_s())
         return {server_hash(life_id): left_s for life_id, left_s in left.items()}
--- a/packages/proxy/tests/test_decisions.py
+++ b/packages/proxy/tests/test_decisions.py
@@ -11,6 +11,7 @@
 from sassafrastally.proxy.engine_time import pass_ms, reading_ms
 from sassafrastally.proxy.event_stream import EventSplitter
 from sassafrastally.proxy.lanes import ServerView
+from sassafrastally.proxy.leaving import LeavingServers, looks_leaving
 from sassafrastally.proxy.load import (
     UNFINISHED_READING_MS,
     Flight,
@@ -197,6 +198,30 @@
         assert remaining_s(0.0, 0.5, 4.0) == pytest.approx(2.0)
 
 
+class TestLeavingServers:
+    """Refusals by servers of which nobody tells that they leave."""
+
+    def test_refusal_that_no_load_explains_while_no_news_comes(self):
+        """A quarter of the engines drain while the store is away; each dossier meets one of them.
+        An engine that is full refuses too, and must not be left alone for seconds for it."""
+        idle, full = Work(short_requests=1), Work(short_requests=3, reading_requests=1)
+        assert looks_leaving(idle, 5, news_age_s=3.0)
+        assert not looks_leaving(full, 5, news_age_s=3.0)
+        assert not looks_leaving(idle, 5, news_age_s=0.3)
+
+    def test_is_left_alone_until_it_is_gone_or_known_to_stay(self):
+        leaving = LeavingServers()
+        leaving.note("a", 10.0)
+        assert leaving.left_alone(11.0, confirmed_s=8.0) == {"a": 7.0}
+        assert leaving.left_alone(12.5, confirmed_s=11.5) == {"a": 5.5}
+        assert leaving.left_alone(13.0, confirmed_s=12.5) == {}
+
+    def test_is_not_asked_for_longer_than_it_takes_to_leave(self):
+        leaving = LeavingServers()
+        leaving.note("a", 10.0)
+        assert leaving.left_alone(18.0, confirmed_s=8.0) == {}
+
+
 class TestTurningAway:
     """When callers come back."""
 
--- a/packages/testing/src/sassafrastally/testing/replica.py
+++ b/packages/testing/src/sassafrastally/testing/replica.py
@@ -190,7 +190,13 @@
         prompt_tokens, output_tokens = map(int, request.headers["token-counts"].split(","))
         first = int(request.headers.get("last-event-id", -1)) + 1
         total = max(1, output_tokens // self.engine.figures.stride_steps)
-        helpers, held = self._helpers(request.headers.get("helpers", ""))
+        named = request.headers.get("helpers", "")
+        at_fault = next((a for a in self._helper_addresses(named) if self._turns_away(a)), None)
+        if at_fault is not None:
+            fields = {"Not-Executed": "1", "At-Server": str(at_fault)}
+            await connection.answer(503, b"", fields)
+            return
+        helpers, held = self._helpers(named)
         if helpers is None:
             await connection.answer(503, b"", {"Not-Executed": "1"})
             return
@@ -212,6 +218,17 @@
         except Full:
             await connection.answer(503, b"", {"Not-Executed": "1"})
 
+    def _helper_addresses(self, value: str) -> list[Address]:
+        """Return the addresses that the helpers' field names."""
+        hosts = (
+            entry.partition("/")[0].rpartition(":") for entry in filter(None, value.split(","))
+        )
+        return [Address(host, int(port)) for host, _, port in hosts]
+
+    def _turns_away(self, address: Address) -> bool:
+        peer = self._peers.get(address)
+        return peer is not None and peer.refuses
+
     def _helpers(self, value: str) -> tuple[list[PassingEngine] | None, int]:
         """Return the engines that help and the tokens that lie in their reservations."""
         engines: list[PassingEngine] = []
--- a/packages/testing/tests/platform/test_path.py
+++ b/packages/testing/tests/platform/test_path.py
@@ -345,6 +345,30 @@
         assert "slower" not in causes[1]
 
 
+class TestLeavingUnheard:
+    """Engines that drain while the store is away."""
+
+    async def test_each_is_met_once(self, served):
+        """Three of twelve engines drain and nobody hears of it. A dossier that names one of them as
+        a helper is turned away; they are met again by one after the other if they count as failed
+        for a second only, and most dossiers are refused."""
+        for number in range(3, 13):
+            await served.add_replica(f"engine-{number}")
+        kernel = served.kernels[0]
+        await until(lambda: len(kernel.get("sight", Sight).views("engines", set())) == 12)
+        served.store.is_silent = True
+        await trio.sleep(2.2)
+        for number in (4, 7, 10):
+            served.replicas[f"engine-{number}"].refuses = True
+        statuses = []
+        for _ in range(5):
+            answer = await served.call("/dossier/x", prompt="100000,34")
+            statuses.append(answer.status)
+            await trio.sleep(1.1)
+        assert statuses[2:] == [200, 200, 200]
+        assert len(failure_causes(kernel)) <= 3
+
+
 class TestContinuing:
     """Streams that break off."""
 
