--- a/packages/proxy/src/sassafrastally/proxy/leaving.py
+++ b/packages/proxy/src/sassafrastally/proxy/leaving.py
@@ -17,7 +17,7 @@
 """Age from which on what is known of the servers may lack one that leaves: a watch brings something
 each second."""
 
-LEFT_ALONE_S = 8.0
+LEAVING_S = 8.0
 """How long such a server is left alone; one that drains is gone by then."""
 
 CONFIRMED_S = 2.0
@@ -68,8 +68,8 @@
         self._since_s = {
             life_id: since_s
             for life_id, since_s in self._since_s.items()
-            if now_s - since_s < LEFT_ALONE_S and confirmed_s < since_s + CONFIRMED_S
+            if now_s - since_s < LEAVING_S and confirmed_s < since_s + CONFIRMED_S
         }
         return {
-            life_id: since_s + LEFT_ALONE_S - now_s for life_id, since_s in self._since_s.items()
+            life_id: since_s + LEAVING_S - now_s for life_id, since_s in self._since_s.items()
         }
--- a/packages/proxy/src/sassafrastally/proxy/sight.py
+++ b/packages/proxy/src/sassafrastally/proxy/sight.py
@@ -10,8 +10,7 @@
 from sassafrastally.proxy.beliefs import Beliefs
 from sassafrastally.proxy.http_stream import ConnectionLost, connect
 from sassafrastally.proxy.lanes import ServerView
-from sassafrastally.proxy.leaving import LEFT_ALONE_S as LEAVING_S
-from sassafrastally.proxy.leaving import LeavingServers, looks_leaving
+from sassafrastally.proxy.leaving import LEAVING_S, LeavingServers, looks_leaving
 from sassafrastally.proxy.load import NO_WORK, Ledger, Work, WorkView, add_work, merge, server_hash
 from sassafrastally.proxy.log_events import ServerSuspected
 from sassafrastally.proxy.metrics import SUSPICIONS
