--- a/packages/proxy/src/sassafrastally/proxy/leaving.py
+++ b/packages/proxy/src/sassafrastally/proxy/leaving.py
@@ -70,6 +70,4 @@
             for life_id, since_s in self._since_s.items()
             if now_s - since_s < LEAVING_S and confirmed_s < since_s + CONFIRMED_S
         }
-        return {
-            life_id: since_s + LEAVING_S - now_s for life_id, since_s in self._since_s.items()
-        }
+        return {life_id: since_s + LEAVING_S - now_s for life_id, since_s in self._since_s.items()}
