--- a/packages/proxy/src/sassafrastally/proxy/peer_table.py
+++ b/packages/proxy/src/sassafrastally/proxy/peer_table.py
@@ -9,7 +9,7 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from sassafrastally.proxy.load import add_work
-from sassafrastally.proxy.sharing import FIRST_IN_LINE, RELAYS, Member, is_first, tells_all
+from sassafrastally.proxy.sharing import PROBERS, RELAYS, Member, is_first, tells_all
 from sassafrastally.proxy.watch_duty import OtherEntry, watchers
 
 if TYPE_CHECKING:
@@ -215,11 +215,11 @@
         """Return whether the address of another entry is known."""
         return bool(self._peers)
 
-    def is_first_in_line(self, now_s: float) -> bool:
+    def is_prober(self, now_s: float) -> bool:
         """Return whether this entry is one of the few that try a lost store often."""
         if self.has_relay(now_s):
             return self.is_relay(now_s)
-        return is_first(self._own, map(_member, self.live(now_s)), FIRST_IN_LINE)
+        return is_first(self._own, map(_member, self.live(now_s)), PROBERS)
 
     def has_relay(self, now_s: float) -> bool:
         """Return whether some entry tells the sum of this data centre."""
--- a/packages/proxy/src/sassafrastally/proxy/peers.py
+++ b/packages/proxy/src/sassafrastally/proxy/peers.py
@@ -118,9 +118,9 @@
         """Return whether the address of another entry is known."""
         return self._table.knows_others()
 
-    def is_first_in_line(self) -> bool:
+    def is_prober(self) -> bool:
         """Return whether this entry tries a store that answers nobody more often than others."""
-        return self._table.is_first_in_line(self._now_s)
+        return self._table.is_prober(self._now_s)
 
     def hears_sums(self) -> bool:
         """Return whether data centres tell each other sums in place of single entries' work."""
--- a/packages/proxy/src/sassafrastally/proxy/sharing.py
+++ b/packages/proxy/src/sassafrastally/proxy/sharing.py
@@ -25,7 +25,7 @@
 RELAYS = 2
 """Entries of a data centre that tell the others its sum. When one dies, the other one's goes on."""
 
-FIRST_IN_LINE = 6
+PROBERS = 6
 """Entries that try a store which answers nobody twice a second. Each refused call is paid for, and
 the first that is answered tells all others; six also find a store that turns a third of the entries
 away."""
--- a/packages/proxy/src/sassafrastally/proxy/watch.py
+++ b/packages/proxy/src/sassafrastally/proxy/watch.py
@@ -43,7 +43,7 @@
 """Pause after a failed call, doubled with each one in a row, with jitter: entries must not return
 all at once to a store that has just come back, and must be back well within two seconds."""
 
-IN_LINE_PAUSE_S = 1.5
+OTHERS_PAUSE_S = 1.5
 """Longest pause of entries that leave it to a few others to try a lost store often. Should it
 answer none of those, it is still found within the two seconds."""
 
@@ -109,7 +109,7 @@
             await trio.sleep(FIRST_HEARING_S)
 
     def _longest_pause_s(self) -> float:
-        return LONGEST_PAUSE_S if self._peers.is_first_in_line() else IN_LINE_PAUSE_S
+        return LONGEST_PAUSE_S if self._peers.is_prober() else OTHERS_PAUSE_S
 
     def _has_duty(self) -> bool:
         """Return whether this entry watches; note when it takes the watch over.
--- a/packages/proxy/src/sassafrastally/proxy/watch_duty.py
+++ b/packages/proxy/src/sassafrastally/proxy/watch_duty.py
@@ -70,7 +70,7 @@
     wait_s, last = 0.0, FIRST_STEP
     while place >= last and wait_s < LAST_STEP_S:
         wait_s += STEP_S
-        last += 2 * last
+        last *= 3  # Twice as many more.
     return min(wait_s, LAST_STEP_S)
 
 
