Name a request's content in log lines, and log servers that crash under one

Cause looked for: 48 engines lost in a row; the logs couldn't tell a request that crashes servers from servers lost by themselves, since lines name callers' request ids only, new with each retry, and a refused probe looks like any other suspicion. Change: RequestPlaced and ServerCrashed carry a fingerprint of path, caller and body; ServerCrashed is logged when an answer breaks off and the server's host then refuses connections. One connection tried serves all requests that a crash breaks off.

--- a/packages/proxy/src/sassafrastally/proxy/answerer.py
+++ b/packages/proxy/src/sassafrastally/proxy/answerer.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from sassafrastally.proxy.attempt import AttemptNotRun, AttemptUnknown
+from sassafrastally.proxy.fingerprint import fingerprint_text
 from sassafrastally.proxy.log_events import AttemptFailed, RequestPlaced, RetryBudgetSpent
 from sassafrastally.proxy.metrics import ATTEMPTS_FAILED
 from sassafrastally.proxy.model import AttemptTerms
@@ -138,7 +139,7 @@
         else:
             self._path.sight.note_refusal(server, cause.detail, self._request_id)
 
-    def _note_unknown(
+    async def _note_unknown(
         self, server: BackendServer, begin_s: float, cause: AttemptUnknown | str
     ) -> None:
         """Note an attempt that may have run, and that speaks against its server."""
@@ -146,8 +147,10 @@
         self._note_given_up(server, begin_s, detail)
         if isinstance(cause, AttemptUnknown) and cause.is_silence:
             self._path.sight.note_silence(server, self._request_id)
-        else:
-            self._path.sight.note_failure(server, detail, self._request_id)
+            return
+        self._path.sight.note_failure(server, detail, self._request_id)
+        if isinstance(cause, AttemptUnknown):
+            await self._path.crashes.note_broken_off(server, self._task, detail)
 
     def _note_given_up(self, server: BackendServer, begin_s: float, detail: str) -> None:
         """Note an attempt that may have run."""
@@ -188,5 +191,6 @@
                 round(task.deadline_s - self._clock.now_s(), 4),
                 round(self._path.sight.beliefs_age_s, 4),
                 self._path.sight.entries - 1,
+                fingerprint_text(task.fingerprint),
             )
         )
--- /dev/null
+++ b/packages/proxy/src/sassafrastally/proxy/crashes.py
@@ -0,0 +1,74 @@
+"""Looks whether a backend server that broke an answer off has crashed under the request."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import trio
+
+from sassafrastally.proxy.fingerprint import fingerprint_text
+from sassafrastally.proxy.log_events import ServerCrashed
+from sassafrastally.proxy.metrics import SERVER_CRASHES
+
+if TYPE_CHECKING:
+    from sassafrastally.core import Kernel
+    from sassafrastally.proxy.liveness import Liveness
+    from sassafrastally.proxy.model import BackendServer
+    from sassafrastally.proxy.task import RequestTask
+
+KNOWN_WITHIN_S = 0.15
+"""How long a request waits for the finding before it goes elsewhere. The host of a process that has
+ended refuses a connection within one round trip, some milliseconds; a host that is silent for
+longer says nothing, and the request's time is short."""
+
+
+class Crashes:
+    """Finds and notes crashes, in the background of requests.
+
+    Parameters
+    ----------
+    kernel
+        Log of the process.
+    nursery
+        Where findings are waited for, so that a request whose time ends doesn't lose its finding.
+    liveness
+        Tries connections.
+    """
+
+    def __init__(self, kernel: Kernel, nursery: trio.Nursery, liveness: Liveness) -> None:
+        self._kernel = kernel
+        self._nursery = nursery
+        self._liveness = liveness
+
+    async def note_broken_off(self, server: BackendServer, task: RequestTask, cause: str) -> None:
+        """Note that an answer broke off; return when it is known whether its server has crashed.
+
+        Parameters
+        ----------
+        server
+            Who answered.
+        task
+            The request.
+        cause
+            How its answer broke off.
+        """
+        is_known = trio.Event()
+        self._nursery.start_soon(self._find, server, task, cause, is_known)
+        with trio.move_on_after(KNOWN_WITHIN_S):
+            await is_known.wait()
+
+    async def _find(
+        self, server: BackendServer, task: RequestTask, cause: str, is_known: trio.Event
+    ) -> None:
+        try:
+            finding = await self._liveness.find(server)
+            if finding.is_refused:
+                self._note_crash(server, task, cause)
+        finally:
+            is_known.set()
+
+    def _note_crash(self, server: BackendServer, task: RequestTask, cause: str) -> None:
+        SERVER_CRASHES.add(1)
+        request_id = task.request.facts.request_id
+        fingerprint = fingerprint_text(task.fingerprint)
+        self._kernel.events.emit(ServerCrashed(server.server_id, request_id, fingerprint, cause))
--- a/packages/proxy/src/sassafrastally/proxy/generation.py
+++ b/packages/proxy/src/sassafrastally/proxy/generation.py
@@ -166,7 +166,7 @@
             if attempt.moving_reason:
                 self._note_given_up(server, begin_s, attempt.moving_reason)
             else:
-                self._note_unknown(server, begin_s, cause)
+                await self._note_unknown(server, begin_s, cause)
         finally:
             self._path.sight.ledger.remove(flight, self._clock.now_s())
         return False
--- a/packages/proxy/src/sassafrastally/proxy/http_stream.py
+++ b/packages/proxy/src/sassafrastally/proxy/http_stream.py
@@ -28,6 +28,9 @@
 class ConnectionLost(CodedError):
     """The connection ended, or carried bytes that aren't HTTP."""
 
+    is_refused = False
+    """Whether the host answered that nobody listens there."""
+
 
 class HttpStream:
     """A connection that sends and receives h11 events.
@@ -130,7 +133,9 @@
                 sock.close()
                 raise
     except (OSError, trio.TooSlowError) as cause:
-        raise ConnectionLost(f"no connection to {address}: {cause!r}") from cause
+        lost = ConnectionLost(f"no connection to {address}: {cause!r}")
+        lost.is_refused = isinstance(cause, ConnectionRefusedError)
+        raise lost from cause
     stream = trio.SocketStream(sock)
     watch_silence(stream)
     return stream
--- /dev/null
+++ b/packages/proxy/src/sassafrastally/proxy/liveness.py
@@ -0,0 +1,77 @@
+"""Whether anybody still listens at a backend server's address."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, NamedTuple
+
+import trio
+
+from sassafrastally.proxy.http_stream import ConnectionLost, connect
+from sassafrastally.proxy.pool import CONNECT_TIME_S
+
+if TYPE_CHECKING:
+    from sassafrastally.proxy.model import BackendServer
+
+BELIEVED_S = 0.1
+"""How long a finding serves further questions. All requests that one crash breaks off ask within
+some milliseconds; a server that still listens may crash soon after."""
+
+KEPT_FINDINGS = 256
+"""Findings that are kept; more servers don't break off requests of one process in that time."""
+
+
+class Finding(NamedTuple):
+    """What a connection tried at a server's address showed."""
+
+    is_listening: bool
+    is_refused: bool
+    """The host answers and no process has the port: the server's process has ended. Without
+    either, the host is silent, which a cut link looks like as well."""
+    detail: str
+
+
+class _Check:
+    """A connection that is being tried, or has been."""
+
+    def __init__(self, begin_s: float) -> None:
+        self.begin_s = begin_s
+        self.done = trio.Event()
+        self.finding = Finding(False, False, "")
+
+
+class Liveness:
+    """Tries connections to servers that broke something off; one for all who ask at a time.
+
+    Parameters
+    ----------
+    nursery
+        Where connections are tried, so that a request that ends doesn't end the question.
+    """
+
+    def __init__(self, nursery: trio.Nursery) -> None:
+        self._nursery = nursery
+        self._checks: dict[str, _Check] = {}
+
+    async def find(self, server: BackendServer) -> Finding:
+        """Return whether anybody listens at the server's address."""
+        check = self._checks.get(server.life_id)
+        now_s = trio.current_time()
+        if check is None or (check.done.is_set() and now_s - check.begin_s > BELIEVED_S):
+            check = _Check(now_s)
+            self._checks.pop(server.life_id, None)
+            self._checks[server.life_id] = check
+            if len(self._checks) > KEPT_FINDINGS:
+                del self._checks[next(iter(self._checks))]
+            self._nursery.start_soon(self._try, server, check)
+        await check.done.wait()
+        return check.finding
+
+    async def _try(self, server: BackendServer, check: _Check) -> None:
+        try:
+            stream = await connect(server.address, CONNECT_TIME_S)
+            await trio.aclose_forcefully(stream)
+            check.finding = Finding(True, False, "")
+        except ConnectionLost as cause:
+            check.finding = Finding(False, cause.is_refused, cause.detail)
+        finally:
+            check.done.set()
--- a/packages/proxy/src/sassafrastally/proxy/log_events.py
+++ b/packages/proxy/src/sassafrastally/proxy/log_events.py
@@ -135,6 +135,8 @@
     """Time since the store or a peer last confirmed what is known of the backend servers."""
     peers: int
     """Peers whose load was counted."""
+    fingerprint: str
+    """Names the request across its caller's retries."""
 
 
 @event(10013)
@@ -355,3 +357,15 @@
     """A data centre's sum is no longer heard; what its entries do is unknown until they tell."""
 
     data_centre: str
+
+
+@event(10036, "warning")
+class ServerCrashed(NamedTuple):
+    """A backend server's process ended in the middle of a request: nobody has its port any more."""
+
+    server_id: str
+    request_id: str
+    fingerprint: str
+    """Names the request across its caller's retries."""
+    cause: str
+    """How the answer broke off."""
--- a/packages/proxy/src/sassafrastally/proxy/metrics.py
+++ b/packages/proxy/src/sassafrastally/proxy/metrics.py
@@ -29,6 +29,9 @@
 )
 REFUSALS = counter("proxy.refusals", "1", "Answers of our own, by code.")
 SUSPICIONS = counter("proxy.suspicions", "1", "Backend servers left alone after failures.")
+SERVER_CRASHES = counter(
+    "proxy.server_crashes", "1", "Requests under which a backend server's process ended."
+)
 STORE_LOSSES = counter("proxy.store.losses", "1", "Times that the store was lost.")
 FIRST_EVENT = histogram(
     "proxy.first_event", "s", "Time to the first event or header, by lane.", BOUNDS_S
--- a/packages/proxy/src/sassafrastally/proxy/path.py
+++ b/packages/proxy/src/sassafrastally/proxy/path.py
@@ -8,6 +8,8 @@
 
 from sassafrastally.core import Service
 from sassafrastally.proxy.beliefs import Beliefs
+from sassafrastally.proxy.crashes import Crashes
+from sassafrastally.proxy.fingerprint import request_fingerprint
 from sassafrastally.proxy.generation import Generation
 from sassafrastally.proxy.log_events import CallerLeft, RequestFailed, RequestRefused, StreamBroken
 from sassafrastally.proxy.metrics import REFUSALS, REQUESTS
@@ -69,6 +71,8 @@
 
     reservations: Reservations
     """Memory reserved at engines."""
+    crashes: Crashes
+    """Looks after servers that broke an answer off."""
 
     def __init__(self, dialect: Dialect, attempts: Attempts, budget: RetryBudget) -> None:
         self.dialect = dialect
@@ -82,6 +86,7 @@
         self._started_s = self.kernel.clock.now_s()
         self.sight = self.kernel.get("sight", Sight)
         self._beliefs = self.kernel.get("beliefs", Beliefs)
+        self.crashes = Crashes(self.kernel, nursery, self.sight.liveness)
         self.reservations = Reservations(self.dialect, self.kernel, self._beliefs, nursery)
         nursery.start_soon(self._tidy)
 
@@ -125,7 +130,9 @@
         customer: Customer | None,
     ) -> None:
         service = choose_service(route.shares, self.kernel.random.random())
-        task = RequestTask(request, route, configuration, customer, service)
+        task = RequestTask(
+            request, route, configuration, customer, service, _fingerprint(request, customer)
+        )
         self.budget.count_request(service, request.arrived_s)
         answerer = self._answerer(task, reply)
         progress = answerer.progress
@@ -227,6 +234,16 @@
         await reply.whole(stopped.refusal.status, headers, body)
 
 
+def _fingerprint(request: Request, customer: Customer | None) -> int:
+    return request_fingerprint(
+        customer.name if customer else "",
+        request.method,
+        request.facts.host,
+        request.target,
+        request.body,
+    )
+
+
 def _out_of_time(progress: Progress) -> Stopped:
     """Return how a request ends whose time is over.
 
--- a/packages/proxy/src/sassafrastally/proxy/plain.py
+++ b/packages/proxy/src/sassafrastally/proxy/plain.py
@@ -86,11 +86,11 @@
                 answer = await self._exchange(server, begin_s)
                 self._path.sight.note_success(server.life_id)
                 return answer
-            self._note_unknown(server, begin_s, "no answer in its share of the time")
+            await self._note_unknown(server, begin_s, "no answer in its share of the time")
         except AttemptNotRun as cause:
             self._note_not_run(server, begin_s, cause)
         except AttemptUnknown as cause:
-            self._note_unknown(server, begin_s, cause)
+            await self._note_unknown(server, begin_s, cause)
         finally:
             self._path.sight.ledger.remove(flight, self._clock.now_s())
         return None
--- a/packages/proxy/src/sassafrastally/proxy/sight.py
+++ b/packages/proxy/src/sassafrastally/proxy/sight.py
@@ -8,15 +8,14 @@
 
 from sassafrastally.core import Service
 from sassafrastally.proxy.beliefs import Beliefs
-from sassafrastally.proxy.http_stream import ConnectionLost, connect
 from sassafrastally.proxy.lanes import ServerView
 from sassafrastally.proxy.leaving import LEAVING_S, LeavingServers, looks_leaving
+from sassafrastally.proxy.liveness import Liveness
 from sassafrastally.proxy.load import NO_WORK, Ledger, Work, WorkView, add_work, merge, server_hash
 from sassafrastally.proxy.log_events import ServerSuspected
 from sassafrastally.proxy.metrics import SUSPICIONS
 from sassafrastally.proxy.pace import SLOW_PACE, USUAL_PACE, Paces
 from sassafrastally.proxy.peers import Peers
-from sassafrastally.proxy.pool import CONNECT_TIME_S
 from sassafrastally.proxy.slowness import LEFT_ALONE_S, Slowness
 from sassafrastally.proxy.suspicion import Suspicion
 from sassafrastally.proxy.unseen import UnseenRequests
@@ -38,6 +37,9 @@
     name: ClassVar[str] = "sight"
     needs: ClassVar[tuple[str, ...]] = ("beliefs", "peers")
 
+    liveness: Liveness
+    """Tells servers that have died from those that broke off one answer."""
+
     def __init__(self, ledger: Ledger) -> None:
         self.ledger = ledger
         self.suspicion = Suspicion()
@@ -57,6 +59,7 @@
         self._peers.own_suspects = self._own_suspects
         self._peers.own_paces = self._own_paces
         self._nursery = nursery
+        self.liveness = Liveness(nursery)
 
     @property
     def entries(self) -> int:
@@ -286,12 +289,11 @@
 
     async def _probe(self, server: BackendServer, request_id: str) -> None:
         try:
-            stream = await connect(server.address, CONNECT_TIME_S)
-            await trio.aclose_forcefully(stream)
-        except ConnectionLost as cause:
-            self.note_failure(server, f"probe: {cause.detail}", request_id, is_clear=True)
+            finding = await self.liveness.find(server)
         finally:
             self._probing.discard(server.life_id)
+        if not finding.is_listening:
+            self.note_failure(server, f"probe: {finding.detail}", request_id, is_clear=True)
 
     def _own_suspects(self) -> dict[int, float]:
         left = self._own_left_alone(self.kernel.clock.now_s())
--- a/packages/proxy/src/sassafrastally/proxy/task.py
+++ b/packages/proxy/src/sassafrastally/proxy/task.py
@@ -29,6 +29,8 @@
     configuration: Configuration
     customer: Customer | None
     service: str
+    fingerprint: int
+    """Names the request across its caller's retries."""
 
     @property
     def time_limit_s(self) -> float:
