--- a/packages/testing/src/sassafrastally/testing/platform_fleet.py
+++ b/packages/testing/src/sassafrastally/testing/platform_fleet.py
@@ -59,6 +59,10 @@
 )
 
 
+RESTART_S = 0.5
+"""Time after which a server that has crashed is replaced."""
+
+
 class Received(NamedTuple):
     """An answer as a caller gets it."""
 
@@ -130,6 +134,10 @@
         """Numbers of the entries whose calls don't reach the store."""
         self.store_calls: Counter[tuple[int, str]] = Counter()
         """Calls of the store by number of the entry and path."""
+        self.harmful_bodies: set[bytes] = set()
+        """Bodies of requests that crash each backend server that runs them."""
+        self.crashed: list[str] = []
+        """Ids of the backend servers that have crashed, in their order."""
         self._nursery = nursery
         self._by_address: dict[Address, Replica] = {}
         self._ports = 20_000 + secrets.randbelow(12_000)
@@ -152,11 +160,21 @@
             assert engine is not None
             figures = engine._replace(**fields)
         replica = Replica(server_id, service, self._by_address, figures)
+        replica.crashes_under = self.harmful_bodies
         await replica.start(SERVERS_HOST, self._nursery)
         self.replicas[server_id] = replica
         self.store.put(f"servers/{server_id}", replica.entry())
+        self._nursery.start_soon(self._replace_crashed, replica, fields)
         return replica
 
+    async def _replace_crashed(self, replica: Replica, fields: dict[str, Any]) -> None:
+        """Let another server take the place of one that crashes, as a supervisor does."""
+        await replica.has_crashed.wait()
+        self.crashed.append(replica.server_id)
+        await trio.sleep(RESTART_S)
+        self.store.remove(f"servers/{replica.server_id}")
+        await self.add_replica(f"{replica.server_id}-again", replica.service, **fields)
+
     async def add_entry(self, number: int = 1) -> Kernel:
         """Start an entry and wait until it knows the configuration and a peer, if there is one."""
         kernel = make_kernel(
--- a/packages/testing/src/sassafrastally/testing/replica.py
+++ b/packages/testing/src/sassafrastally/testing/replica.py
@@ -12,6 +12,8 @@
 from sassafrastally.testing.passing_engine import Full, PassingEngine
 
 if TYPE_CHECKING:
+    from collections.abc import Collection
+
     from sassafrastally.proxy.model import EngineFigures
 
 EVENT_BYTES = 20
@@ -94,6 +96,10 @@
         self.address = Address("", 0)
         self.born_ms: int | None = None
         """Start of its present life, if it tells."""
+        self.crashes_under: Collection[bytes] = ()
+        """Bodies of requests under which its process ends as soon as it runs them."""
+        self.has_crashed = trio.Event()
+        self._life = trio.CancelScope()
         self._peers = peers
 
     @property
@@ -108,11 +114,24 @@
 
     async def start(self, host: str, nursery: trio.Nursery) -> None:
         """Serve in the nursery."""
-        port = await serve_http(host, 0, self._handle, nursery)
-        self.address = Address(host, port)
-        self._peers[self.address] = self
-        if self.engine is not None:
-            nursery.start_soon(self.engine.work)
+        await nursery.start(self._live, host)
+
+    async def _live(
+        self, host: str, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        with self._life:
+            async with trio.open_nursery() as nursery:
+                port = await serve_http(host, 0, self._handle, nursery)
+                self.address = Address(host, port)
+                self._peers[self.address] = self
+                if self.engine is not None:
+                    nursery.start_soon(self.engine.work)
+                task_status.started()
+
+    def crash(self) -> None:
+        """End the process: its connections end and nobody listens any more."""
+        self._life.cancel()
+        self.has_crashed.set()
 
     def entry(self, *, is_draining: bool = False) -> bytes:
         """Return the value of its entry in the store."""
@@ -170,9 +189,16 @@
         else:
             await self._plain(arrival, connection)
 
+    async def _run(self, arrival: Arrival) -> None:
+        """Begin to work on a request; doesn't return when the server crashes under it."""
+        arrival.run()
+        if arrival.request.body in self.crashes_under:
+            self.crash()
+            await trio.sleep_forever()
+
     async def _plain(self, arrival: Arrival, connection: StandInConnection) -> None:
         request, request_id = arrival.request, arrival.request_id
-        arrival.run()
+        await self._run(arrival)
         await trio.sleep(self.work_s)
         arrival.finish()
         if self.resets_after_run:
@@ -204,8 +230,8 @@
             number = first
             async for _ in self.engine.run(prompt_tokens, total - first, helpers, held):
                 if number == first:
-                    arrival.run()
                     await connection.begin(200, self._headers(request_id))
+                    await self._run(arrival)
                 if number == self.breaks_after_events:
                     await connection.send(f"id: {number}\nda".encode())
                     await connection.reset()
--- a/packages/testing/src/sassafrastally/testing/soak/fleet.py
+++ b/packages/testing/src/sassafrastally/testing/soak/fleet.py
@@ -51,7 +51,6 @@
         self.replica = replica
         self.proxy = proxy
         self.address = address
-        self.life = trio.CancelScope()
         self.is_claimed = False
         """Whether a trouble is replacing it."""
 
@@ -166,7 +165,7 @@
     def end_life(self, server: Server) -> None:
         """Let a server die: its connections break and nobody answers any more."""
         server.proxy.target = None
-        server.life.cancel()
+        server.replica.crash()
 
     async def _add_server(self, service: str) -> None:
         proxy = LoopbackProxy(None)
@@ -189,15 +188,7 @@
 
     async def _run_replica(self, server: Server) -> None:
         replica = server.replica
-        server.life = trio.CancelScope()
-
-        async def live(task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
-            with server.life:
-                async with trio.open_nursery() as nursery:
-                    await replica.start(self._hosts + "2", nursery)
-                    task_status.started()
-
-        await self.nursery.start(live)
+        await replica.start(self._hosts + "2", self.nursery)
         server.proxy.target = replica.address
         self._by_address[server.address] = replica
 
