Place a request under which a server crashed on servers drawn by its content; show crashes in why

Cause: all that ran on a crashed server went on to the same least busy one, the harmful request among it. Its next crash broke the others off for good and spoke against them, too. Change: a short or plain request with a crash against it is placed on the less busy of two servers that its fingerprint draws. why shows crashes under the same request of all ids.

--- a/packages/cli/src/sassafrastally/cli/why.py
+++ b/packages/cli/src/sassafrastally/cli/why.py
@@ -38,6 +38,10 @@
 )
 """Events that change what a process believes, whatever request is asked for."""
 
+ABOUT_CONTENT = frozenset({"QuarantineLifted", "RequestQuarantined", "ServerCrashed"})
+"""Events about what a request holds, whoever asked and wherever: of requests with the same
+fingerprint as the one that is asked for all of them are shown, however long before."""
+
 HIDDEN = ("event", "level", "timestamp", "number", "vm", "request_id")
 
 
@@ -88,8 +92,13 @@
 
 
 def relevant(lines: list[Line], own: list[Line]) -> list[Line]:
-    """Return the request's lines and the changes of belief on its VMs shortly before them."""
+    """Return the request's lines and what led to them.
+
+    That is changes of belief on its VMs shortly before, and crashes under the same request of other
+    ids, on all VMs.
+    """
     vms = {line.fields.get("vm") for line in own}
+    contents = {str(line.fields.get("fingerprint", "")) for line in own} - {""}
     servers = {str(line.fields.get("server_id", "")) for line in own}
     first, last = lines.index(own[0]), lines.index(own[-1])
     since = _seconds(own[0]) - BEFORE_S
@@ -98,7 +107,11 @@
         is_belief = line.fields.get("event") in BELIEFS and line.fields.get("vm") in vms
         is_about_others = line.fields.get("server_id", "") not in {"", *servers}
         is_recent = _seconds(line) >= since or line.order > lines[first].order
-        if line in own or (is_belief and is_recent and not is_about_others):
+        is_about_content = (
+            line.fields.get("event") in ABOUT_CONTENT and line.fields.get("fingerprint") in contents
+        )
+        is_shown_belief = is_belief and is_recent and not is_about_others
+        if line in own or is_about_content or is_shown_belief:
             found.append(line)
     return found
 
--- a/packages/cli/tests/test_why.py
+++ b/packages/cli/tests/test_why.py
@@ -47,3 +47,28 @@
         file.write_text(LOG)
         assert main(["why", "nobody", str(file)]) == ExitCode.FAILED
         assert "no line about nobody" in capsys.readouterr().err
+
+    def test_refusal_of_a_quarantined_request_is_shown_with_the_crashes_that_led_to_it(
+        self, tmp_path, capsys
+    ):
+        """A caller asks why its prompt was refused. The reason lies minutes back, on other VMs, and
+        under the ids of its earlier attempts."""
+        same, other = {"fingerprint": "aa"}, {"fingerprint": "bb"}
+        log = [
+            line(1, "e1", "ServerCrashed", server_id="s1", request_id="r1", **same),
+            line(2, "e2", "ServerCrashed", server_id="s2", request_id="r2", **same),
+            line(2, "e2", "ServerCrashed", server_id="s2", request_id="r9", **other),
+            line(3, "e3", "ServerCrashed", server_id="s3", request_id="r3", **same),
+            line(3.1, "e3", "RequestQuarantined", crashes=3, **same),
+            line(50, "e1", "RequestRefused", request_id="r4", refusal="quarantined", **same),
+        ]
+        file = tmp_path / "log"
+        file.write_text("\n".join(log))
+        assert main(["why", "r4", str(file)]) == ExitCode.OK
+        shown = [text.lstrip("> ").split() for text in capsys.readouterr().out.splitlines()]
+        assert [words[2] for words in shown] == [
+            *["ServerCrashed"] * 3,
+            "RequestQuarantined",
+            "RequestRefused",
+        ]
+        assert not any("fingerprint=bb" in words for words in shown)
--- a/packages/proxy/src/sassafrastally/proxy/answerer.py
+++ b/packages/proxy/src/sassafrastally/proxy/answerer.py
@@ -75,6 +75,10 @@
             return Stopped(MAY_HAVE_RUN, detail)
         return Stopped(QUARANTINED, detail, left_s)
 
+    def _is_suspect(self) -> bool:
+        """Return whether a server has crashed under the request, for whatever reason."""
+        return self._path.quarantine.crashes_under(self._task.fingerprint) > 0
+
     def _note_harmless(self, status: int) -> None:
         """Note a whole answer: what crashes servers brings none."""
         if status < SERVER_ERROR:
--- a/packages/proxy/src/sassafrastally/proxy/generation.py
+++ b/packages/proxy/src/sassafrastally/proxy/generation.py
@@ -9,6 +9,7 @@
 import trio
 
 from sassafrastally.proxy.answerer import SERVER_ERROR, Answerer
+from sassafrastally.proxy.apart import drawn_apart
 from sassafrastally.proxy.attempt import AttemptNotRun, AttemptUnknown
 from sassafrastally.proxy.event_stream import EventSplitter, StreamEvent
 from sassafrastally.proxy.lanes import Scatter, lane_of
@@ -118,6 +119,10 @@
 
     def _place(self) -> Placement | None:
         service, tried = self._task.service, self.progress.tried
+        if self._lane is Lane.SHORT and self._is_suspect():
+            drawn = drawn_apart(self._path.sight.views(service, tried), self._task.fingerprint)
+            if (plan := self._place_among(drawn)) is not None:
+                return plan
         if self._lane is Lane.SHORT and (near := self._path.sight.near_views(service, tried)):
             plan = self._place_among(near)
             if stays_near(plan, self._goal_s()):
--- a/packages/proxy/src/sassafrastally/proxy/plain.py
+++ b/packages/proxy/src/sassafrastally/proxy/plain.py
@@ -7,6 +7,7 @@
 import trio
 
 from sassafrastally.proxy.answerer import SERVER_ERROR, Answerer
+from sassafrastally.proxy.apart import drawn_apart
 from sassafrastally.proxy.attempt import AttemptNotRun, AttemptUnknown
 from sassafrastally.proxy.load import Flight, Lane
 from sassafrastally.proxy.log_events import RequestAnswered
@@ -66,6 +67,8 @@
 
     def _choose(self) -> BackendServer | None:
         views = self._path.sight.views(self._task.service, self.progress.tried)
+        if self._is_suspect():
+            views = drawn_apart(views, self._task.fingerprint)
         return place_plain(views, self._path.kernel.data_centre)
 
     def _has_others(self) -> bool:
--- a/packages/testing/src/sassafrastally/testing/platform_fleet.py
+++ b/packages/testing/src/sassafrastally/testing/platform_fleet.py
@@ -138,6 +138,7 @@
         """Bodies of requests that crash each backend server that runs them."""
         self.crashed: list[str] = []
         """Ids of the backend servers that have crashed, in their order."""
+        self._lives: dict[int, trio.CancelScope] = {}
         self._nursery = nursery
         self._by_address: dict[Address, Replica] = {}
         self._ports = 20_000 + secrets.randbelow(12_000)
@@ -180,10 +181,19 @@
         kernel = make_kernel(
             self.entry_settings(number), PlatformDialect(), self.store_client(number)
         )
-        await self._nursery.start(kernel.run)
+        await self._nursery.start(self._live, number, kernel)
         self.kernels.append(kernel)
         return kernel
 
+    async def _live(self, number: int, kernel: Kernel, task_status: trio.TaskStatus[None]) -> None:
+        with trio.CancelScope() as self._lives[number]:
+            await kernel.run(task_status=task_status)
+
+    def kill_entry(self, number: int) -> None:
+        """End an entry as a kill does; another one may be started in its place."""
+        self._lives.pop(number).cancel()
+        self.kernels = [one for one in self.kernels if one.vm != self.entry_settings(number).vm]
+
     def entry_settings(self, number: int) -> ProxySettings:
         """Return the settings of an entry; each has an address of its own."""
         host = f"127.20.1.{number}"
