Soak: callers that ask for what crashes servers, and the promise about it

A server that has died now refuses connections, as a host without the process does; before, its proxy took them and closed them.

--- a/packages/testing/src/sassafrastally/testing/soak/callers.py
+++ b/packages/testing/src/sassafrastally/testing/soak/callers.py
@@ -59,13 +59,23 @@
                 await trio.sleep(retry_after_s)
                 await self.call(kind)
 
-    async def call(self, kind: Kind, entry: int | None = None) -> float | None:
-        """Send one request; return when to come back if it was turned away."""
+    async def call(self, kind: Kind, entry: int | None = None, content: str = "") -> float | None:
+        """Send one request; return when to come back if it was turned away.
+
+        Parameters
+        ----------
+        kind
+            Its kind.
+        entry
+            Where it goes; any by default.
+        content
+            Its body, if it isn't to have one of its own.
+        """
         try:
             await self._connect(entry)
         except ConnectionLost:
             return None  # Nobody took the connection: no request, no promise.
-        attempt, prompt = self._attempt(kind)
+        attempt, prompt = self._attempt(kind, content)
         self._fleet.record.attempts[attempt.attempt_id] = attempt
         patience_s = GIVES_UP_S
         if self._random.random() < LEAVING_SHARE:
@@ -96,20 +106,20 @@
         stream = await connect(self._fleet.callers_address(self._entry), CONNECT_TIME_S)
         self._connection = HttpStream(stream, h11.CLIENT)
 
-    def _attempt(self, kind: Kind) -> tuple[Attempt, str | None]:
+    def _attempt(self, kind: Kind, content: str) -> tuple[Attempt, str | None]:
         attempt_id = f"{self._random.getrandbits(64):016x}"
         if not kind.is_stream:
-            return Attempt(attempt_id, kind, self._entry, 0), None
+            return Attempt(attempt_id, kind, self._entry, 0, content), None
         events = self._random.randint(1, MOST_EVENTS)
         prompt = f"{self._random.randint(*PROMPT_TOKENS[kind])},{events * STRIDE}"
-        return Attempt(attempt_id, kind, self._entry, events), prompt
+        return Attempt(attempt_id, kind, self._entry, events, content), prompt
 
     async def _exchange(self, attempt: Attempt, prompt: str | None) -> None:
         assert self._connection is not None
         fields = request_fields(
             {"Deadline-Ms": str(int(TIME_LEFT_S * 1000))}, prompt, attempt.attempt_id
         )
-        body = attempt.attempt_id.encode()
+        body = attempt.content
         head = h11.Request(
             method="POST",
             target=attempt.target,
--- a/packages/testing/src/sassafrastally/testing/soak/fleet.py
+++ b/packages/testing/src/sassafrastally/testing/soak/fleet.py
@@ -83,6 +83,8 @@
         self.version = 1
         self.configured_s: dict[int, float] = {}
         """When the store had accepted a version."""
+        self.harmful_bodies: set[bytes] = set()
+        """Bodies of requests that crash each server that runs them."""
         self.rate = 1.0
         """How many times the usual load callers press with."""
         self.nursery = nursery
@@ -161,12 +163,27 @@
         """Start a new life of a server at its address."""
         server.replica = self._make_replica(server.replica.service)
         await self._run_replica(server)
+        await server.proxy.start(server.address.host, server.address.port, self.nursery)
 
     def end_life(self, server: Server) -> None:
-        """Let a server die: its connections break and nobody answers any more."""
+        """Let a server die: its connections break and its host refuses new ones."""
         server.proxy.target = None
+        server.proxy.refuse()
         server.replica.crash()
 
+    async def _replace_crashed(self, server: Server, replica: Replica) -> None:
+        """Begin a new life of a server that has crashed under a request."""
+        await replica.has_crashed.wait()
+        if server.is_claimed:
+            return  # The trouble that ended it, or is about to, begins the next life.
+        server.is_claimed = True
+        self.end_life(server)
+        await trio.sleep(self.random.uniform(0.3, 1.5))
+        self.unregister(server)
+        await self.begin_life(server)
+        self.register(server)
+        server.is_claimed = False
+
     async def _add_server(self, service: str) -> None:
         proxy = LoopbackProxy(None)
         host = self._hosts + "2"
@@ -188,7 +205,9 @@
 
     async def _run_replica(self, server: Server) -> None:
         replica = server.replica
+        replica.crashes_under = self.harmful_bodies
         await replica.start(self._hosts + "2", self.nursery)
+        self.nursery.start_soon(self._replace_crashed, server, replica)
         server.proxy.target = replica.address
         self._by_address[server.address] = replica
 
--- a/packages/testing/src/sassafrastally/testing/soak/promises.py
+++ b/packages/testing/src/sassafrastally/testing/soak/promises.py
@@ -9,6 +9,7 @@
 import trio
 
 from sassafrastally.testing.soak.callers import GIVES_UP_S, TIME_LEFT_S
+from sassafrastally.testing.soak.harmful import judge_harmful
 from sassafrastally.testing.soak.record import Attempt, Kind
 
 if TYPE_CHECKING:
@@ -79,6 +80,7 @@
         self._judge_drains()
         self._judge_gone(arrivals)
         self._judge_repeats(arrivals)
+        judge_harmful(self._fleet, arrivals)
 
     def _arrivals(self) -> dict[str, list[Arrival]]:
         by_id: dict[str, list[Arrival]] = defaultdict(list)
@@ -96,8 +98,10 @@
             self._break("denied", attempt, f"status {attempt.status}")
         if attempt.status == 200:
             self._judge_content(attempt, arrivals)
-        if not attempt.has_left:
+        if not attempt.has_left and not attempt.is_harmful:
             self._judge_answered(attempt, arrivals)
+        if not attempt.is_harmful and b"refusal:quarantined" in attempt.body:
+            self._break("only harmful requests are quarantined", attempt, f"{attempt.body!r}")
 
     def _judge_once(self, attempt: Attempt, arrivals: list[Arrival]) -> None:
         runs = sum(arrival.has_run for arrival in arrivals)
@@ -114,7 +118,7 @@
         for arrival in arrivals:
             request = arrival.request
             is_own = request.target == attempt.target
-            if not is_own or request.body != attempt.attempt_id.encode():
+            if not is_own or request.body != attempt.content:
                 self._break("unchanged", attempt, f"{request.target}, {request.body[:40]!r}")
             if request.headers.get("tenant") != "ana" or "authorization" in request.headers:
                 self._break("customer", attempt, f"{request.headers}")
--- a/packages/testing/src/sassafrastally/testing/soak/proxying.py
+++ b/packages/testing/src/sassafrastally/testing/soak/proxying.py
@@ -51,14 +51,25 @@
         self.cuts_answers = False
         self._connections: set[_Connection] = set()
         self._healed = trio.Event()
+        self._listening = trio.CancelScope()
 
     async def start(self, host: str, port: int, nursery: trio.Nursery) -> int:
         """Listen in the nursery; return the port."""
         listeners = await trio.open_tcp_listeners(port, host=host)
-        nursery.start_soon(trio.serve_listeners, self._serve, listeners)
+        nursery.start_soon(self._listen, listeners)
         bound: int = listeners[0].socket.getsockname()[1]
         return bound
 
+    def refuse(self) -> None:
+        """Stop listening, as when a process has ended, until it is started again."""
+        self._listening.cancel()
+
+    async def _listen(self, listeners: list[trio.SocketListener]) -> None:
+        # Connections go on in a nursery of their own when the listener ends.
+        async with trio.open_nursery() as connections:
+            with trio.CancelScope() as self._listening:
+                await trio.serve_listeners(self._serve, listeners, handler_nursery=connections)
+
     def reset_all(self) -> None:
         """Close all open connections without a farewell."""
         for connection in self._connections:
--- a/packages/testing/src/sassafrastally/testing/soak/record.py
+++ b/packages/testing/src/sassafrastally/testing/soak/record.py
@@ -45,10 +45,17 @@
         0 while there is none.
     has_left
         The caller closed its connection on purpose.
+    content
+        Body of the request; by default one of its own.
     """
 
-    def __init__(self, attempt_id: str, kind: Kind, entry: int, events: int) -> None:
+    def __init__(
+        self, attempt_id: str, kind: Kind, entry: int, events: int, content: str = ""
+    ) -> None:
         self.attempt_id = attempt_id
+        self.is_harmful = bool(content)
+        """Whether servers crash under it."""
+        self.content = (content or attempt_id).encode()
         self.kind = kind
         self.entry = entry
         self.events = events
@@ -62,8 +69,8 @@
 
     @property
     def target(self) -> str:
-        """Path of the request; names the attempt, so that a foreign answer shows."""
-        return f"/{self.kind.value}/{self.attempt_id}"
+        """Path of the request; names its content, so that a foreign answer shows."""
+        return f"/{self.kind.value}/{self.content.decode()}"
 
 
 class TroubleSpan:
@@ -134,6 +141,7 @@
         *,
         with_store: bool = False,
         with_planned: bool = False,
+        but_for: tuple[str, ...] = (),
     ) -> bool:
         """Return whether no trouble harmed an entry in a time and shortly before it.
 
@@ -147,9 +155,11 @@
             Whether troubles of the store count.
         with_planned
             Whether planned work counts.
+        but_for
+            Troubles whose names begin so don't count.
         """
         for span in self.spans:
-            if span.is_planned and not with_planned:
+            if (span.is_planned and not with_planned) or span.name.startswith(but_for):
                 continue
             is_concerned = span.entries is None or entry in span.entries
             if span.is_at_store and not with_store:
