Divide the quarantine into crashes and verdicts; benchmark; only successes clear a request

An answer with a failure status said that a request is harmless. A suspect short prompt is drawn among the near engines first, where data centres are fleets of their own. A verdict that comes before the crashes that refute it is lifted by them.

--- /dev/null
+++ b/packages/proxy/benchmarks/quarantine.py
@@ -0,0 +1,75 @@
+"""Processor time and memory that the quarantine takes: on calm days, and at its bounds.
+
+Run: ``python packages/proxy/benchmarks/quarantine.py``
+"""
+
+from __future__ import annotations
+
+import random
+import statistics
+import time
+import tracemalloc
+from typing import TYPE_CHECKING
+
+from sassafrastally.proxy.fingerprint import request_fingerprint
+from sassafrastally.proxy.peer_messages import Hello, encode_hello
+from sassafrastally.proxy.quarantine import Quarantine
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+ROUNDS = 7
+BODIES = {"4 KB": 4_096, "100 KB": 102_400, "4 MB": 4_194_304}
+
+
+def median_us(call: Callable[[], object], times: int) -> float:
+    """Return the processor time of a call in microseconds, the median of some rounds."""
+    found = []
+    for _ in range(ROUNDS):
+        begin_s = time.process_time()
+        for _ in range(times):
+            call()
+        found.append(1e6 * (time.process_time() - begin_s) / times)
+    return statistics.median(found)
+
+
+def full() -> Quarantine:
+    """Return what a caller leaves behind who invents bodies, most of which crash servers."""
+    known, draw = Quarantine(), random.Random(1)
+    for number in range(4000):
+        fingerprint = draw.getrandbits(64)
+        for _ in range(1 + number % 3):
+            known.note_crash(fingerprint, draw.getrandbits(64), 0.01 * number, is_own=True)
+        known.note_answered(draw.getrandbits(64), 0.01 * number)
+    return known
+
+
+def main() -> None:
+    """Measure and print."""
+    for name, size in BODIES.items():
+        body = b"x" * size
+        taken_us = median_us(
+            lambda body=body: request_fingerprint("ana", b"POST", "h", b"/a", body),  # type: ignore[misc]
+            max(3, 4_000_000 // size),
+        )
+        print(f"fingerprint of {name:6} {taken_us:9.1f} us")
+    calm = Quarantine()
+    print(f"calm: verdict {median_us(lambda: calm.verdict(7, 1.0), 20_000):.2f} us, ", end="")
+    print(f"answer {median_us(lambda: calm.note_answered(7, 1.0), 20_000):.2f} us, ", end="")
+    print(f"news {median_us(lambda: calm.news(1.0, is_full=False), 20_000):.2f} us")
+    tracemalloc.start()
+    known = full()
+    kept_kb = tracemalloc.get_traced_memory()[0] / 1024
+    tracemalloc.stop()
+    print(f"full: {len(known)} verdicts, {kept_kb:.0f} KB, ", end="")
+    print(f"verdict {median_us(lambda: known.verdict(7, 40.0), 2_000):.1f} us, ", end="")
+    print(f"news {median_us(lambda: known.news(40.2, is_full=False), 200):.0f} us, ", end="")
+    print(f"told again {median_us(lambda: known.news(41.0, is_full=True), 200):.0f} us")
+    news = known.news(40.2, is_full=True)
+    hello = Hello("10.0.0.1", 7, 3, 12, 0.5, False, {}, (), {}, {}, 0.0, 0.0, "here", 10)
+    sizes = [len(encode_hello(one)) for one in (hello, hello._replace(quarantine=news))]
+    print(f"datagram: {sizes[0]} bytes without, {sizes[1]} with all that fits")
+
+
+if __name__ == "__main__":
+    main()
--- a/packages/proxy/src/sassafrastally/proxy/answerer.py
+++ b/packages/proxy/src/sassafrastally/proxy/answerer.py
@@ -22,6 +22,9 @@
 SERVER_ERROR = 500
 """Statuses from here on are a backend server's failure."""
 
+NO_SUCCESS = 300
+"""Statuses from here on tell of no success."""
+
 MOST_UNREACHABLE = 3
 """Servers that nobody answers at, after which a request is turned away: then it is not the servers
 but this VM's network that is broken."""
@@ -80,8 +83,8 @@
         return self._path.quarantine.crashes_under(self._task.fingerprint) > 0
 
     def _note_harmless(self, status: int) -> None:
-        """Note a whole answer: what crashes servers brings none."""
-        if status < SERVER_ERROR:
+        """Note a whole answer: what crashes servers brings no success."""
+        if status < NO_SUCCESS:
             self._path.quarantine.note_answered(self._task.fingerprint)
 
     def _can_go_elsewhere(self) -> bool:
--- a/packages/proxy/src/sassafrastally/proxy/generation.py
+++ b/packages/proxy/src/sassafrastally/proxy/generation.py
@@ -120,8 +120,10 @@
     def _place(self) -> Placement | None:
         service, tried = self._task.service, self.progress.tried
         if self._lane is Lane.SHORT and self._is_suspect():
-            drawn = drawn_apart(self._path.sight.views(service, tried), self._task.fingerprint)
-            if (plan := self._place_among(drawn)) is not None:
+            sight = self._path.sight
+            views = sight.near_views(service, tried) or sight.views(service, tried)
+            plan = self._place_among(drawn_apart(views, self._task.fingerprint))
+            if plan is not None:
                 return plan
         if self._lane is Lane.SHORT and (near := self._path.sight.near_views(service, tried)):
             plan = self._place_among(near)
--- a/packages/proxy/src/sassafrastally/proxy/quarantine.py
+++ b/packages/proxy/src/sassafrastally/proxy/quarantine.py
@@ -12,36 +12,24 @@
 from __future__ import annotations
 
 from collections import Counter
-from typing import TYPE_CHECKING, NamedTuple
+from typing import NamedTuple
 
-from sassafrastally.proxy.quarantine_news import (
-    NO_NEWS,
-    AnswerNews,
-    CrashNews,
-    QuarantineNews,
-    VerdictNews,
-)
-
-if TYPE_CHECKING:
-    from collections.abc import Iterable
+from sassafrastally.proxy.crash_cases import Crash, CrashCases
+from sassafrastally.proxy.quarantine_news import NO_NEWS, QuarantineNews, VerdictNews
 
 CRASHES_FOR_VERDICT = 3
 """Crashes after which a request is quarantined. Two are common for what runs beside a harmful
 request and is sent on with it; each further one costs a server and all that runs there."""
 
 QUARANTINE_S = 600.0
-"""How long a request is quarantined, and how long a crash is held against one. A wrong verdict ends
-by itself within this time; a right one that ends costs one more server."""
+"""How long a request is quarantined. A wrong verdict ends by itself within this time; a right one
+that ends costs one more server."""
 
 SETTLED_S = 1.0
 """Time after a verdict from which it explains the crashes of other requests. Until then crashes of
 the same server are still being told, and two requests that were always together can't be told
 apart: both are quarantined, since the one that is let go might be the harmful one."""
 
-TOGETHER_S = 1.0
-"""Crashes within this time count as one for a request that has been answered before: servers of a
-rack are lost together, and a request that many callers ask for runs on most of them."""
-
 FRESH_S = 0.5
 """News is told with every datagram for this long; with up to a tenth of the datagrams lost, a peer
 misses all of them once in some hundred thousand times."""
@@ -52,21 +40,14 @@
 LIFTED_S = 10.0
 """How long a verdict that has ended isn't taken again from entries that haven't heard of it."""
 
-MOST_CASES = 512
-"""Requests whose crashes are kept. A server runs some ten at a time, so this is what fifty crashes
-leave behind; then those with the fewest crashes are forgotten, the oldest first."""
-
 MOST_VERDICTS = 256
 """Verdicts that are kept, each paid for by three servers; then the one that ends first is dropped.
 """
 
-MOST_ANSWERED = 2048
-"""Requests with an answer that are remembered, in 0.4 MB: the last minute of a busy entry."""
+NEVER_S = float("inf")
 
-MOST_CRASHES_TOLD = 16
 MOST_VERDICTS_TOLD = 12
-MOST_ANSWERED_TOLD = 8
-"""Items of each kind in one datagram, 0.7 of its bytes at most; loads need the rest."""
+"""Verdicts in one datagram; the store has the others."""
 
 
 class Verdict(NamedTuple):
@@ -86,33 +67,30 @@
     reason: str
 
 
-class _Crash(NamedTuple):
-    at_s: float
-    heard_s: float
-    is_own: bool
-
-
 class Quarantine:
-    """What is known of crashes and of the requests that ran there."""
+    """Verdicts, and the crashes that they follow from."""
 
     def __init__(self) -> None:
-        self.version = 0
-        """Grows with each crash, verdict and answer that is new."""
-        self._crashes: dict[int, dict[int, _Crash]] = {}
+        self._cases = CrashCases()
         self._verdicts: dict[int, Verdict] = {}
         self._ended: dict[int, Verdict] = {}
         """Verdicts that have ended: of these one more crash is enough."""
         self._lifted: list[Lifted] = []
         """Not yet asked for."""
-        self._review_due_s = float("inf")
         self._lifted_s: dict[int, float] = {}
-        self._own_answered_s: dict[int, float] = {}
-        self._answered_s: dict[int, float] = {}
-        """Latest answer to a request with crashes, by whomever."""
+        self._verdict_count = 0
+        self._review_due_s = NEVER_S
+        self._next_end_s = NEVER_S
+        """No verdict ends before; looked at with each request."""
 
     def __len__(self) -> int:
         return len(self._verdicts)
 
+    @property
+    def version(self) -> int:
+        """Grows with each crash, answer and verdict that is new."""
+        return self._cases.version + self._verdict_count
+
     def verdict(self, fingerprint: int, now_s: float) -> Verdict | None:
         """Return the verdict on a request, if one is in force."""
         if not self._verdicts:
@@ -127,24 +105,11 @@
 
     def crashes_under(self, fingerprint: int, now_s: float) -> int:
         """Return how many crashes speak against a request."""
-        known = self._crashes.get(fingerprint)
-        if not known:
+        if fingerprint not in self._cases:
             return 0
-        answered_s = self._answered_s.get(fingerprint, float("-inf"))
-        times_s = sorted(
-            crash.at_s
-            for server, crash in known.items()
-            if crash.at_s > answered_s
-            and now_s - crash.at_s < QUARANTINE_S
-            and not self._is_explained(server, fingerprint, now_s)
+        return self._cases.count(
+            fingerprint, now_s, lambda server: self._is_explained(server, fingerprint, now_s)
         )
-        if fingerprint not in self._answered_s:
-            return len(times_s)
-        return _count_apart(times_s)
-
-    def servers_crashed_under(self, fingerprint: int) -> frozenset[int]:
-        """Return the hashes of the servers that crashed while they ran a request."""
-        return frozenset(self._crashes.get(fingerprint, ()))
 
     def note_crash(
         self, fingerprint: int, server: int, now_s: float, *, age_s: float = 0.0, is_own: bool
@@ -156,7 +121,7 @@
         fingerprint
             The request.
         server
-            Hash of the server's life: two entries may tell of one crash.
+            Hash of the server's life.
         now_s
             Present time.
         age_s
@@ -164,16 +129,11 @@
         is_own
             Whether this entry has seen it itself.
         """
-        known = self._crashes.setdefault(fingerprint, {})
-        if server in known:
+        if not self._cases.note_crash(fingerprint, server, Crash(now_s - age_s, now_s, is_own)):
             return None
-        known[server] = _Crash(now_s - age_s, now_s, is_own)
-        self.version += 1
-        own_answered_s = self._own_answered_s.get(fingerprint, float("-inf"))
-        if now_s - own_answered_s < QUARANTINE_S:
-            self._note_answered_at(fingerprint, own_answered_s, now_s)
-        self._keep_few_cases(fingerprint)
+        self._cases.keep_few(lambda key: key == fingerprint or key in self._verdicts)
         if fingerprint in self._verdicts:
+            self._lift_refuted(self._verdicts[fingerprint], now_s)
             return None
         enough = 1 if fingerprint in self._ended else CRASHES_FOR_VERDICT
         crashes = self.crashes_under(fingerprint, now_s)
@@ -183,13 +143,10 @@
 
     def note_answered(self, fingerprint: int, now_s: float) -> bool:
         """Note that a request brought a whole answer; return whether crashes spoke against it."""
-        self._own_answered_s.pop(fingerprint, None)
-        self._own_answered_s[fingerprint] = now_s
-        if len(self._own_answered_s) > MOST_ANSWERED:
-            del self._own_answered_s[next(iter(self._own_answered_s))]
-        if fingerprint not in self._crashes and fingerprint not in self._verdicts:
+        self._cases.note_own_answer(fingerprint, now_s)
+        if fingerprint not in self._cases and fingerprint not in self._verdicts:
             return False
-        self._note_answered_at(fingerprint, now_s, now_s)
+        self._take_answer(fingerprint, now_s, now_s)
         return True
 
     def take_verdict(self, told: VerdictNews, now_s: float) -> Verdict | None:
@@ -203,6 +160,7 @@
         if known is not None:
             until_s = min(known.until_s, now_s + left_s)
             self._verdicts[told.fingerprint] = known._replace(until_s=until_s)
+            self._next_end_s = min(self._next_end_s, until_s)
             return None
         lifted_s = self._lifted_s.get(told.fingerprint, float("-inf"))
         if left_s <= 0 or now_s - lifted_s < LIFTED_S:
@@ -233,19 +191,18 @@
         is_of_all
             Whether to tell also what others have told, on behalf of a data centre.
         """
-        if not self._crashes and not self._verdicts:
-            return NO_NEWS
         told_s = TOLD_S if is_full else FRESH_S
-        return QuarantineNews(
-            self._crash_news(now_s, told_s, is_of_all),
+        news = QuarantineNews(
+            self._cases.crash_news(now_s, told_s, is_of_all=is_of_all),
             self._verdict_news(now_s, is_full),
-            self._answer_news(now_s, told_s, is_of_all),
+            self._cases.answer_news(now_s, told_s, is_of_all=is_of_all),
         )
+        return news if any(news) else NO_NEWS
 
     def take(self, news: QuarantineNews, now_s: float) -> list[Verdict]:
         """Take what a peer tells; return the verdicts that are new."""
         for answer in news.answers:
-            self._note_answered_at(answer.fingerprint, now_s - answer.age_s, now_s)
+            self._take_answer(answer.fingerprint, now_s - answer.age_s, now_s)
         found = [
             self.note_crash(crash.fingerprint, crash.server, now_s, age_s=crash.age_s, is_own=False)
             for crash in news.crashes
@@ -256,29 +213,30 @@
     def forget_old(self, now_s: float) -> list[Lifted]:
         """Forget crashes that count no more; return the verdicts that have ended since then."""
         self._end_verdicts(now_s)
-        for fingerprint, known in list(self._crashes.items()):
-            if all(now_s - crash.at_s >= QUARANTINE_S for crash in known.values()):
-                del self._crashes[fingerprint]
-                self._answered_s.pop(fingerprint, None)
+        self._cases.forget_old(now_s)
         lifted, self._lifted = self._lifted, []
         return lifted
 
     def _quarantine(self, fingerprint: int, now_s: float, for_s: float, crashes: int) -> Verdict:
-        self.version += 1
         verdict = Verdict(fingerprint, now_s, now_s + for_s, crashes)
         self._verdicts[fingerprint] = verdict
+        self._verdict_count += 1
         self._review_due_s = now_s + SETTLED_S
+        self._next_end_s = min(self._next_end_s, verdict.until_s)
         if len(self._verdicts) > MOST_VERDICTS:
             del self._verdicts[min(self._verdicts.values(), key=_until_s).fingerprint]
         return verdict
 
     def _end_verdicts(self, now_s: float) -> None:
-        ended = [verdict for verdict in self._verdicts.values() if now_s >= verdict.until_s]
-        for verdict in ended:
-            self._end(verdict, now_s)
-            self._lifted.append(Lifted(verdict, "its time is over"))
+        if now_s >= self._next_end_s:
+            ended = [verdict for verdict in self._verdicts.values() if now_s >= verdict.until_s]
+            for verdict in ended:
+                self._end(verdict, now_s)
+                self._lifted.append(Lifted(verdict, "its time is over"))
+            ends_s = (verdict.until_s for verdict in self._verdicts.values())
+            self._next_end_s = min(ends_s, default=NEVER_S)
         if now_s >= self._review_due_s:
-            self._review_due_s = float("inf")
+            self._review_due_s = NEVER_S
             self._review(now_s)
 
     def _review(self, now_s: float) -> None:
@@ -288,7 +246,7 @@
         crashes before any of the causes is known. Those that alone explain some crash are causes;
         what they don't leave unexplained needs no further one.
         """
-        servers = {key: set(self._crashes.get(key, ())) for key in self._verdicts}
+        servers = {key: self._cases.servers(key) for key in self._verdicts}
         explained_by = Counter(server for of_one in servers.values() for server in of_one)
         causes = {
             key
@@ -321,7 +279,7 @@
         return any(
             verdict.fingerprint != fingerprint
             and now_s - verdict.since_s >= SETTLED_S
-            and server in self._crashes.get(verdict.fingerprint, ())
+            and self._cases.has_crashed(server, verdict.fingerprint)
             for verdicts in (self._verdicts, self._ended)
             for verdict in verdicts.values()
         )
@@ -332,46 +290,33 @@
         An entry that never had an answer to a request counts the servers of a rack one by one; one
         that had knows that they count once.
         """
-        known = self._crashes.get(fingerprint, ())
-        is_all_known = fingerprint in self._answered_s and len(known) >= crashes
+        if not self._cases.was_answered(fingerprint):
+            return False
+        is_all_known = len(self._cases.servers(fingerprint)) >= crashes
         return is_all_known and self.crashes_under(fingerprint, now_s) < CRASHES_FOR_VERDICT
 
-    def _note_answered_at(self, fingerprint: int, at_s: float, now_s: float) -> None:
-        """Note an answer: a request that crashes what runs it brings none."""
-        known_s = self._answered_s.get(fingerprint, float("-inf"))
-        if at_s <= known_s:
+    def _take_answer(self, fingerprint: int, at_s: float, now_s: float) -> None:
+        """Take an answer: a request that crashes what runs it brings none."""
+        if not self._cases.take_answer(fingerprint, at_s, now_s):
             return
-        self.version += 1
-        self._answered_s[fingerprint] = at_s
-        if len(self._answered_s) > MOST_CASES:
-            del self._answered_s[next(iter(self._answered_s))]
         self._ended.pop(fingerprint, None)
         verdict = self._verdicts.get(fingerprint)
         if verdict is None:
             return
-        if at_s > verdict.since_s or self._is_refuted(fingerprint, verdict.crashes, now_s):
+        if at_s > verdict.since_s:
             del self._verdicts[fingerprint]
             self._note_lifted(fingerprint, now_s)
+        else:
+            self._lift_refuted(verdict, now_s)
 
-    def _keep_few_cases(self, latest: int) -> None:
-        if len(self._crashes) <= MOST_CASES:
-            return
-        harmless = (key for key in self._crashes if key != latest and key not in self._verdicts)
-        fewest = min(harmless, key=lambda key: len(self._crashes[key]), default=None)
-        if fewest is not None:
-            del self._crashes[fewest]
-            self._answered_s.pop(fewest, None)
-
-    def _crash_news(self, now_s: float, told_s: float, is_of_all: bool) -> tuple[CrashNews, ...]:
-        found = [
-            (len(known), crash.at_s, CrashNews(fingerprint, server, now_s - crash.at_s))
-            for fingerprint, known in self._crashes.items()
-            for server, crash in known.items()
-            if now_s - crash.heard_s < told_s and (crash.is_own or is_of_all)
-        ]
-        return tuple(news for _, _, news in sorted(found, reverse=True)[:MOST_CRASHES_TOLD])
+    def _lift_refuted(self, verdict: Verdict, now_s: float) -> None:
+        if self._is_refuted(verdict.fingerprint, verdict.crashes, now_s):
+            del self._verdicts[verdict.fingerprint]
+            self._note_lifted(verdict.fingerprint, now_s)
 
     def _verdict_news(self, now_s: float, is_full: bool) -> tuple[VerdictNews, ...]:
+        if not self._verdicts:
+            return ()
         found = [
             verdict
             for verdict in self.verdicts(now_s)
@@ -382,30 +327,6 @@
             VerdictNews(one.fingerprint, one.until_s - now_s, one.crashes) for one in latest
         )
 
-    def _answer_news(self, now_s: float, told_s: float, is_of_all: bool) -> tuple[AnswerNews, ...]:
-        found = [
-            AnswerNews(fingerprint, now_s - at_s)
-            for fingerprint, at_s in self._answered_s.items()
-            if (is_of_all or fingerprint in self._own_answered_s)
-            and self._is_told_of(fingerprint, at_s, now_s, told_s)
-        ]
-        return tuple(sorted(found, key=lambda news: news.age_s)[:MOST_ANSWERED_TOLD])
-
-    def _is_told_of(self, fingerprint: int, at_s: float, now_s: float, told_s: float) -> bool:
-        """Return whether an answer or a crash of its request is recent enough to tell of it."""
-        crashes = self._crashes.get(fingerprint, {}).values()
-        latest_s = max([at_s, *(crash.heard_s for crash in crashes)])
-        return now_s - latest_s < told_s
-
-
-def _count_apart(times_s: Iterable[float]) -> int:
-    """Return how many moments these are, those close together being one."""
-    count, latest_s = 0, float("-inf")
-    for time_s in times_s:
-        if time_s - latest_s >= TOGETHER_S:
-            count, latest_s = count + 1, time_s
-    return count
-
 
 def _until_s(verdict: Verdict) -> float:
     return verdict.until_s
--- a/packages/proxy/tests/test_quarantine.py
+++ b/packages/proxy/tests/test_quarantine.py
@@ -7,13 +7,16 @@
 
 import pytest
 
+from sassafrastally.proxy.crash_cases import (
+    MOST_ANSWERS_TOLD,
+    MOST_CASES,
+    MOST_CRASHES_TOLD,
+    REMEMBERED_S,
+)
 from sassafrastally.proxy.fingerprint import fingerprint_text, parse_fingerprint
 from sassafrastally.proxy.fingerprint import request_fingerprint as fingerprint
 from sassafrastally.proxy.quarantine import (
     CRASHES_FOR_VERDICT,
-    MOST_ANSWERED_TOLD,
-    MOST_CASES,
-    MOST_CRASHES_TOLD,
     MOST_VERDICTS,
     MOST_VERDICTS_TOLD,
     QUARANTINE_S,
@@ -192,6 +195,14 @@
         second.take(first.news(10.3, is_full=False), 10.3)
         assert second.verdict(GOOD, 10.3) is None
 
+    def test_verdict_that_comes_before_its_crashes_is_refuted_by_them(self):
+        known = Quarantine()
+        known.note_answered(GOOD, 9.0)
+        assert known.take_verdict(VerdictNews(GOOD, 600.0, 3), 10.1) is not None
+        for server in range(3):
+            known.note_crash(GOOD, server, 10.2, age_s=0.2, is_own=False)
+        assert known.verdict(GOOD, 10.2) is None
+
     def test_body_that_turns_harmful_is_quarantined_though_it_was_answered_before(self):
         """New software crashes under what the old one answered."""
         known = Quarantine()
@@ -296,7 +307,7 @@
         assert len(known) == MOST_VERDICTS
         news = known.news(10.0 + 2 * MOST_VERDICTS, is_full=True)
         assert len(news.verdicts) == MOST_VERDICTS_TOLD
-        assert len(news.answers) <= MOST_ANSWERED_TOLD
+        assert len(news.answers) <= MOST_ANSWERS_TOLD
 
     def test_one_with_many_crashes_is_not_forgotten_for_others_with_one(self):
         known = Quarantine()
@@ -319,5 +330,5 @@
         assert not known.news(12.0, is_full=False).crashes
         assert known.news(12.0, is_full=True).crashes
         assert not known.news(10.0 + TOLD_S, is_full=True).crashes
-        known.forget_old(10.0 + QUARANTINE_S)
-        assert known.news(11.0 + QUARANTINE_S, is_full=True) is NO_NEWS
+        known.forget_old(10.0 + REMEMBERED_S)
+        assert known.news(11.0 + REMEMBERED_S, is_full=True) is NO_NEWS
