--- a/packages/testing/src/sassafrastally/testing/platform_fleet.py
+++ b/packages/testing/src/sassafrastally/testing/platform_fleet.py
@@ -134,6 +134,8 @@
         """Numbers of the entries whose calls don't reach the store."""
         self.store_calls: Counter[tuple[int, str]] = Counter()
         """Calls of the store by number of the entry and path."""
+        self.data_centres = ["here"]
+        """Where entries run, in turn."""
         self.harmful_bodies: set[bytes] = set()
         """Bodies of requests that crash each backend server that runs them."""
         self.crashed: list[str] = []
@@ -200,7 +202,7 @@
         return ProxySettings(
             vm=f"entry-{number}",
             host=host,
-            data_centre="here",
+            data_centre=self.data_centres[number % len(self.data_centres)],
             callers_address=Address(host, self._ports),
             readiness_address=Address(host, self._ports + 1),
             peer_port=self._ports + 2,
--- a/packages/testing/tests/platform/test_harmful_requests.py
+++ b/packages/testing/tests/platform/test_harmful_requests.py
@@ -202,6 +202,33 @@
         await assert_refused(fleet, 2)
 
 
+class TestManyEntries:
+    """So many entries that data centres hear only sums of each other."""
+
+    ENTRIES = 28
+
+    async def test_other_data_centre_hears_of_crashes_and_verdict_by_the_sum(self, fleet):
+        """The caller comes to one data centre's entries, then to the other one's, whose entries
+        hear none of the first ones themselves. Three servers have crashed in all."""
+        fleet.data_centres = ["east", "west"]
+        for number in range(1, 7):
+            await fleet.add_replica(f"engine-{number}")
+        async with trio.open_nursery() as nursery:
+            for number in range(1, self.ENTRIES + 1):
+                nursery.start_soon(fleet.add_entry, number)
+        peers = [kernel.get("peers", Peers) for kernel in fleet.kernels]
+        await until(lambda: all(p.live_count() == self.ENTRIES - 1 for p in peers), 20.0)
+        await until(lambda: all(p.hears_sums() for p in peers), 10.0)
+        fleet.harmful_bodies.add(HARMFUL)
+        await fleet.call("/note/x", entry=2, body=HARMFUL, prompt="1000,340")
+        await trio.sleep(0.5)
+        await fleet.call("/note/x", entry=3, body=HARMFUL, prompt="1000,340")
+        await trio.sleep(0.5)
+        assert len(fleet.crashed) == 3
+        for entry in range(1, self.ENTRIES + 1):
+            await assert_refused(fleet, entry)
+
+
 class TestEndOfAVerdict:
     """How it ends before its time."""
 
