--- a/packages/proxy/src/sassafrastally/proxy/answerer.py
+++ b/packages/proxy/src/sassafrastally/proxy/answerer.py
@@ -69,14 +69,15 @@
         verdict = self._path.quarantine.verdict(self._task.fingerprint)
         if verdict is None:
             return None
-        left_s = verdict.until_s - self._clock.now_s()
+        now_s = self._clock.now_s()
         detail = (
             f"{verdict.crashes} backend servers crashed while they ran request "
-            f"{fingerprint_text(verdict.fingerprint)}: not run for {left_s:.0f} s"
+            f"{fingerprint_text(verdict.fingerprint)}: not run for up to "
+            f"{verdict.until_s - now_s:.0f} s"
         )
         if self.progress.may_have_run:
             return Stopped(MAY_HAVE_RUN, detail)
-        return Stopped(QUARANTINED, detail, left_s)
+        return Stopped(QUARANTINED, detail, verdict.come_back_after_s(now_s))
 
     def _is_suspect(self) -> bool:
         """Return whether a server has crashed under the request, for whatever reason."""
--- a/packages/proxy/src/sassafrastally/proxy/quarantine.py
+++ b/packages/proxy/src/sassafrastally/proxy/quarantine.py
@@ -30,6 +30,10 @@
 the same server are still being told, and two requests that were always together can't be told
 apart: both are quarantined, since the one that is let go might be the harmful one."""
 
+UNSETTLED_COME_BACK_S = 2.0
+"""When callers come back whose request was quarantined within `SETTLED_S`: by then it is known
+whether other requests explain its crashes."""
+
 FRESH_S = 0.5
 """News is told with every datagram for this long; with up to a tenth of the datagrams lost, a peer
 misses all of them once in some hundred thousand times."""
@@ -59,6 +63,12 @@
     crashes: int
     """Servers that crashed under it."""
 
+    def come_back_after_s(self, now_s: float) -> float:
+        """Return when its caller should come back: soon while others may still explain it."""
+        if now_s - self.since_s < SETTLED_S:
+            return UNSETTLED_COME_BACK_S
+        return self.until_s - now_s
+
 
 class Lifted(NamedTuple):
     """A verdict that has ended without a request of this entry having a part in it."""
--- a/packages/proxy/src/sassafrastally/proxy/refusals.py
+++ b/packages/proxy/src/sassafrastally/proxy/refusals.py
@@ -35,7 +35,7 @@
 QUARANTINED = Refusal(
     "quarantined",
     503,
-    "Backend servers crashed each time they ran this request. It has not run this time.",
+    "Backend servers crashed while they ran this request: for now it is run no more.",
 )
 TOO_LONG = Refusal(
     "prompt-too-long", 413, "The prompt is larger than the memory of all engines that can share it."
--- a/packages/testing/tests/platform/test_harmful_requests.py
+++ b/packages/testing/tests/platform/test_harmful_requests.py
@@ -66,11 +66,13 @@
     async def test_caller_hears_the_true_reason_at_once(self, fleet):
         """The caller of such a request waited for two engines to crash, and got a broken answer
         that said nothing. It must hear at once that the request has not run now, why, and for how
-        long that stays so."""
+        long that stays so; in the first second, that it may be cleared soon."""
         fleet.harmful_bodies.add(HARMFUL)
         await start_fleet(fleet, entries=1)
         for _ in range(4):
             answer = await fleet.call("/note/x", body=HARMFUL, prompt="1000,340")
+        assert float(answer.headers["retry-after"]) <= 2.0
+        await trio.sleep(1.1)
         begin_s = trio.current_time()
         answer = await fleet.call("/note/x", body=HARMFUL, prompt="1000,340")
         assert trio.current_time() - begin_s < 0.2
