Count crashes of servers whose hosts go silent with them, once their entries lapse

A crash that takes the host with it sends no reset and refuses no connection: the request is silent, like at a slow server or behind a cut. It is kept in mind, and counts if the server's entry lapses within eight seconds, undrained; also where the time limit or the caller ended the attempt.

--- a/packages/proxy/src/sassafrastally/proxy/answerer.py
+++ b/packages/proxy/src/sassafrastally/proxy/answerer.py
@@ -113,7 +113,7 @@
         self.progress.attempts += 1
         self.progress.sent += 1
         self.progress.tried.add(server.life_id)
-        self.progress.has_pending = True
+        self.progress.pending = server
 
     def _may_try_again(self) -> bool:
         """Return whether another attempt is allowed; counts it in the budget."""
@@ -151,7 +151,7 @@
         helpers: tuple[BackendServer, ...] = (),
     ) -> None:
         """Note an attempt that certainly didn't run."""
-        self.progress.has_pending = False
+        self.progress.pending = None
         if cause.is_unreachable:
             # Nothing was sent, so it counts neither as an attempt nor as a repeat.
             self.progress.sent -= 1
@@ -176,16 +176,20 @@
         """Note an attempt that may have run, and that speaks against its server."""
         detail = cause if isinstance(cause, str) else cause.detail
         self._note_given_up(server, begin_s, detail)
-        if isinstance(cause, AttemptUnknown) and cause.is_silence:
-            self._path.sight.note_silence(server, self._request_id)
-            return
-        self._path.sight.note_failure(server, detail, self._request_id)
-        if isinstance(cause, AttemptUnknown):
-            await self._path.crashes.note_broken_off(server, self._task, detail)
+        sight, crashes = self._path.sight, self._path.crashes
+        if isinstance(cause, str):
+            sight.note_failure(server, detail, self._request_id)
+            crashes.note_silent(server, self._task)
+        elif cause.is_silence:
+            sight.note_silence(server, self._request_id)
+            crashes.note_silent(server, self._task)
+        else:
+            sight.note_failure(server, detail, self._request_id)
+            await crashes.note_broken_off(server, self._task, detail)
 
     def _note_given_up(self, server: BackendServer, begin_s: float, detail: str) -> None:
         """Note an attempt that may have run."""
-        self.progress.has_pending = False
+        self.progress.pending = None
         self.progress.may_have_run = True
         self._log_failure(server, begin_s, detail, is_proved_not_run=False)
 
--- a/packages/proxy/src/sassafrastally/proxy/beliefs.py
+++ b/packages/proxy/src/sassafrastally/proxy/beliefs.py
@@ -86,6 +86,8 @@
         """When the store was last reached again after an outage."""
         self.on_news: Callable[[], None] | None = None
         """Called when a later revision is known, so that peers hear of it at once."""
+        self.on_life_ended: Callable[[BackendServer], None] | None = None
+        """Called with each life of a backend server that has left or was followed by another."""
         self.on_quarantine_record: Callable[[KvEntry | KvEvent], None] | None = None
         """Called with each record of a quarantined request that is written or removed."""
         self._dialect = dialect
@@ -262,6 +264,8 @@
             return
         self._servers[server.server_id] = server
         self._index = None
+        if known is not None and known.life_id != server.life_id:
+            self._note_life_ended(known)
         self.kernel.events.emit(
             ServerKnown(
                 server.server_id,
@@ -308,8 +312,13 @@
     def _drop(self, server: BackendServer, source: str) -> None:
         del self._servers[server.server_id]
         self._index = None
+        self._note_life_ended(server)
         self.kernel.events.emit(ServerGone(server.server_id, server.service, source))
 
+    def _note_life_ended(self, server: BackendServer) -> None:
+        if self.on_life_ended is not None:
+            self.on_life_ended(server)
+
     def _expire_lapsed(self) -> None:
         now_s = self.kernel.clock.now_s()
         for server_id, gone_at_s in list(self._lapsing.items()):
--- a/packages/proxy/src/sassafrastally/proxy/crashes.py
+++ b/packages/proxy/src/sassafrastally/proxy/crashes.py
@@ -1,8 +1,9 @@
-"""Looks whether a backend server that broke an answer off has crashed under the request."""
+"""Finds out whether a server that broke an answer off, or went silent, has crashed under it."""
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from collections import deque
+from typing import TYPE_CHECKING, NamedTuple
 
 import trio
 
@@ -24,6 +25,19 @@
 longer says nothing, and the request's time is short."""
 
 
+LAPSES_WITHIN_S = 8.0
+"""Time from a request's silence until its server's entry has lapsed, if it has ended: servers write
+each second, and three writes that are missing end the entry. More is for a busy store."""
+
+MOST_SILENT = 16
+"""Requests kept for one silent server: what it runs and what waits there."""
+
+
+class _Silent(NamedTuple):
+    task: RequestTask
+    at_s: float
+
+
 class Crashes:
     """Finds and notes crashes, in the background of requests.
 
@@ -51,6 +65,8 @@
         self._liveness = liveness
         self._quarantine = quarantine
         self._beliefs = kernel.get("beliefs", Beliefs)
+        self._beliefs.on_life_ended = self._note_life_ended
+        self._silent: dict[str, deque[_Silent]] = {}
 
     async def note_broken_off(self, server: BackendServer, task: RequestTask, cause: str) -> None:
         """Note that an answer broke off; return when it is known whether its server has crashed.
@@ -69,6 +85,21 @@
         with trio.move_on_after(KNOWN_WITHIN_S):
             await is_known.wait()
 
+    def note_silent(self, server: BackendServer, task: RequestTask) -> None:
+        """Note that an answer didn't come in time: its server may have gone down with its host.
+
+        A slow server and a cut link are as silent. If the server's entry lapses soon after, it has
+        ended, and only then that counts.
+        """
+        now_s = self._kernel.clock.now_s()
+        self._silent = {
+            life_id: requests
+            for life_id, requests in self._silent.items()
+            if any(now_s - one.at_s < LAPSES_WITHIN_S for one in requests)
+        }
+        requests = self._silent.setdefault(server.life_id, deque(maxlen=MOST_SILENT))
+        requests.append(_Silent(task, now_s))
+
     async def _find(
         self, server: BackendServer, task: RequestTask, cause: str, is_known: trio.Event
     ) -> None:
@@ -76,9 +107,20 @@
             finding = await self._liveness.find(server)
             if finding.is_refused and not self._was_leaving(server):
                 self._note_crash(server, task, cause)
+            elif not finding.is_listening:
+                self.note_silent(server, task)
         finally:
             is_known.set()
 
+    def _note_life_ended(self, server: BackendServer) -> None:
+        requests = self._silent.pop(server.life_id, ())
+        if server.is_draining:
+            return
+        now_s = self._kernel.clock.now_s()
+        for one in requests:
+            if now_s - one.at_s < LAPSES_WITHIN_S:
+                self._note_crash(server, one.task, "silent, and its entry has lapsed")
+
     def _was_leaving(self, server: BackendServer) -> bool:
         """Return whether a server was draining: what ends then is cut off by plan."""
         known = self._beliefs.server(server.server_id)
--- a/packages/proxy/src/sassafrastally/proxy/path.py
+++ b/packages/proxy/src/sassafrastally/proxy/path.py
@@ -149,9 +149,11 @@
                     self.kernel.events.emit(
                         CallerLeft(request.facts.request_id, route.name, held_s)
                     )
+                    self._note_unanswered(task, progress)
                 raise
         if limit.cancelled_caught:
             stopped = _out_of_time(progress)
+            self._note_unanswered(task, progress)
         if stopped is None:
             return
         if reply.has_begun:
@@ -185,6 +187,11 @@
             return Generation(self, task, reply, engine, prompt)
         return PlainRequest(self, task, reply)
 
+    def _note_unanswered(self, task: RequestTask, progress: Progress) -> None:
+        """Note an attempt that was under way when the caller left or the time was over."""
+        if progress.pending is not None:
+            self.crashes.note_silent(progress.pending, task)
+
     def _note_broken(self, task: RequestTask, progress: Progress, stopped: Stopped) -> None:
         REQUESTS.add(1, {"outcome": "broken"})
         self.kernel.events.emit(
@@ -258,6 +265,6 @@
     Only a request of which no attempt may have run may be called "not run".
     """
     refusal: Refusal = NOT_SENT_IN_TIME
-    if progress.may_have_run or progress.has_pending:
+    if progress.may_have_run or progress.pending:
         refusal = NO_ANSWER_IN_TIME
     return Stopped(refusal, "the time limit is over")
--- a/packages/proxy/src/sassafrastally/proxy/task.py
+++ b/packages/proxy/src/sassafrastally/proxy/task.py
@@ -6,7 +6,7 @@
 
 if TYPE_CHECKING:
     from sassafrastally.proxy.attempt import Request
-    from sassafrastally.proxy.model import Configuration, Customer, Route
+    from sassafrastally.proxy.model import BackendServer, Configuration, Customer, Route
     from sassafrastally.proxy.refusals import Refusal
 
 NO_LIMIT_S = 600.0
@@ -65,8 +65,8 @@
         """Attempts whose request reached a server, or may have."""
         self.unreachable = 0
         """Attempts at servers that nobody answered at."""
-        self.has_pending = False
-        """Whether an attempt is under way."""
+        self.pending: BackendServer | None = None
+        """Where an attempt is under way."""
         self.may_have_run = False
         """Whether an earlier attempt may have run."""
         self.last_event_id = 0
--- a/packages/testing/src/sassafrastally/testing/replica.py
+++ b/packages/testing/src/sassafrastally/testing/replica.py
@@ -98,6 +98,8 @@
         """Start of its present life, if it tells."""
         self.crashes_under: Collection[bytes] = ()
         """Bodies of requests under which its process ends as soon as it runs them."""
+        self.crashes_silently = False
+        """When it crashes its host goes silent: nothing is answered or refused any more."""
         self.has_crashed = trio.Event()
         self._life = trio.CancelScope()
         self._peers = peers
@@ -193,7 +195,11 @@
         """Begin to work on a request; doesn't return when the server crashes under it."""
         arrival.run()
         if arrival.request.body in self.crashes_under:
-            self.crash()
+            if self.crashes_silently:
+                self.is_mute = self.reports_nothing = True
+                self.has_crashed.set()
+            else:
+                self.crash()
             await trio.sleep_forever()
 
     async def _plain(self, arrival: Arrival, connection: StandInConnection) -> None:
--- a/packages/testing/tests/platform/test_harmful_requests.py
+++ b/packages/testing/tests/platform/test_harmful_requests.py
@@ -10,7 +10,12 @@
 
 from sassafrastally.proxy.peers import Peers
 from sassafrastally.proxy.quarantining import Quarantining
-from sassafrastally.testing.platform_fleet import until
+from sassafrastally.testing.platform_fleet import (
+    RESTART_S,
+    make_configuration,
+    make_route,
+    until,
+)
 
 HARMFUL = b"a prompt that crashes what runs it"
 
@@ -82,6 +87,22 @@
         assert "3 backend servers" in problem["detail"]
         assert float(answer.headers["retry-after"]) > 60.0
 
+    async def test_counts_servers_whose_hosts_go_silent_with_them(self, fleet):
+        """The whole host goes down: no reset comes, and a connection isn't refused. The request was
+        silent for its share of the time, and then the server's entry lapsed."""
+        fleet.harmful_bodies.add(HARMFUL)
+        await start_fleet(fleet)
+        for number in range(1, 7):
+            fleet.replicas[f"desk-{number}"].crashes_silently = True
+        routes = [make_route("look", "idempotent", "desk", timeoutMs=600)]
+        fleet.configure(make_configuration(2, routes=routes))
+        await trio.sleep(0.1)
+        for number in range(5):
+            await fleet.call("/look/x", entry=1 + number % 3, body=HARMFUL)
+            await trio.sleep(RESTART_S)
+        assert len(harmful_arrivals(fleet)) <= 4
+        await assert_refused(fleet, 2, "/look/x", None)
+
     async def test_stream_that_is_taken_up_again_is_the_same_request(self, fleet):
         """The caller has some events and comes back to continue behind them. What crashes servers
         is the same prompt, though its header says something else each time."""
@@ -143,10 +164,12 @@
     return [key for key in keys if key.startswith("quarantine/")]
 
 
-async def assert_refused(fleet, entry: int) -> None:
+async def assert_refused(
+    fleet, entry: int, path: str = "/note/x", prompt: str | None = "1000,340"
+) -> None:
     """Check that an entry refuses the harmful request."""
     before = len(harmful_arrivals(fleet))
-    answer = await fleet.call("/note/x", entry=entry, body=HARMFUL, prompt="1000,340")
+    answer = await fleet.call(path, entry=entry, body=HARMFUL, prompt=prompt)
     assert json.loads(answer.body)["type"].endswith("quarantined")
     assert len(harmful_arrivals(fleet)) == before
 
