--- a/packages/cli/src/sassafrastally/cli/soak.py
+++ b/packages/cli/src/sassafrastally/cli/soak.py
@@ -4,6 +4,7 @@
 
 import random
 import shutil
+import signal
 import sys
 from typing import TYPE_CHECKING
 
@@ -32,6 +33,8 @@
     # Imported here: the soak pulls in the stand-ins, which no other command needs.
     from sassafrastally.testing.soak import SoakSize, run_soak
 
+    # A soak that is asked to end would leave its entries running, some of them paused.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     size = None
     if arguments.entries:
         size = SoakSize(arguments.entries, arguments.engines, 3, arguments.callers)
