--- a/packages/testing/src/sassafrastally/testing/platform_fleet.py
+++ b/packages/testing/src/sassafrastally/testing/platform_fleet.py
@@ -24,7 +24,7 @@
 from sassafrastally.proxy.settings import Bounds, ProxySettings
 from sassafrastally.proxy.store import AnswerLost
 from sassafrastally.testing.metadata_store import MetadataStore
-from sassafrastally.testing.replica import Replica
+from sassafrastally.testing.replica import Arrival, Replica
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Callable
@@ -79,6 +79,15 @@
             await trio.sleep(0.01)
 
 
+def failure_causes(kernel: Kernel) -> list[str]:
+    """Return why attempts of an entry failed, in their order."""
+    return [
+        record["fields"]["cause"]
+        for record in kernel.events.records()
+        if record["name"] == "AttemptFailed"
+    ]
+
+
 def make_route(name: str, kind: str, service: str, **fields: Any) -> dict[str, Any]:
     """Return a route of the configuration's document."""
     return {
@@ -170,6 +179,11 @@
         self._nursery.start_soon(self._replace_crashed, replica, fields)
         return replica
 
+    def arrivals(self) -> list[Arrival]:
+        """Return all requests that reached a backend server, in their order."""
+        found = [arrival for replica in self.replicas.values() for arrival in replica.arrivals]
+        return sorted(found, key=lambda arrival: arrival.at_s)
+
     async def _replace_crashed(self, replica: Replica, fields: dict[str, Any]) -> None:
         """Let another server take the place of one that crashes, as a supervisor does."""
         await replica.has_crashed.wait()
--- a/packages/testing/tests/platform/test_harmful_requests.py
+++ b/packages/testing/tests/platform/test_harmful_requests.py
@@ -1,4 +1,4 @@
-"""Requests that crash the backend servers that run them."""
+"""Requests that crash the backend servers that run them, and good ones beside them."""
 
 from __future__ import annotations
 
@@ -8,44 +8,20 @@
 import pytest
 import trio
 
-from sassafrastally.proxy.peers import Peers
-from sassafrastally.proxy.quarantining import Quarantining
-from sassafrastally.testing.platform_fleet import (
-    RESTART_S,
-    make_configuration,
-    make_route,
-    until,
+from sassafrastally.testing.harmful_fleet import (
+    HARMFUL,
+    alive,
+    assert_refused,
+    harmful_arrivals,
+    start_fleet,
 )
-
-HARMFUL = b"a prompt that crashes what runs it"
+from sassafrastally.testing.platform_fleet import RESTART_S, make_configuration, make_route, until
 
 MOST_AFTER_THE_THIRD = 3
 """Servers that may still be sent such a request after three have crashed under it; what operators
 allow."""
 
 
-async def start_fleet(fleet, entries: int = 3, engines: int = 6) -> None:
-    """Start entries that hear each other before engines and as many plain servers."""
-    for number in range(1, engines + 1):
-        await fleet.add_replica(f"engine-{number}")
-        await fleet.add_replica(f"desk-{number}", "desk")
-    for number in range(1, entries + 1):
-        await fleet.add_entry(number)
-    peers = [kernel.get("peers", Peers) for kernel in fleet.kernels]
-    await until(lambda: all(peer.live_count() == entries - 1 for peer in peers))
-
-
-def harmful_arrivals(fleet):
-    """Return the harmful requests that reached a backend server, in their order."""
-    found = [
-        arrival
-        for replica in fleet.replicas.values()
-        for arrival in replica.arrivals
-        if arrival.request.body in fleet.harmful_bodies
-    ]
-    return sorted(found, key=lambda arrival: arrival.at_s)
-
-
 class TestRepeatedRequest:
     """A request that crashes servers, and that its caller repeats."""
 
@@ -150,136 +126,6 @@
         assert len(fleet.crashed) < 10
 
 
-async def quarantine(fleet, entry: int = 1) -> None:
-    """Let the harmful request crash servers until an entry runs it no more."""
-    fleet.harmful_bodies.add(HARMFUL)
-    for _ in range(4):
-        await fleet.call("/note/x", entry=entry, body=HARMFUL, prompt="1000,340")
-    assert len(fleet.crashed) == 3
-
-
-def records(fleet) -> list[str]:
-    """Return the keys of the verdicts in the store."""
-    keys = fleet.store.keys()
-    return [key for key in keys if key.startswith("quarantine/")]
-
-
-async def assert_refused(
-    fleet, entry: int, path: str = "/note/x", prompt: str | None = "1000,340"
-) -> None:
-    """Check that an entry refuses the harmful request."""
-    before = len(harmful_arrivals(fleet))
-    answer = await fleet.call(path, entry=entry, body=HARMFUL, prompt=prompt)
-    assert json.loads(answer.body)["type"].endswith("quarantined")
-    assert len(harmful_arrivals(fleet)) == before
-
-
-class TestEntriesThatStart:
-    """Entries that weren't there when servers crashed."""
-
-    async def test_all_that_start_again_know_it_from_the_store(self, fleet):
-        """All entries are killed at one moment, and with them all that they have seen. The caller
-        comes back; each restart would cost three more servers."""
-        await start_fleet(fleet)
-        await quarantine(fleet)
-        await until(lambda: records(fleet))
-        for number in (1, 2, 3):
-            fleet.kill_entry(number)
-        await trio.sleep(0.05)
-        for number in (1, 2, 3):
-            await fleet.add_entry(number)
-            await assert_refused(fleet, number)
-
-    async def test_one_that_starts_without_the_store_hears_it_from_its_peers(self, fleet):
-        """The store is away from before the first crash, so that nothing stands there; a new entry
-        learns all from the others."""
-        await start_fleet(fleet, entries=2)
-        fleet.store.refuses_with = 503
-        await quarantine(fleet)
-        fleet.kill_entry(2)
-        await trio.sleep(0.05)
-        fleet.store.refuses_with = 0
-        second = await fleet.add_entry(2)
-        fleet.store.refuses_with = 503
-        await until(lambda: second.get("quarantine", Quarantining).count == 1, 5.0)
-        await assert_refused(fleet, 2)
-
-    async def test_verdict_is_recorded_once_the_store_is_back(self, fleet):
-        await start_fleet(fleet, entries=2)
-        fleet.store.refuses_with = 503
-        await quarantine(fleet)
-        assert not records(fleet)
-        fleet.store.refuses_with = 0
-        await until(lambda: records(fleet), 8.0)
-        assert len(records(fleet)) == 1
-
-    async def test_verdict_survives_leases_that_an_outage_ended(self, fleet):
-        """The store is away, and all leases run out with it. The verdict's time isn't over, and
-        entries that start after the outage must find it again."""
-        await start_fleet(fleet, entries=2)
-        await quarantine(fleet)
-        await until(lambda: records(fleet))
-        fleet.store.refuses_with = 503
-        await trio.sleep(2.5)
-        fleet.store.remove(records(fleet)[0])
-        fleet.store.refuses_with = 0
-        await until(lambda: records(fleet), 15.0)
-        await assert_refused(fleet, 2)
-
-
-class TestManyEntries:
-    """So many entries that data centres hear only sums of each other."""
-
-    ENTRIES = 28
-
-    async def test_other_data_centre_hears_of_crashes_and_verdict_by_the_sum(self, fleet):
-        """The caller comes to one data centre's entries, then to the other one's, whose entries
-        hear none of the first ones themselves. Three servers have crashed in all."""
-        fleet.data_centres = ["east", "west"]
-        for number in range(1, 7):
-            await fleet.add_replica(f"engine-{number}")
-        async with trio.open_nursery() as nursery:
-            for number in range(1, self.ENTRIES + 1):
-                nursery.start_soon(fleet.add_entry, number)
-        peers = [kernel.get("peers", Peers) for kernel in fleet.kernels]
-        await until(lambda: all(p.live_count() == self.ENTRIES - 1 for p in peers), 20.0)
-        await until(lambda: all(p.hears_sums() for p in peers), 10.0)
-        fleet.harmful_bodies.add(HARMFUL)
-        await fleet.call("/note/x", entry=2, body=HARMFUL, prompt="1000,340")
-        await trio.sleep(0.5)
-        await fleet.call("/note/x", entry=3, body=HARMFUL, prompt="1000,340")
-        await trio.sleep(0.5)
-        assert len(fleet.crashed) == 3
-        for entry in range(1, self.ENTRIES + 1):
-            await assert_refused(fleet, entry)
-
-
-class TestEndOfAVerdict:
-    """How it ends before its time."""
-
-    async def test_operator_ends_it_by_removing_its_record(self, fleet):
-        """The cause is mended, and nobody wants to wait for ten minutes."""
-        await start_fleet(fleet, entries=2)
-        await quarantine(fleet)
-        await until(lambda: records(fleet))
-        fleet.harmful_bodies.clear()
-        fleet.store.remove(records(fleet)[0])
-        await trio.sleep(0.3)
-        for entry in (1, 2):
-            answer = await fleet.call("/note/x", entry=entry, body=HARMFUL, prompt="1000,340")
-            assert answer.status == 200
-
-    async def test_record_of_another_writer_is_passed_over(self, fleet):
-        await start_fleet(fleet, entries=1)
-        fleet.store.put("quarantine/0123", b"{}")
-        fleet.store.put("quarantine/0123456789abcdef", b'{"crashes": "many"}')
-        await trio.sleep(0.2)
-        (kernel,) = fleet.kernels
-        assert kernel.get("quarantine", Quarantining).count == 0
-        rejected = [r for r in kernel.events.records() if r["name"] == "DocumentRejected"]
-        assert len(rejected) == 2
-
-
 class TestInnocentRequests:
     """Good requests on servers that are lost."""
 
@@ -391,8 +237,3 @@
         for entry in (1, 2):
             answer = await fleet.call("/note/x", entry=entry, body=self.GOOD, prompt="1000,34")
             assert answer.status == 200
-
-
-def alive(fleet):
-    """Return the backend servers that haven't crashed."""
-    return [replica for replica in fleet.replicas.values() if not replica.has_crashed.is_set()]
