Believe that a server listens only while it is being tried

A finding served for 0.1 s: a server that broke one answer off and crashed under another request within that time was taken for alive, and its crash counted against nobody. Red before (test_liveness), green after. A refused connection still serves all who ask at once.

--- a/packages/proxy/src/sassafrastally/proxy/liveness.py
+++ b/packages/proxy/src/sassafrastally/proxy/liveness.py
@@ -13,8 +13,9 @@
     from sassafrastally.proxy.model import BackendServer
 
 BELIEVED_S = 0.1
-"""How long a finding serves further questions. All requests that one crash breaks off ask within
-some milliseconds; a server that still listens may crash soon after."""
+"""How long a refused connection serves further questions: all requests that one crash breaks off
+ask within some milliseconds. That somebody listens serves only those who ask meanwhile, since a
+server that broke one answer off may crash the moment after."""
 
 KEPT_FINDINGS = 256
 """Findings that are kept; more servers don't break off requests of one process in that time."""
@@ -38,6 +39,12 @@
         self.done = trio.Event()
         self.finding = Finding(False, False, "")
 
+    def is_believed(self) -> bool:
+        """Return whether it still answers who asks now."""
+        if not self.done.is_set():
+            return True
+        return self.finding.is_refused and trio.current_time() - self.begin_s < BELIEVED_S
+
 
 class Liveness:
     """Tries connections to servers that broke something off; one for all who ask at a time.
@@ -55,9 +62,8 @@
     async def find(self, server: BackendServer) -> Finding:
         """Return whether anybody listens at the server's address."""
         check = self._checks.get(server.life_id)
-        now_s = trio.current_time()
-        if check is None or (check.done.is_set() and now_s - check.begin_s > BELIEVED_S):
-            check = _Check(now_s)
+        if check is None or not check.is_believed():
+            check = _Check(trio.current_time())
             self._checks.pop(server.life_id, None)
             self._checks[server.life_id] = check
             if len(self._checks) > KEPT_FINDINGS:
