Keep an entry running when a verdict and its end come together; end verdicts before a crash is weighed

The task that records verdicts took the first due of none and ended the process when a record came and went within one batch of changes (red: ValueError, now green). A crash right at a verdict's end was taken for one under a verdict in force.

--- a/packages/proxy/src/sassafrastally/proxy/quarantine.py
+++ b/packages/proxy/src/sassafrastally/proxy/quarantine.py
@@ -35,8 +35,8 @@
 whether other requests explain its crashes."""
 
 FRESH_S = 0.5
-"""News is told with every datagram for this long; with up to a tenth of the datagrams lost, a peer
-misses all of them once in some hundred thousand times."""
+"""News is told with every datagram for this long: two at an idle entry, some twenty at a busy one.
+Who misses these hears it when older news is told again."""
 
 TOLD_S = 30.0
 """News is told again now and then for this long, for entries that start or were cut off."""
@@ -141,6 +141,7 @@
         """
         if not self._cases.note_crash(fingerprint, server, Crash(now_s - age_s, now_s, is_own)):
             return None
+        self._end_verdicts(now_s)
         self._cases.keep_few(lambda key: key == fingerprint or key in self._verdicts)
         if fingerprint in self._verdicts:
             self._lift_refuted(self._verdicts[fingerprint], now_s)
--- a/packages/proxy/src/sassafrastally/proxy/quarantining.py
+++ b/packages/proxy/src/sassafrastally/proxy/quarantining.py
@@ -184,9 +184,10 @@
     async def _record(self) -> None:
         """Write verdicts to the store, and remove those that an answer has lifted."""
         while True:
+            self._news = trio.Event()
             if not self._due_s:
                 await self._news.wait()
-            self._news = trio.Event()
+                continue  # What was due may have ended before this task had its turn.
             fingerprint, due_s = min(self._due_s.items(), key=lambda item: item[1])
             with trio.move_on_after(max(0.0, due_s - self._now_s)):
                 await self._news.wait()
--- a/packages/proxy/tests/test_quarantine.py
+++ b/packages/proxy/tests/test_quarantine.py
@@ -261,6 +261,11 @@
         assert ended.verdict.fingerprint == HARMFUL
         assert known.note_crash(HARMFUL, 50, end_s + 5.0, is_own=True) is not None
 
+    def test_crash_right_after_its_end_brings_it_back(self):
+        """Nobody has looked at the verdict since its time was over."""
+        known = self.quarantined()
+        assert known.note_crash(HARMFUL, 50, 10.0 + QUARANTINE_S, is_own=True) is not None
+
     def test_answer_ends_it_for_good(self):
         """A run that was under way when the verdict came brings its answer: it was wrong."""
         known = self.quarantined()
--- a/packages/testing/tests/platform/test_quarantined_entries.py
+++ b/packages/testing/tests/platform/test_quarantined_entries.py
@@ -4,6 +4,8 @@
 
 import trio
 
+from sassafrastally.core import KvEvent
+from sassafrastally.proxy.beliefs import Beliefs
 from sassafrastally.proxy.peers import Peers
 from sassafrastally.proxy.quarantining import Quarantining
 from sassafrastally.testing.harmful_fleet import HARMFUL, assert_refused, quarantine, start_fleet
@@ -111,6 +113,18 @@
             answer = await fleet.call("/note/x", entry=entry, body=HARMFUL, prompt="1000,340")
             assert answer.status == 200
 
+    async def test_record_that_goes_as_soon_as_it_came_harms_nobody(self, fleet):
+        """A verdict and its end arrive together, so that nothing is left to record when the entry
+        turns to it. The entry must go on serving."""
+        await start_fleet(fleet, entries=1)
+        (kernel,) = fleet.kernels
+        beliefs = kernel.get("beliefs", Beliefs)
+        key, revision = "quarantine/0123456789abcdef", beliefs.revision
+        beliefs.apply([KvEvent(key, b'{"crashes": 3}', revision + 1)], revision + 1, "store")
+        beliefs.apply([KvEvent(key, None, revision + 2)], revision + 2, "store")
+        await trio.sleep(0.1)
+        assert (await fleet.call("/look/x")).status == 200
+
     async def test_record_of_another_writer_is_passed_over(self, fleet):
         await start_fleet(fleet, entries=1)
         fleet.store.put("quarantine/0123", b"{}")
