Deal out what ran on a crashed server, each to a server of its own

Cause: a good prompt was quarantined once in the test of innocent requests beside a busy machine (finding, traced): it had drawn the same servers as the harmful one three times, the last time 2 ms apart, since both callers came back when their streams broke. By arithmetic one harmful body in five on 8 engines. Change: entries know what ran on a crashed server and deal these requests out alike; servers with a suspect on them are told with the loads and passed over; a suspect waits for the other entries' news (40 ms). A silent request's body isn't kept in memory for it.

--- a/packages/proxy/src/sassafrastally/proxy/answerer.py
+++ b/packages/proxy/src/sassafrastally/proxy/answerer.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from sassafrastally.proxy.apart import dealt_server
 from sassafrastally.proxy.attempt import AttemptNotRun, AttemptUnknown
 from sassafrastally.proxy.fingerprint import fingerprint_text
 from sassafrastally.proxy.log_events import AttemptFailed, RequestPlaced, RetryBudgetSpent
@@ -14,6 +15,9 @@
 from sassafrastally.proxy.turning_away import come_back_after_s
 
 if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from sassafrastally.proxy.lanes import ServerView
     from sassafrastally.proxy.model import BackendServer, Helper
     from sassafrastally.proxy.path import RequestPath
     from sassafrastally.proxy.plan import Placement
@@ -83,6 +87,11 @@
         """Return whether a server has crashed under the request, for whatever reason."""
         return self._path.quarantine.crashes_under(self._task.fingerprint) > 0
 
+    def _dealt(self, views: Sequence[ServerView]) -> list[ServerView]:
+        """Return the server for a request with crashes, apart from what crashed with it."""
+        fingerprint = self._task.fingerprint
+        return dealt_server(views, fingerprint, self._path.quarantine.suspects_with(fingerprint))
+
     def _note_harmless(self, status: int) -> None:
         """Note a whole answer: what crashes servers brings no success."""
         if status < NO_SUCCESS:
--- a/packages/proxy/src/sassafrastally/proxy/crash_cases.py
+++ b/packages/proxy/src/sassafrastally/proxy/crash_cases.py
@@ -68,6 +68,16 @@
         """Return whether a server crashed while it ran a request."""
         return server in self._crashes.get(fingerprint, ())
 
+    def beside(self, fingerprint: int) -> list[int]:
+        """Return the other requests that servers ran which crashed under one, latest first."""
+        servers = self._crashes.get(fingerprint, {}).keys()
+        latest_s = {
+            other: max(known[server].at_s for server in common)
+            for other, known in self._crashes.items()
+            if other != fingerprint and (common := known.keys() & servers)
+        }
+        return sorted(latest_s, key=lambda other: -latest_s[other])
+
     def was_answered(self, fingerprint: int) -> bool:
         """Return whether a request with crashes is known to have been answered, before or after."""
         return fingerprint in self._answered_s
--- a/packages/proxy/src/sassafrastally/proxy/crashes.py
+++ b/packages/proxy/src/sassafrastally/proxy/crashes.py
@@ -24,7 +24,6 @@
 ended refuses a connection within one round trip, some milliseconds; a host that is silent for
 longer says nothing, and the request's time is short."""
 
-
 LAPSES_WITHIN_S = 8.0
 """Time from a request's silence until its server's entry has lapsed, if it has ended: servers write
 each second, and three writes that are missing end the entry. More is for a busy store."""
@@ -34,7 +33,10 @@
 
 
 class _Silent(NamedTuple):
-    task: RequestTask
+    """A request that was silent; its body, which may be megabytes, isn't kept for it."""
+
+    fingerprint: int
+    request_id: str
     at_s: float
 
 
@@ -84,6 +86,9 @@
         self._nursery.start_soon(self._find, server, task, cause, is_known)
         with trio.move_on_after(KNOWN_WITHIN_S):
             await is_known.wait()
+        if self._quarantine.crashes_under(task.fingerprint):
+            # Other entries are told meanwhile what ran there, and tell what ran there for them.
+            await trio.sleep(self._quarantine.news_age_s)
 
     def note_silent(self, server: BackendServer, task: RequestTask) -> None:
         """Note that an answer didn't come in time: its server may have gone down with its host.
@@ -98,7 +103,7 @@
             if any(now_s - one.at_s < LAPSES_WITHIN_S for one in requests)
         }
         requests = self._silent.setdefault(server.life_id, deque(maxlen=MOST_SILENT))
-        requests.append(_Silent(task, now_s))
+        requests.append(_Silent(task.fingerprint, task.request.facts.request_id, now_s))
 
     async def _find(
         self, server: BackendServer, task: RequestTask, cause: str, is_known: trio.Event
@@ -106,7 +111,7 @@
         try:
             finding = await self._liveness.find(server)
             if finding.is_refused and not self._was_leaving(server):
-                self._note_crash(server, task, cause)
+                self._note_crash(server, task.fingerprint, task.request.facts.request_id, cause)
             elif not finding.is_listening:
                 self.note_silent(server, task)
         finally:
@@ -119,16 +124,18 @@
         now_s = self._kernel.clock.now_s()
         for one in requests:
             if now_s - one.at_s < LAPSES_WITHIN_S:
-                self._note_crash(server, one.task, "silent, and its entry has lapsed")
+                cause = "silent, and its entry has lapsed"
+                self._note_crash(server, one.fingerprint, one.request_id, cause)
 
     def _was_leaving(self, server: BackendServer) -> bool:
         """Return whether a server was draining: what ends then is cut off by plan."""
         known = self._beliefs.server(server.server_id)
         return known is not None and known.life_id == server.life_id and known.is_draining
 
-    def _note_crash(self, server: BackendServer, task: RequestTask, cause: str) -> None:
+    def _note_crash(
+        self, server: BackendServer, fingerprint: int, request_id: str, cause: str
+    ) -> None:
         SERVER_CRASHES.add(1)
-        request_id = task.request.facts.request_id
-        fingerprint = fingerprint_text(task.fingerprint)
-        self._kernel.events.emit(ServerCrashed(server.server_id, request_id, fingerprint, cause))
-        self._quarantine.note_crash(task.fingerprint, server)
+        text = fingerprint_text(fingerprint)
+        self._kernel.events.emit(ServerCrashed(server.server_id, request_id, text, cause))
+        self._quarantine.note_crash(fingerprint, server)
--- a/packages/proxy/src/sassafrastally/proxy/generation.py
+++ b/packages/proxy/src/sassafrastally/proxy/generation.py
@@ -9,7 +9,6 @@
 import trio
 
 from sassafrastally.proxy.answerer import SERVER_ERROR, Answerer
-from sassafrastally.proxy.apart import drawn_apart
 from sassafrastally.proxy.attempt import AttemptNotRun, AttemptUnknown
 from sassafrastally.proxy.event_stream import EventSplitter, StreamEvent
 from sassafrastally.proxy.lanes import Scatter, lane_of
@@ -122,7 +121,7 @@
         if self._lane is Lane.SHORT and self._is_suspect():
             sight = self._path.sight
             views = sight.near_views(service, tried) or sight.views(service, tried)
-            plan = self._place_among(drawn_apart(views, self._task.fingerprint))
+            plan = self._place_among(self._dealt(views))
             if plan is not None:
                 return plan
         if self._lane is Lane.SHORT and (near := self._path.sight.near_views(service, tried)):
@@ -155,7 +154,14 @@
         self._log_placed(server, placement)
         memory = {holding.server.life_id: holding.tokens for holding in placement.holdings}
         due_s = begin_s + placement.predicted_s
-        flight = Flight(server.life_id, placement.lane, memory, placement.parts, due_s)
+        flight = Flight(
+            server.life_id,
+            placement.lane,
+            memory,
+            placement.parts,
+            due_s,
+            is_suspect=self._is_suspect(),
+        )
         self._path.sight.ledger.add(flight, begin_s)
         waiting = trio.CancelScope(deadline=trio.current_time() + self._first_limit_s(placement))
         attempt = WaitingAttempt(
--- a/packages/proxy/src/sassafrastally/proxy/load.py
+++ b/packages/proxy/src/sassafrastally/proxy/load.py
@@ -47,6 +47,8 @@
     writing_tokens: int = 0
     """Memory of those long requests that have had their first event: whose next ones a further
     prompt would hold up."""
+    suspect_requests: int = 0
+    """Requests under which a server has crashed already."""
 
     @property
     def requests(self) -> int:
@@ -79,6 +81,8 @@
         Reading by backend server, the answering one included.
     due_s
         When the first event was expected; later than that, reading goes on for longer than planned.
+    is_suspect
+        Whether a server has crashed under its request already.
     """
 
     def __init__(
@@ -88,12 +92,15 @@
         memory: Mapping[str, int] | None = None,
         parts: tuple[Part, ...] = (),
         due_s: float = math.inf,
+        *,
+        is_suspect: bool = False,
     ) -> None:
         self.life_id = life_id
         self.lane = lane
         self.memory = memory or {}
         self.parts = parts
         self.due_s = due_s
+        self.is_suspect = is_suspect
         self.is_reading = bool(parts)
 
 
@@ -138,8 +145,9 @@
 
         A long prompt is read by a large part of the engines at once. Another entry that places one
         before it has heard of it reads it on the same engines, and one of the two waits for both.
+        Suspects that meet on one server can't be told apart by its next crash.
         """
-        self.note_change(is_urgent=flight.lane is Lane.LONG)
+        self.note_change(is_urgent=flight.lane is Lane.LONG or flight.is_suspect)
         self._flights.add(flight)
         for part in flight.parts:
             begin_s = max(now_s, self._read_until_s.get(part.life_id, now_s))
@@ -173,6 +181,7 @@
                 short_requests=at_server.short_requests + (flight.lane is Lane.SHORT),
                 long_requests=at_server.long_requests + (flight.lane is Lane.LONG),
                 plain_requests=at_server.plain_requests + (flight.lane is Lane.PLAIN),
+                suspect_requests=at_server.suspect_requests + flight.is_suspect,
             )
             is_writing = flight.lane is Lane.LONG and not flight.is_reading
             for life_id, tokens in flight.memory.items():
--- a/packages/proxy/src/sassafrastally/proxy/peer_messages.py
+++ b/packages/proxy/src/sassafrastally/proxy/peer_messages.py
@@ -213,6 +213,7 @@
         "kiloTokens": -(-work.tokens // 1000),
         "readingMs": int(work.reading_ms),
         "kiloTokensWriting": -(-work.writing_tokens // 1000),
+        "suspectRequests": work.suspect_requests,
     }
 
 
@@ -225,6 +226,7 @@
         tokens=load.kiloTokens * 1000,
         reading_ms=float(load.readingMs),
         writing_tokens=load.kiloTokensWriting * 1000,
+        suspect_requests=load.suspectRequests,
     )
 
 
--- a/packages/proxy/src/sassafrastally/proxy/peers.capnp
+++ b/packages/proxy/src/sassafrastally/proxy/peers.capnp
@@ -68,6 +68,7 @@
   kiloTokens @5 :UInt32;
   readingMs @6 :UInt32;
   kiloTokensWriting @7 :UInt32;
+  suspectRequests @8 :UInt16;
 }
 
 struct Suspect {
--- a/packages/proxy/src/sassafrastally/proxy/peers.py
+++ b/packages/proxy/src/sassafrastally/proxy/peers.py
@@ -47,6 +47,10 @@
 than some 250 datagrams a second (1 % of a small VM's core) however many entries there are. More
 entries mean fewer requests at each, so that each one's news is less."""
 
+NEWS_WAY_S = 0.02
+"""Time from a choice until others have its datagram, beside the time between two datagrams: the way
+and both processes' turn."""
+
 NAMED_S = 2.0
 """Time between two datagrams that name the peers. Names make up most of a datagram's bytes and
 rarely change; while they do, each datagram has them."""
@@ -201,6 +205,11 @@
     def _now_s(self) -> float:
         return self.kernel.clock.now_s()
 
+    @property
+    def news_age_s(self) -> float:
+        """How old the latest news of entries nearby is; 0 without any."""
+        return self.gap_s + NEWS_WAY_S if self.live_count() else 0.0
+
     def _told_count(self) -> int:
         """Return how many live peers this entry tells of itself."""
         live = set(self.live_hosts())
--- a/packages/proxy/src/sassafrastally/proxy/plain.py
+++ b/packages/proxy/src/sassafrastally/proxy/plain.py
@@ -7,7 +7,6 @@
 import trio
 
 from sassafrastally.proxy.answerer import SERVER_ERROR, Answerer
-from sassafrastally.proxy.apart import drawn_apart
 from sassafrastally.proxy.attempt import AttemptNotRun, AttemptUnknown
 from sassafrastally.proxy.load import Flight, Lane
 from sassafrastally.proxy.log_events import RequestAnswered
@@ -68,7 +67,7 @@
     def _choose(self) -> BackendServer | None:
         views = self._path.sight.views(self._task.service, self.progress.tried)
         if self._is_suspect():
-            views = drawn_apart(views, self._task.fingerprint)
+            views = self._dealt(views)
         return place_plain(views, self._path.kernel.data_centre)
 
     def _has_others(self) -> bool:
@@ -82,7 +81,7 @@
         self._begin_attempt(server)
         begin_s = self._clock.now_s()
         self._log_placed(server)
-        flight = Flight(server.life_id, Lane.PLAIN)
+        flight = Flight(server.life_id, Lane.PLAIN, is_suspect=self._is_suspect())
         self._path.sight.ledger.add(flight, begin_s)
         try:
             with trio.move_on_at(self._attempt_end_s(begin_s)):
--- a/packages/proxy/src/sassafrastally/proxy/quarantine.py
+++ b/packages/proxy/src/sassafrastally/proxy/quarantine.py
@@ -121,6 +121,14 @@
             fingerprint, now_s, lambda server: self._is_explained(server, fingerprint, now_s)
         )
 
+    def suspects_with(self, fingerprint: int, now_s: float) -> list[int]:
+        """Return the other requests that were on servers that crashed under one, latest first."""
+        return [
+            other
+            for other in self._cases.beside(fingerprint)
+            if self.crashes_under(other, now_s) and other not in self._verdicts
+        ]
+
     def note_crash(
         self, fingerprint: int, server: int, now_s: float, *, age_s: float = 0.0, is_own: bool
     ) -> Verdict | None:
--- a/packages/proxy/src/sassafrastally/proxy/quarantining.py
+++ b/packages/proxy/src/sassafrastally/proxy/quarantining.py
@@ -96,6 +96,15 @@
         """Return how many crashes speak against a request."""
         return self._known.crashes_under(fingerprint, self._now_s)
 
+    @property
+    def news_age_s(self) -> float:
+        """How long it takes until the entries nearby have told each other of a crash."""
+        return self._peers.news_age_s
+
+    def suspects_with(self, fingerprint: int) -> list[int]:
+        """Return the other requests that were on servers that crashed under one, latest first."""
+        return self._known.suspects_with(fingerprint, self._now_s)
+
     def note_crash(self, fingerprint: int, server: BackendServer) -> None:
         """Note that a server crashed while it ran a request for this entry."""
         verdict = self._known.note_crash(
--- a/packages/proxy/src/sassafrastally/proxy/sight.py
+++ b/packages/proxy/src/sassafrastally/proxy/sight.py
@@ -26,10 +26,6 @@
 
     from sassafrastally.proxy.model import BackendServer, ServerLoad
 
-NEWS_WAY_S = 0.02
-"""Time from a choice until others have its datagram, beside the time between two datagrams: the way
-and both processes' turn."""
-
 
 class Sight(Service):
     """Joins what this process knows with what its peers tell."""
@@ -74,7 +70,7 @@
     @property
     def news_age_s(self) -> float:
         """How old the latest news of other entries is."""
-        return self._peers.gap_s + NEWS_WAY_S if self._peers.live_count() else 0.0
+        return self._peers.news_age_s
 
     def work(self) -> WorkView:
         """Return the work of all entries."""
--- a/packages/proxy/tests/test_decisions.py
+++ b/packages/proxy/tests/test_decisions.py
@@ -358,7 +358,7 @@
             revision=12,
             confirmed_age_s=0.5,
             is_stopping=False,
-            loads={5: Work(1, 2, 3, 4, 5000, 60.0)},
+            loads={5: Work(1, 2, 3, 4, 5000, 60.0, suspect_requests=6)},
             peers=("10.0.0.2",),
             suspects={9: 1.5},
             paces={9: 2.5},
