--- a/packages/proxy/src/sassafrastally/proxy/answerer.py
+++ b/packages/proxy/src/sassafrastally/proxy/answerer.py
@@ -6,6 +6,7 @@
 
 from sassafrastally.proxy.apart import dealt_server
 from sassafrastally.proxy.attempt import AttemptNotRun, AttemptUnknown
+from sassafrastally.proxy.backpressure import CallKind
 from sassafrastally.proxy.fingerprint import fingerprint_text
 from sassafrastally.proxy.log_events import AttemptFailed, RequestPlaced, RetryBudgetSpent
 from sassafrastally.proxy.metrics import ATTEMPTS_FAILED
@@ -123,6 +124,7 @@
         self.progress.sent += 1
         self.progress.tried.add(server.life_id)
         self.progress.pending = server
+        self._path.backpressure.count(server, CallKind.ATTEMPT)
 
     def _may_try_again(self) -> bool:
         """Return whether another attempt is allowed; counts it in the budget."""
--- a/packages/proxy/src/sassafrastally/proxy/attempt.py
+++ b/packages/proxy/src/sassafrastally/proxy/attempt.py
@@ -13,12 +13,18 @@
 from sassafrastally.proxy.http_stream import ConnectionLost
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
+    from collections.abc import AsyncIterator, Callable
 
     from sassafrastally.core import Address
     from sassafrastally.proxy.dialect import Dialect, Headers
     from sassafrastally.proxy.http_stream import HttpStream
-    from sassafrastally.proxy.model import AnswerFacts, AttemptTerms, BackendServer, RequestFacts
+    from sassafrastally.proxy.model import (
+        AnswerFacts,
+        AttemptTerms,
+        BackendServer,
+        RequestFacts,
+        ServerAsks,
+    )
     from sassafrastally.proxy.pool import ConnectionPool
 
 SILENT = "nothing came in time"
@@ -113,6 +119,8 @@
     def __init__(self, dialect: Dialect, pool: ConnectionPool) -> None:
         self._dialect = dialect
         self._pool = pool
+        self.on_answer: Callable[[BackendServer, ServerAsks], None] = lambda *_: None
+        """Called with the header of each answer, before it is read further."""
 
     @property
     def pool(self) -> ConnectionPool:
@@ -158,7 +166,7 @@
             head = self._head(request, terms)
             answer = None
             with waiting or trio.CancelScope():
-                answer = await self._exchange(connection, request, head)
+                answer = await self._exchange(connection, request, terms.server, head)
             if answer is None:
                 raise _silent()
             yield answer
@@ -190,7 +198,7 @@
         return h11.Request(method=request.method, target=request.target, headers=headers)
 
     async def _exchange(
-        self, connection: HttpStream, request: Request, head: h11.Request
+        self, connection: HttpStream, request: Request, server: BackendServer, head: h11.Request
     ) -> Answer:
         try:
             await connection.send(head, h11.Data(data=request.body), h11.EndOfMessage())
@@ -199,7 +207,7 @@
             # more than the failed write does, so it is read first.
             if connection.http.their_state is not h11.SEND_RESPONSE:
                 raise AttemptUnknown("reset while the request was sent") from None
-        answer = await self._read_head(connection, request.facts.request_id)
+        answer = await self._read_head(connection, server, request.facts.request_id)
         for _ in range(FOREIGN_ANSWERS):
             if self._is_own(answer, request):
                 break
@@ -207,7 +215,7 @@
             # request id tells; the request's own answer follows behind it.
             await answer.read()
             connection.http = _next_answer(connection.http, head, request.body)
-            answer = await self._read_head(connection, request.facts.request_id)
+            answer = await self._read_head(connection, server, request.facts.request_id)
         else:
             raise AttemptUnknown("only answers to other requests came")
         if answer.facts.is_proved_not_run:
@@ -218,11 +226,14 @@
         request_id = answer.facts.request_id
         return request_id is None or request_id == request.facts.request_id
 
-    async def _read_head(self, connection: HttpStream, request_id: str) -> Answer:
+    async def _read_head(
+        self, connection: HttpStream, server: BackendServer, request_id: str
+    ) -> Answer:
         while True:
             event = await _receive(connection)
             if isinstance(event, h11.Response):
                 facts = self._dialect.read_answer(event.status_code, list(event.headers))
+                self.on_answer(server, facts.asks)
                 return Answer(connection, event, facts)
             if isinstance(event, h11.EndOfMessage | h11.ConnectionClosed):
                 raise AttemptUnknown(f"closed without an answer to {request_id}")
--- a/packages/proxy/src/sassafrastally/proxy/daemon.py
+++ b/packages/proxy/src/sassafrastally/proxy/daemon.py
@@ -10,6 +10,7 @@
 from sassafrastally.core import Clock, Kernel
 from sassafrastally.proxy.answering import Answering
 from sassafrastally.proxy.attempt import Attempts
+from sassafrastally.proxy.backpressure import Backpressure
 from sassafrastally.proxy.beliefs import Beliefs
 from sassafrastally.proxy.budget import RetryBudget
 from sassafrastally.proxy.callers import Callers
@@ -47,6 +48,7 @@
     kernel.add(Beliefs(dialect))
     kernel.add(StoreWatch(store))
     kernel.add(Peers(settings, dialect, store, ledger))
+    kernel.add(Backpressure())
     kernel.add(Sight(ledger))
     kernel.add(Quarantining(dialect, store))
     kernel.add(EngineReports(settings, dialect))
--- a/packages/proxy/src/sassafrastally/proxy/log_events.py
+++ b/packages/proxy/src/sassafrastally/proxy/log_events.py
@@ -400,3 +400,37 @@
 
     fingerprint: str
     cause: str
+
+
+@event(10040)
+class ServerLimited(NamedTuple):
+    """A backend server names the requests that it takes from all entries together."""
+
+    server_id: str
+    most_per_s: float
+    sent: int
+    """Requests that this process sent it in the last seconds."""
+    entries: int
+    """Live entries, this one included."""
+
+
+@event(10041)
+class ServerLimitEnded(NamedTuple):
+    """A backend server no longer names a limit."""
+
+    server_id: str
+
+
+@event(10042)
+class ServerLeaving(NamedTuple):
+    """A backend server says that it leaves."""
+
+    server_id: str
+
+
+@event(10043)
+class ServerCoolingDown(NamedTuple):
+    """A backend server wants no request of this process for a while."""
+
+    server_id: str
+    for_s: float
--- a/packages/proxy/src/sassafrastally/proxy/metrics.py
+++ b/packages/proxy/src/sassafrastally/proxy/metrics.py
@@ -29,6 +29,9 @@
 )
 REFUSALS = counter("proxy.refusals", "1", "Answers of our own, by code.")
 SUSPICIONS = counter("proxy.suspicions", "1", "Backend servers left alone after failures.")
+SERVER_CALLS = counter(
+    "proxy.server_calls", "1", "Requests sent to backend servers, by what they are for."
+)
 SERVER_CRASHES = counter(
     "proxy.server_crashes", "1", "Requests under which a backend server's process ended."
 )
--- a/packages/proxy/src/sassafrastally/proxy/model.py
+++ b/packages/proxy/src/sassafrastally/proxy/model.py
@@ -198,6 +198,20 @@
     """When it started; ``None`` where it doesn't say."""
 
 
+class ServerAsks(NamedTuple):
+    """What a backend server asks of its callers, as one of its answers says."""
+
+    most_per_s: float | None = None
+    """Requests a second that it takes from all entries together; ``None``: it names no limit."""
+    is_leaving: bool = False
+    """Whether it leaves, for good in this life."""
+    cool_down_s: float | None = None
+    """How long it wants no further request of this process; ``None``: it doesn't ask for that."""
+
+
+NOTHING_ASKED = ServerAsks()
+
+
 class AnswerFacts(NamedTuple):
     """What the path needs to know of the header of a backend server's answer."""
 
@@ -208,6 +222,7 @@
     load: ServerLoad | None
     server_at_fault: Address | None
     """Address of the backend server because of which the request failed."""
+    asks: ServerAsks = NOTHING_ASKED
 
 
 class ReservationOutcome(Enum):
--- a/packages/proxy/src/sassafrastally/proxy/path.py
+++ b/packages/proxy/src/sassafrastally/proxy/path.py
@@ -7,6 +7,7 @@
 import trio
 
 from sassafrastally.core import Service
+from sassafrastally.proxy.backpressure import Backpressure
 from sassafrastally.proxy.beliefs import Beliefs
 from sassafrastally.proxy.crashes import Crashes
 from sassafrastally.proxy.fingerprint import fingerprint_text, request_fingerprint
@@ -68,7 +69,7 @@
     """
 
     name: ClassVar[str] = "path"
-    needs: ClassVar[tuple[str, ...]] = ("beliefs", "quarantine", "sight")
+    needs: ClassVar[tuple[str, ...]] = ("backpressure", "beliefs", "quarantine", "sight")
 
     reservations: Reservations
     """Memory reserved at engines."""
@@ -87,10 +88,14 @@
         self._started_s = self.kernel.clock.now_s()
         self.sight = self.kernel.get("sight", Sight)
         self._beliefs = self.kernel.get("beliefs", Beliefs)
+        self.backpressure = self.kernel.get("backpressure", Backpressure)
+        self.attempts.on_answer = self.backpressure.note_answer
         self.quarantine = self.kernel.get("quarantine", Quarantining)
         self.quarantine.on_verdict = self.sight.waiting_attempts.give_up_request
         self.crashes = Crashes(self.kernel, nursery, self.sight.liveness, self.quarantine)
-        self.reservations = Reservations(self.dialect, self.kernel, self._beliefs, nursery)
+        self.reservations = Reservations(
+            self.dialect, self.kernel, self._beliefs, self.backpressure, nursery
+        )
         nursery.start_soon(self._tidy)
 
     async def _tidy(self) -> None:
--- a/packages/proxy/src/sassafrastally/proxy/reports.py
+++ b/packages/proxy/src/sassafrastally/proxy/reports.py
@@ -7,6 +7,7 @@
 import trio
 
 from sassafrastally.core import Service
+from sassafrastally.proxy.backpressure import Backpressure, CallKind
 from sassafrastally.proxy.beliefs import Beliefs
 from sassafrastally.proxy.calls import CallClient
 from sassafrastally.proxy.dialect import DocumentInvalid
@@ -50,7 +51,7 @@
     """
 
     name: ClassVar[str] = "reports"
-    needs: ClassVar[tuple[str, ...]] = ("beliefs", "peers", "sight")
+    needs: ClassVar[tuple[str, ...]] = ("backpressure", "beliefs", "peers", "sight")
 
     def __init__(self, settings: ProxySettings, dialect: Dialect) -> None:
         self._own_host = settings.host
@@ -65,6 +66,7 @@
         self._beliefs = self.kernel.get("beliefs", Beliefs)
         self._peers = self.kernel.get("peers", Peers)
         self._sight = self.kernel.get("sight", Sight)
+        self._backpressure = self.kernel.get("backpressure", Backpressure)
         self._nursery = nursery
         self._sight.ask_report = self._ask_for_request
         nursery.start_soon(self._run)
@@ -138,6 +140,7 @@
     async def _exchange(self, engine: BackendServer, request_id: str) -> None:
         client = self._calls.setdefault(engine.address, CallClient(engine.address))
         call = self._dialect.report_call(engine)
+        self._backpressure.count(engine, CallKind.REPORT)
         try:
             status, body = await client.exchange(
                 call.method, call.target, call.headers, call.body, REPORT_TIME_S
--- a/packages/proxy/src/sassafrastally/proxy/reservations.py
+++ b/packages/proxy/src/sassafrastally/proxy/reservations.py
@@ -16,6 +16,7 @@
 
 from sassafrastally.core import Address
 from sassafrastally.proxy.attempt import AttemptNotRun
+from sassafrastally.proxy.backpressure import CallKind
 from sassafrastally.proxy.calls import CallClient
 from sassafrastally.proxy.log_events import ReservationFailed, ReservationReleased
 from sassafrastally.proxy.model import ReservationOutcome
@@ -25,8 +26,10 @@
     from collections.abc import AsyncIterator, Mapping, Sequence
 
     from sassafrastally.core import Kernel
+    from sassafrastally.proxy.backpressure import Backpressure
     from sassafrastally.proxy.beliefs import Beliefs
     from sassafrastally.proxy.dialect import Call, Dialect
+    from sassafrastally.proxy.model import BackendServer
     from sassafrastally.proxy.plan import Holding
 
 LEASE_S = 3.5
@@ -59,15 +62,23 @@
         Clock, random source and log.
     beliefs
         Tells whether an engine has started again since.
+    backpressure
+        Counts the orders.
     nursery
         Where releases go on after the request has ended.
     """
 
     def __init__(
-        self, dialect: Dialect, kernel: Kernel, beliefs: Beliefs, nursery: trio.Nursery
+        self,
+        dialect: Dialect,
+        kernel: Kernel,
+        beliefs: Beliefs,
+        backpressure: Backpressure,
+        nursery: trio.Nursery,
     ) -> None:
         self._dialect = dialect
         self._beliefs = beliefs
+        self._backpressure = backpressure
         self._kernel = kernel
         self._nursery = nursery
         self._calls: dict[Address, CallClient] = {}
@@ -126,7 +137,7 @@
         holding, reservation_id = reservation
         call = self._dialect.reserve_call(holding.server, reservation_id, holding.tokens, LEASE_S)
         try:
-            status, body = await self._send(holding.server.address, call)
+            status, body = await self._send(holding.server, call)
             outcome = self._dialect.read_reservation(status, body)
         except AnswerLost:
             outcome = ReservationOutcome.UNKNOWN
@@ -157,7 +168,7 @@
         status = 0
         for _ in range(RELEASE_TRIES):
             try:
-                status, _body = await self._send(holding.server.address, call)
+                status, _body = await self._send(holding.server, call)
                 break
             except AnswerLost:
                 # The lease ends by itself if the release never arrives.
@@ -166,8 +177,9 @@
             ReservationReleased(reservation_id, holding.server.server_id, status)
         )
 
-    async def _send(self, address: Address, call: Call) -> tuple[int, bytes]:
-        client = self._calls.setdefault(address, CallClient(address))
+    async def _send(self, server: BackendServer, call: Call) -> tuple[int, bytes]:
+        self._backpressure.count(server, CallKind.ORDER)
+        client = self._calls.setdefault(server.address, CallClient(server.address))
         return await client.exchange(
             call.method, call.target, call.headers, call.body, ORDER_TIME_S
         )
