--- a/packages/testing/src/sassafrastally/testing/replica.py
+++ b/packages/testing/src/sassafrastally/testing/replica.py
@@ -87,6 +87,14 @@
         """Events after which it breaks off a stream in the middle of the next one."""
         self.event_bytes = EVENT_BYTES
         """Text of one event."""
+        self.most_per_s: float | None = None
+        """Requests a second that it takes from all entries, as it says; ``None``: no limit."""
+        self.is_leaving = False
+        """Its answers say that it leaves."""
+        self.cool_down_s: float | None = None
+        """Time that it asks for with each request that it turns away."""
+        self.called_s: list[float] = []
+        """When requests of any kind reached it: also reports and orders."""
         self.is_mute = False
         """It reads requests and never answers."""
         self.reports_nothing = False
@@ -166,13 +174,15 @@
         return json.dumps(fields).encode()
 
     async def _handle(self, request: StandInRequest, connection: StandInConnection) -> None:
+        self.called_s.append(trio.current_time())
         if request.target == "/order":
             await self._order(json.loads(request.body), connection)
             return
         if request.target == "/report" and self.engine is not None:
             if self.reports_nothing:
                 await trio.sleep_forever()
-            await connection.answer(200, self._report(), {"Content-Type": "application/json"})
+            fields = {"Content-Type": "application/json", **self._asks()}
+            await connection.answer(200, self._report(), fields)
             return
         arrival = Arrival(request)
         self.arrivals.append(arrival)
@@ -182,7 +192,10 @@
             await connection.answer(421, b"", {"Replica-Id": self.server_id})
             return
         if self.refuses:
-            await connection.answer(503, b"", {"Not-Executed": "1", "Attempt-Id": request_id})
+            fields = {"Not-Executed": "1", "Attempt-Id": request_id, **self._asks()}
+            if self.cool_down_s is not None:
+                fields["Retry-After"] = f"{self.cool_down_s:g}"
+            await connection.answer(503, b"", fields)
             return
         if self.is_mute:
             await trio.sleep_forever()
@@ -288,4 +301,14 @@
         await connection.answer(200 if is_held else 409, b"{}")
 
     def _headers(self, request_id: str) -> dict[str, str]:
-        return {"Attempt-Id": request_id, "Replica-Seal": f"seal.{self.server_id}"}
+        seal = f"seal.{self.server_id}"
+        return {"Attempt-Id": request_id, "Replica-Seal": seal, **self._asks()}
+
+    def _asks(self) -> dict[str, str]:
+        """Return what it asks of its callers."""
+        fields = {}
+        if self.most_per_s is not None:
+            fields["Server-Limit"] = f"{self.most_per_s:g}"
+        if self.is_leaving:
+            fields["Server-Leaving"] = "1"
+        return fields
