--- a/packages/testing/tests/platform/test_backpressure.py
+++ b/packages/testing/tests/platform/test_backpressure.py
@@ -111,3 +111,47 @@
         helped = [arrival.request.headers.get("helpers", "") for arrival in fleet.arrivals()]
         assert any(helped)
         assert not any(address in helpers for helpers in helped)
+
+
+class TestLeaving:
+    """Servers that say in their answers that they leave."""
+
+    @pytest.mark.parametrize(("kind", "prompt"), [("engine", "1000,34"), ("desk", None)])
+    async def test_server_that_says_it_leaves_gets_no_more_while_the_store_is_away(
+        self, fleet, kind, prompt
+    ):
+        """Guards against requests to a server whose leaving the store can't tell."""
+        await start_fleet(fleet, entries=2, engines=2)
+        fleet.cut_from_store = {1, 2}
+        leaving = fleet.replicas[f"{kind}-1"]
+        leaving.is_leaving = True
+        path = "/note/x" if kind == "engine" else "/look/x"
+        await offer(fleet, path, per_s=20.0, for_s=1.0, entries=2, prompt=prompt)
+        met = len(leaving.arrivals)
+        answers = await offer(fleet, path, per_s=20.0, for_s=1.0, entries=2, prompt=prompt)
+        assert met > 0
+        assert len(leaving.arrivals) == met
+        assert [answer.status for answer in answers] == [200] * 20
+
+
+class TestCoolDown:
+    """Servers that turn an entry away and ask for a while without requests."""
+
+    @pytest.mark.parametrize(("kind", "prompt"), [("engine", "1000,34"), ("desk", None)])
+    async def test_server_that_asks_for_rest_gets_nothing_until_it_is_over(
+        self, fleet, kind, prompt
+    ):
+        """Guards against requests within the time that a server has asked to be left alone."""
+        await start_fleet(fleet, entries=1, engines=2)
+        resting = fleet.replicas[f"{kind}-1"]
+        resting.refuses, resting.cool_down_s = True, 1.5
+        path = "/note/x" if kind == "engine" else "/look/x"
+        begin_s = trio.current_time()
+        answers = await offer(fleet, path, per_s=20.0, for_s=1.2, prompt=prompt)
+        refused_s = resting.arrivals[0].at_s
+        assert len([at_s for at_s in resting.called_s if at_s > refused_s + 0.1]) == 0
+        assert [answer.status for answer in answers] == [200] * 24
+        resting.refuses = False
+        await trio.sleep_until(max(begin_s + 1.2, refused_s + 1.55))
+        await offer(fleet, path, per_s=20.0, for_s=1.0, prompt=prompt)
+        assert resting.runs
