Send nothing to a server that has said in an answer that it leaves

Cause: leaving was learnt from the store alone. Ruled out: suspicion that was overridden (no line calls the server suspect, two others were there); requests under way (first attempts of new requests, 2 to 4 s later).

The word holds for the server's life, also where its entry lapses with the store and comes back, and is never overridden, as suspicion is when nobody else is left. Peers hear of it with the suspects and leave the server alone unless they have no other, until it tells them itself.

--- a/packages/proxy/src/sassafrastally/proxy/backpressure.py
+++ b/packages/proxy/src/sassafrastally/proxy/backpressure.py
@@ -8,6 +8,7 @@
 
 from sassafrastally.core import Service
 from sassafrastally.proxy.beliefs import Beliefs
+from sassafrastally.proxy.leaving import LEAVING_S
 from sassafrastally.proxy.limit_news import LimitNews
 from sassafrastally.proxy.load import server_hash
 from sassafrastally.proxy.log_events import (
@@ -17,7 +18,6 @@
     ServerLimitEnded,
 )
 from sassafrastally.proxy.metrics import SERVER_CALLS
-from sassafrastally.proxy.model import NOTHING_ASKED
 from sassafrastally.proxy.peers import Peers
 from sassafrastally.proxy.rate_shares import ReturnTimes, SentRequests, own_share_per_s
 
@@ -69,7 +69,8 @@
 
     def __init__(self, own_host: str) -> None:
         self._own_host = own_host
-        self._asked: dict[str, ServerAsks] = {}
+        self._leaving_s: dict[str, float] = {}
+        """When servers that leave last said so."""
         self._sent: dict[str, SentRequests] = {}
         self._limits: dict[int, _Limit] = {}
         """By hash of the server's life."""
@@ -91,16 +92,25 @@
 
     def note_answer(self, server: BackendServer, asks: ServerAsks) -> None:
         """Note what a server asks in an answer."""
-        known = self._asked.get(server.life_id, NOTHING_ASKED)
-        self._asked[server.life_id] = asks
         key = server_hash(server.life_id)
         if asks.most_per_s is not None or key in self._limits:
             self._take_limit(key, _Limit(asks.most_per_s, self._now_s), OWN_WORD)
-        if asks.is_leaving and not known.is_leaving:
-            self.kernel.events.emit(ServerLeaving(server.server_id))
+        if asks.is_leaving:
+            self._note_leaving(server)
         if asks.cool_down_s is not None:
             self.kernel.events.emit(ServerCoolingDown(server.server_id, asks.cool_down_s))
 
+    def leaving(self) -> dict[str, float]:
+        """Return the servers that have lately said that they leave, with the seconds left.
+
+        Peers leave them alone for so long. By then they have gone, or tell the peers themselves.
+        """
+        left = (
+            (life_id, said_s + LEAVING_S - self._now_s)
+            for life_id, said_s in self._leaving_s.items()
+        )
+        return {life_id: left_s for life_id, left_s in left if left_s > 0}
+
     def limit_of(self, life_id: str) -> float | None:
         """Return the requests a second that a server takes; ``None`` without a limit."""
         limit = self._limits.get(server_hash(life_id)) if self._limits else None
@@ -109,9 +119,9 @@
     def rooms_s(self, servers: Iterable[BackendServer]) -> dict[str, float]:
         """Return the time until each of these servers takes a request; those that do are left out.
 
-        A server whose limit others share is never open to this entry: infinity.
+        Infinity for those that leave, and for those whose limit others share.
         """
-        if not self._limits:
+        if not self._limits and not self._leaving_s:
             return {}
         if (others := self._peers.members()) != self._shared_among:
             self._shared_among = others
@@ -140,7 +150,11 @@
         rooms = self.rooms_s(servers)
         if len(rooms) < len(servers) or not rooms:
             return None
-        limits = [self.limit_of(server.life_id) for server in servers]
+        limits = [
+            self.limit_of(server.life_id)
+            for server in servers
+            if server.life_id not in self._leaving_s
+        ]
         of_all_per_s = sum(limit for limit in limits if limit is not None)
         own_per_s = of_all_per_s / (1 + len(self._peers.members()))
         first_s = min(rooms.values())
@@ -196,6 +210,8 @@
             self._peers.tell_at_once()
 
     def _room_s(self, life_id: str) -> float:
+        if life_id in self._leaving_s:
+            return math.inf
         most_per_s = self.limit_of(life_id)
         if most_per_s is None:
             return 0.0
@@ -205,6 +221,13 @@
             )
         return self._sent_to(life_id).room_in_s(self._shares[life_id], self._now_s)
 
+    def _note_leaving(self, server: BackendServer) -> None:
+        is_new = server.life_id not in self._leaving_s
+        self._leaving_s[server.life_id] = self._now_s
+        if is_new:
+            self.kernel.events.emit(ServerLeaving(server.server_id))
+            self._peers.tell_at_once()
+
     def _sent_to(self, life_id: str) -> SentRequests:
         return self._sent.setdefault(life_id, SentRequests())
 
@@ -221,7 +244,9 @@
         for life_id in self._sent.keys() - known:
             if self._sent[life_id].count(now_s) == 0:
                 del self._sent[life_id]
-                self._asked.pop(life_id, None)
+        for life_id in self._leaving_s.keys() - known:
+            if now_s - self._leaving_s[life_id] > FORGOTTEN_S:
+                del self._leaving_s[life_id]
 
     @property
     def _now_s(self) -> float:
--- a/packages/proxy/src/sassafrastally/proxy/sight.py
+++ b/packages/proxy/src/sassafrastally/proxy/sight.py
@@ -149,6 +149,7 @@
             **self._slowness.slow_servers(now_s),
             **self.suspicion.suspects(now_s),
             **self._leaving.left_alone(now_s, self._beliefs.confirmed_s),
+            **self._backpressure.leaving(),
         }
 
     def paces(self) -> dict[str, float]:
