Leave a server alone for as long as it asks when it turns a request away

Cause: a refusal counted as a failure of the server, and the second in a row made it suspect for one second, at all entries; the time it asks for was not read. Ruled out: requests under way (first attempts of new requests) and suspicion that was overridden (twelve others were there).

The time is kept by the entry that was asked: no attempt, no report; memory that a prompt holds there is renewed half as often, and its release is left to the end of the lease. Such a refusal no longer makes the server suspect, so that other entries go on using it. When all servers rest, callers are refused at once and told when the first one takes requests again.

--- a/packages/proxy/src/sassafrastally/proxy/attempt.py
+++ b/packages/proxy/src/sassafrastally/proxy/attempt.py
@@ -262,6 +262,8 @@
         await answer.read()
     refusal = AttemptNotRun(f"turned away with {answer.status}")
     refusal.server_at_fault = answer.facts.server_at_fault
+    # A server that says how long to leave it alone is no more suspect than a full one.
+    refusal.is_servers_fault = not answer.facts.asks.cool_down_s
     return refusal
 
 
--- a/packages/proxy/src/sassafrastally/proxy/backpressure.py
+++ b/packages/proxy/src/sassafrastally/proxy/backpressure.py
@@ -8,6 +8,7 @@
 
 from sassafrastally.core import Service
 from sassafrastally.proxy.beliefs import Beliefs
+from sassafrastally.proxy.cool_downs import CoolDowns
 from sassafrastally.proxy.leaving import LEAVING_S
 from sassafrastally.proxy.limit_news import LimitNews
 from sassafrastally.proxy.load import server_hash
@@ -19,7 +20,7 @@
 )
 from sassafrastally.proxy.metrics import SERVER_CALLS
 from sassafrastally.proxy.peers import Peers
-from sassafrastally.proxy.rate_shares import ReturnTimes, SentRequests, own_share_per_s
+from sassafrastally.proxy.rate_shares import LEAST_PER_S, ReturnTimes, SentRequests, own_share_per_s
 
 if TYPE_CHECKING:
     from collections.abc import Collection, Iterable, Mapping, Sequence
@@ -69,6 +70,7 @@
 
     def __init__(self, own_host: str) -> None:
         self._own_host = own_host
+        self._cool_downs = CoolDowns()
         self._leaving_s: dict[str, float] = {}
         """When servers that leave last said so."""
         self._sent: dict[str, SentRequests] = {}
@@ -98,7 +100,7 @@
         if asks.is_leaving:
             self._note_leaving(server)
         if asks.cool_down_s is not None:
-            self.kernel.events.emit(ServerCoolingDown(server.server_id, asks.cool_down_s))
+            self._note_cool_down(server, asks.cool_down_s)
 
     def leaving(self) -> dict[str, float]:
         """Return the servers that have lately said that they leave, with the seconds left.
@@ -121,7 +123,8 @@
 
         Infinity for those that leave, and for those whose limit others share.
         """
-        if not self._limits and not self._leaving_s:
+        self._cool_downs.forget_over(self._now_s)
+        if not (self._limits or self._leaving_s or self._cool_downs):
             return {}
         if (others := self._peers.members()) != self._shared_among:
             self._shared_among = others
@@ -148,21 +151,23 @@
             How long the caller waits for its answer; ``None`` without a limit.
         """
         rooms = self.rooms_s(servers)
-        if len(rooms) < len(servers) or not rooms:
+        if len(rooms) < len(servers):
             return None
         limits = [
-            self.limit_of(server.life_id)
+            math.inf if limit is None else max(LEAST_PER_S, limit)
             for server in servers
             if server.life_id not in self._leaving_s
+            for limit in [self.limit_of(server.life_id)]
         ]
-        of_all_per_s = sum(limit for limit in limits if limit is not None)
-        own_per_s = of_all_per_s / (1 + len(self._peers.members()))
+        of_all_per_s = sum(limits)
+        if of_all_per_s <= 0:
+            return None
         first_s = min(rooms.values())
         if math.isinf(first_s):
             # Others share all limits; they have room on average after so long.
-            first_s = 1 / of_all_per_s if of_all_per_s > 0 else math.inf
-        back_s = self._return_times.next_s(service, first_s, own_per_s, time_left_s, self._now_s)
-        return None if math.isinf(back_s) else back_s
+            first_s = 1 / of_all_per_s
+        own_per_s = of_all_per_s / (1 + len(self._peers.members()))
+        return self._return_times.next_s(service, first_s, own_per_s, time_left_s, self._now_s)
 
     def news(self) -> dict[int, LimitNews]:
         """Return what peers are told, the latest first."""
@@ -212,14 +217,16 @@
     def _room_s(self, life_id: str) -> float:
         if life_id in self._leaving_s:
             return math.inf
+        cool_down_s = self._cool_downs.left_s(life_id, self._now_s)
         most_per_s = self.limit_of(life_id)
         if most_per_s is None:
-            return 0.0
+            return cool_down_s
         if life_id not in self._shares:
             self._shares[life_id] = own_share_per_s(
                 life_id, most_per_s, self._own_host, self._shared_among
             )
-        return self._sent_to(life_id).room_in_s(self._shares[life_id], self._now_s)
+        room_s = self._sent_to(life_id).room_in_s(self._shares[life_id], self._now_s)
+        return max(cool_down_s, room_s)
 
     def _note_leaving(self, server: BackendServer) -> None:
         is_new = server.life_id not in self._leaving_s
@@ -228,6 +235,10 @@
             self.kernel.events.emit(ServerLeaving(server.server_id))
             self._peers.tell_at_once()
 
+    def _note_cool_down(self, server: BackendServer, for_s: float) -> None:
+        if self._cool_downs.note(server.life_id, for_s, self._now_s):
+            self.kernel.events.emit(ServerCoolingDown(server.server_id, for_s))
+
     def _sent_to(self, life_id: str) -> SentRequests:
         return self._sent.setdefault(life_id, SentRequests())
 
--- a/packages/proxy/src/sassafrastally/proxy/rate_shares.py
+++ b/packages/proxy/src/sassafrastally/proxy/rate_shares.py
@@ -143,9 +143,8 @@
         now_s
             Present time.
         """
-        spacing_s = 1 / room_per_s if room_per_s > 0 else math.inf
         last_s = self._last_s.get(service, -math.inf)
-        at_s = max(now_s + first_room_s, last_s + spacing_s)
+        at_s = max(now_s + first_room_s, last_s + 1 / room_per_s)
         if time_left_s is None or at_s - now_s < time_left_s:
             self._last_s[service] = at_s
         return at_s - now_s
--- a/packages/proxy/src/sassafrastally/proxy/reservations.py
+++ b/packages/proxy/src/sassafrastally/proxy/reservations.py
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 from contextlib import asynccontextmanager
+from itertools import count
 from typing import TYPE_CHECKING, NamedTuple
 
 import trio
@@ -39,6 +40,9 @@
 RENEW_S = 1.2
 """Two renewals may be lost before a lease ends."""
 
+SPARING_TURNS = 2
+"""A server that wants no requests has each second renewal only; none may then be lost."""
+
 ORDER_TIME_S = 0.4
 """Time for an order; an engine answers from memory within some milliseconds."""
 
@@ -153,17 +157,21 @@
         self, reservations: Sequence[_Reservation], renewing: trio.CancelScope
     ) -> None:
         with renewing:
-            while True:
+            for turn in count():
                 await trio.sleep(RENEW_S)
                 async with trio.open_nursery() as nursery:
                     for reservation in reservations:
                         # An engine that has started again knows nothing of the reservation. Renewed
                         # there, it would set aside memory that no request will ever use.
-                        if self._beliefs.is_current(reservation.holding.server):
+                        server = reservation.holding.server
+                        is_due = turn % SPARING_TURNS == 1 or self._backpressure.is_open(server)
+                        if is_due and self._beliefs.is_current(server):
                             nursery.start_soon(self._reserve, reservation)
 
     async def _release(self, reservation: _Reservation) -> None:
         holding, reservation_id = reservation
+        if not self._backpressure.is_open(holding.server):
+            return  # It wants no request; the lease ends by itself.
         call = self._dialect.release_call(holding.server, reservation_id)
         status = 0
         for _ in range(RELEASE_TRIES):
--- a/packages/testing/tests/platform/test_backpressure.py
+++ b/packages/testing/tests/platform/test_backpressure.py
@@ -155,3 +155,31 @@
         await trio.sleep_until(max(begin_s + 1.2, refused_s + 1.55))
         await offer(fleet, path, per_s=20.0, for_s=1.0, prompt=prompt)
         assert resting.runs
+
+    async def test_rest_asked_of_one_entry_leaves_the_others_alone(self, fleet):
+        """Guards against a server that no entry uses because it has sent one away."""
+        await start_fleet(fleet, entries=2, engines=1)
+        resting = fleet.replicas["desk-1"]
+        resting.refuses, resting.cool_down_s = True, 3.0
+        for _ in range(3):
+            await fleet.call("/look/x", entry=1)
+        resting.refuses = False
+        await trio.sleep(0.3)
+        answers = await offer(fleet, "/look/x", per_s=20.0, for_s=0.5, entries=2)
+        assert sorted(answer.status for answer in answers) == [200] * 5 + [503] * 5
+
+    async def test_callers_are_refused_at_once_while_all_servers_rest(self, fleet):
+        """Guards against callers that are sent to a resting server, or told a moment too soon."""
+        await start_fleet(fleet, entries=1, engines=2)
+        servers = [fleet.replicas["desk-1"], fleet.replicas["desk-2"]]
+        for server in servers:
+            server.refuses, server.cool_down_s = True, 1.2
+        await fleet.call("/look/x")
+        met = [len(server.arrivals) for server in servers]
+        answer = await fleet.call("/look/y")
+        assert json.loads(answer.body)["type"].endswith("servers-limited")
+        assert [len(server.arrivals) for server in servers] == met == [1, 1]
+        for server in servers:
+            server.refuses = False
+        await trio.sleep(float(answer.headers["retry-after"]))
+        assert (await fleet.call("/look/z")).status == 200
