--- a/packages/proxy/src/sassafrastally/proxy/peer_messages.py
+++ b/packages/proxy/src/sassafrastally/proxy/peer_messages.py
@@ -11,7 +11,7 @@
 from functools import cache
 from pathlib import Path
 from types import MappingProxyType
-from typing import TYPE_CHECKING, Any, NamedTuple
+from typing import TYPE_CHECKING, Any, NamedTuple, TypeVar
 
 import capnp
 
@@ -33,11 +33,13 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping, Sequence
 
+_Note = TypeVar("_Note")
+
 SCHEMA_FILE = Path(__file__).with_name("peers.capnp")
 
 MOST_BYTES = 1400
-"""Largest datagram, below a link's usual MTU. Some 90 usual loads fit; of more the least are left
-out."""
+"""A datagram is smaller than this, below a link's usual MTU. Some 90 usual loads fit; of more the
+least are left out."""
 
 MOST_NOTED = 45
 """Suspects in one datagram, and slow engines: the rest of it is for loads."""
@@ -99,9 +101,23 @@
     loads = sorted(hello.loads.items(), key=lambda item: (-item[1].reading_ms, -item[1].requests))
     while True:
         data = _encode(hello, loads)
-        if len(data) <= MOST_BYTES or not loads:
+        if len(data) < MOST_BYTES:
+            return data
+        if loads:
+            del loads[min(len(loads) - 1, len(loads) * MOST_BYTES // len(data)) :]
+        elif hello.suspects or hello.paces or hello.limits:
+            hello = hello._replace(
+                suspects=_first_half(hello.suspects),
+                paces=_first_half(hello.paces),
+                limits=_first_half(hello.limits),
+            )
+        else:
             return data
-        del loads[min(len(loads) - 1, len(loads) * MOST_BYTES // len(data)) :]
+
+
+def _first_half(notes: Mapping[int, _Note]) -> dict[int, _Note]:
+    kept = min(len(notes), MOST_NOTED) // 2
+    return dict(list(notes.items())[:kept])
 
 
 def _encode(hello: Hello, loads: Sequence[tuple[int, Work]]) -> bytes:
--- a/packages/proxy/tests/test_decisions.py
+++ b/packages/proxy/tests/test_decisions.py
@@ -15,6 +15,7 @@
 from sassafrastally.proxy.event_stream import EventSplitter
 from sassafrastally.proxy.lanes import ServerView
 from sassafrastally.proxy.leaving import LeavingServers, looks_leaving
+from sassafrastally.proxy.limit_news import LimitNews
 from sassafrastally.proxy.load import (
     UNFINISHED_READING_MS,
     Flight,
@@ -403,6 +404,7 @@
             returned_age_s=7.5,
             data_centre="here",
             link_mbps=100,
+            limits={9: LimitNews(2.5, 0.125), 10: LimitNews(None, 1.0)},
             quarantine=QuarantineNews(
                 (CrashNews(1 << 63, 2, 0.25),), (VerdictNews(3, 599.5, 4),), (AnswerNews(5, 1.5),)
             ),
@@ -414,6 +416,24 @@
         hello = Hello("10.0.0.1", 7, 3, 12, 0.5, False, loads, (), {}, {}, 0.0, 0.0, "here", 10)
         assert len(encode_hello(hello)) < 1400
 
+    def test_datagram_with_all_kinds_of_news_arrives_whole(self):
+        """Guards against datagrams that are too large to be received."""
+        draw = random.Random(1)
+        keys = [draw.getrandbits(64) for _ in range(200)]
+        hello = Hello(
+            "10.0.0.1", 7, 3, 12, 0.5, False, {}, (), {}, {}, 0.0, 0.0, "here", 10
+        )._replace(
+            loads=dict.fromkeys(keys, Work(1, 2, 3, 4, 400_000, 60_000.0)),
+            peers=tuple(f"10.1.0.{number}" for number in range(30)),
+            suspects={key: 8.0 * draw.random() for key in keys},
+            paces={key: 1.3 + draw.random() for key in keys},
+            limits={key: LimitNews(draw.random(), draw.random()) for key in keys},
+        )
+        data = encode_hello(hello)
+        assert len(data) < 1400
+        assert decode_hello(data).limits
+        assert decode_hello(data).suspects
+
     def test_datagram_has_room_for_loads_beside_all_news_of_harmful_requests(self):
         """Many servers crash at once, each under many requests. Peers must still learn which
         engines are busy, or all place on the same ones."""
