Believe a server's latest word about its limit, whoever heard it; small changes are no news

Read, not seen: an entry that had forgotten that a limit ended could take it up again from a peer; a word told a moment ago could replace a newer one, as its age lacks the time of its way (test, red without the margin); a server that states its limit afresh with each answer would cause a datagram and a line for each. The words are a module apart from input and output now. Callers who return when all servers have rested are spread over time, as those before limits are.

--- a/packages/proxy/src/sassafrastally/proxy/backpressure.py
+++ b/packages/proxy/src/sassafrastally/proxy/backpressure.py
@@ -4,13 +4,12 @@
 
 import math
 from enum import Enum
-from typing import TYPE_CHECKING, ClassVar, NamedTuple
+from typing import TYPE_CHECKING, ClassVar
 
 from sassafrastally.core import Service
 from sassafrastally.proxy.beliefs import Beliefs
 from sassafrastally.proxy.cool_downs import CoolDowns
 from sassafrastally.proxy.leaving import LEAVING_S
-from sassafrastally.proxy.limit_news import LimitNews
 from sassafrastally.proxy.load import server_hash
 from sassafrastally.proxy.log_events import (
     ServerCoolingDown,
@@ -20,21 +19,24 @@
 )
 from sassafrastally.proxy.metrics import SERVER_CALLS
 from sassafrastally.proxy.peers import Peers
-from sassafrastally.proxy.rate_shares import LEAST_PER_S, ReturnTimes, SentRequests, own_share_per_s
+from sassafrastally.proxy.rate_shares import (
+    LEAST_PER_S,
+    ReturnTimes,
+    SentRequests,
+    own_share_per_s,
+)
+from sassafrastally.proxy.server_limits import FORGOTTEN_S, LimitChange, ServerLimits
 
 if TYPE_CHECKING:
     from collections.abc import Collection, Iterable, Mapping, Sequence
 
     import trio
 
+    from sassafrastally.proxy.limit_news import LimitNews
     from sassafrastally.proxy.model import BackendServer, ServerAsks
 
-FORGOTTEN_S = 600.0
-"""How long a server is remembered that nobody tells of any more. An entry of the store may lapse
-with an outage and come back; what the server has asked still holds then."""
-
-ENDED_TOLD_S = 5.0
-"""How long peers are told that a server no longer names a limit."""
+RESTED_PER_S = 20.0
+"""Requests a second assumed of a server that names no limit, when its time of rest is over."""
 
 OWN_WORD = "answer"
 """Source of what this entry has heard itself."""
@@ -48,14 +50,6 @@
     ORDER = "order"
 
 
-class _Limit(NamedTuple):
-    """What a server last said of the requests that it takes."""
-
-    most_per_s: float | None
-    """``None``: it no longer names a limit."""
-    heard_s: float
-
-
 class Backpressure(Service):
     """Decides whether a backend server wants a further request of this entry.
 
@@ -74,8 +68,7 @@
         self._leaving_s: dict[str, float] = {}
         """When servers that leave last said so."""
         self._sent: dict[str, SentRequests] = {}
-        self._limits: dict[int, _Limit] = {}
-        """By hash of the server's life."""
+        self._limits = ServerLimits()
         self._shares: dict[str, float] = {}
         """This entry's shares by server, as long as the entries and the limits stay the same."""
         self._shared_among: set[str] = set()
@@ -100,8 +93,8 @@
     def note_answer(self, server: BackendServer, asks: ServerAsks) -> None:
         """Note what a server asks in an answer."""
         key = server_hash(server.life_id)
-        if asks.most_per_s is not None or key in self._limits:
-            self._take_limit(key, _Limit(asks.most_per_s, self._now_s), OWN_WORD)
+        change = self._limits.hear(key, asks.most_per_s, self._now_s)
+        self._note_change(key, change, OWN_WORD)
         if asks.is_leaving:
             self._note_leaving(server)
         if asks.cool_down_s is not None:
@@ -120,8 +113,7 @@
 
     def limit_of(self, life_id: str) -> float | None:
         """Return the requests a second that a server takes; ``None`` without a limit."""
-        limit = self._limits.get(server_hash(life_id)) if self._limits else None
-        return limit.most_per_s if limit else None
+        return self._limits.of(server_hash(life_id)) if self._limits else None
 
     def rooms_s(self, servers: Iterable[BackendServer]) -> dict[str, float]:
         """Return the time until each of these servers takes a request; those that do are left out.
@@ -159,7 +151,7 @@
         if len(rooms) < len(servers):
             return None
         limits = [
-            math.inf if limit is None else max(LEAST_PER_S, limit)
+            RESTED_PER_S if limit is None else max(LEAST_PER_S, limit)
             for server in servers
             if server.life_id not in self._leaving_s
             for limit in [self.limit_of(server.life_id)]
@@ -174,50 +166,43 @@
         own_per_s = of_all_per_s / (1 + len(self._peers.members()))
         return self._return_times.next_s(service, first_s, own_per_s, time_left_s, self._now_s)
 
-    def news(self) -> dict[int, LimitNews]:
+    def news(self) -> Mapping[int, LimitNews]:
         """Return what peers are told, the latest first."""
-        now_s = self._now_s
-        self._forget_old(now_s)
-        latest = sorted(self._limits.items(), key=lambda item: -item[1].heard_s)
-        return {key: LimitNews(one.most_per_s, now_s - one.heard_s) for key, one in latest}
+        return self._limits.news(self._now_s)
 
     def take(self, news: Mapping[int, LimitNews], host: str) -> None:
         """Take what a peer tells."""
         for key, told in news.items():
-            self._take_limit(key, _Limit(told.most_per_s, self._now_s - told.age_s), host)
+            change = self._limits.hear_from_peer(key, told, self._now_s)
+            self._note_change(key, change, host)
 
-    def _take_limit(self, key: int, limit: _Limit, source: str) -> None:
-        """Believe what a server said last, whoever heard it."""
-        known = self._limits.get(key)
-        if known is not None and known.heard_s >= limit.heard_s:
-            return
-        self._limits[key] = limit
-        if limit.most_per_s == (known.most_per_s if known else None):
+    def _note_change(self, key: int, change: LimitChange, source: str) -> None:
+        if change is LimitChange.NOTHING:
             return
-        self._shares.clear()
         server = next(
             (one for one in self._beliefs.servers() if server_hash(one.life_id) == key), None
         )
         if server is None:
             return
-        if limit.most_per_s is None:
+        self._shares.pop(server.life_id, None)
+        if change is LimitChange.NEWS:
+            self._log_limit(server, self._limits.of(key), source)
+            if source == OWN_WORD:
+                self._peers.tell_at_once()
+
+    def _log_limit(self, server: BackendServer, most_per_s: float | None, source: str) -> None:
+        if most_per_s is None:
             self.kernel.events.emit(ServerLimitEnded(server.server_id, source))
-        else:
-            others = self._peers.members()
-            share = own_share_per_s(server.life_id, limit.most_per_s, self._own_host, others)
-            sent = self._sent_to(server.life_id).count(self._now_s)
-            self.kernel.events.emit(
-                ServerLimited(
-                    server.server_id,
-                    limit.most_per_s,
-                    round(share, 3),
-                    sent,
-                    1 + len(others),
-                    source,
-                )
+            return
+        others = self._peers.members()
+        share_per_s = own_share_per_s(server.life_id, most_per_s, self._own_host, others)
+        sent = self._sent_to(server.life_id).count(self._now_s)
+        entries = 1 + len(others)
+        self.kernel.events.emit(
+            ServerLimited(
+                server.server_id, most_per_s, round(share_per_s, 3), sent, entries, source
             )
-        if source == OWN_WORD:
-            self._peers.tell_at_once()
+        )
 
     def _room_s(self, life_id: str) -> float:
         if life_id in self._leaving_s:
@@ -247,13 +232,6 @@
     def _sent_to(self, life_id: str) -> SentRequests:
         return self._sent.setdefault(life_id, SentRequests())
 
-    def _forget_old(self, now_s: float) -> None:
-        self._limits = {
-            key: limit
-            for key, limit in self._limits.items()
-            if now_s - limit.heard_s < (ENDED_TOLD_S if limit.most_per_s is None else FORGOTTEN_S)
-        }
-
     def forget_gone(self, known: Collection[str]) -> None:
         """Forget what was noted of servers that no longer exist."""
         now_s = self._now_s
