--- a/packages/cli/src/sassafrastally/cli/soak.py
+++ b/packages/cli/src/sassafrastally/cli/soak.py
@@ -25,6 +25,9 @@
     parser.add_argument("--entries", type=int, help="entries; the seed decides if not given")
     parser.add_argument("--engines", type=int, default=8, help="engines, with --entries")
     parser.add_argument("--callers", type=int, default=24, help="callers, with --entries")
+    parser.add_argument(
+        "--troubles", nargs="+", default=[], metavar="NAME", help="only these; all if not given"
+    )
     parser.set_defaults(run=run)
 
 
@@ -41,7 +44,7 @@
     first = random.randrange(MOST_SEED) if arguments.seed is None else arguments.seed
     broken = 0
     for seed in range(first, first + arguments.seeds):
-        report = await run_soak(seed, arguments.minutes * 60, size, _tell)
+        report = await run_soak(seed, arguments.minutes * 60, size, _tell, arguments.troubles)
         print(report, flush=True)
         broken += bool(report.broken)
         if not report.broken:
--- a/packages/testing/src/sassafrastally/testing/replica.py
+++ b/packages/testing/src/sassafrastally/testing/replica.py
@@ -33,6 +33,10 @@
         Whether the server began to work on it.
     finished_s
         When its answer was complete; ``None`` before, and if it never was.
+    cool_down_s
+        Time without requests that it was turned away with, if any.
+    said_leaving
+        Whether its answer said that the server leaves.
     """
 
     def __init__(self, request: StandInRequest) -> None:
@@ -40,6 +44,8 @@
         self.at_s = trio.current_time()
         self.has_run = False
         self.finished_s: float | None = None
+        self.cool_down_s: float | None = None
+        self.said_leaving = False
 
     @property
     def request_id(self) -> str:
@@ -188,12 +194,14 @@
         self.arrivals.append(arrival)
         request_id = request.headers.get("attempt-id", "")
         expected = request.headers.get("expect-replica")
+        arrival.said_leaving = self.is_leaving
         if expected is not None and expected != self.server_id:
             await connection.answer(421, b"", {"Replica-Id": self.server_id})
             return
         if self.refuses:
             fields = {"Not-Executed": "1", "Attempt-Id": request_id, **self._asks()}
             if self.cool_down_s is not None:
+                arrival.cool_down_s = self.cool_down_s
                 fields["Retry-After"] = f"{self.cool_down_s:g}"
             await connection.answer(503, b"", fields)
             return
--- a/packages/testing/src/sassafrastally/testing/soak/fleet.py
+++ b/packages/testing/src/sassafrastally/testing/soak/fleet.py
@@ -24,6 +24,8 @@
     import random
     from pathlib import Path
 
+    from sassafrastally.testing.soak.asking import LimitedSpan
+
 RESTART_S = 0.3
 """Time between the end of a process and the start of the next one."""
 
@@ -85,6 +87,8 @@
         """When the store had accepted a version."""
         self.harmful_bodies: set[bytes] = set()
         """Bodies of requests that crash each server that runs them."""
+        self.limited: list[LimitedSpan] = []
+        """When servers have named limits."""
         self.rate = 1.0
         """How many times the usual load callers press with."""
         self.nursery = nursery
--- a/packages/testing/src/sassafrastally/testing/soak/promises.py
+++ b/packages/testing/src/sassafrastally/testing/soak/promises.py
@@ -8,6 +8,7 @@
 
 import trio
 
+from sassafrastally.testing.soak.asking import judge_asking
 from sassafrastally.testing.soak.callers import GIVES_UP_S, TIME_LEFT_S
 from sassafrastally.testing.soak.harmful import judge_harmful
 from sassafrastally.testing.soak.record import Attempt, Kind
@@ -81,6 +82,7 @@
         self._judge_gone(arrivals)
         self._judge_repeats(arrivals)
         judge_harmful(self._fleet, arrivals)
+        judge_asking(self._fleet)
 
     def _arrivals(self) -> dict[str, list[Arrival]]:
         by_id: dict[str, list[Arrival]] = defaultdict(list)
--- a/packages/testing/src/sassafrastally/testing/soak/runner.py
+++ b/packages/testing/src/sassafrastally/testing/soak/runner.py
@@ -17,7 +17,7 @@
 from sassafrastally.testing.soak.troubles import TROUBLES, NoServerFree
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Sequence
 
     from sassafrastally.testing.soak.record import Broken
     from sassafrastally.testing.soak.troubles import Trouble
@@ -83,7 +83,11 @@
 
 
 async def run_soak(
-    seed: int, seconds: float, size: SoakSize | None, tell: Callable[[str], object]
+    seed: int,
+    seconds: float,
+    size: SoakSize | None,
+    tell: Callable[[str], object],
+    kinds: Sequence[str] = (),
 ) -> SoakReport:
     """Run a soak.
 
@@ -97,6 +101,8 @@
         The size, if the seed isn't to decide it.
     tell
         Called with lines about the progress.
+    kinds
+        Names of the troubles that are brought; none stands for all.
     """
     random_source = random.Random(seed)
     size = size or size_of(random_source)
@@ -106,7 +112,7 @@
         try:
             await fleet.start(size.entries, size.engines, size.plain)
             judge = Judge(fleet)
-            await _press(fleet, judge, size, seconds, tell)
+            await _press(fleet, judge, size, seconds, tell, kinds or TROUBLES.names())
             await check_recovered(fleet)
             judge.judge_ended()
             judge.judge_all()
@@ -121,7 +127,12 @@
 
 
 async def _press(
-    fleet: SoakFleet, judge: Judge, size: SoakSize, seconds: float, tell: Callable[[str], object]
+    fleet: SoakFleet,
+    judge: Judge,
+    size: SoakSize,
+    seconds: float,
+    tell: Callable[[str], object],
+    kinds: Sequence[str],
 ) -> None:
     """Let callers press while troubles come, and a while longer."""
     async with trio.open_nursery() as nursery:
@@ -133,15 +144,15 @@
         nursery.start_soon(_tell, fleet, tell)
         async with trio.open_nursery() as troubles:
             with trio.move_on_after(seconds):
-                await _bring_troubles(fleet, troubles)
+                await _bring_troubles(fleet, troubles, kinds)
         await trio.sleep(SETTLE_S)
         nursery.cancel_scope.cancel()
 
 
-async def _bring_troubles(fleet: SoakFleet, troubles: trio.Nursery) -> None:
+async def _bring_troubles(fleet: SoakFleet, troubles: trio.Nursery, kinds: Sequence[str]) -> None:
     while True:
         await trio.sleep(fleet.random.expovariate(1 / GAP_S))
-        chosen = TROUBLES.get(fleet.random.choice(TROUBLES.names()))
+        chosen = TROUBLES.get(fleet.random.choice(kinds))
         troubles.start_soon(_bring, fleet, chosen)
 
 
--- a/packages/testing/src/sassafrastally/testing/soak/troubles.py
+++ b/packages/testing/src/sassafrastally/testing/soak/troubles.py
@@ -82,7 +82,7 @@
 
 
 @contextmanager
-def _claimed(server: Server) -> Iterator[None]:
+def claimed(server: Server) -> Iterator[None]:
     """Keep a server for one trouble that replaces it."""
     if server.is_claimed:
         raise NoServerFree
@@ -248,7 +248,7 @@
 async def crash_server(fleet: SoakFleet) -> None:
     """Let a server die and a new life begin at its address."""
     server = some_server(fleet)
-    with fleet.record.trouble("server-crashed"), _claimed(server):
+    with fleet.record.trouble("server-crashed"), claimed(server):
         fleet.end_life(server)
         await trio.sleep(fleet.random.uniform(0.1, 3.0))
         fleet.unregister(server)
@@ -260,7 +260,7 @@
 async def drain_server(fleet: SoakFleet) -> None:
     """Drain a server, let it leave, and let a new life begin at its address."""
     server = some_server(fleet)
-    with _claimed(server):
+    with claimed(server):
         with fleet.record.trouble("server-drained", planned=True):
             fleet.register(server, is_draining=True)
             fleet.drained[server.replica.server_id] = trio.current_time()
--- a/packages/testing/tests/soak/test_soak.py
+++ b/packages/testing/tests/soak/test_soak.py
@@ -27,6 +27,14 @@
         assert not report.broken, str(report)
         assert report.outcomes["200"] > 50, str(report)
 
+    async def test_servers_get_what_they_ask_for(self):
+        """Guards against servers that name limits, leave or rest and are sent more than they want,
+        while the store comes and goes."""
+        kinds = ["server-limited", "server-leaves", "server-rests", "burst", "store-away"]
+        report = await run_soak(20_262, 12.0, SMALL._replace(callers=16), print, kinds)
+        assert not report.broken, str(report)
+        assert report.outcomes["200"] > 50, str(report)
+
     @pytest.mark.parametrize("known", SEEDS, ids=lambda known: str(known["number"]))
     async def test_seed_that_broke_a_promise_keeps_them(self, known):
         report = await run_soak(known["number"], known["seconds"], None, print)
