Send half a request a second to servers that take fewer; gauges of servers that ask for less

Three entries sent each server one request in fifteen seconds, and only an answer shows that a limit has ended. Ruled out: news that were lost (all entries hear an end within 0.3 s of the first answer without a limit). The test is red with the former figure. Metrics show how many servers are limited, resting or leaving.

--- a/packages/proxy/src/sassafrastally/proxy/answering.py
+++ b/packages/proxy/src/sassafrastally/proxy/answering.py
@@ -8,6 +8,7 @@
 import trio
 
 from sassafrastally.core import Service
+from sassafrastally.proxy.backpressure import Backpressure
 from sassafrastally.proxy.beliefs import Beliefs
 from sassafrastally.proxy.callers import Callers
 from sassafrastally.proxy.http_stream import ConnectionLost, HttpStream, watch_silence
@@ -33,7 +34,7 @@
     """Serves the small calls of balancer, scraper and peers."""
 
     name: ClassVar[str] = "answering"
-    needs: ClassVar[tuple[str, ...]] = ("beliefs", "callers", "quarantine", "sight")
+    needs: ClassVar[tuple[str, ...]] = ("backpressure", "beliefs", "callers", "quarantine", "sight")
 
     def __init__(self, settings: ProxySettings) -> None:
         self._settings = settings
@@ -41,6 +42,7 @@
 
     async def start(self, nursery: trio.Nursery) -> None:
         """Listen at the addresses for readiness, metrics and peers."""
+        self._backpressure = self.kernel.get("backpressure", Backpressure)
         self._beliefs = self.kernel.get("beliefs", Beliefs)
         self._callers = self.kernel.get("callers", Callers)
         self._sight = self.kernel.get("sight", Sight)
@@ -92,6 +94,7 @@
             "peers": self._sight.entries - 1,
             "open_requests": self._callers.open_requests,
             "attempts_in_progress": len(self._sight.ledger),
+            **self._backpressure.gauges(),
         }
 
     async def _listen(
--- a/packages/proxy/src/sassafrastally/proxy/backpressure.py
+++ b/packages/proxy/src/sassafrastally/proxy/backpressure.py
@@ -80,6 +80,15 @@
         self._peers = self.kernel.get("peers", Peers)
         self._peers.limits = self
 
+    def gauges(self) -> dict[str, float]:
+        """Return how many servers ask for what."""
+        self._cool_downs.forget_over(self._now_s)
+        return {
+            "limited_servers": self._limits.count(),
+            "resting_servers": len(self._cool_downs),
+            "leaving_servers": len(self.leaving()),
+        }
+
     def count(self, server: BackendServer, kind: CallKind) -> None:
         """Count a request that is about to be sent."""
         SERVER_CALLS.add(1, {"kind": kind.value})
--- a/packages/proxy/src/sassafrastally/proxy/cool_downs.py
+++ b/packages/proxy/src/sassafrastally/proxy/cool_downs.py
@@ -13,8 +13,8 @@
     def __init__(self) -> None:
         self._until_s: dict[str, float] = {}
 
-    def __bool__(self) -> bool:
-        return bool(self._until_s)
+    def __len__(self) -> int:
+        return len(self._until_s)
 
     def note(self, life_id: str, for_s: float, now_s: float) -> bool:
         """Note that a server asks for some time; return whether that prolongs what it has asked."""
--- a/packages/proxy/src/sassafrastally/proxy/rate_shares.py
+++ b/packages/proxy/src/sassafrastally/proxy/rate_shares.py
@@ -18,9 +18,9 @@
 if TYPE_CHECKING:
     from collections.abc import Collection
 
-LEAST_PER_S = 0.2
+LEAST_PER_S = 0.5
 """Requests a second sent to a server that takes fewer: its answers alone show that it takes more
-again."""
+again, and callers are refused until they do."""
 
 SENDERS = 3
 SENDERS_PER_REQUEST = 1.5
--- a/packages/proxy/src/sassafrastally/proxy/server_limits.py
+++ b/packages/proxy/src/sassafrastally/proxy/server_limits.py
@@ -56,6 +56,10 @@
     def __bool__(self) -> bool:
         return bool(self._words)
 
+    def count(self) -> int:
+        """Return how many servers name a limit."""
+        return sum(1 for word in self._words.values() if word.most_per_s is not None)
+
     def of(self, key: int) -> float | None:
         """Return the requests a second that a server takes; ``None`` without a limit."""
         word = self._words.get(key)
--- a/packages/testing/tests/platform/test_backpressure.py
+++ b/packages/testing/tests/platform/test_backpressure.py
@@ -57,6 +57,17 @@
         await offer(fleet, "/look/y", per_s=12.0, for_s=1.0, entries=3)
         assert len(limited.called_s) - before >= 3
 
+    async def test_server_that_took_nothing_is_used_again_within_seconds(self, fleet):
+        """Guards against callers refused long after all servers have taken a limit of 0 back."""
+        await start_fleet(fleet, entries=3, engines=1)
+        server = fleet.replicas["desk-1"]
+        server.most_per_s = 0.0
+        await offer(fleet, "/look/x", per_s=12.0, for_s=4.0, entries=3)
+        server.most_per_s = None
+        await offer(fleet, "/look/y", per_s=12.0, for_s=3.0, entries=3)
+        answers = await offer(fleet, "/look/z", per_s=12.0, for_s=0.5, entries=3)
+        assert [answer.status for answer in answers] == [200] * 6
+
     async def test_entry_that_starts_hears_of_limits_from_its_peers(self, fleet):
         """Guards against a new entry sending as much as it likes until a server tells itself."""
         await start_fleet(fleet, entries=2, engines=2)
