--- a/packages/entry/tests/test_execution.py
+++ b/packages/entry/tests/test_execution.py
@@ -8,8 +8,17 @@
 import trio
 
 from sassafrastally.serving.outcome import AttemptState, Outcome
-from sassafrastally.serving.refusals import Refusal
-from sassafrastally.wire.link import StreamEnded
+from sassafrastally.testing.sidecar_scripts import (
+    THREE_EVENTS,
+    cut_after_commit,
+    cut_after_two,
+    cut_before_commit,
+    cut_instead_of_commit,
+    own_of,
+    refusal_of,
+    refusing,
+    sending,
+)
 from sassafrastally.wire.messages import (
     Attach,
     Cancel,
@@ -21,76 +30,12 @@
     Reserved,
 )
 
-THREE = b'data: {"w":"ha"}\n\ndata: {"w":"ho"}\n\ndata: {"w":"hi"}\n\n'
-
-
-def own_of(message: Any) -> tuple[str, int]:
-    return message.request_id, message.attempt
-
-
-def refusing(code: str, **figures: Any) -> Any:
-    async def script(sidecar: Any, end: Any, reserve: Reserve) -> None:
-        await end.send(Refused(*own_of(reserve), code, **figures))
-
-    return script
-
-
-async def cut_before_commit(sidecar: Any, end: Any, reserve: Reserve) -> None:
-    end.cut()
-
-
-async def cut_instead_of_commit(sidecar: Any, end: Any, reserve: Reserve) -> None:
-    """The commit never arrives, though the entry has sent it."""
-    await end.send(Reserved(*own_of(reserve), sidecar.incarnation, 0.1, 0.5, 5.0))
-    await end.receive()
-    end.cut()
-
-
-async def cut_after_commit(sidecar: Any, end: Any, reserve: Reserve) -> None:
-    await sidecar.accept(end, reserve)
-    end.cut()
-
-
-async def cut_after_two(sidecar: Any, end: Any, reserve: Reserve) -> None:
-    await sidecar.accept(end, reserve)
-    sidecar.ran.append(own_of(reserve))
-    await end.send(*sidecar.chunks(own_of(reserve), sidecar.words[:2]))
-    await trio.sleep(0.01)
-    end.cut()
-
-
-async def hang(sidecar: Any, end: Any, reserve: Reserve) -> None:
-    await sidecar.accept(end, reserve)
-    await end.receive()
-
-
-async def silent(sidecar: Any, end: Any, message: Any) -> None:
-    await end.receive()
-
-
-def sending(*make: Any) -> Any:
-    async def script(sidecar: Any, end: Any, reserve: Reserve) -> None:
-        await sidecar.accept(end, reserve)
-        sidecar.ran.append(own_of(reserve))
-        own = own_of(reserve)
-        for one in make:
-            await end.send(*one(sidecar, own))
-        await trio.sleep(1)
-
-    return script
-
-
-async def refusal_of(world: Any, request: Any) -> Refusal:
-    with pytest.raises(Refusal) as caught:
-        await world.ask(request)
-    return caught.value
-
 
 class TestAnswers:
     async def test_short_idempotent_request_commits_with_its_reservation(
         self, world: Any, autojump_clock: Any
     ) -> None:
-        assert (await world.ask(world.request())).body == THREE
+        assert (await world.ask(world.request())).body == THREE_EVENTS
         assert world.ran() == 1
         assert not world.s1.of(Commit) + world.s2.of(Commit)
 
@@ -99,7 +44,7 @@
     ) -> None:
         body = b"x" * 200_000
         request = world.request(prompt_tokens=50_000, body=body)
-        assert (await world.ask(request)).body == THREE
+        assert (await world.ask(request)).body == THREE_EVENTS
         (commit,) = world.s1.of(Commit) + world.s2.of(Commit)
         assert 29.0 < commit.time_limit_s <= 30.0
         assert commit.incarnation.startswith("life-1")
@@ -107,7 +52,7 @@
     async def test_ready_chunks_leave_as_one_piece(self, world: Any, autojump_clock: Any) -> None:
         async with world.path.open(world.request()) as answer:
             await trio.sleep(0.1)
-            assert [data async for data in answer] == [THREE]
+            assert [data async for data in answer] == [THREE_EVENTS]
 
     async def test_slow_caller_holds_the_sidecar_back_but_not_the_time_limit(
         self, world: Any, autojump_clock: Any
@@ -150,7 +95,7 @@
             first, lambda s, own: s.chunks(own, s.words), lambda s, own: [s.end(own, 3)]
         )
         world.s1.scripts, world.s2.scripts = [script], [script]
-        assert (await world.ask(world.request())).body == THREE
+        assert (await world.ask(world.request())).body == THREE_EVENTS
 
     @pytest.mark.parametrize(
         "rest",
@@ -169,7 +114,7 @@
         script = sending(lambda s, own: s.chunks(own, s.words[:1]), rest)
         world.s1.scripts, world.s2.scripts = [script], [script]
         request = world.request(prompt_tokens=5_000)
-        assert (await world.ask(request)).body == THREE
+        assert (await world.ask(request)).body == THREE_EVENTS
         assert world.s1.of(Attach) + world.s2.of(Attach)
 
     async def test_answer_that_stays_broken_is_a_failure(
@@ -212,7 +157,7 @@
     async def test_next_candidate_is_asked_at_once(self, world: Any, autojump_clock: Any) -> None:
         world.s1.scripts = world.s2.scripts = [refusing("memory-full", retry_after_s=4.0)]
         started_s = trio.current_time()
-        assert (await world.ask(world.request())).body == THREE
+        assert (await world.ask(world.request())).body == THREE_EVENTS
         assert trio.current_time() == started_s
 
     async def test_least_busy_is_asked_again_when_all_are_busy(
@@ -228,7 +173,7 @@
             return script
 
         world.s1.scripts, world.s2.scripts = [busy(2.0)], [busy(1.0)]
-        assert (await world.ask(world.request())).body == THREE
+        assert (await world.ask(world.request())).body == THREE_EVENTS
         assert len(world.s1.of(Reserve)) == 1
         assert [reserve.max_wait_s for reserve in world.s2.of(Reserve)][1:] == [0.0]
 
@@ -295,14 +240,14 @@
     ) -> None:
         world.s1.is_down = True
         for _ in range(3):
-            assert (await world.ask(world.request())).body == THREE
+            assert (await world.ask(world.request())).body == THREE_EVENTS
 
     async def test_link_with_all_streams_taken_is_passed_over(
         self, world: Any, autojump_clock: Any
     ) -> None:
         world.s1.has_streams_left = False
         for _ in range(3):
-            assert (await world.ask(world.request())).body == THREE
+            assert (await world.ask(world.request())).body == THREE_EVENTS
         assert not world.s1.log
 
     async def test_resumed_after_the_shown_tokens(self, world: Any, autojump_clock: Any) -> None:
@@ -315,7 +260,7 @@
 
         world.s1.scripts = world.s2.scripts = [cut_after_two, gone]
         request = world.request(prompt_tokens=5_000)
-        assert (await world.ask(request)).body == THREE
+        assert (await world.ask(request)).body == THREE_EVENTS
         resumed = [r for r in world.s1.of(Reserve) + world.s2.of(Reserve) if r.shown_tokens]
         assert [(r.shown_tokens, r.attempt) for r in resumed] == [(2, 2)]
 
@@ -333,14 +278,14 @@
             await end.send(Refused(*own_of(reserve), "memory-full", retry_after_s=0.1))
 
         world.s1.scripts = world.s2.scripts = [cut_after_two, gone, full]
-        assert (await world.ask(world.request(prompt_tokens=5_000))).body == THREE
+        assert (await world.ask(world.request(prompt_tokens=5_000))).body == THREE_EVENTS
 
     async def test_same_run_is_joined_after_a_short_cut(
         self, world: Any, autojump_clock: Any
     ) -> None:
         world.s1.scripts, world.s2.scripts = [cut_after_two], [cut_after_two]
         request = world.request(prompt_tokens=5_000)
-        assert (await world.ask(request)).body == THREE
+        assert (await world.ask(request)).body == THREE_EVENTS
         (attach,) = world.s1.of(Attach) + world.s2.of(Attach)
         assert attach.from_sequence == 2
         assert world.ran() == 1
@@ -384,7 +329,7 @@
         self, world: Any, autojump_clock: Any, script: Any
     ) -> None:
         world.s1.scripts, world.s2.scripts = [script], [script]
-        assert (await world.ask(world.booking())).body == THREE
+        assert (await world.ask(world.booking())).body == THREE_EVENTS
         assert world.ran() == 1
         assert len(world.s1.of(Reserve) + world.s2.of(Reserve)) == 1
 
@@ -397,7 +342,7 @@
 
         for sidecar in (world.s1, world.s2):
             sidecar.scripts = [cut_after_two, type(sidecar).behave, turn_down]
-        assert (await world.ask(world.booking())).body == THREE
+        assert (await world.ask(world.booking())).body == THREE_EVENTS
         assert world.ran() == 1
         assert len(world.s1.of(Reserve) + world.s2.of(Reserve)) == 1
 
@@ -459,125 +404,3 @@
         refusal = await refusal_of(world, world.booking())
         assert (refusal.kind.code, refusal.outcome) == ("outcome-unknown", Outcome.UNKNOWN)
         assert world.ran() == 1
-
-
-class TestTimeLimits:
-    async def test_run_is_cancelled_explicitly_at_the_limit(
-        self, world: Any, autojump_clock: Any
-    ) -> None:
-        world.s1.scripts, world.s2.scripts = [hang], [hang]
-        started_s = trio.current_time()
-        refusal = await refusal_of(world, world.request(time_limit_s=2.0))
-        assert refusal.kind.code == "time-limit-passed"
-        assert refusal.figures[:2] == (2.0, 2.0)
-        assert refusal.outcome == Outcome.UNKNOWN
-        assert trio.current_time() == pytest.approx(started_s + 2.0)
-        assert len(world.s1.of(Cancel) + world.s2.of(Cancel)) == 1
-
-    async def test_limit_before_any_commit_is_not_run(
-        self, world: Any, autojump_clock: Any
-    ) -> None:
-        world.s1.scripts, world.s2.scripts = [silent], [silent]
-        refusal = await refusal_of(world, world.booking(time_limit_s=1.0))
-        assert (refusal.kind.code, refusal.outcome) == ("time-limit-passed", Outcome.NOT_RUN)
-        assert len(world.s1.of(Cancel) + world.s2.of(Cancel)) == 1
-
-    async def test_given_up_reservation_is_released(self, world: Any, autojump_clock: Any) -> None:
-        """Memory stays reserved on a frozen sidecar: the entry asked elsewhere after its timeout
-        and never took the first reservation back."""
-        world.s1.scripts, world.s2.scripts = [silent], []
-        for _ in range(2):
-            assert (await world.ask(world.booking())).status == 200
-        assert len(world.s1.of(Cancel)) == 1
-
-    async def test_no_pause_reaches_past_the_limit(self, world: Any, autojump_clock: Any) -> None:
-        hint = {"code": "backend-failed", "retry_after_s": 10.0}
-        script = sending(lambda s, own: [s.end(own, 0, "failed", **hint)])
-        world.s1.scripts, world.s2.scripts = [script], [script]
-        started_s = trio.current_time()
-        refusal = await refusal_of(world, world.request(time_limit_s=5.0, prompt_tokens=0))
-        assert refusal.figures.retry_after_s == 10.0
-        assert "time left" in refusal.figures.detail
-        assert trio.current_time() == started_s
-
-    async def test_limit_holds_over_all_retries(self, world: Any, autojump_clock: Any) -> None:
-        world.s1.is_down = world.s2.is_down = True
-        started_s = trio.current_time()
-        refusal = await refusal_of(world, world.request(time_limit_s=0.2))
-        assert refusal.kind.code in ("no-replica", "time-limit-passed")
-        assert refusal.outcome == Outcome.NOT_RUN
-        assert trio.current_time() <= started_s + 0.2
-
-    async def test_caller_that_leaves_cancels_its_run(
-        self, world: Any, autojump_clock: Any
-    ) -> None:
-        world.s1.scripts, world.s2.scripts = [hang], [hang]
-        with trio.move_on_after(1.0):
-            await world.ask(world.request())
-        await trio.sleep(0.1)
-        assert len(world.s1.of(Cancel) + world.s2.of(Cancel)) == 1
-        assert world.path.open_requests == 0
-
-
-class TestBounds:
-    async def test_open_requests(self, world: Any, autojump_clock: Any) -> None:
-        bounded = world.path._settings._replace(max_open_requests=1)
-        world.path._settings = bounded
-        world.s1.scripts, world.s2.scripts = [hang], [hang]
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(refusal_of, world, world.request(time_limit_s=2.0))
-            await trio.sleep(0.1)
-            refusal = await refusal_of(world, world.request())
-            assert refusal.kind.code == "overloaded"
-            assert refusal.figures[:2] == (1, 1)
-
-    async def test_bodies_held(self, world: Any, autojump_clock: Any) -> None:
-        world.path._settings = world.path._settings._replace(max_held_body_bytes=10)
-        refusal = await refusal_of(world, world.request())
-        assert refusal.kind.code == "overloaded"
-
-
-class TestStopping:
-    async def test_requests_in_progress_end_whole_and_new_ones_are_refused(
-        self, world: Any, autojump_clock: Any
-    ) -> None:
-        async def slow(sidecar: Any, end: Any, reserve: Reserve) -> None:
-            await sidecar.accept(end, reserve)
-            await trio.sleep(5)
-            await sidecar.answer(end, reserve)
-
-        world.s1.scripts, world.s2.scripts = [slow], [slow]
-        results: list[Any] = []
-
-        async def ask() -> None:
-            results.append(await world.ask(world.request()))
-
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(ask)
-            await trio.sleep(1)
-            world.kernel.request_stop()
-            await trio.sleep(1)
-            assert not world.path.is_ready
-            refusal = await refusal_of(world, world.request())
-            assert (refusal.kind.code, refusal.outcome) == ("stopping", Outcome.NOT_RUN)
-        assert results[0].body == THREE
-
-    async def test_second_signal_bounds_what_is_left(self, world: Any, autojump_clock: Any) -> None:
-        world.s1.scripts, world.s2.scripts = [hang], [hang]
-        started_s = trio.current_time()
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(refusal_of, world, world.request())
-            await trio.sleep(1)
-            world.kernel.request_stop()
-            world.kernel.request_stop()
-        assert trio.current_time() == pytest.approx(started_s + 11.0)
-
-
-async def test_sidecar_that_closes_is_no_success(world: Any, autojump_clock: Any) -> None:
-    async def close(sidecar: Any, end: Any, reserve: Reserve) -> None:
-        await sidecar.accept(end, reserve)
-        raise StreamEnded("closed")
-
-    world.s1.scripts, world.s2.scripts = [close], [close]
-    assert (await world.ask(world.booking())).body == THREE
-    assert world.ran() == 1
