Operators' why shows what servers asked: limits, pauses, leaving

A refusal for servers' limits was shown without the limits: the four events weren't among the changes of belief, and a request that was sent to no server was shown no line about any. Test red before.

--- a/packages/cli/src/sassafrastally/cli/why.py
+++ b/packages/cli/src/sassafrastally/cli/why.py
@@ -27,9 +27,13 @@
         "PeerSilent",
         "ProcessDraining",
         "ProcessStarted",
+        "ServerCoolingDown",
         "ServerGone",
         "ServerKnown",
         "ServerLapsed",
+        "ServerLeaving",
+        "ServerLimitEnded",
+        "ServerLimited",
         "ServerSuspected",
         "StoreLost",
         "StoreRegained",
@@ -94,18 +98,18 @@
 def relevant(lines: list[Line], own: list[Line]) -> list[Line]:
     """Return the request's lines and what led to them.
 
-    That is changes of belief on its VMs shortly before, and crashes under the same request of other
-    ids, on all VMs.
+    That is changes of belief on its VMs shortly before, about the servers that it was sent to or,
+    if it was sent to none, about all; and crashes under the same request of other ids, on all VMs.
     """
     vms = {line.fields.get("vm") for line in own}
     contents = {str(line.fields.get("fingerprint", "")) for line in own} - {""}
-    servers = {str(line.fields.get("server_id", "")) for line in own}
+    servers = {str(line.fields.get("server_id", "")) for line in own} - {""}
     first, last = lines.index(own[0]), lines.index(own[-1])
     since = _seconds(own[0]) - BEFORE_S
     found = []
     for line in lines[: last + 1]:
         is_belief = line.fields.get("event") in BELIEFS and line.fields.get("vm") in vms
-        is_about_others = line.fields.get("server_id", "") not in {"", *servers}
+        is_about_others = bool(servers) and line.fields.get("server_id", "") not in {"", *servers}
         is_recent = _seconds(line) >= since or line.order > lines[first].order
         is_about_content = (
             line.fields.get("event") in ABOUT_CONTENT and line.fields.get("fingerprint") in contents
--- a/packages/cli/tests/test_why.py
+++ b/packages/cli/tests/test_why.py
@@ -72,3 +72,15 @@
             "RequestRefused",
         ]
         assert not any("fingerprint=bb" in words for words in shown)
+
+    def test_refusal_is_shown_with_what_servers_had_asked(self, tmp_path, capsys):
+        """Guards against a refusal for servers' limits whose lines don't show the limits."""
+        asked = ("ServerLimited", "ServerCoolingDown", "ServerLeaving", "ServerLimitEnded")
+        log = [line(10 + place, "e1", event, server_id="s1") for place, event in enumerate(asked)]
+        log.append(line(14, "e1", "RequestRefused", request_id="r1", refusal="servers-limited"))
+        file = tmp_path / "log"
+        file.write_text("\n".join(log))
+        assert main(["why", "r1", str(file)]) == ExitCode.OK
+        shown = capsys.readouterr().out.splitlines()
+        events = [text.lstrip("> ").split()[2] for text in shown]
+        assert events == [*asked, "RequestRefused"]
