Simpler: leaving as a decision of its own, one way to end a request that hasn't run

DeclaredLeaving stands beside LeavingServers, apart from input and output; the guard that stood in both generation and plain lies in Answerer._not_run; nested comprehensions and a generator that yields once are plain loops now; count is called count_request. Behaviour and tests are the same.

--- a/packages/proxy/src/sassafrastally/proxy/answerer.py
+++ b/packages/proxy/src/sassafrastally/proxy/answerer.py
@@ -22,6 +22,7 @@
     from sassafrastally.proxy.model import BackendServer, Helper
     from sassafrastally.proxy.path import RequestPath
     from sassafrastally.proxy.plan import Placement
+    from sassafrastally.proxy.refusals import Refusal
     from sassafrastally.proxy.reply import Reply
 
 SERVER_ERROR = 500
@@ -64,21 +65,23 @@
     def _request_id(self) -> str:
         return self._task.request.facts.request_id
 
-    def _come_back_s(self) -> float:
-        """Return when the caller should come back, if nothing has run."""
-        time_left_s = self._task.time_left_s(self._clock.now_s())
-        return come_back_after_s(time_left_s, self._path.kernel.random.random())
+    def _not_run(self, refusal: Refusal, detail: str) -> Stopped:
+        """Return how a request ends that hasn't run, with a moment at which to come back.
 
-    def _none_takes_it(self) -> Stopped | None:
-        """Return how the request ends if nothing has run and no server wants a request now."""
+        Parameters
+        ----------
+        refusal, detail
+            Why, unless it is that no server wants a request now.
+        """
         service = self._task.service
         time_left_s = self._task.time_left_s(self._clock.now_s())
-        come_back_s = self._path.sight.come_back_s(service, time_left_s)
-        if come_back_s is None:
-            return None
+        room_in_s = self._path.sight.come_back_s(service, time_left_s)
+        if room_in_s is None:
+            draw = self._path.kernel.random.random()
+            return Stopped(refusal, detail, come_back_after_s(time_left_s, draw))
         refusal = TURNED_AWAY if self.progress.attempts else SERVERS_LIMITED
-        detail = f"service {service}: the next one takes a request in {come_back_s:.2f} s"
-        return Stopped(refusal, detail, max(LEAST_S, come_back_s))
+        detail = f"service {service}: the next one takes a request in {room_in_s:.2f} s"
+        return Stopped(refusal, detail, max(LEAST_S, room_in_s))
 
     def _quarantined(self) -> Stopped | None:
         """Return how the request ends if it is quarantined."""
@@ -135,7 +138,7 @@
         self.progress.sent += 1
         self.progress.tried.add(server.life_id)
         self.progress.pending = server
-        self._path.backpressure.count(server, CallKind.ATTEMPT)
+        self._path.backpressure.count_request(server, CallKind.ATTEMPT)
         for helper in helpers:
             self._path.backpressure.count_part(helper)
 
--- a/packages/proxy/src/sassafrastally/proxy/backpressure.py
+++ b/packages/proxy/src/sassafrastally/proxy/backpressure.py
@@ -9,7 +9,7 @@
 from sassafrastally.core import Service
 from sassafrastally.proxy.beliefs import Beliefs
 from sassafrastally.proxy.cool_downs import CoolDowns
-from sassafrastally.proxy.leaving import LEAVING_S
+from sassafrastally.proxy.leaving import DeclaredLeaving
 from sassafrastally.proxy.load import server_hash
 from sassafrastally.proxy.log_events import (
     ServerCoolingDown,
@@ -25,7 +25,7 @@
     SentRequests,
     own_share_per_s,
 )
-from sassafrastally.proxy.server_limits import FORGOTTEN_S, LimitChange, ServerLimits
+from sassafrastally.proxy.server_limits import LimitChange, ServerLimits
 
 if TYPE_CHECKING:
     from collections.abc import Collection, Iterable, Mapping, Sequence
@@ -65,8 +65,7 @@
     def __init__(self, own_host: str) -> None:
         self._own_host = own_host
         self._cool_downs = CoolDowns()
-        self._leaving_s: dict[str, float] = {}
-        """When servers that leave last said so."""
+        self._leaving = DeclaredLeaving()
         self._sent: dict[str, SentRequests] = {}
         self._limits = ServerLimits()
         self._shares: dict[str, float] = {}
@@ -89,7 +88,7 @@
             "leaving_servers": len(self.leaving()),
         }
 
-    def count(self, server: BackendServer, kind: CallKind) -> None:
+    def count_request(self, server: BackendServer, kind: CallKind) -> None:
         """Count a request that is about to be sent."""
         SERVER_CALLS.add(1, {"kind": kind.value})
         self._sent_to(server.life_id).note(self._now_s)
@@ -110,15 +109,8 @@
             self._note_cool_down(server, asks.cool_down_s)
 
     def leaving(self) -> dict[str, float]:
-        """Return the servers that have lately said that they leave, with the seconds left.
-
-        Peers leave them alone for so long. By then they have gone, or tell the peers themselves.
-        """
-        left = (
-            (life_id, said_s + LEAVING_S - self._now_s)
-            for life_id, said_s in self._leaving_s.items()
-        )
-        return {life_id: left_s for life_id, left_s in left if left_s > 0}
+        """Return the servers that have lately said that they leave, with the seconds left."""
+        return self._leaving.told(self._now_s)
 
     def limit_of(self, life_id: str) -> float | None:
         """Return the requests a second that a server takes; ``None`` without a limit."""
@@ -130,7 +122,7 @@
         Infinity for those that leave, and for those whose limit others share.
         """
         self._cool_downs.forget_over(self._now_s)
-        if not (self._limits or self._leaving_s or self._cool_downs):
+        if not (self._limits or self._leaving or self._cool_downs):
             return {}
         if (others := self._peers.members()) != self._shared_among:
             self._shared_among = others
@@ -159,15 +151,10 @@
         rooms = self.rooms_s(servers)
         if len(rooms) < len(servers):
             return None
-        limits = [
-            RESTED_PER_S if limit is None else max(LEAST_PER_S, limit)
-            for server in servers
-            if server.life_id not in self._leaving_s
-            for limit in [self.limit_of(server.life_id)]
-        ]
-        of_all_per_s = sum(limits)
-        if of_all_per_s <= 0:
+        staying = [server for server in servers if server.life_id not in self._leaving]
+        if not staying:
             return None
+        of_all_per_s = sum(self._taken_per_s(server.life_id) for server in staying)
         first_s = min(rooms.values())
         if math.isinf(first_s):
             # Others share all limits; they have room on average after so long.
@@ -185,6 +172,14 @@
             change = self._limits.hear_from_peer(key, told, self._now_s)
             self._note_change(key, change, host)
 
+    def forget_gone(self, known: Collection[str]) -> None:
+        """Forget what was noted of servers that no longer exist."""
+        now_s = self._now_s
+        for life_id in self._sent.keys() - known:
+            if self._sent[life_id].count(now_s) == 0:
+                del self._sent[life_id]
+        self._leaving.forget_gone(known, now_s)
+
     def _note_change(self, key: int, change: LimitChange, source: str) -> None:
         if change is LimitChange.NOTHING:
             return
@@ -213,8 +208,13 @@
             )
         )
 
+    def _taken_per_s(self, life_id: str) -> float:
+        """Return the requests a second that a server takes when it next takes any."""
+        most_per_s = self.limit_of(life_id)
+        return RESTED_PER_S if most_per_s is None else max(LEAST_PER_S, most_per_s)
+
     def _room_s(self, life_id: str) -> float:
-        if life_id in self._leaving_s:
+        if life_id in self._leaving:
             return math.inf
         cool_down_s = self._cool_downs.left_s(life_id, self._now_s)
         most_per_s = self.limit_of(life_id)
@@ -228,9 +228,7 @@
         return max(cool_down_s, room_s)
 
     def _note_leaving(self, server: BackendServer) -> None:
-        is_new = server.life_id not in self._leaving_s
-        self._leaving_s[server.life_id] = self._now_s
-        if is_new:
+        if self._leaving.note(server.life_id, self._now_s):
             self.kernel.events.emit(ServerLeaving(server.server_id))
             self._peers.tell_at_once()
 
@@ -241,16 +239,6 @@
     def _sent_to(self, life_id: str) -> SentRequests:
         return self._sent.setdefault(life_id, SentRequests())
 
-    def forget_gone(self, known: Collection[str]) -> None:
-        """Forget what was noted of servers that no longer exist."""
-        now_s = self._now_s
-        for life_id in self._sent.keys() - known:
-            if self._sent[life_id].count(now_s) == 0:
-                del self._sent[life_id]
-        for life_id in self._leaving_s.keys() - known:
-            if now_s - self._leaving_s[life_id] > FORGOTTEN_S:
-                del self._leaving_s[life_id]
-
     @property
     def _now_s(self) -> float:
         return self.kernel.clock.now_s()
--- a/packages/proxy/src/sassafrastally/proxy/generation.py
+++ b/packages/proxy/src/sassafrastally/proxy/generation.py
@@ -103,12 +103,9 @@
     def _stopped(self, detail: str) -> Stopped:
         if self.progress.may_have_run:
             return Stopped(MAY_HAVE_RUN, detail)
-        if (none_takes_it := self._none_takes_it()) is not None:
-            return none_takes_it
         if not self._path.sight.views(self._task.service, set()):
-            return Stopped(NO_SERVER, f"service {self._task.service}", self._come_back_s())
-        refusal = TURNED_AWAY if self.progress.attempts else NO_ROOM
-        return Stopped(refusal, detail, self._come_back_s())
+            return self._not_run(NO_SERVER, f"service {self._task.service}")
+        return self._not_run(TURNED_AWAY if self.progress.attempts else NO_ROOM, detail)
 
     def _room(self) -> str:
         """Return what is known of the engines' room, for the log and the caller."""
--- a/packages/proxy/src/sassafrastally/proxy/leaving.py
+++ b/packages/proxy/src/sassafrastally/proxy/leaving.py
@@ -1,4 +1,4 @@
-"""Backend servers that turn requests away because they are leaving, while nobody tells of it.
+"""Backend servers that leave, by what their answers say or look like, while the store can't tell.
 
 The load that it answers: a quarter of the engines drain while the store is away. A long prompt is
 read by up to seventeen engines, and one that drains turns the whole prompt away; nearly none came
@@ -11,6 +11,8 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from collections.abc import Collection
+
     from sassafrastally.proxy.load import Work
 
 NEWS_AGE_S = 1.0
@@ -20,6 +22,9 @@
 LEAVING_S = 8.0
 """How long such a server is left alone; one that drains is gone by then."""
 
+FORGOTTEN_S = 600.0
+"""How long a server's own word is remembered once its entry is gone."""
+
 CONFIRMED_S = 2.0
 """When what is known of the servers is confirmed this long after, one that is still there doesn't
 leave: its word to the store has arrived by then."""
@@ -71,3 +76,40 @@
             if now_s - since_s < LEAVING_S and confirmed_s < since_s + CONFIRMED_S
         }
         return {life_id: since_s + LEAVING_S - now_s for life_id, since_s in self._since_s.items()}
+
+
+class DeclaredLeaving:
+    """Servers that have said so themselves; they leave for good.
+
+    A server's entry in the store may lapse with an outage and come back; what it has said still
+    holds then.
+    """
+
+    def __init__(self) -> None:
+        self._said_s: dict[str, float] = {}
+
+    def __bool__(self) -> bool:
+        return bool(self._said_s)
+
+    def __contains__(self, life_id: object) -> bool:
+        return life_id in self._said_s
+
+    def note(self, life_id: str, now_s: float) -> bool:
+        """Note a server's word; return whether it is the first."""
+        is_first = life_id not in self._said_s
+        self._said_s[life_id] = now_s
+        return is_first
+
+    def told(self, now_s: float) -> dict[str, float]:
+        """Return the servers that peers are told to leave alone, with the seconds left.
+
+        By the end of these a server has gone, or tells the peers itself.
+        """
+        left = {life_id: said_s + LEAVING_S - now_s for life_id, said_s in self._said_s.items()}
+        return {life_id: left_s for life_id, left_s in left.items() if left_s > 0}
+
+    def forget_gone(self, known: Collection[str], now_s: float) -> None:
+        """Forget servers that nobody has told of for a long time."""
+        for life_id in self._said_s.keys() - known:
+            if now_s - self._said_s[life_id] > FORGOTTEN_S:
+                del self._said_s[life_id]
--- a/packages/proxy/src/sassafrastally/proxy/plain.py
+++ b/packages/proxy/src/sassafrastally/proxy/plain.py
@@ -60,11 +60,9 @@
     def _stopped(self) -> Stopped:
         if self.progress.may_have_run:
             return Stopped(MAY_HAVE_RUN, "no whole answer came")
-        if (none_takes_it := self._none_takes_it()) is not None:
-            return none_takes_it
         if self.progress.attempts == 0:
-            return Stopped(NO_SERVER, f"service {self._task.service}", self._come_back_s())
-        return Stopped(TURNED_AWAY, f"{self.progress.attempts} attempts", self._come_back_s())
+            return self._not_run(NO_SERVER, f"service {self._task.service}")
+        return self._not_run(TURNED_AWAY, f"{self.progress.attempts} attempts")
 
     def _choose(self) -> BackendServer | None:
         views = self._path.sight.views(self._task.service, self.progress.tried)
--- a/packages/proxy/src/sassafrastally/proxy/rate_shares.py
+++ b/packages/proxy/src/sassafrastally/proxy/rate_shares.py
@@ -136,7 +136,7 @@
         first_room_s
             Time until a server takes a request again.
         room_per_s
-            Requests a second that are taken from then on; ``inf`` without a limit.
+            Requests a second that are taken from then on.
         time_left_s
             How long the caller waits for its answer. Room that comes later is named too, but not
             kept for a caller that will have left.
--- a/packages/proxy/src/sassafrastally/proxy/reports.py
+++ b/packages/proxy/src/sassafrastally/proxy/reports.py
@@ -142,7 +142,7 @@
     async def _exchange(self, engine: BackendServer, request_id: str) -> None:
         client = self._calls.setdefault(engine.address, CallClient(engine.address))
         call = self._dialect.report_call(engine)
-        self._backpressure.count(engine, CallKind.REPORT)
+        self._backpressure.count_request(engine, CallKind.REPORT)
         try:
             status, body = await client.exchange(
                 call.method, call.target, call.headers, call.body, REPORT_TIME_S
--- a/packages/proxy/src/sassafrastally/proxy/reservations.py
+++ b/packages/proxy/src/sassafrastally/proxy/reservations.py
@@ -186,7 +186,7 @@
         )
 
     async def _send(self, server: BackendServer, call: Call) -> tuple[int, bytes]:
-        self._backpressure.count(server, CallKind.ORDER)
+        self._backpressure.count_request(server, CallKind.ORDER)
         client = self._calls.setdefault(server.address, CallClient(server.address))
         return await client.exchange(
             call.method, call.target, call.headers, call.body, ORDER_TIME_S
--- a/packages/testing/src/sassafrastally/testing/soak/asking.py
+++ b/packages/testing/src/sassafrastally/testing/soak/asking.py
@@ -11,8 +11,6 @@
 from sassafrastally.testing.soak.troubles import SERVES_ON_S, claimed, some_server, trouble
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
-
     from sassafrastally.testing.replica import Arrival, Replica
     from sassafrastally.testing.soak.fleet import SoakFleet
 
@@ -111,26 +109,21 @@
     others = [one for one in fleet.limited if one.replica is span.replica and one is not span]
     if any(one.begin_s < span.end_s and span.begin_s < one.end_s for one in others):
         return  # Its limit changed meanwhile.
-    counted = [
-        arrival.at_s
-        for entry, arrivals in by_entry.items()
-        for told_s in _told(arrivals, span)
-        if _is_calm(fleet, entry, told_s - WINDOW_S, span.end_s)
-        for arrival in arrivals
-        if arrival.at_s <= span.end_s
-    ]
+    counted: list[float] = []
+    for entry, arrivals in by_entry.items():
+        told_s = _told_s(arrivals, span)
+        if told_s is not None and _is_calm(fleet, entry, told_s - WINDOW_S, span.end_s):
+            counted += [arrival.at_s for arrival in arrivals if arrival.at_s <= span.end_s]
     most = most_in_window(counted, span.begin_s + SETTLED_S + TOLD_S)
     if most > allowed(span.most_per_s):
         detail = f"{span.replica.server_id}: {most} in {WINDOW_S:g} s, {span.most_per_s:g} a second"
         fleet.record.note_broken("limits of servers are kept", detail)
 
 
-def _told(arrivals: list[Arrival], span: LimitedSpan) -> Iterator[float]:
-    """Yield when an entry was first told of a limit, if it was."""
+def _told_s(arrivals: list[Arrival], span: LimitedSpan) -> float | None:
+    """Return when an entry was first told of a limit, ``None`` if it wasn't."""
     told = (one.finished_s for one in arrivals if one.at_s >= span.begin_s and one.finished_s)
-    first_s = min((told_s for told_s in told if told_s <= span.end_s), default=None)
-    if first_s is not None:
-        yield first_s
+    return min((told_s for told_s in told if told_s <= span.end_s), default=None)
 
 
 def _judge_leaving(fleet: SoakFleet, replica: Replica, entry: int, arrivals: list[Arrival]) -> None:
