--- a/packages/proxy/benchmarks/quarantine.py
+++ b/packages/proxy/benchmarks/quarantine.py
@@ -6,33 +6,16 @@
 from __future__ import annotations
 
 import random
-import statistics
-import time
 import tracemalloc
-from typing import TYPE_CHECKING
 
 from sassafrastally.proxy.fingerprint import request_fingerprint
 from sassafrastally.proxy.peer_messages import Hello, encode_hello
 from sassafrastally.proxy.quarantine import Quarantine
+from sassafrastally.testing.timing import median_us
 
-if TYPE_CHECKING:
-    from collections.abc import Callable
-
-ROUNDS = 7
 BODIES = {"4 KB": 4_096, "100 KB": 102_400, "4 MB": 4_194_304}
 
 
-def median_us(call: Callable[[], object], times: int) -> float:
-    """Return the processor time of a call in microseconds, the median of some rounds."""
-    found = []
-    for _ in range(ROUNDS):
-        begin_s = time.process_time()
-        for _ in range(times):
-            call()
-        found.append(1e6 * (time.process_time() - begin_s) / times)
-    return statistics.median(found)
-
-
 def full() -> Quarantine:
     """Return what a caller leaves behind who invents bodies, most of which crash servers."""
     known, draw = Quarantine(), random.Random(1)
--- a/packages/proxy/benchmarks/rate_shares.py
+++ b/packages/proxy/benchmarks/rate_shares.py
@@ -7,13 +7,13 @@
 
 import random
 import statistics
-import time
 from typing import TYPE_CHECKING
 
 from sassafrastally.proxy.limit_news import LimitNews
 from sassafrastally.proxy.peer_messages import MOST_LIMITS, Hello, encode_hello
 from sassafrastally.proxy.rate_shares import SentRequests, own_share_per_s
 from sassafrastally.testing.backpressure_fleet import allowed, most_in_window
+from sassafrastally.testing.timing import median_us
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Collection
@@ -27,7 +27,6 @@
 
 LENGTH_S = 60.0
 STEP_S = 0.05
-ROUNDS = 5
 
 
 def by_itself(life_id: str, most_per_s: float, own_host: str, others: Collection[str]) -> float:
@@ -88,17 +87,6 @@
     return served / offered
 
 
-def median_us(call: Callable[[], object], times: int) -> float:
-    """Return the processor time of a call in microseconds, the median of some rounds."""
-    found = []
-    for _ in range(ROUNDS):
-        begin_s = time.process_time()
-        for _ in range(times):
-            call()
-        found.append(1e6 * (time.process_time() - begin_s) / times)
-    return statistics.median(found)
-
-
 def main() -> None:
     """Measure and print."""
     print(f"limit {MOST_PER_S:g}/s, {allowed(MOST_PER_S):g} allowed in 4 s; {SERVERS} servers")
--- a/packages/proxy/tests/test_decisions.py
+++ b/packages/proxy/tests/test_decisions.py
@@ -2,20 +2,16 @@
 
 from __future__ import annotations
 
-import random
-
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
 from sassafrastally.core import Address
 from sassafrastally.proxy.budget import RetryBudget
-from sassafrastally.proxy.crash_cases import MOST_CRASHES_TOLD
 from sassafrastally.proxy.engine_time import pass_ms, reading_ms
 from sassafrastally.proxy.event_stream import EventSplitter
 from sassafrastally.proxy.lanes import ServerView
 from sassafrastally.proxy.leaving import LeavingServers, looks_leaving
-from sassafrastally.proxy.limit_news import LimitNews
 from sassafrastally.proxy.load import (
     UNFINISHED_READING_MS,
     Flight,
@@ -36,10 +32,7 @@
 )
 from sassafrastally.proxy.moving import is_worth_moving, remaining_s
 from sassafrastally.proxy.pace import BELIEVED_S, Paces
-from sassafrastally.proxy.peer_messages import Hello, decode_hello, encode_hello
 from sassafrastally.proxy.plain_placement import place_plain
-from sassafrastally.proxy.quarantine import Quarantine
-from sassafrastally.proxy.quarantine_news import AnswerNews, CrashNews, QuarantineNews, VerdictNews
 from sassafrastally.proxy.report_duty import has_report_duty
 from sassafrastally.proxy.routes import RouteTable, choose_service
 from sassafrastally.proxy.slowness import Slowness, slow_event_time_s
@@ -388,69 +381,6 @@
         assert view.at("b").tokens == 7
         assert view.at("c") == Work()
 
-    def test_datagram_carries_it(self):
-        hello = Hello(
-            host="10.0.0.1",
-            boot_id=7,
-            sequence=3,
-            revision=12,
-            confirmed_age_s=0.5,
-            is_stopping=False,
-            loads={5: Work(1, 2, 3, 4, 5000, 60.0, suspect_requests=6)},
-            peers=("10.0.0.2",),
-            suspects={9: 1.5},
-            paces={9: 2.5},
-            store_age_s=0.25,
-            returned_age_s=7.5,
-            data_centre="here",
-            link_mbps=100,
-            limits={9: LimitNews(2.5, 0.125), 10: LimitNews(None, 1.0)},
-            quarantine=QuarantineNews(
-                (CrashNews(1 << 63, 2, 0.25),), (VerdictNews(3, 599.5, 4),), (AnswerNews(5, 1.5),)
-            ),
-        )
-        assert decode_hello(encode_hello(hello)) == hello
-
-    def test_datagram_stays_small(self):
-        loads = {n << 40: Work(1, 2, 3, 4, 400_000, 60_000.0) for n in range(200)}
-        hello = Hello("10.0.0.1", 7, 3, 12, 0.5, False, loads, (), {}, {}, 0.0, 0.0, "here", 10)
-        assert len(encode_hello(hello)) < 1400
-
-    def test_datagram_with_all_kinds_of_news_arrives_whole(self):
-        """Guards against datagrams that are too large to be received."""
-        draw = random.Random(1)
-        keys = [draw.getrandbits(64) for _ in range(200)]
-        hello = Hello(
-            "10.0.0.1", 7, 3, 12, 0.5, False, {}, (), {}, {}, 0.0, 0.0, "here", 10
-        )._replace(
-            loads=dict.fromkeys(keys, Work(1, 2, 3, 4, 400_000, 60_000.0)),
-            peers=tuple(f"10.1.0.{number}" for number in range(30)),
-            suspects={key: 8.0 * draw.random() for key in keys},
-            paces={key: 1.3 + draw.random() for key in keys},
-            limits={key: LimitNews(draw.random(), draw.random()) for key in keys},
-        )
-        data = encode_hello(hello)
-        assert len(data) < 1400
-        assert decode_hello(data).limits
-        assert decode_hello(data).suspects
-
-    def test_datagram_has_room_for_loads_beside_all_news_of_harmful_requests(self):
-        """Many servers crash at once, each under many requests. Peers must still learn which
-        engines are busy, or all place on the same ones."""
-        draw = random.Random(1)
-        quarantine = Quarantine()
-        for number in range(300):
-            fingerprint = draw.getrandbits(64)
-            for _ in range(3 if number < 20 else 1):
-                quarantine.note_crash(fingerprint, draw.getrandbits(64), 1.0, is_own=True)
-        news = quarantine.news(1.0, is_full=True)
-        loads = {draw.getrandbits(64): Work(1, 2, 3, 4, 400_000, 60_000.0) for _ in range(200)}
-        hello = Hello("10.0.0.1", 7, 3, 12, 0.5, False, loads, (), {}, {}, 0.0, 0.0, "here", 10)
-        received = decode_hello(encode_hello(hello._replace(quarantine=news)))
-        assert len(encode_hello(hello._replace(quarantine=news))) < 1400
-        assert len(received.quarantine.crashes) == MOST_CRASHES_TOLD
-        assert len(received.loads) >= 30
-
 
 class TestRouteTable:
     """The route of a path."""
--- /dev/null
+++ b/packages/proxy/tests/test_placement_replay.py
@@ -0,0 +1,141 @@
+"""Placement through a swing of the load, and by many entries at once."""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+from typing import NamedTuple
+
+from sassafrastally.proxy.lanes import Scatter, ServerView, split_lanes
+from sassafrastally.proxy.load import Flight, Lane, Ledger, Work, merge
+from sassafrastally.proxy.model import (
+    PromptSize,
+)
+from sassafrastally.proxy.placement import place_prompt
+from sassafrastally.testing.placement_cases import (
+    ALONE,
+    FIGURES,
+    LIMITS,
+    SHORT,
+    server,
+    views,
+)
+
+
+class Outcome(NamedTuple):
+    """What a replay counted."""
+
+    asked: int
+    timely: int
+
+
+class TestReplay:
+    """A day's swing: short requests flood, then long ones, then short ones again."""
+
+    LONG_FROM_S = 6.0
+    LONG_UNTIL_S = 14.0
+    LENGTH_S = 20.0
+
+    def arrivals(self) -> list[tuple[float, Lane, PromptSize]]:
+        """Return the requests of the day: 55 short ones a second, or 9 and three long ones."""
+        draw = random.Random(4)
+        found = []
+        now_s = 0.0
+        while now_s < self.LENGTH_S:
+            is_long_time = self.LONG_FROM_S <= now_s < self.LONG_UNTIL_S
+            short_rate, long_rate = (9.0, 3.0) if is_long_time else (55.0, 0.6)
+            now_s += draw.expovariate(short_rate + long_rate)
+            if draw.random() < short_rate / (short_rate + long_rate):
+                tokens = int(min(23_800, draw.lognormvariate(8.1, 0.9)))
+                found.append((now_s, Lane.SHORT, PromptSize(tokens, 1300)))
+            else:
+                tokens = int(min(380_000, draw.lognormvariate(11.2, 0.8)))
+                found.append((now_s, Lane.LONG, PromptSize(tokens, 650)))
+        return found
+
+    def replay(self) -> dict[Lane, Outcome]:
+        """Place all requests by the predictions alone and count the timely first events."""
+        ledger = Ledger()
+        ends: list[tuple[float, str, Flight]] = []
+        counts = {Lane.SHORT: [0, 0], Lane.LONG: [0, 0]}
+        for now_s, lane, prompt in self.arrivals():
+            for moment in [end for end in ends if end[0] <= now_s]:
+                _, what, flight = moment
+                (ledger.first_event if what == "first" else ledger.remove)(flight, moment[0])
+                ends.remove(moment)
+            work = merge(ledger.work(now_s), [])
+            order = [ServerView(server(n), work.at(f"e{n}")) for n in range(23)]
+            goal_s = 0.3 if lane is Lane.SHORT else 3.0
+            placement = place_prompt(
+                split_lanes(order, FIGURES), lane, prompt, goal_s, FIGURES, LIMITS, ALONE
+            )
+            counts[lane][0] += 1
+            if placement is None:
+                continue
+            counts[lane][1] += placement.predicted_s <= goal_s
+            memory = {holding.server.server_id: holding.tokens for holding in placement.holdings}
+            flight = Flight(placement.server.server_id, lane, memory, placement.parts)
+            ledger.add(flight, now_s)
+            first_s = now_s + placement.predicted_s
+            ends += [(first_s, "first", flight), (first_s + 1.8, "end", flight)]
+        return {lane: Outcome(*count) for lane, count in counts.items()}
+
+    def test_both_kinds_are_served_in_time_through_the_swing(self):
+        outcome = self.replay()
+        short, long = outcome[Lane.SHORT], outcome[Lane.LONG]
+        assert short.timely >= 0.97 * short.asked
+        assert long.timely >= 0.9 * long.asked
+
+
+class TestManyEntries:
+    """Entries that hear of each other's choices a tenth of a second late."""
+
+    ENTRIES = 21
+    ENGINES = 78
+    SLOTS = 6
+    RATE_PER_S = 150.0
+    NEWS_AGE_S = 0.1
+    SECONDS = 8.0
+
+    def overfilled(self, news_age_s: float) -> float:
+        """Return the share of short requests that meet an engine whose slots are all taken.
+
+        Parameters
+        ----------
+        news_age_s
+            What the entries believe of the age of their news.
+        """
+        draw = random.Random(7)
+        figures = FIGURES._replace(slots=self.SLOTS)
+        scatters = [Scatter(random.Random(n), news_age_s) for n in range(self.ENTRIES)]
+        placed: list[tuple[float, float, int, str]] = []
+        late = asked = 0
+        now_s = 0.0
+        while now_s < self.SECONDS:
+            now_s += draw.expovariate(self.RATE_PER_S)
+            entry = draw.randrange(self.ENTRIES)
+            placed = [row for row in placed if row[1] > now_s]
+            running = Counter(row[3] for row in placed)
+            heard = Counter(
+                row[3] for row in placed if row[2] == entry or row[0] < now_s - self.NEWS_AGE_S
+            )
+            works = [Work(short_requests=heard[f"e{n}"]) for n in range(self.ENGINES)]
+            lanes = split_lanes(views(works), figures, scatters[entry])
+            placement = place_prompt(
+                lanes, Lane.SHORT, SHORT, 0.3, figures, LIMITS, scatters[entry]
+            )
+            if placement is None:
+                continue
+            asked += 1
+            late += running[placement.server.server_id] >= self.SLOTS
+            length_s = draw.uniform(0.9, 2.7)
+            placed.append((now_s, now_s + length_s, entry, placement.server.server_id))
+        return late / asked
+
+    def test_do_not_fill_one_engine_at_a_time(self):
+        """A burst of short prompts comes to twenty-one entries. Each takes the next engine of the
+        lane by the same rule and hears a tenth of a second later that all others took it too. A
+        third of the callers wait for a slot, for half a second and more, while other engines idle.
+        """
+        assert self.overfilled(0.0) > 0.3
+        assert self.overfilled(self.NEWS_AGE_S) < 0.1
--- a/packages/proxy/tests/test_rate_shares.py
+++ b/packages/proxy/tests/test_rate_shares.py
@@ -72,8 +72,7 @@
         assert len(greedy.sent_s) >= 0.85 * taken_per_s * 30.0
 
     def test_requests_before_the_limit_was_known_count(self):
-        """Guards against a server that was busy when it named a limit getting its full share on
-        top."""
+        """Guards against a busy server that names a limit and gets that much on top."""
         greedy = GreedyEntries(hosts_of(5), 1.0)
         for number in range(8):
             greedy.send(greedy.hosts[number % 5], -1.0 + number / 8)
--- a/packages/testing/tests/platform/test_load_replay.py
+++ b/packages/testing/tests/platform/test_load_replay.py
@@ -75,8 +75,7 @@
     """All engines name limits, of about what comes."""
 
     async def test_dossiers_are_answered_and_limits_hold(self, autojump_clock):
-        """Guards against prompts too large for one engine that nobody answers while all engines are
-        limited, and against parts that add up beyond the limits."""
+        """Guards against parts of long prompts that add up beyond the engines' limits."""
         arrivals = make_arrivals(SONDRIO_LIKE, [], 20.0, 2)
         replay = LoadReplay(SONDRIO_LIKE, 2, dict.fromkeys(range(14), 1.5))
         outcomes = await replay.run(arrivals)
--- a/packages/testing/tests/soak/test_soak.py
+++ b/packages/testing/tests/soak/test_soak.py
@@ -28,8 +28,7 @@
         assert report.outcomes["200"] > 50, str(report)
 
     async def test_servers_get_what_they_ask_for(self):
-        """Guards against servers that name limits, leave or rest and are sent more than they want,
-        while the store comes and goes."""
+        """Guards against servers that are sent more than they ask for in their answers."""
         kinds = ["server-limited", "server-leaves", "server-rests", "burst", "store-away"]
         report = await run_soak(20_262, 12.0, SMALL._replace(callers=16), print, kinds)
         assert not report.broken, str(report)
