Requests that crashed servers together twice part before the third time

Cause: requests of crashed servers are dealt to servers of their own in the order of their fingerprints; with more of them than servers the rest chose freely, and entries that differed for some milliseconds on which servers run suspects dealt differently. So a good prompt and the harmful one met on three servers in a row, had the same crashes, and both were quarantined for 600 s; their review can't tell two apart that always were together. Change: those with the most crashes are dealt first; what is left over keeps away from their servers; two or more with more than one crash each are dealt without regard to which servers run suspects, on which entries may differ. The new test in test_apart.py failed before in all its forms. Two requests that are still together three times are both refused for up to ten minutes, as before.

--- a/packages/proxy/src/sassafrastally/proxy/apart.py
+++ b/packages/proxy/src/sassafrastally/proxy/apart.py
@@ -4,7 +4,8 @@
 cause. Entries that all choose the least busy server sent them to the same next one, where the
 harmful one broke them all off again, for good: routes allow two attempts. All entries know which
 requests ran on the server and deal them out in the same way, each to a server of its own, so that
-the next crash tells them apart. A body that many callers ask for goes to one server for all of
+the next crash tells them apart. Those with more than one crash come first: two that meet for the
+third time are both quarantined. A body that many callers ask for goes to one server for all of
 them, so that fewer crash at once.
 """
 
@@ -15,7 +16,7 @@
 from sassafrastally.proxy.load import server_hash
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Sequence
+    from collections.abc import Mapping, Sequence
 
     from sassafrastally.proxy.lanes import ServerView
 
@@ -27,11 +28,12 @@
 
 
 def dealt_server(
-    views: Sequence[ServerView], fingerprint: int, others: Iterable[int]
+    views: Sequence[ServerView], fingerprint: int, suspects: Mapping[int, int]
 ) -> list[ServerView]:
-    """Return the server that a request is dealt; none if there is no server.
+    """Return the server that a request is dealt; those to choose from if there are too few.
 
-    Servers that are known to run another such request are passed over, if there are others.
+    Those with the most crashes are dealt first. Servers that are known to run such a request are
+    dealt last, but for rivals: requests with more than one crash each.
 
     Parameters
     ----------
@@ -39,18 +41,34 @@
         Servers that may get the request.
     fingerprint
         The request.
-    others
-        Fingerprints of the requests that were on the same crashed servers.
+    suspects
+        Crashes by fingerprint, of it and of the requests that were on the same crashed servers, the
+        latest first.
     """
-    left = [view for view in views if not view.work.suspect_requests] or list(views)
-    for one in sorted({fingerprint, *list(others)[:MOST_DEALT]}):
-        if not left:
+    left = list(views)
+    dealt_crashes: dict[str, int] = {}
+    turns = _turns(fingerprint, suspects)
+    has_rivals = sum(suspects[one] > 1 for one in turns) > 1
+    for one in turns:
+        idle = [view for view in left if not view.work.suspect_requests]
+        # Entries may differ for a moment on which servers are idle; rivals part all the same.
+        choice = left if has_rivals and suspects[one] > 1 else idle or left
+        if not choice:
             break
-        dealt = min(left, key=lambda view: _rank(one, view))
+        dealt = min(choice, key=lambda view: _rank(one, view))
         if one == fingerprint:
             return [dealt]
         left.remove(dealt)
-    return list(views)
+        dealt_crashes[dealt.server.life_id] = suspects[one]
+    crashes = suspects[fingerprint]
+    with_equals = [v for v in views if dealt_crashes.get(v.server.life_id, 0) <= crashes]
+    return with_equals or list(views)
+
+
+def _turns(fingerprint: int, suspects: Mapping[int, int]) -> list[int]:
+    """Return the requests that are dealt servers, in an order on which all entries agree."""
+    most = sorted(suspects, key=lambda one: -suspects[one])[:MOST_DEALT]
+    return sorted({fingerprint, *most}, key=lambda one: (-suspects[one], one))
 
 
 def _rank(fingerprint: int, view: ServerView) -> int:
--- a/packages/proxy/src/sassafrastally/proxy/quarantine.py
+++ b/packages/proxy/src/sassafrastally/proxy/quarantine.py
@@ -121,13 +121,15 @@
             fingerprint, now_s, lambda server: self._is_explained(server, fingerprint, now_s)
         )
 
-    def suspects_with(self, fingerprint: int, now_s: float) -> list[int]:
-        """Return the other requests that were on servers that crashed under one, latest first."""
-        return [
-            other
+    def suspects_with(self, fingerprint: int, now_s: float) -> dict[int, int]:
+        """Return the crashes of a request and of those that were on the same crashed servers."""
+        crashes = {
+            other: self.crashes_under(other, now_s)
             for other in self._cases.beside(fingerprint)
-            if self.crashes_under(other, now_s) and other not in self._verdicts
-        ]
+            if other not in self._verdicts
+        }
+        suspects = {other: count for other, count in crashes.items() if count}
+        return {fingerprint: self.crashes_under(fingerprint, now_s), **suspects}
 
     def note_crash(
         self, fingerprint: int, server: int, now_s: float, *, age_s: float = 0.0, is_own: bool
--- a/packages/proxy/src/sassafrastally/proxy/quarantining.py
+++ b/packages/proxy/src/sassafrastally/proxy/quarantining.py
@@ -101,8 +101,8 @@
         """How long it takes until the entries nearby have told each other of a crash."""
         return self._peers.news_age_s
 
-    def suspects_with(self, fingerprint: int) -> list[int]:
-        """Return the other requests that were on servers that crashed under one, latest first."""
+    def suspects_with(self, fingerprint: int) -> dict[int, int]:
+        """Return the crashes of a request and of those that were on the same crashed servers."""
         return self._known.suspects_with(fingerprint, self._now_s)
 
     def note_crash(self, fingerprint: int, server: BackendServer) -> None:
--- a/packages/proxy/tests/test_apart.py
+++ b/packages/proxy/tests/test_apart.py
@@ -19,10 +19,15 @@
 
 def dealt(views, fingerprint: int, others) -> str:
     """Return the server that a request is dealt."""
-    (found,) = dealt_server(views, fingerprint, others)
+    (found,) = dealt_server(views, fingerprint, with_crashes(fingerprint, *others))
     return found.server.server_id
 
 
+def with_crashes(*fingerprints: int, crashes: int = 1) -> dict[int, int]:
+    """Return requests that were on as many crashed servers each."""
+    return dict.fromkeys(fingerprints, crashes)
+
+
 class TestDealing:
     """Requests that were on one crashed server."""
 
@@ -52,10 +57,27 @@
     def test_more_requests_than_servers_leave_the_choice_open(self):
         views = [view(number) for number in range(3)]
         beside = list(range(10))
-        found = [dealt_server(views, one, [o for o in beside if o != one]) for one in beside]
+        found = [dealt_server(views, one, with_crashes(*beside)) for one in beside]
         assert [len(one) for one in found] == [1, 1, 1] + [3] * 7
-        assert dealt_server([], 1, []) == []
+        assert dealt_server([], 1, with_crashes(1)) == []
 
     def test_many_beside_it_cost_no_more_than_some(self):
         views = [view(number) for number in range(40)]
-        assert len(dealt_server(views, 1 << 64, range(MOST_DEALT * 100))) == 1
+        suspects = with_crashes(1 << 64, *range(MOST_DEALT * 100))
+        assert len(dealt_server(views, 1 << 64, suspects)) == 1
+
+    def test_two_that_crashed_together_twice_part_among_few_servers(self):
+        """Guards against a good request meeting the harmful one for the third time: both were
+        quarantined."""
+        draw = random.Random(5)
+        for _ in range(500):
+            first, second, *others = (draw.getrandbits(64) for _ in range(10))
+            suspects = with_crashes(*others) | with_crashes(first, second, crashes=2)
+            # Each entry has its own knowledge of where suspects run.
+            found = [
+                dealt_server([view(n, draw.randrange(2)) for n in range(3)], one, suspects)
+                for one in (first, second, *others)
+            ]
+            servers = [{view.server.server_id for view in views} for views in found]
+            assert len(servers[0] | servers[1]) == 2
+            assert all(not of_other & (servers[0] | servers[1]) for of_other in servers[2:])
