What a server that said it leaves still runs when it ends is no crash

A server that drains by its entry in the store ends by plan, and nothing that ran there is held against it. One that said so in an answer only (Server-Leaving) was counted as crashed: three such ends under one long prompt quarantine it. The new test failed before: three crashes noted, none expected. Change: the end of a server that has declared that it leaves is by plan as well.

--- a/packages/proxy/src/sassafrastally/proxy/backpressure.py
+++ b/packages/proxy/src/sassafrastally/proxy/backpressure.py
@@ -112,6 +112,10 @@
         """Return the servers that have lately said that they leave, with the seconds left."""
         return self._leaving.told(self._now_s)
 
+    def is_leaving(self, server: BackendServer) -> bool:
+        """Return whether a server has said that it leaves."""
+        return server.life_id in self._leaving
+
     def limit_of(self, life_id: str) -> float | None:
         """Return the requests a second that a server takes; ``None`` without a limit."""
         return self._limits.of(server_hash(life_id)) if self._limits else None
--- a/packages/proxy/src/sassafrastally/proxy/crashes.py
+++ b/packages/proxy/src/sassafrastally/proxy/crashes.py
@@ -7,6 +7,7 @@
 
 import trio
 
+from sassafrastally.proxy.backpressure import Backpressure
 from sassafrastally.proxy.beliefs import Beliefs
 from sassafrastally.proxy.fingerprint import fingerprint_text
 from sassafrastally.proxy.log_events import ServerCrashed
@@ -66,6 +67,7 @@
         self._nursery = nursery
         self._liveness = liveness
         self._quarantine = quarantine
+        self._backpressure = kernel.get("backpressure", Backpressure)
         self._beliefs = kernel.get("beliefs", Beliefs)
         self._beliefs.on_life_ended = self._note_life_ended
         self._silent: dict[str, deque[_Silent]] = {}
@@ -119,7 +121,7 @@
 
     def _note_life_ended(self, server: BackendServer) -> None:
         requests = self._silent.pop(server.life_id, ())
-        if server.is_draining:
+        if server.is_draining or self._backpressure.is_leaving(server):
             return
         now_s = self._kernel.clock.now_s()
         for one in requests:
@@ -128,7 +130,9 @@
                 self._note_crash(server, one.fingerprint, one.request_id, cause)
 
     def _was_leaving(self, server: BackendServer) -> bool:
-        """Return whether a server was draining: what ends then is cut off by plan."""
+        """Return whether a server was to leave: what ends then is cut off by plan."""
+        if self._backpressure.is_leaving(server):
+            return True
         known = self._beliefs.server(server.server_id)
         return known is not None and known.life_id == server.life_id and known.is_draining
 
--- a/packages/testing/tests/platform/test_harmful_requests.py
+++ b/packages/testing/tests/platform/test_harmful_requests.py
@@ -8,6 +8,9 @@
 import pytest
 import trio
 
+from sassafrastally.proxy.backpressure import Backpressure
+from sassafrastally.proxy.beliefs import Beliefs
+from sassafrastally.proxy.model import ServerAsks
 from sassafrastally.testing.harmful_fleet import (
     HARMFUL,
     alive,
@@ -204,6 +207,21 @@
         assert len(fleet.crashed) == 3
         assert not self.crashes(fleet)
 
+    async def test_server_that_has_said_that_it_leaves_has_not_crashed(self, fleet):
+        """Guards against holding a server's announced end against what it still ran."""
+        await start_fleet(fleet, entries=1, engines=8)
+        backpressure = fleet.kernels[0].get("backpressure", Backpressure)
+        beliefs = fleet.kernels[0].get("beliefs", Beliefs)
+
+        async def leave(replica) -> None:
+            server = beliefs.server(replica.server_id)
+            backpressure.note_answer(server, ServerAsks(is_leaving=True))
+            replica.crash()
+
+        await self.ask_while(fleet, leave)
+        assert len(fleet.crashed) == 3
+        assert not self.crashes(fleet)
+
     async def test_server_that_is_killed_for_its_memory_counts_once(self, fleet):
         """Servers are killed one after the other while the same good prompt runs there; in between
         it is answered."""
