Crashes behind a port that still takes connections are counted

A supervisor or port forwarder holds the port of a crashed server and resets what comes; after two seconds another life of the server announces itself. No crash was noted, since only a refused connection or a lapsed entry counted. The stand-in can now hold its port. Change, two parts: - An answer that broke off is remembered for eight seconds, and a server's life that ends undrained in that time has crashed under it, as after a silence. Its time is that of the answer, so that an answer elsewhere in between counts. - Until then, if the connection tried after it is taken and ended at once, the crash is presumed: told to peers as such, held against the request for five seconds, enough for a short verdict that isn't recorded, told or used to explain others' crashes. A confirmed one counts as before. Costs: after a broken-off answer of a server that lives the next attempt waits 20 ms for the connection's end. Open: a caller whose harmful bodies all differ isn't bounded yet.

--- a/packages/cli/src/sassafrastally/cli/why.py
+++ b/packages/cli/src/sassafrastally/cli/why.py
@@ -42,7 +42,9 @@
 )
 """Events that change what a process believes, whatever request is asked for."""
 
-ABOUT_CONTENT = frozenset({"QuarantineLifted", "RequestQuarantined", "ServerCrashed"})
+ABOUT_CONTENT = frozenset(
+    {"QuarantineLifted", "RequestQuarantined", "ServerCrashed", "ServerCrashPresumed"}
+)
 """Events about what a request holds, whoever asked and wherever: of requests with the same
 fingerprint as the one that is asked for all of them are shown, however long before."""
 
--- a/packages/proxy/src/sassafrastally/proxy/answerer.py
+++ b/packages/proxy/src/sassafrastally/proxy/answerer.py
@@ -89,8 +89,9 @@
         if verdict is None:
             return None
         now_s = self._clock.now_s()
+        ended = "crashed" if not verdict.is_presumed else "crashed or dropped all connections"
         detail = (
-            f"{verdict.crashes} backend servers crashed while they ran request "
+            f"{verdict.crashes} backend servers {ended} while they ran request "
             f"{fingerprint_text(verdict.fingerprint)}: not run for up to "
             f"{verdict.until_s - now_s:.0f} s"
         )
--- a/packages/proxy/src/sassafrastally/proxy/crash_cases.py
+++ b/packages/proxy/src/sassafrastally/proxy/crash_cases.py
@@ -16,6 +16,10 @@
 """How long a crash is held against a request. The same request comes back within seconds or
 minutes; what happens to one within a day by chance must not add up."""
 
+PRESUMED_S = 5.0
+"""How long a crash counts that isn't certain: by then the server's next life has been announced, if
+its process has ended."""
+
 TOGETHER_S = 1.0
 """Crashes within this time count as one for a request that has been answered before: servers of a
 rack are lost together, and a request that many callers ask for runs on most of them."""
@@ -42,6 +46,12 @@
     """When this entry learned of it."""
     is_own: bool
     """Whether this entry has seen it itself."""
+    is_presumed: bool = False
+    """Whether the server's end isn't certain yet."""
+
+    def counts(self, now_s: float) -> bool:
+        """Return whether it is held against the request."""
+        return now_s - self.at_s < (PRESUMED_S if self.is_presumed else REMEMBERED_S)
 
 
 class CrashCases:
@@ -82,7 +92,14 @@
         """Return whether a request with crashes is known to have been answered, before or after."""
         return fingerprint in self._answered_s
 
-    def count(self, fingerprint: int, now_s: float, is_explained: Callable[[int], bool]) -> int:
+    def count(
+        self,
+        fingerprint: int,
+        now_s: float,
+        is_explained: Callable[[int], bool],
+        *,
+        is_certain: bool = False,
+    ) -> int:
         """Return how many crashes speak against a request.
 
         Parameters
@@ -93,6 +110,8 @@
             Present time.
         is_explained
             Says of a server whether another request explains its crash.
+        is_certain
+            Whether only certain crashes count.
         """
         known = self._crashes.get(fingerprint)
         if not known:
@@ -102,7 +121,8 @@
             crash.at_s
             for server, crash in known.items()
             if crash.at_s > answered_s
-            and now_s - crash.at_s < REMEMBERED_S
+            and crash.counts(now_s)
+            and not (is_certain and crash.is_presumed)
             and not is_explained(server)
         )
         return _count_apart(times_s) if self.was_answered(fingerprint) else len(times_s)
@@ -110,12 +130,13 @@
     def note_crash(self, fingerprint: int, server: int, crash: Crash) -> bool:
         """Note that a server crashed while it ran a request; return whether that is new.
 
-        Two entries may tell of one crash: it counts once.
+        Two entries may tell of one crash: it counts once. That a presumed one is certain is new.
         """
         known = self._crashes.setdefault(fingerprint, {})
-        if server in known:
+        if server in known and (crash.is_presumed or not known[server].is_presumed):
             return False
-        known[server] = crash
+        earlier_s = known[server].at_s if server in known else crash.at_s
+        known[server] = crash._replace(at_s=min(earlier_s, crash.at_s))
         self._note_news(crash.heard_s)
         own_answered_s = self._own_answered_s.get(fingerprint, NEVER_S)
         if crash.heard_s - own_answered_s < REMEMBERED_S:
@@ -157,7 +178,7 @@
     def forget_old(self, now_s: float) -> None:
         """Forget requests whose crashes count no more."""
         for fingerprint, known in list(self._crashes.items()):
-            if all(now_s - crash.at_s >= REMEMBERED_S for crash in known.values()):
+            if not any(crash.counts(now_s) for crash in known.values()):
                 self._forget(fingerprint)
 
     def crash_news(self, now_s: float, told_s: float, *, is_of_all: bool) -> tuple[CrashNews, ...]:
@@ -175,7 +196,11 @@
         if now_s - self._news_s >= told_s:
             return ()
         found = [
-            (len(known), crash.at_s, CrashNews(fingerprint, server, now_s - crash.at_s))
+            (
+                len(known),
+                crash.at_s,
+                CrashNews(fingerprint, server, now_s - crash.at_s, crash.is_presumed),
+            )
             for fingerprint, known in self._crashes.items()
             for server, crash in known.items()
             if now_s - crash.heard_s < told_s and (crash.is_own or is_of_all)
--- a/packages/proxy/src/sassafrastally/proxy/crashes.py
+++ b/packages/proxy/src/sassafrastally/proxy/crashes.py
@@ -10,7 +10,7 @@
 from sassafrastally.proxy.backpressure import Backpressure
 from sassafrastally.proxy.beliefs import Beliefs
 from sassafrastally.proxy.fingerprint import fingerprint_text
-from sassafrastally.proxy.log_events import ServerCrashed
+from sassafrastally.proxy.log_events import ServerCrashed, ServerCrashPresumed
 from sassafrastally.proxy.metrics import SERVER_CRASHES
 
 if TYPE_CHECKING:
@@ -34,7 +34,7 @@
 
 
 class _Silent(NamedTuple):
-    """A request that was silent; its body, which may be megabytes, isn't kept for it."""
+    """A request without a whole answer; its body, which may be megabytes, isn't kept for it."""
 
     fingerprint: int
     request_id: str
@@ -93,9 +93,10 @@
             await trio.sleep(self._quarantine.news_age_s)
 
     def note_silent(self, server: BackendServer, task: RequestTask) -> None:
-        """Note that an answer didn't come in time: its server may have gone down with its host.
+        """Note that an answer didn't come, or not whole, and that the server may have ended.
 
-        A slow server and a cut link are as silent. If the server's entry lapses soon after, it has
+        A slow server and a cut link are as silent, and a supervisor may hold the port of a process
+        that has ended. If the server's entry lapses soon after or another life follows, it has
         ended, and only then that counts.
         """
         now_s = self._kernel.clock.now_s()
@@ -114,8 +115,10 @@
             finding = await self._liveness.find(server)
             if finding.is_refused and not self._was_leaving(server):
                 self._note_crash(server, task.fingerprint, task.request.facts.request_id, cause)
-            elif not finding.is_listening:
-                self.note_silent(server, task)
+                return
+            if finding.is_dropped and not self._was_leaving(server):
+                self._presume_crash(server, task, cause)
+            self.note_silent(server, task)
         finally:
             is_known.set()
 
@@ -126,8 +129,9 @@
         now_s = self._kernel.clock.now_s()
         for one in requests:
             if now_s - one.at_s < LAPSES_WITHIN_S:
-                cause = "silent, and its entry has lapsed"
-                self._note_crash(server, one.fingerprint, one.request_id, cause)
+                cause = "no whole answer, and then the server's life ended"
+                age_s = now_s - one.at_s
+                self._note_crash(server, one.fingerprint, one.request_id, cause, age_s=age_s)
 
     def _was_leaving(self, server: BackendServer) -> bool:
         """Return whether a server was to leave: what ends then is cut off by plan."""
@@ -137,9 +141,21 @@
         return known is not None and known.life_id == server.life_id and known.is_draining
 
     def _note_crash(
-        self, server: BackendServer, fingerprint: int, request_id: str, cause: str
+        self,
+        server: BackendServer,
+        fingerprint: int,
+        request_id: str,
+        cause: str,
+        *,
+        age_s: float = 0.0,
     ) -> None:
         SERVER_CRASHES.add(1)
         text = fingerprint_text(fingerprint)
         self._kernel.events.emit(ServerCrashed(server.server_id, request_id, text, cause))
-        self._quarantine.note_crash(fingerprint, server)
+        self._quarantine.note_crash(fingerprint, server, age_s=age_s)
+
+    def _presume_crash(self, server: BackendServer, task: RequestTask, cause: str) -> None:
+        text = fingerprint_text(task.fingerprint)
+        request_id = task.request.facts.request_id
+        self._kernel.events.emit(ServerCrashPresumed(server.server_id, request_id, text, cause))
+        self._quarantine.note_crash(task.fingerprint, server, is_presumed=True)
--- a/packages/proxy/src/sassafrastally/proxy/liveness.py
+++ b/packages/proxy/src/sassafrastally/proxy/liveness.py
@@ -12,6 +12,9 @@
 if TYPE_CHECKING:
     from sassafrastally.proxy.model import BackendServer
 
+DROPPED_WITHIN_S = 0.02
+"""How long a connection is watched for its end; a port that nobody serves resets it at once."""
+
 BELIEVED_S = 0.1
 """How long a refused connection serves further questions: all requests that one crash breaks off
 ask within some milliseconds. That somebody listens serves only those who ask meanwhile, since a
@@ -29,6 +32,9 @@
     """The host answers and no process has the port: the server's process has ended. Without
     either, the host is silent, which a cut link looks like as well."""
     detail: str
+    is_dropped: bool = False
+    """The connection was taken and ended at once: nobody serves behind the port, or a link resets
+    what passes."""
 
 
 class _Check:
@@ -75,9 +81,20 @@
     async def _try(self, server: BackendServer, check: _Check) -> None:
         try:
             stream = await connect(server.address, CONNECT_TIME_S)
+            is_dropped = await _is_dropped(stream)
             await trio.aclose_forcefully(stream)
-            check.finding = Finding(True, False, "")
+            check.finding = Finding(True, False, "", is_dropped)
         except ConnectionLost as cause:
             check.finding = Finding(False, cause.is_refused, cause.detail)
         finally:
             check.done.set()
+
+
+async def _is_dropped(stream: trio.abc.Stream) -> bool:
+    """Return whether the other side ends a connection on which nothing was sent."""
+    with trio.move_on_after(DROPPED_WITHIN_S):
+        try:
+            return not await stream.receive_some(1)
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            return True
+    return False
--- a/packages/proxy/src/sassafrastally/proxy/log_events.py
+++ b/packages/proxy/src/sassafrastally/proxy/log_events.py
@@ -439,3 +439,15 @@
 
     server_id: str
     for_s: float
+
+
+@event(10044, "warning")
+class ServerCrashPresumed(NamedTuple):
+    """An answer broke off, and the server's address ends new connections at once."""
+
+    server_id: str
+    request_id: str
+    fingerprint: str
+    """Names the request across its caller's retries."""
+    cause: str
+    """How the answer broke off."""
--- a/packages/proxy/src/sassafrastally/proxy/peer_messages.py
+++ b/packages/proxy/src/sassafrastally/proxy/peer_messages.py
@@ -156,6 +156,7 @@
                 "request": crash.fingerprint,
                 "server": crash.server,
                 "ageMs": _thousandths(crash.age_s),
+                "isPresumed": crash.is_presumed,
             }
             for crash in hello.quarantine.crashes
         ],
@@ -211,7 +212,8 @@
 def _decode_quarantine(message: Any) -> QuarantineNews:
     return QuarantineNews(
         crashes=tuple(
-            CrashNews(crash.request, crash.server, crash.ageMs / 1000) for crash in message.crashes
+            CrashNews(crash.request, crash.server, crash.ageMs / 1000, crash.isPresumed)
+            for crash in message.crashes
         ),
         verdicts=tuple(
             VerdictNews(verdict.request, verdict.leftMs / 1000, verdict.crashes)
--- a/packages/proxy/src/sassafrastally/proxy/peers.capnp
+++ b/packages/proxy/src/sassafrastally/proxy/peers.capnp
@@ -35,6 +35,7 @@
   request @0 :UInt64;         # fingerprint of the request
   server @1 :UInt64;          # hash of the backend server's id
   ageMs @2 :UInt32;
+  isPresumed @3 :Bool;        # its end isn't certain yet
 }
 
 struct Verdict {
--- a/packages/proxy/src/sassafrastally/proxy/quarantine.py
+++ b/packages/proxy/src/sassafrastally/proxy/quarantine.py
@@ -14,7 +14,7 @@
 from collections import Counter
 from typing import NamedTuple
 
-from sassafrastally.proxy.crash_cases import Crash, CrashCases
+from sassafrastally.proxy.crash_cases import PRESUMED_S, Crash, CrashCases
 from sassafrastally.proxy.quarantine_news import NO_NEWS, QuarantineNews, VerdictNews
 
 CRASHES_FOR_VERDICT = 3
@@ -62,6 +62,8 @@
     until_s: float
     crashes: int
     """Servers that crashed under it."""
+    is_presumed: bool = False
+    """Whether it follows from crashes that aren't certain yet."""
 
     def come_back_after_s(self, now_s: float) -> float:
         """Return when its caller should come back: soon while others may still explain it."""
@@ -115,11 +117,7 @@
 
     def crashes_under(self, fingerprint: int, now_s: float) -> int:
         """Return how many crashes speak against a request."""
-        if fingerprint not in self._cases:
-            return 0
-        return self._cases.count(
-            fingerprint, now_s, lambda server: self._is_explained(server, fingerprint, now_s)
-        )
+        return self._crashes(fingerprint, now_s, is_certain=False)
 
     def suspects_with(self, fingerprint: int, now_s: float) -> dict[int, int]:
         """Return the crashes of a request and of those that were on the same crashed servers."""
@@ -132,7 +130,14 @@
         return {fingerprint: self.crashes_under(fingerprint, now_s), **suspects}
 
     def note_crash(
-        self, fingerprint: int, server: int, now_s: float, *, age_s: float = 0.0, is_own: bool
+        self,
+        fingerprint: int,
+        server: int,
+        now_s: float,
+        *,
+        age_s: float = 0.0,
+        is_own: bool,
+        is_presumed: bool = False,
     ) -> Verdict | None:
         """Note that a server crashed while it ran a request; return the verdict if that brings one.
 
@@ -148,19 +153,26 @@
             How long ago it was.
         is_own
             Whether this entry has seen it itself.
+        is_presumed
+            Whether the server's end isn't certain yet.
         """
-        if not self._cases.note_crash(fingerprint, server, Crash(now_s - age_s, now_s, is_own)):
+        crash = Crash(now_s - age_s, now_s, is_own, is_presumed)
+        if not self._cases.note_crash(fingerprint, server, crash):
             return None
         self._end_verdicts(now_s)
         self._cases.keep_few(lambda key: key == fingerprint or key in self._verdicts)
-        if fingerprint in self._verdicts:
-            self._lift_refuted(self._verdicts[fingerprint], now_s)
+        known = self._verdicts.get(fingerprint)
+        if known is not None and not known.is_presumed:
+            self._lift_refuted(known, now_s)
             return None
         enough = 1 if fingerprint in self._ended else CRASHES_FOR_VERDICT
-        crashes = self.crashes_under(fingerprint, now_s)
-        if crashes < enough:
+        certain = self._crashes(fingerprint, now_s, is_certain=True)
+        if certain >= enough:
+            return self._quarantine(fingerprint, now_s, QUARANTINE_S, certain)
+        presumed = self.crashes_under(fingerprint, now_s)
+        if known is not None or presumed < enough:
             return None
-        return self._quarantine(fingerprint, now_s, QUARANTINE_S, crashes)
+        return self._quarantine(fingerprint, now_s, PRESUMED_S, presumed, is_presumed=True)
 
     def note_answered(self, fingerprint: int, now_s: float) -> bool:
         """Note that a request brought a whole answer; return whether crashes spoke against it."""
@@ -178,7 +190,7 @@
         """
         left_s = min(told.left_s, QUARANTINE_S)
         known = self.verdict(told.fingerprint, now_s)
-        if known is not None:
+        if known is not None and not known.is_presumed:
             until_s = min(known.until_s, now_s + left_s)
             self._verdicts[told.fingerprint] = known._replace(until_s=until_s)
             self._next_end_s = min(self._next_end_s, until_s)
@@ -225,7 +237,14 @@
         for answer in news.answers:
             self._take_answer(answer.fingerprint, now_s - answer.age_s, now_s)
         found = [
-            self.note_crash(crash.fingerprint, crash.server, now_s, age_s=crash.age_s, is_own=False)
+            self.note_crash(
+                crash.fingerprint,
+                crash.server,
+                now_s,
+                age_s=crash.age_s,
+                is_own=False,
+                is_presumed=crash.is_presumed,
+            )
             for crash in news.crashes
         ]
         found += [self.take_verdict(told, now_s) for told in news.verdicts]
@@ -238,8 +257,26 @@
         lifted, self._lifted = self._lifted, []
         return lifted
 
-    def _quarantine(self, fingerprint: int, now_s: float, for_s: float, crashes: int) -> Verdict:
-        verdict = Verdict(fingerprint, now_s, now_s + for_s, crashes)
+    def _crashes(self, fingerprint: int, now_s: float, *, is_certain: bool) -> int:
+        if fingerprint not in self._cases:
+            return 0
+        return self._cases.count(
+            fingerprint,
+            now_s,
+            lambda server: self._is_explained(server, fingerprint, now_s),
+            is_certain=is_certain,
+        )
+
+    def _quarantine(
+        self,
+        fingerprint: int,
+        now_s: float,
+        for_s: float,
+        crashes: int,
+        *,
+        is_presumed: bool = False,
+    ) -> Verdict:
+        verdict = Verdict(fingerprint, now_s, now_s + for_s, crashes, is_presumed)
         self._verdicts[fingerprint] = verdict
         self._verdict_count += 1
         self._review_due_s = now_s + SETTLED_S
@@ -253,7 +290,8 @@
             ended = [verdict for verdict in self._verdicts.values() if now_s >= verdict.until_s]
             for verdict in ended:
                 self._end(verdict, now_s)
-                self._lifted.append(Lifted(verdict, "its time is over"))
+                reason = "no crash was confirmed" if verdict.is_presumed else "its time is over"
+                self._lifted.append(Lifted(verdict, reason))
             ends_s = (verdict.until_s for verdict in self._verdicts.values())
             self._next_end_s = min(ends_s, default=NEVER_S)
         if now_s >= self._review_due_s:
@@ -272,7 +310,8 @@
         causes = {
             key
             for key, of_one in servers.items()
-            if any(explained_by[server] == 1 for server in of_one)
+            if not self._verdicts[key].is_presumed
+            and any(explained_by[server] == 1 for server in of_one)
         }
         explained = {server for key in causes for server in servers[key]}
         for key, verdict in list(self._verdicts.items()):
@@ -283,6 +322,8 @@
 
     def _end(self, verdict: Verdict, now_s: float) -> None:
         del self._verdicts[verdict.fingerprint]
+        if verdict.is_presumed:
+            return
         self._ended[verdict.fingerprint] = verdict
         if len(self._ended) > MOST_VERDICTS:
             del self._ended[next(iter(self._ended))]
@@ -299,6 +340,7 @@
         """Return whether a harmful request ran on a server that crashed under another one."""
         return any(
             verdict.fingerprint != fingerprint
+            and not verdict.is_presumed
             and now_s - verdict.since_s >= SETTLED_S
             and self._cases.has_crashed(server, verdict.fingerprint)
             for verdicts in (self._verdicts, self._ended)
@@ -341,7 +383,7 @@
         found = [
             verdict
             for verdict in self.verdicts(now_s)
-            if is_full or now_s - verdict.since_s < FRESH_S
+            if not verdict.is_presumed and (is_full or now_s - verdict.since_s < FRESH_S)
         ]
         latest = sorted(found, key=lambda verdict: -verdict.since_s)[:MOST_VERDICTS_TOLD]
         return tuple(
--- a/packages/proxy/src/sassafrastally/proxy/quarantine_news.py
+++ b/packages/proxy/src/sassafrastally/proxy/quarantine_news.py
@@ -12,6 +12,8 @@
     server: int
     """Hash of the server's life."""
     age_s: float
+    is_presumed: bool = False
+    """Whether the server's end isn't certain yet."""
 
 
 class VerdictNews(NamedTuple):
--- a/packages/proxy/src/sassafrastally/proxy/quarantining.py
+++ b/packages/proxy/src/sassafrastally/proxy/quarantining.py
@@ -105,10 +105,22 @@
         """Return the crashes of a request and of those that were on the same crashed servers."""
         return self._known.suspects_with(fingerprint, self._now_s)
 
-    def note_crash(self, fingerprint: int, server: BackendServer) -> None:
+    def note_crash(
+        self,
+        fingerprint: int,
+        server: BackendServer,
+        *,
+        age_s: float = 0.0,
+        is_presumed: bool = False,
+    ) -> None:
         """Note that a server crashed while it ran a request for this entry."""
         verdict = self._known.note_crash(
-            fingerprint, server_hash(server.life_id), self._now_s, is_own=True
+            fingerprint,
+            server_hash(server.life_id),
+            self._now_s,
+            age_s=age_s,
+            is_own=True,
+            is_presumed=is_presumed,
         )
         if verdict is not None:
             self._note_verdict(verdict, "own", self._now_s)
@@ -154,8 +166,9 @@
         fingerprint = fingerprint_text(verdict.fingerprint)
         for_s = round(verdict.until_s - self._now_s, 1)
         self.kernel.events.emit(RequestQuarantined(fingerprint, verdict.crashes, for_s, source))
-        self._due_s[verdict.fingerprint] = due_s
-        self._news.set()
+        if not verdict.is_presumed:
+            self._due_s[verdict.fingerprint] = due_s
+            self._news.set()
         if self.on_verdict is not None:
             self.on_verdict(verdict.fingerprint)
 
--- a/packages/proxy/tests/test_quarantine.py
+++ b/packages/proxy/tests/test_quarantine.py
@@ -11,6 +11,7 @@
     MOST_ANSWERS_TOLD,
     MOST_CASES,
     MOST_CRASHES_TOLD,
+    PRESUMED_S,
     REMEMBERED_S,
 )
 from sassafrastally.proxy.fingerprint import fingerprint_text, parse_fingerprint
@@ -337,3 +338,55 @@
         assert not known.news(10.0 + TOLD_S, is_full=True).crashes
         known.forget_old(10.0 + REMEMBERED_S)
         assert known.news(11.0 + REMEMBERED_S, is_full=True) is NO_NEWS
+
+
+class TestPresumedCrashes:
+    """Crashes that aren't certain: the address still takes connections and ends them at once."""
+
+    def presumed(self, known: Quarantine, now_s: float) -> list[float]:
+        """Note three crashes that are presumed; return the length of each verdict that follows."""
+        found = [
+            known.note_crash(HARMFUL, server, now_s, is_own=True, is_presumed=True)
+            for server in (100, 101, 102)
+        ]
+        return [verdict.until_s - now_s for verdict in found if verdict is not None]
+
+    def test_bring_a_short_verdict_that_ends_unless_they_are_confirmed(self):
+        """Guards against a long refusal of a good request on links that reset connections."""
+        known = Quarantine()
+        assert self.presumed(known, 10.0) == [PRESUMED_S]
+        assert known.verdict(HARMFUL, 14.9) is not None
+        assert known.verdict(HARMFUL, 15.0) is None
+        assert known.crashes_under(HARMFUL, 15.0) == 0
+        assert known.note_crash(HARMFUL, 103, 16.0, is_own=True) is None
+
+    @pytest.mark.parametrize("confirmed_s", [12.0, 17.0])
+    def test_bring_a_whole_verdict_when_the_lives_have_ended(self, confirmed_s):
+        known = Quarantine()
+        self.presumed(known, 10.0)
+        for server in (100, 101):
+            assert known.note_crash(HARMFUL, server, confirmed_s, age_s=2.0, is_own=True) is None
+        verdict = known.note_crash(HARMFUL, 102, confirmed_s, age_s=2.0, is_own=True)
+        assert verdict.until_s == confirmed_s + QUARANTINE_S
+        assert not known.verdict(HARMFUL, confirmed_s).is_presumed
+
+    def test_are_told_to_peers_who_reach_the_same_verdict(self):
+        """Guards against each entry letting the request crash three servers of its own."""
+        known, peer = Quarantine(), Quarantine()
+        self.presumed(known, 10.0)
+        news = known.news(10.1, is_full=False)
+        assert not news.verdicts
+        (verdict,) = peer.take(news, 10.1)
+        assert verdict.is_presumed
+        for server in (100, 101, 102):
+            known.note_crash(HARMFUL, server, 12.0, is_own=True)
+        peer.take(known.news(12.1, is_full=False), 12.1)
+        assert not peer.verdict(HARMFUL, 12.1).is_presumed
+
+    def test_explain_no_certain_ones(self):
+        """Guards against lifting a verdict because of a crash that may not have happened."""
+        known = Quarantine()
+        for server in (200, 201, 202):
+            known.note_crash(GOOD, server, 10.0, is_own=True)
+            known.note_crash(HARMFUL, server, 10.0, is_own=True, is_presumed=True)
+        assert known.verdict(GOOD, 11.5) is not None
--- a/packages/testing/src/sassafrastally/testing/http_stand_in.py
+++ b/packages/testing/src/sassafrastally/testing/http_stand_in.py
@@ -70,6 +70,15 @@
     nursery: trio.Nursery,
 ) -> int:
     """Serve in the nursery; return the port."""
+    return serve_http_on(await trio.open_tcp_listeners(port, host=host), handler, nursery)
+
+
+def serve_http_on(
+    listeners: list[trio.SocketListener],
+    handler: Callable[[StandInRequest, StandInConnection], Awaitable[None]],
+    nursery: trio.Nursery,
+) -> int:
+    """Serve on open listeners, in the nursery; return their port."""
 
     async def serve(stream: trio.abc.Stream) -> None:
         connection = HttpStream(stream, h11.SERVER)
@@ -87,7 +96,6 @@
         finally:
             await connection.close()
 
-    listeners = await trio.open_tcp_listeners(port, host=host)
     nursery.start_soon(trio.serve_listeners, serve, listeners)
     bound: int = listeners[0].socket.getsockname()[1]
     return bound
--- a/packages/testing/src/sassafrastally/testing/platform_fleet.py
+++ b/packages/testing/src/sassafrastally/testing/platform_fleet.py
@@ -149,6 +149,10 @@
         """Bodies of requests that crash each backend server that runs them."""
         self.crashed: list[str] = []
         """Ids of the backend servers that have crashed, in their order."""
+        self.drops_after_crash_s = 0.0
+        """Time in which the addresses of crashed servers reset connections; then each begins a new
+        life under its id."""
+        self._former: list[Replica] = []
         self._lives: dict[int, trio.CancelScope] = {}
         self._nursery = nursery
         self._by_address: dict[Address, Replica] = {}
@@ -163,8 +167,15 @@
         """Put a configuration into the store."""
         self.store.put("op/config", json.dumps(document).encode())
 
-    async def add_replica(self, server_id: str, service: str = "engines", **fields: Any) -> Replica:
-        """Start a backend server and register it."""
+    async def add_replica(
+        self,
+        server_id: str,
+        service: str = "engines",
+        *,
+        former: Replica | None = None,
+        **fields: Any,
+    ) -> Replica:
+        """Start a backend server and register it; `former` is its earlier life, if it had one."""
         figures = None
         if service == "engines":
             document = json.dumps(make_configuration(1)).encode()
@@ -173,6 +184,10 @@
             figures = engine._replace(**fields)
         replica = Replica(server_id, service, self._by_address, figures)
         replica.crashes_under = self.harmful_bodies
+        replica.drops_after_crash_s = self.drops_after_crash_s
+        if former is not None:
+            replica.born_ms = (former.born_ms or 0) + 1
+            self._former.append(former)
         await replica.start(SERVERS_HOST, self._nursery)
         self.replicas[server_id] = replica
         self.store.put(f"servers/{server_id}", replica.entry())
@@ -181,13 +196,18 @@
 
     def arrivals(self) -> list[Arrival]:
         """Return all requests that reached a backend server, in their order."""
-        found = [arrival for replica in self.replicas.values() for arrival in replica.arrivals]
+        replicas = [*self._former, *self.replicas.values()]
+        found = [arrival for replica in replicas for arrival in replica.arrivals]
         return sorted(found, key=lambda arrival: arrival.at_s)
 
     async def _replace_crashed(self, replica: Replica, fields: dict[str, Any]) -> None:
         """Let another server take the place of one that crashes, as a supervisor does."""
         await replica.has_crashed.wait()
         self.crashed.append(replica.server_id)
+        if replica.drops_after_crash_s:
+            await trio.sleep(replica.drops_after_crash_s)
+            await self.add_replica(replica.server_id, replica.service, former=replica, **fields)
+            return
         await trio.sleep(RESTART_S)
         self.store.remove(f"servers/{replica.server_id}")
         await self.add_replica(f"{replica.server_id}-again", replica.service, **fields)
--- a/packages/testing/src/sassafrastally/testing/replica.py
+++ b/packages/testing/src/sassafrastally/testing/replica.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import json
+import socket
+import struct
 from typing import TYPE_CHECKING, Any
 
 import trio
 
 from sassafrastally.core import Address
-from sassafrastally.testing.http_stand_in import StandInConnection, StandInRequest, serve_http
+from sassafrastally.testing.http_stand_in import StandInConnection, StandInRequest, serve_http_on
 from sassafrastally.testing.passing_engine import Full, PassingEngine
 
 if TYPE_CHECKING:
@@ -114,6 +116,9 @@
         """Bodies of requests under which its process ends as soon as it runs them."""
         self.crashes_silently = False
         """When it crashes its host goes silent: nothing is answered or refused any more."""
+        self.drops_after_crash_s = 0.0
+        """Time after a crash in which its address takes connections and resets them, as the port of
+        a supervisor does."""
         self.has_crashed = trio.Event()
         self._life = trio.CancelScope()
         self._peers = peers
@@ -135,17 +140,24 @@
     async def _live(
         self, host: str, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
     ) -> None:
-        with self._life:
-            async with trio.open_nursery() as nursery:
-                port = await serve_http(host, 0, self._handle, nursery)
-                self.address = Address(host, port)
-                self._peers[self.address] = self
-                if self.engine is not None:
-                    nursery.start_soon(self.engine.work)
-                task_status.started()
+        listeners = await trio.open_tcp_listeners(0, host=host)
+        with listeners[0].socket.dup() as self._port_holder:
+            with self._life:
+                async with trio.open_nursery() as nursery:
+                    port = serve_http_on(listeners, self._handle, nursery)
+                    self.address = Address(host, port)
+                    self._peers[self.address] = self
+                    if self.engine is not None:
+                        nursery.start_soon(self.engine.work)
+                    task_status.started()
+            if self.drops_after_crash_s:
+                with trio.move_on_after(self.drops_after_crash_s):
+                    await trio.serve_listeners(_reset, [trio.SocketListener(self._port_holder)])
 
     def crash(self) -> None:
-        """End the process: its connections end and nobody listens any more."""
+        """End the process: its connections end and, without a held port, nobody listens."""
+        if not self.drops_after_crash_s:
+            self._port_holder.close()
         self._life.cancel()
         self.has_crashed.set()
 
@@ -320,3 +332,8 @@
         if self.is_leaving:
             fields["Server-Leaving"] = "1"
         return fields
+
+
+async def _reset(stream: trio.SocketStream) -> None:
+    stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    await trio.aclose_forcefully(stream)
--- a/packages/testing/tests/platform/test_harmful_requests.py
+++ b/packages/testing/tests/platform/test_harmful_requests.py
@@ -12,6 +12,7 @@
 from sassafrastally.proxy.beliefs import Beliefs
 from sassafrastally.proxy.model import ServerAsks
 from sassafrastally.testing.harmful_fleet import (
+    CRASHES,
     HARMFUL,
     alive,
     assert_refused,
@@ -82,6 +83,20 @@
         assert len(harmful_arrivals(fleet)) <= 4
         await assert_refused(fleet, 2, "/look/x", None)
 
+    async def test_counts_servers_whose_ports_still_take_connections(self, fleet):
+        """Guards against crashes going unseen where a supervisor holds the port of a server."""
+        fleet.harmful_bodies.add(HARMFUL)
+        fleet.drops_after_crash_s = 2.0
+        await start_fleet(fleet)
+        for number in range(9):
+            await fleet.call("/note/x", entry=1 + number % 3, body=HARMFUL, prompt="1000,340")
+            await trio.sleep(0.3)
+        assert len(harmful_arrivals(fleet)) <= CRASHES + MOST_AFTER_THE_THIRD
+        assert len(fleet.crashed) <= CRASHES + 1
+        await trio.sleep(fleet.drops_after_crash_s)
+        answer = await fleet.call("/note/x", body=HARMFUL, prompt="1000,340")
+        assert float(answer.headers["retry-after"]) > 60.0
+
     async def test_stream_that_is_taken_up_again_is_the_same_request(self, fleet):
         """The caller has some events and comes back to continue behind them. What crashes servers
         is the same prompt, though its header says something else each time."""
