--- a/packages/entry/src/sassafrastally/entry/attempt.py
+++ b/packages/entry/src/sassafrastally/entry/attempt.py
@@ -8,6 +8,7 @@
 
 from sassafrastally.core import CodedError
 from sassafrastally.entry.relay import EVENT_STREAM, JSON, Answer, AnswerBroken, ChunkOrder, Head
+from sassafrastally.entry.site import Site
 from sassafrastally.serving.outcome import AttemptState, Outcome
 from sassafrastally.serving.refusals import REFUSALS
 from sassafrastally.wire.link import LinkCut, LinkRefused, StreamEnded
@@ -41,16 +42,6 @@
 _STATUS_OK = 200
 
 
-class Site(NamedTuple):
-    """Where an attempt lives: exactly one incarnation of one sidecar."""
-
-    vm: str
-    address: Address
-    incarnation: str
-    request_id: str
-    attempt: int
-
-
 class Whole(NamedTuple):
     """The whole answer came; its end is proved."""
 
--- a/packages/entry/src/sassafrastally/entry/claiming.py
+++ b/packages/entry/src/sassafrastally/entry/claiming.py
@@ -16,8 +16,8 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-    from sassafrastally.entry.attempt import Site
     from sassafrastally.entry.request import CallerRequest
+    from sassafrastally.entry.site import Site
     from sassafrastally.serving.claims import ClaimResult
 
 EARLIER_MAY_HAVE_RUN = "This request has not run; an earlier one with its idempotency key may have."
--- a/packages/entry/src/sassafrastally/entry/execution.py
+++ b/packages/entry/src/sassafrastally/entry/execution.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import deque
-from typing import TYPE_CHECKING, NamedTuple
+from typing import TYPE_CHECKING
 
 import trio
 
@@ -32,7 +32,6 @@
 from sassafrastally.serving.refusals import REFUSALS, Figures, Refusal
 from sassafrastally.serving.retries import (
     Attempted,
-    RetryBudget,
     RetryRules,
     decide_retry,
 )
@@ -40,18 +39,14 @@
 from sassafrastally.wire.messages import Refused
 
 if TYPE_CHECKING:
-    from random import Random
 
     from sassafrastally.control.bundle import BundleInForce
-    from sassafrastally.core import EventLog
-    from sassafrastally.entry.candidates import Candidates, Reachable
+    from sassafrastally.entry.candidates import Reachable
     from sassafrastally.entry.claiming import KeyClaim
+    from sassafrastally.entry.execution_services import ExecutionServices
     from sassafrastally.entry.relay import Answer
     from sassafrastally.entry.request import CallerRequest
-    from sassafrastally.entry.settings import EntrySettings
     from sassafrastally.entry.span_try import MakeAttempt
-    from sassafrastally.serving.routing import RoutingPolicy
-    from sassafrastally.wire.link import Peers
 
 
 _PASSING = frozenset({"leaving", "no-replica"})
@@ -62,18 +57,6 @@
 """Code of a sidecar's refusal to keep to the bound on the wait."""
 
 
-class Surroundings(NamedTuple):
-    """What all executions of a process share."""
-
-    settings: EntrySettings
-    peers: Peers
-    candidates: Candidates
-    policy: RoutingPolicy
-    budget: RetryBudget
-    events: EventLog
-    random: Random
-
-
 class _History:
     """What is known of earlier attempts: the worst that can be true of the request."""
 
@@ -121,7 +104,7 @@
 
     def __init__(
         self,
-        around: Surroundings,
+        around: ExecutionServices,
         in_force: BundleInForce,
         request: CallerRequest,
         answer: Answer,
--- /dev/null
+++ b/packages/entry/src/sassafrastally/entry/execution_services.py
@@ -0,0 +1,27 @@
+"""What requests are executed with."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, NamedTuple
+
+if TYPE_CHECKING:
+    from random import Random
+
+    from sassafrastally.core import EventLog
+    from sassafrastally.entry.candidates import Candidates
+    from sassafrastally.entry.settings import EntrySettings
+    from sassafrastally.serving.retries import RetryBudget
+    from sassafrastally.serving.routing import RoutingPolicy
+    from sassafrastally.wire.link import Peers
+
+
+class ExecutionServices(NamedTuple):
+    """The services that all executions of a process share."""
+
+    settings: EntrySettings
+    peers: Peers
+    candidates: Candidates
+    policy: RoutingPolicy
+    budget: RetryBudget
+    events: EventLog
+    random: Random
--- a/packages/entry/src/sassafrastally/entry/path.py
+++ b/packages/entry/src/sassafrastally/entry/path.py
@@ -22,7 +22,8 @@
     RequestOpened,
     RequestRefused,
 )
-from sassafrastally.entry.execution import Execution, Surroundings
+from sassafrastally.entry.execution import Execution
+from sassafrastally.entry.execution_services import ExecutionServices
 from sassafrastally.entry.hooks import admitted
 from sassafrastally.entry.relay import Answer
 from sassafrastally.serving.outcome import Outcome
@@ -78,14 +79,14 @@
         self._held_body_bytes = 0
         self._is_closed = False
         self._idle = trio.lowlevel.ParkingLot()
-        self._around: Surroundings
+        self._around: ExecutionServices
         self._membership: Membership
 
     async def start(self, nursery: trio.Nursery) -> None:
         """Find the services that the path stands on."""
         kernel, settings = self.kernel, self._settings
         self._membership = cast("Membership", kernel.get("membership", Service))
-        self._around = Surroundings(
+        self._around = ExecutionServices(
             settings=settings,
             peers=cast("Peers", kernel.get("peers", Service)),
             candidates=Candidates(self._membership, kernel.data_centre),
--- a/packages/entry/src/sassafrastally/entry/resolution.py
+++ b/packages/entry/src/sassafrastally/entry/resolution.py
@@ -7,8 +7,9 @@
 
 import trio
 
-from sassafrastally.entry.attempt import Attempt, AttemptResult, Gone, Lost, Site, TurnedDown
+from sassafrastally.entry.attempt import Attempt, AttemptResult, Gone, Lost, TurnedDown
 from sassafrastally.entry.events import AttemptCut, AttemptResolved
+from sassafrastally.entry.site import Site
 from sassafrastally.serving.outcome import AttemptState
 from sassafrastally.serving.retries import RetryRules, backoff_s
 from sassafrastally.wire.messages import Refused
--- /dev/null
+++ b/packages/entry/src/sassafrastally/entry/site.py
@@ -0,0 +1,18 @@
+"""Where an attempt lives."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, NamedTuple
+
+if TYPE_CHECKING:
+    from sassafrastally.core import Address
+
+
+class Site(NamedTuple):
+    """Where an attempt lives: exactly one incarnation of one sidecar."""
+
+    vm: str
+    address: Address
+    incarnation: str
+    request_id: str
+    attempt: int
--- a/packages/entry/src/sassafrastally/entry/span.py
+++ b/packages/entry/src/sassafrastally/entry/span.py
@@ -21,7 +21,7 @@
 
     from sassafrastally.entry.attempt import AttemptResult
     from sassafrastally.entry.candidates import Reachable
-    from sassafrastally.entry.execution import Surroundings
+    from sassafrastally.entry.execution_services import ExecutionServices
     from sassafrastally.entry.request import CallerRequest
     from sassafrastally.entry.span_try import Lead, SpanRequest
     from sassafrastally.serving.spans import Segment
@@ -68,7 +68,7 @@
         Runs the attempt at the leader, with what makes it, and tells what came of it.
     """
 
-    def __init__(self, around: Surroundings, asked: SpanRequest, lead: Lead) -> None:
+    def __init__(self, around: ExecutionServices, asked: SpanRequest, lead: Lead) -> None:
         self._around = around
         self._asked = asked
         self._lead = lead
--- a/packages/entry/src/sassafrastally/entry/span_try.py
+++ b/packages/entry/src/sassafrastally/entry/span_try.py
@@ -24,12 +24,13 @@
     from collections.abc import Awaitable, Callable, Mapping
     from typing import TypeAlias
 
-    from sassafrastally.entry.attempt import AttemptPlan, AttemptResult, Site
+    from sassafrastally.entry.attempt import AttemptPlan, AttemptResult
     from sassafrastally.entry.candidates import Reachable
     from sassafrastally.entry.claiming import KeyClaim
-    from sassafrastally.entry.execution import Surroundings
+    from sassafrastally.entry.execution_services import ExecutionServices
     from sassafrastally.entry.relay import Answer
     from sassafrastally.entry.request import CallerRequest
+    from sassafrastally.entry.site import Site
     from sassafrastally.serving.claims import Placement
     from sassafrastally.serving.spans import Segment
     from sassafrastally.wire.link import Peers
@@ -84,7 +85,7 @@
 
     def __init__(
         self,
-        around: Surroundings,
+        around: ExecutionServices,
         asked: SpanRequest,
         known: Mapping[str, Reachable],
         lead: Lead,
--- a/packages/sidecar/src/sassafrastally/sidecar/admission.py
+++ b/packages/sidecar/src/sassafrastally/sidecar/admission.py
@@ -6,7 +6,8 @@
 
 from sassafrastally.serving.outcome import AttemptState
 from sassafrastally.serving.refusals import Figures, Refusal
-from sassafrastally.sidecar.attempts import RETRY_FULL_S, Attempt, AttemptKey
+from sassafrastally.sidecar.attempt_key import AttemptKey
+from sassafrastally.sidecar.attempts import RETRY_FULL_S, Attempt
 from sassafrastally.sidecar.segments import LAPSE_STRETCH
 
 if TYPE_CHECKING:
--- a/packages/sidecar/src/sassafrastally/sidecar/answer.py
+++ b/packages/sidecar/src/sassafrastally/sidecar/answer.py
@@ -11,7 +11,7 @@
 from sassafrastally.wire.messages import MAX_CHUNK_BYTES, Chunk, End
 
 if TYPE_CHECKING:
-    from sassafrastally.sidecar.attempts import AttemptKey
+    from sassafrastally.sidecar.attempt_key import AttemptKey
     from sassafrastally.sidecar.settings import SidecarSettings
 
 JOINED_BYTES = MAX_CHUNK_BYTES // 2
--- a/packages/sidecar/src/sassafrastally/sidecar/attempts.py
+++ b/packages/sidecar/src/sassafrastally/sidecar/attempts.py
@@ -8,11 +8,12 @@
 import trio
 
 from sassafrastally.serving.outcome import AttemptState
+from sassafrastally.sidecar.attempt_key import AttemptKey
 
 if TYPE_CHECKING:
     from sassafrastally.serving.scheduling import Work
     from sassafrastally.sidecar.answer import Answer
-    from sassafrastally.sidecar.segments import Segment
+    from sassafrastally.sidecar.segment import Segment
     from sassafrastally.sidecar.settings import SidecarSettings
     from sassafrastally.wire.messages import Reserve
 
@@ -20,13 +21,6 @@
 """When to come back to a table that is full."""
 
 
-class AttemptKey(NamedTuple):
-    """Name of an attempt."""
-
-    request_id: str
-    attempt: int
-
-
 class GivenUp(NamedTuple):
     """Why an attempt was cancelled."""
 
--- a/packages/sidecar/src/sassafrastally/sidecar/conversation.py
+++ b/packages/sidecar/src/sassafrastally/sidecar/conversation.py
@@ -9,7 +9,8 @@
 from sassafrastally.serving.outcome import AttemptState, Outcome
 from sassafrastally.serving.refusals import Figures, Refusal
 from sassafrastally.sidecar.answer import AnswerNotKept
-from sassafrastally.sidecar.attempts import AttemptKey, GivenUp
+from sassafrastally.sidecar.attempt_key import AttemptKey
+from sassafrastally.sidecar.attempts import GivenUp
 from sassafrastally.sidecar.events import (
     REFUSALS,
     RESERVATIONS,
--- a/packages/sidecar/src/sassafrastally/sidecar/engine_backend.py
+++ b/packages/sidecar/src/sassafrastally/sidecar/engine_backend.py
@@ -10,7 +10,7 @@
 
 from sassafrastally.serving.refusals import Figures, Refusal
 from sassafrastally.serving.scheduling import Prediction, Work
-from sassafrastally.sidecar.attempts import AttemptKey
+from sassafrastally.sidecar.attempt_key import AttemptKey
 from sassafrastally.sidecar.backend import Admitted, RunResult
 from sassafrastally.sidecar.engine import (
     EngineFailed,
--- a/packages/sidecar/src/sassafrastally/sidecar/queue.py
+++ b/packages/sidecar/src/sassafrastally/sidecar/queue.py
@@ -7,7 +7,7 @@
 import trio
 
 from sassafrastally.serving.scheduling import EngineState, Running
-from sassafrastally.sidecar.attempts import AttemptKey
+from sassafrastally.sidecar.attempt_key import AttemptKey
 from sassafrastally.sidecar.segments import beside_promises
 
 if TYPE_CHECKING:
--- a/packages/sidecar/src/sassafrastally/sidecar/segments.py
+++ b/packages/sidecar/src/sassafrastally/sidecar/segments.py
@@ -17,9 +17,10 @@
     import_blocks,
     span_blocks,
 )
-from sassafrastally.sidecar.attempts import AttemptKey
+from sassafrastally.sidecar.attempt_key import AttemptKey
 from sassafrastally.sidecar.engine import EngineFailed, EngineRefused, EngineUnavailable
 from sassafrastally.sidecar.events import CancelUnconfirmed, SegmentExported
+from sassafrastally.sidecar.segment import Import, Segment
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Sequence
@@ -40,30 +41,6 @@
 """Least time after which to come back to an engine whose memory is promised."""
 
 
-class Import(NamedTuple):
-    """One KV export to fetch from another engine."""
-
-    handle: str
-    source: str
-    tokens: int
-
-
-class Segment(NamedTuple):
-    """An attempt's part of a span."""
-
-    blocks: int
-    """Blocks for its own tokens, its imports and its answer."""
-    imports: tuple[Import, ...]
-    is_leader: bool
-    """Whether it is the last one, which answers."""
-    made_s: float
-    """When it was reserved."""
-    starts_at_s: float
-    """When the segments before it are expected to be done."""
-    done_at_s: float
-    """When its own prefill is expected to be done."""
-
-
 class Promise(NamedTuple):
     """Blocks that are kept for a segment which doesn't hold them yet."""
 
--- a/packages/sidecar/tests/test_answer.py
+++ b/packages/sidecar/tests/test_answer.py
@@ -5,7 +5,7 @@
 import pytest
 
 from sassafrastally.sidecar.answer import JOINED_BYTES, Answer, AnswerNotKept, AnswerStore
-from sassafrastally.sidecar.attempts import AttemptKey
+from sassafrastally.sidecar.attempt_key import AttemptKey
 from sassafrastally.sidecar.settings import SidecarSettings
 from sassafrastally.wire.messages import MAX_CHUNK_BYTES, End
 
--- a/packages/sidecar/tests/test_attempts.py
+++ b/packages/sidecar/tests/test_attempts.py
@@ -4,7 +4,8 @@
 
 from sassafrastally.serving.outcome import AttemptState
 from sassafrastally.sidecar.answer import Answer
-from sassafrastally.sidecar.attempts import Attempt, AttemptKey, AttemptTable
+from sassafrastally.sidecar.attempt_key import AttemptKey
+from sassafrastally.sidecar.attempts import Attempt, AttemptTable
 from sassafrastally.sidecar.settings import SidecarSettings
 from sassafrastally.wire.messages import Reserve
 
--- a/packages/sidecar/tests/test_segments.py
+++ b/packages/sidecar/tests/test_segments.py
@@ -6,7 +6,7 @@
 from sassafrastally.serving.naive import NaiveScheduler
 from sassafrastally.serving.scheduling import EngineState, Work
 from sassafrastally.serving.spans import decode_done
-from sassafrastally.sidecar.attempts import AttemptKey
+from sassafrastally.sidecar.attempt_key import AttemptKey
 from sassafrastally.sidecar.segments import Promise, beside_promises
 from sassafrastally.wire.messages import Cancel, Chunk, Refused
 
--- a/packages/testing/src/sassafrastally/testing/soak/asking.py
+++ b/packages/testing/src/sassafrastally/testing/soak/asking.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 from collections import defaultdict
-from typing import TYPE_CHECKING, NamedTuple
+from typing import TYPE_CHECKING
 
 import trio
 
 from sassafrastally.testing.backpressure_fleet import SETTLED_S, WINDOW_S, allowed, most_in_window
+from sassafrastally.testing.soak.record import LimitedSpan
 from sassafrastally.testing.soak.troubles import SERVES_ON_S, claimed, some_server, trouble
 
 if TYPE_CHECKING:
@@ -34,15 +35,6 @@
 """Requests of an entry within the rest that it was asked for, beyond which a promise is broken."""
 
 
-class LimitedSpan(NamedTuple):
-    """A time in which a server names a limit."""
-
-    replica: Replica
-    most_per_s: float
-    begin_s: float
-    end_s: float
-
-
 @trouble(LIMITED)
 async def limit_servers(fleet: SoakFleet) -> None:
     """Let one server name a limit, or all of its service."""
--- a/packages/testing/src/sassafrastally/testing/soak/fleet.py
+++ b/packages/testing/src/sassafrastally/testing/soak/fleet.py
@@ -24,7 +24,7 @@
     import random
     from pathlib import Path
 
-    from sassafrastally.testing.soak.asking import LimitedSpan
+    from sassafrastally.testing.soak.record import LimitedSpan
 
 RESTART_S = 0.3
 """Time between the end of a process and the start of the next one."""
--- a/packages/testing/src/sassafrastally/testing/soak/record.py
+++ b/packages/testing/src/sassafrastally/testing/soak/record.py
@@ -12,6 +12,8 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable, Iterator
 
+    from sassafrastally.testing.replica import Replica
+
 CALM_AFTER_S = 3.0
 """Time after a trouble until promises with a time bound hold again, as on the users' platform."""
 
@@ -173,3 +175,12 @@
         """Note a broken promise with the time since the beginning."""
         elapsed_s = trio.current_time() - self.begin_s
         self.broken.append(Broken(promise, f"{elapsed_s:.2f} s: {detail}"))
+
+
+class LimitedSpan(NamedTuple):
+    """A time in which a server names a limit."""
+
+    replica: Replica
+    most_per_s: float
+    begin_s: float
+    end_s: float
