--- a/packages/testing/src/sassafrastally/testing/virtual_network.py
+++ b/packages/testing/src/sassafrastally/testing/virtual_network.py
@@ -100,7 +100,6 @@
         self._peer: Name | None = None
         self._in: _Way | None = None
         self._out: _Way | None = None
-        self._other: VirtualSocket | None = None
         self._accepting: _Accepting | None = None
         self._datagrams: deque[tuple[float, bytes, Name]] = deque()
         self._news = trio.Event()
@@ -199,7 +198,6 @@
         served._name, served._peer = self._peer, self._name
         self._out = served._in = _Way(network, here, there)
         served._out = self._in = _Way(network, there, here)
-        self._other, served._other = served, self
         network.ways += [self._out, served._out]
         accepting.waiting.append(served)
         accepting.wake()
