--- a/packages/cli/src/sassafrastally/cli/experiment.py
+++ b/packages/cli/src/sassafrastally/cli/experiment.py
@@ -10,6 +10,7 @@
 import trio
 
 from sassafrastally.cli.exit_codes import ExitCode
+from sassafrastally.cli.loading import read_text
 
 if TYPE_CHECKING:
     import argparse
@@ -35,7 +36,7 @@
     from sassafrastally.testing.experiment import Matrix, load_plan
 
     file: Path = arguments.file
-    text = file.read_text()
+    text = read_text(file)
     plan = load_plan(text, str(file))
     folder = arguments.out or Path("out", file.stem)
     matrix = Matrix(plan, text, folder, arguments.processes)
--- a/packages/testing/src/sassafrastally/testing/experiment/loading.py
+++ b/packages/testing/src/sassafrastally/testing/experiment/loading.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 import tomllib
 from typing import TYPE_CHECKING
 
@@ -14,6 +15,8 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator, Mapping
 
+_FILE_NAME = re.compile(r"[a-z0-9-]+")
+
 KINDS = ("streaming", "idempotent", "non_idempotent")
 """Kinds of route."""
 
@@ -60,6 +63,11 @@
     for name in ("seeds", "routes", "traffic", "engines"):
         if not getattr(plan, name):
             yield name, "must not be empty"
+    for name in ("duration_s", "entries", "data_centres", "plain_servers"):
+        if getattr(plan, name) <= 0:
+            yield name, "must be more than 0"
+    if len(set(plan.seeds)) < len(plan.seeds):
+        yield "seeds", "must differ"
     routes = {route.name for route in plan.routes}
     for number, route in enumerate(plan.routes):
         if route.kind not in KINDS:
@@ -74,5 +82,7 @@
         if trouble.kind not in TROUBLES.names():
             yield f"troubles[{number}].kind", f"must be one of {', '.join(TROUBLES.names())}"
     for name, variant in plan.variants.items():
+        if not _FILE_NAME.fullmatch(name):
+            yield f"variants.{name}", "must consist of small letters, digits and hyphens"
         for key, message in variant_problems(variant.constants, variant.without):
             yield f"variants.{name}.{key}", message
--- a/packages/testing/tests/test_experiment.py
+++ b/packages/testing/tests/test_experiment.py
@@ -86,6 +86,12 @@
             (21, "variants.odd.constants.lanes.NOTHING"),
         ]
 
+    def test_variants_are_named_like_files_and_seeds_differ(self):
+        text = SMALL.replace("[1]", "[1, 1]") + '[variants."../x"]\n'
+        with pytest.raises(FindingsError) as found:
+            load_plan(text, "x")
+        assert [finding.place.key for finding in found.value.findings] == ["seeds", "variants.../x"]
+
     def test_unknown_keys_and_wrong_types_are_findings(self):
         with pytest.raises(FindingsError, match=r"colour: unknown key"):
             load_plan(SMALL + 'colour = "red"\n', "x.toml")
