Quick configurations are tested on slow links in memory, not on the machine's own time

Cause: the test's ten versions "within a second" are made, sent and taken by one process in real time; on a machine that is held up they come apart, and each is fetched by itself. Change: the same test with the same bounds on the network in memory and the mock clock, three seeds, with entries' links of 20 Mbit/s, which loopback doesn't have: what entries send each other now fills a link as on the users' machines.

--- a/packages/testing/src/sassafrastally/testing/virtual_network.py
+++ b/packages/testing/src/sassafrastally/testing/virtual_network.py
@@ -1,8 +1,8 @@
 """A network in memory behind trio's sockets, for programs that run on the mock clock.
 
 Programs open sockets as always; each belongs to the host in whose context it was opened. Bytes and
-datagrams take a link's time; links can be cut, hosts can end. What a real network adds beyond that
-(windows, congestion, reordering) is left out.
+datagrams take a link's time, and more on a slow one; links can be cut, hosts can end. What a real
+network adds beyond that (windows, losses of streams) is left out.
 """
 
 from __future__ import annotations
@@ -51,7 +51,7 @@
 
     def put(self, data: bytes, *, is_end: bool = False, is_reset: bool = False) -> None:
         earlier_s = self._pieces[-1].due_s if self._pieces else 0.0
-        due_s = max(earlier_s, trio.current_time() + self._network.way_s())
+        due_s = max(earlier_s, self._network.due_s(self._hosts[0], len(data)))
         self._pieces.append(_Piece(due_s, data, is_end, is_reset))
         self.wake()
 
@@ -233,7 +233,7 @@
         other = network.datagram_sockets.get((address[0], address[1]))
         is_lost = network.is_cut(self._name[0], address[0]) or network.is_lost()
         if other is not None and not is_lost:
-            due_s = trio.current_time() + network.way_s()
+            due_s = network.due_s(self._name[0], len(data))
             other._datagrams.append((due_s, bytes(data), self._name))
             other._wake()
         network.datagram_bytes += len(data)
@@ -296,6 +296,19 @@
                 waiting.close()
 
 
+class _Link:
+    """A host's way out; what is sent waits for what was sent before."""
+
+    def __init__(self, bytes_per_s: float) -> None:
+        self._bytes_per_s = bytes_per_s
+        self._free_s = 0.0
+
+    def sent_s(self, size_bytes: int) -> float:
+        begin_s = max(self._free_s, trio.current_time())
+        self._free_s = begin_s + size_bytes / self._bytes_per_s
+        return self._free_s
+
+
 class VirtualNetwork(trio.abc.SocketFactory):
     """All hosts, and the links between them.
 
@@ -331,6 +344,7 @@
         self._cut: set[tuple[str, str]] = set()
         self._cut_hosts: set[str] = set()
         self._changed = trio.Event()
+        self._links: dict[str, _Link] = {}
         self._random = random
         self._ports = EPHEMERAL_PORT
 
@@ -383,6 +397,16 @@
         """Draw the time from one host to another."""
         return self.delay_s + self.jitter_s * self._random.random()
 
+    def limit_link(self, host: str, bytes_per_s: float) -> None:
+        """Let a host send no faster."""
+        self._links[host] = _Link(bytes_per_s)
+
+    def due_s(self, sender: str, size_bytes: int) -> float:
+        """Return when what a host sends now has arrived."""
+        link = self._links.get(sender)
+        sent_s = link.sent_s(size_bytes) if link else trio.current_time()
+        return sent_s + self.way_s()
+
     def is_lost(self) -> bool:
         """Draw whether a datagram is lost."""
         return self.lost_share > 0 and self._random.random() < self.lost_share
--- a/packages/testing/tests/platform/conftest.py
+++ b/packages/testing/tests/platform/conftest.py
@@ -30,13 +30,19 @@
 
 
 @pytest.fixture
-async def seeded_fleet(seed):
-    """The same on a network in memory; with `autojump_clock` a seed fixes the course of events."""
+async def seeded_network(seed):
+    """A network in memory, for all sockets of the test."""
     network = VirtualNetwork(random.Random(f"{seed}/network"), jitter_s=0.004)
     trio.socket.set_custom_socket_factory(network)
+    return network
+
+
+@pytest.fixture
+async def seeded_fleet(seed, seeded_network):
+    """The same on a network in memory; with `autojump_clock` a seed fixes the course of events."""
     with seeded_scheduling(seed):
         async with trio.open_nursery() as nursery:
-            running = PlatformFleet(nursery, random.Random(seed), network)
+            running = PlatformFleet(nursery, random.Random(seed), seeded_network)
             await running.start_store()
             yield running
             nursery.cancel_scope.cancel()
--- a/packages/testing/tests/platform/test_entries.py
+++ b/packages/testing/tests/platform/test_entries.py
@@ -4,6 +4,7 @@
 
 import socket
 
+import pytest
 import trio
 
 from sassafrastally.platform.adapter import PlatformDialect
@@ -123,18 +124,19 @@
 
     ROUTES = 1500
     ENTRIES = 6
+    LINK_BYTES_PER_S = 2_500_000
 
     def large(self, version: int) -> dict:
         """Return a configuration of some 400 KB."""
         routes = [make_route(f"r-{version}-{n}", "idempotent", "desk") for n in range(self.ROUTES)]
         return make_configuration(version, routes=routes)
 
+    @pytest.mark.parametrize("seed", range(3))
     async def test_each_entry_fetches_little_and_all_have_the_last_one_in_time(
-        self, fleet, monkeypatch
+        self, autojump_clock, seeded_fleet, seeded_network, monkeypatch
     ):
-        """Ten versions of 400 KB come within a second. Entries that don't watch ask every peer with
-        news for all of them at once; the answers fill their links, none arrives in time, and all
-        are asked again. Routes that were added are missing for seconds."""
+        """Guards against entries that fill each other's links by asking every peer for news."""
+        fleet = seeded_fleet
         sent_bytes: list[int] = []
 
         def count(delta):
@@ -144,6 +146,9 @@
 
         monkeypatch.setattr(answering, "encode_delta", count)
         entries = [await fleet.add_entry(number) for number in range(1, self.ENTRIES + 1)]
+        for number in range(1, self.ENTRIES + 1):
+            host = fleet.entry_settings(number).host
+            seeded_network.limit_link(host, self.LINK_BYTES_PER_S)
         await until(lambda: all(k.get("peers", Peers).live_count() == 5 for k in entries))
         for version in range(2, 12):
             fleet.configure(self.large(version))
