--- a/packages/testing/src/sassafrastally/testing/experiment/caller.py
+++ b/packages/testing/src/sassafrastally/testing/experiment/caller.py
@@ -70,14 +70,11 @@
         """Ask until an answer is whole or the time is over; return how it went."""
         is_whole = False
         with trio.move_on_at(self._end_s):
-            while not is_whole:
-                pause_s = await self._attempt()
-                if pause_s is None:
-                    is_whole = self._status < ERROR_STATUS
-                    break
+            while (pause_s := await self._attempt()) is not None:
                 if trio.current_time() + pause_s >= self._end_s:
                     break
                 await trio.sleep(pause_s)
+            is_whole = pause_s is None and self._status < ERROR_STATUS
         return self._row(is_whole=is_whole)
 
     async def _attempt(self) -> float | None:
