--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 PACKAGES := packages/core packages/wire packages/stores packages/control packages/proxy packages/serving \
-	packages/entry packages/sidecar packages/testing packages/cli platform
+	packages/entry packages/sidecar packages/testing packages/cli platform platform/stand_ins
 STAMP := $(VENV)/.installed
 TOOLS := hatchling editables pytest pytest-trio syrupy hypothesis mypy ruff black trustme
 
@@ -12,7 +12,7 @@
 
 setup: $(STAMP)
 
-$(STAMP): constraints.txt Makefile $(wildcard packages/*/pyproject.toml platform/pyproject.toml)
+$(STAMP): constraints.txt Makefile $(wildcard packages/*/pyproject.toml platform/pyproject.toml platform/*/pyproject.toml)
 	$(PYTHON) -m venv $(VENV)
 	$(BIN)/python -m pip install --quiet -c constraints.txt $(TOOLS)
 	$(BIN)/python -m pip install --quiet -c constraints.txt --no-build-isolation \
--- a/packages/testing/src/sassafrastally/testing/backpressure_fleet.py
+++ b/packages/testing/src/sassafrastally/testing/backpressure_fleet.py
@@ -11,7 +11,8 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-    from sassafrastally.testing.platform_fleet import PlatformFleet, Received
+    from sassafrastally.stand_ins.platform_fleet import PlatformFleet
+    from sassafrastally.stand_ins.requests import Received
 
 WINDOW_S = 4.0
 """Time over which operators count a server's requests."""
--- a/packages/testing/src/sassafrastally/testing/experiment/caller.py
+++ b/packages/testing/src/sassafrastally/testing/experiment/caller.py
@@ -9,6 +9,7 @@
 import trio
 
 from sassafrastally.proxy.http_stream import ConnectionLost, HttpStream, connect
+from sassafrastally.stand_ins.requests import request_fields, send_request
 from sassafrastally.testing.experiment.rows import (
     BROKEN,
     IN_TIME,
@@ -17,8 +18,6 @@
     UNANSWERED,
     RequestRow,
 )
-from sassafrastally.testing.experiment.world import key_of
-from sassafrastally.testing.platform_fleet import HOST_NAME
 
 if TYPE_CHECKING:
     from sassafrastally.testing.experiment.arrivals import Arrival
@@ -98,24 +97,15 @@
 
     async def _send(self, connection: HttpStream, number: int) -> None:
         arrival = self._arrival
-        left_ms = max(1, round((self._end_s - trio.current_time()) * 1000))
-        headers = [
-            ("Host", HOST_NAME),
-            ("Attempt-Id", f"{arrival.number:08x}{number:08x}"),
-            ("Deadline-Ms", str(left_ms)),
-            ("Authorization", f"Bearer {key_of(arrival.customer)}"),
-            ("Content-Length", str(len(arrival.body))),
-        ]
-        if self._route.kind == "streaming":
-            headers.append(("Token-Counts", f"{arrival.prompt_tokens},{arrival.output_tokens}"))
-        if self._last_event >= 0:
-            headers.append(("Last-Event-Id", str(self._last_event)))
-        target = f"/{arrival.route}/x"
-        await connection.send(
-            h11.Request(method="POST", target=target, headers=headers),
-            h11.Data(data=arrival.body),
-            h11.EndOfMessage(),
+        is_stream = self._route.kind == "streaming"
+        headers = request_fields(
+            {"Last-Event-Id": str(self._last_event)} if self._last_event >= 0 else None,
+            f"{arrival.prompt_tokens},{arrival.output_tokens}" if is_stream else None,
+            f"{arrival.number:08x}{number:08x}",
+            time_left_s=self._end_s - trio.current_time(),
+            customer=arrival.customer,
         )
+        await send_request(connection, "POST", f"/{arrival.route}/x", headers, arrival.body)
 
     async def _read(self, connection: HttpStream) -> float | None:
         retry_after_s: float | None = None
--- a/packages/testing/src/sassafrastally/testing/experiment/world.py
+++ b/packages/testing/src/sassafrastally/testing/experiment/world.py
@@ -7,19 +7,20 @@
 
 import trio
 
-from sassafrastally.testing.experiment.rows import LoadRow
-from sassafrastally.testing.platform_fleet import (
+from sassafrastally.stand_ins.documents import (
     ENGINE,
-    STORE_HOST,
-    PlatformFleet,
     make_configuration,
-    make_route,
+    make_customers,
+    make_services,
+    make_timed_route,
 )
+from sassafrastally.stand_ins.platform_fleet import STORE_HOST, PlatformFleet
+from sassafrastally.testing.experiment.rows import LoadRow
 from sassafrastally.testing.virtual_network import VirtualNetwork
 
 if TYPE_CHECKING:
+    from sassafrastally.stand_ins.replica import Replica
     from sassafrastally.testing.experiment.plan import ExperimentPlan
-    from sassafrastally.testing.replica import Replica
 
 SAMPLE_S = 0.25
 """Time between two looks at the engines."""
@@ -28,11 +29,6 @@
 """Time from the start of the last entry until callers come."""
 
 
-def key_of(customer: str) -> str:
-    """Return a customer's key."""
-    return f"key-of-{customer}"
-
-
 class World:
     """One run's fleet.
 
@@ -117,29 +113,20 @@
     def _configuration(self) -> dict[str, Any]:
         plan = self.plan
         routes = [
-            make_route(
+            make_timed_route(
                 route.name,
                 route.kind,
                 route.service,
-                timeoutMs=route.timeout_ms,
-                goalMs=route.goal_ms,
-                maxAttempts=route.max_attempts,
-                **({"gapGoalMs": route.gap_goal_ms} if route.kind == "streaming" else {}),
+                timeout_ms=route.timeout_ms,
+                goal_ms=route.goal_ms,
+                gap_goal_ms=route.gap_goal_ms,
+                max_attempts=route.max_attempts,
             )
             for route in plan.routes
         ]
-        customers = sorted({traffic.customer for traffic in plan.traffic})
-        return make_configuration(
-            2,
-            routes=routes,
-            services=[
-                {"name": "engines", "maxConns": 264, "engine": {**ENGINE, **plan.engine}},
-                {"name": "desk", "maxConns": 100},
-            ],
-            tenants=[
-                {"name": name, "apiKeys": [key_of(name)], "priority": 1} for name in customers
-            ],
-        )
+        customers = make_customers(sorted({traffic.customer for traffic in plan.traffic}))
+        services = make_services({**ENGINE, **plan.engine})
+        return make_configuration(2, routes=routes, services=services, tenants=customers)
 
     async def _look_at_engines(self) -> None:
         while True:
--- a/packages/testing/src/sassafrastally/testing/harmful_fleet.py
+++ b/packages/testing/src/sassafrastally/testing/harmful_fleet.py
@@ -6,11 +6,11 @@
 from typing import TYPE_CHECKING
 
 from sassafrastally.proxy.peers import Peers
-from sassafrastally.testing.platform_fleet import until
+from sassafrastally.stand_ins.platform_fleet import until
 
 if TYPE_CHECKING:
-    from sassafrastally.testing.platform_fleet import PlatformFleet
-    from sassafrastally.testing.replica import Arrival, Replica
+    from sassafrastally.stand_ins.platform_fleet import PlatformFleet
+    from sassafrastally.stand_ins.replica import Arrival, Replica
 
 HARMFUL = b"a prompt that crashes what runs it"
 """Body of the harmful request."""
--- a/packages/testing/src/sassafrastally/testing/load_replay.py
+++ b/packages/testing/src/sassafrastally/testing/load_replay.py
@@ -31,8 +31,8 @@
 from sassafrastally.proxy.rate_shares import SentRequests, own_share_per_s
 from sassafrastally.proxy.reading_limits import reading_limits
 from sassafrastally.proxy.turning_away import come_back_after_s, is_hopeless
+from sassafrastally.stand_ins.passing_engine import Full, PassingEngine
 from sassafrastally.testing.load_arrivals import Arrival, Deployment, Kind
-from sassafrastally.testing.passing_engine import Full, PassingEngine
 
 if TYPE_CHECKING:
     from collections.abc import Mapping, Sequence
--- a/packages/testing/src/sassafrastally/testing/soak/asking.py
+++ b/packages/testing/src/sassafrastally/testing/soak/asking.py
@@ -12,7 +12,7 @@
 from sassafrastally.testing.soak.troubles import SERVES_ON_S, claimed, some_server, trouble
 
 if TYPE_CHECKING:
-    from sassafrastally.testing.replica import Arrival, Replica
+    from sassafrastally.stand_ins.replica import Arrival, Replica
     from sassafrastally.testing.soak.fleet import SoakFleet
 
 LIMITED = "server-limited"
--- a/packages/testing/src/sassafrastally/testing/soak/callers.py
+++ b/packages/testing/src/sassafrastally/testing/soak/callers.py
@@ -8,7 +8,7 @@
 import trio
 
 from sassafrastally.proxy.http_stream import ConnectionLost, HttpStream, connect
-from sassafrastally.testing.platform_fleet import request_fields
+from sassafrastally.stand_ins.requests import request_fields, send_request
 from sassafrastally.testing.soak.record import Attempt, Kind
 
 if TYPE_CHECKING:
@@ -117,16 +117,10 @@
     async def _exchange(self, attempt: Attempt, prompt: str | None) -> None:
         assert self._connection is not None
         fields = request_fields(
-            {"Deadline-Ms": str(int(TIME_LEFT_S * 1000))}, prompt, attempt.attempt_id
-        )
-        body = attempt.content
-        head = h11.Request(
-            method="POST",
-            target=attempt.target,
-            headers=[*fields.items(), ("Content-Length", str(len(body)))],
+            prompt=prompt, request_id=attempt.attempt_id, time_left_s=TIME_LEFT_S
         )
         try:
-            await self._connection.send(head, h11.Data(data=body), h11.EndOfMessage())
+            await send_request(self._connection, "POST", attempt.target, fields, attempt.content)
             await self._read(attempt)
         except (ConnectionLost, h11.RemoteProtocolError):
             return  # The attempt stays without a whole answer; the checks judge that.
--- a/packages/testing/src/sassafrastally/testing/soak/fleet.py
+++ b/packages/testing/src/sassafrastally/testing/soak/fleet.py
@@ -13,9 +13,9 @@
 from sassafrastally.platform.adapter import PlatformDialect
 from sassafrastally.proxy.calls import CallClient
 from sassafrastally.proxy.store import AnswerLost
-from sassafrastally.testing.metadata_store import MetadataStore
-from sassafrastally.testing.platform_fleet import make_configuration, make_route
-from sassafrastally.testing.replica import Replica
+from sassafrastally.stand_ins.documents import make_configuration, make_route
+from sassafrastally.stand_ins.metadata_store import MetadataStore
+from sassafrastally.stand_ins.replica import Replica
 from sassafrastally.testing.soak.entry_process import STOP_TIME_S, EntryProcess
 from sassafrastally.testing.soak.proxying import LoopbackProxy
 from sassafrastally.testing.soak.record import Record
--- a/packages/testing/src/sassafrastally/testing/soak/harmful.py
+++ b/packages/testing/src/sassafrastally/testing/soak/harmful.py
@@ -14,7 +14,7 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping, Sequence
 
-    from sassafrastally.testing.replica import Arrival
+    from sassafrastally.stand_ins.replica import Arrival
     from sassafrastally.testing.soak.fleet import SoakFleet
 
 NAME = "harmful-request"
--- a/packages/testing/src/sassafrastally/testing/soak/promises.py
+++ b/packages/testing/src/sassafrastally/testing/soak/promises.py
@@ -14,7 +14,7 @@
 from sassafrastally.testing.soak.record import Attempt, Kind
 
 if TYPE_CHECKING:
-    from sassafrastally.testing.replica import Arrival
+    from sassafrastally.stand_ins.replica import Arrival
     from sassafrastally.testing.soak.fleet import SoakFleet
     from sassafrastally.testing.soak.record import Record
 
--- a/packages/testing/src/sassafrastally/testing/soak/record.py
+++ b/packages/testing/src/sassafrastally/testing/soak/record.py
@@ -12,7 +12,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable, Iterator
 
-    from sassafrastally.testing.replica import Replica
+    from sassafrastally.stand_ins.replica import Replica
 
 CALM_AFTER_S = 3.0
 """Time after a trouble until promises with a time bound hold again, as on the users' platform."""
--- a/packages/testing/src/sassafrastally/testing/soak/troubles.py
+++ b/packages/testing/src/sassafrastally/testing/soak/troubles.py
@@ -14,7 +14,7 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable, Iterator, Sequence
 
-    from sassafrastally.testing.replica import Replica
+    from sassafrastally.stand_ins.replica import Replica
     from sassafrastally.testing.soak.fleet import Server, SoakFleet
     from sassafrastally.testing.soak.proxying import LoopbackProxy
 
--- a/packages/testing/tests/platform/conftest.py
+++ b/packages/testing/tests/platform/conftest.py
@@ -7,8 +7,8 @@
 import pytest
 import trio
 
+from sassafrastally.stand_ins.platform_fleet import PlatformFleet, platform_fleet
 from sassafrastally.testing.mock_run import seeded_scheduling
-from sassafrastally.testing.platform_fleet import PlatformFleet, platform_fleet
 from sassafrastally.testing.virtual_network import VirtualNetwork
 
 
--- a/packages/testing/tests/platform/test_backpressure.py
+++ b/packages/testing/tests/platform/test_backpressure.py
@@ -8,6 +8,7 @@
 import trio
 
 from sassafrastally.proxy.backpressure import Backpressure
+from sassafrastally.stand_ins.platform_fleet import until
 from sassafrastally.testing.backpressure_fleet import (
     SETTLED_S,
     allowed,
@@ -15,7 +16,6 @@
     offer,
 )
 from sassafrastally.testing.harmful_fleet import start_fleet
-from sassafrastally.testing.platform_fleet import until
 
 
 def limits_known(fleet, server_id) -> list[float | None]:
--- a/packages/testing/tests/platform/test_calls.py
+++ b/packages/testing/tests/platform/test_calls.py
@@ -8,7 +8,7 @@
 from sassafrastally.core import Address
 from sassafrastally.proxy.calls import CallClient
 from sassafrastally.proxy.store import AnswerLost
-from sassafrastally.testing.http_stand_in import serve_http
+from sassafrastally.stand_ins.http_stand_in import serve_http
 
 HOST = "127.20.9.1"
 PIECES = 10
--- a/packages/testing/tests/platform/test_engines_in_trouble.py
+++ b/packages/testing/tests/platform/test_engines_in_trouble.py
@@ -10,12 +10,8 @@
 from sassafrastally.proxy.attempt import AttemptNotRun
 from sassafrastally.proxy.path import RequestPath
 from sassafrastally.proxy.sight import Sight
-from sassafrastally.testing.platform_fleet import (
-    failure_causes,
-    make_configuration,
-    make_route,
-    until,
-)
+from sassafrastally.stand_ins.documents import make_configuration, make_route
+from sassafrastally.stand_ins.platform_fleet import failure_causes, until
 
 
 class TestSlowServers:
--- a/packages/testing/tests/platform/test_entries.py
+++ b/packages/testing/tests/platform/test_entries.py
@@ -17,13 +17,9 @@
 from sassafrastally.proxy.peers import Peers
 from sassafrastally.proxy.sharing import link_rank
 from sassafrastally.proxy.sight import Sight
-from sassafrastally.testing.platform_fleet import (
-    exchange_on,
-    make_configuration,
-    make_route,
-    request_fields,
-    until,
-)
+from sassafrastally.stand_ins.documents import make_configuration, make_route
+from sassafrastally.stand_ins.platform_fleet import until
+from sassafrastally.stand_ins.requests import exchange_on, request_fields
 
 
 def version_of(kernel) -> int:
--- a/packages/testing/tests/platform/test_harmful_requests.py
+++ b/packages/testing/tests/platform/test_harmful_requests.py
@@ -11,6 +11,8 @@
 from sassafrastally.proxy.backpressure import Backpressure
 from sassafrastally.proxy.beliefs import Beliefs
 from sassafrastally.proxy.model import ServerAsks
+from sassafrastally.stand_ins.documents import make_configuration, make_route
+from sassafrastally.stand_ins.platform_fleet import RESTART_S, until
 from sassafrastally.testing.harmful_fleet import (
     CRASHES,
     HARMFUL,
@@ -19,7 +21,6 @@
     harmful_arrivals,
     start_fleet,
 )
-from sassafrastally.testing.platform_fleet import RESTART_S, make_configuration, make_route, until
 
 MOST_AFTER_THE_THIRD = 3
 """Servers that may still be sent such a request after three have crashed under it; what operators
--- a/packages/testing/tests/platform/test_malformed.py
+++ b/packages/testing/tests/platform/test_malformed.py
@@ -14,7 +14,7 @@
 from sassafrastally.proxy.dialect import DocumentInvalid
 from sassafrastally.proxy.model import EngineReport
 from sassafrastally.proxy.peer_messages import decode_hello
-from sassafrastally.testing.platform_fleet import HOST_NAME, make_configuration
+from sassafrastally.stand_ins.documents import HOST_NAME, make_configuration
 
 HEAD = f"POST /look/x HTTP/1.1\r\nHost: {HOST_NAME}\r\nAuthorization: Bearer key-of-ana\r\n"
 
--- a/packages/testing/tests/platform/test_passing_engine.py
+++ b/packages/testing/tests/platform/test_passing_engine.py
@@ -7,8 +7,8 @@
 import trio
 
 from sassafrastally.platform.adapter import PlatformDialect
-from sassafrastally.testing.passing_engine import PassingEngine
-from sassafrastally.testing.platform_fleet import ENGINE, make_configuration
+from sassafrastally.stand_ins.documents import ENGINE, make_configuration
+from sassafrastally.stand_ins.passing_engine import PassingEngine
 
 
 def make_engine() -> PassingEngine:
--- a/packages/testing/tests/platform/test_path.py
+++ b/packages/testing/tests/platform/test_path.py
@@ -9,15 +9,9 @@
 
 from sassafrastally.core import Address
 from sassafrastally.proxy.calls import CallClient
-from sassafrastally.testing.platform_fleet import (
-    KEY,
-    exchange_on,
-    make_configuration,
-    make_route,
-    read_answer,
-    request_fields,
-    until,
-)
+from sassafrastally.stand_ins.documents import KEY, make_configuration, make_route
+from sassafrastally.stand_ins.platform_fleet import until
+from sassafrastally.stand_ins.requests import exchange_on, read_answer, request_fields
 
 
 async def answered_during_a_lookup(fleet, prompt: str):
--- a/packages/testing/tests/platform/test_quarantined_entries.py
+++ b/packages/testing/tests/platform/test_quarantined_entries.py
@@ -8,8 +8,8 @@
 from sassafrastally.proxy.beliefs import Beliefs
 from sassafrastally.proxy.peers import Peers
 from sassafrastally.proxy.quarantining import Quarantining
+from sassafrastally.stand_ins.platform_fleet import until
 from sassafrastally.testing.harmful_fleet import HARMFUL, assert_refused, quarantine, start_fleet
-from sassafrastally.testing.platform_fleet import until
 
 
 def records(fleet) -> list[str]:
--- a/packages/testing/tests/soak/test_entry_process.py
+++ b/packages/testing/tests/soak/test_entry_process.py
@@ -12,7 +12,8 @@
 import trio
 
 from sassafrastally.core import Address
-from sassafrastally.testing.platform_fleet import platform_fleet, request_fields
+from sassafrastally.stand_ins.platform_fleet import platform_fleet
+from sassafrastally.stand_ins.requests import request_fields
 from sassafrastally.testing.soak.entry_process import EntryProcess
 
 
