Simpler dealing of suspects, names for what they hold, docstrings without measurements

dealt_server notes the servers that are kept off in place of crashes by server; crashes calls requests without a whole answer unanswered, since broken ones are among them; the network in memory has one way to wait for a link. Docstrings of the constants of pace, generation, reading_limits, moving, peers, sharing, load and slowness lose what was measured. No behaviour changed; tests and assertions are the same.

--- a/packages/proxy/src/sassafrastally/proxy/answerer.py
+++ b/packages/proxy/src/sassafrastally/proxy/answerer.py
@@ -209,10 +209,10 @@
         sight, crashes = self._services.sight, self._services.crashes
         if isinstance(cause, str):
             sight.note_failure(server, detail, self._request_id)
-            crashes.note_silent(server, self._task)
+            crashes.note_unanswered(server, self._task)
         elif cause.is_silence:
             sight.note_silence(server, self._request_id)
-            crashes.note_silent(server, self._task)
+            crashes.note_unanswered(server, self._task)
         else:
             sight.note_failure(server, detail, self._request_id)
             await crashes.note_broken_off(server, self._task, detail)
--- a/packages/proxy/src/sassafrastally/proxy/apart.py
+++ b/packages/proxy/src/sassafrastally/proxy/apart.py
@@ -21,8 +21,8 @@
     from sassafrastally.proxy.lanes import ServerView
 
 MOST_DEALT = 16
-"""Requests that are dealt out together: what a server runs and what waits there. More would take a
-millisecond and more at some hundred servers."""
+"""Requests that are dealt out together: what a server runs and what waits there. Each looks through
+all servers."""
 
 MASK = (1 << 64) - 1
 
@@ -46,7 +46,8 @@
         latest first.
     """
     left = list(views)
-    dealt_crashes: dict[str, int] = {}
+    kept_off: set[str] = set()
+    """Servers that requests with more crashes are dealt."""
     turns = _turns(fingerprint, suspects)
     has_rivals = sum(suspects[one] > 1 for one in turns) > 1
     for one in turns:
@@ -59,10 +60,9 @@
         if one == fingerprint:
             return [dealt]
         left.remove(dealt)
-        dealt_crashes[dealt.server.life_id] = suspects[one]
-    crashes = suspects[fingerprint]
-    with_equals = [v for v in views if dealt_crashes.get(v.server.life_id, 0) <= crashes]
-    return with_equals or list(views)
+        if suspects[one] > suspects[fingerprint]:
+            kept_off.add(dealt.server.life_id)
+    return [view for view in views if view.server.life_id not in kept_off] or list(views)
 
 
 def _turns(fingerprint: int, suspects: Mapping[int, int]) -> list[int]:
--- a/packages/proxy/src/sassafrastally/proxy/crashes.py
+++ b/packages/proxy/src/sassafrastally/proxy/crashes.py
@@ -29,11 +29,11 @@
 """Time from a request's silence until its server's entry has lapsed, if it has ended: servers write
 each second, and three writes that are missing end the entry. More is for a busy store."""
 
-MOST_SILENT = 16
+MOST_UNANSWERED = 16
 """Requests kept for one silent server: what it runs and what waits there."""
 
 
-class _Silent(NamedTuple):
+class _Unanswered(NamedTuple):
     """A request without a whole answer; its body, which may be megabytes, isn't kept for it."""
 
     fingerprint: int
@@ -70,7 +70,7 @@
         self._backpressure = kernel.get("backpressure", Backpressure)
         self._beliefs = kernel.get("beliefs", Beliefs)
         self._beliefs.on_life_ended = self._note_life_ended
-        self._silent: dict[str, deque[_Silent]] = {}
+        self._unanswered: dict[str, deque[_Unanswered]] = {}
 
     async def note_broken_off(self, server: BackendServer, task: RequestTask, cause: str) -> None:
         """Note that an answer broke off; return when it is known whether its server has crashed.
@@ -92,7 +92,7 @@
             # Other entries are told meanwhile what ran there, and tell what ran there for them.
             await trio.sleep(self._quarantine.news_age_s)
 
-    def note_silent(self, server: BackendServer, task: RequestTask) -> None:
+    def note_unanswered(self, server: BackendServer, task: RequestTask) -> None:
         """Note that an answer didn't come, or not whole, and that the server may have ended.
 
         A slow server and a cut link are as silent, and a supervisor may hold the port of a process
@@ -100,13 +100,13 @@
         ended, and only then that counts.
         """
         now_s = self._kernel.clock.now_s()
-        self._silent = {
+        self._unanswered = {
             life_id: requests
-            for life_id, requests in self._silent.items()
+            for life_id, requests in self._unanswered.items()
             if any(now_s - one.at_s < LAPSES_WITHIN_S for one in requests)
         }
-        requests = self._silent.setdefault(server.life_id, deque(maxlen=MOST_SILENT))
-        requests.append(_Silent(task.fingerprint, task.request.facts.request_id, now_s))
+        requests = self._unanswered.setdefault(server.life_id, deque(maxlen=MOST_UNANSWERED))
+        requests.append(_Unanswered(task.fingerprint, task.request.facts.request_id, now_s))
 
     async def _find(
         self, server: BackendServer, task: RequestTask, cause: str, is_known: trio.Event
@@ -118,12 +118,12 @@
                 return
             if finding.is_dropped and not self._was_leaving(server):
                 self._presume_crash(server, task, cause)
-            self.note_silent(server, task)
+            self.note_unanswered(server, task)
         finally:
             is_known.set()
 
     def _note_life_ended(self, server: BackendServer) -> None:
-        requests = self._silent.pop(server.life_id, ())
+        requests = self._unanswered.pop(server.life_id, ())
         if server.is_draining or self._backpressure.is_leaving(server):
             return
         now_s = self._kernel.clock.now_s()
--- a/packages/proxy/src/sassafrastally/proxy/generation.py
+++ b/packages/proxy/src/sassafrastally/proxy/generation.py
@@ -50,7 +50,7 @@
 LATE_FACTOR = 1.5
 LATEST_SHARE = 0.95
 """A first event is waited for this many times the predicted time, but not beyond this share of the
-caller's patience. Predictions were short by up to a third."""
+caller's patience."""
 
 RECONSIDER_S = 0.3
 """Time between two thoughts of moving an attempt: as often as reports bring something new."""
--- a/packages/proxy/src/sassafrastally/proxy/load.py
+++ b/packages/proxy/src/sassafrastally/proxy/load.py
@@ -15,7 +15,7 @@
 
 UNFINISHED_READING_MS = 15.0
 """Reading that a prompt without a first event counts for at least on each of its engines, though
-its parts should be done: about a third of a pass without other reading."""
+its parts should be done."""
 
 READING_SHARE = 0.8
 """Part of its time that an engine reads while it also writes; the rest goes into the events of the
--- a/packages/proxy/src/sassafrastally/proxy/moving.py
+++ b/packages/proxy/src/sassafrastally/proxy/moving.py
@@ -9,7 +9,7 @@
 OVERDUE_FACTOR = 1.5
 OVERDUE_S = 0.1
 """A first event that isn't there after this many times its predicted time and this much more casts
-doubt on the engines that read for it. Usual predictions are short by up to a third."""
+doubt on the engines that read for it."""
 
 MOVE_GAIN = 2.0
 """How many times sooner a first event must be expected elsewhere for a prompt to move there: its
--- a/packages/proxy/src/sassafrastally/proxy/pace.py
+++ b/packages/proxy/src/sassafrastally/proxy/pace.py
@@ -17,8 +17,7 @@
 """An engine that works by its figures."""
 
 SLOW_PACE = 1.3
-"""From this on an engine counts as slow: predictions are off by up to a third at usual engines, so
-that less can't be told from their error."""
+"""From this on an engine counts as slow; less can't be told from the error of predictions."""
 
 BELIEVED_S = 2.5
 """How long a report is believed: two may be lost."""
--- a/packages/proxy/src/sassafrastally/proxy/path.py
+++ b/packages/proxy/src/sassafrastally/proxy/path.py
@@ -184,7 +184,7 @@
     def _note_unanswered(self, task: RequestTask, progress: Progress) -> None:
         """Note an attempt that was under way when the caller left or the time was over."""
         if progress.pending is not None:
-            self.services.crashes.note_silent(progress.pending, task)
+            self.services.crashes.note_unanswered(progress.pending, task)
 
     def _note_broken(self, task: RequestTask, progress: Progress, stopped: Stopped) -> None:
         REQUESTS.add(1, {"outcome": "broken"})
--- a/packages/proxy/src/sassafrastally/proxy/peers.py
+++ b/packages/proxy/src/sassafrastally/proxy/peers.py
@@ -40,13 +40,13 @@
 """Longest time between two datagrams, and the time between two sums of a data centre."""
 
 LEAST_GAP_S = 0.02
-"""Shortest time between two datagrams: changes within it go together. An engine's pass takes about
-50 ms, so what peers know is never older than half a pass."""
+"""Shortest time between two datagrams: changes within it go together. Shorter than an engine's pass,
+so that peers know what began in the last one."""
 
 CLOSE_PEERS = 5
 """With more peers than this the shortest time grows in proportion, so that an entry sends no more
-than some 250 datagrams a second (1 % of a small VM's core) however many entries there are. More
-entries mean fewer requests at each, so that each one's news is less."""
+datagrams a second however many entries there are. More entries mean fewer requests at each, so that
+each one's news is less."""
 
 NEWS_WAY_S = 0.02
 """Time from a choice until others have its datagram, beside the time between two datagrams: the way
--- a/packages/proxy/src/sassafrastally/proxy/sharing.py
+++ b/packages/proxy/src/sassafrastally/proxy/sharing.py
@@ -18,17 +18,15 @@
     from sassafrastally.proxy.load import Work
 
 MOST_TOLD = 25
-"""Peers up to which each entry tells all others itself. An entry sends some 250 datagrams a second,
-so that with more of them each would hear less than ten times a second of each other; a sum is then
-as fresh."""
+"""Peers up to which each entry tells all others itself. With more of them each would hear so seldom
+of each other that a sum is as fresh."""
 
 RELAYS = 2
 """Entries of a data centre that tell the others its sum. When one dies, the other one's goes on."""
 
 PROBERS = 6
-"""Entries that try a store which answers nobody twice a second. Each refused call is paid for, and
-the first that is answered tells all others; six also find a store that turns a third of the entries
-away."""
+"""Entries that try a store which answers nobody. The first that is answered tells all others; with
+so many a store that turns some entries away is found too."""
 
 FAR_NEWS_MS = 250.0
 """Reading on one engine of which other data centres hear at once: what is shorter is over when they
--- a/packages/proxy/src/sassafrastally/proxy/slowness.py
+++ b/packages/proxy/src/sassafrastally/proxy/slowness.py
@@ -22,8 +22,8 @@
 lost packets on a link delay single ones."""
 
 LEFT_ALONE_S = 3.0
-"""How long a slow engine is left alone before requests try it again: several of its requests' time,
-and a third of how long such an engine usually stays slow."""
+"""How long a slow engine is left alone before requests try it again: several of its requests' time.
+"""
 
 MOST_SHARE = 0.25
 """Share of a service's engines that may be left alone for slowness. When more seem slow it is this
--- a/packages/testing/src/sassafrastally/testing/virtual_network.py
+++ b/packages/testing/src/sassafrastally/testing/virtual_network.py
@@ -86,7 +86,7 @@
         if self._network.is_cut(*self._hosts):
             due_s = float("inf")
         with trio.move_on_at(due_s):
-            await self._network.news_of(self._news)
+            await self._news.wait()
 
 
 class VirtualSocket(trio.socket.SocketType):
@@ -187,7 +187,7 @@
             here = there
         await trio.sleep(network.way_s())
         while network.is_cut(here, there) or network.is_cut(there, here) or there in network.dark:
-            await network.news_of()
+            await network.link_change()
         await trio.sleep(network.way_s())
         accepting = network.accepting.get((there, address[1]))
         if accepting is None:
@@ -420,9 +420,6 @@
         """Forget directions of a connection that was closed."""
         self.ways = [way for way in self.ways if way not in ways]
 
-    async def news_of(self, event: trio.Event | None = None) -> None:
-        """Wait for an event, or until a link changes."""
-        if event is not None:
-            await event.wait()
-        else:
-            await self._changed.wait()
+    async def link_change(self) -> None:
+        """Wait until a link changes."""
+        await self._changed.wait()
