--- a/packages/proxy/src/sassafrastally/proxy/peers.py
+++ b/packages/proxy/src/sassafrastally/proxy/peers.py
@@ -40,8 +40,8 @@
 """Longest time between two datagrams, and the time between two sums of a data centre."""
 
 LEAST_GAP_S = 0.02
-"""Shortest time between two datagrams: changes within it go together. Shorter than an engine's pass,
-so that peers know what began in the last one."""
+"""Shortest time between two datagrams: changes within it go together. Shorter than an engine's
+pass, so that peers know what began in the last one."""
 
 CLOSE_PEERS = 5
 """With more peers than this the shortest time grows in proportion, so that an entry sends no more
--- a/packages/proxy/src/sassafrastally/proxy/reading_limits.py
+++ b/packages/proxy/src/sassafrastally/proxy/reading_limits.py
@@ -38,8 +38,8 @@
 
 RISING_FROM = 0.7
 RISING_TO = 1.05
-"""Shares of an allowed pause from which on pauses come too late, and at which all do; predictions of
-a pass err both ways."""
+"""Shares of an allowed pause from which on pauses come too late, and at which all do; predictions
+of a pass err both ways."""
 
 TOLERANT_RISING_FROM = 0.75
 TOLERANT_RISING_TO = 0.9
