--- a/packages/proxy/src/sassafrastally/proxy/calls.py
+++ b/packages/proxy/src/sassafrastally/proxy/calls.py
@@ -2,17 +2,18 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 import h11
 import trio
 
+# Runtime import: Headers is a field type of a named tuple.
+from sassafrastally.proxy.dialect import Headers
 from sassafrastally.proxy.http_stream import ConnectionLost, HttpStream, connect
 from sassafrastally.proxy.store import AnswerLost
 
 if TYPE_CHECKING:
     from sassafrastally.core import Address
-    from sassafrastally.proxy.dialect import Headers
 
 CONNECT_TIME_S = 0.4
 """Connection timeout. Connecting within a region takes a few milliseconds. If a packet is lost, TCP
@@ -26,6 +27,14 @@
 """Total timeout of a call whose response keeps arriving; longer than the longest watch poll."""
 
 
+class CallResponse(NamedTuple):
+    """Complete response of a call."""
+
+    status: int
+    headers: Headers
+    body: bytes
+
+
 class CallClient:
     """Sends calls to one address.
 
@@ -47,8 +56,8 @@
 
     async def exchange(
         self, method: str, target: str, headers: Headers, body: bytes, time_limit_s: float
-    ) -> tuple[int, bytes]:
-        """Send a call and return the status and body of its response.
+    ) -> CallResponse:
+        """Send a call and return its response.
 
         Parameters
         ----------
@@ -81,7 +90,7 @@
         body: bytes,
         limit: trio.CancelScope,
         silence_timeout_s: float,
-    ) -> tuple[int, bytes]:
+    ) -> CallResponse:
         connection = await self._take()
         is_reusable = False
         try:
@@ -98,11 +107,11 @@
                 h11.Data(data=body),
                 h11.EndOfMessage(),
             )
-            status, answer = await _read_answer(connection, limit, silence_timeout_s)
+            response = await _read_answer(connection, limit, silence_timeout_s)
             is_reusable = connection.http.our_state is h11.DONE and (
                 connection.http.their_state is h11.DONE
             )
-            return status, answer
+            return response
         finally:
             await self._put_back(connection, is_reusable)
 
@@ -124,17 +133,18 @@
 
 async def _read_answer(
     connection: HttpStream, limit: trio.CancelScope, silence_timeout_s: float
-) -> tuple[int, bytes]:
+) -> CallResponse:
     status = 0
+    headers: Headers = []
     body = bytearray()
     while True:
         event = await connection.receive()
         if isinstance(event, h11.Response):
-            status = event.status_code
+            status, headers = event.status_code, list(event.headers)
         elif isinstance(event, h11.Data):
             body += event.data
             limit.deadline = max(limit.deadline, trio.current_time() + silence_timeout_s)
         elif isinstance(event, h11.EndOfMessage):
-            return status, bytes(body)
+            return CallResponse(status, headers, bytes(body))
         elif isinstance(event, h11.ConnectionClosed):
             raise ConnectionLost("connection closed before the end of the response")
--- a/packages/proxy/src/sassafrastally/proxy/change_fetcher.py
+++ b/packages/proxy/src/sassafrastally/proxy/change_fetcher.py
@@ -16,7 +16,7 @@
 from sassafrastally.proxy.dialect import DocumentInvalid
 from sassafrastally.proxy.log_events import PeerFailed
 from sassafrastally.proxy.peer_messages import decode_delta
-from sassafrastally.proxy.store import AnswerLost, Snapshot
+from sassafrastally.proxy.store import AnswerLost, Snapshot, StorePosition
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
@@ -134,10 +134,10 @@
         target = CHANGES_TARGET.format(revision=self._cluster_state.revision)
         configuration = self._cluster_state.configuration
         try:
-            status, body = await source.calls.exchange("GET", target, [], b"", CALL_TIMEOUT_S)
-            if status != 200:
-                raise AnswerLost(f"peer answered with status {status}")
-            delta = decode_delta(body)
+            response = await source.calls.exchange("GET", target, [], b"", CALL_TIMEOUT_S)
+            if response.status != 200:
+                raise AnswerLost(f"peer answered with status {response.status}")
+            delta = decode_delta(response.body)
         except (AnswerLost, DocumentInvalid) as cause:
             self._failed_s[source.host] = self._kernel.clock.now_s()
             self._kernel.events.emit(
@@ -147,7 +147,8 @@
             return
         name = f"peer {source.host}"
         if delta.entries is not None:
-            self._cluster_state.replace(Snapshot(delta.entries, delta.revision), name)
+            position = StorePosition(self._cluster_state.epoch, delta.revision)
+            self._cluster_state.replace(Snapshot(delta.entries, position), name)
         else:
             self._cluster_state.apply(delta.events, delta.revision, name)
         if self._cluster_state.configuration is not configuration:
--- a/packages/proxy/src/sassafrastally/proxy/cluster_state.py
+++ b/packages/proxy/src/sassafrastally/proxy/cluster_state.py
@@ -21,6 +21,8 @@
     ServerGone,
     ServerKnown,
     ServerLapsed,
+    SnapshotIgnored,
+    StoreRestored,
 )
 from sassafrastally.proxy.routes import RouteTable
 
@@ -77,6 +79,8 @@
         """Routes of the configuration in force."""
         self.revision = 0
         """Store revision up to which all changes are known; 0 before the first snapshot."""
+        self.epoch = 0
+        """Number of times that the store was restored; 0 if unknown."""
         self.confirmed_s = float("-inf")
         """When the store or a peer last confirmed the revision."""
         self.configuration_known = trio.Event()
@@ -132,6 +136,13 @@
         """Return the number of known backend servers, draining ones included."""
         return len(self._servers)
 
+    def record_epoch(self, epoch: int, source: str) -> None:
+        """Record the store's epoch, as named by an answer."""
+        if epoch != self.epoch:
+            if self.epoch:
+                self.kernel.events.emit(StoreRestored(epoch, self.epoch, self.revision, source))
+            self.epoch = epoch
+
     def confirm(self, revision: int) -> None:
         """Record that the view is complete up to a revision."""
         self.confirmed_s = self.kernel.clock.now_s()
@@ -142,7 +153,10 @@
 
     def replace(self, snapshot: Snapshot, source: str) -> None:
         """Replace the view by a snapshot; a snapshot of a lower revision is ignored."""
-        if snapshot.revision < self.revision:
+        self.record_epoch(snapshot.position.epoch, source)
+        revision = snapshot.position.revision
+        if revision < self.revision:
+            self.kernel.events.emit(SnapshotIgnored(revision, self.revision, source))
             return
         present = {
             entry.key: entry for entry in snapshot.entries if self._is_relevant_key(entry.key)
@@ -155,8 +169,8 @@
             if known is None or known.mod_revision < entry.mod_revision:
                 self._put(entry, source)
         self._changes.clear()
-        self._changes_from = snapshot.revision
-        self.confirm(snapshot.revision)
+        self._changes_from = revision
+        self.confirm(revision)
 
     def apply(self, events: Iterable[KvEvent], revision: int, source: str) -> None:
         """Apply changes that follow the current revision."""
--- a/packages/proxy/src/sassafrastally/proxy/internal_endpoints.py
+++ b/packages/proxy/src/sassafrastally/proxy/internal_endpoints.py
@@ -86,6 +86,7 @@
         configuration = self._cluster_state.configuration
         return {
             "configuration_version": configuration.version if configuration else 0,
+            "store_epoch": self._cluster_state.epoch,
             "store_revision": self._cluster_state.revision,
             "beliefs_age_seconds": now_s - self._cluster_state.confirmed_s,
             "store_age_seconds": now_s - self._cluster_state.store_answered_s,
--- a/packages/proxy/src/sassafrastally/proxy/log_events/__init__.py
+++ b/packages/proxy/src/sassafrastally/proxy/log_events/__init__.py
@@ -15,8 +15,10 @@
     ServerGone,
     ServerKnown,
     ServerLapsed,
+    SnapshotIgnored,
     StoreLost,
     StoreRegained,
+    StoreRestored,
     WatchTakenOver,
 )
 from sassafrastally.proxy.log_events.process import (
@@ -98,8 +100,10 @@
     "ServerSuspected",
     "SettingsRejected",
     "SettingsReloaded",
+    "SnapshotIgnored",
     "StoreLost",
     "StoreRegained",
+    "StoreRestored",
     "StreamBroken",
     "WatchTakenOver",
 ]
--- a/packages/proxy/src/sassafrastally/proxy/log_events/knowledge.py
+++ b/packages/proxy/src/sassafrastally/proxy/log_events/knowledge.py
@@ -98,6 +98,27 @@
     revision: int
 
 
+@event(10045, "warning")
+class StoreRestored(NamedTuple):
+    """The store was restored from a copy; the latest changes before that are lost."""
+
+    epoch: int
+    """Number of restores of the store."""
+    known_epoch: int
+    known_revision: int
+    """Revision that this process had applied before."""
+    source: str
+
+
+@event(10046, "warning")
+class SnapshotIgnored(NamedTuple):
+    """A full snapshot has a lower revision than the applied one and is ignored."""
+
+    revision: int
+    known_revision: int
+    source: str
+
+
 @event(10028)
 class WatchTakenOver(NamedTuple):
     """This entry starts watching the store because the previous watchers get no responses."""
--- a/packages/proxy/src/sassafrastally/proxy/reports.py
+++ b/packages/proxy/src/sassafrastally/proxy/reports.py
@@ -144,10 +144,10 @@
         call = self._dialect.make_report_call(engine)
         self._backpressure.count_request(engine, CallKind.REPORT)
         try:
-            status, body = await client.exchange(
+            response = await client.exchange(
                 call.method, call.target, call.headers, call.body, REPORT_TIMEOUT_S
             )
-            report = self._dialect.decode_report(status, body)
+            report = self._dialect.decode_report(response.status, response.body)
         except (AnswerLost, DocumentInvalid) as cause:
             self.kernel.events.emit(ReportFailed(engine.server_id, cause.detail, request_id))
             failures = self._failures.get(engine.incarnation_id, 0) + 1
--- a/packages/proxy/src/sassafrastally/proxy/reservations.py
+++ b/packages/proxy/src/sassafrastally/proxy/reservations.py
@@ -18,7 +18,7 @@
 from sassafrastally.core import Address
 from sassafrastally.proxy.attempt import AttemptNotRun
 from sassafrastally.proxy.backpressure import CallKind
-from sassafrastally.proxy.calls import CallClient
+from sassafrastally.proxy.calls import CallClient, CallResponse
 from sassafrastally.proxy.log_events import ReservationFailed, ReservationReleased
 from sassafrastally.proxy.model import ReservationOutcome
 from sassafrastally.proxy.store import AnswerLost
@@ -144,7 +144,7 @@
             holding.server, reservation_id, holding.tokens, LEASE_S
         )
         try:
-            status, body = await self._send(holding.server, call)
+            status, _, body = await self._send(holding.server, call)
             outcome = self._dialect.decode_reservation(status, body)
         except AnswerLost:
             outcome = ReservationOutcome.UNKNOWN
@@ -182,7 +182,7 @@
         status = 0
         for _ in range(MAX_RELEASE_ATTEMPTS):
             try:
-                status, _body = await self._send(holding.server, call)
+                status = (await self._send(holding.server, call)).status
                 break
             except AnswerLost:
                 # The lease expires even if the release never arrives.
@@ -191,7 +191,7 @@
             ReservationReleased(reservation_id, holding.server.server_id, status)
         )
 
-    async def _send(self, server: BackendServer, call: Call) -> tuple[int, bytes]:
+    async def _send(self, server: BackendServer, call: Call) -> CallResponse:
         self._backpressure.count_request(server, CallKind.ORDER)
         client = self._calls.setdefault(server.address, CallClient(server.address))
         return await client.exchange(
--- a/packages/proxy/src/sassafrastally/proxy/store.py
+++ b/packages/proxy/src/sassafrastally/proxy/store.py
@@ -23,18 +23,31 @@
     """A call got no complete answer: the connection failed or the time limit passed."""
 
 
+class StorePosition(NamedTuple):
+    """A point in the store's history; later points compare higher."""
+
+    epoch: int
+    """Number of times that the store was restored from a copy. A restore loses the latest changes,
+    and their revisions are given out again, so revisions of different epochs aren't comparable."""
+    revision: int
+
+
+NO_POSITION = StorePosition(0, 0)
+"""Position of a process that hasn't read the store."""
+
+
 class Snapshot(NamedTuple):
-    """Entries under a prefix, and the revision from which a watch can continue."""
+    """Entries under a prefix, and the position from which a watch can continue."""
 
     entries: tuple[KvEntry, ...]
-    revision: int
+    position: StorePosition
 
 
 class Changes(NamedTuple):
     """Changes returned by a watch."""
 
     events: tuple[KvEvent, ...]
-    revision: int
+    position: StorePosition
 
 
 class Store(Protocol):
--- a/packages/proxy/src/sassafrastally/proxy/watch.py
+++ b/packages/proxy/src/sassafrastally/proxy/watch.py
@@ -89,7 +89,8 @@
                 self._record_recovered()
                 configuration = self._cluster_state.configuration
                 self._peers.note_changes(changes.events)
-                self._cluster_state.apply(changes.events, changes.revision, "store")
+                self._cluster_state.record_epoch(changes.position.epoch, "store")
+                self._cluster_state.apply(changes.events, changes.position.revision, "store")
                 pause_s = MIN_RETRY_PAUSE_S
                 if self._cluster_state.configuration is not configuration:
                     await trio.sleep(CONFIGURATION_PAUSE_S)
--- a/packages/proxy/tests/test_cluster_state.py
+++ b/packages/proxy/tests/test_cluster_state.py
@@ -10,7 +10,7 @@
 from sassafrastally.proxy.cluster_state import LAPSE_GRACE_S, ClusterState
 from sassafrastally.proxy.dialect import DocumentInvalid, StoreKeys
 from sassafrastally.proxy.model import BackendServer, Configuration, RequestLimits
-from sassafrastally.proxy.store import Snapshot
+from sassafrastally.proxy.store import Snapshot, StorePosition
 
 LIMITS = RequestLimits(1000, 1000, 1.0, 1.0)
 
@@ -54,7 +54,9 @@
         """A delayed store read delivers an older version after a watch has delivered a newer one.
         Guards against restoring routes and keys that operators have removed."""
         cluster_state.apply([put("config", "7", 10)], 10, "store")
-        cluster_state.replace(Snapshot((KvEntry("config", b"5", 11),), 11), "store")
+        cluster_state.replace(
+            Snapshot((KvEntry("config", b"5", 11),), StorePosition(1, 11)), "store"
+        )
         assert cluster_state.configuration.version == 7
 
     async def test_only_the_last_of_many_versions_is_kept_for_peers(self, cluster_state):
@@ -101,7 +103,7 @@
 
     async def test_older_snapshot_is_ignored(self, cluster_state):
         cluster_state.apply([put("servers/a", "false", 9)], 9, "store")
-        cluster_state.replace(Snapshot((), 4), "peer")
+        cluster_state.replace(Snapshot((), StorePosition(1, 4)), "peer")
         assert cluster_state.server("a") is not None
 
     async def test_server_whose_lease_expired_in_an_outage_is_kept_for_a_grace_period(
@@ -193,7 +195,7 @@
     """Changes sent to a peer that is behind."""
 
     async def test_changes_if_they_are_kept_and_full_snapshot_otherwise(self, cluster_state):
-        cluster_state.replace(Snapshot((KvEntry("config", b"1", 4),), 4), "store")
+        cluster_state.replace(Snapshot((KvEntry("config", b"1", 4),), StorePosition(1, 4)), "store")
         cluster_state.apply([put("servers/a", "false", 6)], 6, "store")
         assert [event.key for event in cluster_state.delta_after(4).events] == ["servers/a"]
         assert cluster_state.delta_after(4).entries is None
--- a/packages/testing/src/sassafrastally/testing/soak/fleet.py
+++ b/packages/testing/src/sassafrastally/testing/soak/fleet.py
@@ -255,7 +255,7 @@
         misses = 0
         while True:
             try:
-                status, _ = await calls.exchange("GET", "/readyz", [], b"", MUTE_LIMIT_S)
+                status = (await calls.exchange("GET", "/readyz", [], b"", MUTE_LIMIT_S)).status
             except AnswerLost:
                 status = 0
             misses = 0 if status == 200 else misses + 1
--- a/packages/testing/src/sassafrastally/testing/soak/probing.py
+++ b/packages/testing/src/sassafrastally/testing/soak/probing.py
@@ -97,7 +97,7 @@
     headers = [(name.encode(), value.encode()) for name, value in fields.items()]
     calls = CallClient(entry.callers_address, HOST_NAME)
     try:
-        status, _ = await calls.exchange("GET", f"/{route}/x", headers, b"", 2.0)
+        status = (await calls.exchange("GET", f"/{route}/x", headers, b"", 2.0)).status
     except AnswerLost:
         status = 0
     await calls.close()
--- a/packages/testing/tests/platform/test_calls.py
+++ b/packages/testing/tests/platform/test_calls.py
@@ -40,7 +40,7 @@
         """
         async with trio.open_nursery() as nursery:
             client = await serve_in_chunks(nursery, 0.1)
-            status, body = await client.exchange("GET", "/", [], b"", 0.4)
+            status, _, body = await client.exchange("GET", "/", [], b"", 0.4)
             assert (status, len(body)) == (200, CHUNKS * 1000)
             nursery.cancel_scope.cancel()
 
--- a/packages/testing/tests/platform/test_path.py
+++ b/packages/testing/tests/platform/test_path.py
@@ -349,7 +349,7 @@
         await small_fleet.call("/nowhere/x")
         settings = small_fleet.entry_settings(1)
         client = CallClient(Address(settings.host, settings.metrics_port))
-        status, body = await client.exchange("GET", "/metrics", [], b"", 1.0)
+        status, _, body = await client.exchange("GET", "/metrics", [], b"", 1.0)
         page = body.decode()
         assert status == 200
         assert 'sassafrastally_proxy_refusals_total{code="no-route"}' in page
