--- a/packages/proxy/benchmarks/decisions.py
+++ b/packages/proxy/benchmarks/decisions.py
@@ -29,6 +29,7 @@
 from sassafrastally.proxy.peer_messages import Hello, decode_hello, encode_hello
 from sassafrastally.proxy.placement import place_request
 from sassafrastally.proxy.prefill_limits import prefill_limits_for
+from sassafrastally.proxy.store import StorePosition
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping, Sequence
@@ -140,7 +141,7 @@
         "10.0.0.1",
         1 << 60,
         7,
-        44,
+        StorePosition(1, 44),
         0.1,
         False,
         dict(fleet.loads[0]),
--- a/packages/proxy/benchmarks/quarantine.py
+++ b/packages/proxy/benchmarks/quarantine.py
@@ -11,6 +11,7 @@
 from sassafrastally.proxy.fingerprint import request_fingerprint
 from sassafrastally.proxy.peer_messages import Hello, encode_hello
 from sassafrastally.proxy.quarantine import Quarantine
+from sassafrastally.proxy.store import StorePosition
 from sassafrastally.testing.timing import median_us
 
 BODIES = {"4 KB": 4_096, "100 KB": 102_400, "4 MB": 4_194_304}
@@ -49,7 +50,9 @@
     print(f"news {median_us(lambda: quarantine.report(40.2, is_full=False), 200):.0f} us, ", end="")
     print(f"told again {median_us(lambda: quarantine.report(41.0, is_full=True), 200):.0f} us")
     report = quarantine.report(40.2, is_full=True)
-    hello = Hello("10.0.0.1", 7, 3, 12, 0.5, False, {}, (), {}, {}, 0.0, 0.0, "here", 10)
+    hello = Hello(
+        "10.0.0.1", 7, 3, StorePosition(1, 12), 0.5, False, {}, (), {}, {}, 0.0, 0.0, "here", 10
+    )
     sizes = [len(encode_hello(one)) for one in (hello, hello._replace(quarantine=report))]
     print(f"datagram: {sizes[0]} bytes without, {sizes[1]} with all that fits")
 
--- a/packages/proxy/benchmarks/rate_shares.py
+++ b/packages/proxy/benchmarks/rate_shares.py
@@ -12,6 +12,7 @@
 from sassafrastally.proxy.limit_exchange import LimitReport
 from sassafrastally.proxy.peer_messages import MAX_LIMITS_SENT, Hello, encode_hello
 from sassafrastally.proxy.rate_limit_sharing import SentRequests, own_share_per_s
+from sassafrastally.proxy.store import StorePosition
 from sassafrastally.testing.backpressure_fleet import allowed, most_in_window
 from sassafrastally.testing.timing import median_us
 
@@ -107,7 +108,9 @@
     room_us = median_us(lambda: sent.wait_s(0.25, 1.0), 20_000)
     print(f"share among 340 entries {share_us:.0f} us once, room of a server {room_us:.2f} us")
     limits = {n << 40: LimitReport(1.5, 0.25) for n in range(MAX_LIMITS_SENT)}
-    hello = Hello("10.0.0.1", 7, 3, 12, 0.5, False, {}, (), {}, {}, 0.0, 0.0, "here", 10)
+    hello = Hello(
+        "10.0.0.1", 7, 3, StorePosition(1, 12), 0.5, False, {}, (), {}, {}, 0.0, 0.0, "here", 10
+    )
     sizes = [len(encode_hello(one)) for one in (hello, hello._replace(limits=limits))]
     print(f"datagram: {sizes[0]} bytes without, {sizes[1]} with {MAX_LIMITS_SENT} limits")
 
--- a/packages/proxy/src/sassafrastally/proxy/address_registration.py
+++ b/packages/proxy/src/sassafrastally/proxy/address_registration.py
@@ -9,6 +9,7 @@
 from sassafrastally.core import KvUnavailable, LeaseLost, MaybeApplied
 from sassafrastally.core.kv import KvConflict, KvWrite
 from sassafrastally.proxy.log_events import StoreLost
+from sassafrastally.proxy.store import Lease
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Sequence
@@ -60,7 +61,7 @@
         self._cluster_state = cluster_state
         self._table = table
         self._snapshot_read = trio.Event()
-        self._lease_id = 0
+        self._lease: Lease | None = None
 
     def record_entries(self, entries: Iterable[KvEntry | KvEvent]) -> None:
         """Add the addresses found in store entries to the peer table."""
@@ -70,16 +71,16 @@
                 host = entry.key.removeprefix(self._prefix)
                 self._table.add_address(host, entry.value.decode(errors="replace"), now_s)
 
-    def record_snapshot(self, entries: Sequence[KvEntry]) -> None:
-        """Read the addresses from a full snapshot, this entry's own included.
+    def record_snapshot(self, entries: Sequence[KvEntry], epoch: int) -> None:
+        """Read the addresses from a full snapshot of an epoch, this entry's own included.
 
         A process that restarts within a minute finds its earlier address and renews that lease.
         This takes one call that costs as much as a read, instead of a new lease and a write.
         """
         self.record_entries(entries)
         for entry in entries:
-            if entry.key == self._key and not self._snapshot_read.is_set():
-                self._lease_id = entry.lease_id
+            if entry.key == self._key and entry.lease_id and not self._snapshot_read.is_set():
+                self._lease = Lease(entry.lease_id, epoch)
         self._snapshot_read.set()
 
     async def run(self) -> None:
@@ -92,29 +93,32 @@
         pause_s = 0.1
         while True:
             try:
-                if self._lease_id == 0:
-                    self._lease_id = await self._write_address()
+                if self._lease is None or self._lease.epoch < self._cluster_state.position.epoch:
+                    self._lease = await self._write_address()
                 else:
-                    await self._store.keep_lease(self._lease_id)
+                    await self._store.keep_lease(self._lease)
                 pause_s = ADDRESS_LEASE_S / 3
             except (LeaseLost, KvConflict):
-                self._lease_id, pause_s = 0, 0.1
+                self._lease, pause_s = None, 0.1
             except (KvUnavailable, MaybeApplied) as cause:
                 self._record_store_lost(cause)
                 pause_s = min(ADDRESS_LEASE_S / 6, 2 * pause_s)
             await trio.sleep(pause_s * self._kernel.random.uniform(0.7, 1.0))
 
-    async def _write_address(self) -> int:
-        lease_id = await self._store.grant_lease(ADDRESS_LEASE_S)
+    async def _write_address(self) -> Lease:
+        lease = await self._store.grant_lease(ADDRESS_LEASE_S)
         any_revision = -1
         value = self._settings.data_centre.encode()
-        await self._store.write([KvWrite(self._key, value, any_revision, lease_id)])
-        return lease_id
+        await self._store.write([KvWrite(self._key, value, any_revision, lease.lease_id)], lease)
+        return lease
 
     def _record_store_lost(self, cause: Exception) -> None:
         age_s = self._kernel.clock.now_s() - self._cluster_state.confirmed_s
         self._kernel.events.emit(
             StoreLost(
-                "announce", str(cause), self._cluster_state.revision, round(min(age_s, 1e6), 3)
+                "announce",
+                str(cause),
+                self._cluster_state.position.revision,
+                round(min(age_s, 1e6), 3),
             )
         )
--- a/packages/proxy/src/sassafrastally/proxy/change_fetcher.py
+++ b/packages/proxy/src/sassafrastally/proxy/change_fetcher.py
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 from typing import TYPE_CHECKING, NamedTuple
+from urllib.parse import parse_qsl, urlsplit
 
 import trio
 
@@ -41,37 +42,67 @@
 another data centre. It then fetches them locally, and they cross between data centres twice instead
 of fourteen times."""
 
-CHANGES_TARGET = "/changes?after={revision}"
+FRUITLESS_PAUSE_S = 5.0
+"""How long a peer is left out whose answer didn't bring what its datagrams promise."""
+
+CHANGES_PATH = "/changes"
+
+
+def changes_target(position: StorePosition) -> str:
+    """Return the target of a call for the changes after a position."""
+    return f"{CHANGES_PATH}?epoch={position.epoch}&after={position.revision}"
+
+
+def parse_changes_target(target: str) -> StorePosition | None:
+    """Return the position that a call names; ``None`` if it names none."""
+    query = dict(parse_qsl(urlsplit(target).query))
+    # Peers of earlier releases don't name an epoch; they get a full snapshot.
+    numbers = query.get("epoch", "0"), query.get("after", "")
+    if not all(number.isdigit() for number in numbers):
+        return None
+    return StorePosition(*map(int, numbers))
+
+
+def has_news(
+    position: StorePosition, configuration_version: int, cluster_state: ClusterState
+) -> bool:
+    """Return whether a peer knows a later position or a newer configuration."""
+    return (
+        position > cluster_state.position
+        or configuration_version > cluster_state.configuration_version
+    )
 
 
 class Source(NamedTuple):
-    """A live peer that knows a newer revision."""
+    """A live peer that knows a later position or a newer configuration."""
 
     host: str
     is_local: bool
     """Whether it is in the same data centre."""
-    revision: int
+    position: StorePosition
+    configuration_version: int
     calls: CallClient
 
 
 def choose_source(
     sources: Sequence[Source], failed_s: dict[str, float], now_s: float
 ) -> Source | None:
-    """Return the peer to fetch from; ``None`` if no peer has a newer revision.
+    """Return the peer to fetch from; ``None`` if no peer has news.
 
     Parameters
     ----------
     sources
-        Live peers that know a newer revision.
+        Live peers that have news.
     failed_s
         When the last call to a peer failed, by host.
     now_s
         Present time.
     """
 
-    def rank(source: Source) -> tuple[bool, bool, int]:
+    def rank(source: Source) -> tuple[bool, bool, int, int]:
         has_failed = now_s - failed_s.get(source.host, float("-inf")) < FAILED_PEER_PAUSE_S
-        return has_failed, not source.is_local, -source.revision
+        epoch, revision = source.position
+        return has_failed, not source.is_local, -epoch, -revision
 
     return min(sources, key=rank, default=None)
 
@@ -86,7 +117,7 @@
     cluster_state
         Receives the changes.
     sources
-        Returns the live peers that know a newer revision.
+        Returns the live peers that know a later position or a newer configuration.
     defers_to_relays
         Returns whether other entries of this data centre fetch from other data centres.
     """
@@ -103,10 +134,11 @@
         self._sources = sources
         self._defers_to_relays = defers_to_relays
         self._failed_s: dict[str, float] = {}
+        self._left_out_until_s: dict[str, float] = {}
         self._news = trio.Event()
 
-    def note_newer_revision(self) -> None:
-        """Signal that a peer knows a newer revision."""
+    def note_news(self) -> None:
+        """Signal that a peer knows a later position or a newer configuration."""
         self._news.set()
 
     async def run(self) -> None:
@@ -120,7 +152,11 @@
         has_waited = False
         while True:
             now_s = self._kernel.clock.now_s()
-            source = choose_source(self._sources(), self._failed_s, now_s)
+            self._left_out_until_s = {
+                host: until_s for host, until_s in self._left_out_until_s.items() if until_s > now_s
+            }
+            sources = [one for one in self._sources() if one.host not in self._left_out_until_s]
+            source = choose_source(sources, self._failed_s, now_s)
             if source is None:
                 self._failed_s.clear()
                 return
@@ -131,7 +167,7 @@
             await self._fetch(source)
 
     async def _fetch(self, source: Source) -> None:
-        target = CHANGES_TARGET.format(revision=self._cluster_state.revision)
+        target = changes_target(self._cluster_state.position)
         configuration = self._cluster_state.configuration
         try:
             response = await source.calls.exchange("GET", target, [], b"", CALL_TIMEOUT_S)
@@ -141,15 +177,18 @@
         except (AnswerLost, DocumentInvalid) as cause:
             self._failed_s[source.host] = self._kernel.clock.now_s()
             self._kernel.events.emit(
-                PeerFailed(source.host, self._cluster_state.revision, source.revision, cause.detail)
+                PeerFailed(
+                    source.host, *self._cluster_state.position, *source.position, cause.detail
+                )
             )
             await trio.sleep(FAILED_PEER_PAUSE_S * self._kernel.random.uniform(0.1, 0.3))
             return
         name = f"peer {source.host}"
         if delta.entries is not None:
-            position = StorePosition(self._cluster_state.epoch, delta.revision)
-            self._cluster_state.replace(Snapshot(delta.entries, position), name)
+            self._cluster_state.replace(Snapshot(delta.entries, delta.position), name)
         else:
-            self._cluster_state.apply(delta.events, delta.revision, name)
+            self._cluster_state.apply(delta.events, delta.position, name)
+        if has_news(source.position, source.configuration_version, self._cluster_state):
+            self._left_out_until_s[source.host] = self._kernel.clock.now_s() + FRUITLESS_PAUSE_S
         if self._cluster_state.configuration is not configuration:
             await trio.sleep(CONFIGURATION_PAUSE_S)
--- a/packages/proxy/src/sassafrastally/proxy/cluster_state.py
+++ b/packages/proxy/src/sassafrastally/proxy/cluster_state.py
@@ -1,7 +1,9 @@
 """Local view of the configuration and the backend servers, and its age.
 
-The view is a snapshot of the store's keys at a revision, updated from the store or from a peer. A
-higher revision wins. A configuration is only replaced by one with a higher version.
+The view is a snapshot of the store's keys at a position, updated from the store or from a peer. A
+later position wins. After the store was restored from a copy, what is known from before stays in
+force where the copy is older: a configuration is only replaced by one with a higher version, a
+server that has been draining stays so, and a removed one isn't used again at once.
 """
 
 from __future__ import annotations
@@ -12,32 +14,33 @@
 
 from sassafrastally.core import KvEntry, KvEvent, Service
 from sassafrastally.proxy.data_centre_pools import divide_by_data_centre
+from sassafrastally.proxy.departures import Departures
 from sassafrastally.proxy.dialect import DocumentInvalid
 from sassafrastally.proxy.load import server_hash
 from sassafrastally.proxy.log_events import (
+    ConfigurationIgnored,
     ConfigurationInForce,
     DocumentRejected,
     FormerLifeIgnored,
     ServerGone,
+    ServerHeld,
+    ServerKeptDraining,
     ServerKnown,
     ServerLapsed,
-    SnapshotIgnored,
+    StaleRecordsSkipped,
     StoreRestored,
 )
 from sassafrastally.proxy.routes import RouteTable
+from sassafrastally.proxy.store import NO_POSITION
+from sassafrastally.proxy.store_records import CARRIED_OVER, StoreRecords
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
     from sassafrastally.proxy.dialect import Dialect
     from sassafrastally.proxy.model import BackendServer, Configuration
-    from sassafrastally.proxy.store import Snapshot
-
-MAX_KEPT_CHANGES = 512
-"""Maximum number of keys whose last change is kept for peers that are behind; a peer that is
-further behind gets a full snapshot. Only the last change of a key is kept, so that many
-configuration versions in quick succession, half a megabyte each, take the memory and bandwidth of
-one."""
+    from sassafrastally.proxy.store import Snapshot, StorePosition
+    from sassafrastally.proxy.store_records import Delta
 
 LAPSE_GRACE_S = 2.0
 """Grace period after a store outage. Backend servers whose leases expired during the outage have
@@ -50,15 +53,6 @@
 arrives within seconds."""
 
 
-class Delta(NamedTuple):
-    """Changes after a revision, or a full snapshot when those are no longer kept."""
-
-    entries: tuple[KvEntry, ...] | None
-    """All entries; ``None`` if `events` contains every change."""
-    events: tuple[KvEvent, ...]
-    revision: int
-
-
 class _Index(NamedTuple):
     """Index of the live backend servers that aren't draining."""
 
@@ -68,41 +62,56 @@
 
 
 class ClusterState(Service):
-    """The configuration in force and the known backend servers."""
+    """The configuration in force and the known backend servers.
+
+    Parameters
+    ----------
+    dialect
+        Decodes the store's records.
+    registration_expiry_s
+        Time without a heartbeat after which the platform removes a server's record.
+    """
 
     name: ClassVar[str] = "beliefs"
 
-    def __init__(self, dialect: Dialect) -> None:
+    def __init__(self, dialect: Dialect, registration_expiry_s: float) -> None:
         self.configuration: Configuration | None = None
         """The configuration in force; ``None`` until one is known."""
         self.routes = RouteTable(())
         """Routes of the configuration in force."""
-        self.revision = 0
-        """Store revision up to which all changes are known; 0 before the first snapshot."""
-        self.epoch = 0
-        """Number of times that the store was restored; 0 if unknown."""
         self.confirmed_s = float("-inf")
-        """When the store or a peer last confirmed the revision."""
+        """When the store or a peer last confirmed the position."""
         self.configuration_known = trio.Event()
         """Set when the first configuration is known."""
         self.store_answered_s = float("-inf")
         """When the store itself last answered this process."""
         self.store_returned_s = float("-inf")
         """When the store was last reached again after an outage."""
-        self.on_newer_revision: Callable[[], None] | None = None
-        """Called when a newer revision is known, so that peers are notified at once."""
+        self.on_newer_position: Callable[[], None] | None = None
+        """Called when there is news for the peers, so that they are notified at once."""
         self.on_incarnation_ended: Callable[[BackendServer], None] | None = None
         """Called with each incarnation of a backend server that has left or been replaced."""
         self.on_quarantine_record: Callable[[KvEntry | KvEvent], None] | None = None
         """Called when the record of a quarantined request is written or removed."""
         self._dialect = dialect
-        self._entries: dict[str, KvEntry] = {}
+        self._registration_expiry_s = registration_expiry_s
+        self._records = StoreRecords()
+        self._departures = Departures()
+        self._held: dict[str, BackendServer] = {}
         self._servers: dict[str, BackendServer] = {}
         self._lapse_ends_s: dict[str, float] = {}
         self._latest_born_ms: dict[str, int] = {}
         self._index: _Index | None = None
-        self._changes: dict[str, KvEvent] = {}
-        self._changes_from = 0
+
+    @property
+    def position(self) -> StorePosition:
+        """Position of the store up to which all changes are known."""
+        return self._records.position
+
+    @property
+    def configuration_version(self) -> int:
+        """Version of the configuration in force; 0 until one is known."""
+        return self.configuration.version if self.configuration else 0
 
     def servers_of(self, service: str) -> list[BackendServer]:
         """Return a service's live, non-draining servers in the order shared by all entries."""
@@ -136,77 +145,100 @@
         """Return the number of known backend servers, draining ones included."""
         return len(self._servers)
 
-    def record_epoch(self, epoch: int, source: str) -> None:
-        """Record the store's epoch, as named by an answer."""
-        if epoch != self.epoch:
-            if self.epoch:
-                self.kernel.events.emit(StoreRestored(epoch, self.epoch, self.revision, source))
-            self.epoch = epoch
-
-    def confirm(self, revision: int) -> None:
-        """Record that the view is complete up to a revision."""
+    def confirm(self, position: StorePosition) -> None:
+        """Record that the view is complete up to a position."""
         self.confirmed_s = self.kernel.clock.now_s()
-        if revision > self.revision:
-            self.revision = revision
-            if self.on_newer_revision is not None:
-                self.on_newer_revision()
+        if position > self.position:
+            self._records.position = position
+            if self.on_newer_position is not None:
+                self.on_newer_position()
 
     def replace(self, snapshot: Snapshot, source: str) -> None:
-        """Replace the view by a snapshot; a snapshot of a lower revision is ignored."""
-        self.record_epoch(snapshot.position.epoch, source)
-        revision = snapshot.position.revision
-        if revision < self.revision:
-            self.kernel.events.emit(SnapshotIgnored(revision, self.revision, source))
+        """Replace the view by a snapshot; of an earlier one, only a newer configuration is used."""
+        if snapshot.position < self.position:
+            self._skip(snapshot.entries, snapshot.position, source)
             return
+        is_restored = snapshot.position.epoch > self.position.epoch
+        if is_restored:
+            self._begin_epoch(snapshot.position.epoch, source)
         present = {
             entry.key: entry for entry in snapshot.entries if self._is_relevant_key(entry.key)
         }
-        for key in list(self._entries):
-            if key not in present:
+        # The configuration in force is passed on to peers even if the store has lost its record.
+        for key in self._records.keys() - {*present, self._dialect.keys.configuration}:
+            # A restored store has lost the latest records of quarantined requests, which doesn't
+            # lift them.
+            if is_restored and self._is_quarantine_record(key):
+                self._records.remove(key)
+            else:
                 self._remove(key, source)
         for entry in present.values():
-            known = self._entries.get(entry.key)
-            if known is None or known.mod_revision < entry.mod_revision:
-                self._put(entry, source)
-        self._changes.clear()
-        self._changes_from = revision
-        self.confirm(revision)
-
-    def apply(self, events: Iterable[KvEvent], revision: int, source: str) -> None:
-        """Apply changes that follow the current revision."""
-        latest = {event.key: event for event in events}
-        # Sorted by revision: when too many changes are kept, the oldest are dropped first, and the
-        # last one dropped gives the revision from which the kept changes are complete.
-        for event in sorted(latest.values(), key=lambda event: event.mod_revision):
-            # Peers may send changes that the store has already delivered. Applying an old change
-            # after a newer one would bring back a server that has left.
-            known = max(self.revision, self._known_revision(event.key))
-            if not self._is_relevant_key(event.key) or event.mod_revision <= known:
+            if self._records.is_news(entry):
+                self._put(entry, source, may_be_copied=True)
+        self._records.forget_changes(snapshot.position.revision)
+        self.confirm(snapshot.position)
+
+    def apply(self, events: Iterable[KvEvent], position: StorePosition, source: str) -> None:
+        """Apply changes that follow the current position; those of another epoch are skipped."""
+        if position.epoch != self.position.epoch:
+            self._skip(events, position, source)
+            return
+        for event in self._records.unknown_changes(events):
+            if not self._is_relevant_key(event.key):
                 continue
-            self._remember_change(event)
+            self._records.remember_change(event)
             if event.value is None:
                 self._remove(event.key, source)
             else:
-                self._put(KvEntry(event.key, event.value, event.mod_revision), source)
-        self.confirm(revision)
-
-    def delta_after(self, revision: int) -> Delta:
-        """Return the changes that a peer at a revision is missing."""
-        if revision < self._changes_from or revision == 0:
-            return Delta(tuple(self._entries.values()), (), self.revision)
-        missed = (event for event in self._changes.values() if event.mod_revision > revision)
-        return Delta(None, tuple(missed), self.revision)
-
-    def _remember_change(self, event: KvEvent) -> None:
-        self._changes.pop(event.key, None)
-        self._changes[event.key] = event
-        if len(self._changes) > MAX_KEPT_CHANGES:
-            oldest = next(iter(self._changes))
-            self._changes_from = self._changes.pop(oldest).mod_revision
-
-    def _known_revision(self, key: str) -> int:
-        known = self._entries.get(key)
-        return known.mod_revision if known else 0
+                entry = KvEntry(event.key, event.value, event.mod_revision)
+                self._put(entry, source, may_be_copied=False)
+        self.confirm(position)
+
+    def delta_after(self, position: StorePosition) -> Delta:
+        """Return the changes that a peer at a position is missing."""
+        return self._records.delta_after(position)
+
+    def record_announced_draining(self, keys: Iterable[int], source: str) -> None:
+        """Record servers that a peer knows to be draining and the store names as ready.
+
+        Parameters
+        ----------
+        keys
+            Hashes of the incarnations' ids.
+        source
+            The peer, for the log.
+        """
+        new = set(self._departures.record_announced(keys))
+        if not new:
+            return
+        for server in list(self._servers.values()):
+            if server_hash(server.incarnation_id) in new and not server.is_draining:
+                self._servers[server.server_id] = self._keep_draining(server, source)
+                self._index = None
+
+    def draining_to_announce(self) -> tuple[int, ...]:
+        """Return the draining servers that the store names as ready, by hash."""
+        return self._departures.to_announce()
+
+    def _begin_epoch(self, epoch: int, source: str) -> None:
+        if self.position != NO_POSITION:
+            self.kernel.events.emit(
+                StoreRestored(epoch, self.position.epoch, self.position.revision, source)
+            )
+        self._records.begin_epoch(epoch)
+
+    def _skip(
+        self, records: Iterable[KvEntry | KvEvent], position: StorePosition, source: str
+    ) -> None:
+        """Skip records from another position, but for a newer configuration.
+
+        A peer that isn't aware of a restore yet may know a configuration that the store has lost.
+        """
+        self.kernel.events.emit(StaleRecordsSkipped(*position, *self.position, source))
+        for record in records:
+            if record.key == self._dialect.keys.configuration and record.value is not None:
+                carried_over = KvEntry(record.key, record.value, CARRIED_OVER)
+                self._put_configuration(carried_over, source)
 
     def _is_relevant_key(self, key: str) -> bool:
         keys = self._dialect.keys
@@ -215,32 +247,66 @@
 
     def quarantine_records(self) -> list[KvEntry]:
         """Return the records of quarantined requests."""
-        prefix = self._dialect.keys.quarantine_prefix
-        return [entry for key, entry in self._entries.items() if key.startswith(prefix)]
+        return [entry for entry in self._records.entries() if self._is_quarantine_record(entry.key)]
 
     def has_key(self, key: str) -> bool:
         """Return whether a key exists in the store, according to the local view."""
-        return key in self._entries
-
-    def _put(self, entry: KvEntry, source: str) -> None:
-        self._entries[entry.key] = entry
+        return key in self._records
+
+    def _put(self, entry: KvEntry, source: str, *, may_be_copied: bool) -> None:
+        """Apply a record.
+
+        Parameters
+        ----------
+        entry
+            The record.
+        source
+            Where it comes from, for the log.
+        may_be_copied
+            Whether it may have been written before the store was restored.
+        """
+        if entry.key == self._dialect.keys.configuration:
+            self._put_configuration(entry, source)
+            return
+        self._records.put(entry)
         if self._is_quarantine_record(entry.key):
             self._notify_quarantine_record(entry)
             return
-        is_server = entry.key != self._dialect.keys.configuration
         try:
-            if is_server:
-                self._apply_server(
-                    self._dialect.decode_server(entry.key, entry.value), entry, source
-                )
-            else:
-                self._apply_configuration(self._dialect.decode_configuration(entry.value), source)
+            server = self._dialect.decode_server(entry.key, entry.value)
         except DocumentInvalid as cause:
+            self._reject(entry, source, cause)
+            self._drop_overwritten(entry.key, source)
+            return
+        if may_be_copied and self._must_hold(server):
+            self._hold(server, source)
+        else:
+            self._apply_server(server, entry, source)
+
+    def _put_configuration(self, entry: KvEntry, source: str) -> None:
+        try:
+            configuration = self._dialect.decode_configuration(entry.value)
+        except DocumentInvalid as cause:
+            self._reject(entry, source, cause)
+            return
+        known = self.configuration
+        if known is not None and configuration.version < known.version:
+            # A delayed read, a peer that is behind or a restored store may deliver an older
+            # version. Applying it would restore routes and keys that operators have since changed.
             self.kernel.events.emit(
-                DocumentRejected(entry.key, entry.mod_revision, source, cause.detail)
+                ConfigurationIgnored(configuration.version, known.version, source)
             )
-            if is_server:
-                self._drop_overwritten(entry.key, source)
+            return
+        if known is None or configuration.version > known.version:
+            self._apply_configuration(configuration, source)
+        elif entry.mod_revision == CARRIED_OVER:
+            return
+        self._records.put(entry)
+
+    def _reject(self, entry: KvEntry, source: str, cause: DocumentInvalid) -> None:
+        self.kernel.events.emit(
+            DocumentRejected(entry.key, entry.mod_revision, source, cause.detail)
+        )
 
     def _drop_overwritten(self, key: str, source: str) -> None:
         """Drop a server whose record another writer has overwritten.
@@ -254,11 +320,6 @@
             self._drop(server, source)
 
     def _apply_configuration(self, configuration: Configuration, source: str) -> None:
-        # A delayed read, or a peer that is behind, may deliver an older version. Applying it would
-        # restore routes and keys that operators have since changed, so only newer versions count.
-        known = self.configuration
-        if known is not None and configuration.version <= known.version:
-            return
         self.configuration = configuration
         self.routes = RouteTable(configuration.routes)
         self.configuration_known.set()
@@ -279,6 +340,9 @@
             )
             return
         self._remember_incarnation(server)
+        self._held.pop(server.server_id, None)
+        self._departures.record_registered(server_hash(server.incarnation_id))
+        server = self._with_known_draining(server, source)
         known = self._servers.get(server.server_id)
         self._lapse_ends_s.pop(server.server_id, None)
         if known == server:
@@ -299,6 +363,59 @@
             )
         )
 
+    def _with_known_draining(self, server: BackendServer, source: str) -> BackendServer:
+        """Return a server as draining if it has ever been, and remember it if it is."""
+        key = server_hash(server.incarnation_id)
+        if server.is_draining:
+            self._departures.record_draining(key)
+        elif self._departures.is_draining(key):
+            return self._keep_draining(server, source)
+        return server
+
+    def _keep_draining(self, server: BackendServer, source: str) -> BackendServer:
+        if self._departures.record_contradiction(server_hash(server.incarnation_id)):
+            self.kernel.events.emit(ServerKeptDraining(server.server_id, server.service, source))
+            if self.on_newer_position is not None:
+                self.on_newer_position()
+        return server._replace(is_draining=True)
+
+    def _must_hold(self, server: BackendServer) -> bool:
+        """Return whether a server may be gone although the restored store has its record.
+
+        The platform removes the record of a server that is gone once its heartbeats are missing.
+        """
+        key = server_hash(server.incarnation_id)
+        return (
+            not server.is_draining
+            and self._departures.was_removed_before(key, self.position.epoch)
+            and self.kernel.clock.now_s() < self._hold_ends_s
+        )
+
+    @property
+    def _hold_ends_s(self) -> float:
+        return self.store_returned_s + self._registration_expiry_s + LAPSE_GRACE_S
+
+    def _hold(self, server: BackendServer, source: str) -> None:
+        if server.server_id not in self._held:
+            self.kernel.events.emit(ServerHeld(server.server_id, server.service, source))
+        self._held[server.server_id] = server
+
+    def held_servers(self) -> dict[str, float]:
+        """Return the servers that aren't used yet after a restore, with the remaining seconds."""
+        left_s = self._hold_ends_s - self.kernel.clock.now_s()
+        return {server.incarnation_id: left_s for server in self._held.values() if left_s > 0}
+
+    def _release_held(self) -> None:
+        """Use the held servers whose records the platform hasn't removed."""
+        if self.kernel.clock.now_s() < self._hold_ends_s:
+            return
+        held, self._held = self._held, {}
+        for server in held.values():
+            key = self._dialect.keys.servers_prefix + server.server_id
+            self._apply_server(
+                server, KvEntry(key, b"", CARRIED_OVER), "registered after a restore"
+            )
+
     def _remember_incarnation(self, server: BackendServer) -> None:
         if server.born_ms is None:
             return
@@ -315,12 +432,16 @@
             self.on_quarantine_record(record)
 
     def _remove(self, key: str, source: str) -> None:
-        self._entries.pop(key, None)
+        self._records.remove(key)
         if self._is_quarantine_record(key):
             if self.kernel.clock.now_s() >= self.store_returned_s + LAPSE_GRACE_S:
-                self._notify_quarantine_record(KvEvent(key, None, self.revision))
+                self._notify_quarantine_record(KvEvent(key, None, self.position.revision))
             return
-        server = self._servers.get(key.removeprefix(self._dialect.keys.servers_prefix))
+        server_id = key.removeprefix(self._dialect.keys.servers_prefix)
+        held = self._held.pop(server_id, None)
+        if held is not None:
+            self._record_removed(held)
+        server = self._servers.get(server_id)
         if server is None:
             return
         removed_at_s = self.store_returned_s + LAPSE_GRACE_S
@@ -328,8 +449,12 @@
             self._lapse_ends_s[server.server_id] = removed_at_s
             self.kernel.events.emit(ServerLapsed(server.server_id, server.service, source))
             return
+        self._record_removed(server)
         self._drop(server, source)
 
+    def _record_removed(self, server: BackendServer) -> None:
+        self._departures.record_removed(server_hash(server.incarnation_id), self.position.epoch)
+
     def _drop(self, server: BackendServer, source: str) -> None:
         del self._servers[server.server_id]
         self._index = None
@@ -345,6 +470,7 @@
         for server_id, removed_at_s in list(self._lapse_ends_s.items()):
             if now_s >= removed_at_s:
                 del self._lapse_ends_s[server_id]
+                self._record_removed(self._servers[server_id])
                 self._drop(self._servers[server_id], "not registered again after a store outage")
 
     def _current_index(self) -> _Index:
@@ -355,6 +481,8 @@
         """
         if self._lapse_ends_s:
             self._expire_lapsed()
+        if self._held:
+            self._release_held()
         if self._index is None:
             by_service: dict[str, list[BackendServer]] = {}
             for server in sorted(
--- a/packages/proxy/src/sassafrastally/proxy/fleet_view.py
+++ b/packages/proxy/src/sassafrastally/proxy/fleet_view.py
@@ -327,4 +327,6 @@
 
     def _own_suspects(self) -> dict[int, float]:
         left = self._own_servers_to_avoid(self.kernel.clock.now_s())
+        # Entries that start after a restore of the store don't know that these may be gone.
+        left.update(self._cluster_state.held_servers())
         return {server_hash(incarnation_id): left_s for incarnation_id, left_s in left.items()}
--- a/packages/proxy/src/sassafrastally/proxy/internal_endpoints.py
+++ b/packages/proxy/src/sassafrastally/proxy/internal_endpoints.py
@@ -10,6 +10,7 @@
 from sassafrastally.core import Service
 from sassafrastally.proxy.backpressure import Backpressure
 from sassafrastally.proxy.caller_listener import CallerListener
+from sassafrastally.proxy.change_fetcher import parse_changes_target
 from sassafrastally.proxy.cluster_state import ClusterState
 from sassafrastally.proxy.fleet_view import FleetView
 from sassafrastally.proxy.http_stream import ConnectionLost, HttpStream, enable_keepalive
@@ -73,10 +74,10 @@
         return (200 if is_ready else 503), reason.encode()
 
     def _handle_peer_changes(self, target: str) -> tuple[int, bytes]:
-        _, _, revision = target.partition("after=")
-        if not revision.isdigit():
-            return 400, b"no revision"
-        return 200, encode_delta(self._cluster_state.delta_after(int(revision)))
+        position = parse_changes_target(target)
+        if position is None:
+            return 400, b"no position"
+        return 200, encode_delta(self._cluster_state.delta_after(position))
 
     def _handle_metrics(self, _target: str) -> tuple[int, bytes]:
         return 200, metrics_page(self._gauges()).encode()
@@ -86,8 +87,8 @@
         configuration = self._cluster_state.configuration
         return {
             "configuration_version": configuration.version if configuration else 0,
-            "store_epoch": self._cluster_state.epoch,
-            "store_revision": self._cluster_state.revision,
+            "store_epoch": self._cluster_state.position.epoch,
+            "store_revision": self._cluster_state.position.revision,
             "beliefs_age_seconds": now_s - self._cluster_state.confirmed_s,
             "store_age_seconds": now_s - self._cluster_state.store_answered_s,
             "backend_servers": self._cluster_state.server_count(),
--- a/packages/proxy/src/sassafrastally/proxy/log_events/knowledge.py
+++ b/packages/proxy/src/sassafrastally/proxy/log_events/knowledge.py
@@ -93,9 +93,11 @@
 
 @event(10008)
 class HistoryReread(NamedTuple):
-    """The store compacted changes that this process hadn't read; it reloads the full state."""
+    """The store doesn't have the changes that follow; this process reloads the full state."""
 
+    epoch: int
     revision: int
+    cause: str
 
 
 @event(10045, "warning")
@@ -110,15 +112,44 @@
     source: str
 
 
-@event(10046, "warning")
-class SnapshotIgnored(NamedTuple):
-    """A full snapshot has a lower revision than the applied one and is ignored."""
+@event(10046)
+class StaleRecordsSkipped(NamedTuple):
+    """Records from an earlier position of the store, or from another epoch, are skipped."""
 
+    epoch: int
     revision: int
+    known_epoch: int
     known_revision: int
     source: str
 
 
+@event(10047)
+class ConfigurationIgnored(NamedTuple):
+    """A configuration is older than the one in force and is ignored."""
+
+    version: int
+    known_version: int
+    source: str
+
+
+@event(10048, "warning")
+class ServerKeptDraining(NamedTuple):
+    """A server that is known to be draining is named as ready; it stays out of use."""
+
+    server_id: str
+    service: str
+    source: str
+
+
+@event(10049, "warning")
+class ServerHeld(NamedTuple):
+    """A server that had been removed is back after a restore of the store; it isn't used yet."""
+
+    server_id: str
+    service: str
+    source: str
+
+
 @event(10028)
 class WatchTakenOver(NamedTuple):
     """This entry starts watching the store because the previous watchers get no responses."""
@@ -148,8 +179,10 @@
     """A peer with newer changes failed to send them; it or another peer is asked again."""
 
     peer: str
+    epoch: int
     revision: int
     """Store revision that this process has applied."""
+    peer_epoch: int
     peer_revision: int
     cause: str
 
--- a/packages/proxy/src/sassafrastally/proxy/peer_messages.py
+++ b/packages/proxy/src/sassafrastally/proxy/peer_messages.py
@@ -17,7 +17,6 @@
 
 # Runtime import: KvEntry and KvEvent are field types of named tuples.
 from sassafrastally.core import KvEntry, KvEvent
-from sassafrastally.proxy.cluster_state import Delta
 from sassafrastally.proxy.dialect import DocumentInvalid
 from sassafrastally.proxy.limit_exchange import LimitReport
 from sassafrastally.proxy.load import Work
@@ -28,6 +27,8 @@
     QuarantineReport,
     VerdictReport,
 )
+from sassafrastally.proxy.store import StorePosition
+from sassafrastally.proxy.store_records import Delta
 from sassafrastally.proxy.store_watchers import WatchCandidate
 
 if TYPE_CHECKING:
@@ -66,7 +67,7 @@
     host: str
     boot_id: int
     sequence: int
-    revision: int
+    position: StorePosition
     confirmed_age_s: float
     is_stopping: bool
     loads: dict[int, Work]
@@ -91,6 +92,10 @@
     """Updates on requests during which servers crash."""
     limits: Mapping[int, LimitReport] = MappingProxyType({})
     """Request rate limits that servers announce, by hash of the id, the latest first."""
+    configuration_version: int = 0
+    """Version of the configuration in force; 0 if none is known."""
+    draining: tuple[int, ...] = ()
+    """Draining servers that a restored store names as ready, by hash of the id."""
 
 
 @cache
@@ -128,7 +133,10 @@
         host=hello.host,
         bootId=hello.boot_id,
         sequence=hello.sequence,
-        revision=hello.revision,
+        revision=hello.position.revision,
+        epoch=hello.position.epoch,
+        configurationVersion=hello.configuration_version,
+        draining=list(hello.draining),
         confirmedAgeMs=_to_thousandths(hello.confirmed_age_s),
         isStopping=hello.is_stopping,
         loads=[_encode_load(key, work) for key, work in loads],
@@ -192,7 +200,7 @@
             host=message.host,
             boot_id=message.bootId,
             sequence=message.sequence,
-            revision=message.revision,
+            position=StorePosition(message.epoch, message.revision),
             confirmed_age_s=message.confirmedAgeMs / 1000,
             is_stopping=message.isStopping,
             loads={load.server: _decode_load(load) for load in message.loads},
@@ -210,6 +218,8 @@
             ),
             quarantine=_decode_quarantine(message),
             limits={limit.server: _decode_limit(limit) for limit in message.limits},
+            configuration_version=message.configurationVersion,
+            draining=tuple(message.draining),
         )
     except (capnp.KjException, ValueError) as cause:
         raise DocumentInvalid(f"invalid datagram from a peer: {cause!r}") from cause
@@ -283,7 +293,8 @@
     The body is compressed, since configurations are large and repetitive and must arrive quickly.
     """
     message = _schema().Delta.new_message(
-        revision=delta.revision,
+        epoch=delta.position.epoch,
+        revision=delta.position.revision,
         isEverything=delta.entries is not None,
         items=[_encode_item(*item[:3]) for item in (delta.entries or delta.events)],
     )
@@ -296,16 +307,17 @@
         with _schema().Delta.from_bytes(
             zlib.decompress(body), traversal_limit_in_words=MAX_DELTA_WORDS
         ) as message:
+            position = StorePosition(message.epoch, message.revision)
             if message.isEverything:
                 entries = tuple(
                     KvEntry(item.key, bytes(item.value), item.revision) for item in message.items
                 )
-                return Delta(entries, (), message.revision)
+                return Delta(entries, (), position)
             events = tuple(
                 KvEvent(item.key, None if item.isRemoved else bytes(item.value), item.revision)
                 for item in message.items
             )
-            return Delta(None, events, message.revision)
+            return Delta(None, events, position)
     except (zlib.error, capnp.KjException, ValueError) as cause:
         raise DocumentInvalid(f"invalid changes from a peer: {cause!r}") from cause
 
--- a/packages/proxy/src/sassafrastally/proxy/peers.capnp
+++ b/packages/proxy/src/sassafrastally/proxy/peers.capnp
@@ -22,6 +22,9 @@
   verdicts @17 :List(Verdict);  # quarantined requests
   answers @18 :List(Answer);  # answers to requests during which servers crashed
   limits @19 :List(Limit);    # request rates that servers accept over all entries
+  epoch @20 :UInt64;          # number of restores of the store known to the sender
+  configurationVersion @21 :UInt64;  # of the configuration in force; 0: none
+  draining @22 :List(UInt64);  # hashes of the ids of draining servers that a restored store names as ready
 }
 
 struct Limit {
@@ -59,12 +62,13 @@
   revision @0 :UInt64;
   isEverything @1 :Bool;      # a full snapshot instead of changes
   items @2 :List(Item);
+  epoch @3 :UInt64;
 }
 
 struct Item {
   key @0 :Text;
   value @1 :Data;
-  revision @2 :UInt64;
+  revision @2 :UInt64;        # 0: kept by the sender from before a restore of the store
   isRemoved @3 :Bool;
 }
 
--- a/packages/proxy/src/sassafrastally/proxy/peers.py
+++ b/packages/proxy/src/sassafrastally/proxy/peers.py
@@ -16,7 +16,7 @@
 from sassafrastally.core import Address, Service
 from sassafrastally.proxy.address_registration import AddressRegistration
 from sassafrastally.proxy.calls import CallClient
-from sassafrastally.proxy.change_fetcher import ChangeFetcher, Source
+from sassafrastally.proxy.change_fetcher import ChangeFetcher, Source, has_news
 from sassafrastally.proxy.cluster_state import ClusterState
 from sassafrastally.proxy.dialect import DocumentInvalid
 from sassafrastally.proxy.limit_exchange import LimitExchange, NullLimitExchange
@@ -35,11 +35,11 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable, Mapping, Sequence
 
-    from sassafrastally.core import KvEntry, KvEvent
+    from sassafrastally.core import KvEvent
     from sassafrastally.proxy.dialect import Dialect
     from sassafrastally.proxy.load import Ledger, Work
     from sassafrastally.proxy.settings import ProxySettings
-    from sassafrastally.proxy.store import Store
+    from sassafrastally.proxy.store import Snapshot, Store
 
 MAX_SEND_INTERVAL_S = 0.25
 """Maximum time between two datagrams, and between two sums of a data centre."""
@@ -97,7 +97,7 @@
     async def start(self, nursery: trio.Nursery) -> None:
         """Bind the UDP port and start the exchange."""
         self._cluster_state = self.kernel.get("beliefs", ClusterState)
-        self._cluster_state.on_newer_revision = self._ledger.note_change
+        self._cluster_state.on_newer_position = self._ledger.note_change
         self._boot_id = self.kernel.random.getrandbits(64)
         self._socket = trio.socket.socket(type=trio.socket.SOCK_DGRAM)
         await self._socket.bind((self._settings.host, self._settings.peer_port))
@@ -122,9 +122,9 @@
         """Announce to the peers that this entry is stopping."""
         self._is_stopping = True
 
-    def record_snapshot(self, entries: Sequence[KvEntry]) -> None:
+    def record_snapshot(self, snapshot: Snapshot) -> None:
         """Read the entries' addresses from a snapshot of the store."""
-        self._address_registration.record_snapshot(entries)
+        self._address_registration.record_snapshot(snapshot.entries, snapshot.position.epoch)
 
     def note_changes(self, events: Sequence[KvEvent]) -> None:
         """Read the entries' addresses from changes of the store."""
@@ -201,7 +201,7 @@
             host=self._settings.host,
             boot_id=self._boot_id,
             sequence=self._sequence,
-            revision=self._cluster_state.revision,
+            position=self._cluster_state.position,
             confirmed_age_s=now_s - self._cluster_state.confirmed_s,
             is_stopping=self._is_stopping,
             loads={
@@ -216,6 +216,8 @@
             data_centre=self._settings.data_centre,
             link_mbps=self._settings.link_mbps,
             limits=self.limits.limits_to_send(),
+            configuration_version=self._cluster_state.configuration_version,
+            draining=self._cluster_state.draining_to_announce(),
         )
 
     @property
@@ -235,23 +237,27 @@
         )
 
     def _sources(self) -> list[Source]:
-        """Return the live peers that know a newer revision."""
+        """Return the live peers that know a later position or a newer configuration."""
         own_centre = self._settings.data_centre
         newer = [
             hello
             for hello, _ in self._table.effective_messages(self._now_s)
-            if hello.revision > self._cluster_state.revision
+            if self._has_news(hello)
         ]
         return [
             Source(
                 host=hello.host,
                 is_local=hello.data_centre == own_centre,
-                revision=hello.revision,
+                position=hello.position,
+                configuration_version=hello.configuration_version,
                 calls=self._client(hello.host),
             )
             for hello in newer
         ]
 
+    def _has_news(self, hello: Hello) -> bool:
+        return has_news(hello.position, hello.configuration_version, self._cluster_state)
+
     def _defers_to_relays(self) -> bool:
         return self._table.has_relay(self._now_s) and not self._table.is_relay(self._now_s)
 
@@ -290,9 +296,10 @@
         # peers also keep servers with expired leases during the grace period.
         returned_s = now_s - hello.returned_age_s
         self._cluster_state.store_returned_s = max(self._cluster_state.store_returned_s, returned_s)
-        if hello.revision > self._cluster_state.revision:
-            self._change_fetcher.note_newer_revision()
-        elif hello.revision == self._cluster_state.revision:
+        self._cluster_state.record_announced_draining(hello.draining, f"peer {hello.host}")
+        if self._has_news(hello):
+            self._change_fetcher.note_news()
+        elif hello.position == self._cluster_state.position:
             confirmed_s = now_s - hello.confirmed_age_s
             self._cluster_state.confirmed_s = max(self._cluster_state.confirmed_s, confirmed_s)
 
--- a/packages/proxy/src/sassafrastally/proxy/quarantine_service.py
+++ b/packages/proxy/src/sassafrastally/proxy/quarantine_service.py
@@ -245,10 +245,10 @@
         left_s = verdict.until_s - self._now_s
         if left_s < MIN_RECORD_S:
             return
-        lease_id = await self._store.grant_lease(left_s)
+        lease = await self._store.grant_lease(left_s)
         record = {"crashes": verdict.crashes, "seen_by": self.kernel.vm}
         value = json.dumps(record).encode()
-        await self._store.write([KvWrite(key, value, KEY_ABSENT, lease_id)])
+        await self._store.write([KvWrite(key, value, KEY_ABSENT, lease.lease_id)], lease)
 
     async def _clean_up(self) -> None:
         while True:
--- a/packages/proxy/src/sassafrastally/proxy/settings.py
+++ b/packages/proxy/src/sassafrastally/proxy/settings.py
@@ -33,6 +33,8 @@
     """Port for datagrams and calls between entries; the same on all VMs."""
     metrics_port: int
     store_address: Address
+    registration_expiry_s: float
+    """Time without a heartbeat after which the platform removes a backend server's record."""
     link_mbps: int
     """Network bandwidth of the VM, in megabits per second."""
     bounds: ProcessLimits
--- a/packages/proxy/src/sassafrastally/proxy/store.py
+++ b/packages/proxy/src/sassafrastally/proxy/store.py
@@ -15,7 +15,7 @@
 
 @error(10002)
 class HistoryGone(CodedError):
-    """The store no longer has the changes after a revision; a new snapshot must be read."""
+    """The store doesn't have the changes after a position; a new snapshot must be read."""
 
 
 @error(10003)
@@ -50,6 +50,14 @@
     position: StorePosition
 
 
+class Lease(NamedTuple):
+    """A lease, which a restore of the store may lose; its id may then be given out again."""
+
+    lease_id: int
+    epoch: int
+    """Epoch in which it was granted or last seen."""
+
+
 class Store(Protocol):
     """Store operations; each raises `sassafrastally.core.KvUnavailable` if it had no effect."""
 
@@ -57,18 +65,18 @@
         """Return all entries under a prefix."""
         ...
 
-    async def watch(self, prefix: str, after_revision: int, wait_s: float) -> Changes:
+    async def watch(self, prefix: str, after: StorePosition, wait_s: float) -> Changes:
         """Wait for changes under a prefix; raises `HistoryGone`."""
         ...
 
-    async def write(self, writes: Sequence[KvWrite]) -> int:
+    async def write(self, writes: Sequence[KvWrite], lease: Lease | None = None) -> int:
         """Apply all writes atomically; raises `KvConflict`, `LeaseLost` and `MaybeApplied`."""
         ...
 
-    async def grant_lease(self, time_to_live_s: float) -> int:
-        """Return the id of a new lease; raises `MaybeApplied`."""
+    async def grant_lease(self, time_to_live_s: float) -> Lease:
+        """Return a new lease; raises `MaybeApplied`."""
         ...
 
-    async def keep_lease(self, lease_id: int) -> float:
+    async def keep_lease(self, lease: Lease) -> float:
         """Renew a lease; return its time to live; raises `LeaseLost` and `MaybeApplied`."""
         ...
--- a/packages/proxy/src/sassafrastally/proxy/watch.py
+++ b/packages/proxy/src/sassafrastally/proxy/watch.py
@@ -17,7 +17,7 @@
 )
 from sassafrastally.proxy.metrics import STORE_LOSSES
 from sassafrastally.proxy.peers import Peers
-from sassafrastally.proxy.store import HistoryGone
+from sassafrastally.proxy.store import NO_POSITION, HistoryGone
 from sassafrastally.proxy.store_watchers import must_watch_store
 
 if TYPE_CHECKING:
@@ -41,7 +41,8 @@
 MIN_RETRY_PAUSE_S = 0.05
 MAX_RETRY_PAUSE_S = 0.5
 """Exponential backoff after failed calls, with jitter: entries must not all call a store at once
-that has just recovered, and must reconnect well within two seconds."""
+that has just recovered, and must reconnect well within two seconds. A second full read without a
+watch that was answered in between waits in the same way."""
 
 MAX_NON_PROBER_PAUSE_S = 1.5
 """Maximum pause of entries that aren't probers, the few that retry an unavailable store often. If
@@ -71,7 +72,7 @@
         nursery.start_soon(self._follow)
 
     async def _follow(self) -> None:
-        pause_s = MIN_RETRY_PAUSE_S
+        pause_s, reread_pause_s = MIN_RETRY_PAUSE_S, 0.0
         must_read = True
         while True:
             if not must_read and not self._has_duty():
@@ -80,23 +81,24 @@
             try:
                 if must_read:
                     await self._read_snapshot()
-                    must_read, pause_s = False, MIN_RETRY_PAUSE_S
+                    must_read = False
                     continue
                 wait_s, self._wait_s = self._wait_s, WATCH_WAIT_S
-                changes = await self._store.watch(
-                    ALL_KEYS_PREFIX, self._cluster_state.revision, wait_s
-                )
+                known = self._cluster_state.position
+                changes = await self._store.watch(ALL_KEYS_PREFIX, known, wait_s)
                 self._record_recovered()
                 configuration = self._cluster_state.configuration
                 self._peers.note_changes(changes.events)
-                self._cluster_state.record_epoch(changes.position.epoch, "store")
-                self._cluster_state.apply(changes.events, changes.position.revision, "store")
-                pause_s = MIN_RETRY_PAUSE_S
+                self._cluster_state.apply(changes.events, changes.position, "store")
+                pause_s, reread_pause_s = MIN_RETRY_PAUSE_S, 0.0
                 if self._cluster_state.configuration is not configuration:
                     await trio.sleep(CONFIGURATION_PAUSE_S)
-            except HistoryGone:
-                self.kernel.events.emit(HistoryReread(self._cluster_state.revision))
-                must_read = True
+            except HistoryGone as cause:
+                self.kernel.events.emit(HistoryReread(*known, cause.detail))
+                # A peer may have passed on the present state during the call.
+                must_read = self._cluster_state.position.epoch == known.epoch
+                await trio.sleep(reread_pause_s * self.kernel.random.uniform(0.5, 1.0))
+                reread_pause_s = min(MAX_RETRY_PAUSE_S, max(MIN_RETRY_PAUSE_S, 2 * reread_pause_s))
             except KvUnavailable as cause:
                 self._record_lost(cause)
                 await trio.sleep(pause_s * self.kernel.random.uniform(0.5, 1.0))
@@ -104,10 +106,15 @@
 
     async def _read_snapshot(self) -> None:
         snapshot = await self._store.read_prefix(ALL_KEYS_PREFIX)
-        is_first = self._cluster_state.revision == 0
-        self._cluster_state.replace(snapshot, "store")
+        known = self._cluster_state.position
+        is_first = known == NO_POSITION
+        if not is_first and snapshot.position.epoch > known.epoch and self._lost_since_s is None:
+            self._lost_since_s = self.kernel.clock.now_s()
+        # Before the snapshot is applied: servers whose records an outage or a restore has removed
+        # get the grace period.
         self._record_recovered()
-        self._peers.record_snapshot(snapshot.entries)
+        self._cluster_state.replace(snapshot, "store")
+        self._peers.record_snapshot(snapshot)
         if is_first and self._peers.has_known_peers():
             await trio.sleep(PEER_DISCOVERY_WAIT_S)
 
@@ -127,7 +134,9 @@
         )
         if self._is_watching and not had_duty:
             self._wait_s = TAKEOVER_WAIT_S
-            self.kernel.events.emit(WatchTakenOver(len(others), self._cluster_state.revision))
+            self.kernel.events.emit(
+                WatchTakenOver(len(others), self._cluster_state.position.revision)
+            )
             if self._lost_since_s is None:
                 self._lost_since_s = self.kernel.clock.now_s()
         return self._is_watching
@@ -140,7 +149,7 @@
         STORE_LOSSES.add(1)
         age_s = min(now_s - self._cluster_state.confirmed_s, 1e6)
         self.kernel.events.emit(
-            StoreLost("watch", cause.detail, self._cluster_state.revision, round(age_s, 3))
+            StoreLost("watch", cause.detail, self._cluster_state.position.revision, round(age_s, 3))
         )
 
     def _record_recovered(self) -> None:
@@ -151,4 +160,4 @@
         self._cluster_state.store_returned_s = now_s
         away_s = round(now_s - self._lost_since_s, 3)
         self._lost_since_s = None
-        self.kernel.events.emit(StoreRegained(away_s, self._cluster_state.revision))
+        self.kernel.events.emit(StoreRegained(away_s, self._cluster_state.position.revision))
--- a/packages/proxy/tests/test_cluster_state.py
+++ b/packages/proxy/tests/test_cluster_state.py
@@ -12,6 +12,8 @@
 from sassafrastally.proxy.model import BackendServer, Configuration, RequestLimits
 from sassafrastally.proxy.store import Snapshot, StorePosition
 
+REGISTRATION_EXPIRY_S = 3.0
+
 LIMITS = RequestLimits(1000, 1000, 1.0, 1.0)
 
 
@@ -39,7 +41,14 @@
 @pytest.fixture
 async def cluster_state(autojump_clock):
     kernel = Kernel("vm", "dc", Clock(), seed=1)
-    return kernel.add(ClusterState(PlainDialect()))
+    cluster_state = kernel.add(ClusterState(PlainDialect(), REGISTRATION_EXPIRY_S))
+    cluster_state.replace(Snapshot((), at(0)), "store")
+    return cluster_state
+
+
+def at(revision: int, epoch: int = 1) -> StorePosition:
+    """Return a position of the store."""
+    return StorePosition(epoch, revision)
 
 
 def put(key: str, value: str, revision: int) -> KvEvent:
@@ -53,10 +62,8 @@
     async def test_older_version_from_a_delayed_read_is_ignored(self, cluster_state):
         """A delayed store read delivers an older version after a watch has delivered a newer one.
         Guards against restoring routes and keys that operators have removed."""
-        cluster_state.apply([put("config", "7", 10)], 10, "store")
-        cluster_state.replace(
-            Snapshot((KvEntry("config", b"5", 11),), StorePosition(1, 11)), "store"
-        )
+        cluster_state.apply([put("config", "7", 10)], at(10), "store")
+        cluster_state.replace(Snapshot((KvEntry("config", b"5", 11),), at(11)), "store")
         assert cluster_state.configuration.version == 7
 
     async def test_only_the_last_of_many_versions_is_kept_for_peers(self, cluster_state):
@@ -64,9 +71,9 @@
         keeping them all for peers that are behind: a hundred megabytes of memory, fetched by each
         such peer."""
         for revision in range(1, 201):
-            cluster_state.apply([put("config", str(revision), revision)], revision, "store")
-        cluster_state.apply([put("servers/a", "false", 201)], 201, "store")
-        delta = cluster_state.delta_after(1)
+            cluster_state.apply([put("config", str(revision), revision)], at(revision), "store")
+        cluster_state.apply([put("servers/a", "false", 201)], at(201), "store")
+        delta = cluster_state.delta_after(at(1))
         assert [event.key for event in delta.events] == ["config", "servers/a"]
         assert delta.events[0].value == b"200"
 
@@ -76,12 +83,12 @@
         only some of the servers' changes never receives it."""
         servers = [put(f"servers/{n}", "false", n) for n in range(2, 602)]
         changes = [put("config", "1", 1), *servers, put("config", "2", 602)]
-        cluster_state.apply(changes, 602, "store")
-        assert "config" in {event.key for event in cluster_state.delta_after(300).events}
+        cluster_state.apply(changes, at(602), "store")
+        assert "config" in {event.key for event in cluster_state.delta_after(at(300)).events}
 
     async def test_invalid_configuration_leaves_the_last_one_in_force(self, cluster_state):
-        cluster_state.apply([put("config", "7", 10)], 10, "store")
-        cluster_state.apply([put("config", "broken", 11)], 11, "store")
+        cluster_state.apply([put("config", "7", 10)], at(10), "store")
+        cluster_state.apply([put("config", "broken", 11)], at(11), "store")
         assert cluster_state.configuration.version == 7
 
 
@@ -89,21 +96,23 @@
     """Backend servers join, drain and leave."""
 
     async def test_draining_server_is_known_but_not_used(self, cluster_state):
-        cluster_state.apply([put("servers/a", "false", 1), put("servers/b", "true", 2)], 2, "store")
+        cluster_state.apply(
+            [put("servers/a", "false", 1), put("servers/b", "true", 2)], at(2), "store"
+        )
         assert [server.server_id for server in cluster_state.servers_of("s")] == ["a"]
         assert cluster_state.server("b") is not None
 
     async def test_old_change_from_a_peer_does_not_restore_a_removed_server(self, cluster_state):
         """A server has left, and a peer that is behind sends the last change of its record with the
         old revision. Guards against requests to a server that is gone."""
-        cluster_state.apply([put("servers/a", "false", 1)], 1, "store")
-        cluster_state.apply([KvEvent("servers/a", None, 5)], 5, "store")
-        cluster_state.apply([put("servers/a", "false", 3)], 3, "peer")
+        cluster_state.apply([put("servers/a", "false", 1)], at(1), "store")
+        cluster_state.apply([KvEvent("servers/a", None, 5)], at(5), "store")
+        cluster_state.apply([put("servers/a", "false", 3)], at(3), "peer")
         assert cluster_state.server("a") is None
 
     async def test_older_snapshot_is_ignored(self, cluster_state):
-        cluster_state.apply([put("servers/a", "false", 9)], 9, "store")
-        cluster_state.replace(Snapshot((), StorePosition(1, 4)), "peer")
+        cluster_state.apply([put("servers/a", "false", 9)], at(9), "store")
+        cluster_state.replace(Snapshot((), at(4)), "peer")
         assert cluster_state.server("a") is not None
 
     async def test_server_whose_lease_expired_in_an_outage_is_kept_for_a_grace_period(
@@ -112,19 +121,19 @@
         """Leases expired during a store outage, so the first changes after it remove live servers,
         which register again within two seconds. Guards against refusing all requests meanwhile."""
         cluster_state.apply(
-            [put("servers/a", "false", 1), put("servers/b", "false", 2)], 2, "store"
+            [put("servers/a", "false", 1), put("servers/b", "false", 2)], at(2), "store"
         )
         cluster_state.store_returned_s = cluster_state.kernel.clock.now_s()
         gone = [KvEvent("servers/a", None, 3), KvEvent("servers/b", None, 4)]
-        cluster_state.apply(gone, 4, "store")
+        cluster_state.apply(gone, at(4), "store")
         assert len(cluster_state.servers_of("s")) == 2
-        cluster_state.apply([put("servers/a", "false", 5)], 5, "store")
+        cluster_state.apply([put("servers/a", "false", 5)], at(5), "store")
         autojump_clock.jump(LAPSE_GRACE_S + 0.1)
         assert [server.server_id for server in cluster_state.servers_of("s")] == ["a"]
 
     async def test_server_removed_without_an_outage_is_dropped_at_once(self, cluster_state):
-        cluster_state.apply([put("servers/a", "false", 1)], 1, "store")
-        cluster_state.apply([KvEvent("servers/a", None, 2)], 2, "store")
+        cluster_state.apply([put("servers/a", "false", 1)], at(1), "store")
+        cluster_state.apply([KvEvent("servers/a", None, 2)], at(2), "store")
         assert cluster_state.servers_of("s") == []
 
 
@@ -132,9 +141,9 @@
     """Servers that restart under the same id."""
 
     async def test_next_incarnation_is_another_server(self, cluster_state):
-        cluster_state.apply([put("servers/a", "[false, 1000]", 1)], 1, "store")
+        cluster_state.apply([put("servers/a", "[false, 1000]", 1)], at(1), "store")
         (first,) = cluster_state.servers_of("s")
-        cluster_state.apply([put("servers/a", "[false, 2000]", 2)], 2, "store")
+        cluster_state.apply([put("servers/a", "[false, 2000]", 2)], at(2), "store")
         (second,) = cluster_state.servers_of("s")
         assert first.server_id == second.server_id
         assert first.incarnation_id != second.incarnation_id
@@ -146,25 +155,25 @@
         """A server crashes while its last write, which marks it as draining, is in flight, and
         restarts under the same id. Guards against applying the late write to the new incarnation,
         which would get no requests until its next own write."""
-        cluster_state.apply([put("servers/a", "[false, 1000]", 1)], 1, "store")
-        cluster_state.apply([put("servers/a", "[false, 2000]", 2)], 2, "store")
-        cluster_state.apply([put("servers/a", late, 3)], 3, "store")
+        cluster_state.apply([put("servers/a", "[false, 1000]", 1)], at(1), "store")
+        cluster_state.apply([put("servers/a", "[false, 2000]", 2)], at(2), "store")
+        cluster_state.apply([put("servers/a", late, 3)], at(3), "store")
         assert [server.born_ms for server in cluster_state.servers_of("s")] == [2000]
 
     async def test_late_record_is_ignored_after_the_server_has_left(self, cluster_state):
-        cluster_state.apply([put("servers/a", "[false, 2000]", 2)], 2, "store")
-        cluster_state.apply([KvEvent("servers/a", None, 3)], 3, "store")
-        cluster_state.apply([put("servers/a", "[false, 1000]", 4)], 4, "peer")
+        cluster_state.apply([put("servers/a", "[false, 2000]", 2)], at(2), "store")
+        cluster_state.apply([KvEvent("servers/a", None, 3)], at(3), "store")
+        cluster_state.apply([put("servers/a", "[false, 1000]", 4)], at(4), "peer")
         assert cluster_state.servers_of("s") == []
 
     async def test_number_of_remembered_incarnations_is_bounded(self, cluster_state, monkeypatch):
         monkeypatch.setattr("sassafrastally.proxy.cluster_state.MAX_KEPT_INCARNATIONS", 3)
         for number in range(6):
             cluster_state.apply(
-                [put(f"servers/{number}", "[false, 5]", number + 1)], number + 1, "store"
+                [put(f"servers/{number}", "[false, 5]", number + 1)], at(number + 1), "store"
             )
         cluster_state.apply(
-            [put("servers/0", "[true, 4]", 9), put("servers/5", "[true, 4]", 10)], 10, "s"
+            [put("servers/0", "[true, 4]", 9), put("servers/5", "[true, 4]", 10)], at(10), "s"
         )
         assert cluster_state.server("0").is_draining
         assert not cluster_state.server("5").is_draining
@@ -177,16 +186,16 @@
         """Another process overwrites a server's record, so that its drain state can't be read.
         Guards against requests to the server after it has left."""
         cluster_state.apply(
-            [put("servers/a", "false", 1), put("servers/b", "false", 2)], 2, "store"
+            [put("servers/a", "false", 1), put("servers/b", "false", 2)], at(2), "store"
         )
-        cluster_state.apply([put("servers/a", "{not JSON", 3)], 3, "store")
+        cluster_state.apply([put("servers/a", "{not JSON", 3)], at(3), "store")
         assert [server.server_id for server in cluster_state.servers_of("s")] == ["b"]
-        cluster_state.apply([put("servers/a", "false", 4)], 4, "store")
+        cluster_state.apply([put("servers/a", "false", 4)], at(4), "store")
         assert [server.server_id for server in cluster_state.servers_of("s")] == ["a", "b"]
 
     async def test_invalid_record_does_not_block_other_changes(self, cluster_state):
         events = [put("servers/a", "{", 1), put("servers/b", "false", 2), put("config", "1", 3)]
-        cluster_state.apply(events, 3, "store")
+        cluster_state.apply(events, at(3), "store")
         assert [server.server_id for server in cluster_state.servers_of("s")] == ["b"]
         assert cluster_state.configuration is not None
 
@@ -195,8 +204,8 @@
     """Changes sent to a peer that is behind."""
 
     async def test_changes_if_they_are_kept_and_full_snapshot_otherwise(self, cluster_state):
-        cluster_state.replace(Snapshot((KvEntry("config", b"1", 4),), StorePosition(1, 4)), "store")
-        cluster_state.apply([put("servers/a", "false", 6)], 6, "store")
-        assert [event.key for event in cluster_state.delta_after(4).events] == ["servers/a"]
-        assert cluster_state.delta_after(4).entries is None
-        assert len(cluster_state.delta_after(2).entries) == 2
+        cluster_state.replace(Snapshot((KvEntry("config", b"1", 4),), at(4)), "store")
+        cluster_state.apply([put("servers/a", "false", 6)], at(6), "store")
+        assert [event.key for event in cluster_state.delta_after(at(4)).events] == ["servers/a"]
+        assert cluster_state.delta_after(at(4)).entries is None
+        assert len(cluster_state.delta_after(at(2)).entries) == 2
--- a/packages/proxy/tests/test_load_exchange.py
+++ b/packages/proxy/tests/test_load_exchange.py
@@ -17,6 +17,7 @@
 )
 from sassafrastally.proxy.peer_messages import Hello, decode_hello, encode_hello
 from sassafrastally.proxy.peer_table import RELAY_DELAY_S, PeerTable
+from sassafrastally.proxy.store import StorePosition
 from sassafrastally.proxy.store_watchers import WATCHERS, WatchCandidate, must_watch_store
 
 STEP_S = 0.25
@@ -42,7 +43,7 @@
             host=self.host,
             boot_id=1,
             sequence=self.sequence,
-            revision=7,
+            position=StorePosition(1, 7),
             confirmed_age_s=0.1,
             is_stopping=False,
             loads=self.loads,
--- a/packages/proxy/tests/test_peer_messages.py
+++ b/packages/proxy/tests/test_peer_messages.py
@@ -5,6 +5,7 @@
 import random
 
 from sassafrastally.proxy.crash_records import MAX_CRASHES_SENT
+from sassafrastally.proxy.departures import MAX_ANNOUNCED
 from sassafrastally.proxy.limit_exchange import LimitReport
 from sassafrastally.proxy.load import Work
 from sassafrastally.proxy.peer_messages import Hello, decode_hello, encode_hello
@@ -15,6 +16,9 @@
     QuarantineReport,
     VerdictReport,
 )
+from sassafrastally.proxy.store import StorePosition
+
+POSITION = StorePosition(1, 12)
 
 
 class TestDatagram:
@@ -25,7 +29,7 @@
             host="10.0.0.1",
             boot_id=7,
             sequence=3,
-            revision=12,
+            position=StorePosition(2, 12),
             confirmed_age_s=0.5,
             is_stopping=False,
             loads={5: Work(1, 2, 3, 4, 5000, 60.0, suspect_requests=6)},
@@ -37,6 +41,8 @@
             data_centre="here",
             link_mbps=100,
             limits={9: LimitReport(2.5, 0.125), 10: LimitReport(None, 1.0)},
+            configuration_version=44,
+            draining=(1 << 63, 5),
             quarantine=QuarantineReport(
                 (CrashReport(1 << 63, 2, 0.25),),
                 (VerdictReport(3, 599.5, 4),),
@@ -47,7 +53,22 @@
 
     def test_size_is_bounded_with_many_loads(self):
         loads = {n << 40: Work(1, 2, 3, 4, 400_000, 60_000.0) for n in range(200)}
-        hello = Hello("10.0.0.1", 7, 3, 12, 0.5, False, loads, (), {}, {}, 0.0, 0.0, "here", 10)
+        hello = Hello(
+            "10.0.0.1",
+            7,
+            3,
+            POSITION,
+            0.5,
+            False,
+            loads,
+            (),
+            {},
+            {},
+            0.0,
+            0.0,
+            "here",
+            10,
+        )
         assert len(encode_hello(hello)) < 1400
 
     def test_size_is_bounded_with_all_kinds_of_news(self):
@@ -55,13 +76,14 @@
         draw = random.Random(1)
         keys = [draw.getrandbits(64) for _ in range(200)]
         hello = Hello(
-            "10.0.0.1", 7, 3, 12, 0.5, False, {}, (), {}, {}, 0.0, 0.0, "here", 10
+            "10.0.0.1", 7, 3, POSITION, 0.5, False, {}, (), {}, {}, 0.0, 0.0, "here", 10
         )._replace(
             loads=dict.fromkeys(keys, Work(1, 2, 3, 4, 400_000, 60_000.0)),
             peers=tuple(f"10.1.0.{number}" for number in range(30)),
             suspects={key: 8.0 * draw.random() for key in keys},
             paces={key: 1.3 + draw.random() for key in keys},
             limits={key: LimitReport(draw.random(), draw.random()) for key in keys},
+            draining=tuple(keys[:MAX_ANNOUNCED]),
         )
         data = encode_hello(hello)
         assert len(data) < 1400
@@ -79,7 +101,22 @@
                 quarantine.record_crash(fingerprint, draw.getrandbits(64), 1.0, is_own=True)
         report = quarantine.report(1.0, is_full=True)
         loads = {draw.getrandbits(64): Work(1, 2, 3, 4, 400_000, 60_000.0) for _ in range(200)}
-        hello = Hello("10.0.0.1", 7, 3, 12, 0.5, False, loads, (), {}, {}, 0.0, 0.0, "here", 10)
+        hello = Hello(
+            "10.0.0.1",
+            7,
+            3,
+            POSITION,
+            0.5,
+            False,
+            loads,
+            (),
+            {},
+            {},
+            0.0,
+            0.0,
+            "here",
+            10,
+        )
         received = decode_hello(encode_hello(hello._replace(quarantine=report)))
         assert len(encode_hello(hello._replace(quarantine=report))) < 1400
         assert len(received.quarantine.crashes) == MAX_CRASHES_SENT
--- a/packages/testing/src/sassafrastally/testing/soak/entry_process.py
+++ b/packages/testing/src/sassafrastally/testing/soak/entry_process.py
@@ -18,6 +18,9 @@
 MODULE = "sassafrastally.platform"
 SETTINGS_VARIABLE = "SASSAFRASTALLY_CONFIG"
 
+HEARTBEAT_INTERVAL_MS = 1200
+"""How often backend servers write to the store."""
+
 STOP_TIME_S = 8.0
 """Time between the request to stop and the end of a process, as on the users' platform."""
 
@@ -139,6 +142,7 @@
             "listen": {"front": str(self.callers_address), "readiness": f"{self.host}:{port + 1}"},
             "internalPorts": [port + 2, port + 9],
             "limits": {"linkMbps": 1000},
+            "beatIntervalMs": HEARTBEAT_INTERVAL_MS,
             "platform": {"address": str(self._store)},
             "bounds": {
                 "graceS": STOP_TIME_S,
--- a/packages/testing/tests/platform/test_entries.py
+++ b/packages/testing/tests/platform/test_entries.py
@@ -357,7 +357,7 @@
         fleet.store.remove("servers/desk-1")
         fleet.store.error_status = 0
         await wait_until(
-            lambda: all(state.revision == fleet.store.revision for state in cluster_states)
+            lambda: all(state.position.revision == fleet.store.revision for state in cluster_states)
         )
         assert all(state.servers_of("desk") for state in cluster_states)
         fleet.store.put("servers/desk-1", replica.entry())
--- a/packages/testing/tests/platform/test_quarantined_entries.py
+++ b/packages/testing/tests/platform/test_quarantined_entries.py
@@ -8,6 +8,7 @@
 from sassafrastally.proxy.cluster_state import ClusterState
 from sassafrastally.proxy.peers import Peers
 from sassafrastally.proxy.quarantine_service import QuarantineService
+from sassafrastally.proxy.store import StorePosition
 from sassafrastally.stand_ins.platform_fleet import wait_until
 from sassafrastally.testing.harmful_fleet import HARMFUL, assert_refused, quarantine, start_fleet
 
@@ -132,9 +133,11 @@
         await start_fleet(fleet, entries=1)
         (kernel,) = fleet.kernels
         cluster_state = kernel.get("beliefs", ClusterState)
-        key, revision = "quarantine/0123456789abcdef", cluster_state.revision
-        cluster_state.apply([KvEvent(key, b'{"crashes": 3}', revision + 1)], revision + 1, "store")
-        cluster_state.apply([KvEvent(key, None, revision + 2)], revision + 2, "store")
+        key, (epoch, revision) = "quarantine/0123456789abcdef", cluster_state.position
+        events = [KvEvent(key, b'{"crashes": 3}', revision + 1)]
+        cluster_state.apply(events, StorePosition(epoch, revision + 1), "store")
+        events = [KvEvent(key, None, revision + 2)]
+        cluster_state.apply(events, StorePosition(epoch, revision + 2), "store")
         await trio.sleep(0.1)
         assert (await fleet.call("/look/x")).status == 200
 
--- a/packages/testing/tests/platform/test_restored_store.py
+++ b/packages/testing/tests/platform/test_restored_store.py
@@ -33,6 +33,12 @@
     await wait_until(lambda: all(peer.live_count() == count - 1 for peer in peers))
 
 
+async def all_at_revision(fleet, revision: int) -> None:
+    """Wait until all entries have applied a revision."""
+    states = cluster_states(fleet)
+    await wait_until(lambda: all(state.position.revision == revision for state in states))
+
+
 async def change_and_restore(fleet) -> None:
     """Let the store acknowledge changes of a server, which all entries learn, and lose them."""
     copy = fleet.store.copy()
@@ -40,7 +46,9 @@
     for _ in range(LOST_CHANGES):
         fleet.store.put("servers/desk-2", entry)
     await wait_until(
-        lambda: all(state.revision == fleet.store.revision for state in cluster_states(fleet))
+        lambda: all(
+            state.position.revision == fleet.store.revision for state in cluster_states(fleet)
+        )
     )
     fleet.store.restore(copy)
 
--- a/packages/testing/tests/platform/test_settings.py
+++ b/packages/testing/tests/platform/test_settings.py
@@ -26,6 +26,7 @@
     },
     "platform": {"address": "10.200.1.7:8223"},
     "limits": {"linkMbps": 1000.0},
+    "beatIntervalMs": 1200,
     "something new": True,
 }
 
