--- a/packages/proxy/src/sassafrastally/proxy/backpressure.py
+++ b/packages/proxy/src/sassafrastally/proxy/backpressure.py
@@ -193,7 +193,7 @@
         server = next(
             (
                 one
-                for one in self._cluster_state.servers()
+                for one in self._cluster_state.servers.known()
                 if server_hash(one.incarnation_id) == key
             ),
             None,
--- a/packages/proxy/src/sassafrastally/proxy/crash_detector.py
+++ b/packages/proxy/src/sassafrastally/proxy/crash_detector.py
@@ -70,7 +70,7 @@
         self._quarantine = quarantine
         self._backpressure = kernel.get("backpressure", Backpressure)
         self._cluster_state = kernel.get("beliefs", ClusterState)
-        self._cluster_state.on_incarnation_ended = self._record_incarnation_ended
+        self._cluster_state.servers.on_incarnation_ended = self._record_incarnation_ended
         self._unanswered: dict[str, deque[_Unanswered]] = {}
 
     async def record_broken_answer(
@@ -140,7 +140,7 @@
         """Return whether a server was leaving or draining; its end is planned then."""
         if self._backpressure.is_leaving(server):
             return True
-        known = self._cluster_state.server(server.server_id)
+        known = self._cluster_state.servers.get(server.server_id)
         return (
             known is not None
             and known.incarnation_id == server.incarnation_id
--- a/packages/proxy/src/sassafrastally/proxy/fleet_view.py
+++ b/packages/proxy/src/sassafrastally/proxy/fleet_view.py
@@ -101,13 +101,13 @@
         avoid
             Servers to exclude, since they were already tried for this request.
         """
-        return self._views(self._cluster_state.servers_of(service), avoid)
+        return self._views(self._cluster_state.servers.of_service(service), avoid)
 
     def local_views(self, service: str, avoid: set[str]) -> list[ServerView]:
         """Return the own data centre's servers as in `views`; none if they aren't preferred."""
         if not self.is_divided(service):
             return []
-        pool = self._cluster_state.pool(service, self.kernel.data_centre)
+        pool = self._cluster_state.servers.pool(service, self.kernel.data_centre)
         return self._views(pool, avoid) if pool else []
 
     def is_divided(self, service: str) -> bool:
@@ -116,7 +116,7 @@
         Without relays, every entry receives updates from all others directly. Load data is then
         equally fresh for all engines, and choosing among all of them is better.
         """
-        return self._peers.receives_sums() and self._cluster_state.is_divided(service)
+        return self._peers.receives_sums() and self._cluster_state.servers.is_divided(service)
 
     def _views(self, servers: Sequence[BackendServer], avoid: set[str]) -> list[ServerView]:
         now_s = self.kernel.clock.now_s()
@@ -144,7 +144,7 @@
 
         ``None`` if some server accepts one, or if the time is unknown.
         """
-        servers = self._cluster_state.servers_of(service)
+        servers = self._cluster_state.servers.of_service(service)
         return self._backpressure.available_in_s(service, servers, time_left_s)
 
     def _servers_to_avoid(self, now_s: float) -> set[str | int]:
@@ -166,7 +166,7 @@
         from_peers = self._peers.paces()
         reported = {
             server.incarnation_id: from_peers[key]
-            for server in (self._cluster_state.servers() if from_peers else ())
+            for server in (self._cluster_state.servers.known() if from_peers else ())
             if (key := server_hash(server.incarnation_id)) in from_peers
         }
         return {**reported, **self._paces.slow(self.kernel.clock.now_s())}
@@ -192,7 +192,7 @@
 
     def forget_gone(self) -> None:
         """Discard the state of servers that no longer exist."""
-        known = {server.incarnation_id for server in self._cluster_state.servers()}
+        known = {server.incarnation_id for server in self._cluster_state.servers.known()}
         self.outlier_ejection.forget_gone(known)
         self._slow_events.forget_gone(known)
         self._paces.forget_gone(known)
@@ -228,7 +228,7 @@
         now_s = self.kernel.clock.now_s()
         if self._work_at(server.incarnation_id, now_s).prefill_requests:
             return  # Prefill explains the delay.
-        servers = len(self._cluster_state.servers_of(server.service))
+        servers = len(self._cluster_state.servers.of_service(server.service))
         if not self._slow_events.record_slow(server.incarnation_id, servers, now_s):
             return
         SUSPICIONS.add(1)
@@ -328,5 +328,5 @@
     def _own_suspects(self) -> dict[int, float]:
         left = self._own_servers_to_avoid(self.kernel.clock.now_s())
         # Entries that start after a restore of the store don't know that these may be gone.
-        left.update(self._cluster_state.held_servers())
+        left.update(self._cluster_state.servers.held())
         return {server_hash(incarnation_id): left_s for incarnation_id, left_s in left.items()}
--- a/packages/proxy/src/sassafrastally/proxy/internal_endpoints.py
+++ b/packages/proxy/src/sassafrastally/proxy/internal_endpoints.py
@@ -91,7 +91,7 @@
             "store_revision": self._cluster_state.position.revision,
             "beliefs_age_seconds": now_s - self._cluster_state.confirmed_s,
             "store_age_seconds": now_s - self._cluster_state.store_answered_s,
-            "backend_servers": self._cluster_state.server_count(),
+            "backend_servers": self._cluster_state.servers.count(),
             "quarantined_requests": self._quarantine.count,
             "suspected_servers": len(self._fleet_view.outlier_ejection.suspects(now_s)),
             "peers": self._fleet_view.entries - 1,
--- a/packages/proxy/src/sassafrastally/proxy/path.py
+++ b/packages/proxy/src/sassafrastally/proxy/path.py
@@ -108,7 +108,7 @@
             await trio.sleep(CLEANUP_INTERVAL_S)
             await self._attempts.pool.close_idle()
             await self.services.reservations.forget_gone(
-                {server.address for server in self._cluster_state.servers()}
+                {server.address for server in self._cluster_state.servers.known()}
             )
             self.services.fleet_view.forget_gone()
 
--- a/packages/proxy/src/sassafrastally/proxy/peers.py
+++ b/packages/proxy/src/sassafrastally/proxy/peers.py
@@ -98,6 +98,7 @@
         """Bind the UDP port and start the exchange."""
         self._cluster_state = self.kernel.get("beliefs", ClusterState)
         self._cluster_state.on_newer_position = self._ledger.note_change
+        self._cluster_state.servers.on_announcement = self._ledger.note_change
         self._boot_id = self.kernel.random.getrandbits(64)
         self._socket = trio.socket.socket(type=trio.socket.SOCK_DGRAM)
         await self._socket.bind((self._settings.host, self._settings.peer_port))
@@ -212,12 +213,12 @@
             suspects=self.own_suspects(),
             paces=self.own_paces(),
             store_age_s=now_s - self._cluster_state.store_answered_s,
-            returned_age_s=now_s - self._cluster_state.store_returned_s,
+            returned_age_s=now_s - self._cluster_state.servers.store_returned_s,
             data_centre=self._settings.data_centre,
             link_mbps=self._settings.link_mbps,
             limits=self.limits.limits_to_send(),
             configuration_version=self._cluster_state.configuration_version,
-            draining=self._cluster_state.draining_to_announce(),
+            draining=self._cluster_state.servers.draining_to_announce(),
         )
 
     @property
@@ -294,9 +295,9 @@
             self.kernel.events.emit(PeerHeard(hello.host, round(min(silent_s, 1e6), 3)))
         # Set before the changes are fetched, so that entries that only learn of the outage from
         # peers also keep servers with expired leases during the grace period.
-        returned_s = now_s - hello.returned_age_s
-        self._cluster_state.store_returned_s = max(self._cluster_state.store_returned_s, returned_s)
-        self._cluster_state.record_announced_draining(hello.draining, f"peer {hello.host}")
+        servers = self._cluster_state.servers
+        servers.store_returned_s = max(servers.store_returned_s, now_s - hello.returned_age_s)
+        servers.record_announced_draining(hello.draining, f"peer {hello.host}")
         if self._has_news(hello):
             self._change_fetcher.note_news()
         elif hello.position == self._cluster_state.position:
--- a/packages/proxy/src/sassafrastally/proxy/reports.py
+++ b/packages/proxy/src/sassafrastally/proxy/reports.py
@@ -89,7 +89,7 @@
             server
             for service in configuration.services.values()
             if service.engine is not None
-            for server in self._cluster_state.servers_of(service.name)
+            for server in self._cluster_state.servers.of_service(service.name)
         ]
 
     def _engines_due(self, engines: list[BackendServer]) -> list[BackendServer]:
--- a/packages/proxy/src/sassafrastally/proxy/reservations.py
+++ b/packages/proxy/src/sassafrastally/proxy/reservations.py
@@ -171,7 +171,7 @@
                             renewal_round % LIMITED_RENEWAL_STRIDE == 1
                             or self._backpressure.is_open(server)
                         )
-                        if is_due and self._cluster_state.is_current(server):
+                        if is_due and self._cluster_state.servers.is_current(server):
                             nursery.start_soon(self._reserve, reservation)
 
     async def _release(self, reservation: _Reservation) -> None:
--- a/packages/proxy/src/sassafrastally/proxy/watch.py
+++ b/packages/proxy/src/sassafrastally/proxy/watch.py
@@ -157,7 +157,7 @@
         self._cluster_state.store_answered_s = now_s
         if self._lost_since_s is None:
             return
-        self._cluster_state.store_returned_s = now_s
+        self._cluster_state.servers.store_returned_s = now_s
         away_s = round(now_s - self._lost_since_s, 3)
         self._lost_since_s = None
         self.kernel.events.emit(StoreRegained(away_s, self._cluster_state.position.revision))
--- a/packages/proxy/tests/test_cluster_state.py
+++ b/packages/proxy/tests/test_cluster_state.py
@@ -7,9 +7,10 @@
 import pytest
 
 from sassafrastally.core import Clock, Kernel, KvEntry, KvEvent
-from sassafrastally.proxy.cluster_state import LAPSE_GRACE_S, ClusterState
+from sassafrastally.proxy.cluster_state import ClusterState
 from sassafrastally.proxy.dialect import DocumentInvalid, StoreKeys
 from sassafrastally.proxy.model import BackendServer, Configuration, RequestLimits
+from sassafrastally.proxy.server_registry import LAPSE_GRACE_S
 from sassafrastally.proxy.store import Snapshot, StorePosition
 
 REGISTRATION_EXPIRY_S = 3.0
@@ -99,8 +100,8 @@
         cluster_state.apply(
             [put("servers/a", "false", 1), put("servers/b", "true", 2)], at(2), "store"
         )
-        assert [server.server_id for server in cluster_state.servers_of("s")] == ["a"]
-        assert cluster_state.server("b") is not None
+        assert [server.server_id for server in cluster_state.servers.of_service("s")] == ["a"]
+        assert cluster_state.servers.get("b") is not None
 
     async def test_old_change_from_a_peer_does_not_restore_a_removed_server(self, cluster_state):
         """A server has left, and a peer that is behind sends the last change of its record with the
@@ -108,12 +109,12 @@
         cluster_state.apply([put("servers/a", "false", 1)], at(1), "store")
         cluster_state.apply([KvEvent("servers/a", None, 5)], at(5), "store")
         cluster_state.apply([put("servers/a", "false", 3)], at(3), "peer")
-        assert cluster_state.server("a") is None
+        assert cluster_state.servers.get("a") is None
 
     async def test_older_snapshot_is_ignored(self, cluster_state):
         cluster_state.apply([put("servers/a", "false", 9)], at(9), "store")
         cluster_state.replace(Snapshot((), at(4)), "peer")
-        assert cluster_state.server("a") is not None
+        assert cluster_state.servers.get("a") is not None
 
     async def test_server_whose_lease_expired_in_an_outage_is_kept_for_a_grace_period(
         self, cluster_state, autojump_clock
@@ -123,18 +124,18 @@
         cluster_state.apply(
             [put("servers/a", "false", 1), put("servers/b", "false", 2)], at(2), "store"
         )
-        cluster_state.store_returned_s = cluster_state.kernel.clock.now_s()
+        cluster_state.servers.store_returned_s = cluster_state.kernel.clock.now_s()
         gone = [KvEvent("servers/a", None, 3), KvEvent("servers/b", None, 4)]
         cluster_state.apply(gone, at(4), "store")
-        assert len(cluster_state.servers_of("s")) == 2
+        assert len(cluster_state.servers.of_service("s")) == 2
         cluster_state.apply([put("servers/a", "false", 5)], at(5), "store")
         autojump_clock.jump(LAPSE_GRACE_S + 0.1)
-        assert [server.server_id for server in cluster_state.servers_of("s")] == ["a"]
+        assert [server.server_id for server in cluster_state.servers.of_service("s")] == ["a"]
 
     async def test_server_removed_without_an_outage_is_dropped_at_once(self, cluster_state):
         cluster_state.apply([put("servers/a", "false", 1)], at(1), "store")
         cluster_state.apply([KvEvent("servers/a", None, 2)], at(2), "store")
-        assert cluster_state.servers_of("s") == []
+        assert cluster_state.servers.of_service("s") == []
 
 
 class TestIncarnations:
@@ -142,13 +143,13 @@
 
     async def test_next_incarnation_is_another_server(self, cluster_state):
         cluster_state.apply([put("servers/a", "[false, 1000]", 1)], at(1), "store")
-        (first,) = cluster_state.servers_of("s")
+        (first,) = cluster_state.servers.of_service("s")
         cluster_state.apply([put("servers/a", "[false, 2000]", 2)], at(2), "store")
-        (second,) = cluster_state.servers_of("s")
+        (second,) = cluster_state.servers.of_service("s")
         assert first.server_id == second.server_id
         assert first.incarnation_id != second.incarnation_id
-        assert not cluster_state.is_current(first)
-        assert cluster_state.is_current(second)
+        assert not cluster_state.servers.is_current(first)
+        assert cluster_state.servers.is_current(second)
 
     @pytest.mark.parametrize("late", ["[true, 1000]", "false"])
     async def test_late_record_of_an_earlier_incarnation_is_ignored(self, cluster_state, late):
@@ -158,16 +159,16 @@
         cluster_state.apply([put("servers/a", "[false, 1000]", 1)], at(1), "store")
         cluster_state.apply([put("servers/a", "[false, 2000]", 2)], at(2), "store")
         cluster_state.apply([put("servers/a", late, 3)], at(3), "store")
-        assert [server.born_ms for server in cluster_state.servers_of("s")] == [2000]
+        assert [server.born_ms for server in cluster_state.servers.of_service("s")] == [2000]
 
     async def test_late_record_is_ignored_after_the_server_has_left(self, cluster_state):
         cluster_state.apply([put("servers/a", "[false, 2000]", 2)], at(2), "store")
         cluster_state.apply([KvEvent("servers/a", None, 3)], at(3), "store")
         cluster_state.apply([put("servers/a", "[false, 1000]", 4)], at(4), "peer")
-        assert cluster_state.servers_of("s") == []
+        assert cluster_state.servers.of_service("s") == []
 
     async def test_number_of_remembered_incarnations_is_bounded(self, cluster_state, monkeypatch):
-        monkeypatch.setattr("sassafrastally.proxy.cluster_state.MAX_KEPT_INCARNATIONS", 3)
+        monkeypatch.setattr("sassafrastally.proxy.server_registry.MAX_KEPT_INCARNATIONS", 3)
         for number in range(6):
             cluster_state.apply(
                 [put(f"servers/{number}", "[false, 5]", number + 1)], at(number + 1), "store"
@@ -175,8 +176,8 @@
         cluster_state.apply(
             [put("servers/0", "[true, 4]", 9), put("servers/5", "[true, 4]", 10)], at(10), "s"
         )
-        assert cluster_state.server("0").is_draining
-        assert not cluster_state.server("5").is_draining
+        assert cluster_state.servers.get("0").is_draining
+        assert not cluster_state.servers.get("5").is_draining
 
 
 class TestInvalidRecords:
@@ -189,14 +190,14 @@
             [put("servers/a", "false", 1), put("servers/b", "false", 2)], at(2), "store"
         )
         cluster_state.apply([put("servers/a", "{not JSON", 3)], at(3), "store")
-        assert [server.server_id for server in cluster_state.servers_of("s")] == ["b"]
+        assert [server.server_id for server in cluster_state.servers.of_service("s")] == ["b"]
         cluster_state.apply([put("servers/a", "false", 4)], at(4), "store")
-        assert [server.server_id for server in cluster_state.servers_of("s")] == ["a", "b"]
+        assert [server.server_id for server in cluster_state.servers.of_service("s")] == ["a", "b"]
 
     async def test_invalid_record_does_not_block_other_changes(self, cluster_state):
         events = [put("servers/a", "{", 1), put("servers/b", "false", 2), put("config", "1", 3)]
         cluster_state.apply(events, at(3), "store")
-        assert [server.server_id for server in cluster_state.servers_of("s")] == ["b"]
+        assert [server.server_id for server in cluster_state.servers.of_service("s")] == ["b"]
         assert cluster_state.configuration is not None
 
 
--- a/packages/proxy/tests/test_restored_view.py
+++ b/packages/proxy/tests/test_restored_view.py
@@ -5,8 +5,9 @@
 import pytest
 
 from sassafrastally.core import Clock, Kernel, KvEntry, KvEvent
-from sassafrastally.proxy.cluster_state import LAPSE_GRACE_S, ClusterState
+from sassafrastally.proxy.cluster_state import ClusterState
 from sassafrastally.proxy.load import server_hash
+from sassafrastally.proxy.server_registry import LAPSE_GRACE_S
 from sassafrastally.proxy.store import Snapshot, StorePosition
 
 from .test_cluster_state import REGISTRATION_EXPIRY_S, PlainDialect, at, put
@@ -28,7 +29,7 @@
 
 def ready_servers(state: ClusterState) -> list[str]:
     """Return the ids of the servers that get requests."""
-    return [server.server_id for server in state.servers_of("s")]
+    return [server.server_id for server in state.servers.of_service("s")]
 
 
 def make_state() -> ClusterState:
@@ -47,7 +48,7 @@
 
 def restore(state: ClusterState, revision: int, *entries: KvEntry, epoch: int = 2) -> None:
     """Restore the store and let the view learn it from the store."""
-    state.store_returned_s = state.kernel.clock.now_s()
+    state.servers.store_returned_s = state.kernel.clock.now_s()
     state.replace(snapshot(epoch, revision, *entries), "store")
 
 
@@ -151,7 +152,7 @@
         state.apply([put("servers/a", "true", 31)], at(31), "store")
         restore(state, 12, *SERVERS)
         assert ready_servers(state) == ["b"]
-        assert state.draining_to_announce() == (server_hash("a"),)
+        assert state.servers.draining_to_announce() == (server_hash("a"),)
 
     async def test_removed_draining_server_stays_out_of_use(self, state):
         """Guards against using a server that is gone, since the copy has its record again."""
@@ -167,17 +168,17 @@
         restore(state, 12, copied)
         told_after, told_before = make_state(), make_state()
         told_after.replace(snapshot(2, 12, copied), "store")
-        told_after.record_announced_draining(state.draining_to_announce(), "peer")
-        told_before.record_announced_draining(state.draining_to_announce(), "peer")
+        told_after.servers.record_announced_draining(state.servers.draining_to_announce(), "peer")
+        told_before.servers.record_announced_draining(state.servers.draining_to_announce(), "peer")
         told_before.replace(snapshot(2, 12, copied), "store")
         assert ready_servers(told_after) == ready_servers(told_before) == []
-        assert told_after.draining_to_announce() == (server_hash("a"),)
+        assert told_after.servers.draining_to_announce() == (server_hash("a"),)
 
     async def test_announcement_ends_when_the_store_has_caught_up(self, state):
         state.apply([put("servers/a", "true", 31)], at(31), "store")
         restore(state, 12, *SERVERS)
         state.apply([put("servers/a", "true", 13)], at(13, 2), "store")
-        assert state.draining_to_announce() == ()
+        assert state.servers.draining_to_announce() == ()
         assert ready_servers(state) == ["b"]
 
     async def test_next_incarnation_is_used(self, state):
@@ -199,12 +200,12 @@
         state.apply([KvEvent("servers/a", None, 31)], at(31), "store")
         restore(state, 12, *SERVERS)
         assert ready_servers(state) == ["b"]
-        assert list(state.held_servers()) == ["a"]
+        assert list(state.servers.held()) == ["a"]
         autojump_clock.jump(REGISTRATION_EXPIRY_S)
         state.apply([KvEvent("servers/a", None, 13)], at(13, 2), "store")
         autojump_clock.jump(LAPSE_GRACE_S)
         assert ready_servers(state) == ["b"]
-        assert state.held_servers() == {}
+        assert state.servers.held() == {}
 
     async def test_server_that_writes_again_is_used_at_once(self, state):
         state.apply([KvEvent("servers/a", None, 31)], at(31), "store")
--- a/packages/testing/tests/platform/test_entries.py
+++ b/packages/testing/tests/platform/test_entries.py
@@ -190,7 +190,7 @@
         small_fleet.store.forget_history()
         small_fleet.store.error_status = 0
         cluster_state = small_fleet.kernels[0].get("beliefs", ClusterState)
-        await wait_until(lambda: cluster_state.server("desk-1") is None, 5.0)
+        await wait_until(lambda: cluster_state.servers.get("desk-1") is None, 5.0)
 
     async def test_draining_server_gets_no_new_requests(self, small_fleet):
         replica = small_fleet.replicas["desk-1"]
@@ -232,8 +232,8 @@
             "sight", FleetView
         )
         self.restart(small_fleet, "engine-1")
-        await wait_until(lambda: cluster_state.server("engine-1").born_ms is not None)
-        previous = cluster_state.server("engine-1")
+        await wait_until(lambda: cluster_state.servers.get("engine-1").born_ms is not None)
+        previous = cluster_state.servers.get("engine-1")
         for _ in range(4):
             fleet_view.record_failure(previous, "nobody answers", "r", is_conclusive=True)
         fleet_view.ledger.add(
@@ -241,7 +241,7 @@
             0.0,
         )
         self.restart(small_fleet, "engine-1")
-        await wait_until(lambda: cluster_state.server("engine-1") != previous)
+        await wait_until(lambda: cluster_state.servers.get("engine-1") != previous)
         views = {view.server.server_id: view for view in fleet_view.views("engines", set())}
         assert not views["engine-1"].is_suspect
         assert views["engine-1"].work.tokens == 0
@@ -276,10 +276,10 @@
         connections = kernel.get("path", RequestPath).services.attempt_sender.pool
         for _ in range(4):
             await small_fleet.call("/look/x")
-        previous = cluster_state.server("desk-1")
+        previous = cluster_state.servers.get("desk-1")
         self.restart(small_fleet, "desk-1")
-        await wait_until(lambda: cluster_state.server("desk-1") != previous)
-        assert await connections.acquire(cluster_state.server("desk-1")) is None
+        await wait_until(lambda: cluster_state.servers.get("desk-1") != previous)
+        assert await connections.acquire(cluster_state.servers.get("desk-1")) is None
 
 
 class TestStoreCalls:
@@ -359,10 +359,10 @@
         await wait_until(
             lambda: all(state.position.revision == fleet.store.revision for state in cluster_states)
         )
-        assert all(state.servers_of("desk") for state in cluster_states)
+        assert all(state.servers.of_service("desk") for state in cluster_states)
         fleet.store.put("servers/desk-1", replica.entry())
         await trio.sleep(2.2)
-        assert all(state.servers_of("desk") for state in cluster_states)
+        assert all(state.servers.of_service("desk") for state in cluster_states)
 
 
 class TestRemovedServers:
--- a/packages/testing/tests/platform/test_harmful_requests.py
+++ b/packages/testing/tests/platform/test_harmful_requests.py
@@ -221,7 +221,7 @@
         cluster_state = fleet.kernels[0].get("beliefs", ClusterState)
 
         async def leave(replica) -> None:
-            server = cluster_state.server(replica.server_id)
+            server = cluster_state.servers.get(replica.server_id)
             backpressure.record_answer(server, BackpressureSignals(is_leaving=True))
             replica.crash()
 
