--- a/packages/proxy/src/sassafrastally/proxy/cluster_state.py
+++ b/packages/proxy/src/sassafrastally/proxy/cluster_state.py
@@ -13,6 +13,7 @@
 import trio
 
 from sassafrastally.core import KvEntry, KvEvent, Service
+from sassafrastally.proxy.departures import Removals
 from sassafrastally.proxy.dialect import DocumentInvalid
 from sassafrastally.proxy.log_events import (
     ConfigurationIgnored,
@@ -65,6 +66,7 @@
         """Called when the record of a quarantined request is written or removed."""
         self._dialect = dialect
         self._records = StoreRecords()
+        self._lifted: Removals[str] = Removals()
         self.servers = ServerRegistry(
             registration_expiry_s,
             # The kernel is known only once this service is added to it.
@@ -187,7 +189,7 @@
             return
         self._records.put(entry)
         if self._is_quarantine_record(entry.key):
-            self._notify_quarantine_record(entry)
+            self._put_quarantine_record(entry, may_be_copied=may_be_copied)
             return
         try:
             server = self._dialect.decode_server(entry.key, entry.value)
@@ -220,6 +222,14 @@
             return
         self._records.put(entry)
 
+    def _put_quarantine_record(self, entry: KvEntry, *, may_be_copied: bool) -> None:
+        if may_be_copied and self._lifted.was_before(entry.key, self.position.epoch):
+            # The restored store has the record of a verdict that was lifted.
+            self._notify_quarantine_record(KvEvent(entry.key, None, entry.mod_revision))
+            return
+        self._lifted.forget(entry.key)
+        self._notify_quarantine_record(entry)
+
     def _reject(self, entry: KvEntry, source: str, cause: DocumentInvalid) -> None:
         self.kernel.events.emit(
             DocumentRejected(entry.key, entry.mod_revision, source, cause.detail)
@@ -244,6 +254,7 @@
         self._records.remove(key)
         if self._is_quarantine_record(key):
             if not self.servers.is_in_grace_period():
+                self._lifted.record(key, self.position.epoch)
                 self._notify_quarantine_record(KvEvent(key, None, self.position.revision))
             return
         self.servers.remove(self._server_id(key), source)
--- a/packages/proxy/src/sassafrastally/proxy/departures.py
+++ b/packages/proxy/src/sassafrastally/proxy/departures.py
@@ -1,4 +1,4 @@
-"""Memory of backend servers that are leaving or gone, which outlasts a restore of the store.
+"""Memory of what is leaving or gone, which outlasts a restore of the store.
 
 A store that is restored from a copy may name a server as ready that has since announced that it is
 leaving, or that was removed. Nothing in such a record tells it from a recent one, so each process
@@ -7,13 +7,13 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Generic, TypeVar
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
 MAX_KEPT = 4096
-"""Maximum number of servers remembered of each kind: some hours of replacements at 1,500 servers. A
+"""Maximum number of keys remembered of each kind: some hours of replacements at 1,500 servers. A
 store is restored from a copy some seconds old."""
 
 MAX_ANNOUNCED = 32
@@ -21,12 +21,35 @@
 loads."""
 
 
+Key = TypeVar("Key")
+Value = TypeVar("Value")
+
+
+class Removals(Generic[Key]):
+    """Keys whose records were removed from the store."""
+
+    def __init__(self) -> None:
+        self._epochs: dict[Key, int] = {}
+
+    def record(self, key: Key, epoch: int) -> None:
+        """Record that a key's record was removed in an epoch."""
+        _remember(self._epochs, key, epoch)
+
+    def forget(self, key: Key) -> None:
+        """Record that a key's record was written again."""
+        self._epochs.pop(key, None)
+
+    def was_before(self, key: Key, epoch: int) -> bool:
+        """Return whether a record was removed in an earlier epoch and not written since."""
+        return self._epochs.get(key, epoch) < epoch
+
+
 class Departures:
     """Servers that are leaving or gone, by hash of the incarnation's id."""
 
     def __init__(self) -> None:
         self._draining: dict[int, None] = {}
-        self._removed_epochs: dict[int, int] = {}
+        self._removals: Removals[int] = Removals()
         self._contradicted: dict[int, None] = {}
 
     def record_draining(self, key: int) -> None:
@@ -60,21 +83,21 @@
 
     def record_removed(self, key: int, epoch: int) -> None:
         """Record that a server's record was removed from the store in an epoch."""
-        _remember(self._removed_epochs, key, epoch)
+        self._removals.record(key, epoch)
         self._contradicted.pop(key, None)
 
     def was_removed_before(self, key: int, epoch: int) -> bool:
         """Return whether a server was removed in an earlier epoch and not registered since."""
-        return self._removed_epochs.get(key, epoch) < epoch
+        return self._removals.was_before(key, epoch)
 
     def record_registered(self, key: int) -> None:
         """Record that a server that had been removed is registered."""
-        self._removed_epochs.pop(key, None)
+        self._removals.forget(key)
 
 
-def _remember(known: dict[int, int] | dict[int, None], key: int, value: int | None) -> None:
+def _remember(known: dict[Key, Value], key: Key, value: Value) -> None:
     """Set a key as the latest one and drop the oldest if there are too many."""
     known.pop(key, None)
-    known[key] = value  # type: ignore[assignment]
+    known[key] = value
     if len(known) > MAX_KEPT:
         del known[next(iter(known))]
--- a/packages/proxy/src/sassafrastally/proxy/quarantine_service.py
+++ b/packages/proxy/src/sassafrastally/proxy/quarantine_service.py
@@ -201,6 +201,10 @@
                 self._due_s.pop(fingerprint, None)
                 reason = "its record in the store was removed"
                 self.kernel.events.emit(QuarantineLifted(fingerprint_text(fingerprint), reason))
+            if self._cluster_state.has_key(record.key):
+                # The store was restored from a copy that has the record again.
+                self._due_s[fingerprint] = self._peer_verdict_due_s()
+                self._news.set()
             return
         received = VerdictReport(fingerprint, QUARANTINE_S, crashes)
         verdict = self._quarantine.apply_verdict(received, self._now_s)
--- a/packages/proxy/tests/test_restored_view.py
+++ b/packages/proxy/tests/test_restored_view.py
@@ -244,3 +244,14 @@
         state.replace(snapshot(2, 12), "peer")
         assert notified == []
         assert not state.has_key("quarantine/x")
+
+    async def test_lifted_verdict_stays_lifted(self, state):
+        """Guards against quarantining a request again because the copy has its old record."""
+        state.apply([put("quarantine/x", "{}", 31)], at(31), "store")
+        state.apply([KvEvent("quarantine/x", None, 32)], at(32), "store")
+        notified = []
+        state.on_quarantine_record = notified.append
+        restore(state, 31, entry("quarantine/x", "{}", 31))
+        assert [record.value for record in notified] == [None]
+        state.apply([put("quarantine/x", "{}", 32)], at(32, 2), "store")
+        assert [record.value for record in notified] == [None, b"{}"]
--- a/packages/testing/tests/platform/test_quarantined_entries.py
+++ b/packages/testing/tests/platform/test_quarantined_entries.py
@@ -110,6 +110,22 @@
             await assert_refused(fleet, entry)
 
 
+class TestRestoredStore:
+    """Verdicts whose records a restore of the store has lost."""
+
+    async def test_lost_record_is_written_again(self, fleet):
+        """Guards against entries that start later and let a harmful request crash servers."""
+        await start_fleet(fleet, entries=2)
+        copy = fleet.store.copy()
+        await quarantine(fleet)
+        await wait_until(lambda: verdict_keys(fleet))
+        fleet.store.restore(copy)
+        assert not verdict_keys(fleet)
+        for entry in (1, 2):
+            await assert_refused(fleet, entry)
+        await wait_until(lambda: verdict_keys(fleet), 15.0)
+
+
 class TestVerdictRemoval:
     """Verdicts that end before they expire."""
 
@@ -125,6 +141,22 @@
             answer = await fleet.call("/note/x", entry=entry, body=HARMFUL, prompt="1000,340")
             assert answer.status == 200
 
+    async def test_record_that_a_restored_store_has_again_is_removed(self, fleet):
+        """Guards against entries that start later and quarantine a request that was acquitted."""
+        await start_fleet(fleet, entries=2)
+        await quarantine(fleet)
+        await wait_until(lambda: verdict_keys(fleet))
+        copy = fleet.store.copy()
+        fleet.harmful_bodies.clear()
+        fleet.store.remove(verdict_keys(fleet)[0])
+        await trio.sleep(0.3)
+        fleet.store.restore(copy)
+        assert verdict_keys(fleet)
+        await wait_until(lambda: not verdict_keys(fleet), 10.0)
+        for entry in (1, 2):
+            answer = await fleet.call("/note/x", entry=entry, body=HARMFUL, prompt="1000,340")
+            assert answer.status == 200
+
     async def test_record_that_is_removed_at_once_is_harmless(self, fleet):
         """Guards against a crash of the entry when a verdict and its removal arrive together.
 
