--- a/packages/proxy/src/sassafrastally/proxy/change_fetcher.py
+++ b/packages/proxy/src/sassafrastally/proxy/change_fetcher.py
@@ -176,11 +176,7 @@
             delta = decode_delta(response.body)
         except (AnswerLost, DocumentInvalid) as cause:
             self._failed_s[source.host] = self._kernel.clock.now_s()
-            self._kernel.events.emit(
-                PeerFailed(
-                    source.host, *self._cluster_state.position, *source.position, cause.detail
-                )
-            )
+            self._record_failed(source, cause.detail)
             await trio.sleep(FAILED_PEER_PAUSE_S * self._kernel.random.uniform(0.1, 0.3))
             return
         name = f"peer {source.host}"
@@ -190,5 +186,11 @@
             self._cluster_state.apply(delta.events, delta.position, name)
         if has_news(source.position, source.configuration_version, self._cluster_state):
             self._left_out_until_s[source.host] = self._kernel.clock.now_s() + FRUITLESS_PAUSE_S
+            self._record_failed(source, "its answer doesn't bring what its datagrams promise")
         if self._cluster_state.configuration is not configuration:
             await trio.sleep(CONFIGURATION_PAUSE_S)
+
+    def _record_failed(self, source: Source, cause: str) -> None:
+        self._kernel.events.emit(
+            PeerFailed(source.host, *self._cluster_state.position, *source.position, cause)
+        )
--- a/packages/proxy/src/sassafrastally/proxy/departures.py
+++ b/packages/proxy/src/sassafrastally/proxy/departures.py
@@ -67,6 +67,10 @@
         self._contradicted[key] = None
         return is_new
 
+    def end_contradiction(self, key: int) -> None:
+        """Record that a server isn't in the store any more, or not in this incarnation."""
+        self._contradicted.pop(key, None)
+
     def record_announced(self, keys: Iterable[int]) -> list[int]:
         """Record servers that a peer knows to be draining; return those that are new."""
         new = [key for key in keys if key not in self._draining]
@@ -84,7 +88,6 @@
     def record_removed(self, key: int, epoch: int) -> None:
         """Record that a server's record was removed from the store in an epoch."""
         self._removals.record(key, epoch)
-        self._contradicted.pop(key, None)
 
     def was_removed_before(self, key: int, epoch: int) -> bool:
         """Return whether a server was removed in an earlier epoch and not registered since."""
--- a/packages/proxy/src/sassafrastally/proxy/server_registry.py
+++ b/packages/proxy/src/sassafrastally/proxy/server_registry.py
@@ -292,6 +292,7 @@
         self._emit(ServerGone(server.server_id, server.service, source))
 
     def _record_incarnation_ended(self, server: BackendServer) -> None:
+        self._departures.end_contradiction(server_hash(server.incarnation_id))
         if self.on_incarnation_ended is not None:
             self.on_incarnation_ended(server)
 
--- /dev/null
+++ b/packages/proxy/tests/test_change_fetcher.py
@@ -0,0 +1,76 @@
+"""Fetching changes from peers."""
+
+from __future__ import annotations
+
+import trio
+
+from sassafrastally.core import Clock, Kernel
+from sassafrastally.proxy.calls import CallResponse
+from sassafrastally.proxy.change_fetcher import (
+    ChangeFetcher,
+    Source,
+    changes_target,
+    choose_source,
+    parse_changes_target,
+)
+from sassafrastally.proxy.cluster_state import ClusterState
+from sassafrastally.proxy.peer_messages import encode_delta
+from sassafrastally.proxy.store import StorePosition
+from sassafrastally.proxy.store_records import Delta
+
+from .test_cluster_state import REGISTRATION_EXPIRY_S, PlainDialect
+
+
+class StuckPeer:
+    """A peer whose answers bring nothing new."""
+
+    def __init__(self) -> None:
+        self.calls = 0
+
+    async def exchange(self, method, target, headers, body, time_limit_s) -> CallResponse:
+        self.calls += 1
+        await trio.sleep(0.001)
+        return CallResponse(200, [], encode_delta(Delta(None, (), StorePosition(0, 0))))
+
+
+class TestTarget:
+    """Target of a call for changes."""
+
+    def test_names_the_position(self):
+        position = StorePosition(3, 44)
+        assert parse_changes_target(changes_target(position)) == position
+
+    def test_peer_of_an_earlier_release_names_no_epoch(self):
+        assert parse_changes_target("/changes?after=44") == StorePosition(0, 44)
+
+    def test_invalid_target_names_none(self):
+        assert parse_changes_target("/changes?after=x") is None
+        assert parse_changes_target("/changes") is None
+
+
+class TestSource:
+    """Choice of the peer to fetch from."""
+
+    def test_peer_of_the_latest_epoch_comes_first(self):
+        """Guards against fetching from a peer that isn't aware of a restore yet."""
+        old = Source("a", True, StorePosition(1, 90), 0, None)
+        new = Source("b", True, StorePosition(2, 5), 0, None)
+        assert choose_source([old, new], {}, 0.0) is new
+
+
+class TestFruitlessPeer:
+    """A peer whose answers don't bring what its datagrams promise."""
+
+    async def test_it_is_not_called_in_a_loop(self, autojump_clock, nursery):
+        """Guards against calls without a pause while a peer promises a configuration that can't be
+        used here."""
+        kernel = Kernel("vm", "dc", Clock(), seed=1)
+        state = kernel.add(ClusterState(PlainDialect(), REGISTRATION_EXPIRY_S))
+        peer = StuckPeer()
+        source = Source("a", True, StorePosition(0, 0), 7, peer)
+        fetcher = ChangeFetcher(kernel, state, lambda: [source], lambda: False)
+        nursery.start_soon(fetcher.run)
+        for _ in range(100):
+            fetcher.note_news()
+            await trio.sleep(0.1)
+        assert 1 <= peer.calls <= 3
--- a/packages/proxy/tests/test_restored_view.py
+++ b/packages/proxy/tests/test_restored_view.py
@@ -186,8 +186,10 @@
         state.apply([put("servers/c", "[true, 1000]", 31)], at(31), "store")
         restore(state, 12, entry("servers/c", "[false, 1000]", 10))
         assert "c" not in ready_servers(state)
+        assert len(state.servers.draining_to_announce()) == 1
         state.apply([put("servers/c", "[false, 2000]", 13)], at(13, 2), "store")
         assert "c" in ready_servers(state)
+        assert state.servers.draining_to_announce() == ()
 
 
 class TestRemovedServers:
