--- a/packages/testing/src/sassafrastally/testing/soak/fleet.py
+++ b/packages/testing/src/sassafrastally/testing/soak/fleet.py
@@ -98,6 +98,8 @@
         self._hosts, self._guard = _own_addresses(self.random)
         self._by_address: dict[Address, Replica] = {}
         self._lives = 0
+        self._written: dict[str, bytes] = {}
+        """What the operator and the servers have last written to the store, by key."""
 
     async def start(self, entries: int, engines: int, plain: int) -> None:
         """Start everything and wait until all entries are ready."""
@@ -140,7 +142,7 @@
         document["tenants"].append(
             {"name": "ben", "apiKeys": [self.key_of(self.version)], "priority": 1}
         )
-        self.store.put("op/config", json.dumps(document).encode())
+        self._write("op/config", json.dumps(document).encode())
         self.configured_s[self.version] = trio.current_time()
 
     @staticmethod
@@ -157,11 +159,28 @@
         """Write a server's entry to the store."""
         server.replica.address = server.address
         value = server.replica.entry(is_draining=is_draining)
-        self.store.put(f"servers/{server.replica.server_id}", value)
+        self._write(f"servers/{server.replica.server_id}", value)
 
     def unregister(self, server: Server) -> None:
         """Remove a server's entry."""
-        self.store.remove(f"servers/{server.replica.server_id}")
+        key = f"servers/{server.replica.server_id}"
+        self._written.pop(key, None)
+        self.store.remove(key)
+
+    def _write(self, key: str, value: bytes) -> None:
+        self._written[key] = value
+        self.store.put(key, value)
+
+    def write_again(self) -> None:
+        """Write what a restore of the store has lost, as the operator and the servers do."""
+        prefixes = ("op/", "servers/")
+        stored = self.store.keys()
+        for key in stored:
+            if key.startswith(prefixes) and key not in self._written:
+                self.store.remove(key)
+        for key, value in self._written.items():
+            if self.store.value(key) != value:
+                self.store.put(key, value)
 
     async def begin_life(self, server: Server) -> None:
         """Start a new life of a server at its address."""
--- a/packages/testing/src/sassafrastally/testing/soak/probing.py
+++ b/packages/testing/src/sassafrastally/testing/soak/probing.py
@@ -25,6 +25,11 @@
 """How long after the store's word a version must be in force: two seconds and the time that a busy
 machine takes."""
 
+STORE_WINDOW_S = 3.0
+MOST_STORE_CALLS_PER_S = 6.0
+"""Calls of an entry, on average: 2,000 reads a second, which the users' store allows, over 340
+entries."""
+
 RECOVER_S = 12.0
 """How long after the last trouble the fleet must serve again."""
 
@@ -35,6 +40,9 @@
 MOST_FILES = 600
 """What an entry may take at the end of a soak; descriptors grow with callers and servers."""
 
+NOT_IN_THE_WAY = ("server-", "burst", "callers-links")
+"""Troubles that don't keep an entry from learning of a version."""
+
 ASKED_TO_END = frozenset({0, -signal.SIGTERM, -signal.SIGKILL})
 """Exit codes of processes that the soak itself ended: in order, by a signal that met the
 interpreter before the program's first statement, or by force."""
@@ -52,6 +60,18 @@
             nursery.start_soon(_watch_entry, fleet, number)
 
 
+async def watch_store_calls(fleet: SoakFleet) -> None:
+    """Check that entries don't call the store in a loop, until cancelled."""
+    most = MOST_STORE_CALLS_PER_S * STORE_WINDOW_S * len(fleet.entries)
+    while True:
+        before = len(fleet.store.calls)
+        await trio.sleep(STORE_WINDOW_S)
+        calls = len(fleet.store.calls) - before
+        if calls > most:
+            detail = f"{calls} calls in {STORE_WINDOW_S:.0f} s, {most:.0f} at most"
+            fleet.record.note_broken("the store is not called in a loop", detail)
+
+
 async def _watch_entry(fleet: SoakFleet, number: int) -> None:
     entry = fleet.entries[number]
     seen: dict[int, int] = {}
@@ -86,8 +106,8 @@
 
 def _is_due(fleet: SoakFleet, number: int, version: int, sent_s: float) -> bool:
     configured_s = fleet.configured_s[version]
-    is_calm = fleet.record.is_calm(number, configured_s, sent_s, with_store=True)
-    return sent_s > configured_s + IN_FORCE_S and is_calm
+    calm_s = fleet.record.calm_since_s(number, sent_s, but_for=NOT_IN_THE_WAY)
+    return sent_s > max(configured_s, calm_s) + IN_FORCE_S
 
 
 async def _ask(entry: EntryProcess, route: str, key: str = KEY) -> int:
--- a/packages/testing/src/sassafrastally/testing/soak/promises.py
+++ b/packages/testing/src/sassafrastally/testing/soak/promises.py
@@ -165,9 +165,10 @@
                 continue
             for arrival in replica.received_requests:
                 attempt = self._record.attempts.get(arrival.request_id)
-                if attempt is None or arrival.at_s < drained_s + DRAIN_S:
+                if attempt is None:
                     continue
-                if self._record.is_calm(attempt.entry, drained_s, arrival.at_s, with_store=True):
+                calm_s = self._record.calm_since_s(attempt.entry, arrival.at_s)
+                if arrival.at_s > max(drained_s, calm_s) + DRAIN_S:
                     late.append(f"{replica.server_id} after {arrival.at_s - drained_s:.2f} s")
         if late:
             self._record.note_broken("drained servers are left alone", ", ".join(late[:5]))
--- a/packages/testing/src/sassafrastally/testing/soak/record.py
+++ b/packages/testing/src/sassafrastally/testing/soak/record.py
@@ -141,11 +141,10 @@
         begin_s: float,
         end_s: float,
         *,
-        with_store: bool = False,
         with_planned: bool = False,
         but_for: tuple[str, ...] = (),
     ) -> bool:
-        """Return whether no trouble harmed an entry in a time and shortly before it.
+        """Return whether no trouble but of the store harmed an entry in a time and shortly before.
 
         Parameters
         ----------
@@ -153,8 +152,6 @@
             The entry.
         begin_s, end_s
             The time.
-        with_store
-            Whether troubles of the store count.
         with_planned
             Whether planned work counts.
         but_for
@@ -164,13 +161,35 @@
             if (span.is_planned and not with_planned) or span.name.startswith(but_for):
                 continue
             is_concerned = span.entries is None or entry in span.entries
-            if span.is_at_store and not with_store:
+            if span.is_at_store:
                 is_concerned = False
             overlaps = span.begin_s <= end_s and span.end_s + CALM_AFTER_S >= begin_s
             if is_concerned and overlaps:
                 return False
         return True
 
+    def calm_since_s(self, entry: int, at_s: float, but_for: tuple[str, ...] = ()) -> float:
+        """Return since when an entry has been calm, the store included; infinite if it isn't.
+
+        Parameters
+        ----------
+        entry
+            The entry.
+        at_s
+            The time at which it has to be calm.
+        but_for
+            Troubles whose names begin so don't count.
+        """
+        ends_s = (
+            span.end_s + CALM_AFTER_S
+            for span in self.spans
+            if not (span.is_planned or span.name.startswith(but_for))
+            and (span.entries is None or entry in span.entries)
+            and span.begin_s <= at_s
+        )
+        since_s = max(ends_s, default=-math.inf)
+        return math.inf if since_s > at_s else since_s
+
     def note_broken(self, promise: str, detail: str) -> None:
         """Note a broken promise with the time since the beginning."""
         elapsed_s = trio.current_time() - self.begin_s
--- a/packages/testing/src/sassafrastally/testing/soak/runner.py
+++ b/packages/testing/src/sassafrastally/testing/soak/runner.py
@@ -12,7 +12,7 @@
 
 from sassafrastally.testing.soak.callers import Caller
 from sassafrastally.testing.soak.fleet import SoakFleet
-from sassafrastally.testing.soak.probing import check_recovered, watch_versions
+from sassafrastally.testing.soak.probing import check_recovered, watch_store_calls, watch_versions
 from sassafrastally.testing.soak.promises import Judge
 from sassafrastally.testing.soak.troubles import TROUBLES, NoServerFree
 
@@ -88,6 +88,7 @@
     size: SoakSize | None,
     tell: Callable[[str], object],
     kinds: Sequence[str] = (),
+    gap_s: float = GAP_S,
 ) -> SoakReport:
     """Run a soak.
 
@@ -103,6 +104,8 @@
         Called with lines about the progress.
     kinds
         Names of the troubles that are brought; none stands for all.
+    gap_s
+        Mean time between two troubles.
     """
     random_source = random.Random(seed)
     size = size or size_of(random_source)
@@ -112,7 +115,7 @@
         try:
             await fleet.start(size.entries, size.engines, size.plain)
             judge = Judge(fleet)
-            await _press(fleet, judge, size, seconds, tell, kinds or TROUBLES.names())
+            await _press(fleet, judge, size, seconds, tell, kinds or TROUBLES.names(), gap_s)
             await check_recovered(fleet)
             judge.judge_ended()
             judge.judge_all()
@@ -133,6 +136,7 @@
     seconds: float,
     tell: Callable[[str], object],
     kinds: Sequence[str],
+    gap_s: float,
 ) -> None:
     """Let callers press while troubles come, and a while longer."""
     async with trio.open_nursery() as nursery:
@@ -140,18 +144,21 @@
             nursery.start_soon(Caller(fleet).press)
         nursery.start_soon(judge.watch)
         nursery.start_soon(watch_versions, fleet)
+        nursery.start_soon(watch_store_calls, fleet)
         nursery.start_soon(_watch_lag, fleet)
         nursery.start_soon(_tell, fleet, tell)
         async with trio.open_nursery() as troubles:
             with trio.move_on_after(seconds):
-                await _bring_troubles(fleet, troubles, kinds)
+                await _bring_troubles(fleet, troubles, kinds, gap_s)
         await trio.sleep(SETTLE_S)
         nursery.cancel_scope.cancel()
 
 
-async def _bring_troubles(fleet: SoakFleet, troubles: trio.Nursery, kinds: Sequence[str]) -> None:
+async def _bring_troubles(
+    fleet: SoakFleet, troubles: trio.Nursery, kinds: Sequence[str], gap_s: float
+) -> None:
     while True:
-        await trio.sleep(fleet.random.expovariate(1 / GAP_S))
+        await trio.sleep(fleet.random.expovariate(1 / gap_s))
         chosen = TROUBLES.get(fleet.random.choice(kinds))
         troubles.start_soon(_bring, fleet, chosen)
 
--- a/packages/testing/src/sassafrastally/testing/soak/troubles.py
+++ b/packages/testing/src/sassafrastally/testing/soak/troubles.py
@@ -32,6 +32,12 @@
 LAPSE_SHARE = 0.4
 """Share of the store's outages in which a server's entry lapses."""
 
+COPY_AGE_S = (0.5, 5.0)
+"""Age of the copy from which the store is restored."""
+
+LOST_CHANGES = (0, 30)
+"""Changes by other users of the store that a restore loses too."""
+
 STORE_DELAY_S = 0.5
 LINK_DELAY_S = 0.3
 SLOW_LINK_BYTES_PER_S = 20_000.0
@@ -225,6 +231,25 @@
         fleet.register(lapsed)
 
 
+@trouble("store-restored")
+async def restore_store(fleet: SoakFleet) -> None:
+    """Let the store come back from a copy some seconds old, once or several times in a row."""
+    copy = fleet.store.copy()
+    await trio.sleep(fleet.random.uniform(*COPY_AGE_S))
+    for _ in range(fleet.random.randint(*LOST_CHANGES)):
+        fleet.store.put("others/counter", b"")
+    with fleet.record.trouble("store-restored", at_store=True):
+        for _ in range(fleet.random.choice([1, 1, 3])):
+            fleet.store.error_status = 503
+            await trio.sleep(fleet.random.uniform(0.0, 2.5))
+            fleet.store.restore(copy)
+            fleet.store.error_status = 0
+            for proxy in fleet.store_proxies.values():
+                proxy.reset_all()
+            await trio.sleep(fleet.random.uniform(0.0, BACK_S))
+        fleet.write_again()
+
+
 @trouble("store-forgets")
 async def forget_history(fleet: SoakFleet) -> None:
     """Let the store drop its history while the watches on it are cut."""
--- a/packages/testing/tests/soak/test_soak.py
+++ b/packages/testing/tests/soak/test_soak.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import tomllib
 from pathlib import Path
 
@@ -34,6 +35,13 @@
         assert not report.broken, str(report)
         assert report.outcomes["200"] > 50, str(report)
 
+    async def test_nothing_older_comes_back_with_a_restored_store(self):
+        """Guards against missing or reverting what a store said that was restored from a copy."""
+        kinds = ["store-restored", "configured", "server-drained"]
+        report = await run_soak(20_263, 30.0, SMALL, print, kinds, gap_s=4.0)
+        assert not report.broken, str(report)
+        assert report.troubles["store-restored"] >= 2, str(report)
+
     @pytest.mark.parametrize("known", SEEDS, ids=lambda known: str(known["number"]))
     async def test_seed_that_broke_a_promise_keeps_them(self, known):
         report = await run_soak(known["number"], known["seconds"], None, print)
@@ -58,5 +66,13 @@
         assert record.is_calm(1, 0.2, 0.4)
         assert not record.is_calm(1, 0.2, 0.4, with_planned=True)
 
+    async def test_calm_begins_a_while_after_the_last_trouble(self, autojump_clock):
+        record = Record()
+        with record.trouble("store-away", at_store=True):
+            await trio.sleep(1.0)
+        assert record.calm_since_s(1, 3.9) == math.inf
+        assert record.calm_since_s(1, 4.5) == pytest.approx(4.0)
+        assert record.calm_since_s(1, -1.0) == -math.inf
+
     async def test_target_names_the_attempt(self):
         assert Attempt("abc", Kind.BOOK, 1, 0).target == "/book/abc"
