--- a/packages/cli/src/sassafrastally/cli/why.py
+++ b/packages/cli/src/sassafrastally/cli/why.py
@@ -19,6 +19,7 @@
 
 BELIEFS = frozenset(
     {
+        "ConfigurationIgnored",
         "ConfigurationInForce",
         "DocumentRejected",
         "HistoryReread",
@@ -29,6 +30,8 @@
         "ProcessStarted",
         "ServerCoolingDown",
         "ServerGone",
+        "ServerHeld",
+        "ServerKeptDraining",
         "ServerKnown",
         "ServerLapsed",
         "ServerLeaving",
@@ -37,6 +40,7 @@
         "ServerSuspected",
         "StoreLost",
         "StoreRegained",
+        "StoreRestored",
         "WatchTakenOver",
     }
 )
