--- a/packages/proxy/src/sassafrastally/proxy/server_registry.py
+++ b/packages/proxy/src/sassafrastally/proxy/server_registry.py
@@ -196,7 +196,6 @@
         self._held.pop(server_id, None)
         server = self._servers.get(server_id)
         if server is not None:
-            self._lapse_ends_s.pop(server_id, None)
             self._drop(server, source)
 
     def is_in_grace_period(self) -> bool:
@@ -287,6 +286,7 @@
 
     def _drop(self, server: BackendServer, source: str) -> None:
         del self._servers[server.server_id]
+        self._lapse_ends_s.pop(server.server_id, None)
         self._index = None
         self._record_incarnation_ended(server)
         self._emit(ServerGone(server.server_id, server.service, source))
@@ -300,7 +300,6 @@
         now_s = self._now()
         for server_id, removed_at_s in list(self._lapse_ends_s.items()):
             if now_s >= removed_at_s:
-                del self._lapse_ends_s[server_id]
                 self._record_removed(self._servers[server_id])
                 self._drop(self._servers[server_id], "not registered again after a store outage")
 
--- a/packages/proxy/tests/test_cluster_state.py
+++ b/packages/proxy/tests/test_cluster_state.py
@@ -132,6 +132,18 @@
         autojump_clock.jump(LAPSE_GRACE_S + 0.1)
         assert [server.server_id for server in cluster_state.servers.of_service("s")] == ["a"]
 
+    async def test_lapsed_server_that_is_removed_again_is_dropped_once(
+        self, cluster_state, autojump_clock
+    ):
+        """A server's lease expires in an outage, and it registers again and leaves between two
+        reads of this process. Guards against a request that fails while the server is looked up."""
+        cluster_state.apply([put("servers/a", "false", 1)], at(1), "store")
+        cluster_state.servers.store_returned_s = cluster_state.kernel.clock.now_s()
+        cluster_state.apply([KvEvent("servers/a", None, 2)], at(2), "store")
+        autojump_clock.jump(LAPSE_GRACE_S + 0.1)
+        cluster_state.apply([KvEvent("servers/a", None, 4)], at(4), "store")
+        assert cluster_state.servers.of_service("s") == []
+
     async def test_server_removed_without_an_outage_is_dropped_at_once(self, cluster_state):
         cluster_state.apply([put("servers/a", "false", 1)], at(1), "store")
         cluster_state.apply([KvEvent("servers/a", None, 2)], at(2), "store")
--- a/packages/proxy/tests/test_restored_view.py
+++ b/packages/proxy/tests/test_restored_view.py
@@ -78,6 +78,7 @@
     async def test_changes_of_an_earlier_epoch_are_skipped(self, state):
         """Guards against applying a peer's late answer from before the restore."""
         restore(state, 12, entry("config", "7", 11), *SERVERS)
+        state.servers.store_returned_s = float("-inf")
         state.apply([KvEvent("servers/a", None, 31)], at(31, 1), "peer")
         state.replace(snapshot(1, 99), "peer")
         assert ready_servers(state) == ["a", "b"]
