--- a/packages/proxy/src/sassafrastally/proxy/peers.py
+++ b/packages/proxy/src/sassafrastally/proxy/peers.py
@@ -300,7 +300,7 @@
         servers.record_announced_draining(hello.draining, f"peer {hello.host}")
         if self._has_news(hello):
             self._change_fetcher.note_news()
-        elif hello.position == self._cluster_state.position:
+        if hello.position == self._cluster_state.position:
             confirmed_s = now_s - hello.confirmed_age_s
             self._cluster_state.confirmed_s = max(self._cluster_state.confirmed_s, confirmed_s)
 
