--- a/packages/proxy/src/sassafrastally/proxy/cluster_state.py
+++ b/packages/proxy/src/sassafrastally/proxy/cluster_state.py
@@ -105,7 +105,8 @@
             entry.key: entry for entry in snapshot.entries if self._is_relevant_key(entry.key)
         }
         # The configuration in force is passed on to peers even if the store has lost its record.
-        for key in self._records.keys() - {*present, self._dialect.keys.configuration}:
+        missing = self._records.keys() - {*present, self._dialect.keys.configuration}
+        for key in sorted(missing):
             # A restored store has lost the latest records of quarantined requests, which doesn't
             # lift them.
             if is_restored and self._is_quarantine_record(key):
