--- a/packages/proxy/tests/test_restored_replay.py
+++ b/packages/proxy/tests/test_restored_replay.py
@@ -123,8 +123,8 @@
         self.known_draining |= {one.server_id for one in servers.known() if one.is_draining}
 
 
-class Drill:
-    """A random day of a store and its views."""
+class RandomRun:
+    """Random changes, restores, cuts and restarts of a store and its views."""
 
     def __init__(self, seed: int, clock) -> None:
         self.random = random.Random(seed)
@@ -217,17 +217,17 @@
 @pytest.mark.parametrize("seed", [*range(60), *SEEDS_THAT_FAILED])
 async def test_views_agree_in_the_end_and_never_revert(seed, autojump_clock):
     """Guards against anything that a restore makes an entry miss, or bring back."""
-    drill = Drill(seed, autojump_clock)
+    run = RandomRun(seed, autojump_clock)
     for _ in range(STEPS):
-        drill.step()
-    drill.settle()
+        run.step()
+    run.settle()
     live = {
         key.removeprefix("servers/")
-        for key, value in drill.store.written.items()
+        for key, value in run.store.written.items()
         if key.startswith("servers/") and value == b"false"
     }
-    for view in drill.views:
+    for view in run.views:
         view.check()
-        assert view.state.configuration_version == drill.version
+        assert view.state.configuration_version == run.version
         used = {server.server_id for server in view.state.servers.of_service("s")}
-        assert used == live - drill.draining
+        assert used == live - run.draining
--- a/packages/testing/src/sassafrastally/testing/soak/probing.py
+++ b/packages/testing/src/sassafrastally/testing/soak/probing.py
@@ -40,8 +40,8 @@
 MOST_FILES = 600
 """What an entry may take at the end of a soak; descriptors grow with callers and servers."""
 
-NOT_IN_THE_WAY = ("server-", "burst", "callers-links")
-"""Troubles that don't keep an entry from learning of a version."""
+UNRELATED_TO_UPDATES = ("server-", "burst", "callers-links")
+"""Beginnings of the names of troubles that don't keep an entry from learning of a version."""
 
 ASKED_TO_END = frozenset({0, -signal.SIGTERM, -signal.SIGKILL})
 """Exit codes of processes that the soak itself ended: in order, by a signal that met the
@@ -106,7 +106,7 @@
 
 def _is_due(fleet: SoakFleet, number: int, version: int, sent_s: float) -> bool:
     configured_s = fleet.configured_s[version]
-    calm_s = fleet.record.calm_since_s(number, sent_s, but_for=NOT_IN_THE_WAY)
+    calm_s = fleet.record.calm_since_s(number, sent_s, but_for=UNRELATED_TO_UPDATES)
     return sent_s > max(configured_s, calm_s) + IN_FORCE_S
 
 
