Leave out servers whose address a later incarnation has taken

Cause: after the restart of a data centre's 21 engines under new ids, the records of the crashed ones stay until they expire.

Change: of several servers at one address, only the one that started last gets requests. Servers that don't report their start are kept, since a late record of a crashed server would win.

--- a/packages/proxy/src/sassafrastally/proxy/server_registry.py
+++ b/packages/proxy/src/sassafrastally/proxy/server_registry.py
@@ -7,6 +7,7 @@
 
 from typing import TYPE_CHECKING, NamedTuple
 
+from sassafrastally.proxy.address_holders import AddressHolders
 from sassafrastally.proxy.data_centre_pools import divide_by_data_centre
 from sassafrastally.proxy.departures import Departures
 from sassafrastally.proxy.load import server_hash
@@ -78,6 +79,7 @@
         self._held: dict[str, BackendServer] = {}
         self._lapse_ends_s: dict[str, float] = {}
         self._latest_born_ms: dict[str, int] = {}
+        self._holders = AddressHolders()
         self._index: _Index | None = None
 
     def of_service(self, service: str) -> list[BackendServer]:
@@ -139,7 +141,10 @@
         self._lapse_ends_s.pop(server.server_id, None)
         if known == server:
             return
+        if known is not None:
+            self._holders.forget(known)
         self._servers[server.server_id] = server
+        self._holders.record(server)
         self._index = None
         if known is not None and known.incarnation_id != server.incarnation_id:
             self._record_incarnation_ended(known)
@@ -286,6 +291,7 @@
 
     def _drop(self, server: BackendServer, source: str) -> None:
         del self._servers[server.server_id]
+        self._holders.forget(server)
         self._lapse_ends_s.pop(server.server_id, None)
         self._index = None
         self._record_incarnation_ended(server)
@@ -318,7 +324,7 @@
             for server in sorted(
                 self._servers.values(), key=lambda one: server_hash(one.incarnation_id)
             ):
-                if not server.is_draining:
+                if not server.is_draining and self._holders.may_hold(server):
                     by_service.setdefault(server.service, []).append(server)
             pools = {
                 service: divide_by_data_centre(servers) for service, servers in by_service.items()
--- a/packages/proxy/tests/test_cluster_state.py
+++ b/packages/proxy/tests/test_cluster_state.py
@@ -93,6 +93,31 @@
         assert cluster_state.configuration.version == 7
 
 
+class TestSharedAddresses:
+    """Two registered servers name the same address."""
+
+    async def test_crashed_server_is_not_used_once_another_has_started_at_its_address(
+        self, cluster_state
+    ):
+        """A server crashes and another one starts at its address before the first record expires.
+        Guards against requests for the crashed server, which the other one rejects."""
+        first, second = put("servers/a", "[false, 100]", 1), put("servers/b", "[false, 200]", 2)
+        cluster_state.apply([first, second], at(2), "store")
+        assert [server.server_id for server in cluster_state.servers.of_service("s")] == ["b"]
+        cluster_state.apply([KvEvent("servers/b", None, 3)], at(3), "store")
+        assert [server.server_id for server in cluster_state.servers.of_service("s")] == ["a"]
+
+    async def test_late_record_of_the_crashed_server_does_not_replace_its_successor(
+        self, cluster_state
+    ):
+        """The crashed server's last write arrives after its successor's. Guards against using the
+        record that was written last."""
+        first, second = put("servers/a", "[false, 100]", 2), put("servers/b", "[false, 200]", 1)
+        cluster_state.apply([second], at(1), "store")
+        cluster_state.apply([first], at(2), "store")
+        assert [server.server_id for server in cluster_state.servers.of_service("s")] == ["b"]
+
+
 class TestServers:
     """Backend servers join, drain and leave."""
 
