Exclude servers of evacuated data centres and outside of home regions

Cause: operators can evacuate a data centre by a key in the store, and routes and customers can name home regions. Entries knew neither and sent requests to any live server.

Change: records under op/evacuate/ are part of the cluster state, so they reach entries by watch, full read and peers. Idle connections there are closed, probes are not made, reservations that are held are renewed and released. Where no server is left, a request is refused at once with `evacuated` or `no-home`.

Requests without an evacuation cost one check of a flag at each look-up of a service's servers.

--- a/packages/cli/src/sassafrastally/cli/why.py
+++ b/packages/cli/src/sassafrastally/cli/why.py
@@ -21,7 +21,11 @@
     {
         "ConfigurationIgnored",
         "ConfigurationInForce",
+        "DataCentreEvacuated",
         "DocumentRejected",
+        "EvacuationEnded",
+        "EvacuationKept",
+        "EvacuationUnknown",
         "HistoryReread",
         "LogLinesMissing",
         "PeerHeard",
--- a/packages/proxy/src/sassafrastally/proxy/cluster_state.py
+++ b/packages/proxy/src/sassafrastally/proxy/cluster_state.py
@@ -15,9 +15,11 @@
 from sassafrastally.core import KvEntry, KvEvent, Service
 from sassafrastally.proxy.departures import Removals
 from sassafrastally.proxy.dialect import DocumentInvalid
+from sassafrastally.proxy.evacuation import DataCentres
 from sassafrastally.proxy.log_events import (
     ConfigurationIgnored,
     ConfigurationInForce,
+    DataCentresIgnored,
     DocumentRejected,
     StaleRecordsSkipped,
     StoreRestored,
@@ -45,11 +47,18 @@
         Decodes the store's records.
     registration_expiry_s
         Time without a heartbeat after which the platform removes a server's record.
+    data_centres
+        The data centres in the settings.
     """
 
     name: ClassVar[str] = "beliefs"
 
-    def __init__(self, dialect: Dialect, registration_expiry_s: float) -> None:
+    def __init__(
+        self,
+        dialect: Dialect,
+        registration_expiry_s: float,
+        data_centres: DataCentres = DataCentres(),  # noqa: B008 (immutable)
+    ) -> None:
         self.configuration: Configuration | None = None
         """The configuration in force; ``None`` until one is known."""
         self.routes = RouteTable(())
@@ -64,6 +73,8 @@
         """Called when there is news for the peers, so that they are notified at once."""
         self.on_quarantine_record: Callable[[KvEntry | KvEvent], None] | None = None
         """Called when the record of a quarantined request is written or removed."""
+        self.data_centres = data_centres
+        """The data centres in the settings."""
         self._dialect = dialect
         self._records = StoreRecords()
         self._lifted: Removals[str] = Removals()
@@ -72,9 +83,15 @@
             # The kernel is known only once this service is added to it.
             lambda: self.kernel.clock.now_s(),
             lambda event: self.kernel.events.emit(event),
+            data_centres.regions,
         )
         """The known backend servers."""
 
+    async def start(self, nursery: trio.Nursery) -> None:
+        """Log the parts of the settings' data centres that are ignored."""
+        for problem in self.data_centres.problems:
+            self.kernel.events.emit(DataCentresIgnored(problem))
+
     @property
     def position(self) -> StorePosition:
         """Position of the store up to which all changes are known."""
@@ -107,15 +124,19 @@
         # The configuration in force is passed on to peers even if the store has lost its record.
         missing = self._records.keys() - {*present, self._dialect.keys.configuration}
         for key in sorted(missing):
-            # A restored store has lost the latest records of quarantined requests, which doesn't
-            # lift them.
+            # A restored store has lost the latest records of quarantined requests and evacuations,
+            # which doesn't lift them.
             if is_restored and self._is_quarantine_record(key):
                 self._records.remove(key)
+            elif is_restored and self._is_evacuation(key):
+                self._records.remove(key)
+                self.servers.evacuations.record_lost(self._data_centre(key), source)
             else:
                 self._remove(key, source)
         for entry in present.values():
             if self._records.is_news(entry):
                 self._put(entry, source, may_be_copied=True)
+        self.servers.check_evacuations()
         self._records.forget_changes(snapshot.position.revision)
         self.confirm(snapshot.position)
 
@@ -133,6 +154,7 @@
             else:
                 entry = KvEntry(event.key, event.value, event.mod_revision)
                 self._put(entry, source, may_be_copied=False)
+        self.servers.check_evacuations()
         self.confirm(position)
 
     def delta_after(self, position: StorePosition) -> Delta:
@@ -145,7 +167,7 @@
                 StoreRestored(epoch, self.position.epoch, self.position.revision, source)
             )
         self._records.begin_epoch(epoch)
-        self.servers.epoch = epoch
+        self.servers.epoch = self.servers.evacuations.epoch = epoch
 
     def _skip(
         self, records: Iterable[KvEntry | KvEvent], position: StorePosition, source: str
@@ -162,7 +184,7 @@
 
     def _is_relevant_key(self, key: str) -> bool:
         keys = self._dialect.keys
-        prefixes = (keys.servers_prefix, keys.quarantine_prefix)
+        prefixes = (keys.servers_prefix, keys.quarantine_prefix, keys.evacuations_prefix)
         return key == keys.configuration or key.startswith(prefixes)
 
     def quarantine_records(self) -> list[KvEntry]:
@@ -192,6 +214,14 @@
         if self._is_quarantine_record(entry.key):
             self._put_quarantine_record(entry, may_be_copied=may_be_copied)
             return
+        if self._is_evacuation(entry.key):
+            self.servers.evacuations.record_written(
+                self._data_centre(entry.key),
+                entry.mod_revision,
+                source,
+                may_be_copied=may_be_copied,
+            )
+            return
         try:
             server = self._dialect.decode_server(entry.key, entry.value)
         except DocumentInvalid as cause:
@@ -243,10 +273,19 @@
         self.kernel.events.emit(
             ConfigurationInForce(configuration.version, len(configuration.routes), source)
         )
+        if configuration.has_home_regions and not self.data_centres.has_regions:
+            problem = "home regions aren't enforced: the settings name no region"
+            self.kernel.events.emit(DataCentresIgnored(problem))
 
     def _is_quarantine_record(self, key: str) -> bool:
         return key.startswith(self._dialect.keys.quarantine_prefix)
 
+    def _is_evacuation(self, key: str) -> bool:
+        return key.startswith(self._dialect.keys.evacuations_prefix)
+
+    def _data_centre(self, key: str) -> str:
+        return key.removeprefix(self._dialect.keys.evacuations_prefix)
+
     def _notify_quarantine_record(self, record: KvEntry | KvEvent) -> None:
         if self.on_quarantine_record is not None:
             self.on_quarantine_record(record)
@@ -258,6 +297,9 @@
                 self._lifted.record(key, self.position.epoch)
                 self._notify_quarantine_record(KvEvent(key, None, self.position.revision))
             return
+        if self._is_evacuation(key):
+            self.servers.evacuations.record_removed(self._data_centre(key), source)
+            return
         self.servers.remove(self._server_id(key), source)
 
     def _server_id(self, key: str) -> str:
--- a/packages/proxy/src/sassafrastally/proxy/connection_pool.py
+++ b/packages/proxy/src/sassafrastally/proxy/connection_pool.py
@@ -27,12 +27,15 @@
 class _Idle(NamedTuple):
     connection: HttpStream
     since_s: float
+    data_centre: str
 
 
 class ConnectionPool:
     """Idle connections by backend server."""
 
     def __init__(self) -> None:
+        self.evacuated: frozenset[str] = frozenset()
+        """Data centres to whose servers no idle connections are kept."""
         self._idle: dict[str, list[_Idle]] = {}
 
     async def open(self, server: BackendServer) -> HttpStream:
@@ -55,26 +58,34 @@
     async def release(self, server: BackendServer, connection: HttpStream) -> None:
         """Return a connection to the pool after a complete response, or close it if unusable."""
         kept = self._idle.setdefault(server.incarnation_id, [])
-        if len(kept) >= MAX_IDLE_PER_SERVER or connection.has_unread_input():
+        if (
+            len(kept) >= MAX_IDLE_PER_SERVER
+            or connection.has_unread_input()
+            or server.data_centre in self.evacuated
+        ):
             await connection.close()
             return
         connection.http.start_next_cycle()
-        kept.append(_Idle(connection, trio.current_time()))
+        kept.append(_Idle(connection, trio.current_time(), server.data_centre))
 
     def idle_count(self) -> int:
         """Return the number of idle connections."""
         return sum(len(kept) for kept in self._idle.values())
 
     async def close_idle(self) -> None:
-        """Close the connections that have been idle for too long.
+        """Close the connections that have been idle for too long, or are to evacuated servers.
 
         A server that has left gets no more requests, so `acquire` never closes its connections.
         Over days of server replacements they would exhaust the process's file descriptors.
         """
         oldest_s = trio.current_time() - IDLE_TIME_S
         for incarnation_id, kept in list(self._idle.items()):
-            expired = [idle for idle in kept if idle.since_s < oldest_s]
-            kept[:] = [idle for idle in kept if idle.since_s >= oldest_s]
+            expired = [
+                idle
+                for idle in kept
+                if idle.since_s < oldest_s or idle.data_centre in self.evacuated
+            ]
+            kept[:] = [idle for idle in kept if idle not in expired]
             if not kept:
                 del self._idle[incarnation_id]
             for idle in expired:
--- a/packages/proxy/src/sassafrastally/proxy/daemon.py
+++ b/packages/proxy/src/sassafrastally/proxy/daemon.py
@@ -45,7 +45,7 @@
     ledger = Ledger()
     budget = RetryBudget(bounds.retry_ratio, bounds.retry_burst, bounds.retry_window_s)
     pool = ConnectionPool()
-    kernel.add(ClusterState(dialect, settings.registration_expiry_s))
+    kernel.add(ClusterState(dialect, settings.registration_expiry_s, settings.data_centres))
     kernel.add(StoreWatch(store))
     kernel.add(Peers(settings, dialect, store, ledger))
     kernel.add(Backpressure(settings.host))
--- a/packages/proxy/src/sassafrastally/proxy/dialect.py
+++ b/packages/proxy/src/sassafrastally/proxy/dialect.py
@@ -49,6 +49,8 @@
     """Prefix under which entries (proxy processes) register themselves."""
     quarantine_prefix: str
     """Prefix of the records of quarantined requests."""
+    evacuations_prefix: str
+    """Prefix of the records of evacuated data centres; the data centre's name follows."""
 
 
 class Dialect(Protocol):
--- a/packages/proxy/src/sassafrastally/proxy/fleet_view.py
+++ b/packages/proxy/src/sassafrastally/proxy/fleet_view.py
@@ -33,6 +33,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
 
+    from sassafrastally.proxy.evacuation import Unavailability
     from sassafrastally.proxy.model import BackendServer, ServerLoad
 
 
@@ -66,7 +67,8 @@
         self._peers.own_paces = self._own_paces
         self.ledger.others = self._peers.loads
         self._nursery = nursery
-        self.liveness = Liveness(nursery)
+        evacuations = self._cluster_state.servers.evacuations
+        self.liveness = Liveness(nursery, evacuations.is_evacuated)
 
     @property
     def entries(self) -> int:
@@ -88,7 +90,9 @@
         now_s = self.kernel.clock.now_s()
         return merge_work(self.ledger.work(now_s), self._peers.loads())
 
-    def views(self, service: str, avoid: set[str]) -> list[ServerView]:
+    def views(
+        self, service: str, avoid: set[str], homes: frozenset[str] | None = None
+    ) -> list[ServerView]:
         """Return the servers of a service in the order shared by all entries.
 
         Servers whose backpressure excludes further requests from this entry now are left out.
@@ -100,13 +104,19 @@
             The service.
         avoid
             Servers to exclude, since they were already tried for this request.
+        homes
+            Data centres in which the request may run; ``None`` for any.
         """
-        return self._views(self._cluster_state.servers.of_service(service), avoid)
+        return self._views(self._servers(service, homes), avoid)
 
-    def local_views(self, service: str, avoid: set[str]) -> list[ServerView]:
+    def local_views(
+        self, service: str, avoid: set[str], homes: frozenset[str] | None = None
+    ) -> list[ServerView]:
         """Return the own data centre's servers as in `views`; none if they aren't preferred."""
         if not self.is_divided(service):
             return []
+        if homes is not None and self.kernel.data_centre not in homes:
+            return []
         pool = self._cluster_state.servers.pool(service, self.kernel.data_centre)
         return self._views(pool, avoid) if pool else []
 
@@ -118,6 +128,16 @@
         """
         return self._peers.receives_sums() and self._cluster_state.servers.is_divided(service)
 
+    def _servers(self, service: str, homes: frozenset[str] | None) -> list[BackendServer]:
+        servers = self._cluster_state.servers.of_service(service)
+        if homes is None:
+            return servers
+        return [server for server in servers if server.data_centre in homes]
+
+    def unavailability(self, service: str, homes: frozenset[str] | None) -> Unavailability:
+        """Return why no server of a service may get a request, whatever its load."""
+        return self._cluster_state.servers.unavailability(service, homes)
+
     def _views(self, servers: Sequence[BackendServer], avoid: set[str]) -> list[ServerView]:
         now_s = self.kernel.clock.now_s()
         work = self.work()
@@ -139,12 +159,14 @@
         trusted = [view for view in views if not view.is_suspect]
         return trusted or views
 
-    def available_in_s(self, service: str, time_left_s: float | None) -> float | None:
+    def available_in_s(
+        self, service: str, time_left_s: float | None, homes: frozenset[str] | None = None
+    ) -> float | None:
         """Return after how long a caller should retry when no server accepts a request now.
 
         ``None`` if some server accepts one, or if the time is unknown.
         """
-        servers = self._cluster_state.servers.of_service(service)
+        servers = self._servers(service, homes)
         return self._backpressure.available_in_s(service, servers, time_left_s)
 
     def _servers_to_avoid(self, now_s: float) -> set[str | int]:
--- a/packages/proxy/src/sassafrastally/proxy/internal_endpoints.py
+++ b/packages/proxy/src/sassafrastally/proxy/internal_endpoints.py
@@ -85,13 +85,16 @@
     def _gauges(self) -> dict[str, float]:
         now_s = self.kernel.clock.now_s()
         configuration = self._cluster_state.configuration
+        servers = self._cluster_state.servers
         return {
             "configuration_version": configuration.version if configuration else 0,
             "store_epoch": self._cluster_state.position.epoch,
             "store_revision": self._cluster_state.position.revision,
             "beliefs_age_seconds": now_s - self._cluster_state.confirmed_s,
             "store_age_seconds": now_s - self._cluster_state.store_answered_s,
-            "backend_servers": self._cluster_state.servers.count(),
+            "backend_servers": servers.count(),
+            "evacuated_data_centres": len(servers.evacuations.data_centres),
+            "evacuated_servers": servers.evacuated_count(),
             "quarantined_requests": self._quarantine.count,
             "suspected_servers": len(self._fleet_view.outlier_ejection.suspects(now_s)),
             "peers": self._fleet_view.entries - 1,
--- a/packages/proxy/src/sassafrastally/proxy/liveness.py
+++ b/packages/proxy/src/sassafrastally/proxy/liveness.py
@@ -10,6 +10,8 @@
 from sassafrastally.proxy.http_stream import ConnectionLost, connect
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from sassafrastally.proxy.model import BackendServer
 
 DROPPED_WITHIN_S = 0.02
@@ -39,6 +41,10 @@
     resets connections."""
 
 
+UNKNOWN = Finding(is_listening=True, is_refused=False, detail="not probed: evacuated")
+"""Finding without a connection, from which nothing is concluded."""
+
+
 class _Probe:
     """A connection attempt, in progress or done."""
 
@@ -61,14 +67,21 @@
     ----------
     nursery
         Where connections are made, so that a request that ends doesn't cancel a shared probe.
+    is_evacuated
+        Returns whether a data centre is evacuated; its servers aren't probed.
     """
 
-    def __init__(self, nursery: trio.Nursery) -> None:
+    def __init__(
+        self, nursery: trio.Nursery, is_evacuated: Callable[[str], bool] = lambda _: False
+    ) -> None:
         self._nursery = nursery
+        self._is_evacuated = is_evacuated
         self._probes: dict[str, _Probe] = {}
 
     async def find(self, server: BackendServer) -> Finding:
         """Probe a server's address, or return the finding of a recent or running probe."""
+        if self._is_evacuated(server.data_centre):
+            return UNKNOWN
         probe = self._probes.get(server.incarnation_id)
         if probe is None or not probe.is_reusable():
             probe = _Probe(trio.current_time())
--- a/packages/proxy/src/sassafrastally/proxy/log_events/__init__.py
+++ b/packages/proxy/src/sassafrastally/proxy/log_events/__init__.py
@@ -2,6 +2,13 @@
 
 from __future__ import annotations
 
+from sassafrastally.proxy.log_events.evacuation import (
+    DataCentreEvacuated,
+    DataCentresIgnored,
+    EvacuationEnded,
+    EvacuationKept,
+    EvacuationUnknown,
+)
 from sassafrastally.proxy.log_events.knowledge import (
     CentreHeard,
     CentreSilent,
@@ -70,9 +77,14 @@
     "ConfigurationIgnored",
     "ConfigurationInForce",
     "ConnectionCrashed",
+    "DataCentreEvacuated",
+    "DataCentresIgnored",
     "DocumentRejected",
     "EngineSlow",
     "EngineUsual",
+    "EvacuationEnded",
+    "EvacuationKept",
+    "EvacuationUnknown",
     "FormerLifeIgnored",
     "HistoryReread",
     "PeerFailed",
--- a/packages/proxy/src/sassafrastally/proxy/model.py
+++ b/packages/proxy/src/sassafrastally/proxy/model.py
@@ -49,6 +49,8 @@
     """Whether requests need no API key."""
     is_resumable: bool
     """Whether a stream may be resumed on another backend server."""
+    home_regions: frozenset[str] | None = None
+    """Regions in which requests may run; ``None`` for all."""
 
     @property
     def is_repeatable(self) -> bool:
@@ -106,6 +108,8 @@
     name: str
     priority: int | None
     """Overrides the priority of the route, if set."""
+    home_regions: frozenset[str] | None = None
+    """Regions in which its requests may run; ``None`` for all."""
 
 
 class Configuration(NamedTuple):
@@ -118,6 +122,14 @@
     customers_by_key: dict[str, Customer] | None
     """``None`` if the configuration defines no customers; then no request needs a key."""
 
+    @property
+    def has_home_regions(self) -> bool:
+        """Whether any route or customer has home regions."""
+        customers = (self.customers_by_key or {}).values()
+        return any(route.home_regions is not None for route in self.routes) or any(
+            customer.home_regions is not None for customer in customers
+        )
+
 
 class BackendServer(NamedTuple):
     """One incarnation of a backend server, as reported by service discovery."""
--- a/packages/proxy/src/sassafrastally/proxy/path.py
+++ b/packages/proxy/src/sassafrastally/proxy/path.py
@@ -10,6 +10,7 @@
 from sassafrastally.proxy.backpressure import Backpressure
 from sassafrastally.proxy.cluster_state import ClusterState
 from sassafrastally.proxy.crash_detector import CrashDetector
+from sassafrastally.proxy.evacuation import home_data_centres
 from sassafrastally.proxy.fingerprint import fingerprint_text, request_fingerprint
 from sassafrastally.proxy.fleet_view import FleetView
 from sassafrastally.proxy.log_events import CallerLeft, RequestFailed, RequestRefused, StreamBroken
@@ -101,14 +102,26 @@
             Reservations(self._dialect, self.kernel, self._cluster_state, backpressure, nursery),
             PrefillLimitsCache(),
         )
+        self._evacuations_changed = trio.Event()
+        self._cluster_state.servers.on_evacuations_changed = self._note_evacuations_changed
         nursery.start_soon(self._clean_up)
 
+    def _note_evacuations_changed(self) -> None:
+        evacuations = self._cluster_state.servers.evacuations
+        self._attempts.pool.evacuated = evacuations.data_centres
+        self._evacuations_changed.set()
+
     async def _clean_up(self) -> None:
         while True:
-            await trio.sleep(CLEANUP_INTERVAL_S)
+            with trio.move_on_after(CLEANUP_INTERVAL_S):
+                await self._evacuations_changed.wait()
+            self._evacuations_changed = trio.Event()
             await self._attempts.pool.close_idle()
-            await self.services.reservations.forget_gone(
-                {server.address for server in self._cluster_state.servers.known()}
+            known = self._cluster_state.servers.known()
+            await self.services.reservations.forget_gone({server.address for server in known})
+            is_evacuated = self._cluster_state.servers.evacuations.is_evacuated
+            await self.services.reservations.close_idle(
+                server.address for server in known if is_evacuated(server.data_centre)
             )
             self.services.fleet_view.forget_gone()
 
@@ -145,8 +158,13 @@
         customer: Customer | None,
     ) -> None:
         service = choose_service(route.shares, self.kernel.random.random())
+        homes = home_data_centres(
+            route.home_regions,
+            customer.home_regions if customer else None,
+            self._cluster_state.data_centres,
+        )
         task = RequestTask(
-            request, route, configuration, customer, service, _fingerprint(request, customer)
+            request, route, configuration, customer, service, _fingerprint(request, customer), homes
         )
         self._budget.count_request(service, request.arrived_s)
         answerer = self._request_handler(task, reply)
--- a/packages/proxy/src/sassafrastally/proxy/plain_request.py
+++ b/packages/proxy/src/sassafrastally/proxy/plain_request.py
@@ -65,13 +65,13 @@
         return self._reply_not_run(TURNED_AWAY, f"{self.progress.attempts} attempts")
 
     def _choose_server(self) -> BackendServer | None:
-        views = self._services.fleet_view.views(self._task.service, self.progress.tried)
+        views = self._views(self.progress.tried)
         if self._is_suspect():
             views = self._isolate(views)
         return place_plain(views, self._services.kernel.data_centre)
 
     def _has_untried_servers(self) -> bool:
-        return bool(self._services.fleet_view.views(self._task.service, self.progress.tried))
+        return bool(self._views(self.progress.tried))
 
     def _should_retry(self, answer: BufferedResponse) -> bool:
         return answer.status >= SERVER_ERROR_STATUS and self._task.route.is_repeatable
--- a/packages/proxy/src/sassafrastally/proxy/refusals.py
+++ b/packages/proxy/src/sassafrastally/proxy/refusals.py
@@ -34,6 +34,16 @@
     503,
     "All backend servers of the service take fewer requests for now. The request has not run.",
 )
+EVACUATED = Refusal(
+    "evacuated",
+    503,
+    "All backend servers of the service are in evacuated data centres. The request has not run.",
+)
+NO_HOME = Refusal(
+    "no-home",
+    503,
+    "No backend server of the service is in a home region of the request. It has not run.",
+)
 TURNED_AWAY = Refusal(
     "turned-away", 503, "The backend servers turned the request away. It has not run."
 )
@@ -64,6 +74,8 @@
     NO_SERVER,
     NO_ROOM,
     SERVERS_LIMITED,
+    EVACUATED,
+    NO_HOME,
     TURNED_AWAY,
     QUARANTINED,
     TOO_LONG,
--- a/packages/proxy/src/sassafrastally/proxy/reports.py
+++ b/packages/proxy/src/sassafrastally/proxy/reports.py
@@ -128,6 +128,8 @@
 
     def _poll_for_request(self, engine: BackendServer, request_id: str) -> None:
         """Request an engine's report at once; an engine that doesn't answer is avoided."""
+        if self._cluster_state.servers.evacuations.is_evacuated(engine.data_centre):
+            return  # Its attempts run to completion; nothing else is sent there.
         if engine.incarnation_id not in self._polling and self._backpressure.is_open(engine):
             self._nursery.start_soon(self._poll, engine, request_id)
 
--- a/packages/proxy/src/sassafrastally/proxy/request_handler.py
+++ b/packages/proxy/src/sassafrastally/proxy/request_handler.py
@@ -6,11 +6,19 @@
 
 from sassafrastally.proxy.attempt import AttemptNotRun, AttemptUnknown
 from sassafrastally.proxy.backpressure import CallKind
+from sassafrastally.proxy.evacuation import Unavailability
 from sassafrastally.proxy.fingerprint import fingerprint_text
 from sassafrastally.proxy.log_events import AttemptFailed, RequestPlaced, RetryBudgetSpent
 from sassafrastally.proxy.metrics import ATTEMPTS_FAILED
 from sassafrastally.proxy.model import AttemptParameters
-from sassafrastally.proxy.refusals import MAY_HAVE_RUN, QUARANTINED, SERVERS_LIMITED, TURNED_AWAY
+from sassafrastally.proxy.refusals import (
+    EVACUATED,
+    MAY_HAVE_RUN,
+    NO_HOME,
+    QUARANTINED,
+    SERVERS_LIMITED,
+    TURNED_AWAY,
+)
 from sassafrastally.proxy.suspect_placement import assigned_servers
 from sassafrastally.proxy.task import LocalReply, Progress, RequestTask
 from sassafrastally.proxy.turning_away import MIN_RETRY_DELAY_S, retry_delay_s
@@ -35,6 +43,12 @@
 """Number of unreachable servers after which a request is rejected. So many connection failures mean
 that this VM's network is broken rather than the servers."""
 
+UNAVAILABILITY_REFUSALS = {
+    Unavailability.EVACUATED: EVACUATED,
+    Unavailability.NO_HOME: NO_HOME,
+}
+"""Refusal by the reason for which no server of the service may get the request."""
+
 
 class RequestHandler:
     """Handles one request by sending attempts to backend servers.
@@ -65,17 +79,34 @@
     def _request_id(self) -> str:
         return self._task.request.facts.request_id
 
+    def _views(self, avoid: set[str]) -> list[ServerView]:
+        """Return the servers that may get the request, as in `FleetView.views`."""
+        return self._services.fleet_view.views(self._task.service, avoid, self._task.homes)
+
+    def _local_views(self, avoid: set[str]) -> list[ServerView]:
+        """Return those of the own data centre, as in `FleetView.local_views`."""
+        return self._services.fleet_view.local_views(self._task.service, avoid, self._task.homes)
+
     def _reply_not_run(self, refusal: Refusal, detail: str) -> LocalReply:
         """Return the local reply for a request that hasn't run, with a retry delay.
 
         Parameters
         ----------
         refusal, detail
-            The reason; replaced if all servers are rate limited or cooling down.
+            The reason; replaced if all servers are evacuated, outside of the request's home
+            regions, rate limited or cooling down.
         """
-        service = self._task.service
+        service, homes = self._task.service, self._task.homes
         time_left_s = self._task.time_left_s(self._clock.now_s())
-        available_in_s = self._services.fleet_view.available_in_s(service, time_left_s)
+        available_in_s = None
+        unavailability = self._services.fleet_view.unavailability(service, homes)
+        if unavailability is Unavailability.NONE:
+            available_in_s = self._services.fleet_view.available_in_s(service, time_left_s, homes)
+        else:
+            refusal = UNAVAILABILITY_REFUSALS[unavailability]
+            detail = f"service {service}"
+            if homes is not None:
+                detail += f", home data centres: {', '.join(sorted(homes)) or 'none'}"
         if available_in_s is None:
             random_share = self._services.kernel.random.random()
             return LocalReply(refusal, detail, retry_delay_s(time_left_s, random_share))
--- a/packages/proxy/src/sassafrastally/proxy/reservations.py
+++ b/packages/proxy/src/sassafrastally/proxy/reservations.py
@@ -24,7 +24,7 @@
 from sassafrastally.proxy.store import AnswerLost
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator, Mapping, Sequence
+    from collections.abc import AsyncIterator, Iterable, Mapping, Sequence
 
     from sassafrastally.core import Kernel
     from sassafrastally.proxy.backpressure import Backpressure
@@ -124,6 +124,12 @@
         for address in self._calls.keys() - known:
             await self._calls.pop(address).close()
 
+    async def close_idle(self, addresses: Iterable[Address]) -> None:
+        """Close the idle connections to engines; those that are held renew on new ones."""
+        for address in addresses:
+            if (client := self._calls.get(address)) is not None:
+                await client.close()
+
     async def _reserve_all(self, reservations: Sequence[_Reservation]) -> None:
         outcomes: list[ReservationOutcome] = []
 
--- a/packages/proxy/src/sassafrastally/proxy/server_registry.py
+++ b/packages/proxy/src/sassafrastally/proxy/server_registry.py
@@ -8,7 +8,12 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from sassafrastally.proxy.data_centre_pools import divide_by_data_centre
-from sassafrastally.proxy.departures import Departures
+from sassafrastally.proxy.departures import MAX_ANNOUNCED, Departures
+from sassafrastally.proxy.evacuation import (
+    EvacuationRegistry,
+    Unavailability,
+    find_unavailability,
+)
 from sassafrastally.proxy.load import server_hash
 from sassafrastally.proxy.log_events import (
     FormerLifeIgnored,
@@ -20,7 +25,7 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable
+    from collections.abc import Callable, Collection, Iterable
 
     from sassafrastally.proxy.model import BackendServer
 
@@ -36,7 +41,7 @@
 
 
 class _Index(NamedTuple):
-    """Index of the live backend servers that aren't draining."""
+    """Index of the live backend servers that are neither draining nor evacuated."""
 
     by_service: dict[str, list[BackendServer]]
     pools: dict[str, dict[str, list[BackendServer]]]
@@ -54,6 +59,8 @@
         Returns the present time.
     emit
         Writes a log event.
+    data_centres
+        Names of the data centres in the settings.
     """
 
     def __init__(
@@ -61,9 +68,15 @@
         registration_expiry_s: float,
         now: Callable[[], float],
         emit: Callable[[NamedTuple], object],
+        data_centres: Collection[str] = (),
     ) -> None:
         self.epoch = 0
         """Epoch of the store from which the records come."""
+        self.evacuations = EvacuationRegistry(data_centres, now, emit)
+        """The evacuated data centres, whose servers are known but not used."""
+        self.evacuations.on_change = self._note_evacuations_changed
+        self.on_evacuations_changed: Callable[[], None] | None = None
+        """Called when a data centre becomes evacuated, or no longer is."""
         self.store_returned_s = float("-inf")
         """When the store was last reached again after an outage."""
         self.on_announcement: Callable[[], None] | None = None
@@ -81,11 +94,14 @@
         self._index: _Index | None = None
 
     def of_service(self, service: str) -> list[BackendServer]:
-        """Return a service's live, non-draining servers in the order shared by all entries."""
+        """Return a service's usable servers in the order shared by all entries.
+
+        They are live, and neither draining nor in an evacuated data centre.
+        """
         return self._current_index().by_service.get(service, [])
 
     def pool(self, service: str, data_centre: str) -> list[BackendServer] | None:
-        """Return a data centre's live, non-draining servers of a service.
+        """Return a data centre's usable servers of a service, as in `of_service`.
 
         ``None`` if they aren't a separate pool.
         """
@@ -95,6 +111,26 @@
         """Return whether each data centre's servers of a service form a separate pool."""
         return bool(self._current_index().pools.get(service))
 
+    def unavailability(self, service: str, homes: frozenset[str] | None) -> Unavailability:
+        """Return why no server of a service may get a request, whatever its load.
+
+        Parameters
+        ----------
+        service
+            The service.
+        homes
+            Data centres in which the request may run; ``None`` for any.
+        """
+        usable = self.of_service(service)
+        if usable if homes is None else any(one.data_centre in homes for one in usable):
+            return Unavailability.NONE
+        live = (
+            server.data_centre
+            for server in self._servers.values()
+            if server.service == service and not server.is_draining
+        )
+        return find_unavailability(live, self.evacuations.is_evacuated, homes)
+
     def get(self, server_id: str) -> BackendServer | None:
         """Return a known backend server."""
         return self._servers.get(server_id)
@@ -112,6 +148,11 @@
         """Return the number of known backend servers, draining ones included."""
         return len(self._servers)
 
+    def evacuated_count(self) -> int:
+        """Return the number of known backend servers in evacuated data centres."""
+        is_evacuated = self.evacuations.is_evacuated
+        return sum(is_evacuated(server.data_centre) for server in self._servers.values())
+
     def apply(self, server: BackendServer, revision: int, source: str) -> None:
         """Apply a server's record that was written in the present epoch.
 
@@ -212,7 +253,12 @@
         source
             The peer, for the log.
         """
-        new = set(self._departures.record_announced(keys))
+        announced = set(keys)
+        if announced:
+            known = (server.data_centre for server in self._servers.values())
+            announced -= self.evacuations.record_announced(announced, known, source)
+            self.check_evacuations()
+        new = set(self._departures.record_announced(announced))
         if not new:
             return
         for server in list(self._servers.values()):
@@ -221,8 +267,22 @@
                 self._index = None
 
     def draining_to_announce(self) -> tuple[int, ...]:
-        """Return the draining servers that the store names as ready, by hash of the id."""
-        return self._departures.to_announce()
+        """Return the draining servers that the store names as ready, by hash of the id.
+
+        Evacuations that a restored store has lost are announced in the same way.
+        """
+        evacuations = self.evacuations.to_announce()
+        return (*evacuations, *self._departures.to_announce()[: MAX_ANNOUNCED - len(evacuations)])
+
+    def check_evacuations(self) -> None:
+        """Look for the data centres of new evacuations among those of the known servers."""
+        if self.evacuations.has_unknown:
+            self.evacuations.check_known(server.data_centre for server in self._servers.values())
+
+    def _note_evacuations_changed(self) -> None:
+        self._index = None
+        if self.on_evacuations_changed is not None:
+            self.on_evacuations_changed()
 
     def held(self) -> dict[str, float]:
         """Return the servers that aren't used yet after a restore, with the remaining seconds."""
@@ -313,12 +373,15 @@
             self._expire_lapsed()
         if self._held:
             self._release_held()
+        if self.evacuations.may_end:
+            self.evacuations.expire()
         if self._index is None:
+            is_evacuated = self.evacuations.is_evacuated
             by_service: dict[str, list[BackendServer]] = {}
             for server in sorted(
                 self._servers.values(), key=lambda one: server_hash(one.incarnation_id)
             ):
-                if not server.is_draining:
+                if not server.is_draining and not is_evacuated(server.data_centre):
                     by_service.setdefault(server.service, []).append(server)
             pools = {
                 service: divide_by_data_centre(servers) for service, servers in by_service.items()
--- a/packages/proxy/src/sassafrastally/proxy/settings.py
+++ b/packages/proxy/src/sassafrastally/proxy/settings.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple
 
 from sassafrastally.core import Address
+from sassafrastally.proxy.evacuation import DataCentres
 
 
 class ProcessLimits(NamedTuple):
@@ -38,3 +39,5 @@
     link_mbps: int
     """Network bandwidth of the VM, in megabits per second."""
     bounds: ProcessLimits
+    data_centres: DataCentres = DataCentres()
+    """All data centres, with their regions."""
--- a/packages/proxy/src/sassafrastally/proxy/streaming_request.py
+++ b/packages/proxy/src/sassafrastally/proxy/streaming_request.py
@@ -103,13 +103,13 @@
     def _local_reply(self, detail: str) -> LocalReply:
         if self.progress.may_have_run:
             return LocalReply(MAY_HAVE_RUN, detail)
-        if not self._services.fleet_view.views(self._task.service, set()):
+        if not self._views(set()):
             return self._reply_not_run(NO_SERVER, f"service {self._task.service}")
         return self._reply_not_run(TURNED_AWAY if self.progress.attempts else NO_ROOM, detail)
 
     def _load_summary(self) -> str:
         """Return a summary of the engines' load for the log and the caller."""
-        views = self._services.fleet_view.views(self._task.service, self.progress.tried)
+        views = self._views(self.progress.tried)
         requests = sum(view.work.requests for view in views)
         prefill_s = max((view.work.prefill_ms for view in views), default=0.0) / 1000
         return (
@@ -120,20 +120,17 @@
         )
 
     def _place(self) -> Placement | None:
-        service, tried = self._task.service, self.progress.tried
+        tried = self.progress.tried
         if self._lane is Lane.SHORT and self._is_suspect():
-            fleet_view = self._services.fleet_view
-            views = fleet_view.local_views(service, tried) or fleet_view.views(service, tried)
+            views = self._local_views(tried) or self._views(tried)
             plan = self._place_among(self._isolate(views))
             if plan is not None:
                 return plan
-        if self._lane is Lane.SHORT and (
-            local_views := self._services.fleet_view.local_views(service, tried)
-        ):
+        if self._lane is Lane.SHORT and (local_views := self._local_views(tried)):
             plan = self._place_among(local_views)
             if fits_in_local_data_centre(plan, self._goal_s()):
                 return plan
-        return self._place_among(self._services.fleet_view.views(service, tried))
+        return self._place_among(self._views(tried))
 
     def _place_among(self, views: Sequence[ServerView]) -> Placement | None:
         fleet_view = self._services.fleet_view
--- a/packages/proxy/src/sassafrastally/proxy/task.py
+++ b/packages/proxy/src/sassafrastally/proxy/task.py
@@ -34,6 +34,8 @@
     service: str
     fingerprint: int
     """Identifies the request across the caller's retries."""
+    homes: frozenset[str] | None = None
+    """Data centres in which it may run, by its home regions; ``None`` for any."""
 
     @property
     def time_limit_s(self) -> float:
--- a/packages/proxy/tests/test_cluster_state.py
+++ b/packages/proxy/tests/test_cluster_state.py
@@ -21,7 +21,7 @@
 class PlainDialect:
     """Decodes store values from JSON."""
 
-    keys = StoreKeys("config", "servers/", "entries/", "quarantine/")
+    keys = StoreKeys("config", "servers/", "entries/", "quarantine/", "evacuate/")
 
     def decode_configuration(self, value: bytes) -> Configuration:
         try:
@@ -30,13 +30,15 @@
             raise DocumentInvalid(str(cause)) from cause
 
     def decode_server(self, key: str, value: bytes) -> BackendServer:
-        """Return a server of ``[is_draining, born_ms]``, or of ``is_draining`` alone."""
+        """Return a server of ``[is_draining, born_ms, data_centre]`` or of its beginning."""
         try:
             body = json.loads(value)
         except ValueError as cause:
             raise DocumentInvalid(str(cause)) from cause
-        is_draining, born_ms = body if isinstance(body, list) else (body, None)
-        return BackendServer(key.removeprefix("servers/"), "s", None, "dc", 1, is_draining, born_ms)
+        fields = body if isinstance(body, list) else [body]
+        is_draining, born_ms, data_centre = [*fields, *(None, "dc")[len(fields) - 1 :]]
+        server_id = key.removeprefix("servers/")
+        return BackendServer(server_id, "s", None, data_centre, 1, is_draining, born_ms)
 
 
 @pytest.fixture
