--- a/packages/proxy/tests/test_evacuation.py
+++ b/packages/proxy/tests/test_evacuation.py
@@ -188,6 +188,16 @@
         assert find_unavailability(live, lambda name: name == "north", homes) is expected
 
 
+class TestSettings:
+    """Data centres in the settings."""
+
+    async def test_invalid_part_is_logged(self, autojump_clock):
+        state = make_state(DataCentres({}, ("zones: neither a list nor an object: 5",)))
+        await state.start(None)
+        (event,) = logged(state, "DataCentresIgnored")
+        assert "zones" in event["problem"]
+
+
 class TestHomeRegions:
     """Data centres in which a request may run."""
 
--- a/packages/proxy/tests/test_liveness.py
+++ b/packages/proxy/tests/test_liveness.py
@@ -61,3 +61,14 @@
                 probing.start_soon(liveness.find, server)
         await trio.sleep(0.02)
         assert listener.accepted == 1
+
+    async def test_server_in_an_evacuated_data_centre_is_not_probed(self, nursery):
+        """Guards against new connections to a data centre to which nothing may be sent."""
+        listener = Listener()
+        address = await nursery.start(listener.run)
+        server = BackendServer("s", "engines", address, "here", 8, False)
+        finding = await Liveness(nursery, lambda name: name == "here").find(server)
+        assert finding.is_listening
+        assert not (finding.is_dropped or finding.is_refused)
+        await trio.sleep(0.02)
+        assert listener.accepted == 0
--- a/packages/testing/tests/platform/test_evacuation.py
+++ b/packages/testing/tests/platform/test_evacuation.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+from functools import partial
 
 import pytest
 import trio
@@ -126,6 +127,22 @@
             assert not answers
         assert all(answer.status == 200 and answer.is_whole for answer in answers)
 
+    async def test_silent_engine_is_not_asked_for_its_report(self, centres):
+        """Guards against calls on behalf of a request that was sent before the evacuation."""
+        engines = [one for one in centres.replicas.values() if one.engine]
+        for engine in engines:
+            engine.is_unresponsive = True
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(partial(centres.call, "/note/x", prompt="1000,340"))
+            await trio.sleep(0.1)
+            for data_centre in centres.data_centres:
+                centres.operator.evacuate(data_centre)
+            await all_know(centres, "north", "south")
+            await trio.sleep(0.5)
+            calls = sum(len(engine.call_times_s) for engine in engines)
+            await trio.sleep(4.0)
+        assert sum(len(engine.call_times_s) for engine in engines) == calls
+
     async def test_held_memory_is_renewed_and_released(self, centres):
         """Guards against cutting off a prompt that holds memory in an evacuated data centre, and
         against holding the memory after its end."""
--- a/packages/testing/tests/platform/test_settings.py
+++ b/packages/testing/tests/platform/test_settings.py
@@ -39,6 +39,13 @@
         assert settings.callers_address.port == 8227
         assert settings.bounds.retry_window_s == 10.0
 
+    def test_invalid_data_centres_are_no_finding(self):
+        """Guards against an entry that doesn't start because of a field that it can do without."""
+        valid = decode_settings(json.dumps({**VALID, "zones": [{"name": "here"}]}), "settings.json")
+        assert valid.data_centres.regions == {"here": None}
+        invalid = decode_settings(json.dumps({**VALID, "zones": 5}), "settings.json")
+        assert len(invalid.data_centres.problems) == 1
+
     def test_all_findings_are_reported_with_their_places(self):
         invalid = {**VALID, "ip": None, "listen": {"front": "nowhere"}}
         del invalid["bounds"]
