--- a/packages/testing/tests/platform/test_evacuation.py
+++ b/packages/testing/tests/platform/test_evacuation.py
@@ -163,7 +163,9 @@
                 centres.operator.evacuate(data_centre)
             await all_know(centres, "north", "south")
             await trio.sleep(LEASE_S)
-            assert any(engine.reservations for engine in engines)
+            held = [one for engine in engines for one in engine.reservations.values()]
+            assert held
+            assert all(one.until_s > trio.current_time() for one in held)
         assert answers[0].status == 200
         assert answers[0].is_whole
         await wait_until(lambda: not any(engine.reservations for engine in engines), 0.5)
