Limit requests to cold backend servers over all entries

Cause: a backend server that has just started or lost its caches accepts few requests and crashes well above that rate. Entries sent it as many as to any other: coldLeftMs was decoded and dropped, Cold-Ms and coldPerS were unknown.

Change: the folder warm_up decides without I/O which servers are cold and how many requests this entry may send each of them. The rate is divided into whole requests per 1.1 s by a hash of server and entry, so that the quotas add up to it in any window. An entry that others can't reach keeps its quota for an hour, and a starting entry waits one second until it has heard of the others. Backpressure excludes a cold server without quota left; placement prefers warm servers at equal load, and cold ones prefill parts only in need. The time is counted on the entry's own clock from when a value is first seen.

Result: test_warm_up.py, 1 to 340 entries at 32 requests per second: at most 53 in any second, at least 0.8 of the rate used; also between entries that are cut off for an hour, join, are replaced or miss a fifth of the others. Without coldPerS in the configuration nothing is limited. test_cold_servers.py shows the same with three running entries.

--- a/packages/proxy/src/sassafrastally/proxy/backpressure.py
+++ b/packages/proxy/src/sassafrastally/proxy/backpressure.py
@@ -12,10 +12,13 @@
 from sassafrastally.proxy.leaving_servers import DeclaredLeaving
 from sassafrastally.proxy.load import server_hash
 from sassafrastally.proxy.log_events import (
+    ColdTimeRejected,
+    ServerCold,
     ServerCoolingDown,
     ServerLeaving,
     ServerLimited,
     ServerLimitEnded,
+    ServerWarm,
 )
 from sassafrastally.proxy.metrics import SERVER_CALLS
 from sassafrastally.proxy.peers import Peers
@@ -26,6 +29,7 @@
     own_share_per_s,
 )
 from sassafrastally.proxy.server_limits import LimitChange, ServerLimits
+from sassafrastally.proxy.warm_up import ColdBound, ColdNotice, WarmUpLimits
 
 if TYPE_CHECKING:
     from collections.abc import Collection, Iterable, Mapping, Sequence
@@ -33,7 +37,7 @@
     import trio
 
     from sassafrastally.proxy.limit_exchange import LimitReport
-    from sassafrastally.proxy.model import BackendServer, BackpressureSignals
+    from sassafrastally.proxy.model import BackendServer, BackpressureSignals, Configuration
 
 ASSUMED_LIMIT_PER_S = 20.0
 """Assumed requests per second of a server without a stated limit once its cool-down is over."""
@@ -57,12 +61,14 @@
     ----------
     own_host
         Host of this entry, as known to its peers.
+    cold_bound
+        The deployment's bound on the requests to one cold server.
     """
 
     name: ClassVar[str] = "backpressure"
     needs: ClassVar[tuple[str, ...]] = ("beliefs", "peers")
 
-    def __init__(self, own_host: str) -> None:
+    def __init__(self, own_host: str, cold_bound: ColdBound) -> None:
         self._own_host = own_host
         self._cool_downs = CoolDowns()
         self._leaving = DeclaredLeaving()
@@ -72,12 +78,22 @@
         """Cache of this entry's shares by server; valid until the entries or the limits change."""
         self._shared_among: set[str] = set()
         self._retry_schedule = RetrySchedule()
+        self._warm_up = WarmUpLimits(own_host, cold_bound)
+        self._configuration: Configuration | None = None
+        self._server_ids: dict[str, str] = {}
+        """Ids of cold servers by incarnation, for the log."""
 
     async def start(self, nursery: trio.Nursery) -> None:
         """Resolve the services that provide the servers and the peers."""
         self._cluster_state = self.kernel.get("beliefs", ClusterState)
         self._peers = self.kernel.get("peers", Peers)
         self._peers.limits = self
+        servers = self._cluster_state.servers
+        if servers.has_snapshot:
+            self._warm_up.begin(self._now_s)
+        for server in servers.known():
+            self._warm_up.servers.record_registration(server, self._now_s, is_new=False)
+        servers.on_registration = self._record_registration
 
     def gauges(self) -> dict[str, float]:
         """Return the number of servers by kind of backpressure."""
@@ -86,6 +102,7 @@
             "limited_servers": self._limits.count(),
             "resting_servers": len(self._cool_downs),
             "leaving_servers": len(self.leaving()),
+            "cold_servers": len(self._warm_up.servers) if self._has_cold() else 0,
         }
 
     def count_request(self, server: BackendServer, kind: CallKind) -> None:
@@ -94,8 +111,12 @@
         self._sent_to(server.incarnation_id).record(self._now_s)
 
     def count_part(self, server: BackendServer) -> None:
-        """Count a part of a prompt that a limited server prefills for another one."""
-        if self.limit_of(server.incarnation_id) is not None:
+        """Count a part of a prompt that a server prefills for another one.
+
+        Parts are counted for servers with a limit and for those that may turn cold: a server that
+        does has already received them.
+        """
+        if self._may_turn_cold(server) or self.limit_of(server.incarnation_id) is not None:
             self._sent_to(server.incarnation_id).record(self._now_s)
 
     def record_answer(self, server: BackendServer, signals: BackpressureSignals) -> None:
@@ -107,6 +128,15 @@
             self._record_leaving(server)
         if signals.cool_down_s is not None:
             self._record_cool_down(server, signals.cool_down_s)
+        self.record_cold_time(server, signals)
+
+    def record_cold_time(self, server: BackendServer, signals: BackpressureSignals) -> None:
+        """Note the cold time that a server states in an answer."""
+        if not signals.cold_left_s:
+            return
+        self._apply_configuration()
+        notice = self._warm_up.servers.record_answer(server, signals.cold_left_s, self._now_s)
+        self._note_cold(server, notice, signals.cold_left_s, OWN_SOURCE)
 
     def leaving(self) -> dict[str, float]:
         """Return the servers that recently announced leaving, with the remaining seconds."""
@@ -118,7 +148,18 @@
 
     def limit_of(self, incarnation_id: str) -> float | None:
         """Return the requests per second that a server accepts; ``None`` without a limit."""
-        return self._limits.of(server_hash(incarnation_id)) if self._limits else None
+        most_per_s = self._limits.of(server_hash(incarnation_id)) if self._limits else None
+        if not self._has_cold():
+            return most_per_s
+        cold_per_s = self._warm_up.servers.rate_per_s(incarnation_id, self._now_s)
+        limits_per_s = [limit for limit in (most_per_s, cold_per_s) if limit is not None]
+        return min(limits_per_s, default=None)
+
+    def is_cold(self, incarnation_id: str) -> bool:
+        """Return whether a server is cold."""
+        if not self._has_cold():
+            return False
+        return self._warm_up.servers.left_s(incarnation_id, self._now_s) > 0
 
     def waits_s(self, servers: Iterable[BackendServer]) -> dict[str, float]:
         """Return the time until each server accepts a request; servers that do now are left out.
@@ -127,11 +168,14 @@
         other entries only.
         """
         self._cool_downs.forget_expired(self._now_s)
-        if not (self._limits or self._leaving or self._cool_downs):
+        has_cold = self._has_cold()
+        if not (self._limits or self._leaving or self._cool_downs or has_cold):
             return {}
         if (others := self._peers.members()) != self._shared_among:
             self._shared_among = others
             self._shares.clear()
+        if has_cold:
+            self._warm_up.record_entries(others, self._now_s)
         waits_s = ((one.incarnation_id, self._wait_s(one.incarnation_id)) for one in servers)
         return {incarnation_id: wait_s for incarnation_id, wait_s in waits_s if wait_s > 0}
 
@@ -164,10 +208,31 @@
         if math.isinf(first_s):
             # Other entries share all limits; this is the average time until one has room.
             first_s = 1 / total_per_s
-        own_per_s = total_per_s / (1 + len(self._peers.members()))
+        entries = 1 + len(self._peers.members())
+        warm_in_s = self._warm_in_s(staying)
+        limit_s = warm_in_s if time_left_s is None else min(warm_in_s, time_left_s)
+        delay_s = self._retry_schedule.next_retry_s(
+            service, first_s, total_per_s / entries, limit_s, self._now_s
+        )
+        if delay_s <= warm_in_s:
+            return delay_s
+        # Once the first server is warm, it accepts far more than the rate of cold ones.
         return self._retry_schedule.next_retry_s(
-            service, first_s, own_per_s, time_left_s, self._now_s
+            f"{service}, warm", warm_in_s, ASSUMED_LIMIT_PER_S, time_left_s, self._now_s
+        )
+
+    def _warm_in_s(self, servers: Iterable[BackendServer]) -> float:
+        """Return the time until a server that is limited only while cold is warm."""
+        if not self._has_cold():
+            return math.inf
+        ids = (server.incarnation_id for server in servers)
+        left_s = (
+            self._warm_up.servers.left_s(one, self._now_s)
+            for one in ids
+            if self._limits.of(server_hash(one)) is None
+            and not self._cool_downs.remaining_s(one, self._now_s)
         )
+        return min((one_s for one_s in left_s if one_s > 0), default=math.inf)
 
     def limits_to_send(self) -> Mapping[int, LimitReport]:
         """Return the limits to send to peers, the latest first."""
@@ -186,6 +251,64 @@
             if self._sent[incarnation_id].count(now_s) == 0:
                 del self._sent[incarnation_id]
         self._leaving.forget_gone(known, now_s)
+        self._apply_configuration()
+        if self._cluster_state.servers.has_snapshot:
+            self._warm_up.begin(now_s)
+        self._warm_up.record_entries(self._peers.members(), now_s)
+        self._warm_up.servers.forget_gone(known, now_s)
+        self._has_cold()
+
+    def _record_registration(self, server: BackendServer, source: str) -> None:
+        self._apply_configuration()
+        self._warm_up.begin(self._now_s)
+        is_new = self._cluster_state.servers.has_snapshot
+        notice = self._warm_up.servers.record_registration(server, self._now_s, is_new=is_new)
+        self._note_cold(server, notice, server.cold_left_s, source)
+
+    def _note_cold(
+        self, server: BackendServer, notice: ColdNotice, stated_s: float, source: str
+    ) -> None:
+        if notice is ColdNotice.REJECTED:
+            self.kernel.events.emit(ColdTimeRejected(server.server_id, stated_s, source))
+        if notice is not ColdNotice.COLD:
+            return
+        incarnation_id, now_s = server.incarnation_id, self._now_s
+        self._server_ids[incarnation_id] = server.server_id
+        self._warm_up.record_entries(self._peers.members(), now_s)
+        cold_per_s = self._warm_up.servers.rate_per_s(incarnation_id, now_s) or 0.0
+        self.kernel.events.emit(
+            ServerCold(
+                server.server_id,
+                round(self._warm_up.servers.left_s(incarnation_id, now_s), 3),
+                cold_per_s,
+                self._warm_up.quota(incarnation_id, cold_per_s),
+                self._sent_to(incarnation_id).count(now_s),
+                self._warm_up.entry_count(),
+                source,
+            )
+        )
+
+    def _may_turn_cold(self, server: BackendServer) -> bool:
+        services = self._configuration.services if self._configuration else {}
+        service = services.get(server.service)
+        return service is not None and service.cold_per_s > 0
+
+    def _apply_configuration(self) -> None:
+        """Apply the rates of the configuration in force if it has changed."""
+        configuration = self._cluster_state.configuration
+        if configuration is not self._configuration and configuration is not None:
+            self._configuration = configuration
+            self._warm_up.servers.configure(configuration.services, self._now_s)
+
+    def _has_cold(self) -> bool:
+        """Return whether a server is cold; log those that no longer are."""
+        if not self._warm_up:
+            return False
+        for incarnation_id in self._warm_up.servers.take_warm(self._now_s):
+            server_id = self._server_ids.pop(incarnation_id, incarnation_id)
+            sent = self._sent_to(incarnation_id).count(self._now_s)
+            self.kernel.events.emit(ServerWarm(server_id, sent))
+        return bool(self._warm_up)
 
     def _note_change(self, key: int, change: LimitChange, source: str) -> None:
         if change is LimitChange.NOTHING:
@@ -229,7 +352,11 @@
         if incarnation_id in self._leaving:
             return math.inf
         cool_down_s = self._cool_downs.remaining_s(incarnation_id, self._now_s)
-        most_per_s = self.limit_of(incarnation_id)
+        if self._warm_up:
+            sent = self._sent_to(incarnation_id)
+            cold_wait_s = self._warm_up.wait_s(incarnation_id, sent, self._now_s)
+            cool_down_s = max(cool_down_s, cold_wait_s)
+        most_per_s = self._limits.of(server_hash(incarnation_id)) if self._limits else None
         if most_per_s is None:
             return cool_down_s
         if incarnation_id not in self._shares:
--- a/packages/proxy/src/sassafrastally/proxy/cluster_state.py
+++ b/packages/proxy/src/sassafrastally/proxy/cluster_state.py
@@ -116,6 +116,7 @@
         for entry in present.values():
             if self._records.is_news(entry):
                 self._put(entry, source, may_be_copied=True)
+        self.servers.has_snapshot = True
         self._records.forget_changes(snapshot.position.revision)
         self.confirm(snapshot.position)
 
--- a/packages/proxy/src/sassafrastally/proxy/daemon.py
+++ b/packages/proxy/src/sassafrastally/proxy/daemon.py
@@ -22,6 +22,7 @@
 from sassafrastally.proxy.quarantine_service import QuarantineService
 from sassafrastally.proxy.reports import EngineReports
 from sassafrastally.proxy.retry_budget import RetryBudget
+from sassafrastally.proxy.warm_up import ColdBound
 from sassafrastally.proxy.watch import StoreWatch
 
 if TYPE_CHECKING:
@@ -48,7 +49,7 @@
     kernel.add(ClusterState(dialect, settings.registration_expiry_s))
     kernel.add(StoreWatch(store))
     kernel.add(Peers(settings, dialect, store, ledger))
-    kernel.add(Backpressure(settings.host))
+    kernel.add(Backpressure(settings.host, ColdBound(bounds.cold_overrun, bounds.cold_slack)))
     kernel.add(FleetView(ledger))
     kernel.add(QuarantineService(dialect, store))
     kernel.add(EngineReports(settings, dialect))
--- a/packages/proxy/src/sassafrastally/proxy/fleet_view.py
+++ b/packages/proxy/src/sassafrastally/proxy/fleet_view.py
@@ -131,6 +131,7 @@
                 incarnation_id in to_avoid or server_hash(incarnation_id) in to_avoid,
                 paces.get(incarnation_id, USUAL_PACE),
                 self._backpressure.limit_of(incarnation_id) is not None,
+                self._backpressure.is_cold(incarnation_id),
             )
             for server in servers
             if (incarnation_id := server.incarnation_id) not in avoid
--- a/packages/proxy/src/sassafrastally/proxy/lanes.py
+++ b/packages/proxy/src/sassafrastally/proxy/lanes.py
@@ -46,6 +46,8 @@
     is_limited: bool = False
     """Whether it limits its request rate. It then prefills parts of prompts that other engines
     answer only if the prompt can't be answered in time without it."""
+    is_cold: bool = False
+    """Whether it has just started; of equally loaded servers a warm one is preferred."""
 
 
 class Lanes(NamedTuple):
--- a/packages/proxy/src/sassafrastally/proxy/log_events/__init__.py
+++ b/packages/proxy/src/sassafrastally/proxy/log_events/__init__.py
@@ -50,9 +50,11 @@
     StreamBroken,
 )
 from sassafrastally.proxy.log_events.servers import (
+    ColdTimeRejected,
     EngineSlow,
     EngineUsual,
     ReportFailed,
+    ServerCold,
     ServerCoolingDown,
     ServerCrashed,
     ServerCrashPresumed,
@@ -60,6 +62,7 @@
     ServerLimited,
     ServerLimitEnded,
     ServerSuspected,
+    ServerWarm,
 )
 
 __all__ = [
@@ -67,6 +70,7 @@
     "CallerLeft",
     "CentreHeard",
     "CentreSilent",
+    "ColdTimeRejected",
     "ConfigurationIgnored",
     "ConfigurationInForce",
     "ConnectionCrashed",
@@ -92,6 +96,7 @@
     "ReservationFailed",
     "ReservationReleased",
     "RetryBudgetSpent",
+    "ServerCold",
     "ServerCoolingDown",
     "ServerCrashPresumed",
     "ServerCrashed",
@@ -104,6 +109,7 @@
     "ServerLimitEnded",
     "ServerLimited",
     "ServerSuspected",
+    "ServerWarm",
     "SettingsRejected",
     "SettingsReloaded",
     "StaleRecordsSkipped",
--- a/packages/proxy/src/sassafrastally/proxy/log_events/servers.py
+++ b/packages/proxy/src/sassafrastally/proxy/log_events/servers.py
@@ -105,3 +105,39 @@
 
     server_id: str
     for_s: float
+
+
+@event(10055)
+class ServerCold(NamedTuple):
+    """A backend server is cold: it accepts few requests for some seconds."""
+
+    server_id: str
+    for_s: float
+    most_per_s: float
+    """Requests per second that it accepts from all entries together."""
+    own_requests: int
+    """Requests that this entry may send in a window; 0 if only other entries may."""
+    sent: int
+    """Number of requests that this process sent it in the last seconds."""
+    entries: int
+    """Number of entries that share the rate, including this one."""
+    source: str
+    """Source of the news: the server's answer, the store, or the peer that passed it on."""
+
+
+@event(10056)
+class ServerWarm(NamedTuple):
+    """A backend server is no longer cold."""
+
+    server_id: str
+    sent: int
+    """Number of requests that this process sent it in the last seconds."""
+
+
+@event(10057, "warning")
+class ColdTimeRejected(NamedTuple):
+    """A backend server states a cold time that is negative, above an hour or not a number."""
+
+    server_id: str
+    stated_s: float
+    source: str
--- a/packages/proxy/src/sassafrastally/proxy/long_placement.py
+++ b/packages/proxy/src/sassafrastally/proxy/long_placement.py
@@ -167,6 +167,7 @@
         (
             added_lateness + (0.0 if view.work.long_requests else FIRST_LONG_DECODE_COST),
             backlog_ms,
+            view.is_cold,
             index,
         )
         for index, (added_lateness, backlog_ms, view) in enumerate(ranked)
@@ -174,7 +175,7 @@
     ]
     helpers = [view for _, _, view in ranked if not view.is_limited]
     if primaries:
-        primary = ranked[min(primaries)[2]][2]
+        primary = ranked[min(primaries)[-1]][2]
         holdings: tuple[Holding, ...] = (Holding(primary.server, needed),)
         group = [primary, *[view for view in helpers if view is not primary][: size - 1]]
     else:
--- a/packages/proxy/src/sassafrastally/proxy/model.py
+++ b/packages/proxy/src/sassafrastally/proxy/model.py
@@ -89,6 +89,11 @@
     """Maximum number of connections that one backend server accepts from all clients together."""
     engine: EngineProfile | None
     """``None`` for a plain service."""
+    cold_s: float = 0.0
+    """How long a backend server is cold after its start."""
+    cold_per_s: float = 0.0
+    """Requests per second that a cold backend server accepts from all entries together; 0: the
+    service has no cold servers."""
 
 
 class RequestLimits(NamedTuple):
@@ -132,6 +137,8 @@
     born_ms: int | None = None
     """Start time in Unix milliseconds, distinguishes incarnations with the same ID. ``None`` if
     the server doesn't report it."""
+    cold_left_s: float = 0.0
+    """Remaining cold time when the record was written, not validated; 0 once it is registered."""
 
     @property
     def incarnation_id(self) -> str:
@@ -207,6 +214,8 @@
     """Whether it is shutting down; final for this incarnation."""
     cool_down_s: float | None = None
     """Time for which this process must send it no requests; ``None``: no cool-down."""
+    cold_left_s: float = 0.0
+    """Remaining time for which it is cold, not validated."""
 
 
 NO_BACKPRESSURE = BackpressureSignals()
--- a/packages/proxy/src/sassafrastally/proxy/plain_placement.py
+++ b/packages/proxy/src/sassafrastally/proxy/plain_placement.py
@@ -32,8 +32,8 @@
     if not views:
         return None
 
-    def cost(view: ServerView) -> float:
+    def cost(view: ServerView) -> tuple[float, bool]:
         is_remote = view.server.data_centre != data_centre
-        return view.work.requests + REMOTE_COST_REQUESTS * is_remote
+        return view.work.requests + REMOTE_COST_REQUESTS * is_remote, view.is_cold
 
     return min(views, key=cost).server
--- a/packages/proxy/src/sassafrastally/proxy/rate_limit_sharing.py
+++ b/packages/proxy/src/sassafrastally/proxy/rate_limit_sharing.py
@@ -105,6 +105,14 @@
                 wait_s = max(wait_s, self._at_s[-max_requests] + max_requests / share_per_s - now_s)
         return wait_s
 
+    def wait_in_window_s(self, max_requests: int, window_s: float, now_s: float) -> float:
+        """Return the time until a window has fewer requests than a maximum; infinite for none."""
+        if max_requests <= 0:
+            return math.inf
+        if len(self._at_s) < max_requests:
+            return 0.0
+        return max(0.0, self._at_s[-max_requests] + window_s - now_s)
+
     def _forget_old(self, now_s: float) -> None:
         while self._at_s and self._at_s[0] <= now_s - SENT_HISTORY_S:
             self._at_s.popleft()
--- a/packages/proxy/src/sassafrastally/proxy/reports.py
+++ b/packages/proxy/src/sassafrastally/proxy/reports.py
@@ -147,6 +147,8 @@
             response = await client.exchange(
                 call.method, call.target, call.headers, call.body, REPORT_TIMEOUT_S
             )
+            answer = self._dialect.decode_response(response.status, response.headers)
+            self._backpressure.record_cold_time(engine, answer.backpressure)
             report = self._dialect.decode_report(response.status, response.body)
         except (AnswerLost, DocumentInvalid) as cause:
             self.kernel.events.emit(ReportFailed(engine.server_id, cause.detail, request_id))
--- a/packages/proxy/src/sassafrastally/proxy/reservations.py
+++ b/packages/proxy/src/sassafrastally/proxy/reservations.py
@@ -128,6 +128,12 @@
         outcomes: list[ReservationOutcome] = []
 
         async def reserve(reservation: _Reservation) -> None:
+            server = reservation.holding.server
+            if self._backpressure.is_cold(server.incarnation_id) and not (
+                self._backpressure.is_open(server)
+            ):
+                outcomes.append(ReservationOutcome.UNKNOWN)  # Nothing may be sent to it now.
+                return
             outcomes.append(await self._reserve(reservation))
 
         async with trio.open_nursery() as nursery:
--- a/packages/proxy/src/sassafrastally/proxy/server_registry.py
+++ b/packages/proxy/src/sassafrastally/proxy/server_registry.py
@@ -70,6 +70,10 @@
         """Called when there is a draining server to announce to the peers."""
         self.on_incarnation_ended: Callable[[BackendServer], None] | None = None
         """Called with each incarnation of a server that has left or been replaced."""
+        self.on_registration: Callable[[BackendServer, str], None] | None = None
+        """Called with each accepted record and its source."""
+        self.has_snapshot = False
+        """Whether the first snapshot of the servers is complete."""
         self._registration_expiry_s = registration_expiry_s
         self._now = now
         self._emit = emit
@@ -132,6 +136,10 @@
             )
             return
         self._remember_incarnation(server)
+        if self.on_registration is not None:
+            self.on_registration(server, source)
+        # The cold time changes with each record; kept here, each would be a change of the server.
+        server = server._replace(cold_left_s=0.0)
         self._held.pop(server.server_id, None)
         self._departures.record_registered(server_hash(server.incarnation_id))
         server = self._with_known_draining(server, source)
--- a/packages/proxy/src/sassafrastally/proxy/settings.py
+++ b/packages/proxy/src/sassafrastally/proxy/settings.py
@@ -18,6 +18,10 @@
     """Window over which retries are counted."""
     retry_burst: int
     """Number of retries per window that are allowed in addition to the share."""
+    cold_overrun: float = 1.0
+    """Factor on a cold server's rate that bounds the requests to it in any second."""
+    cold_slack: float = 0.0
+    """Requests in any second that are allowed in addition."""
 
 
 class ProxySettings(NamedTuple):
--- a/packages/proxy/src/sassafrastally/proxy/short_placement.py
+++ b/packages/proxy/src/sassafrastally/proxy/short_placement.py
@@ -56,7 +56,9 @@
     latest_ms = SAFE_GOAL_SHARE * goal_s * 1000 - own_ms
     if not ranked or first_event_ms(ranked[0], 0.0, profile) > latest_ms:
         fitting += [view for view in reversed(lanes.long) if has_room(view, prompt, profile)]
-        ranked = sorted(fitting, key=lambda view: first_event_ms(view, 0.0, profile))
+        ranked = sorted(
+            fitting, key=lambda view: (first_event_ms(view, 0.0, profile), view.is_cold)
+        )
     if not ranked:
         return None
     helpers = [view for view in ranked[1:] if not view.is_limited]
@@ -91,7 +93,7 @@
     randomized = []
     while window:
         pair = randomizer.random.sample(window, min(2, len(window)))
-        best = min(pair, key=lambda view: view.work.requests)
+        best = min(pair, key=lambda view: (view.work.requests, view.is_cold))
         window.remove(best)
         randomized.append(best)
     return randomized + rest
@@ -99,8 +101,8 @@
 
 def _short_rank(
     view: ServerView, profile: EngineProfile, limits: PrefillLimits
-) -> tuple[bool, float]:
-    """Return the sort key of an engine: equal if not busy, else by the time to the first event."""
+) -> tuple[bool, float, bool]:
+    """Return the sort key of an engine: if busy, by the time to the first event; then warm ones."""
     is_full = view.work.requests >= SHORT_FILL * profile.slots
     is_busy = is_full or view.work.prefill_ms > limits.max_short_part_ms
-    return is_busy, first_event_ms(view, 0.0, profile) if is_busy else 0.0
+    return is_busy, first_event_ms(view, 0.0, profile) if is_busy else 0.0, view.is_cold
--- /dev/null
+++ b/packages/testing/src/sassafrastally/testing/cold_fleet.py
@@ -0,0 +1,108 @@
+"""Entries' decisions before cold servers, without network or processes."""
+
+from __future__ import annotations
+
+import random
+from bisect import bisect_left
+from typing import TYPE_CHECKING
+
+from sassafrastally.core import Address
+from sassafrastally.proxy.model import BackendServer, Service
+from sassafrastally.proxy.rate_limit_sharing import SentRequests
+from sassafrastally.proxy.warm_up import ColdBound, WarmUpLimits
+
+if TYPE_CHECKING:
+    from collections.abc import Collection, Iterable, Sequence
+
+COLD_S = 3.0
+COLD_PER_S = 32.0
+BOUND = ColdBound(overrun=1.5, slack=5.0)
+SERVICES = {"engines": Service("engines", 0, None, COLD_S, COLD_PER_S)}
+
+MAX_TRANSIT_S = 0.1
+"""Longest time from an entry's decision until its request arrives."""
+
+STEP_S = 0.05
+
+
+def allowed_per_second() -> float:
+    """Return how many requests a cold server may get in any second."""
+    return COLD_PER_S * BOUND.overrun + BOUND.slack
+
+
+def most_in_a_second(arrived_s: Iterable[float]) -> int:
+    """Return the most requests in any second."""
+    times = sorted(arrived_s)
+    return max(
+        (place + 1 - bisect_left(times, end_s - 1.0) for place, end_s in enumerate(times)),
+        default=0,
+    )
+
+
+def make_server(number: int, data_centre: str = "here", born_ms: int = 1) -> BackendServer:
+    """Return a backend server."""
+    address = Address("10.0.0.1", number + 1)
+    return BackendServer(f"e{number}", "engines", address, data_centre, 6, False, born_ms)
+
+
+class ColdEntry:
+    """One entry: what it knows of the servers and of other entries, and what it has sent."""
+
+    def __init__(self, host: str, now_s: float) -> None:
+        self.limits = WarmUpLimits(host, BOUND)
+        self.limits.servers.configure(SERVICES, now_s)
+        self.limits.begin(now_s)
+        self.sent: dict[str, SentRequests] = {}
+
+    def wait_s(self, server: BackendServer, now_s: float) -> float:
+        """Return the time until a server accepts a request of this entry."""
+        self.limits.servers.take_warm(now_s)
+        return self.limits.wait_s(server.incarnation_id, self.sent_to(server), now_s)
+
+    def sent_to(self, server: BackendServer) -> SentRequests:
+        """Return the requests that it has sent to a server."""
+        return self.sent.setdefault(server.incarnation_id, SentRequests())
+
+
+class ColdFleet:
+    """Entries that always have more requests for each cold server than they may send."""
+
+    def __init__(self, entries: int, seed: int = 1, begin_s: float = -10.0) -> None:
+        self.draw = random.Random(seed)
+        self.entries: dict[str, ColdEntry] = {}
+        self.arrived_s: dict[str, list[float]] = {}
+        """When requests reached each server, by incarnation."""
+        for number in range(entries):
+            self.add_entry(f"10.{number % 3}.0.{number}", begin_s)
+        self.meet(begin_s)
+
+    def add_entry(self, host: str, now_s: float) -> ColdEntry:
+        """Let an entry start; it takes its first snapshot now."""
+        self.entries[host] = ColdEntry(host, now_s)
+        return self.entries[host]
+
+    def meet(self, now_s: float, hosts: Collection[str] | None = None) -> None:
+        """Let entries know each other, and no one else, from now on; all of them by default."""
+        known = set(self.entries if hosts is None else hosts)
+        for host in known:
+            self.entries[host].limits.record_entries(known - {host}, now_s)
+
+    def register(self, server: BackendServer, now_s: float, *, is_new: bool = True) -> None:
+        """Let all entries see a server's record."""
+        for entry in self.entries.values():
+            entry.limits.servers.record_registration(server, now_s, is_new=is_new)
+
+    def send(self, host: str, server: BackendServer, now_s: float) -> None:
+        """Let an entry send a request."""
+        self.entries[host].sent_to(server).record(now_s)
+        at_s = now_s + self.draw.uniform(0.0, MAX_TRANSIT_S)
+        self.arrived_s.setdefault(server.incarnation_id, []).append(at_s)
+
+    def run_greedy(self, servers: Sequence[BackendServer], begin_s: float, end_s: float) -> None:
+        """Let all entries send to the servers whenever these accept a request."""
+        for step in range(round((end_s - begin_s) / STEP_S)):
+            now_s = begin_s + step * STEP_S
+            for host, entry in self.entries.items():
+                for server in servers:
+                    while entry.wait_s(server, now_s) <= 0:
+                        self.send(host, server, now_s)
--- a/packages/testing/tests/platform/test_settings.py
+++ b/packages/testing/tests/platform/test_settings.py
@@ -48,6 +48,23 @@
         assert {"ip", "listen.front", "listen.readiness", "bounds.graceS"} <= places
         assert all(finding.place.file == "settings.json" for finding in caught.value.findings)
 
+    def test_bound_of_cold_servers_is_optional(self):
+        """Guards against rejecting the settings of deployments without cold servers."""
+        bounds = decode_settings(json.dumps(VALID), "settings.json").bounds
+        assert (bounds.cold_overrun, bounds.cold_slack) == (1.0, 0.0)
+        fields = {**VALID, "bounds": {**VALID["bounds"], "coldOverrun": 1.5, "coldSlack": 5}}
+        bounds = decode_settings(json.dumps(fields), "settings.json").bounds
+        assert (bounds.cold_overrun, bounds.cold_slack) == (1.5, 5.0)
+
+    @pytest.mark.parametrize("value", ["1.5", None, True, [1], -1, float("inf")])
+    @pytest.mark.parametrize("name", ["coldOverrun", "coldSlack"])
+    def test_invalid_bound_of_cold_servers_is_a_finding(self, name, value):
+        """Guards against a mistyped bound that lets entries crash cold servers."""
+        fields = {**VALID, "bounds": {**VALID["bounds"], name: value}}
+        with pytest.raises(FindingsError) as caught:
+            decode_settings(json.dumps(fields), "settings.json")
+        assert [finding.place.key for finding in caught.value.findings] == [f"bounds.{name}"]
+
     @pytest.mark.parametrize("text", ["", "[1]", "{", "null"])
     def test_invalid_file_raises_findings(self, text):
         with pytest.raises(FindingsError):
