Move the modules of rate limits into a folder

Cause: grants of shares add decisions to the limits of servers, whose modules lay beside sixty others.

Change: rate_limit_sharing, server_limits and limit_exchange move unchanged into proxy/rate_limits, which re-exports their names; importers use these.

Result: packages/proxy/tests pass; no behaviour changes.

--- a/packages/proxy/benchmarks/rate_shares.py
+++ b/packages/proxy/benchmarks/rate_shares.py
@@ -9,9 +9,8 @@
 import statistics
 from typing import TYPE_CHECKING
 
-from sassafrastally.proxy.limit_exchange import LimitReport
 from sassafrastally.proxy.peer_messages import MAX_LIMITS_SENT, Hello, encode_hello
-from sassafrastally.proxy.rate_limit_sharing import SentRequests, own_share_per_s
+from sassafrastally.proxy.rate_limits import LimitReport, SentRequests, own_share_per_s
 from sassafrastally.proxy.store import StorePosition
 from sassafrastally.testing.backpressure_fleet import allowed, most_in_window
 from sassafrastally.testing.timing import median_us
--- a/packages/proxy/src/sassafrastally/proxy/backpressure.py
+++ b/packages/proxy/src/sassafrastally/proxy/backpressure.py
@@ -22,13 +22,14 @@
 )
 from sassafrastally.proxy.metrics import SERVER_CALLS
 from sassafrastally.proxy.peers import Peers
-from sassafrastally.proxy.rate_limit_sharing import (
+from sassafrastally.proxy.rate_limits import (
     MIN_LIMIT_PER_S,
+    LimitChange,
     RetrySchedule,
     SentRequests,
+    ServerLimits,
     own_share_per_s,
 )
-from sassafrastally.proxy.server_limits import LimitChange, ServerLimits
 from sassafrastally.proxy.warm_up import ColdBound, ColdNotice, WarmUpLimits
 
 if TYPE_CHECKING:
@@ -36,8 +37,8 @@
 
     import trio
 
-    from sassafrastally.proxy.limit_exchange import LimitReport
     from sassafrastally.proxy.model import BackendServer, BackpressureSignals, Configuration
+    from sassafrastally.proxy.rate_limits import LimitReport
 
 ASSUMED_LIMIT_PER_S = 20.0
 """Assumed requests per second of a server without a stated limit once its cool-down is over."""
--- a/packages/proxy/src/sassafrastally/proxy/peer_messages.py
+++ b/packages/proxy/src/sassafrastally/proxy/peer_messages.py
@@ -18,7 +18,6 @@
 # Runtime import: KvEntry and KvEvent are field types of named tuples.
 from sassafrastally.core import KvEntry, KvEvent
 from sassafrastally.proxy.dialect import DocumentInvalid
-from sassafrastally.proxy.limit_exchange import LimitReport
 from sassafrastally.proxy.load import Work
 from sassafrastally.proxy.quarantine_exchange import (
     EMPTY_REPORT,
@@ -27,6 +26,7 @@
     QuarantineReport,
     VerdictReport,
 )
+from sassafrastally.proxy.rate_limits import LimitReport
 from sassafrastally.proxy.store import StorePosition
 from sassafrastally.proxy.store_records import Delta
 from sassafrastally.proxy.store_watchers import WatchCandidate
--- a/packages/proxy/src/sassafrastally/proxy/peers.py
+++ b/packages/proxy/src/sassafrastally/proxy/peers.py
@@ -19,7 +19,6 @@
 from sassafrastally.proxy.change_fetcher import ChangeFetcher, Source, has_news
 from sassafrastally.proxy.cluster_state import ClusterState
 from sassafrastally.proxy.dialect import DocumentInvalid
-from sassafrastally.proxy.limit_exchange import LimitExchange, NullLimitExchange
 from sassafrastally.proxy.load import server_hash
 from sassafrastally.proxy.load_exchange import Member, is_urgent_for_sums
 from sassafrastally.proxy.log_events import CentreHeard, CentreSilent, PeerHeard, PeerSilent
@@ -30,6 +29,7 @@
     NullQuarantineExchange,
     QuarantineExchange,
 )
+from sassafrastally.proxy.rate_limits import LimitExchange, NullLimitExchange
 from sassafrastally.proxy.store_watchers import WatchCandidate
 
 if TYPE_CHECKING:
--- a/packages/proxy/src/sassafrastally/proxy/server_limits.py
+++ b/packages/proxy/src/sassafrastally/proxy/rate_limits/server_limits.py
@@ -10,7 +10,7 @@
 from enum import Enum
 from typing import TYPE_CHECKING, NamedTuple
 
-from sassafrastally.proxy.limit_exchange import LimitReport
+from sassafrastally.proxy.rate_limits.limit_exchange import LimitReport
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
--- a/packages/proxy/src/sassafrastally/proxy/report_duty.py
+++ b/packages/proxy/src/sassafrastally/proxy/report_duty.py
@@ -10,7 +10,7 @@
 
 from sassafrastally.proxy.load import server_hash
 from sassafrastally.proxy.pace import SLOW_PACE
-from sassafrastally.proxy.rate_limit_sharing import MIN_LIMIT_PER_S
+from sassafrastally.proxy.rate_limits import MIN_LIMIT_PER_S
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
--- a/packages/proxy/tests/test_peer_messages.py
+++ b/packages/proxy/tests/test_peer_messages.py
@@ -6,7 +6,6 @@
 
 from sassafrastally.proxy.crash_records import MAX_CRASHES_SENT
 from sassafrastally.proxy.departures import MAX_ANNOUNCED
-from sassafrastally.proxy.limit_exchange import LimitReport
 from sassafrastally.proxy.load import Work
 from sassafrastally.proxy.peer_messages import Hello, decode_hello, encode_hello
 from sassafrastally.proxy.quarantine import Quarantine
@@ -16,6 +15,7 @@
     QuarantineReport,
     VerdictReport,
 )
+from sassafrastally.proxy.rate_limits import LimitReport
 from sassafrastally.proxy.store import StorePosition
 
 POSITION = StorePosition(1, 12)
--- a/packages/proxy/tests/test_rate_limit_sharing.py
+++ b/packages/proxy/tests/test_rate_limit_sharing.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from sassafrastally.proxy.rate_limit_sharing import (
+from sassafrastally.proxy.rate_limits import (
     MIN_LIMIT_PER_S,
     RetrySchedule,
     SentRequests,
--- a/packages/proxy/tests/test_server_limits.py
+++ b/packages/proxy/tests/test_server_limits.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from sassafrastally.proxy.server_limits import LimitChange, ServerLimits
+from sassafrastally.proxy.rate_limits import LimitChange, ServerLimits
 
 SERVER = 7
 
--- a/packages/testing/src/sassafrastally/testing/cold_fleet.py
+++ b/packages/testing/src/sassafrastally/testing/cold_fleet.py
@@ -8,7 +8,7 @@
 
 from sassafrastally.core import Address
 from sassafrastally.proxy.model import BackendServer, Service
-from sassafrastally.proxy.rate_limit_sharing import SentRequests
+from sassafrastally.proxy.rate_limits import SentRequests
 from sassafrastally.proxy.warm_up import ColdBound, WarmUpLimits
 
 if TYPE_CHECKING:
--- a/packages/testing/src/sassafrastally/testing/load_replay.py
+++ b/packages/testing/src/sassafrastally/testing/load_replay.py
@@ -21,7 +21,7 @@
 from sassafrastally.proxy.model import BackendServer, Route, RouteKind
 from sassafrastally.proxy.placement import place_request
 from sassafrastally.proxy.prefill_limits import prefill_limits_for
-from sassafrastally.proxy.rate_limit_sharing import SentRequests, own_share_per_s
+from sassafrastally.proxy.rate_limits import SentRequests, own_share_per_s
 from sassafrastally.proxy.streaming_request import (
     CALLER_TIMEOUT_GOALS,
     CALLER_TIMEOUT_PAUSES,
