--- a/packages/proxy/src/sassafrastally/proxy/cluster_state.py
+++ b/packages/proxy/src/sassafrastally/proxy/cluster_state.py
@@ -137,6 +137,7 @@
             if self._records.is_news(entry):
                 self._put(entry, source, may_be_copied=True)
         self.servers.check_evacuations()
+        self.servers.has_snapshot = True
         self._records.forget_changes(snapshot.position.revision)
         self.confirm(snapshot.position)
 
--- a/packages/proxy/src/sassafrastally/proxy/log_events/__init__.py
+++ b/packages/proxy/src/sassafrastally/proxy/log_events/__init__.py
@@ -57,9 +57,11 @@
     StreamBroken,
 )
 from sassafrastally.proxy.log_events.servers import (
+    ColdTimeRejected,
     EngineSlow,
     EngineUsual,
     ReportFailed,
+    ServerCold,
     ServerCoolingDown,
     ServerCrashed,
     ServerCrashPresumed,
@@ -67,6 +69,7 @@
     ServerLimited,
     ServerLimitEnded,
     ServerSuspected,
+    ServerWarm,
 )
 
 __all__ = [
@@ -74,6 +77,7 @@
     "CallerLeft",
     "CentreHeard",
     "CentreSilent",
+    "ColdTimeRejected",
     "ConfigurationIgnored",
     "ConfigurationInForce",
     "ConnectionCrashed",
@@ -104,6 +108,7 @@
     "ReservationFailed",
     "ReservationReleased",
     "RetryBudgetSpent",
+    "ServerCold",
     "ServerCoolingDown",
     "ServerCrashPresumed",
     "ServerCrashed",
@@ -116,6 +121,7 @@
     "ServerLimitEnded",
     "ServerLimited",
     "ServerSuspected",
+    "ServerWarm",
     "SettingsRejected",
     "SettingsReloaded",
     "StaleRecordsSkipped",
