Name a short Retry-After after failures that load doesn't explain

Callers whose attempts failed at servers that had crashed, left, refused or were unreachable were told a fifth to a third of their time left, as in a burst. Peers learn of such failures within a tenth of a second, so that the goal of the caller can still be met by an earlier retry.

The delay is now 0.1 to 0.3 s at random (at most a third of the time left). A refusal counts as for load where the server asks for a cool-down, where the other known work fills half of its slots, or where untried servers have no room; these keep the present spread.

Both tests of idle servers that refuse fail without the change (1.09 s was named); packages/proxy/tests and packages/testing/tests/platform pass.

--- a/packages/proxy/src/sassafrastally/proxy/fleet_view.py
+++ b/packages/proxy/src/sassafrastally/proxy/fleet_view.py
@@ -10,7 +10,12 @@
 from sassafrastally.proxy.backpressure import Backpressure
 from sassafrastally.proxy.cluster_state import ClusterState
 from sassafrastally.proxy.lanes import ServerView
-from sassafrastally.proxy.leaving_servers import LEAVING_S, LeavingServers, is_probably_leaving
+from sassafrastally.proxy.leaving_servers import (
+    LEAVING_S,
+    LeavingServers,
+    is_explained_by_load,
+    is_probably_leaving,
+)
 from sassafrastally.proxy.liveness import Liveness
 from sassafrastally.proxy.load import (
     NO_WORK,
@@ -244,6 +249,11 @@
         own = self.ledger.work(now_s).get(incarnation_id, NO_WORK)
         return sum_work([own, *(loads.get(key, NO_WORK) for loads in self._peers.loads())])
 
+    def is_loaded(self, server: BackendServer) -> bool:
+        """Return whether the load of a server explains that it refused an attempt in progress."""
+        work = self._work_at(server.incarnation_id, self.kernel.clock.now_s())
+        return is_explained_by_load(work, server.slots)
+
     def record_success(self, incarnation_id: str) -> None:
         """Record a successful answer."""
         self.outlier_ejection.record_success(incarnation_id)
--- a/packages/proxy/src/sassafrastally/proxy/leaving_servers.py
+++ b/packages/proxy/src/sassafrastally/proxy/leaving_servers.py
@@ -50,6 +50,19 @@
     return update_age_s > MAX_FRESH_AGE_S and not is_loaded
 
 
+def is_explained_by_load(work: Work, slots: int) -> bool:
+    """Return whether the load of a server explains that it refused an attempt.
+
+    Parameters
+    ----------
+    work
+        Known work at the server, the refused attempt included.
+    slots
+        Number of requests that it runs concurrently.
+    """
+    return work.requests - 1 >= FULL_SHARE * slots
+
+
 class LeavingServers:
     """Servers whose refusals to this process look like leaving."""
 
--- a/packages/proxy/src/sassafrastally/proxy/plain_request.py
+++ b/packages/proxy/src/sassafrastally/proxy/plain_request.py
@@ -62,7 +62,11 @@
             return LocalReply(MAY_HAVE_RUN, "no whole answer came")
         if self.progress.attempts == 0:
             return self._reply_not_run(NO_SERVER, f"service {self._task.service}")
-        return self._reply_not_run(TURNED_AWAY, f"{self.progress.attempts} attempts")
+        return self._reply_not_run(
+            TURNED_AWAY,
+            f"{self.progress.attempts} attempts",
+            is_for_load=self.progress.was_refused_for_load,
+        )
 
     def _choose_server(self) -> BackendServer | None:
         views = self._services.fleet_view.views(self._task.service, self.progress.tried)
--- a/packages/proxy/src/sassafrastally/proxy/request_handler.py
+++ b/packages/proxy/src/sassafrastally/proxy/request_handler.py
@@ -13,7 +13,11 @@
 from sassafrastally.proxy.refusals import MAY_HAVE_RUN, QUARANTINED, SERVERS_LIMITED, TURNED_AWAY
 from sassafrastally.proxy.suspect_placement import assigned_servers
 from sassafrastally.proxy.task import LocalReply, Progress, RequestTask
-from sassafrastally.proxy.turning_away import MIN_RETRY_DELAY_S, retry_delay_s
+from sassafrastally.proxy.turning_away import (
+    MIN_RETRY_DELAY_S,
+    retry_delay_after_failure_s,
+    retry_delay_s,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -65,20 +69,25 @@
     def _request_id(self) -> str:
         return self._task.request.facts.request_id
 
-    def _reply_not_run(self, refusal: Refusal, detail: str) -> LocalReply:
+    def _reply_not_run(
+        self, refusal: Refusal, detail: str, *, is_for_load: bool = True
+    ) -> LocalReply:
         """Return the local reply for a request that hasn't run, with a retry delay.
 
         Parameters
         ----------
         refusal, detail
             The reason; replaced if all servers are rate limited or cooling down.
+        is_for_load
+            Whether the load of the servers is the reason, rather than failed attempts.
         """
         service = self._task.service
         time_left_s = self._task.time_left_s(self._clock.now_s())
         available_in_s = self._services.fleet_view.available_in_s(service, time_left_s)
         if available_in_s is None:
             random_share = self._services.kernel.random.random()
-            return LocalReply(refusal, detail, retry_delay_s(time_left_s, random_share))
+            delay_s = retry_delay_s if is_for_load else retry_delay_after_failure_s
+            return LocalReply(refusal, detail, delay_s(time_left_s, random_share))
         refusal = TURNED_AWAY if self.progress.attempts else SERVERS_LIMITED
         detail = f"service {service}: the next one takes a request in {available_in_s:.2f} s"
         return LocalReply(refusal, detail, max(MIN_RETRY_DELAY_S, available_in_s))
@@ -182,6 +191,8 @@
     ) -> None:
         """Record an attempt that certainly didn't run."""
         self.progress.pending = None
+        if not cause.is_unreachable and self._is_for_load(server, cause):
+            self.progress.was_refused_for_load = True
         if cause.is_unreachable:
             # Nothing was sent, so it counts neither as an attempt nor as a retry.
             self.progress.sent -= 1
@@ -204,6 +215,10 @@
         else:
             self._services.fleet_view.record_refusal(server, cause.detail, self._request_id)
 
+    def _is_for_load(self, server: BackendServer, cause: AttemptNotRun) -> bool:
+        """Return whether a server refused an attempt because of its load."""
+        return not cause.counts_against_server or self._services.fleet_view.is_loaded(server)
+
     async def _record_unknown(
         self, server: BackendServer, begin_s: float, cause: AttemptUnknown | str
     ) -> None:
--- a/packages/proxy/src/sassafrastally/proxy/streaming_request.py
+++ b/packages/proxy/src/sassafrastally/proxy/streaming_request.py
@@ -98,14 +98,19 @@
             if await self._attempt(placement):
                 return None
             if not self._claim_retry():
-                return self._local_reply("no further attempt is allowed")
+                is_for_load = self.progress.was_refused_for_load
+                return self._local_reply("no further attempt is allowed", is_for_load=is_for_load)
 
-    def _local_reply(self, detail: str) -> LocalReply:
+    def _local_reply(self, detail: str, *, is_for_load: bool = True) -> LocalReply:
         if self.progress.may_have_run:
             return LocalReply(MAY_HAVE_RUN, detail)
         if not self._services.fleet_view.views(self._task.service, set()):
             return self._reply_not_run(NO_SERVER, f"service {self._task.service}")
-        return self._reply_not_run(TURNED_AWAY if self.progress.attempts else NO_ROOM, detail)
+        if not self.progress.attempts:
+            return self._reply_not_run(NO_ROOM, detail)
+        has_untried = bool(self._services.fleet_view.views(self._task.service, self.progress.tried))
+        is_for_load = is_for_load and (has_untried or self.progress.was_refused_for_load)
+        return self._reply_not_run(TURNED_AWAY, detail, is_for_load=is_for_load)
 
     def _load_summary(self) -> str:
         """Return a summary of the engines' load for the log and the caller."""
--- a/packages/proxy/src/sassafrastally/proxy/task.py
+++ b/packages/proxy/src/sassafrastally/proxy/task.py
@@ -68,6 +68,8 @@
         """Number of attempts whose request reached a server or may have reached it."""
         self.unreachable = 0
         """Number of attempts for which no connection could be opened."""
+        self.was_refused_for_load = False
+        """Whether a backend server refused an attempt because of its load."""
         self.pending: BackendServer | None = None
         """Backend server of the attempt that is in flight."""
         self.may_have_run = False
--- a/packages/proxy/src/sassafrastally/proxy/turning_away.py
+++ b/packages/proxy/src/sassafrastally/proxy/turning_away.py
@@ -13,6 +13,11 @@
 """Range of the retry delay, as shares of the caller's time left. Callers honour up to a third, and
 a short delay leads back into the same burst."""
 
+EARLIEST_AFTER_FAILURE_S = 0.1
+LATEST_AFTER_FAILURE_S = 0.3
+"""Range of the retry delay after failed attempts that load doesn't explain. Within a tenth of a
+second the other entries know of the failed servers, and the caller's goal may still be met."""
+
 MIN_RETRY_DELAY_S = 0.02
 """Shortest retry delay; anything less is within the network round trip."""
 
@@ -53,3 +58,16 @@
     left_s = DEFAULT_TIME_LEFT_S if time_left_s is None else time_left_s
     share = EARLIEST_SHARE + (LATEST_SHARE - EARLIEST_SHARE) * draw
     return max(MIN_RETRY_DELAY_S, left_s * share)
+
+
+def retry_delay_after_failure_s(time_left_s: float | None, draw: float) -> float:
+    """Return the retry delay after attempts that failed for other reasons than load.
+
+    Parameters
+    ----------
+    time_left_s, draw
+        As for `retry_delay_s`.
+    """
+    delay_s = EARLIEST_AFTER_FAILURE_S + (LATEST_AFTER_FAILURE_S - EARLIEST_AFTER_FAILURE_S) * draw
+    left_s = DEFAULT_TIME_LEFT_S if time_left_s is None else time_left_s
+    return max(MIN_RETRY_DELAY_S, min(delay_s, LATEST_SHARE * left_s))
--- a/packages/testing/tests/platform/test_path.py
+++ b/packages/testing/tests/platform/test_path.py
@@ -5,6 +5,7 @@
 import json
 
 import h11
+import pytest
 import trio
 
 from sassafrastally.core import Address
@@ -158,6 +159,31 @@
         assert answer.status == 503
         assert float(answer.headers["retry-after"]) > 0
 
+    @pytest.mark.parametrize("path", ["/look/x", "/note/x"])
+    async def test_idle_servers_that_refuse_are_retried_soon(self, small_fleet, path):
+        """Guards against a delay as in a burst after failures that other entries soon know of."""
+        for replica in small_fleet.replicas.values():
+            replica.refuses = True
+        prompt = "1000,34" if path == "/note/x" else None
+        answer = await small_fleet.call(path, prompt=prompt)
+        assert answer.status == 503
+        assert 0.1 <= float(answer.headers["retry-after"]) <= 0.3
+
+    async def test_busy_servers_that_refuse_are_retried_later(self, small_fleet):
+        """Guards against callers that return into the burst that has filled the servers."""
+        for name in ("desk-1", "desk-2"):
+            small_fleet.replicas[name].work_s = 2.0
+        async with trio.open_nursery() as nursery:
+            for number in range(16):
+                nursery.start_soon(small_fleet.call, f"/book/{number}")
+            await trio.sleep(0.2)
+            for name in ("desk-1", "desk-2"):
+                small_fleet.replicas[name].refuses = True
+            answer = await small_fleet.call("/look/x")
+            nursery.cancel_scope.cancel()
+        assert answer.status == 503
+        assert float(answer.headers["retry-after"]) > 0.5
+
     async def test_lookup_with_a_lost_response_is_retried(self, small_fleet):
         small_fleet.replicas["desk-1"].resets_instead_of_response = True
         for _ in range(3):
