Send sums of data centres through their relays where links are uneven

Cause: above 25 peers, two relays of each data centre send its sum to every entry of the other data centres. With 38 entries in three data centres an update takes 152 datagrams between data centres, and that traffic is expensive.

Change: the k-th relay sends the sum to the k-th relay of each other data centre, which forwards it unchanged to the entries of its own. A flag in the datagram marks a sum that is to be forwarded; it is cleared in what is forwarded, so that nothing circulates, and only a sum newer than the relay's last one is forwarded. The sender alone decides, by the links of the entries that it hears (fastest at least eight times the slowest); a receiver always forwards what is marked. Entries that disagree on the relays therefore lose nothing. A relay counts as known for 0.6 s after its last sum, less than the time after which a sum expires, so that entries whose relays die together get the sums directly before the previous ones expire.

The bookkeeping of received sums, their composition and their routing are in relays/, the sending in sum_exchange.py.

With even links as before.

--- a/packages/proxy/src/sassafrastally/proxy/load_exchange.py
+++ b/packages/proxy/src/sassafrastally/proxy/load_exchange.py
@@ -17,6 +17,20 @@
 
     from sassafrastally.proxy.load import Work
 
+PEER_TIMEOUT_S = 1.0
+"""A peer counts as dead after four missed datagrams; one or two may be lost."""
+
+MAX_SEND_INTERVAL_S = 0.25
+"""Maximum time between two datagrams, and between two sums of a data centre."""
+
+MIN_SEND_INTERVAL_S = 0.02
+"""Minimum time between two datagrams; changes within it are sent together. Shorter than an engine's
+pass, so that peers know of requests that began in the last pass."""
+
+FULL_DATAGRAM_INTERVAL_S = 2.0
+"""Time between two datagrams that list the peers, and between repeats of older quarantine news. The
+list makes up most of a datagram's bytes and rarely changes; a new peer is listed at once."""
+
 MAX_DIRECT_PEERS = 25
 """Most peers with which each entry reports to all others directly. With more peers, the reports
 would be so rare that the sum of a data centre is as recent."""
@@ -64,13 +78,17 @@
     count
         Number of entries to choose.
     """
+    return position_among(own, others) < count
+
+
+def position_among(own: Member, others: Iterable[Member]) -> int:
+    """Return an entry's position among several, ordered by link speed, from 0."""
     own_rank = link_rank(own.host, own.link_mbps)
-    before = sum(
+    return sum(
         1
         for other in others
         if not other.is_stopping and link_rank(other.host, other.link_mbps) < own_rank
     )
-    return before < count
 
 
 def is_urgent_for_sums(reported: Mapping[int, Work], current: Mapping[int, Work]) -> bool:
--- a/packages/proxy/src/sassafrastally/proxy/peer_messages.py
+++ b/packages/proxy/src/sassafrastally/proxy/peer_messages.py
@@ -96,6 +96,9 @@
     """Version of the configuration in force; 0 if none is known."""
     draining: tuple[int, ...] = ()
     """Draining servers that a restored store names as ready, by hash of the id."""
+    is_to_forward: bool = False
+    """In a sum: whether the relay that receives it forwards it to the entries of its own data
+    centre."""
 
 
 @cache
@@ -137,6 +140,7 @@
         epoch=hello.position.epoch,
         configurationVersion=hello.configuration_version,
         draining=list(hello.draining),
+        isToForward=hello.is_to_forward,
         confirmedAgeMs=_to_thousandths(hello.confirmed_age_s),
         isStopping=hello.is_stopping,
         loads=[_encode_load(key, work) for key, work in loads],
@@ -220,11 +224,20 @@
             limits={limit.server: _decode_limit(limit) for limit in message.limits},
             configuration_version=message.configurationVersion,
             draining=tuple(message.draining),
+            is_to_forward=message.isToForward,
         )
     except (capnp.KjException, ValueError) as cause:
         raise DocumentInvalid(f"invalid datagram from a peer: {cause!r}") from cause
 
 
+def encode_forwarded(data: bytes) -> bytes:
+    """Return a received sum as it is forwarded: unchanged, but not to be forwarded again."""
+    message = _schema().Hello.from_bytes_packed(data).as_builder()
+    message.isToForward = False
+    forwarded: bytes = message.to_bytes_packed()
+    return forwarded
+
+
 def _decode_quarantine(message: Any) -> QuarantineReport:
     return QuarantineReport(
         crashes=tuple(
--- a/packages/proxy/src/sassafrastally/proxy/peer_table.py
+++ b/packages/proxy/src/sassafrastally/proxy/peer_table.py
@@ -9,24 +9,32 @@
 
 from typing import TYPE_CHECKING, NamedTuple
 
-from sassafrastally.proxy.load import sum_work
 from sassafrastally.proxy.load_exchange import (
+    PEER_TIMEOUT_S,
     RELAYS,
     STORE_PROBERS,
     Member,
     is_ranked_first,
+    position_among,
     reports_directly,
 )
-from sassafrastally.proxy.store_watchers import WatchCandidate, watchers
+from sassafrastally.proxy.relays import (
+    ReceivedSums,
+    SumRoute,
+    are_links_uneven,
+    is_stale,
+    max_by_key,
+    route_sum,
+    sum_hellos,
+)
+from sassafrastally.proxy.store_watchers import WatchCandidate
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Iterator, Mapping
+    from collections.abc import Iterator, Mapping
 
     from sassafrastally.proxy.load import Work
     from sassafrastally.proxy.peer_messages import Hello
-
-PEER_TIMEOUT_S = 1.0
-"""A peer counts as dead after four missed datagrams; one or two may be lost."""
+    from sassafrastally.proxy.relays import DataCentreSum
 
 FORGOTTEN_S = 60.0
 """Time after which a silent peer is removed and no longer sent datagrams."""
@@ -55,19 +63,12 @@
         self.hello: Hello | None = None
 
 
-class DataCentreSum(NamedTuple):
-    """Sum received from a relay of a data centre."""
-
-    hello: Hello
-    received_s: float
-
-
 class Receivers(NamedTuple):
     """Destinations of datagrams."""
 
     own_state_receivers: tuple[str, ...]
     """Hosts that get this entry's own state."""
-    sum_receivers: tuple[str, ...]
+    sums: SumRoute
     """Hosts that get the sum of its data centre; empty unless this entry is a relay."""
 
 
@@ -86,7 +87,7 @@
         self._own = own
         self._data_centre = data_centre
         self._peers: dict[str, Peer] = {}
-        self._sums: dict[tuple[str, str], DataCentreSum] = {}
+        self._sums = ReceivedSums(data_centre)
 
     def add_address(self, host: str, data_centre: str, now_s: float) -> Peer | None:
         """Add or refresh an entry's address; return its state, ``None`` for this entry itself."""
@@ -107,19 +108,14 @@
         if not hello.entries:
             for host in hello.peers:
                 self.add_address(host, "", now_s)
-            if _is_stale(peer.hello, hello):
+            if is_stale(peer.hello, hello):
                 return False
             peer.hello = hello
             peer.received_s = now_s
             return True
         for host in hello.peers:
             self.add_address(host, hello.data_centre, now_s)
-        key = (hello.data_centre, hello.host)
-        known = self._sums.get(key)
-        if known and _is_stale(known.hello, hello):
-            return False
-        self._sums[key] = DataCentreSum(hello, now_s)
-        return True
+        return self._sums.apply(hello, now_s)
 
     def loads_of(self, host: str) -> Mapping[int, Work]:
         """Return the work that an entry last sent."""
@@ -171,15 +167,7 @@
 
     def sums(self, now_s: float) -> dict[str, DataCentreSum]:
         """Return each other data centre's sum; with several, the one over the most entries."""
-        best: dict[str, DataCentreSum] = {}
-        for (data_centre, _), received in self._sums.items():
-            if now_s - received.received_s >= PEER_TIMEOUT_S or data_centre == self._data_centre:
-                continue
-            known = best.get(data_centre)
-            rank = (received.hello.entries, received.received_s)
-            if known is None or rank > (known.hello.entries, known.received_s):
-                best[data_centre] = received
-        return best
+        return self._sums.best(now_s)
 
     def entries(self, now_s: float) -> int:
         """Return the number of live entries, this one included."""
@@ -211,7 +199,7 @@
 
     def paces(self, now_s: float) -> dict[int, float]:
         """Return the slow engines reported by peers: pace by hash of the id."""
-        return _max_by_key(hello.paces for hello, _ in self.effective_messages(now_s))
+        return max_by_key(hello.paces for hello, _ in self.effective_messages(now_s))
 
     def watch_candidates(self, now_s: float) -> list[WatchCandidate]:
         """Return the other entries that may watch the store."""
@@ -267,14 +255,34 @@
         """
         to_all = not self.has_relay(now_s)
         sums = self.sums(now_s)
-        own, remote = [], []
+        own: list[str] = []
+        remote: dict[str, list[str]] = {}
         for peer in self._peers.values():
             is_remote = peer.data_centre not in ("", self._data_centre)
             if to_all or not is_remote or peer.data_centre not in sums:
                 own.append(peer.host)
             if is_remote:
-                remote.append(peer.host)
-        return Receivers(tuple(own), tuple(remote) if self.is_relay(now_s) else ())
+                remote.setdefault(peer.data_centre, []).append(peer.host)
+        return Receivers(tuple(own), self._sum_route(remote, now_s))
+
+    def _sum_route(self, remote: Mapping[str, list[str]], now_s: float) -> SumRoute:
+        """Return the destinations of this data centre's sum; none unless this entry is a relay."""
+        if not self.is_relay(now_s):
+            return SumRoute()
+        relays = self._sums.relays(now_s) if self.has_uneven_links(now_s) else {}
+        position = position_among(self._own, map(_member, self.local_peers(now_s)))
+        return route_sum(position, remote, relays)
+
+    def has_uneven_links(self, now_s: float) -> bool:
+        """Return whether the links of the entries heard differ so much that relays forward sums."""
+        heard = [hello.link_mbps for hello, _ in self.effective_messages(now_s)]
+        return are_links_uneven([self._own.link_mbps, *heard])
+
+    def forwarding_receivers(self) -> tuple[str, ...]:
+        """Return the entries to which this one forwards the sums of other data centres."""
+        return tuple(
+            peer.host for peer in self._peers.values() if peer.data_centre == self._data_centre
+        )
 
     def data_centre_sum(self, own: Hello, own_entry: WatchCandidate, now_s: float) -> Hello:
         """Return the sum of this entry's data centre.
@@ -291,26 +299,7 @@
         hellos = [
             (peer.hello, now_s - peer.received_s) for peer in self.local_peers(now_s) if peer.hello
         ]
-        at_the_store = [
-            WatchCandidate(hello.host, hello.store_age_s + age_s, hello.link_mbps)
-            for hello, age_s in hellos
-            if not hello.is_stopping
-        ]
-        return own._replace(
-            entries=1 + len(hellos),
-            loads=_sum_loads(hello.loads for hello in (own, *(hello for hello, _ in hellos))),
-            suspects=_max_by_key(
-                [
-                    own.suspects,
-                    *(
-                        {key: for_s - age_s for key, for_s in hello.suspects.items()}
-                        for hello, age_s in hellos
-                    ),
-                ]
-            ),
-            paces=_max_by_key([own.paces, *(hello.paces for hello, _ in hellos)]),
-            watchers=tuple(watchers([own_entry, *at_the_store])),
-        )
+        return sum_hellos(own, own_entry, hellos)
 
     def forget_old(self, now_s: float) -> list[str]:
         """Remove entries that neither send nor are listed any more; return them."""
@@ -320,11 +309,7 @@
         ]
         for host in old:
             del self._peers[host]
-        self._sums = {
-            key: received
-            for key, received in self._sums.items()
-            if now_s - received.received_s < PEER_TIMEOUT_S
-        }
+        self._sums.forget_old(now_s)
         return old
 
     def _individual_peers(self, now_s: float) -> Iterator[Peer]:
@@ -333,28 +318,7 @@
         return (peer for peer in self.live(now_s) if peer.data_centre not in sums)
 
 
-def _is_stale(known: Hello | None, hello: Hello) -> bool:
-    """Return whether a datagram arrives after a later one of the same sender."""
-    return known is not None and known.boot_id == hello.boot_id and known.sequence >= hello.sequence
-
-
 def _member(peer: Peer) -> Member:
     if peer.hello is None:
         return Member(peer.host, 0, True)
     return Member(peer.host, peer.hello.link_mbps, peer.hello.is_stopping)
-
-
-def _max_by_key(mappings: Iterable[Mapping[int, float]]) -> dict[int, float]:
-    highest: dict[int, float] = {}
-    for mapping in mappings:
-        for key, value in mapping.items():
-            highest[key] = max(highest.get(key, 0.0), value)
-    return highest
-
-
-def _sum_loads(loads: Iterable[Mapping[int, Work]]) -> dict[int, Work]:
-    by_server: dict[int, list[Work]] = {}
-    for mapping in loads:
-        for key, work in mapping.items():
-            by_server.setdefault(key, []).append(work)
-    return {key: sum_work(works) for key, works in by_server.items()}
--- a/packages/proxy/src/sassafrastally/proxy/peers.capnp
+++ b/packages/proxy/src/sassafrastally/proxy/peers.capnp
@@ -25,6 +25,9 @@
   epoch @20 :UInt64;          # number of restores of the store known to the sender
   configurationVersion @21 :UInt64;  # of the configuration in force; 0: none
   draining @22 :List(UInt64);  # hashes of the ids of draining servers that a restored store names as ready
+  reserved23 @23 :Void;
+  reserved24 @24 :Void;
+  isToForward @25 :Bool;      # in a sum: the receiving relay forwards it within its data centre
 }
 
 struct Limit {
--- a/packages/proxy/src/sassafrastally/proxy/peers.py
+++ b/packages/proxy/src/sassafrastally/proxy/peers.py
@@ -21,16 +21,24 @@
 from sassafrastally.proxy.dialect import DocumentInvalid
 from sassafrastally.proxy.limit_exchange import LimitExchange, NullLimitExchange
 from sassafrastally.proxy.load import server_hash
-from sassafrastally.proxy.load_exchange import Member, is_urgent_for_sums
-from sassafrastally.proxy.log_events import CentreHeard, CentreSilent, PeerHeard, PeerSilent
+from sassafrastally.proxy.load_exchange import (
+    FULL_DATAGRAM_INTERVAL_S,
+    MAX_SEND_INTERVAL_S,
+    MIN_SEND_INTERVAL_S,
+    PEER_TIMEOUT_S,
+    Member,
+    is_urgent_for_sums,
+)
+from sassafrastally.proxy.log_events import PeerHeard, PeerSilent
 from sassafrastally.proxy.peer_messages import Hello, decode_hello, encode_hello
-from sassafrastally.proxy.peer_table import PEER_TIMEOUT_S, PeerTable
+from sassafrastally.proxy.peer_table import PeerTable
 from sassafrastally.proxy.quarantine_exchange import (
     EMPTY_REPORT,
     NullQuarantineExchange,
     QuarantineExchange,
 )
 from sassafrastally.proxy.store_watchers import WatchCandidate
+from sassafrastally.proxy.sum_exchange import SumExchange
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable, Mapping, Sequence
@@ -41,13 +49,6 @@
     from sassafrastally.proxy.settings import ProxySettings
     from sassafrastally.proxy.store import Snapshot, Store
 
-MAX_SEND_INTERVAL_S = 0.25
-"""Maximum time between two datagrams, and between two sums of a data centre."""
-
-MIN_SEND_INTERVAL_S = 0.02
-"""Minimum time between two datagrams; changes within it are sent together. Shorter than an engine's
-pass, so that peers know of requests that began in the last pass."""
-
 PEERS_AT_MIN_INTERVAL = 5
 """Number of peers up to which `MIN_SEND_INTERVAL_S` applies. With more, the minimum interval grows
 in proportion, so that the number of datagrams per second stays bounded. More entries mean fewer
@@ -57,10 +58,6 @@
 """Time from a routing decision until peers have its datagram, in addition to the send interval:
 network latency and scheduling in both processes."""
 
-FULL_DATAGRAM_INTERVAL_S = 2.0
-"""Time between two datagrams that list the peers, and between repeats of older quarantine news. The
-list makes up most of a datagram's bytes and rarely changes; a new peer is listed at once."""
-
 RECEIVE_BUFFER_BYTES = 2048
 
 
@@ -84,7 +81,6 @@
         self._peers_listed_s = float("-inf")
         self._listed_peers: set[str] = set()
         self._reports_repeated_s = float("-inf")
-        self._sum_changed = trio.Event()
         self.own_suspects: Callable[[], dict[int, float]] = dict
         """Returns the servers that this entry suspects: remaining seconds by hash of the id."""
         self.own_paces: Callable[[], dict[int, float]] = dict
@@ -113,10 +109,11 @@
             self._cluster_state,
             self._table,
         )
+        self._sums = SumExchange(self.kernel, self._table, self._sum, self._send_to)
         nursery.start_soon(self._change_fetcher.run)
         nursery.start_soon(self._receive)
         nursery.start_soon(self._send)
-        nursery.start_soon(self._send_sums)
+        nursery.start_soon(self._sums.run)
         nursery.start_soon(self._address_registration.run)
 
     async def stop(self) -> None:
@@ -143,6 +140,14 @@
         """Return whether data centres exchange sums instead of each entry's work."""
         return self._table.has_relay(self._now_s)
 
+    def is_relay(self) -> bool:
+        """Return whether this entry sends the sum of its data centre."""
+        return self._table.is_relay(self._now_s)
+
+    def centres_heard(self) -> set[str]:
+        """Return the other data centres whose sum arrives."""
+        return set(self._table.sums(self._now_s))
+
     def live_count(self) -> int:
         """Return the number of live peers."""
         return self._table.entries(self._now_s) - 1
@@ -192,7 +197,7 @@
     def send_now(self) -> None:
         """Send updates to peers and other data centres without waiting for the next interval."""
         self._ledger.note_change(is_urgent=True)
-        self._sum_changed.set()
+        self._sums.send_now()
 
     def hello(self) -> Hello:
         """Return the current state to send to the peers."""
@@ -273,24 +278,27 @@
             while True:
                 try:
                     data, _ = await self._socket.recvfrom(RECEIVE_BUFFER_BYTES)
-                    self._apply(decode_hello(data))
+                    hello = decode_hello(data)
+                    if self._apply(hello) and hello.is_to_forward:
+                        await self._sums.forward(data)
                 except (OSError, DocumentInvalid):
                     # A peer's closed port is reported as an error of the next call, and unrelated
                     # datagrams may arrive. Neither gives the state of a peer, which times out when
                     # it sends nothing.
                     continue
 
-    def _apply(self, hello: Hello) -> None:
+    def _apply(self, hello: Hello) -> bool:
+        """Apply a datagram; return whether it is newer than what is known."""
         now_s = self._now_s
         silent_s = self._table.silent_s(hello.host, now_s)
         known_loads = self._table.loads_of(hello.host)
         if not self._table.apply(hello, now_s):
-            return
+            return False
         if hello.data_centre == self._settings.data_centre:
             self._wake_sums_for_prefill(known_loads, hello.loads)
         self.limits.apply(hello.limits, hello.host)
         if hello.quarantine != EMPTY_REPORT and self.quarantine.apply(hello.quarantine):
-            self._sum_changed.set()
+            self._sums.send_now()
         if not hello.entries and silent_s > PEER_TIMEOUT_S:
             self.kernel.events.emit(PeerHeard(hello.host, round(min(silent_s, 1e6), 3)))
         # Set before the changes are fetched, so that entries that only learn of the outage from
@@ -303,6 +311,7 @@
         if hello.position == self._cluster_state.position:
             confirmed_s = now_s - hello.confirmed_age_s
             self._cluster_state.confirmed_s = max(self._cluster_state.confirmed_s, confirmed_s)
+        return True
 
     async def _send(self) -> None:
         silent: set[str] = set()
@@ -311,7 +320,9 @@
             seen, urgent_seen = self._ledger.change_count, self._ledger.urgent_count
             report = self.quarantine.own_report(is_full=self._start_repeat_if_due())
             own = self.hello()._replace(peers=self._peers_to_list(), quarantine=report)
-            await self._send_to(self._table.receivers(self._now_s).own_state_receivers, own)
+            await self._send_to(
+                self._table.receivers(self._now_s).own_state_receivers, encode_hello(own)
+            )
             self._wake_sums_for_prefill(sent_loads, own.loads)
             sent_loads = own.loads
             self._record_silent(silent)
@@ -323,39 +334,23 @@
                 with trio.move_on_after(MAX_SEND_INTERVAL_S - gap_s):
                     await self._ledger.changed_since(seen)
 
-    async def _send_sums(self) -> None:
-        """Send the data centre's sum to other data centres while this entry is its relay."""
-        listed_s = float("-inf")
-        known_centres: set[str] = set()
-        while True:
-            now_s = self._now_s
-            hosts = self._table.receivers(now_s).sum_receivers
-            if hosts:
-                message = self._table.data_centre_sum(self.hello(), self.own_entry, now_s)
-                is_full = now_s - listed_s >= FULL_DATAGRAM_INTERVAL_S
-                if is_full:
-                    listed_s = now_s
-                    local = (peer.host for peer in self._table.local_peers(now_s))
-                    message = message._replace(peers=(self._settings.host, *local))
-                message = message._replace(
-                    quarantine=self.quarantine.combined_report(is_full=is_full)
-                )
-                await self._send_to(hosts, message)
-            known_centres = self._log_data_centres(known_centres)
-            await trio.sleep(MIN_SEND_INTERVAL_S)
-            with trio.move_on_after(MAX_SEND_INTERVAL_S - MIN_SEND_INTERVAL_S):
-                await self._sum_changed.wait()
-            self._sum_changed = trio.Event()
+    def _sum(self, *, is_full: bool) -> Hello:
+        """Return the sum of the data centre, with its entries' addresses if it is full."""
+        now_s = self._now_s
+        message = self._table.data_centre_sum(self.hello(), self.own_entry, now_s)
+        if is_full:
+            local = (peer.host for peer in self._table.local_peers(now_s))
+            message = message._replace(peers=(self._settings.host, *local))
+        return message._replace(quarantine=self.quarantine.combined_report(is_full=is_full))
 
     def _wake_sums_for_prefill(
         self, known_loads: Mapping[int, Work], new_loads: Mapping[int, Work]
     ) -> None:
         """Send the sum at once if long prompts have begun their prefill in this data centre."""
         if is_urgent_for_sums(known_loads, new_loads):
-            self._sum_changed.set()
+            self._sums.send_now()
 
-    async def _send_to(self, hosts: Iterable[str], hello: Hello) -> None:
-        data = encode_hello(hello)
+    async def _send_to(self, hosts: Iterable[str], data: bytes) -> None:
         for host in hosts:
             try:
                 await self._socket.sendto(data, (host, self._settings.peer_port))
@@ -390,13 +385,3 @@
     def _record_silent(self, silent: set[str]) -> None:
         for host, silent_s in self._table.newly_silent(silent, self._now_s):
             self.kernel.events.emit(PeerSilent(host, round(silent_s, 3)))
-
-    def _log_data_centres(self, known: set[str]) -> set[str]:
-        """Log data centres whose sum starts or stops arriving; return those that arrive."""
-        sums = self._table.sums(self._now_s)
-        for data_centre in sorted(sums.keys() - known):
-            message = sums[data_centre].hello
-            self.kernel.events.emit(CentreHeard(data_centre, message.host, message.entries))
-        for data_centre in sorted(known - sums.keys()):
-            self.kernel.events.emit(CentreSilent(data_centre))
-        return set(sums)
--- a/packages/testing/src/sassafrastally/testing/virtual_network.py
+++ b/packages/testing/src/sassafrastally/testing/virtual_network.py
@@ -9,7 +9,7 @@
 
 import errno
 import socket
-from collections import deque
+from collections import Counter, deque
 from contextlib import contextmanager
 from contextvars import ContextVar
 from typing import TYPE_CHECKING, NamedTuple
@@ -237,6 +237,8 @@
             other._datagrams.append((due_s, bytes(data), self._name))
             other._wake()
         network.datagram_bytes += len(data)
+        network.datagrams_sent[self._name[0], address[0]] += 1
+        network.datagram_bytes_sent[self._name[0], address[0]] += len(data)
         return len(data)
 
     async def recvfrom(self, most_bytes: int, flags: int = 0) -> tuple[bytes, Name]:
@@ -338,6 +340,10 @@
         self.datagram_sockets: dict[Name, VirtualSocket] = {}
         self.datagram_bytes = 0
         """Bytes of all datagrams that were sent."""
+        self.datagrams_sent: Counter[tuple[str, str]] = Counter()
+        """Datagrams that were sent, by sender and receiver."""
+        self.datagram_bytes_sent: Counter[tuple[str, str]] = Counter()
+        """Bytes of these datagrams."""
         self.dark: set[str] = set()
         """Hosts that answer nothing, not even that a port is closed."""
         self.ways: list[_Way] = []
