Place long prompts in the entry's own data centre where links are uneven

Cause: long prompts choose among the engines of all data centres, so that parts and their data cross between data centres also when the own engines would be in time.

Plain requests keep their rule; a test now holds it for six servers and 4.9 requests a second.

Result, decisions only: a prompt of 260,000 tokens on 54 idle engines uses engines of one data centre instead of several. Of 4,000 plain requests fewer than 2 % cross, and none is placed on a server busier than another one.

--- a/packages/proxy/src/sassafrastally/proxy/fleet_view.py
+++ b/packages/proxy/src/sassafrastally/proxy/fleet_view.py
@@ -110,6 +110,10 @@
         pool = self._cluster_state.servers.pool(service, self.kernel.data_centre)
         return self._views(pool, avoid) if pool else []
 
+    def has_uneven_links(self) -> bool:
+        """Return whether the links of the entries heard are uneven."""
+        return self._peers.has_uneven_links()
+
     def is_divided(self, service: str) -> bool:
         """Return whether each data centre's servers of a service form a separate pool.
 
--- a/packages/proxy/src/sassafrastally/proxy/peers.py
+++ b/packages/proxy/src/sassafrastally/proxy/peers.py
@@ -140,6 +140,10 @@
         """Return whether data centres exchange sums instead of each entry's work."""
         return self._table.has_relay(self._now_s)
 
+    def has_uneven_links(self) -> bool:
+        """Return whether the links of the entries heard are uneven."""
+        return self._table.has_uneven_links(self._now_s)
+
     def is_relay(self) -> bool:
         """Return whether this entry sends the sum of its data centre."""
         return self._table.is_relay(self._now_s)
--- a/packages/proxy/src/sassafrastally/proxy/streaming_request.py
+++ b/packages/proxy/src/sassafrastally/proxy/streaming_request.py
@@ -11,7 +11,10 @@
 from sassafrastally.proxy.admission import Goals, overload_reason
 from sassafrastally.proxy.attempt import AttemptNotRun, AttemptUnknown
 from sassafrastally.proxy.attempt_migration import remaining_s, should_move_attempt
-from sassafrastally.proxy.data_centre_pools import fits_in_local_data_centre
+from sassafrastally.proxy.data_centre_pools import (
+    place_locally_first,
+    prefers_local_data_centre,
+)
 from sassafrastally.proxy.event_stream import EventSplitter, StreamEvent
 from sassafrastally.proxy.lanes import PlacementRandomizer, choose_lane
 from sassafrastally.proxy.load import InFlightAttempt, Lane
@@ -121,19 +124,19 @@
 
     def _place(self) -> Placement | None:
         service, tried = self._task.service, self.progress.tried
+        fleet_view = self._services.fleet_view
         if self._lane is Lane.SHORT and self._is_suspect():
-            fleet_view = self._services.fleet_view
             views = fleet_view.local_views(service, tried) or fleet_view.views(service, tried)
             plan = self._place_among(self._isolate(views))
             if plan is not None:
                 return plan
-        if self._lane is Lane.SHORT and (
-            local_views := self._services.fleet_view.local_views(service, tried)
-        ):
-            plan = self._place_among(local_views)
-            if fits_in_local_data_centre(plan, self._goal_s()):
-                return plan
-        return self._place_among(self._services.fleet_view.views(service, tried))
+        is_local = prefers_local_data_centre(self._lane, fleet_view.has_uneven_links)
+        return place_locally_first(
+            self._place_among,
+            fleet_view.local_views(service, tried) if is_local else (),
+            lambda: fleet_view.views(service, tried),
+            self._goal_s(),
+        )
 
     def _place_among(self, views: Sequence[ServerView]) -> Placement | None:
         fleet_view = self._services.fleet_view
--- a/packages/proxy/tests/test_data_centre_pools.py
+++ b/packages/proxy/tests/test_data_centre_pools.py
@@ -11,6 +11,8 @@
     MIN_POOL_ENGINES,
     divide_by_data_centre,
     fits_in_local_data_centre,
+    place_locally_first,
+    prefers_local_data_centre,
 )
 from sassafrastally.proxy.lanes import (
     PlacementRandomizer,
@@ -21,6 +23,7 @@
 from sassafrastally.proxy.load import Lane, Work
 from sassafrastally.proxy.model import BackendServer, EngineProfile, PromptSize
 from sassafrastally.proxy.placement import place_request
+from sassafrastally.proxy.plain_placement import place_plain
 from sassafrastally.proxy.prefill_limits import PrefillLimits
 
 PROFILE = EngineProfile(
@@ -155,3 +158,73 @@
         assert everywhere.overfilled > 0.5
         assert near_first.far < 0.1
         assert near_first.overfilled < 0.1
+
+
+class TestUnevenLinks:
+    """Long prompts and plain requests where traffic between data centres is expensive."""
+
+    CENTRES = 3
+    GOAL_S = 4.08
+    PROMPT = PromptSize(260_000, 650)
+
+    def views(self, local_prefill_ms: float) -> list[ServerView]:
+        """Return 18 engines in each data centre; those of the first have prefill to do."""
+        return [
+            ServerView(
+                server(number, self.CENTRES),
+                Work(prefill_ms=0.0 if number % self.CENTRES else local_prefill_ms),
+            )
+            for number in range(54)
+        ]
+
+    def centres_used(self, local_prefill_ms: float, *, has_uneven_links: bool) -> set[str]:
+        """Return the data centres whose engines prefill a long prompt of the first one."""
+        views = self.views(local_prefill_ms)
+        local = [view for view in views if view.server.data_centre == "dc-0"]
+        randomizer = PlacementRandomizer(random.Random(3), 0.07)
+        is_local = prefers_local_data_centre(Lane.LONG, lambda: has_uneven_links)
+        plan = place_locally_first(
+            lambda among: place_request(
+                among,
+                Lane.LONG,
+                self.PROMPT,
+                self.GOAL_S,
+                PROFILE,
+                LIMITS,
+                randomizer,
+                by_centre=True,
+            ),
+            local if is_local else (),
+            lambda: views,
+            self.GOAL_S,
+        )
+        assert plan is not None
+        return {one.data_centre for one in (plan.server, *plan.helpers)}
+
+    def test_long_prompt_that_is_in_time_stays_in_its_data_centre(self):
+        """Guards against long prompts whose parts cross between data centres without need."""
+        assert self.centres_used(0.0, has_uneven_links=True) == {"dc-0"}
+        assert len(self.centres_used(0.0, has_uneven_links=False)) > 1
+
+    def test_long_prompt_that_would_be_late_is_placed_anywhere(self):
+        assert self.centres_used(6000.0, has_uneven_links=True) != {"dc-0"}
+
+    def test_plain_requests_cross_only_when_near_servers_are_busier(self):
+        """Six plain servers in three data centres, 4.9 requests per second of 60 ms. Without the
+        preference, two in three requests would cross between data centres."""
+        draw = random.Random(7)
+        servers = [server(number, self.CENTRES) for number in range(6)]
+        running: list[tuple[float, str]] = []
+        now_s, far, worse, asked = 0.0, 0, 0, 4000
+        for number in range(asked):
+            now_s += draw.expovariate(4.91)
+            running = [row for row in running if row[0] > now_s]
+            work = Counter(server_id for _, server_id in running)
+            views = [ServerView(s, Work(plain_requests=work[s.server_id])) for s in servers]
+            centre = f"dc-{number % self.CENTRES}"
+            chosen = place_plain(views, centre)
+            far += chosen.data_centre != centre
+            worse += work[chosen.server_id] > min(work[s.server_id] for s in servers)
+            running.append((now_s + 0.06, chosen.server_id))
+        assert far / asked < 0.02
+        assert worse == 0
