--- a/packages/proxy/src/sassafrastally/proxy/streaming_request.py
+++ b/packages/proxy/src/sassafrastally/proxy/streaming_request.py
@@ -11,7 +11,10 @@
 from sassafrastally.proxy.admission import Goals, overload_reason
 from sassafrastally.proxy.attempt import AttemptNotRun, AttemptUnknown
 from sassafrastally.proxy.attempt_migration import remaining_s, should_move_attempt
-from sassafrastally.proxy.data_centre_pools import fits_in_local_data_centre
+from sassafrastally.proxy.data_centre_pools import (
+    place_locally_first,
+    prefers_local_data_centre,
+)
 from sassafrastally.proxy.event_stream import EventSplitter, StreamEvent
 from sassafrastally.proxy.lanes import PlacementRandomizer, choose_lane
 from sassafrastally.proxy.load import InFlightAttempt, Lane
@@ -131,11 +134,17 @@
             plan = self._place_among(self._isolate(views))
             if plan is not None:
                 return plan
-        if self._lane is Lane.SHORT and (local_views := self._local_views(tried)):
-            plan = self._place_among(local_views)
-            if fits_in_local_data_centre(plan, self._goal_s()):
-                return plan
-        return self._place_among(self._views(tried))
+        has_uneven_links = self._services.fleet_view.has_uneven_links
+        return place_locally_first(
+            self._place_among,
+            (
+                self._local_views(tried)
+                if prefers_local_data_centre(self._lane, has_uneven_links)
+                else ()
+            ),
+            lambda: self._views(tried),
+            self._goal_s(),
+        )
 
     def _place_among(self, views: Sequence[ServerView]) -> Placement | None:
         fleet_view = self._services.fleet_view
