Grant unused shares of servers' limits to entries with demand

Cause: a limit is shared by a few entries drawn by a hash. A sender without work left its share unused while others refused callers, and with uneven demand most of what servers accept was lost.

Change: datagrams carry the number of requests that found no share, by service, and grants of single requests to named entries (peers.capnp @23, @24). A pure function decides grants from spare requests, own use and the demand of peers. The granter counts a grant as sent at its end, the grantee uses it 0.25 s less, so that the sum over all entries keeps its bound with loss, delay, duplication and partition. OwnShares holds what Backpressure had of shares, and applies the same to cold servers. The view of servers asks for limits only if there are any.

Nothing is sent without a limited server.

--- a/packages/proxy/src/sassafrastally/proxy/backpressure.py
+++ b/packages/proxy/src/sassafrastally/proxy/backpressure.py
@@ -19,14 +19,15 @@
     ServerLimited,
     ServerLimitEnded,
     ServerWarm,
+    SharesGranted,
 )
 from sassafrastally.proxy.metrics import SERVER_CALLS
 from sassafrastally.proxy.peers import Peers
 from sassafrastally.proxy.rate_limits import (
     MIN_LIMIT_PER_S,
     LimitChange,
+    OwnShares,
     RetrySchedule,
-    SentRequests,
     ServerLimits,
     own_share_per_s,
 )
@@ -38,7 +39,7 @@
     import trio
 
     from sassafrastally.proxy.model import BackendServer, BackpressureSignals, Configuration
-    from sassafrastally.proxy.rate_limits import LimitReport
+    from sassafrastally.proxy.rate_limits import LimitReport, ShareNews
 
 ASSUMED_LIMIT_PER_S = 20.0
 """Assumed requests per second of a server without a stated limit once its cool-down is over."""
@@ -73,13 +74,10 @@
         self._own_host = own_host
         self._cool_downs = CoolDowns()
         self._leaving = DeclaredLeaving()
-        self._sent: dict[str, SentRequests] = {}
         self._limits = ServerLimits()
-        self._shares: dict[str, float] = {}
-        """Cache of this entry's shares by server; valid until the entries or the limits change."""
-        self._shared_among: set[str] = set()
         self._retry_schedule = RetrySchedule()
         self._warm_up = WarmUpLimits(own_host, cold_bound)
+        self._shares = OwnShares(own_host, self._limits, self._warm_up)
         self._configuration: Configuration | None = None
         self._server_ids: dict[str, str] = {}
         """Ids of cold servers by incarnation, for the log."""
@@ -103,13 +101,15 @@
             "limited_servers": self._limits.count(),
             "resting_servers": len(self._cool_downs),
             "leaving_servers": len(self.leaving()),
+            "shares_granted": self._shares.grants.turn,
+            "shares_used": self._shares.grants.used,
             "cold_servers": len(self._warm_up.servers) if self._has_cold() else 0,
         }
 
     def count_request(self, server: BackendServer, kind: CallKind) -> None:
         """Count a request that is about to be sent."""
         SERVER_CALLS.add(1, {"kind": kind.value})
-        self._sent_to(server.incarnation_id).record(self._now_s)
+        self._shares.record_sent(server.incarnation_id, self._now_s)
 
     def count_part(self, server: BackendServer) -> None:
         """Count a part of a prompt that a server prefills for another one.
@@ -118,7 +118,7 @@
         does has already received them.
         """
         if self._may_turn_cold(server) or self.limit_of(server.incarnation_id) is not None:
-            self._sent_to(server.incarnation_id).record(self._now_s)
+            self._shares.record_sent(server.incarnation_id, self._now_s)
 
     def record_answer(self, server: BackendServer, signals: BackpressureSignals) -> None:
         """Note the backpressure signals in a server's answer."""
@@ -156,6 +156,10 @@
         limits_per_s = [limit for limit in (most_per_s, cold_per_s) if limit is not None]
         return min(limits_per_s, default=None)
 
+    def is_any_limited(self) -> bool:
+        """Return whether any server may have a limit or be cold."""
+        return bool(self._limits or self._warm_up)
+
     def is_cold(self, incarnation_id: str) -> bool:
         """Return whether a server is cold."""
         if not self._has_cold():
@@ -172,9 +176,8 @@
         has_cold = self._has_cold()
         if not (self._limits or self._leaving or self._cool_downs or has_cold):
             return {}
-        if (others := self._peers.members()) != self._shared_among:
-            self._shared_among = others
-            self._shares.clear()
+        others = self._peers.members()
+        self._shares.set_entries(others)
         if has_cold:
             self._warm_up.record_entries(others, self._now_s)
         waits_s = ((one.incarnation_id, self._wait_s(one.incarnation_id)) for one in servers)
@@ -209,6 +212,8 @@
         if math.isinf(first_s):
             # Other entries share all limits; this is the average time until one has room.
             first_s = 1 / total_per_s
+        if self._limits or self._has_cold():
+            self._shares.grants.record_unmet(service, self._now_s)
         entries = 1 + len(self._peers.members())
         warm_in_s = self._warm_in_s(staying)
         limit_s = warm_in_s if time_left_s is None else min(warm_in_s, time_left_s)
@@ -245,12 +250,25 @@
             change = self._limits.record_peer_limit(key, limit, self._now_s)
             self._note_change(key, change, host)
 
+    def shares_to_send(self) -> ShareNews:
+        """Return the unmet demand and the grants to send to peers."""
+        return self._shares.grants.to_send(self._now_s)
+
+    def apply_shares(self, news: ShareNews, host: str) -> None:
+        """Record the grants of a peer, and grant what this entry can spare for its demand."""
+        if not (news.demands or news.grants):
+            return
+        now_s = self._now_s
+        self._shares.grants.receive(news.grants, host, now_s)
+        for service_key, requests in self._shares.grants.new_demands(
+            news.demands, host, now_s
+        ).items():
+            self._grant(service_key, requests, host)
+
     def forget_gone(self, known: Collection[str]) -> None:
         """Forget servers that no longer exist."""
         now_s = self._now_s
-        for incarnation_id in self._sent.keys() - known:
-            if self._sent[incarnation_id].count(now_s) == 0:
-                del self._sent[incarnation_id]
+        self._shares.forget_gone(known, now_s)
         self._leaving.forget_gone(known, now_s)
         self._apply_configuration()
         if self._cluster_state.servers.has_snapshot:
@@ -259,6 +277,28 @@
         self._warm_up.servers.forget_gone(known, now_s)
         self._has_cold()
 
+    def _grant(self, service_key: int, requests: int, host: str) -> None:
+        """Grant requests to the limited servers of a service to a peer."""
+        now_s = self._now_s
+        servers = [
+            server
+            for server in self._cluster_state.servers.known()
+            if server_hash(server.service) == service_key and not server.is_draining
+        ]
+        if not servers or self._shares.grants.is_short(servers[0].service, now_s):
+            return
+        self._shares.set_entries(self._peers.members())
+        accepting = [
+            server.incarnation_id
+            for server in servers
+            if server.incarnation_id not in self._leaving
+            and not self._cool_downs.remaining_s(server.incarnation_id, now_s)
+        ]
+        granters, draw = len(self._peers.live_hosts()), self.kernel.random.random
+        decision = self._shares.grant(accepting, host, requests, granters, now_s, draw)
+        if decision.granted:
+            self.kernel.events.emit(SharesGranted(host, requests, *decision))
+
     def _record_registration(self, server: BackendServer, source: str) -> None:
         self._apply_configuration()
         self._warm_up.begin(self._now_s)
@@ -283,7 +323,7 @@
                 round(self._warm_up.servers.left_s(incarnation_id, now_s), 3),
                 cold_per_s,
                 self._warm_up.quota(incarnation_id, cold_per_s),
-                self._sent_to(incarnation_id).count(now_s),
+                self._sent_count(incarnation_id),
                 self._warm_up.entry_count(),
                 source,
             )
@@ -307,7 +347,7 @@
             return False
         for incarnation_id in self._warm_up.servers.take_warm(self._now_s):
             server_id = self._server_ids.pop(incarnation_id, incarnation_id)
-            sent = self._sent_to(incarnation_id).count(self._now_s)
+            sent = self._sent_count(incarnation_id)
             self.kernel.events.emit(ServerWarm(server_id, sent))
         return bool(self._warm_up)
 
@@ -324,7 +364,7 @@
         )
         if server is None:
             return
-        self._shares.pop(server.incarnation_id, None)
+        self._shares.note_limit_changed(server.incarnation_id)
         if change is LimitChange.NEWS:
             self._log_limit(server, self._limits.of(key), source)
             if source == OWN_SOURCE:
@@ -336,7 +376,7 @@
             return
         others = self._peers.members()
         share_per_s = own_share_per_s(server.incarnation_id, most_per_s, self._own_host, others)
-        sent = self._sent_to(server.incarnation_id).count(self._now_s)
+        sent = self._sent_count(server.incarnation_id)
         entries = 1 + len(others)
         self.kernel.events.emit(
             ServerLimited(
@@ -353,19 +393,7 @@
         if incarnation_id in self._leaving:
             return math.inf
         cool_down_s = self._cool_downs.remaining_s(incarnation_id, self._now_s)
-        if self._warm_up:
-            sent = self._sent_to(incarnation_id)
-            cold_wait_s = self._warm_up.wait_s(incarnation_id, sent, self._now_s)
-            cool_down_s = max(cool_down_s, cold_wait_s)
-        most_per_s = self._limits.of(server_hash(incarnation_id)) if self._limits else None
-        if most_per_s is None:
-            return cool_down_s
-        if incarnation_id not in self._shares:
-            self._shares[incarnation_id] = own_share_per_s(
-                incarnation_id, most_per_s, self._own_host, self._shared_among
-            )
-        wait_s = self._sent_to(incarnation_id).wait_s(self._shares[incarnation_id], self._now_s)
-        return max(cool_down_s, wait_s)
+        return max(cool_down_s, self._shares.wait_s(incarnation_id, self._now_s))
 
     def _record_leaving(self, server: BackendServer) -> None:
         if self._leaving.record(server.incarnation_id, self._now_s):
@@ -376,8 +404,8 @@
         if self._cool_downs.record(server.incarnation_id, for_s, self._now_s):
             self.kernel.events.emit(ServerCoolingDown(server.server_id, for_s))
 
-    def _sent_to(self, incarnation_id: str) -> SentRequests:
-        return self._sent.setdefault(incarnation_id, SentRequests())
+    def _sent_count(self, incarnation_id: str) -> int:
+        return self._shares.sent_to(incarnation_id).count(self._now_s)
 
     @property
     def _now_s(self) -> float:
--- a/packages/proxy/src/sassafrastally/proxy/fleet_view.py
+++ b/packages/proxy/src/sassafrastally/proxy/fleet_view.py
@@ -124,14 +124,15 @@
         to_avoid = self._servers_to_avoid(now_s)
         paces = self.paces()
         without_room = self._backpressure.waits_s(servers)
+        is_any_limited = self._backpressure.is_any_limited()
         views = [
             ServerView(
                 server,
                 self._work_with_unreported(incarnation_id, work, now_s),
                 incarnation_id in to_avoid or server_hash(incarnation_id) in to_avoid,
                 paces.get(incarnation_id, USUAL_PACE),
-                self._backpressure.limit_of(incarnation_id) is not None,
-                self._backpressure.is_cold(incarnation_id),
+                is_any_limited and self._backpressure.limit_of(incarnation_id) is not None,
+                is_any_limited and self._backpressure.is_cold(incarnation_id),
             )
             for server in servers
             if (incarnation_id := server.incarnation_id) not in avoid
--- a/packages/proxy/src/sassafrastally/proxy/log_events/__init__.py
+++ b/packages/proxy/src/sassafrastally/proxy/log_events/__init__.py
@@ -63,6 +63,7 @@
     ServerLimitEnded,
     ServerSuspected,
     ServerWarm,
+    SharesGranted,
 )
 
 __all__ = [
@@ -112,6 +113,7 @@
     "ServerWarm",
     "SettingsRejected",
     "SettingsReloaded",
+    "SharesGranted",
     "StaleRecordsSkipped",
     "StoreLost",
     "StoreRegained",
--- a/packages/proxy/src/sassafrastally/proxy/log_events/servers.py
+++ b/packages/proxy/src/sassafrastally/proxy/log_events/servers.py
@@ -141,3 +141,17 @@
     server_id: str
     stated_s: float
     source: str
+
+
+@event(10058)
+class SharesGranted(NamedTuple):
+    """This entry leaves a part of its shares of servers' limits to another entry."""
+
+    peer: str
+    unmet: int
+    """Requests of the peer that found no share since its previous report."""
+    granted: int
+    spare: int
+    """Requests that this entry could have sent."""
+    kept: int
+    """Requests that it sent in the last second, and keeps for itself."""
--- a/packages/proxy/src/sassafrastally/proxy/peer_messages.py
+++ b/packages/proxy/src/sassafrastally/proxy/peer_messages.py
@@ -26,7 +26,7 @@
     QuarantineReport,
     VerdictReport,
 )
-from sassafrastally.proxy.rate_limits import LimitReport
+from sassafrastally.proxy.rate_limits import NO_SHARE_NEWS, Grant, LimitReport, ShareNews
 from sassafrastally.proxy.store import StorePosition
 from sassafrastally.proxy.store_records import Delta
 from sassafrastally.proxy.store_watchers import WatchCandidate
@@ -96,6 +96,8 @@
     """Version of the configuration in force; 0 if none is known."""
     draining: tuple[int, ...] = ()
     """Draining servers that a restored store names as ready, by hash of the id."""
+    shares: ShareNews = NO_SHARE_NEWS
+    """Demand for shares of limits, and grants."""
 
 
 @cache
@@ -105,7 +107,7 @@
 
 
 def encode_hello(hello: Hello) -> bytes:
-    """Encode a datagram; if too large, drop loads, then suspects, paces and limits."""
+    """Encode a datagram; if too large, drop loads, shares, then suspects, paces, limits."""
     loads = sorted(hello.loads.items(), key=lambda item: (-item[1].prefill_ms, -item[1].requests))
     while True:
         data = _encode(hello, loads)
@@ -113,6 +115,8 @@
             return data
         if loads:
             del loads[min(len(loads) - 1, len(loads) * MAX_DATAGRAM_BYTES // len(data)) :]
+        elif any(hello.shares):
+            hello = hello._replace(shares=NO_SHARE_NEWS)
         elif hello.suspects or hello.paces or hello.limits:
             hello = hello._replace(
                 suspects=_first_half(hello.suspects),
@@ -187,6 +191,7 @@
             _encode_limit(key, report)
             for key, report in list(hello.limits.items())[:MAX_LIMITS_SENT]
         ],
+        **_encode_shares(hello.shares),
     )
     data: bytes = message.to_bytes_packed()
     return data
@@ -220,6 +225,7 @@
             limits={limit.server: _decode_limit(limit) for limit in message.limits},
             configuration_version=message.configurationVersion,
             draining=tuple(message.draining),
+            shares=_decode_shares(message),
         )
     except (capnp.KjException, ValueError) as cause:
         raise DocumentInvalid(f"invalid datagram from a peer: {cause!r}") from cause
@@ -255,6 +261,37 @@
     return LimitReport(most_per_s, limit.ageMs / 1000)
 
 
+def _encode_shares(shares: ShareNews) -> dict[str, list[dict[str, int]]]:
+    return {
+        "demands": [
+            {"service": key, "requests": requests & 0xFFFFFFFF}
+            for key, requests in shares.demands.items()
+        ],
+        "grants": [
+            {
+                "server": grant.server,
+                "grantee": grant.grantee,
+                "requests": grant.requests,
+                "validMs": _to_thousandths(grant.valid_s),
+                "number": grant.number & 0xFFFFFFFF,
+            }
+            for grant in shares.grants
+        ],
+    }
+
+
+def _decode_shares(message: Any) -> ShareNews:
+    if not message.demands and not message.grants:
+        return NO_SHARE_NEWS
+    return ShareNews(
+        {demand.service: demand.requests for demand in message.demands},
+        tuple(
+            Grant(one.server, one.grantee, one.requests, one.validMs / 1000, one.number)
+            for one in message.grants
+        ),
+    )
+
+
 def _to_thousandths(figure: float) -> int:
     """Return a value in thousandths as a 32-bit integer, which limits times to 49 days."""
     return int(min(max(0.0, figure) * 1000 + 0.5, 0xFFFFFFFF))
--- a/packages/proxy/src/sassafrastally/proxy/peers.capnp
+++ b/packages/proxy/src/sassafrastally/proxy/peers.capnp
@@ -25,6 +25,21 @@
   epoch @20 :UInt64;          # number of restores of the store known to the sender
   configurationVersion @21 :UInt64;  # of the configuration in force; 0: none
   draining @22 :List(UInt64);  # hashes of the ids of draining servers that a restored store names as ready
+  demands @23 :List(Demand);  # requests that found no share of a limit, by service
+  grants @24 :List(Grant);    # shares of limits that the sender leaves to other entries
+}
+
+struct Demand {
+  service @0 :UInt64;         # hash of the service's name
+  requests @1 :UInt32;        # number so far; restarts with a new boot id
+}
+
+struct Grant {
+  server @0 :UInt64;          # hash of the backend server's id
+  grantee @1 :UInt64;         # hash of the entry's IP address
+  requests @2 :UInt16;
+  validMs @3 :UInt32;         # remaining time
+  number @4 :UInt32;          # distinguishes the sender's grants; a repeated one isn't new
 }
 
 struct Limit {
--- a/packages/proxy/src/sassafrastally/proxy/peers.py
+++ b/packages/proxy/src/sassafrastally/proxy/peers.py
@@ -217,6 +217,7 @@
             data_centre=self._settings.data_centre,
             link_mbps=self._settings.link_mbps,
             limits=self.limits.limits_to_send(),
+            shares=self.limits.shares_to_send(),
             configuration_version=self._cluster_state.configuration_version,
             draining=self._cluster_state.servers.draining_to_announce(),
         )
@@ -289,6 +290,7 @@
         if hello.data_centre == self._settings.data_centre:
             self._wake_sums_for_prefill(known_loads, hello.loads)
         self.limits.apply(hello.limits, hello.host)
+        self.limits.apply_shares(hello.shares, hello.host)
         if hello.quarantine != EMPTY_REPORT and self.quarantine.apply(hello.quarantine):
             self._sum_changed.set()
         if not hello.entries and silent_s > PEER_TIMEOUT_S:
--- a/packages/proxy/src/sassafrastally/proxy/rate_limits/limit_exchange.py
+++ b/packages/proxy/src/sassafrastally/proxy/rate_limits/limit_exchange.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING, NamedTuple, Protocol
 
+from sassafrastally.proxy.rate_limits.share_grants import NO_SHARE_NEWS, ShareNews
+
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
@@ -27,6 +29,14 @@
         """Apply the limits received from a peer."""
         ...
 
+    def shares_to_send(self) -> ShareNews:
+        """Return the demand for shares of limits and the grants to send."""
+        ...
+
+    def apply_shares(self, news: ShareNews, host: str) -> None:
+        """Apply the demand and the grants received from a peer."""
+        ...
+
 
 class NullLimitExchange:
     """Exchange that sends no limits and ignores received ones; used as the default."""
@@ -37,3 +47,10 @@
 
     def apply(self, limits: Mapping[int, LimitReport], host: str) -> None:
         """Ignore received limits."""
+
+    def shares_to_send(self) -> ShareNews:
+        """Return no demand and no grants."""
+        return NO_SHARE_NEWS
+
+    def apply_shares(self, news: ShareNews, host: str) -> None:
+        """Ignore received demand and grants."""
--- a/packages/proxy/src/sassafrastally/proxy/rate_limits/rate_limit_sharing.py
+++ b/packages/proxy/src/sassafrastally/proxy/rate_limits/rate_limit_sharing.py
@@ -11,6 +11,7 @@
 from __future__ import annotations
 
 import math
+from bisect import insort
 from collections import deque
 from typing import TYPE_CHECKING, NamedTuple
 
@@ -75,6 +76,10 @@
     return server_hash(f"{host} {incarnation_id}")
 
 
+def _max_requests(window: _Window, share_per_s: float) -> int:
+    return max(window.min_requests, math.ceil(share_per_s * window.time_s - 1e-9))
+
+
 class SentRequests:
     """Send times of this process's requests to one server."""
 
@@ -84,7 +89,17 @@
     def record(self, now_s: float) -> None:
         """Record a request that is sent now."""
         self._forget_old(now_s)
-        self._at_s.append(now_s)
+        if self._at_s and self._at_s[-1] > now_s:
+            insort(self._at_s, now_s)
+        else:
+            self._at_s.append(now_s)
+
+    def record_granted(self, until_s: float) -> None:
+        """Record a request that another entry may send until a future time.
+
+        Counted at that time, it also excludes a request of this entry in its place before.
+        """
+        insort(self._at_s, until_s)
 
     def count(self, now_s: float) -> int:
         """Return the number of recently sent requests."""
@@ -100,11 +115,29 @@
             return math.inf
         wait_s = 0.0
         for window in WINDOWS:
-            max_requests = max(window.min_requests, math.ceil(share_per_s * window.time_s - 1e-9))
+            max_requests = _max_requests(window, share_per_s)
             if len(self._at_s) >= max_requests:
                 wait_s = max(wait_s, self._at_s[-max_requests] + max_requests / share_per_s - now_s)
         return wait_s
 
+    def used(self, since_s: float, now_s: float) -> int:
+        """Return the number of requests sent after a time, without granted ones."""
+        return sum(1 for at_s in self._at_s if since_s < at_s <= now_s)
+
+    def room(self, share_per_s: float, now_s: float) -> int:
+        """Return how many requests fit into a share of the server's limit now."""
+        if share_per_s <= 0:
+            return 0
+        return min(
+            self.room_in_window(max_requests, max_requests / share_per_s, now_s)
+            for max_requests in (_max_requests(window, share_per_s) for window in WINDOWS)
+        )
+
+    def room_in_window(self, max_requests: int, window_s: float, now_s: float) -> int:
+        """Return how many requests a window has room for below a maximum."""
+        sent = sum(1 for at_s in self._at_s if at_s > now_s - window_s)
+        return max(0, max_requests - sent)
+
     def wait_in_window_s(self, max_requests: int, window_s: float, now_s: float) -> float:
         """Return the time until a window has fewer requests than a maximum; infinite for none."""
         if max_requests <= 0:
--- a/packages/proxy/src/sassafrastally/proxy/warm_up/cold_quota.py
+++ b/packages/proxy/src/sassafrastally/proxy/warm_up/cold_quota.py
@@ -63,8 +63,12 @@
 
 def wait_s(sent: SentRequests, quota: int, cold_per_s: float, now_s: float) -> float:
     """Return the time until one more request fits into a quota; infinite without a quota."""
-    window_s = WINDOW_S * max(1.0, 1.0 / cold_per_s)
-    return sent.wait_in_window_s(quota, window_s, now_s)
+    return sent.wait_in_window_s(quota, window_s(cold_per_s), now_s)
+
+
+def window_s(cold_per_s: float) -> float:
+    """Return the window of the quotas; longer for less than one request per second."""
+    return WINDOW_S * max(1.0, 1.0 / cold_per_s)
 
 
 def _rank(incarnation_id: str, host: str) -> int:
--- a/packages/proxy/src/sassafrastally/proxy/warm_up/warm_up_limits.py
+++ b/packages/proxy/src/sassafrastally/proxy/warm_up/warm_up_limits.py
@@ -8,7 +8,7 @@
 
 from typing import TYPE_CHECKING
 
-from sassafrastally.proxy.warm_up.cold_quota import ColdBound, own_quota, wait_s
+from sassafrastally.proxy.warm_up.cold_quota import ColdBound, own_quota, wait_s, window_s
 from sassafrastally.proxy.warm_up.cold_servers import ColdServers
 from sassafrastally.proxy.warm_up.known_entries import KnownEntries
 
@@ -70,6 +70,16 @@
             )
         return self._quotas[key]
 
+    def room(self, incarnation_id: str, sent: SentRequests, now_s: float) -> int | None:
+        """Return how many requests of this entry a cold server accepts now; ``None`` if warm."""
+        cold_per_s = self.servers.rate_per_s(incarnation_id, now_s)
+        if cold_per_s is None:
+            return None
+        if self._joined_s is not None and now_s < self._joined_s:
+            return 0
+        quota = self.quota(incarnation_id, cold_per_s)
+        return sent.room_in_window(quota, window_s(cold_per_s), now_s)
+
     def wait_s(self, incarnation_id: str, sent: SentRequests, now_s: float) -> float:
         """Return the time until a server accepts a request of this entry, as far as it is cold.
 
--- a/packages/proxy/tests/test_peer_messages.py
+++ b/packages/proxy/tests/test_peer_messages.py
@@ -15,7 +15,7 @@
     QuarantineReport,
     VerdictReport,
 )
-from sassafrastally.proxy.rate_limits import LimitReport
+from sassafrastally.proxy.rate_limits import Grant, LimitReport, ShareNews
 from sassafrastally.proxy.store import StorePosition
 
 POSITION = StorePosition(1, 12)
@@ -41,6 +41,7 @@
             data_centre="here",
             link_mbps=100,
             limits={9: LimitReport(2.5, 0.125), 10: LimitReport(None, 1.0)},
+            shares=ShareNews({6: 3}, (Grant(9, 1 << 63, 1, 1.75, 4),)),
             configuration_version=44,
             draining=(1 << 63, 5),
             quarantine=QuarantineReport(
@@ -83,6 +84,9 @@
             suspects={key: 8.0 * draw.random() for key in keys},
             paces={key: 1.3 + draw.random() for key in keys},
             limits={key: LimitReport(draw.random(), draw.random()) for key in keys},
+            shares=ShareNews(
+                dict.fromkeys(keys[:8], 9), tuple(Grant(key, key, 1, 1.5, 7) for key in keys[:12])
+            ),
             draining=tuple(keys[:MAX_ANNOUNCED]),
         )
         data = encode_hello(hello)
--- a/packages/testing/tests/platform/test_backpressure.py
+++ b/packages/testing/tests/platform/test_backpressure.py
@@ -42,6 +42,22 @@
         settled = [at_s for at_s in limited.call_times_s if at_s >= settled_s]
         assert len(settled) >= 0.5 * limited.most_per_s * (8.0 - SETTLED_S)
 
+    async def test_shares_of_idle_entries_are_granted_to_a_busy_one(self, fleet):
+        """Guards against refusing callers at one entry while the others don't use their shares, and
+        against exceeding the limit by grants."""
+        await start_fleet(fleet, entries=3, engines=2)
+        for replica in fleet.replicas.values():
+            replica.most_per_s = 2.0
+            replica.call_times_s.clear()
+        await offer(fleet, "/look/x", per_s=20.0, for_s=7.0, entries=1)
+        desks = [fleet.replicas[f"desk-{number}"] for number in (1, 2)]
+        for desk in desks:
+            settled_s = desk.call_times_s[0] + SETTLED_S
+            assert most_in_window(desk.call_times_s, settled_s) <= allowed(2.0)
+        gauges = [kernel.get("backpressure", Backpressure).gauges() for kernel in fleet.kernels]
+        assert gauges[0]["shares_used"] > 0
+        assert sum(one["shares_granted"] for one in gauges[1:]) >= gauges[0]["shares_used"]
+
     async def test_limit_holds_without_the_store_and_ends_when_withdrawn(self, fleet):
         """Guards against a limit that depends on the store, or that stays after its withdrawal."""
         await start_fleet(fleet, entries=3, engines=2)
