--- a/packages/proxy/src/sassafrastally/proxy/log_events/__init__.py
+++ b/packages/proxy/src/sassafrastally/proxy/log_events/__init__.py
@@ -70,6 +70,7 @@
     ServerLimitEnded,
     ServerSuspected,
     ServerWarm,
+    SharesGranted,
 )
 
 __all__ = [
@@ -124,6 +125,7 @@
     "ServerWarm",
     "SettingsRejected",
     "SettingsReloaded",
+    "SharesGranted",
     "StaleRecordsSkipped",
     "StoreLost",
     "StoreRegained",
--- a/packages/proxy/src/sassafrastally/proxy/peers.py
+++ b/packages/proxy/src/sassafrastally/proxy/peers.py
@@ -226,6 +226,7 @@
             data_centre=self._settings.data_centre,
             link_mbps=self._settings.link_mbps,
             limits=self.limits.limits_to_send(),
+            shares=self.limits.shares_to_send(),
             configuration_version=self._cluster_state.configuration_version,
             draining=self._cluster_state.servers.draining_to_announce(),
         )
@@ -301,6 +302,7 @@
         if hello.data_centre == self._settings.data_centre:
             self._wake_sums_for_prefill(known_loads, hello.loads)
         self.limits.apply(hello.limits, hello.host)
+        self.limits.apply_shares(hello.shares, hello.host)
         if hello.quarantine != EMPTY_REPORT and self.quarantine.apply(hello.quarantine):
             self._sums.send_now()
         if not hello.entries and silent_s > PEER_TIMEOUT_S:
