Bound what is held for callers that don't read, and disconnect them

Cause: a write to a caller that doesn't read blocked the stream until the kernel's limit for unacknowledged data (3.3 s in a test on real sockets) or the request's deadline, also for a caller whose own timeout is two seconds. The server's slot stayed taken meanwhile. The send buffer of such a connection may grow to 4 MB (4,194,304 bytes by getsockopt).

Change: responses are written in pieces of 16 KB, each within the caller's timeout; after it the caller is disconnected and its attempt ends. The buffers towards callers and from servers are bounded so that with one chunk in between 256 KB are held for a caller. If blocked callers together exceed an eighth of the memory limit (`limits.memoryMb` in the settings, optional), the one blocked for longest is disconnected. Event CallerDisconnected, counter proxy.callers.blocked, gauge blocked_callers.

Callers that read slowly are served.

--- a/packages/proxy/src/sassafrastally/proxy/caller_listener.py
+++ b/packages/proxy/src/sassafrastally/proxy/caller_listener.py
@@ -13,7 +13,12 @@
 from sassafrastally.proxy.cluster_state import ClusterState
 from sassafrastally.proxy.dialect import DocumentInvalid
 from sassafrastally.proxy.early_listener import BACKLOG
-from sassafrastally.proxy.http_stream import ConnectionLost, HttpStream, enable_keepalive
+from sassafrastally.proxy.http_stream import (
+    ConnectionLost,
+    HttpStream,
+    enable_keepalive,
+    limit_send_buffer,
+)
 from sassafrastally.proxy.log_events import ConnectionCrashed, ProcessDraining, RequestMalformed
 from sassafrastally.proxy.model import RequestLimits
 from sassafrastally.proxy.path import RequestPath
@@ -26,6 +31,7 @@
     refusal_body,
 )
 from sassafrastally.proxy.reply import Reply
+from sassafrastally.proxy.slow_readers import BlockedCallers, most_buffered_bytes
 
 if TYPE_CHECKING:
     import socket
@@ -83,6 +89,10 @@
     ) -> None:
         self.open_requests = 0
         """Number of in-flight requests: read, but without a complete response."""
+        self.blocked_callers: BlockedCallers[trio.CancelScope] = BlockedCallers(
+            most_buffered_bytes(settings.memory_mb)
+        )
+        """Callers whose writes are in progress."""
         self._settings = settings
         self._dialect = dialect
         self._open_listener = listener
@@ -140,6 +150,7 @@
     async def serve(self, stream: trio.abc.Stream) -> None:
         """Serve one connection until it closes."""
         enable_keepalive(stream)
+        limit_send_buffer(stream)
         limits = self._limits()
         connection = HttpStream(stream, h11.SERVER, limits.header_bytes)
         try:
@@ -164,7 +175,7 @@
 
     async def _serve_request(self, connection: HttpStream) -> bool:
         """Serve one request and return whether the connection can be reused."""
-        reply = Reply(connection, lambda: self.is_stopping)
+        reply = Reply(connection, lambda: self.is_stopping, self.blocked_callers)
         try:
             request = await self._read_request(connection)
         except h11.RemoteProtocolError as cause:
--- a/packages/proxy/src/sassafrastally/proxy/connection_pool.py
+++ b/packages/proxy/src/sassafrastally/proxy/connection_pool.py
@@ -7,7 +7,11 @@
 import h11
 import trio
 
-from sassafrastally.proxy.http_stream import HttpStream, connect
+from sassafrastally.proxy.http_stream import (
+    SERVER_RECEIVE_BUFFER_BYTES,
+    HttpStream,
+    connect,
+)
 
 if TYPE_CHECKING:
     from sassafrastally.proxy.model import BackendServer
@@ -37,7 +41,10 @@
 
     async def open(self, server: BackendServer) -> HttpStream:
         """Return a new connection; raises `ConnectionLost`."""
-        return HttpStream(await connect(server.address, CONNECT_TIME_S), h11.CLIENT)
+        stream = await connect(
+            server.address, CONNECT_TIME_S, receive_buffer_bytes=SERVER_RECEIVE_BUFFER_BYTES
+        )
+        return HttpStream(stream, h11.CLIENT)
 
     async def acquire(self, server: BackendServer) -> HttpStream | None:
         """Return an idle connection that still looks usable, or ``None``."""
--- a/packages/proxy/src/sassafrastally/proxy/http_stream.py
+++ b/packages/proxy/src/sassafrastally/proxy/http_stream.py
@@ -16,6 +16,11 @@
 RECEIVE_BYTES = 65_536
 """Maximum number of bytes read from a connection at once: the usual size of a socket buffer."""
 
+CALLER_SEND_BUFFER_BYTES = 65_536
+SERVER_RECEIVE_BUFFER_BYTES = 32_768
+"""Socket buffers towards callers and from backend servers; Linux doubles both. By default they grow
+to several megabytes for a caller that doesn't read, which counts as the entry's memory."""
+
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
@@ -83,8 +88,11 @@
 
     async def send(self, *events: h11.Event) -> None:
         """Send events in a single write; raises `ConnectionLost`."""
-        data = b"".join(self.http.send(event) or b"" for event in events)
-        await self.send_bytes(data)
+        await self.send_bytes(self.encode(*events))
+
+    def encode(self, *events: h11.Event) -> bytes:
+        """Return the bytes of events to send."""
+        return b"".join(self.http.send(event) or b"" for event in events)
 
     async def send_bytes(self, data: bytes) -> None:
         """Send bytes that h11 has encoded; raises `ConnectionLost`."""
@@ -117,9 +125,26 @@
     stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_TIMEOUT_MS)
 
 
-async def connect(address: Address, time_limit_s: float) -> trio.abc.Stream:
+def limit_send_buffer(stream: trio.abc.Stream) -> None:
+    """Bound what the OS buffers for a caller."""
+    if isinstance(stream, trio.SocketStream):
+        stream.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, CALLER_SEND_BUFFER_BYTES)
+
+
+async def connect(
+    address: Address, time_limit_s: float, *, receive_buffer_bytes: int = 0
+) -> trio.abc.Stream:
     """Open a TCP connection.
 
+    Parameters
+    ----------
+    address
+        Address to connect to.
+    time_limit_s
+        Longest time until the connection is established.
+    receive_buffer_bytes
+        Size of the receive buffer; 0 for the OS's default.
+
     Raises
     ------
     ConnectionLost
@@ -129,6 +154,8 @@
         with trio.fail_after(time_limit_s):
             sock = trio.socket.socket()
             try:
+                if receive_buffer_bytes:
+                    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer_bytes)
                 await sock.connect((address.host, address.port))
             except BaseException:
                 sock.close()
--- a/packages/proxy/src/sassafrastally/proxy/internal_endpoints.py
+++ b/packages/proxy/src/sassafrastally/proxy/internal_endpoints.py
@@ -97,6 +97,7 @@
             "peers": self._fleet_view.entries - 1,
             "open_requests": self._caller_listener.open_requests,
             "attempts_in_progress": len(self._fleet_view.ledger),
+            "blocked_callers": self._caller_listener.blocked_callers.count(now_s),
             **self._backpressure.gauges(),
         }
 
--- a/packages/proxy/src/sassafrastally/proxy/log_events/__init__.py
+++ b/packages/proxy/src/sassafrastally/proxy/log_events/__init__.py
@@ -37,6 +37,7 @@
 )
 from sassafrastally.proxy.log_events.requests import (
     AttemptFailed,
+    CallerDisconnected,
     CallerLeft,
     ConnectionCrashed,
     RequestAnswered,
@@ -64,6 +65,7 @@
 
 __all__ = [
     "AttemptFailed",
+    "CallerDisconnected",
     "CallerLeft",
     "CentreHeard",
     "CentreSilent",
--- a/packages/proxy/src/sassafrastally/proxy/log_events/requests.py
+++ b/packages/proxy/src/sassafrastally/proxy/log_events/requests.py
@@ -117,6 +117,15 @@
     held_s: float
 
 
+@event(10065)
+class CallerDisconnected(NamedTuple):
+    """The caller was disconnected because it read nothing of its response."""
+
+    request_id: str
+    route: str
+    cause: str
+
+
 @event(10022, "warning")
 class RetryBudgetSpent(NamedTuple):
     """A retry isn't sent because the shared retry budget is exhausted."""
--- a/packages/proxy/src/sassafrastally/proxy/path.py
+++ b/packages/proxy/src/sassafrastally/proxy/path.py
@@ -12,8 +12,14 @@
 from sassafrastally.proxy.crash_detector import CrashDetector
 from sassafrastally.proxy.fingerprint import fingerprint_text, request_fingerprint
 from sassafrastally.proxy.fleet_view import FleetView
-from sassafrastally.proxy.log_events import CallerLeft, RequestFailed, RequestRefused, StreamBroken
-from sassafrastally.proxy.metrics import REFUSALS, REQUESTS
+from sassafrastally.proxy.log_events import (
+    CallerDisconnected,
+    CallerLeft,
+    RequestFailed,
+    RequestRefused,
+    StreamBroken,
+)
+from sassafrastally.proxy.metrics import CALLERS_BLOCKED, REFUSALS, REQUESTS
 from sassafrastally.proxy.model import RouteKind
 from sassafrastally.proxy.plain_request import PlainRequestHandler
 from sassafrastally.proxy.prefill_limits import PrefillLimitsCache
@@ -28,6 +34,7 @@
     Refusal,
     refusal_body,
 )
+from sassafrastally.proxy.reply import CallerBlocked
 from sassafrastally.proxy.request_services import RequestServices
 from sassafrastally.proxy.reservations import Reservations
 from sassafrastally.proxy.routes import UnknownKey, choose_service, find_customer
@@ -163,6 +170,13 @@
                     )
                     self._record_unanswered(task, progress)
                 raise
+            except CallerBlocked as cause:
+                CALLERS_BLOCKED.add(1)
+                self.kernel.events.emit(
+                    CallerDisconnected(request.facts.request_id, route.name, cause.detail)
+                )
+                self._record_unanswered(task, progress)
+                raise
         if limit.cancelled_caught:
             local_reply = _deadline_exceeded(progress)
             self._record_unanswered(task, progress)
--- a/packages/proxy/src/sassafrastally/proxy/reply.py
+++ b/packages/proxy/src/sassafrastally/proxy/reply.py
@@ -2,9 +2,15 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 import h11
+import trio
+
+from sassafrastally.core import error
+from sassafrastally.proxy.http_stream import ConnectionLost
+from sassafrastally.proxy.slow_readers import BlockedCallers
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -16,6 +22,16 @@
 """Hop-by-hop and framing fields, which are set for the caller's connection and not forwarded."""
 
 
+WRITE_BYTES = 16_384
+"""Size of one write to a caller. The time limit applies to each, so that a caller that reads slowly
+isn't taken for one that doesn't read."""
+
+
+@error(10065)
+class CallerBlocked(ConnectionLost):
+    """The caller was disconnected because it didn't read its response."""
+
+
 class Reply:
     """Sends one response on a caller's connection.
 
@@ -25,34 +41,64 @@
         The caller's connection.
     is_last
         Called when the header is sent; returns whether to close the connection after this response.
+    blocked_callers
+        Callers of this process whose writes are in progress.
     """
 
-    def __init__(self, connection: HttpStream, is_last: Callable[[], bool]) -> None:
+    def __init__(
+        self,
+        connection: HttpStream,
+        is_last: Callable[[], bool],
+        blocked_callers: BlockedCallers[trio.CancelScope] | None = None,
+    ) -> None:
+        self.write_timeout_s = math.inf
+        """Time after which a caller that reads nothing is disconnected."""
         self.has_begun = False
         self.has_ended = False
         self._connection = connection
         self._is_last = is_last
+        self._blocked_callers = blocked_callers or BlockedCallers()
 
     async def send_complete(self, status: int, headers: Headers, body: bytes) -> None:
         """Send a response with a complete body; raises `ConnectionLost`."""
         length = (b"content-length", str(len(body)).encode())
         response = self._response(status, [*_end_to_end_headers(headers), length])
-        await self._connection.send(response, h11.Data(data=body), h11.EndOfMessage())
+        await self._send(response, h11.Data(data=body), h11.EndOfMessage())
         self.has_ended = True
 
     async def begin(self, status: int, headers: Headers) -> None:
         """Send the header of a response of unknown length; raises `ConnectionLost`."""
-        await self._connection.send(self._response(status, _end_to_end_headers(headers)))
+        await self._send(self._response(status, _end_to_end_headers(headers)))
 
     async def send(self, data: bytes) -> None:
         """Send a chunk of the body; raises `ConnectionLost`."""
-        await self._connection.send(h11.Data(data=data))
+        await self._send(h11.Data(data=data))
 
     async def end(self) -> None:
         """End the body; raises `ConnectionLost`."""
-        await self._connection.send(h11.EndOfMessage())
+        await self._send(h11.EndOfMessage())
         self.has_ended = True
 
+    async def _send(self, *events: h11.Event) -> None:
+        """Send events; raises `CallerBlocked` if the caller doesn't read them."""
+        data = self._connection.encode(*events)
+        for begin in range(0, len(data), WRITE_BYTES):
+            await self._write(data[begin : begin + WRITE_BYTES])
+
+    async def _write(self, data: bytes) -> None:
+        now_s = trio.current_time()
+        with trio.move_on_after(self.write_timeout_s) as scope:
+            longest_blocked = self._blocked_callers.begin(scope, now_s)
+            if longest_blocked is not None:
+                longest_blocked.cancel()
+            try:
+                await self._connection.send_bytes(data)
+            finally:
+                self._blocked_callers.end(scope)
+        if scope.cancelled_caught:
+            blocked_s = trio.current_time() - now_s
+            raise CallerBlocked(f"nothing was read for {blocked_s:.2f} s")
+
     def _response(self, status: int, headers: Headers) -> h11.Response:
         self.has_begun = True
         if self._is_last():
--- a/packages/proxy/src/sassafrastally/proxy/settings.py
+++ b/packages/proxy/src/sassafrastally/proxy/settings.py
@@ -38,3 +38,5 @@
     link_mbps: int
     """Network bandwidth of the VM, in megabits per second."""
     bounds: ProcessLimits
+    memory_mb: int = 0
+    """Memory limit of the process in megabytes; 0 if the settings name none."""
--- a/packages/proxy/src/sassafrastally/proxy/streaming_request.py
+++ b/packages/proxy/src/sassafrastally/proxy/streaming_request.py
@@ -76,6 +76,7 @@
         self._limits = services.limits.for_service(task.configuration, task.service, profile)
         self._lane = choose_lane(task.route, prompt, profile, self._limits)
         self._last_event_id = task.request.facts.last_event_id
+        reply.write_timeout_s = self._caller_timeout_s()
         self._first_s: float | None = None
         self._previous_s = 0.0
         self._longest_pause_s = 0.0
--- a/packages/testing/tests/platform/test_settings.py
+++ b/packages/testing/tests/platform/test_settings.py
@@ -39,6 +39,15 @@
         assert settings.callers_address.port == 8227
         assert settings.bounds.retry_window_s == 10.0
 
+    @pytest.mark.parametrize("value", [None, "many", -1, True])
+    def test_invalid_memory_limit_is_a_finding(self, value):
+        """A missing limit is none; an invalid one must not pass for it."""
+        assert decode_settings(json.dumps(VALID), "settings.json").memory_mb == 0
+        invalid = {**VALID, "limits": {"linkMbps": 1000.0, "memoryMb": value}}
+        with pytest.raises(FindingsError) as caught:
+            decode_settings(json.dumps(invalid), "settings.json")
+        assert [finding.place.key for finding in caught.value.findings] == ["limits.memoryMb"]
+
     def test_all_findings_are_reported_with_their_places(self):
         invalid = {**VALID, "ip": None, "listen": {"front": "nowhere"}}
         del invalid["bounds"]
--- /dev/null
+++ b/packages/testing/tests/platform/test_slow_readers.py
@@ -0,0 +1,129 @@
+"""Callers that don't read their responses, on real sockets."""
+
+from __future__ import annotations
+
+import socket
+
+import h11
+import pytest
+import trio
+
+from sassafrastally.proxy.caller_listener import CallerListener
+from sassafrastally.proxy.http_stream import HttpStream, limit_send_buffer
+from sassafrastally.proxy.reply import CallerBlocked, Reply
+from sassafrastally.proxy.slow_readers import (
+    CALLER_BUFFER_BYTES,
+    MIN_BLOCKED_S,
+    BlockedCallers,
+    most_buffered_bytes,
+)
+from sassafrastally.stand_ins.caller_requests import request_fields, send_request
+from sassafrastally.stand_ins.platform_fleet import wait_until
+
+SMALL_RECEIVE_BUFFER_BYTES = 4096
+
+
+async def open_caller(
+    host: str, port: int, receive_buffer_bytes: int = SMALL_RECEIVE_BUFFER_BYTES
+) -> trio.SocketStream:
+    """Open a connection with a receive buffer of the given size."""
+    sock = trio.socket.socket()
+    if receive_buffer_bytes:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer_bytes)
+    await sock.connect((host, port))
+    return trio.SocketStream(sock)
+
+
+@pytest.fixture
+async def connected():
+    """An entry's end and a caller's end of a connection."""
+    listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+    caller = await open_caller("127.0.0.1", listeners[0].socket.getsockname()[1])
+    accepted = await listeners[0].accept()
+    limit_send_buffer(accepted)
+    yield accepted, caller
+    for one in (accepted, caller, listeners[0]):
+        await trio.aclose_forcefully(one)
+
+
+async def begun_reply(stream: trio.abc.Stream, blocked_callers: BlockedCallers) -> Reply:
+    """Return a reply whose header was sent, with a timeout of 0.5 s."""
+    connection = HttpStream(stream, h11.SERVER)
+    connection.http.receive_data(b"GET / HTTP/1.1\r\nhost: a\r\n\r\n")
+    await connection.receive()
+    reply = Reply(connection, lambda: False, blocked_callers)
+    reply.write_timeout_s = 0.5
+    await reply.begin(200, [])
+    return reply
+
+
+class TestOneCaller:
+    """Bounds for a single caller."""
+
+    async def test_few_bytes_are_buffered_for_a_caller_that_does_not_read(self, connected):
+        """Guards against send buffers that grow to megabytes for each caller that doesn't read."""
+        reply = await begun_reply(connected[0], BlockedCallers())
+        sent_bytes = 0
+        with pytest.raises(CallerBlocked):
+            while True:
+                await reply.send(b"x" * 4096)
+                sent_bytes += 4096
+        assert sent_bytes < CALLER_BUFFER_BYTES
+        send_buffer_bytes = connected[0].getsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF)
+        assert send_buffer_bytes <= CALLER_BUFFER_BYTES / 2
+
+    async def test_caller_that_reads_slowly_is_not_disconnected(self, connected):
+        """Guards against a timeout for the whole response instead of for a caller's silence."""
+        reply = await begun_reply(connected[0], BlockedCallers())
+        async with trio.open_nursery() as nursery:
+
+            async def read() -> None:
+                while True:
+                    await trio.sleep(0.02)
+                    await connected[1].receive_some(16_384)
+
+            nursery.start_soon(read)
+            await reply.send(b"x" * 1_000_000)
+            nursery.cancel_scope.cancel()
+
+    async def test_attempt_of_a_caller_that_does_not_read_ends(self, small_fleet, monkeypatch):
+        """Guards against a server whose slot stays taken until the request's deadline. The kernel
+        ends such a connection after three seconds only if its window is closed completely."""
+        monkeypatch.setattr("sassafrastally.proxy.http_stream.UNACKNOWLEDGED_TIMEOUT_MS", 60_000)
+        for number in (1, 2):
+            small_fleet.replicas[f"engine-{number}"].event_bytes = 100_000
+        kernel = small_fleet.kernels[0]
+        address = small_fleet.entry_settings(1).callers_address
+        stream = await open_caller(address.host, address.port)
+        fields = request_fields(prompt="1000,34000", time_left_s=20.0)
+        await send_request(HttpStream(stream, h11.CLIENT), "POST", "/note/x", fields, b"{}")
+        listener = kernel.get("callers", CallerListener)
+        engines = [small_fleet.replicas[f"engine-{number}"].engine for number in (1, 2)]
+        await wait_until(lambda: sum(engine.running for engine in engines) == 1)
+        await wait_until(lambda: listener.open_requests == 0, 4.0)
+        await wait_until(lambda: sum(engine.running for engine in engines) == 0, 0.5)
+        names = [record["name"] for record in kernel.events.records()]
+        assert "CallerDisconnected" in names
+        await trio.aclose_forcefully(stream)
+
+
+class TestAllCallers:
+    """Bound for all callers of an entry together."""
+
+    def test_longest_blocked_caller_yields_beyond_the_bound(self):
+        blocked: BlockedCallers[str] = BlockedCallers(2 * CALLER_BUFFER_BYTES)
+        assert blocked.begin("a", 0.0) is None
+        assert blocked.begin("b", 0.1) is None
+        assert blocked.begin("c", 1.0) == "a"
+        blocked.end("a")
+        blocked.end("b")
+        assert blocked.count(1.0 + MIN_BLOCKED_S) == 1
+
+    def test_many_short_writes_disconnect_nobody(self):
+        """Guards against disconnecting callers that read, when many responses begin together."""
+        blocked: BlockedCallers[int] = BlockedCallers(CALLER_BUFFER_BYTES)
+        assert not any(blocked.begin(number, 0.0) is not None for number in range(100))
+
+    def test_bound_is_an_eighth_of_the_memory_if_known(self):
+        assert most_buffered_bytes(160) == 20_000_000
+        assert most_buffered_bytes(0) == float("inf")
