--- a/packages/proxy/src/sassafrastally/proxy/log_events/__init__.py
+++ b/packages/proxy/src/sassafrastally/proxy/log_events/__init__.py
@@ -44,6 +44,7 @@
 )
 from sassafrastally.proxy.log_events.requests import (
     AttemptFailed,
+    CallerDisconnected,
     CallerLeft,
     ConnectionCrashed,
     RequestAnswered,
@@ -75,6 +76,7 @@
 
 __all__ = [
     "AttemptFailed",
+    "CallerDisconnected",
     "CallerLeft",
     "CentreHeard",
     "CentreSilent",
--- a/packages/proxy/src/sassafrastally/proxy/settings.py
+++ b/packages/proxy/src/sassafrastally/proxy/settings.py
@@ -45,3 +45,5 @@
     bounds: ProcessLimits
     data_centres: DataCentres = DataCentres()
     """All data centres, with their regions."""
+    memory_mb: int = 0
+    """Memory limit of the process in megabytes; 0 if the settings name none."""
--- a/packages/testing/tests/platform/test_settings.py
+++ b/packages/testing/tests/platform/test_settings.py
@@ -46,6 +46,15 @@
         invalid = decode_settings(json.dumps({**VALID, "zones": 5}), "settings.json")
         assert len(invalid.data_centres.problems) == 1
 
+    @pytest.mark.parametrize("value", [None, "many", -1, True])
+    def test_invalid_memory_limit_is_a_finding(self, value):
+        """A missing limit is none; an invalid one must not pass for it."""
+        assert decode_settings(json.dumps(VALID), "settings.json").memory_mb == 0
+        invalid = {**VALID, "limits": {"linkMbps": 1000.0, "memoryMb": value}}
+        with pytest.raises(FindingsError) as caught:
+            decode_settings(json.dumps(invalid), "settings.json")
+        assert [finding.place.key for finding in caught.value.findings] == ["limits.memoryMb"]
+
     def test_all_findings_are_reported_with_their_places(self):
         invalid = {**VALID, "ip": None, "listen": {"front": "nowhere"}}
         del invalid["bounds"]
