Let requests that are refused for load wait at the entry

A request was placed or refused at once. A caller that is refused twice is lost, although a long prompt with a goal of several seconds could have waited.

Where the routes to a service differ in priority, or their longest goal is at least four times the shortest, a request without room now waits as long as it can still be served whole. One task tries the first requests of each lane's queue at random intervals, so that entries don't take the same room together; a smaller prompt passes one that doesn't fit until that has used half of its time. Order: priority, early retries last, the customer with the least recent engine time, the latest start. Requests that idle engines couldn't serve, or that can't start in time, are refused at once. A request whose retry budget is exhausted waits for it. Plain requests wait while all slots are taken and as many requests again are in progress.

The load replay uses the queue, with priorities and customers.

--- /dev/null
+++ b/packages/proxy/src/sassafrastally/proxy/admission_queue/admission_queue.py
@@ -0,0 +1,235 @@
+"""The requests that wait for room at this entry, and the task that starts them.
+
+One task tries to start the first requests of each queue. The others sleep, so that a crowd
+of waiting prompts costs no processor time and doesn't take the room of those ahead of them.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Generic, NamedTuple, TypeVar
+
+import trio
+
+from sassafrastally.proxy.admission_queue.customer_work import CustomerWork
+from sassafrastally.proxy.admission_queue.early_retries import EarlyRetries
+from sassafrastally.proxy.admission_queue.expected_room import RoomRate, is_wait_hopeless
+from sassafrastally.proxy.admission_queue.queue_order import (
+    OrderKey,
+    QueueBounds,
+    WaitingFacts,
+    is_aged,
+    order_key,
+    requests_to_refuse,
+)
+from sassafrastally.proxy.load import Lane
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+    from random import Random
+
+SHORTEST_INTERVAL_S = 0.05
+"""Shortest time between two checks of a queue: a pass of an engine, in which room comes."""
+
+LONGEST_INTERVAL_S = {Lane.SHORT: 0.1, Lane.LONG: 0.25, Lane.PLAIN: 0.1}
+"""Longest time between two checks. The intervals are random: entries learn of new room at the same
+moment and would all take it, while one that checks later sees what the others have taken. Placing a
+long prompt takes several times the processor time of a short one, and it can wait longer."""
+
+MAX_FAILED_TRIES = 3
+"""Requests of a queue that are tried without success in one check. A smaller prompt starts while
+the largest one waits for more room, until that has used half of its longest wait."""
+
+Started = TypeVar("Started")
+
+QueueName = tuple[str, Lane]
+"""Service and lane. Each lane has its own queue: a long prompt that can't start doesn't keep short
+ones waiting."""
+
+
+class Waited(NamedTuple, Generic[Started]):
+    """How a wait ended."""
+
+    started: Started | None
+    """What the request's callback returned; ``None`` if there was no room."""
+    waited_s: float
+    reason: str
+    """Why it ended without room; empty if there was room."""
+
+
+class WaitingRequest(Generic[Started]):
+    """A request that waits.
+
+    Parameters
+    ----------
+    facts
+        What decides its place.
+    try_start
+        Returns what the request continues with, or ``None`` while there is no room. It must not
+        wait, and the work that it starts must be known before the task of the request waits again.
+    should_end
+        Returns whether the request must be asked although it isn't at the head: it may no longer
+        run, or no server is left for it.
+    """
+
+    def __init__(
+        self,
+        facts: WaitingFacts,
+        try_start: Callable[[], Started | None],
+        should_end: Callable[[], bool] = lambda: False,
+    ) -> None:
+        self.facts = facts
+        self.started: Started | None = None
+        self.reason = ""
+        self.ended = trio.Event()
+        self._try_start = try_start
+        self._should_end = should_end
+
+    def try_start(self) -> bool:
+        """Try to start; return whether the wait has ended."""
+        self.started = self._try_start()
+        if self.started is not None:
+            self.ended.set()
+        return self.ended.is_set()
+
+    def try_end_early(self) -> bool:
+        """Try to start if the request must not go on waiting; return whether the wait has ended."""
+        return self._should_end() and self.try_start()
+
+    def refuse(self, reason: str) -> None:
+        """End the wait without room."""
+        self.reason = reason
+        self.ended.set()
+
+
+class AdmissionQueue:
+    """Requests that wait for room at this entry; the `run` task must be running.
+
+    Parameters
+    ----------
+    random
+        Draws the delays before checks.
+    bounds
+        Bounds of what waits.
+    """
+
+    def __init__(self, random: Random, bounds: QueueBounds | None = None) -> None:
+        self.customers = CustomerWork()
+        self.early_retries = EarlyRetries()
+        self._random = random
+        self._bounds = bounds or QueueBounds()
+        self._queues: dict[QueueName, list[WaitingRequest[object]]] = {}
+        self._rates: dict[QueueName, RoomRate] = {}
+        self._next_checks_s: dict[QueueName, float] = {}
+        self._is_waited = trio.Event()
+
+    def count(self, lane: Lane) -> int:
+        """Return the number of requests of a lane that wait."""
+        return sum(len(queue) for name, queue in self._queues.items() if name[1] is lane)
+
+    def is_behind_others(self, name: QueueName, facts: WaitingFacts) -> bool:
+        """Return whether a request that arrives has to wait behind others of its queue."""
+        queue = self._queues.get(name)
+        if not queue:
+            return False
+        key = self._order(trio.current_time())
+        return min(key(waiting.facts) for waiting in queue) < key(facts)
+
+    def expected_wait_s(self, name: QueueName, facts: WaitingFacts | None = None) -> float | None:
+        """Return how long a request waits; ``None`` if unknown.
+
+        Parameters
+        ----------
+        name
+            Queue of the request.
+        facts
+            The request; without it, one behind all that wait.
+        """
+        now_s = trio.current_time()
+        rate = self._rates.get(name)
+        if rate is None:
+            return None
+        key = self._order(now_s)
+        ahead_ms = sum(
+            waiting.facts.work_ms
+            for waiting in self._queues.get(name, ())
+            if facts is None or key(waiting.facts) < key(facts)
+        )
+        return rate.expected_wait_s(ahead_ms, now_s)
+
+    def record_start(self, name: QueueName, facts: WaitingFacts) -> None:
+        """Count the work of a request that starts, whether or not it has waited."""
+        now_s = trio.current_time()
+        self.customers.record(facts.customer, facts.work_ms, now_s)
+        self._rates.setdefault(name, RoomRate()).record_start(facts.work_ms, now_s)
+
+    async def wait(self, name: QueueName, waiting: WaitingRequest[Started]) -> Waited[Started]:
+        """Wait until a request can start or its longest wait is over."""
+        begin_s = trio.current_time()
+        expected_s = self.expected_wait_s(name, waiting.facts)
+        if is_wait_hopeless(expected_s, waiting.facts.latest_start_s - begin_s):
+            return Waited(None, 0.0, "it could not start in time")
+        queue = self._queues.setdefault(name, [])
+        queue.append(waiting)  # type: ignore[arg-type]
+        self._rates.setdefault(name, RoomRate()).note_waiting(begin_s)
+        self._refuse_excess()
+        self._is_waited.set()
+        try:
+            with trio.move_on_at(waiting.facts.latest_start_s):
+                await waiting.ended.wait()
+        finally:
+            queue.remove(waiting)  # type: ignore[arg-type]
+            if not queue:
+                self._rates[name].note_empty()
+                self._next_checks_s.pop(name, None)
+        waited_s = trio.current_time() - begin_s
+        reason = "" if waiting.started is not None else waiting.reason or f"waited {waited_s:.1f} s"
+        return Waited(waiting.started, waited_s, reason)
+
+    async def run(self) -> None:
+        """Try to start the first requests of each queue from time to time."""
+        while True:
+            if not any(self._queues.values()):
+                self._is_waited = trio.Event()
+                await self._is_waited.wait()
+            now_s = trio.current_time()
+            for name in [name for name, queue in self._queues.items() if queue]:
+                if self._next_checks_s.setdefault(name, self._next_check_s(name)) <= now_s:
+                    self._next_checks_s[name] = self._next_check_s(name)
+                    await self._check(self._queues[name])
+            due_s = [self._next_checks_s[name] for name, queue in self._queues.items() if queue]
+            await trio.sleep_until(min(due_s, default=now_s))
+
+    def _next_check_s(self, name: QueueName) -> float:
+        longest_s = LONGEST_INTERVAL_S[name[1]]
+        return trio.current_time() + self._random.uniform(SHORTEST_INTERVAL_S, longest_s)
+
+    async def _check(self, queue: list[WaitingRequest[object]]) -> None:
+        now_s = trio.current_time()
+        for one in list(queue):
+            one.try_end_early()
+        failures = 0
+        for one in self._in_order(queue):
+            if one.try_start():
+                # The task of the request records its work before the next one is tried.
+                await trio.lowlevel.checkpoint()
+                await trio.lowlevel.checkpoint()
+                continue
+            failures += 1
+            if failures == MAX_FAILED_TRIES or is_aged(one.facts, now_s):
+                return
+
+    def _in_order(self, requests: Iterable[WaitingRequest[object]]) -> list[WaitingRequest[object]]:
+        """Return the requests that still wait, in order."""
+        key = self._order(trio.current_time())
+        waiting = (one for one in requests if not one.ended.is_set())
+        return sorted(waiting, key=lambda one: key(one.facts))
+
+    def _refuse_excess(self) -> None:
+        waiting = self._in_order(one for queue in self._queues.values() for one in queue)
+        excess = requests_to_refuse([one.facts for one in waiting], self._bounds)
+        for one in waiting[len(waiting) - excess :]:
+            one.refuse("more requests wait than this entry keeps")
+
+    def _order(self, now_s: float) -> Callable[[WaitingFacts], OrderKey]:
+        work_ms = self.customers.recent_ms(now_s)
+        return lambda facts: order_key(facts, work_ms, now_s)
--- /dev/null
+++ b/packages/proxy/src/sassafrastally/proxy/admission_queue/applicability.py
@@ -0,0 +1,55 @@
+"""Services whose requests may wait: those with routes of unequal urgency.
+
+Where all routes to a service are equally urgent, a request that waits only takes the room of the
+next one, and all are served later.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from sassafrastally.proxy.model import Configuration, Route
+
+UNEQUAL_GOALS_FACTOR = 4.0
+"""Ratio of the longest goal to the shortest from which requests of some routes can wait while those
+of others are served."""
+
+
+def is_queueing_useful(routes: Iterable[Route]) -> bool:
+    """Return whether requests of some of a service's routes can wait for those of others."""
+    routes = list(routes)
+    goals_s = [route.goal_s for route in routes if route.goal_s]
+    if len({route.priority for route in routes}) > 1:
+        return True
+    return bool(goals_s) and max(goals_s) >= UNEQUAL_GOALS_FACTOR * min(goals_s)
+
+
+class QueueingCache:
+    """Cache of the services whose requests may wait, computed once per configuration version."""
+
+    def __init__(self) -> None:
+        self._version: int | None = None
+        self._services: frozenset[str] = frozenset()
+
+    def applies_to(self, configuration: Configuration, service: str) -> bool:
+        """Return whether requests to a service may wait."""
+        return service in self._current(configuration)
+
+    def applies_anywhere(self, configuration: Configuration) -> bool:
+        """Return whether requests to any service may wait."""
+        return bool(self._current(configuration))
+
+    def _current(self, configuration: Configuration) -> frozenset[str]:
+        if self._version != configuration.version:
+            self._version = configuration.version
+            by_service: dict[str, list[Route]] = {}
+            for route in configuration.routes:
+                for name in {share.service for share in route.shares}:
+                    by_service.setdefault(name, []).append(route)
+            self._services = frozenset(
+                name for name, routes in by_service.items() if is_queueing_useful(routes)
+            )
+        return self._services
--- a/packages/proxy/src/sassafrastally/proxy/internal_endpoints.py
+++ b/packages/proxy/src/sassafrastally/proxy/internal_endpoints.py
@@ -14,8 +14,10 @@
 from sassafrastally.proxy.cluster_state import ClusterState
 from sassafrastally.proxy.fleet_view import FleetView
 from sassafrastally.proxy.http_stream import ConnectionLost, HttpStream, enable_keepalive
+from sassafrastally.proxy.load import Lane
 from sassafrastally.proxy.log_events import ReadinessChanged
 from sassafrastally.proxy.metrics import metrics_page, start_metrics
+from sassafrastally.proxy.path import RequestPath
 from sassafrastally.proxy.peer_messages import encode_delta
 from sassafrastally.proxy.quarantine_service import QuarantineService
 from sassafrastally.proxy.reply import Reply
@@ -35,7 +37,14 @@
     """Serves readiness checks, metrics scrapes and the change requests of peers."""
 
     name: ClassVar[str] = "answering"
-    needs: ClassVar[tuple[str, ...]] = ("backpressure", "beliefs", "callers", "quarantine", "sight")
+    needs: ClassVar[tuple[str, ...]] = (
+        "backpressure",
+        "beliefs",
+        "callers",
+        "path",
+        "quarantine",
+        "sight",
+    )
 
     def __init__(self, settings: ProxySettings) -> None:
         self._settings = settings
@@ -48,6 +57,7 @@
         self._caller_listener = self.kernel.get("callers", CallerListener)
         self._fleet_view = self.kernel.get("sight", FleetView)
         self._quarantine = self.kernel.get("quarantine", QuarantineService)
+        self._queue = self.kernel.get("path", RequestPath).services.queue
         start_metrics()
         host = self._settings.host
         ready = self._settings.readiness_address
@@ -95,6 +105,7 @@
             "quarantined_requests": self._quarantine.count,
             "suspected_servers": len(self._fleet_view.outlier_ejection.suspects(now_s)),
             "peers": self._fleet_view.entries - 1,
+            **{f"waiting_requests_{lane.value}": self._queue.count(lane) for lane in Lane},
             "open_requests": self._caller_listener.open_requests,
             "attempts_in_progress": len(self._fleet_view.ledger),
             **self._backpressure.gauges(),
--- a/packages/proxy/src/sassafrastally/proxy/log_events/requests.py
+++ b/packages/proxy/src/sassafrastally/proxy/log_events/requests.py
@@ -32,6 +32,25 @@
     """Number of peers whose load was counted."""
     fingerprint: str
     """Identifies the request across the caller's retries."""
+    waited_s: float = 0.0
+    """Time that it waited for room at this entry."""
+
+
+@event(10060)
+class RequestQueued(NamedTuple):
+    """A request waits for room at this entry."""
+
+    request_id: str
+    route: str
+    customer: str
+    lane: str
+    priority: int
+    is_early: bool
+    """Whether the caller has come back before the time that it was given."""
+    longest_wait_s: float
+    waiting: int
+    """Number of requests of its lane that wait already."""
+    reason: str
 
 
 @event(10013)
@@ -63,6 +82,8 @@
     detail: str
     fingerprint: str
     """Identifies the request across the caller's retries; empty if it wasn't routed."""
+    waited_s: float = 0.0
+    """Time that it waited for room at this entry."""
 
 
 @event(10015, "warning")
--- a/packages/proxy/src/sassafrastally/proxy/path.py
+++ b/packages/proxy/src/sassafrastally/proxy/path.py
@@ -7,6 +7,7 @@
 import trio
 
 from sassafrastally.core import Service
+from sassafrastally.proxy.admission_queue import AdmissionQueue, QueueingCache
 from sassafrastally.proxy.backpressure import Backpressure
 from sassafrastally.proxy.cluster_state import ClusterState
 from sassafrastally.proxy.crash_detector import CrashDetector
@@ -100,7 +101,10 @@
             CrashDetector(self.kernel, nursery, fleet_view.liveness, quarantine),
             Reservations(self._dialect, self.kernel, self._cluster_state, backpressure, nursery),
             PrefillLimitsCache(),
+            QueueingCache(),
+            AdmissionQueue(self.kernel.random),
         )
+        nursery.start_soon(self.services.queue.run)
         nursery.start_soon(self._clean_up)
 
     async def _clean_up(self) -> None:
@@ -173,7 +177,13 @@
             return
         fingerprint = fingerprint_text(task.fingerprint)
         await self._answer_locally(
-            request, reply, local_reply, route.name, progress.attempts, fingerprint
+            request,
+            reply,
+            local_reply,
+            route.name,
+            progress.attempts,
+            fingerprint,
+            progress.waited_s,
         )
 
     def _request_handler(
@@ -212,6 +222,7 @@
         route_name: str = MISSING_ROUTE_NAME,
         attempts: int = 0,
         fingerprint: str = "",
+        waited_s: float = 0.0,
     ) -> None:
         """Send a local reply: a refusal, or a failure of a request that may have run."""
         REFUSALS.add(1, {"code": local_reply.refusal.code})
@@ -237,6 +248,7 @@
                     held_s,
                     local_reply.detail,
                     fingerprint,
+                    round(waited_s, 4),
                 )
             )
         await self._send(request, reply, local_reply)
--- a/packages/proxy/src/sassafrastally/proxy/plain_placement.py
+++ b/packages/proxy/src/sassafrastally/proxy/plain_placement.py
@@ -16,6 +16,18 @@
 but one more request in progress there already outweighs the round trip."""
 
 
+QUEUE_PER_SLOT = 1.0
+"""Requests that may wait at a server, for each of its slots. Beyond that the server rejects further
+ones, which costs each an attempt."""
+
+
+def has_slot(views: Sequence[ServerView]) -> bool:
+    """Return whether a server takes another request: it has a slot or a place to wait for one."""
+    return any(
+        view.work.requests < (1.0 + QUEUE_PER_SLOT) * max(1, view.server.slots) for view in views
+    )
+
+
 def place_plain(views: Sequence[ServerView], data_centre: str) -> BackendServer | None:
     """Return the server with the fewest requests in progress; ``None`` when there is none.
 
--- a/packages/proxy/src/sassafrastally/proxy/plain_request.py
+++ b/packages/proxy/src/sassafrastally/proxy/plain_request.py
@@ -6,24 +6,33 @@
 
 import trio
 
+from sassafrastally.proxy.admission_queue import latest_start_s
 from sassafrastally.proxy.attempt import AttemptNotRun, AttemptUnknown
 from sassafrastally.proxy.load import InFlightAttempt, Lane
 from sassafrastally.proxy.log_events import RequestAnswered
 from sassafrastally.proxy.metrics import count_answer
-from sassafrastally.proxy.plain_placement import place_plain
-from sassafrastally.proxy.refusals import MAY_HAVE_RUN, NO_SERVER, TURNED_AWAY
+from sassafrastally.proxy.plain_placement import has_slot, place_plain
+from sassafrastally.proxy.refusals import MAY_HAVE_RUN, NO_ROOM, NO_SERVER, TURNED_AWAY
 from sassafrastally.proxy.request_handler import SERVER_ERROR_STATUS, RequestHandler
 from sassafrastally.proxy.task import LocalReply
+from sassafrastally.proxy.waiting_for_room import RoomWait
 
 if TYPE_CHECKING:
     from sassafrastally.proxy.dialect import Headers
     from sassafrastally.proxy.model import BackendServer
+    from sassafrastally.proxy.reply import Reply
+    from sassafrastally.proxy.request_services import RequestServices
+    from sassafrastally.proxy.task import RequestTask
 
 FIRST_ATTEMPT_SHARE = 0.45
 """Share of the remaining time that an attempt may use if another one may follow. If the server
 hangs, enough time is left for a complete second attempt."""
 
 
+PLAIN_WORK_MS = 30.0
+"""Assumed work of a request to a plain service: its real work isn't known in advance."""
+
+
 class BufferedResponse(NamedTuple):
     """A backend server's response with its complete body."""
 
@@ -36,12 +45,26 @@
 class PlainRequestHandler(RequestHandler):
     """Handles one request with a plain service."""
 
+    def __init__(self, services: RequestServices, task: RequestTask, reply: Reply) -> None:
+        super().__init__(services, task, reply)
+        self._room_wait = RoomWait(
+            services,
+            task,
+            Lane.PLAIN,
+            PLAIN_WORK_MS,
+            applies=services.queueing.applies_anywhere(task.configuration),
+        )
+
     async def run(self) -> LocalReply | None:
         """Handle the request; return a local reply if there is no response."""
         failed: BufferedResponse | None = None
         while True:
             if (quarantined := self._quarantine_reply()) is not None and failed is None:
                 return quarantined
+            if quarantined is None and not await self._wait_for_slot():
+                if failed is None:
+                    return self._no_slot_reply()
+                break
             server = None if quarantined else self._choose_server()
             if server is None:
                 break
@@ -68,6 +91,42 @@
             is_for_load=self.progress.was_refused_for_load,
         )
 
+    async def _wait_for_slot(self) -> bool:
+        """Wait while all servers are full; return whether the request can be sent."""
+        if not self._room_wait.applies or (self._has_slot() and not self._is_behind_others()):
+            return True
+        waited = await self._room_wait.wait(
+            self._latest_start_s(), "all slots are taken", self._try_start, self._should_end_wait
+        )
+        self.progress.waited_s = self._room_wait.waited_s
+        return waited.started is not None
+
+    def _try_start(self) -> bool | None:
+        return True if self._has_slot() or self._should_end_wait() else None
+
+    def _has_slot(self) -> bool:
+        """Return whether a server takes a request, or none is left that could be waited for."""
+        views = self._services.fleet_view.views(self._task.service, self.progress.tried)
+        return not views or has_slot(views)
+
+    def _should_end_wait(self) -> bool:
+        return self._services.quarantine.verdict(self._task.fingerprint) is not None
+
+    def _is_behind_others(self) -> bool:
+        return self._room_wait.is_behind_others(self._latest_start_s())
+
+    def _latest_start_s(self) -> float:
+        task = self._task
+        work_s = task.route.goal_s or 0.0
+        arrived_s = task.request.arrived_s
+        return latest_start_s(arrived_s, task.time_limit_s, task.deadline_s, work_s, 0.0)
+
+    def _no_slot_reply(self) -> LocalReply:
+        if self.progress.may_have_run:
+            return LocalReply(MAY_HAVE_RUN, "no whole answer came")
+        detail = f"all slots are taken; waited {self.progress.waited_s:.1f} s"
+        return self._reply_not_run(TURNED_AWAY if self.progress.attempts else NO_ROOM, detail)
+
     def _choose_server(self) -> BackendServer | None:
         views = self._services.fleet_view.views(self._task.service, self.progress.tried)
         if self._is_suspect():
@@ -83,6 +142,7 @@
     async def _attempt(self, server: BackendServer) -> BufferedResponse | None:
         """Make one attempt; return the response, or ``None`` if there is none."""
         self._begin_attempt(server)
+        self._room_wait.record_start()
         begin_s = self._clock.now_s()
         self._log_placed(server)
         in_flight = InFlightAttempt(
--- a/packages/proxy/src/sassafrastally/proxy/request_handler.py
+++ b/packages/proxy/src/sassafrastally/proxy/request_handler.py
@@ -28,6 +28,7 @@
     from sassafrastally.proxy.refusals import Refusal
     from sassafrastally.proxy.reply import Reply
     from sassafrastally.proxy.request_services import RequestServices
+    from sassafrastally.proxy.waiting_for_room import RoomWait
 
 SERVER_ERROR_STATUS = 500
 """Lowest HTTP status that means that the backend server failed."""
@@ -55,6 +56,8 @@
 
     def __init__(self, services: RequestServices, task: RequestTask, reply: Reply) -> None:
         self.progress = Progress()
+        self._room_wait: RoomWait
+        """Set by the subclass, which knows the lane and the work of the request."""
         self._services = services
         self._task = task
         self._reply = reply
@@ -86,8 +89,10 @@
         available_in_s = self._services.fleet_view.available_in_s(service, time_left_s)
         if available_in_s is None:
             random_share = self._services.kernel.random.random()
-            delay_s = retry_delay_s if is_for_load else retry_delay_after_failure_s
-            return LocalReply(refusal, detail, delay_s(time_left_s, random_share))
+            delay_of = retry_delay_s if is_for_load else retry_delay_after_failure_s
+            delay_s = delay_of(time_left_s, random_share)
+            self._room_wait.record_refusal(delay_s)
+            return LocalReply(refusal, detail, delay_s)
         refusal = TURNED_AWAY if self.progress.attempts else SERVERS_LIMITED
         detail = f"service {service}: the next one takes a request in {available_in_s:.2f} s"
         return LocalReply(refusal, detail, max(MIN_RETRY_DELAY_S, available_in_s))
@@ -156,22 +161,37 @@
 
     def _claim_retry(self) -> bool:
         """Return whether another attempt is allowed, and charge it to the retry budget."""
-        route = self._task.route
-        if self.progress.may_have_run and not route.is_repeatable:
-            return False
-        if self.progress.sent >= route.max_attempts:
+        if not self._may_retry():
             return False
         if self.progress.unreachable > 0 and self.progress.sent == 0:
             return self.progress.unreachable < MAX_UNREACHABLE_SERVERS
         return self._charge_retry_budget()
 
-    def _charge_retry_budget(self) -> bool:
+    def _may_retry(self) -> bool:
+        """Return whether the route allows another attempt."""
+        route = self._task.route
+        if self.progress.may_have_run and not route.is_repeatable:
+            return False
+        return self.progress.sent < route.max_attempts
+
+    def _may_wait_for_budget(self) -> bool:
+        """Return whether only the retry budget prevents another attempt at what hasn't run."""
+        return (
+            self._room_wait.applies
+            and not self.progress.may_have_run
+            and self.progress.sent > 0
+            and self._may_retry()
+        )
+
+    def _charge_retry_budget(self, *, is_logged: bool = True) -> bool:
         service = self._task.service
         now_s = self._clock.now_s()
         budget = self._services.budget
         entries = self._services.fleet_view.entries
         if budget.try_spend(service, entries, now_s):
             return True
+        if not is_logged:
+            return False
         self._emit(
             RetryBudgetSpent(
                 self._request_id,
@@ -276,5 +296,6 @@
                 round(self._services.fleet_view.beliefs_age_s, 4),
                 self._services.fleet_view.entries - 1,
                 fingerprint_text(task.fingerprint),
+                round(self.progress.waited_s, 4),
             )
         )
--- a/packages/proxy/src/sassafrastally/proxy/request_services.py
+++ b/packages/proxy/src/sassafrastally/proxy/request_services.py
@@ -6,6 +6,7 @@
 
 if TYPE_CHECKING:
     from sassafrastally.core import Kernel
+    from sassafrastally.proxy.admission_queue import AdmissionQueue, QueueingCache
     from sassafrastally.proxy.attempt import AttemptSender
     from sassafrastally.proxy.backpressure import Backpressure
     from sassafrastally.proxy.crash_detector import CrashDetector
@@ -40,3 +41,7 @@
     """Memory reservations on engines."""
     limits: PrefillLimitsCache
     """Limits on how much prefill may lengthen the engines' passes."""
+    queueing: QueueingCache
+    """Services whose requests may wait for room."""
+    queue: AdmissionQueue
+    """Requests that wait for room at this entry."""
--- a/packages/proxy/src/sassafrastally/proxy/streaming_request.py
+++ b/packages/proxy/src/sassafrastally/proxy/streaming_request.py
@@ -9,12 +9,18 @@
 import trio
 
 from sassafrastally.proxy.admission import Goals, overload_reason
+from sassafrastally.proxy.admission_queue import (
+    latest_start_s,
+    least_alone_s,
+    request_work_ms,
+    response_s,
+)
 from sassafrastally.proxy.attempt import AttemptNotRun, AttemptUnknown
 from sassafrastally.proxy.attempt_migration import remaining_s, should_move_attempt
 from sassafrastally.proxy.data_centre_pools import fits_in_local_data_centre
 from sassafrastally.proxy.event_stream import EventSplitter, StreamEvent
 from sassafrastally.proxy.lanes import PlacementRandomizer, choose_lane
-from sassafrastally.proxy.load import InFlightAttempt, Lane
+from sassafrastally.proxy.load import NO_WORK, InFlightAttempt, Lane
 from sassafrastally.proxy.log_events import RequestAnswered
 from sassafrastally.proxy.metrics import count_answer
 from sassafrastally.proxy.model import Helper
@@ -26,10 +32,12 @@
 from sassafrastally.proxy.task import LocalReply, RequestTask
 from sassafrastally.proxy.turning_away import would_miss_deadline
 from sassafrastally.proxy.waiting_attempts import WaitingAttempt
+from sassafrastally.proxy.waiting_for_room import RoomWait
 
 if TYPE_CHECKING:
     from collections.abc import Mapping, Sequence
 
+    from sassafrastally.proxy.admission_queue import Waited
     from sassafrastally.proxy.attempt import Answer
     from sassafrastally.proxy.lanes import ServerView
     from sassafrastally.proxy.model import EngineProfile, PromptSize
@@ -77,6 +85,17 @@
         self._previous_s = 0.0
         self._longest_pause_s = 0.0
         self._move_checked_s = -math.inf
+        self._room_wait = RoomWait(
+            services,
+            task,
+            self._lane,
+            request_work_ms(profile, prompt),
+            applies=services.queueing.applies_to(task.configuration, task.service),
+        )
+        self._alone_s = least_alone_s(profile, prompt)
+        """Predicted time to the first event on idle engines."""
+        self._awaits_budget = False
+        """Whether the next attempt must be charged to the retry budget first."""
 
     async def run(self) -> LocalReply | None:
         """Handle the request; return a local reply if there is no complete response."""
@@ -86,20 +105,95 @@
         while True:
             if (quarantined := self._quarantine_reply()) is not None:
                 return quarantined
-            placement = self._place()
-            if placement is None:
-                return self._local_reply(f"no engine has room: {self._load_summary()}")
-            time_left_s = self._task.time_left_s(self._clock.now_s())
-            if self._is_new() and (reason := overload_reason(placement, self._goals())):
-                return self._local_reply(f"{reason}: {self._load_summary()}")
-            if would_miss_deadline(placement.predicted_s, self._caller_timeout_s(), time_left_s):
-                detail = f"first event in {placement.predicted_s:.1f} s: {self._load_summary()}"
-                return self._local_reply(detail)
-            if await self._attempt(placement):
+            started = await self._start()
+            if isinstance(started, LocalReply):
+                return started
+            if await self._attempt(started):
                 return None
             if not self._claim_retry():
-                is_for_load = self.progress.was_refused_for_load
-                return self._local_reply("no further attempt is allowed", is_for_load=is_for_load)
+                if not self._may_wait_for_budget():
+                    is_for_load = self.progress.was_refused_for_load
+                    detail = "no further attempt is allowed"
+                    return self._local_reply(detail, is_for_load=is_for_load)
+                self._awaits_budget = True
+
+    async def _start(self) -> Placement | LocalReply:
+        """Return where the request starts, after waiting for room if that can help."""
+        if self._awaits_budget:
+            return await self._wait_for_room("the retry budget is exhausted")
+        if self._room_wait.is_behind_others(self._latest_start_s()):
+            return await self._wait_for_room("others wait for room before it")
+        planned = self._plan()
+        if isinstance(planned, str):
+            return await self._wait_for_room(planned)
+        return planned
+
+    def _plan(self) -> Placement | str:
+        """Return where the request can start now, or why load prevents it."""
+        placement = self._place()
+        if placement is None:
+            return "no engine has room"
+        if self._is_new() and (reason := overload_reason(placement, self._goals())):
+            return reason
+        time_left_s = self._task.time_left_s(self._clock.now_s())
+        patience_s = self._caller_timeout_s() - self.progress.waited_s
+        if would_miss_deadline(placement.predicted_s, patience_s, time_left_s):
+            return f"first event in {placement.predicted_s:.1f} s"
+        return placement
+
+    async def _wait_for_room(self, reason: str) -> Placement | LocalReply:
+        """Wait until the request can start; return a refusal if waiting can't help."""
+        detail = f"{reason}: {self._load_summary()}"
+        if not self._room_wait.applies or not self._would_fit_idle_engines():
+            return self._local_reply(detail)
+        waited: Waited[Placement | LocalReply] = await self._room_wait.wait(
+            self._latest_start_s(), reason, self._try_start, self._should_end_wait
+        )
+        self.progress.waited_s = self._room_wait.waited_s
+        if waited.started is not None:
+            return waited.started
+        return self._local_reply(f"{waited.reason}; {detail}")
+
+    def _would_fit_idle_engines(self) -> bool:
+        """Return whether only work in progress keeps the request from starting."""
+        fleet_view, service = self._services.fleet_view, self._task.service
+        time_left_s = self._task.time_left_s(self._clock.now_s())
+        if fleet_view.available_in_s(service, time_left_s) is not None:
+            return False  # All servers limit their rate or ask for a pause.
+        views = fleet_view.views(service, self.progress.tried)
+        alone = self._place_among([view._replace(work=NO_WORK) for view in views])
+        if alone is not None:
+            self._alone_s = alone.predicted_s
+        return alone is not None
+
+    def _try_start(self) -> Placement | LocalReply | None:
+        """Return how a request that waits continues; ``None`` while there is no room."""
+        if (quarantined := self._quarantine_reply()) is not None:
+            return quarantined
+        if not self._services.fleet_view.views(self._task.service, set()):
+            return self._local_reply("no server is left")
+        planned = self._plan()
+        if isinstance(planned, str):
+            return None
+        if self._awaits_budget and not self._charge_retry_budget(is_logged=False):
+            return None
+        self._awaits_budget = False
+        return planned
+
+    def _should_end_wait(self) -> bool:
+        """Return whether a request that waits may no longer run."""
+        return self._services.quarantine.verdict(self._task.fingerprint) is not None
+
+    def _latest_start_s(self) -> float:
+        """Return the time until which the request may wait and still be served whole."""
+        last_event_s = self._task.request.arrived_s if self._first_s is None else self._previous_s
+        return latest_start_s(
+            last_event_s,
+            self._caller_timeout_s(),
+            self._task.deadline_s,
+            self._alone_s,
+            response_s(self._profile, self._prompt),
+        )
 
     def _local_reply(self, detail: str, *, is_for_load: bool = True) -> LocalReply:
         if self.progress.may_have_run:
@@ -167,6 +261,7 @@
         """Make one attempt; return whether the caller got its response."""
         server = placement.server
         self._begin_attempt(server, placement.helpers)
+        self._room_wait.record_start()
         begin_s = self._clock.now_s()
         self._log_placed(server, placement)
         memory = {holding.server.incarnation_id: holding.tokens for holding in placement.holdings}
--- a/packages/proxy/src/sassafrastally/proxy/task.py
+++ b/packages/proxy/src/sassafrastally/proxy/task.py
@@ -72,6 +72,8 @@
         """Whether a backend server refused an attempt because of its load."""
         self.pending: BackendServer | None = None
         """Backend server of the attempt that is in flight."""
+        self.waited_s = 0.0
+        """Time spent waiting for room at this entry."""
         self.may_have_run = False
         """Whether an earlier attempt may have run."""
         self.last_event_id = 0
--- a/packages/testing/src/sassafrastally/testing/load_arrivals.py
+++ b/packages/testing/src/sassafrastally/testing/load_arrivals.py
@@ -32,6 +32,8 @@
     value: float
     """What a timely answer is worth."""
     late_value: float
+    priority: int = 1
+    """0 is the highest."""
 
 
 class Deployment(NamedTuple):
@@ -43,6 +45,8 @@
     kinds: tuple[Kind, ...]
     news_gap_s: float
     """Time between two datagrams of an entry."""
+    customers: tuple[tuple[str, float], ...] = ()
+    """Names of the customers and their weights; without any, requests have no customer."""
 
 
 class Burst(NamedTuple):
@@ -62,6 +66,7 @@
     kind: Kind
     prompt: PromptSize
     events: int
+    customer: str = ""
 
 
 def make_arrivals(
@@ -94,7 +99,15 @@
             )
             if draw.random() < factor / highest:
                 found.append(_arrival(kind, now_s, deployment.profile, draw))
-    return sorted(found, key=lambda arrival: arrival.at_s)
+    found.sort(key=lambda arrival: arrival.at_s)
+    if not deployment.customers:
+        return found
+    names = [name for name, _ in deployment.customers]
+    weights = [weight for _, weight in deployment.customers]
+    chosen = draw.choices(names, weights, k=len(found))
+    return [
+        arrival._replace(customer=customer) for arrival, customer in zip(found, chosen, strict=True)
+    ]
 
 
 def _arrival(kind: Kind, at_s: float, profile: EngineProfile, draw: random.Random) -> Arrival:
--- a/packages/testing/src/sassafrastally/testing/load_replay.py
+++ b/packages/testing/src/sassafrastally/testing/load_replay.py
@@ -16,6 +16,16 @@
 
 from sassafrastally.core import Address
 from sassafrastally.proxy.admission import Goals, overload_reason
+from sassafrastally.proxy.admission_queue import (
+    AdmissionQueue,
+    WaitingFacts,
+    WaitingRequest,
+    is_queueing_useful,
+    latest_start_s,
+    least_alone_s,
+    request_work_ms,
+    response_s,
+)
 from sassafrastally.proxy.lanes import PlacementRandomizer, ServerView, choose_lane
 from sassafrastally.proxy.load import InFlightAttempt, Lane, Ledger, Work, merge_work, server_hash
 from sassafrastally.proxy.model import BackendServer, Route, RouteKind
@@ -56,6 +66,8 @@
     longest_pause_s: float
     is_whole: bool
     refusals: int
+    waited_s: float = 0.0
+    """Time that it waited for room at entries."""
 
     @property
     def is_timely(self) -> bool:
@@ -88,6 +100,7 @@
 
     def __init__(self, seed: int) -> None:
         self.ledger = Ledger()
+        self.queue = AdmissionQueue(random.Random(seed + 1))
         self.random = random.Random(seed)
         self.told: Mapping[int, Work] = {}
         """Its work as the others know it."""
@@ -108,6 +121,8 @@
         Requests a second that some engines take, by the number of the engine.
     spares_limited
         Whether limited engines read parts of others' prompts only in need.
+    queues
+        Whether requests wait for room where the product lets them.
     """
 
     def __init__(
@@ -117,6 +132,7 @@
         limits_per_s: Mapping[int, float] | None = None,
         *,
         spares_limited: bool = True,
+        queues: bool = True,
     ) -> None:
         self._deployment = deployment
         self._most_per_s = {f"e{number}": most for number, most in (limits_per_s or {}).items()}
@@ -125,7 +141,7 @@
             incarnation_id: [] for incarnation_id in self._most_per_s
         }
         """When requests were sent to each engine with a limit."""
-        self._profile = deployment.profile
+        self.profile = deployment.profile
         self._draw = random.Random(seed)
         self._entries = [_Entry(seed * 1000 + number) for number in range(deployment.entries)]
         for entry in self._entries:
@@ -142,6 +158,8 @@
         )
         self._routes = {kind.name: _route(kind) for kind in deployment.kinds}
         self._limits = prefill_limits_for(self._routes.values(), deployment.profile)
+        self.queues = queues and is_queueing_useful(self._routes.values())
+        """Whether requests may wait for room."""
         self.outcomes: list[Outcome] = []
 
     async def run(self, arrivals: Sequence[Arrival]) -> list[Outcome]:
@@ -152,6 +170,7 @@
                 nursery.start_soon(engine.work)
             for entry in self._entries:
                 nursery.start_soon(self._tell, entry)
+                nursery.start_soon(entry.queue.run)
             async with trio.open_nursery() as callers:
                 for arrival in arrivals:
                     callers.start_soon(self._call, arrival)
@@ -182,7 +201,9 @@
             for _ in range(2):
                 entry = self._draw.choice(self._entries)
                 asked = _Asked(self, entry, arrival, end_s)
+                waited_s = outcome.waited_s
                 outcome = (await asked.run())._replace(refusals=outcome.refusals)
+                outcome = outcome._replace(waited_s=outcome.waited_s + waited_s)
                 if asked.retry_delay_s is None:
                     break
                 outcome = outcome._replace(refusals=outcome.refusals + 1)
@@ -197,7 +218,7 @@
             self.lane(arrival),
             arrival.prompt,
             arrival.kind.goal_s,
-            self._profile,
+            self.profile,
             self._limits,
             PlacementRandomizer(entry.random, self._deployment.news_gap_s + DATAGRAM_LATENCY_S),
         )
@@ -242,7 +263,7 @@
     def lane(self, arrival: Arrival) -> Lane:
         """Return the lane of a request."""
         route = self._routes[arrival.kind.name]
-        return choose_lane(route, arrival.prompt, self._profile, self._limits)
+        return choose_lane(route, arrival.prompt, self.profile, self._limits)
 
     def engine(self, incarnation_id: str) -> SimulatedEngine:
         """Return an engine by its server's incarnation."""
@@ -262,14 +283,16 @@
         self._first_s: float | None = None
         self._previous_s = 0.0
         self._longest_pause_s = 0.0
+        self._asked_s = trio.current_time()
+        self._waited_s = 0.0
 
     async def run(self) -> Outcome:
         """Return how it ended."""
         tried: set[str] = set()
         predicted_s = None
         for attempt in range(MOST_ATTEMPTS):
-            placement = self._replay.place(self._entry, self._arrival, tried)
-            if placement is None or not self._may_begin(placement, is_new=attempt == 0):
+            placement = await self._start(tried, is_new=attempt == 0)
+            if placement is None:
                 if attempt == 0:
                     left_s = self._end_s - trio.current_time()
                     self.retry_delay_s = retry_delay_s(left_s, self._entry.random.random())
@@ -282,11 +305,51 @@
                 break
         return self._outcome(predicted_s, is_whole=False)
 
+    async def _start(self, tried: set[str], *, is_new: bool) -> Placement | None:
+        """Return where the request starts, after waiting for room if that can help."""
+        queue, name = self._entry.queue, ("engines", self._replay.lane(self._arrival))
+        facts = self._facts()
+        if not (self._replay.queues and queue.is_behind_others(name, facts)):
+            placement = self._plan(tried, is_new=is_new)
+            if placement is not None or not self._replay.queues:
+                return placement
+        waited = await queue.wait(
+            name, WaitingRequest(facts, partial(self._plan, tried, is_new=is_new))
+        )
+        self._waited_s += waited.waited_s
+        return waited.started
+
+    def _plan(self, tried: set[str], *, is_new: bool) -> Placement | None:
+        placement = self._replay.place(self._entry, self._arrival, tried)
+        if placement is None or not self._may_begin(placement, is_new=is_new):
+            return None
+        return placement
+
+    def _facts(self) -> WaitingFacts:
+        arrival, now_s = self._arrival, trio.current_time()
+        profile = self._replay.profile
+        return WaitingFacts(
+            priority=arrival.kind.priority,
+            is_early=False,
+            customer=arrival.customer,
+            work_ms=request_work_ms(profile, arrival.prompt),
+            body_bytes=4 * arrival.prompt.prompt_tokens,
+            since_s=now_s,
+            latest_start_s=latest_start_s(
+                self._asked_s,
+                self._patience_s(),
+                self._end_s,
+                least_alone_s(profile, arrival.prompt),
+                response_s(profile, arrival.prompt),
+            ),
+        )
+
     def _may_begin(self, placement: Placement, *, is_new: bool) -> bool:
         if is_new and overload_reason(placement, self._replay.goals(self._arrival)):
             return False
         left_s = self._end_s - trio.current_time()
-        return not would_miss_deadline(placement.predicted_s, self._patience_s(), left_s)
+        patience_s = self._patience_s() - self._waited_s
+        return not would_miss_deadline(placement.predicted_s, patience_s, left_s)
 
     def _patience_s(self) -> float:
         kind = self._arrival.kind
@@ -308,9 +371,10 @@
             now_s + placement.predicted_s,
         )
         self._entry.ledger.add(in_flight, now_s)
+        self._entry.queue.record_start(("engines", self._replay.lane(self._arrival)), self._facts())
         self._replay.note_sent(self._entry, placement)
         patience_s = self._patience_s()
-        limit_s = patience_s
+        limit_s = patience_s - self._waited_s
         if not is_last:
             expected_s = min(
                 FIRST_EVENT_TIMEOUT_FACTOR * placement.predicted_s,
@@ -355,7 +419,13 @@
 
     def _outcome(self, predicted_s: float | None, *, is_whole: bool) -> Outcome:
         return Outcome(
-            self._arrival, predicted_s, self._first_s, self._longest_pause_s, is_whole, 0
+            self._arrival,
+            predicted_s,
+            self._first_s,
+            self._longest_pause_s,
+            is_whole,
+            0,
+            self._waited_s,
         )
 
 
@@ -369,7 +439,7 @@
         time_limit_s=kind.patience_s,
         goal_s=kind.goal_s,
         pause_goal_s=kind.pause_goal_s,
-        priority=1,
+        priority=kind.priority,
         max_attempts=MOST_ATTEMPTS,
         is_public=False,
         is_resumable=True,
--- /dev/null
+++ b/packages/testing/tests/platform/test_waiting.py
@@ -0,0 +1,124 @@
+"""Requests that wait for room at an entry, end to end."""
+
+from __future__ import annotations
+
+import pytest
+import trio
+
+from sassafrastally.stand_ins.documents import ENGINE, make_configuration, make_route, make_services
+from sassafrastally.stand_ins.platform_fleet import wait_until
+
+EQUAL_ROUTES = [
+    make_route("note", "streaming", "engines", gapGoalMs=250),
+    make_route("memo", "streaming", "engines", gapGoalMs=250),
+]
+ONE_SLOT = make_services({**ENGINE, "slots": 1})
+
+
+def records(fleet, name: str) -> list[dict[str, object]]:
+    """Return the fields of the entry's log records of one event."""
+    every = fleet.kernels[0].events.records()
+    return [record["fields"] for record in every if record["name"] == name]
+
+
+@pytest.fixture
+async def narrow_fleet(fleet):
+    """One entry and one engine with one slot."""
+    fleet.configure(make_configuration(2, services=ONE_SLOT))
+    await fleet.add_replica("engine-1", slots=1)
+    await fleet.add_entry()
+    return fleet
+
+
+class TestWaitingStreams:
+    """Streams that find no room."""
+
+    async def test_request_waits_for_a_slot(self, narrow_fleet):
+        """Guards against losing a caller that could have been served a moment later."""
+        answers = []
+
+        async def call() -> None:
+            answers.append(await narrow_fleet.call("/note/x", prompt="1000,340"))
+
+        async with trio.open_nursery() as nursery:
+            for _ in range(3):
+                nursery.start_soon(call)
+        assert all(answer.status == 200 and answer.is_whole for answer in answers)
+        assert len(records(narrow_fleet, "RequestQueued")) == 2
+        placed = records(narrow_fleet, "RequestPlaced")
+        assert sum(record["waited_s"] > 0 for record in placed) == 2
+
+    async def test_request_that_finds_no_room_in_time_is_refused(self, narrow_fleet):
+        """Guards against holding a caller beyond the time in which it can be served."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(lambda: narrow_fleet.call("/note/x", prompt="1000,3400"))
+            await wait_until(lambda: narrow_fleet.replicas["engine-1"].received_requests)
+            begin_s = trio.current_time()
+            answer = await narrow_fleet.call("/note/x", prompt="1000,34")
+            assert answer.status == 503
+            assert trio.current_time() - begin_s < 2.0
+            assert float(answer.headers["retry-after"]) > 0
+            nursery.cancel_scope.cancel()
+        (refused,) = records(narrow_fleet, "RequestRefused")
+        assert refused["refusal"] == "no-room"
+        assert refused["waited_s"] > 0.5
+
+    async def test_equally_urgent_requests_are_refused_at_once(self, narrow_fleet):
+        """Guards against a change for deployments in which no request can wait for another."""
+        narrow_fleet.configure(make_configuration(3, routes=EQUAL_ROUTES, services=ONE_SLOT))
+        await trio.sleep(0.1)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(lambda: narrow_fleet.call("/note/x", prompt="1000,3400"))
+            await wait_until(lambda: narrow_fleet.replicas["engine-1"].received_requests)
+            assert (await narrow_fleet.call("/note/x", prompt="1000,34")).status == 503
+            nursery.cancel_scope.cancel()
+        assert not records(narrow_fleet, "RequestQueued")
+
+    async def test_request_that_idle_engines_cannot_serve_is_refused_at_once(self, narrow_fleet):
+        """Guards against holding a caller for room that can't come."""
+        begin_s = trio.current_time()
+        answer = await narrow_fleet.call("/dossier/x", prompt="900000,340")
+        assert answer.status == 503
+        assert trio.current_time() - begin_s < 0.5
+        assert not records(narrow_fleet, "RequestQueued")
+
+    async def test_request_waits_for_the_retry_budget(self, narrow_fleet, monkeypatch):
+        """Guards against refusing a request that hasn't run and can soon be sent again."""
+        await narrow_fleet.add_replica("engine-2")
+        budget = narrow_fleet.kernels[0].get("path", object).services.budget
+        narrow_fleet.replicas["engine-2"].refuses = True
+        narrow_fleet.replicas["engine-1"].refuses = True
+        with monkeypatch.context() as patch:
+            patch.setattr(budget, "try_spend", lambda *_: False)
+            async with trio.open_nursery() as nursery:
+                answers = []
+
+                async def call() -> None:
+                    answers.append(await narrow_fleet.call("/note/x", prompt="1000,34"))
+
+                nursery.start_soon(call)
+                await wait_until(lambda: records(narrow_fleet, "RequestQueued"))
+                for replica in narrow_fleet.replicas.values():
+                    replica.refuses = False
+                patch.undo()
+        assert answers[0].status == 200
+
+
+class TestWaitingPlainRequests:
+    """Plain requests while all slots of all servers are taken and as many again wait."""
+
+    async def test_request_waits_at_the_entry(self, small_fleet):
+        """Guards against attempts at servers that must reject them."""
+        for name in ("desk-1", "desk-2"):
+            small_fleet.replicas[name].work_s = 0.3
+        places = 2 * 2 * 6
+        answers = []
+
+        async def call() -> None:
+            answers.append(await small_fleet.call("/look/x"))
+
+        async with trio.open_nursery() as nursery:
+            for _ in range(places + 2):
+                nursery.start_soon(call)
+        assert all(answer.status == 200 for answer in answers)
+        assert len(records(small_fleet, "RequestQueued")) == 2
