Serve short waits late, and name Retry-After from the expected room

A request that reached its longest wait was refused although an engine had room but would have been late, and Retry-After didn't follow the queue.

At the end of its longest wait a request is admitted if an engine has room and its caller is still served. The retry delay after a refusal for load is spread from the time at which the queue is expected to have room (work ahead over the work started in the last seconds) to a third of the time left; without a queue it is as before. The caller's timeout and the reservation headers move to modules of their own, which keeps the handler short.

--- a/packages/proxy/src/sassafrastally/proxy/admission_queue/admission_queue.py
+++ b/packages/proxy/src/sassafrastally/proxy/admission_queue/admission_queue.py
@@ -54,6 +54,8 @@
     waited_s: float
     reason: str
     """Why it ended without room; empty if there was room."""
+    is_timed_out: bool = False
+    """Whether the longest wait was reached."""
 
 
 class WaitingRequest(Generic[Started]):
@@ -182,8 +184,9 @@
                 self._rates[name].note_empty()
                 self._next_checks_s.pop(name, None)
         waited_s = trio.current_time() - begin_s
-        reason = "" if waiting.started is not None else waiting.reason or f"waited {waited_s:.1f} s"
-        return Waited(waiting.started, waited_s, reason)
+        if waiting.ended.is_set():
+            return Waited(waiting.started, waited_s, waiting.reason)
+        return Waited(None, waited_s, f"waited {waited_s:.1f} s", is_timed_out=True)
 
     async def run(self) -> None:
         """Try to start the first requests of each queue from time to time."""
--- a/packages/proxy/src/sassafrastally/proxy/request_handler.py
+++ b/packages/proxy/src/sassafrastally/proxy/request_handler.py
@@ -89,8 +89,11 @@
         available_in_s = self._services.fleet_view.available_in_s(service, time_left_s)
         if available_in_s is None:
             random_share = self._services.kernel.random.random()
-            delay_of = retry_delay_s if is_for_load else retry_delay_after_failure_s
-            delay_s = delay_of(time_left_s, random_share)
+            delay_s = (
+                retry_delay_s(time_left_s, random_share, self._room_wait.expected_room_s())
+                if is_for_load
+                else retry_delay_after_failure_s(time_left_s, random_share)
+            )
             self._room_wait.record_refusal(delay_s)
             return LocalReply(refusal, detail, delay_s)
         refusal = TURNED_AWAY if self.progress.attempts else SERVERS_LIMITED
--- a/packages/proxy/src/sassafrastally/proxy/reservations.py
+++ b/packages/proxy/src/sassafrastally/proxy/reservations.py
@@ -30,7 +30,7 @@
     from sassafrastally.proxy.backpressure import Backpressure
     from sassafrastally.proxy.cluster_state import ClusterState
     from sassafrastally.proxy.dialect import Call, Dialect
-    from sassafrastally.proxy.model import BackendServer
+    from sassafrastally.proxy.model import BackendServer, Helper
     from sassafrastally.proxy.plan import Holding
 
 LEASE_S = 3.5
@@ -197,3 +197,14 @@
         return await client.exchange(
             call.method, call.target, call.headers, call.body, CALL_TIMEOUT_S
         )
+
+
+def with_reservations(
+    helpers: tuple[Helper, ...], reserved: Mapping[str, str]
+) -> tuple[Helper, ...]:
+    """Return the helpers, those with reserved memory first: memory is filled in this order."""
+    named = [
+        helper._replace(reservation_id=reserved.get(helper.server.incarnation_id))
+        for helper in helpers
+    ]
+    return tuple(sorted(named, key=lambda helper: helper.reservation_id is None))
--- a/packages/proxy/src/sassafrastally/proxy/streaming_request.py
+++ b/packages/proxy/src/sassafrastally/proxy/streaming_request.py
@@ -17,6 +17,7 @@
 )
 from sassafrastally.proxy.attempt import AttemptNotRun, AttemptUnknown
 from sassafrastally.proxy.attempt_migration import remaining_s, should_move_attempt
+from sassafrastally.proxy.caller_timeout import caller_timeout_s
 from sassafrastally.proxy.data_centre_pools import fits_in_local_data_centre
 from sassafrastally.proxy.event_stream import EventSplitter, StreamEvent
 from sassafrastally.proxy.lanes import PlacementRandomizer, choose_lane
@@ -28,6 +29,7 @@
 from sassafrastally.proxy.plan import max_prompt_tokens
 from sassafrastally.proxy.refusals import MAY_HAVE_RUN, NO_ROOM, NO_SERVER, TOO_LONG, TURNED_AWAY
 from sassafrastally.proxy.request_handler import SERVER_ERROR_STATUS, RequestHandler
+from sassafrastally.proxy.reservations import with_reservations
 from sassafrastally.proxy.slow_event_detection import slow_event_time_s
 from sassafrastally.proxy.task import LocalReply, RequestTask
 from sassafrastally.proxy.turning_away import would_miss_deadline
@@ -35,7 +37,7 @@
 from sassafrastally.proxy.waiting_for_room import RoomWait
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping, Sequence
+    from collections.abc import Sequence
 
     from sassafrastally.proxy.admission_queue import Waited
     from sassafrastally.proxy.attempt import Answer
@@ -45,12 +47,6 @@
     from sassafrastally.proxy.reply import Reply
     from sassafrastally.proxy.request_services import RequestServices
 
-CALLER_TIMEOUT_S = 2.0
-CALLER_TIMEOUT_GOALS = 4.0
-CALLER_TIMEOUT_PAUSES = 8.0
-"""Callers close a stream after a silence of two seconds, four times the goal for the first event or
-eight times the goal for a pause, whichever is longest."""
-
 SILENCE_TIMEOUT_SHARE = 0.65
 """Share of the caller's timeout after which an attempt at a silent engine is abandoned if another
 engine may be tried. The rest is left for the first event of the other engine."""
@@ -128,12 +124,13 @@
             return await self._wait_for_room(planned)
         return planned
 
-    def _plan(self) -> Placement | str:
+    def _plan(self, *, is_admitted: bool = False) -> Placement | str:
         """Return where the request can start now, or why load prevents it."""
         placement = self._place()
         if placement is None:
             return "no engine has room"
-        if self._is_new() and (reason := overload_reason(placement, self._goals())):
+        is_new = self._is_new() and not is_admitted
+        if is_new and (reason := overload_reason(placement, self._goals())):
             return reason
         time_left_s = self._task.time_left_s(self._clock.now_s())
         patience_s = self._caller_timeout_s() - self.progress.waited_s
@@ -150,8 +147,9 @@
             self._latest_start_s(), reason, self._try_start, self._should_end_wait
         )
         self.progress.waited_s = self._room_wait.waited_s
-        if waited.started is not None:
-            return waited.started
+        started = self._try_start(is_final=True) if waited.is_timed_out else waited.started
+        if started is not None:
+            return started
         return self._local_reply(f"{waited.reason}; {detail}")
 
     def _would_fit_idle_engines(self) -> bool:
@@ -166,13 +164,17 @@
             self._alone_s = alone.predicted_s
         return alone is not None
 
-    def _try_start(self) -> Placement | LocalReply | None:
-        """Return how a request that waits continues; ``None`` while there is no room."""
+    def _try_start(self, *, is_final: bool = False) -> Placement | LocalReply | None:
+        """Return how a request that waits continues; ``None`` while there is no room.
+
+        At the end of its longest wait, a request is served late rather than refused: admission no
+        longer applies to it, as long as an engine has room.
+        """
         if (quarantined := self._quarantine_reply()) is not None:
             return quarantined
         if not self._services.fleet_view.views(self._task.service, set()):
             return self._local_reply("no server is left")
-        planned = self._plan()
+        planned = self._plan(is_admitted=is_final)
         if isinstance(planned, str):
             return None
         if self._awaits_budget and not self._charge_retry_budget(is_logged=False):
@@ -311,7 +313,7 @@
                 self._services.reservations.hold(placement.holdings[1:]) as reserved,
                 self._services.attempt_sender.send(
                     task.request,
-                    terms._replace(helpers=_with_reservations(terms.helpers, reserved)),
+                    terms._replace(helpers=with_reservations(terms.helpers, reserved)),
                     may_reuse=task.route.is_repeatable,
                     waiting=attempt.cancel_scope,
                 ) as answer,
@@ -363,11 +365,7 @@
     def _caller_timeout_s(self) -> float:
         """Return the silence after which the caller closes the stream."""
         route = self._task.route
-        return max(
-            CALLER_TIMEOUT_S,
-            CALLER_TIMEOUT_GOALS * (route.goal_s or 0.0),
-            CALLER_TIMEOUT_PAUSES * (route.pause_goal_s or 0.0),
-        )
+        return caller_timeout_s(route.goal_s, route.pause_goal_s)
 
     async def _forward_failure(self, placement: Placement, answer: Answer) -> bool:
         """Forward an engine's error response; raises `AttemptUnknown` if it isn't forwarded."""
@@ -449,14 +447,3 @@
                 round(self._longest_pause_s, 4),
             )
         )
-
-
-def _with_reservations(
-    helpers: tuple[Helper, ...], reserved: Mapping[str, str]
-) -> tuple[Helper, ...]:
-    """Return the helpers, those with reserved memory first: memory is filled in this order."""
-    named = [
-        helper._replace(reservation_id=reserved.get(helper.server.incarnation_id))
-        for helper in helpers
-    ]
-    return tuple(sorted(named, key=lambda helper: helper.reservation_id is None))
--- a/packages/proxy/src/sassafrastally/proxy/turning_away.py
+++ b/packages/proxy/src/sassafrastally/proxy/turning_away.py
@@ -13,6 +13,9 @@
 """Range of the retry delay, as shares of the caller's time left. Callers honour up to a third, and
 a short delay leads back into the same burst."""
 
+LATEST_EARLIEST_SHARE = 0.24
+"""Latest begin of the range if room is expected later, so that callers don't come back together."""
+
 EARLIEST_AFTER_FAILURE_S = 0.1
 LATEST_AFTER_FAILURE_S = 0.3
 """Range of the retry delay after failed attempts that load doesn't explain. Within a tenth of a
@@ -45,7 +48,9 @@
     return predicted_s > max_wait_s
 
 
-def retry_delay_s(time_left_s: float | None, draw: float) -> float:
+def retry_delay_s(
+    time_left_s: float | None, draw: float, expected_room_s: float | None = None
+) -> float:
     """Return the delay after which a caller should retry.
 
     Parameters
@@ -54,10 +59,15 @@
         How long the caller waits for its answer; ``None`` without a limit.
     draw
         Random number from 0 to 1.
+    expected_room_s
+        Time after which room is expected; ``None`` if unknown.
     """
     left_s = DEFAULT_TIME_LEFT_S if time_left_s is None else time_left_s
-    share = EARLIEST_SHARE + (LATEST_SHARE - EARLIEST_SHARE) * draw
-    return max(MIN_RETRY_DELAY_S, left_s * share)
+    earliest_s = EARLIEST_SHARE * left_s
+    if expected_room_s is not None:
+        earliest_s = min(expected_room_s, LATEST_EARLIEST_SHARE * left_s)
+    delay_s = earliest_s + (LATEST_SHARE * left_s - earliest_s) * draw
+    return max(MIN_RETRY_DELAY_S, delay_s)
 
 
 def retry_delay_after_failure_s(time_left_s: float | None, draw: float) -> float:
--- a/packages/proxy/src/sassafrastally/proxy/waiting_for_room.py
+++ b/packages/proxy/src/sassafrastally/proxy/waiting_for_room.py
@@ -93,6 +93,10 @@
         self.waited_s += waited.waited_s
         return waited
 
+    def expected_room_s(self) -> float | None:
+        """Return after how long a request behind all that wait would start, if known."""
+        return self._queue.expected_wait_s(self._name) if self.applies else None
+
     def record_start(self) -> None:
         """Count the request's work for its customer and for the rate of its queue."""
         if self.applies:
--- a/packages/proxy/tests/test_admission_queue.py
+++ b/packages/proxy/tests/test_admission_queue.py
@@ -26,6 +26,7 @@
 from sassafrastally.proxy.load import Lane, Work
 from sassafrastally.proxy.model import BackendServer, Route, RouteKind
 from sassafrastally.proxy.plain_placement import has_slot
+from sassafrastally.proxy.turning_away import retry_delay_s
 
 FACTS = WaitingFacts(
     priority=2,
@@ -225,3 +226,40 @@
         with trio.move_on_after(0.3):
             await queue.wait(QUEUE, WaitingRequest(facts, lambda: None))
         assert queue.count(Lane.LONG) == 0
+
+    async def test_request_that_may_no_longer_run_ends_its_wait(self, autojump_clock, nursery):
+        """Guards against a quarantined request that waits behind others until its time is over."""
+        queue = AdmissionQueue(random.Random(1))
+        nursery.start_soon(queue.run)
+        later = FACTS._replace(latest_start_s=trio.current_time() + 9)
+        first = later._replace(priority=0)
+        nursery.start_soon(queue.wait, QUEUE, WaitingRequest(first, lambda: None))
+        await trio.sleep(0.1)
+        waiting = WaitingRequest(later, lambda: "quarantined", lambda: True)
+        waited = await queue.wait(QUEUE, waiting)
+        assert waited.started == "quarantined"
+        assert waited.waited_s < 0.5
+
+    async def test_small_request_passes_one_that_does_not_fit_yet(self, autojump_clock, nursery):
+        """Guards against a long prompt that blocks smaller ones, and against starving it."""
+        queue = AdmissionQueue(random.Random(1))
+        nursery.start_soon(queue.run)
+        large = FACTS._replace(latest_start_s=trio.current_time() + 8)
+        nursery.start_soon(queue.wait, QUEUE, WaitingRequest(large, lambda: None))
+        small = large._replace(priority=3, latest_start_s=trio.current_time() + 20)
+        assert (await queue.wait(QUEUE, WaitingRequest(small, lambda: "ok"))).waited_s < 0.5
+        await trio.sleep(4.5)
+        assert (await queue.wait(QUEUE, WaitingRequest(small, lambda: "ok"))).waited_s > 2.0
+
+
+class TestRetryDelay:
+    """Retry delays that follow the expected room."""
+
+    def test_delay_is_spread_from_the_expected_room_to_a_third_of_the_time_left(self):
+        assert retry_delay_s(10.0, 0.0, 1.0) == 1.0
+        assert retry_delay_s(10.0, 1.0, 1.0) == retry_delay_s(10.0, 1.0)
+        assert retry_delay_s(10.0, 0.0, None) == 2.0
+
+    def test_room_that_comes_late_still_spreads_the_callers(self):
+        """Guards against callers that come back together at a third of their time left."""
+        assert retry_delay_s(10.0, 1.0, 60.0) - retry_delay_s(10.0, 0.0, 60.0) > 0.5
--- a/packages/testing/src/sassafrastally/testing/load_replay.py
+++ b/packages/testing/src/sassafrastally/testing/load_replay.py
@@ -26,6 +26,7 @@
     request_work_ms,
     response_s,
 )
+from sassafrastally.proxy.caller_timeout import caller_timeout_s
 from sassafrastally.proxy.lanes import PlacementRandomizer, ServerView, choose_lane
 from sassafrastally.proxy.load import InFlightAttempt, Lane, Ledger, Work, merge_work, server_hash
 from sassafrastally.proxy.model import BackendServer, Route, RouteKind
@@ -33,9 +34,6 @@
 from sassafrastally.proxy.prefill_limits import prefill_limits_for
 from sassafrastally.proxy.rate_limit_sharing import SentRequests, own_share_per_s
 from sassafrastally.proxy.streaming_request import (
-    CALLER_TIMEOUT_GOALS,
-    CALLER_TIMEOUT_PAUSES,
-    CALLER_TIMEOUT_S,
     FIRST_EVENT_TIMEOUT_FACTOR,
     MAX_FIRST_EVENT_TIMEOUT_SHARE,
     SILENCE_TIMEOUT_SHARE,
@@ -295,7 +293,9 @@
             if placement is None:
                 if attempt == 0:
                     left_s = self._end_s - trio.current_time()
-                    self.retry_delay_s = retry_delay_s(left_s, self._entry.random.random())
+                    lane = self._replay.lane(self._arrival)
+                    room_s = self._entry.queue.expected_wait_s(("engines", lane))
+                    self.retry_delay_s = retry_delay_s(left_s, self._entry.random.random(), room_s)
                 break
             predicted_s = placement.predicted_s
             tried.add(placement.server.incarnation_id)
@@ -317,6 +317,8 @@
             name, WaitingRequest(facts, partial(self._plan, tried, is_new=is_new))
         )
         self._waited_s += waited.waited_s
+        if waited.is_timed_out:
+            return self._plan(tried, is_new=False)
         return waited.started
 
     def _plan(self, tried: set[str], *, is_new: bool) -> Placement | None:
@@ -353,11 +355,7 @@
 
     def _patience_s(self) -> float:
         kind = self._arrival.kind
-        return max(
-            CALLER_TIMEOUT_S,
-            CALLER_TIMEOUT_GOALS * kind.goal_s,
-            CALLER_TIMEOUT_PAUSES * kind.pause_goal_s,
-        )
+        return caller_timeout_s(kind.goal_s, kind.pause_goal_s)
 
     async def _try(self, placement: Placement, *, is_last: bool) -> bool:
         """Make one attempt; return whether the answer is whole."""
--- a/packages/testing/tests/platform/test_waiting.py
+++ b/packages/testing/tests/platform/test_waiting.py
@@ -5,6 +5,10 @@
 import pytest
 import trio
 
+from sassafrastally.core import Address
+from sassafrastally.proxy.calls import CallClient
+from sassafrastally.proxy.load import Lane
+from sassafrastally.proxy.path import RequestPath
 from sassafrastally.stand_ins.documents import ENGINE, make_configuration, make_route, make_services
 from sassafrastally.stand_ins.platform_fleet import wait_until
 
@@ -48,6 +52,34 @@
         placed = records(narrow_fleet, "RequestPlaced")
         assert sum(record["waited_s"] > 0 for record in placed) == 2
 
+    async def test_stop_signal_does_not_end_a_wait(self, narrow_fleet):
+        """Guards against refusing callers that the drain time is long enough to serve."""
+        answers = []
+
+        async def call() -> None:
+            answers.append(await narrow_fleet.call("/note/x", prompt="1000,340"))
+
+        async with trio.open_nursery() as nursery:
+            for _ in range(2):
+                nursery.start_soon(call)
+            await wait_until(lambda: records(narrow_fleet, "RequestQueued"))
+            narrow_fleet.kernels[0].request_stop()
+        assert [answer.status for answer in answers] == [200, 200]
+
+    async def test_gauge_counts_what_waits(self, narrow_fleet):
+        queue = narrow_fleet.kernels[0].get("path", RequestPath).services.queue
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(lambda: narrow_fleet.call("/note/x", prompt="1000,1700"))
+            await wait_until(lambda: narrow_fleet.replicas["engine-1"].received_requests)
+            for _ in range(2):
+                nursery.start_soon(lambda: narrow_fleet.call("/note/x", prompt="1000,34"))
+            await wait_until(lambda: queue.count(Lane.SHORT) == 2)
+            host = narrow_fleet.entry_settings(1)
+            calls = CallClient(Address(host.host, host.metrics_port))
+            _, _, page = await calls.exchange("GET", "/metrics", [], b"", 1.0)
+            assert b"sassafrastally_waiting_requests_short 2" in page
+            nursery.cancel_scope.cancel()
+
     async def test_request_that_finds_no_room_in_time_is_refused(self, narrow_fleet):
         """Guards against holding a caller beyond the time in which it can be served."""
         async with trio.open_nursery() as nursery:
@@ -85,7 +117,7 @@
     async def test_request_waits_for_the_retry_budget(self, narrow_fleet, monkeypatch):
         """Guards against refusing a request that hasn't run and can soon be sent again."""
         await narrow_fleet.add_replica("engine-2")
-        budget = narrow_fleet.kernels[0].get("path", object).services.budget
+        budget = narrow_fleet.kernels[0].get("path", RequestPath).services.budget
         narrow_fleet.replicas["engine-2"].refuses = True
         narrow_fleet.replicas["engine-1"].refuses = True
         with monkeypatch.context() as patch:
