--- a/packages/proxy/src/sassafrastally/proxy/streaming_request.py
+++ b/packages/proxy/src/sassafrastally/proxy/streaming_request.py
@@ -9,15 +9,22 @@
 import trio
 
 from sassafrastally.proxy.admission import Goals, overload_reason
+from sassafrastally.proxy.admission_queue import (
+    latest_start_s,
+    least_alone_s,
+    request_work_ms,
+    response_s,
+)
 from sassafrastally.proxy.attempt import AttemptNotRun, AttemptUnknown
 from sassafrastally.proxy.attempt_migration import remaining_s, should_move_attempt
+from sassafrastally.proxy.caller_timeout import caller_timeout_s
 from sassafrastally.proxy.data_centre_pools import (
     place_locally_first,
     prefers_local_data_centre,
 )
 from sassafrastally.proxy.event_stream import EventSplitter, StreamEvent
 from sassafrastally.proxy.lanes import PlacementRandomizer, choose_lane
-from sassafrastally.proxy.load import InFlightAttempt, Lane
+from sassafrastally.proxy.load import NO_WORK, InFlightAttempt, Lane
 from sassafrastally.proxy.log_events import RequestAnswered
 from sassafrastally.proxy.metrics import count_answer
 from sassafrastally.proxy.model import Helper
@@ -25,14 +32,17 @@
 from sassafrastally.proxy.plan import max_prompt_tokens
 from sassafrastally.proxy.refusals import MAY_HAVE_RUN, NO_ROOM, NO_SERVER, TOO_LONG, TURNED_AWAY
 from sassafrastally.proxy.request_handler import SERVER_ERROR_STATUS, RequestHandler
+from sassafrastally.proxy.reservations import with_reservations
 from sassafrastally.proxy.slow_event_detection import slow_event_time_s
 from sassafrastally.proxy.task import LocalReply, RequestTask
 from sassafrastally.proxy.turning_away import would_miss_deadline
 from sassafrastally.proxy.waiting_attempts import WaitingAttempt
+from sassafrastally.proxy.waiting_for_room import RoomWait
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping, Sequence
+    from collections.abc import Sequence
 
+    from sassafrastally.proxy.admission_queue import Waited
     from sassafrastally.proxy.attempt import Answer
     from sassafrastally.proxy.lanes import ServerView
     from sassafrastally.proxy.model import EngineProfile, PromptSize
@@ -40,12 +50,6 @@
     from sassafrastally.proxy.reply import Reply
     from sassafrastally.proxy.request_services import RequestServices
 
-CALLER_TIMEOUT_S = 2.0
-CALLER_TIMEOUT_GOALS = 4.0
-CALLER_TIMEOUT_PAUSES = 8.0
-"""Callers close a stream after a silence of two seconds, four times the goal for the first event or
-eight times the goal for a pause, whichever is longest."""
-
 SILENCE_TIMEOUT_SHARE = 0.65
 """Share of the caller's timeout after which an attempt at a silent engine is abandoned if another
 engine may be tried. The rest is left for the first event of the other engine."""
@@ -81,6 +85,17 @@
         self._previous_s = 0.0
         self._longest_pause_s = 0.0
         self._move_checked_s = -math.inf
+        self._room_wait = RoomWait(
+            services,
+            task,
+            self._lane,
+            request_work_ms(profile, prompt),
+            applies=services.queueing.applies_to(task.configuration, task.service),
+        )
+        self._alone_s = least_alone_s(profile, prompt)
+        """Predicted time to the first event on idle engines."""
+        self._awaits_budget = False
+        """Whether the next attempt must be charged to the retry budget first."""
 
     async def run(self) -> LocalReply | None:
         """Handle the request; return a local reply if there is no complete response."""
@@ -90,20 +105,97 @@
         while True:
             if (quarantined := self._quarantine_reply()) is not None:
                 return quarantined
-            placement = self._place()
-            if placement is None:
-                return self._local_reply(f"no engine has room: {self._load_summary()}")
-            time_left_s = self._task.time_left_s(self._clock.now_s())
-            if self._is_new() and (reason := overload_reason(placement, self._goals())):
-                return self._local_reply(f"{reason}: {self._load_summary()}")
-            if would_miss_deadline(placement.predicted_s, self._caller_timeout_s(), time_left_s):
-                detail = f"first event in {placement.predicted_s:.1f} s: {self._load_summary()}"
-                return self._local_reply(detail)
-            if await self._attempt(placement):
+            started = await self._start()
+            if isinstance(started, LocalReply):
+                return started
+            if await self._attempt(started):
                 return None
             if not self._claim_retry():
-                is_for_load = self.progress.was_refused_for_load
-                return self._local_reply("no further attempt is allowed", is_for_load=is_for_load)
+                if not self._may_wait_for_budget():
+                    is_for_load = self.progress.was_refused_for_load
+                    detail = "no further attempt is allowed"
+                    return self._local_reply(detail, is_for_load=is_for_load)
+                self._awaits_budget = True
+
+    async def _start(self) -> Placement | LocalReply:
+        """Return where the request starts, after waiting for room if that can help."""
+        if self._awaits_budget:
+            return await self._wait_for_room("the retry budget is exhausted")
+        if self._room_wait.is_behind_others(self._latest_start_s()):
+            return await self._wait_for_room("others wait for room before it")
+        planned = self._plan()
+        if isinstance(planned, str):
+            return await self._wait_for_room(planned)
+        return planned
+
+    def _plan(self, *, is_admitted: bool = False) -> Placement | str:
+        """Return where the request can start now, or why load prevents it."""
+        placement = self._place()
+        if placement is None:
+            return "no engine has room"
+        is_new = self._is_new() and not is_admitted
+        if is_new and (reason := overload_reason(placement, self._goals())):
+            return reason
+        time_left_s = self._task.time_left_s(self._clock.now_s())
+        patience_s = self._caller_timeout_s() - self.progress.waited_s
+        if would_miss_deadline(placement.predicted_s, patience_s, time_left_s):
+            return f"first event in {placement.predicted_s:.1f} s"
+        return placement
+
+    async def _wait_for_room(self, reason: str) -> Placement | LocalReply:
+        """Wait until the request can start; return a refusal if waiting can't help."""
+        detail = f"{reason}: {self._load_summary()}"
+        if not self._room_wait.applies or not self._would_fit_idle_engines():
+            return self._local_reply(detail)
+        waited: Waited[Placement | LocalReply] = await self._room_wait.wait(
+            self._latest_start_s(), reason, self._try_start, self._must_not_wait
+        )
+        self.progress.waited_s = self._room_wait.waited_s
+        started = self._try_start(is_final=True) if waited.is_timed_out else waited.started
+        if started is not None:
+            return started
+        return self._local_reply(f"{waited.reason}; {detail}")
+
+    def _would_fit_idle_engines(self) -> bool:
+        """Return whether only work in progress keeps the request from starting."""
+        fleet_view, service = self._services.fleet_view, self._task.service
+        time_left_s = self._task.time_left_s(self._clock.now_s())
+        if fleet_view.available_in_s(service, time_left_s, self._task.homes) is not None:
+            return False  # All servers limit their rate or ask for a pause.
+        views = self._views(self.progress.tried)
+        alone = self._place_among([view._replace(work=NO_WORK) for view in views])
+        if alone is not None:
+            self._alone_s = alone.predicted_s
+        return alone is not None
+
+    def _try_start(self, *, is_final: bool = False) -> Placement | LocalReply | None:
+        """Return how a request that waits continues; ``None`` while there is no room.
+
+        At the end of its longest wait, a request is served late rather than refused: admission no
+        longer applies to it, as long as an engine has room.
+        """
+        if (quarantined := self._quarantine_reply()) is not None:
+            return quarantined
+        if not self._views(set()):
+            return self._local_reply("no server is left")
+        planned = self._plan(is_admitted=is_final)
+        if isinstance(planned, str):
+            return None
+        if self._awaits_budget and not self._charge_retry_budget(is_logged=False):
+            return None
+        self._awaits_budget = False
+        return planned
+
+    def _latest_start_s(self) -> float:
+        """Return the time until which the request may wait and still be served whole."""
+        last_event_s = self._task.request.arrived_s if self._first_s is None else self._previous_s
+        return latest_start_s(
+            last_event_s,
+            self._caller_timeout_s(),
+            self._task.deadline_s,
+            self._alone_s,
+            response_s(self._profile, self._prompt),
+        )
 
     def _local_reply(self, detail: str, *, is_for_load: bool = True) -> LocalReply:
         if self.progress.may_have_run:
@@ -112,7 +204,7 @@
             return self._reply_not_run(NO_SERVER, f"service {self._task.service}")
         if not self.progress.attempts:
             return self._reply_not_run(NO_ROOM, detail)
-        has_untried = bool(self._services.fleet_view.views(self._task.service, self.progress.tried))
+        has_untried = bool(self._views(self.progress.tried))
         is_for_load = is_for_load and (has_untried or self.progress.was_refused_for_load)
         return self._reply_not_run(TURNED_AWAY, detail, is_for_load=is_for_load)
 
@@ -174,6 +266,7 @@
         """Make one attempt; return whether the caller got its response."""
         server = placement.server
         self._begin_attempt(server, placement.helpers)
+        self._room_wait.record_start()
         begin_s = self._clock.now_s()
         self._log_placed(server, placement)
         memory = {holding.server.incarnation_id: holding.tokens for holding in placement.holdings}
@@ -223,7 +316,7 @@
                 self._services.reservations.hold(placement.holdings[1:]) as reserved,
                 self._services.attempt_sender.send(
                     task.request,
-                    terms._replace(helpers=_with_reservations(terms.helpers, reserved)),
+                    terms._replace(helpers=with_reservations(terms.helpers, reserved)),
                     may_reuse=task.route.is_repeatable,
                     waiting=attempt.cancel_scope,
                 ) as answer,
@@ -275,11 +368,7 @@
     def _caller_timeout_s(self) -> float:
         """Return the silence after which the caller closes the stream."""
         route = self._task.route
-        return max(
-            CALLER_TIMEOUT_S,
-            CALLER_TIMEOUT_GOALS * (route.goal_s or 0.0),
-            CALLER_TIMEOUT_PAUSES * (route.pause_goal_s or 0.0),
-        )
+        return caller_timeout_s(route.goal_s, route.pause_goal_s)
 
     async def _forward_failure(self, placement: Placement, answer: Answer) -> bool:
         """Forward an engine's error response; raises `AttemptUnknown` if it isn't forwarded."""
@@ -361,14 +450,3 @@
                 round(self._longest_pause_s, 4),
             )
         )
-
-
-def _with_reservations(
-    helpers: tuple[Helper, ...], reserved: Mapping[str, str]
-) -> tuple[Helper, ...]:
-    """Return the helpers, those with reserved memory first: memory is filled in this order."""
-    named = [
-        helper._replace(reservation_id=reserved.get(helper.server.incarnation_id))
-        for helper in helpers
-    ]
-    return tuple(sorted(named, key=lambda helper: helper.reservation_id is None))
