--- a/packages/testing/tests/platform/test_waiting.py
+++ b/packages/testing/tests/platform/test_waiting.py
@@ -7,6 +7,7 @@
 
 from sassafrastally.core import Address
 from sassafrastally.proxy.calls import CallClient
+from sassafrastally.proxy.cluster_state import ClusterState
 from sassafrastally.proxy.load import Lane
 from sassafrastally.proxy.path import RequestPath
 from sassafrastally.stand_ins.documents import ENGINE, make_configuration, make_route, make_services
@@ -147,6 +148,10 @@
 
     async def test_request_waits_at_the_entry(self, small_fleet):
         """Guards against attempts at servers that must reject them."""
+        small_fleet.configure(make_configuration(2, routes=UNEQUAL_ROUTES))
+        kernel = small_fleet.kernels[0]
+        cluster_state = kernel.get("beliefs", ClusterState)
+        await wait_until(lambda: cluster_state.configuration_version == 2)
         for name in ("desk-1", "desk-2"):
             small_fleet.replicas[name].work_s = 0.3
         places = 2 * 2 * 6
