Check for an evacuation once more before a request is sent

An evacuation that became known meanwhile didn't hold the request back.

Change: with the connection open, an attempt at a server of an evacuated data centre ends as not run. Nothing was sent, so it neither counts as an attempt nor against the server, and the request is placed again, on routes without retries too. The flag for evacuations that end by themselves is an attribute instead of a property, since each look-up of servers reads it.

Result: TestBeforeSending fails without the check and without either of its two marks.

--- a/packages/proxy/src/sassafrastally/proxy/attempt.py
+++ b/packages/proxy/src/sassafrastally/proxy/attempt.py
@@ -165,6 +165,9 @@
             If the request may have run.
         """
         connection = await self._connection(terms.server, may_reuse)
+        if terms.server.data_centre in self._pool.evacuated:
+            await connection.close()
+            raise _evacuated_error()
         is_kept = False
         try:
             head = self._head(request, terms)
@@ -250,6 +253,14 @@
     return error
 
 
+def _evacuated_error() -> AttemptNotRun:
+    """Return the error for a server whose data centre became evacuated after the placement."""
+    error = AttemptNotRun("its data centre was evacuated before the request was sent")
+    error.is_unreachable = True
+    error.counts_against_server = False
+    return error
+
+
 async def _receive(connection: HttpStream) -> h11.Event | type[h11.PAUSED]:
     try:
         event = await connection.receive()
--- a/packages/proxy/src/sassafrastally/proxy/evacuation/registry.py
+++ b/packages/proxy/src/sassafrastally/proxy/evacuation/registry.py
@@ -85,6 +85,8 @@
         """Epoch of the store from which the records come."""
         self.on_change: Callable[[], None] = lambda: None
         """Called when a data centre becomes evacuated, or no longer is."""
+        self.may_end = False
+        """Whether any evacuation ends by itself; read at each look-up of a service's servers."""
         self._named = frozenset(data_centres)
         self._now = now
         self._emit = emit
@@ -104,11 +106,6 @@
         """The evacuated data centres."""
         return frozenset(self._in_force)
 
-    @property
-    def may_end(self) -> bool:
-        """Whether any evacuation ends by itself."""
-        return self._next_end_s < math.inf
-
     @property
     def has_unknown(self) -> bool:
         """Whether the data centre of any evacuation isn't known."""
@@ -238,6 +235,7 @@
     def _update_next_end(self) -> None:
         ends = (evacuation.until_s for evacuation in self._in_force.values())
         self._next_end_s = min(ends, default=math.inf)
+        self.may_end = self._next_end_s < math.inf
 
     def _remember(self, data_centre: str, past: _Past) -> None:
         self._past.pop(data_centre, None)
--- a/packages/testing/tests/platform/test_evacuation.py
+++ b/packages/testing/tests/platform/test_evacuation.py
@@ -9,6 +9,7 @@
 import trio
 
 from sassafrastally.proxy.cluster_state import ClusterState
+from sassafrastally.proxy.fleet_view import FleetView
 from sassafrastally.proxy.path import RequestPath
 from sassafrastally.proxy.peers import Peers
 from sassafrastally.proxy.reservations import LEASE_S
@@ -171,6 +172,30 @@
         await wait_until(lambda: not any(engine.reservations for engine in engines), 0.5)
 
 
+class TestBeforeSending:
+    """An evacuation that becomes known between the placement of a request and its sending."""
+
+    @pytest.mark.parametrize(("path", "prompt"), [("/note/x", "1000,340"), ("/book/x", None)])
+    async def test_request_is_sent_elsewhere(self, autojump_clock, seeded_fleet, path, prompt):
+        """Guards against sending on a connection that was opened before the evacuation, and against
+        counting the attempt: routes without retries are served elsewhere too."""
+        fleet = seeded_fleet
+        fleet.data_centres = ["north"]
+        for data_centre in ("north", "south"):
+            await fleet.add_replica(f"engine-{data_centre}", data_centre=data_centre)
+            await fleet.add_replica(f"desk-{data_centre}", "desk", data_centre=data_centre)
+        kernel = await fleet.add_entry()
+        state = kernel.get("beliefs", ClusterState)
+        await wait_until(lambda: state.servers.count() == 4)
+        pool = kernel.get("path", RequestPath).services.attempt_sender.pool
+        for data_centre in ("north", "south"):
+            pool.evacuated = frozenset({data_centre})
+            before = received_in(fleet, data_centre)
+            assert (await fleet.call(path, prompt=prompt)).status == 200
+            assert received_in(fleet, data_centre) == before
+        assert not kernel.get("sight", FleetView).outlier_ejection.suspects(trio.current_time())
+
+
 class TestWithdrawal:
     """Evacuations that end or overlap."""
 
