--- a/packages/proxy/src/sassafrastally/proxy/peer_messages.py
+++ b/packages/proxy/src/sassafrastally/proxy/peer_messages.py
@@ -262,6 +262,8 @@
 
 
 def _encode_shares(shares: ShareNews) -> dict[str, list[dict[str, int]]]:
+    if not any(shares):
+        return {}  # Even an empty list takes some bytes.
     return {
         "demands": [
             {"service": key, "requests": requests & 0xFFFFFFFF}
