Measure CPU overload of an entry, leave duties to others, shed streams

Cause: entries differ eightfold in CPU. One that lacks CPU time runs all of its tasks late, and callers see pauses, while it keeps duties that others could take and accepts new streams.

Change: where links are uneven, a timer of 50 ms measures the scheduling delay (p90 over two seconds). Above 0.1 s the entry says so in its datagrams (isOverloaded) and is ranked behind all others for relay, store watch, probing and reports; if all are overloaded, each duty is kept. It sends datagrams at the longest interval and refuses new streams beyond those that it passes on in time, with a Retry-After of 50 to 200 ms (entry-busy), unless no other entry is heard. It is not ready only after three seconds with delays above one second. Where links are even, nothing is measured.

Events EntryOverloaded, EntryRecovered and SumRouteChanged; gauges scheduling_lag_seconds and is_overloaded; counter proxy.sums.forwarded.

Result: with real sockets and a process blocked for 0.2 s at a time, new streams are refused and are served again after it; with even links nothing changes.

--- /dev/null
+++ b/packages/proxy/src/sassafrastally/proxy/cpu_overload/__init__.py
@@ -0,0 +1,20 @@
+"""Detection of CPU overload of an entry, and what the entry still accepts during it."""
+
+from __future__ import annotations
+
+from sassafrastally.proxy.cpu_overload.lag_window import (
+    MAX_LAG_S,
+    TIMER_S,
+    WINDOW_S,
+    LagWindow,
+)
+from sassafrastally.proxy.cpu_overload.stream_limit import StreamLimit, shed_retry_delay_s
+
+__all__ = [
+    "MAX_LAG_S",
+    "TIMER_S",
+    "WINDOW_S",
+    "LagWindow",
+    "StreamLimit",
+    "shed_retry_delay_s",
+]
--- a/packages/proxy/src/sassafrastally/proxy/daemon.py
+++ b/packages/proxy/src/sassafrastally/proxy/daemon.py
@@ -17,6 +17,7 @@
 from sassafrastally.proxy.internal_endpoints import InternalEndpoints
 from sassafrastally.proxy.load import Ledger
 from sassafrastally.proxy.log_events import SettingsRejected, SettingsReloaded
+from sassafrastally.proxy.overload_monitor import OverloadMonitor
 from sassafrastally.proxy.path import RequestPath
 from sassafrastally.proxy.peers import Peers
 from sassafrastally.proxy.quarantine_service import QuarantineService
@@ -48,6 +49,7 @@
     kernel.add(ClusterState(dialect, settings.registration_expiry_s))
     kernel.add(StoreWatch(store))
     kernel.add(Peers(settings, dialect, store, ledger))
+    kernel.add(OverloadMonitor(ledger))
     kernel.add(Backpressure(settings.host))
     kernel.add(FleetView(ledger))
     kernel.add(QuarantineService(dialect, store))
--- a/packages/proxy/src/sassafrastally/proxy/internal_endpoints.py
+++ b/packages/proxy/src/sassafrastally/proxy/internal_endpoints.py
@@ -16,6 +16,7 @@
 from sassafrastally.proxy.http_stream import ConnectionLost, HttpStream, enable_keepalive
 from sassafrastally.proxy.log_events import ReadinessChanged
 from sassafrastally.proxy.metrics import metrics_page, start_metrics
+from sassafrastally.proxy.overload_monitor import OverloadMonitor
 from sassafrastally.proxy.peer_messages import encode_delta
 from sassafrastally.proxy.quarantine_service import QuarantineService
 from sassafrastally.proxy.reply import Reply
@@ -35,7 +36,14 @@
     """Serves readiness checks, metrics scrapes and the change requests of peers."""
 
     name: ClassVar[str] = "answering"
-    needs: ClassVar[tuple[str, ...]] = ("backpressure", "beliefs", "callers", "quarantine", "sight")
+    needs: ClassVar[tuple[str, ...]] = (
+        "backpressure",
+        "beliefs",
+        "callers",
+        "overload",
+        "quarantine",
+        "sight",
+    )
 
     def __init__(self, settings: ProxySettings) -> None:
         self._settings = settings
@@ -47,6 +55,7 @@
         self._cluster_state = self.kernel.get("beliefs", ClusterState)
         self._caller_listener = self.kernel.get("callers", CallerListener)
         self._fleet_view = self.kernel.get("sight", FleetView)
+        self._overload = self.kernel.get("overload", OverloadMonitor)
         self._quarantine = self.kernel.get("quarantine", QuarantineService)
         start_metrics()
         host = self._settings.host
@@ -67,6 +76,8 @@
             reason = "stopping"
         elif self._cluster_state.configuration is None:
             reason = "no configuration is known"
+        elif self._overload.is_stuck():
+            reason = "overloaded"
         is_ready = reason == "serving"
         if is_ready != self._was_ready:
             self._was_ready = is_ready
@@ -97,6 +108,8 @@
             "peers": self._fleet_view.entries - 1,
             "open_requests": self._caller_listener.open_requests,
             "attempts_in_progress": len(self._fleet_view.ledger),
+            "scheduling_lag_seconds": self._overload.lag_s,
+            "is_overloaded": self._overload.is_overloaded,
             "blocked_callers": self._caller_listener.blocked_callers.count(now_s),
             **self._backpressure.gauges(),
         }
--- a/packages/proxy/src/sassafrastally/proxy/load_exchange.py
+++ b/packages/proxy/src/sassafrastally/proxy/load_exchange.py
@@ -55,6 +55,8 @@
     link_mbps: int
     """Link speed in megabits per second."""
     is_stopping: bool = False
+    is_overloaded: bool = False
+    """Whether it leaves duties to others that can take them."""
 
 
 def reports_directly(peers: int) -> bool:
@@ -83,12 +85,20 @@
 
 def position_among(own: Member, others: Iterable[Member]) -> int:
     """Return an entry's position among several, ordered by link speed, from 0."""
-    own_rank = link_rank(own.host, own.link_mbps)
-    return sum(
-        1
-        for other in others
-        if not other.is_stopping and link_rank(other.host, other.link_mbps) < own_rank
-    )
+    own_rank = _member_rank(own)
+    return sum(1 for other in others if not other.is_stopping and _member_rank(other) < own_rank)
+
+
+def without_overloaded(members: Iterable[Member]) -> list[Member]:
+    """Return the members that aren't overloaded; all of them if none is left."""
+    everyone = list(members)
+    return [member for member in everyone if not member.is_overloaded] or everyone
+
+
+def _member_rank(member: Member) -> tuple[bool, int, int]:
+    """Return the sort key of an entry: overloaded ones last, so that they keep only duties that
+    nobody else can take."""
+    return member.is_overloaded, *link_rank(member.host, member.link_mbps)
 
 
 def is_urgent_for_sums(reported: Mapping[int, Work], current: Mapping[int, Work]) -> bool:
--- a/packages/proxy/src/sassafrastally/proxy/log_events/__init__.py
+++ b/packages/proxy/src/sassafrastally/proxy/log_events/__init__.py
@@ -22,9 +22,12 @@
     StoreLost,
     StoreRegained,
     StoreRestored,
+    SumRouteChanged,
     WatchTakenOver,
 )
 from sassafrastally.proxy.log_events.process import (
+    EntryOverloaded,
+    EntryRecovered,
     ProcessDraining,
     ReadinessChanged,
     SettingsRejected,
@@ -75,6 +78,8 @@
     "DocumentRejected",
     "EngineSlow",
     "EngineUsual",
+    "EntryOverloaded",
+    "EntryRecovered",
     "FormerLifeIgnored",
     "HistoryReread",
     "PeerFailed",
@@ -113,5 +118,6 @@
     "StoreRegained",
     "StoreRestored",
     "StreamBroken",
+    "SumRouteChanged",
     "WatchTakenOver",
 ]
--- a/packages/proxy/src/sassafrastally/proxy/log_events/knowledge.py
+++ b/packages/proxy/src/sassafrastally/proxy/log_events/knowledge.py
@@ -201,3 +201,11 @@
     """Load summaries of a data centre stopped; its load is unknown until its entries report."""
 
     data_centre: str
+
+
+@event(10068)
+class SumRouteChanged(NamedTuple):
+    """This entry sends the sum of its data centre through other relays than before."""
+
+    relays: tuple[str, ...]
+    direct: int
--- a/packages/proxy/src/sassafrastally/proxy/log_events/process.py
+++ b/packages/proxy/src/sassafrastally/proxy/log_events/process.py
@@ -35,3 +35,20 @@
     """The settings file is invalid; the previous settings stay in effect."""
 
     findings: str
+
+
+@event(10066, "warning")
+class EntryOverloaded(NamedTuple):
+    """This entry's tasks run late; it leaves duties to others and refuses new streams."""
+
+    lag_s: float
+    requests: int
+    most_streams: int
+
+
+@event(10067)
+class EntryRecovered(NamedTuple):
+    """This entry's tasks run in time again."""
+
+    lag_s: float
+    overloaded_s: float
--- /dev/null
+++ b/packages/proxy/src/sassafrastally/proxy/overload_monitor.py
@@ -0,0 +1,106 @@
+"""Measures the scheduling delay of this entry's tasks; `cpu_overload` decides what follows."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, ClassVar
+
+import trio
+
+from sassafrastally.core import Service
+from sassafrastally.proxy.cpu_overload import (
+    TIMER_S,
+    LagWindow,
+    StreamLimit,
+    shed_retry_delay_s,
+)
+from sassafrastally.proxy.log_events import EntryOverloaded, EntryRecovered
+from sassafrastally.proxy.peers import Peers
+from sassafrastally.proxy.refusals import ENTRY_BUSY
+from sassafrastally.proxy.task import LocalReply
+
+if TYPE_CHECKING:
+    from sassafrastally.proxy.load import Ledger
+
+INACTIVE_CHECK_S = 1.0
+"""Interval at which an entry among even ones checks whether it still is. There, the others are as
+loaded as this one, so that nothing would be gained by leaving work to them."""
+
+
+class OverloadMonitor(Service):
+    """Detects CPU overload and sheds new streams meanwhile.
+
+    Parameters
+    ----------
+    ledger
+        Attempts in progress.
+    """
+
+    name: ClassVar[str] = "overload"
+    needs: ClassVar[tuple[str, ...]] = ("peers",)
+
+    def __init__(self, ledger: Ledger) -> None:
+        self._ledger = ledger
+        self._window = LagWindow()
+        self._limit = StreamLimit()
+        self._overloaded_since_s: float | None = None
+
+    async def start(self, nursery: trio.Nursery) -> None:
+        """Start the timer."""
+        self._peers = self.kernel.get("peers", Peers)
+        nursery.start_soon(self._measure)
+
+    @property
+    def lag_s(self) -> float:
+        """Scheduling delay of this entry's tasks."""
+        return self._window.lag_s
+
+    @property
+    def is_overloaded(self) -> bool:
+        """Whether this entry leaves work to others."""
+        return self._overloaded_since_s is not None
+
+    def is_stuck(self) -> bool:
+        """Return whether this entry is too late to be ready."""
+        return self._window.is_stuck(self.kernel.clock.now_s())
+
+    def shed_reply(self) -> LocalReply | None:
+        """Return the refusal of a new stream; ``None`` if it is accepted."""
+        if not self.is_overloaded or self._peers.live_count() == 0:
+            return None
+        if self._limit.accepts(len(self._ledger)):
+            return None
+        detail = (
+            f"tasks run {self.lag_s:.2f} s late, {len(self._ledger)} requests in progress, "
+            f"at most {self._limit.most_streams:g}"
+        )
+        delay_s = shed_retry_delay_s(self.kernel.random.random())
+        return LocalReply(ENTRY_BUSY, detail, delay_s)
+
+    async def _measure(self) -> None:
+        while True:
+            if not self._peers.has_uneven_links():
+                self._window.clear()
+                self._apply(self.kernel.clock.now_s())
+                await trio.sleep(INACTIVE_CHECK_S)
+                continue
+            due_s = self.kernel.clock.now_s() + TIMER_S
+            await trio.sleep(TIMER_S)
+            now_s = self.kernel.clock.now_s()
+            self._window.record(now_s, max(0.0, now_s - due_s))
+            self._apply(now_s)
+
+    def _apply(self, now_s: float) -> None:
+        self._limit.update(self.lag_s, len(self._ledger), now_s)
+        if self._window.is_overloaded == self.is_overloaded:
+            return
+        lag_s = round(self.lag_s, 3)
+        if self._overloaded_since_s is None:
+            self._overloaded_since_s = now_s
+            self.kernel.events.emit(
+                EntryOverloaded(lag_s, len(self._ledger), int(self._limit.most_streams))
+            )
+        else:
+            overloaded_s = round(now_s - self._overloaded_since_s, 3)
+            self._overloaded_since_s = None
+            self.kernel.events.emit(EntryRecovered(lag_s, overloaded_s))
+        self._peers.set_overloaded(is_overloaded=self.is_overloaded)
--- a/packages/proxy/src/sassafrastally/proxy/path.py
+++ b/packages/proxy/src/sassafrastally/proxy/path.py
@@ -21,6 +21,7 @@
 )
 from sassafrastally.proxy.metrics import CALLERS_BLOCKED, REFUSALS, REQUESTS
 from sassafrastally.proxy.model import RouteKind
+from sassafrastally.proxy.overload_monitor import OverloadMonitor
 from sassafrastally.proxy.plain_request import PlainRequestHandler
 from sassafrastally.proxy.prefill_limits import PrefillLimitsCache
 from sassafrastally.proxy.quarantine_service import QuarantineService
@@ -77,7 +78,13 @@
     """
 
     name: ClassVar[str] = "path"
-    needs: ClassVar[tuple[str, ...]] = ("backpressure", "beliefs", "quarantine", "sight")
+    needs: ClassVar[tuple[str, ...]] = (
+        "backpressure",
+        "beliefs",
+        "overload",
+        "quarantine",
+        "sight",
+    )
 
     services: RequestServices
     """Services shared by all request handlers; set in `start`."""
@@ -89,6 +96,7 @@
 
     async def start(self, nursery: trio.Nursery) -> None:
         """Look up the required services and start the cleanup task."""
+        self._overload = self.kernel.get("overload", OverloadMonitor)
         self._started_s = self.kernel.clock.now_s()
         self._cluster_state = self.kernel.get("beliefs", ClusterState)
         fleet_view = self.kernel.get("sight", FleetView)
@@ -151,6 +159,10 @@
         route: Route,
         customer: Customer | None,
     ) -> None:
+        is_new = request.facts.last_event_id is None
+        if is_new and route.kind is RouteKind.STREAM and (shed := self._overload.shed_reply()):
+            await self._answer_locally(request, reply, shed, route.name)
+            return
         service = choose_service(route.shares, self.kernel.random.random())
         task = RequestTask(
             request, route, configuration, customer, service, _fingerprint(request, customer)
--- a/packages/proxy/src/sassafrastally/proxy/peer_messages.py
+++ b/packages/proxy/src/sassafrastally/proxy/peer_messages.py
@@ -99,6 +99,8 @@
     is_to_forward: bool = False
     """In a sum: whether the relay that receives it forwards it to the entries of its own data
     centre."""
+    is_overloaded: bool = False
+    """Whether the sender leaves duties to others that can take them."""
 
 
 @cache
@@ -141,6 +143,7 @@
         configurationVersion=hello.configuration_version,
         draining=list(hello.draining),
         isToForward=hello.is_to_forward,
+        isOverloaded=hello.is_overloaded,
         confirmedAgeMs=_to_thousandths(hello.confirmed_age_s),
         isStopping=hello.is_stopping,
         loads=[_encode_load(key, work) for key, work in loads],
@@ -163,6 +166,7 @@
                 "host": watcher.host,
                 "storeAgeMs": _to_thousandths(watcher.store_age_s),
                 "linkMbps": watcher.link_mbps,
+                "isOverloaded": watcher.is_overloaded,
             }
             for watcher in hello.watchers
         ],
@@ -217,7 +221,12 @@
             link_mbps=message.linkMbps,
             entries=message.entries,
             watchers=tuple(
-                WatchCandidate(watcher.host, watcher.storeAgeMs / 1000, watcher.linkMbps)
+                WatchCandidate(
+                    watcher.host,
+                    watcher.storeAgeMs / 1000,
+                    watcher.linkMbps,
+                    is_overloaded=watcher.isOverloaded,
+                )
                 for watcher in message.watchers
             ),
             quarantine=_decode_quarantine(message),
@@ -225,6 +234,7 @@
             configuration_version=message.configurationVersion,
             draining=tuple(message.draining),
             is_to_forward=message.isToForward,
+            is_overloaded=message.isOverloaded,
         )
     except (capnp.KjException, ValueError) as cause:
         raise DocumentInvalid(f"invalid datagram from a peer: {cause!r}") from cause
--- a/packages/proxy/src/sassafrastally/proxy/peer_table.py
+++ b/packages/proxy/src/sassafrastally/proxy/peer_table.py
@@ -17,6 +17,7 @@
     is_ranked_first,
     position_among,
     reports_directly,
+    without_overloaded,
 )
 from sassafrastally.proxy.relays import (
     ReceivedSums,
@@ -89,6 +90,15 @@
         self._peers: dict[str, Peer] = {}
         self._sums = ReceivedSums(data_centre)
 
+    def set_overloaded(self, *, is_overloaded: bool) -> None:
+        """Record whether this entry leaves duties to others that can take them."""
+        self._own = self._own._replace(is_overloaded=is_overloaded)
+
+    @property
+    def is_overloaded(self) -> bool:
+        """Whether this entry leaves duties to others that can take them."""
+        return self._own.is_overloaded
+
     def add_address(self, host: str, data_centre: str, now_s: float) -> Peer | None:
         """Add or refresh an entry's address; return its state, ``None`` for this entry itself."""
         if host == self._own.host or not host:
@@ -213,7 +223,14 @@
                     for watcher in hello.watchers
                 ]
             elif not hello.is_stopping:
-                found.append(WatchCandidate(hello.host, hello.store_age_s + age_s, hello.link_mbps))
+                found.append(
+                    WatchCandidate(
+                        hello.host,
+                        hello.store_age_s + age_s,
+                        hello.link_mbps,
+                        is_overloaded=hello.is_overloaded,
+                    )
+                )
         return found
 
     def live_hosts_in(self, data_centre: str, now_s: float) -> list[str] | None:
@@ -224,7 +241,12 @@
         if data_centre in self.sums(now_s):
             return None
         return [
-            peer.host for peer in self._individual_peers(now_s) if peer.data_centre == data_centre
+            member.host
+            for member in without_overloaded(
+                _member(peer)
+                for peer in self._individual_peers(now_s)
+                if peer.data_centre == data_centre
+            )
         ]
 
     def is_relay(self, now_s: float) -> bool:
@@ -321,4 +343,5 @@
 def _member(peer: Peer) -> Member:
     if peer.hello is None:
         return Member(peer.host, 0, True)
-    return Member(peer.host, peer.hello.link_mbps, peer.hello.is_stopping)
+    hello = peer.hello
+    return Member(peer.host, hello.link_mbps, hello.is_stopping, hello.is_overloaded)
--- a/packages/proxy/src/sassafrastally/proxy/peers.capnp
+++ b/packages/proxy/src/sassafrastally/proxy/peers.capnp
@@ -28,6 +28,7 @@
   reserved23 @23 :Void;
   reserved24 @24 :Void;
   isToForward @25 :Bool;      # in a sum: the receiving relay forwards it within its data centre
+  isOverloaded @26 :Bool;     # the sender leaves duties to others
 }
 
 struct Limit {
@@ -59,6 +60,7 @@
   host @0 :Text;
   storeAgeMs @1 :UInt32;
   linkMbps @2 :UInt32;
+  isOverloaded @3 :Bool;
 }
 
 struct Delta {
--- a/packages/proxy/src/sassafrastally/proxy/peers.py
+++ b/packages/proxy/src/sassafrastally/proxy/peers.py
@@ -184,7 +184,22 @@
     def own_entry(self) -> WatchCandidate:
         """This entry's state as a candidate for watching the store."""
         store_age_s = self._now_s - self._cluster_state.store_answered_s
-        return WatchCandidate(self._settings.host, store_age_s, self._settings.link_mbps)
+        return WatchCandidate(
+            self._settings.host,
+            store_age_s,
+            self._settings.link_mbps,
+            is_overloaded=self._table.is_overloaded,
+        )
+
+    def set_overloaded(self, *, is_overloaded: bool) -> None:
+        """Leave duties to other entries, or take them again, and tell the peers."""
+        self._table.set_overloaded(is_overloaded=is_overloaded)
+        self._ledger.note_change(is_urgent=True)
+
+    @property
+    def is_overloaded(self) -> bool:
+        """Whether this entry leaves duties to others that can take them."""
+        return self._table.is_overloaded
 
     def loads(self) -> list[Mapping[int, Work]]:
         """Return the work of the other entries by hash of the backend server's id."""
@@ -228,6 +243,7 @@
             limits=self.limits.limits_to_send(),
             configuration_version=self._cluster_state.configuration_version,
             draining=self._cluster_state.servers.draining_to_announce(),
+            is_overloaded=self._table.is_overloaded,
         )
 
     @property
@@ -331,6 +347,9 @@
             sent_loads = own.loads
             self._record_silent(silent)
             await self._forget_old()
+            if self._table.is_overloaded:
+                await trio.sleep(MAX_SEND_INTERVAL_S)
+                continue
             gap_s = self.min_send_interval_s
             with trio.move_on_after(gap_s) as gap:
                 await self._ledger.urgent_since(urgent_seen)
--- a/packages/proxy/src/sassafrastally/proxy/refusals.py
+++ b/packages/proxy/src/sassafrastally/proxy/refusals.py
@@ -37,6 +37,9 @@
 TURNED_AWAY = Refusal(
     "turned-away", 503, "The backend servers turned the request away. It has not run."
 )
+ENTRY_BUSY = Refusal(
+    "entry-busy", 503, "This entry is overloaded, others take the request. It has not run."
+)
 QUARANTINED = Refusal(
     "quarantined",
     503,
@@ -65,6 +68,7 @@
     NO_ROOM,
     SERVERS_LIMITED,
     TURNED_AWAY,
+    ENTRY_BUSY,
     QUARANTINED,
     TOO_LONG,
     NOT_SENT_IN_TIME,
--- a/packages/proxy/src/sassafrastally/proxy/relays/data_centre_sum.py
+++ b/packages/proxy/src/sassafrastally/proxy/relays/data_centre_sum.py
@@ -29,7 +29,12 @@
         State of the other live entries of the data centre, with their ages in seconds.
     """
     at_the_store = [
-        WatchCandidate(hello.host, hello.store_age_s + age_s, hello.link_mbps)
+        WatchCandidate(
+            hello.host,
+            hello.store_age_s + age_s,
+            hello.link_mbps,
+            is_overloaded=hello.is_overloaded,
+        )
         for hello, age_s in hellos
         if not hello.is_stopping
     ]
--- a/packages/proxy/src/sassafrastally/proxy/reports.py
+++ b/packages/proxy/src/sassafrastally/proxy/reports.py
@@ -119,7 +119,8 @@
         for data_centre in {engine.data_centre for engine in engines}:
             hosts = self._peers.live_hosts_in(data_centre)
             if hosts is not None and data_centre == own_centre:
-                hosts = [*hosts, self._own_host]
+                is_left_to_others = bool(hosts) and self._peers.is_overloaded
+                hosts = hosts if is_left_to_others else [*hosts, self._own_host]
             polling_hosts[data_centre] = self._all_live_hosts() if hosts == [] else hosts
         return polling_hosts
 
--- a/packages/proxy/src/sassafrastally/proxy/store_watchers.py
+++ b/packages/proxy/src/sassafrastally/proxy/store_watchers.py
@@ -45,6 +45,13 @@
     relay_delay_s: float = 0.0
     """Additional delay of its state if it arrives by way of a relay. Without this allowance, an
     entry that learns of the watchers from a relay would take over and stop again all the time."""
+    is_overloaded: bool = False
+    """Whether it leaves the watch to others that can take it."""
+
+    @property
+    def rank(self) -> tuple[bool, int, int]:
+        """Sort key for the assignment of the watch."""
+        return self.is_overloaded, *link_rank(self.host, self.link_mbps)
 
     def has_recent_answer(self, within_s: float = WATCHER_TIMEOUT_S) -> bool:
         """Return whether the store has answered it recently."""
@@ -61,8 +68,7 @@
     others
         The other entries whose state it receives.
     """
-    own_rank = link_rank(own.host, own.link_mbps)
-    higher_ranked = [other for other in others if link_rank(other.host, other.link_mbps) < own_rank]
+    higher_ranked = [other for other in others if other.rank < own.rank]
     within_s = WATCHER_TIMEOUT_S + takeover_delay_s(len(higher_ranked))
     return sum(1 for other in higher_ranked if other.has_recent_answer(within_s)) < WATCHERS
 
@@ -79,4 +85,4 @@
 def watchers(entries: Iterable[WatchCandidate]) -> list[WatchCandidate]:
     """Return the highest-ranked entries that the store answers, which may watch for all."""
     fresh = (entry for entry in entries if entry.has_recent_answer())
-    return sorted(fresh, key=lambda entry: link_rank(entry.host, entry.link_mbps))[:WATCHERS]
+    return sorted(fresh, key=lambda entry: entry.rank)[:WATCHERS]
--- a/packages/proxy/src/sassafrastally/proxy/sum_exchange.py
+++ b/packages/proxy/src/sassafrastally/proxy/sum_exchange.py
@@ -11,7 +11,8 @@
     MAX_SEND_INTERVAL_S,
     MIN_SEND_INTERVAL_S,
 )
-from sassafrastally.proxy.log_events import CentreHeard, CentreSilent
+from sassafrastally.proxy.log_events import CentreHeard, CentreSilent, SumRouteChanged
+from sassafrastally.proxy.metrics import SUMS_FORWARDED
 from sassafrastally.proxy.peer_messages import encode_forwarded, encode_hello
 
 if TYPE_CHECKING:
@@ -20,6 +21,7 @@
     from sassafrastally.core import Kernel
     from sassafrastally.proxy.peer_messages import Hello
     from sassafrastally.proxy.peer_table import PeerTable
+    from sassafrastally.proxy.relays import SumRoute
 
 
 class SumSource(Protocol):
@@ -58,6 +60,7 @@
         self._send = send
         self._changed = trio.Event()
         self._known_centres: set[str] = set()
+        self._known_relays: tuple[str, ...] = ()
 
     def send_now(self) -> None:
         """Send the next sum without waiting for the next interval."""
@@ -79,6 +82,7 @@
                 if route.forwarding:
                     to_forward = message._replace(is_to_forward=True)
                     await self._send(route.forwarding, encode_hello(to_forward))
+            self._log_route(route)
             self._log_data_centres()
             await trio.sleep(MIN_SEND_INTERVAL_S)
             with trio.move_on_after(MAX_SEND_INTERVAL_S - MIN_SEND_INTERVAL_S):
@@ -87,8 +91,16 @@
 
     async def forward(self, data: bytes) -> None:
         """Forward a sum of another data centre to the entries of the own one."""
+        SUMS_FORWARDED.add(1)
         await self._send(self._table.forwarding_receivers(), encode_forwarded(data))
 
+    def _log_route(self, route: SumRoute) -> None:
+        """Log a change of the relays through which the own sum is sent."""
+        relays = tuple(sorted(route.forwarding))
+        if relays != self._known_relays:
+            self._known_relays = relays
+            self._kernel.events.emit(SumRouteChanged(relays, len(route.direct)))
+
     def _log_data_centres(self) -> None:
         """Log data centres whose sum starts or stops arriving."""
         sums, known = self._table.sums(self._kernel.clock.now_s()), self._known_centres
--- /dev/null
+++ b/packages/testing/tests/platform/test_overloaded_entry.py
@@ -0,0 +1,79 @@
+"""An entry whose tasks run late because its process lacks CPU time."""
+
+from __future__ import annotations
+
+import time
+
+import pytest
+import trio
+
+from sassafrastally.proxy.caller_listener import CallerListener
+from sassafrastally.proxy.overload_monitor import OverloadMonitor
+from sassafrastally.proxy.peers import Peers
+from sassafrastally.stand_ins.platform_fleet import wait_until
+
+BUSY_S = 0.2
+
+
+async def use_up_cpu() -> None:
+    """Keep the process busy, as more streams than it can pass on would."""
+    while True:
+        time.sleep(BUSY_S)  # Blocks the other tasks on purpose.
+        await trio.sleep(0)
+
+
+async def start_fleet(fleet, links_mbps: list[int]) -> None:
+    """Start an engine and two entries with the given links."""
+    fleet.links_mbps = links_mbps
+    await fleet.add_replica("engine-1")
+    for number in (1, 2):
+        await fleet.add_entry(number)
+    peers = [kernel.get("peers", Peers) for kernel in fleet.kernels]
+    await wait_until(lambda: all(one.live_count() == 1 for one in peers))
+
+
+def monitors(fleet) -> list[OverloadMonitor]:
+    """Return the entries' monitors."""
+    return [kernel.get("overload", OverloadMonitor) for kernel in fleet.kernels]
+
+
+class TestOverload:
+    """Two entries in one process that is short of CPU time."""
+
+    async def test_new_stream_is_refused_with_a_short_delay(self, fleet):
+        """Guards against late streams where another entry would serve the retry in time."""
+        await start_fleet(fleet, [100, 10])
+        kernel = fleet.kernels[0]
+        await trio.sleep(1.1)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(fleet.call, "/note/x")
+            nursery.start_soon(use_up_cpu)
+            await wait_until(lambda: all(one.is_overloaded for one in monitors(fleet)), 8.0)
+            nursery.start_soon(self.hold_stream, fleet)
+            listener = kernel.get("callers", CallerListener)
+            await wait_until(lambda: listener.open_requests > 0, 8.0)
+            await trio.sleep(0.5)
+            answer = await fleet.call("/note/x", prompt="1000,340")
+            nursery.cancel_scope.cancel()
+        assert answer.status == 503
+        assert b"entry-busy" in answer.body
+        assert 0.05 <= float(answer.headers["retry-after"]) <= 0.2
+        await wait_until(lambda: not any(one.is_overloaded for one in monitors(fleet)), 6.0)
+        assert (await fleet.call("/note/x", prompt="1000,340")).status == 200
+        names = [record["name"] for record in kernel.events.records()]
+        assert "EntryOverloaded" in names
+        assert "EntryRecovered" in names
+
+    async def hold_stream(self, fleet) -> None:
+        await fleet.call("/note/x", prompt="1000,34000")
+
+    @pytest.mark.parametrize("links_mbps", [[100, 100], [100, 50]])
+    async def test_entries_with_even_links_shed_nothing(self, fleet, links_mbps):
+        """Guards against refusals where the other entries are as loaded."""
+        await start_fleet(fleet, links_mbps)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(use_up_cpu)
+            await trio.sleep(3.0)
+            assert not any(one.is_overloaded for one in monitors(fleet))
+            nursery.cancel_scope.cancel()
+        assert all(one.lag_s == 0.0 for one in monitors(fleet))
