--- a/packages/proxy/src/sassafrastally/proxy/internal_endpoints.py
+++ b/packages/proxy/src/sassafrastally/proxy/internal_endpoints.py
@@ -17,6 +17,7 @@
 from sassafrastally.proxy.http_stream import ConnectionLost, HttpStream, enable_keepalive
 from sassafrastally.proxy.load import Lane
 from sassafrastally.proxy.log_events import ReadinessChanged
+from sassafrastally.proxy.overload_monitor import OverloadMonitor
 from sassafrastally.proxy.path import RequestPath
 from sassafrastally.proxy.peer_messages import encode_delta
 from sassafrastally.proxy.quarantine_service import QuarantineService
@@ -41,6 +42,7 @@
         "backpressure",
         "beliefs",
         "callers",
+        "overload",
         "path",
         "quarantine",
         "sight",
@@ -56,6 +58,7 @@
         self._cluster_state = self.kernel.get("beliefs", ClusterState)
         self._caller_listener = self.kernel.get("callers", CallerListener)
         self._fleet_view = self.kernel.get("sight", FleetView)
+        self._overload = self.kernel.get("overload", OverloadMonitor)
         self._quarantine = self.kernel.get("quarantine", QuarantineService)
         self._queue = self.kernel.get("path", RequestPath).services.queue
         hold_values()
@@ -77,6 +80,8 @@
             reason = "stopping"
         elif self._cluster_state.configuration is None:
             reason = "no configuration is known"
+        elif self._overload.is_stuck():
+            reason = "overloaded"
         is_ready = reason == "serving"
         if is_ready != self._was_ready:
             self._was_ready = is_ready
@@ -114,6 +119,8 @@
             **{f"waiting_requests_{lane.value}": self._queue.count(lane) for lane in Lane},
             "open_requests": self._caller_listener.open_requests,
             "attempts_in_progress": len(self._fleet_view.ledger),
+            "scheduling_lag_seconds": self._overload.lag_s,
+            "is_overloaded": self._overload.is_overloaded,
             "blocked_callers": self._caller_listener.blocked_callers.count(now_s),
             **self._backpressure.gauges(),
         }
--- a/packages/proxy/src/sassafrastally/proxy/log_events/__init__.py
+++ b/packages/proxy/src/sassafrastally/proxy/log_events/__init__.py
@@ -29,9 +29,12 @@
     StoreLost,
     StoreRegained,
     StoreRestored,
+    SumRouteChanged,
     WatchTakenOver,
 )
 from sassafrastally.proxy.log_events.process import (
+    EntryOverloaded,
+    EntryRecovered,
     ProcessDraining,
     ReadinessChanged,
     SettingsRejected,
@@ -90,6 +93,8 @@
     "DocumentRejected",
     "EngineSlow",
     "EngineUsual",
+    "EntryOverloaded",
+    "EntryRecovered",
     "EvacuationEnded",
     "EvacuationKept",
     "EvacuationUnknown",
@@ -135,5 +140,6 @@
     "StoreRegained",
     "StoreRestored",
     "StreamBroken",
+    "SumRouteChanged",
     "WatchTakenOver",
 ]
--- a/packages/proxy/src/sassafrastally/proxy/peers.capnp
+++ b/packages/proxy/src/sassafrastally/proxy/peers.capnp
@@ -28,6 +28,7 @@
   demands @23 :List(Demand);  # requests that found no share of a limit, by service
   grants @24 :List(Grant);    # shares of limits that the sender leaves to other entries
   isToForward @25 :Bool;      # in a sum: the receiving relay forwards it within its data centre
+  isOverloaded @26 :Bool;     # the sender leaves duties to others
 }
 
 struct Demand {
@@ -72,6 +73,7 @@
   host @0 :Text;
   storeAgeMs @1 :UInt32;
   linkMbps @2 :UInt32;
+  isOverloaded @3 :Bool;
 }
 
 struct Delta {
--- a/packages/proxy/src/sassafrastally/proxy/refusals.py
+++ b/packages/proxy/src/sassafrastally/proxy/refusals.py
@@ -47,6 +47,9 @@
 TURNED_AWAY = Refusal(
     "turned-away", 503, "The backend servers turned the request away. It has not run."
 )
+ENTRY_BUSY = Refusal(
+    "entry-busy", 503, "This entry is overloaded, others take the request. It has not run."
+)
 QUARANTINED = Refusal(
     "quarantined",
     503,
@@ -77,6 +80,7 @@
     EVACUATED,
     NO_HOME,
     TURNED_AWAY,
+    ENTRY_BUSY,
     QUARANTINED,
     TOO_LONG,
     NOT_SENT_IN_TIME,
