Soak: heavy load, evacuations and cold servers

Cause: the soak had no floods that alternate, no evacuation of a data centre and no cold servers.

Servers lie in two data centres. Checks: nothing new reaches an evacuated data centre after five seconds, no second above the bound of a cold server, every wait ends. The first two are made once the product has the parts that they concern. Regression seeds keep the troubles that they drew from; the tests name them.

--- a/packages/testing/src/sassafrastally/testing/soak/callers.py
+++ b/packages/testing/src/sassafrastally/testing/soak/callers.py
@@ -52,8 +52,8 @@
         """Send requests until cancelled."""
         while True:
             await trio.sleep(self._random.expovariate(self._fleet.rate / THINK_S))
-            kinds = list(KIND_WEIGHTS)
-            (kind,) = self._random.choices(kinds, weights=list(KIND_WEIGHTS.values()))
+            weights = self._fleet.weights
+            (kind,) = self._random.choices(list(weights), weights=list(weights.values()))
             retry_after_s = await self.call(kind)
             if retry_after_s is not None:
                 await trio.sleep(retry_after_s)
--- /dev/null
+++ b/packages/testing/src/sassafrastally/testing/soak/contention.py
@@ -0,0 +1,175 @@
+"""Heavy load, evacuations and cold servers: troubles, and what is promised."""
+
+from __future__ import annotations
+
+import json
+from bisect import bisect_left
+from importlib.util import find_spec
+from typing import TYPE_CHECKING
+
+import trio
+
+from sassafrastally.platform.discovery import KEYS
+from sassafrastally.testing.soak.callers import GIVES_UP_S, KIND_WEIGHTS
+from sassafrastally.testing.soak.entry_process import COLD_OVERRUN, COLD_SLACK, EVACUATED_S
+from sassafrastally.testing.soak.record import HarmedSpan, Kind
+from sassafrastally.testing.soak.troubles import NoServerFree, claimed, some_server, trouble
+
+if TYPE_CHECKING:
+    from sassafrastally.testing.soak.fleet import Server, SoakFleet
+
+HEAVY_LOAD = "heavy-load"
+EVACUATED = "evacuated"
+COLD = "server-cold"
+
+KINDS = (HEAVY_LOAD, EVACUATED, COLD)
+"""Names of the troubles of this module."""
+
+NOT_OF_ENTRIES = (*KINDS, "server-", "burst", "harmful-request", "callers-links")
+"""Troubles that harm no entry, nor its way to store and peers: they excuse nothing here."""
+
+HEAVY_RATE = 3.0
+"""How many times the usual load callers press with."""
+
+FLOODS = (
+    {**KIND_WEIGHTS, Kind.NOTE: 100},
+    {**KIND_WEIGHTS, Kind.NOTE: 10, Kind.DOSSIER: 25},
+)
+"""Weights of the kinds while short prompts flood, and while long ones do."""
+
+HELD_UP_S = 0.5
+"""What a busy machine may add to a bound."""
+
+TOLD_S = 1.0
+"""Time from a server's record that it is cold until all entries must know it."""
+
+CRASH_FACTOR = 3.0
+"""A cold server crashes above so many times the rate that it accepts."""
+
+LOOK_S = 0.05
+WINDOW_S = 1.0
+
+
+@trouble(HEAVY_LOAD)
+async def press_heavily(fleet: SoakFleet) -> None:
+    """Let short and long prompts flood in turns."""
+    with fleet.record.trouble(HEAVY_LOAD):
+        fleet.rate = HEAVY_RATE
+        for _ in range(fleet.random.randint(2, 4)):
+            for weights in FLOODS:
+                fleet.weights = weights
+                await trio.sleep(fleet.random.uniform(0.5, 1.5))
+        fleet.weights, fleet.rate = KIND_WEIGHTS, 1.0
+
+
+@trouble(EVACUATED)
+async def evacuate(fleet: SoakFleet) -> None:
+    """Let the operator evacuate one of the two data centres for a while."""
+    if fleet.evacuating:
+        raise NoServerFree
+    data_centre = fleet.random.choice(fleet.data_centres)
+    key = f"op/evacuate/{data_centre}"
+    fleet.evacuating = True
+    with fleet.record.trouble(EVACUATED, planned=True):
+        fleet.write(key, b"{}")
+        begin_s = trio.current_time()
+        await trio.sleep(fleet.random.uniform(1.0, 2.5 * EVACUATED_S))
+        fleet.evacuations.append(HarmedSpan(data_centre, begin_s, trio.current_time()))
+        fleet.remove(key)
+    fleet.evacuating = False
+
+
+@trouble(COLD)
+async def cool_server(fleet: SoakFleet) -> None:
+    """Let an engine become cold: it crashes well above the rate that it then accepts."""
+    server = some_server(fleet)
+    if server.replica.service != "engines":
+        raise NoServerFree
+    with claimed(server):
+        begin_s, cold_s = trio.current_time(), fleet.cold_s
+        server_id = server.replica.server_id
+        with fleet.record.trouble(COLD):
+            record = json.loads(server.replica.entry()) | {"coldLeftMs": round(cold_s * 1000)}
+            fleet.write(f"servers/{server_id}", json.dumps(record).encode())
+            crashed = await _crashes(server, begin_s + cold_s, fleet.cold_per_s)
+            fleet.cold.append(HarmedSpan(server_id, begin_s, trio.current_time()))
+            if crashed:
+                fleet.end_life(server)
+                fleet.unregister(server)
+                await fleet.begin_life(server)
+            fleet.register(server)
+
+
+async def _crashes(server: Server, until_s: float, per_s: float) -> bool:
+    """Return whether a cold server gets far more than it accepts before it is warm."""
+    while trio.current_time() < until_s:
+        since_s = trio.current_time() - WINDOW_S
+        if sum(one.at_s > since_s for one in server.replica.received_requests) > (
+            CRASH_FACTOR * per_s
+        ):
+            return True
+        await trio.sleep(LOOK_S)
+    return False
+
+
+def judge_contention(fleet: SoakFleet) -> None:
+    """Judge evacuations and cold servers, if the product knows them, and the callers' waits."""
+    if getattr(KEYS, "evacuations_prefix", ""):
+        _judge_evacuations(fleet)
+    if find_spec("sassafrastally.proxy.warm_up") is not None:
+        _judge_cold(fleet)
+    endless = [
+        attempt.attempt_id
+        for attempt in fleet.record.attempts.values()
+        if attempt.ended_s is not None
+        and not attempt.is_whole
+        and not attempt.has_left
+        and attempt.ended_s - attempt.sent_s >= GIVES_UP_S
+        and fleet.record.is_calm(
+            attempt.entry, attempt.sent_s, attempt.ended_s, but_for=NOT_OF_ENTRIES
+        )
+    ]
+    if endless:
+        fleet.record.note_broken("every wait ends", ", ".join(endless[:5]))
+
+
+def _judge_evacuations(fleet: SoakFleet) -> None:
+    for span in fleet.evacuations:
+        late = []
+        for replica in fleet.all_replicas:
+            if replica.data_centre != span.name:
+                continue
+            for arrival in replica.received_requests:
+                attempt = fleet.record.attempts.get(arrival.request_id)
+                if attempt is None or not span.begin_s < arrival.at_s < span.end_s:
+                    continue
+                calm_s = fleet.record.calm_since_s(attempt.entry, arrival.at_s, NOT_OF_ENTRIES)
+                if arrival.at_s > max(span.begin_s, calm_s) + EVACUATED_S + HELD_UP_S:
+                    late.append(f"{replica.server_id} after {arrival.at_s - span.begin_s:.2f} s")
+        if late:
+            fleet.record.note_broken("evacuated data centres get nothing", ", ".join(late[:5]))
+
+
+def _judge_cold(fleet: SoakFleet) -> None:
+    most = fleet.cold_per_s * COLD_OVERRUN + COLD_SLACK
+    for span in fleet.cold:
+        (replica,) = [one for one in fleet.all_replicas if one.server_id == span.name]
+        times_s = sorted(
+            arrival.at_s
+            for arrival in replica.received_requests
+            if span.begin_s + TOLD_S < arrival.at_s < span.end_s
+            and _is_from_calm_entry(fleet, arrival.request_id, arrival.at_s)
+        )
+        counts = [
+            place + 1 - bisect_left(times_s, at_s - WINDOW_S) for place, at_s in enumerate(times_s)
+        ]
+        if max(counts, default=0) > most:
+            detail = f"{span.name}: {max(counts)} in a second, {most:g} at most"
+            fleet.record.note_broken("cold servers get few requests", detail)
+
+
+def _is_from_calm_entry(fleet: SoakFleet, request_id: str, at_s: float) -> bool:
+    attempt = fleet.record.attempts.get(request_id)
+    return attempt is not None and fleet.record.is_calm(
+        attempt.entry, at_s - WINDOW_S, at_s, but_for=NOT_OF_ENTRIES
+    )
--- a/packages/testing/src/sassafrastally/testing/soak/entry_process.py
+++ b/packages/testing/src/sassafrastally/testing/soak/entry_process.py
@@ -26,6 +26,16 @@
 
 END_LIMIT_S = 10.0
 
+EVACUATED_S = 5.0
+"""Time after which nothing new may reach an evacuated data centre."""
+
+OUTER_BOUND_S = 6.0
+"""Time beyond that while the store is unstable."""
+
+COLD_OVERRUN = 1.5
+COLD_SLACK = 5
+"""Times the accepted rate, and requests beyond, that a cold server may get in a second."""
+
 
 class EntryProcess:
     """One entry: its settings, its process and its log.
@@ -149,5 +159,9 @@
                 "retryBudgetRatio": 0.2,
                 "budgetWindowS": 10,
                 "budgetExtraTries": 100,
+                "evacuateMs": round(EVACUATED_S * 1000),
+                "outerBoundMs": round(OUTER_BOUND_S * 1000),
+                "coldOverrun": COLD_OVERRUN,
+                "coldSlack": COLD_SLACK,
             },
         }
--- a/packages/testing/src/sassafrastally/testing/soak/fleet.py
+++ b/packages/testing/src/sassafrastally/testing/soak/fleet.py
@@ -16,15 +16,17 @@
 from sassafrastally.stand_ins.documents import make_configuration, make_route
 from sassafrastally.stand_ins.metadata_store import MetadataStore
 from sassafrastally.stand_ins.replica import Replica
+from sassafrastally.testing.soak.callers import KIND_WEIGHTS
 from sassafrastally.testing.soak.entry_process import STOP_TIME_S, EntryProcess
 from sassafrastally.testing.soak.proxying import LoopbackProxy
 from sassafrastally.testing.soak.record import Record
 
 if TYPE_CHECKING:
     import random
+    from collections.abc import Mapping
     from pathlib import Path
 
-    from sassafrastally.testing.soak.record import LimitedSpan
+    from sassafrastally.testing.soak.record import HarmedSpan, Kind, LimitedSpan
 
 RESTART_S = 0.3
 """Time between the end of a process and the start of the next one."""
@@ -91,6 +93,18 @@
         """When servers have named limits."""
         self.rate = 1.0
         """How many times the usual load callers press with."""
+        self.weights: Mapping[Kind, int] = KIND_WEIGHTS
+        """How often callers send each kind."""
+        self.data_centres = ("here", "there")
+        """Data centres of the servers, in turn; all entries are in the first."""
+        self.evacuating = False
+        """Whether a data centre is evacuated now."""
+        self.evacuations: list[HarmedSpan] = []
+        self.cold_s = 3.0
+        self.cold_per_s = 8.0
+        """How long an engine that has started is cold, and the requests that it then accepts."""
+        self.cold: list[HarmedSpan] = []
+        """When servers were cold again."""
         self.nursery = nursery
         self._folder = folder
         self._in_rotation: dict[int, bool] = {}
@@ -142,7 +156,8 @@
         document["tenants"].append(
             {"name": "ben", "apiKeys": [self.key_of(self.version)], "priority": 1}
         )
-        self._write("op/config", json.dumps(document).encode())
+        document["services"][0] |= {"coldS": self.cold_s, "coldPerS": self.cold_per_s}
+        self.write("op/config", json.dumps(document).encode())
         self.configured_s[self.version] = trio.current_time()
 
     @staticmethod
@@ -159,15 +174,19 @@
         """Write a server's entry to the store."""
         server.replica.address = server.address
         value = server.replica.entry(is_draining=is_draining)
-        self._write(f"servers/{server.replica.server_id}", value)
+        self.write(f"servers/{server.replica.server_id}", value)
 
     def unregister(self, server: Server) -> None:
         """Remove a server's entry."""
-        key = f"servers/{server.replica.server_id}"
+        self.remove(f"servers/{server.replica.server_id}")
+
+    def remove(self, key: str) -> None:
+        """Remove what the operator or a server has written."""
         self._written.pop(key, None)
         self.store.remove(key)
 
-    def _write(self, key: str, value: bytes) -> None:
+    def write(self, key: str, value: bytes) -> None:
+        """Write as the operator or a server."""
         self._written[key] = value
         self.store.put(key, value)
 
@@ -184,7 +203,7 @@
 
     async def begin_life(self, server: Server) -> None:
         """Start a new life of a server at its address."""
-        server.replica = self._make_replica(server.replica.service)
+        server.replica = self._make_replica(server.replica.service, server.replica.data_centre)
         await self._run_replica(server)
         await server.proxy.start(server.address.host, server.address.port, self.nursery)
 
@@ -211,18 +230,20 @@
         proxy = LoopbackProxy(None)
         host = self._hosts + "2"
         address = Address(host, await proxy.start(host, 0, self.nursery))
-        server = Server(self._make_replica(service), proxy, address)
+        data_centre = self.data_centres[len(self.servers) % len(self.data_centres)]
+        server = Server(self._make_replica(service, data_centre), proxy, address)
         await self._run_replica(server)
         self.servers.append(server)
         self.register(server)
 
-    def _make_replica(self, service: str) -> Replica:
+    def _make_replica(self, service: str, data_centre: str) -> Replica:
         self._lives += 1
         profile = None
         if service == "engines":
             document = json.dumps(make_configuration(1)).encode()
             profile = PlatformDialect().decode_configuration(document).services[service].engine
         replica = Replica(f"{service}-{self._lives}", service, self._by_address, profile, 0.03)
+        replica.data_centre = data_centre
         self.all_replicas.append(replica)
         return replica
 
--- a/packages/testing/src/sassafrastally/testing/soak/promises.py
+++ b/packages/testing/src/sassafrastally/testing/soak/promises.py
@@ -10,6 +10,7 @@
 
 from sassafrastally.testing.soak.asking import judge_asking
 from sassafrastally.testing.soak.callers import GIVES_UP_S, TIME_LEFT_S
+from sassafrastally.testing.soak.contention import judge_contention
 from sassafrastally.testing.soak.harmful import judge_harmful
 from sassafrastally.testing.soak.record import Attempt, Kind
 
@@ -83,6 +84,7 @@
         self._judge_repeats(arrivals)
         judge_harmful(self._fleet, arrivals)
         judge_asking(self._fleet)
+        judge_contention(self._fleet)
 
     def _arrivals(self) -> dict[str, list[ReceivedRequest]]:
         by_id: dict[str, list[ReceivedRequest]] = defaultdict(list)
--- a/packages/testing/src/sassafrastally/testing/soak/record.py
+++ b/packages/testing/src/sassafrastally/testing/soak/record.py
@@ -196,6 +196,14 @@
         self.broken.append(Broken(promise, f"{elapsed_s:.2f} s: {detail}"))
 
 
+class HarmedSpan(NamedTuple):
+    """A time in which a data centre is evacuated or a server is cold."""
+
+    name: str
+    begin_s: float
+    end_s: float
+
+
 class LimitedSpan(NamedTuple):
     """A time in which a server names a limit."""
 
--- a/packages/testing/tests/soak/test_soak.py
+++ b/packages/testing/tests/soak/test_soak.py
@@ -5,15 +5,20 @@
 import math
 import tomllib
 from pathlib import Path
+from types import SimpleNamespace
 
 import pytest
 import trio
 
-from sassafrastally.testing.soak import SoakSize, run_soak
-from sassafrastally.testing.soak.record import Attempt, Kind, Record
+from sassafrastally.testing.soak import SoakSize, contention, run_soak
+from sassafrastally.testing.soak.record import Attempt, HarmedSpan, Kind, Record
+from sassafrastally.testing.soak.troubles import TROUBLES
 
 SEEDS = tomllib.loads((Path(__file__).parent / "seeds.toml").read_text())["seed"]
 
+USUAL = [name for name in TROUBLES.names() if name not in contention.KINDS]
+"""Troubles that the seeds below draw from; more names would change what a seed draws."""
+
 SMALL = SoakSize(entries=3, engines=5, plain=2, callers=8)
 
 
@@ -24,7 +29,7 @@
         """Entries are killed, paused and stopped, links cut and delayed, the store and servers
         misbehave, and configurations change, all at once. Callers still get their own whole answers
         or true refusals, and nothing that must run once runs twice."""
-        report = await run_soak(20_261, 10.0, SMALL, print)
+        report = await run_soak(20_261, 10.0, SMALL, print, USUAL)
         assert not report.broken, str(report)
         assert report.outcomes["200"] > 50, str(report)
 
@@ -42,12 +47,56 @@
         assert not report.broken, str(report)
         assert report.troubles["store-restored"] >= 1, str(report)
 
+    async def test_every_wait_ends_under_heavy_load(self):
+        """Guards against callers who wait in vain while floods alternate, a data centre is
+        evacuated and engines are cold."""
+        kinds = [*contention.KINDS, "server-crashed"]
+        report = await run_soak(20_264, 12.0, SMALL, print, kinds)
+        assert not report.broken, str(report)
+        assert report.outcomes["200"] > 50, str(report)
+
     @pytest.mark.parametrize("known", SEEDS, ids=lambda known: str(known["number"]))
     async def test_seed_that_broke_a_promise_keeps_them(self, known):
-        report = await run_soak(known["number"], known["seconds"], None, print)
+        report = await run_soak(known["number"], known["seconds"], None, print, USUAL)
         assert not report.broken, f"{known['cause']}\n{report}"
 
 
+class TestContention:
+    """The checks of evacuations and cold servers."""
+
+    def fleet(self, arrivals_s: list[float]) -> SimpleNamespace:
+        """Return what the checks read of a fleet with one server and calm entries."""
+        record = Record()
+        arrivals = []
+        for number, at_s in enumerate(arrivals_s):
+            record.attempts[str(number)] = Attempt(str(number), Kind.NOTE, 1, 1)
+            arrivals.append(SimpleNamespace(request_id=str(number), at_s=at_s))
+        replica = SimpleNamespace(
+            server_id="engines-1", data_centre="there", received_requests=arrivals
+        )
+        return SimpleNamespace(
+            record=record,
+            all_replicas=[replica],
+            evacuations=[HarmedSpan("there", 100.0, 110.0)],
+            cold=[HarmedSpan("engines-1", 100.0, 103.0)],
+            cold_per_s=8.0,
+        )
+
+    async def test_late_requests_to_an_evacuated_data_centre_are_found(self, autojump_clock):
+        """Guards against a check that finds nothing, or counts requests within the bound."""
+        for arrivals_s, is_broken in (([101.0, 105.2, 111.0], False), ([106.0], True)):
+            fleet = self.fleet(arrivals_s)
+            contention._judge_evacuations(fleet)
+            assert bool(fleet.record.broken) is is_broken
+
+    async def test_seconds_above_the_cold_bound_are_found(self, autojump_clock):
+        """Guards against a check that finds nothing, or counts more than a second."""
+        for count, is_broken in ((17, False), (18, True)):
+            fleet = self.fleet([101.5 + number / 20 for number in range(count)])
+            contention._judge_cold(fleet)
+            assert bool(fleet.record.broken) is is_broken
+
+
 class TestRecord:
     """What counts as calm."""
 
