Let a starting entry send one request to each cold server

Cause: an entry sent nothing to cold servers in its first second. After a loss of power of all VMs entries and servers start together, so that no caller was served in that second.

--- a/packages/proxy/src/sassafrastally/proxy/warm_up/warm_up_limits.py
+++ b/packages/proxy/src/sassafrastally/proxy/warm_up/warm_up_limits.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 from sassafrastally.proxy.warm_up.cold_quota import ColdBound, own_quota, wait_s, window_s
@@ -18,8 +19,13 @@
     from sassafrastally.proxy.rate_limits import SentRequests
 
 JOIN_DELAY_S = 1.0
-"""Time after its first snapshot from which an entry sends requests to cold servers. By then, it has
-heard of the other entries and they of it: each sends four datagrams within a second."""
+"""Time after its first snapshot from which an entry uses its whole quota of a cold server. By then,
+it has heard of the other entries and they of it: each sends four datagrams within a second."""
+
+JOINING_REQUESTS = 1
+"""Requests to each cold server before that, if the snapshot or a peer has named other entries.
+After a loss of power of all VMs, entries and servers start together, and each second in which no
+entry may send anything is a second in which no caller is served."""
 
 
 class WarmUpLimits:
@@ -41,15 +47,17 @@
         self._entries = KnownEntries()
         self._quotas: dict[tuple[str, float], int] = {}
         """Cache of the quotas by server and rate; valid until the known entries change."""
-        self._joined_s: float | None = None
+        self._joined_at_s = -math.inf
+        self._has_begun = False
 
     def __bool__(self) -> bool:
         return bool(self.servers)
 
     def begin(self, now_s: float) -> None:
         """Start the delay after which this entry may send to cold servers."""
-        if self._joined_s is None:
-            self._joined_s = now_s + JOIN_DELAY_S
+        if not self._has_begun:
+            self._has_begun = True
+            self._joined_at_s = now_s + JOIN_DELAY_S
 
     def record_entries(self, hosts: Collection[str], now_s: float) -> None:
         """Record the other entries that may send requests to servers."""
@@ -75,9 +83,7 @@
         cold_per_s = self.servers.rate_per_s(incarnation_id, now_s)
         if cold_per_s is None:
             return None
-        if self._joined_s is not None and now_s < self._joined_s:
-            return 0
-        quota = self.quota(incarnation_id, cold_per_s)
+        quota = self._usable_quota(incarnation_id, cold_per_s, now_s)
         return sent.room_in_window(quota, window_s(cold_per_s), now_s)
 
     def wait_s(self, incarnation_id: str, sent: SentRequests, now_s: float) -> float:
@@ -95,6 +101,17 @@
         cold_per_s = self.servers.rate_per_s(incarnation_id, now_s)
         if cold_per_s is None:
             return 0.0
-        wait = wait_s(sent, self.quota(incarnation_id, cold_per_s), cold_per_s, now_s)
-        join_wait_s = 0.0 if self._joined_s is None else self._joined_s - now_s
-        return min(self.servers.left_s(incarnation_id, now_s), max(wait, join_wait_s, 0.0))
+        quota = self._usable_quota(incarnation_id, cold_per_s, now_s)
+        wait = wait_s(sent, quota, cold_per_s, now_s)
+        if not quota and self._is_joining(now_s):
+            wait = self._joined_at_s - now_s
+        return min(self.servers.left_s(incarnation_id, now_s), wait)
+
+    def _usable_quota(self, incarnation_id: str, cold_per_s: float, now_s: float) -> int:
+        quota = self.quota(incarnation_id, cold_per_s)
+        if not self._is_joining(now_s):
+            return quota
+        return min(quota, JOINING_REQUESTS) if self._entries.hosts else 0
+
+    def _is_joining(self, now_s: float) -> bool:
+        return now_s < self._joined_at_s
