--- a/packages/proxy/tests/test_cpu_overload.py
+++ b/packages/proxy/tests/test_cpu_overload.py
@@ -9,6 +9,7 @@
 from sassafrastally.proxy.cpu_overload import MAX_LAG_S, LagWindow, StreamLimit, shed_retry_delay_s
 from sassafrastally.proxy.load_exchange import RELAYS, Member, is_ranked_first, without_overloaded
 from sassafrastally.proxy.store_watchers import WatchCandidate, must_watch_store, watchers
+from sassafrastally.testing.exchange_rounds import Exchange
 
 
 def window_of(lags_s: list[float]) -> LagWindow:
@@ -99,6 +100,35 @@
         assert without_overloaded(members[:2]) == members[:2]
         assert without_overloaded(members) == members[2:]
 
+    def test_relay_that_becomes_overloaded_is_replaced_without_a_gap(self):
+        """Guards against a data centre that counts as idle while its relays change."""
+        exchange = Exchange(38, 3, 7)
+        exchange.introduce_all()
+        exchange.run_rounds(12)
+        overloaded = exchange.nodes["10.0.0.0"]
+        overloaded.table.set_overloaded(is_overloaded=True)
+        for _ in range(8):
+            exchange.run_rounds(1)
+            assert exchange.all_see_all()
+        assert not overloaded.table.is_relay(exchange.now_s)
+        local = [node for node in exchange.alive() if node.data_centre == "dc-0"]
+        assert sum(node.table.is_relay(exchange.now_s) for node in local) == RELAYS
+
+    def test_overloaded_entry_polls_no_engines_while_others_can(self):
+        exchange = Exchange(6, 2, 7)
+        exchange.introduce_all()
+        observer, *others = exchange.nodes.values()
+        others[1].table.set_overloaded(is_overloaded=True)
+        exchange.run_rounds(2)
+        hosts = observer.table.live_hosts_in(observer.data_centre, exchange.now_s)
+        assert others[1].data_centre == observer.data_centre
+        assert hosts == [others[3].host]
+        others[3].table.set_overloaded(is_overloaded=True)
+        exchange.run_rounds(2)
+        hosts = observer.table.live_hosts_in(observer.data_centre, exchange.now_s)
+        assert hosts is not None
+        assert set(hosts) == {others[1].host, others[3].host}
+
     def test_overloaded_entry_leaves_the_store_watch(self):
         fast = WatchCandidate("fast", 0.1, 100)
         others = [WatchCandidate("a", 0.1, 50), WatchCandidate("b", 0.1, 7)]
--- a/packages/testing/src/sassafrastally/testing/exchange_rounds.py
+++ b/packages/testing/src/sassafrastally/testing/exchange_rounds.py
@@ -45,6 +45,7 @@
             returned_age_s=60.0,
             data_centre=self.data_centre,
             link_mbps=self.link_mbps,
+            is_overloaded=self.table.is_overloaded,
         )
 
 
