--- a/packages/proxy/src/sassafrastally/proxy/peers.py
+++ b/packages/proxy/src/sassafrastally/proxy/peers.py
@@ -342,9 +342,8 @@
             seen, urgent_seen = self._ledger.change_count, self._ledger.urgent_count
             report = self.quarantine.own_report(is_full=self._start_repeat_if_due())
             own = self.hello()._replace(peers=self._peers_to_list(), quarantine=report)
-            await self._send_to(
-                self._table.receivers(self._now_s).own_state_receivers, encode_hello(own)
-            )
+            if receivers := self._table.receivers(self._now_s).own_state_receivers:
+                await self._send_to(receivers, encode_hello(own))
             self._wake_sums_for_prefill(sent_loads, own.loads)
             sent_loads = own.loads
             self._record_silent(silent)
