Spend at most half of a caller's silence on waiting for room

A short prompt that started near the end of its caller's two seconds got no first event in time from engines that were short of room, and was lost after an attempt, while one that is refused comes back with a fresh timeout.

A request now waits for at most half of the silence that its caller accepts.

--- a/packages/proxy/src/sassafrastally/proxy/admission_queue/waiting_time.py
+++ b/packages/proxy/src/sassafrastally/proxy/admission_queue/waiting_time.py
@@ -13,6 +13,11 @@
 """Reserve between the latest start and the latest useful one: the longest time between two checks
 for room. A longer reserve shortens the waits, and more callers are refused twice."""
 
+WAIT_SHARE = 0.5
+"""Largest share of the caller's silence that is spent on waiting. The rest is for the attempt:
+engines that are short of room take several times their usual time to the first event, and a short
+prompt that starts at the last moment is lost, while one that is refused comes back."""
+
 USUAL_FILL = 0.5
 """Assumed fill of an engine's slots and memory while it writes a response."""
 
@@ -43,7 +48,7 @@
     writing_s
         Time to write the response after its first event.
     """
-    first_event_s = min(arrived_s + patience_s, deadline_s - writing_s)
+    first_event_s = min(arrived_s + WAIT_SHARE * patience_s, deadline_s - writing_s)
     return first_event_s - alone_s - WAIT_MARGIN_S
 
 
