Ask callers back no earlier than before; test the loss of a data centre at 0.95 again

Cause: with Retry-After from the expected room, callers could come back within the burst.

Change: expected room delays the earliest return and never brings it forward.

--- a/packages/proxy/src/sassafrastally/proxy/turning_away.py
+++ b/packages/proxy/src/sassafrastally/proxy/turning_away.py
@@ -65,7 +65,7 @@
     left_s = DEFAULT_TIME_LEFT_S if time_left_s is None else time_left_s
     earliest_s = EARLIEST_SHARE * left_s
     if expected_room_s is not None:
-        earliest_s = min(expected_room_s, LATEST_EARLIEST_SHARE * left_s)
+        earliest_s = min(max(earliest_s, expected_room_s), LATEST_EARLIEST_SHARE * left_s)
     delay_s = earliest_s + (LATEST_SHARE * left_s - earliest_s) * draw
     return max(MIN_RETRY_DELAY_S, delay_s)
 
--- a/packages/proxy/tests/test_admission_queue.py
+++ b/packages/proxy/tests/test_admission_queue.py
@@ -255,10 +255,14 @@
     """Retry delays that follow the expected room."""
 
     def test_delay_is_spread_from_the_expected_room_to_a_third_of_the_time_left(self):
-        assert retry_delay_s(10.0, 0.0, 1.0) == 1.0
-        assert retry_delay_s(10.0, 1.0, 1.0) == retry_delay_s(10.0, 1.0)
+        assert retry_delay_s(10.0, 0.0, 2.2) == 2.2
+        assert retry_delay_s(10.0, 1.0, 2.2) == retry_delay_s(10.0, 1.0)
         assert retry_delay_s(10.0, 0.0, None) == 2.0
 
+    def test_expected_room_brings_no_caller_back_earlier(self):
+        """Guards against retries within the burst, for which the callers had been refused."""
+        assert retry_delay_s(10.0, 0.0, 0.1) == retry_delay_s(10.0, 0.0)
+
     def test_room_that_comes_late_still_spreads_the_callers(self):
         """Guards against callers that come back together at a third of their time left."""
         assert retry_delay_s(10.0, 1.0, 60.0) - retry_delay_s(10.0, 0.0, 60.0) > 0.5
--- a/packages/testing/tests/platform/test_lost_data_centre.py
+++ b/packages/testing/tests/platform/test_lost_data_centre.py
@@ -15,6 +15,7 @@
 
 from sassafrastally.proxy.http_stream import ConnectionLost
 from sassafrastally.proxy.peers import Peers
+from sassafrastally.stand_ins.documents import make_configuration, make_route
 from sassafrastally.stand_ins.platform_fleet import wait_until
 
 CENTRES = ("north", "east", "west")
@@ -44,9 +45,17 @@
 PLAIN_RATES_PER_S = {"book": 6, "look": 2}
 PROMPTS = {"note": "5000,680", "dossier": "120000,340"}
 
-LEAST_SERVED_WITHOUT = 0.9
-"""Share of the callers served while a third of the engines is lost. Admission refuses short prompts
-that would miss their goal behind long ones, and some callers are refused twice."""
+LEAST_SERVED_WITHOUT = 0.95
+"""Share of the callers served while a third of the engines is lost: the others have room for the
+load, if not always at once."""
+
+ROUTES = [
+    make_route("note", "streaming", "engines", gapGoalMs=250, priority=0),
+    make_route("dossier", "streaming", "engines", gapGoalMs=1000, goalMs=3000, priority=2),
+    make_route("look", "idempotent", "desk"),
+    make_route("book", "non_idempotent", "desk", maxAttempts=1),
+]
+"""Routes with priorities, so that requests without room wait."""
 
 NOT_RUN = {408, 421, 429, 503}
 
@@ -156,6 +165,7 @@
 
 async def start(fleet) -> None:
     """Start all data centres and wait until their entries know each other."""
+    fleet.configure(make_configuration(2, routes=ROUTES))
     fleet.data_centres = list(CENTRES)
     for index, centre in enumerate(CENTRES):
         fleet.server_hosts[centre] = f"127.20.0.{10 + index}"
