--- a/packages/proxy/src/sassafrastally/proxy/address_holders.py
+++ b/packages/proxy/src/sassafrastally/proxy/address_holders.py
@@ -1,9 +1,8 @@
 """Which backend server listens at an address that several records name.
 
 A server that crashed and one that has started at its address are both registered until the first
-one's record expires, several seconds later. After the restart of a whole data centre, every third
-request to it named the crashed server and was rejected by its successor, which cost the request an
-attempt.
+one's record expires, several seconds later. A request that names the crashed server is rejected by
+its successor, which costs the request one of its attempts.
 """
 
 from __future__ import annotations
