Count links as uneven beyond ten times the slowest

Cause: earlier deployments have links of 10 and 100 Mbit/s, so that relays, local placement of long prompts and the overload timer took effect there, although they were served well without.

Change: more than an order of magnitude counts as uneven.

--- a/packages/proxy/src/sassafrastally/proxy/relays/__init__.py
+++ b/packages/proxy/src/sassafrastally/proxy/relays/__init__.py
@@ -5,7 +5,7 @@
 from sassafrastally.proxy.relays.data_centre_sum import max_by_key, sum_hellos
 from sassafrastally.proxy.relays.received_sums import DataCentreSum, ReceivedSums, is_stale
 from sassafrastally.proxy.relays.sum_routing import (
-    MIN_LINK_RATIO,
+    MAX_EVEN_LINK_RATIO,
     RELAY_HEARD_S,
     SumRoute,
     are_links_uneven,
@@ -13,7 +13,7 @@
 )
 
 __all__ = [
-    "MIN_LINK_RATIO",
+    "MAX_EVEN_LINK_RATIO",
     "RELAY_HEARD_S",
     "DataCentreSum",
     "ReceivedSums",
--- a/packages/proxy/src/sassafrastally/proxy/relays/sum_routing.py
+++ b/packages/proxy/src/sassafrastally/proxy/relays/sum_routing.py
@@ -13,9 +13,10 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable, Mapping, Sequence
 
-MIN_LINK_RATIO = 8
-"""Ratio of the fastest link to the slowest from which sums pass through relays. With more even
-links all entries can take part alike, and direct sending saves one hop."""
+MAX_EVEN_LINK_RATIO = 10
+"""Largest ratio of the fastest link to the slowest that counts as even. Beyond an order of
+magnitude, the slowest entries can't take part in everything that the fastest do; with more even
+links, direct sending saves one hop."""
 
 RELAY_HEARD_S = 0.6
 """A relay is known while its sums arrive at least this often. Shorter than the time after which a
@@ -41,7 +42,7 @@
         Link speeds of the entries heard, in megabits per second; 0 if unknown.
     """
     known = [link_mbps for link_mbps in links_mbps if link_mbps > 0]
-    return bool(known) and max(known) >= MIN_LINK_RATIO * min(known)
+    return bool(known) and max(known) > MAX_EVEN_LINK_RATIO * min(known)
 
 
 def route_sum(
