--- a/packages/proxy/src/sassafrastally/proxy/admission_queue/admission_queue.py
+++ b/packages/proxy/src/sassafrastally/proxy/admission_queue/admission_queue.py
@@ -1,7 +1,7 @@
 """The requests that wait for room at this entry, and the task that starts them.
 
-One task tries to start the first requests of each queue. The others sleep, so that a crowd
-of waiting prompts costs no processor time and doesn't take the room of those ahead of them.
+One task tries to start the first requests of each queue. The other requests sleep: they cost no
+processor time and don't take the room of those ahead of them.
 """
 
 from __future__ import annotations
