Give long prompts more time after failures; remove two import cycles

Change: the delay after failures is a tenth to a fifth of the time until the goal, if that is longer than 0.1 to 0.3 s. WarmUpLimits imports the module of SentRequests; the soak's weights lie beside its kinds.

--- a/packages/proxy/src/sassafrastally/proxy/request_handler.py
+++ b/packages/proxy/src/sassafrastally/proxy/request_handler.py
@@ -123,7 +123,7 @@
             delay_s = (
                 retry_delay_s(time_left_s, random_share, self._room_wait.expected_room_s())
                 if is_for_load
-                else retry_delay_after_failure_s(time_left_s, random_share)
+                else retry_delay_after_failure_s(time_left_s, random_share, self._goal_left_s())
             )
             self._room_wait.record_refusal(delay_s)
             return LocalReply(refusal, detail, delay_s)
@@ -131,6 +131,11 @@
         detail = f"service {service}: the next one takes a request in {available_in_s:.2f} s"
         return LocalReply(refusal, detail, max(MIN_RETRY_DELAY_S, available_in_s))
 
+    def _goal_left_s(self) -> float:
+        """Return the time until the goal of the route; negative if it is missed."""
+        goal_s = self._task.route.goal_s or 0.0
+        return self._task.request.arrived_s + goal_s - self._clock.now_s()
+
     def _must_not_wait(self) -> bool:
         """Return whether waiting is pointless: a quarantine verdict, or an evacuation."""
         if self._services.quarantine.verdict(self._task.fingerprint) is not None:
--- a/packages/proxy/src/sassafrastally/proxy/turning_away.py
+++ b/packages/proxy/src/sassafrastally/proxy/turning_away.py
@@ -21,6 +21,11 @@
 """Range of the retry delay after failed attempts that load doesn't explain. Within a tenth of a
 second the other entries know of the failed servers, and the caller's goal may still be met."""
 
+EARLIEST_GOAL_SHARE = 0.1
+LATEST_GOAL_SHARE = 0.2
+"""The same as shares of the time until the goal, if that is longer: a long prompt needs many
+servers, and while several fail at once, each attempt finds another of them."""
+
 MIN_RETRY_DELAY_S = 0.02
 """Shortest retry delay; anything less is within the network round trip."""
 
@@ -70,14 +75,20 @@
     return max(MIN_RETRY_DELAY_S, delay_s)
 
 
-def retry_delay_after_failure_s(time_left_s: float | None, draw: float) -> float:
+def retry_delay_after_failure_s(
+    time_left_s: float | None, draw: float, goal_left_s: float = 0.0
+) -> float:
     """Return the retry delay after attempts that failed for other reasons than load.
 
     Parameters
     ----------
     time_left_s, draw
         As for `retry_delay_s`.
+    goal_left_s
+        Time until the goal of the caller's route; negative if it is missed.
     """
-    delay_s = EARLIEST_AFTER_FAILURE_S + (LATEST_AFTER_FAILURE_S - EARLIEST_AFTER_FAILURE_S) * draw
+    earliest_s = max(EARLIEST_AFTER_FAILURE_S, EARLIEST_GOAL_SHARE * goal_left_s)
+    latest_s = max(LATEST_AFTER_FAILURE_S, LATEST_GOAL_SHARE * goal_left_s)
+    delay_s = earliest_s + (latest_s - earliest_s) * draw
     left_s = DEFAULT_TIME_LEFT_S if time_left_s is None else time_left_s
     return max(MIN_RETRY_DELAY_S, min(delay_s, LATEST_SHARE * left_s))
--- a/packages/proxy/src/sassafrastally/proxy/warm_up/cold_quota.py
+++ b/packages/proxy/src/sassafrastally/proxy/warm_up/cold_quota.py
@@ -16,7 +16,7 @@
 if TYPE_CHECKING:
     from collections.abc import Collection
 
-    from sassafrastally.proxy.rate_limits import SentRequests
+    from sassafrastally.proxy.rate_limits.rate_limit_sharing import SentRequests
 
 WINDOW_S = 1.1
 """Window of the quotas. The bound holds for any second at the server, and requests that are sent a
--- a/packages/proxy/src/sassafrastally/proxy/warm_up/warm_up_limits.py
+++ b/packages/proxy/src/sassafrastally/proxy/warm_up/warm_up_limits.py
@@ -16,7 +16,7 @@
 if TYPE_CHECKING:
     from collections.abc import Collection
 
-    from sassafrastally.proxy.rate_limits import SentRequests
+    from sassafrastally.proxy.rate_limits.rate_limit_sharing import SentRequests
 
 JOIN_DELAY_S = 1.0
 """Time after its first snapshot from which an entry uses its whole quota of a cold server. By then,
--- a/packages/proxy/tests/test_decisions.py
+++ b/packages/proxy/tests/test_decisions.py
@@ -44,7 +44,11 @@
     WatchCandidate,
     must_watch_store,
 )
-from sassafrastally.proxy.turning_away import retry_delay_s, would_miss_deadline
+from sassafrastally.proxy.turning_away import (
+    retry_delay_after_failure_s,
+    retry_delay_s,
+    would_miss_deadline,
+)
 from sassafrastally.proxy.unreported_requests import UnreportedRequests
 
 PROFILE = EngineProfile(8, 405_000, 1.31, 0.0018, 0.00213, 154.0, 0.162, 2048, 34, 0.1)
@@ -250,6 +254,14 @@
         assert retry_delay_s(0.0, 0.5) > 0
         assert retry_delay_s(None, 0.5) > 1
 
+    def test_long_goals_leave_time_until_failed_servers_are_known(self):
+        """A quarter of the servers leaves unannounced. Guards against a long prompt whose caller
+        comes back at once and meets further ones among its helpers, although its goal allows it to
+        come a second later."""
+        assert retry_delay_after_failure_s(15.0, 0.0, 8.0) == 0.8
+        assert retry_delay_after_failure_s(15.0, 1.0, 8.0) == 1.6
+        assert retry_delay_after_failure_s(10.0, 1.0, -0.1) == pytest.approx(0.3)
+
 
 class TestWatchDuty:
     """Which entries watch the store."""
--- a/packages/testing/src/sassafrastally/testing/soak/callers.py
+++ b/packages/testing/src/sassafrastally/testing/soak/callers.py
@@ -34,7 +34,6 @@
 STRIDE = 34
 """Tokens in an event, as the engines' figures say."""
 
-KIND_WEIGHTS = {Kind.NOTE: 50, Kind.DOSSIER: 3, Kind.LOOK: 22, Kind.BOOK: 22}
 PROMPT_TOKENS = {Kind.NOTE: (500, 12_000), Kind.DOSSIER: (40_000, 260_000)}
 MOST_EVENTS = 24
 
--- a/packages/testing/src/sassafrastally/testing/soak/contention.py
+++ b/packages/testing/src/sassafrastally/testing/soak/contention.py
@@ -10,9 +10,9 @@
 import trio
 
 from sassafrastally.platform.discovery import KEYS
-from sassafrastally.testing.soak.callers import GIVES_UP_S, KIND_WEIGHTS
+from sassafrastally.testing.soak.callers import GIVES_UP_S
 from sassafrastally.testing.soak.entry_process import COLD_OVERRUN, COLD_SLACK, EVACUATED_S
-from sassafrastally.testing.soak.record import HarmedSpan, Kind
+from sassafrastally.testing.soak.record import KIND_WEIGHTS, HarmedSpan, Kind
 from sassafrastally.testing.soak.troubles import NoServerFree, claimed, some_server, trouble
 
 if TYPE_CHECKING:
--- a/packages/testing/src/sassafrastally/testing/soak/fleet.py
+++ b/packages/testing/src/sassafrastally/testing/soak/fleet.py
@@ -16,10 +16,9 @@
 from sassafrastally.stand_ins.documents import make_configuration, make_route
 from sassafrastally.stand_ins.metadata_store import MetadataStore
 from sassafrastally.stand_ins.replica import Replica
-from sassafrastally.testing.soak.callers import KIND_WEIGHTS
 from sassafrastally.testing.soak.entry_process import STOP_TIME_S, EntryProcess
 from sassafrastally.testing.soak.proxying import LoopbackProxy
-from sassafrastally.testing.soak.record import Record
+from sassafrastally.testing.soak.record import KIND_WEIGHTS, Record
 
 if TYPE_CHECKING:
     import random
--- a/packages/testing/src/sassafrastally/testing/soak/record.py
+++ b/packages/testing/src/sassafrastally/testing/soak/record.py
@@ -36,6 +36,10 @@
         return self in (Kind.NOTE, Kind.DOSSIER)
 
 
+KIND_WEIGHTS = {Kind.NOTE: 50, Kind.DOSSIER: 3, Kind.LOOK: 22, Kind.BOOK: 22}
+"""How often callers draw each kind of request, relative to each other."""
+
+
 class Attempt:
     """One attempt of a caller, with its answer.
 
