Keep the platform's names in its stand-ins; judge the soak's evacuations and cold servers always

The soak wrote keys and fields of the platform itself, and skipped two checks if the product's parts were missing, which they no longer are.

--- a/packages/testing/src/sassafrastally/testing/soak/contention.py
+++ b/packages/testing/src/sassafrastally/testing/soak/contention.py
@@ -2,14 +2,13 @@
 
 from __future__ import annotations
 
-import json
 from bisect import bisect_left
-from importlib.util import find_spec
 from typing import TYPE_CHECKING
 
 import trio
 
 from sassafrastally.platform.discovery import KEYS
+from sassafrastally.stand_ins.documents import with_cold_time
 from sassafrastally.testing.soak.callers import GIVES_UP_S
 from sassafrastally.testing.soak.entry_process import COLD_OVERRUN, COLD_SLACK, EVACUATED_S
 from sassafrastally.testing.soak.record import KIND_WEIGHTS, HarmedSpan, Kind
@@ -68,7 +67,7 @@
     if fleet.evacuating:
         raise NoServerFree
     data_centre = fleet.random.choice(fleet.data_centres)
-    key = f"op/evacuate/{data_centre}"
+    key = KEYS.evacuations_prefix + data_centre
     fleet.evacuating = True
     with fleet.record.trouble(EVACUATED, planned=True):
         fleet.write(key, b"{}")
@@ -89,8 +88,8 @@
         begin_s, cold_s = trio.current_time(), fleet.cold_s
         server_id = server.replica.server_id
         with fleet.record.trouble(COLD):
-            record = json.loads(server.replica.entry()) | {"coldLeftMs": round(cold_s * 1000)}
-            fleet.write(f"servers/{server_id}", json.dumps(record).encode())
+            record = with_cold_time(server.replica.entry(), cold_s)
+            fleet.write(KEYS.servers_prefix + server_id, record)
             crashed = await _crashes(server, begin_s + cold_s, fleet.cold_per_s)
             fleet.cold.append(HarmedSpan(server_id, begin_s, trio.current_time()))
             if crashed:
@@ -113,11 +112,9 @@
 
 
 def judge_contention(fleet: SoakFleet) -> None:
-    """Judge evacuations and cold servers, if the product knows them, and the callers' waits."""
-    if getattr(KEYS, "evacuations_prefix", ""):
-        _judge_evacuations(fleet)
-    if find_spec("sassafrastally.proxy.warm_up") is not None:
-        _judge_cold(fleet)
+    """Judge evacuations, cold servers, and the callers' waits."""
+    _judge_evacuations(fleet)
+    _judge_cold(fleet)
     endless = [
         attempt.attempt_id
         for attempt in fleet.record.attempts.values()
--- a/packages/testing/src/sassafrastally/testing/soak/fleet.py
+++ b/packages/testing/src/sassafrastally/testing/soak/fleet.py
@@ -11,9 +11,16 @@
 
 from sassafrastally.core import Address
 from sassafrastally.platform.adapter import PlatformDialect
+from sassafrastally.platform.discovery import KEYS
 from sassafrastally.proxy.calls import CallClient
 from sassafrastally.proxy.store import AnswerLost
-from sassafrastally.stand_ins.documents import make_configuration, make_route
+from sassafrastally.stand_ins.documents import (
+    add_customer,
+    make_configuration,
+    make_customer,
+    make_route,
+    set_cold_servers,
+)
 from sassafrastally.stand_ins.metadata_store import MetadataStore
 from sassafrastally.stand_ins.replica import Replica
 from sassafrastally.testing.soak.entry_process import STOP_TIME_S, EntryProcess
@@ -152,11 +159,9 @@
         document = make_configuration(self.version)
         own = make_route(self.route_of(self.version), "idempotent", "desk", public=True)
         document["routes"].append(own)
-        document["tenants"].append(
-            {"name": "ben", "apiKeys": [self.key_of(self.version)], "priority": 1}
-        )
-        document["services"][0] |= {"coldS": self.cold_s, "coldPerS": self.cold_per_s}
-        self.write("op/config", json.dumps(document).encode())
+        add_customer(document, make_customer("ben", self.key_of(self.version)))
+        set_cold_servers(document["services"][0], self.cold_s, self.cold_per_s)
+        self.write(KEYS.configuration, json.dumps(document).encode())
         self.configured_s[self.version] = trio.current_time()
 
     @staticmethod
@@ -173,11 +178,11 @@
         """Write a server's entry to the store."""
         server.replica.address = server.address
         value = server.replica.entry(is_draining=is_draining)
-        self.write(f"servers/{server.replica.server_id}", value)
+        self.write(KEYS.servers_prefix + server.replica.server_id, value)
 
     def unregister(self, server: Server) -> None:
         """Remove a server's entry."""
-        self.remove(f"servers/{server.replica.server_id}")
+        self.remove(KEYS.servers_prefix + server.replica.server_id)
 
     def remove(self, key: str) -> None:
         """Remove what the operator or a server has written."""
