--- a/packages/proxy/src/sassafrastally/proxy/admission.py
+++ b/packages/proxy/src/sassafrastally/proxy/admission.py
@@ -27,6 +27,11 @@
 """Prefill backlog above which no long prompt is accepted, as a share of the longest goal. Engines
 prefill the newest part first, so a prompt accepted beyond this limit delays others, not itself."""
 
+MAX_BACKLOG_SHARE_WITH_QUEUE = 0.25
+"""The same for prompts with the longest goal that wait at the entry if they are refused: three
+quarters of the goal are left for the wait and their own prefill. What waits at the entry delays no
+more urgent request, and prompts with shorter goals find the room that it leaves."""
+
 OWN_PREFILL_WEIGHT = 3.0
 """Weight of a long prompt's own prefill time relative to the backlog. The larger a prompt, the more
 other requests it makes late in order to be in time itself."""
@@ -41,7 +46,23 @@
     """Longest goal of all routes to the same engines."""
 
 
-def overload_reason(plan: Placement, goals: Goals) -> str:
+def backlog_bound(goals: Goals, *, has_queue: bool) -> float:
+    """Return the bound of the prefill backlog for a request, as a share of the longest goal.
+
+    Parameters
+    ----------
+    goals
+        Goals for the time to its first event.
+    has_queue
+        Whether it waits at the entry if it is rejected.
+    """
+    can_wait = has_queue and goals.own_s >= goals.longest_s
+    return MAX_BACKLOG_SHARE_WITH_QUEUE if can_wait else MAX_BACKLOG_SHARE
+
+
+def overload_reason(
+    plan: Placement, goals: Goals, max_backlog_share: float = MAX_BACKLOG_SHARE
+) -> str:
     """Return why a new request is rejected, or an empty string if it is accepted.
 
     Parameters
@@ -50,10 +71,12 @@
         Planned placement of the request.
     goals
         Goals for the time to its first event.
+    max_backlog_share
+        Prefill backlog above which no long prompt is accepted, as a share of the longest goal.
     """
     if plan.lane is Lane.SHORT:
         return _short_reason(plan, goals.own_s)
-    return _long_reason(plan, goals.longest_s)
+    return _long_reason(plan, goals.longest_s, max_backlog_share)
 
 
 def _short_reason(plan: Placement, goal_s: float) -> str:
@@ -63,9 +86,9 @@
     return f"first event in {plan.predicted_s:.2f} s, {wait_s:.2f} s of it behind other work"
 
 
-def _long_reason(plan: Placement, longest_goal_s: float) -> str:
+def _long_reason(plan: Placement, longest_goal_s: float, max_backlog_share: float) -> str:
     if plan.backlog_s <= ALWAYS_ACCEPTED_BACKLOG_SHARE * longest_goal_s:
         return ""
-    if plan.backlog_s + OWN_PREFILL_WEIGHT * plan.own_s <= MAX_BACKLOG_SHARE * longest_goal_s:
+    if plan.backlog_s + OWN_PREFILL_WEIGHT * plan.own_s <= max_backlog_share * longest_goal_s:
         return ""
     return f"{plan.backlog_s:.2f} s of reading under way for each engine, {plan.own_s:.2f} s more"
--- a/packages/proxy/src/sassafrastally/proxy/streaming_request.py
+++ b/packages/proxy/src/sassafrastally/proxy/streaming_request.py
@@ -8,7 +8,7 @@
 
 import trio
 
-from sassafrastally.proxy.admission import Goals, overload_reason
+from sassafrastally.proxy.admission import Goals, backlog_bound, overload_reason
 from sassafrastally.proxy.admission_queue import (
     latest_start_s,
     least_alone_s,
@@ -133,7 +133,7 @@
         placement = self._place()
         if placement is None:
             return "no engine has room"
-        if self._is_new() and (reason := overload_reason(placement, self._goals())):
+        if self._is_new() and (reason := self._overload_reason(placement)):
             return reason
         time_left_s = self._task.time_left_s(self._clock.now_s())
         patience_s = self._caller_timeout_s() - self.progress.waited_s
@@ -250,8 +250,11 @@
         """Return whether no part of the response exists yet, here or at another entry."""
         return self.progress.attempts == 0 and self._last_event_id is None
 
-    def _goals(self) -> Goals:
-        return Goals(self._goal_s(), self._limits.longest_goal_s)
+    def _overload_reason(self, placement: Placement) -> str:
+        """Return why load prevents a new request from starting; empty if it doesn't."""
+        goals = Goals(self._goal_s(), self._limits.longest_goal_s)
+        share = backlog_bound(goals, has_queue=self._room_wait.applies)
+        return overload_reason(placement, goals, share)
 
     def _goal_s(self) -> float:
         return self._task.route.goal_s or self._task.time_limit_s
--- a/packages/proxy/tests/test_admission.py
+++ b/packages/proxy/tests/test_admission.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from sassafrastally.core import Address
-from sassafrastally.proxy.admission import Goals, overload_reason
+from sassafrastally.proxy.admission import Goals, backlog_bound, overload_reason
 from sassafrastally.proxy.load import Lane
 from sassafrastally.proxy.model import BackendServer
 from sassafrastally.proxy.plan import Placement
@@ -50,3 +50,14 @@
         """Guards against rejecting a prompt of a million tokens, which takes 20 engines 2.3 s
         each, while the engines are almost idle."""
         assert not overload_reason(plan(Lane.LONG, 2.6, 2.5, own_s=2.3, backlog_s=0.1), LONG_GOALS)
+
+    def test_prompt_that_can_wait_leaves_room_for_more_urgent_ones(self):
+        """Guards against a queue that keeps the engines at the bound of their backlog, so that
+        prompts with shorter goals are late for as long as anything waits."""
+        placement = plan(Lane.LONG, 1.8, 0.5, own_s=0.05, backlog_s=1.2)
+        for goals, is_accepted in ((LONG_GOALS, False), (Goals(1.5, 4.0), True)):
+            bound = backlog_bound(goals, has_queue=True)
+            assert (not overload_reason(placement, goals, bound)) is is_accepted
+        assert not overload_reason(
+            placement, LONG_GOALS, backlog_bound(LONG_GOALS, has_queue=False)
+        )
--- a/packages/testing/src/sassafrastally/testing/load_replay.py
+++ b/packages/testing/src/sassafrastally/testing/load_replay.py
@@ -15,7 +15,7 @@
 import trio
 
 from sassafrastally.core import Address
-from sassafrastally.proxy.admission import Goals, overload_reason
+from sassafrastally.proxy.admission import Goals, backlog_bound, overload_reason
 from sassafrastally.proxy.admission_queue import (
     AdmissionQueue,
     WaitingFacts,
@@ -345,7 +345,9 @@
         )
 
     def _may_begin(self, placement: Placement, *, is_new: bool) -> bool:
-        if is_new and overload_reason(placement, self._replay.goals(self._arrival)):
+        goals = self._replay.goals(self._arrival)
+        share = backlog_bound(goals, has_queue=self._replay.queues)
+        if is_new and overload_reason(placement, goals, share):
             return False
         left_s = self._end_s - trio.current_time()
         patience_s = self._patience_s() - self._waited_s
