--- a/packages/proxy/src/sassafrastally/proxy/peers.capnp
+++ b/packages/proxy/src/sassafrastally/proxy/peers.capnp
@@ -29,6 +29,32 @@
   grants @24 :List(Grant);    # shares of limits that the sender leaves to other entries
   isToForward @25 :Bool;      # in a sum: the receiving relay forwards it within its data centre
   isOverloaded @26 :Bool;     # the sender leaves duties to others
+  isContended @27 :Bool;      # requests wait for room at the sender, or have lately been refused for load
+  customers @28 :List(CustomerWork);  # customers with the most recent work
+  refusals @29 :List(Refusal);  # refused requests whose callers have been asked to wait
+  colds @30 :List(Cold);      # servers that are cold according to their responses
+  failures @31 :List(ServerFailures);  # servers with recent failures
+}
+
+struct CustomerWork {
+  customer @0 :UInt64;        # hash of the customer's name
+  workMs @1 :UInt32;          # engine time of the work started in the last seconds
+}
+
+struct Refusal {
+  request @0 :UInt64;         # fingerprint of the request
+  dueMs @1 :UInt32;           # remaining time until its caller may retry
+}
+
+struct Cold {
+  server @0 :UInt64;          # hash of the backend server's id
+  leftMs @1 :UInt32;          # remaining cold time
+}
+
+struct ServerFailures {
+  server @0 :UInt64;          # hash of the backend server's id
+  failures @1 :UInt16;
+  responses @2 :UInt16;       # failures included
 }
 
 struct Demand {
