Share contention state between entries

Cause: the queue for requests without room orders by the work that an entry itself has started for a customer, and detects an early retry only at the entry that refused it. With 25 entries, each sees a twenty-fifth of both.

Change: datagrams carry customers' work and refused requests while requests wait (folder contention, without I/O); the order of the queue and the detection of early retries use them. The load replay exchanges them and knows callers that ignore Retry-After; it is split into four modules.

--- a/packages/proxy/src/sassafrastally/proxy/admission_queue/admission_queue.py
+++ b/packages/proxy/src/sassafrastally/proxy/admission_queue/admission_queue.py
@@ -21,10 +21,11 @@
     order_key,
     requests_to_refuse,
 )
+from sassafrastally.proxy.contention import REFUSAL_SENT_S, SharedContention
 from sassafrastally.proxy.load import Lane
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable
+    from collections.abc import Callable, Iterable, Set
     from random import Random
 
 SHORTEST_INTERVAL_S = 0.05
@@ -115,6 +116,8 @@
     def __init__(self, random: Random, bounds: QueueBounds | None = None) -> None:
         self.customers = CustomerWork()
         self.early_retries = EarlyRetries()
+        self.contention = SharedContention(self.customers.recent_ms, self._count_all)
+        self.contention.on_refused_elsewhere = self._mark_early
         self._random = random
         self._bounds = bounds or QueueBounds()
         self._queues: dict[QueueName, list[WaitingRequest[object]]] = {}
@@ -126,6 +129,17 @@
         """Return the number of requests of a lane that wait."""
         return sum(len(queue) for name, queue in self._queues.items() if name[1] is lane)
 
+    def is_early(self, fingerprint: int, now_s: float) -> bool:
+        """Return whether the caller of a request was told to come back later, by any entry."""
+        is_early_here = self.early_retries.is_early(fingerprint, now_s)
+        return is_early_here or self.contention.is_early(fingerprint, now_s)
+
+    def record_refusal(self, fingerprint: int, due_s: float, *, is_for_load: bool) -> None:
+        """Record when the caller of a refused request may come back."""
+        self.early_retries.record_refusal(fingerprint, due_s)
+        if is_for_load:
+            self.contention.record_refusal(fingerprint, due_s, trio.current_time())
+
     def is_behind_others(self, name: QueueName, facts: WaitingFacts) -> bool:
         """Return whether a request that arrives has to wait behind others of its queue."""
         queue = self._queues.get(name)
@@ -178,6 +192,7 @@
                 await waiting.ended.wait()
         finally:
             queue.remove(waiting)  # type: ignore[arg-type]
+            self.contention.record_wait(trio.current_time())
             if not queue:
                 self._rates[name].note_empty()
                 self._next_checks_s.pop(name, None)
@@ -232,5 +247,21 @@
             one.refuse("more requests wait than this entry keeps")
 
     def _order(self, now_s: float) -> Callable[[WaitingFacts], OrderKey]:
-        work_ms = self.customers.recent_ms(now_s)
-        return lambda facts: order_key(facts, work_ms, now_s)
+        work_ms = self.contention.work_ms(now_s)
+        return lambda facts: order_key(facts, {facts.customer: work_ms(facts.customer)}, now_s)
+
+    def _count_all(self) -> int:
+        return sum(map(len, self._queues.values()))
+
+    def _mark_early(self, fingerprints: Set[int], now_s: float) -> None:
+        """Move requests behind others that peers had refused before they came here.
+
+        A caller that comes back at once is faster than the datagram. A request that has waited for
+        longer than a refusal is sent came before the refusal, from another caller.
+        """
+        for waiting in (one for queue in self._queues.values() for one in queue):
+            facts = waiting.facts
+            has_just_come = now_s - facts.since_s < REFUSAL_SENT_S
+            if facts.fingerprint in fingerprints and has_just_come and not facts.is_early:
+                waiting.facts = facts._replace(is_early=True)
+                self.contention.count_early(is_known_here=False)
--- a/packages/proxy/src/sassafrastally/proxy/admission_queue/queue_order.py
+++ b/packages/proxy/src/sassafrastally/proxy/admission_queue/queue_order.py
@@ -34,6 +34,8 @@
     since_s: float
     """When the request began to wait."""
     latest_start_s: float
+    fingerprint: int = 0
+    """Identifies the request across its caller's retries; 0 if unknown."""
 
 
 OrderKey = tuple[int, bool, float, float]
--- a/packages/proxy/src/sassafrastally/proxy/daemon.py
+++ b/packages/proxy/src/sassafrastally/proxy/daemon.py
@@ -13,6 +13,7 @@
 from sassafrastally.proxy.caller_listener import CallerListener
 from sassafrastally.proxy.cluster_state import ClusterState
 from sassafrastally.proxy.connection_pool import ConnectionPool
+from sassafrastally.proxy.contention_monitor import ContentionMonitor
 from sassafrastally.proxy.deferred_loading import DeferredLoading
 from sassafrastally.proxy.fleet_view import FleetView
 from sassafrastally.proxy.internal_endpoints import InternalEndpoints
@@ -58,6 +59,7 @@
     kernel.add(QuarantineService(dialect, store))
     kernel.add(EngineReports(settings, dialect))
     kernel.add(RequestPath(dialect, AttemptSender(dialect, pool), budget))
+    kernel.add(ContentionMonitor())
     kernel.add(CallerListener(settings, dialect, listener))
     kernel.add(InternalEndpoints(settings))
     kernel.add(DeferredLoading(start_logs))
--- a/packages/proxy/src/sassafrastally/proxy/internal_endpoints.py
+++ b/packages/proxy/src/sassafrastally/proxy/internal_endpoints.py
@@ -122,6 +122,7 @@
             "scheduling_lag_seconds": self._overload.lag_s,
             "is_overloaded": self._overload.is_overloaded,
             "blocked_callers": self._caller_listener.blocked_callers.count(now_s),
+            **self._queue.contention.gauges(now_s),
             **self._backpressure.gauges(),
         }
 
--- a/packages/proxy/src/sassafrastally/proxy/log_events/__init__.py
+++ b/packages/proxy/src/sassafrastally/proxy/log_events/__init__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from sassafrastally.proxy.log_events.contention import ContentionBegan, ContentionEnded
 from sassafrastally.proxy.log_events.evacuation import (
     DataCentreEvacuated,
     DataCentresIgnored,
@@ -88,6 +89,8 @@
     "ConfigurationIgnored",
     "ConfigurationInForce",
     "ConnectionCrashed",
+    "ContentionBegan",
+    "ContentionEnded",
     "DataCentreEvacuated",
     "DataCentresIgnored",
     "DocumentRejected",
--- a/packages/proxy/src/sassafrastally/proxy/peer_messages.py
+++ b/packages/proxy/src/sassafrastally/proxy/peer_messages.py
@@ -15,6 +15,13 @@
 
 # Runtime import: KvEntry and KvEvent are field types of named tuples.
 from sassafrastally.core import KvEntry, KvEvent
+from sassafrastally.proxy.contention import (
+    NO_CONTENTION_NEWS,
+    ContentionNews,
+    decode_contention,
+    encode_contention,
+    shortened,
+)
 from sassafrastally.proxy.dialect import DocumentInvalid
 from sassafrastally.proxy.load import Work
 from sassafrastally.proxy.quarantine_exchange import (
@@ -101,6 +108,8 @@
     """Demand for shares of limits, and grants."""
     is_overloaded: bool = False
     """Whether the sender leaves duties to others that can take them."""
+    contention: ContentionNews = NO_CONTENTION_NEWS
+    """Customers' work and refused requests while requests wait for room."""
 
 
 @cache
@@ -119,13 +128,15 @@
 
 
 def encode_hello(hello: Hello) -> bytes:
-    """Encode a datagram; if too large, drop loads, shares, then suspects, paces, limits."""
+    """Encode a datagram; if too large, drop contention, loads, shares, suspects, paces, limits."""
     loads = sorted(hello.loads.items(), key=lambda item: (-item[1].prefill_ms, -item[1].requests))
     while True:
         data = _encode(hello, loads)
         if len(data) < MAX_DATAGRAM_BYTES:
             return data
-        if loads:
+        if hello.contention != NO_CONTENTION_NEWS:
+            hello = hello._replace(contention=shortened(hello.contention))
+        elif loads:
             del loads[min(len(loads) - 1, len(loads) * MAX_DATAGRAM_BYTES // len(data)) :]
         elif any(hello.shares):
             hello = hello._replace(shares=NO_SHARE_NEWS)
@@ -207,6 +218,7 @@
             for key, report in list(hello.limits.items())[:MAX_LIMITS_SENT]
         ],
         **_encode_shares(hello.shares),
+        **encode_contention(hello.contention),
     )
     data: bytes = message.to_bytes_packed()
     return data
@@ -248,6 +260,7 @@
             is_to_forward=message.isToForward,
             shares=_decode_shares(message),
             is_overloaded=message.isOverloaded,
+            contention=decode_contention(message),
         )
     except (_codec().KjException, ValueError) as cause:
         raise DocumentInvalid(f"invalid datagram from a peer: {cause!r}") from cause
--- a/packages/proxy/src/sassafrastally/proxy/peer_table.py
+++ b/packages/proxy/src/sassafrastally/proxy/peer_table.py
@@ -33,6 +33,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator, Mapping
 
+    from sassafrastally.proxy.contention import ContentionNews
     from sassafrastally.proxy.load import Work
     from sassafrastally.proxy.peer_messages import Hello
     from sassafrastally.proxy.relays import DataCentreSum
@@ -211,6 +212,10 @@
         """Return the slow engines reported by peers: pace by hash of the id."""
         return max_by_key(hello.paces for hello, _ in self.effective_messages(now_s))
 
+    def contention_news(self, now_s: float) -> list[ContentionNews]:
+        """Return the contention state of the other entries and data centres."""
+        return [hello.contention for hello, _ in self.effective_messages(now_s)]
+
     def watch_candidates(self, now_s: float) -> list[WatchCandidate]:
         """Return the other entries that may watch the store."""
         found: list[WatchCandidate] = []
--- a/packages/proxy/src/sassafrastally/proxy/peers.py
+++ b/packages/proxy/src/sassafrastally/proxy/peers.py
@@ -18,6 +18,7 @@
 from sassafrastally.proxy.calls import CallClient
 from sassafrastally.proxy.change_fetcher import ChangeFetcher, Source, has_news
 from sassafrastally.proxy.cluster_state import ClusterState
+from sassafrastally.proxy.contention import ContentionExchange, NullContentionExchange
 from sassafrastally.proxy.dialect import DocumentInvalid
 from sassafrastally.proxy.load import server_hash
 from sassafrastally.proxy.load_exchange import (
@@ -44,6 +45,7 @@
     from collections.abc import Callable, Iterable, Mapping, Sequence
 
     from sassafrastally.core import KvEvent
+    from sassafrastally.proxy.contention import ContentionNews
     from sassafrastally.proxy.dialect import Dialect
     from sassafrastally.proxy.load import Ledger, Work
     from sassafrastally.proxy.settings import ProxySettings
@@ -89,6 +91,8 @@
         """Source and receiver of news about requests during which servers crash."""
         self.limits: LimitExchange = NullLimitExchange()
         """Source and receiver of servers' request rate limits."""
+        self.contention: ContentionExchange = NullContentionExchange()
+        """Source and receiver of customers' work and refused requests."""
 
     async def start(self, nursery: trio.Nursery) -> None:
         """Bind the UDP port and start the exchange."""
@@ -213,6 +217,10 @@
         """Return the slow engines reported by peers: pace by hash of the id."""
         return self._table.paces(self._now_s)
 
+    def contention_news(self) -> list[ContentionNews]:
+        """Return the contention state of the other entries and data centres."""
+        return self._table.contention_news(self._now_s)
+
     def send_now(self) -> None:
         """Send updates to peers and other data centres without waiting for the next interval."""
         self._ledger.note_change(is_urgent=True)
@@ -245,6 +253,7 @@
             configuration_version=self._cluster_state.configuration_version,
             draining=self._cluster_state.servers.draining_to_announce(),
             is_overloaded=self._table.is_overloaded,
+            contention=self.contention.news_to_send(now_s),
         )
 
     @property
@@ -319,6 +328,7 @@
             self._wake_sums_for_prefill(known_loads, hello.loads)
         self.limits.apply(hello.limits, hello.host)
         self.limits.apply_shares(hello.shares, hello.host)
+        self.contention.apply(hello.contention, now_s)
         if hello.quarantine != EMPTY_REPORT and self.quarantine.apply(hello.quarantine):
             self._sums.send_now()
         if not hello.entries and silent_s > PEER_TIMEOUT_S:
--- a/packages/proxy/src/sassafrastally/proxy/relays/data_centre_sum.py
+++ b/packages/proxy/src/sassafrastally/proxy/relays/data_centre_sum.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from sassafrastally.proxy.contention import sum_contention
 from sassafrastally.proxy.load import sum_work
 from sassafrastally.proxy.store_watchers import WatchCandidate, watchers
 
@@ -47,6 +48,9 @@
         suspects=max_by_key([own.suspects, *suspects]),
         paces=max_by_key([own.paces, *(hello.paces for hello, _ in hellos)]),
         watchers=tuple(watchers([own_entry, *at_the_store])),
+        contention=sum_contention(
+            [(own.contention, 0.0), *((hello.contention, age_s) for hello, age_s in hellos)]
+        ),
     )
 
 
--- a/packages/proxy/src/sassafrastally/proxy/request_handler.py
+++ b/packages/proxy/src/sassafrastally/proxy/request_handler.py
@@ -125,7 +125,9 @@
                 if is_for_load
                 else retry_delay_after_failure_s(time_left_s, random_share, self._goal_left_s())
             )
-            self._room_wait.record_refusal(delay_s)
+            is_contended = is_for_load and unavailability is Unavailability.NONE
+            has_met_load = self._room_wait.has_asked or self.progress.attempts > 0
+            self._room_wait.record_refusal(delay_s, is_for_load=is_contended and has_met_load)
             return LocalReply(refusal, detail, delay_s)
         refusal = TURNED_AWAY if self.progress.attempts else SERVERS_LIMITED
         detail = f"service {service}: the next one takes a request in {available_in_s:.2f} s"
--- a/packages/proxy/src/sassafrastally/proxy/waiting_for_room.py
+++ b/packages/proxy/src/sassafrastally/proxy/waiting_for_room.py
@@ -44,12 +44,15 @@
         self.applies = applies
         self.waited_s = 0.0
         """Time that the request has waited so far."""
+        self.has_asked = False
+        """Whether the request has waited, or could have if there were any hope."""
         self._services = services
         self._task = task
         self._queue = services.queue
         self._name = (task.service, lane)
         self._work_ms = work_ms
         self._clock = services.kernel.clock
+        self._was_counted_early = False
 
     def is_behind_others(self, latest_start_s: float) -> bool:
         """Return whether others wait for the same room and come first."""
@@ -76,6 +79,7 @@
             As for `WaitingRequest`.
         """
         facts = self._facts(latest_start_s)
+        self.has_asked = True
         self._services.kernel.events.emit(
             RequestQueued(
                 self._task.request.facts.request_id,
@@ -102,11 +106,21 @@
         if self.applies:
             self._queue.record_start(self._name, self._facts(0.0))
 
-    def record_refusal(self, retry_after_s: float) -> None:
-        """Remember when the caller may come back."""
+    def record_refusal(self, retry_after_s: float, *, is_for_load: bool) -> None:
+        """Remember when the caller may come back, and tell the peers if load is the reason."""
         if self.applies:
             due_s = self._clock.now_s() + retry_after_s
-            self._queue.early_retries.record_refusal(self._task.fingerprint, due_s)
+            self._queue.record_refusal(self._task.fingerprint, due_s, is_for_load=is_for_load)
+
+    def _is_early(self, now_s: float) -> bool:
+        """Return whether the caller has come back too early; count it once."""
+        fingerprint = self._task.fingerprint
+        is_early = self._queue.is_early(fingerprint, now_s)
+        if is_early and not self._was_counted_early:
+            self._was_counted_early = True
+            is_known_here = self._queue.early_retries.is_early(fingerprint, now_s)
+            self._queue.contention.count_early(is_known_here=is_known_here)
+        return is_early
 
     def _facts(self, latest_start_s: float) -> WaitingFacts:
         task, now_s = self._task, self._clock.now_s()
@@ -114,10 +128,11 @@
         own_priority = customer.priority if customer else None
         return WaitingFacts(
             priority=task.route.priority if own_priority is None else own_priority,
-            is_early=self._queue.early_retries.is_early(task.fingerprint, now_s),
+            is_early=self._is_early(now_s),
             customer=task.customer_name or "",
             work_ms=self._work_ms,
             body_bytes=len(task.request.body),
             since_s=now_s,
             latest_start_s=latest_start_s,
+            fingerprint=task.fingerprint,
         )
--- /dev/null
+++ b/packages/testing/src/sassafrastally/testing/load_entries.py
@@ -0,0 +1,87 @@
+"""Entries of a replay, and the exchange of their state without a network."""
+
+from __future__ import annotations
+
+import random
+from functools import partial
+from typing import TYPE_CHECKING
+
+import trio
+
+from sassafrastally.proxy.admission_queue import AdmissionQueue
+from sassafrastally.proxy.contention import NO_CONTENTION_NEWS, ContentionNews
+from sassafrastally.proxy.load import Ledger, Work, server_hash
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping, Sequence
+
+    from sassafrastally.proxy.rate_limits import SentRequests
+
+DATAGRAM_LATENCY_S = 0.02
+"""Time that a datagram takes from entry to entry."""
+
+
+class ReplayEntry:
+    """What one entry knows and has under way."""
+
+    def __init__(self, seed: int) -> None:
+        self.ledger = Ledger()
+        self.queue = AdmissionQueue(random.Random(seed + 1))
+        self.random = random.Random(seed)
+        self.told: Mapping[int, Work] = {}
+        """Its work as the others know it."""
+        self.news: ContentionNews = NO_CONTENTION_NEWS
+        """Its contention state as the others know it."""
+        self.sent: dict[str, SentRequests] = {}
+        """Requests that it sent to engines with a limit."""
+
+
+class ReplayExchange:
+    """Tells each entry what the others tell.
+
+    Parameters
+    ----------
+    entries
+        All entries.
+    gap_s
+        Time between two datagrams of an entry.
+    shares_contention
+        Whether datagrams contain the contention state.
+    """
+
+    def __init__(
+        self, entries: Sequence[ReplayEntry], gap_s: float, *, shares_contention: bool
+    ) -> None:
+        self._entries = entries
+        self._gap_s = gap_s
+        self._shares_contention = shares_contention
+        for entry in entries:
+            entry.ledger.others = partial(self.told_to, entry)
+            if shares_contention:
+                entry.queue.contention.peers_news = partial(self._news_to, entry)
+                entry.queue.contention.on_refusal = entry.ledger.note_change
+
+    def told_to(self, entry: ReplayEntry) -> list[Mapping[int, Work]]:
+        """Return the others' work as an entry knows it."""
+        return [other.told for other in self._entries if other is not entry]
+
+    async def send(self, entry: ReplayEntry) -> None:
+        """Send the datagrams of an entry."""
+        await trio.sleep(self._gap_s * entry.random.random())
+        while True:
+            seen = entry.ledger.urgent_count
+            work = entry.ledger.work(trio.current_time())
+            told = {server_hash(incarnation_id): of_one for incarnation_id, of_one in work.items()}
+            news = NO_CONTENTION_NEWS
+            if self._shares_contention:
+                news = entry.queue.contention.news_to_send(trio.current_time())
+            await trio.sleep(DATAGRAM_LATENCY_S)
+            entry.told, entry.news = told, news
+            for other in self._entries:
+                if other is not entry:
+                    other.queue.contention.apply(news, trio.current_time())
+            with trio.move_on_after(self._gap_s - DATAGRAM_LATENCY_S):
+                await entry.ledger.urgent_since(seen)
+
+    def _news_to(self, entry: ReplayEntry) -> list[ContentionNews]:
+        return [other.news for other in self._entries if other is not entry]
--- a/packages/testing/src/sassafrastally/testing/load_replay.py
+++ b/packages/testing/src/sassafrastally/testing/load_replay.py
@@ -10,14 +10,13 @@
 import random
 from contextlib import aclosing
 from functools import partial
-from typing import TYPE_CHECKING, NamedTuple
+from typing import TYPE_CHECKING
 
 import trio
 
 from sassafrastally.core import Address
 from sassafrastally.proxy.admission import Goals, backlog_bound, overload_reason
 from sassafrastally.proxy.admission_queue import (
-    AdmissionQueue,
     WaitingFacts,
     WaitingRequest,
     is_queueing_useful,
@@ -28,7 +27,7 @@
 )
 from sassafrastally.proxy.caller_timeout import caller_timeout_s
 from sassafrastally.proxy.lanes import PlacementRandomizer, ServerView, choose_lane
-from sassafrastally.proxy.load import InFlightAttempt, Lane, Ledger, Work, merge_work, server_hash
+from sassafrastally.proxy.load import InFlightAttempt, Lane, merge_work, server_hash
 from sassafrastally.proxy.model import BackendServer, Route, RouteKind
 from sassafrastally.proxy.placement import place_request
 from sassafrastally.proxy.prefill_limits import prefill_limits_for
@@ -41,69 +40,18 @@
 from sassafrastally.proxy.turning_away import retry_delay_s, would_miss_deadline
 from sassafrastally.stand_ins.simulated_engine import EngineFull, SimulatedEngine
 from sassafrastally.testing.load_arrivals import Arrival, Deployment, Kind
+from sassafrastally.testing.load_callers import PATIENT_CALLERS, Callers
+from sassafrastally.testing.load_entries import DATAGRAM_LATENCY_S, ReplayEntry, ReplayExchange
+from sassafrastally.testing.load_outcomes import Outcome, share_of_value
 
 if TYPE_CHECKING:
     from collections.abc import Mapping, Sequence
 
     from sassafrastally.proxy.plan import Placement
 
-MOST_ATTEMPTS = 2
-
-DATAGRAM_LATENCY_S = 0.02
-"""Time that a datagram takes from entry to entry."""
-
-
-class Outcome(NamedTuple):
-    """How a request ended."""
-
-    arrival: Arrival
-    predicted_s: float | None
-    """Time to the first event that was predicted at the last attempt; ``None`` without one."""
-    first_s: float | None
-    """Time from the first arrival to the first event; ``None`` when it was never answered."""
-    longest_pause_s: float
-    is_whole: bool
-    refusals: int
-    waited_s: float = 0.0
-    """Time that it waited for room at entries."""
-
-    @property
-    def is_timely(self) -> bool:
-        """Whether its caller had a whole answer in time and without a long pause."""
-        kind = self.arrival.kind
-        return (
-            self.is_whole
-            and self.first_s is not None
-            and self.first_s <= kind.goal_s
-            and self.longest_pause_s <= kind.pause_goal_s
-        )
-
-    @property
-    def value(self) -> float:
-        """What the answer is worth."""
-        if not self.is_whole:
-            return 0.0
-        return self.arrival.kind.value if self.is_timely else self.arrival.kind.late_value
-
-
-def share_of_value(outcomes: Sequence[Outcome], kind: str = "") -> float:
-    """Return the share of what all answers could be worth, of one kind or of all."""
-    chosen = [one for one in outcomes if kind in ("", one.arrival.kind.name)]
-    most = sum(one.arrival.kind.value for one in chosen)
-    return sum(one.value for one in chosen) / most if most else 1.0
-
+__all__ = ["LoadReplay", "Outcome", "share_of_value"]
 
-class _Entry:
-    """What one entry knows and has under way."""
-
-    def __init__(self, seed: int) -> None:
-        self.ledger = Ledger()
-        self.queue = AdmissionQueue(random.Random(seed + 1))
-        self.random = random.Random(seed)
-        self.told: Mapping[int, Work] = {}
-        """Its work as the others know it."""
-        self.sent: dict[str, SentRequests] = {}
-        """Requests that it sent to engines with a limit."""
+MOST_ATTEMPTS = 2
 
 
 class LoadReplay:
@@ -121,6 +69,10 @@
         Whether limited engines read parts of others' prompts only in need.
     queues
         Whether requests wait for room where the product lets them.
+    shares_contention
+        Whether entries exchange their contention state.
+    callers
+        How callers react to refusals.
     """
 
     def __init__(
@@ -131,8 +83,12 @@
         *,
         spares_limited: bool = True,
         queues: bool = True,
+        shares_contention: bool = True,
+        callers: Callers = PATIENT_CALLERS,
     ) -> None:
         self._deployment = deployment
+        self._callers = callers
+        self._seed = seed
         self._most_per_s = {f"e{number}": most for number, most in (limits_per_s or {}).items()}
         self._spares_limited = spares_limited
         self.sent_s: dict[str, list[float]] = {
@@ -141,9 +97,10 @@
         """When requests were sent to each engine with a limit."""
         self.profile = deployment.profile
         self._draw = random.Random(seed)
-        self._entries = [_Entry(seed * 1000 + number) for number in range(deployment.entries)]
-        for entry in self._entries:
-            entry.ledger.others = partial(self._told_to, entry)
+        self._entries = [ReplayEntry(seed * 1000 + number) for number in range(deployment.entries)]
+        self._exchange = ReplayExchange(
+            self._entries, deployment.news_gap_s, shares_contention=shares_contention
+        )
         self._engines = [SimulatedEngine(deployment.profile) for _ in range(deployment.engines)]
         self._servers = sorted(
             (
@@ -167,48 +124,35 @@
             for engine in self._engines:
                 nursery.start_soon(engine.work)
             for entry in self._entries:
-                nursery.start_soon(self._tell, entry)
+                nursery.start_soon(self._exchange.send, entry)
                 nursery.start_soon(entry.queue.run)
             async with trio.open_nursery() as callers:
-                for arrival in arrivals:
-                    callers.start_soon(self._call, arrival)
+                for number, arrival in enumerate(arrivals):
+                    callers.start_soon(self._call, arrival, number)
             nursery.cancel_scope.cancel()
         return self.outcomes
 
-    def _told_to(self, entry: _Entry) -> list[Mapping[int, Work]]:
-        return [other.told for other in self._entries if other is not entry]
-
-    async def _tell(self, entry: _Entry) -> None:
-        gap_s = self._deployment.news_gap_s
-        await trio.sleep(gap_s * entry.random.random())
-        while True:
-            seen = entry.ledger.urgent_count
-            work = entry.ledger.work(trio.current_time())
-            told = {server_hash(incarnation_id): of_one for incarnation_id, of_one in work.items()}
-            await trio.sleep(DATAGRAM_LATENCY_S)
-            entry.told = told
-            with trio.move_on_after(gap_s - DATAGRAM_LATENCY_S):
-                await entry.ledger.urgent_since(seen)
-
-    async def _call(self, arrival: Arrival) -> None:
-        """Ask once, and once more when turned away."""
+    async def _call(self, arrival: Arrival, number: int) -> None:
+        """Ask once, and again when turned away: once, or several times without waiting."""
         await trio.sleep_until(self._begin_s + arrival.at_s)
         outcome = Outcome(arrival, None, None, 0.0, False, 0)
         end_s = trio.current_time() + arrival.kind.patience_s
         with trio.move_on_at(end_s):
-            for _ in range(2):
+            is_hasty = self._callers.is_hasty(self._seed, number)
+            for _ in range(1 + self._callers.retries(is_hasty=is_hasty)):
                 entry = self._draw.choice(self._entries)
-                asked = _Asked(self, entry, arrival, end_s)
+                asked = _Asked(self, entry, arrival, end_s, number + 1)
                 waited_s = outcome.waited_s
-                outcome = (await asked.run())._replace(refusals=outcome.refusals)
+                outcome = (await asked.run())._replace(refusals=outcome.refusals, is_hasty=is_hasty)
                 outcome = outcome._replace(waited_s=outcome.waited_s + waited_s)
                 if asked.retry_delay_s is None:
                     break
                 outcome = outcome._replace(refusals=outcome.refusals + 1)
-                await trio.sleep(min(asked.retry_delay_s, arrival.kind.patience_s / 3))
+                told_s = min(asked.retry_delay_s, arrival.kind.patience_s / 3)
+                await trio.sleep(self._callers.delay_s(told_s, is_hasty=is_hasty))
         self.outcomes.append(outcome)
 
-    def place(self, entry: _Entry, arrival: Arrival, tried: set[str]) -> Placement | None:
+    def place(self, entry: ReplayEntry, arrival: Arrival, tried: set[str]) -> Placement | None:
         """Return where an entry sends a request."""
         views = self.views(entry, tried)
         return place_request(
@@ -221,9 +165,9 @@
             PlacementRandomizer(entry.random, self._deployment.news_gap_s + DATAGRAM_LATENCY_S),
         )
 
-    def views(self, entry: _Entry, tried: set[str]) -> list[ServerView]:
+    def views(self, entry: ReplayEntry, tried: set[str]) -> list[ServerView]:
         """Return the engines as an entry sees them."""
-        work = merge_work(entry.ledger.work(trio.current_time()), self._told_to(entry))
+        work = merge_work(entry.ledger.work(trio.current_time()), self._exchange.told_to(entry))
         return [
             ServerView(
                 server,
@@ -234,7 +178,7 @@
             if server.incarnation_id not in tried and self._has_room(entry, server.incarnation_id)
         ]
 
-    def note_sent(self, entry: _Entry, placement: Placement) -> None:
+    def note_sent(self, entry: ReplayEntry, placement: Placement) -> None:
         """Count what an entry sends to engines with a limit."""
         servers = [placement.server, *placement.helpers]
         now_s = trio.current_time()
@@ -243,7 +187,7 @@
                 entry.sent.setdefault(incarnation_id, SentRequests()).record(now_s)
                 self.sent_s[incarnation_id].append(now_s - self._begin_s)
 
-    def _has_room(self, entry: _Entry, incarnation_id: str) -> bool:
+    def _has_room(self, entry: ReplayEntry, incarnation_id: str) -> bool:
         if incarnation_id not in self._most_per_s:
             return True
         names = {one: f"entry-{number}" for number, one in enumerate(self._entries)}
@@ -271,13 +215,21 @@
 class _Asked:
     """One time that a caller asks an entry."""
 
-    def __init__(self, replay: LoadReplay, entry: _Entry, arrival: Arrival, end_s: float) -> None:
+    def __init__(
+        self,
+        replay: LoadReplay,
+        entry: ReplayEntry,
+        arrival: Arrival,
+        end_s: float,
+        fingerprint: int,
+    ) -> None:
         self.retry_delay_s: float | None = None
         """When the caller is to come back, if it was turned away."""
         self._replay = replay
         self._entry = entry
         self._arrival = arrival
         self._end_s = end_s
+        self._fingerprint = fingerprint
         self._first_s: float | None = None
         self._previous_s = 0.0
         self._longest_pause_s = 0.0
@@ -296,6 +248,7 @@
                     lane = self._replay.lane(self._arrival)
                     room_s = self._entry.queue.expected_wait_s(("engines", lane))
                     self.retry_delay_s = retry_delay_s(left_s, self._entry.random.random(), room_s)
+                    self._record_refusal(self.retry_delay_s)
                 break
             predicted_s = placement.predicted_s
             tried.add(placement.server.incarnation_id)
@@ -319,6 +272,11 @@
         self._waited_s += waited.waited_s
         return waited.started
 
+    def _record_refusal(self, delay_s: float) -> None:
+        if self._replay.queues:
+            due_s = trio.current_time() + delay_s
+            self._entry.queue.record_refusal(self._fingerprint, due_s, is_for_load=True)
+
     def _plan(self, tried: set[str], *, is_new: bool) -> Placement | None:
         placement = self._replay.place(self._entry, self._arrival, tried)
         if placement is None or not self._may_begin(placement, is_new=is_new):
@@ -330,7 +288,7 @@
         profile = self._replay.profile
         return WaitingFacts(
             priority=arrival.kind.priority,
-            is_early=False,
+            is_early=self._entry.queue.is_early(self._fingerprint, now_s),
             customer=arrival.customer,
             work_ms=request_work_ms(profile, arrival.prompt),
             body_bytes=4 * arrival.prompt.prompt_tokens,
@@ -342,6 +300,7 @@
                 least_alone_s(profile, arrival.prompt),
                 response_s(profile, arrival.prompt),
             ),
+            fingerprint=self._fingerprint,
         )
 
     def _may_begin(self, placement: Placement, *, is_new: bool) -> bool:
