--- a/packages/testing/src/sassafrastally/testing/exchange_rounds.py
+++ b/packages/testing/src/sassafrastally/testing/exchange_rounds.py
@@ -4,6 +4,7 @@
 
 from collections import Counter
 
+from sassafrastally.proxy.contention import NO_CONTENTION_NEWS
 from sassafrastally.proxy.load import Work
 from sassafrastally.proxy.load_exchange import Member
 from sassafrastally.proxy.peer_messages import Hello, decode_hello, encode_forwarded, encode_hello
@@ -25,6 +26,7 @@
         self.table = PeerTable(Member(self.host, self.link_mbps), self.data_centre)
         self.sequence = 0
         self.loads = {number: Work(short_requests=1)}
+        self.contention = NO_CONTENTION_NEWS
         self.is_alive = True
 
     def hello(self, names: tuple[str, ...]) -> Hello:
@@ -46,6 +48,7 @@
             data_centre=self.data_centre,
             link_mbps=self.link_mbps,
             is_overloaded=self.table.is_overloaded,
+            contention=self.contention,
         )
 
 
