Replay callers that ignore Retry-After, with and without shared contention state

Cause: the load test of shared contention state had no callers that retry at once, and no run in which nothing of it applies.

--- a/packages/proxy/benchmarks/contention.py
+++ b/packages/proxy/benchmarks/contention.py
@@ -61,6 +61,8 @@
     late: Counter[str]
     asked_ms: Counter[str]
     served_ms: Counter[str]
+    early: Counter[str]
+    """Waits behind others of requests that had come back early."""
 
 
 def count(outcomes: list[Outcome], totals: Totals) -> None:
@@ -73,6 +75,7 @@
         for group in ("all", whose, who, f"{whose} {who}", arrival.kind.name):
             totals.asked[group] += 1
             totals.lost[group] += not one.is_whole
+            totals.early[group] += one.early_waits
             totals.late[group] += one.is_whole and not one.is_timely
             totals.asked_ms[group] += int(work_ms)
             totals.served_ms[group] += int(work_ms) if one.is_whole else 0
@@ -86,9 +89,11 @@
     parser.add_argument("--engines", type=int, default=40)
     parser.add_argument("--entries", type=int, default=25)
     parser.add_argument("--factor", type=float, default=1.5)
+    parser.add_argument("--rate", type=float, default=1.0, help="share of the usual rates")
     parser.add_argument("--hasty", type=float, default=0.0)
     arguments = parser.parse_args()
-    deployment = Deployment(PROFILE, arguments.engines, arguments.entries, KINDS, 0.1, CUSTOMERS)
+    kinds = tuple(kind._replace(rate_per_s=kind.rate_per_s * arguments.rate) for kind in KINDS)
+    deployment = Deployment(PROFILE, arguments.engines, arguments.entries, kinds, 0.1, CUSTOMERS)
     callers = Callers(arguments.hasty)
     totals = {shares: Totals(*(Counter() for _ in Totals._fields)) for shares in (False, True)}
     for seed in range(arguments.first_seed, arguments.first_seed + arguments.seeds):
@@ -107,10 +112,10 @@
                 if not one.is_whole
             )
             print(f"seed {seed}, exchange {shares}: {len(outcomes)} asked, lost {dict(lost)}")
-    print("group: asked; lost, late, share of work served, without and with the exchange")
+    print("group: asked; lost, late, waits as early, share of work served: without, with exchange")
     for group in sorted(totals[True].asked):
         cells = [
-            f"{total.lost[group]:4} {total.late[group]:5} "
+            f"{total.lost[group]:4} {total.late[group]:5} {total.early[group]:4} "
             f"{total.served_ms[group] / max(1, total.asked_ms[group]):.3f}"
             for total in totals.values()
         ]
--- a/packages/testing/src/sassafrastally/testing/load_outcomes.py
+++ b/packages/testing/src/sassafrastally/testing/load_outcomes.py
@@ -26,6 +26,8 @@
     """Time that it waited for room at entries."""
     is_hasty: bool = False
     """Whether its caller ignores Retry-After."""
+    early_waits: int = 0
+    """How often it waited behind others because it had come back early."""
 
     @property
     def is_timely(self) -> bool:
--- a/packages/testing/src/sassafrastally/testing/load_replay.py
+++ b/packages/testing/src/sassafrastally/testing/load_replay.py
@@ -142,9 +142,14 @@
             for _ in range(1 + self._callers.retries(is_hasty=is_hasty)):
                 entry = self._draw.choice(self._entries)
                 asked = _Asked(self, entry, arrival, end_s, number + 1)
-                waited_s = outcome.waited_s
-                outcome = (await asked.run())._replace(refusals=outcome.refusals, is_hasty=is_hasty)
-                outcome = outcome._replace(waited_s=outcome.waited_s + waited_s)
+                known = outcome
+                outcome = await asked.run()
+                outcome = outcome._replace(
+                    refusals=known.refusals,
+                    waited_s=outcome.waited_s + known.waited_s,
+                    is_hasty=is_hasty,
+                    early_waits=known.early_waits + asked.was_early,
+                )
                 if asked.retry_delay_s is None:
                     break
                 outcome = outcome._replace(refusals=outcome.refusals + 1)
@@ -225,6 +230,8 @@
     ) -> None:
         self.retry_delay_s: float | None = None
         """When the caller is to come back, if it was turned away."""
+        self.was_early = False
+        """Whether it waited behind others because it had come back early."""
         self._replay = replay
         self._entry = entry
         self._arrival = arrival
@@ -266,9 +273,9 @@
             placement = self._plan(tried, is_new=is_new)
             if placement is not None or not self._replay.queues:
                 return placement
-        waited = await queue.wait(
-            name, WaitingRequest(facts, partial(self._plan, tried, is_new=is_new))
-        )
+        waiting = WaitingRequest(facts, partial(self._plan, tried, is_new=is_new))
+        waited = await queue.wait(name, waiting)
+        self.was_early |= waiting.facts.is_early
         self._waited_s += waited.waited_s
         return waited.started
 
--- a/packages/testing/tests/platform/test_load_replay.py
+++ b/packages/testing/tests/platform/test_load_replay.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+import pytest
+
 from sassafrastally.proxy.model import EngineProfile
 from sassafrastally.testing.backpressure_fleet import allowed, most_in_window
 from sassafrastally.testing.load_arrivals import Burst, Deployment, Kind, make_arrivals
+from sassafrastally.testing.load_callers import Callers
 from sassafrastally.testing.load_replay import LoadReplay, Outcome, share_of_value
 from sassafrastally.testing.mock_run import seeded_scheduling
 
@@ -135,3 +138,37 @@
             assert share_served(outcomes, kind) > share_served(without, kind)
         assert share_served(outcomes, "question") > share_served(without, "question") - 0.03
         assert share_served(outcomes) > share_served(without)
+
+
+class TestSharedContention:
+    """Entries that tell each other of customers and refused requests."""
+
+    async def outcomes(self, bursts, *, shares: bool, hasty_share: float = 0.0) -> list[Outcome]:
+        """Return the outcomes of one replay; the test needs a mock clock."""
+        arrivals = make_arrivals(COUNTER, bursts, 10.0, 3)
+        callers = Callers(hasty_share)
+        with seeded_scheduling(1):
+            replay = LoadReplay(COUNTER, 3, shares_contention=shares, callers=callers)
+            found = await replay.run(arrivals)
+        return sorted(found, key=lambda one: one.arrival.at_s)
+
+    async def test_nothing_changes_without_contention(self, autojump_clock):
+        """Guards against a changed service where nobody waits."""
+        found = await self.outcomes((), shares=True)
+        # Of two replays under one clock, the later one's times differ in the last digits.
+        for one, other in zip(found, await self.outcomes((), shares=False), strict=True):
+            assert one.arrival == other.arrival
+            assert one.first_s == pytest.approx(other.first_s)
+        assert not any(one.refusals or one.waited_s for one in found)
+
+    async def test_only_hasty_callers_wait_as_early_ones(self, autojump_clock):
+        """Guards against clients that retry at once at another entry, and against taking a caller
+        that respects Retry-After for one."""
+        flood = (Burst(0.0, 10.0, 3.0),)
+        early = {}
+        for shares in (True, False):
+            found = await self.outcomes(flood, shares=shares, hasty_share=0.3)
+            assert sum(one.early_waits for one in found if not one.is_hasty) == 0
+            assert any(one.refusals for one in found if not one.is_hasty)
+            early[shares] = sum(one.early_waits for one in found)
+        assert early[True] > 3 * early[False]
