Don't take an entry's own delay for a server's silence

The wait for the first event began before connecting and ended 2.04 s later, so the request counted as one that may have run (502), whether it had been sent or not. A plain attempt's limit ended connections, requests and reads alike, and suspected the server after two.

Ruled out: a single read or connection whose data has arrived. trio polls sockets before it expires deadlines, so that such a step completes; only further steps under the same deadline are cut off.

Change (cpu_overload/late_timeouts.py): nothing is measured. A timer that fires more than 0.1 s late shows that the entry didn't run, and what waited is read once more for up to 0.1 s. Each step of a call gets at least 0.1 s. A response is due later if its request was sent late. An attempt whose time is over before its request was sent is proved not to have run and doesn't count against the server; `Progress.pending`, which decides between 503 and 504, is set when the request is sent.

Silent servers and hosts are detected at the usual times (0.4 s, 0.5 s, 0.45 of a plain request's time), after a stall 0.1 s later.

--- a/packages/proxy/src/sassafrastally/proxy/attempt.py
+++ b/packages/proxy/src/sassafrastally/proxy/attempt.py
@@ -10,6 +10,7 @@
 import trio
 
 from sassafrastally.core import CodedError, error
+from sassafrastally.proxy.cpu_overload import due_after_delay_s, last_read_s
 from sassafrastally.proxy.http_stream import ConnectionLost
 
 if TYPE_CHECKING:
@@ -41,6 +42,8 @@
     """Address of another backend server that caused the failure."""
     is_unreachable = False
     """Whether no connection could be opened, so that nothing was sent."""
+    is_out_of_time = False
+    """Whether nothing was sent because the time for the attempt was over."""
     counts_against_server = True
     """Whether the failure counts against the server that was called."""
 
@@ -98,22 +101,29 @@
         AttemptUnknown
             If the body ends early or no data arrives in time.
         """
-        with trio.move_on_after(silence_limit_s):
-            while True:
-                event = await _receive(self._connection)
-                if isinstance(event, h11.Data):
-                    return bytes(event.data)
-                if isinstance(event, h11.EndOfMessage):
-                    return None
+        due_s = trio.current_time() + silence_limit_s
+        with trio.move_on_at(due_s):
+            return await self._next_chunk()
+        if extra_s := last_read_s(due_s, trio.current_time()):
+            with trio.move_on_after(extra_s):
+                return await self._next_chunk()
         raise _timeout_error()
 
-    async def read(self) -> bytes:
-        """Return the complete body; raises `AttemptUnknown` if it ends early."""
+    async def read(self, due_s: float = math.inf) -> bytes:
+        """Return the complete body; raises `AttemptUnknown` if it ends early or isn't in time."""
         body = b""
-        while (chunk := await self.chunk()) is not None:
+        while (chunk := await self.chunk(due_s - trio.current_time())) is not None:
             body += chunk
         return body
 
+    async def _next_chunk(self) -> bytes | None:
+        while True:
+            event = await _receive(self._connection)
+            if isinstance(event, h11.Data):
+                return bytes(event.data)
+            if isinstance(event, h11.EndOfMessage):
+                return None
+
 
 class AttemptSender:
     """Sends requests to backend servers."""
@@ -137,6 +147,8 @@
         *,
         may_reuse: bool,
         waiting: trio.CancelScope | None = None,
+        connect_until_s: float = math.inf,
+        on_sending: Callable[[], None] = lambda: None,
     ) -> AsyncIterator[Answer]:
         """Send a request and yield its response; close or pool the connection on exit.
 
@@ -155,7 +167,11 @@
             requests that must not run twice use a new connection.
         waiting
             Cancel scope around the wait for the response header; the wait ends at its deadline or
-            when it is cancelled.
+            when it is cancelled. Its deadline is moved if the request is sent late.
+        connect_until_s
+            Time by which the connection must be open.
+        on_sending
+            Called right before the request is sent; until then, it certainly hasn't run.
 
         Raises
         ------
@@ -164,18 +180,30 @@
         AttemptUnknown
             If the request may have run.
         """
-        connection = await self._connection(terms.server, may_reuse)
+        begin_s = trio.current_time()
+        waiting = waiting or trio.CancelScope()
+        connection = None
+        with trio.move_on_at(connect_until_s):
+            connection = await self._connection(terms.server, may_reuse)
+        if connection is None:
+            raise _not_sent_error()
         if terms.server.data_centre in self._pool.evacuated:
             await connection.close()
             raise _evacuated_error()
         is_kept = False
         try:
             head = self._head(request, terms)
-            answer = None
-            with waiting or trio.CancelScope():
+            waiting.deadline = due_after_delay_s(waiting.deadline, begin_s, trio.current_time())
+            answer, is_sent = None, False
+            with waiting:
+                await trio.lowlevel.checkpoint_if_cancelled()
+                is_sent = True
+                on_sending()
                 answer = await self._exchange(connection, request, terms.server, head)
+            if answer is None and not is_sent:
+                raise _not_sent_error()
             if answer is None:
-                raise _timeout_error()
+                answer = await self._read_late(connection, request, terms.server, head, waiting)
             yield answer
             is_kept = _is_reusable(connection)
         finally:
@@ -214,6 +242,27 @@
             # response is more informative than the write error, so it is read first.
             if connection.http.their_state is not h11.SEND_RESPONSE:
                 raise AttemptUnknown("connection reset while sending the request") from None
+        return await self._read_answer(connection, request, server, head)
+
+    async def _read_late(
+        self,
+        connection: HttpStream,
+        request: Request,
+        server: BackendServer,
+        head: h11.Request,
+        waiting: trio.CancelScope,
+    ) -> Answer:
+        """Read once more if the wait ended while this entry didn't run."""
+        is_awaited = connection.http.their_state is h11.SEND_RESPONSE
+        extra_s = last_read_s(waiting.deadline, trio.current_time())
+        if is_awaited and extra_s:
+            with trio.move_on_after(extra_s):
+                return await self._read_answer(connection, request, server, head)
+        raise _timeout_error()
+
+    async def _read_answer(
+        self, connection: HttpStream, request: Request, server: BackendServer, head: h11.Request
+    ) -> Answer:
         answer = await self._read_head(connection, server, request.facts.request_id)
         for _ in range(MAX_STALE_ANSWERS):
             if self._belongs_to_request(answer, request):
@@ -253,6 +302,14 @@
     return error
 
 
+def _not_sent_error() -> AttemptNotRun:
+    """Return the error for an attempt whose time was over before the request could be sent."""
+    error = AttemptNotRun("the wait ended before the request was sent")
+    error.is_unreachable = error.is_out_of_time = True
+    error.counts_against_server = False
+    return error
+
+
 def _evacuated_error() -> AttemptNotRun:
     """Return the error for a server whose data centre became evacuated after the placement."""
     error = AttemptNotRun("its data centre was evacuated before the request was sent")
--- a/packages/proxy/src/sassafrastally/proxy/calls.py
+++ b/packages/proxy/src/sassafrastally/proxy/calls.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+from functools import partial
 from typing import TYPE_CHECKING, NamedTuple
 
 import h11
 import trio
 
+from sassafrastally.proxy.cpu_overload import StepTimeout
+
 # Runtime import: Headers is a field type of a named tuple.
 from sassafrastally.proxy.dialect import Headers
 from sassafrastally.proxy.http_stream import ConnectionLost, HttpStream, connect
@@ -72,8 +75,9 @@
             If there is no complete response.
         """
         try:
-            with trio.fail_after(time_limit_s) as limit, trio.fail_after(MAX_CALL_TIME_S):
-                return await self._exchange(method, target, headers, body, limit, time_limit_s)
+            timeout = StepTimeout(time_limit_s)
+            with trio.fail_after(MAX_CALL_TIME_S):
+                return await self._exchange(method, target, headers, body, timeout, time_limit_s)
         except (ConnectionLost, h11.RemoteProtocolError, trio.TooSlowError) as cause:
             raise AnswerLost(f"{method} {target.split('?')[0]}: {cause!r}") from cause
 
@@ -88,26 +92,25 @@
         target: str,
         headers: Headers,
         body: bytes,
-        limit: trio.CancelScope,
+        timeout: StepTimeout,
         silence_timeout_s: float,
     ) -> CallResponse:
-        connection = await self._take()
+        connection = await self._take(silence_timeout_s)
         is_reusable = False
         try:
-            await connection.send(
-                h11.Request(
-                    method=method,
-                    target=target,
-                    headers=[
-                        (b"host", self._host),
-                        (b"content-length", str(len(body)).encode()),
-                        *headers,
-                    ],
-                ),
-                h11.Data(data=body),
-                h11.EndOfMessage(),
+            head = h11.Request(
+                method=method,
+                target=target,
+                headers=[
+                    (b"host", self._host),
+                    (b"content-length", str(len(body)).encode()),
+                    *headers,
+                ],
+            )
+            await timeout.run(
+                partial(connection.send, head, h11.Data(data=body), h11.EndOfMessage())
             )
-            response = await _read_answer(connection, limit, silence_timeout_s)
+            response = await _read_answer(connection, timeout, silence_timeout_s)
             is_reusable = connection.http.our_state is h11.DONE and (
                 connection.http.their_state is h11.DONE
             )
@@ -115,13 +118,14 @@
         finally:
             await self._put_back(connection, is_reusable)
 
-    async def _take(self) -> HttpStream:
+    async def _take(self, time_limit_s: float) -> HttpStream:
         while self._idle:
             connection = self._idle.pop()
             if not connection.has_unread_input():
                 return connection
             await connection.close()
-        return HttpStream(await connect(self.address, CONNECT_TIME_S), h11.CLIENT)
+        stream = await connect(self.address, min(CONNECT_TIME_S, time_limit_s))
+        return HttpStream(stream, h11.CLIENT)
 
     async def _put_back(self, connection: HttpStream, is_reusable: bool) -> None:
         if is_reusable and len(self._idle) < MAX_IDLE_CONNECTIONS:
@@ -132,18 +136,18 @@
 
 
 async def _read_answer(
-    connection: HttpStream, limit: trio.CancelScope, silence_timeout_s: float
+    connection: HttpStream, timeout: StepTimeout, silence_timeout_s: float
 ) -> CallResponse:
     status = 0
     headers: Headers = []
     body = bytearray()
     while True:
-        event = await connection.receive()
+        event = await timeout.read(connection.receive)
         if isinstance(event, h11.Response):
             status, headers = event.status_code, list(event.headers)
         elif isinstance(event, h11.Data):
             body += event.data
-            limit.deadline = max(limit.deadline, trio.current_time() + silence_timeout_s)
+            timeout.extend(silence_timeout_s)
         elif isinstance(event, h11.EndOfMessage):
             return CallResponse(status, headers, bytes(body))
         elif isinstance(event, h11.ConnectionClosed):
--- a/packages/proxy/src/sassafrastally/proxy/cpu_overload/__init__.py
+++ b/packages/proxy/src/sassafrastally/proxy/cpu_overload/__init__.py
@@ -8,13 +8,23 @@
     WINDOW_S,
     LagWindow,
 )
+from sassafrastally.proxy.cpu_overload.late_timeouts import (
+    LAST_READ_S,
+    StepTimeout,
+    due_after_delay_s,
+    last_read_s,
+)
 from sassafrastally.proxy.cpu_overload.stream_limit import StreamLimit, shed_retry_delay_s
 
 __all__ = [
+    "LAST_READ_S",
     "MAX_LAG_S",
     "TIMER_S",
     "WINDOW_S",
     "LagWindow",
+    "StepTimeout",
     "StreamLimit",
+    "due_after_delay_s",
+    "last_read_s",
     "shed_retry_delay_s",
 ]
--- a/packages/proxy/src/sassafrastally/proxy/http_stream.py
+++ b/packages/proxy/src/sassafrastally/proxy/http_stream.py
@@ -9,6 +9,7 @@
 import trio
 
 from sassafrastally.core import CodedError, error
+from sassafrastally.proxy.cpu_overload import StepTimeout
 
 if TYPE_CHECKING:
     from sassafrastally.core import Address
@@ -150,16 +151,20 @@
     ConnectionLost
         If the connection can't be established in time.
     """
+
+    async def open_socket() -> trio.socket.SocketType:
+        sock = trio.socket.socket()
+        try:
+            if receive_buffer_bytes:
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer_bytes)
+            await sock.connect((address.host, address.port))
+        except BaseException:
+            sock.close()
+            raise
+        return sock
+
     try:
-        with trio.fail_after(time_limit_s):
-            sock = trio.socket.socket()
-            try:
-                if receive_buffer_bytes:
-                    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer_bytes)
-                await sock.connect((address.host, address.port))
-            except BaseException:
-                sock.close()
-                raise
+        sock = await StepTimeout(time_limit_s).read(open_socket)
     except (OSError, trio.TooSlowError) as cause:
         failure = ConnectionLost(f"failed to connect to {address}: {cause!r}")
         failure.is_refused = isinstance(cause, ConnectionRefusedError)
--- a/packages/proxy/src/sassafrastally/proxy/plain_request.py
+++ b/packages/proxy/src/sassafrastally/proxy/plain_request.py
@@ -8,6 +8,7 @@
 
 from sassafrastally.proxy.admission_queue import latest_start_s
 from sassafrastally.proxy.attempt import AttemptNotRun, AttemptUnknown
+from sassafrastally.proxy.cpu_overload import last_read_s
 from sassafrastally.proxy.load import InFlightAttempt, Lane
 from sassafrastally.proxy.log_events import RequestAnswered
 from sassafrastally.proxy.metrics import count_answer
@@ -146,17 +147,22 @@
             server.incarnation_id, Lane.PLAIN, is_suspect=self._is_suspect()
         )
         self._services.fleet_view.ledger.add(in_flight, begin_s)
+        due_s = self._attempt_deadline_s(begin_s)
         try:
-            with trio.move_on_at(self._attempt_deadline_s(begin_s)):
-                answer = await self._exchange(server, begin_s)
-                self._services.fleet_view.record_success(server.incarnation_id)
-                self._record_success(answer.status)
-                return answer
-            await self._record_unknown(server, begin_s, "no answer within the attempt's time limit")
+            answer = await self._exchange(server, begin_s, due_s)
+            self._services.fleet_view.record_success(server.incarnation_id)
+            self._record_success(answer.status)
+            return answer
         except AttemptNotRun as cause:
             self._record_not_run(server, begin_s, cause)
+            if cause.is_out_of_time and last_read_s(due_s, self._clock.now_s()):
+                # This entry ran late: the server may be tried again.
+                self.progress.tried.discard(server.incarnation_id)
+            elif cause.is_out_of_time:
+                self._services.fleet_view.record_failure(server, cause.detail, self._request_id)
         except AttemptUnknown as cause:
-            await self._record_unknown(server, begin_s, cause)
+            detail = "no answer within the attempt's time limit"
+            await self._record_unknown(server, begin_s, detail if cause.is_timeout else cause)
         finally:
             self._services.fleet_view.ledger.remove(in_flight, self._clock.now_s())
         return None
@@ -167,14 +173,14 @@
             return deadline_s + 1.0  # The deadline of the request still applies.
         return begin_s + FIRST_ATTEMPT_SHARE * (deadline_s - begin_s)
 
-    async def _exchange(self, server: BackendServer, begin_s: float) -> BufferedResponse:
-        task = self._task
-        terms = self._attempt_terms(server, begin_s, task.request.facts.last_event_id)
-        may_reuse = task.route.is_repeatable
-        async with self._services.attempt_sender.send(
-            task.request, terms, may_reuse=may_reuse
-        ) as answer:
-            body = await answer.read()
+    async def _exchange(
+        self, server: BackendServer, begin_s: float, due_s: float
+    ) -> BufferedResponse:
+        last_event_id = self._task.request.facts.last_event_id
+        terms = self._attempt_terms(server, begin_s, last_event_id)
+        waiting = trio.CancelScope(deadline=due_s)
+        async with self._send(terms, waiting, connect_until_s=due_s) as answer:
+            body = await answer.read(waiting.deadline)
             return BufferedResponse(answer.status, answer.headers, body, server.server_id)
 
     async def _forward(self, answer: BufferedResponse) -> None:
--- a/packages/proxy/src/sassafrastally/proxy/request_handler.py
+++ b/packages/proxy/src/sassafrastally/proxy/request_handler.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 from sassafrastally.proxy.attempt import AttemptNotRun, AttemptUnknown
@@ -29,7 +30,11 @@
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
+    from contextlib import AbstractAsyncContextManager
 
+    import trio
+
+    from sassafrastally.proxy.attempt import Answer
     from sassafrastally.proxy.lanes import ServerView
     from sassafrastally.proxy.model import BackendServer, Helper
     from sassafrastally.proxy.plan import Placement
@@ -202,11 +207,30 @@
         self.progress.attempts += 1
         self.progress.sent += 1
         self.progress.tried.add(server.incarnation_id)
-        self.progress.pending = server
         self._services.backpressure.count_request(server, CallKind.ATTEMPT)
         for helper in helpers:
             self._services.backpressure.count_part(helper)
 
+    def _send(
+        self,
+        terms: AttemptParameters,
+        waiting: trio.CancelScope,
+        connect_until_s: float = math.inf,
+    ) -> AbstractAsyncContextManager[Answer]:
+        """Send the request, as `AttemptSender.send`; it is pending from then on."""
+
+        def record_sending() -> None:
+            self.progress.pending = terms.server
+
+        return self._services.attempt_sender.send(
+            self._task.request,
+            terms,
+            may_reuse=self._task.route.is_repeatable,
+            waiting=waiting,
+            connect_until_s=connect_until_s,
+            on_sending=record_sending,
+        )
+
     def _claim_retry(self) -> bool:
         """Return whether another attempt is allowed, and charge it to the retry budget."""
         if not self._may_retry():
--- a/packages/proxy/src/sassafrastally/proxy/streaming_request.py
+++ b/packages/proxy/src/sassafrastally/proxy/streaming_request.py
@@ -304,18 +304,15 @@
     async def _exchange(
         self, placement: Placement, in_flight: InFlightAttempt, attempt: WaitingAttempt
     ) -> bool:
-        task = self._task
         helpers = tuple(Helper(server) for server in placement.helpers)
         terms = self._attempt_terms(placement.server, attempt.begin_s, self._last_event_id, helpers)
         with ExitStack() as until_begun:
             until_begun.enter_context(self._services.fleet_view.waiting_attempts.register(attempt))
             async with (
                 self._services.reservations.hold(placement.holdings[1:]) as reserved,
-                self._services.attempt_sender.send(
-                    task.request,
+                self._send(
                     terms._replace(helpers=with_reservations(terms.helpers, reserved)),
-                    may_reuse=task.route.is_repeatable,
-                    waiting=attempt.cancel_scope,
+                    attempt.cancel_scope,
                 ) as answer,
             ):
                 until_begun.close()
--- a/packages/proxy/src/sassafrastally/proxy/task.py
+++ b/packages/proxy/src/sassafrastally/proxy/task.py
@@ -73,7 +73,7 @@
         self.was_refused_for_load = False
         """Whether a backend server refused an attempt because of its load."""
         self.pending: BackendServer | None = None
-        """Backend server of the attempt that is in flight."""
+        """Backend server of the attempt in flight, from the time at which its request is sent."""
         self.waited_s = 0.0
         """Time spent waiting for room at this entry."""
         self.may_have_run = False
