Keep shedding streams while own delay hides the peers

Cause, from the same trace: an entry whose tasks run late reads its peers' datagrams late, took the peers for dead after a second, and with them the reason for measuring (EntryRecovered with a delay of 0.0 s, PeerSilent and PeerHeard 0.001 s apart). It then accepted all streams: the request of the test was placed and answered 502, or refused as "no-room". The test itself assumed real time: how many passes of 0.2 s a busy machine makes decided whether its stream was still in progress.

An entry that isn't late, or whose links are even, acts as before.

Test: runs on the mock clock, which jumps by 0.2 s whenever all tasks wait, with the same assertions and no time.sleep; the stream in progress is begun before the overload, so that the limit of one applies. A new test pauses overloaded entries for 1.5 s: red without the change.

--- a/packages/proxy/src/sassafrastally/proxy/overload_monitor.py
+++ b/packages/proxy/src/sassafrastally/proxy/overload_monitor.py
@@ -2,13 +2,16 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING, ClassVar
 
 import trio
 
 from sassafrastally.core import Service
 from sassafrastally.proxy.cpu_overload import (
+    MAX_LAG_S,
     TIMER_S,
+    WINDOW_S,
     LagWindow,
     StreamLimit,
     shed_retry_delay_s,
@@ -43,6 +46,10 @@
         self._window = LagWindow()
         self._limit = StreamLimit()
         self._overloaded_since_s: float | None = None
+        self._is_late = False
+        """Whether the last timer fired late."""
+        self._heard_s = -math.inf
+        """Time at which other entries were last heard."""
 
     async def start(self, nursery: trio.Nursery) -> None:
         """Start the timer."""
@@ -65,7 +72,7 @@
 
     def shed_reply(self) -> LocalReply | None:
         """Return the refusal of a new stream; ``None`` if it is accepted."""
-        if not self.is_overloaded or self._peers.live_count() == 0:
+        if not self.is_overloaded or not self._hears_others():
             return None
         if self._limit.accepts(len(self._ledger)):
             return None
@@ -78,7 +85,10 @@
 
     async def _measure(self) -> None:
         while True:
-            if not self._peers.has_uneven_links():
+            # An entry whose tasks are late may not have read its peers' datagrams yet.
+            may_be_uneven = self._is_late and self._hears_others()
+            if not may_be_uneven and not self._peers.has_uneven_links():
+                self._is_late = False
                 self._window.clear()
                 self._apply(self.kernel.clock.now_s())
                 await trio.sleep(INACTIVE_CHECK_S)
@@ -86,9 +96,18 @@
             due_s = self.kernel.clock.now_s() + TIMER_S
             await trio.sleep(TIMER_S)
             now_s = self.kernel.clock.now_s()
-            self._window.record(now_s, max(0.0, now_s - due_s))
+            lag_s = max(0.0, now_s - due_s)
+            self._is_late = lag_s > MAX_LAG_S
+            self._window.record(now_s, lag_s)
             self._apply(now_s)
 
+    def _hears_others(self) -> bool:
+        """Return whether other entries are heard, or were shortly before the tasks ran late."""
+        now_s = self.kernel.clock.now_s()
+        if self._peers.live_count():
+            self._heard_s = now_s
+        return now_s - self._heard_s <= (WINDOW_S if self._is_late else 0.0)
+
     def _apply(self, now_s: float) -> None:
         self._limit.update(self.lag_s, len(self._ledger), now_s)
         if self._window.is_overloaded == self.is_overloaded:
--- a/packages/testing/tests/platform/test_overloaded_entry.py
+++ b/packages/testing/tests/platform/test_overloaded_entry.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-import time
-
 import pytest
 import trio
+import trio.testing
 
-from sassafrastally.proxy.caller_listener import CallerListener
+from sassafrastally.proxy.fleet_view import FleetView
+from sassafrastally.proxy.load import InFlightAttempt, Lane
 from sassafrastally.proxy.overload_monitor import OverloadMonitor
 from sassafrastally.proxy.peers import Peers
 from sassafrastally.stand_ins.platform_fleet import wait_until
@@ -15,11 +15,17 @@
 BUSY_S = 0.2
 
 
-async def use_up_cpu() -> None:
-    """Keep the process busy, as more streams than it can pass on would."""
+@pytest.fixture
+def seed():
+    """Seed of the network and of the order of tasks."""
+    return 1
+
+
+async def use_up_cpu(clock: trio.testing.MockClock) -> None:
+    """Let all tasks run only every 0.2 s, as in a process with more streams than it can pass on."""
     while True:
-        time.sleep(BUSY_S)  # Blocks the other tasks on purpose.
-        await trio.sleep(0)
+        clock.jump(BUSY_S)
+        await trio.testing.wait_all_tasks_blocked()
 
 
 async def start_fleet(fleet, links_mbps: list[int]) -> None:
@@ -40,19 +46,19 @@
 class TestOverload:
     """Two entries in one process that is short of CPU time."""
 
-    async def test_new_stream_is_refused_with_a_short_delay(self, fleet):
+    async def test_new_stream_is_refused_with_a_short_delay(self, autojump_clock, seeded_fleet):
         """Guards against late streams where another entry would serve the retry in time."""
+        fleet = seeded_fleet
         await start_fleet(fleet, [100, 7])
         kernel = fleet.kernels[0]
         await trio.sleep(1.1)
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(fleet.call, "/note/x")
-            nursery.start_soon(use_up_cpu)
-            await wait_until(lambda: all(one.is_overloaded for one in monitors(fleet)), 8.0)
             nursery.start_soon(self.hold_stream, fleet)
-            listener = kernel.get("callers", CallerListener)
-            await wait_until(lambda: listener.open_requests > 0, 8.0)
-            await trio.sleep(0.5)
+            await wait_until(lambda: len(kernel.get("sight", FleetView).ledger) == 1)
+            nursery.start_soon(use_up_cpu, autojump_clock)
+            await wait_until(lambda: all(one.is_overloaded for one in monitors(fleet)), 8.0)
+            # Longer than silence between entries is taken for the end of one.
+            await trio.sleep(1.5)
             answer = await fleet.call("/note/x", prompt="1000,340")
             nursery.cancel_scope.cancel()
         assert answer.status == 503
@@ -64,15 +70,37 @@
         assert "EntryOverloaded" in names
         assert "EntryRecovered" in names
 
+    async def test_pause_does_not_end_the_overload(self, autojump_clock, seeded_fleet):
+        """Guards against an entry that takes all streams since it was paused for longer than other
+        entries may be silent, and hasn't read yet what they sent."""
+        fleet = seeded_fleet
+        await start_fleet(fleet, [100, 7])
+        await trio.sleep(1.1)
+        ledger = fleet.kernels[0].get("sight", FleetView).ledger
+        ledger.add(InFlightAttempt("engine-1", Lane.SHORT), trio.current_time())
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(use_up_cpu, autojump_clock)
+            await wait_until(lambda: all(one.is_overloaded for one in monitors(fleet)), 8.0)
+            for _ in range(5):
+                autojump_clock.jump(1.5)
+                assert monitors(fleet)[0].shed_reply() is not None
+                await trio.sleep(BUSY_S)
+                assert all(one.is_overloaded for one in monitors(fleet))
+                await trio.sleep(1.0)
+            nursery.cancel_scope.cancel()
+
     async def hold_stream(self, fleet) -> None:
         await fleet.call("/note/x", prompt="1000,34000")
 
     @pytest.mark.parametrize("links_mbps", [[100, 100], [100, 50]])
-    async def test_entries_with_even_links_shed_nothing(self, fleet, links_mbps):
+    async def test_entries_with_even_links_shed_nothing(
+        self, autojump_clock, seeded_fleet, links_mbps
+    ):
         """Guards against refusals where the other entries are as loaded."""
+        fleet = seeded_fleet
         await start_fleet(fleet, links_mbps)
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(use_up_cpu)
+            nursery.start_soon(use_up_cpu, autojump_clock)
             await trio.sleep(3.0)
             assert not any(one.is_overloaded for one in monitors(fleet))
             nursery.cancel_scope.cancel()
