Don't count events that arrive together as slow

Cause: the time of an event was the time until the read returned. An entry whose tasks run 0.2 s late reads four events of 45 ms at a time; four such reads in a row suspected the engine as slow, up to a quarter of a service's engines.

Change: the time until a read returns is divided by the events that it completed. Slow engines send single events, for which nothing changes.

--- a/packages/proxy/src/sassafrastally/proxy/slow_event_detection.py
+++ b/packages/proxy/src/sassafrastally/proxy/slow_event_detection.py
@@ -72,6 +72,21 @@
         return {key: until - now_s for key, until in self._until_s.items()}
 
 
+def event_time_s(waited_s: float, events: int) -> float:
+    """Return the time that an engine took for each event of a read.
+
+    Several events arrive together if this entry or the network was late, rather than the engine.
+
+    Parameters
+    ----------
+    waited_s
+        Time until the read returned.
+    events
+        Number of events that it completed; 0 if it brought a part of one.
+    """
+    return waited_s / max(1, events)
+
+
 def slow_event_time_s(profile: EngineProfile) -> float:
     """Return the time from which an event is slow on an engine that doesn't prefill."""
     return SLOW_FACTOR * pass_ms(profile, profile.slots, profile.memory_tokens) / 1000
--- a/packages/proxy/src/sassafrastally/proxy/streaming_request.py
+++ b/packages/proxy/src/sassafrastally/proxy/streaming_request.py
@@ -33,7 +33,7 @@
 from sassafrastally.proxy.refusals import MAY_HAVE_RUN, NO_ROOM, NO_SERVER, TOO_LONG, TURNED_AWAY
 from sassafrastally.proxy.request_handler import SERVER_ERROR_STATUS, RequestHandler
 from sassafrastally.proxy.reservations import with_reservations
-from sassafrastally.proxy.slow_event_detection import slow_event_time_s
+from sassafrastally.proxy.slow_event_detection import event_time_s, slow_event_time_s
 from sassafrastally.proxy.task import LocalReply, RequestTask
 from sassafrastally.proxy.turning_away import would_miss_deadline
 from sassafrastally.proxy.waiting_attempts import WaitingAttempt
@@ -398,11 +398,13 @@
             # Measured only while waiting for the engine: the time spent on writing to the caller
             # says nothing about the engine.
             waited_s = self._clock.now_s() - waiting_since_s
+            events = splitter.feed(chunk)
             if not in_flight.is_in_prefill:
+                event_s = event_time_s(waited_s, len(events))
                 self._services.fleet_view.record_event(
-                    placement.server, waited_s, slow_event_s, self._request_id
+                    placement.server, event_s, slow_event_s, self._request_id
                 )
-            for event in splitter.feed(chunk):
+            for event in events:
                 now_s = self._clock.now_s()
                 self._services.fleet_view.ledger.first_event(in_flight, now_s)
                 await self._forward_event(event, now_s)
--- a/packages/proxy/tests/test_decisions.py
+++ b/packages/proxy/tests/test_decisions.py
@@ -36,7 +36,11 @@
 from sassafrastally.proxy.report_duty import polls_engine
 from sassafrastally.proxy.retry_budget import RetryBudget
 from sassafrastally.proxy.routes import RouteTable, choose_service
-from sassafrastally.proxy.slow_event_detection import SlowEventDetector, slow_event_time_s
+from sassafrastally.proxy.slow_event_detection import (
+    SlowEventDetector,
+    event_time_s,
+    slow_event_time_s,
+)
 from sassafrastally.proxy.store_watchers import (
     FIRST_TAKEOVER_COUNT,
     MAX_TAKEOVER_DELAY_S,
@@ -145,6 +149,15 @@
         assert "a" in detector.slow_servers(1.0)
         assert detector.slow_servers(9.0) == {}
 
+    def test_events_that_arrive_together_are_not_slow(self):
+        """Guards against suspecting engines because this entry ran late: an engine writes an event
+        every 45 ms, and the entry reads four or more of them at a time."""
+        limit_s = slow_event_time_s(PROFILE)
+        assert limit_s < 0.2
+        assert event_time_s(0.2, 4) < limit_s
+        assert event_time_s(3.0, 67) < limit_s
+        assert event_time_s(0.2, 1) == event_time_s(0.2, 0) == 0.2
+
     def test_one_usual_event_resets_the_count(self):
         detector = SlowEventDetector()
         for n in range(20):
