Open the callers' port without importing socket

Change: the early listener uses the C module `_socket`; run_process takes the descriptor over into a `socket.socket` once the rest is loaded. A test checks that `socket` isn't imported before.

--- a/packages/testing/tests/platform/test_settings.py
+++ b/packages/testing/tests/platform/test_settings.py
@@ -2,8 +2,13 @@
 
 from __future__ import annotations
 
+import importlib
 import json
+import os
 import socket
+import subprocess
+import sys
+from pathlib import Path
 
 import pytest
 
@@ -105,11 +110,25 @@
         listener = listen_early("127.0.0.1", 0)
         caller = socket.create_connection(listener.getsockname(), timeout=1)
         caller.sendall(b"GET")
-        accepted, _ = listener.accept()
+        taken_over = socket.socket(fileno=listener.detach())
+        accepted, _ = taken_over.accept()
         assert accepted.recv(3) == b"GET"
-        for sock in (caller, accepted, listener):
+        for sock in (caller, accepted, taken_over):
             sock.close()
 
+    def test_port_opens_without_the_import_of_socket(self):
+        """Guards against an import that doubles the time in which callers find no open port."""
+        script = (
+            "import sys, sassafrastally.platform.__main__, sassafrastally.proxy.early_listener\n"
+            "print('socket' in sys.modules)"
+        )
+        # Without `site`, which may import anything for packages installed in place.
+        paths = [*importlib.import_module("sassafrastally").__path__]
+        environment = {"PYTHONPATH": os.pathsep.join(str(Path(path).parent) for path in paths)}
+        run = [sys.executable, "-S", "-P", "-c", script]
+        found = subprocess.run(run, env=environment, capture_output=True, text=True, check=True)
+        assert found.stdout.strip() == "False"
+
     def test_port_in_use_returns_none(self):
         taken = listen_early("127.0.0.1", 0)
         other = socket.socket()
