--- a/packages/testing/tests/platform/test_late_entry.py
+++ b/packages/testing/tests/platform/test_late_entry.py
@@ -13,12 +13,17 @@
 import trio.testing
 
 from sassafrastally.core import Address
+from sassafrastally.platform.adapter import PlatformDialect
+from sassafrastally.proxy.attempt import AttemptNotRun, AttemptSender, AttemptUnknown, Request
 from sassafrastally.proxy.calls import CallClient
+from sassafrastally.proxy.connection_pool import ConnectionPool
 from sassafrastally.proxy.cpu_overload import LAST_READ_S
 from sassafrastally.proxy.http_stream import ConnectionLost, connect
+from sassafrastally.proxy.model import AttemptParameters, BackendServer, RequestMetadata
 from sassafrastally.proxy.plain_request import FIRST_ATTEMPT_SHARE
 from sassafrastally.proxy.store import AnswerLost
 from sassafrastally.stand_ins.caller_requests import exchange_on, request_fields
+from sassafrastally.stand_ins.platform_fleet import SERVERS_HOST
 
 REPORT_TIMEOUT_S = 0.4
 TIME_LIMIT_S = 4.0
@@ -87,24 +92,19 @@
         for _ in range(50):
             await CallClient(address).exchange("GET", "/report", [], b"", REPORT_TIMEOUT_S)
 
-    async def test_silence_is_detected_at_the_usual_time(
-        self, autojump_clock, seeded_network, nursery
+    @pytest.mark.parametrize(
+        ("stalled_s", "lasts_s"), [(0.0, REPORT_TIMEOUT_S), (3.0, 3.1 + LAST_READ_S)]
+    )
+    async def test_silence_is_detected(
+        self, autojump_clock, seeded_network, nursery, stalled_s, lasts_s
     ):
-        """Guards against silent servers that are detected later since an entry might be late."""
-        client = CallClient(await start_server(nursery, stay_silent))
-        began_s = trio.current_time()
-        with pytest.raises(AnswerLost):
-            await client.exchange("GET", "/report", [], b"", REPORT_TIMEOUT_S)
-        assert trio.current_time() - began_s == pytest.approx(REPORT_TIMEOUT_S)
-
-    async def test_silence_is_detected_after_a_stall(self, autojump_clock, seeded_network, nursery):
-        """Guards against an entry that waits again and again after it was paused."""
+        """Guards against silence that is detected later than before, or after a stall never."""
         client = CallClient(await start_server(nursery, stay_silent))
-        nursery.start_soon(stall, autojump_clock, 0.05, 3.0)
+        nursery.start_soon(stall, autojump_clock, 0.1, stalled_s)
         began_s = trio.current_time()
         with pytest.raises(AnswerLost):
             await client.exchange("GET", "/report", [], b"", REPORT_TIMEOUT_S)
-        assert trio.current_time() - began_s == pytest.approx(3.05 + LAST_READ_S)
+        assert trio.current_time() - began_s == pytest.approx(lasts_s)
 
 
 class TestConnections:
@@ -124,6 +124,53 @@
         assert trio.current_time() - began_s == pytest.approx(lasts_s)
 
 
+class TestAttempts:
+    """Attempts whose response header is awaited for 1.3 s, and each event as long."""
+
+    LIMIT_S = 1.3
+
+    async def attempt(self, address: Address, waiting: trio.CancelScope) -> bytes:
+        """Make one attempt and return the body of the response."""
+        facts = RequestMetadata("a", "x", None, None, None, None)
+        request = Request(b"POST", b"/x", [(b"host", b"x")], b"{}", facts, trio.current_time())
+        server = BackendServer("s", "engines", address, "here", 8, False)
+        sender = AttemptSender(PlatformDialect(), ConnectionPool())
+        terms = AttemptParameters(server, 4.0, None, None)
+        async with sender.send(request, terms, may_reuse=True, waiting=waiting) as answer:
+            return await answer.chunk(self.LIMIT_S) or b""
+
+    @pytest.mark.parametrize("is_begun", [False, True])
+    async def test_silence_is_detected_at_the_usual_time(
+        self, autojump_clock, seeded_network, nursery, is_begun
+    ):
+        """Guards against streams that fail over later since an entry might be late."""
+
+        async def begin_only(stream: trio.SocketStream) -> None:
+            await stream.receive_some(65_536)
+            await stream.send_all(HEAD)
+            await trio.sleep_forever()
+
+        address = await start_server(nursery, begin_only if is_begun else stay_silent)
+        began_s = trio.current_time()
+        waiting = trio.CancelScope(deadline=began_s + self.LIMIT_S)
+        with pytest.raises(AttemptUnknown) as caught:
+            await self.attempt(address, waiting)
+        assert caught.value.is_timeout
+        assert trio.current_time() - began_s == pytest.approx(self.LIMIT_S, abs=0.02)
+
+    async def test_attempt_that_was_not_sent_is_proved_not_run(
+        self, autojump_clock, seeded_network, nursery
+    ):
+        """Guards against 502 for a request that no server got, and against suspecting its server:
+        the wait has ended before the connection is open."""
+        address = await start_server(nursery, answer_slowly)
+        waiting = trio.CancelScope()
+        waiting.cancel()
+        with pytest.raises(AttemptNotRun) as caught:
+            await self.attempt(address, waiting)
+        assert not caught.value.counts_against_server
+
+
 class TestRequests:
     """Requests of callers in progress while the entry is paused."""
 
@@ -153,6 +200,23 @@
         names = {record["name"] for record in records}
         assert FAILURES.isdisjoint(names)
 
+    async def test_request_that_was_not_sent_in_time_is_refused(
+        self, autojump_clock, seeded_fleet, seeded_network
+    ):
+        """Guards against 504 for a request that hasn't run: the entry is paused for longer than the
+        caller waits, while it connects."""
+        fleet = seeded_fleet
+        await fleet.add_replica("desk-1", "desk")
+        await fleet.add_entry()
+        caller = await fleet.connect()
+        seeded_network.dark.add(SERVERS_HOST)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(stall, autojump_clock, 0.1, 5.0)
+            answer = await exchange_on(caller, "POST", "/book/x", request_fields(), b"{}")
+        assert answer.status == 503
+        assert b"not-sent-in-time" in answer.body
+        assert not fleet.received_requests()
+
     async def test_silent_server_is_detected_at_the_usual_time(self, autojump_clock, seeded_fleet):
         """Guards against requests that fail over later since an entry might be late."""
         fleet = seeded_fleet
