Keep a server's proof that nothing ran when the wait ends before its body

Cause: the body of a rejection is read for up to 0.1 s before the attempt counts as not run. If the wait for the response ended in between, as it does for an entry that runs late, the attempt counted as one that may have run, and a request without further attempts was answered 502. Found by reading the code for the requirement that 502 is said only of what may have run; not seen in a run.

Change: that read is shielded; it ends after 0.1 s at the latest, as before.

Result: new test on the mock clock, red (AttemptUnknown) without the shield.

--- a/packages/proxy/src/sassafrastally/proxy/attempt.py
+++ b/packages/proxy/src/sassafrastally/proxy/attempt.py
@@ -330,7 +330,8 @@
 
 async def _not_run_error(answer: Answer) -> AttemptNotRun:
     """Read the body of a response that proves that nothing ran, and return its error."""
-    with trio.move_on_after(0.1):
+    # Shielded: the end of the wait for the response doesn't take back what its header proves.
+    with trio.move_on_after(0.1, shield=True):
         await answer.read()
     refusal = AttemptNotRun(f"rejected by the server with status {answer.status}")
     refusal.failed_server_address = answer.facts.failed_server_address
--- a/packages/testing/tests/platform/test_late_entry.py
+++ b/packages/testing/tests/platform/test_late_entry.py
@@ -170,6 +170,20 @@
             await self.attempt(address, waiting)
         assert not caught.value.counts_against_server
 
+    async def test_rejection_counts_although_the_wait_ends_before_its_body(
+        self, autojump_clock, seeded_network, nursery
+    ):
+        """Guards against 502 for a request whose server has said that it didn't run it."""
+
+        async def reject_slowly(stream: trio.SocketStream) -> None:
+            await stream.receive_some(65_536)
+            await stream.send_all(HEAD.replace(b"\r\n", b"\r\nnot-executed: 1\r\n", 1))
+            await trio.sleep_forever()
+
+        address = await start_server(nursery, reject_slowly)
+        with pytest.raises(AttemptNotRun):
+            await self.attempt(address, trio.CancelScope(deadline=trio.current_time() + 0.05))
+
 
 class TestRequests:
     """Requests of callers in progress while the entry is paused."""
