Tell peers of cold servers that only a response has named

Cause: an entry that reads in a response (an engine's report) that a server is cold kept it to itself until the server's record said so.

Change: the field colds of datagrams carries the remaining cold time, at most 20 servers, longest first, only where the record doesn't state the same end. It is sent at once when it is news and with each datagram until it has ended; data centres' sums forward the longest of their entries. Entries don't pass on what peers have told them: each hop adds its transit time, so they would prolong it for good.

Datagrams without cold servers are unchanged.

--- a/packages/proxy/src/sassafrastally/proxy/backpressure.py
+++ b/packages/proxy/src/sassafrastally/proxy/backpressure.py
@@ -8,17 +8,15 @@
 
 from sassafrastally.core import Service
 from sassafrastally.proxy.cluster_state import ClusterState
+from sassafrastally.proxy.cold_tracking import OWN_SOURCE, ColdTracking
 from sassafrastally.proxy.cool_downs import CoolDowns
 from sassafrastally.proxy.leaving_servers import DeclaredLeaving
 from sassafrastally.proxy.load import server_hash
 from sassafrastally.proxy.log_events import (
-    ColdTimeRejected,
-    ServerCold,
     ServerCoolingDown,
     ServerLeaving,
     ServerLimited,
     ServerLimitEnded,
-    ServerWarm,
     SharesGranted,
 )
 from sassafrastally.proxy.metrics import SERVER_CALLS
@@ -31,22 +29,19 @@
     ServerLimits,
     own_share_per_s,
 )
-from sassafrastally.proxy.warm_up import ColdBound, ColdNotice, WarmUpLimits
+from sassafrastally.proxy.warm_up import ColdBound, WarmUpLimits
 
 if TYPE_CHECKING:
     from collections.abc import Collection, Iterable, Mapping, Sequence
 
     import trio
 
-    from sassafrastally.proxy.model import BackendServer, BackpressureSignals, Configuration
+    from sassafrastally.proxy.model import BackendServer, BackpressureSignals
     from sassafrastally.proxy.rate_limits import LimitReport, ShareNews
 
 ASSUMED_LIMIT_PER_S = 20.0
 """Assumed requests per second of a server without a stated limit once its cool-down is over."""
 
-OWN_SOURCE = "answer"
-"""Log source of limits that this entry has received in an answer."""
-
 
 class CallKind(Enum):
     """Purpose of a request to a backend server."""
@@ -78,21 +73,16 @@
         self._retry_schedule = RetrySchedule()
         self._warm_up = WarmUpLimits(own_host, cold_bound)
         self._shares = OwnShares(own_host, self._limits, self._warm_up)
-        self._configuration: Configuration | None = None
-        self._server_ids: dict[str, str] = {}
-        """Ids of cold servers by incarnation, for the log."""
 
     async def start(self, nursery: trio.Nursery) -> None:
         """Resolve the services that provide the servers and the peers."""
         self._cluster_state = self.kernel.get("beliefs", ClusterState)
         self._peers = self.kernel.get("peers", Peers)
         self._peers.limits = self
-        servers = self._cluster_state.servers
-        if servers.has_snapshot:
-            self._warm_up.begin(self._now_s)
-        for server in servers.known():
-            self._warm_up.servers.record_registration(server, self._now_s, is_new=False)
-        servers.on_registration = self._record_registration
+        self._cold_tracking = ColdTracking(
+            self.kernel, self._cluster_state, self._peers, self._warm_up, self._sent_count
+        )
+        self._cold_tracking.begin()
 
     def gauges(self) -> dict[str, float]:
         """Return the number of servers by kind of backpressure."""
@@ -103,7 +93,7 @@
             "leaving_servers": len(self.leaving()),
             "shares_granted": self._shares.grants.turn,
             "shares_used": self._shares.grants.used,
-            "cold_servers": len(self._warm_up.servers) if self._has_cold() else 0,
+            **self._cold_tracking.gauges(),
         }
 
     def count_request(self, server: BackendServer, kind: CallKind) -> None:
@@ -117,7 +107,10 @@
         Parts are counted for servers with a limit and for those that may turn cold: a server that
         does has already received them.
         """
-        if self._may_turn_cold(server) or self.limit_of(server.incarnation_id) is not None:
+        if (
+            self._cold_tracking.may_turn_cold(server)
+            or self.limit_of(server.incarnation_id) is not None
+        ):
             self._shares.record_sent(server.incarnation_id, self._now_s)
 
     def record_answer(self, server: BackendServer, signals: BackpressureSignals) -> None:
@@ -133,11 +126,8 @@
 
     def record_cold_time(self, server: BackendServer, signals: BackpressureSignals) -> None:
         """Note the cold time that a server states in an answer."""
-        if not signals.cold_left_s:
-            return
-        self._apply_configuration()
-        notice = self._warm_up.servers.record_answer(server, signals.cold_left_s, self._now_s)
-        self._note_cold(server, notice, signals.cold_left_s, OWN_SOURCE)
+        if signals.cold_left_s:
+            self._cold_tracking.record_answer(server, signals.cold_left_s)
 
     def leaving(self) -> dict[str, float]:
         """Return the servers that recently announced leaving, with the remaining seconds."""
@@ -150,7 +140,7 @@
     def limit_of(self, incarnation_id: str) -> float | None:
         """Return the requests per second that a server accepts; ``None`` without a limit."""
         most_per_s = self._limits.of(server_hash(incarnation_id)) if self._limits else None
-        if not self._has_cold():
+        if not self._cold_tracking.has_cold():
             return most_per_s
         cold_per_s = self._warm_up.servers.rate_per_s(incarnation_id, self._now_s)
         limits_per_s = [limit for limit in (most_per_s, cold_per_s) if limit is not None]
@@ -162,7 +152,7 @@
 
     def is_cold(self, incarnation_id: str) -> bool:
         """Return whether a server is cold."""
-        if not self._has_cold():
+        if not self._cold_tracking.has_cold():
             return False
         return self._warm_up.servers.left_s(incarnation_id, self._now_s) > 0
 
@@ -173,7 +163,7 @@
         other entries only.
         """
         self._cool_downs.forget_expired(self._now_s)
-        has_cold = self._has_cold()
+        has_cold = self._cold_tracking.has_cold()
         if not (self._limits or self._leaving or self._cool_downs or has_cold):
             return {}
         others = self._peers.members()
@@ -212,7 +202,7 @@
         if math.isinf(first_s):
             # Other entries share all limits; this is the average time until one has room.
             first_s = 1 / total_per_s
-        if self._limits or self._has_cold():
+        if self._limits or self._cold_tracking.has_cold():
             self._shares.grants.record_unmet(service, self._now_s)
         entries = 1 + len(self._peers.members())
         warm_in_s = self._warm_in_s(staying)
@@ -229,7 +219,7 @@
 
     def _warm_in_s(self, servers: Iterable[BackendServer]) -> float:
         """Return the time until a server that is limited only while cold is warm."""
-        if not self._has_cold():
+        if not self._cold_tracking.has_cold():
             return math.inf
         ids = (server.incarnation_id for server in servers)
         left_s = (
@@ -270,12 +260,7 @@
         now_s = self._now_s
         self._shares.forget_gone(known, now_s)
         self._leaving.forget_gone(known, now_s)
-        self._apply_configuration()
-        if self._cluster_state.servers.has_snapshot:
-            self._warm_up.begin(now_s)
-        self._warm_up.record_entries(self._peers.members(), now_s)
-        self._warm_up.servers.forget_gone(known, now_s)
-        self._has_cold()
+        self._cold_tracking.forget_gone(known)
 
     def _grant(self, service_key: int, requests: int, host: str) -> None:
         """Grant requests to the limited servers of a service to a peer."""
@@ -299,58 +284,6 @@
         if decision.granted:
             self.kernel.events.emit(SharesGranted(host, requests, *decision))
 
-    def _record_registration(self, server: BackendServer, source: str) -> None:
-        self._apply_configuration()
-        self._warm_up.begin(self._now_s)
-        is_new = self._cluster_state.servers.has_snapshot
-        notice = self._warm_up.servers.record_registration(server, self._now_s, is_new=is_new)
-        self._note_cold(server, notice, server.cold_left_s, source)
-
-    def _note_cold(
-        self, server: BackendServer, notice: ColdNotice, stated_s: float, source: str
-    ) -> None:
-        if notice is ColdNotice.REJECTED:
-            self.kernel.events.emit(ColdTimeRejected(server.server_id, stated_s, source))
-        if notice is not ColdNotice.COLD:
-            return
-        incarnation_id, now_s = server.incarnation_id, self._now_s
-        self._server_ids[incarnation_id] = server.server_id
-        self._warm_up.record_entries(self._peers.members(), now_s)
-        cold_per_s = self._warm_up.servers.rate_per_s(incarnation_id, now_s) or 0.0
-        self.kernel.events.emit(
-            ServerCold(
-                server.server_id,
-                round(self._warm_up.servers.left_s(incarnation_id, now_s), 3),
-                cold_per_s,
-                self._warm_up.quota(incarnation_id, cold_per_s),
-                self._sent_count(incarnation_id),
-                self._warm_up.entry_count(),
-                source,
-            )
-        )
-
-    def _may_turn_cold(self, server: BackendServer) -> bool:
-        services = self._configuration.services if self._configuration else {}
-        service = services.get(server.service)
-        return service is not None and service.cold_per_s > 0
-
-    def _apply_configuration(self) -> None:
-        """Apply the rates of the configuration in force if it has changed."""
-        configuration = self._cluster_state.configuration
-        if configuration is not self._configuration and configuration is not None:
-            self._configuration = configuration
-            self._warm_up.servers.configure(configuration.services, self._now_s)
-
-    def _has_cold(self) -> bool:
-        """Return whether a server is cold; log those that no longer are."""
-        if not self._warm_up:
-            return False
-        for incarnation_id in self._warm_up.servers.take_warm(self._now_s):
-            server_id = self._server_ids.pop(incarnation_id, incarnation_id)
-            sent = self._sent_count(incarnation_id)
-            self.kernel.events.emit(ServerWarm(server_id, sent))
-        return bool(self._warm_up)
-
     def _note_change(self, key: int, change: LimitChange, source: str) -> None:
         if change is LimitChange.NOTHING:
             return
--- a/packages/proxy/src/sassafrastally/proxy/peer_messages.py
+++ b/packages/proxy/src/sassafrastally/proxy/peer_messages.py
@@ -28,6 +28,7 @@
 from sassafrastally.proxy.store import StorePosition
 from sassafrastally.proxy.store_records import Delta
 from sassafrastally.proxy.store_watchers import WatchCandidate
+from sassafrastally.proxy.warm_up import decode_colds, encode_colds, first_half
 
 if TYPE_CHECKING:
     from collections.abc import Mapping, Sequence
@@ -101,6 +102,8 @@
     """Demand for shares of limits, and grants."""
     is_overloaded: bool = False
     """Whether the sender leaves duties to others that can take them."""
+    colds: Mapping[int, float] = MappingProxyType({})
+    """Remaining cold times that responses have stated, by hash of the id, longest first."""
 
 
 @cache
@@ -119,7 +122,7 @@
 
 
 def encode_hello(hello: Hello) -> bytes:
-    """Encode a datagram; if too large, drop loads, shares, then suspects, paces, limits."""
+    """Encode a datagram; if too large, drop loads, shares, then suspects, paces, limits, colds."""
     loads = sorted(hello.loads.items(), key=lambda item: (-item[1].prefill_ms, -item[1].requests))
     while True:
         data = _encode(hello, loads)
@@ -135,6 +138,8 @@
                 paces=_first_half(hello.paces),
                 limits=_first_half(hello.limits),
             )
+        elif hello.colds:
+            hello = hello._replace(colds=first_half(hello.colds))
         else:
             return data
 
@@ -207,6 +212,7 @@
             for key, report in list(hello.limits.items())[:MAX_LIMITS_SENT]
         ],
         **_encode_shares(hello.shares),
+        **encode_colds(hello.colds),
     )
     data: bytes = message.to_bytes_packed()
     return data
@@ -248,6 +254,7 @@
             is_to_forward=message.isToForward,
             shares=_decode_shares(message),
             is_overloaded=message.isOverloaded,
+            colds=decode_colds(message),
         )
     except (_codec().KjException, ValueError) as cause:
         raise DocumentInvalid(f"invalid datagram from a peer: {cause!r}") from cause
--- a/packages/proxy/src/sassafrastally/proxy/peers.py
+++ b/packages/proxy/src/sassafrastally/proxy/peers.py
@@ -39,6 +39,7 @@
 from sassafrastally.proxy.rate_limits import LimitExchange, NullLimitExchange
 from sassafrastally.proxy.store_watchers import WatchCandidate
 from sassafrastally.proxy.sum_exchange import SumExchange
+from sassafrastally.proxy.warm_up import ColdExchange, NullColdExchange
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable, Mapping, Sequence
@@ -89,6 +90,8 @@
         """Source and receiver of news about requests during which servers crash."""
         self.limits: LimitExchange = NullLimitExchange()
         """Source and receiver of servers' request rate limits."""
+        self.colds: ColdExchange = NullColdExchange()
+        """Source and receiver of servers' cold times."""
 
     async def start(self, nursery: trio.Nursery) -> None:
         """Bind the UDP port and start the exchange."""
@@ -245,6 +248,7 @@
             configuration_version=self._cluster_state.configuration_version,
             draining=self._cluster_state.servers.draining_to_announce(),
             is_overloaded=self._table.is_overloaded,
+            colds=self.colds.colds_to_send(),
         )
 
     @property
@@ -319,6 +323,8 @@
             self._wake_sums_for_prefill(known_loads, hello.loads)
         self.limits.apply(hello.limits, hello.host)
         self.limits.apply_shares(hello.shares, hello.host)
+        if hello.colds and self.colds.apply_colds(hello.colds, hello.host):
+            self._sums.send_now()
         if hello.quarantine != EMPTY_REPORT and self.quarantine.apply(hello.quarantine):
             self._sums.send_now()
         if not hello.entries and silent_s > PEER_TIMEOUT_S:
--- a/packages/proxy/src/sassafrastally/proxy/relays/data_centre_sum.py
+++ b/packages/proxy/src/sassafrastally/proxy/relays/data_centre_sum.py
@@ -6,6 +6,7 @@
 
 from sassafrastally.proxy.load import sum_work
 from sassafrastally.proxy.store_watchers import WatchCandidate, watchers
+from sassafrastally.proxy.warm_up import age_colds, longest_first
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Mapping, Sequence
@@ -41,12 +42,14 @@
     suspects = [
         {key: for_s - age_s for key, for_s in hello.suspects.items()} for hello, age_s in hellos
     ]
+    colds = [age_colds(hello.colds, age_s) for hello, age_s in hellos]
     return own._replace(
         entries=1 + len(hellos),
         loads=_sum_loads(hello.loads for hello in (own, *(hello for hello, _ in hellos))),
         suspects=max_by_key([own.suspects, *suspects]),
         paces=max_by_key([own.paces, *(hello.paces for hello, _ in hellos)]),
         watchers=tuple(watchers([own_entry, *at_the_store])),
+        colds=longest_first(max_by_key([own.colds, *colds])),
     )
 
 
--- a/packages/proxy/src/sassafrastally/proxy/warm_up/cold_servers.py
+++ b/packages/proxy/src/sassafrastally/proxy/warm_up/cold_servers.py
@@ -43,8 +43,10 @@
     """When it was last known to exist."""
     record_left_s: float = 0.0
     """Cold time in its latest record."""
+    record_until_s: float = float("-inf")
+    """Latest end of the cold time according to its records."""
     stated_until_s: float = float("-inf")
-    """Latest end of the cold time according to its records and answers."""
+    """Latest end of the cold time according to its records and answers, and to peers."""
     rejected: str = ""
     """Latest time that was rejected, so that a repeated one isn't reported again."""
 
@@ -92,11 +94,14 @@
             seen = _Seen(server.service, server.born_ms is not None, appeared_s, now_s)
         seen = seen._replace(service=server.service, known_s=now_s)
         left_s = server.cold_left_s
-        is_valid = _is_plausible(left_s)
+        is_valid = is_plausible(left_s)
         if is_valid and left_s != seen.record_left_s:
             # A record that is repeated with the same value doesn't restart the time.
-            until_s = max(seen.stated_until_s, now_s + left_s)
-            seen = seen._replace(record_left_s=left_s, stated_until_s=until_s)
+            seen = seen._replace(
+                record_left_s=left_s,
+                record_until_s=max(seen.record_until_s, now_s + left_s),
+                stated_until_s=max(seen.stated_until_s, now_s + left_s),
+            )
         self._seen[incarnation_id] = seen
         is_cold = self._update(incarnation_id, now_s)
         if is_cold:
@@ -108,13 +113,28 @@
         seen = self._seen.get(server.incarnation_id)
         if seen is None:
             return ColdNotice.NOTHING
-        if not _is_plausible(left_s):
+        if not is_plausible(left_s):
             return self._reject(server.incarnation_id, left_s)
         until_s = max(seen.stated_until_s, now_s + left_s)
         self._seen[server.incarnation_id] = seen._replace(stated_until_s=until_s)
         is_cold = self._update(server.incarnation_id, now_s)
         return ColdNotice.COLD if is_cold else ColdNotice.NOTHING
 
+    def record_peer(self, server: BackendServer, left_s: float, now_s: float) -> ColdNotice:
+        """Record the cold time that a peer has read in an answer of the server.
+
+        A peer repeats an implausible time with another value in each datagram, so it is reported
+        only once for each server.
+        """
+        if server.incarnation_id in self._seen and not is_plausible(left_s):
+            return self._reject(server.incarnation_id, left_s, "from a peer")
+        return self.record_answer(server, left_s, now_s)
+
+    def record_until_s(self, incarnation_id: str) -> float:
+        """Return the end of a server's cold time according to its records."""
+        seen = self._seen.get(incarnation_id)
+        return seen.record_until_s if seen else float("-inf")
+
     def left_s(self, incarnation_id: str, now_s: float) -> float:
         """Return the rest of a server's cold time; 0 if it isn't cold."""
         return max(0.0, self._until_s.get(incarnation_id, now_s) - now_s)
@@ -145,8 +165,8 @@
                 del self._seen[incarnation_id]
                 self._until_s.pop(incarnation_id, None)
 
-    def _reject(self, incarnation_id: str, left_s: float) -> ColdNotice:
-        seen, rejected = self._seen[incarnation_id], str(left_s)
+    def _reject(self, incarnation_id: str, left_s: float, name: str = "") -> ColdNotice:
+        seen, rejected = self._seen[incarnation_id], name or str(left_s)
         self._seen[incarnation_id] = seen._replace(rejected=rejected)
         return ColdNotice.NOTHING if seen.rejected == rejected else ColdNotice.REJECTED
 
@@ -167,5 +187,6 @@
         return not was_cold
 
 
-def _is_plausible(left_s: float) -> bool:
+def is_plausible(left_s: float) -> bool:
+    """Return whether a stated cold time is neither negative nor too long."""
     return 0 <= left_s <= MAX_COLD_S
--- a/packages/testing/src/sassafrastally/testing/cold_fleet.py
+++ b/packages/testing/src/sassafrastally/testing/cold_fleet.py
@@ -7,9 +7,10 @@
 from typing import TYPE_CHECKING
 
 from sassafrastally.core import Address
+from sassafrastally.proxy.load import server_hash
 from sassafrastally.proxy.model import BackendServer, Service
 from sassafrastally.proxy.rate_limits import SentRequests
-from sassafrastally.proxy.warm_up import ColdBound, WarmUpLimits
+from sassafrastally.proxy.warm_up import ColdAnnouncements, ColdBound, WarmUpLimits, known_until_s
 
 if TYPE_CHECKING:
     from collections.abc import Collection, Iterable, Sequence
@@ -52,6 +53,7 @@
         self.limits = WarmUpLimits(host, BOUND)
         self.limits.servers.configure(SERVICES, now_s)
         self.limits.begin(now_s)
+        self.announcements = ColdAnnouncements()
         self.sent: dict[str, SentRequests] = {}
 
     def wait_s(self, server: BackendServer, now_s: float) -> float:
@@ -59,6 +61,19 @@
         self.limits.servers.take_warm(now_s)
         return self.limits.wait_s(server.incarnation_id, self.sent_to(server), now_s)
 
+    def read_answer(self, server: BackendServer, left_s: float, now_s: float) -> None:
+        """Let this entry read a cold time in a response."""
+        servers = self.limits.servers
+        known_s = known_until_s(servers, server.incarnation_id, now_s)
+        servers.record_answer(server, left_s, now_s)
+        self.announcements.record_answer(server.incarnation_id, now_s + left_s, known_s)
+
+    def tell(self, other: ColdEntry, server: BackendServer, sent_s: float, now_s: float) -> None:
+        """Let another entry receive what this one sent."""
+        colds = self.announcements.to_send(self.limits.servers, sent_s)
+        if (left_s := colds.get(server_hash(server.incarnation_id))) is not None:
+            other.limits.servers.record_peer(server, left_s, now_s)
+
     def sent_to(self, server: BackendServer) -> SentRequests:
         """Return the requests that it has sent to a server."""
         return self.sent.setdefault(server.incarnation_id, SentRequests())
--- a/packages/testing/tests/platform/test_cold_servers.py
+++ b/packages/testing/tests/platform/test_cold_servers.py
@@ -125,6 +125,46 @@
         assert most_in_a_second(restarted.call_times_s) <= ALLOWED
 
 
+class TestAnnouncements:
+    """Cold times that entries tell each other."""
+
+    async def learn_by_report(self, fleet, cold_s: float) -> list[bool]:
+        """Let an engine turn cold and one entry read it in a report; return which entry has."""
+        await start_cold_fleet(fleet, engines=1)
+        fleet.entries_without_store = {1, 2, 3}
+        fleet.replicas["engine-1"].turn_cold(cold_s, COLD_PER_S)
+        await wait_until(lambda: any(cold_at(fleet, "engine-1")))
+        await wait_until(lambda: all(cold_at(fleet, "engine-1")), 0.5)
+        sources = [
+            [
+                record["fields"]["source"]
+                for record in events.records()
+                if record["name"] == "ServerCold"
+            ]
+            for events in (kernel.events for kernel in fleet.kernels)
+        ]
+        learned = [source == ["answer"] for source in sources]
+        teller = fleet.entry_settings(1 + learned.index(True)).host
+        assert sorted(sources) == [[teller], [teller], ["answer"]]
+        return learned
+
+    async def test_peers_know_of_a_report_within_half_a_second(self, fleet):
+        """Guards against entries that send a cold server their full load until each has read a
+        response of its own: an engine's report is read by one entry only."""
+        learned = await self.learn_by_report(fleet, 2.0)
+        gauges = [kernel.get("backpressure", Backpressure).gauges() for kernel in fleet.kernels]
+        assert [one["cold_servers_announced"] for one in gauges] == learned
+        assert [one["cold_servers_from_peers"] for one in gauges] == [not one for one in learned]
+
+    async def test_end_holds_although_its_sender_has_died(self, fleet):
+        """Guards against peers that forget a cold server with the entry that told them."""
+        learned = await self.learn_by_report(fleet, 3.0)
+        fleet.kill_entry(1 + learned.index(True))
+        await trio.sleep(1.2)
+        assert cold_at(fleet, "engine-1") == [True, True]
+        await wait_until(lambda: not any(cold_at(fleet, "engine-1")), 4.0)
+
+
 class TestStandIn:
     """The stand-in that the other tests rely on."""
 
