Soak: callers that retry at once, and one customer with half of the load

Cause: the soak's callers all kept to Retry-After, all were one customer, and all routes had one priority, so that no request ever waited at an entry.

Change: troubles early-retries (half of the refused callers send the same request again up to three times, each time on a new connection) and one-customer (half of a heavy load from one customer of four). "Not run" is judged for every 503, not only for requests that run once.

Also: a wait isn't blamed on an entry if the link of its caller was harmed.

--- a/packages/testing/src/sassafrastally/testing/soak/callers.py
+++ b/packages/testing/src/sassafrastally/testing/soak/callers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from functools import partial
 from typing import TYPE_CHECKING
 
 import h11
@@ -37,6 +38,9 @@
 PROMPT_TOKENS = {Kind.NOTE: (500, 12_000), Kind.DOSSIER: (40_000, 260_000)}
 MOST_EVENTS = 24
 
+EARLY_RETRIES = 3
+"""How often a caller that ignores Retry-After sends a refused request again."""
+
 
 class Caller:
     """One caller, who sends one request after the other."""
@@ -46,6 +50,8 @@
         self._random = fleet.random
         self._connection: HttpStream | None = None
         self._entry = 0
+        self._latest: tuple[Attempt, str | None] | None = None
+        """The latest attempt, with its token counts."""
 
     async def press(self) -> None:
         """Send requests until cancelled."""
@@ -54,11 +60,30 @@
             weights = self._fleet.weights
             (kind,) = self._random.choices(list(weights), weights=list(weights.values()))
             retry_after_s = await self.call(kind)
-            if retry_after_s is not None:
+            if retry_after_s is None:
+                continue
+            early_share = self._fleet.early_share
+            if early_share and self._random.random() < early_share:
+                await self._retry_early()
+            else:
                 await trio.sleep(retry_after_s)
                 await self.call(kind)
 
-    async def call(self, kind: Kind, entry: int | None = None, content: str = "") -> float | None:
+    async def _retry_early(self) -> None:
+        """Send the refused request again at once, each time on a new connection."""
+        for _ in range(EARLY_RETRIES):
+            await self.hang_up()
+            if await self.call(repeats=True) is None:
+                return
+
+    async def call(
+        self,
+        kind: Kind = Kind.NOTE,
+        entry: int | None = None,
+        content: str = "",
+        *,
+        repeats: bool = False,
+    ) -> float | None:
         """Send one request; return when to come back if it was turned away.
 
         Parameters
@@ -68,13 +93,16 @@
         entry
             Where it goes; any by default.
         content
-            Its body, if it isn't to have one of its own.
+            Body of a harmful request; by default, each request has a body of its own.
+        repeats
+            Whether the latest request is sent again, with the same content.
         """
         try:
             await self._connect(entry)
         except ConnectionLost:
             return None  # Nobody took the connection: no request, no promise.
-        attempt, prompt = self._attempt(kind, content)
+        attempt, prompt = self._repetition() if repeats else self._attempt(kind, content)
+        self._latest = attempt, prompt
         self._fleet.record.attempts[attempt.attempt_id] = attempt
         patience_s = GIVES_UP_S
         if self._random.random() < LEAVING_SHARE:
@@ -107,16 +135,38 @@
 
     def _attempt(self, kind: Kind, content: str) -> tuple[Attempt, str | None]:
         attempt_id = f"{self._random.getrandbits(64):016x}"
+        make = partial(
+            Attempt, content=content, customer=self._draw_customer(), is_harmful=bool(content)
+        )
         if not kind.is_stream:
-            return Attempt(attempt_id, kind, self._entry, 0, content), None
+            return make(attempt_id, kind, self._entry, 0), None
         events = self._random.randint(1, MOST_EVENTS)
         prompt = f"{self._random.randint(*PROMPT_TOKENS[kind])},{events * STRIDE}"
-        return Attempt(attempt_id, kind, self._entry, events, content), prompt
+        return make(attempt_id, kind, self._entry, events), prompt
+
+    def _repetition(self) -> tuple[Attempt, str | None]:
+        assert self._latest is not None
+        latest, prompt = self._latest
+        attempt_id = f"{self._random.getrandbits(64):016x}"
+        content, customer = latest.content.decode(), latest.customer
+        return (
+            Attempt(attempt_id, latest.kind, self._entry, latest.events, content, customer),
+            prompt,
+        )
+
+    def _draw_customer(self) -> str:
+        customers = self._fleet.customers
+        if len(customers) == 1:
+            return next(iter(customers))
+        return self._random.choices(list(customers), weights=list(customers.values()))[0]
 
     async def _exchange(self, attempt: Attempt, prompt: str | None) -> None:
         assert self._connection is not None
         fields = request_fields(
-            prompt=prompt, request_id=attempt.attempt_id, time_left_s=TIME_LEFT_S
+            prompt=prompt,
+            request_id=attempt.attempt_id,
+            time_left_s=TIME_LEFT_S,
+            customer=attempt.customer,
         )
         try:
             await send_request(self._connection, "POST", attempt.target, fields, attempt.content)
--- a/packages/testing/src/sassafrastally/testing/soak/contention.py
+++ b/packages/testing/src/sassafrastally/testing/soak/contention.py
@@ -1,4 +1,4 @@
-"""Heavy load, evacuations and cold servers: troubles, and what is promised."""
+"""Heavy load, early retries, evacuations and cold servers: troubles, and what is promised."""
 
 from __future__ import annotations
 
@@ -8,9 +8,10 @@
 import trio
 
 from sassafrastally.platform.discovery import KEYS
-from sassafrastally.stand_ins.documents import with_cold_time
+from sassafrastally.stand_ins.documents import CUSTOMER, with_cold_time
 from sassafrastally.testing.soak.callers import GIVES_UP_S
 from sassafrastally.testing.soak.entry_process import COLD_OVERRUN, COLD_SLACK, EVACUATED_S
+from sassafrastally.testing.soak.fleet import NEIGHBOURS
 from sassafrastally.testing.soak.record import KIND_WEIGHTS, HarmedSpan, Kind
 from sassafrastally.testing.soak.troubles import NoServerFree, claimed, some_server, trouble
 
@@ -20,13 +21,21 @@
 HEAVY_LOAD = "heavy-load"
 EVACUATED = "evacuated"
 COLD = "server-cold"
+EARLY = "early-retries"
+ONE_CUSTOMER = "one-customer"
 
-KINDS = (HEAVY_LOAD, EVACUATED, COLD)
+KINDS = (HEAVY_LOAD, EVACUATED, COLD, EARLY, ONE_CUSTOMER)
 """Names of the troubles of this module."""
 
 NOT_OF_ENTRIES = (*KINDS, "server-", "burst", "harmful-request", "callers-links")
 """Troubles that harm no entry, nor its way to store and peers: they excuse nothing here."""
 
+NOT_OF_WAITS = tuple(name for name in NOT_OF_ENTRIES if name != "callers-links")
+"""Troubles that excuse no caller's wait; a harmed link of the caller's own does."""
+
+EARLY_SHARE = 0.5
+"""Share of the refused callers that retry at once."""
+
 HEAVY_RATE = 3.0
 """How many times the usual load callers press with."""
 
@@ -61,6 +70,27 @@
         fleet.weights, fleet.rate = KIND_WEIGHTS, 1.0
 
 
+@trouble(EARLY)
+async def retry_early(fleet: SoakFleet) -> None:
+    """Let callers ignore Retry-After and send refused requests again, several times at once."""
+    with fleet.record.trouble(EARLY):
+        fleet.early_share = EARLY_SHARE
+        await trio.sleep(fleet.random.uniform(2.0, 6.0))
+        fleet.early_share = 0.0
+
+
+@trouble(ONE_CUSTOMER)
+async def give_one_customer_half(fleet: SoakFleet) -> None:
+    """Let one customer press with half of a heavy load, and its neighbours with the rest."""
+    if not fleet.has_priorities:
+        raise NoServerFree  # The configuration has no other customers.
+    with fleet.record.trouble(ONE_CUSTOMER):
+        fleet.customers = {CUSTOMER: len(NEIGHBOURS), **dict.fromkeys(NEIGHBOURS, 1)}
+        fleet.rate = HEAVY_RATE
+        await trio.sleep(fleet.random.uniform(2.0, 6.0))
+        fleet.customers, fleet.rate = {CUSTOMER: 1}, 1.0
+
+
 @trouble(EVACUATED)
 async def evacuate(fleet: SoakFleet) -> None:
     """Let the operator evacuate one of the two data centres for a while."""
@@ -115,6 +145,10 @@
     """Judge evacuations, cold servers, and the callers' waits."""
     _judge_evacuations(fleet)
     _judge_cold(fleet)
+    _judge_waits(fleet)
+
+
+def _judge_waits(fleet: SoakFleet) -> None:
     endless = [
         attempt.attempt_id
         for attempt in fleet.record.attempts.values()
@@ -123,7 +157,7 @@
         and not attempt.has_left
         and attempt.ended_s - attempt.sent_s >= GIVES_UP_S
         and fleet.record.is_calm(
-            attempt.entry, attempt.sent_s, attempt.ended_s, but_for=NOT_OF_ENTRIES
+            attempt.entry, attempt.sent_s, attempt.ended_s, but_for=NOT_OF_WAITS
         )
     ]
     if endless:
--- a/packages/testing/src/sassafrastally/testing/soak/fleet.py
+++ b/packages/testing/src/sassafrastally/testing/soak/fleet.py
@@ -5,7 +5,7 @@
 import json
 import signal
 import socket
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 import trio
 
@@ -15,9 +15,11 @@
 from sassafrastally.proxy.calls import CallClient
 from sassafrastally.proxy.store import AnswerLost
 from sassafrastally.stand_ins.documents import (
+    CUSTOMER,
     add_customer,
     make_configuration,
     make_customer,
+    make_customers,
     make_route,
     set_cold_servers,
 )
@@ -50,6 +52,12 @@
 """Time for the answer to a question whether an entry is ready."""
 
 
+PRIORITIES = {"note": 0, "dossier": 2, "look": 2}
+"""Priorities of routes that differ from 1, 0 being the highest."""
+
+NEIGHBOURS = ("cleo", "dan", "eva")
+"""Customers beside the usual one."""
+
 GUARD_PORT = 9
 """Port that a soak holds as long as it uses its addresses."""
 
@@ -101,6 +109,12 @@
         """How many times the usual load callers press with."""
         self.weights: Mapping[Kind, int] = KIND_WEIGHTS
         """How often callers send each kind."""
+        self.early_share = 0.0
+        """Share of the refused callers that retry at once, whatever Retry-After says."""
+        self.customers: Mapping[str, int] = {CUSTOMER: 1}
+        """How often requests carry each customer's key, relative to each other."""
+        self.has_priorities = False
+        """Whether routes to a service differ in priority, so that requests may wait."""
         self.data_centres = ("here", "there")
         """Data centres of the servers, in turn; all entries are in the first."""
         self.evacuating = False
@@ -161,6 +175,8 @@
         document["routes"].append(own)
         add_customer(document, make_customer("ben", self.key_of(self.version)))
         set_cold_servers(document["services"][0], self.cold_s, self.cold_per_s)
+        if self.has_priorities:
+            _set_priorities(document)
         self.write(KEYS.configuration, json.dumps(document).encode())
         self.configured_s[self.version] = trio.current_time()
 
@@ -320,6 +336,16 @@
         entry.signal(signal.SIGKILL)
 
 
+def _set_priorities(document: dict[str, Any]) -> None:
+    """Let routes to a service differ in priority, and add customers beside the usual one."""
+    for route in document["routes"]:
+        route["priority"] = PRIORITIES.get(route["name"], 1)
+    for customer in make_customers(NEIGHBOURS):
+        add_customer(document, customer)
+    for customer in document["tenants"]:
+        del customer["priority"]  # The route's applies.
+
+
 def _own_addresses(random_source: random.Random) -> tuple[str, socket.socket]:
     """Return the first three parts of addresses that no other soak uses, and what guards them.
 
--- a/packages/testing/src/sassafrastally/testing/soak/promises.py
+++ b/packages/testing/src/sassafrastally/testing/soak/promises.py
@@ -115,7 +115,7 @@
     def _judge_not_run(self, attempt: Attempt, arrivals: list[ReceivedRequest]) -> None:
         says_not_run = attempt.status in NOT_RUN and attempt.is_whole
         has_run = any(arrival.has_run for arrival in arrivals)
-        if says_not_run and has_run and attempt.kind is Kind.BOOK:
+        if says_not_run and has_run and (attempt.kind is Kind.BOOK or attempt.status == 503):
             self._break("not run is true", attempt, f"status {attempt.status}, and it ran")
 
     def _judge_passed_on(self, attempt: Attempt, arrivals: list[ReceivedRequest]) -> None:
@@ -124,7 +124,10 @@
             is_own = request.target == attempt.target
             if not is_own or request.body != attempt.content:
                 self._break("unchanged", attempt, f"{request.target}, {request.body[:40]!r}")
-            if request.headers.get("tenant") != "ana" or "authorization" in request.headers:
+            if (
+                request.headers.get("tenant") != attempt.customer
+                or "authorization" in request.headers
+            ):
                 self._break("customer", attempt, f"{request.headers}")
 
     def _judge_content(self, attempt: Attempt, arrivals: list[ReceivedRequest]) -> None:
--- a/packages/testing/src/sassafrastally/testing/soak/record.py
+++ b/packages/testing/src/sassafrastally/testing/soak/record.py
@@ -9,6 +9,8 @@
 
 import trio
 
+from sassafrastally.stand_ins.documents import CUSTOMER
+
 if TYPE_CHECKING:
     from collections.abc import Iterable, Iterator
 
@@ -53,13 +55,24 @@
         The caller closed its connection on purpose.
     content
         Body of the request; by default one of its own.
+    customer
+        Whose key it carries.
     """
 
     def __init__(
-        self, attempt_id: str, kind: Kind, entry: int, events: int, content: str = ""
+        self,
+        attempt_id: str,
+        kind: Kind,
+        entry: int,
+        events: int,
+        content: str = "",
+        customer: str = CUSTOMER,
+        *,
+        is_harmful: bool = False,
     ) -> None:
         self.attempt_id = attempt_id
-        self.is_harmful = bool(content)
+        self.customer = customer
+        self.is_harmful = is_harmful
         """Whether servers crash under it."""
         self.content = (content or attempt_id).encode()
         self.kind = kind
--- a/packages/testing/src/sassafrastally/testing/soak/runner.py
+++ b/packages/testing/src/sassafrastally/testing/soak/runner.py
@@ -11,6 +11,7 @@
 import trio
 
 from sassafrastally.testing.soak.callers import Caller
+from sassafrastally.testing.soak.contention import ONE_CUSTOMER
 from sassafrastally.testing.soak.fleet import SoakFleet
 from sassafrastally.testing.soak.probing import check_recovered, watch_store_calls, watch_versions
 from sassafrastally.testing.soak.promises import Judge
@@ -112,6 +113,8 @@
     folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
     async with trio.open_nursery() as nursery:
         fleet = SoakFleet(random_source, folder, nursery)
+        # Half of the seeds with these troubles, so that both kinds of deployments are run.
+        fleet.has_priorities = seed % 2 == 0 and ONE_CUSTOMER in (kinds or TROUBLES.names())
         try:
             await fleet.start(size.entries, size.engines, size.plain)
             judge = Judge(fleet)
--- a/packages/testing/tests/soak/test_soak.py
+++ b/packages/testing/tests/soak/test_soak.py
@@ -11,6 +11,7 @@
 import trio
 
 from sassafrastally.testing.soak import SoakSize, contention, run_soak
+from sassafrastally.testing.soak.callers import GIVES_UP_S
 from sassafrastally.testing.soak.record import Attempt, HarmedSpan, Kind, Record
 from sassafrastally.testing.soak.troubles import TROUBLES
 
@@ -96,6 +97,20 @@
             contention._judge_cold(fleet)
             assert bool(fleet.record.broken) is is_broken
 
+    async def test_waits_are_judged_by_what_harms_the_entry_and_the_callers_link(
+        self, autojump_clock
+    ):
+        """Guards against blaming an entry whose answer a silenced link of its caller has kept, and
+        against a check that finds no endless wait."""
+        for name, is_broken in (("callers-links: silence", False), ("server-crashed", True)):
+            fleet = self.fleet([])
+            attempt = fleet.record.attempts["1"] = Attempt("1", Kind.LOOK, 1, 0)
+            with fleet.record.trouble(name, [1]):
+                await trio.sleep(GIVES_UP_S)
+            attempt.ended_s = trio.current_time()
+            contention._judge_waits(fleet)
+            assert bool(fleet.record.broken) is is_broken
+
 
 class TestRecord:
     """What counts as calm."""
