Admission queue: a request that arrives during a check doesn't end the process

Cause: the task that checks the queues yields while a request that has got room starts. If the first request of another queue arrives meanwhile, that queue has no time of its next check, and the look-up raised KeyError, which ended the entry.

Change: a queue without a time is looked at again at once. No random number is drawn in addition. The test raised the same KeyError before.

--- a/packages/proxy/src/sassafrastally/proxy/admission_queue/admission_queue.py
+++ b/packages/proxy/src/sassafrastally/proxy/admission_queue/admission_queue.py
@@ -197,7 +197,10 @@
                 if self._next_checks_s.setdefault(name, self._next_check_s(name)) <= now_s:
                     self._next_checks_s[name] = self._next_check_s(name)
                     await self._check(self._queues[name])
-            due_s = [self._next_checks_s[name] for name, queue in self._queues.items() if queue]
+            # A queue that was empty may have got a request during the checks; it has no time yet.
+            due_s = [
+                self._next_checks_s.get(name, now_s) for name in self._queues if self._queues[name]
+            ]
             await trio.sleep_until(min(due_s, default=now_s))
 
     def _next_check_s(self, name: QueueName) -> float:
--- a/packages/proxy/tests/test_admission_queue.py
+++ b/packages/proxy/tests/test_admission_queue.py
@@ -239,6 +239,17 @@
         assert waited.started == "quarantined"
         assert waited.waited_s < 0.5
 
+    async def test_first_request_of_another_queue_may_arrive_during_a_check(
+        self, autojump_clock, nursery
+    ):
+        """Guards against the end of the process: while the task that checks the queues lets a
+        request start that has got room, another one arrives at a queue that was empty."""
+        queue = AdmissionQueue(random.Random(1))
+        nursery.start_soon(queue.run)
+        for name in (QUEUE, ("engines", Lane.SHORT)):
+            waited = await queue.wait(name, WaitingRequest(FACTS, lambda: "room"))
+            assert waited.started == "room"
+
     async def test_small_request_passes_one_that_does_not_fit_yet(self, autojump_clock, nursery):
         """Guards against a long prompt that blocks smaller ones, and against starving it."""
         queue = AdmissionQueue(random.Random(1))
