Test that announced cold servers reach all data centres; sums aren't sent for sums

With 38 entries in three data centres, uneven links and the store away, all entries know of a cold engine 0.5 s after the first one has read its report. A relay that hears of a cold server from another data centre's sum no longer sends its own at once, which wouldn't contain it.

--- a/packages/proxy/src/sassafrastally/proxy/peers.py
+++ b/packages/proxy/src/sassafrastally/proxy/peers.py
@@ -323,7 +323,7 @@
             self._wake_sums_for_prefill(known_loads, hello.loads)
         self.limits.apply(hello.limits, hello.host)
         self.limits.apply_shares(hello.shares, hello.host)
-        if hello.colds and self.colds.apply_colds(hello.colds, hello.host):
+        if hello.colds and self.colds.apply_colds(hello.colds, hello.host) and not hello.entries:
             self._sums.send_now()
         if hello.quarantine != EMPTY_REPORT and self.quarantine.apply(hello.quarantine):
             self._sums.send_now()
--- a/packages/testing/tests/platform/test_uneven_entries.py
+++ b/packages/testing/tests/platform/test_uneven_entries.py
@@ -8,7 +8,9 @@
 import pytest
 import trio
 
+from sassafrastally.proxy.backpressure import Backpressure
 from sassafrastally.proxy.peers import Peers
+from sassafrastally.stand_ins.documents import make_configuration, make_services
 from sassafrastally.stand_ins.platform_fleet import wait_until
 
 if TYPE_CHECKING:
@@ -104,6 +106,25 @@
             assert missing_centres(local) == 0
         assert all(one.live_count() == ENTRIES - 3 for one in peers)
 
+    async def test_cold_server_is_known_in_all_data_centres_within_half_a_second(
+        self, autojump_clock, seeded_fleet
+    ):
+        """Guards against entries of other data centres that send a cold server their full load
+        until they read a response of its own: one entry reads its report, and the store is away."""
+        fleet = seeded_fleet
+        services = [{**service, "coldS": 3.0, "coldPerS": 32.0} for service in make_services()]
+        fleet.configure(make_configuration(2, services=services))
+        engine = await fleet.add_replica("engine-1", data_centre="a")
+        await start_entries(fleet, UNEVEN_LINKS_MBPS)
+        fleet.entries_without_store = set(range(1, ENTRIES + 1))
+        services_of = [kernel.get("backpressure", Backpressure) for kernel in fleet.kernels]
+        engine.turn_cold(3.0, 32.0)
+        await wait_until(lambda: any(one.is_cold("engine-1") for one in services_of))
+        await trio.sleep(0.5)
+        assert all(one.is_cold("engine-1") for one in services_of)
+        announced = sum(one.gauges()["cold_servers_announced"] for one in services_of)
+        assert announced <= len(CENTRES)
+
 
 def is_relay_of(kernel: Kernel, data_centre: str) -> bool:
     """Return whether an entry sends the sum of a data centre."""
