--- a/packages/proxy/src/sassafrastally/proxy/peer_messages.py
+++ b/packages/proxy/src/sassafrastally/proxy/peer_messages.py
@@ -35,6 +35,7 @@
 from sassafrastally.proxy.store import StorePosition
 from sassafrastally.proxy.store_records import Delta
 from sassafrastally.proxy.store_watchers import WatchCandidate
+from sassafrastally.proxy.warm_up import decode_colds, encode_colds, first_half
 
 if TYPE_CHECKING:
     from collections.abc import Mapping, Sequence
@@ -110,6 +111,8 @@
     """Whether the sender leaves duties to others that can take them."""
     contention: ContentionNews = NO_CONTENTION_NEWS
     """Customers' work and refused requests while requests wait for room."""
+    colds: Mapping[int, float] = MappingProxyType({})
+    """Remaining cold times that responses have stated, by hash of the id, longest first."""
 
 
 @cache
@@ -128,7 +131,7 @@
 
 
 def encode_hello(hello: Hello) -> bytes:
-    """Encode a datagram; if too large, drop contention, loads, shares, suspects, paces, limits."""
+    """Encode a datagram; if too large, drop contention, then loads, then shares, then the rest."""
     loads = sorted(hello.loads.items(), key=lambda item: (-item[1].prefill_ms, -item[1].requests))
     while True:
         data = _encode(hello, loads)
@@ -146,6 +149,8 @@
                 paces=_first_half(hello.paces),
                 limits=_first_half(hello.limits),
             )
+        elif hello.colds:
+            hello = hello._replace(colds=first_half(hello.colds))
         else:
             return data
 
@@ -219,6 +224,7 @@
         ],
         **_encode_shares(hello.shares),
         **encode_contention(hello.contention),
+        **encode_colds(hello.colds),
     )
     data: bytes = message.to_bytes_packed()
     return data
@@ -261,6 +267,7 @@
             shares=_decode_shares(message),
             is_overloaded=message.isOverloaded,
             contention=decode_contention(message),
+            colds=decode_colds(message),
         )
     except (_codec().KjException, ValueError) as cause:
         raise DocumentInvalid(f"invalid datagram from a peer: {cause!r}") from cause
--- a/packages/proxy/src/sassafrastally/proxy/peers.py
+++ b/packages/proxy/src/sassafrastally/proxy/peers.py
@@ -40,6 +40,7 @@
 from sassafrastally.proxy.rate_limits import LimitExchange, NullLimitExchange
 from sassafrastally.proxy.store_watchers import WatchCandidate
 from sassafrastally.proxy.sum_exchange import SumExchange
+from sassafrastally.proxy.warm_up import ColdExchange, NullColdExchange
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable, Mapping, Sequence
@@ -93,6 +94,8 @@
         """Source and receiver of servers' request rate limits."""
         self.contention: ContentionExchange = NullContentionExchange()
         """Source and receiver of customers' work and refused requests."""
+        self.colds: ColdExchange = NullColdExchange()
+        """Source and receiver of servers' cold times."""
 
     async def start(self, nursery: trio.Nursery) -> None:
         """Bind the UDP port and start the exchange."""
@@ -254,6 +257,7 @@
             draining=self._cluster_state.servers.draining_to_announce(),
             is_overloaded=self._table.is_overloaded,
             contention=self.contention.news_to_send(now_s),
+            colds=self.colds.colds_to_send(),
         )
 
     @property
@@ -329,6 +333,8 @@
         self.limits.apply(hello.limits, hello.host)
         self.limits.apply_shares(hello.shares, hello.host)
         self.contention.apply(hello.contention, now_s)
+        if hello.colds and self.colds.apply_colds(hello.colds, hello.host) and not hello.entries:
+            self._sums.send_now()
         if hello.quarantine != EMPTY_REPORT and self.quarantine.apply(hello.quarantine):
             self._sums.send_now()
         if not hello.entries and silent_s > PEER_TIMEOUT_S:
--- a/packages/proxy/src/sassafrastally/proxy/relays/data_centre_sum.py
+++ b/packages/proxy/src/sassafrastally/proxy/relays/data_centre_sum.py
@@ -7,6 +7,7 @@
 from sassafrastally.proxy.contention import sum_contention
 from sassafrastally.proxy.load import sum_work
 from sassafrastally.proxy.store_watchers import WatchCandidate, watchers
+from sassafrastally.proxy.warm_up import age_colds, longest_first
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Mapping, Sequence
@@ -42,6 +43,7 @@
     suspects = [
         {key: for_s - age_s for key, for_s in hello.suspects.items()} for hello, age_s in hellos
     ]
+    colds = [age_colds(hello.colds, age_s) for hello, age_s in hellos]
     return own._replace(
         entries=1 + len(hellos),
         loads=_sum_loads(hello.loads for hello in (own, *(hello for hello, _ in hellos))),
@@ -51,6 +53,7 @@
         contention=sum_contention(
             [(own.contention, 0.0), *((hello.contention, age_s) for hello, age_s in hellos)]
         ),
+        colds=longest_first(max_by_key([own.colds, *colds])),
     )
 
 
