Count failures of servers over all entries

Cause: servers that reject or fail 40 % of their requests while their health is good are never avoided with 25 entries, since an entry acts on two consecutive failures that it sees itself.

Change: entries send failures and responses of failing servers (field failures), add them up and avoid servers whose failures aren't chance, worst first, while the others can carry the load. A trial request from time to time notices recovery. Failures of an entry at fault and faults common to all servers of a service don't count. Takes effect only where routes to a service differ in priority or links are uneven.

--- a/packages/proxy/src/sassafrastally/proxy/fleet_view.py
+++ b/packages/proxy/src/sassafrastally/proxy/fleet_view.py
@@ -9,6 +9,7 @@
 from sassafrastally.core import Service
 from sassafrastally.proxy.backpressure import Backpressure
 from sassafrastally.proxy.cluster_state import ClusterState
+from sassafrastally.proxy.failure_monitor import FailureMonitor
 from sassafrastally.proxy.lanes import ServerView
 from sassafrastally.proxy.leaving_servers import (
     LEAVING_S,
@@ -51,6 +52,9 @@
     liveness: Liveness
     """Distinguishes servers that have died from those that broke off one answer."""
 
+    failures: FailureMonitor
+    """Servers that fail too often over all entries; set in `start`."""
+
     def __init__(self, ledger: Ledger) -> None:
         self.ledger = ledger
         self.outlier_ejection = OutlierEjection()
@@ -71,6 +75,7 @@
         self._peers.own_suspects = self._own_suspects
         self._peers.own_paces = self._own_paces
         self.ledger.others = self._peers.loads
+        self.failures = FailureMonitor(self.kernel, self._cluster_state, self._peers, self.ledger)
         self._nursery = nursery
         evacuations = self._cluster_state.servers.evacuations
         self.liveness = Liveness(nursery, evacuations.is_evacuated)
@@ -151,6 +156,7 @@
         now_s = self.kernel.clock.now_s()
         work = self.work()
         to_avoid = self._servers_to_avoid(now_s)
+        to_avoid |= self.failures.avoided(lambda: work, to_avoid)
         paces = self.paces()
         without_room = self._backpressure.waits_s(servers)
         is_any_limited = self._backpressure.is_any_limited()
@@ -170,6 +176,30 @@
         trusted = [view for view in views if not view.is_suspect]
         return trusted or views
 
+    def trial_views(
+        self, service: str, avoid: set[str], homes: frozenset[str] | None = None
+    ) -> list[ServerView]:
+        """Return the server that is avoided for its failures and due for a trial request.
+
+        Empty if there is none, or if it isn't usable for another reason.
+
+        Parameters
+        ----------
+        service, avoid, homes
+            As for `views`.
+        """
+        due = self.failures.due_trials()
+        if not due:
+            return []
+        avoided_otherwise = self._servers_to_avoid(self.kernel.clock.now_s())
+        servers = [
+            server
+            for server in self._servers(service, homes)
+            if (key := server_hash(server.incarnation_id)) in due
+            and avoided_otherwise.isdisjoint((key, server.incarnation_id))
+        ]
+        return self._views(servers[:1], avoid)
+
     def available_in_s(
         self, service: str, time_left_s: float | None, homes: frozenset[str] | None = None
     ) -> float | None:
--- a/packages/proxy/src/sassafrastally/proxy/internal_endpoints.py
+++ b/packages/proxy/src/sassafrastally/proxy/internal_endpoints.py
@@ -115,6 +115,7 @@
             "evacuated_servers": servers.evacuated_count(),
             "quarantined_requests": self._quarantine.count,
             "suspected_servers": len(self._fleet_view.outlier_ejection.suspects(now_s)),
+            "failing_servers": self._fleet_view.failures.avoided_count,
             "peers": self._fleet_view.entries - 1,
             **{f"waiting_requests_{lane.value}": self._queue.count(lane) for lane in Lane},
             "open_requests": self._caller_listener.open_requests,
--- a/packages/proxy/src/sassafrastally/proxy/log_events/__init__.py
+++ b/packages/proxy/src/sassafrastally/proxy/log_events/__init__.py
@@ -9,6 +9,7 @@
     EvacuationKept,
     EvacuationUnknown,
 )
+from sassafrastally.proxy.log_events.failure_rates import ServerAvoided, ServerUsedAgain
 from sassafrastally.proxy.log_events.knowledge import (
     CentreHeard,
     CentreSilent,
@@ -118,6 +119,7 @@
     "ReservationFailed",
     "ReservationReleased",
     "RetryBudgetSpent",
+    "ServerAvoided",
     "ServerCold",
     "ServerCoolingDown",
     "ServerCrashPresumed",
@@ -131,6 +133,7 @@
     "ServerLimitEnded",
     "ServerLimited",
     "ServerSuspected",
+    "ServerUsedAgain",
     "ServerWarm",
     "SettingsRejected",
     "SettingsReloaded",
--- a/packages/proxy/src/sassafrastally/proxy/peer_messages.py
+++ b/packages/proxy/src/sassafrastally/proxy/peer_messages.py
@@ -16,6 +16,7 @@
 # Runtime import: KvEntry and KvEvent are field types of named tuples.
 from sassafrastally.core import KvEntry, KvEvent
 from sassafrastally.proxy.dialect import DocumentInvalid
+from sassafrastally.proxy.failure_rates import FailureCounts, decode_failures, encode_failures
 from sassafrastally.proxy.load import Work
 from sassafrastally.proxy.quarantine_exchange import (
     EMPTY_REPORT,
@@ -101,6 +102,9 @@
     """Demand for shares of limits, and grants."""
     is_overloaded: bool = False
     """Whether the sender leaves duties to others that can take them."""
+    failures: Mapping[int, FailureCounts] = MappingProxyType({})
+    """Recent failures and responses of failing servers, by hash of the id, the most failures first;
+    in a sum those of all its entries."""
 
 
 @cache
@@ -119,7 +123,7 @@
 
 
 def encode_hello(hello: Hello) -> bytes:
-    """Encode a datagram; if too large, drop loads, shares, then suspects, paces, limits."""
+    """Encode a datagram; if too large, drop loads, shares, then half of the other lists."""
     loads = sorted(hello.loads.items(), key=lambda item: (-item[1].prefill_ms, -item[1].requests))
     while True:
         data = _encode(hello, loads)
@@ -129,11 +133,12 @@
             del loads[min(len(loads) - 1, len(loads) * MAX_DATAGRAM_BYTES // len(data)) :]
         elif any(hello.shares):
             hello = hello._replace(shares=NO_SHARE_NEWS)
-        elif hello.suspects or hello.paces or hello.limits:
+        elif hello.suspects or hello.paces or hello.limits or hello.failures:
             hello = hello._replace(
                 suspects=_first_half(hello.suspects),
                 paces=_first_half(hello.paces),
                 limits=_first_half(hello.limits),
+                failures=_first_half(hello.failures),
             )
         else:
             return data
@@ -207,6 +212,7 @@
             for key, report in list(hello.limits.items())[:MAX_LIMITS_SENT]
         ],
         **_encode_shares(hello.shares),
+        **encode_failures(hello.failures),
     )
     data: bytes = message.to_bytes_packed()
     return data
@@ -248,6 +254,7 @@
             is_to_forward=message.isToForward,
             shares=_decode_shares(message),
             is_overloaded=message.isOverloaded,
+            failures=decode_failures(message),
         )
     except (_codec().KjException, ValueError) as cause:
         raise DocumentInvalid(f"invalid datagram from a peer: {cause!r}") from cause
--- a/packages/proxy/src/sassafrastally/proxy/peer_table.py
+++ b/packages/proxy/src/sassafrastally/proxy/peer_table.py
@@ -9,6 +9,7 @@
 
 from typing import TYPE_CHECKING, NamedTuple
 
+from sassafrastally.proxy.failure_rates import SenderCounts
 from sassafrastally.proxy.load_exchange import (
     PEER_TIMEOUT_S,
     RELAYS,
@@ -211,6 +212,14 @@
         """Return the slow engines reported by peers: pace by hash of the id."""
         return max_by_key(hello.paces for hello, _ in self.effective_messages(now_s))
 
+    def failure_counts(self, now_s: float) -> list[SenderCounts]:
+        """Return the counts of failing servers of each live peer or data centre."""
+        return [
+            SenderCounts(hello.failures, is_sum=bool(hello.entries))
+            for hello, _ in self.effective_messages(now_s)
+            if hello.failures
+        ]
+
     def watch_candidates(self, now_s: float) -> list[WatchCandidate]:
         """Return the other entries that may watch the store."""
         found: list[WatchCandidate] = []
--- a/packages/proxy/src/sassafrastally/proxy/peers.py
+++ b/packages/proxy/src/sassafrastally/proxy/peers.py
@@ -45,6 +45,7 @@
 
     from sassafrastally.core import KvEvent
     from sassafrastally.proxy.dialect import Dialect
+    from sassafrastally.proxy.failure_rates import FailureCounts, SenderCounts
     from sassafrastally.proxy.load import Ledger, Work
     from sassafrastally.proxy.settings import ProxySettings
     from sassafrastally.proxy.store import Snapshot, Store
@@ -85,6 +86,8 @@
         """Returns the servers that this entry suspects: remaining seconds by hash of the id."""
         self.own_paces: Callable[[], dict[int, float]] = dict
         """Returns the slow engines according to reports to this entry: pace by hash of the id."""
+        self.own_failures: Callable[[], dict[int, FailureCounts]] = dict
+        """Returns this entry's counts of failing servers, by hash of the id."""
         self.quarantine: QuarantineExchange = NullQuarantineExchange()
         """Source and receiver of news about requests during which servers crash."""
         self.limits: LimitExchange = NullLimitExchange()
@@ -213,6 +216,10 @@
         """Return the slow engines reported by peers: pace by hash of the id."""
         return self._table.paces(self._now_s)
 
+    def failure_counts(self) -> list[SenderCounts]:
+        """Return the latest counts of failing servers of each live peer or data centre."""
+        return self._table.failure_counts(self._now_s)
+
     def send_now(self) -> None:
         """Send updates to peers and other data centres without waiting for the next interval."""
         self._ledger.note_change(is_urgent=True)
@@ -245,6 +252,7 @@
             configuration_version=self._cluster_state.configuration_version,
             draining=self._cluster_state.servers.draining_to_announce(),
             is_overloaded=self._table.is_overloaded,
+            failures=self.own_failures(),
         )
 
     @property
--- a/packages/proxy/src/sassafrastally/proxy/plain_request.py
+++ b/packages/proxy/src/sassafrastally/proxy/plain_request.py
@@ -125,7 +125,7 @@
         return self._reply_not_run(TURNED_AWAY if self.progress.attempts else NO_ROOM, detail)
 
     def _choose_server(self) -> BackendServer | None:
-        views = self._views(self.progress.tried)
+        views = self._trial_views() or self._views(self.progress.tried)
         if self._is_suspect():
             views = self._isolate(views)
         return place_plain(views, self._services.kernel.data_centre)
@@ -150,6 +150,7 @@
             with trio.move_on_at(self._attempt_deadline_s(begin_s)):
                 answer = await self._exchange(server, begin_s)
                 self._services.fleet_view.record_success(server.incarnation_id)
+                self._count_outcome(server, is_failure=answer.status >= SERVER_ERROR_STATUS)
                 self._record_success(answer.status)
                 return answer
             await self._record_unknown(server, begin_s, "no answer within the attempt's time limit")
--- a/packages/proxy/src/sassafrastally/proxy/relays/data_centre_sum.py
+++ b/packages/proxy/src/sassafrastally/proxy/relays/data_centre_sum.py
@@ -4,12 +4,18 @@
 
 from typing import TYPE_CHECKING
 
+from sassafrastally.proxy.failure_rates import (
+    SenderCounts,
+    sum_of_centre,
+    with_most_failures,
+)
 from sassafrastally.proxy.load import sum_work
 from sassafrastally.proxy.store_watchers import WatchCandidate, watchers
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Mapping, Sequence
 
+    from sassafrastally.proxy.failure_rates import FailureCounts
     from sassafrastally.proxy.load import Work
     from sassafrastally.proxy.peer_messages import Hello
 
@@ -46,6 +52,7 @@
         loads=_sum_loads(hello.loads for hello in (own, *(hello for hello, _ in hellos))),
         suspects=max_by_key([own.suspects, *suspects]),
         paces=max_by_key([own.paces, *(hello.paces for hello, _ in hellos)]),
+        failures=_sum_failures((own, *(hello for hello, _ in hellos))),
         watchers=tuple(watchers([own_entry, *at_the_store])),
     )
 
@@ -59,6 +66,11 @@
     return highest
 
 
+def _sum_failures(hellos: Iterable[Hello]) -> dict[int, FailureCounts]:
+    senders = [SenderCounts(hello.failures) for hello in hellos if hello.failures]
+    return with_most_failures(sum_of_centre(senders))
+
+
 def _sum_loads(loads: Iterable[Mapping[int, Work]]) -> dict[int, Work]:
     by_server: dict[int, list[Work]] = {}
     for mapping in loads:
--- a/packages/proxy/src/sassafrastally/proxy/request_handler.py
+++ b/packages/proxy/src/sassafrastally/proxy/request_handler.py
@@ -161,6 +161,39 @@
             return LocalReply(MAY_HAVE_RUN, detail)
         return LocalReply(QUARANTINED, detail, verdict.retry_delay_s(now_s))
 
+    def _trial_views(self) -> list[ServerView]:
+        """Return the server to which this request is the trial, as in `FleetView.trial_views`.
+
+        Only a first attempt that may be repeated is one, so that a failure costs no caller its
+        response. Handlers of streams use short prompts only: a long one fails with any of the
+        engines that share it.
+        """
+        if self.progress.attempts or not self._can_fail_over() or self._is_suspect():
+            return []
+        return self._services.fleet_view.trial_views(
+            self._task.service, self.progress.tried, self._task.homes
+        )
+
+    def _count_outcome(self, *servers: BackendServer, is_failure: bool) -> None:
+        """Count a response or a failure of servers over all entries.
+
+        Failures of a request during which a server has crashed don't count: it may be their cause.
+        """
+        if is_failure and self._is_suspect():
+            return
+        for server in servers:
+            self._services.fleet_view.failures.record(server, is_failure=is_failure)
+
+    def _count_rejection(self, server: BackendServer) -> None:
+        """Count a rejection unless load, a rate limit or a cold start explains it."""
+        incarnation_id = server.incarnation_id
+        if (
+            not self._services.fleet_view.is_loaded(server)
+            and self._services.backpressure.limit_of(incarnation_id) is None
+            and not self._services.backpressure.is_cold(incarnation_id)
+        ):
+            self._count_outcome(server, is_failure=True)
+
     def _is_suspect(self) -> bool:
         """Return whether a server has crashed while running the request, whatever the cause."""
         return self._services.quarantine.crash_count(self._task.fingerprint) > 0
@@ -204,6 +237,7 @@
         self.progress.tried.add(server.incarnation_id)
         self.progress.pending = server
         self._services.backpressure.count_request(server, CallKind.ATTEMPT)
+        self._services.fleet_view.failures.record_sent(server)
         for helper in helpers:
             self._services.backpressure.count_part(helper)
 
@@ -270,6 +304,7 @@
         # same address isn't.
         at_fault = [helper for helper in helpers if helper.address == cause.failed_server_address]
         for helper in at_fault:
+            self._count_rejection(helper)
             reason = "reported as the cause by another server"
             self._services.fleet_view.record_refusal(
                 helper, reason, self._request_id, is_conclusive=True
@@ -277,10 +312,12 @@
         if at_fault or not cause.counts_against_server:
             return
         if cause.is_unreachable:
+            self._count_outcome(server, is_failure=True)
             self._services.fleet_view.record_failure(
                 server, cause.detail, self._request_id, is_conclusive=True
             )
         else:
+            self._count_rejection(server)
             self._services.fleet_view.record_refusal(server, cause.detail, self._request_id)
 
     def _is_for_load(self, server: BackendServer, cause: AttemptNotRun) -> bool:
@@ -294,6 +331,9 @@
         detail = cause if isinstance(cause, str) else cause.detail
         self._record_abandoned(server, begin_s, detail)
         fleet_view, crash_detector = self._services.fleet_view, self._services.crash_detector
+        is_silence = not isinstance(cause, str) and cause.is_timeout
+        if not is_silence:  # The report of a silent engine decides whether it has failed.
+            self._count_outcome(server, is_failure=True)
         if isinstance(cause, str):
             fleet_view.record_failure(server, detail, self._request_id)
             crash_detector.record_missing_answer(server, self._task)
--- a/packages/proxy/src/sassafrastally/proxy/streaming_request.py
+++ b/packages/proxy/src/sassafrastally/proxy/streaming_request.py
@@ -221,16 +221,15 @@
             plan = self._place_among(self._isolate(views))
             if plan is not None:
                 return plan
+        if self._lane is Lane.SHORT and (views := self._trial_views()):
+            trial = self._place_among(views)
+            if trial is not None and trial.predicted_s <= self._goal_s():
+                return trial
         has_uneven_links = self._services.fleet_view.has_uneven_links
+        is_local = prefers_local_data_centre(self._lane, has_uneven_links)
+        local = self._local_views(tried) if is_local else ()
         return place_locally_first(
-            self._place_among,
-            (
-                self._local_views(tried)
-                if prefers_local_data_centre(self._lane, has_uneven_links)
-                else ()
-            ),
-            lambda: self._views(tried),
-            self._goal_s(),
+            self._place_among, local, lambda: self._views(tried), self._goal_s()
         )
 
     def _place_among(self, views: Sequence[ServerView]) -> Placement | None:
@@ -376,6 +375,7 @@
             raise AttemptUnknown(
                 f"the engine responded with status {answer.status} to a resumed stream"
             )
+        self._count_outcome(placement.server, is_failure=answer.status >= SERVER_ERROR_STATUS)
         headers = self._services.dialect.response_headers(answer.headers)
         await self._reply.send_complete(answer.status, headers, body)
         self._record_answered(placement, answer.status)
@@ -414,6 +414,7 @@
             await self._reply.send(splitter.rest)
         await self._reply.end()
         self._services.fleet_view.record_success(placement.server.incarnation_id)
+        self._count_outcome(placement.server, *placement.helpers, is_failure=False)
         self._record_answered(placement, answer.status)
 
     async def _forward_event(self, event: StreamEvent, now_s: float) -> None:
