--- a/packages/proxy/src/sassafrastally/proxy/log_events/__init__.py
+++ b/packages/proxy/src/sassafrastally/proxy/log_events/__init__.py
@@ -10,6 +10,7 @@
     EvacuationKept,
     EvacuationUnknown,
 )
+from sassafrastally.proxy.log_events.failure_rates import ServerAvoided, ServerUsedAgain
 from sassafrastally.proxy.log_events.knowledge import (
     CentreHeard,
     CentreSilent,
@@ -121,6 +122,7 @@
     "ReservationFailed",
     "ReservationReleased",
     "RetryBudgetSpent",
+    "ServerAvoided",
     "ServerCold",
     "ServerCoolingDown",
     "ServerCrashPresumed",
@@ -134,6 +136,7 @@
     "ServerLimitEnded",
     "ServerLimited",
     "ServerSuspected",
+    "ServerUsedAgain",
     "ServerWarm",
     "SettingsRejected",
     "SettingsReloaded",
--- a/packages/proxy/src/sassafrastally/proxy/peer_messages.py
+++ b/packages/proxy/src/sassafrastally/proxy/peer_messages.py
@@ -23,6 +23,7 @@
     shortened,
 )
 from sassafrastally.proxy.dialect import DocumentInvalid
+from sassafrastally.proxy.failure_rates import FailureCounts, decode_failures, encode_failures
 from sassafrastally.proxy.load import Work
 from sassafrastally.proxy.quarantine_exchange import (
     EMPTY_REPORT,
@@ -113,6 +114,9 @@
     """Customers' work and refused requests while requests wait for room."""
     colds: Mapping[int, float] = MappingProxyType({})
     """Remaining cold times that responses have stated, by hash of the id, longest first."""
+    failures: Mapping[int, FailureCounts] = MappingProxyType({})
+    """Recent failures and responses of failing servers, by hash of the id, the most failures first;
+    in a sum those of all its entries."""
 
 
 @cache
@@ -143,11 +147,12 @@
             del loads[min(len(loads) - 1, len(loads) * MAX_DATAGRAM_BYTES // len(data)) :]
         elif any(hello.shares):
             hello = hello._replace(shares=NO_SHARE_NEWS)
-        elif hello.suspects or hello.paces or hello.limits:
+        elif hello.suspects or hello.paces or hello.limits or hello.failures:
             hello = hello._replace(
                 suspects=_first_half(hello.suspects),
                 paces=_first_half(hello.paces),
                 limits=_first_half(hello.limits),
+                failures=_first_half(hello.failures),
             )
         elif hello.colds:
             hello = hello._replace(colds=first_half(hello.colds))
@@ -225,6 +230,7 @@
         **_encode_shares(hello.shares),
         **encode_contention(hello.contention),
         **encode_colds(hello.colds),
+        **encode_failures(hello.failures),
     )
     data: bytes = message.to_bytes_packed()
     return data
@@ -268,6 +274,7 @@
             is_overloaded=message.isOverloaded,
             contention=decode_contention(message),
             colds=decode_colds(message),
+            failures=decode_failures(message),
         )
     except (_codec().KjException, ValueError) as cause:
         raise DocumentInvalid(f"invalid datagram from a peer: {cause!r}") from cause
--- a/packages/proxy/src/sassafrastally/proxy/peers.py
+++ b/packages/proxy/src/sassafrastally/proxy/peers.py
@@ -48,6 +48,7 @@
     from sassafrastally.core import KvEvent
     from sassafrastally.proxy.contention import ContentionNews
     from sassafrastally.proxy.dialect import Dialect
+    from sassafrastally.proxy.failure_rates import FailureCounts, SenderCounts
     from sassafrastally.proxy.load import Ledger, Work
     from sassafrastally.proxy.settings import ProxySettings
     from sassafrastally.proxy.store import Snapshot, Store
@@ -88,6 +89,8 @@
         """Returns the servers that this entry suspects: remaining seconds by hash of the id."""
         self.own_paces: Callable[[], dict[int, float]] = dict
         """Returns the slow engines according to reports to this entry: pace by hash of the id."""
+        self.own_failures: Callable[[], dict[int, FailureCounts]] = dict
+        """Returns this entry's counts of failing servers, by hash of the id."""
         self.quarantine: QuarantineExchange = NullQuarantineExchange()
         """Source and receiver of news about requests during which servers crash."""
         self.limits: LimitExchange = NullLimitExchange()
@@ -224,6 +227,10 @@
         """Return the contention state of the other entries and data centres."""
         return self._table.contention_news(self._now_s)
 
+    def failure_counts(self) -> list[SenderCounts]:
+        """Return the latest counts of failing servers of each live peer or data centre."""
+        return self._table.failure_counts(self._now_s)
+
     def send_now(self) -> None:
         """Send updates to peers and other data centres without waiting for the next interval."""
         self._ledger.note_change(is_urgent=True)
@@ -258,6 +265,7 @@
             is_overloaded=self._table.is_overloaded,
             contention=self.contention.news_to_send(now_s),
             colds=self.colds.colds_to_send(),
+            failures=self.own_failures(),
         )
 
     @property
