--- a/packages/proxy/src/sassafrastally/proxy/contention/shared_contention.py
+++ b/packages/proxy/src/sassafrastally/proxy/contention/shared_contention.py
@@ -14,13 +14,11 @@
 from sassafrastally.proxy.contention.contention_window import ContentionWindow
 from sassafrastally.proxy.contention.peer_refusals import PeerRefusals
 from sassafrastally.proxy.contention.sent_refusals import SentRefusals
+from sassafrastally.proxy.load_exchange import PEER_TIMEOUT_S
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable, Mapping, Set
 
-PEER_STATE_S = 1.0
-"""Time for which the state of a peer that sends nothing more counts, as for its load."""
-
 TOTAL_AGE_S = 0.05
 """Time for which the sum over the peers is used again: the shortest interval between two checks of
 a queue. Each peer sends at most every 0.1 s where there are 25."""
@@ -116,7 +114,7 @@
     def news_to_send(self, now_s: float) -> ContentionNews:
         """Return this entry's own state; empty while neither it nor a live peer is contended."""
         is_contended = self.is_contended(now_s)
-        if not is_contended and now_s - self._contention_received_s >= PEER_STATE_S:
+        if not is_contended and now_s - self._contention_received_s >= PEER_TIMEOUT_S:
             return NO_CONTENTION_NEWS
         own_ms = {customer_hash(name): ms for name, ms in self._own_work_ms(now_s).items()}
         refusals = self._sent_refusals.to_send(now_s)
@@ -158,7 +156,7 @@
 
     def _peers_total_ms(self, now_s: float) -> dict[int, float]:
         """Return the work of each customer at the other entries, by hash of the name."""
-        if now_s - self._news_received_s >= PEER_STATE_S:
+        if now_s - self._news_received_s >= PEER_TIMEOUT_S:
             return {}
         if now_s - self._totals_s >= TOTAL_AGE_S:
             self._totals_s = now_s
