--- a/packages/proxy/tests/test_warm_up.py
+++ b/packages/proxy/tests/test_warm_up.py
@@ -18,6 +18,7 @@
     allowed_per_second,
     make_server,
     most_in_a_second,
+    play_cold_without_notice,
 )
 
 SERVER = make_server(1)
@@ -244,81 +245,26 @@
 class TestBoundWhileNewsTravels:
     """A server that turns cold under load and says so only in its responses."""
 
-    SLOTS = 6
-    RESPONSE_S = 0.15
-    SEND_INTERVAL_S = 0.25
-    """Longest time between two datagrams of an entry, and of an overloaded one always."""
-    SUM_DELAY_S = 0.1
-    """Additional time of a sum on its way to the entries of another data centre."""
-
-    def play(
-        self, *, announces: bool, lost_share: float = 0.0, seed: int = 1, entries: int = 25
-    ) -> tuple[ColdFleet, float]:
-        """Return the fleet after its entries have used the server as fast as they may, and the time
-        at which the last of them has known of it.
-
-        An entry that knows uses its whole quota. Those that don't keep all slots busy together,
-        which is more than load A's floods send to one of 60 engines.
-        """
-        fleet, all_know_s = ColdFleet(entries, seed), math.inf
-        fleet.register(SERVER, -9.0, is_new=False)
-        hosts = list(fleet.entries)
-        responses: list[tuple[float, str]] = []
-        datagrams: list[tuple[float, float, str, str]] = []
-        next_send_s = {host: fleet.draw.uniform(0.0, self.SEND_INTERVAL_S) for host in hosts}
-        step_s = 0.01
-        rate_per_s, due = self.SLOTS / self.RESPONSE_S, 0.0
-        for step in range(round(2.9 / step_s)):
-            now_s = step * step_s
-            for at_s, host in [one for one in responses if one[0] <= now_s]:
-                responses.remove((at_s, host))
-                fleet.entries[host].read_answer(SERVER, COLD_S - now_s, now_s)
-            for datagram in [one for one in datagrams if one[0] <= now_s]:
-                datagrams.remove(datagram)
-                _, sent_s, sender, receiver = datagram
-                fleet.entries[sender].tell(fleet.entries[receiver], SERVER, sent_s, now_s)
-            for host in hosts if announces else ():
-                if next_send_s[host] > now_s:
-                    continue
-                next_send_s[host] = now_s + self.SEND_INTERVAL_S
-                for other in hosts:
-                    is_remote = other.split(".")[1] != host.split(".")[1]
-                    delay_s = 0.02 + (self.SUM_DELAY_S if is_remote else 0.0)
-                    if other != host and fleet.draw.random() >= lost_share:
-                        datagrams.append((now_s + delay_s, now_s, host, other))
-            servers = {host: fleet.entries[host].limits.servers for host in hosts}
-            unaware = [host for host in hosts if not servers[host]]
-            if not unaware:
-                all_know_s = min(all_know_s, now_s)
-            due += rate_per_s * step_s
-            while due >= 1.0 and unaware:
-                due -= 1.0
-                host = fleet.draw.choice(unaware)
-                fleet.send(host, SERVER, now_s)
-                responses.append((now_s + self.RESPONSE_S, host))
-            for host, entry in fleet.entries.items():
-                while servers[host] and entry.wait_s(SERVER, now_s) <= 0:
-                    fleet.send(host, SERVER, now_s)
-        return fleet, all_know_s
-
     @pytest.mark.parametrize("lost_share", [0.0, 0.3])
     @pytest.mark.parametrize("seed", [1, 2, 3])
     def test_bound_holds_over_25_entries_although_datagrams_are_lost(self, lost_share, seed):
         """Guards against entries that send what a warm server takes until each has read a response
         of its own: the last of 25 does so after more than a second."""
-        fleet, all_know_s = self.play(announces=True, lost_share=lost_share, seed=seed)
+        fleet, all_know_s = play_cold_without_notice(
+            announces=True, lost_share=lost_share, seed=seed
+        )
         arrived_s = fleet.arrived_s[SERVER.incarnation_id]
         assert most_in_a_second(arrived_s) <= allowed_per_second()
         assert len(arrived_s) >= 0.7 * COLD_PER_S * COLD_S
         assert all_know_s < 0.7
-        assert self.play(announces=False, seed=seed)[1] > 1.0
+        assert play_cold_without_notice(announces=False, seed=seed)[1] > 1.0
 
     @pytest.mark.parametrize("announces", [True, False])
     def test_bound_holds_over_100_entries_only_with_announcements(self, announces):
         """Guards against exceeding the bound with more entries than requests: each that learns
         from a response of its own sends at least one. The run without announcements shows that
         the replay can exceed the bound."""
-        fleet, _ = self.play(announces=announces, entries=100)
+        fleet, _ = play_cold_without_notice(announces=announces, entries=100)
         most = most_in_a_second(fleet.arrived_s[SERVER.incarnation_id])
         assert (most <= allowed_per_second()) is announces
 
--- a/packages/testing/src/sassafrastally/testing/cold_fleet.py
+++ b/packages/testing/src/sassafrastally/testing/cold_fleet.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from bisect import bisect_left
 from typing import TYPE_CHECKING
@@ -25,6 +26,19 @@
 
 STEP_S = 0.05
 
+SLOTS = 6
+RESPONSE_S = 0.15
+"""Slots of an engine, and the time that a request takes one: 40 requests a second, a sixtieth of
+which load A's floods send to each engine."""
+
+SEND_INTERVAL_S = 0.25
+"""Longest time between two datagrams of an entry, and that of an overloaded one."""
+
+TRANSIT_S = 0.02
+SUM_DELAY_S = 0.1
+"""Time of a datagram on its way, and what a sum takes in addition until the entries of another
+data centre have it."""
+
 
 def allowed_per_second() -> float:
     """Return how many requests a cold server may get in any second."""
@@ -121,3 +135,63 @@
                 for server in servers:
                     while entry.wait_s(server, now_s) <= 0:
                         self.send(host, server, now_s)
+
+
+def play_cold_without_notice(
+    *, announces: bool, lost_share: float = 0.0, seed: int = 1, entries: int = 25
+) -> tuple[ColdFleet, float]:
+    """Replay a server that turns cold under load and says so only in its responses.
+
+    An entry that knows uses its whole quota. Those that don't keep all slots busy together.
+
+    Parameters
+    ----------
+    announces
+        Whether entries tell each other what they read in responses.
+    lost_share
+        Share of the datagrams that are lost.
+    seed
+        Decides which entries send, and what is lost.
+    entries
+        Number of entries, in three data centres.
+
+    Returns
+    -------
+    tuple[ColdFleet, float]
+        The fleet, and when the last of its entries has known of the server.
+    """
+    server, fleet, all_know_s = make_server(1), ColdFleet(entries, seed), math.inf
+    fleet.register(server, -9.0, is_new=False)
+    responses: list[tuple[float, str]] = []
+    datagrams: list[tuple[float, float, str, str]] = []
+    next_send_s = {host: fleet.draw.uniform(0.0, SEND_INTERVAL_S) for host in fleet.entries}
+    step_s, due = 0.01, 0.0
+    for step in range(round(2.9 / step_s)):
+        now_s = step * step_s
+        for response in [one for one in responses if one[0] <= now_s]:
+            responses.remove(response)
+            fleet.entries[response[1]].read_answer(server, COLD_S - now_s, now_s)
+        for datagram in [one for one in datagrams if one[0] <= now_s]:
+            datagrams.remove(datagram)
+            _, sent_s, sender, receiver = datagram
+            fleet.entries[sender].tell(fleet.entries[receiver], server, sent_s, now_s)
+        for host in [one for one in fleet.entries if announces and next_send_s[one] <= now_s]:
+            next_send_s[host] = now_s + SEND_INTERVAL_S
+            for other in [one for one in fleet.entries if one != host]:
+                is_remote = other.split(".")[1] != host.split(".")[1]
+                at_s = now_s + TRANSIT_S + (SUM_DELAY_S if is_remote else 0.0)
+                if fleet.draw.random() >= lost_share:
+                    datagrams.append((at_s, now_s, host, other))
+        unaware = [host for host, one in fleet.entries.items() if not one.limits.servers]
+        if not unaware:
+            all_know_s = min(all_know_s, now_s)
+        due += SLOTS / RESPONSE_S * step_s
+        while due >= 1.0 and unaware:
+            due -= 1.0
+            host = fleet.draw.choice(unaware)
+            fleet.send(host, server, now_s)
+            responses.append((now_s + RESPONSE_S, host))
+        for host, entry in fleet.entries.items():
+            while entry.limits.servers and entry.wait_s(server, now_s) <= 0:
+                fleet.send(host, server, now_s)
+    return fleet, all_know_s
