Soak: half of the cold servers say so only in their reports

The trouble server-cold wrote the cold time to the server's record, so that no entry had anything to announce. A server that crashes by itself while it is cold (or under a harmful request) gets its next life.

--- a/packages/testing/src/sassafrastally/testing/soak/contention.py
+++ b/packages/testing/src/sassafrastally/testing/soak/contention.py
@@ -51,6 +51,15 @@
 TOLD_S = 1.0
 """Time from a server's record that it is cold until all entries must know it."""
 
+REPORTED_SHARE = 0.5
+"""Share of the cold servers that say so only in their reports."""
+
+REPORT_S = 1.0
+"""Time within which some entry reads an engine's report."""
+
+NOT_OF_REPORTS = (*KINDS, "burst", "server-crashed", "server-drained", "server-replaced")
+"""Troubles that keep no entry from reading the report of another server."""
+
 CRASH_FACTOR = 3.0
 """A cold server crashes above so many times the rate that it accepts."""
 
@@ -114,25 +123,44 @@
     server = some_server(fleet)
     if server.replica.service != "engines":
         raise NoServerFree
-    with claimed(server):
+    with claimed(server), fleet.record.trouble(COLD):
         begin_s, cold_s = trio.current_time(), fleet.cold_s
         server_id = server.replica.server_id
-        with fleet.record.trouble(COLD):
+        is_only_reported = fleet.random.random() < REPORTED_SHARE
+        if is_only_reported:
+            # Longer, as the entries know it only once one of them has read a report.
+            cold_s += 2 * REPORT_S
+            server.replica.turn_cold(cold_s, fleet.cold_per_s)
+        else:
             record = with_cold_time(server.replica.entry(), cold_s)
             fleet.write(KEYS.servers_prefix + server_id, record)
-            crashed = await _crashes(server, begin_s + cold_s, fleet.cold_per_s)
+        crashed = await _crashes(server, begin_s + cold_s, fleet.cold_per_s)
+        if not is_only_reported:
             fleet.cold.append(HarmedSpan(server_id, begin_s, trio.current_time()))
-            if crashed:
-                fleet.end_life(server)
-                fleet.unregister(server)
-                await fleet.begin_life(server)
-            fleet.register(server)
+        elif _are_reports_read(fleet, begin_s):
+            fleet.cold.append(HarmedSpan(server_id, begin_s + REPORT_S, trio.current_time()))
+        if crashed:
+            fleet.end_life(server)
+            fleet.unregister(server)
+            await fleet.begin_life(server)
+        fleet.register(server)
+
+
+def _are_reports_read(fleet: SoakFleet, begin_s: float) -> bool:
+    """Return whether nothing has kept the entries from reading reports and telling each other."""
+    now_s = trio.current_time()
+    return all(
+        fleet.record.is_calm(entry, begin_s, now_s, with_planned=True, but_for=NOT_OF_REPORTS)
+        for entry in fleet.entries
+    )
 
 
 async def _crashes(server: Server, until_s: float, per_s: float) -> bool:
     """Return whether a cold server gets far more than it accepts before it is warm."""
     while trio.current_time() < until_s:
         since_s = trio.current_time() - WINDOW_S
+        if server.replica.has_crashed.is_set():
+            return True
         if sum(one.at_s > since_s for one in server.replica.received_requests) > (
             CRASH_FACTOR * per_s
         ):
