Leave headroom for urgent prompts when less urgent ones have waited

Cause: with the queue, waiting long prompts took all freed room at once.

Change: a prompt that has waited starts only if engines can still start in time the more urgent prompts that are expected until it is prefilled and within one more goal. Late requests of the most urgent routes yield to those in time, and arriving ones no longer wait behind them. Each wait ends with a last try without headroom.

The test now asks for at least as many questions served and within goal as without the queue.

--- a/packages/proxy/src/sassafrastally/proxy/admission_queue/__init__.py
+++ b/packages/proxy/src/sassafrastally/proxy/admission_queue/__init__.py
@@ -16,6 +16,7 @@
 from sassafrastally.proxy.admission_queue.customer_work import CustomerWork, request_work_ms
 from sassafrastally.proxy.admission_queue.early_retries import EarlyRetries
 from sassafrastally.proxy.admission_queue.expected_room import RoomRate, is_wait_hopeless
+from sassafrastally.proxy.admission_queue.headroom import RecentArrivals, Shortage, find_shortage
 from sassafrastally.proxy.admission_queue.queue_order import (
     QueueBounds,
     WaitingFacts,
@@ -34,10 +35,13 @@
     "EarlyRetries",
     "QueueBounds",
     "QueueingCache",
+    "RecentArrivals",
     "RoomRate",
+    "Shortage",
     "Waited",
     "WaitingFacts",
     "WaitingRequest",
+    "find_shortage",
     "is_queueing_useful",
     "is_wait_hopeless",
     "latest_start_s",
--- a/packages/proxy/src/sassafrastally/proxy/admission_queue/admission_queue.py
+++ b/packages/proxy/src/sassafrastally/proxy/admission_queue/admission_queue.py
@@ -13,11 +13,13 @@
 from sassafrastally.proxy.admission_queue.customer_work import CustomerWork
 from sassafrastally.proxy.admission_queue.early_retries import EarlyRetries
 from sassafrastally.proxy.admission_queue.expected_room import RoomRate, is_wait_hopeless
+from sassafrastally.proxy.admission_queue.headroom import RecentArrivals
 from sassafrastally.proxy.admission_queue.queue_order import (
     OrderKey,
     QueueBounds,
     WaitingFacts,
     is_aged,
+    is_unhindered,
     order_key,
     requests_to_refuse,
 )
@@ -115,6 +117,7 @@
     def __init__(self, random: Random, bounds: QueueBounds | None = None) -> None:
         self.customers = CustomerWork()
         self.early_retries = EarlyRetries()
+        self.arrivals = RecentArrivals()
         self._random = random
         self._bounds = bounds or QueueBounds()
         self._queues: dict[QueueName, list[WaitingRequest[object]]] = {}
@@ -129,7 +132,7 @@
     def is_behind_others(self, name: QueueName, facts: WaitingFacts) -> bool:
         """Return whether a request that arrives has to wait behind others of its queue."""
         queue = self._queues.get(name)
-        if not queue:
+        if not queue or is_unhindered(facts):
             return False
         key = self._order(trio.current_time())
         return min(key(waiting.facts) for waiting in queue) < key(facts)
@@ -182,7 +185,8 @@
                 self._rates[name].note_empty()
                 self._next_checks_s.pop(name, None)
         waited_s = trio.current_time() - begin_s
-        if waiting.ended.is_set():
+        # Tried once more, since headroom for more urgent requests no longer holds it back.
+        if waiting.ended.is_set() or waiting.try_start():
             return Waited(waiting.started, waited_s, waiting.reason)
         return Waited(None, waited_s, f"waited {waited_s:.1f} s")
 
--- a/packages/proxy/src/sassafrastally/proxy/admission_queue/applicability.py
+++ b/packages/proxy/src/sassafrastally/proxy/admission_queue/applicability.py
@@ -25,7 +25,8 @@
 
     def __init__(self) -> None:
         self._version: int | None = None
-        self._services: frozenset[str] = frozenset()
+        self._services: dict[str, int] = {}
+        """Highest priority of the routes to each service whose requests may wait."""
 
     def applies_to(self, configuration: Configuration, service: str) -> bool:
         """Return whether requests to a service may wait."""
@@ -35,14 +36,20 @@
         """Return whether requests to any service may wait."""
         return bool(self._current(configuration))
 
-    def _current(self, configuration: Configuration) -> frozenset[str]:
+    def most_urgent(self, configuration: Configuration, service: str) -> int | None:
+        """Return the highest priority of the routes to a service whose requests may wait."""
+        return self._current(configuration).get(service)
+
+    def _current(self, configuration: Configuration) -> dict[str, int]:
         if self._version != configuration.version:
             self._version = configuration.version
             by_service: dict[str, list[Route]] = {}
             for route in configuration.routes:
                 for name in {share.service for share in route.shares}:
                     by_service.setdefault(name, []).append(route)
-            self._services = frozenset(
-                name for name, routes in by_service.items() if is_queueing_useful(routes)
-            )
+            self._services = {
+                name: min(route.priority for route in routes)
+                for name, routes in by_service.items()
+                if is_queueing_useful(routes)
+            }
         return self._services
--- a/packages/proxy/src/sassafrastally/proxy/admission_queue/queue_order.py
+++ b/packages/proxy/src/sassafrastally/proxy/admission_queue/queue_order.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING, NamedTuple
 
 if TYPE_CHECKING:
@@ -34,9 +35,12 @@
     since_s: float
     """When the request began to wait."""
     latest_start_s: float
+    timely_start_s: float = math.inf
+    """Latest start that meets the goal, for requests of the most urgent routes; after it, they wait
+    behind those of their priority that can still meet theirs."""
 
 
-OrderKey = tuple[int, bool, float, float]
+OrderKey = tuple[int, bool, bool, float, float]
 
 
 def order_key(facts: WaitingFacts, work_by_customer: Mapping[str, float], now_s: float) -> OrderKey:
@@ -53,15 +57,32 @@
         Current time.
     """
     priority = facts.priority - is_aged(facts, now_s)
+    late = is_late(facts, now_s)
     work_ms = work_by_customer.get(facts.customer, 0.0)
-    return priority, facts.is_early, work_ms, facts.latest_start_s
+    return priority, facts.is_early, late, work_ms, facts.latest_start_s
 
 
 def is_aged(facts: WaitingFacts, now_s: float) -> bool:
     """Return whether a request has used so much of its longest wait that it moves up."""
+    if is_late(facts, now_s):
+        return False  # Otherwise it would keep the next ones from meeting their goal.
     return now_s >= facts.since_s + AGING_SHARE * (facts.latest_start_s - facts.since_s)
 
 
+def is_late(facts: WaitingFacts, now_s: float) -> bool:
+    """Return whether a request of the most urgent routes can no longer meet its goal."""
+    return now_s > facts.timely_start_s
+
+
+def is_unhindered(facts: WaitingFacts) -> bool:
+    """Return whether a request needn't wait for others that wait already.
+
+    Those of the most urgent routes that wait have mostly missed their goal, and until the queue is
+    checked again, so has one that arrives. Callers whose first attempt failed leave soonest.
+    """
+    return math.isfinite(facts.timely_start_s) and not facts.is_early
+
+
 def requests_to_refuse(ordered: Sequence[WaitingFacts], bounds: QueueBounds) -> int:
     """Return how many requests at the end of the order exceed the bounds.
 
--- a/packages/proxy/src/sassafrastally/proxy/log_events/requests.py
+++ b/packages/proxy/src/sassafrastally/proxy/log_events/requests.py
@@ -53,6 +53,24 @@
     reason: str
 
 
+@event(10072)
+class RequestHeldBack(NamedTuple):
+    """A request that waits could start, but leaves the room to more urgent ones; logged once."""
+
+    request_id: str
+    route: str
+    lane: str
+    priority: int
+    urgent_route: str
+    """Route that would lack room."""
+    timely: int
+    """Prompts of that route that engines could still start in time."""
+    needed: int
+    """Prompts of that route for which room is kept."""
+    longest_wait_s: float
+    """Time after which it starts in any case if an engine has room."""
+
+
 @event(10013)
 class RequestAnswered(NamedTuple):
     """A request got a complete response from a backend server."""
--- a/packages/proxy/src/sassafrastally/proxy/streaming_request.py
+++ b/packages/proxy/src/sassafrastally/proxy/streaming_request.py
@@ -25,6 +25,7 @@
 from sassafrastally.proxy.event_stream import EventSplitter, StreamEvent
 from sassafrastally.proxy.lanes import PlacementRandomizer, choose_lane
 from sassafrastally.proxy.load import NO_WORK, InFlightAttempt, Lane
+from sassafrastally.proxy.load_summary import load_summary
 from sassafrastally.proxy.log_events import RequestAnswered
 from sassafrastally.proxy.metrics import count_answer
 from sassafrastally.proxy.model import Helper
@@ -94,6 +95,7 @@
         )
         self._alone_s = least_alone_s(profile, prompt)
         """Predicted time to the first event on idle engines."""
+        self._room_wait.record_arrival(prompt, self._alone_s)
         self._awaits_budget = False
         """Whether the next attempt must be charged to the retry budget first."""
 
@@ -143,7 +145,8 @@
 
     async def _wait_for_room(self, reason: str) -> Placement | LocalReply:
         """Wait until the request can start; return a refusal if waiting can't help."""
-        detail = f"{reason}: {self._load_summary()}"
+        views = self._views(self.progress.tried)
+        detail = f"{reason}: {load_summary(views, self._profile, self._services.fleet_view)}"
         if not self._room_wait.applies or not self._would_fit_idle_engines():
             return self._local_reply(detail)
         waited: Waited[Placement | LocalReply] = await self._room_wait.wait(
@@ -175,6 +178,8 @@
         planned = self._plan()
         if isinstance(planned, str):
             return None
+        if not self._room_wait.leaves_headroom(planned, self._views(set()), self._profile):
+            return None
         if self._awaits_budget and not self._charge_retry_budget(is_logged=False):
             return None
         self._awaits_budget = False
@@ -202,18 +207,6 @@
         is_for_load = is_for_load and (has_untried or self.progress.was_refused_for_load)
         return self._reply_not_run(TURNED_AWAY, detail, is_for_load=is_for_load)
 
-    def _load_summary(self) -> str:
-        """Return a summary of the engines' load for the log and the caller."""
-        views = self._views(self.progress.tried)
-        requests = sum(view.work.requests for view in views)
-        prefill_s = max((view.work.prefill_ms for view in views), default=0.0) / 1000
-        return (
-            f"{len(views)} engines with {self._profile.slots} slots, {requests} requests, "
-            f"up to {prefill_s:.1f} s of reading, "
-            f"{self._services.fleet_view.entries - 1} peers heard, "
-            f"servers confirmed {self._services.fleet_view.beliefs_age_s:.1f} s ago"
-        )
-
     def _place(self) -> Placement | None:
         tried = self.progress.tried
         if self._lane is Lane.SHORT and self._is_suspect():
--- a/packages/proxy/src/sassafrastally/proxy/waiting_for_room.py
+++ b/packages/proxy/src/sassafrastally/proxy/waiting_for_room.py
@@ -2,15 +2,26 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING, TypeVar
 
-from sassafrastally.proxy.admission_queue import Waited, WaitingFacts, WaitingRequest
-from sassafrastally.proxy.log_events import RequestQueued
+from sassafrastally.proxy.admission_queue import (
+    Shortage,
+    Waited,
+    WaitingFacts,
+    WaitingRequest,
+    find_shortage,
+)
+from sassafrastally.proxy.log_events import RequestHeldBack, RequestQueued
+from sassafrastally.proxy.metrics import HELD_BACK
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Sequence
 
+    from sassafrastally.proxy.lanes import ServerView
     from sassafrastally.proxy.load import Lane
+    from sassafrastally.proxy.model import EngineProfile, PromptSize
+    from sassafrastally.proxy.plan import Placement
     from sassafrastally.proxy.request_services import RequestServices
     from sassafrastally.proxy.task import RequestTask
 
@@ -50,6 +61,67 @@
         self._name = (task.service, lane)
         self._work_ms = work_ms
         self._clock = services.kernel.clock
+        self._latest_start_s = math.inf
+        self._timely_start_s = math.inf
+        self._was_held_back = False
+
+    def record_arrival(self, prompt: PromptSize, alone_s: float) -> None:
+        """Count a prompt, so that less urgent ones leave room for the next of its kind.
+
+        Parameters
+        ----------
+        prompt
+            Its size.
+        alone_s
+            Predicted time to its first event on idle engines.
+        """
+        task, priority = self._task, self._priority()
+        most_urgent = self._services.queueing.most_urgent(task.configuration, task.service)
+        if most_urgent is None:
+            return
+        self._queue.arrivals.record(task.service, task.route, priority, prompt, self._clock.now_s())
+        if priority <= most_urgent and task.route.goal_s is not None:
+            self._timely_start_s = task.request.arrived_s + task.route.goal_s - alone_s
+
+    def leaves_headroom(
+        self, placement: Placement, views: Sequence[ServerView], profile: EngineProfile
+    ) -> bool:
+        """Return whether a waiting prompt can start and leave room for more urgent ones.
+
+        Parameters
+        ----------
+        placement
+            Where it would start.
+        views, profile
+            The engines.
+        """
+        now_s = self._clock.now_s()
+        if now_s >= self._latest_start_s:
+            return True
+        facts = self._facts(self._latest_start_s)
+        kinds = self._queue.arrivals.ahead_of(self._task.service, facts, views, now_s)
+        entries = self._services.fleet_view.entries
+        shortage = find_shortage(kinds, placement, views, profile, entries)
+        if shortage is not None and not self._was_held_back:
+            self._was_held_back = True
+            self._log_held_back(facts, shortage)
+        return shortage is None
+
+    def _log_held_back(self, facts: WaitingFacts, shortage: Shortage) -> None:
+        lane = self._name[1].value
+        HELD_BACK.add(1, {"lane": lane})
+        self._services.kernel.events.emit(
+            RequestHeldBack(
+                self._task.request.facts.request_id,
+                self._task.route.name,
+                lane,
+                facts.priority,
+                shortage.route,
+                shortage.timely,
+                shortage.needed,
+                round(self._latest_start_s - facts.since_s, 3),
+            )
+        )
 
     def is_behind_others(self, latest_start_s: float) -> bool:
         """Return whether others wait for the same room and come first."""
@@ -75,6 +147,7 @@
         try_start, should_end
             As for `WaitingRequest`.
         """
+        self._latest_start_s = latest_start_s
         facts = self._facts(latest_start_s)
         self._services.kernel.events.emit(
             RequestQueued(
@@ -108,16 +181,20 @@
             due_s = self._clock.now_s() + retry_after_s
             self._queue.early_retries.record_refusal(self._task.fingerprint, due_s)
 
+    def _priority(self) -> int:
+        customer = self._task.customer
+        own_priority = customer.priority if customer else None
+        return self._task.route.priority if own_priority is None else own_priority
+
     def _facts(self, latest_start_s: float) -> WaitingFacts:
         task, now_s = self._task, self._clock.now_s()
-        customer = task.customer
-        own_priority = customer.priority if customer else None
         return WaitingFacts(
-            priority=task.route.priority if own_priority is None else own_priority,
+            priority=self._priority(),
             is_early=self._queue.early_retries.is_early(task.fingerprint, now_s),
             customer=task.customer_name or "",
             work_ms=self._work_ms,
             body_bytes=len(task.request.body),
             since_s=now_s,
             latest_start_s=latest_start_s,
+            timely_start_s=self._timely_start_s,
         )
--- a/packages/testing/src/sassafrastally/testing/load_arrivals.py
+++ b/packages/testing/src/sassafrastally/testing/load_arrivals.py
@@ -7,11 +7,13 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 # These at run time too: they are fields of named tuples.
-from sassafrastally.proxy.model import EngineProfile, PromptSize
+from sassafrastally.proxy.model import EngineProfile, PromptSize, Route, RouteKind
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
+MOST_ATTEMPTS = 2
+
 
 class Kind(NamedTuple):
     """One kind of request."""
@@ -115,3 +117,21 @@
     tokens = int(min(kind.most_tokens, draw.lognormvariate(centre, kind.prompt_spread)))
     events = max(1, round(kind.events * draw.uniform(0.5, 1.5)))
     return Arrival(at_s, kind, PromptSize(tokens, events * profile.steps_per_pass), events)
+
+
+def route_of(kind: Kind) -> Route:
+    """Return the route of a kind of request."""
+    return Route(
+        name=kind.name,
+        host="h",
+        path_prefix=f"/{kind.name}/",
+        kind=RouteKind.STREAM,
+        shares=(),
+        time_limit_s=kind.patience_s,
+        goal_s=kind.goal_s,
+        pause_goal_s=kind.pause_goal_s,
+        priority=kind.priority,
+        max_attempts=MOST_ATTEMPTS,
+        is_public=False,
+        is_resumable=True,
+    )
--- a/packages/testing/src/sassafrastally/testing/load_replay.py
+++ b/packages/testing/src/sassafrastally/testing/load_replay.py
@@ -7,10 +7,11 @@
 
 from __future__ import annotations
 
+import math
 import random
 from contextlib import aclosing
 from functools import partial
-from typing import TYPE_CHECKING, NamedTuple
+from typing import TYPE_CHECKING
 
 import trio
 
@@ -20,6 +21,7 @@
     AdmissionQueue,
     WaitingFacts,
     WaitingRequest,
+    find_shortage,
     is_queueing_useful,
     latest_start_s,
     least_alone_s,
@@ -29,7 +31,7 @@
 from sassafrastally.proxy.caller_timeout import caller_timeout_s
 from sassafrastally.proxy.lanes import PlacementRandomizer, ServerView, choose_lane
 from sassafrastally.proxy.load import InFlightAttempt, Lane, Ledger, Work, merge_work, server_hash
-from sassafrastally.proxy.model import BackendServer, Route, RouteKind
+from sassafrastally.proxy.model import BackendServer
 from sassafrastally.proxy.placement import place_request
 from sassafrastally.proxy.prefill_limits import prefill_limits_for
 from sassafrastally.proxy.rate_limits import SentRequests, own_share_per_s
@@ -40,59 +42,20 @@
 )
 from sassafrastally.proxy.turning_away import retry_delay_s, would_miss_deadline
 from sassafrastally.stand_ins.simulated_engine import EngineFull, SimulatedEngine
-from sassafrastally.testing.load_arrivals import Arrival, Deployment, Kind
+from sassafrastally.testing.load_arrivals import MOST_ATTEMPTS, Arrival, Deployment, route_of
+from sassafrastally.testing.replay_outcomes import Outcome, share_of_value
 
 if TYPE_CHECKING:
     from collections.abc import Mapping, Sequence
 
     from sassafrastally.proxy.plan import Placement
 
-MOST_ATTEMPTS = 2
+__all__ = ["LoadReplay", "Outcome", "share_of_value"]
 
 DATAGRAM_LATENCY_S = 0.02
 """Time that a datagram takes from entry to entry."""
 
 
-class Outcome(NamedTuple):
-    """How a request ended."""
-
-    arrival: Arrival
-    predicted_s: float | None
-    """Time to the first event that was predicted at the last attempt; ``None`` without one."""
-    first_s: float | None
-    """Time from the first arrival to the first event; ``None`` when it was never answered."""
-    longest_pause_s: float
-    is_whole: bool
-    refusals: int
-    waited_s: float = 0.0
-    """Time that it waited for room at entries."""
-
-    @property
-    def is_timely(self) -> bool:
-        """Whether its caller had a whole answer in time and without a long pause."""
-        kind = self.arrival.kind
-        return (
-            self.is_whole
-            and self.first_s is not None
-            and self.first_s <= kind.goal_s
-            and self.longest_pause_s <= kind.pause_goal_s
-        )
-
-    @property
-    def value(self) -> float:
-        """What the answer is worth."""
-        if not self.is_whole:
-            return 0.0
-        return self.arrival.kind.value if self.is_timely else self.arrival.kind.late_value
-
-
-def share_of_value(outcomes: Sequence[Outcome], kind: str = "") -> float:
-    """Return the share of what all answers could be worth, of one kind or of all."""
-    chosen = [one for one in outcomes if kind in ("", one.arrival.kind.name)]
-    most = sum(one.arrival.kind.value for one in chosen)
-    return sum(one.value for one in chosen) / most if most else 1.0
-
-
 class _Entry:
     """What one entry knows and has under way."""
 
@@ -154,7 +117,7 @@
             ),
             key=lambda server: server_hash(server.incarnation_id),
         )
-        self._routes = {kind.name: _route(kind) for kind in deployment.kinds}
+        self._routes = {kind.name: route_of(kind) for kind in deployment.kinds}
         self._limits = prefill_limits_for(self._routes.values(), deployment.profile)
         self.queues = queues and is_queueing_useful(self._routes.values())
         """Whether requests may wait for room."""
@@ -234,6 +197,22 @@
             if server.incarnation_id not in tried and self._has_room(entry, server.incarnation_id)
         ]
 
+    def leaves_headroom(self, entry: _Entry, facts: WaitingFacts, placement: Placement) -> bool:
+        """Return whether a prompt that waits can start and leave room for more urgent ones."""
+        now_s = trio.current_time()
+        views = self.views(entry, set())
+        kinds = entry.queue.arrivals.ahead_of("engines", facts, views, now_s)
+        return now_s >= facts.latest_start_s or not find_shortage(
+            kinds, placement, views, self.profile, len(self._entries)
+        )
+
+    def record_arrival(self, entry: _Entry, arrival: Arrival) -> None:
+        """Count an arrival for the headroom of its kind."""
+        route = self._routes[arrival.kind.name]
+        entry.queue.arrivals.record(
+            "engines", route, route.priority, arrival.prompt, trio.current_time()
+        )
+
     def note_sent(self, entry: _Entry, placement: Placement) -> None:
         """Count what an entry sends to engines with a limit."""
         servers = [placement.server, *placement.helpers]
@@ -263,6 +242,10 @@
         route = self._routes[arrival.kind.name]
         return choose_lane(route, arrival.prompt, self.profile, self._limits)
 
+    def is_most_urgent(self, arrival: Arrival) -> bool:
+        """Return whether no kind of request has a higher priority."""
+        return arrival.kind.priority == min(route.priority for route in self._routes.values())
+
     def engine(self, incarnation_id: str) -> SimulatedEngine:
         """Return an engine by its server's incarnation."""
         return self._engines[int(incarnation_id[1:])]
@@ -288,6 +271,7 @@
         """Return how it ended."""
         tried: set[str] = set()
         predicted_s = None
+        self._replay.record_arrival(self._entry, self._arrival)
         for attempt in range(MOST_ATTEMPTS):
             placement = await self._start(tried, is_new=attempt == 0)
             if placement is None:
@@ -313,21 +297,28 @@
             placement = self._plan(tried, is_new=is_new)
             if placement is not None or not self._replay.queues:
                 return placement
-        waited = await queue.wait(
-            name, WaitingRequest(facts, partial(self._plan, tried, is_new=is_new))
-        )
+        try_start = partial(self._plan, tried, is_new=is_new, waiting=facts)
+        waited = await queue.wait(name, WaitingRequest(facts, try_start))
         self._waited_s += waited.waited_s
         return waited.started
 
-    def _plan(self, tried: set[str], *, is_new: bool) -> Placement | None:
+    def _plan(
+        self, tried: set[str], *, is_new: bool, waiting: WaitingFacts | None = None
+    ) -> Placement | None:
         placement = self._replay.place(self._entry, self._arrival, tried)
         if placement is None or not self._may_begin(placement, is_new=is_new):
             return None
+        if waiting is not None and not self._replay.leaves_headroom(
+            self._entry, waiting, placement
+        ):
+            return None
         return placement
 
     def _facts(self) -> WaitingFacts:
         arrival, now_s = self._arrival, trio.current_time()
         profile = self._replay.profile
+        alone_s = least_alone_s(profile, arrival.prompt)
+        timely_start_s = self._asked_s + arrival.kind.goal_s - alone_s
         return WaitingFacts(
             priority=arrival.kind.priority,
             is_early=False,
@@ -339,9 +330,10 @@
                 self._asked_s,
                 self._patience_s(),
                 self._end_s,
-                least_alone_s(profile, arrival.prompt),
+                alone_s,
                 response_s(profile, arrival.prompt),
             ),
+            timely_start_s=timely_start_s if self._replay.is_most_urgent(arrival) else math.inf,
         )
 
     def _may_begin(self, placement: Placement, *, is_new: bool) -> bool:
@@ -425,20 +417,3 @@
             0,
             self._waited_s,
         )
-
-
-def _route(kind: Kind) -> Route:
-    return Route(
-        name=kind.name,
-        host="h",
-        path_prefix=f"/{kind.name}/",
-        kind=RouteKind.STREAM,
-        shares=(),
-        time_limit_s=kind.patience_s,
-        goal_s=kind.goal_s,
-        pause_goal_s=kind.pause_goal_s,
-        priority=kind.priority,
-        max_attempts=MOST_ATTEMPTS,
-        is_public=False,
-        is_resumable=True,
-    )
--- a/packages/testing/tests/platform/test_load_replay.py
+++ b/packages/testing/tests/platform/test_load_replay.py
@@ -109,6 +109,12 @@
 )
 
 
+def share_in_goal(outcomes: list[Outcome], kind: str) -> float:
+    """Return the share of requests of a kind with a whole answer within its goals."""
+    chosen = [one.is_timely for one in outcomes if kind == one.arrival.kind.name]
+    return sum(chosen) / len(chosen)
+
+
 def share_served(outcomes: list[Outcome], kind: str = "") -> float:
     """Return the share of requests with a whole answer, in time or late."""
     chosen = [one.is_whole for one in outcomes if kind in ("", one.arrival.kind.name)]
@@ -123,7 +129,8 @@
 
         Without the queue, long prompts are refused while engines have much prefill under way, come
         back within the same floods and are lost. One seed has some twenty dossiers; four are
-        compared together.
+        compared together. Questions, which have the highest priority, must not pay for it: when
+        waiting long prompts took all freed room at once, fewer questions met their goal.
         """
         outcomes, without = [], []
         for seed in (3, 4, 5, 6):
@@ -133,5 +140,6 @@
                     found += await LoadReplay(COUNTER, seed, queues=queues).run(arrivals)
         for kind in ("invoice", "dossier"):
             assert share_served(outcomes, kind) > share_served(without, kind)
-        assert share_served(outcomes, "question") > share_served(without, "question") - 0.03
+        assert share_served(outcomes, "question") >= share_served(without, "question")
+        assert share_in_goal(outcomes, "question") >= share_in_goal(without, "question")
         assert share_served(outcomes) > share_served(without)
