Replay engines that fail at once, and test the headroom end to end

A request counts as one of the most urgent routes only if both its route and its customer have the highest priority.

--- a/packages/proxy/src/sassafrastally/proxy/waiting_for_room.py
+++ b/packages/proxy/src/sassafrastally/proxy/waiting_for_room.py
@@ -80,7 +80,8 @@
         if most_urgent is None:
             return
         self._queue.arrivals.record(task.service, task.route, priority, prompt, self._clock.now_s())
-        if priority <= most_urgent and task.route.goal_s is not None:
+        is_most_urgent = max(priority, task.route.priority) <= most_urgent
+        if is_most_urgent and task.route.goal_s is not None:
             self._timely_start_s = task.request.arrived_s + task.route.goal_s - alone_s
 
     def leaves_headroom(
--- a/packages/testing/src/sassafrastally/testing/load_replay.py
+++ b/packages/testing/src/sassafrastally/testing/load_replay.py
@@ -18,7 +18,6 @@
 from sassafrastally.core import Address
 from sassafrastally.proxy.admission import Goals, backlog_bound, overload_reason
 from sassafrastally.proxy.admission_queue import (
-    AdmissionQueue,
     WaitingFacts,
     WaitingRequest,
     find_shortage,
@@ -30,7 +29,7 @@
 )
 from sassafrastally.proxy.caller_timeout import caller_timeout_s
 from sassafrastally.proxy.lanes import PlacementRandomizer, ServerView, choose_lane
-from sassafrastally.proxy.load import InFlightAttempt, Lane, Ledger, Work, merge_work, server_hash
+from sassafrastally.proxy.load import InFlightAttempt, Lane, Work, merge_work, server_hash
 from sassafrastally.proxy.model import BackendServer
 from sassafrastally.proxy.placement import place_request
 from sassafrastally.proxy.prefill_limits import prefill_limits_for
@@ -40,15 +39,25 @@
     MAX_FIRST_EVENT_TIMEOUT_SHARE,
     SILENCE_TIMEOUT_SHARE,
 )
-from sassafrastally.proxy.turning_away import retry_delay_s, would_miss_deadline
+from sassafrastally.proxy.turning_away import (
+    retry_delay_after_failure_s,
+    retry_delay_s,
+    would_miss_deadline,
+)
 from sassafrastally.stand_ins.simulated_engine import EngineFull, SimulatedEngine
+from sassafrastally.testing.engine_failures import EngineFailures
 from sassafrastally.testing.load_arrivals import MOST_ATTEMPTS, Arrival, Deployment, route_of
+from sassafrastally.testing.replay_entry import ReplayEntry
 from sassafrastally.testing.replay_outcomes import Outcome, share_of_value
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping, Sequence
+    from collections.abc import Callable, Mapping, Sequence
 
     from sassafrastally.proxy.plan import Placement
+    from sassafrastally.testing.engine_failures import Failure
+
+    RetryDelay = Callable[[float | None, float, float], float]
+    """Takes the caller's time left, a random number from 0 to 1, and the time until its goal."""
 
 __all__ = ["LoadReplay", "Outcome", "share_of_value"]
 
@@ -56,19 +65,6 @@
 """Time that a datagram takes from entry to entry."""
 
 
-class _Entry:
-    """What one entry knows and has under way."""
-
-    def __init__(self, seed: int) -> None:
-        self.ledger = Ledger()
-        self.queue = AdmissionQueue(random.Random(seed + 1))
-        self.random = random.Random(seed)
-        self.told: Mapping[int, Work] = {}
-        """Its work as the others know it."""
-        self.sent: dict[str, SentRequests] = {}
-        """Requests that it sent to engines with a limit."""
-
-
 class LoadReplay:
     """Replays arrivals; `run` must be awaited under a mock clock.
 
@@ -84,6 +80,10 @@
         Whether limited engines read parts of others' prompts only in need.
     queues
         Whether requests wait for room where the product lets them.
+    failures
+        Engines that fail at once.
+    delay_after_failure_s
+        Returns the retry delay after failed attempts.
     """
 
     def __init__(
@@ -94,6 +94,8 @@
         *,
         spares_limited: bool = True,
         queues: bool = True,
+        failures: Sequence[Failure] = (),
+        delay_after_failure_s: RetryDelay = retry_delay_after_failure_s,
     ) -> None:
         self._deployment = deployment
         self._most_per_s = {f"e{number}": most for number, most in (limits_per_s or {}).items()}
@@ -104,7 +106,7 @@
         """When requests were sent to each engine with a limit."""
         self.profile = deployment.profile
         self._draw = random.Random(seed)
-        self._entries = [_Entry(seed * 1000 + number) for number in range(deployment.entries)]
+        self._entries = [ReplayEntry(seed * 1000 + number) for number in range(deployment.entries)]
         for entry in self._entries:
             entry.ledger.others = partial(self._told_to, entry)
         self._engines = [SimulatedEngine(deployment.profile) for _ in range(deployment.engines)]
@@ -122,6 +124,10 @@
         self.queues = queues and is_queueing_useful(self._routes.values())
         """Whether requests may wait for room."""
         self.outcomes: list[Outcome] = []
+        self.delay_after_failure_s = delay_after_failure_s
+        self.refusals_after_failure = 0
+        """Refusals of requests whose attempts all met failed engines."""
+        self._failures = EngineFailures(failures)
 
     async def run(self, arrivals: Sequence[Arrival]) -> list[Outcome]:
         """Let all requests come and return how they ended."""
@@ -138,10 +144,10 @@
             nursery.cancel_scope.cancel()
         return self.outcomes
 
-    def _told_to(self, entry: _Entry) -> list[Mapping[int, Work]]:
+    def _told_to(self, entry: ReplayEntry) -> list[Mapping[int, Work]]:
         return [other.told for other in self._entries if other is not entry]
 
-    async def _tell(self, entry: _Entry) -> None:
+    async def _tell(self, entry: ReplayEntry) -> None:
         gap_s = self._deployment.news_gap_s
         await trio.sleep(gap_s * entry.random.random())
         while True:
@@ -171,7 +177,7 @@
                 await trio.sleep(min(asked.retry_delay_s, arrival.kind.patience_s / 3))
         self.outcomes.append(outcome)
 
-    def place(self, entry: _Entry, arrival: Arrival, tried: set[str]) -> Placement | None:
+    def place(self, entry: ReplayEntry, arrival: Arrival, tried: set[str]) -> Placement | None:
         """Return where an entry sends a request."""
         views = self.views(entry, tried)
         return place_request(
@@ -184,9 +190,10 @@
             PlacementRandomizer(entry.random, self._deployment.news_gap_s + DATAGRAM_LATENCY_S),
         )
 
-    def views(self, entry: _Entry, tried: set[str]) -> list[ServerView]:
+    def views(self, entry: ReplayEntry, tried: set[str]) -> list[ServerView]:
         """Return the engines as an entry sees them."""
-        work = merge_work(entry.ledger.work(trio.current_time()), self._told_to(entry))
+        now_s = trio.current_time()
+        work = merge_work(entry.ledger.work(now_s), self._told_to(entry))
         return [
             ServerView(
                 server,
@@ -194,10 +201,20 @@
                 is_limited=self._spares_limited and server.incarnation_id in self._most_per_s,
             )
             for server in self._servers
-            if server.incarnation_id not in tried and self._has_room(entry, server.incarnation_id)
+            if server.incarnation_id not in tried
+            and not self._failures.is_avoided(server.incarnation_id, now_s - self._begin_s)
+            and self._has_room(entry, server.incarnation_id)
         ]
 
-    def leaves_headroom(self, entry: _Entry, facts: WaitingFacts, placement: Placement) -> bool:
+    def meets_failure(self, placement: Placement) -> bool:
+        """Return whether an attempt fails since one of its engines does."""
+        servers = (placement.server, *placement.helpers)
+        incarnation_ids = [server.incarnation_id for server in servers]
+        return self._failures.meets_failure(incarnation_ids, trio.current_time() - self._begin_s)
+
+    def leaves_headroom(
+        self, entry: ReplayEntry, facts: WaitingFacts, placement: Placement
+    ) -> bool:
         """Return whether a prompt that waits can start and leave room for more urgent ones."""
         now_s = trio.current_time()
         views = self.views(entry, set())
@@ -206,14 +223,14 @@
             kinds, placement, views, self.profile, len(self._entries)
         )
 
-    def record_arrival(self, entry: _Entry, arrival: Arrival) -> None:
+    def record_arrival(self, entry: ReplayEntry, arrival: Arrival) -> None:
         """Count an arrival for the headroom of its kind."""
         route = self._routes[arrival.kind.name]
         entry.queue.arrivals.record(
             "engines", route, route.priority, arrival.prompt, trio.current_time()
         )
 
-    def note_sent(self, entry: _Entry, placement: Placement) -> None:
+    def note_sent(self, entry: ReplayEntry, placement: Placement) -> None:
         """Count what an entry sends to engines with a limit."""
         servers = [placement.server, *placement.helpers]
         now_s = trio.current_time()
@@ -222,7 +239,7 @@
                 entry.sent.setdefault(incarnation_id, SentRequests()).record(now_s)
                 self.sent_s[incarnation_id].append(now_s - self._begin_s)
 
-    def _has_room(self, entry: _Entry, incarnation_id: str) -> bool:
+    def _has_room(self, entry: ReplayEntry, incarnation_id: str) -> bool:
         if incarnation_id not in self._most_per_s:
             return True
         names = {one: f"entry-{number}" for number, one in enumerate(self._entries)}
@@ -254,7 +271,9 @@
 class _Asked:
     """One time that a caller asks an entry."""
 
-    def __init__(self, replay: LoadReplay, entry: _Entry, arrival: Arrival, end_s: float) -> None:
+    def __init__(
+        self, replay: LoadReplay, entry: ReplayEntry, arrival: Arrival, end_s: float
+    ) -> None:
         self.retry_delay_s: float | None = None
         """When the caller is to come back, if it was turned away."""
         self._replay = replay
@@ -266,6 +285,7 @@
         self._longest_pause_s = 0.0
         self._asked_s = trio.current_time()
         self._waited_s = 0.0
+        self._failed_attempts = 0
 
     async def run(self) -> Outcome:
         """Return how it ended."""
@@ -287,6 +307,13 @@
                 return self._outcome(predicted_s, is_whole=True)
             if self._first_s is not None:
                 break
+        if self._failed_attempts == MOST_ATTEMPTS:
+            now_s, draw = trio.current_time(), self._entry.random.random()
+            goal_left_s = self._asked_s + self._arrival.kind.goal_s - now_s
+            self.retry_delay_s = self._replay.delay_after_failure_s(
+                self._end_s - now_s, draw, goal_left_s
+            )
+            self._replay.refusals_after_failure += 1
         return self._outcome(predicted_s, is_whole=False)
 
     async def _start(self, tried: set[str], *, is_new: bool) -> Placement | None:
@@ -351,6 +378,9 @@
 
     async def _try(self, placement: Placement, *, is_last: bool) -> bool:
         """Make one attempt; return whether the answer is whole."""
+        if self._replay.meets_failure(placement):
+            self._failed_attempts += 1
+            return False
         now_s = trio.current_time()
         memory = {holding.server.incarnation_id: holding.tokens for holding in placement.holdings}
         in_flight = InFlightAttempt(
--- a/packages/testing/tests/platform/test_waiting.py
+++ b/packages/testing/tests/platform/test_waiting.py
@@ -73,6 +73,32 @@
             narrow_fleet.kernels[0].request_stop()
         assert [answer.status for answer in answers] == [200, 200]
 
+    async def test_less_urgent_request_leaves_room_to_more_urgent_ones(self, narrow_fleet):
+        """Guards against a long prompt that waits and takes the room of the next short one.
+
+        The note ends after some tenths of a second; the dossier starts when no note has arrived for
+        three seconds. Its customer has no priority of its own, so that those of the routes count.
+        """
+        document = make_configuration(3, routes=UNEQUAL_ROUTES, services=ONE_SLOT)
+        del document["tenants"][0]["priority"]
+        narrow_fleet.configure(document)
+        entry = narrow_fleet.kernels[0].get("beliefs", ClusterState)
+        await wait_until(lambda: entry.configuration and entry.configuration.version == 3)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(lambda: narrow_fleet.call("/note/x", prompt="1000,170"))
+            await wait_until(lambda: narrow_fleet.replicas["engine-1"].received_requests)
+            begin_s = trio.current_time()
+            answer = await narrow_fleet.call("/dossier/x", prompt="1000,34")
+            nursery.cancel_scope.cancel()
+        assert answer.status == 200
+        assert trio.current_time() - begin_s > 2.5
+        (held_back,) = records(narrow_fleet, "RequestHeldBack")
+        assert (held_back["route"], held_back["urgent_route"]) == ("dossier", "note")
+        host = narrow_fleet.entry_settings(1)
+        calls = CallClient(Address(host.host, host.metrics_port))
+        _, _, page = await calls.exchange("GET", "/metrics", [], b"", 1.0)
+        assert b"sassafrastally_proxy_requests_held_back_total{" in page
+
     async def test_gauge_counts_what_waits(self, narrow_fleet):
         queue = narrow_fleet.kernels[0].get("path", RequestPath).services.queue
         async with trio.open_nursery() as nursery:
