Compare Retry-After after failures where several engines fail at once

The delay of a tenth to a fifth of the time until the goal had not been compared with 0.1 to 0.3 s. Each attempt of a long prompt finds one failed engine only, so that callers that come back at once meet the next ones.

--- a/packages/testing/tests/platform/test_load_replay.py
+++ b/packages/testing/tests/platform/test_load_replay.py
@@ -2,8 +2,12 @@
 
 from __future__ import annotations
 
+import random
+
 from sassafrastally.proxy.model import EngineProfile
+from sassafrastally.proxy.turning_away import retry_delay_after_failure_s
 from sassafrastally.testing.backpressure_fleet import allowed, most_in_window
+from sassafrastally.testing.engine_failures import Failure
 from sassafrastally.testing.load_arrivals import Burst, Deployment, Kind, make_arrivals
 from sassafrastally.testing.load_replay import LoadReplay, Outcome, share_of_value
 from sassafrastally.testing.mock_run import seeded_scheduling
@@ -143,3 +147,46 @@
         assert share_served(outcomes, "question") >= share_served(without, "question")
         assert share_in_goal(outcomes, "question") >= share_in_goal(without, "question")
         assert share_served(outcomes) > share_served(without)
+
+
+READING_ROOM = COUNTER._replace(
+    engines=40,
+    kinds=(
+        COUNTER.kinds[0]._replace(rate_per_s=5.0),
+        COUNTER.kinds[2]._replace(rate_per_s=2.6),
+    ),
+)
+ENGINES = [f"e{number}" for number in range(READING_ROOM.engines)]
+
+
+def short_delay_s(time_left_s: float | None, draw: float, _goal_left_s: float) -> float:
+    """Return a retry delay of 0.1 to 0.3 s, whatever the goal."""
+    return retry_delay_after_failure_s(time_left_s, draw)
+
+
+class TestFailuresOfSeveralEngines:
+    """A quarter of the engines fails at once, others every three seconds."""
+
+    async def test_long_prompts_come_back_when_failed_engines_are_known(self, autojump_clock):
+        """Guards against callers of long prompts that come back at once.
+
+        A long prompt takes many engines, and each attempt finds only one of those that failed. A
+        caller that comes back after 0.1 to 0.3 s meets the next two of them and is lost.
+        """
+        served = {retry_delay_after_failure_s: 0, short_delay_s: 0}
+        for seed in (1, 3):
+            arrivals = make_arrivals(READING_ROOM, [], 14.0, seed)
+            draw = random.Random(seed)
+            failures = [
+                Failure(begin_s, begin_s + 2.5, frozenset(draw.sample(ENGINES, 10)))
+                for begin_s in (2.0, 5.0, 8.0, 11.0)
+            ]
+            for delay_s in served:
+                with seeded_scheduling(1):
+                    replay = LoadReplay(
+                        READING_ROOM, seed, failures=failures, delay_after_failure_s=delay_s
+                    )
+                    outcomes = await replay.run(arrivals)
+                dossiers = [one for one in outcomes if one.arrival.kind.name == "dossier"]
+                served[delay_s] += sum(one.is_whole for one in dossiers)
+        assert served[retry_delay_after_failure_s] > served[short_delay_s]
