--- a/packages/testing/src/sassafrastally/testing/load_replay.py
+++ b/packages/testing/src/sassafrastally/testing/load_replay.py
@@ -8,50 +8,44 @@
 from __future__ import annotations
 
 import random
-from contextlib import aclosing
-from functools import partial
 from typing import TYPE_CHECKING
 
 import trio
 
 from sassafrastally.core import Address
-from sassafrastally.proxy.admission import Goals, backlog_bound, overload_reason
+from sassafrastally.proxy.admission import Goals
 from sassafrastally.proxy.admission_queue import (
     WaitingFacts,
-    WaitingRequest,
+    find_shortage,
     is_queueing_useful,
-    latest_start_s,
-    least_alone_s,
-    request_work_ms,
-    response_s,
 )
-from sassafrastally.proxy.caller_timeout import caller_timeout_s
 from sassafrastally.proxy.lanes import PlacementRandomizer, ServerView, choose_lane
-from sassafrastally.proxy.load import InFlightAttempt, Lane, merge_work, server_hash
-from sassafrastally.proxy.model import BackendServer, Route, RouteKind
+from sassafrastally.proxy.load import Lane, merge_work, server_hash
+from sassafrastally.proxy.model import BackendServer
 from sassafrastally.proxy.placement import place_request
 from sassafrastally.proxy.prefill_limits import prefill_limits_for
 from sassafrastally.proxy.rate_limits import SentRequests, own_share_per_s
-from sassafrastally.proxy.streaming_request import (
-    FIRST_EVENT_TIMEOUT_FACTOR,
-    MAX_FIRST_EVENT_TIMEOUT_SHARE,
-    SILENCE_TIMEOUT_SHARE,
+from sassafrastally.proxy.turning_away import (
+    retry_delay_after_failure_s,
 )
-from sassafrastally.proxy.turning_away import retry_delay_s, would_miss_deadline
-from sassafrastally.stand_ins.simulated_engine import EngineFull, SimulatedEngine
-from sassafrastally.testing.load_arrivals import Arrival, Deployment, Kind
+from sassafrastally.stand_ins.simulated_engine import SimulatedEngine
+from sassafrastally.testing.engine_failures import EngineFailures
+from sassafrastally.testing.load_arrivals import Arrival, Deployment, route_of
 from sassafrastally.testing.load_callers import PATIENT_CALLERS, Callers
 from sassafrastally.testing.load_entries import DATAGRAM_LATENCY_S, ReplayEntry, ReplayExchange
 from sassafrastally.testing.load_outcomes import Outcome, share_of_value
+from sassafrastally.testing.load_request import EntryRequest
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping, Sequence
+    from collections.abc import Callable, Mapping, Sequence
 
     from sassafrastally.proxy.plan import Placement
+    from sassafrastally.testing.engine_failures import Failure
 
-__all__ = ["LoadReplay", "Outcome", "share_of_value"]
+    RetryDelay = Callable[[float | None, float, float], float]
+    """Takes the caller's time left, a random number from 0 to 1, and the time until its goal."""
 
-MOST_ATTEMPTS = 2
+__all__ = ["LoadReplay", "Outcome", "share_of_value"]
 
 
 class LoadReplay:
@@ -73,6 +67,10 @@
         Whether entries exchange their contention state.
     callers
         How callers react to refusals.
+    failures
+        Engines that fail at once.
+    delay_after_failure_s
+        Returns the retry delay after failed attempts.
     """
 
     def __init__(
@@ -85,6 +83,8 @@
         queues: bool = True,
         shares_contention: bool = True,
         callers: Callers = PATIENT_CALLERS,
+        failures: Sequence[Failure] = (),
+        delay_after_failure_s: RetryDelay = retry_delay_after_failure_s,
     ) -> None:
         self._deployment = deployment
         self._callers = callers
@@ -111,15 +111,19 @@
             ),
             key=lambda server: server_hash(server.incarnation_id),
         )
-        self._routes = {kind.name: _route(kind) for kind in deployment.kinds}
+        self._routes = {kind.name: route_of(kind) for kind in deployment.kinds}
         self._limits = prefill_limits_for(self._routes.values(), deployment.profile)
         self.queues = queues and is_queueing_useful(self._routes.values())
         """Whether requests may wait for room."""
         self.outcomes: list[Outcome] = []
+        self.delay_after_failure_s = delay_after_failure_s
+        self.refusals_after_failure = 0
+        """Refusals of requests whose attempts all met failed engines."""
+        self._failures = EngineFailures(failures)
 
     async def run(self, arrivals: Sequence[Arrival]) -> list[Outcome]:
         """Let all requests come and return how they ended."""
-        self._begin_s = trio.current_time()
+        self.begin_s = trio.current_time()
         async with trio.open_nursery() as nursery:
             for engine in self._engines:
                 nursery.start_soon(engine.work)
@@ -134,26 +138,26 @@
 
     async def _call(self, arrival: Arrival, number: int) -> None:
         """Ask once, and again when turned away: once, or several times without waiting."""
-        await trio.sleep_until(self._begin_s + arrival.at_s)
+        await trio.sleep_until(self.begin_s + arrival.at_s)
         outcome = Outcome(arrival, None, None, 0.0, False, 0)
         end_s = trio.current_time() + arrival.kind.patience_s
         with trio.move_on_at(end_s):
             is_hasty = self._callers.is_hasty(self._seed, number)
             for _ in range(1 + self._callers.retries(is_hasty=is_hasty)):
                 entry = self._draw.choice(self._entries)
-                asked = _Asked(self, entry, arrival, end_s, number + 1)
+                request = EntryRequest(self, entry, arrival, end_s, number + 1)
                 known = outcome
-                outcome = await asked.run()
+                outcome = await request.run()
                 outcome = outcome._replace(
                     refusals=known.refusals,
                     waited_s=outcome.waited_s + known.waited_s,
                     is_hasty=is_hasty,
-                    early_waits=known.early_waits + asked.was_early,
+                    early_waits=known.early_waits + request.was_early,
                 )
-                if asked.retry_delay_s is None:
+                if request.retry_delay_s is None:
                     break
                 outcome = outcome._replace(refusals=outcome.refusals + 1)
-                told_s = min(asked.retry_delay_s, arrival.kind.patience_s / 3)
+                told_s = min(request.retry_delay_s, arrival.kind.patience_s / 3)
                 await trio.sleep(self._callers.delay_s(told_s, is_hasty=is_hasty))
         self.outcomes.append(outcome)
 
@@ -172,7 +176,8 @@
 
     def views(self, entry: ReplayEntry, tried: set[str]) -> list[ServerView]:
         """Return the engines as an entry sees them."""
-        work = merge_work(entry.ledger.work(trio.current_time()), self._exchange.told_to(entry))
+        now_s = trio.current_time()
+        work = merge_work(entry.ledger.work(now_s), self._exchange.told_to(entry))
         return [
             ServerView(
                 server,
@@ -180,9 +185,35 @@
                 is_limited=self._spares_limited and server.incarnation_id in self._most_per_s,
             )
             for server in self._servers
-            if server.incarnation_id not in tried and self._has_room(entry, server.incarnation_id)
+            if server.incarnation_id not in tried
+            and not self._failures.is_avoided(server.incarnation_id, now_s - self.begin_s)
+            and self._has_room(entry, server.incarnation_id)
         ]
 
+    def meets_failure(self, placement: Placement) -> bool:
+        """Return whether an attempt fails since one of its engines does."""
+        servers = (placement.server, *placement.helpers)
+        incarnation_ids = [server.incarnation_id for server in servers]
+        return self._failures.meets_failure(incarnation_ids, trio.current_time() - self.begin_s)
+
+    def leaves_headroom(
+        self, entry: ReplayEntry, facts: WaitingFacts, placement: Placement
+    ) -> bool:
+        """Return whether a prompt that waits can start and leave room for more urgent ones."""
+        now_s = trio.current_time()
+        views = self.views(entry, set())
+        kinds = entry.queue.arrivals.ahead_of("engines", facts, views, now_s)
+        return now_s >= facts.latest_start_s or not find_shortage(
+            kinds, placement, views, self.profile, len(self._entries)
+        )
+
+    def record_arrival(self, entry: ReplayEntry, arrival: Arrival) -> None:
+        """Count an arrival for the headroom of its kind."""
+        route = self._routes[arrival.kind.name]
+        entry.queue.arrivals.record(
+            "engines", route, route.priority, arrival.prompt, trio.current_time()
+        )
+
     def note_sent(self, entry: ReplayEntry, placement: Placement) -> None:
         """Count what an entry sends to engines with a limit."""
         servers = [placement.server, *placement.helpers]
@@ -190,7 +221,7 @@
         for incarnation_id in (server.incarnation_id for server in servers):
             if incarnation_id in self._most_per_s:
                 entry.sent.setdefault(incarnation_id, SentRequests()).record(now_s)
-                self.sent_s[incarnation_id].append(now_s - self._begin_s)
+                self.sent_s[incarnation_id].append(now_s - self.begin_s)
 
     def _has_room(self, entry: ReplayEntry, incarnation_id: str) -> bool:
         if incarnation_id not in self._most_per_s:
@@ -212,199 +243,10 @@
         route = self._routes[arrival.kind.name]
         return choose_lane(route, arrival.prompt, self.profile, self._limits)
 
+    def is_most_urgent(self, arrival: Arrival) -> bool:
+        """Return whether no kind of request has a higher priority."""
+        return arrival.kind.priority == min(route.priority for route in self._routes.values())
+
     def engine(self, incarnation_id: str) -> SimulatedEngine:
         """Return an engine by its server's incarnation."""
         return self._engines[int(incarnation_id[1:])]
-
-
-class _Asked:
-    """One time that a caller asks an entry."""
-
-    def __init__(
-        self,
-        replay: LoadReplay,
-        entry: ReplayEntry,
-        arrival: Arrival,
-        end_s: float,
-        fingerprint: int,
-    ) -> None:
-        self.retry_delay_s: float | None = None
-        """When the caller is to come back, if it was turned away."""
-        self.was_early = False
-        """Whether it waited behind others because it had come back early."""
-        self._replay = replay
-        self._entry = entry
-        self._arrival = arrival
-        self._end_s = end_s
-        self._fingerprint = fingerprint
-        self._first_s: float | None = None
-        self._previous_s = 0.0
-        self._longest_pause_s = 0.0
-        self._asked_s = trio.current_time()
-        self._waited_s = 0.0
-
-    async def run(self) -> Outcome:
-        """Return how it ended."""
-        tried: set[str] = set()
-        predicted_s = None
-        for attempt in range(MOST_ATTEMPTS):
-            placement = await self._start(tried, is_new=attempt == 0)
-            if placement is None:
-                if attempt == 0:
-                    left_s = self._end_s - trio.current_time()
-                    lane = self._replay.lane(self._arrival)
-                    room_s = self._entry.queue.expected_wait_s(("engines", lane))
-                    self.retry_delay_s = retry_delay_s(left_s, self._entry.random.random(), room_s)
-                    self._record_refusal(self.retry_delay_s)
-                break
-            predicted_s = placement.predicted_s
-            tried.add(placement.server.incarnation_id)
-            if await self._try(placement, is_last=attempt == MOST_ATTEMPTS - 1):
-                return self._outcome(predicted_s, is_whole=True)
-            if self._first_s is not None:
-                break
-        return self._outcome(predicted_s, is_whole=False)
-
-    async def _start(self, tried: set[str], *, is_new: bool) -> Placement | None:
-        """Return where the request starts, after waiting for room if that can help."""
-        queue, name = self._entry.queue, ("engines", self._replay.lane(self._arrival))
-        facts = self._facts()
-        if not (self._replay.queues and queue.is_behind_others(name, facts)):
-            placement = self._plan(tried, is_new=is_new)
-            if placement is not None or not self._replay.queues:
-                return placement
-        waiting = WaitingRequest(facts, partial(self._plan, tried, is_new=is_new))
-        waited = await queue.wait(name, waiting)
-        self.was_early |= waiting.facts.is_early
-        self._waited_s += waited.waited_s
-        return waited.started
-
-    def _record_refusal(self, delay_s: float) -> None:
-        if self._replay.queues:
-            due_s = trio.current_time() + delay_s
-            self._entry.queue.record_refusal(self._fingerprint, due_s, is_for_load=True)
-
-    def _plan(self, tried: set[str], *, is_new: bool) -> Placement | None:
-        placement = self._replay.place(self._entry, self._arrival, tried)
-        if placement is None or not self._may_begin(placement, is_new=is_new):
-            return None
-        return placement
-
-    def _facts(self) -> WaitingFacts:
-        arrival, now_s = self._arrival, trio.current_time()
-        profile = self._replay.profile
-        return WaitingFacts(
-            priority=arrival.kind.priority,
-            is_early=self._entry.queue.is_early(self._fingerprint, now_s),
-            customer=arrival.customer,
-            work_ms=request_work_ms(profile, arrival.prompt),
-            body_bytes=4 * arrival.prompt.prompt_tokens,
-            since_s=now_s,
-            latest_start_s=latest_start_s(
-                self._asked_s,
-                self._patience_s(),
-                self._end_s,
-                least_alone_s(profile, arrival.prompt),
-                response_s(profile, arrival.prompt),
-            ),
-            fingerprint=self._fingerprint,
-        )
-
-    def _may_begin(self, placement: Placement, *, is_new: bool) -> bool:
-        goals = self._replay.goals(self._arrival)
-        share = backlog_bound(goals, has_queue=self._replay.queues)
-        if is_new and overload_reason(placement, goals, share):
-            return False
-        left_s = self._end_s - trio.current_time()
-        patience_s = self._patience_s() - self._waited_s
-        return not would_miss_deadline(placement.predicted_s, patience_s, left_s)
-
-    def _patience_s(self) -> float:
-        kind = self._arrival.kind
-        return caller_timeout_s(kind.goal_s, kind.pause_goal_s)
-
-    async def _try(self, placement: Placement, *, is_last: bool) -> bool:
-        """Make one attempt; return whether the answer is whole."""
-        now_s = trio.current_time()
-        memory = {holding.server.incarnation_id: holding.tokens for holding in placement.holdings}
-        in_flight = InFlightAttempt(
-            placement.server.incarnation_id,
-            placement.lane,
-            memory,
-            placement.parts,
-            now_s + placement.predicted_s,
-        )
-        self._entry.ledger.add(in_flight, now_s)
-        self._entry.queue.record_start(("engines", self._replay.lane(self._arrival)), self._facts())
-        self._replay.note_sent(self._entry, placement)
-        patience_s = self._patience_s()
-        limit_s = patience_s - self._waited_s
-        if not is_last:
-            expected_s = min(
-                FIRST_EVENT_TIMEOUT_FACTOR * placement.predicted_s,
-                MAX_FIRST_EVENT_TIMEOUT_SHARE * patience_s,
-            )
-            limit_s = max(SILENCE_TIMEOUT_SHARE * patience_s, expected_s)
-        try:
-            with trio.move_on_after(limit_s) as silence:
-                return await self._run(placement, in_flight, silence, patience_s)
-            return False
-        except EngineFull:
-            return False
-        finally:
-            self._entry.ledger.remove(in_flight, trio.current_time())
-
-    async def _run(
-        self,
-        placement: Placement,
-        in_flight: InFlightAttempt,
-        silence: trio.CancelScope,
-        patience_s: float,
-    ) -> bool:
-        engine = self._replay.engine(placement.server.incarnation_id)
-        helpers = [self._replay.engine(helper.incarnation_id) for helper in placement.helpers]
-        elsewhere = sum(holding.tokens for holding in placement.holdings[1:])
-        tokens = self._arrival.prompt.prompt_tokens
-        run = engine.run(tokens, self._arrival.events, helpers, elsewhere)
-        async with aclosing(run) as events:
-            async for _ in events:
-                self._note_event(in_flight)
-                silence.deadline = trio.current_time() + patience_s
-        return True
-
-    def _note_event(self, in_flight: InFlightAttempt) -> None:
-        now_s = trio.current_time()
-        self._entry.ledger.first_event(in_flight, now_s)
-        if self._first_s is None:
-            self._first_s = now_s - (self._replay._begin_s + self._arrival.at_s)
-        else:
-            self._longest_pause_s = max(self._longest_pause_s, now_s - self._previous_s)
-        self._previous_s = now_s
-
-    def _outcome(self, predicted_s: float | None, *, is_whole: bool) -> Outcome:
-        return Outcome(
-            self._arrival,
-            predicted_s,
-            self._first_s,
-            self._longest_pause_s,
-            is_whole,
-            0,
-            self._waited_s,
-        )
-
-
-def _route(kind: Kind) -> Route:
-    return Route(
-        name=kind.name,
-        host="h",
-        path_prefix=f"/{kind.name}/",
-        kind=RouteKind.STREAM,
-        shares=(),
-        time_limit_s=kind.patience_s,
-        goal_s=kind.goal_s,
-        pause_goal_s=kind.pause_goal_s,
-        priority=kind.priority,
-        max_attempts=MOST_ATTEMPTS,
-        is_public=False,
-        is_resumable=True,
-    )
