Count an early retry once that a peer's datagram reveals while it waits

Cause: the queue counted it when the datagram arrived, and the request's handler again at its start.

Change: the handler doesn't count a request that the queue has moved behind others.

--- a/packages/proxy/src/sassafrastally/proxy/waiting_for_room.py
+++ b/packages/proxy/src/sassafrastally/proxy/waiting_for_room.py
@@ -93,7 +93,10 @@
                 reason,
             )
         )
-        waited = await self._queue.wait(self._name, WaitingRequest(facts, try_start, should_end))
+        waiting = WaitingRequest(facts, try_start, should_end)
+        waited = await self._queue.wait(self._name, waiting)
+        # The queue counts those of which it learns only while they wait.
+        self._was_counted_early |= waiting.facts.is_early
         self.waited_s += waited.waited_s
         return waited
 
--- a/packages/testing/tests/platform/test_shared_contention.py
+++ b/packages/testing/tests/platform/test_shared_contention.py
@@ -6,7 +6,7 @@
 
 from sassafrastally.core import Address
 from sassafrastally.proxy.calls import CallClient
-from sassafrastally.proxy.contention import NO_CONTENTION_NEWS, customer_hash
+from sassafrastally.proxy.contention import NO_CONTENTION_NEWS, ContentionNews, customer_hash
 from sassafrastally.proxy.path import RequestPath
 from sassafrastally.proxy.peers import Peers
 from sassafrastally.stand_ins.documents import ENGINE, make_configuration, make_route, make_services
@@ -61,6 +61,26 @@
         assert b"sassafrastally_contended 1" in page
         assert b"sassafrastally_early_retries_from_peers 1" in page
 
+    async def test_early_retry_that_is_faster_than_the_datagram_counts_once(self, fleet, nursery):
+        """Guards against counting it again when it starts."""
+        await start(fleet, ROUTES)
+        nursery.start_soon(lambda: fleet.call("/note/x", prompt="1000,1000"))
+        await wait_until(lambda: fleet.replicas["engine-1"].received_requests)
+        queue = fleet.kernels[1].get("path", RequestPath).services.queue
+        answers = []
+
+        async def call() -> None:
+            answers.append(await fleet.call("/dossier/x", entry=2, prompt="1000,34"))
+
+        nursery.start_soon(call)
+        await wait_until(lambda: records(fleet, 2, "RequestQueued"))
+        fingerprint = queue._queues[next(iter(queue._queues))][0].facts.fingerprint
+        news = ContentionNews(True, {}, {fingerprint: 30.0})
+        queue.contention.apply(news, trio.current_time())
+        await wait_until(lambda: answers, 5.0)
+        assert answers[0].status == 200
+        assert queue.contention.early_retries == 1
+
     async def test_work_started_at_one_entry_counts_at_the_other(self, fleet, nursery):
         await start(fleet, ROUTES)
         await refuse_one(fleet, nursery)
