Order the queue by own work; judge the headroom by the waiting request's own facts

Merging the headroom with early retries, an early retry was counted twice: the headroom built new facts of a request that waits, which also hid that it had aged.

The headroom reads the facts that the queue orders by.

--- a/packages/proxy/src/sassafrastally/proxy/admission_queue/admission_queue.py
+++ b/packages/proxy/src/sassafrastally/proxy/admission_queue/admission_queue.py
@@ -254,8 +254,10 @@
             one.refuse("more requests wait than this entry keeps")
 
     def _order(self, now_s: float) -> Callable[[WaitingFacts], OrderKey]:
-        work_ms = self.contention.work_ms(now_s)
-        return lambda facts: order_key(facts, {facts.customer: work_ms(facts.customer)}, now_s)
+        # Own work only: in replays of floods with the work of all entries, which is hardly ever
+        # equal, the latest start no longer decided and more callers of all customers were lost.
+        work_ms = self.customers.recent_ms(now_s)
+        return lambda facts: order_key(facts, work_ms, now_s)
 
     def _count_all(self) -> int:
         return sum(map(len, self._queues.values()))
--- a/packages/proxy/src/sassafrastally/proxy/waiting_for_room.py
+++ b/packages/proxy/src/sassafrastally/proxy/waiting_for_room.py
@@ -64,7 +64,7 @@
         self._work_ms = work_ms
         self._clock = services.kernel.clock
         self._was_counted_early = False
-        self._latest_start_s = math.inf
+        self._waiting_facts: Callable[[], WaitingFacts] | None = None
         self._timely_start_s = math.inf
         self._was_held_back = False
 
@@ -99,10 +99,11 @@
         views, profile
             The engines.
         """
-        now_s = self._clock.now_s()
-        if now_s >= self._latest_start_s:
+        if self._waiting_facts is None:
+            return True
+        now_s, facts = self._clock.now_s(), self._waiting_facts()
+        if now_s >= facts.latest_start_s:
             return True
-        facts = self._facts(self._latest_start_s)
         kinds = self._queue.arrivals.ahead_of(self._task.service, facts, views, now_s)
         entries = self._services.fleet_view.entries
         shortage = find_shortage(kinds, placement, views, profile, entries)
@@ -123,7 +124,7 @@
                 shortage.route,
                 shortage.timely,
                 shortage.needed,
-                round(self._latest_start_s - facts.since_s, 3),
+                round(facts.latest_start_s - facts.since_s, 3),
             )
         )
 
@@ -151,7 +152,6 @@
         try_start, should_end
             As for `WaitingRequest`.
         """
-        self._latest_start_s = latest_start_s
         facts = self._facts(latest_start_s)
         self.has_asked = True
         self._services.kernel.events.emit(
@@ -168,6 +168,7 @@
             )
         )
         waiting = WaitingRequest(facts, try_start, should_end)
+        self._waiting_facts = lambda: waiting.facts
         waited = await self._queue.wait(self._name, waiting)
         # The queue counts those of which it learns only while they wait.
         self._was_counted_early |= waiting.facts.is_early
