Let long prompts wait rather than overtake others in prefill

Cause: engines prefill the newest part first. Eight long prompts of load B within 2.4 s, in a data centre of 18 engines, each overtake the earlier ones; first events come up to eight times later than predicted. Change: where the queue applies or links are uneven, a long prompt with the longest goal waits at its entry while its plan has more than 0.1 s of others' work ahead, until its goal needs the start; one that misses its goal anyway waits as long as it can be served whole. The replay has data centres and places long prompts as the product does.

--- a/packages/proxy/src/sassafrastally/proxy/admission_queue/__init__.py
+++ b/packages/proxy/src/sassafrastally/proxy/admission_queue/__init__.py
@@ -16,6 +16,12 @@
 from sassafrastally.proxy.admission_queue.customer_work import CustomerWork, request_work_ms
 from sassafrastally.proxy.admission_queue.early_retries import EarlyRetries
 from sassafrastally.proxy.admission_queue.expected_room import RoomRate, is_wait_hopeless
+from sassafrastally.proxy.admission_queue.prefill_overtaking import (
+    StartTimes,
+    can_yield,
+    yield_reason,
+    yields_until_s,
+)
 from sassafrastally.proxy.admission_queue.queue_order import (
     QueueBounds,
     WaitingFacts,
@@ -35,9 +41,11 @@
     "QueueBounds",
     "QueueingCache",
     "RoomRate",
+    "StartTimes",
     "Waited",
     "WaitingFacts",
     "WaitingRequest",
+    "can_yield",
     "is_queueing_useful",
     "is_wait_hopeless",
     "latest_start_s",
@@ -46,4 +54,6 @@
     "request_work_ms",
     "requests_to_refuse",
     "response_s",
+    "yield_reason",
+    "yields_until_s",
 ]
--- a/packages/proxy/src/sassafrastally/proxy/streaming_request.py
+++ b/packages/proxy/src/sassafrastally/proxy/streaming_request.py
@@ -10,10 +10,13 @@
 
 from sassafrastally.proxy.admission import Goals, backlog_bound, overload_reason
 from sassafrastally.proxy.admission_queue import (
+    StartTimes,
+    can_yield,
     latest_start_s,
     least_alone_s,
     request_work_ms,
     response_s,
+    yield_reason,
 )
 from sassafrastally.proxy.attempt import AttemptNotRun, AttemptUnknown
 from sassafrastally.proxy.attempt_migration import remaining_s, should_move_attempt
@@ -23,10 +26,12 @@
     prefers_local_data_centre,
 )
 from sassafrastally.proxy.event_stream import EventSplitter, StreamEvent
+from sassafrastally.proxy.first_event_timeout import SILENCE_TIMEOUT_SHARE, expected_first_event_s
 from sassafrastally.proxy.lanes import PlacementRandomizer, choose_lane
 from sassafrastally.proxy.load import NO_WORK, InFlightAttempt, Lane
+from sassafrastally.proxy.load_summary import load_summary
 from sassafrastally.proxy.log_events import RequestAnswered
-from sassafrastally.proxy.metrics import count_answer
+from sassafrastally.proxy.metrics import PREFILL_YIELDS, count_answer
 from sassafrastally.proxy.model import Helper
 from sassafrastally.proxy.placement import place_request
 from sassafrastally.proxy.plan import max_prompt_tokens
@@ -50,15 +55,6 @@
     from sassafrastally.proxy.reply import Reply
     from sassafrastally.proxy.request_services import RequestServices
 
-SILENCE_TIMEOUT_SHARE = 0.65
-"""Share of the caller's timeout after which an attempt at a silent engine is abandoned if another
-engine may be tried. The rest is left for the first event of the other engine."""
-
-FIRST_EVENT_TIMEOUT_FACTOR = 1.5
-MAX_FIRST_EVENT_TIMEOUT_SHARE = 0.95
-"""Timeout for the first event: `FIRST_EVENT_TIMEOUT_FACTOR` times the predicted time, but no more
-than `MAX_FIRST_EVENT_TIMEOUT_SHARE` of the caller's timeout."""
-
 MOVE_CHECK_INTERVAL_S = 0.3
 """Minimum interval between checks whether to move an attempt; reports bring new data as often."""
 
@@ -92,6 +88,11 @@
             request_work_ms(profile, prompt),
             applies=services.queueing.applies_to(task.configuration, task.service),
         )
+        self._room_wait.yields = can_yield(self._lane, self._goals()) and (
+            self._room_wait.applies or services.fleet_view.has_uneven_links()
+        )
+        self._is_yielding = False
+        """Whether it has room, but waits in order not to overtake others in prefill."""
         self._alone_s = least_alone_s(profile, prompt)
         """Predicted time to the first event on idle engines."""
         self._awaits_budget = False
@@ -122,14 +123,16 @@
         if self._awaits_budget:
             return await self._wait_for_room("the retry budget is exhausted")
         if self._room_wait.is_behind_others(self._latest_start_s()):
+            self._is_yielding = not self._room_wait.applies
             return await self._wait_for_room("others wait for room before it")
         planned = self._plan()
         if isinstance(planned, str):
             return await self._wait_for_room(planned)
         return planned
 
-    def _plan(self) -> Placement | str:
+    def _plan(self, *, may_yield: bool = True) -> Placement | str:
         """Return where the request can start now, or why load prevents it."""
+        self._is_yielding = False
         placement = self._place()
         if placement is None:
             return "no engine has room"
@@ -139,12 +142,28 @@
         patience_s = self._caller_timeout_s() - self.progress.waited_s
         if would_miss_deadline(placement.predicted_s, patience_s, time_left_s):
             return f"first event in {placement.predicted_s:.1f} s"
+        if may_yield and (reason := self._yield_reason(placement)):
+            self._is_yielding = True
+            return reason
         return placement
 
+    def _yield_reason(self, placement: Placement) -> str:
+        """Return why the request waits although it has room; empty if it doesn't."""
+        if not self._room_wait.yields or not self._is_new():
+            return ""
+        self._alone_s = placement.alone_s
+        due_s = self._task.request.arrived_s + self._goal_s()
+        times = StartTimes(self._clock.now_s(), due_s, self._latest_start_s())
+        return yield_reason(placement, times)
+
     async def _wait_for_room(self, reason: str) -> Placement | LocalReply:
         """Wait until the request can start; return a refusal if waiting can't help."""
-        detail = f"{reason}: {self._load_summary()}"
-        if not self._room_wait.applies or not self._would_fit_idle_engines():
+        views = self._views(self.progress.tried)
+        summary = load_summary(views, self._profile.slots, self._services.fleet_view)
+        detail = f"{reason}: {summary}"
+        if self._is_yielding:
+            PREFILL_YIELDS.add(1)
+        elif not self._room_wait.applies or not self._would_fit_idle_engines():
             return self._local_reply(detail)
         waited: Waited[Placement | LocalReply] = await self._room_wait.wait(
             self._latest_start_s(), reason, self._try_start, self._must_not_wait
@@ -152,6 +171,11 @@
         self.progress.waited_s = self._room_wait.waited_s
         if waited.started is not None:
             return waited.started
+        if self._is_yielding or not self._room_wait.applies:
+            # It has waited for others although it had room, or its kind waits for nothing else.
+            planned = self._plan(may_yield=False)
+            if not isinstance(planned, str):
+                return planned
         return self._local_reply(f"{waited.reason}; {detail}")
 
     def _would_fit_idle_engines(self) -> bool:
@@ -202,18 +226,6 @@
         is_for_load = is_for_load and (has_untried or self.progress.was_refused_for_load)
         return self._reply_not_run(TURNED_AWAY, detail, is_for_load=is_for_load)
 
-    def _load_summary(self) -> str:
-        """Return a summary of the engines' load for the log and the caller."""
-        views = self._views(self.progress.tried)
-        requests = sum(view.work.requests for view in views)
-        prefill_s = max((view.work.prefill_ms for view in views), default=0.0) / 1000
-        return (
-            f"{len(views)} engines with {self._profile.slots} slots, {requests} requests, "
-            f"up to {prefill_s:.1f} s of reading, "
-            f"{self._services.fleet_view.entries - 1} peers heard, "
-            f"servers confirmed {self._services.fleet_view.beliefs_age_s:.1f} s ago"
-        )
-
     def _place(self) -> Placement | None:
         tried = self.progress.tried
         if self._lane is Lane.SHORT and self._is_suspect():
@@ -221,16 +233,10 @@
             plan = self._place_among(self._isolate(views))
             if plan is not None:
                 return plan
-        has_uneven_links = self._services.fleet_view.has_uneven_links
+        is_local = prefers_local_data_centre(self._lane, self._services.fleet_view.has_uneven_links)
+        local_views = self._local_views(tried) if is_local else ()
         return place_locally_first(
-            self._place_among,
-            (
-                self._local_views(tried)
-                if prefers_local_data_centre(self._lane, has_uneven_links)
-                else ()
-            ),
-            lambda: self._views(tried),
-            self._goal_s(),
+            self._place_among, local_views, lambda: self._views(tried), self._goal_s()
         )
 
     def _place_among(self, views: Sequence[ServerView]) -> Placement | None:
@@ -252,9 +258,11 @@
 
     def _overload_reason(self, placement: Placement) -> str:
         """Return why load prevents a new request from starting; empty if it doesn't."""
-        goals = Goals(self._goal_s(), self._limits.longest_goal_s)
-        share = backlog_bound(goals, has_queue=self._room_wait.applies)
-        return overload_reason(placement, goals, share)
+        share = backlog_bound(self._goals(), has_queue=self._room_wait.applies)
+        return overload_reason(placement, self._goals(), share)
+
+    def _goals(self) -> Goals:
+        return Goals(self._goal_s(), self._limits.longest_goal_s)
 
     def _goal_s(self) -> float:
         return self._task.route.goal_s or self._task.time_limit_s
@@ -346,15 +354,8 @@
             )
 
     def _first_event_timeout_s(self, placement: Placement) -> float:
-        """Return the timeout for an engine's first event.
-
-        Under overload, the prediction already says that the engine will be slow, and another engine
-        would be no faster. The attempt is therefore abandoned only well after the predicted time.
-        """
-        expected_s = min(
-            FIRST_EVENT_TIMEOUT_FACTOR * placement.predicted_s,
-            MAX_FIRST_EVENT_TIMEOUT_SHARE * self._caller_timeout_s(),
-        )
+        """Return the timeout for an engine's first event."""
+        expected_s = expected_first_event_s(placement.predicted_s, self._caller_timeout_s())
         return max(self._silence_timeout_s(), expected_s)
 
     def _silence_timeout_s(self) -> float:
--- a/packages/proxy/src/sassafrastally/proxy/waiting_for_room.py
+++ b/packages/proxy/src/sassafrastally/proxy/waiting_for_room.py
@@ -42,6 +42,9 @@
         applies: bool,
     ) -> None:
         self.applies = applies
+        self.yields = False
+        """Whether it waits rather than overtaking others in prefill, also where `applies` is not
+        set."""
         self.waited_s = 0.0
         """Time that the request has waited so far."""
         self._services = services
@@ -53,7 +56,7 @@
 
     def is_behind_others(self, latest_start_s: float) -> bool:
         """Return whether others wait for the same room and come first."""
-        if not self.applies or not self._queue.count(self._name[1]):
+        if not (self.applies or self.yields) or not self._queue.count(self._name[1]):
             return False
         return self._queue.is_behind_others(self._name, self._facts(latest_start_s))
 
@@ -99,7 +102,7 @@
 
     def record_start(self) -> None:
         """Count the request's work for its customer and for the rate of its queue."""
-        if self.applies:
+        if self.applies or self.yields:
             self._queue.record_start(self._name, self._facts(0.0))
 
     def record_refusal(self, retry_after_s: float) -> None:
--- a/packages/testing/src/sassafrastally/testing/load_arrivals.py
+++ b/packages/testing/src/sassafrastally/testing/load_arrivals.py
@@ -7,11 +7,13 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 # These at run time too: they are fields of named tuples.
-from sassafrastally.proxy.model import EngineProfile, PromptSize
+from sassafrastally.proxy.model import EngineProfile, PromptSize, Route, RouteKind
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
+MOST_ATTEMPTS = 2
+
 
 class Kind(NamedTuple):
     """One kind of request."""
@@ -47,6 +49,9 @@
     """Time between two datagrams of an entry."""
     customers: tuple[tuple[str, float], ...] = ()
     """Names of the customers and their weights; without any, requests have no customer."""
+    data_centres: int = 1
+    """Entries and engines are spread evenly over them. With several, the links are uneven: long
+    prompts are placed in the entry's own data centre if they are in time there."""
 
 
 class Burst(NamedTuple):
@@ -67,6 +72,8 @@
     prompt: PromptSize
     events: int
     customer: str = ""
+    data_centre: str = ""
+    """Whose entries the caller chooses from; empty for all."""
 
 
 def make_arrivals(
@@ -110,6 +117,24 @@
     ]
 
 
+def make_route(kind: Kind) -> Route:
+    """Return the route of a kind of request."""
+    return Route(
+        name=kind.name,
+        host="h",
+        path_prefix=f"/{kind.name}/",
+        kind=RouteKind.STREAM,
+        shares=(),
+        time_limit_s=kind.patience_s,
+        goal_s=kind.goal_s,
+        pause_goal_s=kind.pause_goal_s,
+        priority=kind.priority,
+        max_attempts=MOST_ATTEMPTS,
+        is_public=False,
+        is_resumable=True,
+    )
+
+
 def _arrival(kind: Kind, at_s: float, profile: EngineProfile, draw: random.Random) -> Arrival:
     centre = math.log(kind.prompt_tokens) - kind.prompt_spread**2 / 2
     tokens = int(min(kind.most_tokens, draw.lognormvariate(centre, kind.prompt_spread)))
--- a/packages/testing/src/sassafrastally/testing/load_replay.py
+++ b/packages/testing/src/sassafrastally/testing/load_replay.py
@@ -10,7 +10,7 @@
 import random
 from contextlib import aclosing
 from functools import partial
-from typing import TYPE_CHECKING, NamedTuple
+from typing import TYPE_CHECKING
 
 import trio
 
@@ -18,85 +18,47 @@
 from sassafrastally.proxy.admission import Goals, backlog_bound, overload_reason
 from sassafrastally.proxy.admission_queue import (
     AdmissionQueue,
+    StartTimes,
     WaitingFacts,
     WaitingRequest,
+    can_yield,
     is_queueing_useful,
     latest_start_s,
     least_alone_s,
     request_work_ms,
     response_s,
+    yields_until_s,
 )
 from sassafrastally.proxy.caller_timeout import caller_timeout_s
+from sassafrastally.proxy.data_centre_pools import place_locally_first
+from sassafrastally.proxy.first_event_timeout import SILENCE_TIMEOUT_SHARE, expected_first_event_s
 from sassafrastally.proxy.lanes import PlacementRandomizer, ServerView, choose_lane
 from sassafrastally.proxy.load import InFlightAttempt, Lane, Ledger, Work, merge_work, server_hash
-from sassafrastally.proxy.model import BackendServer, Route, RouteKind
+from sassafrastally.proxy.model import BackendServer
 from sassafrastally.proxy.placement import place_request
 from sassafrastally.proxy.prefill_limits import prefill_limits_for
 from sassafrastally.proxy.rate_limits import SentRequests, own_share_per_s
-from sassafrastally.proxy.streaming_request import (
-    FIRST_EVENT_TIMEOUT_FACTOR,
-    MAX_FIRST_EVENT_TIMEOUT_SHARE,
-    SILENCE_TIMEOUT_SHARE,
-)
 from sassafrastally.proxy.turning_away import retry_delay_s, would_miss_deadline
 from sassafrastally.stand_ins.simulated_engine import EngineFull, SimulatedEngine
-from sassafrastally.testing.load_arrivals import Arrival, Deployment, Kind
+from sassafrastally.testing.load_arrivals import MOST_ATTEMPTS, Arrival, Deployment, make_route
+from sassafrastally.testing.load_outcomes import Outcome, share_of_value
 
 if TYPE_CHECKING:
     from collections.abc import Mapping, Sequence
 
     from sassafrastally.proxy.plan import Placement
 
-MOST_ATTEMPTS = 2
+__all__ = ["DATAGRAM_LATENCY_S", "LoadReplay", "Outcome", "share_of_value"]
 
 DATAGRAM_LATENCY_S = 0.02
 """Time that a datagram takes from entry to entry."""
 
 
-class Outcome(NamedTuple):
-    """How a request ended."""
-
-    arrival: Arrival
-    predicted_s: float | None
-    """Time to the first event that was predicted at the last attempt; ``None`` without one."""
-    first_s: float | None
-    """Time from the first arrival to the first event; ``None`` when it was never answered."""
-    longest_pause_s: float
-    is_whole: bool
-    refusals: int
-    waited_s: float = 0.0
-    """Time that it waited for room at entries."""
-
-    @property
-    def is_timely(self) -> bool:
-        """Whether its caller had a whole answer in time and without a long pause."""
-        kind = self.arrival.kind
-        return (
-            self.is_whole
-            and self.first_s is not None
-            and self.first_s <= kind.goal_s
-            and self.longest_pause_s <= kind.pause_goal_s
-        )
-
-    @property
-    def value(self) -> float:
-        """What the answer is worth."""
-        if not self.is_whole:
-            return 0.0
-        return self.arrival.kind.value if self.is_timely else self.arrival.kind.late_value
-
-
-def share_of_value(outcomes: Sequence[Outcome], kind: str = "") -> float:
-    """Return the share of what all answers could be worth, of one kind or of all."""
-    chosen = [one for one in outcomes if kind in ("", one.arrival.kind.name)]
-    most = sum(one.arrival.kind.value for one in chosen)
-    return sum(one.value for one in chosen) / most if most else 1.0
-
-
 class _Entry:
     """What one entry knows and has under way."""
 
-    def __init__(self, seed: int) -> None:
+    def __init__(self, seed: int, data_centre: str) -> None:
+        self.data_centre = data_centre
         self.ledger = Ledger()
         self.queue = AdmissionQueue(random.Random(seed + 1))
         self.random = random.Random(seed)
@@ -121,6 +83,8 @@
         Whether limited engines read parts of others' prompts only in need.
     queues
         Whether requests wait for room where the product lets them.
+    yields
+        Whether long prompts wait rather than overtaking others where the product lets them.
     """
 
     def __init__(
@@ -131,6 +95,7 @@
         *,
         spares_limited: bool = True,
         queues: bool = True,
+        yields: bool = True,
     ) -> None:
         self._deployment = deployment
         self._most_per_s = {f"e{number}": most for number, most in (limits_per_s or {}).items()}
@@ -141,23 +106,32 @@
         """When requests were sent to each engine with a limit."""
         self.profile = deployment.profile
         self._draw = random.Random(seed)
-        self._entries = [_Entry(seed * 1000 + number) for number in range(deployment.entries)]
+        self._entries = [
+            _Entry(seed * 1000 + number, str(number % deployment.data_centres))
+            for number in range(deployment.entries)
+        ]
         for entry in self._entries:
             entry.ledger.others = partial(self._told_to, entry)
         self._engines = [SimulatedEngine(deployment.profile) for _ in range(deployment.engines)]
         self._servers = sorted(
             (
                 BackendServer(
-                    f"e{number}", "engines", Address("h", number), "here", 6, is_draining=False
+                    f"e{number}",
+                    "engines",
+                    Address("h", number),
+                    str(number % deployment.data_centres),
+                    6,
+                    is_draining=False,
                 )
                 for number in range(deployment.engines)
             ),
             key=lambda server: server_hash(server.incarnation_id),
         )
-        self._routes = {kind.name: _route(kind) for kind in deployment.kinds}
+        self._routes = {kind.name: make_route(kind) for kind in deployment.kinds}
         self._limits = prefill_limits_for(self._routes.values(), deployment.profile)
         self.queues = queues and is_queueing_useful(self._routes.values())
         """Whether requests may wait for room."""
+        self._yields = yields and (self.queues or deployment.data_centres > 1)
         self.outcomes: list[Outcome] = []
 
     async def run(self, arrivals: Sequence[Arrival]) -> list[Outcome]:
@@ -197,7 +171,7 @@
         end_s = trio.current_time() + arrival.kind.patience_s
         with trio.move_on_at(end_s):
             for _ in range(2):
-                entry = self._draw.choice(self._entries)
+                entry = self._draw.choice(self._entries_for(arrival))
                 asked = _Asked(self, entry, arrival, end_s)
                 waited_s = outcome.waited_s
                 outcome = (await asked.run())._replace(refusals=outcome.refusals)
@@ -208,17 +182,30 @@
                 await trio.sleep(min(asked.retry_delay_s, arrival.kind.patience_s / 3))
         self.outcomes.append(outcome)
 
+    def _entries_for(self, arrival: Arrival) -> list[_Entry]:
+        """Return the entries that a caller may reach."""
+        chosen = [one for one in self._entries if one.data_centre == arrival.data_centre]
+        return chosen or self._entries
+
     def place(self, entry: _Entry, arrival: Arrival, tried: set[str]) -> Placement | None:
         """Return where an entry sends a request."""
-        views = self.views(entry, tried)
-        return place_request(
-            views,
-            self.lane(arrival),
-            arrival.prompt,
-            arrival.kind.goal_s,
-            self.profile,
-            self._limits,
-            PlacementRandomizer(entry.random, self._deployment.news_gap_s + DATAGRAM_LATENCY_S),
+        views, lane, goal_s = self.views(entry, tried), self.lane(arrival), arrival.kind.goal_s
+        is_divided = self._deployment.data_centres > 1
+        update_age_s = self._deployment.news_gap_s + DATAGRAM_LATENCY_S
+        return place_locally_first(
+            lambda among: place_request(
+                among,
+                lane,
+                arrival.prompt,
+                goal_s,
+                self.profile,
+                self._limits,
+                PlacementRandomizer(entry.random, update_age_s),
+                by_centre=is_divided,
+            ),
+            [view for view in views if is_divided and view.server.data_centre == entry.data_centre],
+            lambda: views,
+            goal_s,
         )
 
     def views(self, entry: _Entry, tried: set[str]) -> list[ServerView]:
@@ -234,6 +221,18 @@
             if server.incarnation_id not in tried and self._has_room(entry, server.incarnation_id)
         ]
 
+    def may_yield(self, arrival: Arrival) -> bool:
+        """Return whether a request waits rather than overtaking others in prefill."""
+        return self._yields and can_yield(self.lane(arrival), self.goals(arrival))
+
+    def must_yield(
+        self, arrival: Arrival, placement: Placement, asked_s: float, facts: WaitingFacts
+    ) -> bool:
+        """Return whether a request would overtake others in prefill and can wait."""
+        due_s = asked_s + arrival.kind.goal_s
+        times = StartTimes(trio.current_time(), due_s, facts.latest_start_s)
+        return self.may_yield(arrival) and yields_until_s(placement, times) is not None
+
     def note_sent(self, entry: _Entry, placement: Placement) -> None:
         """Count what an entry sends to engines with a limit."""
         servers = [placement.server, *placement.helpers]
@@ -283,6 +282,8 @@
         self._longest_pause_s = 0.0
         self._asked_s = trio.current_time()
         self._waited_s = 0.0
+        self._yields = False
+        """Whether it waits only because it would overtake others in prefill."""
 
     async def run(self) -> Outcome:
         """Return how it ended."""
@@ -309,21 +310,33 @@
         """Return where the request starts, after waiting for room if that can help."""
         queue, name = self._entry.queue, ("engines", self._replay.lane(self._arrival))
         facts = self._facts()
-        if not (self._replay.queues and queue.is_behind_others(name, facts)):
-            placement = self._plan(tried, is_new=is_new)
-            if placement is not None or not self._replay.queues:
+        has_queue = self._replay.queues or self._replay.may_yield(self._arrival)
+        if not (has_queue and queue.is_behind_others(name, facts)):
+            placement = self._plan(tried, facts, is_new=is_new)
+            if placement is not None or not (self._replay.queues or self._yields):
                 return placement
         waited = await queue.wait(
-            name, WaitingRequest(facts, partial(self._plan, tried, is_new=is_new))
+            name, WaitingRequest(facts, partial(self._plan, tried, facts, is_new=is_new))
         )
         self._waited_s += waited.waited_s
+        if waited.started is None and (self._yields or not self._replay.queues):
+            return self._plan(tried, None, is_new=is_new)
         return waited.started
 
-    def _plan(self, tried: set[str], *, is_new: bool) -> Placement | None:
+    def _plan(
+        self, tried: set[str], facts: WaitingFacts | None, *, is_new: bool
+    ) -> Placement | None:
+        """Return where the request starts now; without facts, it doesn't yield."""
+        self._yields = False
         placement = self._replay.place(self._entry, self._arrival, tried)
         if placement is None or not self._may_begin(placement, is_new=is_new):
             return None
-        return placement
+        self._yields = (
+            facts is not None
+            and is_new
+            and self._replay.must_yield(self._arrival, placement, self._asked_s, facts)
+        )
+        return None if self._yields else placement
 
     def _facts(self) -> WaitingFacts:
         arrival, now_s = self._arrival, trio.current_time()
@@ -374,10 +387,7 @@
         patience_s = self._patience_s()
         limit_s = patience_s - self._waited_s
         if not is_last:
-            expected_s = min(
-                FIRST_EVENT_TIMEOUT_FACTOR * placement.predicted_s,
-                MAX_FIRST_EVENT_TIMEOUT_SHARE * patience_s,
-            )
+            expected_s = expected_first_event_s(placement.predicted_s, patience_s)
             limit_s = max(SILENCE_TIMEOUT_SHARE * patience_s, expected_s)
         try:
             with trio.move_on_after(limit_s) as silence:
@@ -425,20 +435,3 @@
             0,
             self._waited_s,
         )
-
-
-def _route(kind: Kind) -> Route:
-    return Route(
-        name=kind.name,
-        host="h",
-        path_prefix=f"/{kind.name}/",
-        kind=RouteKind.STREAM,
-        shares=(),
-        time_limit_s=kind.patience_s,
-        goal_s=kind.goal_s,
-        pause_goal_s=kind.pause_goal_s,
-        priority=kind.priority,
-        max_attempts=MOST_ATTEMPTS,
-        is_public=False,
-        is_resumable=True,
-    )
