Test waits for prefill end to end: order, a stalled engine, a crashed one, slow pace

Change: an entry that hears no peers, one engine, two long prompts: the second waits for the first; the wait ends in its limit if the engine stops, and when the engine crashes. Equal priorities and even links start at once. Parts on slow engines count with their pace.

--- a/packages/proxy/tests/test_prefill_overtaking.py
+++ b/packages/proxy/tests/test_prefill_overtaking.py
@@ -12,9 +12,10 @@
     yield_reason,
     yields_until_s,
 )
-from sassafrastally.proxy.load import Lane
-from sassafrastally.proxy.model import BackendServer
-from sassafrastally.proxy.plan import Placement
+from sassafrastally.proxy.lanes import ServerView
+from sassafrastally.proxy.load import Lane, Work
+from sassafrastally.proxy.model import BackendServer, EngineProfile
+from sassafrastally.proxy.plan import Holding, Placement, make_placement
 
 SERVER = BackendServer("e1", "engines", Address("h", 1), "here", 6, is_draining=False)
 TIMES = StartTimes(now_s=100.0, goal_s=104.0, latest_start_s=107.0)
@@ -25,6 +26,16 @@
     return Placement(SERVER, (), Lane.LONG, (), (), predicted_s, alone_s)
 
 
+def slow_plan(pace: float) -> Placement:
+    """Return the plan of a prompt behind an equal one, on an engine of that pace."""
+    profile = EngineProfile(6, 344_250, 0.925, 0.005, 0.0025, 154.0, 0.162, 2048, 38, 0.1)
+    view = ServerView(SERVER, Work(), pace=pace)
+    first = make_placement([view], (Holding(SERVER, 1000),), Lane.LONG, 40.0, profile)
+    work = Work(long_requests=1, prefill_requests=1, prefill_ms=first.parts[0].prefill_ms)
+    behind = view._replace(work=work)
+    return make_placement([behind], (Holding(SERVER, 1000),), Lane.LONG, 40.0, profile)
+
+
 class TestApplicability:
     """Requests that wait for others in prefill."""
 
@@ -62,3 +73,8 @@
         """Guards against waiting beyond the time in which a caller can be served whole."""
         assert yields_until_s(plan(2.0, 1.0), TIMES._replace(latest_start_s=latest_start_s)) is None
         assert yields_until_s(plan(6.0, 5.0), TIMES._replace(latest_start_s=latest_start_s)) is None
+
+    def test_work_ahead_counts_with_the_pace_of_its_engine(self):
+        """Guards against overtaking a part that takes a slow engine several times as long."""
+        assert yields_until_s(slow_plan(1.0), TIMES) is None
+        assert yields_until_s(slow_plan(4.0), TIMES) is not None
--- a/packages/testing/tests/platform/test_waiting.py
+++ b/packages/testing/tests/platform/test_waiting.py
@@ -143,6 +143,73 @@
         assert answers[0].status == 200
 
 
+class TestWaitingForPrefill:
+    """Long prompts that have room, but would overtake others in prefill; no peer is heard."""
+
+    async def call_two(self, fleet, before=lambda: None, after=lambda: None) -> list[int]:
+        """Send a long prompt and, while it is in prefill, another; return the statuses.
+
+        Callbacks run before the second prompt is sent, and when it waits.
+        """
+        statuses = []
+
+        async def call(path: str) -> None:
+            statuses.append((await fleet.call(path, prompt="30000,34")).status)
+
+        await fleet.add_replica("engine-1")
+        await fleet.add_entry()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(call, "/dossier/first")
+            await wait_until(lambda: records(fleet, "RequestPlaced"))
+            before()
+            nursery.start_soon(call, "/dossier/second")
+            if after is not None:
+                await wait_until(lambda: records(fleet, "RequestQueued"))
+                after()
+        return statuses
+
+    async def test_second_prompt_waits_for_the_first(self, fleet):
+        """Guards against a first event that comes late because a later prompt is read first."""
+        fleet.configure(make_configuration(2, routes=UNEQUAL_ROUTES))
+        assert await self.call_two(fleet) == [200, 200]
+        (queued,) = records(fleet, "RequestQueued")
+        assert "of others' work first" in queued["reason"]
+        first, second = records(fleet, "RequestPlaced")
+        assert first["waited_s"] == 0.0
+        assert 0.0 < second["waited_s"] < 1.0
+
+    async def test_wait_ends_if_the_first_prompt_makes_no_progress(self, fleet):
+        """Guards against waiting without end for parts on an engine that has stopped."""
+        fleet.configure(make_configuration(2, routes=UNEQUAL_ROUTES))
+        with trio.move_on_after(6.0):
+            await self.call_two(
+                fleet, lambda: setattr(fleet.replicas["engine-1"].engine, "is_stalled", True)
+            )
+        (queued,) = records(fleet, "RequestQueued")
+        ends = [*records(fleet, "RequestPlaced")[1:], *records(fleet, "RequestRefused")]
+        assert ends
+        assert all(end["waited_s"] <= queued["longest_wait_s"] + 0.2 for end in ends)
+
+    async def test_wait_ends_if_the_engine_of_the_first_prompt_crashes(self, fleet):
+        """Guards against waiting for parts that died with their engine."""
+        fleet.configure(make_configuration(2, routes=UNEQUAL_ROUTES))
+        await fleet.add_replica("engine-2")
+        await self.call_two(fleet, after=lambda: fleet.replicas["engine-1"].crash())
+        (second,) = (
+            record
+            for record in records(fleet, "RequestAnswered")
+            if record["request_id"] == records(fleet, "RequestQueued")[0]["request_id"]
+        )
+        assert second["first_s"] < 3.0
+
+    async def test_equal_priorities_and_even_links_start_at_once(self, fleet):
+        """Guards against a change for deployments in which the rule doesn't apply."""
+        routes = [*EQUAL_ROUTES, make_route("dossier", "streaming", "engines", goalMs=3000)]
+        fleet.configure(make_configuration(2, routes=routes))
+        assert await self.call_two(fleet, after=None) == [200, 200]
+        assert not records(fleet, "RequestQueued")
+
+
 class TestWaitingPlainRequests:
     """Plain requests while all slots of all servers are taken and as many again wait."""
 
