Let retries and resumed streams not wait behind prompts that wait for prefill

Cause: where links are uneven and all routes have one priority, a second attempt or a resumed stream of a long prompt would have waited behind new ones in the queue; there it started at once before. Change: where requests wait only for others in prefill, only new ones wait.

--- a/packages/proxy/src/sassafrastally/proxy/streaming_request.py
+++ b/packages/proxy/src/sassafrastally/proxy/streaming_request.py
@@ -122,7 +122,7 @@
         """Return where the request starts, after waiting for room if that can help."""
         if self._awaits_budget:
             return await self._wait_for_room("the retry budget is exhausted")
-        if self._room_wait.is_behind_others(self._latest_start_s()):
+        if self._room_wait.is_behind_others(self._latest_start_s(), is_new=self._is_new()):
             self._is_yielding = not self._room_wait.applies
             return await self._wait_for_room("others wait for room before it")
         planned = self._plan()
--- a/packages/proxy/src/sassafrastally/proxy/waiting_for_room.py
+++ b/packages/proxy/src/sassafrastally/proxy/waiting_for_room.py
@@ -54,9 +54,12 @@
         self._work_ms = work_ms
         self._clock = services.kernel.clock
 
-    def is_behind_others(self, latest_start_s: float) -> bool:
-        """Return whether others wait for the same room and come first."""
-        if not (self.applies or self.yields) or not self._queue.count(self._name[1]):
+    def is_behind_others(self, latest_start_s: float, *, is_new: bool = True) -> bool:
+        """Return whether others wait for the same room and come first.
+
+        Where requests wait only for others in prefill, those that have run before don't wait.
+        """
+        if not (self.applies or (self.yields and is_new)) or not self._queue.count(self._name[1]):
             return False
         return self._queue.is_behind_others(self._name, self._facts(latest_start_s))
 
--- a/packages/testing/src/sassafrastally/testing/load_replay.py
+++ b/packages/testing/src/sassafrastally/testing/load_replay.py
@@ -310,7 +310,7 @@
         """Return where the request starts, after waiting for room if that can help."""
         queue, name = self._entry.queue, ("engines", self._replay.lane(self._arrival))
         facts = self._facts()
-        has_queue = self._replay.queues or self._replay.may_yield(self._arrival)
+        has_queue = self._replay.queues or (is_new and self._replay.may_yield(self._arrival))
         if not (has_queue and queue.is_behind_others(name, facts)):
             placement = self._plan(tried, facts, is_new=is_new)
             if placement is not None or not (self._replay.queues or self._yields):
