--- a/packages/proxy/src/sassafrastally/proxy/admission_queue/__init__.py
+++ b/packages/proxy/src/sassafrastally/proxy/admission_queue/__init__.py
@@ -17,6 +17,12 @@
 from sassafrastally.proxy.admission_queue.early_retries import EarlyRetries
 from sassafrastally.proxy.admission_queue.expected_room import RoomRate, is_wait_hopeless
 from sassafrastally.proxy.admission_queue.headroom import RecentArrivals, Shortage, find_shortage
+from sassafrastally.proxy.admission_queue.prefill_overtaking import (
+    StartTimes,
+    can_yield,
+    yield_reason,
+    yields_until_s,
+)
 from sassafrastally.proxy.admission_queue.queue_order import (
     QueueBounds,
     WaitingFacts,
@@ -38,9 +44,11 @@
     "RecentArrivals",
     "RoomRate",
     "Shortage",
+    "StartTimes",
     "Waited",
     "WaitingFacts",
     "WaitingRequest",
+    "can_yield",
     "find_shortage",
     "is_queueing_useful",
     "is_wait_hopeless",
@@ -50,4 +58,6 @@
     "request_work_ms",
     "requests_to_refuse",
     "response_s",
+    "yield_reason",
+    "yields_until_s",
 ]
--- a/packages/proxy/src/sassafrastally/proxy/event_stream.py
+++ b/packages/proxy/src/sassafrastally/proxy/event_stream.py
@@ -51,3 +51,29 @@
             text = line[len(ID_FIELD) :].strip()
             return int(text) if text.isdigit() else None
     return None
+
+
+class EventTimes:
+    """Times at which the caller got the events of a stream.
+
+    Parameters
+    ----------
+    arrived_s
+        When its request arrived.
+    """
+
+    def __init__(self, arrived_s: float) -> None:
+        self.first_s: float | None = None
+        """Time from the request to the first event."""
+        self.last_s = arrived_s
+        """When the last event was forwarded; the arrival of the request before the first one."""
+        self.longest_pause_s = 0.0
+        self._arrived_s = arrived_s
+
+    def record(self, now_s: float) -> None:
+        """Record an event."""
+        if self.first_s is None:
+            self.first_s = now_s - self._arrived_s
+        else:
+            self.longest_pause_s = max(self.longest_pause_s, now_s - self.last_s)
+        self.last_s = now_s
--- a/packages/proxy/src/sassafrastally/proxy/metrics.py
+++ b/packages/proxy/src/sassafrastally/proxy/metrics.py
@@ -22,6 +22,11 @@
     "1",
     "Waiting requests that left room to more urgent ones, by lane.",
 )
+PREFILL_YIELDS = counter(
+    "proxy.prefill_yields",
+    "1",
+    "Long prompts that waited rather than overtaking others in prefill.",
+)
 CALLERS_BLOCKED = counter(
     "proxy.callers.blocked", "1", "Callers disconnected because they didn't read their response."
 )
--- a/packages/proxy/src/sassafrastally/proxy/streaming_request.py
+++ b/packages/proxy/src/sassafrastally/proxy/streaming_request.py
@@ -10,10 +10,13 @@
 
 from sassafrastally.proxy.admission import Goals, backlog_bound, overload_reason
 from sassafrastally.proxy.admission_queue import (
+    StartTimes,
+    can_yield,
     latest_start_s,
     least_alone_s,
     request_work_ms,
     response_s,
+    yield_reason,
 )
 from sassafrastally.proxy.attempt import AttemptNotRun, AttemptUnknown
 from sassafrastally.proxy.attempt_migration import remaining_s, should_move_attempt
@@ -22,12 +25,13 @@
     place_locally_first,
     prefers_local_data_centre,
 )
-from sassafrastally.proxy.event_stream import EventSplitter, StreamEvent
+from sassafrastally.proxy.event_stream import EventSplitter, EventTimes, StreamEvent
+from sassafrastally.proxy.first_event_timeout import SILENCE_TIMEOUT_SHARE, expected_first_event_s
 from sassafrastally.proxy.lanes import PlacementRandomizer, choose_lane
 from sassafrastally.proxy.load import NO_WORK, InFlightAttempt, Lane
 from sassafrastally.proxy.load_summary import load_summary
 from sassafrastally.proxy.log_events import RequestAnswered
-from sassafrastally.proxy.metrics import count_answer
+from sassafrastally.proxy.metrics import PREFILL_YIELDS, count_answer
 from sassafrastally.proxy.model import Helper
 from sassafrastally.proxy.placement import place_request
 from sassafrastally.proxy.plan import max_prompt_tokens
@@ -51,15 +55,6 @@
     from sassafrastally.proxy.reply import Reply
     from sassafrastally.proxy.request_services import RequestServices
 
-SILENCE_TIMEOUT_SHARE = 0.65
-"""Share of the caller's timeout after which an attempt at a silent engine is abandoned if another
-engine may be tried. The rest is left for the first event of the other engine."""
-
-FIRST_EVENT_TIMEOUT_FACTOR = 1.5
-MAX_FIRST_EVENT_TIMEOUT_SHARE = 0.95
-"""Timeout for the first event: `FIRST_EVENT_TIMEOUT_FACTOR` times the predicted time, but no more
-than `MAX_FIRST_EVENT_TIMEOUT_SHARE` of the caller's timeout."""
-
 MOVE_CHECK_INTERVAL_S = 0.3
 """Minimum interval between checks whether to move an attempt; reports bring new data as often."""
 
@@ -82,9 +77,7 @@
         self._lane = choose_lane(task.route, prompt, profile, self._limits)
         self._last_event_id = task.request.facts.last_event_id
         reply.write_timeout_s = self._caller_timeout_s()
-        self._first_s: float | None = None
-        self._previous_s = 0.0
-        self._longest_pause_s = 0.0
+        self._times = EventTimes(task.request.arrived_s)
         self._move_checked_s = -math.inf
         self._room_wait = RoomWait(
             services,
@@ -93,6 +86,11 @@
             request_work_ms(profile, prompt),
             applies=services.queueing.applies_to(task.configuration, task.service),
         )
+        self._room_wait.yields = (
+            can_yield(self._lane, self._goals()) and services.fleet_view.has_uneven_links()
+        )
+        self._is_yielding = False
+        """Whether it has room, but waits in order not to overtake others in prefill."""
         self._alone_s = least_alone_s(profile, prompt)
         """Predicted time to the first event on idle engines."""
         self._room_wait.record_arrival(prompt, self._alone_s)
@@ -123,15 +121,17 @@
         """Return where the request starts, after waiting for room if that can help."""
         if self._awaits_budget:
             return await self._wait_for_room("the retry budget is exhausted")
-        if self._room_wait.is_behind_others(self._latest_start_s()):
+        if self._room_wait.is_behind_others(self._latest_start_s(), is_new=self._is_new()):
+            self._is_yielding = not self._room_wait.applies
             return await self._wait_for_room("others wait for room before it")
         planned = self._plan()
         if isinstance(planned, str):
             return await self._wait_for_room(planned)
         return planned
 
-    def _plan(self) -> Placement | str:
+    def _plan(self, *, may_yield: bool = True) -> Placement | str:
         """Return where the request can start now, or why load prevents it."""
+        self._is_yielding = False
         placement = self._place()
         if placement is None:
             return "no engine has room"
@@ -141,13 +141,27 @@
         patience_s = self._caller_timeout_s() - self.progress.waited_s
         if would_miss_deadline(placement.predicted_s, patience_s, time_left_s):
             return f"first event in {placement.predicted_s:.1f} s"
+        if may_yield and (reason := self._yield_reason(placement)):
+            self._is_yielding = True
+            return reason
         return placement
 
+    def _yield_reason(self, placement: Placement) -> str:
+        """Return why the request waits although it has room; empty if it doesn't."""
+        if not self._room_wait.yields or not self._is_new():
+            return ""
+        self._alone_s = placement.alone_s
+        due_s = self._task.request.arrived_s + self._goal_s()
+        times = StartTimes(self._clock.now_s(), due_s, self._latest_start_s())
+        return yield_reason(placement, times)
+
     async def _wait_for_room(self, reason: str) -> Placement | LocalReply:
         """Wait until the request can start; return a refusal if waiting can't help."""
         views = self._views(self.progress.tried)
         detail = f"{reason}: {load_summary(views, self._profile, self._services.fleet_view)}"
-        if not self._room_wait.applies or not self._would_fit_idle_engines():
+        if self._is_yielding:
+            PREFILL_YIELDS.add(1)
+        elif not self._room_wait.applies or not self._would_fit_idle_engines():
             return self._local_reply(detail)
         waited: Waited[Placement | LocalReply] = await self._room_wait.wait(
             self._latest_start_s(), reason, self._try_start, self._must_not_wait
@@ -155,6 +169,11 @@
         self.progress.waited_s = self._room_wait.waited_s
         if waited.started is not None:
             return waited.started
+        if self._is_yielding or not self._room_wait.applies:
+            # It had room all the time, or its kind waits for nothing else.
+            planned = self._plan(may_yield=False)
+            if not isinstance(planned, str):
+                return planned
         return self._local_reply(f"{waited.reason}; {detail}")
 
     def _would_fit_idle_engines(self) -> bool:
@@ -164,8 +183,7 @@
         if fleet_view.available_in_s(service, time_left_s, self._task.homes) is not None:
             return False  # All servers limit their rate or ask for a pause.
         views = self._views(self.progress.tried)
-        alone = self._place_among([view._replace(work=NO_WORK) for view in views])
-        if alone is not None:
+        if alone := self._place_among([view._replace(work=NO_WORK) for view in views]):
             self._alone_s = alone.predicted_s
         return alone is not None
 
@@ -187,9 +205,8 @@
 
     def _latest_start_s(self) -> float:
         """Return the time until which the request may wait and still be served whole."""
-        last_event_s = self._task.request.arrived_s if self._first_s is None else self._previous_s
         return latest_start_s(
-            last_event_s,
+            self._times.last_s,
             self._caller_timeout_s(),
             self._task.deadline_s,
             self._alone_s,
@@ -244,9 +261,11 @@
 
     def _overload_reason(self, placement: Placement) -> str:
         """Return why load prevents a new request from starting; empty if it doesn't."""
-        goals = Goals(self._goal_s(), self._limits.longest_goal_s)
-        share = backlog_bound(goals, has_queue=self._room_wait.applies)
-        return overload_reason(placement, goals, share)
+        share = backlog_bound(self._goals(), has_queue=self._room_wait.applies)
+        return overload_reason(placement, self._goals(), share)
+
+    def _goals(self) -> Goals:
+        return Goals(self._goal_s(), self._limits.longest_goal_s)
 
     def _goal_s(self) -> float:
         return self._task.route.goal_s or self._task.time_limit_s
@@ -335,15 +354,7 @@
             )
 
     def _first_event_timeout_s(self, placement: Placement) -> float:
-        """Return the timeout for an engine's first event.
-
-        Under overload, the prediction already says that the engine will be slow, and another engine
-        would be no faster. The attempt is therefore abandoned only well after the predicted time.
-        """
-        expected_s = min(
-            FIRST_EVENT_TIMEOUT_FACTOR * placement.predicted_s,
-            MAX_FIRST_EVENT_TIMEOUT_SHARE * self._caller_timeout_s(),
-        )
+        expected_s = expected_first_event_s(placement.predicted_s, self._caller_timeout_s())
         return max(self._silence_timeout_s(), expected_s)
 
     def _silence_timeout_s(self) -> float:
@@ -413,11 +424,7 @@
         known_id = -1 if self._last_event_id is None else self._last_event_id
         if event.event_id is not None and event.event_id <= known_id:
             return  # Already forwarded; the resumed stream begins earlier than requested.
-        if self._first_s is None:
-            self._first_s = now_s - self._task.request.arrived_s
-        else:
-            self._longest_pause_s = max(self._longest_pause_s, now_s - self._previous_s)
-        self._previous_s = now_s
+        self._times.record(now_s)
         await self._reply.send(event.data)
         if event.event_id is not None:
             self._last_event_id = event.event_id
@@ -427,7 +434,8 @@
         self._record_success(status)
         now_s = self._clock.now_s()
         total_s = now_s - self._task.request.arrived_s
-        count_answer(self._lane, self._first_s or total_s, self._longest_pause_s, total_s)
+        first_s, longest_pause_s = self._times.first_s, self._times.longest_pause_s
+        count_answer(self._lane, first_s or total_s, longest_pause_s, total_s)
         self._emit(
             RequestAnswered(
                 self._request_id,
@@ -435,8 +443,8 @@
                 placement.server.server_id,
                 status,
                 self.progress.attempts,
-                round(self._first_s or 0.0, 4),
+                round(first_s or 0.0, 4),
                 round(total_s, 4),
-                round(self._longest_pause_s, 4),
+                round(longest_pause_s, 4),
             )
         )
--- a/packages/testing/src/sassafrastally/testing/load_arrivals.py
+++ b/packages/testing/src/sassafrastally/testing/load_arrivals.py
@@ -49,6 +49,9 @@
     """Time between two datagrams of an entry."""
     customers: tuple[tuple[str, float], ...] = ()
     """Names of the customers and their weights; without any, requests have no customer."""
+    data_centres: int = 1
+    """Entries and engines are spread evenly over them. With several, the links are uneven: long
+    prompts are placed in the entry's own data centre if they are in time there."""
 
 
 class Burst(NamedTuple):
@@ -69,6 +72,8 @@
     prompt: PromptSize
     events: int
     customer: str = ""
+    data_centre: str = ""
+    """Whose entries the caller chooses from; empty for all."""
 
 
 def make_arrivals(
@@ -112,14 +117,7 @@
     ]
 
 
-def _arrival(kind: Kind, at_s: float, profile: EngineProfile, draw: random.Random) -> Arrival:
-    centre = math.log(kind.prompt_tokens) - kind.prompt_spread**2 / 2
-    tokens = int(min(kind.most_tokens, draw.lognormvariate(centre, kind.prompt_spread)))
-    events = max(1, round(kind.events * draw.uniform(0.5, 1.5)))
-    return Arrival(at_s, kind, PromptSize(tokens, events * profile.steps_per_pass), events)
-
-
-def route_of(kind: Kind) -> Route:
+def make_route(kind: Kind) -> Route:
     """Return the route of a kind of request."""
     return Route(
         name=kind.name,
@@ -135,3 +133,10 @@
         is_public=False,
         is_resumable=True,
     )
+
+
+def _arrival(kind: Kind, at_s: float, profile: EngineProfile, draw: random.Random) -> Arrival:
+    centre = math.log(kind.prompt_tokens) - kind.prompt_spread**2 / 2
+    tokens = int(min(kind.most_tokens, draw.lognormvariate(centre, kind.prompt_spread)))
+    events = max(1, round(kind.events * draw.uniform(0.5, 1.5)))
+    return Arrival(at_s, kind, PromptSize(tokens, events * profile.steps_per_pass), events)
--- a/packages/testing/src/sassafrastally/testing/load_entries.py
+++ b/packages/testing/src/sassafrastally/testing/load_entries.py
@@ -24,7 +24,8 @@
 class ReplayEntry:
     """What one entry knows and has under way."""
 
-    def __init__(self, seed: int) -> None:
+    def __init__(self, seed: int, data_centre: str = "") -> None:
+        self.data_centre = data_centre
         self.ledger = Ledger()
         self.queue = AdmissionQueue(random.Random(seed + 1))
         self.random = random.Random(seed)
--- a/packages/testing/src/sassafrastally/testing/load_replay.py
+++ b/packages/testing/src/sassafrastally/testing/load_replay.py
@@ -15,10 +15,14 @@
 from sassafrastally.core import Address
 from sassafrastally.proxy.admission import Goals
 from sassafrastally.proxy.admission_queue import (
+    StartTimes,
     WaitingFacts,
+    can_yield,
     find_shortage,
     is_queueing_useful,
+    yields_until_s,
 )
+from sassafrastally.proxy.data_centre_pools import place_locally_first
 from sassafrastally.proxy.lanes import PlacementRandomizer, ServerView, choose_lane
 from sassafrastally.proxy.load import Lane, merge_work, server_hash
 from sassafrastally.proxy.model import BackendServer
@@ -30,7 +34,7 @@
 )
 from sassafrastally.stand_ins.simulated_engine import SimulatedEngine
 from sassafrastally.testing.engine_failures import EngineFailures
-from sassafrastally.testing.load_arrivals import Arrival, Deployment, route_of
+from sassafrastally.testing.load_arrivals import Arrival, Deployment, make_route
 from sassafrastally.testing.load_callers import PATIENT_CALLERS, Callers
 from sassafrastally.testing.load_entries import DATAGRAM_LATENCY_S, ReplayEntry, ReplayExchange
 from sassafrastally.testing.load_outcomes import Outcome, share_of_value
@@ -63,6 +67,8 @@
         Whether limited engines read parts of others' prompts only in need.
     queues
         Whether requests wait for room where the product lets them.
+    yields
+        Whether long prompts wait rather than overtaking others where the product lets them.
     shares_contention
         Whether entries exchange their contention state.
     callers
@@ -81,6 +87,7 @@
         *,
         spares_limited: bool = True,
         queues: bool = True,
+        yields: bool = True,
         shares_contention: bool = True,
         callers: Callers = PATIENT_CALLERS,
         failures: Sequence[Failure] = (),
@@ -97,7 +104,10 @@
         """When requests were sent to each engine with a limit."""
         self.profile = deployment.profile
         self._draw = random.Random(seed)
-        self._entries = [ReplayEntry(seed * 1000 + number) for number in range(deployment.entries)]
+        self._entries = [
+            ReplayEntry(seed * 1000 + number, str(number % deployment.data_centres))
+            for number in range(deployment.entries)
+        ]
         self._exchange = ReplayExchange(
             self._entries, deployment.news_gap_s, shares_contention=shares_contention
         )
@@ -105,16 +115,22 @@
         self._servers = sorted(
             (
                 BackendServer(
-                    f"e{number}", "engines", Address("h", number), "here", 6, is_draining=False
+                    f"e{number}",
+                    "engines",
+                    Address("h", number),
+                    str(number % deployment.data_centres),
+                    6,
+                    is_draining=False,
                 )
                 for number in range(deployment.engines)
             ),
             key=lambda server: server_hash(server.incarnation_id),
         )
-        self._routes = {kind.name: route_of(kind) for kind in deployment.kinds}
+        self._routes = {kind.name: make_route(kind) for kind in deployment.kinds}
         self._limits = prefill_limits_for(self._routes.values(), deployment.profile)
         self.queues = queues and is_queueing_useful(self._routes.values())
         """Whether requests may wait for room."""
+        self._yields = yields and deployment.data_centres > 1
         self.outcomes: list[Outcome] = []
         self.delay_after_failure_s = delay_after_failure_s
         self.refusals_after_failure = 0
@@ -144,7 +160,7 @@
         with trio.move_on_at(end_s):
             is_hasty = self._callers.is_hasty(self._seed, number)
             for _ in range(1 + self._callers.retries(is_hasty=is_hasty)):
-                entry = self._draw.choice(self._entries)
+                entry = self._draw.choice(self._entries_for(arrival))
                 request = EntryRequest(self, entry, arrival, end_s, number + 1)
                 known = outcome
                 outcome = await request.run()
@@ -161,17 +177,30 @@
                 await trio.sleep(self._callers.delay_s(told_s, is_hasty=is_hasty))
         self.outcomes.append(outcome)
 
+    def _entries_for(self, arrival: Arrival) -> list[ReplayEntry]:
+        """Return the entries that a caller may reach."""
+        chosen = [one for one in self._entries if one.data_centre == arrival.data_centre]
+        return chosen or self._entries
+
     def place(self, entry: ReplayEntry, arrival: Arrival, tried: set[str]) -> Placement | None:
         """Return where an entry sends a request."""
-        views = self.views(entry, tried)
-        return place_request(
-            views,
-            self.lane(arrival),
-            arrival.prompt,
-            arrival.kind.goal_s,
-            self.profile,
-            self._limits,
-            PlacementRandomizer(entry.random, self._deployment.news_gap_s + DATAGRAM_LATENCY_S),
+        views, lane, goal_s = self.views(entry, tried), self.lane(arrival), arrival.kind.goal_s
+        is_divided = self._deployment.data_centres > 1
+        update_age_s = self._deployment.news_gap_s + DATAGRAM_LATENCY_S
+        return place_locally_first(
+            lambda among: place_request(
+                among,
+                lane,
+                arrival.prompt,
+                goal_s,
+                self.profile,
+                self._limits,
+                PlacementRandomizer(entry.random, update_age_s),
+                by_centre=is_divided,
+            ),
+            [view for view in views if is_divided and view.server.data_centre == entry.data_centre],
+            lambda: views,
+            goal_s,
         )
 
     def views(self, entry: ReplayEntry, tried: set[str]) -> list[ServerView]:
@@ -207,6 +236,18 @@
             kinds, placement, views, self.profile, len(self._entries)
         )
 
+    def may_yield(self, arrival: Arrival) -> bool:
+        """Return whether a request waits rather than overtaking others in prefill."""
+        return self._yields and can_yield(self.lane(arrival), self.goals(arrival))
+
+    def must_yield(
+        self, arrival: Arrival, placement: Placement, asked_s: float, facts: WaitingFacts
+    ) -> bool:
+        """Return whether a request would overtake others in prefill and can wait."""
+        due_s = asked_s + arrival.kind.goal_s
+        times = StartTimes(trio.current_time(), due_s, facts.latest_start_s)
+        return self.may_yield(arrival) and yields_until_s(placement, times) is not None
+
     def record_arrival(self, entry: ReplayEntry, arrival: Arrival) -> None:
         """Count an arrival for the headroom of its kind."""
         route = self._routes[arrival.kind.name]
--- a/packages/testing/src/sassafrastally/testing/load_request.py
+++ b/packages/testing/src/sassafrastally/testing/load_request.py
@@ -19,12 +19,8 @@
     response_s,
 )
 from sassafrastally.proxy.caller_timeout import caller_timeout_s
+from sassafrastally.proxy.first_event_timeout import SILENCE_TIMEOUT_SHARE, expected_first_event_s
 from sassafrastally.proxy.load import InFlightAttempt
-from sassafrastally.proxy.streaming_request import (
-    FIRST_EVENT_TIMEOUT_FACTOR,
-    MAX_FIRST_EVENT_TIMEOUT_SHARE,
-    SILENCE_TIMEOUT_SHARE,
-)
 from sassafrastally.proxy.turning_away import retry_delay_s, would_miss_deadline
 from sassafrastally.stand_ins.simulated_engine import EngineFull
 from sassafrastally.testing.load_arrivals import MOST_ATTEMPTS, Arrival
@@ -62,6 +58,8 @@
         self._asked_s = trio.current_time()
         self._waited_s = 0.0
         self._failed_attempts = 0
+        self._yields = False
+        """Whether it waits only because it would overtake others in prefill."""
 
     async def run(self) -> Outcome:
         """Return how it ended."""
@@ -96,16 +94,19 @@
     async def _start(self, tried: set[str], *, is_new: bool) -> Placement | None:
         """Return where the request starts, after waiting for room if that can help."""
         queue, name = self._entry.queue, ("engines", self._replay.lane(self._arrival))
-        facts = self._facts()
-        if not (self._replay.queues and queue.is_behind_others(name, facts)):
-            placement = self._plan(tried, is_new=is_new)
-            if placement is not None or not self._replay.queues:
+        facts, may_queue = self._facts(), self._replay.queues
+        has_queue = may_queue or (is_new and self._replay.may_yield(self._arrival))
+        if not (has_queue and queue.is_behind_others(name, facts)):
+            placement = self._plan(tried, facts, is_new=is_new)
+            if placement is not None or not (may_queue or self._yields):
                 return placement
-        try_start = partial(self._plan, tried, is_new=is_new, waiting=facts)
+        try_start = partial(self._plan, tried, facts, is_new=is_new, has_waited=True)
         waiting = WaitingRequest(facts, try_start)
         waited = await queue.wait(name, waiting)
         self.was_early |= waiting.facts.is_early
         self._waited_s += waited.waited_s
+        if waited.started is None and (self._yields or not may_queue):
+            return self._plan(tried, None, is_new=is_new)
         return waited.started
 
     def _record_refusal(self, delay_s: float) -> None:
@@ -114,14 +115,26 @@
             self._entry.queue.record_refusal(self._fingerprint, due_s, is_for_load=True)
 
     def _plan(
-        self, tried: set[str], *, is_new: bool, waiting: WaitingFacts | None = None
+        self,
+        tried: set[str],
+        facts: WaitingFacts | None,
+        *,
+        is_new: bool,
+        has_waited: bool = False,
     ) -> Placement | None:
+        """Return where the request starts now; without facts, it doesn't yield."""
+        self._yields = False
         placement = self._replay.place(self._entry, self._arrival, tried)
         if placement is None or not self._may_begin(placement, is_new=is_new):
             return None
-        if waiting is not None and not self._replay.leaves_headroom(
-            self._entry, waiting, placement
-        ):
+        if facts is None:
+            return placement
+        self._yields = is_new and self._replay.must_yield(
+            self._arrival, placement, self._asked_s, facts
+        )
+        if self._yields:
+            return None
+        if has_waited and not self._replay.leaves_headroom(self._entry, facts, placement):
             return None
         return placement
 
@@ -181,10 +194,7 @@
         patience_s = self._patience_s()
         limit_s = patience_s - self._waited_s
         if not is_last:
-            expected_s = min(
-                FIRST_EVENT_TIMEOUT_FACTOR * placement.predicted_s,
-                MAX_FIRST_EVENT_TIMEOUT_SHARE * patience_s,
-            )
+            expected_s = expected_first_event_s(placement.predicted_s, patience_s)
             limit_s = max(SILENCE_TIMEOUT_SHARE * patience_s, expected_s)
         try:
             with trio.move_on_after(limit_s) as silence:
--- a/packages/testing/tests/platform/test_waiting.py
+++ b/packages/testing/tests/platform/test_waiting.py
@@ -10,6 +10,7 @@
 from sassafrastally.proxy.cluster_state import ClusterState
 from sassafrastally.proxy.load import Lane
 from sassafrastally.proxy.path import RequestPath
+from sassafrastally.proxy.peers import Peers
 from sassafrastally.stand_ins.documents import ENGINE, make_configuration, make_route, make_services
 from sassafrastally.stand_ins.platform_fleet import wait_until
 
@@ -169,6 +170,79 @@
         assert answers[0].status == 200
 
 
+class TestWaitingForPrefill:
+    """Long prompts that have room, but would overtake others in prefill; links are uneven."""
+
+    ROUTES = (*EQUAL_ROUTES, make_route("dossier", "streaming", "engines", goalMs=3000))
+
+    async def call_two(
+        self, fleet, before=lambda: None, after=lambda: None, links_mbps=(1000, 7), routes=ROUTES
+    ) -> list[int]:
+        """Send a long prompt and, while it is in prefill, another; return the statuses.
+
+        Callbacks run before the second prompt is sent, and when it waits.
+        """
+        fleet.configure(make_configuration(2, routes=list(routes)))
+        fleet.links_mbps = list(links_mbps)
+        statuses = []
+
+        async def call(path: str) -> None:
+            statuses.append((await fleet.call(path, prompt="30000,34")).status)
+
+        await fleet.add_replica("engine-1")
+        for number in (1, 2):
+            await fleet.add_entry(number)
+        peers = fleet.kernels[0].get("peers", Peers)
+        await wait_until(lambda: peers.live_count() == 1)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(call, "/dossier/first")
+            await wait_until(lambda: records(fleet, "RequestPlaced"))
+            before()
+            nursery.start_soon(call, "/dossier/second")
+            if after is not None:
+                await wait_until(lambda: records(fleet, "RequestQueued"))
+                after()
+        return statuses
+
+    async def test_second_prompt_waits_for_the_first(self, fleet):
+        """Guards against a first event that comes late because a later prompt is read first."""
+        assert await self.call_two(fleet) == [200, 200]
+        (queued,) = records(fleet, "RequestQueued")
+        assert "of others' work first" in queued["reason"]
+        first, second = records(fleet, "RequestPlaced")
+        assert first["waited_s"] == 0.0
+        assert 0.0 < second["waited_s"] < 1.0
+
+    async def test_wait_ends_if_the_first_prompt_makes_no_progress(self, fleet):
+        """Guards against waiting without end for parts on an engine that has stopped."""
+        with trio.move_on_after(6.0):
+            await self.call_two(
+                fleet, lambda: setattr(fleet.replicas["engine-1"].engine, "is_stalled", True)
+            )
+        (queued,) = records(fleet, "RequestQueued")
+        ends = [*records(fleet, "RequestPlaced")[1:], *records(fleet, "RequestRefused")]
+        assert ends
+        assert all(end["waited_s"] <= queued["longest_wait_s"] + 0.2 for end in ends)
+
+    async def test_wait_ends_if_the_engine_of_the_first_prompt_crashes(self, fleet):
+        """Guards against waiting for parts that died with their engine."""
+        await fleet.add_replica("engine-2")
+        await self.call_two(fleet, after=lambda: fleet.replicas["engine-1"].crash())
+        (second,) = (
+            record
+            for record in records(fleet, "RequestAnswered")
+            if record["request_id"] == records(fleet, "RequestQueued")[0]["request_id"]
+        )
+        assert second["first_s"] < 3.0
+
+    @pytest.mark.parametrize("routes", [ROUTES, UNEQUAL_ROUTES])
+    async def test_prompts_start_at_once_where_links_are_even(self, fleet, routes):
+        """Guards against a change for deployments in which the rule doesn't apply."""
+        statuses = await self.call_two(fleet, after=None, links_mbps=(1000, 1000), routes=routes)
+        assert statuses == [200, 200]
+        assert not records(fleet, "RequestQueued")
+
+
 class TestWaitingPlainRequests:
     """Plain requests while all slots of all servers are taken and as many again wait."""
 
