Add up peers' work only for the log of contention

Since the order of the queue counts own work only, the sum over the peers is used twice per spell of contention. The cache of it, its age and the time of the latest state have no use any more; the peers' table drops silent peers.

--- a/packages/proxy/src/sassafrastally/proxy/contention/contention_news.py
+++ b/packages/proxy/src/sassafrastally/proxy/contention/contention_news.py
@@ -14,7 +14,7 @@
 
 MAX_CUSTOMERS_SENT = 16
 """Customers in one datagram. Those with more than a sixteenth of the work are all among them, and
-only a customer with much work waits behind others."""
+the log names only the one with the most."""
 
 MAX_REFUSALS_SENT = 16
 """Refusals in one datagram. Each is sent for half a second, so that up to 32 a second are complete:
--- a/packages/proxy/src/sassafrastally/proxy/contention/shared_contention.py
+++ b/packages/proxy/src/sassafrastally/proxy/contention/shared_contention.py
@@ -19,10 +19,6 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable, Mapping, Set
 
-TOTAL_AGE_S = 0.05
-"""Time for which the sum over the peers is used again: the shortest interval between two checks of
-a queue. Each peer sends at most every 0.1 s where there are 25."""
-
 
 class ContentionSummary(NamedTuple):
     """State of contention, for the log."""
@@ -67,10 +63,7 @@
         self._window = ContentionWindow()
         self._sent_refusals = SentRefusals()
         self._peer_refusals = PeerRefusals()
-        self._news_received_s = float("-inf")
         self._contention_received_s = float("-inf")
-        self._totals_s = float("-inf")
-        self._peers_work_ms: dict[int, float] = {}
 
     def is_contended(self, now_s: float) -> bool:
         """Return whether requests wait for room here, or lately have waited or been refused."""
@@ -102,11 +95,8 @@
         self.early_retries_from_peers += not is_known_here
 
     def work_ms(self, now_s: float) -> Callable[[str], float]:
-        """Return the function that gives a customer's work over all entries."""
-        own_ms = self._own_work_ms(now_s)
-        peers_ms = self._peers_total_ms(now_s)
-        if not peers_ms:
-            return lambda customer: own_ms.get(customer, 0.0)
+        """Return the function that gives a customer's work over all entries, for the log."""
+        own_ms, peers_ms = self._own_work_ms(now_s), total_work_ms(self.peers_news())
         return lambda customer: (
             own_ms.get(customer, 0.0) + peers_ms.get(customer_hash(customer), 0.0)
         )
@@ -124,7 +114,6 @@
         """Apply the state received from a peer or another data centre."""
         if news == NO_CONTENTION_NEWS:
             return
-        self._news_received_s = now_s
         if news.is_contended:
             self._contention_received_s = now_s
         new = {
@@ -153,12 +142,3 @@
             "early_retries": self.early_retries,
             "early_retries_from_peers": self.early_retries_from_peers,
         }
-
-    def _peers_total_ms(self, now_s: float) -> dict[int, float]:
-        """Return the work of each customer at the other entries, by hash of the name."""
-        if now_s - self._news_received_s >= PEER_TIMEOUT_S:
-            return {}
-        if now_s - self._totals_s >= TOTAL_AGE_S:
-            self._totals_s = now_s
-            self._peers_work_ms = total_work_ms(self.peers_news())
-        return self._peers_work_ms
--- a/packages/testing/src/sassafrastally/testing/load_entries.py
+++ b/packages/testing/src/sassafrastally/testing/load_entries.py
@@ -9,7 +9,7 @@
 import trio
 
 from sassafrastally.proxy.admission_queue import AdmissionQueue
-from sassafrastally.proxy.contention import NO_CONTENTION_NEWS, ContentionNews
+from sassafrastally.proxy.contention import NO_CONTENTION_NEWS
 from sassafrastally.proxy.load import Ledger, Work, server_hash
 
 if TYPE_CHECKING:
@@ -31,8 +31,6 @@
         self.random = random.Random(seed)
         self.told: Mapping[int, Work] = {}
         """Its work as the others know it."""
-        self.news: ContentionNews = NO_CONTENTION_NEWS
-        """Its contention state as the others know it."""
         self.sent: dict[str, SentRequests] = {}
         """Requests that it sent to engines with a limit."""
 
@@ -59,7 +57,6 @@
         for entry in entries:
             entry.ledger.others = partial(self.told_to, entry)
             if shares_contention:
-                entry.queue.contention.peers_news = partial(self._news_to, entry)
                 entry.queue.contention.on_refusal = entry.ledger.note_change
 
     def told_to(self, entry: ReplayEntry) -> list[Mapping[int, Work]]:
@@ -77,12 +74,9 @@
             if self._shares_contention:
                 news = entry.queue.contention.news_to_send(trio.current_time())
             await trio.sleep(DATAGRAM_LATENCY_S)
-            entry.told, entry.news = told, news
+            entry.told = told
             for other in self._entries:
                 if other is not entry:
                     other.queue.contention.apply(news, trio.current_time())
             with trio.move_on_after(self._gap_s - DATAGRAM_LATENCY_S):
                 await entry.ledger.urgent_since(seen)
-
-    def _news_to(self, entry: ReplayEntry) -> list[ContentionNews]:
-        return [other.news for other in self._entries if other is not entry]
