Don't count waits for others in prefill as contention

Where links are uneven and routes equally urgent, a long prompt that waited for others in prefill made its entry contended: it logged ContentionBegan and sent its customers' work, although contention is shared only where the queue for room applies.

--- a/packages/proxy/src/sassafrastally/proxy/admission_queue/admission_queue.py
+++ b/packages/proxy/src/sassafrastally/proxy/admission_queue/admission_queue.py
@@ -118,7 +118,7 @@
     def __init__(self, random: Random, bounds: QueueBounds | None = None) -> None:
         self.customers = CustomerWork()
         self.early_retries = EarlyRetries()
-        self.contention = SharedContention(self.customers.recent_ms, self._count_all)
+        self.contention = SharedContention(self.customers.recent_ms, self._count_contending)
         self.contention.on_refused_elsewhere = self._mark_early
         self.arrivals = RecentArrivals()
         self._random = random
@@ -195,7 +195,8 @@
                 await waiting.ended.wait()
         finally:
             queue.remove(waiting)  # type: ignore[arg-type]
-            self.contention.record_wait(trio.current_time())
+            if not waiting.facts.yields:
+                self.contention.record_wait(trio.current_time())
             if not queue:
                 self._rates[name].note_empty()
                 self._next_checks_s.pop(name, None)
@@ -259,8 +260,10 @@
         work_ms = self.customers.recent_ms(now_s)
         return lambda facts: order_key(facts, work_ms, now_s)
 
-    def _count_all(self) -> int:
-        return sum(map(len, self._queues.values()))
+    def _count_contending(self) -> int:
+        """Return how many requests wait for room, without those that wait for prefill only."""
+        waiting = (one for queue in self._queues.values() for one in queue)
+        return sum(not one.facts.yields for one in waiting)
 
     def _mark_early(self, fingerprints: Set[int], now_s: float) -> None:
         """Move requests behind others that peers had refused before they came here.
--- a/packages/proxy/src/sassafrastally/proxy/admission_queue/queue_order.py
+++ b/packages/proxy/src/sassafrastally/proxy/admission_queue/queue_order.py
@@ -40,6 +40,8 @@
     timely_start_s: float = math.inf
     """Latest start that meets the goal, for requests of the most urgent routes; after it, they wait
     behind those of their priority that can still meet theirs."""
+    yields: bool = False
+    """Whether it may wait only for others in prefill, which isn't contention."""
 
 
 OrderKey = tuple[int, bool, bool, float, float]
--- a/packages/proxy/src/sassafrastally/proxy/waiting_for_room.py
+++ b/packages/proxy/src/sassafrastally/proxy/waiting_for_room.py
@@ -223,4 +223,5 @@
             latest_start_s=latest_start_s,
             fingerprint=task.fingerprint,
             timely_start_s=self._timely_start_s,
+            yields=not self.applies,
         )
--- a/packages/proxy/tests/test_contention.py
+++ b/packages/proxy/tests/test_contention.py
@@ -269,3 +269,16 @@
             assert queue.contention.early_retries_from_peers == 1
             assert queue.is_early(7, trio.current_time())
             nursery.cancel_scope.cancel()
+
+    async def test_wait_for_others_in_prefill_is_no_contention(self, autojump_clock):
+        """Guards against log lines and larger datagrams of deployments without priorities, whose
+        long prompts wait for others in prefill."""
+        queue = AdmissionQueue(random.Random(1))
+        facts = FACTS._replace(latest_start_s=trio.current_time() + 0.5, yields=True)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(queue.wait, QUEUE, WaitingRequest(facts, lambda: None))
+            await trio.sleep(0.1)
+            assert queue.count(Lane.LONG) == 1
+            assert not queue.contention.is_contended(trio.current_time())
+        assert queue.count(Lane.LONG) == 0
+        assert queue.contention.news_to_send(trio.current_time()) == NO_CONTENTION_NEWS
