--- a/packages/proxy/src/sassafrastally/proxy/peer_messages.py
+++ b/packages/proxy/src/sassafrastally/proxy/peer_messages.py
@@ -36,7 +36,7 @@
 from sassafrastally.proxy.store import StorePosition
 from sassafrastally.proxy.store_records import Delta
 from sassafrastally.proxy.store_watchers import WatchCandidate
-from sassafrastally.proxy.warm_up import decode_colds, encode_colds, first_half
+from sassafrastally.proxy.warm_up import decode_colds, encode_colds
 
 if TYPE_CHECKING:
     from collections.abc import Mapping, Sequence
@@ -155,7 +155,7 @@
                 failures=_first_half(hello.failures),
             )
         elif hello.colds:
-            hello = hello._replace(colds=first_half(hello.colds))
+            hello = hello._replace(colds=_first_half(hello.colds))
         else:
             return data
 
--- a/packages/proxy/src/sassafrastally/proxy/warm_up/__init__.py
+++ b/packages/proxy/src/sassafrastally/proxy/warm_up/__init__.py
@@ -19,7 +19,6 @@
     NullColdExchange,
     decode_colds,
     encode_colds,
-    first_half,
 )
 from sassafrastally.proxy.warm_up.cold_quota import ColdBound, own_quota, wait_s
 from sassafrastally.proxy.warm_up.cold_servers import (
@@ -46,7 +45,6 @@
     "age_colds",
     "decode_colds",
     "encode_colds",
-    "first_half",
     "is_plausible",
     "known_until_s",
     "longest_first",
--- a/packages/proxy/src/sassafrastally/proxy/warm_up/cold_exchange.py
+++ b/packages/proxy/src/sassafrastally/proxy/warm_up/cold_exchange.py
@@ -55,8 +55,3 @@
     for cold, _ in zip(message.colds, range(MAX_COLDS_SENT), strict=False):
         decoded[cold.server] = cold.leftMs / 1000
     return decoded
-
-
-def first_half(colds: Mapping[int, float]) -> dict[int, float]:
-    """Return the longer half of the cold times, for a datagram that is too large."""
-    return dict(list(colds.items())[: len(colds) // 2])
