--- a/packages/testing/src/sassafrastally/testing/cold_fleet.py
+++ b/packages/testing/src/sassafrastally/testing/cold_fleet.py
@@ -137,6 +137,56 @@
                         self.send(host, server, now_s)
 
 
+class _ColdWithoutNotice:
+    """State of a replay in which a server turns cold and says so only in its responses."""
+
+    def __init__(self, fleet: ColdFleet, server: BackendServer, lost_share: float) -> None:
+        self._fleet = fleet
+        self._server = server
+        self._lost_share = lost_share
+        self._responses: list[tuple[float, str]] = []
+        """Time of arrival, and the entry."""
+        self._datagrams: list[tuple[float, float, str, str]] = []
+        """Times of arrival and of sending, sender and receiver."""
+        self._next_send_s = {
+            host: fleet.draw.uniform(0.0, SEND_INTERVAL_S) for host in fleet.entries
+        }
+        self._due = 0.0
+
+    def deliver(self, now_s: float) -> None:
+        """Let entries read the responses and datagrams that have arrived."""
+        entries = self._fleet.entries
+        for response in [one for one in self._responses if one[0] <= now_s]:
+            self._responses.remove(response)
+            entries[response[1]].read_answer(self._server, COLD_S - now_s, now_s)
+        for datagram in [one for one in self._datagrams if one[0] <= now_s]:
+            self._datagrams.remove(datagram)
+            _, sent_s, sender, receiver = datagram
+            entries[sender].tell(entries[receiver], self._server, sent_s, now_s)
+
+    def send_datagrams(self, now_s: float) -> None:
+        """Send the datagrams of the entries whose interval is over."""
+        for host in [one for one in self._fleet.entries if self._next_send_s[one] <= now_s]:
+            self._next_send_s[host] = now_s + SEND_INTERVAL_S
+            for other in [one for one in self._fleet.entries if one != host]:
+                is_remote = other.split(".")[1] != host.split(".")[1]
+                at_s = now_s + TRANSIT_S + (SUM_DELAY_S if is_remote else 0.0)
+                if self._fleet.draw.random() >= self._lost_share:
+                    self._datagrams.append((at_s, now_s, host, other))
+
+    def send_requests(self, unaware: Sequence[str], now_s: float, step_s: float) -> None:
+        """Let unaware entries keep all slots busy, and the others use their quota."""
+        self._due += SLOTS / RESPONSE_S * step_s
+        while self._due >= 1.0 and unaware:
+            self._due -= 1.0
+            host = self._fleet.draw.choice(unaware)
+            self._fleet.send(host, self._server, now_s)
+            self._responses.append((now_s + RESPONSE_S, host))
+        for host, entry in self._fleet.entries.items():
+            while entry.limits.servers and entry.wait_s(self._server, now_s) <= 0:
+                self._fleet.send(host, self._server, now_s)
+
+
 def play_cold_without_notice(
     *, announces: bool, lost_share: float = 0.0, seed: int = 1, entries: int = 25
 ) -> tuple[ColdFleet, float]:
@@ -162,36 +212,15 @@
     """
     server, fleet, all_know_s = make_server(1), ColdFleet(entries, seed), math.inf
     fleet.register(server, -9.0, is_new=False)
-    responses: list[tuple[float, str]] = []
-    datagrams: list[tuple[float, float, str, str]] = []
-    next_send_s = {host: fleet.draw.uniform(0.0, SEND_INTERVAL_S) for host in fleet.entries}
-    step_s, due = 0.01, 0.0
+    replay = _ColdWithoutNotice(fleet, server, lost_share)
+    step_s = 0.01
     for step in range(round(2.9 / step_s)):
         now_s = step * step_s
-        for response in [one for one in responses if one[0] <= now_s]:
-            responses.remove(response)
-            fleet.entries[response[1]].read_answer(server, COLD_S - now_s, now_s)
-        for datagram in [one for one in datagrams if one[0] <= now_s]:
-            datagrams.remove(datagram)
-            _, sent_s, sender, receiver = datagram
-            fleet.entries[sender].tell(fleet.entries[receiver], server, sent_s, now_s)
-        for host in [one for one in fleet.entries if announces and next_send_s[one] <= now_s]:
-            next_send_s[host] = now_s + SEND_INTERVAL_S
-            for other in [one for one in fleet.entries if one != host]:
-                is_remote = other.split(".")[1] != host.split(".")[1]
-                at_s = now_s + TRANSIT_S + (SUM_DELAY_S if is_remote else 0.0)
-                if fleet.draw.random() >= lost_share:
-                    datagrams.append((at_s, now_s, host, other))
+        replay.deliver(now_s)
+        if announces:
+            replay.send_datagrams(now_s)
         unaware = [host for host, one in fleet.entries.items() if not one.limits.servers]
         if not unaware:
             all_know_s = min(all_know_s, now_s)
-        due += SLOTS / RESPONSE_S * step_s
-        while due >= 1.0 and unaware:
-            due -= 1.0
-            host = fleet.draw.choice(unaware)
-            fleet.send(host, server, now_s)
-            responses.append((now_s + RESPONSE_S, host))
-        for host, entry in fleet.entries.items():
-            while entry.limits.servers and entry.wait_s(server, now_s) <= 0:
-                fleet.send(host, server, now_s)
+        replay.send_requests(unaware, now_s, step_s)
     return fleet, all_know_s
