--- a/packages/proxy/src/sassafrastally/proxy/cold_tracking.py
+++ b/packages/proxy/src/sassafrastally/proxy/cold_tracking.py
@@ -139,6 +139,11 @@
         self._warm_up.record_entries(self._peers.members(), now_s)
         self._warm_up.servers.forget_gone(known, now_s)
         self.has_cold()
+        self._server_ids = {
+            incarnation_id: server_id
+            for incarnation_id, server_id in self._server_ids.items()
+            if self._warm_up.servers.left_s(incarnation_id, now_s) > 0
+        }
 
     def _record_registration(self, server: BackendServer, source: str) -> None:
         self._apply_configuration()
--- a/packages/proxy/tests/test_cold_announcements.py
+++ b/packages/proxy/tests/test_cold_announcements.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import random
+from types import SimpleNamespace
 
 import pytest
 
+from sassafrastally.proxy.cold_tracking import ColdTracking
 from sassafrastally.proxy.load import Work, server_hash
 from sassafrastally.proxy.peer_messages import Hello, decode_hello, encode_hello
 from sassafrastally.proxy.rate_limits import LimitReport
@@ -117,6 +119,32 @@
         assert not servers
 
 
+class TestTracking:
+    """What an entry keeps of cold servers for its log."""
+
+    def test_server_that_is_gone_while_cold_is_forgotten(self):
+        """Guards against memory that grows with each id of servers without a start time that
+        crash while cold."""
+        server = SERVER._replace(born_ms=None)
+        receiver = entry(server)
+        servers = SimpleNamespace(known=lambda: [server], has_snapshot=True)
+        kernel = SimpleNamespace(
+            clock=SimpleNamespace(now_s=lambda: 0.0), events=SimpleNamespace(emit=lambda _: None)
+        )
+        tracking = ColdTracking(
+            kernel,
+            SimpleNamespace(servers=servers, configuration=SimpleNamespace(services=SERVICES)),
+            SimpleNamespace(members=tuple),
+            receiver.limits,
+            lambda _incarnation_id: 0,
+        )
+        tracking.apply_colds({server_hash(server.incarnation_id): 3.0}, "10.0.0.2")
+        tracking.forget_gone([server.incarnation_id])
+        assert tracking._server_ids == {server.incarnation_id: server.server_id}
+        tracking.forget_gone([])
+        assert not tracking._server_ids
+
+
 class TestSum:
     """Cold times in the sum of a data centre."""
 
