Reserve no headroom for goals that can't be met

A configuration with a goal of zero, infinity or NaN is accepted. In the check for headroom, it raised an exception in the task of the admission queue.

--- a/packages/proxy/src/sassafrastally/proxy/admission_queue/headroom.py
+++ b/packages/proxy/src/sassafrastally/proxy/admission_queue/headroom.py
@@ -69,8 +69,8 @@
     def record(
         self, service: str, route: Route, priority: int, prompt: PromptSize, now_s: float
     ) -> None:
-        """Record a request; one whose route has no goal for the first event needs no headroom."""
-        if route.goal_s is not None:
+        """Record a request; one whose route has no goal that can be met needs no headroom."""
+        if route.goal_s is not None and 0 < route.goal_s < math.inf:
             arrivals = self._by_service.setdefault(service, deque(maxlen=MAX_ARRIVALS))
             arrivals.append(_Arrival(now_s, route.name, priority, route.goal_s, prompt))
 
