--- a/packages/testing/src/sassafrastally/testing/load_request.py
+++ b/packages/testing/src/sassafrastally/testing/load_request.py
@@ -159,6 +159,7 @@
             ),
             fingerprint=self._fingerprint,
             timely_start_s=timely_start_s if self._replay.is_most_urgent(arrival) else math.inf,
+            yields=not self._replay.queues,
         )
 
     def _may_begin(self, placement: Placement, *, is_new: bool) -> bool:
