--- a/packages/proxy/src/sassafrastally/proxy/warm_up/cold_announcements.py
+++ b/packages/proxy/src/sassafrastally/proxy/warm_up/cold_announcements.py
@@ -1,10 +1,10 @@
-"""Cold times that this entry tells its peers.
+"""Cold times that this entry announces to its peers.
 
 Addresses a server that loses its caches under load and says so only in its responses: one of 25
 entries reads it, and until the others know, each sends what a warm server accepts. Only times that
-this entry has read itself are told. Times from peers aren't passed on, except in a data centre's
-sum: each hop adds its transit time to the end, and entries that repeat each other's values would
-keep a server cold for good.
+this entry has read itself are announced. Times from peers aren't passed on, except in a data
+centre's sum: each hop adds its transit time to the end, and entries that repeat each other's values
+would keep a server cold for good.
 """
 
 from __future__ import annotations
--- a/packages/proxy/tests/test_cold_announcements.py
+++ b/packages/proxy/tests/test_cold_announcements.py
@@ -88,7 +88,7 @@
         for turn in range(40):
             now_s = turn / 10
             for sender, receiver in ((first, second), (second, first)):
-                sender.tell(receiver, SERVER, now_s, now_s + 0.05)
+                sender.announce_to(receiver, SERVER, now_s, now_s + 0.05)
         assert second.limits.servers.rate_per_s(SERVER.incarnation_id, 3.2) is None
 
 
--- a/packages/testing/src/sassafrastally/testing/cold_fleet.py
+++ b/packages/testing/src/sassafrastally/testing/cold_fleet.py
@@ -82,7 +82,9 @@
         servers.record_answer(server, left_s, now_s)
         self.announcements.record_answer(server.incarnation_id, now_s + left_s, known_s)
 
-    def tell(self, other: ColdEntry, server: BackendServer, sent_s: float, now_s: float) -> None:
+    def announce_to(
+        self, other: ColdEntry, server: BackendServer, sent_s: float, now_s: float
+    ) -> None:
         """Let another entry receive what this one sent."""
         colds = self.announcements.to_send(self.limits.servers, sent_s)
         if (left_s := colds.get(server_hash(server.incarnation_id))) is not None:
@@ -162,7 +164,7 @@
         for datagram in [one for one in self._datagrams if one[0] <= now_s]:
             self._datagrams.remove(datagram)
             _, sent_s, sender, receiver = datagram
-            entries[sender].tell(entries[receiver], self._server, sent_s, now_s)
+            entries[sender].announce_to(entries[receiver], self._server, sent_s, now_s)
 
     def send_datagrams(self, now_s: float) -> None:
         """Send the datagrams of the entries whose interval is over."""
@@ -197,7 +199,7 @@
     Parameters
     ----------
     announces
-        Whether entries tell each other what they read in responses.
+        Whether entries announce to each other what they read in responses.
     lost_share
         Share of the datagrams that are lost.
     seed
--- a/packages/testing/src/sassafrastally/testing/load_replay.py
+++ b/packages/testing/src/sassafrastally/testing/load_replay.py
@@ -206,7 +206,7 @@
     def views(self, entry: ReplayEntry, tried: set[str]) -> list[ServerView]:
         """Return the engines as an entry sees them."""
         now_s = trio.current_time()
-        work = merge_work(entry.ledger.work(now_s), self._exchange.told_to(entry))
+        work = merge_work(entry.ledger.work(now_s), self._exchange.announced_to(entry))
         return [
             ServerView(
                 server,
