--- a/packages/proxy/tests/test_headroom.py
+++ b/packages/proxy/tests/test_headroom.py
@@ -72,8 +72,8 @@
 
     @pytest.mark.parametrize("goal_s", [0.0, -1.0, math.inf, math.nan])
     def test_goal_that_cannot_be_reserved_for_does_not_end_the_queue(self, goal_s):
-        """Guards against an exception in the task of the queue, which ends the entry, since
-        configurations with such goals are accepted."""
+        """Guards against an exception in the task of the queue: configurations with such goals are
+        accepted."""
         found = arrivals(6, goal_s).ahead_of("engines", FACTS, [], 1.0)
         views = [view(number) for number in range(3)]
         assert find_shortage(found, dossier_at(views[0]), views, PROFILE, entries=4) is None
