Requests that have run are never answered as not run; four faults found in review

Found by reading, each with a test that fails without its fix: - After a plain server's 500 on a repeatable route, a second attempt that wasn't sent and a deadline that passed led to 503 not-sent-in-time. A response that was read counts as having run. - A rejection whose body broke off counted as unknown, although its header proves that nothing ran. - A connection whose request was only partly written could be reused after an early response. - A server due for a trial that had no room kept the others that were due from theirs. Also, a prompt that has waited for others in prefill is checked for a quarantine once more.

--- a/packages/proxy/src/sassafrastally/proxy/attempt.py
+++ b/packages/proxy/src/sassafrastally/proxy/attempt.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import math
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
 from typing import TYPE_CHECKING, NamedTuple
 
 import h11
@@ -330,8 +330,8 @@
 
 async def _not_run_error(answer: Answer) -> AttemptNotRun:
     """Read the body of a response that proves that nothing ran, and return its error."""
-    # Shielded: the end of the wait for the response doesn't take back what its header proves.
-    with trio.move_on_after(0.1, shield=True):
+    # Neither the end of the wait nor a body that breaks off takes back what the header proves.
+    with suppress(AttemptUnknown), trio.move_on_after(0.1, shield=True):
         await answer.read()
     refusal = AttemptNotRun(f"rejected by the server with status {answer.status}")
     refusal.failed_server_address = answer.facts.failed_server_address
@@ -353,4 +353,5 @@
 
 
 def _is_reusable(connection: HttpStream) -> bool:
-    return connection.http.our_state is h11.DONE and connection.http.their_state is h11.DONE
+    is_done = connection.http.our_state is h11.DONE and connection.http.their_state is h11.DONE
+    return is_done and not connection.is_write_incomplete
--- a/packages/proxy/src/sassafrastally/proxy/fleet_view.py
+++ b/packages/proxy/src/sassafrastally/proxy/fleet_view.py
@@ -198,7 +198,7 @@
             if (key := server_hash(server.incarnation_id)) in due
             and avoided_otherwise.isdisjoint((key, server.incarnation_id))
         ]
-        return self._views(servers[:1], avoid)
+        return self._views(servers, avoid)[:1]
 
     def available_in_s(
         self, service: str, time_left_s: float | None, homes: frozenset[str] | None = None
--- a/packages/proxy/src/sassafrastally/proxy/http_stream.py
+++ b/packages/proxy/src/sassafrastally/proxy/http_stream.py
@@ -60,6 +60,8 @@
     ) -> None:
         self.stream = stream
         self.http = h11.Connection(role, max_incomplete_event_size=header_bytes)
+        self.is_write_incomplete = False
+        """Whether a write was cancelled: the peer lacks bytes that h11 counts as sent."""
 
     async def receive(self) -> h11.Event | type[h11.PAUSED]:
         """Return the next event.
@@ -97,10 +99,12 @@
 
     async def send_bytes(self, data: bytes) -> None:
         """Send bytes that h11 has encoded; raises `ConnectionLost`."""
+        self.is_write_incomplete = True
         try:
             await self.stream.send_all(data)
         except (trio.BrokenResourceError, trio.ClosedResourceError) as cause:
             raise ConnectionLost(f"connection reset while sending: {cause!r}") from cause
+        self.is_write_incomplete = False
 
     def has_unread_input(self) -> bool:
         """Return whether unexpected bytes or the end of the stream can be read from the socket."""
--- a/packages/proxy/src/sassafrastally/proxy/plain_request.py
+++ b/packages/proxy/src/sassafrastally/proxy/plain_request.py
@@ -150,6 +150,7 @@
         due_s = self._attempt_deadline_s(begin_s)
         try:
             answer = await self._exchange(server, begin_s, due_s)
+            self.progress.pending, self.progress.may_have_run = None, True
             self._services.fleet_view.record_success(server.incarnation_id)
             self._count_outcome(server, is_failure=answer.status >= SERVER_ERROR_STATUS)
             self._record_success(answer.status)
--- a/packages/proxy/src/sassafrastally/proxy/streaming_request.py
+++ b/packages/proxy/src/sassafrastally/proxy/streaming_request.py
@@ -171,7 +171,7 @@
             return waited.started
         if self._is_yielding or not self._room_wait.applies:
             # It had room all the time, or its kind waits for nothing else.
-            planned = self._plan(may_yield=False)
+            planned = self._quarantine_reply() or self._plan(may_yield=False)
             if not isinstance(planned, str):
                 return planned
         return self._local_reply(f"{waited.reason}; {detail}")
--- a/packages/testing/tests/platform/test_failing_servers.py
+++ b/packages/testing/tests/platform/test_failing_servers.py
@@ -5,6 +5,7 @@
 import pytest
 import trio
 
+from sassafrastally.proxy.failure_monitor import FailureMonitor
 from sassafrastally.proxy.fleet_view import FleetView
 from sassafrastally.proxy.load import server_hash
 from sassafrastally.proxy.peers import Peers
@@ -76,6 +77,17 @@
         records = [record["name"] for record in fleet.kernels[0].events.records()]
         assert records.count("ServerAvoided") == 1
 
+    async def test_trial_goes_to_a_server_that_has_room(self, fleet, start, monkeypatch):
+        """Guards against servers that get no trials since another one that is due takes nothing."""
+        await start(dossier_priority=2, entries=1)
+        fleet_view = fleet.kernels[0].get("sight", FleetView)
+        servers = [view.server for view in fleet_view.views("desk", set())]
+        due = {server_hash(server.incarnation_id) for server in servers}
+        monkeypatch.setattr(FailureMonitor, "due_trials", lambda _: due)
+        without_room = {server.incarnation_id for server in servers[:2]}
+        trials = fleet_view.trial_views("desk", without_room)
+        assert [view.server for view in trials] == servers[2:]
+
     async def test_nothing_changes_where_routes_are_equally_urgent(self, fleet, start):
         """Guards against an effect on deployments that don't ask for it."""
         await start(dossier_priority=1)
--- a/packages/testing/tests/platform/test_late_entry.py
+++ b/packages/testing/tests/platform/test_late_entry.py
@@ -8,6 +8,7 @@
 
 from functools import partial
 
+import h11
 import pytest
 import trio
 import trio.testing
@@ -18,7 +19,7 @@
 from sassafrastally.proxy.calls import CallClient
 from sassafrastally.proxy.connection_pool import ConnectionPool
 from sassafrastally.proxy.cpu_overload import LAST_READ_S
-from sassafrastally.proxy.http_stream import ConnectionLost, connect
+from sassafrastally.proxy.http_stream import ConnectionLost, HttpStream, connect
 from sassafrastally.proxy.model import AttemptParameters, BackendServer, RequestMetadata
 from sassafrastally.proxy.plain_request import FIRST_ATTEMPT_SHARE
 from sassafrastally.proxy.store import AnswerLost
@@ -137,7 +138,9 @@
         sender = AttemptSender(PlatformDialect(), ConnectionPool())
         terms = AttemptParameters(server, 4.0, None, None)
         async with sender.send(request, terms, may_reuse=True, waiting=waiting) as answer:
-            return await answer.chunk(self.LIMIT_S) or b""
+            body = await answer.chunk(self.LIMIT_S) or b""
+            await answer.chunk(self.LIMIT_S)
+            return body
 
     @pytest.mark.parametrize("is_begun", [False, True])
     async def test_silence_is_detected_at_the_usual_time(
@@ -184,6 +187,39 @@
         with pytest.raises(AttemptNotRun):
             await self.attempt(address, trio.CancelScope(deadline=trio.current_time() + 0.05))
 
+    async def test_rejection_counts_although_its_body_is_broken(
+        self, autojump_clock, seeded_network, nursery
+    ):
+        """Guards against 502 for a request whose server closes the connection after the header that
+        says that it didn't run it."""
+
+        async def reject_and_close(stream: trio.SocketStream) -> None:
+            await stream.receive_some(65_536)
+            await stream.send_all(HEAD.replace(b"\r\n", b"\r\nnot-executed: 1\r\n", 1))
+
+        address = await start_server(nursery, reject_and_close)
+        with pytest.raises(AttemptNotRun):
+            await self.attempt(address, trio.CancelScope())
+
+    async def test_connection_with_a_partly_sent_request_is_not_reused(
+        self, autojump_clock, nursery, monkeypatch
+    ):
+        """Guards against a server that takes the next request for the rest of this one's body: it
+        responded before it had read the body, and the entry was paused while sending."""
+        client, server = trio.testing.memory_stream_pair()
+        client.send_stream.send_all_hook = trio.sleep_forever
+
+        async def open_stream(*_) -> HttpStream:
+            return HttpStream(client, h11.CLIENT)
+
+        monkeypatch.setattr(ConnectionPool, "open", open_stream)
+        await server.send_all(HEAD + b"{}")
+        nursery.start_soon(stall, autojump_clock, 0.01, 3.0)
+        waiting = trio.CancelScope(deadline=trio.current_time() + 0.05)
+        assert await self.attempt(Address("127.0.0.1", 1), waiting) == b"{}"
+        with pytest.raises(trio.ClosedResourceError), trio.fail_after(1.0):
+            await client.receive_some(1)
+
 
 class TestRequests:
     """Requests of callers in progress while the entry is paused."""
@@ -231,6 +267,31 @@
         assert b"not-sent-in-time" in answer.body
         assert not fleet.received_requests()
 
+    async def test_request_that_a_server_failed_is_not_reported_as_not_run(
+        self, autojump_clock, seeded_fleet, monkeypatch
+    ):
+        """Guards against 503 for a request that a server has run and answered with 500: the next
+        server is unreachable, and the time is over while the entry connects to the third."""
+        fleet = seeded_fleet
+        for number in (1, 2, 3):
+            (await fleet.add_replica(f"desk-{number}", "desk")).response_status = 500
+        await fleet.add_entry()
+        opened: list[BackendServer] = []
+        open_connection = ConnectionPool.open
+
+        async def open_first(pool: ConnectionPool, server: BackendServer) -> HttpStream:
+            opened.append(server)
+            if len(opened) == 2:
+                raise ConnectionLost("unreachable")
+            if len(opened) == 3:
+                await trio.sleep_forever()
+            return await open_connection(pool, server)
+
+        monkeypatch.setattr(ConnectionPool, "open", open_first)
+        answer = await fleet.call("/look/x")
+        assert len(opened) == 3
+        assert answer.status == 504
+
     async def test_silent_server_is_detected_at_the_usual_time(self, autojump_clock, seeded_fleet):
         """Guards against requests that fail over later since an entry might be late."""
         fleet = seeded_fleet
