--- a/packages/testing/src/sassafrastally/testing/load_request.py
+++ b/packages/testing/src/sassafrastally/testing/load_request.py
@@ -28,8 +28,8 @@
 
 if TYPE_CHECKING:
     from sassafrastally.proxy.plan import Placement
+    from sassafrastally.testing.load_decisions import ReplayDecisions
     from sassafrastally.testing.load_entries import ReplayEntry
-    from sassafrastally.testing.load_replay import LoadReplay
 
 
 class EntryRequest:
@@ -37,7 +37,7 @@
 
     def __init__(
         self,
-        replay: LoadReplay,
+        replay: ReplayDecisions,
         entry: ReplayEntry,
         arrival: Arrival,
         end_s: float,
