--- a/packages/testing/tests/platform/test_failing_servers.py
+++ b/packages/testing/tests/platform/test_failing_servers.py
@@ -101,15 +101,18 @@
 class TestEngines:
     """Engines that reject requests although they are idle."""
 
-    async def test_helper_at_fault_is_counted_and_not_the_first_engine(self, fleet, start):
+    async def test_helper_at_fault_is_counted_and_not_the_first_engine(
+        self, fleet, start, monkeypatch
+    ):
         """Guards against avoiding the first engine of a long prompt for a rejection by another.
 
-        A single entry places without a random choice, so that engine-3 is the helper.
+        Without the random order of equally good engines, engine-3 is always a helper.
         """
         await start(dossier_priority=2, entries=1)
+        kernel = fleet.kernels[0]
+        monkeypatch.setattr(kernel.random, "shuffle", lambda _candidates: None)
         fleet.replicas["engine-3"].refuses = True
         await fleet.call("/dossier/x", prompt="200000,34")
-        kernel = fleet.kernels[0]
         failed = [
             record["fields"]["server_id"]
             for record in kernel.events.records()
