Test early retries without racing the datagrams

The engine was occupied by the other entry for 1.3 s; if the datagram with its load was late, the request was placed instead of queued. 2 of 8 runs beside ten busy processes failed.

--- a/packages/testing/tests/platform/test_shared_contention.py
+++ b/packages/testing/tests/platform/test_shared_contention.py
@@ -50,7 +50,8 @@
         """Guards against clients that ignore Retry-After and reach another entry each time."""
         await start(fleet, ROUTES)
         await refuse_one(fleet, nursery)
-        await trio.sleep(0.3)
+        peers = fleet.kernels[1].get("peers", Peers)
+        await wait_until(lambda: any(news.refusals for news in peers.contention_news()))
         assert (await fleet.call("/note/x", entry=2, prompt="1000,34", body=b"again")).status == 503
         (queued,) = records(fleet, 2, "RequestQueued")
         assert queued["is_early"]
@@ -64,7 +65,14 @@
     async def test_early_retry_that_is_faster_than_the_datagram_counts_once(self, fleet, nursery):
         """Guards against counting it again when it starts."""
         await start(fleet, ROUTES)
-        nursery.start_soon(lambda: fleet.call("/note/x", prompt="1000,1000"))
+        # At the same entry, which therefore knows that the engine has no room.
+        occupied = trio.CancelScope()
+
+        async def occupy() -> None:
+            with occupied:
+                await fleet.call("/note/x", entry=2, prompt="1000,6800")
+
+        nursery.start_soon(occupy)
         await wait_until(lambda: fleet.replicas["engine-1"].received_requests)
         queue = fleet.kernels[1].get("path", RequestPath).services.queue
         answers = []
@@ -77,6 +85,7 @@
         fingerprint = queue._queues[next(iter(queue._queues))][0].facts.fingerprint
         news = ContentionNews(True, {}, {fingerprint: 30.0})
         queue.contention.apply(news, trio.current_time())
+        occupied.cancel()
         await wait_until(lambda: answers, 5.0)
         assert answers[0].status == 200
         assert queue.contention.early_retries == 1
