Look for failures of servers five times a second when there are none

Cause: while nothing had failed, the time of the last decision wasn't kept, so that the peers' counts and the links were looked at for each view of the servers.

--- a/packages/proxy/src/sassafrastally/proxy/failure_monitor.py
+++ b/packages/proxy/src/sassafrastally/proxy/failure_monitor.py
@@ -97,7 +97,9 @@
         now_s = self._kernel.clock.now_s()
         if self._rates.is_due(now_s):
             received = self._peers.failure_counts() if self.applies else []
-            if not self._rates.is_idle(received, now_s):
+            if self._rates.is_idle(received, now_s):
+                self._rates.note_idle(now_s)
+            else:
                 services = self._services(work(), avoided_otherwise) if self.applies else []
                 self._log(self._rates.decide(services, received, self._entries(), now_s))
         return self._rates.avoided
--- a/packages/proxy/src/sassafrastally/proxy/failure_rates/failure_rates.py
+++ b/packages/proxy/src/sassafrastally/proxy/failure_rates/failure_rates.py
@@ -110,6 +110,10 @@
         """Return whether there is nothing to decide: no entry has seen a failure lately."""
         return not (received or self._failing or self._avoided or self._own.has_failure(now_s))
 
+    def note_idle(self, now_s: float) -> None:
+        """Note that there was nothing to decide."""
+        self._decided_s = now_s
+
     def decide(
         self,
         services: Iterable[Sequence[ServerState]],
