Log how a server's response ended

RequestAnswered says neither how the response was delimited nor whether a stream ended inside an event, so its line is the same for a whole stream, for one whose connection closed too early and for one whose server ended it too early by its own framing. It names both now; a reset stood in AttemptFailed already.

No logic changes.

--- a/packages/proxy/benchmarks/log_lines.py
+++ b/packages/proxy/benchmarks/log_lines.py
@@ -23,7 +23,8 @@
     writer = LogWriter(len)
     configure_logs("info", writer)
     kernel = Kernel("vm", "here", Clock())
-    line = RequestAnswered("9c41d07be2a35f68", "route", "server-1", 200, 1, 0.1234, 1.234, 0.0987)
+    times_s = (0.1234, 1.234, 0.0987)
+    line = RequestAnswered("9c41d07be2a35f68", "route", "server-1", 200, 1, *times_s, "chunks")
     for name, allows in (("written", True), ("left out", False)):
         writer.allows_success = lambda allows=allows: allows  # type: ignore[method-assign]
         begin_s = time.process_time()
--- a/packages/proxy/src/sassafrastally/proxy/attempt.py
+++ b/packages/proxy/src/sassafrastally/proxy/attempt.py
@@ -10,6 +10,7 @@
 import trio
 
 from sassafrastally.core import CodedError, error
+from sassafrastally.proxy.body_framing import body_framing
 from sassafrastally.proxy.cpu_overload import due_after_delay_s, last_read_s
 from sassafrastally.proxy.http_stream import ConnectionLost
 
@@ -76,6 +77,8 @@
         HTTP status.
     headers
         Header fields sent by the backend server.
+    framing
+        How the end of the body is delimited.
     facts
         Information extracted from the header.
     """
@@ -85,6 +88,7 @@
     ) -> None:
         self.status = response.status_code
         self.headers: Headers = list(response.headers)
+        self.framing = body_framing(response)
         self.facts = facts
         self._connection = connection
 
--- /dev/null
+++ b/packages/proxy/src/sassafrastally/proxy/body_framing.py
@@ -0,0 +1,27 @@
+"""How the end of a response's body is delimited on its connection."""
+
+from __future__ import annotations
+
+from enum import Enum
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    import h11
+
+
+class BodyFraming(Enum):
+    """What delimits the end of a body (RFC 9112, section 6.3)."""
+
+    LENGTH = "length"
+    CHUNKS = "chunks"
+    CLOSE = "close"
+    """The body ends with its connection, so that a server that breaks off looks as if it had
+    finished."""
+
+
+def body_framing(response: h11.Response) -> BodyFraming:
+    """Return how the body of a response is delimited."""
+    names = {name for name, _ in response.headers}
+    if b"transfer-encoding" in names:
+        return BodyFraming.CHUNKS
+    return BodyFraming.LENGTH if b"content-length" in names else BodyFraming.CLOSE
--- a/packages/proxy/src/sassafrastally/proxy/log_events/requests.py
+++ b/packages/proxy/src/sassafrastally/proxy/log_events/requests.py
@@ -84,6 +84,10 @@
     """Time to the first event or to the response header."""
     total_s: float
     longest_pause_s: float
+    delimited_by: str
+    """What delimited the server's response; see `BodyFraming`."""
+    unfinished_bytes: int = 0
+    """Bytes after the last complete event of a stream."""
 
 
 @event(10014, "warning")
--- a/packages/proxy/src/sassafrastally/proxy/plain_request.py
+++ b/packages/proxy/src/sassafrastally/proxy/plain_request.py
@@ -8,14 +8,16 @@
 
 from sassafrastally.proxy.admission_queue import latest_start_s
 from sassafrastally.proxy.attempt import AttemptNotRun, AttemptUnknown
+
+# Runtime import: BodyFraming is a field type of a named tuple.
+from sassafrastally.proxy.body_framing import BodyFraming
 from sassafrastally.proxy.cpu_overload import last_read_s
 from sassafrastally.proxy.load import InFlightAttempt, Lane
-from sassafrastally.proxy.log_events import RequestAnswered
 from sassafrastally.proxy.metrics import count_answer
 from sassafrastally.proxy.plain_placement import has_slot, place_plain
 from sassafrastally.proxy.refusals import MAY_HAVE_RUN, NO_ROOM, NO_SERVER, TURNED_AWAY
 from sassafrastally.proxy.request_handler import SERVER_ERROR_STATUS, RequestHandler
-from sassafrastally.proxy.task import LocalReply
+from sassafrastally.proxy.task import LocalReply, ResponseTimes
 from sassafrastally.proxy.waiting_for_room import RoomWait
 
 if TYPE_CHECKING:
@@ -41,6 +43,7 @@
     headers: Headers
     body: bytes
     server_id: str
+    framing: BodyFraming
 
 
 class PlainRequestHandler(RequestHandler):
@@ -183,7 +186,9 @@
         waiting = trio.CancelScope(deadline=due_s)
         async with self._send(terms, waiting, connect_until_s=due_s) as answer:
             body = await answer.read(waiting.deadline)
-            return BufferedResponse(answer.status, answer.headers, body, server.server_id)
+            return BufferedResponse(
+                answer.status, answer.headers, body, server.server_id, answer.framing
+            )
 
     async def _forward(self, answer: BufferedResponse) -> None:
         task = self._task
@@ -192,15 +197,5 @@
             answer.status, self._services.dialect.response_headers(answer.headers), answer.body
         )
         count_answer(Lane.PLAIN, elapsed_s, 0.0, elapsed_s)
-        self._emit(
-            RequestAnswered(
-                self._request_id,
-                task.route.name,
-                answer.server_id,
-                answer.status,
-                self.progress.attempts,
-                round(elapsed_s, 4),
-                round(elapsed_s, 4),
-                0.0,
-            )
-        )
+        times = ResponseTimes(elapsed_s, elapsed_s)
+        self._log_answered(answer.server_id, answer.status, answer.framing, times)
--- a/packages/proxy/src/sassafrastally/proxy/request_handler.py
+++ b/packages/proxy/src/sassafrastally/proxy/request_handler.py
@@ -9,7 +9,12 @@
 from sassafrastally.proxy.backpressure import CallKind
 from sassafrastally.proxy.evacuation import Unavailability
 from sassafrastally.proxy.fingerprint import fingerprint_text
-from sassafrastally.proxy.log_events import AttemptFailed, RequestPlaced, RetryBudgetSpent
+from sassafrastally.proxy.log_events import (
+    AttemptFailed,
+    RequestAnswered,
+    RequestPlaced,
+    RetryBudgetSpent,
+)
 from sassafrastally.proxy.metrics import ATTEMPTS_FAILED
 from sassafrastally.proxy.model import AttemptParameters
 from sassafrastally.proxy.refusals import (
@@ -35,12 +40,14 @@
     import trio
 
     from sassafrastally.proxy.attempt import Answer
+    from sassafrastally.proxy.body_framing import BodyFraming
     from sassafrastally.proxy.lanes import ServerView
     from sassafrastally.proxy.model import BackendServer, Helper
     from sassafrastally.proxy.plan import Placement
     from sassafrastally.proxy.refusals import Refusal
     from sassafrastally.proxy.reply import Reply
     from sassafrastally.proxy.request_services import RequestServices
+    from sassafrastally.proxy.task import ResponseTimes
     from sassafrastally.proxy.waiting_for_room import RoomWait
 
 SERVER_ERROR_STATUS = 500
@@ -376,6 +383,30 @@
         self.progress.may_have_run = True
         self._log_failure(server, begin_s, detail, is_proved_not_run=False)
 
+    def _log_answered(
+        self,
+        server_id: str,
+        status: int,
+        framing: BodyFraming,
+        times: ResponseTimes,
+        unfinished_bytes: int = 0,
+    ) -> None:
+        """Log a complete response."""
+        self._emit(
+            RequestAnswered(
+                self._request_id,
+                self._task.route.name,
+                server_id,
+                status,
+                self.progress.attempts,
+                round(times.first_s, 4),
+                round(times.total_s, 4),
+                round(times.longest_pause_s, 4),
+                framing.value,
+                unfinished_bytes,
+            )
+        )
+
     def _log_failure(
         self, server: BackendServer, begin_s: float, cause: str, *, is_proved_not_run: bool
     ) -> None:
--- a/packages/proxy/src/sassafrastally/proxy/streaming_request.py
+++ b/packages/proxy/src/sassafrastally/proxy/streaming_request.py
@@ -30,7 +30,6 @@
 from sassafrastally.proxy.lanes import PlacementRandomizer, choose_lane
 from sassafrastally.proxy.load import NO_WORK, InFlightAttempt, Lane
 from sassafrastally.proxy.load_summary import load_summary
-from sassafrastally.proxy.log_events import RequestAnswered
 from sassafrastally.proxy.metrics import PREFILL_YIELDS, count_answer
 from sassafrastally.proxy.model import Helper
 from sassafrastally.proxy.placement import place_request
@@ -39,7 +38,7 @@
 from sassafrastally.proxy.request_handler import SERVER_ERROR_STATUS, RequestHandler
 from sassafrastally.proxy.reservations import with_reservations
 from sassafrastally.proxy.slow_event_detection import event_time_s, slow_event_time_s
-from sassafrastally.proxy.task import LocalReply, RequestTask
+from sassafrastally.proxy.task import LocalReply, RequestTask, ResponseTimes
 from sassafrastally.proxy.turning_away import would_miss_deadline
 from sassafrastally.proxy.waiting_attempts import WaitingAttempt
 from sassafrastally.proxy.waiting_for_room import RoomWait
@@ -379,7 +378,7 @@
         self._count_outcome(placement.server, is_failure=answer.status >= SERVER_ERROR_STATUS)
         headers = self._services.dialect.response_headers(answer.headers)
         await self._reply.send_complete(answer.status, headers, body)
-        self._record_answered(placement, answer.status)
+        self._record_answered(placement, answer)
         return True
 
     async def _forward_stream(
@@ -418,7 +417,7 @@
         await self._reply.end()
         self._services.fleet_view.record_success(placement.server.incarnation_id)
         self._count_outcome(placement.server, *placement.helpers, is_failure=False)
-        self._record_answered(placement, answer.status)
+        self._record_answered(placement, answer, len(splitter.rest))
 
     async def _forward_event(self, event: StreamEvent, now_s: float) -> None:
         known_id = -1 if self._last_event_id is None else self._last_event_id
@@ -430,21 +429,14 @@
             self._last_event_id = event.event_id
             self.progress.last_event_id = event.event_id
 
-    def _record_answered(self, placement: Placement, status: int) -> None:
-        self._record_success(status)
+    def _record_answered(
+        self, placement: Placement, answer: Answer, unfinished_bytes: int = 0
+    ) -> None:
+        self._record_success(answer.status)
         now_s = self._clock.now_s()
         total_s = now_s - self._task.request.arrived_s
         first_s, longest_pause_s = self._times.first_s, self._times.longest_pause_s
         count_answer(self._lane, first_s or total_s, longest_pause_s, total_s)
-        self._emit(
-            RequestAnswered(
-                self._request_id,
-                self._task.route.name,
-                placement.server.server_id,
-                status,
-                self.progress.attempts,
-                round(first_s or 0.0, 4),
-                round(total_s, 4),
-                round(longest_pause_s, 4),
-            )
-        )
+        server_id = placement.server.server_id
+        times = ResponseTimes(first_s or 0.0, total_s, longest_pause_s)
+        self._log_answered(server_id, answer.status, answer.framing, times, unfinished_bytes)
