Reproduce streams that end with their connection inside an event

Backend servers in the tests could end a response by its chunks or its length alone, and what they called a reset was a close. They can now delimit a response by a length, by chunks or by its connection, and break it off by a close, a reset or silence, inside an event or between two; the network in memory knows resets by a linger time.

Of the six ways to break off a stream inside an event, one fails in all three tests: the response without length and chunks whose connection is closed. Its line reads delimited_by=close, unfinished_bytes=8.

--- a/packages/proxy/src/sassafrastally/proxy/http_stream.py
+++ b/packages/proxy/src/sassafrastally/proxy/http_stream.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import socket
+import struct
 from typing import TYPE_CHECKING
 
 import h11
@@ -30,6 +31,9 @@
 second of silence end such a connection after about three seconds, well within the shortest route
 time limits."""
 
+LINGER_ZERO = struct.pack("ii", 1, 0)
+"""Value of SO_LINGER with which closing a socket resets its connection."""
+
 
 @error(10004)
 class ConnectionLost(CodedError):
@@ -118,6 +122,17 @@
         """Close the connection immediately, without a graceful shutdown."""
         await trio.aclose_forcefully(self.stream)
 
+    async def reset(self) -> None:
+        """Close the connection with a reset, which the peer can't take for a regular end."""
+        await reset_stream(self.stream)
+
+
+async def reset_stream(stream: trio.abc.Stream) -> None:
+    """Close a byte stream with a reset."""
+    if isinstance(stream, trio.SocketStream):
+        stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_ZERO)
+    await trio.aclose_forcefully(stream)
+
 
 def enable_keepalive(stream: trio.abc.Stream) -> None:
     """Enable TCP keepalive so that the OS closes a connection whose peer has disappeared."""
--- a/packages/testing/src/sassafrastally/testing/soak/troubles.py
+++ b/packages/testing/src/sassafrastally/testing/soak/troubles.py
@@ -307,13 +307,13 @@
     with fleet.record.trouble(f"server-misbehaves: {how}"):
         replica.refuses = how == "refuses"
         replica.response_status = SERVER_FAILURE if how == "fails" else 0
-        replica.resets_instead_of_response = how == "loses"
+        replica.loses_responses = how == "loses"
         replica.breaks_after_events = fleet.random.randint(0, 6) if how == "breaks" else -1
         replica.sends_extra_response = how == "doubles"
         replica.is_unresponsive = how == "mute"
         _set_pace(replica, SLOW_PACE if how == "slow" else 1.0)
         await trio.sleep(fleet.random.uniform(1.0, 6.0))
-        replica.refuses = replica.resets_instead_of_response = False
+        replica.refuses = replica.loses_responses = False
         replica.sends_extra_response = replica.is_unresponsive = False
         replica.response_status = 0
         replica.breaks_after_events = -1
--- a/packages/testing/src/sassafrastally/testing/virtual_network.py
+++ b/packages/testing/src/sassafrastally/testing/virtual_network.py
@@ -16,6 +16,8 @@
 
 import trio
 
+from sassafrastally.proxy.http_stream import LINGER_ZERO
+
 if TYPE_CHECKING:
     from collections.abc import Iterator
     from random import Random
@@ -105,6 +107,7 @@
         self._news = trio.Event()
         self._is_closed = False
         self._has_ended = False
+        self._is_reset_on_close = False
 
     @property
     def type(self) -> socket.SocketKind:
@@ -136,8 +139,10 @@
             raise OSError(errno.ENOTCONN, "not connected")
         return self._peer
 
-    def setsockopt(self, *_: object) -> None:
-        """Take any option; none has a meaning here."""
+    def setsockopt(self, level: int, optname: int, *value: object) -> None:
+        """Take any option; only the linger time has a meaning here."""
+        if (level, optname) == (socket.SOL_SOCKET, socket.SO_LINGER):
+            self._is_reset_on_close = value == (LINGER_ZERO,)
 
     def getsockopt(  # type: ignore[override]  # No option here is read as bytes.
         self, level: int, optname: int, buflen: int | None = None
@@ -265,7 +270,8 @@
         if self._in is not None and self._out is not None:
             # As a kernel does: unread bytes make the end a reset.
             unread = self._in.head()
-            is_reset = unread is not None and not unread.is_end
+            has_unread = unread is not None and not unread.is_end
+            is_reset = has_unread or self._is_reset_on_close
             self._in.is_closed = True
             self._in.wake()
             if not self._has_ended or is_reset:
--- a/packages/testing/tests/platform/test_engines_in_trouble.py
+++ b/packages/testing/tests/platform/test_engines_in_trouble.py
@@ -10,6 +10,7 @@
 from sassafrastally.proxy.attempt import AttemptNotRun
 from sassafrastally.proxy.fleet_view import FleetView
 from sassafrastally.proxy.path import RequestPath
+from sassafrastally.stand_ins.connection_end import ConnectionEnd
 from sassafrastally.stand_ins.documents import make_configuration, make_route
 from sassafrastally.stand_ins.platform_fleet import attempt_failure_causes, wait_until
 
@@ -170,7 +171,7 @@
                 yield reserved
 
         async def reset(_arrival, connection) -> None:
-            await connection.reset()
+            await connection.break_off(ConnectionEnd.CLOSE)
 
         monkeypatch.setattr(path.services.reservations, "hold", hold_after_slowdown_is_reported)
         for replica in small_fleet.replicas.values():
--- a/packages/testing/tests/platform/test_entries.py
+++ b/packages/testing/tests/platform/test_entries.py
@@ -255,7 +255,7 @@
         new incarnation doesn't know the request, so a retry would book twice.
         """
         for number in (1, 2):
-            small_fleet.replicas[f"desk-{number}"].resets_instead_of_response = True
+            small_fleet.replicas[f"desk-{number}"].loses_responses = True
             small_fleet.replicas[f"desk-{number}"].work_s = 0.3
         async with trio.open_nursery() as nursery:
             answers = []
--- a/packages/testing/tests/platform/test_path.py
+++ b/packages/testing/tests/platform/test_path.py
@@ -146,7 +146,7 @@
         entry would book twice, and so would the caller if it were told "not run".
         """
         for replica in small_fleet.replicas.values():
-            replica.resets_instead_of_response = True
+            replica.loses_responses = True
         answer = await small_fleet.call("/book/x")
         assert answer.status == 502
         assert "retry-after" not in answer.headers
@@ -185,7 +185,7 @@
         assert float(answer.headers["retry-after"]) > 0.5
 
     async def test_lookup_with_a_lost_response_is_retried(self, small_fleet):
-        small_fleet.replicas["desk-1"].resets_instead_of_response = True
+        small_fleet.replicas["desk-1"].loses_responses = True
         for _ in range(3):
             assert (await small_fleet.call("/look/x")).status == 200
 
