Take a stream that ends inside an event for broken off

Cause: the end of a body was taken for the end of the answer. A response without length and chunks ends, by HTTP, when its connection is closed, and the kernel of a server that crashes closes its connections too. _forward_stream then forwarded the bytes after the last event and ended the caller's chunked response: it said more than it knew. Ruled out: a reset that is read as a close (fails as it should for all framings), and a wrong framing by the server (chunks and lengths are checked by h11).

Change: what a stream's end says is decided from the stream. The splitter reads events as published (CRLF, LF and CR, comments, fields without colon, byte order mark) and a stream that ends inside an event is an interrupted attempt, whatever its framing: it is resumed at another engine within the retry budget, or the caller's response is left without its last chunk. Where only the close delimits the body, an unfinished line or a body without any event is no end either. Services whose streams are read as a whole are judged alike. Bodies of another content type end by their framing alone. A close after a whole event remains a regular end: nothing can tell it from one.

The engine's failure now also counts as one for suspicion, failure rates and the crash detector; it was counted as a success.

--- a/packages/core/src/sassafrastally/core/__init__.py
+++ b/packages/core/src/sassafrastally/core/__init__.py
@@ -4,6 +4,14 @@
 
 from sassafrastally.core.clock import Clock
 from sassafrastally.core.errors import ERRORS, CodedError, error
+from sassafrastally.core.event_stream import (
+    EVENT_STREAM_TYPE,
+    MAX_EVENT_BYTES,
+    EventBlocks,
+    EventTooLong,
+    event_fields,
+    is_event_stream,
+)
 from sassafrastally.core.events import CATALOGUE, EventKind, EventLog, EventRecord, event
 from sassafrastally.core.findings import Finding, FindingsError, Place
 from sassafrastally.core.hlc import HybridClock, stamp_wall_s
@@ -28,14 +36,18 @@
 __all__ = [
     "CATALOGUE",
     "ERRORS",
+    "EVENT_STREAM_TYPE",
+    "MAX_EVENT_BYTES",
     "MAX_VALUE_BYTES",
     "METRICS",
     "Address",
     "Clock",
     "CodedError",
+    "EventBlocks",
     "EventKind",
     "EventLog",
     "EventRecord",
+    "EventTooLong",
     "Finding",
     "FindingsError",
     "HybridClock",
@@ -61,8 +73,10 @@
     "counter",
     "error",
     "event",
+    "event_fields",
     "gauge",
     "histogram",
+    "is_event_stream",
     "new_incarnation",
     "new_request_id",
     "stamp_wall_s",
--- /dev/null
+++ b/packages/core/src/sassafrastally/core/event_stream.py
@@ -0,0 +1,106 @@
+"""Splitting of ``text/event-stream`` bodies into events.
+
+Follows the WHATWG HTML standard, section 9.2.6: lines end with CRLF, LF or CR, a blank line ends an
+event, lines that begin with a colon are comments, and an event without its blank line at the end of
+the stream doesn't count.
+"""
+
+from __future__ import annotations
+
+import re
+from typing import TYPE_CHECKING
+
+from sassafrastally.core.errors import CodedError, error
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+EVENT_STREAM_TYPE = "text/event-stream"
+
+MAX_EVENT_BYTES = 1_048_576
+"""Default of the maximum size of an event."""
+
+BYTE_ORDER_MARK = b"\xef\xbb\xbf"
+
+# Atomic, so that the CRLF of one line isn't read as the ends of two lines.
+_LINE_END = re.compile(rb"(?>\r\n|\n|\r)")
+_BLANK_LINE = re.compile(rb"(?>\r\n|\n|\r){2}")
+
+
+@error(1003)
+class EventTooLong(CodedError):
+    """An event exceeds the maximum size."""
+
+
+class EventBlocks:
+    """Splits a body into blocks that each end with a blank line, and keeps every byte.
+
+    A block is an event, or consists of comments. The end of a line that is split between two pieces
+    may begin the block after it.
+
+    Parameters
+    ----------
+    max_event_bytes
+        Maximum size of an incomplete block.
+    """
+
+    def __init__(self, max_event_bytes: int = MAX_EVENT_BYTES) -> None:
+        self._max_event_bytes = max_event_bytes
+        self._rest = b""
+        self._is_first = True
+
+    @property
+    def rest(self) -> bytes:
+        """Bytes after the last complete block."""
+        return self._rest
+
+    @property
+    def is_inside_event(self) -> bool:
+        """Whether an event has begun and lacks its blank line."""
+        return any(True for _ in event_fields(self._without_mark(self._rest)))
+
+    @property
+    def is_inside_line(self) -> bool:
+        """Whether the last line isn't complete."""
+        return bool(self._rest) and self._rest[-1:] not in (b"\n", b"\r")
+
+    def feed(self, piece: bytes) -> list[bytes]:
+        """Add a piece of the body and return the blocks that it completes.
+
+        Raises
+        ------
+        EventTooLong
+            If an incomplete block exceeds the maximum size.
+        """
+        data = self._rest + piece
+        blocks = []
+        begin = 0
+        for blank_line in _BLANK_LINE.finditer(data):
+            blocks.append(data[begin : blank_line.end()])
+            begin = blank_line.end()
+        self._rest = data[begin:]
+        if len(self._rest) > self._max_event_bytes:
+            raise EventTooLong(f"an event is longer than {self._max_event_bytes} bytes")
+        return blocks
+
+    def fields(self, block: bytes) -> list[tuple[bytes, bytes]]:
+        """Return the fields of a block from `feed`; call it for each block in order."""
+        fields = list(event_fields(self._without_mark(block)))
+        self._is_first = False
+        return fields
+
+    def _without_mark(self, block: bytes) -> bytes:
+        return block.removeprefix(BYTE_ORDER_MARK) if self._is_first else block
+
+
+def event_fields(block: bytes) -> Iterator[tuple[bytes, bytes]]:
+    """Yield names and values of the fields in a block; comments are skipped."""
+    for line in _LINE_END.split(block):
+        name, _, value = line.partition(b":")
+        if name:
+            yield name, value.removeprefix(b" ")
+
+
+def is_event_stream(content_type: str) -> bool:
+    """Return whether a content type, with any parameters, is that of an event stream."""
+    return content_type.partition(";")[0].strip().lower() == EVENT_STREAM_TYPE
--- /dev/null
+++ b/packages/core/tests/test_event_stream.py
@@ -0,0 +1,116 @@
+"""Splitting of event streams."""
+
+from __future__ import annotations
+
+from itertools import pairwise
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from sassafrastally.core import EventBlocks, EventTooLong, event_fields, is_event_stream
+
+LINE_ENDS = [b"\n", b"\r\n", b"\r"]
+LINES = [b"data: x", b"id: 4", b"data", b": comment", b":", b"id:5", b"x y:z", b"data:  two"]
+
+
+def split(body: bytes, cuts: list[int]) -> tuple[list[bytes], EventBlocks]:
+    """Return the blocks of a body that arrives in pieces, and the splitter."""
+    blocks = EventBlocks()
+    bounds = [0, *sorted(cut % (len(body) + 1) for cut in cuts), len(body)]
+    found = [block for begin, end in pairwise(bounds) for block in blocks.feed(body[begin:end])]
+    return found, blocks
+
+
+class TestBlocks:
+    """Blocks of a stream, whatever its line ends and the pieces in which it arrives."""
+
+    @settings(max_examples=300, database=None)
+    @given(
+        st.lists(st.lists(st.sampled_from(LINES), min_size=1, max_size=3), max_size=4),
+        st.sampled_from(LINE_ENDS),
+        st.lists(st.integers(0, 400), max_size=9),
+    )
+    def test_every_event_is_found_and_every_byte_kept(self, events, end, cuts):
+        body = b"".join(line + end for lines in events for line in [*lines, b""])
+        found, blocks = split(body, cuts)
+        assert b"".join(found) + blocks.rest == body
+        expected = [[field for line in lines for field in event_fields(line)] for lines in events]
+        assert [blocks.fields(block) for block in found] == expected
+        assert not blocks.is_inside_event
+
+    def test_line_ends_may_differ(self):
+        found, blocks = split(b"id: 1\r\ndata: x\n\rid: 2\r\n\n: c\r\rid: 3\n\r\n", [])
+        assert [blocks.fields(block)[:1] for block in found] == [
+            [(b"id", b"1")],
+            [(b"id", b"2")],
+            [],
+            [(b"id", b"3")],
+        ]
+
+    @settings(max_examples=200, database=None)
+    @given(st.binary(max_size=60), st.lists(st.integers(0, 60), max_size=5))
+    def test_any_bytes_are_kept(self, body, cuts):
+        found, blocks = split(body, cuts)
+        assert b"".join(found) + blocks.rest == body
+
+    @pytest.mark.parametrize("end", LINE_ENDS)
+    def test_line_end_between_pieces_is_one_line_end(self, end):
+        """Guards against reading the CR and the LF of one line as a blank line."""
+        blocks = EventBlocks()
+        found = [one for byte in b"id: 1" + end + b"data: x" for one in blocks.feed(bytes([byte]))]
+        assert found == []
+        assert blocks.is_inside_event
+
+    def test_byte_order_mark_is_not_part_of_a_name(self):
+        blocks = EventBlocks()
+        (block,) = blocks.feed(b"\xef\xbb\xbfid: 1\n\n")
+        assert blocks.fields(block) == [(b"id", b"1")]
+
+    def test_endless_event_is_rejected(self):
+        """Guards against holding an event of any size in memory."""
+        blocks = EventBlocks(max_event_bytes=100)
+        with pytest.raises(EventTooLong):
+            for _ in range(20):
+                blocks.feed(b"data: 123\n")
+
+
+class TestEndOfStream:
+    """What is left over at the end of a stream."""
+
+    @pytest.mark.parametrize(
+        "rest", [b"data: x\n", b"data: x\r\n", b"da", b"id", b": comment\nid: 3", b"\nretry"]
+    )
+    def test_field_without_blank_line_is_inside_an_event(self, rest):
+        blocks = EventBlocks()
+        blocks.feed(b"id: 1\n\n" + rest)
+        assert blocks.is_inside_event
+
+    @pytest.mark.parametrize("rest", [b"", b"\n", b"\r\n", b": comment\n", b":\r", b"\n: a\n: b\n"])
+    def test_blank_lines_and_comments_are_between_events(self, rest):
+        blocks = EventBlocks()
+        blocks.feed(b"id: 1\n\n" + rest)
+        assert not blocks.is_inside_event
+        assert not blocks.is_inside_line
+
+    def test_unfinished_comment_is_inside_a_line(self):
+        blocks = EventBlocks()
+        blocks.feed(b"id: 1\n\n: com")
+        assert not blocks.is_inside_event
+        assert blocks.is_inside_line
+
+
+class TestContentType:
+    """Recognition of event streams by their content type."""
+
+    @pytest.mark.parametrize(
+        ("value", "expected"),
+        [
+            ("text/event-stream", True),
+            ("Text/Event-Stream; charset=utf-8", True),
+            ("application/json", False),
+            ("text/event-stream-of-mine", False),
+        ],
+    )
+    def test_parameters_and_case_do_not_matter(self, value, expected):
+        assert is_event_stream(value) is expected
--- a/packages/proxy/src/sassafrastally/proxy/event_stream.py
+++ b/packages/proxy/src/sassafrastally/proxy/event_stream.py
@@ -1,56 +1,113 @@
-"""Incremental splitting of a ``text/event-stream`` body into server-sent events."""
+"""The events of a stream, when they were forwarded, and whether the stream came to its end."""
 
 from __future__ import annotations
 
-from typing import NamedTuple
+from typing import TYPE_CHECKING, NamedTuple
 
-EVENT_END = b"\n\n"
-ID_FIELD = b"id:"
+from sassafrastally.core import MAX_EVENT_BYTES, EventBlocks, is_event_stream
+from sassafrastally.proxy.body_framing import BodyFraming
 
-MAX_EVENT_BYTES = 1_048_576
-"""Maximum size of an incomplete event; a larger one is treated as a broken stream. Events of model
-engines have a few hundred bytes."""
+if TYPE_CHECKING:
+    from sassafrastally.proxy.dialect import Headers
+
+ID_FIELD = b"id"
+
+MAX_ID_DIGITS = 18
+"""Event ids fit in 64 bits."""
 
 
 class StreamEvent(NamedTuple):
     """One complete event."""
 
     data: bytes
-    """Bytes of the event, including the blank line at its end."""
+    """Its bytes, including the blank line at its end."""
     event_id: int | None
 
 
 class EventSplitter:
-    """Splits a body into events and buffers an incomplete event at the end."""
+    """Splits a body into events and decides whether it came to its end.
+
+    Parameters
+    ----------
+    max_event_bytes
+        Maximum size of an incomplete event.
+    """
 
-    def __init__(self) -> None:
-        self._rest = b""
+    def __init__(self, max_event_bytes: int = MAX_EVENT_BYTES) -> None:
+        self._blocks = EventBlocks(max_event_bytes)
+        self._has_events = False
 
     @property
     def rest(self) -> bytes:
         """Bytes after the last complete event."""
-        return self._rest
+        return self._blocks.rest
 
     def feed(self, data: bytes) -> list[StreamEvent]:
         """Add bytes and return the events that they complete.
 
         Raises
         ------
-        ValueError
+        EventTooLong
             If an incomplete event exceeds the maximum size.
         """
-        *complete, self._rest = (self._rest + data).split(EVENT_END)
-        if len(self._rest) > MAX_EVENT_BYTES:
-            raise ValueError("incomplete event exceeds the maximum size")
-        return [StreamEvent(block + EVENT_END, _event_id(block)) for block in complete]
-
-
-def _event_id(block: bytes) -> int | None:
-    for line in block.split(b"\n"):
-        if line.startswith(ID_FIELD):
-            text = line[len(ID_FIELD) :].strip()
-            return int(text) if text.isdigit() else None
-    return None
+        return [self._event(block) for block in self._blocks.feed(data)]
+
+    def interruption(self, framing: BodyFraming) -> str:
+        """Return why a body that has ended isn't a whole stream; empty if it is one.
+
+        The end of a connection delimits a body of that framing, but a server that crashes closes
+        its connections as well. Then the content must show that the stream is whole.
+
+        Parameters
+        ----------
+        framing
+            What delimited the body.
+        """
+        if self._blocks.is_inside_event:
+            return "the stream ended inside an event"
+        if framing is not BodyFraming.CLOSE:
+            return ""
+        if self._blocks.is_inside_line:
+            return "the connection was closed inside a line of the stream"
+        if not self._has_events:
+            return "the connection was closed before the first event of the stream"
+        return ""
+
+    def _event(self, block: bytes) -> StreamEvent:
+        fields = self._blocks.fields(block)
+        self._has_events |= bool(fields)
+        return StreamEvent(block, _event_id(fields))
+
+
+def carries_events(headers: Headers, *, by_default: bool) -> bool:
+    """Return whether a response's body is an event stream.
+
+    Parameters
+    ----------
+    headers
+        Header fields of the response.
+    by_default
+        The value for a response that doesn't name its content type.
+    """
+    for name, value in headers:
+        if name == b"content-type":
+            return is_event_stream(value.decode("latin-1"))
+    return by_default
+
+
+def body_interruption(body: bytes, framing: BodyFraming) -> str:
+    """Return why an event stream that was read to its end isn't whole; empty if it is."""
+    splitter = EventSplitter(max_event_bytes=len(body))
+    splitter.feed(body)
+    return splitter.interruption(framing)
+
+
+def _event_id(fields: list[tuple[bytes, bytes]]) -> int | None:
+    """Return the number in the last id field; ``None`` if there is none."""
+    ids = [value.strip() for name, value in fields if name == ID_FIELD]
+    if not ids or not ids[-1].isdigit() or len(ids[-1]) > MAX_ID_DIGITS:
+        return None
+    return int(ids[-1])
 
 
 class EventTimes:
--- a/packages/proxy/src/sassafrastally/proxy/plain_request.py
+++ b/packages/proxy/src/sassafrastally/proxy/plain_request.py
@@ -12,15 +12,22 @@
 # Runtime import: BodyFraming is a field type of a named tuple.
 from sassafrastally.proxy.body_framing import BodyFraming
 from sassafrastally.proxy.cpu_overload import last_read_s
+from sassafrastally.proxy.event_stream import body_interruption, carries_events
 from sassafrastally.proxy.load import InFlightAttempt, Lane
 from sassafrastally.proxy.metrics import count_answer
+from sassafrastally.proxy.model import RouteKind
 from sassafrastally.proxy.plain_placement import has_slot, place_plain
 from sassafrastally.proxy.refusals import MAY_HAVE_RUN, NO_ROOM, NO_SERVER, TURNED_AWAY
-from sassafrastally.proxy.request_handler import SERVER_ERROR_STATUS, RequestHandler
+from sassafrastally.proxy.request_handler import (
+    NON_SUCCESS_STATUS,
+    SERVER_ERROR_STATUS,
+    RequestHandler,
+)
 from sassafrastally.proxy.task import LocalReply, ResponseTimes
 from sassafrastally.proxy.waiting_for_room import RoomWait
 
 if TYPE_CHECKING:
+    from sassafrastally.proxy.attempt import Answer
     from sassafrastally.proxy.dialect import Headers
     from sassafrastally.proxy.model import BackendServer
     from sassafrastally.proxy.reply import Reply
@@ -186,10 +193,21 @@
         waiting = trio.CancelScope(deadline=due_s)
         async with self._send(terms, waiting, connect_until_s=due_s) as answer:
             body = await answer.read(waiting.deadline)
+            self._require_end(answer, body)
             return BufferedResponse(
                 answer.status, answer.headers, body, server.server_id, answer.framing
             )
 
+    def _require_end(self, answer: Answer, body: bytes) -> None:
+        """Raise `AttemptUnknown` if the body is an event stream that isn't whole."""
+        is_stream = carries_events(
+            answer.headers, by_default=self._task.route.kind is RouteKind.STREAM
+        )
+        if answer.status >= NON_SUCCESS_STATUS or not is_stream:
+            return
+        if interruption := body_interruption(body, answer.framing):
+            raise AttemptUnknown(interruption)
+
     async def _forward(self, answer: BufferedResponse) -> None:
         task = self._task
         elapsed_s = self._clock.now_s() - task.request.arrived_s
--- a/packages/proxy/src/sassafrastally/proxy/streaming_request.py
+++ b/packages/proxy/src/sassafrastally/proxy/streaming_request.py
@@ -18,6 +18,7 @@
     response_s,
     yield_reason,
 )
+from sassafrastally.proxy.answer_events import AnswerEvents
 from sassafrastally.proxy.attempt import AttemptNotRun, AttemptUnknown
 from sassafrastally.proxy.attempt_migration import remaining_s, should_move_attempt
 from sassafrastally.proxy.caller_timeout import caller_timeout_s
@@ -25,7 +26,7 @@
     place_locally_first,
     prefers_local_data_centre,
 )
-from sassafrastally.proxy.event_stream import EventSplitter, EventTimes, StreamEvent
+from sassafrastally.proxy.event_stream import EventTimes, StreamEvent
 from sassafrastally.proxy.first_event_timeout import SILENCE_TIMEOUT_SHARE, expected_first_event_s
 from sassafrastally.proxy.lanes import PlacementRandomizer, choose_lane
 from sassafrastally.proxy.load import NO_WORK, InFlightAttempt, Lane
@@ -35,7 +36,11 @@
 from sassafrastally.proxy.placement import place_request
 from sassafrastally.proxy.plan import max_prompt_tokens
 from sassafrastally.proxy.refusals import MAY_HAVE_RUN, NO_ROOM, NO_SERVER, TOO_LONG, TURNED_AWAY
-from sassafrastally.proxy.request_handler import SERVER_ERROR_STATUS, RequestHandler
+from sassafrastally.proxy.request_handler import (
+    NON_SUCCESS_STATUS,
+    SERVER_ERROR_STATUS,
+    RequestHandler,
+)
 from sassafrastally.proxy.reservations import with_reservations
 from sassafrastally.proxy.slow_event_detection import event_time_s, slow_event_time_s
 from sassafrastally.proxy.task import LocalReply, RequestTask, ResponseTimes
@@ -330,7 +335,7 @@
                 self._services.fleet_view.record_load(
                     placement.server.incarnation_id, answer.facts.load
                 )
-                if answer.status >= 300:
+                if answer.status >= NON_SUCCESS_STATUS:
                     return await self._forward_failure(placement, answer)
                 await self._forward_stream(placement, in_flight, answer)
                 return True
@@ -386,22 +391,19 @@
     ) -> None:
         """Forward a stream event by event, so that a broken stream can be resumed.
 
-        Bytes of an incomplete event are buffered: if the engine dies within the event, the next
-        engine sends it from its beginning, and the caller must not see both. The silence timeout
-        covers only reads from the engine. A write to the caller cancelled by it would leave a
-        partial chunk on the connection, followed by the bytes of the next attempt.
+        The silence timeout covers only reads from the engine. A write to the caller cancelled by it
+        would leave a partial chunk on the connection, followed by the bytes of the next attempt.
         """
-        splitter = EventSplitter()
+        stream = AnswerEvents(answer)
         if not self._reply.has_begun:
             headers = self._services.dialect.response_headers(answer.headers)
             await self._reply.begin(answer.status, headers)
         slow_event_s = slow_event_time_s(self._profile)
         waiting_since_s = self._clock.now_s()
-        while (chunk := await answer.chunk(self._silence_timeout_s())) is not None:
+        while (events := await stream.read(self._silence_timeout_s())) is not None:
             # Measured only while waiting for the engine: the time spent on writing to the caller
             # says nothing about the engine.
             waited_s = self._clock.now_s() - waiting_since_s
-            events = splitter.feed(chunk)
             if not in_flight.is_in_prefill:
                 event_s = event_time_s(waited_s, len(events))
                 self._services.fleet_view.record_event(
@@ -412,12 +414,12 @@
                 self._services.fleet_view.ledger.first_event(in_flight, now_s)
                 await self._forward_event(event, now_s)
             waiting_since_s = self._clock.now_s()
-        if splitter.rest:
-            await self._reply.send(splitter.rest)
+        if stream.rest:
+            await self._reply.send(stream.rest)
         await self._reply.end()
         self._services.fleet_view.record_success(placement.server.incarnation_id)
         self._count_outcome(placement.server, *placement.helpers, is_failure=False)
-        self._record_answered(placement, answer, len(splitter.rest))
+        self._record_answered(placement, answer, len(stream.rest))
 
     async def _forward_event(self, event: StreamEvent, now_s: float) -> None:
         known_id = -1 if self._last_event_id is None else self._last_event_id
--- a/packages/testing/tests/platform/test_response_end.py
+++ b/packages/testing/tests/platform/test_response_end.py
@@ -11,6 +11,7 @@
 from sassafrastally.proxy.body_framing import BodyFraming
 from sassafrastally.stand_ins.connection_end import ConnectionEnd
 from sassafrastally.stand_ins.documents import make_configuration, make_route
+from sassafrastally.stand_ins.platform_fleet import attempt_failure_causes
 
 BREAKS = [ConnectionEnd.CLOSE, ConnectionEnd.RESET]
 EVENTS = 10
@@ -35,6 +36,11 @@
         replica.framing, replica.breaks_by, replica.breaks_after_events = framing, how, 4
 
 
+def interruption_causes(fleet) -> list[str]:
+    """Return why attempts of the first entry failed."""
+    return attempt_failure_causes(fleet.kernels[0])
+
+
 @pytest.mark.parametrize("framing", BodyFraming)
 class TestWholeResponses:
     """Responses that aren't broken off."""
@@ -88,3 +94,107 @@
         answer = await small_fleet.call("/note/x", prompt=PROMPT)
         assert not answer.is_whole
         assert event_ids(answer.body) == [0, 1, 2, 3]
+
+
+class TestStreamsBrokenElsewhere:
+    """Streams that a backend server breaks off between two events or before the first one."""
+
+    @pytest.mark.parametrize(("framing", "how"), list(product(BodyFraming, BREAKS)))
+    async def test_between_events_is_resumed(self, small_fleet, framing, how):
+        """Guards against losing the rest of a stream whose framing shows that it was broken off.
+
+        Without length and chunks, a close after an event is the regular end of the body.
+        """
+        break_streams(small_fleet, framing, how, ["engine-1"])
+        small_fleet.replicas["engine-1"].breaks_inside_event = False
+        is_regular_end = (framing, how) == (BodyFraming.CLOSE, ConnectionEnd.CLOSE)
+        ends = {4, EVENTS} if is_regular_end else {EVENTS}
+        for _ in range(4):
+            answer = await small_fleet.call("/note/x", prompt=PROMPT)
+            assert answer.is_whole
+            ids = event_ids(answer.body)
+            assert len(ids) in ends
+            assert ids == list(range(len(ids)))
+
+    async def test_before_the_first_event_is_resumed(self, small_fleet):
+        """Guards against an empty response from an engine that crashes after its header."""
+        break_streams(small_fleet, BodyFraming.CLOSE, ConnectionEnd.CLOSE, ["engine-1"])
+        small_fleet.replicas["engine-1"].breaks_inside_event = False
+        small_fleet.replicas["engine-1"].breaks_after_events = 0
+        for _ in range(4):
+            answer = await small_fleet.call("/note/x", prompt=PROMPT)
+            assert event_ids(answer.body) == list(range(EVENTS))
+
+    @pytest.mark.parametrize("framing", BodyFraming)
+    async def test_silence_is_resumed(self, small_fleet, framing):
+        """Guards against waiting for the end of a connection that stays open without a word."""
+        break_streams(small_fleet, framing, ConnectionEnd.SILENCE, ["engine-1"])
+        for _ in range(2):
+            answer = await small_fleet.call("/note/x", prompt=PROMPT)
+            assert answer.is_whole
+            assert event_ids(answer.body) == list(range(EVENTS))
+
+    @pytest.mark.parametrize("framing", BodyFraming)
+    async def test_resumed_stream_that_breaks_is_not_complete(self, small_fleet, framing):
+        """Guards against completing a response that a second engine breaks off as well."""
+        break_streams(small_fleet, framing, ConnectionEnd.CLOSE)
+        for name, number in (("engine-1", 3), ("engine-2", 6)):
+            small_fleet.replicas[name].breaks_after_events = number
+        answer = await small_fleet.call("/note/x", prompt=PROMPT)
+        assert not answer.is_whole
+        assert event_ids(answer.body) in ([0, 1, 2], [0, 1, 2, 3, 4, 5])
+        assert len(interruption_causes(small_fleet)) == 2
+
+
+@pytest.mark.parametrize("framing", BodyFraming)
+class TestMissingBlankLine:
+    """Bodies that end, by whatever framing, without a blank line."""
+
+    async def test_event_stream_is_not_complete(self, small_fleet, framing):
+        """Guards against a last event that the caller's parser must discard."""
+        for replica in small_fleet.replicas.values():
+            replica.framing, replica.omits_last_blank_line = framing, True
+        answer = await small_fleet.call("/note/x", prompt=PROMPT)
+        assert not answer.is_whole
+        assert event_ids(answer.body) == list(range(EVENTS - 1))
+
+    async def test_body_of_another_type_stays_whole(self, small_fleet, framing):
+        """Guards against looking for events in a body that isn't an event stream."""
+        for replica in small_fleet.replicas.values():
+            replica.framing, replica.omits_last_blank_line = framing, True
+            replica.content_type = "application/json"
+        answer = await small_fleet.call("/note/x", prompt=PROMPT)
+        assert answer.is_whole
+        assert event_ids(answer.body) == list(range(EVENTS))
+
+
+@pytest.mark.parametrize(("framing", "how"), list(product(BodyFraming, BREAKS)))
+class TestPlainResponses:
+    """Responses of plain services, which are read as a whole before they are forwarded."""
+
+    async def test_broken_body_is_not_forwarded(self, small_fleet, framing, how):
+        """Guards against a part of a body that is forwarded as the whole.
+
+        Without length and chunks, a close is the regular end of the body.
+        """
+        desks = [small_fleet.replicas[name] for name in ("desk-1", "desk-2")]
+        for desk in desks:
+            desk.framing, desk.breaks_by, desk.breaks_after_bytes = framing, how, 5
+        is_regular_end = (framing, how) == (BodyFraming.CLOSE, ConnectionEnd.CLOSE)
+        answer = await small_fleet.call("/book/x")
+        assert answer.status == (200 if is_regular_end else 502)
+        assert answer.is_whole
+        assert len(small_fleet.received_requests()) == 1
+
+    async def test_broken_stream_is_not_forwarded(self, small_fleet, framing, how):
+        """Guards against a stream that is read as a whole and ends inside an event."""
+        desks = [small_fleet.replicas[name] for name in ("desk-1", "desk-2")]
+        for desk in desks:
+            desk.framing, desk.breaks_by, desk.breaks_after_bytes = framing, how, 20
+            desk.sends_plain_streams = True
+        assert (await small_fleet.call("/look/x")).status == 502
+        desks[0].breaks_after_bytes = -1
+        for _ in range(3):
+            answer = await small_fleet.call("/look/x")
+            assert answer.status == 200
+            assert answer.body.endswith(b"\n\n")
