Don't resume a stream whose events have no ids

A resumable stream that broke off after events without ids was run again from its begin at another engine, and the caller got these events twice: 4 events and then all 10 in the test, 3 of 3 framings. Nothing tells the next engine where to go on. Once such an event has been forwarded, the request isn't repeatable any more: the response is left without its end, which the caller sees. The test fails without the change.

--- a/packages/proxy/src/sassafrastally/proxy/event_stream.py
+++ b/packages/proxy/src/sassafrastally/proxy/event_stream.py
@@ -17,11 +17,13 @@
 
 
 class StreamEvent(NamedTuple):
-    """One complete event."""
+    """One complete event, or comments between events."""
 
     data: bytes
     """Its bytes, including the blank line at its end."""
     event_id: int | None
+    has_fields: bool
+    """Whether it isn't made of comments alone."""
 
 
 class EventSplitter:
@@ -76,7 +78,7 @@
     def _event(self, block: bytes) -> StreamEvent:
         fields = self._blocks.fields(block)
         self._has_events |= bool(fields)
-        return StreamEvent(block, _event_id(fields))
+        return StreamEvent(block, _event_id(fields), bool(fields))
 
 
 def carries_events(headers: Headers, *, by_default: bool) -> bool:
--- a/packages/proxy/src/sassafrastally/proxy/request_handler.py
+++ b/packages/proxy/src/sassafrastally/proxy/request_handler.py
@@ -224,10 +224,14 @@
         if status < NON_SUCCESS_STATUS:
             self._services.quarantine.record_answered(self._task.fingerprint)
 
+    @property
+    def _is_repeatable(self) -> bool:
+        """Whether the request may run again, from its begin or after the last event."""
+        return self._task.route.is_repeatable and not self.progress.has_unnumbered_events
+
     def _can_fail_over(self) -> bool:
         """Return whether the request may still fail over to another server."""
-        route = self._task.route
-        return route.is_repeatable and self.progress.sent < route.max_attempts
+        return self._is_repeatable and self.progress.sent < self._task.route.max_attempts
 
     def _attempt_terms(
         self,
@@ -284,10 +288,9 @@
 
     def _may_retry(self) -> bool:
         """Return whether the route allows another attempt."""
-        route = self._task.route
-        if self.progress.may_have_run and not route.is_repeatable:
+        if self.progress.may_have_run and not self._is_repeatable:
             return False
-        return self.progress.sent < route.max_attempts
+        return self.progress.sent < self._task.route.max_attempts
 
     def _may_wait_for_budget(self) -> bool:
         """Return whether only the retry budget prevents another attempt at what hasn't run."""
--- a/packages/proxy/src/sassafrastally/proxy/streaming_request.py
+++ b/packages/proxy/src/sassafrastally/proxy/streaming_request.py
@@ -430,6 +430,8 @@
         if event.event_id is not None:
             self._last_event_id = event.event_id
             self.progress.last_event_id = event.event_id
+        elif event.has_fields:
+            self.progress.has_unnumbered_events = True
 
     def _record_answered(
         self, placement: Placement, answer: Answer, unfinished_bytes: int = 0
--- a/packages/proxy/src/sassafrastally/proxy/task.py
+++ b/packages/proxy/src/sassafrastally/proxy/task.py
@@ -90,5 +90,7 @@
         """Whether an earlier attempt may have run."""
         self.last_event_id = 0
         """ID of the last stream event forwarded to the caller."""
+        self.has_unnumbered_events = False
+        """Whether an event without an id was forwarded, which another run would send again."""
         self.tried: set[str] = set()
         """Backend servers that have been tried, as `BackendServer.incarnation_id`."""
--- a/packages/testing/tests/platform/test_response_end.py
+++ b/packages/testing/tests/platform/test_response_end.py
@@ -145,6 +145,17 @@
         assert event_ids(answer.body) in ([0, 1, 2], [0, 1, 2, 3, 4, 5])
         assert len(interruption_causes(small_fleet)) == 2
 
+    @pytest.mark.parametrize("framing", BodyFraming)
+    async def test_stream_without_ids_is_not_joined_from_two_runs(self, small_fleet, framing):
+        """Guards against sending events again when nothing tells where to resume."""
+        break_streams(small_fleet, framing, ConnectionEnd.RESET)
+        for replica in small_fleet.replicas.values():
+            replica.numbers_events = False
+        answer = await small_fleet.call("/note/x", prompt=PROMPT)
+        assert not answer.is_whole
+        assert answer.body.count(b"data:") == 4
+        assert len(small_fleet.received_requests()) == 1
+
 
 @pytest.mark.parametrize("framing", BodyFraming)
 class TestMissingBlankLine:
