Don't count comments in streams as events

A comment that an engine sent before its first event counted as that event: the time to the first event was that to the comment, the prompt counted as read, and the engine as free of it. Comments are forwarded as before. The test (a comment at once, the first event after the prefill of 60,000 tokens) fails without the change.

--- a/packages/proxy/src/sassafrastally/proxy/streaming_request.py
+++ b/packages/proxy/src/sassafrastally/proxy/streaming_request.py
@@ -411,7 +411,8 @@
                 )
             for event in events:
                 now_s = self._clock.now_s()
-                self._services.fleet_view.ledger.first_event(in_flight, now_s)
+                if event.has_fields:
+                    self._services.fleet_view.ledger.first_event(in_flight, now_s)
                 await self._forward_event(event, now_s)
             waiting_since_s = self._clock.now_s()
         if stream.rest:
@@ -425,7 +426,8 @@
         known_id = -1 if self._last_event_id is None else self._last_event_id
         if event.event_id is not None and event.event_id <= known_id:
             return  # Already forwarded; the resumed stream begins earlier than requested.
-        self._times.record(now_s)
+        if event.has_fields:
+            self._times.record(now_s)
         await self._reply.send(event.data)
         if event.event_id is not None:
             self._last_event_id = event.event_id
--- a/packages/testing/tests/platform/test_response_end.py
+++ b/packages/testing/tests/platform/test_response_end.py
@@ -209,3 +209,21 @@
             answer = await small_fleet.call("/look/x")
             assert answer.status == 200
             assert answer.body.endswith(b"\n\n")
+
+
+class TestComments:
+    """Comments in streams, which are forwarded and are no events."""
+
+    async def test_comment_is_not_the_first_event(self, small_fleet):
+        """Guards against measuring the time to a comment as the time to the first event."""
+        for replica in small_fleet.replicas.values():
+            replica.sends_comments = True
+        answer = await small_fleet.call("/dossier/x", prompt="60000,340")
+        assert answer.is_whole
+        assert answer.body.startswith(b": ")
+        (answered,) = [
+            record["fields"]
+            for record in small_fleet.kernels[0].events.records()
+            if record["name"] == "RequestAnswered"
+        ]
+        assert answered["first_s"] > 0.2
