Treat a write whose acknowledgement was cut off as one that may have been applied

A store's response without length and chunks that broke off, or one with a status of a failed server, was reported as a rejected write (KvUnavailable), although the store may have applied it; a response without the fields of its kind raised KeyError.

--- a/packages/testing/tests/platform/test_store_client.py
+++ b/packages/testing/tests/platform/test_store_client.py
@@ -1,16 +1,19 @@
-"""Client of the metadata store: responses from before and after a restore."""
+"""Client of the metadata store: responses around a restore, and responses that end early."""
 
 from __future__ import annotations
 
 import json
+from itertools import product
 
 import pytest
 
 from sassafrastally.core import KvUnavailable, LeaseLost, MaybeApplied
 from sassafrastally.core.kv import KvWrite
 from sassafrastally.platform.store import StoreClient
+from sassafrastally.proxy.body_framing import BodyFraming
 from sassafrastally.proxy.calls import CallResponse
 from sassafrastally.proxy.store import HistoryGone, Lease, StorePosition
+from sassafrastally.stand_ins.connection_end import ConnectionEnd
 
 WRITE = [KvWrite("a", b"", -1)]
 
@@ -97,3 +100,45 @@
         await store.read_prefix("")
         with pytest.raises(MaybeApplied):
             await store.write(WRITE)
+
+
+class TestIncompleteResponses:
+    """Responses that break off or don't say what was done."""
+
+    @pytest.mark.parametrize("body", [b"", b'{"revision": 1', b'{"revi', b"[]", b"{}"])
+    @pytest.mark.parametrize("status", [200, 500, 502])
+    async def test_write_may_have_been_applied(self, status, body):
+        """Guards against reporting a write as rejected whose acknowledgement was cut off."""
+        lost = CallResponse(status, [(b"store-era", b"1")], body)
+        for call in (
+            client(lost).write(WRITE),
+            client(lost).grant_lease(1.0),
+            client(lost).keep_lease(Lease(5, 1)),
+        ):
+            with pytest.raises(MaybeApplied):
+                await call
+
+    @pytest.mark.parametrize("body", [b"", b'{"items": [', b"[]", b"{}", b'{"items": 4}'])
+    async def test_read_is_unavailable(self, body):
+        """Guards against taking the begin of a list for the whole one, and against a crash."""
+        cut = CallResponse(200, [(b"store-era", b"1")], body)
+        with pytest.raises(KvUnavailable):
+            await client(cut).read_prefix("")
+        with pytest.raises(KvUnavailable):
+            await client(cut).watch("", StorePosition(1, 1), 1.0)
+
+    @pytest.mark.parametrize(
+        ("framing", "how"), list(product(BodyFraming, [ConnectionEnd.CLOSE, ConnectionEnd.RESET]))
+    )
+    async def test_store_breaks_off_an_acknowledgement(self, fleet, framing, how):
+        """Guards against repeating a write that was applied, however its response ended."""
+        store = fleet.store
+        store.framing, store.breaks_by, store.lost_after_bytes = framing, how, 5
+        fleet_client = fleet.store_client(1)
+        await fleet_client.write([KvWrite("mine/kept", b"1", 0)])
+        store.loses_responses = True
+        with pytest.raises(MaybeApplied):
+            await fleet_client.write([KvWrite("mine/lost", b"1", 0)])
+        assert store.value("mine/lost") == b"1"
+        with pytest.raises(MaybeApplied):
+            await fleet_client.grant_lease(5.0)
