Read event streams in the sidecar as published, and plain services' to a whole event

The sidecar had a splitter of its own: it knew no lines that end with CR, so that such an engine's stream never came to its end mark. Both use the splitter of the core now, and an event stream must end after a whole event. Model engines were safe: their streams end with a mark of their own. BadEventStream (7040) is replaced by the core's EventTooLong (1003).

--- a/packages/sidecar/src/sassafrastally/sidecar/event_stream.py
+++ b/packages/sidecar/src/sassafrastally/sidecar/event_stream.py
@@ -1,23 +1,15 @@
-"""A parser for server-sent events with size limits."""
+"""The data of server-sent events, in pieces as they arrive from an engine."""
 
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
 
-from sassafrastally.core import CodedError, error
+from sassafrastally.core import EventBlocks
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-MAX_EVENT_BYTES = 1024 * 1024
-"""Maximum size of an event."""
-
-_DATA = b"data:"
-
-
-@error(7040)
-class BadEventStream(CodedError):
-    """An event stream exceeds a size limit."""
+DATA_FIELD = b"data"
 
 
 class EventReader:
@@ -27,32 +19,17 @@
     """
 
     def __init__(self) -> None:
-        self._rest = b""
-        self._data: list[bytes] = []
-        self._data_bytes = 0
+        self._blocks = EventBlocks()
 
     def feed(self, piece: bytes) -> Iterator[bytes]:
         """Parse a piece and yield the data of each event that it completes.
 
         Raises
         ------
-        BadEventStream
+        EventTooLong
             When an event is too long.
         """
-        *lines, self._rest = (self._rest + piece).split(b"\n")
-        for line in lines:
-            stripped = line.rstrip(b"\r")
-            if stripped.startswith(_DATA):
-                self._add(stripped[len(_DATA) :].removeprefix(b" "))
-            elif not stripped and self._data:
-                yield b"\n".join(self._data)
-                self._data = []
-                self._data_bytes = 0
-        if len(self._rest) > MAX_EVENT_BYTES:
-            raise BadEventStream(f"a line is longer than {MAX_EVENT_BYTES} bytes")
-
-    def _add(self, data: bytes) -> None:
-        self._data.append(data)
-        self._data_bytes += len(data) + 1
-        if self._data_bytes > MAX_EVENT_BYTES:
-            raise BadEventStream(f"an event is longer than {MAX_EVENT_BYTES} bytes")
+        for block in self._blocks.feed(piece):
+            data = [value for name, value in self._blocks.fields(block) if name == DATA_FIELD]
+            if data:
+                yield b"\n".join(data)
--- a/packages/sidecar/src/sassafrastally/sidecar/openai_form.py
+++ b/packages/sidecar/src/sassafrastally/sidecar/openai_form.py
@@ -8,6 +8,7 @@
 
 import httpx
 
+from sassafrastally.core import EventTooLong
 from sassafrastally.sidecar.engine import (
     EngineChunk,
     EngineFailed,
@@ -15,7 +16,7 @@
     EngineRefused,
     EngineUsage,
 )
-from sassafrastally.sidecar.event_stream import BadEventStream, EventReader
+from sassafrastally.sidecar.event_stream import EventReader
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -102,7 +103,7 @@
             # A truncated answer must not be taken for a complete one, so a missing end mark is an
             # error.
             raise EngineFailed("the answer ended without its end mark") from None
-        except (httpx.HTTPError, BadEventStream) as cause:
+        except (httpx.HTTPError, EventTooLong) as cause:
             raise EngineFailed(f"the answer broke off: {cause}") from cause
 
     def _parse_event(self, data: bytes) -> None:
--- a/packages/sidecar/src/sassafrastally/sidecar/plain_client.py
+++ b/packages/sidecar/src/sassafrastally/sidecar/plain_client.py
@@ -8,7 +8,7 @@
 import httpx
 import trio
 
-from sassafrastally.core import CodedError, error
+from sassafrastally.core import CodedError, EventBlocks, EventTooLong, error, is_event_stream
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Mapping
@@ -42,9 +42,11 @@
         self.status: int = response.status_code
         self.content_type: str = response.headers.get("content-type", DEFAULT_CONTENT_TYPE)
         self.is_complete = False
-        """Whether the whole body was read, according to its framing."""
+        """Whether the whole body was read, according to its framing and, for an event stream, its
+        last event: a body without framing also ends when the service crashes."""
         self._pieces = response.aiter_raw()
         self._deadline_s = deadline_s
+        self._events = EventBlocks() if is_event_stream(self.content_type) else None
 
     def __aiter__(self) -> AsyncIterator[bytes]:
         return self
@@ -59,12 +61,23 @@
         """
         try:
             with trio.fail_at(self._deadline_s):
-                return await anext(self._pieces)
+                piece = await anext(self._pieces)
         except StopAsyncIteration:
-            self.is_complete = True
+            self.is_complete = self._events is None or not self._events.is_inside_event
             raise
         except (httpx.HTTPError, trio.TooSlowError) as cause:
             raise PlainMaybeRan(f"the answer broke off: {cause!r}") from cause
+        self._look_for_events(piece)
+        return piece
+
+    def _look_for_events(self, piece: bytes) -> None:
+        if self._events is None:
+            return
+        try:
+            self._events.feed(piece)
+        except EventTooLong:
+            # Such an event is passed on as well; only its end isn't looked for.
+            self._events = None
 
 
 class PlainClient:
--- a/packages/sidecar/tests/test_event_stream.py
+++ b/packages/sidecar/tests/test_event_stream.py
@@ -8,7 +8,8 @@
 from hypothesis import given, seed, settings
 from hypothesis import strategies as st
 
-from sassafrastally.sidecar.event_stream import MAX_EVENT_BYTES, BadEventStream, EventReader
+from sassafrastally.core import MAX_EVENT_BYTES, EventTooLong
+from sassafrastally.sidecar.event_stream import EventReader
 
 STREAM = (
     b": comment\r\ndata: one\r\n\r\ndata:two\ndata: lines\n\nevent: x\ndata: [DONE]\n\nid: 4\n\n"
@@ -26,6 +27,16 @@
         events = [event for piece in pieces for event in reader.feed(piece)]
         assert events == [b"one", b"two\nlines", b"[DONE]"]
 
+    @pytest.mark.parametrize("end", [b"\n", b"\r\n", b"\r"])
+    def test_events_do_not_depend_on_line_ends(self, end: bytes) -> None:
+        """Guards against an engine whose stream never ends because its line ends aren't known."""
+        reader = EventReader()
+        assert list(reader.feed(STREAM.replace(b"\r\n", b"\n").replace(b"\n", end))) == [
+            b"one",
+            b"two\nlines",
+            b"[DONE]",
+        ]
+
     @pytest.mark.parametrize("line", [b"data: " + b"x" * 4096, b"data: " + b"x" * 4096 + b"\n"])
     def test_endless_events_are_rejected(self, line: bytes) -> None:
         """A broken engine must not exhaust the sidecar's memory, which would end every run.
@@ -33,6 +44,6 @@
         The engine sends one event that never ends, as one long line or as more and more lines.
         """
         reader = EventReader()
-        with pytest.raises(BadEventStream):
+        with pytest.raises(EventTooLong):
             for _ in range(2 * MAX_EVENT_BYTES // len(line)):
                 list(reader.feed(line))
--- a/packages/testing/tests/test_plain_service.py
+++ b/packages/testing/tests/test_plain_service.py
@@ -28,6 +28,34 @@
         nursery.cancel_scope.cancel()
 
 
+@asynccontextmanager
+async def raw_service(answer: bytes) -> AsyncIterator[PlainClient]:
+    """Send fixed bytes on each connection, then close it."""
+
+    async def handle(stream: trio.SocketStream) -> None:
+        async with stream:
+            await stream.receive_some()
+            await stream.send_all(answer)
+            await stream.send_eof()
+
+    listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(trio.serve_listeners, handle, listeners)
+        yield PlainClient(Address(*listeners[0].socket.getsockname()))
+        nursery.cancel_scope.cancel()
+
+
+async def is_complete(answer: bytes) -> bool:
+    """Return whether the client takes a service's bytes for a complete answer."""
+    async with (
+        raw_service(answer) as client,
+        client.call("GET", "/events", {}, b"", 5.0) as received,
+    ):
+        async for _ in received:
+            pass
+        return received.is_complete
+
+
 async def book(client: PlainClient, timeout_s: float = 5.0) -> bytes:
     async with client.call("POST", "/book", {}, BODY, timeout_s) as answer:
         assert answer.status == 200
@@ -74,3 +102,26 @@
             with trio.fail_after(3), pytest.raises(PlainMaybeRan):
                 await book(client, timeout_s=0.3)
         assert service.executions["house-7"] == 1
+
+
+class TestAnswersWithoutFraming:
+    """Answers with neither a length nor chunks, which end with their connection."""
+
+    HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: %s\r\n\r\n"
+    EVENTS = HEAD % b"text/event-stream; charset=utf-8" + b"id: 1\r\ndata: x\r\n\r\n"
+
+    @pytest.mark.parametrize("rest", [b"id: 2", b"id: 2\r\n", b": c\ndata: y\n"])
+    async def test_stream_that_ends_inside_an_event_is_not_complete(self, rest: bytes) -> None:
+        """Guards against passing on a stream as complete whose service died."""
+        assert not await is_complete(self.EVENTS + rest)
+
+    @pytest.mark.parametrize("rest", [b"", b": comment\r\n", b"id: 2\rdata: y\r\r"])
+    async def test_stream_that_ends_after_an_event_is_complete(self, rest: bytes) -> None:
+        assert await is_complete(self.EVENTS + rest)
+
+    @pytest.mark.parametrize("body", [b"", b"id: 2", b"x" * 3_000_000])
+    async def test_body_of_another_type_is_complete(self, body: bytes) -> None:
+        assert await is_complete(self.HEAD % b"application/octet-stream" + body)
+
+    async def test_event_beyond_the_maximum_size_is_passed_on(self) -> None:
+        assert await is_complete(self.EVENTS + b"data: " + b"x" * 3_000_000 + b"\n\n")
