Reset the connection of a caller without chunks whose stream was broken off

To a caller with HTTP/1.0 a stream of unknown length is sent without framing, so that the end of its connection is the end of the response. Such a connection is set to reset on close from the response's header until its end, so that also the operating system, which closes it for a process that is gone, resets it. Chunked streams were safe: they lack their last chunk.

--- a/packages/proxy/src/sassafrastally/proxy/http_stream.py
+++ b/packages/proxy/src/sassafrastally/proxy/http_stream.py
@@ -34,6 +34,8 @@
 LINGER_ZERO = struct.pack("ii", 1, 0)
 """Value of SO_LINGER with which closing a socket resets its connection."""
 
+LINGER_OFF = struct.pack("ii", 0, 0)
+
 
 @error(10004)
 class ConnectionLost(CodedError):
@@ -122,16 +124,16 @@
         """Close the connection immediately, without a graceful shutdown."""
         await trio.aclose_forcefully(self.stream)
 
+    def set_reset_on_close(self, is_reset: bool) -> None:
+        """Choose whether closing the connection, also by the end of the process, resets it."""
+        if isinstance(self.stream, trio.SocketStream):
+            value = LINGER_ZERO if is_reset else LINGER_OFF
+            self.stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, value)
+
     async def reset(self) -> None:
         """Close the connection with a reset, which the peer can't take for a regular end."""
-        await reset_stream(self.stream)
-
-
-async def reset_stream(stream: trio.abc.Stream) -> None:
-    """Close a byte stream with a reset."""
-    if isinstance(stream, trio.SocketStream):
-        stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_ZERO)
-    await trio.aclose_forcefully(stream)
+        self.set_reset_on_close(True)
+        await self.close()
 
 
 def enable_keepalive(stream: trio.abc.Stream) -> None:
--- a/packages/proxy/src/sassafrastally/proxy/reply.py
+++ b/packages/proxy/src/sassafrastally/proxy/reply.py
@@ -21,6 +21,7 @@
 CONNECTION_HEADERS = frozenset({b"connection", b"transfer-encoding", b"content-length"})
 """Hop-by-hop and framing fields, which are set for the caller's connection and not forwarded."""
 
+HTTP_1_0 = b"1.0"
 
 WRITE_BYTES = 16_384
 """Size of one write to a caller. The time limit applies to each, so that a caller that reads slowly
@@ -67,7 +68,13 @@
         self.has_ended = True
 
     async def begin(self, status: int, headers: Headers) -> None:
-        """Send the header of a response of unknown length; raises `ConnectionLost`."""
+        """Send the header of a response of unknown length; raises `ConnectionLost`.
+
+        A caller without chunked transfer coding takes the end of the connection for that of the
+        response, whether this entry or the operating system closes it.
+        """
+        if self._connection.http.their_http_version == HTTP_1_0:
+            self._connection.set_reset_on_close(True)
         await self._send(self._response(status, _end_to_end_headers(headers)))
 
     async def send(self, data: bytes) -> None:
@@ -77,6 +84,7 @@
     async def end(self) -> None:
         """End the body; raises `ConnectionLost`."""
         await self._send(h11.EndOfMessage())
+        self._connection.set_reset_on_close(False)
         self.has_ended = True
 
     async def _send(self, *events: h11.Event) -> None:
--- a/packages/testing/tests/platform/test_response_end.py
+++ b/packages/testing/tests/platform/test_response_end.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import json
+from functools import partial
 from itertools import product
 
 import pytest
 import trio
 
 from sassafrastally.proxy.body_framing import BodyFraming
+from sassafrastally.stand_ins.caller_requests import request_fields
 from sassafrastally.stand_ins.connection_end import ConnectionEnd
 from sassafrastally.stand_ins.documents import make_configuration, make_route
 from sassafrastally.stand_ins.platform_fleet import attempt_failure_causes
@@ -23,6 +25,28 @@
     return [int(line[3:]) for line in body.decode().splitlines() if line.startswith("id:")]
 
 
+async def read_to_end(fleet, prompt: str, on_event=lambda: None) -> tuple[bytes, bool]:
+    """Return the bytes that a caller with HTTP/1.0 gets, and whether they end with a reset.
+
+    `on_event` is called once, after the first event.
+    """
+    fields = request_fields({"Content-Length": "0"}, prompt)
+    lines = ["POST /note/x HTTP/1.0", *(f"{name}: {fields[name]}" for name in fields), "", ""]
+    connection = await fleet.connect()
+    await connection.send_bytes("\r\n".join(lines).encode())
+    received = b""
+    try:
+        while data := await connection.stream.receive_some():
+            if b"data:" in data and b"data:" not in received:
+                on_event()
+            received += data
+    except trio.BrokenResourceError:
+        return received, True
+    finally:
+        await connection.close()
+    return received, False
+
+
 async def configure(fleet, *routes) -> None:
     """Put routes in force."""
     fleet.configure(make_configuration(2, routes=routes))
@@ -227,3 +251,30 @@
             if record["name"] == "RequestAnswered"
         ]
         assert answered["first_s"] > 0.2
+
+
+class TestCallersWithoutChunks:
+    """Streams to callers with HTTP/1.0, whose end only the connection shows."""
+
+    async def test_whole_stream_ends_with_a_close(self, small_fleet):
+        received, is_reset = await read_to_end(small_fleet, PROMPT)
+        assert event_ids(received) == list(range(EVENTS))
+        assert not is_reset
+
+    @pytest.mark.parametrize(("framing", "how"), list(product(BodyFraming, BREAKS)))
+    async def test_broken_stream_ends_with_a_reset(self, small_fleet, framing, how):
+        """Guards against a stream that was broken off and looks complete to its caller."""
+        break_streams(small_fleet, framing, how)
+        received, is_reset = await read_to_end(small_fleet, PROMPT)
+        assert event_ids(received) == [0, 1, 2, 3]
+        assert is_reset
+
+    async def test_stream_of_an_entry_that_is_killed_ends_with_a_reset(self, small_fleet):
+        """Guards against an end that the operating system sends for a process that is gone."""
+        for name in ("engine-1", "engine-2"):
+            small_fleet.replicas[name].engine.pace = 5.0
+        received, is_reset = await read_to_end(
+            small_fleet, "1000,3400", on_event=partial(small_fleet.kill_entry, 1)
+        )
+        assert 0 < len(event_ids(received)) < 100
+        assert is_reset
