Answer HEAD requests without a body

A response to a HEAD request that an entry made itself (an unknown route, a refusal) was sent with its body, which h11 rejects: the caller got a closed connection and the log a trace (ConnectionCrashed). A forwarded one lost the length that the server had declared. Such a response ends with its header; the declared length is kept. Both tests fail without the change.

--- a/packages/proxy/src/sassafrastally/proxy/caller_listener.py
+++ b/packages/proxy/src/sassafrastally/proxy/caller_listener.py
@@ -188,6 +188,7 @@
         if isinstance(request, BadRequest):
             await self._reject(reply, request)
             return False
+        reply.is_for_head = request.method == b"HEAD"
         self.open_requests += 1
         try:
             await self._answer(connection, request, reply)
--- a/packages/proxy/src/sassafrastally/proxy/reply.py
+++ b/packages/proxy/src/sassafrastally/proxy/reply.py
@@ -54,6 +54,8 @@
     ) -> None:
         self.write_timeout_s = math.inf
         """Time after which a caller that reads nothing is disconnected."""
+        self.is_for_head = False
+        """Whether the request was a HEAD request, whose response has a length but no body."""
         self.has_begun = False
         self.has_ended = False
         self._connection = connection
@@ -62,8 +64,11 @@
 
     async def send_complete(self, status: int, headers: Headers, body: bytes) -> None:
         """Send a response with a complete body; raises `ConnectionLost`."""
-        length = (b"content-length", str(len(body)).encode())
-        response = self._response(status, [*_end_to_end_headers(headers), length])
+        length = str(len(body)).encode()
+        if self.is_for_head:
+            length, body = _declared_length(headers) or length, b""
+        fields = [*_end_to_end_headers(headers), (b"content-length", length)]
+        response = self._response(status, fields)
         await self._send(response, h11.Data(data=body), h11.EndOfMessage())
         self.has_ended = True
 
@@ -116,3 +121,7 @@
 
 def _end_to_end_headers(headers: Headers) -> Headers:
     return [(name, value) for name, value in headers if name not in CONNECTION_HEADERS]
+
+
+def _declared_length(headers: Headers) -> bytes | None:
+    return next((value for name, value in headers if name == b"content-length"), None)
--- a/packages/testing/tests/platform/test_response_end.py
+++ b/packages/testing/tests/platform/test_response_end.py
@@ -10,7 +10,7 @@
 import trio
 
 from sassafrastally.proxy.body_framing import BodyFraming
-from sassafrastally.stand_ins.caller_requests import request_fields
+from sassafrastally.stand_ins.caller_requests import exchange_on, request_fields
 from sassafrastally.stand_ins.connection_end import ConnectionEnd
 from sassafrastally.stand_ins.documents import make_configuration, make_route
 from sassafrastally.stand_ins.platform_fleet import attempt_failure_causes
@@ -278,3 +278,18 @@
         )
         assert 0 < len(event_ids(received)) < 100
         assert is_reset
+
+
+class TestHeadRequests:
+    """Responses to HEAD requests, which end with their header."""
+
+    @pytest.mark.parametrize(("path", "status"), [("/look/x", 200), ("/nowhere/x", 404)])
+    async def test_header_is_the_whole_response(self, small_fleet, path, status):
+        """Guards against a response with a body, which nobody expects, instead of its length."""
+        connection = await small_fleet.connect()
+        for _ in range(2):
+            answer = await exchange_on(connection, "HEAD", path, request_fields(), b"")
+            assert (answer.status, answer.body) == (status, b"")
+            assert int(answer.headers["content-length"]) > 0
+            connection.http.start_next_cycle()
+        await connection.close()
