Expect no events in the response to a HEAD request

A HEAD request for an event stream without length and chunks got 502: its response was judged broken off before its first event. A response to HEAD, and one with status 204 or 304, ends with its header. The test fails without the change. The connection option for callers with HTTP/1.0 is set for these alone.

--- a/packages/proxy/src/sassafrastally/proxy/attempt.py
+++ b/packages/proxy/src/sassafrastally/proxy/attempt.py
@@ -18,6 +18,7 @@
     from collections.abc import AsyncIterator, Callable
 
     from sassafrastally.core import Address
+    from sassafrastally.proxy.body_framing import BodyFraming
     from sassafrastally.proxy.connection_pool import ConnectionPool
     from sassafrastally.proxy.dialect import Dialect, Headers
     from sassafrastally.proxy.http_stream import HttpStream
@@ -84,11 +85,15 @@
     """
 
     def __init__(
-        self, connection: HttpStream, response: h11.Response, facts: ResponseMetadata
+        self,
+        connection: HttpStream,
+        response: h11.Response,
+        facts: ResponseMetadata,
+        framing: BodyFraming,
     ) -> None:
         self.status = response.status_code
         self.headers: Headers = list(response.headers)
-        self.framing = body_framing(response)
+        self.framing = framing
         self.facts = facts
         self._connection = connection
 
@@ -267,7 +272,7 @@
     async def _read_answer(
         self, connection: HttpStream, request: Request, server: BackendServer, head: h11.Request
     ) -> Answer:
-        answer = await self._read_head(connection, server, request.facts.request_id)
+        answer = await self._read_head(connection, server, request)
         for _ in range(MAX_STALE_ANSWERS):
             if self._belongs_to_request(answer, request):
                 break
@@ -275,7 +280,7 @@
             # recognised by its request ID, and the response to this request follows it.
             await answer.read()
             connection.http = _connection_awaiting_answer(connection.http, head, request.body)
-            answer = await self._read_head(connection, server, request.facts.request_id)
+            answer = await self._read_head(connection, server, request)
         else:
             raise AttemptUnknown("received only responses to other requests")
         if answer.facts.is_proved_not_run:
@@ -287,15 +292,16 @@
         return request_id is None or request_id == request.facts.request_id
 
     async def _read_head(
-        self, connection: HttpStream, server: BackendServer, request_id: str
+        self, connection: HttpStream, server: BackendServer, request: Request
     ) -> Answer:
         while True:
             event = await _receive(connection)
             if isinstance(event, h11.Response):
                 facts = self._dialect.decode_response(event.status_code, list(event.headers))
                 self.on_answer(server, facts.backpressure)
-                return Answer(connection, event, facts)
+                return Answer(connection, event, facts, body_framing(event, request.method))
             if isinstance(event, h11.EndOfMessage | h11.ConnectionClosed):
+                request_id = request.facts.request_id
                 raise AttemptUnknown(f"connection closed without a response to {request_id}")
 
 
--- a/packages/proxy/src/sassafrastally/proxy/body_framing.py
+++ b/packages/proxy/src/sassafrastally/proxy/body_framing.py
@@ -9,6 +9,10 @@
     import h11
 
 
+BODILESS_STATUSES = frozenset({204, 304})
+"""Statuses of responses that end with their header."""
+
+
 class BodyFraming(Enum):
     """What delimits the end of a body (RFC 9112, section 6.3)."""
 
@@ -19,8 +23,10 @@
     finished."""
 
 
-def body_framing(response: h11.Response) -> BodyFraming:
-    """Return how the body of a response is delimited."""
+def body_framing(response: h11.Response, method: bytes) -> BodyFraming:
+    """Return how the body of the response to a request with a method is delimited."""
+    if method == b"HEAD" or response.status_code in BODILESS_STATUSES:
+        return BodyFraming.LENGTH
     names = {name for name, _ in response.headers}
     if b"transfer-encoding" in names:
         return BodyFraming.CHUNKS
--- a/packages/proxy/src/sassafrastally/proxy/reply.py
+++ b/packages/proxy/src/sassafrastally/proxy/reply.py
@@ -78,7 +78,7 @@
         A caller without chunked transfer coding takes the end of the connection for that of the
         response, whether this entry or the operating system closes it.
         """
-        if self._connection.http.their_http_version == HTTP_1_0:
+        if self._ends_with_connection:
             self._connection.set_reset_on_close(True)
         await self._send(self._response(status, _end_to_end_headers(headers)))
 
@@ -89,9 +89,15 @@
     async def end(self) -> None:
         """End the body; raises `ConnectionLost`."""
         await self._send(h11.EndOfMessage())
-        self._connection.set_reset_on_close(False)
+        if self._ends_with_connection:
+            self._connection.set_reset_on_close(False)
         self.has_ended = True
 
+    @property
+    def _ends_with_connection(self) -> bool:
+        """Whether a response of unknown length has no end but that of its connection."""
+        return self._connection.http.their_http_version == HTTP_1_0
+
     async def _send(self, *events: h11.Event) -> None:
         """Send events; raises `CallerBlocked` if the caller doesn't read them."""
         data = self._connection.encode(*events)
--- a/packages/testing/tests/platform/test_response_end.py
+++ b/packages/testing/tests/platform/test_response_end.py
@@ -283,6 +283,13 @@
 class TestHeadRequests:
     """Responses to HEAD requests, which end with their header."""
 
+    async def test_stream_without_framing_has_no_body_to_miss(self, small_fleet):
+        """Guards against looking for events where a response has none by its method."""
+        for name in ("desk-1", "desk-2"):
+            desk = small_fleet.replicas[name]
+            desk.framing, desk.sends_plain_streams = BodyFraming.CLOSE, True
+        assert (await small_fleet.call("/look/x", method="HEAD", body=b"")).status == 200
+
     @pytest.mark.parametrize(("path", "status"), [("/look/x", 200), ("/nowhere/x", 404)])
     async def test_header_is_the_whole_response(self, small_fleet, path, status):
         """Guards against a response with a body, which nobody expects, instead of its length."""
