--- a/packages/testing/tests/platform/test_harmful_requests.py
+++ b/packages/testing/tests/platform/test_harmful_requests.py
@@ -13,6 +13,7 @@
 from sassafrastally.proxy.model import BackpressureSignals
 from sassafrastally.stand_ins.documents import make_configuration, make_route
 from sassafrastally.stand_ins.platform_fleet import RESTART_S, wait_until
+from sassafrastally.stand_ins.replica import Replica
 from sassafrastally.testing.harmful_fleet import (
     CRASHES,
     HARMFUL,
@@ -256,9 +257,13 @@
                     prompt="1000,1700",
                 )
                 nursery.start_soon(call)
+
+            def busy() -> list[Replica]:
+                return [r for r in alive(fleet) if r.engine and r.engine.running]
+
             await trio.sleep(0.3)
-            busy = [r for r in alive(fleet) if r.engine and r.engine.running]
-            for replica in busy[:3]:
+            await wait_until(lambda: len(busy()) >= 3)
+            for replica in busy()[:3]:
                 replica.crash()
         assert len(set(self.crashes(fleet))) == 3
         for entry in (1, 2):
