Log the shared parts of a prompt, and how far an answer had got when its server crashed

RequestPlaced names up to eight parts that the prompt shares with others; ServerCrashed and ServerCrashPresumed name them too, with the number of events that had arrived. Without them, a cause that requests have in common looks the same as a load that loses servers. No decision changes.

--- a/packages/proxy/src/sassafrastally/proxy/crash_detector.py
+++ b/packages/proxy/src/sassafrastally/proxy/crash_detector.py
@@ -15,6 +15,7 @@
 
 if TYPE_CHECKING:
     from sassafrastally.core import Kernel
+    from sassafrastally.proxy.answer_progress import AnswerProgress
     from sassafrastally.proxy.liveness import Liveness
     from sassafrastally.proxy.model import BackendServer
     from sassafrastally.proxy.quarantine_service import QuarantineService
@@ -40,6 +41,14 @@
     fingerprint: int
     request_id: str
     at_s: float
+    events: int
+    """Number of events of its answer that had arrived."""
+    logged_parts: tuple[str, ...]
+
+
+def _unanswered(task: RequestTask, answer: AnswerProgress, now_s: float) -> _Unanswered:
+    request_id = task.request.facts.request_id
+    return _Unanswered(task.fingerprint, request_id, now_s, answer.events, task.logged_parts)
 
 
 class CrashDetector:
@@ -74,7 +83,7 @@
         self._unanswered: dict[str, deque[_Unanswered]] = {}
 
     async def record_broken_answer(
-        self, server: BackendServer, task: RequestTask, cause: str
+        self, server: BackendServer, task: RequestTask, answer: AnswerProgress, cause: str
     ) -> None:
         """Record that an answer broke off; return once the server is probed or a timeout passes.
 
@@ -84,18 +93,22 @@
             Server that answered.
         task
             The request.
+        answer
+            Progress of the answer.
         cause
             Description of the failure, for the log.
         """
         is_known = trio.Event()
-        self._nursery.start_soon(self._find, server, task, cause, is_known)
+        self._nursery.start_soon(self._find, server, task, answer, cause, is_known)
         with trio.move_on_after(PROBE_WAIT_S):
             await is_known.wait()
         if self._quarantine.crash_count(task.fingerprint):
             # Waits until the entries have exchanged which of their requests ran on that server.
             await trio.sleep(self._quarantine.update_age_s)
 
-    def record_missing_answer(self, server: BackendServer, task: RequestTask) -> None:
+    def record_missing_answer(
+        self, server: BackendServer, task: RequestTask, answer: AnswerProgress
+    ) -> None:
         """Record that an answer is missing or incomplete and that the server may have ended.
 
         A slow server and a cut link look the same, and a supervisor may hold the port of an ended
@@ -109,19 +122,25 @@
             if any(now_s - one.at_s < LEASE_EXPIRY_WINDOW_S for one in requests)
         }
         requests = self._unanswered.setdefault(server.incarnation_id, deque(maxlen=MAX_UNANSWERED))
-        requests.append(_Unanswered(task.fingerprint, task.request.facts.request_id, now_s))
+        requests.append(_unanswered(task, answer, now_s))
 
     async def _find(
-        self, server: BackendServer, task: RequestTask, cause: str, is_known: trio.Event
+        self,
+        server: BackendServer,
+        task: RequestTask,
+        answer: AnswerProgress,
+        cause: str,
+        is_known: trio.Event,
     ) -> None:
+        one = _unanswered(task, answer, self._kernel.clock.now_s())
         try:
             finding = await self._liveness.find(server)
             if finding.is_refused and not self._was_leaving(server):
-                self._record_crash(server, task.fingerprint, task.request.facts.request_id, cause)
+                self._record_crash(server, one, cause)
                 return
             if finding.is_dropped and not self._was_leaving(server):
-                self._presume_crash(server, task, cause)
-            self.record_missing_answer(server, task)
+                self._presume_crash(server, one, cause)
+            self.record_missing_answer(server, task, answer)
         finally:
             is_known.set()
 
@@ -134,7 +153,7 @@
             if now_s - one.at_s < LEASE_EXPIRY_WINDOW_S:
                 cause = "no complete answer, and the server's incarnation ended afterwards"
                 age_s = now_s - one.at_s
-                self._record_crash(server, one.fingerprint, one.request_id, cause, age_s=age_s)
+                self._record_crash(server, one, cause, age_s=age_s)
 
     def _was_leaving(self, server: BackendServer) -> bool:
         """Return whether a server was leaving or draining; its end is planned then."""
@@ -148,21 +167,22 @@
         )
 
     def _record_crash(
-        self,
-        server: BackendServer,
-        fingerprint: int,
-        request_id: str,
-        cause: str,
-        *,
-        age_s: float = 0.0,
+        self, server: BackendServer, one: _Unanswered, cause: str, *, age_s: float = 0.0
     ) -> None:
         SERVER_CRASHES.add(1)
-        text = fingerprint_text(fingerprint)
-        self._kernel.events.emit(ServerCrashed(server.server_id, request_id, text, cause))
-        self._quarantine.record_crash(fingerprint, server, age_s=age_s)
-
-    def _presume_crash(self, server: BackendServer, task: RequestTask, cause: str) -> None:
-        text = fingerprint_text(task.fingerprint)
-        request_id = task.request.facts.request_id
-        self._kernel.events.emit(ServerCrashPresumed(server.server_id, request_id, text, cause))
-        self._quarantine.record_crash(task.fingerprint, server, is_presumed=True)
+        text = fingerprint_text(one.fingerprint)
+        self._kernel.events.emit(
+            ServerCrashed(
+                server.server_id, one.request_id, text, cause, one.events, one.logged_parts
+            )
+        )
+        self._quarantine.record_crash(one.fingerprint, server, age_s=age_s)
+
+    def _presume_crash(self, server: BackendServer, one: _Unanswered, cause: str) -> None:
+        text = fingerprint_text(one.fingerprint)
+        self._kernel.events.emit(
+            ServerCrashPresumed(
+                server.server_id, one.request_id, text, cause, one.events, one.logged_parts
+            )
+        )
+        self._quarantine.record_crash(one.fingerprint, server, is_presumed=True)
--- a/packages/proxy/src/sassafrastally/proxy/log_events/requests.py
+++ b/packages/proxy/src/sassafrastally/proxy/log_events/requests.py
@@ -34,6 +34,8 @@
     """Identifies the request across the caller's retries."""
     waited_s: float = 0.0
     """Time that it waited for room at this entry."""
+    prompt_parts: tuple[str, ...] = ()
+    """IDs of the first parts that its prompt shares with others."""
 
 
 @event(10060)
--- a/packages/proxy/src/sassafrastally/proxy/log_events/servers.py
+++ b/packages/proxy/src/sassafrastally/proxy/log_events/servers.py
@@ -54,6 +54,10 @@
     """Identifies the request across the caller's retries."""
     cause: str
     """How the response was interrupted."""
+    events: int
+    """Number of events of the answer that had arrived."""
+    prompt_parts: tuple[str, ...]
+    """IDs of the first parts that the prompt shares with others."""
 
 
 @event(10044, "warning")
@@ -66,6 +70,10 @@
     """Identifies the request across the caller's retries."""
     cause: str
     """How the response was interrupted."""
+    events: int
+    """Number of events of the answer that had arrived."""
+    prompt_parts: tuple[str, ...]
+    """IDs of the first parts that the prompt shares with others."""
 
 
 @event(10040)
--- a/packages/proxy/src/sassafrastally/proxy/model.py
+++ b/packages/proxy/src/sassafrastally/proxy/model.py
@@ -178,6 +178,9 @@
     prompt: PromptSize | None
     last_event_id: int | None
     """ID of the last event that the caller got in an earlier response to this request."""
+    prompt_parts: tuple[str, ...] = ()
+    """IDs of the parts that the prompt shares with others, in order. The last part isn't included:
+    it belongs to the request or its session."""
 
 
 class Helper(NamedTuple):
--- a/packages/proxy/src/sassafrastally/proxy/path.py
+++ b/packages/proxy/src/sassafrastally/proxy/path.py
@@ -242,7 +242,9 @@
     def _record_unanswered(self, task: RequestTask, progress: Progress) -> None:
         """Record an attempt in flight when the caller disconnected or the deadline passed."""
         if progress.pending is not None:
-            self.services.crash_detector.record_missing_answer(progress.pending, task)
+            self.services.crash_detector.record_missing_answer(
+                progress.pending, task, progress.answer
+            )
 
     def _record_broken_stream(
         self, task: RequestTask, progress: Progress, local_reply: LocalReply
--- a/packages/proxy/src/sassafrastally/proxy/plain_request.py
+++ b/packages/proxy/src/sassafrastally/proxy/plain_request.py
@@ -152,7 +152,7 @@
         self._begin_attempt(server)
         self._room_wait.record_start()
         begin_s = self._clock.now_s()
-        self._log_placed(server)
+        self._log.placed(server)
         in_flight = InFlightAttempt(
             server.incarnation_id, Lane.PLAIN, is_suspect=self._is_suspect()
         )
@@ -216,4 +216,4 @@
         )
         count_answer(Lane.PLAIN, elapsed_s, 0.0, elapsed_s)
         times = ResponseTimes(elapsed_s, elapsed_s)
-        self._log_answered(answer.server_id, answer.status, answer.framing, times)
+        self._log.answered(answer.server_id, answer.status, answer.framing, times)
--- a/packages/proxy/src/sassafrastally/proxy/request_handler.py
+++ b/packages/proxy/src/sassafrastally/proxy/request_handler.py
@@ -5,17 +5,12 @@
 import math
 from typing import TYPE_CHECKING
 
+from sassafrastally.proxy.answer_progress import AnswerProgress
 from sassafrastally.proxy.attempt import AttemptNotRun, AttemptUnknown
 from sassafrastally.proxy.backpressure import CallKind
 from sassafrastally.proxy.evacuation import Unavailability
 from sassafrastally.proxy.fingerprint import fingerprint_text
-from sassafrastally.proxy.log_events import (
-    AttemptFailed,
-    RequestAnswered,
-    RequestPlaced,
-    RetryBudgetSpent,
-)
-from sassafrastally.proxy.metrics import ATTEMPTS_FAILED
+from sassafrastally.proxy.log_events import RetryBudgetSpent
 from sassafrastally.proxy.model import AttemptParameters
 from sassafrastally.proxy.refusals import (
     EVACUATED,
@@ -25,6 +20,7 @@
     SERVERS_LIMITED,
     TURNED_AWAY,
 )
+from sassafrastally.proxy.request_log import RequestLog
 from sassafrastally.proxy.suspect_placement import assigned_servers
 from sassafrastally.proxy.task import LocalReply, Progress, RequestTask
 from sassafrastally.proxy.turning_away import (
@@ -40,14 +36,11 @@
     import trio
 
     from sassafrastally.proxy.attempt import Answer
-    from sassafrastally.proxy.body_framing import BodyFraming
     from sassafrastally.proxy.lanes import ServerView
     from sassafrastally.proxy.model import BackendServer, Helper
-    from sassafrastally.proxy.plan import Placement
     from sassafrastally.proxy.refusals import Refusal
     from sassafrastally.proxy.reply import Reply
     from sassafrastally.proxy.request_services import RequestServices
-    from sassafrastally.proxy.task import ResponseTimes
     from sassafrastally.proxy.waiting_for_room import RoomWait
 
 SERVER_ERROR_STATUS = 500
@@ -89,6 +82,7 @@
         self._reply = reply
         self._clock = services.kernel.clock
         self._emit = services.kernel.events.emit
+        self._log = RequestLog(services, task, self.progress)
 
     async def run(self) -> LocalReply | None:
         """Handle the request; return a local reply if there is no complete response."""
@@ -252,6 +246,7 @@
     def _begin_attempt(self, server: BackendServer, helpers: Sequence[BackendServer] = ()) -> None:
         self.progress.attempts += 1
         self.progress.sent += 1
+        self.progress.answer = AnswerProgress()
         self.progress.tried.add(server.incarnation_id)
         self._services.backpressure.count_request(server, CallKind.ATTEMPT)
         self._services.fleet_view.failures.record_sent(server)
@@ -335,7 +330,7 @@
             # Nothing was sent, so it counts neither as an attempt nor as a retry.
             self.progress.sent -= 1
             self.progress.unreachable += 1
-        self._log_failure(server, begin_s, cause.detail, is_proved_not_run=True)
+        self._log.attempt_failed(server, begin_s, cause.detail, is_proved_not_run=True)
         # Only the helpers of this attempt can be at fault: a server that has since restarted at the
         # same address isn't.
         at_fault = [helper for helper in helpers if helper.address == cause.failed_server_address]
@@ -372,78 +367,17 @@
             self._count_outcome(server, is_failure=True)
         if isinstance(cause, str):
             fleet_view.record_failure(server, detail, self._request_id)
-            crash_detector.record_missing_answer(server, self._task)
+            crash_detector.record_missing_answer(server, self._task, self.progress.answer)
         elif cause.is_timeout:
             fleet_view.record_timeout(server, self._request_id)
-            crash_detector.record_missing_answer(server, self._task)
+            crash_detector.record_missing_answer(server, self._task, self.progress.answer)
         else:
             fleet_view.record_failure(server, detail, self._request_id)
-            await crash_detector.record_broken_answer(server, self._task, detail)
+            answer = self.progress.answer
+            await crash_detector.record_broken_answer(server, self._task, answer, detail)
 
     def _record_abandoned(self, server: BackendServer, begin_s: float, detail: str) -> None:
         """Record and log an attempt that may have run."""
         self.progress.pending = None
         self.progress.may_have_run = True
-        self._log_failure(server, begin_s, detail, is_proved_not_run=False)
-
-    def _log_answered(
-        self,
-        server_id: str,
-        status: int,
-        framing: BodyFraming,
-        times: ResponseTimes,
-        unfinished_bytes: int = 0,
-    ) -> None:
-        """Log a complete response."""
-        self._emit(
-            RequestAnswered(
-                self._request_id,
-                self._task.route.name,
-                server_id,
-                status,
-                self.progress.attempts,
-                round(times.first_s, 4),
-                round(times.total_s, 4),
-                round(times.longest_pause_s, 4),
-                framing.value,
-                unfinished_bytes,
-            )
-        )
-
-    def _log_failure(
-        self, server: BackendServer, begin_s: float, cause: str, *, is_proved_not_run: bool
-    ) -> None:
-        ATTEMPTS_FAILED.add(1, {"proved_not_run": is_proved_not_run})
-        self._emit(
-            AttemptFailed(
-                self._request_id,
-                server.server_id,
-                self.progress.attempts,
-                is_proved_not_run,
-                round(self._clock.now_s() - begin_s, 4),
-                cause,
-            )
-        )
-
-    def _log_placed(self, server: BackendServer, placement: Placement | None = None) -> None:
-        task = self._task
-        prompt = task.request.facts.prompt
-        self._emit(
-            RequestPlaced(
-                self._request_id,
-                task.route.name,
-                task.configuration.version,
-                task.customer_name or "",
-                server.server_id,
-                self.progress.attempts,
-                prompt.prompt_tokens if prompt else 0,
-                tuple(server.server_id for server in placement.helpers) if placement else (),
-                placement.lanes if placement else "",
-                round(placement.predicted_s, 4) if placement else 0.0,
-                round(task.deadline_s - self._clock.now_s(), 4),
-                round(self._services.fleet_view.beliefs_age_s, 4),
-                self._services.fleet_view.entries - 1,
-                fingerprint_text(task.fingerprint),
-                round(self.progress.waited_s, 4),
-            )
-        )
+        self._log.attempt_failed(server, begin_s, detail, is_proved_not_run=False)
--- /dev/null
+++ b/packages/proxy/src/sassafrastally/proxy/request_log.py
@@ -0,0 +1,92 @@
+"""Log lines about one request and its attempts."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from sassafrastally.proxy.fingerprint import fingerprint_text
+from sassafrastally.proxy.log_events import AttemptFailed, RequestAnswered, RequestPlaced
+from sassafrastally.proxy.metrics import ATTEMPTS_FAILED
+
+if TYPE_CHECKING:
+    from sassafrastally.proxy.body_framing import BodyFraming
+    from sassafrastally.proxy.model import BackendServer
+    from sassafrastally.proxy.plan import Placement
+    from sassafrastally.proxy.request_services import RequestServices
+    from sassafrastally.proxy.task import Progress, RequestTask, ResponseTimes
+
+
+class RequestLog:
+    """Logs the attempts and the answer of one request."""
+
+    def __init__(self, services: RequestServices, task: RequestTask, progress: Progress) -> None:
+        self._services = services
+        self._task = task
+        self._progress = progress
+        self._clock = services.kernel.clock
+        self._emit = services.kernel.events.emit
+
+    def answered(
+        self,
+        server_id: str,
+        status: int,
+        framing: BodyFraming,
+        times: ResponseTimes,
+        unfinished_bytes: int = 0,
+    ) -> None:
+        """Log a complete response."""
+        self._emit(
+            RequestAnswered(
+                self._task.request.facts.request_id,
+                self._task.route.name,
+                server_id,
+                status,
+                self._progress.attempts,
+                round(times.first_s, 4),
+                round(times.total_s, 4),
+                round(times.longest_pause_s, 4),
+                framing.value,
+                unfinished_bytes,
+            )
+        )
+
+    def attempt_failed(
+        self, server: BackendServer, begin_s: float, cause: str, *, is_proved_not_run: bool
+    ) -> None:
+        """Log and count an attempt without a complete answer."""
+        ATTEMPTS_FAILED.add(1, {"proved_not_run": is_proved_not_run})
+        self._emit(
+            AttemptFailed(
+                self._task.request.facts.request_id,
+                server.server_id,
+                self._progress.attempts,
+                is_proved_not_run,
+                round(self._clock.now_s() - begin_s, 4),
+                cause,
+            )
+        )
+
+    def placed(self, server: BackendServer, placement: Placement | None = None) -> None:
+        """Log the start of an attempt."""
+        task = self._task
+        prompt = task.request.facts.prompt
+        self._emit(
+            RequestPlaced(
+                self._task.request.facts.request_id,
+                task.route.name,
+                task.configuration.version,
+                task.customer_name or "",
+                server.server_id,
+                self._progress.attempts,
+                prompt.prompt_tokens if prompt else 0,
+                tuple(server.server_id for server in placement.helpers) if placement else (),
+                placement.lanes if placement else "",
+                round(placement.predicted_s, 4) if placement else 0.0,
+                round(task.deadline_s - self._clock.now_s(), 4),
+                round(self._services.fleet_view.beliefs_age_s, 4),
+                self._services.fleet_view.entries - 1,
+                fingerprint_text(task.fingerprint),
+                round(self._progress.waited_s, 4),
+                task.logged_parts,
+            )
+        )
--- a/packages/proxy/src/sassafrastally/proxy/streaming_request.py
+++ b/packages/proxy/src/sassafrastally/proxy/streaming_request.py
@@ -280,7 +280,7 @@
         self._begin_attempt(server, placement.helpers)
         self._room_wait.record_start()
         begin_s = self._clock.now_s()
-        self._log_placed(server, placement)
+        self._log.placed(server, placement)
         memory = {holding.server.incarnation_id: holding.tokens for holding in placement.holdings}
         due_s = begin_s + placement.predicted_s
         in_flight = InFlightAttempt(
@@ -413,6 +413,7 @@
                 now_s = self._clock.now_s()
                 if event.has_fields:
                     self._services.fleet_view.ledger.first_event(in_flight, now_s)
+                    self.progress.answer.record_event(now_s)
                 await self._forward_event(event, now_s)
             waiting_since_s = self._clock.now_s()
         if stream.rest:
@@ -445,4 +446,4 @@
         count_answer(self._lane, first_s or total_s, longest_pause_s, total_s)
         server_id = placement.server.server_id
         times = ResponseTimes(first_s or 0.0, total_s, longest_pause_s)
-        self._log_answered(server_id, answer.status, answer.framing, times, unfinished_bytes)
+        self._log.answered(server_id, answer.status, answer.framing, times, unfinished_bytes)
--- a/packages/proxy/src/sassafrastally/proxy/task.py
+++ b/packages/proxy/src/sassafrastally/proxy/task.py
@@ -4,11 +4,16 @@
 
 from typing import TYPE_CHECKING, NamedTuple
 
+from sassafrastally.proxy.answer_progress import AnswerProgress
+
 if TYPE_CHECKING:
     from sassafrastally.proxy.attempt import Request
     from sassafrastally.proxy.model import BackendServer, Configuration, Customer, Route
     from sassafrastally.proxy.refusals import Refusal
 
+MAX_LOGGED_PARTS = 8
+"""Maximum number of prompt parts that a log line names."""
+
 DEFAULT_TIME_LIMIT_S = 600.0
 """Time limit used when neither the caller nor the route sets one."""
 
@@ -54,6 +59,11 @@
             return None
         return self.deadline_s - now_s
 
+    @property
+    def logged_parts(self) -> tuple[str, ...]:
+        """IDs of the first shared parts of the prompt, for logs."""
+        return self.request.facts.prompt_parts[:MAX_LOGGED_PARTS]
+
     @property
     def customer_name(self) -> str | None:
         """Name of the customer, if any."""
@@ -92,5 +102,7 @@
         """ID of the last stream event forwarded to the caller."""
         self.has_unnumbered_events = False
         """Whether an event without an id was forwarded, which another run would send again."""
+        self.answer = AnswerProgress()
+        """Progress of the answer to the present attempt."""
         self.tried: set[str] = set()
         """Backend servers that have been tried, as `BackendServer.incarnation_id`."""
