Reproduce the loss of servers to a prompt part, failing

Sixteen requests have one part of their prompts in common, which crashes what begins to answer it; nothing else in them is alike.

--- a/packages/testing/src/sassafrastally/testing/harmful_fleet.py
+++ b/packages/testing/src/sassafrastally/testing/harmful_fleet.py
@@ -15,6 +15,9 @@
 HARMFUL = b"a prompt that crashes what runs it"
 """Body of the harmful request."""
 
+HARMFUL_PART = "bad0"
+"""ID of a prompt part that crashes what begins to answer it."""
+
 CRASHES = 3
 """Servers that crash under it before it is run no more."""
 
@@ -60,3 +63,26 @@
     answer = await fleet.call(path, entry=entry, body=HARMFUL, prompt=prompt)
     assert json.loads(answer.body)["type"].endswith("quarantined")
     assert len(harmful_arrivals(fleet)) == before
+
+
+def arrivals_with_part(fleet: PlatformFleet) -> list[ReceivedRequest]:
+    """Return the requests with a harmful part that reached a backend server, in their order."""
+    arrivals = fleet.received_requests()
+    return [one for one in arrivals if not one.parts.isdisjoint(fleet.harmful_parts)]
+
+
+def harmful_prompt(number: int, position: int = 1, part: str = HARMFUL_PART) -> tuple[bytes, str]:
+    """Return body and parts of a request with a harmful part, like no other request.
+
+    Parameters
+    ----------
+    number
+        Number of the request; its shared part is one of three.
+    position
+        Position of the harmful part, from 0.
+    part
+        The harmful part.
+    """
+    parts = [f"a{number % 3}", f"b{number:x}", f"f{number:x}"]
+    parts.insert(position, part)
+    return f"harmful {part} {number}".encode(), ",".join(parts)
