--- a/packages/proxy/benchmarks/quarantine.py
+++ b/packages/proxy/benchmarks/quarantine.py
@@ -21,10 +21,10 @@
     """Return a quarantine at its limits, after thousands of bodies with crashes and answers."""
     quarantine, draw = Quarantine(), random.Random(1)
     for number in range(4000):
-        fingerprint = draw.getrandbits(64)
+        fingerprint = draw.getrandbits(63)
         for _ in range(1 + number % 3):
-            quarantine.record_crash(fingerprint, draw.getrandbits(64), 0.01 * number, is_own=True)
-        quarantine.record_answered(draw.getrandbits(64), 0.01 * number)
+            quarantine.record_crash(fingerprint, draw.getrandbits(63), 0.01 * number, is_own=True)
+        quarantine.record_answered(draw.getrandbits(63), 0.01 * number)
     return quarantine
 
 
--- a/packages/proxy/src/sassafrastally/proxy/answer_progress.py
+++ b/packages/proxy/src/sassafrastally/proxy/answer_progress.py
@@ -2,6 +2,12 @@
 
 from __future__ import annotations
 
+GOING_ON_S = 0.5
+GOING_ON_EVENTS = 4
+"""Time since the first event and number of events after which an answer counts as going on. A
+server that crashes as it begins to write an answer may have sent a few events by then; the time
+alone isn't enough, as this entry may have read events late that had arrived together."""
+
 
 class AnswerProgress:
     """Progress of the answer to one attempt."""
@@ -11,9 +17,15 @@
         """Number of events received from the backend server."""
         self.first_event_s: float | None = None
         """When the first event arrived."""
+        self.is_going_on = False
+        """Whether the server has gone on with the answer after its begin."""
 
-    def record_event(self, now_s: float) -> None:
-        """Record that an event has arrived."""
+    def record_event(self, now_s: float) -> bool:
+        """Record that an event has arrived; return whether the answer goes on since this event."""
         self.events += 1
         if self.first_event_s is None:
             self.first_event_s = now_s
+        was_going_on = self.is_going_on
+        has_lasted = now_s - self.first_event_s >= GOING_ON_S
+        self.is_going_on = was_going_on or (has_lasted and self.events >= GOING_ON_EVENTS)
+        return self.is_going_on and not was_going_on
--- a/packages/proxy/src/sassafrastally/proxy/crash_detector.py
+++ b/packages/proxy/src/sassafrastally/proxy/crash_detector.py
@@ -9,7 +9,7 @@
 
 from sassafrastally.proxy.backpressure import Backpressure
 from sassafrastally.proxy.cluster_state import ClusterState
-from sassafrastally.proxy.fingerprint import fingerprint_text
+from sassafrastally.proxy.fingerprint import Subjects, fingerprint_text
 from sassafrastally.proxy.log_events import ServerCrashed, ServerCrashPresumed
 from sassafrastally.proxy.metrics import SERVER_CRASHES
 
@@ -38,7 +38,8 @@
 class _Unanswered(NamedTuple):
     """A request without a complete answer; its body, which may be megabytes, isn't kept."""
 
-    fingerprint: int
+    subjects: Subjects
+    """The request, and the parts of its prompt unless the answer had gone on."""
     request_id: str
     at_s: float
     events: int
@@ -47,8 +48,9 @@
 
 
 def _unanswered(task: RequestTask, answer: AnswerProgress, now_s: float) -> _Unanswered:
+    subjects = Subjects(task.fingerprint) if answer.is_going_on else task.subjects
     request_id = task.request.facts.request_id
-    return _Unanswered(task.fingerprint, request_id, now_s, answer.events, task.logged_parts)
+    return _Unanswered(subjects, request_id, now_s, answer.events, task.logged_parts)
 
 
 class CrashDetector:
@@ -102,7 +104,7 @@
         self._nursery.start_soon(self._find, server, task, answer, cause, is_known)
         with trio.move_on_after(PROBE_WAIT_S):
             await is_known.wait()
-        if self._quarantine.crash_count(task.fingerprint):
+        if self._quarantine.crash_count(task.subjects):
             # Waits until the entries have exchanged which of their requests ran on that server.
             await trio.sleep(self._quarantine.update_age_s)
 
@@ -170,19 +172,19 @@
         self, server: BackendServer, one: _Unanswered, cause: str, *, age_s: float = 0.0
     ) -> None:
         SERVER_CRASHES.add(1)
-        text = fingerprint_text(one.fingerprint)
+        text = fingerprint_text(one.subjects.fingerprint)
         self._kernel.events.emit(
             ServerCrashed(
                 server.server_id, one.request_id, text, cause, one.events, one.logged_parts
             )
         )
-        self._quarantine.record_crash(one.fingerprint, server, age_s=age_s)
+        self._quarantine.record_crash(one.subjects, server, age_s=age_s)
 
     def _presume_crash(self, server: BackendServer, one: _Unanswered, cause: str) -> None:
-        text = fingerprint_text(one.fingerprint)
+        text = fingerprint_text(one.subjects.fingerprint)
         self._kernel.events.emit(
             ServerCrashPresumed(
                 server.server_id, one.request_id, text, cause, one.events, one.logged_parts
             )
         )
-        self._quarantine.record_crash(one.fingerprint, server, is_presumed=True)
+        self._quarantine.record_crash(one.subjects, server, is_presumed=True)
--- a/packages/proxy/src/sassafrastally/proxy/crash_records.py
+++ b/packages/proxy/src/sassafrastally/proxy/crash_records.py
@@ -1,20 +1,23 @@
-"""Records of server crashes by the requests that ran there, and of answers to these requests.
+"""Records of server crashes by what ran there, and of answers.
 
-Holds this entry's own observations and those of its peers. Its size is bounded, whatever callers
-send.
+A subject is what may be blamed: a request, named by its fingerprint, or a part of prompts, named by
+its key. The records hold this entry's own observations and those of its peers. Their size is
+bounded, whatever callers send.
 """
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, NamedTuple
+from typing import TYPE_CHECKING, NamedTuple, TypeVar
 
+from sassafrastally.proxy.answered_subjects import NEVER_S, AnsweredSubjects
+from sassafrastally.proxy.fingerprint import is_part
 from sassafrastally.proxy.quarantine_exchange import AnswerReport, CrashReport
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
 CRASH_KEPT_S = 600.0
-"""How long a crash counts against a request. A harmful request is retried within seconds or
+"""How long a crash counts against a subject. A harmful request is retried within seconds or
 minutes; unrelated crashes over a day must not add up."""
 
 PRESUMED_CRASH_KEPT_S = 5.0
@@ -22,22 +25,24 @@
 registered by then."""
 
 SAME_EVENT_S = 1.0
-"""Crashes within this time count as one for a request that has been answered before: the servers of
+"""Crashes within this time count as one for a subject that has been answered before: the servers of
 a rack fail together, and a request that many callers send runs on most of them."""
 
-MAX_CASES = 512
-"""Maximum number of requests whose crashes are kept; beyond it, those with the fewest crashes are
-evicted, the oldest first."""
+SAME_PART_EVENT_S = 0.1
+"""Crashes within this time count as one for a part that hasn't been answered before: a part that
+many requests share runs on most servers of a rack. Its entries detect the crashes of a rack within
+some ten milliseconds."""
 
-MAX_ANSWERED = 2048
-"""Maximum number of answered requests that are remembered."""
+MAX_CASES = 1024
+"""Maximum number of subjects whose crashes are kept; beyond it, those with the fewest crashes are
+evicted, the oldest first."""
 
 MAX_CRASHES_SENT = 16
 MAX_ANSWERS_SENT = 8
 """Maximum number of records of each kind in one datagram. Together they take at most half of its
 bytes; loads need the rest."""
 
-NEVER_S = float("-inf")
+_Report = TypeVar("_Report")
 
 
 class Crash(NamedTuple):
@@ -52,124 +57,144 @@
     """Whether it isn't certain yet that the server has crashed."""
 
     def counts(self, now_s: float) -> bool:
-        """Return whether it still counts against the request."""
+        """Return whether it still counts against the subject."""
         return now_s - self.at_s < (PRESUMED_CRASH_KEPT_S if self.is_presumed else CRASH_KEPT_S)
 
 
 class CrashRecords:
-    """Crashes by the fingerprints of the requests that ran on the crashed servers."""
+    """Crashes by the subjects that ran on the crashed servers."""
 
     def __init__(self) -> None:
         self.version = 0
         """Incremented with each new crash and answer."""
+        self.answered = AnsweredSubjects()
+        """Latest answers, with or without earlier crashes."""
         self._crashes: dict[int, dict[int, Crash]] = {}
-        self._own_answered_s: dict[int, float] = {}
-        """Latest answer received by this entry, by fingerprint, also for requests without
-        crashes."""
-        self._answered_s: dict[int, float] = {}
-        """Latest answer received by any entry to requests with crashes, by fingerprint."""
         self._latest_change_s = NEVER_S
+        self._turns = {True: 0, False: 0}
+        """How many reports have been passed over, so that each gets its turn; by whether they are
+        reports of crashes."""
+
+    def __len__(self) -> int:
+        return len(self._crashes)
 
-    def __contains__(self, fingerprint: int) -> bool:
-        return fingerprint in self._crashes
+    def __contains__(self, subject: int) -> bool:
+        return subject in self._crashes
 
-    def servers(self, fingerprint: int) -> set[int]:
-        """Return the hashes of the servers that crashed while they ran a request."""
-        return set(self._crashes.get(fingerprint, ()))
+    def servers(self, subject: int) -> set[int]:
+        """Return the hashes of the servers that crashed while they ran a subject."""
+        return set(self._crashes.get(subject, ()))
 
-    def has_crashed(self, server: int, fingerprint: int) -> bool:
-        """Return whether a server crashed while it ran a request."""
-        return server in self._crashes.get(fingerprint, ())
+    def has_crashed(self, server: int, subject: int) -> bool:
+        """Return whether a server crashed while it ran a subject."""
+        return server in self._crashes.get(subject, ())
 
-    def requests_beside(self, fingerprint: int) -> list[int]:
-        """Return the other requests on servers that crashed while running one, latest first."""
-        servers = self._crashes.get(fingerprint, {}).keys()
+    def has_any_crash(self, server: int) -> bool:
+        """Return whether a server has crashed while it ran any subject."""
+        return any(server in known for known in self._crashes.values())
+
+    def requests_beside(self, subject: int) -> list[int]:
+        """Return the other requests on servers that crashed while running a subject, latest first.
+
+        Parts aren't included.
+        """
+        servers = self._crashes.get(subject, {}).keys()
         latest_s = {
             other: max(known[server].at_s for server in common)
             for other, known in self._crashes.items()
-            if other != fingerprint and (common := known.keys() & servers)
+            if other != subject and not is_part(other) and (common := known.keys() & servers)
         }
         return sorted(latest_s, key=lambda other: -latest_s[other])
 
-    def was_answered(self, fingerprint: int) -> bool:
-        """Return whether a request with crashes was answered, before or after them."""
-        return fingerprint in self._answered_s
+    def parts(self) -> list[int]:
+        """Return the parts with crashes."""
+        return [subject for subject in self._crashes if is_part(subject)]
 
-    def count(
+    def is_covered_by_request(self, servers: frozenset[int]) -> bool:
+        """Return whether one and the same request ran on all of some crashed servers."""
+        return any(
+            servers <= known.keys()
+            for subject, known in self._crashes.items()
+            if not is_part(subject)
+        )
+
+    def counted(
         self,
-        fingerprint: int,
+        subject: int,
         now_s: float,
         is_explained: Callable[[int], bool],
         *,
         is_certain: bool = False,
-    ) -> int:
-        """Return how many crashes count against a request.
+    ) -> dict[int, float]:
+        """Return the times of the crashes that count against a subject, by server.
 
         Parameters
         ----------
-        fingerprint
-            The request.
+        subject
+            The subject.
         now_s
             Present time.
         is_explained
-            Returns whether another request explains a server's crash.
+            Returns whether another subject explains a server's crash.
         is_certain
             Whether to count only certain crashes.
         """
-        known = self._crashes.get(fingerprint)
-        if not known:
-            return 0
-        answered_s = self._answered_s.get(fingerprint, NEVER_S)
-        times_s = sorted(
-            crash.at_s
-            for server, crash in known.items()
+        answered_s = self.answered.latest_s(subject)
+        return {
+            server: crash.at_s
+            for server, crash in self._crashes.get(subject, {}).items()
             if crash.at_s > answered_s
             and crash.counts(now_s)
             and not (is_certain and crash.is_presumed)
             and not is_explained(server)
-        )
-        return _count_separate(times_s) if self.was_answered(fingerprint) else len(times_s)
+        }
+
+    def count(
+        self,
+        subject: int,
+        now_s: float,
+        is_explained: Callable[[int], bool],
+        *,
+        is_certain: bool = False,
+    ) -> int:
+        """Return how many crashes count against a subject; parameters as for `counted`."""
+        counted = self.counted(subject, now_s, is_explained, is_certain=is_certain)
+        if self.answered.was_answered(subject):
+            return _count_separate(counted.values(), SAME_EVENT_S)
+        if is_part(subject):
+            return _count_separate(counted.values(), SAME_PART_EVENT_S)
+        return len(counted)
 
-    def record_crash(self, fingerprint: int, server: int, crash: Crash) -> bool:
-        """Record that a server crashed while it ran a request; return whether this is new.
+    def record_crash(self, subject: int, server: int, crash: Crash) -> bool:
+        """Record that a server crashed while it ran a subject; return whether this is new.
 
         A crash reported by several entries counts once. Confirming a presumed crash counts as new.
         """
-        known = self._crashes.setdefault(fingerprint, {})
+        known = self._crashes.setdefault(subject, {})
         if server in known and (crash.is_presumed or not known[server].is_presumed):
             return False
         earlier_s = known[server].at_s if server in known else crash.at_s
         known[server] = crash._replace(at_s=min(earlier_s, crash.at_s))
         self._record_change(crash.received_s)
-        own_answered_s = self._own_answered_s.get(fingerprint, NEVER_S)
+        own_answered_s = self.answered.own_s(subject)
         if crash.received_s - own_answered_s < CRASH_KEPT_S:
-            self.apply_answer(fingerprint, own_answered_s, crash.received_s)
+            self.apply_answer(subject, own_answered_s, crash.received_s)
         return True
 
-    def record_own_answer(self, fingerprint: int, now_s: float) -> None:
-        """Record an answer to a request of this entry, with or without earlier crashes."""
-        self._own_answered_s.pop(fingerprint, None)
-        self._own_answered_s[fingerprint] = now_s
-        if len(self._own_answered_s) > MAX_ANSWERED:
-            del self._own_answered_s[next(iter(self._own_answered_s))]
-
-    def apply_answer(self, fingerprint: int, at_s: float, received_s: float) -> bool:
-        """Record an answer to a request with crashes; return whether it is the latest known."""
-        if at_s <= self._answered_s.get(fingerprint, NEVER_S):
+    def apply_answer(self, subject: int, at_s: float, received_s: float) -> bool:
+        """Record an answer to a subject with crashes; return whether it is the latest known."""
+        if not self.answered.apply(subject, at_s):
             return False
-        self._answered_s[fingerprint] = at_s
-        if len(self._answered_s) > MAX_CASES:
-            del self._answered_s[next(iter(self._answered_s))]
         self._record_change(received_s)
         return True
 
     def evict_excess(self, is_protected: Callable[[int], bool]) -> None:
-        """Evict a request with the fewest crashes if there are too many.
+        """Evict a subject with the fewest crashes if there are too many.
 
         Parameters
         ----------
         is_protected
-            Returns whether a request must be kept.
+            Returns whether a subject must be kept.
         """
         if len(self._crashes) <= MAX_CASES:
             return
@@ -179,15 +204,17 @@
             self._forget(fewest)
 
     def forget_old(self, now_s: float) -> None:
-        """Remove requests whose crashes no longer count."""
-        for fingerprint, known in list(self._crashes.items()):
+        """Remove subjects whose crashes no longer count."""
+        for subject, known in list(self._crashes.items()):
             if not any(crash.counts(now_s) for crash in known.values()):
-                self._forget(fingerprint)
+                self._forget(subject)
 
     def crashes_to_send(
         self, now_s: float, max_age_s: float, *, includes_peers: bool
     ) -> tuple[CrashReport, ...]:
-        """Return the crashes to send: requests with the most crashes first, then the latest.
+        """Return the crashes to send: subjects with the most crashes first, then the latest.
+
+        If there are too many, half of them are sent in turn.
 
         Parameters
         ----------
@@ -204,13 +231,14 @@
             (
                 len(known),
                 crash.at_s,
-                CrashReport(fingerprint, server, now_s - crash.at_s, crash.is_presumed),
+                CrashReport(subject, server, now_s - crash.at_s, crash.is_presumed),
             )
-            for fingerprint, known in self._crashes.items()
+            for subject, known in self._crashes.items()
             for server, crash in known.items()
             if now_s - crash.received_s < max_age_s and (crash.is_own or includes_peers)
         ]
-        return tuple(report for _, _, report in sorted(found, reverse=True)[:MAX_CRASHES_SENT])
+        ranked = [report for _, _, report in sorted(found, reverse=True)]
+        return self._first_and_turns(ranked, MAX_CRASHES_SENT, is_crash=True)
 
     def answers_to_send(
         self, now_s: float, max_age_s: float, *, includes_peers: bool
@@ -219,31 +247,43 @@
         if now_s - self._latest_change_s >= max_age_s:
             return ()
         found = [
-            AnswerReport(fingerprint, now_s - at_s)
-            for fingerprint, at_s in self._answered_s.items()
-            if (includes_peers or fingerprint in self._own_answered_s)
-            and now_s - self._latest_s(fingerprint, at_s) < max_age_s
+            AnswerReport(subject, now_s - at_s)
+            for subject, at_s in self.answered.applied()
+            if (includes_peers or self.answered.is_own(subject))
+            and now_s - self._latest_s(subject, at_s) < max_age_s
         ]
-        return tuple(sorted(found, key=lambda report: report.age_s)[:MAX_ANSWERS_SENT])
-
-    def _latest_s(self, fingerprint: int, answered_s: float) -> float:
+        ranked = sorted(found, key=lambda report: report.age_s)
+        return self._first_and_turns(ranked, MAX_ANSWERS_SENT, is_crash=False)
+
+    def _first_and_turns(
+        self, ranked: list[_Report], most: int, *, is_crash: bool
+    ) -> tuple[_Report, ...]:
+        """Return the first reports, and of the others as many in turn."""
+        if len(ranked) <= most:
+            return tuple(ranked)
+        first, others = ranked[: most // 2], ranked[most // 2 :]
+        begin = self._turns[is_crash] % len(others)
+        self._turns[is_crash] = begin + most - len(first)
+        return (*first, *(others[begin:] + others[:begin])[: most - len(first)])
+
+    def _latest_s(self, subject: int, answered_s: float) -> float:
         """Return the time of the latest answer, or when a crash was last learned of."""
-        crashes = self._crashes.get(fingerprint, {}).values()
+        crashes = self._crashes.get(subject, {}).values()
         return max([answered_s, *(crash.received_s for crash in crashes)])
 
     def _record_change(self, received_s: float) -> None:
         self.version += 1
         self._latest_change_s = max(self._latest_change_s, received_s)
 
-    def _forget(self, fingerprint: int) -> None:
-        del self._crashes[fingerprint]
-        self._answered_s.pop(fingerprint, None)
+    def _forget(self, subject: int) -> None:
+        del self._crashes[subject]
+        self.answered.forget(subject)
 
 
-def _count_separate(times_s: Iterable[float]) -> int:
-    """Count the given sorted times, those within `SAME_EVENT_S` of a counted one only once."""
+def _count_separate(times_s: Iterable[float], gap_s: float) -> int:
+    """Count the given times, those within a gap of a counted one only once."""
     count, latest_s = 0, NEVER_S
-    for time_s in times_s:
-        if time_s - latest_s >= SAME_EVENT_S:
+    for time_s in sorted(times_s):
+        if time_s - latest_s >= gap_s:
             count, latest_s = count + 1, time_s
     return count
--- a/packages/proxy/src/sassafrastally/proxy/log_events/__init__.py
+++ b/packages/proxy/src/sassafrastally/proxy/log_events/__init__.py
@@ -43,6 +43,7 @@
     SettingsReloaded,
 )
 from sassafrastally.proxy.log_events.quarantine import (
+    PromptPartQuarantined,
     QuarantineLifted,
     QuarantineNotRecorded,
     RequestQuarantined,
@@ -109,6 +110,7 @@
     "PeerHeard",
     "PeerSilent",
     "ProcessDraining",
+    "PromptPartQuarantined",
     "QuarantineLifted",
     "QuarantineNotRecorded",
     "ReadinessChanged",
--- a/packages/proxy/src/sassafrastally/proxy/log_events/quarantine.py
+++ b/packages/proxy/src/sassafrastally/proxy/log_events/quarantine.py
@@ -20,11 +20,27 @@
     """Source of the last crash report: this entry or another one."""
 
 
+@event(10077, "warning")
+class PromptPartQuarantined(NamedTuple):
+    """Requests with a part in their prompts are no longer run: servers crashed with it."""
+
+    part: str
+    """Key of the part; `ServerCrashed` names the ids of the parts."""
+    companions: tuple[str, ...]
+    """Keys of parts that a request must have, too: they came with it in each crash."""
+    crashes: int
+    """Number of servers that crashed while running requests with it."""
+    for_s: float
+    source: str
+    """Source of the last crash report: this entry or another one."""
+
+
 @event(10038)
 class QuarantineLifted(NamedTuple):
-    """A quarantined request may run again."""
+    """A quarantined request, or requests with a quarantined part, may run again."""
 
     fingerprint: str
+    """Fingerprint of the request, or key of the part."""
     reason: str
 
 
@@ -33,4 +49,5 @@
     """A quarantine couldn't be stored; it would be lost if all entries restarted."""
 
     fingerprint: str
+    """Fingerprint of the request, or key of the part."""
     cause: str
--- /dev/null
+++ b/packages/proxy/src/sassafrastally/proxy/part_causes.py
@@ -0,0 +1,140 @@
+"""Decides whether a part of prompts is the cause of server crashes.
+
+Requests of which no two are alike crash servers in turn. They have a part of their prompts in
+common, but often more: the first part of all prompts of a route, for example. Blaming too much
+takes sound requests with it, which then can't be answered to clear it. So the narrowest explanation
+is chosen: a single request before a part, of several parts the one with fewer crashes if it is
+enough, and of parts with the same crashes all together, so that only requests with all of them are
+blamed.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, NamedTuple
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Collection, Mapping
+
+CRASHES_FOR_VERDICT = 3
+"""Crashes after which a request or a part is quarantined. Two are common for requests that run
+beside a harmful one and fail over together with it; each further one costs a server and all
+requests there."""
+
+CRASHES_FOR_WIDE_VERDICT = 5
+"""Crashes after which a part is quarantined although a narrower one may be the cause."""
+
+MIN_NARROWER_CRASHES = 2
+"""Crashes of several requests from which a narrower part may be the cause."""
+
+MAX_COMPANIONS = 3
+"""Maximum number of other parts that a request must have to be blamed. A quarantine datagram holds
+the companions of all verdicts."""
+
+MAX_CARRIED = 1024
+"""Maximum number of parts for which it is known what comes along with them."""
+
+
+class PartEvidence(NamedTuple):
+    """What speaks against a part."""
+
+    servers: frozenset[int]
+    """Servers whose crashes count against it."""
+    crashes: int
+    """Their number, those that happened together counted once."""
+    was_answered: bool
+    """Whether an answer to a request with it had begun and gone on, before or after them."""
+    is_blamed: bool
+    """Whether there is a verdict on it, reached from certain crashes."""
+
+
+def is_cause(
+    part: int,
+    evidence: Mapping[int, PartEvidence],
+    is_covered_by_request: Callable[[frozenset[int]], bool],
+) -> bool:
+    """Return whether a part is the narrowest explanation of its crashes.
+
+    Parameters
+    ----------
+    part
+        The part.
+    evidence
+        What speaks against each part with crashes.
+    is_covered_by_request
+        Returns whether one and the same request ran on all of some servers.
+    """
+    own = evidence[part]
+    if own.crashes < CRASHES_FOR_VERDICT or is_covered_by_request(own.servers):
+        return False
+    others = [one for key, one in evidence.items() if key != part]
+    if any(one.is_blamed and _explains_better(one, own) for one in others):
+        return False
+    narrower = [
+        one
+        for one in others
+        if one.servers and one.servers < own.servers and own.was_answered >= one.was_answered
+    ]
+    explained = {server for one in narrower if one.is_blamed for server in one.servers}
+    if explained and len(own.servers - explained) < CRASHES_FOR_VERDICT:
+        return False
+    has_rival = any(
+        not one.is_blamed
+        and one.crashes >= MIN_NARROWER_CRASHES
+        and not is_covered_by_request(one.servers)
+        for one in narrower
+    )
+    return not has_rival or own.crashes >= CRASHES_FOR_WIDE_VERDICT
+
+
+def companions_of(
+    part: int, evidence: Mapping[int, PartEvidence], carried_with: Collection[int] | None
+) -> tuple[int, ...]:
+    """Return the parts that can't be told from a part by their crashes.
+
+    Parameters
+    ----------
+    part
+        The part.
+    evidence
+        What speaks against each part with crashes.
+    carried_with
+        Parts that each request of this entry that crashed a server with the part had, too; ``None``
+        if there was no such request.
+    """
+    own = evidence[part]
+    tied = (
+        key
+        for key, one in evidence.items()
+        if key != part
+        and one.servers == own.servers
+        and own.was_answered >= one.was_answered
+        and (carried_with is None or key in carried_with)
+    )
+    return tuple(sorted(tied)[:MAX_COMPANIONS])
+
+
+def _explains_better(other: PartEvidence, own: PartEvidence) -> bool:
+    """Return whether another part explains all crashes of a part and is more likely the cause."""
+    if other.servers == own.servers:
+        return own.was_answered and not other.was_answered
+    return other.servers > own.servers
+
+
+class CarriedParts:
+    """Which parts came along with a part in each request that was on a crashed server."""
+
+    def __init__(self) -> None:
+        self._with: dict[int, frozenset[int]] = {}
+
+    def get(self, part: int) -> frozenset[int] | None:
+        """Return the parts that always came along; ``None`` if there was no such request."""
+        return self._with.get(part)
+
+    def record(self, parts: tuple[int, ...]) -> None:
+        """Record the parts of a request that was on a crashed server."""
+        present = frozenset(parts)
+        for part in parts:
+            known = self._with.pop(part, present)
+            self._with[part] = known & present
+        while len(self._with) > MAX_CARRIED:
+            del self._with[next(iter(self._with))]
--- a/packages/proxy/src/sassafrastally/proxy/path.py
+++ b/packages/proxy/src/sassafrastally/proxy/path.py
@@ -12,7 +12,7 @@
 from sassafrastally.proxy.cluster_state import ClusterState
 from sassafrastally.proxy.crash_detector import CrashDetector
 from sassafrastally.proxy.evacuation import home_data_centres
-from sassafrastally.proxy.fingerprint import fingerprint_text, request_fingerprint
+from sassafrastally.proxy.fingerprint import fingerprint_text, part_key, request_fingerprint
 from sassafrastally.proxy.fleet_view import FleetView
 from sassafrastally.proxy.log_events import (
     CallerDisconnected,
@@ -105,7 +105,9 @@
         backpressure = self.kernel.get("backpressure", Backpressure)
         quarantine = self.kernel.get("quarantine", QuarantineService)
         self._attempts.on_answer = backpressure.record_answer
-        quarantine.on_verdict = fleet_view.waiting_attempts.cancel_request
+        quarantine.on_verdict = lambda: fleet_view.waiting_attempts.cancel_quarantined(
+            lambda subjects: quarantine.verdict(subjects) is not None
+        )
         self.services = RequestServices(
             self.kernel,
             self._dialect,
@@ -186,8 +188,10 @@
             customer.home_regions if customer else None,
             self._cluster_state.data_centres,
         )
+        parts = tuple(part_key(part_id) for part_id in request.facts.prompt_parts)
+        fingerprint = _fingerprint(request, customer)
         task = RequestTask(
-            request, route, configuration, customer, service, _fingerprint(request, customer), homes
+            request, route, configuration, customer, service, fingerprint, parts, homes
         )
         self._budget.count_request(service, request.arrived_s)
         answerer = self._request_handler(task, reply)
@@ -219,14 +223,13 @@
         if reply.has_begun:
             self._record_broken_stream(task, progress, local_reply)
             return
-        fingerprint = fingerprint_text(task.fingerprint)
         await self._answer_locally(
             request,
             reply,
             local_reply,
             route.name,
             progress.attempts,
-            fingerprint,
+            fingerprint_text(task.fingerprint),
             progress.waited_s,
         )
 
--- a/packages/proxy/src/sassafrastally/proxy/peer_messages.py
+++ b/packages/proxy/src/sassafrastally/proxy/peer_messages.py
@@ -204,7 +204,7 @@
         ],
         crashes=[
             {
-                "request": crash.fingerprint,
+                "request": crash.subject,
                 "server": crash.server,
                 "ageMs": _to_thousandths(crash.age_s),
                 "isPresumed": crash.is_presumed,
@@ -213,14 +213,15 @@
         ],
         verdicts=[
             {
-                "request": verdict.fingerprint,
+                "request": verdict.subject,
                 "leftMs": _to_thousandths(verdict.left_s),
                 "crashes": min(verdict.crashes, 0xFFFF),
+                "companions": list(verdict.companions),
             }
             for verdict in hello.quarantine.verdicts
         ],
         answers=[
-            {"request": answer.fingerprint, "ageMs": _to_thousandths(answer.age_s)}
+            {"request": answer.subject, "ageMs": _to_thousandths(answer.age_s)}
             for answer in hello.quarantine.answers
         ],
         limits=[
@@ -295,7 +296,12 @@
             for crash in message.crashes
         ),
         verdicts=tuple(
-            VerdictReport(verdict.request, verdict.leftMs / 1000, verdict.crashes)
+            VerdictReport(
+                verdict.request,
+                verdict.leftMs / 1000,
+                verdict.crashes,
+                tuple(verdict.companions),
+            )
             for verdict in message.verdicts
         ),
         answers=tuple(
--- a/packages/proxy/src/sassafrastally/proxy/peers.capnp
+++ b/packages/proxy/src/sassafrastally/proxy/peers.capnp
@@ -42,7 +42,7 @@
 }
 
 struct Refusal {
-  request @0 :UInt64;         # fingerprint of the request
+  request @0 :UInt64;         # fingerprint of the request, or key of a prompt part
   dueMs @1 :UInt32;           # remaining time until its caller may retry
 }
 
@@ -78,7 +78,7 @@
 }
 
 struct Crash {
-  request @0 :UInt64;         # fingerprint of the request
+  request @0 :UInt64;         # fingerprint of the request, or key of a prompt part
   server @1 :UInt64;          # hash of the backend server's id
   ageMs @2 :UInt32;
   isPresumed @3 :Bool;        # it isn't certain yet that the server has crashed
@@ -88,6 +88,7 @@
   request @0 :UInt64;
   leftMs @1 :UInt32;
   crashes @2 :UInt16;
+  companions @3 :List(UInt64);  # keys of further prompt parts that a request must have
 }
 
 struct Answer {
--- a/packages/proxy/src/sassafrastally/proxy/plain_request.py
+++ b/packages/proxy/src/sassafrastally/proxy/plain_request.py
@@ -163,7 +163,7 @@
             self.progress.pending, self.progress.may_have_run = None, True
             self._services.fleet_view.record_success(server.incarnation_id)
             self._count_outcome(server, is_failure=answer.status >= SERVER_ERROR_STATUS)
-            self._record_success(answer.status)
+            self._record_success(server, answer.status)
             return answer
         except AttemptNotRun as cause:
             self._record_not_run(server, begin_s, cause)
--- a/packages/proxy/src/sassafrastally/proxy/quarantine_exchange.py
+++ b/packages/proxy/src/sassafrastally/proxy/quarantine_exchange.py
@@ -1,4 +1,4 @@
-"""Exchange between entries of requests during which backend servers crash."""
+"""Exchange between entries of requests and prompt parts with which backend servers crash."""
 
 from __future__ import annotations
 
@@ -6,9 +6,10 @@
 
 
 class CrashReport(NamedTuple):
-    """A server crashed while it ran a request."""
+    """A server crashed while it ran a request, or requests with a part."""
 
-    fingerprint: int
+    subject: int
+    """Fingerprint of the request, or key of the part."""
     server: int
     """Hash of the server's incarnation."""
     age_s: float
@@ -17,18 +18,20 @@
 
 
 class VerdictReport(NamedTuple):
-    """A request is quarantined."""
+    """A request is quarantined, or requests with a part."""
 
-    fingerprint: int
+    subject: int
     left_s: float
     crashes: int
     """Servers that crashed while running it."""
+    companions: tuple[int, ...] = ()
+    """Keys of further parts that a request must have."""
 
 
 class AnswerReport(NamedTuple):
-    """A request during which servers crashed has been answered."""
+    """A subject with which servers crashed has been answered."""
 
-    fingerprint: int
+    subject: int
     age_s: float
 
 
--- a/packages/proxy/src/sassafrastally/proxy/quarantine_service.py
+++ b/packages/proxy/src/sassafrastally/proxy/quarantine_service.py
@@ -1,34 +1,38 @@
-"""Service that quarantines harmful requests and shares verdicts with peers and the store."""
+"""Service that quarantines harmful requests and prompt parts, and shares verdicts."""
 
 from __future__ import annotations
 
-import json
-from typing import TYPE_CHECKING, Any, ClassVar
+from typing import TYPE_CHECKING, ClassVar
 
 import trio
 
 from sassafrastally.core import KvUnavailable, LeaseLost, MaybeApplied, Service
 from sassafrastally.core.kv import KvConflict, KvWrite
 from sassafrastally.proxy.cluster_state import ClusterState
-from sassafrastally.proxy.fingerprint import fingerprint_text, parse_fingerprint
+from sassafrastally.proxy.fingerprint import fingerprint_text, is_part, parse_fingerprint
 from sassafrastally.proxy.load import server_hash
 from sassafrastally.proxy.log_events import (
     DocumentRejected,
+    PromptPartQuarantined,
     QuarantineLifted,
     QuarantineNotRecorded,
     RequestQuarantined,
 )
 from sassafrastally.proxy.peers import Peers
-from sassafrastally.proxy.quarantine import QUARANTINE_S, Quarantine, Verdict
-from sassafrastally.proxy.quarantine_exchange import QuarantineReport, VerdictReport
+from sassafrastally.proxy.quarantine import Quarantine
+from sassafrastally.proxy.quarantine_records import decode_record, encode_record
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Sequence
 
     from sassafrastally.core import KvEntry, KvEvent
+    from sassafrastally.proxy.answer_progress import AnswerProgress
     from sassafrastally.proxy.dialect import Dialect
+    from sassafrastally.proxy.fingerprint import Subjects
     from sassafrastally.proxy.model import BackendServer
+    from sassafrastally.proxy.quarantine_exchange import QuarantineReport
     from sassafrastally.proxy.store import Store
+    from sassafrastally.proxy.verdicts import Verdict
 
 PEER_VERDICT_WRITE_DELAY_S = 2.0
 PEER_VERDICT_WRITE_JITTER_S = 4.0
@@ -69,10 +73,10 @@
         self._store = store
         self._quarantine = Quarantine()
         self._due_s: dict[int, float] = {}
-        """When to write or remove the record of each request, by fingerprint."""
+        """When to write or remove the record of each subject."""
         self._news = trio.Event()
-        self.on_verdict: Callable[[int], None] | None = None
-        """Called with the fingerprint of each request that is quarantined."""
+        self.on_verdict: Callable[[], None] | None = None
+        """Called after each verdict, and each change of what one covers."""
 
     async def start(self, nursery: trio.Nursery) -> None:
         """Load the records from the store and register with the peer exchange."""
@@ -87,55 +91,71 @@
 
     @property
     def count(self) -> int:
-        """Number of quarantined requests."""
+        """Number of quarantined requests and prompt parts."""
         return len(self._quarantine)
 
-    def verdict(self, fingerprint: int) -> Verdict | None:
-        """Return the verdict on a request, if one is in force."""
-        return self._quarantine.verdict(fingerprint, self._now_s)
+    def verdict(self, subjects: Subjects) -> Verdict | None:
+        """Return the verdict on a request or on a part of its prompt, if one is in force."""
+        return self._quarantine.verdict(subjects.fingerprint, self._now_s, subjects.parts)
 
-    def crash_count(self, fingerprint: int) -> int:
-        """Return how many crashes count against a request."""
-        return self._quarantine.crash_count(fingerprint, self._now_s)
+    def crash_count(self, subjects: Subjects) -> int:
+        """Return how many crashes count against a request or a part of its prompt."""
+        return self._quarantine.crash_count(subjects.fingerprint, self._now_s, subjects.parts)
 
     @property
     def update_age_s(self) -> float:
         """Maximum time until nearby entries know of each other's crash records."""
         return self._peers.update_age_s
 
-    def crash_counts_with(self, fingerprint: int) -> dict[int, int]:
+    def crash_counts_with(self, subjects: Subjects) -> dict[int, int]:
         """Return crash counts of a request and of those that ran on the same crashed servers."""
-        return self._quarantine.crash_counts_with(fingerprint, self._now_s)
+        return self._quarantine.crash_counts_with(subjects.fingerprint, self._now_s, subjects.parts)
 
     def record_crash(
         self,
-        fingerprint: int,
+        subjects: Subjects,
         server: BackendServer,
         *,
         age_s: float = 0.0,
         is_presumed: bool = False,
     ) -> None:
-        """Record that a server crashed while it ran a request of this entry."""
-        verdict = self._quarantine.record_crash(
-            fingerprint,
+        """Record that a server crashed while it ran a request of this entry.
+
+        Parameters
+        ----------
+        subjects
+            The request, and the parts of its prompt that may be the cause.
+        server
+            The server.
+        age_s
+            Time since the crash.
+        is_presumed
+            Whether it isn't certain yet that the server has crashed.
+        """
+        verdicts = self._quarantine.record_crashed_run(
+            subjects,
             server_hash(server.incarnation_id),
             self._now_s,
             age_s=age_s,
-            is_own=True,
             is_presumed=is_presumed,
         )
-        if verdict is not None:
+        for verdict in verdicts:
             self._record_verdict(verdict, "own", self._now_s)
         self._peers.send_now()
 
-    def record_answered(self, fingerprint: int) -> None:
+    def record_answered(
+        self, subjects: Subjects, server: BackendServer, answer: AnswerProgress
+    ) -> None:
         """Record that a request got a complete answer."""
-        was_quarantined = self.verdict(fingerprint) is not None
-        if not self._quarantine.record_answered(fingerprint, self._now_s):
-            return
-        self._peers.send_now()
-        if was_quarantined and self.verdict(fingerprint) is None:
-            self._record_lifted(fingerprint, "a server answered it")
+        self._record_answered([subjects.fingerprint], "a server answered it")
+        if not answer.is_going_on and subjects.parts:
+            server_key = server_hash(server.incarnation_id)
+            if self._quarantine.record_short_answer(subjects.parts, server_key, self._now_s):
+                self._peers.send_now()
+
+    def record_going_on(self, parts: Sequence[int]) -> None:
+        """Record that a server has gone on with an answer after its begin."""
+        self._record_answered(parts, "a server answers a request with it")
 
     def own_report(self, *, is_full: bool) -> QuarantineReport:
         """Return the records that this entry has made itself."""
@@ -148,14 +168,27 @@
     def apply(self, report: QuarantineReport) -> bool:
         """Apply a peer's records; return whether any of them is new."""
         before = self._quarantine.version
-        quarantined = {verdict.fingerprint for verdict in self._quarantine.verdicts(self._now_s)}
+        quarantined = self._quarantined()
         for verdict in self._quarantine.apply(report, self._now_s):
             self._record_verdict(verdict, "peer", self._peer_verdict_due_s())
-        for answer in report.answers:
-            if answer.fingerprint in quarantined and self.verdict(answer.fingerprint) is None:
-                self._record_lifted(answer.fingerprint, "a server answered it for a peer")
+        answered = (answer.subject for answer in report.answers)
+        for subject in quarantined.intersection(answered) - self._quarantined():
+            self._record_lifted(subject, "a server answered it for a peer")
         return self._quarantine.version != before
 
+    def _record_answered(self, subjects: Sequence[int], reason: str) -> None:
+        now_s = self._now_s
+        quarantined = self._quarantined() if len(self._quarantine) else set()
+        known = [one for one in subjects if self._quarantine.record_answered(one, now_s)]
+        if not known:
+            return
+        self._peers.send_now()
+        for subject in quarantined.intersection(known) - self._quarantined():
+            self._record_lifted(subject, reason)
+
+    def _quarantined(self) -> set[int]:
+        return {verdict.subject for verdict in self._quarantine.verdicts(self._now_s)}
+
     @property
     def _now_s(self) -> float:
         return self.kernel.clock.now_s()
@@ -167,46 +200,49 @@
         return self._now_s + wait_s
 
     def _record_verdict(self, verdict: Verdict, source: str, due_s: float) -> None:
-        fingerprint = fingerprint_text(verdict.fingerprint)
+        text, crashes = fingerprint_text(verdict.subject), verdict.crashes
         for_s = round(verdict.until_s - self._now_s, 1)
-        self.kernel.events.emit(RequestQuarantined(fingerprint, verdict.crashes, for_s, source))
+        if is_part(verdict.subject):
+            companions = tuple(fingerprint_text(one) for one in verdict.companions)
+            self.kernel.events.emit(PromptPartQuarantined(text, companions, crashes, for_s, source))
+        else:
+            self.kernel.events.emit(RequestQuarantined(text, crashes, for_s, source))
         if not verdict.is_presumed:
-            self._due_s[verdict.fingerprint] = due_s
+            self._due_s[verdict.subject] = due_s
             self._news.set()
         if self.on_verdict is not None:
-            self.on_verdict(verdict.fingerprint)
+            self.on_verdict()
 
-    def _record_lifted(self, fingerprint: int, reason: str) -> None:
-        self._due_s.pop(fingerprint, None)
-        self.kernel.events.emit(QuarantineLifted(fingerprint_text(fingerprint), reason))
-        if self._cluster_state.has_key(self._key(fingerprint)):
-            self._due_s[fingerprint] = self._peer_verdict_due_s()
+    def _record_lifted(self, subject: int, reason: str) -> None:
+        self._due_s.pop(subject, None)
+        self.kernel.events.emit(QuarantineLifted(fingerprint_text(subject), reason))
+        if self._cluster_state.has_key(self._key(subject)):
+            self._due_s[subject] = self._peer_verdict_due_s()
             self._news.set()
 
-    def _key(self, fingerprint: int) -> str:
-        return self._prefix + fingerprint_text(fingerprint)
+    def _key(self, subject: int) -> str:
+        return self._prefix + fingerprint_text(subject)
 
     def _apply_record(self, record: KvEntry | KvEvent) -> None:
         """Apply a verdict record, or its removal by lease expiry or by an operator."""
         try:
-            fingerprint = parse_fingerprint(record.key.removeprefix(self._prefix))
-            crashes = 0 if record.value is None else _parse_crashes(record.value)
+            subject = parse_fingerprint(record.key.removeprefix(self._prefix))
+            received = None if record.value is None else decode_record(subject, record.value)
         except ValueError as cause:
             self.kernel.events.emit(
                 DocumentRejected(record.key, record.mod_revision, "store", f"{cause!r:.200}")
             )
             return
-        if record.value is None:
-            if self._quarantine.lift(fingerprint, self._now_s):
-                self._due_s.pop(fingerprint, None)
+        if received is None:
+            if self._quarantine.lift(subject, self._now_s):
+                self._due_s.pop(subject, None)
                 reason = "its record in the store was removed"
-                self.kernel.events.emit(QuarantineLifted(fingerprint_text(fingerprint), reason))
+                self.kernel.events.emit(QuarantineLifted(fingerprint_text(subject), reason))
             if self._cluster_state.has_key(record.key):
                 # The store was restored from a copy that has the record again.
-                self._due_s[fingerprint] = self._peer_verdict_due_s()
+                self._due_s[subject] = self._peer_verdict_due_s()
                 self._news.set()
             return
-        received = VerdictReport(fingerprint, QUARANTINE_S, crashes)
         verdict = self._quarantine.apply_verdict(received, self._now_s)
         if verdict is not None:
             self._record_verdict(verdict, "store", self._now_s)
@@ -218,16 +254,16 @@
             if not self._due_s:
                 await self._news.wait()
                 continue  # The due record may have been cancelled in the meantime.
-            fingerprint, due_s = min(self._due_s.items(), key=lambda item: item[1])
+            subject, due_s = min(self._due_s.items(), key=lambda item: item[1])
             with trio.move_on_after(max(0.0, due_s - self._now_s)):
                 await self._news.wait()
                 continue
-            if self._due_s.pop(fingerprint, None) is not None:
-                await self._sync_record(fingerprint)
+            if self._due_s.pop(subject, None) is not None:
+                await self._sync_record(subject)
 
-    async def _sync_record(self, fingerprint: int) -> None:
-        key = self._key(fingerprint)
-        verdict = self.verdict(fingerprint)
+    async def _sync_record(self, subject: int) -> None:
+        key = self._key(subject)
+        verdict = self._quarantine.verdict_on(subject, self._now_s)
         should_exist = verdict is not None
         if should_exist == self._cluster_state.has_key(key):
             return
@@ -239,37 +275,25 @@
         except KvConflict:
             return  # Another entry has already written it.
         except (KvUnavailable, MaybeApplied, LeaseLost) as cause:
-            self.kernel.events.emit(
-                QuarantineNotRecorded(fingerprint_text(fingerprint), str(cause))
-            )
+            self.kernel.events.emit(QuarantineNotRecorded(fingerprint_text(subject), str(cause)))
             pause_s = RETRY_S * self.kernel.random.uniform(0.7, 1.3)
-            self._due_s.setdefault(fingerprint, self._now_s + pause_s)
+            self._due_s.setdefault(subject, self._now_s + pause_s)
 
     async def _write(self, key: str, verdict: Verdict) -> None:
         left_s = verdict.until_s - self._now_s
         if left_s < MIN_RECORD_S:
             return
         lease = await self._store.grant_lease(left_s)
-        record = {"crashes": verdict.crashes, "seen_by": self.kernel.vm}
-        value = json.dumps(record).encode()
+        value = encode_record(verdict, self.kernel.vm)
         await self._store.write([KvWrite(key, value, KEY_ABSENT, lease.lease_id)], lease)
 
     async def _clean_up(self) -> None:
         while True:
             await trio.sleep(CLEANUP_INTERVAL_S)
             for lifted in self._quarantine.forget_old(self._now_s):
-                self._record_lifted(lifted.verdict.fingerprint, lifted.reason)
+                self._record_lifted(lifted.verdict.subject, lifted.reason)
             for verdict in self._quarantine.verdicts(self._now_s):
                 # The record's lease may have expired early during a store outage.
-                if not self._cluster_state.has_key(self._key(verdict.fingerprint)):
-                    self._due_s.setdefault(verdict.fingerprint, self._peer_verdict_due_s())
+                if not self._cluster_state.has_key(self._key(verdict.subject)):
+                    self._due_s.setdefault(verdict.subject, self._peer_verdict_due_s())
                     self._news.set()
-
-
-def _parse_crashes(value: bytes) -> int:
-    """Return the crash count of a record; raises `ValueError`."""
-    body: Any = json.loads(value)
-    crashes = body.get("crashes") if isinstance(body, dict) else None
-    if isinstance(crashes, bool) or not isinstance(crashes, int) or not 0 <= crashes < 1 << 16:
-        raise ValueError("crashes is missing or not an integer from 0 to 65535")
-    return crashes
--- a/packages/proxy/src/sassafrastally/proxy/request_handler.py
+++ b/packages/proxy/src/sassafrastally/proxy/request_handler.py
@@ -41,6 +41,7 @@
     from sassafrastally.proxy.refusals import Refusal
     from sassafrastally.proxy.reply import Reply
     from sassafrastally.proxy.request_services import RequestServices
+    from sassafrastally.proxy.verdicts import Verdict
     from sassafrastally.proxy.waiting_for_room import RoomWait
 
 SERVER_ERROR_STATUS = 500
@@ -146,7 +147,7 @@
 
     def _must_not_wait(self) -> bool:
         """Return whether waiting is pointless: a quarantine verdict, or an evacuation."""
-        if self._services.quarantine.verdict(self._task.fingerprint) is not None:
+        if self._services.quarantine.verdict(self._task.subjects) is not None:
             return True
         unavailability = self._services.fleet_view.unavailability(
             self._task.service, self._task.homes
@@ -155,20 +156,27 @@
 
     def _quarantine_reply(self) -> LocalReply | None:
         """Return the local reply if the request is quarantined."""
-        verdict = self._services.quarantine.verdict(self._task.fingerprint)
+        verdict = self._services.quarantine.verdict(self._task.subjects)
         if verdict is None:
             return None
         now_s = self._clock.now_s()
         ended = "crashed" if not verdict.is_presumed else "crashed or dropped all connections"
         detail = (
-            f"{verdict.crashes} backend servers {ended} while they ran request "
-            f"{fingerprint_text(verdict.fingerprint)}: not run for up to "
-            f"{verdict.until_s - now_s:.0f} s"
+            f"{verdict.crashes} backend servers {ended} while they ran "
+            f"{self._subject_text(verdict)}: not run for up to {verdict.until_s - now_s:.0f} s"
         )
         if self.progress.may_have_run:
             return LocalReply(MAY_HAVE_RUN, detail)
         return LocalReply(QUARANTINED, detail, verdict.retry_delay_s(now_s))
 
+    def _subject_text(self, verdict: Verdict) -> str:
+        """Return how a verdict on this request is described to its caller."""
+        if verdict.subject == self._task.fingerprint:
+            return f"request {fingerprint_text(verdict.subject)}"
+        blamed = (verdict.subject, *verdict.companions)
+        ids = dict(zip(self._task.parts, self._task.request.facts.prompt_parts, strict=True))
+        return f"requests with prompt part {' and '.join(ids[part] for part in blamed)}"
+
     def _trial_views(self) -> list[ServerView]:
         """Return the server to which this request is the trial, as in `FleetView.trial_views`.
 
@@ -204,19 +212,23 @@
 
     def _is_suspect(self) -> bool:
         """Return whether a server has crashed while running the request, whatever the cause."""
-        return self._services.quarantine.crash_count(self._task.fingerprint) > 0
+        return self._services.quarantine.crash_count(self._task.subjects) > 0
 
     def _isolate(self, views: Sequence[ServerView]) -> list[ServerView]:
         """Return the server for a suspect request, isolated from requests that crashed with it."""
-        fingerprint = self._task.fingerprint
-        return assigned_servers(
-            views, fingerprint, self._services.quarantine.crash_counts_with(fingerprint)
-        )
+        suspects = self._services.quarantine.crash_counts_with(self._task.subjects)
+        return assigned_servers(views, self._task.fingerprint, suspects)
 
-    def _record_success(self, status: int) -> None:
+    def _record_event(self, now_s: float) -> None:
+        """Record an event of the answer."""
+        if self.progress.answer.record_event(now_s):
+            self._services.quarantine.record_going_on(self._task.parts)
+
+    def _record_success(self, server: BackendServer, status: int) -> None:
         """Record a complete, successful response: the request doesn't crash servers."""
         if status < NON_SUCCESS_STATUS:
-            self._services.quarantine.record_answered(self._task.fingerprint)
+            answer = self.progress.answer
+            self._services.quarantine.record_answered(self._task.subjects, server, answer)
 
     @property
     def _is_repeatable(self) -> bool:
--- a/packages/proxy/src/sassafrastally/proxy/streaming_request.py
+++ b/packages/proxy/src/sassafrastally/proxy/streaming_request.py
@@ -301,7 +301,7 @@
             placement.predicted_s,
             cancel_scope,
             self._move_if_faster,
-            self._task.fingerprint,
+            self._task.subjects,
         )
         try:
             return await self._exchange(placement, in_flight, attempt)
@@ -413,7 +413,7 @@
                 now_s = self._clock.now_s()
                 if event.has_fields:
                     self._services.fleet_view.ledger.first_event(in_flight, now_s)
-                    self.progress.answer.record_event(now_s)
+                    self._record_event(now_s)
                 await self._forward_event(event, now_s)
             waiting_since_s = self._clock.now_s()
         if stream.rest:
@@ -439,7 +439,7 @@
     def _record_answered(
         self, placement: Placement, answer: Answer, unfinished_bytes: int = 0
     ) -> None:
-        self._record_success(answer.status)
+        self._record_success(placement.server, answer.status)
         now_s = self._clock.now_s()
         total_s = now_s - self._task.request.arrived_s
         first_s, longest_pause_s = self._times.first_s, self._times.longest_pause_s
--- a/packages/proxy/src/sassafrastally/proxy/task.py
+++ b/packages/proxy/src/sassafrastally/proxy/task.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from sassafrastally.proxy.answer_progress import AnswerProgress
+from sassafrastally.proxy.fingerprint import Subjects
 
 if TYPE_CHECKING:
     from sassafrastally.proxy.attempt import Request
@@ -39,6 +40,8 @@
     service: str
     fingerprint: int
     """Identifies the request across the caller's retries."""
+    parts: tuple[int, ...] = ()
+    """Keys of the parts that its prompt shares with others."""
     homes: frozenset[str] | None = None
     """Data centres in which it may run, by its home regions; ``None`` for any."""
 
@@ -59,6 +62,11 @@
             return None
         return self.deadline_s - now_s
 
+    @property
+    def subjects(self) -> Subjects:
+        """What may be blamed if a server crashes while running it."""
+        return Subjects(self.fingerprint, self.parts)
+
     @property
     def logged_parts(self) -> tuple[str, ...]:
         """IDs of the first shared parts of the prompt, for logs."""
--- a/packages/proxy/src/sassafrastally/proxy/waiting_attempts.py
+++ b/packages/proxy/src/sassafrastally/proxy/waiting_attempts.py
@@ -13,6 +13,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator, Mapping
 
+    from sassafrastally.proxy.fingerprint import Subjects
+
 
 class WaitingAttempt:
     """An attempt that waits for its first event.
@@ -36,7 +38,7 @@
         predicted_s: float,
         cancel_scope: trio.CancelScope,
         on_slow: Callable[[WaitingAttempt, float], None],
-        fingerprint: int,
+        subjects: Subjects,
     ) -> None:
         self.incarnation_ids = incarnation_ids
         self.begin_s = begin_s
@@ -44,8 +46,8 @@
         self.cancel_scope = cancel_scope
         self.on_slow = on_slow
         """Called repeatedly with the pace of the slowest engine while an engine is slow."""
-        self.fingerprint = fingerprint
-        """Identifies its request across the retries of its caller."""
+        self.subjects = subjects
+        """By what its request may be quarantined."""
         self.cancel_reason = ""
         """Why it was cancelled, to move its prompt or for good; empty if it wasn't."""
 
@@ -79,15 +81,20 @@
             for incarnation_id in attempt.incarnation_ids
         }
 
-    def cancel_request(self, fingerprint: int) -> None:
-        """Cancel the attempts of a quarantined request that no server runs yet.
+    def cancel_quarantined(self, is_quarantined: Callable[[Subjects], bool]) -> None:
+        """Cancel the attempts of quarantined requests that no server runs yet.
+
+        Several callers can send the same request, or requests with the same part, at once. An
+        attempt that still waits for a slot would crash its server as soon as it gets one. Once its
+        connection is closed, the server drops it.
 
-        Several callers can send the same request at once. An attempt that still waits for a slot
-        would crash its server as soon as it gets one. Once its connection is closed, the server
-        drops it.
+        Parameters
+        ----------
+        is_quarantined
+            Returns whether a request is quarantined.
         """
         for attempt in list(self._attempts):
-            if attempt.fingerprint == fingerprint:
+            if is_quarantined(attempt.subjects):
                 attempt.cancel("its request is quarantined")
 
     def notify_slow_engines(self, paces: Mapping[str, float]) -> None:
--- a/packages/proxy/tests/test_quarantine.py
+++ b/packages/proxy/tests/test_quarantine.py
@@ -16,15 +16,15 @@
 )
 from sassafrastally.proxy.fingerprint import fingerprint_text, parse_fingerprint
 from sassafrastally.proxy.fingerprint import request_fingerprint as fingerprint
+from sassafrastally.proxy.part_causes import CRASHES_FOR_VERDICT
 from sassafrastally.proxy.quarantine import (
-    CRASHES_FOR_VERDICT,
-    MAX_VERDICTS,
     MAX_VERDICTS_SENT,
     QUARANTINE_S,
     REPORTS_REPEATED_S,
     Quarantine,
 )
 from sassafrastally.proxy.quarantine_exchange import EMPTY_REPORT, VerdictReport
+from sassafrastally.proxy.verdicts import MAX_VERDICTS
 
 HARMFUL, GOOD, OTHER = 1, 2, 3
 
@@ -266,7 +266,7 @@
         assert quarantine.verdict(HARMFUL, end_s - 0.1) is not None
         assert quarantine.verdict(HARMFUL, end_s) is None
         (ended,) = quarantine.forget_old(end_s)
-        assert ended.verdict.fingerprint == HARMFUL
+        assert ended.verdict.subject == HARMFUL
         assert quarantine.record_crash(HARMFUL, 50, end_s + 5.0, is_own=True) is not None
 
     def test_returns_after_a_crash_right_at_expiry(self):
