Test what is blamed for crashes without servers; require what always came along

The tests ask of the quarantine: strangers at any entry and position, repeats of one body, a first part that is known, new or never asked for alone, two causes, a rack, presumed crashes, entries that start or were cut off, the verdict's end, bounds with 50 and 60 new parts a request.

They showed one fault: a new first part that had come with the harmful one in three of four crashes was quarantined by itself, as its crashes were fewer. A part is now required together with all parts that came along in each of its crashes and aren't cleared, not only with those of the same crashes.

--- a/packages/proxy/src/sassafrastally/proxy/crash_records.py
+++ b/packages/proxy/src/sassafrastally/proxy/crash_records.py
@@ -14,7 +14,7 @@
 from sassafrastally.proxy.quarantine_exchange import AnswerReport, CrashReport
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable
+    from collections.abc import Callable, Iterable, Iterator
 
 CRASH_KEPT_S = 600.0
 """How long a crash counts against a subject. A harmful request is retried within seconds or
@@ -106,9 +106,15 @@
         }
         return sorted(latest_s, key=lambda other: -latest_s[other])
 
-    def parts(self) -> list[int]:
-        """Return the parts with crashes."""
-        return [subject for subject in self._crashes if is_part(subject)]
+    def parts_on(self, servers: set[int], min_crashes: int) -> list[int]:
+        """Return the parts with some crashes that ran on any of some crashed servers."""
+        return [
+            subject
+            for subject, known in self._crashes.items()
+            if len(known) >= min_crashes
+            and is_part(subject)
+            and not known.keys().isdisjoint(servers)
+        ]
 
     def is_covered_by_request(self, servers: frozenset[int]) -> bool:
         """Return whether one and the same request ran on all of some crashed servers."""
@@ -198,8 +204,10 @@
         """
         if len(self._crashes) <= MAX_CASES:
             return
-        others = (key for key in self._crashes if not is_protected(key))
-        fewest = min(others, key=lambda key: len(self._crashes[key]), default=None)
+        fewest = next((key for key in self._evictable(is_protected) if self._has_one(key)), None)
+        if fewest is None:
+            others = self._evictable(is_protected)
+            fewest = min(others, key=lambda key: len(self._crashes[key]), default=None)
         if fewest is not None:
             self._forget(fewest)
 
@@ -255,6 +263,12 @@
         ranked = sorted(found, key=lambda report: report.age_s)
         return self._first_and_turns(ranked, MAX_ANSWERS_SENT, is_crash=False)
 
+    def _evictable(self, is_protected: Callable[[int], bool]) -> Iterator[int]:
+        return (key for key in self._crashes if not is_protected(key))
+
+    def _has_one(self, subject: int) -> bool:
+        return len(self._crashes[subject]) == 1
+
     def _first_and_turns(
         self, ranked: list[_Report], most: int, *, is_crash: bool
     ) -> tuple[_Report, ...]:
--- a/packages/proxy/src/sassafrastally/proxy/part_causes.py
+++ b/packages/proxy/src/sassafrastally/proxy/part_causes.py
@@ -3,9 +3,8 @@
 Requests of which no two are alike crash servers in turn. They have a part of their prompts in
 common, but often more: the first part of all prompts of a route, for example. Blaming too much
 takes sound requests with it, which then can't be answered to clear it. So the narrowest explanation
-is chosen: a single request before a part, of several parts the one with fewer crashes if it is
-enough, and of parts with the same crashes all together, so that only requests with all of them are
-blamed.
+is chosen: a single request before a part, of several parts the one with fewer crashes, and a part
+together with those that always came along, so that only requests with all of them are blamed.
 """
 
 from __future__ import annotations
@@ -89,7 +88,7 @@
 def companions_of(
     part: int, evidence: Mapping[int, PartEvidence], carried_with: Collection[int] | None
 ) -> tuple[int, ...]:
-    """Return the parts that can't be told from a part by their crashes.
+    """Return the parts that came along with a part in all of its crashes and may be the cause.
 
     Parameters
     ----------
@@ -99,18 +98,18 @@
         What speaks against each part with crashes.
     carried_with
         Parts that each request of this entry that crashed a server with the part had, too; ``None``
-        if there was no such request.
+        if there was no such request. Then only parts with the same crashes are returned.
     """
     own = evidence[part]
-    tied = (
+    found = (
         key
         for key, one in evidence.items()
         if key != part
-        and one.servers == own.servers
         and own.was_answered >= one.was_answered
+        and (one.servers == own.servers or (carried_with is not None and one.servers > own.servers))
         and (carried_with is None or key in carried_with)
     )
-    return tuple(sorted(tied)[:MAX_COMPANIONS])
+    return tuple(sorted(found)[:MAX_COMPANIONS])
 
 
 def _explains_better(other: PartEvidence, own: PartEvidence) -> bool:
--- a/packages/proxy/src/sassafrastally/proxy/quarantine.py
+++ b/packages/proxy/src/sassafrastally/proxy/quarantine.py
@@ -22,6 +22,7 @@
 from sassafrastally.proxy.fingerprint import is_part
 from sassafrastally.proxy.part_causes import (
     CRASHES_FOR_VERDICT,
+    MIN_NARROWER_CRASHES,
     CarriedParts,
     PartEvidence,
     companions_of,
@@ -311,9 +312,10 @@
         known = self._verdicts.get(part)
         if known is not None and not known.is_presumed:
             self._lift_refuted(known, now_s)
-            evidence = self._evidence(now_s, is_certain=True)
-            tied = companions_of(part, evidence, self._carried.get(part))
-            self._verdicts.keep_companions(part, tied, now_s)
+            if known.companions:
+                evidence = self._evidence([part, *known.companions], now_s, is_certain=True)
+                kept = companions_of(part, evidence, self._carried.get(part))
+                self._verdicts.keep_companions(part, kept, now_s)
             self._verdicts.review_later(now_s)
             return None
         if ended := self._verdicts.ended(part):
@@ -321,8 +323,9 @@
             return self._quarantine(part, now_s, for_s, crashes, companions=ended.companions)
         if len(self._cases.servers(part)) < CRASHES_FOR_VERDICT:
             return None
+        beside = self._cases.parts_on(self._cases.servers(part), MIN_NARROWER_CRASHES)
         for is_certain in (True, False) if known is None else (True,):
-            evidence = self._evidence(now_s, is_certain=is_certain)
+            evidence = self._evidence(beside, now_s, is_certain=is_certain)
             if is_cause(part, evidence, self._cases.is_covered_by_request):
                 return self._quarantine(
                     part,
@@ -334,16 +337,18 @@
                 )
         return None
 
-    def _evidence(self, now_s: float, *, is_certain: bool) -> dict[int, PartEvidence]:
-        """Return what speaks against each part with crashes."""
+    def _evidence(
+        self, parts: Collection[int], now_s: float, *, is_certain: bool
+    ) -> dict[int, PartEvidence]:
+        """Return what speaks against parts."""
         return {
-            part: PartEvidence(
-                frozenset(self._cases.counted(part, now_s, _is_unexplained, is_certain=is_certain)),
-                self._cases.count(part, now_s, _is_unexplained, is_certain=is_certain),
-                self._cases.answered.was_answered(part),
-                self._verdicts.is_certain(part),
+            one: PartEvidence(
+                frozenset(self._cases.counted(one, now_s, _is_unexplained, is_certain=is_certain)),
+                self._cases.count(one, now_s, _is_unexplained, is_certain=is_certain),
+                self._cases.answered.was_answered(one),
+                self._verdicts.is_certain(one),
             )
-            for part in self._cases.parts()
+            for one in parts
         }
 
     def _beside(self, subject: int, now_s: float) -> list[int]:
