Close new connections unread at an entry that most callers reach

The platform may hand most new connections of a zone to one entry for some seconds. Its tasks run late, while the others have time left.

Cause: an entry among even ones took everything, late; one with uneven links refused what it had read, which costs each caller an attempt. Class: what an entry can't serve was found out after it had been read.

Change: an entry with more than twice the requests in progress of the others measures the delay of its tasks, too. While it is overloaded and at its limit, and an entry of its data centre is not, it closes new connections before reading them. Callers may then retry anything at once, elsewhere.

--- a/packages/proxy/src/sassafrastally/proxy/caller_listener.py
+++ b/packages/proxy/src/sassafrastally/proxy/caller_listener.py
@@ -20,7 +20,9 @@
     limit_send_buffer,
 )
 from sassafrastally.proxy.log_events import ConnectionCrashed, ProcessDraining, RequestMalformed
+from sassafrastally.proxy.metrics import CONNECTIONS_REFUSED
 from sassafrastally.proxy.model import RequestLimits
+from sassafrastally.proxy.overload_monitor import OverloadMonitor
 from sassafrastally.proxy.path import RequestPath
 from sassafrastally.proxy.refusals import (
     BODY_TOO_LARGE,
@@ -82,7 +84,7 @@
     """
 
     name: ClassVar[str] = "callers"
-    needs: ClassVar[tuple[str, ...]] = ("beliefs", "path")
+    needs: ClassVar[tuple[str, ...]] = ("beliefs", "overload", "path")
 
     def __init__(
         self, settings: ProxySettings, dialect: Dialect, listener: socket.socket | None = None
@@ -104,6 +106,7 @@
     async def start(self, nursery: trio.Nursery) -> None:
         """Start accepting connections."""
         self._cluster_state = self.kernel.get("beliefs", ClusterState)
+        self._overload = self.kernel.get("overload", OverloadMonitor)
         self._path = self.kernel.get("path", RequestPath)
         nursery.start_soon(self._listen, [await self._listener()], nursery)
 
@@ -148,7 +151,15 @@
             await trio.serve_listeners(self.serve, listeners, handler_nursery=connections)
 
     async def serve(self, stream: trio.abc.Stream) -> None:
-        """Serve one connection until it closes."""
+        """Serve one connection until it closes.
+
+        An entry without CPU time for more requests closes it unread: the caller may then retry
+        whatever it sent, at once and at another entry.
+        """
+        if self._overload.refuses_connections() and not self.is_stopping:
+            CONNECTIONS_REFUSED.add(1)
+            await trio.aclose_forcefully(stream)
+            return
         enable_keepalive(stream)
         limit_send_buffer(stream)
         limits = self._limits()
--- a/packages/proxy/src/sassafrastally/proxy/cpu_overload/__init__.py
+++ b/packages/proxy/src/sassafrastally/proxy/cpu_overload/__init__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from sassafrastally.proxy.cpu_overload.crowding import is_crowded
 from sassafrastally.proxy.cpu_overload.lag_window import (
     MAX_LAG_S,
     TIMER_S,
@@ -25,6 +26,7 @@
     "StepTimeout",
     "StreamLimit",
     "due_after_delay_s",
+    "is_crowded",
     "last_read_s",
     "shed_retry_delay_s",
 ]
--- a/packages/proxy/src/sassafrastally/proxy/metrics.py
+++ b/packages/proxy/src/sassafrastally/proxy/metrics.py
@@ -27,6 +27,11 @@
     "1",
     "Long prompts that waited rather than overtaking others in prefill.",
 )
+CONNECTIONS_REFUSED = counter(
+    "proxy.connections_refused",
+    "1",
+    "Callers' connections closed unread by an entry without CPU time for more requests.",
+)
 CALLERS_BLOCKED = counter(
     "proxy.callers.blocked", "1", "Callers disconnected because they didn't read their response."
 )
--- a/packages/proxy/src/sassafrastally/proxy/overload_monitor.py
+++ b/packages/proxy/src/sassafrastally/proxy/overload_monitor.py
@@ -14,6 +14,7 @@
     WINDOW_S,
     LagWindow,
     StreamLimit,
+    is_crowded,
     shed_retry_delay_s,
 )
 from sassafrastally.proxy.log_events import EntryOverloaded, EntryRecovered
@@ -25,8 +26,9 @@
     from sassafrastally.proxy.load import Ledger
 
 INACTIVE_CHECK_S = 1.0
-"""Interval at which an entry among even ones checks whether it still is. There, the others are as
-loaded as this one, so that nothing would be gained by leaving work to them."""
+"""Interval at which an entry among even ones checks whether it still is, and whether it is crowded.
+Otherwise the others are as loaded as this one, so that nothing would be gained by leaving work to
+them."""
 
 
 class OverloadMonitor(Service):
@@ -48,6 +50,8 @@
         self._overloaded_since_s: float | None = None
         self._due_s = math.inf
         """Time at which the present timer is due."""
+        self._crowding_checked_s = -math.inf
+        self._is_crowded = False
         self._heard_s = -math.inf
         """Time at which other entries were last heard."""
 
@@ -74,6 +78,8 @@
         """Return the refusal of a new stream; ``None`` if it is accepted."""
         if not self.is_overloaded or not self._hears_others():
             return None
+        if self._is_crowded and not self._peers.has_uneven_links():
+            return None  # New connections are refused instead, before their requests are read.
         if self._limit.accepts(len(self._ledger)):
             return None
         detail = (
@@ -83,11 +89,24 @@
         delay_s = shed_retry_delay_s(self.kernel.random.random())
         return LocalReply(ENTRY_BUSY, detail, delay_s)
 
+    def refuses_connections(self) -> bool:
+        """Return whether to close new connections unread, so that callers retry elsewhere at once.
+
+        Their retries reach another entry of the data centre, which must have CPU time left.
+        """
+        return (
+            self.is_overloaded
+            and not self._limit.accepts(len(self._ledger))
+            and self._peers.has_local_peer_with_time()
+        )
+
     async def _measure(self) -> None:
         while True:
             # An entry whose tasks are late may not have read its peers' datagrams yet.
             may_be_uneven = self._hears_others() and self._window.longest_lag_s > MAX_LAG_S
-            if not may_be_uneven and not self._peers.has_uneven_links():
+            self._check_crowding()
+            is_uneven = self._is_crowded or self._peers.has_uneven_links()
+            if not may_be_uneven and not is_uneven:
                 self._due_s = math.inf
                 self._window.clear()
                 self._apply(self.kernel.clock.now_s())
@@ -99,6 +118,15 @@
             self._window.record(now_s, max(0.0, now_s - self._due_s))
             self._apply(now_s)
 
+    def _check_crowding(self) -> None:
+        now_s = self.kernel.clock.now_s()
+        if now_s - self._crowding_checked_s < INACTIVE_CHECK_S:
+            return
+        self._crowding_checked_s = now_s
+        self._is_crowded = is_crowded(
+            len(self._ledger), self._peers.requests_in_progress(), self._peers.live_count()
+        )
+
     def _hears_others(self) -> bool:
         """Return whether other entries are heard, or were before the tasks ran late."""
         now_s = self.kernel.clock.now_s()
--- a/packages/proxy/src/sassafrastally/proxy/peer_table.py
+++ b/packages/proxy/src/sassafrastally/proxy/peer_table.py
@@ -177,6 +177,13 @@
         """Return the live entries of the own data centre."""
         return [peer for peer in self.live(now_s) if peer.data_centre == self._data_centre]
 
+    def has_local_peer_with_time(self, now_s: float) -> bool:
+        """Return whether another entry of the data centre is live and not overloaded."""
+        return any(
+            not member.is_stopping and not member.is_overloaded
+            for member in map(_member, self.local_peers(now_s))
+        )
+
     def sums(self, now_s: float) -> dict[str, DataCentreSum]:
         """Return each other data centre's sum; with several, the one over the most entries."""
         return self._sums.best(now_s)
--- a/packages/proxy/src/sassafrastally/proxy/peers.py
+++ b/packages/proxy/src/sassafrastally/proxy/peers.py
@@ -211,6 +211,14 @@
         """Whether this entry leaves duties to others that can take them."""
         return self._table.is_overloaded
 
+    def has_local_peer_with_time(self) -> bool:
+        """Return whether an entry of this data centre is live and not overloaded."""
+        return self._table.has_local_peer_with_time(self._now_s)
+
+    def requests_in_progress(self) -> int:
+        """Return the number of requests in progress at the other entries."""
+        return sum(work.requests for loads in self.loads() for work in loads.values())
+
     def loads(self) -> list[Mapping[int, Work]]:
         """Return the work of the other entries by hash of the backend server's id."""
         return self._table.loads(self._now_s)
