Play harmful prompt parts in the soak and in tests with other troubles; cancel waiting plain requests

The soak has a trouble in which a caller sends requests that have only a harmful part in common; all its streams now name a part that many share and one of their own. Tests in simulated time: two causes, twelve entries, servers behind a supervisor, six callers at once, entries that all restart, a rack without a cause, each with sound requests beside it that share customer and first part.

What waited for a plain server's answer when its request was quarantined was left to run and crashed that server, too; it is cancelled now like a stream, if it may be repeated.

--- a/packages/proxy/src/sassafrastally/proxy/plain_request.py
+++ b/packages/proxy/src/sassafrastally/proxy/plain_request.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+from contextlib import ExitStack
 from typing import TYPE_CHECKING, NamedTuple
 
 import trio
@@ -24,6 +26,7 @@
     RequestHandler,
 )
 from sassafrastally.proxy.task import LocalReply, ResponseTimes
+from sassafrastally.proxy.waiting_attempts import WaitingAttempt
 from sassafrastally.proxy.waiting_for_room import RoomWait
 
 if TYPE_CHECKING:
@@ -158,8 +161,16 @@
         )
         self._services.fleet_view.ledger.add(in_flight, begin_s)
         due_s = self._attempt_deadline_s(begin_s)
+        attempt = WaitingAttempt(
+            (),
+            begin_s,
+            math.inf,
+            trio.CancelScope(deadline=due_s),
+            lambda *_: None,
+            self._task.subjects,
+        )
         try:
-            answer = await self._exchange(server, begin_s, due_s)
+            answer = await self._exchange(server, attempt)
             self.progress.pending, self.progress.may_have_run = None, True
             self._services.fleet_view.record_success(server.incarnation_id)
             self._count_outcome(server, is_failure=answer.status >= SERVER_ERROR_STATUS)
@@ -173,6 +184,9 @@
             elif cause.is_out_of_time:
                 self._services.fleet_view.record_failure(server, cause.detail, self._request_id)
         except AttemptUnknown as cause:
+            if attempt.cancel_reason:
+                self._record_abandoned(server, begin_s, attempt.cancel_reason)
+                return None
             detail = "no answer within the attempt's time limit"
             await self._record_unknown(server, begin_s, detail if cause.is_timeout else cause)
         finally:
@@ -185,18 +199,22 @@
             return deadline_s + 1.0  # The deadline of the request still applies.
         return begin_s + FIRST_ATTEMPT_SHARE * (deadline_s - begin_s)
 
-    async def _exchange(
-        self, server: BackendServer, begin_s: float, due_s: float
-    ) -> BufferedResponse:
+    async def _exchange(self, server: BackendServer, attempt: WaitingAttempt) -> BufferedResponse:
         last_event_id = self._task.request.facts.last_event_id
-        terms = self._attempt_terms(server, begin_s, last_event_id)
-        waiting = trio.CancelScope(deadline=due_s)
-        async with self._send(terms, waiting, connect_until_s=due_s) as answer:
-            body = await answer.read(waiting.deadline)
-            self._require_end(answer, body)
-            return BufferedResponse(
-                answer.status, answer.headers, body, server.server_id, answer.framing
-            )
+        terms = self._attempt_terms(server, attempt.begin_s, last_event_id)
+        waiting = attempt.cancel_scope
+        with ExitStack() as until_begun:
+            if self._is_repeatable:
+                # What mustn't run twice is left to run: it can't be told whether it waits.
+                attempts = self._services.fleet_view.waiting_attempts
+                until_begun.enter_context(attempts.register(attempt))
+            async with self._send(terms, waiting, connect_until_s=waiting.deadline) as answer:
+                until_begun.close()
+                body = await answer.read(waiting.deadline)
+                self._require_end(answer, body)
+                return BufferedResponse(
+                    answer.status, answer.headers, body, server.server_id, answer.framing
+                )
 
     def _require_end(self, answer: Answer, body: bytes) -> None:
         """Raise `AttemptUnknown` if the body is an event stream that isn't whole."""
--- a/packages/testing/src/sassafrastally/testing/soak/callers.py
+++ b/packages/testing/src/sassafrastally/testing/soak/callers.py
@@ -85,6 +85,7 @@
         entry: int | None = None,
         content: str = "",
         *,
+        harmful_part: str = "",
         repeats: bool = False,
     ) -> float | None:
         """Send one request; return when to come back if it was turned away.
@@ -97,6 +98,8 @@
             Where it goes; any by default.
         content
             Body of a harmful request; by default, each request has a body of its own.
+        harmful_part
+            A part of its prompt that crashes servers, if any.
         repeats
             Whether the latest request is sent again, with the same content.
         """
@@ -104,7 +107,9 @@
             await self._connect(entry)
         except ConnectionLost:
             return None  # Nobody took the connection: no request, no promise.
-        attempt, prompt = self._repetition() if repeats else self._attempt(kind, content)
+        attempt, prompt = (
+            self._repetition() if repeats else self._attempt(kind, content, harmful_part)
+        )
         self._latest = attempt, prompt
         self._fleet.record.attempts[attempt.attempt_id] = attempt
         patience_s = GIVES_UP_S
@@ -136,10 +141,14 @@
         stream = await connect(self._fleet.callers_address(self._entry), CONNECT_TIME_S)
         self._connection = HttpStream(stream, h11.CLIENT)
 
-    def _attempt(self, kind: Kind, content: str) -> tuple[Attempt, str | None]:
+    def _attempt(self, kind: Kind, content: str, harmful_part: str) -> tuple[Attempt, str | None]:
         attempt_id = f"{self._random.getrandbits(64):016x}"
         make = partial(
-            Attempt, content=content, customer=self._draw_customer(), is_harmful=bool(content)
+            Attempt,
+            content=content,
+            customer=self._draw_customer(),
+            is_harmful=bool(content or harmful_part),
+            harmful_part=harmful_part,
         )
         if not kind.is_stream:
             return make(attempt_id, kind, self._entry, 0), None
@@ -170,6 +179,7 @@
             request_id=attempt.attempt_id,
             time_left_s=TIME_LEFT_S,
             customer=attempt.customer,
+            parts=attempt.parts,
         )
         # Decided by the id, since another draw would change what a seed does.
         is_old = int(attempt.attempt_id, 16) % OLD_VERSION_OF == 0
--- a/packages/testing/src/sassafrastally/testing/soak/fleet.py
+++ b/packages/testing/src/sassafrastally/testing/soak/fleet.py
@@ -61,6 +61,9 @@
 GUARD_PORT = 9
 """Port that a soak holds as long as it uses its addresses."""
 
+CRASH_DELAY_S = 0.05
+"""Time from the begin of an answer to the crash if a part of the prompt is harmful."""
+
 
 class Server:
     """A backend server with the proxy before it; its life may change, its address stays."""
@@ -103,6 +106,8 @@
         """When the store had accepted a version."""
         self.harmful_bodies: set[bytes] = set()
         """Bodies of requests that crash each server that runs them."""
+        self.harmful_parts: set[str] = set()
+        """IDs of prompt parts that crash each server that begins to answer them."""
         self.limited: list[LimitedSpan] = []
         """When servers have named limits."""
         self.rate = 1.0
@@ -270,6 +275,8 @@
     async def _run_replica(self, server: Server) -> None:
         replica = server.replica
         replica.crashing_bodies = self.harmful_bodies
+        replica.crashing_parts = self.harmful_parts
+        replica.crash_delay_s = CRASH_DELAY_S
         await replica.start(self._hosts + "2", self.nursery)
         self.nursery.start_soon(self._replace_crashed, server, replica)
         server.proxy.target = replica.address
--- a/packages/testing/src/sassafrastally/testing/soak/harmful.py
+++ b/packages/testing/src/sassafrastally/testing/soak/harmful.py
@@ -1,4 +1,4 @@
-"""Requests that crash each server that runs them: the trouble, and the promise about it."""
+"""Requests, and prompt parts, that crash servers: the troubles, and the promise about them."""
 
 from __future__ import annotations
 
@@ -12,12 +12,13 @@
 from sassafrastally.testing.soak.troubles import trouble
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping, Sequence
+    from collections.abc import Iterable, Mapping, Sequence
 
     from sassafrastally.stand_ins.replica import ReceivedRequest
     from sassafrastally.testing.soak.fleet import SoakFleet
 
 NAME = "harmful-request"
+PART_NAME = "harmful-part"
 
 ASKED_FOR_S = 8.0
 """How long its caller goes on asking: well beyond the time within which entries must know."""
@@ -25,13 +26,14 @@
 PAUSE_S = 0.3
 """Mean pause between two attempts."""
 
-NOT_OF_ENTRIES = (NAME, "server-", "burst")
+NOT_OF_ENTRIES = (NAME, PART_NAME, "server-", "burst")
 """Troubles that harm no entry, nor its way to the others: they excuse nothing here."""
 
 FREE_CRASHES = 3
+FREE_PART_CRASHES = 5
 FREE_SENDS = 3
-"""Servers that may crash under one request, and how often it may be sent on later than
-`CALM_AFTER_S` after the last of these; what operators allow."""
+"""Servers that may crash under one request, or under one part, and how often it may be sent on
+later than `CALM_AFTER_S` after the last of these; what operators allow."""
 
 
 @trouble(NAME)
@@ -47,23 +49,55 @@
             await trio.sleep(fleet.random.expovariate(1 / PAUSE_S))
 
 
+@trouble(PART_NAME)
+async def ask_with_harmful_part(fleet: SoakFleet) -> None:
+    """Let a caller send requests that have only a harmful part in common, at changing entries."""
+    part = f"bad{fleet.random.getrandbits(48):012x}"
+    fleet.harmful_parts.add(part)
+    caller = Caller(fleet)
+    with fleet.record.trouble(PART_NAME), trio.move_on_after(ASKED_FOR_S):
+        while True:
+            entry = fleet.random.choice(list(fleet.entries))
+            await caller.call(Kind.NOTE, entry, harmful_part=part)
+            await trio.sleep(fleet.random.expovariate(1 / PAUSE_S))
+
+
 def judge_harmful(fleet: SoakFleet, arrivals: Mapping[str, Sequence[ReceivedRequest]]) -> None:
-    """Judge how often such requests were sent on after three servers had crashed under them."""
-    by_content: dict[bytes, list[ReceivedRequest]] = defaultdict(list)
-    for of_one in arrivals.values():
-        for arrival in of_one:
-            if arrival.request.body in fleet.harmful_bodies:
-                by_content[arrival.request.body].append(arrival)
+    """Judge how often requests were sent on after several servers had crashed under them."""
+    by_content: dict[str, list[ReceivedRequest]] = defaultdict(list)
+    by_part: dict[str, list[ReceivedRequest]] = defaultdict(list)
+    for arrival in (arrival for of_one in arrivals.values() for arrival in of_one):
+        if arrival.request.body in fleet.harmful_bodies:
+            by_content[arrival.request.body.decode()].append(arrival)
+        for part in arrival.parts & fleet.harmful_parts:
+            by_part[part].append(arrival)
     for content, sent in by_content.items():
-        sent.sort(key=lambda arrival: arrival.at_s)
-        crashes_s = [arrival.at_s for arrival in sent if arrival.has_run]
-        if len(crashes_s) < FREE_CRASHES:
-            continue
-        known_s = crashes_s[FREE_CRASHES - 1] + CALM_AFTER_S
-        late = [arrival for arrival in sent if _is_late(fleet, arrival, known_s)]
-        if len(late) > FREE_SENDS:
-            detail = f"{content.decode()}: {len(late)} times more, {len(crashes_s)} crashes"
-            fleet.record.note_broken("harmful requests are run by few", detail)
+        _judge_sends(fleet, content, sent, FREE_CRASHES)
+    for part, sent in by_part.items():
+        _judge_sends(fleet, f"part {part}", sent, FREE_PART_CRASHES)
+
+
+def _judge_sends(
+    fleet: SoakFleet, subject: str, sent: list[ReceivedRequest], free_crashes: int
+) -> None:
+    sent.sort(key=lambda arrival: arrival.at_s)
+    crashes_s = _crash_times_s(sent)
+    if len(crashes_s) < free_crashes:
+        return
+    known_s = crashes_s[free_crashes - 1] + CALM_AFTER_S
+    late = [arrival for arrival in sent if _is_late(fleet, arrival, known_s)]
+    if len(late) > FREE_SENDS:
+        detail = f"{subject}: {len(late)} times more, {len(crashes_s)} crashes"
+        fleet.record.note_broken("harmful requests are run by few", detail)
+
+
+def _crash_times_s(sent: Iterable[ReceivedRequest]) -> list[float]:
+    """Return when each server that crashed had got the first of the requests that it ran."""
+    first_s: dict[str, float] = {}
+    for arrival in sent:
+        if arrival.has_run:
+            first_s.setdefault(arrival.request.headers["expect-replica"], arrival.at_s)
+    return sorted(first_s.values())
 
 
 def _is_late(fleet: SoakFleet, arrival: ReceivedRequest, known_s: float) -> bool:
--- a/packages/testing/src/sassafrastally/testing/soak/record.py
+++ b/packages/testing/src/sassafrastally/testing/soak/record.py
@@ -42,6 +42,10 @@
 """How often callers draw each kind of request, relative to each other."""
 
 
+SHARED_PARTS = 4
+"""Number of parts that prompts share."""
+
+
 class Attempt:
     """One attempt of a caller, with its answer.
 
@@ -69,11 +73,14 @@
         customer: str = CUSTOMER,
         *,
         is_harmful: bool = False,
+        harmful_part: str = "",
     ) -> None:
         self.attempt_id = attempt_id
         self.customer = customer
         self.is_harmful = is_harmful
         """Whether servers crash under it."""
+        self.harmful_part = harmful_part
+        """ID of the part of its prompt that crashes servers, if any."""
         self.content = (content or attempt_id).encode()
         self.kind = kind
         self.entry = entry
@@ -86,6 +93,15 @@
         self.is_whole = False
         self.has_left = False
 
+    @property
+    def parts(self) -> str | None:
+        """IDs of the parts of its prompt: one that many share, a harmful one, its own."""
+        if not self.kind.is_stream:
+            return None
+        # Named by the id, since another draw would change what a seed does.
+        shared = f"5a{int(self.attempt_id, 16) % SHARED_PARTS}"
+        return ",".join(filter(None, (shared, self.harmful_part, self.attempt_id)))
+
     @property
     def target(self) -> str:
         """Path of the request; names its content, so that a foreign answer shows."""
--- a/packages/testing/tests/platform/test_harmful_parts.py
+++ b/packages/testing/tests/platform/test_harmful_parts.py
@@ -2,13 +2,16 @@
 
 from __future__ import annotations
 
+import json
 from functools import partial
 
 import pytest
 import trio
 
+from sassafrastally.stand_ins.platform_fleet import wait_until
 from sassafrastally.testing.harmful_fleet import HARMFUL_PART as PART
 from sassafrastally.testing.harmful_fleet import (
+    alive,
     arrivals_with_part,
     harmful_prompt,
     start_fleet,
@@ -108,3 +111,114 @@
         assert_few_sends(fleet)
         late = [status for at_s, status in callers.sound if at_s > callers.sound[0][0] + 6.0]
         assert late.count(200) >= 0.9 * len(late)
+
+
+class TestCircumstances:
+    """Harmful parts beside other troubles."""
+
+    async def run(self, fleet, *, entries: int = 3, engines: int = 8, count: int = 16) -> Callers:
+        """Send harmful streams with sound ones beside them; return the callers."""
+        fleet.harmful_parts.add(PART)
+        fleet.crash_delay_s = 0.08
+        await start_fleet(fleet, entries, engines)
+        callers = Callers(fleet, entries)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(callers.ask_sound, 10 * engines, 0.1)
+            await trio.sleep(1.5)
+            nursery.start_soon(callers.ask_harmful, count, 0.3)
+        return callers
+
+    def assert_sound_are_served(self, callers: Callers, after_s: float) -> None:
+        """Check that sound requests are served from some time after the first one on."""
+        begin_s = callers.sound[0][0]
+        late = [status for at_s, status in callers.sound if at_s > begin_s + after_s]
+        assert late.count(200) >= 0.9 * len(late)
+
+    @pytest.mark.parametrize("seed", [1, 2])
+    async def test_two_causes_at_once(self, autojump_clock, seeded_fleet):
+        """Guards against taking two parts with a common first part for one cause."""
+        fleet = seeded_fleet
+        fleet.harmful_parts |= {PART, "bad1"}
+        fleet.crash_delay_s = 0.08
+        await start_fleet(fleet, engines=10)
+        callers = Callers(fleet)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(callers.ask_sound, 80, 0.1)
+            await trio.sleep(1.5)
+            for part in (PART, "bad1"):
+                nursery.start_soon(callers.ask_harmful, 12, 0.3, "/note/x", 1, part)
+        for part in (PART, "bad1"):
+            assert len(crash_times_s(fleet, part)) <= FREE_CRASHES + 2
+            assert_few_sends(fleet, part)
+        self.assert_sound_are_served(callers, 6.0)
+
+    @pytest.mark.parametrize("seed", [1])
+    async def test_twelve_entries(self, autojump_clock, seeded_fleet):
+        """Guards against a verdict that is found only where the crashes were seen."""
+        fleet = seeded_fleet
+        callers = await self.run(fleet, entries=12, engines=14)
+        assert len(crash_times_s(fleet)) <= FREE_CRASHES + 1
+        assert_few_sends(fleet)
+        self.assert_sound_are_served(callers, 5.0)
+
+    @pytest.mark.parametrize("seed", [1, 2])
+    async def test_crashes_behind_a_supervisor(self, autojump_clock, seeded_fleet):
+        """Guards against missing crashes of servers whose ports still accept connections."""
+        fleet = seeded_fleet
+        fleet.drops_after_crash_s = 2.0
+        callers = await self.run(fleet)
+        assert_few_sends(fleet)
+        self.assert_sound_are_served(callers, 6.0)
+
+    @pytest.mark.parametrize("seed", [1, 2])
+    async def test_many_at_once(self, autojump_clock, seeded_fleet):
+        """Guards against running what waits for a slot when the verdict comes."""
+        fleet = seeded_fleet
+        fleet.harmful_parts.add(PART)
+        fleet.crash_delay_s = 0.08
+        await start_fleet(fleet, engines=10)
+        callers = Callers(fleet)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(callers.ask_sound, 60, 0.1)
+            await trio.sleep(1.5)
+            for _ in range(6):
+                nursery.start_soon(callers.ask_harmful, 4, 0.1)
+        assert_few_sends(fleet)
+        self.assert_sound_are_served(callers, 5.0)
+
+    @pytest.mark.parametrize("seed", [1])
+    async def test_entries_that_all_restart_know_the_part(self, autojump_clock, seeded_fleet):
+        """Guards against losing verdicts on parts when all entries are killed at once."""
+        fleet = seeded_fleet
+        await self.run(fleet, entries=2, count=6)
+        await wait_until(lambda: "quarantine/" in " ".join(fleet.store.keys()), 8.0)
+        for number in (1, 2):
+            fleet.kill_entry(number)
+        await trio.sleep(0.05)
+        before = len(arrivals_with_part(fleet))
+        for number in (1, 2):
+            await fleet.add_entry(number)
+            body, parts = harmful_prompt(1000 + number)
+            answer = await fleet.call(
+                "/note/x", entry=number, body=body, prompt="1000,340", parts=parts
+            )
+            assert answer.status == 503
+            assert f"prompt part {PART}" in json.loads(answer.body)["detail"]
+        assert len(arrivals_with_part(fleet)) == before
+
+    @pytest.mark.parametrize("seed", [1, 2])
+    async def test_rack_that_falls_without_a_cause(self, autojump_clock, seeded_fleet):
+        """Guards against blaming the first part that all requests of a route share."""
+        fleet = seeded_fleet
+        await start_fleet(fleet, engines=8)
+        callers = Callers(fleet)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(callers.ask_sound, 100, 0.05)
+            await trio.sleep(2.0)
+            for replica in [one for one in alive(fleet) if one.service == "engines"][:5]:
+                replica.crash()
+        assert len(fleet.crashed) == 5
+        events = {one["name"] for kernel in fleet.kernels for one in kernel.events.records()}
+        assert "ServerCrashed" in events
+        assert "PromptPartQuarantined" not in events
+        self.assert_sound_are_served(callers, 4.0)
--- a/packages/testing/tests/soak/test_soak.py
+++ b/packages/testing/tests/soak/test_soak.py
@@ -10,7 +10,7 @@
 import pytest
 import trio
 
-from sassafrastally.testing.soak import SoakSize, breaking, contention, run_soak
+from sassafrastally.testing.soak import SoakSize, breaking, contention, harmful, run_soak
 from sassafrastally.testing.soak.callers import GIVES_UP_S
 from sassafrastally.testing.soak.probing import most_store_calls
 from sassafrastally.testing.soak.record import Attempt, HarmedSpan, Kind, Record
@@ -18,7 +18,7 @@
 
 SEEDS = tomllib.loads((Path(__file__).parent / "seeds.toml").read_text())["seed"]
 
-EARLIER = [name for name in TROUBLES.names() if name != breaking.NAME]
+EARLIER = [name for name in TROUBLES.names() if name not in (breaking.NAME, harmful.PART_NAME)]
 USUAL = [name for name in EARLIER if name not in contention.KINDS]
 """Troubles that the seeds below draw from; more names would change what a seed draws."""
 
@@ -43,6 +43,13 @@
         assert not report.broken, str(report)
         assert report.outcomes["200"] > 50, str(report)
 
+    async def test_part_that_crashes_servers_is_run_by_few(self):
+        """Guards against requests of which no two are alike that crash one server after another."""
+        kinds = [harmful.PART_NAME, harmful.PART_NAME, "entry-killed", "server-crashed"]
+        report = await run_soak(20_268, 14.0, SMALL, print, kinds)
+        assert not report.broken, str(report)
+        assert report.troubles[harmful.PART_NAME] >= 1, str(report)
+
     async def test_nothing_older_comes_back_with_a_restored_store(self):
         """Guards against missing or reverting what a store said that was restored from a copy."""
         kinds = ["store-restored", "store-restored", "configured", "server-drained"]
