Judge parts on settled records, and confirm short answers by a later one of their server

Traced in the entries' logs:

- A harmful prompt with an answer of one event got it whole before its server crashed; nobody else was there, so no crash was known and the answer cleared the part.
A short answer now counts once its server answers again half a second later or more.
- A companion was dropped, or a verdict lifted as explained, on a crash whose other requests weren't told yet.
Reviews now look at crashes that have been known for half a second, and a crash that other parts explain drops no companion.
- A verdict that a peer had lifted was taken for one that had expired when its record went, so that one more crash brought it back.
It stays away while other parts explain all of its crashes.

--- a/packages/proxy/src/sassafrastally/proxy/answered_subjects.py
+++ b/packages/proxy/src/sassafrastally/proxy/answered_subjects.py
@@ -8,7 +8,7 @@
 from sassafrastally.proxy.fingerprint import is_part
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable, Sequence
+    from collections.abc import Iterable
 
 NEVER_S = float("-inf")
 
@@ -18,19 +18,20 @@
 MAX_APPLIED = 1024
 """Maximum number of subjects with crashes whose latest answer is kept."""
 
-CONFIRMED_AFTER_S = 1.0
-"""Time after a short answer until it counts for the parts of its prompt. Its server may have
-crashed right after writing it; entries learn of that within a fraction of a second."""
+CONFIRMED_AFTER_S = 0.5
+"""Time after a short answer from which a further answer of its server confirms it. The server may
+have crashed right after writing it, unnoticed by entries whose requests weren't there."""
 
-MAX_UNCONFIRMED = 512
-"""Maximum number of short answers that wait for confirmation."""
+MAX_UNCONFIRMED_SERVERS = 512
+MAX_UNCONFIRMED_ANSWERS = 8
+"""Maximum number of servers with short answers that wait for confirmation, and of such answers of
+one server."""
 
 
-class _Unconfirmed(NamedTuple):
+class _ShortAnswer(NamedTuple):
     """A short answer that doesn't count yet."""
 
-    due_s: float
-    server: int
+    at_s: float
     parts: tuple[int, ...]
 
 
@@ -42,7 +43,8 @@
         """Latest answer received by this entry, by whether the subject is a part."""
         self._applied_s: dict[int, float] = {}
         """Latest answer received by any entry to subjects with crashes."""
-        self._unconfirmed: deque[_Unconfirmed] = deque(maxlen=MAX_UNCONFIRMED)
+        self._unconfirmed: dict[int, deque[_ShortAnswer]] = {}
+        """Short answers by the hash of their server."""
 
     def was_answered(self, subject: int) -> bool:
         """Return whether a subject with crashes was answered, before or after them."""
@@ -85,25 +87,18 @@
         """Forget that a subject with crashes was answered."""
         self._applied_s.pop(subject, None)
 
-    def record_unconfirmed(self, parts: tuple[int, ...], server: int, now_s: float) -> None:
-        """Record a short answer, which counts for the parts unless its server crashes soon."""
-        self._unconfirmed.append(_Unconfirmed(now_s + CONFIRMED_AFTER_S, server, parts))
-
-    def pop_confirmed(
-        self, now_s: float, has_crashed: Callable[[int], bool]
-    ) -> Sequence[tuple[int, ...]]:
-        """Return the parts of short answers whose servers haven't crashed since.
-
-        Parameters
-        ----------
-        now_s
-            Present time.
-        has_crashed
-            Returns whether a server has crashed, by its hash.
-        """
-        confirmed = []
-        while self._unconfirmed and self._unconfirmed[0].due_s <= now_s:
-            one = self._unconfirmed.popleft()
-            if not has_crashed(one.server):
-                confirmed.append(one.parts)
+    def record_short(self, parts: tuple[int, ...], server: int, now_s: float) -> None:
+        """Record a short answer, which counts for the parts once its server is known to live."""
+        answers = self._unconfirmed.pop(server, None) or deque(maxlen=MAX_UNCONFIRMED_ANSWERS)
+        answers.append(_ShortAnswer(now_s, parts))
+        self._unconfirmed[server] = answers
+        if len(self._unconfirmed) > MAX_UNCONFIRMED_SERVERS:
+            del self._unconfirmed[next(iter(self._unconfirmed))]
+
+    def pop_confirmed(self, server: int, now_s: float) -> list[int]:
+        """Return the parts of earlier short answers of a server that has answered again."""
+        answers = self._unconfirmed.get(server, ())
+        confirmed: list[int] = []
+        while answers and now_s - answers[0].at_s >= CONFIRMED_AFTER_S:
+            confirmed += answers.popleft().parts
         return confirmed
--- a/packages/proxy/src/sassafrastally/proxy/crash_records.py
+++ b/packages/proxy/src/sassafrastally/proxy/crash_records.py
@@ -33,6 +33,10 @@
 many requests share runs on most servers of a rack. Its entries detect the crashes of a rack within
 some ten milliseconds."""
 
+SETTLED_S = 0.5
+"""Time after which other entries have told which subjects ran on a crashed server: each datagram
+repeats new records for as long."""
+
 MAX_CASES = 1024
 """Maximum number of subjects whose crashes are kept; beyond it, those with the fewest crashes are
 evicted, the oldest first."""
@@ -85,14 +89,18 @@
         """Return the hashes of the servers that crashed while they ran a subject."""
         return set(self._crashes.get(subject, ()))
 
+    def settled_servers(self, subject: int, now_s: float) -> set[int]:
+        """Return those of `servers` for which the records of other subjects have arrived, too."""
+        return {
+            server
+            for server, crash in self._crashes.get(subject, {}).items()
+            if now_s - crash.received_s >= SETTLED_S
+        }
+
     def has_crashed(self, server: int, subject: int) -> bool:
         """Return whether a server crashed while it ran a subject."""
         return server in self._crashes.get(subject, ())
 
-    def has_any_crash(self, server: int) -> bool:
-        """Return whether a server has crashed while it ran any subject."""
-        return any(server in known for known in self._crashes.values())
-
     def requests_beside(self, subject: int) -> list[int]:
         """Return the other requests on servers that crashed while running a subject, latest first.
 
--- a/packages/proxy/src/sassafrastally/proxy/quarantine.py
+++ b/packages/proxy/src/sassafrastally/proxy/quarantine.py
@@ -58,6 +58,7 @@
         self._cases = CrashRecords()
         self._carried = CarriedParts()
         self._verdicts = Verdicts(self._cases)
+        self._verdicts.on_review = self._drop_companions
 
     def __len__(self) -> int:
         return len(self._verdicts)
@@ -171,7 +172,6 @@
         server, now_s, age_s, is_presumed
             As for `record_crash`.
         """
-        self._confirm_answers(now_s)
         self._carried.record(subjects.parts)
         crash = Crash(now_s - age_s, now_s, True, is_presumed)
         suspects = (subjects.fingerprint, *subjects.parts)
@@ -188,15 +188,16 @@
         self._apply_answer(subject, now_s, now_s)
         return True
 
-    def record_short_answer(self, parts: tuple[int, ...], server: int, now_s: float) -> bool:
+    def record_short_answer(self, parts: tuple[int, ...], server: int, now_s: float) -> None:
         """Record a complete answer that was too short to show that it went on.
 
-        It counts for the parts once it is certain that the server didn't crash. Returns whether an
-        earlier one has become certain and concerns a subject with crashes or a verdict.
+        It counts for the parts once the server answers again: it may have crashed right after it.
         """
-        has_news = self._confirm_answers(now_s)
-        self._cases.answered.record_unconfirmed(parts, server, now_s)
-        return has_news
+        self._cases.answered.record_short(parts, server, now_s)
+
+    def pop_confirmed(self, server: int, now_s: float) -> list[int]:
+        """Return the parts of short answers that are confirmed as their server answers again."""
+        return self._cases.answered.pop_confirmed(server, now_s)
 
     def apply_verdict(self, received: VerdictReport, now_s: float) -> Verdict | None:
         """Apply a verdict received from another entry; return it if it is new.
@@ -253,7 +254,6 @@
 
     def apply(self, report: QuarantineReport, now_s: float) -> list[Verdict]:
         """Apply the records received from a peer; return the new verdicts."""
-        self._confirm_answers(now_s)
         for answer in report.answers:
             self._apply_answer(answer.subject, now_s - answer.age_s, now_s)
         crashed = [
@@ -312,13 +312,11 @@
         known = self._verdicts.get(part)
         if known is not None and not known.is_presumed:
             self._lift_refuted(known, now_s)
-            if known.companions:
-                evidence = self._evidence([part, *known.companions], now_s, is_certain=True)
-                kept = companions_of(part, evidence, self._carried.get(part))
-                self._verdicts.keep_companions(part, kept, now_s)
             self._verdicts.review_later(now_s)
             return None
         if ended := self._verdicts.ended(part):
+            if self._verdicts.is_explained_by_parts(part):
+                return None
             for_s, crashes = QUARANTINE_S, len(self._cases.servers(part))
             return self._quarantine(part, now_s, for_s, crashes, companions=ended.companions)
         if len(self._cases.servers(part)) < CRASHES_FOR_VERDICT:
@@ -337,6 +335,18 @@
                 )
         return None
 
+    def _drop_companions(self, now_s: float) -> None:
+        """Drop companions without which a server crashed, unless other parts explain the crash."""
+        for verdict in list(self._verdicts):
+            part = verdict.subject
+            if not verdict.companions or self._verdicts.is_explained_by_parts(part):
+                continue
+            if self._cases.settled_servers(part, now_s) != self._cases.servers(part):
+                continue
+            evidence = self._evidence([part, *verdict.companions], now_s, is_certain=True)
+            kept = companions_of(part, evidence, self._carried.get(part))
+            self._verdicts.keep_companions(part, kept, now_s)
+
     def _evidence(
         self, parts: Collection[int], now_s: float, *, is_certain: bool
     ) -> dict[int, PartEvidence]:
@@ -356,14 +366,6 @@
             return []
         return self._cases.requests_beside(subject)
 
-    def _confirm_answers(self, now_s: float) -> bool:
-        """Apply short answers that have become certain; return whether any is news."""
-        confirmed = self._cases.answered.pop_confirmed(now_s, self._cases.has_any_crash)
-        has_news = False
-        for part in (part for parts in confirmed for part in parts):
-            has_news = self.record_answered(part, now_s) or has_news
-        return has_news
-
     def _count_crashes(self, subject: int, now_s: float, *, is_certain: bool) -> int:
         if subject not in self._cases:
             return 0
--- a/packages/proxy/src/sassafrastally/proxy/quarantine_service.py
+++ b/packages/proxy/src/sassafrastally/proxy/quarantine_service.py
@@ -148,15 +148,23 @@
     ) -> None:
         """Record that a request got a complete answer."""
         self._record_answered([subjects.fingerprint], "a server answered it")
+        self._confirm(server)
         if not answer.is_going_on and subjects.parts:
-            server_key = server_hash(server.incarnation_id)
-            if self._quarantine.record_short_answer(subjects.parts, server_key, self._now_s):
-                self._peers.send_now()
+            self._quarantine.record_short_answer(
+                subjects.parts, server_hash(server.incarnation_id), self._now_s
+            )
 
-    def record_going_on(self, parts: Sequence[int]) -> None:
+    def record_going_on(self, parts: Sequence[int], server: BackendServer) -> None:
         """Record that a server has gone on with an answer after its begin."""
+        self._confirm(server)
         self._record_answered(parts, "a server answers a request with it")
 
+    def _confirm(self, server: BackendServer) -> None:
+        """Count earlier short answers of a server, which has answered again."""
+        key = server_hash(server.incarnation_id)
+        if confirmed := self._quarantine.pop_confirmed(key, self._now_s):
+            self._record_answered(confirmed, "a server answered a request with it")
+
     def own_report(self, *, is_full: bool) -> QuarantineReport:
         """Return the records that this entry has made itself."""
         return self._quarantine.report(self._now_s, is_full=is_full)
--- a/packages/proxy/src/sassafrastally/proxy/request_handler.py
+++ b/packages/proxy/src/sassafrastally/proxy/request_handler.py
@@ -219,10 +219,10 @@
         suspects = self._services.quarantine.crash_counts_with(self._task.subjects)
         return assigned_servers(views, self._task.fingerprint, suspects)
 
-    def _record_event(self, now_s: float) -> None:
+    def _record_event(self, server: BackendServer, now_s: float) -> None:
         """Record an event of the answer."""
         if self.progress.answer.record_event(now_s):
-            self._services.quarantine.record_going_on(self._task.parts)
+            self._services.quarantine.record_going_on(self._task.parts, server)
 
     def _record_success(self, server: BackendServer, status: int) -> None:
         """Record a complete, successful response: the request doesn't crash servers."""
--- a/packages/proxy/src/sassafrastally/proxy/streaming_request.py
+++ b/packages/proxy/src/sassafrastally/proxy/streaming_request.py
@@ -413,7 +413,7 @@
                 now_s = self._clock.now_s()
                 if event.has_fields:
                     self._services.fleet_view.ledger.first_event(in_flight, now_s)
-                    self._record_event(now_s)
+                    self._record_event(placement.server, now_s)
                 await self._forward_event(event, now_s)
             waiting_since_s = self._clock.now_s()
         if stream.rest:
--- a/packages/proxy/src/sassafrastally/proxy/verdicts.py
+++ b/packages/proxy/src/sassafrastally/proxy/verdicts.py
@@ -8,7 +8,7 @@
 from sassafrastally.proxy.fingerprint import is_part
 
 if TYPE_CHECKING:
-    from collections.abc import Collection, Iterator
+    from collections.abc import Callable, Collection, Iterator
 
     from sassafrastally.proxy.crash_records import CrashRecords
 
@@ -77,6 +77,8 @@
     def __init__(self, cases: CrashRecords) -> None:
         self.version = 0
         """Incremented with each new verdict and each one that covers more."""
+        self.on_review: Callable[[float], None] = lambda _now_s: None
+        """Called with the present time when the verdicts have been reviewed."""
         self._cases = cases
         self._verdicts: dict[int, Verdict] = {}
         self._ended: dict[int, Verdict] = {}
@@ -174,6 +176,7 @@
         if now_s >= self._review_due_s:
             self._review_due_s = NEVER_S
             self._review(now_s)
+            self.on_review(now_s)
 
     def _review(self, now_s: float) -> None:
         """Lift verdicts whose crashes are all explained by other verdicts.
@@ -182,17 +185,32 @@
         these crashes before any cause is known. A request that is the only quarantined one on some
         crashed server is a cause. A verdict is lifted if causes explain all of its crashes.
         """
+        if any(
+            self._cases.settled_servers(key, now_s) != self._cases.servers(key)
+            for key in self._verdicts
+        ):
+            self.review_later(now_s)
         blamed_parts = {key for key in self._verdicts if is_part(key)}
-        part_causes = self._only_explanations(blamed_parts)
+        part_causes = self._only_explanations(blamed_parts, now_s)
         self._lift_explained(blamed_parts - part_causes, part_causes, now_s)
         requests = self._verdicts.keys() - blamed_parts
         parts = self._verdicts.keys() & blamed_parts
-        causes = self._only_explanations(self._verdicts.keys())
+        causes = self._only_explanations(self._verdicts.keys(), now_s)
         self._lift_explained(requests - causes, causes | parts, now_s)
 
-    def _only_explanations(self, keys: Collection[int]) -> set[int]:
+    def is_explained_by_parts(self, part: int) -> bool:
+        """Return whether other quarantined parts explain all crashes of a part."""
+        explained = {
+            server
+            for verdict in self._verdicts.values()
+            if verdict.subject != part and is_part(verdict.subject) and not verdict.is_presumed
+            for server in self._cases.servers(verdict.subject)
+        }
+        return self._cases.servers(part) <= explained
+
+    def _only_explanations(self, keys: Collection[int], now_s: float) -> set[int]:
         """Return the quarantined subjects that are the only one on some crashed server."""
-        servers = {key: self._cases.servers(key) for key in keys}
+        servers = {key: self._cases.settled_servers(key, now_s) for key in keys}
         explained_by = Counter(server for crashed in servers.values() for server in crashed)
         return {
             key
