--- a/packages/proxy/src/sassafrastally/proxy/part_causes.py
+++ b/packages/proxy/src/sassafrastally/proxy/part_causes.py
@@ -5,6 +5,7 @@
 takes sound requests with it, which then can't be answered to clear it. So the narrowest explanation
 is chosen: a single request before a part, of several parts the one with fewer crashes, and a part
 together with those that always came along, so that only requests with all of them are blamed.
+Crashes that parts with a verdict explain don't count against others.
 """
 
 from __future__ import annotations
@@ -14,6 +15,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Collection, Mapping
 
+    from sassafrastally.proxy.verdicts import Verdict
+
 CRASHES_FOR_VERDICT = 3
 """Crashes after which a request or a part is quarantined. Two are common for requests that run
 beside a harmful one and fail over together with it; each further one costs a server and all
@@ -22,6 +25,10 @@
 CRASHES_FOR_WIDE_VERDICT = 5
 """Crashes after which a part is quarantined although a narrower one may be the cause."""
 
+MAX_EXPLANATIONS = 2
+"""Maximum number of verdicts that explain the crashes of a part. If more would be needed, it is
+more likely that the part is the cause and the verdicts are wrong."""
+
 MIN_NARROWER_CRASHES = 2
 """Crashes of several requests from which a narrower part may be the cause."""
 
@@ -42,8 +49,8 @@
     """Their number, those that happened together counted once."""
     was_answered: bool
     """Whether an answer to a request with it had begun and gone on, before or after them."""
-    is_blamed: bool
-    """Whether there is a verdict on it, reached from certain crashes."""
+    verdict: Verdict | None
+    """Verdict on it, if there is one that was reached from certain crashes."""
 
 
 def is_cause(
@@ -66,21 +73,24 @@
     if own.crashes < CRASHES_FOR_VERDICT or is_covered_by_request(own.servers):
         return False
     others = [one for key, one in evidence.items() if key != part]
-    if any(one.is_blamed and _explains_better(one, own) for one in others):
-        return False
-    narrower = [
-        one
+    explanations = [
+        one.servers & own.servers
         for one in others
-        if one.servers and one.servers < own.servers and own.was_answered >= one.was_answered
+        if one.verdict is not None
+        and part not in one.verdict.companions
+        and one.servers != own.servers
+        and not one.servers.isdisjoint(own.servers)
     ]
-    explained = {server for one in narrower if one.is_blamed for server in one.servers}
-    if explained and len(own.servers - explained) < CRASHES_FOR_VERDICT:
+    is_explained = 0 < len(explanations) <= MAX_EXPLANATIONS
+    if is_explained and len(own.servers.difference(*explanations)) < CRASHES_FOR_VERDICT:
         return False
     has_rival = any(
-        not one.is_blamed
+        one.verdict is None
         and one.crashes >= MIN_NARROWER_CRASHES
+        and one.servers < own.servers
+        and one.was_answered <= own.was_answered
         and not is_covered_by_request(one.servers)
-        for one in narrower
+        for one in others
     )
     return not has_rival or own.crashes >= CRASHES_FOR_WIDE_VERDICT
 
@@ -112,13 +122,6 @@
     return tuple(sorted(found)[:MAX_COMPANIONS])
 
 
-def _explains_better(other: PartEvidence, own: PartEvidence) -> bool:
-    """Return whether another part explains all crashes of a part and is more likely the cause."""
-    if other.servers == own.servers:
-        return own.was_answered and not other.was_answered
-    return other.servers > own.servers
-
-
 class CarriedParts:
     """Which parts came along with a part in each request that was on a crashed server."""
 
--- a/packages/proxy/src/sassafrastally/proxy/quarantine.py
+++ b/packages/proxy/src/sassafrastally/proxy/quarantine.py
@@ -356,7 +356,7 @@
                 frozenset(self._cases.counted(one, now_s, _is_unexplained, is_certain=is_certain)),
                 self._cases.count(one, now_s, _is_unexplained, is_certain=is_certain),
                 self._cases.answered.was_answered(one),
-                self._verdicts.is_certain(one),
+                self._verdicts.certain(one),
             )
             for one in parts
         }
--- a/packages/proxy/src/sassafrastally/proxy/verdicts.py
+++ b/packages/proxy/src/sassafrastally/proxy/verdicts.py
@@ -103,10 +103,10 @@
         """Return the verdict on a subject, if any."""
         return self._verdicts.get(subject)
 
-    def is_certain(self, subject: int) -> bool:
-        """Return whether there is a verdict on a subject, reached from certain crashes."""
+    def certain(self, subject: int) -> Verdict | None:
+        """Return the verdict on a subject if it was reached from certain crashes."""
         verdict = self._verdicts.get(subject)
-        return verdict is not None and not verdict.is_presumed
+        return None if verdict is None or verdict.is_presumed else verdict
 
     def ended(self, subject: int) -> Verdict | None:
         """Return the ended verdict on a subject, if any."""
--- a/packages/proxy/tests/test_part_quarantine.py
+++ b/packages/proxy/tests/test_part_quarantine.py
@@ -157,6 +157,28 @@
         assert all(fleet.refusals(12.0, FIRST, OTHER_PART))
         assert not any(fleet.refusals(12.0, FIRST))
 
+    def test_crashes_that_a_verdict_explains_do_not_count_against_others(self):
+        """Guards against blaming a new first part for two crashes of a known cause and another."""
+        fleet = Fleet()
+        for number in range(5):
+            first = [FIRST] if number < 2 else []
+            fleet.crash(10.0 + number, fleet.request(*first, PART), entry=number % 2)
+        fleet.crash(15.0, fleet.request(FIRST), fleet.request(OTHER_PART))
+        assert all(fleet.refusals(15.0, PART))
+        assert not any(fleet.refusals(15.0, FIRST))
+
+    def test_many_wrong_verdicts_do_not_hide_the_cause(self):
+        """Guards against a cause all of whose crashes are explained by verdicts on new parts."""
+        fleet = Fleet()
+        crashes = 0
+        for number in range(30):
+            new_part = part_key(f"new {number // 3}")
+            if not any(fleet.refusals(10.0 + number, new_part, PART)):
+                fleet.crash(10.0 + number, fleet.request(new_part, PART), entry=number % 2)
+                crashes += 1
+        assert crashes <= 9
+        assert all(fleet.refusals(40.0, PART))
+
     def test_requests_beside_the_cause_are_cleared(self):
         """Guards against keeping verdicts on sound parts that met three of the crashes."""
         fleet = Fleet()
--- a/packages/testing/src/sassafrastally/testing/harmful_fleet.py
+++ b/packages/testing/src/sassafrastally/testing/harmful_fleet.py
@@ -83,6 +83,6 @@
     part
         The harmful part.
     """
-    parts = [f"a{number % 3}", f"b{number:x}", f"f{number:x}"]
+    parts = [f"a{number % 3}", f"b{number:x}{part}", f"f{number:x}"]
     parts.insert(position, part)
     return f"harmful {part} {number}".encode(), ",".join(parts)
--- a/packages/testing/src/sassafrastally/testing/soak/harmful.py
+++ b/packages/testing/src/sassafrastally/testing/soak/harmful.py
@@ -26,6 +26,10 @@
 PAUSE_S = 0.3
 """Mean pause between two attempts."""
 
+MAX_PARTS_AT_ONCE = 2
+"""Harmful parts at a time. With more, a fleet of some five engines crashes faster than any answer
+goes on, so that nothing clears the parts that all prompts share."""
+
 NOT_OF_ENTRIES = (NAME, PART_NAME, "server-", "burst")
 """Troubles that harm no entry, nor its way to the others: they excuse nothing here."""
 
@@ -52,6 +56,8 @@
 @trouble(PART_NAME)
 async def ask_with_harmful_part(fleet: SoakFleet) -> None:
     """Let a caller send requests that have only a harmful part in common, at changing entries."""
+    if fleet.record.count_active(PART_NAME) >= MAX_PARTS_AT_ONCE:
+        return
     part = f"bad{fleet.random.getrandbits(48):012x}"
     fleet.harmful_parts.add(part)
     caller = Caller(fleet)
--- a/packages/testing/src/sassafrastally/testing/soak/record.py
+++ b/packages/testing/src/sassafrastally/testing/soak/record.py
@@ -168,6 +168,11 @@
         finally:
             span.end_s = trio.current_time()
 
+    def count_active(self, name: str) -> int:
+        """Return how many troubles of a name are in progress."""
+        now_s = trio.current_time()
+        return sum(span.name == name and span.end_s > now_s for span in self.spans)
+
     def is_calm(
         self,
         entry: int,
