--- a/packages/proxy/src/sassafrastally/proxy/crash_records.py
+++ b/packages/proxy/src/sassafrastally/proxy/crash_records.py
@@ -136,7 +136,7 @@
         self,
         subject: int,
         now_s: float,
-        is_explained: Callable[[int], bool],
+        is_explained: Callable[[int], bool] = lambda _server: False,
         *,
         is_certain: bool = False,
     ) -> dict[int, float]:
@@ -149,7 +149,7 @@
         now_s
             Present time.
         is_explained
-            Returns whether another subject explains a server's crash.
+            Returns whether another subject explains a server's crash; by default, none does.
         is_certain
             Whether to count only certain crashes.
         """
@@ -167,7 +167,7 @@
         self,
         subject: int,
         now_s: float,
-        is_explained: Callable[[int], bool],
+        is_explained: Callable[[int], bool] = lambda _server: False,
         *,
         is_certain: bool = False,
     ) -> int:
--- a/packages/proxy/src/sassafrastally/proxy/log_events/__init__.py
+++ b/packages/proxy/src/sassafrastally/proxy/log_events/__init__.py
@@ -44,6 +44,7 @@
 )
 from sassafrastally.proxy.log_events.quarantine import (
     PromptPartQuarantined,
+    PromptPartTried,
     QuarantineLifted,
     QuarantineNotRecorded,
     RequestQuarantined,
@@ -111,6 +112,7 @@
     "PeerSilent",
     "ProcessDraining",
     "PromptPartQuarantined",
+    "PromptPartTried",
     "QuarantineLifted",
     "QuarantineNotRecorded",
     "ReadinessChanged",
--- a/packages/proxy/src/sassafrastally/proxy/log_events/quarantine.py
+++ b/packages/proxy/src/sassafrastally/proxy/log_events/quarantine.py
@@ -35,6 +35,14 @@
     """Source of the last crash report: this entry or another one."""
 
 
+@event(10078)
+class PromptPartTried(NamedTuple):
+    """One request with a quarantined part is run, to end the quarantine if the part is sound."""
+
+    part: str
+    """Key of the part."""
+
+
 @event(10038)
 class QuarantineLifted(NamedTuple):
     """A quarantined request, or requests with a quarantined part, may run again."""
--- a/packages/proxy/src/sassafrastally/proxy/quarantine.py
+++ b/packages/proxy/src/sassafrastally/proxy/quarantine.py
@@ -40,6 +40,10 @@
 """How long a request is quarantined. A wrong verdict expires within this time; when a right one
 expires, one more server crashes."""
 
+TRIAL_AFTER_S = 10.0
+"""Time after a verdict on a part until one request with it is tried: the servers are back by then.
+A right verdict costs one more server, a wrong one ends."""
+
 REPORTS_FRESH_S = 0.5
 """How long new records are sent with every datagram; an entry that misses these receives them when
 older records are repeated."""
@@ -89,6 +93,14 @@
                 return verdict
         return None
 
+    def claim_trial(self, verdict: Verdict, now_s: float) -> bool:
+        """Return whether a request may be tried in spite of a verdict on a part of its prompt.
+
+        Nothing else would clear a sound part that was taken for the cause: none of its requests
+        run. Only the entry that has seen the last crash tries one, and only once.
+        """
+        return self._verdicts.claim_trial(verdict.subject, now_s)
+
     def verdict_on(self, subject: int, now_s: float) -> Verdict | None:
         """Return the verdict in force on a subject, whatever else it requires."""
         self._verdicts.end_due(now_s)
@@ -175,7 +187,11 @@
         self._carried.record(subjects.parts)
         crash = Crash(now_s - age_s, now_s, True, is_presumed)
         suspects = (subjects.fingerprint, *subjects.parts)
-        return self._judge([one for one in suspects if self._add(one, server, crash)], now_s)
+        found = self._judge([one for one in suspects if self._add(one, server, crash)], now_s)
+        for verdict in found:
+            if is_part(verdict.subject) and not verdict.is_presumed:
+                self._verdicts.allow_trial(verdict.subject, now_s + TRIAL_AFTER_S)
+        return found
 
     def record_answered(self, subject: int, now_s: float) -> bool:
         """Record an answer to a subject; return whether it had crashes or a verdict.
@@ -353,8 +369,8 @@
         """Return what speaks against parts."""
         return {
             one: PartEvidence(
-                frozenset(self._cases.counted(one, now_s, _is_unexplained, is_certain=is_certain)),
-                self._cases.count(one, now_s, _is_unexplained, is_certain=is_certain),
+                frozenset(self._cases.counted(one, now_s, is_certain=is_certain)),
+                self._cases.count(one, now_s, is_certain=is_certain),
                 self._cases.answered.was_answered(one),
                 self._verdicts.certain(one),
             )
@@ -431,8 +447,3 @@
             VerdictReport(one.subject, one.until_s - now_s, one.crashes, one.companions)
             for one in latest
         )
-
-
-def _is_unexplained(server: int) -> bool:
-    """Return ``False``: crashes count whatever else may explain them."""
-    return False
--- a/packages/proxy/src/sassafrastally/proxy/quarantine_service.py
+++ b/packages/proxy/src/sassafrastally/proxy/quarantine_service.py
@@ -14,6 +14,7 @@
 from sassafrastally.proxy.log_events import (
     DocumentRejected,
     PromptPartQuarantined,
+    PromptPartTried,
     QuarantineLifted,
     QuarantineNotRecorded,
     RequestQuarantined,
@@ -98,6 +99,13 @@
         """Return the verdict on a request or on a part of its prompt, if one is in force."""
         return self._quarantine.verdict(subjects.fingerprint, self._now_s, subjects.parts)
 
+    def claim_trial(self, verdict: Verdict) -> bool:
+        """Return whether a request may be tried in spite of a verdict on a part of its prompt."""
+        if not self._quarantine.claim_trial(verdict, self._now_s):
+            return False
+        self.kernel.events.emit(PromptPartTried(fingerprint_text(verdict.subject)))
+        return True
+
     def crash_count(self, subjects: Subjects) -> int:
         """Return how many crashes count against a request or a part of its prompt."""
         return self._quarantine.crash_count(subjects.fingerprint, self._now_s, subjects.parts)
--- a/packages/proxy/src/sassafrastally/proxy/request_handler.py
+++ b/packages/proxy/src/sassafrastally/proxy/request_handler.py
@@ -147,16 +147,25 @@
 
     def _must_not_wait(self) -> bool:
         """Return whether waiting is pointless: a quarantine verdict, or an evacuation."""
-        if self._services.quarantine.verdict(self._task.subjects) is not None:
+        if self._verdict() is not None:
             return True
         unavailability = self._services.fleet_view.unavailability(
             self._task.service, self._task.homes
         )
         return unavailability is not Unavailability.NONE
 
+    def _verdict(self) -> Verdict | None:
+        """Return the verdict on the request, unless its next attempt is a trial."""
+        quarantine = self._services.quarantine
+        verdict = quarantine.verdict(self._task.subjects)
+        if verdict is None or self.progress.sent:
+            return verdict
+        self.progress.is_trial = self.progress.is_trial or quarantine.claim_trial(verdict)
+        return None if self.progress.is_trial else verdict
+
     def _quarantine_reply(self) -> LocalReply | None:
         """Return the local reply if the request is quarantined."""
-        verdict = self._services.quarantine.verdict(self._task.subjects)
+        verdict = self._verdict()
         if verdict is None:
             return None
         now_s = self._clock.now_s()
--- a/packages/proxy/src/sassafrastally/proxy/verdicts.py
+++ b/packages/proxy/src/sassafrastally/proxy/verdicts.py
@@ -46,6 +46,9 @@
     """Keys of further parts that a request must have: they can't be told from the part."""
     changed_s: float = float("-inf")
     """When its companions last changed."""
+    trial_s: float = float("inf")
+    """When this entry may try a request to which it applies; infinite for all but one entry, and
+    once it has."""
 
     def covers(self, parts: Collection[int]) -> bool:
         """Return whether it covers a request with its subject and these parts."""
@@ -129,6 +132,18 @@
         if len(self._verdicts) > MAX_VERDICTS:
             del self._verdicts[min(self._verdicts.values(), key=_until_s).subject]
 
+    def allow_trial(self, subject: int, at_s: float) -> None:
+        """Let this entry try one request with a part at some time."""
+        self._verdicts[subject] = self._verdicts[subject]._replace(trial_s=at_s)
+
+    def claim_trial(self, subject: int, now_s: float) -> bool:
+        """Return whether a request may be tried in spite of a verdict; only the first one may."""
+        verdict = self._verdicts.get(subject)
+        if verdict is None or now_s < verdict.trial_s:
+            return False
+        self._verdicts[subject] = verdict._replace(trial_s=NEVER_S)
+        return True
+
     def shorten(self, subject: int, until_s: float) -> None:
         """Let a verdict expire no later than at a given time."""
         verdict = self._verdicts[subject]
--- a/packages/proxy/tests/test_part_quarantine.py
+++ b/packages/proxy/tests/test_part_quarantine.py
@@ -9,7 +9,7 @@
 from sassafrastally.proxy.fingerprint import Subjects, part_key
 from sassafrastally.proxy.part_causes import CRASHES_FOR_VERDICT, MAX_CARRIED
 from sassafrastally.proxy.peer_messages import Hello, decode_hello, encode_hello
-from sassafrastally.proxy.quarantine import QUARANTINE_S, Quarantine
+from sassafrastally.proxy.quarantine import QUARANTINE_S, TRIAL_AFTER_S, Quarantine
 from sassafrastally.proxy.quarantine_exchange import VerdictReport
 from sassafrastally.proxy.quarantine_records import decode_record, encode_record
 from sassafrastally.proxy.store import StorePosition
@@ -284,6 +284,39 @@
         assert all(fleet.refusals(100.0, PART))
 
 
+class TestTrial:
+    """One request that is tried in spite of a verdict."""
+
+    def claims(self, fleet: Fleet, now_s: float) -> list[bool]:
+        """Return for each entry whether it tries a request with the part."""
+        verdicts = [entry.verdict(1, now_s, (PART,)) for entry in fleet.entries]
+        return [
+            verdict is not None and entry.claim_trial(verdict, now_s)
+            for entry, verdict in zip(fleet.entries, verdicts, strict=True)
+        ]
+
+    def test_one_entry_tries_one_request(self):
+        """Guards against sound parts that stay refused since none of their requests runs, and
+        against a server lost at each entry."""
+        fleet = Fleet(entries=3)
+        for number in range(CRASHES_FOR_VERDICT):
+            fleet.crash(10.0 + number, fleet.request(PART), entry=number % 3)
+        assert not any(self.claims(fleet, 12.1))
+        assert sum(self.claims(fleet, 12.1 + TRIAL_AFTER_S)) == 1
+        assert not any(self.claims(fleet, 12.2 + TRIAL_AFTER_S))
+        fleet.crash(23.0, fleet.request(PART))
+        assert not any(self.claims(fleet, 600.0))
+        assert all(fleet.refusals(600.0, PART))
+
+    def test_request_by_its_fingerprint_is_not_tried(self):
+        fleet = Fleet(entries=1)
+        body = fleet.request()
+        for number in range(CRASHES_FOR_VERDICT):
+            fleet.crash(10.0 + number, body)
+        verdict = fleet.entries[0].verdict(body.fingerprint, 500.0)
+        assert not fleet.entries[0].claim_trial(verdict, 500.0)
+
+
 class TestEntries:
     """Entries that start or were cut off."""
 
--- a/packages/testing/src/sassafrastally/testing/soak/harmful.py
+++ b/packages/testing/src/sassafrastally/testing/soak/harmful.py
@@ -16,6 +16,7 @@
 
     from sassafrastally.stand_ins.replica import ReceivedRequest
     from sassafrastally.testing.soak.fleet import SoakFleet
+    from sassafrastally.testing.soak.record import Attempt
 
 NAME = "harmful-request"
 PART_NAME = "harmful-part"
@@ -26,6 +27,14 @@
 PAUSE_S = 0.3
 """Mean pause between two attempts."""
 
+SETTLED_S = 6.0
+"""Time from the begin or the end of a harmful part after which verdicts on others are wrong."""
+
+MIN_BESIDE = 20
+MAX_REFUSED_SHARE = 0.5
+"""Harmless streams from which the share that is refused counts, and its limit; what operators
+allow."""
+
 MAX_PARTS_AT_ONCE = 2
 """Harmful parts at a time. With more, a fleet of some five engines crashes faster than any answer
 goes on, so that nothing clears the parts that all prompts share."""
@@ -68,6 +77,36 @@
             await trio.sleep(fleet.random.expovariate(1 / PAUSE_S))
 
 
+def is_refused_beside_part(fleet: SoakFleet, attempt: Attempt) -> bool:
+    """Return whether a harmless request was refused for a part, while others are harmful.
+
+    Until an answer has gone on, a part that prompts share can't be told from one that crashes the
+    same servers. `judge_beside_parts` limits how many may be refused.
+    """
+    return b"with prompt part" in attempt.body and any(
+        span.name == PART_NAME and span.begin_s <= attempt.sent_s <= span.end_s + SETTLED_S
+        for span in fleet.record.spans
+    )
+
+
+def judge_beside_parts(fleet: SoakFleet) -> None:
+    """Judge the share of harmless streams that were refused beside harmful parts."""
+    for span in fleet.record.spans:
+        if span.name != PART_NAME:
+            continue
+        beside = [
+            attempt
+            for attempt in fleet.record.attempts.values()
+            if attempt.kind.is_stream
+            and not attempt.is_harmful
+            and span.begin_s + SETTLED_S <= attempt.sent_s <= span.end_s
+        ]
+        refused = [one for one in beside if b"with prompt part" in one.body]
+        if len(beside) >= MIN_BESIDE and len(refused) > MAX_REFUSED_SHARE * len(beside):
+            detail = f"{len(refused)} of {len(beside)} refused beside a harmful part"
+            fleet.record.note_broken("harmless requests with the same parts are served", detail)
+
+
 def judge_harmful(fleet: SoakFleet, arrivals: Mapping[str, Sequence[ReceivedRequest]]) -> None:
     """Judge how often requests were sent on after several servers had crashed under them."""
     by_content: dict[str, list[ReceivedRequest]] = defaultdict(list)
--- a/packages/testing/src/sassafrastally/testing/soak/promises.py
+++ b/packages/testing/src/sassafrastally/testing/soak/promises.py
@@ -11,7 +11,11 @@
 from sassafrastally.testing.soak.asking import judge_asking
 from sassafrastally.testing.soak.callers import GIVES_UP_S, TIME_LEFT_S
 from sassafrastally.testing.soak.contention import judge_contention
-from sassafrastally.testing.soak.harmful import judge_harmful
+from sassafrastally.testing.soak.harmful import (
+    is_refused_beside_part,
+    judge_beside_parts,
+    judge_harmful,
+)
 from sassafrastally.testing.soak.record import Attempt, Kind
 
 if TYPE_CHECKING:
@@ -83,6 +87,7 @@
         self._judge_gone(arrivals)
         self._judge_repeats(arrivals)
         judge_harmful(self._fleet, arrivals)
+        judge_beside_parts(self._fleet)
         judge_asking(self._fleet)
         judge_contention(self._fleet)
 
@@ -104,7 +109,12 @@
             self._judge_content(attempt, arrivals)
         if not attempt.has_left and not attempt.is_harmful:
             self._judge_answered(attempt, arrivals)
-        if not attempt.is_harmful and b"refusal:quarantined" in attempt.body:
+        is_refused = b"refusal:quarantined" in attempt.body
+        if (
+            not attempt.is_harmful
+            and is_refused
+            and not is_refused_beside_part(self._fleet, attempt)
+        ):
             self._break("only harmful requests are quarantined", attempt, f"{attempt.body!r}")
 
     def _judge_once(self, attempt: Attempt, arrivals: list[ReceivedRequest]) -> None:
--- a/packages/testing/tests/platform/test_harmful_parts.py
+++ b/packages/testing/tests/platform/test_harmful_parts.py
@@ -8,6 +8,7 @@
 import pytest
 import trio
 
+from sassafrastally.proxy.quarantine import TRIAL_AFTER_S
 from sassafrastally.stand_ins.platform_fleet import wait_until
 from sassafrastally.testing.harmful_fleet import HARMFUL_PART as PART
 from sassafrastally.testing.harmful_fleet import (
@@ -206,6 +207,22 @@
             assert f"prompt part {PART}" in json.loads(answer.body)["detail"]
         assert len(arrivals_with_part(fleet)) == before
 
+    @pytest.mark.parametrize("seed", [1])
+    async def test_part_that_is_sound_after_all_is_tried(self, autojump_clock, seeded_fleet):
+        """Guards against refusing a part for minutes whose servers crashed for another reason."""
+        fleet = seeded_fleet
+        await self.run(fleet, count=6)
+        crashed = len(fleet.crashed)
+        fleet.harmful_parts.clear()
+        await trio.sleep(TRIAL_AFTER_S)
+        for number in range(100, 106):
+            body, parts = harmful_prompt(number)
+            answer = await fleet.call(
+                "/note/x", entry=1 + number % 3, body=body, prompt="1000,1360", parts=parts
+            )
+        assert answer.status == 200
+        assert len(fleet.crashed) == crashed
+
     @pytest.mark.parametrize("seed", [1, 2])
     async def test_rack_that_falls_without_a_cause(self, autojump_clock, seeded_fleet):
         """Guards against blaming the first part that all requests of a route share."""
