--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,9 @@
 PACKAGES := packages/core packages/wire packages/stores packages/control packages/proxy packages/serving \
 	packages/entry packages/sidecar packages/testing packages/cli platform platform/stand_ins
 STAMP := $(VENV)/.installed
-TOOLS := hatchling editables pytest pytest-trio syrupy hypothesis mypy ruff black trustme
+# Most tests wait for sockets and processes, so that more workers than five don't need more processors.
+TEST_WORKERS ?= 6
+TOOLS := hatchling editables pytest pytest-trio pytest-xdist syrupy hypothesis mypy ruff black trustme
 
 .PHONY: setup demo test check format clean
 
@@ -23,7 +25,7 @@
 	$(BIN)/sassafrastally demo
 
 test: $(STAMP)
-	$(BIN)/python -m pytest $(PYTEST_OPTIONS)
+	$(BIN)/python -m pytest -n $(TEST_WORKERS) --dist worksteal $(PYTEST_OPTIONS)
 
 check: $(STAMP)
 	$(BIN)/black --check --quiet packages platform
--- a/packages/cli/src/sassafrastally/cli/why.py
+++ b/packages/cli/src/sassafrastally/cli/why.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import json
+import re
 import sys
 from pathlib import Path
 from typing import TYPE_CHECKING, Any, NamedTuple
 
 from sassafrastally.cli.exit_codes import ExitCode
+from sassafrastally.proxy.fingerprint import fingerprint_text, part_key
 
 if TYPE_CHECKING:
     import argparse
@@ -51,10 +53,21 @@
 """Events that change what a process believes, whatever request is asked for."""
 
 ABOUT_CONTENT = frozenset(
-    {"QuarantineLifted", "RequestQuarantined", "ServerCrashed", "ServerCrashPresumed"}
+    {
+        "PromptPartQuarantined",
+        "PromptPartTried",
+        "QuarantineLifted",
+        "RequestQuarantined",
+        "ServerCrashed",
+        "ServerCrashPresumed",
+    }
 )
 """Events about what a request holds, whoever asked and wherever: of requests with the same
-fingerprint as the one that is asked for all of them are shown, however long before."""
+fingerprint as the one that is asked for, or with the prompt part for which that was refused, all of
+them are shown, however long before."""
+
+_REFUSED_FOR_PARTS = re.compile(r"with prompt part (\w+(?: and \w+)*)")
+"""Detail of the refusal of a request because of parts of its prompt."""
 
 HIDDEN = ("event", "level", "timestamp", "number", "vm", "request_id")
 
@@ -109,10 +122,13 @@
     """Return the request's lines and what led to them.
 
     That is changes of belief on its VMs shortly before, about the servers that it was sent to or,
-    if it was sent to none, about all; and crashes under the same request of other ids, on all VMs.
+    if it was sent to none, about all; and crashes under the same request of other ids, or with the
+    prompt part for which it was refused, on all VMs.
     """
     vms = {line.fields.get("vm") for line in own}
     contents = {str(line.fields.get("fingerprint", "")) for line in own} - {""}
+    parts = _refused_parts(own)
+    contents |= {fingerprint_text(part_key(part)) for part in parts}
     servers = {str(line.fields.get("server_id", "")) for line in own} - {""}
     first, last = lines.index(own[0]), lines.index(own[-1])
     since = _seconds(own[0]) - BEFORE_S
@@ -121,8 +137,9 @@
         is_belief = line.fields.get("event") in BELIEFS and line.fields.get("vm") in vms
         is_about_others = bool(servers) and line.fields.get("server_id", "") not in {"", *servers}
         is_recent = _seconds(line) >= since or line.order > lines[first].order
-        is_about_content = (
-            line.fields.get("event") in ABOUT_CONTENT and line.fields.get("fingerprint") in contents
+        is_about_content = line.fields.get("event") in ABOUT_CONTENT and (
+            line.fields.get("fingerprint", line.fields.get("part")) in contents
+            or not parts.isdisjoint(line.fields.get("prompt_parts", ()))
         )
         is_shown_belief = is_belief and is_recent and not is_about_others
         if line in own or is_about_content or is_shown_belief:
@@ -130,6 +147,12 @@
     return found
 
 
+def _refused_parts(own: list[Line]) -> set[str]:
+    """Return the ids of the prompt parts for which a request was refused."""
+    found = (_REFUSED_FOR_PARTS.search(str(line.fields.get("detail", ""))) for line in own)
+    return {part for match in found if match for part in match[1].split(" and ")}
+
+
 def describe(line: Line, *, is_own: bool) -> str:
     """Return one printed line; the request's own ones are marked."""
     fields = line.fields
--- a/packages/cli/tests/test_why.py
+++ b/packages/cli/tests/test_why.py
@@ -6,6 +6,7 @@
 
 from sassafrastally.cli.command import main
 from sassafrastally.cli.exit_codes import ExitCode
+from sassafrastally.proxy.fingerprint import fingerprint_text, part_key
 
 
 def line(second: float, vm: str, event: str, **fields: object) -> str:
@@ -73,6 +74,30 @@
         ]
         assert not any("fingerprint=bb" in words for words in shown)
 
+    def test_refusal_for_a_prompt_part_is_shown_with_the_crashes_under_it(self, tmp_path, capsys):
+        """The requests that crashed the servers have only the part in common with the one that was
+        refused."""
+        key = fingerprint_text(part_key("b1"))
+        detail = "3 backend servers crashed while they ran requests with prompt part b1: not run"
+        log = [
+            line(1, "e1", "ServerCrashed", fingerprint="aa", prompt_parts=["a1", "b1"]),
+            line(1, "e2", "ServerCrashed", fingerprint="bb", prompt_parts=["a1"]),
+            line(2, "e2", "ServerCrashed", fingerprint="cc", prompt_parts=["b1"]),
+            line(2.1, "e2", "PromptPartQuarantined", part=key, crashes=3),
+            line(9, "e1", "RequestRefused", request_id="r4", fingerprint="dd", detail=detail),
+        ]
+        file = tmp_path / "log"
+        file.write_text("\n".join(log))
+        assert main(["why", "r4", str(file)]) == ExitCode.OK
+        shown = [text.lstrip("> ").split() for text in capsys.readouterr().out.splitlines()]
+        assert [words[2] for words in shown] == [
+            "ServerCrashed",
+            "ServerCrashed",
+            "PromptPartQuarantined",
+            "RequestRefused",
+        ]
+        assert not any("fingerprint=bb" in words for words in shown)
+
     def test_refusal_is_shown_with_what_servers_had_asked(self, tmp_path, capsys):
         """Guards against a refusal for servers' limits whose lines don't show the limits."""
         asked = ("ServerLimited", "ServerCoolingDown", "ServerLeaving", "ServerLimitEnded")
--- a/packages/proxy/benchmarks/quarantine.py
+++ b/packages/proxy/benchmarks/quarantine.py
@@ -7,8 +7,9 @@
 
 import random
 import tracemalloc
+from itertools import count
 
-from sassafrastally.proxy.fingerprint import request_fingerprint
+from sassafrastally.proxy.fingerprint import Subjects, part_key, request_fingerprint
 from sassafrastally.proxy.peer_messages import Hello, encode_hello
 from sassafrastally.proxy.quarantine import Quarantine
 from sassafrastally.proxy.store import StorePosition
@@ -54,6 +55,17 @@
         "10.0.0.1", 7, 3, StorePosition(1, 12), 0.5, False, {}, (), {}, {}, 0.0, 0.0, "here", 10
     )
     sizes = [len(encode_hello(one)) for one in (hello, hello._replace(quarantine=report))]
+    parts = tuple(part_key(f"{number}") for number in range(50))
+    taken_us = median_us(lambda: [part_key(f"{number}") for number in range(50)], 2_000)
+    print(f"keys of 50 known parts {taken_us:.1f} us")
+    fresh = Quarantine()
+    taken_us = median_us(lambda: [fresh.record_answered(part, 1.0) for part in parts], 2_000)
+    print(f"answer with 50 parts {taken_us:.1f} us")
+    servers = count()
+    taken_us = median_us(
+        lambda: quarantine.record_crashed_run(Subjects(2, parts), next(servers), 41.0), 100
+    )
+    print(f"crash with 50 parts at the limits {taken_us:.0f} us")
     print(f"datagram: {sizes[0]} bytes without, {sizes[1]} with all that fits")
 
 
