Try a request only if no other verdict applies to it

A request with two quarantined parts could be run as the trial of one, though the other crashes servers: it says nothing about the first and costs a server. Found by reading; the test fails without.

--- a/packages/proxy/src/sassafrastally/proxy/quarantine.py
+++ b/packages/proxy/src/sassafrastally/proxy/quarantine.py
@@ -29,7 +29,7 @@
     is_cause,
 )
 from sassafrastally.proxy.quarantine_exchange import EMPTY_REPORT, QuarantineReport, VerdictReport
-from sassafrastally.proxy.verdicts import Lifted, Verdict, Verdicts
+from sassafrastally.proxy.verdicts import NEVER_S, REPORTS_FRESH_S, Lifted, Verdict, Verdicts
 
 if TYPE_CHECKING:
     from collections.abc import Collection, Iterable
@@ -44,16 +44,9 @@
 """Time after a verdict on a part until one request with it is tried: the servers are back by then.
 A right verdict costs one more server, a wrong one ends."""
 
-REPORTS_FRESH_S = 0.5
-"""How long new records are sent with every datagram; an entry that misses these receives them when
-older records are repeated."""
-
 REPORTS_REPEATED_S = 30.0
 """How long records are repeated periodically, for entries that start or were cut off."""
 
-MAX_VERDICTS_SENT = 12
-"""Maximum number of verdicts in one datagram; the store holds the others."""
-
 
 class Quarantine:
     """Verdicts and the crashes on which they are based."""
@@ -72,7 +65,9 @@
         """Counter, incremented with each new crash, answer and verdict."""
         return self._cases.version + self._verdicts.version
 
-    def verdict(self, subject: int, now_s: float, parts: Collection[int] = ()) -> Verdict | None:
+    def verdict(
+        self, subject: int, now_s: float, parts: Collection[int] = (), tried: int | None = None
+    ) -> Verdict | None:
         """Return the verdict in force on a request or on a part of its prompt, if any.
 
         Parameters
@@ -83,23 +78,33 @@
             Present time.
         parts
             Keys of the parts of its prompt.
+        tried
+            Part whose verdict doesn't apply, as the request is its trial.
         """
         if not len(self._verdicts):
             return None
         self._verdicts.end_due(now_s)
         for one in (subject, *parts):
             verdict = self._verdicts.get(one)
-            if verdict is not None and verdict.covers(parts):
+            if verdict is not None and one != tried and verdict.covers(parts):
                 return verdict
         return None
 
-    def claim_trial(self, verdict: Verdict, now_s: float) -> bool:
-        """Return whether a request may be tried in spite of a verdict on a part of its prompt.
+    def claim_trial(self, subjects: Subjects, now_s: float) -> int | None:
+        """Return the part as whose trial a request may run; ``None`` if it may not.
 
         Nothing else would clear a sound part that was taken for the cause: none of its requests
-        run. Only the entry that has seen the last crash tries one, and only once.
+        run. Only the entry that has seen the last crash tries one, only once, and none to which
+        another verdict applies.
         """
-        return self._verdicts.claim_trial(verdict.subject, now_s)
+        verdict = self.verdict(subjects.fingerprint, now_s, subjects.parts)
+        if verdict is None or now_s < verdict.trial_s:
+            return None
+        part = verdict.subject
+        if self.verdict(subjects.fingerprint, now_s, subjects.parts, part) is not None:
+            return None
+        self._verdicts.allow_trial(part, NEVER_S)
+        return part
 
     def verdict_on(self, subject: int, now_s: float) -> Verdict | None:
         """Return the verdict in force on a subject, whatever else it requires."""
@@ -263,7 +268,7 @@
         max_age_s = REPORTS_REPEATED_S if is_full else REPORTS_FRESH_S
         report = QuarantineReport(
             self._cases.crashes_to_send(now_s, max_age_s, includes_peers=includes_peers),
-            self._verdict_news(now_s, is_full),
+            self._verdicts.news(now_s, is_full=is_full),
             self._cases.answers_to_send(now_s, max_age_s, includes_peers=includes_peers),
         )
         return report if any(report) else EMPTY_REPORT
@@ -432,18 +437,3 @@
     def _lift_refuted(self, verdict: Verdict, now_s: float) -> None:
         if self._is_refuted(verdict.subject, verdict.crashes, now_s):
             self._verdicts.remove(verdict.subject, now_s)
-
-    def _verdict_news(self, now_s: float, is_full: bool) -> tuple[VerdictReport, ...]:
-        if not len(self._verdicts):
-            return ()
-        found = [
-            verdict
-            for verdict in self.verdicts(now_s)
-            if not verdict.is_presumed
-            and (is_full or now_s - max(verdict.since_s, verdict.changed_s) < REPORTS_FRESH_S)
-        ]
-        latest = sorted(found, key=lambda verdict: -verdict.since_s)[:MAX_VERDICTS_SENT]
-        return tuple(
-            VerdictReport(one.subject, one.until_s - now_s, one.crashes, one.companions)
-            for one in latest
-        )
--- a/packages/proxy/src/sassafrastally/proxy/quarantine_service.py
+++ b/packages/proxy/src/sassafrastally/proxy/quarantine_service.py
@@ -95,16 +95,24 @@
         """Number of quarantined requests and prompt parts."""
         return len(self._quarantine)
 
-    def verdict(self, subjects: Subjects) -> Verdict | None:
-        """Return the verdict on a request or on a part of its prompt, if one is in force."""
-        return self._quarantine.verdict(subjects.fingerprint, self._now_s, subjects.parts)
-
-    def claim_trial(self, verdict: Verdict) -> bool:
-        """Return whether a request may be tried in spite of a verdict on a part of its prompt."""
-        if not self._quarantine.claim_trial(verdict, self._now_s):
-            return False
-        self.kernel.events.emit(PromptPartTried(fingerprint_text(verdict.subject)))
-        return True
+    def verdict(self, subjects: Subjects, tried: int | None = None) -> Verdict | None:
+        """Return the verdict on a request or on a part of its prompt, if one is in force.
+
+        Parameters
+        ----------
+        subjects
+            The request and the parts of its prompt.
+        tried
+            Part whose verdict doesn't apply, as the request is its trial.
+        """
+        return self._quarantine.verdict(subjects.fingerprint, self._now_s, subjects.parts, tried)
+
+    def claim_trial(self, subjects: Subjects) -> int | None:
+        """Return the part as whose trial a request may run; ``None`` if it may not."""
+        part = self._quarantine.claim_trial(subjects, self._now_s)
+        if part is not None:
+            self.kernel.events.emit(PromptPartTried(fingerprint_text(part)))
+        return part
 
     def crash_count(self, subjects: Subjects) -> int:
         """Return how many crashes count against a request or a part of its prompt."""
--- a/packages/proxy/src/sassafrastally/proxy/request_handler.py
+++ b/packages/proxy/src/sassafrastally/proxy/request_handler.py
@@ -156,12 +156,13 @@
 
     def _verdict(self) -> Verdict | None:
         """Return the verdict on the request, unless its next attempt is a trial."""
-        quarantine = self._services.quarantine
-        verdict = quarantine.verdict(self._task.subjects)
-        if verdict is None or self.progress.sent:
+        quarantine, progress = self._services.quarantine, self.progress
+        tried_part = None if progress.sent else progress.tried_part
+        verdict = quarantine.verdict(self._task.subjects, tried_part)
+        if verdict is None or progress.sent or progress.tried_part is not None:
             return verdict
-        self.progress.is_trial = self.progress.is_trial or quarantine.claim_trial(verdict)
-        return None if self.progress.is_trial else verdict
+        progress.tried_part = quarantine.claim_trial(self._task.subjects)
+        return verdict if progress.tried_part is None else None
 
     def _quarantine_reply(self) -> LocalReply | None:
         """Return the local reply if the request is quarantined."""
--- a/packages/proxy/src/sassafrastally/proxy/task.py
+++ b/packages/proxy/src/sassafrastally/proxy/task.py
@@ -104,8 +104,8 @@
         """Backend server of the attempt in flight, from the time at which its request is sent."""
         self.waited_s = 0.0
         """Time spent waiting for room at this entry."""
-        self.is_trial = False
-        """Whether its first attempt is made in spite of a verdict on a part of its prompt."""
+        self.tried_part: int | None = None
+        """Key of the part in spite of whose verdict its first attempt is made, if any."""
         self.may_have_run = False
         """Whether an earlier attempt may have run."""
         self.last_event_id = 0
--- a/packages/proxy/src/sassafrastally/proxy/verdicts.py
+++ b/packages/proxy/src/sassafrastally/proxy/verdicts.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from sassafrastally.proxy.fingerprint import is_part
+from sassafrastally.proxy.quarantine_exchange import VerdictReport
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Collection, Iterator
@@ -28,6 +29,13 @@
 """Maximum number of verdicts, each of which took three crashed servers; beyond it, the one that
 expires first is dropped."""
 
+REPORTS_FRESH_S = 0.5
+"""How long new records are sent with every datagram; an entry that misses these receives them when
+older records are repeated."""
+
+MAX_VERDICTS_SENT = 12
+"""Maximum number of verdicts in one datagram; the store holds the others."""
+
 NEVER_S = float("inf")
 
 
@@ -133,17 +141,9 @@
             del self._verdicts[min(self._verdicts.values(), key=_until_s).subject]
 
     def allow_trial(self, subject: int, at_s: float) -> None:
-        """Let this entry try one request with a part at some time."""
+        """Let this entry try one request with a part from some time on."""
         self._verdicts[subject] = self._verdicts[subject]._replace(trial_s=at_s)
 
-    def claim_trial(self, subject: int, now_s: float) -> bool:
-        """Return whether a request may be tried in spite of a verdict; only the first one may."""
-        verdict = self._verdicts.get(subject)
-        if verdict is None or now_s < verdict.trial_s:
-            return False
-        self._verdicts[subject] = verdict._replace(trial_s=NEVER_S)
-        return True
-
     def shorten(self, subject: int, until_s: float) -> None:
         """Let a verdict expire no later than at a given time."""
         verdict = self._verdicts[subject]
@@ -223,6 +223,23 @@
         }
         return self._cases.servers(part) <= explained
 
+    def news(self, now_s: float, *, is_full: bool) -> tuple[VerdictReport, ...]:
+        """Return the verdicts to send to peers, the latest first; if `is_full`, older ones too."""
+        if not self._verdicts:
+            return ()
+        self.end_due(now_s)
+        found = [
+            verdict
+            for verdict in self._verdicts.values()
+            if not verdict.is_presumed
+            and (is_full or now_s - max(verdict.since_s, verdict.changed_s) < REPORTS_FRESH_S)
+        ]
+        latest = sorted(found, key=lambda verdict: -verdict.since_s)[:MAX_VERDICTS_SENT]
+        return tuple(
+            VerdictReport(one.subject, one.until_s - now_s, one.crashes, one.companions)
+            for one in latest
+        )
+
     def _only_explanations(self, keys: Collection[int], now_s: float) -> set[int]:
         """Return the quarantined subjects that are the only one on some crashed server."""
         servers = {key: self._cases.settled_servers(key, now_s) for key in keys}
--- a/packages/proxy/tests/test_part_quarantine.py
+++ b/packages/proxy/tests/test_part_quarantine.py
@@ -287,13 +287,10 @@
 class TestTrial:
     """One request that is tried in spite of a verdict."""
 
-    def claims(self, fleet: Fleet, now_s: float) -> list[bool]:
-        """Return for each entry whether it tries a request with the part."""
-        verdicts = [entry.verdict(1, now_s, (PART,)) for entry in fleet.entries]
-        return [
-            verdict is not None and entry.claim_trial(verdict, now_s)
-            for entry, verdict in zip(fleet.entries, verdicts, strict=True)
-        ]
+    def claims(self, fleet: Fleet, now_s: float, *parts: int) -> list[bool]:
+        """Return for each entry whether it tries a request with some parts."""
+        request = fleet.request(*parts)
+        return [entry.claim_trial(request, now_s) is not None for entry in fleet.entries]
 
     def test_one_entry_tries_one_request(self):
         """Guards against sound parts that stay refused since none of their requests runs, and
@@ -301,11 +298,11 @@
         fleet = Fleet(entries=3)
         for number in range(CRASHES_FOR_VERDICT):
             fleet.crash(10.0 + number, fleet.request(PART), entry=number % 3)
-        assert not any(self.claims(fleet, 12.1))
-        assert sum(self.claims(fleet, 12.1 + TRIAL_AFTER_S)) == 1
-        assert not any(self.claims(fleet, 12.2 + TRIAL_AFTER_S))
+        assert not any(self.claims(fleet, 12.1, PART))
+        assert sum(self.claims(fleet, 12.1 + TRIAL_AFTER_S, PART)) == 1
+        assert not any(self.claims(fleet, 12.2 + TRIAL_AFTER_S, PART))
         fleet.crash(23.0, fleet.request(PART))
-        assert not any(self.claims(fleet, 600.0))
+        assert not any(self.claims(fleet, 600.0, PART))
         assert all(fleet.refusals(600.0, PART))
 
     def test_request_by_its_fingerprint_is_not_tried(self):
@@ -313,8 +310,16 @@
         body = fleet.request()
         for number in range(CRASHES_FOR_VERDICT):
             fleet.crash(10.0 + number, body)
-        verdict = fleet.entries[0].verdict(body.fingerprint, 500.0)
-        assert not fleet.entries[0].claim_trial(verdict, 500.0)
+        assert fleet.entries[0].claim_trial(body, 500.0) is None
+
+    def test_request_with_another_quarantined_part_is_not_tried(self):
+        """Guards against a trial that says nothing about its part and costs a server."""
+        fleet = Fleet(entries=1)
+        for part in (PART, OTHER_PART):
+            for number in range(CRASHES_FOR_VERDICT):
+                fleet.crash(10.0 + number, fleet.request(part))
+        assert self.claims(fleet, 30.0, PART, OTHER_PART) == [False]
+        assert self.claims(fleet, 30.0, PART) == [True]
 
 
 class TestEntries:
--- a/packages/proxy/tests/test_quarantine.py
+++ b/packages/proxy/tests/test_quarantine.py
@@ -18,13 +18,12 @@
 from sassafrastally.proxy.fingerprint import request_fingerprint as fingerprint
 from sassafrastally.proxy.part_causes import CRASHES_FOR_VERDICT
 from sassafrastally.proxy.quarantine import (
-    MAX_VERDICTS_SENT,
     QUARANTINE_S,
     REPORTS_REPEATED_S,
     Quarantine,
 )
 from sassafrastally.proxy.quarantine_exchange import EMPTY_REPORT, VerdictReport
-from sassafrastally.proxy.verdicts import MAX_VERDICTS
+from sassafrastally.proxy.verdicts import MAX_VERDICTS, MAX_VERDICTS_SENT
 
 HARMFUL, GOOD, OTHER = 1, 2, 3
 
