--- a/packages/testing/tests/platform/test_harmful_parts.py
+++ b/packages/testing/tests/platform/test_harmful_parts.py
@@ -8,7 +8,12 @@
 import pytest
 import trio
 
+from sassafrastally.proxy.cluster_state import ClusterState
+from sassafrastally.proxy.fingerprint import Subjects, part_key
+from sassafrastally.proxy.part_causes import CRASHES_FOR_VERDICT
 from sassafrastally.proxy.quarantine import TRIAL_AFTER_S
+from sassafrastally.proxy.quarantine_service import QuarantineService
+from sassafrastally.proxy.refusals import MAY_HAVE_RUN, NO_ANSWER_IN_TIME
 from sassafrastally.stand_ins.platform_fleet import wait_until
 from sassafrastally.testing.harmful_fleet import HARMFUL_PART as PART
 from sassafrastally.testing.harmful_fleet import (
@@ -239,3 +244,40 @@
         assert "ServerCrashed" in events
         assert "PromptPartQuarantined" not in events
         self.assert_sound_are_served(callers, 4.0)
+
+
+class TestInFlight:
+    """Plain requests that wait for their server when a part of their prompt is quarantined."""
+
+    @pytest.mark.parametrize("seed", [1])
+    @pytest.mark.parametrize("path", ["/look/x", "/book/x"], ids=["repeatable", "once"])
+    async def test_waiting_request_is_called_back_if_it_may_be_repeated(
+        self, autojump_clock, seeded_fleet, path
+    ):
+        """Guards against running what waits in a server's queue when the verdict comes, and against
+        breaking off what mustn't run twice."""
+        fleet = seeded_fleet
+        waiting_desk = await fleet.add_replica("desk-1", "desk")
+        waiting_desk.is_unresponsive = True
+        kernel = await fleet.add_entry()
+        quarantine = kernel.get("quarantine", QuarantineService)
+        servers = kernel.get("beliefs", ClusterState).servers
+        await wait_until(lambda: bool(servers.known()))
+        (server,) = servers.known()
+        answers = []
+        async with trio.open_nursery() as nursery:
+
+            async def ask() -> None:
+                answers.append(await fleet.call(path, parts=f"a0,{PART},f0"))
+
+            nursery.start_soon(ask)
+            await wait_until(lambda: waiting_desk.received_requests)
+            for number in range(CRASHES_FOR_VERDICT):
+                crashed = server._replace(server_id=f"desk-{2 + number}")
+                subjects = Subjects(2 + number, (part_key(PART),))
+                quarantine.record_crash(subjects, crashed)
+                await trio.sleep(0.2)
+            assert bool(answers) == (path == "/look/x")
+        assert [answer.status for answer in answers] == [
+            MAY_HAVE_RUN.status if path == "/look/x" else NO_ANSWER_IN_TIME.status
+        ]
