Name the prompt part in the title of the quarantine's refusal

The title said that servers had crashed under this very request, which isn't true where the verdict is on a part of its prompt; the detail was right.

--- a/packages/proxy/src/sassafrastally/proxy/refusals.py
+++ b/packages/proxy/src/sassafrastally/proxy/refusals.py
@@ -53,7 +53,8 @@
 QUARANTINED = Refusal(
     "quarantined",
     503,
-    "Backend servers crashed while they ran this request: for now it is run no more.",
+    "Backend servers crashed while they ran this request, or requests with the same part in their "
+    "prompts: for now it is run no more.",
 )
 TOO_LONG = Refusal(
     "prompt-too-long", 413, "The prompt is larger than the memory of all engines that can share it."
