--- a/packages/proxy/src/sassafrastally/proxy/quarantine_service.py
+++ b/packages/proxy/src/sassafrastally/proxy/quarantine_service.py
@@ -77,7 +77,7 @@
         """When to write or remove the record of each subject."""
         self._news = trio.Event()
         self.on_verdict: Callable[[], None] | None = None
-        """Called after each verdict, and each change of what one covers."""
+        """Called after each new verdict."""
 
     async def start(self, nursery: trio.Nursery) -> None:
         """Load the records from the store and register with the peer exchange."""
