--- a/review/deployment.py
+++ b/review/deployment.py
@@ -16,6 +16,8 @@
 import subprocess
 import tempfile
 import time
+import traceback
+from collections.abc import Awaitable, Callable
 from pathlib import Path
 from typing import Any, NamedTuple
 
@@ -200,12 +202,17 @@
         replica = Replica(server_id, service, self.peers, profile, data_centre="here")
         for name, value in attributes.items():
             setattr(replica, name, value)
-        await replica.start(f"{self._net}.2", self.nursery)
-        self.replicas[server_id] = replica
-        self.store.put(f"servers/{server_id}", replica.entry())
-        self.record.note(f"replica {server_id} ({service}) registered at {replica.address}")
+        await self.register(replica)
         return replica
 
+    async def register(self, replica: Replica) -> None:
+        """Start a backend server and register it."""
+        await replica.start(f"{self._net}.2", self.nursery)
+        self.replicas[replica.server_id] = replica
+        self.store.put(f"servers/{replica.server_id}", replica.entry())
+        name = f"{replica.server_id} ({replica.service})"
+        self.record.note(f"replica {name} registered at {replica.address}")
+
     def unregister(self, server_id: str) -> None:
         """Remove a replica's entry from the store."""
         self.store.remove(f"servers/{server_id}")
@@ -377,12 +384,23 @@
 
 def _problem(body: bytes) -> str:
     """Return the detail of a refusal or failure of the project's own."""
-    with contextlib.suppress(ValueError, AttributeError, TypeError):
+    with contextlib.suppress(ValueError, AttributeError, KeyError, TypeError):
         problem = json.loads(body)
         return f" ({problem['type'].rpartition('/')[2]}: {problem['detail']})"
     return ""
 
 
+def run_case(case: Callable[[], Awaitable[int]]) -> int:
+    """Run a case and return its exit code; a case that fails by itself couldn't run."""
+    if not can_run():
+        return CANNOT_RUN
+    try:
+        return trio.run(case)
+    except Exception:
+        traceback.print_exc()
+        return CANNOT_RUN
+
+
 def can_run() -> bool:
     """Return whether the builds have run and loopback addresses can be used."""
     with socket.socket() as probe:
