--- a/review/1/case.py
+++ b/review/1/case.py
@@ -8,7 +8,7 @@
 from pathlib import Path
 
 import trio
-from deployment import BROKEN, CANNOT_RUN, HELD, Answer, Deployment, can_run
+from deployment import BROKEN, HELD, Answer, Deployment, run_case
 
 from sassafrastally.stand_ins.documents import make_configuration, make_route
 
@@ -145,10 +145,8 @@
 
 def main() -> int:
     """Run the case; return its exit code."""
-    if not can_run():
-        return CANNOT_RUN
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
-    return trio.run(lambda: run(Path(__file__).parent, has_trouble=has_trouble))
+    return run_case(lambda: run(Path(__file__).parent, has_trouble=has_trouble))
 
 
 if __name__ == "__main__":
