--- a/review/2/case.py
+++ b/review/2/case.py
@@ -31,6 +31,9 @@
 
 DEADLINE_S = 15.0
 
+CALM_S = 4.0
+"""Time from the start of the entries, longer than `stableWindowMs`."""
+
 REPLICAS = 2
 DOSSIERS = 4
 FIRST_AT_S = 0.6
@@ -80,7 +83,7 @@
             for number in range(REPLICAS):
                 await deployment.add_replica(f"i-engine-{number}", "engines")
             await deployment.add_entries(2)
-            await trio.sleep(1.0)
+            await trio.sleep(CALM_S)
             return await judge(deployment, has_trouble=has_trouble)
         finally:
             deployment.end()
