--- a/review/1/case.py
+++ b/review/1/case.py
@@ -29,8 +29,8 @@
 GARBLING = 2
 """`garble`: half of the engines (its default share) may spoil answers; one of them does."""
 
-SPOILED_SHARE = 0.05
-"""`garble`: largest share of their answers that is spoiled, in the site file's days."""
+SPOILED_SHARE = 0.02
+"""`garble`: share of their answers that is spoiled, as `fleetbench kinds` states it."""
 
 SPOILED_FOR_S = 5.0
 """`garble`: for 5 s."""
