--- a/review/1/case.py
+++ b/review/1/case.py
@@ -20,25 +20,27 @@
 from sassafrastally.stand_ins.replica import Replica
 
 ENTRIES = 3
-ENGINES = 4
+ENGINES = 7
 DESKS = 3
 
 PACE = 1.412
-"""Pace of the replica whose report is spoiled: it runs somewhat slowly."""
+"""`srv_slow`: one engine of seven (0.143, below its share of 0.15) is 1.4 times as slow (4 are
+stated) while it may spoil answers, 5 s at most (6.5 s on the site)."""
 
-GARBLING = 2
-"""`garble`: half of the engines (its default share) may spoil answers; one of them does."""
+GARBLING = 1
+"""`garble`: the same engine; half of them are stated."""
 
 SPOILED_SHARE = 0.02
-"""`garble`: share of their answers that is spoiled, as `fleetbench kinds` states it."""
+"""`garble`: share of the engine's answers that is spoiled, as `fleetbench kinds` states it."""
 
 SPOILED_FOR_S = 5.0
 """`garble`: for 5 s."""
 
 CALM_S = 4.0
+AFTER_S = 3.0
 
 PLAIN_CONNECTIONS = 6
-STREAM_CONNECTIONS = 12
+STREAM_CONNECTIONS = 20
 """Kept connections to each entry with plain requests, and with streams: all engines are used."""
 
 DESK_WORK_S = 0.09
@@ -77,12 +79,10 @@
         self, server_id: str, peers: dict[Address, Replica], profile: EngineProfile
     ) -> None:
         super().__init__(server_id, "engines", peers, profile)
-        assert self.engine is not None
-        self.engine.pace = PACE
         self.is_spoiling = False
         self.spoiled = 0
-        self.beside: list[Replica] = []
-        """The other replicas that may spoil answers."""
+        self.answered_until_spoiled = 0
+        self._begun_with = 0
         self.on_spoiled = trio.Event()
 
     def _report(self) -> bytes:
@@ -90,21 +90,25 @@
         if self.is_spoiling and SPOILED_SHARE * self.answered() >= 1:
             self.is_spoiling = False
             self.spoiled += 1
+            self.answered_until_spoiled = self.answered()
             self.on_spoiled.set()
             return report.replace(b'"pace": 1.412', b'"pace": 1e412')
         return report
 
     def begin(self) -> None:
-        """Begin to spoil."""
+        """Begin to be slow and to spoil."""
+        self.set_pace(PACE)
         self.is_spoiling = True
-        self._begun_with = self._answers()
+        self._begun_with = len(self.call_times_s)
 
-    def answered(self) -> int:
-        """Return the answers, reports included, of all that may spoil some, since the begin."""
-        return self._answers() - self._begun_with
+    def set_pace(self, pace: float) -> None:
+        """Work at a pace, 1 being the usual one."""
+        assert self.engine is not None
+        self.engine.pace = pace
 
-    def _answers(self) -> int:
-        return sum(len(replica.call_times_s) for replica in (self, *self.beside))
+    def answered(self) -> int:
+        """Return the engine's answers since the begin, reports included."""
+        return len(self.call_times_s) - self._begun_with
 
 
 class Request(NamedTuple):
@@ -158,6 +162,8 @@
                 is_open = answer.is_whole and connection.http.our_state is h11.DONE
                 if is_open:
                     connection.http.start_next_cycle()
+                if answer.status == 503:
+                    await trio.sleep(float(answer.headers.get("retry-after", "0")))
         except ConnectionLost:
             record.note(f"a kept connection to entry {entry.number} was closed between requests")
         finally:
@@ -191,7 +197,6 @@
     assert profile is not None
     faulty = SpoilingReplica("i-engine-0", deployment.peers, profile)
     await deployment.register(faulty)
-    faulty.beside = [deployment.replicas[f"i-engine-{number}"] for number in range(1, GARBLING)]
     return faulty
 
 
@@ -203,17 +208,17 @@
             for _ in range(PLAIN_CONNECTIONS):
                 nursery.start_soon(callers.keep_asking, entry, "/aviso-cliente/x", None)
             for _ in range(STREAM_CONNECTIONS):
-                nursery.start_soon(callers.keep_asking, entry, "/consulta-rapida/x", "5000,1292")
+                nursery.start_soon(callers.keep_asking, entry, "/consulta-rapida/x", "500,34")
         await trio.sleep(CALM_S)
         if has_trouble:
-            record.note(f"from now on, replica {faulty.server_id} may spoil an answer")
+            record.note(f"from now on, replica {faulty.server_id} is slow and may spoil an answer")
             faulty.begin()
         with trio.move_on_after(SPOILED_FOR_S):
             await faulty.on_spoiled.wait()
             record.note(f"replica {faulty.server_id} spoiled a report: a wrong byte in its pace")
-            await trio.sleep(SPOILED_FOR_S)
         faulty.is_spoiling = False
-        await trio.sleep(1.0)
+        faulty.set_pace(1.0)
+        await trio.sleep(AFTER_S)
         ended = [entry for entry in deployment.entries if not entry.is_running()]
         running = [entry.number for entry in deployment.entries if entry.is_running()]
         nursery.cancel_scope.cancel()
@@ -234,9 +239,10 @@
     """Count the requests that were passed on to sound replicas and never answered."""
     record = deployment.record
     if has_trouble:
+        answered = faulty.answered_until_spoiled or faulty.answered()
         record.note(
-            f"{faulty.spoiled} of {faulty.answered()} answers spoiled, at {GARBLING} of "
-            f"{ENGINES} engines"
+            f"{faulty.spoiled} of the engine's {answered} answers spoiled, "
+            f"at {GARBLING} of {ENGINES} engines"
         )
     passed_on = {
         one.request_id
