Log why no further attempt follows a failed one

A request whose attempt failed ended with 'no further attempt is allowed' or 'no whole answer came', whether its route's attempts were used, the retry budget was spent or it must not run twice. The refusal of another attempt now has a value of its own, Obstacle, which the details of StreamBroken and RequestFailed name. The charge to the retry budget moves from the handlers' base class into retries.py.

--- a/packages/proxy/src/sassafrastally/proxy/plain_request.py
+++ b/packages/proxy/src/sassafrastally/proxy/plain_request.py
@@ -19,10 +19,8 @@
 from sassafrastally.proxy.model import RouteKind
 from sassafrastally.proxy.plain_placement import has_slot, place_plain
 from sassafrastally.proxy.refusals import MAY_HAVE_RUN, NO_ROOM, NO_SERVER, TURNED_AWAY
-from sassafrastally.proxy.request_handler import (
-    SERVER_ERROR_STATUS,
-    RequestHandler,
-)
+from sassafrastally.proxy.request_handler import SERVER_ERROR_STATUS, RequestHandler
+from sassafrastally.proxy.retries import Obstacle
 from sassafrastally.proxy.task import LocalReply, ResponseTimes
 from sassafrastally.proxy.waiting_attempts import WaitingAttempt
 from sassafrastally.proxy.waiting_for_room import RoomWait
@@ -61,6 +59,8 @@
         self, services: RequestServices, task: RequestTask, reply: Reply, progress: Progress
     ) -> None:
         super().__init__(services, task, reply, progress)
+        self._obstacle: Obstacle | None = None
+        """What prevented another attempt."""
         self._room_wait = RoomWait(
             services,
             task,
@@ -90,7 +90,10 @@
                 await self._forward(answer)
                 return None
             failed = answer or failed
-            if not self._has_untried_servers() or not self._claim_retry():
+            if not self._has_untried_servers():
+                break
+            self._obstacle = self._retries.claim()
+            if self._obstacle is not None:
                 break
         if failed is not None:
             await self._forward(failed)
@@ -99,7 +102,8 @@
 
     def _local_reply(self) -> LocalReply:
         if self.progress.may_have_run:
-            return LocalReply(MAY_HAVE_RUN, "no whole answer came")
+            obstacle = self._obstacle or Obstacle.ROOM
+            return LocalReply(MAY_HAVE_RUN, f"no further attempt: {obstacle.value}")
         if self.progress.attempts == 0:
             return self._reply_not_run(NO_SERVER, f"service {self._task.service}")
         return self._reply_not_run(
@@ -202,7 +206,7 @@
 
     def _attempt_deadline_s(self, begin_s: float) -> float:
         deadline_s = self._task.deadline_s
-        if not self._can_fail_over():
+        if not self._retries.can_fail_over():
             return deadline_s + 1.0  # The deadline of the request still applies.
         return begin_s + FIRST_ATTEMPT_SHARE * (deadline_s - begin_s)
 
@@ -211,7 +215,7 @@
         terms = self._attempt_terms(server, attempt.begin_s, last_event_id)
         waiting = attempt.cancel_scope
         with ExitStack() as until_begun:
-            if self._is_repeatable:
+            if self._retries.is_repeatable:
                 # What mustn't run twice is left to run: it can't be told whether it waits.
                 attempts = self._services.fleet_view.waiting_attempts
                 until_begun.enter_context(attempts.register(attempt))
--- a/packages/proxy/src/sassafrastally/proxy/request_handler.py
+++ b/packages/proxy/src/sassafrastally/proxy/request_handler.py
@@ -1,4 +1,4 @@
-"""Base class of request handlers: counts attempts, charges the retry budget and logs."""
+"""Base class of request handlers: counts attempts, records their outcomes and logs."""
 
 from __future__ import annotations
 
@@ -10,7 +10,6 @@
 from sassafrastally.proxy.backpressure import CallKind
 from sassafrastally.proxy.evacuation import Unavailability
 from sassafrastally.proxy.fingerprint import fingerprint_text
-from sassafrastally.proxy.log_events import RetryBudgetSpent
 from sassafrastally.proxy.model import AttemptParameters
 from sassafrastally.proxy.refusals import (
     EVACUATED,
@@ -22,6 +21,7 @@
     TURNED_AWAY,
 )
 from sassafrastally.proxy.request_log import RequestLog
+from sassafrastally.proxy.retries import Retries
 from sassafrastally.proxy.suspect_placement import assigned_servers
 from sassafrastally.proxy.task import LocalReply, Progress, RequestTask
 from sassafrastally.proxy.turning_away import (
@@ -48,10 +48,6 @@
 SERVER_ERROR_STATUS = 500
 """Lowest HTTP status that means that the backend server failed."""
 
-MAX_UNREACHABLE_SERVERS = 3
-"""Number of unreachable servers after which a request is rejected. So many connection failures mean
-that this VM's network is broken rather than the servers."""
-
 UNAVAILABILITY_REFUSALS = {
     Unavailability.EVACUATED: EVACUATED,
     Unavailability.NO_HOME: NO_HOME,
@@ -88,6 +84,7 @@
         self._clock = services.kernel.clock
         self._emit = services.kernel.events.emit
         self._log = RequestLog(services, task, self.progress)
+        self._retries = Retries(services, task, progress)
 
     async def run(self) -> LocalReply | None:
         """Handle the request; return a local reply if there is no complete response."""
@@ -236,7 +233,7 @@
         response. Handlers of streams use short prompts only: a long one fails with any of the
         engines that share it.
         """
-        if self.progress.attempts or not self._can_fail_over() or self._is_suspect():
+        if self.progress.attempts or not self._retries.can_fail_over() or self._is_suspect():
             return []
         return self._services.fleet_view.trial_views(
             self._task.service, self.progress.tried, self._task.homes
@@ -282,15 +279,6 @@
             answer = self.progress.answer
             self._services.quarantine.record_answered(self._task.subjects, server, answer)
 
-    @property
-    def _is_repeatable(self) -> bool:
-        """Whether the request may run again, from its begin or after the last event."""
-        return self._task.route.is_repeatable and not self.progress.has_unnumbered_events
-
-    def _can_fail_over(self) -> bool:
-        """Return whether the request may still fail over to another server."""
-        return self._is_repeatable and self.progress.sent < self._task.route.max_attempts
-
     def _attempt_terms(
         self,
         server: BackendServer,
@@ -337,47 +325,14 @@
             on_sending=record_sending,
         )
 
-    def _claim_retry(self) -> bool:
-        """Return whether another attempt is allowed, and charge it to the retry budget."""
-        if not self._may_retry():
-            return False
-        if self.progress.unreachable > 0 and self.progress.sent == 0:
-            return self.progress.unreachable < MAX_UNREACHABLE_SERVERS
-        return self._charge_retry_budget()
-
-    def _may_retry(self) -> bool:
-        """Return whether the route allows another attempt."""
-        if self.progress.may_have_run and not self._is_repeatable:
-            return False
-        return self.progress.sent < self._task.route.max_attempts
-
     def _may_wait_for_budget(self) -> bool:
         """Return whether only the retry budget prevents another attempt at what hasn't run."""
         return (
             self._room_wait.applies
             and not self.progress.may_have_run
             and self.progress.sent > 0
-            and self._may_retry()
-        )
-
-    def _charge_retry_budget(self, *, is_logged: bool = True) -> bool:
-        service = self._task.service
-        now_s = self._clock.now_s()
-        budget = self._services.budget
-        entries = self._services.fleet_view.entries
-        if budget.try_spend(service, entries, now_s):
-            return True
-        if not is_logged:
-            return False
-        self._emit(
-            RetryBudgetSpent(
-                self._request_id,
-                service,
-                budget.retry_count(service, now_s),
-                round(budget.retry_allowance(service, entries, now_s), 1),
-            )
+            and self._retries.find_obstacle() is None
         )
-        return False
 
     def _record_not_run(
         self,
--- /dev/null
+++ b/packages/proxy/src/sassafrastally/proxy/retries.py
@@ -0,0 +1,86 @@
+"""Whether a request may be sent to another backend server, and the charge for it."""
+
+from __future__ import annotations
+
+from enum import Enum
+from typing import TYPE_CHECKING
+
+from sassafrastally.proxy.log_events import RetryBudgetSpent
+
+if TYPE_CHECKING:
+    from sassafrastally.proxy.request_services import RequestServices
+    from sassafrastally.proxy.task import Progress, RequestTask
+
+MAX_UNREACHABLE_SERVERS = 3
+"""Number of unreachable servers after which a request is rejected. So many connection failures mean
+that this VM's network is broken rather than the servers."""
+
+
+class Obstacle(Enum):
+    """What prevents another attempt at a request."""
+
+    REPETITION = "it may have run and must not run twice"
+    ATTEMPTS = "all attempts of its route are used"
+    NETWORK = "too many servers were unreachable"
+    BUDGET = "the retry budget is exhausted"
+    ROOM = "no other server takes it"
+
+
+class Retries:
+    """Attempts of one request beyond the first.
+
+    Parameters
+    ----------
+    services, task, progress
+        The request and the services of its handler.
+    """
+
+    def __init__(self, services: RequestServices, task: RequestTask, progress: Progress) -> None:
+        self._services = services
+        self._task = task
+        self._progress = progress
+
+    @property
+    def is_repeatable(self) -> bool:
+        """Whether the request may run again, from its begin or after the last event."""
+        return self._task.route.is_repeatable and not self._progress.has_unnumbered_events
+
+    def can_fail_over(self) -> bool:
+        """Return whether the request may still fail over to another server."""
+        return self.is_repeatable and self._progress.sent < self._task.route.max_attempts
+
+    def claim(self) -> Obstacle | None:
+        """Charge another attempt to the retry budget; return what prevents it, if anything."""
+        if (obstacle := self.find_obstacle()) is not None:
+            return obstacle
+        if self._progress.unreachable > 0 and self._progress.sent == 0:
+            has_network = self._progress.unreachable < MAX_UNREACHABLE_SERVERS
+            return None if has_network else Obstacle.NETWORK
+        return None if self.charge_budget() else Obstacle.BUDGET
+
+    def find_obstacle(self) -> Obstacle | None:
+        """Return why the route allows no other attempt, if it doesn't."""
+        if self._progress.may_have_run and not self.is_repeatable:
+            return Obstacle.REPETITION
+        has_attempt = self._progress.sent < self._task.route.max_attempts
+        return None if has_attempt else Obstacle.ATTEMPTS
+
+    def charge_budget(self, *, is_logged: bool = True) -> bool:
+        """Charge a retry to the budget of all entries; return whether it allows it."""
+        service = self._task.service
+        now_s = self._services.kernel.clock.now_s()
+        budget = self._services.budget
+        entries = self._services.fleet_view.entries
+        if budget.try_spend(service, entries, now_s):
+            return True
+        if not is_logged:
+            return False
+        self._services.kernel.events.emit(
+            RetryBudgetSpent(
+                self._task.request.facts.request_id,
+                service,
+                budget.retry_count(service, now_s),
+                round(budget.retry_allowance(service, entries, now_s), 1),
+            )
+        )
+        return False
--- a/packages/proxy/src/sassafrastally/proxy/streaming_request.py
+++ b/packages/proxy/src/sassafrastally/proxy/streaming_request.py
@@ -36,10 +36,7 @@
 from sassafrastally.proxy.placement import place_request
 from sassafrastally.proxy.plan import max_prompt_tokens
 from sassafrastally.proxy.refusals import MAY_HAVE_RUN, NO_ROOM, NO_SERVER, TOO_LONG, TURNED_AWAY
-from sassafrastally.proxy.request_handler import (
-    SERVER_ERROR_STATUS,
-    RequestHandler,
-)
+from sassafrastally.proxy.request_handler import SERVER_ERROR_STATUS, RequestHandler
 from sassafrastally.proxy.reservations import with_reservations
 from sassafrastally.proxy.slow_event_detection import event_time_s, slow_event_time_s
 from sassafrastally.proxy.task import LocalReply, Progress, RequestTask, ResponseTimes
@@ -119,10 +116,10 @@
                 return started
             if await self._attempt(started):
                 return None
-            if not self._claim_retry():
+            if (obstacle := self._retries.claim()) is not None:
                 if not self._may_wait_for_budget():
                     is_for_load = self.progress.was_refused_for_load
-                    detail = "no further attempt is allowed"
+                    detail = f"no further attempt: {obstacle.value}"
                     return self._local_reply(detail, is_for_load=is_for_load)
                 self._awaits_budget = True
 
@@ -216,7 +213,7 @@
             return None
         if not self._room_wait.leaves_headroom(planned, self._views(set()), self._profile):
             return None
-        if self._awaits_budget and not self._charge_retry_budget(is_logged=False):
+        if self._awaits_budget and not self._retries.charge_budget(is_logged=False):
             return None
         self._awaits_budget = False
         return planned
@@ -351,7 +348,10 @@
     def _move_if_faster(self, attempt: WaitingAttempt, pace: float) -> None:
         """Abandon an attempt that waits for a slow engine if another placement is much faster."""
         now_s = self._clock.now_s()
-        if not self._can_fail_over() or now_s - self._move_checked_s < MOVE_CHECK_INTERVAL_S:
+        if (
+            not self._retries.can_fail_over()
+            or now_s - self._move_checked_s < MOVE_CHECK_INTERVAL_S
+        ):
             return
         self._move_checked_s = now_s
         remaining_here_s = remaining_s(now_s - attempt.begin_s, attempt.predicted_s, pace)
@@ -366,14 +366,14 @@
             )
 
     def _silence_timeout_s(self) -> float:
-        if not self._can_fail_over():
+        if not self._retries.can_fail_over():
             return math.inf  # The deadline of the request still applies.
         return SILENCE_TIMEOUT_SHARE * self._caller_timeout_s
 
     async def _forward_failure(self, placement: Placement, answer: Answer) -> bool:
         """Forward an engine's error response; raises `AttemptUnknown` if it isn't forwarded."""
         body = await answer.read()
-        if answer.status >= SERVER_ERROR_STATUS and self._can_fail_over():
+        if answer.status >= SERVER_ERROR_STATUS and self._retries.can_fail_over():
             raise AttemptUnknown(f"the engine responded with status {answer.status}")
         if self._reply.has_begun:
             raise AttemptUnknown(
