Give up an attempt at a silent server only once another one is certain

Callers saw streams cut, or a 502, while the server that had their request went on a moment later: a sound server may fall silent for a second or so. An attempt was abandoned after a fixed silence if its route allowed another one; whether one could be made was found out only then. With the retry budget spent, no other server with room or none left (a configuration that moves or removes a service), nothing followed. The class of the fault: what still works is released before its replacement is certain.

One task per attempt that may be repeated now watches its server. When the limit, unchanged at 65 % of the caller's timeout (plain: 45 % of the time), has passed, it chooses the next server and charges the retry budget; only if both succeed is the wait cancelled and the request goes on there. Otherwise the attempt stays, the reason is logged once (SilenceTolerated), and the check is repeated ten times a second until the caller's own limits end the request. Silence before the first event is counted from the request, not from the header, and no longer restarts with parts of an event. A configuration that changes meanwhile can't end an attempt. Requests that mustn't run twice aren't watched.

Ruled out: an exception in look-ups by a newer configuration (the cases that remove route, service and customers log none).

--- /dev/null
+++ b/packages/proxy/src/sassafrastally/proxy/failover_decision.py
@@ -0,0 +1,74 @@
+"""When a request at a silent server goes on at another server.
+
+A sound server may fall silent for a second or two and go on. A dead one is as silent. An attempt
+given up before it is certain that another one follows costs the caller its answer if no other one
+is possible: the retry budget is exhausted, no server has room or none is left.
+"""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from sassafrastally.proxy.retries import Obstacle
+
+RECHECK_INTERVAL_S = 0.1
+"""Interval at which a request that stays at a silent server looks for another one: room, servers
+and the retry budget change within about as long."""
+
+TIMER_PRECISION_S = 0.001
+"""Time by which a timer may fire early."""
+
+
+class Silence(NamedTuple):
+    """A wait for a server that sends nothing."""
+
+    silent_s: float
+    """Time since the last event, or since the request was sent."""
+    limit_s: float
+    """Silence after which another server should take over."""
+    has_successor: bool = False
+    """Whether the next attempt is already certain."""
+
+
+class SuccessorFacts(NamedTuple):
+    """What the next attempt of a request at a silent server depends on."""
+
+    route_obstacle: Obstacle | None
+    """Why the route allows no other attempt, if it doesn't."""
+    is_quarantined: bool
+    is_stopping: bool
+    """Whether this entry stops before the response could be complete."""
+    is_behind_others: bool
+    """Whether others wait for the room that it would take."""
+    has_server: bool
+    """Whether another server has room."""
+
+
+def next_check_s(silence: Silence) -> float:
+    """Return after how long to look for another server; 0 for now.
+
+    The load is a fleet of which a few servers are silent, for a moment or for good. A request at a
+    sound server costs one timer. At a silent one it looks for another server at a fixed time and,
+    while there is none, ten times a second: a placement takes a fraction of a millisecond.
+    """
+    if silence.has_successor:
+        return RECHECK_INTERVAL_S
+    left_s = silence.limit_s - silence.silent_s
+    return left_s if left_s > TIMER_PRECISION_S else 0.0
+
+
+def successor_obstacle(facts: SuccessorFacts) -> Obstacle | None:
+    """Return what prevents a successor, apart from the retry budget.
+
+    The budget is charged last: what is charged for an attempt that can't be made is missing for
+    others.
+    """
+    if facts.route_obstacle is not None:
+        return facts.route_obstacle
+    if facts.is_quarantined:
+        return Obstacle.QUARANTINE
+    if facts.is_stopping:
+        return Obstacle.STOP
+    if facts.is_behind_others:
+        return Obstacle.QUEUE
+    return None if facts.has_server else Obstacle.ROOM
--- a/packages/proxy/src/sassafrastally/proxy/log_events/__init__.py
+++ b/packages/proxy/src/sassafrastally/proxy/log_events/__init__.py
@@ -65,6 +65,7 @@
     ReservationFailed,
     ReservationReleased,
     RetryBudgetSpent,
+    SilenceTolerated,
     StreamBroken,
 )
 from sassafrastally.proxy.log_events.servers import (
@@ -151,6 +152,7 @@
     "SettingsRejected",
     "SettingsReloaded",
     "SharesGranted",
+    "SilenceTolerated",
     "StaleRecordsSkipped",
     "StoreLost",
     "StoreRegained",
--- a/packages/proxy/src/sassafrastally/proxy/log_events/requests.py
+++ b/packages/proxy/src/sassafrastally/proxy/log_events/requests.py
@@ -142,6 +142,20 @@
     cause: str
 
 
+@event(10081, "warning")
+class SilenceTolerated(NamedTuple):
+    """A request stays at a silent server, as no other attempt is possible; logged for each reason.
+
+    It goes on to look for another server.
+    """
+
+    request_id: str
+    server_id: str
+    attempt: int
+    silent_s: float
+    reason: str
+
+
 @event(10017, "warning")
 class StreamBroken(NamedTuple):
     """A stream broke and can't be resumed on another server."""
--- a/packages/proxy/src/sassafrastally/proxy/path.py
+++ b/packages/proxy/src/sassafrastally/proxy/path.py
@@ -46,6 +46,7 @@
 from sassafrastally.proxy.request_services import RequestServices
 from sassafrastally.proxy.reservations import Reservations
 from sassafrastally.proxy.routes import UnknownKey, choose_service, find_customer
+from sassafrastally.proxy.silence_watch import SilenceWatch
 from sassafrastally.proxy.streaming_request import StreamingRequestHandler
 from sassafrastally.proxy.task import LocalReply, Progress, RequestTask
 
@@ -130,6 +131,7 @@
             PrefillLimitsCache(),
             QueueingCache(),
             AdmissionQueue(self.kernel.random),
+            SilenceWatch(nursery, Containment(self.kernel, "watch of a silent server")),
             Drain(),
         )
         self._errors = Containment(self.kernel, "request")
--- a/packages/proxy/src/sassafrastally/proxy/plain_request.py
+++ b/packages/proxy/src/sassafrastally/proxy/plain_request.py
@@ -6,8 +6,6 @@
 from contextlib import ExitStack
 from typing import TYPE_CHECKING, NamedTuple
 
-import trio
-
 from sassafrastally.proxy.admission_queue import latest_start_s
 from sassafrastally.proxy.attempt import NON_SUCCESS_STATUS, AttemptNotRun, AttemptUnknown
 
@@ -21,6 +19,7 @@
 from sassafrastally.proxy.refusals import MAY_HAVE_RUN, NO_ROOM, NO_SERVER, TURNED_AWAY
 from sassafrastally.proxy.request_handler import SERVER_ERROR_STATUS, RequestHandler
 from sassafrastally.proxy.retries import Obstacle
+from sassafrastally.proxy.silence_watch import ServerWait
 from sassafrastally.proxy.task import LocalReply, ResponseTimes
 from sassafrastally.proxy.waiting_attempts import WaitingAttempt
 from sassafrastally.proxy.waiting_for_room import RoomWait
@@ -52,7 +51,7 @@
     framing: BodyFraming
 
 
-class PlainRequestHandler(RequestHandler):
+class PlainRequestHandler(RequestHandler["BackendServer"]):
     """Handles one request with a plain service."""
 
     def __init__(
@@ -82,7 +81,9 @@
             stopping = self._stopping_reply(self._least_first_s())
             if stopping is not None and failed is None:
                 return stopping
-            server = None if quarantined or stopping else self._choose_server()
+            server = None
+            if not (quarantined or stopping):
+                server = self._take_successor() or self._choose_server()
             if server is None:
                 break
             answer = await self._attempt(server)
@@ -90,6 +91,8 @@
                 await self._forward(answer)
                 return None
             failed = answer or failed
+            if self._successor is not None:
+                continue
             if not self._has_untried_servers():
                 break
             self._obstacle = self._retries.claim()
@@ -114,7 +117,9 @@
 
     async def _wait_for_slot(self) -> bool:
         """Wait while all servers are full; return whether the request can be sent."""
-        if not self._room_wait.applies or (self._has_slot() and not self._is_behind_others()):
+        if self._successor is not None or not self._room_wait.applies:
+            return True
+        if self._has_slot() and not self._is_behind_others():
             return True
         if self._stopping_reply(self._least_first_s()) is not None:
             return True
@@ -155,6 +160,10 @@
             views = self._isolate(views)
         return place_plain(views, self._services.kernel.data_centre)
 
+    def _choose_successor(self) -> BackendServer | None:
+        is_full = self._room_wait.applies and not self._has_slot()
+        return None if is_full else self._choose_server()
+
     def _has_untried_servers(self) -> bool:
         return bool(self._views(self.progress.tried))
 
@@ -176,12 +185,12 @@
             (),
             begin_s,
             math.inf,
-            trio.CancelScope(deadline=due_s),
+            ServerWait(begin_s, due_s - begin_s, due_s - begin_s),
             lambda *_: None,
             self._task.subjects,
         )
         try:
-            answer = await self._exchange(server, attempt)
+            answer = await self._exchange(server, attempt, due_s)
             self.progress.pending, self.progress.may_have_run = None, True
             self._services.fleet_view.record_success(server.incarnation_id)
             self._count_outcome(server, is_failure=answer.status >= SERVER_ERROR_STATUS)
@@ -210,18 +219,22 @@
             return deadline_s + 1.0  # The deadline of the request still applies.
         return begin_s + FIRST_ATTEMPT_SHARE * (deadline_s - begin_s)
 
-    async def _exchange(self, server: BackendServer, attempt: WaitingAttempt) -> BufferedResponse:
+    async def _exchange(
+        self, server: BackendServer, attempt: WaitingAttempt, connect_until_s: float
+    ) -> BufferedResponse:
         last_event_id = self._task.request.facts.last_event_id
         terms = self._attempt_terms(server, attempt.begin_s, last_event_id)
-        waiting = attempt.cancel_scope
-        with ExitStack() as until_begun:
+        wait = attempt.wait
+        with self._watch(wait, server), ExitStack() as until_begun:
             if self._retries.is_repeatable:
                 # What mustn't run twice is left to run: it can't be told whether it waits.
                 attempts = self._services.fleet_view.waiting_attempts
                 until_begun.enter_context(attempts.register(attempt))
-            async with self._send(terms, waiting, connect_until_s=waiting.deadline) as answer:
+            async with self._send(terms, wait, connect_until_s) as answer:
                 until_begun.close()
-                body = await answer.read(waiting.deadline)
+                self._successor = None  # The response began before the wait was cancelled.
+                with wait.awaited():
+                    body = await answer.read()
                 self._require_end(answer, body)
                 return BufferedResponse(
                     answer.status, answer.headers, body, server.server_id, answer.framing
--- a/packages/proxy/src/sassafrastally/proxy/request_handler.py
+++ b/packages/proxy/src/sassafrastally/proxy/request_handler.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import math
-from typing import TYPE_CHECKING
+from contextlib import nullcontext
+from typing import TYPE_CHECKING, Generic, TypeVar
 
 from sassafrastally.proxy.answer_progress import AnswerProgress
 from sassafrastally.proxy.attempt import NON_SUCCESS_STATUS, AttemptNotRun, AttemptUnknown
 from sassafrastally.proxy.backpressure import CallKind
 from sassafrastally.proxy.evacuation import Unavailability
+from sassafrastally.proxy.failover_decision import SuccessorFacts, successor_obstacle
 from sassafrastally.proxy.fingerprint import fingerprint_text
 from sassafrastally.proxy.model import AttemptParameters
 from sassafrastally.proxy.refusals import (
@@ -21,7 +23,7 @@
     TURNED_AWAY,
 )
 from sassafrastally.proxy.request_log import RequestLog
-from sassafrastally.proxy.retries import Retries
+from sassafrastally.proxy.retries import Obstacle, Retries
 from sassafrastally.proxy.suspect_placement import assigned_servers
 from sassafrastally.proxy.task import LocalReply, Progress, RequestTask
 from sassafrastally.proxy.turning_away import (
@@ -32,9 +34,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
-    from contextlib import AbstractAsyncContextManager
-
-    import trio
+    from contextlib import AbstractAsyncContextManager, AbstractContextManager
 
     from sassafrastally.proxy.attempt import Answer
     from sassafrastally.proxy.lanes import ServerView
@@ -42,9 +42,13 @@
     from sassafrastally.proxy.refusals import Refusal
     from sassafrastally.proxy.reply import Reply
     from sassafrastally.proxy.request_services import RequestServices
+    from sassafrastally.proxy.silence_watch import ServerWait
     from sassafrastally.proxy.verdicts import Verdict
     from sassafrastally.proxy.waiting_for_room import RoomWait
 
+Start = TypeVar("Start")
+"""Where a request starts: a server, or a placement on engines."""
+
 SERVER_ERROR_STATUS = 500
 """Lowest HTTP status that means that the backend server failed."""
 
@@ -55,7 +59,7 @@
 """Refusal by the reason for which no server of the service may get the request."""
 
 
-class RequestHandler:
+class RequestHandler(Generic[Start]):
     """Handles one request by sending attempts to backend servers.
 
     Parameters
@@ -85,6 +89,8 @@
         self._emit = services.kernel.events.emit
         self._log = RequestLog(services, task, self.progress)
         self._retries = Retries(services, task, progress)
+        self._successor: Start | None = None
+        """Where the next attempt is made, which has been charged to the retry budget."""
 
     async def run(self) -> LocalReply | None:
         """Handle the request; return a local reply if there is no complete response."""
@@ -305,35 +311,71 @@
         for helper in helpers:
             self._services.backpressure.count_part(helper)
 
+    def _watch(self, wait: ServerWait, server: BackendServer) -> AbstractContextManager[None]:
+        """Watch an attempt for silence of its server if another one may take over."""
+        if not self._retries.can_fail_over():
+            return nullcontext()
+        tolerated: set[Obstacle] = set()
+
+        def claim_successor(silent_s: float) -> bool:
+            obstacle = self._claim_successor()
+            if obstacle is not None and obstacle not in tolerated:
+                tolerated.add(obstacle)
+                self._log.silence_tolerated(server, silent_s, obstacle)
+            return obstacle is None
+
+        return self._services.silence_watch.watch(wait, claim_successor)
+
+    def _claim_successor(self) -> Obstacle | None:
+        """Choose where the next attempt is made and charge it; return what prevents that."""
+        candidate = self._choose_successor()
+        facts = SuccessorFacts(
+            route_obstacle=self._retries.failover_obstacle(),
+            is_quarantined=self._verdict() is not None,
+            is_stopping=self._stopping_reply(self._least_first_s()) is not None,
+            is_behind_others=self._is_behind_others(),
+            has_server=candidate is not None,
+        )
+        if (obstacle := successor_obstacle(facts)) is not None:
+            return obstacle
+        if not self._retries.charge_budget(is_logged=False):
+            return Obstacle.BUDGET
+        self._successor = candidate
+        return None
+
+    def _choose_successor(self) -> Start | None:
+        """Return where the next attempt can be made now."""
+        raise NotImplementedError
+
+    def _is_behind_others(self) -> bool:
+        """Return whether others wait for the same room and come first."""
+        raise NotImplementedError
+
+    def _take_successor(self) -> Start | None:
+        successor, self._successor = self._successor, None
+        return successor
+
     def _send(
         self,
         terms: AttemptParameters,
-        waiting: trio.CancelScope,
+        wait: ServerWait,
         connect_until_s: float = math.inf,
     ) -> AbstractAsyncContextManager[Answer]:
         """Send the request, as `AttemptSender.send`; it is pending from then on."""
 
         def record_sending() -> None:
             self.progress.pending = terms.server
+            wait.record_sending(self._clock.now_s())
 
         return self._services.attempt_sender.send(
             self._task.request,
             terms,
             may_reuse=self._task.route.is_repeatable,
-            waiting=waiting,
+            waiting=wait.scope,
             connect_until_s=connect_until_s,
             on_sending=record_sending,
         )
 
-    def _may_wait_for_budget(self) -> bool:
-        """Return whether only the retry budget prevents another attempt at what hasn't run."""
-        return (
-            self._room_wait.applies
-            and not self.progress.may_have_run
-            and self.progress.sent > 0
-            and self._retries.find_obstacle() is None
-        )
-
     def _record_not_run(
         self,
         server: BackendServer,
--- a/packages/proxy/src/sassafrastally/proxy/request_log.py
+++ b/packages/proxy/src/sassafrastally/proxy/request_log.py
@@ -5,7 +5,12 @@
 from typing import TYPE_CHECKING
 
 from sassafrastally.proxy.fingerprint import fingerprint_text
-from sassafrastally.proxy.log_events import AttemptFailed, RequestAnswered, RequestPlaced
+from sassafrastally.proxy.log_events import (
+    AttemptFailed,
+    RequestAnswered,
+    RequestPlaced,
+    SilenceTolerated,
+)
 from sassafrastally.proxy.metrics import ATTEMPTS_FAILED, count_answer
 
 if TYPE_CHECKING:
@@ -14,6 +19,7 @@
     from sassafrastally.proxy.model import BackendServer
     from sassafrastally.proxy.plan import Placement
     from sassafrastally.proxy.request_services import RequestServices
+    from sassafrastally.proxy.retries import Obstacle
     from sassafrastally.proxy.task import Progress, RequestTask, ResponseTimes
 
 
@@ -70,6 +76,18 @@
             )
         )
 
+    def silence_tolerated(self, server: BackendServer, silent_s: float, obstacle: Obstacle) -> None:
+        """Log that a request stays at a silent server."""
+        self._emit(
+            SilenceTolerated(
+                self._task.request.facts.request_id,
+                server.server_id,
+                self._progress.attempts,
+                round(silent_s, 4),
+                obstacle.value,
+            )
+        )
+
     def placed(self, server: BackendServer, placement: Placement | None = None) -> None:
         """Log the start of an attempt."""
         task = self._task
--- a/packages/proxy/src/sassafrastally/proxy/request_services.py
+++ b/packages/proxy/src/sassafrastally/proxy/request_services.py
@@ -17,6 +17,7 @@
     from sassafrastally.proxy.quarantine_service import QuarantineService
     from sassafrastally.proxy.reservations import Reservations
     from sassafrastally.proxy.retry_budget import RetryBudget
+    from sassafrastally.proxy.silence_watch import SilenceWatch
 
 
 class RequestServices(NamedTuple):
@@ -46,5 +47,7 @@
     """Services whose requests may wait for room."""
     queue: AdmissionQueue
     """Requests that wait for room at this entry."""
+    silence_watch: SilenceWatch
+    """Watches attempts for silence of their servers."""
     drain: Drain
     """Time left if this entry is stopping."""
--- a/packages/proxy/src/sassafrastally/proxy/retries.py
+++ b/packages/proxy/src/sassafrastally/proxy/retries.py
@@ -24,6 +24,9 @@
     NETWORK = "too many servers were unreachable"
     BUDGET = "the retry budget is exhausted"
     ROOM = "no other server takes it"
+    QUEUE = "others wait for room before it"
+    QUARANTINE = "it is quarantined"
+    STOP = "this entry stops too soon"
 
 
 class Retries:
@@ -47,7 +50,14 @@
 
     def can_fail_over(self) -> bool:
         """Return whether the request may still fail over to another server."""
-        return self.is_repeatable and self._progress.sent < self._task.route.max_attempts
+        return self.failover_obstacle() is None
+
+    def failover_obstacle(self) -> Obstacle | None:
+        """Return why the route allows no other attempt after the present one, if it doesn't."""
+        if not self.is_repeatable:
+            return Obstacle.REPETITION
+        has_attempt = self._progress.sent < self._task.route.max_attempts
+        return None if has_attempt else Obstacle.ATTEMPTS
 
     def claim(self) -> Obstacle | None:
         """Charge another attempt to the retry budget; return what prevents it, if anything."""
@@ -65,6 +75,11 @@
         has_attempt = self._progress.sent < self._task.route.max_attempts
         return None if has_attempt else Obstacle.ATTEMPTS
 
+    def may_wait_for_budget(self) -> bool:
+        """Return whether only the retry budget prevents another attempt at what hasn't run."""
+        has_run_nowhere = not self._progress.may_have_run and self._progress.sent > 0
+        return has_run_nowhere and self.find_obstacle() is None
+
     def charge_budget(self, *, is_logged: bool = True) -> bool:
         """Charge a retry to the budget of all entries; return whether it allows it."""
         service = self._task.service
--- /dev/null
+++ b/packages/proxy/src/sassafrastally/proxy/silence_watch.py
@@ -0,0 +1,139 @@
+"""Watches attempts for silence of their servers and ends those that another server takes over."""
+
+from __future__ import annotations
+
+from contextlib import contextmanager
+from typing import TYPE_CHECKING
+
+import trio
+
+from sassafrastally.proxy.attempt import TIMEOUT_DETAIL, AttemptUnknown
+from sassafrastally.proxy.cpu_overload import due_after_delay_s, last_read_s
+from sassafrastally.proxy.failover_decision import RECHECK_INTERVAL_S, Silence, next_check_s
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterator
+
+    from sassafrastally.proxy.containment import Containment
+
+
+class ServerWait:
+    """One attempt's waits for its server.
+
+    Attributes
+    ----------
+    scope
+        Cancel scope of the present wait; the first one is for the header of the response.
+
+    Parameters
+    ----------
+    begin_s
+        Start time of the attempt.
+    first_limit_s
+        Silence before the first event after which another server should take over.
+    event_limit_s
+        The same between events; not longer than `first_limit_s`.
+    """
+
+    def __init__(self, begin_s: float, first_limit_s: float, event_limit_s: float) -> None:
+        self.scope = trio.CancelScope()
+        self.event_limit_s = event_limit_s
+        self._limit_s = first_limit_s
+        self._begin_s = begin_s
+        self._silent_since_s = begin_s
+        self._paused_s: float | None = None
+
+    def record_sending(self, now_s: float) -> None:
+        """Record that the request is sent, which a delayed entry does late."""
+        self._silent_since_s = due_after_delay_s(self._begin_s, self._begin_s, now_s)
+
+    def record_event(self, now_s: float) -> None:
+        """Record an event of the response."""
+        self._silent_since_s = now_s
+        self._limit_s = self.event_limit_s
+
+    @contextmanager
+    def awaited(self) -> Iterator[None]:
+        """Wait for more of the response in the block.
+
+        Only this wait is cancelled, and only its time counts. A write to the caller cancelled
+        halfway would leave a partial chunk on the connection, followed by the bytes of the next
+        attempt, and its time says nothing about the server.
+
+        Raises
+        ------
+        AttemptUnknown
+            If another server takes over.
+        """
+        if self._paused_s is not None:
+            self._silent_since_s += trio.current_time() - self._paused_s
+            self._paused_s = None
+        with trio.CancelScope() as self.scope:
+            yield
+        self._paused_s = trio.current_time()
+        if self.scope.cancelled_caught:
+            error = AttemptUnknown(TIMEOUT_DETAIL)
+            error.is_timeout = True
+            raise error
+
+    def silence(self, now_s: float) -> Silence:
+        """Return how long the server has been silent."""
+        silent_s = now_s - self._silent_since_s if self._paused_s is None else 0.0
+        return Silence(silent_s, self._limit_s, has_successor=self.scope.cancel_called)
+
+
+class SilenceWatch:
+    """Watches the attempts of one process.
+
+    Parameters
+    ----------
+    nursery
+        Runs a task for each attempt that may be repeated.
+    containment
+        Contains errors of these tasks.
+    """
+
+    def __init__(self, nursery: trio.Nursery, containment: Containment) -> None:
+        self._nursery = nursery
+        self._containment = containment
+
+    @contextmanager
+    def watch(self, wait: ServerWait, claim_successor: Callable[[float], bool]) -> Iterator[None]:
+        """Watch an attempt while the block runs.
+
+        Parameters
+        ----------
+        wait
+            The attempt's wait; cancelled once another server takes over.
+        claim_successor
+            Makes the next attempt certain if it can; returns whether it is. Called with the time
+            for which the server has been silent.
+        """
+        scope = trio.CancelScope()
+        self._nursery.start_soon(self._containment.run, self._run, wait, claim_successor, scope)
+        try:
+            yield
+        finally:
+            scope.cancel()
+
+    async def _run(
+        self, wait: ServerWait, claim_successor: Callable[[float], bool], scope: trio.CancelScope
+    ) -> None:
+        with scope:
+            while True:
+                silence = wait.silence(trio.current_time())
+                delay_s = next_check_s(silence)
+                if not delay_s:
+                    if claim_successor(silence.silent_s):
+                        wait.scope.cancel()
+                    delay_s = RECHECK_INTERVAL_S
+                # After an event, the limit may be shorter.
+                await _sleep(min(delay_s, wait.event_limit_s))
+
+
+async def _sleep(duration_s: float) -> None:
+    """Sleep; longer if this entry didn't run in time and may not have read what has arrived."""
+    due_s = trio.current_time() + duration_s
+    await trio.sleep_until(due_s)
+    if extra_s := last_read_s(due_s, trio.current_time()):
+        await trio.sleep(extra_s)
--- a/packages/proxy/src/sassafrastally/proxy/streaming_request.py
+++ b/packages/proxy/src/sassafrastally/proxy/streaming_request.py
@@ -6,8 +6,6 @@
 from contextlib import ExitStack
 from typing import TYPE_CHECKING
 
-import trio
-
 from sassafrastally.proxy.admission import Goals, backlog_bound, overload_reason
 from sassafrastally.proxy.admission_queue import (
     StartTimes,
@@ -21,12 +19,12 @@
 from sassafrastally.proxy.answer_events import AnswerEvents
 from sassafrastally.proxy.attempt import NON_SUCCESS_STATUS, AttemptNotRun, AttemptUnknown
 from sassafrastally.proxy.attempt_migration import remaining_s, should_move_attempt
+from sassafrastally.proxy.caller_stream import CallerStream
 from sassafrastally.proxy.caller_timeout import caller_timeout_s
 from sassafrastally.proxy.data_centre_pools import (
     place_locally_first,
     prefers_local_data_centre,
 )
-from sassafrastally.proxy.event_stream import EventTimes, StreamEvent
 from sassafrastally.proxy.first_event_timeout import SILENCE_TIMEOUT_SHARE, expected_first_event_s
 from sassafrastally.proxy.lanes import PlacementRandomizer, choose_lane
 from sassafrastally.proxy.load import NO_WORK, InFlightAttempt, Lane
@@ -34,10 +32,11 @@
 from sassafrastally.proxy.metrics import PREFILL_YIELDS
 from sassafrastally.proxy.model import Helper
 from sassafrastally.proxy.placement import place_request
-from sassafrastally.proxy.plan import max_prompt_tokens
+from sassafrastally.proxy.plan import Placement, max_prompt_tokens
 from sassafrastally.proxy.refusals import MAY_HAVE_RUN, NO_ROOM, NO_SERVER, TOO_LONG, TURNED_AWAY
 from sassafrastally.proxy.request_handler import SERVER_ERROR_STATUS, RequestHandler
 from sassafrastally.proxy.reservations import with_reservations
+from sassafrastally.proxy.silence_watch import ServerWait
 from sassafrastally.proxy.slow_event_detection import event_time_s, slow_event_time_s
 from sassafrastally.proxy.task import LocalReply, Progress, RequestTask, ResponseTimes
 from sassafrastally.proxy.turning_away import would_miss_deadline
@@ -51,7 +50,6 @@
     from sassafrastally.proxy.attempt import Answer
     from sassafrastally.proxy.lanes import ServerView
     from sassafrastally.proxy.model import EngineProfile, PromptSize
-    from sassafrastally.proxy.plan import Placement
     from sassafrastally.proxy.reply import Reply
     from sassafrastally.proxy.request_services import RequestServices
 
@@ -59,7 +57,7 @@
 """Minimum interval between checks whether to move an attempt; reports bring new data as often."""
 
 
-class StreamingRequestHandler(RequestHandler):
+class StreamingRequestHandler(RequestHandler["Placement"]):
     """Handles one streaming request with model engines."""
 
     def __init__(
@@ -80,9 +78,8 @@
         self._goals = Goals(route.goal_s or task.time_limit_s, self._limits.longest_goal_s)
         self._caller_timeout_s = caller_timeout_s(route.goal_s, route.pause_goal_s)
         """Silence after which the caller closes the stream."""
-        self._last_event_id = task.request.facts.last_event_id
+        self._stream = CallerStream(task, reply, progress)
         reply.write_timeout_s = self._caller_timeout_s
-        self._times = EventTimes(task.request.arrived_s)
         self._move_checked_s = -math.inf
         self._room_wait = RoomWait(
             services,
@@ -116,8 +113,8 @@
                 return started
             if await self._attempt(started):
                 return None
-            if (obstacle := self._retries.claim()) is not None:
-                if not self._may_wait_for_budget():
+            if self._successor is None and (obstacle := self._retries.claim()) is not None:
+                if not (self._room_wait.applies and self._retries.may_wait_for_budget()):
                     is_for_load = self.progress.was_refused_for_load
                     detail = f"no further attempt: {obstacle.value}"
                     return self._local_reply(detail, is_for_load=is_for_load)
@@ -127,9 +124,11 @@
         """Return where the request starts, after waiting for room if that can help."""
         if (stopping := self._stopping_reply(self._alone_s)) is not None:
             return stopping
+        if (successor := self._take_successor()) is not None:
+            return successor
         if self._awaits_budget:
             return await self._wait_for_room("the retry budget is exhausted")
-        if self._room_wait.is_behind_others(self._latest_start_s(), is_new=self._is_new()):
+        if self._is_behind_others():
             self._is_yielding = not self._room_wait.applies
             return await self._wait_for_room("others wait for room before it")
         planned = self._plan()
@@ -137,6 +136,13 @@
             return await self._wait_for_room(planned)
         return planned
 
+    def _is_behind_others(self) -> bool:
+        return self._room_wait.is_behind_others(self._latest_start_s(), is_new=self._is_new())
+
+    def _choose_successor(self) -> Placement | None:
+        planned = self._plan(may_yield=False)
+        return planned if isinstance(planned, Placement) else None
+
     def _least_first_s(self) -> float:
         return self._alone_s
 
@@ -221,7 +227,7 @@
     def _latest_start_s(self) -> float:
         """Return the time until which the request may wait and still be served whole."""
         return latest_start_s(
-            self._times.last_s,
+            self._stream.times.last_s,
             self._caller_timeout_s,
             self._task.deadline_s,
             self._alone_s,
@@ -272,7 +278,7 @@
 
     def _is_new(self) -> bool:
         """Return whether no part of the response exists yet, here or at another entry."""
-        return self.progress.attempts == 0 and self._last_event_id is None
+        return self.progress.attempts == 0 and self._stream.last_event_id is None
 
     def _overload_reason(self, placement: Placement) -> str:
         """Return why load prevents a new request from starting; empty if it doesn't."""
@@ -297,14 +303,13 @@
             is_suspect=self._is_suspect(),
         )
         self._services.fleet_view.ledger.add(in_flight, begin_s)
+        limit_s = SILENCE_TIMEOUT_SHARE * self._caller_timeout_s
         expected_s = expected_first_event_s(placement.predicted_s, self._caller_timeout_s)
-        timeout_s = max(self._silence_timeout_s(), expected_s)
-        cancel_scope = trio.CancelScope(deadline=trio.current_time() + timeout_s)
         attempt = WaitingAttempt(
             tuple(part.incarnation_id for part in placement.parts),
             begin_s,
             placement.predicted_s,
-            cancel_scope,
+            ServerWait(begin_s, max(limit_s, expected_s), limit_s),
             self._move_if_faster,
             self._task.subjects,
         )
@@ -325,24 +330,28 @@
         self, placement: Placement, in_flight: InFlightAttempt, attempt: WaitingAttempt
     ) -> bool:
         helpers = tuple(Helper(server) for server in placement.helpers)
-        terms = self._attempt_terms(placement.server, attempt.begin_s, self._last_event_id, helpers)
-        with ExitStack() as until_begun:
+        terms = self._attempt_terms(
+            placement.server, attempt.begin_s, self._stream.last_event_id, helpers
+        )
+        wait = attempt.wait
+        with self._watch(wait, placement.server), ExitStack() as until_begun:
             until_begun.enter_context(self._services.fleet_view.waiting_attempts.register(attempt))
             async with (
                 self._services.reservations.hold(placement.holdings[1:]) as reserved,
                 self._send(
                     terms._replace(helpers=with_reservations(terms.helpers, reserved)),
-                    attempt.cancel_scope,
+                    wait,
                 ) as answer,
             ):
                 until_begun.close()
-                attempt.cancel_reason = ""  # The response began before the wait was cancelled.
+                # The response began before the wait was cancelled.
+                attempt.cancel_reason, self._successor = "", None
                 self._services.fleet_view.record_load(
                     placement.server.incarnation_id, answer.facts.load
                 )
                 if answer.status >= NON_SUCCESS_STATUS:
-                    return await self._forward_failure(placement, answer)
-                await self._forward_stream(placement, in_flight, answer)
+                    return await self._forward_failure(placement, wait, answer)
+                await self._forward_stream(placement, in_flight, wait, answer)
                 return True
 
     def _move_if_faster(self, attempt: WaitingAttempt, pace: float) -> None:
@@ -365,14 +374,12 @@
                 f"{alternative.predicted_s:.2f} s elsewhere"
             )
 
-    def _silence_timeout_s(self) -> float:
-        if not self._retries.can_fail_over():
-            return math.inf  # The deadline of the request still applies.
-        return SILENCE_TIMEOUT_SHARE * self._caller_timeout_s
-
-    async def _forward_failure(self, placement: Placement, answer: Answer) -> bool:
+    async def _forward_failure(
+        self, placement: Placement, wait: ServerWait, answer: Answer
+    ) -> bool:
         """Forward an engine's error response; raises `AttemptUnknown` if it isn't forwarded."""
-        body = await answer.read()
+        with wait.awaited():
+            body = await answer.read()
         if answer.status >= SERVER_ERROR_STATUS and self._retries.can_fail_over():
             raise AttemptUnknown(f"the engine responded with status {answer.status}")
         if self._reply.has_begun:
@@ -386,20 +393,21 @@
         return True
 
     async def _forward_stream(
-        self, placement: Placement, in_flight: InFlightAttempt, answer: Answer
+        self, placement: Placement, in_flight: InFlightAttempt, wait: ServerWait, answer: Answer
     ) -> None:
-        """Forward a stream event by event, so that a broken stream can be resumed.
-
-        The silence timeout covers only reads from the engine. A write to the caller cancelled by it
-        would leave a partial chunk on the connection, followed by the bytes of the next attempt.
-        """
+        """Forward a stream event by event, so that a broken stream can be resumed."""
         stream = AnswerEvents(answer)
         if not self._reply.has_begun:
             headers = self._services.dialect.response_headers(answer.headers)
             await self._reply.begin(answer.status, headers)
         slow_event_s = slow_event_time_s(self._profile)
         waiting_since_s = self._clock.now_s()
-        while (events := await stream.read(self._silence_timeout_s())) is not None:
+        while True:
+            with wait.awaited():
+                events = await stream.read(math.inf)
+            self._successor = None  # The events arrived before the wait was cancelled.
+            if events is None:
+                break
             # Measured only while waiting for the engine: the time spent on writing to the caller
             # says nothing about the engine.
             waited_s = self._clock.now_s() - waiting_since_s
@@ -411,9 +419,10 @@
             for event in events:
                 now_s = self._clock.now_s()
                 if event.has_fields:
+                    wait.record_event(now_s)
                     self._services.fleet_view.ledger.first_event(in_flight, now_s)
                     self._record_event(placement.server, now_s)
-                await self._forward_event(event, now_s)
+                await self._stream.forward(event, now_s)
             waiting_since_s = self._clock.now_s()
         if stream.rest:
             await self._reply.send(stream.rest)
@@ -422,25 +431,14 @@
         self._count_outcome(placement.server, *placement.helpers, is_failure=False)
         self._record_answered(placement, answer, len(stream.rest))
 
-    async def _forward_event(self, event: StreamEvent, now_s: float) -> None:
-        known_id = -1 if self._last_event_id is None else self._last_event_id
-        if event.event_id is not None and event.event_id <= known_id:
-            return  # Already forwarded; the resumed stream begins earlier than requested.
-        if event.has_fields:
-            self._times.record(now_s)
-        await self._reply.send(event.data)
-        if event.event_id is not None:
-            self._last_event_id = event.event_id
-            self.progress.last_event_id = event.event_id
-        elif event.has_fields:
-            self.progress.has_unnumbered_events = True
-
     def _record_answered(
         self, placement: Placement, answer: Answer, unfinished_bytes: int = 0
     ) -> None:
         self._record_success(placement.server, answer.status)
         total_s = self._clock.now_s() - self._task.request.arrived_s
-        times = ResponseTimes(self._times.first_s or 0.0, total_s, self._times.longest_pause_s)
+        times = ResponseTimes(
+            self._stream.times.first_s or 0.0, total_s, self._stream.times.longest_pause_s
+        )
         if times.first_s:
             lengths, route = self._services.drain.response_lengths, self._task.route.name
             lengths.record(route, total_s - times.first_s, self._declared_s)
--- a/packages/proxy/src/sassafrastally/proxy/waiting_attempts.py
+++ b/packages/proxy/src/sassafrastally/proxy/waiting_attempts.py
@@ -5,8 +5,6 @@
 from contextlib import contextmanager
 from typing import TYPE_CHECKING
 
-import trio
-
 from sassafrastally.proxy.attempt_migration import is_overdue
 from sassafrastally.proxy.pace import SLOW_PACE, slowest
 
@@ -14,6 +12,7 @@
     from collections.abc import Callable, Iterator, Mapping
 
     from sassafrastally.proxy.fingerprint import Subjects
+    from sassafrastally.proxy.silence_watch import ServerWait
 
 
 class WaitingAttempt:
@@ -27,8 +26,8 @@
         Start time of the attempt.
     predicted_s
         Time to the first event that was predicted at the start.
-    cancel_scope
-        Cancel scope of the wait for the header of the answer.
+    wait
+        The wait for its server.
     """
 
     def __init__(
@@ -36,14 +35,14 @@
         incarnation_ids: tuple[str, ...],
         begin_s: float,
         predicted_s: float,
-        cancel_scope: trio.CancelScope,
+        wait: ServerWait,
         on_slow: Callable[[WaitingAttempt, float], None],
         subjects: Subjects,
     ) -> None:
         self.incarnation_ids = incarnation_ids
         self.begin_s = begin_s
         self.predicted_s = predicted_s
-        self.cancel_scope = cancel_scope
+        self.wait = wait
         self.on_slow = on_slow
         """Called repeatedly with the pace of the slowest engine while an engine is slow."""
         self.subjects = subjects
@@ -54,7 +53,7 @@
     def cancel(self, reason: str) -> None:
         """Cancel the wait, so that the prompt can be moved to other engines."""
         self.cancel_reason = reason
-        self.cancel_scope.cancel()
+        self.wait.scope.cancel()
 
 
 class WaitingAttempts:
