Move a prompt from a slow engine only once its next attempt is certain

Callers got 502 for a long prompt whose engine was slow, though it would have answered: the attempt was cancelled for a faster placement, and only then the retry budget refused the next one. Same cause as that of silent servers. The test failed before:

AttemptFailed cause='an engine is 8.0 times slower: 3.43 s more, 0.71 s elsewhere' RetryBudgetSpent allowed=60.1 repeats=60 RequestFailed status=502 detail='may-have-run: no further attempt: the retry budget is exhausted'

The move is now charged and placed before the attempt is cancelled, as for silence; without that, the prompt stays, and a later report of the engine asks again.

--- a/packages/proxy/src/sassafrastally/proxy/streaming_request.py
+++ b/packages/proxy/src/sassafrastally/proxy/streaming_request.py
@@ -366,9 +366,10 @@
         remaining_here_s = remaining_s(now_s - attempt.begin_s, attempt.predicted_s, pace)
         time_to_goal_s = self._goals.own_s - (now_s - self._task.request.arrived_s)
         alternative = self._place()
-        if alternative and should_move_attempt(
+        is_faster = alternative is not None and should_move_attempt(
             remaining_here_s, alternative.predicted_s, time_to_goal_s
-        ):
+        )
+        if alternative and is_faster and self._claim_successor() is None:
             attempt.cancel(
                 f"an engine is {pace:.1f} times slower: {remaining_here_s:.2f} s more, "
                 f"{alternative.predicted_s:.2f} s elsewhere"
--- a/packages/testing/tests/platform/test_silent_servers.py
+++ b/packages/testing/tests/platform/test_silent_servers.py
@@ -14,7 +14,11 @@
 from sassafrastally.proxy.path import RequestPath
 from sassafrastally.stand_ins.caller_requests import ReceivedResponse
 from sassafrastally.stand_ins.documents import make_configuration, make_route
-from sassafrastally.stand_ins.platform_fleet import PlatformFleet, wait_until
+from sassafrastally.stand_ins.platform_fleet import (
+    PlatformFleet,
+    attempt_failure_causes,
+    wait_until,
+)
 from sassafrastally.stand_ins.silence import SilencePlace
 
 STREAM = "1000,340"
@@ -261,3 +265,42 @@
         answer = await silences.call("/book/x", None)
         assert (answer.status, answer.is_whole) == (200, True)
         assert len(silences.servers()) == 1
+
+
+class TestOtherReasonsToMove:
+    """Attempts that are given up for other reasons than silence, with the retry budget spent."""
+
+    async def test_prompt_stays_at_a_slow_engine(self, autojump_clock, seeded_fleet):
+        """Guards against a long prompt that is taken from a slow engine, which would have answered
+        it, and isn't sent to others since the retry budget is exhausted."""
+        fleet = seeded_fleet
+        routes = [
+            make_route(
+                "dossier", "streaming", "engines", gapGoalMs=1000, goalMs=1500, timeoutMs=15_000
+            )
+        ]
+        fleet.configure(make_configuration(2, routes=routes))
+        for number in range(1, 9):
+            await fleet.add_replica(f"engine-{number}")
+        kernel = await fleet.add_entry()
+        await trio.sleep(1.5)
+        answers: list[ReceivedResponse] = []
+
+        async def call() -> None:
+            headers = {"Deadline-Ms": "14000"}
+            prompt = "182000,340"
+            answers.append(await fleet.call("/dossier/x", prompt=prompt, headers=headers))
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(call)
+            await wait_until(lambda: bool(fleet.received_requests()))
+            await spend_budget(fleet)
+            (first,) = fleet.received_requests()
+            helper = next(
+                replica
+                for replica in fleet.replicas.values()
+                if str(replica.address) in first.request.headers["helpers"]
+            )
+            helper.engine.pace = 8.0
+        assert (answers[0].status, answers[0].is_whole) == (200, True)
+        assert attempt_failure_causes(kernel) == []
