Forward an engine's failure if no other attempt can follow

Callers got this entry's 502 in place of the engine's whole answer of 500: it was discarded for another attempt before the retry budget refused that one. The test failed before:

AttemptFailed cause='the engine responded with status 500' RetryBudgetSpent allowed=60.1 repeats=60 RequestFailed status=502 detail='may-have-run: no further attempt: the retry budget is exhausted'

The next attempt is now charged and placed first; without one, the answer is forwarded, as plain services' answers are. Where requests may wait for room, they still do.

--- a/packages/proxy/src/sassafrastally/proxy/retries.py
+++ b/packages/proxy/src/sassafrastally/proxy/retries.py
@@ -28,6 +28,11 @@
     QUARANTINE = "it is quarantined"
     STOP = "this entry stops too soon"
 
+    @property
+    def is_for_room(self) -> bool:
+        """Whether waiting for room may remove it."""
+        return self in (Obstacle.ROOM, Obstacle.QUEUE)
+
 
 class Retries:
     """Attempts of one request beyond the first.
--- a/packages/proxy/src/sassafrastally/proxy/streaming_request.py
+++ b/packages/proxy/src/sassafrastally/proxy/streaming_request.py
@@ -381,8 +381,10 @@
         """Forward an engine's error response; raises `AttemptUnknown` if it isn't forwarded."""
         with wait.awaited():
             body = await answer.read()
-        if answer.status >= SERVER_ERROR_STATUS and self._retries.can_fail_over():
-            raise AttemptUnknown(f"the engine responded with status {answer.status}")
+        if answer.status >= SERVER_ERROR_STATUS:
+            obstacle = self._claim_successor()
+            if obstacle is None or (self._room_wait.applies and obstacle.is_for_room):
+                raise AttemptUnknown(f"the engine responded with status {answer.status}")
         if self._reply.has_begun:
             raise AttemptUnknown(
                 f"the engine responded with status {answer.status} to a resumed stream"
--- a/packages/testing/tests/platform/test_silent_servers.py
+++ b/packages/testing/tests/platform/test_silent_servers.py
@@ -304,3 +304,17 @@
             helper.engine.pace = 8.0
         assert (answers[0].status, answers[0].is_whole) == (200, True)
         assert attempt_failure_causes(kernel) == []
+
+    async def test_failure_of_an_engine_is_forwarded(
+        self, autojump_clock, fleet_of_two, monkeypatch
+    ):
+        """Guards against 502 in place of an engine's own answer, which is given up for an attempt
+        that the retry budget doesn't allow."""
+        await spend_budget(fleet_of_two)
+        for number in (1, 2):
+            replica = fleet_of_two.replicas[f"engine-{number}"]
+            replica.response_status = 500
+            monkeypatch.setattr(replica, "_stream", replica._plain)
+        answer = await fleet_of_two.call("/note/x", prompt=STREAM)
+        assert (answer.status, answer.is_whole) == (500, True)
+        assert answer.headers["replica-seal"]
