--- a/packages/proxy/src/sassafrastally/proxy/request_handler.py
+++ b/packages/proxy/src/sassafrastally/proxy/request_handler.py
@@ -1,16 +1,17 @@
-"""Base class of request handlers: counts attempts, charges the retry budget and logs."""
+"""Base class of request handlers: counts attempts, records their outcomes and logs."""
 
 from __future__ import annotations
 
 import math
-from typing import TYPE_CHECKING
+from contextlib import nullcontext
+from typing import TYPE_CHECKING, Generic, TypeVar
 
 from sassafrastally.proxy.answer_progress import AnswerProgress
 from sassafrastally.proxy.attempt import NON_SUCCESS_STATUS, AttemptNotRun, AttemptUnknown
 from sassafrastally.proxy.backpressure import CallKind
 from sassafrastally.proxy.evacuation import Unavailability
+from sassafrastally.proxy.failover_decision import SuccessorFacts, successor_obstacle
 from sassafrastally.proxy.fingerprint import fingerprint_text
-from sassafrastally.proxy.log_events import RetryBudgetSpent
 from sassafrastally.proxy.model import AttemptParameters
 from sassafrastally.proxy.refusals import (
     EVACUATED,
@@ -22,6 +23,7 @@
     TURNED_AWAY,
 )
 from sassafrastally.proxy.request_log import RequestLog
+from sassafrastally.proxy.retries import Obstacle, Retries
 from sassafrastally.proxy.suspect_placement import assigned_servers
 from sassafrastally.proxy.task import LocalReply, Progress, RequestTask
 from sassafrastally.proxy.turning_away import (
@@ -32,9 +34,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
-    from contextlib import AbstractAsyncContextManager
-
-    import trio
+    from contextlib import AbstractAsyncContextManager, AbstractContextManager
 
     from sassafrastally.proxy.attempt import Answer
     from sassafrastally.proxy.lanes import ServerView
@@ -42,16 +42,16 @@
     from sassafrastally.proxy.refusals import Refusal
     from sassafrastally.proxy.reply import Reply
     from sassafrastally.proxy.request_services import RequestServices
+    from sassafrastally.proxy.silence_watch import ServerWait
     from sassafrastally.proxy.verdicts import Verdict
     from sassafrastally.proxy.waiting_for_room import RoomWait
 
+Start = TypeVar("Start")
+"""Where a request starts: a server, or a placement on engines."""
+
 SERVER_ERROR_STATUS = 500
 """Lowest HTTP status that means that the backend server failed."""
 
-MAX_UNREACHABLE_SERVERS = 3
-"""Number of unreachable servers after which a request is rejected. So many connection failures mean
-that this VM's network is broken rather than the servers."""
-
 UNAVAILABILITY_REFUSALS = {
     Unavailability.EVACUATED: EVACUATED,
     Unavailability.NO_HOME: NO_HOME,
@@ -59,7 +59,7 @@
 """Refusal by the reason for which no server of the service may get the request."""
 
 
-class RequestHandler:
+class RequestHandler(Generic[Start]):
     """Handles one request by sending attempts to backend servers.
 
     Parameters
@@ -88,6 +88,9 @@
         self._clock = services.kernel.clock
         self._emit = services.kernel.events.emit
         self._log = RequestLog(services, task, self.progress)
+        self._retries = Retries(services, task, progress)
+        self._successor: Start | None = None
+        """Where the next attempt is made, which has been charged to the retry budget."""
 
     async def run(self) -> LocalReply | None:
         """Handle the request; return a local reply if there is no complete response."""
@@ -236,7 +239,7 @@
         response. Handlers of streams use short prompts only: a long one fails with any of the
         engines that share it.
         """
-        if self.progress.attempts or not self._can_fail_over() or self._is_suspect():
+        if self.progress.attempts or not self._retries.can_fail_over() or self._is_suspect():
             return []
         return self._services.fleet_view.trial_views(
             self._task.service, self.progress.tried, self._task.homes
@@ -282,15 +285,6 @@
             answer = self.progress.answer
             self._services.quarantine.record_answered(self._task.subjects, server, answer)
 
-    @property
-    def _is_repeatable(self) -> bool:
-        """Whether the request may run again, from its begin or after the last event."""
-        return self._task.route.is_repeatable and not self.progress.has_unnumbered_events
-
-    def _can_fail_over(self) -> bool:
-        """Return whether the request may still fail over to another server."""
-        return self._is_repeatable and self.progress.sent < self._task.route.max_attempts
-
     def _attempt_terms(
         self,
         server: BackendServer,
@@ -317,68 +311,71 @@
         for helper in helpers:
             self._services.backpressure.count_part(helper)
 
+    def _watch(self, wait: ServerWait, server: BackendServer) -> AbstractContextManager[None]:
+        """Watch an attempt for silence of its server if another one may take over."""
+        if not self._retries.can_fail_over():
+            return nullcontext()
+        tolerated: set[Obstacle] = set()
+
+        def claim_successor(silent_s: float) -> bool:
+            obstacle = self._claim_successor()
+            if obstacle is not None and obstacle not in tolerated:
+                tolerated.add(obstacle)
+                self._log.silence_tolerated(server, silent_s, obstacle)
+            return obstacle is None
+
+        return self._services.silence_watch.watch(wait, claim_successor)
+
+    def _claim_successor(self) -> Obstacle | None:
+        """Choose where the next attempt is made and charge it; return what prevents that."""
+        candidate = self._choose_successor()
+        facts = SuccessorFacts(
+            route_obstacle=self._retries.failover_obstacle(),
+            is_quarantined=self._verdict() is not None,
+            is_stopping=self._stopping_reply(self._least_first_s()) is not None,
+            is_behind_others=self._is_behind_others(),
+            has_server=candidate is not None,
+        )
+        if (obstacle := successor_obstacle(facts)) is not None:
+            return obstacle
+        if not self._retries.charge_budget(is_logged=False):
+            return Obstacle.BUDGET
+        self._successor = candidate
+        return None
+
+    def _choose_successor(self) -> Start | None:
+        """Return where the next attempt can be made now."""
+        raise NotImplementedError
+
+    def _is_behind_others(self) -> bool:
+        """Return whether others wait for the same room and come first."""
+        raise NotImplementedError
+
+    def _take_successor(self) -> Start | None:
+        successor, self._successor = self._successor, None
+        return successor
+
     def _send(
         self,
         terms: AttemptParameters,
-        waiting: trio.CancelScope,
+        wait: ServerWait,
         connect_until_s: float = math.inf,
     ) -> AbstractAsyncContextManager[Answer]:
         """Send the request, as `AttemptSender.send`; it is pending from then on."""
 
         def record_sending() -> None:
             self.progress.pending = terms.server
+            wait.record_sending(self._clock.now_s())
 
         return self._services.attempt_sender.send(
             self._task.request,
             terms,
             may_reuse=self._task.route.is_repeatable,
-            waiting=waiting,
+            waiting=wait.scope,
             connect_until_s=connect_until_s,
             on_sending=record_sending,
         )
 
-    def _claim_retry(self) -> bool:
-        """Return whether another attempt is allowed, and charge it to the retry budget."""
-        if not self._may_retry():
-            return False
-        if self.progress.unreachable > 0 and self.progress.sent == 0:
-            return self.progress.unreachable < MAX_UNREACHABLE_SERVERS
-        return self._charge_retry_budget()
-
-    def _may_retry(self) -> bool:
-        """Return whether the route allows another attempt."""
-        if self.progress.may_have_run and not self._is_repeatable:
-            return False
-        return self.progress.sent < self._task.route.max_attempts
-
-    def _may_wait_for_budget(self) -> bool:
-        """Return whether only the retry budget prevents another attempt at what hasn't run."""
-        return (
-            self._room_wait.applies
-            and not self.progress.may_have_run
-            and self.progress.sent > 0
-            and self._may_retry()
-        )
-
-    def _charge_retry_budget(self, *, is_logged: bool = True) -> bool:
-        service = self._task.service
-        now_s = self._clock.now_s()
-        budget = self._services.budget
-        entries = self._services.fleet_view.entries
-        if budget.try_spend(service, entries, now_s):
-            return True
-        if not is_logged:
-            return False
-        self._emit(
-            RetryBudgetSpent(
-                self._request_id,
-                service,
-                budget.retry_count(service, now_s),
-                round(budget.retry_allowance(service, entries, now_s), 1),
-            )
-        )
-        return False
-
     def _record_not_run(
         self,
         server: BackendServer,
