--- a/packages/testing/src/sassafrastally/testing/soak/callers.py
+++ b/packages/testing/src/sassafrastally/testing/soak/callers.py
@@ -41,6 +41,9 @@
 PROMPT_TOKENS = {Kind.NOTE: (500, 12_000), Kind.DOSSIER: (40_000, 260_000)}
 MOST_EVENTS = 24
 
+MOST_BODY_BYTES = 1_000_000
+"""Begin of an answer that a caller keeps; far more than any that ends."""
+
 EARLY_RETRIES = 3
 """How often a caller that ignores Retry-After sends a refused request again."""
 
@@ -202,7 +205,8 @@
                 attempt.status = event.status_code
                 attempt.headers = {n.decode(): v.decode("latin-1") for n, v in event.headers}
             elif isinstance(event, h11.Data):
-                attempt.body += event.data
+                if len(attempt.body) < MOST_BODY_BYTES:
+                    attempt.body += event.data
             elif isinstance(event, h11.EndOfMessage):
                 attempt.is_whole = True
                 return
--- a/packages/testing/src/sassafrastally/testing/soak/promises.py
+++ b/packages/testing/src/sassafrastally/testing/soak/promises.py
@@ -9,8 +9,9 @@
 import trio
 
 from sassafrastally.testing.soak.asking import judge_asking
-from sassafrastally.testing.soak.callers import GIVES_UP_S, TIME_LEFT_S
+from sassafrastally.testing.soak.callers import GIVES_UP_S, MOST_EVENTS, TIME_LEFT_S
 from sassafrastally.testing.soak.contention import judge_contention
+from sassafrastally.testing.soak.faltering import judge_silences, may_break_off
 from sassafrastally.testing.soak.harmful import (
     is_refused_beside_part,
     judge_beside_parts,
@@ -112,6 +113,7 @@
             self._judge_content(attempt, arrivals)
         if not attempt.has_left and not attempt.is_harmful:
             self._judge_answered(attempt, arrivals)
+            judge_silences(self._fleet, attempt, arrivals)
         is_refused = b"refusal:quarantined" in attempt.body
         if (
             not attempt.is_harmful
@@ -163,7 +165,7 @@
         lines = attempt.body.decode(errors="replace").splitlines()
         ids = [int(line[3:]) for line in lines if line.startswith("id:") and line[3:].strip()]
         if ids != list(range(len(ids))):
-            self._break("events in order", attempt, f"{ids}")
+            self._break("events in order", attempt, f"{ids[:MOST_EVENTS]}")
         if attempt.is_whole and len(ids) != attempt.events:
             self._break("whole stream", attempt, f"{len(ids)} of {attempt.events} events")
 
@@ -174,6 +176,8 @@
         took_s = attempt.ended_s - attempt.sent_s
         if took_s > TIME_LEFT_S + LATE_S:
             self._break("in time", attempt, f"{took_s:.2f} s, gives up at {GIVES_UP_S} s")
+        elif may_break_off(attempt, arrivals):
+            return
         elif not attempt.is_whole and took_s < TIME_LEFT_S - AT_LIMIT_S:
             if arrivals:
                 self._break("answered", attempt, f"passed on, cut after {took_s:.2f} s")
--- a/packages/testing/src/sassafrastally/testing/soak/record.py
+++ b/packages/testing/src/sassafrastally/testing/soak/record.py
@@ -173,6 +173,13 @@
         now_s = trio.current_time()
         return sum(span.name == name and span.end_s > now_s for span in self.spans)
 
+    def overlaps(self, name: str, begin_s: float, end_s: float) -> bool:
+        """Return whether a trouble of a name was in progress in a time."""
+        return any(
+            span.name == name and span.begin_s <= end_s and span.end_s >= begin_s
+            for span in self.spans
+        )
+
     def is_calm(
         self,
         entry: int,
