Soak: callers with little time beside silent servers; details name the troubles in progress

A silence of 1.5 s is a small part of the four seconds that callers wait, so that no entry gave up on a silent server. Beside silences, callers now wait two or four seconds. A broken promise about time names the troubles in progress, since troubles that excuse nothing are its likely cause. Tests of the checks, and a short soak for each of the two troubles.

--- a/packages/testing/src/sassafrastally/testing/soak/callers.py
+++ b/packages/testing/src/sassafrastally/testing/soak/callers.py
@@ -10,7 +10,7 @@
 
 from sassafrastally.proxy.http_stream import ConnectionLost, HttpStream, connect
 from sassafrastally.stand_ins.caller_requests import request_fields, send_request
-from sassafrastally.testing.soak.record import Attempt, Kind
+from sassafrastally.testing.soak.record import TIME_LEFT_S, Attempt, Kind
 
 if TYPE_CHECKING:
     from sassafrastally.testing.soak.fleet import SoakFleet
@@ -18,9 +18,6 @@
 OLD_VERSION_OF = 20
 """One in so many requests is sent with HTTP/1.0."""
 
-TIME_LEFT_S = 4.0
-"""How long a caller waits."""
-
 GIVES_UP_S = TIME_LEFT_S + 1.5
 """After this a caller closes its connection; an entry must have answered long before."""
 
@@ -155,6 +152,7 @@
             customer=self._draw_customer(),
             is_harmful=bool(content or harmful_part),
             harmful_part=harmful_part,
+            time_left_s=self._fleet.time_left_s,
         )
         if not kind.is_stream:
             return make(attempt_id, kind, self._entry, 0), None
@@ -183,7 +181,7 @@
         fields = request_fields(
             prompt=prompt,
             request_id=attempt.attempt_id,
-            time_left_s=TIME_LEFT_S,
+            time_left_s=attempt.time_left_s,
             customer=attempt.customer,
             parts=attempt.parts,
         )
--- a/packages/testing/src/sassafrastally/testing/soak/faltering.py
+++ b/packages/testing/src/sassafrastally/testing/soak/faltering.py
@@ -12,7 +12,7 @@
     EndlessPace,
     EndlessPlace,
 )
-from sassafrastally.testing.soak.callers import TIME_LEFT_S
+from sassafrastally.testing.soak.record import TIME_LEFT_S
 from sassafrastally.testing.soak.troubles import trouble
 
 if TYPE_CHECKING:
@@ -38,6 +38,9 @@
 SILENT_SHARES = (0.0, 0.3, 0.6, 1.0)
 """Shares of the servers that fall silent at the same moment; 0 stands for one server."""
 
+TIMES_LEFT_S = (2.0, 2.0, TIME_LEFT_S)
+"""How long callers wait meanwhile: a silence takes most of it, or a small part."""
+
 CUT_SHARES = (0.0, 0.5, 0.9)
 """Shares of a piece that is sent before a silence."""
 
@@ -74,6 +77,7 @@
     one_in = fleet.random.choice((1, 1, 1, 3))
     with_reports = fleet.random.random() < 0.5
     with fleet.record.trouble(SILENT, planned=True):
+        fleet.time_left_s = fleet.random.choice(TIMES_LEFT_S)
         for _ in range(fleet.random.randint(1, MOST_SILENCES)):
             duration_s = fleet.random.uniform(*SILENCE_S)
             cut_share = fleet.random.choice(CUT_SHARES)
@@ -82,6 +86,7 @@
                 silence.includes_reports = with_reports
                 silence.begin(duration_s, cut_share=cut_share, one_in=one_in)
             await trio.sleep(duration_s + fleet.random.uniform(*PAUSE_S))
+        fleet.time_left_s = TIME_LEFT_S
 
 
 @trouble(ENDLESS)
@@ -152,12 +157,12 @@
     """Judge whether an entry gave up a request because of a sound server's silence."""
     assert attempt.ended_s is not None
     took_s = attempt.ended_s - attempt.sent_s
-    is_given_up = attempt.status in FAILURES and took_s < TIME_LEFT_S - AT_LIMIT_S
+    is_given_up = attempt.status in FAILURES and took_s < attempt.time_left_s - AT_LIMIT_S
     if not is_given_up or not arrivals or any(arrival.is_endless for arrival in arrivals):
         return
     if not fleet.record.is_calm(attempt.entry, attempt.sent_s, attempt.ended_s):
         return
-    if fleet.record.overlaps(SILENT, attempt.sent_s, attempt.ended_s):
+    if SILENT in fleet.record.names_during(attempt.sent_s, attempt.ended_s):
         detail = (
             f"{attempt.kind.value} {attempt.attempt_id} at entry {attempt.entry}: "
             f"status {attempt.status} after {took_s:.2f} s, {len(arrivals)} arrivals"
--- a/packages/testing/src/sassafrastally/testing/soak/fleet.py
+++ b/packages/testing/src/sassafrastally/testing/soak/fleet.py
@@ -27,7 +27,7 @@
 from sassafrastally.stand_ins.replica import Replica
 from sassafrastally.testing.soak.entry_process import STOP_TIME_S, EntryProcess
 from sassafrastally.testing.soak.proxying import LoopbackProxy
-from sassafrastally.testing.soak.record import KIND_WEIGHTS, Record
+from sassafrastally.testing.soak.record import KIND_WEIGHTS, TIME_LEFT_S, Record
 
 if TYPE_CHECKING:
     import random
@@ -114,6 +114,8 @@
         """How many times the usual load callers press with."""
         self.weights: Mapping[Kind, int] = KIND_WEIGHTS
         """How often callers send each kind."""
+        self.time_left_s = TIME_LEFT_S
+        """How long callers wait."""
         self.early_share = 0.0
         """Share of the refused callers that retry at once, whatever Retry-After says."""
         self.customers: Mapping[str, int] = {CUSTOMER: 1}
--- a/packages/testing/src/sassafrastally/testing/soak/promises.py
+++ b/packages/testing/src/sassafrastally/testing/soak/promises.py
@@ -9,7 +9,7 @@
 import trio
 
 from sassafrastally.testing.soak.asking import judge_asking
-from sassafrastally.testing.soak.callers import GIVES_UP_S, MOST_EVENTS, TIME_LEFT_S
+from sassafrastally.testing.soak.callers import MOST_EVENTS
 from sassafrastally.testing.soak.contention import judge_contention
 from sassafrastally.testing.soak.faltering import judge_silences, may_break_off
 from sassafrastally.testing.soak.harmful import (
@@ -174,13 +174,16 @@
         if not self._record.is_calm(attempt.entry, attempt.sent_s, attempt.ended_s):
             return
         took_s = attempt.ended_s - attempt.sent_s
-        if took_s > TIME_LEFT_S + LATE_S:
-            self._break("in time", attempt, f"{took_s:.2f} s, gives up at {GIVES_UP_S} s")
+        beside = "; ".join(self._record.names_during(attempt.sent_s, attempt.ended_s))
+        if took_s > attempt.time_left_s + LATE_S:
+            self._break("in time", attempt, f"{took_s:.2f} s, beside {beside or 'nothing'}")
         elif may_break_off(attempt, arrivals):
             return
-        elif not attempt.is_whole and took_s < TIME_LEFT_S - AT_LIMIT_S:
+        elif not attempt.is_whole and took_s < attempt.time_left_s - AT_LIMIT_S:
             if arrivals:
-                self._break("answered", attempt, f"passed on, cut after {took_s:.2f} s")
+                self._break(
+                    "answered", attempt, f"passed on, cut after {took_s:.2f} s, beside {beside}"
+                )
             elif took_s > UNREAD_S:
                 self._break("answered", attempt, f"never passed on, cut after {took_s:.2f} s")
 
--- a/packages/testing/src/sassafrastally/testing/soak/record.py
+++ b/packages/testing/src/sassafrastally/testing/soak/record.py
@@ -20,6 +20,10 @@
 """Time after a trouble until promises with a time bound hold again, as on the users' platform."""
 
 
+TIME_LEFT_S = 4.0
+"""How long a caller usually waits."""
+
+
 class Kind(Enum):
     """Kinds of request."""
 
@@ -61,6 +65,8 @@
         Body of the request; by default one of its own.
     customer
         Whose key it carries.
+    time_left_s
+        How long its caller waits.
     """
 
     def __init__(
@@ -74,9 +80,11 @@
         *,
         is_harmful: bool = False,
         harmful_part: str = "",
+        time_left_s: float = TIME_LEFT_S,
     ) -> None:
         self.attempt_id = attempt_id
         self.customer = customer
+        self.time_left_s = time_left_s
         self.is_harmful = is_harmful
         """Whether servers crash under it."""
         self.harmful_part = harmful_part
@@ -173,12 +181,9 @@
         now_s = trio.current_time()
         return sum(span.name == name and span.end_s > now_s for span in self.spans)
 
-    def overlaps(self, name: str, begin_s: float, end_s: float) -> bool:
-        """Return whether a trouble of a name was in progress in a time."""
-        return any(
-            span.name == name and span.begin_s <= end_s and span.end_s >= begin_s
-            for span in self.spans
-        )
+    def names_during(self, begin_s: float, end_s: float) -> list[str]:
+        """Return the names of the troubles in progress in a time."""
+        return [span.name for span in self.spans if span.begin_s <= end_s and span.end_s >= begin_s]
 
     def is_calm(
         self,
--- a/packages/testing/tests/soak/test_soak.py
+++ b/packages/testing/tests/soak/test_soak.py
@@ -74,6 +74,20 @@
         assert not report.broken, str(report)
         assert report.outcomes["200"] > 50, str(report)
 
+    async def test_silence_of_a_second_ends_no_request(self):
+        """Guards against requests that are given up although their server goes on soon."""
+        kinds = [faltering.SILENT, faltering.SILENT, "configured", "burst"]
+        report = await run_soak(20_266, 14.0, SMALL._replace(callers=16), print, kinds, gap_s=0.8)
+        assert not report.broken, str(report)
+        assert report.outcomes["200"] > 50, str(report)
+
+    async def test_bytes_without_end_keep_nobody_else_waiting(self):
+        """Guards against an entry that one connection with bytes without end occupies or fills."""
+        kinds = [faltering.ENDLESS]
+        report = await run_soak(20_267, 14.0, SMALL._replace(callers=16), print, kinds, gap_s=0.8)
+        assert not report.broken, str(report)
+        assert report.outcomes["200"] > 50, str(report)
+
     @pytest.mark.parametrize("known", SEEDS, ids=lambda known: str(known["number"]))
     async def test_seed_that_broke_a_promise_keeps_them(self, known):
         kinds = EARLIER if known.get("has_all_troubles") else USUAL
@@ -81,6 +95,56 @@
         assert not report.broken, f"{known['cause']}\n{report}"
 
 
+class TestFaltering:
+    """The checks of silences and bytes without end."""
+
+    def attempt(self, status: int, *, is_endless: bool = False) -> tuple[Attempt, SimpleNamespace]:
+        """Return an attempt that begins now, with its arrival at a server."""
+        attempt = Attempt("1", Kind.BOOK, 1, 0)
+        attempt.status = status
+        return attempt, SimpleNamespace(is_endless=is_endless)
+
+    @pytest.mark.parametrize(
+        ("status", "took_s", "is_endless", "is_broken"),
+        [
+            (504, 1.5, False, True),
+            (502, 1.5, False, True),
+            (504, 4.0, False, False),
+            (503, 1.5, False, False),
+            (504, 1.5, True, False),
+        ],
+    )
+    async def test_only_a_request_given_up_early_breaks_the_promise(
+        self, autojump_clock, status, took_s, is_endless, is_broken
+    ):
+        """Guards against a check that finds nothing, or blames an entry whose caller's time was
+        over, whose server refused or whose server sent bytes without end."""
+        fleet = SimpleNamespace(record=Record())
+        attempt, arrival = self.attempt(status, is_endless=is_endless)
+        with fleet.record.trouble(faltering.SILENT, planned=True):
+            await trio.sleep(took_s)
+        attempt.ended_s = trio.current_time()
+        faltering.judge_silences(fleet, attempt, [arrival])
+        assert bool(fleet.record.broken) is is_broken
+
+    async def test_other_trouble_excuses_a_request_given_up(self, autojump_clock):
+        """Guards against blaming a silence for what another trouble has done."""
+        fleet = SimpleNamespace(record=Record())
+        attempt, arrival = self.attempt(504)
+        silent = fleet.record.trouble(faltering.SILENT, planned=True)
+        with silent, fleet.record.trouble("server-crashed"):
+            await trio.sleep(1.0)
+        attempt.ended_s = trio.current_time()
+        faltering.judge_silences(fleet, attempt, [arrival])
+        assert not fleet.record.broken
+
+    async def test_bytes_without_end_excuse_no_missing_status(self):
+        """Guards against a request that is ended without any answer, or left to another server."""
+        for status, is_endless, may in ((200, True, True), (0, True, False), (200, False, False)):
+            attempt, arrival = self.attempt(status, is_endless=is_endless)
+            assert faltering.may_break_off(attempt, [arrival]) is may
+
+
 class TestContention:
     """The checks of evacuations and cold servers."""
 
