--- a/packages/testing/src/sassafrastally/testing/soak/faltering.py
+++ b/packages/testing/src/sassafrastally/testing/soak/faltering.py
@@ -55,6 +55,9 @@
 
 MOST_SERVERS = 3
 
+BOUNDED = "memory is bounded beside bytes without end"
+"""Promise about the entries' memory."""
+
 MEMORY_LOOK_S = 0.1
 MOST_MEMORY_MB = 128.0
 """Resident memory of an entry while bytes come without end; as at the end of a soak."""
@@ -144,8 +147,9 @@
                     most_mb[number] = max(most_mb.get(number, 0.0), entry.resident_mb())
             await trio.sleep(MEMORY_LOOK_S)
     over = {number: f"{mb:.0f} MB" for number, mb in most_mb.items() if mb > MOST_MEMORY_MB}
-    if over:
-        fleet.record.note_broken("memory is bounded beside bytes without end", f"entries {over}")
+    # Memory that an entry doesn't give back would be noted by each later trouble.
+    if over and not any(one.promise == BOUNDED for one in fleet.record.broken):
+        fleet.record.note_broken(BOUNDED, f"entries {over}")
 
 
 def may_break_off(attempt: Attempt, arrivals: Sequence[ReceivedRequest]) -> bool:
