--- a/packages/testing/src/sassafrastally/testing/soak/faltering.py
+++ b/packages/testing/src/sassafrastally/testing/soak/faltering.py
@@ -31,8 +31,8 @@
 SILENCE_S = (0.5, 1.5)
 """How long a server that is no trouble may be silent."""
 
-PAUSE_S = (0.1, 1.5)
-"""Time between two silences."""
+PAUSE_S = (0.3, 1.5)
+"""Time between two silences of a server."""
 
 MOST_SILENCES = 4
 SILENT_SHARES = (0.0, 0.3, 0.6, 1.0)
@@ -84,8 +84,9 @@
         for _ in range(fleet.random.randint(1, MOST_SILENCES)):
             duration_s = fleet.random.uniform(*SILENCE_S)
             cut_share = fleet.random.choice(CUT_SHARES)
-            for server in servers:
-                silence = server.replica.silence
+            for silence in (server.replica.silence for server in servers):
+                if trio.current_time() < silence.until_s + PAUSE_S[0]:
+                    continue  # Another trouble's; together they would be too long.
                 silence.includes_reports = with_reports
                 silence.begin(duration_s, cut_share=cut_share, one_in=one_in)
             await trio.sleep(duration_s + fleet.random.uniform(*PAUSE_S))
