Try a failing server only if the retry budget allows another attempt

A caller whose request was the trial of a server that had failed others got its 500, while sound servers were there: the trial counted on a second attempt, which the retry budget refused. Same class as the cut requests at silent servers: an attempt that counts on a successor that isn't certain. The test failed before (500 in place of 200). A trial now needs room in the budget; the server is tried later.

--- a/packages/proxy/src/sassafrastally/proxy/request_handler.py
+++ b/packages/proxy/src/sassafrastally/proxy/request_handler.py
@@ -235,15 +235,16 @@
     def _trial_views(self) -> list[ServerView]:
         """Return the server to which this request is the trial, as in `FleetView.trial_views`.
 
-        Only a first attempt that may be repeated is one, so that a failure costs no caller its
-        response. Handlers of streams use short prompts only: a long one fails with any of the
-        engines that share it.
+        Only a first attempt is one, and only if the route and the retry budget allow another, so
+        that a failure costs no caller its response. Handlers of streams use short prompts only: a
+        long one fails with any of the engines that share it.
         """
         if self.progress.attempts or not self._retries.can_fail_over() or self._is_suspect():
             return []
-        return self._services.fleet_view.trial_views(
+        views = self._services.fleet_view.trial_views(
             self._task.service, self.progress.tried, self._task.homes
         )
+        return views if views and self._retries.has_budget() else []
 
     def _count_outcome(self, *servers: BackendServer, is_failure: bool) -> None:
         """Count a response or a failure of servers over all entries.
--- a/packages/proxy/src/sassafrastally/proxy/retries.py
+++ b/packages/proxy/src/sassafrastally/proxy/retries.py
@@ -85,6 +85,13 @@
         has_run_nowhere = not self._progress.may_have_run and self._progress.sent > 0
         return has_run_nowhere and self.find_obstacle() is None
 
+    def has_budget(self) -> bool:
+        """Return whether the budget of all entries allows a retry now."""
+        service, budget = self._task.service, self._services.budget
+        now_s = self._services.kernel.clock.now_s()
+        allowance = budget.retry_allowance(service, self._services.fleet_view.entries, now_s)
+        return budget.retry_count(service, now_s) + 1 <= allowance
+
     def charge_budget(self, *, is_logged: bool = True) -> bool:
         """Charge a retry to the budget of all entries; return whether it allows it."""
         service = self._task.service
--- a/packages/testing/tests/platform/test_failing_servers.py
+++ b/packages/testing/tests/platform/test_failing_servers.py
@@ -8,6 +8,7 @@
 from sassafrastally.proxy.failure_monitor import FailureMonitor
 from sassafrastally.proxy.fleet_view import FleetView
 from sassafrastally.proxy.load import server_hash
+from sassafrastally.proxy.path import RequestPath
 from sassafrastally.proxy.peers import Peers
 from sassafrastally.stand_ins.documents import make_configuration, make_route
 from sassafrastally.stand_ins.platform_fleet import wait_until
@@ -88,6 +89,29 @@
         trials = fleet_view.trial_views("desk", without_room)
         assert [view.server for view in trials] == servers[2:]
 
+    async def test_trial_needs_the_retry_budget(self, fleet, start, monkeypatch):
+        """Guards against a caller whose request is the trial of a failing server, while the retry
+        budget doesn't allow the attempt that makes up for its failure."""
+        await start(dossier_priority=2, entries=1)
+        kernel = fleet.kernels[0]
+        faulty = fleet.replicas["desk-1"]
+        faulty.response_status = 500
+        server = next(
+            view.server
+            for view in kernel.get("sight", FleetView).views("desk", set())
+            if view.server.server_id == faulty.server_id
+        )
+        key = server_hash(server.incarnation_id)
+        monkeypatch.setattr(FailureMonitor, "due_trials", lambda _: {key})
+        monkeypatch.setattr(FailureMonitor, "avoided", lambda *_: {key})
+        assert (await fleet.call("/look/x")).status == 200
+        assert len(faulty.received_requests) == 1
+        budget = kernel.get("path", RequestPath).services.budget
+        while budget.try_spend("desk", 1, kernel.clock.now_s()):
+            pass
+        assert (await fleet.call("/look/x")).status == 200
+        assert len(faulty.received_requests) == 1
+
     async def test_nothing_changes_where_routes_are_equally_urgent(self, fleet, start):
         """Guards against an effect on deployments that don't ask for it."""
         await start(dossier_priority=1)
