Test a request of a dead engine whose only other engine is full for a while

With and without a queue for room. It stays ('no other server takes it', 'others wait for room before it'), and fails over once there is room.

--- a/packages/testing/tests/platform/test_silent_servers.py
+++ b/packages/testing/tests/platform/test_silent_servers.py
@@ -253,6 +253,44 @@
         assert (answer.status, answer.is_whole) == (200, True)
         assert sorted(silences.servers()) == ["engine-1", "engine-3"]
 
+    @pytest.mark.parametrize("dossier_priority", [1, 2])
+    async def test_has_room_after_a_while(self, autojump_clock, fleet_of_two, dossier_priority):
+        """Guards against a request of a dead engine that is cut while the other one is full, and
+        against one that doesn't get there once it has room, whether or not requests may wait."""
+        routes = [
+            make_route("note", "streaming", "engines", gapGoalMs=250, timeoutMs=15_000),
+            make_route("dossier", "streaming", "engines", priority=dossier_priority),
+        ]
+        fleet_of_two.configure(make_configuration(3, routes=routes))
+        await trio.sleep(0.5)
+
+        async def fill() -> None:
+            headers = {"Deadline-Ms": "14000"}
+            prompt = "1000,1400"
+            await fleet_of_two.call("/note/x", prompt=prompt, headers=headers)
+
+        silences = Silences(fleet_of_two)
+        async with trio.open_nursery() as nursery:
+            silences.begin(SilencePlace.BEFORE_PART, 3, DEAD_S)
+
+            async def crowd() -> None:
+                await wait_until(lambda: bool(silences.servers()))
+                await trio.sleep(0.3)
+                for _ in range(20):
+                    nursery.start_soon(fill)
+                    await trio.sleep(0.03)
+
+            nursery.start_soon(crowd)
+            answer = await silences.call("/note/x", STREAM)
+        reasons = [
+            record["fields"]["reason"]
+            for record in fleet_of_two.kernels[0].events.records()
+            if record["name"] == "SilenceTolerated"
+        ]
+        assert (answer.status, answer.is_whole) == (200, True)
+        assert len(silences.servers()) == 2
+        assert reasons
+
 
 class TestNonIdempotentRequests:
     """Requests that must run at most once."""
