Move Obstacle to the failover decision, so that modules form no circle

TestDependencies::test_modules_form_no_circle failed since: retries needs the request's services, which need the watch, whose decision named obstacles from retries.

--- a/packages/proxy/src/sassafrastally/proxy/failover_decision.py
+++ b/packages/proxy/src/sassafrastally/proxy/failover_decision.py
@@ -7,10 +7,9 @@
 
 from __future__ import annotations
 
+from enum import Enum
 from typing import NamedTuple
 
-from sassafrastally.proxy.retries import Obstacle
-
 RECHECK_INTERVAL_S = 0.1
 """Interval at which a request that stays at a silent server looks for another one: room, servers
 and the retry budget change within about as long."""
@@ -19,6 +18,24 @@
 """Time by which a timer may fire early."""
 
 
+class Obstacle(Enum):
+    """What prevents another attempt at a request."""
+
+    REPETITION = "it may have run and must not run twice"
+    ATTEMPTS = "all attempts of its route are used"
+    NETWORK = "too many servers were unreachable"
+    BUDGET = "the retry budget is exhausted"
+    ROOM = "no other server takes it"
+    QUEUE = "others wait for room before it"
+    QUARANTINE = "it is quarantined"
+    STOP = "this entry stops too soon"
+
+    @property
+    def is_for_room(self) -> bool:
+        """Whether waiting for room may remove it."""
+        return self in (Obstacle.ROOM, Obstacle.QUEUE)
+
+
 class Silence(NamedTuple):
     """A wait for a server that sends nothing."""
 
--- a/packages/proxy/src/sassafrastally/proxy/plain_request.py
+++ b/packages/proxy/src/sassafrastally/proxy/plain_request.py
@@ -13,12 +13,12 @@
 from sassafrastally.proxy.body_framing import BodyFraming
 from sassafrastally.proxy.cpu_overload import last_read_s
 from sassafrastally.proxy.event_stream import body_interruption, carries_events
+from sassafrastally.proxy.failover_decision import Obstacle
 from sassafrastally.proxy.load import InFlightAttempt, Lane
 from sassafrastally.proxy.model import RouteKind
 from sassafrastally.proxy.plain_placement import has_slot, place_plain
 from sassafrastally.proxy.refusals import MAY_HAVE_RUN, NO_ROOM, NO_SERVER, TURNED_AWAY
 from sassafrastally.proxy.request_handler import SERVER_ERROR_STATUS, RequestHandler
-from sassafrastally.proxy.retries import Obstacle
 from sassafrastally.proxy.silence_watch import ServerWait
 from sassafrastally.proxy.task import LocalReply, ResponseTimes
 from sassafrastally.proxy.waiting_attempts import WaitingAttempt
--- a/packages/proxy/src/sassafrastally/proxy/request_handler.py
+++ b/packages/proxy/src/sassafrastally/proxy/request_handler.py
@@ -10,7 +10,11 @@
 from sassafrastally.proxy.attempt import NON_SUCCESS_STATUS, AttemptNotRun, AttemptUnknown
 from sassafrastally.proxy.backpressure import CallKind
 from sassafrastally.proxy.evacuation import Unavailability
-from sassafrastally.proxy.failover_decision import SuccessorFacts, successor_obstacle
+from sassafrastally.proxy.failover_decision import (
+    Obstacle,
+    SuccessorFacts,
+    successor_obstacle,
+)
 from sassafrastally.proxy.fingerprint import fingerprint_text
 from sassafrastally.proxy.model import AttemptParameters
 from sassafrastally.proxy.refusals import (
@@ -23,7 +27,7 @@
     TURNED_AWAY,
 )
 from sassafrastally.proxy.request_log import RequestLog
-from sassafrastally.proxy.retries import Obstacle, Retries
+from sassafrastally.proxy.retries import Retries
 from sassafrastally.proxy.suspect_placement import assigned_servers
 from sassafrastally.proxy.task import LocalReply, Progress, RequestTask
 from sassafrastally.proxy.turning_away import (
--- a/packages/proxy/src/sassafrastally/proxy/request_log.py
+++ b/packages/proxy/src/sassafrastally/proxy/request_log.py
@@ -15,11 +15,11 @@
 
 if TYPE_CHECKING:
     from sassafrastally.proxy.body_framing import BodyFraming
+    from sassafrastally.proxy.failover_decision import Obstacle
     from sassafrastally.proxy.load import Lane
     from sassafrastally.proxy.model import BackendServer
     from sassafrastally.proxy.plan import Placement
     from sassafrastally.proxy.request_services import RequestServices
-    from sassafrastally.proxy.retries import Obstacle
     from sassafrastally.proxy.task import Progress, RequestTask, ResponseTimes
 
 
--- a/packages/proxy/src/sassafrastally/proxy/retries.py
+++ b/packages/proxy/src/sassafrastally/proxy/retries.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-from enum import Enum
 from typing import TYPE_CHECKING
 
+from sassafrastally.proxy.failover_decision import Obstacle
 from sassafrastally.proxy.log_events import RetryBudgetSpent
 
 if TYPE_CHECKING:
@@ -16,24 +16,6 @@
 that this VM's network is broken rather than the servers."""
 
 
-class Obstacle(Enum):
-    """What prevents another attempt at a request."""
-
-    REPETITION = "it may have run and must not run twice"
-    ATTEMPTS = "all attempts of its route are used"
-    NETWORK = "too many servers were unreachable"
-    BUDGET = "the retry budget is exhausted"
-    ROOM = "no other server takes it"
-    QUEUE = "others wait for room before it"
-    QUARANTINE = "it is quarantined"
-    STOP = "this entry stops too soon"
-
-    @property
-    def is_for_room(self) -> bool:
-        """Whether waiting for room may remove it."""
-        return self in (Obstacle.ROOM, Obstacle.QUEUE)
-
-
 class Retries:
     """Attempts of one request beyond the first.
 
--- a/packages/proxy/tests/test_failover_decision.py
+++ b/packages/proxy/tests/test_failover_decision.py
@@ -9,12 +9,12 @@
 
 from sassafrastally.proxy.failover_decision import (
     RECHECK_INTERVAL_S,
+    Obstacle,
     Silence,
     SuccessorFacts,
     next_check_s,
     successor_obstacle,
 )
-from sassafrastally.proxy.retries import Obstacle
 from sassafrastally.proxy.retry_budget import RetryBudget
 
 FREE = SuccessorFacts(
