Bound the response to a call in bytes and in time as a whole

Callers saw an entry grow by tens of megabytes within seconds, or stop answering, while an engine, a peer or the store sent bytes without end as the response to a call (a report, an order, a page).

Cause: the time limit of a call was that of each step, and each received chunk restarted it; a step that begins late always got another 0.1 s, so that interim responses or bytes every 50 ms went on for 35 s. Nothing bounded the bytes. The chunks of one read were parsed without a checkpoint.

Sound before: headers, header lines and trailers, which h11 bounds by 64 KB while they are incomplete.

Ruled out: a bound on the decoded body only. Chunk extensions, interim responses and trailers would not count. A time limit enforced by a cancel scope would lose responses that arrived while the entry was paused.

A call now states bounds of the whole response: the bytes received, framing included, and the time. Beyond them the connection is closed and the call ends with ResponseTooLarge or AnswerLost, so that a write to the store still counts as one that may have been applied. Other tasks run after each 32 events.

--- a/packages/proxy/src/sassafrastally/proxy/calls.py
+++ b/packages/proxy/src/sassafrastally/proxy/calls.py
@@ -8,7 +8,8 @@
 import h11
 import trio
 
-from sassafrastally.proxy.cpu_overload import StepTimeout
+from sassafrastally.core import error
+from sassafrastally.proxy.cpu_overload import LAST_READ_S, StepTimeout
 
 # Runtime import: Headers is a field type of a named tuple.
 from sassafrastally.proxy.dialect import Headers
@@ -26,8 +27,63 @@
 """Maximum number of idle connections per address: enough for a watch, a lease and two other
 concurrent calls."""
 
-MAX_CALL_TIME_S = 35.0
-"""Total timeout of a call whose response keeps arriving; longer than the longest watch poll."""
+EVENTS_PER_CHECKPOINT = 32
+"""Number of parsed events after which other tasks run. One read may hold ten thousand chunks of one
+byte."""
+
+
+class ResponseBounds(NamedTuple):
+    """Bounds of the response to a call, however fast or steadily it arrives."""
+
+    size_bytes: int
+    """Maximum number of bytes received: interim responses, headers, chunk framing and trailers
+    count too."""
+    time_s: float
+    """Time limit of the call as a whole, including connecting and sending."""
+
+
+DEFAULT_BOUNDS = ResponseBounds(size_bytes=4 * 1024 * 1024, time_s=35.0)
+"""Bounds of a call that states none: twice the largest page of the store, and longer than the
+longest watch poll."""
+
+
+@error(10090)
+class ResponseTooLarge(AnswerLost):
+    """The response to a call is over its bound in bytes; the rest wasn't read."""
+
+
+class CallTimeout(StepTimeout):
+    """Timeout of a call: one for silence, and one for the whole call.
+
+    Parameters
+    ----------
+    silence_limit_s
+        Time until the response header and between two parts of the body.
+    whole_limit_s
+        Time for the whole call.
+    """
+
+    def __init__(self, silence_limit_s: float, whole_limit_s: float) -> None:
+        super().__init__(min(silence_limit_s, whole_limit_s))
+        self.silence_limit_s = silence_limit_s
+        self._end_s = trio.current_time() + whole_limit_s
+        self._is_over = False
+
+    def note_progress(self, *, is_body: bool) -> None:
+        """Record that a part arrived; raises `trio.TooSlowError` when the whole time is over.
+
+        An entry that runs late may find the rest of the response in its socket, so what is due then
+        still gets `LAST_READ_S` as a whole.
+        """
+        now_s = trio.current_time()
+        if now_s < self._end_s:
+            if is_body:
+                self.extend(min(self.silence_limit_s, self._end_s - now_s))
+        elif self._is_over:
+            raise trio.TooSlowError
+        else:
+            self._is_over = True
+            self._end_s = now_s + LAST_READ_S
 
 
 class CallResponse(NamedTuple):
@@ -58,26 +114,37 @@
         self._idle: list[HttpStream] = []
 
     async def exchange(
-        self, method: str, target: str, headers: Headers, body: bytes, time_limit_s: float
+        self,
+        method: str,
+        target: str,
+        headers: Headers,
+        body: bytes,
+        time_limit_s: float,
+        bounds: ResponseBounds = DEFAULT_BOUNDS,
     ) -> CallResponse:
         """Send a call and return its response.
 
         Parameters
         ----------
         time_limit_s
-            Timeout for the response header and for each chunk of the body. It isn't a limit for the
-            whole response: over a slow link, a large response would time out, be requested again
-            and again, and fill the link with data that is thrown away.
+            Timeout for the response header and for each chunk of the body. The whole response gets
+            more: over a slow link, a large response would time out, be requested again and again,
+            and fill the link with data that is thrown away.
+        bounds
+            Bounds of the whole response.
 
         Raises
         ------
+        ResponseTooLarge
+            If the response is over its bound in bytes.
         AnswerLost
             If there is no complete response.
         """
         try:
-            timeout = StepTimeout(time_limit_s)
-            with trio.fail_after(MAX_CALL_TIME_S):
-                return await self._exchange(method, target, headers, body, timeout, time_limit_s)
+            timeout = CallTimeout(time_limit_s, bounds.time_s)
+            return await self._exchange(method, target, headers, body, timeout, bounds.size_bytes)
+        except ResponseTooLarge:
+            raise
         except (ConnectionLost, h11.RemoteProtocolError, trio.TooSlowError) as cause:
             raise AnswerLost(f"{method} {target.split('?')[0]}: {cause!r}") from cause
 
@@ -92,10 +159,10 @@
         target: str,
         headers: Headers,
         body: bytes,
-        timeout: StepTimeout,
-        silence_timeout_s: float,
+        timeout: CallTimeout,
+        size_bytes: int,
     ) -> CallResponse:
-        connection = await self._take(silence_timeout_s)
+        connection = await self._take(timeout.silence_limit_s)
         is_reusable = False
         try:
             head = h11.Request(
@@ -110,7 +177,7 @@
             await timeout.run(
                 partial(connection.send, head, h11.Data(data=body), h11.EndOfMessage())
             )
-            response = await _read_answer(connection, timeout, silence_timeout_s)
+            response = await _read_answer(connection, timeout, size_bytes)
             is_reusable = connection.http.our_state is h11.DONE and (
                 connection.http.their_state is h11.DONE
             )
@@ -136,19 +203,26 @@
 
 
 async def _read_answer(
-    connection: HttpStream, timeout: StepTimeout, silence_timeout_s: float
+    connection: HttpStream, timeout: CallTimeout, size_bytes: int
 ) -> CallResponse:
     status = 0
     headers: Headers = []
     body = bytearray()
+    max_received_bytes = connection.received_bytes + size_bytes
+    events = 0
     while True:
         event = await timeout.read(connection.receive)
+        if isinstance(event, h11.EndOfMessage):
+            return CallResponse(status, headers, bytes(body))
+        if connection.received_bytes > max_received_bytes:
+            raise ResponseTooLarge(f"the response is over {size_bytes} bytes")
         if isinstance(event, h11.Response):
             status, headers = event.status_code, list(event.headers)
         elif isinstance(event, h11.Data):
             body += event.data
-            timeout.extend(silence_timeout_s)
-        elif isinstance(event, h11.EndOfMessage):
-            return CallResponse(status, headers, bytes(body))
-        elif isinstance(event, h11.ConnectionClosed):
+        elif not isinstance(event, h11.InformationalResponse):
             raise ConnectionLost("connection closed before the end of the response")
+        timeout.note_progress(is_body=isinstance(event, h11.Data))
+        events += 1
+        if events % EVENTS_PER_CHECKPOINT == 0:
+            await trio.lowlevel.checkpoint()
--- a/packages/proxy/src/sassafrastally/proxy/http_stream.py
+++ b/packages/proxy/src/sassafrastally/proxy/http_stream.py
@@ -70,6 +70,8 @@
         """Whether a write was cancelled: the peer lacks bytes that h11 counts as sent."""
         self.is_reused = False
         """Whether it has carried a response before."""
+        self.received_bytes = 0
+        """Number of bytes received so far, with headers and framing."""
 
     async def receive(self) -> h11.Event | type[h11.PAUSED]:
         """Return the next event.
@@ -94,6 +96,7 @@
             data = await self.stream.receive_some(RECEIVE_BYTES)
         except (trio.BrokenResourceError, trio.ClosedResourceError) as cause:
             raise ConnectionLost(f"connection reset while reading: {cause!r}") from cause
+        self.received_bytes += len(data)
         self.http.receive_data(bytes(data))
         return bool(data)
 
