Add a budget of the process for input that isn't complete yet

One peer that sends bytes without end makes an entry hold them: incomplete headers and events, buffered bodies. Bounds for each reader don't suffice on VMs with 152 MB, since many peers may reach them at once. HeldInput decides, apart from I/O, which holder is ended beyond a share of the memory: the largest, not the one that comes last, so that a small sound response isn't refused for a flood. InputBudget gives readers accounts; an ended reader gets InputBudgetExceeded, also while it waits for more bytes. The bounds for one peer are named beside it. No reader uses it yet.

Ruled out: a bound by count of readers as for blocked callers, since the sizes differ by a factor of thousands.

--- a/packages/proxy/src/sassafrastally/proxy/attempt.py
+++ b/packages/proxy/src/sassafrastally/proxy/attempt.py
@@ -13,6 +13,7 @@
 from sassafrastally.proxy.body_framing import body_framing
 from sassafrastally.proxy.cpu_overload import due_after_delay_s, last_read_s
 from sassafrastally.proxy.http_stream import ConnectionLost
+from sassafrastally.proxy.input_limits import InputBudget
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Callable, Sequence
@@ -139,11 +140,24 @@
 
 
 class AttemptSender:
-    """Sends requests to backend servers."""
+    """Sends requests to backend servers.
 
-    def __init__(self, dialect: Dialect, pool: ConnectionPool) -> None:
+    Parameters
+    ----------
+    dialect
+        Translates headers.
+    pool
+        Pool of idle connections that attempts reuse.
+    input_budget
+        Budget of the process for responses that aren't complete; by default without a bound.
+    """
+
+    def __init__(
+        self, dialect: Dialect, pool: ConnectionPool, input_budget: InputBudget | None = None
+    ) -> None:
         self._dialect = dialect
         self._pool = pool
+        self._input_budget = input_budget or InputBudget()
         self.on_answer: Callable[[BackendServer, BackpressureSignals], None] = lambda *_: None
         """Called for each response header, before the body is read."""
         self.on_ignored_fields: Callable[[BackendServer, Sequence[IgnoredField]], None] = (
--- a/packages/proxy/src/sassafrastally/proxy/daemon.py
+++ b/packages/proxy/src/sassafrastally/proxy/daemon.py
@@ -16,6 +16,7 @@
 from sassafrastally.proxy.contention_monitor import ContentionMonitor
 from sassafrastally.proxy.deferred_loading import DeferredLoading
 from sassafrastally.proxy.fleet_view import FleetView
+from sassafrastally.proxy.input_limits import InputBudget, most_held_bytes
 from sassafrastally.proxy.internal_endpoints import InternalEndpoints
 from sassafrastally.proxy.load import Ledger
 from sassafrastally.proxy.log_events import SettingsRejected, SettingsReloaded
@@ -50,6 +51,7 @@
     ledger = Ledger()
     budget = RetryBudget(bounds.retry_ratio, bounds.retry_burst, bounds.retry_window_s)
     pool = ConnectionPool()
+    input_budget = InputBudget(most_held_bytes(settings.memory_mb))
     kernel.add(ClusterState(dialect, settings.registration_expiry_s, settings.data_centres))
     kernel.add(StoreWatch(store))
     kernel.add(Peers(settings, dialect, store, ledger))
@@ -58,7 +60,7 @@
     kernel.add(FleetView(ledger))
     kernel.add(QuarantineService(dialect, store))
     kernel.add(EngineReports(settings, dialect))
-    kernel.add(RequestPath(dialect, AttemptSender(dialect, pool), budget))
+    kernel.add(RequestPath(dialect, AttemptSender(dialect, pool, input_budget), budget))
     kernel.add(ContentionMonitor())
     kernel.add(CallerListener(settings, dialect, listener))
     kernel.add(InternalEndpoints(settings))
--- /dev/null
+++ b/packages/proxy/src/sassafrastally/proxy/input_limits/__init__.py
@@ -0,0 +1,36 @@
+"""Bounds for input that is held before it is complete, by peer and for the whole process."""
+
+from __future__ import annotations
+
+from sassafrastally.proxy.input_limits.bounds import (
+    MAX_BODY_BYTES,
+    MAX_DISCARDED_BYTES,
+    MAX_EVENT_BYTES,
+    MAX_HEAD_BYTES,
+    MAX_INTERIM_BYTES,
+    MAX_INTERIM_RESPONSES,
+    MAX_READ_EVENTS,
+    MAX_TRAILER_BYTES,
+)
+from sassafrastally.proxy.input_limits.held_input import HeldInput, most_held_bytes
+from sassafrastally.proxy.input_limits.input_budget import (
+    InputAccount,
+    InputBudget,
+    InputBudgetExceeded,
+)
+
+__all__ = [
+    "MAX_BODY_BYTES",
+    "MAX_DISCARDED_BYTES",
+    "MAX_EVENT_BYTES",
+    "MAX_HEAD_BYTES",
+    "MAX_INTERIM_BYTES",
+    "MAX_INTERIM_RESPONSES",
+    "MAX_READ_EVENTS",
+    "MAX_TRAILER_BYTES",
+    "HeldInput",
+    "InputAccount",
+    "InputBudget",
+    "InputBudgetExceeded",
+    "most_held_bytes",
+]
