Match header lines and chunk sizes in linear time

An entry can stand still for all callers after one connection has sent a header line or a chunk extension that is mostly blanks. Nothing in its log names the connection.

Cause: two patterns of h11 0.16 have adjacent repeats of blanks, `:[ \t]*(value)?[ \t]*` and `(;.*)?[ \t]*`. On a line that doesn't match they try each way to divide the blanks, so that the time grows with the square of the length, inside of one call that no time limit interrupts.

Evidence: h11 alone, a header line of n blanks and a NUL: 0.02 s for 2,000, 0.08 s for 4,000, 0.34 s for 8,000, 1.36 s for 16,000 (2.09 s with a vertical tab). A caller may send 16 KB, a server or a peer up to 128 KB in a header that arrives within two reads. Folded lines give the same blanks. Callers, servers, peers, the store and, through httpx and hypercorn, the sidecar's engines and the entry's callers are all read with these patterns. Not seen outside of tests.

Ruled out: refusing long runs of blanks before h11 sees them. The bytes of a read may belong to a body, where blanks are data, and httpx and hypercorn offer no place for it.

--- a/packages/entry/src/sassafrastally/entry/asgi.py
+++ b/packages/entry/src/sassafrastally/entry/asgi.py
@@ -11,12 +11,15 @@
 from hypercorn.trio import serve
 
 from sassafrastally.core import Address
+from sassafrastally.core.http_patterns import use_linear_patterns
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
     from quart_trio import QuartTrio
 
+use_linear_patterns()
+
 _MS = 1000
 
 
--- a/packages/proxy/src/sassafrastally/proxy/http_stream.py
+++ b/packages/proxy/src/sassafrastally/proxy/http_stream.py
@@ -10,11 +10,14 @@
 import trio
 
 from sassafrastally.core import CodedError, error
+from sassafrastally.core.http_patterns import use_linear_patterns
 from sassafrastally.proxy.cpu_overload import StepTimeout
 
 if TYPE_CHECKING:
     from sassafrastally.core import Address
 
+use_linear_patterns()
+
 RECEIVE_BYTES = 65_536
 """Maximum number of bytes read from a connection at once: the usual size of a socket buffer."""
 
--- a/packages/sidecar/src/sassafrastally/sidecar/dialects.py
+++ b/packages/sidecar/src/sassafrastally/sidecar/dialects.py
@@ -8,6 +8,7 @@
 import httpx
 import trio
 
+from sassafrastally.core.http_patterns import use_linear_patterns
 from sassafrastally.sidecar.engine import (
     ENGINE_DIALECTS,
     CacheEvent,
@@ -34,6 +35,8 @@
     from sassafrastally.core import Address
     from sassafrastally.sidecar.engine import EngineLoad, EngineOrder, EngineRequest
 
+use_linear_patterns()
+
 T = TypeVar("T")
 
 CONNECT_LIMIT_S = 2.0
--- a/packages/sidecar/src/sassafrastally/sidecar/plain_client.py
+++ b/packages/sidecar/src/sassafrastally/sidecar/plain_client.py
@@ -9,12 +9,15 @@
 import trio
 
 from sassafrastally.core import CodedError, EventBlocks, EventTooLong, error, is_event_stream
+from sassafrastally.core.http_patterns import use_linear_patterns
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Mapping
 
     from sassafrastally.core import Address
 
+use_linear_patterns()
+
 CONNECT_LIMIT_S = 2.0
 
 CLOSE_LIMIT_S = 1.0
--- a/packages/stores/src/sassafrastally/stores/gateway_client.py
+++ b/packages/stores/src/sassafrastally/stores/gateway_client.py
@@ -8,6 +8,7 @@
 import httpx
 import trio
 
+from sassafrastally.core.http_patterns import use_linear_patterns
 from sassafrastally.core.kv import KvUnavailable, LeaseLost, MaybeApplied
 from sassafrastally.stores import gateway
 
@@ -16,6 +17,8 @@
 
     from sassafrastally.stores.settings import KvSettings
 
+use_linear_patterns()
+
 SEND_STARTED_EVENT = "send_request_headers.started"
 """Suffix of the transport's trace event after which the request may have been sent."""
 
