Scan each byte of an event stream once

What callers saw: one server's event without end, in chunks of four bytes, 20 writes a second, made an entry stop answering everybody. Cause: EventBlocks.feed joined and scanned all that it held at each chunk, up to 1 MB, so that an event cost the square of its size. The bytes are kept in a bytearray now, with the position up to which they hold no blank line; fields are found line by line, without a list of all lines.

Blocks and the rest are the same for all cuts: a property test compares them with a scan from the begin of the rest. Ruled out: scanning from the last line end, since LF CR is a blank line as well.

--- a/packages/core/src/sassafrastally/core/event_stream.py
+++ b/packages/core/src/sassafrastally/core/event_stream.py
@@ -26,6 +26,9 @@
 _LINE_END = re.compile(rb"(?>\r\n|\n|\r)")
 _BLANK_LINE = re.compile(rb"(?>\r\n|\n|\r){2}")
 
+_MAX_SPLIT_BYTES = 3
+"""Most bytes that a match of the pattern may have before its last one."""
+
 
 @error(1003)
 class EventTooLong(CodedError):
@@ -46,23 +49,30 @@
 
     def __init__(self, max_event_bytes: int = MAX_EVENT_BYTES) -> None:
         self._max_event_bytes = max_event_bytes
-        self._rest = b""
+        self._rest = bytearray()
+        self._scanned = 0
+        """Position up to which the rest holds no blank line."""
         self._is_first = True
 
     @property
     def rest(self) -> bytes:
         """Bytes after the last complete block."""
-        return self._rest
+        return bytes(self._rest)
+
+    @property
+    def rest_bytes(self) -> int:
+        """Number of bytes after the last complete block."""
+        return len(self._rest)
 
     @property
     def is_inside_event(self) -> bool:
         """Whether an event has begun and lacks its blank line."""
-        return any(True for _ in event_fields(self._without_mark(self._rest)))
+        return any(True for _ in event_fields(self._without_mark(self.rest)))
 
     @property
     def is_inside_line(self) -> bool:
         """Whether the last line isn't complete."""
-        return bool(self._rest) and self._rest[-1:] not in (b"\n", b"\r")
+        return bool(self._rest) and not self._rest.endswith((b"\n", b"\r"))
 
     def feed(self, piece: bytes) -> list[bytes]:
         """Add a piece of the body and return the blocks that it completes.
@@ -72,13 +82,14 @@
         EventTooLong
             If an incomplete block exceeds the maximum size.
         """
-        data = self._rest + piece
+        self._rest += piece
         blocks = []
         begin = 0
-        for blank_line in _BLANK_LINE.finditer(data):
-            blocks.append(data[begin : blank_line.end()])
+        for blank_line in _BLANK_LINE.finditer(self._rest, self._scanned):
+            blocks.append(bytes(self._rest[begin : blank_line.end()]))
             begin = blank_line.end()
-        self._rest = data[begin:]
+        del self._rest[:begin]
+        self._scanned = max(0, len(self._rest) - _MAX_SPLIT_BYTES)
         if len(self._rest) > self._max_event_bytes:
             raise EventTooLong(f"an event is longer than {self._max_event_bytes} bytes")
         return blocks
@@ -95,10 +106,14 @@
 
 def event_fields(block: bytes) -> Iterator[tuple[bytes, bytes]]:
     """Yield names and values of the fields in a block; comments are skipped."""
-    for line in _LINE_END.split(block):
-        name, _, value = line.partition(b":")
+    begin = 0
+    while begin < len(block):
+        line_end = _LINE_END.search(block, begin)
+        end = line_end.start() if line_end else len(block)
+        name, _, value = block[begin:end].partition(b":")
         if name:
             yield name, value.removeprefix(b" ")
+        begin = line_end.end() if line_end else len(block)
 
 
 def is_event_stream(content_type: str) -> bool:
--- a/packages/core/tests/test_event_stream.py
+++ b/packages/core/tests/test_event_stream.py
@@ -2,13 +2,20 @@
 
 from __future__ import annotations
 
+import re
 from itertools import pairwise
 
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from sassafrastally.core import EventBlocks, EventTooLong, event_fields, is_event_stream
+from sassafrastally.core import (
+    EventBlocks,
+    EventTooLong,
+    event_fields,
+    event_stream,
+    is_event_stream,
+)
 
 LINE_ENDS = [b"\n", b"\r\n", b"\r"]
 LINES = [b"data: x", b"id: 4", b"data", b": comment", b":", b"id:5", b"x y:z", b"data:  two"]
@@ -75,6 +82,51 @@
                 blocks.feed(b"data: 123\n")
 
 
+class TestCost:
+    """Bytes that are scanned for an event that arrives in small pieces."""
+
+    ANY_BLANK_LINE = re.compile(rb"(?>\r\n|\n|\r){2}")
+
+    @settings(max_examples=500, database=None)
+    @given(
+        st.lists(st.sampled_from([b"\r", b"\n", b"\r\n", b"a", b"id: 1", b":"]), max_size=30),
+        st.lists(st.integers(0, 60), max_size=12),
+    )
+    def test_blocks_are_those_of_a_scan_from_the_begin(self, parts, cuts):
+        """Guards against blocks that depend on what has been scanned before."""
+        body = b"".join(parts)
+        bounds = [0, *sorted(cut % (len(body) + 1) for cut in cuts), len(body)]
+        blocks, rest = EventBlocks(), b""
+        for begin, end in pairwise(bounds):
+            rest += body[begin:end]
+            expected, position = [], 0
+            for blank_line in self.ANY_BLANK_LINE.finditer(rest):
+                expected.append(rest[position : blank_line.end()])
+                position = blank_line.end()
+            rest = rest[position:]
+            assert blocks.feed(body[begin:end]) == expected
+            assert blocks.rest == rest
+            assert blocks.is_inside_line == (rest[-1:] not in (b"", b"\n", b"\r"))
+
+    @pytest.mark.parametrize("piece", [b"data", b"a\n:b", b"\r:ab"])
+    def test_scanned_bytes_are_linear_in_the_received_ones(self, piece, monkeypatch):
+        """Guards against an entry that is busy with one event without end and answers nobody."""
+
+        class CountingPattern:
+            scanned_bytes = 0
+
+            def finditer(self, data, position=0):
+                self.scanned_bytes += len(data) - position
+                return TestCost.ANY_BLANK_LINE.finditer(data, position)
+
+        pattern = CountingPattern()
+        monkeypatch.setattr(event_stream, "_BLANK_LINE", pattern)
+        blocks, pieces = EventBlocks(), 10_000
+        for _ in range(pieces):
+            assert blocks.feed(piece) == []
+        assert pattern.scanned_bytes <= 2 * pieces * len(piece)
+
+
 class TestEndOfStream:
     """What is left over at the end of a stream."""
 
