--- a/packages/proxy/src/sassafrastally/proxy/calls.py
+++ b/packages/proxy/src/sassafrastally/proxy/calls.py
@@ -14,6 +14,12 @@
 # Runtime import: Headers is a field type of a named tuple.
 from sassafrastally.proxy.dialect import Headers
 from sassafrastally.proxy.http_stream import ConnectionLost, HttpStream, connect
+from sassafrastally.proxy.input_limits import (
+    MAX_READ_EVENTS,
+    InputAccount,
+    InputBudget,
+    InputBudgetExceeded,
+)
 from sassafrastally.proxy.store import AnswerLost
 
 if TYPE_CHECKING:
@@ -27,9 +33,13 @@
 """Maximum number of idle connections per address: enough for a watch, a lease and two other
 concurrent calls."""
 
-EVENTS_PER_CHECKPOINT = 32
-"""Number of parsed events after which other tasks run. One read may hold ten thousand chunks of one
-byte."""
+_FAILURES = (
+    ConnectionLost,
+    InputBudgetExceeded,
+    h11.RemoteProtocolError,
+    trio.TooSlowError,
+)
+"""Errors after which a call has no complete response."""
 
 
 class ResponseBounds(NamedTuple):
@@ -106,11 +116,19 @@
         Address of the server.
     host_name
         Value of the ``Host`` header; the address if not given.
+    input_budget
+        Budget of the process for responses that aren't complete; by default without a bound.
     """
 
-    def __init__(self, address: Address, host_name: str | None = None) -> None:
+    def __init__(
+        self,
+        address: Address,
+        host_name: str | None = None,
+        input_budget: InputBudget | None = None,
+    ) -> None:
         self.address = address
         self._host = (host_name or str(address)).encode()
+        self._input_budget = input_budget or InputBudget()
         self._idle: list[HttpStream] = []
 
     async def exchange(
@@ -138,14 +156,14 @@
         ResponseTooLarge
             If the response is over its bound in bytes.
         AnswerLost
-            If there is no complete response.
+            If there is no complete response, or the process holds too much unfinished input.
         """
         try:
             timeout = CallTimeout(time_limit_s, bounds.time_s)
             return await self._exchange(method, target, headers, body, timeout, bounds.size_bytes)
         except ResponseTooLarge:
             raise
-        except (ConnectionLost, h11.RemoteProtocolError, trio.TooSlowError) as cause:
+        except _FAILURES as cause:
             raise AnswerLost(f"{method} {target.split('?')[0]}: {cause!r}") from cause
 
     async def close(self) -> None:
@@ -177,7 +195,8 @@
             await timeout.run(
                 partial(connection.send, head, h11.Data(data=body), h11.EndOfMessage())
             )
-            response = await _read_answer(connection, timeout, size_bytes)
+            with self._input_budget.account() as account:
+                response = await _read_answer(connection, timeout, size_bytes, account)
             is_reusable = connection.http.our_state is h11.DONE and (
                 connection.http.their_state is h11.DONE
             )
@@ -203,7 +222,7 @@
 
 
 async def _read_answer(
-    connection: HttpStream, timeout: CallTimeout, size_bytes: int
+    connection: HttpStream, timeout: CallTimeout, size_bytes: int, account: InputAccount
 ) -> CallResponse:
     status = 0
     headers: Headers = []
@@ -211,7 +230,8 @@
     max_received_bytes = connection.received_bytes + size_bytes
     events = 0
     while True:
-        event = await timeout.read(connection.receive)
+        with account.reading():
+            event = await timeout.read(connection.receive)
         if isinstance(event, h11.EndOfMessage):
             return CallResponse(status, headers, bytes(body))
         if connection.received_bytes > max_received_bytes:
@@ -219,10 +239,11 @@
         if isinstance(event, h11.Response):
             status, headers = event.status_code, list(event.headers)
         elif isinstance(event, h11.Data):
+            account.add(len(event.data))
             body += event.data
         elif not isinstance(event, h11.InformationalResponse):
             raise ConnectionLost("connection closed before the end of the response")
         timeout.note_progress(is_body=isinstance(event, h11.Data))
         events += 1
-        if events % EVENTS_PER_CHECKPOINT == 0:
+        if events % MAX_READ_EVENTS == 0:
             await trio.lowlevel.checkpoint()
--- a/packages/testing/tests/platform/test_call_bounds.py
+++ b/packages/testing/tests/platform/test_call_bounds.py
@@ -12,6 +12,7 @@
 from sassafrastally.proxy import calls
 from sassafrastally.proxy.calls import CallClient, ResponseBounds, ResponseTooLarge
 from sassafrastally.proxy.http_stream import RECEIVE_BYTES
+from sassafrastally.proxy.input_limits import MAX_READ_EVENTS
 from sassafrastally.proxy.store import AnswerLost
 
 BOUNDS = ResponseBounds(size_bytes=200_000, time_s=2.0)
@@ -144,7 +145,7 @@
                 with pytest.raises(AnswerLost):
                     await client.exchange("GET", "/", [], b"", TIME_LIMIT_S, BOUNDS)
                 nursery.cancel_scope.cancel()
-        assert max(events_between) <= 2 * calls.EVENTS_PER_CHECKPOINT
+        assert max(events_between) <= 2 * MAX_READ_EVENTS
 
     async def test_response_over_the_bound_has_an_error_of_its_own(self, connect_to):
         client = connect_to(EndlessStream(*ENDLESS["declared body"], RECEIVE_BYTES))
--- a/packages/testing/tests/platform/test_store_client.py
+++ b/packages/testing/tests/platform/test_store_client.py
@@ -31,7 +31,7 @@
     """Return a client that gets the responses in order."""
     remaining = iter(responses)
 
-    async def exchange(method, target, body, time_limit_s) -> CallResponse:
+    async def exchange(method, target, body, time_limit_s, bounds) -> CallResponse:
         return next(remaining)
 
     return StoreClient(exchange, 1.0)
