Bound reports and order responses of engines, and count too large ones as failed

An engine in trouble that pads its report, or sends one without end, made each entry that polls it hold the bytes, and kept its place among the engines that get requests as long as the report was valid JSON.

A report may take 64 KB and one second as a whole, the response to an order 16 KB and one second. A report over its bound counts as a failed one: two in a row, or one that a silent request asked for, and the engine is avoided as if it were silent; of those in a row only the first is logged. An order whose response is over the bound has an unknown outcome, as if there were none. Reports and changes of peers count in the input budget of the process.

Red before, with the bound lifted: an engine with reports of 200 KB was never suspected within 5 s. The reservation's test only pins that the bound is passed on and the outcome, which is the same.

--- a/packages/proxy/src/sassafrastally/proxy/peers.py
+++ b/packages/proxy/src/sassafrastally/proxy/peers.py
@@ -14,9 +14,8 @@
 
 import trio
 
-from sassafrastally.core import Address, Service
+from sassafrastally.core import Service
 from sassafrastally.proxy.address_registration import AddressRegistration
-from sassafrastally.proxy.calls import CallClient
 from sassafrastally.proxy.change_fetcher import ChangeFetcher, Source, has_news
 from sassafrastally.proxy.cluster_state import ClusterState
 from sassafrastally.proxy.containment import Containment
@@ -32,6 +31,7 @@
     is_urgent_for_sums,
 )
 from sassafrastally.proxy.log_events import PeerHeard, PeerSilent
+from sassafrastally.proxy.peer_calls import PeerCalls
 from sassafrastally.proxy.peer_messages import Hello, decode_hello, encode_hello
 from sassafrastally.proxy.peer_table import PeerTable
 from sassafrastally.proxy.quarantine_exchange import (
@@ -51,6 +51,7 @@
     from sassafrastally.proxy.contention import ContentionNews
     from sassafrastally.proxy.dialect import Dialect
     from sassafrastally.proxy.failure_rates import FailureCounts, SenderCounts
+    from sassafrastally.proxy.input_limits import InputBudget
     from sassafrastally.proxy.load import Ledger, Work
     from sassafrastally.proxy.settings import ProxySettings
     from sassafrastally.proxy.store import Snapshot, Store
@@ -74,14 +75,19 @@
     needs: ClassVar[tuple[str, ...]] = ("beliefs",)
 
     def __init__(
-        self, settings: ProxySettings, dialect: Dialect, store: Store, ledger: Ledger
+        self,
+        settings: ProxySettings,
+        dialect: Dialect,
+        store: Store,
+        ledger: Ledger,
+        input_budget: InputBudget | None = None,
     ) -> None:
         self._settings = settings
         self._dialect = dialect
         self._store = store
         self._ledger = ledger
         self._table = PeerTable(Member(settings.host, settings.link_mbps), settings.data_centre)
-        self._calls: dict[str, CallClient] = {}
+        self._calls = PeerCalls(settings.peer_port, input_budget)
         self._sequence = 0
         self._is_stopping = False
         self._peers_listed_s = float("-inf")
@@ -312,7 +318,7 @@
                 is_local=hello.data_centre == own_centre,
                 position=hello.position,
                 configuration_version=hello.configuration_version,
-                calls=self._client(hello.host),
+                calls=self._calls.client(hello.host),
             )
             for hello in newer
         ]
@@ -323,11 +329,6 @@
     def _defers_to_relays(self) -> bool:
         return self._table.has_relay(self._now_s) and not self._table.is_relay(self._now_s)
 
-    def _client(self, host: str) -> CallClient:
-        if host not in self._calls:
-            self._calls[host] = CallClient(Address(host, self._settings.peer_port))
-        return self._calls[host]
-
     async def _receive(self) -> None:
         # Closed together with this task: the garbage collector would keep the port in use longer.
         with self._socket:
@@ -440,8 +441,7 @@
 
     async def _forget_old(self) -> None:
         for host in self._table.forget_old(self._now_s):
-            if host in self._calls:
-                await self._calls.pop(host).close()
+            await self._calls.forget(host)
 
     def _record_silent(self, silent: set[str]) -> None:
         for host, silent_s in self._table.newly_silent(silent, self._now_s):
--- a/packages/proxy/src/sassafrastally/proxy/reports.py
+++ b/packages/proxy/src/sassafrastally/proxy/reports.py
@@ -8,7 +8,7 @@
 
 from sassafrastally.core import Service
 from sassafrastally.proxy.backpressure import Backpressure, CallKind
-from sassafrastally.proxy.calls import CallClient
+from sassafrastally.proxy.calls import CallClient, ResponseBounds, ResponseTooLarge
 from sassafrastally.proxy.cluster_state import ClusterState
 from sassafrastally.proxy.containment import Containment
 from sassafrastally.proxy.dialect import DocumentInvalid
@@ -22,6 +22,7 @@
 if TYPE_CHECKING:
     from sassafrastally.core import Address
     from sassafrastally.proxy.dialect import Dialect
+    from sassafrastally.proxy.input_limits import InputBudget
     from sassafrastally.proxy.model import BackendServer
     from sassafrastally.proxy.settings import ProxySettings
 
@@ -39,6 +40,10 @@
 REPORT_TIMEOUT_S = 0.4
 """Time limit of a report; an engine answers from memory within a few milliseconds."""
 
+REPORT_BOUNDS = ResponseBounds(size_bytes=65_536, time_s=1.0)
+"""Bounds of a report as a whole. It takes a few hundred bytes, with all reservations and adapters
+that an engine may have about ten kilobytes, and arrives in one or two packets."""
+
 
 class EngineReports(Service):
     """Keeps the paces of the engines up to date.
@@ -49,20 +54,25 @@
         The process's own address.
     dialect
         Encodes and decodes reports.
+    input_budget
+        Budget of the process for responses that aren't complete; by default without a bound.
     """
 
     name: ClassVar[str] = "reports"
     needs: ClassVar[tuple[str, ...]] = ("backpressure", "beliefs", "peers", "sight")
 
-    def __init__(self, settings: ProxySettings, dialect: Dialect) -> None:
+    def __init__(
+        self, settings: ProxySettings, dialect: Dialect, input_budget: InputBudget | None = None
+    ) -> None:
         self._own_host = settings.host
         self._dialect = dialect
+        self._input_budget = input_budget
         self._calls: dict[Address, CallClient] = {}
         self._polled_s: dict[str, float] = {}
         self._polling: set[str] = set()
         self._failures: dict[str, int] = {}
         self._invalid: set[str] = set()
-        """Engines whose last report was invalid."""
+        """Engines whose last report was invalid or too large."""
 
     async def start(self, nursery: trio.Nursery) -> None:
         """Look up the services used and start polling."""
@@ -148,12 +158,15 @@
                 self._polling.discard(engine.incarnation_id)
 
     async def _exchange(self, engine: BackendServer, request_id: str) -> None:
-        client = self._calls.setdefault(engine.address, CallClient(engine.address))
+        client = self._calls.get(engine.address)
+        if client is None:
+            client = CallClient(engine.address, input_budget=self._input_budget)
+            self._calls[engine.address] = client
         call = self._dialect.make_report_call(engine)
         self._backpressure.count_request(engine, CallKind.REPORT)
         try:
             response = await client.exchange(
-                call.method, call.target, call.headers, call.body, REPORT_TIMEOUT_S
+                call.method, call.target, call.headers, call.body, REPORT_TIMEOUT_S, REPORT_BOUNDS
             )
             answer = self._dialect.decode_response(response.status, response.headers)
             self._backpressure.record_cold_time(engine, answer.backpressure)
@@ -182,8 +195,8 @@
     def _log_failed(
         self, engine: BackendServer, cause: AnswerLost | DocumentInvalid, request_id: str
     ) -> None:
-        """Log a failed report; of invalid ones in succession, only the first."""
-        if isinstance(cause, DocumentInvalid):
+        """Log a failed report; of invalid or endless ones in succession, only the first."""
+        if isinstance(cause, DocumentInvalid | ResponseTooLarge):
             if engine.incarnation_id in self._invalid:
                 return
             self._invalid.add(engine.incarnation_id)
--- a/packages/proxy/src/sassafrastally/proxy/reservations.py
+++ b/packages/proxy/src/sassafrastally/proxy/reservations.py
@@ -18,7 +18,7 @@
 from sassafrastally.core import Address
 from sassafrastally.proxy.attempt import AttemptNotRun
 from sassafrastally.proxy.backpressure import CallKind
-from sassafrastally.proxy.calls import CallClient, CallResponse
+from sassafrastally.proxy.calls import CallClient, CallResponse, ResponseBounds
 from sassafrastally.proxy.containment import Containment
 from sassafrastally.proxy.log_events import ReservationFailed, ReservationReleased
 from sassafrastally.proxy.model import ReservationOutcome
@@ -48,6 +48,9 @@
 CALL_TIMEOUT_S = 0.4
 """Timeout of a reservation call; an engine responds from memory within a few milliseconds."""
 
+RESPONSE_BOUNDS = ResponseBounds(size_bytes=16_384, time_s=1.0)
+"""Bounds of a response as a whole: a number, or why the call was rejected."""
+
 MAX_RELEASE_ATTEMPTS = 2
 """Number of attempts to release a reservation before it is left to expire."""
 
@@ -209,7 +212,7 @@
         self._backpressure.count_request(server, CallKind.ORDER)
         client = self._calls.setdefault(server.address, CallClient(server.address))
         return await client.exchange(
-            call.method, call.target, call.headers, call.body, CALL_TIMEOUT_S
+            call.method, call.target, call.headers, call.body, CALL_TIMEOUT_S, RESPONSE_BOUNDS
         )
 
 
