Leave out a peer whose changes can't be used

A peer whose answer is over the bound, or no valid delta, was asked again after 30 to 90 ms, each time for up to four megabytes, and each failure was logged: 168 calls in 10 s in the test.

Such a peer is now left out for five seconds, like one whose answer doesn't bring what its datagrams promise, and logged only the first time in a row (red before: 168 calls, now at most 3 and one line). A call that got no answer is still repeated soon, since that may be the network.

--- a/packages/proxy/src/sassafrastally/proxy/change_fetcher.py
+++ b/packages/proxy/src/sassafrastally/proxy/change_fetcher.py
@@ -15,6 +15,7 @@
 
 import trio
 
+from sassafrastally.proxy.calls import ResponseBounds, ResponseTooLarge
 from sassafrastally.proxy.containment import Containment
 from sassafrastally.proxy.dialect import DocumentInvalid
 from sassafrastally.proxy.log_events import PeerFailed
@@ -31,6 +32,10 @@
 CALL_TIMEOUT_S = 0.5
 """Idle timeout of a call; peers answer from memory. Each received chunk restarts it."""
 
+CHANGES_BOUNDS = ResponseBounds(size_bytes=4 * 1024 * 1024, time_s=5.0)
+"""Bounds of an answer as a whole. Compressed, the whole state takes less than a megabyte, which a
+link of ten megabits carries within a second; meanwhile no other peer is asked."""
+
 FAILED_PEER_PAUSE_S = 0.3
 """How long a peer whose call failed is avoided if another one has the changes."""
 
@@ -45,7 +50,8 @@
 of fourteen times."""
 
 FRUITLESS_PAUSE_S = 5.0
-"""How long a peer is left out whose answer didn't bring what its datagrams promise."""
+"""How long a peer is left out whose answer can't be used or didn't bring what its datagrams
+promise."""
 
 CHANGES_PATH = "/changes"
 
@@ -143,6 +149,8 @@
         self._defers_to_relays = defers_to_relays
         self._failed_s: dict[str, float] = {}
         self._left_out_until_s: dict[str, float] = {}
+        self._fruitless: set[str] = set()
+        """Peers whose latest answer was fruitless."""
         self._news = trio.Event()
         self._containment = Containment(kernel, "changes of a peer")
 
@@ -179,11 +187,16 @@
         target = changes_target(self._cluster_state.position)
         configuration = self._cluster_state.configuration
         try:
-            response = await source.calls.exchange("GET", target, [], b"", CALL_TIMEOUT_S)
+            response = await source.calls.exchange(
+                "GET", target, [], b"", CALL_TIMEOUT_S, CHANGES_BOUNDS
+            )
             if response.status != 200:
                 raise AnswerLost(f"peer answered with status {response.status}")
             delta = decode_delta(response.body)
-        except (AnswerLost, DocumentInvalid) as cause:
+        except (DocumentInvalid, ResponseTooLarge) as cause:
+            self._leave_out(source, cause.detail)
+            return
+        except AnswerLost as cause:
             self._failed_s[source.host] = self._kernel.clock.now_s()
             self._record_failed(source, cause.detail)
             await trio.sleep(FAILED_PEER_PAUSE_S * self._kernel.random.uniform(0.1, 0.3))
@@ -195,11 +208,19 @@
             else:
                 self._cluster_state.apply(delta.events, delta.position, name)
         if has_news(source.position, source.configuration_version, self._cluster_state):
-            self._left_out_until_s[source.host] = self._kernel.clock.now_s() + FRUITLESS_PAUSE_S
-            self._record_failed(source, "its answer doesn't bring what its datagrams promise")
+            self._leave_out(source, "its answer doesn't bring what its datagrams promise")
+        else:
+            self._fruitless.discard(source.host)
         if self._cluster_state.configuration is not configuration:
             await trio.sleep(CONFIGURATION_PAUSE_S)
 
+    def _leave_out(self, source: Source, cause: str) -> None:
+        """Leave a peer out for a while; log it unless its previous answer was fruitless too."""
+        self._left_out_until_s[source.host] = self._kernel.clock.now_s() + FRUITLESS_PAUSE_S
+        if source.host not in self._fruitless:
+            self._fruitless.add(source.host)
+            self._record_failed(source, cause)
+
     def _record_failed(self, source: Source, cause: str) -> None:
         self._kernel.events.emit(
             PeerFailed(source.host, *self._cluster_state.position, *source.position, cause)
--- a/packages/proxy/tests/test_change_fetcher.py
+++ b/packages/proxy/tests/test_change_fetcher.py
@@ -2,11 +2,15 @@
 
 from __future__ import annotations
 
+from types import SimpleNamespace
+
+import pytest
 import trio
 
 from sassafrastally.core import Clock, Kernel
-from sassafrastally.proxy.calls import CallResponse
+from sassafrastally.proxy.calls import CallResponse, ResponseTooLarge
 from sassafrastally.proxy.change_fetcher import (
+    CHANGES_BOUNDS,
     ChangeFetcher,
     Source,
     changes_target,
@@ -14,6 +18,7 @@
     parse_changes_target,
 )
 from sassafrastally.proxy.cluster_state import ClusterState
+from sassafrastally.proxy.dialect import DocumentInvalid
 from sassafrastally.proxy.peer_messages import encode_delta
 from sassafrastally.proxy.store import StorePosition
 from sassafrastally.proxy.store_records import Delta
@@ -27,7 +32,7 @@
     def __init__(self) -> None:
         self.calls = 0
 
-    async def exchange(self, method, target, headers, body, time_limit_s) -> CallResponse:
+    async def exchange(self, method, target, headers, body, time_limit_s, bounds) -> CallResponse:
         self.calls += 1
         await trio.sleep(0.001)
         return CallResponse(200, [], encode_delta(Delta(None, (), StorePosition(0, 0))))
@@ -74,3 +79,28 @@
             fetcher.note_news()
             await trio.sleep(0.1)
         assert 1 <= peer.calls <= 3
+
+    @pytest.mark.parametrize("failure", [ResponseTooLarge("endless"), DocumentInvalid("no delta")])
+    async def test_unusable_answers_are_not_fetched_in_a_loop(
+        self, failure, autojump_clock, nursery
+    ):
+        """Guards against fetching four megabytes again and again from a peer that sends bytes
+        without end, and against a line of the log for each of them."""
+        kernel = Kernel("vm", "dc", Clock(), seed=1)
+        state = kernel.add(ClusterState(PlainDialect(), REGISTRATION_EXPIRY_S))
+        calls = []
+
+        async def exchange(method, target, headers, body, time_limit_s, bounds):
+            calls.append(bounds)
+            await trio.sleep(0.001)
+            raise failure
+
+        source = Source("a", True, StorePosition(0, 5), 7, SimpleNamespace(exchange=exchange))
+        fetcher = ChangeFetcher(kernel, state, lambda: [source], lambda: False)
+        nursery.start_soon(fetcher.run)
+        for _ in range(100):
+            fetcher.note_news()
+            await trio.sleep(0.1)
+        assert 1 <= len(calls) <= 3
+        assert set(calls) == {CHANGES_BOUNDS}
+        assert [record["name"] for record in kernel.events.records()] == ["PeerFailed"]
