--- a/packages/testing/src/sassafrastally/testing/soak/callers.py
+++ b/packages/testing/src/sassafrastally/testing/soak/callers.py
@@ -10,7 +10,7 @@
 
 from sassafrastally.proxy.http_stream import ConnectionLost, HttpStream, connect
 from sassafrastally.stand_ins.caller_requests import request_fields, send_request
-from sassafrastally.testing.soak.record import Attempt, Kind
+from sassafrastally.testing.soak.record import TIME_LEFT_S, Attempt, Kind
 
 if TYPE_CHECKING:
     from sassafrastally.testing.soak.fleet import SoakFleet
@@ -18,9 +18,6 @@
 OLD_VERSION_OF = 20
 """One in so many requests is sent with HTTP/1.0."""
 
-TIME_LEFT_S = 4.0
-"""How long a caller waits."""
-
 GIVES_UP_S = TIME_LEFT_S + 1.5
 """After this a caller closes its connection; an entry must have answered long before."""
 
@@ -41,6 +38,9 @@
 PROMPT_TOKENS = {Kind.NOTE: (500, 12_000), Kind.DOSSIER: (40_000, 260_000)}
 MOST_EVENTS = 24
 
+MOST_BODY_BYTES = 1_000_000
+"""Begin of an answer that a caller keeps; far more than any that ends."""
+
 EARLY_RETRIES = 3
 """How often a caller that ignores Retry-After sends a refused request again."""
 
@@ -152,6 +152,7 @@
             customer=self._draw_customer(),
             is_harmful=bool(content or harmful_part),
             harmful_part=harmful_part,
+            time_left_s=self._fleet.time_left_s,
         )
         if not kind.is_stream:
             return make(attempt_id, kind, self._entry, 0), None
@@ -180,7 +181,7 @@
         fields = request_fields(
             prompt=prompt,
             request_id=attempt.attempt_id,
-            time_left_s=TIME_LEFT_S,
+            time_left_s=attempt.time_left_s,
             customer=attempt.customer,
             parts=attempt.parts,
         )
@@ -202,7 +203,8 @@
                 attempt.status = event.status_code
                 attempt.headers = {n.decode(): v.decode("latin-1") for n, v in event.headers}
             elif isinstance(event, h11.Data):
-                attempt.body += event.data
+                if len(attempt.body) < MOST_BODY_BYTES:
+                    attempt.body += event.data
             elif isinstance(event, h11.EndOfMessage):
                 attempt.is_whole = True
                 return
