Read pipelined requests one buffer at a time

A caller that sends requests without waiting for responses made the entry's memory grow by up to 64 KB for each of them, without a bound: the watch for a disconnect read on for every request, although the bytes of later requests were still unserved, while a request takes a hundred.

A disconnect behind pipelined requests is noticed when the response is written, as before.

--- a/packages/proxy/src/sassafrastally/proxy/caller_listener.py
+++ b/packages/proxy/src/sassafrastally/proxy/caller_listener.py
@@ -247,8 +247,11 @@
         """Cancel the response when the caller closes its connection.
 
         If the caller pipelines its next request instead, the received bytes are kept and the
-        watching ends. A later disconnect is then detected when the response is written.
+        watching ends. A later disconnect is then detected when the response is written. Bytes that
+        are already there are served first: read on, they would grow by a buffer for each request.
         """
+        if connection.http.trailing_data[0]:
+            return
         try:
             is_open = await connection.receive_bytes()
         except ConnectionLost:
