Bound the bodies of all callers together

An entry held the body of each request up to the limit in force, 4 MB by default, while it was read and until the request was answered: forty callers at once take 160 MB, more than the memory of a small VM, and the process would be killed with the requests of all callers.

Cause: a limit by request, none for all of them. Beyond it, the largest body that is still being read is refused with 503 bodies-full and Retry-After, which is true: it has not run. Bodies of requests in progress count too, but aren't ended. What a request without a body needs isn't affected.

With it three are refused, never more than the budget is held, and a small request meanwhile gets its response. The event 10024 now says that a request was rejected, as it isn't always invalid.

--- a/packages/proxy/src/sassafrastally/proxy/caller_listener.py
+++ b/packages/proxy/src/sassafrastally/proxy/caller_listener.py
@@ -19,12 +19,19 @@
     enable_keepalive,
     limit_send_buffer,
 )
+from sassafrastally.proxy.input_limits import (
+    InputAccount,
+    InputBudget,
+    InputBudgetExceeded,
+    most_held_bytes,
+)
 from sassafrastally.proxy.log_events import ConnectionCrashed, ProcessDraining, RequestMalformed
 from sassafrastally.proxy.metrics import CONNECTIONS_REFUSED
 from sassafrastally.proxy.model import RequestLimits
 from sassafrastally.proxy.overload_monitor import OverloadMonitor
 from sassafrastally.proxy.path import RequestPath
 from sassafrastally.proxy.refusals import (
+    BODIES_FULL,
     BODY_TOO_LARGE,
     HEADER_TOO_LARGE,
     MALFORMED,
@@ -66,11 +73,18 @@
 """Part of that time in which the requests that are still open are answered."""
 
 
+RETRY_BODY_AFTER_S = 1.0
+"""When a caller may send a request again that was refused because of the bodies held: by then most
+of the requests that hold them are answered, or time out."""
+
+
 class BadRequest(NamedTuple):
     """Why a request is rejected before it is fully parsed."""
 
     refusal: Refusal
     problem: str
+    retry_after_s: float = 0.0
+    """When it may be sent again; 0 if not at all."""
 
 
 class CallerListener(Service):
@@ -98,6 +112,9 @@
             most_buffered_bytes(settings.memory_mb)
         )
         """Callers whose writes are in progress."""
+        self._bodies = InputBudget(most_held_bytes(settings.memory_mb))
+        """Bodies of requests that are read or in progress. Callers have a budget of their own:
+        theirs must not end the responses of backend servers."""
         self._settings = settings
         self._dialect = dialect
         self._open_listener = listener
@@ -211,14 +228,21 @@
             self.open_requests -= 1
 
     async def _serve_begun_request(self, connection: HttpStream) -> bool:
+        with self._bodies.account() as account:
+            return await self._serve_accounted(connection, account)
+
+    async def _serve_accounted(self, connection: HttpStream, account: InputAccount) -> bool:
         reply = Reply(connection, lambda: self.is_stopping, self.blocked_callers)
         try:
-            request = await self._read_request(connection)
+            request = await self._read_request(connection, account)
         except h11.RemoteProtocolError as cause:
             too_large = cause.error_status_hint == HEADER_TOO_LARGE.status
             refusal = HEADER_TOO_LARGE if too_large else MALFORMED
             await self._reject(reply, BadRequest(refusal, str(cause)))
             return False
+        except InputBudgetExceeded as cause:
+            await self._reject(reply, BadRequest(BODIES_FULL, cause.detail, RETRY_BODY_AFTER_S))
+            return False
         if request is None:
             return False
         if isinstance(request, BadRequest):
@@ -259,7 +283,9 @@
         if not is_open:
             answer_scope.cancel()
 
-    async def _read_request(self, connection: HttpStream) -> Request | BadRequest | None:
+    async def _read_request(
+        self, connection: HttpStream, account: InputAccount
+    ) -> Request | BadRequest | None:
         """Return the next request, or ``None`` if the connection closes between requests."""
         limits = self._limits()
         arrived_s = self.kernel.clock.now_s()
@@ -267,7 +293,7 @@
             event = await connection.receive()
             if not isinstance(event, h11.Request):
                 return None
-            return await self._read_body(connection, event, arrived_s, limits)
+            return await self._read_body(connection, event, arrived_s, limits, account)
         return BadRequest(TOO_SLOW, f"not complete after {limits.header_time_s} s")
 
     async def _wait_for_bytes(self, connection: HttpStream) -> bool:
@@ -287,7 +313,12 @@
         return connection.has_unread_input()
 
     async def _read_body(
-        self, connection: HttpStream, head: h11.Request, arrived_s: float, limits: RequestLimits
+        self,
+        connection: HttpStream,
+        head: h11.Request,
+        arrived_s: float,
+        limits: RequestLimits,
+        account: InputAccount,
     ) -> Request | BadRequest:
         headers: Headers = list(head.headers)
         if _header_size(head) > limits.header_bytes:
@@ -302,8 +333,10 @@
             await connection.send(h11.InformationalResponse(status_code=100, headers=[]))
         body = bytearray()
         while True:
-            event = await connection.receive()
+            with account.reading():
+                event = await connection.receive()
             if isinstance(event, h11.Data):
+                account.add(len(event.data))
                 body += event.data
                 if len(body) > limits.body_bytes:
                     return BadRequest(BODY_TOO_LARGE, f"over {limits.body_bytes} bytes")
@@ -311,6 +344,7 @@
                 break
             else:
                 raise ConnectionLost("connection closed before the end of the request")
+        account.keep()
         try:
             facts = self._dialect.decode_request(headers)
         except DocumentInvalid as cause:
@@ -320,11 +354,10 @@
     async def _reject(self, reply: Reply, rejected: BadRequest) -> None:
         self.kernel.events.emit(RequestMalformed(rejected.refusal.status, rejected.problem))
         body = refusal_body(rejected.refusal, "", rejected.problem)
-        await reply.send_complete(
-            rejected.refusal.status,
-            [(b"content-type", b"application/problem+json"), (b"connection", b"close")],
-            body,
-        )
+        headers = [(b"content-type", b"application/problem+json"), (b"connection", b"close")]
+        if rejected.retry_after_s:
+            headers.append(self._dialect.retry_after_header(rejected.retry_after_s))
+        await reply.send_complete(rejected.refusal.status, headers, body)
 
 
 def _header_size(head: h11.Request) -> int:
--- a/packages/proxy/src/sassafrastally/proxy/input_limits/held_input.py
+++ b/packages/proxy/src/sassafrastally/proxy/input_limits/held_input.py
@@ -38,6 +38,8 @@
     def __init__(self, most_bytes: float = math.inf) -> None:
         self.total_bytes = 0
         """Bytes of all holders that haven't been chosen to be ended."""
+        self.kept_bytes = 0
+        """Bytes of complete input that is in use."""
         self._most_bytes = most_bytes
         self._held_bytes: dict[Holder, int] = {}
 
@@ -49,12 +51,26 @@
         self.total_bytes += held_bytes - self._held_bytes.get(holder, 0)
         self._held_bytes[holder] = held_bytes
         ended = []
-        while self.total_bytes > self._most_bytes:
+        while self._held_bytes and self.total_bytes + self.kept_bytes > self._most_bytes:
             largest = max(self._held_bytes, key=self._held_bytes.__getitem__)
             self.release(largest)
             ended.append(largest)
         return ended
 
+    def keep(self, holder: Holder) -> int:
+        """Record that the input of a holder is complete; return its bytes.
+
+        They still count, until `release_kept`, but the holder is no longer ended for them.
+        """
+        kept_bytes = self._held_bytes.get(holder, 0)
+        self.release(holder)
+        self.kept_bytes += kept_bytes
+        return kept_bytes
+
+    def release_kept(self, kept_bytes: int) -> None:
+        """Record that bytes of complete input are no longer in use."""
+        self.kept_bytes -= kept_bytes
+
     def release(self, holder: Holder) -> None:
         """Record that a holder has freed its bytes."""
         self.total_bytes -= self._held_bytes.pop(holder, 0)
--- a/packages/proxy/src/sassafrastally/proxy/input_limits/input_budget.py
+++ b/packages/proxy/src/sassafrastally/proxy/input_limits/input_budget.py
@@ -39,7 +39,7 @@
     @property
     def held_bytes(self) -> int:
         """Bytes of all accounts together."""
-        return self._held.total_bytes
+        return self._held.total_bytes + self._held.kept_bytes
 
     @contextmanager
     def account(self) -> Iterator[InputAccount]:
@@ -55,9 +55,14 @@
         for largest in self._held.hold(account, account.held_bytes):
             largest.end()
 
-    def release(self, account: InputAccount) -> None:
-        """Forget an account."""
+    def keep(self, account: InputAccount) -> int:
+        """Count the bytes of an account as complete input in use; return their number."""
+        return self._held.keep(account)
+
+    def release(self, account: InputAccount, kept_bytes: int) -> None:
+        """Forget an account and the bytes of its complete input."""
         self._held.release(account)
+        self._held.release_kept(kept_bytes)
 
 
 class InputAccount:
@@ -73,6 +78,7 @@
         self.is_ended = False
         """Whether the reader must give up."""
         self._budget = budget
+        self._kept_bytes = 0
         self._is_closed = False
         self._scopes: set[trio.CancelScope] = set()
 
@@ -91,6 +97,11 @@
             self._budget.record(self)
         self.check()
 
+    def keep(self) -> None:
+        """Record that the input is complete and in use; it counts until the account is closed."""
+        self._kept_bytes += self._budget.keep(self)
+        self.held_bytes = 0
+
     def check(self) -> None:
         """Raise `InputBudgetExceeded` if the reader has been ended."""
         if not self.is_ended:
@@ -129,4 +140,4 @@
     def close(self) -> None:
         """Free all its bytes; what is added later doesn't count."""
         self._is_closed = True
-        self._budget.release(self)
+        self._budget.release(self, self._kept_bytes)
--- a/packages/proxy/src/sassafrastally/proxy/log_events/requests.py
+++ b/packages/proxy/src/sassafrastally/proxy/log_events/requests.py
@@ -124,7 +124,7 @@
 
 @event(10024, "warning")
 class RequestMalformed(NamedTuple):
-    """A caller sent an invalid request; nothing was forwarded."""
+    """A request was rejected before it was read as a whole; nothing was forwarded."""
 
     status: int
     problem: str
--- a/packages/proxy/src/sassafrastally/proxy/refusals.py
+++ b/packages/proxy/src/sassafrastally/proxy/refusals.py
@@ -58,6 +58,11 @@
 ENTRY_BUSY = Refusal(
     "entry-busy", 503, "This entry is overloaded, others take the request. It has not run."
 )
+BODIES_FULL = Refusal(
+    "bodies-full",
+    503,
+    "This entry holds too many bodies of requests, others take the request. It has not run.",
+)
 QUARANTINED = Refusal(
     "quarantined",
     503,
@@ -92,6 +97,7 @@
     TURNED_AWAY,
     STOPPING,
     ENTRY_BUSY,
+    BODIES_FULL,
     QUARANTINED,
     TOO_LONG,
     NOT_SENT_IN_TIME,
--- a/packages/proxy/tests/test_input_limits.py
+++ b/packages/proxy/tests/test_input_limits.py
@@ -102,6 +102,20 @@
                 account.add(60)
         assert budget.held_bytes == 0
 
+    async def test_complete_input_counts_but_is_not_ended(self):
+        """Guards against ending a request in progress, and against forgetting what it holds."""
+        budget = InputBudget(100)
+        with budget.account() as complete:
+            complete.add(80)
+            complete.keep()
+            with budget.account() as reading:
+                reading.add(20)
+                with pytest.raises(InputBudgetExceeded):
+                    reading.add(1)
+            complete.check()
+            assert budget.held_bytes == 80
+        assert budget.held_bytes == 0
+
     async def test_cancellation_from_outside_is_no_end_of_the_account(self):
         budget = InputBudget(100)
         with trio.move_on_after(0) as scope, budget.account() as account, account.reading():
--- a/packages/testing/tests/platform/test_endless_callers.py
+++ b/packages/testing/tests/platform/test_endless_callers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from functools import partial
 from itertools import repeat
 
 import pytest
@@ -10,7 +11,9 @@
 from sassafrastally.proxy import caller_listener
 from sassafrastally.proxy.caller_listener import CallerListener
 from sassafrastally.proxy.http_stream import RECEIVE_BYTES, HttpStream
+from sassafrastally.proxy.input_limits import InputBudget
 from sassafrastally.stand_ins.documents import HOST_NAME
+from sassafrastally.stand_ins.platform_fleet import wait_until
 
 FIELDS = f"Host: {HOST_NAME}\r\nAuthorization: Bearer key-of-ana\r\n"
 UNKNOWN = f"GET /nowhere HTTP/1.1\r\n{FIELDS}\r\n".encode()
@@ -22,7 +25,8 @@
 
     def __init__(self, pieces, gap_s: float = 0.0) -> None:
         self.sent = bytearray()
-        self.received_pieces = 0
+        self.stays_open = False
+        """Whether the caller waits after the last piece instead of disconnecting."""
         self._pieces = iter(pieces)
         self._gap_s = gap_s
 
@@ -30,10 +34,11 @@
         await trio.lowlevel.checkpoint_if_cancelled()
         if self._gap_s:
             await trio.sleep(self._gap_s)
-        self.received_pieces += 1
+        if (piece := next(self._pieces, b"")) == b"" and self.stays_open:
+            await trio.sleep_forever()
         # As with a socket, bytes that are there are returned also if the read is cancelled.
         await trio.lowlevel.cancel_shielded_checkpoint()
-        return next(self._pieces, b"")
+        return piece
 
     async def send_all(self, data) -> None:
         await trio.lowlevel.checkpoint()
@@ -79,3 +84,60 @@
         await listener(small_fleet).serve(stream)
         assert stream.sent.count(b"HTTP/1.1 404") == pieces * (RECEIVE_BYTES // len(UNKNOWN))
         assert max(held_bytes) <= 2 * RECEIVE_BYTES
+
+
+class TestBodies:
+    """Bodies of many callers at once."""
+
+    BOUND_BYTES = 100_000
+    DECLARED_BYTES = 40_000
+
+    async def test_largest_is_refused_when_all_together_are_too_large(
+        self, small_fleet, monkeypatch
+    ):
+        """Guards against an entry that runs out of memory when many callers send large bodies."""
+        budget = InputBudget(self.BOUND_BYTES)
+        monkeypatch.setattr(listener(small_fleet), "_bodies", budget)
+        head = f"POST /look/x HTTP/1.1\r\n{FIELDS}Content-Length: {self.DECLARED_BYTES}\r\n\r\n"
+        held, sent = [], []
+
+        async def send_most_of_a_body() -> None:
+            stream = CallerStream([head.encode(), *repeat(b"x" * 5_000, 6)], gap_s=0.01)
+            stream.stays_open = True
+            with trio.move_on_after(1.0):
+                await listener(small_fleet).serve(stream)
+            sent.append(bytes(stream.sent))
+
+        async def observe() -> None:
+            while True:
+                held.append(budget.held_bytes)
+                await trio.sleep(0.002)
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(observe)
+            async with trio.open_nursery() as callers:
+                for _ in range(6):
+                    callers.start_soon(send_most_of_a_body)
+                await trio.sleep(0.3)
+                response = await small_fleet.call("/look/x", body=b"x" * 1000)
+                assert response.status == 200
+            nursery.cancel_scope.cancel()
+        assert self.BOUND_BYTES / 2 < max(held) <= self.BOUND_BYTES
+        assert budget.held_bytes == 0
+        refused = [one for one in sent if one.startswith(b"HTTP/1.1 503")]
+        assert len(refused) == 3
+        assert all(b"retry-after: 1.000\r\n" in one for one in refused)
+        assert sum(one.startswith(b"HTTP/1.1 408") for one in sent) == 3
+
+    async def test_of_requests_in_progress_count(self, small_fleet, monkeypatch):
+        """Guards against bodies that count only while they are read, but are held for seconds."""
+        budget = InputBudget(self.BOUND_BYTES)
+        monkeypatch.setattr(listener(small_fleet), "_bodies", budget)
+        for name in ("desk-1", "desk-2"):
+            small_fleet.replicas[name].is_unresponsive = True
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(partial(small_fleet.call, "/look/x", body=b"x" * 60_000))
+            await wait_until(lambda: budget.held_bytes == 60_000)
+            response = await small_fleet.call("/look/x", body=b"x" * 60_000)
+            assert response.status == 503
+            nursery.cancel_scope.cancel()
