Bound requests and connections at the internal ports

A client of the ports for readiness, peers or metrics could send a body without end for 30 s on each of any number of connections, and hold what it had sent of a header for as long.

Cause: one idle timeout for reading, answering and waiting; no bound in bytes, none on connections.

A request may now take 64 KB and ten seconds, beyond which the connection is closed; its calls change no state, so that nothing is logged. At each port, the connection unused for longest is closed for the 1,025th. Refusing the new one instead would let idle connections keep out readiness checks. Headers and trailers were bounded in bytes before, by h11.

--- a/packages/proxy/src/sassafrastally/proxy/internal_endpoints.py
+++ b/packages/proxy/src/sassafrastally/proxy/internal_endpoints.py
@@ -18,6 +18,7 @@
 from sassafrastally.proxy.http_stream import ConnectionLost, HttpStream, enable_keepalive
 from sassafrastally.proxy.load import Lane
 from sassafrastally.proxy.log_events import ReadinessChanged
+from sassafrastally.proxy.open_connections import OpenConnections
 from sassafrastally.proxy.overload_monitor import OverloadMonitor
 from sassafrastally.proxy.path import RequestPath
 from sassafrastally.proxy.peer_messages import encode_delta
@@ -34,6 +35,17 @@
 IDLE_TIME_S = 30.0
 """Idle timeout of a connection."""
 
+REQUEST_TIME_S = 10.0
+"""Time for a request as a whole, from its first byte until its response is sent: twice what a peer
+waits for the largest response."""
+
+MAX_REQUEST_BYTES = 65_536
+"""Maximum number of bytes received for one request. The requests are a short header; a body is
+discarded."""
+
+MAX_CONNECTIONS = 1024
+"""Maximum number of open connections at each port: three for each entry of a fleet of 340."""
+
 
 class InternalEndpoints(Service):
     """Serves readiness checks, metrics scrapes and the change requests of peers."""
@@ -132,45 +144,82 @@
         self, nursery: trio.Nursery, host: str, port: int, handler: EndpointHandler
     ) -> None:
         listeners = await trio.open_tcp_listeners(port, host=host)
-
         containment = Containment(self.kernel, f"call at port {port}")
+        endpoint = Endpoint(handler)
 
         async def serve(stream: trio.abc.Stream) -> None:
             with containment:
-                await _serve(stream, handler)
+                await endpoint.serve(stream)
 
         nursery.start_soon(trio.serve_listeners, serve, listeners)
 
 
-async def _serve(stream: trio.abc.Stream, handler: EndpointHandler) -> None:
-    enable_keepalive(stream)
-    connection = HttpStream(stream, h11.SERVER)
-    try:
-        with trio.CancelScope() as idle:
-            while True:
-                idle.deadline = trio.current_time() + IDLE_TIME_S
-                target = await _read_target(connection)
-                if target is None:
-                    return
-                status, body = handler(target)
-                await Reply(connection, lambda: False).send_complete(status, [], body)
-                if connection.http.our_state is not h11.DONE:
-                    return
-                connection.http.start_next_cycle()
-    except (ConnectionLost, h11.RemoteProtocolError):
-        # The client disconnected or doesn't speak HTTP. Its calls change no state.
-        return
-    finally:
-        await connection.close()
+class Endpoint:
+    """Serves the requests on the connections of one port.
+
+    Parameters
+    ----------
+    handler
+        Returns status and body of the response to a target.
+    max_connections
+        Maximum number of open connections.
+    """
+
+    def __init__(self, handler: EndpointHandler, max_connections: int = MAX_CONNECTIONS) -> None:
+        self._handler = handler
+        self._connections: OpenConnections[trio.CancelScope] = OpenConnections(max_connections)
+
+    async def serve(self, stream: trio.abc.Stream) -> None:
+        """Serve a connection until it is closed."""
+        enable_keepalive(stream)
+        connection = HttpStream(stream, h11.SERVER)
+        try:
+            with trio.CancelScope() as scope:
+                if (longest_unused := self._connections.open(scope)) is not None:
+                    longest_unused.cancel()
+                await self._serve_requests(connection, scope)
+        except (ConnectionLost, h11.RemoteProtocolError):
+            # The client disconnected, sends too much or doesn't speak HTTP. Its calls change no
+            # state.
+            return
+        finally:
+            self._connections.close(scope)
+            await connection.close()
+
+    async def _serve_requests(self, connection: HttpStream, scope: trio.CancelScope) -> None:
+        while True:
+            scope.deadline = trio.current_time() + IDLE_TIME_S
+            if not connection.http.trailing_data[0] and not await connection.receive_bytes():
+                return
+            scope.deadline = trio.current_time() + REQUEST_TIME_S
+            self._connections.note_use(scope)
+            target = await _read_target(connection)
+            if target is None:
+                return
+            status, body = self._handler(target)
+            await Reply(connection, lambda: False).send_complete(status, [], body)
+            if connection.http.our_state is not h11.DONE:
+                return
+            connection.http.start_next_cycle()
 
 
 async def _read_target(connection: HttpStream) -> str | None:
+    """Return the target of the next request; ``None`` at the end of the connection.
+
+    Raises
+    ------
+    ConnectionLost
+        If the request is too large.
+    """
     target = None
+    max_received_bytes = connection.received_bytes + MAX_REQUEST_BYTES
     while True:
         event = await connection.receive()
         if isinstance(event, h11.Request):
             target = event.target.decode("latin-1")
         elif isinstance(event, h11.EndOfMessage):
             return target
-        elif isinstance(event, h11.ConnectionClosed):
+        elif not isinstance(event, h11.Data):
             return None
+        if connection.received_bytes > max_received_bytes:
+            raise ConnectionLost(f"a request of more than {MAX_REQUEST_BYTES} bytes")
