Bound what a message of a peer takes once it is decoded

A datagram of 416 bytes at the peers' port can declare 12,000 empty elements, which took 0.2 s to decode (8,000: 0.14 s, 2,000: 0.03 s); five in a second hold an entry. An answer of 300 KB may decompress to 128 MB, more than the memory of a small VM next to what the process has.

Cause: traversal limits of 64 K words and 16 M words, far above what sound peers send. A full datagram takes 343 words (measured on encoded ones), so the limit is now 2,048; changes are limited to 32 MB. What is over it counts as an invalid datagram or as changes that can't be used.

Sound before, now with a test: other tasks run after each datagram, also if a hundred wait in the socket.

--- a/packages/proxy/src/sassafrastally/proxy/peer_messages.py
+++ b/packages/proxy/src/sassafrastally/proxy/peer_messages.py
@@ -65,13 +65,13 @@
 COMPRESSION_LEVEL = 1
 """Fastest zlib level; higher levels take five times as long and save a tenth of the bytes."""
 
-MAX_HELLO_WORDS = 64 * 1024
-"""Traversal limit of a datagram in words of eight bytes. A few bytes can declare a list of millions
-of elements."""
+MAX_HELLO_WORDS = 2 * 1024
+"""Traversal limit of a datagram in words of eight bytes: some times what a full one takes. A few
+bytes can declare thousands of empty elements, each of which takes microseconds to decode."""
 
-MAX_DELTA_WORDS = 16 * 1024 * 1024
-"""Traversal limit of an answer in words of eight bytes: about a hundred of the store's largest
-values."""
+MAX_DELTA_WORDS = 4 * 1024 * 1024
+"""Traversal limit of an answer in words of eight bytes, and of its size once decompressed: some
+thirty of the store's largest values, well below the memory of a small VM."""
 
 
 class Hello(NamedTuple):
--- a/packages/testing/tests/platform/test_endless_internal_calls.py
+++ b/packages/testing/tests/platform/test_endless_internal_calls.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+import socket
+
 import pytest
 import trio
 import trio.testing
 
+from sassafrastally.proxy import peers
 from sassafrastally.proxy.http_stream import RECEIVE_BYTES
 from sassafrastally.proxy.internal_endpoints import (
     IDLE_TIME_S,
@@ -74,3 +77,34 @@
             assert closed == [False, True, True, False, False]
             assert trio.current_time() < IDLE_TIME_S
             nursery.cancel_scope.cancel()
+
+
+class TestDatagrams:
+    """Many datagrams at once."""
+
+    async def test_other_tasks_run_between_two(self, small_fleet, monkeypatch):
+        """Guards against decoding all datagrams in the socket before anything else runs."""
+        datagrams = 100
+        decoded, decoded_between = 0, []
+        decode = peers.decode_hello
+
+        def count(data):
+            nonlocal decoded
+            decoded += 1
+            return decode(data)
+
+        async def note_turns() -> None:
+            nonlocal decoded
+            while sum(decoded_between) < datagrams:
+                decoded_between.append(decoded)
+                decoded = 0
+                await trio.lowlevel.checkpoint()
+
+        monkeypatch.setattr(peers, "decode_hello", count)
+        settings = small_fleet.entry_settings(1)
+        with socket.socket(type=socket.SOCK_DGRAM) as sender:
+            for _ in range(datagrams):
+                sender.sendto(b"no datagram", (settings.host, settings.peer_port))
+        with trio.fail_after(5):
+            await note_turns()
+        assert max(decoded_between) <= 2
