Bound responses of the KV service, the VM list and the weight store

A service that sends bytes without end made each process that calls it grow until the call's time limit, and a watch without an end of its line until the renewal; chunks of one byte were handed out by the thousand without a turn for other tasks.

The transport now ends a response over 16 MB with a read error, for a watch a line of that size, and lets other tasks run after each 64 pieces. The present handling of a broken response applies: a write may have been applied, a read is unavailable, a watch is interrupted and the breaker backs off.

--- a/packages/stores/src/sassafrastally/stores/gateway_client.py
+++ b/packages/stores/src/sassafrastally/stores/gateway_client.py
@@ -11,6 +11,7 @@
 from sassafrastally.core.http_patterns import use_linear_patterns
 from sassafrastally.core.kv import KvUnavailable, LeaseLost, MaybeApplied
 from sassafrastally.stores import gateway
+from sassafrastally.stores.bounded_transport import LINE_BOUND, BoundedTransport
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -52,7 +53,9 @@
             base_url=f"http://{settings.address}",
             timeout=None,
             trust_env=False,
-            limits=httpx.Limits(max_connections=settings.max_connections),
+            transport=BoundedTransport(
+                limits=httpx.Limits(max_connections=settings.max_connections)
+            ),
         )
 
     async def aclose(self) -> None:
@@ -95,7 +98,7 @@
         self, path: str, body: Mapping[str, Any], time_limit_s: float
     ) -> httpx.Response:
         """Start a call with a streaming response, which the caller must close."""
-        request = self._client.build_request("POST", path, json=body)
+        request = self._client.build_request("POST", path, json=body, extensions={LINE_BOUND: True})
         try:
             with trio.fail_after(time_limit_s):
                 response = await self._client.send(request, stream=True)
--- a/packages/stores/src/sassafrastally/stores/vm_list.py
+++ b/packages/stores/src/sassafrastally/stores/vm_list.py
@@ -14,6 +14,7 @@
 import trio
 
 from sassafrastally.core import Address
+from sassafrastally.stores.bounded_transport import BoundedTransport
 from sassafrastally.stores.interfaces import PlatformUnavailable, VmState
 
 if TYPE_CHECKING:
@@ -41,7 +42,10 @@
         self._etag = ""
         self._last: list[VmState] = []
         self._client = httpx.AsyncClient(
-            base_url=f"http://{settings.address}", timeout=None, trust_env=False
+            base_url=f"http://{settings.address}",
+            timeout=None,
+            transport=BoundedTransport(),
+            trust_env=False,
         )
 
     async def aclose(self) -> None:
--- a/packages/stores/src/sassafrastally/stores/weight_store.py
+++ b/packages/stores/src/sassafrastally/stores/weight_store.py
@@ -11,6 +11,7 @@
 import httpx
 import trio
 
+from sassafrastally.stores.bounded_transport import BoundedTransport
 from sassafrastally.stores.interfaces import PlatformUnavailable
 
 if TYPE_CHECKING:
@@ -33,7 +34,10 @@
     def __init__(self, address: Address, time_limit_s: float) -> None:
         self._time_limit_s = time_limit_s
         self._client = httpx.AsyncClient(
-            base_url=f"http://{address}", timeout=None, trust_env=False
+            base_url=f"http://{address}",
+            timeout=None,
+            transport=BoundedTransport(),
+            trust_env=False,
         )
 
     async def aclose(self) -> None:
