Bound what the sidecar reads of an engine's answers in work and in time

Three faults of the same cause, which is that reading had no bound but a size of 16 MB: appending to bytes copied the whole body for each piece, so that chunks of one byte cost the square of the body (49,995,000 bytes copied for 10,000 pieces; now none). The time limit of a call restarted with each received byte. The body of an error was read up to 16 MB, without a time limit for runs, before its status was looked at: an engine in trouble that rejected a run with 503 made it fail, or wait.

Red before: the four new tests (copied bytes, three that waited for more than 5 s).

--- a/packages/sidecar/src/sassafrastally/sidecar/dialects.py
+++ b/packages/sidecar/src/sassafrastally/sidecar/dialects.py
@@ -28,6 +28,7 @@
     raise_status,
     read_bounded,
 )
+from sassafrastally.stores.bounded_transport import BoundedTransport
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Sequence
@@ -78,7 +79,7 @@
         self._client = httpx.AsyncClient(
             base_url=f"http://{address}",
             timeout=httpx.Timeout(CALL_LIMIT_S, connect=CONNECT_LIMIT_S),
-            limits=limits,
+            transport=BoundedTransport(max_bytes=None, limits=limits),
             # Bodies are read without decoding, so that size limits apply to the received bytes.
             headers={"Accept-Encoding": "identity"},
             trust_env=False,
@@ -200,6 +201,14 @@
     async def _fetch(
         self, method: str, path: str, body: Any = None, limit_s: float = CALL_LIMIT_S
     ) -> bytes:
+        # The client's own timeout restarts with each received byte.
+        try:
+            with trio.fail_after(limit_s):
+                return await self._fetch_all(method, path, body, limit_s)
+        except trio.TooSlowError as cause:
+            raise EngineFailed(f"no whole answer within {limit_s:g} s") from cause
+
+    async def _fetch_all(self, method: str, path: str, body: Any, limit_s: float) -> bytes:
         timeout = httpx.Timeout(limit_s, connect=CONNECT_LIMIT_S)
         built = self._client.build_request(method, path, json=body, timeout=timeout)
         response = await self._send(built)
--- a/packages/sidecar/src/sassafrastally/sidecar/openai_form.py
+++ b/packages/sidecar/src/sassafrastally/sidecar/openai_form.py
@@ -4,9 +4,11 @@
 
 import json
 from collections import deque
+from contextlib import suppress
 from typing import TYPE_CHECKING, Any, NamedTuple, NoReturn
 
 import httpx
+import trio
 
 from sassafrastally.core import EventTooLong
 from sassafrastally.sidecar.engine import (
@@ -26,6 +28,10 @@
 MAX_ERROR_BYTES = 4096
 """Maximum size of the part of an error body that is included in the message."""
 
+ERROR_BODY_LIMIT_S = 1.0
+"""Time for that part. The status alone tells what has happened to the request, and a body without
+end must not hide it."""
+
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
 """Maximum size of an answer that is read as a whole."""
 
@@ -219,7 +225,7 @@
 
 async def read_bounded(response: httpx.Response, limit: int) -> bytes:
     """Read a whole body; raises `EngineFailed` when it is interrupted or exceeds the limit."""
-    content = b""
+    content = bytearray()
     try:
         async for piece in response.aiter_raw():
             content += piece
@@ -227,7 +233,18 @@
                 raise EngineFailed(f"the answer is longer than {limit} bytes")
     except httpx.HTTPError as cause:
         raise EngineFailed(f"the answer broke off: {cause!r}") from cause
-    return content
+    return bytes(content)
+
+
+async def _read_beginning(response: httpx.Response) -> bytes:
+    """Return the first part of an error body, as much as arrives in time."""
+    content = bytearray()
+    with trio.move_on_after(ERROR_BODY_LIMIT_S), suppress(httpx.HTTPError):
+        async for piece in response.aiter_raw():
+            content += piece
+            if len(content) >= MAX_ERROR_BYTES:
+                break
+    return bytes(content[:MAX_ERROR_BYTES])
 
 
 REQUEST_ERROR_STATUSES = frozenset({400, 413, 422})
@@ -236,7 +253,7 @@
 
 async def raise_status(response: httpx.Response) -> NoReturn:
     """Raise `EngineRefused` or `EngineFailed`, depending on the status."""
-    content = (await read_bounded(response, MAX_ANSWER_BYTES))[:MAX_ERROR_BYTES]
+    content = await _read_beginning(response)
     text = f"status {response.status_code}: {content.decode(errors='replace')}"
     if response.status_code in REJECTED_STATUSES:
         is_request_error = response.status_code in REQUEST_ERROR_STATUSES
--- a/packages/sidecar/src/sassafrastally/sidecar/plain_client.py
+++ b/packages/sidecar/src/sassafrastally/sidecar/plain_client.py
@@ -10,6 +10,7 @@
 
 from sassafrastally.core import CodedError, EventBlocks, EventTooLong, error, is_event_stream
 from sassafrastally.core.http_patterns import use_linear_patterns
+from sassafrastally.stores.bounded_transport import BoundedTransport
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Mapping
@@ -97,7 +98,10 @@
         # run". Using a new connection for each call limits that error to real failures.
         limits = httpx.Limits(max_connections=None, max_keepalive_connections=0)
         self._client = httpx.AsyncClient(
-            base_url=f"http://{address}", limits=limits, trust_env=False, follow_redirects=False
+            base_url=f"http://{address}",
+            transport=BoundedTransport(max_bytes=None, limits=limits),
+            trust_env=False,
+            follow_redirects=False,
         )
 
     async def aclose(self) -> None:
--- a/packages/sidecar/tests/test_dialects.py
+++ b/packages/sidecar/tests/test_dialects.py
@@ -5,12 +5,15 @@
 import json
 import socket
 from contextlib import asynccontextmanager, suppress
+from functools import partial
+from types import SimpleNamespace
 from typing import TYPE_CHECKING
 
 import pytest
 import trio
 
 from sassafrastally.core import Address
+from sassafrastally.sidecar import dialects
 from sassafrastally.sidecar.dialects import OpenAiDialect
 from sassafrastally.sidecar.engine import (
     ENGINE_DIALECTS,
@@ -20,6 +23,7 @@
     EngineRequest,
     EngineUnavailable,
 )
+from sassafrastally.sidecar.openai_form import read_bounded
 from sassafrastally.testing.engine_model import EngineModel, EngineShape
 from sassafrastally.testing.engine_server import serve_engine
 
@@ -204,3 +208,71 @@
             assert [stream.kind for stream in await leader.list_streams()] == ["import"]
             with pytest.raises(EngineRefused):
                 await leader.import_kv("other", source.address, blocks)
+
+
+class CountedPiece(bytes):
+    """A piece of a body that counts the bytes copied in order to append it."""
+
+    copied_bytes = 0
+
+    def __radd__(self, other):
+        if isinstance(other, bytes):
+            CountedPiece.copied_bytes += len(other)
+        return NotImplemented
+
+
+class TestEndlessAnswers:
+    """Engines whose answers don't end."""
+
+    async def test_body_in_tiny_pieces_is_copied_once(self):
+        """Guards against work that grows with the square of the bytes received."""
+
+        async def aiter_raw() -> AsyncIterator[bytes]:
+            for _ in range(10_000):
+                await trio.lowlevel.checkpoint()
+                yield CountedPiece(b"x")
+
+        CountedPiece.copied_bytes = 0
+        body = await read_bounded(SimpleNamespace(aiter_raw=aiter_raw), 20_000)
+        assert len(body) == 10_000
+        assert CountedPiece.copied_bytes <= 10_000
+
+    @pytest.mark.parametrize("gap_s", [0.0, 0.05])
+    async def test_error_body_does_not_hide_the_status(self, gap_s):
+        """Guards against a rejected run that counts as failed, or that waits for its time limit."""
+        head = b"HTTP/1.1 503 Service Unavailable\r\n\r\n"
+        async with endless_engine(head, b"x" * 100, gap_s) as dialect:
+            with pytest.raises(EngineRefused, match="503"):
+                async with dialect.generate(make_request("a")):
+                    pass
+
+    async def test_call_ends_while_bytes_keep_coming(self, monkeypatch):
+        """Guards against a time limit that each received byte restarts."""
+        monkeypatch.setattr(dialects, "ORDER_LIMIT_S", 0.5)
+        head = b"HTTP/1.1 200 OK\r\n\r\n"
+        async with endless_engine(head, b" ", 0.05) as dialect:
+            with pytest.raises(EngineFailed, match="within"):
+                await dialect.order(EngineOrder(1, "load", "small"))
+
+
+@asynccontextmanager
+async def endless_engine(begin: bytes, unit: bytes, gap_s: float) -> AsyncIterator[OpenAiDialect]:
+    """Send bytes on each connection until the client closes it."""
+
+    async def handle(stream: trio.SocketStream) -> None:
+        async with stream:
+            await stream.receive_some()
+            with suppress(trio.BrokenResourceError):
+                await stream.send_all(begin)
+                while True:
+                    await stream.send_all(unit)
+                    await trio.sleep(gap_s)
+
+    async with trio.open_nursery() as nursery:
+        [listener] = await nursery.start(partial(trio.serve_tcp, handle, 0, host="127.0.0.1"))
+        address = Address("127.0.0.1", listener.socket.getsockname()[1])
+        dialect = OpenAiDialect(address)
+        with trio.fail_after(5):
+            yield dialect
+        await dialect.aclose()
+        nursery.cancel_scope.cancel()
