--- a/packages/proxy/src/sassafrastally/proxy/http_stream.py
+++ b/packages/proxy/src/sassafrastally/proxy/http_stream.py
@@ -10,11 +10,14 @@
 import trio
 
 from sassafrastally.core import CodedError, error
+from sassafrastally.core.http_patterns import use_linear_patterns
 from sassafrastally.proxy.cpu_overload import StepTimeout
 
 if TYPE_CHECKING:
     from sassafrastally.core import Address
 
+use_linear_patterns()
+
 RECEIVE_BYTES = 65_536
 """Maximum number of bytes read from a connection at once: the usual size of a socket buffer."""
 
@@ -70,6 +73,8 @@
         """Whether a write was cancelled: the peer lacks bytes that h11 counts as sent."""
         self.is_reused = False
         """Whether it has carried a response before."""
+        self.received_bytes = 0
+        """Number of bytes received so far, with headers and framing."""
 
     async def receive(self) -> h11.Event | type[h11.PAUSED]:
         """Return the next event.
@@ -94,6 +99,7 @@
             data = await self.stream.receive_some(RECEIVE_BYTES)
         except (trio.BrokenResourceError, trio.ClosedResourceError) as cause:
             raise ConnectionLost(f"connection reset while reading: {cause!r}") from cause
+        self.received_bytes += len(data)
         self.http.receive_data(bytes(data))
         return bool(data)
 
