Bound what one response makes an entry hold, in bytes and in time

What callers saw: one server that sends bytes without end, in a header, in interim responses, in a body or in an event, kept callers waiting up to their time limit, and an entry's other callers with them; an entry grew by tens of megabytes in seconds.

Cause: nothing but h11's limit for an incomplete header bounded a response. Data restarted the silence timeout whatever it was. All that one read had brought was parsed without a checkpoint (10,000 chunks of one byte), so that neither time limits nor other tasks ran.

Change: HttpStream has a checkpoint every 64 parsed events and counts interim responses. Headers, lines between chunks, buffered and discarded bodies, events, and what comes between two new events (comments, repeated ids) have bounds in bytes, and all responses together a share of the memory; the largest is ended. Silence is counted since the last new event. A timeout while bytes keep coming counts as a failure of the server; a pause of at least half the limit is still silence. The rest of a rejection or of a stale response is read for 0.1 s. Trailers are not awaited: the body is complete without them (RFC 9112, section 8). An attempt over a bound is AttemptUnknown, or AttemptNotRun where the header has proved it; its connection is closed. Log event 10090 once a server and place, counter proxy.input.limited. AnswerEvents.read loses nothing at a timeout. In streaming_request.py, the body of an engine's failure is read for the silence timeout only; daemon.py and path.py connect budget and log.

Ruled out: a lower bound for events (256 KB), since a test of callers that pause has events of 500,000 bytes; finding trailers by h11's state, which is private, or by copying what is held at each byte (134 MB copied for 16 KB, found by the test of copied bytes).

--- a/packages/proxy/src/sassafrastally/proxy/attempt.py
+++ b/packages/proxy/src/sassafrastally/proxy/attempt.py
@@ -3,23 +3,33 @@
 from __future__ import annotations
 
 import math
-from contextlib import asynccontextmanager, suppress
+from contextlib import asynccontextmanager
 from typing import TYPE_CHECKING, NamedTuple
 
 import h11
 import trio
 
-from sassafrastally.core import CodedError, error
+from sassafrastally.proxy.answer import (
+    TIMEOUT_DETAIL,
+    Answer,
+    AttemptNotRun,
+    AttemptUnknown,
+    receive,
+    timeout_error,
+)
 from sassafrastally.proxy.body_framing import body_framing
 from sassafrastally.proxy.cpu_overload import due_after_delay_s, last_read_s
 from sassafrastally.proxy.http_stream import ConnectionLost
-from sassafrastally.proxy.input_limits import InputBudget
+from sassafrastally.proxy.input_limits import (
+    DISCARD_TIME_S,
+    MAX_DISCARDED_BYTES,
+    InputBudget,
+    InputExcess,
+)
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Callable, Sequence
 
-    from sassafrastally.core import Address
-    from sassafrastally.proxy.body_framing import BodyFraming
     from sassafrastally.proxy.connection_pool import ConnectionPool
     from sassafrastally.proxy.dialect import Dialect, Headers
     from sassafrastally.proxy.http_stream import HttpStream
@@ -29,10 +39,18 @@
         BackpressureSignals,
         IgnoredField,
         RequestMetadata,
-        ResponseMetadata,
     )
 
-TIMEOUT_DETAIL = "no data arrived before the timeout"
+__all__ = [
+    "MAX_STALE_ANSWERS",
+    "NON_SUCCESS_STATUS",
+    "TIMEOUT_DETAIL",
+    "Answer",
+    "AttemptNotRun",
+    "AttemptSender",
+    "AttemptUnknown",
+    "Request",
+]
 
 NON_SUCCESS_STATUS = 300
 """Lowest HTTP status that doesn't mean success."""
@@ -41,28 +59,6 @@
 """Number of responses to earlier requests that are skipped before an attempt is abandoned."""
 
 
-@error(10005)
-class AttemptNotRun(CodedError):
-    """The backend server has not run the request and never will."""
-
-    failed_server_address: Address | None = None
-    """Address of another backend server that caused the failure."""
-    is_unreachable = False
-    """Whether no connection could be opened, so that nothing was sent."""
-    is_out_of_time = False
-    """Whether nothing was sent because the time for the attempt was over."""
-    counts_against_server = True
-    """Whether the failure counts against the server that was called."""
-
-
-@error(10006)
-class AttemptUnknown(CodedError):
-    """The attempt got no complete response; the request may have run."""
-
-    is_timeout = False
-    """Whether the only failure was a timeout."""
-
-
 class Request(NamedTuple):
     """A caller's request with its complete body."""
 
@@ -74,71 +70,6 @@
     arrived_s: float
 
 
-class Answer:
-    """A response whose header has been received.
-
-    Attributes
-    ----------
-    status
-        HTTP status.
-    headers
-        Header fields sent by the backend server.
-    framing
-        How the end of the body is delimited.
-    facts
-        Information extracted from the header.
-    """
-
-    def __init__(
-        self,
-        connection: HttpStream,
-        response: h11.Response,
-        facts: ResponseMetadata,
-        framing: BodyFraming,
-    ) -> None:
-        self.status = response.status_code
-        self.headers: Headers = list(response.headers)
-        self.framing = framing
-        self.facts = facts
-        self._connection = connection
-
-    async def chunk(self, silence_limit_s: float = math.inf) -> bytes | None:
-        """Return the next chunk of the body, or ``None`` after the last one.
-
-        Parameters
-        ----------
-        silence_limit_s
-            Longest time to wait for the chunk.
-
-        Raises
-        ------
-        AttemptUnknown
-            If the body ends early or no data arrives in time.
-        """
-        due_s = trio.current_time() + silence_limit_s
-        with trio.move_on_at(due_s):
-            return await self._next_chunk()
-        if extra_s := last_read_s(due_s, trio.current_time()):
-            with trio.move_on_after(extra_s):
-                return await self._next_chunk()
-        raise _timeout_error()
-
-    async def read(self, due_s: float = math.inf) -> bytes:
-        """Return the complete body; raises `AttemptUnknown` if it ends early or isn't in time."""
-        body = b""
-        while (chunk := await self.chunk(due_s - trio.current_time())) is not None:
-            body += chunk
-        return body
-
-    async def _next_chunk(self) -> bytes | None:
-        while True:
-            event = await _receive(self._connection)
-            if isinstance(event, h11.Data):
-                return bytes(event.data)
-            if isinstance(event, h11.EndOfMessage):
-                return None
-
-
 class AttemptSender:
     """Sends requests to backend servers.
 
@@ -149,7 +80,7 @@
     pool
         Pool of idle connections that attempts reuse.
     input_budget
-        Budget of the process for responses that aren't complete; by default without a bound.
+        Budget of the process for responses that aren't complete; without a bound by default.
     """
 
     def __init__(
@@ -157,13 +88,16 @@
     ) -> None:
         self._dialect = dialect
         self._pool = pool
-        self._input_budget = input_budget or InputBudget()
+        self.input_budget = input_budget or InputBudget()
+        """Budget of the process for responses that aren't complete."""
         self.on_answer: Callable[[BackendServer, BackpressureSignals], None] = lambda *_: None
         """Called for each response header, before the body is read."""
         self.on_ignored_fields: Callable[[BackendServer, Sequence[IgnoredField]], None] = (
             lambda *_: None
         )
         """Called for each response header with fields that are ignored."""
+        self.on_excess: Callable[[BackendServer, InputExcess], None] = lambda *_: None
+        """Called for each response that exceeds a bound."""
 
     @property
     def pool(self) -> ConnectionPool:
@@ -222,27 +156,42 @@
             await connection.close()
             raise _evacuated_error()
         is_kept = False
+        waiting.deadline = due_after_delay_s(waiting.deadline, begin_s, trio.current_time())
         try:
-            head = self._head(request, terms)
-            waiting.deadline = due_after_delay_s(waiting.deadline, begin_s, trio.current_time())
-            answer, is_sent = None, False
-            with waiting:
-                await trio.lowlevel.checkpoint_if_cancelled()
-                is_sent = True
-                on_sending()
-                answer = await self._exchange(connection, request, terms.server, head)
-            if answer is None and not is_sent:
-                raise _not_sent_error()
-            if answer is None:
-                answer = await self._read_late(connection, request, terms.server, head, waiting)
-            yield answer
-            is_kept = _is_reusable(connection)
+            with self.input_budget.account() as account:
+                connection.charge(account)
+                yield await self._answer(connection, request, terms, waiting, on_sending)
+                is_kept = _is_reusable(connection)
+        except (AttemptNotRun, AttemptUnknown) as cause:
+            if cause.excess is not None:
+                self.on_excess(terms.server, cause.excess)
+            raise
         finally:
             if is_kept:
                 await self._pool.release(terms.server, connection)
             else:
                 await connection.close()
 
+    async def _answer(
+        self,
+        connection: HttpStream,
+        request: Request,
+        terms: AttemptParameters,
+        waiting: trio.CancelScope,
+        on_sending: Callable[[], None],
+    ) -> Answer:
+        """Send a request and return its response."""
+        head = self._head(request, terms)
+        is_sent = False
+        with waiting:
+            await trio.lowlevel.checkpoint_if_cancelled()
+            is_sent = True
+            on_sending()
+            return await self._exchange(connection, request, terms.server, head)
+        if not is_sent:
+            raise _not_sent_error()
+        return await self._read_late(connection, request, terms.server, head, waiting)
+
     async def _connection(self, server: BackendServer, may_reuse: bool) -> HttpStream:
         if may_reuse and (kept := await self._pool.acquire(server)):
             return kept
@@ -289,7 +238,9 @@
         if is_awaited and extra_s:
             with trio.move_on_after(extra_s):
                 return await self._read_answer(connection, request, server, head)
-        raise _timeout_error()
+        if is_awaited and connection.http.trailing_data[0]:
+            raise AttemptUnknown("the response header wasn't complete before the timeout")
+        raise timeout_error()
 
     async def _read_answer(
         self, connection: HttpStream, request: Request, server: BackendServer, head: h11.Request
@@ -300,7 +251,8 @@
                 break
             # A server may send a second response to an earlier request on the connection, or other
             # bytes. The response to this request follows.
-            await answer.read()
+            if not await _discard(answer):
+                raise AttemptUnknown("a response to an earlier request wasn't complete in time")
             connection.http = _connection_awaiting_answer(connection.http, head, request.body)
             answer = await self._read_head(connection, server, request)
         else:
@@ -315,7 +267,7 @@
         self, connection: HttpStream, server: BackendServer, request: Request
     ) -> Answer:
         while True:
-            event = await _receive(connection)
+            event = await receive(connection)
             if isinstance(event, h11.Response):
                 facts = self._dialect.decode_response(event.status_code, list(event.headers))
                 self.on_answer(server, facts.backpressure)
@@ -339,13 +291,6 @@
     return not is_reused or facts.is_sealed or answer.status >= NON_SUCCESS_STATUS
 
 
-def _timeout_error() -> AttemptUnknown:
-    """Return the error for an attempt that timed out waiting for data."""
-    error = AttemptUnknown(TIMEOUT_DETAIL)
-    error.is_timeout = True
-    return error
-
-
 def _not_sent_error() -> AttemptNotRun:
     """Return the error for an attempt whose time was over before the request could be sent."""
     error = AttemptNotRun("the wait ended before the request was sent")
@@ -362,28 +307,35 @@
     return error
 
 
-async def _receive(connection: HttpStream) -> h11.Event | type[h11.PAUSED]:
-    try:
-        event = await connection.receive()
-    except (ConnectionLost, h11.RemoteProtocolError) as cause:
-        raise AttemptUnknown(f"response interrupted: {cause}") from cause
-    if isinstance(event, h11.ConnectionClosed):
-        raise AttemptUnknown("connection closed before the end of the response")
-    return event
-
-
 async def _not_run_error(answer: Answer) -> AttemptNotRun:
     """Read the body of a response that proves that nothing ran, and return its error."""
-    # Neither the end of the wait nor a body that breaks off takes back what the header proves.
-    with suppress(AttemptUnknown), trio.move_on_after(0.1, shield=True):
-        await answer.read()
     refusal = AttemptNotRun(f"rejected by the server with status {answer.status}")
+    try:
+        with trio.CancelScope(shield=True):
+            await _discard(answer)
+    except AttemptUnknown as cause:
+        # Neither the end of the wait nor a broken body takes back what the header proves.
+        refusal.excess = cause.excess
     refusal.failed_server_address = answer.facts.failed_server_address
     # Asking for a cool-down is no more a sign of a fault than being at capacity.
     refusal.counts_against_server = not answer.facts.backpressure.cool_down_s
     return refusal
 
 
+async def _discard(answer: Answer) -> bool:
+    """Read a body that isn't used; return whether it was complete in time.
+
+    Raises
+    ------
+    AttemptUnknown
+        If it breaks off or is too long.
+    """
+    with trio.move_on_after(DISCARD_TIME_S):
+        await answer.read(max_bytes=MAX_DISCARDED_BYTES)
+        return True
+    return False
+
+
 def _connection_awaiting_answer(
     http: h11.Connection, head: h11.Request, body: bytes
 ) -> h11.Connection:
--- a/packages/proxy/src/sassafrastally/proxy/event_stream.py
+++ b/packages/proxy/src/sassafrastally/proxy/event_stream.py
@@ -4,8 +4,9 @@
 
 from typing import TYPE_CHECKING, NamedTuple
 
-from sassafrastally.core import MAX_EVENT_BYTES, EventBlocks, is_event_stream
+from sassafrastally.core import EventBlocks, is_event_stream
 from sassafrastally.proxy.body_framing import BodyFraming
+from sassafrastally.proxy.input_limits import MAX_EVENT_BYTES
 
 if TYPE_CHECKING:
     from sassafrastally.proxy.dialect import Headers
@@ -44,6 +45,11 @@
         """Bytes after the last complete event."""
         return self._blocks.rest
 
+    @property
+    def rest_bytes(self) -> int:
+        """Number of bytes after the last complete event."""
+        return self._blocks.rest_bytes
+
     def feed(self, data: bytes) -> list[StreamEvent]:
         """Add bytes and return the events that they complete.
 
--- a/packages/proxy/src/sassafrastally/proxy/http_stream.py
+++ b/packages/proxy/src/sassafrastally/proxy/http_stream.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import socket
 import struct
 from typing import TYPE_CHECKING
@@ -11,6 +12,17 @@
 
 from sassafrastally.core import CodedError, error
 from sassafrastally.proxy.cpu_overload import StepTimeout
+from sassafrastally.proxy.input_limits import (
+    MAX_HEAD_BYTES,
+    MAX_INTERIM_BYTES,
+    MAX_INTERIM_RESPONSES,
+    MAX_READ_EVENTS,
+    MAX_TRAILER_BYTES,
+    InputAccount,
+    InputBudget,
+    InputExcess,
+    InputPlace,
+)
 
 if TYPE_CHECKING:
     from sassafrastally.core import Address
@@ -36,6 +48,9 @@
 
 LINGER_OFF = struct.pack("ii", 0, 0)
 
+TOO_LONG_STATUS = 431
+"""Status that h11 proposes when an incomplete header exceeds its bound."""
+
 
 @error(10004)
 class ConnectionLost(CodedError):
@@ -45,6 +60,15 @@
     """Whether the host refused the connection because no process listens on the port."""
 
 
+@error(10008)
+class InputTooLong(ConnectionLost):
+    """A backend server sent more than the bound of a part of its response."""
+
+    def __init__(self, excess: InputExcess) -> None:
+        self.excess = excess
+        super().__init__(str(excess))
+
+
 class HttpStream:
     """A connection that sends and receives h11 events.
 
@@ -62,7 +86,7 @@
         self,
         stream: trio.abc.Stream,
         role: type[h11.CLIENT] | type[h11.SERVER],
-        header_bytes: int = 65_536,
+        header_bytes: int = MAX_HEAD_BYTES,
     ) -> None:
         self.stream = stream
         self.http = h11.Connection(role, max_incomplete_event_size=header_bytes)
@@ -70,31 +94,127 @@
         """Whether a write was cancelled: the peer lacks bytes that h11 counts as sent."""
         self.is_reused = False
         """Whether it has carried a response before."""
+        self.account = InputAccount(InputBudget())
+        """Where the bytes of incomplete events are counted."""
+        self.received_s = -math.inf
+        """When the last bytes were received."""
+        self._header_bytes = header_bytes
+        self._held_bytes = 0
+        self._has_uncounted_rest = False
+        """Whether what an event has left of the last read isn't counted yet."""
+        self._may_hold_line = False
+        """Whether the end of a line has been received that h11 may not have consumed."""
+        self._last_byte = b""
+        self._parsed_events = 0
+        """Number of events since other tasks could last run."""
+        self._interim_responses = 0
+        self._interim_bytes = 0
+
+    def charge(self, account: InputAccount) -> None:
+        """Count what is held of the next response in an account."""
+        self.account, self._held_bytes = account, 0
 
     async def receive(self) -> h11.Event | type[h11.PAUSED]:
-        """Return the next event.
+        """Return the next event; nothing is lost if it is cancelled.
 
         Raises
         ------
         ConnectionLost
             If the connection is reset.
+        InputTooLong
+            If a backend server exceeds a bound.
+        InputBudgetExceeded
+            If the reader has been ended for the sake of others.
         h11.RemoteProtocolError
             If the peer sends bytes that aren't valid HTTP.
         """
         while True:
-            event = self.http.next_event()
-            if event is h11.NEED_DATA:
-                await self.receive_bytes()
-            elif event is h11.PAUSED or isinstance(event, h11.Event):
+            if self._parsed_events >= MAX_READ_EVENTS:
+                # Tiny chunks would otherwise hold all other tasks until the socket is empty.
+                self._parsed_events = 0
+                await trio.lowlevel.checkpoint()
+            event = self._next_event()
+            if event is not None:
                 return event
+            await self.receive_bytes()
+
+    def _next_event(self) -> h11.Event | type[h11.PAUSED] | None:
+        """Return the next event, or ``None`` if more bytes are needed."""
+        is_body = self.http.their_state is h11.SEND_BODY
+        try:
+            event = self.http.next_event()
+        except h11.RemoteProtocolError as cause:
+            if cause.error_status_hint == TOO_LONG_STATUS and self.http.our_role is h11.CLIENT:
+                raise self._too_long(is_body=is_body) from cause
+            raise
+        if event is h11.PAUSED or isinstance(event, h11.Event):
+            self._parsed_events += 1
+            self._has_uncounted_rest = True
+            self._hold(0)
+            self._count_interim(event)
+            return event
+        if self._has_uncounted_rest:
+            self._has_uncounted_rest = False
+            rest = self.http.trailing_data[0]
+            self._hold(len(rest))
+            self._may_hold_line, self._last_byte = b"\r\n" in rest, rest[-1:]
+        if is_body and self._held_bytes and self.http.our_role is h11.CLIENT:
+            if self._may_hold_line and b"\r\n" in self.http.trailing_data[0]:
+                # In a body, h11 keeps whole lines only of trailers. Nothing uses them, and the body
+                # is complete without them (RFC 9112, section 8).
+                return h11.EndOfMessage()
+            self._may_hold_line = False
+            if self._held_bytes > MAX_TRAILER_BYTES:
+                raise self._too_long(is_body=True)
+        return None
+
+    def _too_long(self, *, is_body: bool) -> InputTooLong:
+        place = InputPlace.TRAILERS if is_body else InputPlace.HEADER
+        bound_bytes = MAX_TRAILER_BYTES if is_body else self._header_bytes
+        return InputTooLong(InputExcess(place, self._held_bytes, bound_bytes))
+
+    def _count_interim(self, event: h11.Event | type[h11.PAUSED]) -> None:
+        """Count interim responses up to the response; raises `InputTooLong`."""
+        if isinstance(event, h11.Response):
+            self._interim_responses = self._interim_bytes = 0
+        if not isinstance(event, h11.InformationalResponse):
+            return
+        self._interim_responses += 1
+        self._interim_bytes += sum(len(name) + len(value) for name, value in event.headers)
+        for place, amount, bound in (
+            (InputPlace.INTERIM, self._interim_responses, MAX_INTERIM_RESPONSES),
+            (InputPlace.INTERIM_HEADERS, self._interim_bytes, MAX_INTERIM_BYTES),
+        ):
+            if amount > bound:
+                raise InputTooLong(InputExcess(place, amount, bound))
+
+    def _hold(self, held_bytes: int) -> None:
+        """Record how many bytes of an incomplete event are held."""
+        if held_bytes != self._held_bytes:
+            added_bytes, self._held_bytes = held_bytes - self._held_bytes, held_bytes
+            self.account.add(added_bytes)
 
     async def receive_bytes(self) -> bool:
-        """Receive bytes, waiting if necessary; return ``False`` at the end of the stream."""
+        """Receive bytes, waiting if necessary; return ``False`` at the end of the stream.
+
+        Raises
+        ------
+        ConnectionLost
+            If the connection is reset.
+        InputBudgetExceeded
+            If the reader has been ended for the sake of others.
+        """
         try:
-            data = await self.stream.receive_some(RECEIVE_BYTES)
+            with self.account.reading():
+                data = await self.stream.receive_some(RECEIVE_BYTES)
         except (trio.BrokenResourceError, trio.ClosedResourceError) as cause:
             raise ConnectionLost(f"connection reset while reading: {cause!r}") from cause
+        self._parsed_events = 0
+        self.received_s = trio.current_time()
         self.http.receive_data(bytes(data))
+        self._may_hold_line |= b"\r\n" in self._last_byte + data[:1] or b"\r\n" in data
+        self._last_byte = bytes(data[-1:])
+        self._hold(self._held_bytes + len(data))
         return bool(data)
 
     async def send(self, *events: h11.Event) -> None:
--- a/packages/proxy/src/sassafrastally/proxy/input_limits/__init__.py
+++ b/packages/proxy/src/sassafrastally/proxy/input_limits/__init__.py
@@ -3,14 +3,18 @@
 from __future__ import annotations
 
 from sassafrastally.proxy.input_limits.bounds import (
+    DISCARD_TIME_S,
     MAX_BODY_BYTES,
     MAX_DISCARDED_BYTES,
     MAX_EVENT_BYTES,
     MAX_HEAD_BYTES,
+    MAX_IDLE_BYTES,
     MAX_INTERIM_BYTES,
     MAX_INTERIM_RESPONSES,
     MAX_READ_EVENTS,
     MAX_TRAILER_BYTES,
+    InputExcess,
+    InputPlace,
 )
 from sassafrastally.proxy.input_limits.held_input import HeldInput, most_held_bytes
 from sassafrastally.proxy.input_limits.input_budget import (
@@ -20,10 +24,12 @@
 )
 
 __all__ = [
+    "DISCARD_TIME_S",
     "MAX_BODY_BYTES",
     "MAX_DISCARDED_BYTES",
     "MAX_EVENT_BYTES",
     "MAX_HEAD_BYTES",
+    "MAX_IDLE_BYTES",
     "MAX_INTERIM_BYTES",
     "MAX_INTERIM_RESPONSES",
     "MAX_READ_EVENTS",
@@ -32,5 +38,7 @@
     "InputAccount",
     "InputBudget",
     "InputBudgetExceeded",
+    "InputExcess",
+    "InputPlace",
     "most_held_bytes",
 ]
--- a/packages/proxy/src/sassafrastally/proxy/input_limits/input_budget.py
+++ b/packages/proxy/src/sassafrastally/proxy/input_limits/input_budget.py
@@ -9,6 +9,7 @@
 import trio
 
 from sassafrastally.core import CodedError, error
+from sassafrastally.proxy.input_limits.bounds import InputExcess, InputPlace
 from sassafrastally.proxy.input_limits.held_input import HeldInput
 
 if TYPE_CHECKING:
@@ -19,8 +20,9 @@
 class InputBudgetExceeded(CodedError):
     """A reader held the most unfinished input when the budget of the process was exceeded."""
 
-    held_bytes = 0
-    """Number of bytes that it held."""
+    def __init__(self, held_bytes: int, most_bytes: float) -> None:
+        self.excess = InputExcess(InputPlace.ALL, held_bytes, int(most_bytes))
+        super().__init__(str(self.excess))
 
 
 class InputBudget:
@@ -93,14 +95,8 @@
 
     def check(self) -> None:
         """Raise `InputBudgetExceeded` if the reader has been ended."""
-        if not self.is_ended:
-            return
-        exceeded = InputBudgetExceeded(
-            f"{self.held_bytes} bytes held, the most when all readers together exceeded "
-            f"{self._budget.most_bytes:.0f}"
-        )
-        exceeded.held_bytes = self.held_bytes
-        raise exceeded
+        if self.is_ended:
+            raise InputBudgetExceeded(self.held_bytes, self._budget.most_bytes)
 
     @contextmanager
     def reading(self) -> Iterator[None]:
--- a/packages/proxy/src/sassafrastally/proxy/log_events/servers.py
+++ b/packages/proxy/src/sassafrastally/proxy/log_events/servers.py
@@ -172,3 +172,14 @@
     """Requests that this entry could have sent."""
     kept: int
     """Requests that it sent in the last second, and keeps for itself."""
+
+
+@event(10090, "warning")
+class ResponseTooLong(NamedTuple):
+    """A backend server's response was given up because a part of it exceeded a bound."""
+
+    server_id: str
+    place: str
+    """The part, with the unit of the amount and the bound."""
+    amount: int
+    bound: int
--- a/packages/proxy/src/sassafrastally/proxy/metrics.py
+++ b/packages/proxy/src/sassafrastally/proxy/metrics.py
@@ -35,6 +35,11 @@
 CALLERS_BLOCKED = counter(
     "proxy.callers.blocked", "1", "Callers disconnected because they didn't read their response."
 )
+INPUT_LIMITED = counter(
+    "proxy.input.limited",
+    "1",
+    "Responses of backend servers given up because they exceeded a bound, by what exceeded it.",
+)
 SUMS_FORWARDED = counter(
     "proxy.sums.forwarded", "1", "Sums of other data centres forwarded within the own one."
 )
--- a/packages/proxy/src/sassafrastally/proxy/path.py
+++ b/packages/proxy/src/sassafrastally/proxy/path.py
@@ -18,6 +18,7 @@
 from sassafrastally.proxy.fleet_view import FleetView
 from sassafrastally.proxy.http_stream import ConnectionLost
 from sassafrastally.proxy.ignored_fields import IgnoredFieldLog
+from sassafrastally.proxy.input_excess_log import InputExcessLog
 from sassafrastally.proxy.log_events import (
     CallerDisconnected,
     CallerLeft,
@@ -114,6 +115,7 @@
         quarantine = self.kernel.get("quarantine", QuarantineService)
         self._attempts.on_answer = backpressure.record_answer
         self._attempts.on_ignored_fields = IgnoredFieldLog(self.kernel.events.emit).record
+        self._attempts.on_excess = InputExcessLog(self.kernel.events.emit).record
         quarantine.on_verdict = lambda: fleet_view.waiting_attempts.cancel_quarantined(
             lambda subjects: quarantine.verdict(subjects) is not None
         )
--- a/packages/proxy/src/sassafrastally/proxy/streaming_request.py
+++ b/packages/proxy/src/sassafrastally/proxy/streaming_request.py
@@ -372,7 +372,8 @@
 
     async def _forward_failure(self, placement: Placement, answer: Answer) -> bool:
         """Forward an engine's error response; raises `AttemptUnknown` if it isn't forwarded."""
-        body = await answer.read()
+        limit_s = SILENCE_TIMEOUT_SHARE * self._caller_timeout_s
+        body = await answer.read(self._clock.now_s() + limit_s)
         if answer.status >= SERVER_ERROR_STATUS and self._can_fail_over():
             raise AttemptUnknown(f"the engine responded with status {answer.status}")
         if self._reply.has_begun:
--- a/packages/proxy/tests/test_input_limits.py
+++ b/packages/proxy/tests/test_input_limits.py
@@ -74,7 +74,7 @@
                     with account.reading():
                         await trio.sleep_forever()
                 except InputBudgetExceeded as cause:
-                    endings.append(cause.held_bytes)
+                    endings.append(cause.excess.amount)
 
         async with trio.open_nursery() as nursery:
             nursery.start_soon(read_slowly)
--- /dev/null
+++ b/packages/testing/tests/platform/test_endless_responses.py
@@ -0,0 +1,148 @@
+"""Backend servers that send bytes without end in their responses to requests."""
+
+from __future__ import annotations
+
+import pytest
+import trio
+
+from sassafrastally.proxy.attempt import TIMEOUT_DETAIL
+from sassafrastally.proxy.input_limits import InputPlace
+from sassafrastally.proxy.path import RequestPath
+from sassafrastally.stand_ins.connection_end import ConnectionEnd
+from sassafrastally.stand_ins.endless_bytes import (
+    STREAM_PLACES,
+    EndlessBytes,
+    EndlessPace,
+    EndlessPlace,
+)
+from sassafrastally.stand_ins.platform_fleet import attempt_failure_causes
+
+PROMPT = "1000,340"
+CALL_TIME_S = 6.0
+"""Longest time until a caller is answered; the stand-in of a caller allows 4 s."""
+
+EXCEEDED = {
+    EndlessPlace.HEADER_LINE: InputPlace.HEADER,
+    EndlessPlace.HEADER_FIELDS: InputPlace.HEADER,
+    EndlessPlace.INTERIM_RESPONSES: InputPlace.INTERIM,
+    EndlessPlace.EVENT: InputPlace.EVENT,
+    EndlessPlace.COMMENTS: InputPlace.BETWEEN_EVENTS,
+    EndlessPlace.REPEATED_EVENTS: InputPlace.BETWEEN_EVENTS,
+    EndlessPlace.BODY: InputPlace.BODY,
+    EndlessPlace.REJECTION_BODY: InputPlace.BODY,
+    EndlessPlace.FAILURE_BODY: InputPlace.BODY,
+}
+"""Bound that each place exceeds when the bytes come fast."""
+
+
+@pytest.fixture
+def seed():
+    """Seed of the network and of the order of tasks."""
+    return 1
+
+
+def fields_of(fleet, name: str) -> list[dict]:
+    """Return the fields of the log events of the first entry with a name."""
+    records = fleet.kernels[0].events.records()
+    return [record["fields"] for record in records if record["name"] == name]
+
+
+def held_bytes(fleet) -> int:
+    """Return the bytes of unfinished input that the first entry holds."""
+    path = fleet.kernels[0].get("path", RequestPath)
+    return path.services.attempt_sender.input_budget.held_bytes
+
+
+async def add_servers(fleet) -> None:
+    """Add an entry, two engines and two plain servers."""
+    for number in (1, 2):
+        await fleet.add_replica(f"engine-{number}")
+        await fleet.add_replica(f"desk-{number}", "desk")
+    await fleet.add_entry()
+
+
+async def call_both(fleet, place: EndlessPlace, calls: int) -> None:
+    """Check that all callers are answered, and that the entry holds nothing afterwards."""
+    for _ in range(calls):
+        with trio.fail_after(CALL_TIME_S):
+            answer = await fleet.call("/note/x", prompt=PROMPT)
+        assert (answer.status, answer.is_whole) == (200, True)
+        if place not in STREAM_PLACES:
+            with trio.fail_after(CALL_TIME_S):
+                assert (await fleet.call("/look/x")).status == 200
+    assert held_bytes(fleet) == 0
+
+
+class TestFastBytes:
+    """Bytes that come as fast as they are read, on real sockets."""
+
+    @pytest.mark.parametrize("place", EndlessPlace)
+    async def test_callers_are_answered_by_the_other_server(self, small_fleet, place):
+        """Guards against a server whose response never ends and that callers wait for, against the
+        memory that an entry would hold for it, and against an entry that does nothing else."""
+        for name in ("engine-1", "desk-1"):
+            small_fleet.replicas[name].endless = EndlessBytes(place, EndlessPace.FAST)
+        await call_both(small_fleet, place, 4)
+        logged = fields_of(small_fleet, "ResponseTooLong")
+        assert len({(one["server_id"], one["place"]) for one in logged}) == len(logged)
+        if place in EXCEEDED:
+            assert EXCEEDED[place].value in {one["place"] for one in logged}
+        assert TIMEOUT_DETAIL not in attempt_failure_causes(small_fleet.kernels[0])
+
+    async def test_request_that_may_have_run_is_answered_with_502(self, small_fleet):
+        """Guards against running a request twice because its response never ends."""
+        for name in ("desk-1", "desk-2"):
+            small_fleet.replicas[name].endless = EndlessBytes(EndlessPlace.BODY, EndlessPace.FAST)
+        with trio.fail_after(CALL_TIME_S):
+            assert (await small_fleet.call("/book/x")).status == 502
+        assert len(small_fleet.received_requests()) == 1
+
+    @pytest.mark.parametrize("pace", EndlessPace)
+    async def test_rejected_request_is_refused_as_not_run(self, small_fleet, pace):
+        """Guards against 502, or a late answer, for a request whose server has said that it didn't
+        run it."""
+        for name in ("desk-1", "desk-2"):
+            small_fleet.replicas[name].endless = EndlessBytes(EndlessPlace.REJECTION_BODY, pace)
+        with trio.fail_after(1.0):
+            answer = await small_fleet.call("/book/x")
+        assert answer.status == 503
+        assert b"turned-away" in answer.body
+
+
+class TestSlowBytes:
+    """Bytes that come in small pieces, 20 times a second, on the mock clock."""
+
+    @pytest.mark.parametrize("place", EndlessPlace)
+    async def test_callers_are_answered_by_the_other_server(
+        self, autojump_clock, seeded_fleet, place
+    ):
+        """Guards against time limits that bytes without an event or an end extend."""
+        await add_servers(seeded_fleet)
+        for name in ("engine-1", "desk-1"):
+            seeded_fleet.replicas[name].endless = EndlessBytes(place, EndlessPace.SLOW)
+        await call_both(seeded_fleet, place, 2)
+
+    @pytest.mark.parametrize(
+        "place",
+        [EndlessPlace.HEADER_LINE, EndlessPlace.EVENT, EndlessPlace.COMMENTS, EndlessPlace.BODY],
+    )
+    async def test_is_not_taken_for_silence(self, autojump_clock, seeded_fleet, place):
+        """Guards against leaving a server in use because its reports are sound: a server that sends
+        part of a response without end isn't silent."""
+        await add_servers(seeded_fleet)
+        endless = EndlessBytes(place, EndlessPace.SLOW)
+        for name in ("engine-1", "engine-2"):
+            seeded_fleet.replicas[name].endless = endless
+        await seeded_fleet.call("/note/x", prompt=PROMPT)
+        causes = attempt_failure_causes(seeded_fleet.kernels[0])
+        assert causes
+        assert TIMEOUT_DETAIL not in causes
+
+    async def test_silence_inside_an_event_is_silence(self, autojump_clock, seeded_fleet):
+        """Guards against counting a sound server that falls silent as one that fails."""
+        await add_servers(seeded_fleet)
+        for name in ("engine-1", "engine-2"):
+            replica = seeded_fleet.replicas[name]
+            replica.breaks_by, replica.breaks_after_events = ConnectionEnd.SILENCE, 2
+        await seeded_fleet.call("/note/x", prompt=PROMPT)
+        assert attempt_failure_causes(seeded_fleet.kernels[0])[0] == TIMEOUT_DETAIL
