End an attempt whose response leaves HTTP

What callers would see: an entry that answers nobody, for good. Cause: callers' CONNECT requests are forwarded; after a success for one, h11 returns PAUSED for ever, and the loops that wait for the header or the next chunk ask again without a checkpoint. Such a response is AttemptUnknown now.

A request with CONNECT to a route of a plain service was forwarded to both its servers. Ruled out: Upgrade, which isn't forwarded. Rejecting CONNECT at the caller's connection remains to be done.

--- a/packages/proxy/src/sassafrastally/proxy/answer.py
+++ b/packages/proxy/src/sassafrastally/proxy/answer.py
@@ -203,4 +203,6 @@
         raise AttemptUnknown(f"response interrupted: {cause}") from cause
     if isinstance(event, h11.ConnectionClosed):
         raise AttemptUnknown("connection closed before the end of the response")
+    if event is h11.PAUSED:
+        raise AttemptUnknown("the server left HTTP, as after a CONNECT request")
     return event
--- a/packages/testing/tests/platform/test_response_reading.py
+++ b/packages/testing/tests/platform/test_response_reading.py
@@ -450,6 +450,18 @@
         async with servers.attempt(respond) as answer:
             assert await answer.read() == b"ab\r\nc" * 20
 
+    async def test_response_that_opens_a_tunnel_is_rejected(self, autojump_clock, servers):
+        """Guards against an entry that is busy for good: after a success for CONNECT, the bytes are
+        no HTTP any more, and there is never a next part of the response."""
+
+        async def respond(stream: trio.abc.Stream) -> None:
+            await stream.receive_some(65_536)
+            await stream.send_all(STREAM_HEAD + b"x")
+
+        with pytest.raises(AttemptUnknown):
+            async with servers.attempt(respond, b"CONNECT") as answer:
+                await answer.read()
+
     @pytest.mark.parametrize("begin", [b"", CHUNKED_HEAD + b"2\r\n{}\r\n0\r\n"])
     async def test_copied_bytes_are_linear_in_a_section_that_drips(self, begin, monkeypatch):
         """Guards against copying all that is held at each byte that comes."""
