Check the end of a long plain response in parts

What callers would see: an entry that answers nobody for seconds. Cause: body_interruption split a whole event stream of up to megabytes at once, and built an object for each of its events. It reads 4 KB at a time now, with a checkpoint after each, as a function of answer_events.py, since event_stream.py does no I/O; plain_request.py awaits it.

Evidence: for 90,000 bytes in 30,000 events, other tasks ran 0 times before, at least 20 times now.

--- a/packages/proxy/src/sassafrastally/proxy/answer_events.py
+++ b/packages/proxy/src/sassafrastally/proxy/answer_events.py
@@ -19,6 +19,7 @@
 
 if TYPE_CHECKING:
     from sassafrastally.proxy.answer import Answer
+    from sassafrastally.proxy.body_framing import BodyFraming
 
 
 SPLIT_BYTES = 4096
@@ -147,3 +148,12 @@
         else:
             joined.append(StreamEvent(b"".join(event.data for event in group), None, False))
     return joined
+
+
+async def body_interruption(body: bytes, framing: BodyFraming) -> str:
+    """Return why an event stream that was read to its end isn't whole; empty if it is."""
+    splitter = EventSplitter(max_event_bytes=len(body))
+    for begin in range(0, len(body), SPLIT_BYTES):
+        splitter.feed(body[begin : begin + SPLIT_BYTES])
+        await trio.lowlevel.checkpoint()
+    return splitter.interruption(framing)
--- a/packages/proxy/src/sassafrastally/proxy/event_stream.py
+++ b/packages/proxy/src/sassafrastally/proxy/event_stream.py
@@ -103,13 +103,6 @@
     return by_default
 
 
-def body_interruption(body: bytes, framing: BodyFraming) -> str:
-    """Return why an event stream that was read to its end isn't whole; empty if it is."""
-    splitter = EventSplitter(max_event_bytes=len(body))
-    splitter.feed(body)
-    return splitter.interruption(framing)
-
-
 def _event_id(fields: list[tuple[bytes, bytes]]) -> int | None:
     """Return the number in the last id field; ``None`` if there is none."""
     ids = [value.strip() for name, value in fields if name == ID_FIELD]
--- a/packages/proxy/src/sassafrastally/proxy/plain_request.py
+++ b/packages/proxy/src/sassafrastally/proxy/plain_request.py
@@ -9,12 +9,13 @@
 import trio
 
 from sassafrastally.proxy.admission_queue import latest_start_s
+from sassafrastally.proxy.answer_events import body_interruption
 from sassafrastally.proxy.attempt import NON_SUCCESS_STATUS, AttemptNotRun, AttemptUnknown
 
 # Runtime import: BodyFraming is a field type of a named tuple.
 from sassafrastally.proxy.body_framing import BodyFraming
 from sassafrastally.proxy.cpu_overload import last_read_s
-from sassafrastally.proxy.event_stream import body_interruption, carries_events
+from sassafrastally.proxy.event_stream import carries_events
 from sassafrastally.proxy.load import InFlightAttempt, Lane
 from sassafrastally.proxy.model import RouteKind
 from sassafrastally.proxy.plain_placement import has_slot, place_plain
@@ -218,19 +219,19 @@
             async with self._send(terms, waiting, connect_until_s=waiting.deadline) as answer:
                 until_begun.close()
                 body = await answer.read(waiting.deadline)
-                self._require_end(answer, body)
+                await self._require_end(answer, body)
                 return BufferedResponse(
                     answer.status, answer.headers, body, server.server_id, answer.framing
                 )
 
-    def _require_end(self, answer: Answer, body: bytes) -> None:
+    async def _require_end(self, answer: Answer, body: bytes) -> None:
         """Raise `AttemptUnknown` if the body is an event stream that isn't whole."""
         is_stream = carries_events(
             answer.headers, by_default=self._task.route.kind is RouteKind.STREAM
         )
         if answer.status >= NON_SUCCESS_STATUS or not is_stream:
             return
-        if interruption := body_interruption(body, answer.framing):
+        if interruption := await body_interruption(body, answer.framing):
             raise AttemptUnknown(interruption)
 
     async def _forward(self, answer: BufferedResponse) -> None:
--- a/packages/testing/tests/platform/test_response_reading.py
+++ b/packages/testing/tests/platform/test_response_reading.py
@@ -11,7 +11,7 @@
 
 from sassafrastally.core import Address
 from sassafrastally.platform.adapter import PlatformDialect
-from sassafrastally.proxy.answer_events import SILENT_SHARE, AnswerEvents
+from sassafrastally.proxy.answer_events import SILENT_SHARE, AnswerEvents, body_interruption
 from sassafrastally.proxy.attempt import (
     Answer,
     AttemptNotRun,
@@ -19,6 +19,7 @@
     AttemptUnknown,
     Request,
 )
+from sassafrastally.proxy.body_framing import BodyFraming
 from sassafrastally.proxy.connection_pool import ConnectionPool
 from sassafrastally.proxy.http_stream import RECEIVE_BYTES, HttpStream
 from sassafrastally.proxy.input_limits import (
@@ -437,6 +438,22 @@
                 most = max(most, len(events))
         assert most <= 1400
 
+    async def test_check_of_a_stream_lets_other_tasks_run(self):
+        """Guards against an entry that is busy with the end of one long plain response."""
+        steps = 0
+
+        async def count() -> None:
+            nonlocal steps
+            while True:
+                await trio.lowlevel.checkpoint()
+                steps += 1
+
+        async with trio.open_nursery() as others:
+            others.start_soon(count)
+            assert not await body_interruption(b"x\n\n" * 30_000, BodyFraming.LENGTH)
+            others.cancel_scope.cancel()
+        assert steps >= 20
+
     async def test_chunks_that_drip_are_not_taken_for_trailers(self, autojump_clock, servers):
         """Guards against ending a body early because the end of a chunk's line has arrived."""
         body = b"5\r\nab\r\nc\r\n" * 20 + b"0\r\n\r\n"
