--- a/packages/proxy/src/sassafrastally/proxy/plain_request.py
+++ b/packages/proxy/src/sassafrastally/proxy/plain_request.py
@@ -7,12 +7,13 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from sassafrastally.proxy.admission_queue import latest_start_s
+from sassafrastally.proxy.answer_events import body_interruption
 from sassafrastally.proxy.attempt import NON_SUCCESS_STATUS, AttemptNotRun, AttemptUnknown
 
 # Runtime import: BodyFraming is a field type of a named tuple.
 from sassafrastally.proxy.body_framing import BodyFraming
 from sassafrastally.proxy.cpu_overload import last_read_s
-from sassafrastally.proxy.event_stream import body_interruption, carries_events
+from sassafrastally.proxy.event_stream import carries_events
 from sassafrastally.proxy.failover_decision import Obstacle
 from sassafrastally.proxy.load import InFlightAttempt, Lane
 from sassafrastally.proxy.model import RouteKind
@@ -233,21 +234,21 @@
             async with self._send(terms, wait, connect_until_s) as answer:
                 until_begun.close()
                 self._successor = None  # The response began before the wait was cancelled.
-                with wait.awaited():
+                with wait.awaited(answer):
                     body = await answer.read()
-                self._require_end(answer, body)
+                await self._require_end(answer, body)
                 return BufferedResponse(
                     answer.status, answer.headers, body, server.server_id, answer.framing
                 )
 
-    def _require_end(self, answer: Answer, body: bytes) -> None:
+    async def _require_end(self, answer: Answer, body: bytes) -> None:
         """Raise `AttemptUnknown` if the body is an event stream that isn't whole."""
         is_stream = carries_events(
             answer.headers, by_default=self._task.route.kind is RouteKind.STREAM
         )
         if answer.status >= NON_SUCCESS_STATUS or not is_stream:
             return
-        if interruption := body_interruption(body, answer.framing):
+        if interruption := await body_interruption(body, answer.framing):
             raise AttemptUnknown(interruption)
 
     async def _forward(self, answer: BufferedResponse) -> None:
--- a/packages/proxy/src/sassafrastally/proxy/silence_watch.py
+++ b/packages/proxy/src/sassafrastally/proxy/silence_watch.py
@@ -7,13 +7,15 @@
 
 import trio
 
-from sassafrastally.proxy.attempt import TIMEOUT_DETAIL, AttemptUnknown
+from sassafrastally.proxy.answer import AttemptUnknown, timeout_error
+from sassafrastally.proxy.answer_events import NO_EVENT_DETAIL, SILENT_SHARE
 from sassafrastally.proxy.cpu_overload import due_after_delay_s, last_read_s
 from sassafrastally.proxy.failover_decision import RECHECK_INTERVAL_S, Silence, next_check_s
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
 
+    from sassafrastally.proxy.answer import Answer
     from sassafrastally.proxy.containment import Containment
 
 
@@ -53,8 +55,8 @@
         self._limit_s = self.event_limit_s
 
     @contextmanager
-    def awaited(self) -> Iterator[None]:
-        """Wait for more of the response in the block.
+    def awaited(self, answer: Answer) -> Iterator[None]:
+        """Wait for more of a response in the block.
 
         Only this wait is cancelled, and only its time counts. A write to the caller cancelled
         halfway would leave a partial chunk on the connection, followed by the bytes of the next
@@ -63,7 +65,8 @@
         Raises
         ------
         AttemptUnknown
-            If another server takes over.
+            If another server takes over; not as a timeout if bytes keep coming, since the server
+            isn't silent then.
         """
         if self._paused_s is not None:
             self._silent_since_s += trio.current_time() - self._paused_s
@@ -72,9 +75,9 @@
             yield
         self._paused_s = trio.current_time()
         if self.scope.cancelled_caught:
-            error = AttemptUnknown(TIMEOUT_DETAIL)
-            error.is_timeout = True
-            raise error
+            if trio.current_time() - answer.received_s < SILENT_SHARE * self._limit_s:
+                raise AttemptUnknown(NO_EVENT_DETAIL)
+            raise timeout_error()
 
     def silence(self, now_s: float) -> Silence:
         """Return how long the server has been silent."""
--- a/packages/proxy/src/sassafrastally/proxy/streaming_request.py
+++ b/packages/proxy/src/sassafrastally/proxy/streaming_request.py
@@ -379,7 +379,7 @@
         self, placement: Placement, wait: ServerWait, answer: Answer
     ) -> bool:
         """Forward an engine's error response; raises `AttemptUnknown` if it isn't forwarded."""
-        with wait.awaited():
+        with wait.awaited(answer):
             body = await answer.read()
         if answer.status >= SERVER_ERROR_STATUS:
             obstacle = self._claim_successor()
@@ -406,7 +406,7 @@
         slow_event_s = slow_event_time_s(self._profile)
         waiting_since_s = self._clock.now_s()
         while True:
-            with wait.awaited():
+            with wait.awaited(answer):
                 events = await stream.read(math.inf)
             self._successor = None  # The events arrived before the wait was cancelled.
             if events is None:
