--- a/packages/proxy/src/sassafrastally/proxy/event_stream.py
+++ b/packages/proxy/src/sassafrastally/proxy/event_stream.py
@@ -4,8 +4,9 @@
 
 from typing import TYPE_CHECKING, NamedTuple
 
-from sassafrastally.core import MAX_EVENT_BYTES, EventBlocks, is_event_stream
+from sassafrastally.core import EventBlocks, is_event_stream
 from sassafrastally.proxy.body_framing import BodyFraming
+from sassafrastally.proxy.input_limits import MAX_EVENT_BYTES
 
 if TYPE_CHECKING:
     from sassafrastally.proxy.dialect import Headers
@@ -44,6 +45,11 @@
         """Bytes after the last complete event."""
         return self._blocks.rest
 
+    @property
+    def rest_bytes(self) -> int:
+        """Number of bytes after the last complete event."""
+        return self._blocks.rest_bytes
+
     def feed(self, data: bytes) -> list[StreamEvent]:
         """Add bytes and return the events that they complete.
 
@@ -97,13 +103,6 @@
     return by_default
 
 
-def body_interruption(body: bytes, framing: BodyFraming) -> str:
-    """Return why an event stream that was read to its end isn't whole; empty if it is."""
-    splitter = EventSplitter(max_event_bytes=len(body))
-    splitter.feed(body)
-    return splitter.interruption(framing)
-
-
 def _event_id(fields: list[tuple[bytes, bytes]]) -> int | None:
     """Return the number in the last id field; ``None`` if there is none."""
     ids = [value.strip() for name, value in fields if name == ID_FIELD]
