--- a/packages/proxy/src/sassafrastally/proxy/quarantine.py
+++ b/packages/proxy/src/sassafrastally/proxy/quarantine.py
@@ -20,14 +20,8 @@
 
 from sassafrastally.proxy.crash_records import PRESUMED_CRASH_KEPT_S, Crash, CrashRecords
 from sassafrastally.proxy.fingerprint import is_part
-from sassafrastally.proxy.part_causes import (
-    CRASHES_FOR_VERDICT,
-    MIN_NARROWER_CRASHES,
-    CarriedParts,
-    PartEvidence,
-    companions_of,
-    is_cause,
-)
+from sassafrastally.proxy.part_causes import CRASHES_FOR_VERDICT, CarriedParts
+from sassafrastally.proxy.part_judge import PartJudge
 from sassafrastally.proxy.part_trials import TRIAL_AFTER_S, Turn, is_trial_crash, trial_due_s
 from sassafrastally.proxy.quarantine_exchange import EMPTY_REPORT, QuarantineReport, VerdictReport
 from sassafrastally.proxy.verdicts import REPORTS_FRESH_S, Lifted, Verdict, Verdicts
@@ -52,7 +46,8 @@
         self._cases = CrashRecords()
         self._carried = CarriedParts()
         self._verdicts = Verdicts(self._cases)
-        self._verdicts.on_review = self._drop_companions
+        self._parts = PartJudge(self._cases, self._carried, self._verdicts)
+        self._verdicts.on_review = self._parts.drop_companions
 
     def __len__(self) -> int:
         return len(self._verdicts)
@@ -349,47 +344,17 @@
                 return None
             for_s, crashes = QUARANTINE_S, len(self._cases.servers(part))
             return self._quarantine(part, now_s, for_s, crashes, companions=ended.companions)
-        if len(self._cases.servers(part)) < CRASHES_FOR_VERDICT:
+        finding = self._parts.find(part, now_s)
+        if finding is None:
             return None
-        beside = self._cases.parts_on(self._cases.servers(part), MIN_NARROWER_CRASHES)
-        for is_certain in (True, False) if known is None else (True,):
-            evidence = self._evidence(beside, now_s, is_certain=is_certain)
-            if is_cause(part, evidence, self._cases.is_covered_by_request):
-                return self._quarantine(
-                    part,
-                    now_s,
-                    QUARANTINE_S if is_certain else PRESUMED_CRASH_KEPT_S,
-                    evidence[part].crashes,
-                    is_presumed=not is_certain,
-                    companions=companions_of(part, evidence, self._carried.get(part)),
-                )
-        return None
-
-    def _drop_companions(self, now_s: float) -> None:
-        """Drop companions without which a server crashed, unless other parts explain the crash."""
-        for verdict in list(self._verdicts):
-            part = verdict.subject
-            if not verdict.companions or self._verdicts.is_explained_by_parts(part):
-                continue
-            if self._cases.settled_servers(part, now_s) != self._cases.servers(part):
-                continue
-            evidence = self._evidence([part, *verdict.companions], now_s, is_certain=True)
-            kept = companions_of(part, evidence, self._carried.get(part))
-            self._verdicts.keep_companions(part, kept, now_s)
-
-    def _evidence(
-        self, parts: Collection[int], now_s: float, *, is_certain: bool
-    ) -> dict[int, PartEvidence]:
-        """Return what speaks against parts."""
-        return {
-            one: PartEvidence(
-                frozenset(self._cases.counted(one, now_s, is_certain=is_certain)),
-                self._cases.count(one, now_s, is_certain=is_certain),
-                self._cases.answered.was_answered(one),
-                self._verdicts.certain(one),
-            )
-            for one in parts
-        }
+        return self._quarantine(
+            part,
+            now_s,
+            PRESUMED_CRASH_KEPT_S if finding.is_presumed else QUARANTINE_S,
+            finding.crashes,
+            is_presumed=finding.is_presumed,
+            companions=finding.companions,
+        )
 
     def _beside(self, subject: int, now_s: float) -> list[int]:
         if is_part(subject) and not self.crash_count(subject, now_s, [subject]):
