Log on which basis a prompt part is quarantined

PromptPartQuarantined names the other parts with which the same servers crashed, and how long the entry has known of the last crash.

--- a/packages/proxy/src/sassafrastally/proxy/crash_records.py
+++ b/packages/proxy/src/sassafrastally/proxy/crash_records.py
@@ -97,6 +97,11 @@
             if now_s - crash.received_s >= SETTLED_S
         }
 
+    def latest_record_age_s(self, subject: int, now_s: float) -> float:
+        """Return the time since this entry learned of a subject's last crash; 0 without any."""
+        crashes = self._crashes.get(subject, {}).values()
+        return now_s - max((crash.received_s for crash in crashes), default=now_s)
+
     def has_crashed(self, server: int, subject: int) -> bool:
         """Return whether a server crashed while it ran a subject."""
         return server in self._crashes.get(subject, ())
--- a/packages/proxy/src/sassafrastally/proxy/log_events/quarantine.py
+++ b/packages/proxy/src/sassafrastally/proxy/log_events/quarantine.py
@@ -33,6 +33,11 @@
     for_s: float
     source: str
     """Source of the last crash report: this entry or another one."""
+    beside: tuple[str, ...]
+    """Keys of other parts, without a verdict, with which at least two of these servers crashed."""
+    latest_record_age_s: float
+    """Time since this entry learned of the last of these crashes. Within some 20 ms other entries
+    may not have told all about it."""
 
 
 @event(10078)
--- a/packages/proxy/src/sassafrastally/proxy/part_judge.py
+++ b/packages/proxy/src/sassafrastally/proxy/part_judge.py
@@ -19,6 +19,9 @@
     from sassafrastally.proxy.part_causes import CarriedParts
     from sassafrastally.proxy.verdicts import Verdicts
 
+MAX_BESIDE = 8
+"""Maximum number of parts that a log line names."""
+
 
 class PartFinding(NamedTuple):
     """A part is the cause of crashes."""
@@ -31,6 +34,15 @@
     """Keys of further parts that a request must have."""
 
 
+class PartBasis(NamedTuple):
+    """What is known about the crashes of a part, for the log."""
+
+    beside: tuple[int, ...]
+    """Other parts, without a verdict, with which at least two of the servers crashed."""
+    latest_record_age_s: float
+    """Time since this entry learned of the last crash; 0 if it knows of none."""
+
+
 class PartJudge:
     """Judges parts.
 
@@ -64,6 +76,20 @@
                 return PartFinding(evidence[part].crashes, is_presumed, companions)
         return None
 
+    def basis(self, part: int, now_s: float) -> PartBasis:
+        """Return what is known about the crashes of a part."""
+        servers = self._cases.servers(part)
+        beside = [
+            one
+            for one in self._cases.parts_on(servers, MIN_NARROWER_CRASHES)
+            if one != part
+            and one not in self._verdicts
+            and len(self._cases.servers(one) & servers) >= MIN_NARROWER_CRASHES
+        ]
+        return PartBasis(
+            tuple(sorted(beside)[:MAX_BESIDE]), self._cases.latest_record_age_s(part, now_s)
+        )
+
     def drop_companions(self, now_s: float) -> None:
         """Drop companions without which a server crashed, unless other parts explain the crash."""
         for verdict in list(self._verdicts):
--- a/packages/proxy/src/sassafrastally/proxy/quarantine.py
+++ b/packages/proxy/src/sassafrastally/proxy/quarantine.py
@@ -30,6 +30,7 @@
     from collections.abc import Callable, Collection, Iterable
 
     from sassafrastally.proxy.fingerprint import Subjects
+    from sassafrastally.proxy.part_judge import PartBasis
 
 QUARANTINE_S = 600.0
 """How long a request is quarantined. A wrong verdict expires within this time; when a right one
@@ -116,6 +117,10 @@
         self._verdicts.end_due(now_s)
         return self._verdicts.get(subject)
 
+    def part_basis(self, part: int, now_s: float) -> PartBasis:
+        """Return what is known about the crashes of a part, for the log."""
+        return self._parts.basis(part, now_s)
+
     def verdicts(self, now_s: float) -> list[Verdict]:
         """Return the verdicts in force."""
         self._verdicts.end_due(now_s)
--- a/packages/proxy/src/sassafrastally/proxy/quarantine_service.py
+++ b/packages/proxy/src/sassafrastally/proxy/quarantine_service.py
@@ -233,8 +233,11 @@
         text, crashes = fingerprint_text(verdict.subject), verdict.crashes
         for_s = round(verdict.until_s - self._now_s, 1)
         if is_part(verdict.subject):
-            companions = tuple(fingerprint_text(one) for one in verdict.companions)
-            self.kernel.events.emit(PromptPartQuarantined(text, companions, crashes, for_s, source))
+            self.kernel.events.emit(
+                PromptPartQuarantined(
+                    text, _texts(verdict.companions), crashes, for_s, source, *self._basis(verdict)
+                )
+            )
         else:
             self.kernel.events.emit(RequestQuarantined(text, crashes, for_s, source))
         if not verdict.is_presumed:
@@ -243,6 +246,11 @@
         if self.on_verdict is not None:
             self.on_verdict()
 
+    def _basis(self, verdict: Verdict) -> tuple[tuple[str, ...], float]:
+        """Return the logged basis of a verdict on a part."""
+        basis = self._quarantine.part_basis(verdict.subject, self._now_s)
+        return _texts(basis.beside), round(basis.latest_record_age_s, 3)
+
     def _record_lifted(self, subject: int, reason: str) -> None:
         self._due_s.pop(subject, None)
         self.kernel.events.emit(QuarantineLifted(fingerprint_text(subject), reason))
@@ -327,3 +335,8 @@
                 if not self._cluster_state.has_key(self._key(verdict.subject)):
                     self._due_s.setdefault(verdict.subject, self._peer_verdict_due_s())
                     self._news.set()
+
+
+def _texts(parts: tuple[int, ...]) -> tuple[str, ...]:
+    """Return the texts of the keys of parts."""
+    return tuple(fingerprint_text(part) for part in parts)
