--- a/packages/proxy/src/sassafrastally/proxy/crash_detector.py
+++ b/packages/proxy/src/sassafrastally/proxy/crash_detector.py
@@ -120,7 +120,7 @@
             await is_known.wait()
         if self._quarantine.crash_count(task.subjects):
             # Waits until the entries have exchanged which of their requests ran on that server.
-            await trio.sleep(self._quarantine.update_age_s)
+            await trio.sleep(self._quarantine.time_to_judgement_s(task.subjects))
 
     def record_missing_answer(
         self, server: BackendServer, task: RequestTask, answer: AnswerProgress
--- a/packages/proxy/src/sassafrastally/proxy/crash_records.py
+++ b/packages/proxy/src/sassafrastally/proxy/crash_records.py
@@ -14,7 +14,7 @@
 from sassafrastally.proxy.quarantine_exchange import AnswerReport, CrashReport
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable, Iterator
+    from collections.abc import Callable, Collection, Iterable, Iterator
 
 CRASH_KEPT_S = 600.0
 """How long a crash counts against a subject. A harmful request is retried within seconds or
@@ -37,6 +37,10 @@
 """Time after which other entries have told which subjects ran on a crashed server: each datagram
 repeats new records for as long."""
 
+RECORDS_EXCHANGED_S = 0.08
+"""Time after which other entries have usually told this. A busy entry sends its records some 40 ms
+after it has read that its answers broke off."""
+
 MAX_CASES = 1024
 """Maximum number of subjects whose crashes are kept; beyond it, those with the fewest crashes are
 evicted, the oldest first."""
@@ -97,6 +101,33 @@
             if now_s - crash.received_s >= SETTLED_S
         }
 
+    def learned_s(
+        self,
+        subject: int,
+        now_s: float,
+        crashes: int,
+        is_explained: Callable[[int], bool],
+        *,
+        is_certain: bool,
+    ) -> float:
+        """Return when this entry had learned of some number of crashes; infinity if it hasn't.
+
+        Crashes are counted as in `count`.
+        """
+        counted = self.counted(subject, now_s, is_explained, is_certain=is_certain)
+        received_s = {server: self._crashes[subject][server].received_s for server in counted}
+        for latest_s in sorted(received_s.values()):
+            known = [at_s for server, at_s in counted.items() if received_s[server] <= latest_s]
+            if self._count(subject, known) >= crashes:
+                return latest_s
+        return float("inf")
+
+    def is_latest_own(self, subject: int) -> bool:
+        """Return whether this entry has observed the crash of which it learned last."""
+        crashes = self._crashes.get(subject, {}).values()
+        latest = max(crashes, key=lambda crash: crash.received_s, default=None)
+        return latest is not None and latest.is_own
+
     def latest_record_age_s(self, subject: int, now_s: float) -> float:
         """Return the time since this entry learned of a subject's last crash; 0 without any."""
         crashes = self._crashes.get(subject, {}).values()
@@ -178,11 +209,7 @@
     ) -> int:
         """Return how many crashes count against a subject; parameters as for `counted`."""
         counted = self.counted(subject, now_s, is_explained, is_certain=is_certain)
-        if self.answered.was_answered(subject):
-            return _count_separate(counted.values(), SAME_EVENT_S)
-        if is_part(subject):
-            return _count_separate(counted.values(), SAME_PART_EVENT_S)
-        return len(counted)
+        return self._count(subject, counted.values())
 
     def record_crash(self, subject: int, server: int, crash: Crash) -> bool:
         """Record that a server crashed while it ran a subject; return whether this is new.
@@ -276,6 +303,14 @@
         ranked = sorted(found, key=lambda report: report.age_s)
         return self._first_and_turns(ranked, MAX_ANSWERS_SENT, is_crash=False)
 
+    def _count(self, subject: int, times_s: Collection[float]) -> int:
+        """Count crashes of a subject, those of the same event once."""
+        if self.answered.was_answered(subject):
+            return _count_separate(times_s, SAME_EVENT_S)
+        if is_part(subject):
+            return _count_separate(times_s, SAME_PART_EVENT_S)
+        return len(times_s)
+
     def _evictable(self, is_protected: Callable[[int], bool]) -> Iterator[int]:
         return (key for key in self._crashes if not is_protected(key))
 
--- a/packages/proxy/src/sassafrastally/proxy/quarantine.py
+++ b/packages/proxy/src/sassafrastally/proxy/quarantine.py
@@ -24,13 +24,18 @@
 from sassafrastally.proxy.part_judge import PartJudge
 from sassafrastally.proxy.part_trials import TRIAL_AFTER_S, Turn, is_trial_crash, trial_due_s
 from sassafrastally.proxy.quarantine_exchange import EMPTY_REPORT, QuarantineReport, VerdictReport
-from sassafrastally.proxy.verdicts import REPORTS_FRESH_S, Lifted, Verdict, Verdicts
+from sassafrastally.proxy.verdicts import (
+    REPORTS_FRESH_S,
+    LateVerdict,
+    Lifted,
+    Verdict,
+    Verdicts,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Collection, Iterable
 
     from sassafrastally.proxy.fingerprint import Subjects
-    from sassafrastally.proxy.part_judge import PartBasis
 
 QUARANTINE_S = 600.0
 """How long a request is quarantined. A wrong verdict expires within this time; when a right one
@@ -47,8 +52,11 @@
         self._cases = CrashRecords()
         self._carried = CarriedParts()
         self._verdicts = Verdicts(self._cases)
-        self._parts = PartJudge(self._cases, self._carried, self._verdicts)
-        self._verdicts.on_review = self._parts.drop_companions
+        self.parts = PartJudge(self._cases, self._carried, self._verdicts)
+        """Judges parts; `judge_settled` is due when it says so."""
+        self._verdicts.on_review = self.parts.drop_companions
+        self._late: list[LateVerdict] = []
+        """Verdicts reached when the records had settled, not yet returned by `judge_settled`."""
 
     def __len__(self) -> int:
         return len(self._verdicts)
@@ -74,9 +82,9 @@
         tried
             Part whose verdict doesn't apply, as the request is its trial.
         """
-        if not len(self._verdicts):
+        if not len(self._verdicts) and self.parts.due_s > now_s:
             return None
-        self._verdicts.end_due(now_s)
+        self._update(now_s)
         for one in (subject, *parts):
             verdict = self._verdicts.get(one)
             if verdict is not None and one != tried and verdict.covers(parts):
@@ -114,16 +122,12 @@
 
     def verdict_on(self, subject: int, now_s: float) -> Verdict | None:
         """Return the verdict in force on a subject, whatever else it requires."""
-        self._verdicts.end_due(now_s)
+        self._update(now_s)
         return self._verdicts.get(subject)
 
-    def part_basis(self, part: int, now_s: float) -> PartBasis:
-        """Return what is known about the crashes of a part, for the log."""
-        return self._parts.basis(part, now_s)
-
     def verdicts(self, now_s: float) -> list[Verdict]:
         """Return the verdicts in force."""
-        self._verdicts.end_due(now_s)
+        self._update(now_s)
         return list(self._verdicts)
 
     def crash_count(self, subject: int, now_s: float, parts: Collection[int] = ()) -> int:
@@ -177,6 +181,7 @@
         is_presumed
             Whether it isn't certain yet that the server has crashed.
         """
+        self._update(now_s)
         crash = Crash(now_s - age_s, now_s, is_own, is_presumed)
         verdicts = self._judge([subject], now_s) if self._add(subject, server, crash) else []
         return verdicts[0] if verdicts else None
@@ -199,7 +204,8 @@
         server, now_s, age_s, is_presumed
             As for `record_crash`.
         """
-        self._carried.record(subjects.parts)
+        self._update(now_s)
+        self._carried.record(subjects)
         crash = Crash(now_s - age_s, now_s, True, is_presumed)
         suspects = (subjects.fingerprint, *subjects.parts)
         return self._judge([one for one in suspects if self._add(one, server, crash)], now_s)
@@ -233,7 +239,7 @@
         know how long it has been in force.
         """
         left_s = min(received.left_s, QUARANTINE_S)
-        self._verdicts.end_due(now_s)
+        self._update(now_s)
         known = self._verdicts.get(received.subject)
         if known is not None and not known.is_presumed:
             self._verdicts.shorten(received.subject, now_s + left_s)
@@ -271,6 +277,7 @@
         includes_peers
             Whether to include records received from peers, on behalf of a data centre.
         """
+        self._update(now_s)
         max_age_s = REPORTS_REPEATED_S if is_full else REPORTS_FRESH_S
         report = QuarantineReport(
             self._cases.crashes_to_send(now_s, max_age_s, includes_peers=includes_peers),
@@ -281,6 +288,7 @@
 
     def apply(self, report: QuarantineReport, now_s: float) -> list[Verdict]:
         """Apply the records received from a peer; return the new verdicts."""
+        self._update(now_s)
         for answer in report.answers:
             self._apply_answer(answer.subject, now_s - answer.age_s, now_s)
         crashed = [
@@ -298,12 +306,28 @@
             *(verdict for verdict in found if verdict is not None),
         ]
 
+    def judge_settled(self, now_s: float) -> list[LateVerdict]:
+        """Judge the parts whose records have settled; return the verdicts since the last call."""
+        self._update(now_s)
+        late, self._late = self._late, []
+        return late
+
     def forget_old(self, now_s: float) -> list[Lifted]:
         """Drop crashes that no longer count; return the verdicts ended since the last call."""
-        self._verdicts.end_due(now_s)
+        self._update(now_s)
         self._cases.forget_old(now_s)
         return self._verdicts.pop_lifted()
 
+    def _update(self, now_s: float) -> None:
+        """End the verdicts that expire, and judge the parts whose records have settled."""
+        for due_s, part in self.parts.pop_due(now_s):
+            self._verdicts.end_due(due_s)
+            if self._verdicts.ended(part) is not None:
+                continue  # Only a further crash brings a verdict back.
+            if (verdict := self._judge_part(part, due_s)) is not None:
+                self._late.append(LateVerdict(verdict, self._cases.is_latest_own(part)))
+        self._verdicts.end_due(now_s)
+
     def _add(self, subject: int, server: int, crash: Crash) -> bool:
         """Record a crash; return whether it is new."""
         if not self._cases.record_crash(subject, server, crash):
@@ -316,7 +340,6 @@
 
     def _judge(self, subjects: Iterable[int], now_s: float) -> list[Verdict]:
         """Return the new verdicts on subjects with new crashes, the narrowest explanation first."""
-        self._verdicts.end_due(now_s)
         ranked = sorted(subjects, key=lambda one: (is_part(one), len(self._cases.servers(one))))
         verdicts = (
             self._judge_part(one, now_s) if is_part(one) else self._judge_request(one, now_s)
@@ -349,7 +372,7 @@
                 return None
             for_s, crashes = QUARANTINE_S, len(self._cases.servers(part))
             return self._quarantine(part, now_s, for_s, crashes, companions=ended.companions)
-        finding = self._parts.find(part, now_s)
+        finding = self.parts.find(part, now_s)
         if finding is None:
             return None
         return self._quarantine(
--- a/packages/proxy/src/sassafrastally/proxy/quarantine_service.py
+++ b/packages/proxy/src/sassafrastally/proxy/quarantine_service.py
@@ -24,6 +24,7 @@
 from sassafrastally.proxy.peers import Peers
 from sassafrastally.proxy.quarantine import Quarantine
 from sassafrastally.proxy.quarantine_records import decode_record, encode_record
+from sassafrastally.proxy.verdicts import NEVER_S
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
@@ -78,6 +79,7 @@
         self._due_s: dict[int, float] = {}
         """When to write or remove the record of each subject."""
         self._news = trio.Event()
+        self._has_crash = trio.Event()
         self.on_verdict: Callable[[], None] | None = None
         """Called after each new verdict."""
 
@@ -86,12 +88,14 @@
         self._cluster_state = self.kernel.get("beliefs", ClusterState)
         self._peers = self.kernel.get("peers", Peers)
         self._peers.quarantine = self
+        self._quarantine.parts.started_s = self._now_s
         self._cluster_state.on_quarantine_record = self._apply_record
         for record in self._cluster_state.quarantine_records():
             self._apply_record(record)
         recording = Containment(self.kernel, "records of the quarantine")
         nursery.start_soon(recording.restart, self._record)
         nursery.start_soon(recording.restart, self._clean_up)
+        nursery.start_soon(recording.restart, self._judge_settled)
 
     @property
     def count(self) -> int:
@@ -124,10 +128,17 @@
         """Return how many crashes count against a request or a part of its prompt."""
         return self._quarantine.crash_count(subjects.fingerprint, self._now_s, subjects.parts)
 
-    @property
-    def update_age_s(self) -> float:
-        """Maximum time until nearby entries know of each other's crash records."""
-        return self._peers.update_age_s
+    def time_to_judgement_s(self, subjects: Subjects) -> float:
+        """Return the time until a crash of a server that ran a request has been judged.
+
+        That is when nearby entries know of each other's crash records, and no part of the prompt is
+        to be judged later.
+        """
+        now_s = self._now_s
+        return max(
+            self._peers.update_age_s,
+            self._quarantine.parts.last_due_s(subjects.parts, now_s) - now_s,
+        )
 
     def crash_counts_with(self, subjects: Subjects) -> dict[int, int]:
         """Return crash counts of a request and of those that ran on the same crashed servers."""
@@ -163,6 +174,7 @@
         )
         for verdict in verdicts:
             self._record_verdict(verdict, "own", self._now_s)
+        self._has_crash.set()
         self._peers.send_now()
 
     def record_answered(
@@ -201,6 +213,8 @@
         quarantined = self._quarantined()
         for verdict in self._quarantine.apply(report, self._now_s):
             self._record_verdict(verdict, "peer", self._peer_verdict_due_s())
+        if report.crashes:
+            self._has_crash.set()
         answered = (answer.subject for answer in report.answers)
         for subject in quarantined.intersection(answered) - self._quarantined():
             self._record_lifted(subject, "a server answered it for a peer")
@@ -248,7 +262,7 @@
 
     def _basis(self, verdict: Verdict) -> tuple[tuple[str, ...], float]:
         """Return the logged basis of a verdict on a part."""
-        basis = self._quarantine.part_basis(verdict.subject, self._now_s)
+        basis = self._quarantine.parts.basis(verdict.subject, self._now_s)
         return _texts(basis.beside), round(basis.latest_record_age_s, 3)
 
     def _record_lifted(self, subject: int, reason: str) -> None:
@@ -325,6 +339,21 @@
         value = encode_record(verdict, self.kernel.vm)
         await self._store.write([KvWrite(key, value, KEY_ABSENT, lease.lease_id)], lease)
 
+    async def _judge_settled(self) -> None:
+        """Judge parts as soon as other entries have told about their crashes."""
+        while True:
+            for verdict, is_own in self._quarantine.judge_settled(self._now_s):
+                source = "own" if is_own else "peer"
+                record_due_s = self._now_s if is_own else self._peer_verdict_due_s()
+                self._record_verdict(verdict, source, record_due_s)
+                self._peers.send_now()
+            due_s = self._quarantine.parts.due_s
+            if due_s == NEVER_S:
+                self._has_crash = trio.Event()
+                await self._has_crash.wait()
+            else:
+                await trio.sleep(max(0.0, due_s - self._now_s))
+
     async def _clean_up(self) -> None:
         while True:
             await trio.sleep(CLEANUP_INTERVAL_S)
--- a/packages/proxy/src/sassafrastally/proxy/verdicts.py
+++ b/packages/proxy/src/sassafrastally/proxy/verdicts.py
@@ -70,6 +70,14 @@
         return self.until_s - now_s
 
 
+class LateVerdict(NamedTuple):
+    """A verdict that was reached some time after the last crash."""
+
+    verdict: Verdict
+    is_own: bool
+    """Whether this entry has observed the last crash itself."""
+
+
 class Lifted(NamedTuple):
     """A verdict that ended by expiry or review, not by an answer that this entry received."""
 
