Poll engines while all entries of a data centre are overloaded

Each overloaded entry left its engines to its peers, also if all of them were overloaded. With rendezvous hashing, the first in rank then left each engine to the others, and those to it: no engine was polled any more, so that slow or dead ones weren't noticed. An entry now leaves its engines only to a peer that has CPU time, as it does with connections. The class of the fault: something is released before its replacement is certain.

test_reports_under_overload.py, two entries, both overloaded, three engines, reports within 6 s: before, [0, 0, 0] (AssertionError); with one or no entry overloaded, it passed.

--- a/packages/proxy/src/sassafrastally/proxy/reports.py
+++ b/packages/proxy/src/sassafrastally/proxy/reports.py
@@ -123,7 +123,9 @@
         for data_centre in {engine.data_centre for engine in engines}:
             hosts = self._peers.live_hosts_in(data_centre)
             if hosts is not None and data_centre == own_centre:
-                is_left_to_others = bool(hosts) and self._peers.is_overloaded
+                is_left_to_others = (
+                    self._peers.is_overloaded and self._peers.has_local_peer_with_time()
+                )
                 hosts = hosts if is_left_to_others else [*hosts, self._own_host]
             polling_hosts[data_centre] = self._all_live_hosts() if hosts == [] else hosts
         return polling_hosts
