Claim no successor while the header of a response is written to the caller

Between the header of a server's response and the wait for its body, the watch could claim a successor that couldn't take over: the wait that it cancelled had ended. It claimed again 0.1 s into the next wait, so that one attempt was charged to the retry budget twice. The silence now isn't counted meanwhile, as during other writes to the caller.

--- a/packages/proxy/src/sassafrastally/proxy/plain_request.py
+++ b/packages/proxy/src/sassafrastally/proxy/plain_request.py
@@ -232,6 +232,7 @@
                 until_begun.enter_context(attempts.register(attempt))
             async with self._send(terms, wait, connect_until_s) as answer:
                 until_begun.close()
+                wait.record_header(self._clock.now_s())
                 self._successor = None  # The response began before the wait was cancelled.
                 with wait.awaited():
                     body = await answer.read()
--- a/packages/proxy/src/sassafrastally/proxy/silence_watch.py
+++ b/packages/proxy/src/sassafrastally/proxy/silence_watch.py
@@ -47,6 +47,10 @@
         """Record that the request is sent, which a delayed entry does late."""
         self._silent_since_s = due_after_delay_s(self._begin_s, self._begin_s, now_s)
 
+    def record_header(self, now_s: float) -> None:
+        """Record the header of the response; the wait for its body begins in `awaited`."""
+        self._paused_s = now_s
+
     def record_event(self, now_s: float) -> None:
         """Record an event of the response."""
         self._silent_since_s = now_s
--- a/packages/proxy/src/sassafrastally/proxy/streaming_request.py
+++ b/packages/proxy/src/sassafrastally/proxy/streaming_request.py
@@ -344,6 +344,7 @@
                 ) as answer,
             ):
                 until_begun.close()
+                wait.record_header(self._clock.now_s())
                 # The response began before the wait was cancelled.
                 attempt.cancel_reason, self._successor = "", None
                 self._services.fleet_view.record_load(
--- /dev/null
+++ b/packages/proxy/tests/test_silence_watch.py
@@ -0,0 +1,64 @@
+"""When the watch of a silent server may claim a successor."""
+
+from __future__ import annotations
+
+import pytest
+import trio
+
+from sassafrastally.proxy.attempt import AttemptUnknown
+from sassafrastally.proxy.silence_watch import ServerWait, SilenceWatch
+
+
+class DirectContainment:
+    """Runs tasks without containing their errors."""
+
+    async def run(self, task, *arguments):
+        """Run a task once."""
+        await task(*arguments)
+
+
+@pytest.mark.parametrize("run", range(8))
+async def test_attempt_that_ends_at_the_limit_claims_no_successor(autojump_clock, run):
+    """Guards against a retry that is charged, and a successor that is kept, for an attempt that has
+    already ended."""
+    claims = []
+    async with trio.open_nursery() as nursery:
+        watch = SilenceWatch(nursery, DirectContainment())
+        for _ in range(20):
+            begin_s = trio.current_time()
+            wait = ServerWait(begin_s, 1.0, 1.0)
+            has_ended = []
+
+            def claim(silent_s, has_ended=has_ended):
+                claims.append(bool(has_ended))
+                return True
+
+            with watch.watch(wait, claim):
+                await trio.sleep_until(begin_s + 1.0)
+            has_ended.append(True)
+            await trio.sleep(0.5)
+        nursery.cancel_scope.cancel()
+    assert not any(claims), claims
+
+
+async def test_blocked_header_claims_no_successor(autojump_clock):
+    """Guards against two retries that are charged for one attempt: between the header of its
+    response and the wait for its body, a successor can't take over."""
+    claims = []
+    async with trio.open_nursery() as nursery:
+        watch = SilenceWatch(nursery, DirectContainment())
+        wait = ServerWait(trio.current_time(), 1.0, 1.0)
+
+        def claim(silent_s):
+            claims.append(trio.current_time())
+            return True
+
+        with watch.watch(wait, claim):
+            with wait.scope:
+                await trio.sleep(0.1)
+            wait.record_header(trio.current_time())
+            await trio.sleep(1.5)  # The header is written to the caller.
+            with pytest.raises(AttemptUnknown), wait.awaited():
+                await trio.sleep(5.0)
+        nursery.cancel_scope.cancel()
+    assert len(claims) == 1
