Don't take a lack of own file descriptors for a failure of servers

While a flood of callers' connections used up an entry's file descriptors, no connection to a server could be opened. Each failure counted against the server: all of them were suspected for 1, 2, 4 s and longer, in the datagrams to the peers too, after the shortage had ended. An error of opening a socket that says nothing about the host no longer counts against it; the request fails over or is refused as before.

Reports and probes of servers still count.

--- a/packages/proxy/src/sassafrastally/proxy/attempt.py
+++ b/packages/proxy/src/sassafrastally/proxy/attempt.py
@@ -237,6 +237,7 @@
         except ConnectionLost as cause:
             unreachable = AttemptNotRun(cause.detail)
             unreachable.is_unreachable = True
+            unreachable.counts_against_server = not cause.is_own_shortage
             raise unreachable from cause
 
     def _head(self, request: Request, terms: AttemptParameters) -> h11.Request:
--- a/packages/proxy/src/sassafrastally/proxy/http_stream.py
+++ b/packages/proxy/src/sassafrastally/proxy/http_stream.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import errno
 import socket
 import struct
 from typing import TYPE_CHECKING
@@ -36,6 +37,9 @@
 
 LINGER_OFF = struct.pack("ii", 0, 0)
 
+SHORTAGES = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM})
+"""Errors of opening a socket that say nothing about the host to connect to."""
+
 
 @error(10004)
 class ConnectionLost(CodedError):
@@ -43,6 +47,8 @@
 
     is_refused = False
     """Whether the host refused the connection because no process listens on the port."""
+    is_own_shortage = False
+    """Whether this process lacked the resources for a connection, so that nothing was tried."""
 
 
 class HttpStream:
@@ -191,6 +197,7 @@
     except (OSError, trio.TooSlowError) as cause:
         failure = ConnectionLost(f"failed to connect to {address}: {cause!r}")
         failure.is_refused = isinstance(cause, ConnectionRefusedError)
+        failure.is_own_shortage = isinstance(cause, OSError) and cause.errno in SHORTAGES
         raise failure from cause
     stream = trio.SocketStream(sock)
     enable_keepalive(stream)
