--- a/packages/proxy/src/sassafrastally/proxy/http_stream.py
+++ b/packages/proxy/src/sassafrastally/proxy/http_stream.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import errno
 import math
 import socket
 import struct
@@ -54,6 +55,9 @@
 TOO_LONG_STATUS = 431
 """Status that h11 proposes when an incomplete header exceeds its bound."""
 
+SHORTAGES = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM})
+"""Errors of opening a socket that say nothing about the host to connect to."""
+
 
 @error(10004)
 class ConnectionLost(CodedError):
@@ -61,6 +65,8 @@
 
     is_refused = False
     """Whether the host refused the connection because no process listens on the port."""
+    is_own_shortage = False
+    """Whether this process lacked the resources for a connection, so that nothing was tried."""
 
 
 @error(10008)
@@ -317,6 +323,7 @@
     except (OSError, trio.TooSlowError) as cause:
         failure = ConnectionLost(f"failed to connect to {address}: {cause!r}")
         failure.is_refused = isinstance(cause, ConnectionRefusedError)
+        failure.is_own_shortage = isinstance(cause, OSError) and cause.errno in SHORTAGES
         raise failure from cause
     stream = trio.SocketStream(sock)
     enable_keepalive(stream)
