Give up a call whose response arrives too slowly to end

What callers saw: a new configuration came into force 20 s late, since the store's answer to the watch before it went on without end, four bytes at a time; the store answered other calls meanwhile. Cause: the bound in time of a watch includes the long poll, and each part of the body extended the wait. A body now has a second, and one more for each 2,000 bytes. The three new tests failed before.

--- a/packages/proxy/src/sassafrastally/proxy/calls.py
+++ b/packages/proxy/src/sassafrastally/proxy/calls.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from functools import partial
 from typing import TYPE_CHECKING, NamedTuple
 
@@ -33,6 +34,11 @@
 """Maximum number of idle connections per address: enough for a watch, a lease and two other
 concurrent calls."""
 
+BODY_GRACE_S = 1.0
+MIN_BODY_BYTES_PER_S = 2_000
+"""A body that arrives more slowly after its first second is given up, so that the call can be made
+again. Links that lose packets still carry ten times as much."""
+
 _FAILURES = (
     ConnectionLost,
     InputBudgetExceeded,
@@ -78,17 +84,32 @@
         self.silence_limit_s = silence_limit_s
         self._end_s = trio.current_time() + whole_limit_s
         self._is_over = False
+        self._body_begin_s = math.inf
+
+    def begin_body(self) -> None:
+        """Record that the header arrived."""
+        self._body_begin_s = trio.current_time()
+
+    def note_progress(self, body_bytes: int) -> None:
+        """Record that a part arrived; raises `trio.TooSlowError` when its time is over.
+
+        Parameters
+        ----------
+        body_bytes
+            Size of the body so far; 0 before it has begun.
 
-    def note_progress(self, *, is_body: bool) -> None:
-        """Record that a part arrived; raises `trio.TooSlowError` when the whole time is over.
+        Notes
+        -----
 
         An entry that runs late may find the rest of the response in its socket, so what is due then
         still gets `LAST_READ_S` as a whole.
         """
         now_s = trio.current_time()
-        if now_s < self._end_s:
-            if is_body:
-                self.extend(min(self.silence_limit_s, self._end_s - now_s))
+        body_end_s = self._body_begin_s + BODY_GRACE_S + body_bytes / MIN_BODY_BYTES_PER_S
+        end_s = self._end_s if self._is_over else min(self._end_s, body_end_s)
+        if now_s < end_s:
+            if body_bytes:
+                self.extend(min(self.silence_limit_s, end_s - now_s))
         elif self._is_over:
             raise trio.TooSlowError
         else:
@@ -238,12 +259,13 @@
             raise ResponseTooLarge(f"the response is over {size_bytes} bytes")
         if isinstance(event, h11.Response):
             status, headers = event.status_code, list(event.headers)
+            timeout.begin_body()
         elif isinstance(event, h11.Data):
             account.add(len(event.data))
             body += event.data
         elif not isinstance(event, h11.InformationalResponse):
             raise ConnectionLost("connection closed before the end of the response")
-        timeout.note_progress(is_body=isinstance(event, h11.Data))
+        timeout.note_progress(len(body))
         events += 1
         if events % MAX_READ_EVENTS == 0:
             await trio.lowlevel.checkpoint()
--- a/packages/testing/tests/platform/test_endless_store.py
+++ b/packages/testing/tests/platform/test_endless_store.py
@@ -18,7 +18,11 @@
     StoreClient,
 )
 from sassafrastally.proxy.calls import CallResponse, ResponseTooLarge
+from sassafrastally.proxy.cluster_state import ClusterState
 from sassafrastally.proxy.store import HistoryGone, Lease, StorePosition
+from sassafrastally.stand_ins.documents import make_configuration
+from sassafrastally.stand_ins.endless_bytes import EndlessBytes, EndlessPace, EndlessPlace
+from sassafrastally.stand_ins.platform_fleet import wait_until
 
 POSITION = StorePosition(0, 7)
 WRITE = [KvWrite("a", b"", -1)]
@@ -86,3 +90,22 @@
             await StoreClient(exchange, 1.0).read_prefix("")
         assert len(sizes) <= MAX_PAGES
         assert sum(sizes) <= MAX_SNAPSHOT_BYTES + PAGE_BOUNDS.size_bytes
+
+
+class TestSlowResponse:
+    """A response of the store that goes on slowly without end."""
+
+    @pytest.mark.parametrize(
+        "place", [EndlessPlace.BODY, EndlessPlace.TINY_CHUNKS, EndlessPlace.FAILURE_BODY]
+    )
+    async def test_doesnt_delay_the_next_configuration(self, small_fleet, place):
+        """Guards against a watch that is read for as long as a long poll while the store already
+        answers other calls."""
+        state = small_fleet.kernels[0].get("beliefs", ClusterState)
+        await wait_until(lambda: state.configuration_version == 1)
+        small_fleet.store.endless = EndlessBytes(place, EndlessPace.SLOW)
+        small_fleet.store.put("op/other", b"")
+        await trio.sleep(1.0)
+        small_fleet.store.endless = None
+        small_fleet.configure(make_configuration(2))
+        await wait_until(lambda: state.configuration_version == 2, 2.0)
