Forward a server's failure when the attempt after it ends without an answer

Callers got 504 in place of the whole failure that the first server had answered, when the second one was silent until the deadline.

--- a/packages/proxy/src/sassafrastally/proxy/path.py
+++ b/packages/proxy/src/sassafrastally/proxy/path.py
@@ -246,12 +246,12 @@
                 )
                 self._record_unanswered(task, progress)
                 raise
-        if limit.cancelled_caught and self.kernel.clock.now_s() < task.deadline_s:
-            local_reply = answerer.stopped_reply()
-            self._record_unanswered(task, progress)
-        elif limit.cancelled_caught:
-            local_reply = _deadline_exceeded(progress)
+        if limit.cancelled_caught:
             self._record_unanswered(task, progress)
+            if not reply.has_begun and await answerer.forward_kept():
+                return
+            has_stopped = self.kernel.clock.now_s() < task.deadline_s
+            local_reply = answerer.stopped_reply() if has_stopped else _deadline_exceeded(progress)
         if local_reply is None:
             return
         if reply.has_begun:
--- a/packages/proxy/src/sassafrastally/proxy/plain_request.py
+++ b/packages/proxy/src/sassafrastally/proxy/plain_request.py
@@ -59,6 +59,8 @@
         self, services: RequestServices, task: RequestTask, reply: Reply, progress: Progress
     ) -> None:
         super().__init__(services, task, reply, progress)
+        self._failed: BufferedResponse | None = None
+        """A server's failure, which is forwarded unless another attempt succeeds."""
         self._obstacle: Obstacle | None = None
         """What prevented another attempt."""
         self._room_wait = RoomWait(
@@ -71,16 +73,15 @@
 
     async def run(self) -> LocalReply | None:
         """Handle the request; return a local reply if there is no response."""
-        failed: BufferedResponse | None = None
         while True:
-            if (quarantined := self._quarantine_reply()) is not None and failed is None:
+            if (quarantined := self._quarantine_reply()) is not None and self._failed is None:
                 return quarantined
             if quarantined is None and not await self._wait_for_slot():
-                if failed is None:
+                if self._failed is None:
                     return self._no_slot_reply()
                 break
             stopping = self._stopping_reply(self._least_first_s())
-            if stopping is not None and failed is None:
+            if stopping is not None and self._failed is None:
                 return stopping
             server = None
             if not (quarantined or stopping):
@@ -91,7 +92,7 @@
             if answer is not None and not self._should_retry(answer):
                 await self._forward(answer)
                 return None
-            failed = answer or failed
+            self._failed = answer or self._failed
             if self._successor is not None:
                 continue
             if not self._has_untried_servers():
@@ -99,11 +100,18 @@
             self._obstacle = self._retries.claim()
             if self._obstacle is not None:
                 break
-        if failed is not None:
-            await self._forward(failed)
+        if self._failed is not None:
+            await self._forward(self._failed)
             return None
         return self._local_reply()
 
+    async def forward_kept(self) -> bool:
+        """Forward the failure that a server has answered, if any."""
+        if self._failed is None:
+            return False
+        await self._forward(self._failed)
+        return True
+
     def _local_reply(self) -> LocalReply:
         if self.progress.may_have_run:
             obstacle = self._obstacle or Obstacle.ROOM
--- a/packages/proxy/src/sassafrastally/proxy/refusals.py
+++ b/packages/proxy/src/sassafrastally/proxy/refusals.py
@@ -5,6 +5,8 @@
 import json
 from typing import NamedTuple
 
+from sassafrastally.proxy.evacuation import Unavailability
+
 
 class Refusal(NamedTuple):
     """A kind of error response that the proxy sends in place of a backend server's response."""
@@ -106,6 +108,12 @@
 )
 """All refusals, for the reference page."""
 
+UNAVAILABILITY_REFUSALS = {
+    Unavailability.EVACUATED: EVACUATED,
+    Unavailability.NO_HOME: NO_HOME,
+}
+"""Refusal by the reason for which no server of the service may get the request."""
+
 
 def refusal_body(refusal: Refusal, request_id: str, detail: str) -> bytes:
     """Return the problem details (RFC 9457) that are sent to the caller."""
--- a/packages/proxy/src/sassafrastally/proxy/request_handler.py
+++ b/packages/proxy/src/sassafrastally/proxy/request_handler.py
@@ -18,13 +18,12 @@
 from sassafrastally.proxy.fingerprint import fingerprint_text
 from sassafrastally.proxy.model import AttemptParameters
 from sassafrastally.proxy.refusals import (
-    EVACUATED,
     MAY_HAVE_RUN,
-    NO_HOME,
     QUARANTINED,
     SERVERS_LIMITED,
     STOPPING,
     TURNED_AWAY,
+    UNAVAILABILITY_REFUSALS,
 )
 from sassafrastally.proxy.request_log import RequestLog
 from sassafrastally.proxy.retries import Retries
@@ -56,12 +55,6 @@
 SERVER_ERROR_STATUS = 500
 """Lowest HTTP status that means that the backend server failed."""
 
-UNAVAILABILITY_REFUSALS = {
-    Unavailability.EVACUATED: EVACUATED,
-    Unavailability.NO_HOME: NO_HOME,
-}
-"""Refusal by the reason for which no server of the service may get the request."""
-
 
 class RequestHandler(Generic[Start]):
     """Handles one request by sending attempts to backend servers.
@@ -100,6 +93,10 @@
         """Handle the request; return a local reply if there is no complete response."""
         raise NotImplementedError
 
+    async def forward_kept(self) -> bool:
+        """Forward a response that is kept while others are tried; return whether there is one."""
+        return False
+
     @property
     def _request_id(self) -> str:
         return self._task.request.facts.request_id
@@ -333,6 +330,8 @@
 
     def _claim_successor(self) -> Obstacle | None:
         """Choose where the next attempt is made and charge it; return what prevents that."""
+        if self._successor is not None:
+            return None
         candidate = self._choose_successor()
         facts = SuccessorFacts(
             route_obstacle=self._retries.failover_obstacle(),
