Move a stream only to a server that answers before the caller leaves

A stream moved after 1.3 s of silence to an engine whose prefill took longer than its caller waited, although the silent engine went on after 1.6 s (longest pause 2.6 s; callers leave after 2 s). Events that the caller has no longer count as progress of the server, so that a server that repeats them without end is given up.

--- a/packages/proxy/src/sassafrastally/proxy/attempt_migration.py
+++ b/packages/proxy/src/sassafrastally/proxy/attempt_migration.py
@@ -11,6 +11,9 @@
 """A first event is overdue after this factor of its predicted time plus this many seconds. The
 engines that prefill its prompt are then checked for slowness."""
 
+MOVE_CHECK_INTERVAL_S = 0.3
+"""Minimum interval between checks whether to move an attempt; reports bring new data as often."""
+
 MIN_MOVE_SPEEDUP = 2.0
 """Factor by which a first event must be expected sooner elsewhere for a prompt to move: its prefill
 starts again, and the work of the first engines is lost."""
--- a/packages/proxy/src/sassafrastally/proxy/caller_stream.py
+++ b/packages/proxy/src/sassafrastally/proxy/caller_stream.py
@@ -19,20 +19,34 @@
     ----------
     task, reply, progress
         The request.
+    timeout_s
+        Silence after which the caller closes the stream.
     """
 
-    def __init__(self, task: RequestTask, reply: Reply, progress: Progress) -> None:
+    def __init__(
+        self, task: RequestTask, reply: Reply, progress: Progress, timeout_s: float
+    ) -> None:
         self.last_event_id = task.request.facts.last_event_id
         """ID of the last event that the caller has; ``None`` without one."""
         self.times = EventTimes(task.request.arrived_s)
+        self._timeout_s = timeout_s
         self._reply = reply
         self._progress = progress
 
+    @property
+    def caller_leaves_s(self) -> float:
+        """When the caller closes the stream unless an event comes."""
+        return self.times.last_s + self._timeout_s
+
+    def has(self, event: StreamEvent) -> bool:
+        """Return whether the caller has an event, as if a resumed stream begins too early."""
+        known_id = -1 if self.last_event_id is None else self.last_event_id
+        return event.event_id is not None and event.event_id <= known_id
+
     async def forward(self, event: StreamEvent, now_s: float) -> None:
         """Forward an event unless the caller has it; raises `ConnectionLost`."""
-        known_id = -1 if self.last_event_id is None else self.last_event_id
-        if event.event_id is not None and event.event_id <= known_id:
-            return  # Already forwarded; the resumed stream begins earlier than requested.
+        if self.has(event):
+            return
         if event.has_fields:
             self.times.record(now_s)
         await self._reply.send(event.data)
--- a/packages/proxy/src/sassafrastally/proxy/event_stream.py
+++ b/packages/proxy/src/sassafrastally/proxy/event_stream.py
@@ -7,6 +7,7 @@
 from sassafrastally.core import EventBlocks, is_event_stream
 from sassafrastally.proxy.body_framing import BodyFraming
 from sassafrastally.proxy.input_limits import MAX_EVENT_BYTES
+from sassafrastally.proxy.task import ResponseTimes
 
 if TYPE_CHECKING:
     from sassafrastally.proxy.dialect import Headers
@@ -135,3 +136,7 @@
         else:
             self.longest_pause_s = max(self.longest_pause_s, now_s - self.last_s)
         self.last_s = now_s
+
+    def of_response(self, total_s: float) -> ResponseTimes:
+        """Return the times of a response that took `total_s`."""
+        return ResponseTimes(self.first_s or 0.0, total_s, self.longest_pause_s)
--- a/packages/proxy/src/sassafrastally/proxy/failover_decision.py
+++ b/packages/proxy/src/sassafrastally/proxy/failover_decision.py
@@ -89,3 +89,19 @@
     if facts.is_behind_others:
         return Obstacle.QUEUE
     return None if facts.has_server else Obstacle.ROOM
+
+
+def reaches_caller(now_s: float, predicted_s: float, caller_leaves_s: float) -> bool:
+    """Return whether a successor's next event comes before the caller leaves.
+
+    The load is long prompts, whose prefill elsewhere takes longer than the caller still waits: the
+    silent server may go on before. A caller that hasn't left in time waits longer than others.
+
+    Parameters
+    ----------
+    now_s, predicted_s
+        Present time, and time to the next event from the successor.
+    caller_leaves_s
+        When the caller closes the stream unless an event comes.
+    """
+    return now_s >= caller_leaves_s or now_s + predicted_s < caller_leaves_s
--- a/packages/proxy/src/sassafrastally/proxy/streaming_request.py
+++ b/packages/proxy/src/sassafrastally/proxy/streaming_request.py
@@ -18,13 +18,15 @@
 )
 from sassafrastally.proxy.answer_events import AnswerEvents
 from sassafrastally.proxy.attempt import NON_SUCCESS_STATUS, AttemptNotRun, AttemptUnknown
-from sassafrastally.proxy.attempt_migration import remaining_s, should_move_attempt
+from sassafrastally.proxy.attempt_migration import (
+    MOVE_CHECK_INTERVAL_S,
+    remaining_s,
+    should_move_attempt,
+)
 from sassafrastally.proxy.caller_stream import CallerStream
 from sassafrastally.proxy.caller_timeout import caller_timeout_s
-from sassafrastally.proxy.data_centre_pools import (
-    place_locally_first,
-    prefers_local_data_centre,
-)
+from sassafrastally.proxy.data_centre_pools import place_locally_first, prefers_local_data_centre
+from sassafrastally.proxy.failover_decision import reaches_caller
 from sassafrastally.proxy.first_event_timeout import SILENCE_TIMEOUT_SHARE, expected_first_event_s
 from sassafrastally.proxy.lanes import PlacementRandomizer, choose_lane
 from sassafrastally.proxy.load import NO_WORK, InFlightAttempt, Lane
@@ -38,7 +40,7 @@
 from sassafrastally.proxy.reservations import with_reservations
 from sassafrastally.proxy.silence_watch import ServerWait
 from sassafrastally.proxy.slow_event_detection import event_time_s, slow_event_time_s
-from sassafrastally.proxy.task import LocalReply, Progress, RequestTask, ResponseTimes
+from sassafrastally.proxy.task import LocalReply, Progress, RequestTask
 from sassafrastally.proxy.turning_away import would_miss_deadline
 from sassafrastally.proxy.waiting_attempts import WaitingAttempt
 from sassafrastally.proxy.waiting_for_room import RoomWait
@@ -53,9 +55,6 @@
     from sassafrastally.proxy.reply import Reply
     from sassafrastally.proxy.request_services import RequestServices
 
-MOVE_CHECK_INTERVAL_S = 0.3
-"""Minimum interval between checks whether to move an attempt; reports bring new data as often."""
-
 
 class StreamingRequestHandler(RequestHandler["Placement"]):
     """Handles one streaming request with model engines."""
@@ -78,7 +77,7 @@
         self._goals = Goals(route.goal_s or task.time_limit_s, self._limits.longest_goal_s)
         self._caller_timeout_s = caller_timeout_s(route.goal_s, route.pause_goal_s)
         """Silence after which the caller closes the stream."""
-        self._stream = CallerStream(task, reply, progress)
+        self._stream = CallerStream(task, reply, progress, self._caller_timeout_s)
         reply.write_timeout_s = self._caller_timeout_s
         self._move_checked_s = -math.inf
         self._room_wait = RoomWait(
@@ -115,9 +114,8 @@
                 return None
             if self._successor is None and (obstacle := self._retries.claim()) is not None:
                 if not (self._room_wait.applies and self._retries.may_wait_for_budget()):
-                    is_for_load = self.progress.was_refused_for_load
                     detail = f"no further attempt: {obstacle.value}"
-                    return self._local_reply(detail, is_for_load=is_for_load)
+                    return self._local_reply(detail, is_for_load=self.progress.was_refused_for_load)
                 self._awaits_budget = True
 
     async def _start(self) -> Placement | LocalReply:
@@ -140,8 +138,11 @@
         return self._room_wait.is_behind_others(self._latest_start_s(), is_new=self._is_new())
 
     def _choose_successor(self) -> Placement | None:
-        planned = self._plan(may_yield=False)
-        return planned if isinstance(planned, Placement) else None
+        planned, now_s = self._plan(may_yield=False), self._clock.now_s()
+        if not isinstance(planned, Placement):
+            return None
+        is_in_time = reaches_caller(now_s, planned.predicted_s, self._stream.caller_leaves_s)
+        return planned if is_in_time else None
 
     def _least_first_s(self) -> float:
         return self._alone_s
@@ -423,7 +424,8 @@
             for event in events:
                 now_s = self._clock.now_s()
                 if event.has_fields:
-                    wait.record_event(now_s)
+                    if not self._stream.has(event):
+                        wait.record_event(now_s)
                     self._services.fleet_view.ledger.first_event(in_flight, now_s)
                     self._record_event(placement.server, now_s)
                 await self._stream.forward(event, now_s)
@@ -440,9 +442,7 @@
     ) -> None:
         self._record_success(placement.server, answer.status)
         total_s = self._clock.now_s() - self._task.request.arrived_s
-        times = ResponseTimes(
-            self._stream.times.first_s or 0.0, total_s, self._stream.times.longest_pause_s
-        )
+        times = self._stream.times.of_response(total_s)
         if times.first_s:
             lengths, route = self._services.drain.response_lengths, self._task.route.name
             lengths.record(route, total_s - times.first_s, self._declared_s)
--- a/packages/proxy/tests/test_failover_decision.py
+++ b/packages/proxy/tests/test_failover_decision.py
@@ -13,6 +13,7 @@
     Silence,
     SuccessorFacts,
     next_check_s,
+    reaches_caller,
     successor_obstacle,
 )
 from sassafrastally.proxy.retry_budget import RetryBudget
@@ -103,3 +104,16 @@
     def test_attempt_that_is_replaced_already_is_replaced_once(self):
         """Guards against a second charge while the wait for the first server ends."""
         assert next_check_s(Silence(5.0, 1.3, has_successor=True)) > 0
+
+
+class TestReachesCaller:
+    """Whether a successor answers before the caller leaves."""
+
+    def test_long_prefill_elsewhere_stays_at_the_silent_server(self):
+        """Guards against a stream that moves to a server whose event comes too late."""
+        assert not reaches_caller(now_s=11.3, predicted_s=1.3, caller_leaves_s=12.0)
+        assert reaches_caller(now_s=11.3, predicted_s=0.3, caller_leaves_s=12.0)
+
+    def test_caller_that_stays_gets_any_successor(self):
+        """Guards against a caller that waits longer than others and gets nothing."""
+        assert reaches_caller(now_s=12.1, predicted_s=1.3, caller_leaves_s=12.0)
--- a/packages/proxy/tests/test_silence_watch.py
+++ b/packages/proxy/tests/test_silence_watch.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 import pytest
 import trio
 
@@ -17,6 +19,12 @@
         await task(*arguments)
 
 
+class SilentAnswer:
+    """A response of which no byte arrives after its header."""
+
+    received_s = -math.inf
+
+
 @pytest.mark.parametrize("run", range(8))
 async def test_attempt_that_ends_at_the_limit_claims_no_successor(autojump_clock, run):
     """Guards against a retry that is charged, and a successor that is kept, for an attempt that has
@@ -58,7 +66,7 @@
                 await trio.sleep(0.1)
             wait.record_header(trio.current_time())
             await trio.sleep(1.5)  # The header is written to the caller.
-            with pytest.raises(AttemptUnknown), wait.awaited():
+            with pytest.raises(AttemptUnknown), wait.awaited(SilentAnswer()):
                 await trio.sleep(5.0)
         nursery.cancel_scope.cancel()
     assert len(claims) == 1
