--- a/packages/testing/tests/platform/test_containment.py
+++ b/packages/testing/tests/platform/test_containment.py
@@ -66,6 +66,9 @@
     async def test_engine_with_an_infinite_pace_ends_no_entry(self, small_fleet):
         """Guards against the loss of all requests at an entry that reads such a report."""
         await small_fleet.add_entry(2)
+        views = [kernel.get("sight", FleetView) for kernel in small_fleet.kernels]
+        # From then on, one of the two entries polls the engine.
+        await wait_until(lambda: all(view.entries == 2 for view in views))
         small_fleet.replicas["engine-1"].engine.pace = math.inf
 
         def failed() -> list[str]:
