Let other tasks run between the small frames of one read

A peer whose read holds thousands of small frames kept all other links and requests of a process waiting: the reader of a link awaits nothing while frames are buffered. Other tasks now run after each 64 frames. The new test counts the frames of one step; without the checkpoint it fails.

--- a/packages/wire/src/sassafrastally/wire/mux.py
+++ b/packages/wire/src/sassafrastally/wire/mux.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from collections import deque
+from itertools import count
 from typing import TYPE_CHECKING
 
 import trio
@@ -46,6 +47,9 @@
 CLOSE_TIME_LIMIT_S = 1.0
 """Time allowed for the peer to close its end after the closing message."""
 
+MAX_READ_FRAMES = 64
+"""Number of frames after which other tasks run. One read may hold ten thousand small ones."""
+
 MAX_QUEUED_NOTICES = 256
 """Maximum number of notices queued for their handler; the oldest are dropped first."""
 
@@ -248,7 +252,9 @@
             self.cut(cause.detail)
 
     async def _read(self) -> None:
-        while True:
+        for number in count():
+            if number % MAX_READ_FRAMES == 0:
+                await trio.lowlevel.checkpoint()
             frame = await self._reader.read()
             count_received(1)
             self._events.hybrid.observe(frame.stamp)
--- a/packages/wire/tests/test_mux.py
+++ b/packages/wire/tests/test_mux.py
@@ -17,6 +17,7 @@
     LinkCut,
     LoadReport,
     Ping,
+    Pong,
     Query,
     QueryReply,
     Reserve,
@@ -24,7 +25,12 @@
     TooManyStreams,
 )
 from sassafrastally.wire.framing import LENGTH_BYTES
-from sassafrastally.wire.mux import MAX_QUEUED_NOTICES
+from sassafrastally.wire.mux import (
+    CONTROL_STREAM_ID,
+    MAX_QUEUED_NOTICES,
+    MAX_READ_FRAMES,
+    MuxLink,
+)
 from sassafrastally.wire.settings import MIN_WINDOW_BYTES
 
 
@@ -33,6 +39,22 @@
     await trio.sleep_forever()
 
 
+class FramesPerStep(trio.abc.Instrument):
+    """Counts link messages handled in one step of a task, at most."""
+
+    def __init__(self) -> None:
+        self.most = self.total = 0
+        self._frames = 0
+
+    def before_task_step(self, task: trio.lowlevel.Task) -> None:
+        self._frames = 0
+
+    def count(self) -> None:
+        self.total += 1
+        self._frames += 1
+        self.most = max(self.most, self._frames)
+
+
 class TestFlow:
     async def test_slow_reader_does_not_block_other_streams(self, pair, autojump_clock):
         """Guards against head-of-line blocking by a caller that stops reading.
@@ -57,6 +79,24 @@
         assert [chunk.sequence for chunk in received[:-1]] == list(range(200))
         assert received[-1] == End("r1", chunks=200)
 
+    async def test_other_tasks_run_between_small_frames(self, pair, monkeypatch, autojump_clock):
+        """Guards against a peer whose small frames of one read hold all other links."""
+        steps, on_message = FramesPerStep(), MuxLink._on_link_message
+
+        def count(link, message):
+            steps.count()
+            on_message(link, message)
+
+        link = await pair.link()
+        monkeypatch.setattr(MuxLink, "_on_link_message", count)
+        trio.lowlevel.add_instrument(steps)
+        for number in range(2000):
+            link.put(CONTROL_STREAM_ID, Pong(number))
+        await trio.sleep(1.0)
+        trio.lowlevel.remove_instrument(steps)
+        assert steps.total >= 2000
+        assert steps.most <= MAX_READ_FRAMES
+
     async def test_longest_chunks_fit_the_smallest_window(self, fleet, autojump_clock):
         """A sender must never wait for credit that the reader holds back."""
         entry = await fleet.start("entry-1", window_bytes=MIN_WINDOW_BYTES)
