Log how much a caller got of a broken stream, and how late a time limit was acted on

StreamBroken didn't say whether the caller had got any byte, so that a response of which nothing was sent looked like a stream that was cut. RequestFailed and StreamBroken didn't say that their limit was acted on late, as by an entry that didn't run, so that a ready answer that was dropped looked like a late server. Both lines now have late_s, and StreamBroken has sent_bytes.

--- a/packages/proxy/src/sassafrastally/proxy/log_events/requests.py
+++ b/packages/proxy/src/sassafrastally/proxy/log_events/requests.py
@@ -120,6 +120,8 @@
     attempts: int
     held_s: float
     detail: str
+    late_s: float = 0.0
+    """How long after its time limit it was ended; 0 if the limit isn't the reason."""
 
 
 @event(10024, "warning")
@@ -165,6 +167,10 @@
     attempts: int
     last_event_id: int
     detail: str
+    sent_bytes: int = 0
+    """Bytes of the response that were passed to the operating system."""
+    late_s: float = 0.0
+    """How long after its time limit it was ended; 0 if the limit isn't the reason."""
 
 
 @event(10018)
--- a/packages/proxy/src/sassafrastally/proxy/path.py
+++ b/packages/proxy/src/sassafrastally/proxy/path.py
@@ -228,6 +228,7 @@
         self._budget.count_request(service, request.arrived_s)
         answerer = self._request_handler(task, reply, progress)
         local_reply: LocalReply | None = None
+        late_s = 0.0
         with self.services.drain.limit(task.deadline_s) as limit:
             try:
                 local_reply = await answerer.run()
@@ -247,6 +248,7 @@
                 self._record_unanswered(task, progress)
                 raise
         if limit.cancelled_caught:
+            late_s = round(self.kernel.clock.now_s() - limit.deadline, 4)
             self._record_unanswered(task, progress)
             if not reply.has_begun and await answerer.forward_kept():
                 return
@@ -255,7 +257,7 @@
         if local_reply is None:
             return
         if reply.has_begun:
-            self._record_broken_stream(task, progress, local_reply)
+            self._record_broken_stream(task, progress, local_reply, reply.sent_bytes, late_s)
             return
         await self._answer_locally(
             request,
@@ -265,6 +267,7 @@
             progress.attempts,
             fingerprint_text(task.fingerprint),
             progress.waited_s,
+            late_s,
         )
 
     def _request_handler(
@@ -284,7 +287,12 @@
             )
 
     def _record_broken_stream(
-        self, task: RequestTask, progress: Progress, local_reply: LocalReply
+        self,
+        task: RequestTask,
+        progress: Progress,
+        local_reply: LocalReply,
+        sent_bytes: int,
+        late_s: float,
     ) -> None:
         REQUESTS.add(1, {"outcome": "broken"})
         self.kernel.events.emit(
@@ -294,6 +302,8 @@
                 progress.attempts,
                 progress.last_event_id,
                 f"{local_reply.refusal.code}: {local_reply.detail}",
+                sent_bytes,
+                late_s,
             )
         )
 
@@ -306,6 +316,7 @@
         attempts: int = 0,
         fingerprint: str = "",
         waited_s: float = 0.0,
+        late_s: float = 0.0,
     ) -> None:
         """Send a local reply: a refusal, or a failure of a request that may have run."""
         REFUSALS.add(1, {"code": local_reply.refusal.code})
@@ -315,7 +326,7 @@
         if local_reply.refusal in (MAY_HAVE_RUN, NO_ANSWER_IN_TIME):
             detail = f"{local_reply.refusal.code}: {local_reply.detail}"
             self.kernel.events.emit(
-                RequestFailed(request_id, route_name, status, attempts, held_s, detail)
+                RequestFailed(request_id, route_name, status, attempts, held_s, detail, late_s)
             )
         else:
             code = local_reply.refusal.code
--- a/packages/proxy/src/sassafrastally/proxy/reply.py
+++ b/packages/proxy/src/sassafrastally/proxy/reply.py
@@ -58,6 +58,8 @@
         """Whether the request was a HEAD request, whose response has a length but no body."""
         self.has_begun = False
         self.has_ended = False
+        self.sent_bytes = 0
+        """Bytes passed to the operating system, without those of a cancelled write."""
         self._connection = connection
         self._is_last = is_last
         self._blocked_callers = blocked_callers or BlockedCallers()
@@ -112,6 +114,7 @@
                 longest_blocked.cancel()
             try:
                 await self._connection.send_bytes(data)
+                self.sent_bytes += len(data)
             finally:
                 self._blocked_callers.end(scope)
         if scope.cancelled_caught:
