Read a caller's request that has arrived before its time is judged

What callers saw: 408 for a request that lay whole in the entry's socket. Cause: the time for reading a request was a plain cancel scope. After a stall past the end of that time it was cancelled before the socket was read. Change: RequestReader keeps what has been read, and reads once more for up to LAST_READ_S if the timer fires late, as calls and attempts do. Reading and validating moved from caller_listener.py to request_reader.py; the checks are the same.

--- a/packages/proxy/src/sassafrastally/proxy/answer.py
+++ b/packages/proxy/src/sassafrastally/proxy/answer.py
@@ -10,7 +10,7 @@
 import trio
 
 from sassafrastally.core import CodedError, error
-from sassafrastally.proxy.cpu_overload import last_read_s
+from sassafrastally.proxy.cpu_overload import read_until
 from sassafrastally.proxy.http_stream import ConnectionLost, InputTooLong
 from sassafrastally.proxy.input_limits import (
     MAX_BODY_BYTES,
@@ -178,12 +178,10 @@
     AttemptUnknown
         If it isn't done in time.
     """
-    with trio.move_on_at(due_s):
-        return await read()
-    if extra_s := last_read_s(due_s, trio.current_time()):
-        with trio.move_on_after(extra_s):
-            return await read()
-    raise timeout_error()
+    try:
+        return await read_until(read, due_s)
+    except trio.TooSlowError:
+        raise timeout_error() from None
 
 
 def timeout_error() -> AttemptUnknown:
--- a/packages/proxy/src/sassafrastally/proxy/caller_listener.py
+++ b/packages/proxy/src/sassafrastally/proxy/caller_listener.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import traceback
-from typing import TYPE_CHECKING, ClassVar, NamedTuple
+from typing import TYPE_CHECKING, ClassVar
 
 import h11
 import trio
@@ -11,7 +11,6 @@
 from sassafrastally.core import Service
 from sassafrastally.proxy.attempt import Request
 from sassafrastally.proxy.cluster_state import ClusterState
-from sassafrastally.proxy.dialect import DocumentInvalid
 from sassafrastally.proxy.early_listener import BACKLOG
 from sassafrastally.proxy.http_stream import (
     ConnectionLost,
@@ -32,20 +31,18 @@
 from sassafrastally.proxy.path import RequestPath
 from sassafrastally.proxy.refusals import (
     BODIES_FULL,
-    BODY_TOO_LARGE,
     HEADER_TOO_LARGE,
     MALFORMED,
-    TOO_SLOW,
-    Refusal,
     refusal_body,
 )
 from sassafrastally.proxy.reply import Reply
+from sassafrastally.proxy.request_reader import BadRequest, RequestReader
 from sassafrastally.proxy.slow_readers import BlockedCallers, most_buffered_bytes
 
 if TYPE_CHECKING:
     import socket
 
-    from sassafrastally.proxy.dialect import Dialect, Headers
+    from sassafrastally.proxy.dialect import Dialect
     from sassafrastally.proxy.settings import ProxySettings
 
 DEFAULT_LIMITS = RequestLimits(
@@ -78,15 +75,6 @@
 of the requests that hold them are answered, or time out."""
 
 
-class BadRequest(NamedTuple):
-    """Why a request is rejected before it is fully parsed."""
-
-    refusal: Refusal
-    problem: str
-    retry_after_s: float = 0.0
-    """When it may be sent again; 0 if not at all."""
-
-
 class CallerListener(Service):
     """Accepts caller connections and serves their requests.
 
@@ -287,14 +275,10 @@
         self, connection: HttpStream, account: InputAccount
     ) -> Request | BadRequest | None:
         """Return the next request, or ``None`` if the connection closes between requests."""
-        limits = self._limits()
-        arrived_s = self.kernel.clock.now_s()
-        with trio.move_on_after(limits.header_time_s):
-            event = await connection.receive()
-            if not isinstance(event, h11.Request):
-                return None
-            return await self._read_body(connection, event, arrived_s, limits, account)
-        return BadRequest(TOO_SLOW, f"not complete after {limits.header_time_s} s")
+        reader = RequestReader(
+            connection, self._limits(), self._dialect, account, self.kernel.clock.now_s()
+        )
+        return await reader.read_in_time()
 
     async def _wait_for_bytes(self, connection: HttpStream) -> bool:
         """Return whether a request begins; cancelled when the drain closes idle connections."""
@@ -312,45 +296,6 @@
         # A request may have arrived at the same moment.
         return connection.has_unread_input()
 
-    async def _read_body(
-        self,
-        connection: HttpStream,
-        head: h11.Request,
-        arrived_s: float,
-        limits: RequestLimits,
-        account: InputAccount,
-    ) -> Request | BadRequest:
-        headers: Headers = list(head.headers)
-        if _header_size(head) > limits.header_bytes:
-            # h11 limits only an incomplete header, not one that arrives in a single read.
-            return BadRequest(HEADER_TOO_LARGE, f"over {limits.header_bytes} bytes")
-        problem = _framing_problem(headers)
-        if problem:
-            return BadRequest(MALFORMED, problem)
-        if _declared_length(headers) > limits.body_bytes:
-            return BadRequest(BODY_TOO_LARGE, f"over {limits.body_bytes} bytes")
-        if connection.http.they_are_waiting_for_100_continue:
-            await connection.send(h11.InformationalResponse(status_code=100, headers=[]))
-        body = bytearray()
-        while True:
-            with account.reading():
-                event = await connection.receive()
-            if isinstance(event, h11.Data):
-                account.add(len(event.data))
-                body += event.data
-                if len(body) > limits.body_bytes:
-                    return BadRequest(BODY_TOO_LARGE, f"over {limits.body_bytes} bytes")
-            elif isinstance(event, h11.EndOfMessage):
-                break
-            else:
-                raise ConnectionLost("connection closed before the end of the request")
-        account.keep()
-        try:
-            facts = self._dialect.decode_request(headers)
-        except DocumentInvalid as cause:
-            return BadRequest(MALFORMED, cause.detail)
-        return Request(head.method, head.target, headers, bytes(body), facts, arrived_s)
-
     async def _reject(self, reply: Reply, rejected: BadRequest) -> None:
         self.kernel.events.emit(RequestMalformed(rejected.refusal.status, rejected.problem))
         body = refusal_body(rejected.refusal, "", rejected.problem)
@@ -360,34 +305,6 @@
         await reply.send_complete(rejected.refusal.status, headers, body)
 
 
-def _header_size(head: h11.Request) -> int:
-    """Return the approximate size of a header on the wire, in bytes."""
-    separators = len(": \r\n")
-    fields = sum(len(name) + len(value) + separators for name, value in head.headers)
-    return len(head.method) + len(head.target) + fields
-
-
-def _framing_problem(headers: Headers) -> str:
-    """Return what is wrong with the framing or the host of a request; empty if nothing is.
-
-    Servers disagree on how to read a request with both a content length and a transfer encoding:
-    what one reads as the body, another reads as a second request (request smuggling).
-    """
-    names = [name for name, _ in headers]
-    if b"transfer-encoding" in names and b"content-length" in names:
-        return "both a length and a transfer encoding"
-    if names.count(b"host") != 1:
-        return "not exactly one host"
-    return ""
-
-
-def _declared_length(headers: Headers) -> int:
-    for name, value in headers:
-        if name == b"content-length" and value.isdigit():
-            return int(value)
-    return 0
-
-
 def _can_continue(connection: HttpStream) -> bool:
     http = connection.http
     return http.our_state is h11.DONE and http.their_state is h11.DONE
--- a/packages/proxy/src/sassafrastally/proxy/cpu_overload/__init__.py
+++ b/packages/proxy/src/sassafrastally/proxy/cpu_overload/__init__.py
@@ -14,6 +14,7 @@
     StepTimeout,
     due_after_delay_s,
     last_read_s,
+    read_until,
 )
 from sassafrastally.proxy.cpu_overload.stream_limit import StreamLimit, shed_retry_delay_s
 
@@ -28,5 +29,6 @@
     "due_after_delay_s",
     "is_crowded",
     "last_read_s",
+    "read_until",
     "shed_retry_delay_s",
 ]
--- a/packages/proxy/src/sassafrastally/proxy/cpu_overload/late_timeouts.py
+++ b/packages/proxy/src/sassafrastally/proxy/cpu_overload/late_timeouts.py
@@ -47,6 +47,30 @@
     return due_s + delay_s if delay_s > MAX_LAG_S else due_s
 
 
+async def read_until(read: Callable[[], Awaitable[T]], due_s: float) -> T:
+    """Read until a time, and once more if the timer fires late.
+
+    Parameters
+    ----------
+    read
+        Reads; loses nothing when it is cancelled.
+    due_s
+        Time by which it must be done.
+
+    Raises
+    ------
+    trio.TooSlowError
+        If it isn't done in time.
+    """
+    with trio.move_on_at(due_s):
+        return await read()
+    extra_s = last_read_s(due_s, trio.current_time())
+    if not extra_s:
+        raise trio.TooSlowError
+    with trio.fail_after(extra_s):
+        return await read()
+
+
 class StepTimeout:
     """Timeout of an exchange of several steps, of which each one may run late.
 
@@ -79,14 +103,7 @@
         trio.TooSlowError
             If it doesn't complete in time.
         """
-        due_s = self._step_due_s()
-        with trio.move_on_at(due_s):
-            return await step()
-        extra_s = last_read_s(due_s, trio.current_time())
-        if not extra_s:
-            raise trio.TooSlowError
-        with trio.fail_after(extra_s):
-            return await step()
+        return await read_until(step, self._step_due_s())
 
     def _step_due_s(self) -> float:
         return max(self.due_s, trio.current_time() + LAST_READ_S)
--- /dev/null
+++ b/packages/proxy/src/sassafrastally/proxy/request_reader.py
@@ -0,0 +1,170 @@
+"""Reads a caller's request from its connection and validates it."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, NamedTuple
+
+import h11
+import trio
+
+from sassafrastally.proxy.attempt import Request
+from sassafrastally.proxy.cpu_overload import read_until
+from sassafrastally.proxy.dialect import DocumentInvalid
+from sassafrastally.proxy.http_stream import ConnectionLost
+
+# Runtime import: Refusal is a field type of a named tuple.
+from sassafrastally.proxy.refusals import (
+    BODY_TOO_LARGE,
+    HEADER_TOO_LARGE,
+    MALFORMED,
+    TOO_SLOW,
+    Refusal,
+)
+
+if TYPE_CHECKING:
+    from sassafrastally.proxy.dialect import Dialect, Headers
+    from sassafrastally.proxy.http_stream import HttpStream
+    from sassafrastally.proxy.input_limits import InputAccount
+    from sassafrastally.proxy.model import RequestLimits
+
+
+class BadRequest(NamedTuple):
+    """Why a request is rejected before it is fully parsed."""
+
+    refusal: Refusal
+    problem: str
+    retry_after_s: float = 0.0
+    """When it may be sent again; 0 if not at all."""
+
+
+class RequestReader:
+    """Reads one request; what has been read is kept if reading is cancelled.
+
+    Parameters
+    ----------
+    connection
+        The caller's connection.
+    limits
+        Limits of a request.
+    dialect
+        Translates headers.
+    account
+        Where the bytes of the body are counted.
+    arrived_s
+        When the first bytes of the request were received.
+    """
+
+    def __init__(
+        self,
+        connection: HttpStream,
+        limits: RequestLimits,
+        dialect: Dialect,
+        account: InputAccount,
+        arrived_s: float,
+    ) -> None:
+        self._connection = connection
+        self._limits = limits
+        self._dialect = dialect
+        self._account = account
+        self._arrived_s = arrived_s
+        self._head: h11.Request | None = None
+        self._body = bytearray()
+
+    async def read_in_time(self) -> Request | BadRequest | None:
+        """Return the request as `read`, or why it is rejected if its time has passed.
+
+        A request that has arrived while this entry didn't run is read before its time is judged.
+        """
+        time_limit_s = self._limits.header_time_s
+        try:
+            return await read_until(self.read, self._arrived_s + time_limit_s)
+        except trio.TooSlowError:
+            return BadRequest(TOO_SLOW, f"not complete after {time_limit_s} s")
+
+    async def read(self) -> Request | BadRequest | None:
+        """Return the request, or ``None`` if the connection closes before it begins.
+
+        Raises
+        ------
+        ConnectionLost
+            If the connection closes before the end of the request.
+        h11.RemoteProtocolError
+            If it isn't valid HTTP.
+        InputBudgetExceeded
+            If the process holds too much input.
+        """
+        if self._head is None:
+            event = await self._connection.receive()
+            if not isinstance(event, h11.Request):
+                return None
+            self._head = event
+        if (rejected := self._check_head(self._head)) is not None:
+            return rejected
+        if self._connection.http.they_are_waiting_for_100_continue:
+            await self._connection.send(h11.InformationalResponse(status_code=100, headers=[]))
+        return await self._read_body(self._head)
+
+    def _check_head(self, head: h11.Request) -> BadRequest | None:
+        """Return why a request is rejected by its header, if it is."""
+        headers: Headers = list(head.headers)
+        if _header_size(head) > self._limits.header_bytes:
+            # h11 limits only an incomplete header, not one that arrives in a single read.
+            return BadRequest(HEADER_TOO_LARGE, f"over {self._limits.header_bytes} bytes")
+        if problem := _framing_problem(headers):
+            return BadRequest(MALFORMED, problem)
+        if _declared_length(headers) > self._limits.body_bytes:
+            return self._body_too_large()
+        return None
+
+    async def _read_body(self, head: h11.Request) -> Request | BadRequest:
+        while True:
+            with self._account.reading():
+                event = await self._connection.receive()
+            if isinstance(event, h11.Data):
+                self._account.add(len(event.data))
+                self._body += event.data
+                if len(self._body) > self._limits.body_bytes:
+                    return self._body_too_large()
+            elif isinstance(event, h11.EndOfMessage):
+                break
+            else:
+                raise ConnectionLost("connection closed before the end of the request")
+        self._account.keep()
+        headers: Headers = list(head.headers)
+        try:
+            facts = self._dialect.decode_request(headers)
+        except DocumentInvalid as cause:
+            return BadRequest(MALFORMED, cause.detail)
+        body = bytes(self._body)
+        return Request(head.method, head.target, headers, body, facts, self._arrived_s)
+
+    def _body_too_large(self) -> BadRequest:
+        return BadRequest(BODY_TOO_LARGE, f"over {self._limits.body_bytes} bytes")
+
+
+def _header_size(head: h11.Request) -> int:
+    """Return the approximate size of a header on the wire, in bytes."""
+    separators = len(": \r\n")
+    fields = sum(len(name) + len(value) + separators for name, value in head.headers)
+    return len(head.method) + len(head.target) + fields
+
+
+def _framing_problem(headers: Headers) -> str:
+    """Return what is wrong with the framing or the host of a request; empty if nothing is.
+
+    Servers disagree on how to read a request with both a content length and a transfer encoding:
+    what one reads as the body, another reads as a second request (request smuggling).
+    """
+    names = [name for name, _ in headers]
+    if b"transfer-encoding" in names and b"content-length" in names:
+        return "both a length and a transfer encoding"
+    if names.count(b"host") != 1:
+        return "not exactly one host"
+    return ""
+
+
+def _declared_length(headers: Headers) -> int:
+    for name, value in headers:
+        if name == b"content-length" and value.isdigit():
+            return int(value)
+    return 0
--- /dev/null
+++ b/packages/testing/tests/platform/test_late_limits.py
@@ -0,0 +1,98 @@
+"""Limits that pass while an entry doesn't run, on the mock clock.
+
+What has arrived by then lies in a socket unread: it is read before the limit acts.
+"""
+
+from __future__ import annotations
+
+from contextlib import suppress
+
+import pytest
+import trio
+import trio.testing
+
+from sassafrastally.proxy.cpu_overload import LAST_READ_S
+from sassafrastally.stand_ins.caller_requests import read_response, request_fields
+from sassafrastally.stand_ins.documents import make_configuration
+
+HEADER_LIMIT_S = make_configuration(1)["limits"]["headerTimeoutMs"] / 1000
+IDLE_LIMIT_S = make_configuration(1)["limits"]["idleTimeoutMs"] / 1000
+
+
+@pytest.fixture
+def seed():
+    """Seed of the in-memory network and of the entries."""
+    return 5
+
+
+@pytest.fixture
+async def fleet(autojump_clock, seeded_fleet):
+    """One entry and a plain server."""
+    await seeded_fleet.add_replica("desk-1", "desk")
+    await seeded_fleet.add_entry()
+    await trio.sleep(1.5)
+    return seeded_fleet
+
+
+async def stall(clock: trio.testing.MockClock, at_s: float, for_s: float) -> None:
+    """Let nothing run for a while, once."""
+    await trio.sleep_until(at_s)
+    clock.jump(for_s)
+
+
+def request_bytes(body: bytes) -> bytes:
+    """Return a whole request."""
+    fields = request_fields() | {"Content-Length": str(len(body))}
+    lines = [f"{name}: {value}\r\n" for name, value in fields.items()]
+    return f"POST /look/x HTTP/1.1\r\n{''.join(lines)}\r\n".encode() + body
+
+
+class TestReadingRequests:
+    """Requests whose time to be sent passes."""
+
+    @pytest.mark.parametrize("stalled_ms", range(-8, 8))
+    @pytest.mark.parametrize("body_bytes", [20, 90_000])
+    async def test_that_have_arrived_are_served(
+        self, autojump_clock, fleet, body_bytes, stalled_ms
+    ):
+        """Guards against 408 for a request that lies whole in the entry's socket."""
+        caller = await fleet.connect()
+        data = request_bytes(b"x" * body_bytes)
+        begin_s = trio.current_time()
+        await caller.stream.send_all(data[:100])
+        async with trio.open_nursery() as nursery:
+            sent_s = begin_s + HEADER_LIMIT_S - 0.05
+            nursery.start_soon(stall, autojump_clock, sent_s + stalled_ms / 1000, 0.3)
+            await trio.sleep_until(sent_s)
+            await caller.stream.send_all(data[100:])
+            answer = await read_response(caller)
+        await caller.close()
+        assert answer.status == 200
+
+    async def test_that_never_end_are_refused_at_the_usual_time(self, autojump_clock, fleet):
+        """Guards against requests that are read for longer since an entry might be late."""
+        caller = await fleet.connect()
+        begin_s = trio.current_time()
+        await caller.stream.send_all(request_bytes(b"x" * 20)[:-1])
+        answer = await read_response(caller)
+        assert answer.status == 408
+        assert trio.current_time() - begin_s == pytest.approx(HEADER_LIMIT_S, abs=0.03)
+
+    async def test_that_never_end_are_refused_soon_after_a_stall(self, autojump_clock, fleet):
+        """Guards against a caller that keeps its place by sending a byte from time to time."""
+        caller = await fleet.connect()
+        begin_s = trio.current_time()
+
+        async def send_slowly() -> None:
+            with suppress(trio.BrokenResourceError):
+                for byte in request_bytes(b"x" * 2000):
+                    await caller.stream.send_all(bytes([byte]))
+                    await trio.sleep(0.01)
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(stall, autojump_clock, begin_s + 0.4, 1.0)
+            nursery.start_soon(send_slowly)
+            answer = await read_response(caller)
+            nursery.cancel_scope.cancel()
+        assert answer.status == 408
+        assert trio.current_time() - begin_s == pytest.approx(1.4 + LAST_READ_S, abs=0.03)
