Read what has arrived before connections are closed as idle or at a stop

What callers saw: a connection that was closed, or refused, although their request lay in its socket or the connection in the accept queue. Cause: after a stall, idle connections and the listener were closed as soon as their time had passed. At a stop the process also ended right after it had cancelled the wait on idle connections: it counted open requests before the tasks of these connections had looked for one. Evidence: on the mock clock, stalls of 0.3 to 4.8 s from around the moment at which a request or connection is sent 0.05 s before the limit: 39 of 39 requests on a kept connection unanswered at a stop, 9 of 16 on one that is idle, 11 of 16 new connections refused at a stop. Change: the three waits go on for up to LAST_READ_S if their timer fires late, and a stop checks for open requests only after a turn of the loop. The drain's end bounds it as before; at its end the wait is part of FINAL_ANSWERS_S. Result: none of the 71 cases fails; an idle connection is closed after 5 s as before. A stop with no request open takes 0.02 s longer.

--- a/packages/proxy/src/sassafrastally/proxy/caller_listener.py
+++ b/packages/proxy/src/sassafrastally/proxy/caller_listener.py
@@ -11,6 +11,7 @@
 from sassafrastally.core import Service
 from sassafrastally.proxy.attempt import Request
 from sassafrastally.proxy.cluster_state import ClusterState
+from sassafrastally.proxy.cpu_overload import read_until, sleep_until_read
 from sassafrastally.proxy.early_listener import BACKLOG
 from sassafrastally.proxy.http_stream import (
     ConnectionLost,
@@ -69,6 +70,8 @@
 FINAL_ANSWERS_S = 0.35
 """Part of that time in which the requests that are still open are answered."""
 
+ANSWERED_CHECK_S = 0.02
+"""Interval at which a stopping entry checks whether all requests are answered."""
 
 RETRY_BODY_AFTER_S = 1.0
 """When a caller may send a request again that was refused because of the bodies held: by then most
@@ -140,14 +143,16 @@
         self.kernel.events.emit(ProcessDraining(self.open_requests, stop_time_s))
         self._path.services.drain.begin(ends_s)
         with trio.move_on_at(ends_s):
-            await trio.sleep(ACCEPT_AFTER_SIGNAL_S)
+            await sleep_until_read(stop_begin_s + ACCEPT_AFTER_SIGNAL_S)
             self._listener_scope.cancel()
-            await trio.sleep_until(stop_begin_s + LAST_REQUEST_AFTER_SIGNAL_S)
+            await sleep_until_read(stop_begin_s + LAST_REQUEST_AFTER_SIGNAL_S)
             self._close_idle()
             await self._all_answered()
-        self._listener_scope.cancel()
-        self._close_idle()
+            return
         with trio.move_on_after(FINAL_ANSWERS_S):
+            await sleep_until_read(ends_s)
+            self._listener_scope.cancel()
+            self._close_idle()
             await self._all_answered()
 
     def _close_idle(self) -> None:
@@ -156,8 +161,10 @@
             scope.cancel()
 
     async def _all_answered(self) -> None:
+        # Connections that have just been accepted, or closed as idle, look for a request first.
+        await trio.sleep(ANSWERED_CHECK_S)
         while self.open_requests:
-            await trio.sleep(0.02)
+            await trio.sleep(ANSWERED_CHECK_S)
 
     @property
     def is_stopping(self) -> bool:
@@ -285,12 +292,15 @@
         if connection.http.trailing_data[0]:
             return True
         if not self._is_closing_idle:
-            with trio.move_on_after(self._limits().idle_time_s) as scope:
+            due_s = trio.current_time() + self._limits().idle_time_s
+            with trio.CancelScope() as scope:
                 self._idle_scopes.add(scope)
                 try:
-                    return await connection.receive_bytes()
+                    return await read_until(connection.receive_bytes, due_s)
                 except ConnectionLost:
                     return False
+                except trio.TooSlowError:
+                    pass
                 finally:
                     self._idle_scopes.discard(scope)
         # A request may have arrived at the same moment.
--- a/packages/proxy/src/sassafrastally/proxy/cpu_overload/__init__.py
+++ b/packages/proxy/src/sassafrastally/proxy/cpu_overload/__init__.py
@@ -15,6 +15,7 @@
     due_after_delay_s,
     last_read_s,
     read_until,
+    sleep_until_read,
 )
 from sassafrastally.proxy.cpu_overload.stream_limit import StreamLimit, shed_retry_delay_s
 
@@ -31,4 +32,5 @@
     "last_read_s",
     "read_until",
     "shed_retry_delay_s",
+    "sleep_until_read",
 ]
--- a/packages/proxy/src/sassafrastally/proxy/cpu_overload/late_timeouts.py
+++ b/packages/proxy/src/sassafrastally/proxy/cpu_overload/late_timeouts.py
@@ -71,6 +71,12 @@
         return await read()
 
 
+async def sleep_until_read(due_s: float) -> None:
+    """Sleep until a time; longer if the timer fires late, to read what has arrived meanwhile."""
+    await trio.sleep_until(due_s)
+    await trio.sleep(last_read_s(due_s, trio.current_time()))
+
+
 class StepTimeout:
     """Timeout of an exchange of several steps, of which each one may run late.
 
--- a/packages/proxy/src/sassafrastally/proxy/silence_watch.py
+++ b/packages/proxy/src/sassafrastally/proxy/silence_watch.py
@@ -9,7 +9,7 @@
 
 from sassafrastally.proxy.answer import AttemptUnknown, timeout_error
 from sassafrastally.proxy.answer_events import NO_EVENT_DETAIL, SILENT_SHARE
-from sassafrastally.proxy.cpu_overload import due_after_delay_s, last_read_s
+from sassafrastally.proxy.cpu_overload import due_after_delay_s, sleep_until_read
 from sassafrastally.proxy.failover_decision import RECHECK_INTERVAL_S, Silence, next_check_s
 
 if TYPE_CHECKING:
@@ -135,12 +135,5 @@
                         wait.scope.cancel()
                     delay_s = RECHECK_INTERVAL_S
                 # After an event, the limit may be shorter.
-                await _sleep(min(delay_s, wait.event_limit_s))
-
-
-async def _sleep(duration_s: float) -> None:
-    """Sleep; longer if this entry didn't run in time and may not have read what has arrived."""
-    due_s = trio.current_time() + duration_s
-    await trio.sleep_until(due_s)
-    if extra_s := last_read_s(due_s, trio.current_time()):
-        await trio.sleep(extra_s)
+                next_s = trio.current_time() + min(delay_s, wait.event_limit_s)
+                await sleep_until_read(next_s)
--- a/packages/testing/tests/platform/test_late_limits.py
+++ b/packages/testing/tests/platform/test_late_limits.py
@@ -11,8 +11,12 @@
 import trio
 import trio.testing
 
+from sassafrastally.proxy.caller_listener import (
+    ACCEPT_AFTER_SIGNAL_S,
+    LAST_REQUEST_AFTER_SIGNAL_S,
+)
 from sassafrastally.proxy.cpu_overload import LAST_READ_S
-from sassafrastally.stand_ins.caller_requests import read_response, request_fields
+from sassafrastally.stand_ins.caller_requests import exchange_on, read_response, request_fields
 from sassafrastally.stand_ins.documents import make_configuration
 
 HEADER_LIMIT_S = make_configuration(1)["limits"]["headerTimeoutMs"] / 1000
@@ -96,3 +100,68 @@
             nursery.cancel_scope.cancel()
         assert answer.status == 408
         assert trio.current_time() - begin_s == pytest.approx(1.4 + LAST_READ_S, abs=0.03)
+
+
+class TestIdleConnections:
+    """Connections on which no request has come for as long as they may be kept."""
+
+    @pytest.mark.parametrize("stalled_ms", range(-8, 8))
+    async def test_request_that_has_arrived_is_answered(self, autojump_clock, fleet, stalled_ms):
+        """Guards against a connection that is closed with a request in its socket: its idle time
+        passes while the entry doesn't run."""
+        caller = await fleet.connect()
+        assert (await exchange_on(caller, "POST", "/look/x", request_fields(), b"")).status == 200
+        caller.http.start_next_cycle()
+        async with trio.open_nursery() as nursery:
+            sent_s = trio.current_time() + IDLE_LIMIT_S - 0.05
+            nursery.start_soon(stall, autojump_clock, sent_s + stalled_ms / 1000, 0.3)
+            await trio.sleep_until(sent_s)
+            answer = await exchange_on(caller, "POST", "/look/x", request_fields(), b"")
+        await caller.close()
+        assert answer.status == 200
+
+    async def test_are_closed_at_the_usual_time(self, autojump_clock, fleet):
+        """Guards against idle connections that are kept longer since an entry might be late."""
+        caller = await fleet.connect()
+        begin_s = trio.current_time()
+        assert not await caller.receive_bytes()
+        assert trio.current_time() - begin_s == pytest.approx(IDLE_LIMIT_S, abs=0.03)
+
+
+class TestDrain:
+    """An entry that stops and doesn't run for a while."""
+
+    @pytest.mark.parametrize("stalled_ms", range(-8, 5))
+    @pytest.mark.parametrize("stalled_s", [0.3, 4.0, 4.8])
+    async def test_request_on_a_kept_connection_is_answered(
+        self, autojump_clock, fleet, stalled_s, stalled_ms
+    ):
+        """Guards against an entry that ends while a request lies in the socket of a connection that
+        it takes for idle: the last requests were due while it didn't run."""
+        caller = await fleet.connect()
+        assert (await exchange_on(caller, "POST", "/look/x", request_fields(), b"")).status == 200
+        caller.http.start_next_cycle()
+        begin_s = trio.current_time()
+        fleet.kernels[0].request_stop()
+        async with trio.open_nursery() as nursery:
+            sent_s = begin_s + LAST_REQUEST_AFTER_SIGNAL_S - 0.05
+            nursery.start_soon(stall, autojump_clock, sent_s + stalled_ms / 1000, stalled_s)
+            await trio.sleep_until(sent_s)
+            fields = request_fields(time_left_s=14.0)
+            answer = await exchange_on(caller, "POST", "/look/x", fields, b"")
+        await caller.close()
+        assert answer.is_whole
+        assert answer.status in (200, 503)
+
+    @pytest.mark.parametrize("stalled_ms", range(-8, 8))
+    async def test_connection_is_accepted(self, autojump_clock, fleet, stalled_ms):
+        """Guards against connections that are reset although they were made in time: the listener
+        was due to be closed while the entry didn't run."""
+        begin_s = trio.current_time()
+        fleet.kernels[0].request_stop()
+        async with trio.open_nursery() as nursery:
+            connected_s = begin_s + ACCEPT_AFTER_SIGNAL_S - 0.05
+            nursery.start_soon(stall, autojump_clock, connected_s + stalled_ms / 1000, 0.3)
+            await trio.sleep_until(connected_s)
+            answer = await fleet.call("/look/x")
+        assert answer.status == 200
