Decode configurations in steps between which other tasks run

Cause: a configuration was decoded in one step. With 1,604 routes and 5,000 customers of two keys each (951 KB) it took 110 ms of processor time on a whole core; an entry may have a quarter of one. Evidence: the test counts the routes and customers that are decoded between two steps of any task: 6,600 of 6,600 before. Change: the decoder is a generator that yields after 200 routes or customers. A response of the store or of a peer is decoded with a checkpoint after each step and then applied in one step as before; only the latest version that isn't known yet is decoded. A customer is decoded once instead of once for each key.

--- a/packages/proxy/src/sassafrastally/proxy/change_fetcher.py
+++ b/packages/proxy/src/sassafrastally/proxy/change_fetcher.py
@@ -203,6 +203,7 @@
             return
         name = f"peer {source.host}"
         with self._containment:
+            await self._cluster_state.decode_ahead(delta.entries or delta.events)
             if delta.entries is not None:
                 self._cluster_state.replace(Snapshot(delta.entries, delta.position), name)
             else:
--- a/packages/proxy/src/sassafrastally/proxy/cluster_state.py
+++ b/packages/proxy/src/sassafrastally/proxy/cluster_state.py
@@ -14,6 +14,7 @@
 import trio
 
 from sassafrastally.core import KvEntry, KvEvent, Service
+from sassafrastally.proxy.configuration_decoder import ConfigurationDecoder
 from sassafrastally.proxy.containment import Containment
 from sassafrastally.proxy.departures import Removals
 from sassafrastally.proxy.dialect import DocumentInvalid
@@ -78,6 +79,7 @@
         self.data_centres = data_centres
         """The data centres in the settings."""
         self._dialect = dialect
+        self._configurations = ConfigurationDecoder(dialect)
         self._records = StoreRecords()
         self._lifted: Removals[str] = Removals()
         self.servers = ServerRegistry(
@@ -117,6 +119,13 @@
             if self.on_newer_position is not None:
                 self.on_newer_position()
 
+    async def decode_ahead(self, records: Iterable[KvEntry | KvEvent]) -> None:
+        """Decode what takes long, right before the records are passed to `replace` or `apply`."""
+        key = self._dialect.keys.configuration
+        latest = {record.key: record for record in records}.get(key)
+        if latest is not None and latest.value is not None and not self._records.has(latest):
+            await self._configurations.decode_ahead(latest.value)
+
     def replace(self, snapshot: Snapshot, source: str) -> None:
         """Replace the view by a snapshot; of an earlier one, only a newer configuration is used."""
         if snapshot.position < self.position:
@@ -148,6 +157,7 @@
         self.servers.check_evacuations()
         self.servers.has_snapshot = True
         self._records.forget_changes(snapshot.position.revision)
+        self._configurations.forget_decoded()
         self.confirm(snapshot.position)
 
     def apply(self, events: Iterable[KvEvent], position: StorePosition, source: str) -> None:
@@ -166,6 +176,7 @@
                     entry = KvEntry(event.key, event.value, event.mod_revision)
                     self._put(entry, source, may_be_copied=False)
         self.servers.check_evacuations()
+        self._configurations.forget_decoded()
         self.confirm(position)
 
     def delta_after(self, position: StorePosition) -> Delta:
@@ -246,7 +257,7 @@
 
     def _put_configuration(self, entry: KvEntry, source: str) -> None:
         try:
-            configuration = self._dialect.decode_configuration(entry.value)
+            configuration = self._configurations.decode(entry.value)
         except DocumentInvalid as cause:
             self._reject(entry, source, cause)
             return
--- a/packages/proxy/src/sassafrastally/proxy/dialect.py
+++ b/packages/proxy/src/sassafrastally/proxy/dialect.py
@@ -10,6 +10,8 @@
 from sassafrastally.core import CodedError, error
 
 if TYPE_CHECKING:
+    from collections.abc import Generator
+
     from sassafrastally.proxy.model import (
         AttemptParameters,
         BackendServer,
@@ -82,6 +84,10 @@
         """Parse a configuration; raises `DocumentInvalid`."""
         ...
 
+    def configuration_steps(self, value: bytes) -> Generator[None, None, Configuration]:
+        """Parse a configuration as `decode_configuration`, in steps of some milliseconds."""
+        ...
+
     def decode_server(self, key: str, value: bytes) -> BackendServer:
         """Parse a backend server's registry entry; raises `DocumentInvalid`."""
         ...
--- a/packages/proxy/src/sassafrastally/proxy/store_records.py
+++ b/packages/proxy/src/sassafrastally/proxy/store_records.py
@@ -77,6 +77,10 @@
         self._changes.clear()
         self._changes_from = revision
 
+    def has(self, record: KvEntry | KvEvent) -> bool:
+        """Return whether the latest known record of a key has the revision of another one."""
+        return self._revision_of(record.key) == record.mod_revision != CARRIED_OVER
+
     def is_news(self, entry: KvEntry) -> bool:
         """Return whether a record of the present epoch isn't known yet."""
         known = self._entries.get(entry.key)
--- a/packages/proxy/src/sassafrastally/proxy/watch.py
+++ b/packages/proxy/src/sassafrastally/proxy/watch.py
@@ -118,6 +118,7 @@
         self._record_recovered()
         configuration = self._cluster_state.configuration
         self._peers.note_changes(changes.events)
+        await self._cluster_state.decode_ahead(changes.events)
         self._cluster_state.apply(changes.events, changes.position, "store")
         if self._cluster_state.configuration is not configuration:
             await trio.sleep(CONFIGURATION_PAUSE_S)
@@ -125,6 +126,7 @@
 
     async def _read_snapshot(self) -> None:
         snapshot = await self._store.read_prefix(ALL_KEYS_PREFIX)
+        await self._cluster_state.decode_ahead(snapshot.entries)
         known = self._cluster_state.position
         is_first = known == NO_POSITION
         if not is_first and snapshot.position.epoch > known.epoch and self._lost_since_s is None:
--- a/packages/testing/tests/platform/test_reading_cost.py
+++ b/packages/testing/tests/platform/test_reading_cost.py
@@ -7,13 +7,17 @@
 import trio
 import trio.testing
 
+from sassafrastally.platform import configuration
+from sassafrastally.platform.configuration import STEP_ITEMS
 from sassafrastally.proxy.answer_events import body_interruption
 from sassafrastally.proxy.body_framing import BodyFraming
+from sassafrastally.proxy.cluster_state import ClusterState
 from sassafrastally.proxy.http_stream import RECEIVE_BYTES, HttpStream
 from sassafrastally.proxy.input_limits import (
     MAX_HEAD_BYTES,
     MAX_READ_EVENTS,
 )
+from sassafrastally.stand_ins.documents import make_configuration, make_customers, make_route
 
 LIMIT_S = 1.3
 HEAD = b"HTTP/1.1 200 OK\r\nreplica-seal: s\r\n"
@@ -21,6 +25,12 @@
 CHUNKED_HEAD = HEAD + b"transfer-encoding: chunked\r\n\r\n"
 
 
+@pytest.fixture
+def seed():
+    """Seed of the in-memory network and of the entries."""
+    return 3
+
+
 class StepCounter(trio.abc.Instrument):
     """Counts parsed events, at most between two steps of any task."""
 
@@ -118,3 +128,49 @@
             while True:
                 await connection.receive()
         assert copied_bytes <= 4 * MAX_HEAD_BYTES
+
+
+class DecodingCounter(trio.abc.Instrument):
+    """Counts decoded routes and customers, at most between two steps of any task."""
+
+    def __init__(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        self.most = 0
+        self.total = 0
+        self._count = 0
+        for name in ("_route", "_customer"):
+            monkeypatch.setattr(configuration, name, self._counted(getattr(configuration, name)))
+
+    def before_task_step(self, task: trio.lowlevel.Task) -> None:
+        self._count = 0
+
+    def _counted(self, decode):
+        def counted(body):
+            self.total += 1
+            self._count += 1
+            self.most = max(self.most, self._count)
+            return decode(body)
+
+        return counted
+
+
+class TestConfigurationCost:
+    """Work between two moments at which other tasks can run, for large configurations."""
+
+    async def test_other_tasks_run_while_a_configuration_is_decoded(
+        self, autojump_clock, seeded_fleet, monkeypatch
+    ):
+        """Guards against time limits of all requests that pass while an entry with little CPU time
+        decodes a configuration."""
+        routes = [make_route(f"look-{number}", "idempotent", "desk") for number in range(1600)]
+        names = [f"customer-{number}" for number in range(5000)]
+        large = make_configuration(2, routes=routes, tenants=make_customers(names))
+        kernels = [await seeded_fleet.add_entry(number) for number in (1, 2, 3, 4)]
+        seeded_fleet.configure(large)
+        counter = DecodingCounter(monkeypatch)
+        trio.lowlevel.add_instrument(counter)
+        await trio.sleep(5.0)
+        trio.lowlevel.remove_instrument(counter)
+        states = [kernel.get("beliefs", ClusterState) for kernel in kernels]
+        assert [state.configuration_version for state in states] == [2] * 4
+        assert counter.most <= STEP_ITEMS
+        assert counter.total <= 4 * (len(routes) + len(names))
