Read what has arrived also when a timer is late by less than 0.1 s

What callers saw: 408, or a failed attempt, for a request or a response that lay in the entry's socket when its time passed, while the entry ran up to 0.1 s late. Cause: what is read once more was all or nothing: 0.1 s if the timer was over 0.1 s late, else nothing. One read takes 64 KB, so a larger body wasn't complete. Change: what has arrived is read for as long as the timer was late, at most 0.1 s. A timer on time reads nothing more. Whether an unsent attempt may go to the same server again still needs a delay of over 0.1 s (was_late).

--- a/packages/proxy/src/sassafrastally/proxy/cpu_overload/__init__.py
+++ b/packages/proxy/src/sassafrastally/proxy/cpu_overload/__init__.py
@@ -16,6 +16,7 @@
     last_read_s,
     read_until,
     sleep_until_read,
+    was_late,
 )
 from sassafrastally.proxy.cpu_overload.stream_limit import StreamLimit, shed_retry_delay_s
 
@@ -33,4 +34,5 @@
     "read_until",
     "shed_retry_delay_s",
     "sleep_until_read",
+    "was_late",
 ]
--- a/packages/proxy/src/sassafrastally/proxy/cpu_overload/late_timeouts.py
+++ b/packages/proxy/src/sassafrastally/proxy/cpu_overload/late_timeouts.py
@@ -26,8 +26,17 @@
 
 
 def last_read_s(due_s: float, now_s: float) -> float:
-    """Return how long to read once more after a timeout has expired; 0 if its timer was on time."""
-    return LAST_READ_S if now_s - due_s > MAX_LAG_S else 0.0
+    """Return how long to read once more after a timeout has expired.
+
+    As long as its timer was late, at most `LAST_READ_S`; nothing if it was on time. What has
+    arrived takes several reads if it is larger than a buffer.
+    """
+    return min(LAST_READ_S, max(0.0, now_s - due_s))
+
+
+def was_late(due_s: float, now_s: float) -> bool:
+    """Return whether a timer was so late that its expiry says nothing about a server."""
+    return now_s - due_s > MAX_LAG_S
 
 
 def due_after_delay_s(due_s: float, begin_s: float, sent_s: float) -> float:
--- a/packages/proxy/src/sassafrastally/proxy/plain_request.py
+++ b/packages/proxy/src/sassafrastally/proxy/plain_request.py
@@ -12,7 +12,7 @@
 
 # Runtime import: BodyFraming is a field type of a named tuple.
 from sassafrastally.proxy.body_framing import BodyFraming
-from sassafrastally.proxy.cpu_overload import last_read_s
+from sassafrastally.proxy.cpu_overload import was_late
 from sassafrastally.proxy.event_stream import carries_events
 from sassafrastally.proxy.failover_decision import Obstacle
 from sassafrastally.proxy.load import InFlightAttempt, Lane
@@ -207,7 +207,7 @@
             return answer
         except AttemptNotRun as cause:
             self._record_not_run(server, begin_s, cause)
-            if cause.is_out_of_time and last_read_s(due_s, self._clock.now_s()):
+            if cause.is_out_of_time and was_late(due_s, self._clock.now_s()):
                 # This entry ran late: the server may be tried again.
                 self.progress.tried.discard(server.incarnation_id)
             elif cause.is_out_of_time:
--- a/packages/testing/tests/platform/test_late_limits.py
+++ b/packages/testing/tests/platform/test_late_limits.py
@@ -56,8 +56,9 @@
 
     @pytest.mark.parametrize("stalled_ms", range(-8, 8))
     @pytest.mark.parametrize("body_bytes", [20, 90_000])
+    @pytest.mark.parametrize(("before_s", "stalled_s"), [(0.05, 0.3), (0.02, 0.06)])
     async def test_that_have_arrived_are_served(
-        self, autojump_clock, fleet, body_bytes, stalled_ms
+        self, autojump_clock, fleet, before_s, stalled_s, body_bytes, stalled_ms
     ):
         """Guards against 408 for a request that lies whole in the entry's socket."""
         caller = await fleet.connect()
@@ -65,8 +66,8 @@
         begin_s = trio.current_time()
         await caller.stream.send_all(data[:100])
         async with trio.open_nursery() as nursery:
-            sent_s = begin_s + HEADER_LIMIT_S - 0.05
-            nursery.start_soon(stall, autojump_clock, sent_s + stalled_ms / 1000, 0.3)
+            sent_s = begin_s + HEADER_LIMIT_S - before_s
+            nursery.start_soon(stall, autojump_clock, sent_s + stalled_ms / 1000, stalled_s)
             await trio.sleep_until(sent_s)
             await caller.stream.send_all(data[100:])
             answer = await read_response(caller)
