Send a response that its caller hasn't got any byte of as a whole, or answer otherwise

Callers got neither an answer nor a failure: the connection was closed with nothing sent. Reply noted that a response had begun when h11 encoded the header; if the limit of the request, or the end of the entry's drain, passed in the same turn of the loop, the write was cancelled at its first checkpoint, and the path took the response for a stream that had been cut.

The class: a state is recorded before it is true.

The limit of a request is now an object of its own, which Reply knows. A header isn't encoded at all if the request is cancelled already, so that a failure can still be answered. With that, a response has begun for h11 only if its bytes are written.

TestTimeLeft passes the nursery of the limit's task; what it checks is unchanged.

--- a/packages/proxy/src/sassafrastally/proxy/drain.py
+++ b/packages/proxy/src/sassafrastally/proxy/drain.py
@@ -14,6 +14,7 @@
 import trio
 
 from sassafrastally.proxy.response_lengths import ResponseLengths
+from sassafrastally.proxy.time_limit import TimeLimit
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -31,7 +32,7 @@
         """How long the latest responses took."""
         self.ends_s = math.inf
         """When responses must be complete; infinite unless the entry is stopping."""
-        self._limits: set[trio.CancelScope] = set()
+        self._limits: set[TimeLimit] = set()
 
     @property
     def is_stopping(self) -> bool:
@@ -42,7 +43,7 @@
         """Begin the drain, which limits all requests in progress and those that still arrive."""
         self.ends_s = ends_s
         for limit in self._limits:
-            limit.deadline = min(limit.deadline, ends_s)
+            limit.shorten(ends_s)
 
     def needed_s(self, route: str, first_s: float, declared_s: float) -> float:
         """Return the time that a response probably takes.
@@ -64,11 +65,24 @@
         return now_s + needed_s <= self.ends_s
 
     @contextmanager
-    def limit(self, deadline_s: float) -> Iterator[trio.CancelScope]:
-        """Cancel what runs in the context at a deadline, or at the end of a drain if sooner."""
-        with trio.CancelScope(deadline=min(deadline_s, self.ends_s)) as scope:
-            self._limits.add(scope)
-            try:
-                yield scope
-            finally:
-                self._limits.discard(scope)
+    def limit(self, deadline_s: float, nursery: trio.Nursery) -> Iterator[TimeLimit]:
+        """Limit the work in the context to a deadline, or to the end of a drain if sooner.
+
+        Parameters
+        ----------
+        deadline_s
+            Time of the deadline.
+        nursery
+            Runs the task that waits for it.
+        """
+        limit = TimeLimit(min(deadline_s, self.ends_s))
+        if limit.due_s <= trio.current_time():
+            limit.scope.cancel()  # Nothing is in progress that could still be delivered.
+        self._limits.add(limit)
+        nursery.start_soon(limit.watch)
+        try:
+            with limit.scope:
+                yield limit
+        finally:
+            self._limits.discard(limit)
+            limit.end()
--- a/packages/proxy/src/sassafrastally/proxy/path.py
+++ b/packages/proxy/src/sassafrastally/proxy/path.py
@@ -108,6 +108,7 @@
 
     async def start(self, nursery: trio.Nursery) -> None:
         """Look up the required services and start the cleanup task."""
+        self._nursery = nursery
         self._overload = self.kernel.get("overload", OverloadMonitor)
         self._started_s = self.kernel.clock.now_s()
         self._cluster_state = self.kernel.get("beliefs", ClusterState)
@@ -229,11 +230,12 @@
         answerer = self._request_handler(task, reply, progress)
         local_reply: LocalReply | None = None
         late_s = 0.0
-        with self.services.drain.limit(task.deadline_s) as limit:
+        with self.services.drain.limit(task.deadline_s, self._nursery) as limit:
+            reply.limit = limit
             try:
                 local_reply = await answerer.run()
             except trio.Cancelled:
-                if not limit.cancel_called:
+                if not limit.scope.cancel_called:
                     held_s = self.kernel.clock.now_s() - request.arrived_s
                     self.kernel.events.emit(
                         CallerLeft(request.facts.request_id, route.name, held_s)
@@ -247,8 +249,8 @@
                 )
                 self._record_unanswered(task, progress)
                 raise
-        if limit.cancelled_caught:
-            late_s = round(self.kernel.clock.now_s() - limit.deadline, 4)
+        if limit.has_acted:
+            late_s = round(self.kernel.clock.now_s() - limit.due_s, 4)
             self._record_unanswered(task, progress)
             if not reply.has_begun and await answerer.forward_kept():
                 return
--- a/packages/proxy/src/sassafrastally/proxy/reply.py
+++ b/packages/proxy/src/sassafrastally/proxy/reply.py
@@ -11,6 +11,7 @@
 from sassafrastally.core import error
 from sassafrastally.proxy.http_stream import ConnectionLost
 from sassafrastally.proxy.slow_readers import BlockedCallers
+from sassafrastally.proxy.time_limit import TimeLimit
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -52,11 +53,14 @@
         is_last: Callable[[], bool],
         blocked_callers: BlockedCallers[trio.CancelScope] | None = None,
     ) -> None:
+        self.limit = TimeLimit()
+        """Time limit of the request. It doesn't cut a response or an event while it is written."""
         self.write_timeout_s = math.inf
         """Time after which a caller that reads nothing is disconnected."""
         self.is_for_head = False
         """Whether the request was a HEAD request, whose response has a length but no body."""
         self.has_begun = False
+        """Whether the caller may have got a part of the response."""
         self.has_ended = False
         self.sent_bytes = 0
         """Bytes passed to the operating system, without those of a cancelled write."""
@@ -77,9 +81,11 @@
     async def begin(self, status: int, headers: Headers) -> None:
         """Send the header of a response of unknown length; raises `ConnectionLost`.
 
+        If the request is cancelled already, nothing is sent and another response is possible.
         A caller without chunked transfer coding takes the end of the connection for that of the
         response, whether this entry or the operating system closes it.
         """
+        await trio.lowlevel.checkpoint_if_cancelled()
         if self._ends_with_connection:
             self._connection.set_reset_on_close(True)
         await self._send(self._response(status, _end_to_end_headers(headers)))
@@ -100,11 +106,23 @@
         """Whether a response of unknown length has no end but that of its connection."""
         return self._connection.http.their_http_version == HTTP_1_0
 
+    def abandon(self) -> None:
+        """End a write in progress, as its caller has left."""
+        self.limit.abandon_write()
+
     async def _send(self, *events: h11.Event) -> None:
-        """Send events; raises `CallerBlocked` if the caller doesn't read them."""
+        """Send events as a whole; raises `CallerBlocked` if the caller doesn't read them.
+
+        Neither the time limit nor the end of the process cuts them: a caller can't tell a part of a
+        response from a broken one, and bytes that aren't sent can't be taken back from h11.
+        """
         data = self._connection.encode(*events)
-        for begin in range(0, len(data), WRITE_BYTES):
-            await self._write(data[begin : begin + WRITE_BYTES])
+        with self.limit.writing() as scope:
+            for begin in range(0, len(data), WRITE_BYTES):
+                await self._write(data[begin : begin + WRITE_BYTES])
+        if scope.cancelled_caught:
+            await trio.lowlevel.checkpoint_if_cancelled()  # If the caller has left.
+            raise CallerBlocked("it hadn't read everything when its time was over")
 
     async def _write(self, data: bytes) -> None:
         now_s = trio.current_time()
--- a/packages/testing/tests/platform/test_stopping_entry.py
+++ b/packages/testing/tests/platform/test_stopping_entry.py
@@ -159,9 +159,9 @@
         async with trio.open_nursery() as nursery:
 
             async def work() -> None:
-                with drain.limit(begin_s + 60.0) as limit:
+                with drain.limit(begin_s + 60.0, nursery) as limit:
                     await trio.sleep_forever()
-                assert limit.cancelled_caught
+                assert limit.has_acted
 
             nursery.start_soon(work)
             await trio.sleep(1.0)
