Deliver what servers have sent before a time limit that is noticed late acts

Callers got 504, or 502 from a stopping entry, for requests whose servers had answered before the limit: the answer lay in the entry's socket, which hadn't run since. When it ran again, the limit's timer was handled before the socket was read, and the work on the request was cancelled. A complete answer was also dropped if the limit passed while its connection was returned to the pool.

The class: what is ready is dropped for a limit that passed while the process had no time.

Plain requests keep a response as soon as it is complete. The last answers of a stopping entry get the time of a last read after a pause, too.

--- a/packages/proxy/src/sassafrastally/proxy/caller_listener.py
+++ b/packages/proxy/src/sassafrastally/proxy/caller_listener.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import traceback
+from contextlib import suppress
 from typing import TYPE_CHECKING, ClassVar, NamedTuple
 
 import h11
@@ -11,6 +12,7 @@
 from sassafrastally.core import Service
 from sassafrastally.proxy.attempt import Request
 from sassafrastally.proxy.cluster_state import ClusterState
+from sassafrastally.proxy.cpu_overload import StepTimeout
 from sassafrastally.proxy.dialect import DocumentInvalid
 from sassafrastally.proxy.early_listener import BACKLOG
 from sassafrastally.proxy.http_stream import (
@@ -160,8 +162,8 @@
             await self._all_answered()
         self._listener_scope.cancel()
         self._close_idle()
-        with trio.move_on_after(FINAL_ANSWERS_S):
-            await self._all_answered()
+        with suppress(trio.TooSlowError):
+            await StepTimeout(FINAL_ANSWERS_S).read(self._all_answered)
 
     def _close_idle(self) -> None:
         self._is_closing_idle = True
--- a/packages/proxy/src/sassafrastally/proxy/path.py
+++ b/packages/proxy/src/sassafrastally/proxy/path.py
@@ -249,7 +249,7 @@
                 )
                 self._record_unanswered(task, progress)
                 raise
-        if limit.has_acted:
+        if limit.has_acted or (local_reply is not None and limit.is_due):
             late_s = round(self.kernel.clock.now_s() - limit.due_s, 4)
             self._record_unanswered(task, progress)
             if not reply.has_begun and await answerer.forward_kept():
--- a/packages/proxy/src/sassafrastally/proxy/plain_request.py
+++ b/packages/proxy/src/sassafrastally/proxy/plain_request.py
@@ -61,6 +61,8 @@
         super().__init__(services, task, reply, progress)
         self._failed: BufferedResponse | None = None
         """A server's failure, which is forwarded unless another attempt succeeds."""
+        self._received: BufferedResponse | None = None
+        """The complete response to the present attempt."""
         self._obstacle: Obstacle | None = None
         """What prevented another attempt."""
         self._room_wait = RoomWait(
@@ -106,10 +108,11 @@
         return self._local_reply()
 
     async def forward_kept(self) -> bool:
-        """Forward the failure that a server has answered, if any."""
-        if self._failed is None:
+        """Forward what a server has answered, if any."""
+        answer = self._received or self._failed
+        if answer is None:
             return False
-        await self._forward(self._failed)
+        await self._forward(answer)
         return True
 
     def _local_reply(self) -> LocalReply:
@@ -181,6 +184,7 @@
 
     async def _attempt(self, server: BackendServer) -> BufferedResponse | None:
         """Make one attempt; return the response, or ``None`` if there is none."""
+        await self._reply.limit.require_time()
         self._begin_attempt(server)
         self._room_wait.record_start()
         begin_s = self._clock.now_s()
@@ -200,7 +204,6 @@
         )
         try:
             answer = await self._exchange(server, attempt, due_s)
-            self.progress.pending, self.progress.may_have_run = None, True
             self._services.fleet_view.record_success(server.incarnation_id)
             self._count_outcome(server, is_failure=answer.status >= SERVER_ERROR_STATUS)
             self._record_success(server, answer.status)
@@ -246,9 +249,11 @@
                 with wait.awaited(answer):
                     body = await answer.read()
                 await self._require_end(answer, body)
-                return BufferedResponse(
+                self.progress.pending, self.progress.may_have_run = None, True
+                self._received = BufferedResponse(
                     answer.status, answer.headers, body, server.server_id, answer.framing
                 )
+                return self._received
 
     async def _require_end(self, answer: Answer, body: bytes) -> None:
         """Raise `AttemptUnknown` if the body is an event stream that isn't whole."""
--- a/packages/proxy/src/sassafrastally/proxy/streaming_request.py
+++ b/packages/proxy/src/sassafrastally/proxy/streaming_request.py
@@ -288,10 +288,10 @@
 
     async def _attempt(self, placement: Placement) -> bool:
         """Make one attempt; return whether the caller got its response."""
-        server = placement.server
+        await self._reply.limit.require_time()
+        server, begin_s = placement.server, self._clock.now_s()
         self._begin_attempt(server, placement.helpers)
         self._room_wait.record_start()
-        begin_s = self._clock.now_s()
         self._log.placed(server, placement)
         memory = {holding.server.incarnation_id: holding.tokens for holding in placement.holdings}
         due_s = begin_s + placement.predicted_s
