Test of silent stand-ins: measure pauses on the mock clock

Cause: the pauses are measured on the real clock by the process of the test itself; if that is held up for 0.65 s while it waits for the first bytes, its own delay is the longest pause.

--- a/packages/testing/tests/stand_ins/test_silence.py
+++ b/packages/testing/tests/stand_ins/test_silence.py
@@ -36,8 +36,9 @@
 
 
 @pytest.fixture
-async def servers():
-    """An engine and a plain server."""
+async def servers(autojump_clock):
+    """An engine and a plain server, on a network and a clock that a busy machine doesn't delay."""
+    trio.socket.set_custom_socket_factory(VirtualNetwork(Random(1)))
     async with platform_fleet() as fleet:
         yield await fleet.add_replica("engine-1"), await fleet.add_replica("desk-1", "desk")
 
@@ -73,7 +74,9 @@
 
     @pytest.mark.parametrize(("place", "part_number"), PLACES)
     @pytest.mark.parametrize("framing", BodyFraming)
-    async def test_stream_stops_there_and_is_whole(self, servers, place, part_number, framing):
+    async def test_stream_stops_there_and_is_whole(
+        self, autojump_clock, servers, place, part_number, framing
+    ):
         """Guards against a silence elsewhere, and against a stand-in that loses bytes by it."""
         engine, _ = servers
         engine.framing = framing
@@ -89,7 +92,7 @@
         assert whole.count(b"\ndata: ") == EVENTS
 
     @pytest.mark.parametrize("place", SilencePlace)
-    async def test_plain_response_stops_there_and_is_whole(self, servers, place):
+    async def test_plain_response_stops_there_and_is_whole(self, autojump_clock, servers, place):
         """Guards against a silence that applies to streams only."""
         _, desk = servers
         desk.silence.place, desk.silence.duration_s = place, SILENCE_S
@@ -115,7 +118,7 @@
         return trio.current_time() - begin_s
 
     @pytest.mark.parametrize("cut_share", [0.0, 0.5])
-    async def test_all_requests_are_answered_once_it_ends(self, servers, cut_share):
+    async def test_all_requests_are_answered_once_it_ends(self, autojump_clock, servers, cut_share):
         """Guards against a silence that ends a response, or lets a connection go on meanwhile."""
         engine, desk = servers
         for replica in (engine, desk):
@@ -132,7 +135,7 @@
         assert max(took_s) < SILENCE_S + 0.5
         assert await self.call(desk) < SILENCE_S / 2
 
-    async def test_some_connections_go_on(self, servers):
+    async def test_some_connections_go_on(self, autojump_clock, servers):
         """Guards against a share of silent connections that isn't kept."""
         _, desk = servers
         desk.silence.begin(SILENCE_S, one_in=2)
@@ -141,7 +144,9 @@
         assert await self.call(desk) < SILENCE_S / 2
 
     @pytest.mark.parametrize("includes_reports", [True, False])
-    async def test_reports_are_silent_too_unless_excluded(self, servers, includes_reports):
+    async def test_reports_are_silent_too_unless_excluded(
+        self, autojump_clock, servers, includes_reports
+    ):
         """Guards against reports that always, or never, tell of a silence."""
         engine, _ = servers
         engine.silence.includes_reports = includes_reports
