Entry: deliver an answer that is ready when its request's limit passes

What callers saw: 504 time-limit-passed or 503 stopping for a request whose whole answer lay in the entry's socket, and an answer that was complete and then counted as failed.

Cause: the limit of a request was the deadline of a trio scope around the whole execution. When the process didn't run for a while, the deadline was found in the same turn of the loop as the answer, and the tasks between the link and the caller were cancelled at their next checkpoint. The same holds for the limit after a second stop signal. An execution that was cancelled between its end mark and its own end marked its answer as complete and as failed: the caller got the failure after, or instead of, the whole answer.

Change: core.late_limits has time limits that act after what has been received is delivered: a few turns of the loop after a timer on time, 0.1 s (0.2 s if paused again) after a late one. The request path uses it. An answer with an end mark isn't failed any more, and its tokens are settled as used. The proxy's LAST_READ_S comes from there.

--- a/packages/core/src/sassafrastally/core/__init__.py
+++ b/packages/core/src/sassafrastally/core/__init__.py
@@ -29,6 +29,7 @@
     LeaseLost,
     MaybeApplied,
 )
+from sassafrastally.core.late_limits import TimeLimit, time_limit
 from sassafrastally.core.metrics import METRICS, MetricKind, counter, gauge, histogram
 from sassafrastally.core.network import Address, Network, TcpNetwork, is_ip_address
 from sassafrastally.core.registry import Registry
@@ -70,6 +71,7 @@
     "RequestId",
     "Service",
     "TcpNetwork",
+    "TimeLimit",
     "counter",
     "error",
     "event",
@@ -81,4 +83,5 @@
     "new_incarnation",
     "new_request_id",
     "stamp_wall_s",
+    "time_limit",
 ]
--- /dev/null
+++ b/packages/core/src/sassafrastally/core/late_limits.py
@@ -0,0 +1,125 @@
+"""Time limits that act only after received input has been delivered.
+
+When a process runs again after a pause (a paused VM, little CPU time, a long computation), its
+timers have expired although what they waited for may lie ready in a socket. A plain deadline would
+discard it: trio cancels a task at its next checkpoint, so that an answer that one task has read no
+longer reaches the task that waits for it. No pause is measured: a timer that fires late shows it.
+"""
+
+from __future__ import annotations
+
+from contextlib import asynccontextmanager
+from typing import TYPE_CHECKING
+
+import trio
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+LATE_TIMER_S = 0.02
+"""Delay above which a timer counts as late. Turns of an event loop that isn't delayed take a few
+milliseconds."""
+
+LAST_READ_S = 0.1
+"""How long is read once more after a late timer. What arrived during the pause is read at once; a
+paused VM also has to receive what the network held back, which takes a few round trips."""
+
+MAX_LAST_READS = 2
+"""How often is read once more if the process pauses again meanwhile. Keeps a limit within a quarter
+of a second, the delay that callers accept."""
+
+DELIVERY_TURNS = 16
+"""Turns of the event loop in which tasks pass on what has been read. An answer takes one turn for
+each task on its way, which are fewer than ten."""
+
+
+def last_read_s(due_s: float, now_s: float) -> float:
+    """Return how long to read once more after a timer has fired; 0 if it was on time."""
+    return LAST_READ_S if now_s - due_s > LATE_TIMER_S else 0.0
+
+
+async def deliver_received(due_s: float) -> None:
+    """Let other tasks deliver what has been received, after a timer has fired.
+
+    Parameters
+    ----------
+    due_s
+        Time for which the timer was set, on trio's clock.
+    """
+    for _ in range(MAX_LAST_READS):
+        now_s = trio.current_time()
+        extra_s = last_read_s(due_s, now_s)
+        if not extra_s:
+            break
+        due_s = now_s + extra_s
+        await trio.sleep_until(due_s)
+    for _ in range(DELIVERY_TURNS):
+        await trio.lowlevel.checkpoint()
+
+
+class TimeLimit:
+    """Time limit of a scope, which `watch` enforces.
+
+    Parameters
+    ----------
+    due_s
+        When the time ends, on trio's clock.
+    scope
+        Scope that is cancelled; a new one if ``None``.
+    """
+
+    def __init__(self, due_s: float, scope: trio.CancelScope | None = None) -> None:
+        self.due_s = due_s
+        self.scope = scope or trio.CancelScope()
+        self._shortened = trio.Event()
+
+    def shorten(self, due_s: float) -> None:
+        """Let the time end at this time if that is earlier."""
+        if due_s < self.due_s:
+            self.due_s = due_s
+            self._shortened.set()
+
+    async def watch(self) -> None:
+        """Wait for the end of the time and for what has been received; then cancel the scope."""
+        while trio.current_time() < self.due_s:
+            self._shortened = trio.Event()
+            with trio.move_on_at(self.due_s):
+                await self._shortened.wait()
+        await deliver_received(self.due_s)
+        self.scope.cancel()
+
+
+@asynccontextmanager
+async def time_limit(
+    due_s: float, scope: trio.CancelScope | None = None
+) -> AsyncIterator[TimeLimit]:
+    """Cancel the work of the context when its time has ended.
+
+    Takes the place of `trio.move_on_at` where other tasks read what the work waits for, or where
+    the work would lose what it has read so far.
+
+    Parameters
+    ----------
+    due_s
+        When the time ends, on trio's clock.
+    scope
+        Scope to enter and cancel; a new one if ``None``.
+
+    Yields
+    ------
+    TimeLimit
+        Its scope tells afterwards whether the time ended (`trio.CancelScope.cancelled_caught`).
+    """
+    limit = TimeLimit(due_s, scope)
+    failure: Exception | None = None
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(limit.watch)
+        try:
+            with limit.scope:
+                yield limit
+        except Exception as caught:
+            # Raised outside the nursery, which would wrap it in an exception group.
+            failure = caught
+        nursery.cancel_scope.cancel()
+    if failure is not None:
+        raise failure
--- /dev/null
+++ b/packages/core/tests/test_late_limits.py
@@ -0,0 +1,135 @@
+"""Tests of time limits that act only after received input has been delivered."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import pytest
+import trio
+import trio.testing
+
+from sassafrastally.core.late_limits import (
+    LAST_READ_S,
+    LATE_TIMER_S,
+    MAX_LAST_READS,
+    TimeLimit,
+    last_read_s,
+    time_limit,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterable, AsyncIterator
+
+LIMIT_S = 5.0
+RELAYS = 5
+
+
+@pytest.fixture
+async def relayed(nursery: trio.Nursery) -> AsyncIterator[tuple[trio.SocketStream, list[bytes]]]:
+    """A socket whose bytes pass through several tasks, the last one with a time limit."""
+    sender, receiver = (trio.SocketStream(each) for each in trio.socket.socketpair())
+    received: list[bytes] = []
+
+    async def relay(source: AsyncIterable[bytes], target: trio.MemorySendChannel[bytes]) -> None:
+        async for data in source:
+            await target.send(data)
+
+    async def wait_for_all(source: AsyncIterable[bytes]) -> None:
+        async with time_limit(trio.current_time() + LIMIT_S):
+            async for data in source:
+                received.append(data)
+
+    source: AsyncIterable[bytes] = receiver
+    for _ in range(RELAYS):
+        target, next_source = trio.open_memory_channel[bytes](0)
+        nursery.start_soon(relay, source, target)
+        source = next_source
+    nursery.start_soon(wait_for_all, source)
+    yield sender, received
+    await sender.aclose()
+
+
+class TestLastRead:
+    @pytest.mark.parametrize(
+        ("lag_s", "extra_s"),
+        [(0.0, 0.0), (LATE_TIMER_S, 0.0), (LATE_TIMER_S * 1.01, LAST_READ_S), (30.0, LAST_READ_S)],
+    )
+    def test_only_a_late_timer_reads_once_more(self, lag_s: float, extra_s: float) -> None:
+        assert last_read_s(0.0, lag_s) == extra_s
+
+
+class TestTimeLimit:
+    @pytest.mark.parametrize("lag_s", [0.0, 0.01, 0.05, 1.0, 100.0])
+    async def test_delivers_what_lies_ready(
+        self,
+        mock_clock: trio.testing.MockClock,
+        relayed: tuple[trio.SocketStream, list[bytes]],
+        lag_s: float,
+    ) -> None:
+        """Guards against an answer that is discarded since the limit passed in the same turn."""
+        sender, received = relayed
+        await trio.testing.wait_all_tasks_blocked()
+        await sender.send_all(b"ready")
+        mock_clock.jump(LIMIT_S + lag_s)
+        await trio.testing.wait_all_tasks_blocked()
+        assert received == [b"ready"]
+
+    @pytest.mark.parametrize(("lag_s", "reads"), [(0.0, 0), (1.0, 1)])
+    async def test_acts_within_a_bound(
+        self, autojump_clock: trio.testing.MockClock, lag_s: float, reads: int
+    ) -> None:
+        start_s = trio.current_time()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(_jump_at, autojump_clock, start_s, LIMIT_S + lag_s)
+            async with time_limit(start_s + LIMIT_S) as limit:
+                await trio.sleep_forever()
+        assert limit.scope.cancelled_caught
+        elapsed_s = trio.current_time() - start_s
+        assert elapsed_s == pytest.approx(LIMIT_S + lag_s + reads * LAST_READ_S)
+
+    async def test_acts_within_a_bound_when_paused_again_and_again(
+        self, mock_clock: trio.testing.MockClock
+    ) -> None:
+        """Guards against a limit that never acts since the process pauses repeatedly."""
+        limit = TimeLimit(LIMIT_S)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(limit.watch)
+            for _ in range(1 + MAX_LAST_READS):
+                await trio.testing.wait_all_tasks_blocked()
+                assert not limit.scope.cancel_called
+                mock_clock.jump(LIMIT_S + 1.0)
+            await trio.testing.wait_all_tasks_blocked()
+            assert limit.scope.cancel_called
+
+    async def test_can_be_shortened_but_not_extended(
+        self, autojump_clock: trio.testing.MockClock
+    ) -> None:
+        start_s = trio.current_time()
+        async with time_limit(start_s + LIMIT_S) as limit:
+            await trio.sleep(1.0)
+            limit.shorten(start_s + 2.0)
+            limit.shorten(start_s + 9.0)
+            await trio.sleep_forever()
+        assert trio.current_time() - start_s == pytest.approx(2.0)
+
+    async def test_raises_exceptions_unwrapped(
+        self, autojump_clock: trio.testing.MockClock
+    ) -> None:
+        with pytest.raises(KeyError):
+            async with time_limit(trio.current_time() + LIMIT_S):
+                raise KeyError
+
+    async def test_leaves_cancellation_to_the_outer_scope(
+        self, autojump_clock: trio.testing.MockClock
+    ) -> None:
+        with trio.move_on_after(1.0) as outer:
+            async with time_limit(trio.current_time() + LIMIT_S) as limit:
+                await trio.sleep_forever()
+        assert outer.cancelled_caught
+        assert not limit.scope.cancelled_caught
+
+
+async def _jump_at(clock: trio.testing.MockClock, start_s: float, jump_s: float) -> None:
+    await trio.sleep_until(start_s)
+    await trio.lowlevel.checkpoint()
+    clock.jump(jump_s)
--- a/packages/entry/src/sassafrastally/entry/path.py
+++ b/packages/entry/src/sassafrastally/entry/path.py
@@ -7,7 +7,7 @@
 
 import trio
 
-from sassafrastally.core import KernelError, Service, new_request_id
+from sassafrastally.core import KernelError, Service, TimeLimit, new_request_id
 from sassafrastally.entry.candidates import Candidates
 from sassafrastally.entry.claiming import (
     Claims,
@@ -63,7 +63,7 @@
 
     request_id: RequestId
     request: CallerRequest
-    scope: trio.CancelScope
+    limit: TimeLimit
 
 
 class RequestPath(Service):
@@ -188,9 +188,10 @@
         request_id = request.request_id or self.new_id()
         answer = Answer(request_id, self._settings.max_buffered_bytes)
         refusal: Refusal | None = None
-        with self._tracked(request_id, request) as scope:
+        with self._tracked(request_id, request) as limit:
             async with trio.open_nursery() as nursery:
-                nursery.start_soon(self._execute, in_force, request, answer, scope)
+                nursery.start_soon(limit.watch)
+                nursery.start_soon(self._execute, in_force, request, answer, limit.scope)
                 try:
                     await answer.wait_started()
                     self._record_first_data(request)
@@ -246,9 +247,12 @@
         try:
             with scope:
                 async with admitted(self.kernel, request.customer, tokens) as admission:
-                    await execution.run()
-                    admission.settle(_used_tokens(request, answer))
-            if scope.cancelled_caught:
+                    try:
+                        await execution.run()
+                    finally:
+                        admission.settle(_used_tokens(request, answer))
+            # An answer that has become complete in the turn of the cancellation is delivered.
+            if scope.cancelled_caught and answer.end is None:
                 return self._cancelled_refusal(request, execution.outcome)
         except Refusal as refusal:
             return refusal
@@ -271,17 +275,17 @@
             raise _overloaded(settings.max_held_body_bytes, held, "bytes of bodies")
 
     @contextmanager
-    def _tracked(self, request_id: RequestId, request: CallerRequest) -> Iterator[trio.CancelScope]:
+    def _tracked(self, request_id: RequestId, request: CallerRequest) -> Iterator[TimeLimit]:
         """Count a request against the entry's own limits for the duration of the context."""
         settings, size = self._settings, len(request.body)
-        scope = trio.CancelScope(deadline=request.deadline_s)
+        limit = TimeLimit(request.deadline_s)
         if self.kernel.hurrying.is_set():
-            scope.deadline = min(scope.deadline, trio.current_time() + settings.stop_limit_s)
-        self._open[request_id] = OpenRequest(request_id, request, scope)
+            limit.shorten(trio.current_time() + settings.stop_limit_s)
+        self._open[request_id] = OpenRequest(request_id, request, limit)
         self._held_body_bytes += size
         OPEN_REQUESTS.add(1)
         try:
-            yield scope
+            yield limit
         finally:
             del self._open[request_id]
             self._held_body_bytes -= size
@@ -296,7 +300,7 @@
         self.kernel.events.emit(EntryHurried(len(self._open), limit_s))
         latest_s = trio.current_time() + limit_s
         for item in self._open.values():
-            item.scope.deadline = min(item.scope.deadline, latest_s)
+            item.limit.shorten(latest_s)
 
     def _record_first_data(self, request: CallerRequest) -> None:
         if request.model and request.is_streamed:
--- /dev/null
+++ b/packages/entry/tests/test_ready_answers.py
@@ -0,0 +1,104 @@
+"""Answers that are ready when a time limit passes while the process doesn't run."""
+
+from __future__ import annotations
+
+from contextlib import asynccontextmanager
+from typing import TYPE_CHECKING, Any
+
+import pytest
+import trio
+
+from sassafrastally.serving.outcome import Outcome
+from sassafrastally.testing.sidecar_scripts import THREE_EVENTS, refusal_of
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    from sassafrastally.wire.messages import Reserve
+
+LIMIT_S = 5.0
+LAGS_S = [0.0, 0.01, 0.05, 0.25, 3.0]
+"""How late the process runs after the limit."""
+
+
+def answer_then_pause(clock: Any, pause_s: float) -> Any:
+    """Return a script whose answer is in the entry's socket when the process pauses."""
+
+    async def script(sidecar: Any, end: Any, reserve: Reserve) -> None:
+        await sidecar.accept(end, reserve)
+        await sidecar.answer(end, reserve)
+        clock.jump(pause_s)
+
+    return script
+
+
+class TestTimeLimitOfARequest:
+    @pytest.mark.parametrize("is_streamed", [True, False])
+    @pytest.mark.parametrize("lag_s", LAGS_S)
+    async def test_ready_answer_is_delivered(
+        self, world: Any, autojump_clock: Any, lag_s: float, is_streamed: bool
+    ) -> None:
+        """Guards against a complete answer that is dropped for a limit found in the same turn."""
+        script = answer_then_pause(autojump_clock, LIMIT_S + lag_s)
+        world.s1.scripts, world.s2.scripts = [script], [script]
+        request = world.request(time_limit_s=LIMIT_S, is_streamed=is_streamed)
+        assert (await world.ask(request)).body == THREE_EVENTS
+        assert world.ran() == 1
+
+    @pytest.mark.parametrize("lag_s", LAGS_S)
+    async def test_ready_answer_is_delivered_by_an_entry_that_hurries(
+        self, world: Any, autojump_clock: Any, entry_settings: Any, lag_s: float
+    ) -> None:
+        """Guards against a complete answer that is dropped at the end of the drain."""
+        hurried = trio.Event()
+
+        async def script(sidecar: Any, end: Any, reserve: Reserve) -> None:
+            await sidecar.accept(end, reserve)
+            world.kernel.hurrying.set()
+            await trio.sleep(1.0)
+            await sidecar.answer(end, reserve)
+            autojump_clock.jump(entry_settings.stop_limit_s - 1.0 + lag_s)
+            hurried.set()
+
+        world.s1.scripts, world.s2.scripts = [script], [script]
+        assert (await world.ask(world.request())).body == THREE_EVENTS
+        assert hurried.is_set()
+
+    async def test_limit_acts_when_nothing_is_ready(self, world: Any, autojump_clock: Any) -> None:
+        async def pause(sidecar: Any, end: Any, reserve: Reserve) -> None:
+            await sidecar.accept(end, reserve)
+            autojump_clock.jump(LIMIT_S + 1.0)
+            await end.receive()
+
+        world.s1.scripts, world.s2.scripts = [pause], [pause]
+        started_s = trio.current_time()
+        refusal = await refusal_of(world, world.request(time_limit_s=LIMIT_S))
+        assert (refusal.kind.code, refusal.outcome) == ("time-limit-passed", Outcome.UNKNOWN)
+        assert trio.current_time() - started_s <= LIMIT_S + 1.0 + 0.25
+
+
+class TestAnswerThatEndsWithItsLimit:
+    async def test_complete_answer_is_not_followed_by_a_failure(
+        self, world: Any, autojump_clock: Any, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Guards against an answer that is complete and failed at once: its execution is cancelled
+        between its end mark and its own end."""
+
+        @asynccontextmanager
+        async def admitted(*_: Any) -> AsyncIterator[Any]:
+            yield Settled()
+            next(iter(world.path._open.values())).limit.scope.cancel()
+            await trio.lowlevel.checkpoint()
+
+        monkeypatch.setattr("sassafrastally.entry.path.admitted", admitted)
+        async with world.path.open(world.request(time_limit_s=LIMIT_S)) as answer:
+            assert b"".join([data async for data in answer]) == THREE_EVENTS
+            assert answer.end is not None
+            assert answer.refusal is None
+
+
+class Settled:
+    """An admission that discards what was used."""
+
+    def settle(self, actual_tokens: int) -> None:
+        """Do nothing."""
--- a/packages/proxy/src/sassafrastally/proxy/cpu_overload/__init__.py
+++ b/packages/proxy/src/sassafrastally/proxy/cpu_overload/__init__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from sassafrastally.core.late_limits import LAST_READ_S
 from sassafrastally.proxy.cpu_overload.crowding import is_crowded
 from sassafrastally.proxy.cpu_overload.lag_window import (
     MAX_LAG_S,
@@ -10,7 +11,6 @@
     LagWindow,
 )
 from sassafrastally.proxy.cpu_overload.late_timeouts import (
-    LAST_READ_S,
     StepTimeout,
     due_after_delay_s,
     last_read_s,
--- a/packages/proxy/src/sassafrastally/proxy/cpu_overload/late_timeouts.py
+++ b/packages/proxy/src/sassafrastally/proxy/cpu_overload/late_timeouts.py
@@ -13,6 +13,7 @@
 
 import trio
 
+from sassafrastally.core.late_limits import LAST_READ_S
 from sassafrastally.proxy.cpu_overload.lag_window import MAX_LAG_S
 
 if TYPE_CHECKING:
@@ -20,10 +21,6 @@
 
 T = TypeVar("T")
 
-LAST_READ_S = 0.1
-"""How long is read once more. Data that arrived during the delay is read at once; a paused VM also
-has to receive what the network held back, which takes a few round trips."""
-
 
 def last_read_s(due_s: float, now_s: float) -> float:
     """Return how long to read once more after a timeout has expired; 0 if its timer was on time."""
