Sidecar: deliver an answer of an engine or service that is ready when the limit passes

What callers saw: 504, or "failed" for a booking that its service had confirmed, although the whole answer lay in the sidecar's socket when the limit passed.

Cause: the deadline of the scope around a run, and the one around each read of a plain service's answer, were found in the same turn of the loop as the answer, when the sidecar had not run for a while.

Change: both use time_limit of the core, which delivers first what has been received. The client of plain services has one limit for its whole call, as its documentation says; a read that is cancelled can't be repeated with httpx. A call that its client ends after the limit counts as ended by the limit, in whichever order the two limits act.

--- a/packages/sidecar/src/sassafrastally/sidecar/plain_client.py
+++ b/packages/sidecar/src/sassafrastally/sidecar/plain_client.py
@@ -8,7 +8,14 @@
 import httpx
 import trio
 
-from sassafrastally.core import CodedError, EventBlocks, EventTooLong, error, is_event_stream
+from sassafrastally.core import (
+    CodedError,
+    EventBlocks,
+    EventTooLong,
+    error,
+    is_event_stream,
+    time_limit,
+)
 from sassafrastally.core.http_patterns import use_linear_patterns
 from sassafrastally.stores.bounded_transport import BoundedTransport
 
@@ -42,14 +49,13 @@
 class PlainAnswer:
     """A response whose head was received; iterate over its body."""
 
-    def __init__(self, response: httpx.Response, deadline_s: float) -> None:
+    def __init__(self, response: httpx.Response) -> None:
         self.status: int = response.status_code
         self.content_type: str = response.headers.get("content-type", DEFAULT_CONTENT_TYPE)
         self.is_complete = False
         """Whether the whole body was read, according to its framing and, for an event stream, its
         last event: a body without framing also ends when the service crashes."""
         self._pieces = response.aiter_raw()
-        self._deadline_s = deadline_s
         self._events = EventBlocks() if is_event_stream(self.content_type) else None
 
     def __aiter__(self) -> AsyncIterator[bytes]:
@@ -61,15 +67,14 @@
         Raises
         ------
         PlainMaybeRan
-            When the body is interrupted or times out.
+            When the body is interrupted.
         """
         try:
-            with trio.fail_at(self._deadline_s):
-                piece = await anext(self._pieces)
+            piece = await anext(self._pieces)
         except StopAsyncIteration:
             self.is_complete = self._events is None or not self._events.is_inside_event
             raise
-        except (httpx.HTTPError, trio.TooSlowError) as cause:
+        except httpx.HTTPError as cause:
             raise PlainMaybeRan(f"the answer broke off: {cause!r}") from cause
         self._look_for_events(piece)
         return piece
@@ -128,25 +133,26 @@
         PlainMaybeRan
             When the call may have run: the connection failed or the call timed out.
         """
-        deadline_s = trio.current_time() + timeout_s
         # The connect timeout ends before the call's, so that "not sent" can still be reported.
         timeout = httpx.Timeout(None, connect=min(CONNECT_LIMIT_S, timeout_s / 2))
         sent = {**headers, "Accept-Encoding": "identity"}
         built = self._client.build_request(
             method, path, headers=sent, content=body, timeout=timeout
         )
-        response = await self._send(built, deadline_s)
+        async with time_limit(trio.current_time() + timeout_s) as limit:
+            response = await self._send(built)
+            try:
+                yield PlainAnswer(response)
+            finally:
+                with trio.move_on_after(CLOSE_LIMIT_S, shield=True):
+                    await response.aclose()
+        if limit.scope.cancelled_caught:
+            raise PlainMaybeRan(f"no whole answer within {timeout_s:g} s")
+
+    async def _send(self, built: httpx.Request) -> httpx.Response:
         try:
-            yield PlainAnswer(response, deadline_s)
-        finally:
-            with trio.move_on_after(CLOSE_LIMIT_S, shield=True):
-                await response.aclose()
-
-    async def _send(self, built: httpx.Request, deadline_s: float) -> httpx.Response:
-        try:
-            with trio.fail_at(deadline_s):
-                return await self._client.send(built, stream=True)
+            return await self._client.send(built, stream=True)
         except _NOT_SENT as cause:
             raise PlainNotSent(f"no connection: {cause}") from cause
-        except (httpx.HTTPError, trio.TooSlowError) as cause:
+        except httpx.HTTPError as cause:
             raise PlainMaybeRan(f"the connection broke: {cause!r}") from cause
--- a/packages/sidecar/src/sassafrastally/sidecar/runner.py
+++ b/packages/sidecar/src/sassafrastally/sidecar/runner.py
@@ -6,6 +6,7 @@
 
 import trio
 
+from sassafrastally.core import time_limit
 from sassafrastally.serving.outcome import AttemptState, Outcome
 from sassafrastally.serving.refusals import Refusal
 from sassafrastally.sidecar.engine import EngineFailed, EngineRefused, EngineUnavailable
@@ -57,9 +58,8 @@
         its time limit doesn't also wait for the engine.
         """
         end: End | None = None
-        attempt.scope.deadline = attempt.deadline_s
         try:
-            with attempt.scope:
+            async with time_limit(attempt.deadline_s, attempt.scope):
                 end = await self._run_to_end(attempt, backend)
         finally:
             self.settle(attempt, end or self._interrupted_end(attempt))
@@ -93,6 +93,9 @@
         except Refusal as cause:
             return make_end(attempt, cause.outcome, cause.kind.code, cause.figures.detail)
         except EngineFailed as cause:
+            if self._kernel.clock.now_s() >= attempt.deadline_s:
+                # A client may end its call at the limit by itself.
+                return self._interrupted_end(attempt)
             if attempt.answer.chunk_count or attempt.answer.size_bytes:
                 return make_end(attempt, Outcome.FAILED, "backend-failed", cause.detail)
             # Nothing was received, so it is unknown whether the engine had started.
