Entry: answer requests that have arrived when the drain or the shutdown ends late

What callers saw: a whole request on a kept connection, sent in the drain time, whose connection was closed without an answer; an answer that was ready within the time for closing and was cut off.

Cause: the drain ended as soon as its timer was found expired, so that an entry that had not run closed its idle connections before it read from them. The time that hypercorn gives connections to close is the deadline of a trio scope: found late, it cancels the handlers whose answers are ready.

Change: both use time_limit of the core. AsgiServer limits the close itself; hypercorn's limit is off.

Evidence: the clock jumps to 0 to 3 s after the limit: 5 of 5 requests at the end of the drain and 5 of 5 answers at the end of the close failed before; all pass now. A connection whose handler never answers is still closed at the limit.

--- a/packages/entry/src/sassafrastally/entry/asgi.py
+++ b/packages/entry/src/sassafrastally/entry/asgi.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import socket
 from functools import partial
 from typing import TYPE_CHECKING, Any, NamedTuple
@@ -10,7 +11,7 @@
 from hypercorn.config import Config
 from hypercorn.trio import serve
 
-from sassafrastally.core import Address
+from sassafrastally.core import Address, time_limit
 from sassafrastally.core.http_patterns import use_linear_patterns
 
 if TYPE_CHECKING:
@@ -64,11 +65,14 @@
         self._config.bind = [f"fd://{listener.detach()}"]
         self._config.backlog = bounds.backlog
         self._config.keep_alive_timeout = bounds.keep_alive_s
-        self._config.graceful_timeout = bounds.close_limit_s
+        # Hypercorn's own limit would drop answers that are ready when it is found late.
+        self._config.graceful_timeout = math.inf
+        self._close_limit_s = bounds.close_limit_s
         self._config.include_server_header = False
         self._config.loglevel = "WARNING"
         self._closing = trio.Event()
         self._closed = trio.Event()
+        self._scope = trio.CancelScope()
 
     async def run(self, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
         """Serve requests; signals `task_status` once connections are accepted."""
@@ -76,15 +80,19 @@
             serve, self._app, self._config, shutdown_trigger=self._closing.wait, mode="asgi"
         )
         try:
-            async with trio.open_nursery() as nursery:
-                await nursery.start(served)
-                task_status.started()
+            with self._scope:
+                async with trio.open_nursery() as nursery:
+                    await nursery.start(served)
+                    task_status.started()
         finally:
             self._closed.set()
 
     async def close(self) -> None:
         """Stop accepting connections, finish the calls in progress and close."""
         self._closing.set()
+        async with time_limit(trio.current_time() + self._close_limit_s):
+            await self._closed.wait()
+        self._scope.cancel()
         await self._closed.wait()
 
 
--- a/packages/entry/src/sassafrastally/entry/http.py
+++ b/packages/entry/src/sassafrastally/entry/http.py
@@ -6,7 +6,7 @@
 
 import trio
 
-from sassafrastally.core import Service, event
+from sassafrastally.core import Service, event, time_limit
 from sassafrastally.entry.asgi import AsgiServer, ServerBounds
 from sassafrastally.entry.events import EntryDraining
 from sassafrastally.entry.path import RequestPath
@@ -74,7 +74,7 @@
         """
         drain_s = self._entry_settings.drain_s
         self.kernel.events.emit(EntryDraining(self._path.open_requests, drain_s))
-        with trio.move_on_after(drain_s):
+        async with time_limit(trio.current_time() + drain_s):
             await self.kernel.hurrying.wait()
         await self._path.stop()
         await self._server.close()
