Entry: count callers' bodies while they are received

What callers saw: nothing yet. Bodies counted in max_held_body_bytes once they were complete. Callers that send most of a body and wait could hold up to max_body_bytes (16 MB) each until the limit of their request (up to 900 s), outside of every bound, so that the entry would run out of memory for everybody.

Change: one budget for bodies being received and in use. When it is exceeded, the largest incomplete body gives way with 503 overloaded, as in the proxy; HeldInput moves to the core for both. Bytes and time of one body were bounded already. A request with an idempotency key that ends while its body is read no longer says "not run": its key hasn't been looked up, so an earlier request with it may have run.

--- a/packages/proxy/src/sassafrastally/proxy/input_limits/held_input.py
+++ b/packages/core/src/sassafrastally/core/held_input.py
@@ -67,6 +67,10 @@
         self.kept_bytes += kept_bytes
         return kept_bytes
 
+    def keep_bytes(self, kept_bytes: int) -> None:
+        """Record bytes of complete input that come into use without a holder."""
+        self.kept_bytes += kept_bytes
+
     def release_kept(self, kept_bytes: int) -> None:
         """Record that bytes of complete input are no longer in use."""
         self.kept_bytes -= kept_bytes
--- a/packages/entry/src/sassafrastally/entry/path.py
+++ b/packages/entry/src/sassafrastally/entry/path.py
@@ -8,6 +8,7 @@
 import trio
 
 from sassafrastally.core import KernelError, Service, TimeLimit, new_request_id
+from sassafrastally.entry.bodies import RETRY_AFTER_S, BodyBudget
 from sassafrastally.entry.candidates import Candidates
 from sassafrastally.entry.claiming import (
     Claims,
@@ -51,9 +52,6 @@
 ABANDONED = "caller-gone"
 """Metric label ``code`` of requests whose caller disconnected."""
 
-RETRY_AFTER_S = 1.0
-"""Retry delay sent to callers when the entry is overloaded, stopping or without a bundle."""
-
 LENGTH_BANDS = ((4_000, "short"), (100_000, "medium"))
 """Upper bounds in tokens of the prompt length bands in metrics; longer prompts are ``long``."""
 
@@ -81,7 +79,8 @@
     def __init__(self, settings: EntrySettings) -> None:
         self._settings = settings
         self._open: dict[str, OpenRequest] = {}
-        self._held_body_bytes = 0
+        self.bodies = BodyBudget(settings.max_held_body_bytes)
+        """Budget for the bodies of callers."""
         self._is_closed = False
         self._idle = trio.lowlevel.ParkingLot()
         self._services: ExecutionServices
@@ -118,7 +117,7 @@
         """Return status figures of the request path."""
         return {
             "open_requests": len(self._open),
-            "held_body_bytes": self._held_body_bytes,
+            "held_body_bytes": self.bodies.held_bytes,
             "retries_left": round(self._services.budget.level, 2),
             "is_ready": self.is_ready,
         }
@@ -270,25 +269,24 @@
         settings = self._settings
         if len(self._open) >= settings.max_open_requests:
             raise _overloaded(settings.max_open_requests, len(self._open), "requests in progress")
-        held = self._held_body_bytes + len(request.body)
+        held = self.bodies.held_bytes + len(request.body)
         if held > settings.max_held_body_bytes:
             raise _overloaded(settings.max_held_body_bytes, held, "bytes of bodies")
 
     @contextmanager
     def _tracked(self, request_id: RequestId, request: CallerRequest) -> Iterator[TimeLimit]:
         """Count a request against the entry's own limits for the duration of the context."""
-        settings, size = self._settings, len(request.body)
+        settings = self._settings
         limit = TimeLimit(request.deadline_s)
         if self.kernel.hurrying.is_set():
             limit.shorten(trio.current_time() + settings.stop_limit_s)
         self._open[request_id] = OpenRequest(request_id, request, limit)
-        self._held_body_bytes += size
         OPEN_REQUESTS.add(1)
         try:
-            yield limit
+            with self.bodies.use(len(request.body)):
+                yield limit
         finally:
             del self._open[request_id]
-            self._held_body_bytes -= size
             OPEN_REQUESTS.add(-1)
             if not self._open:
                 self._idle.unpark_all()
--- a/packages/entry/src/sassafrastally/entry/routes.py
+++ b/packages/entry/src/sassafrastally/entry/routes.py
@@ -9,6 +9,7 @@
 from quart import Response, request
 from quart_trio import QuartTrio
 
+from sassafrastally.entry.bodies import read_body
 from sassafrastally.entry.callers import Callers
 from sassafrastally.entry.claiming import covering_unread_key
 from sassafrastally.entry.connection import EntryConnection, EntryRequest
@@ -133,7 +134,7 @@
                 service.time_limit_s,
                 min(service.time_limit_s, limits.max_time_limit_s),
             )
-            body = await _read_body(limits.max_body_bytes, arrived_s + options.time_limit_s)
+            body = await self._read_body(limits.max_body_bytes, arrived_s + options.time_limit_s)
             path = "/" + rest
             if query := request.query_string.decode("latin-1"):
                 path += "?" + query
@@ -153,7 +154,7 @@
             options = read_options(
                 request.headers, limits.default_time_limit_s, limits.max_time_limit_s
             )
-            body = await _read_body(limits.max_body_bytes, arrived_s + options.time_limit_s)
+            body = await self._read_body(limits.max_body_bytes, arrived_s + options.time_limit_s)
             caller_request = read_completion(
                 body, operation, options, call.customer, call.in_force.bundle, arrived_s
             )
@@ -167,6 +168,13 @@
         customer = self._callers.customer(in_force, request.headers.get("Authorization"))
         return Call(arrived_s, in_force, customer)
 
+    async def _read_body(self, max_bytes: int, deadline_s: float) -> bytes:
+        declared_bytes = request.content_length
+        if declared_bytes is not None and declared_bytes > max_bytes:
+            raise Refusal("body-too-large", Figures(max_bytes, declared_bytes))
+        with covering_unread_key(request.headers.get(IDEMPOTENCY_KEY)):
+            return await read_body(request.body, self._path.bodies, max_bytes, deadline_s)
+
     async def _answer(self, caller_request: CallerRequest) -> Response:
         """Execute the request and respond; the request ends once the response is sent."""
         caller_request = caller_request._replace(request_id=self._path.new_id())
@@ -226,20 +234,3 @@
     if service is None:
         raise Refusal("unknown-service", Figures(detail=f"Asked for: {name[:100]}."))
     return service
-
-
-async def _read_body(max_bytes: int, deadline_s: float) -> bytes:
-    """Read the body and count its bytes, since the declared length may be wrong."""
-    declared = request.content_length
-    if declared is not None and declared > max_bytes:
-        raise Refusal("body-too-large", Figures(max_bytes, declared))
-    body = bytearray()
-    with trio.move_on_at(deadline_s) as scope:
-        async for part in request.body:
-            body += part
-            if len(body) > max_bytes:
-                raise Refusal("body-too-large", Figures(max_bytes, len(body)))
-    if scope.cancelled_caught:
-        detail = "The body had not come whole by then."
-        raise Refusal("time-limit-passed", Figures(detail=detail), Outcome.NOT_RUN)
-    return bytes(body)
--- a/packages/entry/src/sassafrastally/entry/settings.py
+++ b/packages/entry/src/sassafrastally/entry/settings.py
@@ -31,8 +31,8 @@
     max_open_requests: int = 4_000
     """Maximum requests in progress; further requests are refused as ``overloaded``."""
     max_held_body_bytes: int = 48_000_000
-    """Maximum total size of the bodies of requests in progress; further requests are refused as
-    ``overloaded``."""
+    """Maximum total size of the bodies of requests, in progress or being received; beyond it, the
+    request with the largest incomplete body is refused as ``overloaded``."""
     max_answer_bytes: int = 8_000_000
     """Maximum size of a non-streamed answer, which is buffered until its end is verified."""
     max_buffered_bytes: int = 262_144
--- a/packages/proxy/src/sassafrastally/proxy/input_limits/__init__.py
+++ b/packages/proxy/src/sassafrastally/proxy/input_limits/__init__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from sassafrastally.core.held_input import HeldInput, most_held_bytes
 from sassafrastally.proxy.input_limits.bounds import (
     DISCARD_TIME_S,
     MAX_BODY_BYTES,
@@ -16,7 +17,6 @@
     InputExcess,
     InputPlace,
 )
-from sassafrastally.proxy.input_limits.held_input import HeldInput, most_held_bytes
 from sassafrastally.proxy.input_limits.input_budget import (
     InputAccount,
     InputBudget,
--- a/packages/proxy/src/sassafrastally/proxy/input_limits/input_budget.py
+++ b/packages/proxy/src/sassafrastally/proxy/input_limits/input_budget.py
@@ -9,8 +9,8 @@
 import trio
 
 from sassafrastally.core import CodedError, error
+from sassafrastally.core.held_input import HeldInput
 from sassafrastally.proxy.input_limits.bounds import InputExcess, InputPlace
-from sassafrastally.proxy.input_limits.held_input import HeldInput
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
