Entry: read a reattached run to its end

What callers saw: after a short loss of the link, a run that worked was cancelled a second later and begun again elsewhere, with a later answer and a retry of the budget spent.

Cause: contact_patience_s, the time to reach a lost sidecar, surrounded the reading of the run as well.

Change: the time doesn't run while the run is read. It begins anew if the link is lost again after new chunks, so that attaches that are refused again and again still fail over after it.

Evidence: a run that answers 5 s after its reattachment was cancelled (1 of 1 red), now it is read; refused reattachments fail over within 3 s, before and after.

--- a/packages/entry/src/sassafrastally/entry/attempt.py
+++ b/packages/entry/src/sassafrastally/entry/attempt.py
@@ -148,6 +148,11 @@
         """Whether the run belongs to another request with the same key and is only read here."""
         return self._is_adopted
 
+    @property
+    def received_chunks(self) -> int:
+        """Number of chunks of the answer received so far."""
+        return self._chunk_order.next_sequence
+
     async def run(self) -> AttemptResult:
         """Reserve, commit and relay the answer."""
         try:
--- a/packages/entry/src/sassafrastally/entry/resolution.py
+++ b/packages/entry/src/sassafrastally/entry/resolution.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from itertools import count
 from typing import TYPE_CHECKING
 
@@ -62,6 +63,7 @@
         self._candidates = candidates
         self._events = events
         self._random = random
+        self._patience = trio.CancelScope()
 
     async def resolve_lost(self, lost: ContactLost, timeout_s: float) -> AttemptResult:
         """Determine the outcome of a committed attempt after its link was lost.
@@ -74,15 +76,17 @@
         lost
             How the link was lost.
         timeout_s
-            How long to keep querying; for a non-idempotent request, until its time limit.
+            How long to try to reach the sidecar, since contact was lost; for a non-idempotent
+            request, until its time limit.
         """
         plan = self._attempt.plan
         event = AttemptCut(plan.request_id, plan.number, plan.vm, True, lost.cause)
         self._events.emit(event)
         if not self._attempt.site.incarnation:
             return lost
-        with trio.move_on_after(timeout_s):
-            return await self._query_until_known(lost)
+        self._patience = trio.CancelScope(deadline=trio.current_time() + timeout_s)
+        with self._patience:
+            return await self._query_until_known(lost, timeout_s)
         return lost
 
     async def join_owner(self, owner: Placement) -> AttemptResult:
@@ -95,9 +99,9 @@
             return IncarnationGone(owner.vm)
         site = Site(owner.vm, address, owner.incarnation, owner.request_id, owner.attempt)
         self._attempt.adopt(site)
-        return await self._query_until_known(ContactLost("joined by its key"))
+        return await self._query_until_known(ContactLost("joined by its key"), math.inf)
 
-    async def _query_until_known(self, lost: ContactLost) -> AttemptResult:
+    async def _query_until_known(self, lost: ContactLost, timeout_s: float) -> AttemptResult:
         attempt, broken_answers = self._attempt, int(lost.is_protocol_error)
         for tries in count():
             state = await self._state()
@@ -106,7 +110,7 @@
             if state == AttemptState.OTHER_INCARNATION:
                 return IncarnationGone(attempt.site.vm)
             if state not in (None, AttemptState.RESERVED):
-                result = await attempt.attach()
+                result = await self._attach(timeout_s)
                 if not isinstance(result, ContactLost):
                     return result
                 broken_answers += result.is_protocol_error
@@ -115,6 +119,16 @@
             await trio.sleep(backoff_s(CONTACT_BACKOFF, tries, 0.0, self._random))
         raise AssertionError("count() never ends")
 
+    async def _attach(self, timeout_s: float) -> AttemptResult:
+        """Reattach; the time to reach the sidecar doesn't run while its run is being read."""
+        attempt, patience = self._attempt, self._patience
+        until_s, received_chunks = patience.deadline, attempt.received_chunks
+        patience.deadline = math.inf
+        result = await attempt.attach()
+        has_progress = attempt.received_chunks > received_chunks
+        patience.deadline = trio.current_time() + timeout_s if has_progress else until_s
+        return result
+
     async def _state(self) -> AttemptState | None:
         """Return the state of the attempt; ``None`` if its sidecar can't be reached.
 
