--- a/packages/proxy/src/sassafrastally/proxy/caller_listener.py
+++ b/packages/proxy/src/sassafrastally/proxy/caller_listener.py
@@ -4,7 +4,7 @@
 
 import traceback
 from contextlib import suppress
-from typing import TYPE_CHECKING, ClassVar, NamedTuple
+from typing import TYPE_CHECKING, ClassVar
 
 import h11
 import trio
@@ -12,8 +12,7 @@
 from sassafrastally.core import Service
 from sassafrastally.proxy.attempt import Request
 from sassafrastally.proxy.cluster_state import ClusterState
-from sassafrastally.proxy.cpu_overload import StepTimeout
-from sassafrastally.proxy.dialect import DocumentInvalid
+from sassafrastally.proxy.cpu_overload import read_until, sleep_until_read
 from sassafrastally.proxy.early_listener import BACKLOG
 from sassafrastally.proxy.http_stream import (
     ConnectionLost,
@@ -34,21 +33,19 @@
 from sassafrastally.proxy.path import RequestPath
 from sassafrastally.proxy.refusals import (
     BODIES_FULL,
-    BODY_TOO_LARGE,
     HEADER_TOO_LARGE,
     MALFORMED,
-    TOO_SLOW,
-    Refusal,
     refusal_body,
 )
 from sassafrastally.proxy.reply import Reply
+from sassafrastally.proxy.request_reader import BadRequest, RequestReader
 from sassafrastally.proxy.slow_readers import BlockedCallers, most_buffered_bytes
 from sassafrastally.proxy.time_limit import TimeLimit
 
 if TYPE_CHECKING:
     import socket
 
-    from sassafrastally.proxy.dialect import Dialect, Headers
+    from sassafrastally.proxy.dialect import Dialect
     from sassafrastally.proxy.settings import ProxySettings
 
 DEFAULT_LIMITS = RequestLimits(
@@ -75,21 +72,14 @@
 FINAL_ANSWERS_S = 0.35
 """Part of that time in which the requests that are still open are answered."""
 
+ANSWERED_CHECK_S = 0.02
+"""Interval at which a stopping entry checks whether all requests are answered."""
 
 RETRY_BODY_AFTER_S = 1.0
 """When a caller may send a request again that was refused because of the bodies held: by then most
 of the requests that hold them are answered, or time out."""
 
 
-class BadRequest(NamedTuple):
-    """Why a request is rejected before it is fully parsed."""
-
-    refusal: Refusal
-    problem: str
-    retry_after_s: float = 0.0
-    """When it may be sent again; 0 if not at all."""
-
-
 class CallerListener(Service):
     """Accepts caller connections and serves their requests.
 
@@ -155,15 +145,18 @@
         self.kernel.events.emit(ProcessDraining(self.open_requests, stop_time_s))
         self._path.services.drain.begin(ends_s)
         with trio.move_on_at(ends_s):
-            await trio.sleep(ACCEPT_AFTER_SIGNAL_S)
+            await sleep_until_read(stop_begin_s + ACCEPT_AFTER_SIGNAL_S)
             self._listener_scope.cancel()
-            await trio.sleep_until(stop_begin_s + LAST_REQUEST_AFTER_SIGNAL_S)
+            await sleep_until_read(stop_begin_s + LAST_REQUEST_AFTER_SIGNAL_S)
             self._close_idle()
             await self._all_answered()
+            return
+        answered_s = trio.current_time() + FINAL_ANSWERS_S
+        await sleep_until_read(ends_s)
         self._listener_scope.cancel()
         self._close_idle()
         with suppress(trio.TooSlowError):
-            await StepTimeout(FINAL_ANSWERS_S).read(self._all_answered)
+            await read_until(self._all_answered, answered_s)
 
     def _close_idle(self) -> None:
         self._is_closing_idle = True
@@ -171,8 +164,10 @@
             scope.cancel()
 
     async def _all_answered(self) -> None:
+        # Connections that have just been accepted, or closed as idle, look for a request first.
+        await trio.sleep(ANSWERED_CHECK_S)
         while self.open_requests:
-            await trio.sleep(0.02)
+            await trio.sleep(ANSWERED_CHECK_S)
 
     @property
     def is_stopping(self) -> bool:
@@ -292,70 +287,30 @@
         self, connection: HttpStream, account: InputAccount
     ) -> Request | BadRequest | None:
         """Return the next request, or ``None`` if the connection closes between requests."""
-        limits = self._limits()
-        arrived_s = self.kernel.clock.now_s()
-        with trio.move_on_after(limits.header_time_s):
-            event = await connection.receive()
-            if not isinstance(event, h11.Request):
-                return None
-            return await self._read_body(connection, event, arrived_s, limits, account)
-        return BadRequest(TOO_SLOW, f"not complete after {limits.header_time_s} s")
+        reader = RequestReader(
+            connection, self._limits(), self._dialect, account, self.kernel.clock.now_s()
+        )
+        return await reader.read_in_time()
 
     async def _wait_for_bytes(self, connection: HttpStream) -> bool:
         """Return whether a request begins; cancelled when the drain closes idle connections."""
         if connection.http.trailing_data[0]:
             return True
         if not self._is_closing_idle:
-            with trio.move_on_after(self._limits().idle_time_s) as scope:
+            due_s = trio.current_time() + self._limits().idle_time_s
+            with trio.CancelScope() as scope:
                 self._idle_scopes.add(scope)
                 try:
-                    return await connection.receive_bytes()
+                    return await read_until(connection.receive_bytes, due_s)
                 except ConnectionLost:
                     return False
+                except trio.TooSlowError:
+                    pass
                 finally:
                     self._idle_scopes.discard(scope)
         # A request may have arrived at the same moment.
         return connection.has_unread_input()
 
-    async def _read_body(
-        self,
-        connection: HttpStream,
-        head: h11.Request,
-        arrived_s: float,
-        limits: RequestLimits,
-        account: InputAccount,
-    ) -> Request | BadRequest:
-        headers: Headers = list(head.headers)
-        if _header_size(head) > limits.header_bytes:
-            # h11 limits only an incomplete header, not one that arrives in a single read.
-            return BadRequest(HEADER_TOO_LARGE, f"over {limits.header_bytes} bytes")
-        problem = _framing_problem(headers)
-        if problem:
-            return BadRequest(MALFORMED, problem)
-        if _declared_length(headers) > limits.body_bytes:
-            return BadRequest(BODY_TOO_LARGE, f"over {limits.body_bytes} bytes")
-        if connection.http.they_are_waiting_for_100_continue:
-            await connection.send(h11.InformationalResponse(status_code=100, headers=[]))
-        body = bytearray()
-        while True:
-            with account.reading():
-                event = await connection.receive()
-            if isinstance(event, h11.Data):
-                account.add(len(event.data))
-                body += event.data
-                if len(body) > limits.body_bytes:
-                    return BadRequest(BODY_TOO_LARGE, f"over {limits.body_bytes} bytes")
-            elif isinstance(event, h11.EndOfMessage):
-                break
-            else:
-                raise ConnectionLost("connection closed before the end of the request")
-        account.keep()
-        try:
-            facts = self._dialect.decode_request(headers)
-        except DocumentInvalid as cause:
-            return BadRequest(MALFORMED, cause.detail)
-        return Request(head.method, head.target, headers, bytes(body), facts, arrived_s)
-
     async def _reject(self, reply: Reply, rejected: BadRequest) -> None:
         self.kernel.events.emit(RequestMalformed(rejected.refusal.status, rejected.problem))
         body = refusal_body(rejected.refusal, "", rejected.problem)
@@ -365,34 +320,6 @@
         await reply.send_complete(rejected.refusal.status, headers, body)
 
 
-def _header_size(head: h11.Request) -> int:
-    """Return the approximate size of a header on the wire, in bytes."""
-    separators = len(": \r\n")
-    fields = sum(len(name) + len(value) + separators for name, value in head.headers)
-    return len(head.method) + len(head.target) + fields
-
-
-def _framing_problem(headers: Headers) -> str:
-    """Return what is wrong with the framing or the host of a request; empty if nothing is.
-
-    Servers disagree on how to read a request with both a content length and a transfer encoding:
-    what one reads as the body, another reads as a second request (request smuggling).
-    """
-    names = [name for name, _ in headers]
-    if b"transfer-encoding" in names and b"content-length" in names:
-        return "both a length and a transfer encoding"
-    if names.count(b"host") != 1:
-        return "not exactly one host"
-    return ""
-
-
-def _declared_length(headers: Headers) -> int:
-    for name, value in headers:
-        if name == b"content-length" and value.isdigit():
-            return int(value)
-    return 0
-
-
 def _can_continue(connection: HttpStream) -> bool:
     http = connection.http
     return http.our_state is h11.DONE and http.their_state is h11.DONE
