--- a/packages/proxy/src/sassafrastally/proxy/caller_listener.py
+++ b/packages/proxy/src/sassafrastally/proxy/caller_listener.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import traceback
+from contextlib import suppress
 from typing import TYPE_CHECKING, ClassVar
 
 import h11
@@ -39,6 +40,7 @@
 from sassafrastally.proxy.reply import Reply
 from sassafrastally.proxy.request_reader import BadRequest, RequestReader
 from sassafrastally.proxy.slow_readers import BlockedCallers, most_buffered_bytes
+from sassafrastally.proxy.time_limit import TimeLimit
 
 if TYPE_CHECKING:
     import socket
@@ -149,11 +151,12 @@
             self._close_idle()
             await self._all_answered()
             return
-        with trio.move_on_after(FINAL_ANSWERS_S):
-            await sleep_until_read(ends_s)
-            self._listener_scope.cancel()
-            self._close_idle()
-            await self._all_answered()
+        answered_s = trio.current_time() + FINAL_ANSWERS_S
+        await sleep_until_read(ends_s)
+        self._listener_scope.cancel()
+        self._close_idle()
+        with suppress(trio.TooSlowError):
+            await read_until(self._all_answered, answered_s)
 
     def _close_idle(self) -> None:
         self._is_closing_idle = True
@@ -228,6 +231,7 @@
 
     async def _serve_accounted(self, connection: HttpStream, account: InputAccount) -> bool:
         reply = Reply(connection, lambda: self.is_stopping, self.blocked_callers)
+        reply.limit = TimeLimit(self.kernel.clock.now_s())
         try:
             request = await self._read_request(connection, account)
         except h11.RemoteProtocolError as cause:
@@ -250,7 +254,7 @@
     async def _answer(self, connection: HttpStream, request: Request, reply: Reply) -> None:
         failure: Exception | None = None
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._watch_disconnect, connection, nursery.cancel_scope)
+            nursery.start_soon(self._watch_disconnect, connection, reply, nursery.cancel_scope)
             try:
                 await self._path.answer(request, reply)
             except Exception as cause:
@@ -261,7 +265,7 @@
             raise failure
 
     async def _watch_disconnect(
-        self, connection: HttpStream, answer_scope: trio.CancelScope
+        self, connection: HttpStream, reply: Reply, answer_scope: trio.CancelScope
     ) -> None:
         """Cancel the response when the caller closes its connection.
 
@@ -277,6 +281,7 @@
             is_open = False
         if not is_open:
             answer_scope.cancel()
+            reply.abandon()
 
     async def _read_request(
         self, connection: HttpStream, account: InputAccount
