--- a/packages/testing/src/sassafrastally/testing/soak/entry_process.py
+++ b/packages/testing/src/sassafrastally/testing/soak/entry_process.py
@@ -52,10 +52,18 @@
         First of the ports that all entries use, each on its own address.
     store
         Where it reaches the store.
+    stop_time_s
+        Time between the request to stop and its end.
     """
 
     def __init__(
-        self, number: int, host: str, folder: Path, base_port: int, store: Address
+        self,
+        number: int,
+        host: str,
+        folder: Path,
+        base_port: int,
+        store: Address,
+        stop_time_s: float = STOP_TIME_S,
     ) -> None:
         self.number = number
         self.host = host
@@ -67,6 +75,7 @@
         """How each process has ended; negative: by that signal."""
         self._base_port = base_port
         self._store = store
+        self._stop_time_s = stop_time_s
         self._process: subprocess.Popen[bytes] | None = None
         self._settings_file = folder / f"entry-{number}.json"
         self.log_file = folder / f"entry-{number}.log"
@@ -155,7 +164,7 @@
             "beatIntervalMs": HEARTBEAT_INTERVAL_MS,
             "platform": {"address": str(self._store)},
             "bounds": {
-                "graceS": STOP_TIME_S,
+                "graceS": self._stop_time_s,
                 "retryBudgetRatio": 0.2,
                 "budgetWindowS": 10,
                 "budgetExtraTries": 100,
--- a/packages/testing/tests/soak/test_entry_process.py
+++ b/packages/testing/tests/soak/test_entry_process.py
@@ -4,7 +4,6 @@
 
 import fcntl
 import os
-import random
 import select
 import signal
 import time
@@ -26,15 +25,10 @@
         time.sleep(0.002)
 
 
-def own_host() -> str:
-    """Return an address that no other entry of the tests has."""
-    return f"127.20.{1 + random.randrange(250)}.9"
-
-
 @pytest.fixture
-def entry(tmp_path):
+def entry(tmp_path, own_host):
     """An entry whose store nobody answers at."""
-    process = EntryProcess(1, own_host(), tmp_path, 22_000, Address("127.0.0.1", 9))
+    process = EntryProcess(1, own_host, tmp_path, 22_000, Address("127.0.0.1", 9))
     process.start()
     yield process
     process.kill()
@@ -61,7 +55,7 @@
     LEAST_AFTER = 200
     """Answers that must come while the pipe is full: ten times those that may be under way then."""
 
-    async def test_no_request_waits_for_the_reader_of_the_log(self, tmp_path):
+    async def test_no_request_waits_for_the_reader_of_the_log(self, tmp_path, own_host):
         """The collector of the logs stalls for seconds under load. A process that waited for the
         pipe would answer nobody until the collector is back."""
         async with platform_fleet() as fleet, trio.open_nursery() as nursery:
@@ -71,7 +65,7 @@
             reader, writer = os.pipe()
             # One page is left free: when the pipe is full, the entry itself has filled it.
             os.write(writer, bytes(fcntl.fcntl(writer, fcntl.F_GETPIPE_SZ) - select.PIPE_BUF))
-            entry = EntryProcess(1, own_host(), tmp_path, 22_000, fleet.store_address)
+            entry = EntryProcess(1, own_host, tmp_path, 22_000, fleet.store_address)
             entry.start_with_output(writer)
             try:
                 with trio.fail_after(10.0):
--- a/packages/testing/tests/stand_ins/test_silence.py
+++ b/packages/testing/tests/stand_ins/test_silence.py
@@ -160,3 +160,25 @@
             desk = await fleet.add_replica("desk-1", "desk")
             desk.silence.begin(100.0)
             assert 99.0 < await self.call(desk) < 101.0
+
+    @pytest.mark.parametrize("time_left_s", [0.5, 0.8])
+    async def test_response_goes_on_before_its_requests_limit(self, servers, time_left_s):
+        """Guards against responses that all wait equally long, whatever time their request has."""
+        for replica in servers:
+            replica.silence.place = SilencePlace.BEFORE_HEADER
+            replica.silence.before_limit_s = 0.3
+            begin_s = trio.current_time()
+            fields = {"Deadline-Ms": str(round(time_left_s * 1000))}
+            connection = HttpStream(await connect(replica.address, 1.0), h11.CLIENT)
+            answer = await exchange_on(
+                connection,
+                "POST",
+                "/x/y",
+                request_fields(fields, PROMPT if replica.engine else None),
+                b"",
+            )
+            await connection.close()
+            assert answer.is_whole
+            (received,) = replica.received_requests
+            assert received.is_sent_by(received.limit_s)
+            assert 0.2 > trio.current_time() - begin_s - (time_left_s - 0.3) > -0.02
