--- a/packages/testing/tests/stand_ins/test_silence.py
+++ b/packages/testing/tests/stand_ins/test_silence.py
@@ -182,3 +182,19 @@
             (received,) = replica.received_requests
             assert received.is_sent_by(received.limit_s)
             assert 0.2 > trio.current_time() - begin_s - (time_left_s - 0.3) > -0.02
+
+
+class TestResumedStream:
+    """A stream whose events its caller has, but not its end."""
+
+    @pytest.mark.parametrize("framing", [BodyFraming.CHUNKS, BodyFraming.LENGTH])
+    async def test_ends_without_further_events(self, servers, framing):
+        """Guards against a server that breaks off if it is asked for the end alone, so that its
+        silence before the end looks like an entry's fault."""
+        engine, _ = servers
+        engine.framing = framing
+        connection = HttpStream(await connect(engine.address, 1.0), h11.CLIENT)
+        fields = request_fields({"Last-Event-Id": str(EVENTS - 1)}, PROMPT)
+        answer = await exchange_on(connection, "POST", "/x/y", fields, b"")
+        await connection.close()
+        assert (answer.status, answer.body, answer.is_whole) == (200, b"", True)
