Soak: entries that stand still around the limits of their requests

The trouble `entry-stalled` stops entries for 0.1 to 0.5 s, two to four times in a row, around the limits of their requests, while servers hold a part of each response until 0.07 to 0.4 s before the limit and configurations change. Judged: a whole request has an answer or a refusal; soon after its limit or after its entry runs again; its server's whole answer if that was sent 0.05 s or more before the limit.

--- a/packages/testing/src/sassafrastally/testing/soak/fleet.py
+++ b/packages/testing/src/sassafrastally/testing/soak/fleet.py
@@ -132,6 +132,8 @@
         """How long an engine that has started is cold, and the requests that it then accepts."""
         self.cold: list[HarmedSpan] = []
         """When servers were cold again."""
+        self.stalls: list[HarmedSpan] = []
+        """When entries stood still, by their numbers."""
         self.nursery = nursery
         self._folder = folder
         self._in_rotation: dict[int, bool] = {}
--- a/packages/testing/src/sassafrastally/testing/soak/promises.py
+++ b/packages/testing/src/sassafrastally/testing/soak/promises.py
@@ -18,6 +18,7 @@
     judge_harmful,
 )
 from sassafrastally.testing.soak.record import Attempt, Kind
+from sassafrastally.testing.soak.stalling import judge_stalls
 
 if TYPE_CHECKING:
     from sassafrastally.stand_ins.received_request import ReceivedRequest
@@ -114,6 +115,7 @@
         if not attempt.has_left and not attempt.is_harmful:
             self._judge_answered(attempt, arrivals)
             judge_silences(self._fleet, attempt, arrivals)
+            judge_stalls(self._fleet, attempt, arrivals)
         is_refused = b"refusal:quarantined" in attempt.body
         if (
             not attempt.is_harmful
--- a/packages/testing/src/sassafrastally/testing/soak/record.py
+++ b/packages/testing/src/sassafrastally/testing/soak/record.py
@@ -101,6 +101,11 @@
         self.is_whole = False
         self.has_left = False
 
+    @property
+    def limit_s(self) -> float:
+        """When its caller's time is over."""
+        return self.sent_s + self.time_left_s
+
     @property
     def parts(self) -> str | None:
         """IDs of the parts of its prompt: one that many share, a harmful one, its own."""
@@ -247,7 +252,7 @@
 
 
 class HarmedSpan(NamedTuple):
-    """A time in which a data centre is evacuated or a server is cold."""
+    """A time in which a data centre is evacuated, a server is cold or an entry stands still."""
 
     name: str
     begin_s: float
--- a/packages/testing/tests/soak/test_soak.py
+++ b/packages/testing/tests/soak/test_soak.py
@@ -10,7 +10,17 @@
 import pytest
 import trio
 
-from sassafrastally.testing.soak import SoakSize, breaking, contention, faltering, harmful, run_soak
+from sassafrastally.stand_ins.http_stand_in import StandInRequest
+from sassafrastally.stand_ins.received_request import ReceivedRequest
+from sassafrastally.testing.soak import (
+    SoakSize,
+    breaking,
+    contention,
+    faltering,
+    harmful,
+    run_soak,
+    stalling,
+)
 from sassafrastally.testing.soak.callers import GIVES_UP_S
 from sassafrastally.testing.soak.probing import most_store_calls
 from sassafrastally.testing.soak.record import Attempt, HarmedSpan, Kind, Record
@@ -18,7 +28,7 @@
 
 SEEDS = tomllib.loads((Path(__file__).parent / "seeds.toml").read_text())["seed"]
 
-LATER = (breaking.NAME, harmful.PART_NAME, *faltering.KINDS)
+LATER = (breaking.NAME, harmful.PART_NAME, *faltering.KINDS, stalling.STALLED)
 EARLIER = [name for name in TROUBLES.names() if name not in LATER]
 USUAL = [name for name in EARLIER if name not in contention.KINDS]
 """Troubles that the seeds below draw from; more names would change what a seed draws."""
@@ -88,6 +98,14 @@
         assert not report.broken, str(report)
         assert report.outcomes["200"] > 50, str(report)
 
+    async def test_stall_at_the_limit_loses_no_answer(self):
+        """Guards against answers that are thrown away, or never given, because an entry didn't run
+        when the time of its requests ended."""
+        kinds = [stalling.STALLED, stalling.STALLED, "configured"]
+        report = await run_soak(20_269, 10.0, SMALL._replace(callers=30), print, kinds, gap_s=0.8)
+        assert not report.broken, str(report)
+        assert report.outcomes["200"] > 50, str(report)
+
     @pytest.mark.parametrize("known", SEEDS, ids=lambda known: str(known["number"]))
     async def test_seed_that_broke_a_promise_keeps_them(self, known):
         kinds = EARLIER if known.get("has_all_troubles") else USUAL
@@ -145,6 +163,67 @@
             assert faltering.may_break_off(attempt, [arrival]) is may
 
 
+class TestStalls:
+    """The check of what entries do that stand still when the time of a request ends."""
+
+    LIMIT_S = 2.0
+
+    @pytest.mark.parametrize(
+        ("status", "is_whole", "sent_s", "ended_s", "is_broken"),
+        [
+            (200, True, 1.9, 2.2, False),
+            (200, False, 1.9, 2.2, True),
+            (504, True, 1.9, 2.2, True),
+            (504, True, 1.97, 2.2, False),
+            (504, True, None, 2.2, False),
+            (200, False, None, 2.2, False),
+            (0, False, None, 2.2, True),
+            (200, True, 1.9, 2.8, False),
+            (504, True, None, 3.0, True),
+        ],
+    )
+    async def test_ready_answers_and_missing_ones_are_told_apart(
+        self, autojump_clock, status, is_whole, sent_s, ended_s, is_broken
+    ):
+        """Guards against a check that finds nothing, or blames an entry for an answer that its
+        server sent too late."""
+        fleet = SimpleNamespace(record=Record(), stalls=[])
+        attempt = Attempt("1", Kind.BOOK, 1, 0, time_left_s=self.LIMIT_S)
+        arrival = ReceivedRequest(StandInRequest("POST", "/", {"deadline-ms": "2000"}, b""))
+        begin_s = trio.current_time()
+        arrival.run()
+        arrival.sent_s = None if sent_s is None else begin_s + sent_s
+        attempt.status, attempt.is_whole = status, is_whole
+        with fleet.record.trouble(stalling.STALLED, [1]):
+            fleet.stalls.append(HarmedSpan("1", begin_s + 1.8, begin_s + 2.15))
+            await trio.sleep(ended_s)
+        attempt.ended_s = trio.current_time()
+        stalling.judge_stalls(fleet, attempt, [arrival])
+        assert bool(fleet.record.broken) is is_broken
+
+    async def test_request_that_was_not_read_may_end_unanswered(self, autojump_clock):
+        """Guards against blaming an entry that closes a connection unread, later by its stall."""
+        for ended_s, is_broken in ((0.8, False), (1.2, True)):
+            fleet = SimpleNamespace(record=Record(), stalls=[])
+            attempt = Attempt("1", Kind.BOOK, 1, 0, time_left_s=self.LIMIT_S)
+            begin_s = trio.current_time()
+            fleet.stalls.append(HarmedSpan("1", begin_s + 0.1, begin_s + 0.5))
+            await trio.sleep(ended_s)
+            attempt.ended_s = trio.current_time()
+            stalling.judge_stalls(fleet, attempt, [])
+            assert bool(fleet.record.broken) is is_broken
+
+    async def test_other_trouble_excuses_a_missing_answer(self, autojump_clock):
+        """Guards against blaming a stall for what another trouble has done."""
+        fleet = SimpleNamespace(record=Record(), stalls=[HarmedSpan("1", 0.0, math.inf)])
+        attempt = Attempt("1", Kind.BOOK, 1, 0, time_left_s=self.LIMIT_S)
+        with fleet.record.trouble("server-crashed"):
+            await trio.sleep(1.9)
+        attempt.ended_s = trio.current_time()
+        stalling.judge_stalls(fleet, attempt, [])
+        assert not fleet.record.broken
+
+
 class TestContention:
     """The checks of evacuations and cold servers."""
 
