--- a/packages/entry/src/sassafrastally/entry/path.py
+++ b/packages/entry/src/sassafrastally/entry/path.py
@@ -7,7 +7,8 @@
 
 import trio
 
-from sassafrastally.core import KernelError, Service, new_request_id
+from sassafrastally.core import KernelError, Service, TimeLimit, new_request_id
+from sassafrastally.entry.bodies import RETRY_AFTER_S, BodyBudget
 from sassafrastally.entry.candidates import Candidates
 from sassafrastally.entry.claiming import (
     Claims,
@@ -51,9 +52,6 @@
 ABANDONED = "caller-gone"
 """Metric label ``code`` of requests whose caller disconnected."""
 
-RETRY_AFTER_S = 1.0
-"""Retry delay sent to callers when the entry is overloaded, stopping or without a bundle."""
-
 LENGTH_BANDS = ((4_000, "short"), (100_000, "medium"))
 """Upper bounds in tokens of the prompt length bands in metrics; longer prompts are ``long``."""
 
@@ -63,7 +61,7 @@
 
     request_id: RequestId
     request: CallerRequest
-    scope: trio.CancelScope
+    limit: TimeLimit
 
 
 class RequestPath(Service):
@@ -81,7 +79,8 @@
     def __init__(self, settings: EntrySettings) -> None:
         self._settings = settings
         self._open: dict[str, OpenRequest] = {}
-        self._held_body_bytes = 0
+        self.bodies = BodyBudget(settings.max_held_body_bytes)
+        """Budget for the bodies of callers."""
         self._is_closed = False
         self._idle = trio.lowlevel.ParkingLot()
         self._services: ExecutionServices
@@ -118,7 +117,7 @@
         """Return status figures of the request path."""
         return {
             "open_requests": len(self._open),
-            "held_body_bytes": self._held_body_bytes,
+            "held_body_bytes": self.bodies.held_bytes,
             "retries_left": round(self._services.budget.level, 2),
             "is_ready": self.is_ready,
         }
@@ -188,9 +187,10 @@
         request_id = request.request_id or self.new_id()
         answer = Answer(request_id, self._settings.max_buffered_bytes)
         refusal: Refusal | None = None
-        with self._tracked(request_id, request) as scope:
+        with self._tracked(request_id, request) as limit:
             async with trio.open_nursery() as nursery:
-                nursery.start_soon(self._execute, in_force, request, answer, scope)
+                nursery.start_soon(limit.watch)
+                nursery.start_soon(self._execute, in_force, request, answer, limit.scope)
                 try:
                     await answer.wait_started()
                     self._record_first_data(request)
@@ -246,9 +246,12 @@
         try:
             with scope:
                 async with admitted(self.kernel, request.customer, tokens) as admission:
-                    await execution.run()
-                    admission.settle(_used_tokens(request, answer))
-            if scope.cancelled_caught:
+                    try:
+                        await execution.run()
+                    finally:
+                        admission.settle(_used_tokens(request, answer))
+            # An answer that has become complete in the turn of the cancellation is delivered.
+            if scope.cancelled_caught and answer.end is None:
                 return self._cancelled_refusal(request, execution.outcome)
         except Refusal as refusal:
             return refusal
@@ -266,25 +269,24 @@
         settings = self._settings
         if len(self._open) >= settings.max_open_requests:
             raise _overloaded(settings.max_open_requests, len(self._open), "requests in progress")
-        held = self._held_body_bytes + len(request.body)
+        held = self.bodies.held_bytes + len(request.body)
         if held > settings.max_held_body_bytes:
             raise _overloaded(settings.max_held_body_bytes, held, "bytes of bodies")
 
     @contextmanager
-    def _tracked(self, request_id: RequestId, request: CallerRequest) -> Iterator[trio.CancelScope]:
+    def _tracked(self, request_id: RequestId, request: CallerRequest) -> Iterator[TimeLimit]:
         """Count a request against the entry's own limits for the duration of the context."""
-        settings, size = self._settings, len(request.body)
-        scope = trio.CancelScope(deadline=request.deadline_s)
+        settings = self._settings
+        limit = TimeLimit(request.deadline_s)
         if self.kernel.hurrying.is_set():
-            scope.deadline = min(scope.deadline, trio.current_time() + settings.stop_limit_s)
-        self._open[request_id] = OpenRequest(request_id, request, scope)
-        self._held_body_bytes += size
+            limit.shorten(trio.current_time() + settings.stop_limit_s)
+        self._open[request_id] = OpenRequest(request_id, request, limit)
         OPEN_REQUESTS.add(1)
         try:
-            yield scope
+            with self.bodies.use(len(request.body)):
+                yield limit
         finally:
             del self._open[request_id]
-            self._held_body_bytes -= size
             OPEN_REQUESTS.add(-1)
             if not self._open:
                 self._idle.unpark_all()
@@ -296,7 +298,7 @@
         self.kernel.events.emit(EntryHurried(len(self._open), limit_s))
         latest_s = trio.current_time() + limit_s
         for item in self._open.values():
-            item.scope.deadline = min(item.scope.deadline, latest_s)
+            item.limit.shorten(latest_s)
 
     def _record_first_data(self, request: CallerRequest) -> None:
         if request.model and request.is_streamed:
--- a/packages/proxy/src/sassafrastally/proxy/cpu_overload/__init__.py
+++ b/packages/proxy/src/sassafrastally/proxy/cpu_overload/__init__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from sassafrastally.core.late_limits import LAST_READ_S
 from sassafrastally.proxy.cpu_overload.crowding import is_crowded
 from sassafrastally.proxy.cpu_overload.lag_window import (
     MAX_LAG_S,
@@ -10,10 +11,11 @@
     LagWindow,
 )
 from sassafrastally.proxy.cpu_overload.late_timeouts import (
-    LAST_READ_S,
     StepTimeout,
     due_after_delay_s,
     last_read_s,
+    read_until,
+    sleep_until_read,
 )
 from sassafrastally.proxy.cpu_overload.stream_limit import StreamLimit, shed_retry_delay_s
 
@@ -28,5 +30,7 @@
     "due_after_delay_s",
     "is_crowded",
     "last_read_s",
+    "read_until",
     "shed_retry_delay_s",
+    "sleep_until_read",
 ]
