Count the headers of callers in the budget of their requests

Callers: an entry that many connections send headers to, or that runs many requests with large ones, could run out of memory, and with it the requests of all others would be lost. Cause: the account of a request counted its body only. Bytes of an incomplete header were counted nowhere, and those of a complete one neither while its request was in progress. Change: a connection's incomplete input counts from the begin of a request, with what was read before, and the header until the response is sent. The largest incomplete request is refused beyond the bound, as before, now also during its header. Bytes of a pipelined request don't count while another one is in progress: the account would end the request that runs.

--- a/packages/proxy/src/sassafrastally/proxy/caller_listener.py
+++ b/packages/proxy/src/sassafrastally/proxy/caller_listener.py
@@ -115,8 +115,8 @@
             most_buffered_bytes(settings.memory_mb)
         )
         """Callers whose writes are in progress."""
-        self._bodies = InputBudget(most_held_bytes(settings.memory_mb))
-        """Bodies of requests that are read or in progress. Callers have a budget of their own:
+        self._requests = InputBudget(most_held_bytes(settings.memory_mb))
+        """Requests that are read or in progress. Callers have a budget of their own:
         theirs must not end the responses of backend servers."""
         self._settings = settings
         self._dialect = dialect
@@ -231,7 +231,8 @@
             self.open_requests -= 1
 
     async def _serve_begun_request(self, connection: HttpStream) -> bool:
-        with self._bodies.account() as account:
+        with self._requests.account() as account:
+            connection.charge(account)
             return await self._serve_accounted(connection, account)
 
     async def _serve_accounted(self, connection: HttpStream, account: InputAccount) -> bool:
@@ -336,6 +337,7 @@
             return BadRequest(BODY_TOO_LARGE, f"over {limits.body_bytes} bytes")
         if connection.http.they_are_waiting_for_100_continue:
             await connection.send(h11.InformationalResponse(status_code=100, headers=[]))
+        account.add(_header_size(head))
         body = bytearray()
         while True:
             with account.reading():
@@ -350,6 +352,8 @@
             else:
                 raise ConnectionLost("connection closed before the end of the request")
         account.keep()
+        # A pipelined request that is held meanwhile must not end the one in progress.
+        connection.charge(InputAccount(InputBudget()))
         try:
             facts = self._dialect.decode_request(headers)
         except DocumentInvalid as cause:
