--- a/packages/proxy/src/sassafrastally/proxy/request_reader.py
+++ b/packages/proxy/src/sassafrastally/proxy/request_reader.py
@@ -11,6 +11,7 @@
 from sassafrastally.proxy.cpu_overload import read_until
 from sassafrastally.proxy.dialect import DocumentInvalid
 from sassafrastally.proxy.http_stream import ConnectionLost
+from sassafrastally.proxy.input_limits import InputAccount, InputBudget
 
 # Runtime import: Refusal is a field type of a named tuple.
 from sassafrastally.proxy.refusals import (
@@ -24,7 +25,6 @@
 if TYPE_CHECKING:
     from sassafrastally.proxy.dialect import Dialect, Headers
     from sassafrastally.proxy.http_stream import HttpStream
-    from sassafrastally.proxy.input_limits import InputAccount
     from sassafrastally.proxy.model import RequestLimits
 
 
@@ -97,9 +97,10 @@
             event = await self._connection.receive()
             if not isinstance(event, h11.Request):
                 return None
+            if (rejected := self._check_head(event)) is not None:
+                return rejected
+            self._account.add(_header_size(event))
             self._head = event
-        if (rejected := self._check_head(self._head)) is not None:
-            return rejected
         if self._connection.http.they_are_waiting_for_100_continue:
             await self._connection.send(h11.InformationalResponse(status_code=100, headers=[]))
         return await self._read_body(self._head)
@@ -130,6 +131,8 @@
             else:
                 raise ConnectionLost("connection closed before the end of the request")
         self._account.keep()
+        # A pipelined request that is held meanwhile must not end the one in progress.
+        self._connection.charge(InputAccount(InputBudget()))
         headers: Headers = list(head.headers)
         try:
             facts = self._dialect.decode_request(headers)
