--- a/packages/proxy/src/sassafrastally/proxy/answer.py
+++ b/packages/proxy/src/sassafrastally/proxy/answer.py
@@ -31,6 +31,7 @@
 T = TypeVar("T")
 
 TIMEOUT_DETAIL = "no data arrived before the timeout"
+INCOMPLETE_HEADER_DETAIL = "the response header wasn't complete before the timeout"
 
 
 @error(10005)
--- a/packages/proxy/src/sassafrastally/proxy/attempt.py
+++ b/packages/proxy/src/sassafrastally/proxy/attempt.py
@@ -10,6 +10,7 @@
 import trio
 
 from sassafrastally.proxy.answer import (
+    INCOMPLETE_HEADER_DETAIL,
     TIMEOUT_DETAIL,
     Answer,
     AttemptNotRun,
@@ -113,7 +114,7 @@
         may_reuse: bool,
         waiting: trio.CancelScope | None = None,
         connect_until_s: float = math.inf,
-        on_sending: Callable[[], None] = lambda: None,
+        on_sending: Callable[[HttpStream], None] = lambda _: None,
     ) -> AsyncIterator[Answer]:
         """Send a request and yield its response; close or pool the connection on exit.
 
@@ -136,7 +137,8 @@
         connect_until_s
             Time by which the connection must be open.
         on_sending
-            Called right before the request is sent; until then, it certainly hasn't run.
+            Called with the connection right before the request is sent; until then, it certainly
+            hasn't run.
 
         Raises
         ------
@@ -178,7 +180,7 @@
         request: Request,
         terms: AttemptParameters,
         waiting: trio.CancelScope,
-        on_sending: Callable[[], None],
+        on_sending: Callable[[HttpStream], None],
     ) -> Answer:
         """Send a request and return its response."""
         head = self._head(request, terms)
@@ -186,7 +188,7 @@
         with waiting:
             await trio.lowlevel.checkpoint_if_cancelled()
             is_sent = True
-            on_sending()
+            on_sending(connection)
             return await self._exchange(connection, request, terms.server, head)
         if not is_sent:
             raise _not_sent_error()
@@ -240,7 +242,7 @@
             with trio.move_on_after(extra_s):
                 return await self._read_answer(connection, request, server, head)
         if is_awaited and connection.http.trailing_data[0]:
-            raise AttemptUnknown("the response header wasn't complete before the timeout")
+            raise AttemptUnknown(INCOMPLETE_HEADER_DETAIL)
         raise timeout_error()
 
     async def _read_answer(
--- a/packages/proxy/src/sassafrastally/proxy/caller_stream.py
+++ b/packages/proxy/src/sassafrastally/proxy/caller_stream.py
@@ -7,6 +7,7 @@
 from sassafrastally.proxy.event_stream import EventTimes
 
 if TYPE_CHECKING:
+    from sassafrastally.proxy.dialect import Headers
     from sassafrastally.proxy.event_stream import StreamEvent
     from sassafrastally.proxy.reply import Reply
     from sassafrastally.proxy.task import Progress, RequestTask
@@ -43,6 +44,17 @@
         known_id = -1 if self.last_event_id is None else self.last_event_id
         return event.event_id is not None and event.event_id <= known_id
 
+    async def begin(self, status: int, headers: Headers) -> None:
+        """Send the header unless it is sent already; raises `ConnectionLost`."""
+        if not self._reply.has_begun:
+            await self._reply.begin(status, headers)
+
+    async def end(self, rest: bytes) -> None:
+        """Send the bytes after the last event and the end; raises `ConnectionLost`."""
+        if rest:
+            await self._reply.send(rest)
+        await self._reply.end()
+
     async def forward(self, event: StreamEvent, now_s: float) -> None:
         """Forward an event unless the caller has it; raises `ConnectionLost`."""
         if self.has(event):
--- a/packages/proxy/src/sassafrastally/proxy/failover_decision.py
+++ b/packages/proxy/src/sassafrastally/proxy/failover_decision.py
@@ -2,13 +2,18 @@
 
 A sound server may fall silent for a second or two and go on. A dead one is as silent. An attempt
 given up before it is certain that another one follows costs the caller its answer if no other one
-is possible: the retry budget is exhausted, no server has room or none is left.
+is possible: the retry budget is exhausted, no server has room or none is left. A certain one may be
+rejected as well, or its server may be gone. So the attempt at the silent server stays open beside
+the next one, until the response of one of them begins.
 """
 
 from __future__ import annotations
 
 from enum import Enum
-from typing import NamedTuple
+from typing import TYPE_CHECKING, NamedTuple
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
 
 RECHECK_INTERVAL_S = 0.1
 """Interval at which a request that stays at a silent server looks for another one: room, servers
@@ -36,6 +41,23 @@
         return self in (Obstacle.ROOM, Obstacle.QUEUE)
 
 
+class Received(Enum):
+    """What an open attempt has received, as far as it decides which attempt goes on."""
+
+    NEW_EVENT = "an event that the caller lacks"
+    NOTHING_NEW = "comments, or events that the caller has"
+    RESPONSE = "a complete response, or the end of a stream"
+    FAILURE = "a server's failure, in place of which another attempt may succeed"
+
+
+class Handling(Enum):
+    """What becomes of what an open attempt has received."""
+
+    FORWARD = "it goes to the caller, and all other attempts are closed"
+    HOLD = "it waits until the attempt is the only one or receives a new event"
+    KEEP = "it is forwarded only if no other attempt succeeds"
+
+
 class Silence(NamedTuple):
     """A wait for a server that sends nothing."""
 
@@ -74,6 +96,37 @@
     return left_s if left_s > TIMER_PRECISION_S else 0.0
 
 
+def handling(received: Received, *, has_others: bool) -> Handling:
+    """Return what becomes of what an attempt has received.
+
+    The load is requests of which a few wait for a silent server and for its successor at once.
+    Whichever has something for the caller first is the only one from then on, so that the caller
+    never gets events of two attempts in turn. While there are others, nothing else is written: the
+    write of one attempt could delay the response of another.
+
+    Parameters
+    ----------
+    received
+        What the attempt has received.
+    has_others
+        Whether other attempts of the request are open.
+    """
+    if received is Received.FAILURE:
+        return Handling.KEEP
+    if received is Received.NOTHING_NEW and has_others:
+        return Handling.HOLD
+    return Handling.FORWARD
+
+
+def may_start_another(open_attempts: Iterable[Silence]) -> bool:
+    """Return whether silence allows another attempt beside those that are open.
+
+    A successor gets as much time as the first attempt: the load is a few dead servers in a row, and
+    an attempt started sooner would take a request's last attempts from it.
+    """
+    return all(one.silent_s >= one.limit_s - TIMER_PRECISION_S for one in open_attempts)
+
+
 def successor_obstacle(facts: SuccessorFacts) -> Obstacle | None:
     """Return what prevents a successor, apart from the retry budget.
 
--- a/packages/proxy/src/sassafrastally/proxy/log_events/requests.py
+++ b/packages/proxy/src/sassafrastally/proxy/log_events/requests.py
@@ -134,7 +134,7 @@
 
 @event(10016, "warning")
 class AttemptFailed(NamedTuple):
-    """An attempt at a backend server got no complete response."""
+    """An attempt got no complete response, or fell silent and is open beside the next attempt."""
 
     request_id: str
     server_id: str
--- /dev/null
+++ b/packages/proxy/src/sassafrastally/proxy/overlapping_attempts.py
@@ -0,0 +1,139 @@
+"""Attempts of one request that are open at the same time, and which of them goes on."""
+
+from __future__ import annotations
+
+from contextlib import contextmanager
+from typing import TYPE_CHECKING, Generic, TypeVar
+
+import trio
+
+from sassafrastally.proxy.failover_decision import Handling, handling, may_start_another
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable, Iterator
+
+    from sassafrastally.proxy.failover_decision import Received
+    from sassafrastally.proxy.open_attempt import OpenAttempt
+
+Start = TypeVar("Start")
+"""Where an attempt starts: a server, or a placement on engines."""
+
+
+class OverlappingAttempts(Generic[Start]):
+    """Runs an attempt and its successors until the response of one of them is complete.
+
+    The attempt at a silent server stays open beside its successor, which may be rejected or find
+    its server gone. Only the attempt for which `receive` returns `Handling.FORWARD` writes to the
+    caller; all others are closed at that moment, between two events, and none of them is writing
+    then: an attempt that writes to the caller has no successor, and one that has others doesn't
+    write.
+
+    Parameters
+    ----------
+    make
+        Makes one attempt; returns whether its response is complete.
+    """
+
+    def __init__(self, make: Callable[[Start], Awaitable[bool]]) -> None:
+        self._make = make
+        self._open: list[OpenAttempt] = []
+        self._starting: list[Start] = []
+        """Successors that have been added and aren't open yet."""
+        self._unfinished = 0
+        """Attempts whose outcome isn't recorded yet."""
+        self._nursery: trio.Nursery | None = None
+        self._has_response = False
+
+    async def run(self, first: Start) -> bool:
+        """Make an attempt and those that are added; return whether a response is complete."""
+        self._has_response = False
+        try:
+            async with trio.open_nursery() as self._nursery:
+                await self._run(first)
+        except BaseExceptionGroup as errors:
+            raise _first_error(errors) from None
+        return self._has_response
+
+    @contextmanager
+    def open(self, attempt: OpenAttempt) -> Iterator[None]:
+        """Count an attempt as open while the block runs; leave the block when it is closed."""
+        self._open.append(attempt)
+        try:
+            with attempt.scope:
+                yield
+        finally:
+            self._open.remove(attempt)
+
+    @property
+    def is_single(self) -> bool:
+        """Whether one attempt is open and no other one begins."""
+        return len(self._open) == 1 and not self._starting
+
+    def has_others(self, attempt: OpenAttempt) -> bool:
+        """Return whether other attempts are open or begin."""
+        return bool(self._starting) or any(self._others(attempt))
+
+    def silent(self, now_s: float) -> list[OpenAttempt]:
+        """Return the open attempts if the silence of all of them allows another one.
+
+        None is allowed before the outcome of the last one is recorded: it may have crashed its
+        server, and a quarantine may have to be awaited.
+        """
+        remaining = [one for one in self._open if not one.is_closed]
+        if self._starting or self._unfinished != len(remaining):
+            return []
+        return remaining if may_start_another(one.wait.silence(now_s) for one in remaining) else []
+
+    def add(self, start: Start) -> None:
+        """Make another attempt beside those that are open."""
+        if self._nursery is None:
+            raise RuntimeError("no attempt is open")
+        self._starting.append(start)
+        self._nursery.start_soon(self._run_added, start)
+
+    async def receive(self, attempt: OpenAttempt, received: Received) -> Handling:
+        """Return what becomes of what an attempt has received, and close the others if it goes on.
+
+        Raises
+        ------
+        trio.Cancelled
+            If the attempt has been closed.
+        """
+        if attempt.is_closed:
+            await trio.lowlevel.checkpoint_if_cancelled()
+        decision = handling(received, has_others=self.has_others(attempt))
+        if decision is Handling.FORWARD:
+            self._starting.clear()
+            for other in self._others(attempt):
+                other.scope.cancel()
+        return decision
+
+    def _others(self, attempt: OpenAttempt) -> Iterator[OpenAttempt]:
+        return (one for one in self._open if one is not attempt and not one.is_closed)
+
+    async def _run_added(self, start: Start) -> None:
+        if start in self._starting:
+            self._starting.remove(start)
+            await self._run(start)
+
+    async def _run(self, start: Start) -> None:
+        self._unfinished += 1
+        try:
+            is_complete = await self._make(start)
+        finally:
+            self._unfinished -= 1
+        if not is_complete:
+            return
+        self._has_response = True
+        if self._nursery is not None:
+            # Others only wait for what they record about their servers.
+            self._nursery.cancel_scope.cancel()
+
+
+def _first_error(errors: BaseExceptionGroup) -> BaseException:
+    """Return the error that ended the attempts; the cancellation if there is no other."""
+    _, others = errors.split(trio.Cancelled)
+    error: BaseException = others or errors
+    while isinstance(error, BaseExceptionGroup):
+        error = error.exceptions[0]
+    return error
--- a/packages/proxy/src/sassafrastally/proxy/path.py
+++ b/packages/proxy/src/sassafrastally/proxy/path.py
@@ -280,11 +280,9 @@
         return PlainRequestHandler(self.services, task, reply, progress)
 
     def _record_unanswered(self, task: RequestTask, progress: Progress) -> None:
-        """Record an attempt in flight when the caller disconnected or the deadline passed."""
-        if progress.pending is not None:
-            self.services.crash_detector.record_missing_answer(
-                progress.pending, task, progress.answer
-            )
+        """Record the attempts in flight when the caller disconnected or the deadline passed."""
+        for attempt in progress.pending:
+            self.services.crash_detector.record_missing_answer(attempt.server, task, attempt.answer)
 
     def _record_broken_stream(
         self,
--- a/packages/proxy/src/sassafrastally/proxy/plain_request.py
+++ b/packages/proxy/src/sassafrastally/proxy/plain_request.py
@@ -4,31 +4,34 @@
 
 import math
 from contextlib import ExitStack
-from typing import TYPE_CHECKING, NamedTuple
+from typing import TYPE_CHECKING
 
 from sassafrastally.proxy.admission_queue import latest_start_s
 from sassafrastally.proxy.answer_events import body_interruption
-from sassafrastally.proxy.attempt import NON_SUCCESS_STATUS, AttemptNotRun, AttemptUnknown
-
-# Runtime import: BodyFraming is a field type of a named tuple.
-from sassafrastally.proxy.body_framing import BodyFraming
+from sassafrastally.proxy.attempt import (
+    NON_SUCCESS_STATUS,
+    TIMEOUT_DETAIL,
+    AttemptNotRun,
+    AttemptUnknown,
+)
+from sassafrastally.proxy.buffered_response import BufferedResponse
 from sassafrastally.proxy.cpu_overload import last_read_s
 from sassafrastally.proxy.event_stream import carries_events
-from sassafrastally.proxy.failover_decision import Obstacle
+from sassafrastally.proxy.failover_decision import Handling, Obstacle, Received
 from sassafrastally.proxy.load import InFlightAttempt, Lane
 from sassafrastally.proxy.model import RouteKind
 from sassafrastally.proxy.plain_placement import has_slot, place_plain
 from sassafrastally.proxy.refusals import MAY_HAVE_RUN, NO_ROOM, NO_SERVER, TURNED_AWAY
 from sassafrastally.proxy.request_handler import SERVER_ERROR_STATUS, RequestHandler
 from sassafrastally.proxy.silence_watch import ServerWait
-from sassafrastally.proxy.task import LocalReply, ResponseTimes
+from sassafrastally.proxy.task import LocalReply
 from sassafrastally.proxy.waiting_attempts import WaitingAttempt
 from sassafrastally.proxy.waiting_for_room import RoomWait
 
 if TYPE_CHECKING:
     from sassafrastally.proxy.attempt import Answer
-    from sassafrastally.proxy.dialect import Headers
     from sassafrastally.proxy.model import BackendServer
+    from sassafrastally.proxy.open_attempt import OpenAttempt
     from sassafrastally.proxy.reply import Reply
     from sassafrastally.proxy.request_services import RequestServices
     from sassafrastally.proxy.task import Progress, RequestTask
@@ -37,21 +40,12 @@
 """Share of the remaining time that an attempt may use if another one may follow. If the server
 hangs, enough time is left for a complete second attempt."""
 
+SILENCE_DETAIL = "no answer within the attempt's time limit"
 
 PLAIN_WORK_MS = 30.0
 """Assumed work of a request to a plain service: its real work isn't known in advance."""
 
 
-class BufferedResponse(NamedTuple):
-    """A backend server's response with its complete body."""
-
-    status: int
-    headers: Headers
-    body: bytes
-    server_id: str
-    framing: BodyFraming
-
-
 class PlainRequestHandler(RequestHandler["BackendServer"]):
     """Handles one request with a plain service."""
 
@@ -61,6 +55,8 @@
         super().__init__(services, task, reply, progress)
         self._failed: BufferedResponse | None = None
         """A server's failure, which is forwarded unless another attempt succeeds."""
+        self._response: BufferedResponse | None = None
+        """The response that goes to the caller."""
         self._obstacle: Obstacle | None = None
         """What prevented another attempt."""
         self._room_wait = RoomWait(
@@ -83,33 +79,28 @@
             stopping = self._stopping_reply(self._least_first_s())
             if stopping is not None and self._failed is None:
                 return stopping
-            server = None
-            if not (quarantined or stopping):
-                server = self._take_successor() or self._choose_server()
+            server = None if quarantined or stopping else self._choose_server()
             if server is None:
                 break
-            answer = await self._attempt(server)
-            if answer is not None and not self._should_retry(answer):
-                await self._forward(answer)
+            if await self._attempts.run(server) and self._response is not None:
+                await self._forward(self._response, Lane.PLAIN)
                 return None
-            self._failed = answer or self._failed
-            if self._successor is not None:
-                continue
             if not self._has_untried_servers():
                 break
             self._obstacle = self._retries.claim()
             if self._obstacle is not None:
                 break
         if self._failed is not None:
-            await self._forward(self._failed)
+            await self._forward(self._failed, Lane.PLAIN)
             return None
         return self._local_reply()
 
     async def forward_kept(self) -> bool:
-        """Forward the failure that a server has answered, if any."""
-        if self._failed is None:
+        """Forward the response or the failure that a server has answered, if any."""
+        kept = self._response or self._failed
+        if kept is None:
             return False
-        await self._forward(self._failed)
+        await self._forward(kept, Lane.PLAIN)
         return True
 
     def _local_reply(self) -> LocalReply:
@@ -126,7 +117,7 @@
 
     async def _wait_for_slot(self) -> bool:
         """Wait while all servers are full; return whether the request can be sent."""
-        if self._successor is not None or not self._room_wait.applies:
+        if not self._room_wait.applies:
             return True
         if self._has_slot() and not self._is_behind_others():
             return True
@@ -165,7 +156,7 @@
 
     def _choose_server(self) -> BackendServer | None:
         views = self._trial_views() or self._views(self.progress.tried)
-        if self._is_suspect():
+        if self._records.is_suspect():
             views = self._isolate(views)
         return place_plain(views, self._services.kernel.data_centre)
 
@@ -179,48 +170,40 @@
     def _should_retry(self, answer: BufferedResponse) -> bool:
         return answer.status >= SERVER_ERROR_STATUS and self._task.route.is_repeatable
 
-    async def _attempt(self, server: BackendServer) -> BufferedResponse | None:
-        """Make one attempt; return the response, or ``None`` if there is none."""
-        self._begin_attempt(server)
-        self._room_wait.record_start()
+    async def _attempt(self, server: BackendServer) -> bool:
         begin_s = self._clock.now_s()
+        due_s = self._attempt_deadline_s(begin_s)
+        wait = ServerWait(begin_s, due_s - begin_s, due_s - begin_s)
+        attempt = self._begin_attempt(server, wait)
+        self._room_wait.record_start()
         self._log.placed(server)
-        in_flight = InFlightAttempt(
-            server.incarnation_id, Lane.PLAIN, is_suspect=self._is_suspect()
-        )
+        is_suspect = self._records.is_suspect()
+        in_flight = InFlightAttempt(server.incarnation_id, Lane.PLAIN, is_suspect=is_suspect)
         self._services.fleet_view.ledger.add(in_flight, begin_s)
-        due_s = self._attempt_deadline_s(begin_s)
-        attempt = WaitingAttempt(
-            (),
-            begin_s,
-            math.inf,
-            ServerWait(begin_s, due_s - begin_s, due_s - begin_s),
-            lambda *_: None,
-            self._task.subjects,
-        )
+        waiting = WaitingAttempt((), begin_s, math.inf, wait, lambda *_: None, self._task.subjects)
         try:
-            answer = await self._exchange(server, attempt, due_s)
-            self.progress.pending, self.progress.may_have_run = None, True
-            self._services.fleet_view.record_success(server.incarnation_id)
-            self._count_outcome(server, is_failure=answer.status >= SERVER_ERROR_STATUS)
-            self._record_success(server, answer.status)
-            return answer
+            with self._attempts.open(attempt):
+                return await self._exchange(attempt, waiting, due_s)
+            self._record_closed(attempt)
         except AttemptNotRun as cause:
-            self._record_not_run(server, begin_s, cause)
+            self._records.not_run(attempt, cause)
             if cause.is_out_of_time and last_read_s(due_s, self._clock.now_s()):
                 # This entry ran late: the server may be tried again.
                 self.progress.tried.discard(server.incarnation_id)
             elif cause.is_out_of_time:
                 self._services.fleet_view.record_failure(server, cause.detail, self._request_id)
         except AttemptUnknown as cause:
-            if attempt.cancel_reason:
-                self._record_abandoned(server, begin_s, attempt.cancel_reason)
-                return None
-            detail = "no answer within the attempt's time limit"
-            await self._record_unknown(server, begin_s, detail if cause.is_timeout else cause)
+            if waiting.cancel_reason:
+                self._records.abandoned(attempt, waiting.cancel_reason)
+                return False
+            await self._records.unknown(attempt, SILENCE_DETAIL if cause.is_timeout else cause)
         finally:
             self._services.fleet_view.ledger.remove(in_flight, self._clock.now_s())
-        return None
+        return False
+
+    def _silence_detail(self, attempt: OpenAttempt) -> str:
+        detail = super()._silence_detail(attempt)
+        return SILENCE_DETAIL if detail == TIMEOUT_DETAIL else detail
 
     def _attempt_deadline_s(self, begin_s: float) -> float:
         deadline_s = self._task.deadline_s
@@ -229,26 +212,43 @@
         return begin_s + FIRST_ATTEMPT_SHARE * (deadline_s - begin_s)
 
     async def _exchange(
-        self, server: BackendServer, attempt: WaitingAttempt, connect_until_s: float
-    ) -> BufferedResponse:
-        last_event_id = self._task.request.facts.last_event_id
-        terms = self._attempt_terms(server, attempt.begin_s, last_event_id)
-        wait = attempt.wait
-        with self._watch(wait, server), ExitStack() as until_begun:
+        self, attempt: OpenAttempt, waiting: WaitingAttempt, connect_until_s: float
+    ) -> bool:
+        """Exchange request and response; return whether the response goes to the caller."""
+        server, last_event_id = attempt.server, self._task.request.facts.last_event_id
+        terms = self._attempt_terms(attempt, last_event_id)
+        with self._watch(attempt), ExitStack() as until_begun:
             if self._retries.is_repeatable:
                 # What mustn't run twice is left to run: it can't be told whether it waits.
                 attempts = self._services.fleet_view.waiting_attempts
-                until_begun.enter_context(attempts.register(attempt))
-            async with self._send(terms, wait, connect_until_s) as answer:
+                until_begun.enter_context(attempts.register(waiting))
+            async with self._send(attempt, terms, connect_until_s) as answer:
                 until_begun.close()
-                wait.record_header(self._clock.now_s())
-                self._successor = None  # The response began before the wait was cancelled.
-                with wait.awaited(answer):
+                attempt.wait.record_header(self._clock.now_s())
+                with attempt.wait.awaited():
                     body = await answer.read()
                 await self._require_end(answer, body)
-                return BufferedResponse(
+                response = BufferedResponse(
                     answer.status, answer.headers, body, server.server_id, answer.framing
                 )
+                return await self._receive(attempt, response)
+
+    async def _receive(self, attempt: OpenAttempt, response: BufferedResponse) -> bool:
+        """Record a response; return whether it goes to the caller."""
+        should_retry = self._should_retry(response)
+        received = Received.FAILURE if should_retry else Received.RESPONSE
+        decision = await self._attempts.receive(attempt, received)
+        self.progress.end(attempt)
+        self.progress.may_have_run = True
+        self._services.fleet_view.record_success(attempt.server.incarnation_id)
+        is_failure = response.status >= SERVER_ERROR_STATUS
+        self._records.outcome(attempt.server, is_failure=is_failure)
+        self._records.success(attempt, response.status)
+        if decision is Handling.KEEP:
+            self._failed = response
+            return False
+        self._response = response
+        return True
 
     async def _require_end(self, answer: Answer, body: bytes) -> None:
         """Raise `AttemptUnknown` if the body is an event stream that isn't whole."""
@@ -259,12 +259,3 @@
             return
         if interruption := await body_interruption(body, answer.framing):
             raise AttemptUnknown(interruption)
-
-    async def _forward(self, answer: BufferedResponse) -> None:
-        task = self._task
-        elapsed_s = self._clock.now_s() - task.request.arrived_s
-        await self._reply.send_complete(
-            answer.status, self._services.dialect.response_headers(answer.headers), answer.body
-        )
-        times = ResponseTimes(elapsed_s, elapsed_s)
-        self._log.answered(answer.server_id, answer.status, answer.framing, Lane.PLAIN, times)
--- a/packages/proxy/src/sassafrastally/proxy/request_handler.py
+++ b/packages/proxy/src/sassafrastally/proxy/request_handler.py
@@ -4,10 +4,9 @@
 
 import math
 from contextlib import nullcontext
-from typing import TYPE_CHECKING, Generic, TypeVar
+from typing import TYPE_CHECKING, Generic
 
-from sassafrastally.proxy.answer_progress import AnswerProgress
-from sassafrastally.proxy.attempt import NON_SUCCESS_STATUS, AttemptNotRun, AttemptUnknown
+from sassafrastally.proxy.attempt_records import AttemptRecords
 from sassafrastally.proxy.backpressure import CallKind
 from sassafrastally.proxy.evacuation import Unavailability
 from sassafrastally.proxy.failover_decision import (
@@ -16,7 +15,9 @@
     successor_obstacle,
 )
 from sassafrastally.proxy.fingerprint import fingerprint_text
-from sassafrastally.proxy.model import AttemptParameters
+from sassafrastally.proxy.model import AttemptParameters, Helper
+from sassafrastally.proxy.open_attempt import OpenAttempt
+from sassafrastally.proxy.overlapping_attempts import OverlappingAttempts, Start
 from sassafrastally.proxy.refusals import (
     MAY_HAVE_RUN,
     QUARANTINED,
@@ -28,7 +29,7 @@
 from sassafrastally.proxy.request_log import RequestLog
 from sassafrastally.proxy.retries import Retries
 from sassafrastally.proxy.suspect_placement import assigned_servers
-from sassafrastally.proxy.task import LocalReply, Progress, RequestTask
+from sassafrastally.proxy.task import LocalReply, Progress, RequestTask, ResponseTimes
 from sassafrastally.proxy.turning_away import (
     MIN_RETRY_DELAY_S,
     retry_delay_after_failure_s,
@@ -40,8 +41,11 @@
     from contextlib import AbstractAsyncContextManager, AbstractContextManager
 
     from sassafrastally.proxy.attempt import Answer
+    from sassafrastally.proxy.buffered_response import BufferedResponse
+    from sassafrastally.proxy.http_stream import HttpStream
     from sassafrastally.proxy.lanes import ServerView
-    from sassafrastally.proxy.model import BackendServer, Helper
+    from sassafrastally.proxy.load import Lane
+    from sassafrastally.proxy.model import BackendServer
     from sassafrastally.proxy.refusals import Refusal
     from sassafrastally.proxy.reply import Reply
     from sassafrastally.proxy.request_services import RequestServices
@@ -49,9 +53,6 @@
     from sassafrastally.proxy.verdicts import Verdict
     from sassafrastally.proxy.waiting_for_room import RoomWait
 
-Start = TypeVar("Start")
-"""Where a request starts: a server, or a placement on engines."""
-
 SERVER_ERROR_STATUS = 500
 """Lowest HTTP status that means that the backend server failed."""
 
@@ -85,7 +86,9 @@
         self._clock = services.kernel.clock
         self._emit = services.kernel.events.emit
         self._log = RequestLog(services, task, self.progress)
+        self._records = AttemptRecords(services, task, progress, self._log)
         self._retries = Retries(services, task, progress)
+        self._attempts: OverlappingAttempts[Start] = OverlappingAttempts(self._attempt)
         self._successor: Start | None = None
         """Where the next attempt is made, which has been charged to the retry budget."""
 
@@ -240,93 +243,91 @@
         that a failure costs no caller its response. Handlers of streams use short prompts only: a
         long one fails with any of the engines that share it.
         """
-        if self.progress.attempts or not self._retries.can_fail_over() or self._is_suspect():
+        can_fail = self._retries.can_fail_over() and not self._records.is_suspect()
+        if self.progress.attempts or not can_fail:
             return []
         views = self._services.fleet_view.trial_views(
             self._task.service, self.progress.tried, self._task.homes
         )
         return views if views and self._retries.has_budget() else []
 
-    def _count_outcome(self, *servers: BackendServer, is_failure: bool) -> None:
-        """Count a response or a failure of servers over all entries.
-
-        Failures of a request during which a server has crashed don't count: it may be their cause.
-        """
-        if is_failure and self._is_suspect():
-            return
-        for server in servers:
-            self._services.fleet_view.failures.record(server, is_failure=is_failure)
-
-    def _count_rejection(self, server: BackendServer) -> None:
-        """Count a rejection unless load, a rate limit or a cold start explains it."""
-        incarnation_id = server.incarnation_id
-        if (
-            not self._services.fleet_view.is_loaded(server)
-            and self._services.backpressure.limit_of(incarnation_id) is None
-            and not self._services.backpressure.is_cold(incarnation_id)
-        ):
-            self._count_outcome(server, is_failure=True)
-
-    def _is_suspect(self) -> bool:
-        """Return whether a server has crashed while running the request, whatever the cause."""
-        return self._services.quarantine.crash_count(self._task.subjects) > 0
-
     def _isolate(self, views: Sequence[ServerView]) -> list[ServerView]:
         """Return the server for a suspect request, isolated from requests that crashed with it."""
         suspects = self._services.quarantine.crash_counts_with(self._task.subjects)
         return assigned_servers(views, self._task.fingerprint, suspects)
 
-    def _record_event(self, server: BackendServer, now_s: float) -> None:
-        """Record an event of the answer."""
-        if self.progress.answer.record_event(now_s):
-            self._services.quarantine.record_going_on(self._task.parts, server)
-
-    def _record_success(self, server: BackendServer, status: int) -> None:
-        """Record a complete, successful response: the request doesn't crash servers."""
-        if status < NON_SUCCESS_STATUS:
-            answer = self.progress.answer
-            self._services.quarantine.record_answered(self._task.subjects, server, answer)
-
     def _attempt_terms(
         self,
-        server: BackendServer,
-        begin_s: float,
+        attempt: OpenAttempt,
         last_event_id: int | None,
-        helpers: tuple[Helper, ...] = (),
+        helpers: Sequence[BackendServer] = (),
     ) -> AttemptParameters:
         """Return the parameters of an attempt."""
         return AttemptParameters(
-            server=server,
-            time_left_s=self._task.time_left_s(begin_s),
+            server=attempt.server,
+            time_left_s=self._task.time_left_s(attempt.begin_s),
             customer=self._task.customer_name,
             last_event_id=last_event_id,
-            helpers=helpers,
+            helpers=tuple(Helper(server) for server in helpers),
         )
 
-    def _begin_attempt(self, server: BackendServer, helpers: Sequence[BackendServer] = ()) -> None:
+    async def _attempt(self, start: Start) -> bool:
+        """Make one attempt; return whether its response is complete."""
+        raise NotImplementedError
+
+    async def _forward(self, response: BufferedResponse, lane: Lane) -> None:
+        """Forward a complete response; raises `ConnectionLost`."""
+        elapsed_s = self._clock.now_s() - self._task.request.arrived_s
+        headers = self._services.dialect.response_headers(response.headers)
+        await self._reply.send_complete(response.status, headers, response.body)
+        times = ResponseTimes(elapsed_s, elapsed_s)
+        self._log.answered(response.server_id, response.status, response.framing, lane, times)
+
+    def _begin_attempt(
+        self, server: BackendServer, wait: ServerWait, helpers: Sequence[BackendServer] = ()
+    ) -> OpenAttempt:
         self.progress.attempts += 1
         self.progress.sent += 1
-        self.progress.answer = AnswerProgress()
         self.progress.tried.add(server.incarnation_id)
         self._services.backpressure.count_request(server, CallKind.ATTEMPT)
         self._services.fleet_view.failures.record_sent(server)
         for helper in helpers:
             self._services.backpressure.count_part(helper)
+        return OpenAttempt(server, self.progress.attempts, self._clock.now_s(), wait)
 
-    def _watch(self, wait: ServerWait, server: BackendServer) -> AbstractContextManager[None]:
-        """Watch an attempt for silence of its server if another one may take over."""
+    def _watch(self, attempt: OpenAttempt) -> AbstractContextManager[None]:
+        """Watch an attempt for silence of its server if another one may follow."""
         if not self._retries.can_fail_over():
             return nullcontext()
         tolerated: set[Obstacle] = set()
 
-        def claim_successor(silent_s: float) -> bool:
+        def add_successor(silent_s: float) -> None:
+            silent = self._attempts.silent(self._clock.now_s())
+            if not silent:
+                return
             obstacle = self._claim_successor()
-            if obstacle is not None and obstacle not in tolerated:
-                tolerated.add(obstacle)
-                self._log.silence_tolerated(server, silent_s, obstacle)
-            return obstacle is None
-
-        return self._services.silence_watch.watch(wait, claim_successor)
+            if obstacle is not None:
+                if obstacle not in tolerated:
+                    tolerated.add(obstacle)
+                    self._log.silence_tolerated(attempt, silent_s, obstacle)
+                return
+            for one in silent:
+                self._records.silence(one, self._silence_detail(one))
+            if (successor := self._take_successor()) is not None:
+                self._attempts.add(successor)
+
+        return self._services.silence_watch.watch(attempt.wait, add_successor)
+
+    def _silence_detail(self, attempt: OpenAttempt) -> str:
+        """Return how the server of an attempt is silent."""
+        return attempt.wait.silence_detail(self._clock.now_s())
+
+    def _record_closed(self, attempt: OpenAttempt) -> None:
+        """Record an attempt that was closed since another one's response came first."""
+        if not attempt.silence_detail:
+            # Nothing speaks against the server, which may get the request again.
+            self.progress.tried.discard(attempt.server.incarnation_id)
+        self._records.superseded(attempt)
 
     def _claim_successor(self) -> Obstacle | None:
         """Choose where the next attempt is made and charge it; return what prevents that."""
@@ -361,88 +362,21 @@
 
     def _send(
         self,
+        attempt: OpenAttempt,
         terms: AttemptParameters,
-        wait: ServerWait,
         connect_until_s: float = math.inf,
     ) -> AbstractAsyncContextManager[Answer]:
         """Send the request, as `AttemptSender.send`; it is pending from then on."""
 
-        def record_sending() -> None:
-            self.progress.pending = terms.server
-            wait.record_sending(self._clock.now_s())
+        def record_sending(connection: HttpStream) -> None:
+            self.progress.pending.append(attempt)
+            attempt.wait.record_sending(self._clock.now_s(), connection)
 
         return self._services.attempt_sender.send(
             self._task.request,
             terms,
             may_reuse=self._task.route.is_repeatable,
-            waiting=wait.scope,
+            waiting=attempt.wait.scope,
             connect_until_s=connect_until_s,
             on_sending=record_sending,
         )
-
-    def _record_not_run(
-        self,
-        server: BackendServer,
-        begin_s: float,
-        cause: AttemptNotRun,
-        helpers: tuple[BackendServer, ...] = (),
-    ) -> None:
-        """Record an attempt that certainly didn't run."""
-        self.progress.pending = None
-        if not cause.is_unreachable and self._is_for_load(server, cause):
-            self.progress.was_refused_for_load = True
-        if cause.is_unreachable:
-            # Nothing was sent, so it counts neither as an attempt nor as a retry.
-            self.progress.sent -= 1
-            self.progress.unreachable += 1
-        self._log.attempt_failed(server, begin_s, cause.detail, is_proved_not_run=True)
-        # Only the helpers of this attempt can be at fault: a server that has since restarted at the
-        # same address isn't.
-        at_fault = [helper for helper in helpers if helper.address == cause.failed_server_address]
-        for helper in at_fault:
-            self._count_rejection(helper)
-            reason = "reported as the cause by another server"
-            self._services.fleet_view.record_refusal(
-                helper, reason, self._request_id, is_conclusive=True
-            )
-        if at_fault or not cause.counts_against_server:
-            return
-        if cause.is_unreachable:
-            self._count_outcome(server, is_failure=True)
-            self._services.fleet_view.record_failure(
-                server, cause.detail, self._request_id, is_conclusive=True
-            )
-        else:
-            self._count_rejection(server)
-            self._services.fleet_view.record_refusal(server, cause.detail, self._request_id)
-
-    def _is_for_load(self, server: BackendServer, cause: AttemptNotRun) -> bool:
-        """Return whether a server refused an attempt because of its load."""
-        return not cause.counts_against_server or self._services.fleet_view.is_loaded(server)
-
-    async def _record_unknown(
-        self, server: BackendServer, begin_s: float, cause: AttemptUnknown | str
-    ) -> None:
-        """Record an attempt that may have run and count it as a failure of its server."""
-        detail = cause if isinstance(cause, str) else cause.detail
-        self._record_abandoned(server, begin_s, detail)
-        fleet_view, crash_detector = self._services.fleet_view, self._services.crash_detector
-        is_silence = not isinstance(cause, str) and cause.is_timeout
-        if not is_silence:  # The report of a silent engine decides whether it has failed.
-            self._count_outcome(server, is_failure=True)
-        if isinstance(cause, str):
-            fleet_view.record_failure(server, detail, self._request_id)
-            crash_detector.record_missing_answer(server, self._task, self.progress.answer)
-        elif cause.is_timeout:
-            fleet_view.record_timeout(server, self._request_id)
-            crash_detector.record_missing_answer(server, self._task, self.progress.answer)
-        else:
-            fleet_view.record_failure(server, detail, self._request_id)
-            answer = self.progress.answer
-            await crash_detector.record_broken_answer(server, self._task, answer, detail)
-
-    def _record_abandoned(self, server: BackendServer, begin_s: float, detail: str) -> None:
-        """Record and log an attempt that may have run."""
-        self.progress.pending = None
-        self.progress.may_have_run = True
-        self._log.attempt_failed(server, begin_s, detail, is_proved_not_run=False)
--- a/packages/proxy/src/sassafrastally/proxy/request_log.py
+++ b/packages/proxy/src/sassafrastally/proxy/request_log.py
@@ -18,6 +18,7 @@
     from sassafrastally.proxy.failover_decision import Obstacle
     from sassafrastally.proxy.load import Lane
     from sassafrastally.proxy.model import BackendServer
+    from sassafrastally.proxy.open_attempt import OpenAttempt
     from sassafrastally.proxy.plan import Placement
     from sassafrastally.proxy.request_services import RequestServices
     from sassafrastally.proxy.task import Progress, RequestTask, ResponseTimes
@@ -60,29 +61,27 @@
             )
         )
 
-    def attempt_failed(
-        self, server: BackendServer, begin_s: float, cause: str, *, is_proved_not_run: bool
-    ) -> None:
+    def attempt_failed(self, attempt: OpenAttempt, cause: str, *, is_proved_not_run: bool) -> None:
         """Log and count an attempt without a complete answer."""
         ATTEMPTS_FAILED.add(1, {"proved_not_run": is_proved_not_run})
         self._emit(
             AttemptFailed(
                 self._task.request.facts.request_id,
-                server.server_id,
-                self._progress.attempts,
+                attempt.server.server_id,
+                attempt.number,
                 is_proved_not_run,
-                round(self._clock.now_s() - begin_s, 4),
+                round(self._clock.now_s() - attempt.begin_s, 4),
                 cause,
             )
         )
 
-    def silence_tolerated(self, server: BackendServer, silent_s: float, obstacle: Obstacle) -> None:
+    def silence_tolerated(self, attempt: OpenAttempt, silent_s: float, obstacle: Obstacle) -> None:
         """Log that a request stays at a silent server."""
         self._emit(
             SilenceTolerated(
                 self._task.request.facts.request_id,
-                server.server_id,
-                self._progress.attempts,
+                attempt.server.server_id,
+                attempt.number,
                 round(silent_s, 4),
                 obstacle.value,
             )
--- a/packages/proxy/src/sassafrastally/proxy/silence_watch.py
+++ b/packages/proxy/src/sassafrastally/proxy/silence_watch.py
@@ -1,13 +1,14 @@
-"""Watches attempts for silence of their servers and ends those that another server takes over."""
+"""Watches attempts for silence of their servers."""
 
 from __future__ import annotations
 
 from contextlib import contextmanager
 from typing import TYPE_CHECKING
 
+import h11
 import trio
 
-from sassafrastally.proxy.answer import AttemptUnknown, timeout_error
+from sassafrastally.proxy.answer import INCOMPLETE_HEADER_DETAIL, TIMEOUT_DETAIL
 from sassafrastally.proxy.answer_events import NO_EVENT_DETAIL, SILENT_SHARE
 from sassafrastally.proxy.cpu_overload import due_after_delay_s, last_read_s
 from sassafrastally.proxy.failover_decision import RECHECK_INTERVAL_S, Silence, next_check_s
@@ -15,8 +16,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
 
-    from sassafrastally.proxy.answer import Answer
     from sassafrastally.proxy.containment import Containment
+    from sassafrastally.proxy.http_stream import HttpStream
 
 
 class ServerWait:
@@ -25,7 +26,7 @@
     Attributes
     ----------
     scope
-        Cancel scope of the present wait; the first one is for the header of the response.
+        Cancel scope of the wait for the header of the response.
 
     Parameters
     ----------
@@ -44,9 +45,12 @@
         self._begin_s = begin_s
         self._silent_since_s = begin_s
         self._paused_s: float | None = None
+        self._connection: HttpStream | None = None
+        """The connection on which the request is sent."""
 
-    def record_sending(self, now_s: float) -> None:
+    def record_sending(self, now_s: float, connection: HttpStream) -> None:
         """Record that the request is sent, which a delayed entry does late."""
+        self._connection = connection
         self._silent_since_s = due_after_delay_s(self._begin_s, self._begin_s, now_s)
 
     def record_header(self, now_s: float) -> None:
@@ -59,29 +63,31 @@
         self._limit_s = self.event_limit_s
 
     @contextmanager
-    def awaited(self, answer: Answer) -> Iterator[None]:
+    def awaited(self) -> Iterator[None]:
         """Wait for more of a response in the block.
 
-        Only this wait is cancelled, and only its time counts. A write to the caller cancelled
-        halfway would leave a partial chunk on the connection, followed by the bytes of the next
-        attempt, and its time says nothing about the server.
-
-        Raises
-        ------
-        AttemptUnknown
-            If another server takes over; not as a timeout if bytes keep coming, since the server
-            isn't silent then.
+        Only the time in such blocks counts: that of a write to the caller says nothing about the
+        server.
         """
         if self._paused_s is not None:
             self._silent_since_s += trio.current_time() - self._paused_s
             self._paused_s = None
-        with trio.CancelScope() as self.scope:
-            yield
+        yield
         self._paused_s = trio.current_time()
-        if self.scope.cancelled_caught:
-            if trio.current_time() - answer.received_s < SILENT_SHARE * self._limit_s:
-                raise AttemptUnknown(NO_EVENT_DETAIL)
-            raise timeout_error()
+
+    def silence_detail(self, now_s: float) -> str:
+        """Return what is missing from a server that is silent for longer than the limit.
+
+        A server that sends bytes, but neither a whole header nor an event, isn't silent.
+        """
+        connection = self._connection
+        if connection is None:
+            return TIMEOUT_DETAIL
+        if connection.http.their_state is h11.SEND_RESPONSE:
+            has_part = bool(connection.http.trailing_data[0])
+            return INCOMPLETE_HEADER_DETAIL if has_part else TIMEOUT_DETAIL
+        is_receiving = now_s - connection.received_s < SILENT_SHARE * self._limit_s
+        return NO_EVENT_DETAIL if is_receiving else TIMEOUT_DETAIL
 
     def silence(self, now_s: float) -> Silence:
         """Return how long the server has been silent."""
@@ -105,34 +111,33 @@
         self._containment = containment
 
     @contextmanager
-    def watch(self, wait: ServerWait, claim_successor: Callable[[float], bool]) -> Iterator[None]:
+    def watch(self, wait: ServerWait, on_silence: Callable[[float], None]) -> Iterator[None]:
         """Watch an attempt while the block runs.
 
         Parameters
         ----------
         wait
-            The attempt's wait; cancelled once another server takes over.
-        claim_successor
-            Makes the next attempt certain if it can; returns whether it is. Called with the time
-            for which the server has been silent.
+            The attempt's wait.
+        on_silence
+            Called with the time for which the server has been silent, once that is longer than the
+            limit, and again at intervals.
         """
         scope = trio.CancelScope()
-        self._nursery.start_soon(self._containment.run, self._run, wait, claim_successor, scope)
+        self._nursery.start_soon(self._containment.run, self._run, wait, on_silence, scope)
         try:
             yield
         finally:
             scope.cancel()
 
     async def _run(
-        self, wait: ServerWait, claim_successor: Callable[[float], bool], scope: trio.CancelScope
+        self, wait: ServerWait, on_silence: Callable[[float], None], scope: trio.CancelScope
     ) -> None:
         with scope:
             while True:
                 silence = wait.silence(trio.current_time())
                 delay_s = next_check_s(silence)
                 if not delay_s:
-                    if claim_successor(silence.silent_s):
-                        wait.scope.cancel()
+                    on_silence(silence.silent_s)
                     delay_s = RECHECK_INTERVAL_S
                 # After an event, the limit may be shorter.
                 await _sleep(min(delay_s, wait.event_limit_s))
--- a/packages/proxy/src/sassafrastally/proxy/streaming_request.py
+++ b/packages/proxy/src/sassafrastally/proxy/streaming_request.py
@@ -4,6 +4,7 @@
 
 import math
 from contextlib import ExitStack
+from functools import partial
 from typing import TYPE_CHECKING
 
 from sassafrastally.proxy.admission import Goals, backlog_bound, overload_reason
@@ -16,23 +17,23 @@
     response_s,
     yield_reason,
 )
-from sassafrastally.proxy.answer_events import AnswerEvents
 from sassafrastally.proxy.attempt import NON_SUCCESS_STATUS, AttemptNotRun, AttemptUnknown
 from sassafrastally.proxy.attempt_migration import (
     MOVE_CHECK_INTERVAL_S,
     remaining_s,
     should_move_attempt,
 )
+from sassafrastally.proxy.attempt_stream import AttemptStream
+from sassafrastally.proxy.buffered_response import BufferedResponse
 from sassafrastally.proxy.caller_stream import CallerStream
 from sassafrastally.proxy.caller_timeout import caller_timeout_s
 from sassafrastally.proxy.data_centre_pools import place_locally_first, prefers_local_data_centre
-from sassafrastally.proxy.failover_decision import reaches_caller
+from sassafrastally.proxy.failover_decision import Received, reaches_caller
 from sassafrastally.proxy.first_event_timeout import SILENCE_TIMEOUT_SHARE, expected_first_event_s
 from sassafrastally.proxy.lanes import PlacementRandomizer, choose_lane
 from sassafrastally.proxy.load import NO_WORK, InFlightAttempt, Lane
 from sassafrastally.proxy.load_summary import load_summary
 from sassafrastally.proxy.metrics import PREFILL_YIELDS
-from sassafrastally.proxy.model import Helper
 from sassafrastally.proxy.placement import place_request
 from sassafrastally.proxy.plan import Placement, max_prompt_tokens
 from sassafrastally.proxy.refusals import MAY_HAVE_RUN, NO_ROOM, NO_SERVER, TOO_LONG, TURNED_AWAY
@@ -50,8 +51,10 @@
 
     from sassafrastally.proxy.admission_queue import Waited
     from sassafrastally.proxy.attempt import Answer
+    from sassafrastally.proxy.event_stream import StreamEvent
     from sassafrastally.proxy.lanes import ServerView
     from sassafrastally.proxy.model import EngineProfile, PromptSize
+    from sassafrastally.proxy.open_attempt import OpenAttempt
     from sassafrastally.proxy.reply import Reply
     from sassafrastally.proxy.request_services import RequestServices
 
@@ -70,6 +73,7 @@
     ) -> None:
         super().__init__(services, task, reply, progress)
         self._profile = profile
+        self._slow_event_s = slow_event_time_s(profile)
         self._prompt = prompt
         self._limits = services.limits.for_service(task.configuration, task.service, profile)
         self._lane = choose_lane(task.route, prompt, profile, self._limits)
@@ -96,11 +100,24 @@
         self._alone_s = least_alone_s(profile, prompt)
         """Predicted time to the first event on idle engines."""
         self._room_wait.record_arrival(prompt, self._alone_s)
+        self._failed: BufferedResponse | None = None
+        """An engine's failure, which is forwarded unless another open attempt succeeds."""
         self._awaits_budget = False
         """Whether the next attempt must be charged to the retry budget first."""
 
     async def run(self) -> LocalReply | None:
         """Handle the request; return a local reply if there is no complete response."""
+        local_reply = await self._run()
+        return None if local_reply and await self.forward_kept() else local_reply
+
+    async def forward_kept(self) -> bool:
+        """Forward the failure that an engine has answered, if any and if nothing is sent yet."""
+        if self._failed is None or self._reply.has_begun:
+            return False
+        await self._forward(self._failed, self._lane)
+        return True
+
+    async def _run(self) -> LocalReply | None:
         most_tokens = max_prompt_tokens(self._profile)
         if self._prompt.prompt_tokens > most_tokens:
             return LocalReply(TOO_LONG, f"at most {most_tokens} tokens")
@@ -110,7 +127,7 @@
             started = await self._start()
             if isinstance(started, LocalReply):
                 return started
-            if await self._attempt(started):
+            if await self._attempts.run(started):
                 return None
             if self._successor is None and (obstacle := self._retries.claim()) is not None:
                 if not (self._room_wait.applies and self._retries.may_wait_for_budget()):
@@ -153,7 +170,9 @@
         placement = self._place()
         if placement is None:
             return "no engine has room"
-        if self._is_new() and (reason := self._overload_reason(placement)):
+        backlog_share = backlog_bound(self._goals, has_queue=self._room_wait.applies)
+        reason = overload_reason(placement, self._goals, backlog_share)
+        if reason and self._is_new():
             return reason
         time_left_s = self._task.time_left_s(self._clock.now_s())
         patience_s = self._caller_timeout_s - self.progress.waited_s
@@ -248,7 +267,7 @@
 
     def _place(self) -> Placement | None:
         tried = self.progress.tried
-        if self._lane is Lane.SHORT and self._is_suspect():
+        if self._lane is Lane.SHORT and self._records.is_suspect():
             views = self._local_views(tried) or self._views(tried)
             plan = self._place_among(self._isolate(views))
             if plan is not None:
@@ -281,88 +300,81 @@
         """Return whether no part of the response exists yet, here or at another entry."""
         return self.progress.attempts == 0 and self._stream.last_event_id is None
 
-    def _overload_reason(self, placement: Placement) -> str:
-        """Return why load prevents a new request from starting; empty if it doesn't."""
-        share = backlog_bound(self._goals, has_queue=self._room_wait.applies)
-        return overload_reason(placement, self._goals, share)
-
     async def _attempt(self, placement: Placement) -> bool:
-        """Make one attempt; return whether the caller got its response."""
-        server = placement.server
-        self._begin_attempt(server, placement.helpers)
-        self._room_wait.record_start()
         begin_s = self._clock.now_s()
-        self._log.placed(server, placement)
+        limit_s = SILENCE_TIMEOUT_SHARE * self._caller_timeout_s
+        expected_s = expected_first_event_s(placement.predicted_s, self._caller_timeout_s)
+        wait = ServerWait(begin_s, max(limit_s, expected_s), limit_s)
+        attempt = self._begin_attempt(placement.server, wait, placement.helpers)
+        self._room_wait.record_start()
+        self._log.placed(placement.server, placement)
         memory = {holding.server.incarnation_id: holding.tokens for holding in placement.holdings}
-        due_s = begin_s + placement.predicted_s
         in_flight = InFlightAttempt(
-            server.incarnation_id,
+            placement.server.incarnation_id,
             placement.lane,
             memory,
             placement.parts,
-            due_s,
-            is_suspect=self._is_suspect(),
+            begin_s + placement.predicted_s,
+            is_suspect=self._records.is_suspect(),
         )
         self._services.fleet_view.ledger.add(in_flight, begin_s)
-        limit_s = SILENCE_TIMEOUT_SHARE * self._caller_timeout_s
-        expected_s = expected_first_event_s(placement.predicted_s, self._caller_timeout_s)
-        attempt = WaitingAttempt(
+        waiting = WaitingAttempt(
             tuple(part.incarnation_id for part in placement.parts),
             begin_s,
             placement.predicted_s,
-            ServerWait(begin_s, max(limit_s, expected_s), limit_s),
+            wait,
             self._move_if_faster,
             self._task.subjects,
         )
         try:
-            return await self._exchange(placement, in_flight, attempt)
+            with self._attempts.open(attempt):
+                return await self._exchange(placement, in_flight, attempt, waiting)
+            self._record_closed(attempt)
         except AttemptNotRun as cause:
-            self._record_not_run(server, begin_s, cause, placement.helpers)
+            self._records.not_run(attempt, cause, placement.helpers)
         except AttemptUnknown as cause:
-            if attempt.cancel_reason:
-                self._record_abandoned(server, begin_s, attempt.cancel_reason)
+            if waiting.cancel_reason:
+                self._records.abandoned(attempt, waiting.cancel_reason)
             else:
-                await self._record_unknown(server, begin_s, cause)
+                await self._records.unknown(attempt, cause)
         finally:
             self._services.fleet_view.ledger.remove(in_flight, self._clock.now_s())
         return False
 
     async def _exchange(
-        self, placement: Placement, in_flight: InFlightAttempt, attempt: WaitingAttempt
+        self,
+        placement: Placement,
+        in_flight: InFlightAttempt,
+        attempt: OpenAttempt,
+        waiting: WaitingAttempt,
     ) -> bool:
-        helpers = tuple(Helper(server) for server in placement.helpers)
-        terms = self._attempt_terms(
-            placement.server, attempt.begin_s, self._stream.last_event_id, helpers
-        )
-        wait = attempt.wait
-        with self._watch(wait, placement.server), ExitStack() as until_begun:
-            until_begun.enter_context(self._services.fleet_view.waiting_attempts.register(attempt))
+        last_event_id = self._stream.last_event_id
+        terms = self._attempt_terms(attempt, last_event_id, placement.helpers)
+        with self._watch(attempt), ExitStack() as until_begun:
+            until_begun.enter_context(self._services.fleet_view.waiting_attempts.register(waiting))
             async with (
                 self._services.reservations.hold(placement.holdings[1:]) as reserved,
                 self._send(
-                    terms._replace(helpers=with_reservations(terms.helpers, reserved)),
-                    wait,
+                    attempt, terms._replace(helpers=with_reservations(terms.helpers, reserved))
                 ) as answer,
             ):
                 until_begun.close()
-                wait.record_header(self._clock.now_s())
+                attempt.wait.record_header(self._clock.now_s())
                 # The response began before the wait was cancelled.
-                attempt.cancel_reason, self._successor = "", None
+                waiting.cancel_reason, self._successor = "", None
                 self._services.fleet_view.record_load(
                     placement.server.incarnation_id, answer.facts.load
                 )
                 if answer.status >= NON_SUCCESS_STATUS:
-                    return await self._forward_failure(placement, wait, answer)
-                await self._forward_stream(placement, in_flight, wait, answer)
+                    return await self._forward_failure(attempt, answer)
+                await self._forward_stream(placement, in_flight, attempt, answer)
                 return True
 
     def _move_if_faster(self, attempt: WaitingAttempt, pace: float) -> None:
         """Abandon an attempt that waits for a slow engine if another placement is much faster."""
         now_s = self._clock.now_s()
-        if (
-            not self._retries.can_fail_over()
-            or now_s - self._move_checked_s < MOVE_CHECK_INTERVAL_S
-        ):
+        is_checked = now_s - self._move_checked_s < MOVE_CHECK_INTERVAL_S
+        if is_checked or not self._attempts.is_single or not self._retries.can_fail_over():
             return
         self._move_checked_s = now_s
         remaining_here_s = remaining_s(now_s - attempt.begin_s, attempt.predicted_s, pace)
@@ -377,74 +389,60 @@
                 f"{alternative.predicted_s:.2f} s elsewhere"
             )
 
-    async def _forward_failure(
-        self, placement: Placement, wait: ServerWait, answer: Answer
-    ) -> bool:
+    async def _forward_failure(self, attempt: OpenAttempt, answer: Answer) -> bool:
         """Forward an engine's error response; raises `AttemptUnknown` if it isn't forwarded."""
-        with wait.awaited(answer):
+        with attempt.wait.awaited():
             body = await answer.read()
-        if answer.status >= SERVER_ERROR_STATUS:
+        status, server = answer.status, attempt.server
+        response = BufferedResponse(status, answer.headers, body, server.server_id, answer.framing)
+        failure = f"the engine responded with status {status}"
+        if status >= SERVER_ERROR_STATUS and self._attempts.has_others(attempt):
+            self._failed = response
+            raise AttemptUnknown(failure)
+        if status >= SERVER_ERROR_STATUS:
             obstacle = self._claim_successor()
             if obstacle is None or (self._room_wait.applies and obstacle.is_for_room):
-                raise AttemptUnknown(f"the engine responded with status {answer.status}")
+                raise AttemptUnknown(failure)
         if self._reply.has_begun:
-            raise AttemptUnknown(
-                f"the engine responded with status {answer.status} to a resumed stream"
-            )
-        self._count_outcome(placement.server, is_failure=answer.status >= SERVER_ERROR_STATUS)
-        headers = self._services.dialect.response_headers(answer.headers)
-        await self._reply.send_complete(answer.status, headers, body)
-        self._record_answered(placement, answer)
+            raise AttemptUnknown(f"{failure} to a resumed stream")
+        await self._attempts.receive(attempt, Received.RESPONSE)
+        self._records.outcome(server, is_failure=status >= SERVER_ERROR_STATUS)
+        await self._forward(response, self._lane)
         return True
 
     async def _forward_stream(
-        self, placement: Placement, in_flight: InFlightAttempt, wait: ServerWait, answer: Answer
+        self, placement: Placement, in_flight: InFlightAttempt, attempt: OpenAttempt, answer: Answer
     ) -> None:
-        """Forward a stream event by event, so that a broken stream can be resumed."""
-        stream = AnswerEvents(answer)
-        if not self._reply.has_begun:
-            headers = self._services.dialect.response_headers(answer.headers)
-            await self._reply.begin(answer.status, headers)
-        slow_event_s = slow_event_time_s(self._profile)
-        waiting_since_s = self._clock.now_s()
-        while True:
-            with wait.awaited(answer):
-                events = await stream.read(math.inf)
-            self._successor = None  # The events arrived before the wait was cancelled.
-            if events is None:
-                break
-            # Measured only while waiting for the engine: the time spent on writing to the caller
-            # says nothing about the engine.
-            waited_s = self._clock.now_s() - waiting_since_s
-            if not in_flight.is_in_prefill:
-                event_s = event_time_s(waited_s, len(events))
-                self._services.fleet_view.record_event(
-                    placement.server, event_s, slow_event_s, self._request_id
-                )
-            for event in events:
-                now_s = self._clock.now_s()
-                if event.has_fields:
-                    if not self._stream.has(event):
-                        wait.record_event(now_s)
-                    self._services.fleet_view.ledger.first_event(in_flight, now_s)
-                    self._record_event(placement.server, now_s)
-                await self._stream.forward(event, now_s)
-            waiting_since_s = self._clock.now_s()
-        if stream.rest:
-            await self._reply.send(stream.rest)
-        await self._reply.end()
+        headers = self._services.dialect.response_headers(answer.headers)
+        record = partial(self._record_events, attempt, in_flight)
+        stream = AttemptStream(attempt, answer, self._attempts, self._stream, headers, record)
+        await stream.forward()
         self._services.fleet_view.record_success(placement.server.incarnation_id)
-        self._count_outcome(placement.server, *placement.helpers, is_failure=False)
-        self._record_answered(placement, answer, len(stream.rest))
-
-    def _record_answered(
-        self, placement: Placement, answer: Answer, unfinished_bytes: int = 0
-    ) -> None:
-        self._record_success(placement.server, answer.status)
+        self._records.outcome(placement.server, *placement.helpers, is_failure=False)
+        self._records.success(attempt, answer.status)
         total_s = self._clock.now_s() - self._task.request.arrived_s
         times = self._stream.times.of_response(total_s)
         if times.first_s:
             lengths, route = self._services.drain.response_lengths, self._task.route.name
             lengths.record(route, total_s - times.first_s, self._declared_s)
-        server_id, framing = placement.server.server_id, answer.framing
-        self._log.answered(server_id, answer.status, framing, self._lane, times, unfinished_bytes)
+        server_id, status, framing = placement.server.server_id, answer.status, answer.framing
+        self._log.answered(server_id, status, framing, self._lane, times, len(stream.rest))
+
+    def _record_events(
+        self,
+        attempt: OpenAttempt,
+        in_flight: InFlightAttempt,
+        events: list[StreamEvent],
+        waited_s: float,
+    ) -> None:
+        fleet_view = self._services.fleet_view
+        if not in_flight.is_in_prefill:
+            event_s, slow_event_s = event_time_s(waited_s, len(events)), self._slow_event_s
+            fleet_view.record_event(attempt.server, event_s, slow_event_s, self._request_id)
+        now_s = self._clock.now_s()
+        for event in events:
+            if event.has_fields:
+                if not self._stream.has(event):
+                    attempt.wait.record_event(now_s)
+                fleet_view.ledger.first_event(in_flight, now_s)
+                self._records.event(attempt, now_s)
--- a/packages/proxy/src/sassafrastally/proxy/task.py
+++ b/packages/proxy/src/sassafrastally/proxy/task.py
@@ -4,12 +4,12 @@
 
 from typing import TYPE_CHECKING, NamedTuple
 
-from sassafrastally.proxy.answer_progress import AnswerProgress
 from sassafrastally.proxy.fingerprint import Subjects
 
 if TYPE_CHECKING:
     from sassafrastally.proxy.attempt import Request
-    from sassafrastally.proxy.model import BackendServer, Configuration, Customer, Route
+    from sassafrastally.proxy.model import Configuration, Customer, Route
+    from sassafrastally.proxy.open_attempt import OpenAttempt
     from sassafrastally.proxy.refusals import Refusal
 
 MAX_LOGGED_PARTS = 8
@@ -100,8 +100,8 @@
         """Number of attempts for which no connection could be opened."""
         self.was_refused_for_load = False
         """Whether a backend server refused an attempt because of its load."""
-        self.pending: BackendServer | None = None
-        """Backend server of the attempt in flight, from the time at which its request is sent."""
+        self.pending: list[OpenAttempt] = []
+        """Attempts in flight, each from the time at which its request is sent."""
         self.waited_s = 0.0
         """Time spent waiting for room at this entry."""
         self.tried_part: int | None = None
@@ -112,7 +112,10 @@
         """ID of the last stream event forwarded to the caller."""
         self.has_unnumbered_events = False
         """Whether an event without an id was forwarded, which another run would send again."""
-        self.answer = AnswerProgress()
-        """Progress of the answer to the present attempt."""
         self.tried: set[str] = set()
         """Backend servers that have been tried, as `BackendServer.incarnation_id`."""
+
+    def end(self, attempt: OpenAttempt) -> None:
+        """Note that an attempt has ended."""
+        if attempt in self.pending:
+            self.pending.remove(attempt)
