--- a/packages/proxy/src/sassafrastally/proxy/plain_request.py
+++ b/packages/proxy/src/sassafrastally/proxy/plain_request.py
@@ -171,6 +171,7 @@
         return answer.status >= SERVER_ERROR_STATUS and self._task.route.is_repeatable
 
     async def _attempt(self, server: BackendServer) -> bool:
+        await self._reply.limit.require_time()
         begin_s = self._clock.now_s()
         due_s = self._attempt_deadline_s(begin_s)
         wait = ServerWait(begin_s, due_s - begin_s, due_s - begin_s)
--- a/packages/proxy/src/sassafrastally/proxy/streaming_request.py
+++ b/packages/proxy/src/sassafrastally/proxy/streaming_request.py
@@ -301,6 +301,7 @@
         return self.progress.attempts == 0 and self._stream.last_event_id is None
 
     async def _attempt(self, placement: Placement) -> bool:
+        await self._reply.limit.require_time()
         begin_s = self._clock.now_s()
         limit_s = SILENCE_TIMEOUT_SHARE * self._caller_timeout_s
         expected_s = expected_first_event_s(placement.predicted_s, self._caller_timeout_s)
