Sidecar: an answer is delivered once its reader has closed the stream

What callers saw: an answer that was complete was lost with the link and the request ran again, or got answer-not-kept; a stopping sidecar exited with an answer that its entry had not received.

Cause: an answer counted as delivered when its end mark was queued on the link. The answer of a request that may be repeated was dropped then, and a stopping process no longer waited for it. The frames may still be lost.

Change: the relay stays open until its reader closes the stream, as an entry does after the end mark; only then is the answer delivered. A link that is cut before leaves it undelivered, for the reattachment of the entry.

Evidence: the link is cut while the end mark is on its way: answer-not-kept for an idempotent request, LinkRefused at a stopping sidecar (2 of 2 red); now both readers get the whole answer at their second attempt, run once. All tests of sidecar and testing (without platform and soak) pass.

--- a/packages/sidecar/src/sassafrastally/sidecar/answer.py
+++ b/packages/sidecar/src/sassafrastally/sidecar/answer.py
@@ -43,7 +43,7 @@
         self.end: End | None = None
         """The end mark, once it was received."""
         self.is_delivered = False
-        """Whether the end mark was sent to a reader."""
+        """Whether a reader has closed its stream after the end mark was sent to it."""
         self.readers = 0
         """Number of streams that follow the answer."""
         self._chunks: deque[Chunk] = deque()
--- a/packages/sidecar/src/sassafrastally/sidecar/conversation.py
+++ b/packages/sidecar/src/sassafrastally/sidecar/conversation.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from contextlib import suppress
 from typing import TYPE_CHECKING
 
 import trio
@@ -269,23 +270,29 @@
     async def _relay(
         self, stream: Stream, answer: Answer, attempt: Attempt | None, sequence: int
     ) -> None:
-        """Send an answer from a chunk up to its end mark while watching for a cancellation."""
+        """Send an answer from a chunk up to its end mark while watching for a cancellation.
+
+        The answer is delivered once the reader, after the end mark was sent, closes the stream. A
+        frame that is queued may still be lost with the link.
+        """
         answer.readers += 1
-        delivered = False
+        sent = trio.Event()
+        is_delivered = False
         try:
             async with trio.open_nursery() as nursery:
-                if attempt is not None:
-                    nursery.start_soon(
-                        self._watch_for_cancel, stream, attempt, nursery.cancel_scope
-                    )
-                delivered = await self._send_answer(stream, answer, sequence)
+                nursery.start_soon(self._send_answer, stream, answer, sequence, sent)
+                is_closed_by_reader = await self._follow_reader(stream, attempt)
                 nursery.cancel_scope.cancel()
+            is_delivered = is_closed_by_reader and sent.is_set()
+            answer.is_delivered = answer.is_delivered or is_delivered
         finally:
             answer.remove_reader()
             if attempt is not None and not answer.readers and _is_cancelled_when_unread(attempt):
-                self._cancel_or_drop_unread(attempt, delivered)
+                self._cancel_or_drop_unread(attempt, is_delivered)
 
-    async def _send_answer(self, stream: Stream, answer: Answer, sequence: int) -> bool:
+    async def _send_answer(
+        self, stream: Stream, answer: Answer, sequence: int, sent: trio.Event
+    ) -> None:
         try:
             while True:
                 chunk = answer.chunk(sequence)
@@ -295,22 +302,21 @@
                     sequence += 1
                 elif answer.end is not None:
                     await stream.send(answer.end)
-                    answer.is_delivered = True
-                    return True
+                    sent.set()
+                    return
                 else:
                     await answer.wait_change()
         except AnswerNotKept as cause:
             outcome = answer.end.outcome if answer.end else Outcome.UNKNOWN.value
             end = End(*answer.key, outcome=outcome, code="answer-not-kept", detail=cause.detail)
-            await stream.send(end)
-            return True
+            with suppress(LinkCut, StreamEnded):
+                await stream.send(end)
+                sent.set()
         except (LinkCut, StreamEnded):
-            return False
+            return  # The task that follows the reader handles it.
 
-    async def _watch_for_cancel(
-        self, stream: Stream, attempt: Attempt, scope: trio.CancelScope
-    ) -> None:
-        """Cancel the attempt on request; stop the relay when the entry is gone.
+    async def _follow_reader(self, stream: Stream, attempt: Attempt | None) -> bool:
+        """Cancel the attempt on request; return whether the reader has closed the stream.
 
         A further commit on this stream is ignored: a reply to it between the chunks could be
         mistaken for a reply to the attempt.
@@ -318,10 +324,12 @@
         try:
             while True:
                 message = await stream.receive()
-                if isinstance(message, Cancel):
+                if attempt is not None and isinstance(message, Cancel):
                     self._cancel(attempt, message.reason)
-        except (LinkCut, StreamEnded):
-            scope.cancel()
+        except StreamEnded:
+            return True
+        except LinkCut:
+            return False
 
     def _cancel_or_drop_unread(self, attempt: Attempt, delivered: bool) -> None:
         """Drop a delivered answer, or cancel a run without readers after the grace period."""
