Sidecar: an engine that has answered isn't lost after a pause

What callers saw: after a pause of the sidecar of some seconds its sound engine counted as unreachable: new requests were refused as no-replica, and the exported segments of spans were given up, with the requests that use them.

Cause: the timeouts around calls to the engine (5 s for its description, 10 s for any call, and httpx's own) were found in the same turn of the loop as the answer that lay in the socket.

Change: both limits are time_limit of the core; httpx's read timeout is off for these calls, since the call has a limit as a whole.

--- a/packages/sidecar/src/sassafrastally/sidecar/dialects.py
+++ b/packages/sidecar/src/sassafrastally/sidecar/dialects.py
@@ -8,6 +8,7 @@
 import httpx
 import trio
 
+from sassafrastally.core import time_limit
 from sassafrastally.core.http_patterns import use_linear_patterns
 from sassafrastally.sidecar.engine import (
     ENGINE_DIALECTS,
@@ -201,15 +202,14 @@
     async def _fetch(
         self, method: str, path: str, body: Any = None, limit_s: float = CALL_LIMIT_S
     ) -> bytes:
-        # The client's own timeout restarts with each received byte.
-        try:
-            with trio.fail_after(limit_s):
-                return await self._fetch_all(method, path, body, limit_s)
-        except trio.TooSlowError as cause:
-            raise EngineFailed(f"no whole answer within {limit_s:g} s") from cause
-
-    async def _fetch_all(self, method: str, path: str, body: Any, limit_s: float) -> bytes:
-        timeout = httpx.Timeout(limit_s, connect=CONNECT_LIMIT_S)
+        async with time_limit(trio.current_time() + limit_s):
+            return await self._fetch_all(method, path, body)
+        raise EngineFailed(f"no whole answer within {limit_s:g} s")
+
+    async def _fetch_all(self, method: str, path: str, body: Any) -> bytes:
+        # The client's own timeout restarts with each received byte, and drops ready answers when it
+        # is found late.
+        timeout = httpx.Timeout(None, connect=CONNECT_LIMIT_S)
         built = self._client.build_request(method, path, json=body, timeout=timeout)
         response = await self._send(built)
         try:
--- a/packages/sidecar/src/sassafrastally/sidecar/engine_watch.py
+++ b/packages/sidecar/src/sassafrastally/sidecar/engine_watch.py
@@ -6,6 +6,7 @@
 
 import trio
 
+from sassafrastally.core import time_limit
 from sassafrastally.serving.prefix import PrefixGuess
 from sassafrastally.serving.spans import handle_of
 from sassafrastally.sidecar.attempts import CancelReason
@@ -166,7 +167,7 @@
                 await self.sweep()
 
     async def _describe(self) -> EngineInfo | None:
-        with trio.move_on_after(self._settings.cancel_limit_s):
+        async with time_limit(trio.current_time() + self._settings.cancel_limit_s):
             try:
                 return await self._engine.describe()
             except _ENGINE_ERRORS as cause:
--- a/packages/sidecar/tests/test_ready_answers.py
+++ b/packages/sidecar/tests/test_ready_answers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import os
 from contextlib import asynccontextmanager
 
 import pytest
@@ -9,7 +10,8 @@
 import trio.testing
 
 from sassafrastally.core import Address
-from sassafrastally.sidecar.engine import EngineChunk, EngineUsage
+from sassafrastally.sidecar.dialects import CALL_LIMIT_S, OpenAiDialect
+from sassafrastally.sidecar.engine import EngineChunk, EngineFailed, EngineUsage
 from sassafrastally.sidecar.plain_client import PlainClient, PlainMaybeRan
 from sassafrastally.sidecar.settings import PlainServiceSettings
 
@@ -73,11 +75,55 @@
         assert b"".join(chunk.data for chunk in result.chunks) == b'{"booked": true}'
 
 
+class TestEngineWatch:
+    @pytest.mark.parametrize("lag_s", LAGS_S)
+    async def test_engine_that_has_answered_is_not_lost(self, autojump_clock, rig, lag_s):
+        """Guards against a sound engine that is taken for unreachable after a pause: its exported
+        segments are given up and new requests refused."""
+        limit_s = rig.service._settings.cancel_limit_s
+        describe = rig.engine.describe
+
+        async def ready_description():
+            info = await describe()
+            autojump_clock.jump(limit_s + lag_s)
+            for _ in range(3):
+                await trio.lowlevel.checkpoint()
+            return info
+
+        rig.engine.describe = ready_description
+        await rig.service.watch.look()
+        assert not rig.kernel.events.records({"detail": "no answer in time"})
+        assert rig.service.watch.info is not None
+
+
+class TestEngineCall:
+    @pytest.mark.parametrize("lag_s", LAGS_S)
+    async def test_ready_answer_is_read(self, mock_clock, nursery, lag_s):
+        """Guards against an engine's answer in the socket that counts as missing."""
+        document = b'{"found": true, "padding": "%b"}' % (b"x" * 90_000)  # Two reads.
+        answer = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(document), document)
+        address = await _serve_once(nursery, mock_clock, CALL_LIMIT_S + lag_s, answer)
+        dialect = OpenAiDialect(address)
+        assert await dialect.cancel("stream-1")
+        await dialect.aclose()
+        nursery.cancel_scope.cancel()
+
+    async def test_limit_acts_on_an_answer_without_its_end(self, mock_clock, nursery):
+        answer = b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n{}"
+        mock_clock.rate = 1.0
+        address = await _serve_once(nursery, mock_clock, CALL_LIMIT_S + 3.0, answer)
+        dialect = OpenAiDialect(address)
+        with pytest.raises(EngineFailed):
+            await dialect.cancel("stream-1")
+        await dialect.aclose()
+        nursery.cancel_scope.cancel()
+
+
 class TestPlainClient:
     @pytest.mark.parametrize("lag_s", LAGS_S)
     async def test_ready_answer_is_read(self, mock_clock, nursery, lag_s):
         """Guards against an answer in the socket that counts as broken off."""
-        body = b"ready" * 30_000  # Several reads.
+        body = b"ready" * 18_000  # Two reads.
         answer = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body)
         async with _client_of(nursery, mock_clock, LIMIT_S + lag_s, answer) as client:
             async with client.call("GET", "/", {}, b"", LIMIT_S) as received:
@@ -97,18 +143,24 @@
 @asynccontextmanager
 async def _client_of(nursery, clock, pause_s, answer):
     """Yield the client of a service that answers once, after which the process pauses."""
+    client = PlainClient(await _serve_once(nursery, clock, pause_s, answer))
+    yield client
+    await client.aclose()
+    nursery.cancel_scope.cancel()
+
+
+async def _serve_once(nursery, clock, pause_s, answer):
+    """Answer one call, after which the process pauses; return the address."""
     listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
 
     async def serve():
         stream = await listeners[0].accept()
         await stream.receive_some()
         await trio.testing.wait_all_tasks_blocked()
-        await stream.send_all(answer)
+        # Sent without a checkpoint, so that nothing is read before the pause.
+        assert os.write(stream.socket.fileno(), answer) == len(answer)
         clock.jump(pause_s)
         await trio.sleep_forever()
 
     nursery.start_soon(serve)
-    client = PlainClient(Address(*listeners[0].socket.getsockname()))
-    yield client
-    await client.aclose()
-    nursery.cancel_scope.cancel()
+    return Address(*listeners[0].socket.getsockname())
