Take back what was charged to the retry budget for attempts never sent

What callers saw: with the budget spent, 502 or a cut stream for requests that could have been sent to another server. Cause: an attempt is charged when its server is chosen. If that server couldn't be reached, or was no longer needed since the first one began to answer, nothing was sent, but the charge stayed; the next attempt was charged again. Evidence: a server fails, the other one has just ended: one retry counted, none sent, with two and with three attempts allowed. Change: a charge is final once its attempt is sent. Until then it is taken back when another attempt is charged or the request ends, so that the budget counts what servers get, as its rule does. Result: no retry counted in both cases.

--- a/packages/proxy/src/sassafrastally/proxy/path.py
+++ b/packages/proxy/src/sassafrastally/proxy/path.py
@@ -249,6 +249,8 @@
                 )
                 self._record_unanswered(task, progress)
                 raise
+            finally:
+                answerer.release()
         if limit.has_acted or (local_reply is not None and limit.is_due):
             late_s = round(self.kernel.clock.now_s() - limit.due_s, 4)
             self._record_unanswered(task, progress)
--- a/packages/proxy/src/sassafrastally/proxy/request_handler.py
+++ b/packages/proxy/src/sassafrastally/proxy/request_handler.py
@@ -93,6 +93,10 @@
         """Handle the request; return a local reply if there is no complete response."""
         raise NotImplementedError
 
+    def release(self) -> None:
+        """Take back what was charged for an attempt that will not be sent any more."""
+        self._retries.refund_unsent()
+
     async def forward_kept(self) -> bool:
         """Forward a response that is kept while others are tried; return whether there is one."""
         return False
@@ -369,6 +373,7 @@
 
         def record_sending() -> None:
             self.progress.pending = terms.server
+            self._retries.record_sent()
             wait.record_sending(self._clock.now_s())
 
         return self._services.attempt_sender.send(
@@ -388,8 +393,10 @@
         helpers: tuple[BackendServer, ...] = (),
     ) -> None:
         """Record an attempt that certainly didn't run."""
+        fleet_view = self._services.fleet_view
         self.progress.pending = None
-        if not cause.is_unreachable and self._is_for_load(server, cause):
+        is_for_load = not cause.counts_against_server or fleet_view.is_loaded(server)
+        if is_for_load and not cause.is_unreachable:
             self.progress.was_refused_for_load = True
         if cause.is_unreachable:
             # Nothing was sent, so it counts neither as an attempt nor as a retry.
@@ -402,23 +409,15 @@
         for helper in at_fault:
             self._count_rejection(helper)
             reason = "reported as the cause by another server"
-            self._services.fleet_view.record_refusal(
-                helper, reason, self._request_id, is_conclusive=True
-            )
+            fleet_view.record_refusal(helper, reason, self._request_id, is_conclusive=True)
         if at_fault or not cause.counts_against_server:
             return
         if cause.is_unreachable:
             self._count_outcome(server, is_failure=True)
-            self._services.fleet_view.record_failure(
-                server, cause.detail, self._request_id, is_conclusive=True
-            )
+            fleet_view.record_failure(server, cause.detail, self._request_id, is_conclusive=True)
         else:
             self._count_rejection(server)
-            self._services.fleet_view.record_refusal(server, cause.detail, self._request_id)
-
-    def _is_for_load(self, server: BackendServer, cause: AttemptNotRun) -> bool:
-        """Return whether a server refused an attempt because of its load."""
-        return not cause.counts_against_server or self._services.fleet_view.is_loaded(server)
+            fleet_view.record_refusal(server, cause.detail, self._request_id)
 
     async def _record_unknown(
         self, server: BackendServer, begin_s: float, cause: AttemptUnknown | str
--- a/packages/proxy/src/sassafrastally/proxy/retries.py
+++ b/packages/proxy/src/sassafrastally/proxy/retries.py
@@ -29,6 +29,8 @@
         self._services = services
         self._task = task
         self._progress = progress
+        self._unsent_charge_s: float | None = None
+        """When an attempt was charged that isn't sent yet."""
 
     @property
     def is_repeatable(self) -> bool:
@@ -76,11 +78,13 @@
 
     def charge_budget(self, *, is_logged: bool = True) -> bool:
         """Charge a retry to the budget of all entries; return whether it allows it."""
+        self.refund_unsent()
         service = self._task.service
         now_s = self._services.kernel.clock.now_s()
         budget = self._services.budget
         entries = self._services.fleet_view.entries
         if budget.try_spend(service, entries, now_s):
+            self._unsent_charge_s = now_s
             return True
         if not is_logged:
             return False
@@ -93,3 +97,13 @@
             )
         )
         return False
+
+    def record_sent(self) -> None:
+        """Record that an attempt is sent, so that its charge stays."""
+        self._unsent_charge_s = None
+
+    def refund_unsent(self) -> None:
+        """Take back the charge for an attempt that wasn't sent, if there is one."""
+        if self._unsent_charge_s is not None:
+            self._services.budget.refund(self._task.service, self._unsent_charge_s)
+            self._unsent_charge_s = None
--- a/packages/proxy/src/sassafrastally/proxy/retry_budget.py
+++ b/packages/proxy/src/sassafrastally/proxy/retry_budget.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 from collections import deque
+from contextlib import suppress
 
 USABLE_BUDGET_SHARE = 0.6
 """Share of the configured budget that is spent. The rest covers requests in flight that not all
@@ -55,6 +56,11 @@
         self._repeats[service].append(now_s)
         return True
 
+    def refund(self, service: str, spent_s: float) -> None:
+        """Take back a retry that was counted at a time but never sent."""
+        with suppress(ValueError):  # It may have left the window.
+            self._repeats[service].remove(spent_s)
+
     def _window(self, times: dict[str, deque[float]], service: str, now_s: float) -> deque[float]:
         window = times.setdefault(service, deque())
         while window and window[0] < now_s - self._window_s:
--- a/packages/testing/tests/platform/test_successors.py
+++ b/packages/testing/tests/platform/test_successors.py
@@ -176,3 +176,33 @@
                 nursery.start_soon(call)
                 await trio.sleep(0.1)
         assert statuses.count(200) > 48
+
+
+class TestChargedAttempts:
+    """What is charged to the retry budget is sent."""
+
+    def charges(self, fleet, service: str) -> int:
+        """Return the number of retries that the entry has counted."""
+        budget = fleet.kernels[0].get("path", RequestPath).services.budget
+        return budget.retry_count(service, trio.current_time())
+
+    @pytest.mark.parametrize("path", ["/look/x", "/look3/x"])
+    async def test_that_reach_no_server_are_not_counted(self, autojump_clock, fleet, path):
+        """Guards against a retry budget that is used up by servers that can't be reached."""
+        desks = [fleet.replicas["desk-1"], fleet.replicas["desk-2"]]
+        for desk in desks:
+            desk.response_status = 500
+        answers = []
+
+        async def call():
+            answers.append(await fleet.call(path))
+
+        async with trio.open_nursery() as nursery:
+            for desk in desks:
+                desk.work_s = 0.5
+            nursery.start_soon(call)
+            await wait_until(lambda: any(desk.received_requests for desk in desks))
+            (other,) = (desk for desk in desks if not desk.received_requests)
+            other.crash()
+        assert answers[0].status == 500
+        assert self.charges(fleet, "desk") == 0
