--- a/packages/proxy/src/sassafrastally/proxy/plain_request.py
+++ b/packages/proxy/src/sassafrastally/proxy/plain_request.py
@@ -187,7 +187,7 @@
                 return await self._exchange(attempt, waiting, due_s)
             self._record_closed(attempt)
         except AttemptNotRun as cause:
-            self._records.not_run(attempt, cause)
+            self._record_not_run(attempt, cause)
             if cause.is_out_of_time and was_late(due_s, self._clock.now_s()):
                 # This entry ran late: the server may be tried again.
                 self.progress.tried.discard(server.incarnation_id)
--- a/packages/proxy/src/sassafrastally/proxy/request_handler.py
+++ b/packages/proxy/src/sassafrastally/proxy/request_handler.py
@@ -40,7 +40,7 @@
     from collections.abc import Sequence
     from contextlib import AbstractAsyncContextManager, AbstractContextManager
 
-    from sassafrastally.proxy.attempt import Answer
+    from sassafrastally.proxy.attempt import Answer, AttemptNotRun
     from sassafrastally.proxy.buffered_response import BufferedResponse
     from sassafrastally.proxy.http_stream import HttpStream
     from sassafrastally.proxy.lanes import ServerView
@@ -96,6 +96,10 @@
         """Handle the request; return a local reply if there is no complete response."""
         raise NotImplementedError
 
+    def release(self) -> None:
+        """Take back what was charged for attempts that will not be sent any more."""
+        self._retries.refund_all_unsent()
+
     async def forward_kept(self) -> bool:
         """Forward a response that is kept while others are tried; return whether there is one."""
         return False
@@ -370,6 +374,8 @@
 
         def record_sending(connection: HttpStream) -> None:
             self.progress.pending.append(attempt)
+            if attempt.number > 1:
+                self._retries.record_sent()
             attempt.wait.record_sending(self._clock.now_s(), connection)
 
         return self._services.attempt_sender.send(
@@ -380,3 +386,14 @@
             connect_until_s=connect_until_s,
             on_sending=record_sending,
         )
+
+    def _record_not_run(
+        self,
+        attempt: OpenAttempt,
+        cause: AttemptNotRun,
+        helpers: tuple[BackendServer, ...] = (),
+    ) -> None:
+        """Record an attempt that certainly didn't run; it isn't charged if nothing was sent."""
+        self._records.not_run(attempt, cause, helpers)
+        if cause.is_unreachable and attempt.number > 1:
+            self._retries.refund_unsent()
--- a/packages/proxy/src/sassafrastally/proxy/retries.py
+++ b/packages/proxy/src/sassafrastally/proxy/retries.py
@@ -29,6 +29,8 @@
         self._services = services
         self._task = task
         self._progress = progress
+        self._unsent_charges_s: list[float] = []
+        """When the attempts were charged that aren't sent yet, oldest first."""
 
     @property
     def is_repeatable(self) -> bool:
@@ -81,6 +83,7 @@
         budget = self._services.budget
         entries = self._services.fleet_view.entries
         if budget.try_spend(service, entries, now_s):
+            self._unsent_charges_s.append(now_s)
             return True
         if not is_logged:
             return False
@@ -93,3 +96,18 @@
             )
         )
         return False
+
+    def record_sent(self) -> None:
+        """Record that a charged attempt is sent, so that its charge stays."""
+        if self._unsent_charges_s:
+            self._unsent_charges_s.pop(0)
+
+    def refund_unsent(self) -> None:
+        """Take back the last charge for an attempt that isn't sent, if there is one."""
+        if self._unsent_charges_s:
+            self._services.budget.refund(self._task.service, self._unsent_charges_s.pop())
+
+    def refund_all_unsent(self) -> None:
+        """Take back all charges for attempts that aren't sent."""
+        while self._unsent_charges_s:
+            self.refund_unsent()
--- a/packages/proxy/src/sassafrastally/proxy/streaming_request.py
+++ b/packages/proxy/src/sassafrastally/proxy/streaming_request.py
@@ -332,7 +332,7 @@
                 return await self._exchange(placement, in_flight, attempt, waiting)
             self._record_closed(attempt)
         except AttemptNotRun as cause:
-            self._records.not_run(attempt, cause, placement.helpers)
+            self._record_not_run(attempt, cause, placement.helpers)
         except AttemptUnknown as cause:
             if waiting.cancel_reason:
                 self._records.abandoned(attempt, waiting.cancel_reason)
