Proxy: time limits of requests are those of core, with writes and without new beginnings

Entry and proxy had each a limit that acts once what has been received is delivered. The proxy's is now a subclass of the one in core, whose tests cover when a limit acts that is noticed late; the replay of the removed copy, extra_time_s, goes with it: the same cases (on time, after a pause, interrupted again and again) are in packages/core/tests/test_late_limits.py.

--- a/packages/proxy/src/sassafrastally/proxy/time_limit.py
+++ b/packages/proxy/src/sassafrastally/proxy/time_limit.py
@@ -1,9 +1,4 @@
-"""Time limit of one request, which acts once what has arrived in time is delivered.
-
-When a process that was paused or had no CPU time runs again, the limits of its requests have passed
-although servers may have answered: what they sent lies unread in the sockets. Timers of a process
-that isn't delayed fire on time, so that nothing changes there.
-"""
+"""Time limit of one request, which doesn't cut what is being written to its caller."""
 
 from __future__ import annotations
 
@@ -13,49 +8,20 @@
 
 import trio
 
-from sassafrastally.proxy.cpu_overload import LAST_READ_S
+from sassafrastally.core import late_limits
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-LATE_S = 0.02
-"""Delay of a timer that means that the process didn't run."""
-
-MAX_EXTRA_S = 0.25
-"""Longest time for which a limit that is noticed late doesn't act. A process with little CPU time
-may be interrupted again meanwhile; callers don't wait much longer than their limit."""
-
-READY_STEPS = 8
-"""Number of times that other tasks run before a limit acts: what has arrived at the same moment is
-read, parsed and written in fewer."""
-
 LAST_WRITE_S = 0.25
 """How long a write may go on past the limit, so that its caller gets whole responses and events."""
 
 
-def extra_time_s(due_s: float, noticed_s: float, now_s: float) -> float:
-    """Return how long what has arrived is still delivered; 0 once the limit may act.
-
-    The load is requests whose servers answer while their entry doesn't run. One turn is
-    enough for what is already received; a paused VM also has to receive what the network held back.
-
-    Parameters
-    ----------
-    due_s
-        When the last timer was due: that of the limit, or the end of the extra time so far.
-    noticed_s
-        When the limit was noticed.
-    now_s
-        Present time.
-    """
-    if now_s - due_s <= LATE_S:
-        return 0.0
-    return max(0.0, min(LAST_READ_S, noticed_s + MAX_EXTRA_S - now_s))
-
-
-class TimeLimit:
+class TimeLimit(late_limits.TimeLimit):
     """Limit of the work on one request and of the writes to its caller.
 
+    It acts, as its base class, once what servers have sent is delivered.
+
     Parameters
     ----------
     due_s
@@ -63,11 +29,7 @@
     """
 
     def __init__(self, due_s: float = math.inf) -> None:
-        self.scope = trio.CancelScope()
-        """Cancelled when the limit acts."""
-        self.due_s = due_s
-        """Time of the limit."""
-        self._timer = trio.CancelScope(deadline=due_s)
+        super().__init__(due_s)
         self._watch_scope = trio.CancelScope()
         self._write_scope: trio.CancelScope | None = None
 
@@ -88,22 +50,14 @@
 
     def shorten(self, due_s: float) -> None:
         """Move the limit to an earlier time; a later one changes nothing."""
-        self.due_s = self._timer.deadline = min(self.due_s, due_s)
+        super().shorten(due_s)
         if self._write_scope is not None:
             self._write_scope.deadline = self._last_write_s()
 
     async def watch(self) -> None:
         """Wait for the limit and act on it; ends early after `end`."""
         with self._watch_scope:
-            with self._timer:
-                await trio.sleep_forever()
-            due_s, noticed_s = self.due_s, trio.current_time()
-            while extra_s := extra_time_s(due_s, noticed_s, trio.current_time()):
-                due_s = trio.current_time() + extra_s
-                await trio.sleep_until(due_s)
-            for _ in range(READY_STEPS):
-                await trio.lowlevel.checkpoint()
-            self.scope.cancel()
+            await super().watch()
 
     def end(self) -> None:
         """End the watch."""
--- a/packages/proxy/tests/test_time_limit.py
+++ b/packages/proxy/tests/test_time_limit.py
@@ -1,36 +1,11 @@
-"""When a time limit acts that is noticed late."""
+"""Time limits of requests and of the writes to their callers."""
 
 from __future__ import annotations
 
-import pytest
 import trio
 
-from sassafrastally.proxy.cpu_overload import LAST_READ_S
 from sassafrastally.proxy.drain import Drain
-from sassafrastally.proxy.time_limit import LATE_S, MAX_EXTRA_S, TimeLimit, extra_time_s
-
-
-class TestExtraTime:
-    """Replays of processes that run again after a limit."""
-
-    @pytest.mark.parametrize("late_s", [0.0, 0.004, LATE_S])
-    def test_is_none_for_a_limit_that_is_noticed_in_time(self, late_s):
-        """Guards against requests that are held past their limit by entries that aren't delayed."""
-        assert extra_time_s(10.0, 10.0 + late_s, 10.0 + late_s) == 0.0
-
-    def test_is_that_of_a_last_read_after_a_pause(self):
-        assert extra_time_s(10.0, 10.15, 10.15) == LAST_READ_S
-        assert extra_time_s(10.15 + LAST_READ_S, 10.15, 10.151 + LAST_READ_S) == 0.0
-
-    @pytest.mark.parametrize("pause_s", [0.03, 0.09, 0.5, 3.0])
-    def test_is_bounded_for_a_process_that_is_interrupted_again_and_again(self, pause_s):
-        """Guards against a limit that never acts at an entry with little CPU time."""
-        due_s, noticed_s = 10.0, 10.0 + pause_s
-        now_s = noticed_s
-        while extra_s := extra_time_s(due_s, noticed_s, now_s):
-            due_s = now_s + extra_s
-            now_s = due_s + pause_s
-        assert now_s <= noticed_s + MAX_EXTRA_S + pause_s
+from sassafrastally.proxy.time_limit import TimeLimit
 
 
 class TestTimeLimit:
