Send nothing to servers once the limit of the request has passed

Callers of a request that must not run twice got 504 for one that was sent after its limit, and the server ran it for nobody; before the extra time for ready answers they got 503, not run.

A limit that is noticed late acts up to 0.25 s after it is noticed. `require_time` kept new attempts from beginning in that time, but an attempt that had begun and was still connecting went on: the entry doesn't run while the connection is opened, and when it runs again it sends the request, with the time left as it was before the pause. Streams had the same fault; plain requests that may be repeated give up connecting earlier.

The attempt now asks once more when its connection is open, right before the request is sent, and closes the connection unused.

--- a/packages/proxy/src/sassafrastally/proxy/attempt.py
+++ b/packages/proxy/src/sassafrastally/proxy/attempt.py
@@ -28,7 +28,7 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator, Callable, Sequence
+    from collections.abc import AsyncIterator, Awaitable, Callable, Sequence
 
     from sassafrastally.proxy.connection_pool import ConnectionPool
     from sassafrastally.proxy.dialect import Dialect, Headers
@@ -113,6 +113,7 @@
         may_reuse: bool,
         waiting: trio.CancelScope | None = None,
         connect_until_s: float = math.inf,
+        before_sending: Callable[[], Awaitable[None]] = trio.lowlevel.checkpoint_if_cancelled,
         on_sending: Callable[[], None] = lambda: None,
     ) -> AsyncIterator[Answer]:
         """Send a request and yield its response; close or pool the connection on exit.
@@ -135,6 +136,8 @@
             when it is cancelled. Its deadline is moved if the request is sent late.
         connect_until_s
             Time by which the connection must be open.
+        before_sending
+            Called once the connection is open; waits for a cancellation if nothing may be sent.
         on_sending
             Called right before the request is sent; until then, it certainly hasn't run.
 
@@ -158,6 +161,7 @@
         is_kept = False
         waiting.deadline = due_after_delay_s(waiting.deadline, begin_s, trio.current_time())
         try:
+            await before_sending()
             with self.input_budget.account() as account:
                 connection.charge(account)
                 yield await self._answer(connection, request, terms, waiting, on_sending)
--- a/packages/proxy/src/sassafrastally/proxy/request_handler.py
+++ b/packages/proxy/src/sassafrastally/proxy/request_handler.py
@@ -377,6 +377,7 @@
             may_reuse=self._task.route.is_repeatable,
             waiting=wait.scope,
             connect_until_s=connect_until_s,
+            before_sending=self._reply.limit.require_time,
             on_sending=record_sending,
         )
 
