--- a/packages/proxy/src/sassafrastally/proxy/caller_listener.py
+++ b/packages/proxy/src/sassafrastally/proxy/caller_listener.py
@@ -234,7 +234,7 @@
         reply = Reply(connection, lambda: self.is_stopping, self.blocked_callers)
         reply.limit = TimeLimit(self.kernel.clock.now_s())
         try:
-            request = await self._read_request(connection, account)
+            request = await self._read_request(connection, account, reply)
         except h11.RemoteProtocolError as cause:
             too_large = cause.error_status_hint == HEADER_TOO_LARGE.status
             refusal = HEADER_TOO_LARGE if too_large else MALFORMED
@@ -248,7 +248,6 @@
         if isinstance(request, BadRequest):
             await self._reject(reply, request)
             return False
-        reply.is_for_head = request.method == b"HEAD"
         await self._answer(connection, request, reply)
         return reply.has_ended and _can_continue(connection)
 
@@ -285,13 +284,16 @@
             reply.abandon()
 
     async def _read_request(
-        self, connection: HttpStream, account: InputAccount
+        self, connection: HttpStream, account: InputAccount, reply: Reply
     ) -> Request | BadRequest | None:
         """Return the next request, or ``None`` if the connection closes between requests."""
         reader = RequestReader(
             connection, self._limits(), self._dialect, account, self.kernel.clock.now_s()
         )
-        return await reader.read_in_time()
+        try:
+            return await reader.read_in_time()
+        finally:
+            reply.is_for_head = reader.is_for_head
 
     async def _wait_for_bytes(self, connection: HttpStream) -> bool:
         """Return whether a request begins; cancelled when the drain closes idle connections."""
--- a/packages/proxy/src/sassafrastally/proxy/request_reader.py
+++ b/packages/proxy/src/sassafrastally/proxy/request_reader.py
@@ -70,6 +70,11 @@
         self._head: h11.Request | None = None
         self._body = bytearray()
 
+    @property
+    def is_for_head(self) -> bool:
+        """Whether it is a HEAD request, as far as its header has been read."""
+        return self._head is not None and self._head.method == b"HEAD"
+
     async def read_in_time(self) -> Request | BadRequest | None:
         """Return the request as `read`, or why it is rejected if its time has passed.
 
