Don't take peers for dead while this entry doesn't run

What callers saw: after a pause of its VM of a second or more, an entry decided on the requests that had arrived meanwhile as if it were the only one: long prompts on engines busy with other entries' work, and retries within a budget meant for all. Cause: peers time out one second after their last datagram. When the entry ran again, all had, although their datagrams lay in its socket or came within 0.25 s. It also requested the reports of all engines and took over the watch of the store. Change: ListeningClock leaves out the time in which the entry didn't run, noticed by the task that sends datagrams, until every live peer has sent again (0.35 s). A peer that has ended times out after 1 s as before, and 1.35 s after a pause at the latest.

--- a/packages/proxy/src/sassafrastally/proxy/peer_table.py
+++ b/packages/proxy/src/sassafrastally/proxy/peer_table.py
@@ -10,6 +10,7 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from sassafrastally.proxy.failure_rates import SenderCounts
+from sassafrastally.proxy.listening_clock import ListeningClock
 from sassafrastally.proxy.load_exchange import (
     PEER_TIMEOUT_S,
     RELAYS,
@@ -91,6 +92,11 @@
         self._data_centre = data_centre
         self._peers: dict[str, Peer] = {}
         self._sums = ReceivedSums(data_centre)
+        self._listening = ListeningClock()
+
+    def note_running(self, now_s: float) -> None:
+        """Record that this entry runs; peers don't time out while it doesn't."""
+        self._listening.note_running(now_s)
 
     def set_overloaded(self, *, is_overloaded: bool) -> None:
         """Record whether this entry leaves duties to others that can take them."""
@@ -137,16 +143,16 @@
     def silent_s(self, host: str, now_s: float) -> float:
         """Return the time since an entry's last datagram."""
         peer = self._peers.get(host)
-        return now_s - peer.received_s if peer else float("inf")
+        return self._age_s(peer.received_s, now_s) if peer else float("inf")
 
     def live(self, now_s: float) -> list[Peer]:
         """Return the entries whose own datagrams arrive."""
-        oldest_s = now_s - PEER_TIMEOUT_S
+        oldest_s = self._listening.listened_s(now_s) - PEER_TIMEOUT_S
         return [peer for peer in self._peers.values() if peer.received_s > oldest_s]
 
     def members(self, now_s: float) -> set[str]:
         """Return the other entries of all data centres that may send requests to servers."""
-        oldest_s = now_s - MEMBER_TIMEOUT_S
+        oldest_s = self._listening.listened_s(now_s) - MEMBER_TIMEOUT_S
         return {
             peer.host
             for peer in self._peers.values()
@@ -166,7 +172,7 @@
         live = {peer.host for peer in self.live(now_s)}
         noted.difference_update(live)
         new = [
-            (peer.host, now_s - peer.received_s)
+            (peer.host, self._age_s(peer.received_s, now_s))
             for peer in self._peers.values()
             if peer.hello and peer.host not in live and peer.host not in noted
         ]
@@ -186,7 +192,7 @@
 
     def sums(self, now_s: float) -> dict[str, DataCentreSum]:
         """Return each other data centre's sum; with several, the one over the most entries."""
-        return self._sums.best(now_s)
+        return self._sums.best(self._listening.listened_s(now_s))
 
     def entries(self, now_s: float) -> int:
         """Return the number of live entries, this one included."""
@@ -196,12 +202,13 @@
     def effective_messages(self, now_s: float) -> list[tuple[Hello, float]]:
         """Return the messages that count, with their ages: sums and individual entries' own."""
         single = [
-            (peer.hello, now_s - peer.received_s)
+            (peer.hello, self._age_s(peer.received_s, now_s))
             for peer in self._individual_peers(now_s)
             if peer.hello
         ]
         return single + [
-            (received.hello, now_s - received.received_s) for received in self.sums(now_s).values()
+            (received.hello, self._age_s(received.received_s, now_s))
+            for received in self.sums(now_s).values()
         ]
 
     def loads(self, now_s: float) -> list[Mapping[int, Work]]:
@@ -312,7 +319,11 @@
         """Return the destinations of this data centre's sum; none unless this entry is a relay."""
         if not self.is_relay(now_s):
             return SumRoute()
-        relays = self._sums.relays(now_s) if self.has_uneven_links(now_s) else {}
+        relays = (
+            self._sums.relays(self._listening.listened_s(now_s))
+            if self.has_uneven_links(now_s)
+            else {}
+        )
         position = position_among(self._own, map(_member, self.local_peers(now_s)))
         return route_sum(position, remote, relays)
 
@@ -340,7 +351,9 @@
             Present time.
         """
         hellos = [
-            (peer.hello, now_s - peer.received_s) for peer in self.local_peers(now_s) if peer.hello
+            (peer.hello, self._age_s(peer.received_s, now_s))
+            for peer in self.local_peers(now_s)
+            if peer.hello
         ]
         return sum_hellos(own, own_entry, hellos)
 
@@ -352,9 +365,13 @@
         ]
         for host in old:
             del self._peers[host]
-        self._sums.forget_old(now_s)
+        self._sums.forget_old(self._listening.listened_s(now_s))
         return old
 
+    def _age_s(self, received_s: float, now_s: float) -> float:
+        """Return the age of a datagram, without the time in which this entry didn't run."""
+        return max(0.0, self._listening.listened_s(now_s) - received_s)
+
     def _individual_peers(self, now_s: float) -> Iterator[Peer]:
         """Return the live entries that aren't covered by a sum."""
         sums = self.sums(now_s)
--- a/packages/proxy/src/sassafrastally/proxy/peers.py
+++ b/packages/proxy/src/sassafrastally/proxy/peers.py
@@ -377,6 +377,7 @@
         silent: set[str] = set()
         sent_loads: Mapping[int, Work] = {}
         while True:
+            self._table.note_running(self._now_s)
             seen, urgent_seen = self._ledger.change_count, self._ledger.urgent_count
             report = self.quarantine.own_report(is_full=self._start_repeat_if_due())
             own = self.hello()._replace(peers=self._peers_to_list(), quarantine=report)
