Entry: use a reservation that is ready when its timeout passes

What callers saw: after a pause of the entry a sound sidecar counted as unreachable: its reservation was given back and made again elsewhere, or after a retry of the budget if no other sidecar was there.

Cause: the timeout of a reservation was found in the same turn of the loop as the sidecar's reply.

Change: attempts and members of a span use time_limit of the core.

--- a/packages/entry/src/sassafrastally/entry/attempt.py
+++ b/packages/entry/src/sassafrastally/entry/attempt.py
@@ -6,7 +6,7 @@
 
 import trio
 
-from sassafrastally.core import CodedError
+from sassafrastally.core import CodedError, time_limit
 from sassafrastally.entry.relay import EVENT_STREAM, JSON, Answer, AnswerBroken, ChunkOrder, Head
 from sassafrastally.entry.site import Site
 from sassafrastally.serving.outcome import AttemptState, Outcome
@@ -261,7 +261,7 @@
         if self.plan.commits_now:
             return await self._send_and_read(stream)
         answered: Reserved | Refused | None = None
-        with trio.move_on_after(self.plan.reserve_timeout_s):
+        async with time_limit(trio.current_time() + self.plan.reserve_timeout_s):
             answered = await self._receive_reserved(stream)
         if answered is None:
             return Unreachable(f"no reservation within {self.plan.reserve_timeout_s:g} s")
--- a/packages/entry/src/sassafrastally/entry/span_member.py
+++ b/packages/entry/src/sassafrastally/entry/span_member.py
@@ -7,7 +7,7 @@
 
 import trio
 
-from sassafrastally.core import CodedError, error
+from sassafrastally.core import CodedError, error, time_limit
 from sassafrastally.entry.attempt import CANCEL_LIMIT_S
 from sassafrastally.serving.spans import decode_done, handle_of
 from sassafrastally.wire.link import LinkCut, LinkRefused, StreamEnded
@@ -123,7 +123,7 @@
         """Reserve memory for the segment; return ``None`` if the sidecar isn't reached."""
         answered: Reserved | Refused | None = None
         try:
-            with trio.move_on_after(self.place.reserve_timeout_s):
+            async with time_limit(trio.current_time() + self.place.reserve_timeout_s):
                 stream = await self._open()
                 await stream.send(self._reserve_message(starts_in_s, imports))
                 answered = await self._receive_reserved(stream)
--- a/packages/entry/tests/test_ready_answers.py
+++ b/packages/entry/tests/test_ready_answers.py
@@ -9,13 +9,12 @@
 import trio
 
 from sassafrastally.serving.outcome import Outcome
-from sassafrastally.testing.sidecar_scripts import THREE_EVENTS, refusal_of
+from sassafrastally.testing.sidecar_scripts import THREE_EVENTS, own_of, refusal_of
+from sassafrastally.wire.messages import Chunk, Reserve, Reserved
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
-    from sassafrastally.wire.messages import Reserve
-
 LIMIT_S = 5.0
 LAGS_S = [0.0, 0.01, 0.05, 0.25, 3.0]
 """How late the process runs after the limit."""
@@ -77,6 +76,26 @@
         assert trio.current_time() - started_s <= LIMIT_S + 1.0 + 0.25
 
 
+class TestReservation:
+    @pytest.mark.parametrize("lag_s", LAGS_S)
+    async def test_ready_reservation_is_used(
+        self, world: Any, autojump_clock: Any, entry_settings: Any, lag_s: float
+    ) -> None:
+        """Guards against a sound sidecar that counts as unreachable since the entry read late."""
+
+        async def reserve_then_pause(sidecar: Any, end: Any, reserve: Reserve) -> None:
+            await end.send(Chunk("f" * 32, 1, 0, 0, b"late chunk of another request"))
+            await end.send(Reserved(*own_of(reserve), sidecar.incarnation, 0.1, 0.5, 5.0))
+            autojump_clock.jump(entry_settings.reserve_timeout_s + lag_s)
+            await end.receive()
+            await end.body(reserve.body_size_bytes)
+            await sidecar.answer(end, reserve)
+
+        world.s1.scripts, world.s2.scripts = [reserve_then_pause], [reserve_then_pause]
+        assert (await world.ask(world.request(prompt_tokens=50_000))).body == THREE_EVENTS
+        assert len(world.s1.of(Reserve) + world.s2.of(Reserve)) == 1
+
+
 class TestAnswerThatEndsWithItsLimit:
     async def test_complete_answer_is_not_followed_by_a_failure(
         self, world: Any, autojump_clock: Any, monkeypatch: pytest.MonkeyPatch
