Control and serving: count replies that are ready when their timeout passes late

What callers saw: after a pause of an entry, a claim or a slice of a limit went around its home for a second; a holder of placement gave up a lease that had been renewed, and orders counted as perhaps executed; a bundle was activated later, since its parts were fetched again.

Cause: the timeouts around calls to homes, to the KV service for a renewal, to sidecars and to sources of parts were found in the same turn of the loop as the reply.

Change: all use time_limit of the core.

A home and a source that never answer are still skipped in time.

--- a/packages/control/src/sassafrastally/control/fetch.py
+++ b/packages/control/src/sassafrastally/control/fetch.py
@@ -16,7 +16,7 @@
     split_group,
 )
 from sassafrastally.control.publish import within_budget
-from sassafrastally.core import CodedError, error
+from sassafrastally.core import CodedError, error, time_limit
 from sassafrastally.core.kv import KvUnavailable
 from sassafrastally.wire.codec import BadFrame
 from sassafrastally.wire.link import LinkCut, LinkRefused, StreamEnded
@@ -158,8 +158,10 @@
     try:
         manifest = store.manifest(digest)
         if manifest is None:
-            with trio.fail_after(CALL_TIME_LIMIT_S):
+            async with time_limit(trio.current_time() + CALL_TIME_LIMIT_S) as limit:
                 data = await source.manifest(digest)
+            if limit.scope.cancelled_caught:
+                return
             if not data:
                 return
             manifest = store.add_manifest(digest, data)
@@ -167,7 +169,7 @@
             pass
     except (DigestMismatch, BadEncoding) as cause:
         events.emit(BundlePartRefused(source.name, digest, cause.detail))
-    except (LinkCut, LinkRefused, StreamEnded, BadFrame, KvUnavailable, trio.TooSlowError):
+    except (LinkCut, LinkRefused, StreamEnded, BadFrame, KvUnavailable):
         # The parts fetched so far are kept; the next source or a retry fetches the rest.
         return
 
@@ -177,8 +179,10 @@
     missing = store.missing(manifest)[:MAX_REQUEST_DIGESTS]
     if not missing:
         return False
-    with trio.fail_after(CALL_TIME_LIMIT_S):
+    async with time_limit(trio.current_time() + CALL_TIME_LIMIT_S) as limit:
         parts = await source.parts(manifest, missing)
+    if limit.scope.cancelled_caught:
+        return False
     has_new_parts = False
     for digest, data in zip(missing, parts, strict=False):
         if data:
--- a/packages/control/src/sassafrastally/control/lease_holder.py
+++ b/packages/control/src/sassafrastally/control/lease_holder.py
@@ -15,7 +15,7 @@
 import trio
 
 from sassafrastally.control.canonical import BadEncoding, canonical_bytes, load_object
-from sassafrastally.core import CodedError, error
+from sassafrastally.core import CodedError, error, time_limit
 from sassafrastally.core.kv import KvConflict, KvUnavailable, KvWrite, LeaseLost, MaybeApplied
 from sassafrastally.core.settings import check_table
 from sassafrastally.stores.readback import write_with_readback
@@ -138,7 +138,7 @@
             self.check()
             sent_s = self._kernel.clock.now_s()
             try:
-                with trio.move_on_after(self._lease_s / RENEWALS_PER_LEASE):
+                async with time_limit(trio.current_time() + self._lease_s / RENEWALS_PER_LEASE):
                     await self._kv.keep_lease(self.lease_id, purpose=self._keys.purpose)
                     self.confirm(sent_s)
             except LeaseLost as lost:
--- a/packages/control/src/sassafrastally/control/placement_orders.py
+++ b/packages/control/src/sassafrastally/control/placement_orders.py
@@ -7,6 +7,7 @@
 
 import trio
 
+from sassafrastally.core import time_limit
 from sassafrastally.wire.link import LinkCut, LinkRefused, StreamEnded
 from sassafrastally.wire.messages import PlacementOrder, PlacementReply
 from sassafrastally.wire.streams import TooManyStreams
@@ -97,7 +98,7 @@
     async def _call(
         self, state: VmState, order: PlacementOrder, time_limit_s: float
     ) -> PlacementReply | None:
-        with trio.move_on_after(time_limit_s):
+        async with time_limit(trio.current_time() + time_limit_s):
             try:
                 link = await self._peers.link_to(state.vm, state.peer_address)
                 # The dial may have taken long, or this process may have been suspended during it.
--- a/packages/serving/src/sassafrastally/serving/home_calls.py
+++ b/packages/serving/src/sassafrastally/serving/home_calls.py
@@ -6,6 +6,7 @@
 
 import trio
 
+from sassafrastally.core import time_limit
 from sassafrastally.wire.link import LinkCut, LinkRefused, StreamEnded
 from sassafrastally.wire.streams import TooManyStreams
 
@@ -42,7 +43,7 @@
         """Return a home's reply; ``None`` when none arrived, even if the home handled the call."""
         if self.is_circuit_open(home):
             return None
-        with trio.move_on_after(time_limit_s):
+        async with time_limit(trio.current_time() + time_limit_s):
             try:
                 link = await self._peers.link_to(home.vm, home.peer_address)
                 return await link.call(message)
