Wire: deliver frames that have arrived when a link can't send any more

What callers saw: suspected, not observed: an answer whose last frames lay in the socket was lost with its link, since the process tried to send on it (a ping, credit) before it read.

Cause: the first task of a link that failed cut it, with everything unread.

--- a/packages/wire/src/sassafrastally/wire/mux.py
+++ b/packages/wire/src/sassafrastally/wire/mux.py
@@ -12,6 +12,7 @@
 
 import trio
 
+from sassafrastally.core.late_limits import LAST_READ_S
 from sassafrastally.wire.codec import BadFrame
 from sassafrastally.wire.events import NoticeDropped, StreamFailed
 from sassafrastally.wire.framing import FrameWriter, count_received
@@ -206,7 +207,7 @@
             with self._scope:
                 async with trio.open_nursery() as nursery:
                     nursery.start_soon(self._run_until_cut, self._read)
-                    nursery.start_soon(self._run_until_cut, self.writer.run)
+                    nursery.start_soon(self._run_until_cut, self._write)
                     nursery.start_soon(self._run_until_cut, self._monitor_liveness)
                     nursery.start_soon(self._dispatch_notices)
         finally:
@@ -251,6 +252,16 @@
         except (LinkCut, BadFrame) as cause:
             self.cut(cause.detail)
 
+    async def _write(self) -> None:
+        try:
+            await self.writer.run()
+        except LinkCut:
+            # A peer that has closed the connection may have sent an answer before. The reader cuts
+            # the link once it has read everything.
+            with trio.move_on_after(LAST_READ_S):
+                await self._down.wait()
+            raise
+
     async def _read(self) -> None:
         for number in count():
             if number % MAX_READ_FRAMES == 0:
--- /dev/null
+++ b/packages/wire/tests/test_broken_link.py
@@ -0,0 +1,92 @@
+"""Frames that have arrived when a link breaks."""
+
+from __future__ import annotations
+
+import pytest
+import trio
+
+from sassafrastally.core import Clock, EventLog, Incarnation
+from sassafrastally.core.late_limits import LAST_READ_S
+from sassafrastally.wire import Frame, LinkCut, PeerIdentity, PeerSettings, Ping, Query, QueryReply
+from sassafrastally.wire.framing import FrameReader, frame_bytes
+from sassafrastally.wire.mux import CONTROL_STREAM_ID, FIRST_DIALLED_STREAM_ID, MuxLink
+
+PEER = PeerIdentity("sidecar-1", "sidecar", "sala-prado", Incarnation("f" * 32))
+
+
+class HalfBrokenStream(trio.abc.Stream):
+    """A connection whose peer has closed it after its last frame: sending fails."""
+
+    def __init__(self, *, has_end: bool = True) -> None:
+        self.is_broken = trio.Event()
+        self._frames = [frame_bytes(Frame(FIRST_DIALLED_STREAM_ID, 1, QueryReply("r1")))]
+        self._has_end = has_end
+
+    async def send_all(self, data: bytes) -> None:
+        await trio.lowlevel.checkpoint()
+        if self.is_broken.is_set():
+            raise trio.BrokenResourceError
+
+    async def wait_send_all_might_not_block(self) -> None:
+        await trio.lowlevel.checkpoint()
+
+    async def receive_some(self, max_bytes: int | None = None) -> bytes:
+        await self.is_broken.wait()
+        for _ in range(5):
+            await trio.lowlevel.checkpoint()
+        if not self._frames and not self._has_end:
+            await trio.sleep_forever()
+        return self._frames.pop() if self._frames else b""
+
+    async def aclose(self) -> None:
+        await trio.lowlevel.checkpoint()
+
+
+@pytest.fixture
+def make_link(nursery, autojump_clock):
+    def make(stream):
+        events = EventLog("entry-1", Incarnation("e" * 32), Clock())
+        link = MuxLink(
+            stream,
+            FrameReader(stream),
+            PEER,
+            FIRST_DIALLED_STREAM_ID,
+            PeerSettings(None, None),
+            events,
+            lambda *_: None,
+            None,
+        )
+        nursery.start_soon(link.run)
+        return link
+
+    return make
+
+
+class TestBrokenLink:
+    async def test_frames_that_have_arrived_are_delivered(self, make_link):
+        """Guards against an answer that is lost with its link: its frames have arrived, but the
+        link notices first that it can't send."""
+        connection = HalfBrokenStream()
+        link = make_link(connection)
+        async with link.open_stream() as stream:
+            await stream.send(Query("r1"))
+            await trio.sleep(0.1)
+            link.put_control(CONTROL_STREAM_ID, Ping(1))
+            connection.is_broken.set()
+            assert await stream.receive() == QueryReply("r1")
+            with pytest.raises(LinkCut):
+                await stream.receive()
+
+    async def test_link_without_an_end_is_cut_soon(self, make_link):
+        connection = HalfBrokenStream(has_end=False)
+        link = make_link(connection)
+        async with link.open_stream() as stream:
+            await stream.send(Query("r1"))
+            await trio.sleep(0.1)
+            start_s = trio.current_time()
+            link.put_control(CONTROL_STREAM_ID, Ping(1))
+            connection.is_broken.set()
+            assert await stream.receive() == QueryReply("r1")
+            with pytest.raises(LinkCut):
+                await stream.receive()
+            assert trio.current_time() - start_s == pytest.approx(LAST_READ_S, abs=0.01)
