--- a/packages/testing/tests/soak/test_soak.py
+++ b/packages/testing/tests/soak/test_soak.py
@@ -102,7 +102,7 @@
         """Guards against answers that are thrown away, or never given, because an entry didn't run
         when the time of its requests ended."""
         kinds = [stalling.STALLED, stalling.STALLED, "configured"]
-        report = await run_soak(20_269, 10.0, SMALL._replace(callers=30), print, kinds, gap_s=0.8)
+        report = await run_soak(20_269, 6.0, SMALL._replace(callers=30), print, kinds, gap_s=0.6)
         assert not report.broken, str(report)
         assert report.outcomes["200"] > 50, str(report)
 
