Let writes go on for a bounded time after any cancellation, and record what follows the limit once

A write was shielded until 0.25 s past the limit of its request: a process that failed, or a caller that left in the turn in which its response was ready, was waited for until then (15.25 s), and each event that was received together had a bound of its own (39 s after the limit). Beside it, a whole stream was logged as broken and its server recorded as silent if the limit acted while the connection was closed, and a caller that didn't read an answer sent after the limit was disconnected without a line.

Writes aren't shielded any more. One that is cancelled, for whatever reason, goes on where it was for 0.15 s at most, so that what h11 has encoded goes out whole; a complete response isn't cancelled then, and is recorded. For that, Reply writes in steps whose progress is known. What is answered after the limit goes to callers that read: one that reads nothing for 0.25 s is disconnected, with its line. A response that has ended is never recorded as broken.

--- a/packages/proxy/src/sassafrastally/proxy/caller_listener.py
+++ b/packages/proxy/src/sassafrastally/proxy/caller_listener.py
@@ -40,7 +40,6 @@
 from sassafrastally.proxy.reply import Reply
 from sassafrastally.proxy.request_reader import BadRequest, RequestReader
 from sassafrastally.proxy.slow_readers import BlockedCallers, most_buffered_bytes
-from sassafrastally.proxy.time_limit import TimeLimit
 
 if TYPE_CHECKING:
     import socket
@@ -232,7 +231,6 @@
 
     async def _serve_accounted(self, connection: HttpStream, account: InputAccount) -> bool:
         reply = Reply(connection, lambda: self.is_stopping, self.blocked_callers)
-        reply.limit = TimeLimit(self.kernel.clock.now_s())
         try:
             request = await self._read_request(connection, account, reply)
         except h11.RemoteProtocolError as cause:
@@ -254,7 +252,7 @@
     async def _answer(self, connection: HttpStream, request: Request, reply: Reply) -> None:
         failure: Exception | None = None
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._watch_disconnect, connection, reply, nursery.cancel_scope)
+            nursery.start_soon(self._watch_disconnect, connection, nursery.cancel_scope)
             try:
                 await self._path.answer(request, reply)
             except Exception as cause:
@@ -265,7 +263,7 @@
             raise failure
 
     async def _watch_disconnect(
-        self, connection: HttpStream, reply: Reply, answer_scope: trio.CancelScope
+        self, connection: HttpStream, answer_scope: trio.CancelScope
     ) -> None:
         """Cancel the response when the caller closes its connection.
 
@@ -281,7 +279,6 @@
             is_open = False
         if not is_open:
             answer_scope.cancel()
-            reply.abandon()
 
     async def _read_request(
         self, connection: HttpStream, account: InputAccount, reply: Reply
--- a/packages/proxy/src/sassafrastally/proxy/http_stream.py
+++ b/packages/proxy/src/sassafrastally/proxy/http_stream.py
@@ -247,6 +247,22 @@
             raise ConnectionLost(f"connection reset while sending: {cause!r}") from cause
         self.is_write_incomplete = False
 
+    async def send_some(self, data: bytes) -> int:
+        """Send bytes that h11 has encoded and return how many; none if it is cancelled.
+
+        Raises
+        ------
+        ConnectionLost
+            If the connection is reset or closed.
+        """
+        try:
+            if isinstance(self.stream, trio.SocketStream):
+                return await self.stream.socket.send(data)
+            await self.stream.send_all(data)
+        except (OSError, trio.BrokenResourceError, trio.ClosedResourceError) as cause:
+            raise ConnectionLost(f"connection reset while sending: {cause!r}") from cause
+        return len(data)
+
     def has_unread_input(self) -> bool:
         """Return whether unexpected bytes or the end of the stream can be read from the socket."""
         if self.http.trailing_data[0]:
--- a/packages/proxy/src/sassafrastally/proxy/path.py
+++ b/packages/proxy/src/sassafrastally/proxy/path.py
@@ -48,6 +48,7 @@
 from sassafrastally.proxy.reservations import Reservations
 from sassafrastally.proxy.routes import UnknownKey, choose_service, find_customer
 from sassafrastally.proxy.silence_watch import SilenceWatch
+from sassafrastally.proxy.slow_readers import MIN_BLOCKED_S
 from sassafrastally.proxy.streaming_request import StreamingRequestHandler
 from sassafrastally.proxy.task import LocalReply, Progress, RequestTask
 
@@ -227,6 +228,17 @@
             request, route, configuration, customer, service, fingerprint, parts, homes
         )
         self._budget.count_request(service, request.arrived_s)
+        try:
+            await self._answer_in_time(task, reply, progress)
+        except CallerBlocked as cause:
+            CALLERS_BLOCKED.add(1)
+            request_id = request.facts.request_id
+            self.kernel.events.emit(CallerDisconnected(request_id, route.name, cause.detail))
+            self._record_unanswered(task, progress)
+            raise
+
+    async def _answer_in_time(self, task: RequestTask, reply: Reply, progress: Progress) -> None:
+        request, route = task.request, task.route
         answerer = self._request_handler(task, reply, progress)
         local_reply: LocalReply | None = None
         late_s = 0.0
@@ -242,18 +254,14 @@
                     )
                     self._record_unanswered(task, progress)
                 raise
-            except CallerBlocked as cause:
-                CALLERS_BLOCKED.add(1)
-                self.kernel.events.emit(
-                    CallerDisconnected(request.facts.request_id, route.name, cause.detail)
-                )
-                self._record_unanswered(task, progress)
-                raise
             finally:
                 answerer.release()
+        if reply.has_ended:
+            return
         if limit.has_acted or (local_reply is not None and limit.is_due):
             late_s = round(self.kernel.clock.now_s() - limit.due_s, 4)
             self._record_unanswered(task, progress)
+            reply.write_timeout_s = min(reply.write_timeout_s, MIN_BLOCKED_S)
             if not reply.has_begun and await answerer.forward_kept():
                 return
             has_stopped = self.kernel.clock.now_s() < task.deadline_s
--- a/packages/proxy/src/sassafrastally/proxy/reply.py
+++ b/packages/proxy/src/sassafrastally/proxy/reply.py
@@ -24,6 +24,10 @@
 
 HTTP_1_0 = b"1.0"
 
+LAST_WRITE_S = 0.15
+"""How long a write goes on after a cancellation. At the end of a stopping process, it takes what is
+left after the last answers until the process is killed."""
+
 WRITE_BYTES = 16_384
 """Size of one write to a caller. The time limit applies to each, so that a caller that reads slowly
 isn't taken for one that doesn't read."""
@@ -54,7 +58,7 @@
         blocked_callers: BlockedCallers[trio.CancelScope] | None = None,
     ) -> None:
         self.limit = TimeLimit()
-        """Time limit of the request. It doesn't cut a response or an event while it is written."""
+        """Time limit of the request."""
         self.write_timeout_s = math.inf
         """Time after which a caller that reads nothing is disconnected."""
         self.is_for_head = False
@@ -63,7 +67,7 @@
         """Whether the caller may have got a part of the response."""
         self.has_ended = False
         self.sent_bytes = 0
-        """Bytes passed to the operating system, without those of a cancelled write."""
+        """Bytes passed to the operating system."""
         self._connection = connection
         self._is_last = is_last
         self._blocked_callers = blocked_callers or BlockedCallers()
@@ -106,38 +110,42 @@
         """Whether a response of unknown length has no end but that of its connection."""
         return self._connection.http.their_http_version == HTTP_1_0
 
-    def abandon(self) -> None:
-        """End a write in progress, as its caller has left."""
-        self.limit.abandon_write()
-
     async def _send(self, *events: h11.Event) -> None:
         """Send events as a whole; raises `CallerBlocked` if the caller doesn't read them.
 
-        Neither the time limit nor the end of the process cuts them: a caller can't tell a part of a
-        response from a broken one, and bytes that aren't sent can't be taken back from h11.
+        A cancellation doesn't cut them unless the caller reads too slowly: a caller can't tell a
+        part of a response from a broken one, and what h11 has encoded can't be taken back. A
+        response that is complete isn't cancelled any more, so that it is recorded.
         """
-        data = self._connection.encode(*events)
-        with self.limit.writing() as scope:
-            for begin in range(0, len(data), WRITE_BYTES):
-                await self._write(data[begin : begin + WRITE_BYTES])
-        if scope.cancelled_caught:
-            await trio.lowlevel.checkpoint_if_cancelled()  # If the caller has left.
-            raise CallerBlocked("it hadn't read everything when its time was over")
-
-    async def _write(self, data: bytes) -> None:
+        unsent = bytearray(self._connection.encode(*events))
+        try:
+            await self._write_all(unsent)
+        except trio.Cancelled:
+            with trio.CancelScope(deadline=trio.current_time() + LAST_WRITE_S, shield=True):
+                await self._write_all(unsent)
+            if unsent or not isinstance(events[-1], h11.EndOfMessage):
+                raise
+
+    async def _write_all(self, unsent: bytearray) -> None:
+        """Write bytes and remove those that are written."""
+        while unsent:
+            written = await self._write(bytes(unsent[:WRITE_BYTES]))
+            self.sent_bytes += written
+            del unsent[:written]
+
+    async def _write(self, data: bytes) -> int:
+        """Write some bytes and return how many."""
         now_s = trio.current_time()
         with trio.move_on_after(self.write_timeout_s) as scope:
             longest_blocked = self._blocked_callers.begin(scope, now_s)
             if longest_blocked is not None:
                 longest_blocked.cancel()
             try:
-                await self._connection.send_bytes(data)
-                self.sent_bytes += len(data)
+                return await self._connection.send_some(data)
             finally:
                 self._blocked_callers.end(scope)
-        if scope.cancelled_caught:
-            blocked_s = trio.current_time() - now_s
-            raise CallerBlocked(f"nothing was read for {blocked_s:.2f} s")
+        blocked_s = trio.current_time() - now_s
+        raise CallerBlocked(f"nothing was read for {blocked_s:.2f} s")
 
     def _response(self, status: int, headers: Headers) -> h11.Response:
         self.has_begun = True
