Stores: read a reply of the KV service that is ready when its timeout passes late

What callers saw: after a pause of a process, a renewed lease or a written claim counted as perhaps applied, and was read back or made again.

Cause: the timeout around a call was found in the same turn of the loop as the reply that lay in the socket.

Change: calls use time_limit of the core.

Evidence: the clock jumps to 0 to 3 s after the timeout with a reply of two reads ready: 5 of 5 counted as MaybeApplied before; all are read now. A reply without its end still ends at the timeout.

--- a/packages/stores/src/sassafrastally/stores/gateway_client.py
+++ b/packages/stores/src/sassafrastally/stores/gateway_client.py
@@ -8,6 +8,7 @@
 import httpx
 import trio
 
+from sassafrastally.core import time_limit
 from sassafrastally.core.http_patterns import use_linear_patterns
 from sassafrastally.core.kv import KvUnavailable, LeaseLost, MaybeApplied
 from sassafrastally.stores import gateway
@@ -82,10 +83,12 @@
         """
         tracker = SendTracker()
         try:
-            with trio.fail_after(time_limit_s):
+            async with time_limit(trio.current_time() + time_limit_s) as limit:
                 response = await self._client.post(
                     path, json=body, extensions={"trace": tracker.trace}
                 )
+            if limit.scope.cancelled_caught:
+                raise trio.TooSlowError
         except (httpx.TransportError, trio.TooSlowError) as cause:
             # Before the first byte of the request is written, the service can't have received it.
             # After that the outcome is unknown: either the request or its response may be lost.
