Decode long answers of the store and of peers in steps

Callers: while an entry decoded a watch's answer of 8 MB or a peer's changes of 400,000 items, it answered nobody, and time limits passed unnoticed. Cause: JSON, items and changes of keys that entries don't use were handled in a single step. Evidence: longest step, one run each: watch of 145,454 items 0.45 s, of 17,467 items 0.12 s, of 14 items of half a megabyte 0.04 s; changes of a peer 2.95 s. Change: elements of the outermost arrays, items and decompressed megabytes are handled in steps of 256 or of a megabyte, between which other tasks run. Changes of keys that entries don't use are left out before they are applied in one step, as before.

Tests that call `decode_delta` await it, and import from the new modules; no check is changed.

--- a/packages/proxy/src/sassafrastally/proxy/change_fetcher.py
+++ b/packages/proxy/src/sassafrastally/proxy/change_fetcher.py
@@ -17,9 +17,9 @@
 
 from sassafrastally.proxy.calls import ResponseBounds, ResponseTooLarge
 from sassafrastally.proxy.containment import Containment
+from sassafrastally.proxy.delta_messages import decode_delta
 from sassafrastally.proxy.dialect import DocumentInvalid
 from sassafrastally.proxy.log_events import PeerFailed
-from sassafrastally.proxy.peer_messages import decode_delta
 from sassafrastally.proxy.store import AnswerLost, Snapshot, StorePosition
 
 if TYPE_CHECKING:
@@ -192,7 +192,8 @@
             )
             if response.status != 200:
                 raise AnswerLost(f"peer answered with status {response.status}")
-            delta = decode_delta(response.body)
+            delta = await decode_delta(response.body)
+            events = await self._cluster_state.used_events(delta.events)
         except (DocumentInvalid, ResponseTooLarge) as cause:
             self._leave_out(source, cause.detail)
             return
@@ -203,11 +204,11 @@
             return
         name = f"peer {source.host}"
         with self._containment:
-            await self._cluster_state.decode_ahead(delta.entries or delta.events)
+            await self._cluster_state.decode_ahead(delta.entries or events)
             if delta.entries is not None:
                 self._cluster_state.replace(Snapshot(delta.entries, delta.position), name)
             else:
-                self._cluster_state.apply(delta.events, delta.position, name)
+                self._cluster_state.apply(events, delta.position, name)
         if has_news(source.position, source.configuration_version, self._cluster_state):
             self._leave_out(source, "its answer doesn't bring what its datagrams promise")
         else:
--- a/packages/proxy/src/sassafrastally/proxy/cluster_state.py
+++ b/packages/proxy/src/sassafrastally/proxy/cluster_state.py
@@ -31,6 +31,7 @@
 from sassafrastally.proxy.server_registry import ServerRegistry
 from sassafrastally.proxy.store import NO_POSITION
 from sassafrastally.proxy.store_records import CARRIED_OVER, StoreRecords
+from sassafrastally.proxy.work_steps import filter_in_steps
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -179,6 +180,14 @@
         self._configurations.forget_decoded()
         self.confirm(position)
 
+    async def used_events(self, events: Iterable[KvEvent]) -> list[KvEvent]:
+        """Return the changes of keys that entries use, selected in steps.
+
+        `apply` takes a single step. Other writers may change any number of other keys.
+        """
+        keys = self._dialect.keys
+        return await filter_in_steps(lambda event: keys.are_used(event.key), events)
+
     def delta_after(self, position: StorePosition) -> Delta:
         """Return the changes that a peer at a position is missing."""
         return self._records.delta_after(position)
--- a/packages/proxy/src/sassafrastally/proxy/dialect.py
+++ b/packages/proxy/src/sassafrastally/proxy/dialect.py
@@ -54,6 +54,10 @@
     evacuations_prefix: str
     """Prefix of the records of evacuated data centres; the data centre's name follows."""
 
+    def are_used(self, key: str) -> bool:
+        """Return whether a key is one of these or has one of the prefixes."""
+        return key == self.configuration or key.startswith(self[1:])
+
 
 class Dialect(Protocol):
     """Translates between the wire format and the types of `sassafrastally.proxy.model`."""
--- a/packages/proxy/src/sassafrastally/proxy/internal_endpoints.py
+++ b/packages/proxy/src/sassafrastally/proxy/internal_endpoints.py
@@ -14,6 +14,7 @@
 from sassafrastally.proxy.change_fetcher import parse_changes_target
 from sassafrastally.proxy.cluster_state import ClusterState
 from sassafrastally.proxy.containment import Containment
+from sassafrastally.proxy.delta_messages import encode_delta
 from sassafrastally.proxy.fleet_view import FleetView
 from sassafrastally.proxy.http_stream import ConnectionLost, HttpStream, enable_keepalive
 from sassafrastally.proxy.load import Lane
@@ -21,7 +22,6 @@
 from sassafrastally.proxy.open_connections import OpenConnections
 from sassafrastally.proxy.overload_monitor import OverloadMonitor
 from sassafrastally.proxy.path import RequestPath
-from sassafrastally.proxy.peer_messages import encode_delta
 from sassafrastally.proxy.quarantine_service import QuarantineService
 from sassafrastally.proxy.reply import Reply
 
--- a/packages/proxy/src/sassafrastally/proxy/peer_messages.py
+++ b/packages/proxy/src/sassafrastally/proxy/peer_messages.py
@@ -7,14 +7,10 @@
 
 from __future__ import annotations
 
-import zlib
-from functools import cache
-from pathlib import Path
 from types import MappingProxyType
 from typing import TYPE_CHECKING, Any, NamedTuple, TypeVar
 
-# Runtime import: KvEntry and KvEvent are field types of named tuples.
-from sassafrastally.core import KvEntry, KvEvent, is_ip_address
+from sassafrastally.core import is_ip_address
 from sassafrastally.proxy.contention import (
     NO_CONTENTION_NEWS,
     ContentionNews,
@@ -26,6 +22,7 @@
 from sassafrastally.proxy.failure_rates import FailureCounts, decode_failures, encode_failures
 from sassafrastally.proxy.load import Work
 from sassafrastally.proxy.message_numbers import to_thousandths, to_uint16, to_uint32
+from sassafrastally.proxy.peer_schema import codec, schema
 from sassafrastally.proxy.quarantine_exchange import (
     EMPTY_REPORT,
     AnswerReport,
@@ -35,7 +32,6 @@
 )
 from sassafrastally.proxy.rate_limits import NO_SHARE_NEWS, Grant, LimitReport, ShareNews
 from sassafrastally.proxy.store import StorePosition
-from sassafrastally.proxy.store_records import Delta
 from sassafrastally.proxy.store_watchers import WatchCandidate
 from sassafrastally.proxy.value_ranges import COUNTER
 from sassafrastally.proxy.warm_up import decode_colds, encode_colds
@@ -45,8 +41,6 @@
 
 _Note = TypeVar("_Note")
 
-SCHEMA_FILE = Path(__file__).with_name("peers.capnp")
-
 MAX_DATAGRAM_BYTES = 1400
 """Datagrams are smaller than this, below a link's usual MTU. About 90 usual loads fit; if there are
 more, the smallest are left out."""
@@ -62,17 +56,10 @@
 """Maximum number of peers listed in one datagram; a new entry discovers all others through any of
 them."""
 
-COMPRESSION_LEVEL = 1
-"""Fastest zlib level; higher levels take five times as long and save a tenth of the bytes."""
-
 MAX_HELLO_WORDS = 2 * 1024
 """Traversal limit of a datagram in words of eight bytes: some times what a full one takes. A few
 bytes can declare thousands of empty elements, each of which takes microseconds to decode."""
 
-MAX_DELTA_WORDS = 4 * 1024 * 1024
-"""Traversal limit of an answer in words of eight bytes, and of its size once decompressed: some
-thirty of the store's largest values, well below the memory of a small VM."""
-
 
 class Hello(NamedTuple):
     """State that an entry sends to its peers, or the sum that a relay sends."""
@@ -125,21 +112,6 @@
     in a sum those of all its entries."""
 
 
-@cache
-def _codec() -> Any:
-    # Imported with the first datagram: the import takes a fifteenth of the processor time of a
-    # start, for which waiting callers' requests don't need it.
-    import capnp
-
-    capnp.remove_import_hook()
-    return capnp
-
-
-@cache
-def _schema() -> Any:
-    return _codec().load(str(SCHEMA_FILE))
-
-
 def encode_hello(hello: Hello) -> bytes:
     """Encode a datagram; if too large, drop contention, then loads, then shares, then the rest."""
     loads = sorted(hello.loads.items(), key=lambda item: (-item[1].prefill_ms, -item[1].requests))
@@ -172,7 +144,7 @@
 
 
 def _encode(hello: Hello, loads: Sequence[tuple[int, Work]]) -> bytes:
-    message = _schema().Hello.new_message(
+    message = schema().Hello.new_message(
         host=hello.host,
         bootId=hello.boot_id,
         sequence=hello.sequence,
@@ -246,12 +218,12 @@
 def decode_hello(data: bytes) -> Hello:
     """Decode a datagram; raises `DocumentInvalid`."""
     try:
-        message = _schema().Hello.from_bytes_packed(data, traversal_limit_in_words=MAX_HELLO_WORDS)
+        message = schema().Hello.from_bytes_packed(data, traversal_limit_in_words=MAX_HELLO_WORDS)
         return Hello(
             host=_host(message.host),
             boot_id=message.bootId,
             sequence=message.sequence,
-            position=_position(message),
+            position=decode_position(message),
             confirmed_age_s=message.confirmedAgeMs / 1000,
             is_stopping=message.isStopping,
             loads={load.server: _decode_load(load) for load in message.loads},
@@ -274,7 +246,7 @@
             ),
             quarantine=_decode_quarantine(message),
             limits={limit.server: _decode_limit(limit) for limit in message.limits},
-            configuration_version=_counter(message.configurationVersion),
+            configuration_version=decode_counter(message.configurationVersion),
             draining=tuple(message.draining),
             is_to_forward=message.isToForward,
             shares=_decode_shares(message),
@@ -283,7 +255,7 @@
             colds=decode_colds(message),
             failures=decode_failures(message),
         )
-    except (_codec().KjException, ValueError) as cause:
+    except (codec().KjException, ValueError) as cause:
         raise DocumentInvalid(f"invalid datagram from a peer: {cause!r}") from cause
 
 
@@ -293,19 +265,21 @@
     return text
 
 
-def _counter(value: int) -> int:
+def decode_counter(value: int) -> int:
+    """Return a counter of the store; raises `ValueError`."""
     if not COUNTER.holds(value):
         raise ValueError(f"more than 63 bits: {value}")
     return value
 
 
-def _position(message: Any) -> StorePosition:
-    return StorePosition(_counter(message.epoch), _counter(message.revision))
+def decode_position(message: Any) -> StorePosition:
+    """Return the position of a message; raises `ValueError`."""
+    return StorePosition(decode_counter(message.epoch), decode_counter(message.revision))
 
 
 def encode_forwarded(data: bytes) -> bytes:
     """Return a received sum as it is forwarded: unchanged, but not to be forwarded again."""
-    message = _schema().Hello.from_bytes_packed(data).as_builder()
+    message = schema().Hello.from_bytes_packed(data).as_builder()
     message.isToForward = False
     forwarded: bytes = message.to_bytes_packed()
     return forwarded
@@ -404,46 +378,3 @@
         decoding_tokens=load.kiloTokensWriting * 1000,
         suspect_requests=load.suspectRequests,
     )
-
-
-def encode_delta(delta: Delta) -> bytes:
-    """Encode the response body for a peer that is missing changes.
-
-    The body is compressed, since configurations are large and repetitive and must arrive quickly.
-    """
-    message = _schema().Delta.new_message(
-        epoch=delta.position.epoch,
-        revision=delta.position.revision,
-        isEverything=delta.entries is not None,
-        items=[_encode_item(*item[:3]) for item in (delta.entries or delta.events)],
-    )
-    return zlib.compress(message.to_bytes(), COMPRESSION_LEVEL)
-
-
-def decode_delta(body: bytes) -> Delta:
-    """Decode the changes in a response body; raises `DocumentInvalid`."""
-    try:
-        data = zlib.decompressobj().decompress(body, 8 * MAX_DELTA_WORDS)
-        with _schema().Delta.from_bytes(data, traversal_limit_in_words=MAX_DELTA_WORDS) as message:
-            position = _position(message)
-            if message.isEverything:
-                entries = tuple(
-                    KvEntry(item.key, bytes(item.value), _counter(item.revision))
-                    for item in message.items
-                )
-                return Delta(entries, (), position)
-            events = tuple(
-                KvEvent(
-                    item.key,
-                    None if item.isRemoved else bytes(item.value),
-                    _counter(item.revision),
-                )
-                for item in message.items
-            )
-            return Delta(None, events, position)
-    except (zlib.error, _codec().KjException, ValueError) as cause:
-        raise DocumentInvalid(f"invalid changes from a peer: {cause!r}") from cause
-
-
-def _encode_item(key: str, value: bytes | None, revision: int) -> dict[str, Any]:
-    return {"key": key, "value": value or b"", "isRemoved": value is None, "revision": revision}
--- a/packages/proxy/src/sassafrastally/proxy/watch.py
+++ b/packages/proxy/src/sassafrastally/proxy/watch.py
@@ -116,10 +116,11 @@
         changes = await self._store.watch(ALL_KEYS_PREFIX, known, wait_s)
         waited_s = self.kernel.clock.now_s() - begin_s
         self._record_recovered()
+        events = await self._cluster_state.used_events(changes.events)
         configuration = self._cluster_state.configuration
-        self._peers.note_changes(changes.events)
-        await self._cluster_state.decode_ahead(changes.events)
-        self._cluster_state.apply(changes.events, changes.position, "store")
+        self._peers.note_changes(events)
+        await self._cluster_state.decode_ahead(events)
+        self._cluster_state.apply(events, changes.position, "store")
         if self._cluster_state.configuration is not configuration:
             await trio.sleep(CONFIGURATION_PAUSE_S)
         return changes.position <= known and waited_s < MIN_WAITED_SHARE * wait_s
--- a/packages/proxy/tests/test_change_fetcher.py
+++ b/packages/proxy/tests/test_change_fetcher.py
@@ -18,8 +18,8 @@
     parse_changes_target,
 )
 from sassafrastally.proxy.cluster_state import ClusterState
+from sassafrastally.proxy.delta_messages import encode_delta
 from sassafrastally.proxy.dialect import DocumentInvalid
-from sassafrastally.proxy.peer_messages import encode_delta
 from sassafrastally.proxy.store import StorePosition
 from sassafrastally.proxy.store_records import Delta
 
--- a/packages/proxy/tests/test_contention.py
+++ b/packages/proxy/tests/test_contention.py
@@ -27,7 +27,8 @@
     total_work_ms,
 )
 from sassafrastally.proxy.load import Lane, Work
-from sassafrastally.proxy.peer_messages import SCHEMA_FILE, Hello, decode_hello, encode_hello
+from sassafrastally.proxy.peer_messages import Hello, decode_hello, encode_hello
+from sassafrastally.proxy.peer_schema import SCHEMA_FILE
 from sassafrastally.proxy.store import StorePosition
 from sassafrastally.testing.exchange_rounds import STEP_S, Exchange
 
--- a/packages/proxy/tests/test_peer_message_bounds.py
+++ b/packages/proxy/tests/test_peer_message_bounds.py
@@ -7,15 +7,15 @@
 
 import pytest
 
-from sassafrastally.proxy import peer_messages
+from sassafrastally.proxy.delta_messages import decode_delta
 from sassafrastally.proxy.dialect import DocumentInvalid
 from sassafrastally.proxy.load import Work
 from sassafrastally.proxy.peer_messages import (
     MAX_DATAGRAM_BYTES,
-    decode_delta,
     decode_hello,
     encode_hello,
 )
+from sassafrastally.proxy.peer_schema import schema
 from sassafrastally.testing.outside_values import hello
 
 MAX_ELEMENTS = 1000
@@ -28,7 +28,7 @@
     @pytest.mark.parametrize("elements", [2 * MAX_ELEMENTS, 12_000])
     def test_thousands_of_empty_elements_are_rejected(self, elements):
         """Guards against datagrams of a hundred bytes that each hold the process for 0.2 s."""
-        message = peer_messages._schema().Hello.new_message(host="10.0.0.9")
+        message = schema().Hello.new_message(host="10.0.0.9")
         message.init("loads", elements)
         data = message.to_bytes_packed()
         assert len(data) < MAX_DATAGRAM_BYTES
@@ -54,7 +54,7 @@
 class TestChanges:
     """Size of changes once they are decompressed."""
 
-    def test_little_that_expands_to_much_takes_little_memory(self):
+    async def test_little_that_expands_to_much_takes_little_memory(self):
         """Guards against an answer of 300 KB that takes more memory than a small VM has."""
         compressor = zlib.compressobj(9)
         parts = [compressor.compress(bytes(1_000_000)) for _ in range(300)]
@@ -63,7 +63,7 @@
         tracemalloc.start()
         try:
             with pytest.raises(DocumentInvalid):
-                decode_delta(body)
+                await decode_delta(body)
             _, peak_bytes = tracemalloc.get_traced_memory()
         finally:
             tracemalloc.stop()
--- a/packages/testing/tests/platform/test_entries.py
+++ b/packages/testing/tests/platform/test_entries.py
@@ -11,11 +11,11 @@
 from sassafrastally.proxy import connection_pool, internal_endpoints
 from sassafrastally.proxy.cluster_state import ClusterState
 from sassafrastally.proxy.daemon import make_kernel
+from sassafrastally.proxy.delta_messages import encode_delta
 from sassafrastally.proxy.fleet_view import FleetView
 from sassafrastally.proxy.load import InFlightAttempt, Lane
 from sassafrastally.proxy.load_exchange import link_rank
 from sassafrastally.proxy.path import RequestPath
-from sassafrastally.proxy.peer_messages import encode_delta
 from sassafrastally.proxy.peers import Peers
 from sassafrastally.stand_ins.caller_requests import exchange_on, request_fields
 from sassafrastally.stand_ins.documents import make_configuration, make_route
--- a/packages/testing/tests/platform/test_store_values.py
+++ b/packages/testing/tests/platform/test_store_values.py
@@ -18,12 +18,8 @@
 from sassafrastally.platform.store import StoreClient
 from sassafrastally.proxy.calls import CallResponse
 from sassafrastally.proxy.cluster_state import ClusterState
-from sassafrastally.proxy.peer_messages import (
-    decode_delta,
-    decode_hello,
-    encode_delta,
-    encode_hello,
-)
+from sassafrastally.proxy.delta_messages import decode_delta, encode_delta
+from sassafrastally.proxy.peer_messages import decode_hello, encode_hello
 from sassafrastally.proxy.store import HistoryGone, StorePosition
 from sassafrastally.testing.outside_values import (
     DIALECT,
@@ -95,6 +91,6 @@
             return
         finally:
             for position in (StorePosition(0, 0), state.position):
-                decode_delta(encode_delta(state.delta_after(position)))
+                await decode_delta(encode_delta(state.delta_after(position)))
             state.servers.record_announced_draining([1], "peer 10.0.0.2")
             decode_hello(encode_hello(hello(position=state.position)))
