Count the headers of callers in the budget of their requests

Callers: an entry that many connections send headers to, or that runs many requests with large ones, could run out of memory, and with it the requests of all others would be lost. Cause: the account of a request counted its body only. Bytes of an incomplete header were counted nowhere, and those of a complete one neither while its request was in progress. Change: a connection's incomplete input counts from the begin of a request, with what was read before, and the header until the response is sent. The largest incomplete request is refused beyond the bound, as before, now also during its header. Bytes of a pipelined request don't count while another one is in progress: the account would end the request that runs.

--- a/packages/proxy/src/sassafrastally/proxy/caller_listener.py
+++ b/packages/proxy/src/sassafrastally/proxy/caller_listener.py
@@ -105,8 +105,8 @@
             most_buffered_bytes(settings.memory_mb)
         )
         """Callers whose writes are in progress."""
-        self._bodies = InputBudget(most_held_bytes(settings.memory_mb))
-        """Bodies of requests that are read or in progress. Callers have a budget of their own:
+        self._requests = InputBudget(most_held_bytes(settings.memory_mb))
+        """Requests that are read or in progress. Callers have a budget of their own:
         theirs must not end the responses of backend servers."""
         self._settings = settings
         self._dialect = dialect
@@ -226,7 +226,8 @@
             self.open_requests -= 1
 
     async def _serve_begun_request(self, connection: HttpStream) -> bool:
-        with self._bodies.account() as account:
+        with self._requests.account() as account:
+            connection.charge(account)
             return await self._serve_accounted(connection, account)
 
     async def _serve_accounted(self, connection: HttpStream, account: InputAccount) -> bool:
--- a/packages/proxy/src/sassafrastally/proxy/http_stream.py
+++ b/packages/proxy/src/sassafrastally/proxy/http_stream.py
@@ -122,8 +122,9 @@
         self._interim_bytes = 0
 
     def charge(self, account: InputAccount) -> None:
-        """Count what is held of the next response in an account."""
+        """Count what is held of the next message in an account, with what is there of it."""
         self.account, self._held_bytes = account, 0
+        self._has_uncounted_rest = True
 
     async def receive(self) -> h11.Event | type[h11.PAUSED]:
         """Return the next event; nothing is lost if it is cancelled.
--- a/packages/proxy/src/sassafrastally/proxy/refusals.py
+++ b/packages/proxy/src/sassafrastally/proxy/refusals.py
@@ -63,7 +63,7 @@
 BODIES_FULL = Refusal(
     "bodies-full",
     503,
-    "This entry holds too many bodies of requests, others take the request. It has not run.",
+    "This entry holds too many bytes of requests, others take the request. It has not run.",
 )
 QUARANTINED = Refusal(
     "quarantined",
--- a/packages/proxy/src/sassafrastally/proxy/request_reader.py
+++ b/packages/proxy/src/sassafrastally/proxy/request_reader.py
@@ -11,6 +11,7 @@
 from sassafrastally.proxy.cpu_overload import read_until
 from sassafrastally.proxy.dialect import DocumentInvalid
 from sassafrastally.proxy.http_stream import ConnectionLost
+from sassafrastally.proxy.input_limits import InputAccount, InputBudget
 
 # Runtime import: Refusal is a field type of a named tuple.
 from sassafrastally.proxy.refusals import (
@@ -24,7 +25,6 @@
 if TYPE_CHECKING:
     from sassafrastally.proxy.dialect import Dialect, Headers
     from sassafrastally.proxy.http_stream import HttpStream
-    from sassafrastally.proxy.input_limits import InputAccount
     from sassafrastally.proxy.model import RequestLimits
 
 
@@ -49,7 +49,7 @@
     dialect
         Translates headers.
     account
-        Where the bytes of the body are counted.
+        Where the bytes of header and body are counted.
     arrived_s
         When the first bytes of the request were received.
     """
@@ -98,6 +98,7 @@
             if not isinstance(event, h11.Request):
                 return None
             self._head = event
+            self._account.add(_header_size(event))
         if (rejected := self._check_head(self._head)) is not None:
             return rejected
         if self._connection.http.they_are_waiting_for_100_continue:
@@ -130,6 +131,8 @@
             else:
                 raise ConnectionLost("connection closed before the end of the request")
         self._account.keep()
+        # A pipelined request that is held meanwhile must not end the one in progress.
+        self._connection.charge(InputAccount(InputBudget()))
         headers: Headers = list(head.headers)
         try:
             facts = self._dialect.decode_request(headers)
