Count large responses that are written to blocked callers with their size

Callers: a few callers that ask for responses of megabytes and don't read them could take an entry's memory, and with it the requests of all others. Cause: the bound for blocked callers counted each of them with the buffers of a stream, 256 KB. A complete response is held as a whole until it is written, and its encoded copy beside it. Change: a write counts with the size of what is held until it ends, at least 256 KB. Beyond an eighth of the memory, the caller that has been blocked for longest is disconnected, as before. The body isn't copied to encode it: its pieces are written as they are. Measured: with 152 MB, the fifth blocked response of 4 MB disconnects the first one. Both new tests are red if each write counts with 256 KB.

Still not bounded by bytes: callers that take 16 KB more often than every 0.25 s don't count as blocked, however large their responses. Their requests' time limits bound them.

--- a/packages/proxy/src/sassafrastally/proxy/http_stream.py
+++ b/packages/proxy/src/sassafrastally/proxy/http_stream.py
@@ -236,7 +236,11 @@
 
     def encode(self, *events: h11.Event) -> bytes:
         """Return the bytes of events to send."""
-        return b"".join(self.http.send(event) or b"" for event in events)
+        return b"".join(self.encode_parts(*events))
+
+    def encode_parts(self, *events: h11.Event) -> list[bytes]:
+        """Return the bytes of each event to send; those of a body of known length aren't copied."""
+        return [self.http.send(event) or b"" for event in events]
 
     async def send_bytes(self, data: bytes) -> None:
         """Send bytes that h11 has encoded; raises `ConnectionLost`."""
--- a/packages/proxy/src/sassafrastally/proxy/reply.py
+++ b/packages/proxy/src/sassafrastally/proxy/reply.py
@@ -14,7 +14,7 @@
 from sassafrastally.proxy.time_limit import TimeLimit
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterator, Sequence
 
     from sassafrastally.proxy.dialect import Headers
     from sassafrastally.proxy.http_stream import HttpStream
@@ -116,18 +116,19 @@
         Neither the time limit nor the end of the process cuts them: a caller can't tell a part of a
         response from a broken one, and bytes that aren't sent can't be taken back from h11.
         """
-        data = self._connection.encode(*events)
+        parts = self._connection.encode_parts(*events)
+        response_bytes = sum(map(len, parts))
         with self.limit.writing() as scope:
-            for begin in range(0, len(data), WRITE_BYTES):
-                await self._write(data[begin : begin + WRITE_BYTES])
+            for data in _writes(parts):
+                await self._write(data, response_bytes)
         if scope.cancelled_caught:
             await trio.lowlevel.checkpoint_if_cancelled()  # If the caller has left.
             raise CallerBlocked("it hadn't read everything when its time was over")
 
-    async def _write(self, data: bytes) -> None:
+    async def _write(self, data: bytes, response_bytes: int) -> None:
         now_s = trio.current_time()
         with trio.move_on_after(self.write_timeout_s) as scope:
-            longest_blocked = self._blocked_callers.begin(scope, now_s)
+            longest_blocked = self._blocked_callers.begin(scope, now_s, response_bytes)
             if longest_blocked is not None:
                 longest_blocked.cancel()
             try:
@@ -146,6 +147,19 @@
         return h11.Response(status_code=status, headers=headers)
 
 
+def _writes(parts: Sequence[bytes]) -> Iterator[bytes]:
+    """Yield the bytes of all parts in pieces of one write, without a copy of a whole part."""
+    pending = bytearray()
+    for part in parts:
+        for begin in range(0, len(part), WRITE_BYTES):
+            pending += part[begin : begin + WRITE_BYTES]
+            if len(pending) >= WRITE_BYTES:
+                yield bytes(pending[:WRITE_BYTES])
+                del pending[:WRITE_BYTES]
+    if pending:
+        yield bytes(pending)
+
+
 def _end_to_end_headers(headers: Headers) -> Headers:
     return [(name, value) for name, value in headers if name not in CONNECTION_HEADERS]
 
--- a/packages/proxy/src/sassafrastally/proxy/slow_readers/blocked_callers.py
+++ b/packages/proxy/src/sassafrastally/proxy/slow_readers/blocked_callers.py
@@ -2,20 +2,21 @@
 
 While a write to a caller is blocked, nothing is read from its backend server, so that the buffers
 of both connections bound what is held for the caller. On an entry with 152 MB, sixty callers that
-don't read would nevertheless take an eighth of the memory.
+don't read would nevertheless take an eighth of the memory, and so would five with complete
+responses of four megabytes.
 """
 
 from __future__ import annotations
 
 import math
 from collections.abc import Hashable
-from typing import Generic, TypeVar
+from typing import Generic, NamedTuple, TypeVar
 
 Caller = TypeVar("Caller", bound=Hashable)
 
 CALLER_BUFFER_BYTES = 262_144
-"""Bound of what is held for one caller: the buffers of its connection and of the server's
-connection, and one chunk in between."""
+"""Bound of what is held for one caller of a stream: the buffers of its connection and of the
+server's connection, and one chunk in between. A complete response may be larger."""
 
 MEMORY_SHARE = 8
 """What is held for all blocked callers together may take one part in this many of the memory."""
@@ -29,6 +30,11 @@
     return memory_mb * 1_000_000 / MEMORY_SHARE if memory_mb > 0 else math.inf
 
 
+class _Write(NamedTuple):
+    begun_s: float
+    held_bytes: int
+
+
 class BlockedCallers(Generic[Caller]):
     """Callers whose writes are in progress, in the order in which these began.
 
@@ -39,21 +45,35 @@
     """
 
     def __init__(self, most_bytes: float = math.inf) -> None:
-        self._most_callers = max(1.0, most_bytes // CALLER_BUFFER_BYTES)
-        self._begun_s: dict[Caller, float] = {}
-
-    def begin(self, caller: Caller, now_s: float) -> Caller | None:
-        """Record that a write begins; return the caller to disconnect for it, if any."""
-        longest = next(iter(self._begun_s), None)
-        self._begun_s[caller] = now_s
-        if longest is None or len(self._begun_s) <= self._most_callers:
+        self._most_bytes = most_bytes
+        self._held_bytes = 0
+        self._writes: dict[Caller, _Write] = {}
+
+    def begin(self, caller: Caller, now_s: float, response_bytes: int = 0) -> Caller | None:
+        """Record that a write begins; return the caller to disconnect for it, if any.
+
+        Parameters
+        ----------
+        caller
+            Identifies the write.
+        now_s
+            Present time.
+        response_bytes
+            Size of the part of the response that is held until it is written as a whole.
+        """
+        longest = next(iter(self._writes), None)
+        write = _Write(now_s, max(CALLER_BUFFER_BYTES, response_bytes))
+        self._writes[caller] = write
+        self._held_bytes += write.held_bytes
+        if longest is None or self._held_bytes <= self._most_bytes:
             return None
-        return longest if now_s - self._begun_s[longest] >= MIN_BLOCKED_S else None
+        return longest if now_s - self._writes[longest].begun_s >= MIN_BLOCKED_S else None
 
     def end(self, caller: Caller) -> None:
         """Record that a write has ended."""
-        self._begun_s.pop(caller, None)
+        if write := self._writes.pop(caller, None):
+            self._held_bytes -= write.held_bytes
 
     def count(self, now_s: float) -> int:
         """Return the number of blocked callers."""
-        return sum(now_s - begun_s >= MIN_BLOCKED_S for begun_s in self._begun_s.values())
+        return sum(now_s - write.begun_s >= MIN_BLOCKED_S for write in self._writes.values())
--- a/packages/testing/tests/platform/test_slow_readers.py
+++ b/packages/testing/tests/platform/test_slow_readers.py
@@ -10,6 +10,7 @@
 
 from sassafrastally.proxy.caller_listener import CallerListener
 from sassafrastally.proxy.http_stream import HttpStream, limit_send_buffer
+from sassafrastally.proxy.input_limits import MAX_BODY_BYTES
 from sassafrastally.proxy.reply import CallerBlocked, Reply
 from sassafrastally.proxy.slow_readers import (
     CALLER_BUFFER_BYTES,
@@ -46,17 +47,35 @@
         await trio.aclose_forcefully(one)
 
 
+class UnreadStream(trio.abc.SendStream):
+    """A stream that never takes any bytes."""
+
+    async def send_all(self, data) -> None:
+        await trio.sleep_forever()
+
+    async def wait_send_all_might_not_block(self) -> None:
+        await trio.sleep_forever()
+
+    async def aclose(self) -> None:
+        await trio.lowlevel.checkpoint()
+
+
 async def begun_reply(stream: trio.abc.Stream, blocked_callers: BlockedCallers) -> Reply:
     """Return a reply whose header was sent, with a timeout of 0.5 s."""
-    connection = HttpStream(stream, h11.SERVER)
-    connection.http.receive_data(b"GET / HTTP/1.1\r\nhost: a\r\n\r\n")
-    await connection.receive()
-    reply = Reply(connection, lambda: False, blocked_callers)
+    reply = await new_reply(stream, blocked_callers)
     reply.write_timeout_s = 0.5
     await reply.begin(200, [])
     return reply
 
 
+async def new_reply(stream: trio.abc.Stream, blocked_callers: BlockedCallers) -> Reply:
+    """Return a reply to a request that was read."""
+    connection = HttpStream(stream, h11.SERVER)
+    connection.http.receive_data(b"GET / HTTP/1.1\r\nhost: a\r\n\r\n")
+    await connection.receive()
+    return Reply(connection, lambda: False, blocked_callers)
+
+
 class TestOneCaller:
     """Bounds for a single caller."""
 
@@ -124,6 +143,41 @@
         blocked: BlockedCallers[int] = BlockedCallers(CALLER_BUFFER_BYTES)
         assert not any(blocked.begin(number, 0.0) is not None for number in range(100))
 
+    def test_complete_responses_count_with_their_size(self):
+        """Guards against an entry that runs out of memory with a few large responses to callers
+        that don't read, each of which counted like the buffers of a stream."""
+        blocked: BlockedCallers[str] = BlockedCallers(most_buffered_bytes(152))
+        for number in range(4):
+            assert blocked.begin(f"plain-{number}", 0.1 * number, MAX_BODY_BYTES) is None
+        assert blocked.begin("plain-4", 1.0, MAX_BODY_BYTES) == "plain-0"
+        blocked.end("plain-0")
+        assert blocked.begin("stream", 1.0) is None
+        assert blocked.begin("plain-5", 1.0, MAX_BODY_BYTES) == "plain-1"
+
+    async def test_response_of_the_longest_blocked_caller_is_cut(self):
+        """Guards against large responses that are held for any number of callers."""
+        body = b"x" * 1_000_000
+        blocked: BlockedCallers = BlockedCallers(2.5 * len(body))
+        replies, cut = [], []
+
+        async def send(number: int) -> None:
+            reply = await new_reply(UnreadStream(), blocked)
+            replies.append(reply)
+            try:
+                await reply.send_complete(200, [], body)
+            except CallerBlocked:
+                cut.append(number)
+
+        async with trio.open_nursery() as nursery:
+            try:
+                for number in range(4):
+                    nursery.start_soon(send, number)
+                    await trio.sleep(0.3)
+                    assert cut == list(range(max(0, number - 1)))
+            finally:
+                for reply in replies:  # Nothing else ends a write that has begun.
+                    reply.abandon()
+
     def test_bound_is_an_eighth_of_the_memory_if_known(self):
         assert most_buffered_bytes(160) == 20_000_000
         assert most_buffered_bytes(0) == float("inf")
