--- a/packages/proxy/src/sassafrastally/proxy/reply.py
+++ b/packages/proxy/src/sassafrastally/proxy/reply.py
@@ -14,7 +14,7 @@
 from sassafrastally.proxy.time_limit import TimeLimit
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterator, Sequence
 
     from sassafrastally.proxy.dialect import Headers
     from sassafrastally.proxy.http_stream import HttpStream
@@ -117,27 +117,27 @@
         part of a response from a broken one, and what h11 has encoded can't be taken back. A
         response that is complete isn't cancelled any more, so that it is recorded.
         """
-        unsent = bytearray(self._connection.encode(*events))
+        unsent = _Unsent(self._connection.encode_parts(*events))
         try:
             await self._write_all(unsent)
         except trio.Cancelled:
             with trio.CancelScope(deadline=trio.current_time() + LAST_WRITE_S, shield=True):
                 await self._write_all(unsent)
-            if unsent or not isinstance(events[-1], h11.EndOfMessage):
+            if unsent.piece or not isinstance(events[-1], h11.EndOfMessage):
                 raise
 
-    async def _write_all(self, unsent: bytearray) -> None:
+    async def _write_all(self, unsent: _Unsent) -> None:
         """Write bytes and remove those that are written."""
-        while unsent:
-            written = await self._write(bytes(unsent[:WRITE_BYTES]))
+        while unsent.piece:
+            written = await self._write(unsent.piece, unsent.response_bytes)
             self.sent_bytes += written
-            del unsent[:written]
+            unsent.remove(written)
 
-    async def _write(self, data: bytes) -> int:
-        """Write some bytes and return how many."""
+    async def _write(self, data: bytes, response_bytes: int) -> int:
+        """Write some bytes of a response of a size and return how many."""
         now_s = trio.current_time()
         with trio.move_on_after(self.write_timeout_s) as scope:
-            longest_blocked = self._blocked_callers.begin(scope, now_s)
+            longest_blocked = self._blocked_callers.begin(scope, now_s, response_bytes)
             if longest_blocked is not None:
                 longest_blocked.cancel()
             try:
@@ -154,6 +154,40 @@
         return h11.Response(status_code=status, headers=headers)
 
 
+class _Unsent:
+    """Encoded bytes that aren't written yet, in pieces of one write.
+
+    Parameters
+    ----------
+    parts
+        The bytes; a large part isn't copied as a whole.
+    """
+
+    def __init__(self, parts: Sequence[bytes]) -> None:
+        self.response_bytes = sum(map(len, parts))
+        """Size of all parts."""
+        self._writes = _writes(parts)
+        self.piece = next(self._writes, b"")
+        """The next bytes to write; empty after the last ones."""
+
+    def remove(self, written: int) -> None:
+        """Remove bytes of the piece that are written."""
+        self.piece = self.piece[written:] or next(self._writes, b"")
+
+
+def _writes(parts: Sequence[bytes]) -> Iterator[bytes]:
+    """Yield the bytes of all parts in pieces of one write, without a copy of a whole part."""
+    pending = bytearray()
+    for part in parts:
+        for begin in range(0, len(part), WRITE_BYTES):
+            pending += part[begin : begin + WRITE_BYTES]
+            if len(pending) >= WRITE_BYTES:
+                yield bytes(pending[:WRITE_BYTES])
+                del pending[:WRITE_BYTES]
+    if pending:
+        yield bytes(pending)
+
+
 def _end_to_end_headers(headers: Headers) -> Headers:
     return [(name, value) for name, value in headers if name not in CONNECTION_HEADERS]
 
--- a/packages/proxy/src/sassafrastally/proxy/request_reader.py
+++ b/packages/proxy/src/sassafrastally/proxy/request_reader.py
@@ -49,7 +49,7 @@
     dialect
         Translates headers.
     account
-        Where the bytes of the body are counted.
+        Where the bytes of header and body are counted.
     arrived_s
         When the first bytes of the request were received.
     """
