--- a/packages/testing/src/sassafrastally/testing/soak/fleet.py
+++ b/packages/testing/src/sassafrastally/testing/soak/fleet.py
@@ -134,6 +134,8 @@
         """When servers were cold again."""
         self.stalls: list[HarmedSpan] = []
         """When entries stood still, by their numbers."""
+        self.stalled_entries: set[int] = set()
+        """Entries of a trouble that lets them stand still; a second one would do so for longer."""
         self.nursery = nursery
         self._folder = folder
         self._in_rotation: dict[int, bool] = {}
--- a/packages/testing/src/sassafrastally/testing/soak/stalling.py
+++ b/packages/testing/src/sassafrastally/testing/soak/stalling.py
@@ -66,7 +66,8 @@
 async def stall_entries(fleet: SoakFleet) -> None:
     """Let entries stand still, several times in a row, while servers answer late."""
     numbers = some_entries(fleet, fleet.random.choice(STALLED_SHARES))
-    free = [number for number in numbers if not _is_stalled(fleet, number)]
+    free = set(numbers) - fleet.stalled_entries
+    fleet.stalled_entries |= free
     share = fleet.random.choice(HELD_SHARES)
     servers = fleet.random.sample(fleet.servers, max(1, round(share * len(fleet.servers))))
     silences = [server.replica.silence for server in servers]
@@ -80,8 +81,9 @@
     # Requests that are held come near their limit while the entries stand still.
     await trio.sleep(fleet.random.uniform(0.0, WAIT_S))
     async with trio.open_nursery() as nursery:
-        for number in free:
+        for number in sorted(free):
             nursery.start_soon(_stall_entry, fleet, number)
+    fleet.stalled_entries -= free
     fleet.time_left_s = TIME_LEFT_S
     for silence in silences:
         silence.place = silence.before_limit_s = None
@@ -110,14 +112,6 @@
             await trio.sleep(fleet.random.uniform(*RUN_S))
 
 
-def _is_stalled(fleet: SoakFleet, number: int) -> bool:
-    """Return whether an entry is another trouble's, which would let it run too soon."""
-    return any(
-        span.name == STALLED and span.end_s == math.inf and number in (span.entries or ())
-        for span in fleet.record.spans
-    )
-
-
 def _next_limit_s(fleet: SoakFleet, number: int) -> float | None:
     """Return when the time of one of an entry's requests ends, chosen from those that end soon."""
     earliest_s = trio.current_time() + STALL_S[1]
