Tests of requests that lie in the sockets of an entry process when it runs again

Real entry processes: the rest of a request that arrives in a stall over its header's limit; new and kept connections of an entry that stops and stands still when it ends to accept and when it closes what is idle.

--- a/packages/testing/tests/soak/test_stalled_entry.py
+++ b/packages/testing/tests/soak/test_stalled_entry.py
@@ -11,13 +11,17 @@
 import h11
 import trio
 
-from sassafrastally.proxy.caller_listener import KILL_MARGIN_S
+from sassafrastally.proxy.caller_listener import (
+    ACCEPT_AFTER_SIGNAL_S,
+    KILL_MARGIN_S,
+    LAST_REQUEST_AFTER_SIGNAL_S,
+)
 from sassafrastally.proxy.http_stream import ConnectionLost, HttpStream, connect
-from sassafrastally.stand_ins.caller_requests import exchange_on, request_fields
+from sassafrastally.stand_ins.caller_requests import exchange_on, read_response, request_fields
 from sassafrastally.stand_ins.documents import make_configuration, make_route, make_services
 from sassafrastally.stand_ins.platform_fleet import platform_fleet
 from sassafrastally.stand_ins.silence import SilencePlace
-from sassafrastally.testing.soak.entry_process import EntryProcess
+from sassafrastally.testing.soak.entry_process import STOP_TIME_S, EntryProcess
 
 LIMIT_S = 1.2
 """Time from the requests to the limit: callers' time, or the end of the entry's drain."""
@@ -177,18 +181,53 @@
             if stops:
                 await trio.sleep_until(limit_s - DRAIN_S)
                 self.entry.signal(signal.SIGTERM)
-            await trio.sleep_until(limit_s - STALL_BEFORE_S)
-            self.entry.signal(signal.SIGSTOP)
-            await trio.sleep_until(limit_s + STALL_AFTER_S)
-            self.entry.signal(signal.SIGCONT)
+            await self.stall(limit_s)
             runs_again_s = trio.current_time()
         return [one._replace(late_s=one.ended_s - max(limit_s, runs_again_s)) for one in outcomes]
 
+    async def stall(self, limit_s: float) -> None:
+        """Let the entry stand still around a limit."""
+        await trio.sleep_until(limit_s - STALL_BEFORE_S)
+        self.entry.signal(signal.SIGSTOP)
+        await trio.sleep_until(limit_s + STALL_AFTER_S)
+        self.entry.signal(signal.SIGCONT)
+
+    async def connect(self) -> HttpStream:
+        """Open a caller's connection."""
+        return HttpStream(await connect(self.entry.callers_address, 1.0), h11.CLIENT)
+
+    async def send(self, connection: HttpStream, at_s: float, *, sent_bytes: int = 0) -> int:
+        """Send a request, or what is left of it, at some time; return the status of its answer.
+
+        Parameters
+        ----------
+        connection
+            The caller's connection.
+        at_s
+            The time.
+        sent_bytes
+            What is sent before.
+        """
+        fields = {**request_fields(), "Content-Length": "2"}
+        head = h11.Request(method="POST", target="/look/x", headers=list(fields.items()))
+        data = connection.encode(head, h11.Data(data=b"{}"), h11.EndOfMessage())
+        if sent_bytes:
+            await connection.send_bytes(data[:sent_bytes])
+        await trio.sleep_until(at_s)
+        try:
+            await connection.send_bytes(data[sent_bytes:])
+            answer = await read_response(connection)
+        except ConnectionLost:
+            return 0
+        finally:
+            await connection.close()
+        return answer.status if answer.is_whole else 0
+
     async def _call(self, kind: Kind, time_left_s: float, drain_end_s: float) -> Outcome:
         prompt = PROMPT if kind.is_stream else None
         request_id = secrets.token_hex(8)
         fields = request_fields(prompt=prompt, request_id=request_id, time_left_s=time_left_s)
-        connection = HttpStream(await connect(self.entry.callers_address, 1.0), h11.CLIENT)
+        connection = await self.connect()
         try:
             answer = await exchange_on(connection, "POST", kind.path, fields, b"{}")
         finally:
@@ -202,10 +241,9 @@
 
 
 @asynccontextmanager
-async def stalled_entry(folder, host):
+async def stalled_entry(folder, host, stop_time_s=DRAIN_S + KILL_MARGIN_S):
     """Run an entry that serves each kind."""
     async with platform_fleet() as fleet:
-        stop_time_s = DRAIN_S + KILL_MARGIN_S
         entry = EntryProcess(1, host, folder, 22_000, fleet.store_address, stop_time_s)
         stalled = StalledEntry(fleet, entry)
         try:
@@ -259,3 +297,60 @@
             outcomes = await stalled.play(COUNTS, before_limit_s=-SILENT_SERVER_S)
         assert {one.status for one in outcomes} == {504}
         assert all(one.is_whole and one.late_s < LATE_S + BUSY_S for one in outcomes)
+
+
+class TestArrivedRequest:
+    """Requests that lie in the entry's sockets when it runs again, after a limit of connections."""
+
+    CALLERS = 4
+
+    async def send_all(self, stalled, at_s: float, **options) -> list[int]:
+        """Send a request on each of several new connections; return the statuses."""
+        statuses = []
+
+        async def send() -> None:
+            statuses.append(await stalled.send(await stalled.connect(), at_s, **options))
+
+        async with trio.open_nursery() as nursery:
+            for _ in range(self.CALLERS):
+                nursery.start_soon(send)
+        return statuses
+
+    async def test_is_answered_after_the_limit_of_its_header(self, tmp_path, own_host):
+        """Guards against 408 for a request whose rest has arrived while the entry didn't run."""
+        header_time_s = make_configuration(1)["limits"]["headerTimeoutMs"] / 1000
+        async with stalled_entry(tmp_path, own_host) as stalled, trio.open_nursery() as nursery:
+            limit_s = trio.current_time() + header_time_s
+            nursery.start_soon(stalled.stall, limit_s)
+            statuses = await self.send_all(stalled, limit_s - CERTAIN_S, sent_bytes=60)
+        assert statuses == [200] * self.CALLERS
+
+    async def test_is_answered_by_an_entry_that_stops(self, tmp_path, own_host):
+        """Guards against connections that are closed with a request unread: new ones when the
+        entry stops to accept, open ones when it closes those that are idle."""
+        async with stalled_entry(tmp_path, own_host, STOP_TIME_S) as stalled:
+            stop_s = trio.current_time() + BEFORE_LIMIT_S
+            kept = [await stalled.connect() for _ in range(self.CALLERS)]
+            statuses = []
+
+            async def send_kept(connection: HttpStream) -> None:
+                at_s = stop_s + LAST_REQUEST_AFTER_SIGNAL_S - CERTAIN_S
+                statuses.append(await stalled.send(connection, at_s))
+
+            async def send_new() -> None:
+                accepts_s = stop_s + ACCEPT_AFTER_SIGNAL_S
+                await trio.sleep_until(accepts_s - STALL_BEFORE_S / 2)
+                statuses.extend(await self.send_all(stalled, accepts_s - CERTAIN_S))
+
+            async with trio.open_nursery() as nursery:
+                await trio.sleep_until(stop_s)
+                stalled.entry.signal(signal.SIGTERM)
+                for connection in kept:
+                    nursery.start_soon(send_kept, connection)
+                nursery.start_soon(send_new)
+                # The second stall begins as soon as the entry has noticed the first one.
+                await stalled.stall(stop_s + ACCEPT_AFTER_SIGNAL_S)
+                await stalled.stall(stop_s + LAST_REQUEST_AFTER_SIGNAL_S)
+        # An entry that has just stood still may refuse for overload.
+        assert len(statuses) == 2 * self.CALLERS
+        assert set(statuses) <= {200, 503}
