--- a/packages/proxy/src/sassafrastally/proxy/answer.py
+++ b/packages/proxy/src/sassafrastally/proxy/answer.py
@@ -30,6 +30,12 @@
 
 T = TypeVar("T")
 
+SILENT_SHARE = 0.5
+"""A server that has sent nothing for this share of the limit is silent, rather than busy with an
+event that never ends."""
+
+NO_EVENT_DETAIL = "bytes kept coming, but no event was complete before the timeout"
+
 TIMEOUT_DETAIL = "no data arrived before the timeout"
 INCOMPLETE_HEADER_DETAIL = "the response header wasn't complete before the timeout"
 
--- a/packages/proxy/src/sassafrastally/proxy/answer_events.py
+++ b/packages/proxy/src/sassafrastally/proxy/answer_events.py
@@ -8,7 +8,12 @@
 import trio
 
 from sassafrastally.core import EventTooLong
-from sassafrastally.proxy.answer import AttemptUnknown, read_in_time
+from sassafrastally.proxy.answer import (
+    NO_EVENT_DETAIL,
+    SILENT_SHARE,
+    AttemptUnknown,
+    read_in_time,
+)
 from sassafrastally.proxy.event_stream import EventSplitter, StreamEvent, carries_events
 from sassafrastally.proxy.input_limits import (
     MAX_EVENT_BYTES,
@@ -25,12 +30,6 @@
 SPLIT_BYTES = 4096
 """Number of bytes that are split at once: they hold at most some thousand events."""
 
-SILENT_SHARE = 0.5
-"""A server that has sent nothing for this share of the limit is silent, rather than busy with an
-event that never ends."""
-
-NO_EVENT_DETAIL = "bytes kept coming, but no event was complete before the timeout"
-
 
 class AnswerEvents:
     """The events of a response.
--- a/packages/proxy/src/sassafrastally/proxy/request_reader.py
+++ b/packages/proxy/src/sassafrastally/proxy/request_reader.py
@@ -102,10 +102,10 @@
             event = await self._connection.receive()
             if not isinstance(event, h11.Request):
                 return None
-            if (rejected := self._check_head(event)) is not None:
-                return rejected
-            self._account.add(_header_size(event))
             self._head = event
+            self._account.add(_header_size(event))
+        if (rejected := self._check_head(self._head)) is not None:
+            return rejected
         if self._connection.http.they_are_waiting_for_100_continue:
             await self._connection.send(h11.InformationalResponse(status_code=100, headers=[]))
         return await self._read_body(self._head)
--- a/packages/proxy/src/sassafrastally/proxy/silence_watch.py
+++ b/packages/proxy/src/sassafrastally/proxy/silence_watch.py
@@ -8,8 +8,12 @@
 import h11
 import trio
 
-from sassafrastally.proxy.answer import INCOMPLETE_HEADER_DETAIL, TIMEOUT_DETAIL
-from sassafrastally.proxy.answer_events import NO_EVENT_DETAIL, SILENT_SHARE
+from sassafrastally.proxy.answer import (
+    INCOMPLETE_HEADER_DETAIL,
+    NO_EVENT_DETAIL,
+    SILENT_SHARE,
+    TIMEOUT_DETAIL,
+)
 from sassafrastally.proxy.cpu_overload import due_after_delay_s, sleep_until_read
 from sassafrastally.proxy.failover_decision import RECHECK_INTERVAL_S, Silence, next_check_s
 
