--- a/packages/core/src/sassafrastally/core/late_limits.py
+++ b/packages/core/src/sassafrastally/core/late_limits.py
@@ -16,8 +16,8 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
-LATE_TIMER_S = 0.02
-"""Delay above which a timer counts as late. Turns of an event loop that isn't delayed take a few
+LATE_TIMER_S = 0.005
+"""Delay above which a timer counts as late. Turns of an event loop that isn't delayed take some
 milliseconds."""
 
 LAST_READ_S = 0.1
