--- a/packages/proxy/src/sassafrastally/proxy/cpu_overload/__init__.py
+++ b/packages/proxy/src/sassafrastally/proxy/cpu_overload/__init__.py
@@ -14,6 +14,8 @@
     StepTimeout,
     due_after_delay_s,
     last_read_s,
+    read_until,
+    sleep_until_read,
 )
 from sassafrastally.proxy.cpu_overload.stream_limit import StreamLimit, shed_retry_delay_s
 
@@ -28,5 +30,7 @@
     "due_after_delay_s",
     "is_crowded",
     "last_read_s",
+    "read_until",
     "shed_retry_delay_s",
+    "sleep_until_read",
 ]
