Read what has arrived also when a limit passed less than 0.1 s ago

What callers see: an entry that stands still until 0.07 s after a limit answers 408 to a request that lies whole in its socket, closes idle and kept connections with a request in them, and resets connections in its accept queue when it stops.

Cause: `last_read_s` of the proxy took a timer for late only after 0.1 s, the delay that counts as overload of an entry. The core has the same function with 20 ms; the proxy's is gone and its users take the core's. `due_after_delay_s`, which moves servers' time, keeps its threshold. Attempts and silence watches read 0.1 s longer after timers that are 20 to 100 ms late.

--- a/packages/proxy/src/sassafrastally/proxy/cpu_overload/__init__.py
+++ b/packages/proxy/src/sassafrastally/proxy/cpu_overload/__init__.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from sassafrastally.core.late_limits import LAST_READ_S
+from sassafrastally.core.late_limits import LAST_READ_S, last_read_s
 from sassafrastally.proxy.cpu_overload.crowding import is_crowded
 from sassafrastally.proxy.cpu_overload.lag_window import (
     MAX_LAG_S,
@@ -13,7 +13,6 @@
 from sassafrastally.proxy.cpu_overload.late_timeouts import (
     StepTimeout,
     due_after_delay_s,
-    last_read_s,
     read_until,
     sleep_until_read,
 )
--- a/packages/proxy/src/sassafrastally/proxy/cpu_overload/late_timeouts.py
+++ b/packages/proxy/src/sassafrastally/proxy/cpu_overload/late_timeouts.py
@@ -13,7 +13,7 @@
 
 import trio
 
-from sassafrastally.core.late_limits import LAST_READ_S, MAX_LAST_READS
+from sassafrastally.core.late_limits import LAST_READ_S, MAX_LAST_READS, last_read_s
 from sassafrastally.proxy.cpu_overload.lag_window import MAX_LAG_S
 
 if TYPE_CHECKING:
@@ -22,11 +22,6 @@
 T = TypeVar("T")
 
 
-def last_read_s(due_s: float, now_s: float) -> float:
-    """Return how long to read once more after a timeout has expired; 0 if its timer was on time."""
-    return LAST_READ_S if now_s - due_s > MAX_LAG_S else 0.0
-
-
 def due_after_delay_s(due_s: float, begin_s: float, sent_s: float) -> float:
     """Return when a response is due whose request was sent later than planned.
 
--- a/packages/testing/tests/platform/test_late_limits.py
+++ b/packages/testing/tests/platform/test_late_limits.py
@@ -22,6 +22,9 @@
 HEADER_LIMIT_S = make_configuration(1)["limits"]["headerTimeoutMs"] / 1000
 IDLE_LIMIT_S = make_configuration(1)["limits"]["idleTimeoutMs"] / 1000
 
+STALLS_S = [0.12, 0.3]
+"""How long the entry doesn't run: to 0.07 s after a limit, or longer than an overload's delays."""
+
 
 @pytest.fixture
 def seed():
@@ -55,9 +58,10 @@
     """Requests whose time to be sent passes."""
 
     @pytest.mark.parametrize("stalled_ms", range(-8, 8))
+    @pytest.mark.parametrize("stalled_s", STALLS_S)
     @pytest.mark.parametrize("body_bytes", [20, 90_000])
     async def test_that_have_arrived_are_served(
-        self, autojump_clock, fleet, body_bytes, stalled_ms
+        self, autojump_clock, fleet, body_bytes, stalled_s, stalled_ms
     ):
         """Guards against 408 for a request that lies whole in the entry's socket."""
         caller = await fleet.connect()
@@ -66,7 +70,7 @@
         await caller.stream.send_all(data[:100])
         async with trio.open_nursery() as nursery:
             sent_s = begin_s + HEADER_LIMIT_S - 0.05
-            nursery.start_soon(stall, autojump_clock, sent_s + stalled_ms / 1000, 0.3)
+            nursery.start_soon(stall, autojump_clock, sent_s + stalled_ms / 1000, stalled_s)
             await trio.sleep_until(sent_s)
             await caller.stream.send_all(data[100:])
             answer = await read_response(caller)
@@ -124,7 +128,10 @@
     """Connections on which no request has come for as long as they may be kept."""
 
     @pytest.mark.parametrize("stalled_ms", range(-8, 8))
-    async def test_request_that_has_arrived_is_answered(self, autojump_clock, fleet, stalled_ms):
+    @pytest.mark.parametrize("stalled_s", STALLS_S)
+    async def test_request_that_has_arrived_is_answered(
+        self, autojump_clock, fleet, stalled_s, stalled_ms
+    ):
         """Guards against a connection that is closed with a request in its socket: its idle time
         passes while the entry doesn't run."""
         caller = await fleet.connect()
@@ -132,7 +139,7 @@
         caller.http.start_next_cycle()
         async with trio.open_nursery() as nursery:
             sent_s = trio.current_time() + IDLE_LIMIT_S - 0.05
-            nursery.start_soon(stall, autojump_clock, sent_s + stalled_ms / 1000, 0.3)
+            nursery.start_soon(stall, autojump_clock, sent_s + stalled_ms / 1000, stalled_s)
             await trio.sleep_until(sent_s)
             answer = await exchange_on(caller, "POST", "/look/x", request_fields(), b"")
         await caller.close()
@@ -150,7 +157,7 @@
     """An entry that stops and doesn't run for a while."""
 
     @pytest.mark.parametrize("stalled_ms", range(-8, 5))
-    @pytest.mark.parametrize("stalled_s", [0.3, 4.0, 4.8])
+    @pytest.mark.parametrize("stalled_s", [*STALLS_S, 4.0, 4.8])
     async def test_request_on_a_kept_connection_is_answered(
         self, autojump_clock, fleet, stalled_s, stalled_ms
     ):
@@ -172,14 +179,15 @@
         assert answer.status in (200, 503)
 
     @pytest.mark.parametrize("stalled_ms", range(-8, 8))
-    async def test_connection_is_accepted(self, autojump_clock, fleet, stalled_ms):
+    @pytest.mark.parametrize("stalled_s", STALLS_S)
+    async def test_connection_is_accepted(self, autojump_clock, fleet, stalled_s, stalled_ms):
         """Guards against connections that are reset although they were made in time: the listener
         was due to be closed while the entry didn't run."""
         begin_s = trio.current_time()
         fleet.kernels[0].request_stop()
         async with trio.open_nursery() as nursery:
             connected_s = begin_s + ACCEPT_AFTER_SIGNAL_S - 0.05
-            nursery.start_soon(stall, autojump_clock, connected_s + stalled_ms / 1000, 0.3)
+            nursery.start_soon(stall, autojump_clock, connected_s + stalled_ms / 1000, stalled_s)
             await trio.sleep_until(connected_s)
             answer = await fleet.call("/look/x")
         assert answer.status == 200
