--- a/packages/proxy/src/sassafrastally/proxy/cpu_overload/late_timeouts.py
+++ b/packages/proxy/src/sassafrastally/proxy/cpu_overload/late_timeouts.py
@@ -13,7 +13,7 @@
 
 import trio
 
-from sassafrastally.core.late_limits import LAST_READ_S, MAX_LAST_READS
+from sassafrastally.core.late_limits import LAST_READ_S, MAX_LAST_READS, last_read_s
 from sassafrastally.proxy.cpu_overload.lag_window import MAX_LAG_S
 
 if TYPE_CHECKING:
@@ -22,15 +22,6 @@
 T = TypeVar("T")
 
 
-def last_read_s(due_s: float, now_s: float) -> float:
-    """Return how long to read once more after a timeout has expired.
-
-    As long as its timer was late, at most `LAST_READ_S`; nothing if it was on time. What has
-    arrived takes several reads if it is larger than a buffer.
-    """
-    return min(LAST_READ_S, max(0.0, now_s - due_s))
-
-
 def was_late(due_s: float, now_s: float) -> bool:
     """Return whether a timer was so late that its expiry says nothing about a server."""
     return now_s - due_s > MAX_LAG_S
