Count a response without end as a failure also on a last attempt

Callers: a server whose response drips without an event or an end stayed in use, since a request whose last attempt it got ended at its time limit and told nothing about the server. More callers got such responses. Cause: an attempt that is cancelled, at the limit or since the caller has left, recorded no outcome. Change: if bytes of the response were still coming then, and no event or end for the limit after which another server would have taken over, the server counts as failing. The limit is counted from the response's header at the earliest, so that a server that is slow to begin doesn't count, nor one that is silent or sends events. Measured: the three cases on real request paths are red without it (an endless body of a request that mustn't run twice; events and comments without end at both engines), and so are the two cases of the watch that expect a failure; the case of a server that hasn't answered in time is green both ways.

A header without end on a last attempt still doesn't count.

--- a/packages/proxy/src/sassafrastally/proxy/plain_request.py
+++ b/packages/proxy/src/sassafrastally/proxy/plain_request.py
@@ -194,11 +194,12 @@
         )
         self._services.fleet_view.ledger.add(in_flight, begin_s)
         due_s = self._attempt_deadline_s(begin_s)
+        limit_s = FIRST_ATTEMPT_SHARE * (self._task.deadline_s - begin_s)
         attempt = WaitingAttempt(
             (),
             begin_s,
             math.inf,
-            ServerWait(begin_s, due_s - begin_s, due_s - begin_s),
+            ServerWait(begin_s, limit_s, limit_s),
             lambda *_: None,
             self._task.subjects,
         )
--- a/packages/proxy/src/sassafrastally/proxy/request_handler.py
+++ b/packages/proxy/src/sassafrastally/proxy/request_handler.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import math
-from contextlib import nullcontext
+from functools import partial
 from typing import TYPE_CHECKING, Generic, TypeVar
 
 from sassafrastally.proxy.answer_progress import AnswerProgress
@@ -314,9 +314,7 @@
             self._services.backpressure.count_part(helper)
 
     def _watch(self, wait: ServerWait, server: BackendServer) -> AbstractContextManager[None]:
-        """Watch an attempt for silence of its server if another one may take over."""
-        if not self._retries.can_fail_over():
-            return nullcontext()
+        """Watch an attempt for silence of its server, which another one may then take over."""
         tolerated: set[Obstacle] = set()
 
         def claim_successor(silent_s: float) -> bool:
@@ -326,7 +324,9 @@
                 self._log.silence_tolerated(server, silent_s, obstacle)
             return obstacle is None
 
-        return self._services.silence_watch.watch(wait, claim_successor)
+        claim = claim_successor if self._retries.can_fail_over() else None
+        on_endless = partial(self._count_outcome, server, is_failure=True)
+        return self._services.silence_watch.watch(wait, claim, on_endless)
 
     def _claim_successor(self) -> Obstacle | None:
         """Choose where the next attempt is made and charge it; return what prevents that."""
--- a/packages/proxy/src/sassafrastally/proxy/silence_watch.py
+++ b/packages/proxy/src/sassafrastally/proxy/silence_watch.py
@@ -44,6 +44,8 @@
         self._begin_s = begin_s
         self._silent_since_s = begin_s
         self._paused_s: float | None = None
+        self._header_s = begin_s
+        self._answer: Answer | None = None
 
     def record_sending(self, now_s: float) -> None:
         """Record that the request is sent, which a delayed entry does late."""
@@ -51,7 +53,7 @@
 
     def record_header(self, now_s: float) -> None:
         """Record the header of the response; the wait for its body begins in `awaited`."""
-        self._paused_s = now_s
+        self._paused_s = self._header_s = now_s
 
     def record_event(self, now_s: float) -> None:
         """Record an event of the response."""
@@ -75,6 +77,7 @@
         if self._paused_s is not None:
             self._silent_since_s += trio.current_time() - self._paused_s
             self._paused_s = None
+        self._answer = answer
         with trio.CancelScope() as self.scope:
             yield
         self._paused_s = trio.current_time()
@@ -88,6 +91,18 @@
         silent_s = now_s - self._silent_since_s if self._paused_s is None else 0.0
         return Silence(silent_s, self._limit_s, has_successor=self.scope.cancel_called)
 
+    def is_endless(self, now_s: float) -> bool:
+        """Return whether bytes of the response keep coming without an event or an end.
+
+        That is so while they are awaited, from the limit on, which is counted from the header at
+        the earliest: before it, a slow server may be at work.
+        """
+        if self._answer is None or self._paused_s is not None:
+            return False
+        waited_s = now_s - max(self._silent_since_s, self._header_s)
+        silent_s = now_s - self._answer.received_s
+        return waited_s >= self._limit_s and silent_s < SILENT_SHARE * self._limit_s
+
 
 class SilenceWatch:
     """Watches the attempts of one process.
@@ -105,7 +120,12 @@
         self._containment = containment
 
     @contextmanager
-    def watch(self, wait: ServerWait, claim_successor: Callable[[float], bool]) -> Iterator[None]:
+    def watch(
+        self,
+        wait: ServerWait,
+        claim_successor: Callable[[float], bool] | None,
+        on_endless: Callable[[], None] = lambda: None,
+    ) -> Iterator[None]:
         """Watch an attempt while the block runs.
 
         Parameters
@@ -114,12 +134,20 @@
             The attempt's wait; cancelled once another server takes over.
         claim_successor
             Makes the next attempt certain if it can; returns whether it is. Called with the time
-            for which the server has been silent.
+            for which the server has been silent. ``None`` for a last attempt.
+        on_endless
+            Called if the attempt is cancelled, at its request's time limit or since the caller has
+            left, while bytes kept coming without an event or an end.
         """
         scope = trio.CancelScope()
-        self._nursery.start_soon(self._containment.run, self._run, wait, claim_successor, scope)
+        if claim_successor is not None:
+            self._nursery.start_soon(self._containment.run, self._run, wait, claim_successor, scope)
         try:
             yield
+        except trio.Cancelled:
+            if wait.is_endless(trio.current_time()):
+                on_endless()
+            raise
         finally:
             scope.cancel()
 
--- a/packages/proxy/tests/test_silence_watch.py
+++ b/packages/proxy/tests/test_silence_watch.py
@@ -70,3 +70,47 @@
                 await trio.sleep(5.0)
         nursery.cancel_scope.cancel()
     assert len(claims) == 1
+
+
+class DrippingAnswer:
+    """A response whose bytes keep coming."""
+
+    @property
+    def received_s(self):
+        return trio.current_time()
+
+
+@pytest.mark.parametrize(
+    ("answer", "header_s", "events_s", "ends_s", "is_endless"),
+    [
+        (DrippingAnswer(), 0.1, (), 2.0, True),
+        (DrippingAnswer(), 0.1, (), 0.9, False),
+        (DrippingAnswer(), 1.9, (), 2.0, False),
+        (DrippingAnswer(), 0.1, (1.5,), 2.0, False),
+        (DrippingAnswer(), 0.1, (0.5,), 2.0, True),
+        (SilentAnswer(), 0.1, (), 2.0, False),
+    ],
+)
+async def test_last_attempt_fails_if_bytes_keep_coming_without_an_event(
+    autojump_clock, answer, header_s, events_s, ends_s, is_endless
+):
+    """Guards against servers that stay in use although their responses never end, and against
+    counting as failed the ones that are silent, have just begun or send events."""
+    found = []
+    async with trio.open_nursery() as nursery:
+        watch = SilenceWatch(nursery, DirectContainment())
+        wait = ServerWait(trio.current_time(), 1.0, 1.0)
+        with (
+            trio.move_on_after(ends_s),
+            watch.watch(wait, None, lambda: found.append(True)),
+        ):
+            await trio.sleep(header_s)
+            wait.record_header(trio.current_time())
+            for event_s in events_s:
+                with wait.awaited(answer):
+                    await trio.sleep(event_s - header_s)
+                wait.record_event(trio.current_time())
+            with wait.awaited(answer):
+                await trio.sleep_forever()
+        nursery.cancel_scope.cancel()
+    assert found == [True] * is_endless
--- a/packages/testing/tests/platform/test_endless_responses.py
+++ b/packages/testing/tests/platform/test_endless_responses.py
@@ -61,6 +61,24 @@
     await fleet.add_entry()
 
 
+def count_failures(fleet, monkeypatch) -> list[str]:
+    """Return a list of the servers whose failures are counted from now on."""
+    failed = []
+    monitor = fleet.kernels[0].get("path", RequestPath).services.fleet_view.failures
+
+    def record(server, *, is_failure: bool) -> None:
+        if is_failure:
+            failed.append(server.server_id)
+
+    monkeypatch.setattr(monitor, "record", record)
+    return failed
+
+
+def servers_called(fleet) -> list[str]:
+    """Return the servers that got requests."""
+    return [name for name, replica in fleet.replicas.items() if replica.received_requests]
+
+
 async def call_both(fleet, place: EndlessPlace, calls: int) -> None:
     """Check that all callers are answered, and that the entry holds nothing afterwards."""
     for _ in range(calls):
@@ -138,6 +156,40 @@
         assert causes
         assert TIMEOUT_DETAIL not in causes
 
+    @pytest.mark.parametrize(
+        ("path", "place"),
+        [
+            ("/book/x", EndlessPlace.BODY),
+            ("/note/x", EndlessPlace.EVENT),
+            ("/note/x", EndlessPlace.COMMENTS),
+        ],
+    )
+    async def test_of_a_last_attempt_is_a_failure(
+        self, autojump_clock, seeded_fleet, monkeypatch, path, place
+    ):
+        """Guards against a server that stays in use because nobody can take its requests over."""
+        await add_servers(seeded_fleet)
+        failed = count_failures(seeded_fleet, monkeypatch)
+        for replica in seeded_fleet.replicas.values():
+            replica.endless = EndlessBytes(place, EndlessPace.SLOW)
+        if path == "/book/x":
+            await seeded_fleet.call(path)
+        else:
+            await seeded_fleet.call(path, prompt=PROMPT)
+        assert sorted(failed) == sorted(servers_called(seeded_fleet))
+
+    async def test_server_that_hasnt_answered_in_time_does_not_fail(
+        self, autojump_clock, seeded_fleet, monkeypatch
+    ):
+        """Guards against counting a slow server as one whose response has no end."""
+        await add_servers(seeded_fleet)
+        failed = count_failures(seeded_fleet, monkeypatch)
+        for name in ("desk-1", "desk-2"):
+            seeded_fleet.replicas[name].work_s = 20.0
+        await seeded_fleet.call("/book/x")
+        assert len(servers_called(seeded_fleet)) == 1
+        assert failed == []
+
     async def test_silence_inside_an_event_is_silence(self, autojump_clock, seeded_fleet):
         """Guards against counting a sound server that falls silent as one that fails."""
         await add_servers(seeded_fleet)
