--- a/packages/proxy/src/sassafrastally/proxy/request_handler.py
+++ b/packages/proxy/src/sassafrastally/proxy/request_handler.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import math
-from contextlib import nullcontext
 from typing import TYPE_CHECKING, Generic
 
 from sassafrastally.proxy.attempt_records import AttemptRecords
@@ -300,9 +299,7 @@
         return OpenAttempt(server, self.progress.attempts, self._clock.now_s(), wait)
 
     def _watch(self, attempt: OpenAttempt) -> AbstractContextManager[None]:
-        """Watch an attempt for silence of its server if another one may follow."""
-        if not self._retries.can_fail_over():
-            return nullcontext()
+        """Watch an attempt for silence of its server, beside which another one may then begin."""
         tolerated: set[Obstacle] = set()
 
         def add_successor(silent_s: float) -> None:
@@ -320,7 +317,12 @@
             if (successor := self._take_successor()) is not None:
                 self._attempts.add(successor)
 
-        return self._services.silence_watch.watch(attempt.wait, add_successor)
+        def record_endless() -> None:
+            if not attempt.silence_detail:
+                self._records.outcome(attempt.server, is_failure=True)
+
+        on_silence = add_successor if self._retries.can_fail_over() else None
+        return self._services.silence_watch.watch(attempt.wait, on_silence, record_endless)
 
     def _silence_detail(self, attempt: OpenAttempt) -> str:
         """Return how the server of an attempt is silent."""
--- a/packages/proxy/src/sassafrastally/proxy/silence_watch.py
+++ b/packages/proxy/src/sassafrastally/proxy/silence_watch.py
@@ -51,6 +51,8 @@
         self._paused_s: float | None = None
         self._connection: HttpStream | None = None
         """The connection on which the request is sent."""
+        self._header_s: float | None = None
+        """When the header of the response was received."""
 
     def record_sending(self, now_s: float, connection: HttpStream) -> None:
         """Record that the request is sent, which a delayed entry does late."""
@@ -59,7 +61,7 @@
 
     def record_header(self, now_s: float) -> None:
         """Record the header of the response; the wait for its body begins in `awaited`."""
-        self._paused_s = now_s
+        self._paused_s = self._header_s = now_s
 
     def record_event(self, now_s: float) -> None:
         """Record an event of the response."""
@@ -98,6 +100,18 @@
         silent_s = now_s - self._silent_since_s if self._paused_s is None else 0.0
         return Silence(silent_s, self._limit_s, has_successor=self.scope.cancel_called)
 
+    def is_endless(self, now_s: float) -> bool:
+        """Return whether bytes of the response keep coming without an event or an end.
+
+        That is so while they are awaited, from the limit on, which is counted from the header at
+        the earliest: before it, a slow server may be at work.
+        """
+        if self._connection is None or self._header_s is None or self._paused_s is not None:
+            return False
+        waited_s = now_s - max(self._silent_since_s, self._header_s)
+        silent_s = now_s - self._connection.received_s
+        return waited_s >= self._limit_s and silent_s < SILENT_SHARE * self._limit_s
+
 
 class SilenceWatch:
     """Watches the attempts of one process.
@@ -115,7 +129,12 @@
         self._containment = containment
 
     @contextmanager
-    def watch(self, wait: ServerWait, on_silence: Callable[[float], None]) -> Iterator[None]:
+    def watch(
+        self,
+        wait: ServerWait,
+        on_silence: Callable[[float], None] | None,
+        on_endless: Callable[[], None] = lambda: None,
+    ) -> Iterator[None]:
         """Watch an attempt while the block runs.
 
         Parameters
@@ -124,12 +143,20 @@
             The attempt's wait.
         on_silence
             Called with the time for which the server has been silent, once that is longer than the
-            limit, and again at intervals.
+            limit, and again at intervals. ``None`` for a last attempt.
+        on_endless
+            Called if the attempt is cancelled, at its request's time limit or since the caller has
+            left, while bytes kept coming without an event or an end.
         """
         scope = trio.CancelScope()
-        self._nursery.start_soon(self._containment.run, self._run, wait, on_silence, scope)
+        if on_silence is not None:
+            self._nursery.start_soon(self._containment.run, self._run, wait, on_silence, scope)
         try:
             yield
+        except trio.Cancelled:
+            if wait.is_endless(trio.current_time()):
+                on_endless()
+            raise
         finally:
             scope.cancel()
 
--- a/packages/proxy/tests/test_silence_watch.py
+++ b/packages/proxy/tests/test_silence_watch.py
@@ -67,3 +67,54 @@
     at_s, silent_s = claims[0]
     assert at_s > body_since_s
     assert silent_s >= 1.0 - TIMER_PRECISION_S
+
+
+class DrippingConnection:
+    """A connection on which the bytes of a response keep coming."""
+
+    @property
+    def received_s(self):
+        return trio.current_time()
+
+
+class SilentConnection:
+    """A connection on which nothing comes any more."""
+
+    received_s = 0.0
+
+
+@pytest.mark.parametrize(
+    ("connection", "header_s", "events_s", "ends_s", "is_endless"),
+    [
+        (DrippingConnection(), 0.1, (), 2.0, True),
+        (DrippingConnection(), 0.1, (), 0.9, False),
+        (DrippingConnection(), 1.9, (), 2.0, False),
+        (DrippingConnection(), 0.1, (1.5,), 2.0, False),
+        (DrippingConnection(), 0.1, (0.5,), 2.0, True),
+        (SilentConnection(), 0.1, (), 2.0, False),
+    ],
+)
+async def test_last_attempt_fails_if_bytes_keep_coming_without_an_event(
+    autojump_clock, connection, header_s, events_s, ends_s, is_endless
+):
+    """Guards against servers that stay in use although their responses never end, and against
+    counting as failed the ones that are silent, have just begun or send events."""
+    found = []
+    async with trio.open_nursery() as nursery:
+        watch = SilenceWatch(nursery, DirectContainment())
+        wait = ServerWait(trio.current_time(), 1.0, 1.0)
+        with (
+            trio.move_on_after(ends_s),
+            watch.watch(wait, None, lambda: found.append(True)),
+        ):
+            wait.record_sending(trio.current_time(), connection)
+            await trio.sleep(header_s)
+            wait.record_header(trio.current_time())
+            for event_s in events_s:
+                with wait.awaited():
+                    await trio.sleep(event_s - header_s)
+                wait.record_event(trio.current_time())
+            with wait.awaited():
+                await trio.sleep_forever()
+        nursery.cancel_scope.cancel()
+    assert found == [True] * is_endless
