--- a/packages/testing/tests/platform/test_overlapping_attempts.py
+++ b/packages/testing/tests/platform/test_overlapping_attempts.py
@@ -234,6 +234,23 @@
         answer = await request.wait_for_answer()
         assert (answer.status, answer.is_whole) == (status, True)
 
+    @pytest.mark.parametrize("first_ms", [1290, 1310, 1340, 1400, 1600])
+    @pytest.mark.parametrize("second_ms", [30, 300, 900, 1250])
+    async def test_servers_that_are_silent_in_turn(
+        self, autojump_clock, fleet, nursery, first_ms, second_ms
+    ):
+        """Guards against a stream that is cut, or has an event twice, since the server that goes on
+        after a silence isn't the one that is expected."""
+        request = SilentRequest(fleet, nursery, path="/note3/x")
+        _, others = await request.begin(SilencePlace.BEFORE_PART, 3, first_ms / 1000)
+        for replica in others:
+            replica.silence.place, replica.silence.part_number = SilencePlace.BEFORE_PART, 2
+            replica.silence.duration_s = second_ms / 1000
+        answer = await request.wait_for_answer()
+        assert (answer.is_whole, event_ids(answer)) == (True, EVENT_IDS)
+        await trio.sleep(CLOSE_S)
+        assert (request.working(), in_flight(fleet)) == ([], 0)
+
     async def test_successor_that_breaks_off_before_an_event(
         self, autojump_clock, fleet, nursery, monkeypatch
     ):
