Log which attempt closed another one of its request, and how far both were

An attempt whose silence had been logged got no line when it was closed for its successor, so that a stream that was cut since its successor failed couldn't be told from one whose first server was dead all the time.

AttemptClosed (10082) names both attempts, the events received by each and the time for which the closed one had been silent, beside AttemptFailed, which is logged as before.

--- a/packages/proxy/src/sassafrastally/proxy/answer_progress.py
+++ b/packages/proxy/src/sassafrastally/proxy/answer_progress.py
@@ -17,12 +17,15 @@
         """Number of events received from the backend server."""
         self.first_event_s: float | None = None
         """When the first event arrived."""
+        self.last_event_s: float | None = None
+        """When the latest event arrived."""
         self.is_going_on = False
         """Whether the server has gone on with the answer after its begin."""
 
     def record_event(self, now_s: float) -> bool:
         """Record that an event has arrived; return whether the answer goes on since this event."""
         self.events += 1
+        self.last_event_s = now_s
         if self.first_event_s is None:
             self.first_event_s = now_s
         was_going_on = self.is_going_on
--- a/packages/proxy/src/sassafrastally/proxy/attempt_records.py
+++ b/packages/proxy/src/sassafrastally/proxy/attempt_records.py
@@ -84,6 +84,7 @@
 
     def superseded(self, attempt: OpenAttempt) -> None:
         """Record an attempt that was closed since another one's response came first."""
+        self._log.attempt_closed(attempt, SUPERSEDED_DETAIL)
         self.abandoned(attempt, SUPERSEDED_DETAIL)
         if attempt.silence_detail:
             self._record_missing_answer(attempt)
--- a/packages/proxy/src/sassafrastally/proxy/log_events/__init__.py
+++ b/packages/proxy/src/sassafrastally/proxy/log_events/__init__.py
@@ -51,6 +51,7 @@
     RequestQuarantined,
 )
 from sassafrastally.proxy.log_events.requests import (
+    AttemptClosed,
     AttemptFailed,
     CallerDisconnected,
     CallerLeft,
@@ -88,6 +89,7 @@
 )
 
 __all__ = [
+    "AttemptClosed",
     "AttemptFailed",
     "CallerDisconnected",
     "CallerLeft",
--- a/packages/proxy/src/sassafrastally/proxy/log_events/requests.py
+++ b/packages/proxy/src/sassafrastally/proxy/log_events/requests.py
@@ -158,6 +158,24 @@
     reason: str
 
 
+@event(10082)
+class AttemptClosed(NamedTuple):
+    """An attempt was closed since another one of its request goes on or is complete."""
+
+    request_id: str
+    server_id: str
+    attempt: int
+    events: int
+    """Number of events received, new to the caller or not."""
+    silent_s: float
+    """Time since its last event, or since it began."""
+    closed_by: int
+    """Number of the attempt that goes on."""
+    closed_by_events: int
+    """Number of events received by that one."""
+    reason: str
+
+
 @event(10017, "warning")
 class StreamBroken(NamedTuple):
     """A stream broke and can't be resumed on another server."""
--- a/packages/proxy/src/sassafrastally/proxy/open_attempt.py
+++ b/packages/proxy/src/sassafrastally/proxy/open_attempt.py
@@ -41,8 +41,15 @@
         """Closes the attempt when another one's response comes first."""
         self.silence_detail = ""
         """How the server was silent for as long as an attempt is given; empty if it wasn't."""
+        self.closed_by: OpenAttempt | None = None
+        """The attempt for which it was closed."""
 
     @property
     def is_closed(self) -> bool:
         """Whether another attempt's response came first."""
         return self.scope.cancel_called
+
+    def close(self, closed_by: OpenAttempt) -> None:
+        """Close it for another attempt, which goes on."""
+        self.closed_by = closed_by
+        self.scope.cancel()
--- a/packages/proxy/src/sassafrastally/proxy/overlapping_attempts.py
+++ b/packages/proxy/src/sassafrastally/proxy/overlapping_attempts.py
@@ -105,7 +105,7 @@
         if decision is Handling.FORWARD:
             self._starting.clear()
             for other in self._others(attempt):
-                other.scope.cancel()
+                other.close(attempt)
         return decision
 
     def _others(self, attempt: OpenAttempt) -> Iterator[OpenAttempt]:
--- a/packages/proxy/src/sassafrastally/proxy/request_log.py
+++ b/packages/proxy/src/sassafrastally/proxy/request_log.py
@@ -6,6 +6,7 @@
 
 from sassafrastally.proxy.fingerprint import fingerprint_text
 from sassafrastally.proxy.log_events import (
+    AttemptClosed,
     AttemptFailed,
     RequestAnswered,
     RequestPlaced,
@@ -75,6 +76,23 @@
             )
         )
 
+    def attempt_closed(self, attempt: OpenAttempt, reason: str) -> None:
+        """Log an attempt that was closed for another one, and how far both were."""
+        closed_by = attempt.closed_by
+        last_s = attempt.answer.last_event_s or attempt.begin_s
+        self._emit(
+            AttemptClosed(
+                self._task.request.facts.request_id,
+                attempt.server.server_id,
+                attempt.number,
+                attempt.answer.events,
+                round(self._clock.now_s() - last_s, 4),
+                closed_by.number if closed_by else 0,
+                closed_by.answer.events if closed_by else 0,
+                reason,
+            )
+        )
+
     def silence_tolerated(self, attempt: OpenAttempt, silent_s: float, obstacle: Obstacle) -> None:
         """Log that a request stays at a silent server."""
         self._emit(
--- a/packages/testing/tests/platform/test_overlapping_attempts.py
+++ b/packages/testing/tests/platform/test_overlapping_attempts.py
@@ -118,6 +118,12 @@
     return [int(line.partition(b":")[2]) for line in lines if line.startswith(b"id:")]
 
 
+def closed_attempts(fleet):
+    """Return what the log says about attempts that were closed for others."""
+    records = fleet.kernels[0].events.records()
+    return [record["fields"] for record in records if record["name"] == "AttemptClosed"]
+
+
 def in_flight(fleet):
     """Return the number of attempts that the entry counts as in flight."""
     services = fleet.kernels[0].get("path", RequestPath).services
@@ -176,6 +182,10 @@
         assert in_flight(fleet) == 1
         answer = await request.wait_for_answer()
         assert event_ids(answer) == list(range(40))
+        (closed,) = closed_attempts(fleet)
+        assert (closed["attempt"], closed["events"], closed["closed_by"]) == (1, 3, 2)
+        assert closed["closed_by_events"] > 0
+        assert closed["silent_s"] >= LIMIT_S
 
     @pytest.mark.parametrize("part", [0, 3])
     async def test_caller_that_leaves_ends_both(self, autojump_clock, fleet, nursery, part):
