Keep a stream's attempts open until one of them has gone on

Cause: the first new event of a successor closed the silent attempt. A first event doesn't make a response certain.

Change: all open attempts of a stream may forward events, each in its turn. One that differs, or ends before the caller's last event, is closed. So the caller gets each event once, in order, from whichever server has it first, and what it has is the begin of one run. Nothing but comments is held back: an attempt behind another one's write waits with its reading, so that the socket bounds it. Others are closed when an attempt is complete, or has gone on since the last silence of all servers (half a second and four events, as for crashes); one whose request isn't sent yet is closed at the next event.

The same rule mends a whole response that lost against a successor's first event.

Records: an attempt that is closed at the end of a request is recorded before the request ends; it had got no line and its server no record if the end of the stream was written at once. A server that has gone on after its silence isn't kept as one that may have crashed on the request.

Ruled out: holding the events of attempts that don't lead, to be sent when the leader fails. It needs a bound in bytes, a wake-up and a rule for how long a leader may be silent; an event that is verified needs none of these.

SUPERSEDED_DETAIL is reworded.

--- a/packages/proxy/src/sassafrastally/proxy/attempt_records.py
+++ b/packages/proxy/src/sassafrastally/proxy/attempt_records.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from sassafrastally.proxy.answer_progress import AnswerProgress
 from sassafrastally.proxy.attempt import NON_SUCCESS_STATUS, TIMEOUT_DETAIL
 
 if TYPE_CHECKING:
@@ -14,7 +15,8 @@
     from sassafrastally.proxy.request_services import RequestServices
     from sassafrastally.proxy.task import Progress, RequestTask
 
-SUPERSEDED_DETAIL = "the response of another attempt came first"
+SUPERSEDED_DETAIL = "another attempt goes on or is complete"
+DIFFERENT_DETAIL = "its events differ from those that the caller has got"
 
 
 class AttemptRecords:
@@ -50,7 +52,7 @@
 
     def event(self, attempt: OpenAttempt, now_s: float) -> None:
         """Record an event of an attempt's response."""
-        if attempt.answer.record_event(now_s):
+        if attempt.record_event(now_s):
             self._services.quarantine.record_going_on(self._task.parts, attempt.server)
 
     def success(self, attempt: OpenAttempt, status: int) -> None:
@@ -61,7 +63,7 @@
             )
 
     def silence(self, attempt: OpenAttempt, detail: str) -> None:
-        """Record once that a server has been silent for as long as an attempt is given.
+        """Record that a server is silent for as long as an attempt is given, once for each attempt.
 
         It is a failure of the server, even if its response comes in the end.
 
@@ -72,6 +74,7 @@
         detail
             What was silent. The report of a silent engine decides whether it has failed.
         """
+        attempt.progress_since_silence = AnswerProgress()
         if attempt.silence_detail:
             return
         self._log.attempt_failed(attempt, detail, is_proved_not_run=False)
@@ -83,10 +86,14 @@
         self._services.fleet_view.record_failure(attempt.server, detail, self._request_id)
 
     def superseded(self, attempt: OpenAttempt) -> None:
-        """Record an attempt that was closed since another one's response came first."""
-        self._log.attempt_closed(attempt, SUPERSEDED_DETAIL)
-        self.abandoned(attempt, SUPERSEDED_DETAIL)
-        if attempt.silence_detail:
+        """Record an attempt that was closed for another one.
+
+        A server that has gone on after its silence hasn't crashed on the request.
+        """
+        detail = DIFFERENT_DETAIL if attempt.has_differed else SUPERSEDED_DETAIL
+        self._log.attempt_closed(attempt, detail)
+        self.abandoned(attempt, detail)
+        if attempt.silence_detail and not attempt.progress_since_silence.events:
             self._record_missing_answer(attempt)
 
     def not_run(
--- a/packages/proxy/src/sassafrastally/proxy/attempt_stream.py
+++ b/packages/proxy/src/sassafrastally/proxy/attempt_stream.py
@@ -1,4 +1,4 @@
-"""The stream of one attempt, and when its events go to the caller."""
+"""The stream of one attempt, and which of its events go to the caller."""
 
 from __future__ import annotations
 
@@ -9,6 +9,7 @@
 
 from sassafrastally.proxy.answer_events import AnswerEvents
 from sassafrastally.proxy.failover_decision import Handling, Received
+from sassafrastally.proxy.stream_agreement import Agreement
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -20,9 +21,15 @@
     from sassafrastally.proxy.open_attempt import OpenAttempt
     from sassafrastally.proxy.overlapping_attempts import OverlappingAttempts, Start
 
+_RECEIVED = {
+    Agreement.NEW: Received.NEW_EVENT,
+    Agreement.KNOWN: Received.KNOWN_EVENT,
+    Agreement.DIFFERENT: Received.OTHER_EVENT,
+}
+
 
 class AttemptStream:
-    """Forwards the events of an attempt, and holds them back while another may take over.
+    """Forwards the events of an attempt that the caller lacks, and compares those that it has.
 
     Parameters
     ----------
@@ -51,12 +58,15 @@
         self._answer = answer
         self._has_others = attempts.has_others
         self._receive = attempts.receive
+        self._turn = attempts.turn
         self._caller_stream = caller_stream
         self._headers = headers
         self._on_events = on_events
         self._events = AnswerEvents(answer)
         self._held: list[StreamEvent] = []
         """Comments that are held back."""
+        self._counted_bytes = 0
+        """Bytes of `_held` that are counted as held."""
 
     @property
     def rest(self) -> bytes:
@@ -73,47 +83,73 @@
         ConnectionLost
             If the caller can't be reached.
         trio.Cancelled
-            If another attempt has taken over.
+            If it is closed for another attempt.
         """
         if not self._has_others(self._attempt):
             await self._begin()
-        while True:
-            # Measured only while waiting for the server: the time spent on writing to the caller
-            # says nothing about the server.
-            waiting_since_s = trio.current_time()
-            with self._attempt.wait.awaited():
-                events = await self._events.read(math.inf)
-            if events is not None:
-                self._on_events(events, trio.current_time() - waiting_since_s)
-            released = await self._release(events)
-            if released or events is None:
-                await self._begin()
-            for event in released:
-                await self._caller_stream.forward(event, trio.current_time())
-            if events is None:
-                break
-        await self._caller_stream.end(self.rest)
+        while (events := await self._read()) is not None:
+            async with self._turn(self._attempt):
+                for event in events:
+                    await self._take(event)
+                self._count_held()
+        async with self._turn(self._attempt):
+            await self._end()
 
     async def _begin(self) -> None:
         await self._caller_stream.begin(self._answer.status, self._headers)
 
-    async def _release(self, events: list[StreamEvent] | None) -> list[StreamEvent]:
-        """Return the events that go to the caller now; `events` is ``None`` at the end."""
-        new = [event for event in events or () if not self._caller_stream.has(event)]
-        received = Received.NOTHING_NEW
-        if events is None:
-            received = Received.RESPONSE
-        elif any(event.has_fields for event in new):
-            received = Received.NEW_EVENT
-        if await self._receive(self._attempt, received) is Handling.HOLD:
-            self._held += new
-            self._answer.hold(_size_bytes(new))
-            return []
-        if self._held:
-            self._answer.hold(-_size_bytes(self._held))
-            new, self._held = [*self._held, *new], []
-        return new
-
-
-def _size_bytes(events: list[StreamEvent]) -> int:
-    return sum(len(event.data) for event in events)
+    async def _read(self) -> list[StreamEvent] | None:
+        # Measured only while waiting for the server: the time spent on writing to the caller says
+        # nothing about the server.
+        waiting_since_s = trio.current_time()
+        with self._attempt.wait.awaited():
+            events = await self._events.read(math.inf)
+        if events is not None:
+            self._on_events(events, trio.current_time() - waiting_since_s)
+        return events
+
+    async def _take(self, event: StreamEvent) -> None:
+        """Forward, compare or hold back an event."""
+        received = Received.COMMENT
+        if event.has_fields:
+            received = _RECEIVED[self._caller_stream.agreement(event, self._attempt.position)]
+        handling = await self._receive(self._attempt, received)
+        if handling is Handling.HOLD:
+            self._held.append(event)
+        elif handling is Handling.FORWARD:
+            await self._release()
+            await self._forward(event)
+        else:
+            # What precedes an event that the caller has would come too late.
+            self._held.clear()
+            if self._attempt.position.is_new_to_attempt(event):
+                self._attempt.position = self._attempt.position.after(event)
+
+    async def _forward(self, event: StreamEvent) -> None:
+        has_others = self._has_others(self._attempt)
+        await self._caller_stream.forward(event, trio.current_time(), has_others=has_others)
+        if event.has_fields:
+            self._attempt.position = self._attempt.position.after(event)
+
+    async def _release(self) -> None:
+        """Forward the comments that are held back."""
+        await self._begin()
+        held, self._held = self._held, []
+        for event in held:
+            await self._forward(event)
+
+    async def _end(self) -> None:
+        """End the caller's stream, unless other attempts have sent more events than this one."""
+        is_whole = self._attempt.position.events == self._caller_stream.forwarded.count
+        await self._receive(
+            self._attempt, Received.RESPONSE if is_whole else Received.OTHER_RESPONSE
+        )
+        await self._release()
+        await self._caller_stream.end(self.rest)
+
+    def _count_held(self) -> None:
+        """Count the comments that are held back; raises `AttemptUnknown` if they are too many."""
+        held_bytes = sum(len(event.data) for event in self._held)
+        added_bytes, self._counted_bytes = held_bytes - self._counted_bytes, held_bytes
+        if added_bytes:
+            self._answer.hold(added_bytes)
--- a/packages/proxy/src/sassafrastally/proxy/caller_stream.py
+++ b/packages/proxy/src/sassafrastally/proxy/caller_stream.py
@@ -5,11 +5,13 @@
 from typing import TYPE_CHECKING
 
 from sassafrastally.proxy.event_stream import EventTimes
+from sassafrastally.proxy.stream_agreement import ForwardedEvents, StreamPosition
 
 if TYPE_CHECKING:
     from sassafrastally.proxy.dialect import Headers
     from sassafrastally.proxy.event_stream import StreamEvent
     from sassafrastally.proxy.reply import Reply
+    from sassafrastally.proxy.stream_agreement import Agreement
     from sassafrastally.proxy.task import Progress, RequestTask
 
 
@@ -29,6 +31,8 @@
     ) -> None:
         self.last_event_id = task.request.facts.last_event_id
         """ID of the last event that the caller has; ``None`` without one."""
+        self.forwarded = ForwardedEvents()
+        """Events forwarded so far."""
         self.times = EventTimes(task.request.arrived_s)
         self._timeout_s = timeout_s
         self._reply = reply
@@ -39,10 +43,14 @@
         """When the caller closes the stream unless an event comes."""
         return self.times.last_s + self._timeout_s
 
-    def has(self, event: StreamEvent) -> bool:
-        """Return whether the caller has an event, as if a resumed stream begins too early."""
-        known_id = -1 if self.last_event_id is None else self.last_event_id
-        return event.event_id is not None and event.event_id <= known_id
+    @property
+    def position(self) -> StreamPosition:
+        """The position of an attempt that begins after the last event that the caller has."""
+        return StreamPosition(self.forwarded.count, self.last_event_id)
+
+    def agreement(self, event: StreamEvent, position: StreamPosition) -> Agreement:
+        """Return how an attempt's next event relates to those that the caller has got."""
+        return self.forwarded.agreement(event, position)
 
     async def begin(self, status: int, headers: Headers) -> None:
         """Send the header unless it is sent already; raises `ConnectionLost`."""
@@ -55,12 +63,21 @@
             await self._reply.send(rest)
         await self._reply.end()
 
-    async def forward(self, event: StreamEvent, now_s: float) -> None:
-        """Forward an event unless the caller has it; raises `ConnectionLost`."""
-        if self.has(event):
-            return
+    async def forward(self, event: StreamEvent, now_s: float, *, has_others: bool) -> None:
+        """Forward an event or comments that the caller lacks; raises `ConnectionLost`.
+
+        Parameters
+        ----------
+        event
+            The event.
+        now_s
+            Present time.
+        has_others
+            Whether other attempts are open, which may send it as well.
+        """
         if event.has_fields:
             self.times.record(now_s)
+            self.forwarded.record(event, has_others=has_others)
         await self._reply.send(event.data)
         if event.event_id is not None:
             self.last_event_id = event.event_id
--- a/packages/proxy/src/sassafrastally/proxy/failover_decision.py
+++ b/packages/proxy/src/sassafrastally/proxy/failover_decision.py
@@ -3,8 +3,8 @@
 A sound server may fall silent for a second or two and go on. A dead one is as silent. An attempt
 given up before it is certain that another one follows costs the caller its answer if no other one
 is possible: the retry budget is exhausted, no server has room or none is left. A certain one may be
-rejected as well, or its server may be gone. So the attempt at the silent server stays open beside
-the next one, until the response of one of them begins.
+rejected as well, its server may be gone, or fail after the first events of its response. So the
+attempt at the silent server stays open beside the next one, until one of them has gone on.
 """
 
 from __future__ import annotations
@@ -44,18 +44,32 @@
 class Received(Enum):
     """What an open attempt has received, as far as it decides which attempt goes on."""
 
-    NEW_EVENT = "an event that the caller lacks"
-    NOTHING_NEW = "comments, or events that the caller has"
-    RESPONSE = "a complete response, or the end of a stream"
+    COMMENT = "comments between events"
+    NEW_EVENT = "an event that the caller lacks, after all that it has"
+    KNOWN_EVENT = "an event that the caller has"
+    OTHER_EVENT = "an event in whose place the caller has another one"
+    RESPONSE = "a complete response, or the end of a stream after all events that the caller has"
+    OTHER_RESPONSE = "the end of a stream without all events that the caller has"
     FAILURE = "a server's failure, in place of which another attempt may succeed"
 
 
 class Handling(Enum):
     """What becomes of what an open attempt has received."""
 
-    FORWARD = "it goes to the caller, and all other attempts are closed"
+    FORWARD = "it goes to the caller"
     HOLD = "it waits until the attempt is the only one or receives a new event"
+    DROP = "it goes nowhere"
     KEEP = "it is forwarded only if no other attempt succeeds"
+    CLOSE = "the attempt is closed"
+
+
+class Reserve(NamedTuple):
+    """An open attempt beside the one whose events are forwarded."""
+
+    is_sent: bool
+    """Whether its request has been sent."""
+    has_leader_gone_on: bool
+    """Whether the other one's server has gone on since the last silence of all servers."""
 
 
 class Silence(NamedTuple):
@@ -100,9 +114,10 @@
     """Return what becomes of what an attempt has received.
 
     The load is requests of which a few wait for a silent server and for its successor at once.
-    Whichever has something for the caller first is the only one from then on, so that the caller
-    never gets events of two attempts in turn. While there are others, nothing else is written: the
-    write of one attempt could delay the response of another.
+    Whichever has the caller's next event first forwards it; what the caller has already is only
+    compared, and an attempt whose run differs is closed, so that the caller never gets pieces of
+    two runs. Comments wait while there are others: their write could delay an event of another
+    attempt.
 
     Parameters
     ----------
@@ -111,11 +126,28 @@
     has_others
         Whether other attempts of the request are open.
     """
-    if received is Received.FAILURE:
-        return Handling.KEEP
-    if received is Received.NOTHING_NEW and has_others:
+    if received is Received.COMMENT and has_others:
         return Handling.HOLD
-    return Handling.FORWARD
+    return _HANDLING.get(received, Handling.FORWARD)
+
+
+_HANDLING = {
+    Received.KNOWN_EVENT: Handling.DROP,
+    Received.OTHER_EVENT: Handling.CLOSE,
+    Received.OTHER_RESPONSE: Handling.CLOSE,
+    Received.FAILURE: Handling.KEEP,
+}
+
+
+def is_dispensable(reserve: Reserve) -> bool:
+    """Return whether an attempt is closed since another one forwards events.
+
+    The load is sound servers that pause, dead ones, and servers that fail soon after they have
+    begun to answer. The first event of a successor doesn't make it certain: it may crash on the
+    request or fall silent itself. Once it has gone on for a while, it is no more likely to fail
+    than a server whose request has no other attempt, and a second one only costs an engine time.
+    """
+    return not reserve.is_sent or reserve.has_leader_gone_on
 
 
 def may_start_another(open_attempts: Iterable[Silence]) -> bool:
--- a/packages/proxy/src/sassafrastally/proxy/open_attempt.py
+++ b/packages/proxy/src/sassafrastally/proxy/open_attempt.py
@@ -7,6 +7,7 @@
 import trio
 
 from sassafrastally.proxy.answer_progress import AnswerProgress
+from sassafrastally.proxy.stream_agreement import StreamPosition
 
 if TYPE_CHECKING:
     from sassafrastally.proxy.model import BackendServer
@@ -37,19 +38,32 @@
         self.wait = wait
         self.answer = AnswerProgress()
         """Progress of the answer to the attempt."""
+        self.progress_since_silence = AnswerProgress()
+        """The same since the last time at which the servers of all open attempts were silent."""
+        self.position = StreamPosition(0, None)
+        """How far its events agree with what the caller has got."""
+        self.is_sent = False
+        """Whether its request has been sent."""
         self.scope = trio.CancelScope()
-        """Closes the attempt when another one's response comes first."""
+        """Closes the attempt when another one goes on."""
         self.silence_detail = ""
         """How the server was silent for as long as an attempt is given; empty if it wasn't."""
         self.closed_by: OpenAttempt | None = None
         """The attempt for which it was closed."""
+        self.has_differed = False
+        """Whether it was closed since its events differ from those that the caller has got."""
 
     @property
     def is_closed(self) -> bool:
-        """Whether another attempt's response came first."""
+        """Whether it was closed for another attempt."""
         return self.scope.cancel_called
 
-    def close(self, closed_by: OpenAttempt) -> None:
+    def record_event(self, now_s: float) -> bool:
+        """Record an event; return whether the answer goes on since this event."""
+        self.progress_since_silence.record_event(now_s)
+        return self.answer.record_event(now_s)
+
+    def close(self, closed_by: OpenAttempt | None) -> None:
         """Close it for another attempt, which goes on."""
         self.closed_by = closed_by
         self.scope.cancel()
--- a/packages/proxy/src/sassafrastally/proxy/overlapping_attempts.py
+++ b/packages/proxy/src/sassafrastally/proxy/overlapping_attempts.py
@@ -2,17 +2,23 @@
 
 from __future__ import annotations
 
-from contextlib import contextmanager
+from contextlib import asynccontextmanager, contextmanager
 from typing import TYPE_CHECKING, Generic, TypeVar
 
 import trio
 
-from sassafrastally.proxy.failover_decision import Handling, handling, may_start_another
+from sassafrastally.proxy.failover_decision import (
+    Handling,
+    Received,
+    Reserve,
+    handling,
+    is_dispensable,
+    may_start_another,
+)
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable, Callable, Iterator
+    from collections.abc import AsyncIterator, Awaitable, Callable, Iterator
 
-    from sassafrastally.proxy.failover_decision import Received
     from sassafrastally.proxy.open_attempt import OpenAttempt
 
 Start = TypeVar("Start")
@@ -22,11 +28,10 @@
 class OverlappingAttempts(Generic[Start]):
     """Runs an attempt and its successors until the response of one of them is complete.
 
-    The attempt at a silent server stays open beside its successor, which may be rejected or find
-    its server gone. Only the attempt for which `receive` returns `Handling.FORWARD` writes to the
-    caller; all others are closed at that moment, between two events, and none of them is writing
-    then: an attempt that writes to the caller has no successor, and one that has others doesn't
-    write.
+    The attempt at a silent server stays open beside its successor, which may be rejected, find its
+    server gone or fail later. Each writes to the caller only in its `turn`, and only that for which
+    `receive` returns `Handling.FORWARD`. An attempt is closed between two events: by itself, or in
+    the turn of another one.
 
     Parameters
     ----------
@@ -43,6 +48,9 @@
         """Attempts whose outcome isn't recorded yet."""
         self._nursery: trio.Nursery | None = None
         self._has_response = False
+        self._leader: OpenAttempt | None = None
+        """The attempt that forwarded an event last."""
+        self._writing = trio.Lock()
 
     async def run(self, first: Start) -> bool:
         """Make an attempt and those that are added; return whether a response is complete."""
@@ -91,8 +99,26 @@
         self._starting.append(start)
         self._nursery.start_soon(self._run_added, start)
 
+    @asynccontextmanager
+    async def turn(self, attempt: OpenAttempt) -> AsyncIterator[None]:
+        """Let no other attempt write to the caller while the block runs.
+
+        Raises
+        ------
+        trio.Cancelled
+            If the attempt has been closed.
+        """
+        try:
+            self._writing.acquire_nowait()
+        except trio.WouldBlock:
+            await self._writing.acquire()
+        try:
+            yield
+        finally:
+            self._writing.release()
+
     async def receive(self, attempt: OpenAttempt, received: Received) -> Handling:
-        """Return what becomes of what an attempt has received, and close the others if it goes on.
+        """Return what becomes of what an attempt has received, and close those that it ends.
 
         Raises
         ------
@@ -102,12 +128,23 @@
         if attempt.is_closed:
             await trio.lowlevel.checkpoint_if_cancelled()
         decision = handling(received, has_others=self.has_others(attempt))
-        if decision is Handling.FORWARD:
-            self._starting.clear()
-            for other in self._others(attempt):
-                other.close(attempt)
+        if decision is Handling.CLOSE:
+            attempt.has_differed = True
+            attempt.close(self._leader)
+            await trio.lowlevel.checkpoint_if_cancelled()
+        if decision is Handling.FORWARD and received is not Received.COMMENT:
+            self._leader = attempt
+            self._close_dispensable(attempt, is_complete=received is Received.RESPONSE)
         return decision
 
+    def _close_dispensable(self, leader: OpenAttempt, *, is_complete: bool) -> None:
+        """Close the attempts that aren't needed beside one whose events are forwarded."""
+        self._starting.clear()
+        has_gone_on = is_complete or leader.progress_since_silence.is_going_on
+        for other in list(self._others(leader)):
+            if is_dispensable(Reserve(other.is_sent, has_gone_on)):
+                other.close(leader)
+
     def _others(self, attempt: OpenAttempt) -> Iterator[OpenAttempt]:
         return (one for one in self._open if one is not attempt and not one.is_closed)
 
@@ -122,11 +159,10 @@
             is_complete = await self._make(start)
         finally:
             self._unfinished -= 1
-        if not is_complete:
-            return
-        self._has_response = True
-        if self._nursery is not None:
-            # Others only wait for what they record about their servers.
+        self._has_response |= is_complete
+        if self._has_response and not self._open and self._nursery is not None:
+            # Those that are closed have been recorded; others only wait for what they record about
+            # their servers.
             self._nursery.cancel_scope.cancel()
 
 
--- a/packages/proxy/src/sassafrastally/proxy/request_handler.py
+++ b/packages/proxy/src/sassafrastally/proxy/request_handler.py
@@ -329,7 +329,7 @@
         return attempt.wait.silence_detail(self._clock.now_s())
 
     def _record_closed(self, attempt: OpenAttempt) -> None:
-        """Record an attempt that was closed since another one's response came first."""
+        """Record an attempt that was closed for another one."""
         if not attempt.silence_detail:
             # Nothing speaks against the server, which may get the request again.
             self.progress.tried.discard(attempt.server.incarnation_id)
@@ -376,6 +376,7 @@
 
         def record_sending(connection: HttpStream) -> None:
             self.progress.pending.append(attempt)
+            attempt.is_sent = True
             if attempt.number > 1:
                 self._retries.record_sent()
             attempt.wait.record_sending(self._clock.now_s(), connection)
--- a/packages/proxy/src/sassafrastally/proxy/streaming_request.py
+++ b/packages/proxy/src/sassafrastally/proxy/streaming_request.py
@@ -349,8 +349,8 @@
         attempt: OpenAttempt,
         waiting: WaitingAttempt,
     ) -> bool:
-        last_event_id = self._stream.last_event_id
-        terms = self._attempt_terms(attempt, last_event_id, placement.helpers)
+        attempt.position = self._stream.position
+        terms = self._attempt_terms(attempt, attempt.position.last_event_id, placement.helpers)
         with self._watch(attempt), ExitStack() as until_begun:
             until_begun.enter_context(self._services.fleet_view.waiting_attempts.register(waiting))
             async with (
@@ -443,7 +443,7 @@
         now_s = self._clock.now_s()
         for event in events:
             if event.has_fields:
-                if not self._stream.has(event):
+                if attempt.position.is_new_to_attempt(event):
                     attempt.wait.record_event(now_s)
                 fleet_view.ledger.first_event(in_flight, now_s)
                 self._records.event(attempt, now_s)
--- a/packages/testing/tests/platform/test_overlapping_attempts.py
+++ b/packages/testing/tests/platform/test_overlapping_attempts.py
@@ -9,6 +9,7 @@
 import pytest
 import trio
 
+from sassafrastally.proxy.answer_progress import GOING_ON_S
 from sassafrastally.proxy.attempt import TIMEOUT_DETAIL
 from sassafrastally.proxy.attempt_records import SUPERSEDED_DETAIL
 from sassafrastally.proxy.path import RequestPath
@@ -169,14 +170,17 @@
         assert causes == [TIMEOUT_DETAIL, SUPERSEDED_DETAIL]
         assert second.engine.running == 0
 
-    async def test_silent_server_is_closed_once_its_successor_answers(
+    async def test_silent_server_is_closed_once_its_successor_has_gone_on(
         self, autojump_clock, fleet, nursery
     ):
-        """Guards against a dead server that keeps its slot and memory until the request ends."""
+        """Guards against a dead server that keeps its slot and memory until the request ends, and
+        against an attempt that is closed for a successor that may still fail."""
         request = SilentRequest(fleet, nursery, prompt="1000,1360")
         silent, _ = await request.begin(SilencePlace.BEFORE_PART, 3, 60.0)
         await wait_until(lambda: len(request.servers()) == 2)
         await trio.sleep(0.2)
+        assert silent.server_id in request.working()
+        await trio.sleep(GOING_ON_S)
         assert not request.answers
         assert silent.server_id not in request.working()
         assert in_flight(fleet) == 1
@@ -184,8 +188,8 @@
         assert event_ids(answer) == list(range(40))
         (closed,) = closed_attempts(fleet)
         assert (closed["attempt"], closed["events"], closed["closed_by"]) == (1, 3, 2)
-        assert closed["closed_by_events"] > 0
-        assert closed["silent_s"] >= LIMIT_S
+        assert closed["closed_by_events"] >= 4
+        assert closed["silent_s"] >= LIMIT_S + GOING_ON_S
 
     @pytest.mark.parametrize("part", [0, 3])
     async def test_caller_that_leaves_ends_both(self, autojump_clock, fleet, nursery, part):
