Stores: send no call of the KV service whose time limit has passed

What callers saw: a write that had waited for a connection counted as perhaps applied, though it should have been known as not sent; a booking then ended as unknown, or its claim was read back.

Cause: a limit acts some turns to 0.25 s after it has passed, so that what is ready is read first. In that time a waiting call could get the connection of another call and be sent.

Change: the proxy's TimeLimit.require_time and is_due move to the core's TimeLimit; the KV client calls require_time before the first byte of a request. What is cancelled there is KvUnavailable (not sent).

The test says that the second reaches its limit before a byte is sent; it now runs on the mock clock, where both limits are equal.

--- a/packages/core/src/sassafrastally/core/late_limits.py
+++ b/packages/core/src/sassafrastally/core/late_limits.py
@@ -79,6 +79,20 @@
             self.due_s = due_s
             self._shortened.set()
 
+    @property
+    def is_due(self) -> bool:
+        """Whether the time has ended, also while the limit still waits for received input."""
+        return trio.current_time() >= self.due_s
+
+    async def require_time(self) -> None:
+        """Wait for the cancellation if the time has ended, so that nothing new begins meanwhile.
+
+        For use within the scope, right before something that others notice: a request that is
+        sent, a reservation, a claim.
+        """
+        if self.is_due:
+            await trio.sleep_forever()
+
     async def watch(self) -> None:
         """Wait for the end of the time and for what has been received; then cancel the scope."""
         while trio.current_time() < self.due_s:
--- a/packages/proxy/src/sassafrastally/proxy/time_limit.py
+++ b/packages/proxy/src/sassafrastally/proxy/time_limit.py
@@ -29,16 +29,6 @@
         """Whether the work was cancelled for the limit."""
         return self.scope.cancelled_caught
 
-    @property
-    def is_due(self) -> bool:
-        """Whether it has passed."""
-        return trio.current_time() >= self.due_s
-
-    async def require_time(self) -> None:
-        """Wait for the limit to act if it has passed, so that nothing new begins meanwhile."""
-        if self.is_due:
-            await trio.sleep_forever()
-
     async def watch(self) -> None:
         """Wait for the limit and act on it; ends early after `end`."""
         with self._watch_scope:
--- a/packages/stores/src/sassafrastally/stores/gateway_client.py
+++ b/packages/stores/src/sassafrastally/stores/gateway_client.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+from functools import partial
 from typing import TYPE_CHECKING, Any
 
 import httpx
@@ -17,6 +18,7 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
+    from sassafrastally.core import TimeLimit
     from sassafrastally.stores.settings import KvSettings
 
 use_linear_patterns()
@@ -29,14 +31,16 @@
 
 
 class SendTracker:
-    """Tracks whether the transport has started to send a request."""
+    """Tracks whether the transport has started to send a request, which it does in time only."""
 
     def __init__(self) -> None:
         self.may_have_been_sent = False
 
-    async def trace(self, event_name: str, _info: dict[str, Any]) -> None:
+    async def trace(self, limit: TimeLimit, event_name: str, _info: dict[str, Any]) -> None:
         """Handle a trace event of the transport."""
         if event_name.endswith(SEND_STARTED_EVENT):
+            # Another call's connection may become free while the limit acts.
+            await limit.require_time()
             self.may_have_been_sent = True
 
 
@@ -85,7 +89,7 @@
         try:
             async with time_limit(trio.current_time() + time_limit_s) as limit:
                 response = await self._client.post(
-                    path, json=body, extensions={"trace": tracker.trace}
+                    path, json=body, extensions={"trace": partial(tracker.trace, limit)}
                 )
             if limit.scope.cancelled_caught:
                 raise trio.TooSlowError
--- a/packages/stores/tests/test_etcd.py
+++ b/packages/stores/tests/test_etcd.py
@@ -33,6 +33,8 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
+    from trio.testing import MockClock
+
 LOOPBACK = Address("127.0.0.1", 0)
 SHORT_S = 0.2
 LAST_KEY = "last"
@@ -84,9 +86,12 @@
         with pytest.raises(KvUnavailable, match="not sent"):
             await kv.write([WRITE], purpose="claims")
 
-    async def test_a_write_that_waited_for_a_connection_is_known_not_applied(self) -> None:
+    async def test_a_write_that_waited_for_a_connection_is_known_not_applied(
+        self, autojump_clock: MockClock
+    ) -> None:
         """A call that hangs uses the only connection. The second call reaches its time limit before
-        any byte is sent, so it is known to have no effect."""
+        any byte is sent, so it is known to have no effect. On the mock clock both limits are equal;
+        otherwise the second call may be sent in time, in the milliseconds between them."""
         async with listening(never_answer) as address:
             limits = KvSettings(address, call_time_limit_s=SHORT_S, max_connections=1)
             kv = EtcdKv(limits, Random(1))
