--- a/packages/testing/tests/platform/test_endless_responses.py
+++ b/packages/testing/tests/platform/test_endless_responses.py
@@ -107,6 +107,21 @@
             assert EXCEEDED[place].value in {one["place"] for one in logged}
         assert TIMEOUT_DETAIL not in attempt_failure_causes(small_fleet.kernels[0])
 
+    @pytest.mark.parametrize("events", [1, 2, 3])
+    async def test_caller_gets_the_events_of_its_own_response(self, small_fleet, events):
+        """Guards against a server that repeats an event which its response doesn't have: an entry
+        can't tell it from a new one, so that a whole response would have too many."""
+        endless = EndlessBytes(EndlessPlace.REPEATED_EVENTS, EndlessPace.FAST)
+        small_fleet.replicas["engine-1"].endless = endless
+        for _ in range(4):
+            with trio.fail_after(CALL_TIME_S):
+                answer = await small_fleet.call("/note/x", prompt=f"1000,{34 * events}")
+            assert (answer.status, answer.is_whole) == (200, True)
+            lines = answer.body.decode().splitlines()
+            ids = [int(line[3:]) for line in lines if line.startswith("id:")]
+            assert ids == list(range(events))
+        assert small_fleet.replicas["engine-1"].received_requests
+
     async def test_request_that_may_have_run_is_answered_with_502(self, small_fleet):
         """Guards against running a request twice because its response never ends."""
         for name in ("desk-1", "desk-2"):
