A complete answer goes on after the limit while its caller reads

What callers saw: an answer that its server had sent in time broke off 0.15 s after the limit if its caller was still reading it.

Cause: a write that the limit cancels goes on for 0.15 s and is cut then. An answer whose write began after the limit was not cut in that way, so that the same answer arrived whole if it was read later.

Ruled out: the caller's own time, the write timeout (infinite for plain routes).

Change: the limit still ends the work on the request 0.15 s after it acts. What is left of a complete response is then written by the path, outside of the limit, until the caller has read nothing for 1 s (0.25 s before for what was sent after the limit), and for 30 s at most. A caller that leaves, and the end of a drain, end it as any other response of a complete body: the entry's own scopes cancel it, and 0.15 s are left to a write. Streams are unchanged: their server hasn't finished while the caller reads slowly.

--- a/packages/proxy/src/sassafrastally/proxy/path.py
+++ b/packages/proxy/src/sassafrastally/proxy/path.py
@@ -48,7 +48,6 @@
 from sassafrastally.proxy.reservations import Reservations
 from sassafrastally.proxy.routes import UnknownKey, choose_service, find_customer
 from sassafrastally.proxy.silence_watch import SilenceWatch
-from sassafrastally.proxy.slow_readers import MIN_BLOCKED_S
 from sassafrastally.proxy.streaming_request import StreamingRequestHandler
 from sassafrastally.proxy.task import LocalReply, Progress, RequestTask
 
@@ -70,6 +69,14 @@
 """Requests that arrive within this time after the start wait for the first configuration. The store
 normally returns it within milliseconds; after this time the store is considered unavailable."""
 
+READ_PAUSE_S = 1.0
+"""After the limit of a request, a caller that has read nothing for this long doesn't read any more.
+On a slow link, a lost packet takes a part of it."""
+
+LATE_DELIVERY_S = 30.0
+"""How long after the limit a caller may go on reading a complete response, so that one that reads
+next to nothing doesn't hold it for ever. A response of 600 KB takes as long at 20 KB/s."""
+
 MISSING_ROUTE_NAME = "-"
 
 CLEANUP_INTERVAL_S = 5.0
@@ -261,8 +268,8 @@
         if limit.has_acted or (local_reply is not None and limit.is_due):
             late_s = round(self.kernel.clock.now_s() - limit.due_s, 4)
             self._record_unanswered(task, progress)
-            reply.write_timeout_s = min(reply.write_timeout_s, MIN_BLOCKED_S)
-            if not reply.has_begun and await answerer.forward_kept():
+            reply.write_timeout_s = min(reply.write_timeout_s, READ_PAUSE_S)
+            if reply.can_complete and await _forward_late(answerer):
                 return
             has_stopped = self.kernel.clock.now_s() < task.deadline_s
             local_reply = answerer.stopped_reply() if has_stopped else _deadline_exceeded(progress)
@@ -365,6 +372,16 @@
         await reply.send_complete(local_reply.refusal.status, headers, body)
 
 
+async def _forward_late(handler: StreamingRequestHandler | PlainRequestHandler) -> bool:
+    """Forward a response that is kept, after the limit; return whether there is one.
+
+    The limit doesn't cut a response that was complete before it, as long as the caller reads.
+    """
+    with trio.move_on_after(LATE_DELIVERY_S):
+        return await handler.forward_kept()
+    raise CallerBlocked(f"it hadn't read everything {LATE_DELIVERY_S:.0f} s after the limit")
+
+
 def _fingerprint(request: Request, customer: Customer | None) -> int:
     return request_fingerprint(
         customer.name if customer else "",
--- a/packages/proxy/src/sassafrastally/proxy/reply.py
+++ b/packages/proxy/src/sassafrastally/proxy/reply.py
@@ -68,19 +68,34 @@
         self.has_ended = False
         self.sent_bytes = 0
         """Bytes passed to the operating system."""
+        self._unsent: _Unsent | None = None
+        """What is left of a complete response."""
         self._connection = connection
         self._is_last = is_last
         self._blocked_callers = blocked_callers or BlockedCallers()
 
+    @property
+    def can_complete(self) -> bool:
+        """Whether a response can be sent as a whole: none has begun, or a complete one was cut."""
+        return not self.has_begun or self._unsent is not None
+
     async def send_complete(self, status: int, headers: Headers, body: bytes) -> None:
-        """Send a response with a complete body; raises `ConnectionLost`."""
+        """Send a response with a complete body; raises `ConnectionLost`.
+
+        After a cancellation, the same response may be sent again, which goes on where it was cut.
+        """
+        if self._unsent is None:
+            self._unsent = _Unsent(self._encode_complete(status, headers, body))
+        await self._write_whole(self._unsent, is_complete=True)
+        self.has_ended = True
+
+    def _encode_complete(self, status: int, headers: Headers, body: bytes) -> list[bytes]:
         length = str(len(body)).encode()
         if self.is_for_head:
             length, body = _declared_length(headers) or length, b""
         fields = [*_end_to_end_headers(headers), (b"content-length", length)]
         response = self._response(status, fields)
-        await self._send(response, h11.Data(data=body), h11.EndOfMessage())
-        self.has_ended = True
+        return self._connection.encode_parts(response, h11.Data(data=body), h11.EndOfMessage())
 
     async def begin(self, status: int, headers: Headers) -> None:
         """Send the header of a response of unknown length; raises `ConnectionLost`.
@@ -111,19 +126,30 @@
         return self._connection.http.their_http_version == HTTP_1_0
 
     async def _send(self, *events: h11.Event) -> None:
-        """Send events as a whole; raises `CallerBlocked` if the caller doesn't read them.
+        """Send events as a whole, as `_write_whole`."""
+        unsent = _Unsent(self._connection.encode_parts(*events))
+        await self._write_whole(unsent, is_complete=isinstance(events[-1], h11.EndOfMessage))
+
+    async def _write_whole(self, unsent: _Unsent, *, is_complete: bool) -> None:
+        """Write bytes as a whole; raises `CallerBlocked` if the caller doesn't read them.
 
         A cancellation doesn't cut them unless the caller reads too slowly: a caller can't tell a
         part of a response from a broken one, and what h11 has encoded can't be taken back. A
         response that is complete isn't cancelled any more, so that it is recorded.
+
+        Parameters
+        ----------
+        unsent
+            The bytes.
+        is_complete
+            Whether the response ends with them.
         """
-        unsent = _Unsent(self._connection.encode_parts(*events))
         try:
             await self._write_all(unsent)
         except trio.Cancelled:
             with trio.CancelScope(deadline=trio.current_time() + LAST_WRITE_S, shield=True):
                 await self._write_all(unsent)
-            if unsent.piece or not isinstance(events[-1], h11.EndOfMessage):
+            if unsent.piece or not is_complete:
                 raise
 
     async def _write_all(self, unsent: _Unsent) -> None:
--- a/packages/proxy/src/sassafrastally/proxy/streaming_request.py
+++ b/packages/proxy/src/sassafrastally/proxy/streaming_request.py
@@ -111,8 +111,8 @@
         return None if local_reply and await self.forward_kept() else local_reply
 
     async def forward_kept(self) -> bool:
-        """Forward the failure that an engine has answered, if any and if nothing is sent yet."""
-        if self._failed is None or self._reply.has_begun:
+        """Forward the failure that an engine has answered, if any and if no stream has begun."""
+        if self._failed is None or not self._reply.can_complete:
             return False
         await self._forward(self._failed, self._lane)
         return True
