Read a lost run again before its request is refused

What callers saw: an idempotent request whose sidecar was out of reach for 1.1 to 5 s was refused as outcome-unknown or no-replica, although that sidecar had the whole answer and kept it.

Cause: after contact_patience_s (1 s) the run was given up, and only then were attempts, spent tokens, retry budget and candidates looked up. If one of these forbade a retry, or the retry was refused, failed, or lost in its turn, nobody asked the first sidecar again. A short request that was lost before the reply with the incarnation was never asked for at all.

Ruled out: reading it while the successor runs. Two readers of one answer would need an order between their tokens; a successor that hangs is lost by its link in its turn. The leader of a span isn't read again: its members have been released.

Change: lost_runs keeps such attempts. Before a refusal each is queried in turn until the time limit, unless its VM is no longer listed, its sidecar has told how it ended, or another attempt has sent tokens. The incarnation comes from the link where no reply has named it. A caller whose sidecar never comes back and whose retries fail now hears it at its time limit, as with requests that may not be repeated.

--- a/packages/entry/src/sassafrastally/entry/attempt.py
+++ b/packages/entry/src/sassafrastally/entry/attempt.py
@@ -142,6 +142,7 @@
         self._buffered_bytes = 0
         self._is_settled = False
         self._is_adopted = False
+        self._linked_incarnation = ""
 
     @property
     def is_adopted(self) -> bool:
@@ -153,10 +154,20 @@
         """Number of chunks of the answer received so far."""
         return self._chunk_order.next_sequence
 
+    def assume_incarnation(self) -> None:
+        """Take the attempt to be with the incarnation at the other end of the link.
+
+        A short request commits with its reservation. If the link is lost before the reply, only
+        the handshake has told which incarnation has it.
+        """
+        if not self.site.incarnation:
+            self.site = self.site._replace(incarnation=self._linked_incarnation)
+
     async def run(self) -> AttemptResult:
         """Reserve, commit and relay the answer."""
         try:
             link = await self._peers.link_to(self.plan.vm, self.plan.address)
+            self._linked_incarnation = link.peer.incarnation
             async with link.open_stream() as stream:
                 return await self._run_or_cancel(stream, self._reserve_and_run(stream))
         except (LinkRefused, TooManyStreams) as cause:
--- a/packages/entry/src/sassafrastally/entry/events.py
+++ b/packages/entry/src/sassafrastally/entry/events.py
@@ -114,6 +114,15 @@
     elapsed_s: float
 
 
+@event(6015)
+class LostRunContinued(NamedTuple):
+    """No other attempt succeeded, so a run whose sidecar was out of reach is queried again."""
+
+    request_id: str
+    attempt: int
+    vm: str
+
+
 REQUESTS = counter("sassafrastally.entry.requests", "1", "Requests by outcome and code")
 OPEN_REQUESTS = gauge("sassafrastally.entry.open_requests", "1", "Requests in progress")
 RETRIES = counter("sassafrastally.entry.retries", "1", "Attempts after the first")
--- a/packages/entry/src/sassafrastally/entry/execution.py
+++ b/packages/entry/src/sassafrastally/entry/execution.py
@@ -25,6 +25,7 @@
     AttemptRefused,
     AttemptRepeated,
 )
+from sassafrastally.entry.lost_runs import LostRuns
 from sassafrastally.entry.resolution import COME_BACK_S, Resolution
 from sassafrastally.entry.span import NO_SPAN, Span, needs_span
 from sassafrastally.entry.span_try import SpanRequest
@@ -120,6 +121,9 @@
         self._history = _AttemptHistory()
         self._failed_vms: set[str] = set()
         self._current: Attempt | None = None
+        self._lost_runs = LostRuns(
+            answer, services.candidates, services.events, services.settings.contact_patience_s
+        )
 
     @property
     def attempts(self) -> int:
@@ -130,6 +134,8 @@
     def outcome(self) -> Outcome:
         """Outcome to report if the request is cancelled now."""
         current = self._current
+        if self._lost_runs.has_data:
+            return Outcome.FAILED
         if current is None or not current.is_committed:
             return self._history.outcome
         if current.has_data:
@@ -152,6 +158,8 @@
             while not await self._round():
                 pass
         except Refusal as refusal:
+            if await self._lost_runs.read():
+                return
             if refusal.kind.code == "outcome-unknown" and self.outcome == Outcome.FAILED:
                 # Part of an answer was received, so the request is known to have run.
                 raise Refusal("backend-failed", refusal.figures) from refusal
@@ -273,6 +281,9 @@
                 result = await resolution.join_owner(result.owner)
             elif isinstance(result, ContactLost):
                 result = await resolution.resolve_lost(result, self._contact_timeout_s())
+                if make is Attempt:
+                    # The leader of a span can't be read later: its members have been released.
+                    self._lost_runs.add(attempt, resolution, result)
         self._record_result(attempt, result)
         self._current = None
         return result
--- a/packages/entry/src/sassafrastally/entry/resolution.py
+++ b/packages/entry/src/sassafrastally/entry/resolution.py
@@ -84,6 +84,18 @@
         self._events.emit(event)
         if not self._attempt.site.incarnation:
             return lost
+        return await self.query_again(lost, timeout_s)
+
+    async def query_again(self, lost: ContactLost, timeout_s: float) -> AttemptResult:
+        """Try once more to determine the outcome of an attempt whose incarnation is known.
+
+        Parameters
+        ----------
+        lost
+            How the link was lost.
+        timeout_s
+            How long to try to reach the sidecar, from now on.
+        """
         self._patience = trio.CancelScope(deadline=trio.current_time() + timeout_s)
         with self._patience:
             return await self._query_until_known(lost, timeout_s)
--- a/packages/entry/tests/conftest.py
+++ b/packages/entry/tests/conftest.py
@@ -17,7 +17,7 @@
     PlainService,
 )
 from sassafrastally.control.interfaces import PeerLoad
-from sassafrastally.core import Address, Clock, Kernel, Service
+from sassafrastally.core import Address, Clock, Incarnation, Kernel, Service
 from sassafrastally.entry.http import HttpService
 from sassafrastally.entry.path import RequestPath
 from sassafrastally.entry.relay import EVENT_STREAM
@@ -26,7 +26,7 @@
 from sassafrastally.serving import policies  # noqa: F401
 from sassafrastally.serving.outcome import AttemptState
 from sassafrastally.stores.interfaces import VmState
-from sassafrastally.wire.link import LinkCut, LinkRefused, StreamEnded
+from sassafrastally.wire.link import LinkCut, LinkRefused, PeerIdentity, StreamEnded
 from sassafrastally.wire.messages import (
     Attach,
     Chunk,
@@ -263,7 +263,9 @@
         self._sidecar = sidecar
         self._nursery = nursery
         self.is_up = True
-        self.peer: Any = None
+        self.peer = PeerIdentity(
+            sidecar.vm, "sidecar", "sala-prado", Incarnation(sidecar.incarnation)
+        )
 
     def open_stream(self) -> FakeStream:
         stream = FakeStream(self._sidecar.vm)
