Reserve again on the same sidecar once the owner of a key never runs

What callers saw: a booking that is repeated after its first entry died between claim and commit was refused as no-replica, each time anew, where only one sidecar has room for it.

Cause: an attempt releases its reservation when the key belongs to another request. When that one is proved never to run, the next candidate was asked; if there was none, the request was refused, though the sidecar that had granted the reservation still has room. The next repeat began from scratch.

Ruled out: holding the reservation while the owner is read. The owner may run for minutes, and a hold would keep room from other requests.

Change: the candidate whose reservation was released is asked first. Each further turn needs another owner that is proved never to run.

--- a/packages/entry/src/sassafrastally/entry/execution.py
+++ b/packages/entry/src/sassafrastally/entry/execution.py
@@ -121,6 +121,8 @@
         self._history = _AttemptHistory()
         self._failed_vms: set[str] = set()
         self._current: Attempt | None = None
+        self._has_freed_key = False
+        """Whether the last attempt proved that the owner of the key never runs."""
         self._lost_runs = LostRuns(
             answer, services.candidates, services.events, services.settings.contact_patience_s
         )
@@ -186,6 +188,9 @@
                     self._request, known
                 ):
                     return await self._span_round()
+                case Rejected() if self._has_freed_key:
+                    # The reservation was released only for the key's owner, which never runs.
+                    pending.appendleft(reachable)
                 case Rejected(refusal):
                     # Nothing ran, so the next candidate is tried immediately. This doesn't count as
                     # a retry.
@@ -383,6 +388,7 @@
 
     def _record_result(self, attempt: Attempt, result: AttemptResult) -> None:
         plan, services = attempt.plan, self._services
+        self._has_freed_key = attempt.is_adopted and isinstance(result, Rejected)
         where = (plan.request_id, plan.number, plan.vm)
         match result:
             case Completed():
--- a/packages/entry/tests/test_claiming.py
+++ b/packages/entry/tests/test_claiming.py
@@ -11,6 +11,7 @@
 from sassafrastally.serving.claims import ClaimResult, ClaimState, Placement
 from sassafrastally.serving.outcome import AttemptState, Outcome
 from sassafrastally.serving.refusals import Refusal
+from sassafrastally.testing.sidecar_scripts import refusing
 from sassafrastally.wire.messages import Cancel, Commit, Query, QueryReply, Reserve
 
 THREE_EVENTS = b'data: {"w":"ha"}\n\ndata: {"w":"ho"}\n\ndata: {"w":"hi"}\n\n'
@@ -208,6 +209,21 @@
         assert world.s1.states[OWN] == AttemptState.VOIDED
         assert world.ran() == 1
 
+    @pytest.mark.parametrize("other", ["is missing", "refuses", "is down"])
+    async def test_voided_owner_is_replaced_on_the_only_sidecar_with_room(
+        self, world: Any, claims: FakeClaims, autojump_clock: Any, other: str
+    ) -> None:
+        """Guards against a repeat that is refused each time: its reservation was released for an
+        owner that never ran, and no other sidecar grants one."""
+        claims.hold()
+        if other == "is missing":
+            del world.sidecars["s2"]
+        world.s2.is_down = other == "is down"
+        world.s2.scripts = [refusing("overloaded")] * 9
+        assert (await world.ask(world.booking(key="k"))).body == THREE_EVENTS
+        assert world.s1.states[OWN] == AttemptState.VOIDED
+        assert world.ran() == 1
+
     async def test_owner_that_may_still_commit_is_not_voided(
         self, world: Any, claims: FakeClaims, autojump_clock: Any
     ) -> None:
