Keep a run whose chunks are incomplete until it has been read again

What callers saw: an answer with a missing chunk was refused as backend-failed, a booking too, although its run went on and its sidecar kept every chunk.

Cause: at a gap the entry sent a cancellation and then asked the sidecar for the missing chunks. The run was gone by then.

The earlier tests of incomplete answers passed since their stand-ins take no cancellation.

Ruled out: leaving every such run to the sidecar's grace time. A run that may not be repeated has none, and its engine would work on for nobody.

Change: the run is cancelled only after the last try to read it.

--- a/packages/entry/src/sassafrastally/entry/attempt.py
+++ b/packages/entry/src/sassafrastally/entry/attempt.py
@@ -36,6 +36,9 @@
     from sassafrastally.serving.claims import Placement
     from sassafrastally.wire.link import Link, Peers, Stream
 
+MAX_BROKEN_ANSWERS = 2
+"""How often an answer that violates the protocol is requested again before it counts as failed."""
+
 CANCEL_LIMIT_S = 1.0
 """Time limit of the shielded send that cancels an attempt."""
 
@@ -143,6 +146,7 @@
         self._is_settled = False
         self._is_adopted = False
         self._linked_incarnation = ""
+        self._broken_answers = 0
 
     @property
     def is_adopted(self) -> bool:
@@ -242,12 +246,19 @@
         self._is_settled = False
         try:
             result = await work
-            self._is_settled = not isinstance(result, KeyOwnedElsewhere | Unreachable | ContactLost)
+            is_over = not isinstance(result, KeyOwnedElsewhere | Unreachable | ContactLost)
+            self._is_settled = is_over or self._is_read_again(result)
             return result
         finally:
             if not (self._is_settled or self._continues_without_reader()):
                 await self._send_cancel(stream)
 
+    def _is_read_again(self, result: AttemptResult) -> bool:
+        """Return whether an incomplete answer is requested again, for which its run must go on."""
+        is_broken = isinstance(result, ContactLost) and result.is_protocol_error
+        self._broken_answers += is_broken
+        return is_broken and self._broken_answers <= MAX_BROKEN_ANSWERS
+
     def _continues_without_reader(self) -> bool:
         """Return whether the run continues without this reader.
 
--- a/packages/entry/src/sassafrastally/entry/resolution.py
+++ b/packages/entry/src/sassafrastally/entry/resolution.py
@@ -9,6 +9,7 @@
 import trio
 
 from sassafrastally.entry.attempt import (
+    MAX_BROKEN_ANSWERS,
     Attempt,
     AttemptResult,
     ContactLost,
@@ -31,9 +32,6 @@
 PROVED_NOT_RUN = frozenset({AttemptState.ABSENT, AttemptState.VOIDED, AttemptState.REFUSED})
 """States that prove that an attempt hasn't run, when returned by a query that voids it."""
 
-MAX_BROKEN_ANSWERS = 2
-"""How often an answer that violates the protocol is requested again before it counts as failed."""
-
 COME_BACK_S = 1.0
 """Retry delay sent to callers when no replica was reached: enough to establish a new link."""
 
--- a/packages/entry/tests/test_reattaching.py
+++ b/packages/entry/tests/test_reattaching.py
@@ -7,7 +7,8 @@
 import pytest
 import trio
 
-from sassafrastally.testing.sidecar_scripts import THREE_EVENTS, cut_after_two, own_of
+from sassafrastally.serving.outcome import AttemptState
+from sassafrastally.testing.sidecar_scripts import THREE_EVENTS, cut_after_two, own_of, refusal_of
 from sassafrastally.wire.messages import Attach, Cancel, Query, Refused, Reserve
 
 
@@ -55,3 +56,54 @@
             body = (await world.ask(world.request(prompt_tokens=5_000))).body
         assert body == THREE_EVENTS
         assert trio.current_time() - started_s < 3.0
+
+
+class TestIncompleteChunks:
+    @pytest.mark.parametrize("is_idempotent", [True, False])
+    @pytest.mark.parametrize("is_streamed", [True, False])
+    async def test_run_is_not_cancelled_before_it_is_read_again(
+        self, world: Any, autojump_clock: Any, is_streamed: bool, is_idempotent: bool
+    ) -> None:
+        """Guards against a run that works and is cancelled for a missing chunk, so that there is
+        nothing left to read when its sidecar is asked for that chunk."""
+
+        async def gap(sidecar: Any, end: Any, reserve: Reserve) -> None:
+            await sidecar.accept(end, reserve)
+            own = own_of(reserve)
+            sidecar.ran.append(own)
+            chunks = sidecar.chunks(own, sidecar.words)
+            await end.send(chunks[0], chunks[2])
+            if isinstance(await end.receive(), Cancel):
+                sidecar.states[own] = AttemptState.FAILED
+                sidecar.scripts = [type(sidecar).behave, cancelled] * 5
+
+        async def cancelled(sidecar: Any, end: Any, attach: Attach) -> None:
+            await end.send(sidecar.end(own_of(attach), 1, "failed", code="backend-failed"))
+
+        world.s1.scripts, world.s2.scripts = [gap], [gap]
+        request = world.request(
+            prompt_tokens=5_000, is_idempotent=is_idempotent, is_streamed=is_streamed
+        )
+        assert (await world.ask(request)).body == THREE_EVENTS
+        assert world.ran() == 1
+        assert not world.s1.of(Cancel) + world.s2.of(Cancel)
+
+    async def test_run_whose_chunks_stay_incomplete_is_cancelled(
+        self, world: Any, autojump_clock: Any
+    ) -> None:
+        """Guards against an engine that works on for nobody after the last try to read its run."""
+
+        async def gap(sidecar: Any, end: Any, message: Any) -> None:
+            if isinstance(message, Reserve):
+                await sidecar.accept(end, message)
+            if not isinstance(message, Reserve | Attach):
+                await type(sidecar).behave(sidecar, end, message)
+                return
+            await end.send(*sidecar.chunks(own_of(message), sidecar.words[2:], 2))
+            await end.receive()
+
+        world.s1.scripts, world.s2.scripts = [gap] * 20, [gap] * 20
+        refusal = await refusal_of(world, world.booking())
+        assert refusal.kind.code == "backend-failed"
+        assert len(world.s1.of(Attach) + world.s2.of(Attach)) == 2
+        assert len(world.s1.of(Cancel) + world.s2.of(Cancel)) == 1
