--- a/packages/entry/src/sassafrastally/entry/attempt.py
+++ b/packages/entry/src/sassafrastally/entry/attempt.py
@@ -36,6 +36,9 @@
     from sassafrastally.serving.claims import Placement
     from sassafrastally.wire.link import Link, Peers, Stream
 
+MAX_BROKEN_ANSWERS = 2
+"""How often an answer that violates the protocol is requested again before it counts as failed."""
+
 CANCEL_LIMIT_S = 1.0
 """Time limit of the shielded send that cancels an attempt."""
 
@@ -142,6 +145,8 @@
         self._buffered_bytes = 0
         self._is_settled = False
         self._is_adopted = False
+        self._linked_incarnation = ""
+        self._broken_answers = 0
 
     @property
     def is_adopted(self) -> bool:
@@ -153,10 +158,20 @@
         """Number of chunks of the answer received so far."""
         return self._chunk_order.next_sequence
 
+    def assume_incarnation(self) -> None:
+        """Take the attempt to be with the incarnation at the other end of the link.
+
+        A short request commits with its reservation. If the link is lost before the reply, only
+        the handshake has told which incarnation has it.
+        """
+        if not self.site.incarnation:
+            self.site = self.site._replace(incarnation=self._linked_incarnation)
+
     async def run(self) -> AttemptResult:
         """Reserve, commit and relay the answer."""
         try:
             link = await self._peers.link_to(self.plan.vm, self.plan.address)
+            self._linked_incarnation = link.peer.incarnation
             async with link.open_stream() as stream:
                 return await self._run_or_cancel(stream, self._reserve_and_run(stream))
         except (LinkRefused, TooManyStreams) as cause:
@@ -231,12 +246,19 @@
         self._is_settled = False
         try:
             result = await work
-            self._is_settled = not isinstance(result, KeyOwnedElsewhere | Unreachable | ContactLost)
+            is_over = not isinstance(result, KeyOwnedElsewhere | Unreachable | ContactLost)
+            self._is_settled = is_over or self._is_read_again(result)
             return result
         finally:
             if not (self._is_settled or self._continues_without_reader()):
                 await self._send_cancel(stream)
 
+    def _is_read_again(self, result: AttemptResult) -> bool:
+        """Return whether an incomplete answer is requested again, for which its run must go on."""
+        is_broken = isinstance(result, ContactLost) and result.is_protocol_error
+        self._broken_answers += is_broken
+        return is_broken and self._broken_answers <= MAX_BROKEN_ANSWERS
+
     def _continues_without_reader(self) -> bool:
         """Return whether the run continues without this reader.
 
--- a/packages/entry/src/sassafrastally/entry/execution.py
+++ b/packages/entry/src/sassafrastally/entry/execution.py
@@ -25,6 +25,7 @@
     AttemptRefused,
     AttemptRepeated,
 )
+from sassafrastally.entry.lost_runs import LostRuns
 from sassafrastally.entry.resolution import COME_BACK_S, Resolution
 from sassafrastally.entry.span import NO_SPAN, Span, needs_span
 from sassafrastally.entry.span_try import SpanRequest
@@ -120,6 +121,11 @@
         self._history = _AttemptHistory()
         self._failed_vms: set[str] = set()
         self._current: Attempt | None = None
+        self._has_freed_key = False
+        """Whether the last attempt proved that the owner of the key never runs."""
+        self._lost_runs = LostRuns(
+            answer, services.candidates, services.events, services.settings.contact_patience_s
+        )
 
     @property
     def attempts(self) -> int:
@@ -130,6 +136,8 @@
     def outcome(self) -> Outcome:
         """Outcome to report if the request is cancelled now."""
         current = self._current
+        if self._lost_runs.has_data:
+            return Outcome.FAILED
         if current is None or not current.is_committed:
             return self._history.outcome
         if current.has_data:
@@ -152,6 +160,8 @@
             while not await self._round():
                 pass
         except Refusal as refusal:
+            if await self._lost_runs.read():
+                return
             if refusal.kind.code == "outcome-unknown" and self.outcome == Outcome.FAILED:
                 # Part of an answer was received, so the request is known to have run.
                 raise Refusal("backend-failed", refusal.figures) from refusal
@@ -178,6 +188,9 @@
                     self._request, known
                 ):
                     return await self._span_round()
+                case Rejected() if self._has_freed_key:
+                    # The reservation was released only for the key's owner, which never runs.
+                    pending.appendleft(reachable)
                 case Rejected(refusal):
                     # Nothing ran, so the next candidate is tried immediately. This doesn't count as
                     # a retry.
@@ -273,6 +286,9 @@
                 result = await resolution.join_owner(result.owner)
             elif isinstance(result, ContactLost):
                 result = await resolution.resolve_lost(result, self._contact_timeout_s())
+                if make is Attempt:
+                    # The leader of a span can't be read later: its members have been released.
+                    self._lost_runs.add(attempt, resolution, result)
         self._record_result(attempt, result)
         self._current = None
         return result
@@ -372,6 +388,7 @@
 
     def _record_result(self, attempt: Attempt, result: AttemptResult) -> None:
         plan, services = attempt.plan, self._services
+        self._has_freed_key = attempt.is_adopted and isinstance(result, Rejected)
         where = (plan.request_id, plan.number, plan.vm)
         match result:
             case Completed():
--- a/packages/entry/src/sassafrastally/entry/resolution.py
+++ b/packages/entry/src/sassafrastally/entry/resolution.py
@@ -9,6 +9,7 @@
 import trio
 
 from sassafrastally.entry.attempt import (
+    MAX_BROKEN_ANSWERS,
     Attempt,
     AttemptResult,
     ContactLost,
@@ -31,9 +32,6 @@
 PROVED_NOT_RUN = frozenset({AttemptState.ABSENT, AttemptState.VOIDED, AttemptState.REFUSED})
 """States that prove that an attempt hasn't run, when returned by a query that voids it."""
 
-MAX_BROKEN_ANSWERS = 2
-"""How often an answer that violates the protocol is requested again before it counts as failed."""
-
 COME_BACK_S = 1.0
 """Retry delay sent to callers when no replica was reached: enough to establish a new link."""
 
@@ -84,6 +82,18 @@
         self._events.emit(event)
         if not self._attempt.site.incarnation:
             return lost
+        return await self.query_again(lost, timeout_s)
+
+    async def query_again(self, lost: ContactLost, timeout_s: float) -> AttemptResult:
+        """Try once more to determine the outcome of an attempt whose incarnation is known.
+
+        Parameters
+        ----------
+        lost
+            How the link was lost.
+        timeout_s
+            How long to try to reach the sidecar, from now on.
+        """
         self._patience = trio.CancelScope(deadline=trio.current_time() + timeout_s)
         with self._patience:
             return await self._query_until_known(lost, timeout_s)
