--- a/packages/core/src/sassafrastally/core/__init__.py
+++ b/packages/core/src/sassafrastally/core/__init__.py
@@ -30,7 +30,7 @@
     LeaseLost,
     MaybeApplied,
 )
-from sassafrastally.core.late_limits import TimeLimit, time_limit
+from sassafrastally.core.late_limits import TimeLimit, require_time, time_limit
 from sassafrastally.core.metrics import METRICS, MetricKind, counter, gauge, histogram
 from sassafrastally.core.network import Address, Network, TcpNetwork, is_ip_address
 from sassafrastally.core.registry import Registry
@@ -84,6 +84,7 @@
     "is_ip_address",
     "new_incarnation",
     "new_request_id",
+    "require_time",
     "stamp_wall_s",
     "time_limit",
 ]
--- a/packages/core/src/sassafrastally/core/late_limits.py
+++ b/packages/core/src/sassafrastally/core/late_limits.py
@@ -57,6 +57,21 @@
         await trio.lowlevel.checkpoint()
 
 
+async def require_time(due_s: float) -> None:
+    """Wait for the cancellation if a limit has passed, so that nothing new begins meanwhile.
+
+    For use within the limit's scope, right before something that others notice: a request that is
+    sent, a reservation, a claim.
+
+    Parameters
+    ----------
+    due_s
+        When the limit passes, on trio's clock.
+    """
+    if trio.current_time() >= due_s:
+        await trio.sleep_forever()
+
+
 class TimeLimit:
     """Time limit of a scope, which `watch` enforces.
 
@@ -85,13 +100,8 @@
         return trio.current_time() >= self.due_s
 
     async def require_time(self) -> None:
-        """Wait for the cancellation if the time has ended, so that nothing new begins meanwhile.
-
-        For use within the scope, right before something that others notice: a request that is
-        sent, a reservation, a claim.
-        """
-        if self.is_due:
-            await trio.sleep_forever()
+        """Wait for the cancellation if the time has ended; see the function `require_time`."""
+        await require_time(self.due_s)
 
     async def watch(self) -> None:
         """Wait for the end of the time and for what has been received; then cancel the scope."""
--- a/packages/entry/tests/test_ready_answers.py
+++ b/packages/entry/tests/test_ready_answers.py
@@ -10,7 +10,7 @@
 
 from sassafrastally.serving.outcome import Outcome
 from sassafrastally.testing.sidecar_scripts import THREE_EVENTS, own_of, refusal_of
-from sassafrastally.wire.messages import Chunk, Reserve, Reserved
+from sassafrastally.wire.messages import Chunk, Commit, Refused, Reserve, Reserved
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -96,6 +96,41 @@
         assert len(world.s1.of(Reserve) + world.s2.of(Reserve)) == 1
 
 
+class TestWorkPastTheLimit:
+    """Messages that are ready once the limit has passed must not begin anything."""
+
+    @pytest.mark.parametrize("lag_s", LAGS_S)
+    async def test_reservation_is_not_committed(
+        self, world: Any, autojump_clock: Any, lag_s: float
+    ) -> None:
+        """Guards against a booking reported as perhaps made: it would be committed past its limit,
+        when no sidecar runs it."""
+
+        async def reserve_then_pause(sidecar: Any, end: Any, reserve: Reserve) -> None:
+            await end.send(Reserved(*own_of(reserve), sidecar.incarnation, 0.1, 0.5, 5.0))
+            autojump_clock.jump(LIMIT_S + lag_s)
+            await trio.sleep_forever()
+
+        world.s1.scripts, world.s2.scripts = [reserve_then_pause], [reserve_then_pause]
+        refusal = await refusal_of(world, world.booking(time_limit_s=LIMIT_S))
+        assert (refusal.kind.code, refusal.outcome) == ("time-limit-passed", Outcome.NOT_RUN)
+        assert not world.s1.of(Commit) + world.s2.of(Commit)
+
+    @pytest.mark.parametrize("lag_s", LAGS_S)
+    async def test_no_attempt_begins(self, world: Any, autojump_clock: Any, lag_s: float) -> None:
+        """Guards against a prompt that is sent to the next sidecar past its limit."""
+
+        async def refuse_then_pause(sidecar: Any, end: Any, reserve: Reserve) -> None:
+            await end.send(Refused(*own_of(reserve), "no-room"))
+            autojump_clock.jump(LIMIT_S + lag_s)
+            await trio.sleep_forever()
+
+        world.s1.scripts, world.s2.scripts = [refuse_then_pause], [refuse_then_pause]
+        refusal = await refusal_of(world, world.request(time_limit_s=LIMIT_S))
+        assert (refusal.kind.code, refusal.outcome) == ("time-limit-passed", Outcome.NOT_RUN)
+        assert len(world.s1.of(Reserve) + world.s2.of(Reserve)) == 1
+
+
 class TestAnswerThatEndsWithItsLimit:
     async def test_complete_answer_is_not_followed_by_a_failure(
         self, world: Any, autojump_clock: Any, monkeypatch: pytest.MonkeyPatch
