Sidecar: start no run and send no call whose time limit has passed

What callers saw: a booking reported as unknown or a prompt as failed, though the sidecar could still have left it unrun, after a pause of the sidecar at the limit; the booking was made past its limit.

Cause: the queue gives no turn to expired work, but a turn given before a pause, or a connection opened before one, was used while the limit acted (16 turns to 0.25 s).

Change: backends call require_time before an attempt counts as started; PlainClient sends through SendTracker, which moves out of the KV client, and raises PlainNotSent if the limit acts before the first byte.

Open: a run whose connection to the engine opens late is sent, cancelled and reported as failed.

--- a/packages/sidecar/src/sassafrastally/sidecar/engine_backend.py
+++ b/packages/sidecar/src/sassafrastally/sidecar/engine_backend.py
@@ -8,6 +8,7 @@
 
 import trio
 
+from sassafrastally.core import require_time
 from sassafrastally.serving.refusals import Figures, Refusal
 from sassafrastally.serving.scheduling import Prediction, Work
 from sassafrastally.sidecar.attempt_key import AttemptKey
@@ -157,6 +158,7 @@
         await self._queue.wait_turn(attempt.work, stream_id)
         if attempt.segment is not None:
             await self.segments.fetch(attempt)
+        await require_time(attempt.deadline_s)
         now_s = self._kernel.clock.now_s()
         attempt.has_started = True
         self._kernel.events.emit(AttemptStarted(*attempt.key, now_s - attempt.arrived_s))
--- a/packages/sidecar/src/sassafrastally/sidecar/plain.py
+++ b/packages/sidecar/src/sassafrastally/sidecar/plain.py
@@ -7,6 +7,7 @@
 
 import trio
 
+from sassafrastally.core import require_time
 from sassafrastally.serving.refusals import Figures, Refusal
 from sassafrastally.serving.scheduling import Prediction
 from sassafrastally.sidecar.backend import Admitted, RunResult
@@ -138,6 +139,7 @@
     async def run(self, attempt: Attempt) -> RunResult:
         """Wait for a free slot and call the service once."""
         await self._wait_turn(attempt)
+        await require_time(attempt.deadline_s)
         started_s = self._kernel.clock.now_s()
         self._kernel.events.emit(AttemptStarted(*attempt.key, started_s - attempt.arrived_s))
         attempt.has_started = True
--- a/packages/sidecar/src/sassafrastally/sidecar/plain_client.py
+++ b/packages/sidecar/src/sassafrastally/sidecar/plain_client.py
@@ -18,6 +18,7 @@
 )
 from sassafrastally.core.http_patterns import use_linear_patterns
 from sassafrastally.stores.bounded_transport import BoundedTransport
+from sassafrastally.stores.send_tracker import SendTracker
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Mapping
@@ -136,10 +137,16 @@
         # The connect timeout ends before the call's, so that "not sent" can still be reported.
         timeout = httpx.Timeout(None, connect=min(CONNECT_LIMIT_S, timeout_s / 2))
         sent = {**headers, "Accept-Encoding": "identity"}
-        built = self._client.build_request(
-            method, path, headers=sent, content=body, timeout=timeout
-        )
+        tracker = SendTracker()
         async with time_limit(trio.current_time() + timeout_s) as limit:
+            built = self._client.build_request(
+                method,
+                path,
+                headers=sent,
+                content=body,
+                timeout=timeout,
+                extensions=tracker.extensions(limit),
+            )
             response = await self._send(built)
             try:
                 yield PlainAnswer(response)
@@ -147,6 +154,8 @@
                 with trio.move_on_after(CLOSE_LIMIT_S, shield=True):
                     await response.aclose()
         if limit.scope.cancelled_caught:
+            if not tracker.may_have_been_sent:
+                raise PlainNotSent(f"not sent within {timeout_s:g} s")
             raise PlainMaybeRan(f"no whole answer within {timeout_s:g} s")
 
     async def _send(self, built: httpx.Request) -> httpx.Response:
--- a/packages/sidecar/tests/test_ready_answers.py
+++ b/packages/sidecar/tests/test_ready_answers.py
@@ -12,7 +12,9 @@
 from sassafrastally.core import Address
 from sassafrastally.sidecar.dialects import CALL_LIMIT_S, OpenAiDialect
 from sassafrastally.sidecar.engine import EngineChunk, EngineFailed, EngineUsage
-from sassafrastally.sidecar.plain_client import PlainClient, PlainMaybeRan
+from sassafrastally.sidecar.plain import PlainBackend
+from sassafrastally.sidecar.plain_client import PlainClient, PlainMaybeRan, PlainNotSent
+from sassafrastally.sidecar.queue import WorkQueue
 from sassafrastally.sidecar.settings import PlainServiceSettings
 
 LIMIT_S = 60.0
@@ -75,6 +77,39 @@
         assert b"".join(chunk.data for chunk in result.chunks) == b'{"booked": true}'
 
 
+class TestWorkPastTheLimit:
+    """An attempt's turn comes while the limit that passed in a pause acts."""
+
+    @pytest.mark.parametrize("lag_s", LAGS_S)
+    async def test_run_is_not_started(self, autojump_clock, rig, monkeypatch, lag_s):
+        """Guards against a prompt that is computed past its limit and reported as failed."""
+        _pause_after(monkeypatch, WorkQueue, "wait_turn", autojump_clock, LIMIT_S + lag_s)
+        result = await rig.run(rig.reserve(1, time_limit_s=LIMIT_S))
+        assert (result.end.outcome, result.end.code) == ("not_run", "time-limit-passed")
+        assert not rig.executions(1)
+        rig.check_memory()
+
+    @pytest.mark.parametrize("lag_s", LAGS_S)
+    async def test_call_is_not_sent(self, autojump_clock, make_rig, monkeypatch, lag_s):
+        """Guards against a booking that is made past its limit and reported as unknown."""
+        called = []
+
+        class Service:
+            @asynccontextmanager
+            async def call(self, *arguments):
+                called.append(arguments)
+                await trio.sleep_forever()
+                yield
+
+        _pause_after(monkeypatch, PlainBackend, "_wait_turn", autojump_clock, LIMIT_S + lag_s)
+        own = (PlainServiceSettings("bookings", Address("10.0.0.1", 8080), max_concurrent=2),)
+        rig = await make_rig(callers={"bookings": Service()}, services=own)
+        operation = {"model": "", "service": "bookings", "operation": "POST /bookings"}
+        result = await rig.run(rig.reserve(1, time_limit_s=LIMIT_S, **operation))
+        assert (result.end.outcome, result.end.code) == ("not_run", "time-limit-passed")
+        assert not called
+
+
 class TestEngineWatch:
     @pytest.mark.parametrize("lag_s", LAGS_S)
     async def test_engine_that_has_answered_is_not_lost(self, autojump_clock, rig, lag_s):
@@ -139,6 +174,42 @@
                     async for _ in received:
                         pass
 
+    @pytest.mark.parametrize("lag_s", LAGS_S)
+    async def test_call_is_not_sent_past_its_limit(self, mock_clock, nursery, monkeypatch, lag_s):
+        """Guards against a booking that is sent past its limit, over a connection that was opened
+        before a pause, and reported as unknown."""
+        received = bytearray()
+
+        async def serve(stream):
+            async for data in stream:
+                received.extend(data)
+
+        listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        nursery.start_soon(trio.serve_listeners, serve, listeners)
+        _pause_after(monkeypatch, trio, "open_tcp_stream", mock_clock, LIMIT_S + lag_s)
+        mock_clock.rate = 0.1  # A limit that acts 0.1 s late leaves the call time to be sent.
+        client = PlainClient(Address(*listeners[0].socket.getsockname()))
+        with pytest.raises(PlainNotSent):
+            async with client.call("POST", "/bookings", {}, b"{}", LIMIT_S) as answer:
+                async for _ in answer:
+                    pass
+        await trio.testing.wait_all_tasks_blocked(cushion=0.02)
+        assert not received
+        await client.aclose()
+        nursery.cancel_scope.cancel()
+
+
+def _pause_after(monkeypatch, owner, name, clock, pause_s):
+    """Let the process pause each time a function has returned."""
+    function = getattr(owner, name)
+
+    async def pausing(*arguments, **options):
+        result = await function(*arguments, **options)
+        clock.jump(pause_s)
+        return result
+
+    monkeypatch.setattr(owner, name, pausing)
+
 
 @asynccontextmanager
 async def _client_of(nursery, clock, pause_s, answer):
--- a/packages/stores/src/sassafrastally/stores/gateway_client.py
+++ b/packages/stores/src/sassafrastally/stores/gateway_client.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import json
-from functools import partial
 from typing import TYPE_CHECKING, Any
 
 import httpx
@@ -14,36 +13,19 @@
 from sassafrastally.core.kv import KvUnavailable, LeaseLost, MaybeApplied
 from sassafrastally.stores import gateway
 from sassafrastally.stores.bounded_transport import LINE_BOUND, BoundedTransport
+from sassafrastally.stores.send_tracker import SendTracker
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
-    from sassafrastally.core import TimeLimit
     from sassafrastally.stores.settings import KvSettings
 
 use_linear_patterns()
 
-SEND_STARTED_EVENT = "send_request_headers.started"
-"""Suffix of the transport's trace event after which the request may have been sent."""
-
 LostAnswerError = type[KvUnavailable] | type[MaybeApplied]
 """Error raised for a call whose response is lost: `KvUnavailable` if the call only reads."""
 
 
-class SendTracker:
-    """Tracks whether the transport has started to send a request, which it does in time only."""
-
-    def __init__(self) -> None:
-        self.may_have_been_sent = False
-
-    async def trace(self, limit: TimeLimit, event_name: str, _info: dict[str, Any]) -> None:
-        """Handle a trace event of the transport."""
-        if event_name.endswith(SEND_STARTED_EVENT):
-            # Another call's connection may become free while the limit acts.
-            await limit.require_time()
-            self.may_have_been_sent = True
-
-
 class GatewayClient:
     """HTTP client with a connection pool to the gateway.
 
@@ -89,7 +71,7 @@
         try:
             async with time_limit(trio.current_time() + time_limit_s) as limit:
                 response = await self._client.post(
-                    path, json=body, extensions={"trace": partial(tracker.trace, limit)}
+                    path, json=body, extensions=tracker.extensions(limit)
                 )
             if limit.scope.cancelled_caught:
                 raise trio.TooSlowError
