Keep a late reservation open until another sidecar has taken the request

What callers saw: a request was refused as overloaded or no-replica although a sidecar that had been silent for 2.1 s has room for it; bookings, requests with a key and prompts over 4,000 tokens only, as shorter ones commit with their reservation and have no such limit.

Cause: after reserve_timeout_s (2 s) the reservation was cancelled, and only then were the other candidates asked. If none had room, the request was refused, or retried where the budget allowed it.

Ruled out: a longer timeout, which makes callers wait for dead sidecars.

Change: the reservation stays open while the others are asked. An attempt takes the request's turn between its reservation and its claim and commit, and gives it back only if it is proved never to run. Leaders and members of spans keep the timeout: they would hold the memory of a whole span. Result types and the attempts' history have modules of their own.

--- a/packages/entry/src/sassafrastally/entry/attempt.py
+++ b/packages/entry/src/sassafrastally/entry/attempt.py
@@ -2,11 +2,23 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Any, NamedTuple, TypeAlias
+from typing import TYPE_CHECKING, Any, NamedTuple
 
 import trio
 
 from sassafrastally.core import CodedError, time_limit
+from sassafrastally.entry.attempt_result import (
+    AttemptResult,
+    Completed,
+    ContactLost,
+    Failed,
+    KeyOwnedElsewhere,
+    Rejected,
+    TakenElsewhere,
+    Unreachable,
+)
+from sassafrastally.entry.commit_turn import CommitTurn
+from sassafrastally.entry.late_reservation import LateReservation
 from sassafrastally.entry.relay import EVENT_STREAM, JSON, Answer, AnswerBroken, ChunkOrder, Head
 from sassafrastally.entry.site import Site
 from sassafrastally.serving.outcome import AttemptState, Outcome
@@ -28,12 +40,11 @@
 from sassafrastally.wire.streams import TooManyStreams
 
 if TYPE_CHECKING:
-    from collections.abc import Coroutine
+    from collections.abc import Awaitable, Callable, Coroutine
 
     from sassafrastally.core import Address
     from sassafrastally.entry.claiming import KeyClaim
     from sassafrastally.entry.request import CallerRequest
-    from sassafrastally.serving.claims import Placement
     from sassafrastally.wire.link import Link, Peers, Stream
 
 MAX_BROKEN_ANSWERS = 2
@@ -45,57 +56,6 @@
 _STATUS_OK = 200
 
 
-class Completed(NamedTuple):
-    """The complete answer arrived, confirmed by its end mark."""
-
-    end: End
-
-
-class Rejected(NamedTuple):
-    """The attempt is proved not to have run and never to run."""
-
-    refused: Refused
-
-
-class Unreachable(NamedTuple):
-    """The sidecar wasn't reached, or its link was lost before the commit."""
-
-    cause: str
-
-
-class Failed(NamedTuple):
-    """The attempt ran without a complete answer, or how it ended is unknown."""
-
-    end: End
-    is_adopted: bool = False
-    """Whether the run belongs to another request with the same key."""
-
-
-class ContactLost(NamedTuple):
-    """The link was lost after the commit, or the answer violated the protocol."""
-
-    cause: str
-    is_protocol_error: bool = False
-    """Whether the answer violated the protocol."""
-
-
-class IncarnationGone(NamedTuple):
-    """The incarnation that held the attempt is gone, so its outcome can't be determined."""
-
-    vm: str
-
-
-class KeyOwnedElsewhere(NamedTuple):
-    """Another placement owns the idempotency key; the reservation of this attempt is released."""
-
-    owner: Placement
-
-
-AttemptResult: TypeAlias = (
-    Completed | Rejected | Unreachable | Failed | ContactLost | IncarnationGone | KeyOwnedElsewhere
-)
-
-
 class AttemptPlan(NamedTuple):
     """Parameters of one attempt."""
 
@@ -111,6 +71,10 @@
     max_answer_bytes: int
     max_wait_s: float = 0.0
     """Longest delay of the first token by other work on the sidecar; 0 means no limit."""
+    turn: CommitTurn | None = None
+    """Turn to commit among the open reservations of the request."""
+    ask_others: Callable[[], Awaitable[TakenElsewhere | None]] | None = None
+    """Asks the other candidates while the reservation is late; without it the attempt ends."""
 
 
 class Attempt:
@@ -282,11 +246,11 @@
         await stream.send(self._reserve_message())
         if self.plan.commits_now:
             return await self._send_and_read(stream)
-        answered: Reserved | Refused | None = None
-        async with time_limit(trio.current_time() + self.plan.reserve_timeout_s):
-            answered = await self._receive_reserved(stream)
+        answered = await self._wait_reserved(stream)
         if answered is None:
             return Unreachable(f"no reservation within {self.plan.reserve_timeout_s:g} s")
+        if isinstance(answered, TakenElsewhere):
+            return answered
         if isinstance(answered, Refused):
             return self._after_refusal(answered)
         self.site = self.site._replace(incarnation=answered.incarnation)
@@ -306,6 +270,26 @@
         )
         return await self._send_and_read(stream)
 
+    async def _wait_reserved(self, stream: Stream) -> Reserved | Refused | TakenElsewhere | None:
+        """Return the reply to the reservation, having the turn to commit if it is granted."""
+        plan, turn = self.plan, self.plan.turn or CommitTurn()
+        answered: Reserved | Refused | None = None
+        async with time_limit(trio.current_time() + plan.reserve_timeout_s):
+            answered = await self._receive_reserved(stream)
+        if answered is None and plan.ask_others is not None:
+            return await LateReservation[TakenElsewhere](self, turn).wait(
+                lambda: self._receive_late(stream), plan.ask_others
+            )
+        if isinstance(answered, Reserved):
+            await turn.take(self)
+        return answered
+
+    async def _receive_late(self, stream: Stream) -> Reserved | Refused | None:
+        try:
+            return await self._receive_reserved(stream)
+        except (LinkCut, StreamEnded):
+            return None
+
     async def _receive_reserved(self, stream: Stream) -> Reserved | Refused:
         while True:
             message = await stream.receive()
--- a/packages/entry/src/sassafrastally/entry/events.py
+++ b/packages/entry/src/sassafrastally/entry/events.py
@@ -123,6 +123,15 @@
     vm: str
 
 
+@event(6016)
+class ReservationLate(NamedTuple):
+    """A sidecar hasn't answered a reservation in time; it stays open while others are asked."""
+
+    request_id: str
+    attempt: int
+    vm: str
+
+
 REQUESTS = counter("sassafrastally.entry.requests", "1", "Requests by outcome and code")
 OPEN_REQUESTS = gauge("sassafrastally.entry.open_requests", "1", "Requests in progress")
 RETRIES = counter("sassafrastally.entry.retries", "1", "Attempts after the first")
--- a/packages/entry/src/sassafrastally/entry/execution.py
+++ b/packages/entry/src/sassafrastally/entry/execution.py
@@ -2,14 +2,14 @@
 
 from __future__ import annotations
 
-from collections import deque
+from functools import partial
 from typing import TYPE_CHECKING
 
 import trio
 
-from sassafrastally.entry.attempt import (
-    Attempt,
-    AttemptPlan,
+from sassafrastally.entry.attempt import Attempt, AttemptPlan
+from sassafrastally.entry.attempt_history import AttemptHistory
+from sassafrastally.entry.attempt_result import (
     AttemptResult,
     Completed,
     ContactLost,
@@ -17,13 +17,16 @@
     IncarnationGone,
     KeyOwnedElsewhere,
     Rejected,
+    TakenElsewhere,
     Unreachable,
 )
+from sassafrastally.entry.candidate_round import CandidateRound
 from sassafrastally.entry.events import (
     RETRIES,
     AttemptCut,
     AttemptRefused,
     AttemptRepeated,
+    ReservationLate,
 )
 from sassafrastally.entry.lost_runs import LostRuns
 from sassafrastally.entry.resolution import COME_BACK_S, Resolution
@@ -59,34 +62,6 @@
 """Refusal code of a sidecar that can't start the request within its wait limit (``max_wait_s``)."""
 
 
-class _AttemptHistory:
-    """Earlier attempts of a request and the worst outcome that they can have had."""
-
-    def __init__(self) -> None:
-        self.started = 0
-        """Attempts started, including those that were refused."""
-        self.committed = 0
-        """Unsuccessful attempts that may have run."""
-        self.spent_tokens = 0
-        self.outcome = Outcome.NOT_RUN
-
-    def next_number(self) -> int:
-        """Count a new attempt and return its number."""
-        self.started += 1
-        return self.started
-
-    def add(self, attempt: Attempt) -> None:
-        """Record an attempt that ended without a complete answer or a proof of not running."""
-        if not attempt.is_committed:
-            return
-        self.committed += 1
-        self.spent_tokens += attempt.plan.request.prompt_tokens
-        if attempt.has_data:
-            self.outcome = Outcome.FAILED
-        elif self.outcome == Outcome.NOT_RUN:
-            self.outcome = Outcome.UNKNOWN
-
-
 class Execution:
     """The execution of one request, up to a complete answer or a refusal.
 
@@ -118,9 +93,11 @@
         self._answer = answer
         self._claim = claim
         self._rounds = 1
-        self._history = _AttemptHistory()
+        self._history = AttemptHistory()
         self._failed_vms: set[str] = set()
-        self._current: Attempt | None = None
+        self._open: list[Attempt] = []
+        """Attempts that haven't ended; more than one while a reservation is late."""
+        self._asked: CandidateRound
         self._has_freed_key = False
         """Whether the last attempt proved that the owner of the key never runs."""
         self._lost_runs = LostRuns(
@@ -135,15 +112,11 @@
     @property
     def outcome(self) -> Outcome:
         """Outcome to report if the request is cancelled now."""
-        current = self._current
-        if self._lost_runs.has_data:
-            return Outcome.FAILED
-        if current is None or not current.is_committed:
-            return self._history.outcome
-        if current.has_data:
+        committed = [attempt for attempt in self._open if attempt.is_committed]
+        if self._lost_runs.has_data or any(attempt.has_data for attempt in committed):
             return Outcome.FAILED
         earlier = self._history.outcome
-        return Outcome.UNKNOWN if earlier == Outcome.NOT_RUN else earlier
+        return Outcome.UNKNOWN if committed and earlier == Outcome.NOT_RUN else earlier
 
     async def run(self) -> None:
         """Deliver the complete answer, or raise a refusal with a correct outcome.
@@ -171,55 +144,74 @@
 
     async def _round(self) -> bool:
         """Try candidates one after another; return whether the complete answer was received."""
-        refused: list[Refused] = []
         known = self._find_sidecars()
-        wait_s_by_vm: dict[str, float] = {}
-        chosen = self._choose(known)
-        pending = deque(chosen)
-        while pending:
-            reachable = pending.popleft()
-            result = await self._attempt(reachable)
-            match result:
-                case Completed():
-                    return True
-                case Rejected(refusal) if refusal.code == BUSY:
-                    wait_s_by_vm[reachable.candidate.vm] = refusal.measured
-                case Rejected(refusal) if refusal.code == NO_SPAN and needs_span(
-                    self._request, known
-                ):
-                    return await self._span_round()
-                case Rejected() if self._has_freed_key:
-                    # The reservation was released only for the key's owner, which never runs.
-                    pending.appendleft(reachable)
-                case Rejected(refusal):
-                    # Nothing ran, so the next candidate is tried immediately. This doesn't count as
-                    # a retry.
-                    refused.append(refusal)
-                case Unreachable():
-                    self._failed_vms.add(reachable.candidate.vm)
-                case _:
-                    await self._after_run(result)
-                    return False
-            if not pending and wait_s_by_vm:
-                # All are busy: retry the one with the shortest predicted wait, without a limit.
-                shortest_wait_vm = min(wait_s_by_vm, key=lambda vm: wait_s_by_vm[vm])
-                pending.extend(
-                    _without_wait_bound(one)
-                    for one in chosen
-                    if one.candidate.vm == shortest_wait_vm
-                )
-                wait_s_by_vm.clear()
-        if refused:
-            best = min(refused, key=_retry_after_s)
+        self._asked = asked = CandidateRound(known, self._choose(known))
+        ended = await self._try_candidates()
+        if ended is not None:
+            return ended.is_complete
+        if asked.refused:
+            best = min(asked.refused, key=_retry_after_s)
             if not self._history.committed:
                 raise _refusal_of(best)
             # An earlier attempt may have run, so this refusal is that of a retry. Its cause may
             # pass before the time limit.
             await self._pause_before_retry(best.retry_after_s, _refusal_of(best))
             return False
-        await self._pause_before_retry(0.0, self._no_replica(len(chosen)))
+        await self._pause_before_retry(0.0, self._no_replica(len(asked.chosen)))
         return False
 
+    async def _try_candidates(self) -> TakenElsewhere | None:
+        """Ask the candidates that are left; return ``None`` if none took the request."""
+        asked = self._asked
+        while (reachable := asked.take()) is not None:
+            result: AttemptResult | None = None
+            try:
+                result = await self._attempt(reachable)
+            finally:
+                if result is None:
+                    # Cancelled for an earlier candidate, whose late reservation was granted.
+                    asked.put_back(reachable)
+            ended = await self._after_attempt(reachable, result)
+            if ended is not None:
+                return ended
+        return None
+
+    async def _ask_others(self, number: int, vm: str) -> TakenElsewhere | None:
+        """Ask the other candidates while the reservation of an attempt is late."""
+        late = ReservationLate(self._answer.request_id, number, vm)
+        self._services.events.emit(late)
+        return await self._try_candidates()
+
+    async def _after_attempt(
+        self, reachable: Reachable, result: AttemptResult
+    ) -> TakenElsewhere | None:
+        """Return how the round ends; ``None`` if the next candidate is to be asked."""
+        asked = self._asked
+        match result:
+            case Completed():
+                return TakenElsewhere(True)
+            case TakenElsewhere():
+                return result
+            case Rejected(refusal) if refusal.code == BUSY:
+                asked.add_busy(reachable, refusal.measured)
+            case Rejected(refusal) if refusal.code == NO_SPAN and needs_span(
+                self._request, asked.known
+            ):
+                return TakenElsewhere(await self._span_round())
+            case Rejected() if self._has_freed_key:
+                # The reservation was released only for the key's owner, which never runs.
+                asked.put_back(reachable)
+            case Rejected(refusal):
+                # Nothing ran, so the next candidate is tried immediately. This doesn't count as a
+                # retry.
+                asked.refused.append(refusal)
+            case Unreachable():
+                self._failed_vms.add(reachable.candidate.vm)
+            case _:
+                await self._after_run(result)
+                return TakenElsewhere(False)
+        return None
+
     async def _span_round(self) -> bool:
         span_request = SpanRequest(
             self._request,
@@ -276,7 +268,7 @@
             self._answer,
             self._claim,
         )
-        self._current = attempt
+        self._open.append(attempt)
         services = self._services
         resolution = Resolution(attempt, services.candidates, services.events, services.random)
         tokens = self._request.prompt_tokens + self._request.max_output_tokens
@@ -289,8 +281,10 @@
                 if make is Attempt:
                     # The leader of a span can't be read later: its members have been released.
                     self._lost_runs.add(attempt, resolution, result)
+        if isinstance(result, Rejected | Unreachable):
+            self._asked.turn.give_back(attempt)
         self._record_result(attempt, result)
-        self._current = None
+        self._open.remove(attempt)
         return result
 
     def _contact_timeout_s(self) -> float:
@@ -318,6 +312,8 @@
             reserve_timeout_s=settings.reserve_timeout_s,
             max_answer_bytes=settings.max_answer_bytes,
             max_wait_s=reachable.candidate.max_wait_s,
+            turn=self._asked.turn,
+            ask_others=partial(self._ask_others, number, reachable.candidate.vm),
         )
 
     async def _after_run(self, result: AttemptResult) -> None:
@@ -391,7 +387,7 @@
         self._has_freed_key = attempt.is_adopted and isinstance(result, Rejected)
         where = (plan.request_id, plan.number, plan.vm)
         match result:
-            case Completed():
+            case Completed() | TakenElsewhere():
                 return
             case Unreachable(cause):
                 services.events.emit(AttemptCut(*where, False, cause))
@@ -409,10 +405,6 @@
         return max(0.0, self._request.deadline_s - trio.current_time())
 
 
-def _without_wait_bound(reachable: Reachable) -> Reachable:
-    return reachable._replace(candidate=reachable.candidate._replace(max_wait_s=0.0))
-
-
 def _retry_after_s(refused: Refused) -> float:
     return refused.retry_after_s or float("inf")
 
--- /dev/null
+++ b/packages/entry/src/sassafrastally/entry/late_reservation.py
@@ -0,0 +1,81 @@
+"""Waits for a late reservation while other candidates are asked."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Generic, TypeVar
+
+import trio
+
+from sassafrastally.serving.refusals import Refusal
+from sassafrastally.wire.messages import Refused, Reserved
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from sassafrastally.entry.commit_turn import CommitTurn
+
+T = TypeVar("T")
+
+
+class LateReservation(Generic[T]):
+    """A reservation that stays open until another sidecar has taken the request.
+
+    A sound sidecar may be silent for seconds. If its reservation were cancelled before another one
+    is granted, a request could be refused although there is room for it.
+
+    Parameters
+    ----------
+    attempt
+        The attempt that waits.
+    turn
+        Turn to commit.
+    """
+
+    def __init__(self, attempt: object, turn: CommitTurn) -> None:
+        self._attempt = attempt
+        self._turn = turn
+        self._answered: Reserved | Refused | None = None
+        self._refusal: Refusal | None = None
+
+    async def wait(
+        self,
+        receive: Callable[[], Awaitable[Reserved | Refused | None]],
+        ask_others: Callable[[], Awaitable[T | None]],
+    ) -> Reserved | Refused | T | None:
+        """Return the late reply, for a reservation with the turn, or how the others ended.
+
+        Parameters
+        ----------
+        receive
+            Returns the late reply; ``None`` if the link was lost.
+        ask_others
+            Asks the other candidates; returns ``None`` if none took the request.
+
+        Raises
+        ------
+        Refusal
+            If the request failed at another candidate.
+        """
+        ended: T | None = None
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._receive, receive, nursery.cancel_scope)
+            try:
+                ended = await ask_others()
+            except Refusal as caught:
+                # Raised outside the nursery, which would wrap it in an exception group.
+                self._refusal = caught
+            if ended is not None or self._refusal is not None:
+                nursery.cancel_scope.cancel()
+        if self._turn.is_held_by(self._attempt):
+            return self._answered
+        if self._refusal is not None:
+            raise self._refusal
+        return self._answered if ended is None else ended
+
+    async def _receive(
+        self, receive: Callable[[], Awaitable[Reserved | Refused | None]], scope: trio.CancelScope
+    ) -> None:
+        self._answered = await receive()
+        if isinstance(self._answered, Reserved):
+            await self._turn.take(self._attempt)
+            scope.cancel()
--- a/packages/entry/src/sassafrastally/entry/lost_runs.py
+++ b/packages/entry/src/sassafrastally/entry/lost_runs.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING, NamedTuple
 
-from sassafrastally.entry.attempt import AttemptResult, Completed, ContactLost
+from sassafrastally.entry.attempt_result import AttemptResult, Completed, ContactLost
 from sassafrastally.entry.events import LostRunContinued
 
 if TYPE_CHECKING:
--- a/packages/entry/src/sassafrastally/entry/resolution.py
+++ b/packages/entry/src/sassafrastally/entry/resolution.py
@@ -8,9 +8,8 @@
 
 import trio
 
-from sassafrastally.entry.attempt import (
-    MAX_BROKEN_ANSWERS,
-    Attempt,
+from sassafrastally.entry.attempt import MAX_BROKEN_ANSWERS, Attempt
+from sassafrastally.entry.attempt_result import (
     AttemptResult,
     ContactLost,
     IncarnationGone,
--- a/packages/entry/src/sassafrastally/entry/span.py
+++ b/packages/entry/src/sassafrastally/entry/span.py
@@ -19,7 +19,7 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
-    from sassafrastally.entry.attempt import AttemptResult
+    from sassafrastally.entry.attempt_result import AttemptResult
     from sassafrastally.entry.candidates import Reachable
     from sassafrastally.entry.execution_services import ExecutionServices
     from sassafrastally.entry.request import CallerRequest
--- a/packages/entry/src/sassafrastally/entry/span_try.py
+++ b/packages/entry/src/sassafrastally/entry/span_try.py
@@ -8,7 +8,8 @@
 import trio
 
 from sassafrastally.core import event
-from sassafrastally.entry.attempt import Attempt, Failed, Rejected, Unreachable
+from sassafrastally.entry.attempt import Attempt
+from sassafrastally.entry.attempt_result import Failed, Rejected, Unreachable
 from sassafrastally.entry.span_member import (
     Imports,
     Member,
@@ -24,7 +25,8 @@
     from collections.abc import Awaitable, Callable, Mapping
     from typing import TypeAlias
 
-    from sassafrastally.entry.attempt import AttemptPlan, AttemptResult
+    from sassafrastally.entry.attempt import AttemptPlan
+    from sassafrastally.entry.attempt_result import AttemptResult
     from sassafrastally.entry.candidates import Reachable
     from sassafrastally.entry.claiming import KeyClaim
     from sassafrastally.entry.execution_services import ExecutionServices
@@ -169,7 +171,8 @@
         self, plan: AttemptPlan, peers: Peers, answer: Answer, claim: KeyClaim | None
     ) -> Attempt:
         # Reservation and commit are separate messages: the members compute in between.
-        plan = plan._replace(commits_now=False)
+        # A late reservation isn't waited for: it would hold the memory of all members.
+        plan = plan._replace(commits_now=False, ask_others=None)
         return _Leader(self, plan, peers, answer, claim)
 
     def with_segment(self, reserve: Reserve) -> Reserve:
--- a/packages/entry/tests/test_reattaching.py
+++ b/packages/entry/tests/test_reattaching.py
@@ -6,6 +6,7 @@
 
 import pytest
 import trio
+import trio.testing
 
 from sassafrastally.serving.outcome import AttemptState
 from sassafrastally.testing.sidecar_scripts import THREE_EVENTS, cut_after_two, own_of, refusal_of
@@ -106,4 +107,5 @@
         refusal = await refusal_of(world, world.booking())
         assert refusal.kind.code == "backend-failed"
         assert len(world.s1.of(Attach) + world.s2.of(Attach)) == 2
+        await trio.testing.wait_all_tasks_blocked()  # The cancellation is read.
         assert len(world.s1.of(Cancel) + world.s2.of(Cancel)) == 1
--- a/packages/testing/src/sassafrastally/testing/measure_retries.py
+++ b/packages/testing/src/sassafrastally/testing/measure_retries.py
@@ -41,7 +41,7 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Iterator
 
-    from sassafrastally.entry.attempt import AttemptResult
+    from sassafrastally.entry.attempt_result import AttemptResult
     from sassafrastally.entry.candidates import Reachable
     from sassafrastally.serving.retries import RetryRules
     from sassafrastally.sidecar.engine import EngineRequest
--- a/packages/testing/src/sassafrastally/testing/sidecar_scripts.py
+++ b/packages/testing/src/sassafrastally/testing/sidecar_scripts.py
@@ -86,3 +86,15 @@
     except Refusal as refusal:
         return refusal
     raise AssertionError("the request was answered")
+
+
+def silent_for(silence_s: float) -> Any:
+    """Return a script of a sound sidecar that says nothing for a while and then goes on.
+
+    What came meanwhile is still unread; a cancellation among it takes the reservation back."""
+
+    async def script(sidecar: Any, end: Any, reserve: Reserve) -> None:
+        await trio.sleep(silence_s)
+        await sidecar.behave(end, reserve)
+
+    return script
