A caller is disconnected only if it has read nothing for the timeout

What callers saw: a stream, or an answer after its limit, that was cut although its caller was reading it: after the entry had stood still past the timeout of a blocked write, or over a slow link.

Cause: the timeout of a write was a plain deadline, which acts before what the caller has read meanwhile is seen; and the operating system takes more bytes only once a third of the send buffer is free (some 43 KB), so that a write to a caller that reads 20 KB/s is blocked for two seconds.

Ruled out: the bound for all callers together.

Change: the write is tried once more after a late timer, as reads are (`read_until`). Four times within the timeout, the entry asks the operating system what the caller hasn't acknowledged; if that shrinks, the timeout begins anew. Virtual sockets of tests have no file descriptor and say so.

--- a/packages/proxy/src/sassafrastally/proxy/http_stream.py
+++ b/packages/proxy/src/sassafrastally/proxy/http_stream.py
@@ -3,9 +3,12 @@
 from __future__ import annotations
 
 import errno
+import fcntl
 import math
 import socket
 import struct
+import sys
+import termios
 from typing import TYPE_CHECKING
 
 import h11
@@ -50,6 +53,9 @@
 LINGER_ZERO = struct.pack("ii", 1, 0)
 """Value of SO_LINGER with which closing a socket resets its connection."""
 
+CLOSED = -1
+"""File descriptor of a closed socket."""
+
 LINGER_OFF = struct.pack("ii", 0, 0)
 
 TOO_LONG_STATUS = 431
@@ -267,6 +273,16 @@
             raise ConnectionLost(f"connection reset while sending: {cause!r}") from cause
         return len(data)
 
+    def send_buffered_bytes(self) -> int:
+        """Return how many sent bytes the peer hasn't acknowledged; 0 if that isn't known."""
+        if not isinstance(self.stream, trio.SocketStream):
+            return 0
+        descriptor = self.stream.socket.fileno()
+        if descriptor == CLOSED:
+            return 0
+        buffered = fcntl.ioctl(descriptor, termios.TIOCOUTQ, bytes(4))
+        return int.from_bytes(buffered, sys.byteorder)
+
     def has_unread_input(self) -> bool:
         """Return whether unexpected bytes or the end of the stream can be read from the socket."""
         if self.http.trailing_data[0]:
--- a/packages/proxy/src/sassafrastally/proxy/reply.py
+++ b/packages/proxy/src/sassafrastally/proxy/reply.py
@@ -3,12 +3,15 @@
 from __future__ import annotations
 
 import math
+from contextlib import suppress
+from functools import partial
 from typing import TYPE_CHECKING
 
 import h11
 import trio
 
 from sassafrastally.core import error
+from sassafrastally.proxy.cpu_overload import read_until
 from sassafrastally.proxy.http_stream import ConnectionLost
 from sassafrastally.proxy.slow_readers import BlockedCallers
 from sassafrastally.proxy.time_limit import TimeLimit
@@ -28,6 +31,9 @@
 """How long a write goes on after a cancellation. At the end of a stopping process, it takes what is
 left after the last answers until the process is killed."""
 
+READ_CHECKS = 4
+"""How often within the timeout of a blocked write to check whether the caller reads."""
+
 WRITE_BYTES = 16_384
 """Size of one write to a caller. The time limit applies to each, so that a caller that reads slowly
 isn't taken for one that doesn't read."""
@@ -162,16 +168,35 @@
     async def _write(self, data: bytes, response_bytes: int) -> int:
         """Write some bytes of a response of a size and return how many."""
         now_s = trio.current_time()
-        with trio.move_on_after(self.write_timeout_s) as scope:
+        with trio.CancelScope() as scope, suppress(trio.TooSlowError):
             longest_blocked = self._blocked_callers.begin(scope, now_s, response_bytes)
             if longest_blocked is not None:
                 longest_blocked.cancel()
             try:
-                return await self._connection.send_some(data)
+                return await self._write_while_read(data)
             finally:
                 self._blocked_callers.end(scope)
         blocked_s = trio.current_time() - now_s
-        raise CallerBlocked(f"nothing was read for {blocked_s:.2f} s")
+        raise CallerBlocked(f"a write was blocked for {blocked_s:.2f} s")
+
+    async def _write_while_read(self, data: bytes) -> int:
+        """Write some bytes; raise `trio.TooSlowError` if the caller reads nothing for the timeout.
+
+        A connection takes more bytes only once a third of its buffer is free, which takes a caller
+        that reads slowly longer than the timeout.
+        """
+        due_s = trio.current_time() + self.write_timeout_s
+        unread_bytes = self._connection.send_buffered_bytes()
+        while True:
+            check_s = min(due_s, trio.current_time() + self.write_timeout_s / READ_CHECKS)
+            try:
+                return await read_until(partial(self._connection.send_some, data), check_s)
+            except trio.TooSlowError:
+                before_bytes, unread_bytes = unread_bytes, self._connection.send_buffered_bytes()
+                if unread_bytes < before_bytes:
+                    due_s = trio.current_time() + self.write_timeout_s
+                elif trio.current_time() >= due_s:
+                    raise
 
     def _response(self, status: int, headers: Headers) -> h11.Response:
         self.has_begun = True
--- a/packages/testing/src/sassafrastally/testing/virtual_network.py
+++ b/packages/testing/src/sassafrastally/testing/virtual_network.py
@@ -131,6 +131,10 @@
     def __exit__(self, *_: object) -> None:
         self.close()
 
+    def fileno(self) -> int:
+        """Return -1: it has no file descriptor."""
+        return -1
+
     def getsockname(self) -> Name:
         return self._name
 
--- a/packages/testing/tests/platform/test_slow_readers.py
+++ b/packages/testing/tests/platform/test_slow_readers.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import socket
+from functools import partial
 
 import h11
 import pytest
 import trio
+import trio.testing
 
 from sassafrastally.proxy.caller_listener import CallerListener
 from sassafrastally.proxy.http_stream import HttpStream, limit_send_buffer
@@ -105,6 +107,42 @@
             await reply.send(b"x" * 1_000_000)
             nursery.cancel_scope.cancel()
 
+    async def test_caller_that_reads_a_little_is_not_disconnected(self, connected):
+        """Guards against a timeout for a whole share of the send buffer, which the operating system
+        reports as free at once, although the caller reads all the time."""
+        reply = await begun_reply(connected[0], BlockedCallers())
+        async with trio.open_nursery() as nursery:
+
+            async def read() -> None:
+                while True:
+                    await trio.sleep(0.1)
+                    await connected[1].receive_some(2048)
+
+            nursery.start_soon(read)
+            with trio.move_on_after(3.0):
+                while True:
+                    await reply.send(b"x" * 4096)
+            nursery.cancel_scope.cancel()
+
+    async def test_caller_that_reads_while_the_entry_stands_still_is_not_disconnected(
+        self, autojump_clock
+    ):
+        """Guards against a write that ends because the entry didn't run until its timeout had
+        passed, although the caller has read meanwhile."""
+        ours, _ = trio.testing.memory_stream_pair()
+        reply = await begun_reply(ours, BlockedCallers())
+        reads_s = trio.current_time() + reply.write_timeout_s + 0.02
+        ours.send_stream.send_all_hook = partial(trio.sleep_until, reads_s)
+
+        async def stand_still() -> None:
+            await trio.sleep(reply.write_timeout_s - 0.1)
+            autojump_clock.jump(0.2)
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(stand_still)
+            await reply.send(b"x")
+        assert trio.current_time() >= reads_s
+
     async def test_attempt_of_a_caller_that_does_not_read_ends(self, small_fleet, monkeypatch):
         """Guards against a server whose slot stays taken until the request's deadline. The kernel
         ends such a connection after three seconds only if its window is closed completely."""
