A limit doesn't drop a whole event stream while it is checked

What callers saw: 504 for an event stream of a plain route that had arrived whole before the limit.

Cause: such a body is checked in steps of 4 KB, between which other tasks run. The watch of the limit acts after sixteen turns of the loop, and the cancellation came out of the next step.

Change: the check isn't cancelled in its first 0.2 s, less than a stopping entry has after its drain.

--- a/packages/proxy/src/sassafrastally/proxy/answer_events.py
+++ b/packages/proxy/src/sassafrastally/proxy/answer_events.py
@@ -30,6 +30,10 @@
 SPLIT_BYTES = 4096
 """Number of bytes that are split at once: they hold at most some thousand events."""
 
+CHECK_S = 0.2
+"""How long the check of a complete body isn't cancelled: the largest one with events of 200 bytes
+takes half of it, and a stopping entry has more time after its drain."""
+
 
 class AnswerEvents:
     """The events of a response.
@@ -151,9 +155,15 @@
 
 
 async def body_interruption(body: bytes, framing: BodyFraming) -> str:
-    """Return why an event stream that was read to its end isn't whole; empty if it is."""
+    """Return why an event stream that was read to its end isn't whole; empty if it is.
+
+    It isn't cancelled for `CHECK_S`: a limit that passes meanwhile would drop a ready response.
+    """
     splitter = EventSplitter(max_event_bytes=len(body))
-    for begin in range(0, len(body), SPLIT_BYTES):
-        splitter.feed(body[begin : begin + SPLIT_BYTES])
-        await trio.lowlevel.checkpoint()
+    postponed_until_s = trio.current_time() + CHECK_S
+    with trio.CancelScope(shield=True) as scope:
+        for begin in range(0, len(body), SPLIT_BYTES):
+            splitter.feed(body[begin : begin + SPLIT_BYTES])
+            scope.shield = trio.current_time() < postponed_until_s
+            await trio.lowlevel.checkpoint()
     return splitter.interruption(framing)
--- a/packages/testing/tests/platform/test_time_limits.py
+++ b/packages/testing/tests/platform/test_time_limits.py
@@ -13,7 +13,9 @@
 import trio
 import trio.testing
 
+from sassafrastally.core import EVENT_STREAM_TYPE
 from sassafrastally.proxy.caller_listener import KILL_MARGIN_S
+from sassafrastally.proxy.event_stream import EventSplitter, StreamEvent
 from sassafrastally.proxy.http_stream import HttpStream
 from sassafrastally.proxy.reply import Reply
 from sassafrastally.stand_ins.caller_requests import exchange_on, request_fields
@@ -29,6 +31,9 @@
 STALL_S = 0.25
 """How long the entry doesn't run: to 0.15 s after the limit."""
 
+STREAM_BODY = b"data: x\n\n" * 15_000
+"""An event stream that is checked in more than thirty steps."""
+
 ROUTES = [
     make_route("look", "idempotent", "desk", timeoutMs=15_000),
     make_route("book", "non_idempotent", "desk", maxAttempts=1, timeoutMs=15_000),
@@ -180,6 +185,34 @@
         if received.finished_s < begin_s + drain_s:
             assert answer.status == 200
 
+    @pytest.mark.parametrize("before_ms", [20, 40, 60, 80])
+    async def test_is_delivered_although_its_events_take_long_to_check(
+        self, autojump_clock, fleet, monkeypatch, before_ms
+    ):
+        """Guards against an event stream of a plain route that has arrived whole and is dropped
+        because the limit acts between two steps of its check."""
+        desk, feed = fleet.replicas["desk-1"], EventSplitter.feed
+
+        async def send_stream(received, connection) -> None:
+            received.run()
+            await trio.sleep(LIMIT_S - before_ms / 1000)
+            headers = {"Replica-Seal": "seal", "Content-Type": EVENT_STREAM_TYPE}
+            await connection.respond(200, STREAM_BODY, headers)
+
+        def feed_slowly(splitter: EventSplitter, data: bytes) -> list[StreamEvent]:
+            autojump_clock.jump(0.003)
+            return feed(splitter, data)
+
+        monkeypatch.setattr(desk, "_plain", send_stream)
+        monkeypatch.setattr(EventSplitter, "feed", feed_slowly)
+        caller = await fleet.connect()
+        answer = await exchange_on(
+            caller, "POST", "/look/x", request_fields(time_left_s=LIMIT_S), b"{}"
+        )
+        await caller.close()
+        assert (answer.status, answer.is_whole) == (200, True)
+        assert answer.body == STREAM_BODY
+
 
 async def stop_soon(kernel) -> None:
     """Ask an entry to stop once it has read the request."""
