Keep the attempt at a slow engine open beside the one elsewhere

Cause: the wait at the slow engine was cancelled as soon as a successor was chosen and charged.

Change: the attempt elsewhere is added beside the slow one, as at a silent server, and the same rules decide which one goes on. It is added once the slow one's request is sent. The reason is logged once, as before, and counts as no failure; the slow engine doesn't get the request again.

Ruled out: adding the attempt while the slow one still reserves memory, which gave one attempt two lines of failure if the reservation failed (test_cancelled_move_is_not_the_cause_of_the_next_failure).

Not measured: moves at high load, where the parts of the slow attempt stay at the other engines until the second one has gone on.

--- a/packages/proxy/src/sassafrastally/proxy/attempt_migration.py
+++ b/packages/proxy/src/sassafrastally/proxy/attempt_migration.py
@@ -56,3 +56,9 @@
         Time until its goal. A prompt expected to meet its goal here isn't moved.
     """
     return left_s > goal_left_s and left_s > MIN_MOVE_SPEEDUP * predicted_elsewhere_s
+
+
+def slow_detail(pace: float, left_s: float, predicted_elsewhere_s: float) -> str:
+    """Return why a prompt is moved, for the log; parameters as above."""
+    elsewhere = f"{predicted_elsewhere_s:.2f} s elsewhere"
+    return f"an engine is {pace:.1f} times slower: {left_s:.2f} s more, {elsewhere}"
--- a/packages/proxy/src/sassafrastally/proxy/attempt_records.py
+++ b/packages/proxy/src/sassafrastally/proxy/attempt_records.py
@@ -85,6 +85,15 @@
         self.outcome(attempt.server, is_failure=True)
         self._services.fleet_view.record_failure(attempt.server, detail, self._request_id)
 
+    def slow(self, attempt: OpenAttempt, detail: str) -> None:
+        """Record that another attempt is added to one that waits for a slow engine.
+
+        It is no failure: reports tell how slow an engine is.
+        """
+        if not attempt.is_slow:
+            self._log.attempt_failed(attempt, detail, is_proved_not_run=False)
+        attempt.is_slow = True
+
     def superseded(self, attempt: OpenAttempt) -> None:
         """Record an attempt that was closed for another one.
 
@@ -152,7 +161,7 @@
         """Record and log an attempt that may have run."""
         self._progress.end(attempt)
         self._progress.may_have_run = True
-        if not attempt.silence_detail:  # Its silence is logged.
+        if not attempt.is_logged:
             self._log.attempt_failed(attempt, detail, is_proved_not_run=False)
 
     @property
--- a/packages/proxy/src/sassafrastally/proxy/open_attempt.py
+++ b/packages/proxy/src/sassafrastally/proxy/open_attempt.py
@@ -48,6 +48,8 @@
         """Closes the attempt when another one goes on."""
         self.silence_detail = ""
         """How the server was silent for as long as an attempt is given; empty if it wasn't."""
+        self.is_slow = False
+        """Whether another attempt was added since an engine is slow."""
         self.closed_by: OpenAttempt | None = None
         """The attempt for which it was closed."""
         self.has_differed = False
@@ -63,6 +65,11 @@
         self.progress_since_silence.record_event(now_s)
         return self.answer.record_event(now_s)
 
+    @property
+    def is_logged(self) -> bool:
+        """Whether the reason for another attempt beside it is logged."""
+        return self.is_slow or bool(self.silence_detail)
+
     def close(self, closed_by: OpenAttempt | None) -> None:
         """Close it for another attempt, which goes on."""
         self.closed_by = closed_by
--- a/packages/proxy/src/sassafrastally/proxy/request_handler.py
+++ b/packages/proxy/src/sassafrastally/proxy/request_handler.py
@@ -314,8 +314,7 @@
                 return
             for one in silent:
                 self._records.silence(one, self._silence_detail(one))
-            if (successor := self._take_successor()) is not None:
-                self._attempts.add(successor)
+            self._add_successor()
 
         def record_endless() -> None:
             if not attempt.silence_detail:
@@ -330,7 +329,7 @@
 
     def _record_closed(self, attempt: OpenAttempt) -> None:
         """Record an attempt that was closed for another one."""
-        if not attempt.silence_detail:
+        if not attempt.is_logged:
             # Nothing speaks against the server, which may get the request again.
             self.progress.tried.discard(attempt.server.incarnation_id)
         self._records.superseded(attempt)
@@ -362,6 +361,11 @@
         """Return whether others wait for the same room and come first."""
         raise NotImplementedError
 
+    def _add_successor(self) -> None:
+        """Make the claimed attempt beside those that are open."""
+        if (successor := self._take_successor()) is not None:
+            self._attempts.add(successor)
+
     def _take_successor(self) -> Start | None:
         successor, self._successor = self._successor, None
         return successor
--- a/packages/proxy/src/sassafrastally/proxy/streaming_request.py
+++ b/packages/proxy/src/sassafrastally/proxy/streaming_request.py
@@ -22,6 +22,7 @@
     MOVE_CHECK_INTERVAL_S,
     remaining_s,
     should_move_attempt,
+    slow_detail,
 )
 from sassafrastally.proxy.attempt_stream import AttemptStream
 from sassafrastally.proxy.buffered_response import BufferedResponse
@@ -324,7 +325,7 @@
             begin_s,
             placement.predicted_s,
             wait,
-            self._move_if_faster,
+            partial(self._add_if_faster, attempt),
             self._task.subjects,
         )
         try:
@@ -361,8 +362,7 @@
             ):
                 until_begun.close()
                 attempt.wait.record_header(self._clock.now_s())
-                # The response began before the wait was cancelled.
-                waiting.cancel_reason, self._successor = "", None
+                waiting.cancel_reason = ""  # The response began before the wait was cancelled.
                 self._services.fleet_view.record_load(
                     placement.server.incarnation_id, answer.facts.load
                 )
@@ -371,24 +371,24 @@
                 await self._forward_stream(placement, in_flight, attempt, answer)
                 return True
 
-    def _move_if_faster(self, attempt: WaitingAttempt, pace: float) -> None:
-        """Abandon an attempt that waits for a slow engine if another placement is much faster."""
+    def _add_if_faster(self, attempt: OpenAttempt, waiting: WaitingAttempt, pace: float) -> None:
+        """Add an attempt to one that waits for a slow engine, if it is expected much sooner."""
         now_s = self._clock.now_s()
         is_checked = now_s - self._move_checked_s < MOVE_CHECK_INTERVAL_S
-        if is_checked or not self._attempts.is_single or not self._retries.can_fail_over():
+        is_alone = attempt.is_sent and self._attempts.is_single
+        if is_checked or not is_alone or not self._retries.can_fail_over():
             return
         self._move_checked_s = now_s
-        remaining_here_s = remaining_s(now_s - attempt.begin_s, attempt.predicted_s, pace)
+        remaining_here_s = remaining_s(now_s - waiting.begin_s, waiting.predicted_s, pace)
         time_to_goal_s = self._goals.own_s - (now_s - self._task.request.arrived_s)
         alternative = self._place()
         is_faster = alternative is not None and should_move_attempt(
             remaining_here_s, alternative.predicted_s, time_to_goal_s
         )
-        if alternative and is_faster and self._claim_successor() is None:
-            attempt.cancel(
-                f"an engine is {pace:.1f} times slower: {remaining_here_s:.2f} s more, "
-                f"{alternative.predicted_s:.2f} s elsewhere"
-            )
+        if not alternative or not is_faster or self._claim_successor() is not None:
+            return
+        self._records.slow(attempt, slow_detail(pace, remaining_here_s, alternative.predicted_s))
+        self._add_successor()
 
     async def _forward_failure(self, attempt: OpenAttempt, answer: Answer) -> bool:
         """Forward an engine's error response; raises `AttemptUnknown` if it isn't forwarded."""
--- a/packages/proxy/src/sassafrastally/proxy/waiting_attempts.py
+++ b/packages/proxy/src/sassafrastally/proxy/waiting_attempts.py
@@ -48,10 +48,10 @@
         self.subjects = subjects
         """By what its request may be quarantined."""
         self.cancel_reason = ""
-        """Why it was cancelled, to move its prompt or for good; empty if it wasn't."""
+        """Why it was cancelled; empty if it wasn't."""
 
     def cancel(self, reason: str) -> None:
-        """Cancel the wait, so that the prompt can be moved to other engines."""
+        """Cancel the wait."""
         self.cancel_reason = reason
         self.wait.scope.cancel()
 
