Let a whole response come before the begin of another run

Change: the first time that an attempt could forward after another one was added, it reads on for 5 ms (0.1 s more if this entry ran late, as for all limits), up to 64 KB, counted as held. One that is whole with this goes at once.

The scenes of failing successors, moves, overlapping attempts, late entries and stalled entries pass.

--- a/packages/proxy/src/sassafrastally/proxy/attempt_stream.py
+++ b/packages/proxy/src/sassafrastally/proxy/attempt_stream.py
@@ -3,16 +3,18 @@
 from __future__ import annotations
 
 import math
+from functools import partial
 from typing import TYPE_CHECKING
 
 import trio
 
 from sassafrastally.proxy.answer_events import AnswerEvents
+from sassafrastally.proxy.cpu_overload import read_until
 from sassafrastally.proxy.failover_decision import Handling, Received
 from sassafrastally.proxy.stream_agreement import Agreement
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterable
 
     from sassafrastally.proxy.attempt import Answer
     from sassafrastally.proxy.caller_stream import CallerStream
@@ -21,6 +23,13 @@
     from sassafrastally.proxy.open_attempt import OpenAttempt
     from sassafrastally.proxy.overlapping_attempts import OverlappingAttempts, Start
 
+READY_S = 0.005
+"""How long an attempt reads on before it forwards the first event after a silence. Runs may differ:
+then a response that has arrived as a whole must come before the begin of another one."""
+
+MAX_READY_BYTES = 65_536
+"""Size of what is read in that time."""
+
 _RECEIVED = {
     Agreement.NEW: Received.NEW_EVENT,
     Agreement.KNOWN: Received.KNOWN_EVENT,
@@ -57,6 +66,7 @@
         self._attempt = attempt
         self._answer = answer
         self._has_others = attempts.has_others
+        self._is_contested = attempts.is_contested
         self._receive = attempts.receive
         self._turn = attempts.turn
         self._caller_stream = caller_stream
@@ -66,7 +76,9 @@
         self._held: list[StreamEvent] = []
         """Comments that are held back."""
         self._counted_bytes = 0
-        """Bytes of `_held` that are counted as held."""
+        """Bytes that are counted as held."""
+        self._is_whole = False
+        """Whether the stream has come to its end."""
 
     @property
     def rest(self) -> bytes:
@@ -87,11 +99,13 @@
         """
         if not self._has_others(self._attempt):
             await self._begin()
-        while (events := await self._read()) is not None:
+        while not self._is_whole and (events := await self._read()) is not None:
+            if self._is_contested(self._attempt):
+                events += await self._read_ready()
             async with self._turn(self._attempt):
                 for event in events:
                     await self._take(event)
-                self._count_held()
+                self._count(_size_bytes(self._held))
         async with self._turn(self._attempt):
             await self._end()
 
@@ -108,6 +122,24 @@
             self._on_events(events, trio.current_time() - waiting_since_s)
         return events
 
+    async def _read_ready(self) -> list[StreamEvent]:
+        """Return what arrives within a moment, and note whether the stream is whole with it."""
+        begin_s = trio.current_time()
+        events: list[StreamEvent] = []
+        read = partial(self._events.read, math.inf)
+        with self._attempt.wait.awaited():
+            while not self._is_whole and self._counted_bytes < MAX_READY_BYTES:
+                try:
+                    more = await read_until(read, begin_s + READY_S)
+                except trio.TooSlowError:
+                    break
+                self._is_whole = more is None
+                events += more or ()
+                self._count(self._counted_bytes + _size_bytes(more or ()))
+        if events:
+            self._on_events(events, trio.current_time() - begin_s)
+        return events
+
     async def _take(self, event: StreamEvent) -> None:
         """Forward, compare or hold back an event."""
         received = Received.COMMENT
@@ -147,9 +179,12 @@
         await self._release()
         await self._caller_stream.end(self.rest)
 
-    def _count_held(self) -> None:
-        """Count the comments that are held back; raises `AttemptUnknown` if they are too many."""
-        held_bytes = sum(len(event.data) for event in self._held)
+    def _count(self, held_bytes: int) -> None:
+        """Count the bytes that are held; raises `AttemptUnknown` if they are too many."""
         added_bytes, self._counted_bytes = held_bytes - self._counted_bytes, held_bytes
         if added_bytes:
             self._answer.hold(added_bytes)
+
+
+def _size_bytes(events: Iterable[StreamEvent]) -> int:
+    return sum(len(event.data) for event in events)
--- a/packages/proxy/src/sassafrastally/proxy/overlapping_attempts.py
+++ b/packages/proxy/src/sassafrastally/proxy/overlapping_attempts.py
@@ -50,6 +50,8 @@
         self._has_response = False
         self._leader: OpenAttempt | None = None
         """The attempt that forwarded an event last."""
+        self._is_decided = True
+        """Whether one has forwarded an event since another one was added."""
         self._writing = trio.Lock()
 
     async def run(self, first: Start) -> bool:
@@ -81,6 +83,10 @@
         """Return whether other attempts are open or begin."""
         return bool(self._starting) or any(self._others(attempt))
 
+    def is_contested(self, attempt: OpenAttempt) -> bool:
+        """Return whether the next event may come from any of several attempts."""
+        return not self._is_decided and any(one.is_sent for one in self._others(attempt))
+
     def silent(self, now_s: float) -> list[OpenAttempt]:
         """Return the open attempts if the silence of all of them allows another one.
 
@@ -97,6 +103,7 @@
         if self._nursery is None:
             raise RuntimeError("no attempt is open")
         self._starting.append(start)
+        self._is_decided = False
         self._nursery.start_soon(self._run_added, start)
 
     @asynccontextmanager
@@ -133,7 +140,7 @@
             attempt.close(self._leader)
             await trio.lowlevel.checkpoint_if_cancelled()
         if decision is Handling.FORWARD and received is not Received.COMMENT:
-            self._leader = attempt
+            self._leader, self._is_decided = attempt, True
             self._close_dispensable(attempt, is_complete=received is Received.RESPONSE)
         return decision
 
