Entry, serving, control: send no reservation of a segment, home call or order past its limit

What callers saw: nothing directly. A segment was reserved or computed for a span that had given it up, a home handled a claim or a request for tokens that the entry counted as lost, and a sidecar executed an order that its sender had given up.

Change: Member, HomeClient and OrderSender call require_time right before they send.

Ruled out by reading: renewals of leases (the KV client's limit of 2 s is shorter than a third of the lease, 4 s), fetching of parts (reads only).

--- a/packages/control/src/sassafrastally/control/placement_orders.py
+++ b/packages/control/src/sassafrastally/control/placement_orders.py
@@ -98,11 +98,12 @@
     async def _call(
         self, state: VmState, order: PlacementOrder, time_limit_s: float
     ) -> PlacementReply | None:
-        async with time_limit(trio.current_time() + time_limit_s):
+        async with time_limit(trio.current_time() + time_limit_s) as limit:
             try:
                 link = await self._peers.link_to(state.vm, state.peer_address)
                 # The dial may have taken long, or this process may have been suspended during it.
                 self._tenure.check()
+                await limit.require_time()
                 reply = await link.call(order)
             except (LinkRefused, LinkCut, StreamEnded, TooManyStreams):
                 return None
--- a/packages/control/tests/test_ready_replies.py
+++ b/packages/control/tests/test_ready_replies.py
@@ -94,6 +94,29 @@
         assert reply is not None
         assert reply.fence == tenure.fence
 
+    @pytest.mark.parametrize("lag_s", LAGS_S)
+    async def test_order_is_not_sent_past_its_limit(
+        self, autojump_clock: trio.testing.MockClock, lag_s: float
+    ) -> None:
+        """Guards against an order that is executed although its sender has given it up: the link
+        was dialled before a pause."""
+        tenure = await acquire(FakeKv(KvModel(Random(3))))
+        tenure.check = lambda: None  # type: ignore[method-assign]
+        sent: list[Any] = []
+
+        class Link:
+            async def link_to(self, vm: str, address: Address) -> Link:
+                autojump_clock.jump(TIMES.order_s + lag_s)
+                return self
+
+            async def call(self, message: Any) -> None:
+                sent.append(message)
+                await trio.sleep_forever()
+
+        sender = OrderSender(Link(), tenure, TIMES)  # type: ignore[arg-type]
+        assert await sender.order(STATE, Step("engine-0", "load", "reader", "1")) is None
+        assert not sent
+
 
 class TestFetch:
     @pytest.mark.parametrize("lag_s", LAGS_S)
--- a/packages/entry/src/sassafrastally/entry/span_member.py
+++ b/packages/entry/src/sassafrastally/entry/span_member.py
@@ -7,7 +7,7 @@
 
 import trio
 
-from sassafrastally.core import CodedError, error, time_limit
+from sassafrastally.core import CodedError, error, require_time, time_limit
 from sassafrastally.entry.attempt import CANCEL_LIMIT_S
 from sassafrastally.serving.spans import decode_done, handle_of
 from sassafrastally.wire.link import LinkCut, LinkRefused, StreamEnded
@@ -123,8 +123,9 @@
         """Reserve memory for the segment; return ``None`` if the sidecar isn't reached."""
         answered: Reserved | Refused | None = None
         try:
-            async with time_limit(trio.current_time() + self.place.reserve_timeout_s):
+            async with time_limit(trio.current_time() + self.place.reserve_timeout_s) as limit:
                 stream = await self._open()
+                await limit.require_time()
                 await stream.send(self._reserve_message(starts_in_s, imports))
                 answered = await self._receive_reserved(stream)
         except _LINK_ERRORS:
@@ -144,6 +145,7 @@
         SpanBroken
             If the segment fails.
         """
+        await require_time(self._request.deadline_s)
         self._is_committed = True
         place = self.place
         cause: SpanBroken | None = None
--- a/packages/entry/tests/test_ready_answers.py
+++ b/packages/entry/tests/test_ready_answers.py
@@ -8,7 +8,10 @@
 import pytest
 import trio
 
+from sassafrastally.core import Address, Service, time_limit
+from sassafrastally.entry.span_member import Imports, Member, SegmentPlacement
 from sassafrastally.serving.outcome import Outcome
+from sassafrastally.serving.spans import Segment
 from sassafrastally.testing.sidecar_scripts import THREE_EVENTS, own_of, refusal_of
 from sassafrastally.wire.messages import Chunk, Commit, Refused, Reserve, Reserved
 
@@ -130,6 +133,54 @@
         assert (refusal.kind.code, refusal.outcome) == ("time-limit-passed", Outcome.NOT_RUN)
         assert len(world.s1.of(Reserve) + world.s2.of(Reserve)) == 1
 
+    @pytest.mark.parametrize("lag_s", LAGS_S)
+    async def test_segment_is_not_reserved(
+        self, world: Any, autojump_clock: Any, lag_s: float
+    ) -> None:
+        """Guards against a segment reserved for a span that has given it up: the link
+        was dialled before a pause."""
+        peers = PausedPeers(world, autojump_clock, LIMIT_S + lag_s)
+        async with member_of(peers, world.request()) as member:
+            assert await member.reserve(0.0, Imports()) is None
+        assert not world.s1.of(Reserve)
+
+    @pytest.mark.parametrize("lag_s", LAGS_S)
+    async def test_segment_is_not_committed(
+        self, world: Any, autojump_clock: Any, lag_s: float
+    ) -> None:
+        """Guards against a segment that is computed past the limit of its request."""
+        peers = PausedPeers(world, autojump_clock, 0.0)
+        request = world.request(time_limit_s=LIMIT_S)
+        async with (
+            time_limit(request.deadline_s) as limit,
+            member_of(peers, request) as member,
+        ):
+            assert isinstance(await member.reserve(0.0, Imports()), Reserved)
+            autojump_clock.jump(LIMIT_S + lag_s)
+            await member.compute()
+        assert limit.scope.cancelled_caught
+        assert not world.s1.of(Commit)
+
+
+class PausedPeers:
+    """Links that are dialled before the process pauses."""
+
+    def __init__(self, world: Any, clock: Any, pause_s: float) -> None:
+        self._peers = world.kernel.get("peers", Service)
+        self._clock = clock
+        self._pause_s = pause_s
+
+    async def link_to(self, vm: str, address: Address) -> Any:
+        link = await self._peers.link_to(vm, address)
+        self._clock.jump(self._pause_s)
+        return link
+
+
+def member_of(peers: Any, request: Any) -> Member:
+    """Return a member of a span whose segment isn't reserved yet."""
+    place = SegmentPlacement("a" * 32, 1, "s1", Address("10.0.0.1", 7300), 1, LIMIT_S)
+    return Member(peers, place, Segment("s1", 10, 10), request)
+
 
 class TestAnswerThatEndsWithItsLimit:
     async def test_complete_answer_is_not_followed_by_a_failure(
--- a/packages/serving/src/sassafrastally/serving/home_calls.py
+++ b/packages/serving/src/sassafrastally/serving/home_calls.py
@@ -43,9 +43,10 @@
         """Return a home's reply; ``None`` when none arrived, even if the home handled the call."""
         if self.is_circuit_open(home):
             return None
-        async with time_limit(trio.current_time() + time_limit_s):
+        async with time_limit(trio.current_time() + time_limit_s) as limit:
             try:
                 link = await self._peers.link_to(home.vm, home.peer_address)
+                await limit.require_time()
                 return await link.call(message)
             except (LinkRefused, LinkCut, StreamEnded, TooManyStreams):
                 pass
--- a/packages/serving/tests/test_ready_replies.py
+++ b/packages/serving/tests/test_ready_replies.py
@@ -53,6 +53,27 @@
         assert await client.call(HOME, SliceRequest(()), LIMIT_S) is REPLY
         assert not client.is_circuit_open(HOME)
 
+    @pytest.mark.parametrize("lag_s", LAGS_S)
+    async def test_call_is_not_sent_past_its_limit(
+        self, autojump_clock: trio.testing.MockClock, lag_s: float
+    ) -> None:
+        """Guards against a claim or a request for tokens that a home handles although the entry has
+        given it up: the link was dialled before a pause."""
+        sent: list[Any] = []
+
+        class Peers:
+            async def link_to(self, vm: str, address: Address) -> Peers:
+                autojump_clock.jump(LIMIT_S + lag_s)
+                return self
+
+            async def call(self, message: Any) -> None:
+                sent.append(message)
+                await trio.sleep_forever()
+
+        client = HomeClient(Peers())  # type: ignore[arg-type]
+        assert await client.call(HOME, SliceRequest(()), LIMIT_S) is None
+        assert not sent
+
     async def test_home_without_a_reply_is_skipped(
         self, autojump_clock: trio.testing.MockClock
     ) -> None:
