An engine's failure is kept whenever another attempt is to follow

What callers saw: 504, "the time limit is over", although their engine had answered 500 in time.

Cause: an engine's failure was kept for forwarding only beside other open attempts. With a queue for room, it is given up while the request waits for room for another attempt; a failure that was read after the limit, during the last reads, went with it.

Evidence: test_are_forwarded, engines that answer 500 while the entry stands still past the limit: 504 on the code before with routes of several priorities. Ruled out: configurations without a queue, where no successor can be placed after the limit and the failure is forwarded at once (500 on the code before).

Change: each failure of an engine is kept until another attempt succeeds, as plain requests do. So it also takes the place of a local answer if no other attempt succeeds, and is forwarded if another one is silent until the limit.

--- a/packages/proxy/src/sassafrastally/proxy/streaming_request.py
+++ b/packages/proxy/src/sassafrastally/proxy/streaming_request.py
@@ -397,10 +397,10 @@
         status, server = answer.status, attempt.server
         response = BufferedResponse(status, answer.headers, body, server.server_id, answer.framing)
         failure = f"the engine responded with status {status}"
-        if status >= SERVER_ERROR_STATUS and self._attempts.has_others(attempt):
-            self._failed = response
-            raise AttemptUnknown(failure)
         if status >= SERVER_ERROR_STATUS:
+            self._failed = response
+            if self._attempts.has_others(attempt):
+                raise AttemptUnknown(failure)
             obstacle = self._claim_successor()
             if obstacle is None or (self._room_wait.applies and obstacle.is_for_room):
                 raise AttemptUnknown(failure)
--- a/packages/testing/tests/platform/test_limits_of_responses.py
+++ b/packages/testing/tests/platform/test_limits_of_responses.py
@@ -182,6 +182,35 @@
         assert counts["CallerDisconnected"] == 1
 
 
+class TestFailures:
+    """Failures of engines that are read after the limit."""
+
+    async def test_are_forwarded(self, autojump_clock, fleet, monkeypatch):
+        """Guards against 504 in place of an engine's failure that lies in the socket when the limit
+        passes: the request waits for room for another attempt, and the limit ends that."""
+        low = make_route("low", "streaming", "engines", priority=2, timeoutMs=15_000)
+        fleet.configure(make_configuration(3, routes=[*ROUTES, low]))
+        await fleet.add_replica("engine-2")
+        await trio.sleep(1.5)
+        for number in (1, 2):
+            engine = fleet.replicas[f"engine-{number}"]
+            engine.work_s, engine.response_status = 0.5, 500
+            monkeypatch.setattr(engine, "_stream", engine._plain)
+        caller = await fleet.connect()
+
+        async def stall() -> None:
+            await trio.sleep(0.49)
+            autojump_clock.jump(LIMIT_S)
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(stall)
+            fields = request_fields(prompt="1000,340", time_left_s=LIMIT_S)
+            answer = await exchange_on(caller, "POST", "/note/x", fields, b"{}")
+        await caller.close()
+        assert answer.status == 500
+        assert len(fleet.received_requests()) == 1
+
+
 class TestWrites:
     """How long a write waits for a caller that doesn't read."""
 
