Ask a sound engine again before it is given up for one failed call

What callers saw: a span broke off, and other requests were refused as no-replica for up to a second, after one call for the engine's description had failed, although the engine worked on with all that it held.

Cause: any failed call marked the engine as unreachable at once. Segments held there were given up, so that the entry ended the leader's run, before another span was certain; the next poll found the engine as it was.

Ruled out: waiting for the next poll. A leader would go on for another second on the memory of an engine that died.

--- a/packages/sidecar/src/sassafrastally/sidecar/engine_watch.py
+++ b/packages/sidecar/src/sassafrastally/sidecar/engine_watch.py
@@ -169,13 +169,24 @@
     async def _describe(self) -> EngineInfo | None:
         async with time_limit(trio.current_time() + self._settings.cancel_limit_s):
             try:
-                return await self._engine.describe()
+                return await self._describe_or_repeat()
             except _ENGINE_ERRORS as cause:
                 self._mark_unreachable(cause.detail)
                 return None
         self._mark_unreachable("no answer in time")
         return None
 
+    async def _describe_or_repeat(self) -> EngineInfo:
+        """Poll again at once after a failed call.
+
+        A single call to a sound engine may fail. Given up for that, it would lose the segments that
+        it holds, and requests would be refused until the next poll. A dead engine fails again.
+        """
+        try:
+            return await self._engine.describe()
+        except _ENGINE_ERRORS:
+            return await self._engine.describe()
+
     def _mark_unreachable(self, detail: str) -> None:
         if self.info is not None:
             self._kernel.events.emit(EngineLost(detail))
