Scenario language: silences of sidecars and engines that end by themselves

What was missing: a sound server may fall silent for a second or so and go on. Stories could only freeze and thaw in separate steps, so that silences of several servers couldn't overlap other steps.

Change: "freeze VM for N s" and "freeze the engine of VM for N s".

--- a/packages/testing/src/sassafrastally/testing/scenario_faults.py
+++ b/packages/testing/src/sassafrastally/testing/scenario_faults.py
@@ -41,6 +41,19 @@
     deployment.memory_network.thaw(deployment.peer_address(stage.vm(place)))
 
 
+@STEPS.register("freeze_for")
+async def freeze_for(stage: Stage, place: Place, duration_s: float) -> None:
+    """Begin a silence of a sound VM, which ends by itself, and go on with the story."""
+    at = Place(stage.vm(place))
+    await freeze(stage, at)
+    stage.nursery.start_soon(_thaw_later, stage, at, duration_s)
+
+
+async def _thaw_later(stage: Stage, place: Place, duration_s: float) -> None:
+    await trio.sleep(duration_s)
+    await thaw(stage, place)
+
+
 @STEPS.register("kill")
 async def kill(stage: Stage, place: Place) -> None:
     """End a process as a loss of power would; the engine beside a sidecar lives on."""
@@ -91,6 +104,19 @@
     stage.deployment.engines[stage.vm(place)].thaw()
 
 
+@STEPS.register("freeze_engine_for")
+async def freeze_engine_for(stage: Stage, place: Place, duration_s: float) -> None:
+    """Begin a silence of a sound engine, which ends by itself, and go on with the story."""
+    at = Place(stage.vm(place))
+    await freeze_engine(stage, at)
+    stage.nursery.start_soon(_thaw_engine_later, stage, at, duration_s)
+
+
+async def _thaw_engine_later(stage: Stage, place: Place, duration_s: float) -> None:
+    await trio.sleep(duration_s)
+    await thaw_engine(stage, place)
+
+
 @STEPS.register("end_without_mark")
 async def end_without_mark(stage: Stage, place: Place) -> None:
     """Let an engine end its answers without the mark that says they are whole."""
