Resume a stream at a server that answers again with a run of its own

What callers saw: a stream that is cut since all servers of its route have got it, although the first one, which had been silent for a while, answers again. Attempts whose events are equal complete each other; where the servers' runs differ, the silent one is closed at its first event, and nothing is left when its successor fails.

Cause: the number of attempts counted for the number of servers to which a request may be sent.

Test: streams of engines that name themselves in their events, successor silent for good after 1, 2 or 4 events, first server silent for 1.5 or 1.8 s: cut before.

Change: an attempt that is closed since its run differs leaves its server as one that may get the request again, from the caller's last event on, also beyond the number of servers of the route; each such attempt is charged to the retry budget. A last attempt beside another one is watched for silence too. No server gets it again that hasn't answered since.

Ruled out: going on with the events of the run that is open (pieces of two runs); holding the successor's events back until it is certain (each caller of a dead server would wait longer).

--- a/packages/proxy/src/sassafrastally/proxy/request_handler.py
+++ b/packages/proxy/src/sassafrastally/proxy/request_handler.py
@@ -115,6 +115,12 @@
         """Return those of the own data centre, as in `FleetView.local_views`."""
         return self._services.fleet_view.local_views(self._task.service, avoid, self._task.homes)
 
+    def _allowed(self, views: Sequence[ServerView]) -> Sequence[ServerView]:
+        """Return the servers that the number of servers of the route allows."""
+        if self._retries.has_servers_left:
+            return views
+        return [one for one in views if one.server.incarnation_id in self.progress.resumable]
+
     def _reply_not_run(
         self, refusal: Refusal, detail: str, *, is_for_load: bool = True
     ) -> LocalReply:
@@ -292,6 +298,7 @@
         self.progress.attempts += 1
         self.progress.sent += 1
         self.progress.tried.add(server.incarnation_id)
+        self.progress.resumable.discard(server.incarnation_id)
         self._services.backpressure.count_request(server, CallKind.ATTEMPT)
         self._services.fleet_view.failures.record_sent(server)
         for helper in helpers:
@@ -320,7 +327,9 @@
             if not attempt.silence_detail:
                 self._records.outcome(attempt.server, is_failure=True)
 
-        on_silence = add_successor if self._retries.can_fail_over() else None
+        # A server whose run differs from another one's may get the request again.
+        can_fail_over = self._retries.can_fail_over() or self._attempts.has_others(attempt)
+        on_silence = add_successor if can_fail_over else None
         return self._services.silence_watch.watch(attempt.wait, on_silence, record_endless)
 
     def _silence_detail(self, attempt: OpenAttempt) -> str:
@@ -329,7 +338,9 @@
 
     def _record_closed(self, attempt: OpenAttempt) -> None:
         """Record an attempt that was closed for another one."""
-        if not attempt.is_logged:
+        if attempt.has_differed:
+            self.progress.resumable.add(attempt.server.incarnation_id)
+        if attempt.has_differed or not attempt.is_logged:
             # Nothing speaks against the server, which may get the request again.
             self.progress.tried.discard(attempt.server.incarnation_id)
         self._records.superseded(attempt)
--- a/packages/proxy/src/sassafrastally/proxy/retries.py
+++ b/packages/proxy/src/sassafrastally/proxy/retries.py
@@ -45,8 +45,16 @@
         """Return why the route allows no other attempt after the present one, if it doesn't."""
         if not self.is_repeatable:
             return Obstacle.REPETITION
-        has_attempt = self._progress.sent < self._task.route.max_attempts
-        return None if has_attempt else Obstacle.ATTEMPTS
+        return None if self._has_attempt else Obstacle.ATTEMPTS
+
+    @property
+    def has_servers_left(self) -> bool:
+        """Whether the route allows a server that hasn't got the request."""
+        return self._progress.sent < self._task.route.max_attempts
+
+    @property
+    def _has_attempt(self) -> bool:
+        return self.has_servers_left or bool(self._progress.resumable)
 
     def claim(self) -> Obstacle | None:
         """Charge another attempt to the retry budget; return what prevents it, if anything."""
@@ -61,8 +69,7 @@
         """Return why the route allows no other attempt, if it doesn't."""
         if self._progress.may_have_run and not self.is_repeatable:
             return Obstacle.REPETITION
-        has_attempt = self._progress.sent < self._task.route.max_attempts
-        return None if has_attempt else Obstacle.ATTEMPTS
+        return None if self._has_attempt else Obstacle.ATTEMPTS
 
     def may_wait_for_budget(self) -> bool:
         """Return whether only the retry budget prevents another attempt at what hasn't run."""
--- a/packages/proxy/src/sassafrastally/proxy/streaming_request.py
+++ b/packages/proxy/src/sassafrastally/proxy/streaming_request.py
@@ -287,7 +287,7 @@
     def _place_among(self, views: Sequence[ServerView]) -> Placement | None:
         fleet_view = self._services.fleet_view
         return place_request(
-            views,
+            self._allowed(views),
             self._lane,
             self._prompt,
             self._goals.own_s,
--- a/packages/proxy/src/sassafrastally/proxy/task.py
+++ b/packages/proxy/src/sassafrastally/proxy/task.py
@@ -114,6 +114,9 @@
         """Whether an event without an id was forwarded, which another run would send again."""
         self.tried: set[str] = set()
         """Backend servers that have been tried, as `BackendServer.incarnation_id`."""
+        self.resumable: set[str] = set()
+        """Those that answered, but another run than the caller gets. They may resume its stream,
+        as the attempts of a route are limited to a number of servers."""
 
     def end(self, attempt: OpenAttempt) -> None:
         """Note that an attempt has ended."""
