--- a/packages/proxy/src/sassafrastally/proxy/event_stream.py
+++ b/packages/proxy/src/sassafrastally/proxy/event_stream.py
@@ -7,7 +7,7 @@
 from sassafrastally.core import EventBlocks, is_event_stream
 from sassafrastally.proxy.body_framing import BodyFraming
 from sassafrastally.proxy.input_limits import MAX_EVENT_BYTES
-from sassafrastally.proxy.task import ResponseTimes
+from sassafrastally.proxy.response_times import ResponseTimes
 
 if TYPE_CHECKING:
     from sassafrastally.proxy.dialect import Headers
--- a/packages/proxy/src/sassafrastally/proxy/request_handler.py
+++ b/packages/proxy/src/sassafrastally/proxy/request_handler.py
@@ -26,9 +26,10 @@
     UNAVAILABILITY_REFUSALS,
 )
 from sassafrastally.proxy.request_log import RequestLog
+from sassafrastally.proxy.response_times import ResponseTimes
 from sassafrastally.proxy.retries import Retries
 from sassafrastally.proxy.suspect_placement import assigned_servers
-from sassafrastally.proxy.task import LocalReply, Progress, RequestTask, ResponseTimes
+from sassafrastally.proxy.task import LocalReply, Progress, RequestTask
 from sassafrastally.proxy.turning_away import (
     MIN_RETRY_DELAY_S,
     retry_delay_after_failure_s,
--- a/packages/proxy/src/sassafrastally/proxy/request_log.py
+++ b/packages/proxy/src/sassafrastally/proxy/request_log.py
@@ -22,7 +22,8 @@
     from sassafrastally.proxy.open_attempt import OpenAttempt
     from sassafrastally.proxy.plan import Placement
     from sassafrastally.proxy.request_services import RequestServices
-    from sassafrastally.proxy.task import Progress, RequestTask, ResponseTimes
+    from sassafrastally.proxy.response_times import ResponseTimes
+    from sassafrastally.proxy.task import Progress, RequestTask
 
 
 class RequestLog:
--- a/packages/proxy/src/sassafrastally/proxy/task.py
+++ b/packages/proxy/src/sassafrastally/proxy/task.py
@@ -78,16 +78,6 @@
         return self.customer.name if self.customer else None
 
 
-class ResponseTimes(NamedTuple):
-    """Times of a complete response."""
-
-    first_s: float
-    """Time to the first event or to the response."""
-    total_s: float
-    longest_pause_s: float = 0.0
-    """Longest pause between two events."""
-
-
 class Progress:
     """Progress of a request; also read after its deadline has passed."""
 
