Streaming: don't place a prompt whose answer other work makes end past its time limit

What callers saw: while a data centre's servers are lost, streams of long prompts were cut at their limit after 4 s, or ended as 504; two at a time, and short prompts on the same engine with them.

Cause: a placement only required that the first event come before the limit. Waiting requests already reckon with the time for writing (latest_start_s), stopping entries too (Drain.needed_s).

Change: a new request waits for room, or is refused, if other work makes its answer end past the limit: would_end_late, with the writing time that the latest responses of its route took. One that would end late on idle engines as well is still placed, as admission does elsewhere; a request whose response has begun, too.

--- a/packages/proxy/src/sassafrastally/proxy/request_handler.py
+++ b/packages/proxy/src/sassafrastally/proxy/request_handler.py
@@ -33,6 +33,8 @@
     MIN_RETRY_DELAY_S,
     retry_delay_after_failure_s,
     retry_delay_s,
+    would_end_late,
+    would_miss_deadline,
 )
 
 if TYPE_CHECKING:
@@ -45,6 +47,7 @@
     from sassafrastally.proxy.lanes import ServerView
     from sassafrastally.proxy.load import Lane
     from sassafrastally.proxy.model import BackendServer
+    from sassafrastally.proxy.plan import Placement
     from sassafrastally.proxy.refusals import Refusal
     from sassafrastally.proxy.reply import Reply
     from sassafrastally.proxy.request_services import RequestServices
@@ -190,6 +193,28 @@
         left_s = max(0.0, drain.ends_s - now_s)
         return self._reply_stopping(f"{left_s:.1f} s are left, a response takes {needed_s:.1f} s")
 
+    def _lateness_reason(self, plan: Placement, patience_s: float, *, is_new: bool) -> str:
+        """Return why the caller would leave before the first or last event; empty if it stays.
+
+        Parameters
+        ----------
+        plan
+            Planned placement of the request.
+        patience_s
+            Time without an event after which the caller disconnects.
+        is_new
+            Whether no part of the response exists yet.
+        """
+        time_left_s = self._task.time_left_s(self._clock.now_s())
+        first_s = plan.predicted_s
+        if would_miss_deadline(first_s, patience_s, time_left_s):
+            return f"first event in {first_s:.1f} s"
+        lengths = self._services.drain.response_lengths
+        writing_s = lengths.expected_s(self._task.route.name, self._declared_s)
+        if is_new and would_end_late(first_s, plan.alone_s, writing_s, time_left_s):
+            return f"first event in {first_s:.1f} s, last one {writing_s:.1f} s later"
+        return ""
+
     def _goal_left_s(self) -> float:
         """Return the time until the goal of the route; negative if it is missed."""
         goal_s = self._task.route.goal_s or 0.0
--- a/packages/proxy/src/sassafrastally/proxy/streaming_request.py
+++ b/packages/proxy/src/sassafrastally/proxy/streaming_request.py
@@ -42,7 +42,6 @@
 from sassafrastally.proxy.silence_watch import ServerWait
 from sassafrastally.proxy.slow_event_detection import event_time_s, slow_event_time_s
 from sassafrastally.proxy.task import LocalReply, Progress, RequestTask
-from sassafrastally.proxy.turning_away import would_miss_deadline
 from sassafrastally.proxy.waiting_attempts import WaitingAttempt
 from sassafrastally.proxy.waiting_for_room import RoomWait
 
@@ -174,10 +173,9 @@
         reason = overload_reason(placement, self._goals, backlog_share)
         if reason and self._is_new():
             return reason
-        time_left_s = self._task.time_left_s(self._clock.now_s())
         patience_s = self._caller_timeout_s - self.progress.waited_s
-        if would_miss_deadline(placement.predicted_s, patience_s, time_left_s):
-            return f"first event in {placement.predicted_s:.1f} s"
+        if reason := self._lateness_reason(placement, patience_s, is_new=self._is_new()):
+            return reason
         if stopping := self._stopping_reply(placement.predicted_s):
             return stopping
         if may_yield and (reason := self._yield_reason(placement)):
--- a/packages/proxy/src/sassafrastally/proxy/turning_away.py
+++ b/packages/proxy/src/sassafrastally/proxy/turning_away.py
@@ -53,6 +53,29 @@
     return predicted_s > max_wait_s
 
 
+def would_end_late(
+    predicted_s: float, alone_s: float, writing_s: float, time_left_s: float | None
+) -> bool:
+    """Return whether other work makes an answer end after its caller's time limit.
+
+    With engines lost, a long prompt was placed behind another one whose prefill left time for its
+    first event but not for the rest: its stream was cut, and it delayed the other one past its
+    limit. An answer that would end late on idle engines as well is still served.
+
+    Parameters
+    ----------
+    predicted_s, alone_s
+        Predicted time to the first event, now and on idle engines.
+    writing_s
+        Expected time from the first event to the last one.
+    time_left_s
+        How long the caller waits for the whole answer; ``None`` without a limit.
+    """
+    if time_left_s is None:
+        return False
+    return alone_s + writing_s <= time_left_s < predicted_s + writing_s
+
+
 def retry_delay_s(
     time_left_s: float | None, draw: float, expected_room_s: float | None = None
 ) -> float:
--- a/packages/proxy/tests/test_decisions.py
+++ b/packages/proxy/tests/test_decisions.py
@@ -42,6 +42,7 @@
 from sassafrastally.proxy.turning_away import (
     retry_delay_after_failure_s,
     retry_delay_s,
+    would_end_late,
     would_miss_deadline,
 )
 from sassafrastally.proxy.unreported_requests import UnreportedRequests
@@ -174,6 +175,18 @@
         assert not would_miss_deadline(3.0, 12.0, 14.9)
         assert not would_miss_deadline(3.0, 12.0, None)
 
+    def test_answer_that_other_work_makes_end_late_is_rejected(self):
+        """A prompt is placed behind another long one, with 4 s left: its first event would come
+        after 3.7 s and its answer take 0.7 s more. Its stream would be cut, and it delays the other
+        prompt past its limit as well."""
+        assert would_end_late(3.7, 1.9, 0.7, 4.0)
+        assert not would_end_late(3.2, 1.9, 0.7, 4.0)
+        assert not would_end_late(3.7, 1.9, 0.7, None)
+
+    def test_answer_that_would_end_late_on_idle_engines_is_served(self):
+        """Guards against a request that is rejected for ever since its declared size is large."""
+        assert not would_end_late(3.7, 1.9, 60.0, 4.0)
+
     def test_short_time_limit_gets_a_short_delay(self):
         assert retry_delay_s(0.5, 1.0) < 0.17
         assert retry_delay_s(0.0, 0.5) > 0
