Soak: first servers that fall silent and go on, successors that fail

What callers saw, as reported: streams that are lost although their first server was only silent for a while.

Why the soak missed it: its servers fall silent or fail, but those that get a request next are sound, or fail by chance.

Change: the trouble successors-fail. The first engine of each third stream is silent for 1.0 to 1.8 s after up to four events and goes on; each engine that gets its request next falls silent for good, crashes or falls silent as long. The promise: a stream whose first engine goes on a second or more before the limit is whole, unless that engine has crashed or anything else, planned work included, harms the entry. Requests and fates are drawn by the id of the request, so that other troubles draw as before.

Two cases are traced: the successor sent four events, the first attempt was closed at the first of them, the successor crashed, and the route allows no third attempt.

Ruled out: streams that no server could finish in time (six cases of the check in TestSuccessors), and servers that crash under other requests.

--- a/packages/testing/src/sassafrastally/testing/soak/fleet.py
+++ b/packages/testing/src/sassafrastally/testing/soak/fleet.py
@@ -35,6 +35,7 @@
     from pathlib import Path
 
     from sassafrastally.testing.soak.record import HarmedSpan, Kind, LimitedSpan
+    from sassafrastally.testing.soak.succeeding import FirstStop
 
 RESTART_S = 0.3
 """Time between the end of a process and the start of the next one."""
@@ -136,6 +137,10 @@
         """When entries stood still, by their numbers."""
         self.stalled_entries: set[int] = set()
         """Entries of a trouble that lets them stand still; a second one would do so for longer."""
+        self.first_stops: dict[str, FirstStop] = {}
+        """Silences of the first servers of streams whose next servers fail, by request."""
+        self.repeated: set[str] = set()
+        """Streams that fail if they are repeated."""
         self.nursery = nursery
         self._folder = folder
         self._in_rotation: dict[int, bool] = {}
--- a/packages/testing/src/sassafrastally/testing/soak/promises.py
+++ b/packages/testing/src/sassafrastally/testing/soak/promises.py
@@ -19,6 +19,7 @@
 )
 from sassafrastally.testing.soak.record import Attempt, Kind
 from sassafrastally.testing.soak.stalling import judge_stalls
+from sassafrastally.testing.soak.succeeding import judge_successors
 
 if TYPE_CHECKING:
     from sassafrastally.stand_ins.received_request import ReceivedRequest
@@ -116,6 +117,7 @@
             self._judge_answered(attempt, arrivals)
             judge_silences(self._fleet, attempt, arrivals)
             judge_stalls(self._fleet, attempt, arrivals)
+            judge_successors(self._fleet, attempt, arrivals)
         is_refused = b"refusal:quarantined" in attempt.body
         if (
             not attempt.is_harmful
--- a/packages/testing/tests/soak/test_soak.py
+++ b/packages/testing/tests/soak/test_soak.py
@@ -20,6 +20,7 @@
     harmful,
     run_soak,
     stalling,
+    succeeding,
 )
 from sassafrastally.testing.soak.callers import GIVES_UP_S
 from sassafrastally.testing.soak.probing import most_store_calls
@@ -28,7 +29,13 @@
 
 SEEDS = tomllib.loads((Path(__file__).parent / "seeds.toml").read_text())["seed"]
 
-LATER = (breaking.NAME, harmful.PART_NAME, *faltering.KINDS, stalling.STALLED)
+LATER = (
+    breaking.NAME,
+    harmful.PART_NAME,
+    *faltering.KINDS,
+    stalling.STALLED,
+    succeeding.SUCCEEDING,
+)
 EARLIER = [name for name in TROUBLES.names() if name not in LATER]
 USUAL = [name for name in EARLIER if name not in contention.KINDS]
 """Troubles that the seeds below draw from; more names would change what a seed draws."""
@@ -106,6 +113,15 @@
         assert not report.broken, str(report)
         assert report.outcomes["200"] > 50, str(report)
 
+    async def test_stream_is_whole_whose_first_server_goes_on(self):
+        """Guards against streams that are lost because their first server, which was silent for a
+        while, is given up for a successor that fails after some events."""
+        report = await run_soak(
+            20_270, 8.0, SMALL._replace(callers=30), print, [succeeding.SUCCEEDING], gap_s=0.6
+        )
+        assert not report.broken, str(report)
+        assert report.outcomes["200"] > 50, str(report)
+
     @pytest.mark.parametrize("known", SEEDS, ids=lambda known: str(known["number"]))
     async def test_seed_that_broke_a_promise_keeps_them(self, known):
         kinds = EARLIER if known.get("has_all_troubles") else USUAL
@@ -224,6 +240,41 @@
         assert not fleet.record.broken
 
 
+class TestSuccessors:
+    """The check of streams whose successors fail."""
+
+    @pytest.mark.parametrize(
+        ("status", "is_whole", "goes_on_s", "is_crashed", "is_broken"),
+        [
+            (200, False, 1.8, False, True),
+            (504, True, 1.8, False, True),
+            (200, True, 1.8, False, False),
+            (200, False, 1.8, True, False),
+            (200, False, 3.5, False, False),
+            (200, False, None, False, False),
+        ],
+    )
+    async def test_only_a_stream_that_could_have_been_finished_breaks_the_promise(
+        self, autojump_clock, status, is_whole, goes_on_s, is_crashed, is_broken
+    ):
+        """Guards against a check that finds nothing, or blames an entry for a stream that no server
+        could finish in its caller's time."""
+        attempt = Attempt("1", Kind.NOTE, 1, 3)
+        attempt.status, attempt.is_whole = status, is_whole
+        fleet = SimpleNamespace(record=Record(), first_stops={})
+        replica = SimpleNamespace(has_crashed=trio.Event())
+        if is_crashed:
+            replica.has_crashed.set()
+        if goes_on_s is not None:
+            stop = succeeding.FirstStop(replica, attempt.sent_s + goes_on_s)
+            fleet.first_stops[attempt.attempt_id] = stop
+        with fleet.record.trouble(succeeding.SUCCEEDING):
+            await trio.sleep(2.0)
+        attempt.ended_s = trio.current_time()
+        succeeding.judge_successors(fleet, attempt, [])
+        assert bool(fleet.record.broken) is is_broken
+
+
 class TestContention:
     """The checks of evacuations and cold servers."""
 
