--- a/packages/entry/src/sassafrastally/entry/settings.py
+++ b/packages/entry/src/sassafrastally/entry/settings.py
@@ -50,9 +50,11 @@
     max_spent_ratio: float = 2.0
     """Maximum engine tokens spent by all attempts of a request, as a multiple of one run."""
     contact_patience_s: float = 1.0
-    """How long an idempotent request tries to reach a lost sidecar before failing over."""
+    """How long an idempotent request tries to reach a lost sidecar before failing over; if that
+    fails, it tries again until its time limit."""
     reserve_timeout_s: float = 2.0
-    """Time within which a sidecar must answer a reservation; otherwise it counts as unreachable."""
+    """Time after which other sidecars are asked too if one hasn't answered a reservation; one that
+    hasn't answered for a segment counts as unreachable."""
     drain_s: float = 3.0
     """How long new requests are still served after the stop signal, so that the load balancer can
     notice that the entry isn't ready."""
