--- /dev/null
+++ b/packages/entry/tests/test_incomplete_runs.py
@@ -0,0 +1,70 @@
+"""Runs with a missing chunk whose sidecar or caller is gone before they are read again."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+import trio
+
+from sassafrastally.serving.outcome import AttemptState
+from sassafrastally.testing.sidecar_scripts import THREE_EVENTS, own_of, refusing
+from sassafrastally.wire.messages import Cancel, Query, Reserve
+
+
+async def send_gap(sidecar: Any, end: Any, reserve: Reserve) -> None:
+    """Commit an attempt and leave out a chunk of its answer."""
+    await sidecar.accept(end, reserve)
+    own = own_of(reserve)
+    sidecar.ran.append(own)
+    chunks = sidecar.chunks(own, sidecar.words)
+    await end.send(chunks[0], chunks[2])
+
+
+class TestIncompleteRun:
+    @pytest.mark.parametrize("silence_s", [0.1, 1.6, 3.0])
+    async def test_is_read_again_although_its_sidecar_is_out_of_reach(
+        self, world: Any, autojump_clock: Any, silence_s: float
+    ) -> None:
+        """Guards against a refusal although a sidecar that was out of reach for 1.6 s after the gap
+        has the whole answer, and no other one takes the request."""
+        is_taken = False
+
+        async def script(sidecar: Any, end: Any, message: Any) -> None:
+            nonlocal is_taken
+            if not isinstance(message, Reserve):
+                await type(sidecar).behave(sidecar, end, message)
+            elif is_taken:
+                await refusing("no-span")(sidecar, end, message)
+            else:
+                is_taken = True
+                await send_gap(sidecar, end, message)
+                sidecar.is_down = True
+                await trio.sleep(silence_s)
+                sidecar.states[own_of(message)] = AttemptState.COMPLETED
+                sidecar.is_down = False
+
+        for sidecar in (world.s1, world.s2):
+            sidecar.scripts = [script] * 50
+        assert (await world.ask(world.request(prompt_tokens=5_000))).body == THREE_EVENTS
+
+    async def test_is_cancelled_if_its_caller_leaves(self, world: Any, autojump_clock: Any) -> None:
+        """Guards against a run that may not be repeated and goes on for nobody, since its caller
+        left between the gap and the next try to read it."""
+
+        async def script(sidecar: Any, end: Any, message: Any) -> None:
+            if isinstance(message, Reserve):
+                await send_gap(sidecar, end, message)
+                while True:
+                    await end.receive()
+            assert isinstance(message, Query)
+            await trio.sleep(2.0)
+            await type(sidecar).behave(sidecar, end, message)
+
+        for sidecar in (world.s1, world.s2):
+            sidecar.scripts = [script] * 50
+        with trio.move_on_after(1.0):
+            await world.ask(world.booking(prompt_tokens=5_000))
+        await trio.sleep(5.0)
+        assert world.ran() == 1
+        assert len(world.s1.of(Cancel) + world.s2.of(Cancel)) == 1
