Keep the failure of an engine while it is forwarded

What callers saw: a connection closed without an answer. An engine had answered 404 or 500, the entry wrote it when the request's limit passed, and the write was cut after 0.15 s.

Cause: a failure without another open attempt wasn't kept, so that the path had nothing to go on with after the limit and took the response for a stream that had been cut.

Evidence: found by review; test_late_failures, a caller that takes each write 0.2 s late: 2 of 2 closed with sent_bytes 0 before.

Change: the response is kept before it is written, as complete responses of plain routes are.

--- a/packages/proxy/src/sassafrastally/proxy/streaming_request.py
+++ b/packages/proxy/src/sassafrastally/proxy/streaming_request.py
@@ -101,7 +101,7 @@
         """Predicted time to the first event on idle engines."""
         self._room_wait.record_arrival(prompt, self._alone_s)
         self._failed: BufferedResponse | None = None
-        """An engine's failure, which is forwarded unless another open attempt succeeds."""
+        """An engine's failure, which is forwarded unless another attempt succeeds."""
         self._awaits_budget = False
         """Whether the next attempt must be charged to the retry budget first."""
 
@@ -406,6 +406,7 @@
             raise AttemptUnknown(f"{failure} to a resumed stream")
         await self._attempts.receive(attempt, Received.RESPONSE)
         self._records.outcome(server, is_failure=status >= SERVER_ERROR_STATUS)
+        self._failed = response
         await self._forward(response, self._lane)
         return True
 
