Record attempts that are closed unsent, or at a silent server, as what they are

What callers saw: a stream that was cut as all attempts of its route were used, though only one request had been sent. And a last attempt that went to a server which had just been silent for longer than its limit.

Cause: an attempt that was closed while its connection was being opened stayed counted and charged, as one that may have run. The silence of a successor was recorded only if all open attempts were silent, so that one that was closed since the first server went on counted as sound.

Change: an attempt that wasn't sent is no attempt: it is taken back, with its charge, and logged as not run. The silence of one that is closed is recorded if it is over its limit. lateness_reason moves from the handler to turning_away.

--- a/packages/proxy/src/sassafrastally/proxy/attempt_records.py
+++ b/packages/proxy/src/sassafrastally/proxy/attempt_records.py
@@ -105,6 +105,12 @@
         if attempt.silence_detail and not attempt.progress_since_silence.events:
             self._record_missing_answer(attempt)
 
+    def unsent(self, attempt: OpenAttempt) -> None:
+        """Record an attempt that was closed for another one before its request was sent."""
+        self._progress.end(attempt)
+        self._log.attempt_closed(attempt, SUPERSEDED_DETAIL)
+        self._log.attempt_failed(attempt, SUPERSEDED_DETAIL, is_proved_not_run=True)
+
     def not_run(
         self,
         attempt: OpenAttempt,
--- a/packages/proxy/src/sassafrastally/proxy/failover_decision.py
+++ b/packages/proxy/src/sassafrastally/proxy/failover_decision.py
@@ -82,6 +82,11 @@
     has_successor: bool = False
     """Whether the next attempt is already certain."""
 
+    @property
+    def is_over_limit(self) -> bool:
+        """Whether it has lasted for as long as an attempt is given."""
+        return self.silent_s >= self.limit_s - TIMER_PRECISION_S
+
 
 class SuccessorFacts(NamedTuple):
     """What the next attempt of a request at a silent server depends on."""
@@ -156,7 +161,7 @@
     A successor gets as much time as the first attempt: the load is a few dead servers in a row, and
     an attempt started sooner would take a request's last attempts from it.
     """
-    return all(one.silent_s >= one.limit_s - TIMER_PRECISION_S for one in open_attempts)
+    return all(one.is_over_limit for one in open_attempts)
 
 
 def successor_obstacle(facts: SuccessorFacts) -> Obstacle | None:
--- a/packages/proxy/src/sassafrastally/proxy/request_handler.py
+++ b/packages/proxy/src/sassafrastally/proxy/request_handler.py
@@ -32,10 +32,10 @@
 from sassafrastally.proxy.task import LocalReply, Progress, RequestTask
 from sassafrastally.proxy.turning_away import (
     MIN_RETRY_DELAY_S,
+    PredictedAnswer,
+    lateness_reason,
     retry_delay_after_failure_s,
     retry_delay_s,
-    would_end_late,
-    would_miss_deadline,
 )
 
 if TYPE_CHECKING:
@@ -201,26 +201,11 @@
         return self._reply_stopping(f"{left_s:.1f} s are left, a response takes {needed_s:.1f} s")
 
     def _lateness_reason(self, plan: Placement, patience_s: float, *, is_new: bool) -> str:
-        """Return why the caller would leave before the first or last event; empty if it stays.
-
-        Parameters
-        ----------
-        plan
-            Planned placement of the request.
-        patience_s
-            Time without an event after which the caller disconnects.
-        is_new
-            Whether no part of the response exists yet.
-        """
-        time_left_s = self._task.time_left_s(self._clock.now_s())
-        first_s = plan.predicted_s
-        if would_miss_deadline(first_s, patience_s, time_left_s):
-            return f"first event in {first_s:.1f} s"
-        lengths = self._services.drain.response_lengths
+        """Return why the caller would leave before its answer is whole, as `lateness_reason`."""
+        lengths, now_s = self._services.drain.response_lengths, self._clock.now_s()
         writing_s = lengths.expected_s(self._task.route.name, self._declared_s)
-        if is_new and would_end_late(first_s, plan.alone_s, writing_s, time_left_s):
-            return f"first event in {first_s:.1f} s, last one {writing_s:.1f} s later"
-        return ""
+        answer = PredictedAnswer(plan.predicted_s, plan.alone_s, writing_s, is_new)
+        return lateness_reason(answer, patience_s, self._task.time_left_s(now_s))
 
     def _goal_left_s(self) -> float:
         """Return the time until the goal of the route; negative if it is missed."""
@@ -364,13 +349,26 @@
 
     def _record_closed(self, attempt: OpenAttempt) -> None:
         """Record an attempt that was closed for another one."""
+        if not attempt.is_sent:
+            self._record_unsent(attempt)
+            return
         if attempt.has_differed:
             self.progress.resumable.add(attempt.server.incarnation_id)
+        elif attempt.wait.silence(self._clock.now_s()).is_over_limit and not attempt.is_logged:
+            self._records.silence(attempt, self._silence_detail(attempt))
         if attempt.has_differed or not attempt.is_logged:
             # Nothing speaks against the server, which may get the request again.
             self.progress.tried.discard(attempt.server.incarnation_id)
         self._records.superseded(attempt)
 
+    def _record_unsent(self, attempt: OpenAttempt) -> None:
+        """Record an attempt that was closed before its request was sent: it is none."""
+        self.progress.sent -= 1
+        self.progress.tried.discard(attempt.server.incarnation_id)
+        self._records.unsent(attempt)
+        if attempt.number > 1:
+            self._retries.refund_unsent()
+
     def _claim_successor(self) -> Obstacle | None:
         """Choose where the next attempt is made and charge it; return what prevents that."""
         if self._successor is not None:
--- a/packages/proxy/src/sassafrastally/proxy/turning_away.py
+++ b/packages/proxy/src/sassafrastally/proxy/turning_away.py
@@ -8,6 +8,8 @@
 
 from __future__ import annotations
 
+from typing import NamedTuple
+
 EARLIEST_SHARE = 0.2
 LATEST_SHARE = 0.32
 """Range of the retry delay, as shares of the caller's time left. Callers honour up to a third, and
@@ -76,6 +78,39 @@
     return alone_s + writing_s <= time_left_s < predicted_s + writing_s
 
 
+class PredictedAnswer(NamedTuple):
+    """Predicted times of a request's answer."""
+
+    first_s: float
+    """Time to the first event."""
+    alone_s: float
+    """The same on idle engines."""
+    writing_s: float
+    """Expected time from the first event to the last one."""
+    is_new: bool
+    """Whether no part of the answer exists yet."""
+
+
+def lateness_reason(answer: PredictedAnswer, patience_s: float, time_left_s: float | None) -> str:
+    """Return why a caller would leave before its answer is whole; empty if it stays.
+
+    Parameters
+    ----------
+    answer
+        The answer, if it is begun now.
+    patience_s
+        Time without an event after which the caller disconnects.
+    time_left_s
+        How long the caller waits for the whole answer; ``None`` without a limit.
+    """
+    first_s, alone_s, writing_s, is_new = answer
+    if would_miss_deadline(first_s, patience_s, time_left_s):
+        return f"first event in {first_s:.1f} s"
+    if is_new and would_end_late(first_s, alone_s, writing_s, time_left_s):
+        return f"first event in {first_s:.1f} s, last one {writing_s:.1f} s later"
+    return ""
+
+
 def retry_delay_s(
     time_left_s: float | None, draw: float, expected_room_s: float | None = None
 ) -> float:
