--- a/packages/testing/src/sassafrastally/testing/soak/fleet.py
+++ b/packages/testing/src/sassafrastally/testing/soak/fleet.py
@@ -34,8 +34,7 @@
     from collections.abc import Mapping
     from pathlib import Path
 
-    from sassafrastally.testing.soak.record import HarmedSpan, Kind, LimitedSpan
-    from sassafrastally.testing.soak.succeeding import FirstStop
+    from sassafrastally.testing.soak.record import FirstStop, HarmedSpan, Kind, LimitedSpan
 
 RESTART_S = 0.3
 """Time between the end of a process and the start of the next one."""
--- a/packages/testing/src/sassafrastally/testing/soak/record.py
+++ b/packages/testing/src/sassafrastally/testing/soak/record.py
@@ -251,6 +251,14 @@
         self.broken.append(Broken(promise, f"{elapsed_s:.2f} s: {detail}"))
 
 
+class FirstStop(NamedTuple):
+    """The silence of the first server of a request."""
+
+    replica: Replica
+    goes_on_s: float
+    """When it goes on, unless the entry has closed the request."""
+
+
 class HarmedSpan(NamedTuple):
     """A time in which a data centre is evacuated, a server is cold or an entry stands still."""
 
--- a/packages/testing/src/sassafrastally/testing/soak/succeeding.py
+++ b/packages/testing/src/sassafrastally/testing/soak/succeeding.py
@@ -5,11 +5,12 @@
 import math
 import random
 from enum import Enum
-from typing import TYPE_CHECKING, NamedTuple
+from typing import TYPE_CHECKING
 
 import trio
 
 from sassafrastally.stand_ins.silence import Silence
+from sassafrastally.testing.soak.record import FirstStop
 from sassafrastally.testing.soak.troubles import trouble
 
 if TYPE_CHECKING:
@@ -47,14 +48,6 @@
     PAUSE = "silent for a while"
 
 
-class FirstStop(NamedTuple):
-    """The silence of the first server of a request."""
-
-    replica: Replica
-    goes_on_s: float
-    """When it goes on, unless the entry has closed the request."""
-
-
 class _Writer:
     """Sends one response and stops once, before a part of the body."""
 
