Close no attempt once the limit has passed, unless another one is complete

Cause: the log names it now. The entry was stalled over the limit; when it ran again, the second attempt's events, read first, made it one that had gone on, and the first attempt was closed 0.06 s after the limit, 0.02 s after its own last event.

Evidence: unit test of the decision. Tests of overlapping attempts, failing successors and returns pass.

--- a/packages/proxy/src/sassafrastally/proxy/failover_decision.py
+++ b/packages/proxy/src/sassafrastally/proxy/failover_decision.py
@@ -70,6 +70,8 @@
     """Whether its request has been sent."""
     has_leader_gone_on: bool
     """Whether the other one's server has gone on since the last silence of all servers."""
+    is_time_over: bool = False
+    """Whether the request's limit has passed, so that only what has arrived counts."""
 
 
 class Silence(NamedTuple):
@@ -151,8 +153,9 @@
     begun to answer. The first event of a successor doesn't make it certain: it may crash on the
     request or fall silent itself. Once it has gone on for a while, it is no more likely to fail
     than a server whose request has no other attempt, and a second one only costs an engine time.
+    A limit that has passed ends both in a moment: the response that is whole by then may be either.
     """
-    return not reserve.is_sent or reserve.has_leader_gone_on
+    return not reserve.is_sent or (reserve.has_leader_gone_on and not reserve.is_time_over)
 
 
 def may_start_another(open_attempts: Iterable[Silence]) -> bool:
--- a/packages/proxy/src/sassafrastally/proxy/overlapping_attempts.py
+++ b/packages/proxy/src/sassafrastally/proxy/overlapping_attempts.py
@@ -37,10 +37,17 @@
     ----------
     make
         Makes one attempt; returns whether its response is complete.
+    is_time_over
+        Returns whether the time limit of the request has passed.
     """
 
-    def __init__(self, make: Callable[[Start], Awaitable[bool]]) -> None:
+    def __init__(
+        self,
+        make: Callable[[Start], Awaitable[bool]],
+        is_time_over: Callable[[], bool] = lambda: False,
+    ) -> None:
         self._make = make
+        self._is_time_over = is_time_over
         self._open: list[OpenAttempt] = []
         self._starting: list[Start] = []
         """Successors that have been added and aren't open yet."""
@@ -147,9 +154,10 @@
     def _close_dispensable(self, leader: OpenAttempt, *, is_complete: bool) -> None:
         """Close the attempts that aren't needed beside one whose events are forwarded."""
         self._starting.clear()
-        has_gone_on = is_complete or leader.progress_since_silence.is_going_on
+        has_gone_on = leader.progress_since_silence.is_going_on
         for other in list(self._others(leader)):
-            if is_dispensable(Reserve(other.is_sent, has_gone_on)):
+            reserve = Reserve(other.is_sent, has_gone_on, self._is_time_over())
+            if is_complete or is_dispensable(reserve):
                 other.close(leader)
 
     def _others(self, attempt: OpenAttempt) -> Iterator[OpenAttempt]:
--- a/packages/proxy/src/sassafrastally/proxy/request_handler.py
+++ b/packages/proxy/src/sassafrastally/proxy/request_handler.py
@@ -91,7 +91,9 @@
         self._log = RequestLog(services, task, self.progress)
         self._records = AttemptRecords(services, task, progress, self._log)
         self._retries = Retries(services, task, progress)
-        self._attempts: OverlappingAttempts[Start] = OverlappingAttempts(self._attempt)
+        self._attempts: OverlappingAttempts[Start] = OverlappingAttempts(
+            self._attempt, lambda: reply.limit.is_due
+        )
         self._successor: Start | None = None
         """Where the next attempt is made, which has been charged to the retry budget."""
 
--- a/packages/proxy/tests/test_overlapping_attempts.py
+++ b/packages/proxy/tests/test_overlapping_attempts.py
@@ -202,6 +202,12 @@
         one, and against a request that is sent although the silent server goes on."""
         assert is_dispensable(Reserve(is_sent, has_leader_gone_on)) is expected
 
+    def test_stays_open_once_the_limit_has_passed(self):
+        """Guards against a whole response that lies in its socket when the limit passes and is
+        closed for another one, which had gone on but isn't whole."""
+        assert not is_dispensable(Reserve(True, True, is_time_over=True))
+        assert is_dispensable(Reserve(False, True, is_time_over=True))
+
 
 class TestMayStartAnother:
     """Silence of all open attempts, after which another one may start."""
