Test fleet: claim ports, so that two test processes never share them

The parts of the range followed from the process id modulo 300: with six workers each, two test runs side by side share a part in about one of eight cases (calculated, not seen), and their entries keep each other from starting. The test fails without the claim by construction: the function is new.

--- a/packages/testing/tests/stand_ins/test_platform_fleet.py
+++ b/packages/testing/tests/stand_ins/test_platform_fleet.py
@@ -7,7 +7,11 @@
 import pytest
 import trio
 
-from sassafrastally.stand_ins.platform_fleet import platform_fleet
+from sassafrastally.stand_ins.platform_fleet import (
+    PORTS_PER_PROCESS,
+    claim_first_port,
+    platform_fleet,
+)
 
 
 class TestKilledEntries:
@@ -29,3 +33,13 @@
                     await trio.lowlevel.checkpoint()
                 fleet.kill_entry(1)
                 await fleet.add_entry(1)
+
+
+class TestClaimedPorts:
+    """Parts of the range of ports, claimed by test processes."""
+
+    def test_a_claimed_part_is_passed_over(self):
+        """Guards against two test processes on one port, since their ids fall on the same part."""
+        first_port = claim_first_port(0)
+        next_port = claim_first_port(0)
+        assert next_port >= first_port + PORTS_PER_PROCESS
