Entry: a fault of the configuration decoder keeps no other record from being applied

What callers saw: requests sent to backend servers that had long been draining or gone, by an entry whose decoder raises an unexpected error for the configuration in the store.

Cause: records are contained one by one when they are applied, but `decode_ahead` ran before that and suppressed `DocumentInvalid` only. Any other error ended the watch, which restarted and met the same record again. Found by the review, with an injected error; no document is known that raises there.

The error is contained and logged now; the record is decoded once more as it is applied, within its own containment. TestUndecodableConfiguration[True] failed before (the server not known as draining 3 s later), both cases pass now.

--- a/packages/proxy/src/sassafrastally/proxy/cluster_state.py
+++ b/packages/proxy/src/sassafrastally/proxy/cluster_state.py
@@ -125,7 +125,9 @@
         key = self._dialect.keys.configuration
         latest = {record.key: record for record in records}.get(key)
         if latest is not None and latest.value is not None and not self._records.has(latest):
-            await self._configurations.decode_ahead(latest.value)
+            # `replace` and `apply` decode it again, and apply the other records after an error.
+            with self._containment:
+                await self._configurations.decode_ahead(latest.value)
 
     def replace(self, snapshot: Snapshot, source: str) -> None:
         """Replace the view by a snapshot; of an earlier one, only a newer configuration is used."""
