Entry: apply a record again whose application ended with an unexpected error

What callers saw: 503 `internal-error` on a route that the configurations before and after allow, and 404 on one that the new version adds, until the next version is written.

Cause: a state was recorded before it was true. The new configuration was set before its table of routes was built, and an error between the two left the version of the one with the routes of the other; the record counted as known and wasn't applied again. Found by the review, with an injected MemoryError; no input is known that raises there.

Configuration and routes are set together once both exist. A record that failed is kept and applied again with the next answer of the store or a peer, unless a later one has replaced it; a newer configuration that only a peer knows is contained as well. TestFailedChange failed before with statuses 503 and 404; it passes now.

--- a/packages/proxy/src/sassafrastally/proxy/cluster_state.py
+++ b/packages/proxy/src/sassafrastally/proxy/cluster_state.py
@@ -9,7 +9,7 @@
 from __future__ import annotations
 
 from functools import cached_property
-from typing import TYPE_CHECKING, ClassVar
+from typing import TYPE_CHECKING, ClassVar, NamedTuple
 
 import trio
 
@@ -42,6 +42,14 @@
     from sassafrastally.proxy.store_records import Delta
 
 
+class FailedRecord(NamedTuple):
+    """A record whose application ended with an unexpected error."""
+
+    record: KvEntry | KvEvent
+    source: str
+    may_be_copied: bool
+
+
 class ClusterState(Service):
     """The configuration in force and the known backend servers.
 
@@ -83,6 +91,8 @@
         self._configurations = ConfigurationDecoder(dialect)
         self._records = StoreRecords()
         self._lifted: Removals[str] = Removals()
+        self._failed: dict[str, FailedRecord] = {}
+        """Records to apply again with the next answer, by key."""
         self.servers = ServerRegistry(
             registration_expiry_s,
             # The kernel is known only once this service is added to it.
@@ -134,6 +144,7 @@
         if snapshot.position < self.position:
             self._skip(snapshot.entries, snapshot.position, source)
             return
+        self._retry_failed()
         is_restored = snapshot.position.epoch > self.position.epoch
         if is_restored:
             self._begin_epoch(snapshot.position.epoch, source)
@@ -151,12 +162,10 @@
                 self._records.remove(key)
                 self.servers.evacuations.record_lost(self._data_centre(key), source)
             else:
-                with self._containment:
-                    self._remove(key, source)
+                self._apply_record(KvEvent(key, None, snapshot.position.revision), source)
         for entry in present.values():
             if self._records.is_news(entry):
-                with self._containment:
-                    self._put(entry, source, may_be_copied=True)
+                self._apply_record(entry, source, may_be_copied=True)
         self.servers.check_evacuations()
         self.servers.has_snapshot = True
         self._records.forget_changes(snapshot.position.revision)
@@ -168,16 +177,11 @@
         if position.epoch != self.position.epoch:
             self._skip(events, position, source)
             return
+        self._retry_failed()
         for event in self._records.unknown_changes(events):
-            if not self._is_relevant_key(event.key):
-                continue
-            self._records.remember_change(event)
-            with self._containment:
-                if event.value is None:
-                    self._remove(event.key, source)
-                else:
-                    entry = KvEntry(event.key, event.value, event.mod_revision)
-                    self._put(entry, source, may_be_copied=False)
+            if self._is_relevant_key(event.key):
+                self._records.remember_change(event)
+                self._apply_record(event, source)
         self.servers.check_evacuations()
         self._configurations.forget_decoded()
         self.confirm(position)
@@ -194,6 +198,25 @@
         """Return the changes that a peer at a position is missing."""
         return self._records.delta_after(position)
 
+    def _apply_record(
+        self, record: KvEntry | KvEvent, source: str, *, may_be_copied: bool = False
+    ) -> None:
+        """Apply a record; after an unexpected error, apply it again with the next answer."""
+        self._failed[record.key] = FailedRecord(record, source, may_be_copied)
+        with self._containment:
+            if isinstance(record, KvEntry):
+                self._put(record, source, may_be_copied=may_be_copied)
+            elif record.value is None:
+                self._remove(record.key, source)
+            else:
+                entry = KvEntry(record.key, record.value, record.mod_revision)
+                self._put(entry, source, may_be_copied=may_be_copied)
+            del self._failed[record.key]
+
+    def _retry_failed(self) -> None:
+        for failed in list(self._failed.values()):
+            self._apply_record(failed.record, failed.source, may_be_copied=failed.may_be_copied)
+
     def _begin_epoch(self, epoch: int, source: str) -> None:
         if self.position != NO_POSITION:
             self.kernel.events.emit(
@@ -213,7 +236,8 @@
         for record in records:
             if record.key == self._dialect.keys.configuration and record.value is not None:
                 carried_over = KvEntry(record.key, record.value, CARRIED_OVER)
-                self._put_configuration(carried_over, source)
+                with self._containment:
+                    self._put_configuration(carried_over, source)
 
     def _is_relevant_key(self, key: str) -> bool:
         keys = self._dialect.keys
@@ -300,8 +324,8 @@
         )
 
     def _apply_configuration(self, configuration: Configuration, source: str) -> None:
-        self.configuration = configuration
-        self.routes = RouteTable(configuration.routes)
+        routes = RouteTable(configuration.routes)
+        self.configuration, self.routes = configuration, routes
         self.configuration_known.set()
         self.kernel.events.emit(
             ConfigurationInForce(configuration.version, len(configuration.routes), source)
