Wire: take no stream on a link whose write has failed

What callers saw: a request that begins within 0.1 s after a link's connection broke is queued on that link and lost with it. A short one commits with its reservation, so that it counts as one that may have run: it needs the retry budget, or is refused as unknown.

Cause: the link stays up for up to 0.1 s after a failed write, so that what has arrived is still read. Nothing told new streams that it can't send.

Evidence, red before: 2 of 2 tests in test_broken_link.py; a query was queued without an error, and the next caller got the same link.

Change: a link that can't send is no longer up. New streams and notices fail at once, and the next caller dials another link. Streams that are open still read what has arrived, and a stopping process still waits for them.

--- a/packages/wire/src/sassafrastally/wire/link.py
+++ b/packages/wire/src/sassafrastally/wire/link.py
@@ -86,7 +86,7 @@
 
     @property
     def is_up(self) -> bool:
-        """Whether the link is up."""
+        """Whether the link is up and can send."""
         ...
 
     def open_stream(self) -> Stream:
--- a/packages/wire/src/sassafrastally/wire/mux.py
+++ b/packages/wire/src/sassafrastally/wire/mux.py
@@ -113,11 +113,18 @@
         self._scope = trio.CancelScope()
         self._drained = trio.lowlevel.ParkingLot()
         self._down = trio.Event()
+        self._write_failure = ""
+        """Why nothing more can be sent; the link is cut once what has arrived is read."""
 
     @property
     def is_up(self) -> bool:
-        """Whether the link is up."""
-        return not self.cut_reason
+        """Whether the link is up and can send."""
+        return not (self.cut_reason or self._write_failure)
+
+    @property
+    def is_cut(self) -> bool:
+        """Whether the link was cut, so that nothing more is received either."""
+        return bool(self.cut_reason)
 
     @property
     def stream_count(self) -> int:
@@ -130,7 +137,7 @@
         if self.is_up:
             self._unstarted_streams.add(stream)
         else:
-            stream.end(LinkCut(self.cut_reason))
+            stream.end(LinkCut(self.cut_reason or self._write_failure))
         return stream
 
     async def call(self, message: Message) -> Message:
@@ -157,12 +164,12 @@
         """
         await self.writer.wait_writable()
         if not self.is_up:
-            raise LinkCut(self.cut_reason)
+            raise LinkCut(self.cut_reason or self._write_failure)
         self.put(CONTROL_STREAM_ID, message)
 
     def cut(self, reason: str) -> None:
         """Cut the link; all streams immediately raise `LinkCut`."""
-        if not self.is_up:
+        if self.is_cut:
             return
         self.cut_reason = reason
         self._scope.cancel()
@@ -255,9 +262,10 @@
     async def _write(self) -> None:
         try:
             await self.writer.run()
-        except LinkCut:
+        except LinkCut as cause:
             # A peer that has closed the connection may have sent an answer before. The reader cuts
-            # the link once it has read everything.
+            # the link once it has read everything. New streams need another link meanwhile.
+            self._write_failure = cause.detail
             with trio.move_on_after(LAST_READ_S):
                 await self._down.wait()
             raise
--- a/packages/wire/src/sassafrastally/wire/peers.py
+++ b/packages/wire/src/sassafrastally/wire/peers.py
@@ -114,7 +114,7 @@
         """Wait for open streams to end within the time limit, then close the links."""
         self._is_stopping = True
         async with trio.open_nursery() as nursery:
-            for link in self._all_links():
+            for link in self._links_not_cut():
                 nursery.start_soon(link.close, self._settings.stop_time_limit_s)
 
     def on_stream(self, kind: type[Message], handler: StreamHandler) -> None:
@@ -167,7 +167,11 @@
         return list(self._all_links())
 
     def _all_links(self) -> list[MuxLink]:
-        return [link for links in self._links.values() for link in links if link.is_up]
+        return [link for link in self._links_not_cut() if link.is_up]
+
+    def _links_not_cut(self) -> list[MuxLink]:
+        """Return the links that are up, and those that only receive what has arrived."""
+        return [link for links in self._links.values() for link in links if not link.is_cut]
 
     async def _dial(self, vm: str, address: Address, dial: _Dial) -> None:
         stream: trio.abc.Stream | None = None
--- a/packages/wire/tests/test_broken_link.py
+++ b/packages/wire/tests/test_broken_link.py
@@ -90,3 +90,36 @@
             with pytest.raises(LinkCut):
                 await stream.receive()
             assert trio.current_time() - start_s == pytest.approx(LAST_READ_S, abs=0.01)
+
+    async def test_takes_no_stream_once_a_write_has_failed(self, make_link):
+        """Guards against a request that is queued on a link that can't send, and is lost with it
+        0.1 s later: a commit counts as one that may have arrived."""
+        connection = HalfBrokenStream(has_end=False)
+        link = make_link(connection)
+        await trio.sleep(0.1)
+        connection.is_broken.set()
+        link.put_control(CONTROL_STREAM_ID, Ping(1))
+        await trio.sleep(LAST_READ_S / 2)
+        assert not link.is_up
+        async with link.open_stream() as stream:
+            with pytest.raises(LinkCut):
+                await stream.send(Query("r2"))
+        with pytest.raises(LinkCut):
+            await link.notify(Query("r2"))
+
+    async def test_next_caller_gets_another_link(self, pair, autojump_clock, monkeypatch):
+        """As above, for a peer that is sound and whose next link can be made at once."""
+        link = await pair.link()
+
+        async def fail(data):
+            raise trio.BrokenResourceError
+
+        monkeypatch.setattr(link.writer._stream, "send_all", fail)
+        link.put_control(CONTROL_STREAM_ID, Ping(1))
+        await trio.sleep(LAST_READ_S / 2)
+        another = await pair.link()
+        assert another is not link
+        assert await another.call(Query("r1")) == QueryReply("r1", state="committed")
+        assert pair.entry.links() == [another]
+        await trio.sleep(LAST_READ_S)
+        assert await another.call(Query("r2")) == QueryReply("r2", state="committed")
