Keep an answer whose reader closed the stream before it read the end mark

What callers saw: 409 "answer-not-kept" or a second run of a request, although the first run is complete. An entry that misses a chunk closes the stream and reads the answer again; a caller with an idempotency key that leaves comes back with it.

Cause: a sidecar takes the answer of a run that may be repeated for delivered if the stream is closed after the end mark was queued. The entry closed it in the same way whether it had read the end mark or not.

Evidence, red before: test_answer_whose_reader_has_not_got_its_end_is_kept (sidecar) and test_answer_is_kept_for_the_next_try_to_read_it (entry, 2 of 2). A gap needs a faulty sidecar or link; a caller that leaves doesn't.

Change: the entry closes a stream that it hasn't read to its end with the code of AnswerUnread (E6003), and the sidecar takes only an answer whose stream is closed without a code for delivered. A sidecar without this change ignores the code. An answer that is kept stays until answer_age_s or until memory is needed; a leaving sidecar waits for its reader as after a lost link. The tests' FakeStream tells with which code the entry closed it.

Measured: the five new tests pass; packages/entry, packages/sidecar and packages/wire pass (one run).

--- a/packages/entry/src/sassafrastally/entry/attempt.py
+++ b/packages/entry/src/sassafrastally/entry/attempt.py
@@ -19,7 +19,15 @@
 )
 from sassafrastally.entry.commit_turn import CommitTurn
 from sassafrastally.entry.late_reservation import LateReservation
-from sassafrastally.entry.relay import EVENT_STREAM, JSON, Answer, AnswerBroken, ChunkOrder, Head
+from sassafrastally.entry.relay import (
+    EVENT_STREAM,
+    JSON,
+    Answer,
+    AnswerBroken,
+    AnswerUnread,
+    ChunkOrder,
+    Head,
+)
 from sassafrastally.entry.site import Site
 from sassafrastally.serving.outcome import AttemptState, Outcome
 from sassafrastally.serving.refusals import REFUSALS
@@ -217,7 +225,9 @@
             self._is_settled = is_over or self._is_left_open
             return result
         finally:
-            if not (self._is_settled or self._continues_without_reader()):
+            if self._is_left_open or (not self._is_settled and self._continues_without_reader()):
+                stream.close(AnswerUnread.code, "not read to its end")
+            elif not self._is_settled:
                 await self._send_cancel(stream)
 
     def _is_read_again(self, result: AttemptResult) -> bool:
--- a/packages/entry/src/sassafrastally/entry/relay.py
+++ b/packages/entry/src/sassafrastally/entry/relay.py
@@ -26,6 +26,11 @@
     """The chunks of an attempt have a gap, a wrong count or no end mark, or are too large."""
 
 
+@error(6003)
+class AnswerUnread(CodedError):
+    """The stream of an attempt is closed before its end mark was read; its answer is kept."""
+
+
 class Head(NamedTuple):
     """Status and content type, sent to the caller before the data."""
 
--- a/packages/entry/tests/conftest.py
+++ b/packages/entry/tests/conftest.py
@@ -66,12 +66,14 @@
 
     def __init__(self) -> None:
         self.sender, self.receiver = trio.open_memory_channel[Message](1000)
+        self.close_code = 0
+        """Code with which its sender has closed the stream."""
 
     async def receive(self, is_cut: Callable[[], bool]) -> Message:
         try:
             message = await self.receiver.receive()
         except trio.EndOfChannel:
-            raise (LinkCut("cut") if is_cut() else StreamEnded("closed")) from None
+            raise (LinkCut("cut") if is_cut() else StreamEnded("closed", self.close_code)) from None
         if is_cut():
             raise LinkCut("cut")
         return message
@@ -111,6 +113,10 @@
         return self
 
     async def __aexit__(self, *_: object) -> None:
+        self.close()
+
+    def close(self, code: int = 0, reason: str = "") -> None:
+        self.up.close_code = self.up.close_code or code
         self.up.sender.close()
         self.down.receiver.close()
 
--- a/packages/entry/tests/test_claiming.py
+++ b/packages/entry/tests/test_claiming.py
@@ -8,10 +8,12 @@
 import trio
 
 from sassafrastally.core import Incarnation, RequestId, Service
+from sassafrastally.entry.relay import AnswerUnread
 from sassafrastally.serving.claims import ClaimResult, ClaimState, Placement
 from sassafrastally.serving.outcome import AttemptState, Outcome
 from sassafrastally.serving.refusals import Refusal
 from sassafrastally.testing.sidecar_scripts import refusing
+from sassafrastally.wire.link import StreamEnded
 from sassafrastally.wire.messages import Cancel, Commit, Query, QueryReply, Reserve
 
 THREE_EVENTS = b'data: {"w":"ha"}\n\ndata: {"w":"ho"}\n\ndata: {"w":"hi"}\n\n'
@@ -140,6 +142,26 @@
         assert all_of(world, Commit)
         assert not all_of(world, Cancel)
 
+    async def test_answer_is_kept_for_a_caller_that_leaves_before_it_is_complete(
+        self, world: Any, autojump_clock: Any
+    ) -> None:
+        """Guards against a sidecar that drops a complete answer since its stream was closed in
+        order, while the end mark was on its way: the repeated request finds no answer."""
+        codes = []
+
+        async def never_read(sidecar: Any, end: Any, reserve: Reserve) -> None:
+            await sidecar.accept(end, reserve)
+            try:
+                await end.receive()
+            except StreamEnded as ended:
+                codes.append(ended.peer_code)
+
+        world.s1.scripts, world.s2.scripts = [never_read], [never_read]
+        with trio.move_on_after(1.0):
+            await world.ask(world.request(key="k", prompt_tokens=5_000))
+        await trio.sleep(0.1)
+        assert codes == [AnswerUnread.code]
+
 
 class TestRefusedBeforeItsClaim:
     """A request that is refused as "not run" hasn't run, and neither has an earlier one of its
--- a/packages/entry/tests/test_incomplete_runs.py
+++ b/packages/entry/tests/test_incomplete_runs.py
@@ -9,7 +9,8 @@
 
 from sassafrastally.serving.outcome import AttemptState
 from sassafrastally.testing.sidecar_scripts import THREE_EVENTS, own_of, refusing
-from sassafrastally.wire.messages import Cancel, Query, Reserve
+from sassafrastally.wire.link import StreamEnded
+from sassafrastally.wire.messages import Attach, Cancel, Query, Reserve
 
 
 async def send_gap(sidecar: Any, end: Any, reserve: Reserve) -> None:
@@ -68,3 +69,61 @@
         await trio.sleep(5.0)
         assert world.ran() == 1
         assert len(world.s1.of(Cancel) + world.s2.of(Cancel)) == 1
+
+
+class TestUnreadEnd:
+    """Answers whose end mark has been sent when the entry closes the stream.
+
+    A sidecar drops the answer of a run that may be repeated once its reader has closed the stream
+    without a code.
+    """
+
+    @pytest.mark.parametrize("is_streamed", [True, False])
+    async def test_answer_is_kept_for_the_next_try_to_read_it(
+        self, world: Any, autojump_clock: Any, is_streamed: bool
+    ) -> None:
+        """Guards against an answer that is dropped since its stream was closed after a gap, so that
+        the next try to read it finds none."""
+
+        async def script(sidecar: Any, end: Any, message: Any) -> None:
+            if isinstance(message, Attach) and sidecar.is_dropped:
+                own = own_of(message)
+                await end.send(sidecar.end(own, 0, code="answer-not-kept"))
+            elif isinstance(message, Reserve):
+                await send_gap(sidecar, end, message)
+                await end.send(sidecar.end(own_of(message), 3))
+                sidecar.states[own_of(message)] = AttemptState.COMPLETED
+                sidecar.is_dropped = await close_code(end) == 0
+            else:
+                await type(sidecar).behave(sidecar, end, message)
+
+        for sidecar in (world.s1, world.s2):
+            sidecar.scripts = [script] * 50
+        request = world.request(prompt_tokens=5_000, is_streamed=is_streamed)
+        assert (await world.ask(request)).body == THREE_EVENTS
+        assert world.ran() == 1
+
+    async def test_answer_that_was_read_is_given_back(
+        self, world: Any, autojump_clock: Any
+    ) -> None:
+        """Guards against sidecars that keep answers that their readers have."""
+        codes = []
+
+        async def script(sidecar: Any, end: Any, message: Any) -> None:
+            await type(sidecar).behave(sidecar, end, message)
+            codes.append(await close_code(end))
+
+        for sidecar in (world.s1, world.s2):
+            sidecar.scripts = [script]
+        assert (await world.ask(world.request(prompt_tokens=5_000))).body == THREE_EVENTS
+        await trio.sleep(0.1)
+        assert codes == [0]
+
+
+async def close_code(end: Any) -> int:
+    """Return the code with which the entry closes its stream."""
+    try:
+        while True:
+            await end.receive()
+    except StreamEnded as ended:
+        return ended.peer_code
--- a/packages/sidecar/src/sassafrastally/sidecar/conversation.py
+++ b/packages/sidecar/src/sassafrastally/sidecar/conversation.py
@@ -272,8 +272,9 @@
     ) -> None:
         """Send an answer from a chunk up to its end mark while watching for a cancellation.
 
-        The answer is delivered once the reader, after the end mark was sent, closes the stream. A
-        frame that is queued may still be lost with the link.
+        The answer is delivered once the reader, after the end mark was sent, closes the stream
+        without a code. A frame that is queued may still be lost with the link, or be unread when
+        the reader closes the stream to read the answer again later.
         """
         answer.readers += 1
         sent = trio.Event()
@@ -281,9 +282,9 @@
         try:
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._send_answer, stream, answer, sequence, sent)
-                is_closed_by_reader = await self._follow_reader(stream, attempt)
+                is_accepted = await self._follow_reader(stream, attempt)
                 nursery.cancel_scope.cancel()
-            is_delivered = is_closed_by_reader and sent.is_set()
+            is_delivered = is_accepted and sent.is_set()
             answer.is_delivered = answer.is_delivered or is_delivered
         finally:
             answer.remove_reader()
@@ -316,7 +317,7 @@
             return  # The task that follows the reader handles it.
 
     async def _follow_reader(self, stream: Stream, attempt: Attempt | None) -> bool:
-        """Cancel the attempt on request; return whether the reader has closed the stream.
+        """Cancel the attempt on request; return whether the reader closes the stream in order.
 
         A further commit on this stream is ignored: a reply to it between the chunks could be
         mistaken for a reply to the attempt.
@@ -326,8 +327,8 @@
                 message = await stream.receive()
                 if attempt is not None and isinstance(message, Cancel):
                     self._cancel(attempt, message.reason)
-        except StreamEnded:
-            return True
+        except StreamEnded as ended:
+            return not ended.peer_code
         except LinkCut:
             return False
 
--- a/packages/sidecar/tests/test_delivery.py
+++ b/packages/sidecar/tests/test_delivery.py
@@ -9,6 +9,9 @@
 from sassafrastally.wire.link import LinkCut
 from sassafrastally.wire.messages import Attach
 
+UNREAD_CODE = 6001
+"""Code with which an entry closes the stream of an answer that it hasn't read to its end."""
+
 TURNS_TO_SEND = 10
 """Turns of the loop after which the end mark is on its way; it arrives a millisecond later."""
 
@@ -62,6 +65,20 @@
         await trio.sleep(0.5)
         assert (await attach(rig, reserve)).tokens == 100
 
+    async def test_answer_whose_reader_has_not_got_its_end_is_kept(self, autojump_clock, rig):
+        """Guards against an answer that is dropped although its reader has closed the stream before
+        it got the end mark, to read it again: a request with its key would run again."""
+        reserve = rig.reserve(1, answer=100, idempotent=True)
+        async with rig.stream() as stream:
+            await rig.begin(stream, reserve)
+            while rig.service.answers.find(AttemptKey(*reserve[:2])).end is None:
+                await stream.receive()
+            stream.close(UNREAD_CODE, "a chunk is missing")
+        await trio.sleep(0.5)
+        result = await attach(rig, reserve)
+        assert (result.end.outcome, result.end.code, result.tokens) == ("completed", "", 100)
+        assert rig.executions(1) == 1
+
     async def test_answer_that_was_read_is_dropped(self, autojump_clock, rig):
         reserve = rig.reserve(1, answer=100, idempotent=True)
         assert (await rig.run(reserve)).tokens == 100
--- a/packages/wire/src/sassafrastally/wire/link.py
+++ b/packages/wire/src/sassafrastally/wire/link.py
@@ -66,6 +66,10 @@
         """
         ...
 
+    def close(self, code: int = 0, reason: str = "") -> None:
+        """Close the stream; the peer gets a code other than 0 if its work isn't accepted."""
+        ...
+
     async def __aenter__(self) -> Stream: ...
 
     async def __aexit__(
