Use a late reservation that is granted for the retry after another sidecar's failure

What callers saw: a refusal ("memory-full", "bound of attempts") although a sidecar held room for the request. Its reservation came late, was granted while another sidecar had the commit, and was given back when that one failed; asked for anew, there was no room any more.

Cause: every end of the other candidates cancelled the late attempt.

Change: if the others end without a complete answer and a retry is allowed, a reservation that is granted and hasn't lapsed takes the turn to commit, unless the caller has got tokens since it was asked for. Requests that may not be repeated still make one commit.

--- a/packages/entry/src/sassafrastally/entry/attempt.py
+++ b/packages/entry/src/sassafrastally/entry/attempt.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Any, NamedTuple
+from typing import TYPE_CHECKING, Any
 
 import trio
 
@@ -48,11 +48,10 @@
 from sassafrastally.wire.streams import TooManyStreams
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable, Callable, Coroutine
+    from collections.abc import Coroutine
 
-    from sassafrastally.core import Address
+    from sassafrastally.entry.attempt_plan import AttemptPlan
     from sassafrastally.entry.claiming import KeyClaim
-    from sassafrastally.entry.request import CallerRequest
     from sassafrastally.wire.link import Link, Peers, Stream
 
 MAX_BROKEN_ANSWERS = 2
@@ -64,27 +63,6 @@
 _STATUS_OK = 200
 
 
-class AttemptPlan(NamedTuple):
-    """Parameters of one attempt."""
-
-    request: CallerRequest
-    request_id: str
-    number: int
-    vm: str
-    address: Address
-    generation: int
-    shown_tokens: int
-    commits_now: bool
-    reserve_timeout_s: float
-    max_answer_bytes: int
-    max_wait_s: float = 0.0
-    """Longest delay of the first token by other work on the sidecar; 0 means no limit."""
-    turn: CommitTurn | None = None
-    """Turn to commit among the open reservations of the request."""
-    ask_others: Callable[[], Awaitable[TakenElsewhere | None]] | None = None
-    """Asks the other candidates while the reservation is late; without it the attempt ends."""
-
-
 class Attempt:
     """One attempt at a request on one sidecar.
 
@@ -308,13 +286,19 @@
         async with time_limit(trio.current_time() + plan.reserve_timeout_s):
             answered = await self._receive_reserved(stream)
         if answered is None and plan.ask_others is not None:
-            return await LateReservation[TakenElsewhere](self, turn).wait(
-                lambda: self._receive_late(stream), plan.ask_others
-            )
+            late = LateReservation[TakenElsewhere](self, turn, self._is_retried_after)
+            return await late.wait(lambda: self._receive_late(stream), plan.ask_others)
         if isinstance(answered, Reserved):
             await turn.take(self)
         return answered
 
+    def _is_retried_after(self, other: TakenElsewhere) -> bool:
+        """Return whether the retry after another sidecar's failure may be this attempt.
+
+        The tokens that the caller had were sent with the reservation.
+        """
+        return not other.is_complete and self._answer.shown_tokens == self.plan.shown_tokens
+
     async def _receive_late(self, stream: Stream) -> Reserved | Refused | None:
         try:
             return await self._receive_reserved(stream)
--- /dev/null
+++ b/packages/entry/src/sassafrastally/entry/attempt_plan.py
@@ -0,0 +1,34 @@
+"""Parameters of an attempt at a request."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, NamedTuple
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from sassafrastally.core import Address
+    from sassafrastally.entry.attempt_result import TakenElsewhere
+    from sassafrastally.entry.commit_turn import CommitTurn
+    from sassafrastally.entry.request import CallerRequest
+
+
+class AttemptPlan(NamedTuple):
+    """Parameters of one attempt."""
+
+    request: CallerRequest
+    request_id: str
+    number: int
+    vm: str
+    address: Address
+    generation: int
+    shown_tokens: int
+    commits_now: bool
+    reserve_timeout_s: float
+    max_answer_bytes: int
+    max_wait_s: float = 0.0
+    """Longest delay of the first token by other work on the sidecar; 0 means no limit."""
+    turn: CommitTurn | None = None
+    """Turn to commit among the open reservations of the request."""
+    ask_others: Callable[[], Awaitable[TakenElsewhere | None]] | None = None
+    """Asks the other candidates while the reservation is late; without it the attempt ends."""
--- a/packages/entry/src/sassafrastally/entry/commit_turn.py
+++ b/packages/entry/src/sassafrastally/entry/commit_turn.py
@@ -26,6 +26,10 @@
             await self._waiting.park()
         self._holder = attempt
 
+    def take_over(self, attempt: object) -> None:
+        """Take the turn from an attempt that has ended and beside which a retry is allowed."""
+        self._holder = attempt
+
     def give_back(self, attempt: object) -> None:
         """Let another attempt go on, because this one is proved never to run."""
         if self._holder is attempt:
--- a/packages/entry/src/sassafrastally/entry/execution.py
+++ b/packages/entry/src/sassafrastally/entry/execution.py
@@ -7,8 +7,9 @@
 
 import trio
 
-from sassafrastally.entry.attempt import Attempt, AttemptPlan
+from sassafrastally.entry.attempt import Attempt
 from sassafrastally.entry.attempt_history import AttemptHistory
+from sassafrastally.entry.attempt_plan import AttemptPlan
 from sassafrastally.entry.attempt_result import (
     AttemptResult,
     Completed,
--- a/packages/entry/src/sassafrastally/entry/late_reservation.py
+++ b/packages/entry/src/sassafrastally/entry/late_reservation.py
@@ -29,12 +29,20 @@
         The attempt that waits.
     turn
         Turn to commit.
+    is_retried
+        Returns whether the request is to be tried again after the others have ended so, and the
+        reservation may be used for it.
     """
 
-    def __init__(self, attempt: object, turn: CommitTurn) -> None:
+    def __init__(
+        self, attempt: object, turn: CommitTurn, is_retried: Callable[[T], bool] = lambda _: False
+    ) -> None:
         self._attempt = attempt
         self._turn = turn
+        self._is_retried = is_retried
         self._answered: Reserved | Refused | None = None
+        self._lapses_s = 0.0
+        """When the reservation lapses, on trio's clock."""
         self._refusal: Refusal | None = None
 
     async def wait(
@@ -68,14 +76,25 @@
                 nursery.cancel_scope.cancel()
         if self._turn.is_held_by(self._attempt):
             return self._answered
+        if ended is not None and self._is_held and self._is_retried(ended):
+            # Given back, its room might be taken before the retry asks for it again.
+            self._turn.take_over(self._attempt)
+            return self._answered
         if self._refusal is not None:
             raise self._refusal
         return self._answered if ended is None else ended
 
+    @property
+    def _is_held(self) -> bool:
+        """Whether the reservation is granted and hasn't lapsed."""
+        is_granted = isinstance(self._answered, Reserved)
+        return is_granted and trio.current_time() < self._lapses_s
+
     async def _receive(
         self, receive: Callable[[], Awaitable[Reserved | Refused | None]], scope: trio.CancelScope
     ) -> None:
         self._answered = await receive()
         if isinstance(self._answered, Reserved):
+            self._lapses_s = trio.current_time() + self._answered.lapse_s
             await self._turn.take(self._attempt)
             scope.cancel()
--- a/packages/entry/src/sassafrastally/entry/span_try.py
+++ b/packages/entry/src/sassafrastally/entry/span_try.py
@@ -25,7 +25,7 @@
     from collections.abc import Awaitable, Callable, Mapping
     from typing import TypeAlias
 
-    from sassafrastally.entry.attempt import AttemptPlan
+    from sassafrastally.entry.attempt_plan import AttemptPlan
     from sassafrastally.entry.attempt_result import AttemptResult
     from sassafrastally.entry.candidates import Reachable
     from sassafrastally.entry.claiming import KeyClaim
--- a/packages/entry/tests/test_late_reservations.py
+++ b/packages/entry/tests/test_late_reservations.py
@@ -144,3 +144,68 @@
         assert trio.current_time() - started_s <= 9.01
         await trio.testing.wait_all_tasks_blocked()  # The cancellation is read.
         assert len(all_of(world, Cancel)) == 2
+
+
+def failing_after(work_s: float, tokens: int = 0) -> Any:
+    """Return a script that commits the attempt and reports after a while that its engine failed."""
+
+    async def script(sidecar: Any, end: Any, reserve: Reserve) -> None:
+        await sidecar.accept(end, reserve)
+        await trio.sleep(work_s)
+        own = own_of(reserve)
+        await end.send(*sidecar.chunks(own, sidecar.words[:tokens]))
+        await end.send(sidecar.end(own, tokens, "failed", code="backend-failed"))
+
+    return script
+
+
+def granted_once(silence_s: float) -> Any:
+    """Return a script that grants a first reservation late, and has no room for another one."""
+    has_room = True
+
+    async def script(sidecar: Any, end: Any, reserve: Reserve) -> None:
+        nonlocal has_room
+        if not has_room:
+            await refusing("memory-full")(sidecar, end, reserve)
+            return
+        has_room = False
+        await trio.sleep(silence_s)
+        await sidecar.behave(end, reserve)
+
+    return script
+
+
+class TestFailingCommit:
+    """Late reservations that are granted while another sidecar has the commit, which fails."""
+
+    @pytest.mark.parametrize("work_s", [0.7, 2.0])
+    async def test_granted_reservation_is_used_for_the_retry(
+        self, world: Any, autojump_clock: Any, work_s: float
+    ) -> None:
+        """Guards against a refusal although a sidecar has reserved room: the reservation was given
+        back to ask for a new one, for which there is no room any more."""
+        play(world, granted_once(2.5), failing_after(work_s))
+        assert (await world.ask(world.request(prompt_tokens=5_000))).body == THREE_EVENTS
+        assert world.ran() == 1
+
+    async def test_other_sidecars_tokens_are_not_repeated(
+        self, world: Any, autojump_clock: Any
+    ) -> None:
+        """Guards against tokens that the caller gets twice: the reservation was asked for before
+        the other sidecar's tokens were sent."""
+        play(world, silent_for(2.5), failing_after(2.0, tokens=1))
+        request = world.request(prompt_tokens=5_000, max_output_tokens=5_000)
+        assert (await world.ask(request)).body == THREE_EVENTS
+
+    async def test_lapsed_reservation_is_not_used(self, world: Any, autojump_clock: Any) -> None:
+        """Guards against a commit that the sidecar refuses, which costs another retry."""
+        play(world, silent_for(2.5), failing_after(6.0))
+        assert (await world.ask(world.request(prompt_tokens=5_000))).body == THREE_EVENTS
+        assert len(all_of(world, Commit)) == 2
+        assert len(all_of(world, Reserve)) == 3
+
+    async def test_booking_is_not_run_twice(self, world: Any, autojump_clock: Any) -> None:
+        """Guards against a second commit of a request that may not be repeated."""
+        play(world, silent_for(2.5), failing_after(2.0))
+        await refusal_of(world, world.booking())
+        assert len(all_of(world, Commit)) == 1
