Entry: begin no reservation, claim or commit once the limit after a second stop signal has passed

What callers saw: a booking refused as unknown though its entry stops without having to run it; a prompt that is sent to another sidecar by an entry that ends. A sidecar runs such a commit, as its time limit is the request's own.

Cause: require_time was called with the request's own deadline.

Change: the attempt asks the request's TimeLimit, which the signal shortens. Not changed: commits of a span's segments, which have no effect that a caller sees and are released with the span.

--- a/packages/entry/src/sassafrastally/entry/attempt.py
+++ b/packages/entry/src/sassafrastally/entry/attempt.py
@@ -6,7 +6,7 @@
 
 import trio
 
-from sassafrastally.core import CodedError, require_time, time_limit
+from sassafrastally.core import CodedError, time_limit
 from sassafrastally.entry.attempt_result import (
     AttemptResult,
     Completed,
@@ -247,7 +247,7 @@
     async def _reserve_and_run(self, stream: Stream) -> AttemptResult:
         # The sidecar wouldn't run what is sent while the limit acts, but the caller would be told
         # that it may have run.
-        await require_time(self.plan.request.deadline_s)
+        await self.plan.limit.require_time()
         if self.plan.commits_now:
             self.is_committed = True
         await stream.send(self._reserve_message())
@@ -261,7 +261,7 @@
         if isinstance(answered, Refused):
             return self._after_refusal(answered)
         self.site = self.site._replace(incarnation=answered.incarnation)
-        await require_time(self.plan.request.deadline_s)
+        await self.plan.limit.require_time()
         if self._claim is not None:
             # The claim must complete before the reservation expires; otherwise the sidecar refuses
             # the commit that follows.
@@ -269,7 +269,7 @@
             owner = await self._claim.acquire(self.site, limit_s, self.plan.shown_tokens)
             if owner is not None:
                 return KeyOwnedElsewhere(owner)
-            await require_time(self.plan.request.deadline_s)
+            await self.plan.limit.require_time()
         # If the link is lost from here on, it is unknown whether the commit arrived. The flag is
         # set before the send so that an exception from the send also counts as committed.
         self.is_committed = True
--- a/packages/entry/src/sassafrastally/entry/attempt_plan.py
+++ b/packages/entry/src/sassafrastally/entry/attempt_plan.py
@@ -7,7 +7,7 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
-    from sassafrastally.core import Address
+    from sassafrastally.core import Address, TimeLimit
     from sassafrastally.entry.attempt_result import TakenElsewhere
     from sassafrastally.entry.commit_turn import CommitTurn
     from sassafrastally.entry.request import CallerRequest
@@ -26,6 +26,8 @@
     commits_now: bool
     reserve_timeout_s: float
     max_answer_bytes: int
+    limit: TimeLimit
+    """Time limit of the request, which a second stop signal shortens."""
     max_wait_s: float = 0.0
     """Longest delay of the first token by other work on the sidecar; 0 means no limit."""
     turn: CommitTurn | None = None
--- a/packages/entry/src/sassafrastally/entry/execution.py
+++ b/packages/entry/src/sassafrastally/entry/execution.py
@@ -46,6 +46,7 @@
 if TYPE_CHECKING:
 
     from sassafrastally.control.bundle import BundleInForce
+    from sassafrastally.core import TimeLimit
     from sassafrastally.entry.candidates import Reachable
     from sassafrastally.entry.claiming import KeyClaim
     from sassafrastally.entry.execution_services import ExecutionServices
@@ -78,6 +79,8 @@
         Receives the answer.
     claim
         Claim of its idempotency key; ``None`` when it has none.
+    limit
+        Its time limit, which a second stop signal shortens.
     """
 
     def __init__(
@@ -87,8 +90,10 @@
         request: CallerRequest,
         answer: Answer,
         claim: KeyClaim | None,
+        limit: TimeLimit,
     ) -> None:
         self._services = services
+        self._limit = limit
         self._in_force = in_force
         self._request = request
         self._answer = answer
@@ -312,6 +317,7 @@
             commits_now=commits_now,
             reserve_timeout_s=settings.reserve_timeout_s,
             max_answer_bytes=settings.max_answer_bytes,
+            limit=self._limit,
             max_wait_s=reachable.candidate.max_wait_s,
             turn=self._asked.turn,
             ask_others=partial(self._ask_others, number, reachable.candidate.vm),
--- a/packages/entry/src/sassafrastally/entry/path.py
+++ b/packages/entry/src/sassafrastally/entry/path.py
@@ -190,7 +190,7 @@
         with self._tracked(request_id, request) as limit:
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(limit.watch)
-                nursery.start_soon(self._execute, in_force, request, answer, limit.scope)
+                nursery.start_soon(self._execute, in_force, request, answer, limit)
                 try:
                     await answer.wait_started()
                     self._record_first_data(request)
@@ -207,13 +207,13 @@
         in_force: BundleInForce,
         request: CallerRequest,
         answer: Answer,
-        scope: trio.CancelScope,
+        limit: TimeLimit,
     ) -> None:
         """Run until the end or the time limit, whether or not the caller reads."""
         claim = self._claim_of(request)
-        execution = Execution(self._services, in_force, request, answer, claim)
+        execution = Execution(self._services, in_force, request, answer, claim, limit)
         try:
-            refusal = await self._execute_within(scope, execution, request, answer)
+            refusal = await self._execute_within(limit.scope, execution, request, answer)
             if refusal is not None:
                 answer.fail(await _with_key_outcome(refusal, claim, answer.request_id))
         finally:
--- a/packages/entry/tests/test_ready_answers.py
+++ b/packages/entry/tests/test_ready_answers.py
@@ -182,6 +182,46 @@
     return Member(peers, place, Segment("s1", 10, 10), request)
 
 
+class TestWorkPastTheStopLimit:
+    """As above, for the limit that a second stop signal sets."""
+
+    @pytest.mark.parametrize("lag_s", LAGS_S)
+    async def test_reservation_is_not_committed(
+        self, world: Any, autojump_clock: Any, entry_settings: Any, lag_s: float
+    ) -> None:
+        """Guards against a booking reported as perhaps made, though its entry stops unrun."""
+
+        async def reserve_then_pause(sidecar: Any, end: Any, reserve: Reserve) -> None:
+            world.kernel.hurrying.set()
+            await trio.sleep(1.0)
+            await end.send(Reserved(*own_of(reserve), sidecar.incarnation, 0.1, 0.5, 5.0))
+            autojump_clock.jump(entry_settings.stop_limit_s - 1.0 + lag_s)
+            await trio.sleep_forever()
+
+        world.s1.scripts, world.s2.scripts = [reserve_then_pause], [reserve_then_pause]
+        refusal = await refusal_of(world, world.booking())
+        assert (refusal.kind.code, refusal.outcome) == ("stopping", Outcome.NOT_RUN)
+        assert not world.s1.of(Commit) + world.s2.of(Commit)
+
+    @pytest.mark.parametrize("lag_s", LAGS_S)
+    async def test_no_attempt_begins(
+        self, world: Any, autojump_clock: Any, entry_settings: Any, lag_s: float
+    ) -> None:
+        """Guards against a prompt that is sent to the next sidecar by an entry that ends."""
+
+        async def refuse_then_pause(sidecar: Any, end: Any, reserve: Reserve) -> None:
+            world.kernel.hurrying.set()
+            await trio.sleep(1.0)
+            await end.send(Refused(*own_of(reserve), "no-room"))
+            autojump_clock.jump(entry_settings.stop_limit_s - 1.0 + lag_s)
+            await trio.sleep_forever()
+
+        world.s1.scripts, world.s2.scripts = [refuse_then_pause], [refuse_then_pause]
+        refusal = await refusal_of(world, world.request())
+        assert (refusal.kind.code, refusal.outcome) == ("stopping", Outcome.NOT_RUN)
+        assert len(world.s1.of(Reserve) + world.s2.of(Reserve)) == 1
+
+
 class TestAnswerThatEndsWithItsLimit:
     async def test_complete_answer_is_not_followed_by_a_failure(
         self, world: Any, autojump_clock: Any, monkeypatch: pytest.MonkeyPatch
