Entry: read a lost run beside a successor that is silent itself

What callers saw: a refusal at the time limit, or an answer seconds late, although a sidecar that had been out of reach for 1.6 s had the whole answer. Its successor had the commit and was silent, so that the first run was asked again only once the link to the successor was cut.

Cause: lost runs were read only before a refusal, since two readers of one answer would mix their tokens.

Evidence, red before: test_run_is_read_beside_a_silent_successor, 2 of 2 (streamed and not).

Change: 1 s (contact_patience_s) after another attempt has begun, the runs are read beside it. Their answers are held back until they are whole, and dropped if the other attempt has sent anything meanwhile; the first complete answer ends the other one. A run that is half read when the other attempt fails goes on, and what was held back is sent once it is read before the refusal. A first end counts: Answer drops what comes after it.

Not changed: prompts over several engines. A run that is held back isn't cancelled if its caller leaves; its sidecar ends it after reattach_grace_s.

--- a/packages/entry/src/sassafrastally/entry/attempt.py
+++ b/packages/entry/src/sassafrastally/entry/attempt.py
@@ -7,6 +7,7 @@
 import trio
 
 from sassafrastally.core import CodedError, time_limit
+from sassafrastally.entry.attempt_plan import reserve_message
 from sassafrastally.entry.attempt_result import (
     AttemptResult,
     Completed,
@@ -42,7 +43,6 @@
     Query,
     QueryReply,
     Refused,
-    Reserve,
     Reserved,
 )
 from sassafrastally.wire.streams import TooManyStreams
@@ -53,6 +53,7 @@
     from sassafrastally.entry.attempt_plan import AttemptPlan
     from sassafrastally.entry.claiming import KeyClaim
     from sassafrastally.wire.link import Link, Peers, Stream
+    from sassafrastally.wire.messages import Reserve
 
 MAX_BROKEN_ANSWERS = 2
 """How often an answer that violates the protocol is requested again before it counts as failed."""
@@ -99,6 +100,9 @@
         self._is_adopted = False
         self._linked_incarnation = ""
         self._broken_answers = 0
+        self._held_at: int | None = None
+        """Pieces that the caller had when the answer was begun to be held back, if it is."""
+        self._held_tokens = 0
 
     @property
     def is_adopted(self) -> bool:
@@ -119,6 +123,21 @@
         if not self.site.incarnation:
             self.site = self.site._replace(incarnation=self._linked_incarnation)
 
+    def hold_back(self) -> None:
+        """Deliver the answer only once it is whole, and leave the run as it is until then.
+
+        So it can be read beside an attempt that may send its own tokens at any time.
+        """
+        if self._held_at is None:
+            self._held_at = self._answer.pieces
+
+    async def forward_held(self) -> None:
+        """Forward the answer as it comes from now on, after what was held back."""
+        self._held_at = None
+        if self.plan.request.is_streamed and self._buffered:
+            held, self._buffered, self._buffered_bytes = b"".join(self._buffered), [], 0
+            await self._answer.put(held, self._held_tokens)
+
     async def run(self) -> AttemptResult:
         """Reserve, commit and relay the answer."""
         try:
@@ -222,7 +241,13 @@
         would make the repeated request fail.
         """
         has_claim = bool(self.plan.request.key) and self.is_committed
-        return self._is_adopted or (has_claim and self._time_left_s() > 0)
+        is_read_later = self._held_at is not None and not self._is_overtaken
+        return is_read_later or self._is_adopted or (has_claim and self._time_left_s() > 0)
+
+    @property
+    def _is_overtaken(self) -> bool:
+        """Whether another attempt has sent something since this one's answer is held back."""
+        return self._held_at is not None and self._held_at != self._answer.pieces
 
     async def cancel_unread(self) -> None:
         """Cancel a run that was left open to be read again, if it isn't read any more."""
@@ -347,6 +372,8 @@
                     return result
 
     async def _handle_message(self, message: object) -> AttemptResult | None:
+        if self._is_overtaken:
+            return ContactLost("another attempt has sent tokens")
         match message:
             case Chunk() if self._chunk_order.accepts(message):
                 await self._relay(message)
@@ -360,9 +387,10 @@
 
     async def _relay(self, chunk: Chunk) -> None:
         self.has_data = True
-        if self.plan.request.is_streamed:
+        if self.plan.request.is_streamed and self._held_at is None:
             await self._answer.put(chunk.data, chunk.tokens)
             return
+        self._held_tokens += chunk.tokens
         self._buffered.append(chunk.data)
         self._buffered_bytes += len(chunk.data)
         if self._buffered_bytes > self.plan.max_answer_bytes:
@@ -411,23 +439,4 @@
         return max(0.0, self.plan.request.deadline_s - trio.current_time())
 
     def _reserve_message(self) -> Reserve:
-        plan, request = self.plan, self.plan.request
-        return Reserve(
-            request_id=plan.request_id,
-            attempt=plan.number,
-            model=request.model,
-            service=request.service,
-            customer=request.customer.name,
-            prompt_tokens=request.prompt_tokens,
-            max_output_tokens=request.max_output_tokens,
-            prefix_hashes=request.prefix_hashes,
-            time_limit_s=self._time_left_s(),
-            idempotent=request.is_idempotent,
-            priority=request.customer.priority,
-            body_size_bytes=len(request.body),
-            generation=plan.generation,
-            commit_now=plan.commits_now,
-            shown_tokens=plan.shown_tokens,
-            operation=request.operation,
-            max_wait_s=plan.max_wait_s,
-        )
+        return reserve_message(self.plan, self._time_left_s())
--- a/packages/entry/src/sassafrastally/entry/attempt_plan.py
+++ b/packages/entry/src/sassafrastally/entry/attempt_plan.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING, NamedTuple
 
+from sassafrastally.wire.messages import Reserve
+
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
@@ -34,3 +36,27 @@
     """Turn to commit among the open reservations of the request."""
     ask_others: Callable[[], Awaitable[TakenElsewhere | None]] | None = None
     """Asks the other candidates while the reservation is late; without it the attempt ends."""
+
+
+def reserve_message(plan: AttemptPlan, time_left_s: float) -> Reserve:
+    """Return the reservation with which an attempt begins."""
+    request = plan.request
+    return Reserve(
+        request_id=plan.request_id,
+        attempt=plan.number,
+        model=request.model,
+        service=request.service,
+        customer=request.customer.name,
+        prompt_tokens=request.prompt_tokens,
+        max_output_tokens=request.max_output_tokens,
+        prefix_hashes=request.prefix_hashes,
+        time_limit_s=time_left_s,
+        idempotent=request.is_idempotent,
+        priority=request.customer.priority,
+        body_size_bytes=len(request.body),
+        generation=plan.generation,
+        commit_now=plan.commits_now,
+        shown_tokens=plan.shown_tokens,
+        operation=request.operation,
+        max_wait_s=plan.max_wait_s,
+    )
--- a/packages/entry/src/sassafrastally/entry/execution.py
+++ b/packages/entry/src/sassafrastally/entry/execution.py
@@ -279,7 +279,10 @@
         resolution = Resolution(attempt, services.candidates, services.events, services.random)
         tokens = self._request.prompt_tokens + self._request.max_output_tokens
         with services.candidates.in_flight(reachable.candidate.vm, tokens):
-            result = await attempt.run()
+            if make is Attempt:
+                result = await self._lost_runs.beside(attempt.run)
+            else:
+                result = await attempt.run()
             if isinstance(result, KeyOwnedElsewhere):
                 result = await resolution.join_owner(result.owner)
             elif isinstance(result, ContactLost):
--- a/packages/entry/src/sassafrastally/entry/lost_runs.py
+++ b/packages/entry/src/sassafrastally/entry/lost_runs.py
@@ -4,10 +4,20 @@
 
 from typing import TYPE_CHECKING, NamedTuple
 
-from sassafrastally.entry.attempt_result import AttemptResult, Completed, ContactLost
+import trio
+
+from sassafrastally.entry.attempt_result import (
+    AttemptResult,
+    Completed,
+    ContactLost,
+    TakenElsewhere,
+)
 from sassafrastally.entry.events import LostRunContinued
+from sassafrastally.serving.refusals import Refusal
 
 if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
     from sassafrastally.core import EventLog
     from sassafrastally.entry.attempt import Attempt
     from sassafrastally.entry.candidates import Candidates
@@ -53,6 +63,7 @@
         self._turn_s = turn_s
         self._runs: list[_LostRun] = []
         self._has_data = False
+        self._is_read_beside = False
 
     @property
     def has_data(self) -> bool:
@@ -66,6 +77,42 @@
             shown = self._answer.shown_tokens
             self._runs.append(_LostRun(attempt, resolution, result, shown))
 
+    async def beside(self, run: Callable[[], Awaitable[AttemptResult]]) -> AttemptResult:
+        """Make another attempt, and read the runs beside it as soon as they can be reached.
+
+        The other sidecar may be silent itself. The answer of a run that is read meanwhile is held
+        back until it is whole, so that the tokens of two attempts aren't mixed. A run that isn't
+        whole when the other attempt ends goes on and can be read again.
+        """
+        if not self._runs or self._is_read_beside:
+            return await run()
+        result: AttemptResult = TakenElsewhere(True)
+        refusal: Refusal | None = None
+        self._is_read_beside = True
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._read_beside, nursery.cancel_scope)
+            try:
+                result = await run()
+            except Refusal as caught:
+                # Raised outside the nursery, which would wrap it in an exception group.
+                refusal = caught
+            nursery.cancel_scope.cancel()
+        self._is_read_beside = False
+        if self._answer.end is not None and not isinstance(result, Completed):
+            return TakenElsewhere(True)  # One of the runs is whole.
+        if refusal is not None:
+            raise refusal
+        return result
+
+    async def _read_beside(self, scope: trio.CancelScope) -> None:
+        await trio.sleep(self._turn_s)
+        while runs := [run for run in self._runs if self._can_continue(run)]:
+            for run in runs:
+                run.attempt.hold_back()
+                if isinstance(await self._read_one(run), Completed):
+                    scope.cancel()
+                    return
+
     async def read(self) -> bool:
         """Read one of the runs to its end; return whether it gave the complete answer.
 
@@ -76,13 +123,13 @@
             self._events.emit(LostRunContinued(plan.request_id, plan.number, plan.vm))
         while runs := [run for run in self._runs if self._can_continue(run)]:
             for run in runs:
-                if isinstance(await self._read_one(run), Completed):
-                    return True
+                if self._can_continue(run):
+                    await run.attempt.forward_held()
+                    if isinstance(await self._read_one(run), Completed):
+                        return True
         return False
 
     async def _read_one(self, run: _LostRun) -> AttemptResult:
-        if not self._can_continue(run):
-            return run.lost  # Another one has sent tokens meanwhile.
         result = await run.resolution.query_again(run.lost, self._turn_s)
         self._has_data = self.has_data
         self._runs.remove(run)
--- a/packages/entry/src/sassafrastally/entry/relay.py
+++ b/packages/entry/src/sassafrastally/entry/relay.py
@@ -62,6 +62,8 @@
         """Why there is no complete answer; ``None`` if it hasn't failed."""
         self.shown_tokens = 0
         """Tokens already sent or buffered for sending to the caller."""
+        self.pieces = 0
+        """Number of pieces of data put so far."""
         self._max_buffered_bytes = max_buffered_bytes
         self._parts: list[bytes] = []
         self._size_bytes = 0
@@ -75,9 +77,15 @@
         return self.end is not None or self.refusal is not None
 
     async def put(self, data: bytes, tokens: int) -> None:
-        """Add data for the caller; block while the buffer of a slow caller is full."""
+        """Add data for the caller; block while the buffer of a slow caller is full.
+
+        Data after the end is dropped: another attempt has given the whole answer.
+        """
         while self._size_bytes >= self._max_buffered_bytes:
             await self._writers.park()
+        if self.is_over:
+            return
+        self.pieces += 1
         self.shown_tokens += tokens
         self._parts.append(data)
         self._size_bytes += len(data)
@@ -86,6 +94,8 @@
 
     def finish(self, end: End, head: Head, rest: bytes = b"") -> None:
         """Mark the answer as complete and add the data held back until the end was verified."""
+        if self.is_over:
+            return
         if not self._has_started.is_set():
             self.head = head
         if rest:
--- a/packages/entry/tests/test_lost_runs.py
+++ b/packages/entry/tests/test_lost_runs.py
@@ -7,16 +7,19 @@
 import pytest
 import trio
 
+from sassafrastally.core import RequestId
+from sassafrastally.entry.relay import Answer
 from sassafrastally.entry.settings import EntrySettings
 from sassafrastally.serving.outcome import AttemptState, Outcome
 from sassafrastally.serving.refusals import Refusal
 from sassafrastally.testing.sidecar_scripts import (
     THREE_EVENTS,
+    hang,
     own_of,
     refusal_of,
     refusing,
 )
-from sassafrastally.wire.messages import Attach, Reserve
+from sassafrastally.wire.messages import Attach, Cancel, End, Reserve
 
 SILENCE_S = 1.6
 """Longer than an idempotent request tries to reach a lost sidecar before it fails over."""
@@ -63,17 +66,42 @@
     end.cut()
 
 
-def set_scripts(world: Any, first: Any, successor: Any) -> None:
-    """Let whichever sidecar is asked first play one script and the other one the second."""
-    is_first_taken = False
+def slow_when_read_again(first: Any, pause_s: float) -> Any:
+    """Return a script of a sidecar that sends a chunk at a time when its run is read again."""
+
+    async def script(sidecar: Any, end: Any, reserve: Reserve) -> None:
+        sidecar.chunk_pause_s = pause_s
+        await first(sidecar, end, reserve)
+
+    return script
+
+
+async def replay_slowly(sidecar: Any, end: Any, attach: Attach) -> None:
+    """Send the rest of an answer, with a pause before each chunk, unless it is cancelled."""
+    own = own_of(attach)
+    for chunk in sidecar.chunks(own, sidecar.words)[attach.from_sequence :]:
+        with trio.move_on_after(sidecar.chunk_pause_s):
+            await end.receive()
+            sidecar.words = ()  # The run is cancelled: nothing is left to be read.
+        await end.send(chunk)
+    await end.send(sidecar.end(own, len(sidecar.words)))
+
+
+def set_scripts(world: Any, first: Any, successor: Any, later: Any = None) -> None:
+    """Let whichever sidecar is asked first play one script and the other one the second.
+
+    All further reservations play `later`, or the second script if there is none."""
+    played: list[Any] = []
 
     async def script(sidecar: Any, end: Any, message: Any) -> None:
-        nonlocal is_first_taken
-        if not isinstance(message, Reserve):
+        if isinstance(message, Attach) and hasattr(sidecar, "chunk_pause_s"):
+            await replay_slowly(sidecar, end, message)
+        elif not isinstance(message, Reserve):
             await type(sidecar).behave(sidecar, end, message)
-            return
-        played, is_first_taken = (successor if is_first_taken else first), True
-        await played(sidecar, end, message)
+        else:
+            order = (first, successor, later or successor)
+            played.append(order[min(len(played), 2)])
+            await played[-1](sidecar, end, message)
 
     for sidecar in (world.s1, world.s2):
         sidecar.scripts = [script] * 50
@@ -106,6 +134,66 @@
         request = long_request(world, is_streamed=is_streamed)
         assert (await world.ask(request)).body == THREE_EVENTS
 
+    @pytest.mark.parametrize("is_streamed", [True, False])
+    async def test_run_is_read_beside_a_silent_successor(
+        self, world: Any, autojump_clock: Any, is_streamed: bool
+    ) -> None:
+        """Guards against a refusal at the time limit although the first sidecar, out of reach for
+        1.6 s, has the whole answer: its successor has the commit and is silent until its link is
+        cut, and the first run isn't read meanwhile."""
+        set_scripts(world, unreached_after(0), hang)
+        request = long_request(world, is_streamed=is_streamed, time_limit_s=6.0)
+        assert (await world.ask(request)).body == THREE_EVENTS
+
+    @pytest.mark.parametrize("is_streamed", [True, False])
+    @pytest.mark.parametrize("silence_s", [2.5, 3.5, 4.4])
+    @pytest.mark.parametrize("pause_s", [0.0, 4.0])
+    async def test_tokens_of_two_runs_are_not_mixed(
+        self,
+        world: Any,
+        autojump_clock: Any,
+        pause_s: float,
+        silence_s: float,
+        is_streamed: bool,
+    ) -> None:
+        """Guards against an answer of pieces of two runs, or one that is sent twice: the first run
+        is being read when its successor begins to answer."""
+
+        async def late(sidecar: Any, end: Any, reserve: Reserve) -> None:
+            await sidecar.accept(end, reserve)
+            await trio.sleep(silence_s - SILENCE_S)
+            own = own_of(reserve)
+            chunks = sidecar.chunks(own, sidecar.words)
+            await end.send(chunks[0])
+            await trio.sleep(pause_s)
+            await end.send(*chunks[1:], sidecar.end(own, 3))
+
+        first = slow_when_read_again(unreached_after(0), pause_s=1.0)
+        set_scripts(world, first, late)
+        request = long_request(world, is_streamed=is_streamed)
+        assert (await world.ask(request)).body == THREE_EVENTS
+
+    async def test_run_that_is_half_read_goes_on_when_its_successor_fails(
+        self, world: Any, autojump_clock: Any
+    ) -> None:
+        """Guards against chunks that are held back and lost, and against a run that is cancelled,
+        when the other attempt fails while the first run is being read."""
+
+        async def fail_late(sidecar: Any, end: Any, reserve: Reserve) -> None:
+            await sidecar.accept(end, reserve)
+            await trio.sleep(2.0)
+            await end.send(sidecar.end(own_of(reserve), 0, "failed", code="backend-failed"))
+
+        first = slow_when_read_again(unreached_after(0), pause_s=1.0)
+        set_scripts(world, first, fail_late, refusing("no-span"))
+        parts: list[bytes] = []
+        async with world.path.open(long_request(world)) as answer:
+            async for data in answer:
+                parts.append(data)
+        assert b"".join(parts) == THREE_EVENTS
+        assert len(parts) > 1  # What comes after the failure isn't held back.
+        assert not world.s1.of(Cancel) + world.s2.of(Cancel)
+
     async def test_run_isnt_read_after_a_successor_has_shown_tokens(
         self, world: Any, autojump_clock: Any
     ) -> None:
@@ -223,3 +311,14 @@
         world.s1.scripts = [unreached_after(1)]
         assert (await world.ask(long_request(world))).body == THREE_EVENTS
         assert world.ran() == 1
+
+
+class TestTwoEnds:
+    async def test_first_end_counts(self, autojump_clock: Any) -> None:
+        """Guards against an answer that is sent twice if two attempts are complete at once."""
+        answer = Answer(RequestId("1" * 32), 1000)
+        answer.finish(End("1", 1), answer.head, b"whole")
+        answer.finish(End("1", 2), answer.head, b"whole")
+        await answer.put(b"more", 1)
+        assert [data async for data in answer] == [b"whole"]
+        assert (answer.end, answer.shown_tokens) == (End("1", 1), 0)
