--- a/packages/proxy/benchmarks/overlapping_attempts.py
+++ b/packages/proxy/benchmarks/overlapping_attempts.py
@@ -36,6 +36,20 @@
 CALLER_TIMEOUT_S = 2.0
 PAUSE_S = (0.8, 2.2)
 
+ROUTES = [
+    make_route("note", "streaming", "engines", gapGoalMs=250, maxAttempts=3),
+    make_route(
+        "dossier",
+        "streaming",
+        "engines",
+        goalMs=1500,
+        gapGoalMs=1000,
+        maxAttempts=3,
+        timeoutMs=15_000,
+    ),
+]
+"""Short prompts, and long ones, which several engines prefill."""
+
 POLICIES = {
     "first event": lambda _: True,
     "gone on": is_dispensable,
@@ -94,8 +108,7 @@
         async with trio.open_nursery() as nursery:
             self._fleet = PlatformFleet(nursery, random.Random(self._seed), network)
             await self._fleet.start_store()
-            route = make_route("note", "streaming", "engines", gapGoalMs=250, maxAttempts=3)
-            self._fleet.configure(make_configuration(2, routes=[route]))
+            self._fleet.configure(make_configuration(2, routes=ROUTES))
             for number in range(ENGINES):
                 await self._fleet.add_replica(f"engine-{number}")
             for number in range(1, ENTRIES + 1):
