--- a/packages/entry/src/sassafrastally/entry/attempt.py
+++ b/packages/entry/src/sassafrastally/entry/attempt.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Any, NamedTuple
+from typing import TYPE_CHECKING, Any
 
 import trio
 
-from sassafrastally.core import CodedError, require_time, time_limit
+from sassafrastally.core import CodedError, time_limit
+from sassafrastally.entry.attempt_plan import reserve_message
 from sassafrastally.entry.attempt_result import (
     AttemptResult,
     Completed,
@@ -19,7 +20,15 @@
 )
 from sassafrastally.entry.commit_turn import CommitTurn
 from sassafrastally.entry.late_reservation import LateReservation
-from sassafrastally.entry.relay import EVENT_STREAM, JSON, Answer, AnswerBroken, ChunkOrder, Head
+from sassafrastally.entry.relay import (
+    EVENT_STREAM,
+    JSON,
+    Answer,
+    AnswerBroken,
+    AnswerUnread,
+    ChunkOrder,
+    Head,
+)
 from sassafrastally.entry.site import Site
 from sassafrastally.serving.outcome import AttemptState, Outcome
 from sassafrastally.serving.refusals import REFUSALS
@@ -34,18 +43,17 @@
     Query,
     QueryReply,
     Refused,
-    Reserve,
     Reserved,
 )
 from sassafrastally.wire.streams import TooManyStreams
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable, Callable, Coroutine
+    from collections.abc import Coroutine
 
-    from sassafrastally.core import Address
+    from sassafrastally.entry.attempt_plan import AttemptPlan
     from sassafrastally.entry.claiming import KeyClaim
-    from sassafrastally.entry.request import CallerRequest
     from sassafrastally.wire.link import Link, Peers, Stream
+    from sassafrastally.wire.messages import Reserve
 
 MAX_BROKEN_ANSWERS = 2
 """How often an answer that violates the protocol is requested again before it counts as failed."""
@@ -56,27 +64,6 @@
 _STATUS_OK = 200
 
 
-class AttemptPlan(NamedTuple):
-    """Parameters of one attempt."""
-
-    request: CallerRequest
-    request_id: str
-    number: int
-    vm: str
-    address: Address
-    generation: int
-    shown_tokens: int
-    commits_now: bool
-    reserve_timeout_s: float
-    max_answer_bytes: int
-    max_wait_s: float = 0.0
-    """Longest delay of the first token by other work on the sidecar; 0 means no limit."""
-    turn: CommitTurn | None = None
-    """Turn to commit among the open reservations of the request."""
-    ask_others: Callable[[], Awaitable[TakenElsewhere | None]] | None = None
-    """Asks the other candidates while the reservation is late; without it the attempt ends."""
-
-
 class Attempt:
     """One attempt at a request on one sidecar.
 
@@ -113,6 +100,9 @@
         self._is_adopted = False
         self._linked_incarnation = ""
         self._broken_answers = 0
+        self._held_at: int | None = None
+        """Pieces that the caller had when the answer was begun to be held back, if it is."""
+        self._held_tokens = 0
 
     @property
     def is_adopted(self) -> bool:
@@ -133,6 +123,21 @@
         if not self.site.incarnation:
             self.site = self.site._replace(incarnation=self._linked_incarnation)
 
+    def hold_back(self) -> None:
+        """Deliver the answer only once it is whole, and leave the run as it is until then.
+
+        So it can be read beside an attempt that may send its own tokens at any time.
+        """
+        if self._held_at is None:
+            self._held_at = self._answer.pieces
+
+    async def forward_held(self) -> None:
+        """Forward the answer as it comes from now on, after what was held back."""
+        self._held_at = None
+        if self.plan.request.is_streamed and self._buffered:
+            held, self._buffered, self._buffered_bytes = b"".join(self._buffered), [], 0
+            await self._answer.put(held, self._held_tokens)
+
     async def run(self) -> AttemptResult:
         """Reserve, commit and relay the answer."""
         try:
@@ -217,7 +222,9 @@
             self._is_settled = is_over or self._is_left_open
             return result
         finally:
-            if not (self._is_settled or self._continues_without_reader()):
+            if self._is_left_open or (not self._is_settled and self._continues_without_reader()):
+                stream.close(AnswerUnread.code, "not read to its end")
+            elif not self._is_settled:
                 await self._send_cancel(stream)
 
     def _is_read_again(self, result: AttemptResult) -> bool:
@@ -234,7 +241,13 @@
         would make the repeated request fail.
         """
         has_claim = bool(self.plan.request.key) and self.is_committed
-        return self._is_adopted or (has_claim and self._time_left_s() > 0)
+        is_read_later = self._held_at is not None and not self._is_overtaken
+        return is_read_later or self._is_adopted or (has_claim and self._time_left_s() > 0)
+
+    @property
+    def _is_overtaken(self) -> bool:
+        """Whether another attempt has sent something since this one's answer is held back."""
+        return self._held_at is not None and self._held_at != self._answer.pieces
 
     async def cancel_unread(self) -> None:
         """Cancel a run that was left open to be read again, if it isn't read any more."""
@@ -259,7 +272,7 @@
     async def _reserve_and_run(self, stream: Stream) -> AttemptResult:
         # The sidecar wouldn't run what is sent while the limit acts, but the caller would be told
         # that it may have run.
-        await require_time(self.plan.request.deadline_s)
+        await self.plan.limit.require_time()
         if self.plan.commits_now:
             self.is_committed = True
         await stream.send(self._reserve_message())
@@ -273,7 +286,7 @@
         if isinstance(answered, Refused):
             return self._after_refusal(answered)
         self.site = self.site._replace(incarnation=answered.incarnation)
-        await require_time(self.plan.request.deadline_s)
+        await self.plan.limit.require_time()
         if self._claim is not None:
             # The claim must complete before the reservation expires; otherwise the sidecar refuses
             # the commit that follows.
@@ -281,7 +294,7 @@
             owner = await self._claim.acquire(self.site, limit_s, self.plan.shown_tokens)
             if owner is not None:
                 return KeyOwnedElsewhere(owner)
-            await require_time(self.plan.request.deadline_s)
+            await self.plan.limit.require_time()
         # If the link is lost from here on, it is unknown whether the commit arrived. The flag is
         # set before the send so that an exception from the send also counts as committed.
         self.is_committed = True
@@ -298,13 +311,19 @@
         async with time_limit(trio.current_time() + plan.reserve_timeout_s):
             answered = await self._receive_reserved(stream)
         if answered is None and plan.ask_others is not None:
-            return await LateReservation[TakenElsewhere](self, turn).wait(
-                lambda: self._receive_late(stream), plan.ask_others
-            )
+            late = LateReservation[TakenElsewhere](self, turn, self._is_retried_after)
+            return await late.wait(lambda: self._receive_late(stream), plan.ask_others)
         if isinstance(answered, Reserved):
             await turn.take(self)
         return answered
 
+    def _is_retried_after(self, other: TakenElsewhere) -> bool:
+        """Return whether the retry after another sidecar's failure may be this attempt.
+
+        The tokens that the caller had were sent with the reservation.
+        """
+        return not other.is_complete and self._answer.shown_tokens == self.plan.shown_tokens
+
     async def _receive_late(self, stream: Stream) -> Reserved | Refused | None:
         try:
             return await self._receive_reserved(stream)
@@ -353,6 +372,8 @@
                     return result
 
     async def _handle_message(self, message: object) -> AttemptResult | None:
+        if self._is_overtaken:
+            return ContactLost("another attempt has sent tokens")
         match message:
             case Chunk() if self._chunk_order.accepts(message):
                 await self._relay(message)
@@ -366,9 +387,10 @@
 
     async def _relay(self, chunk: Chunk) -> None:
         self.has_data = True
-        if self.plan.request.is_streamed:
+        if self.plan.request.is_streamed and self._held_at is None:
             await self._answer.put(chunk.data, chunk.tokens)
             return
+        self._held_tokens += chunk.tokens
         self._buffered.append(chunk.data)
         self._buffered_bytes += len(chunk.data)
         if self._buffered_bytes > self.plan.max_answer_bytes:
@@ -417,23 +439,4 @@
         return max(0.0, self.plan.request.deadline_s - trio.current_time())
 
     def _reserve_message(self) -> Reserve:
-        plan, request = self.plan, self.plan.request
-        return Reserve(
-            request_id=plan.request_id,
-            attempt=plan.number,
-            model=request.model,
-            service=request.service,
-            customer=request.customer.name,
-            prompt_tokens=request.prompt_tokens,
-            max_output_tokens=request.max_output_tokens,
-            prefix_hashes=request.prefix_hashes,
-            time_limit_s=self._time_left_s(),
-            idempotent=request.is_idempotent,
-            priority=request.customer.priority,
-            body_size_bytes=len(request.body),
-            generation=plan.generation,
-            commit_now=plan.commits_now,
-            shown_tokens=plan.shown_tokens,
-            operation=request.operation,
-            max_wait_s=plan.max_wait_s,
-        )
+        return reserve_message(self.plan, self._time_left_s())
