Keep an engine's rejection while another attempt is open

What callers saw: 404 (or another answer below 500) in place of a whole stream. An engine was silent or slow, its successor rejected the request, and the attempt at the first one was closed, although it would have gone on. If the stream had begun, the rejection counted as a broken answer, so that its engine was suspected of a crash. A failure of 500 and more was kept, but up to the limit, beyond the time at which a caller without an event leaves.

Cause: a response below 500 was taken for the complete response of the request, which closes all other attempts.

Change: `EngineFailures` keeps it, as it keeps failures of 500 and more. A kept failure is forwarded if no attempt does better, and 0.25 s before a caller without an event leaves, even if silent servers may go on (`must_forward_failure`). A rejected request gets no further attempt.

--- a/packages/proxy/src/sassafrastally/proxy/attempt_records.py
+++ b/packages/proxy/src/sassafrastally/proxy/attempt_records.py
@@ -163,6 +163,11 @@
                 server, self._task, attempt.answer, detail
             )
 
+    def rejected(self, attempt: OpenAttempt, detail: str) -> None:
+        """Record an attempt that the server answered as a whole, but not with a success."""
+        self._services.fleet_view.record_success(attempt.server.incarnation_id)
+        self.abandoned(attempt, detail)
+
     def abandoned(self, attempt: OpenAttempt, detail: str) -> None:
         """Record and log an attempt that may have run."""
         self._progress.end(attempt)
--- a/packages/proxy/src/sassafrastally/proxy/failover_decision.py
+++ b/packages/proxy/src/sassafrastally/proxy/failover_decision.py
@@ -19,6 +19,10 @@
 """Interval at which a request that stays at a silent server looks for another one: room, servers
 and the retry budget change within about as long."""
 
+FAILURE_MARGIN_S = 0.25
+"""How long before the caller leaves it gets a failure that a server has answered, if all others are
+silent: as long as a limit may act late."""
+
 TIMER_PRECISION_S = 0.001
 """Time by which a timer may fire early."""
 
@@ -198,3 +202,19 @@
         When the caller closes the stream unless an event comes.
     """
     return now_s >= caller_leaves_s or now_s + predicted_s < caller_leaves_s
+
+
+def must_forward_failure(now_s: float, caller_leaves_s: float) -> bool:
+    """Return whether a failure that is kept is forwarded although silent servers may go on.
+
+    The load is a silent server and a successor that has answered with a failure. The silent one may
+    be dead; a caller that leaves before the limit would get neither the failure nor its reason.
+
+    Parameters
+    ----------
+    now_s
+        Present time.
+    caller_leaves_s
+        When the caller closes the stream unless something comes.
+    """
+    return now_s >= caller_leaves_s - FAILURE_MARGIN_S
--- a/packages/proxy/src/sassafrastally/proxy/overlapping_attempts.py
+++ b/packages/proxy/src/sassafrastally/proxy/overlapping_attempts.py
@@ -151,6 +151,12 @@
             self._close_dispensable(attempt, is_complete=received is Received.RESPONSE)
         return decision
 
+    def close_all(self) -> None:
+        """Close all attempts, since the caller gets something else."""
+        self._starting.clear()
+        for attempt in list(self._open):
+            attempt.close(None)
+
     def _close_dispensable(self, leader: OpenAttempt, *, is_complete: bool) -> None:
         """Close the attempts that aren't needed beside one whose events are forwarded."""
         self._starting.clear()
--- a/packages/proxy/src/sassafrastally/proxy/plain_request.py
+++ b/packages/proxy/src/sassafrastally/proxy/plain_request.py
@@ -16,13 +16,14 @@
 )
 from sassafrastally.proxy.buffered_response import BufferedResponse
 from sassafrastally.proxy.cpu_overload import was_late
+from sassafrastally.proxy.engine_failures import SERVER_ERROR_STATUS
 from sassafrastally.proxy.event_stream import carries_events
 from sassafrastally.proxy.failover_decision import Handling, Obstacle, Received
 from sassafrastally.proxy.load import InFlightAttempt, Lane
 from sassafrastally.proxy.model import RouteKind
 from sassafrastally.proxy.plain_placement import has_slot, place_plain
 from sassafrastally.proxy.refusals import MAY_HAVE_RUN, NO_ROOM, NO_SERVER, TURNED_AWAY
-from sassafrastally.proxy.request_handler import SERVER_ERROR_STATUS, RequestHandler
+from sassafrastally.proxy.request_handler import RequestHandler
 from sassafrastally.proxy.silence_watch import ServerWait
 from sassafrastally.proxy.task import LocalReply
 from sassafrastally.proxy.waiting_attempts import WaitingAttempt
--- a/packages/proxy/src/sassafrastally/proxy/request_handler.py
+++ b/packages/proxy/src/sassafrastally/proxy/request_handler.py
@@ -56,9 +56,6 @@
     from sassafrastally.proxy.verdicts import Verdict
     from sassafrastally.proxy.waiting_for_room import RoomWait
 
-SERVER_ERROR_STATUS = 500
-"""Lowest HTTP status that means that the backend server failed."""
-
 
 class RequestHandler(Generic[Start]):
     """Handles one request by sending attempts to backend servers.
@@ -323,6 +320,9 @@
         tolerated: set[Obstacle] = set()
 
         def add_successor(silent_s: float) -> None:
+            if self._must_forward_kept():
+                self._attempts.close_all()
+                return
             silent = self._attempts.silent(self._clock.now_s())
             if not silent:
                 return
@@ -345,6 +345,10 @@
         on_silence = add_successor if can_fail_over else None
         return self._services.silence_watch.watch(attempt.wait, on_silence, record_endless)
 
+    def _must_forward_kept(self) -> bool:
+        """Return whether a kept failure is forwarded now although silent servers may go on."""
+        return False
+
     def _silence_detail(self, attempt: OpenAttempt) -> str:
         """Return how the server of an attempt is silent."""
         return attempt.wait.silence_detail(self._clock.now_s())
--- a/packages/proxy/src/sassafrastally/proxy/streaming_request.py
+++ b/packages/proxy/src/sassafrastally/proxy/streaming_request.py
@@ -25,11 +25,11 @@
     slow_detail,
 )
 from sassafrastally.proxy.attempt_stream import AttemptStream
-from sassafrastally.proxy.buffered_response import BufferedResponse
 from sassafrastally.proxy.caller_stream import CallerStream
 from sassafrastally.proxy.caller_timeout import caller_timeout_s
 from sassafrastally.proxy.data_centre_pools import place_locally_first, prefers_local_data_centre
-from sassafrastally.proxy.failover_decision import Received, reaches_caller
+from sassafrastally.proxy.engine_failures import EngineFailures
+from sassafrastally.proxy.failover_decision import reaches_caller
 from sassafrastally.proxy.first_event_timeout import SILENCE_TIMEOUT_SHARE, expected_first_event_s
 from sassafrastally.proxy.lanes import PlacementRandomizer, choose_lane
 from sassafrastally.proxy.load import NO_WORK, InFlightAttempt, Lane
@@ -38,7 +38,7 @@
 from sassafrastally.proxy.placement import place_request
 from sassafrastally.proxy.plan import Placement, max_prompt_tokens
 from sassafrastally.proxy.refusals import MAY_HAVE_RUN, NO_ROOM, NO_SERVER, TOO_LONG, TURNED_AWAY
-from sassafrastally.proxy.request_handler import SERVER_ERROR_STATUS, RequestHandler
+from sassafrastally.proxy.request_handler import RequestHandler
 from sassafrastally.proxy.reservations import with_reservations
 from sassafrastally.proxy.silence_watch import ServerWait
 from sassafrastally.proxy.slow_event_detection import event_time_s, slow_event_time_s
@@ -100,8 +100,9 @@
         self._alone_s = least_alone_s(profile, prompt)
         """Predicted time to the first event on idle engines."""
         self._room_wait.record_arrival(prompt, self._alone_s)
-        self._failed: BufferedResponse | None = None
-        """An engine's failure, which is forwarded unless another attempt succeeds."""
+        self._failures = EngineFailures(
+            reply, self._attempts, self._records, self._claims_successor
+        )
         self._awaits_budget = False
         """Whether the next attempt must be charged to the retry budget first."""
 
@@ -112,9 +113,9 @@
 
     async def forward_kept(self) -> bool:
         """Forward the failure that an engine has answered, if any and if no stream has begun."""
-        if self._failed is None or not self._reply.can_complete:
+        if self._failures.kept is None:
             return False
-        await self._forward(self._failed, self._lane)
+        await self._forward(self._failures.kept, self._lane)
         return True
 
     async def _run(self) -> LocalReply | None:
@@ -129,6 +130,8 @@
                 return started
             if await self._attempts.run(started):
                 return None
+            if self._failures.is_rejected or self._must_forward_kept():
+                return LocalReply(MAY_HAVE_RUN, "an engine's failure is forwarded in its place")
             if self._successor is None and (obstacle := self._retries.claim()) is not None:
                 if not (self._room_wait.applies and self._retries.may_wait_for_budget()):
                     detail = f"no further attempt: {obstacle.value}"
@@ -365,7 +368,8 @@
                     placement.server.incarnation_id, answer.facts.load
                 )
                 if answer.status >= NON_SUCCESS_STATUS:
-                    return await self._forward_failure(attempt, answer)
+                    is_final = await self._failures.receive(attempt, answer)
+                    return is_final and await self.forward_kept()
                 await self._forward_stream(placement, in_flight, attempt, answer)
                 return True
 
@@ -388,27 +392,13 @@
         self._records.slow(attempt, slow_detail(pace, remaining_here_s, alternative.predicted_s))
         self._add_successor()
 
-    async def _forward_failure(self, attempt: OpenAttempt, answer: Answer) -> bool:
-        """Forward an engine's error response; raises `AttemptUnknown` if it isn't forwarded."""
-        with attempt.wait.awaited():
-            body = await answer.read()
-        status, server = answer.status, attempt.server
-        response = BufferedResponse(status, answer.headers, body, server.server_id, answer.framing)
-        failure = f"the engine responded with status {status}"
-        if status >= SERVER_ERROR_STATUS:
-            self._failed = response
-            if self._attempts.has_others(attempt):
-                raise AttemptUnknown(failure)
-            obstacle = self._claim_successor()
-            if obstacle is None or (self._room_wait.applies and obstacle.is_for_room):
-                raise AttemptUnknown(failure)
-        if self._reply.has_begun:
-            raise AttemptUnknown(f"{failure} to a resumed stream")
-        await self._attempts.receive(attempt, Received.RESPONSE)
-        self._records.outcome(server, is_failure=status >= SERVER_ERROR_STATUS)
-        self._failed = response
-        await self._forward(response, self._lane)
-        return True
+    def _claims_successor(self) -> bool:
+        """Return whether another attempt follows a failure, now or once there is room."""
+        obstacle = self._claim_successor()
+        return obstacle is None or (self._room_wait.applies and obstacle.is_for_room)
+
+    def _must_forward_kept(self) -> bool:
+        return self._failures.must_forward(self._clock.now_s(), self._stream.caller_leaves_s)
 
     async def _forward_stream(
         self, placement: Placement, in_flight: InFlightAttempt, attempt: OpenAttempt, answer: Answer
--- a/packages/proxy/tests/test_failover_decision.py
+++ b/packages/proxy/tests/test_failover_decision.py
@@ -12,6 +12,7 @@
     Obstacle,
     Silence,
     SuccessorFacts,
+    must_forward_failure,
     next_check_s,
     reaches_caller,
     successor_obstacle,
@@ -117,3 +118,15 @@
     def test_caller_that_stays_gets_any_successor(self):
         """Guards against a caller that waits longer than others and gets nothing."""
         assert reaches_caller(now_s=12.1, predicted_s=1.3, caller_leaves_s=12.0)
+
+
+class TestKeptFailure:
+    """A successor that has answered with a failure while the first server is silent."""
+
+    def test_waits_for_the_silent_server(self):
+        """Guards against a failure in place of the stream of a server that goes on."""
+        assert not must_forward_failure(now_s=11.7, caller_leaves_s=12.0)
+
+    def test_comes_before_the_caller_leaves(self):
+        """Guards against a caller that leaves without the only answer."""
+        assert must_forward_failure(now_s=11.8, caller_leaves_s=12.0)
