Send the header of a stream together with its first event or comment

What callers saw: a success (200) that is cut before anything came, if the limit passed, or the engine broke off, between an engine's header and its first event. Callers need the reason: 504 or 502, which names it.

Cause: the header was sent as soon as the engine's header had come, while only one attempt was open, and in a write of its own.

Change: the header waits for the first event or comment, and goes out in one write with it.

--- a/packages/proxy/src/sassafrastally/proxy/attempt_stream.py
+++ b/packages/proxy/src/sassafrastally/proxy/attempt_stream.py
@@ -88,6 +88,9 @@
     async def forward(self) -> None:
         """Forward the stream event by event, so that a broken one can be resumed.
 
+        The header waits for the first event or comment: until then, the caller can still be told
+        why the stream fails.
+
         Raises
         ------
         AttemptUnknown
@@ -97,8 +100,6 @@
         trio.Cancelled
             If it is closed for another attempt.
         """
-        if not self._has_others(self._attempt):
-            await self._begin()
         while not self._is_whole and (events := await self._read()) is not None:
             if self._is_contested(self._attempt):
                 events += await self._read_ready()
@@ -109,9 +110,6 @@
         async with self._turn(self._attempt):
             await self._end()
 
-    async def _begin(self) -> None:
-        await self._caller_stream.begin(self._answer.status, self._headers)
-
     async def _read(self) -> list[StreamEvent] | None:
         # Measured only while waiting for the server: the time spent on writing to the caller says
         # nothing about the server.
@@ -164,8 +162,8 @@
             self._attempt.position = self._attempt.position.after(event)
 
     async def _release(self) -> None:
-        """Forward the comments that are held back."""
-        await self._begin()
+        """Forward the comments that are held back, after the header if it isn't sent yet."""
+        await self._caller_stream.begin(self._answer.status, self._headers)
         held, self._held = self._held, []
         for event in held:
             await self._forward(event)
--- a/packages/proxy/src/sassafrastally/proxy/reply.py
+++ b/packages/proxy/src/sassafrastally/proxy/reply.py
@@ -76,6 +76,8 @@
         """Bytes passed to the operating system."""
         self._unsent: _Unsent | None = None
         """What is left of a complete response."""
+        self._header: h11.Response | None = None
+        """The header of a response that has begun, until its first bytes are sent."""
         self._connection = connection
         self._is_last = is_last
         self._blocked_callers = blocked_callers or BlockedCallers()
@@ -104,16 +106,18 @@
         return self._connection.encode_parts(response, h11.Data(data=body), h11.EndOfMessage())
 
     async def begin(self, status: int, headers: Headers) -> None:
-        """Send the header of a response of unknown length; raises `ConnectionLost`.
+        """Begin a response of unknown length, whose header is sent with its first bytes.
 
-        If the request is cancelled already, nothing is sent and another response is possible.
+        A limit that passes between two writes would leave the caller with a success without
+        anything in it. If the request is cancelled already, nothing is sent and another response is
+        possible.
         A caller without chunked transfer coding takes the end of the connection for that of the
         response, whether this entry or the operating system closes it.
         """
         await trio.lowlevel.checkpoint_if_cancelled()
         if self._ends_with_connection:
             self._connection.set_reset_on_close(True)
-        await self._send(self._response(status, _end_to_end_headers(headers)))
+        self._header = self._response(status, _end_to_end_headers(headers))
 
     async def send(self, data: bytes) -> None:
         """Send a chunk of the body; raises `ConnectionLost`."""
@@ -133,6 +137,8 @@
 
     async def _send(self, *events: h11.Event) -> None:
         """Send events as a whole, as `_write_whole`."""
+        if self._header is not None:
+            events, self._header = (self._header, *events), None
         unsent = _Unsent(self._connection.encode_parts(*events))
         await self._write_whole(unsent, is_complete=isinstance(events[-1], h11.EndOfMessage))
 
