Log the end of an attempt whose silence was logged before

What operators saw: an attempt whose server was silent, or waited for a slow engine, and that broke off later, got no line of its own, so that its cause and time can't be told from the log.

Cause: `AttemptFailed` is logged and counted once for each attempt, at the silence.

Change: `AttemptBroken` (10083) names the cause, the events received and the time. It isn't counted as another failed attempt. An attempt that is closed for another one has `AttemptClosed` as before.

--- a/packages/proxy/src/sassafrastally/proxy/attempt_records.py
+++ b/packages/proxy/src/sassafrastally/proxy/attempt_records.py
@@ -174,6 +174,8 @@
         self._progress.may_have_run = True
         if not attempt.is_logged:
             self._log.attempt_failed(attempt, detail, is_proved_not_run=False)
+        elif not attempt.is_closed:
+            self._log.attempt_broken(attempt, detail)
 
     @property
     def _request_id(self) -> str:
--- a/packages/proxy/src/sassafrastally/proxy/log_events/__init__.py
+++ b/packages/proxy/src/sassafrastally/proxy/log_events/__init__.py
@@ -51,6 +51,7 @@
     RequestQuarantined,
 )
 from sassafrastally.proxy.log_events.requests import (
+    AttemptBroken,
     AttemptClosed,
     AttemptFailed,
     CallerDisconnected,
@@ -89,6 +90,7 @@
 )
 
 __all__ = [
+    "AttemptBroken",
     "AttemptClosed",
     "AttemptFailed",
     "CallerDisconnected",
--- a/packages/proxy/src/sassafrastally/proxy/log_events/requests.py
+++ b/packages/proxy/src/sassafrastally/proxy/log_events/requests.py
@@ -176,6 +176,19 @@
     reason: str
 
 
+@event(10083, "warning")
+class AttemptBroken(NamedTuple):
+    """An attempt whose silence or slow engine was logged has ended without a whole response."""
+
+    request_id: str
+    server_id: str
+    attempt: int
+    events: int
+    """Number of events received, new to the caller or not."""
+    elapsed_s: float
+    cause: str
+
+
 @event(10017, "warning")
 class StreamBroken(NamedTuple):
     """A stream broke and can't be resumed on another server."""
--- a/packages/proxy/src/sassafrastally/proxy/request_log.py
+++ b/packages/proxy/src/sassafrastally/proxy/request_log.py
@@ -6,6 +6,7 @@
 
 from sassafrastally.proxy.fingerprint import fingerprint_text
 from sassafrastally.proxy.log_events import (
+    AttemptBroken,
     AttemptClosed,
     AttemptFailed,
     RequestAnswered,
@@ -77,6 +78,19 @@
             )
         )
 
+    def attempt_broken(self, attempt: OpenAttempt, cause: str) -> None:
+        """Log the end of an attempt that was logged and counted before, as it was silent."""
+        self._emit(
+            AttemptBroken(
+                self._task.request.facts.request_id,
+                attempt.server.server_id,
+                attempt.number,
+                attempt.answer.events,
+                round(self._clock.now_s() - attempt.begin_s, 4),
+                cause,
+            )
+        )
+
     def attempt_closed(self, attempt: OpenAttempt, reason: str) -> None:
         """Log an attempt that was closed for another one, and how far both were."""
         closed_by = attempt.closed_by
--- a/packages/testing/tests/platform/test_failing_successors.py
+++ b/packages/testing/tests/platform/test_failing_successors.py
@@ -14,7 +14,7 @@
 
 from sassafrastally.proxy.path import RequestPath
 from sassafrastally.stand_ins.documents import make_configuration, make_route
-from sassafrastally.stand_ins.platform_fleet import wait_until
+from sassafrastally.stand_ins.platform_fleet import attempt_failure_causes, wait_until
 from sassafrastally.stand_ins.silence import SilencePlace
 
 STREAM = "1000,340"
@@ -189,3 +189,30 @@
         spoil = partial(fall_silent, part=1, duration_s=60.0)
         answer = await call_silent(fleet, "/note/x", 3, 1.3 + after_ms / 1000, spoil)
         assert (answer.status, answer.is_whole, event_ids(answer)) == (200, True, EVENT_IDS)
+
+
+class TestLog:
+    """What the log tells about a server that was silent."""
+
+    async def test_names_the_end_of_an_attempt_that_was_silent(self, autojump_clock, fleet):
+        """Guards against a server whose crash can't be seen in the log, as its silence was logged
+        before: the successor answers, and the first server crashes meanwhile."""
+        for replica in fleet.replicas.values():
+            fall_silent(replica, 3, 60.0)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(
+                partial(fleet.call, "/note/x", prompt="1000,1360", request_id=REQUEST_ID)
+            )
+            await wait_until(lambda: bool(reached(fleet)))
+            first = fleet.replicas[reached(fleet)[0]]
+            for replica in fleet.replicas.values():
+                if replica is not first:
+                    replica.silence.place = None
+            await wait_until(lambda: len(reached(fleet)) == 2)
+            await trio.sleep(0.1)
+            first.crash()
+        records = fleet.kernels[0].events.records()
+        (broken,) = [one["fields"] for one in records if one["name"] == "AttemptBroken"]
+        assert (broken["server_id"], broken["attempt"], broken["events"]) == (first.server_id, 1, 3)
+        assert "interrupted" in broken["cause"] or "closed" in broken["cause"]
+        assert len(attempt_failure_causes(fleet.kernels[0])) == 1
