--- a/packages/proxy/src/sassafrastally/proxy/attempt_records.py
+++ b/packages/proxy/src/sassafrastally/proxy/attempt_records.py
@@ -163,12 +163,19 @@
                 server, self._task, attempt.answer, detail
             )
 
+    def rejected(self, attempt: OpenAttempt, detail: str) -> None:
+        """Record an attempt that the server answered as a whole, but not with a success."""
+        self._services.fleet_view.record_success(attempt.server.incarnation_id)
+        self.abandoned(attempt, detail)
+
     def abandoned(self, attempt: OpenAttempt, detail: str) -> None:
         """Record and log an attempt that may have run."""
         self._progress.end(attempt)
         self._progress.may_have_run = True
         if not attempt.is_logged:
             self._log.attempt_failed(attempt, detail, is_proved_not_run=False)
+        elif not attempt.is_closed:
+            self._log.attempt_broken(attempt, detail)
 
     @property
     def _request_id(self) -> str:
