Testing deployment: cancel calls to a process that has been ended

What callers saw: nothing in the product. In the pairs of failures (SASSAFRASTALLY_PAIRS=300), a request with a key ended by an unexpected error, "Nursery is closed to new arrivals", in the look-up of its key.

Cause: the pair "break" and "kill-entry" with a request to the killed entry at the same moment. Node.end ended the callers' tasks that there were; one that had been started but hadn't begun ran the request in the kernel of a process whose tasks had ended. The order of services at a stop has no part in it, and in the product requests are tasks of the kernel's own nursery (record).

Change: a call that begins after the end of its process is cancelled from its begin, before anything of it reaches the process.

--- a/packages/entry/tests/test_span.py
+++ b/packages/entry/tests/test_span.py
@@ -57,6 +57,7 @@
 
     async def run(self):
         with self.node.call() as self.scope:
+            await trio.lowlevel.checkpoint_if_cancelled()
             try:
                 path = self.node.kernel.get("path", RequestPath)
                 async with path.open(self.asked.read(path.bundle().bundle)) as answer:
--- a/packages/testing/src/sassafrastally/testing/deployment.py
+++ b/packages/testing/src/sassafrastally/testing/deployment.py
@@ -133,11 +133,18 @@
         self.scope = trio.CancelScope()
         self.ended = trio.Event()
         self._calls: set[trio.CancelScope] = set()
+        self._is_ending = False
 
     @contextmanager
     def call(self) -> Iterator[trio.CancelScope]:
-        """Let a caller's task end with the process while the context lasts."""
+        """Let a caller's task end with the process while the context lasts.
+
+        The scope is cancelled from the begin if the process has been ended: a caller's task may be
+        on its way to a process that is killed before the task runs.
+        """
         with trio.CancelScope() as scope:
+            if self._is_ending:
+                scope.cancel()
             self._calls.add(scope)
             try:
                 yield scope
@@ -150,6 +157,7 @@
         The callers go first: their requests run outside of the kernel, and would go on for a
         moment in a process that is no more.
         """
+        self._is_ending = True
         for scope in self._calls:
             scope.cancel()
         while self._calls:
--- a/packages/testing/src/sassafrastally/testing/scenario_sent.py
+++ b/packages/testing/src/sassafrastally/testing/scenario_sent.py
@@ -128,6 +128,8 @@
         """Send it and wait for what comes back."""
         path = self._node.kernel.get("path", RequestPath)
         with self._node.call() as self._scope:
+            # Nothing of it reaches a process that has ended.
+            await trio.lowlevel.checkpoint_if_cancelled()
             try:
                 with covering_unread_key(self.asked.key):  # As the HTTP interface does.
                     in_force = path.bundle()
