--- a/packages/entry/src/sassafrastally/entry/attempt.py
+++ b/packages/entry/src/sassafrastally/entry/attempt.py
@@ -135,8 +135,9 @@
         """Forward the answer as it comes from now on, after what was held back."""
         self._held_at = None
         if self.plan.request.is_streamed and self._buffered:
-            held, self._buffered, self._buffered_bytes = b"".join(self._buffered), [], 0
-            await self._answer.put(held, self._held_tokens)
+            held, tokens = b"".join(self._buffered), self._held_tokens
+            self._buffered, self._buffered_bytes, self._held_tokens = [], 0, 0
+            await self._answer.put(held, tokens)
 
     async def run(self) -> AttemptResult:
         """Reserve, commit and relay the answer."""
