A limit waits while what lies ready is passed on, not for 16 turns only

Cause: a limit whose timer is on time lets other tasks run for 16 turns of the loop. Each event of a stream takes more than one: reading, comparing, writing. An entry that runs again less than 5 ms after the limit, or just before it, reads no 0.1 s more, so that a stream of several events in the socket was cut after the first ones.

Change: each part that is read for a caller or written to it is a delivery; as long as a round of 16 turns has one, another round follows, for 0.05 s at most. A limit that nothing lies ready for acts as before.

--- a/packages/core/src/sassafrastally/core/late_limits.py
+++ b/packages/core/src/sassafrastally/core/late_limits.py
@@ -14,7 +14,7 @@
 import trio
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
+    from collections.abc import AsyncIterator, Callable
 
 LATE_TIMER_S = 0.005
 """Delay above which a timer counts as late. Turns of an event loop that isn't delayed take some
@@ -32,19 +32,25 @@
 """Turns of the event loop in which tasks pass on what has been read. An answer takes one turn for
 each task on its way, which are fewer than ten."""
 
+MAX_DELIVERY_S = 0.05
+"""How long is delivered at most while something is passed on in each of these rounds of turns. Each
+event of a stream takes a turn or more, so that several of them take more than one round."""
+
 
 def last_read_s(due_s: float, now_s: float) -> float:
     """Return how long to read once more after a timer has fired; 0 if it was on time."""
     return LAST_READ_S if now_s - due_s > LATE_TIMER_S else 0.0
 
 
-async def deliver_received(due_s: float) -> None:
+async def deliver_received(due_s: float, delivered: Callable[[], int] = lambda: 0) -> None:
     """Let other tasks deliver what has been received, after a timer has fired.
 
     Parameters
     ----------
     due_s
         Time for which the timer was set, on trio's clock.
+    delivered
+        Returns how much has been delivered so far. Deliveries in a round of turns allow another.
     """
     for _ in range(MAX_LAST_READS):
         now_s = trio.current_time()
@@ -53,8 +59,15 @@
             break
         due_s = now_s + extra_s
         await trio.sleep_until(due_s)
-    for _ in range(DELIVERY_TURNS):
-        await trio.lowlevel.checkpoint()
+    left_s = MAX_DELIVERY_S
+    while left_s > 0:
+        begin_s, before = trio.current_time(), delivered()
+        for _ in range(DELIVERY_TURNS):
+            await trio.lowlevel.checkpoint()
+        if delivered() == before:
+            return
+        # If the process pauses again in a round, the rest is delivered in the next one.
+        left_s -= min(trio.current_time() - begin_s, MAX_DELIVERY_S / 2)
 
 
 async def require_time(due_s: float) -> None:
@@ -87,6 +100,11 @@
         self.due_s = due_s
         self.scope = scope or trio.CancelScope()
         self._shortened = trio.Event()
+        self._deliveries = 0
+
+    def record_delivery(self) -> None:
+        """Record that a part of an answer has been passed on; more of it may lie ready."""
+        self._deliveries += 1
 
     def shorten(self, due_s: float) -> None:
         """Let the time end at this time if that is earlier."""
@@ -109,7 +127,7 @@
             self._shortened = trio.Event()
             with trio.move_on_at(self.due_s):
                 await self._shortened.wait()
-        await deliver_received(self.due_s)
+        await deliver_received(self.due_s, lambda: self._deliveries)
         self.scope.cancel()
 
 
--- a/packages/core/tests/test_late_limits.py
+++ b/packages/core/tests/test_late_limits.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 import pytest
@@ -9,8 +10,10 @@
 import trio.testing
 
 from sassafrastally.core.late_limits import (
+    DELIVERY_TURNS,
     LAST_READ_S,
     LATE_TIMER_S,
+    MAX_DELIVERY_S,
     MAX_LAST_READS,
     TimeLimit,
     last_read_s,
@@ -74,6 +77,47 @@
         await trio.testing.wait_all_tasks_blocked()
         assert received == [b"ready"]
 
+    @pytest.mark.parametrize("lag_s", [0.0, LATE_TIMER_S])
+    async def test_delivers_all_parts_that_lie_ready(
+        self, mock_clock: trio.testing.MockClock, nursery: trio.Nursery, lag_s: float
+    ) -> None:
+        """Guards against a stream of several parts of which only those are delivered that are
+        passed on in the first turns after a timer that is on time."""
+        target, source = trio.open_memory_channel[int](math.inf)
+        delivered: list[int] = []
+
+        async def deliver() -> None:
+            async with time_limit(LIMIT_S) as limit:
+                async for part in source:
+                    await trio.lowlevel.checkpoint()
+                    delivered.append(part)
+                    limit.record_delivery()
+
+        nursery.start_soon(deliver)
+        await trio.testing.wait_all_tasks_blocked()
+        for part in range(100):
+            target.send_nowait(part)
+        mock_clock.jump(LIMIT_S + lag_s)
+        await trio.testing.wait_all_tasks_blocked()
+        assert delivered == list(range(100))
+
+    @pytest.mark.parametrize("turn_s", [0.001, 1.0])
+    async def test_acts_within_a_bound_beside_parts_without_end(
+        self, mock_clock: trio.testing.MockClock, turn_s: float
+    ) -> None:
+        """Guards against a limit that never acts since more arrives all the time, and against one
+        that lasts as long as many pauses of the process."""
+        turns = 0
+        async with time_limit(LIMIT_S) as limit:
+            mock_clock.jump(LIMIT_S)
+            while True:
+                await trio.lowlevel.checkpoint()
+                limit.record_delivery()
+                turns += 1
+                mock_clock.jump(turn_s)
+        assert limit.scope.cancelled_caught
+        assert turns <= DELIVERY_TURNS + max(MAX_DELIVERY_S / turn_s, 2 * DELIVERY_TURNS)
+
     @pytest.mark.parametrize(("lag_s", "reads"), [(0.0, 0), (1.0, 1)])
     async def test_acts_within_a_bound(
         self, autojump_clock: trio.testing.MockClock, lag_s: float, reads: int
--- a/packages/proxy/src/sassafrastally/proxy/reply.py
+++ b/packages/proxy/src/sassafrastally/proxy/reply.py
@@ -163,6 +163,7 @@
         while unsent.piece:
             written = await self._write(unsent.piece, unsent.response_bytes)
             self.sent_bytes += written
+            self.limit.record_delivery()
             unsent.remove(written)
 
     async def _write(self, data: bytes, response_bytes: int) -> int:
--- a/packages/proxy/src/sassafrastally/proxy/streaming_request.py
+++ b/packages/proxy/src/sassafrastally/proxy/streaming_request.py
@@ -435,6 +435,7 @@
         events: list[StreamEvent],
         waited_s: float,
     ) -> None:
+        self._reply.limit.record_delivery()
         fleet_view = self._services.fleet_view
         if not in_flight.is_in_prefill:
             event_s, slow_event_s = event_time_s(waited_s, len(events)), self._slow_event_s
--- a/packages/testing/tests/platform/test_time_limits.py
+++ b/packages/testing/tests/platform/test_time_limits.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from functools import partial
+from itertools import product
 
 import h11
 import pytest
@@ -21,6 +22,7 @@
 from sassafrastally.stand_ins.caller_requests import exchange_on, request_fields
 from sassafrastally.stand_ins.documents import make_configuration, make_route
 from sassafrastally.stand_ins.platform_fleet import BOUNDS
+from sassafrastally.stand_ins.silence import SilencePlace
 
 LIMIT_S = 2.0
 """Time that callers wait."""
@@ -28,6 +30,9 @@
 READY_S = LIMIT_S - 0.1
 """When servers answer."""
 
+CERTAIN_S = 0.05
+"""What a server has sent so long before the limit lies in the entry's socket by then."""
+
 STALL_S = 0.25
 """How long the entry doesn't run: to 0.15 s after the limit."""
 
@@ -64,12 +69,14 @@
     clock.jump(for_s)
 
 
-async def call_stalled(fleet, clock, path, stall_after_s, prompt=None, time_left_s=LIMIT_S):
+async def call_stalled(
+    fleet, clock, path, stall_after_s, prompt=None, time_left_s=LIMIT_S, for_s=STALL_S
+):
     """Make a request during which nothing runs for a while."""
     caller = await fleet.connect()
     begin_s = trio.current_time()
     async with trio.open_nursery() as nursery:
-        nursery.start_soon(stall, clock, begin_s + stall_after_s, STALL_S)
+        nursery.start_soon(stall, clock, begin_s + stall_after_s, for_s)
         fields = request_fields(prompt=prompt, time_left_s=time_left_s)
         answer = await exchange_on(caller, "POST", path, fields, b"{}")
     await caller.close()
@@ -162,6 +169,28 @@
         if received.finished_s is not None and received.finished_s < begin_s + took_s + 0.1:
             assert (answer.status, answer.is_whole) == (200, True)
 
+    @pytest.mark.parametrize("events", [6, 12, 24])
+    async def test_is_delivered_as_a_stream_of_several_events(self, autojump_clock, fleet, events):
+        """Guards against a stream whose events lie in the socket and of which only the first ones
+        are forwarded: the entry runs again so soon after the limit that its timer isn't late, and
+        each event takes more than one turn of the loop."""
+        silence = fleet.replicas["engine-1"].silence
+        silence.place, silence.before_limit_s = SilencePlace.BEFORE_PART, LIMIT_S - READY_S
+        ready = cut = 0
+        for late_ms, stalled_ms in product(range(8), range(4, 12)):
+            stall_s = READY_S + stalled_ms / 1000
+            for_s = LIMIT_S + late_ms / 1000 - stall_s
+            answer, begin_s = await call_stalled(
+                fleet, autojump_clock, "/note/x", stall_s, f"1000,{34 * events}", for_s=for_s
+            )
+            sent_s = fleet.received_requests()[-1].sent_s
+            if sent_s is not None and sent_s < begin_s + LIMIT_S - CERTAIN_S:
+                ready += 1
+                cut += (answer.status, answer.is_whole) != (200, True)
+            await trio.sleep(1.0)
+        assert ready >= 10
+        assert cut == 0
+
     @pytest.mark.parametrize("stalled_ms", range(-4, 16, 2))
     @pytest.mark.parametrize("path", ["/look/x", "/book/x"])
     async def test_is_delivered_at_the_end_of_a_drain(
