Entry: parts of an answer that are relayed keep its limit from acting

What callers saw: nothing reported.

Cause: the limit lets other tasks run for 16 turns. A link reads up to 64 frames a turn, so that it takes a link with many frames before; the stand-in link of the tests hands out one a turn.

Change: each chunk of an attempt is a delivery for the request's limit.

--- a/packages/entry/src/sassafrastally/entry/attempt.py
+++ b/packages/entry/src/sassafrastally/entry/attempt.py
@@ -366,6 +366,7 @@
 
     async def _relay(self, chunk: Chunk) -> None:
         self.has_data = True
+        self._answer.on_part()
         if self.plan.request.is_streamed:
             await self._answer.put(chunk.data, chunk.tokens)
             return
--- a/packages/entry/src/sassafrastally/entry/path.py
+++ b/packages/entry/src/sassafrastally/entry/path.py
@@ -188,6 +188,7 @@
         answer = Answer(request_id, self._settings.max_buffered_bytes)
         refusal: Refusal | None = None
         with self._tracked(request_id, request) as limit:
+            answer.on_part = limit.record_delivery
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(limit.watch)
                 nursery.start_soon(self._execute, in_force, request, answer, limit.scope)
--- a/packages/entry/src/sassafrastally/entry/relay.py
+++ b/packages/entry/src/sassafrastally/entry/relay.py
@@ -10,6 +10,8 @@
 from sassafrastally.wire.messages import Chunk, End
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from sassafrastally.core import RequestId
     from sassafrastally.serving.refusals import Refusal
 
@@ -57,6 +59,8 @@
         """Why there is no complete answer; ``None`` if it hasn't failed."""
         self.shown_tokens = 0
         """Tokens already sent or buffered for sending to the caller."""
+        self.on_part: Callable[[], None] = lambda: None
+        """Called for each part that the execution has received, also while it holds it back."""
         self._max_buffered_bytes = max_buffered_bytes
         self._parts: list[bytes] = []
         self._size_bytes = 0
--- a/packages/entry/tests/test_ready_answers.py
+++ b/packages/entry/tests/test_ready_answers.py
@@ -47,6 +47,20 @@
         assert (await world.ask(request)).body == THREE_EVENTS
         assert world.ran() == 1
 
+    @pytest.mark.parametrize("is_streamed", [True, False])
+    @pytest.mark.parametrize("lag_s", LAGS_S)
+    async def test_ready_answer_of_many_chunks_is_delivered(
+        self, world: Any, autojump_clock: Any, lag_s: float, is_streamed: bool
+    ) -> None:
+        """Guards against an answer of which only the chunks that are relayed in the first turns
+        after the limit are delivered."""
+        words = tuple(f"w{number}" for number in range(100))
+        for sidecar in (world.s1, world.s2):
+            sidecar.scripts = [answer_then_pause(autojump_clock, LIMIT_S + lag_s)]
+            sidecar.words = words
+        answer = await world.ask(world.request(time_limit_s=LIMIT_S, is_streamed=is_streamed))
+        assert answer.body == b"".join(world.s1.chunks(("", 0), words)[n].data for n in range(100))
+
     @pytest.mark.parametrize("lag_s", LAGS_S)
     async def test_ready_answer_is_delivered_by_an_entry_that_hurries(
         self, world: Any, autojump_clock: Any, entry_settings: Any, lag_s: float
