--- a/packages/testing/src/sassafrastally/testing/soak/stalling.py
+++ b/packages/testing/src/sassafrastally/testing/soak/stalling.py
@@ -163,5 +163,20 @@
         promise,
         f"{attempt.kind.value} {attempt.attempt_id} at entry {attempt.entry}: status "
         f"{attempt.status}, {whole}, after {took_s:.2f} s of {attempt.time_left_s:.2f} s, "
-        f"{len(arrivals)} arrivals, {len(stalls)} stalls",
+        f"{len(arrivals)} arrivals, {len(stalls)} stalls; {_times(attempt, stalls, arrivals)}",
     )
+
+
+def _times(
+    attempt: Attempt, stalls: Sequence[HarmedSpan], arrivals: Sequence[ReceivedRequest]
+) -> str:
+    """Return when the entry stood still and when servers had sent everything, from the limit on."""
+    stood = [
+        f"{s.begin_s - attempt.limit_s:+.3f} to {s.end_s - attempt.limit_s:+.3f}" for s in stalls
+    ]
+    sent = [
+        f"at {one.at_s - attempt.limit_s:+.3f}, limit {one.limit_s - attempt.limit_s:+.3f}, "
+        + ("not sent" if one.sent_s is None else f"sent {one.sent_s - attempt.limit_s:+.3f}")
+        for one in arrivals
+    ]
+    return f"seconds from the limit: stood still {stood}, arrivals {sent}"
