Test a stream whose leading attempt breaks off before the silent one goes on

An attempt whose run differs is closed even if the one that forwarded has already failed. By reading this could have cut the stream; it doesn't: the server of the closed attempt gets the request again, from the caller's last event. Its own pieces can't follow those of another run.

--- a/packages/testing/tests/platform/test_returning_attempts.py
+++ b/packages/testing/tests/platform/test_returning_attempts.py
@@ -118,3 +118,41 @@
         for (number, before), (_, after) in pairwise(got):
             if before != after:
                 assert (after, str(number)) in arrivals(fleet)
+
+
+class TestFailedLeader:
+    """The successor breaks off after some events, while the first server is still silent; that one
+    goes on with a run that doesn't continue what the caller has."""
+
+    @pytest.mark.parametrize("silence_s", [1.5, 1.8, 2.4])
+    @pytest.mark.parametrize("part", [0, 3])
+    @pytest.mark.parametrize("events", [1, 2, 4])
+    async def test_is_resumed(self, autojump_clock, fleet, silence_s, part, events):
+        """Guards against a stream that is cut since the only open attempt is closed, as its events
+        differ from those that the caller has got: its server must get the request again."""
+        answers = []
+        for replica in fleet.replicas.values():
+            fall_silent(replica, part, silence_s)
+
+        async def request():
+            headers = {"Deadline-Ms": "4000"}
+            answers.append(
+                await fleet.call("/note/x", prompt=STREAM, headers=headers, request_id=REQUEST_ID)
+            )
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(request)
+            await wait_until(lambda: bool(arrivals(fleet)))
+            first = arrivals(fleet)[0][0]
+            for server_id, replica in fleet.replicas.items():
+                if server_id != first:
+                    replica.silence.place = None
+                    replica.breaks_after_events = part + events
+            await wait_until(lambda: len(arrivals(fleet)) > 1)
+            fleet.replicas[first].silence.place = None
+        assert (answers[0].status, answers[0].is_whole) == (200, True)
+        got = pieces(answers[0])
+        assert [number for number, _ in got] == EVENT_IDS
+        for (number, before), (_, after) in pairwise(got):
+            if before != after:
+                assert (after, str(number)) in arrivals(fleet)
