Let a whole stream go on after the limit while its caller reads

What callers saw: a stream whose last event had been sent by its engine was cut 0.15 s after the limit if the caller read slowly; a complete response goes on as long as its caller reads (a second without a byte, 30 s at most).

Cause: while a caller is written to, the rest of the stream lies in the socket. The limit cancelled the write, and what was left was dropped.

Change: a cancelled stream reads what has arrived (5 ms of silence, 1 MB at most). If that is the whole rest, and no other attempt is open, it is kept in the reply, and sent as a complete response is. The end of the attempt and its success are recorded.

--- a/packages/proxy/src/sassafrastally/proxy/attempt_records.py
+++ b/packages/proxy/src/sassafrastally/proxy/attempt_records.py
@@ -6,9 +6,14 @@
 
 from sassafrastally.proxy.answer_progress import AnswerProgress
 from sassafrastally.proxy.attempt import NON_SUCCESS_STATUS, TIMEOUT_DETAIL
+from sassafrastally.proxy.slow_event_detection import event_time_s
 
 if TYPE_CHECKING:
+    from collections.abc import Sequence
+
     from sassafrastally.proxy.attempt import AttemptNotRun, AttemptUnknown
+    from sassafrastally.proxy.event_stream import StreamEvent
+    from sassafrastally.proxy.load import InFlightAttempt
     from sassafrastally.proxy.model import BackendServer
     from sassafrastally.proxy.open_attempt import OpenAttempt
     from sassafrastally.proxy.request_log import RequestLog
@@ -50,10 +55,38 @@
         for server in servers:
             self._services.fleet_view.failures.record(server, is_failure=is_failure)
 
-    def event(self, attempt: OpenAttempt, now_s: float) -> None:
-        """Record an event of an attempt's response."""
-        if attempt.record_event(now_s):
-            self._services.quarantine.record_going_on(self._task.parts, attempt.server)
+    def events(
+        self,
+        attempt: OpenAttempt,
+        in_flight: InFlightAttempt,
+        slow_event_s: float,
+        events: Sequence[StreamEvent],
+        waited_s: float,
+    ) -> None:
+        """Record events of an attempt's response.
+
+        Parameters
+        ----------
+        attempt, in_flight
+            The attempt.
+        slow_event_s
+            Time for an event from which an engine counts as slow.
+        events, waited_s
+            What arrived, and the time waited for it.
+        """
+        fleet_view = self._services.fleet_view
+        if not in_flight.is_in_prefill:
+            event_s = event_time_s(waited_s, len(events))
+            fleet_view.record_event(attempt.server, event_s, slow_event_s, self._request_id)
+        now_s = self._services.kernel.clock.now_s()
+        for event in events:
+            if event.has_fields:
+                if attempt.position.is_new_to_attempt(event):
+                    attempt.wait.record_event(now_s)
+                fleet_view.ledger.first_event(in_flight, now_s)
+                if attempt.record_event(now_s):
+                    quarantine = self._services.quarantine
+                    quarantine.record_going_on(self._task.parts, attempt.server)
 
     def success(self, attempt: OpenAttempt, status: int) -> None:
         """Record a complete, successful response: the request doesn't crash servers."""
--- a/packages/proxy/src/sassafrastally/proxy/attempt_stream.py
+++ b/packages/proxy/src/sassafrastally/proxy/attempt_stream.py
@@ -3,13 +3,16 @@
 from __future__ import annotations
 
 import math
+from collections import deque
 from functools import partial
 from typing import TYPE_CHECKING
 
 import trio
 
+from sassafrastally.proxy.answer import AttemptUnknown
 from sassafrastally.proxy.answer_events import AnswerEvents
 from sassafrastally.proxy.cpu_overload import read_until
+from sassafrastally.proxy.event_stream import StreamEvent
 from sassafrastally.proxy.failover_decision import Handling, Received
 from sassafrastally.proxy.stream_agreement import Agreement
 
@@ -19,7 +22,6 @@
     from sassafrastally.proxy.attempt import Answer
     from sassafrastally.proxy.caller_stream import CallerStream
     from sassafrastally.proxy.dialect import Headers
-    from sassafrastally.proxy.event_stream import StreamEvent
     from sassafrastally.proxy.open_attempt import OpenAttempt
     from sassafrastally.proxy.overlapping_attempts import OverlappingAttempts, Start
 
@@ -30,6 +32,12 @@
 MAX_READY_BYTES = 65_536
 """Size of what is read in that time."""
 
+MAX_LATE_BYTES = 1_000_000
+"""Size of what is read once the limit has passed; the system's buffers hold no more."""
+
+NOTHING = StreamEvent(b"", None, False)
+"""Takes the place of an event that has been encoded."""
+
 _RECEIVED = {
     Agreement.NEW: Received.NEW_EVENT,
     Agreement.KNOWN: Received.KNOWN_EVENT,
@@ -79,6 +87,8 @@
         """Bytes that are counted as held."""
         self._is_whole = False
         """Whether the stream has come to its end."""
+        self._untaken: deque[StreamEvent] = deque()
+        """Events that have been received, but aren't forwarded, compared or held back yet."""
 
     @property
     def rest(self) -> bytes:
@@ -103,13 +113,73 @@
         while not self._is_whole and (events := await self._read()) is not None:
             if self._is_contested(self._attempt):
                 events += await self._read_ready()
+            self._untaken.extend(events)
             async with self._turn(self._attempt):
-                for event in events:
-                    await self._take(event)
+                while self._untaken:
+                    await self._take(self._untaken[0])
+                    self._untaken.popleft()
                 self._count(_size_bytes(self._held))
+        self._is_whole = True
         async with self._turn(self._attempt):
             await self._end()
 
+    async def keep_rest(self) -> bool:
+        """Keep what is left of a stream that has arrived as a whole, for a caller that reads on.
+
+        For use when the limit of the request has cancelled `forward`. What has arrived lies in the
+        socket, since nothing is read while the caller is written to. With other attempts open,
+        nothing is kept: one of them may be within a write.
+
+        Returns
+        -------
+        bool
+            Whether the stream is whole.
+        """
+        if self._attempt.is_closed or self._has_others(self._attempt):
+            return False
+        try:
+            with trio.CancelScope(shield=True):
+                await self._read_rest()
+        except AttemptUnknown:
+            return False
+        rest = self._new_bytes() if self._is_whole else None
+        if rest is None:
+            return False
+        self._caller_stream.keep(self._answer.status, self._headers, rest + self.rest)
+        return True
+
+    async def _read_rest(self) -> None:
+        """Read what has arrived."""
+        held_bytes = self._counted_bytes
+        while not self._is_whole and held_bytes <= MAX_LATE_BYTES:
+            read = partial(self._events.read, math.inf)
+            try:
+                events = await read_until(read, trio.current_time() + READY_S)
+            except trio.TooSlowError:
+                return
+            self._is_whole = events is None
+            self._untaken.extend(events or ())
+            held_bytes += _size_bytes(events or ())
+            self._count(held_bytes)
+
+    def _new_bytes(self) -> bytes | None:
+        """Return the events that the caller lacks; ``None`` if another run follows what it has."""
+        pieces = [event.data for event in self._held]
+        for event in self._untaken:
+            if not event.has_fields:
+                pieces.append(event.data)
+                continue
+            agreement = self._caller_stream.agreement(event, self._attempt.position)
+            if agreement is Agreement.DIFFERENT:
+                return None
+            if agreement is Agreement.NEW:
+                pieces.append(event.data)
+                self._caller_stream.record(event, trio.current_time(), has_others=False)
+            if self._attempt.position.is_new_to_attempt(event):
+                self._attempt.position = self._attempt.position.after(event)
+        is_last = self._attempt.position.events == self._caller_stream.forwarded.count
+        return b"".join(pieces) if is_last else None
+
     async def _read(self) -> list[StreamEvent] | None:
         # Measured only while waiting for the server: the time spent on writing to the caller says
         # nothing about the server.
@@ -157,16 +227,18 @@
 
     async def _forward(self, event: StreamEvent) -> None:
         has_others = self._has_others(self._attempt)
-        await self._caller_stream.forward(event, trio.current_time(), has_others=has_others)
         if event.has_fields:
             self._attempt.position = self._attempt.position.after(event)
+        if self._untaken and event is self._untaken[0]:
+            # A write that is cancelled has been encoded, and is a part of the response.
+            self._untaken[0] = NOTHING
+        await self._caller_stream.forward(event, trio.current_time(), has_others=has_others)
 
     async def _release(self) -> None:
         """Forward the comments that are held back, after the header if it isn't sent yet."""
         await self._caller_stream.begin(self._answer.status, self._headers)
-        held, self._held = self._held, []
-        for event in held:
-            await self._forward(event)
+        while self._held:
+            await self._forward(self._held.pop(0))
 
     async def _end(self) -> None:
         """End the caller's stream, unless other attempts have sent more events than this one."""
--- a/packages/proxy/src/sassafrastally/proxy/caller_stream.py
+++ b/packages/proxy/src/sassafrastally/proxy/caller_stream.py
@@ -75,10 +75,18 @@
         has_others
             Whether other attempts are open, which may send it as well.
         """
+        self.record(event, now_s, has_others=has_others)
+        await self._reply.send(event.data)
+
+    def keep(self, status: int, headers: Headers, rest: bytes) -> None:
+        """Keep the rest of a whole stream, which `Reply.send_rest` sends after the limit."""
+        self._reply.keep_rest(status, headers, rest)
+
+    def record(self, event: StreamEvent, now_s: float, *, has_others: bool) -> None:
+        """Record an event or comments that the caller gets; parameters as of `forward`."""
         if event.has_fields:
             self.times.record(now_s)
             self.forwarded.record(event, has_others=has_others)
-        await self._reply.send(event.data)
         if event.event_id is not None:
             self.last_event_id = event.event_id
             self._progress.last_event_id = event.event_id
--- a/packages/proxy/src/sassafrastally/proxy/reply.py
+++ b/packages/proxy/src/sassafrastally/proxy/reply.py
@@ -76,6 +76,12 @@
         """Bytes passed to the operating system."""
         self._unsent: _Unsent | None = None
         """What is left of a complete response."""
+        self._cut: _Unsent | None = None
+        """The write that was cancelled."""
+        self._is_encoded = False
+        """Whether the end of a response of unknown length is encoded."""
+        self.has_rest = False
+        """Whether the rest of a stream is kept that is whole."""
         self._header: h11.Response | None = None
         """The header of a response that has begun, until its first bytes are sent."""
         self._connection = connection
@@ -125,7 +131,37 @@
 
     async def end(self) -> None:
         """End the body; raises `ConnectionLost`."""
+        self._is_encoded = True
         await self._send(h11.EndOfMessage())
+        self._note_end()
+
+    def keep_rest(self, status: int, headers: Headers, rest: bytes) -> None:
+        """Keep the rest of a response of unknown length that is whole, after a cancellation.
+
+        Parameters
+        ----------
+        status, headers
+            The header, in case it hasn't been sent.
+        rest
+            The body after what was passed to `send`.
+        """
+        events: list[h11.Event] = []
+        if not self.has_begun:
+            events.append(self._response(status, _end_to_end_headers(headers)))
+        if not self._is_encoded:
+            events += [h11.Data(data=rest), h11.EndOfMessage()]
+        cut = self._cut.take_rest() if self._cut is not None else b""
+        self._unsent = _Unsent([cut, *self._connection.encode_parts(*events)])
+        self.has_rest = True
+
+    async def send_rest(self) -> None:
+        """Send what is kept; raises `ConnectionLost`."""
+        if self._unsent is None:
+            raise RuntimeError("nothing is kept")
+        await self._write_whole(self._unsent, is_complete=True)
+        self._note_end()
+
+    def _note_end(self) -> None:
         if self._ends_with_connection:
             self._connection.set_reset_on_close(False)
         self.has_ended = True
@@ -162,6 +198,7 @@
             with trio.CancelScope(deadline=trio.current_time() + LAST_WRITE_S, shield=True):
                 await self._write_all(unsent)
             if unsent.piece or not is_complete:
+                self._cut = unsent
                 raise
 
     async def _write_all(self, unsent: _Unsent) -> None:
@@ -231,6 +268,12 @@
         """Remove bytes of the piece that are written."""
         self.piece = self.piece[written:] or next(self._writes, b"")
 
+    def take_rest(self) -> bytes:
+        """Return all bytes that aren't written, which are removed."""
+        rest = self.piece + b"".join(self._writes)
+        self.piece = b""
+        return rest
+
 
 def _writes(parts: Sequence[bytes]) -> Iterator[bytes]:
     """Yield the bytes of all parts in pieces of one write, without a copy of a whole part."""
--- a/packages/proxy/src/sassafrastally/proxy/streaming_request.py
+++ b/packages/proxy/src/sassafrastally/proxy/streaming_request.py
@@ -7,6 +7,8 @@
 from functools import partial
 from typing import TYPE_CHECKING
 
+import trio
+
 from sassafrastally.proxy.admission import Goals, backlog_bound, overload_reason
 from sassafrastally.proxy.admission_queue import (
     StartTimes,
@@ -41,17 +43,16 @@
 from sassafrastally.proxy.request_handler import RequestHandler
 from sassafrastally.proxy.reservations import with_reservations
 from sassafrastally.proxy.silence_watch import ServerWait
-from sassafrastally.proxy.slow_event_detection import event_time_s, slow_event_time_s
+from sassafrastally.proxy.slow_event_detection import slow_event_time_s
 from sassafrastally.proxy.task import LocalReply, Progress, RequestTask
 from sassafrastally.proxy.waiting_attempts import WaitingAttempt
 from sassafrastally.proxy.waiting_for_room import RoomWait
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
+    from collections.abc import Callable, Sequence
 
     from sassafrastally.proxy.admission_queue import Waited
     from sassafrastally.proxy.attempt import Answer
-    from sassafrastally.proxy.event_stream import StreamEvent
     from sassafrastally.proxy.lanes import ServerView
     from sassafrastally.proxy.model import EngineProfile, PromptSize
     from sassafrastally.proxy.open_attempt import OpenAttempt
@@ -103,6 +104,8 @@
         self._failures = EngineFailures(
             reply, self._attempts, self._records, self._claims_successor
         )
+        self._record_late_stream: Callable[[], None] = lambda: None
+        """Records a stream whose rest is sent after the limit."""
         self._awaits_budget = False
         """Whether the next attempt must be charged to the retry budget first."""
 
@@ -112,7 +115,11 @@
         return None if local_reply and await self.forward_kept() else local_reply
 
     async def forward_kept(self) -> bool:
-        """Forward the failure that an engine has answered, if any and if no stream has begun."""
+        """Forward the rest of a stream that is whole, or else a failure that an engine answered."""
+        if self._reply.has_rest:
+            await self._reply.send_rest()
+            self._record_late_stream()
+            return True
         if self._failures.kept is None:
             return False
         await self._forward(self._failures.kept, self._lane)
@@ -404,9 +411,22 @@
         self, placement: Placement, in_flight: InFlightAttempt, attempt: OpenAttempt, answer: Answer
     ) -> None:
         headers = self._services.dialect.response_headers(answer.headers)
-        record = partial(self._record_events, attempt, in_flight)
+        record = partial(self._records.events, attempt, in_flight, self._slow_event_s)
         stream = AttemptStream(attempt, answer, self._attempts, self._stream, headers, record)
-        await stream.forward()
+        record_whole = partial(self._record_whole, placement, attempt, answer, stream)
+        try:
+            await stream.forward()
+        except trio.Cancelled:
+            if self._reply.limit.is_due and await stream.keep_rest():
+                self.progress.end(attempt)
+                self._record_late_stream = record_whole
+            raise
+        record_whole()
+
+    def _record_whole(
+        self, placement: Placement, attempt: OpenAttempt, answer: Answer, stream: AttemptStream
+    ) -> None:
+        """Record and log a stream that the caller has got as a whole."""
         self._services.fleet_view.record_success(placement.server.incarnation_id)
         self._records.outcome(placement.server, *placement.helpers, is_failure=False)
         self._records.success(attempt, answer.status)
@@ -417,22 +437,3 @@
             lengths.record(route, total_s - times.first_s, self._declared_s)
         server_id, status, framing = placement.server.server_id, answer.status, answer.framing
         self._log.answered(server_id, status, framing, self._lane, times, len(stream.rest))
-
-    def _record_events(
-        self,
-        attempt: OpenAttempt,
-        in_flight: InFlightAttempt,
-        events: list[StreamEvent],
-        waited_s: float,
-    ) -> None:
-        fleet_view = self._services.fleet_view
-        if not in_flight.is_in_prefill:
-            event_s, slow_event_s = event_time_s(waited_s, len(events)), self._slow_event_s
-            fleet_view.record_event(attempt.server, event_s, slow_event_s, self._request_id)
-        now_s = self._clock.now_s()
-        for event in events:
-            if event.has_fields:
-                if attempt.position.is_new_to_attempt(event):
-                    attempt.wait.record_event(now_s)
-                fleet_view.ledger.first_event(in_flight, now_s)
-                self._records.event(attempt, now_s)
