Test a caller that reads a little more often than every 0.25 s

A blocked write checks four times within its timeout, which is a second after the limit, whether the caller reads.

--- a/packages/testing/tests/platform/test_slow_readers.py
+++ b/packages/testing/tests/platform/test_slow_readers.py
@@ -13,7 +13,8 @@
 from sassafrastally.proxy.caller_listener import CallerListener
 from sassafrastally.proxy.http_stream import HttpStream, limit_send_buffer
 from sassafrastally.proxy.input_limits import MAX_BODY_BYTES
-from sassafrastally.proxy.reply import CallerBlocked, Reply
+from sassafrastally.proxy.path import READ_PAUSE_S
+from sassafrastally.proxy.reply import READ_CHECKS, CallerBlocked, Reply
 from sassafrastally.proxy.slow_readers import (
     CALLER_BUFFER_BYTES,
     MIN_BLOCKED_S,
@@ -215,3 +216,26 @@
     def test_bound_is_an_eighth_of_the_memory_if_known(self):
         assert most_buffered_bytes(160) == 20_000_000
         assert most_buffered_bytes(0) == float("inf")
+
+
+class TestPauses:
+    """Callers whose pauses are a little shorter than the interval of the checks."""
+
+    async def test_caller_that_reads_a_little_in_time_is_not_disconnected(self, connected):
+        """Guards against a complete response that is cut after its limit, although its caller reads
+        a little more often than every quarter of the timeout of a second."""
+        reply = await new_reply(connected[0], BlockedCallers())
+        reply.write_timeout_s = READ_PAUSE_S
+        async with trio.open_nursery() as nursery:
+
+            async def read() -> None:
+                while True:
+                    await trio.sleep(0.9 * READ_PAUSE_S / READ_CHECKS)
+                    await connected[1].receive_some(4096)
+
+            nursery.start_soon(read)
+            begin_s = trio.current_time()
+            await reply.send_complete(200, [], b"x" * 120_000)
+            nursery.cancel_scope.cancel()
+        assert reply.has_ended
+        assert trio.current_time() - begin_s > 2 * READ_PAUSE_S
