Reproduce a server that is struck off by a return that was never sent

What a caller sees: a stream that is cut (no further attempt: all attempts of its route are used), although a sound server of the route has answered and could resume it.

Cause: request_handler._begin_attempt takes the server out of progress.resumable; _record_unsent takes back the count, the charge and progress.tried for an attempt that was closed unsent, but not this. A state is recorded before it is true.

Fails by intent.

--- a/packages/testing/tests/platform/test_returning_attempts.py
+++ b/packages/testing/tests/platform/test_returning_attempts.py
@@ -12,6 +12,7 @@
 import pytest
 import trio
 
+from sassafrastally.proxy.connection_pool import ConnectionPool
 from sassafrastally.stand_ins.documents import make_configuration, make_route
 from sassafrastally.stand_ins.platform_fleet import wait_until
 from sassafrastally.stand_ins.silence import SilencePlace
@@ -118,3 +119,45 @@
         for (number, before), (_, after) in pairwise(got):
             if before != after:
                 assert (after, str(number)) in arrivals(fleet)
+
+
+class TestUnsentReturn:
+    """A server that may resume the stream gets nothing at first, as the other one goes on."""
+
+    @pytest.mark.parametrize("connect_s", [0.0, 0.2])
+    async def test_leaves_the_server_for_later(self, autojump_clock, fleet, monkeypatch, connect_s):
+        """Guards against a stream that is cut when its server breaks off, since the only server
+        that may resume it was struck off for an attempt that was closed before it was sent."""
+        answers = []
+        for replica in fleet.replicas.values():
+            fall_silent(replica, 0, 1.5)
+        connect = ConnectionPool.open
+
+        async def connect_late(pool, server):
+            if len(arrivals(fleet)) == 2:
+                await trio.sleep(connect_s)
+            return await connect(pool, server)
+
+        monkeypatch.setattr(ConnectionPool, "open", connect_late)
+        monkeypatch.setattr("sassafrastally.proxy.connection_pool.IDLE_TIME_S", 0.0)
+
+        async def request():
+            headers = {"Deadline-Ms": "8000"}
+            answers.append(
+                await fleet.call("/note/x", prompt=STREAM, headers=headers, request_id=REQUEST_ID)
+            )
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(request)
+            await wait_until(lambda: bool(arrivals(fleet)))
+            first = arrivals(fleet)[0][0]
+            for server_id, replica in fleet.replicas.items():
+                if server_id != first:
+                    fall_silent(replica, 2, 1.4)
+                    replica.breaks_after_events = 5
+            await wait_until(lambda: len(arrivals(fleet)) > 1)
+            fleet.replicas[first].silence.place = None
+        (answer,) = answers
+        assert [server_id for server_id, _ in arrivals(fleet)][::2] == [first, first]
+        assert (answer.status, answer.is_whole) == (200, True)
+        assert [number for number, _ in pieces(answer)] == EVENT_IDS
