Reproduce a configuration whose application fails midway

What a caller sees: 503 internal-error on a route that both versions allow, and 404 'version 3' on one that version 3 adds, until the next version is written.

Cause: cluster_state._apply_configuration sets the configuration before its route table is built, and apply confirms the position although the record failed; a record of the version that counts as known is not applied again. A state is recorded before it is true.

Evidence: TestFailedChange, an injected MemoryError in RouteTable, once: version 3, statuses 503 (KeyError in path._request_handler) and 404 after 3 s. No input is known that raises there by itself. Fails by intent.

--- a/packages/testing/tests/platform/test_configuration_changes.py
+++ b/packages/testing/tests/platform/test_configuration_changes.py
@@ -7,6 +7,7 @@
 import pytest
 import trio
 
+from sassafrastally.proxy import cluster_state
 from sassafrastally.proxy.path import RequestPath
 from sassafrastally.stand_ins.documents import (
     CUSTOMER,
@@ -96,3 +97,43 @@
         assert cut == []
         assert answered.count(200) > len(answered) / 4
         assert not {502, 504} & set(answered)
+
+
+class TestFailedChange:
+    """An unexpected error while a configuration is applied."""
+
+    async def test_leaves_no_mixture_of_two_versions(
+        self, autojump_clock, seeded_fleet, monkeypatch
+    ):
+        """Guards against an entry that counts as up to date with the routes of the version before:
+        it fails what both versions allow, and answers 404 for a route that was added."""
+        fleet = seeded_fleet
+        fleet.expects_errors = True
+        await fleet.add_replica("desk-1", "desk")
+        (await fleet.add_replica("other-1", "other")).work_s = 0.0
+        old = make_configuration(2, routes=[make_route("look", "idempotent", "desk")])
+        fleet.configure(old)
+        kernel = await fleet.add_entry()
+        await trio.sleep(1.0)
+        assert (await fleet.call("/look/x")).status == 200
+        make_table, failures = cluster_state.RouteTable, [MemoryError()]
+
+        def fail_once(routes):
+            if failures:
+                raise failures.pop()
+            return make_table(routes)
+
+        monkeypatch.setattr(cluster_state, "RouteTable", fail_once)
+        routes = [
+            make_route("look", "idempotent", "other"),
+            make_route("see", "idempotent", "other"),
+        ]
+        new = make_configuration(3, routes=routes)
+        new["services"] = [one for one in new["services"] if one["name"] != "desk"]
+        new["services"].append({"name": "other", "maxConns": 50})
+        fleet.configure(new)
+        await trio.sleep(3.0)
+        assert not failures
+        version = kernel.get("beliefs", cluster_state.ClusterState).configuration_version
+        statuses = [(await fleet.call(path)).status for path in ("/look/x", "/see/x")]
+        assert (version, statuses) == (3, [200, 200])
