Reproduce a fault of the decoder that ends all updates of an entry

What a caller sees: an entry sends requests to servers that have been draining or gone for any time, after a configuration that its decoder can't handle for a fault of its own.

Evidence: TestUndecodableConfiguration, an injected error in configuration_steps: a server that is draining isn't known as such 3 s later; the case without the error passes. No document is known that raises there by itself. Fails by intent.

--- a/packages/testing/tests/platform/test_configuration_changes.py
+++ b/packages/testing/tests/platform/test_configuration_changes.py
@@ -7,6 +7,7 @@
 import pytest
 import trio
 
+from sassafrastally.platform.adapter import PlatformDialect
 from sassafrastally.proxy import cluster_state
 from sassafrastally.proxy.path import RequestPath
 from sassafrastally.stand_ins.documents import (
@@ -137,3 +138,38 @@
         version = kernel.get("beliefs", cluster_state.ClusterState).configuration_version
         statuses = [(await fleet.call(path)).status for path in ("/look/x", "/see/x")]
         assert (version, statuses) == (3, [200, 200])
+
+
+class TestUndecodableConfiguration:
+    """An unexpected error while a configuration is decoded ahead of its use."""
+
+    @pytest.mark.parametrize("fails", [False, True])
+    async def test_keeps_no_other_change_from_entries(
+        self, autojump_clock, seeded_fleet, monkeypatch, fails
+    ):
+        """Guards against an entry that goes on sending requests to a server that is draining, since
+        a fault of its decoder ends the watch at each try, before other records are applied."""
+        fleet = seeded_fleet
+        fleet.expects_errors = True
+        for number in (1, 2):
+            await fleet.add_replica(f"desk-{number}", "desk")
+        kernel = await fleet.add_entry()
+        await trio.sleep(1.0)
+        decode = PlatformDialect.configuration_steps
+
+        def fail_to_decode(dialect, value):
+            if fails:
+                raise ZeroDivisionError
+            return decode(dialect, value)
+
+        monkeypatch.setattr(PlatformDialect, "configuration_steps", fail_to_decode)
+        fleet.configure(make_configuration(2))
+        await trio.sleep(1.0)
+        leaving = fleet.replicas["desk-1"]
+        fleet.store.put("servers/desk-1", leaving.entry(is_draining=True))
+        await trio.sleep(3.0)
+        known = kernel.get("beliefs", cluster_state.ClusterState).servers.get("desk-1")
+        assert known is None or known.is_draining
+        statuses = {(await fleet.call("/look/x")).status for _ in range(10)}
+        assert statuses == {200}
+        assert not leaving.received_requests
