Reproduce a stream that has arrived as a whole and loses its end at the limit

What a caller sees: all events of a stream, then a cut connection in place of its end, although the stream was complete here before the limit, and the caller took the last event 0.04 s after the limit.

Cause: reply._write_whole raises the cancellation after a write that isn't the response's last one, although it was written as a whole; attempt_stream then never reaches _end.

Evidence: test_whole_stream_is_ended, a write of 0.04 s across the limit: StreamBroken, late_s 0.04, last event sent; with a write at once it passes. Fails by intent.

--- a/packages/testing/tests/platform/test_late_failures.py
+++ b/packages/testing/tests/platform/test_late_failures.py
@@ -59,3 +59,25 @@
         "/note/x", prompt="1000,340", headers={"Deadline-Ms": str(int(LIMIT_S * 1000))}
     )
     assert (answer.status, answer.is_whole) == (status, True)
+
+
+@pytest.mark.parametrize("write_s", [0.0, 0.04])
+async def test_whole_stream_is_ended(autojump_clock, fleet, monkeypatch, write_s):
+    """Guards against a stream without its end although it had arrived as a whole before the limit
+    and its caller took the last event, whose write had begun before it, 0.04 s after it."""
+    engine = fleet.replicas["engine-1"]
+    engine.silence.place, engine.silence.part_number = SilencePlace.BEFORE_PART, 9
+    engine.silence.before_limit_s, engine.silence.includes_reports = 0.03, False
+    send_some = HttpStream.send_some
+
+    async def send_last_late(connection, data):
+        if connection.http.our_role is h11.SERVER and b"id: 9\n" in data:
+            await trio.sleep(write_s)
+        return await send_some(connection, data)
+
+    monkeypatch.setattr(HttpStream, "send_some", send_last_late)
+    answer = await fleet.call(
+        "/note/x", prompt="1000,340", headers={"Deadline-Ms": str(int(LIMIT_S * 1000))}
+    )
+    assert b"id: 9\n" in answer.body
+    assert answer.is_whole
