Reproduce a return that takes the place of another server

What a caller sees: a stream that is cut (all attempts of its route are used) after two servers, although its route allows three.

Cause: request_handler._begin_attempt adds to progress.sent also for a server in progress.resumable, and has_servers_left compares that with the route's number of servers. The order decides: the third server first and then the return is allowed.

Evidence: TestServersLeft, three servers allowed, the first one returns and breaks off: StreamBroken after attempt 3; passes if the third server is there from the begin. Fails by intent.

--- a/packages/testing/tests/platform/test_returning_attempts.py
+++ b/packages/testing/tests/platform/test_returning_attempts.py
@@ -161,3 +161,46 @@
         assert [server_id for server_id, _ in arrivals(fleet)][::2] == [first, first]
         assert (answer.status, answer.is_whole) == (200, True)
         assert [number for number, _ in pieces(answer)] == EVENT_IDS
+
+
+class TestServersLeft:
+    """A server that resumes the stream breaks off, and the route allows one more server."""
+
+    @pytest.mark.parametrize("resumes", [False, True])
+    async def test_returns_dont_count_as_servers(self, autojump_clock, fleet, resumes):
+        """Guards against a stream that is cut although its route allows a third server, since the
+        first one, which resumed it, was counted twice."""
+        routes = [make_route("note3", "streaming", "engines", gapGoalMs=250, maxAttempts=3)]
+        fleet.configure(make_configuration(3, routes=routes))
+        third = fleet.replicas["engine-3"]
+        if resumes:
+            fleet.store.remove("servers/engine-3")
+        await trio.sleep(1.5)
+        for replica in fleet.replicas.values():
+            fall_silent(replica, 0, 1.5)
+        answers = []
+
+        async def request():
+            headers = {"Deadline-Ms": "8000"}
+            answers.append(
+                await fleet.call("/note3/x", prompt=STREAM, headers=headers, request_id=REQUEST_ID)
+            )
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(request)
+            await wait_until(lambda: bool(arrivals(fleet)))
+            first = arrivals(fleet)[0][0]
+            for server_id, replica in fleet.replicas.items():
+                replica.breaks_after_events = 8
+                if server_id != first:
+                    fall_silent(replica, 4, 0.4)
+                    replica.breaks_after_events = 6
+            third.silence.place, third.breaks_after_events = None, -1
+            await wait_until(lambda: len(arrivals(fleet)) > 1)
+            fleet.replicas[first].silence.place = None
+            if resumes:
+                await wait_until(lambda: len(arrivals(fleet)) > 2)
+                fleet.store.put("servers/engine-3", third.entry())
+        (answer,) = answers
+        assert (answer.status, answer.is_whole) == (200, True)
+        assert [number for number, _ in pieces(answer)] == EVENT_IDS
