Reproduce a run that nobody cancels once its link was cut

What users see: a booking whose caller has left runs on until its deadline and holds engine memory, if its link was cut before.

Cause: Attempt._run_or_cancel sends the cancellation on the stream that has just been cut, and resets _is_left_open at each try to read again; cancel_unread then finds nothing to cancel when the caller leaves during Resolution.query_again. The sidecar doesn't end runs without readers that may not be repeated (conversation._is_cancelled_when_unread).

Evidence: test_is_cancelled_if_the_link_was_cut_before, with and without a missing chunk: no Cancel within 5 s. Fails by intent.

--- a/packages/entry/tests/test_incomplete_runs.py
+++ b/packages/entry/tests/test_incomplete_runs.py
@@ -9,7 +9,7 @@
 
 from sassafrastally.serving.outcome import AttemptState
 from sassafrastally.testing.sidecar_scripts import THREE_EVENTS, own_of, refusing
-from sassafrastally.wire.messages import Cancel, Query, Reserve
+from sassafrastally.wire.messages import Attach, Cancel, Query, Reserve
 
 
 async def send_gap(sidecar: Any, end: Any, reserve: Reserve) -> None:
@@ -68,3 +68,35 @@
         await trio.sleep(5.0)
         assert world.ran() == 1
         assert len(world.s1.of(Cancel) + world.s2.of(Cancel)) == 1
+
+    @pytest.mark.parametrize("has_gap", [True, False])
+    async def test_is_cancelled_if_the_link_was_cut_before(
+        self, world: Any, autojump_clock: Any, has_gap: bool
+    ) -> None:
+        """Guards against a run that may not be repeated and goes on for nobody: its link was cut
+        before its caller left, so that nothing could be told to the sidecar then."""
+
+        async def script(sidecar: Any, end: Any, message: Any) -> None:
+            if isinstance(message, Reserve):
+                if not has_gap:
+                    await sidecar.accept(end, message)
+                    sidecar.ran.append(own_of(message))
+                    end.cut()
+                    return
+                await send_gap(sidecar, end, message)
+                while True:
+                    await end.receive()
+            if isinstance(message, Attach):
+                end.cut()
+                return
+            if isinstance(message, Query) and len(world.s1.of(Query) + world.s2.of(Query)) > 1:
+                await trio.sleep(2.0)
+            await type(sidecar).behave(sidecar, end, message)
+
+        for sidecar in (world.s1, world.s2):
+            sidecar.scripts = [script] * 50
+        with trio.move_on_after(1.0):
+            await world.ask(world.booking(prompt_tokens=5_000))
+        await trio.sleep(5.0)
+        assert world.ran() == 1
+        assert len(world.s1.of(Cancel) + world.s2.of(Cancel)) == 1
