Reproduce a refusal that waits for the cancellation of an unread run

What callers see: a refusal 1 s after the time limit of a booking whose answer had a gap, if the VM of its sidecar has lost power.

Cause: Resolution.resolve_lost awaits Attempt.cancel_unread when it is cancelled, which waits in a shield of CANCEL_LIMIT_S (1 s) for Peers.link_to; that dials a VM that doesn't answer.

Fails by intent.

--- a/packages/entry/tests/test_incomplete_runs.py
+++ b/packages/entry/tests/test_incomplete_runs.py
@@ -7,8 +7,9 @@
 import pytest
 import trio
 
+from sassafrastally.core import Service
 from sassafrastally.serving.outcome import AttemptState
-from sassafrastally.testing.sidecar_scripts import THREE_EVENTS, own_of, refusing
+from sassafrastally.testing.sidecar_scripts import THREE_EVENTS, own_of, refusal_of, refusing
 from sassafrastally.wire.messages import Attach, Cancel, Query, Reserve
 
 
@@ -100,3 +101,36 @@
         await trio.sleep(5.0)
         assert world.ran() == 1
         assert len(world.s1.of(Cancel) + world.s2.of(Cancel)) == 1
+
+    @pytest.mark.parametrize("has_gap", [False, True])
+    async def test_isnt_waited_for_after_the_time_limit(
+        self, world: Any, autojump_clock: Any, monkeypatch: Any, has_gap: bool
+    ) -> None:
+        """Guards against a refusal a second after the time limit: a VM that has lost power doesn't
+        answer, and the cancellation of its run waits for a link."""
+        peers = world.kernel.get("peers", Service)
+        link_to = peers.link_to
+
+        async def link_to_running(vm: str, address: Any) -> Any:
+            if world.sidecars[vm].is_down:
+                await trio.sleep(5.0)
+            return await link_to(vm, address)
+
+        monkeypatch.setattr(peers, "link_to", link_to_running)
+
+        async def script(sidecar: Any, end: Any, message: Any) -> None:
+            if has_gap:
+                await send_gap(sidecar, end, message)
+            else:
+                await sidecar.accept(end, message)
+            sidecar.is_down = True
+            if not has_gap:
+                end.cut()
+            await end.receive()
+
+        for sidecar in (world.s1, world.s2):
+            sidecar.scripts = [script] * 50
+        begin_s = trio.current_time()
+        refusal = await refusal_of(world, world.booking(prompt_tokens=5_000, time_limit_s=2.0))
+        assert refusal.kind.code == "time-limit-passed"
+        assert trio.current_time() - begin_s <= 2.25
