Reproduce a kept failure that is given up for a header

What a caller sees: the header of a success (137 bytes), then a closed connection, although an engine's complete 500 was kept for the case that no other attempt does better.

Cause: attempt_stream.forward sends the header as soon as it comes if no other attempt is open; from then on reply.can_complete is false and streaming_request.forward_kept gives the kept failure up. What is ready is given up before its replacement is certain.

Evidence: TestFailureBesideHeader, first engine 500, its successor breaks off after its header: StreamBroken, sent_bytes 137. With a successor that sends events it passes. Fails by intent.

--- a/packages/testing/tests/platform/test_unsent_successors.py
+++ b/packages/testing/tests/platform/test_unsent_successors.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+from contextlib import asynccontextmanager
+
 import pytest
 import trio
 
+from sassafrastally.proxy.attempt import AttemptSender
 from sassafrastally.proxy.connection_pool import ConnectionPool
 from sassafrastally.stand_ins.documents import make_configuration, make_route
 from sassafrastally.stand_ins.platform_fleet import wait_until
@@ -136,3 +139,37 @@
         answer = await call(fleet, spoil)
         assert receivers(fleet)[0] is failed[0]
         assert answer.status == 500
+
+
+class TestFailureBesideHeader:
+    """An engine's failure whose successor sends a header and no event."""
+
+    @pytest.mark.parametrize("events", [0, 10])
+    async def test_is_forwarded_unless_an_event_comes(
+        self, autojump_clock, fleet, monkeypatch, events
+    ):
+        """Guards against a connection that is closed after a header, although an engine's complete
+        failure was kept for the case that no other attempt does better."""
+
+        def spoil(first, others):
+            first.response_status = 500
+            monkeypatch.setattr(first, "_stream", first._plain)
+            for one in others:
+                one.breaks_after_events = events
+
+        send_attempt = AttemptSender.send
+
+        @asynccontextmanager
+        async def send(sender, request, terms, **options):
+            if not sent:
+                sent.append(terms.server.server_id)
+                first = fleet.replicas[terms.server.server_id]
+                spoil(first, [one for one in fleet.replicas.values() if one is not first])
+            async with send_attempt(sender, request, terms, **options) as answer:
+                yield answer
+
+        sent = []
+        monkeypatch.setattr(AttemptSender, "send", send)
+        answer = await fleet.call("/note/x", prompt=STREAM, headers={"Deadline-Ms": "6000"})
+        assert len(receivers(fleet)) == 2
+        assert (answer.status, answer.is_whole) == (200 if events else 500, True)
