Entry: cancel an unread run in the background, not before its request ends

Cause: Resolution.resolve_lost, when it was cancelled, awaited Attempt.cancel_unread, which waited in a shield of CANCEL_LIMIT_S (1 s) for Peers.link_to; that dials a VM that doesn't answer.

Change: UnreadRuns starts the cancellation as a task of the request path. The tasks are bounded in time (1 s) and number (max_open_requests), the stop of the path waits for them at most 1 s and ends them, and none is started once their nursery is about to end: a request may outlive the service. A run that couldn't be cancelled before its time limit is logged (event 6017). test_unread_runs covers the bounds, the stop and a request that outlives the service.

--- a/packages/entry/src/sassafrastally/entry/attempt.py
+++ b/packages/entry/src/sassafrastally/entry/attempt.py
@@ -124,6 +124,11 @@
         """Number of chunks of the answer received so far."""
         return self._chunk_order.next_sequence
 
+    @property
+    def runs_unread(self) -> bool:
+        """Whether the run was left open to be read again, and goes on until it is cancelled."""
+        return self._is_left_open and not self._continues_without_reader()
+
     def assume_incarnation(self) -> None:
         """Take the attempt to be with the incarnation at the other end of the link.
 
@@ -236,19 +241,6 @@
         has_claim = bool(self.plan.request.key) and self.is_committed
         return self._is_adopted or (has_claim and self._time_left_s() > 0)
 
-    async def cancel_unread(self) -> None:
-        """Cancel a run that was left open to be read again, if it isn't read any more."""
-        if not self._is_left_open or self._continues_without_reader():
-            return
-        self._is_left_open = False
-        with trio.move_on_after(CANCEL_LIMIT_S, shield=True):
-            try:
-                link = await self._peers.link_to(self.site.vm, self.site.address)
-                async with link.open_stream() as stream:
-                    await self._send_cancel(stream)
-            except (LinkRefused, LinkCut, StreamEnded, TooManyStreams):
-                return
-
     async def _send_cancel(self, stream: Stream) -> None:
         with trio.move_on_after(CANCEL_LIMIT_S, shield=True):
             try:
--- a/packages/entry/src/sassafrastally/entry/events.py
+++ b/packages/entry/src/sassafrastally/entry/events.py
@@ -132,6 +132,16 @@
     vm: str
 
 
+@event(6017, "warning")
+class UnreadRunContinues(NamedTuple):
+    """A run that nobody reads any more couldn't be cancelled; it ends at its time limit."""
+
+    request_id: str
+    attempt: int
+    vm: str
+    cause: str
+
+
 REQUESTS = counter("sassafrastally.entry.requests", "1", "Requests by outcome and code")
 OPEN_REQUESTS = gauge("sassafrastally.entry.open_requests", "1", "Requests in progress")
 RETRIES = counter("sassafrastally.entry.retries", "1", "Attempts after the first")
--- a/packages/entry/src/sassafrastally/entry/execution.py
+++ b/packages/entry/src/sassafrastally/entry/execution.py
@@ -272,15 +272,19 @@
         services = self._services
         resolution = Resolution(attempt, services.candidates, services.events, services.random)
         tokens = self._request.prompt_tokens + self._request.max_output_tokens
-        with services.candidates.in_flight(reachable.candidate.vm, tokens):
-            result = await attempt.run()
-            if isinstance(result, KeyOwnedElsewhere):
-                result = await resolution.join_owner(result.owner)
-            elif isinstance(result, ContactLost):
-                result = await resolution.resolve_lost(result, self._contact_timeout_s())
-                if make is Attempt:
-                    # The leader of a span can't be read later: its members have been released.
-                    self._lost_runs.add(attempt, resolution, result)
+        result: AttemptResult | None = None
+        try:
+            with services.candidates.in_flight(reachable.candidate.vm, tokens):
+                result = await attempt.run()
+                if isinstance(result, KeyOwnedElsewhere):
+                    result = await resolution.join_owner(result.owner)
+                elif isinstance(result, ContactLost):
+                    result = await resolution.resolve_lost(result, self._contact_timeout_s())
+                    if make is Attempt:
+                        # The leader of a span can't be read later: its members are released.
+                        self._lost_runs.add(attempt, resolution, result)
+        finally:
+            services.unread_runs.after_attempt(attempt, result)
         if isinstance(result, Rejected | Unreachable):
             self._asked.turn.give_back(attempt)
         self._record_result(attempt, result)
--- a/packages/entry/src/sassafrastally/entry/execution_services.py
+++ b/packages/entry/src/sassafrastally/entry/execution_services.py
@@ -10,6 +10,7 @@
     from sassafrastally.core import EventLog
     from sassafrastally.entry.candidates import Candidates
     from sassafrastally.entry.settings import EntrySettings
+    from sassafrastally.entry.unread_runs import UnreadRuns
     from sassafrastally.serving.retries import RetryBudget
     from sassafrastally.serving.routing import RoutingPolicy
     from sassafrastally.wire.link import Peers
@@ -25,3 +26,4 @@
     budget: RetryBudget
     events: EventLog
     random: Random
+    unread_runs: UnreadRuns
--- a/packages/entry/src/sassafrastally/entry/path.py
+++ b/packages/entry/src/sassafrastally/entry/path.py
@@ -32,6 +32,7 @@
 from sassafrastally.entry.execution_services import ExecutionServices
 from sassafrastally.entry.hooks import admitted
 from sassafrastally.entry.relay import Answer
+from sassafrastally.entry.unread_runs import UnreadRuns
 from sassafrastally.serving.outcome import Outcome
 from sassafrastally.serving.refusals import Figures, Refusal
 from sassafrastally.serving.retries import RetryBudget
@@ -84,21 +85,26 @@
         self._is_closed = False
         self._idle = trio.lowlevel.ParkingLot()
         self._services: ExecutionServices
+        self._unread_runs: UnreadRuns
         self._membership: Membership
 
     async def start(self, nursery: trio.Nursery) -> None:
-        """Look up the services that the path depends on."""
+        """Look up the services that the path depends on, and start its tasks."""
         kernel, settings = self.kernel, self._settings
         self._membership = cast("Membership", kernel.get("membership", Service))
+        peers = cast("Peers", kernel.get("peers", Service))
+        self._unread_runs = UnreadRuns(peers, kernel.events, settings.max_open_requests)
         self._services = ExecutionServices(
             settings=settings,
-            peers=cast("Peers", kernel.get("peers", Service)),
+            peers=peers,
             candidates=Candidates(self._membership, kernel.data_centre),
             policy=ROUTING_POLICIES.get(settings.routing_policy)(kernel.random),
             budget=RetryBudget(settings.retry_burst),
             events=kernel.events,
             random=kernel.random,
+            unread_runs=self._unread_runs,
         )
+        await nursery.start(self._unread_runs.run)
         nursery.start_soon(self._shorten_deadlines)
 
     async def stop(self) -> None:
@@ -106,6 +112,7 @@
         self.close()
         while self._open:
             await self._idle.park()
+        await self._unread_runs.stop()
 
     def close(self) -> None:
         """Refuse new requests as ``stopping`` from now on."""
--- a/packages/entry/src/sassafrastally/entry/resolution.py
+++ b/packages/entry/src/sassafrastally/entry/resolution.py
@@ -80,13 +80,8 @@
         event = AttemptCut(plan.request_id, plan.number, plan.vm, True, lost.cause)
         self._events.emit(event)
         if not self._attempt.site.incarnation:
-            await self._attempt.cancel_unread()
             return lost
-        try:
-            return await self.query_again(lost, timeout_s)
-        except trio.Cancelled:
-            await self._attempt.cancel_unread()
-            raise
+        return await self.query_again(lost, timeout_s)
 
     async def query_again(self, lost: ContactLost, timeout_s: float) -> AttemptResult:
         """Try once more to determine the outcome of an attempt whose incarnation is known.
