Entry: cancel a run that may not be repeated also after its link was cut

Cause: Attempt._run_or_cancel sent the cancellation on the stream that was just cut, and reset _is_left_open at each try to read again, so that nothing was left to cancel when the caller left. A sidecar ends no unread run that may not be repeated.

Change: a run is cancelled in the background if it is committed, not known to have ended and wasn't told on its own stream; an idempotent one that LostRuns may still read isn't. The cancellation is repeated until the sidecar replies, for the time that the run has left, at least 1 s and at most 30 s. No cancellation is sent any more on a stream that was lost and whose run is queried next.

test_unread_runs: the stand-in has link.call in place of a stream, as the reply counts now; the bound in time is tested for three limits in place of one; new tests of the repetition and of the decision.

--- a/packages/entry/src/sassafrastally/entry/attempt.py
+++ b/packages/entry/src/sassafrastally/entry/attempt.py
@@ -107,9 +107,9 @@
         self._chunk_order = ChunkOrder(plan.request_id, plan.number)
         self._buffered: list[bytes] = []
         self._buffered_bytes = 0
-        self._is_settled = False
-        self._is_left_open = False
-        """Whether the run goes on to be read again."""
+        self._is_over = False
+        """Whether the attempt is known to have ended or never to run."""
+        self._is_cancel_sent = False
         self._is_adopted = False
         self._linked_incarnation = ""
         self._broken_answers = 0
@@ -126,8 +126,9 @@
 
     @property
     def runs_unread(self) -> bool:
-        """Whether the run was left open to be read again, and goes on until it is cancelled."""
-        return self._is_left_open and not self._continues_without_reader()
+        """Whether a run may go on that nobody reads, as its sidecar wasn't told to cancel it."""
+        is_settled = self._is_over or self._is_cancel_sent
+        return self.is_committed and not (is_settled or self._continues_without_reader())
 
     def assume_incarnation(self) -> None:
         """Take the attempt to be with the incarnation at the other end of the link.
@@ -191,11 +192,12 @@
             link: Link = await self._peers.link_to(site.vm, site.address)
             async with link.open_stream() as stream:
                 await stream.send(message)
-                result = await self._run_or_cancel(stream, self._read_answer(stream))
+                result = await self._run_or_cancel(stream, self._read_until_lost(stream))
         except (LinkRefused, LinkCut, StreamEnded, TooManyStreams) as cause:
             return ContactLost(cause.detail)
         if isinstance(result, Rejected) and result.refused.code:
             # The attach was refused, not the attempt: this proves nothing about the run.
+            self._is_over = False
             return ContactLost(f"not joined: {result.refused.detail}")
         return result
 
@@ -214,22 +216,22 @@
         Otherwise, after a time limit, a disconnect of the caller or a failed claim, the
         reservation or run would hold engine memory until it expires.
         """
-        self._is_settled = self._is_left_open = False
+        self._is_over = self._is_cancel_sent = is_read_again = False
         try:
             result = await work
-            is_over = not isinstance(result, KeyOwnedElsewhere | Unreachable | ContactLost)
-            self._is_left_open = self._is_read_again(result)
-            self._is_settled = is_over or self._is_left_open
+            self._is_over = not isinstance(result, KeyOwnedElsewhere | Unreachable | ContactLost)
+            is_read_again = self._is_read_again(result)
             return result
         finally:
-            if not (self._is_settled or self._continues_without_reader()):
+            if not (self._is_over or is_read_again or self._continues_without_reader()):
                 await self._send_cancel(stream)
 
     def _is_read_again(self, result: AttemptResult) -> bool:
-        """Return whether an incomplete answer is requested again, for which its run must go on."""
-        is_broken = isinstance(result, ContactLost) and result.is_protocol_error
-        self._broken_answers += is_broken
-        return is_broken and self._broken_answers <= MAX_BROKEN_ANSWERS
+        """Return whether the answer is requested again, for which its run must go on."""
+        if not isinstance(result, ContactLost):
+            return False
+        self._broken_answers += result.is_protocol_error
+        return not result.is_protocol_error or self._broken_answers <= MAX_BROKEN_ANSWERS
 
     def _continues_without_reader(self) -> bool:
         """Return whether the run continues without this reader.
@@ -245,6 +247,7 @@
         with trio.move_on_after(CANCEL_LIMIT_S, shield=True):
             try:
                 await stream.send(Cancel(self.site.request_id, self.site.attempt, "given up"))
+                self._is_cancel_sent = True
             except (LinkCut, StreamEnded):
                 return
 
@@ -317,10 +320,7 @@
         """
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._send_body, stream)
-            try:
-                result = await self._read_answer(stream)
-            except (LinkCut, StreamEnded) as cause:
-                result = self._on_link_lost(cause)
+            result = await self._read_until_lost(stream)
             nursery.cancel_scope.cancel()
         return result
 
@@ -334,6 +334,12 @@
             # The reader of the same stream gets the same error and handles it.
             return
 
+    async def _read_until_lost(self, stream: Stream) -> AttemptResult:
+        try:
+            return await self._read_answer(stream)
+        except (LinkCut, StreamEnded) as cause:
+            return self._on_link_lost(cause)
+
     async def _read_answer(self, stream: Stream) -> AttemptResult:
         while True:
             for message in await stream.receive_ready():
--- a/packages/entry/src/sassafrastally/entry/path.py
+++ b/packages/entry/src/sassafrastally/entry/path.py
@@ -93,7 +93,9 @@
         kernel, settings = self.kernel, self._settings
         self._membership = cast("Membership", kernel.get("membership", Service))
         peers = cast("Peers", kernel.get("peers", Service))
-        self._unread_runs = UnreadRuns(peers, kernel.events, settings.max_open_requests)
+        self._unread_runs = UnreadRuns(
+            peers, kernel.events, kernel.random, settings.max_open_requests
+        )
         self._services = ExecutionServices(
             settings=settings,
             peers=peers,
--- a/packages/entry/src/sassafrastally/entry/unread_runs.py
+++ b/packages/entry/src/sassafrastally/entry/unread_runs.py
@@ -2,25 +2,36 @@
 
 from __future__ import annotations
 
+from itertools import count
 from typing import TYPE_CHECKING, Any, NamedTuple
 
 import trio
 
 from sassafrastally.entry.attempt_result import ContactLost
 from sassafrastally.entry.events import UnreadRunContinues
+from sassafrastally.entry.resolution import CONTACT_BACKOFF
+from sassafrastally.serving.retries import backoff_s
 from sassafrastally.wire.link import LinkCut, LinkRefused, StreamEnded
 from sassafrastally.wire.messages import Cancel
 from sassafrastally.wire.streams import TooManyStreams
 
 if TYPE_CHECKING:
+    from random import Random
+
     from sassafrastally.core import EventLog
     from sassafrastally.entry.attempt import Attempt
     from sassafrastally.entry.attempt_result import AttemptResult
     from sassafrastally.entry.site import Site
     from sassafrastally.wire.link import Peers
 
-CANCEL_LIMIT_S = 1.0
-"""Time limit of a cancellation, also for those that are pending when the service stops."""
+MIN_CANCEL_LIMIT_S = 1.0
+"""Time limit of a cancellation if the run is about to end by itself."""
+
+MAX_CANCEL_LIMIT_S = 30.0
+"""Time limit of a cancellation: enough to cut a silent link (5 s) and for several dials (5 s)."""
+
+STOP_LIMIT_S = 1.0
+"""How long a stop of the service waits for the cancellations in progress."""
 
 
 class _UnreadRun(NamedTuple):
@@ -43,13 +54,16 @@
         The links of the process.
     events
         Event log of the process.
+    random
+        Random source for jitter.
     max_pending
         Maximum number of cancellations in progress.
     """
 
-    def __init__(self, peers: Peers, events: EventLog, max_pending: int) -> None:
+    def __init__(self, peers: Peers, events: EventLog, random: Random, max_pending: int) -> None:
         self._peers = peers
         self._events = events
+        self._random = random
         self._max_pending = max_pending
         self._pending = 0
         self._idle = trio.lowlevel.ParkingLot()
@@ -77,7 +91,7 @@
 
     async def stop(self) -> None:
         """Wait a limited time for the cancellations in progress, then end them."""
-        with trio.move_on_after(CANCEL_LIMIT_S):
+        with trio.move_on_after(STOP_LIMIT_S):
             while self._pending:
                 await self._idle.park()
         self._stopping.set()
@@ -106,10 +120,11 @@
     async def _cancel(self, run: _UnreadRun) -> None:
         cause = "the entry stops"
         try:
-            with trio.move_on_after(CANCEL_LIMIT_S) as scope:
-                cause = await self._send(run.site)
+            with trio.move_on_after(cancel_limit_s(run.deadline_s - trio.current_time())) as scope:
+                await self._send_until_taken(run.site)
+                cause = ""
             if scope.cancelled_caught:
-                cause = "its sidecar wasn't reached in time"
+                cause = "its sidecar didn't confirm it in time"
         finally:
             self._pending -= 1
             if not self._pending:
@@ -117,15 +132,22 @@
             if cause:
                 self._emit_continues(run, cause)
 
-    async def _send(self, site: Site) -> str:
-        """Send the cancellation on a stream of its own; return why that failed, or ``""``."""
+    async def _send_until_taken(self, site: Site) -> None:
+        for tries in count():
+            if await self._is_taken(site):
+                return
+            await trio.sleep(backoff_s(CONTACT_BACKOFF, tries, 0.0, self._random))
+
+    async def _is_taken(self, site: Site) -> bool:
+        """Send the cancellation; return whether the sidecar has read it."""
         try:
             link = await self._peers.link_to(site.vm, site.address)
-            async with link.open_stream() as stream:
-                await stream.send(Cancel(site.request_id, site.attempt, "given up"))
-        except (LinkRefused, LinkCut, StreamEnded, TooManyStreams) as cause:
-            return cause.detail
-        return ""
+            await link.call(Cancel(site.request_id, site.attempt, "given up"))
+        except StreamEnded as cause:
+            return not cause.peer_code  # A code means that the sidecar refused the stream unread.
+        except (LinkRefused, LinkCut, TooManyStreams):
+            return False
+        return True
 
     def _emit_continues(self, run: _UnreadRun, cause: str) -> None:
         if trio.current_time() < run.deadline_s:
@@ -138,8 +160,16 @@
     """Return whether the run of an attempt is to be cancelled, since nobody will read it.
 
     An idempotent run whose sidecar is out of reach may still be read, by `LostRuns`; if it isn't,
-    its sidecar ends it.
+    its sidecar ends it. It doesn't end a run that may not be repeated.
     """
     if result is None:
         return attempt.runs_unread
-    return isinstance(result, ContactLost) and result.is_protocol_error and attempt.runs_unread
+    if not isinstance(result, ContactLost):
+        return False
+    is_kept = attempt.plan.request.is_idempotent and not result.is_protocol_error
+    return attempt.runs_unread and not is_kept
+
+
+def cancel_limit_s(time_left_s: float) -> float:
+    """Return how long to try to cancel a run that ends by itself after a time."""
+    return min(max(time_left_s, MIN_CANCEL_LIMIT_S), MAX_CANCEL_LIMIT_S)
--- a/packages/entry/tests/test_unread_runs.py
+++ b/packages/entry/tests/test_unread_runs.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from random import Random
 from types import SimpleNamespace
 from typing import TYPE_CHECKING, Any
 
@@ -9,9 +10,24 @@
 import trio
 
 from sassafrastally.core import Address, Clock, EventLog, Incarnation
+from sassafrastally.entry.attempt_result import (
+    ContactLost,
+    Failed,
+    IncarnationGone,
+    Rejected,
+)
 from sassafrastally.entry.site import Site
-from sassafrastally.entry.unread_runs import CANCEL_LIMIT_S, UnreadRuns
-from sassafrastally.wire.link import LinkRefused
+from sassafrastally.entry.unread_runs import (
+    MAX_CANCEL_LIMIT_S,
+    MIN_CANCEL_LIMIT_S,
+    STOP_LIMIT_S,
+    UnreadRuns,
+    cancel_limit_s,
+    is_given_up,
+)
+from sassafrastally.wire.link import LinkCut, LinkRefused, StreamEnded
+from sassafrastally.wire.messages import End, Refused
+from sassafrastally.wire.streams import TooManyStreams
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -27,30 +43,28 @@
     def __init__(self) -> None:
         self.is_silent = True
         self.received: list[Message] = []
-        self.dials = 0
+        self.failures: list[Exception] = []
+        """What the next calls raise."""
 
     async def link_to(self, vm: str, address: Address) -> Any:
-        self.dials += 1
         if self.is_silent:
             await trio.sleep(5.0)
             raise LinkRefused("no answer in 5 s")
-        return SimpleNamespace(open_stream=lambda: self)
+        return self
 
-    async def send(self, message: Message) -> None:
+    async def call(self, message: Message) -> Message:
         await trio.lowlevel.checkpoint()
+        if self.failures:
+            raise self.failures.pop(0)
         self.received.append(message)
+        return End()
 
-    async def __aenter__(self) -> Peers:
-        return self
-
-    async def __aexit__(self, *_: object) -> None:
-        return
 
-
-def attempt_of(number: int, limit_s: float = 30.0) -> Any:
+def attempt_of(number: int, limit_s: float = 300.0, *, is_idempotent: bool = False) -> Any:
     """Return an attempt that was left with its run going on."""
     site = Site("s1", ADDRESS, "life-1", "r1", number)
-    request = SimpleNamespace(deadline_s=trio.current_time() + limit_s)
+    deadline_s = trio.current_time() + limit_s
+    request = SimpleNamespace(deadline_s=deadline_s, is_idempotent=is_idempotent)
     return SimpleNamespace(site=site, plan=SimpleNamespace(request=request), runs_unread=True)
 
 
@@ -66,7 +80,7 @@
 
 @pytest.fixture
 async def make(peers: Peers, events: EventLog) -> Callable[[int], UnreadRuns]:
-    return lambda max_pending: UnreadRuns(peers, events, max_pending)  # type: ignore[arg-type]
+    return lambda max_pending: UnreadRuns(peers, events, Random(1), max_pending)  # type: ignore[arg-type]
 
 
 def causes(events: EventLog) -> list[Any]:
@@ -87,16 +101,89 @@
         assert runs.pending == 2
         assert causes(events) == ["2 cancellations are in progress"]
 
+    @pytest.mark.parametrize(
+        ("time_left_s", "limit_s"),
+        [(0.0, MIN_CANCEL_LIMIT_S), (10.0, 10.0), (300.0, MAX_CANCEL_LIMIT_S)],
+    )
     async def test_time_is_bounded(
-        self, nursery: trio.Nursery, autojump_clock: Any, make: Any, events: EventLog
+        self,
+        nursery: trio.Nursery,
+        autojump_clock: Any,
+        make: Any,
+        events: EventLog,
+        time_left_s: float,
+        limit_s: float,
     ) -> None:
         """Guards against a task that stays at a silent sidecar."""
+        assert cancel_limit_s(time_left_s) == limit_s
         runs = make(2)
         await nursery.start(runs.run)
-        runs.after_attempt(attempt_of(1, limit_s=0.0), None)
-        await trio.sleep(CANCEL_LIMIT_S + 0.1)
+        runs.after_attempt(attempt_of(1, time_left_s), None)
+        await trio.sleep(limit_s - 0.1)
+        assert runs.pending == 1
+        await trio.sleep(0.2)
         assert runs.pending == 0
-        assert causes(events) == []
+        # A run whose time limit has passed has ended by itself.
+        assert len(causes(events)) == (time_left_s > limit_s)
+
+
+class TestCancellation:
+    @pytest.mark.parametrize(
+        "failure",
+        [LinkCut("cut"), TooManyStreams("256 are open"), StreamEnded("it stops", 2009)],
+    )
+    async def test_is_sent_again_until_the_sidecar_has_read_it(
+        self,
+        nursery: trio.Nursery,
+        autojump_clock: Any,
+        make: Any,
+        peers: Peers,
+        failure: Exception,
+    ) -> None:
+        """Guards against a run that goes on since its cancellation was lost or not accepted."""
+        peers.is_silent, peers.failures = False, [failure] * 3
+        runs = make(2)
+        await nursery.start(runs.run)
+        runs.after_attempt(attempt_of(1), None)
+        await trio.sleep(5.0)
+        assert (len(peers.received), runs.pending) == (1, 0)
+
+    async def test_reaches_a_sidecar_that_was_silent(
+        self, nursery: trio.Nursery, autojump_clock: Any, make: Any, peers: Peers
+    ) -> None:
+        """Guards against a run that goes on after its caller left during a loss of contact."""
+        runs = make(2)
+        await nursery.start(runs.run)
+        runs.after_attempt(attempt_of(1), None)
+        await trio.sleep(8.0)
+        peers.is_silent = False
+        await trio.sleep(7.0)
+        assert (len(peers.received), runs.pending) == (1, 0)
+
+
+class TestDecision:
+    @pytest.mark.parametrize(
+        ("result", "is_idempotent", "is_expected"),
+        [
+            (None, False, True),
+            (None, True, True),
+            (ContactLost("cut"), False, True),
+            (ContactLost("cut"), True, False),
+            (ContactLost("a gap", is_protocol_error=True), True, True),
+            (Failed(End()), False, False),
+            (Rejected(Refused()), False, False),
+            (IncarnationGone("s1"), False, False),
+        ],
+    )
+    async def test_only_runs_that_nobody_will_read(
+        self, result: Any, is_idempotent: bool, is_expected: bool
+    ) -> None:
+        """Guards against a run that goes on for nobody, and one that is cancelled although it is
+        read later."""
+        attempt = attempt_of(1, is_idempotent=is_idempotent)
+        assert is_given_up(attempt, result) is is_expected
+        attempt.runs_unread = False
+        assert not is_given_up(attempt, result)
 
 
 class TestStop:
@@ -121,7 +208,7 @@
             runs.after_attempt(attempt_of(1), None)
             begin_s = trio.current_time()
             await runs.stop()
-        assert trio.current_time() - begin_s <= CANCEL_LIMIT_S
+        assert trio.current_time() - begin_s <= STOP_LIMIT_S
         assert (runs.pending, len(causes(events))) == (0, 1)
 
     @pytest.mark.parametrize("is_cancelled", [False, True])
