Reproduce a cancellation that is lost with its link, and a refusal that waits for room on it

What callers see: a refusal 1 s after the time limit, if the link to the run's sidecar has no room (its VM has lost power while bodies were sent). A booking runs on until its deadline after its caller left during a silence of its link that ended in a cut.

Cause: Attempt._send_cancel waits for room in a shield of CANCEL_LIMIT_S (1 s); a message that was queued on a link counts as received.

Evidence: test_refusal_doesnt_wait_for_room_on_the_link: refused at 3.0 s for a limit of 2.0 s, idempotent or not; test_cancellation_may_be_lost_with_the_link: no Cancel within 5 s. Fail by intent.

--- a/packages/entry/tests/test_unread_runs.py
+++ b/packages/entry/tests/test_unread_runs.py
@@ -1,4 +1,4 @@
-"""Cancellations of runs that nobody reads any more, as tasks with bounds."""
+"""Cancellations of runs that nobody reads any more, as tasks with bounds, and their cases."""
 
 from __future__ import annotations
 
@@ -25,8 +25,9 @@
     cancel_limit_s,
     is_given_up,
 )
+from sassafrastally.testing.sidecar_scripts import own_of, refusal_of
 from sassafrastally.wire.link import LinkCut, LinkRefused, StreamEnded
-from sassafrastally.wire.messages import End, Refused
+from sassafrastally.wire.messages import Cancel, End, Refused, Reserve
 from sassafrastally.wire.streams import TooManyStreams
 
 if TYPE_CHECKING:
@@ -226,3 +227,54 @@
                 await runs.stop()
         runs.after_attempt(attempt_of(1), None)
         assert (runs.pending, causes(events)) == (0, ["the entry stops"])
+
+
+class TestOwnStream:
+    """The caller leaves, or the limit passes, while the run's own stream is open but silent."""
+
+    async def test_cancellation_may_be_lost_with_the_link(
+        self, world: Any, autojump_clock: Any
+    ) -> None:
+        """Guards against a run that may not be repeated and goes on for nobody, since the link was
+        cut before the cancellation that was queued on it arrived."""
+
+        async def script(sidecar: Any, end: Any, message: Any) -> None:
+            if isinstance(message, Reserve):
+                await sidecar.accept(end, message)
+                sidecar.ran.append(own_of(message))
+                await trio.sleep(2.0)
+                end.cut()
+
+        for sidecar in (world.s1, world.s2):
+            sidecar.scripts = [script] * 50
+        with trio.move_on_after(1.0):
+            await world.ask(world.booking(prompt_tokens=5_000))
+        await trio.sleep(5.0)
+        assert world.ran() == 1
+        assert len(world.s1.of(Cancel) + world.s2.of(Cancel)) == 1
+
+    @pytest.mark.parametrize("is_idempotent", [False, True])
+    async def test_refusal_doesnt_wait_for_room_on_the_link(
+        self, world: Any, autojump_clock: Any, is_idempotent: bool
+    ) -> None:
+        """Guards against a refusal a second after the time limit: what is queued on the link to a
+        VM that has lost power leaves no room for the cancellation."""
+
+        async def wait_for_room(message: Any) -> None:
+            await trio.sleep(5.0)
+
+        async def script(sidecar: Any, end: Any, message: Any) -> None:
+            await sidecar.accept(end, message)
+            end._stream.send = wait_for_room
+            await end.receive()
+
+        for sidecar in (world.s1, world.s2):
+            sidecar.scripts = [script]
+        limits = {"prompt_tokens": 5_000, "time_limit_s": 2.0}
+        request = world.request(**limits) if is_idempotent else world.booking(**limits)
+        begin_s = trio.current_time()
+        refusal = await refusal_of(world, request)
+        assert refusal.kind.code == "time-limit-passed"
+        assert trio.current_time() - begin_s <= 2.25
+        await trio.sleep(2.0)
+        assert len(world.s1.of(Cancel) + world.s2.of(Cancel)) == 1
