Entry: don't wait 1 s for room on a link to cancel a run

Cause: Attempt._send_cancel waited in a shield of CANCEL_LIMIT_S, 1 s.

Evidence: test_refusal_doesnt_wait_for_room_on_the_link, idempotent or not: refused at 3.0 s for a limit of 2.0 s before, within 2.25 s now.

Change: the shield lasts 50 ms. A committed run that couldn't be told is cancelled in the background; a reservation is voided by the end of its stream. Members of spans keep their limit of 1 s, now a constant of span_member.

--- a/packages/entry/src/sassafrastally/entry/attempt.py
+++ b/packages/entry/src/sassafrastally/entry/attempt.py
@@ -50,8 +50,10 @@
 MAX_BROKEN_ANSWERS = 2
 """How often an answer that violates the protocol is requested again before it counts as failed."""
 
-CANCEL_LIMIT_S = 1.0
-"""Time limit of the shielded send that cancels an attempt."""
+CANCEL_LIMIT_S = 0.05
+"""Time limit of the shielded send that cancels an attempt, by which a request may end late.
+
+It waits only if the link has no room; `UnreadRuns` then cancels a run that was committed."""
 
 _STATUS_OK = 200
 
--- a/packages/entry/src/sassafrastally/entry/span_member.py
+++ b/packages/entry/src/sassafrastally/entry/span_member.py
@@ -8,7 +8,6 @@
 import trio
 
 from sassafrastally.core import CodedError, error, require_time, time_limit
-from sassafrastally.entry.attempt import CANCEL_LIMIT_S
 from sassafrastally.serving.spans import decode_done, handle_of
 from sassafrastally.wire.link import LinkCut, LinkRefused, StreamEnded
 from sassafrastally.wire.messages import (
@@ -39,6 +38,9 @@
 
 REJOIN_PAUSE_S = 0.05
 
+CANCEL_LIMIT_S = 1.0
+"""Time limit of the shielded call that cancels a segment."""
+
 _LINK_ERRORS = (LinkCut, LinkRefused, StreamEnded, TooManyStreams)
 
 
