--- a/packages/entry/tests/test_incomplete_runs.py
+++ b/packages/entry/tests/test_incomplete_runs.py
@@ -7,8 +7,9 @@
 import pytest
 import trio
 
+from sassafrastally.core import Service
 from sassafrastally.serving.outcome import AttemptState
-from sassafrastally.testing.sidecar_scripts import THREE_EVENTS, own_of, refusing
+from sassafrastally.testing.sidecar_scripts import THREE_EVENTS, own_of, refusal_of, refusing
 from sassafrastally.wire.link import StreamEnded
 from sassafrastally.wire.messages import Attach, Cancel, Query, Reserve
 
@@ -70,6 +71,71 @@
         assert world.ran() == 1
         assert len(world.s1.of(Cancel) + world.s2.of(Cancel)) == 1
 
+    @pytest.mark.parametrize("has_gap", [True, False])
+    async def test_is_cancelled_if_the_link_was_cut_before(
+        self, world: Any, autojump_clock: Any, has_gap: bool
+    ) -> None:
+        """Guards against a run that may not be repeated and goes on for nobody: its link was cut
+        before its caller left, so that nothing could be told to the sidecar then."""
+
+        async def script(sidecar: Any, end: Any, message: Any) -> None:
+            if isinstance(message, Reserve):
+                if not has_gap:
+                    await sidecar.accept(end, message)
+                    sidecar.ran.append(own_of(message))
+                    end.cut()
+                    return
+                await send_gap(sidecar, end, message)
+                while True:
+                    await end.receive()
+            if isinstance(message, Attach):
+                end.cut()
+                return
+            if isinstance(message, Query) and len(world.s1.of(Query) + world.s2.of(Query)) > 1:
+                await trio.sleep(2.0)
+            await type(sidecar).behave(sidecar, end, message)
+
+        for sidecar in (world.s1, world.s2):
+            sidecar.scripts = [script] * 50
+        with trio.move_on_after(1.0):
+            await world.ask(world.booking(prompt_tokens=5_000))
+        await trio.sleep(5.0)
+        assert world.ran() == 1
+        assert len(world.s1.of(Cancel) + world.s2.of(Cancel)) == 1
+
+    @pytest.mark.parametrize("has_gap", [False, True])
+    async def test_isnt_waited_for_after_the_time_limit(
+        self, world: Any, autojump_clock: Any, monkeypatch: Any, has_gap: bool
+    ) -> None:
+        """Guards against a refusal a second after the time limit: a VM that has lost power doesn't
+        answer, and the cancellation of its run waits for a link."""
+        peers = world.kernel.get("peers", Service)
+        link_to = peers.link_to
+
+        async def link_to_running(vm: str, address: Any) -> Any:
+            if world.sidecars[vm].is_down:
+                await trio.sleep(5.0)
+            return await link_to(vm, address)
+
+        monkeypatch.setattr(peers, "link_to", link_to_running)
+
+        async def script(sidecar: Any, end: Any, message: Any) -> None:
+            if has_gap:
+                await send_gap(sidecar, end, message)
+            else:
+                await sidecar.accept(end, message)
+            sidecar.is_down = True
+            if not has_gap:
+                end.cut()
+            await end.receive()
+
+        for sidecar in (world.s1, world.s2):
+            sidecar.scripts = [script] * 50
+        begin_s = trio.current_time()
+        refusal = await refusal_of(world, world.booking(prompt_tokens=5_000, time_limit_s=2.0))
+        assert refusal.kind.code == "time-limit-passed"
+        assert trio.current_time() - begin_s <= 2.25
+
 
 class TestUnreadEnd:
     """Answers whose end mark has been sent when the entry closes the stream.
