Keep a server that may resume a stream when its attempt is closed unsent

What callers saw: a stream that is cut ("all attempts of its route are used"), although a server of the route that had answered could resume it.

Cause: _begin_attempt takes the server out of progress.resumable before anything is sent, and _record_unsent took back the count, the charge and `tried`, but not that.

Change: the attempt knows whether its server could resume the stream, and _record_unsent restores that.

--- a/packages/proxy/src/sassafrastally/proxy/open_attempt.py
+++ b/packages/proxy/src/sassafrastally/proxy/open_attempt.py
@@ -42,6 +42,8 @@
         """The same since the last time at which the servers of all open attempts were silent."""
         self.position = StreamPosition(0, None)
         """How far its events agree with what the caller has got."""
+        self.is_return = False
+        """Whether its server could resume the stream after an earlier attempt."""
         self.is_sent = False
         """Whether its request has been sent."""
         self.scope = trio.CancelScope()
--- a/packages/proxy/src/sassafrastally/proxy/request_handler.py
+++ b/packages/proxy/src/sassafrastally/proxy/request_handler.py
@@ -311,12 +311,14 @@
         self.progress.attempts += 1
         self.progress.sent += 1
         self.progress.tried.add(server.incarnation_id)
-        self.progress.resumable.discard(server.incarnation_id)
         self._services.backpressure.count_request(server, CallKind.ATTEMPT)
         self._services.fleet_view.failures.record_sent(server)
         for helper in helpers:
             self._services.backpressure.count_part(helper)
-        return OpenAttempt(server, self.progress.attempts, self._clock.now_s(), wait)
+        attempt = OpenAttempt(server, self.progress.attempts, self._clock.now_s(), wait)
+        attempt.is_return = server.incarnation_id in self.progress.resumable
+        self.progress.resumable.discard(server.incarnation_id)
+        return attempt
 
     def _watch(self, attempt: OpenAttempt) -> AbstractContextManager[None]:
         """Watch an attempt for silence of its server, beside which another one may then begin."""
@@ -367,6 +369,8 @@
         """Record an attempt that was closed before its request was sent: it is none."""
         self.progress.sent -= 1
         self.progress.tried.discard(attempt.server.incarnation_id)
+        if attempt.is_return:
+            self.progress.resumable.add(attempt.server.incarnation_id)
         self._records.unsent(attempt)
         if attempt.number > 1:
             self._retries.refund_unsent()
