Count the servers of a request, not its attempts, against its route

Cause: a server that resumed the stream was counted once more, so that it took the place of a server that was never asked. The order decided: the third server first and then the return was allowed.

Evidence: TestServersLeft[True], three servers allowed, the first one returns and breaks off: failed on.

Change: Progress.sent lists the server of each attempt, and has_servers_left counts the distinct ones. A return that was never sent takes back its own entry only, so that no request reaches more distinct servers than its route allows. Other uses of the number asked only whether it is above zero.

--- a/packages/proxy/src/sassafrastally/proxy/attempt_records.py
+++ b/packages/proxy/src/sassafrastally/proxy/attempt_records.py
@@ -124,7 +124,7 @@
             progress.was_refused_for_load = True
         if cause.is_unreachable:
             # Nothing was sent, so it counts neither as an attempt nor as a retry.
-            progress.sent -= 1
+            progress.sent.remove(server.incarnation_id)
             progress.unreachable += 1
         self._log.attempt_failed(attempt, cause.detail, is_proved_not_run=True)
         # Only the helpers of this attempt can be at fault: a server that has since restarted at the
--- a/packages/proxy/src/sassafrastally/proxy/request_handler.py
+++ b/packages/proxy/src/sassafrastally/proxy/request_handler.py
@@ -309,7 +309,7 @@
         self, server: BackendServer, wait: ServerWait, helpers: Sequence[BackendServer] = ()
     ) -> OpenAttempt:
         self.progress.attempts += 1
-        self.progress.sent += 1
+        self.progress.sent.append(server.incarnation_id)
         self.progress.tried.add(server.incarnation_id)
         self._services.backpressure.count_request(server, CallKind.ATTEMPT)
         self._services.fleet_view.failures.record_sent(server)
@@ -367,7 +367,7 @@
 
     def _record_unsent(self, attempt: OpenAttempt) -> None:
         """Record an attempt that was closed before its request was sent: it is none."""
-        self.progress.sent -= 1
+        self.progress.sent.remove(attempt.server.incarnation_id)
         self.progress.tried.discard(attempt.server.incarnation_id)
         if attempt.is_return:
             self.progress.resumable.add(attempt.server.incarnation_id)
--- a/packages/proxy/src/sassafrastally/proxy/retries.py
+++ b/packages/proxy/src/sassafrastally/proxy/retries.py
@@ -50,7 +50,8 @@
     @property
     def has_servers_left(self) -> bool:
         """Whether the route allows a server that hasn't got the request."""
-        return self._progress.sent < self._task.route.max_attempts
+        # A server that gets the request again takes the place of no other one.
+        return len(set(self._progress.sent)) < self._task.route.max_attempts
 
     @property
     def _has_attempt(self) -> bool:
@@ -60,7 +61,7 @@
         """Charge another attempt to the retry budget; return what prevents it, if anything."""
         if (obstacle := self.find_obstacle()) is not None:
             return obstacle
-        if self._progress.unreachable > 0 and self._progress.sent == 0:
+        if self._progress.unreachable > 0 and not self._progress.sent:
             has_network = self._progress.unreachable < MAX_UNREACHABLE_SERVERS
             return None if has_network else Obstacle.NETWORK
         return None if self.charge_budget() else Obstacle.BUDGET
@@ -73,7 +74,7 @@
 
     def may_wait_for_budget(self) -> bool:
         """Return whether only the retry budget prevents another attempt at what hasn't run."""
-        has_run_nowhere = not self._progress.may_have_run and self._progress.sent > 0
+        has_run_nowhere = bool(self._progress.sent) and not self._progress.may_have_run
         return has_run_nowhere and self.find_obstacle() is None
 
     def has_budget(self) -> bool:
--- a/packages/proxy/src/sassafrastally/proxy/task.py
+++ b/packages/proxy/src/sassafrastally/proxy/task.py
@@ -84,8 +84,9 @@
     def __init__(self) -> None:
         self.attempts = 0
         """Number of attempts started."""
-        self.sent = 0
-        """Number of attempts whose request reached a server or may have reached it."""
+        self.sent: list[str] = []
+        """Servers that the request reached or may have reached, as `BackendServer.incarnation_id`,
+        one for each attempt."""
         self.unreachable = 0
         """Number of attempts for which no connection could be opened."""
         self.was_refused_for_load = False
