Send a stream's header with its first event while a failure is kept

What callers saw: the header of a success (137 bytes), then a closed connection, although an engine's complete 500 was kept for the case that no other attempt does better.

Cause: AttemptStream.forward sends the header as soon as it comes if no other attempt is open; from then on the kept failure can't be forwarded.

Change: while a failure is kept, the header goes out with the first event or comment, as it does beside other open attempts.

--- a/packages/proxy/src/sassafrastally/proxy/attempt_stream.py
+++ b/packages/proxy/src/sassafrastally/proxy/attempt_stream.py
@@ -79,6 +79,8 @@
         """Bytes that are counted as held."""
         self._is_whole = False
         """Whether the stream has come to its end."""
+        self.has_kept_failure = False
+        """Whether a failure is kept, which can only be forwarded until the header is sent."""
 
     @property
     def rest(self) -> bytes:
@@ -97,7 +99,7 @@
         trio.Cancelled
             If it is closed for another attempt.
         """
-        if not self._has_others(self._attempt):
+        if not self.has_kept_failure and not self._has_others(self._attempt):
             await self._begin()
         while not self._is_whole and (events := await self._read()) is not None:
             if self._is_contested(self._attempt):
--- a/packages/proxy/src/sassafrastally/proxy/streaming_request.py
+++ b/packages/proxy/src/sassafrastally/proxy/streaming_request.py
@@ -416,6 +416,7 @@
         headers = self._services.dialect.response_headers(answer.headers)
         record = partial(self._record_events, attempt, in_flight)
         stream = AttemptStream(attempt, answer, self._attempts, self._stream, headers, record)
+        stream.has_kept_failure = self._failed is not None
         await stream.forward()
         self._services.fleet_view.record_success(placement.server.incarnation_id)
         self._records.outcome(placement.server, *placement.helpers, is_failure=False)
