Choose a claimed successor again after the failed engine was probed

Cause: the successor is claimed when an engine's failure arrives, and used unchecked once the wait for the probe of that engine is over.

Evidence: TestLeavingSuccessor failed before.

Change: _start chooses the server again; the charge to the retry budget stays. If none has room by then, the request waits for room as any other, and a kept failure is forwarded if that fails.

--- a/packages/proxy/src/sassafrastally/proxy/streaming_request.py
+++ b/packages/proxy/src/sassafrastally/proxy/streaming_request.py
@@ -139,7 +139,8 @@
         """Return where the request starts, after waiting for room if that can help."""
         if (stopping := self._stopping_reply(self._alone_s)) is not None:
             return stopping
-        if (successor := self._take_successor()) is not None:
+        # Chosen again: its server may have left while the failed one was probed.
+        if self._take_successor() and (successor := self._choose_successor()):
             return successor
         if self._awaits_budget:
             return await self._wait_for_room("the retry budget is exhausted")
