--- a/packages/proxy/src/sassafrastally/proxy/streaming_request.py
+++ b/packages/proxy/src/sassafrastally/proxy/streaming_request.py
@@ -150,7 +150,8 @@
         """Return where the request starts, after waiting for room if that can help."""
         if (stopping := self._stopping_reply(self._alone_s)) is not None:
             return stopping
-        if (successor := self._take_successor()) is not None:
+        # Chosen again: its server may have left while the failed one was probed.
+        if self._take_successor() and (successor := self._choose_successor()):
             return successor
         if self._awaits_budget:
             return await self._wait_for_room("the retry budget is exhausted")
@@ -411,8 +412,11 @@
     async def _forward_stream(
         self, placement: Placement, in_flight: InFlightAttempt, attempt: OpenAttempt, answer: Answer
     ) -> None:
+        def record(events: list[StreamEvent], waited_s: float) -> None:
+            self._reply.limit.record_delivery()
+            self._records.events(attempt, in_flight, self._slow_event_s, events, waited_s)
+
         headers = self._services.dialect.response_headers(answer.headers)
-        record = partial(self._record_events, attempt, in_flight)
         stream = AttemptStream(attempt, answer, self._attempts, self._stream, headers, record)
         record_whole = partial(self._record_whole, placement, attempt, answer, stream)
         try:
@@ -438,13 +442,3 @@
             lengths.record(route, total_s - times.first_s, self._declared_s)
         server_id, status, framing = placement.server.server_id, answer.status, answer.framing
         self._log.answered(server_id, status, framing, self._lane, times, len(stream.rest))
-
-    def _record_events(
-        self,
-        attempt: OpenAttempt,
-        in_flight: InFlightAttempt,
-        events: list[StreamEvent],
-        waited_s: float,
-    ) -> None:
-        self._reply.limit.record_delivery()
-        self._records.events(attempt, in_flight, self._slow_event_s, events, waited_s)
