Entry: wait for a reply to the cancellation of a run that may not be repeated

Cause: a cancellation that was queued on the run's own stream counted as received, and was lost with the link. A sidecar ends no unread run that may not be repeated.

Evidence: test_cancellation_may_be_lost_with_the_link: no Cancel within 5 s before, one now.

Change: such a run is cancelled in the background only, where the reply is waited for. Leaders of spans, which the sidecar ends itself, and idempotent runs are cancelled on their own stream as before.

--- a/packages/entry/src/sassafrastally/entry/attempt.py
+++ b/packages/entry/src/sassafrastally/entry/attempt.py
@@ -51,9 +51,7 @@
 """How often an answer that violates the protocol is requested again before it counts as failed."""
 
 CANCEL_LIMIT_S = 0.05
-"""Time limit of the shielded send that cancels an attempt, by which a request may end late.
-
-It waits only if the link has no room; `UnreadRuns` then cancels a run that was committed."""
+"""Time limit of the shielded send that cancels an attempt; it waits if the link has no room."""
 
 _STATUS_OK = 200
 
@@ -245,7 +243,14 @@
         has_claim = bool(self.plan.request.key) and self.is_committed
         return self._is_adopted or (has_claim and self._time_left_s() > 0)
 
+    def _ends_unread(self) -> bool:
+        """Return whether the sidecar ends the run by itself if nobody reads it any more."""
+        return self.plan.request.is_idempotent
+
     async def _send_cancel(self, stream: Stream) -> None:
+        if self.is_committed and not self._ends_unread():
+            # What is sent on a silent link may be lost with it. `UnreadRuns` waits for a reply.
+            return
         with trio.move_on_after(CANCEL_LIMIT_S, shield=True):
             try:
                 await stream.send(Cancel(self.site.request_id, self.site.attempt, "given up"))
--- a/packages/entry/src/sassafrastally/entry/span_try.py
+++ b/packages/entry/src/sassafrastally/entry/span_try.py
@@ -302,5 +302,9 @@
         """
         return self.is_adopted
 
+    def _ends_unread(self) -> bool:
+        """Return that the sidecar ends the run if nobody reads it, as it does all of a span."""
+        return True
+
     def _reserve_message(self) -> Reserve:
         return self._span.with_segment(super()._reserve_message())
