--- a/packages/entry/src/sassafrastally/entry/attempt.py
+++ b/packages/entry/src/sassafrastally/entry/attempt.py
@@ -59,9 +59,7 @@
 """How often an answer that violates the protocol is requested again before it counts as failed."""
 
 CANCEL_LIMIT_S = 0.05
-"""Time limit of the shielded send that cancels an attempt, by which a request may end late.
-
-It waits only if the link has no room; `UnreadRuns` then cancels a run that was committed."""
+"""Time limit of the shielded send that cancels an attempt; it waits if the link has no room."""
 
 _STATUS_OK = 200
 
@@ -260,7 +258,14 @@
         """Whether another attempt has sent something since this one's answer is held back."""
         return self._held_at is not None and self._held_at != self._answer.pieces
 
+    def _ends_unread(self) -> bool:
+        """Return whether the sidecar ends the run by itself if nobody reads it any more."""
+        return self.plan.request.is_idempotent
+
     async def _send_cancel(self, stream: Stream) -> None:
+        if self.is_committed and not self._ends_unread():
+            # What is sent on a silent link may be lost with it. `UnreadRuns` waits for a reply.
+            return
         with trio.move_on_after(CANCEL_LIMIT_S, shield=True):
             try:
                 await stream.send(Cancel(self.site.request_id, self.site.attempt, "given up"))
