--- a/packages/testing/tests/platform/test_fuzzed_streams.py
+++ b/packages/testing/tests/platform/test_fuzzed_streams.py
@@ -6,14 +6,14 @@
 
 import pytest
 
-from sassafrastally.testing.stream_check import (
+from sassafrastally.stand_ins.stream_check import (
     Order,
     Outcome,
     Run,
     loss_findings,
     order_findings,
 )
-from sassafrastally.testing.stream_fuzz import play
+from sassafrastally.stand_ins.stream_fuzz import play
 
 FIRST_SEED = int(os.environ.get("SASSAFRASTALLY_STREAM_SEED", "0"))
 SEEDS = int(os.environ.get("SASSAFRASTALLY_STREAM_SEEDS", "80"))
