Reply: close a connection with a reset only once the header is sent

What callers could have seen: a caller with HTTP/1.0 whose limit passes between the begin of a stream and its first bytes gets a failure in its place, whose last bytes the reset at the close may take away; and a stream whose kept rest is cut without a reset, so that the part looks complete.

Cause: since the header waits for the first bytes, the reset was chosen before anything was sent, and keep_rest, which may send the header itself, didn't choose it.

test_reply: 2 of 3 cases failed before; all pass now.

--- a/packages/proxy/src/sassafrastally/proxy/reply.py
+++ b/packages/proxy/src/sassafrastally/proxy/reply.py
@@ -117,12 +117,8 @@
         A limit that passes between two writes would leave the caller with a success without
         anything in it. If the request is cancelled already, nothing is sent and another response is
         possible.
-        A caller without chunked transfer coding takes the end of the connection for that of the
-        response, whether this entry or the operating system closes it.
         """
         await trio.lowlevel.checkpoint_if_cancelled()
-        if self._ends_with_connection:
-            self._connection.set_reset_on_close(True)
         self._header = self._response(status, _end_to_end_headers(headers))
 
     async def send(self, data: bytes) -> None:
@@ -145,6 +141,7 @@
         rest
             The body after what was passed to `send`.
         """
+        self._note_begin()
         events: list[h11.Event] = []
         if not self.has_begun:
             events.append(self._response(status, _end_to_end_headers(headers)))
@@ -161,6 +158,12 @@
         await self._write_whole(self._unsent, is_complete=True)
         self._note_end()
 
+    def _note_begin(self) -> None:
+        # A caller without chunked transfer coding takes the end of the connection for that of the
+        # response, whether this entry or the operating system closes it.
+        if self._ends_with_connection:
+            self._connection.set_reset_on_close(True)
+
     def _note_end(self) -> None:
         if self._ends_with_connection:
             self._connection.set_reset_on_close(False)
@@ -174,6 +177,7 @@
     async def _send(self, *events: h11.Event) -> None:
         """Send events as a whole, as `_write_whole`."""
         if self._header is not None:
+            self._note_begin()
             events, self._header = (self._header, *events), None
         unsent = _Unsent(self._connection.encode_parts(*events))
         await self._write_whole(unsent, is_complete=isinstance(events[-1], h11.EndOfMessage))
