Log every line about the process, also while lines about requests are sampled

An entry with 40 callers or more logged neither the start of its drain nor any other step of its stop: all lines of level info shared one rate, which its answered requests had used up (LogLinesMissing with sampled_out 1490). A stop that loses connections left no trace for that reason alone.

Only lines with a request's id are sampled now. Lines about the process are few, and the queue of the writer bounds them as before.

The new test fails without the change.

--- a/packages/core/src/sassafrastally/core/logs.py
+++ b/packages/core/src/sassafrastally/core/logs.py
@@ -15,6 +15,9 @@
 if TYPE_CHECKING:
     from sassafrastally.core.log_writer import LogWriter
 
+REQUEST_ID = "request_id"
+"""Field of lines about a single request."""
+
 
 def configure_logs(level: str, writer: LogWriter | None = None) -> None:
     """Configure logging to standard output as JSON lines.
@@ -59,10 +62,12 @@
 def _sample(
     writer: LogWriter, _logger: object, method: str, event_dict: structlog.typing.EventDict
 ) -> structlog.typing.EventDict:
-    """Drop lines about successes above the rate limit; never drop a warning or an error.
+    """Drop lines about single requests above the rate limit; never drop a warning or an error.
 
-    A line that was held was subject to the limit when it was emitted.
+    Lines about the process itself are few, and each may be the only trace of what happened. A line
+    that was held was subject to the limit when it was emitted.
     """
-    if method == "info" and TIMESTAMP not in event_dict and not writer.allows_success():
+    is_sampled = method == "info" and REQUEST_ID in event_dict
+    if is_sampled and TIMESTAMP not in event_dict and not writer.allows_success():
         raise structlog.DropEvent
     return event_dict
--- a/packages/core/tests/test_log_writer.py
+++ b/packages/core/tests/test_log_writer.py
@@ -6,7 +6,11 @@
 import threading
 import time
 
+import structlog
+
+from sassafrastally.core.held_lines import HELD_LINES
 from sassafrastally.core.log_writer import MAX_QUEUED_LINES, MAX_SUCCESS_LINES_PER_S, LogWriter
+from sassafrastally.core.logs import configure_logs
 
 
 class TestStalledReader:
@@ -48,3 +52,20 @@
         allowed = sum(writer.allows_success() for _ in range(5 * int(MAX_SUCCESS_LINES_PER_S)))
         assert MAX_SUCCESS_LINES_PER_S <= allowed < 2 * MAX_SUCCESS_LINES_PER_S
         assert writer.sampled_out == 5 * MAX_SUCCESS_LINES_PER_S - allowed
+
+    def test_lines_about_the_process_are_never_left_out(self):
+        """Guards against a busy process whose stop, reload or lost dependency isn't logged, as
+        lines about its requests have used up the rate."""
+        written: list[bytes] = []
+        writer = LogWriter(written.append)
+        HELD_LINES.hold(writer)
+        configure_logs("info", writer)
+        HELD_LINES.release(MAX_QUEUED_LINES)
+        logger = structlog.get_logger("sassafrastally")
+        for _ in range(3 * int(MAX_SUCCESS_LINES_PER_S)):
+            logger.info("RequestAnswered", request_id="1")
+        logger.info("ProcessDraining", requests=2)
+        writer.close()
+        time.sleep(0.1)
+        assert writer.sampled_out > MAX_SUCCESS_LINES_PER_S
+        assert b"ProcessDraining" in b"".join(written)
