Log the connections that a stopping entry leaves unaccepted, and those it closes idle

ListenerClosed (10084) tells how many connections were waiting when the callers' port was closed, IdleConnectionsClosed (10085) how many had no request after that. The number that wait is read from TCP_INFO.

--- a/packages/core/src/sassafrastally/core/__init__.py
+++ b/packages/core/src/sassafrastally/core/__init__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from sassafrastally.core.accept_queue import waiting_connections
 from sassafrastally.core.clock import Clock
 from sassafrastally.core.errors import ERRORS, CodedError, error
 from sassafrastally.core.event_stream import (
@@ -87,4 +88,5 @@
     "require_time",
     "stamp_wall_s",
     "time_limit",
+    "waiting_connections",
 ]
--- a/packages/proxy/src/sassafrastally/proxy/caller_listener.py
+++ b/packages/proxy/src/sassafrastally/proxy/caller_listener.py
@@ -9,7 +9,7 @@
 import h11
 import trio
 
-from sassafrastally.core import Service
+from sassafrastally.core import Service, waiting_connections
 from sassafrastally.proxy.attempt import Request
 from sassafrastally.proxy.cluster_state import ClusterState
 from sassafrastally.proxy.cpu_overload import read_until, sleep_until_read
@@ -26,7 +26,13 @@
     InputBudgetExceeded,
     most_held_bytes,
 )
-from sassafrastally.proxy.log_events import ConnectionCrashed, ProcessDraining, RequestMalformed
+from sassafrastally.proxy.log_events import (
+    ConnectionCrashed,
+    IdleConnectionsClosed,
+    ListenerClosed,
+    ProcessDraining,
+    RequestMalformed,
+)
 from sassafrastally.proxy.metrics import CONNECTIONS_REFUSED
 from sassafrastally.proxy.model import RequestLimits
 from sassafrastally.proxy.overload_monitor import OverloadMonitor
@@ -100,6 +106,8 @@
     ) -> None:
         self.open_requests = 0
         """Number of in-flight requests, from their first byte to the end of the response."""
+        self.open_connections = 0
+        """Number of connections whose tasks have begun and not ended."""
         self.blocked_callers: BlockedCallers[trio.CancelScope] = BlockedCallers(
             most_buffered_bytes(settings.memory_mb)
         )
@@ -114,13 +122,15 @@
         self._idle_scopes: set[trio.CancelScope] = set()
         self._is_closing_idle = False
         self._listener_scope = trio.CancelScope()
+        self._listening: trio.SocketListener | None = None
 
     async def start(self, nursery: trio.Nursery) -> None:
         """Start accepting connections."""
         self._cluster_state = self.kernel.get("beliefs", ClusterState)
         self._overload = self.kernel.get("overload", OverloadMonitor)
         self._path = self.kernel.get("path", RequestPath)
-        nursery.start_soon(self._listen, [await self._listener()], nursery)
+        self._listening = await self._listener()
+        nursery.start_soon(self._listen, [self._listening], nursery)
 
     async def _listener(self) -> trio.SocketListener:
         if self._open_listener is not None:
@@ -145,19 +155,27 @@
         self._path.services.drain.begin(ends_s)
         with trio.move_on_at(ends_s):
             await sleep_until_read(stop_begin_s + ACCEPT_AFTER_SIGNAL_S)
-            self._listener_scope.cancel()
+            self._close_listener()
             await sleep_until_read(stop_begin_s + LAST_REQUEST_AFTER_SIGNAL_S)
             self._close_idle()
             await self._all_answered()
             return
         answered_s = trio.current_time() + FINAL_ANSWERS_S
         await sleep_until_read(ends_s)
-        self._listener_scope.cancel()
+        self._close_listener()
         self._close_idle()
         with suppress(trio.TooSlowError):
             await read_until(self._all_answered, answered_s)
 
+    def _close_listener(self) -> None:
+        if self._listener_scope.cancel_called:
+            return
+        waiting = None if self._listening is None else waiting_connections(self._listening.socket)
+        self.kernel.events.emit(ListenerClosed(waiting, self.open_connections))
+        self._listener_scope.cancel()
+
     def _close_idle(self) -> None:
+        self.kernel.events.emit(IdleConnectionsClosed(len(self._idle_scopes), self.open_requests))
         self._is_closing_idle = True
         for scope in list(self._idle_scopes):
             scope.cancel()
@@ -194,6 +212,7 @@
         limit_send_buffer(stream)
         limits = self._limits()
         connection = HttpStream(stream, h11.SERVER, limits.header_bytes)
+        self.open_connections += 1
         try:
             while await self._serve_request(connection):
                 connection.http.start_next_cycle()
@@ -208,6 +227,7 @@
                 ConnectionCrashed(traceback.format_exc(limit=MAX_TRACEBACK_FRAMES))
             )
         finally:
+            self.open_connections -= 1
             await connection.close()
 
     def _limits(self) -> RequestLimits:
--- a/packages/proxy/src/sassafrastally/proxy/log_events/process.py
+++ b/packages/proxy/src/sassafrastally/proxy/log_events/process.py
@@ -15,6 +15,23 @@
     stop_time_s: float
 
 
+@event(10084)
+class ListenerClosed(NamedTuple):
+    """A stopping process has closed the callers' port."""
+
+    unaccepted: int | None
+    """Connections that were waiting to be accepted and were reset; empty if not known."""
+    open_connections: int
+
+
+@event(10085)
+class IdleConnectionsClosed(NamedTuple):
+    """A stopping process has closed the callers' connections that were idle."""
+
+    connections: int
+    requests: int
+
+
 @event(10023)
 class ReadinessChanged(NamedTuple):
     """The readiness that the process reports has changed."""
