--- /dev/null
+++ b/packages/testing/tests/platform/test_accept_queue.py
@@ -0,0 +1,77 @@
+"""Connections that the system has established and an entry hasn't accepted when it stops."""
+
+from __future__ import annotations
+
+import socket
+
+import h11
+import pytest
+import trio
+
+from sassafrastally.proxy.caller_listener import ACCEPT_AFTER_SIGNAL_S
+from sassafrastally.proxy.http_stream import ConnectionLost, HttpStream
+from sassafrastally.stand_ins.caller_requests import exchange_on, request_fields
+
+PER_TURN = 4
+"""Connections that callers open in each turn of the entry's loop."""
+
+BEFORE_CLOSE_S = 0.02
+
+MAX_CONNECTIONS = 300
+"""Fewer than the accept queue holds."""
+
+
+def open_some(address, count: int) -> list[socket.socket]:
+    """Return connections that the system has established; fewer once it refuses them."""
+    opened = []
+    for _ in range(count):
+        caller = socket.socket()
+        try:
+            caller.connect(address)
+        except ConnectionRefusedError:
+            caller.close()
+            break
+        caller.setblocking(False)
+        opened.append(caller)
+    return opened
+
+
+async def status_of(caller: socket.socket) -> int:
+    """Send a request and return the status of its answer; 0 without a whole one."""
+    stream = trio.SocketStream(trio.socket.from_stdlib_socket(caller))
+    connection = HttpStream(stream, h11.CLIENT)
+    try:
+        answer = await exchange_on(connection, "POST", "/book/x", request_fields(), b"{}")
+    except ConnectionLost:
+        return 0
+    finally:
+        await connection.close()
+    return answer.status if answer.is_whole else 0
+
+
+class TestStop:
+    """An entry that stops to accept while callers connect faster than it accepts."""
+
+    @pytest.mark.parametrize("sent_after_s", [0.0, 0.05])
+    async def test_each_connection_that_is_established_is_served(self, small_fleet, sent_after_s):
+        """Guards against a listener that is closed over its accept queue: the system resets what
+        is in it, with whole requests that no process has read."""
+        settings = small_fleet.entry_settings(1)
+        address = settings.callers_address
+        small_fleet.kernels[0].request_stop()
+        await trio.sleep(ACCEPT_AFTER_SIGNAL_S - BEFORE_CLOSE_S)
+        statuses: list[int] = []
+
+        async def call(caller: socket.socket) -> None:
+            await trio.sleep(sent_after_s)
+            statuses.append(await status_of(caller))
+
+        opened = 0
+        async with trio.open_nursery() as nursery:
+            while new := open_some(address, min(PER_TURN, MAX_CONNECTIONS - opened)):
+                opened += len(new)
+                for caller in new:
+                    nursery.start_soon(call, caller)
+                await trio.lowlevel.checkpoint()
+        assert opened > PER_TURN
+        assert statuses.count(0) == 0, f"{statuses.count(0)} of {opened} got nothing"
