Close the sending side first when an answer is a connection's last one

What callers saw: a caller that sent its whole request before it read got a reset in place of an early refusal (413, 431, 408, 400, 503 for a body that still arrived; with or without Expect), and may have sent the request again. A slow reader lost the end of a complete answer with "Connection: close" if it had pipelined, or sent so much as a CRLF after it.

Cause: close() on a socket with unread input, or input that arrives after it, makes the operating system reset the connection and drop what is still in the send buffer (RFC 9112, section 9.6).

Evidence: real sockets, callers with a small receive buffer or 3 MB to send. On Linux small refusals that lie in the caller's receive buffer survive the reset; the caller's own write fails all the same.

Change: `lingering_close.linger` shuts down the sending side and discards input until the caller closes or, for a whole request, has acknowledged everything. Bounds: 10 s, 16 MiB, 2 s without input or acknowledgement. Connections that are to be reset, that the caller has closed, or whose answer is acknowledged are closed at once, as before; so are those of callers that don't read. What is discarded counts in no budget. The end of the process cuts it.

--- a/packages/proxy/src/sassafrastally/proxy/caller_listener.py
+++ b/packages/proxy/src/sassafrastally/proxy/caller_listener.py
@@ -26,6 +26,7 @@
     InputBudgetExceeded,
     most_held_bytes,
 )
+from sassafrastally.proxy.lingering_close import linger
 from sassafrastally.proxy.log_events import (
     ConnectionCrashed,
     IdleConnectionsClosed,
@@ -216,6 +217,7 @@
         try:
             while await self._serve_request(connection):
                 connection.http.start_next_cycle()
+            await linger(connection)
         except ConnectionLost:
             # The caller disconnected; the request path has logged and cancelled its request.
             return
--- a/packages/proxy/src/sassafrastally/proxy/http_stream.py
+++ b/packages/proxy/src/sassafrastally/proxy/http_stream.py
@@ -115,6 +115,8 @@
         """Where the bytes of incomplete events are counted."""
         self.received_s = -math.inf
         """When the last bytes were received."""
+        self.is_reset_on_close = False
+        """Whether closing the connection resets it on purpose."""
         self._header_bytes = header_bytes
         self._held_bytes = 0
         self._has_uncounted_rest = False
@@ -285,11 +287,11 @@
 
     def has_unread_input(self) -> bool:
         """Return whether unexpected bytes or the end of the stream can be read from the socket."""
-        if self.http.trailing_data[0]:
-            return True
-        if isinstance(self.stream, trio.SocketStream):
-            return self.stream.socket.is_readable()
-        return False
+        return bool(self.http.trailing_data[0]) or self.is_readable()
+
+    def is_readable(self) -> bool:
+        """Return whether the socket has bytes or the end of the stream."""
+        return isinstance(self.stream, trio.SocketStream) and self.stream.socket.is_readable()
 
     async def close(self) -> None:
         """Close the connection immediately, without a graceful shutdown."""
@@ -297,6 +299,7 @@
 
     def set_reset_on_close(self, is_reset: bool) -> None:
         """Choose whether closing the connection, also by the end of the process, resets it."""
+        self.is_reset_on_close = is_reset
         if isinstance(self.stream, trio.SocketStream):
             value = LINGER_ZERO if is_reset else LINGER_OFF
             self.stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, value)
