Empty the accept queue before a stopping entry closes the callers' port

What callers saw: around a planned stop, connections that were established were reset, with whole requests in them, up to 314 ms after their last byte.

Cause: closing a listening socket makes the kernel reset what it has established and the process hasn't accepted. trio's serve_listeners accepts one connection in each turn of the loop, so that callers who connect anew for each request leave tens of them waiting at a busy entry. The class: a state is taken to have ended (nobody connects any more) without looking.

Acceptor takes all waiting connections at once, drops opening segments by a filter on the socket so that none can be established after the last look, looks once more and closes. Where descriptors are missing it waits for other connections to end. The drain then waits for connections in place of requests: the task of one that was just accepted may not have run yet. Where a process is killed soon, it stops accepting 0.3 s before, so that the last ones have time for a request.

--- a/packages/core/src/sassafrastally/core/__init__.py
+++ b/packages/core/src/sassafrastally/core/__init__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from sassafrastally.core.accept_queue import waiting_connections
+from sassafrastally.core.accepting import SHORTAGES, Acceptor, ClosedListener
 from sassafrastally.core.clock import Clock
 from sassafrastally.core.errors import ERRORS, CodedError, error
 from sassafrastally.core.event_stream import (
@@ -43,8 +44,11 @@
     "MAX_EVENT_BYTES",
     "MAX_VALUE_BYTES",
     "METRICS",
+    "SHORTAGES",
+    "Acceptor",
     "Address",
     "Clock",
+    "ClosedListener",
     "CodedError",
     "EventBlocks",
     "EventKind",
--- a/packages/proxy/src/sassafrastally/proxy/caller_listener.py
+++ b/packages/proxy/src/sassafrastally/proxy/caller_listener.py
@@ -9,7 +9,7 @@
 import h11
 import trio
 
-from sassafrastally.core import Service, waiting_connections
+from sassafrastally.core import Acceptor, Service
 from sassafrastally.proxy.attempt import Request
 from sassafrastally.proxy.cluster_state import ClusterState
 from sassafrastally.proxy.cpu_overload import read_until, sleep_until_read
@@ -27,6 +27,7 @@
     most_held_bytes,
 )
 from sassafrastally.proxy.log_events import (
+    AcceptFailed,
     ConnectionCrashed,
     IdleConnectionsClosed,
     ListenerClosed,
@@ -106,8 +107,6 @@
     ) -> None:
         self.open_requests = 0
         """Number of in-flight requests, from their first byte to the end of the response."""
-        self.open_connections = 0
-        """Number of connections whose tasks have begun and not ended."""
         self.blocked_callers: BlockedCallers[trio.CancelScope] = BlockedCallers(
             most_buffered_bytes(settings.memory_mb)
         )
@@ -121,16 +120,16 @@
         self._stop_requested_s: float | None = None
         self._idle_scopes: set[trio.CancelScope] = set()
         self._is_closing_idle = False
-        self._listener_scope = trio.CancelScope()
-        self._listening: trio.SocketListener | None = None
+        self._acceptor: Acceptor | None = None
 
     async def start(self, nursery: trio.Nursery) -> None:
         """Start accepting connections."""
         self._cluster_state = self.kernel.get("beliefs", ClusterState)
         self._overload = self.kernel.get("overload", OverloadMonitor)
         self._path = self.kernel.get("path", RequestPath)
-        self._listening = await self._listener()
-        nursery.start_soon(self._listen, [self._listening], nursery)
+        self._acceptor = Acceptor(await self._listener(), self.serve, self._note_shortage)
+        # Connections run in the kernel's nursery so that they outlive the listener during shutdown.
+        nursery.start_soon(self._acceptor.run, nursery)
 
     async def _listener(self) -> trio.SocketListener:
         if self._open_listener is not None:
@@ -153,26 +152,24 @@
         ends_s = stop_begin_s + max(0.0, stop_time_s - KILL_MARGIN_S)
         self.kernel.events.emit(ProcessDraining(self.open_requests, stop_time_s))
         self._path.services.drain.begin(ends_s)
+        accepts_s, reads_s = _closing_times(stop_begin_s, ends_s)
         with trio.move_on_at(ends_s):
-            await sleep_until_read(stop_begin_s + ACCEPT_AFTER_SIGNAL_S)
-            self._close_listener()
-            await sleep_until_read(stop_begin_s + LAST_REQUEST_AFTER_SIGNAL_S)
+            await sleep_until_read(accepts_s)
+            await self._close_listener()
+            await sleep_until_read(reads_s)
             self._close_idle()
             await self._all_answered()
             return
         answered_s = trio.current_time() + FINAL_ANSWERS_S
         await sleep_until_read(ends_s)
-        self._close_listener()
         self._close_idle()
         with suppress(trio.TooSlowError):
             await read_until(self._all_answered, answered_s)
 
-    def _close_listener(self) -> None:
-        if self._listener_scope.cancel_called:
-            return
-        waiting = None if self._listening is None else waiting_connections(self._listening.socket)
-        self.kernel.events.emit(ListenerClosed(waiting, self.open_connections))
-        self._listener_scope.cancel()
+    async def _close_listener(self) -> None:
+        if self._acceptor is not None:
+            accepted, unaccepted = await self._acceptor.close()
+            self.kernel.events.emit(ListenerClosed(accepted, unaccepted, self.open_connections))
 
     def _close_idle(self) -> None:
         self.kernel.events.emit(IdleConnectionsClosed(len(self._idle_scopes), self.open_requests))
@@ -181,23 +178,23 @@
             scope.cancel()
 
     async def _all_answered(self) -> None:
-        # Connections that have just been accepted, or closed as idle, look for a request first.
-        await trio.sleep(ANSWERED_CHECK_S)
-        while self.open_requests:
+        # A connection without a request ends as soon as its task has looked for one.
+        while self.open_connections:
             await trio.sleep(ANSWERED_CHECK_S)
 
+    def _note_shortage(self, cause: str) -> None:
+        self.kernel.events.emit(AcceptFailed(cause, self.open_connections))
+
+    @property
+    def open_connections(self) -> int:
+        """Number of connections that are accepted and not closed."""
+        return 0 if self._acceptor is None else self._acceptor.open_connections
+
     @property
     def is_stopping(self) -> bool:
         """Whether the process has been asked to stop."""
         return self._stop_requested_s is not None
 
-    async def _listen(
-        self, listeners: list[trio.SocketListener], connections: trio.Nursery
-    ) -> None:
-        # Connections run in the kernel's nursery so that they outlive the listener during shutdown.
-        with self._listener_scope:
-            await trio.serve_listeners(self.serve, listeners, handler_nursery=connections)
-
     async def serve(self, stream: trio.abc.Stream) -> None:
         """Serve one connection until it closes.
 
@@ -212,7 +209,6 @@
         limit_send_buffer(stream)
         limits = self._limits()
         connection = HttpStream(stream, h11.SERVER, limits.header_bytes)
-        self.open_connections += 1
         try:
             while await self._serve_request(connection):
                 connection.http.start_next_cycle()
@@ -227,7 +223,6 @@
                 ConnectionCrashed(traceback.format_exc(limit=MAX_TRACEBACK_FRAMES))
             )
         finally:
-            self.open_connections -= 1
             await connection.close()
 
     def _limits(self) -> RequestLimits:
@@ -340,6 +335,16 @@
         await reply.send_complete(rejected.refusal.status, headers, body)
 
 
+def _closing_times(stop_begin_s: float, ends_s: float) -> tuple[float, float]:
+    """Return when a stopping entry closes the callers' port, and then idle connections.
+
+    A connection that is accepted last has time for its request; sooner than usual where the process
+    is killed soon.
+    """
+    reads_s = min(stop_begin_s + LAST_REQUEST_AFTER_SIGNAL_S, ends_s)
+    return reads_s - (LAST_REQUEST_AFTER_SIGNAL_S - ACCEPT_AFTER_SIGNAL_S), reads_s
+
+
 def _can_continue(connection: HttpStream) -> bool:
     http = connection.http
     return http.our_state is h11.DONE and http.their_state is h11.DONE
--- a/packages/proxy/src/sassafrastally/proxy/http_stream.py
+++ b/packages/proxy/src/sassafrastally/proxy/http_stream.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import errno
 import fcntl
 import math
 import socket
@@ -14,7 +13,7 @@
 import h11
 import trio
 
-from sassafrastally.core import CodedError, error
+from sassafrastally.core import SHORTAGES, CodedError, error
 from sassafrastally.core.http_patterns import use_linear_patterns
 from sassafrastally.proxy.cpu_overload import StepTimeout
 from sassafrastally.proxy.input_limits import (
@@ -61,9 +60,6 @@
 TOO_LONG_STATUS = 431
 """Status that h11 proposes when an incomplete header exceeds its bound."""
 
-SHORTAGES = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM})
-"""Errors of opening a socket that say nothing about the host to connect to."""
-
 
 @error(10004)
 class ConnectionLost(CodedError):
--- a/packages/proxy/src/sassafrastally/proxy/log_events/__init__.py
+++ b/packages/proxy/src/sassafrastally/proxy/log_events/__init__.py
@@ -35,6 +35,7 @@
     WatchTakenOver,
 )
 from sassafrastally.proxy.log_events.process import (
+    AcceptFailed,
     EntryOverloaded,
     EntryRecovered,
     ErrorContained,
@@ -92,6 +93,7 @@
 )
 
 __all__ = [
+    "AcceptFailed",
     "AttemptBroken",
     "AttemptClosed",
     "AttemptFailed",
--- a/packages/proxy/src/sassafrastally/proxy/log_events/process.py
+++ b/packages/proxy/src/sassafrastally/proxy/log_events/process.py
@@ -19,8 +19,18 @@
 class ListenerClosed(NamedTuple):
     """A stopping process has closed the callers' port."""
 
+    accepted: int
+    """Connections that were waiting and were still accepted."""
     unaccepted: int | None
-    """Connections that were waiting to be accepted and were reset; empty if not known."""
+    """Connections that were reset for lack of resources to accept them; empty if not known."""
+    open_connections: int
+
+
+@event(10094, "warning")
+class AcceptFailed(NamedTuple):
+    """Callers' connections can't be accepted for lack of resources; they wait meanwhile."""
+
+    cause: str
     open_connections: int
 
 
--- a/packages/testing/src/sassafrastally/testing/virtual_network.py
+++ b/packages/testing/src/sassafrastally/testing/virtual_network.py
@@ -154,6 +154,8 @@
         return int(optname == socket.SO_ACCEPTCONN and self._accepting is not None)
 
     def is_readable(self) -> bool:
+        if self._accepting is not None:
+            return bool(self._accepting.waiting)
         return self._in is not None and self._in.head() is not None
 
     async def wait_writable(self) -> None:
--- a/packages/testing/tests/soak/test_stopping_process.py
+++ b/packages/testing/tests/soak/test_stopping_process.py
@@ -8,6 +8,7 @@
 from typing import NamedTuple
 
 import h11
+import pytest
 import trio
 
 from sassafrastally.proxy.http_stream import ConnectionLost, HttpStream, connect
@@ -20,8 +21,6 @@
 from sassafrastally.stand_ins.platform_fleet import platform_fleet
 from sassafrastally.testing.soak.entry_process import EntryProcess
 
-CALLERS = 40
-
 SENT_AFTER_CONNECTING_S = 0.05
 
 WORK_S = 0.01
@@ -118,17 +117,18 @@
 class TestReconnectingCallers:
     """A stop while callers connect."""
 
-    async def test_are_all_answered_by_an_entry_that_stops(self, tmp_path, own_host):
+    @pytest.mark.parametrize("count", [40, 120])
+    async def test_are_all_answered_by_an_entry_that_stops(self, tmp_path, own_host, count):
         """Guards against an entry that closes its listener over connections in its accept queue,
         which resets whole requests that nobody has read."""
         async with serving_entry(tmp_path, own_host) as entry:
             callers = Reconnecting(entry)
             with trio.fail_after(LIMIT_S):
                 async with trio.open_nursery() as nursery:
-                    for _ in range(CALLERS):
+                    for _ in range(count):
                         nursery.start_soon(callers.run)
                     await trio.sleep(BEFORE_STOP_S)
                     stop_s = trio.current_time()
                     entry.signal(signal.SIGTERM)
-        assert callers.answered > CALLERS
+        assert callers.answered > count
         assert not [lost.after(stop_s) for lost in callers.lost]
