Go on serving when modules can't be loaded after the start for lack of descriptors

Cause: `DeferredLoading` imports the logging library and the metrics one second after the start. With no descriptor left an import raises OSError (EMFILE), which ended the kernel's nursery.

Evidence: TestNoDescriptors takes all free descriptors from a process that has just answered its first request, for 4 s. Before, it has ended ("Too many open files" of concurrent/__init__.py); the log lines held until then were lost as well, as the end couldn't load the logging library either.

Change: a slice of the loading that fails is logged as a contained error and runs again after 0.5 s. With it the entry answers as soon as it can open sockets again, and its held log lines appear.

--- a/packages/proxy/src/sassafrastally/proxy/deferred_loading.py
+++ b/packages/proxy/src/sassafrastally/proxy/deferred_loading.py
@@ -15,6 +15,7 @@
 
 from sassafrastally.core import Service
 from sassafrastally.core.held_lines import HELD_LINES
+from sassafrastally.proxy.containment import Containment
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -27,6 +28,9 @@
 LOADING_SHARE = 0.2
 """Share of the time that loading may take; requests need the rest."""
 
+RETRY_PAUSE_S = 0.5
+"""Pause before a slice that has failed runs again."""
+
 LINES_PER_SLICE = 40
 """Held log lines written at a time, about a millisecond of work on one core."""
 
@@ -63,6 +67,7 @@
 
     async def start(self, nursery: trio.Nursery) -> None:
         """Start loading in the background."""
+        self._errors = Containment(self.kernel, "loading")
         nursery.start_soon(self._load)
 
     async def _load(self) -> None:
@@ -76,8 +81,13 @@
         await self._run_slice(_start_metrics)
 
     async def _run_slice(self, work: Callable[[], T]) -> T:
-        began_s = trio.current_time()
-        result = work()
+        """Run a slice of work, again if it fails, as it does without free file descriptors."""
+        while True:
+            began_s = trio.current_time()
+            with self._errors:
+                result = work()
+                break
+            await trio.sleep(RETRY_PAUSE_S)
         lasted_s = trio.current_time() - began_s
         await trio.sleep(lasted_s * (1 / LOADING_SHARE - 1))
         return result
