Bound callers' connections by the limit of descriptors, and close idle ones for new ones

Cause: nothing bounded callers' connections; `limits.maxFds` of the settings was not read.

Change: callers get half of the sockets (the limit of the settings, or of the system, less 200 for files). Beyond it the connection idle for longest is closed; if none is idle, the new one is closed unread, as by an entry without CPU time. Where accepting fails for lack of descriptors all the same, half of the idle connections are closed.

Without the listener's part, the three tests of idle callers fail.

--- a/packages/core/src/sassafrastally/core/accepting.py
+++ b/packages/core/src/sassafrastally/core/accepting.py
@@ -90,11 +90,12 @@
     ) -> None:
         self.open_connections = 0
         """Connections that are accepted and not closed."""
+        self.is_short = False
+        """Whether resources for a connection are missing."""
         self._listener = listener
         self._serve = serve
         self._on_shortage = on_shortage
         self._queue = _own_handle(listener)
-        self._is_short = False
         self._is_closed = False
         self._connections: trio.Nursery | None = None
         self._accepting = trio.CancelScope()
@@ -180,7 +181,7 @@
                     raise
                 self._note_shortage(cause)
                 return accepted or None
-            self._is_short = False
+            self.is_short = False
             connection.setblocking(False)
             stream = trio.SocketStream(trio.socket.from_stdlib_socket(connection))
             self._start(connections, stream)
@@ -188,8 +189,8 @@
         return accepted
 
     def _note_shortage(self, cause: OSError) -> None:
-        if not self._is_short:
-            self._is_short = True
+        if not self.is_short:
+            self.is_short = True
             self._on_shortage(repr(cause))
 
     def _start(self, connections: trio.Nursery, stream: trio.SocketStream) -> None:
--- a/packages/proxy/src/sassafrastally/proxy/caller_listener.py
+++ b/packages/proxy/src/sassafrastally/proxy/caller_listener.py
@@ -11,6 +11,7 @@
 
 from sassafrastally.core import Acceptor, Service
 from sassafrastally.proxy.attempt import Request
+from sassafrastally.proxy.caller_connections import CallerConnections, most_caller_connections
 from sassafrastally.proxy.cluster_state import ClusterState
 from sassafrastally.proxy.cpu_overload import read_until, sleep_until_read
 from sassafrastally.proxy.early_listener import BACKLOG
@@ -35,7 +36,7 @@
     ProcessDraining,
     RequestMalformed,
 )
-from sassafrastally.proxy.metrics import CONNECTIONS_REFUSED
+from sassafrastally.proxy.metrics import CONNECTIONS_REFUSED, IDLE_CONNECTIONS_CLOSED
 from sassafrastally.proxy.model import RequestLimits
 from sassafrastally.proxy.overload_monitor import OverloadMonitor
 from sassafrastally.proxy.path import RequestPath
@@ -119,7 +120,9 @@
         self._dialect = dialect
         self._open_listener = listener
         self._stop_requested_s: float | None = None
-        self._idle_scopes: set[trio.CancelScope] = set()
+        self._connections: CallerConnections[trio.CancelScope] = CallerConnections(
+            most_caller_connections(settings.max_descriptors)
+        )
         self._is_closing_idle = False
         self._acceptor: Acceptor | None = None
 
@@ -173,9 +176,9 @@
             self.kernel.events.emit(ListenerClosed(accepted, unaccepted, self.open_connections))
 
     def _close_idle(self) -> None:
-        self.kernel.events.emit(IdleConnectionsClosed(len(self._idle_scopes), self.open_requests))
+        self.kernel.events.emit(IdleConnectionsClosed(len(self._connections), self.open_requests))
         self._is_closing_idle = True
-        for scope in list(self._idle_scopes):
+        for scope in self._connections:
             scope.cancel()
 
     async def _all_answered(self) -> None:
@@ -185,12 +188,19 @@
 
     def _note_shortage(self, cause: str) -> None:
         self.kernel.events.emit(AcceptFailed(cause, self.open_connections))
+        for scope in self._connections.take_for_shortage():
+            IDLE_CONNECTIONS_CLOSED.add(1)
+            scope.cancel()
 
     @property
     def open_connections(self) -> int:
         """Number of connections that are accepted and not closed."""
         return 0 if self._acceptor is None else self._acceptor.open_connections
 
+    @property
+    def _lacks_descriptors(self) -> bool:
+        return self._acceptor is not None and self._acceptor.is_short
+
     @property
     def is_stopping(self) -> bool:
         """Whether the process has been asked to stop."""
@@ -199,10 +209,12 @@
     async def serve(self, stream: trio.abc.Stream) -> None:
         """Serve one connection until it closes.
 
-        An entry without CPU time for more requests closes it unread: the caller may then retry
-        whatever it sent, at once and at another entry.
+        An entry without CPU time for more requests, or with as many connections in use as it may
+        have, closes it unread: the caller may then retry whatever it sent, at once and at another
+        entry.
         """
-        if self._overload.refuses_connections() and not self.is_stopping:
+        is_busy = self._overload.refuses_connections() and not self.is_stopping
+        if is_busy or not self._has_room():
             CONNECTIONS_REFUSED.add(1)
             await trio.aclose_forcefully(stream)
             return
@@ -227,6 +239,17 @@
         finally:
             await connection.close()
 
+    def _has_room(self) -> bool:
+        """Return whether a connection that was accepted may stay; idle ones are closed for it."""
+        if not self._connections.is_full(self.open_connections):
+            return True
+        longest_idle = self._connections.take_longest_idle()
+        if longest_idle is None:
+            return False
+        IDLE_CONNECTIONS_CLOSED.add(1)
+        longest_idle.cancel()
+        return True
+
     def _limits(self) -> RequestLimits:
         configuration = self._cluster_state.configuration
         return configuration.limits if configuration else DEFAULT_LIMITS
@@ -313,10 +336,10 @@
         """Return whether a request begins; cancelled when the drain closes idle connections."""
         if connection.http.trailing_data[0]:
             return True
-        if not self._is_closing_idle:
+        if not self._is_closing_idle and not self._lacks_descriptors:
             due_s = trio.current_time() + self._limits().idle_time_s
             with trio.CancelScope() as scope:
-                self._idle_scopes.add(scope)
+                self._connections.begin_idle(scope)
                 try:
                     return await read_until(connection.receive_bytes, due_s)
                 except ConnectionLost:
@@ -324,7 +347,7 @@
                 except trio.TooSlowError:
                     pass
                 finally:
-                    self._idle_scopes.discard(scope)
+                    self._connections.end_idle(scope)
         # A request may have arrived at the same moment.
         return connection.has_unread_input()
 
--- a/packages/proxy/src/sassafrastally/proxy/metrics.py
+++ b/packages/proxy/src/sassafrastally/proxy/metrics.py
@@ -30,7 +30,12 @@
 CONNECTIONS_REFUSED = counter(
     "proxy.connections_refused",
     "1",
-    "Callers' connections closed unread by an entry without CPU time for more requests.",
+    "Callers' connections closed unread by an entry without CPU time or descriptors for them.",
+)
+IDLE_CONNECTIONS_CLOSED = counter(
+    "proxy.idle_connections_closed",
+    "1",
+    "Idle callers' connections closed for new ones, as the entry may not have more.",
 )
 CALLERS_BLOCKED = counter(
     "proxy.callers.blocked", "1", "Callers disconnected because they didn't read their response."
--- a/packages/proxy/src/sassafrastally/proxy/settings.py
+++ b/packages/proxy/src/sassafrastally/proxy/settings.py
@@ -47,3 +47,5 @@
     """All data centres, with their regions."""
     memory_mb: int = 0
     """Memory limit of the process in megabytes; 0 if the settings name none."""
+    max_descriptors: int = 0
+    """Limit of the process's file descriptors; 0 if the settings name none."""
--- a/packages/testing/tests/platform/test_settings.py
+++ b/packages/testing/tests/platform/test_settings.py
@@ -37,13 +37,20 @@
         assert len(invalid.data_centres.problems) == 1
 
     @pytest.mark.parametrize("value", [None, "many", -1, True])
-    def test_invalid_memory_limit_is_a_finding(self, value):
+    @pytest.mark.parametrize(
+        ("key", "field"), [("memoryMb", "memory_mb"), ("maxFds", "max_descriptors")]
+    )
+    def test_invalid_limit_is_a_finding(self, key, field, value):
         """A missing limit is none; an invalid one must not pass for it."""
-        assert decode_settings(json.dumps(SETTINGS), "settings.json").memory_mb == 0
-        invalid = {**SETTINGS, "limits": {"linkMbps": 1000.0, "memoryMb": value}}
+        assert getattr(decode_settings(json.dumps(SETTINGS), "settings.json"), field) == 0
+        invalid = {**SETTINGS, "limits": {"linkMbps": 1000.0, key: value}}
         with pytest.raises(FindingsError) as caught:
             decode_settings(json.dumps(invalid), "settings.json")
-        assert [finding.place.key for finding in caught.value.findings] == ["limits.memoryMb"]
+        assert [finding.place.key for finding in caught.value.findings] == [f"limits.{key}"]
+
+    def test_limit_of_descriptors(self):
+        settings = {**SETTINGS, "limits": {"linkMbps": 1000.0, "maxFds": 4100}}
+        assert decode_settings(json.dumps(settings), "settings.json").max_descriptors == 4100
 
     def test_all_findings_are_reported_with_their_places(self):
         invalid = {**SETTINGS, "ip": None, "listen": {"front": "nowhere"}}
--- a/packages/testing/tests/platform/test_settings_values.py
+++ b/packages/testing/tests/platform/test_settings_values.py
@@ -36,7 +36,7 @@
         """Guards against a process that ends at a reload of an odd settings file."""
         document = json.loads(json.dumps(SETTINGS))
         document["bounds"] |= {"coldOverrun": 1.0, "coldSlack": 0}
-        document["limits"]["memoryMb"] = 200
+        document["limits"] |= {"memoryMb": 200, "maxFds": 4100}
         part = data.draw(
             st.sampled_from([document, document["bounds"], document["limits"], document["listen"]])
         )
--- a/packages/testing/tests/soak/test_descriptors_process.py
+++ b/packages/testing/tests/soak/test_descriptors_process.py
@@ -1,11 +1,13 @@
-"""An entry as a process with few file descriptors."""
+"""An entry as a process with few file descriptors, and callers that keep connections open."""
 
 from __future__ import annotations
 
 import resource
+from collections import Counter
 from contextlib import asynccontextmanager
 
 import h11
+import pytest
 import trio
 
 from sassafrastally.proxy.http_stream import ConnectionLost, HttpStream, connect
@@ -18,6 +20,12 @@
 NO_MORE = 3
 """Limit at which a process keeps what it has open and can't open anything."""
 
+IDLE_CALLERS = 500
+
+AT_ONCE = 20
+
+NEW_CALLERS = 40
+
 ANSWERED_S = 1.0
 """Time in which callers must be answered: they allow a second for a new connection."""
 
@@ -81,6 +89,54 @@
     return status
 
 
+async def statuses_of(
+    entry: EntryProcess, count: int, opened: list[HttpStream] | None = None
+) -> list[int]:
+    """Return the statuses of requests on new connections at the same time."""
+    statuses: list[int] = []
+
+    async def call() -> None:
+        statuses.append(await status_of(entry, opened))
+
+    async with trio.open_nursery() as nursery:
+        for _ in range(count):
+            nursery.start_soon(call)
+    return statuses
+
+
+class TestIdleCallers:
+    """More callers with idle connections than the entry has descriptors."""
+
+    async def _statuses(self, folder, host, named: int | None) -> tuple[list[int], list[int]]:
+        """Return the statuses of callers that keep their connections, then those of others."""
+        opened: list[HttpStream] = []
+        async with short_entry(folder, host, named) as entry:
+            statuses: list[int] = []
+            for _ in range(IDLE_CALLERS // AT_ONCE):
+                statuses += await statuses_of(entry, AT_ONCE, opened)
+            new = await statuses_of(entry, NEW_CALLERS)
+            assert entry.is_running
+            for connection in opened:
+                await connection.close()
+        return statuses, new
+
+    @pytest.mark.parametrize("named", [MAX_DESCRIPTORS, None], ids=["settings", "system"])
+    async def test_do_not_keep_out_others(self, tmp_path, own_host, named):
+        """Guards against an entry whose descriptors idle callers use up: nobody else is accepted
+        until they leave, and no attempt reaches a server."""
+        statuses, new = await self._statuses(tmp_path, own_host, named)
+        assert Counter(statuses) == {200: IDLE_CALLERS}
+        assert Counter(new) == {200: NEW_CALLERS}
+
+    async def test_make_room_if_the_limit_is_lower_than_the_settings_name(self, tmp_path, own_host):
+        """As above; attempts may lack descriptors until some idle connections are closed, which
+        callers are told."""
+        statuses, new = await self._statuses(tmp_path, own_host, 50 * MAX_DESCRIPTORS)
+        answered = Counter(statuses + new)
+        assert answered[200] + answered[503] == IDLE_CALLERS + NEW_CALLERS, answered
+        assert answered[200] > MAX_DESCRIPTORS, answered
+
+
 class TestNoDescriptors:
     """A process that can't open anything for a while."""
 
