Answer the calls that wait at the internal ports when an entry ends

The same cause at the ports of readiness checks, peers and metrics: they were closed by the end of the kernel's nursery, over their accept queues. No caller loses an answer by it: a check that is reset counts as a miss as its 503 does, and a peer asks another one. A service now has `finish`, called once all services have stopped, in which these ports are emptied and closed within 0.02 s.

The new test is red before: of the calls in the last turns some were reset.

--- a/packages/core/src/sassafrastally/core/kernel.py
+++ b/packages/core/src/sassafrastally/core/kernel.py
@@ -41,7 +41,8 @@
     """A component of a process that other services look up by name.
 
     A service gets its dependencies from the kernel in `start` and may run tasks in the kernel's
-    nursery. The kernel calls `stop` in reverse start order and then cancels the remaining tasks.
+    nursery. The kernel calls `stop`, then `finish`, in reverse start order, and then cancels the
+    remaining tasks.
     """
 
     name: ClassVar[str] = ""
@@ -59,6 +60,9 @@
     async def stop(self) -> None:
         """Finish work in progress and accept no new work."""
 
+    async def finish(self) -> None:
+        """End what had to go on until all services have stopped."""
+
     def status(self) -> dict[str, Any]:
         """Return JSON values for ``sassafrastally status``."""
         return {}
@@ -149,6 +153,8 @@
             await self.stopping.wait()
             for service in reversed(order):
                 await service.stop()
+            for service in reversed(order):
+                await service.finish()
             self.events.emit(ProcessStopped())
             nursery.cancel_scope.cancel()
 
--- a/packages/proxy/src/sassafrastally/proxy/internal_endpoints.py
+++ b/packages/proxy/src/sassafrastally/proxy/internal_endpoints.py
@@ -7,7 +7,7 @@
 import h11
 import trio
 
-from sassafrastally.core import Service
+from sassafrastally.core import Acceptor, Service
 from sassafrastally.core.metrics import hold_values
 from sassafrastally.proxy.backpressure import Backpressure
 from sassafrastally.proxy.caller_listener import CallerListener
@@ -43,6 +43,10 @@
 """Maximum number of bytes received for one request. The requests are a short header; a body is
 discarded."""
 
+LAST_ANSWERS_S = 0.02
+"""Time for the calls that were still waiting when the ports are closed; they are answered from
+memory."""
+
 MAX_CONNECTIONS = 1024
 """Maximum number of open connections at each port: three for each entry of a fleet of 340."""
 
@@ -64,6 +68,7 @@
     def __init__(self, settings: ProxySettings) -> None:
         self._settings = settings
         self._was_ready = False
+        self._acceptors: list[Acceptor] = []
 
     async def start(self, nursery: trio.Nursery) -> None:
         """Start listening on the ports for readiness checks, peers and metrics."""
@@ -81,6 +86,13 @@
         await self._listen(nursery, host, self._settings.peer_port, self._handle_peer_changes)
         await self._listen(nursery, host, self._settings.metrics_port, self._handle_metrics)
 
+    async def finish(self) -> None:
+        """Answer the calls that are waiting at the ports, and close these."""
+        with trio.move_on_after(LAST_ANSWERS_S):
+            closed = [await acceptor.close() for acceptor in self._acceptors]
+            if any(port.accepted for port in closed):
+                await trio.sleep_forever()
+
     def _handle_readiness(self, _target: str) -> tuple[int, bytes]:
         """Handle a readiness check.
 
@@ -151,7 +163,9 @@
             with containment:
                 await endpoint.serve(stream)
 
-        nursery.start_soon(trio.serve_listeners, serve, listeners)
+        acceptor = Acceptor(listeners[0], serve)
+        self._acceptors.append(acceptor)
+        nursery.start_soon(acceptor.run, nursery)
 
 
 class Endpoint:
--- a/packages/testing/tests/platform/test_accept_queue.py
+++ b/packages/testing/tests/platform/test_accept_queue.py
@@ -8,7 +8,10 @@
 import pytest
 import trio
 
-from sassafrastally.proxy.caller_listener import ACCEPT_AFTER_SIGNAL_S
+from sassafrastally.proxy.caller_listener import (
+    ACCEPT_AFTER_SIGNAL_S,
+    LAST_REQUEST_AFTER_SIGNAL_S,
+)
 from sassafrastally.proxy.http_stream import ConnectionLost, HttpStream
 from sassafrastally.stand_ins.caller_requests import exchange_on, request_fields
 
@@ -75,3 +78,35 @@
                 await trio.lowlevel.checkpoint()
         assert opened > PER_TURN
         assert statuses.count(0) == 0, f"{statuses.count(0)} of {opened} got nothing"
+
+
+class TestInternalPorts:
+    """The ports of readiness checks, peers and metrics when the process ends."""
+
+    CALL = b"GET /readyz HTTP/1.1\r\nHost: entry\r\nConnection: close\r\n\r\n"
+
+    async def test_each_call_that_is_established_is_answered(self, small_fleet):
+        """Guards against readiness checks and calls of peers that are reset in the accept queue of
+        a process that ends."""
+        address = small_fleet.entry_settings(1).readiness_address
+        small_fleet.kernels[0].request_stop()
+        await trio.sleep(LAST_REQUEST_AFTER_SIGNAL_S - BEFORE_CLOSE_S)
+        answers: list[bytes] = []
+
+        async def call(caller: socket.socket) -> None:
+            with trio.socket.from_stdlib_socket(caller) as stream:
+                try:
+                    answers.append(await stream.recv(12))
+                except ConnectionResetError:
+                    answers.append(b"reset")
+
+        opened = 0
+        async with trio.open_nursery() as nursery:
+            while new := open_some(address, min(PER_TURN, MAX_CONNECTIONS - opened)):
+                opened += len(new)
+                for caller in new:
+                    caller.send(self.CALL)
+                    nursery.start_soon(call, caller)
+                await trio.lowlevel.checkpoint()
+        assert PER_TURN < opened < MAX_CONNECTIONS
+        assert set(answers) == {b"HTTP/1.1 503"}
