Count work once whose turn has come in a sidecar

Callers saw: with 40 callers of short answers (one token) both sidecars of the examples ended with a traceback, and the requests on them with them. Entries refused the rest (no-replica).

Cause: from the dispatcher's choice until the task of an attempt runs again, its work was in the engine state as running and in expected_work as waiting. The simulation of the queue told runs apart by their work: the end of the first of the two removed both, and the prefill of the second one found no run (StopIteration in a coroutine, a RuntimeError that ends the process). An attempt that its engine had refused was counted twice too, until it was released.

Change: expected_work leaves out what the queue counts as running; the simulation numbers its runs, so that an identical work can't end it.

Evidence: both tests fail before (StopIteration; the work in both lists, with either scheduler).

--- a/packages/serving/src/sassafrastally/serving/forecast.py
+++ b/packages/serving/src/sassafrastally/serving/forecast.py
@@ -66,7 +66,7 @@
 
 class _Prefill(NamedTuple):
     rank: float
-    sequence: int
+    number: int
     work: Work
 
 
@@ -101,12 +101,13 @@
         self._remaining_s = dict(remaining_s)
         self._now_s = state.now_s
         self._free = state.free_blocks
-        self._running = list(state.running)
+        self._running = dict(enumerate(state.running))
+        """Runs by number. The same work may be given as running and as waiting."""
         self._prefills: list[_Prefill] = []
         self._decodes: list[tuple[float, int, Work]] = []
-        self._sequence = 0
-        for run in self._running:
-            self._add_run(run)
+        for number in self._running:
+            self._add_run(number)
+        self._next_number = len(self._running)
         self._chunk_wait_s = cost.prefill_s(CHUNK_TOKENS) / 2 if self._prefills else 0.0
 
     def predict(
@@ -133,22 +134,22 @@
                 # Nothing runs and nothing can start: the target can never fit on this engine.
                 return Prediction(float("inf"), float("inf"))
 
-    def _add_run(self, run: Running) -> None:
-        self._sequence += 1
+    def _add_run(self, number: int) -> None:
+        run = self._running[number]
         work = run.work
         if run.first_token_s is None:
-            heapq.heappush(self._prefills, _Prefill(self._rank(work), self._sequence, work))
+            heapq.heappush(self._prefills, _Prefill(self._rank(work), number, work))
         else:
             remaining = max(0, work.output_tokens - run.shown_tokens)
             end_s = self._now_s + remaining * self._cost.token_s(len(self._running))
-            heapq.heappush(self._decodes, (end_s, self._sequence, work))
+            heapq.heappush(self._decodes, (end_s, number, work))
 
     def _start(
         self, queue: list[Work], pick: Callable[[Sequence[Work], EngineState], Work | None]
     ) -> None:
         while queue:
             state = self._state._replace(
-                now_s=self._now_s, free_blocks=self._free, running=tuple(self._running)
+                now_s=self._now_s, free_blocks=self._free, running=tuple(self._running.values())
             )
             work = pick(queue, state)
             if work is None:
@@ -156,9 +157,9 @@
             queue.remove(work)
             self._free -= blocks_needed(work, self._state.block_tokens)
             self._remaining_s[work.request_id, work.attempt] = service_s(work, self._cost)
-            run = Running(work, self._now_s, None, 0)
-            self._running.append(run)
-            self._add_run(run)
+            self._running[self._next_number] = Running(work, self._now_s, None, 0)
+            self._add_run(self._next_number)
+            self._next_number += 1
 
     def _step(self) -> Work | None:
         """Advance to the next first token or completion and return its work."""
@@ -167,7 +168,7 @@
         end_s = self._decodes[0][0] if self._decodes else float("inf")
         if not self._prefills:
             return self._finish_decode()
-        head = self._prefills[0].work
+        _, number, head = self._prefills[0]
         key = head.request_id, head.attempt
         first_s = self._now_s + self._remaining_s[key]
         if end_s < first_s:
@@ -175,14 +176,13 @@
             return self._finish_decode()
         heapq.heappop(self._prefills)
         self._now_s = first_s
-        index = next(i for i, run in enumerate(self._running) if run.work is head)
-        self._running[index] = self._running[index]._replace(first_token_s=first_s)
-        self._add_run(self._running[index])
+        self._running[number] = self._running[number]._replace(first_token_s=first_s)
+        self._add_run(number)
         return head
 
     def _finish_decode(self) -> Work:
-        end_s, _, work = heapq.heappop(self._decodes)
+        end_s, number, work = heapq.heappop(self._decodes)
         self._now_s = max(self._now_s, end_s)
-        self._running = [run for run in self._running if run.work is not work]
+        del self._running[number]
         self._free += blocks_needed(work, self._state.block_tokens)
         return work
--- a/packages/serving/tests/test_lanes.py
+++ b/packages/serving/tests/test_lanes.py
@@ -221,3 +221,12 @@
         prediction = make_scheduler().predict(make_work("x", 10_000), [], idle(free_blocks=10))
         assert prediction.first_token_s == float("inf")
         assert SHORT == 0
+
+    def test_work_that_is_given_as_running_and_as_waiting_is_simulated_twice(self) -> None:
+        """Guards against an exception that ends the process: runs were told apart by their work,
+        so that the end of the first run also removed the second one."""
+        work = make_work("x", 1_000, output_tokens=1)
+        state = idle()._replace(running=(Running(work, 0.0, None, 0),))
+        target = make_work("late", 5_000, arrived_s=0.01)
+        predicted = make_scheduler().predict(target, [work], state)
+        assert predicted.first_token_s == pytest.approx(0.7)
--- a/packages/sidecar/src/sassafrastally/sidecar/engine_backend.py
+++ b/packages/sidecar/src/sassafrastally/sidecar/engine_backend.py
@@ -136,12 +136,16 @@
         """Return the work that is reserved or waiting.
 
         Segments that wait for earlier segments are excluded: until they are due, the admission
-        check for promised memory already protects their blocks from other work.
+        check for promised memory already protects their blocks from other work. Work whose turn
+        has come is excluded too: the engine state counts it as running.
         """
         return [
             a.work
             for a in self._table.live
-            if a.work is not None and not a.has_started and (a.segment is None or self._is_due(a))
+            if a.work is not None
+            and not a.has_started
+            and not self._queue.is_running(a.key)
+            and (a.segment is None or self._is_due(a))
         ]
 
     def _is_due(self, attempt: Attempt) -> bool:
--- a/packages/sidecar/src/sassafrastally/sidecar/queue.py
+++ b/packages/sidecar/src/sassafrastally/sidecar/queue.py
@@ -65,6 +65,10 @@
         """Number of runs on the engine."""
         return len(self._running)
 
+    def is_running(self, key: AttemptKey) -> bool:
+        """Return whether the turn of the work has come, also before its task has noticed."""
+        return key in self._running
+
     def state(self) -> EngineState:
         """Return the engine state that the scheduler needs."""
         return EngineState(
--- a/packages/sidecar/tests/test_admission.py
+++ b/packages/sidecar/tests/test_admission.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import pytest
+import trio
 
 from sassafrastally.wire.messages import Reserved
 
@@ -44,3 +45,32 @@
             assert answer.limit == next(iter(bound.values()))
             assert answer.retry_after_s > 0
         assert isinstance(await refused(rig, rig.reserve(3, body_size_bytes=50)), Reserved)
+
+
+class TestPredictions:
+    @pytest.mark.parametrize("scheduler", ["lanes", "naive"])
+    async def test_work_whose_turn_has_come_is_counted_once(
+        self, autojump_clock, make_rig, scheduler
+    ):
+        """Guards against work that counts as running and as waiting until its task has noticed
+        that its turn has come. A prediction in that turn of the loop was too long, and one for
+        several short answers ended the process."""
+        rig = await make_rig(scheduler=scheduler)
+        backend, queue = rig.service.admission.engine, rig.service.queue
+        counted = []
+
+        def wait_turn_noted(work, stream_id, wait_turn=queue.wait_turn):
+            counted.append(work)
+            return wait_turn(work, stream_id)
+
+        def start_noted(work, state, start=queue._start):
+            has_started = start(work, state)
+            running = [run.work for run in queue.state().running]
+            assert not set(running) & set(backend.expected_work())
+            return has_started
+
+        queue.wait_turn, queue._start = wait_turn_noted, start_noted
+        async with trio.open_nursery() as nursery:
+            for number in range(1, 11):
+                nursery.start_soon(rig.run, rig.reserve(number, answer=1))
+        assert len(counted) == 10
