Empty the accept queue before a stopping entry of the product closes its ports

Callers saw: in each stop with 40 or 80 callers, 28 to 72 established connections reset or ended without an answer, most of them with whole requests: those of callers who connect anew lay in the accept queue, those on open connections came when these were closed.

Cause: hypercorn's worker_serve closes its listening socket as soon as the shutdown begins, over the connections that the process hasn't accepted, and closes all connections that are idle to its knowledge at once: also those whose request is in the socket, is being read, or is still to come since they were accepted a moment ago.

Change: AsgiServer, which serves callers, operators and the stand-ins, accepts by core.accepting and runs hypercorn's connections by itself. At the close it empties the queue, waits 0.3 s for the first requests of new connections, and closes idle ones only when their sockets hold no input. Responses after the stop signal say "Connection: close", so that open connections aren't used until the last moment. New events tell what was accepted, reset and cut at the close, and when descriptors or memory for connections are missing.

--- a/packages/entry/src/sassafrastally/entry/admin.py
+++ b/packages/entry/src/sassafrastally/entry/admin.py
@@ -26,6 +26,7 @@
 from sassafrastally.core.kv import KvConflict, KvUnavailable, MaybeApplied
 from sassafrastally.core.settings import section
 from sassafrastally.entry.asgi import AsgiServer, ServerBounds
+from sassafrastally.entry.events import ConnectionsUnaccepted, HttpServerClosed
 from sassafrastally.serving.explanations import explain
 from sassafrastally.serving.receipts import ReceiptService
 from sassafrastally.stores.service import PlatformService
@@ -41,6 +42,9 @@
 
 ROLES = ("entry", "sidecar")
 
+OPERATORS = "operators"
+"""Name of the interface in events."""
+
 MAX_DOCUMENT_BYTES = 16_000_000
 """Largest bundle document that is accepted."""
 
@@ -117,13 +121,22 @@
 
     async def start(self, nursery: trio.Nursery) -> None:
         """Start the HTTP server."""
-        self._server = AsgiServer(self._make_app(), self._settings.listen_address, ServerBounds())
+        self._server = AsgiServer(
+            self._make_app(),
+            self._settings.listen_address,
+            ServerBounds(),
+            self._on_shortage,
+        )
         await nursery.start(self._server.run)
         self.kernel.events.emit(AdminListening(str(self.bound_address)))
 
     async def stop(self) -> None:
         """Close the server once the calls in progress have ended."""
-        await self._server.close()
+        closed = await self._server.close()
+        self.kernel.events.emit(HttpServerClosed(OPERATORS, *closed))
+
+    def _on_shortage(self, cause: str) -> None:
+        self.kernel.events.emit(ConnectionsUnaccepted(OPERATORS, cause))
 
     @property
     def _kv(self) -> Kv:
--- a/packages/entry/src/sassafrastally/entry/asgi.py
+++ b/packages/entry/src/sassafrastally/entry/asgi.py
@@ -2,17 +2,19 @@
 
 from __future__ import annotations
 
-import math
 import socket
-from functools import partial
 from typing import TYPE_CHECKING, Any, NamedTuple
 
 import trio
+from hypercorn.app_wrappers import ASGIWrapper
 from hypercorn.config import Config
-from hypercorn.trio import serve
+from hypercorn.trio.worker_context import WorkerContext
 
 from sassafrastally.core import Address, time_limit
+from sassafrastally.core.accepting import Acceptor
 from sassafrastally.core.http_patterns import use_linear_patterns
+from sassafrastally.core.late_limits import deliver_received
+from sassafrastally.entry.http_connection import HttpConnection
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -23,6 +25,13 @@
 
 _MS = 1000
 
+OPEN_CHECK_S = 0.02
+"""Interval at which is checked whether connections are still open."""
+
+FIRST_REQUEST_S = 0.3
+"""How long the first requests of the connections that were accepted last are awaited at the close.
+"""
+
 
 class ServerBounds(NamedTuple):
     """Limits on the connections of a server."""
@@ -37,9 +46,23 @@
     """Length of the queue of connections waiting to be accepted."""
 
 
+class ClosedServer(NamedTuple):
+    """What was open when a server closed."""
+
+    accepted: int
+    """Connections that were waiting to be accepted."""
+    unaccepted: int | None
+    """Connections that were reset unaccepted; ``None`` if the system doesn't tell."""
+    cut: int
+    """Connections that were open at the limit."""
+
+
 class AsgiServer:
     """Serves an application from `run` until `close`; the constructor binds the address.
 
+    hypercorn's own `serve` closes its listening socket with connections waiting, which the system
+    resets, so the connections are accepted here.
+
     Parameters
     ----------
     app
@@ -48,6 +71,8 @@
         Where to listen; port 0 selects a free port.
     bounds
         Limits on connections.
+    on_shortage
+        Called with the cause when resources for a connection are missing.
 
     Raises
     ------
@@ -55,45 +80,92 @@
         If the address can't be bound.
     """
 
-    def __init__(self, app: QuartTrio, address: Address, bounds: ServerBounds) -> None:
-        listener = _bind(address, bounds.unread_limit_s)
-        name = listener.getsockname()
+    def __init__(
+        self,
+        app: QuartTrio,
+        address: Address,
+        bounds: ServerBounds,
+        on_shortage: Callable[[str], None] = lambda _: None,
+    ) -> None:
+        self._listener = _bind(address, bounds.unread_limit_s)
+        name = self._listener.getsockname()
         self.bound_address = Address(name[0], name[1])
         """Address that the server is bound to."""
-        self._app = _shield_last_send(app, bounds.unread_limit_s)
-        self._config = Config()
-        self._config.bind = [f"fd://{listener.detach()}"]
-        self._config.backlog = bounds.backlog
-        self._config.keep_alive_timeout = bounds.keep_alive_s
-        # Hypercorn's own limit would drop answers that are ready when it is found late.
-        self._config.graceful_timeout = math.inf
-        self._close_limit_s = bounds.close_limit_s
-        self._config.include_server_header = False
-        self._config.loglevel = "WARNING"
-        self._closing = trio.Event()
+        self.app = ASGIWrapper(self._with_own_sends(app, bounds.unread_limit_s))
+        """The application, as hypercorn calls it."""
+        self.config = Config()
+        """Settings of connections."""
+        self.config.keep_alive_timeout = bounds.keep_alive_s
+        self.config.include_server_header = False
+        self.config.loglevel = "WARNING"
+        self.context = WorkerContext(None)
+        """Tells connections about the close."""
+        self._bounds = bounds
+        self._on_shortage = on_shortage
+        self._is_draining = False
+        self._acceptor: Acceptor
         self._closed = trio.Event()
         self._scope = trio.CancelScope()
 
     async def run(self, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
         """Serve requests; signals `task_status` once connections are accepted."""
-        served = partial(
-            serve, self._app, self._config, shutdown_trigger=self._closing.wait, mode="asgi"
-        )
+        self._listener.listen(self._bounds.backlog)
+        listener = trio.SocketListener(trio.socket.from_stdlib_socket(self._listener))
+        self._acceptor = Acceptor(listener, self._serve, self._on_shortage)
         try:
             with self._scope:
-                async with trio.open_nursery() as nursery:
-                    await nursery.start(served)
+                async with trio.open_nursery() as connections:
+                    connections.start_soon(self._acceptor.run, connections)
                     task_status.started()
         finally:
             self._closed.set()
 
-    async def close(self) -> None:
-        """Stop accepting connections, finish the calls in progress and close."""
-        self._closing.set()
-        async with time_limit(trio.current_time() + self._close_limit_s):
+    def drain(self) -> None:
+        """Close each connection after its next response, which says so to the client."""
+        self._is_draining = True
+
+    async def close(self) -> ClosedServer:
+        """Serve the connections that are established, finish the calls in progress and close."""
+        self.drain()
+        begin_s = trio.current_time()
+        accepted, unaccepted, cut = 0, None, 0
+        async with time_limit(begin_s + self._bounds.close_limit_s) as limit:
+            accepted, unaccepted = await self._acceptor.close()
+            first_request_s = trio.current_time() + FIRST_REQUEST_S
+            while trio.current_time() < first_request_s and self._acceptor.open_connections:
+                await trio.sleep(OPEN_CHECK_S)
+            await deliver_received(first_request_s)
+            await self.context.terminated.set()
             await self._closed.wait()
+        if limit.scope.cancelled_caught:
+            cut = self._acceptor.open_connections
         self._scope.cancel()
         await self._closed.wait()
+        return ClosedServer(accepted, unaccepted, cut)
+
+    async def _serve(self, stream: trio.SocketStream) -> None:
+        await HttpConnection(self, stream).run()
+
+    def _with_own_sends(self, app: QuartTrio, limit_s: float) -> Callable[..., Awaitable[None]]:
+        # For "Connection: close", hypercorn closes the connection while it sends the last part of
+        # the response. Before that it reports a disconnect, on which quart-trio cancels the tasks
+        # of the request, including the one that sends. The close is then interrupted, and a client
+        # that reads until the end of the connection waits for ever. The shield lets the last send
+        # complete, including the close.
+        async def with_own_sends(scope: Any, receive: Any, send: Any) -> None:
+            async def send_own(message: Any) -> None:
+                if message["type"] == "http.response.start" and self._is_draining:
+                    message = _closing(message, scope["http_version"])
+                is_last = message["type"] == "http.response.body" and not message.get("more_body")
+                if not is_last:
+                    await send(message)
+                    return
+                with trio.move_on_after(limit_s, shield=True):
+                    await send(message)
+
+            await app(scope, receive, send_own)
+
+        return with_own_sends
 
 
 def _bind(address: Address, unread_limit_s: float) -> socket.socket:
@@ -115,21 +187,9 @@
     return listener
 
 
-def _shield_last_send(app: QuartTrio, limit_s: float) -> Callable[..., Awaitable[None]]:
-    # For "Connection: close", hypercorn closes the connection while it sends the last part of the
-    # response. Before that it reports a disconnect, on which quart-trio cancels the tasks of the
-    # request, including the one that sends. The close is then interrupted, and a client that
-    # reads until the end of the connection waits for ever. The shield lets the last send
-    # complete, including the close.
-    async def shielded(scope: Any, receive: Any, send: Any) -> None:
-        async def send_shielded_last(message: Any) -> None:
-            is_last = message["type"] == "http.response.body" and not message.get("more_body")
-            if not is_last:
-                await send(message)
-                return
-            with trio.move_on_after(limit_s, shield=True):
-                await send(message)
-
-        await app(scope, receive, send_shielded_last)
-
-    return shielded
+def _closing(message: dict[str, Any], http_version: str) -> dict[str, Any]:
+    """Add to the head of a response that the connection is closed after it."""
+    if not http_version.startswith("1"):
+        return message
+    headers = [*message.get("headers", ()), (b"connection", b"close")]
+    return {**message, "headers": headers}
--- a/packages/entry/src/sassafrastally/entry/events.py
+++ b/packages/entry/src/sassafrastally/entry/events.py
@@ -142,6 +142,28 @@
     cause: str
 
 
+@event(6030)
+class HttpServerClosed(NamedTuple):
+    """An HTTP server of the entry has closed its port and its connections."""
+
+    interface: str
+    """``callers`` or ``operators``."""
+    accepted: int
+    """Connections that were waiting to be accepted and still were."""
+    unaccepted: int | None
+    """Connections that the system reset unaccepted; ``None`` if it doesn't tell."""
+    cut: int
+    """Connections that were cut at the time limit of the close."""
+
+
+@event(6031, "warning")
+class ConnectionsUnaccepted(NamedTuple):
+    """Connections wait to be accepted: the process or the system lacks resources for them."""
+
+    interface: str
+    cause: str
+
+
 REQUESTS = counter("sassafrastally.entry.requests", "1", "Requests by outcome and code")
 OPEN_REQUESTS = gauge("sassafrastally.entry.open_requests", "1", "Requests in progress")
 RETRIES = counter("sassafrastally.entry.retries", "1", "Attempts after the first")
--- a/packages/entry/src/sassafrastally/entry/http.py
+++ b/packages/entry/src/sassafrastally/entry/http.py
@@ -8,7 +8,11 @@
 
 from sassafrastally.core import Service, event, time_limit
 from sassafrastally.entry.asgi import AsgiServer, ServerBounds
-from sassafrastally.entry.events import EntryDraining
+from sassafrastally.entry.events import (
+    ConnectionsUnaccepted,
+    EntryDraining,
+    HttpServerClosed,
+)
 from sassafrastally.entry.path import RequestPath
 from sassafrastally.entry.routes import Routes
 
@@ -16,6 +20,9 @@
     from sassafrastally.core import Address
     from sassafrastally.entry.settings import EntrySettings, HttpSettings
 
+CALLERS = "callers"
+"""Name of the interface in events."""
+
 
 @event(6011)
 class HttpListening(NamedTuple):
@@ -61,7 +68,12 @@
             backlog=settings.backlog,
         )
         app = Routes(self._path).make_app()
-        self._server = AsgiServer(app, settings.listen_address, bounds)
+        self._server = AsgiServer(
+            app,
+            settings.listen_address,
+            bounds,
+            self._on_shortage,
+        )
         await nursery.start(self._server.run)
         self.kernel.events.emit(HttpListening(str(self.bound_address)))
 
@@ -74,7 +86,12 @@
         """
         drain_s = self._entry_settings.drain_s
         self.kernel.events.emit(EntryDraining(self._path.open_requests, drain_s))
+        self._server.drain()
         async with time_limit(trio.current_time() + drain_s):
             await self.kernel.hurrying.wait()
         await self._path.stop()
-        await self._server.close()
+        closed = await self._server.close()
+        self.kernel.events.emit(HttpServerClosed(CALLERS, *closed))
+
+    def _on_shortage(self, cause: str) -> None:
+        self.kernel.events.emit(ConnectionsUnaccepted(CALLERS, cause))
--- /dev/null
+++ b/packages/entry/tests/test_closing.py
@@ -0,0 +1,144 @@
+"""How connections end: at the close of the server."""
+
+from __future__ import annotations
+
+import socket
+from contextlib import suppress
+from typing import TYPE_CHECKING
+
+import pytest
+import trio
+from quart_trio import QuartTrio
+
+from sassafrastally.core import Address
+from sassafrastally.entry.asgi import AsgiServer, ServerBounds
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+PER_TURN = 4
+"""Connections that clients open in each turn of the server's loop."""
+
+MAX_CONNECTIONS = 200
+
+HEAD = b"GET /whole HTTP/1.1\r\nHost: a\r\n\r\n"
+
+
+@pytest.fixture
+async def server(nursery: trio.Nursery) -> AsyncIterator[AsgiServer]:
+    app = QuartTrio("test")
+
+    @app.route("/whole", methods=["GET", "POST"])
+    async def whole() -> str:
+        return "whole"
+
+    bounds = ServerBounds(backlog=2 * MAX_CONNECTIONS)
+    served = AsgiServer(app, Address("127.0.0.1", 0), bounds)
+    await nursery.start(served.run)
+    yield served
+    nursery.cancel_scope.cancel()
+
+
+def connect_some(address: Address, count: int) -> list[socket.socket]:
+    """Return connections that the system has established; fewer once it refuses them."""
+    connected = []
+    for _ in range(count):
+        client = socket.socket()
+        client.settimeout(0.2)
+        try:
+            client.connect(address)
+        except OSError:
+            client.close()
+            break
+        client.setblocking(False)
+        connected.append(client)
+    return connected
+
+
+async def read_all(stream: trio.SocketStream) -> bytes:
+    """Read until the connection ends; what came before a reset counts."""
+    data = b""
+    with suppress(trio.BrokenResourceError):
+        while part := await stream.receive_some():
+            data += part
+    return data
+
+
+class TestAcceptQueue:
+    @pytest.mark.parametrize("sent_after_s", [0.0, 0.05])
+    async def test_each_connection_that_is_established_is_served(
+        self, server: AsgiServer, nursery: trio.Nursery, sent_after_s: float
+    ) -> None:
+        """Guards against a listening socket that is closed over its accept queue: the system resets
+        what is in it, with whole requests that no process has read."""
+        answers: list[bytes] = []
+
+        async def call(client: socket.socket) -> None:
+            async with trio.SocketStream(trio.socket.from_stdlib_socket(client)) as stream:
+                await trio.sleep(sent_after_s)
+                with suppress(trio.BrokenResourceError):
+                    await stream.send_all(HEAD)
+                answers.append(await read_all(stream))
+
+        opened = 0
+        with trio.fail_after(10):
+            async with trio.open_nursery() as callers:
+                nursery.start_soon(server.close)
+                while clients := connect_some(
+                    server.bound_address, min(PER_TURN, MAX_CONNECTIONS - opened)
+                ):
+                    opened += len(clients)
+                    for client in clients:
+                        callers.start_soon(call, client)
+                    await trio.lowlevel.checkpoint()
+        assert opened >= PER_TURN
+        unanswered = sum(not answer.endswith(b"whole") for answer in answers)
+        assert unanswered == 0, f"{unanswered} of {opened} got no answer"
+
+
+class TestIdleConnections:
+    @pytest.mark.parametrize("_try", range(8))
+    async def test_request_that_arrives_at_the_close_is_served(
+        self, server: AsgiServer, monkeypatch: pytest.MonkeyPatch, _try: int
+    ) -> None:
+        """Guards against an idle connection that is closed over a request in its socket. Which task
+        runs first, the one that reads or the one that closes, is left to chance."""
+        stream = await trio.open_tcp_stream("127.0.0.1", server.bound_address.port)
+        close_idle = server.context.terminated.set
+
+        async def send_first() -> None:
+            stream.socket._sock.send(HEAD)  # type: ignore[attr-defined]
+            await close_idle()
+
+        monkeypatch.setattr(server.context.terminated, "set", send_first)
+        with trio.fail_after(5):
+            await server.close()
+            assert (await read_all(stream)).endswith(b"whole")
+
+    @pytest.mark.parametrize("turns", range(12))
+    async def test_request_that_is_being_read_at_the_close_is_served(
+        self, server: AsgiServer, turns: int
+    ) -> None:
+        """Guards against an idle connection that is closed in the turns of the event loop between
+        the reading of its request and the note that it isn't idle any more."""
+        stream = await trio.open_tcp_stream("127.0.0.1", server.bound_address.port)
+        await trio.sleep(0.05)
+        await stream.send_all(HEAD)
+        for _ in range(turns):
+            await trio.lowlevel.checkpoint()
+        await server.context.terminated.set()
+        with trio.fail_after(5):
+            assert (await read_all(stream)).endswith(b"whole")
+
+    async def test_response_of_a_draining_server_ends_its_connection(
+        self, server: AsgiServer
+    ) -> None:
+        """Guards against clients that send requests on open connections until the very close, when
+        a request may get lost on its way."""
+        async with await trio.open_tcp_stream("127.0.0.1", server.bound_address.port) as stream:
+            server.drain()
+            await stream.send_all(HEAD)
+            with trio.fail_after(5):
+                answer = await read_all(stream)
+        assert b"connection: close" in answer.lower()
+        assert answer.endswith(b"whole")
