Serve callers over HTTP/1.1 only, and contain the errors of one connection

What callers saw: one malformed request of anybody, without a key, ended the entry process: connections of all callers were closed without an answer, and the callers' port stayed closed. The administration interface uses the same server.

Cause: hypercorn also accepts HTTP/2 and WebSocket on a plain port. Settings of an upgrade that aren't base64 or have a bad value, DATA after the response, more than 1,000 PRIORITY frames and a bad WebSocket frame raise errors that it doesn't expect. It runs all connections in one nursery, so that an unexpected error of one of them ends the server, and the kernel's nursery with it.

Change: entry.http11 puts its own classes into hypercorn, as core.http_patterns does with h11: proposals of another protocol are ignored, HTTP/2 is refused with 505, and an unexpected error is logged and ends its connection alone. It raises RuntimeError if hypercorn is built in another way.

--- a/packages/entry/src/sassafrastally/entry/asgi.py
+++ b/packages/entry/src/sassafrastally/entry/asgi.py
@@ -13,6 +13,7 @@
 
 from sassafrastally.core import Address, time_limit
 from sassafrastally.core.http_patterns import use_linear_patterns
+from sassafrastally.entry.http11 import use_http11_connections
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -20,6 +21,7 @@
     from quart_trio import QuartTrio
 
 use_linear_patterns()
+use_http11_connections()
 
 _MS = 1000
 
--- /dev/null
+++ b/packages/entry/src/sassafrastally/entry/http11.py
@@ -0,0 +1,104 @@
+"""HTTP/1.1 connections for hypercorn, kept apart from each other.
+
+Hypercorn also speaks HTTP/2 and WebSocket on a plain port. The callers' interface doesn't need
+them, and some malformed input on them raises errors that hypercorn doesn't expect, such as settings
+that can't be decoded or data after a response. An unexpected error of one connection ends the task
+group of all connections, and the process with it.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+import h11
+from hypercorn.events import Closed
+from hypercorn.protocol import ProtocolWrapper
+from hypercorn.protocol.h11 import H11Protocol
+from hypercorn.trio import run, tcp_server
+from hypercorn.trio.tcp_server import TCPServer
+
+if TYPE_CHECKING:
+    from hypercorn.events import Event
+
+VERSION_NOT_SUPPORTED = 505
+
+_VERSIONS = (b"1.0", b"1.1")
+
+
+class _VersionNotSupported(Exception):
+    """The connection was refused for its version of HTTP."""
+
+
+class Http11Protocol(H11Protocol):
+    """HTTP/1.1 without a change of protocol; a proposal to change it is ignored."""
+
+    async def _check_protocol(self, event: h11.Request) -> None:
+        if event.http_version not in _VERSIONS:
+            await self._send_error_response(VERSION_NOT_SUPPORTED)
+            await self.send(Closed())
+            raise _VersionNotSupported
+
+    async def _create_stream(self, request: h11.Request) -> None:
+        kept = [(name, value) for name, value in request.headers if name != b"upgrade"]
+        await super()._create_stream(
+            h11.Request(
+                method=request.method,
+                headers=kept,
+                target=request.target,
+                http_version=request.http_version,
+            )
+        )
+
+
+class Http11Wrapper(ProtocolWrapper):
+    """Protocol of a connection: always `Http11Protocol`."""
+
+    def __init__(self, *args: Any, **kwargs: Any) -> None:
+        super().__init__(*args, **kwargs)
+        self.protocol = Http11Protocol(
+            self.app,
+            self.config,
+            self.context,
+            self.task_group,
+            self.state,
+            self.ssl,
+            self.client,
+            self.server,
+            self.send,
+        )
+
+    async def handle(self, event: Event) -> None:
+        """Handle an event of the connection."""
+        try:
+            await self.protocol.handle(event)
+        except _VersionNotSupported:
+            return
+
+
+class ContainedServer(TCPServer):
+    """Connection whose unexpected errors end it alone."""
+
+    async def run(self) -> None:
+        """Serve the connection."""
+        try:
+            await super().run()
+        except* Exception:
+            await self.config.log.exception("A connection was closed by an unexpected error")
+
+
+def use_http11_connections() -> None:
+    """Make hypercorn use these connections in this process.
+
+    Raises
+    ------
+    RuntimeError
+        If this release of hypercorn is built in another way.
+    """
+    replacements: tuple[tuple[Any, type, type], ...] = (
+        (run, TCPServer, ContainedServer),
+        (tcp_server, ProtocolWrapper, Http11Wrapper),
+    )
+    for module, original, replacement in replacements:
+        if getattr(module, original.__name__, None) not in (original, replacement):
+            raise RuntimeError("this release of hypercorn builds its connections in another way")
+        setattr(module, original.__name__, replacement)
--- /dev/null
+++ b/packages/entry/tests/test_connections.py
@@ -0,0 +1,139 @@
+"""Connections with input that isn't HTTP/1.1, beside those of other callers."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import pytest
+import trio
+from quart import Response
+from quart_trio import QuartTrio
+
+from sassafrastally.core import Address
+from sassafrastally.entry.asgi import AsgiServer, ServerBounds
+from sassafrastally.entry.http11 import Http11Protocol
+
+if TYPE_CHECKING:
+    import h11
+
+PLAIN = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
+UPGRADE = b"GET / HTTP/1.1\r\nHost: a\r\nConnection: Upgrade, HTTP2-Settings\r\nUpgrade: "
+WEBSOCKET = (
+    b"websocket\r\nSec-WebSocket-Version: 13\r\n"
+    b"Sec-WebSocket-Key: dGhlIHNhbXBsZSBub25jZQ==\r\n\r\n"
+)
+PREFACE = b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n" + b"\0\0\0\x04\0\0\0\0\0"
+POST_OF_HTTP2 = b"\0\0\x06\x01\x04\0\0\0\x01" + b"\x83\x86\x84\x41\x01a"
+DATA_OF_HTTP2 = b"\0\0\x05\0\0\0\0\0\x01" + b"words"
+PRIORITIES_OF_HTTP2 = b"".join(
+    b"\0\0\x05\x02\0" + stream_id.to_bytes(4, "big") + b"\0\0\0\0\x05"
+    for stream_id in range(1, 2401, 2)
+)
+READ_LIMIT_S = 5.0
+
+
+@pytest.fixture
+async def server(nursery: trio.Nursery) -> AsgiServer:
+    async def answer() -> Response:
+        return Response(b"answer")
+
+    app = QuartTrio("connections")
+    app.add_url_rule("/", "answer", answer, methods=["GET", "POST"])
+    served = AsgiServer(app, Address("127.0.0.1", 0), ServerBounds())
+    await nursery.start(served.run)
+    return served
+
+
+async def read_until(stream: trio.SocketStream, mark: bytes) -> bytes:
+    """Read up to a mark, or to the end of the connection."""
+    received = b""
+    with trio.fail_after(READ_LIMIT_S):
+        while mark not in received:
+            piece = await stream.receive_some()
+            if not piece:
+                break
+            received += piece
+    return received
+
+
+async def answers(stream: trio.SocketStream) -> bool:
+    """Return whether a plain request on a connection is answered."""
+    await stream.send_all(PLAIN)
+    return (await read_until(stream, b"answer")).startswith(b"HTTP/1.1 200 ")
+
+
+class TestOtherProtocols:
+    """Proposals of other protocols, which hypercorn would accept."""
+
+    @pytest.mark.parametrize(
+        "parts",
+        [
+            (UPGRADE + b"h2c\r\nHTTP2-Settings: AAAAA\r\n\r\n",),
+            (UPGRADE + b"h2c\r\nHTTP2-Settings: AAIAAAAH\r\n\r\n",),
+            (PREFACE + PRIORITIES_OF_HTTP2,),
+            (PREFACE + POST_OF_HTTP2, DATA_OF_HTTP2),
+            (UPGRADE + WEBSOCKET + b"\xff" * 100,),
+        ],
+        ids=["settings not base64", "bad settings", "many priorities", "late data", "websocket"],
+    )
+    async def test_malformed_input_of_one_connection_leaves_the_others_open(
+        self, server: AsgiServer, parts: tuple[bytes, ...]
+    ) -> None:
+        """Guards against one caller's bytes that end the server and all requests in progress."""
+        address = server.bound_address
+        sound = await trio.open_tcp_stream(address.host, address.port)
+        odd = await trio.open_tcp_stream(address.host, address.port)
+        async with sound, odd:
+            assert await answers(sound)
+            for part in parts:
+                await odd.send_all(part)
+                # Time for the response to the part before.
+                await trio.sleep(0.1)
+            assert await answers(sound)
+            async with await trio.open_tcp_stream(address.host, address.port) as later:
+                assert await answers(later)
+
+    @pytest.mark.parametrize("protocol", [b"h2c\r\nHTTP2-Settings: AAMAAABk\r\n\r\n", WEBSOCKET])
+    async def test_proposed_upgrade_is_answered_in_http11(
+        self, server: AsgiServer, protocol: bytes
+    ) -> None:
+        """Guards against a caller that proposes another protocol and gets no answer."""
+        async with await trio.open_tcp_stream(*server.bound_address) as stream:
+            await stream.send_all(UPGRADE + protocol)
+            assert (await read_until(stream, b"answer")).startswith(b"HTTP/1.1 200 ")
+            assert await answers(stream)
+
+    async def test_http2_is_refused_with_its_status(self, server: AsgiServer) -> None:
+        """Guards against a refusal that a caller can't tell from a broken connection."""
+        async with await trio.open_tcp_stream(*server.bound_address) as stream:
+            await stream.send_all(PREFACE)
+            assert (await read_until(stream, b"\r\n\r\n")).startswith(b"HTTP/1.1 505 ")
+            assert await read_until(stream, b"never") == b""
+
+
+class TestUnexpectedErrors:
+    async def test_unexpected_error_of_one_connection_leaves_the_others_open(
+        self,
+        server: AsgiServer,
+        monkeypatch: pytest.MonkeyPatch,
+        capfd: pytest.CaptureFixture[str],
+    ) -> None:
+        """Guards against the next error of the HTTP library that nobody expects: it would end the
+        server and all requests in progress."""
+        create_stream = Http11Protocol._create_stream
+
+        async def fail(self: Http11Protocol, request: h11.Request) -> None:
+            if request.target == b"/fail":
+                raise RuntimeError("unexpected")
+            await create_stream(self, request)
+
+        monkeypatch.setattr(Http11Protocol, "_create_stream", fail)
+        address = server.bound_address
+        sound = await trio.open_tcp_stream(address.host, address.port)
+        odd = await trio.open_tcp_stream(address.host, address.port)
+        async with sound, odd:
+            assert await answers(sound)
+            await odd.send_all(PLAIN.replace(b"/", b"/fail", 1))
+            assert await read_until(odd, b"never") == b""
+            assert await answers(sound)
+        assert "closed by an unexpected error" in capfd.readouterr().err
