Let other tasks run between the changes of a watch

What callers saw: nothing yet; with a store that sends thousands of results or changes at once, the entry answered nobody meanwhile.

Cause: the lines of one piece and the changes of one result are handed out without waiting, and all changes of a result were decoded at once.

Evidence: both cases of TestWatch failed before: the other task had 1 turn where 1,000 changes, or 1,000 empty results and 1,000 changes, were read.

Change: a turn for each change and each result, and changes are decoded one by one. Real changes are a few a second.

Result: both cases pass, test_watch passes.

--- a/packages/stores/src/sassafrastally/stores/watch.py
+++ b/packages/stores/src/sassafrastally/stores/watch.py
@@ -52,7 +52,8 @@
         self._open_stream = open_stream
         self._renewal_s = renewal_s
         self._on_interrupted = on_interrupted
-        self._events: deque[KvEvent] = deque()
+        self._items: deque[dict[str, Any]] = deque()
+        """Received changes, which are decoded one by one."""
         self._response: httpx.Response | None = None
         self._lines: AsyncIterator[str] | None = None
 
@@ -60,14 +61,17 @@
         return self
 
     async def __anext__(self) -> KvEvent:
-        while not self._events:
+        # One read may hold thousands of results or changes, which need no waiting.
+        await trio.lowlevel.checkpoint()
+        while not self._items:
             result = await self._next_result()
             if result is None:
                 await self.open()
                 continue
-            self._events.extend(gateway.decode_event(item) for item in result.get("events", []))
-        change = self._events.popleft()
-        if not self._events:
+            self._items.extend(result.get("events", []))
+            await trio.lowlevel.checkpoint()
+        change = gateway.decode_event(self._items.popleft())
+        if not self._items:
             self._next_revision = change.mod_revision + 1
         return change
 
