Bound responses of the store and the VM list after decompression

What callers saw: a process that ran out of memory, or ended. A response that calls itself compressed and isn't raised httpx.DecodingError through calls whose callers handle KvUnavailable and MaybeApplied only.

Cause: httpx offers gzip and decompresses after the transport's bound, a whole piece in one step.

Change: the transport offers gzip itself, decompresses in pieces of 64 KB with turns of other tasks, and bounds what comes out; another coding is an unavailable service. The bound is 4 MB in place of 16: the VM list has 0.3 MB at the target size, the placement record 0.3 MB, a value 1.3 MB in base64, and JSON takes up to thirty times its size.

--- a/packages/stores/src/sassafrastally/stores/bounded_transport.py
+++ b/packages/stores/src/sassafrastally/stores/bounded_transport.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import zlib
 from typing import TYPE_CHECKING
 
 import httpx
@@ -10,9 +11,10 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
-MAX_RESPONSE_BYTES = 16 * 1024 * 1024
-"""Bound of a response: what the gateway's services send at most is the state under a prefix, some
-megabytes."""
+MAX_RESPONSE_BYTES = 4 * 1024 * 1024
+"""Bound of a response, after decompression. The largest ones are a value of a megabyte in base64
+and the state under a prefix, some hundreds of kilobytes at the target size. Parsed as JSON, a
+response takes up to thirty times its size."""
 
 LINE_BOUND = "sassafrastally_line_bound"
 """Extension of a request whose response has lines without end; the bound is that of a line."""
@@ -21,10 +23,17 @@
 """Number of pieces after which other tasks run. One read may hold ten thousand chunks of one byte,
 which the library hands out without waiting."""
 
+MAX_DECOMPRESSED_BYTES = 64 * 1024
+"""Size of a piece of a decompressed response. A megabyte of zeros takes a kilobyte."""
+
+_GZIP_WINDOW_BITS = zlib.MAX_WBITS | 16
+
 
 class BoundedTransport(httpx.AsyncHTTPTransport):
     """Transport whose responses end with `httpx.ReadError` over a bound.
 
+    Bounded responses are decompressed here: their bound counts the bytes that are kept.
+
     Parameters
     ----------
     max_bytes
@@ -43,32 +52,91 @@
 
     async def handle_async_request(self, request: httpx.Request) -> httpx.Response:
         """Send a request and return its response."""
+        if self._max_bytes is not None:
+            request.headers["Accept-Encoding"] = "gzip"
         response = await super().handle_async_request(request)
         assert isinstance(response.stream, httpx.AsyncByteStream)
+        stream: httpx.AsyncByteStream = _SteppedStream(response.stream)
+        if self._max_bytes is None:
+            response.stream = stream
+            return response
+        coding = response.headers.pop("Content-Encoding", "identity").strip().lower()
+        if coding == "gzip":
+            stream = _GunzippedStream(stream)
+        elif coding != "identity":
+            await stream.aclose()
+            raise httpx.ReadError(f"the response has the content coding {coding[:20]!r}")
         is_by_line = LINE_BOUND in request.extensions
-        response.stream = _BoundedStream(response.stream, self._max_bytes, is_by_line=is_by_line)
+        bounded = _BoundedStream(stream, self._max_bytes, is_by_line=is_by_line)
+        # Again, as one piece may be decompressed to a thousand.
+        response.stream = _SteppedStream(bounded)
         return response
 
 
+class _SteppedStream(httpx.AsyncByteStream):
+    """A stream with turns of other tasks between its pieces."""
+
+    def __init__(self, stream: httpx.AsyncByteStream) -> None:
+        self._stream = stream
+
+    async def __aiter__(self) -> AsyncIterator[bytes]:
+        pieces = 0
+        async for piece in self._stream:
+            pieces += 1
+            if pieces % MAX_READ_PIECES == 0:
+                await trio.lowlevel.checkpoint()
+            yield piece
+
+    async def aclose(self) -> None:
+        await self._stream.aclose()
+
+
+class _GunzippedStream(httpx.AsyncByteStream):
+    """A stream that is decompressed in pieces of a bounded size."""
+
+    def __init__(self, stream: httpx.AsyncByteStream) -> None:
+        self._stream = stream
+
+    async def __aiter__(self) -> AsyncIterator[bytes]:
+        decompressor = zlib.decompressobj(_GZIP_WINDOW_BITS)
+        has_begun = False
+        try:
+            async for piece in self._stream:
+                has_begun = True
+                rest = piece
+                while rest:
+                    if decompressor.eof:
+                        raise httpx.ReadError("the response goes on after its compressed content")
+                    decompressed = decompressor.decompress(rest, MAX_DECOMPRESSED_BYTES)
+                    rest = decompressor.unconsumed_tail or decompressor.unused_data
+                    if decompressed:
+                        yield decompressed
+            yield decompressor.flush()
+        except zlib.error as cause:
+            raise httpx.ReadError(f"the response can't be decompressed: {cause}") from cause
+        if has_begun and not decompressor.eof:
+            raise httpx.ReadError("the compressed response ended early")
+
+    async def aclose(self) -> None:
+        await self._stream.aclose()
+
+
 class _BoundedStream(httpx.AsyncByteStream):
-    def __init__(
-        self, stream: httpx.AsyncByteStream, max_bytes: int | None, *, is_by_line: bool
-    ) -> None:
+    """A stream that ends over its bound."""
+
+    def __init__(self, stream: httpx.AsyncByteStream, max_bytes: int, *, is_by_line: bool) -> None:
         self._stream = stream
         self._max_bytes = max_bytes
         self._is_by_line = is_by_line
 
     async def __aiter__(self) -> AsyncIterator[bytes]:
-        read_bytes = pieces = 0
+        read_bytes = 0
         async for piece in self._stream:
             read_bytes += len(piece)
             if self._is_by_line and b"\n" in piece:
                 read_bytes = len(piece) - piece.rindex(b"\n")
-            if self._max_bytes is not None and read_bytes > self._max_bytes:
+            if read_bytes > self._max_bytes:
                 raise httpx.ReadError(f"the response is over {self._max_bytes} bytes")
-            pieces += 1
-            if pieces % MAX_READ_PIECES == 0:
-                await trio.lowlevel.checkpoint()
             yield piece
 
     async def aclose(self) -> None:
