Bound all responses of a platform client that are read at once

What callers saw: nothing yet; by the sums, a store that sends every call much takes 16 connections times the bound of a response, 64 MB and several times that once parsed, in the 2 s that a call lasts.

Cause: the transport bounded each response alone.

Evidence: TestManyResponses failed before: of ten responses of 80 KB that don't end, none gave way.

Change: one budget for the responses of a transport, 16 MB; beyond it the largest ends with the error of an interrupted response, so that small ones are still read.

Result: seven of the ten give way at a budget of 300 KB, ten sound responses are read beside the other three.

--- a/packages/stores/src/sassafrastally/stores/bounded_transport.py
+++ b/packages/stores/src/sassafrastally/stores/bounded_transport.py
@@ -8,6 +8,8 @@
 import httpx
 import trio
 
+from sassafrastally.core.held_input import HeldInput
+
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
@@ -16,6 +18,9 @@
 and the state under a prefix, some hundreds of kilobytes at the target size. Parsed as JSON, a
 response takes up to thirty times its size."""
 
+MAX_HELD_BYTES = 4 * MAX_RESPONSE_BYTES
+"""Bound of all responses of a transport that are being read."""
+
 LINE_BOUND = "sassafrastally_line_bound"
 """Extension of a request whose response has lines without end; the bound is that of a line."""
 
@@ -40,15 +45,19 @@
         Bound of a response; ``None`` for responses that their reader bounds.
     limits
         Limits of the connection pool.
+    max_held_bytes
+        Bound of all responses that are being read together; beyond it the largest one ends.
     """
 
     def __init__(
         self,
         max_bytes: int | None = MAX_RESPONSE_BYTES,
         limits: httpx.Limits | None = None,
+        max_held_bytes: int = MAX_HELD_BYTES,
     ) -> None:
         super().__init__(limits=limits or httpx.Limits(), trust_env=False)
         self._max_bytes = max_bytes
+        self._held: HeldInput[_BoundedStream] = HeldInput(max_held_bytes)
 
     async def handle_async_request(self, request: httpx.Request) -> httpx.Response:
         """Send a request and return its response."""
@@ -67,7 +76,7 @@
             await stream.aclose()
             raise httpx.ReadError(f"the response has the content coding {coding[:20]!r}")
         is_by_line = LINE_BOUND in request.extensions
-        bounded = _BoundedStream(stream, self._max_bytes, is_by_line=is_by_line)
+        bounded = _BoundedStream(stream, self._max_bytes, self._held, is_by_line=is_by_line)
         # Again, as one piece may be decompressed to a thousand.
         response.stream = _SteppedStream(bounded)
         return response
@@ -122,22 +131,51 @@
 
 
 class _BoundedStream(httpx.AsyncByteStream):
-    """A stream that ends over its bound."""
+    """A stream that ends over its bound, or when it has to give way to others."""
 
-    def __init__(self, stream: httpx.AsyncByteStream, max_bytes: int, *, is_by_line: bool) -> None:
+    def __init__(
+        self,
+        stream: httpx.AsyncByteStream,
+        max_bytes: int,
+        held: HeldInput[_BoundedStream],
+        *,
+        is_by_line: bool,
+    ) -> None:
         self._stream = stream
         self._max_bytes = max_bytes
+        self._held = held
         self._is_by_line = is_by_line
+        self._is_ended = False
+        self._read_scope = trio.CancelScope()
 
     async def __aiter__(self) -> AsyncIterator[bytes]:
+        pieces = aiter(self._stream)
         read_bytes = 0
-        async for piece in self._stream:
+        while True:
+            piece = await self._next(pieces)
+            if piece is None:
+                return
             read_bytes += len(piece)
             if self._is_by_line and b"\n" in piece:
                 read_bytes = len(piece) - piece.rindex(b"\n")
             if read_bytes > self._max_bytes:
                 raise httpx.ReadError(f"the response is over {self._max_bytes} bytes")
+            for largest in self._held.hold(self, read_bytes):
+                largest.end()
             yield piece
 
+    async def _next(self, pieces: AsyncIterator[bytes]) -> bytes | None:
+        """Return the next piece, ``None`` after the last one."""
+        if not self._is_ended:
+            with trio.CancelScope() as self._read_scope:
+                return await anext(pieces, None)
+        raise httpx.ReadError("too many bytes of responses were held")
+
+    def end(self) -> None:
+        """Stop reading."""
+        self._is_ended = True
+        self._read_scope.cancel()
+
     async def aclose(self) -> None:
+        self._held.release(self)
         await self._stream.aclose()
--- a/packages/stores/tests/test_endless_input.py
+++ b/packages/stores/tests/test_endless_input.py
@@ -101,7 +101,7 @@
                 pieces = 0
                 await trio.lowlevel.checkpoint()
 
-        transport = BoundedTransport(64 * MAX_RESPONSE_BYTES)
+        transport = BoundedTransport(64 * MAX_RESPONSE_BYTES, max_held_bytes=2**30)
         read_bytes = 0
         async with (
             answering(compressed(BLANKS)) as address,
@@ -147,6 +147,40 @@
         assert response.content == content
 
 
+class TestManyResponses:
+    """Responses below their own bound that come on many connections at once."""
+
+    async def test_largest_gives_way_and_small_ones_are_read(self) -> None:
+        """Guards against a service that sends all its clients much and ends none: the bounds of
+        all connections together exceed the memory."""
+        transport = BoundedTransport(MAX_BYTES, max_held_bytes=3 * MAX_BYTES)
+        outcomes: list[str] = []
+
+        async def read(client: httpx.AsyncClient, address: Address) -> None:
+            try:
+                outcomes.append(str(len((await client.get(f"http://{address}/")).content)))
+            except httpx.ReadError as failure:
+                outcomes.append(str(failure))
+
+        large = HEAD + b"Content-Length: 99999\r\n\r\n" + b" " * 80_000
+        small = HEAD + b"Connection: close\r\nContent-Length: 5000\r\n\r\n" + b" " * 5000
+        async with (
+            answering(large) as flooding,
+            answering(small) as sound,
+            httpx.AsyncClient(transport=transport) as client,
+            trio.open_nursery() as nursery,
+        ):
+            for _ in range(10):
+                nursery.start_soon(read, client, flooding)
+            while len(outcomes) < 7:
+                await trio.sleep(0.01)
+            assert outcomes == 7 * ["too many bytes of responses were held"]
+            for _ in range(10):
+                await read(client, sound)
+            assert outcomes[7:] == 10 * ["5000"]
+            nursery.cancel_scope.cancel()
+
+
 class TestWatch:
     """A watch that gets very much at once."""
 
