Close connections on which a server has sent more than its response

What callers saw: the answer to a request of somebody else. An engine that sends an extra response after a run's answer gave it to the next run on the connection, whoever had asked (MIXED). Calls of the store and the VM list kept their connections in the same way.

Cause: httpcore starts the next cycle of h11 with the bytes that it has read beyond the response, and takes them for the next response. It looks for unread bytes in the socket only.

Change: stores.http_connection puts its own connection class into httpcore, as core.http_patterns does with h11, which closes a connection with such bytes.

--- a/packages/stores/src/sassafrastally/stores/bounded_transport.py
+++ b/packages/stores/src/sassafrastally/stores/bounded_transport.py
@@ -9,10 +9,13 @@
 import trio
 
 from sassafrastally.core.held_input import HeldInput
+from sassafrastally.stores.http_connection import use_guarded_connections
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
+use_guarded_connections()
+
 MAX_RESPONSE_BYTES = 4 * 1024 * 1024
 """Bound of a response, after decompression. The largest ones are a value of a megabyte in base64
 and the state under a prefix, some hundreds of kilobytes at the target size. Parsed as JSON, a
