Give each run of an engine a connection of its own

What callers saw: the answer to a request of somebody else, where an engine sends an answer once more and it arrives after the next run's request. Besides, a connection that the engine closes while it is idle made a run "outcome unknown" that had never begun.

Cause: runs shared 32 kept connections. Nothing in the OpenAI-compatible interface tells which request an answer belongs to.

Evidence: test_late_extra_answer_is_not_that_of_the_next_run failed before: 'extra of first' == 'second'.

Change: runs use a client that keeps no connections, as calls of plain services do; other calls keep theirs.

Result: the test passes, test_dialects, test_service and test_ready_answers too. Not measured: what a connection for each run costs.

--- a/packages/sidecar/src/sassafrastally/sidecar/dialects.py
+++ b/packages/sidecar/src/sassafrastally/sidecar/dialects.py
@@ -76,19 +76,15 @@
 
     def __init__(self, address: Address) -> None:
         self.address = address
-        limits = httpx.Limits(max_connections=None, max_keepalive_connections=32)
-        self._client = httpx.AsyncClient(
-            base_url=f"http://{address}",
-            timeout=httpx.Timeout(CALL_LIMIT_S, connect=CONNECT_LIMIT_S),
-            transport=BoundedTransport(max_bytes=None, limits=limits),
-            # Bodies are read without decoding, so that size limits apply to the received bytes.
-            headers={"Accept-Encoding": "identity"},
-            trust_env=False,
-        )
+        self._client = _make_client(address, kept_connections=32)
+        # What an engine sends late on a kept connection would pass for the next run's answer, and a
+        # connection that it closes while idle for a run that may have begun.
+        self._runs_client = _make_client(address, kept_connections=0)
 
     async def aclose(self) -> None:
         """Close the connections."""
         await self._client.aclose()
+        await self._runs_client.aclose()
 
     async def describe(self) -> EngineInfo:
         """Return the engine's identity, models and memory."""
@@ -168,7 +164,7 @@
         self, request: EngineRequest, content: bytes
     ) -> AsyncIterator[httpx.Response]:
         method, _, path = request.operation.partition(" ")
-        built = self._client.build_request(
+        built = self._runs_client.build_request(
             method,
             path,
             content=content,
@@ -176,7 +172,7 @@
             # No read timeout, since prefill may be long; the request's time limit applies instead.
             timeout=httpx.Timeout(None, connect=CONNECT_LIMIT_S),
         )
-        response = await self._send(built)
+        response = await self._send(self._runs_client, built)
         try:
             if response.status_code != httpx.codes.OK:
                 await raise_status(response)
@@ -185,9 +181,9 @@
             with trio.move_on_after(CANCEL_LIMIT_S, shield=True):
                 await response.aclose()
 
-    async def _send(self, built: httpx.Request) -> httpx.Response:
+    async def _send(self, client: httpx.AsyncClient, built: httpx.Request) -> httpx.Response:
         try:
-            return await self._client.send(built, stream=True)
+            return await client.send(built, stream=True)
         except _NOT_SENT as cause:
             raise EngineUnavailable(f"no connection: {cause}") from cause
         except httpx.HTTPError as cause:
@@ -211,7 +207,7 @@
         # is found late.
         timeout = httpx.Timeout(None, connect=CONNECT_LIMIT_S)
         built = self._client.build_request(method, path, json=body, timeout=timeout)
-        response = await self._send(built)
+        response = await self._send(self._client, built)
         try:
             if response.status_code != httpx.codes.OK:
                 await raise_status(response)
@@ -228,6 +224,18 @@
                 return  # The sweep will find the stream in the engine's list.
 
 
+def _make_client(address: Address, kept_connections: int) -> httpx.AsyncClient:
+    limits = httpx.Limits(max_connections=None, max_keepalive_connections=kept_connections)
+    return httpx.AsyncClient(
+        base_url=f"http://{address}",
+        timeout=httpx.Timeout(CALL_LIMIT_S, connect=CONNECT_LIMIT_S),
+        transport=BoundedTransport(max_bytes=None, limits=limits),
+        # Bodies are read without decoding, so that size limits apply to the received bytes.
+        headers={"Accept-Encoding": "identity"},
+        trust_env=False,
+    )
+
+
 def _parse(document: dict[str, Any], kind: type[T]) -> T:
     fields = cast("Any", kind)._fields
     try:
