Bound the responses and bytes before a response

What callers saw: late answers.

Cause: httpcore reads any number of interim responses, those of one read (3,800 of them) without letting other tasks run. A head may have 100 KB on each of hundreds of connections.

Change: 16 interim responses, 32 KB of a head (h11's bound counts what is incomplete; one read more may be held).

--- a/packages/stores/src/sassafrastally/stores/http_connection.py
+++ b/packages/stores/src/sassafrastally/stores/http_connection.py
@@ -1,19 +1,41 @@
 """HTTP/1.1 connections for httpx that carry nothing from one response to the next.
 
-httpcore reads the next response from what a server has sent beyond the last one.
+httpcore reads the next response from what a server has sent beyond the last one, and any number of
+interim responses without letting other tasks run.
 """
 
 from __future__ import annotations
 
 from typing import Any
 
+import h11
+from httpcore import RemoteProtocolError
 from httpcore._async import connection
 from httpcore._async.http11 import AsyncHTTP11Connection
 
+MAX_INTERIM_RESPONSES = 16
+"""Bound of the 1xx responses before a response. Servers send one or two."""
+
 
 class GuardedConnection(AsyncHTTP11Connection):
     """Connection that ends if its server sends more than one response to a request."""
 
+    MAX_INCOMPLETE_EVENT_SIZE = 32 * 1024
+
+    def __init__(self, *args: Any, **kwargs: Any) -> None:
+        super().__init__(*args, **kwargs)
+        self._interim_responses = 0
+
+    async def _receive_event(self, timeout: float | None = None) -> Any:
+        event = await super()._receive_event(timeout)
+        if isinstance(event, h11.InformationalResponse):
+            self._interim_responses += 1
+            if self._interim_responses > MAX_INTERIM_RESPONSES:
+                raise RemoteProtocolError("too many interim responses")
+        elif isinstance(event, h11.Response):
+            self._interim_responses = 0
+        return event
+
     async def _response_closed(self) -> None:
         unread, _ = self._h11_state.trailing_data
         if unread:
@@ -32,8 +54,9 @@
     """
     module: Any = connection
     used = module.AsyncHTTP11Connection
-    if used not in (AsyncHTTP11Connection, GuardedConnection) or not hasattr(
-        AsyncHTTP11Connection, "_response_closed"
+    if used not in (AsyncHTTP11Connection, GuardedConnection) or not all(
+        hasattr(AsyncHTTP11Connection, name)
+        for name in ("_receive_event", "_response_closed", "MAX_INCOMPLETE_EVENT_SIZE")
     ):
         raise RuntimeError("this release of httpcore builds its connections in another way")
     module.AsyncHTTP11Connection = GuardedConnection
--- a/packages/stores/tests/test_http_connection.py
+++ b/packages/stores/tests/test_http_connection.py
@@ -11,6 +11,7 @@
 import trio
 
 from sassafrastally.stores.bounded_transport import BoundedTransport
+from sassafrastally.stores.http_connection import MAX_INTERIM_RESPONSES
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -72,3 +73,40 @@
             for path in ("/first", "/second", "/third"):
                 assert (await client.get(path)).text == path
         assert server.connections == 1
+
+
+class TestInterimResponses:
+    async def test_response_after_too_many_is_not_read(self) -> None:
+        """Guards against interim responses without end: they are read until the time limit of the
+        call, thousands of them in a step without other tasks."""
+        async with Server(before=INTERIM * MAX_INTERIM_RESPONSES).client() as client:
+            assert (await client.get("/sound")).text == "/sound"
+        async with Server(before=INTERIM * (MAX_INTERIM_RESPONSES + 1)).client() as client:
+            with pytest.raises(httpx.RemoteProtocolError, match="too many interim responses"):
+                await client.get("/endless")
+
+    async def test_bound_counts_for_each_response_alone(self) -> None:
+        """Guards against a kept connection that ends after some sound responses."""
+        server = Server(before=INTERIM * MAX_INTERIM_RESPONSES)
+        async with server.client() as client:
+            for path in ("/first", "/second", "/third"):
+                assert (await client.get(path)).text == path
+        assert server.connections == 1
+
+
+class TestHeads:
+    async def test_head_without_end_is_bounded(self) -> None:
+        """Guards against many connections that each hold a large head."""
+        head = b"HTTP/1.1 200 OK\r\n" + b"a: b\r\n" * 8_000
+
+        async def handle(stream: trio.SocketStream) -> None:
+            async with stream:
+                await stream.receive_some()
+                await stream.send_all(head)
+                await stream.receive_some()
+
+        server = Server()
+        server.handle = handle  # type: ignore[method-assign]
+        async with server.client() as client:
+            with trio.fail_after(5), pytest.raises(httpx.RemoteProtocolError, match="too long"):
+                await client.get("/endless")
