Bound the number of chunks that a sidecar keeps of answers

What callers saw: a sidecar that grows until it is ended, with all its runs. A service or engine that sends its answer in pieces of a byte or two, without end, is relayed piece by piece, and the answers are kept up to 24 MB of data.

Cause: a kept chunk takes about 160 bytes besides its data. 24 MB in pieces of two bytes take 1.96 GB by that figure. Pieces that nobody reads yet were kept in a list of their own.

Change: max_answer_chunks (120,000, the number of chunks of 200 bytes in 24 MB) evicts in the same order as max_answer_bytes; unread pieces are joined as they come.

--- a/packages/sidecar/src/sassafrastally/sidecar/answer.py
+++ b/packages/sidecar/src/sassafrastally/sidecar/answer.py
@@ -11,6 +11,8 @@
 from sassafrastally.wire.messages import MAX_CHUNK_BYTES, Chunk, End
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from sassafrastally.sidecar.attempt_key import AttemptKey
     from sassafrastally.sidecar.settings import SidecarSettings
 
@@ -46,10 +48,11 @@
         """Whether a reader has closed its stream after the end mark was sent to it."""
         self.readers = 0
         """Number of streams that follow the answer."""
+        self.on_chunks: Callable[[int], None] = lambda _: None
+        """Called with each change of the number of chunks that are kept."""
         self._chunks: deque[Chunk] = deque()
         self._first_sequence = 0
-        self._pending: list[bytes] = []
-        self._pending_bytes = 0
+        self._pending = bytearray()
         self._pending_tokens = 0
         self._unsent_bytes = 0
         self._changed = trio.lowlevel.ParkingLot()
@@ -74,10 +77,9 @@
         """Add a piece, splitting it when it is longer than a chunk may be."""
         for start in range(0, len(data), JOINED_BYTES):
             piece = data[start : start + JOINED_BYTES]
-            if self._pending_bytes + len(piece) > JOINED_BYTES:
+            if len(self._pending) + len(piece) > JOINED_BYTES:
                 self._number_pending()
-            self._pending.append(piece)
-            self._pending_bytes += len(piece)
+            self._pending += piece
             self._pending_tokens += tokens if start == 0 else 0
         self.size_bytes += len(data)
         self._unsent_bytes += len(data)
@@ -133,8 +135,14 @@
             self.sent_chunks = self._first_sequence
             self._unsent_bytes -= len(chunk.data)
         self.size_bytes -= len(chunk.data)
+        self.on_chunks(-1)
         return len(chunk.data)
 
+    @property
+    def kept_chunks(self) -> int:
+        """Number of numbered chunks that are kept."""
+        return len(self._chunks)
+
     @property
     def is_oldest_chunk_sent(self) -> bool:
         """Whether the oldest kept chunk was sent to a reader."""
@@ -153,11 +161,12 @@
             self.key.attempt,
             self.chunk_count,
             self._pending_tokens,
-            b"".join(self._pending),
+            bytes(self._pending),
         )
         self._chunks.append(chunk)
         self._pending.clear()
-        self._pending_bytes = self._pending_tokens = 0
+        self._pending_tokens = 0
+        self.on_chunks(1)
 
 
 class AnswerStore:
@@ -170,7 +179,7 @@
 
     Notes
     -----
-    When the limit is exceeded, the oldest finished answers are evicted first, then the oldest
+    When a limit is exceeded, the oldest finished answers are evicted first, then the oldest
     chunks already sent of unfinished answers, then the oldest chunks of unfinished answers
     without readers; larger answers come first. What remains are unsent bytes of answers that are
     being read; backpressure makes their runs wait for the readers.
@@ -181,10 +190,13 @@
         self._growing: dict[AttemptKey, Answer] = {}
         self._finished: OrderedDict[AttemptKey, tuple[Answer, float]] = OrderedDict()
         self.size_bytes = 0
+        self.chunk_count = 0
+        """Number of chunks that are kept."""
 
     def begin(self, key: AttemptKey) -> Answer:
         """Create the answer of an attempt."""
         answer = self._growing[key] = Answer(key)
+        answer.on_chunks = self._count_chunks
         return answer
 
     def find(self, key: AttemptKey) -> Answer | None:
@@ -211,7 +223,7 @@
         """Add a piece to an answer, evicting chunks when the memory limit is exceeded."""
         answer.append(data, tokens)
         self.size_bytes += len(data)
-        if self.size_bytes > self._settings.max_answer_bytes:
+        if self._is_over_limit:
             self._make_room()
 
     async def wait_room(self, answer: Answer) -> None:
@@ -232,6 +244,8 @@
         self._growing.pop(key, None)
         self._finished.pop(key, None)
         self.size_bytes -= answer.size_bytes
+        self.chunk_count -= answer.kept_chunks
+        answer.on_chunks = lambda _: None
 
     def expire(self, now_s: float) -> None:
         """Remove finished answers that have reached their maximum age."""
@@ -242,14 +256,24 @@
                 return
             self.drop(key)
 
+    @property
+    def _is_over_limit(self) -> bool:
+        settings = self._settings
+        return (
+            self.size_bytes > settings.max_answer_bytes
+            or self.chunk_count > settings.max_answer_chunks
+        )
+
+    def _count_chunks(self, change: int) -> None:
+        self.chunk_count += change
+
     def _make_room(self) -> None:
-        limit_bytes = self._settings.max_answer_bytes
-        while self.size_bytes > limit_bytes and self._finished:
+        while self._is_over_limit and self._finished:
             self.drop(next(iter(self._finished)))
         largest_first = sorted(self._growing.values(), key=lambda each: -each.size_bytes)
         for answer in largest_first:
-            while self.size_bytes > limit_bytes and answer.is_oldest_chunk_sent:
+            while self._is_over_limit and answer.is_oldest_chunk_sent:
                 self.size_bytes -= answer.drop_oldest_chunk()
         for answer in largest_first:
-            while self.size_bytes > limit_bytes and not answer.readers and answer.has_chunks:
+            while self._is_over_limit and not answer.readers and answer.has_chunks:
                 self.size_bytes -= answer.drop_oldest_chunk()
--- a/packages/sidecar/src/sassafrastally/sidecar/settings.py
+++ b/packages/sidecar/src/sassafrastally/sidecar/settings.py
@@ -51,6 +51,9 @@
     """Maximum number of marks of idempotent attempts that ran; beyond it, the oldest is evicted."""
     max_answer_bytes: int = 24_000_000
     """Maximum bytes of answers held; beyond it, the oldest finished answer is evicted first."""
+    max_answer_chunks: int = 120_000
+    """Maximum number of chunks of answers held, which take about 160 bytes each besides their data;
+    beyond it, the oldest finished answer is evicted first."""
     answer_age_s: float = 600.0
     """How long a finished answer is kept."""
     max_unsent_bytes: int = 1_000_000
--- a/packages/sidecar/tests/test_answer.py
+++ b/packages/sidecar/tests/test_answer.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import tracemalloc
+
 import pytest
 
 from sassafrastally.sidecar.answer import JOINED_BYTES, Answer, AnswerNotKept, AnswerStore
@@ -70,6 +72,43 @@
             assert answer.chunk(number) is not None
         assert answer.chunk(0) is not None
 
+    async def test_chunks_are_bounded_in_number_too(self):
+        """Guards against an answer in pieces of a byte, without end: a chunk takes eighty times its
+        data, so that the bound of bytes was reached with two gigabytes of memory."""
+        store = AnswerStore(SidecarSettings(max_answer_chunks=5))
+        finished, growing = store.begin(key(1)), store.begin(key(2))
+        for answer in (finished, growing):
+            answer.readers = 1
+            for number in range(3):
+                store.append(answer, b"x", 1)
+                answer.mark_sent(answer.chunk(number))
+            if answer is finished:
+                answer.finish(End(*key(1)))
+                store.keep(answer, 0.0)
+        assert store.chunk_count == 6
+        store.append(growing, b"x", 1)
+        assert (store.find(key(1)), store.chunk_count) == (None, 3)
+        for number in range(3, 1000):
+            growing.mark_sent(growing.chunk(number))
+            store.append(growing, b"x", 1)
+        assert store.chunk_count == 5
+        assert growing.chunk(999) is not None
+        store.drop(key(2))
+        assert (store.chunk_count, store.size_bytes) == (0, 0)
+
+    async def test_pieces_of_a_byte_that_nobody_reads_take_their_bytes(self):
+        """Guards against a list of thousands of pieces for each answer whose reader lags."""
+        store = AnswerStore(SidecarSettings())
+        answer = store.begin(key(1))
+        tracemalloc.start()
+        try:
+            for number in range(JOINED_BYTES // 2):
+                store.append(answer, b"%02d" % (number % 100), 1)
+            taken_bytes, _ = tracemalloc.get_traced_memory()
+        finally:
+            tracemalloc.stop()
+        assert taken_bytes < 2 * JOINED_BYTES
+
     async def test_old_answers_expire(self):
         store = AnswerStore(SidecarSettings(answer_age_s=10.0))
         answer = store.begin(key(1))
