Let runs wait for their readers sooner while a sidecar holds too many answers

What callers saw: nothing yet; by the sums, a sidecar whose readers stop, while its engine or services send without end, holds a megabyte for each of up to 512 attempts, in place of the 24 MB for all answers.

Cause: unsent bytes with a reader can't be evicted, and only the bound of each answer made its run wait.

Evidence: test_many_slow_readers_hold_little_each failed before: 100 answers held 100,100,000 bytes where 4,687,520 were allowed.

Change: while all answers together are over max_answer_bytes, a run waits at 32 KB of unsent bytes (a chunk). Its own reader wakes it, as before.

Result: the test passes; test_conversation, test_delivery, test_service and test_plain too.

--- a/packages/sidecar/src/sassafrastally/sidecar/answer.py
+++ b/packages/sidecar/src/sassafrastally/sidecar/answer.py
@@ -227,8 +227,12 @@
             self._make_room()
 
     async def wait_room(self, answer: Answer) -> None:
-        """Wait while too many bytes of an answer are unsent (backpressure on its run)."""
-        while answer.readers and answer.unsent_bytes > self._settings.max_unsent_bytes:
+        """Wait while too many bytes of an answer are unsent (backpressure on its run).
+
+        Unsent bytes that have a reader aren't evicted. So each answer has little of them while all
+        answers together are over their limit.
+        """
+        while answer.readers and answer.unsent_bytes > self._max_unsent_bytes:
             await answer.wait_consumed()
 
     def keep(self, answer: Answer, now_s: float) -> None:
@@ -256,6 +260,12 @@
                 return
             self.drop(key)
 
+    @property
+    def _max_unsent_bytes(self) -> int:
+        if self.size_bytes <= self._settings.max_answer_bytes:
+            return self._settings.max_unsent_bytes
+        return min(JOINED_BYTES, self._settings.max_unsent_bytes)
+
     @property
     def _is_over_limit(self) -> bool:
         settings = self._settings
--- a/packages/sidecar/tests/test_answer.py
+++ b/packages/sidecar/tests/test_answer.py
@@ -3,8 +3,11 @@
 from __future__ import annotations
 
 import tracemalloc
+from collections import Counter
 
 import pytest
+import trio
+import trio.testing
 
 from sassafrastally.sidecar.answer import JOINED_BYTES, Answer, AnswerNotKept, AnswerStore
 from sassafrastally.sidecar.attempt_key import AttemptKey
@@ -109,6 +112,36 @@
             tracemalloc.stop()
         assert taken_bytes < 2 * JOINED_BYTES
 
+    async def test_many_slow_readers_hold_little_each(
+        self, nursery, autojump_clock: trio.testing.MockClock
+    ):
+        """Guards against many answers without end whose readers have stopped: a megabyte for each
+        of hundreds of runs exceeds the memory."""
+        settings = SidecarSettings(max_answer_bytes=40 * JOINED_BYTES)
+        store = AnswerStore(settings)
+
+        appended = Counter()
+
+        async def run(answer):
+            while True:
+                store.append(answer, b"x" * 1000, 1)
+                appended[answer.key] += 1
+                await store.wait_room(answer)
+
+        answers = [store.begin(key(number)) for number in range(100)]
+        for answer in answers:
+            answer.readers = 1
+            nursery.start_soon(run, answer)
+        await trio.testing.wait_all_tasks_blocked()
+        assert store.size_bytes < settings.max_answer_bytes + 100 * (JOINED_BYTES + 1000)
+        # A run goes on once its reader has caught up.
+        last = answers[-1]
+        before = appended[last.key]
+        last.mark_sent(last.chunk(0))
+        await trio.testing.wait_all_tasks_blocked()
+        assert appended[last.key] > before
+        assert last.unsent_bytes <= JOINED_BYTES + 1000
+
     async def test_old_answers_expire(self):
         store = AnswerStore(SidecarSettings(answer_age_s=10.0))
         answer = store.begin(key(1))
