Bound the unfinished answers of all runs of an engine together

An engine that sends bytes without end in its answers holds 16 MB for each run whose caller asked for one document, and 1 MB for each streamed run.

Cause: each answer had a bound, but all answers together had none.

Evidence: test_largest_gives_way_and_small_ones_are_read (documents, events) and test_document_counts_until_its_run_is_over failed before: no run gave way (TooSlowError at 8 s, DID NOT RAISE).

A document may have 8 MB in place of 16 (an entry accepts 8,000,000 bytes), the answer to a call that isn't a run 4 MB.

--- a/packages/sidecar/src/sassafrastally/sidecar/dialects.py
+++ b/packages/sidecar/src/sassafrastally/sidecar/dialects.py
@@ -9,6 +9,7 @@
 import trio
 
 from sassafrastally.core import time_limit
+from sassafrastally.core.held_input import HeldInput
 from sassafrastally.core.http_patterns import use_linear_patterns
 from sassafrastally.sidecar.engine import (
     ENGINE_DIALECTS,
@@ -19,8 +20,9 @@
     EngineStream,
     EngineUnavailable,
 )
+from sassafrastally.sidecar.engine_input import MAX_HELD_BYTES, RunInput
 from sassafrastally.sidecar.openai_form import (
-    MAX_ANSWER_BYTES,
+    MAX_CALL_BYTES,
     OpenAiDocument,
     OpenAiEventStream,
     engine_body,
@@ -76,6 +78,7 @@
 
     def __init__(self, address: Address) -> None:
         self.address = address
+        self._held: HeldInput[RunInput] = HeldInput(MAX_HELD_BYTES)
         self._client = _make_client(address, kept_connections=32)
         # What an engine sends late on a kept connection would pass for the next run's answer, and a
         # connection that it closes while idle for a run that may have begun.
@@ -101,11 +104,15 @@
         may_run = True
         try:
             async with self._stream(request, body.content) as response:
+                run_input = RunInput(response.aiter_raw(), self._held)
                 if body.is_streamed:
-                    run = OpenAiEventStream(response, body.shows_usage)
+                    run = OpenAiEventStream(run_input, body.shows_usage)
                 else:
-                    run = OpenAiDocument(response)
-                yield run
+                    run = OpenAiDocument(run_input)
+                try:
+                    yield run
+                finally:
+                    run_input.release()
         except (EngineUnavailable, EngineRefused):
             may_run = run is not None
             raise
@@ -211,7 +218,7 @@
         try:
             if response.status_code != httpx.codes.OK:
                 await raise_status(response)
-            return await read_bounded(response, MAX_ANSWER_BYTES)
+            return await read_bounded(response, MAX_CALL_BYTES)
         finally:
             with trio.move_on_after(CANCEL_LIMIT_S, shield=True):
                 await response.aclose()
--- a/packages/sidecar/src/sassafrastally/sidecar/event_stream.py
+++ b/packages/sidecar/src/sassafrastally/sidecar/event_stream.py
@@ -21,6 +21,11 @@
     def __init__(self) -> None:
         self._blocks = EventBlocks()
 
+    @property
+    def held_bytes(self) -> int:
+        """Size of the event that isn't complete."""
+        return self._blocks.rest_bytes
+
     def feed(self, piece: bytes) -> Iterator[bytes]:
         """Parse a piece and yield the data of each event that it completes.
 
--- a/packages/sidecar/src/sassafrastally/sidecar/openai_form.py
+++ b/packages/sidecar/src/sassafrastally/sidecar/openai_form.py
@@ -24,6 +24,7 @@
     from collections.abc import AsyncIterator
 
     from sassafrastally.sidecar.engine import EngineRequest
+    from sassafrastally.sidecar.engine_input import RunInput
 
 MAX_ERROR_BYTES = 4096
 """Maximum size of the part of an error body that is included in the message."""
@@ -32,8 +33,11 @@
 """Time for that part. The status alone tells what has happened to the request, and a body without
 end must not hide it."""
 
-MAX_ANSWER_BYTES = 16 * 1024 * 1024
-"""Maximum size of an answer that is read as a whole."""
+MAX_ANSWER_BYTES = 8 * 1024 * 1024
+"""Maximum size of an answer that is read as a whole. An entry accepts no more by default."""
+
+MAX_CALL_BYTES = 4 * 1024 * 1024
+"""Maximum size of the answer to a call that isn't a run."""
 
 END_MARK = b"[DONE]"
 
@@ -57,9 +61,9 @@
 class OpenAiDocument:
     """A run whose answer is one JSON document."""
 
-    def __init__(self, response: httpx.Response) -> None:
+    def __init__(self, run_input: RunInput) -> None:
         self.usage: EngineUsage | None = None
-        self._response = response
+        self._input = run_input
 
     def __aiter__(self) -> AsyncIterator[EngineChunk]:
         return self
@@ -67,7 +71,7 @@
     async def __anext__(self) -> EngineChunk:
         if self.usage is not None:
             raise StopAsyncIteration
-        data = await read_bounded(self._response, MAX_ANSWER_BYTES)
+        data = await self._read_all()
         document = parse_object(data)
         try:
             reason = str(document["choices"][0]["finish_reason"] or "")
@@ -76,13 +80,23 @@
             raise EngineFailed(f"the answer lacks its end mark: {cause!r}") from cause
         return EngineChunk(data, self.usage.output_tokens)
 
+    async def _read_all(self) -> bytes:
+        content = bytearray()
+        while (piece := await self._input.next_piece()) is not None:
+            content += piece
+            if len(content) > MAX_ANSWER_BYTES:
+                raise EngineFailed(f"the answer is longer than {MAX_ANSWER_BYTES} bytes")
+            self._input.hold(len(content))
+        self._input.keep()
+        return bytes(content)
+
 
 class OpenAiEventStream:
     """A run whose answer is a stream of server-sent events."""
 
-    def __init__(self, response: httpx.Response, shows_usage: bool) -> None:
+    def __init__(self, run_input: RunInput, shows_usage: bool) -> None:
         self.usage: EngineUsage | None = None
-        self._pieces = response.aiter_raw()
+        self._input = run_input
         self._shows_usage = shows_usage
         self._reader = EventReader()
         self._ready: deque[EngineChunk] = deque()
@@ -101,16 +115,17 @@
         return self._ready.popleft()
 
     async def _read(self) -> None:
+        piece = await self._input.next_piece()
+        if piece is None:
+            # A truncated answer must not be taken for a complete one, so a missing end mark is an
+            # error.
+            raise EngineFailed("the answer ended without its end mark")
         try:
-            piece = await anext(self._pieces)
             for data in self._reader.feed(piece):
                 self._parse_event(data)
-        except StopAsyncIteration:
-            # A truncated answer must not be taken for a complete one, so a missing end mark is an
-            # error.
-            raise EngineFailed("the answer ended without its end mark") from None
-        except (httpx.HTTPError, EventTooLong) as cause:
+        except EventTooLong as cause:
             raise EngineFailed(f"the answer broke off: {cause}") from cause
+        self._input.hold(self._reader.held_bytes)
 
     def _parse_event(self, data: bytes) -> None:
         if self.usage is not None:
--- a/packages/sidecar/tests/test_endless_engine.py
+++ b/packages/sidecar/tests/test_endless_engine.py
@@ -7,11 +7,13 @@
 from functools import partial
 from typing import TYPE_CHECKING
 
+import pytest
 import trio
 
 from sassafrastally.core import Address
+from sassafrastally.sidecar import dialects
 from sassafrastally.sidecar.dialects import OpenAiDialect
-from sassafrastally.sidecar.engine import EngineRequest
+from sassafrastally.sidecar.engine import EngineFailed, EngineRequest
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Awaitable, Callable
@@ -87,3 +89,68 @@
                 async with engine.generate(make_request(stream_id)) as run:
                     answer = json.loads(await drain(run))
                 assert answer["choices"][0]["text"] == stream_id
+
+
+class TestManyRuns:
+    """Answers without end, each below the bound of one answer, in many runs at once."""
+
+    @pytest.mark.parametrize("is_streamed", [False, True], ids=["documents", "events"])
+    async def test_largest_gives_way_and_small_ones_are_read(
+        self, monkeypatch: pytest.MonkeyPatch, is_streamed: bool
+    ) -> None:
+        """Guards against an engine that sends all its runs bytes without end: the bounds of all
+        runs together exceed the memory, and the sidecar ends with the runs of sound callers."""
+        monkeypatch.setattr(dialects, "MAX_HELD_BYTES", 10_000_000)
+        part = b"x" * 50_000
+
+        async def handle(stream: trio.SocketStream) -> None:
+            request = await receive_request(stream)
+            if b"sound" in request or b"abort_request" in request:
+                await stream.send_all(whole_answer("sound"))
+                return
+            await stream.send_all(b"HTTP/1.1 200 OK\r\n\r\ndata: ")
+            for _ in range(20):
+                await stream.send_all(part)
+                await trio.sleep(0.01)
+            await trio.sleep_forever()
+
+        failures: list[str] = []
+
+        async def run_endless(engine: OpenAiDialect, stream_id: str) -> None:
+            try:
+                async with engine.generate(make_request(stream_id, is_streamed)) as run:
+                    await drain(run)
+            except EngineFailed as failure:
+                failures.append(failure.detail)
+
+        async with engine_with(handle) as engine, trio.open_nursery() as nursery:
+            for number in range(20):
+                nursery.start_soon(run_endless, engine, f"endless-{number}")
+            # One run reaches 1 MB, nine of them the budget.
+            while len(failures) < 11:
+                await trio.sleep(0.01)
+            assert set(failures) == {"too many bytes of unfinished answers were held"}
+            for number in range(10):
+                async with engine.generate(make_request(f"sound-{number}")) as run:
+                    assert b"sound" in await drain(run)
+            assert len(failures) <= 12
+            nursery.cancel_scope.cancel()
+
+    async def test_document_counts_until_its_run_is_over(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Guards against complete documents that wait for slow readers and count nowhere."""
+        monkeypatch.setattr(dialects, "MAX_HELD_BYTES", 1_000_000)
+
+        async def handle(stream: trio.SocketStream) -> None:
+            await receive_request(stream)
+            await stream.send_all(whole_answer("x" * 600_000))
+
+        async with engine_with(handle) as engine:
+            async with engine.generate(make_request("first")) as first:
+                await drain(first)
+                with pytest.raises(EngineFailed, match="too many bytes"):
+                    async with engine.generate(make_request("second")) as second:
+                        await drain(second)
+            async with engine.generate(make_request("third")) as third:
+                await drain(third)
