Parse an engine's events in steps that don't grow with their lines

What callers saw: late pieces of other runs on the sidecar, again and again while an engine sends events of many short lines without end.

Cause: each line of an event took a step in Python, and all events of one read were parsed without letting other tasks run.

Change: EventBlocks.find_values finds all fields of a name with one pattern; other tasks run after 64 events.

--- a/packages/core/src/sassafrastally/core/__init__.py
+++ b/packages/core/src/sassafrastally/core/__init__.py
@@ -12,6 +12,7 @@
     EventTooLong,
     FoundField,
     event_fields,
+    field_pattern,
     is_event_stream,
 )
 from sassafrastally.core.events import CATALOGUE, EventKind, EventLog, EventRecord, event
@@ -79,6 +80,7 @@
     "error",
     "event",
     "event_fields",
+    "field_pattern",
     "gauge",
     "histogram",
     "is_event_stream",
--- a/packages/core/src/sassafrastally/core/event_stream.py
+++ b/packages/core/src/sassafrastally/core/event_stream.py
@@ -120,10 +120,32 @@
         self._is_first = False
         return FoundField(_has_fields(block), _last_value(block, name))
 
+    def find_values(self, block: bytes, pattern: re.Pattern[bytes]) -> list[bytes]:
+        """Return the values of all fields of a name, in steps that don't depend on the lines.
+
+        Call it for each block in order, instead of `fields`.
+
+        Parameters
+        ----------
+        block
+            A block from `feed`.
+        pattern
+            `field_pattern` of the name.
+        """
+        text = _with_single_line_ends(self._without_mark(block))
+        self._is_first = False
+        return pattern.findall(text)
+
     def _without_mark(self, block: bytes) -> bytes:
         return block.removeprefix(BYTE_ORDER_MARK) if self._is_first else block
 
 
+def field_pattern(name: bytes) -> re.Pattern[bytes]:
+    """Return the pattern of the values of a field, for `EventBlocks.find_values`."""
+    # Without a colon, the value's group takes no part in the match, and the value is empty.
+    return re.compile(rb"\n" + re.escape(name) + rb"(?:: ?([^\n]*))?(?=\n)")
+
+
 def event_fields(block: bytes) -> Iterator[tuple[bytes, bytes]]:
     """Yield names and values of the fields in a block; comments are skipped."""
     begin = 0
--- a/packages/core/tests/test_event_stream.py
+++ b/packages/core/tests/test_event_stream.py
@@ -18,6 +18,7 @@
     FoundField,
     event_fields,
     event_stream,
+    field_pattern,
     is_event_stream,
 )
 
@@ -25,6 +26,7 @@
     from collections.abc import Callable
     from types import FrameType
 
+ID = field_pattern(b"id")
 LINE_ENDS = [b"\n", b"\r\n", b"\r"]
 LINES = [b"data: x", b"id: 4", b"data", b": comment", b":", b"id:5", b"x y:z", b"data:  two"]
 
@@ -92,6 +94,24 @@
         rest = blocks.rest if found else blocks.rest.removeprefix(b"\xef\xbb\xbf")
         assert blocks.is_inside_event == any(True for _ in event_fields(rest))
 
+    @settings(max_examples=500, database=None)
+    @given(
+        st.lists(
+            st.sampled_from(
+                [b"\r", b"\n", b"\r\n", b"id", b"id:", b": 1", b"a", b":", b"\xef\xbb\xbf"]
+            ),
+            max_size=30,
+        )
+    )
+    def test_values_are_those_of_all_fields(self, parts):
+        """Guards against an answer that lacks words because of its line ends."""
+        body = b"".join(parts)
+        found, blocks = split(body, [])
+        _, same_blocks = split(body, [])
+        for block in found:
+            expected = [value for name, value in blocks.fields(block) if name == b"id"]
+            assert same_blocks.find_values(block, ID) == expected
+
     def test_line_ends_may_differ(self):
         found, blocks = split(b"id: 1\r\ndata: x\n\rid: 2\r\n\n: c\r\rid: 3\n\r\n", [])
         assert [blocks.fields(block)[:1] for block in found] == [
@@ -178,6 +198,7 @@
         blocks = EventBlocks()
         block = blocks.feed(line * (MAX_EVENT_BYTES // len(line) - 2) + b"\n\n")[0]
         assert calls_of(lambda: blocks.find_last(block, b"id")) <= 40
+        assert calls_of(lambda: blocks.find_values(block, ID)) <= 40
         blocks.feed(block[:-2])
         assert calls_of(lambda: blocks.is_inside_event) <= 40
 
--- a/packages/sidecar/src/sassafrastally/sidecar/event_stream.py
+++ b/packages/sidecar/src/sassafrastally/sidecar/event_stream.py
@@ -4,12 +4,12 @@
 
 from typing import TYPE_CHECKING
 
-from sassafrastally.core import EventBlocks
+from sassafrastally.core import EventBlocks, field_pattern
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-DATA_FIELD = b"data"
+DATA_FIELD = field_pattern(b"data")
 
 
 class EventReader:
@@ -35,6 +35,6 @@
             When an event is too long.
         """
         for block in self._blocks.feed(piece):
-            data = [value for name, value in self._blocks.fields(block) if name == DATA_FIELD]
+            data = self._blocks.find_values(block, DATA_FIELD)
             if data:
                 yield b"\n".join(data)
--- a/packages/sidecar/src/sassafrastally/sidecar/openai_form.py
+++ b/packages/sidecar/src/sassafrastally/sidecar/openai_form.py
@@ -39,6 +39,9 @@
 MAX_CALL_BYTES = 4 * 1024 * 1024
 """Maximum size of the answer to a call that isn't a run."""
 
+MAX_READ_EVENTS = 64
+"""Number of events after which other tasks run. One read may hold thousands of small ones."""
+
 END_MARK = b"[DONE]"
 
 REJECTED_STATUSES = frozenset({400, 401, 403, 404, 405, 409, 413, 415, 422, 429, 503})
@@ -121,8 +124,10 @@
             # error.
             raise EngineFailed("the answer ended without its end mark")
         try:
-            for data in self._reader.feed(piece):
+            for number, data in enumerate(self._reader.feed(piece), 1):
                 self._parse_event(data)
+                if number % MAX_READ_EVENTS == 0:
+                    await trio.lowlevel.checkpoint()
         except EventTooLong as cause:
             raise EngineFailed(f"the answer broke off: {cause}") from cause
         self._input.hold(self._reader.held_bytes)
--- a/packages/sidecar/tests/test_endless_engine.py
+++ b/packages/sidecar/tests/test_endless_engine.py
@@ -11,9 +11,12 @@
 import trio
 
 from sassafrastally.core import Address
+from sassafrastally.core.held_input import HeldInput
 from sassafrastally.sidecar import dialects
 from sassafrastally.sidecar.dialects import OpenAiDialect
 from sassafrastally.sidecar.engine import EngineFailed, EngineRequest
+from sassafrastally.sidecar.engine_input import RunInput
+from sassafrastally.sidecar.openai_form import MAX_READ_EVENTS, OpenAiEventStream
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Awaitable, Callable
@@ -154,3 +157,36 @@
                         await drain(second)
             async with engine.generate(make_request("third")) as third:
                 await drain(third)
+
+
+class TestManyEvents:
+    async def test_other_tasks_run_between_the_events_of_one_read(self) -> None:
+        """Guards against thousands of events without words that are parsed in one step."""
+        events, parsed, most_between = 5000, 0, 0
+
+        async def pieces() -> AsyncIterator[bytes]:
+            yield b"data: {}\n\n" * events
+            await trio.sleep_forever()
+
+        class CountingStream(OpenAiEventStream):
+            def _parse_event(self, data: bytes) -> None:
+                nonlocal parsed
+                parsed += 1
+                super()._parse_event(data)
+
+        async def note_turns() -> None:
+            nonlocal most_between
+            seen = 0
+            while True:
+                most_between, seen = max(most_between, parsed - seen), parsed
+                await trio.lowlevel.checkpoint()
+
+        run = CountingStream(RunInput(pieces(), HeldInput()), shows_usage=False)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(note_turns)
+            nursery.start_soon(anext, run)
+            with trio.fail_after(10):
+                while parsed < events:
+                    await trio.sleep(0)
+            nursery.cancel_scope.cancel()
+        assert most_between <= 2 * MAX_READ_EVENTS
--- a/packages/sidecar/tests/test_event_stream.py
+++ b/packages/sidecar/tests/test_event_stream.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import sys
 from itertools import pairwise
+from typing import TYPE_CHECKING
 
 import pytest
 from hypothesis import given, seed, settings
@@ -11,6 +13,9 @@
 from sassafrastally.core import MAX_EVENT_BYTES, EventTooLong
 from sassafrastally.sidecar.event_stream import EventReader
 
+if TYPE_CHECKING:
+    from types import FrameType
+
 STREAM = (
     b": comment\r\ndata: one\r\n\r\ndata:two\ndata: lines\n\nevent: x\ndata: [DONE]\n\nid: 4\n\n"
 )
@@ -47,3 +52,22 @@
         with pytest.raises(EventTooLong):
             for _ in range(2 * MAX_EVENT_BYTES // len(line)):
                 list(reader.feed(line))
+
+    @pytest.mark.parametrize("line", [b"a\n", b":\n", b"data\n"])
+    def test_steps_do_not_grow_with_the_lines_of_an_event(self, line: bytes) -> None:
+        """Guards against a sidecar that is busy with one event of half a million short lines and
+        relays no other run meanwhile."""
+        calls = 0
+
+        def count_call(_frame: FrameType, event: str, _argument: object) -> None:
+            nonlocal calls
+            calls += event == "call"
+
+        reader = EventReader()
+        event = line * (MAX_EVENT_BYTES // len(line) - 2) + b"\n"
+        sys.setprofile(count_call)
+        try:
+            list(reader.feed(event))
+        finally:
+            sys.setprofile(None)
+        assert calls <= 60
