--- a/packages/entry/src/sassafrastally/entry/asgi.py
+++ b/packages/entry/src/sassafrastally/entry/asgi.py
@@ -14,6 +14,7 @@
 from sassafrastally.core.accepting import Acceptor
 from sassafrastally.core.http_patterns import use_linear_patterns
 from sassafrastally.core.late_limits import deliver_received
+from sassafrastally.entry.http11 import use_http11_connections
 from sassafrastally.entry.http_connection import HttpConnection
 
 if TYPE_CHECKING:
@@ -22,6 +23,7 @@
     from quart_trio import QuartTrio
 
 use_linear_patterns()
+use_http11_connections()
 
 _MS = 1000
 
--- a/packages/entry/src/sassafrastally/entry/http_connection.py
+++ b/packages/entry/src/sassafrastally/entry/http_connection.py
@@ -6,7 +6,8 @@
 
 import trio
 from hypercorn.events import Event, Updated
-from hypercorn.trio.tcp_server import TCPServer
+
+from sassafrastally.entry.http11 import ContainedServer
 
 if TYPE_CHECKING:
     from sassafrastally.entry.asgi import AsgiServer
@@ -15,7 +16,7 @@
 """Interval at which is checked whether the input of an idle connection has been read."""
 
 
-class HttpConnection(TCPServer):
+class HttpConnection(ContainedServer):
     """Serves the requests of one connection.
 
     Parameters
