Use the sound entries of the VM list beside odd ones

Seen by callers: one odd entry in the VM list ends every process that reads it, or stops them all from following the list, so that new VMs get no links and VMs that leave still get requests.

Cause: the list was decoded as one document. Deep nesting raised RecursionError, which nothing caught (the poll runs in the kernel's nursery); one missing field, or a port that is no number, refused the list as a whole; hosts that can't be encoded failed in the dial, outside of what it catches, and names with unpaired surrogates in the hash of the subset.

Change: each entry is decoded by itself and ignored if a field is missing, of the wrong type or out of range; values nested too deeply become null first. A known VM whose entry is spoiled keeps its last sound one. Ignored entries are reported once each (3011), at most 256 in the life of a process.

--- a/packages/stores/src/sassafrastally/stores/setup.py
+++ b/packages/stores/src/sassafrastally/stores/setup.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from sassafrastally.stores.etcd import EtcdKv
+from sassafrastally.stores.ignored_entries import IgnoredEntries
 from sassafrastally.stores.service import PlatformService
 from sassafrastally.stores.settings import KvSettings, VmListSettings, WeightStoreSettings
 from sassafrastally.stores.vm_list import HttpVmList
@@ -28,10 +29,12 @@
         Random number generator for the jitter; defaults to the system's generator.
     """
     store = settings.get(WeightStoreSettings)
+    ignored = IgnoredEntries()
     return PlatformService(
         kv=EtcdKv(settings.get(KvSettings), random or SystemRandom()),
-        vm_list=HttpVmList(settings.get(VmListSettings)),
+        vm_list=HttpVmList(settings.get(VmListSettings), ignored),
         weight_store=(
             HttpWeightStore(store.address, store.call_time_limit_s) if store.address else None
         ),
+        ignored=ignored,
     )
--- a/packages/testing/src/sassafrastally/testing/vm_list.py
+++ b/packages/testing/src/sassafrastally/testing/vm_list.py
@@ -174,7 +174,7 @@
 async def _put(model: VmListModel, name: str) -> Answer:
     try:
         state = decode_vm({**await request.get_json(force=True), "vm": name})
-    except (KeyError, ValueError) as cause:
+    except (KeyError, TypeError, ValueError) as cause:
         return {"problem": repr(cause)}, 400
     model.put(state)
     return dict(encode_vm(state)), 200
