Leave entries of other writers out of the KV service's answers

Seen by callers: one key that isn't UTF-8 under a prefix of this product, or one spoiled answer of the KV service, ends every process that reads it, with the requests that it serves; the watch of bundles and the placement read it again at each start.

Cause: UnicodeDecodeError, RecursionError, ValueError for numbers of thousands of digits, and errors of type were raised by the decoders behind the client's classification of failures, in tasks of the kernel's nursery.

Change: entries whose key isn't UTF-8 are left out and reported once. All other answers that can't be decoded count as lost, lines of a watch as an interruption, so that the callers' handling of outages applies.

--- a/packages/stores/src/sassafrastally/stores/etcd.py
+++ b/packages/stores/src/sassafrastally/stores/etcd.py
@@ -4,7 +4,7 @@
 
 import math
 from contextlib import asynccontextmanager, contextmanager
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, TypeVar
 
 import trio
 
@@ -14,11 +14,12 @@
 from sassafrastally.stores.backoff import BackoffLimits, CircuitBreaker
 from sassafrastally.stores.budget import PurposeBudgets
 from sassafrastally.stores.gateway_client import GatewayClient
+from sassafrastally.stores.ignored_entries import IgnoredEntries
 from sassafrastally.stores.requests import check_writes
 from sassafrastally.stores.watch import EtcdWatch
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator, Iterator, Mapping, Sequence
+    from collections.abc import AsyncIterator, Callable, Iterator, Mapping, Sequence
     from random import Random
 
     import httpx
@@ -27,6 +28,8 @@
     from sassafrastally.stores.gateway_client import LostAnswerError
     from sassafrastally.stores.settings import KvSettings
 
+T = TypeVar("T")
+
 KV_CALLS = counter("sassafrastally.kv.calls", "1", "Calls of the KV service by purpose and result.")
 
 
@@ -39,10 +42,15 @@
         Address, time limits and budgets.
     random
         Random number generator for the jitter.
+    ignored
+        Reports the entries of other writers that are ignored.
     """
 
-    def __init__(self, settings: KvSettings, random: Random) -> None:
+    def __init__(
+        self, settings: KvSettings, random: Random, ignored: IgnoredEntries | None = None
+    ) -> None:
         self._settings = settings
+        self._ignored = ignored or IgnoredEntries()
         self._client = GatewayClient(settings)
         self._budgets = PurposeBudgets(settings.budgets)
         # The recovery delay counts against the call's time limit; half of it is left for the call.
@@ -59,44 +67,56 @@
     async def get(self, key: str, *, purpose: str) -> KvEntry | None:
         """Return an entry by a linearizable read; ``None`` if the key doesn't exist."""
         request = gateway.RangeRequest(key=gateway.encode_key(key))
-        body = await self._call(gateway.RANGE_PATH, request, purpose, KvUnavailable)
-        entries = body.get("kvs", [])
-        return gateway.decode_entry(entries[0]) if entries else None
+        entries = await self._call(
+            gateway.RANGE_PATH, request, purpose, KvUnavailable, self._decode_entries
+        )
+        return entries[0] if entries else None
 
     async def get_prefix(self, prefix: str, *, purpose: str, limit: int = 0) -> list[KvEntry]:
         """Return the entries with a key prefix, sorted by key; a limit of 0 means no limit."""
         request = gateway.prefix_request(prefix, limit)
-        body = await self._call(gateway.RANGE_PATH, request, purpose, KvUnavailable)
-        return [gateway.decode_entry(entry) for entry in body.get("kvs", [])]
+        return await self._call(
+            gateway.RANGE_PATH, request, purpose, KvUnavailable, self._decode_entries
+        )
 
     async def write(self, writes: Sequence[KvWrite], *, purpose: str) -> int:
         """Apply all writes or none; return the revision."""
         check_writes(writes)
+
+        def decode(body: dict[str, Any]) -> int:
+            if not body.get("succeeded", False):
+                raise KvConflict(f"{writes[0].key}: unexpected revision")
+            return gateway.revision_of(body)
+
         request = gateway.encode_txn(writes)
-        body = await self._call(gateway.TXN_PATH, request, purpose, MaybeApplied)
-        if not body.get("succeeded", False):
-            raise KvConflict(f"{writes[0].key}: unexpected revision")
-        return gateway.revision_of(body)
+        return await self._call(gateway.TXN_PATH, request, purpose, MaybeApplied, decode)
 
     async def grant_lease(self, time_to_live_s: float, *, purpose: str) -> int:
         """Create a lease and return its id; its time to live is rounded up to whole seconds."""
+
+        def decode(body: dict[str, Any]) -> int:
+            return gateway.decode_integer(body["ID"])
+
         request = {"TTL": str(math.ceil(time_to_live_s))}
-        body = await self._call(gateway.LEASE_GRANT_PATH, request, purpose, MaybeApplied)
-        return int(body["ID"])
+        return await self._call(gateway.LEASE_GRANT_PATH, request, purpose, MaybeApplied, decode)
 
     async def keep_lease(self, lease_id: int, *, purpose: str) -> float:
         """Renew a lease and return its remaining time in seconds."""
+
+        def decode(body: dict[str, Any]) -> float:
+            remaining_s = float(gateway.decode_integer(body.get("result", {}).get("TTL", 0)))
+            if remaining_s <= 0.0:
+                raise LeaseLost(f"lease {lease_id} has expired")
+            return remaining_s
+
         request = {"ID": str(lease_id)}
-        body = await self._call(gateway.LEASE_KEEPALIVE_PATH, request, purpose, MaybeApplied)
-        remaining_s = float(body.get("result", {}).get("TTL", 0))
-        if remaining_s <= 0.0:
-            raise LeaseLost(f"lease {lease_id} has expired")
-        return remaining_s
+        path = gateway.LEASE_KEEPALIVE_PATH
+        return await self._call(path, request, purpose, MaybeApplied, decode)
 
     async def revoke_lease(self, lease_id: int, *, purpose: str) -> None:
         """Revoke a lease and delete its keys."""
         request = {"ID": str(lease_id)}
-        await self._call(gateway.LEASE_REVOKE_PATH, request, purpose, MaybeApplied)
+        await self._call(gateway.LEASE_REVOKE_PATH, request, purpose, MaybeApplied, dict)
 
     @asynccontextmanager
     async def watch(
@@ -116,6 +136,7 @@
             open_stream,
             self._settings.watch_renewal_s,
             on_interrupted=lambda: self._breaker(purpose).report_failure(),
+            ignored=self._ignored,
         )
         try:
             await watch.open()
@@ -124,12 +145,24 @@
             await watch.aclose()
 
     async def _call(
-        self, path: str, body: Mapping[str, Any], purpose: str, lost_answer_error: LostAnswerError
-    ) -> dict[str, Any]:
+        self,
+        path: str,
+        body: Mapping[str, Any],
+        purpose: str,
+        lost_answer_error: LostAnswerError,
+        decode: Callable[[dict[str, Any]], T],
+    ) -> T:
         limit_s = self._settings.call_time_limit_s
         with self._admission(purpose) as wait_s:
             await trio.sleep(wait_s)
-            return await self._client.post(path, body, lost_answer_error, limit_s - wait_s)
+            answer = await self._client.post(path, body, lost_answer_error, limit_s - wait_s)
+            try:
+                return decode(answer)
+            except gateway.DECODE_ERRORS as cause:
+                raise lost_answer_error(f"{path}: invalid response: {cause!r:.200}") from cause
+
+    def _decode_entries(self, body: dict[str, Any]) -> list[KvEntry]:
+        return gateway.decode_entries(body, self._ignored)
 
     def _breaker(self, purpose: str) -> CircuitBreaker:
         self._budgets.require(purpose)
--- a/packages/stores/src/sassafrastally/stores/gateway.py
+++ b/packages/stores/src/sassafrastally/stores/gateway.py
@@ -15,6 +15,8 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
+    from sassafrastally.stores.ignored_entries import IgnoredEntries
+
 RANGE_PATH = "/v3/kv/range"
 TXN_PATH = "/v3/kv/txn"
 LEASE_GRANT_PATH = "/v3/lease/grant"
@@ -35,6 +37,19 @@
 """Errors returned before a write is proposed; any other error may be returned after that."""
 
 
+MAX_INTEGER = 2**63 - 1
+MAX_DIGITS = len(str(MAX_INTEGER))
+
+IGNORED_SOURCE = "kv"
+
+DECODE_ERRORS = (AttributeError, KeyError, TypeError, ValueError)
+"""Errors of the decoders for JSON values of another form."""
+
+
+class ForeignKey(ValueError):
+    """A key isn't UTF-8, so its entry is of another writer."""
+
+
 class RangeRequest(TypedDict, total=False):
     """Body of a range request."""
 
@@ -62,8 +77,12 @@
 
 
 def decode_key(text: str) -> str:
-    """Decode a key from base64."""
-    return base64.b64decode(text).decode()
+    """Decode a key from base64; raises `ForeignKey` if it isn't UTF-8."""
+    raw = base64.b64decode(text)
+    try:
+        return raw.decode()
+    except UnicodeDecodeError:
+        raise ForeignKey(raw.decode(errors="backslashreplace")) from None
 
 
 def prefix_request(prefix: str, limit: int = 0) -> RangeRequest:
@@ -131,15 +150,29 @@
 
 
 def decode_entry(body: dict[str, Any]) -> KvEntry:
-    """Decode an entry from JSON."""
+    """Decode an entry from JSON; raises one of `DECODE_ERRORS`."""
     return KvEntry(
         decode_key(body["key"]),
         base64.b64decode(body.get("value", "")),
-        int(body.get("mod_revision", 0)),
-        int(body.get("lease", 0)),
+        decode_integer(body.get("mod_revision", 0)),
+        decode_integer(body.get("lease", 0)),
     )
 
 
+def decode_entries(body: dict[str, Any], ignored: IgnoredEntries) -> list[KvEntry]:
+    """Decode the entries of a range without those of other writers that aren't UTF-8.
+
+    Raises one of `DECODE_ERRORS`.
+    """
+    entries = []
+    for item in _list(body, "kvs"):
+        try:
+            entries.append(decode_entry(item))
+        except ForeignKey as cause:
+            ignored.add(IGNORED_SOURCE, str(cause), ValueError("the key isn't UTF-8"))
+    return entries
+
+
 def encode_event(change: KvEvent) -> dict[str, Any]:
     """Encode a change as JSON."""
     entry = {"key": encode_key(change.key), "mod_revision": str(change.mod_revision)}
@@ -149,12 +182,42 @@
 
 
 def decode_event(body: dict[str, Any]) -> KvEvent:
-    """Decode a change from JSON."""
+    """Decode a change from JSON; raises one of `DECODE_ERRORS`."""
     entry = decode_entry(body["kv"])
     value = None if body.get("type") == "DELETE" else entry.value
     return KvEvent(entry.key, value, entry.mod_revision)
 
 
+def decode_events(body: dict[str, Any], ignored: IgnoredEntries) -> list[KvEvent]:
+    """Decode the changes of a watch without those of other writers that aren't UTF-8.
+
+    Raises one of `DECODE_ERRORS`.
+    """
+    changes = []
+    for item in _list(body, "events"):
+        try:
+            changes.append(decode_event(item))
+        except ForeignKey as cause:
+            ignored.add(IGNORED_SOURCE, str(cause), ValueError("the key isn't UTF-8"))
+    return changes
+
+
 def revision_of(body: dict[str, Any]) -> int:
-    """Return the store revision from the header of a response."""
-    return int(body.get("header", {}).get("revision", 0))
+    """Return the store revision from the header of a response; raises one of `DECODE_ERRORS`."""
+    return decode_integer(body.get("header", {}).get("revision", 0))
+
+
+def decode_integer(value: object) -> int:
+    """Decode a 64-bit integer that isn't negative; raises `ValueError`."""
+    if isinstance(value, str) and value.isascii() and value.isdigit() and len(value) <= MAX_DIGITS:
+        value = int(value)
+    if not isinstance(value, int) or not 0 <= value <= MAX_INTEGER:
+        raise ValueError("not a 64-bit integer")
+    return value
+
+
+def _list(body: dict[str, Any], name: str) -> list[Any]:
+    items = body.get(name, [])
+    if not isinstance(items, list):
+        raise TypeError(f"{name} is not a list")
+    return items
--- a/packages/stores/src/sassafrastally/stores/gateway_client.py
+++ b/packages/stores/src/sassafrastally/stores/gateway_client.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import json
 from typing import TYPE_CHECKING, Any
 
 import httpx
@@ -10,6 +9,7 @@
 
 from sassafrastally.core import time_limit
 from sassafrastally.core.http_patterns import use_linear_patterns
+from sassafrastally.core.json_documents import load_json
 from sassafrastally.core.kv import KvUnavailable, LeaseLost, MaybeApplied
 from sassafrastally.stores import gateway
 from sassafrastally.stores.bounded_transport import LINE_BOUND, BoundedTransport
@@ -103,8 +103,8 @@
     response: httpx.Response, path: str, lost_answer_error: LostAnswerError
 ) -> dict[str, Any]:
     try:
-        body = response.json()
-    except (json.JSONDecodeError, UnicodeDecodeError) as cause:
+        body = load_json(response.content)
+    except ValueError as cause:
         raise lost_answer_error(
             f"{path}: HTTP status {response.status_code} without JSON"
         ) from cause
--- a/packages/stores/src/sassafrastally/stores/setup.py
+++ b/packages/stores/src/sassafrastally/stores/setup.py
@@ -31,7 +31,7 @@
     store = settings.get(WeightStoreSettings)
     ignored = IgnoredEntries()
     return PlatformService(
-        kv=EtcdKv(settings.get(KvSettings), random or SystemRandom()),
+        kv=EtcdKv(settings.get(KvSettings), random or SystemRandom(), ignored),
         vm_list=HttpVmList(settings.get(VmListSettings), ignored),
         weight_store=(
             HttpWeightStore(store.address, store.call_time_limit_s) if store.address else None
--- a/packages/stores/src/sassafrastally/stores/watch.py
+++ b/packages/stores/src/sassafrastally/stores/watch.py
@@ -2,15 +2,16 @@
 
 from __future__ import annotations
 
-import json
 from collections import deque
 from typing import TYPE_CHECKING, Any
 
 import httpx
 import trio
 
+from sassafrastally.core.json_documents import load_json
 from sassafrastally.core.kv import KvUnavailable
 from sassafrastally.stores import gateway
+from sassafrastally.stores.ignored_entries import IgnoredEntries
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Awaitable, Callable, Mapping
@@ -37,6 +38,8 @@
         Idle time after which the watch is reopened.
     on_interrupted
         Called when the service or the network interrupts the watch.
+    ignored
+        Reports the changes that are ignored.
     """
 
     def __init__(
@@ -46,12 +49,14 @@
         open_stream: Callable[[Mapping[str, Any]], Awaitable[httpx.Response]],
         renewal_s: float,
         on_interrupted: Callable[[], None],
+        ignored: IgnoredEntries | None = None,
     ) -> None:
         self._prefix = prefix
         self._next_revision = from_revision
         self._open_stream = open_stream
         self._renewal_s = renewal_s
         self._on_interrupted = on_interrupted
+        self._ignored = ignored or IgnoredEntries()
         self._events: deque[KvEvent] = deque()
         self._response: httpx.Response | None = None
         self._lines: AsyncIterator[str] | None = None
@@ -65,7 +70,10 @@
             if result is None:
                 await self.open()
                 continue
-            self._events.extend(gateway.decode_event(item) for item in result.get("events", []))
+            try:
+                self._events.extend(gateway.decode_events(result, self._ignored))
+            except gateway.DECODE_ERRORS as cause:
+                raise self._interrupted(f"invalid changes: {cause!r:.200}") from cause
         change = self._events.popleft()
         if not self._events:
             self._next_revision = change.mod_revision + 1
@@ -82,7 +90,10 @@
         created = await self._next_result()
         if created is None or not created.get("created"):
             raise self._interrupted("the service didn't create the watch")
-        self._next_revision = self._next_revision or gateway.revision_of(created) + 1
+        try:
+            self._next_revision = self._next_revision or gateway.revision_of(created) + 1
+        except gateway.DECODE_ERRORS as cause:
+            raise self._interrupted(f"invalid revision: {cause!r:.200}") from cause
 
     async def aclose(self) -> None:
         """Close the connection."""
@@ -96,16 +107,18 @@
             raise KvUnavailable(f"watch of {self._prefix} is closed")
         try:
             with trio.move_on_after(self._renewal_s):
-                result = json.loads(await anext(self._lines)).get("result", {})
+                result = dict(load_json(await anext(self._lines)).get("result", {}))
                 if result.get("canceled"):
                     raise self._interrupted(
                         f"canceled; history starts at {result.get('compact_revision')}"
                     )
-                return dict(result)
+                return result
         except StopAsyncIteration as cause:
             raise self._interrupted("the service closed the watch") from cause
-        except (httpx.TransportError, httpx.StreamError, json.JSONDecodeError) as cause:
+        except (httpx.TransportError, httpx.StreamError) as cause:
             raise self._interrupted(repr(cause)) from cause
+        except gateway.DECODE_ERRORS as cause:
+            raise self._interrupted(f"invalid line: {cause!r:.200}") from cause
         return None
 
     def _interrupted(self, reason: str) -> KvUnavailable:
--- a/packages/stores/tests/test_odd_vms.py
+++ b/packages/stores/tests/test_odd_vms.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+from contextlib import suppress
 from functools import partial
 from typing import TYPE_CHECKING, Any
 
@@ -108,9 +109,10 @@
         self.body = body
 
     async def serve(self, stream: trio.SocketStream) -> None:
-        while await stream.receive_some(65536):
-            head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(self.body)}\r\n\r\n"
-            await stream.send_all(head.encode() + self.body)
+        with suppress(trio.BrokenResourceError):
+            while await stream.receive_some(65536):
+                head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(self.body)}\r\n\r\n"
+                await stream.send_all(head.encode() + self.body)
 
 
 @pytest.fixture
