Take a wait that no load can take for an outage of the weight store

Seen by callers: a model that isn't loaded any more, or a placement holder that ends. A negative wait, or one that isn't a number, raised ValueError in trio.sleep in a task below the kernel's nursery, nested JSON raised RecursionError in the client; an endless wait kept its engine from every other order of the tenure.

Cause: the answer's number was used without a range.

--- a/packages/stores/src/sassafrastally/stores/weight_store.py
+++ b/packages/stores/src/sassafrastally/stores/weight_store.py
@@ -11,6 +11,7 @@
 import httpx
 import trio
 
+from sassafrastally.core.json_documents import load_json
 from sassafrastally.stores.bounded_transport import BoundedTransport
 from sassafrastally.stores.interfaces import PlatformUnavailable
 
@@ -19,6 +20,9 @@
 
 LOADS_PATH = "/loads"
 
+MAX_WAIT_S = 86_400.0
+"""Longest wait that is accepted; the engine that waits gets no other placement order meanwhile."""
+
 
 class HttpWeightStore:
     """`WeightStore` implementation over HTTP.
@@ -58,10 +62,19 @@
                     LOADS_PATH, json={"model": model, "version": version}
                 )
             response.raise_for_status()
-            return float(response.json()["wait_s"])
+            return _decode_wait_s(response.content)
         except (httpx.HTTPError, trio.TooSlowError) as cause:
             raise PlatformUnavailable(f"the weight store doesn't respond: {cause!r}") from cause
         except (KeyError, TypeError, ValueError) as cause:
             raise PlatformUnavailable(
                 f"invalid response from the weight store: {cause!r}"
             ) from cause
+
+
+def _decode_wait_s(body: bytes) -> float:
+    wait_s = load_json(body)["wait_s"]
+    if isinstance(wait_s, bool) or not isinstance(wait_s, int | float):
+        raise TypeError("wait_s is not a number")
+    if not 0.0 <= wait_s <= MAX_WAIT_S:
+        raise ValueError(f"wait_s is not from 0 to {MAX_WAIT_S:g}")
+    return float(wait_s)
