Record signals that arrive while the program is loaded

What callers saw: an entry that was asked to stop in the first tenths of a second after its port had opened reset every connection that it had, with the whole requests in them.

Cause: the callers' port opens before the program is imported, and until trio's signal receiver runs SIGTERM and SIGINT have their default actions, which end the process over its accept queue. SIGHUP was ignored, but only from the import of `signal` on, which comes after the port where the address is an argument, as it is deployed (by reading). The class: a resource is published before what protects it.

Evidence, red before: test_stop_cuts_off_nobody_who_could_connect, five entries at each of 0, 0.05, 0.15 and 0.4 s after the port opens, with SIGTERM, twice SIGTERM, SIGHUP and SIGTERM in both orders, and SIGINT. Processes ended with -15 and -2 and lost all callers that had connected (3 to 23 each).

Change: EarlySignals records the three signals from before the port opens, with the C module `_signal`; the daemon handles them as soon as its receiver is open, so that none falls between the two. Entries of the tests get the address as an argument, as they are deployed.

--- a/packages/proxy/benchmarks/open_port.py
+++ b/packages/proxy/benchmarks/open_port.py
@@ -17,6 +17,8 @@
 END = "import posix; posix._exit(0)"
 OPEN = (
     "from sassafrastally.proxy.early_listener import listen_early; "
+    "from sassafrastally.proxy.early_signals import EarlySignals; "
+    "EarlySignals().record(); "
     "listener = listen_early('127.22.0.1', 0); assert listener is not None; "
 )
 VARIANTS = {
--- a/packages/proxy/src/sassafrastally/proxy/daemon.py
+++ b/packages/proxy/src/sassafrastally/proxy/daemon.py
@@ -34,6 +34,7 @@
     from collections.abc import Callable
 
     from sassafrastally.proxy.dialect import Dialect
+    from sassafrastally.proxy.early_signals import EarlySignals
     from sassafrastally.proxy.settings import ProxySettings
     from sassafrastally.proxy.store import Store
 
@@ -75,6 +76,7 @@
     listener: socket.socket | None,
     reread: Callable[[], ProxySettings | str],
     start_logs: Callable[[], None] | None = None,
+    early_signals: EarlySignals | None = None,
 ) -> None:
     """Run an entry until it receives a stop signal.
 
@@ -93,10 +95,12 @@
     start_logs
         Configures the logging library; called after the entry serves. Log lines are held until
         then, if the caller holds them.
+    early_signals
+        Signals received before this call; they are handled as those that follow.
     """
     kernel = make_kernel(settings, dialect, store, listener, start_logs)
     async with trio.open_nursery() as nursery:
-        await nursery.start(_handle_signals, kernel, settings, reread)
+        await nursery.start(_handle_signals, kernel, settings, reread, early_signals)
         await kernel.run()
         nursery.cancel_scope.cancel()
 
@@ -105,16 +109,23 @@
     kernel: Kernel,
     settings: ProxySettings,
     reread: Callable[[], ProxySettings | str],
+    early_signals: EarlySignals | None,
     task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
 ) -> None:
+    def handle(signal_number: int) -> None:
+        if signal_number != signal.SIGHUP:
+            kernel.request_stop()
+            return
+        reloaded = reread()
+        if isinstance(reloaded, str):
+            kernel.events.emit(SettingsRejected(reloaded))
+        else:
+            kernel.events.emit(SettingsReloaded(reloaded != settings))
+
     with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
+        # Taken once the receiver is open, so that no signal falls between the two.
+        for signal_number, _ in early_signals.take() if early_signals else ():
+            handle(signal_number)
         task_status.started()
         async for signal_number in signals:
-            if signal_number != signal.SIGHUP:
-                kernel.request_stop()
-                continue
-            reloaded = reread()
-            if isinstance(reloaded, str):
-                kernel.events.emit(SettingsRejected(reloaded))
-            else:
-                kernel.events.emit(SettingsReloaded(reloaded != settings))
+            handle(signal_number)
--- a/packages/testing/src/sassafrastally/testing/soak/entry_process.py
+++ b/packages/testing/src/sassafrastally/testing/soak/entry_process.py
@@ -100,7 +100,7 @@
         self.write_settings()
         environment = {**os.environ, SETTINGS_VARIABLE: str(self._settings_file)}
         self._process = subprocess.Popen(
-            [sys.executable, "-P", "-m", MODULE],
+            [sys.executable, "-P", "-m", MODULE, str(self.callers_address)],
             env=environment,
             stdin=subprocess.DEVNULL,
             stdout=descriptor,
--- a/packages/testing/tests/soak/test_entry_process.py
+++ b/packages/testing/tests/soak/test_entry_process.py
@@ -3,18 +3,21 @@
 from __future__ import annotations
 
 import fcntl
+import math
 import os
 import select
 import signal
 import time
 
+import h11
 import pytest
 import trio
 
 from sassafrastally.core import Address
-from sassafrastally.stand_ins.caller_requests import request_fields
+from sassafrastally.proxy.http_stream import ConnectionLost, HttpStream, connect
+from sassafrastally.stand_ins.caller_requests import exchange_on, request_fields
 from sassafrastally.stand_ins.platform_fleet import platform_fleet
-from sassafrastally.testing.soak.entry_process import EntryProcess
+from sassafrastally.testing.soak.entry_process import STOP_TIME_S, EntryProcess
 
 
 def wait_until(condition, what: str, limit_s: float = 10.0) -> None:
@@ -44,10 +47,108 @@
         entry.signal(signal.SIGHUP)
         wait_until(lambda: "ProcessStarted" in entry.log_file.read_text(), "it starts")
         entry.signal(signal.SIGHUP)
-        wait_until(lambda: "SettingsReloaded" in entry.log_file.read_text(), "it reads settings")
+        wait_until(
+            lambda: entry.log_file.read_text().count("SettingsReloaded") == 2, "it reads settings"
+        )
         assert entry.is_running
 
 
+class EarlyCallers:
+    """Callers who connect to an entry as soon as its port is open, and send at once."""
+
+    AT_ONCE = 4
+    INTERVAL_S = 0.02
+    CONNECT_S = 0.6
+    """For how long callers connect once the port is open."""
+
+    def __init__(self, entry: EntryProcess) -> None:
+        self._entry = entry
+        self._open_s = math.inf
+        self.connected = 0
+        self.lost: list[str] = []
+
+    async def run(self, port_open: trio.Event) -> None:
+        """Connect for a while; set the event as soon as the port is open."""
+        async with trio.open_nursery() as nursery:
+            while trio.current_time() < self._open_s + self.CONNECT_S:
+                try:
+                    stream = await connect(self._entry.callers_address, 1.0)
+                except ConnectionLost:
+                    await trio.sleep(0.001)
+                    continue
+                self._open_s = min(self._open_s, trio.current_time())
+                port_open.set()
+                self.connected += 1
+                nursery.start_soon(self._use, HttpStream(stream, h11.CLIENT))
+                await trio.sleep(0 if self.connected < self.AT_ONCE else self.INTERVAL_S)
+
+    async def _use(self, connection: HttpStream) -> None:
+        connected_s = trio.current_time()
+        is_whole = False
+        try:
+            answer = await exchange_on(connection, "POST", "/book/x", request_fields(), b"{}")
+            is_whole = answer.is_whole
+        except ConnectionLost:
+            pass
+        await connection.close()
+        if not is_whole:
+            after_ms = 1000 * (trio.current_time() - connected_s)
+            at_s = connected_s - self._open_s
+            self.lost.append(f"connected at {at_s:.3f} s, lost {after_ms:.0f} ms later")
+
+
+class TestSignalsDuringTheStart:
+    """Signals that arrive while a process loads and callers wait in its accept queue."""
+
+    SIGNALS = (
+        (signal.SIGTERM,),
+        (signal.SIGTERM, signal.SIGTERM),
+        (signal.SIGHUP, signal.SIGTERM),
+        (signal.SIGTERM, signal.SIGHUP),
+        (signal.SIGINT,),
+    )
+
+    @pytest.mark.parametrize("after_s", [0.0, 0.05, 0.15, 0.4])
+    async def test_stop_cuts_off_nobody_who_could_connect(self, tmp_path, own_hosts, after_s):
+        """Guards against a stop signal whose default action ends the process over the connections
+        in its accept queue, while the program is loaded."""
+        faults: list[str] = []
+        async with platform_fleet() as fleet, trio.open_nursery() as nursery:
+            await fleet.add_replica("desk", "desk")
+            async with trio.open_nursery() as stops:
+                for number, signals in enumerate(self.SIGNALS, 1):
+                    entry = EntryProcess(number, own_hosts(), tmp_path, 22_000, fleet.store_address)
+                    stops.start_soon(self._stop, entry, signals, after_s, faults)
+            nursery.cancel_scope.cancel()
+        assert not faults, "\n".join(faults)
+
+    async def _stop(self, entry, signals, after_s, faults) -> None:
+        callers, port_open = EarlyCallers(entry), trio.Event()
+        entry.start()
+        try:
+            with trio.fail_after(20.0):
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(callers.run, port_open)
+                    await port_open.wait()
+                    await trio.sleep(after_s)
+                    stop_s = trio.current_time()
+                    for number in signals:
+                        entry.signal(number)
+                        await trio.sleep(0.01)
+                while entry.is_running:
+                    await trio.sleep(0.01)
+            took_s = trio.current_time() - stop_s
+            entry.note_end()
+        finally:
+            entry.kill()
+        names = "+".join(number.name for number in signals)
+        if callers.lost:
+            of_all = f"{len(callers.lost)} of {callers.connected} lost"
+            faults.append(f"{names}: {of_all}, for example {callers.lost[0]}")
+        if entry.exit_codes != [0] or took_s > STOP_TIME_S:
+            faults.append(f"{names}: ended with {entry.exit_codes} after {took_s:.2f} s")
+
+
 class TestBlockedOutput:
     """Standard output that nobody reads."""
 
