Ignore signals from the end of the program until the process exits

What operators saw: a stop signal that came again at the end of a drain ended the process with -15 (or -1 for SIGHUP) instead of 0, and its last log lines could be missing.

Cause: trio's signal receiver restores the handlers that it found when it closes, and raises again what it hasn't handed out; the interpreter restores the default actions while it exits. Both left a moment in which a signal ends the process.

Evidence: a SIGTERM and a SIGHUP every 2 ms from the first one until the exit.

Change: after the program has ended, the three signals are ignored; the interpreter leaves ignored signals alone.

--- a/packages/proxy/src/sassafrastally/proxy/early_signals.py
+++ b/packages/proxy/src/sassafrastally/proxy/early_signals.py
@@ -1,4 +1,4 @@
-"""Records signals that arrive before the kernel handles them.
+"""Records signals that arrive before or after the time in which the kernel handles them.
 
 As soon as the callers' port is open, connections wait in its accept queue, and the default action
 of a signal would end the process over them. The module is imported before the port opens, and for
@@ -31,5 +31,11 @@
         now_s = monotonic()
         return [(number, now_s - received_s) for number, received_s in received]
 
+    def ignore(self) -> None:
+        """Ignore signals from now on: the interpreter restores other handlers to their defaults
+        while it exits, so that a late stop signal would change the exit code."""
+        for number in HANDLED:
+            _signal.signal(number, _signal.SIG_IGN)
+
     def _note(self, number: int, _frame: object) -> None:
         self._received.append((number, monotonic()))
--- a/packages/testing/tests/soak/test_entry_process.py
+++ b/packages/testing/tests/soak/test_entry_process.py
@@ -149,6 +149,47 @@
             faults.append(f"{names}: ended with {entry.exit_codes} after {took_s:.2f} s")
 
 
+class TestSignalsDuringTheDrain:
+    """Signals that arrive while a process drains and while it ends."""
+
+    CALLERS = 8
+
+    async def test_further_signals_cut_off_nothing_and_end_it_in_order(self, tmp_path, own_host):
+        """Guards against a signal that ends the process between the end of its drain and its exit,
+        over its last log lines, and against answers that a second stop signal cuts."""
+        answers = []
+        async with platform_fleet() as fleet, trio.open_nursery() as nursery:
+            replica = await fleet.add_replica("desk", "desk")
+            replica.work_s = 3.5  # Until after idle connections are closed.
+            entry = EntryProcess(1, own_host, tmp_path, 22_000, fleet.store_address)
+            entry.start()
+            try:
+                with trio.fail_after(20.0):
+                    while "ProcessStarted" not in entry.log_file.read_text():
+                        await trio.sleep(0.05)
+
+                    async def call() -> None:
+                        address = entry.callers_address
+                        answers.append(await fleet.call_at(address, "/book/x", request_fields()))
+
+                    async with trio.open_nursery() as callers:
+                        for _ in range(self.CALLERS):
+                            callers.start_soon(call)
+                        await trio.sleep(0.3)
+                        while entry.is_running:
+                            entry.signal(signal.SIGTERM)
+                            await trio.sleep(0.001)
+                            entry.signal(signal.SIGHUP)
+                            await trio.sleep(0.001)
+                entry.note_end()
+            finally:
+                entry.kill()
+            nursery.cancel_scope.cancel()
+        assert [answer.status for answer in answers] == [200] * self.CALLERS
+        assert entry.exit_codes == [0]
+        assert "ProcessStopped" in entry.log_file.read_text()
+
+
 class TestBlockedOutput:
     """Standard output that nobody reads."""
 
