Count the stop time from a stop signal that arrives while the program is loaded

What callers saw: nothing yet; while such a signal ended the process at once, the question didn't arise. With the signal recorded, an entry that loads slowly on a small VM is killed over open requests.

Cause: the drain takes the moment at which it begins for that of the signal, and plans its end at the whole stop time after it. The class: a time limit is measured from when it is read, not from when it began.

Evidence, red before: test_stop_time_begins_with_the_signal, where a process is paused for 2 s while it loads, as if it got little CPU time, has a stop time of 5 s and servers that work for 10 s.

Change: EarlySignals knows the age of each signal; the daemon gives the kernel's services the stop time that is left.

A signal between the making of the kernel and the start of its services is still counted from then.

--- a/packages/proxy/src/sassafrastally/proxy/daemon.py
+++ b/packages/proxy/src/sassafrastally/proxy/daemon.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import signal
+from functools import partial
 from typing import TYPE_CHECKING
 
 import trio
@@ -31,7 +32,7 @@
 
 if TYPE_CHECKING:
     import socket
-    from collections.abc import Callable
+    from collections.abc import AsyncIterator, Callable
 
     from sassafrastally.proxy.dialect import Dialect
     from sassafrastally.proxy.early_signals import EarlySignals
@@ -98,34 +99,45 @@
     early_signals
         Signals received before this call; they are handled as those that follow.
     """
-    kernel = make_kernel(settings, dialect, store, listener, start_logs)
-    async with trio.open_nursery() as nursery:
-        await nursery.start(_handle_signals, kernel, settings, reread, early_signals)
-        await kernel.run()
-        nursery.cancel_scope.cancel()
+    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
+        # Taken once the receiver is open, so that no signal falls between the two.
+        early = early_signals.take() if early_signals else []
+        kernel = make_kernel(
+            _with_stop_time_left(settings, early), dialect, store, listener, start_logs
+        )
+        handle = partial(_handle_signal, kernel, settings, reread)
+        for signal_number, _ in early:
+            handle(signal_number)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(_handle_signals, signals, handle)
+            await kernel.run()
+            nursery.cancel_scope.cancel()
+
+
+def _with_stop_time_left(settings: ProxySettings, early: list[tuple[int, float]]) -> ProxySettings:
+    """Return settings whose stop time is what a stop signal of that age leaves."""
+    age_s = max((age_s for number, age_s in early if number != signal.SIGHUP), default=0.0)
+    bounds = settings.bounds
+    left_s = max(0.0, bounds.stop_time_s - age_s)
+    return settings._replace(bounds=bounds._replace(stop_time_s=left_s))
+
 
+async def _handle_signals(signals: AsyncIterator[int], handle: Callable[[int], None]) -> None:
+    async for signal_number in signals:
+        handle(signal_number)
 
-async def _handle_signals(
+
+def _handle_signal(
     kernel: Kernel,
     settings: ProxySettings,
     reread: Callable[[], ProxySettings | str],
-    early_signals: EarlySignals | None,
-    task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+    signal_number: int,
 ) -> None:
-    def handle(signal_number: int) -> None:
-        if signal_number != signal.SIGHUP:
-            kernel.request_stop()
-            return
-        reloaded = reread()
-        if isinstance(reloaded, str):
-            kernel.events.emit(SettingsRejected(reloaded))
-        else:
-            kernel.events.emit(SettingsReloaded(reloaded != settings))
-
-    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
-        # Taken once the receiver is open, so that no signal falls between the two.
-        for signal_number, _ in early_signals.take() if early_signals else ():
-            handle(signal_number)
-        task_status.started()
-        async for signal_number in signals:
-            handle(signal_number)
+    if signal_number != signal.SIGHUP:
+        kernel.request_stop()
+        return
+    reloaded = reread()
+    if isinstance(reloaded, str):
+        kernel.events.emit(SettingsRejected(reloaded))
+    else:
+        kernel.events.emit(SettingsReloaded(reloaded != settings))
--- a/packages/testing/tests/soak/test_entry_process.py
+++ b/packages/testing/tests/soak/test_entry_process.py
@@ -86,7 +86,8 @@
         connected_s = trio.current_time()
         is_whole = False
         try:
-            answer = await exchange_on(connection, "POST", "/book/x", request_fields(), b"{}")
+            fields = request_fields(time_left_s=20.0)
+            answer = await exchange_on(connection, "POST", "/book/x", fields, b"{}")
             is_whole = answer.is_whole
         except ConnectionLost:
             pass
@@ -149,6 +150,47 @@
             faults.append(f"{names}: ended with {entry.exit_codes} after {took_s:.2f} s")
 
 
+class TestSlowStart:
+    """A stop signal while a process loads that gets little CPU time."""
+
+    STOP_TIME_S = 5.0
+
+    async def test_stop_time_begins_with_the_signal(self, tmp_path, own_host):
+        """Guards against a drain that counts from the end of the load, so that the process is
+        killed over requests that are still open."""
+        async with platform_fleet() as fleet, trio.open_nursery() as nursery:
+            replica = await fleet.add_replica("desk", "desk")
+            replica.work_s = 10.0
+            entry = EntryProcess(
+                1, own_host, tmp_path, 22_000, fleet.store_address, self.STOP_TIME_S
+            )
+            callers, port_open = EarlyCallers(entry), trio.Event()
+            entry.start()
+            try:
+                with trio.move_on_after(20.0):
+                    async with trio.open_nursery() as calls:
+                        calls.start_soon(callers.run, port_open)
+                        await port_open.wait()
+                        stop_s = trio.current_time()
+                        entry.signal(signal.SIGTERM)
+                        await trio.sleep(0.05)
+                        entry.signal(signal.SIGSTOP)
+                        await trio.sleep(2.0)
+                        entry.signal(signal.SIGCONT)
+                        while entry.is_running and trio.current_time() < stop_s + self.STOP_TIME_S:
+                            await trio.sleep(0.01)
+                        # As the platform does.
+                        entry.signal(signal.SIGKILL)
+                while entry.is_running:
+                    await trio.sleep(0.01)
+                entry.note_end()
+            finally:
+                entry.kill()
+            nursery.cancel_scope.cancel()
+        assert not callers.lost, f"{len(callers.lost)} of {callers.connected}, {callers.lost[0]}"
+        assert entry.exit_codes == [0]
+
+
 class TestSignalsDuringTheDrain:
     """Signals that arrive while a process drains and while it ends."""
 
