Discard what a caller still sends after its response before closing the connection

Callers saw: a request that was refused before its body had come whole (413, 401, 503) ended with a reset connection: the caller's sends failed, and callers that don't read after that lost the refusal. A caller that had sent its next request behind one that was answered with "Connection: close" could lose the answer to the first.

Cause: hypercorn closes the socket right after the last response. A socket that is closed with unread input, or that gets more, makes the system reset the connection.

Change: after the last response the sending side is closed, and input is discarded until the caller closes, for 1 s and 16 MB at most.

The test of a caller that sends without end shows the bounds.

--- a/packages/entry/src/sassafrastally/entry/http_connection.py
+++ b/packages/entry/src/sassafrastally/entry/http_connection.py
@@ -1,16 +1,23 @@
-"""One connection of a hypercorn server, closed without losing a request."""
+"""One connection of a hypercorn server, closed without losing a request or a response."""
 
 from __future__ import annotations
 
 from typing import TYPE_CHECKING, Any
 
 import trio
-from hypercorn.events import Event, Updated
-from hypercorn.trio.tcp_server import TCPServer
+from hypercorn.events import Closed, Event, RawData, Updated
+from hypercorn.trio.tcp_server import MAX_RECV, TCPServer
 
 if TYPE_CHECKING:
     from sassafrastally.entry.asgi import AsgiServer
 
+LINGER_S = 1.0
+"""How long input is discarded after the last response. Closing a socket with unread input resets
+the connection, and a client that is still sending may then not read its response."""
+
+LINGER_BYTES = 16_000_000
+"""How much input is discarded at most after the last response."""
+
 UNREAD_CHECK_S = 0.005
 """Interval at which is checked whether the input of an idle connection has been read."""
 
@@ -31,12 +38,48 @@
         self._is_idle = True
         """Whether no request is in progress; kept here because hypercorn's own task learns it only
         in a later turn of the event loop."""
+        self._is_ending = False
+        """Whether nothing more is sent."""
+        self._reading = trio.CancelScope()
 
     async def protocol_send(self, event: Event) -> None:
         """Send a response, or take note of a state of the connection."""
         if isinstance(event, Updated):
             self._is_idle = event.idle
-        await super().protocol_send(event)
+        if isinstance(event, Closed):
+            await self._end_sending()
+            await self.protocol.handle(Closed())
+        else:
+            await super().protocol_send(event)
+
+    async def _end_sending(self) -> None:
+        if self._is_ending:
+            return
+        self._is_ending = True
+        self._reading.deadline = trio.current_time() + LINGER_S
+        async with self.send_lock:
+            try:
+                await self.stream.send_eof()
+            except (trio.BrokenResourceError, trio.ClosedResourceError):
+                self._reading.cancel()
+
+    async def _read_data(self) -> None:
+        discarded_bytes = 0
+        with self._reading:
+            while (data := await self._receive()) is not None:
+                if not self._is_ending:
+                    await self.protocol.handle(RawData(bytes(data)))
+                discarded_bytes += len(data) if self._is_ending else 0
+                if not data or discarded_bytes > LINGER_BYTES:
+                    break
+        await self.protocol.handle(Closed())
+
+    async def _receive(self) -> bytes | bytearray | None:
+        """Return what has arrived, nothing at the end; ``None`` if the connection is lost."""
+        try:
+            return await self.stream.receive_some(MAX_RECV)
+        except (trio.ClosedResourceError, trio.BrokenResourceError):
+            return None
 
     async def _idle_timeout(self) -> None:
         with trio.move_on_after(self.config.keep_alive_timeout):
--- a/packages/entry/tests/test_closing.py
+++ b/packages/entry/tests/test_closing.py
@@ -1,16 +1,17 @@
-"""How connections end: at the close of the server."""
+"""How connections end: at the close of the server, after early responses and by their clients."""
 
 from __future__ import annotations
 
 import socket
 from contextlib import suppress
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 import pytest
 import trio
 from quart_trio import QuartTrio
 
 from sassafrastally.core import Address
+from sassafrastally.entry import http_connection
 from sassafrastally.entry.asgi import AsgiServer, ServerBounds
 
 if TYPE_CHECKING:
@@ -22,6 +23,7 @@
 MAX_CONNECTIONS = 200
 
 HEAD = b"GET /whole HTTP/1.1\r\nHost: a\r\n\r\n"
+POST = b"POST /refused HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n"
 
 
 @pytest.fixture
@@ -32,6 +34,10 @@
     async def whole() -> str:
         return "whole"
 
+    @app.route("/refused", methods=["POST"])
+    async def refused() -> tuple[str, int]:
+        return "too large", 413
+
     bounds = ServerBounds(backlog=2 * MAX_CONNECTIONS)
     served = AsgiServer(app, Address("127.0.0.1", 0), bounds)
     await nursery.start(served.run)
@@ -142,3 +148,47 @@
                 answer = await read_all(stream)
         assert b"connection: close" in answer.lower()
         assert answer.endswith(b"whole")
+
+
+class TestEarlyResponse:
+    """A response that is complete before its request has arrived whole."""
+
+    async def test_client_that_still_sends_reads_its_response(self, server: AsgiServer) -> None:
+        """Guards against a close with unread input: the system resets the connection, and a client
+        whose sends fail may never read the refusal."""
+        async with await trio.open_tcp_stream("127.0.0.1", server.bound_address.port) as stream:
+            await stream.send_all(POST % 4_000_000)
+            for _ in range(40):
+                await stream.send_all(b"x" * 100_000)
+                await trio.sleep(0.001)
+            with trio.fail_after(2):
+                answer = await read_all(stream)
+        assert answer.startswith(b"HTTP/1.1 413")
+        assert answer.endswith(b"too large")
+
+    async def test_response_to_a_client_that_has_sent_more_is_read_whole(
+        self, server: AsgiServer
+    ) -> None:
+        """Guards against a last response that is lost with its connection since a further request
+        lies unread behind it."""
+        server.drain()
+        async with await trio.open_tcp_stream("127.0.0.1", server.bound_address.port) as stream:
+            await stream.send_all(HEAD + POST % 400_000)
+            for _ in range(4):
+                await stream.send_all(b"x" * 100_000)
+                await trio.sleep(0.05)
+            with trio.fail_after(2):
+                assert (await read_all(stream)).endswith(b"whole")
+
+    @pytest.mark.parametrize("bound", [{"LINGER_S": 0.1}, {"LINGER_BYTES": 1_000_000}])
+    async def test_client_that_sends_without_end_is_cut_off(
+        self, server: AsgiServer, monkeypatch: pytest.MonkeyPatch, bound: dict[str, Any]
+    ) -> None:
+        ((name, value),) = bound.items()
+        monkeypatch.setattr(http_connection, name, value)
+        async with await trio.open_tcp_stream("127.0.0.1", server.bound_address.port) as stream:
+            await stream.send_all(POST % 1_000_000_000)
+            with trio.fail_after(5), pytest.raises(trio.BrokenResourceError):
+                while True:
+                    await stream.send_all(b"x" * 100_000)
+                    await trio.sleep(0.01)
