Close a connection of the entry once its idle caller has closed it

Callers saw: an entry could run out of descriptors and stop accepting. A connection whose caller closes it between two requests stayed open for keep_alive_s (75 s): 20 closed connections, 20 descriptors held. A load balancer that polls on new connections, or callers at 14 connections a second, hold a thousand.

Cause: hypercorn's task for the idle time isn't ended with the reading of the connection, and the connection is closed only after both.

Change: the end of the reading ends that task.

Evidence: the test fails before (the connection isn't closed in 2 s of 75 s), also by mutation.

--- a/packages/entry/src/sassafrastally/entry/http_connection.py
+++ b/packages/entry/src/sassafrastally/entry/http_connection.py
@@ -72,6 +72,8 @@
                 discarded_bytes += len(data) if self._is_ending else 0
                 if not data or discarded_bytes > LINGER_BYTES:
                     break
+        # The task would keep the connection open for as long as it may be idle.
+        await self.idle_task.stop()
         await self.protocol.handle(Closed())
 
     async def _receive(self) -> bytes | bytearray | None:
--- a/packages/entry/tests/test_closing.py
+++ b/packages/entry/tests/test_closing.py
@@ -149,6 +149,16 @@
         assert b"connection: close" in answer.lower()
         assert answer.endswith(b"whole")
 
+    async def test_connection_that_its_client_closes_is_closed(self, server: AsgiServer) -> None:
+        """Guards against descriptors that run out: a connection stayed open for the whole time that
+        it may be idle although its client had closed it."""
+        async with await trio.open_tcp_stream("127.0.0.1", server.bound_address.port) as stream:
+            await stream.send_all(HEAD)
+            await trio.sleep(0.1)
+            await stream.send_eof()
+            with trio.fail_after(2):
+                assert (await read_all(stream)).endswith(b"whole")
+
 
 class TestEarlyResponse:
     """A response that is complete before its request has arrived whole."""
