Refuse requests whose bodies are incomplete at the end of the drain

Callers saw: a request whose head came before the end of the drain and whose body came late, or not, got no answer: the entry closed its connection 5 s after the last open request, without a word on whether it had run.

Cause: the request path waits for the requests that it executes. One whose body is still being received isn't among them; it waits for its own time limit (a minute and more), and the close of the HTTP server cuts it after close_limit_s.

Change: when the path closes, what is still being received is refused as "stopping" (not run; unknown where an idempotency key couldn't be looked up). The event EntryClosed tells how many there were.

Evidence: both cases of the test fail before (no answer within 2 s of the end of the drain).

--- a/packages/entry/src/sassafrastally/entry/bodies.py
+++ b/packages/entry/src/sassafrastally/entry/bodies.py
@@ -32,7 +32,10 @@
 
     def __init__(self, max_bytes: int) -> None:
         self.max_bytes = max_bytes
+        self.is_closed = False
+        """Whether no more is received."""
         self._held: HeldInput[ReceivedBody] = HeldInput(max_bytes)
+        self._receiving: set[ReceivedBody] = set()
 
     @property
     def held_bytes(self) -> int:
@@ -43,11 +46,22 @@
     def receive(self) -> Iterator[ReceivedBody]:
         """Count a body that is being received for the duration of the context."""
         received = ReceivedBody(self)
+        self._receiving.add(received)
+        if self.is_closed:
+            received.scope.cancel()
         try:
             yield received
         finally:
+            self._receiving.discard(received)
             self._held.release(received)
 
+    def close(self) -> int:
+        """Receive no more; return how many bodies aren't complete."""
+        self.is_closed = True
+        for received in self._receiving:
+            received.scope.cancel()
+        return len(self._receiving)
+
     @contextmanager
     def use(self, size_bytes: int) -> Iterator[None]:
         """Count a complete body for the duration of the context."""
@@ -112,7 +126,7 @@
     Raises
     ------
     Refusal
-        ``body-too-large``, ``overloaded`` or ``time-limit-passed``.
+        ``body-too-large``, ``overloaded``, ``stopping`` or ``time-limit-passed``.
     """
     with budget.receive() as received:
         received.scope.deadline = deadline_s
@@ -129,5 +143,7 @@
             raise Refusal("overloaded", figures)
         if received.scope.cancelled_caught:
             detail = "The body had not come whole by then."
+            if budget.is_closed:
+                raise Refusal("stopping", Figures(retry_after_s=RETRY_AFTER_S, detail=detail))
             raise Refusal("time-limit-passed", Figures(detail=detail), Outcome.NOT_RUN)
         return bytes(received.data)
--- a/packages/entry/src/sassafrastally/entry/events.py
+++ b/packages/entry/src/sassafrastally/entry/events.py
@@ -95,6 +95,8 @@
     """The entry refuses new requests and finishes those in progress."""
 
     open_requests: int
+    incomplete_bodies: int
+    """Requests that are refused because their bodies haven't come whole."""
 
 
 @event(6010, "warning")
--- a/packages/entry/src/sassafrastally/entry/path.py
+++ b/packages/entry/src/sassafrastally/entry/path.py
@@ -120,7 +120,8 @@
         """Refuse new requests as ``stopping`` from now on."""
         if not self._is_closed:
             self._is_closed = True
-            self.kernel.events.emit(EntryClosed(len(self._open)))
+            incomplete = self.bodies.close()
+            self.kernel.events.emit(EntryClosed(len(self._open), incomplete))
 
     def status(self) -> dict[str, Any]:
         """Return status figures of the request path."""
--- a/packages/entry/tests/test_bodies.py
+++ b/packages/entry/tests/test_bodies.py
@@ -20,6 +20,7 @@
 
 MAX_BODY_BYTES = 100
 MAX_HELD_BYTES = 250
+DRAIN_S = 0.5
 AUTHORIZATION = {"Authorization": "Bearer a-key-of-yeso-justo"}
 GOOD = {"model": "yeso-small", "prompt": "A wall.", "max_tokens": 16, "stream": True}
 SLOW_HEAD = (
@@ -145,3 +146,31 @@
                 assert b'"outcome":"%b"' % outcome.encode() in refused
                 while world.path.status()["held_body_bytes"]:
                     await trio.sleep(0.01)
+
+
+class TestStopping:
+    @pytest.fixture
+    def entry_settings(self) -> EntrySettings:
+        return EntrySettings(routing_policy="round-robin", drain_s=DRAIN_S)
+
+    @pytest.fixture
+    def http_settings(self) -> HttpSettings:
+        return HttpSettings(Address("127.0.0.1", 0))
+
+    @pytest.mark.parametrize("key", [b"", b"Idempotency-Key: k1\r\n"])
+    async def test_body_that_is_incomplete_at_the_end_of_the_drain_is_refused(
+        self, world: Any, key: bytes
+    ) -> None:
+        """Guards against a request that is cut with no answer: its head came before the end of the
+        drain, its body doesn't come, and the entry closed its connection after some seconds."""
+        port = world.kernel.get("http", HttpService).bound_address.port
+        async with await trio.open_tcp_stream("127.0.0.1", port) as stream:
+            await stream.send_all(SLOW_HEAD % key)
+            await trio.sleep(0.1)
+            world.kernel.request_stop()
+            with trio.fail_after(DRAIN_S + 2):
+                answer = b"".join([part async for part in stream])
+        assert answer.startswith(b"HTTP/1.1 503")
+        assert b'"stopping"' in answer
+        assert (b'"unknown"' if key else b'"not_run"') in answer
+        assert not (world.s1.log or world.s2.log)
