--- a/packages/entry/src/sassafrastally/entry/asgi.py
+++ b/packages/entry/src/sassafrastally/entry/asgi.py
@@ -93,13 +93,11 @@
         name = self._listener.getsockname()
         self.bound_address = Address(name[0], name[1])
         """Address that the server is bound to."""
-        self.app = ASGIWrapper(self._with_own_sends(app, bounds.unread_limit_s))
-        """The application, as hypercorn calls it."""
-        self.config = Config()
-        """Settings of connections."""
-        self.config.keep_alive_timeout = bounds.keep_alive_s
-        self.config.include_server_header = False
-        self.config.loglevel = "WARNING"
+        self._app = ASGIWrapper(self._with_own_sends(app, bounds.unread_limit_s))
+        self._config = Config()
+        self._config.keep_alive_timeout = bounds.keep_alive_s
+        self._config.include_server_header = False
+        self._config.loglevel = "WARNING"
         self.context = WorkerContext(None)
         """Tells connections about the close."""
         self._bounds = bounds
@@ -146,7 +144,7 @@
         return ClosedServer(accepted, unaccepted, cut)
 
     async def _serve(self, stream: trio.SocketStream) -> None:
-        await HttpConnection(self, stream).run()
+        await HttpConnection(self._app, self._config, self.context, stream).run()
 
     def _with_own_sends(self, app: QuartTrio, limit_s: float) -> Callable[..., Awaitable[None]]:
         # For "Connection: close", hypercorn closes the connection while it sends the last part of
