--- a/packages/stores/src/sassafrastally/stores/watch.py
+++ b/packages/stores/src/sassafrastally/stores/watch.py
@@ -2,15 +2,16 @@
 
 from __future__ import annotations
 
-import json
 from collections import deque
 from typing import TYPE_CHECKING, Any
 
 import httpx
 import trio
 
+from sassafrastally.core.json_documents import load_json
 from sassafrastally.core.kv import KvUnavailable
 from sassafrastally.stores import gateway
+from sassafrastally.stores.ignored_entries import IgnoredEntries
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Awaitable, Callable, Mapping
@@ -37,6 +38,8 @@
         Idle time after which the watch is reopened.
     on_interrupted
         Called when the service or the network interrupts the watch.
+    ignored
+        Reports the changes that are ignored.
     """
 
     def __init__(
@@ -46,13 +49,18 @@
         open_stream: Callable[[Mapping[str, Any]], Awaitable[httpx.Response]],
         renewal_s: float,
         on_interrupted: Callable[[], None],
+        ignored: IgnoredEntries | None = None,
     ) -> None:
         self._prefix = prefix
         self._next_revision = from_revision
         self._open_stream = open_stream
         self._renewal_s = renewal_s
         self._on_interrupted = on_interrupted
-        self._events: deque[KvEvent] = deque()
+        self._ignored = ignored or IgnoredEntries()
+        self._items: deque[object] = deque()
+        """Received changes, which are decoded one by one."""
+        self._last_revision = 0
+        """Revision of the last decoded change."""
         self._response: httpx.Response | None = None
         self._lines: AsyncIterator[str] | None = None
 
@@ -60,15 +68,36 @@
         return self
 
     async def __anext__(self) -> KvEvent:
-        while not self._events:
-            result = await self._next_result()
-            if result is None:
-                await self.open()
-                continue
-            self._events.extend(gateway.decode_event(item) for item in result.get("events", []))
-        change = self._events.popleft()
-        if not self._events:
-            self._next_revision = change.mod_revision + 1
+        while True:
+            # One read may hold thousands of results or changes, which need no waiting.
+            await trio.lowlevel.checkpoint()
+            if self._items:
+                change = self._decode(self._items.popleft())
+                if change is not None:
+                    return change
+            else:
+                await self._receive()
+
+    async def _receive(self) -> None:
+        result = await self._next_result()
+        if result is None:
+            await self.open()
+            return
+        try:
+            self._items.extend(gateway.changes_of(result))
+        except gateway.DECODE_ERRORS as cause:
+            raise self._interrupted(f"invalid changes: {cause!r:.200}") from cause
+
+    def _decode(self, item: object) -> KvEvent | None:
+        """Return a change; ``None`` if it is ignored."""
+        try:
+            change = gateway.decode_own_event(item, self._ignored)
+        except gateway.DECODE_ERRORS as cause:
+            raise self._interrupted(f"invalid change: {cause!r:.200}") from cause
+        if change is not None:
+            self._last_revision = change.mod_revision
+        if not self._items and self._last_revision >= self._next_revision:
+            self._next_revision = self._last_revision + 1
         return change
 
     async def open(self) -> None:
@@ -82,7 +111,10 @@
         created = await self._next_result()
         if created is None or not created.get("created"):
             raise self._interrupted("the service didn't create the watch")
-        self._next_revision = self._next_revision or gateway.revision_of(created) + 1
+        try:
+            self._next_revision = self._next_revision or gateway.revision_of(created) + 1
+        except gateway.DECODE_ERRORS as cause:
+            raise self._interrupted(f"invalid revision: {cause!r:.200}") from cause
 
     async def aclose(self) -> None:
         """Close the connection."""
@@ -96,16 +128,18 @@
             raise KvUnavailable(f"watch of {self._prefix} is closed")
         try:
             with trio.move_on_after(self._renewal_s):
-                result = json.loads(await anext(self._lines)).get("result", {})
+                result = dict(load_json(await anext(self._lines)).get("result", {}))
                 if result.get("canceled"):
                     raise self._interrupted(
                         f"canceled; history starts at {result.get('compact_revision')}"
                     )
-                return dict(result)
+                return result
         except StopAsyncIteration as cause:
             raise self._interrupted("the service closed the watch") from cause
-        except (httpx.TransportError, httpx.StreamError, json.JSONDecodeError) as cause:
+        except (httpx.TransportError, httpx.StreamError) as cause:
             raise self._interrupted(repr(cause)) from cause
+        except gateway.DECODE_ERRORS as cause:
+            raise self._interrupted(f"invalid line: {cause!r:.200}") from cause
         return None
 
     def _interrupted(self, reason: str) -> KvUnavailable:
