Soak: callers that reconnect around planned stops, late bodies, odd store entries

The soak's callers keep their connections and reach entries through proxies that accept in their place, so that connections in the accept queue of a stopping entry were never seen from outside. Bodies came at once with their header, and nobody else wrote to the store.

callers-reconnect: 20 to 60 callers connect anew for each request, directly, some send later, one body in ten is late and in pieces, and mostly the entry is asked to stop. Promise: who could connect is answered, refused, or cut within 0.2 s after the last byte that was sent. foreign-entries: odd entries of another writer, which excuse nothing. An attempt's limit still counts from its first byte; checks of unread requests count from its last one.

--- a/packages/testing/src/sassafrastally/testing/soak/__init__.py
+++ b/packages/testing/src/sassafrastally/testing/soak/__init__.py
@@ -2,8 +2,25 @@
 
 from __future__ import annotations
 
-from sassafrastally.testing.soak import breaking, faltering, stalling, succeeding
+from sassafrastally.testing.soak import (
+    breaking,
+    faltering,
+    foreign,
+    reconnecting,
+    stalling,
+    succeeding,
+)
 from sassafrastally.testing.soak.runner import SoakReport, SoakSize, run_soak
 
-__all__ = ["SoakReport", "SoakSize", "breaking", "faltering", "run_soak", "stalling", "succeeding"]
-"""`breaking`, `faltering`, `stalling` and `succeeding` register their troubles on import."""
+__all__ = [
+    "SoakReport",
+    "SoakSize",
+    "breaking",
+    "faltering",
+    "foreign",
+    "reconnecting",
+    "run_soak",
+    "stalling",
+    "succeeding",
+]
+"""The modules register their troubles on import."""
--- a/packages/testing/src/sassafrastally/testing/soak/callers.py
+++ b/packages/testing/src/sassafrastally/testing/soak/callers.py
@@ -177,7 +177,6 @@
         return self._random.choices(list(customers), weights=list(customers.values()))[0]
 
     async def _exchange(self, attempt: Attempt, prompt: str | None) -> None:
-        assert self._connection is not None
         fields = request_fields(
             prompt=prompt,
             request_id=attempt.attempt_id,
@@ -188,13 +187,20 @@
         # Decided by the id, since another draw would change what a seed does.
         is_old = int(attempt.attempt_id, 16) % OLD_VERSION_OF == 0
         version = "1.0" if is_old else "1.1"
-        connection, target = self._connection, attempt.target
         try:
-            await send_request(connection, "POST", target, fields, attempt.content, version)
-            await self._read(attempt)
+            if await self._send(attempt, fields, version):
+                await self._read(attempt)
         except (ConnectionLost, h11.RemoteProtocolError):
             return  # The attempt stays without a whole answer; the checks judge that.
 
+    async def _send(self, attempt: Attempt, fields: dict[str, str], version: str) -> bool:
+        """Send the request; return whether its response is still to be read."""
+        assert self._connection is not None
+        await send_request(
+            self._connection, "POST", attempt.target, fields, attempt.content, version
+        )
+        return True
+
     async def _read(self, attempt: Attempt) -> None:
         assert self._connection is not None
         while True:
--- a/packages/testing/src/sassafrastally/testing/soak/promises.py
+++ b/packages/testing/src/sassafrastally/testing/soak/promises.py
@@ -17,6 +17,7 @@
     judge_beside_parts,
     judge_harmful,
 )
+from sassafrastally.testing.soak.reconnecting import judge_reconnecting
 from sassafrastally.testing.soak.record import Attempt, Kind
 from sassafrastally.testing.soak.stalling import judge_stalls
 from sassafrastally.testing.soak.succeeding import judge_successors
@@ -105,7 +106,8 @@
         return by_id
 
     def _judge(self, attempt: Attempt, arrivals: list[ReceivedRequest]) -> None:
-        outcome = str(attempt.status) if attempt.is_whole else "broken off"
+        cut = "broken off" if attempt.status else "no response"
+        outcome = str(attempt.status) if attempt.is_whole else cut
         self.counts["left" if attempt.has_left else outcome] += 1
         self._judge_once(attempt, arrivals)
         self._judge_passed_on(attempt, arrivals)
@@ -118,6 +120,7 @@
             judge_silences(self._fleet, attempt, arrivals)
             judge_stalls(self._fleet, attempt, arrivals)
             judge_successors(self._fleet, attempt, arrivals)
+            judge_reconnecting(self._fleet, attempt)
         is_refused = b"refusal:quarantined" in attempt.body
         if (
             not attempt.is_harmful
@@ -188,7 +191,7 @@
                 self._break(
                     "answered", attempt, f"passed on, cut after {took_s:.2f} s, beside {beside}"
                 )
-            elif took_s > UNREAD_S:
+            elif attempt.ended_s - attempt.last_byte_s > UNREAD_S:
                 self._break("answered", attempt, f"never passed on, cut after {took_s:.2f} s")
 
     def _judge_drains(self) -> None:
--- /dev/null
+++ b/packages/testing/src/sassafrastally/testing/soak/reconnecting.py
@@ -0,0 +1,149 @@
+"""Callers who open a connection for each request, some with late bodies, around planned stops."""
+
+from __future__ import annotations
+
+from itertools import pairwise
+from typing import TYPE_CHECKING
+
+import h11
+import trio
+
+from sassafrastally.proxy.http_stream import ConnectionLost, HttpStream, connect
+from sassafrastally.stand_ins.caller_requests import encode_request
+from sassafrastally.testing.soak.callers import CONNECT_TIME_S, Caller
+from sassafrastally.testing.soak.record import Kind
+from sassafrastally.testing.soak.troubles import STOPPED, some_entries, stop_one, trouble
+
+if TYPE_CHECKING:
+    from sassafrastally.testing.soak.fleet import SoakFleet
+    from sassafrastally.testing.soak.record import Attempt
+
+RECONNECTING = "callers-reconnect"
+
+CALLERS = (20, 60)
+
+PRESS_S = (0.3, 1.5)
+"""How long they press before the entry is asked to stop."""
+
+STOP_SHARE = 0.8
+"""Share of these times in which the entry is asked to stop; otherwise callers press on."""
+
+MOST_S = 8.0
+"""How long they press at most; they end sooner if the entry refuses connections."""
+
+WEIGHTS = {Kind.LOOK: 10, Kind.BOOK: 10, Kind.NOTE: 1}
+"""Mostly requests with short responses, so that connections come in quick succession."""
+
+IDLE_SHARE = 0.5
+IDLE_S = (0.0, 0.1)
+"""Share of the callers' connections that wait before the request, and how long."""
+
+LATE_SHARE = 0.1
+LATE_S = (0.05, 0.8)
+"""Share of the bodies that come late, and how long after the header they end."""
+
+MOST_PIECES = 3
+"""Pieces of a late body, at most."""
+
+UNREAD_S = 0.2
+"""Time after its last byte within which a connection may be closed without a response: its request
+is then taken for unread. The operator's limit."""
+
+
+class ReconnectingCaller(Caller):
+    """A caller who connects anew for each request, without a proxy, until it is refused.
+
+    A proxy would accept connections of an entry that doesn't listen any more.
+    """
+
+    def __init__(self, fleet: SoakFleet, number: int) -> None:
+        super().__init__(fleet)
+        self._entry = number
+        self._is_refused = False
+
+    async def press_until_refused(self) -> None:
+        """Send requests until a connection is refused."""
+        while not self._is_refused:
+            (kind,) = self._random.choices(list(WEIGHTS), weights=list(WEIGHTS.values()))
+            await self.call(kind)
+            await self.hang_up()
+
+    async def _connect(self, entry: int | None) -> None:
+        address = self._fleet.entries[self._entry].callers_address
+        try:
+            self._connection = HttpStream(await connect(address, CONNECT_TIME_S), h11.CLIENT)
+        except ConnectionLost:
+            self._is_refused = True
+            raise
+        if self._random.random() < IDLE_SHARE:
+            await trio.sleep(self._random.uniform(*IDLE_S))
+
+    async def _send(self, attempt: Attempt, fields: dict[str, str], version: str) -> bool:
+        assert self._connection is not None
+        attempt.is_direct = True
+        data = encode_request(
+            self._connection, "POST", attempt.target, fields, attempt.content, version
+        )
+        late_s = self._random.uniform(*LATE_S) if self._random.random() < LATE_SHARE else 0.0
+        pieces = self._pieces(data) if late_s else [data]
+        for piece in pieces[:-1]:
+            await self._connection.send_bytes(piece)
+            attempt.last_byte_s = trio.current_time()
+            # A response that comes before the whole request ends the exchange.
+            with trio.move_on_after(late_s / (len(pieces) - 1)):
+                await self._read(attempt)
+                return False
+        await self._connection.send_bytes(pieces[-1])
+        attempt.last_byte_s = trio.current_time()
+        return True
+
+    def _pieces(self, data: bytes) -> list[bytes]:
+        """Return the header and the body in one or more pieces."""
+        body_at = data.index(b"\r\n\r\n") + 4
+        body = data[body_at:]
+        count = self._random.randint(1, MOST_PIECES)
+        cuts = [round(place * len(body) / count) for place in range(count + 1)]
+        parts = [body[begin:end] for begin, end in pairwise(cuts)]
+        return [data[:body_at], *parts]
+
+
+@trouble(RECONNECTING)
+async def reconnect(fleet: SoakFleet) -> None:
+    """Let callers reconnect for each request at an entry, which usually is asked to stop."""
+    (number,) = some_entries(fleet, 0.0)
+    with fleet.record.trouble(RECONNECTING, [number], planned=True):
+        async with trio.open_nursery() as nursery:
+            with trio.move_on_after(MOST_S):
+                async with trio.open_nursery() as callers:
+                    for _ in range(fleet.random.randint(*CALLERS)):
+                        callers.start_soon(ReconnectingCaller(fleet, number).press_until_refused)
+                    await trio.sleep(fleet.random.uniform(*PRESS_S))
+                    if fleet.random.random() < STOP_SHARE:
+                        nursery.start_soon(stop_one, fleet, number)
+
+
+def judge_reconnecting(fleet: SoakFleet, attempt: Attempt) -> None:
+    """Judge the end of an attempt on a connection of its own, around a planned stop.
+
+    Who could connect gets an answer or a refusal, or is cut off so soon that its request counts as
+    unread.
+    """
+    assert attempt.ended_s is not None
+    after_s = attempt.ended_s - attempt.last_byte_s
+    if not attempt.is_direct or attempt.status or after_s <= UNREAD_S:
+        return
+    stops = [
+        span
+        for span in fleet.record.spans
+        if span.name == STOPPED
+        and attempt.entry in (span.entries or ())
+        and span.begin_s <= attempt.ended_s
+        and span.end_s >= attempt.sent_s
+    ]
+    if stops and fleet.record.is_calm(attempt.entry, attempt.sent_s, attempt.ended_s):
+        fleet.record.note_broken(
+            "who could connect around a planned stop is answered",
+            f"{attempt.kind.value} {attempt.attempt_id} at entry {attempt.entry}: cut "
+            f"{after_s:.3f} s after its last byte, begun {attempt.sent_s - stops[0].begin_s:.3f} s "
+            "after the signal",
+        )
--- a/packages/testing/src/sassafrastally/testing/soak/record.py
+++ b/packages/testing/src/sassafrastally/testing/soak/record.py
@@ -94,11 +94,15 @@
         self.entry = entry
         self.events = events
         self.sent_s = trio.current_time()
+        self.last_byte_s = self.sent_s
+        """When the last byte was sent, if the request is sent in pieces."""
         self.ended_s: float | None = None
         self.status = 0
         self.headers: dict[str, str] = {}
         self.body = b""
         self.is_whole = False
+        self.is_direct = False
+        """Whether it has a connection of its own that no proxy passes on."""
         self.has_left = False
 
     @property
--- a/packages/testing/src/sassafrastally/testing/soak/stalling.py
+++ b/packages/testing/src/sassafrastally/testing/soak/stalling.py
@@ -150,7 +150,9 @@
         arrival.is_sent_by(min(arrival.limit_s, attempt.limit_s) - CERTAIN_S)
         for arrival in arrivals
     )
-    if not attempt.status and (arrivals or took_s > UNREAD_S + stalled_s):
+    if not attempt.status and (
+        arrivals or attempt.ended_s - attempt.last_byte_s > UNREAD_S + stalled_s
+    ):
         promise = "a stall ends no request without an answer"
     elif is_ready and (attempt.status != 200 or not attempt.is_whole):
         promise = "an answer that is ready before the limit is delivered after a stall"
--- a/packages/testing/src/sassafrastally/testing/soak/troubles.py
+++ b/packages/testing/src/sassafrastally/testing/soak/troubles.py
@@ -47,6 +47,8 @@
 """How harmful: answers of the store half a second late, pieces on a link 0.3 s late or at 20 KB a
 second, an engine six times slower, five times as many requests."""
 
+STOPPED = "entry-stopped"
+
 LINK_HARMS = ("reset", "delay", "squeeze", "cut requests", "cut answers", "silence")
 
 
@@ -131,11 +133,16 @@
             fleet.entries[number].signal(signal.SIGCONT)
 
 
-@trouble("entry-stopped")
+@trouble(STOPPED)
 async def stop_entry(fleet: SoakFleet) -> None:
     """Ask an entry to stop, as a roll does; callers go on using its connections."""
     (number,) = some_entries(fleet, 0.0)
-    with fleet.record.trouble("entry-stopped", [number], planned=True):
+    await stop_one(fleet, number)
+
+
+async def stop_one(fleet: SoakFleet, number: int) -> None:
+    """Ask an entry to stop; the next process starts soon after its end."""
+    with fleet.record.trouble(STOPPED, [number], planned=True):
         await fleet.stop_entry(number)
     # The next process begins from nothing; that isn't part of the planned stop.
     with fleet.record.trouble("entry-started", [number]):
--- a/packages/testing/tests/soak/test_soak.py
+++ b/packages/testing/tests/soak/test_soak.py
@@ -17,10 +17,13 @@
     breaking,
     contention,
     faltering,
+    foreign,
     harmful,
+    reconnecting,
     run_soak,
     stalling,
     succeeding,
+    troubles,
 )
 from sassafrastally.testing.soak.callers import GIVES_UP_S
 from sassafrastally.testing.soak.probing import most_store_calls
@@ -35,6 +38,8 @@
     *faltering.KINDS,
     stalling.STALLED,
     succeeding.SUCCEEDING,
+    reconnecting.RECONNECTING,
+    foreign.FOREIGN,
 )
 EARLIER = [name for name in TROUBLES.names() if name not in LATER]
 USUAL = [name for name in EARLIER if name not in contention.KINDS]
@@ -122,6 +127,22 @@
         assert not report.broken, str(report)
         assert report.outcomes["200"] > 50, str(report)
 
+    async def test_stop_cuts_off_nobody_who_could_connect(self):
+        """Guards against a planned stop that resets connections with whole requests, or with
+        requests whose bodies are late."""
+        kinds = [reconnecting.RECONNECTING]
+        report = await run_soak(20_271, 8.0, SMALL, print, kinds)
+        assert not report.broken, str(report)
+        assert report.outcomes["200"] > 50, str(report)
+
+    async def test_odd_entries_of_another_writer_change_nothing(self):
+        """Guards against an entry of another writer that ends a process, or keeps it from learning
+        of what others write."""
+        kinds = [foreign.FOREIGN, foreign.FOREIGN, "configured"]
+        report = await run_soak(20_272, 8.0, SMALL, print, kinds, gap_s=0.6)
+        assert not report.broken, str(report)
+        assert report.outcomes["200"] > 50, str(report)
+
     @pytest.mark.parametrize("known", SEEDS, ids=lambda known: str(known["number"]))
     async def test_seed_that_broke_a_promise_keeps_them(self, known):
         kinds = EARLIER if known.get("has_all_troubles") else USUAL
@@ -275,6 +296,49 @@
         assert bool(fleet.record.broken) is is_broken
 
 
+class TestReconnecting:
+    """The check of connections around a planned stop."""
+
+    @pytest.mark.parametrize(
+        ("status", "cut_s", "is_direct", "is_stopping", "is_broken"),
+        [
+            (0, 0.3, True, True, True),
+            (0, 0.15, True, True, False),
+            (503, 0.3, True, True, False),
+            (0, 0.3, False, True, False),
+            (0, 0.3, True, False, False),
+        ],
+    )
+    async def test_only_connections_cut_late_around_a_stop_break_the_promise(
+        self, autojump_clock, status, cut_s, is_direct, is_stopping, is_broken
+    ):
+        """Guards against a check that finds nothing, or counts requests that were refused, cut off
+        unread, or sent by way of a proxy."""
+        fleet = SimpleNamespace(record=Record())
+        attempt = Attempt("1", Kind.BOOK, 1, 0)
+        attempt.status, attempt.is_direct = status, is_direct
+        name = troubles.STOPPED if is_stopping else "configured"
+        with fleet.record.trouble(name, [1], planned=True):
+            await trio.sleep(0.8)
+            attempt.last_byte_s = trio.current_time()
+            await trio.sleep(cut_s)
+        attempt.ended_s = trio.current_time()
+        reconnecting.judge_reconnecting(fleet, attempt)
+        assert bool(fleet.record.broken) is is_broken
+
+    async def test_other_trouble_excuses_a_connection_that_was_cut(self, autojump_clock):
+        """Guards against blaming a stop for what another trouble has done."""
+        fleet = SimpleNamespace(record=Record())
+        attempt = Attempt("1", Kind.BOOK, 1, 0)
+        attempt.is_direct = True
+        stopped = fleet.record.trouble(troubles.STOPPED, [1], planned=True)
+        with stopped, fleet.record.trouble("entry-killed", [1]):
+            await trio.sleep(0.5)
+        attempt.ended_s = trio.current_time()
+        reconnecting.judge_reconnecting(fleet, attempt)
+        assert not fleet.record.broken
+
+
 class TestContention:
     """The checks of evacuations and cold servers."""
 
