Bound the answers that an entry holds until they are whole

What callers saw: nothing yet; by the sums, an entry that runs out of memory, with all its requests: services that send bytes without end to many calls hold 8 MB for each of up to 4,000 requests, and complete answers of callers that read slowly as much. In parts of two bytes an answer took 28 times its size.

Cause: max_answer_bytes bounds one answer, nothing bounded all of them, and parts were kept in a list.

Change: held_answers: one budget (max_held_answer_bytes, 48 MB) for the answers that aren't whole and those that are being sent. Beyond it the largest incomplete one gives way: its attempt counts as broken, as one over max_answer_bytes does, and can't be completed any more. Error 6001 moves there from relay, unchanged.

--- a/packages/entry/src/sassafrastally/entry/attempt.py
+++ b/packages/entry/src/sassafrastally/entry/attempt.py
@@ -19,12 +19,12 @@
     Unreachable,
 )
 from sassafrastally.entry.commit_turn import CommitTurn
+from sassafrastally.entry.held_answers import AnswerBroken
 from sassafrastally.entry.late_reservation import LateReservation
 from sassafrastally.entry.relay import (
     EVENT_STREAM,
     JSON,
     Answer,
-    AnswerBroken,
     AnswerUnread,
     ChunkOrder,
     Head,
@@ -91,9 +91,9 @@
         self._peers = peers
         self._answer = answer
         self._claim = claim
+        self.buffered = answer.held.make_buffer()
+        """What is held of the answer until it is whole."""
         self._chunk_order = ChunkOrder(plan.request_id, plan.number)
-        self._buffered: list[bytes] = []
-        self._buffered_bytes = 0
         self._is_over = False
         """Whether the attempt is known to have ended or never to run."""
         self._is_cancel_sent = False
@@ -140,9 +140,9 @@
     async def forward_held(self) -> None:
         """Forward the answer as it comes from now on, after what was held back."""
         self._held_at = None
-        if self.plan.request.is_streamed and self._buffered:
-            held, tokens = b"".join(self._buffered), self._held_tokens
-            self._buffered, self._buffered_bytes, self._held_tokens = [], 0, 0
+        if self.plan.request.is_streamed and self.buffered:
+            held, tokens = self.buffered.take(), self._held_tokens
+            self._held_tokens = 0
             await self._answer.put(held, tokens)
 
     async def run(self) -> AttemptResult:
@@ -396,13 +396,11 @@
         self.has_data = True
         self._answer.on_part()
         if self.plan.request.is_streamed and self._held_at is None:
+            self.buffered.check()
             await self._answer.put(chunk.data, chunk.tokens)
             return
         self._held_tokens += chunk.tokens
-        self._buffered.append(chunk.data)
-        self._buffered_bytes += len(chunk.data)
-        if self._buffered_bytes > self.plan.max_answer_bytes:
-            raise AnswerBroken(f"the answer is over {self.plan.max_answer_bytes} bytes")
+        self.buffered.add(chunk.data, self.plan.max_answer_bytes)
 
     def _conclude(self, end: End) -> AttemptResult:
         if end.outcome == Outcome.NOT_RUN:
@@ -424,7 +422,7 @@
         is_streamed = self.plan.request.is_streamed
         status = end.status or _STATUS_OK
         content_type = end.content_type or (EVENT_STREAM if is_streamed else JSON)
-        self._answer.finish(end, Head(status, content_type), b"".join(self._buffered))
+        self._answer.finish(end, Head(status, content_type), self.buffered.take())
         return Completed(end)
 
     def _after_refusal(self, refused: Refused) -> AttemptResult:
--- a/packages/entry/src/sassafrastally/entry/execution.py
+++ b/packages/entry/src/sassafrastally/entry/execution.py
@@ -296,6 +296,8 @@
             services.unread_runs.after_attempt(attempt, result)
         if isinstance(result, Rejected | Unreachable):
             self._asked.turn.give_back(attempt)
+        if not self._lost_runs.keeps(attempt):
+            attempt.buffered.drop()
         self._record_result(attempt, result)
         self._open.remove(attempt)
         return result
--- a/packages/entry/src/sassafrastally/entry/lost_runs.py
+++ b/packages/entry/src/sassafrastally/entry/lost_runs.py
@@ -77,6 +77,10 @@
             shown = self._answer.shown_tokens
             self._runs.append(_LostRun(attempt, resolution, result, shown))
 
+    def keeps(self, attempt: Attempt) -> bool:
+        """Return whether an attempt is kept."""
+        return any(run.attempt is attempt for run in self._runs)
+
     async def beside(self, run: Callable[[], Awaitable[AttemptResult]]) -> AttemptResult:
         """Make another attempt, and read the runs beside it as soon as they can be reached.
 
--- a/packages/entry/src/sassafrastally/entry/path.py
+++ b/packages/entry/src/sassafrastally/entry/path.py
@@ -30,6 +30,7 @@
 )
 from sassafrastally.entry.execution import Execution
 from sassafrastally.entry.execution_services import ExecutionServices
+from sassafrastally.entry.held_answers import HeldAnswers
 from sassafrastally.entry.hooks import admitted
 from sassafrastally.entry.relay import Answer
 from sassafrastally.entry.unread_runs import UnreadRuns
@@ -81,6 +82,7 @@
         self._settings = settings
         self._open: dict[str, OpenRequest] = {}
         self.bodies = BodyBudget(settings.max_held_body_bytes)
+        self.held_answers = HeldAnswers(settings.max_held_answer_bytes)
         """Budget for the bodies of callers."""
         self._is_closed = False
         self._idle = trio.lowlevel.ParkingLot()
@@ -194,9 +196,9 @@
             in_force = self.bundle()
             self._check_bounds(request)
         request_id = request.request_id or self.new_id()
-        answer = Answer(request_id, self._settings.max_buffered_bytes)
         refusal: Refusal | None = None
-        with self._tracked(request_id, request) as limit:
+        with self._tracked(request_id, request) as limit, self.held_answers.open() as held:
+            answer = Answer(request_id, self._settings.max_buffered_bytes, held)
             answer.on_part = limit.record_delivery
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(limit.watch)
--- a/packages/entry/src/sassafrastally/entry/relay.py
+++ b/packages/entry/src/sassafrastally/entry/relay.py
@@ -7,6 +7,7 @@
 import trio
 
 from sassafrastally.core import CodedError, error
+from sassafrastally.entry.held_answers import AnswerBroken, HeldAnswer
 from sassafrastally.wire.messages import Chunk, End
 
 if TYPE_CHECKING:
@@ -23,11 +24,6 @@
 _STATUS_OK = 200
 
 
-@error(6001)
-class AnswerBroken(CodedError):
-    """The chunks of an attempt have a gap, a wrong count or no end mark, or are too large."""
-
-
 @error(6003)
 class AnswerUnread(CodedError):
     """The stream of an attempt is closed before its end mark was read; its answer is kept."""
@@ -53,10 +49,15 @@
         ID of the request.
     max_buffered_bytes
         Buffer size at which the writer is blocked until the reader takes the data.
+    held
+        Parts that are held until the answer is whole.
     """
 
-    def __init__(self, request_id: RequestId, max_buffered_bytes: int) -> None:
+    def __init__(
+        self, request_id: RequestId, max_buffered_bytes: int, held: HeldAnswer | None = None
+    ) -> None:
         self.request_id = request_id
+        self.held = held or HeldAnswer()
         self.head = Head(_STATUS_OK, EVENT_STREAM)
         self.end: End | None = None
         """The verified end mark; ``None`` until it arrives."""
@@ -104,6 +105,7 @@
             self.head = head
         if rest:
             self._parts.append(rest)
+            self.held.keep()
         self.end = end
         self._wake()
 
--- a/packages/entry/src/sassafrastally/entry/settings.py
+++ b/packages/entry/src/sassafrastally/entry/settings.py
@@ -35,6 +35,9 @@
     request with the largest incomplete body is refused as ``overloaded``."""
     max_answer_bytes: int = 8_000_000
     """Maximum size of a non-streamed answer, which is buffered until its end is verified."""
+    max_held_answer_bytes: int = 48_000_000
+    """Maximum total size of such answers, incomplete or being sent; beyond it, the largest
+    incomplete one fails."""
     max_buffered_bytes: int = 262_144
     """Streamed data buffered for a slow caller before backpressure is applied to the sidecar."""
     max_candidates: int = 8
