--- a/packages/entry/src/sassafrastally/entry/relay.py
+++ b/packages/entry/src/sassafrastally/entry/relay.py
@@ -7,6 +7,7 @@
 import trio
 
 from sassafrastally.core import CodedError, error
+from sassafrastally.entry.held_answers import AnswerBroken, HeldAnswer
 from sassafrastally.wire.messages import Chunk, End
 
 if TYPE_CHECKING:
@@ -23,11 +24,6 @@
 _STATUS_OK = 200
 
 
-@error(6001)
-class AnswerBroken(CodedError):
-    """The chunks of an attempt have a gap, a wrong count or no end mark, or are too large."""
-
-
 @error(6003)
 class AnswerUnread(CodedError):
     """The stream of an attempt is closed before its end mark was read; its answer is kept."""
@@ -53,10 +49,15 @@
         ID of the request.
     max_buffered_bytes
         Buffer size at which the writer is blocked until the reader takes the data.
+    held
+        Parts that are held until the answer is whole.
     """
 
-    def __init__(self, request_id: RequestId, max_buffered_bytes: int) -> None:
+    def __init__(
+        self, request_id: RequestId, max_buffered_bytes: int, held: HeldAnswer | None = None
+    ) -> None:
         self.request_id = request_id
+        self.held = held or HeldAnswer()
         self.head = Head(_STATUS_OK, EVENT_STREAM)
         self.end: End | None = None
         """The verified end mark; ``None`` until it arrives."""
@@ -69,8 +70,8 @@
         self.on_part: Callable[[], None] = lambda: None
         """Called for each part that the execution has received, also while it holds it back."""
         self._max_buffered_bytes = max_buffered_bytes
-        self._parts: list[bytes] = []
-        self._size_bytes = 0
+        self._data = bytearray()
+        """Data that the reader hasn't taken. A list of parts of a byte takes many times as much."""
         self._has_started = trio.Event()
         self._readers = trio.lowlevel.ParkingLot()
         self._writers = trio.lowlevel.ParkingLot()
@@ -85,14 +86,13 @@
 
         Data after the end is dropped: another attempt has given the whole answer.
         """
-        while self._size_bytes >= self._max_buffered_bytes:
+        while len(self._data) >= self._max_buffered_bytes:
             await self._writers.park()
         if self.is_over:
             return
         self.pieces += 1
         self.shown_tokens += tokens
-        self._parts.append(data)
-        self._size_bytes += len(data)
+        self._data += data
         self._has_started.set()
         self._readers.unpark_all()
 
@@ -103,7 +103,8 @@
         if not self._has_started.is_set():
             self.head = head
         if rest:
-            self._parts.append(rest)
+            self._data += rest
+            self.held.keep()
         self.end = end
         self._wake()
 
@@ -121,22 +122,21 @@
             If the answer failed before any data.
         """
         await self._has_started.wait()
-        if self.refusal is not None and not self._parts:
+        if self.refusal is not None and not self._data:
             raise self.refusal
 
     def __aiter__(self) -> Answer:
         return self
 
     async def __anext__(self) -> bytes:
-        while not self._parts:
+        while not self._data:
             if self.refusal is not None:
                 raise self.refusal
             if self.end is not None:
                 raise StopAsyncIteration
             await self._readers.park()
-        data = b"".join(self._parts)
-        self._parts.clear()
-        self._size_bytes = 0
+        data = bytes(self._data)
+        self._data.clear()
         self._writers.unpark_all()
         return data
 
