Refuse records that can't be encoded again

Seen by callers: one head with an escaped unpaired surrogate, under the key of the head or in a notice of one faulty process, ends every process that reads it, and again at each start, with all their requests.

Cause: such text is valid JSON and passed the decoder. The signature is checked over the canonical bytes, whose encoding raised UnicodeEncodeError: no coded error, in a task of the kernel. The placement record goes the same way back to the KV service.

Evidence: the test that sends a table of odd heads from a peer fails on the code before with UnicodeEncodeError.

Change: the decoder of all signed and recorded values refuses what has no encoding, as it refuses what isn't JSON.

--- a/packages/control/src/sassafrastally/control/canonical.py
+++ b/packages/control/src/sassafrastally/control/canonical.py
@@ -51,12 +51,15 @@
     Raises
     ------
     BadEncoding
-        When the bytes are too long or don't hold a JSON object.
+        When the bytes are too long, don't hold a JSON object or can't be encoded again.
     """
     if len(data) > max_bytes:
         raise BadEncoding(f"{what} of {len(data)} bytes exceeds the limit of {max_bytes} bytes")
     try:
         value = json.loads(data, parse_constant=_reject_constant)
+        if b"\\ud" in data.lower():
+            # An escaped surrogate without its pair is valid JSON, but has no canonical encoding.
+            json.dumps(value, ensure_ascii=False).encode()
     except (ValueError, RecursionError) as cause:
         raise BadEncoding(f"{what} is not valid JSON: {type(cause).__name__}") from cause
     if not isinstance(value, dict):
--- /dev/null
+++ b/packages/control/tests/test_odd_records.py
@@ -0,0 +1,119 @@
+"""Odd records of another writer among those of bundles in the KV service."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+import pytest
+import trio
+
+from sassafrastally.control.head import Head, encode_head, sign_head
+from sassafrastally.control.keys import HEAD, manifest_key
+from sassafrastally.control.signing import sign_digest
+from sassafrastally.stores import ANY_REVISION, KvWrite
+
+DIGEST = "ab" * 32
+SOUND_HEAD: dict[str, Any] = {
+    "generation": 3,
+    "digest": DIGEST,
+    "previous_generation": 2,
+    "roller": "ana",
+    "nonce": "n",
+    "signatures": [{"signer": "ana", "signature": "00" * 64}],
+    "roll_signature": "00" * 64,
+}
+ODD_VALUES: list[object] = [
+    None,
+    True,
+    -1,
+    0,
+    2**53,
+    2**64,
+    10**400,
+    1.5,
+    1e308,
+    "",
+    "\0",
+    "\ud800",
+    "٣",
+    "x" * 10_000,
+    [],
+    ["\ud800"],
+    [[]] * 100,
+    {},
+    {"signer": "\ud800", "signature": "\ud800"},
+    [{"signer": "\ud800", "signature": "\ud800"}],
+    [{"signer": "ana", "signature": "٠" * 128}] * 100,
+]
+ODD_BYTES: list[bytes] = [
+    b"",
+    b"\0",
+    b"\xff\xfe",
+    b"\xef\xbb\xbf{}",
+    b"{}",
+    b"null",
+    b"[" * 30_000 + b"]" * 30_000,
+    b'{"generation": ' + b"[" * 7_000 + b"]" * 7_000 + b"}",
+    *(b'{"generation": ' + b"[" * depth + b"]" * depth + b"}" for depth in range(400, 1000, 9)),
+    b'{"generation": ' + b"9" * 5_000 + b"}",
+    b'{"generation": 1, "generation": 1e400}',
+    b'{"generation": NaN}',
+    b"x" * 1_000_000,
+]
+
+
+def odd_heads() -> list[bytes]:
+    fields = [{**SOUND_HEAD, name: value} for name in SOUND_HEAD for value in ODD_VALUES]
+    fields += [{**SOUND_HEAD, "more": 1}, {**SOUND_HEAD, "generation": 2**53}]
+    fields.append({**SOUND_HEAD, "generation": 2**53, "previous_generation": 2**53 - 1})
+    return [*ODD_BYTES, *(json.dumps(value).encode() for value in fields)]
+
+
+def odd_signatures() -> list[bytes]:
+    sound = {"signer": "ana", "signature": "00" * 64}
+    fields = [{**sound, name: value} for name in sound for value in ODD_VALUES]
+    return [*ODD_BYTES, *(json.dumps(value).encode() for value in fields)]
+
+
+def put(fleet: Any, key: str, value: bytes | None) -> None:
+    fleet.model.transact([KvWrite(key, value, ANY_REVISION)])
+
+
+class TestOddHeads:
+    async def test_odd_heads_of_peers_end_no_process(self, autojump_clock, fleet, make_bundle_of):
+        """Guards against a fleet that ends by the notices of one faulty process."""
+        await fleet.add(3)
+        await fleet.roll(make_bundle_of())
+        await fleet.wait_everywhere(1, within_s=10.0)
+        faulty = fleet.nodes[2].service
+        head = faulty._head_bytes
+        for odd in odd_heads():
+            faulty._head_bytes = odd[:10_000]
+            for link in faulty._links():
+                await faulty._notify(link, faulty._head_bytes)
+        faulty._head_bytes = head
+        await fleet.roll(make_bundle_of(share=2.0))
+        await fleet.wait_everywhere(2, within_s=5.0)
+
+
+class TestOddSignatures:
+    @pytest.mark.parametrize("part", [b"[" * 30_000, b"", b"\xff", b"{}", b"9" * 5_000])
+    async def test_a_signed_bundle_that_cannot_be_decoded_leaves_the_present_one(
+        self, autojump_clock, fleet, make_bundle_of, part
+    ):
+        """Guards against processes that end by parts that don't match their digests."""
+        await fleet.add(3)
+        await fleet.roll(make_bundle_of())
+        await fleet.wait_everywhere(1, within_s=10.0)
+        key = fleet.keys[0]
+        sound = fleet.model.range(HEAD).value
+        put(fleet, manifest_key(DIGEST), part)
+        signed = Head(2, DIGEST, 1, key.signer, "odd", (sign_digest(key, DIGEST),))
+        put(fleet, HEAD, encode_head(sign_head(key, signed)))
+        await trio.sleep(10)
+        assert {node.service.generation for node in fleet.nodes} == {1}
+        put(fleet, HEAD, sound)
+        await fleet.roll(make_bundle_of(share=2.0))
+        await fleet.roll(make_bundle_of(share=3.0))
+        await fleet.wait_everywhere(3, within_s=20.0)
