Drop the least generation of a head that was replaced in the KV service

Seen by callers: after one forged head with a high generation, even one that was there for a second, no process takes up any later roll until it is started again; what operators sign isn't in force.

Cause: the generation of each head that the KV service delivered became the least that a process activates, before the head was verified, and never fell again.

Evidence: the test with a forged generation of 2**53 that is mended after a second fails on the code before: the next roll isn't active on any process.

Change: the least generation is that of the newest revision of the key, not the highest ever seen. It still keeps older heads of peers out while the head of the KV service is refused, and an active generation never decreases.

--- a/packages/control/src/sassafrastally/control/spread.py
+++ b/packages/control/src/sassafrastally/control/spread.py
@@ -83,6 +83,7 @@
         self._candidate: ReceivedHead | None = None
         self._candidate_sources: list[str] = []
         self._min_generation = 0
+        self._head_revision = 0
         self._staged = ""
         self._is_staging = False
         self._notices_in_flight: set[str] = set()
@@ -142,19 +143,30 @@
         ):
             nursery.start_soon(task)
 
-    def on_kv_head(self, data: bytes | None) -> None:
-        """Handle the head from the KV service."""
+    def on_kv_head(self, data: bytes | None, revision: int = 0) -> None:
+        """Handle the head from the KV service, with the revision at which it was written."""
         if data is not None:
-            # A new process may not activate a lower generation than that of the KV service: if the
-            # head is rejected because its signer was withdrawn, no older head may replace it.
             try:
-                self._min_generation = max(self._min_generation, decode_head(data).generation)
+                generation = decode_head(data).generation
             except BadEncoding as cause:
                 self._emit_rejected(KV, cause)
                 return
+            self._set_min_generation(generation, revision)
             self._receive_head(data, KV)
         self._may_activate.set()
 
+    def _set_min_generation(self, generation: int, revision: int) -> None:
+        """Set the lowest generation to activate to that of the KV service.
+
+        If the head is rejected because its signer was withdrawn, no older head may replace it. A
+        head isn't verified here, so its generation only holds until another head is written.
+        """
+        if revision > self._head_revision:
+            self._head_revision = revision
+            self._min_generation = generation
+        elif not revision:
+            self._min_generation = max(self._min_generation, generation)
+
     def on_kv_signature(self, digest: str, data: bytes) -> None:
         """Prefetch the parts of a bundle that a trusted signer has signed, before it is rolled."""
         try:
--- a/packages/control/src/sassafrastally/control/watching.py
+++ b/packages/control/src/sassafrastally/control/watching.py
@@ -36,8 +36,8 @@
 class Listener(Protocol):
     """Receiver of the watched values."""
 
-    def on_kv_head(self, data: bytes | None) -> None:
-        """Handle the head's bytes; ``None`` if there is no head."""
+    def on_kv_head(self, data: bytes | None, revision: int) -> None:
+        """Handle the head's bytes and revision; ``None`` if there is no head."""
         ...
 
     def on_kv_signature(self, digest: str, data: bytes) -> None:
@@ -96,7 +96,10 @@
     async def read_head(self) -> None:
         """Read the head once and pass it to the listener; raises `KvUnavailable`."""
         entry = await self._kv.get(HEAD, purpose=PURPOSE_SPREAD)
-        self._listener.on_kv_head(entry.value if entry else None)
+        if entry is None:
+            self._listener.on_kv_head(None, 0)
+        else:
+            self._listener.on_kv_head(entry.value, entry.mod_revision)
 
     async def _claim(self) -> _Claim | None:
         """Claim a free slot; if there is none, read the head and return ``None``.
@@ -177,7 +180,7 @@
         if event.value is None:
             return
         if event.key == HEAD:
-            self._listener.on_kv_head(event.value)
+            self._listener.on_kv_head(event.value, event.mod_revision)
         elif event.key.startswith(SIGNATURES):
             digest = event.key.removeprefix(SIGNATURES).partition("/")[0]
             self._listener.on_kv_signature(digest, event.value)
--- a/packages/control/tests/test_odd_records.py
+++ b/packages/control/tests/test_odd_records.py
@@ -81,6 +81,45 @@
 
 
 class TestOddHeads:
+    async def test_a_forged_generation_does_not_outlast_its_head(
+        self, autojump_clock, fleet, make_bundle_of
+    ):
+        """Guards against processes that ignore all later rolls after one forged head.
+
+        The generation of each head of the KV service became the least that a process accepts,
+        before the head was verified; the operators' next rolls had a lower one.
+        """
+        await fleet.add(3)
+        await fleet.roll(make_bundle_of())
+        await fleet.wait_everywhere(1, within_s=10.0)
+        await trio.sleep(5)
+        sound = fleet.model.range(HEAD).value
+        forged = {**SOUND_HEAD, "generation": 2**53, "previous_generation": 2**53 - 1}
+        put(fleet, HEAD, json.dumps(forged).encode())
+        await trio.sleep(1)
+        put(fleet, HEAD, sound)
+        await fleet.roll(make_bundle_of(share=2.0))
+        await fleet.wait_everywhere(2, within_s=5.0)
+
+    async def test_an_odd_head_that_comes_and_goes_delays_no_roll(
+        self, autojump_clock, fleet, make_bundle_of
+    ):
+        """Guards against a watch that stops at odd changes between sound ones."""
+        await fleet.add(4)
+        await fleet.roll(make_bundle_of())
+        await fleet.wait_everywhere(1, within_s=10.0)
+        await trio.sleep(5)
+        for generation in range(2, 7):
+            sound = fleet.model.range(HEAD).value
+            for odd in odd_heads()[::7]:
+                put(fleet, HEAD, odd)
+                put(fleet, HEAD, sound)
+                put(fleet, HEAD, None)
+                put(fleet, HEAD, sound)
+                await trio.sleep(0)
+            await fleet.roll(make_bundle_of(share=float(generation)))
+            await fleet.wait_everywhere(generation, within_s=5.0)
+
     async def test_odd_heads_of_peers_end_no_process(self, autojump_clock, fleet, make_bundle_of):
         """Guards against a fleet that ends by the notices of one faulty process."""
         await fleet.add(3)
