Pause between reads of a head that can't be decoded

Seen by callers: an entry that starts while the head in the KV service is odd reads it again without a pause, writes a log line each time, and uses up its share of the KV service's calls.

Cause: the loop that reads the first head paused only after a failed call. A head that can't be decoded ended the call well and left the loop's condition unset.

Change: the pause, with its backoff, follows each read that brought no head. Heads of peers are taken up meanwhile, as in an outage.

--- a/packages/control/src/sassafrastally/control/spread.py
+++ b/packages/control/src/sassafrastally/control/spread.py
@@ -10,6 +10,7 @@
 
 from __future__ import annotations
 
+from contextlib import suppress
 from typing import TYPE_CHECKING, Any, ClassVar, cast
 
 import trio
@@ -221,9 +222,9 @@
         """Read the head at startup; the KV service's answer determines the newest generation."""
         wait_s = RETRY_S
         while not self._may_activate.is_set():
-            try:
+            with suppress(KvUnavailable):
                 await self._watcher.read_head()
-            except KvUnavailable:
+            if not self._may_activate.is_set():  # No answer, or a head that can't be decoded.
                 await trio.sleep(self.kernel.random.uniform(0.0, wait_s))
                 wait_s = min(2 * wait_s, RETRY_CAP_S)
 
--- a/packages/control/tests/test_odd_records.py
+++ b/packages/control/tests/test_odd_records.py
@@ -81,6 +81,28 @@
 
 
 class TestOddHeads:
+    async def test_odd_heads_end_no_process(self, autojump_clock, fleet, make_bundle_of):
+        """Guards against processes that end, or read without a pause, by one odd head.
+
+        An unpaired surrogate passed the decoder and failed in the encoding of the signed bytes, in
+        a task of the kernel. A starting process read a head that it couldn't decode again at once.
+        """
+        await fleet.add(4)
+        await fleet.roll(make_bundle_of())
+        await fleet.wait_everywhere(1, within_s=10.0)
+        sound = fleet.model.range(HEAD).value
+        for number, odd in enumerate(odd_heads()):
+            put(fleet, HEAD, odd)
+            await trio.sleep(0.2)
+            if number % 20 == 0:
+                fleet.nodes[number // 20 % 4].kill()
+                await fleet.nodes[number // 20 % 4].start()
+        put(fleet, HEAD, sound)
+        await fleet.wait_everywhere(1, within_s=10.0)
+        await trio.sleep(90)  # The restarted processes claim their slots of the watch again.
+        await fleet.roll(make_bundle_of(share=2.0))
+        await fleet.wait_everywhere(2, within_s=5.0)
+
     async def test_a_forged_generation_does_not_outlast_its_head(
         self, autojump_clock, fleet, make_bundle_of
     ):
