Bound the log lines about refused heads and signatures

Seen by operators: another writer that changes a head or a signature again and again writes one line a change into the log of every process that watches, and an unsigned head of the present generation was logged as an error with the words "validly signed".

Change: a refusal that repeats the last one isn't logged, others at a rate of one in 5 s after a burst of 50; the metric sassafrastally.bundle.heads_refused counts all. A head of the present generation is verified before it counts as a conflict.

--- a/packages/control/src/sassafrastally/control/bundle_events.py
+++ b/packages/control/src/sassafrastally/control/bundle_events.py
@@ -4,7 +4,7 @@
 
 from typing import NamedTuple
 
-from sassafrastally.core import event
+from sassafrastally.core import counter, event
 
 
 @event(4101)
@@ -93,3 +93,10 @@
     """This process was suspended; it reads the head again."""
 
     gap_s: float
+
+
+HEADS_REFUSED = counter(
+    "sassafrastally.bundle.heads_refused",
+    "1",
+    "Refused heads and signatures of bundles by source: kv or peer.",
+)
--- a/packages/control/src/sassafrastally/control/spread.py
+++ b/packages/control/src/sassafrastally/control/spread.py
@@ -17,6 +17,7 @@
 
 from sassafrastally.control.bundle import BundleInForce
 from sassafrastally.control.bundle_events import (
+    HEADS_REFUSED,
     BundleClockGap,
     BundleHeadConflict,
     BundleHeadOutdated,
@@ -41,6 +42,7 @@
 from sassafrastally.control.watching import Watcher
 from sassafrastally.core import CodedError, Service
 from sassafrastally.core.kv import KvUnavailable
+from sassafrastally.stores.budget import TokenBucket
 from sassafrastally.stores.service import PlatformService
 from sassafrastally.wire.link import LinkCut, StreamEnded
 from sassafrastally.wire.messages import HeadNotice, Message, PartsRequest
@@ -55,6 +57,9 @@
 MAX_CANDIDATE_SOURCES = 8
 """Maximum number of peers remembered as having the candidate's parts."""
 NOTICE_TIME_LIMIT_S = 2.0
+REFUSALS_PER_S = 0.2
+REFUSAL_BURST = 50
+"""Rate of log lines about refused heads and signatures; a metric counts all of them."""
 RELAY_ROUNDS = 6
 RELAY_INTERVAL_S = 0.1
 RETRY_S = 1.0
@@ -85,6 +90,8 @@
         self._candidate_sources: list[str] = []
         self._min_generation = 0
         self._head_revision = 0
+        self._refusal_log = TokenBucket(REFUSALS_PER_S, REFUSAL_BURST)
+        self._last_refusal = ("", 0, "")
         self._staged = ""
         self._is_staging = False
         self._notices_in_flight: set[str] = set()
@@ -200,7 +207,7 @@
         self._candidate_changed.set()
 
     def _on_not_newer_head(self, head: Head, source: str) -> None:
-        """Handle a head whose generation isn't higher than the known one."""
+        """Handle a head whose generation isn't higher than the known one; raises `CodedError`."""
         current = self._candidate.head if self._candidate else None
         digest = current.digest if current else self._in_force.digest if self._in_force else ""
         if head.generation < self._known_generation or head.generation < self._min_generation:
@@ -208,6 +215,7 @@
                 BundleHeadOutdated(source, head.generation, self._known_generation)
             )
         elif head.digest != digest:
+            verify_head(self._settings, head)
             self._on_conflict(source, head.digest, digest)
         elif current and source not in self._candidate_sources[:MAX_CANDIDATE_SOURCES]:
             self._candidate_sources.append(source)
@@ -216,7 +224,12 @@
         self.kernel.events.emit(BundleHeadConflict(source, self._known_generation, digest, offered))
 
     def _emit_rejected(self, source: str, reason: CodedError) -> None:
-        self.kernel.events.emit(BundleHeadRefused(source, reason.code, reason.detail))
+        """Log a refused head or signature; another writer may change it at any rate."""
+        HEADS_REFUSED.add(1, {"source": KV if source == KV else "peer"})
+        refusal = (source, reason.code, reason.detail)
+        if refusal != self._last_refusal and not self._refusal_log.take():
+            self._last_refusal = refusal
+            self.kernel.events.emit(BundleHeadRefused(*refusal))
 
     async def _read_initial_head(self) -> None:
         """Read the head at startup; the KV service's answer determines the newest generation."""
--- a/packages/control/tests/test_odd_records.py
+++ b/packages/control/tests/test_odd_records.py
@@ -9,7 +9,7 @@
 import trio
 
 from sassafrastally.control.head import Head, encode_head, sign_head
-from sassafrastally.control.keys import HEAD, manifest_key
+from sassafrastally.control.keys import HEAD, LIVE, SIGNATURES, manifest_key
 from sassafrastally.control.signing import sign_digest
 from sassafrastally.stores import ANY_REVISION, KvWrite
 
@@ -142,6 +142,24 @@
             await fleet.roll(make_bundle_of(share=float(generation)))
             await fleet.wait_everywhere(generation, within_s=5.0)
 
+    async def test_refused_heads_are_logged_within_a_bound(
+        self, autojump_clock, fleet, make_bundle_of
+    ):
+        """Guards against a log that grows with each change of an odd head."""
+        await fleet.add(2, ["cordon"])
+        await fleet.roll(make_bundle_of())
+        await fleet.wait_everywhere(1, within_s=10.0)
+        await trio.sleep(5)
+        began_s = trio.current_time()
+        for number in range(3_000):
+            put(fleet, HEAD, json.dumps({**SOUND_HEAD, "roller": f"r{number}"}).encode())
+            await trio.sleep(0.01)
+        elapsed_s = trio.current_time() - began_s
+        for node in fleet.nodes:
+            refused = fleet.events(node, "BundleHeadRefused")
+            assert 0 < len(refused) <= 60 + elapsed_s / 5
+            assert all(len(fields["reason"]) < 1_000 for fields in refused)
+
     async def test_odd_heads_of_peers_end_no_process(self, autojump_clock, fleet, make_bundle_of):
         """Guards against a fleet that ends by the notices of one faulty process."""
         await fleet.add(3)
@@ -159,6 +177,27 @@
 
 
 class TestOddSignatures:
+    async def test_odd_signatures_end_no_process_and_delay_no_roll(
+        self, autojump_clock, fleet, make_bundle_of
+    ):
+        """Guards against processes that end by a signature, a key or a part of another writer."""
+        await fleet.add(3)
+        await fleet.roll(make_bundle_of())
+        await fleet.wait_everywhere(1, within_s=10.0)
+        await trio.sleep(5)
+        keys = [f"{SIGNATURES}{DIGEST}/ana", SIGNATURES + "x", SIGNATURES + DIGEST, LIVE + "odd"]
+        keys += [SIGNATURES + "ä" * 90, SIGNATURES + "//", f"{SIGNATURES}{DIGEST}/ana/b"]
+        for value in odd_signatures():
+            for key in keys:
+                put(fleet, key, value)
+            await trio.sleep(0.05)
+        for key in keys:
+            put(fleet, key, None)
+        await fleet.roll(make_bundle_of(share=2.0))
+        await fleet.wait_everywhere(2, within_s=5.0)
+        for node in fleet.nodes:
+            assert len(fleet.events(node, "BundleHeadRefused")) <= 60
+
     @pytest.mark.parametrize("part", [b"[" * 30_000, b"", b"\xff", b"{}", b"9" * 5_000])
     async def test_a_signed_bundle_that_cannot_be_decoded_leaves_the_present_one(
         self, autojump_clock, fleet, make_bundle_of, part
