Claim watcher slots that another writer's entries hold

Seen by callers: entries of another writer under the keys of all watcher slots of a data centre keep its processes from watching the KV service for good; they read the head once a minute, and a roll comes into force that much later.

Cause: any entry under the key of a slot counted as a claim. A claim is attached to a lease and goes with it; these entries never expire.

Change: an entry without a lease leaves its slot free, and the claim replaces it by compare-and-swap.

--- a/packages/control/src/sassafrastally/control/watching.py
+++ b/packages/control/src/sassafrastally/control/watching.py
@@ -109,7 +109,9 @@
         """
         data_centre = self._kernel.data_centre
         entries = await self._kv.get_prefix(watcher_prefix(data_centre), purpose=PURPOSE_SPREAD)
-        taken = {entry.key for entry in entries}
+        # A claim always has a lease; an entry without one is of another writer and never expires.
+        taken = {entry.key for entry in entries if entry.lease_id}
+        revisions = {entry.key: entry.mod_revision for entry in entries}
         free_slots = [
             index
             for index in range(self._settings.watchers_per_data_centre)
@@ -122,12 +124,8 @@
         lease_id = await self._kv.grant_lease(
             self._settings.watcher_lease_s, purpose=PURPOSE_SPREAD
         )
-        write = KvWrite(
-            watcher_key(data_centre, index),
-            self._kernel.vm.encode(),
-            expected_revision=0,
-            lease_id=lease_id,
-        )
+        key = watcher_key(data_centre, index)
+        write = KvWrite(key, self._kernel.vm.encode(), revisions.get(key, 0), lease_id)
         revision = await self._kv.write([write], purpose=PURPOSE_SPREAD)
         return _Claim(index, lease_id, revision)
 
--- a/packages/control/tests/test_odd_records.py
+++ b/packages/control/tests/test_odd_records.py
@@ -9,7 +9,7 @@
 import trio
 
 from sassafrastally.control.head import Head, encode_head, sign_head
-from sassafrastally.control.keys import HEAD, LIVE, SIGNATURES, manifest_key
+from sassafrastally.control.keys import HEAD, LIVE, SIGNATURES, manifest_key, watcher_key
 from sassafrastally.control.signing import sign_digest
 from sassafrastally.stores import ANY_REVISION, KvWrite
 
@@ -217,3 +217,25 @@
         await fleet.roll(make_bundle_of(share=2.0))
         await fleet.roll(make_bundle_of(share=3.0))
         await fleet.wait_everywhere(3, within_s=20.0)
+
+
+class TestOddWatchers:
+    async def test_slots_of_another_writer_leave_no_data_centre_without_a_watch(
+        self, autojump_clock, fleet, make_bundle_of
+    ):
+        """Guards against a fleet that learns of a roll a minute late.
+
+        Entries without a lease in all slots of a data centre kept its processes from watching the
+        KV service for good.
+        """
+        for data_centre in ("cordon", "prado"):
+            for index in range(2):
+                put(fleet, watcher_key(data_centre, index), b"\xff" * 10)
+            put(fleet, watcher_key(data_centre, 7) + "/odd", b"odd")
+        await fleet.add(4)
+        await fleet.roll(make_bundle_of())
+        await trio.sleep(90)
+        watchers = [node for node in fleet.nodes if node.service.status()["is_watcher"]]
+        assert len(watchers) == 4
+        await fleet.roll(make_bundle_of(share=2.0))
+        await fleet.wait_everywhere(2, within_s=5.0)
