Refuse to encode texts with unpaired surrogates as bad frames

Seen by callers: one text of an engine or of another writer that isn't UTF-8, in a message to the peers, ends the process that sends it.

Cause: the encoder turned values that don't fit the schema into BadFrame, whose senders handle coded errors, but not UnicodeEncodeError. The test fails on the code before with that error.

--- a/packages/wire/src/sassafrastally/wire/codec.py
+++ b/packages/wire/src/sassafrastally/wire/codec.py
@@ -83,7 +83,7 @@
     try:
         for (field, is_list), value in zip(layout.fields, message, strict=True):
             put(field, list(value) if is_list else value)
-    except (capnp.KjException, OverflowError, TypeError) as cause:
+    except (capnp.KjException, OverflowError, TypeError, UnicodeEncodeError) as cause:
         raise BadFrame(f"{layout.kind.__name__} doesn't fit the schema: {cause}") from cause
     data: bytes = builder.to_bytes()
     if len(data) > MAX_FRAME_BYTES:
