Check what engines report before it is used

Seen by callers: an engine that reports a size beyond 32 bits, a name that can't be encoded, nested JSON, or a metric that isn't finite ends its sidecar with all runs, and again at each start; a count of tokens out of range loses a complete answer.

Cause: the dialect took over the engine's values as they came. They failed in the load report to the entries (BadFrame, UnicodeEncodeError), in arithmetic, or in the poll itself (RecursionError), in tasks of the kernel's nursery.

Change: each field has a type and a range, those of the messages to peers; another form is a failed call, after which the engine counts as unreachable until its next poll. Counts of a run that are out of range count as absent, texts that can't be encoded are escaped. Bodies that are too deep for the sidecar are refused as bad requests.

--- a/packages/sidecar/src/sassafrastally/sidecar/dialects.py
+++ b/packages/sidecar/src/sassafrastally/sidecar/dialects.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from contextlib import asynccontextmanager
-from typing import TYPE_CHECKING, Any, TypeVar, cast
+from typing import TYPE_CHECKING, Any, TypeVar
 
 import httpx
 import trio
@@ -19,6 +19,7 @@
     EngineStream,
     EngineUnavailable,
 )
+from sassafrastally.sidecar.engine_values import count_or, decode_fields
 from sassafrastally.sidecar.openai_form import (
     MAX_ANSWER_BYTES,
     OpenAiDocument,
@@ -93,7 +94,7 @@
     async def describe(self) -> EngineInfo:
         """Return the engine's identity, models and memory."""
         document = await self._call("GET", "/extension/describe")
-        return _parse({**document, "models": tuple(document.get("models") or ())}, EngineInfo)
+        return decode_fields({**document, "models": document.get("models") or ()}, EngineInfo)
 
     @asynccontextmanager
     async def generate(
@@ -133,7 +134,10 @@
         """Export the KV cache of a finished prefill under a handle; return its block count."""
         body = {"stream_id": stream_id, "handle": handle}
         document = await self._call("POST", "/extension/exports", body)
-        return int(document.get("blocks", 0))
+        blocks = document.get("blocks", 0)
+        if count_or(blocks, -1) < 0:
+            raise EngineFailed("the engine sent no number of exported blocks")
+        return int(blocks)
 
     async def import_kv(self, handle: str, source: Address, blocks: int) -> None:
         """Fetch an export from another engine and store it under the same handle."""
@@ -228,16 +232,8 @@
                 return  # The sweep will find the stream in the engine's list.
 
 
-def _parse(document: dict[str, Any], kind: type[T]) -> T:
-    fields = cast("Any", kind)._fields
-    try:
-        return kind(**{name: document[name] for name in fields if name in document})
-    except TypeError as cause:
-        raise EngineFailed(f"the engine sent another form of {kind.__name__}: {cause}") from cause
-
-
 def _parse_list(document: dict[str, Any], key: str, kind: type[T]) -> list[T]:
     items = document.get(key)
     if not isinstance(items, list) or not all(isinstance(item, dict) for item in items):
         raise EngineFailed(f"the engine sent no list of {key}")
-    return [_parse(item, kind) for item in items]
+    return [decode_fields(item, kind) for item in items]
--- a/packages/sidecar/src/sassafrastally/sidecar/engine_backend.py
+++ b/packages/sidecar/src/sassafrastally/sidecar/engine_backend.py
@@ -339,6 +339,6 @@
         return False
     try:
         document = json.loads(body)
-    except ValueError as cause:
+    except (ValueError, RecursionError) as cause:
         raise Refusal("bad-request", Figures(detail=f"the body is not JSON: {cause}")) from cause
     return isinstance(document, dict) and document.get("stream") is True
--- a/packages/sidecar/src/sassafrastally/sidecar/openai_form.py
+++ b/packages/sidecar/src/sassafrastally/sidecar/openai_form.py
@@ -18,6 +18,7 @@
     EngineRefused,
     EngineUsage,
 )
+from sassafrastally.sidecar.engine_values import MAX_COUNT, count_or, printable
 from sassafrastally.sidecar.event_stream import EventReader
 
 if TYPE_CHECKING:
@@ -37,6 +38,9 @@
 
 END_MARK = b"[DONE]"
 
+_FORM_ERRORS = (AttributeError, IndexError, KeyError, RecursionError, TypeError, ValueError)
+"""Errors of the decoders for an answer of another form."""
+
 REJECTED_STATUSES = frozenset({400, 401, 403, 404, 405, 409, 413, 415, 422, 429, 503})
 """Statuses with which an engine rejects a call without processing any of it."""
 
@@ -70,9 +74,9 @@
         data = await read_bounded(self._response, MAX_ANSWER_BYTES)
         document = parse_object(data)
         try:
-            reason = str(document["choices"][0]["finish_reason"] or "")
+            reason = printable(str(document["choices"][0]["finish_reason"] or ""))
             self.usage = _parse_usage(document["usage"])._replace(finish_reason=reason)
-        except (AttributeError, IndexError, KeyError, TypeError, ValueError) as cause:
+        except _FORM_ERRORS as cause:
             raise EngineFailed(f"the answer lacks its end mark: {cause!r}") from cause
         return EngineChunk(data, self.usage.output_tokens)
 
@@ -125,7 +129,7 @@
             raise EngineFailed(f"the engine broke off: {_error_message(document)}")
         try:
             self._parse_event_document(document, data)
-        except (AttributeError, KeyError, TypeError, ValueError) as cause:
+        except _FORM_ERRORS as cause:
             raise EngineFailed(f"the engine sent an event of another form: {cause!r}") from cause
 
     def _parse_event_document(self, document: dict[str, Any], data: bytes) -> None:
@@ -139,10 +143,11 @@
                 self._ready.append(EngineChunk(data, 0))
 
     def _parse_choice(self, document: dict[str, Any], choice: Any, usage: Any) -> None:
-        self._finish_reason = choice.get("finish_reason") or self._finish_reason
+        reason = choice.get("finish_reason")
+        self._finish_reason = printable(str(reason)) if reason else self._finish_reason
         tokens = 1
         if usage:
-            total_tokens = int(usage.get("completion_tokens", self._counted_tokens + 1))
+            total_tokens = count_or(usage.get("completion_tokens"), self._counted_tokens + 1)
             tokens, self._counted_tokens = max(0, total_tokens - self._counted_tokens), total_tokens
         data = json.dumps(document, separators=(",", ":"), ensure_ascii=False).encode()
         self._ready.append(EngineChunk(data, tokens))
@@ -163,6 +168,8 @@
         shows_usage = bool(options.get("include_usage"))
     except (ValueError, AttributeError) as cause:
         raise EngineRefused(f"the body is no JSON object: {cause}") from cause
+    except RecursionError as cause:
+        raise EngineRefused("the body is nested too deeply", "bad-request") from cause
     if is_streamed:
         # Every event needs a token count, because under load an engine joins several tokens into
         # one event.
@@ -178,16 +185,19 @@
         document["import_handles"] = request.import_handles
     if request.max_output_tokens == 0:
         document["prefill_tokens"] = request.prompt_tokens
-    content = json.dumps(document, separators=(",", ":"), ensure_ascii=False).encode()
+    try:
+        content = json.dumps(document, separators=(",", ":"), ensure_ascii=False).encode()
+    except RecursionError as cause:
+        raise EngineRefused("the body is nested too deeply", "bad-request") from cause
     return EngineBody(content, is_streamed, shows_usage)
 
 
 def _parse_usage(usage: dict[str, Any]) -> EngineUsage:
     details = usage.get("prompt_tokens_details") or {}
     return EngineUsage(
-        prompt_tokens=int(usage.get("prompt_tokens", 0)),
-        cached_tokens=int(details.get("cached_tokens") or 0),
-        output_tokens=int(usage.get("completion_tokens", 0)),
+        prompt_tokens=count_or(usage.get("prompt_tokens"), 0),
+        cached_tokens=count_or(details.get("cached_tokens"), 0),
+        output_tokens=count_or(usage.get("completion_tokens"), 0),
         finish_reason="",
     )
 
@@ -196,7 +206,7 @@
     """Parse a JSON object; raises `EngineFailed` when the data is not one."""
     try:
         document = json.loads(data)
-    except ValueError as cause:
+    except (ValueError, RecursionError) as cause:
         raise EngineFailed(f"the engine sent no JSON: {cause}") from cause
     if not isinstance(document, dict):
         raise EngineFailed("the engine sent no JSON object")
@@ -215,12 +225,17 @@
             metrics[name] = metrics.get(name, 0.0) + float(value)
         except ValueError:
             continue
-    return EngineLoad(*(int(metrics.get(name, 0)) for name in LOAD_METRICS))
+    return EngineLoad(*(_count_of(metrics.get(name, 0.0)) for name in LOAD_METRICS))
+
+
+def _count_of(value: float) -> int:
+    return int(value) if 0.0 <= value <= MAX_COUNT else 0
 
 
 def _error_message(document: dict[str, Any]) -> str:
     problem = document.get("error", document)
-    return str(problem.get("message", problem)) if isinstance(problem, dict) else str(problem)
+    message = problem.get("message", problem) if isinstance(problem, dict) else problem
+    return printable(str(message))
 
 
 async def read_bounded(response: httpx.Response, limit: int) -> bytes:
