--- a/packages/control/src/sassafrastally/control/spread.py
+++ b/packages/control/src/sassafrastally/control/spread.py
@@ -10,12 +10,14 @@
 
 from __future__ import annotations
 
+from contextlib import suppress
 from typing import TYPE_CHECKING, Any, ClassVar, cast
 
 import trio
 
 from sassafrastally.control.bundle import BundleInForce
 from sassafrastally.control.bundle_events import (
+    HEADS_REFUSED,
     BundleClockGap,
     BundleHeadConflict,
     BundleHeadOutdated,
@@ -40,6 +42,7 @@
 from sassafrastally.control.watching import Watcher
 from sassafrastally.core import CodedError, Service
 from sassafrastally.core.kv import KvUnavailable
+from sassafrastally.stores.budget import TokenBucket
 from sassafrastally.stores.service import PlatformService
 from sassafrastally.wire.link import LinkCut, StreamEnded
 from sassafrastally.wire.messages import HeadNotice, Message, PartsRequest
@@ -54,6 +57,9 @@
 MAX_CANDIDATE_SOURCES = 8
 """Maximum number of peers remembered as having the candidate's parts."""
 NOTICE_TIME_LIMIT_S = 2.0
+REFUSALS_PER_S = 0.2
+REFUSAL_BURST = 50
+"""Rate of log lines about refused heads and signatures; a metric counts all of them."""
 RELAY_ROUNDS = 6
 RELAY_INTERVAL_S = 0.1
 RETRY_S = 1.0
@@ -83,6 +89,9 @@
         self._candidate: ReceivedHead | None = None
         self._candidate_sources: list[str] = []
         self._min_generation = 0
+        self._head_revision = 0
+        self._refusal_log = TokenBucket(REFUSALS_PER_S, REFUSAL_BURST)
+        self._last_refusal = ("", 0, "")
         self._staged = ""
         self._is_staging = False
         self._notices_in_flight: set[str] = set()
@@ -142,19 +151,30 @@
         ):
             nursery.start_soon(task)
 
-    def on_kv_head(self, data: bytes | None) -> None:
-        """Handle the head from the KV service."""
+    def on_kv_head(self, data: bytes | None, revision: int = 0) -> None:
+        """Handle the head from the KV service, with the revision at which it was written."""
         if data is not None:
-            # A new process may not activate a lower generation than that of the KV service: if the
-            # head is rejected because its signer was withdrawn, no older head may replace it.
             try:
-                self._min_generation = max(self._min_generation, decode_head(data).generation)
+                generation = decode_head(data).generation
             except BadEncoding as cause:
                 self._emit_rejected(KV, cause)
                 return
+            self._set_min_generation(generation, revision)
             self._receive_head(data, KV)
         self._may_activate.set()
 
+    def _set_min_generation(self, generation: int, revision: int) -> None:
+        """Set the lowest generation to activate to that of the KV service.
+
+        If the head is rejected because its signer was withdrawn, no older head may replace it. A
+        head isn't verified here, so its generation only holds until another head is written.
+        """
+        if revision > self._head_revision:
+            self._head_revision = revision
+            self._min_generation = generation
+        elif not revision:
+            self._min_generation = max(self._min_generation, generation)
+
     def on_kv_signature(self, digest: str, data: bytes) -> None:
         """Prefetch the parts of a bundle that a trusted signer has signed, before it is rolled."""
         try:
@@ -187,7 +207,7 @@
         self._candidate_changed.set()
 
     def _on_not_newer_head(self, head: Head, source: str) -> None:
-        """Handle a head whose generation isn't higher than the known one."""
+        """Handle a head whose generation isn't higher than the known one; raises `CodedError`."""
         current = self._candidate.head if self._candidate else None
         digest = current.digest if current else self._in_force.digest if self._in_force else ""
         if head.generation < self._known_generation or head.generation < self._min_generation:
@@ -195,6 +215,7 @@
                 BundleHeadOutdated(source, head.generation, self._known_generation)
             )
         elif head.digest != digest:
+            verify_head(self._settings, head)
             self._on_conflict(source, head.digest, digest)
         elif current and source not in self._candidate_sources[:MAX_CANDIDATE_SOURCES]:
             self._candidate_sources.append(source)
@@ -203,15 +224,20 @@
         self.kernel.events.emit(BundleHeadConflict(source, self._known_generation, digest, offered))
 
     def _emit_rejected(self, source: str, reason: CodedError) -> None:
-        self.kernel.events.emit(BundleHeadRefused(source, reason.code, reason.detail))
+        """Log a refused head or signature; another writer may change it at any rate."""
+        HEADS_REFUSED.add(1, {"source": KV if source == KV else "peer"})
+        refusal = (source, reason.code, reason.detail)
+        if refusal != self._last_refusal and not self._refusal_log.take():
+            self._last_refusal = refusal
+            self.kernel.events.emit(BundleHeadRefused(*refusal))
 
     async def _read_initial_head(self) -> None:
         """Read the head at startup; the KV service's answer determines the newest generation."""
         wait_s = RETRY_S
         while not self._may_activate.is_set():
-            try:
+            with suppress(KvUnavailable):
                 await self._watcher.read_head()
-            except KvUnavailable:
+            if not self._may_activate.is_set():  # No answer, or a head that can't be decoded.
                 await trio.sleep(self.kernel.random.uniform(0.0, wait_s))
                 wait_s = min(2 * wait_s, RETRY_CAP_S)
 
