Ignore SIGHUP in the product's processes

Callers saw: a process that got SIGHUP, alone or beside SIGTERM, ended at once with all its requests, their answers cut (exit code -1).

Cause: the receiver took SIGTERM and SIGINT only; the default action of SIGHUP ends the process. Service managers send it beside SIGTERM, and a terminal that is closed sends it too.

Evidence: the test with a real entry fails before for both orders of SIGHUP and SIGTERM; two SIGTERM passed before and after. Signals before the handlers are installed were looked at: no port is open then, so that nothing is lost.

--- a/packages/cli/src/sassafrastally/cli/daemon.py
+++ b/packages/cli/src/sassafrastally/cli/daemon.py
@@ -63,7 +63,8 @@
     """Run one process until it is told to stop and its work is done.
 
     The first SIGTERM or SIGINT asks for a graceful stop; a second one ends the waiting for work
-    in progress at the stop limit of the settings.
+    in progress at the stop limit of the settings. SIGHUP is ignored: service managers may send it
+    beside SIGTERM, and its default action ends the process with its requests.
     """
     kernel = BUILDERS.get(settings.role)(settings)
     async with trio.open_nursery() as nursery:
@@ -73,10 +74,11 @@
 
 
 async def _stop_on_signal(kernel: Kernel, task_status: trio.TaskStatus[None]) -> None:
-    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
         task_status.started()
-        async for _ in signals:
-            kernel.request_stop()
+        async for number in signals:
+            if number != signal.SIGHUP:
+                kernel.request_stop()
 
 
 def _parser() -> argparse.ArgumentParser:
--- a/packages/cli/tests/test_stopping_processes.py
+++ b/packages/cli/tests/test_stopping_processes.py
@@ -5,6 +5,7 @@
 import json
 import math
 import signal
+import time
 from pathlib import Path
 from typing import TYPE_CHECKING, NamedTuple
 
@@ -167,3 +168,30 @@
         assert sum(exchange.status == 200 for exchange in callers.exchanges) > CALLERS
         lost = [exchange for exchange in callers.exchanges if not exchange.status]
         assert not [Exchange(*(at - stop_s for at in one[:3]), 0) for one in lost]
+
+
+class TestSignals:
+    @pytest.mark.parametrize(
+        "numbers",
+        [
+            (signal.SIGTERM, signal.SIGHUP),
+            (signal.SIGHUP, signal.SIGTERM),
+            (signal.SIGTERM, signal.SIGTERM),
+        ],
+    )
+    def test_leave_requests_in_progress_their_answers(
+        self, fleet: Fleet, numbers: tuple[signal.Signals, ...]
+    ) -> None:
+        """Guards against a signal whose default action ends the process with its requests."""
+        fleet.start_entry()
+        body = {"model": "parcel-reader", "prompt": "duty?", "max_tokens": 200, "stream": True}
+        url = f"http://{fleet.address(ENTRY_PORT)}/v1/completions"
+        with httpx.stream("POST", url, json=body, headers=AUTHORIZATION) as answer:
+            lines = answer.iter_lines()
+            next(lines)
+            for number in numbers:
+                fleet.signal(ENTRY, number)
+                time.sleep(SENT_AFTER_CONNECTING_S)
+            rest = [line for line in lines if line]
+        assert rest[-1] == "data: [DONE]"
+        assert fleet.process(ENTRY).wait(LIMIT_S) == 0
