Test: a caller that sends without end doesn't hold up a stop

A refused caller whose input is discarded keeps its connection open, and a stopping entry waits for connections. No change of logic.

--- a/packages/testing/tests/platform/test_lingering_close.py
+++ b/packages/testing/tests/platform/test_lingering_close.py
@@ -15,7 +15,7 @@
 from sassafrastally.proxy.lingering_close import MAX_DISCARDED_BYTES, MAX_QUIET_S
 from sassafrastally.stand_ins.caller_requests import exchange_on, read_response, request_fields
 from sassafrastally.stand_ins.documents import HOST_NAME
-from sassafrastally.stand_ins.platform_fleet import wait_until
+from sassafrastally.stand_ins.platform_fleet import BOUNDS, wait_until
 
 BODY_BYTES = 3_000_000
 """More than the socket buffers of both ends hold."""
@@ -199,3 +199,17 @@
         assert (await exchange_on(connection, "GET", "/look/x", fields, b"")).status == 200
         await self._wait_until_closed(small_fleet, MAX_QUIET_S / 4)
         await connection.close()
+
+    async def test_caller_that_sends_slowly_does_not_hold_up_a_stop(self, small_fleet, monkeypatch):
+        """Guards against a process that must be killed because it waits for such a caller."""
+        monkeypatch.setattr(lingering_close, "MAX_LINGER_S", 60.0)
+        connection = await open_caller(small_fleet)
+        await connection.send_bytes(self.REFUSED)
+        callers = small_fleet.kernels[0].get("callers", CallerListener)
+        small_fleet.kernels[0].request_stop()
+        with trio.fail_after(BOUNDS.stop_time_s), pytest.raises(ConnectionLost):
+            while True:
+                await connection.send_bytes(b"a")
+                await trio.sleep(0.1)
+        assert not callers.open_connections
+        await connection.close()
