Keep new connections open while descriptors are missing

What callers would see: a connection that is accepted while the process lacks descriptors was closed at once unless its request had arrived in the same turn, although it had been waiting.

Cause: connections that become idle while others can't be accepted are closed, and a new one counted as idle until its first bytes.

Change: only connections that have carried a request are closed then. The others are still among those that are closed for new ones, the longest idle first.

The test fails without the distinction (connection closed before its request is sent), and in the other direction if kept connections aren't closed.

--- a/packages/proxy/src/sassafrastally/proxy/caller_listener.py
+++ b/packages/proxy/src/sassafrastally/proxy/caller_listener.py
@@ -333,10 +333,12 @@
             reply.is_for_head = reader.is_for_head
 
     async def _wait_for_bytes(self, connection: HttpStream) -> bool:
-        """Return whether a request begins; cancelled when the drain closes idle connections."""
+        """Return whether a request begins; cancelled when idle connections are closed."""
         if connection.http.trailing_data[0]:
             return True
-        if not self._is_closing_idle and not self._lacks_descriptors:
+        # A new connection's request may still be on its way; one that is kept has had an answer.
+        is_wanted = self._lacks_descriptors and connection.received_bytes > 0
+        if not self._is_closing_idle and not is_wanted:
             due_s = trio.current_time() + self._limits().idle_time_s
             with trio.CancelScope() as scope:
                 self._connections.begin_idle(scope)
