Bound the number of tiny parts of a server's response

But a chunk of a byte costs as much as one of a kilobyte.

Evidence: test_callers_are_answered_by_the_other_server[TINY_CHUNKS], with the place in EXCEEDED, failed before: 'small chunks' not in set(). test_body_in_small_chunks_without_end didn't end within minutes before.

Change: 16,384 parts of a body while their mean size is below 4 bytes; then the attempt ends like those over other bounds, and another server is asked. The shortest event with a word of data has 8 bytes.

Result: test_response_reading and test_endless_responses pass.

--- a/packages/proxy/src/sassafrastally/proxy/http_stream.py
+++ b/packages/proxy/src/sassafrastally/proxy/http_stream.py
@@ -22,7 +22,9 @@
     MAX_INTERIM_BYTES,
     MAX_INTERIM_RESPONSES,
     MAX_READ_EVENTS,
+    MAX_SMALL_CHUNKS,
     MAX_TRAILER_BYTES,
+    SMALL_CHUNK_BYTES,
     InputAccount,
     InputBudget,
     InputExcess,
@@ -126,6 +128,8 @@
         """Number of events since other tasks could last run."""
         self._interim_responses = 0
         self._interim_bytes = 0
+        self._body_events = 0
+        self._body_bytes = 0
 
     def charge(self, account: InputAccount) -> None:
         """Count what is held of the next message in an account, with what is there of it."""
@@ -170,6 +174,7 @@
             self._has_uncounted_rest = True
             self._hold(0)
             self._count_interim(event)
+            self._count_chunks(event)
             return event
         if self._has_uncounted_rest:
             self._has_uncounted_rest = False
@@ -206,6 +211,19 @@
             if amount > bound:
                 raise InputTooLong(InputExcess(place, amount, bound))
 
+    def _count_chunks(self, event: h11.Event | type[h11.PAUSED]) -> None:
+        """Count the parts of a response's body; raises `InputTooLong`."""
+        if isinstance(event, h11.Response):
+            self._body_events = self._body_bytes = 0
+        if not isinstance(event, h11.Data) or self.http.our_role is not h11.CLIENT:
+            return
+        self._body_events += 1
+        self._body_bytes += len(event.data)
+        is_small = self._body_bytes < SMALL_CHUNK_BYTES * self._body_events
+        if is_small and self._body_events > MAX_SMALL_CHUNKS:
+            excess = InputExcess(InputPlace.SMALL_CHUNKS, self._body_events, MAX_SMALL_CHUNKS)
+            raise InputTooLong(excess)
+
     def _hold(self, held_bytes: int) -> None:
         """Record how many bytes of an incomplete event are held."""
         if held_bytes != self._held_bytes:
--- a/packages/proxy/src/sassafrastally/proxy/input_limits/bounds.py
+++ b/packages/proxy/src/sassafrastally/proxy/input_limits/bounds.py
@@ -22,6 +22,14 @@
 MAX_BODY_BYTES = 4_194_304
 """Size of a body that is buffered as a whole: as much as a caller may send by default."""
 
+MAX_SMALL_CHUNKS = 16_384
+"""Number of parts of a response's body while their mean size is below `SMALL_CHUNK_BYTES`. Parsing
+one takes about 10 µs, however small it is: a body in chunks of one byte takes all processor time
+until its attempt is abandoned."""
+
+SMALL_CHUNK_BYTES = 4
+"""Mean size below which parts are small: half of the shortest event with a word of data."""
+
 MAX_DISCARDED_BYTES = 65_536
 """Size of a body that is read only to be discarded: one read."""
 
@@ -49,6 +57,7 @@
     INTERIM_HEADERS = "interim response bytes"
     TRAILERS = "trailer bytes"
     BODY = "body bytes"
+    SMALL_CHUNKS = "small chunks"
     EVENT = "event bytes"
     BETWEEN_EVENTS = "bytes between events"
     ALL = "held bytes"
--- a/packages/testing/tests/platform/test_endless_responses.py
+++ b/packages/testing/tests/platform/test_endless_responses.py
@@ -29,6 +29,7 @@
     EndlessPlace.COMMENTS: InputPlace.BETWEEN_EVENTS,
     EndlessPlace.REPEATED_EVENTS: InputPlace.BETWEEN_EVENTS,
     EndlessPlace.BODY: InputPlace.BODY,
+    EndlessPlace.TINY_CHUNKS: InputPlace.SMALL_CHUNKS,
     EndlessPlace.REJECTION_BODY: InputPlace.BODY,
     EndlessPlace.FAILURE_BODY: InputPlace.BODY,
 }
--- a/packages/testing/tests/platform/test_response_reading.py
+++ b/packages/testing/tests/platform/test_response_reading.py
@@ -30,7 +30,9 @@
     MAX_IDLE_BYTES,
     MAX_INTERIM_BYTES,
     MAX_INTERIM_RESPONSES,
+    MAX_SMALL_CHUNKS,
     MAX_TRAILER_BYTES,
+    SMALL_CHUNK_BYTES,
     InputBudget,
     InputPlace,
 )
@@ -182,6 +184,36 @@
         assert servers.excesses == [InputPlace.BODY]
         assert flood.sent_bytes <= MAX_BODY_BYTES + 2 * RECEIVE_BYTES
 
+    async def test_body_in_small_chunks_without_end(self, autojump_clock, servers):
+        """Guards against an entry that does little else than parse one body, byte by byte."""
+        chunk = b"1\r\nx\r\n"
+        flood = Flood(CHUNKED_HEAD, chunk)
+        with pytest.raises(AttemptUnknown) as caught:
+            async with servers.attempt(flood) as answer:
+                await answer.read()
+        assert not caught.value.is_timeout
+        assert servers.excesses == [InputPlace.SMALL_CHUNKS]
+        assert flood.sent_bytes <= MAX_SMALL_CHUNKS * len(chunk) + 2 * RECEIVE_BYTES
+
+    @pytest.mark.parametrize(
+        ("chunk", "chunks"),
+        [
+            (b"x", MAX_SMALL_CHUNKS),
+            (b"x" * 2 * SMALL_CHUNK_BYTES, 3 * MAX_SMALL_CHUNKS),
+        ],
+    )
+    async def test_sound_body_in_small_chunks_is_read(self, autojump_clock, servers, chunk, chunks):
+        """Guards against ending a server that flushes after each token."""
+
+        async def serve(stream: trio.abc.Stream) -> None:
+            await stream.receive_some(65_536)
+            part = b"%x\r\n%s\r\n" % (len(chunk), chunk)
+            await stream.send_all(CHUNKED_HEAD + part * chunks + b"0\r\n\r\n")
+
+        async with servers.attempt(serve) as answer:
+            assert await answer.read() == chunk * chunks
+        assert servers.excesses == []
+
     async def test_body_of_a_rejection_without_end(self, autojump_clock, servers):
         """Guards against a rejected request that waits for the rest of the rejection."""
         flood = Flood(REJECTION_HEAD, b"x")
