Refuse chunks without data in the body of an attempt

What callers saw: nothing; only a process with the link secret can send such a body, and entries don't.

Cause: the bytes of a body count against its announced size, but an empty chunk adds an entry to the body's list without bringing it forward.

Evidence: test_chunks_without_data_are_refused failed before (TooSlowError: the sidecar waited for more).

Change: a body's next chunk must have data. The bound of pending handshakes, which had no test, gets one in the same place (test_handshake): it passed at once.

Result: test_conversation and test_handshake pass.

--- a/packages/sidecar/src/sassafrastally/sidecar/conversation.py
+++ b/packages/sidecar/src/sassafrastally/sidecar/conversation.py
@@ -417,5 +417,5 @@
 
 
 def _is_next(attempt: Attempt, chunk: Chunk) -> bool:
-    """Return whether a chunk is the next one of the attempt's body."""
-    return chunk[:3] == (*attempt.key, len(attempt.body))
+    """Return whether a chunk is the next one of the attempt's body, and brings it forward."""
+    return chunk[:3] == (*attempt.key, len(attempt.body)) and bool(chunk.data)
--- a/packages/sidecar/tests/test_conversation.py
+++ b/packages/sidecar/tests/test_conversation.py
@@ -8,7 +8,7 @@
 import trio
 
 from sassafrastally.wire.link import LinkCut
-from sassafrastally.wire.messages import Attach, Cancel, Commit, Refused
+from sassafrastally.wire.messages import Attach, Cancel, Chunk, Commit, Refused
 
 
 class TestReserveAndCommit:
@@ -61,6 +61,18 @@
         assert await rig.query(reserve) == "voided"
         assert rig.executions(1) == 0
 
+    async def test_chunks_without_data_are_refused(self, autojump_clock, rig):
+        """Guards against a body that grows by a chunk at a time without ever becoming complete: its
+        bytes are bounded, but not the number of its chunks."""
+        reserve = rig.reserve(1)
+        async with rig.stream() as stream:
+            await rig.reserved(stream, reserve)
+            await rig.commit_alone(stream, reserve)
+            await stream.send(Chunk(reserve.request_id, reserve.attempt, 0, 0, b""))
+            with trio.fail_after(1):
+                assert (await stream.receive()).code == "bad-request"
+        assert await rig.query(reserve) == "voided"
+
 
 class TestNotRun:
     """Guarantee: an attempt reported as not run has not run and never will."""
--- a/packages/wire/tests/test_handshake.py
+++ b/packages/wire/tests/test_handshake.py
@@ -16,6 +16,7 @@
     LinkRefused,
     Query,
     StreamClosed,
+    peers,
 )
 from sassafrastally.wire.framing import FrameReader, frame_bytes
 
@@ -79,6 +80,27 @@
         with trio.fail_after(5.1):
             await self.assert_refused(pair, events_of, stream)
 
+    async def test_pending_connections_are_bounded_and_end(
+        self, pair, events_of, stream, monkeypatch, autojump_clock
+    ):
+        """Guards against peers without the secret that each hold a connection and part of a frame,
+        and against keeping sound peers out for longer than the time limit."""
+        monkeypatch.setattr(peers, "MAX_PENDING_HANDSHAKES", 3)
+        network = pair.fleet.network.host("stranger")
+        part = frame_bytes(Frame(0, 1, HELLO))[:-1]
+        streams = [stream, *[await network.connect(pair.sidecar.bound_address) for _ in range(2)]]
+        for pending in streams:
+            await pending.send_all(part)
+        await trio.sleep(1)
+        further = await network.connect(pair.sidecar.bound_address)
+        with trio.fail_after(1):
+            assert await further.receive_some() == b""
+        await trio.sleep(5)
+        sound = await network.connect(pair.sidecar.bound_address)
+        await send(sound, HELLO)
+        with trio.fail_after(1):
+            assert isinstance((await FrameReader(sound).read()).message, HelloAck)
+
     async def test_mirrored_proof(self, pair, events_of, stream, autojump_clock):
         """Guards against a peer that returns the acceptor's own proof as its confirmation.
 
