Bound the replies of all processes to an operator's question

What callers saw: nothing yet; by the sums, the question of an operator for the events of all processes ends an entry, with its requests: each of 1,840 processes may reply with 256 KB, 470 MB together and several times that once decoded.

Cause: each reply had a bound, but all replies to a question had none, and all processes were asked at the same time.

Evidence: the four tests of test_admin_replies failed before: 5,222,240 bytes from 20 processes where 400,000 were allowed, 40 calls at a time, a process that had been given 2,000 bytes replied with 19,617.

Change: 8 MB for all replies to a question, of which each process is told its share (its latest events that fit); what exceeds all of them is left out, with the reason. 128 processes are asked at a time, one question after the other.

Result: the tests pass, test_timeline and test_admin too.

--- a/packages/control/src/sassafrastally/control/admin.py
+++ b/packages/control/src/sassafrastally/control/admin.py
@@ -24,10 +24,23 @@
 MAX_REPLY_BYTES = MAX_FRAME_BYTES - 1024
 """Maximum size of a reply, which must fit in one frame."""
 
+MAX_ALL_REPLY_BYTES = 8_000_000
+"""Maximum size of the replies of all processes to one query. Decoded, they take several times as
+much; the status of 1,840 processes has about half of it."""
+
+MIN_SHARE_BYTES = 4_000
+"""Share of these that each process gets at least; what exceeds all of them is left out."""
+
+MAX_CONCURRENT_CALLS = 128
+"""Number of processes that are asked at the same time. Each may reply with a full frame."""
+
 STATUS_OK = 200
 STATUS_NOT_FOUND = 404
 STATUS_TOO_LARGE = 413
 
+MAX_BYTES_FIELD = "max_bytes"
+"""Field of a query's body: maximum size of the reply."""
+
 ADMIN_METHODS: Registry[Callable[[Kernel, dict[str, Any]], Awaitable[dict[str, Any]]]] = Registry(
     "admin method"
 )
@@ -48,12 +61,30 @@
     problem: str = ""
 
 
+class _ReplyBudget:
+    """What is left of the size of all replies to a query."""
+
+    def __init__(self, left_bytes: int) -> None:
+        self._left_bytes = left_bytes
+
+    def take(self, size_bytes: int) -> bool:
+        """Count a reply; return whether it fits."""
+        if size_bytes > self._left_bytes:
+            return False
+        self._left_bytes -= size_bytes
+        return True
+
+
 class AdminService(Service):
     """Answers admin queries and forwards them to other processes."""
 
     name: ClassVar[str] = "admin"
     needs: ClassVar[tuple[str, ...]] = ("peers",)
 
+    def __init__(self) -> None:
+        self._all_lock = trio.Lock()
+        """Held while all processes are asked, so that one query's replies are held at a time."""
+
     async def start(self, nursery: trio.Nursery) -> None:
         """Register the handler of admin calls from peers."""
         self._peers.on_stream(AdminCall, self._on_call)
@@ -64,6 +95,11 @@
 
     async def ask(self, state: VmState, method: str, body: dict[str, Any]) -> AdminAnswer:
         """Query one process; return its reply or the reason why there is none."""
+        return await self._ask(state, method, body, _ReplyBudget(MAX_ALL_REPLY_BYTES))
+
+    async def _ask(
+        self, state: VmState, method: str, body: dict[str, Any], budget: _ReplyBudget
+    ) -> AdminAnswer:
         if state.vm == self.kernel.vm:
             return AdminAnswer(state.vm, await self.ask_here(method, body))
         try:
@@ -76,18 +112,31 @@
             return AdminAnswer(state.vm, None, f"no answer within {ASK_TIME_LIMIT_S:g} s")
         if not isinstance(reply, AdminReturn) or reply.status != STATUS_OK:
             return AdminAnswer(state.vm, None, "the process refused the question")
+        if not budget.take(len(reply.body)):
+            return AdminAnswer(
+                state.vm, None, "left out: the replies of all processes are too long"
+            )
         return AdminAnswer(state.vm, json.loads(reply.body))
 
     async def ask_all(
         self, states: Sequence[VmState], method: str, body: dict[str, Any]
     ) -> list[AdminAnswer]:
-        """Query several processes concurrently; return the replies in the order of the states."""
+        """Query several processes concurrently; return the replies in the order of the states.
+
+        Each process gets a share of the size of all replies, in the field ``max_bytes`` of the
+        body. Replies beyond the size of all are left out.
+        """
         answers: list[AdminAnswer | None] = [None] * len(states)
+        share = max(MIN_SHARE_BYTES, MAX_ALL_REPLY_BYTES // max(1, len(states)))
+        shared_body = {**body, MAX_BYTES_FIELD: min(share, MAX_REPLY_BYTES)}
+        budget = _ReplyBudget(MAX_ALL_REPLY_BYTES)
+        limiter = trio.CapacityLimiter(MAX_CONCURRENT_CALLS)
 
         async def ask_one(index: int) -> None:
-            answers[index] = await self.ask(states[index], method, body)
+            async with limiter:
+                answers[index] = await self._ask(states[index], method, shared_body, budget)
 
-        async with trio.open_nursery() as nursery:
+        async with self._all_lock, trio.open_nursery() as nursery:
             for index in range(len(states)):
                 nursery.start_soon(ask_one, index)
         return [answer for answer in answers if answer is not None]
--- a/packages/control/src/sassafrastally/control/timeline.py
+++ b/packages/control/src/sassafrastally/control/timeline.py
@@ -6,7 +6,7 @@
 from datetime import UTC, datetime
 from typing import TYPE_CHECKING, Any
 
-from sassafrastally.control.admin import ADMIN_METHODS, MAX_REPLY_BYTES
+from sassafrastally.control.admin import ADMIN_METHODS, MAX_BYTES_FIELD, MAX_REPLY_BYTES
 from sassafrastally.core import Kernel, stamp_wall_s
 
 if TYPE_CHECKING:
@@ -20,10 +20,11 @@
 
 @ADMIN_METHODS.register("events")
 async def answer_events(kernel: Kernel, body: dict[str, Any]) -> dict[str, Any]:
-    """Return this process's latest events that match ``where``, as many as fit in a frame."""
+    """Return this process's latest events that match ``where``, as many as fit in the reply."""
     records = kernel.events.records(body.get("where"))
     kept: list[EventRecord] = []
-    room_bytes = MAX_REPLY_BYTES - RECORD_ALLOWANCE_BYTES
+    max_bytes = min(MAX_REPLY_BYTES, int(body.get(MAX_BYTES_FIELD, MAX_REPLY_BYTES)))
+    room_bytes = max_bytes - RECORD_ALLOWANCE_BYTES
     for record in reversed(records):
         room_bytes -= len(json.dumps(record)) + len(", ")
         if room_bytes < 0:
