Bound the number of callers' connections

What callers saw: nothing yet; connections with half a header, or none, took memory and file descriptors without a bound, until the entry could neither accept callers nor reach sidecars and the store.

Cause: hypercorn bounds the header of a connection and its idle time (75 s), not the number of connections.

Both tests of TestNumber failed before (TooSlowError: the idle connections stayed open), with the bound left out.

Change: 4,096 connections (max_open_requests is 4,000), or half of the file descriptors if that is less. Beyond it the connection that has been without a request for the longest time is closed; one with a request in progress never is. ServerBounds has the number; HttpService doesn't set it.

--- a/packages/entry/src/sassafrastally/entry/asgi.py
+++ b/packages/entry/src/sassafrastally/entry/asgi.py
@@ -3,17 +3,17 @@
 from __future__ import annotations
 
 import math
+import resource
 import socket
 from functools import partial
 from typing import TYPE_CHECKING, Any, NamedTuple
 
 import trio
-from hypercorn.config import Config
 from hypercorn.trio import serve
 
 from sassafrastally.core import Address, time_limit
 from sassafrastally.core.http_patterns import use_linear_patterns
-from sassafrastally.entry.http11 import use_http11_connections
+from sassafrastally.entry.http11 import Connections, Http11Config, use_http11_connections
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -25,6 +25,17 @@
 
 _MS = 1000
 
+MAX_CONNECTIONS = 4_096
+"""Default of the maximum number of open connections, a little more than that of requests in
+progress. One with half a header takes about 40 KB."""
+
+
+def _max_connections() -> int:
+    descriptors, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if descriptors == resource.RLIM_INFINITY:
+        return MAX_CONNECTIONS
+    return min(MAX_CONNECTIONS, descriptors // 2)
+
 
 class ServerBounds(NamedTuple):
     """Limits on the connections of a server."""
@@ -37,6 +48,8 @@
     """How long the server waits for connections to close after the last response."""
     backlog: int = 128
     """Length of the queue of connections waiting to be accepted."""
+    max_connections: int = _max_connections()
+    """Maximum number of open connections. Half of the descriptors stay free for links and calls."""
 
 
 class AsgiServer:
@@ -63,7 +76,8 @@
         self.bound_address = Address(name[0], name[1])
         """Address that the server is bound to."""
         self._app = _shield_last_send(app, bounds.unread_limit_s)
-        self._config = Config()
+        self._config = Http11Config()
+        self._config.connections = Connections(bounds.max_connections)
         self._config.bind = [f"fd://{listener.detach()}"]
         self._config.backlog = bounds.backlog
         self._config.keep_alive_timeout = bounds.keep_alive_s
--- a/packages/entry/tests/test_connections.py
+++ b/packages/entry/tests/test_connections.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from contextlib import AsyncExitStack
 from typing import TYPE_CHECKING
 
 import pytest
@@ -33,13 +34,29 @@
 
 
 @pytest.fixture
-async def server(nursery: trio.Nursery) -> AsgiServer:
+def bounds() -> ServerBounds:
+    return ServerBounds()
+
+
+@pytest.fixture
+def release() -> trio.Event:
+    """Event for which slow requests wait."""
+    return trio.Event()
+
+
+@pytest.fixture
+async def server(nursery: trio.Nursery, bounds: ServerBounds, release: trio.Event) -> AsgiServer:
     async def answer() -> Response:
         return Response(b"answer")
 
+    async def answer_later() -> Response:
+        await release.wait()
+        return Response(b"answer")
+
     app = QuartTrio("connections")
     app.add_url_rule("/", "answer", answer, methods=["GET", "POST"])
-    served = AsgiServer(app, Address("127.0.0.1", 0), ServerBounds())
+    app.add_url_rule("/slow", "slow", answer_later)
+    served = AsgiServer(app, Address("127.0.0.1", 0), bounds)
     await nursery.start(served.run)
     return served
 
@@ -137,3 +154,55 @@
             assert await read_until(odd, b"never") == b""
             assert await answers(sound)
         assert "closed by an unexpected error" in capfd.readouterr().err
+
+
+class TestNumber:
+    MAX_CONNECTIONS = 4
+
+    @pytest.fixture
+    def bounds(self) -> ServerBounds:
+        return ServerBounds(max_connections=self.MAX_CONNECTIONS)
+
+    async def test_longest_idle_one_gives_way(self, server: AsgiServer) -> None:
+        """Guards against connections with half a header, or none, that take all memory or all file
+        descriptors: the entry could neither accept callers nor reach sidecars."""
+        address = server.bound_address
+        async with AsyncExitStack() as stack:
+
+            async def connect() -> trio.SocketStream:
+                stream = await trio.open_tcp_stream(address.host, address.port)
+                return await stack.enter_async_context(stream)
+
+            sound = await connect()
+            assert await answers(sound)
+            silent = [await connect() for _ in range(self.MAX_CONNECTIONS - 1)]
+            for stream in silent:
+                await stream.send_all(PLAIN[:-4])
+            # Time for the server to accept them.
+            await trio.sleep(0.1)
+            assert await answers(sound)
+            for stream in silent:
+                assert await answers(await connect())
+                assert await read_until(stream, b"never") == b""
+            assert await answers(await connect())
+
+    async def test_request_in_progress_does_not_give_way(
+        self, server: AsgiServer, release: trio.Event
+    ) -> None:
+        """Guards against cutting a request for a connection that may never send one."""
+        address = server.bound_address
+        async with AsyncExitStack() as stack:
+            busy = [
+                await stack.enter_async_context(
+                    await trio.open_tcp_stream(address.host, address.port)
+                )
+                for _ in range(self.MAX_CONNECTIONS)
+            ]
+            for stream in busy:
+                await stream.send_all(PLAIN.replace(b"/", b"/slow", 1))
+            await trio.sleep(0.1)
+            async with await trio.open_tcp_stream(address.host, address.port) as further:
+                assert await read_until(further, b"never") == b""
+            release.set()
+            for stream in busy:
+                assert (await read_until(stream, b"answer")).startswith(b"HTTP/1.1 200 ")
