Reduce the buffers of slow callers while there are too many of them

What callers saw: nothing yet; by the sums, streams to callers that don't read take 256 KB for each of up to 4,000 requests, 1 GB.

Cause: only the buffer of one answer was bounded.

Change: while all buffers together are over max_all_buffered_bytes (48 MB), an answer waits for its caller at 16 KB. Its own caller wakes it, as before; what a closed answer hasn't sent no longer counts.

--- a/packages/entry/src/sassafrastally/entry/held_answers.py
+++ b/packages/entry/src/sassafrastally/entry/held_answers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from contextlib import contextmanager
 from typing import TYPE_CHECKING
 
@@ -12,6 +13,10 @@
     from collections.abc import Iterator
 
 
+REDUCED_BUFFER_BYTES = 16_384
+"""Size of a slow caller's buffer while there are too many of them; some seconds of words."""
+
+
 @error(6001)
 class AnswerBroken(CodedError):
     """The chunks of an attempt have a gap, a wrong count or no end mark, or are too large."""
@@ -115,6 +120,37 @@
         self._kept_bytes = 0
 
 
+class StreamBuffers:
+    """Data of streamed answers that callers haven't read yet.
+
+    While all together are over their bound, each answer waits for its caller sooner.
+
+    Parameters
+    ----------
+    max_bytes
+        Bound above which each buffer is reduced.
+    """
+
+    def __init__(self, max_bytes: float = math.inf) -> None:
+        self.size_bytes = 0
+        """Bytes of all buffers together."""
+        self._max_bytes = max_bytes
+
+    def is_full(self, buffered_bytes: int, max_buffered_bytes: int) -> bool:
+        """Return whether the writer of a buffer has to wait.
+
+        Parameters
+        ----------
+        buffered_bytes
+            Size of the buffer.
+        max_buffered_bytes
+            Maximum size of a buffer while all together are below their bound.
+        """
+        if self.size_bytes > self._max_bytes:
+            max_buffered_bytes = min(max_buffered_bytes, REDUCED_BUFFER_BYTES)
+        return buffered_bytes >= max_buffered_bytes
+
+
 class HeldAnswers:
     """Budget of an entry for held answers.
 
--- a/packages/entry/src/sassafrastally/entry/path.py
+++ b/packages/entry/src/sassafrastally/entry/path.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from contextlib import asynccontextmanager, contextmanager
+from contextlib import asynccontextmanager, closing, contextmanager
 from typing import TYPE_CHECKING, Any, ClassVar, NamedTuple, cast
 
 import trio
@@ -30,7 +30,7 @@
 )
 from sassafrastally.entry.execution import Execution
 from sassafrastally.entry.execution_services import ExecutionServices
-from sassafrastally.entry.held_answers import HeldAnswers
+from sassafrastally.entry.held_answers import HeldAnswers, StreamBuffers
 from sassafrastally.entry.hooks import admitted
 from sassafrastally.entry.relay import Answer
 from sassafrastally.entry.unread_runs import UnreadRuns
@@ -83,6 +83,7 @@
         self._open: dict[str, OpenRequest] = {}
         self.bodies = BodyBudget(settings.max_held_body_bytes)
         self.held_answers = HeldAnswers(settings.max_held_answer_bytes)
+        self._buffers = StreamBuffers(settings.max_all_buffered_bytes)
         """Budget for the bodies of callers."""
         self._is_closed = False
         self._idle = trio.lowlevel.ParkingLot()
@@ -198,19 +199,20 @@
         request_id = request.request_id or self.new_id()
         refusal: Refusal | None = None
         with self._tracked(request_id, request) as limit, self.held_answers.open() as held:
-            answer = Answer(request_id, self._settings.max_buffered_bytes, held)
+            answer = Answer(request_id, self._settings.max_buffered_bytes, held, self._buffers)
             answer.on_part = limit.record_delivery
-            async with trio.open_nursery() as nursery:
-                nursery.start_soon(limit.watch)
-                nursery.start_soon(self._execute, in_force, request, answer, limit)
-                try:
-                    await answer.wait_started()
-                    self._record_first_data(request)
-                    yield answer
-                except Refusal as caught:
-                    # Raised outside the nursery, which would wrap it in an exception group.
-                    refusal = caught
-                nursery.cancel_scope.cancel()
+            with closing(answer):
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(limit.watch)
+                    nursery.start_soon(self._execute, in_force, request, answer, limit)
+                    try:
+                        await answer.wait_started()
+                        self._record_first_data(request)
+                        yield answer
+                    except Refusal as caught:
+                        # Raised outside the nursery, which would wrap it in an exception group.
+                        refusal = caught
+                    nursery.cancel_scope.cancel()
         if refusal is not None:
             raise refusal
 
--- a/packages/entry/src/sassafrastally/entry/relay.py
+++ b/packages/entry/src/sassafrastally/entry/relay.py
@@ -7,7 +7,7 @@
 import trio
 
 from sassafrastally.core import CodedError, error
-from sassafrastally.entry.held_answers import AnswerBroken, HeldAnswer
+from sassafrastally.entry.held_answers import AnswerBroken, HeldAnswer, StreamBuffers
 from sassafrastally.wire.messages import Chunk, End
 
 if TYPE_CHECKING:
@@ -51,13 +51,20 @@
         Buffer size at which the writer is blocked until the reader takes the data.
     held
         Parts that are held until the answer is whole.
+    buffers
+        Buffers of all answers.
     """
 
     def __init__(
-        self, request_id: RequestId, max_buffered_bytes: int, held: HeldAnswer | None = None
+        self,
+        request_id: RequestId,
+        max_buffered_bytes: int,
+        held: HeldAnswer | None = None,
+        buffers: StreamBuffers | None = None,
     ) -> None:
         self.request_id = request_id
         self.held = held or HeldAnswer()
+        self._buffers = buffers or StreamBuffers()
         self.head = Head(_STATUS_OK, EVENT_STREAM)
         self.end: End | None = None
         """The verified end mark; ``None`` until it arrives."""
@@ -70,6 +77,8 @@
         self.on_part: Callable[[], None] = lambda: None
         """Called for each part that the execution has received, also while it holds it back."""
         self._max_buffered_bytes = max_buffered_bytes
+        self._counted_bytes = 0
+        """Bytes that count in the buffers of all answers; what was held counts elsewhere."""
         self._data = bytearray()
         """Data that the reader hasn't taken. A list of parts of a byte takes many times as much."""
         self._has_started = trio.Event()
@@ -86,13 +95,15 @@
 
         Data after the end is dropped: another attempt has given the whole answer.
         """
-        while len(self._data) >= self._max_buffered_bytes:
+        while self._buffers.is_full(len(self._data), self._max_buffered_bytes):
             await self._writers.park()
         if self.is_over:
             return
         self.pieces += 1
         self.shown_tokens += tokens
         self._data += data
+        self._counted_bytes += len(data)
+        self._buffers.size_bytes += len(data)
         self._has_started.set()
         self._readers.unpark_all()
 
@@ -136,10 +147,19 @@
                 raise StopAsyncIteration
             await self._readers.park()
         data = bytes(self._data)
-        self._data.clear()
+        self._release()
         self._writers.unpark_all()
         return data
 
+    def close(self) -> None:
+        """Drop the data that wasn't read."""
+        self._release()
+
+    def _release(self) -> None:
+        self._buffers.size_bytes -= self._counted_bytes
+        self._counted_bytes = 0
+        self._data.clear()
+
     def _wake(self) -> None:
         self._has_started.set()
         self._readers.unpark_all()
--- a/packages/entry/src/sassafrastally/entry/settings.py
+++ b/packages/entry/src/sassafrastally/entry/settings.py
@@ -40,6 +40,8 @@
     incomplete one fails."""
     max_buffered_bytes: int = 262_144
     """Streamed data buffered for a slow caller before backpressure is applied to the sidecar."""
+    max_all_buffered_bytes: int = 48_000_000
+    """Total size of such data above which the buffer of each slow caller is reduced to 16 KB."""
     max_candidates: int = 8
     """Maximum sidecars asked for a reservation in one round."""
     commit_now_tokens: int = 4_000
