Cut off long texts in events

What callers saw: nothing yet; a process that grows until it is ended. It keeps its last 4,096 events, and some have texts of others: an engine that fails each run with a message of a megabyte fills them with up to 4 GB.

Cause: texts were kept as they came.

Evidence: trial: an error of 1,000,000 characters in an engine's event gives a failure with a detail of 1,000,022, which goes into 7105 AttemptSettled. test_long_texts_are_cut_off failed before.

Change: a text in an event has 2,000 characters at most, and its length after them.

--- a/packages/core/src/sassafrastally/core/events.py
+++ b/packages/core/src/sassafrastally/core/events.py
@@ -59,6 +59,9 @@
     """Fields of the event class, including ``request_id`` and ``generation`` where they apply."""
 
 
+MAX_TEXT_CHARS = 2_000
+"""Length of a text in an event, beyond which it is cut off."""
+
 CATALOGUE: dict[int, EventKind] = {}
 """Registered event kinds by number; the events reference page is generated from it."""
 
@@ -91,6 +94,17 @@
     return decorate
 
 
+def _shortened(value: Any) -> Any:
+    """Return a value of a field, without the rest of a long text.
+
+    Texts of other processes, such as the message of an engine's error, may have megabytes, and the
+    ring buffer keeps thousands of them.
+    """
+    if isinstance(value, str) and len(value) > MAX_TEXT_CHARS:
+        return f"{value[:MAX_TEXT_CHARS]} ({len(value)} characters)"
+    return value
+
+
 class EventLog:
     """The event log of one process.
 
@@ -126,7 +140,7 @@
             number=kind.number,
             name=kind.name,
             level=kind.level,
-            fields=item._asdict(),
+            fields={name: _shortened(value) for name, value in item._asdict().items()},
         )
         if len(self._ring) == self._ring.maxlen:
             self.dropped += 1
--- a/packages/core/tests/test_events.py
+++ b/packages/core/tests/test_events.py
@@ -7,6 +7,7 @@
 import pytest
 
 from sassafrastally.core import CATALOGUE, Clock, EventLog, Incarnation, event
+from sassafrastally.core.events import MAX_TEXT_CHARS
 
 
 @event(9901)
@@ -32,6 +33,14 @@
         log.emit(Sampled("b"))
         assert [record["number"] for record in log.records({"request_id": "b"})] == [9901]
 
+    async def test_long_texts_are_cut_off(self):
+        """Guards against a process that keeps thousands of long texts of others, such as messages
+        of a megabyte with which an engine fails each run."""
+        log = EventLog("vm-1", Incarnation("i"), Clock())
+        log.emit(Sampled("x" * 1_000_000))
+        text = log.records()[0]["fields"]["request_id"]
+        assert text == "x" * MAX_TEXT_CHARS + " (1000000 characters)"
+
 
 class TestCatalogue:
     """`event`."""
