Cut off long texts of an engine in end marks

What callers saw: requests whose engine had failed ended late and as "outcome unknown": an end mark with a message of a megabyte doesn't fit in a frame, so that the sidecar closed the stream without it, and the entry asked again.

Cause: the message, finish reason and content type of an engine or service go into the end mark as they came.

Evidence: test_long_message_of_an_engine_fits_in_the_end_mark failed before, in both cases: End of 1000232 bytes is over 262144.

Change: 2,000 characters of each.

Result: the test passes, test_runner too.

--- a/packages/sidecar/src/sassafrastally/sidecar/runner.py
+++ b/packages/sidecar/src/sassafrastally/sidecar/runner.py
@@ -20,6 +20,10 @@
     from sassafrastally.sidecar.backend import Backend, RunResult
     from sassafrastally.sidecar.settings import SidecarSettings
 
+MAX_TEXT_CHARS = 2_000
+"""Length of a text of the engine or service in an end mark. A frame has 256 KB, but the message of
+an engine's error may have a megabyte."""
+
 _STATES = {
     Outcome.COMPLETED: AttemptState.COMPLETED,
     Outcome.NOT_RUN: AttemptState.VOIDED,
@@ -70,6 +74,7 @@
     def settle(self, attempt: Attempt, end: End) -> None:
         """Record how an attempt ended and publish the end mark to its readers."""
         now_s = self._kernel.clock.now_s()
+        end = _with_short_texts(end)
         outcome = Outcome(end.outcome)
         self._table.settle(attempt, _STATES[outcome], now_s)
         attempt.answer.finish(end)
@@ -115,6 +120,14 @@
     return End(*attempt.key, outcome=outcome.value, code=code, detail=detail)
 
 
+def _with_short_texts(end: End) -> End:
+    return end._replace(
+        detail=end.detail[:MAX_TEXT_CHARS],
+        finish_reason=end.finish_reason[:MAX_TEXT_CHARS],
+        content_type=end.content_type[:MAX_TEXT_CHARS],
+    )
+
+
 def _limit_detail(attempt: Attempt) -> str:
     return f"limit {attempt.deadline_s - attempt.arrived_s:.3f} s"
 
--- a/packages/sidecar/tests/test_runner.py
+++ b/packages/sidecar/tests/test_runner.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+from contextlib import asynccontextmanager
 from random import Random
 
 import pytest
 import trio
 
+from sassafrastally.sidecar.engine import EngineFailed, EngineRefused
+from sassafrastally.sidecar.runner import MAX_TEXT_CHARS
 from sassafrastally.testing.engine_model import EngineShape
 
 
@@ -115,6 +118,24 @@
         assert (end.outcome, end.code) == ("failed", "backend-failed")
         await check_memory_after(rig)
 
+    @pytest.mark.parametrize("error", [EngineFailed, EngineRefused])
+    async def test_long_message_of_an_engine_fits_in_the_end_mark(
+        self, autojump_clock, rig, monkeypatch, error
+    ):
+        """Guards against an end mark that is longer than a frame: it can't be sent, and the entry
+        asks for the answer again and again, until the request's outcome is unknown."""
+
+        @asynccontextmanager
+        async def fail(request):
+            raise error("x" * 1_000_000)
+            yield
+
+        monkeypatch.setattr(rig.engine, "generate", fail)
+        end = (await rig.run(rig.reserve(1))).end
+        is_refused = error is EngineRefused
+        assert end.outcome == ("not_run" if is_refused else "unknown")
+        assert end.detail == "x" * MAX_TEXT_CHARS
+
     async def test_unconfirmed_cancel_is_freed_by_the_sweep(self, autojump_clock, rig):
         """The connection fails during a run, and so does the cancellation. The engine continues;
         the ledger keeps the blocks counted until the sweep has confirmed that they are free."""
