Bound the description of an engine

What callers saw: a sidecar that ended by itself, with all its runs, a few seconds after its engine had named very many models, or one with a very long name.

Cause: the models go into each load report. One that doesn't fit in a frame raises BadFrame, which the task that sends the reports doesn't expect.

Evidence: test_engine_counts_as_lost_and_the_sidecar_goes_on failed before in both cases, with the sidecar's kernel: LoadReport of 960112 bytes is over 262144, and of 300200.

Change: a description has 1,000 models and names of 100 characters at most; otherwise the engine counts as one that doesn't answer. The longest such report has less than half of a frame.

Result: the tests pass; test_service, test_placement_agent and test_engine_server too.

--- a/packages/sidecar/src/sassafrastally/sidecar/engine_watch.py
+++ b/packages/sidecar/src/sassafrastally/sidecar/engine_watch.py
@@ -30,6 +30,10 @@
     from sassafrastally.sidecar.settings import SidecarSettings
     from sassafrastally.wire.messages import Reserve
 
+MAX_MODELS = 1_000
+MAX_NAME_CHARS = 100
+"""Bounds of an engine's description, which must fit in a load report of one frame."""
+
 _ENGINE_ERRORS = (EngineUnavailable, EngineFailed, EngineRefused)
 
 
@@ -183,9 +187,16 @@
         it holds, and requests would be refused until the next poll. A dead engine fails again.
         """
         try:
-            return await self._engine.describe()
+            return await self._describe_once()
         except _ENGINE_ERRORS:
-            return await self._engine.describe()
+            return await self._describe_once()
+
+    async def _describe_once(self) -> EngineInfo:
+        info = await self._engine.describe()
+        names = (info.incarnation, *info.models)
+        if len(names) > MAX_MODELS + 1 or any(len(name) > MAX_NAME_CHARS for name in names):
+            raise EngineFailed(f"the description is too long: {len(info.models)} models")
+        return info
 
     def _mark_unreachable(self, detail: str) -> None:
         if self.info is not None:
--- a/packages/sidecar/tests/test_engine_watch.py
+++ b/packages/sidecar/tests/test_engine_watch.py
@@ -74,6 +74,29 @@
                 raise AssertionError(f"the segment was given up: {ended}")
 
 
+class TestLongDescription:
+    @pytest.mark.parametrize(
+        "models", [tuple(f"model-{number}" for number in range(30_000)), ("x" * 300_000,)]
+    )
+    async def test_engine_counts_as_lost_and_the_sidecar_goes_on(self, rig, autojump_clock, models):
+        """Guards against a sidecar that ends, with all its runs, since the models that its engine
+        names don't fit in a load report."""
+        assert (await rig.run(rig.reserve(3))).end.outcome == "completed"
+        describe = rig.engine.describe
+
+        async def long_description():
+            return (await describe())._replace(models=models)
+
+        rig.engine.describe = long_description
+        await trio.sleep(5)
+        async with rig.stream() as stream:
+            await stream.send(rig.reserve(1))
+            assert (await stream.receive()).code == "no-replica"
+        rig.engine.describe = describe
+        await trio.sleep(5)
+        assert (await rig.run(rig.reserve(2))).end.outcome == "completed"
+
+
 class TestLostEngine:
     async def test_segment_of_a_dead_engine_is_given_up_in_time(self, rig, autojump_clock):
         """Guards against a leader that goes on for long on the memory of an engine that died."""
