--- a/packages/entry/src/sassafrastally/entry/asgi.py
+++ b/packages/entry/src/sassafrastally/entry/asgi.py
@@ -2,19 +2,19 @@
 
 from __future__ import annotations
 
+import resource
 import socket
 from typing import TYPE_CHECKING, Any, NamedTuple
 
 import trio
 from hypercorn.app_wrappers import ASGIWrapper
-from hypercorn.config import Config
 from hypercorn.trio.worker_context import WorkerContext
 
 from sassafrastally.core import Address, time_limit
 from sassafrastally.core.accepting import Acceptor
 from sassafrastally.core.http_patterns import use_linear_patterns
 from sassafrastally.core.late_limits import deliver_received
-from sassafrastally.entry.http11 import use_http11_connections
+from sassafrastally.entry.http11 import Connections, Http11Config, use_http11_connections
 from sassafrastally.entry.http_connection import HttpConnection
 
 if TYPE_CHECKING:
@@ -34,6 +34,17 @@
 """How long the first requests of the connections that were accepted last are awaited at the close.
 """
 
+MAX_CONNECTIONS = 4_096
+"""Default of the maximum number of open connections, a little more than that of requests in
+progress. One with half a header takes about 40 KB."""
+
+
+def _max_connections() -> int:
+    descriptors, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if descriptors == resource.RLIM_INFINITY:
+        return MAX_CONNECTIONS
+    return min(MAX_CONNECTIONS, descriptors // 2)
+
 
 class ServerBounds(NamedTuple):
     """Limits on the connections of a server."""
@@ -46,6 +57,8 @@
     """How long the server waits for connections to close after the last response."""
     backlog: int = 128
     """Length of the queue of connections waiting to be accepted."""
+    max_connections: int = _max_connections()
+    """Maximum number of open connections. Half of the descriptors stay free for links and calls."""
 
 
 class ClosedServer(NamedTuple):
@@ -94,7 +107,8 @@
         self.bound_address = Address(name[0], name[1])
         """Address that the server is bound to."""
         self._app = ASGIWrapper(self._with_own_sends(app, bounds.unread_limit_s))
-        self._config = Config()
+        self._config = Http11Config()
+        self._config.connections = Connections(bounds.max_connections)
         self._config.keep_alive_timeout = bounds.keep_alive_s
         self._config.include_server_header = False
         self._config.loglevel = "WARNING"
