Stop checking a list after a hundred wrong items

Seen by callers: a record of another writer with some 100,000 items of the wrong type, within the size limit, holds up the process that reads it for seconds, with all its requests.

Cause: each wrong item made an error of its own; a text in the place of a list was even taken character by character (and a text of valid items accepted).

The test fails on the code before.

Change: a list is decoded by a hook that refuses other types and stops after 100 problems; quoted values are shortened.

--- a/packages/core/src/sassafrastally/core/settings.py
+++ b/packages/core/src/sassafrastally/core/settings.py
@@ -11,7 +11,16 @@
 import math
 import re
 import tomllib
-from typing import TYPE_CHECKING, Any, NamedTuple, TypeVar, cast, get_type_hints
+from typing import (
+    TYPE_CHECKING,
+    Any,
+    NamedTuple,
+    TypeVar,
+    cast,
+    get_args,
+    get_origin,
+    get_type_hints,
+)
 
 import cattrs
 from cattrs.cols import is_namedtuple, namedtuple_dict_structure_factory
@@ -36,6 +45,10 @@
 POSITIVE_SUFFIXES = ("_s", "_ms", "_bytes", "_tokens", "_per_s")
 """Fields with these unit suffixes can't be negative."""
 
+MAX_ITEM_PROBLEMS = 100
+"""Problems after which the items of a list aren't checked further. Some 100,000 items of the wrong
+type, in a record of another writer, would block the process for seconds."""
+
 _TABLE = re.compile(r"^\s*\[{1,2}\s*([^\]]+?)\s*\]{1,2}")
 _KEY = re.compile(r"^\s*([A-Za-z0-9_.\"-]+)\s*=")
 _TOML_LINE = re.compile(r"at line (\d+)")
@@ -192,7 +205,7 @@
 def _exact_type_hook(kind: type[Any], *accepted: type[Any]) -> Callable[[object, type[Any]], Any]:
     def structure(value: object, _: type[Any]) -> Any:
         if type(value) not in (kind, *accepted):
-            shown = "a secret" if kind is Secret else repr(value)
+            shown = "a secret" if kind is Secret else f"{value!r:.200}"
             wanted = "str" if kind is Secret else kind.__name__
             raise TypeError(f"must be of type {wanted}, not {shown}")
         return kind(value)
@@ -202,7 +215,7 @@
 
 def _structure_float(value: object, _: type[float]) -> float:
     if isinstance(value, bool) or not isinstance(value, int | float) or not math.isfinite(value):
-        raise TypeError(f"must be a finite number, not {value!r}")
+        raise TypeError(f"must be a finite number, not {value!r:.200}")
     return float(value)
 
 
@@ -212,7 +225,7 @@
 
     def checked(value: object, _: type[Any]) -> Any:
         if not isinstance(value, dict):
-            raise TypeError(f"must be a table, not {value!r}")
+            raise TypeError(f"must be a table, not {value!r:.200}")
         result = structure(value, kind)
         errors = list(_unit_errors(result, hints))
         if errors:
@@ -222,6 +235,35 @@
     return checked
 
 
+def _list_hook(kind: Any, converter: cattrs.Converter) -> Callable[[object, Any], Any]:
+    item_kind = get_args(kind)[0]
+    structure_item = converter.get_structure_hook(item_kind)
+
+    def structure(value: object, _: Any) -> tuple[Any, ...]:
+        if not isinstance(value, list | tuple):
+            raise TypeError(f"must be a list, not {value!r:.200}")
+        items: list[Any] = []
+        errors: list[Exception] = []
+        for index, item in enumerate(value):
+            try:
+                items.append(structure_item(item, item_kind))
+            except Exception as cause:
+                note = cattrs.IterableValidationNote(f"item {index}", index, item_kind)
+                cause.__notes__ = [*getattr(cause, "__notes__", []), note]
+                errors.append(cause)
+                if len(errors) == MAX_ITEM_PROBLEMS:
+                    break
+        if errors:
+            raise cattrs.IterableValidationError("items", errors, kind)
+        return tuple(items)
+
+    return structure
+
+
+def _is_list(kind: Any) -> bool:
+    return get_origin(kind) is tuple and get_args(kind)[1:] == (Ellipsis,)
+
+
 def _unit_errors(value: Any, hints: Mapping[str, Any]) -> Iterator[Exception]:
     for name in hints:
         field = getattr(value, name)
@@ -238,6 +280,7 @@
     converter.register_structure_hook_factory(
         lambda kind: is_namedtuple(kind) and kind is not Address, _named_tuple_hook
     )
+    converter.register_structure_hook_factory(_is_list, _list_hook)
     converter.register_structure_hook_func(lambda kind: kind is Address, _structure_address)
     for plain in (str, int, bool):
         converter.register_structure_hook(plain, _exact_type_hook(plain))
--- a/packages/core/tests/test_settings.py
+++ b/packages/core/tests/test_settings.py
@@ -8,7 +8,12 @@
 
 from sassafrastally.core import Address, FindingsError
 from sassafrastally.core.secret import Secret
-from sassafrastally.core.settings import check_table, load_settings, toml_lines
+from sassafrastally.core.settings import (
+    MAX_ITEM_PROBLEMS,
+    check_table,
+    load_settings,
+    toml_lines,
+)
 
 VALID_SETTINGS = """
 role = "entry"
@@ -89,3 +94,19 @@
     def test_entries_of_an_array_of_tables_are_numbered(self):
         lines = toml_lines('[[models]]\nname = "a"\n[[models]]\nname = "b"\n')
         assert lines["models[1].name"] == 4
+
+
+class TestLongLists:
+    @pytest.mark.parametrize("value", ["x" * 200_000, [1] * 200_000, [[]] * 200_000, {"a": 1}, 5])
+    def test_a_list_of_wrong_items_is_refused_without_a_report_of_each(self, value: object) -> None:
+        """Guards against a process that stands still for seconds while it decodes a record.
+
+        Each wrong item of a list, or character of a text in its place, made an error of its own.
+        """
+
+        class Table(NamedTuple):
+            names: tuple[str, ...] = ()
+
+        table, problems = check_table({"names": value}, Table)
+        assert table is None
+        assert 1 <= len(problems) <= MAX_ITEM_PROBLEMS
