Refuse a fence that no order can carry

Seen by callers: a number out of range in the fence of placement ends the entry that becomes the holder, with its requests; the next candidate takes over and ends too, and each again after its start.

Cause: the number was decoded without a range. The order to the first sidecar couldn't be encoded (BadFrame), which the sender of orders doesn't handle, below the kernel's nursery.

Evidence: with 2**64 in the fence the test fails on the code before with BadFrame.

Change: a number is below the largest integer of the records. A message that can't be encoded is a failed order. The line about a fence that can't be read comes once, not at each attempt. While it is there placement rests, since no other number is known to be higher; it goes on when the fence is mended.

--- a/packages/control/src/sassafrastally/control/lease_holder.py
+++ b/packages/control/src/sassafrastally/control/lease_holder.py
@@ -15,6 +15,7 @@
 import trio
 
 from sassafrastally.control.canonical import BadEncoding, canonical_bytes, load_object
+from sassafrastally.control.rules import MAX_INTEGER
 from sassafrastally.core import CodedError, error, time_limit
 from sassafrastally.core.kv import KvConflict, KvUnavailable, KvWrite, LeaseLost, MaybeApplied
 from sassafrastally.core.settings import check_table
@@ -71,6 +72,8 @@
     fence, problems = check_table(load_object(data, MAX_FENCE_BYTES, "fence"), Fence)
     if fence is None:
         raise BadEncoding(f"fence: {problems[0]}")
+    if not 0 <= fence.number < MAX_INTEGER:
+        raise BadEncoding("the fencing number is out of range")
     return fence
 
 
--- a/packages/control/src/sassafrastally/control/placement.py
+++ b/packages/control/src/sassafrastally/control/placement.py
@@ -58,6 +58,7 @@
         self._tenure: Tenure | None = None
         self._lines: dict[str, EngineLine] = {}
         self._models: tuple[Model, ...] = ()
+        self._unreadable = ""
         self._unchanged_for: tuple[int, list[EngineView]] | None = None
         """Generation and engines for which the lines were last found to need no change."""
 
@@ -98,11 +99,18 @@
             except (KvUnavailable, MaybeApplied, LeaseLost, TenureOver):
                 continue
             except BadEncoding as cause:
-                self.kernel.events.emit(PlacementUnreadable(cause.detail))
+                self._report_unreadable(cause.detail)
                 continue
+            self._unreadable = ""
             if tenure is not None:
                 await self._run_tenure(tenure)
 
+    def _report_unreadable(self, detail: str) -> None:
+        """Log once that the fence can't be decoded, not at each attempt."""
+        if detail != self._unreadable:
+            self._unreadable = detail
+            self.kernel.events.emit(PlacementUnreadable(detail))
+
     def _is_candidate(self) -> bool:
         """Return whether this entry is one of the few that compete for the lease.
 
--- a/packages/control/src/sassafrastally/control/placement_orders.py
+++ b/packages/control/src/sassafrastally/control/placement_orders.py
@@ -8,6 +8,7 @@
 import trio
 
 from sassafrastally.core import time_limit
+from sassafrastally.wire.codec import BadFrame
 from sassafrastally.wire.link import LinkCut, LinkRefused, StreamEnded
 from sassafrastally.wire.messages import PlacementOrder, PlacementReply
 from sassafrastally.wire.streams import TooManyStreams
@@ -105,7 +106,7 @@
                 self._tenure.check()
                 await limit.require_time()
                 reply = await link.call(order)
-            except (LinkRefused, LinkCut, StreamEnded, TooManyStreams):
+            except (LinkRefused, LinkCut, StreamEnded, TooManyStreams, BadFrame):
                 return None
             if not isinstance(reply, PlacementReply):
                 return None
