Replace an entry without a lease under the key of the placement holder

Seen by callers: models that operators roll are never placed, and a lost replica isn't replaced, while an entry of another writer lies under the holder's key.

Cause: any entry under the key counted as a holder. A holder's entry is attached to its lease and goes with it; this one never expires. The test fails on the code before: no version change in 300 s.

Change: an entry without a lease is no holder, and the next one replaces it by compare-and-swap, in the transaction that raises the fence.

--- a/packages/control/src/sassafrastally/control/lease_holder.py
+++ b/packages/control/src/sassafrastally/control/lease_holder.py
@@ -232,7 +232,8 @@
             When the value of the fence key is malformed.
         """
         keys, purpose = self._keys, self._keys.purpose
-        if await self._kv.get(keys.holder, purpose=purpose) is not None:
+        held = await self._kv.get(keys.holder, purpose=purpose)
+        if held is not None and held.lease_id:
             return None
         entry = await self._kv.get(keys.fence, purpose=purpose)
         last = decode_fence(entry.value).number if entry else 0
@@ -240,7 +241,9 @@
         lease_id = await self._kv.grant_lease(self._lease_s, purpose=purpose)
         tenure = Tenure(self._kernel, self._kv, keys, last + 1, lease_id, self._lease_s)
         tenure.confirm(sent_s)
-        holder = KvWrite(keys.holder, self._kernel.vm.encode(), 0, lease_id)
+        # An entry without a lease is of another writer and never expires; it is replaced.
+        held_revision = held.mod_revision if held else 0
+        holder = KvWrite(keys.holder, self._kernel.vm.encode(), held_revision, lease_id)
         try:
             await tenure.write([holder], expected_revision=entry.mod_revision if entry else 0)
             tenure.check()
--- a/packages/control/tests/test_odd_placement.py
+++ b/packages/control/tests/test_odd_placement.py
@@ -123,3 +123,16 @@
             entry = deployment.kv.range(KEYS.fence)
             assert entry is not None
             assert decode_fence(entry.value).number >= 8
+
+
+class TestOddHolder:
+    async def test_an_entry_without_a_lease_holds_no_placement(self, autojump_clock: Any) -> None:
+        """Guards against models that are never placed.
+
+        An entry of another writer under the holder's key never expires, and no process became the
+        holder while it was there.
+        """
+        async with deployed() as deployment:
+            deployment.put(KEYS.holder, b"\xff")
+            await deployment.roll(bundle("2"))
+            await deployment.wait_versions("reader@2")
