Use the readable parts of the placement record beside odd ones

Seen by callers: one odd part of the record, or any entry under its prefix, stops placement for all engines: rolled models aren't loaded, lost replicas aren't replaced.

Cause: the holder read all entries under the prefix as one record and gave up its tenure if one couldn't be decoded, again at each attempt. A line in the part of another VM replaced that VM's own.

Change: parts that can't be decoded are reported, and their engines count as engines without lines: the holder adopts what they run and writes the part again. Other keys, and lines of VMs that belong to other parts, are ignored. A sidecar keeps its last line while its part is odd.

--- a/packages/control/src/sassafrastally/control/placement.py
+++ b/packages/control/src/sassafrastally/control/placement.py
@@ -136,8 +136,6 @@
             reason = _first_detail(over)
         except* (KvUnavailable, MaybeApplied):
             pass  # The outcome of the last write is unknown; the next tenure rereads the record.
-        except* BadEncoding as cause:
-            self.kernel.events.emit(PlacementUnreadable(_first_detail(cause)))
         finally:
             self._tenure = None
         self.kernel.events.emit(PlacementHolderEnded(tenure.fence, reason))
@@ -146,7 +144,10 @@
     async def _run_rounds(self, tenure: Tenure) -> None:
         """Run rounds that poll engines, update the record and send orders."""
         settings = self._settings
-        self._lines, self._unchanged_for = await read_lines(self._kv), None
+        recorded = await read_lines(self._kv)
+        self._lines, self._unchanged_for = recorded.lines, None
+        for detail in recorded.unreadable:
+            self.kernel.events.emit(PlacementUnreadable(detail))
         times = OrderTimes(settings.question_time_limit_s, settings.order_time_limit_s)
         sender = OrderSender(self._peers, tenure, times)
         fleet = EngineFleet(self._membership, sender, settings.absent_s)
--- a/packages/control/src/sassafrastally/control/placement_record.py
+++ b/packages/control/src/sassafrastally/control/placement_record.py
@@ -34,6 +34,9 @@
 
 MAX_TRANSACTION_BYTES = 900_000
 
+MAX_DETAIL_CHARACTERS = 500
+"""Maximum length of the reason why a part can't be decoded, which may quote its values."""
+
 
 class _Part(NamedTuple):
     """Value of one part."""
@@ -48,6 +51,17 @@
     """Fencing number of the last holder; 0 before the first one."""
     line: EngineLine | None
     """``None`` if the record has no line for the VM."""
+    is_readable: bool = True
+    """Whether the part that holds the VM's line can be decoded."""
+
+
+class RecordedLines(NamedTuple):
+    """All lines of the record."""
+
+    lines: dict[str, EngineLine]
+    """Lines by VM."""
+    unreadable: tuple[str, ...]
+    """Details of the parts that can't be decoded."""
 
 
 def part_key(index: int) -> str:
@@ -60,10 +74,24 @@
     return blake2b(vm.encode(), digest_size=1).digest()[0] % PARTS
 
 
-async def read_lines(kv: Kv) -> dict[str, EngineLine]:
-    """Return all lines by VM; raises `KvUnavailable`, `BadEncoding`."""
+async def read_lines(kv: Kv) -> RecordedLines:
+    """Return the lines of all parts that can be decoded; raises `KvUnavailable`.
+
+    The engines of the other parts count as engines without lines: the holder adopts what they run
+    and writes the part again.
+    """
     entries = await kv.get_prefix(PART_PREFIX, purpose=PURPOSE)
-    return {line.vm: line for entry in entries for line in _decode(entry.value).lines}
+    parts = {part_key(index): index for index in range(PARTS)}
+    lines: dict[str, EngineLine] = {}
+    unreadable: list[str] = []
+    for entry in entries:
+        if entry.key not in parts:
+            continue
+        try:
+            lines |= _lines_of(parts[entry.key], entry.value)
+        except BadEncoding as cause:
+            unreadable.append(f"{entry.key}: {cause.detail}")
+    return RecordedLines(lines, tuple(unreadable))
 
 
 async def read_line(kv: Kv, vm: str) -> RecordedLine:
@@ -74,11 +102,15 @@
     The fence is read last. If it were read first, a new holder could write the line in between,
     and the sidecar would apply that line under the older fencing number.
     """
-    part = await kv.get(part_key(part_of(vm)), purpose=PURPOSE)
+    index = part_of(vm)
+    part = await kv.get(part_key(index), purpose=PURPOSE)
     fence = await kv.get(KEYS.fence, purpose=PURPOSE)
-    lines = _decode(part.value).lines if part else ()
-    line = next((line for line in lines if line.vm == vm), None)
-    return RecordedLine(decode_fence(fence.value).number if fence else 0, line)
+    number = decode_fence(fence.value).number if fence else 0
+    try:
+        lines = _lines_of(index, part.value) if part else {}
+    except BadEncoding:
+        return RecordedLine(number, None, is_readable=False)
+    return RecordedLine(number, lines.get(vm))
 
 
 async def write_lines(
@@ -119,8 +151,9 @@
     return value
 
 
-def _decode(data: bytes) -> _Part:
+def _lines_of(index: int, data: bytes) -> dict[str, EngineLine]:
+    """Return the lines of a part, without those of VMs that belong to other parts."""
     part, problems = check_table(load_object(data, MAX_VALUE_BYTES, "placement part"), _Part)
     if part is None:
-        raise BadEncoding(f"placement part: {problems[0]}")
-    return part
+        raise BadEncoding(f"placement part: {problems[0]}"[:MAX_DETAIL_CHARACTERS])
+    return {line.vm: line for line in part.lines if part_of(line.vm) == index}
--- a/packages/control/tests/test_odd_placement.py
+++ b/packages/control/tests/test_odd_placement.py
@@ -14,12 +14,18 @@
 from sassafrastally.control.placement import PlacementService
 from sassafrastally.control.placement_record import (
     KEYS,
+    PART_PREFIX,
+    PARTS,
+    part_key,
+    part_of,
+    read_line,
 )
 from sassafrastally.control.placement_settings import PlacementSettings
 from sassafrastally.sidecar.placement_agent import PlacementAgent, PlacementAgentSettings
 from sassafrastally.stores import ANY_REVISION, KvWrite
 from sassafrastally.testing.deployment import Deployment, DeploymentShape, VmSpec, key_digest
 from sassafrastally.testing.engine_model import EngineShape
+from sassafrastally.testing.kv_fake import FakeKv
 from sassafrastally.testing.network import MemoryNetwork
 
 if TYPE_CHECKING:
@@ -136,3 +142,38 @@
             deployment.put(KEYS.holder, b"\xff")
             await deployment.roll(bundle("2"))
             await deployment.wait_versions("reader@2")
+
+
+class TestOddParts:
+    @pytest.mark.parametrize("odd", ODD_PARTS, ids=range(len(ODD_PARTS)))
+    async def test_odd_parts_stop_no_change_of_models(
+        self, autojump_clock: Any, odd: bytes
+    ) -> None:
+        """Guards against a placement that stops for all engines by one odd part of its record."""
+        async with deployed() as deployment:
+            for index in range(PARTS):
+                deployment.put(part_key(index), odd)
+            for key in (PART_PREFIX + "99", PART_PREFIX + "odd", PART_PREFIX + "00/1"):
+                deployment.put(key, odd)
+            await deployment.roll(bundle("2"))
+            await deployment.wait_versions("reader@2")
+            assert 0 < len(deployment.unreadable()) <= PARTS
+            assert all(len(detail) < 1_000 for detail in deployment.unreadable())
+            for vm in deployment.engines:
+                recorded = await read_line(FakeKv(deployment.kv), vm)
+                assert recorded.line is not None
+
+    async def test_a_line_in_the_part_of_another_engine_is_ignored(
+        self, autojump_clock: Any
+    ) -> None:
+        """Guards against an engine that gets the models of a line outside of its part."""
+        vm = "engine-0"
+        odd = {"lines": [{"vm": vm, "models": [], "role": "odd"}]}
+        async with deployed() as deployment:
+            for index in range(PARTS):
+                if index != part_of(vm):
+                    deployment.put(part_key(index), json.dumps(odd).encode())
+            deployment.put(PART_PREFIX + "99", json.dumps(odd).encode())
+            await deployment.roll(bundle("2"))
+            await deployment.wait_versions("reader@2")
+            assert deployment.engines[vm].placement.role == "general"
--- a/packages/sidecar/src/sassafrastally/sidecar/placement_agent.py
+++ b/packages/sidecar/src/sassafrastally/sidecar/placement_agent.py
@@ -254,7 +254,8 @@
             models = ", ".join(model.versioned_name for model in placed)
             self.kernel.events.emit(PlacementFenceLearned(recorded.fence, models))
         self._highest = max(self.highest_fence, recorded.fence)
-        self._line = recorded.line
+        if recorded.is_readable:  # Otherwise the holder writes the part again.
+            self._line = recorded.line
         self._adapters.update(recorded.line.adapters if recorded.line else ())
 
     async def _compare_periodically(self) -> None:
