Report odd TOML documents as findings

Seen by operators: a bundle, key or settings file with deep nesting or a number of thousands of digits fails with an internal error (500 from the administration interface) in place of a finding.

Cause: RecursionError and ValueError of the parser, and of showing such a number in a finding, weren't caught.

Change: both are findings; integers have at most 64 bits in all tables.

--- a/packages/control/src/sassafrastally/control/compile.py
+++ b/packages/control/src/sassafrastally/control/compile.py
@@ -52,7 +52,7 @@
     """
     try:
         document = tomllib.loads(text)
-    except tomllib.TOMLDecodeError as cause:
+    except (ValueError, RecursionError) as cause:  # Nesting and numbers of any size, too.
         line = int(match[1]) if (match := _TOML_LINE.search(str(cause))) else 0
         raise FindingsError([Finding(Place(file, line, ""), str(cause))]) from cause
     return _Compiler(document, toml_lines(text), file).compile()
--- a/packages/control/src/sassafrastally/control/operations.py
+++ b/packages/control/src/sassafrastally/control/operations.py
@@ -43,6 +43,8 @@
 
 WATCHERS = ROOT + "watcher/"
 
+MAX_GENERATION_DIGITS = 16
+
 
 class CheckedBundle(NamedTuple):
     """Summary of a document without findings."""
@@ -139,7 +141,7 @@
     head: Head | None = None
     if reference == "head":
         head = await read_head(kv)
-    elif reference.isdecimal():
+    elif reference.isdecimal() and len(reference) <= MAX_GENERATION_DIGITS:
         head = await read_generation(kv, int(reference))
     if head is None:
         raise UnknownBundle(f"no bundle has the digest or generation {reference!r}")
--- a/packages/control/src/sassafrastally/control/signing.py
+++ b/packages/control/src/sassafrastally/control/signing.py
@@ -134,7 +134,7 @@
     """
     try:
         key, problems = check_table(tomllib.loads(text), SigningKey)
-    except tomllib.TOMLDecodeError:
+    except (ValueError, RecursionError):
         raise BadSigningKey("the key file is not valid TOML") from None
     if key is None:
         raise BadSigningKey(f"the key file's {problems[0][0] or 'content'} is invalid")
--- a/packages/core/src/sassafrastally/core/settings.py
+++ b/packages/core/src/sassafrastally/core/settings.py
@@ -49,6 +49,9 @@
 """Problems after which the items of a list aren't checked further. Some 100,000 items of the wrong
 type, in a record of another writer, would block the process for seconds."""
 
+MAX_INTEGER_BITS = 64
+"""Larger integers fail in arithmetic and in messages, and can't even be shown from some size on."""
+
 _TABLE = re.compile(r"^\s*\[{1,2}\s*([^\]]+?)\s*\]{1,2}")
 _KEY = re.compile(r"^\s*([A-Za-z0-9_.\"-]+)\s*=")
 _TOML_LINE = re.compile(r"at line (\d+)")
@@ -98,7 +101,7 @@
     """
     try:
         document = tomllib.loads(text)
-    except tomllib.TOMLDecodeError as cause:
+    except (ValueError, RecursionError) as cause:  # Nesting and numbers of any size, too.
         line = int(match[1]) if (match := _TOML_LINE.search(str(cause))) else 0
         raise FindingsError([Finding(Place(file, line, ""), str(cause))]) from cause
     lines = toml_lines(text)
@@ -208,6 +211,8 @@
             shown = "a secret" if kind is Secret else f"{value!r:.200}"
             wanted = "str" if kind is Secret else kind.__name__
             raise TypeError(f"must be of type {wanted}, not {shown}")
+        if kind is int and cast("int", value).bit_length() > MAX_INTEGER_BITS:
+            raise ValueError(f"must be an integer of at most {MAX_INTEGER_BITS} bits")
         return kind(value)
 
     return structure
