Contain odd bodies of administration calls between processes

Seen by operators: a query of the whole fleet fails as a whole by the reply of one process, and a call with a nested body ends the process that gets it.

Cause: a reply was decoded outside of the handling of failed calls; the decoding of a call raised RecursionError, which is no coded error, in a task below the kernel's nursery.

Change: a reply or call that isn't a JSON object is one process without an answer, or one refused call.

--- a/packages/control/src/sassafrastally/control/admin.py
+++ b/packages/control/src/sassafrastally/control/admin.py
@@ -8,6 +8,7 @@
 import trio
 
 from sassafrastally.core import CodedError, Kernel, Registry, Service, error
+from sassafrastally.core.json_documents import load_json
 from sassafrastally.core.metrics_text import metrics_text
 from sassafrastally.wire.link import LinkCut, LinkRefused, StreamEnded
 from sassafrastally.wire.messages import MAX_FRAME_BYTES, AdminCall, AdminReturn, Message
@@ -76,7 +77,10 @@
             return AdminAnswer(state.vm, None, f"no answer within {ASK_TIME_LIMIT_S:g} s")
         if not isinstance(reply, AdminReturn) or reply.status != STATUS_OK:
             return AdminAnswer(state.vm, None, "the process refused the question")
-        return AdminAnswer(state.vm, json.loads(reply.body))
+        try:
+            return AdminAnswer(state.vm, _decode(reply.body))
+        except ValueError as cause:
+            return AdminAnswer(state.vm, None, str(cause))
 
     async def ask_all(
         self, states: Sequence[VmState], method: str, body: dict[str, Any]
@@ -102,9 +106,9 @@
             await stream.send(AdminReturn(STATUS_NOT_FOUND, b"{}"))
             return
         try:
-            body = json.loads(call.body or b"{}")
+            body = _decode(call.body or b"{}")
         except ValueError as cause:
-            raise AdminCallFailed(f"body of {call.method} is not JSON") from cause
+            raise AdminCallFailed(f"body of {call.method}: {cause}") from cause
         data = json.dumps(await self.ask_here(call.method, body)).encode()
         if len(data) > MAX_REPLY_BYTES:
             await stream.send(AdminReturn(STATUS_TOO_LARGE, b"{}"))
@@ -112,6 +116,16 @@
         await stream.send(AdminReturn(STATUS_OK, data))
 
 
+def _decode(data: bytes) -> dict[str, Any]:
+    try:
+        body = load_json(data)
+    except ValueError as cause:
+        raise ValueError("not JSON") from cause
+    if not isinstance(body, dict):
+        raise ValueError("not a JSON object")
+    return body
+
+
 @ADMIN_METHODS.register("status")
 async def answer_status(kernel: Kernel, _body: dict[str, Any]) -> dict[str, Any]:
     """Return the status of each service of this process."""
