Refuse a claim layout whose values are out of range

Seen by callers: every request with an idempotency key fails without an answer while a layout of another writer is in the KV service, for instance one without shards.

Cause: numbers were converted without a range (RecursionError and OverflowError in the decoder, ZeroDivisionError and ValueError in the hash and the number of the shard), in the request's task.

Blocks and heads of shards, cut and overwritten, were found sound.

Change: each field has a type and a range. Requests with a key are refused with claims-unavailable, which is true and not run, until the layout is mended.

--- a/packages/serving/src/sassafrastally/serving/claim_layout.py
+++ b/packages/serving/src/sassafrastally/serving/claim_layout.py
@@ -9,8 +9,9 @@
 
 import json
 from hashlib import blake2b
-from typing import TYPE_CHECKING, NamedTuple
+from typing import TYPE_CHECKING, Any, NamedTuple
 
+from sassafrastally.core.json_documents import load_json
 from sassafrastally.core.kv import KvConflict, KvWrite, MaybeApplied
 from sassafrastally.core.settings import section
 from sassafrastally.serving.claim_shard import HASH_BYTES, BadClaimValue
@@ -102,6 +103,12 @@
     raise MaybeApplied(f"{LAYOUT_KEY}: no stored layout found in {READ_ATTEMPTS} reads")
 
 
+MAX_SHARDS = 1_000_000
+MAX_RETENTION_S = 1e9
+MAX_CLOSED_SEGMENTS = 1_000_000
+"""Largest values of a stored layout; another writer's may be of any size."""
+
+
 def _encode(layout: ClaimLayout) -> bytes:
     fields = layout._asdict()
     fields["salt"] = layout.salt.hex()
@@ -110,12 +117,21 @@
 
 def _decode(value: bytes) -> ClaimLayout:
     try:
-        fields = json.loads(value)
-        return ClaimLayout(
+        fields = load_json(value)
+        layout = ClaimLayout(
             bytes.fromhex(fields["salt"]),
-            int(fields["shards"]),
-            float(fields["retention_s"]),
-            int(fields["max_closed_segments"]),
+            _number(fields["shards"], MAX_SHARDS, int),
+            float(_number(fields["retention_s"], MAX_RETENTION_S, int, float)),
+            _number(fields["max_closed_segments"], MAX_CLOSED_SEGMENTS, int),
         )
     except (ValueError, KeyError, TypeError) as cause:
         raise BadClaimValue("cannot decode the claim layout") from cause
+    if not 0 < len(layout.salt) <= blake2b.MAX_KEY_SIZE:
+        raise BadClaimValue("the claim layout has an invalid salt")
+    return layout
+
+
+def _number(value: Any, most: float, *kinds: type) -> Any:
+    if type(value) not in kinds or not 0 < value <= most:
+        raise ValueError("out of range")
+    return value
