Handle a signal that is repeated while the program is loaded once

What callers would see: a longer start. Each of many SIGHUPs that come while the program is loaded would read the settings file anew before the entry serves.

Cause: EarlySignals kept each signal, where trio's receiver keeps each kind once.

Evidence, red before: test_repeated_reload_is_handled_once had 1,000 signals to handle for 1,000 raised, test_age_counts_from_the_first_of_a_kind two for two.

Change: one of a kind is kept, with the age of the first, so that a repeated stop signal doesn't extend the time to stop either.

--- a/packages/proxy/src/sassafrastally/proxy/early_signals.py
+++ b/packages/proxy/src/sassafrastally/proxy/early_signals.py
@@ -18,7 +18,8 @@
     """Signals received while nothing else handles them."""
 
     def __init__(self) -> None:
-        self._received: list[tuple[int, float]] = []
+        self._received: dict[int, float] = {}
+        """When each was first received; one that comes again asks for nothing new."""
 
     def record(self) -> None:
         """Record signals from now on instead of their default actions."""
@@ -27,9 +28,9 @@
 
     def take(self) -> list[tuple[int, float]]:
         """Return the signals received so far, each with its age in seconds, and forget them."""
-        received, self._received = self._received, []
+        received, self._received = self._received, {}
         now_s = monotonic()
-        return [(number, now_s - received_s) for number, received_s in received]
+        return [(number, now_s - received_s) for number, received_s in received.items()]
 
     def ignore(self) -> None:
         """Ignore signals from now on: the interpreter restores other handlers to their defaults
@@ -38,4 +39,4 @@
             _signal.signal(number, _signal.SIG_IGN)
 
     def _note(self, number: int, _frame: object) -> None:
-        self._received.append((number, monotonic()))
+        self._received.setdefault(number, monotonic())
