Soak: stop entries again while they load, and judge that a stop is graceful

No trouble asked an entry to stop in the tenths of a second between the opening of its port and the end of its load, and an exit code of -15 was always excused as a signal that met the interpreter before the program's first statement.

After half of the stops of callers-reconnect the next process is asked to stop within 0.3 s after its port is open, with callers connected. Where the port is open at the signal, -15 breaks the promise "a stop is graceful". Connections around the stop of a process that has just started are judged too.

--- a/packages/testing/src/sassafrastally/testing/soak/fleet.py
+++ b/packages/testing/src/sassafrastally/testing/soak/fleet.py
@@ -342,13 +342,18 @@
             await trio.sleep(BALANCER_S if status == 200 else BALANCER_S / 2)
 
     async def stop_entry(self, number: int) -> None:
-        """Ask an entry to stop and wait until it has ended, by force in the end."""
+        """Ask an entry to stop and wait until it has ended, by force in the end.
+
+        With its port open, connections may wait for it: the signal may not end it at once.
+        """
         entry = self.entries[number]
-        ends = entry.ends
+        ends, has_port = entry.ends, entry.accepts_callers()
         entry.signal(signal.SIGTERM)
         with trio.move_on_after(STOP_TIME_S + 1.0):
             while entry.ends == ends:
                 await trio.sleep(LOOK_S)
+            if has_port and entry.exit_codes[ends] == -signal.SIGTERM:
+                self.record.note_broken("a stop is graceful", f"entry {number}, its port open")
             return
         entry.signal(signal.SIGKILL)
 
--- a/packages/testing/src/sassafrastally/testing/soak/probing.py
+++ b/packages/testing/src/sassafrastally/testing/soak/probing.py
@@ -49,7 +49,8 @@
 
 ASKED_TO_END = frozenset({0, -signal.SIGTERM, -signal.SIGKILL})
 """Exit codes of processes that the soak itself ended: in order, by a signal that met the
-interpreter before the program's first statement, or by force."""
+interpreter before the program's first statement, or by force. `SoakFleet.stop_entry` judges the
+second where the port is open."""
 
 CRASH_SIGNS = ("Traceback (most recent call last)", "ConnectionCrashed")
 
--- a/packages/testing/src/sassafrastally/testing/soak/reconnecting.py
+++ b/packages/testing/src/sassafrastally/testing/soak/reconnecting.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from functools import partial
 from itertools import pairwise
 from typing import TYPE_CHECKING
 
@@ -12,9 +13,11 @@
 from sassafrastally.stand_ins.caller_requests import encode_request
 from sassafrastally.testing.soak.callers import CONNECT_TIME_S, Caller
 from sassafrastally.testing.soak.record import Kind
-from sassafrastally.testing.soak.troubles import STOPPED, some_entries, stop_one, trouble
+from sassafrastally.testing.soak.troubles import STARTED, STOPPED, some_entries, stop_one, trouble
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from sassafrastally.testing.soak.fleet import SoakFleet
     from sassafrastally.testing.soak.record import Attempt
 
@@ -28,6 +31,15 @@
 STOP_SHARE = 0.8
 """Share of these times in which the entry is asked to stop; otherwise callers press on."""
 
+AGAIN_SHARE = 0.5
+"""Share of the stops after which the next process is asked to stop while it loads."""
+
+LOADING_S = (0.0, 0.3)
+"""How long after its port is open."""
+
+LOOK_S = 0.005
+"""How often callers look whether the port is open."""
+
 MOST_S = 8.0
 """How long they press at most; they end sooner if the entry refuses connections."""
 
@@ -109,17 +121,36 @@
 
 @trouble(RECONNECTING)
 async def reconnect(fleet: SoakFleet) -> None:
-    """Let callers reconnect for each request at an entry, which usually is asked to stop."""
+    """Let callers reconnect for each request at an entry, which usually is asked to stop.
+
+    Its next process may be asked to stop again while it loads.
+    """
     (number,) = some_entries(fleet, 0.0)
+    is_stopped = fleet.random.random() < STOP_SHARE
     with fleet.record.trouble(RECONNECTING, [number], planned=True):
-        async with trio.open_nursery() as nursery:
-            with trio.move_on_after(MOST_S):
-                async with trio.open_nursery() as callers:
-                    for _ in range(fleet.random.randint(*CALLERS)):
-                        callers.start_soon(ReconnectingCaller(fleet, number).press_until_refused)
-                    await trio.sleep(fleet.random.uniform(*PRESS_S))
-                    if fleet.random.random() < STOP_SHARE:
-                        nursery.start_soon(stop_one, fleet, number)
+        async with trio.open_nursery() as stops:
+            stop = partial(stops.start_soon, stop_one, fleet, number)
+            await _press(
+                fleet, number, fleet.random.uniform(*PRESS_S), stop if is_stopped else None
+            )
+            if is_stopped and fleet.random.random() < AGAIN_SHARE:
+                with trio.move_on_after(MOST_S):
+                    while not fleet.entries[number].accepts_callers():
+                        await trio.sleep(LOOK_S)
+                    await _press(fleet, number, fleet.random.uniform(*LOADING_S), stop)
+
+
+async def _press(
+    fleet: SoakFleet, number: int, before_stop_s: float, stop: Callable[[], None] | None
+) -> None:
+    """Let callers press until they are refused; ask the entry to stop meanwhile."""
+    with trio.move_on_after(MOST_S):
+        async with trio.open_nursery() as callers:
+            for _ in range(fleet.random.randint(*CALLERS)):
+                callers.start_soon(ReconnectingCaller(fleet, number).press_until_refused)
+            await trio.sleep(before_stop_s)
+            if stop is not None:
+                stop()
 
 
 def judge_reconnecting(fleet: SoakFleet, attempt: Attempt) -> None:
@@ -140,7 +171,8 @@
         and span.begin_s <= attempt.ended_s
         and span.end_s >= attempt.sent_s
     ]
-    if stops and fleet.record.is_calm(attempt.entry, attempt.sent_s, attempt.ended_s):
+    calm = fleet.record.is_calm(attempt.entry, attempt.sent_s, attempt.ended_s, but_for=(STARTED,))
+    if stops and calm:
         fleet.record.note_broken(
             "who could connect around a planned stop is answered",
             f"{attempt.kind.value} {attempt.attempt_id} at entry {attempt.entry}: cut "
--- a/packages/testing/src/sassafrastally/testing/soak/troubles.py
+++ b/packages/testing/src/sassafrastally/testing/soak/troubles.py
@@ -48,6 +48,7 @@
 second, an engine six times slower, five times as many requests."""
 
 STOPPED = "entry-stopped"
+STARTED = "entry-started"
 
 LINK_HARMS = ("reset", "delay", "squeeze", "cut requests", "cut answers", "silence")
 
@@ -145,7 +146,7 @@
     with fleet.record.trouble(STOPPED, [number], planned=True):
         await fleet.stop_entry(number)
     # The next process begins from nothing; that isn't part of the planned stop.
-    with fleet.record.trouble("entry-started", [number]):
+    with fleet.record.trouble(STARTED, [number]):
         await trio.sleep(STARTED_S)
 
 
