--- a/packages/control/src/sassafrastally/control/watching.py
+++ b/packages/control/src/sassafrastally/control/watching.py
@@ -36,8 +36,8 @@
 class Listener(Protocol):
     """Receiver of the watched values."""
 
-    def on_kv_head(self, data: bytes | None) -> None:
-        """Handle the head's bytes; ``None`` if there is no head."""
+    def on_kv_head(self, data: bytes | None, revision: int) -> None:
+        """Handle the head's bytes and revision; ``None`` if there is no head."""
         ...
 
     def on_kv_signature(self, digest: str, data: bytes) -> None:
@@ -96,7 +96,10 @@
     async def read_head(self) -> None:
         """Read the head once and pass it to the listener; raises `KvUnavailable`."""
         entry = await self._kv.get(HEAD, purpose=PURPOSE_SPREAD)
-        self._listener.on_kv_head(entry.value if entry else None)
+        if entry is None:
+            self._listener.on_kv_head(None, 0)
+        else:
+            self._listener.on_kv_head(entry.value, entry.mod_revision)
 
     async def _claim(self) -> _Claim | None:
         """Claim a free slot; if there is none, read the head and return ``None``.
@@ -106,7 +109,9 @@
         """
         data_centre = self._kernel.data_centre
         entries = await self._kv.get_prefix(watcher_prefix(data_centre), purpose=PURPOSE_SPREAD)
-        taken = {entry.key for entry in entries}
+        # A claim always has a lease; an entry without one is of another writer and never expires.
+        taken = {entry.key for entry in entries if entry.lease_id}
+        revisions = {entry.key: entry.mod_revision for entry in entries}
         free_slots = [
             index
             for index in range(self._settings.watchers_per_data_centre)
@@ -119,12 +124,8 @@
         lease_id = await self._kv.grant_lease(
             self._settings.watcher_lease_s, purpose=PURPOSE_SPREAD
         )
-        write = KvWrite(
-            watcher_key(data_centre, index),
-            self._kernel.vm.encode(),
-            expected_revision=0,
-            lease_id=lease_id,
-        )
+        key = watcher_key(data_centre, index)
+        write = KvWrite(key, self._kernel.vm.encode(), revisions.get(key, 0), lease_id)
         revision = await self._kv.write([write], purpose=PURPOSE_SPREAD)
         return _Claim(index, lease_id, revision)
 
@@ -177,7 +178,7 @@
         if event.value is None:
             return
         if event.key == HEAD:
-            self._listener.on_kv_head(event.value)
+            self._listener.on_kv_head(event.value, event.mod_revision)
         elif event.key.startswith(SIGNATURES):
             digest = event.key.removeprefix(SIGNATURES).partition("/")[0]
             self._listener.on_kv_signature(digest, event.value)
