--- a/packages/proxy/src/sassafrastally/proxy/internal_endpoints.py
+++ b/packages/proxy/src/sassafrastally/proxy/internal_endpoints.py
@@ -8,6 +8,7 @@
 import trio
 
 from sassafrastally.core import Acceptor, Service
+from sassafrastally.core.late_limits import deliver_received
 from sassafrastally.core.metrics import hold_values
 from sassafrastally.proxy.backpressure import Backpressure
 from sassafrastally.proxy.caller_listener import CallerListener
@@ -43,9 +44,8 @@
 """Maximum number of bytes received for one request. The requests are a short header; a body is
 discarded."""
 
-LAST_ANSWERS_S = 0.02
-"""Time for the calls that were still waiting when the ports are closed; they are answered from
-memory."""
+CLOSE_TIME_S = 0.05
+"""How long a process that ends waits for resources to accept the calls that are waiting."""
 
 MAX_CONNECTIONS = 1024
 """Maximum number of open connections at each port: three for each entry of a fleet of 340."""
@@ -88,10 +88,11 @@
 
     async def finish(self) -> None:
         """Answer the calls that are waiting at the ports, and close these."""
-        with trio.move_on_after(LAST_ANSWERS_S):
-            closed = [await acceptor.close() for acceptor in self._acceptors]
-            if any(port.accepted for port in closed):
-                await trio.sleep_forever()
+        with trio.move_on_after(CLOSE_TIME_S):
+            for acceptor in self._acceptors:
+                await acceptor.close()
+        # The calls are answered from memory, so that they take turns of the event loop, not time.
+        await deliver_received(trio.current_time())
 
     def _handle_readiness(self, _target: str) -> tuple[int, bytes]:
         """Handle a readiness check.
