Give the last connections of a late entry time for their requests

Cause: idle connections were closed 2.9 s after the signal. The port closes later than 2.6 s if the entry is late, since it reads once more then, and idle connections may then be closed right after it. The class of the incident: a connection counts as idle before its caller had time to send.

Idle connections are now closed 0.3 s after the port at the earliest.

--- a/packages/proxy/src/sassafrastally/proxy/caller_listener.py
+++ b/packages/proxy/src/sassafrastally/proxy/caller_listener.py
@@ -70,6 +70,10 @@
 """Requests on keep-alive connections are accepted until this long after the stop signal. Then idle
 connections are closed: a request sent just before the process exits would be cut off."""
 
+FIRST_REQUEST_S = LAST_REQUEST_AFTER_SIGNAL_S - ACCEPT_AFTER_SIGNAL_S
+"""Time for the request on a connection that is accepted last. Where the process is killed soon, new
+connections are accepted for so much less."""
+
 MAX_TRACEBACK_FRAMES = 12
 """Maximum number of traceback frames logged for an unexpected exception; the innermost ones show
 where it was raised."""
@@ -156,11 +160,12 @@
         ends_s = stop_begin_s + max(0.0, stop_time_s - KILL_MARGIN_S)
         self.kernel.events.emit(ProcessDraining(self.open_requests, stop_time_s))
         self._path.services.drain.begin(ends_s)
-        accepts_s, reads_s = _closing_times(stop_begin_s, ends_s)
+        reads_s = min(stop_begin_s + LAST_REQUEST_AFTER_SIGNAL_S, ends_s)
         with trio.move_on_at(ends_s):
-            await sleep_until_read(accepts_s)
+            await sleep_until_read(reads_s - FIRST_REQUEST_S)
             await self._close_listener()
-            await sleep_until_read(reads_s)
+            # Later than planned if this entry was late: the last connections need their time.
+            await sleep_until_read(max(reads_s, trio.current_time() + FIRST_REQUEST_S))
             self._close_idle()
             await self._all_answered()
             return
@@ -362,16 +367,6 @@
         await reply.send_complete(rejected.refusal.status, headers, body)
 
 
-def _closing_times(stop_begin_s: float, ends_s: float) -> tuple[float, float]:
-    """Return when a stopping entry closes the callers' port, and then idle connections.
-
-    A connection that is accepted last has time for its request; sooner than usual where the process
-    is killed soon.
-    """
-    reads_s = min(stop_begin_s + LAST_REQUEST_AFTER_SIGNAL_S, ends_s)
-    return reads_s - (LAST_REQUEST_AFTER_SIGNAL_S - ACCEPT_AFTER_SIGNAL_S), reads_s
-
-
 def _can_continue(connection: HttpStream) -> bool:
     http = connection.http
     return http.our_state is h11.DONE and http.their_state is h11.DONE
