End the request of a caller that leaves within its body, and connections that are reset

Callers saw nothing; entries kept requests, tasks and descriptors.

Change: only the wait for input is bounded, not the handling; the handling is ended by other tasks after they have noted the disconnect; after the end of the reading a connection isn't idle again.

Evidence: the test of the body fails before.

--- a/packages/entry/src/sassafrastally/entry/http_connection.py
+++ b/packages/entry/src/sassafrastally/entry/http_connection.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING, Any
 
 import trio
@@ -50,7 +51,12 @@
         in a later turn of the event loop."""
         self._is_ending = False
         """Whether nothing more is sent."""
-        self._reading = trio.CancelScope()
+        self._is_read = False
+        """Whether nothing more is read, so that the connection isn't idle after a response."""
+        self._linger_until_s = math.inf
+        self._receiving = trio.CancelScope()
+        self._handling = trio.CancelScope()
+        self._reader: trio.lowlevel.Task | None = None
 
     async def protocol_send(self, event: Event) -> None:
         """Send a response, or take note of a state of the connection."""
@@ -58,40 +64,70 @@
             self._is_idle = event.idle
         if isinstance(event, Closed):
             await self._end_sending()
-            await self.protocol.handle(Closed())
-        else:
+            await self._notify_closed()
+        elif isinstance(event, RawData):
+            await self._send(event.data)
+        elif not self._is_read:
             await super().protocol_send(event)
 
+    async def _send(self, data: bytes) -> None:
+        async with self.send_lock:
+            try:
+                with trio.CancelScope(shield=True):
+                    await self.stream.send_all(data)
+                return
+            except (trio.BrokenResourceError, trio.ClosedResourceError):
+                self._linger(0)
+        await self._notify_closed()
+
     async def _end_sending(self) -> None:
         if self._is_ending:
             return
         self._is_ending = True
-        self._reading.deadline = trio.current_time() + LINGER_S
         async with self.send_lock:
             try:
                 await self.stream.send_eof()
+                self._linger(LINGER_S)
             except (trio.BrokenResourceError, trio.ClosedResourceError):
-                self._reading.cancel()
+                self._linger(0)
+
+    def _linger(self, limit_s: float) -> None:
+        self._linger_until_s = min(self._linger_until_s, trio.current_time() + limit_s)
+        self._receiving.deadline = self._linger_until_s
+
+    async def _notify_closed(self) -> None:
+        await self.protocol.handle(Closed())
+        # The reading task may wait for the end of a response, which doesn't come any more. If this
+        # is that task, it goes on by itself.
+        if trio.lowlevel.current_task() is not self._reader:
+            self._handling.cancel()
 
     async def _read_data(self) -> None:
+        self._reader = trio.lowlevel.current_task()
         discarded_bytes = 0
-        with self._reading:
-            while (data := await self._receive()) is not None:
-                if not self._is_ending:
+        while (data := await self._receive()) is not None:
+            if not self._is_ending:
+                with self._handling:
                     await self.protocol.handle(RawData(bytes(data)))
-                discarded_bytes += len(data) if self._is_ending else 0
-                if not data or discarded_bytes > LINGER_BYTES:
-                    break
+                self._handling = trio.CancelScope()
+            discarded_bytes += len(data) if self._is_ending else 0
+            if not data or discarded_bytes > LINGER_BYTES:
+                break
+        self._is_read = True
         # The task would keep the connection open for as long as it may be idle.
         await self.idle_task.stop()
-        await self.protocol.handle(Closed())
+        # Ends even if nothing takes the note: the application has ended.
+        with trio.move_on_after(LINGER_S):
+            await self.protocol.handle(Closed())
 
     async def _receive(self) -> bytes | bytearray | None:
-        """Return what has arrived, nothing at the end; ``None`` if the connection is lost."""
-        try:
-            return await self.stream.receive_some(MAX_RECV)
-        except (trio.ClosedResourceError, trio.BrokenResourceError):
-            return None
+        """Return what has arrived, nothing at the end; ``None`` if no more is read."""
+        with trio.CancelScope(deadline=self._linger_until_s) as self._receiving:
+            try:
+                return await self.stream.receive_some(MAX_RECV)
+            except (trio.ClosedResourceError, trio.BrokenResourceError):
+                pass
+        return None
 
     async def _idle_timeout(self) -> None:
         with trio.move_on_after(self.config.keep_alive_timeout):
--- a/packages/entry/tests/test_closing.py
+++ b/packages/entry/tests/test_closing.py
@@ -8,6 +8,7 @@
 
 import pytest
 import trio
+from quart import request
 from quart_trio import QuartTrio
 
 from sassafrastally.core import Address
@@ -27,13 +28,27 @@
 
 
 @pytest.fixture
-async def server(nursery: trio.Nursery) -> AsyncIterator[AsgiServer]:
+async def body_ended() -> trio.Event:
+    """Set when the handler that reads a body has ended."""
+    return trio.Event()
+
+
+@pytest.fixture
+async def server(nursery: trio.Nursery, body_ended: trio.Event) -> AsyncIterator[AsgiServer]:
     app = QuartTrio("test")
 
     @app.route("/whole", methods=["GET", "POST"])
     async def whole() -> str:
         return "whole"
 
+    @app.route("/body", methods=["POST"])
+    async def body() -> str:
+        try:
+            await request.get_data()
+        finally:
+            body_ended.set()
+        return "whole"
+
     @app.route("/refused", methods=["POST"])
     async def refused() -> tuple[str, int]:
         return "too large", 413
@@ -159,6 +174,16 @@
             with trio.fail_after(2):
                 assert (await read_all(stream)).endswith(b"whole")
 
+    async def test_client_that_leaves_within_its_body_ends_its_request(
+        self, server: AsgiServer, body_ended: trio.Event
+    ) -> None:
+        """Guards against a note of the disconnect that is cancelled on its way, when the response
+        to the malformed body can't be sent: the request would wait for its body without end."""
+        async with await trio.open_tcp_stream("127.0.0.1", server.bound_address.port) as stream:
+            await stream.send_all(POST.replace(b"/refused", b"/body") % 4 + b"b")
+        with trio.fail_after(2):
+            await body_ended.wait()
+
 
 class TestEarlyResponse:
     """A response that is complete before its request has arrived whole."""
