--- a/packages/control/src/sassafrastally/control/lease_holder.py
+++ b/packages/control/src/sassafrastally/control/lease_holder.py
@@ -15,6 +15,7 @@
 import trio
 
 from sassafrastally.control.canonical import BadEncoding, canonical_bytes, load_object
+from sassafrastally.control.rules import MAX_INTEGER
 from sassafrastally.core import CodedError, error, time_limit
 from sassafrastally.core.kv import KvConflict, KvUnavailable, KvWrite, LeaseLost, MaybeApplied
 from sassafrastally.core.settings import check_table
@@ -71,6 +72,8 @@
     fence, problems = check_table(load_object(data, MAX_FENCE_BYTES, "fence"), Fence)
     if fence is None:
         raise BadEncoding(f"fence: {problems[0]}")
+    if not 0 <= fence.number < MAX_INTEGER:
+        raise BadEncoding("the fencing number is out of range")
     return fence
 
 
@@ -229,7 +232,8 @@
             When the value of the fence key is malformed.
         """
         keys, purpose = self._keys, self._keys.purpose
-        if await self._kv.get(keys.holder, purpose=purpose) is not None:
+        held = await self._kv.get(keys.holder, purpose=purpose)
+        if held is not None and held.lease_id:
             return None
         entry = await self._kv.get(keys.fence, purpose=purpose)
         last = decode_fence(entry.value).number if entry else 0
@@ -237,7 +241,9 @@
         lease_id = await self._kv.grant_lease(self._lease_s, purpose=purpose)
         tenure = Tenure(self._kernel, self._kv, keys, last + 1, lease_id, self._lease_s)
         tenure.confirm(sent_s)
-        holder = KvWrite(keys.holder, self._kernel.vm.encode(), 0, lease_id)
+        # An entry without a lease is of another writer and never expires; it is replaced.
+        held_revision = held.mod_revision if held else 0
+        holder = KvWrite(keys.holder, self._kernel.vm.encode(), held_revision, lease_id)
         try:
             await tenure.write([holder], expected_revision=entry.mod_revision if entry else 0)
             tenure.check()
--- a/packages/control/src/sassafrastally/control/placement.py
+++ b/packages/control/src/sassafrastally/control/placement.py
@@ -58,6 +58,7 @@
         self._tenure: Tenure | None = None
         self._lines: dict[str, EngineLine] = {}
         self._models: tuple[Model, ...] = ()
+        self._unreadable = ""
         self._unchanged_for: tuple[int, list[EngineView]] | None = None
         """Generation and engines for which the lines were last found to need no change."""
 
@@ -98,11 +99,18 @@
             except (KvUnavailable, MaybeApplied, LeaseLost, TenureOver):
                 continue
             except BadEncoding as cause:
-                self.kernel.events.emit(PlacementUnreadable(cause.detail))
+                self._report_unreadable(cause.detail)
                 continue
+            self._unreadable = ""
             if tenure is not None:
                 await self._run_tenure(tenure)
 
+    def _report_unreadable(self, detail: str) -> None:
+        """Log once that the fence can't be decoded, not at each attempt."""
+        if detail != self._unreadable:
+            self._unreadable = detail
+            self.kernel.events.emit(PlacementUnreadable(detail))
+
     def _is_candidate(self) -> bool:
         """Return whether this entry is one of the few that compete for the lease.
 
@@ -128,8 +136,6 @@
             reason = _first_detail(over)
         except* (KvUnavailable, MaybeApplied):
             pass  # The outcome of the last write is unknown; the next tenure rereads the record.
-        except* BadEncoding as cause:
-            self.kernel.events.emit(PlacementUnreadable(_first_detail(cause)))
         finally:
             self._tenure = None
         self.kernel.events.emit(PlacementHolderEnded(tenure.fence, reason))
@@ -138,7 +144,10 @@
     async def _run_rounds(self, tenure: Tenure) -> None:
         """Run rounds that poll engines, update the record and send orders."""
         settings = self._settings
-        self._lines, self._unchanged_for = await read_lines(self._kv), None
+        recorded = await read_lines(self._kv)
+        self._lines, self._unchanged_for = recorded.lines, None
+        for detail in recorded.unreadable:
+            self.kernel.events.emit(PlacementUnreadable(detail))
         times = OrderTimes(settings.question_time_limit_s, settings.order_time_limit_s)
         sender = OrderSender(self._peers, tenure, times)
         fleet = EngineFleet(self._membership, sender, settings.absent_s)
--- a/packages/entry/src/sassafrastally/entry/http_connection.py
+++ b/packages/entry/src/sassafrastally/entry/http_connection.py
@@ -45,7 +45,7 @@
     def __init__(
         self, app: AppWrapper, config: Config, context: WorkerContext, stream: trio.SocketStream
     ) -> None:
-        super().__init__(app, config, context, {}, stream)  # type: ignore[arg-type]
+        super().__init__(app, config, context, {}, stream)
         self._is_idle = True
         """Whether no request is in progress; kept here because hypercorn's own task learns it only
         in a later turn of the event loop."""
