Ignore null messages of a completion in the stand-in engine

What was seen: test_fuzz TestCallers::test_calls failed, three times of three when run after the tests of proxy and core in the same workers (python -m pytest -n 2 packages/proxy/tests packages/core/tests packages/entry/tests/ test_connections.py packages/entry/tests/test_fuzz.py packages/testing/tests/ test_modules.py), and passed in five other runs. The sidecar of the test's deployment ended with TypeError: 'NoneType' object is not iterable.

Cause: an entry passes on a completion with a prompt and "messages": null; the stand-in engine reads messages if the field is there. Which bodies hypothesis tries depends on the modules that are loaded.

Change: the stand-in reads messages only if they are a list, and refuses bodies without text as it says. The fuzz test is unchanged.

Evidence: five of the six cases of test_engine_prompt failed before; they pass, and so does the command above.

--- a/packages/testing/src/sassafrastally/testing/engine_prompt.py
+++ b/packages/testing/src/sassafrastally/testing/engine_prompt.py
@@ -86,9 +86,12 @@
 
 
 def _text(document: dict[str, Any]) -> str:
-    if "messages" in document:
-        return "\n".join(str(message.get("content", "")) for message in document["messages"])
-    if "prompt" not in document:
+    messages = document.get("messages")
+    if isinstance(messages, list):
+        if not all(isinstance(message, dict) for message in messages):
+            raise ValueError("the messages must be JSON objects")
+        return "\n".join(str(message.get("content", "")) for message in messages)
+    prompt = document.get("prompt")
+    if not isinstance(prompt, str | list):
         raise ValueError("the body has neither prompt nor messages")
-    prompt = document["prompt"]
     return prompt if isinstance(prompt, str) else "\n".join(str(part) for part in prompt)
