Log a rejected document of the store once, not at each change

Seen by operators: a registration or record that can't be decoded writes a line at each of its changes, at every entry: one a heartbeat for each such server, and as many as another writer likes.

Cause: each rejection was logged, whatever had been logged about the key before.

The test of fast changes fails on the code before.

The new tests also write more than 1,000 odd records under all prefixes at once and change a server's record from sound to odd and back while requests are sent: entries start, follow on, use the sound records, and lose no request. That held before.

--- a/packages/proxy/src/sassafrastally/proxy/address_registration.py
+++ b/packages/proxy/src/sassafrastally/proxy/address_registration.py
@@ -72,9 +72,8 @@
                 if not is_ip_address(host):
                     # Other writers can put entries under the same prefix.
                     problem = "its name is not an IP address"
-                    self._kernel.events.emit(
-                        DocumentRejected(entry.key, entry.mod_revision, "store", problem)
-                    )
+                    event = DocumentRejected(entry.key, entry.mod_revision, "store", problem)
+                    self._cluster_state.rejected_documents.record(self._kernel, event)
                     continue
                 self._table.add_address(host, entry.value.decode(errors="replace"), now_s)
 
--- a/packages/proxy/src/sassafrastally/proxy/cluster_state.py
+++ b/packages/proxy/src/sassafrastally/proxy/cluster_state.py
@@ -27,6 +27,7 @@
     StaleRecordsSkipped,
     StoreRestored,
 )
+from sassafrastally.proxy.rejected_documents import RejectedDocumentLog
 from sassafrastally.proxy.routes import RouteTable
 from sassafrastally.proxy.server_registry import ServerRegistry
 from sassafrastally.proxy.store import NO_POSITION
@@ -87,6 +88,7 @@
         """Called when the record of a quarantined request is written or removed."""
         self.data_centres = data_centres
         """The data centres in the settings."""
+        self.rejected_documents = RejectedDocumentLog()
         self._dialect = dialect
         self._configurations = ConfigurationDecoder(dialect)
         self._records = StoreRecords()
@@ -319,9 +321,8 @@
         self._notify_quarantine_record(entry)
 
     def _reject(self, entry: KvEntry, source: str, cause: DocumentInvalid) -> None:
-        self.kernel.events.emit(
-            DocumentRejected(entry.key, entry.mod_revision, source, cause.detail)
-        )
+        event = DocumentRejected(entry.key, entry.mod_revision, source, cause.detail)
+        self.rejected_documents.record(self.kernel, event)
 
     def _apply_configuration(self, configuration: Configuration, source: str) -> None:
         routes = RouteTable(configuration.routes)
--- a/packages/proxy/src/sassafrastally/proxy/quarantine_service.py
+++ b/packages/proxy/src/sassafrastally/proxy/quarantine_service.py
@@ -281,9 +281,8 @@
             subject = parse_fingerprint(record.key.removeprefix(self._prefix))
             received = None if record.value is None else decode_record(subject, record.value)
         except ValueError as cause:
-            self.kernel.events.emit(
-                DocumentRejected(record.key, record.mod_revision, "store", f"{cause!r:.200}")
-            )
+            event = DocumentRejected(record.key, record.mod_revision, "store", f"{cause!r:.200}")
+            self._cluster_state.rejected_documents.record(self.kernel, event)
             return
         if received is None:
             if self._quarantine.lift(subject, self._now_s):
