test_backpressure: two cases on the mock clock

Traced by the log of this run: refusals "no-room", "first event in 0.32 s, 0.26 s of it behind other work", from the one engine that is left. The stand-ins share their processor with the entries and six test workers, so that the test measured the machine: the refusal was true.

Both run in the in-memory network on the mock clock now; their assertions are unchanged.

--- a/packages/testing/tests/platform/test_backpressure.py
+++ b/packages/testing/tests/platform/test_backpressure.py
@@ -24,6 +24,12 @@
     return [service.limit_of(server_id) for service in services]
 
 
+@pytest.fixture
+def seed():
+    """Seed of the in-memory network and of the entries."""
+    return 7
+
+
 class TestRateLimit:
     """Servers that announce a rate limit."""
 
@@ -150,9 +156,10 @@
 
     @pytest.mark.parametrize(("kind", "prompt"), [("engine", "1000,34"), ("desk", None)])
     async def test_leaving_server_gets_no_more_requests_during_a_store_outage(
-        self, fleet, kind, prompt
+        self, autojump_clock, seeded_fleet, kind, prompt
     ):
         """Guards against requests to a leaving server during a store outage."""
+        fleet = seeded_fleet
         await start_fleet(fleet, entries=2, engines=2)
         fleet.entries_without_store = {1, 2}
         leaving = fleet.replicas[f"{kind}-1"]
@@ -170,8 +177,11 @@
     """Servers that reject a request and set a cool-down for the entry that sent it."""
 
     @pytest.mark.parametrize(("kind", "prompt"), [("engine", "1000,34"), ("desk", None)])
-    async def test_server_gets_no_requests_during_its_cool_down(self, fleet, kind, prompt):
+    async def test_server_gets_no_requests_during_its_cool_down(
+        self, autojump_clock, seeded_fleet, kind, prompt
+    ):
         """Guards against requests during the cool-down that a server set."""
+        fleet = seeded_fleet
         await start_fleet(fleet, entries=1, engines=2)
         cooling = fleet.replicas[f"{kind}-1"]
         cooling.refuses, cooling.cool_down_s = True, 1.5
