Acceptor: keep its nursery open while it closes, and outlive failed connections

`run` now ends with `close`, and a connection that has failed before it was accepted is skipped, as accept(2) asks.

--- a/packages/core/src/sassafrastally/core/accepting.py
+++ b/packages/core/src/sassafrastally/core/accepting.py
@@ -32,6 +32,23 @@
 SHORTAGES = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM})
 """Errors of opening or accepting a connection for lack of resources of the process or system."""
 
+NETWORK_ERRORS = frozenset(
+    {
+        errno.ECONNABORTED,
+        errno.EHOSTDOWN,
+        errno.EHOSTUNREACH,
+        errno.ENETDOWN,
+        errno.ENETUNREACH,
+        errno.ENONET,
+        errno.ENOPROTOOPT,
+        errno.EOPNOTSUPP,
+        errno.EPERM,
+        errno.EPROTO,
+        errno.ETIMEDOUT,
+    }
+)
+"""Errors of a connection that has failed before it was accepted (Linux, ``accept(2)``)."""
+
 SO_ATTACH_FILTER = 26
 """Linux; see socket(7). The `socket` module doesn't name it."""
 
@@ -100,18 +117,30 @@
         self._connections: trio.Nursery | None = None
         self._accepting = trio.CancelScope()
         self._ended = trio.Event()
+        self._has_closed = trio.Event()
+
+    @property
+    def is_closed(self) -> bool:
+        """Whether the listening socket is closed."""
+        return self._is_closed
 
     async def run(self, connections: trio.Nursery) -> None:
-        """Accept connections until `close`; their tasks run in a nursery that may outlive this."""
+        """Accept connections until the end of `close`; their tasks run in a nursery.
+
+        The nursery may outlive this. If this is its last task, it stays open for the connections
+        that are accepted by `close`.
+        """
         self._connections = connections
         try:
             with self._accepting:
                 while not self._is_closed:
                     await self._accept_next(connections)
+            self._ended.set()
+            if self._accepting.cancel_called:
+                await self._has_closed.wait()
         finally:
             self._ended.set()
-            if not self._accepting.cancelled_caught:
-                self.close_now()
+            self.close_now()
 
     async def close(self) -> ClosedListener:
         """Accept all connections that are established, then close the listening socket.
@@ -132,6 +161,7 @@
             if not self._is_closed:
                 unaccepted = waiting_connections(self._listener.socket)
             self.close_now()
+            self._has_closed.set()
         return ClosedListener(accepted, unaccepted)
 
     def close_now(self) -> None:
@@ -164,29 +194,36 @@
             accepted += count or 0
             if count is None:
                 await trio.sleep(SHORTAGE_PAUSE_S)
+            elif count == MAX_AT_ONCE:
+                await trio.lowlevel.checkpoint()
         return accepted
 
     def _accept_waiting(self, connections: trio.Nursery, queue: socket.socket) -> int | None:
-        """Accept some of what is waiting; return how many, or ``None`` if resources are missing."""
-        accepted = 0
-        while accepted < MAX_AT_ONCE:
+        """Accept some of what is waiting.
+
+        Returns
+        -------
+        int | None
+            Number of connections taken from the queue, also of those that had failed; ``None`` if
+            resources are missing.
+        """
+        for taken in range(MAX_AT_ONCE):
             try:
                 connection, _ = queue.accept()
             except BlockingIOError:
-                break
-            except ConnectionAbortedError:
-                continue  # Its client has reset it.
+                return taken
             except OSError as cause:
-                if cause.errno not in SHORTAGES:
+                if cause.errno in SHORTAGES:
+                    self._note_shortage(cause)
+                    return taken or None
+                if cause.errno not in NETWORK_ERRORS:
                     raise
-                self._note_shortage(cause)
-                return accepted or None
+                continue
             self.is_short = False
             connection.setblocking(False)
             stream = trio.SocketStream(trio.socket.from_stdlib_socket(connection))
             self._start(connections, stream)
-            accepted += 1
-        return accepted
+        return MAX_AT_ONCE
 
     def _note_shortage(self, cause: OSError) -> None:
         if not self.is_short:
--- a/packages/core/tests/test_accepting.py
+++ b/packages/core/tests/test_accepting.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import errno
 import os
 import resource
 import select
@@ -151,6 +152,71 @@
         assert scope.cancelled_caught
         assert received(clients) == [b"reset"] * len(clients)
 
+    async def test_connections_are_served_although_no_other_one_is_open(self, listener):
+        """Guards against a nursery that ends with its last connection while the close waits for
+        descriptors, so that the next connection raises an error in place of being served."""
+        acceptor = Acceptor(listener, serve)
+
+        async def run() -> None:
+            async with trio.open_nursery() as connections:
+                connections.start_soon(acceptor.run, connections)
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(run)
+            await trio.testing.wait_all_tasks_blocked()
+            clients = connect(listener, 3)
+            with no_descriptors():
+                nursery.start_soon(acceptor.close)
+                await trio.sleep(0.1)
+        assert received(clients) == [GREETING] * len(clients)
+
+
+class FailingQueue:
+    """An accept queue in which some connections have failed.
+
+    Parameters
+    ----------
+    queue
+        The queue.
+    error
+        Error of the next connections.
+    count
+        How many fail.
+    """
+
+    def __init__(self, queue: socket.socket, error: int, count: int) -> None:
+        self._queue = queue
+        self._error = error
+        self._left = count
+
+    def accept(self) -> tuple[socket.socket, object]:
+        """Accept a connection."""
+        if self._left:
+            self._left -= 1
+            raise OSError(self._error, os.strerror(self._error))
+        return self._queue.accept()
+
+    def __getattr__(self, name: str) -> object:
+        return getattr(self._queue, name)
+
+
+class TestFailedConnections:
+    """Connections that have failed before they were accepted."""
+
+    @pytest.mark.parametrize("error", [errno.EPROTO, errno.ENETDOWN, errno.ECONNABORTED])
+    @pytest.mark.parametrize("count", [1, 2 * MAX_AT_ONCE])
+    async def test_others_are_served(self, listener, error, count):
+        """Guards against a process that ends with all its connections by the error of one that
+        nobody has accepted."""
+        acceptor = Acceptor(listener, serve)
+        acceptor._queue = FailingQueue(acceptor._queue, error, count)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(acceptor.run, nursery)
+            clients = connect(listener, 3)
+            await trio.testing.wait_all_tasks_blocked()
+            await acceptor.close()
+        assert received(clients) == [GREETING] * len(clients)
+
 
 class TestRefusal:
     """A listening socket that lets nobody connect any more."""
