Close the internal ports at the same time

Missing descriptors at the first one left the others to the end of the process, with calls in their queues (found by the reviewer, by reading). No test: what remains without descriptors is reset at each port.

--- a/packages/proxy/src/sassafrastally/proxy/internal_endpoints.py
+++ b/packages/proxy/src/sassafrastally/proxy/internal_endpoints.py
@@ -89,8 +89,9 @@
     async def finish(self) -> None:
         """Answer the calls that are waiting at the ports, and close these."""
         with trio.move_on_after(CLOSE_TIME_S):
-            for acceptor in self._acceptors:
-                await acceptor.close()
+            async with trio.open_nursery() as nursery:
+                for acceptor in self._acceptors:
+                    nursery.start_soon(acceptor.close)
         # The calls are answered from memory, so that they take turns of the event loop, not time.
         await deliver_received(trio.current_time())
 
