A late or short stop closes the callers' port too, and refused callers give way

Red before: test_accept_queue TestShortStop[0.45] (0.6 and 1.0 pass on both), and test_caller_that_is_refused_gives_way_to_others.

--- a/packages/proxy/src/sassafrastally/proxy/caller_connections.py
+++ b/packages/proxy/src/sassafrastally/proxy/caller_connections.py
@@ -56,6 +56,7 @@
     def __init__(self, most: float) -> None:
         self._most = most
         self._idle: dict[Connection, None] = {}
+        self._lingering: dict[Connection, None] = {}
         self._closing: set[Connection] = set()
 
     def __len__(self) -> int:
@@ -73,17 +74,36 @@
         self._idle.pop(connection, None)
         self._closing.discard(connection)
 
+    @property
+    def lingering(self) -> list[Connection]:
+        """Connections whose callers have their last response, the first one to have it first."""
+        return list(self._lingering)
+
+    def begin_lingering(self, connection: Connection) -> None:
+        """Record that a connection is open only until its caller has read its last response."""
+        self._lingering[connection] = None
+
+    def end_lingering(self, connection: Connection) -> None:
+        """Record that such a connection is closed."""
+        self._lingering.pop(connection, None)
+        self._closing.discard(connection)
+
     def is_full(self, open_connections: int) -> bool:
         """Return whether there are more connections than the bound, without those being closed."""
         return open_connections - len(self._closing) > self._most
 
     def take_longest_idle(self) -> Connection | None:
-        """Return the connection to close for another one; ``None`` if none is idle."""
-        longest_idle = next(iter(self._idle), None)
-        if longest_idle is not None:
-            del self._idle[longest_idle]
-            self._closing.add(longest_idle)
-        return longest_idle
+        """Return the connection to close for another one; ``None`` if none is idle.
+
+        One whose caller has its last response goes before those that may get another request.
+        """
+        for connections in (self._lingering, self._idle):
+            longest_idle = next(iter(connections), None)
+            if longest_idle is not None:
+                del connections[longest_idle]
+                self._closing.add(longest_idle)
+                return longest_idle
+        return None
 
     def take_for_shortage(self) -> list[Connection]:
         """Return the connections to close when the process lacks descriptors."""
--- a/packages/proxy/src/sassafrastally/proxy/caller_listener.py
+++ b/packages/proxy/src/sassafrastally/proxy/caller_listener.py
@@ -74,6 +74,9 @@
 """Time for the request on a connection that is accepted last. Where the process is killed soon, new
 connections are accepted for so much less."""
 
+STOP_LINGER_S = 1.0
+"""How long a stopping entry waits for callers that go on sending after their last response."""
+
 MAX_TRACEBACK_FRAMES = 12
 """Maximum number of traceback frames logged for an unexpected exception; the innermost ones show
 where it was raised."""
@@ -84,6 +87,10 @@
 FINAL_ANSWERS_S = 0.35
 """Part of that time in which the requests that are still open are answered."""
 
+LAST_ANSWER_S = 0.15
+"""Part of that for the requests of connections that are accepted only then; the rest of it is their
+time to arrive."""
+
 ANSWERED_CHECK_S = 0.02
 """Interval at which a stopping entry checks whether all requests are answered."""
 
@@ -171,12 +178,22 @@
             return
         answered_s = trio.current_time() + FINAL_ANSWERS_S
         await sleep_until_read(ends_s)
+        with trio.move_on_at(answered_s):
+            if not self._is_closed_to_callers:
+                await self._close_listener()
+                await trio.sleep_until(answered_s - LAST_ANSWER_S)
         self._close_idle()
         with suppress(trio.TooSlowError):
             await read_until(self._all_answered, answered_s)
 
+    @property
+    def _is_closed_to_callers(self) -> bool:
+        return self._acceptor is None or self._acceptor.is_closed
+
     async def _close_listener(self) -> None:
         if self._acceptor is not None:
+            if self._acceptor.is_short:
+                self._close_idle()
             accepted, unaccepted = await self._acceptor.close()
             self.kernel.events.emit(ListenerClosed(accepted, unaccepted, self.open_connections))
 
@@ -185,6 +202,8 @@
         self._is_closing_idle = True
         for scope in self._connections:
             scope.cancel()
+        for scope in self._connections.lingering:
+            scope.deadline = trio.current_time() + STOP_LINGER_S
 
     async def _all_answered(self) -> None:
         # A connection without a request ends as soon as its task has looked for one.
@@ -230,7 +249,7 @@
         try:
             while await self._serve_request(connection):
                 connection.http.start_next_cycle()
-            await linger(connection)
+            await self._linger(connection)
         except ConnectionLost:
             # The caller disconnected; the request path has logged and cancelled its request.
             return
@@ -244,6 +263,17 @@
         finally:
             await connection.close()
 
+    async def _linger(self, connection: HttpStream) -> None:
+        """Wait until the caller has its last response; ended sooner for others, and by a stop."""
+        with trio.CancelScope() as scope:
+            if self._is_closing_idle:
+                scope.deadline = trio.current_time() + STOP_LINGER_S
+            self._connections.begin_lingering(scope)
+            try:
+                await linger(connection)
+            finally:
+                self._connections.end_lingering(scope)
+
     def _has_room(self) -> bool:
         """Return whether a connection that was accepted may stay; idle ones are closed for it."""
         if not self._connections.is_full(self.open_connections):
--- a/packages/proxy/tests/test_caller_connections.py
+++ b/packages/proxy/tests/test_caller_connections.py
@@ -136,3 +136,21 @@
         assert most_caller_connections(0) == 412
         monkeypatch.setattr(resource, "getrlimit", lambda _: (resource.RLIM_INFINITY,) * 2)
         assert most_caller_connections(0) == math.inf
+
+
+class TestLingering:
+    """Connections whose callers have their last response."""
+
+    def test_go_before_idle_ones(self):
+        """Guards against callers who lose an open connection to one that has been refused."""
+        connections: CallerConnections[str] = CallerConnections(2)
+        connections.begin_idle("idle")
+        connections.begin_lingering("first")
+        connections.begin_lingering("second")
+        assert connections.is_full(3)
+        taken = [connections.take_longest_idle() for _ in range(4)]
+        assert taken == ["first", "second", "idle", None]
+        assert not connections.is_full(5)
+        for one in ("first", "second"):
+            connections.end_lingering(one)
+        assert connections.is_full(4)
--- a/packages/testing/tests/platform/test_accept_queue.py
+++ b/packages/testing/tests/platform/test_accept_queue.py
@@ -13,6 +13,7 @@
 from sassafrastally.proxy.caller_listener import (
     ACCEPT_AFTER_SIGNAL_S,
     LAST_REQUEST_AFTER_SIGNAL_S,
+    CallerListener,
 )
 from sassafrastally.proxy.http_stream import ConnectionLost, HttpStream
 from sassafrastally.stand_ins.caller_requests import exchange_on, request_fields
@@ -97,6 +98,30 @@
         assert 0 not in await self._call_until_refused(small_fleet, 0.05)
 
 
+class TestShortStop:
+    """An entry that has hardly any time left when it is asked to stop."""
+
+    @pytest.mark.parametrize("stop_time_s", [0.45, 0.6, 1.0])
+    async def test_each_connection_that_is_established_is_served(self, small_fleet, stop_time_s):
+        """Guards against an entry that skips the close of its port, as the drain has ended before
+        it began, and closes new connections as idle."""
+        listener = small_fleet.kernels[0].get("callers", CallerListener)
+        bounds = listener._settings.bounds._replace(stop_time_s=stop_time_s)
+        listener._settings = listener._settings._replace(bounds=bounds)
+        statuses: list[int] = []
+
+        async def call(caller: socket.socket) -> None:
+            await trio.sleep(0.05)
+            statuses.append(await status_of(caller))
+
+        async with trio.open_nursery() as nursery:
+            small_fleet.kernels[0].request_stop()
+            for caller in open_some(small_fleet.entry_settings(1).callers_address, 20):
+                nursery.start_soon(call, caller)
+        assert len(statuses) == 20
+        assert 0 not in statuses
+
+
 class TestInternalPorts:
     """The ports of readiness checks, peers and metrics when the process ends."""
 
--- a/packages/testing/tests/platform/test_lingering_close.py
+++ b/packages/testing/tests/platform/test_lingering_close.py
@@ -9,6 +9,7 @@
 import trio
 
 from sassafrastally.proxy import lingering_close
+from sassafrastally.proxy.caller_connections import CallerConnections
 from sassafrastally.proxy.caller_listener import CallerListener
 from sassafrastally.proxy.http_stream import RECEIVE_BYTES, ConnectionLost, HttpStream
 from sassafrastally.proxy.input_limits import InputBudget
@@ -213,3 +214,16 @@
                 await trio.sleep(0.1)
         assert not callers.open_connections
         await connection.close()
+
+    async def test_caller_that_is_refused_gives_way_to_others(self, small_fleet):
+        """Guards against refused callers who go on sending and keep all places for connections."""
+        callers = small_fleet.kernels[0].get("callers", CallerListener)
+        callers._connections = CallerConnections(1)
+        refused = await open_caller(small_fleet)
+        await refused.send_bytes(self.REFUSED)
+        assert (await read_answer(refused)).status == 413
+        connection = await open_caller(small_fleet)
+        fields = request_fields({"Connection": "close"})
+        assert (await exchange_on(connection, "GET", "/look/x", fields, b"")).status == 200
+        await connection.close()
+        await refused.close()
