--- a/packages/entry/src/sassafrastally/entry/http11.py
+++ b/packages/entry/src/sassafrastally/entry/http11.py
@@ -82,7 +82,8 @@
     """Open connections of a server, bounded in number.
 
     Beyond the bound the one that has been without a request for the longest time is closed, so that
-    a flood of connections doesn't keep out callers that send requests.
+    a flood of connections doesn't keep out callers that send requests. One whose request has
+    arrived and isn't read yet stays, if need be beyond the bound until it is read.
 
     Parameters
     ----------
@@ -101,9 +102,10 @@
         self._open.add(server)
         self._idle[server] = None
         if len(self._open) > self._max_count:
-            longest_idle = next(iter(self._idle))
-            self.remove(longest_idle)
-            longest_idle.scope.cancel()
+            longest_idle = next((one for one in self._idle if not one.has_unread_input()), None)
+            if longest_idle is not None:
+                self.remove(longest_idle)
+                longest_idle.scope.cancel()
 
     def set_idle(self, server: ContainedServer, *, is_idle: bool) -> None:
         """Record whether a connection has no request in progress."""
@@ -145,6 +147,13 @@
         finally:
             self.config.connections.remove(self)
 
+    def has_unread_input(self) -> bool:
+        """Return whether bytes, or the end of the stream, have arrived that aren't read yet."""
+        try:
+            return bool(self.stream.socket.is_readable())
+        except OSError:
+            return False
+
     async def protocol_send(self, event: Event) -> None:
         """Handle an event of the protocol."""
         if isinstance(event, Updated):
--- a/packages/entry/src/sassafrastally/entry/http_connection.py
+++ b/packages/entry/src/sassafrastally/entry/http_connection.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import math
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING
 
 import trio
 from hypercorn.events import Closed, Event, RawData, Updated
@@ -133,13 +133,7 @@
         with trio.move_on_after(self.config.keep_alive_timeout):
             await self.context.terminated.wait()
         # A request that has arrived is read and served first.
-        while self._is_idle and self._has_unread_input():
+        while self._is_idle and self.has_unread_input():
             await trio.sleep(UNREAD_CHECK_S)
         if self._is_idle:
             await self.stream.aclose()
-
-    def _has_unread_input(self) -> Any:
-        try:
-            return self.stream.socket.is_readable()
-        except OSError:
-            return False
--- a/packages/entry/tests/test_connections.py
+++ b/packages/entry/tests/test_connections.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import socket
 from contextlib import AsyncExitStack
 from typing import TYPE_CHECKING
 
@@ -206,3 +207,19 @@
             release.set()
             for stream in busy:
                 assert (await read_until(stream, b"answer")).startswith(b"HTTP/1.1 200 ")
+
+    async def test_request_that_has_arrived_does_not_give_way(self, server: AsgiServer) -> None:
+        """Guards against connections that are closed with a whole request unread: many are accepted
+        in one turn of the event loop, before any of them is read."""
+        address = server.bound_address
+        clients = []
+        for _ in range(5 * self.MAX_CONNECTIONS):
+            client = socket.create_connection((address.host, address.port))
+            client.sendall(PLAIN)
+            client.setblocking(False)
+            clients.append(trio.SocketStream(trio.socket.from_stdlib_socket(client)))
+        async with AsyncExitStack() as stack:
+            for client in clients:
+                await stack.enter_async_context(client)
+            for client in clients:
+                assert (await read_until(client, b"answer")).startswith(b"HTTP/1.1 200 ")
