--- a/packages/testing/tests/soak/test_stopping_callers.py
+++ b/packages/testing/tests/soak/test_stopping_callers.py
@@ -97,15 +97,16 @@
             finally:
                 await connection.close()
 
-    async def call_once(self, path: str) -> None:
-        """Send a request on a new connection, unless it is refused: then the port is closed."""
+    async def call_once(self, path: str) -> bool:
+        """Send a request on a new connection; return ``False`` if that is refused."""
         try:
             stream = await connect(self._entry.callers_address, 1.0)
         except ConnectionLost:
-            return
+            return False
         connection = HttpStream(stream, h11.CLIENT)
         await self._exchange(connection, path, 1)
         await connection.close()
+        return True
 
     async def _exchange(self, connection: HttpStream, path: str, pieces: int) -> bool:
         """Send a request; return whether its connection may be used again."""
@@ -268,9 +269,8 @@
         assert not [one for one in callers.sent if not one.status]
 
     async def _keep_calling(self, callers: Callers) -> None:
-        with suppress(ConnectionLost):
-            while True:
-                await callers.call_once("/look/x")
+        while await callers.call_once("/look/x"):
+            pass
 
     async def _starve(self, entry: EntryProcess, callers: Callers) -> None:
         while trio.current_time() < callers.stop_s + self.UNTIL_S:
