test_path: wait for the burst that fills the servers

Traced: it gave 16 requests 0.2 s to reach the servers. With 0.004 s it fails 3 of 3 with the same figures (0.195 to 0.252 s), which are those of a refusal that load doesn't explain. It now waits until all 16 have arrived; the assertions are unchanged.

--- a/packages/testing/tests/platform/test_path.py
+++ b/packages/testing/tests/platform/test_path.py
@@ -176,7 +176,7 @@
         async with trio.open_nursery() as nursery:
             for number in range(16):
                 nursery.start_soon(small_fleet.call, f"/book/{number}")
-            await trio.sleep(0.2)
+            await wait_until(lambda: len(small_fleet.received_requests()) == 16)
             for name in ("desk-1", "desk-2"):
                 small_fleet.replicas[name].refuses = True
             answer = await small_fleet.call("/look/x")
