Soak: hold an unprivileged port

The guard of a soak's addresses was port 9, which only a privileged process may bind: without that the search for free addresses would never end (by reading).

--- a/packages/testing/src/sassafrastally/testing/soak/fleet.py
+++ b/packages/testing/src/sassafrastally/testing/soak/fleet.py
@@ -58,7 +58,7 @@
 NEIGHBOURS = ("cleo", "dan", "eva")
 """Customers beside the usual one."""
 
-GUARD_PORT = 9
+GUARD_PORT = 9_999
 """Port that a soak holds as long as it uses its addresses."""
 
 CRASH_DELAY_S = 0.05
