Red test: requests that have waited at an overloaded entry are reset

What callers see: an entry that lacks CPU time, while a neighbour has some, closes each new connection as soon as its task runs. A whole request that lies in it is reset, however long it has waited: up to 0.27 s after its last byte, once 0.47 s, beside a SIGHUP and a SIGTERM.

Evidence: a real process that runs 50 ms of each 350, 40 callers who connect for each request. The log has EntryOverloaded and nothing of the connections.

--- /dev/null
+++ b/packages/testing/tests/soak/test_crowded_process.py
@@ -0,0 +1,135 @@
+"""An entry as a process that gets most new connections and too little processor time."""
+
+from __future__ import annotations
+
+import math
+import signal
+from collections import Counter
+from contextlib import asynccontextmanager, suppress
+from typing import NamedTuple
+
+import h11
+import pytest
+import trio
+
+from sassafrastally.proxy.http_stream import ConnectionLost, HttpStream, connect
+from sassafrastally.stand_ins.caller_requests import read_response, request_fields, send_request
+from sassafrastally.stand_ins.platform_fleet import platform_fleet
+from sassafrastally.testing.soak.entry_process import EntryProcess
+
+CALLERS = 40
+
+SENT_AFTER_CONNECTING_S = 0.05
+
+CROSSED_S = 0.2
+"""A request that crosses the close of its connection ends sooner than this after its last byte."""
+
+RESTS_S = 0.3
+RUNS_S = 0.05
+
+BEFORE_SIGNAL_S = 3.0
+AFTER_SIGNAL_S = 1.5
+
+FASTEST_RETRY_S = 0.02
+
+
+class Ended(NamedTuple):
+    """A request and its end."""
+
+    after_s: float
+    """Time from its last byte to its end."""
+    status: int
+    """0 without an answer."""
+
+
+class CrowdingCallers:
+    """Callers who connect to one entry for each request."""
+
+    def __init__(self, entry: EntryProcess) -> None:
+        self.ended: list[Ended] = []
+        self.is_over = False
+        self._entry = entry
+
+    async def run(self) -> None:
+        """Send requests, each on a new connection; wait as told after a refusal."""
+        while not self.is_over:
+            retry_after_s = FASTEST_RETRY_S
+            with suppress(ConnectionLost):
+                stream = await connect(self._entry.callers_address, 1.0)
+                retry_after_s = await self._exchange(HttpStream(stream, h11.CLIENT))
+            await trio.sleep(retry_after_s)
+
+    async def _exchange(self, connection: HttpStream) -> float:
+        sent_s, status, retry_after_s = math.inf, 0, FASTEST_RETRY_S
+        try:
+            await trio.sleep(SENT_AFTER_CONNECTING_S)
+            fields = {**request_fields(prompt="1000,40"), "Connection": "close"}
+            await send_request(connection, "POST", "/note/x", fields, b"{}")
+            sent_s = trio.current_time()
+            answer = await read_response(connection)
+            status = answer.status if answer.is_whole else 0
+            retry_after_s = float(answer.headers.get("retry-after", 0.0))
+        finally:
+            self.ended.append(Ended(trio.current_time() - sent_s, status))
+            await connection.close()
+        return retry_after_s
+
+
+@asynccontextmanager
+async def crowded_entry(folder, hosts):
+    """Run two entries and their engines; yields the first one."""
+    async with platform_fleet() as fleet:
+        for number in range(4):
+            await fleet.add_replica(f"engine-{number}")
+        entries = [
+            EntryProcess(number, hosts(), folder, 22_000, fleet.store_address) for number in (1, 2)
+        ]
+        try:
+            for entry in entries:
+                entry.start()
+            with trio.fail_after(20.0):
+                while not all("PeerHeard" in entry.log_file.read_text() for entry in entries):
+                    await trio.sleep(0.1)
+            yield entries[0]
+        finally:
+            for entry in entries:
+                entry.kill()
+
+
+async def starve(entry: EntryProcess) -> None:
+    """Let a process run in turns only."""
+    try:
+        while True:
+            entry.signal(signal.SIGSTOP)
+            await trio.sleep(RESTS_S)
+            entry.signal(signal.SIGCONT)
+            await trio.sleep(RUNS_S)
+    finally:
+        entry.signal(signal.SIGCONT)
+
+
+class TestLittleProcessorTime:
+    """Callers press on an entry that runs late, while another one has time for them."""
+
+    @pytest.mark.parametrize("number", [signal.SIGHUP, signal.SIGTERM])
+    async def test_requests_that_have_waited_are_answered(self, tmp_path, own_hosts, number):
+        """Guards against an overloaded entry that closes new connections without a look at the
+        requests in them: the system resets these, however long they have waited."""
+        async with crowded_entry(tmp_path, own_hosts) as entry:
+            callers = CrowdingCallers(entry)
+            async with trio.open_nursery() as nursery:
+                for _ in range(CALLERS):
+                    nursery.start_soon(callers.run)
+                async with trio.open_nursery() as starving:
+                    starving.start_soon(starve, entry)
+                    await trio.sleep(BEFORE_SIGNAL_S)
+                    entry.signal(number)
+                    await trio.sleep(AFTER_SIGNAL_S)
+                    starving.cancel_scope.cancel()
+                callers.is_over = True
+            log = entry.log_file.read_text()
+        assert "EntryOverloaded" in log
+        counts = Counter(one.status for one in callers.ended)
+        assert counts[200] > CALLERS
+        cut = [one.after_s for one in callers.ended if not one.status]
+        assert not [after_s for after_s in cut if after_s > CROSSED_S]
