Entry: log connections that are closed unread, with what lay in them

What was missing: an overloaded entry, and one with as many connections as it may have, closed new connections without a line. A counter told how many, not why, nor whether a request had arrived or how long before.

The entry writes ConnectionsTurnedAway (10095), once a second at most for each cause, never sampled out.

--- a/packages/core/src/sassafrastally/core/__init__.py
+++ b/packages/core/src/sassafrastally/core/__init__.py
@@ -37,6 +37,7 @@
 from sassafrastally.core.metrics import METRICS, MetricKind, counter, gauge, histogram
 from sassafrastally.core.network import Address, Network, TcpNetwork, is_ip_address
 from sassafrastally.core.registry import Registry
+from sassafrastally.core.unread_input import UnreadInput, unread_input
 
 __all__ = [
     "CATALOGUE",
@@ -80,6 +81,7 @@
     "Service",
     "TcpNetwork",
     "TimeLimit",
+    "UnreadInput",
     "counter",
     "error",
     "event",
@@ -94,5 +96,6 @@
     "require_time",
     "stamp_wall_s",
     "time_limit",
+    "unread_input",
     "waiting_connections",
 ]
--- a/packages/proxy/src/sassafrastally/proxy/caller_listener.py
+++ b/packages/proxy/src/sassafrastally/proxy/caller_listener.py
@@ -9,7 +9,7 @@
 import h11
 import trio
 
-from sassafrastally.core import Acceptor, Service
+from sassafrastally.core import Acceptor, Service, unread_input
 from sassafrastally.proxy.attempt import Request
 from sassafrastally.proxy.caller_connections import CallerConnections, most_caller_connections
 from sassafrastally.proxy.cluster_state import ClusterState
@@ -36,7 +36,7 @@
     ProcessDraining,
     RequestMalformed,
 )
-from sassafrastally.proxy.metrics import CONNECTIONS_REFUSED, IDLE_CONNECTIONS_CLOSED
+from sassafrastally.proxy.metrics import IDLE_CONNECTIONS_CLOSED
 from sassafrastally.proxy.model import RequestLimits
 from sassafrastally.proxy.overload_monitor import OverloadMonitor
 from sassafrastally.proxy.path import RequestPath
@@ -49,6 +49,7 @@
 from sassafrastally.proxy.reply import Reply
 from sassafrastally.proxy.request_reader import BadRequest, RequestReader
 from sassafrastally.proxy.slow_readers import BlockedCallers, most_buffered_bytes
+from sassafrastally.proxy.turned_away_log import TurnedAwayLog
 
 if TYPE_CHECKING:
     import socket
@@ -142,6 +143,8 @@
         self._cluster_state = self.kernel.get("beliefs", ClusterState)
         self._overload = self.kernel.get("overload", OverloadMonitor)
         self._path = self.kernel.get("path", RequestPath)
+        self._turned_away = TurnedAwayLog(self.kernel.events.emit)
+        self._turned_away.start(nursery)
         self._acceptor = Acceptor(await self._listener(), self.serve, self._note_shortage)
         # Connections run in the kernel's nursery so that they outlive the listener during shutdown.
         nursery.start_soon(self._acceptor.run, nursery)
@@ -239,7 +242,8 @@
         """
         is_busy = self._overload.refuses_connections() and not self.is_stopping
         if is_busy or not self._has_room():
-            CONNECTIONS_REFUSED.add(1)
+            cause = "overload" if is_busy else "connections"
+            self._turned_away.record(cause, unread_input(stream), is_refused=False)
             await trio.aclose_forcefully(stream)
             return
         enable_keepalive(stream)
--- a/packages/proxy/src/sassafrastally/proxy/log_events/__init__.py
+++ b/packages/proxy/src/sassafrastally/proxy/log_events/__init__.py
@@ -36,6 +36,7 @@
 )
 from sassafrastally.proxy.log_events.process import (
     AcceptFailed,
+    ConnectionsTurnedAway,
     EntryOverloaded,
     EntryRecovered,
     ErrorContained,
@@ -105,6 +106,7 @@
     "ConfigurationIgnored",
     "ConfigurationInForce",
     "ConnectionCrashed",
+    "ConnectionsTurnedAway",
     "ContentionBegan",
     "ContentionEnded",
     "DataCentreEvacuated",
--- a/packages/proxy/src/sassafrastally/proxy/log_events/process.py
+++ b/packages/proxy/src/sassafrastally/proxy/log_events/process.py
@@ -34,6 +34,23 @@
     open_connections: int
 
 
+@event(10095, "warning")
+class ConnectionsTurnedAway(NamedTuple):
+    """New callers' connections weren't served; written at most once a second for each cause."""
+
+    cause: str
+    closed: int = 0
+    """Connections that were closed unread."""
+    closed_with_input: int = 0
+    """Those of them on which something had arrived."""
+    longest_closed_s: float = 0.0
+    """Longest time for which it had been there; 0 if not known."""
+    refused: int = 0
+    """Connections whose requests were refused."""
+    longest_refused_s: float = 0.0
+    """Longest time for which these had been there."""
+
+
 @event(10085)
 class IdleConnectionsClosed(NamedTuple):
     """A stopping process has closed the callers' connections that were idle."""
