Refuse requests that have waited in connections that are closed unread

What callers saw: an entry without CPU time, while another one has some, and one with as many connections as it may have, reset new connections unread, with whole requests in them, however long these had waited: 0.20 to 0.27 s after their last byte, once 0.47 s (the users' lossSlackMs is 200).

Cause: nobody looked whether a request lay in a connection, or for how long, and the wait was long by design: connections were accepted once a turn of the event loop and decided on in the next one; a turn of an overloaded entry lasts tenths of a second. Class: a state (nothing has arrived) is taken for granted without a look.

Change: an entry decides as soon as it accepts. What has just arrived is closed, as before: callers may try another entry at once. What has waited for half of lossSlackMs is refused with 503 and a short Retry-After, without being parsed; its age comes from TCP_INFO. While it is overloaded, an entry accepts each 20 ms between the steps of its tasks, so that few have waited. Those beyond the bound are refused within an eighth more connections; the bound can't drift by the refused ones, since idle ones are closed until there is room.

--- a/packages/core/src/sassafrastally/core/__init__.py
+++ b/packages/core/src/sassafrastally/core/__init__.py
@@ -3,7 +3,12 @@
 from __future__ import annotations
 
 from sassafrastally.core.accept_queue import waiting_connections
-from sassafrastally.core.accepting import SHORTAGES, Acceptor, ClosedListener
+from sassafrastally.core.accepting import (
+    SHORTAGES,
+    AcceptBetweenSteps,
+    Acceptor,
+    ClosedListener,
+)
 from sassafrastally.core.clock import Clock
 from sassafrastally.core.errors import ERRORS, CodedError, error
 from sassafrastally.core.event_stream import (
@@ -47,6 +52,7 @@
     "MAX_VALUE_BYTES",
     "METRICS",
     "SHORTAGES",
+    "AcceptBetweenSteps",
     "Acceptor",
     "Address",
     "Clock",
--- a/packages/core/src/sassafrastally/core/accepting.py
+++ b/packages/core/src/sassafrastally/core/accepting.py
@@ -76,6 +76,11 @@
 """Drops the segments that open connections and keeps those of handshakes in progress."""
 
 
+ACCEPT_INTERVAL_S = 0.02
+"""Interval at which connections are accepted between the steps of other tasks, well below the time
+for which a connection may wait."""
+
+
 class ClosedListener(NamedTuple):
     """What was left in an accept queue when its listening socket was closed."""
 
@@ -97,6 +102,9 @@
     on_shortage
         Called with the cause when resources for a connection are missing, and again only after some
         were accepted.
+    choose
+        Returns how to serve a connection that has just been accepted; ``None`` closes it at once.
+        Without it, all are served alike.
     """
 
     def __init__(
@@ -104,13 +112,14 @@
         listener: trio.SocketListener,
         serve: Serve,
         on_shortage: Callable[[str], None] = lambda _: None,
+        choose: Callable[[trio.SocketStream], Serve | None] | None = None,
     ) -> None:
         self.open_connections = 0
         """Connections that are accepted and not closed."""
         self.is_short = False
         """Whether resources for a connection are missing."""
         self._listener = listener
-        self._serve = serve
+        self._choose = choose or (lambda _: serve)
         self._on_shortage = on_shortage
         self._queue = _own_handle(listener)
         self._is_closed = False
@@ -164,6 +173,12 @@
             self._has_closed.set()
         return ClosedListener(accepted, unaccepted)
 
+    def accept_now(self) -> None:
+        """Accept some of what is waiting, in a step of another task."""
+        is_accepting = not self._is_closed and not self._accepting.cancel_called
+        if self._connections is not None and self._queue is not None and is_accepting:
+            self._accept_waiting(self._connections, self._queue)
+
     def close_now(self) -> None:
         """Close the listening socket; the system resets the connections that are waiting."""
         self._is_closed = True
@@ -232,16 +247,45 @@
 
     def _start(self, connections: trio.Nursery, stream: trio.SocketStream) -> None:
         self.open_connections += 1
-        connections.start_soon(self._run, stream)
+        serve = self._choose(stream)
+        if serve is None:
+            self.open_connections -= 1
+            stream.socket.close()
+            return
+        connections.start_soon(self._run, serve, stream)
 
-    async def _run(self, stream: trio.SocketStream) -> None:
+    async def _run(self, serve: Serve, stream: trio.SocketStream) -> None:
         try:
-            await self._serve(stream)
+            await serve(stream)
         finally:
             self.open_connections -= 1
             await trio.aclose_forcefully(stream)
 
 
+class AcceptBetweenSteps(trio.abc.Instrument):
+    """Accepts connections while the tasks of a turn of the event loop run.
+
+    The tasks that are ready run once each before others do. In a process without CPU time for them,
+    that takes tenths of a second, for which new connections would wait.
+
+    Parameters
+    ----------
+    acceptor
+        Accepts the connections.
+    """
+
+    def __init__(self, acceptor: Acceptor) -> None:
+        self._acceptor = acceptor
+        self._due_s = 0.0
+
+    def after_task_step(self, task: trio.lowlevel.Task) -> None:
+        """Accept connections unless that has been done just before."""
+        now_s = trio.current_time()
+        if now_s >= self._due_s:
+            self._due_s = now_s + ACCEPT_INTERVAL_S
+            self._acceptor.accept_now()
+
+
 def refuse_new_connections(listening: socket.socket) -> bool:
     """Let a listening socket establish no further connection, other than those in progress.
 
--- a/packages/proxy/src/sassafrastally/proxy/caller_connections.py
+++ b/packages/proxy/src/sassafrastally/proxy/caller_connections.py
@@ -54,7 +54,8 @@
     """
 
     def __init__(self, most: float) -> None:
-        self._most = most
+        self.most = most
+        """Bound of all connections."""
         self._idle: dict[Connection, None] = {}
         self._lingering: dict[Connection, None] = {}
         self._closing: set[Connection] = set()
@@ -90,7 +91,7 @@
 
     def is_full(self, open_connections: int) -> bool:
         """Return whether there are more connections than the bound, without those being closed."""
-        return open_connections - len(self._closing) > self._most
+        return open_connections - len(self._closing) > self.most
 
     def take_longest_idle(self) -> Connection | None:
         """Return the connection to close for another one; ``None`` if none is idle.
--- a/packages/proxy/src/sassafrastally/proxy/caller_listener.py
+++ b/packages/proxy/src/sassafrastally/proxy/caller_listener.py
@@ -9,10 +9,11 @@
 import h11
 import trio
 
-from sassafrastally.core import Acceptor, Service, unread_input
+from sassafrastally.core import AcceptBetweenSteps, Acceptor, Service
 from sassafrastally.proxy.attempt import Request
 from sassafrastally.proxy.caller_connections import CallerConnections, most_caller_connections
 from sassafrastally.proxy.cluster_state import ClusterState
+from sassafrastally.proxy.connection_gate import ConnectionGate
 from sassafrastally.proxy.cpu_overload import read_until, sleep_until_read
 from sassafrastally.proxy.early_listener import BACKLOG
 from sassafrastally.proxy.http_stream import (
@@ -49,11 +50,11 @@
 from sassafrastally.proxy.reply import Reply
 from sassafrastally.proxy.request_reader import BadRequest, RequestReader
 from sassafrastally.proxy.slow_readers import BlockedCallers, most_buffered_bytes
-from sassafrastally.proxy.turned_away_log import TurnedAwayLog
 
 if TYPE_CHECKING:
     import socket
 
+    from sassafrastally.proxy.connection_gate import Serve
     from sassafrastally.proxy.dialect import Dialect
     from sassafrastally.proxy.settings import ProxySettings
 
@@ -143,9 +144,19 @@
         self._cluster_state = self.kernel.get("beliefs", ClusterState)
         self._overload = self.kernel.get("overload", OverloadMonitor)
         self._path = self.kernel.get("path", RequestPath)
-        self._turned_away = TurnedAwayLog(self.kernel.events.emit)
-        self._turned_away.start(nursery)
-        self._acceptor = Acceptor(await self._listener(), self.serve, self._note_shortage)
+        self._gate = ConnectionGate(
+            self.kernel,
+            self._overload,
+            self._connections,
+            self._dialect,
+            self._settings.bounds.crossing_s,
+        )
+        self._gate.log.start(nursery)
+        self._acceptor = Acceptor(
+            await self._listener(), self.serve, self._note_shortage, self._choose
+        )
+        self._accepting = AcceptBetweenSteps(self._acceptor)
+        self._overload.on_change = self._accept_between_steps
         # Connections run in the kernel's nursery so that they outlive the listener during shutdown.
         nursery.start_soon(self._acceptor.run, nursery)
 
@@ -233,19 +244,19 @@
         """Whether the process has been asked to stop."""
         return self._stop_requested_s is not None
 
-    async def serve(self, stream: trio.abc.Stream) -> None:
-        """Serve one connection until it closes.
+    def _choose(self, stream: trio.SocketStream) -> Serve | None:
+        return self._gate.choose(
+            stream, self.open_connections, self.serve, self._linger, is_stopping=self.is_stopping
+        )
 
-        An entry without CPU time for more requests, or with as many connections in use as it may
-        have, closes it unread: the caller may then retry whatever it sent, at once and at another
-        entry.
-        """
-        is_busy = self._overload.refuses_connections() and not self.is_stopping
-        if is_busy or not self._has_room():
-            cause = "overload" if is_busy else "connections"
-            self._turned_away.record(cause, unread_input(stream), is_refused=False)
-            await trio.aclose_forcefully(stream)
-            return
+    def _accept_between_steps(self, is_overloaded: bool) -> None:
+        if is_overloaded:
+            trio.lowlevel.add_instrument(self._accepting)
+        else:
+            trio.lowlevel.remove_instrument(self._accepting)
+
+    async def serve(self, stream: trio.abc.Stream) -> None:
+        """Serve one connection until it closes."""
         enable_keepalive(stream)
         limit_send_buffer(stream)
         limits = self._limits()
@@ -278,17 +289,6 @@
             finally:
                 self._connections.end_lingering(scope)
 
-    def _has_room(self) -> bool:
-        """Return whether a connection that was accepted may stay; idle ones are closed for it."""
-        if not self._connections.is_full(self.open_connections):
-            return True
-        longest_idle = self._connections.take_longest_idle()
-        if longest_idle is None:
-            return False
-        IDLE_CONNECTIONS_CLOSED.add(1)
-        longest_idle.cancel()
-        return True
-
     def _limits(self) -> RequestLimits:
         configuration = self._cluster_state.configuration
         return configuration.limits if configuration else DEFAULT_LIMITS
--- a/packages/proxy/src/sassafrastally/proxy/overload_monitor.py
+++ b/packages/proxy/src/sassafrastally/proxy/overload_monitor.py
@@ -24,6 +24,8 @@
 from sassafrastally.proxy.task import LocalReply
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from sassafrastally.proxy.load import Ledger
 
 INACTIVE_CHECK_S = 1.0
@@ -45,6 +47,8 @@
     needs: ClassVar[tuple[str, ...]] = ("peers",)
 
     def __init__(self, ledger: Ledger) -> None:
+        self.on_change: Callable[[bool], None] = lambda _: None
+        """Called with whether the entry is overloaded, each time that this changes."""
         self._ledger = ledger
         self._window = LagWindow()
         self._limit = StreamLimit()
@@ -91,7 +95,7 @@
         return LocalReply(ENTRY_BUSY, detail, delay_s)
 
     def refuses_connections(self) -> bool:
-        """Return whether to close new connections unread, so that callers retry elsewhere at once.
+        """Return whether new connections aren't served, so that callers retry elsewhere at once.
 
         Their retries reach another entry of the data centre, which must have CPU time left.
         """
@@ -151,3 +155,4 @@
             self._overloaded_since_s = None
             self.kernel.events.emit(EntryRecovered(lag_s, overloaded_s))
         self._peers.set_overloaded(is_overloaded=self.is_overloaded)
+        self.on_change(self.is_overloaded)
--- a/packages/proxy/src/sassafrastally/proxy/refusals.py
+++ b/packages/proxy/src/sassafrastally/proxy/refusals.py
@@ -60,6 +60,11 @@
 ENTRY_BUSY = Refusal(
     "entry-busy", 503, "This entry is overloaded, others take the request. It has not run."
 )
+CONNECTIONS_FULL = Refusal(
+    "connections-full",
+    503,
+    "This entry has too many connections open, others take the request. It has not run.",
+)
 BODIES_FULL = Refusal(
     "bodies-full",
     503,
@@ -99,6 +104,7 @@
     TURNED_AWAY,
     STOPPING,
     ENTRY_BUSY,
+    CONNECTIONS_FULL,
     BODIES_FULL,
     QUARANTINED,
     TOO_LONG,
--- a/packages/proxy/src/sassafrastally/proxy/settings.py
+++ b/packages/proxy/src/sassafrastally/proxy/settings.py
@@ -23,6 +23,8 @@
     """Factor on a cold server's rate that bounds the requests to it in any second."""
     cold_slack: float = 0.0
     """Requests in any second that are allowed in addition."""
+    crossing_s: float = 0.2
+    """Time after its last byte within which a request may be cut by the close of its connection."""
 
 
 class ProxySettings(NamedTuple):
--- a/packages/testing/src/sassafrastally/testing/crowd_replay.py
+++ b/packages/testing/src/sassafrastally/testing/crowd_replay.py
@@ -16,6 +16,9 @@
 from random import Random
 from typing import NamedTuple
 
+from sassafrastally.core import UnreadInput
+from sassafrastally.core.accepting import ACCEPT_INTERVAL_S
+from sassafrastally.proxy.connection_admission import Admission, turn_away
 from sassafrastally.proxy.cpu_overload import (
     TIMER_S,
     LagWindow,
@@ -25,10 +28,12 @@
 )
 
 REQUEST_CPU_S = 0.003
+REFUSAL_CPU_S = 0.0003
 EVENT_CPU_S = 0.0003
 EVENTS = 40
 EVENT_GAP_S = 0.045
-"""Cost and length of an answer: 36 events of a short prompt, and the request itself."""
+"""Cost and length of an answer: 36 events of a short prompt, and the request itself. A request that
+is refused without being parsed costs a tenth."""
 
 READ_TIMEOUT_S = 1.0
 """Time after which a caller abandons an entry that hasn't read its request."""
@@ -41,13 +46,18 @@
 
 MAX_RETRIES = 2
 
+CROSSING_S = 0.2
+"""Time after its last byte within which a request may be cut by a close."""
+
 
 class Shedding(Enum):
     """What an entry without CPU time does with new requests."""
 
     NONE = "takes all"
     REFUSAL = "refuses them after reading"
-    CLOSE = "closes new connections unread"
+    CLOSE = "closes new connections unread, however long their requests have waited"
+    TURN = "accepts once a turn of the event loop; refuses requests that have waited, closes others"
+    STEPS = "the same, but accepts between the steps of a turn"
 
 
 class CrowdLoad(NamedTuple):
@@ -168,10 +178,16 @@
             return READ_TIMEOUT_S
         is_full = entry.is_overloaded and not entry.limit.accepts(len(entry.streams))
         has_peer = any(not one.is_overloaded for one in self._entries if one is not entry)
-        if is_full and has_peer and self._shedding is Shedding.CLOSE:
-            return lag_s + CLOSE_S
-        done_s = entry.work(now_s, REQUEST_CPU_S)
         is_refused = is_full and self._shedding is Shedding.REFUSAL
+        cpu_s = REQUEST_CPU_S
+        if is_full and has_peer and self._shedding not in (Shedding.NONE, Shedding.REFUSAL):
+            wait_s = lag_s
+            if self._shedding is Shedding.STEPS:
+                wait_s = min(lag_s, ACCEPT_INTERVAL_S / self._load.cores)
+            if self._shedding is Shedding.CLOSE or not self._has_waited(wait_s):
+                return wait_s + CLOSE_S
+            is_refused, cpu_s = True, REFUSAL_CPU_S
+        done_s = entry.work(now_s, cpu_s)
         if request.is_served_at_once is None:
             request.is_served_at_once = not is_refused
         if is_refused:
@@ -180,6 +196,9 @@
         entry.streams.append(done_s + EVENTS * EVENT_GAP_S)
         return None
 
+    def _has_waited(self, wait_s: float) -> bool:
+        return turn_away(UnreadInput(1, wait_s), CROSSING_S) is Admission.REFUSE
+
     def _outcome(self) -> CrowdOutcome:
         load = self._load
 
--- /dev/null
+++ b/packages/testing/tests/platform/test_turned_away.py
@@ -0,0 +1,89 @@
+"""New connections of an entry that has as many as its descriptors allow."""
+
+from __future__ import annotations
+
+import json
+import socket
+import time
+
+import pytest
+import trio
+
+from sassafrastally.proxy.caller_listener import CallerListener
+from sassafrastally.stand_ins.platform_fleet import wait_until
+
+WAITED_S = 0.15
+"""More than half of the time in which a request may be cut by a close."""
+
+REQUEST = b"%b /book/x HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\n{}"
+
+
+@pytest.fixture
+def full_fleet(small_fleet):
+    """An entry that may have no connection."""
+    listener = small_fleet.kernels[0].get("callers", CallerListener)
+    listener._connections.most = 10
+    listener._acceptor.open_connections = 10
+    return small_fleet
+
+
+async def answer_to(fleet, method: bytes, waits_s: float) -> bytes:
+    """Return what comes for a request that waits in the accept queue for a while."""
+    caller = socket.socket()
+    caller.connect(fleet.entry_settings(1).callers_address)
+    caller.send(REQUEST % method)
+    time.sleep(waits_s)
+    caller.setblocking(False)
+    received = b""
+    with trio.socket.from_stdlib_socket(caller) as stream, trio.fail_after(1.0):
+        try:
+            while data := await stream.recv(4096):
+                received += data
+        except ConnectionResetError:
+            return received or b"reset"
+    return received
+
+
+class TestFullEntry:
+    """An entry at its bound, without an idle connection."""
+
+    async def test_request_that_has_waited_is_refused(self, full_fleet):
+        """Guards against the reset of a request that had waited in the accept queue."""
+        answer = await answer_to(full_fleet, b"POST", WAITED_S)
+        head, _, body = answer.partition(b"\r\n\r\n")
+        assert head.startswith(b"HTTP/1.1 503")
+        assert b"retry-after: 0." in head.lower()
+        assert b"connection: close" in head.lower()
+        assert json.loads(body)["type"].endswith("connections-full")
+        assert not full_fleet.received_requests()
+
+    async def test_refusal_of_a_head_request_has_no_body(self, full_fleet):
+        """Guards against bytes after a response that has none."""
+        answer = await answer_to(full_fleet, b"HEAD", WAITED_S)
+        assert answer.startswith(b"HTTP/1.1 503")
+        assert answer.endswith(b"\r\n\r\n")
+
+    async def test_request_that_has_just_arrived_is_closed_and_logged(self, full_fleet):
+        """Guards against a log that doesn't tell what was closed unread."""
+        assert await answer_to(full_fleet, b"POST", 0.0) == b"reset"
+        await answer_to(full_fleet, b"POST", WAITED_S)
+        kernel = full_fleet.kernels[0]
+
+        def logged() -> list[dict]:
+            return [
+                record["fields"]
+                for record in kernel.events.records()
+                if record["name"] == "ConnectionsTurnedAway"
+            ]
+
+        await wait_until(lambda: bool(logged()))
+        (sums,) = logged()
+        assert sums["cause"] == "connections-full"
+        assert (sums["closed"], sums["closed_with_input"], sums["refused"]) == (1, 1, 1)
+        assert sums["longest_closed_s"] < WAITED_S <= sums["longest_refused_s"] + 0.01
+
+    async def test_entry_that_is_far_beyond_its_bound_closes_all(self, full_fleet):
+        """Guards against refusals that use up the descriptors of requests in progress."""
+        listener = full_fleet.kernels[0].get("callers", CallerListener)
+        listener._acceptor.open_connections = 12
+        assert await answer_to(full_fleet, b"POST", WAITED_S) == b"reset"
