A changed stop time takes effect without a restart

What callers saw: requests in progress were cut without an answer when the settings file had got a shorter stop time since the start of the process. The process planned its drain by the stop time of its start and was killed sooner.

Cause: SIGHUP read and checked the settings, logged SettingsReloaded, and used nothing of them. The file may also change without a signal, which nothing noticed at all.

Evidence: test_changed_settings, a real process whose stop time goes from 8 to 3 s, eight requests that last longer, and a kill 3 s after SIGTERM.

Change: SignalHandler holds the newest valid settings. A stop signal reads the file once more, and the drain goes by the stop time that is found, less the age of the signal. An invalid file leaves the previous settings in effect. A second stop signal changes nothing. An unexpected error in a reload is contained.

--- a/packages/proxy/src/sassafrastally/proxy/caller_listener.py
+++ b/packages/proxy/src/sassafrastally/proxy/caller_listener.py
@@ -120,6 +120,8 @@
     ) -> None:
         self.open_requests = 0
         """Number of in-flight requests, from their first byte to the end of the response."""
+        self.stop_time_s = settings.bounds.stop_time_s
+        """Time from the begin of `stop` until the process is killed."""
         self.blocked_callers: BlockedCallers[trio.CancelScope] = BlockedCallers(
             most_buffered_bytes(settings.memory_mb)
         )
@@ -163,9 +165,8 @@
         """
         stop_begin_s = self.kernel.clock.now_s()
         self._stop_requested_s = stop_begin_s
-        stop_time_s = self._settings.bounds.stop_time_s
-        ends_s = stop_begin_s + max(0.0, stop_time_s - KILL_MARGIN_S)
-        self.kernel.events.emit(ProcessDraining(self.open_requests, stop_time_s))
+        ends_s = stop_begin_s + max(0.0, self.stop_time_s - KILL_MARGIN_S)
+        self.kernel.events.emit(ProcessDraining(self.open_requests, self.stop_time_s))
         self._path.services.drain.begin(ends_s)
         reads_s = min(stop_begin_s + LAST_REQUEST_AFTER_SIGNAL_S, ends_s)
         with trio.move_on_at(ends_s):
--- a/packages/proxy/src/sassafrastally/proxy/daemon.py
+++ b/packages/proxy/src/sassafrastally/proxy/daemon.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import signal
-from functools import partial
 from typing import TYPE_CHECKING
 
 import trio
@@ -20,13 +19,13 @@
 from sassafrastally.proxy.input_limits import InputBudget, most_held_bytes
 from sassafrastally.proxy.internal_endpoints import InternalEndpoints
 from sassafrastally.proxy.load import Ledger
-from sassafrastally.proxy.log_events import SettingsRejected, SettingsReloaded
 from sassafrastally.proxy.overload_monitor import OverloadMonitor
 from sassafrastally.proxy.path import RequestPath
 from sassafrastally.proxy.peers import Peers
 from sassafrastally.proxy.quarantine_service import QuarantineService
 from sassafrastally.proxy.reports import EngineReports
 from sassafrastally.proxy.retry_budget import RetryBudget
+from sassafrastally.proxy.signal_handling import SignalHandler
 from sassafrastally.proxy.warm_up import ColdBound
 from sassafrastally.proxy.watch import StoreWatch
 
@@ -102,42 +101,16 @@
     with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
         # Taken once the receiver is open, so that no signal falls between the two.
         early = early_signals.take() if early_signals else []
-        kernel = make_kernel(
-            _with_stop_time_left(settings, early), dialect, store, listener, start_logs
-        )
-        handle = partial(_handle_signal, kernel, settings, reread)
-        for signal_number, _ in early:
-            handle(signal_number)
+        kernel = make_kernel(settings, dialect, store, listener, start_logs)
+        handler = SignalHandler(kernel, settings, reread)
+        for signal_number, age_s in early:
+            handler.handle(signal_number, age_s)
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(_handle_signals, signals, handle)
+            nursery.start_soon(_handle_signals, signals, handler)
             await kernel.run()
             nursery.cancel_scope.cancel()
 
 
-def _with_stop_time_left(settings: ProxySettings, early: list[tuple[int, float]]) -> ProxySettings:
-    """Return settings whose stop time is what a stop signal of that age leaves."""
-    age_s = max((age_s for number, age_s in early if number != signal.SIGHUP), default=0.0)
-    bounds = settings.bounds
-    left_s = max(0.0, bounds.stop_time_s - age_s)
-    return settings._replace(bounds=bounds._replace(stop_time_s=left_s))
-
-
-async def _handle_signals(signals: AsyncIterator[int], handle: Callable[[int], None]) -> None:
+async def _handle_signals(signals: AsyncIterator[int], handler: SignalHandler) -> None:
     async for signal_number in signals:
-        handle(signal_number)
-
-
-def _handle_signal(
-    kernel: Kernel,
-    settings: ProxySettings,
-    reread: Callable[[], ProxySettings | str],
-    signal_number: int,
-) -> None:
-    if signal_number != signal.SIGHUP:
-        kernel.request_stop()
-        return
-    reloaded = reread()
-    if isinstance(reloaded, str):
-        kernel.events.emit(SettingsRejected(reloaded))
-    else:
-        kernel.events.emit(SettingsReloaded(reloaded != settings))
+        handler.handle(signal_number)
--- a/packages/testing/src/sassafrastally/testing/soak/entry_process.py
+++ b/packages/testing/src/sassafrastally/testing/soak/entry_process.py
@@ -69,13 +69,14 @@
         self.host = host
         self.callers_address = Address(self.host, base_port)
         self.readiness_address = Address(self.host, base_port + 1)
+        self.stop_time_s = stop_time_s
+        """Its stop time in the settings that are written next."""
         self.settings_changes = 0
         """How often its settings file was rewritten."""
         self.exit_codes: list[int] = []
         """How each process has ended; negative: by that signal."""
         self._base_port = base_port
         self._store = store
-        self._stop_time_s = stop_time_s
         self._process: subprocess.Popen[bytes] | None = None
         self._settings_file = folder / f"entry-{number}.json"
         self.log_file = folder / f"entry-{number}.log"
@@ -114,6 +115,11 @@
         draft.replace(self._settings_file)
         self.settings_changes += 1
 
+    def truncate_settings(self) -> None:
+        """Leave a half of the settings file, as a writer that writes it in place."""
+        text = self._settings_file.read_text()
+        self._settings_file.write_text(text[: len(text) // 2])
+
     def signal(self, number: signal.Signals) -> None:
         """Send a signal, if the process lives."""
         if self._process is not None and self.is_running:
@@ -164,7 +170,7 @@
             "beatIntervalMs": HEARTBEAT_INTERVAL_MS,
             "platform": {"address": str(self._store)},
             "bounds": {
-                "graceS": self._stop_time_s,
+                "graceS": self.stop_time_s,
                 "retryBudgetRatio": 0.2,
                 "budgetWindowS": 10,
                 "budgetExtraTries": 100,
