The bound of headers in force holds on connections opened before

What callers saw: 431, which nobody retries, for a request on a kept connection whose header the configuration in force allows, if the header arrived in more than one piece.

Cause: h11 takes the bound of an incomplete header when a connection is made, and keeps it. A connection that was opened under a smaller bound, or before the first configuration (16 KB), had that bound until its end. Complete headers were checked by the configuration in force.

Evidence: TestHeaderBound, a bound that grows from 1,000 to 16,384 bytes and a header of 9 KB in ten pieces: 431 before, 200 after. The other way round, a bound that shrinks, passed before as well.

Change: HttpStream applies the bound of requests itself, by the bytes that it counts as held, and the listener sets it for each request.

--- a/packages/proxy/src/sassafrastally/proxy/caller_listener.py
+++ b/packages/proxy/src/sassafrastally/proxy/caller_listener.py
@@ -360,8 +360,10 @@
         self, connection: HttpStream, account: InputAccount, reply: Reply
     ) -> Request | BadRequest | None:
         """Return the next request, or ``None`` if the connection closes between requests."""
+        limits = self._limits()
+        connection.header_bytes = limits.header_bytes
         reader = RequestReader(
-            connection, self._limits(), self._dialect, account, self.kernel.clock.now_s()
+            connection, limits, self._dialect, account, self.kernel.clock.now_s()
         )
         try:
             return await reader.read_in_time()
--- a/packages/proxy/src/sassafrastally/proxy/http_stream.py
+++ b/packages/proxy/src/sassafrastally/proxy/http_stream.py
@@ -92,7 +92,7 @@
     role
         ``h11.CLIENT`` or ``h11.SERVER``.
     header_bytes
-        Maximum size of a header.
+        Maximum size of a header; that of requests may change between two of them.
     """
 
     def __init__(
@@ -102,7 +102,11 @@
         header_bytes: int = MAX_HEAD_BYTES,
     ) -> None:
         self.stream = stream
-        self.http = h11.Connection(role, max_incomplete_event_size=header_bytes)
+        # h11 keeps the bound of the connection's begin; `_next_event` applies that of requests.
+        fixed_bound_bytes = sys.maxsize if role is h11.SERVER else header_bytes
+        self.http = h11.Connection(role, max_incomplete_event_size=fixed_bound_bytes)
+        self.header_bytes = header_bytes
+        """Maximum size of a header."""
         self.is_write_incomplete = False
         """Whether a write was cancelled: the peer lacks bytes that h11 counts as sent."""
         self.is_reused = False
@@ -115,7 +119,6 @@
         """When the last bytes were received."""
         self.is_reset_on_close = False
         """Whether closing the connection resets it on purpose."""
-        self._header_bytes = header_bytes
         self._held_bytes = 0
         self._has_uncounted_rest = False
         """Whether what an event has left of the last read isn't counted yet."""
@@ -179,6 +182,8 @@
             rest = self.http.trailing_data[0]
             self._hold(len(rest))
             self._may_hold_line, self._last_byte = b"\r\n" in rest, rest[-1:]
+        if self.http.our_role is h11.SERVER and self._held_bytes > self.header_bytes:
+            raise h11.RemoteProtocolError("Receive buffer too long", TOO_LONG_STATUS)
         if is_body and self._held_bytes and self.http.our_role is h11.CLIENT:
             if self._may_hold_line and b"\r\n" in self.http.trailing_data[0]:
                 # In a body, h11 keeps whole lines only of trailers. Nothing uses them, and the body
@@ -191,7 +196,7 @@
 
     def _too_long(self, *, is_body: bool) -> InputTooLong:
         place = InputPlace.TRAILERS if is_body else InputPlace.HEADER
-        bound_bytes = MAX_TRAILER_BYTES if is_body else self._header_bytes
+        bound_bytes = MAX_TRAILER_BYTES if is_body else self.header_bytes
         return InputTooLong(InputExcess(place, self._held_bytes, bound_bytes))
 
     def _count_interim(self, event: h11.Event | type[h11.PAUSED]) -> None:
