A stopping entry answers requests that callers have sent ahead

What callers saw: a request that was sent before the answer to the one before it was dropped when the entry stopped meanwhile, however long ago it had been sent: the answer to the first said Connection: close. It had been read by then.

Cause: each answer of a stopping entry was the last one on its connection, without a look at what is already there.

Evidence: test_requests_sent_ahead_are_answered, four requests at once and a stop 0.1 s later. After: 4 of 4 (200, or 502 for the one that runs and 503 for the three that haven't).

Change: an answer is the last one if the stopping entry has no more input of that connection. A caller that always has a request ahead keeps its connection until the end of the drain.

--- a/packages/proxy/src/sassafrastally/proxy/caller_listener.py
+++ b/packages/proxy/src/sassafrastally/proxy/caller_listener.py
@@ -4,6 +4,7 @@
 
 import traceback
 from contextlib import suppress
+from functools import partial
 from typing import TYPE_CHECKING, ClassVar
 
 import h11
@@ -306,7 +307,7 @@
             return await self._serve_accounted(connection, account)
 
     async def _serve_accounted(self, connection: HttpStream, account: InputAccount) -> bool:
-        reply = Reply(connection, lambda: self.is_stopping, self.blocked_callers)
+        reply = Reply(connection, partial(self._is_last, connection), self.blocked_callers)
         try:
             request = await self._read_request(connection, account, reply)
         except h11.RemoteProtocolError as cause:
@@ -325,6 +326,14 @@
         await self._answer(connection, request, reply)
         return reply.has_ended and _can_continue(connection)
 
+    def _is_last(self, connection: HttpStream) -> bool:
+        """Return whether a response is the last one on its connection.
+
+        A stopping entry answers the requests that are already there: their callers have sent them
+        before they could know of the stop, maybe seconds ago.
+        """
+        return self.is_stopping and not connection.has_unread_input()
+
     async def _answer(self, connection: HttpStream, request: Request, reply: Reply) -> None:
         failure: Exception | None = None
         async with trio.open_nursery() as nursery:
--- a/packages/testing/tests/platform/test_stopping_entry.py
+++ b/packages/testing/tests/platform/test_stopping_entry.py
@@ -13,10 +13,11 @@
 
 from sassafrastally.proxy.caller_listener import LAST_REQUEST_AFTER_SIGNAL_S
 from sassafrastally.proxy.drain import Drain
-from sassafrastally.proxy.http_stream import ConnectionLost
+from sassafrastally.proxy.http_stream import ConnectionLost, HttpStream
 from sassafrastally.proxy.load import Lane
 from sassafrastally.proxy.path import RequestPath
 from sassafrastally.stand_ins.caller_requests import (
+    encode_request,
     read_response,
     request_fields,
     send_request,
@@ -326,6 +327,34 @@
             fleet_of_two.kernels[0].request_stop()
         assert not runs(fleet_of_two).intersection(unanswered)
 
+    @pytest.mark.parametrize(
+        ("work_s", "statuses"), [(1.0, [200, 200, 200, 200]), (30.0, [502, 503, 503, 503])]
+    )
+    async def test_requests_sent_ahead_are_answered(
+        self, autojump_clock, fleet_of_two, work_s, statuses
+    ):
+        """Guards against requests that are dropped, seconds after they were sent, because the
+        response before theirs is said to be the last one."""
+        for desk in (1, 2):
+            fleet_of_two.replicas[f"desk-{desk}"].work_s = work_s
+        connection = await fleet_of_two.connect()
+        for _ in statuses:
+            ahead = HttpStream(connection.stream, h11.CLIENT)
+            await send_request(ahead, "POST", "/book/x", request_fields(time_left_s=14.0), b"{}")
+        await trio.sleep(0.1)
+        stop_s = trio.current_time()
+        fleet_of_two.kernels[0].request_stop()
+        answers = []
+        for _ in statuses:
+            encode_request(connection, "POST", "/book/x", request_fields(), b"{}")
+            answers.append(await read_response(connection))
+            if answers[-1].headers.get("connection") == "close":
+                break
+            connection.http.start_next_cycle()
+        assert [one.status for one in answers if one.is_whole] == statuses
+        assert answers[-1].headers["connection"] == "close"
+        assert trio.current_time() - stop_s < ANSWERED_S
+
 
 class TestOtherChanges:
     """A stop beside other changes, at any moment."""
