--- a/packages/proxy/src/sassafrastally/proxy/caller_listener.py
+++ b/packages/proxy/src/sassafrastally/proxy/caller_listener.py
@@ -4,6 +4,7 @@
 
 import traceback
 from contextlib import suppress
+from functools import partial
 from typing import TYPE_CHECKING, ClassVar
 
 import h11
@@ -122,6 +123,8 @@
     ) -> None:
         self.open_requests = 0
         """Number of in-flight requests, from their first byte to the end of the response."""
+        self.stop_time_s = settings.bounds.stop_time_s
+        """Time from the begin of `stop` until the process is killed."""
         self.blocked_callers: BlockedCallers[trio.CancelScope] = BlockedCallers(
             most_buffered_bytes(settings.memory_mb)
         )
@@ -177,9 +180,8 @@
         """
         stop_begin_s = self.kernel.clock.now_s()
         self._stop_requested_s = stop_begin_s
-        stop_time_s = self._settings.bounds.stop_time_s
-        ends_s = stop_begin_s + max(0.0, stop_time_s - KILL_MARGIN_S)
-        self.kernel.events.emit(ProcessDraining(self.open_requests, stop_time_s))
+        ends_s = stop_begin_s + max(0.0, self.stop_time_s - KILL_MARGIN_S)
+        self.kernel.events.emit(ProcessDraining(self.open_requests, self.stop_time_s))
         self._path.services.drain.begin(ends_s)
         reads_s = min(stop_begin_s + LAST_REQUEST_AFTER_SIGNAL_S, ends_s)
         with trio.move_on_at(ends_s):
@@ -309,7 +311,7 @@
             return await self._serve_accounted(connection, account)
 
     async def _serve_accounted(self, connection: HttpStream, account: InputAccount) -> bool:
-        reply = Reply(connection, lambda: self.is_stopping, self.blocked_callers)
+        reply = Reply(connection, partial(self._is_last, connection), self.blocked_callers)
         try:
             request = await self._read_request(connection, account, reply)
         except h11.RemoteProtocolError as cause:
@@ -328,6 +330,14 @@
         await self._answer(connection, request, reply)
         return reply.has_ended and _can_continue(connection)
 
+    def _is_last(self, connection: HttpStream) -> bool:
+        """Return whether a response is the last one on its connection.
+
+        A stopping entry answers the requests that are already there: their callers have sent them
+        before they could know of the stop, maybe seconds ago.
+        """
+        return self.is_stopping and not connection.has_unread_input()
+
     async def _answer(self, connection: HttpStream, request: Request, reply: Reply) -> None:
         failure: Exception | None = None
         async with trio.open_nursery() as nursery:
@@ -363,8 +373,10 @@
         self, connection: HttpStream, account: InputAccount, reply: Reply
     ) -> Request | BadRequest | None:
         """Return the next request, or ``None`` if the connection closes between requests."""
+        limits = self._limits()
+        connection.header_bytes = limits.header_bytes
         reader = RequestReader(
-            connection, self._limits(), self._dialect, account, self.kernel.clock.now_s()
+            connection, limits, self._dialect, account, self.kernel.clock.now_s()
         )
         try:
             return await reader.read_in_time()
