Internal ports: look for input before a connection is closed, and don't cut responses

What callers saw: a readiness check, or a peer's fetch of changes, that was reset although it had arrived, or a response that ended in its middle; the caller of a readiness check counts that as a miss.

Cause: one cancel scope surrounded the wait for a request, its reading and its response. 1. Beyond 1,024 connections the one unused for longest was cancelled, whatever it did: a request that arrived after the choice and before the close was reset, and a response in progress was cut after 0.15 s. 2. Where the idle limit passed in the turn in which a request arrived, the request was read, but the scope stayed cancelled: a response that didn't fit the socket buffer was cut after 0.15 s.

Ruled out: unread requests that had arrived before the choice, and small responses in the turn of the idle limit, were answered before this change too (input wins over a cancellation in the same turn, and a small response is written in spite of it).

Change: each use of a connection (idle, request, response) has a scope of its own. Idle connections without input are closed first, then those with a part of a request, responses last; one on which more has arrived stays, beyond the bound if need be, until it is read. An idle connection that is closed, for another or at its limit, is looked at again right before the close and served if a request has arrived. A response may use the rest of the 10 s of its request, at least 0.1 s.

--- a/packages/proxy/src/sassafrastally/proxy/internal_endpoints.py
+++ b/packages/proxy/src/sassafrastally/proxy/internal_endpoints.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from contextlib import suppress
 from typing import TYPE_CHECKING, ClassVar
 
 import h11
@@ -15,12 +16,13 @@
 from sassafrastally.proxy.change_fetcher import parse_changes_target
 from sassafrastally.proxy.cluster_state import ClusterState
 from sassafrastally.proxy.containment import Containment
+from sassafrastally.proxy.cpu_overload import LAST_READ_S, read_until
 from sassafrastally.proxy.delta_messages import encode_delta
 from sassafrastally.proxy.fleet_view import FleetView
 from sassafrastally.proxy.http_stream import ConnectionLost, HttpStream, enable_keepalive
 from sassafrastally.proxy.load import Lane
 from sassafrastally.proxy.log_events import ReadinessChanged
-from sassafrastally.proxy.open_connections import OpenConnections
+from sassafrastally.proxy.open_connections import ConnectionUse, OpenConnections
 from sassafrastally.proxy.overload_monitor import OverloadMonitor
 from sassafrastally.proxy.path import RequestPath
 from sassafrastally.proxy.quarantine_service import QuarantineService
@@ -183,40 +185,68 @@
 
     def __init__(self, handler: EndpointHandler, max_connections: int = MAX_CONNECTIONS) -> None:
         self._handler = handler
-        self._connections: OpenConnections[trio.CancelScope] = OpenConnections(max_connections)
+        self._connections: OpenConnections[_Connection] = OpenConnections(
+            max_connections, lambda one: one.stream.is_readable()
+        )
 
     async def serve(self, stream: trio.abc.Stream) -> None:
         """Serve a connection until it is closed."""
         enable_keepalive(stream)
-        connection = HttpStream(stream, h11.SERVER)
+        connection = _Connection(HttpStream(stream, h11.SERVER))
         try:
-            with trio.CancelScope() as scope:
-                if (longest_unused := self._connections.open(scope)) is not None:
-                    longest_unused.cancel()
-                await self._serve_requests(connection, scope)
+            for other in self._connections.open(connection):
+                other.scope.cancel()
+            while await self._serve_request(connection):
+                connection.stream.http.start_next_cycle()
         except (ConnectionLost, h11.RemoteProtocolError):
             # The client disconnected, sends too much or doesn't speak HTTP. Its calls change no
             # state.
             return
         finally:
-            self._connections.close(scope)
-            await connection.close()
-
-    async def _serve_requests(self, connection: HttpStream, scope: trio.CancelScope) -> None:
-        while True:
-            scope.deadline = trio.current_time() + IDLE_TIME_S
-            if not connection.http.trailing_data[0] and not await connection.receive_bytes():
-                return
-            scope.deadline = trio.current_time() + REQUEST_TIME_S
-            self._connections.note_use(scope)
-            target = await _read_target(connection)
-            if target is None:
-                return
-            status, body = self._handler(target)
-            await Reply(connection, lambda: False).send_complete(status, [], body)
-            if connection.http.our_state is not h11.DONE:
-                return
-            connection.http.start_next_cycle()
+            self._connections.close(connection)
+            await connection.stream.close()
+
+    async def _serve_request(self, connection: _Connection) -> bool:
+        """Serve one request and return whether the connection can be reused."""
+        if not await self._wait_for_bytes(connection):
+            return False
+        begin_s = trio.current_time()
+        target = None
+        with self._begin_use(connection, ConnectionUse.REQUEST) as scope:
+            scope.deadline = begin_s + REQUEST_TIME_S
+            target = await _read_target(connection.stream)
+        if target is None:
+            return False
+        status, body = self._handler(target)
+        reply = Reply(connection.stream, lambda: False)
+        with self._begin_use(connection, ConnectionUse.RESPONSE) as scope:
+            scope.deadline = max(begin_s + REQUEST_TIME_S, trio.current_time() + LAST_READ_S)
+            await reply.send_complete(status, [], body)
+        return reply.has_ended and connection.stream.http.our_state is h11.DONE
+
+    async def _wait_for_bytes(self, connection: _Connection) -> bool:
+        """Return whether a request begins."""
+        stream = connection.stream
+        if stream.http.trailing_data[0]:
+            return True
+        due_s = trio.current_time() + IDLE_TIME_S
+        with self._begin_use(connection, ConnectionUse.IDLE), suppress(trio.TooSlowError):
+            return await read_until(stream.receive_bytes, due_s)
+        # A request may have arrived at the same moment.
+        return stream.is_readable()
+
+    def _begin_use(self, connection: _Connection, use: ConnectionUse) -> trio.CancelScope:
+        self._connections.record_use(connection, use)
+        connection.scope = trio.CancelScope()
+        return connection.scope
+
+
+class _Connection:
+    """A connection and the scope of its present use."""
+
+    def __init__(self, stream: HttpStream) -> None:
+        self.stream = stream
+        self.scope = trio.CancelScope()
 
 
 async def _read_target(connection: HttpStream) -> str | None:
