Internal ports: log and count connections that are closed without a response

What callers saw: a readiness check or a peer's call that ended with a closed connection, of which the log of the entry had nothing: neither of connections closed for others or at a time limit, nor of input that isn't HTTP, nor of connections that wait in the accept queue for lack of descriptors.

Change: events 10110 (use, cause, number) and 10111 (shortage), one line in 5 s for each port and cause with what came in between summed up (`LogRate`), and the counter `proxy.internal_connections_closed`. Connections that were idle for 30 s are only counted: each kept connection ends so.

--- a/packages/core/src/sassafrastally/core/__init__.py
+++ b/packages/core/src/sassafrastally/core/__init__.py
@@ -34,6 +34,7 @@
     MaybeApplied,
 )
 from sassafrastally.core.late_limits import TimeLimit, require_time, time_limit
+from sassafrastally.core.log_rate import LogRate
 from sassafrastally.core.metrics import METRICS, MetricKind, counter, gauge, histogram
 from sassafrastally.core.network import Address, Network, TcpNetwork, is_ip_address
 from sassafrastally.core.registry import Registry
@@ -71,6 +72,7 @@
     "KvUnavailable",
     "KvWrite",
     "LeaseLost",
+    "LogRate",
     "MaybeApplied",
     "MetricKind",
     "Network",
--- a/packages/proxy/src/sassafrastally/proxy/internal_endpoints.py
+++ b/packages/proxy/src/sassafrastally/proxy/internal_endpoints.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from contextlib import suppress
 from typing import TYPE_CHECKING, ClassVar
 
@@ -20,6 +21,7 @@
 from sassafrastally.proxy.delta_messages import encode_delta
 from sassafrastally.proxy.fleet_view import FleetView
 from sassafrastally.proxy.http_stream import ConnectionLost, HttpStream, enable_keepalive
+from sassafrastally.proxy.internal_connection_log import CloseCause, InternalConnectionLog
 from sassafrastally.proxy.load import Lane
 from sassafrastally.proxy.log_events import ReadinessChanged
 from sassafrastally.proxy.open_connections import ConnectionUse, OpenConnections
@@ -34,6 +36,7 @@
     from sassafrastally.proxy.settings import ProxySettings
 
     EndpointHandler = Callable[[str], tuple[int, bytes]]
+    OnClose = Callable[[ConnectionUse, CloseCause], None]
 
 IDLE_TIME_S = 30.0
 """Idle timeout of a connection."""
@@ -161,13 +164,17 @@
     ) -> None:
         listeners = await trio.open_tcp_listeners(port, host=host)
         containment = Containment(self.kernel, f"call at port {port}")
-        endpoint = Endpoint(handler)
+        log = InternalConnectionLog(self.kernel, port)
+        endpoint = Endpoint(handler, on_close=log.record_close)
 
         async def serve(stream: trio.abc.Stream) -> None:
             with containment:
                 await endpoint.serve(stream)
 
-        acceptor = Acceptor(listeners[0], serve)
+        def on_shortage(cause: str) -> None:
+            log.record_shortage(cause, acceptor.open_connections)
+
+        acceptor = Acceptor(listeners[0], serve, on_shortage)
         self._acceptors.append(acceptor)
         nursery.start_soon(acceptor.run, nursery)
 
@@ -181,10 +188,19 @@
         Returns status and body of the response to a target.
     max_connections
         Maximum number of open connections.
+    on_close
+        Called with the use of each connection that is closed by this entry without a complete
+        response.
     """
 
-    def __init__(self, handler: EndpointHandler, max_connections: int = MAX_CONNECTIONS) -> None:
+    def __init__(
+        self,
+        handler: EndpointHandler,
+        max_connections: int = MAX_CONNECTIONS,
+        on_close: OnClose = lambda _use, _cause: None,
+    ) -> None:
         self._handler = handler
+        self._on_close = on_close
         self._connections: OpenConnections[_Connection] = OpenConnections(
             max_connections, lambda one: one.stream.is_readable()
         )
@@ -195,34 +211,40 @@
         connection = _Connection(HttpStream(stream, h11.SERVER))
         try:
             for other in self._connections.open(connection):
+                other.close_cause = CloseCause.ROOM
                 other.scope.cancel()
             while await self._serve_request(connection):
                 connection.stream.http.start_next_cycle()
-        except (ConnectionLost, h11.RemoteProtocolError):
-            # The client disconnected, sends too much or doesn't speak HTTP. Its calls change no
-            # state.
-            return
+        except ConnectionLost:
+            return  # The client disconnected; its calls change no state.
+        except h11.RemoteProtocolError:
+            self._on_close(ConnectionUse.REQUEST, CloseCause.INPUT)
         finally:
             self._connections.close(connection)
             await connection.stream.close()
 
     async def _serve_request(self, connection: _Connection) -> bool:
         """Serve one request and return whether the connection can be reused."""
+        stream = connection.stream
         if not await self._wait_for_bytes(connection):
             return False
         begin_s = trio.current_time()
-        target = None
-        with self._begin_use(connection, ConnectionUse.REQUEST) as scope:
-            scope.deadline = begin_s + REQUEST_TIME_S
-            target = await _read_target(connection.stream)
+        with self._begin_use(connection, ConnectionUse.REQUEST, begin_s + REQUEST_TIME_S) as scope:
+            target = await _read_target(stream)
+        if scope.cancelled_caught:
+            self._on_close(ConnectionUse.REQUEST, connection.close_cause)
+            return False
         if target is None:
             return False
         status, body = self._handler(target)
-        reply = Reply(connection.stream, lambda: False)
-        with self._begin_use(connection, ConnectionUse.RESPONSE) as scope:
-            scope.deadline = max(begin_s + REQUEST_TIME_S, trio.current_time() + LAST_READ_S)
+        reply = Reply(stream, lambda: False)
+        due_s = max(begin_s + REQUEST_TIME_S, trio.current_time() + LAST_READ_S)
+        with self._begin_use(connection, ConnectionUse.RESPONSE, due_s):
             await reply.send_complete(status, [], body)
-        return reply.has_ended and connection.stream.http.our_state is h11.DONE
+        if not reply.has_ended:
+            self._on_close(ConnectionUse.RESPONSE, connection.close_cause)
+            return False
+        return stream.http.our_state is h11.DONE
 
     async def _wait_for_bytes(self, connection: _Connection) -> bool:
         """Return whether a request begins."""
@@ -232,21 +254,27 @@
         due_s = trio.current_time() + IDLE_TIME_S
         with self._begin_use(connection, ConnectionUse.IDLE), suppress(trio.TooSlowError):
             return await read_until(stream.receive_bytes, due_s)
-        # A request may have arrived at the same moment.
-        return stream.is_readable()
-
-    def _begin_use(self, connection: _Connection, use: ConnectionUse) -> trio.CancelScope:
+        if stream.is_readable():
+            return True  # A request may have arrived at the same moment.
+        self._on_close(ConnectionUse.IDLE, connection.close_cause)
+        return False
+
+    def _begin_use(
+        self, connection: _Connection, use: ConnectionUse, due_s: float = math.inf
+    ) -> trio.CancelScope:
         self._connections.record_use(connection, use)
-        connection.scope = trio.CancelScope()
+        connection.scope = trio.CancelScope(deadline=due_s)
+        connection.close_cause = CloseCause.TIME
         return connection.scope
 
 
 class _Connection:
-    """A connection and the scope of its present use."""
+    """A connection, the scope of its present use and the cause of a cancellation."""
 
     def __init__(self, stream: HttpStream) -> None:
         self.stream = stream
         self.scope = trio.CancelScope()
+        self.close_cause = CloseCause.TIME
 
 
 async def _read_target(connection: HttpStream) -> str | None:
@@ -254,8 +282,8 @@
 
     Raises
     ------
-    ConnectionLost
-        If the request is too large.
+    h11.RemoteProtocolError
+        If the request is too large or isn't valid HTTP.
     """
     target = None
     max_received_bytes = connection.received_bytes + MAX_REQUEST_BYTES
@@ -268,4 +296,4 @@
         elif not isinstance(event, h11.Data):
             return None
         if connection.received_bytes > max_received_bytes:
-            raise ConnectionLost(f"a request of more than {MAX_REQUEST_BYTES} bytes")
+            raise h11.RemoteProtocolError(f"a request of more than {MAX_REQUEST_BYTES} bytes")
--- a/packages/proxy/src/sassafrastally/proxy/log_events/__init__.py
+++ b/packages/proxy/src/sassafrastally/proxy/log_events/__init__.py
@@ -11,6 +11,10 @@
     EvacuationUnknown,
 )
 from sassafrastally.proxy.log_events.failure_rates import ServerAvoided, ServerUsedAgain
+from sassafrastally.proxy.log_events.internal_ports import (
+    InternalAcceptFailed,
+    InternalConnectionsClosed,
+)
 from sassafrastally.proxy.log_events.knowledge import (
     CentreHeard,
     CentreSilent,
@@ -122,6 +126,8 @@
     "FormerLifeIgnored",
     "HistoryReread",
     "IdleConnectionsClosed",
+    "InternalAcceptFailed",
+    "InternalConnectionsClosed",
     "ListenerClosed",
     "PeerFailed",
     "PeerHeard",
--- a/packages/proxy/src/sassafrastally/proxy/metrics.py
+++ b/packages/proxy/src/sassafrastally/proxy/metrics.py
@@ -37,6 +37,11 @@
     "1",
     "Idle callers' connections closed for new ones, as the entry may not have more.",
 )
+INTERNAL_CONNECTIONS_CLOSED = counter(
+    "proxy.internal_connections_closed",
+    "1",
+    "Connections at internal ports closed without a complete response, by use and cause.",
+)
 CALLERS_BLOCKED = counter(
     "proxy.callers.blocked", "1", "Callers disconnected because they didn't read their response."
 )
--- a/packages/testing/tests/platform/test_internal_connections.py
+++ b/packages/testing/tests/platform/test_internal_connections.py
@@ -10,7 +10,9 @@
 
 from sassafrastally.proxy import internal_endpoints
 from sassafrastally.proxy.http_stream import HttpStream
-from sassafrastally.proxy.internal_endpoints import Endpoint
+from sassafrastally.proxy.internal_connection_log import CloseCause
+from sassafrastally.proxy.internal_endpoints import Endpoint, InternalEndpoints
+from sassafrastally.proxy.open_connections import ConnectionUse
 
 REQUEST = b"GET /readyz HTTP/1.1\r\nhost: a\r\n\r\n"
 IDLE_TIME_S = 0.2
@@ -118,3 +120,51 @@
         nursery.start_soon(endpoint.serve, SocketPair().server)
         await trio.sleep(READ_AFTER_S)
         assert len(await pairs[0].read()) > len(LARGE_BODY)
+
+
+class TestLog:
+    """Connections that are closed without a response."""
+
+    ROOM = CloseCause.ROOM
+    TIME = CloseCause.TIME
+
+    @pytest.mark.parametrize(
+        ("sent", "use", "cause"),
+        [
+            (b"", ConnectionUse.IDLE, ROOM),
+            (REQUEST[:9], ConnectionUse.REQUEST, ROOM),
+            (REQUEST, ConnectionUse.RESPONSE, ROOM),
+            (b"", ConnectionUse.IDLE, TIME),
+            (REQUEST[:9], ConnectionUse.REQUEST, TIME),
+            (REQUEST, ConnectionUse.RESPONSE, TIME),
+            (b"no request\r\n\r\n", ConnectionUse.REQUEST, CloseCause.INPUT),
+        ],
+    )
+    async def test_tells_use_and_cause(self, nursery, monkeypatch, sent, use, cause):
+        """Guards against a caller's failed call of which the entry's log has nothing."""
+        if cause is self.TIME:
+            monkeypatch.setattr(internal_endpoints, "IDLE_TIME_S", IDLE_TIME_S)
+            monkeypatch.setattr(internal_endpoints, "REQUEST_TIME_S", IDLE_TIME_S)
+        closed = []
+        endpoint = Endpoint(lambda _: (200, LARGE_BODY), 1, lambda *close: closed.append(close))
+        pair = SocketPair()
+        nursery.start_soon(endpoint.serve, pair.server)
+        pair.client.sendall(sent)
+        await trio.sleep(0.05)
+        if cause is self.ROOM:
+            nursery.start_soon(endpoint.serve, SocketPair().server)
+        await trio.sleep(IDLE_TIME_S + READ_AFTER_S)
+        assert closed[0] == (use, cause)
+
+    async def test_shortage_at_an_internal_port_is_logged_at_a_bounded_rate(self, small_fleet):
+        """Guards against readiness checks that wait in the accept queue while the log is silent."""
+        kernel = small_fleet.kernels[0]
+        for acceptor in kernel.get("answering", InternalEndpoints)._acceptors:
+            for _ in range(100):
+                acceptor._on_shortage("no descriptors")
+        ports = [
+            record["fields"]["port"]
+            for record in kernel.events.records()
+            if record["name"] == "InternalAcceptFailed"
+        ]
+        assert len(ports) == len(set(ports)) == 3
