Product's HTTP server: look for input before a close, await new callers' first requests, log both

What callers saw: a reset instead of an answer while the entry had as many connections as it may have. For a request that may not run twice the caller can't know whether it has run. The log had nothing.

Cause, two in one decision (`Connections.add`): 1. The connection to close was looked at when another was accepted, and closed in a later turn of the event loop: a request that arrived between the two was reset. 2. With requests on all connections, the new one was itself the one idle for longest, so it was closed in the turn in which it was accepted, with its first request usually on its way.

Change: a connection that is to be closed is asked to give way; its idle task looks for input in the turn of the close, and a request that has arrived is served and counts again. If all others have requests, new connections get 0.3 s for their first request, up to a sixteenth of the bound beyond it: the request is read and gets the true answer of the request path, a 503 included. Connections with a part of a request go first. The decision is in `idle_connections`, without I/O. Event 6032 and the counter `sassafrastally.entry.connections_closed` tell how many were closed so, kept or new; 6031 is bounded in rate too (one line in 5 s), since a shortage may begin anew with each accepted connection.

--- a/packages/entry/src/sassafrastally/entry/admin.py
+++ b/packages/entry/src/sassafrastally/entry/admin.py
@@ -26,7 +26,8 @@
 from sassafrastally.core.kv import KvConflict, KvUnavailable, MaybeApplied
 from sassafrastally.core.settings import section
 from sassafrastally.entry.asgi import AsgiServer, ServerBounds
-from sassafrastally.entry.events import ConnectionsUnaccepted, HttpServerClosed
+from sassafrastally.entry.connection_log import ConnectionLog
+from sassafrastally.entry.events import HttpServerClosed
 from sassafrastally.serving.explanations import explain
 from sassafrastally.serving.receipts import ReceiptService
 from sassafrastally.stores.service import PlatformService
@@ -121,11 +122,13 @@
 
     async def start(self, nursery: trio.Nursery) -> None:
         """Start the HTTP server."""
+        log = ConnectionLog(self.kernel, OPERATORS)
         self._server = AsgiServer(
             self._make_app(),
             self._settings.listen_address,
             ServerBounds(),
-            self._on_shortage,
+            log.record_shortage,
+            log.record_gave_way,
         )
         await nursery.start(self._server.run)
         self.kernel.events.emit(AdminListening(str(self.bound_address)))
@@ -135,9 +138,6 @@
         closed = await self._server.close()
         self.kernel.events.emit(HttpServerClosed(OPERATORS, *closed))
 
-    def _on_shortage(self, cause: str) -> None:
-        self.kernel.events.emit(ConnectionsUnaccepted(OPERATORS, cause))
-
     @property
     def _kv(self) -> Kv:
         return self.kernel.get("platform", PlatformService).kv
--- a/packages/entry/src/sassafrastally/entry/asgi.py
+++ b/packages/entry/src/sassafrastally/entry/asgi.py
@@ -14,8 +14,9 @@
 from sassafrastally.core.accepting import Acceptor
 from sassafrastally.core.http_patterns import use_linear_patterns
 from sassafrastally.core.late_limits import deliver_received
-from sassafrastally.entry.http11 import Connections, Http11Config, use_http11_connections
+from sassafrastally.entry.http11 import Http11Config, use_http11_connections
 from sassafrastally.entry.http_connection import HttpConnection
+from sassafrastally.entry.idle_connections import FIRST_REQUEST_S, Connections
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -30,10 +31,6 @@
 OPEN_CHECK_S = 0.02
 """Interval at which is checked whether connections are still open."""
 
-FIRST_REQUEST_S = 0.3
-"""How long the first requests of the connections that were accepted last are awaited at the close.
-"""
-
 MAX_CONNECTIONS = 4_096
 """Default of the maximum number of open connections, a little more than that of requests in
 progress. One with half a header takes about 40 KB."""
@@ -58,7 +55,8 @@
     backlog: int = 128
     """Length of the queue of connections waiting to be accepted."""
     max_connections: int = _max_connections()
-    """Maximum number of open connections. Half of the descriptors stay free for links and calls."""
+    """Maximum number of open connections. Half of the descriptors stay free for links and calls,
+    less the excess that `Connections` allows for a short time."""
 
 
 class ClosedServer(NamedTuple):
@@ -88,6 +86,9 @@
         Limits on connections.
     on_shortage
         Called with the cause when resources for a connection are missing.
+    on_gave_way
+        Called when a connection without a request was closed for another one, with whether nothing
+        had been received on it.
 
     Raises
     ------
@@ -101,6 +102,7 @@
         address: Address,
         bounds: ServerBounds,
         on_shortage: Callable[[str], None] = lambda _: None,
+        on_gave_way: Callable[[bool], None] = lambda _: None,
     ) -> None:
         self._listener = _bind(address, bounds.unread_limit_s)
         name = self._listener.getsockname()
@@ -108,7 +110,9 @@
         """Address that the server is bound to."""
         self._app = ASGIWrapper(self._with_own_sends(app, bounds.unread_limit_s))
         self._config = Http11Config()
-        self._config.connections = Connections(bounds.max_connections)
+        self._config.connections = Connections(
+            bounds.max_connections, trio.current_time, on_gave_way
+        )
         self._config.keep_alive_timeout = bounds.keep_alive_s
         self._config.include_server_header = False
         self._config.loglevel = "WARNING"
--- a/packages/entry/src/sassafrastally/entry/events.py
+++ b/packages/entry/src/sassafrastally/entry/events.py
@@ -164,8 +164,26 @@
 
     interface: str
     cause: str
+    occasions: int
+    """How often since the last such line."""
 
 
+@event(6032, "warning")
+class ConnectionsGaveWay(NamedTuple):
+    """Connections without a request were closed since more are open than the server may have."""
+
+    interface: str
+    use: str
+    """``kept`` if something had been received on them, ``new`` if nothing had."""
+    connections: int
+    """Their number since the last such line."""
+
+
+CONNECTIONS_CLOSED = counter(
+    "sassafrastally.entry.connections_closed",
+    "1",
+    "Connections without a request closed for others, by interface and use: kept or new",
+)
 REQUESTS = counter("sassafrastally.entry.requests", "1", "Requests by outcome and code")
 OPEN_REQUESTS = gauge("sassafrastally.entry.open_requests", "1", "Requests in progress")
 RETRIES = counter("sassafrastally.entry.retries", "1", "Attempts after the first")
--- a/packages/entry/src/sassafrastally/entry/http.py
+++ b/packages/entry/src/sassafrastally/entry/http.py
@@ -8,11 +8,8 @@
 
 from sassafrastally.core import Service, event, time_limit
 from sassafrastally.entry.asgi import AsgiServer, ServerBounds
-from sassafrastally.entry.events import (
-    ConnectionsUnaccepted,
-    EntryDraining,
-    HttpServerClosed,
-)
+from sassafrastally.entry.connection_log import ConnectionLog
+from sassafrastally.entry.events import EntryDraining, HttpServerClosed
 from sassafrastally.entry.path import RequestPath
 from sassafrastally.entry.routes import Routes
 
@@ -68,11 +65,13 @@
             backlog=settings.backlog,
         )
         app = Routes(self._path).make_app()
+        log = ConnectionLog(self.kernel, CALLERS)
         self._server = AsgiServer(
             app,
             settings.listen_address,
             bounds,
-            self._on_shortage,
+            log.record_shortage,
+            log.record_gave_way,
         )
         await nursery.start(self._server.run)
         self.kernel.events.emit(HttpListening(str(self.bound_address)))
@@ -92,6 +91,3 @@
         await self._path.stop()
         closed = await self._server.close()
         self.kernel.events.emit(HttpServerClosed(CALLERS, *closed))
-
-    def _on_shortage(self, cause: str) -> None:
-        self.kernel.events.emit(ConnectionsUnaccepted(CALLERS, cause))
--- a/packages/entry/src/sassafrastally/entry/http11.py
+++ b/packages/entry/src/sassafrastally/entry/http11.py
@@ -14,12 +14,14 @@
 import h11
 import trio
 from hypercorn.config import Config
-from hypercorn.events import Closed, Updated
+from hypercorn.events import Closed
 from hypercorn.protocol import ProtocolWrapper
 from hypercorn.protocol.h11 import H11Protocol
 from hypercorn.trio import tcp_server
 from hypercorn.trio.tcp_server import TCPServer
 
+from sassafrastally.entry.idle_connections import Connections
+
 if TYPE_CHECKING:
     from hypercorn.events import Event
 
@@ -78,51 +80,10 @@
             return
 
 
-class Connections:
-    """Open connections of a server, bounded in number.
-
-    Beyond the bound the one that has been without a request for the longest time is closed, so that
-    a flood of connections doesn't keep out callers that send requests. One whose request has
-    arrived and isn't read yet stays, if need be beyond the bound until it is read.
-
-    Parameters
-    ----------
-    max_count
-        Maximum number.
-    """
-
-    def __init__(self, max_count: int) -> None:
-        self._max_count = max_count
-        self._open: set[ContainedServer] = set()
-        self._idle: dict[ContainedServer, None] = {}
-        """Those without a request, the longest idle first."""
-
-    def add(self, server: ContainedServer) -> None:
-        """Add a connection, which has no request yet; close another one beyond the bound."""
-        self._open.add(server)
-        self._idle[server] = None
-        if len(self._open) > self._max_count:
-            longest_idle = next((one for one in self._idle if not one.has_unread_input()), None)
-            if longest_idle is not None:
-                self.remove(longest_idle)
-                longest_idle.scope.cancel()
-
-    def set_idle(self, server: ContainedServer, *, is_idle: bool) -> None:
-        """Record whether a connection has no request in progress."""
-        self._idle.pop(server, None)
-        if is_idle and server in self._open:
-            self._idle[server] = None
-
-    def remove(self, server: ContainedServer) -> None:
-        """Remove a connection that closes."""
-        self._open.discard(server)
-        self._idle.pop(server, None)
-
-
 class Http11Config(Config):
     """Configuration of a server with these connections."""
 
-    connections = Connections(sys.maxsize)
+    connections = Connections(sys.maxsize, trio.current_time)
     """Open connections; each server has its own."""
 
 
@@ -131,34 +92,12 @@
 
     config: Http11Config
 
-    def __init__(self, *args: Any, **kwargs: Any) -> None:
-        super().__init__(*args, **kwargs)
-        self.scope = trio.CancelScope()
-        """Surrounds the connection."""
-
     async def run(self) -> None:
         """Serve the connection."""
-        self.config.connections.add(self)
         try:
-            with self.scope:
-                await super().run()
+            await super().run()
         except* Exception:
             await self.config.log.exception("A connection was closed by an unexpected error")
-        finally:
-            self.config.connections.remove(self)
-
-    def has_unread_input(self) -> bool:
-        """Return whether bytes, or the end of the stream, have arrived that aren't read yet."""
-        try:
-            return bool(self.stream.socket.is_readable())
-        except OSError:
-            return False
-
-    async def protocol_send(self, event: Event) -> None:
-        """Handle an event of the protocol."""
-        if isinstance(event, Updated):
-            self.config.connections.set_idle(self, is_idle=event.idle)
-        await super().protocol_send(event)
 
 
 def use_http11_connections() -> None:
--- a/packages/entry/src/sassafrastally/entry/http_connection.py
+++ b/packages/entry/src/sassafrastally/entry/http_connection.py
@@ -45,7 +45,15 @@
     def __init__(
         self, app: AppWrapper, config: Config, context: WorkerContext, stream: trio.SocketStream
     ) -> None:
-        super().__init__(app, config, context, {}, stream)
+        # Hypercorn names only encrypted streams, but serves others too.
+        super().__init__(app, config, context, {}, stream)  # type: ignore[arg-type]
+        self.accepted_s = trio.current_time()
+        """When it was accepted."""
+        self.has_received = False
+        """Whether anything has been read from it."""
+        self._gives_way_s = math.inf
+        """When it is closed, unless a request has arrived."""
+        self._waiting_for_request = trio.CancelScope()
         self._is_idle = True
         """Whether no request is in progress; kept here because hypercorn's own task learns it only
         in a later turn of the event loop."""
@@ -58,10 +66,33 @@
         self._handling = trio.CancelScope()
         self._reader: trio.lowlevel.Task | None = None
 
+    async def run(self) -> None:
+        """Serve the connection."""
+        self.config.connections.add(self)
+        try:
+            await super().run()
+        finally:
+            self.config.connections.remove(self)
+
+    def has_unread_input(self) -> bool:
+        """Return whether bytes, or the end of the stream, have arrived that aren't read yet."""
+        try:
+            return bool(self.stream.socket.is_readable())
+        except OSError:
+            return False
+
+    def give_way(self, limit_s: float) -> None:
+        """Close the connection unless a request arrives within a time."""
+        self._gives_way_s = trio.current_time() + limit_s
+        self._waiting_for_request.deadline = self._gives_way_s
+
     async def protocol_send(self, event: Event) -> None:
         """Send a response, or take note of a state of the connection."""
         if isinstance(event, Updated):
             self._is_idle = event.idle
+            self._gives_way_s = math.inf
+            if not self._is_read:
+                self.config.connections.set_idle(self, is_idle=event.idle)
         if isinstance(event, Closed):
             await self._end_sending()
             await self._notify_closed()
@@ -106,6 +137,7 @@
         self._reader = trio.lowlevel.current_task()
         discarded_bytes = 0
         while (data := await self._receive()) is not None:
+            self.has_received = True
             if not self._is_ending:
                 with self._handling:
                     await self.protocol.handle(RawData(bytes(data)))
@@ -130,10 +162,13 @@
         return None
 
     async def _idle_timeout(self) -> None:
-        with trio.move_on_after(self.config.keep_alive_timeout):
+        due_s = trio.current_time() + self.config.keep_alive_timeout
+        with trio.move_on_at(min(due_s, self._gives_way_s)) as self._waiting_for_request:
             await self.context.terminated.wait()
         # A request that has arrived is read and served first.
         while self._is_idle and self.has_unread_input():
             await trio.sleep(UNREAD_CHECK_S)
         if self._is_idle:
+            if self._gives_way_s <= trio.current_time():
+                self.config.connections.on_gave_way(not self.has_received)
             await self.stream.aclose()
--- a/packages/entry/tests/test_connections.py
+++ b/packages/entry/tests/test_connections.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import os
 import socket
 from contextlib import AsyncExitStack
 from typing import TYPE_CHECKING
@@ -14,6 +15,7 @@
 from sassafrastally.core import Address
 from sassafrastally.entry.asgi import AsgiServer, ServerBounds
 from sassafrastally.entry.http11 import Http11Protocol
+from sassafrastally.entry.idle_connections import FIRST_REQUEST_S, Connections, OpenConnection
 
 if TYPE_CHECKING:
     import h11
@@ -208,6 +210,49 @@
             for stream in busy:
                 assert (await read_until(stream, b"answer")).startswith(b"HTTP/1.1 200 ")
 
+    async def test_request_that_arrives_before_the_close_is_answered(
+        self, server: AsgiServer, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Guards against a look for input some time before the connection is closed."""
+        address = server.bound_address
+        add = Connections.add
+        async with AsyncExitStack() as stack:
+            idle = [
+                await stack.enter_async_context(await trio.open_tcp_stream(*address))
+                for _ in range(self.MAX_CONNECTIONS)
+            ]
+            await trio.sleep(FIRST_REQUEST_S)
+            late = socket.socket(fileno=os.dup(idle[0].socket.fileno()))
+
+            def add_and_send(connections: Connections, added: OpenConnection) -> None:
+                add(connections, added)
+                late.sendall(PLAIN)
+
+            monkeypatch.setattr(Connections, "add", add_and_send)
+            with late:
+                further = await trio.open_tcp_stream(*address)
+                await stack.enter_async_context(further)
+                assert await answers(further)
+            assert (await read_until(idle[0], b"answer")).startswith(b"HTTP/1.1 200 ")
+
+    async def test_new_caller_is_answered_although_all_others_have_requests(
+        self, server: AsgiServer, release: trio.Event
+    ) -> None:
+        """Guards against a new caller that is reset while its first request is on its way, and
+        can't know whether that has run."""
+        address = server.bound_address
+        async with AsyncExitStack() as stack:
+            for _ in range(self.MAX_CONNECTIONS):
+                busy = await trio.open_tcp_stream(*address)
+                await stack.enter_async_context(busy)
+                await busy.send_all(PLAIN.replace(b"/", b"/slow", 1))
+            await trio.sleep(0.1)
+            further = await trio.open_tcp_stream(*address)
+            await stack.enter_async_context(further)
+            await trio.sleep(FIRST_REQUEST_S / 3)
+            assert await answers(further)
+            release.set()
+
     async def test_request_that_has_arrived_does_not_give_way(self, server: AsgiServer) -> None:
         """Guards against connections that are closed with a whole request unread: many are accepted
         in one turn of the event loop, before any of them is read."""
@@ -223,3 +268,19 @@
                 await stack.enter_async_context(client)
             for client in clients:
                 assert (await read_until(client, b"answer")).startswith(b"HTTP/1.1 200 ")
+
+    async def test_closed_ones_are_reported(self, nursery: trio.Nursery) -> None:
+        """Guards against callers' connections that are closed without a line in the log."""
+        reported: list[bool] = []
+        bounds = ServerBounds(max_connections=1)
+        address = Address("127.0.0.1", 0)
+        server = AsgiServer(QuartTrio("log"), address, bounds, on_gave_way=reported.append)
+        await nursery.start(server.run)
+        async with AsyncExitStack() as stack:
+            for data in (PLAIN[:-4], b"", b""):
+                stream = await trio.open_tcp_stream(*server.bound_address)
+                await stack.enter_async_context(stream)
+                await stream.send_all(data)
+                await trio.sleep(FIRST_REQUEST_S / 3)
+            assert await read_until(stream, b"never") == b""
+        assert reported == [False, True]
