Links: log connections that are closed before their handshake or wait for descriptors

What was seen: an entry's link to a sidecar was refused (`HandshakeRefused` at the entry), and the log of the sidecar had nothing: it closes connections without a handshake while it stops and while 1,024 handshakes are in progress. Without descriptors the links were accepted by trio's `serve_listeners`, which writes an error with a traceback ten times a second, outside of the numbered events.

A request isn't lost to either: a refused link is known not to have carried one, so the entry takes another sidecar (by reading `Attempt`, `LinkRefused`).

Change: events 2008 (reason, number) and 2009 (shortage), one line in 5 s each. Links are accepted by `Acceptor`, as the other ports are.

Tests: test_handshake (three connections turned away, one line), test_accepting (a link is accepted once descriptors are free again).

--- a/packages/core/src/sassafrastally/core/network.py
+++ b/packages/core/src/sassafrastally/core/network.py
@@ -7,6 +7,8 @@
 
 import trio
 
+from sassafrastally.core.accepting import Acceptor
+
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
@@ -46,8 +48,12 @@
         address: Address,
         handler: Callable[[trio.abc.Stream], Awaitable[None]],
         nursery: trio.Nursery,
+        on_shortage: Callable[[str], None] = lambda _: None,
     ) -> Address:
-        """Accept streams in the nursery and return the bound address; port 0 picks a free port."""
+        """Accept streams in the nursery and return the bound address; port 0 picks a free port.
+
+        `on_shortage` is called with the cause when resources for a connection are missing.
+        """
         ...
 
 
@@ -63,9 +69,10 @@
         address: Address,
         handler: Callable[[trio.abc.Stream], Awaitable[None]],
         nursery: trio.Nursery,
+        on_shortage: Callable[[str], None] = lambda _: None,
     ) -> Address:
         """Accept TCP streams in the nursery."""
         listeners = await trio.open_tcp_listeners(address.port, host=address.host)
         name = listeners[0].socket.getsockname()
-        nursery.start_soon(trio.serve_listeners, handler, listeners)
+        nursery.start_soon(Acceptor(listeners[0], handler, on_shortage).run, nursery)
         return Address(name[0], name[1])
--- a/packages/core/tests/test_accepting.py
+++ b/packages/core/tests/test_accepting.py
@@ -13,7 +13,7 @@
 import trio
 import trio.testing
 
-from sassafrastally.core import Acceptor, waiting_connections
+from sassafrastally.core import Acceptor, Address, TcpNetwork, waiting_connections
 from sassafrastally.core.accepting import MAX_AT_ONCE, refuse_new_connections
 
 GREETING = b"served"
@@ -235,3 +235,19 @@
             with accepted:
                 accepted.sendall(GREETING)
         assert received(before) == [GREETING]
+
+    async def test_links_wait_for_descriptors_and_the_shortage_is_reported(self, nursery):
+        """Guards against a line with a traceback in the log every tenth of a second, and against
+        peers that are kept out without an event."""
+        causes: list[str] = []
+        address = Address("127.0.0.1", 0)
+        bound = await TcpNetwork().listen(address, serve, nursery, causes.append)
+        client = socket.socket()
+        with no_descriptors():
+            client.connect(bound)
+            await trio.sleep(0.3)
+            assert len(causes) == 1
+        client.setblocking(False)
+        async with trio.SocketStream(trio.socket.from_stdlib_socket(client)) as stream:
+            with trio.fail_after(1.0):
+                assert await stream.receive_some() == GREETING
--- a/packages/testing/src/sassafrastally/testing/network.py
+++ b/packages/testing/src/sassafrastally/testing/network.py
@@ -268,6 +268,7 @@
         address: Address,
         handler: Callable[[trio.abc.Stream], Awaitable[None]],
         nursery: trio.Nursery,
+        on_shortage: Callable[[str], None] = lambda _: None,
     ) -> Address:
         """Accept streams at an address."""
         return self._network.add_listener(address, _Listener(self._vm, handler, nursery))
--- a/packages/wire/src/sassafrastally/wire/events.py
+++ b/packages/wire/src/sassafrastally/wire/events.py
@@ -70,3 +70,21 @@
     peer_vm: str
     code: int
     reason: str
+
+
+@event(2008, "warning")
+class ConnectionsTurnedAway(NamedTuple):
+    """Connections of peers were closed unread, before a handshake."""
+
+    reason: str
+    connections: int
+    """Their number since the last such line."""
+
+
+@event(2009, "warning")
+class PeersUnaccepted(NamedTuple):
+    """Connections of peers wait to be accepted: the process or system lacks resources for them."""
+
+    cause: str
+    occasions: int
+    """How often since the last such line."""
--- a/packages/wire/src/sassafrastally/wire/peers.py
+++ b/packages/wire/src/sassafrastally/wire/peers.py
@@ -6,14 +6,16 @@
 
 import trio
 
-from sassafrastally.core import CodedError, Service, error
+from sassafrastally.core import CodedError, LogRate, Service, error
 from sassafrastally.wire.events import (
     LINKS_UP,
+    ConnectionsTurnedAway,
     HandshakeRefused,
     LinkDown,
     LinkUp,
     PeerHandlerFailed,
     PeersListening,
+    PeersUnaccepted,
     StreamFailed,
 )
 from sassafrastally.wire.handshake import Handshake
@@ -91,6 +93,7 @@
         self._dials: dict[tuple[str, Address], _Dial] = {}
         self._pending_handshakes = 0
         self._is_stopping = False
+        self._log_rate = LogRate()
         self._nursery: trio.Nursery
         self._identity: PeerIdentity
         self._bound_address: Address
@@ -106,7 +109,7 @@
         self._nursery = nursery
         self._identity = PeerIdentity(kernel.vm, self._role, kernel.data_centre, kernel.incarnation)
         self._bound_address = await self._network.listen(
-            self._settings.listen_address, self._accept, nursery
+            self._settings.listen_address, self._accept, nursery, self._on_shortage
         )
         kernel.events.emit(PeersListening(str(self._bound_address)))
 
@@ -197,7 +200,14 @@
             await self._run_link(dial.link)
 
     async def _accept(self, connection: trio.abc.Stream) -> None:
-        if self._is_stopping or self._pending_handshakes >= MAX_PENDING_HANDSHAKES:
+        reason = ""
+        if self._is_stopping:
+            reason = "the process stops"
+        elif self._pending_handshakes >= MAX_PENDING_HANDSHAKES:
+            reason = "too many handshakes are in progress"
+        if reason:
+            if count := self._log_rate.count(reason, self.kernel.clock.now_s()):
+                self.kernel.events.emit(ConnectionsTurnedAway(reason, count))
             await trio.aclose_forcefully(connection)
             return
         link: MuxLink | None = None
@@ -219,6 +229,10 @@
         self._add_link(link, "accepted")
         await self._run_link(link)
 
+    def _on_shortage(self, cause: str) -> None:
+        if count := self._log_rate.count("shortage", self.kernel.clock.now_s()):
+            self.kernel.events.emit(PeersUnaccepted(cause, count))
+
     def _handshake(self, stream: trio.abc.Stream) -> Handshake:
         kernel = self.kernel
         secret = self._settings.link_secret
--- a/packages/wire/tests/test_handshake.py
+++ b/packages/wire/tests/test_handshake.py
@@ -92,9 +92,12 @@
         for pending in streams:
             await pending.send_all(part)
         await trio.sleep(1)
-        further = await network.connect(pair.sidecar.bound_address)
-        with trio.fail_after(1):
-            assert await further.receive_some() == b""
+        for _ in range(3):
+            further = await network.connect(pair.sidecar.bound_address)
+            with trio.fail_after(1):
+                assert await further.receive_some() == b""
+        turned_away = "ConnectionsTurnedAway"
+        assert events_of(pair.sidecar).count(turned_away) == 1
         await trio.sleep(5)
         sound = await network.connect(pair.sidecar.bound_address)
         await send(sound, HELLO)
