Internal ports: bound connections by descriptors, and close idle ones when these are missing

What callers would see: 503 (not sent) or nothing. Each of the three internal ports took up to 1,024 connections whatever the limit of descriptors: with 2,870 (`maxFds`), idle connections there could take all that callers' connections leave for attempts, the store and peers. Where descriptors were missing, readiness checks waited in the accept queue for idle connections to end (30 s).

Change: the ports share one bound, half of the callers' (975 at 4,100 descriptors, 667 at 2,870, 3,072 where there are many); beyond it idle connections without input are closed first. A shortage at one of the ports closes half of the idle ones, as it does at the callers' port.

Measured, 400 descriptors and 100 idle connections at each port: 300 open before, at most 50 after. After a shortage with 30 idle ones: 30 before, 15 after.

--- a/packages/proxy/src/sassafrastally/proxy/internal_connection_log.py
+++ b/packages/proxy/src/sassafrastally/proxy/internal_connection_log.py
@@ -20,6 +20,7 @@
     ROOM = "too many connections"
     TIME = "time limit"
     INPUT = "invalid input"
+    SHORTAGE = "lack of resources"
 
 
 class InternalConnectionLog:
--- a/packages/proxy/src/sassafrastally/proxy/internal_endpoints.py
+++ b/packages/proxy/src/sassafrastally/proxy/internal_endpoints.py
@@ -24,7 +24,11 @@
 from sassafrastally.proxy.internal_connection_log import CloseCause, InternalConnectionLog
 from sassafrastally.proxy.load import Lane
 from sassafrastally.proxy.log_events import ReadinessChanged
-from sassafrastally.proxy.open_connections import ConnectionUse, OpenConnections
+from sassafrastally.proxy.open_connections import (
+    ConnectionUse,
+    OpenConnections,
+    most_internal_connections,
+)
 from sassafrastally.proxy.overload_monitor import OverloadMonitor
 from sassafrastally.proxy.path import RequestPath
 from sassafrastally.proxy.quarantine_service import QuarantineService
@@ -52,9 +56,6 @@
 CLOSE_TIME_S = 0.05
 """How long a process that ends waits for resources to accept the calls that are waiting."""
 
-MAX_CONNECTIONS = 1024
-"""Maximum number of open connections at each port: three for each entry of a fleet of 340."""
-
 
 class InternalEndpoints(Service):
     """Serves readiness checks, metrics scrapes and the change requests of peers."""
@@ -74,6 +75,7 @@
         self._settings = settings
         self._was_ready = False
         self._acceptors: list[Acceptor] = []
+        self._connections = make_connections(most_internal_connections(settings.max_descriptors))
 
     async def start(self, nursery: trio.Nursery) -> None:
         """Start listening on the ports for readiness checks, peers and metrics."""
@@ -165,7 +167,7 @@
         listeners = await trio.open_tcp_listeners(port, host=host)
         containment = Containment(self.kernel, f"call at port {port}")
         log = InternalConnectionLog(self.kernel, port)
-        endpoint = Endpoint(handler, on_close=log.record_close)
+        endpoint = Endpoint(handler, self._connections, log.record_close)
 
         async def serve(stream: trio.abc.Stream) -> None:
             with containment:
@@ -173,12 +175,41 @@
 
         def on_shortage(cause: str) -> None:
             log.record_shortage(cause, acceptor.open_connections)
+            for connection in self._connections.take_for_shortage():
+                connection.close(CloseCause.SHORTAGE)
 
         acceptor = Acceptor(listeners[0], serve, on_shortage)
         self._acceptors.append(acceptor)
         nursery.start_soon(acceptor.run, nursery)
 
 
+class InternalConnection:
+    """A connection at an internal port.
+
+    Parameters
+    ----------
+    stream
+        The connection; owned by this object.
+    """
+
+    def __init__(self, stream: HttpStream) -> None:
+        self.stream = stream
+        self.close_cause = CloseCause.TIME
+        """Why its present use ends, if it is cancelled."""
+        self.scope = trio.CancelScope()
+        """Surrounds its present use."""
+
+    def close(self, cause: CloseCause) -> None:
+        """Close the connection, unless a request has arrived on it."""
+        self.close_cause = cause
+        self.scope.cancel()
+
+
+def make_connections(most: int) -> OpenConnections[InternalConnection]:
+    """Return the open connections of ports that share a bound."""
+    return OpenConnections(most, lambda one: one.stream.is_readable())
+
+
 class Endpoint:
     """Serves the requests on the connections of one port.
 
@@ -186,8 +217,8 @@
     ----------
     handler
         Returns status and body of the response to a target.
-    max_connections
-        Maximum number of open connections.
+    connections
+        Open connections of this port and others.
     on_close
         Called with the use of each connection that is closed by this entry without a complete
         response.
@@ -196,23 +227,20 @@
     def __init__(
         self,
         handler: EndpointHandler,
-        max_connections: int = MAX_CONNECTIONS,
+        connections: OpenConnections[InternalConnection],
         on_close: OnClose = lambda _use, _cause: None,
     ) -> None:
         self._handler = handler
         self._on_close = on_close
-        self._connections: OpenConnections[_Connection] = OpenConnections(
-            max_connections, lambda one: one.stream.is_readable()
-        )
+        self._connections = connections
 
     async def serve(self, stream: trio.abc.Stream) -> None:
         """Serve a connection until it is closed."""
         enable_keepalive(stream)
-        connection = _Connection(HttpStream(stream, h11.SERVER))
+        connection = InternalConnection(HttpStream(stream, h11.SERVER))
         try:
             for other in self._connections.open(connection):
-                other.close_cause = CloseCause.ROOM
-                other.scope.cancel()
+                other.close(CloseCause.ROOM)
             while await self._serve_request(connection):
                 connection.stream.http.start_next_cycle()
         except ConnectionLost:
@@ -223,7 +251,7 @@
             self._connections.close(connection)
             await connection.stream.close()
 
-    async def _serve_request(self, connection: _Connection) -> bool:
+    async def _serve_request(self, connection: InternalConnection) -> bool:
         """Serve one request and return whether the connection can be reused."""
         stream = connection.stream
         if not await self._wait_for_bytes(connection):
@@ -246,7 +274,7 @@
             return False
         return stream.http.our_state is h11.DONE
 
-    async def _wait_for_bytes(self, connection: _Connection) -> bool:
+    async def _wait_for_bytes(self, connection: InternalConnection) -> bool:
         """Return whether a request begins."""
         stream = connection.stream
         if stream.http.trailing_data[0]:
@@ -260,7 +288,7 @@
         return False
 
     def _begin_use(
-        self, connection: _Connection, use: ConnectionUse, due_s: float = math.inf
+        self, connection: InternalConnection, use: ConnectionUse, due_s: float = math.inf
     ) -> trio.CancelScope:
         self._connections.record_use(connection, use)
         connection.scope = trio.CancelScope(deadline=due_s)
@@ -268,15 +296,6 @@
         return connection.scope
 
 
-class _Connection:
-    """A connection, the scope of its present use and the cause of a cancellation."""
-
-    def __init__(self, stream: HttpStream) -> None:
-        self.stream = stream
-        self.scope = trio.CancelScope()
-        self.close_cause = CloseCause.TIME
-
-
 async def _read_target(connection: HttpStream) -> str | None:
     """Return the target of the next request; ``None`` at the end of the connection.
 
--- a/packages/proxy/src/sassafrastally/proxy/log_events/internal_ports.py
+++ b/packages/proxy/src/sassafrastally/proxy/log_events/internal_ports.py
@@ -16,7 +16,7 @@
     """``idle`` without any input, ``request`` with a part of one, ``response`` while it was
     written."""
     cause: str
-    """``too many connections``, ``time limit`` or ``invalid input``."""
+    """``too many connections``, ``lack of resources``, ``time limit`` or ``invalid input``."""
     connections: int
     """Their number since the last such line."""
 
--- a/packages/proxy/src/sassafrastally/proxy/open_connections.py
+++ b/packages/proxy/src/sassafrastally/proxy/open_connections.py
@@ -1,13 +1,35 @@
-"""Decides which connection is closed when too many are open at a port."""
+"""Decides which connections at the internal ports are closed when too many are open."""
 
 from __future__ import annotations
 
 import enum
+import math
 from collections.abc import Callable, Hashable
 from typing import Generic, TypeVar
 
+from sassafrastally.proxy.caller_connections import SHORTAGE_SHARE, most_caller_connections
+
 Connection = TypeVar("Connection", bound=Hashable)
 
+MAX_CONNECTIONS = 3 * 1024
+"""Maximum number of open connections: nine for each entry of a fleet of 340."""
+
+CALLERS_SHARE = 0.5
+"""Their share of the number of callers' connections, where descriptors are few. The attempts of
+callers' requests need the rest."""
+
+
+def most_internal_connections(max_descriptors: int) -> int:
+    """Return the bound of connections at all internal ports.
+
+    Parameters
+    ----------
+    max_descriptors
+        Limit of the process's descriptors; 0 for the one that the operating system enforces.
+    """
+    most = most_caller_connections(max_descriptors) * CALLERS_SHARE
+    return max(1, int(min(most, MAX_CONNECTIONS)))
+
 
 class ConnectionUse(enum.Enum):
     """What a connection is used for, in the order in which connections are closed for others."""
@@ -21,7 +43,7 @@
 
 
 class OpenConnections(Generic[Connection]):
-    """Open connections of a port by use, the one without change for longest first.
+    """Open connections by use, the one without change for longest first.
 
     A new connection is always accepted: refusing it would let idle connections of one client keep
     out the readiness checks. One on which more has arrived isn't closed for it, so that the bound
@@ -48,7 +70,7 @@
     def open(self, connection: Connection) -> list[Connection]:
         """Record a new connection; return those to close for it."""
         excess = len(self) + 1 - self._most
-        closed = [one for _ in range(excess) if (one := self._take()) is not None]
+        closed = [one for _ in range(excess) if (one := self._take(*ConnectionUse)) is not None]
         self.record_use(connection, ConnectionUse.IDLE)
         return closed
 
@@ -62,8 +84,15 @@
         for connections in self._by_use.values():
             connections.pop(connection, None)
 
-    def _take(self) -> Connection | None:
-        for use, connections in self._by_use.items():
+    def take_for_shortage(self) -> list[Connection]:
+        """Return the connections to close when the process lacks descriptors."""
+        taken = math.ceil(len(self._by_use[ConnectionUse.IDLE]) * SHORTAGE_SHARE)
+        closed = [self._take(ConnectionUse.IDLE) for _ in range(taken)]
+        return [one for one in closed if one is not None]
+
+    def _take(self, *uses: ConnectionUse) -> Connection | None:
+        for use in uses:
+            connections = self._by_use[use]
             for connection in connections:
                 # A response in progress ends with its connection, whatever has arrived.
                 if use is ConnectionUse.RESPONSE or not self._has_unread_input(connection):
--- a/packages/proxy/tests/test_open_connections.py
+++ b/packages/proxy/tests/test_open_connections.py
@@ -6,7 +6,11 @@
 
 import pytest
 
-from sassafrastally.proxy.open_connections import ConnectionUse, OpenConnections
+from sassafrastally.proxy.open_connections import (
+    ConnectionUse,
+    OpenConnections,
+    most_internal_connections,
+)
 
 MOST = 4
 
@@ -73,3 +77,12 @@
                 use_of[one] = chance.choice(list(ConnectionUse))
                 connections.record_use(one, use_of[one])
             unread ^= set(chance.sample(sorted(use_of), 1))
+
+
+class TestBound:
+    @pytest.mark.parametrize(
+        ("max_descriptors", "most"), [(100_000, 3072), (4100, 975), (2870, 667), (400, 50), (1, 1)]
+    )
+    def test_leaves_descriptors_for_attempts(self, max_descriptors, most):
+        """Guards against a bound that is right only where descriptors are many."""
+        assert most_internal_connections(max_descriptors) == most
--- a/packages/testing/tests/platform/test_endless_internal_calls.py
+++ b/packages/testing/tests/platform/test_endless_internal_calls.py
@@ -15,6 +15,7 @@
     MAX_REQUEST_BYTES,
     REQUEST_TIME_S,
     Endpoint,
+    make_connections,
 )
 
 from .test_call_bounds import EndlessStream
@@ -43,14 +44,14 @@
     async def test_at_full_speed_ends_at_the_bound_in_bytes(self, place):
         """Guards against a client that keeps an entry at reading its body for half a minute."""
         stream = EndlessStream(*ENDLESS[place], RECEIVE_BYTES)
-        await Endpoint(ready).serve(stream)
+        await Endpoint(ready, make_connections(1)).serve(stream)
         assert stream.received_bytes <= MAX_REQUEST_BYTES + 2 * RECEIVE_BYTES
         assert stream.is_closed
 
     async def test_in_small_pieces_ends_at_the_time_limit(self, place, autojump_clock):
         """Guards against connections that hold what they have sent for half a minute each."""
         stream = EndlessStream(*ENDLESS[place], piece_bytes=4, gap_s=0.05)
-        await Endpoint(ready).serve(stream)
+        await Endpoint(ready, make_connections(1)).serve(stream)
         assert trio.current_time() <= REQUEST_TIME_S + 0.1
         assert stream.is_closed
 
@@ -60,7 +61,7 @@
 
     async def test_unused_ones_are_closed_for_a_new_one(self, autojump_clock):
         """Guards against idle connections that use up the memory, or keep out readiness checks."""
-        endpoint = Endpoint(ready, max_connections=3)
+        endpoint = Endpoint(ready, make_connections(3))
         async with trio.open_nursery() as nursery:
             idle = [trio.testing.memory_stream_pair() for _ in range(5)]
             for client, server in idle:
--- a/packages/testing/tests/platform/test_internal_connections.py
+++ b/packages/testing/tests/platform/test_internal_connections.py
@@ -11,7 +11,7 @@
 from sassafrastally.proxy import internal_endpoints
 from sassafrastally.proxy.http_stream import HttpStream
 from sassafrastally.proxy.internal_connection_log import CloseCause
-from sassafrastally.proxy.internal_endpoints import Endpoint, InternalEndpoints
+from sassafrastally.proxy.internal_endpoints import Endpoint, InternalEndpoints, make_connections
 from sassafrastally.proxy.open_connections import ConnectionUse
 
 REQUEST = b"GET /readyz HTTP/1.1\r\nhost: a\r\n\r\n"
@@ -53,7 +53,7 @@
 
 @pytest.fixture
 def endpoint() -> Endpoint:
-    return Endpoint(ready, MAX_CONNECTIONS)
+    return Endpoint(ready, make_connections(MAX_CONNECTIONS))
 
 
 class TestIdleTime:
@@ -63,7 +63,9 @@
         """Guards against a response of a late entry that is cut while its client reads it."""
         monkeypatch.setattr(internal_endpoints, "IDLE_TIME_S", IDLE_TIME_S)
         pair = SocketPair()
-        nursery.start_soon(Endpoint(lambda _: (200, LARGE_BODY)).serve, pair.server)
+        nursery.start_soon(
+            Endpoint(lambda _: (200, LARGE_BODY), make_connections(1)).serve, pair.server
+        )
         await trio.sleep(IDLE_TIME_S / 2)
         time.sleep(IDLE_TIME_S)
         pair.client.sendall(REQUEST)
@@ -110,7 +112,7 @@
 
     async def test_response_in_progress_is_completed(self, nursery):
         """Guards against a peer that gets a part of the changes and fetches them again."""
-        endpoint = Endpoint(lambda _: (200, LARGE_BODY), MAX_CONNECTIONS)
+        endpoint = Endpoint(lambda _: (200, LARGE_BODY), make_connections(MAX_CONNECTIONS))
         pairs = await self._open(nursery, endpoint)
         pairs[0].client.sendall(REQUEST)
         await trio.sleep(0.01)
@@ -146,7 +148,9 @@
             monkeypatch.setattr(internal_endpoints, "IDLE_TIME_S", IDLE_TIME_S)
             monkeypatch.setattr(internal_endpoints, "REQUEST_TIME_S", IDLE_TIME_S)
         closed = []
-        endpoint = Endpoint(lambda _: (200, LARGE_BODY), 1, lambda *close: closed.append(close))
+        endpoint = Endpoint(
+            lambda _: (200, LARGE_BODY), make_connections(1), lambda *close: closed.append(close)
+        )
         pair = SocketPair()
         nursery.start_soon(endpoint.serve, pair.server)
         pair.client.sendall(sent)
--- a/packages/testing/tests/platform/test_missing_descriptors.py
+++ b/packages/testing/tests/platform/test_missing_descriptors.py
@@ -2,12 +2,18 @@
 
 from __future__ import annotations
 
+import socket
+from contextlib import ExitStack
+
 import trio
 
 from sassafrastally.proxy.caller_listener import CallerListener
+from sassafrastally.proxy.internal_endpoints import InternalEndpoints
+from sassafrastally.proxy.open_connections import most_internal_connections
 from sassafrastally.stand_ins.caller_requests import exchange_on, request_fields
 
 SENT_AFTER_S = 0.1
+MAX_DESCRIPTORS = 400
 
 
 class TestShortage:
@@ -24,3 +30,35 @@
         with trio.fail_after(1.0):
             assert await connection.stream.receive_some() == b""
         await connection.close()
+
+
+class TestInternalPorts:
+    """Connections at the ports for readiness checks, peers and metrics."""
+
+    async def _open(self, fleet, stack, count: int) -> InternalEndpoints:
+        """Open idle connections at each port of a new entry."""
+        settings = fleet.entry_settings(1)._replace(max_descriptors=MAX_DESCRIPTORS)
+        fleet.entry_settings = lambda _: settings
+        kernel = await fleet.add_entry()
+        ready = settings.readiness_address
+        for port in (ready.port, settings.peer_port, settings.metrics_port):
+            for _ in range(count):
+                stack.enter_context(socket.create_connection((settings.host, port), 1.0))
+        await trio.sleep(0.2)
+        return kernel.get("answering", InternalEndpoints)
+
+    async def test_together_leave_descriptors_for_attempts(self, fleet):
+        """Guards against clients of the internal ports that take all descriptors, so that callers'
+        requests can't be sent to any server."""
+        with ExitStack() as stack:
+            endpoints = await self._open(fleet, stack, MAX_DESCRIPTORS // 4)
+            most = most_internal_connections(MAX_DESCRIPTORS)
+            assert sum(one.open_connections for one in endpoints._acceptors) <= most < 100
+
+    async def test_shortage_closes_idle_ones(self, fleet):
+        """Guards against idle connections for whose end readiness checks have to wait."""
+        with ExitStack() as stack:
+            endpoints = await self._open(fleet, stack, 10)
+            endpoints._acceptors[0]._on_shortage("no descriptors")
+            await trio.sleep(SENT_AFTER_S)
+            assert sum(one.open_connections for one in endpoints._acceptors) <= 15
