--- a/packages/proxy/src/sassafrastally/proxy/internal_endpoints.py
+++ b/packages/proxy/src/sassafrastally/proxy/internal_endpoints.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+from contextlib import suppress
 from typing import TYPE_CHECKING, ClassVar
 
 import h11
@@ -15,12 +17,18 @@
 from sassafrastally.proxy.change_fetcher import parse_changes_target
 from sassafrastally.proxy.cluster_state import ClusterState
 from sassafrastally.proxy.containment import Containment
+from sassafrastally.proxy.cpu_overload import LAST_READ_S, read_until
 from sassafrastally.proxy.delta_messages import encode_delta
 from sassafrastally.proxy.fleet_view import FleetView
 from sassafrastally.proxy.http_stream import ConnectionLost, HttpStream, enable_keepalive
+from sassafrastally.proxy.internal_connection_log import CloseCause, InternalConnectionLog
 from sassafrastally.proxy.load import Lane
 from sassafrastally.proxy.log_events import ReadinessChanged
-from sassafrastally.proxy.open_connections import OpenConnections
+from sassafrastally.proxy.open_connections import (
+    ConnectionUse,
+    OpenConnections,
+    most_internal_connections,
+)
 from sassafrastally.proxy.overload_monitor import OverloadMonitor
 from sassafrastally.proxy.path import RequestPath
 from sassafrastally.proxy.quarantine_service import QuarantineService
@@ -32,6 +40,7 @@
     from sassafrastally.proxy.settings import ProxySettings
 
     EndpointHandler = Callable[[str], tuple[int, bytes]]
+    OnClose = Callable[[ConnectionUse, CloseCause], None]
 
 IDLE_TIME_S = 30.0
 """Idle timeout of a connection."""
@@ -47,9 +56,6 @@
 CLOSE_TIME_S = 0.05
 """How long a process that ends waits for resources to accept the calls that are waiting."""
 
-MAX_CONNECTIONS = 1024
-"""Maximum number of open connections at each port: three for each entry of a fleet of 340."""
-
 
 class InternalEndpoints(Service):
     """Serves readiness checks, metrics scrapes and the change requests of peers."""
@@ -69,6 +75,7 @@
         self._settings = settings
         self._was_ready = False
         self._acceptors: list[Acceptor] = []
+        self._connections = make_connections(most_internal_connections(settings.max_descriptors))
 
     async def start(self, nursery: trio.Nursery) -> None:
         """Start listening on the ports for readiness checks, peers and metrics."""
@@ -159,17 +166,50 @@
     ) -> None:
         listeners = await trio.open_tcp_listeners(port, host=host)
         containment = Containment(self.kernel, f"call at port {port}")
-        endpoint = Endpoint(handler)
+        log = InternalConnectionLog(self.kernel, port)
+        endpoint = Endpoint(handler, self._connections, log.record_close)
 
         async def serve(stream: trio.abc.Stream) -> None:
             with containment:
                 await endpoint.serve(stream)
 
-        acceptor = Acceptor(listeners[0], serve)
+        def on_shortage(cause: str) -> None:
+            log.record_shortage(cause, acceptor.open_connections)
+            for connection in self._connections.take_for_shortage():
+                connection.close(CloseCause.SHORTAGE)
+
+        acceptor = Acceptor(listeners[0], serve, on_shortage)
         self._acceptors.append(acceptor)
         nursery.start_soon(acceptor.run, nursery)
 
 
+class InternalConnection:
+    """A connection at an internal port.
+
+    Parameters
+    ----------
+    stream
+        The connection; owned by this object.
+    """
+
+    def __init__(self, stream: HttpStream) -> None:
+        self.stream = stream
+        self.close_cause = CloseCause.TIME
+        """Why its present use ends, if it is cancelled."""
+        self.scope = trio.CancelScope()
+        """Surrounds its present use."""
+
+    def close(self, cause: CloseCause) -> None:
+        """Close the connection, unless a request has arrived on it."""
+        self.close_cause = cause
+        self.scope.cancel()
+
+
+def make_connections(most: int) -> OpenConnections[InternalConnection]:
+    """Return the open connections of ports that share a bound."""
+    return OpenConnections(most, lambda one: one.stream.is_readable())
+
+
 class Endpoint:
     """Serves the requests on the connections of one port.
 
@@ -177,46 +217,83 @@
     ----------
     handler
         Returns status and body of the response to a target.
-    max_connections
-        Maximum number of open connections.
+    connections
+        Open connections of this port and others.
+    on_close
+        Called with the use of each connection that is closed by this entry without a complete
+        response.
     """
 
-    def __init__(self, handler: EndpointHandler, max_connections: int = MAX_CONNECTIONS) -> None:
+    def __init__(
+        self,
+        handler: EndpointHandler,
+        connections: OpenConnections[InternalConnection],
+        on_close: OnClose = lambda _use, _cause: None,
+    ) -> None:
         self._handler = handler
-        self._connections: OpenConnections[trio.CancelScope] = OpenConnections(max_connections)
+        self._on_close = on_close
+        self._connections = connections
 
     async def serve(self, stream: trio.abc.Stream) -> None:
         """Serve a connection until it is closed."""
         enable_keepalive(stream)
-        connection = HttpStream(stream, h11.SERVER)
+        connection = InternalConnection(HttpStream(stream, h11.SERVER))
         try:
-            with trio.CancelScope() as scope:
-                if (longest_unused := self._connections.open(scope)) is not None:
-                    longest_unused.cancel()
-                await self._serve_requests(connection, scope)
-        except (ConnectionLost, h11.RemoteProtocolError):
-            # The client disconnected, sends too much or doesn't speak HTTP. Its calls change no
-            # state.
-            return
+            for other in self._connections.open(connection):
+                other.close(CloseCause.ROOM)
+            while await self._serve_request(connection):
+                connection.stream.http.start_next_cycle()
+        except ConnectionLost:
+            return  # The client disconnected; its calls change no state.
+        except h11.RemoteProtocolError:
+            self._on_close(ConnectionUse.REQUEST, CloseCause.INPUT)
         finally:
-            self._connections.close(scope)
-            await connection.close()
-
-    async def _serve_requests(self, connection: HttpStream, scope: trio.CancelScope) -> None:
-        while True:
-            scope.deadline = trio.current_time() + IDLE_TIME_S
-            if not connection.http.trailing_data[0] and not await connection.receive_bytes():
-                return
-            scope.deadline = trio.current_time() + REQUEST_TIME_S
-            self._connections.note_use(scope)
-            target = await _read_target(connection)
-            if target is None:
-                return
-            status, body = self._handler(target)
-            await Reply(connection, lambda: False).send_complete(status, [], body)
-            if connection.http.our_state is not h11.DONE:
-                return
-            connection.http.start_next_cycle()
+            self._connections.close(connection)
+            await connection.stream.close()
+
+    async def _serve_request(self, connection: InternalConnection) -> bool:
+        """Serve one request and return whether the connection can be reused."""
+        stream = connection.stream
+        if not await self._wait_for_bytes(connection):
+            return False
+        begin_s = trio.current_time()
+        with self._begin_use(connection, ConnectionUse.REQUEST, begin_s + REQUEST_TIME_S) as scope:
+            target = await _read_target(stream)
+        if scope.cancelled_caught:
+            self._on_close(ConnectionUse.REQUEST, connection.close_cause)
+            return False
+        if target is None:
+            return False
+        status, body = self._handler(target)
+        reply = Reply(stream, lambda: False)
+        due_s = max(begin_s + REQUEST_TIME_S, trio.current_time() + LAST_READ_S)
+        with self._begin_use(connection, ConnectionUse.RESPONSE, due_s):
+            await reply.send_complete(status, [], body)
+        if not reply.has_ended:
+            self._on_close(ConnectionUse.RESPONSE, connection.close_cause)
+            return False
+        return stream.http.our_state is h11.DONE
+
+    async def _wait_for_bytes(self, connection: InternalConnection) -> bool:
+        """Return whether a request begins."""
+        stream = connection.stream
+        if stream.http.trailing_data[0]:
+            return True
+        due_s = trio.current_time() + IDLE_TIME_S
+        with self._begin_use(connection, ConnectionUse.IDLE), suppress(trio.TooSlowError):
+            return await read_until(stream.receive_bytes, due_s)
+        if stream.is_readable():
+            return True  # A request may have arrived at the same moment.
+        self._on_close(ConnectionUse.IDLE, connection.close_cause)
+        return False
+
+    def _begin_use(
+        self, connection: InternalConnection, use: ConnectionUse, due_s: float = math.inf
+    ) -> trio.CancelScope:
+        self._connections.record_use(connection, use)
+        connection.scope = trio.CancelScope(deadline=due_s)
+        connection.close_cause = CloseCause.TIME
+        return connection.scope
 
 
 async def _read_target(connection: HttpStream) -> str | None:
@@ -224,8 +301,8 @@
 
     Raises
     ------
-    ConnectionLost
-        If the request is too large.
+    h11.RemoteProtocolError
+        If the request is too large or isn't valid HTTP.
     """
     target = None
     max_received_bytes = connection.received_bytes + MAX_REQUEST_BYTES
@@ -238,4 +315,4 @@
         elif not isinstance(event, h11.Data):
             return None
         if connection.received_bytes > max_received_bytes:
-            raise ConnectionLost(f"a request of more than {MAX_REQUEST_BYTES} bytes")
+            raise h11.RemoteProtocolError(f"a request of more than {MAX_REQUEST_BYTES} bytes")
