Judge responses that end with their connection by their content in the sidecar

Callers of a plain service got a success with an empty or short body, sent with its length, when the service crashed after the header of a response that has neither a length nor chunks: a crash closes the connection as a regular end does. PlainClient looked at event streams only, and took one without any event, or one that ends inside a line, for complete; after an event of more than 1 MB it looked no more.

A success that ends with its connection now has to end where its type lets it end: JSON outside of all strings, arrays and objects, an event stream after an event, anything with a content type after at least one byte. A success without a content type may be empty (RFC 9112, section 8).

--- a/packages/sidecar/src/sassafrastally/sidecar/plain_client.py
+++ b/packages/sidecar/src/sassafrastally/sidecar/plain_client.py
@@ -8,15 +8,9 @@
 import httpx
 import trio
 
-from sassafrastally.core import (
-    CodedError,
-    EventBlocks,
-    EventTooLong,
-    error,
-    is_event_stream,
-    time_limit,
-)
+from sassafrastally.core import CodedError, error, time_limit
 from sassafrastally.core.http_patterns import use_linear_patterns
+from sassafrastally.sidecar.content_end import content_end_of
 from sassafrastally.stores.bounded_transport import BoundedTransport
 from sassafrastally.stores.send_tracker import SendTracker
 
@@ -54,10 +48,9 @@
         self.status: int = response.status_code
         self.content_type: str = response.headers.get("content-type", DEFAULT_CONTENT_TYPE)
         self.is_complete = False
-        """Whether the whole body was read, according to its framing and, for an event stream, its
-        last event: a body without framing also ends when the service crashes."""
+        """Whether the whole body was read, according to its framing and its content."""
         self._pieces = response.aiter_raw()
-        self._events = EventBlocks() if is_event_stream(self.content_type) else None
+        self._end = content_end_of(response)
 
     def __aiter__(self) -> AsyncIterator[bytes]:
         return self
@@ -73,22 +66,13 @@
         try:
             piece = await anext(self._pieces)
         except StopAsyncIteration:
-            self.is_complete = self._events is None or not self._events.is_inside_event
+            self.is_complete = self._end.is_whole
             raise
         except httpx.HTTPError as cause:
             raise PlainMaybeRan(f"the answer broke off: {cause!r}") from cause
-        self._look_for_events(piece)
+        self._end.feed(piece)
         return piece
 
-    def _look_for_events(self, piece: bytes) -> None:
-        if self._events is None:
-            return
-        try:
-            self._events.feed(piece)
-        except EventTooLong:
-            # Such an event is passed on as well; only its end isn't looked for.
-            self._events = None
-
 
 class PlainClient:
     """Client of one plain service.
