Don't take an engine's unframed empty answer or cut metrics for an answer

An engine that crashes after the header of a response with neither a length nor chunks closes the connection as at a regular end. The empty body stood for an empty document: a cancelled run and a freed export counted as free memory, an import and a placement order as done, an export as one of 0 blocks. The text of the metrics had no check at all: a cut value passed for a smaller load.

An empty body now needs a length or chunks to be an answer.

--- a/packages/sidecar/src/sassafrastally/sidecar/dialects.py
+++ b/packages/sidecar/src/sassafrastally/sidecar/dialects.py
@@ -11,6 +11,7 @@
 from sassafrastally.core import time_limit
 from sassafrastally.core.held_input import HeldInput
 from sassafrastally.core.http_patterns import use_linear_patterns
+from sassafrastally.sidecar.content_end import ends_with_connection
 from sassafrastally.sidecar.engine import (
     ENGINE_DIALECTS,
     CacheEvent,
@@ -222,7 +223,11 @@
         try:
             if response.status_code != httpx.codes.OK:
                 await raise_status(response)
-            return await read_bounded(response, MAX_CALL_BYTES)
+            content = await read_bounded(response, MAX_CALL_BYTES)
+            if not content and ends_with_connection(response):
+                # An engine that crashes closes its connection too; an empty answer means "done".
+                raise EngineFailed("the connection ended without an answer")
+            return content
         finally:
             with trio.move_on_after(CANCEL_LIMIT_S, shield=True):
                 await response.aclose()
--- a/packages/sidecar/src/sassafrastally/sidecar/openai_form.py
+++ b/packages/sidecar/src/sassafrastally/sidecar/openai_form.py
@@ -234,7 +234,15 @@
 
 
 def parse_load(content: bytes) -> EngineLoad:
-    """Parse the load from Prometheus text format, summing the series of each metric."""
+    """Parse the load from Prometheus text format, summing the series of each metric.
+
+    Raises
+    ------
+    EngineFailed
+        When the text ends inside a line: the last value may lack digits.
+    """
+    if content and not content.endswith(b"\n"):
+        raise EngineFailed("the metrics end inside a line")
     metrics: dict[str, float] = {}
     for line in content.decode(errors="replace").splitlines():
         if line.startswith("#") or not line.strip():
--- a/packages/testing/src/sassafrastally/testing/cut_server.py
+++ b/packages/testing/src/sassafrastally/testing/cut_server.py
@@ -59,6 +59,7 @@
         """Whether it ends with a reset."""
         self.earlier_response = b""
         """Sent whole to the first request of each connection, if there is one."""
+        self.connections = 0
         self.requests = 0
         self.address: Address
 
@@ -71,6 +72,7 @@
 
     async def serve(self, stream: trio.SocketStream) -> None:
         """Serve a connection."""
+        self.connections += 1
         async with stream:
             with suppress(trio.BrokenResourceError):
                 if self.earlier_response and await self._read_request(stream):
