Stopping entry: a late entry answers before it is killed

What callers saw: an entry that was paused for 0.3 s around the end of its drain and then beside other work answered 100 requests up to 8.146 s after SIGTERM. It is killed after 8.0 s; in production these answers would have been lost.

Cause: at the end of a drain (7.5 s) a timer that fires late allows 0.1 s more to read, and again if the entry pauses meanwhile, and the final 0.35 s were counted from the end of the pause. None of it was bounded by the time at which the process is killed.

Ruled out: the caller's clock. In a calm run the entry's own log has the answers 0.12 s after it runs again, their callers get them within 0.03 s.

Change: a limit has a time from which a late timer allows nothing more to be read. A drain sets it to 0.25 s before the kill, and its last answers end 0.1 s before the kill. An entry that isn't late is unchanged.

Evidence: test_at_the_end_of_an_entry_that_pauses_again (mock clock): answered 8.003 s after the stop before (red), 7.803 s after.

--- a/packages/core/src/sassafrastally/core/late_limits.py
+++ b/packages/core/src/sassafrastally/core/late_limits.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import math
 from contextlib import asynccontextmanager
 from typing import TYPE_CHECKING
 
@@ -37,12 +38,26 @@
 event of a stream takes a turn or more, so that several of them take more than one round."""
 
 
-def last_read_s(due_s: float, now_s: float) -> float:
-    """Return how long to read once more after a timer has fired; 0 if it was on time."""
-    return LAST_READ_S if now_s - due_s > LATE_TIMER_S else 0.0
+def last_read_s(due_s: float, now_s: float, reads_end_s: float = math.inf) -> float:
+    """Return how long to read once more after a timer has fired; 0 if it was on time.
+
+    Parameters
+    ----------
+    due_s
+        Time for which the timer was set.
+    now_s
+        Present time.
+    reads_end_s
+        Time from which nothing more is read, however late the timer was.
+    """
+    if now_s - due_s <= LATE_TIMER_S:
+        return 0.0
+    return max(0.0, min(LAST_READ_S, reads_end_s - now_s))
 
 
-async def deliver_received(due_s: float, delivered: Callable[[], int] = lambda: 0) -> None:
+async def deliver_received(
+    due_s: float, delivered: Callable[[], int] = lambda: 0, reads_end_s: float = math.inf
+) -> None:
     """Let other tasks deliver what has been received, after a timer has fired.
 
     Parameters
@@ -51,10 +66,12 @@
         Time for which the timer was set, on trio's clock.
     delivered
         Returns how much has been delivered so far. Deliveries in a round of turns allow another.
+    reads_end_s
+        Time from which no late timer allows to wait for more.
     """
     for _ in range(MAX_LAST_READS):
         now_s = trio.current_time()
-        extra_s = last_read_s(due_s, now_s)
+        extra_s = last_read_s(due_s, now_s, reads_end_s)
         if not extra_s:
             break
         due_s = now_s + extra_s
@@ -98,6 +115,8 @@
 
     def __init__(self, due_s: float, scope: trio.CancelScope | None = None) -> None:
         self.due_s = due_s
+        self.reads_end_s = math.inf
+        """Time from which the limit acts at once, however late its timer was."""
         self.scope = scope or trio.CancelScope()
         self._shortened = trio.Event()
         self._deliveries = 0
@@ -127,7 +146,7 @@
             self._shortened = trio.Event()
             with trio.move_on_at(self.due_s):
                 await self._shortened.wait()
-        await deliver_received(self.due_s, lambda: self._deliveries)
+        await deliver_received(self.due_s, lambda: self._deliveries, self.reads_end_s)
         self.scope.cancel()
 
 
--- a/packages/core/tests/test_late_limits.py
+++ b/packages/core/tests/test_late_limits.py
@@ -60,6 +60,12 @@
     def test_only_a_late_timer_reads_once_more(self, lag_s: float, extra_s: float) -> None:
         assert last_read_s(0.0, lag_s) == extra_s
 
+    @pytest.mark.parametrize(
+        ("reads_end_s", "extra_s"), [(2.0, LAST_READ_S), (1.04, 0.04), (1.0, 0.0), (0.5, 0.0)]
+    )
+    def test_nothing_is_read_after_the_end(self, reads_end_s: float, extra_s: float) -> None:
+        assert last_read_s(0.0, 1.0, reads_end_s) == pytest.approx(extra_s)
+
 
 class TestTimeLimit:
     @pytest.mark.parametrize("lag_s", [0.0, 0.01, 0.05, 1.0, 100.0])
@@ -131,6 +137,19 @@
         elapsed_s = trio.current_time() - start_s
         assert elapsed_s == pytest.approx(LIMIT_S + lag_s + reads * LAST_READ_S)
 
+    @pytest.mark.parametrize("reads_end_s", [0.0, LIMIT_S + 0.04])
+    async def test_acts_at_once_when_late_beyond_the_end_of_reads(
+        self, mock_clock: trio.testing.MockClock, nursery: trio.Nursery, reads_end_s: float
+    ) -> None:
+        """Guards against a limit that waits for more until its process is killed."""
+        limit = TimeLimit(LIMIT_S)
+        limit.reads_end_s = reads_end_s
+        nursery.start_soon(limit.watch)
+        await trio.testing.wait_all_tasks_blocked()
+        mock_clock.jump(LIMIT_S + 0.05)
+        await trio.testing.wait_all_tasks_blocked()
+        assert limit.scope.cancel_called
+
     async def test_acts_within_a_bound_when_paused_again_and_again(
         self, mock_clock: trio.testing.MockClock
     ) -> None:
--- a/packages/proxy/src/sassafrastally/proxy/caller_listener.py
+++ b/packages/proxy/src/sassafrastally/proxy/caller_listener.py
@@ -91,6 +91,9 @@
 """Part of that for the requests of connections that are accepted only then; the rest of it is their
 time to arrive."""
 
+EXIT_S = 0.1
+"""Time reserved for the end of the process by an entry that is late at the end of its drain."""
+
 ANSWERED_CHECK_S = 0.02
 """Interval at which a stopping entry checks whether all requests are answered."""
 
@@ -164,9 +167,12 @@
         stop_begin_s = self.kernel.clock.now_s()
         self._stop_requested_s = stop_begin_s
         stop_time_s = self._settings.bounds.stop_time_s
-        ends_s = stop_begin_s + max(0.0, stop_time_s - KILL_MARGIN_S)
+        killed_s = stop_begin_s + stop_time_s
+        ends_s = max(stop_begin_s, killed_s - KILL_MARGIN_S)
+        # Later, a paused entry that runs again needs its time for answers.
+        reads_end_s = killed_s - EXIT_S - LAST_ANSWER_S
         self.kernel.events.emit(ProcessDraining(self.open_requests, stop_time_s))
-        self._path.services.drain.begin(ends_s)
+        self._path.services.drain.begin(ends_s, reads_end_s)
         reads_s = min(stop_begin_s + LAST_REQUEST_AFTER_SIGNAL_S, ends_s)
         with trio.move_on_at(ends_s):
             await sleep_until_read(reads_s - FIRST_REQUEST_S)
@@ -176,8 +182,8 @@
             self._close_idle()
             await self._all_answered()
             return
-        answered_s = trio.current_time() + FINAL_ANSWERS_S
-        await sleep_until_read(ends_s)
+        answered_s = min(trio.current_time() + FINAL_ANSWERS_S, killed_s - EXIT_S)
+        await sleep_until_read(ends_s, reads_end_s)
         with trio.move_on_at(answered_s):
             if not self._is_closed_to_callers:
                 await self._close_listener()
--- a/packages/proxy/src/sassafrastally/proxy/cpu_overload/late_timeouts.py
+++ b/packages/proxy/src/sassafrastally/proxy/cpu_overload/late_timeouts.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING, TypeVar
 
 import trio
@@ -70,12 +71,20 @@
     raise trio.TooSlowError
 
 
-async def sleep_until_read(due_s: float) -> None:
-    """Sleep until a time; longer if the timer fires late, to read what has arrived meanwhile."""
+async def sleep_until_read(due_s: float, reads_end_s: float = math.inf) -> None:
+    """Sleep until a time; longer if the timer fires late, to read what has arrived meanwhile.
+
+    Parameters
+    ----------
+    due_s
+        The time.
+    reads_end_s
+        Time from which it doesn't sleep longer.
+    """
     await trio.sleep_until(due_s)
     for _ in range(MAX_LAST_READS):
         now_s = trio.current_time()
-        extra_s = last_read_s(due_s, now_s)
+        extra_s = last_read_s(due_s, now_s, reads_end_s)
         if not extra_s:
             return
         due_s = now_s + extra_s
--- a/packages/proxy/src/sassafrastally/proxy/drain.py
+++ b/packages/proxy/src/sassafrastally/proxy/drain.py
@@ -32,6 +32,7 @@
         """How long the latest responses took."""
         self.ends_s = math.inf
         """When responses must be complete; infinite unless the entry is stopping."""
+        self._reads_end_s = math.inf
         self._limits: set[TimeLimit] = set()
 
     @property
@@ -39,10 +40,20 @@
         """Whether the entry is stopping."""
         return self.ends_s < math.inf
 
-    def begin(self, ends_s: float) -> None:
-        """Begin the drain, which limits all requests in progress and those that still arrive."""
+    def begin(self, ends_s: float, reads_end_s: float = math.inf) -> None:
+        """Begin the drain, which limits all requests in progress and those that still arrive.
+
+        Parameters
+        ----------
+        ends_s
+            When responses must be complete.
+        reads_end_s
+            When an entry that is late at that time stops reading what has arrived meanwhile.
+        """
         self.ends_s = ends_s
+        self._reads_end_s = reads_end_s
         for limit in self._limits:
+            limit.reads_end_s = reads_end_s
             limit.shorten(ends_s)
 
     def needed_s(self, route: str, first_s: float, declared_s: float) -> float:
@@ -76,6 +87,7 @@
             Runs the task that waits for it.
         """
         limit = TimeLimit(min(deadline_s, self.ends_s))
+        limit.reads_end_s = self._reads_end_s
         if limit.due_s <= trio.current_time():
             limit.scope.cancel()  # Nothing is in progress that could still be delivered.
         self._limits.add(limit)
--- a/packages/testing/tests/platform/test_stopping_entry.py
+++ b/packages/testing/tests/platform/test_stopping_entry.py
@@ -11,7 +11,7 @@
 import pytest
 import trio
 
-from sassafrastally.proxy.caller_listener import LAST_REQUEST_AFTER_SIGNAL_S
+from sassafrastally.proxy.caller_listener import LAST_REQUEST_AFTER_SIGNAL_S, CallerListener
 from sassafrastally.proxy.drain import Drain
 from sassafrastally.proxy.http_stream import ConnectionLost
 from sassafrastally.proxy.load import Lane
@@ -263,6 +263,25 @@
             [(504, True)],
         )
 
+    async def test_at_the_end_of_an_entry_that_pauses_again(self, autojump_clock, fleet_of_two):
+        """Guards against an entry that waits for answers, after each pause anew, until the process
+        is killed."""
+        for replica in fleet_of_two.replicas.values():
+            replica.is_unresponsive = True
+        listener = fleet_of_two.kernels[0].get("callers", CallerListener)
+        stop_time_s = listener._settings.bounds.stop_time_s
+        callers = Callers(fleet_of_two)
+        async with trio.open_nursery() as nursery:
+            fleet_of_two.kernels[0].request_stop()
+            begin_s = trio.current_time()
+            nursery.start_soon(callers.call, "/book/x")
+            await trio.sleep(stop_time_s - 0.65)
+            for pause_s in (0.3, 0.1, 0.15):
+                autojump_clock.jump(pause_s)
+                await trio.sleep(0.05)
+        assert [(one.status, one.is_whole) for one in callers.calls] == [(502, True)]
+        assert callers.calls[0].took_s < stop_time_s - 0.1, trio.current_time() - begin_s
+
     async def test_for_another_attempt(self, autojump_clock, fleet_of_two):
         """Guards against retries that begin when no time is left for them."""
         for replica in fleet_of_two.replicas.values():
