A late entry answers what is open before it is killed

What callers saw: requests in progress at the end of a drain were cut by the kill, passed on to a server or not, at an entry that was late at that moment.

Cause: a limit that acts late first waits for what may have been sent in time, twice for 0.1 s, each time from when the entry runs again. At the end of a drain the kill doesn't wait: of the 0.5 s reserved before it, a late timer and two such waits took most, and whatever delayed the entry once more took the rest.

Tried: no wait later than 0.1 s after the end.

Change: the limits of a stopping entry know when it is killed, and wait for an eighth of the time that is left until then at most. Others are as before.

--- a/packages/core/src/sassafrastally/core/late_limits.py
+++ b/packages/core/src/sassafrastally/core/late_limits.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import math
 from contextlib import asynccontextmanager
 from typing import TYPE_CHECKING
 
@@ -24,6 +25,10 @@
 """How long is read once more after a late timer. What arrived during the pause is read at once; a
 paused VM also has to receive what the network held back, which takes a few round trips."""
 
+LAST_READ_SHARE = 0.125
+"""Share of the time until the process is killed that is spent on that. A process that was late may
+soon be so again, and has to answer what is left before."""
+
 MAX_LAST_READS = 2
 """How often is read once more if the process pauses again meanwhile. Keeps a limit within a quarter
 of a second, the delay that callers accept."""
@@ -42,7 +47,9 @@
     return LAST_READ_S if now_s - due_s > LATE_TIMER_S else 0.0
 
 
-async def deliver_received(due_s: float, delivered: Callable[[], int] = lambda: 0) -> None:
+async def deliver_received(
+    due_s: float, delivered: Callable[[], int] = lambda: 0, killed_s: float = math.inf
+) -> None:
     """Let other tasks deliver what has been received, after a timer has fired.
 
     Parameters
@@ -51,11 +58,13 @@
         Time for which the timer was set, on trio's clock.
     delivered
         Returns how much has been delivered so far. Deliveries in a round of turns allow another.
+    killed_s
+        When the process is killed, if that is known.
     """
     for _ in range(MAX_LAST_READS):
         now_s = trio.current_time()
-        extra_s = last_read_s(due_s, now_s)
-        if not extra_s:
+        extra_s = min(last_read_s(due_s, now_s), LAST_READ_SHARE * (killed_s - now_s))
+        if extra_s <= 0:
             break
         due_s = now_s + extra_s
         await trio.sleep_until(due_s)
@@ -94,10 +103,15 @@
         When the time ends, on trio's clock.
     scope
         Scope that is cancelled; a new one if ``None``.
+    killed_s
+        When the process is killed, if that is known.
     """
 
-    def __init__(self, due_s: float, scope: trio.CancelScope | None = None) -> None:
+    def __init__(
+        self, due_s: float, scope: trio.CancelScope | None = None, killed_s: float = math.inf
+    ) -> None:
         self.due_s = due_s
+        self.killed_s = killed_s
         self.scope = scope or trio.CancelScope()
         self._shortened = trio.Event()
         self._deliveries = 0
@@ -106,8 +120,9 @@
         """Record that a part of an answer has been passed on; more of it may lie ready."""
         self._deliveries += 1
 
-    def shorten(self, due_s: float) -> None:
-        """Let the time end at this time if that is earlier."""
+    def shorten(self, due_s: float, killed_s: float = math.inf) -> None:
+        """Let the time end at this time if that is earlier, before the process is killed."""
+        self.killed_s = min(self.killed_s, killed_s)
         if due_s < self.due_s:
             self.due_s = due_s
             self._shortened.set()
@@ -127,7 +142,7 @@
             self._shortened = trio.Event()
             with trio.move_on_at(self.due_s):
                 await self._shortened.wait()
-        await deliver_received(self.due_s, lambda: self._deliveries)
+        await deliver_received(self.due_s, lambda: self._deliveries, self.killed_s)
         self.scope.cancel()
 
 
--- a/packages/proxy/src/sassafrastally/proxy/caller_listener.py
+++ b/packages/proxy/src/sassafrastally/proxy/caller_listener.py
@@ -168,7 +168,7 @@
         self._stop_requested_s = stop_begin_s
         ends_s = stop_begin_s + max(0.0, self.stop_time_s - KILL_MARGIN_S)
         self.kernel.events.emit(ProcessDraining(self.open_requests, self.stop_time_s))
-        self._path.services.drain.begin(ends_s)
+        self._path.services.drain.begin(ends_s, stop_begin_s + self.stop_time_s)
         reads_s = min(stop_begin_s + LAST_REQUEST_AFTER_SIGNAL_S, ends_s)
         with trio.move_on_at(ends_s):
             await sleep_until_read(reads_s - FIRST_REQUEST_S)
--- a/packages/proxy/src/sassafrastally/proxy/drain.py
+++ b/packages/proxy/src/sassafrastally/proxy/drain.py
@@ -32,6 +32,8 @@
         """How long the latest responses took."""
         self.ends_s = math.inf
         """When responses must be complete; infinite unless the entry is stopping."""
+        self.killed_s = math.inf
+        """When the process is killed; infinite unless that is known."""
         self._limits: set[TimeLimit] = set()
 
     @property
@@ -39,11 +41,19 @@
         """Whether the entry is stopping."""
         return self.ends_s < math.inf
 
-    def begin(self, ends_s: float) -> None:
-        """Begin the drain, which limits all requests in progress and those that still arrive."""
-        self.ends_s = ends_s
+    def begin(self, ends_s: float, killed_s: float = math.inf) -> None:
+        """Begin the drain, which limits all requests in progress and those that still arrive.
+
+        Parameters
+        ----------
+        ends_s
+            When responses must be complete.
+        killed_s
+            When the process is killed.
+        """
+        self.ends_s, self.killed_s = ends_s, killed_s
         for limit in self._limits:
-            limit.shorten(ends_s)
+            limit.shorten(ends_s, self.killed_s)
 
     def needed_s(self, route: str, first_s: float, declared_s: float) -> float:
         """Return the time that a response probably takes.
@@ -75,7 +85,7 @@
         nursery
             Runs the task that waits for it.
         """
-        limit = TimeLimit(min(deadline_s, self.ends_s))
+        limit = TimeLimit(min(deadline_s, self.ends_s), self.killed_s)
         if limit.due_s <= trio.current_time():
             limit.scope.cancel()  # Nothing is in progress that could still be delivered.
         self._limits.add(limit)
--- a/packages/proxy/src/sassafrastally/proxy/time_limit.py
+++ b/packages/proxy/src/sassafrastally/proxy/time_limit.py
@@ -18,10 +18,12 @@
     ----------
     due_s
         Time of the limit.
+    killed_s
+        When the process is killed, if that is known.
     """
 
-    def __init__(self, due_s: float = math.inf) -> None:
-        super().__init__(due_s)
+    def __init__(self, due_s: float = math.inf, killed_s: float = math.inf) -> None:
+        super().__init__(due_s, killed_s=killed_s)
         self._watch_scope = trio.CancelScope()
 
     @property
--- a/packages/testing/tests/platform/test_late_limits.py
+++ b/packages/testing/tests/platform/test_late_limits.py
@@ -13,11 +13,13 @@
 
 from sassafrastally.proxy.caller_listener import (
     ACCEPT_AFTER_SIGNAL_S,
+    KILL_MARGIN_S,
     LAST_REQUEST_AFTER_SIGNAL_S,
 )
 from sassafrastally.proxy.cpu_overload import LAST_READ_S
 from sassafrastally.stand_ins.caller_requests import exchange_on, read_response, request_fields
-from sassafrastally.stand_ins.documents import make_configuration
+from sassafrastally.stand_ins.documents import make_configuration, make_route
+from sassafrastally.stand_ins.platform_fleet import BOUNDS
 
 HEADER_LIMIT_S = make_configuration(1)["limits"]["headerTimeoutMs"] / 1000
 IDLE_LIMIT_S = make_configuration(1)["limits"]["idleTimeoutMs"] / 1000
@@ -25,6 +27,9 @@
 STALLS_S = [0.12, 0.3]
 """How long the entry doesn't run: to 0.07 s after a limit, or longer than an overload's delays."""
 
+RUNS_S = 0.09
+"""How long it runs before it doesn't once more."""
+
 
 @pytest.fixture
 def seed():
@@ -218,3 +223,32 @@
                 nursery.start_soon(call)
         assert len(statuses) == 4
         assert set(statuses) <= {200, 503}
+
+    @pytest.mark.parametrize("stalled_s", [*STALLS_S, 0.35])
+    async def test_requests_in_progress_are_answered_before_the_kill(
+        self, autojump_clock, fleet, stalled_s
+    ):
+        """Guards against an entry that waits for more answers because it was late, and is killed
+        meanwhile over the requests that it still has to answer."""
+        route = make_route("book", "non_idempotent", "desk", maxAttempts=1, timeoutMs=15_000)
+        fleet.configure(make_configuration(2, routes=[route]))
+        fleet.replicas["desk-1"].is_unresponsive = True
+        statuses, ends_s = [], []
+
+        async def call() -> None:
+            fields = request_fields(time_left_s=14.0)
+            address = fleet.entry_settings(1).callers_address
+            statuses.append((await fleet.call_at(address, "/book/x", fields)).status)
+            ends_s.append(trio.current_time())
+
+        async with trio.open_nursery() as nursery:
+            for _ in range(4):
+                nursery.start_soon(call)
+            await trio.sleep(0.5)
+            begin_s = trio.current_time()
+            fleet.kernels[0].request_stop()
+            runs_s = begin_s + BOUNDS.stop_time_s - KILL_MARGIN_S - 0.05 + stalled_s
+            nursery.start_soon(stall, autojump_clock, runs_s - stalled_s, stalled_s)
+            nursery.start_soon(stall, autojump_clock, runs_s + RUNS_S, 0.3)
+        assert statuses == [502] * 4
+        assert max(ends_s) < begin_s + BOUNDS.stop_time_s
