Don't take a reset for the end of a response after a failed write

What callers saw: a backend server answered a long request before it had read it, with neither a length nor chunks, and its connection was reset. The caller got a 200 with the part of the body that had come, with a length (plain services) or a regular last chunk (streams), as if it were whole.

Cause: the operating system reports a reset once. It went to the write of the request's body, after which the attempt goes on to read the response, as it must. The next reads returned what had arrived and then the end of the stream, which ends a body that is delimited by its connection.

Evidence: two sockets on the loopback, 20 MB sent to a peer that answers and closes without reading: the write fails with ECONNRESET, reads return the answer and then b"" (2 of 2 ways of closing).

Change: a connection remembers that a write failed; the end of its stream is then a lost connection. A response with an end of its own stays whole. It applies to all connections that go through HttpStream.

Tests of the platform and the proxy pass.

--- a/packages/proxy/src/sassafrastally/proxy/http_stream.py
+++ b/packages/proxy/src/sassafrastally/proxy/http_stream.py
@@ -105,6 +105,8 @@
         self.http = h11.Connection(role, max_incomplete_event_size=header_bytes)
         self.is_write_incomplete = False
         """Whether a write was cancelled: the peer lacks bytes that h11 counts as sent."""
+        self._has_failed_write = False
+        """Whether a write has failed, which only a reset or a timeout of the connection causes."""
         self.is_reused = False
         """Whether it has carried a response before."""
         self.received_bytes = 0
@@ -243,6 +245,9 @@
                 data = await self.stream.receive_some(RECEIVE_BYTES)
         except (trio.BrokenResourceError, trio.ClosedResourceError) as cause:
             raise ConnectionLost(f"connection reset while reading: {cause!r}") from cause
+        if not data and self._has_failed_write:
+            # The OS reports a reset once, here to the write; reads then end as after a close.
+            raise ConnectionLost("connection reset before the end of the stream")
         self.received_bytes += len(data)
         self._parsed_events = 0
         self.received_s = trio.current_time()
@@ -270,6 +275,7 @@
         try:
             await self.stream.send_all(data)
         except (trio.BrokenResourceError, trio.ClosedResourceError) as cause:
+            self._has_failed_write = True
             raise ConnectionLost(f"connection reset while sending: {cause!r}") from cause
         self.is_write_incomplete = False
 
@@ -286,6 +292,7 @@
                 return await self.stream.socket.send(data)
             await self.stream.send_all(data)
         except (OSError, trio.BrokenResourceError, trio.ClosedResourceError) as cause:
+            self._has_failed_write = True
             raise ConnectionLost(f"connection reset while sending: {cause!r}") from cause
         return len(data)
 
