Take an empty 200 without length and chunks for one that broke off

What callers saw: a backend server closed its connection right after its header, which had neither a length nor chunks. Routes that are read as a whole answered 200 with an empty body and "Content-Length: 0"; streaming routes did the same if the content type was no event stream.

Cause: without a length and chunks, a close ends the body, and nothing asked whether there was one.

Decision: a 200 has content unless its framing says that there is none (RFC 9110, section 15.3.1), so this one is an attempt of unknown outcome: it is repeated or resumed where that is allowed, and otherwise answered 502. Other statuses and responses to HEAD stay as they were.

--- a/packages/proxy/src/sassafrastally/proxy/answer.py
+++ b/packages/proxy/src/sassafrastally/proxy/answer.py
@@ -10,6 +10,7 @@
 import trio
 
 from sassafrastally.core import CodedError, error
+from sassafrastally.proxy.body_framing import requires_content
 from sassafrastally.proxy.cpu_overload import read_until
 from sassafrastally.proxy.http_stream import ConnectionLost, InputTooLong
 from sassafrastally.proxy.input_limits import (
@@ -38,6 +39,7 @@
 
 TIMEOUT_DETAIL = "no data arrived before the timeout"
 INCOMPLETE_HEADER_DETAIL = "the response header wasn't complete before the timeout"
+NO_CONTENT_DETAIL = "the connection was closed before the first byte of the body"
 
 
 @error(10005)
@@ -100,6 +102,8 @@
         self.framing = framing
         self.facts = facts
         self._connection = connection
+        self._lacks_content = requires_content(self.status, framing)
+        """Whether the body may not end yet."""
 
     async def chunk(self, silence_limit_s: float = math.inf) -> bytes | None:
         """Return the next chunk of the body, or ``None`` after the last one.
@@ -140,8 +144,11 @@
         while True:
             event = await receive(self._connection)
             if isinstance(event, h11.Data):
+                self._lacks_content = False
                 return bytes(event.data)
             if isinstance(event, h11.EndOfMessage):
+                if self._lacks_content:
+                    raise AttemptUnknown(NO_CONTENT_DETAIL)
                 return None
 
     def hold(self, added_bytes: int) -> None:
--- a/packages/proxy/src/sassafrastally/proxy/body_framing.py
+++ b/packages/proxy/src/sassafrastally/proxy/body_framing.py
@@ -12,6 +12,8 @@
 BODILESS_STATUSES = frozenset({204, 304})
 """Statuses of responses that end with their header."""
 
+OK_STATUS = 200
+
 
 class BodyFraming(Enum):
     """What delimits the end of a body (RFC 9112, section 6.3)."""
@@ -31,3 +33,12 @@
     if b"transfer-encoding" in names:
         return BodyFraming.CHUNKS
     return BodyFraming.LENGTH if b"content-length" in names else BodyFraming.CLOSE
+
+
+def requires_content(status: int, framing: BodyFraming) -> bool:
+    """Return whether a body without a single byte is one that was broken off.
+
+    A 200 has content unless its framing says that there is none (RFC 9110, section 15.3.1). Without
+    that, a server that crashes between header and body looks like one that has finished.
+    """
+    return status == OK_STATUS and framing is BodyFraming.CLOSE
--- a/packages/testing/tests/platform/test_response_end.py
+++ b/packages/testing/tests/platform/test_response_end.py
@@ -235,6 +235,32 @@
             assert answer.body.endswith(b"\n\n")
 
 
+class TestMissingBodies:
+    """Responses without length, chunks and body, whose connection is closed."""
+
+    async def test_of_plain_services_are_not_forwarded(self, small_fleet):
+        """Guards against an empty success from a server that crashes after its header."""
+        desks = [small_fleet.replicas[name] for name in ("desk-1", "desk-2")]
+        for desk in desks:
+            desk.framing, desk.breaks_after_bytes = BodyFraming.CLOSE, 0
+        assert (await small_fleet.call("/book/x")).status == 502
+        desks[0].breaks_after_bytes = -1
+        for _ in range(3):
+            answer = await small_fleet.call("/look/x")
+            assert (answer.status, json.loads(answer.body)["target"]) == (200, "/look/x")
+
+    async def test_of_engines_are_resumed_whatever_their_type(self, small_fleet):
+        """Guards against an empty success on a streaming route whose type is no event stream."""
+        break_streams(small_fleet, BodyFraming.CLOSE, ConnectionEnd.CLOSE, ["engine-1"])
+        for replica in small_fleet.replicas.values():
+            replica.content_type, replica.framing = "application/json", BodyFraming.CLOSE
+        broken = small_fleet.replicas["engine-1"]
+        broken.breaks_inside_event, broken.breaks_after_events = False, 0
+        for _ in range(4):
+            answer = await small_fleet.call("/note/x", prompt=PROMPT)
+            assert event_ids(answer.body) == list(range(EVENTS))
+
+
 class TestComments:
     """Comments in streams, which are forwarded and are no events."""
 
