Reject changes from a peer that lack the end of their checksum

What operators could have seen: changes from a peer whose last one to five bytes were missing, in a body without length, were applied without a check of their checksum. Their content was whole in 5 of 5 such cuts of two bodies (66 and 798 bytes); earlier cuts were rejected. No wrong state was seen.

Cause: decompression in steps stopped where no more data came, and didn't look whether the stream had ended.

Found by tests of an entry's own calls that are broken off at each byte. They also rule out what was looked for: a header that is cut, on a new or a kept connection, is a lost response in all 6 forms and 6 ways to break; pages, watches and acknowledgements of the store and reports of engines without length are taken for whole at no byte before their end.

--- a/packages/proxy/src/sassafrastally/proxy/work_steps.py
+++ b/packages/proxy/src/sassafrastally/proxy/work_steps.py
@@ -49,7 +49,13 @@
 
 
 async def decompress_in_steps(data: bytes, max_bytes: int) -> bytes:
-    """Return the decompressed zlib stream, cut off at a maximum size; raises `zlib.error`."""
+    """Return the decompressed zlib stream, cut off at a maximum size.
+
+    Raises
+    ------
+    zlib.error
+        If the stream is invalid, or ends without its checksum.
+    """
     decompressor = zlib.decompressobj()
     decompressed = bytearray()
     rest = data
@@ -61,6 +67,8 @@
         rest = decompressor.unconsumed_tail
         if len(piece) == STEP_BYTES:
             await trio.lowlevel.checkpoint()
+    if len(decompressed) < max_bytes and not decompressor.eof:
+        raise zlib.error("the stream is incomplete")
     return bytes(decompressed)
 
 
