httpx connections: don't take a reset for the end of a response

What callers saw: a plain service or an engine answered a long request before it had read it, without a length or chunks, and its connection was reset. The response counted as complete, with whatever part of it had come.

Change: a connection whose write failed raises an error if the end of a body is that of its stream. A response with a length or chunks stays whole.

--- a/packages/stores/src/sassafrastally/stores/http_connection.py
+++ b/packages/stores/src/sassafrastally/stores/http_connection.py
@@ -1,7 +1,8 @@
 """HTTP/1.1 connections for httpx that carry nothing from one response to the next.
 
 httpcore reads the next response from what a server has sent beyond the last one, and any number of
-interim responses without letting other tasks run.
+interim responses without letting other tasks run. It reads a response although its request can't be
+written, and then takes the end of the connection for that of a body without length and chunks.
 """
 
 from __future__ import annotations
@@ -9,7 +10,7 @@
 from typing import Any
 
 import h11
-from httpcore import RemoteProtocolError
+from httpcore import RemoteProtocolError, WriteError
 from httpcore._async import connection
 from httpcore._async.http11 import AsyncHTTP11Connection
 
@@ -18,13 +19,21 @@
 
 
 class GuardedConnection(AsyncHTTP11Connection):
-    """Connection that ends if its server sends more than one response to a request."""
+    """Connection that ends if its server sends a second response, or resets it in a response."""
 
     MAX_INCOMPLETE_EVENT_SIZE = 32 * 1024
 
     def __init__(self, *args: Any, **kwargs: Any) -> None:
         super().__init__(*args, **kwargs)
         self._interim_responses = 0
+        self._has_failed_write = False
+
+    async def _send_event(self, event: h11.Event, timeout: float | None = None) -> None:
+        try:
+            await super()._send_event(event, timeout)
+        except WriteError:
+            self._has_failed_write = True
+            raise
 
     async def _receive_event(self, timeout: float | None = None) -> Any:
         event = await super()._receive_event(timeout)
@@ -34,6 +43,11 @@
                 raise RemoteProtocolError("too many interim responses")
         elif isinstance(event, h11.Response):
             self._interim_responses = 0
+        elif isinstance(event, h11.EndOfMessage) and self._has_failed_write:
+            # The OS reports a reset once, here to the write; reads then end as after a close.
+            _, has_read_end = self._h11_state.trailing_data
+            if has_read_end:
+                raise RemoteProtocolError("connection reset before the end of the response")
         return event
 
     async def _response_closed(self) -> None:
@@ -56,7 +70,12 @@
     used = module.AsyncHTTP11Connection
     if used not in (AsyncHTTP11Connection, GuardedConnection) or not all(
         hasattr(AsyncHTTP11Connection, name)
-        for name in ("_receive_event", "_response_closed", "MAX_INCOMPLETE_EVENT_SIZE")
+        for name in (
+            "_send_event",
+            "_receive_event",
+            "_response_closed",
+            "MAX_INCOMPLETE_EVENT_SIZE",
+        )
     ):
         raise RuntimeError("this release of httpcore builds its connections in another way")
     module.AsyncHTTP11Connection = GuardedConnection
--- a/packages/stores/tests/test_http_connection.py
+++ b/packages/stores/tests/test_http_connection.py
@@ -1,7 +1,8 @@
-"""Servers that send more than one response to a request."""
+"""Servers that send more than one response to a request, or break one off."""
 
 from __future__ import annotations
 
+import socket
 from contextlib import asynccontextmanager
 from functools import partial
 from typing import TYPE_CHECKING
@@ -110,3 +111,34 @@
         async with server.client() as client:
             with trio.fail_after(5), pytest.raises(httpx.RemoteProtocolError, match="too long"):
                 await client.get("/endless")
+
+
+class TestEarlyResponses:
+    """Responses from a server that closes without reading its long request, which is a reset."""
+
+    async def _post(self, answer: bytes) -> str | None:
+        """Send a long request; return the text of the response, or ``None`` if it is broken."""
+
+        async def handle(stream: trio.SocketStream) -> None:
+            stream.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            async with stream:
+                await stream.receive_some(1)
+                await stream.send_all(answer)
+
+        server = Server()
+        server.handle = handle  # type: ignore[method-assign]
+        async with server.client() as client:
+            try:
+                return (await client.post("/", content=b"x" * 8_000_000)).text
+            except httpx.RemoteProtocolError:
+                return None
+
+    @pytest.mark.parametrize("content", [b"", b"part"])
+    async def test_without_length_is_not_whole(self, content: bytes) -> None:
+        """Guards against a reset that passes for the end of a body: the failed write takes the
+        reset from the operating system, and the next read returns the end of the stream."""
+        assert await self._post(b"HTTP/1.1 200 OK\r\n\r\n" + content) is None
+
+    async def test_with_an_end_of_its_own_is_read(self) -> None:
+        """Guards against the loss of a whole response because its request couldn't be sent."""
+        assert await self._post(response(b"whole")) == "whole"
