Test links and the callers' interface with answers that are cut

MemoryNetwork can cut two VMs after a number of bytes from one of them, with a break or with the end of the stream.

--- a/packages/entry/tests/test_http.py
+++ b/packages/entry/tests/test_http.py
@@ -9,6 +9,7 @@
 import trio
 
 from sassafrastally.core import Address
+from sassafrastally.entry import routes
 from sassafrastally.entry.http import HttpService
 from sassafrastally.entry.settings import EntrySettings, HttpSettings
 from sassafrastally.wire.messages import Cancel, Reserve
@@ -93,6 +94,58 @@
         assert not (world.s1.log or world.s2.log)
 
 
+async def fail_in_the_middle(sidecar: Any, end: Any, reserve: Reserve) -> None:
+    await sidecar.accept(end, reserve)
+    own = reserve.request_id, reserve.attempt
+    failed = sidecar.end(own, 1, "failed", code="backend-failed")
+    await end.send(*sidecar.chunks(own, sidecar.words[:1]), failed)
+
+
+async def read_raw(server: HttpService, request: bytes) -> bytes:
+    """Return all bytes that a caller gets until its connection is closed."""
+    with trio.fail_after(5):
+        stream = await trio.open_tcp_stream("127.0.0.1", server.bound_address.port)
+        async with stream:
+            await stream.send_all(request)
+            return b"".join([part async for part in stream])
+
+
+@pytest.mark.parametrize("version", [b"HTTP/1.1", b"HTTP/1.0"])
+class TestBrokenAnswers:
+    """What a caller gets whose answer is broken off after its header was sent."""
+
+    async def test_failed_stream_ends_with_its_problem(
+        self, server: HttpService, world: Any, version: bytes
+    ) -> None:
+        """Guards against a stream without its end mark that tells no reason either."""
+        world.s1.scripts, world.s2.scripts = [fail_in_the_middle], [fail_in_the_middle]
+        once = RAW.replace(b"Host: a", b"Host: a\r\nSassafrastally-Idempotent: false")
+        data = await read_raw(server, once.replace(b"HTTP/1.1", version))
+        assert data.startswith(b"HTTP/1.1 200")
+        events = data.partition(b"\r\n\r\n")[2]
+        assert b"event: error\ndata: " in events
+        assert b"[DONE]" not in events
+
+    async def test_unexpected_error_sends_no_regular_end(
+        self, server: HttpService, world: Any, version: bytes, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Guards against a last chunk or an end mark after an error of the entry itself."""
+        monkeypatch.setattr(routes, "STREAM_DONE", None)
+        data = await read_raw(server, RAW.replace(b"HTTP/1.1", version))
+        assert b'data: {"w":"ha"}' in data
+        assert b"[DONE]" not in data
+        assert not data.endswith(b"0\r\n\r\n")
+
+    async def test_whole_answers_have_a_length(self, server: HttpService, version: bytes) -> None:
+        """Guards against an answer read as a whole whose end only the connection shows."""
+        body = b'{"model":"yeso-small","prompt":"A wall."}'.ljust(60)
+        for path in (b"/v1/completions", b"/services/bookings/crews"):
+            request = RAW[:-60].replace(b"/v1/completions", path).replace(b"HTTP/1.1", version)
+            data = await read_raw(server, request + body)
+            head, _, content = data.partition(b"\r\n\r\n")
+            assert b"content-length: %d" % len(content) in head.lower()
+
+
 class TestStopping:
     async def test_shutdown_truncates_no_answer(self, server: HttpService, world: Any) -> None:
         """An entry is replaced. Answers would be truncated if the process exited while they are
--- a/packages/testing/src/sassafrastally/testing/network.py
+++ b/packages/testing/src/sassafrastally/testing/network.py
@@ -25,6 +25,13 @@
     data: bytes
 
 
+class _CutAfter(NamedTuple):
+    """A cut once so many more bytes have come."""
+
+    size_bytes: int
+    cut: Callable[[], None]
+
+
 class _Pipe:
     """One direction of a connection."""
 
@@ -34,6 +41,9 @@
         self.is_broken = False
         self.is_writer_closed = False
         self.is_reader_closed = False
+        self.is_ended = False
+        """Whether the reader has got the end of the stream and the writer's next bytes are lost."""
+        self.cut_after: _CutAfter | None = None
         self._parcels: deque[_Parcel] = deque()
         self._size_bytes = 0
         self._changed = trio.lowlevel.ParkingLot()
@@ -60,6 +70,8 @@
                 raise trio.ClosedResourceError
             if self.is_broken:
                 raise trio.BrokenResourceError("cut")
+            if self.is_ended:
+                return b""
             if not self.is_frozen:
                 if self._parcels and self._parcels[0].ready_s <= trio.current_time():
                     return self._take(max_bytes)
@@ -75,8 +87,9 @@
     def wake(self) -> None:
         self._changed.unpark_all()
 
-    def break_off(self) -> None:
-        self.is_broken = True
+    def break_off(self, *, with_end: bool = False) -> None:
+        self.is_ended = with_end
+        self.is_broken = not with_end
         self._parcels.clear()
         self.wake()
 
@@ -89,17 +102,25 @@
 
     def _take(self, max_bytes: int) -> bytes:
         ready_s, data = self._parcels.popleft()
+        if self.cut_after is not None:
+            max_bytes = min(max_bytes, self.cut_after.size_bytes)
         if len(data) > max_bytes:
             self._parcels.appendleft(_Parcel(ready_s, data[max_bytes:]))
             data = data[:max_bytes]
         self._size_bytes -= len(data)
         self.wake()
+        if self.cut_after is not None:
+            self.cut_after = self.cut_after._replace(
+                size_bytes=self.cut_after.size_bytes - len(data)
+            )
+            if not self.cut_after.size_bytes:
+                self.cut_after.cut()
         return data
 
     def _check_writer(self) -> None:
         if self.is_writer_closed:
             raise trio.ClosedResourceError
-        if self.is_broken or self.is_reader_closed:
+        if self.is_broken or self.is_reader_closed or self.is_ended:
             raise trio.BrokenResourceError("the reader is gone")
 
 
@@ -137,10 +158,32 @@
     def __init__(self, dialler: str, acceptor: str, latency_s: float) -> None:
         self.vms = frozenset((dialler, acceptor))
         self.pipes = (_Pipe(latency_s), _Pipe(latency_s))
+        self._pipe_from = dict(zip((dialler, acceptor), self.pipes, strict=True))
 
     @property
     def is_over(self) -> bool:
-        return all(p.is_broken or (p.is_reader_closed and p.is_writer_closed) for p in self.pipes)
+        return all(
+            p.is_broken or p.is_ended or (p.is_reader_closed and p.is_writer_closed)
+            for p in self.pipes
+        )
+
+    def cut(self) -> None:
+        """Break both directions; bytes on their way are lost."""
+        for pipe in self.pipes:
+            pipe.break_off()
+
+    def cut_after(self, sender: str, size_bytes: int, *, with_end: bool) -> None:
+        """Cut once so many more bytes of a sender have been read."""
+        pipe = self._pipe_from[sender]
+
+        def cut() -> None:
+            self.cut()
+            pipe.break_off(with_end=with_end)
+
+        if size_bytes:
+            pipe.cut_after = _CutAfter(size_bytes, cut)
+        else:
+            cut()
 
 
 class _Listener(NamedTuple):
@@ -175,8 +218,26 @@
         """Break the connections between two VMs; bytes on their way are lost."""
         for connection in self._live():
             if connection.vms == frozenset((a, b)):
-                for pipe in connection.pipes:
-                    pipe.break_off()
+                connection.cut()
+
+    def cut_after(
+        self, sender: str, receiver: str, size_bytes: int, *, with_end: bool = False
+    ) -> None:
+        """Cut two VMs once so many more bytes have come from one of them.
+
+        Parameters
+        ----------
+        sender, receiver
+            The VMs; the bytes on their connections are counted each on its own.
+        size_bytes
+            Number of bytes that the receiver still gets.
+        with_end
+            Whether the receiver sees the end of the stream, as of a peer that has closed it,
+            instead of a break.
+        """
+        for connection in self._live():
+            if connection.vms == frozenset((sender, receiver)):
+                connection.cut_after(sender, size_bytes, with_end=with_end)
 
     def partition(self, a: str, b: str) -> None:
         """Cut two VMs and let them not connect again until `heal`."""
@@ -191,8 +252,7 @@
         """Break all connections of a VM and free its addresses, so that a restart can listen."""
         for connection in self._live():
             if vm in connection.vms:
-                for pipe in connection.pipes:
-                    pipe.break_off()
+                connection.cut()
         self._listeners = {
             address: listener for address, listener in self._listeners.items() if listener.vm != vm
         }
