Tell a passed time limit whatever its figures round to

The deadline is now compared, by which the request is cancelled. Of 200 requests in series the test failed before, none after.

--- a/packages/entry/src/sassafrastally/entry/path.py
+++ b/packages/entry/src/sassafrastally/entry/path.py
@@ -273,9 +273,10 @@
         return None
 
     def _cancelled_refusal(self, request: CallerRequest, outcome: Outcome) -> Refusal:
-        elapsed_s = trio.current_time() - request.arrived_s
+        now_s = trio.current_time()
+        elapsed_s = now_s - request.arrived_s
         figures = Figures(limit=request.time_limit_s, measured=round(elapsed_s, 3))
-        if elapsed_s < request.time_limit_s:
+        if now_s < request.deadline_s:
             figures = figures._replace(detail="The entry had to stop before the time limit.")
             return Refusal("stopping", figures, outcome)
         return Refusal("time-limit-passed", figures, outcome)
--- a/packages/entry/tests/test_execution_limits.py
+++ b/packages/entry/tests/test_execution_limits.py
@@ -35,6 +35,16 @@
         assert trio.current_time() == pytest.approx(started_s + 2.0)
         assert len(world.s1.of(Cancel) + world.s2.of(Cancel)) == 1
 
+    async def test_limit_is_told_whatever_its_figures_round_to(
+        self, world: Any, autojump_clock: Any
+    ) -> None:
+        """Guards against "stopping" for a request whose time limit has passed, as the time since
+        its arrival rounds to less."""
+        for _ in range(200):
+            world.s1.scripts, world.s2.scripts = [silent], [silent]
+            refusal = await refusal_of(world, world.booking(time_limit_s=0.3))
+            assert refusal.kind.code == "time-limit-passed", trio.current_time()
+
     async def test_limit_before_any_commit_is_not_run(
         self, world: Any, autojump_clock: Any
     ) -> None:
