--- a/packages/testing/tests/platform/test_stopping_entry.py
+++ b/packages/testing/tests/platform/test_stopping_entry.py
@@ -11,12 +11,13 @@
 import pytest
 import trio
 
-from sassafrastally.proxy.caller_listener import LAST_REQUEST_AFTER_SIGNAL_S
+from sassafrastally.proxy.caller_listener import LAST_REQUEST_AFTER_SIGNAL_S, CallerListener
 from sassafrastally.proxy.drain import Drain
-from sassafrastally.proxy.http_stream import ConnectionLost
+from sassafrastally.proxy.http_stream import ConnectionLost, HttpStream
 from sassafrastally.proxy.load import Lane
 from sassafrastally.proxy.path import RequestPath
 from sassafrastally.stand_ins.caller_requests import (
+    encode_request,
     read_response,
     request_fields,
     send_request,
@@ -263,6 +264,25 @@
             [(504, True)],
         )
 
+    async def test_at_the_end_of_an_entry_that_pauses_again(self, autojump_clock, fleet_of_two):
+        """Guards against an entry that waits for answers, after each pause anew, until the process
+        is killed."""
+        for replica in fleet_of_two.replicas.values():
+            replica.is_unresponsive = True
+        listener = fleet_of_two.kernels[0].get("callers", CallerListener)
+        stop_time_s = listener._settings.bounds.stop_time_s
+        callers = Callers(fleet_of_two)
+        async with trio.open_nursery() as nursery:
+            fleet_of_two.kernels[0].request_stop()
+            begin_s = trio.current_time()
+            nursery.start_soon(callers.call, "/book/x")
+            await trio.sleep(stop_time_s - 0.65)
+            for pause_s in (0.3, 0.1, 0.15):
+                autojump_clock.jump(pause_s)
+                await trio.sleep(0.05)
+        assert [(one.status, one.is_whole) for one in callers.calls] == [(502, True)]
+        assert callers.calls[0].took_s < stop_time_s - 0.1, trio.current_time() - begin_s
+
     async def test_for_another_attempt(self, autojump_clock, fleet_of_two):
         """Guards against retries that begin when no time is left for them."""
         for replica in fleet_of_two.replicas.values():
@@ -326,6 +346,34 @@
             fleet_of_two.kernels[0].request_stop()
         assert not runs(fleet_of_two).intersection(unanswered)
 
+    @pytest.mark.parametrize(
+        ("work_s", "statuses"), [(1.0, [200, 200, 200, 200]), (30.0, [502, 503, 503, 503])]
+    )
+    async def test_requests_sent_ahead_are_answered(
+        self, autojump_clock, fleet_of_two, work_s, statuses
+    ):
+        """Guards against requests that are dropped, seconds after they were sent, because the
+        response before theirs is said to be the last one."""
+        for desk in (1, 2):
+            fleet_of_two.replicas[f"desk-{desk}"].work_s = work_s
+        connection = await fleet_of_two.connect()
+        for _ in statuses:
+            ahead = HttpStream(connection.stream, h11.CLIENT)
+            await send_request(ahead, "POST", "/book/x", request_fields(time_left_s=14.0), b"{}")
+        await trio.sleep(0.1)
+        stop_s = trio.current_time()
+        fleet_of_two.kernels[0].request_stop()
+        answers = []
+        for _ in statuses:
+            encode_request(connection, "POST", "/book/x", request_fields(), b"{}")
+            answers.append(await read_response(connection))
+            if answers[-1].headers.get("connection") == "close":
+                break
+            connection.http.start_next_cycle()
+        assert [one.status for one in answers if one.is_whole] == statuses
+        assert answers[-1].headers["connection"] == "close"
+        assert trio.current_time() - stop_s < ANSWERED_S
+
 
 class TestOtherChanges:
     """A stop beside other changes, at any moment."""
