Changes of peers: call again at once if a kept connection was closed unread

What was seen: an entry keeps its connections to peers, which close them after 30 s without a call, or for others. A call that crossed the close failed: the peer counted as failed for 0.3 s and was logged (`PeerFailed`), and changes of configuration and servers came up to 0.09 s later, or from another data centre.

Change: `CallClient` tells a kept connection that ended before any byte of the response from other failures (`KeptConnectionClosed`, E10091, an `AnswerLost`). The fetch of changes, which changes nothing at the peer, closes the other kept connections and calls once more. Calls to the store are as before.

--- a/packages/proxy/src/sassafrastally/proxy/calls.py
+++ b/packages/proxy/src/sassafrastally/proxy/calls.py
@@ -68,6 +68,11 @@
     """The response to a call is over its bound in bytes; the rest wasn't read."""
 
 
+@error(10091)
+class KeptConnectionClosed(AnswerLost):
+    """A kept connection was closed before any part of the response, maybe for being idle."""
+
+
 class CallTimeout(StepTimeout):
     """Timeout of a call: one for silence, and one for the whole call.
 
@@ -176,6 +181,8 @@
         ------
         ResponseTooLarge
             If the response is over its bound in bytes.
+        KeptConnectionClosed
+            If a kept connection was closed before any part of the response.
         AnswerLost
             If there is no complete response, or the process holds too much unfinished input.
         """
@@ -202,6 +209,7 @@
         size_bytes: int,
     ) -> CallResponse:
         connection = await self._take(timeout.silence_limit_s)
+        before_bytes = connection.received_bytes
         is_reusable = False
         try:
             head = h11.Request(
@@ -222,6 +230,10 @@
                 connection.http.their_state is h11.DONE
             )
             return response
+        except (ConnectionLost, h11.RemoteProtocolError) as cause:
+            if connection.is_reused and connection.received_bytes == before_bytes:
+                raise KeptConnectionClosed(f"{method}: {cause!r}") from cause
+            raise
         finally:
             await self._put_back(connection, is_reusable)
 
@@ -237,6 +249,7 @@
     async def _put_back(self, connection: HttpStream, is_reusable: bool) -> None:
         if is_reusable and len(self._idle) < MAX_IDLE_CONNECTIONS:
             connection.http.start_next_cycle()
+            connection.is_reused = True
             self._idle.append(connection)
         else:
             await connection.close()
--- a/packages/proxy/src/sassafrastally/proxy/change_fetcher.py
+++ b/packages/proxy/src/sassafrastally/proxy/change_fetcher.py
@@ -10,12 +10,13 @@
 from __future__ import annotations
 
 import re
+from functools import partial
 from typing import TYPE_CHECKING, NamedTuple
 from urllib.parse import parse_qsl, urlsplit
 
 import trio
 
-from sassafrastally.proxy.calls import ResponseBounds, ResponseTooLarge
+from sassafrastally.proxy.calls import KeptConnectionClosed, ResponseBounds, ResponseTooLarge
 from sassafrastally.proxy.containment import Containment
 from sassafrastally.proxy.delta_messages import decode_delta
 from sassafrastally.proxy.dialect import DocumentInvalid
@@ -186,10 +187,16 @@
     async def _fetch(self, source: Source) -> None:
         target = changes_target(self._cluster_state.position)
         configuration = self._cluster_state.configuration
+        exchange = partial(
+            source.calls.exchange, "GET", target, [], b"", CALL_TIMEOUT_S, CHANGES_BOUNDS
+        )
         try:
-            response = await source.calls.exchange(
-                "GET", target, [], b"", CALL_TIMEOUT_S, CHANGES_BOUNDS
-            )
+            try:
+                response = await exchange()
+            except KeptConnectionClosed:
+                # The peer may have closed it for being idle, and others as well.
+                await source.calls.close()
+                response = await exchange()
             if response.status != 200:
                 raise AnswerLost(f"peer answered with status {response.status}")
             delta = await decode_delta(response.body)
--- a/packages/proxy/tests/test_change_fetcher.py
+++ b/packages/proxy/tests/test_change_fetcher.py
@@ -7,8 +7,8 @@
 import pytest
 import trio
 
-from sassafrastally.core import Clock, Kernel
-from sassafrastally.proxy.calls import CallResponse, ResponseTooLarge
+from sassafrastally.core import Address, Clock, Kernel
+from sassafrastally.proxy.calls import CallClient, CallResponse, ResponseTooLarge
 from sassafrastally.proxy.change_fetcher import (
     CHANGES_BOUNDS,
     ChangeFetcher,
@@ -63,6 +63,46 @@
         assert choose_source([old, new], {}, 0.0) is new
 
 
+class TestKeptConnection:
+    """A connection to a peer that is kept between calls."""
+
+    @pytest.mark.parametrize("is_reset", [False, True])
+    async def test_that_closes_beside_a_call_costs_no_time(self, nursery, is_reset):
+        """Guards against a peer that counts as failed, and changes that come late, since it has
+        closed an idle connection as the call was sent."""
+        kernel = Kernel("vm", "dc", Clock(), seed=1)
+        state = kernel.add(ClusterState(PlainDialect(), REGISTRATION_EXPIRY_S))
+        body = encode_delta(Delta((), (), StorePosition(0, 5)))
+        response = b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n" % len(body) + body
+        calls = []
+
+        async def serve(stream: trio.SocketStream) -> None:
+            async with stream:
+                await stream.receive_some()
+                calls.append(stream)
+                await stream.send_all(response)
+                # Closed with the call unread.
+                await trio.lowlevel.wait_readable(stream.socket)
+                if not is_reset:
+                    await stream.receive_some()
+
+        (listener,) = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        nursery.start_soon(trio.serve_listeners, serve, [listener])
+        client = CallClient(Address(*listener.socket.getsockname()))
+        await client.exchange("GET", "/changes", [], b"", 1.0)
+        sources = [Source("a", True, StorePosition(0, 5), 0, client)]
+        fetcher = ChangeFetcher(
+            kernel, state, lambda: sources if state.position < (0, 5) else [], lambda: False
+        )
+        nursery.start_soon(fetcher.run)
+        fetcher.note_news()
+        with trio.fail_after(1.0):
+            while state.position < (0, 5):
+                await trio.sleep(0.01)
+        assert len(calls) == 2
+        assert "PeerFailed" not in [record["name"] for record in kernel.events.records()]
+
+
 class TestFruitlessPeer:
     """A peer whose answers don't bring what its datagrams promise."""
 
