Changes of peers: bound the rate of the lines about a failing peer

What was seen: while a peer's datagrams promise news and its port is closed, each failed call wrote a line (`PeerFailed`), some sixteen a second.

Change: one line in 5 s for each peer, with the number of failures since the last one (`failures`). A peer's first useless answer has a line of its own. `LogRate` remembers 1,024 keys at most.

--- a/packages/core/src/sassafrastally/core/log_rate.py
+++ b/packages/core/src/sassafrastally/core/log_rate.py
@@ -5,6 +5,9 @@
 LINE_INTERVAL_S = 5.0
 """Shortest time between two lines of an event with the same key."""
 
+MAX_KEYS = 1024
+"""Maximum number of keys that are remembered; the one logged longest ago is forgotten first."""
+
 
 class LogRate:
     """Decides when a recurring event is logged: the first time at once, then summed up.
@@ -28,7 +31,7 @@
         Parameters
         ----------
         key
-            What the line is about; one of a few.
+            What the line is about.
         now_s
             Present time on a monotonic clock.
         """
@@ -37,6 +40,10 @@
         if logged_s is not None and now_s - logged_s < self._interval_s:
             self._unlogged[key] = unlogged
             return 0
+        self._logged_s.pop(key, None)
         self._logged_s[key] = now_s
         self._unlogged[key] = 0
+        if len(self._logged_s) > MAX_KEYS:
+            forgotten = next(iter(self._logged_s))
+            del self._logged_s[forgotten], self._unlogged[forgotten]
         return unlogged
--- a/packages/core/tests/test_log_rate.py
+++ b/packages/core/tests/test_log_rate.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from sassafrastally.core.log_rate import LINE_INTERVAL_S, LogRate
+from sassafrastally.core.log_rate import LINE_INTERVAL_S, MAX_KEYS, LogRate
 
 
 class TestLogRate:
@@ -18,3 +18,10 @@
         """Guards against a frequent cause that hides a rare one."""
         rate = LogRate()
         assert [rate.count(key, 0.0) for key in ("idle", "idle", "request")] == [1, 0, 1]
+
+    def test_keys_are_bounded(self):
+        """Guards against memory that grows with each peer that has ever failed."""
+        rate = LogRate()
+        assert all(rate.count(key, 0.0) for key in range(2 * MAX_KEYS))
+        assert len(rate._logged_s) == len(rate._unlogged) == MAX_KEYS
+        assert not rate.count(2 * MAX_KEYS - 1, 0.0)
--- a/packages/proxy/src/sassafrastally/proxy/change_fetcher.py
+++ b/packages/proxy/src/sassafrastally/proxy/change_fetcher.py
@@ -16,6 +16,7 @@
 
 import trio
 
+from sassafrastally.core import LogRate
 from sassafrastally.proxy.calls import KeptConnectionClosed, ResponseBounds, ResponseTooLarge
 from sassafrastally.proxy.containment import Containment
 from sassafrastally.proxy.delta_messages import decode_delta
@@ -153,6 +154,7 @@
         self._fruitless: set[str] = set()
         """Peers whose latest answer was fruitless."""
         self._news = trio.Event()
+        self._log_rate = LogRate()
         self._containment = Containment(kernel, "changes of a peer")
 
     def note_news(self) -> None:
@@ -231,6 +233,11 @@
             self._record_failed(source, cause)
 
     def _record_failed(self, source: Source, cause: str) -> None:
-        self._kernel.events.emit(
-            PeerFailed(source.host, *self._cluster_state.position, *source.position, cause)
-        )
+        key = source.host, source.host in self._fruitless
+        failures = self._log_rate.count(key, self._kernel.clock.now_s())
+        if failures:
+            self._kernel.events.emit(
+                PeerFailed(
+                    source.host, *self._cluster_state.position, *source.position, cause, failures
+                )
+            )
--- a/packages/proxy/src/sassafrastally/proxy/log_events/knowledge.py
+++ b/packages/proxy/src/sassafrastally/proxy/log_events/knowledge.py
@@ -185,6 +185,8 @@
     peer_epoch: int
     peer_revision: int
     cause: str
+    failures: int
+    """Number of failures of this peer since the last such line."""
 
 
 @event(10034)
--- a/packages/proxy/tests/test_change_fetcher.py
+++ b/packages/proxy/tests/test_change_fetcher.py
@@ -8,6 +8,7 @@
 import trio
 
 from sassafrastally.core import Address, Clock, Kernel
+from sassafrastally.core.log_rate import LINE_INTERVAL_S
 from sassafrastally.proxy.calls import CallClient, CallResponse, ResponseTooLarge
 from sassafrastally.proxy.change_fetcher import (
     CHANGES_BOUNDS,
@@ -20,7 +21,7 @@
 from sassafrastally.proxy.cluster_state import ClusterState
 from sassafrastally.proxy.delta_messages import encode_delta
 from sassafrastally.proxy.dialect import DocumentInvalid
-from sassafrastally.proxy.store import StorePosition
+from sassafrastally.proxy.store import AnswerLost, StorePosition
 from sassafrastally.proxy.store_records import Delta
 
 from .test_cluster_state import REGISTRATION_EXPIRY_S, PlainDialect
@@ -103,6 +104,26 @@
         assert "PeerFailed" not in [record["name"] for record in kernel.events.records()]
 
 
+class TestFailingPeer:
+    async def test_its_failures_are_logged_at_a_bounded_rate(self, autojump_clock, nursery):
+        """Guards against ten lines a second while a peer's port is closed and it has news."""
+        kernel = Kernel("vm", "dc", Clock(), seed=1)
+        state = kernel.add(ClusterState(PlainDialect(), REGISTRATION_EXPIRY_S))
+
+        async def exchange(*_arguments):
+            await trio.sleep(0.001)
+            raise AnswerLost("connection refused")
+
+        source = Source("a", True, StorePosition(0, 5), 7, SimpleNamespace(exchange=exchange))
+        fetcher = ChangeFetcher(kernel, state, lambda: [source], lambda: False)
+        nursery.start_soon(fetcher.run)
+        fetcher.note_news()
+        await trio.sleep(10 * LINE_INTERVAL_S)
+        lines = [record["fields"] for record in kernel.events.records()]
+        assert 9 <= len(lines) <= 10
+        assert sum(fields["failures"] for fields in lines) > 1000 * LINE_INTERVAL_S / 20
+
+
 class TestFruitlessPeer:
     """A peer whose answers don't bring what its datagrams promise."""
 
