--- a/packages/core/src/sassafrastally/core/__init__.py
+++ b/packages/core/src/sassafrastally/core/__init__.py
@@ -3,7 +3,12 @@
 from __future__ import annotations
 
 from sassafrastally.core.accept_queue import waiting_connections
-from sassafrastally.core.accepting import SHORTAGES, Acceptor, ClosedListener
+from sassafrastally.core.accepting import (
+    SHORTAGES,
+    AcceptBetweenSteps,
+    Acceptor,
+    ClosedListener,
+)
 from sassafrastally.core.clock import Clock
 from sassafrastally.core.errors import ERRORS, CodedError, error
 from sassafrastally.core.event_stream import (
@@ -38,6 +43,7 @@
 from sassafrastally.core.metrics import METRICS, MetricKind, counter, gauge, histogram
 from sassafrastally.core.network import Address, Network, TcpNetwork, is_ip_address
 from sassafrastally.core.registry import Registry
+from sassafrastally.core.unread_input import UnreadInput, unread_input
 
 __all__ = [
     "CATALOGUE",
@@ -47,6 +53,7 @@
     "MAX_VALUE_BYTES",
     "METRICS",
     "SHORTAGES",
+    "AcceptBetweenSteps",
     "Acceptor",
     "Address",
     "Clock",
@@ -82,6 +89,7 @@
     "Service",
     "TcpNetwork",
     "TimeLimit",
+    "UnreadInput",
     "counter",
     "error",
     "event",
@@ -96,5 +104,6 @@
     "require_time",
     "stamp_wall_s",
     "time_limit",
+    "unread_input",
     "waiting_connections",
 ]
--- a/packages/proxy/src/sassafrastally/proxy/caller_listener.py
+++ b/packages/proxy/src/sassafrastally/proxy/caller_listener.py
@@ -4,15 +4,17 @@
 
 import traceback
 from contextlib import suppress
+from functools import partial
 from typing import TYPE_CHECKING, ClassVar
 
 import h11
 import trio
 
-from sassafrastally.core import Acceptor, Service
+from sassafrastally.core import AcceptBetweenSteps, Acceptor, Service
 from sassafrastally.proxy.attempt import Request
 from sassafrastally.proxy.caller_connections import CallerConnections, most_caller_connections
 from sassafrastally.proxy.cluster_state import ClusterState
+from sassafrastally.proxy.connection_gate import ConnectionGate
 from sassafrastally.proxy.cpu_overload import read_until, sleep_until_read
 from sassafrastally.proxy.early_listener import BACKLOG
 from sassafrastally.proxy.http_stream import (
@@ -36,7 +38,7 @@
     ProcessDraining,
     RequestMalformed,
 )
-from sassafrastally.proxy.metrics import CONNECTIONS_REFUSED, IDLE_CONNECTIONS_CLOSED
+from sassafrastally.proxy.metrics import IDLE_CONNECTIONS_CLOSED
 from sassafrastally.proxy.model import RequestLimits
 from sassafrastally.proxy.overload_monitor import OverloadMonitor
 from sassafrastally.proxy.path import RequestPath
@@ -53,6 +55,7 @@
 if TYPE_CHECKING:
     import socket
 
+    from sassafrastally.proxy.connection_gate import Serve
     from sassafrastally.proxy.dialect import Dialect
     from sassafrastally.proxy.settings import ProxySettings
 
@@ -91,6 +94,9 @@
 """Part of that for the requests of connections that are accepted only then; the rest of it is their
 time to arrive."""
 
+EXIT_S = 0.1
+"""Time reserved for the end of the process by an entry that is late at the end of its drain."""
+
 ANSWERED_CHECK_S = 0.02
 """Interval at which a stopping entry checks whether all requests are answered."""
 
@@ -120,6 +126,8 @@
     ) -> None:
         self.open_requests = 0
         """Number of in-flight requests, from their first byte to the end of the response."""
+        self.stop_time_s = settings.bounds.stop_time_s
+        """Time from the begin of `stop` until the process is killed."""
         self.blocked_callers: BlockedCallers[trio.CancelScope] = BlockedCallers(
             most_buffered_bytes(settings.memory_mb)
         )
@@ -142,7 +150,19 @@
         self._cluster_state = self.kernel.get("beliefs", ClusterState)
         self._overload = self.kernel.get("overload", OverloadMonitor)
         self._path = self.kernel.get("path", RequestPath)
-        self._acceptor = Acceptor(await self._listener(), self.serve, self._note_shortage)
+        self._gate = ConnectionGate(
+            self.kernel,
+            self._overload,
+            self._connections,
+            self._dialect,
+            self._settings.bounds.crossing_s,
+        )
+        self._gate.log.start(nursery)
+        self._acceptor = Acceptor(
+            await self._listener(), self.serve, self._note_shortage, self._choose
+        )
+        self._accepting = AcceptBetweenSteps(self._acceptor)
+        self._overload.on_change = self._accept_between_steps
         # Connections run in the kernel's nursery so that they outlive the listener during shutdown.
         nursery.start_soon(self._acceptor.run, nursery)
 
@@ -163,10 +183,12 @@
         """
         stop_begin_s = self.kernel.clock.now_s()
         self._stop_requested_s = stop_begin_s
-        stop_time_s = self._settings.bounds.stop_time_s
-        ends_s = stop_begin_s + max(0.0, stop_time_s - KILL_MARGIN_S)
-        self.kernel.events.emit(ProcessDraining(self.open_requests, stop_time_s))
-        self._path.services.drain.begin(ends_s)
+        killed_s = stop_begin_s + self.stop_time_s
+        ends_s = max(stop_begin_s, killed_s - KILL_MARGIN_S)
+        # Later, a paused entry that runs again needs its time for answers.
+        reads_end_s = killed_s - EXIT_S - LAST_ANSWER_S
+        self.kernel.events.emit(ProcessDraining(self.open_requests, self.stop_time_s))
+        self._path.services.drain.begin(ends_s, reads_end_s)
         reads_s = min(stop_begin_s + LAST_REQUEST_AFTER_SIGNAL_S, ends_s)
         with trio.move_on_at(ends_s):
             await sleep_until_read(reads_s - FIRST_REQUEST_S)
@@ -176,8 +198,8 @@
             self._close_idle()
             await self._all_answered()
             return
-        answered_s = trio.current_time() + FINAL_ANSWERS_S
-        await sleep_until_read(ends_s)
+        answered_s = min(trio.current_time() + FINAL_ANSWERS_S, killed_s - EXIT_S)
+        await sleep_until_read(ends_s, reads_end_s)
         with trio.move_on_at(answered_s):
             if not self._is_closed_to_callers:
                 await self._close_listener()
@@ -230,18 +252,19 @@
         """Whether the process has been asked to stop."""
         return self._stop_requested_s is not None
 
-    async def serve(self, stream: trio.abc.Stream) -> None:
-        """Serve one connection until it closes.
+    def _choose(self, stream: trio.SocketStream) -> Serve | None:
+        return self._gate.choose(
+            stream, self.open_connections, self.serve, self._linger, is_stopping=self.is_stopping
+        )
 
-        An entry without CPU time for more requests, or with as many connections in use as it may
-        have, closes it unread: the caller may then retry whatever it sent, at once and at another
-        entry.
-        """
-        is_busy = self._overload.refuses_connections() and not self.is_stopping
-        if is_busy or not self._has_room():
-            CONNECTIONS_REFUSED.add(1)
-            await trio.aclose_forcefully(stream)
-            return
+    def _accept_between_steps(self, is_overloaded: bool) -> None:
+        if is_overloaded:
+            trio.lowlevel.add_instrument(self._accepting)
+        else:
+            trio.lowlevel.remove_instrument(self._accepting)
+
+    async def serve(self, stream: trio.abc.Stream) -> None:
+        """Serve one connection until it closes."""
         enable_keepalive(stream)
         limit_send_buffer(stream)
         limits = self._limits()
@@ -274,17 +297,6 @@
             finally:
                 self._connections.end_lingering(scope)
 
-    def _has_room(self) -> bool:
-        """Return whether a connection that was accepted may stay; idle ones are closed for it."""
-        if not self._connections.is_full(self.open_connections):
-            return True
-        longest_idle = self._connections.take_longest_idle()
-        if longest_idle is None:
-            return False
-        IDLE_CONNECTIONS_CLOSED.add(1)
-        longest_idle.cancel()
-        return True
-
     def _limits(self) -> RequestLimits:
         configuration = self._cluster_state.configuration
         return configuration.limits if configuration else DEFAULT_LIMITS
@@ -305,7 +317,7 @@
             return await self._serve_accounted(connection, account)
 
     async def _serve_accounted(self, connection: HttpStream, account: InputAccount) -> bool:
-        reply = Reply(connection, lambda: self.is_stopping, self.blocked_callers)
+        reply = Reply(connection, partial(self._is_last, connection), self.blocked_callers)
         try:
             request = await self._read_request(connection, account, reply)
         except h11.RemoteProtocolError as cause:
@@ -324,6 +336,14 @@
         await self._answer(connection, request, reply)
         return reply.has_ended and _can_continue(connection)
 
+    def _is_last(self, connection: HttpStream) -> bool:
+        """Return whether a response is the last one on its connection.
+
+        A stopping entry answers the requests that are already there: their callers have sent them
+        before they could know of the stop, maybe seconds ago.
+        """
+        return self.is_stopping and not connection.has_unread_input()
+
     async def _answer(self, connection: HttpStream, request: Request, reply: Reply) -> None:
         failure: Exception | None = None
         async with trio.open_nursery() as nursery:
@@ -359,8 +379,10 @@
         self, connection: HttpStream, account: InputAccount, reply: Reply
     ) -> Request | BadRequest | None:
         """Return the next request, or ``None`` if the connection closes between requests."""
+        limits = self._limits()
+        connection.header_bytes = limits.header_bytes
         reader = RequestReader(
-            connection, self._limits(), self._dialect, account, self.kernel.clock.now_s()
+            connection, limits, self._dialect, account, self.kernel.clock.now_s()
         )
         try:
             return await reader.read_in_time()
--- a/packages/proxy/src/sassafrastally/proxy/log_events/__init__.py
+++ b/packages/proxy/src/sassafrastally/proxy/log_events/__init__.py
@@ -40,6 +40,7 @@
 )
 from sassafrastally.proxy.log_events.process import (
     AcceptFailed,
+    ConnectionsTurnedAway,
     EntryOverloaded,
     EntryRecovered,
     ErrorContained,
@@ -109,6 +110,7 @@
     "ConfigurationIgnored",
     "ConfigurationInForce",
     "ConnectionCrashed",
+    "ConnectionsTurnedAway",
     "ContentionBegan",
     "ContentionEnded",
     "DataCentreEvacuated",
--- a/packages/wire/src/sassafrastally/wire/events.py
+++ b/packages/wire/src/sassafrastally/wire/events.py
@@ -73,7 +73,7 @@
 
 
 @event(2008, "warning")
-class ConnectionsTurnedAway(NamedTuple):
+class HandshakesTurnedAway(NamedTuple):
     """Connections of peers were closed unread, before a handshake."""
 
     reason: str
--- a/packages/wire/src/sassafrastally/wire/peers.py
+++ b/packages/wire/src/sassafrastally/wire/peers.py
@@ -9,8 +9,8 @@
 from sassafrastally.core import CodedError, LogRate, Service, error
 from sassafrastally.wire.events import (
     LINKS_UP,
-    ConnectionsTurnedAway,
     HandshakeRefused,
+    HandshakesTurnedAway,
     LinkDown,
     LinkUp,
     PeerHandlerFailed,
@@ -207,7 +207,7 @@
             reason = "too many handshakes are in progress"
         if reason:
             if count := self._log_rate.count(reason, self.kernel.clock.now_s()):
-                self.kernel.events.emit(ConnectionsTurnedAway(reason, count))
+                self.kernel.events.emit(HandshakesTurnedAway(reason, count))
             await trio.aclose_forcefully(connection)
             return
         link: MuxLink | None = None
--- a/packages/wire/tests/test_handshake.py
+++ b/packages/wire/tests/test_handshake.py
@@ -96,7 +96,7 @@
             further = await network.connect(pair.sidecar.bound_address)
             with trio.fail_after(1):
                 assert await further.receive_some() == b""
-        turned_away = "ConnectionsTurnedAway"
+        turned_away = "HandshakesTurnedAway"
         assert events_of(pair.sidecar).count(turned_away) == 1
         await trio.sleep(5)
         sound = await network.connect(pair.sidecar.bound_address)
