--- a/packages/proxy/tests/test_change_fetcher.py
+++ b/packages/proxy/tests/test_change_fetcher.py
@@ -7,8 +7,9 @@
 import pytest
 import trio
 
-from sassafrastally.core import Clock, Kernel
-from sassafrastally.proxy.calls import CallResponse, ResponseTooLarge
+from sassafrastally.core import Address, Clock, Kernel
+from sassafrastally.core.log_rate import LINE_INTERVAL_S
+from sassafrastally.proxy.calls import CallClient, CallResponse, ResponseTooLarge
 from sassafrastally.proxy.change_fetcher import (
     CHANGES_BOUNDS,
     ChangeFetcher,
@@ -20,7 +21,7 @@
 from sassafrastally.proxy.cluster_state import ClusterState
 from sassafrastally.proxy.delta_messages import encode_delta
 from sassafrastally.proxy.dialect import DocumentInvalid
-from sassafrastally.proxy.store import StorePosition
+from sassafrastally.proxy.store import AnswerLost, StorePosition
 from sassafrastally.proxy.store_records import Delta
 
 from .test_cluster_state import REGISTRATION_EXPIRY_S, PlainDialect
@@ -63,6 +64,66 @@
         assert choose_source([old, new], {}, 0.0) is new
 
 
+class TestKeptConnection:
+    """A connection to a peer that is kept between calls."""
+
+    @pytest.mark.parametrize("is_reset", [False, True])
+    async def test_that_closes_beside_a_call_costs_no_time(self, nursery, is_reset):
+        """Guards against a peer that counts as failed, and changes that come late, since it has
+        closed an idle connection as the call was sent."""
+        kernel = Kernel("vm", "dc", Clock(), seed=1)
+        state = kernel.add(ClusterState(PlainDialect(), REGISTRATION_EXPIRY_S))
+        body = encode_delta(Delta((), (), StorePosition(0, 5)))
+        response = b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n" % len(body) + body
+        calls = []
+
+        async def serve(stream: trio.SocketStream) -> None:
+            async with stream:
+                await stream.receive_some()
+                calls.append(stream)
+                await stream.send_all(response)
+                # Closed with the call unread.
+                await trio.lowlevel.wait_readable(stream.socket)
+                if not is_reset:
+                    await stream.receive_some()
+
+        (listener,) = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        nursery.start_soon(trio.serve_listeners, serve, [listener])
+        client = CallClient(Address(*listener.socket.getsockname()))
+        await client.exchange("GET", "/changes", [], b"", 1.0)
+        sources = [Source("a", True, StorePosition(0, 5), 0, client)]
+        fetcher = ChangeFetcher(
+            kernel, state, lambda: sources if state.position < (0, 5) else [], lambda: False
+        )
+        nursery.start_soon(fetcher.run)
+        fetcher.note_news()
+        with trio.fail_after(1.0):
+            while state.position < (0, 5):
+                await trio.sleep(0.01)
+        assert len(calls) == 2
+        assert "PeerFailed" not in [record["name"] for record in kernel.events.records()]
+
+
+class TestFailingPeer:
+    async def test_its_failures_are_logged_at_a_bounded_rate(self, autojump_clock, nursery):
+        """Guards against ten lines a second while a peer's port is closed and it has news."""
+        kernel = Kernel("vm", "dc", Clock(), seed=1)
+        state = kernel.add(ClusterState(PlainDialect(), REGISTRATION_EXPIRY_S))
+
+        async def exchange(*_arguments):
+            await trio.sleep(0.001)
+            raise AnswerLost("connection refused")
+
+        source = Source("a", True, StorePosition(0, 5), 7, SimpleNamespace(exchange=exchange))
+        fetcher = ChangeFetcher(kernel, state, lambda: [source], lambda: False)
+        nursery.start_soon(fetcher.run)
+        fetcher.note_news()
+        await trio.sleep(10 * LINE_INTERVAL_S)
+        lines = [record["fields"] for record in kernel.events.records()]
+        assert 9 <= len(lines) <= 10
+        assert sum(fields["failures"] for fields in lines) > 1000 * LINE_INTERVAL_S / 20
+
+
 class TestFruitlessPeer:
     """A peer whose answers don't bring what its datagrams promise."""
 
