Soak: a request that is still unfinished is judged by the times of its troubles

Cause: the check asks whether the entry was calm until the response was complete. For one that isn't complete that time was 0, so that no trouble overlapped and the entry always counted as calm. The promise is for entries in touch.

Change: the time is at least that of the arrival. At a calm entry the check finds what it found before (TestGone, [True]); [False] is red before.

--- a/packages/testing/src/sassafrastally/testing/soak/promises.py
+++ b/packages/testing/src/sassafrastally/testing/soak/promises.py
@@ -216,8 +216,8 @@
             if not attempt.has_left or attempt.kind is Kind.BOOK or attempt.ended_s is None:
                 continue
             for arrival in arrivals[attempt.attempt_id]:
-                end_s = arrival.finished_s or 0.0
-                is_late = max(end_s, arrival.at_s) > attempt.ended_s + GONE_S
+                end_s = max(arrival.finished_s or 0.0, arrival.at_s)
+                is_late = end_s > attempt.ended_s + GONE_S
                 if is_late and self._record.is_calm(attempt.entry, attempt.sent_s, end_s):
                     late.append(attempt.attempt_id)
         if len(late) > SEVERAL:
