Soak: heads that break off, and an entry that runs in turns

server-stops-in-head: the proxies before some servers pass a part of the head of each response and close or reset the connection there. Promise: no success comes of such a head, and whole answers are judged as ever.

entry-starved: an entry runs for 0.03 to 0.08 s at a time with 0.1 to 0.3 s between, beside callers who reconnect for each request, settings signals and configurations. Promise: a whole request ends without an answer no later than 0.2 s after its last byte. By how much the soak's own tasks ran late is taken off, since it would count as the entry's time.

--- a/packages/testing/src/sassafrastally/testing/soak/__init__.py
+++ b/packages/testing/src/sassafrastally/testing/soak/__init__.py
@@ -8,6 +8,7 @@
     foreign,
     reconnecting,
     stalling,
+    starving,
     succeeding,
 )
 from sassafrastally.testing.soak.runner import SoakReport, SoakSize, run_soak
@@ -21,6 +22,7 @@
     "reconnecting",
     "run_soak",
     "stalling",
+    "starving",
     "succeeding",
 ]
 """The modules register their troubles on import."""
--- a/packages/testing/src/sassafrastally/testing/soak/breaking.py
+++ b/packages/testing/src/sassafrastally/testing/soak/breaking.py
@@ -1,4 +1,4 @@
-"""A server that delimits its responses in another way and breaks some of them off."""
+"""Servers that break their responses off, inside the body or the head."""
 
 from __future__ import annotations
 
@@ -8,12 +8,18 @@
 
 from sassafrastally.proxy.body_framing import BodyFraming
 from sassafrastally.stand_ins.connection_end import ConnectionEnd
+from sassafrastally.testing.soak.proxying import CutHead
 from sassafrastally.testing.soak.troubles import some_server, trouble
 
 if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from sassafrastally.stand_ins.received_request import ReceivedRequest
     from sassafrastally.testing.soak.fleet import SoakFleet
+    from sassafrastally.testing.soak.record import Attempt
 
 NAME = "server-breaks-off"
+HEAD_NAME = "server-stops-in-head"
 
 MOST_EVENTS = 6
 """A stream breaks off at its first event, or after at most so many."""
@@ -21,6 +27,15 @@
 MOST_BYTES = 30
 """Other responses break off after at most so many bytes of their body, which are more."""
 
+HEAD_SHARES = (0.3, 0.6)
+"""Shares of the servers that stop in the heads of their responses."""
+
+HEAD_TURN_S = 0.1
+"""How long they stop at the same place."""
+
+PAUSES_S = (0.0, 0.0, 0.3)
+"""Time from there to the end of the connection."""
+
 
 @trouble(NAME)
 async def break_off(fleet: SoakFleet) -> None:
@@ -44,3 +59,38 @@
         replica.framing, replica.breaks_by = None, ConnectionEnd.CLOSE
         replica.breaks_inside_event = True
         replica.breaks_after_events = replica.breaks_after_bytes = -1
+
+
+@trouble(HEAD_NAME)
+async def stop_in_head(fleet: SoakFleet) -> None:
+    """Let servers send a part of a head and end the connection."""
+    count = max(1, round(fleet.random.choice(HEAD_SHARES) * len(fleet.servers)))
+    servers = fleet.random.sample(fleet.servers, count)
+    framing = fleet.random.choice(list(BodyFraming))
+    until_s = trio.current_time() + fleet.random.uniform(1.0, 4.0)
+    with fleet.record.trouble(HEAD_NAME):
+        while trio.current_time() < until_s:
+            for server in servers:
+                server.replica.framing = framing
+                server.proxy.cut_head = CutHead(
+                    fleet.random.random(),
+                    fleet.random.choice(PAUSES_S),
+                    fleet.random.random() < 0.5,
+                )
+            await trio.sleep(HEAD_TURN_S)
+        for server in servers:
+            server.replica.framing = server.proxy.cut_head = None
+
+
+def judge_cut_heads(
+    fleet: SoakFleet, attempt: Attempt, arrivals: Sequence[ReceivedRequest]
+) -> None:
+    """Judge whether a success comes from a head that its server has sent to the end."""
+    cut = sum(server.proxy.cut_successes[attempt.attempt_id] for server in fleet.servers)
+    runs = sum(arrival.has_run for arrival in arrivals)
+    if cut and attempt.status == 200 and runs <= cut:
+        fleet.record.note_broken(
+            "a head that breaks off is no answer",
+            f"{attempt.kind.value} {attempt.attempt_id} at entry {attempt.entry}: status 200, "
+            f"{len(attempt.body)} bytes, {runs} runs, {cut} heads broken off",
+        )
--- a/packages/testing/src/sassafrastally/testing/soak/promises.py
+++ b/packages/testing/src/sassafrastally/testing/soak/promises.py
@@ -9,6 +9,7 @@
 import trio
 
 from sassafrastally.testing.soak.asking import judge_asking
+from sassafrastally.testing.soak.breaking import judge_cut_heads
 from sassafrastally.testing.soak.callers import MOST_EVENTS
 from sassafrastally.testing.soak.contention import judge_contention
 from sassafrastally.testing.soak.faltering import judge_silences, may_break_off
@@ -20,6 +21,7 @@
 from sassafrastally.testing.soak.reconnecting import judge_reconnecting
 from sassafrastally.testing.soak.record import Attempt, Kind
 from sassafrastally.testing.soak.stalling import judge_stalls
+from sassafrastally.testing.soak.starving import judge_starving
 from sassafrastally.testing.soak.succeeding import judge_successors
 
 if TYPE_CHECKING:
@@ -115,12 +117,14 @@
             self._break("denied", attempt, f"status {attempt.status}")
         if attempt.status == 200:
             self._judge_content(attempt, arrivals)
+            judge_cut_heads(self._fleet, attempt, arrivals)
         if not attempt.has_left and not attempt.is_harmful:
             self._judge_answered(attempt, arrivals)
             judge_silences(self._fleet, attempt, arrivals)
             judge_stalls(self._fleet, attempt, arrivals)
             judge_successors(self._fleet, attempt, arrivals)
             judge_reconnecting(self._fleet, attempt)
+            judge_starving(self._fleet, attempt)
         is_refused = b"refusal:quarantined" in attempt.body
         if (
             not attempt.is_harmful
--- a/packages/testing/src/sassafrastally/testing/soak/proxying.py
+++ b/packages/testing/src/sassafrastally/testing/soak/proxying.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import math
-from typing import TYPE_CHECKING
+import re
+from collections import Counter
+from typing import TYPE_CHECKING, NamedTuple
 
 import trio
 
@@ -18,6 +20,23 @@
 CONNECT_TIME_S = 1.0
 """Time for the connection behind the proxy; on loopback it is there at once or refused."""
 
+HEAD_END = b"\r\n\r\n"
+
+SUCCESS = b"HTTP/1.1 200 "
+
+REQUEST_ID = re.compile(rb"\r\nattempt-id: (\w+)\r\n", re.IGNORECASE)
+
+
+class CutHead(NamedTuple):
+    """Where in the head of an answer a connection ends, and how."""
+
+    share: float
+    """Share of the head that still passes, less than 1."""
+    pause_s: float
+    """Time from there to the end."""
+    is_reset: bool
+    """Whether it is reset; otherwise it is closed."""
+
 
 class _Connection:
     """One connection with its two halves."""
@@ -43,6 +62,10 @@
         Bytes towards the target stay on the way; those back pass.
     cuts_answers
         Bytes back stay on the way; those towards the target pass.
+    cut_head
+        Ends each connection inside the head of its next answer.
+    cut_successes
+        How many successes have been cut so, by the request that their head names.
     """
 
     def __init__(self, target: Address | None) -> None:
@@ -51,6 +74,8 @@
         self.bytes_per_s = math.inf
         self.cuts_requests = False
         self.cuts_answers = False
+        self.cut_head: CutHead | None = None
+        self.cut_successes: Counter[str] = Counter()
         self._connections: set[_Connection] = set()
         self._healed = trio.Event()
         self._listening = trio.CancelScope()
@@ -125,6 +150,10 @@
                 await trio.sleep(self.delay_s + len(data) / self.bytes_per_s)
                 while self._is_cut(connection, source):
                     await self._healed.wait()
+                is_answer = source is connection.server and data.startswith(b"HTTP/")
+                if is_answer and self.cut_head is not None:
+                    await self._end_in_head(sink, data, self.cut_head)
+                    return
                 await sink.send_all(data)
             await sink.send_eof()
         except (trio.BrokenResourceError, trio.ClosedResourceError, OSError):
@@ -132,6 +161,18 @@
             for stream in (source, sink):
                 _reset(stream)
 
+    async def _end_in_head(self, sink: trio.SocketStream, data: bytes, cut: CutHead) -> None:
+        head = data[: data.index(HEAD_END) + len(HEAD_END)] if HEAD_END in data else data
+        request_id = REQUEST_ID.search(head)
+        if head.startswith(SUCCESS) and request_id is not None:
+            self.cut_successes[request_id[1].decode()] += 1
+        await sink.send_all(head[: max(1, int(cut.share * len(head)))])
+        await trio.sleep(cut.pause_s)
+        if cut.is_reset:
+            _reset(sink)
+        else:
+            await sink.send_eof()
+
     def _is_cut(self, connection: _Connection, source: trio.SocketStream) -> bool:
         if connection.is_silenced:
             return True
--- a/packages/testing/src/sassafrastally/testing/soak/reconnecting.py
+++ b/packages/testing/src/sassafrastally/testing/soak/reconnecting.py
@@ -16,7 +16,7 @@
 from sassafrastally.testing.soak.troubles import STARTED, STOPPED, some_entries, stop_one, trouble
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Mapping
 
     from sassafrastally.testing.soak.fleet import SoakFleet
     from sassafrastally.testing.soak.record import Attempt
@@ -66,17 +66,28 @@
     """A caller who connects anew for each request, without a proxy, until it is refused.
 
     A proxy would accept connections of an entry that doesn't listen any more.
+
+    Parameters
+    ----------
+    fleet, number
+        The entry.
+    weights
+        How often it sends each kind of request.
     """
 
-    def __init__(self, fleet: SoakFleet, number: int) -> None:
+    def __init__(
+        self, fleet: SoakFleet, number: int, weights: Mapping[Kind, int] = WEIGHTS
+    ) -> None:
         super().__init__(fleet)
         self._entry = number
+        self._weights = weights
         self._is_refused = False
 
     async def press_until_refused(self) -> None:
         """Send requests until a connection is refused."""
         while not self._is_refused:
-            (kind,) = self._random.choices(list(WEIGHTS), weights=list(WEIGHTS.values()))
+            kinds, weights = list(self._weights), list(self._weights.values())
+            (kind,) = self._random.choices(kinds, weights=weights)
             await self.call(kind)
             await self.hang_up()
 
@@ -107,6 +118,7 @@
                 return False
         await self._connection.send_bytes(pieces[-1])
         attempt.last_byte_s = trio.current_time()
+        attempt.is_sent = True
         return True
 
     def _pieces(self, data: bytes) -> list[bytes]:
--- a/packages/testing/src/sassafrastally/testing/soak/record.py
+++ b/packages/testing/src/sassafrastally/testing/soak/record.py
@@ -96,6 +96,8 @@
         self.sent_s = trio.current_time()
         self.last_byte_s = self.sent_s
         """When the last byte was sent, if the request is sent in pieces."""
+        self.is_sent = False
+        """Whether the whole request was sent, if it is sent in pieces."""
         self.ended_s: float | None = None
         self.status = 0
         self.headers: dict[str, str] = {}
@@ -165,6 +167,8 @@
         self.attempts: dict[str, Attempt] = {}
         self.spans: list[TroubleSpan] = []
         self.broken: list[Broken] = []
+        self.lags: list[HarmedSpan] = []
+        """Times by which the soak's own tasks ran late."""
         self.begin_s = trio.current_time()
 
     @contextmanager
@@ -185,6 +189,14 @@
         finally:
             span.end_s = trio.current_time()
 
+    def own_lag_s(self, begin_s: float, end_s: float) -> float:
+        """Return by how much the soak's own tasks ran late in a time."""
+        return sum(
+            lag.end_s - lag.begin_s
+            for lag in self.lags
+            if lag.begin_s <= end_s and lag.end_s >= begin_s
+        )
+
     def count_active(self, name: str) -> int:
         """Return how many troubles of a name are in progress."""
         now_s = trio.current_time()
--- a/packages/testing/src/sassafrastally/testing/soak/runner.py
+++ b/packages/testing/src/sassafrastally/testing/soak/runner.py
@@ -15,6 +15,7 @@
 from sassafrastally.testing.soak.fleet import SoakFleet
 from sassafrastally.testing.soak.probing import check_recovered, watch_store_calls, watch_versions
 from sassafrastally.testing.soak.promises import Judge
+from sassafrastally.testing.soak.record import HarmedSpan
 from sassafrastally.testing.soak.troubles import TROUBLES, NoServerFree
 
 if TYPE_CHECKING:
@@ -30,6 +31,9 @@
 """Time between the last trouble and the questions whether all is well again."""
 
 LAG_LOOK_S = 0.05
+LAG_NOTED_S = 0.01
+"""Lag from which it is noted, so that it isn't taken for the time of an entry."""
+
 LAG_LIMIT_S = 0.25
 """When the soak itself was held up for this long, what it measured in that time says nothing."""
 
@@ -174,11 +178,14 @@
 
 
 async def _watch_lag(fleet: SoakFleet) -> None:
-    """Note when this process itself was held up, as a trouble of all entries."""
+    """Note when this process itself was late; as a trouble of all entries if it was held up."""
     while True:
         before_s = trio.current_time()
         await trio.sleep(LAG_LOOK_S)
-        if trio.current_time() - before_s > LAG_LIMIT_S:
+        now_s = trio.current_time()
+        if now_s - before_s > LAG_LOOK_S + LAG_NOTED_S:
+            fleet.record.lags.append(HarmedSpan("", before_s + LAG_LOOK_S, now_s))
+        if now_s - before_s > LAG_LIMIT_S:
             with fleet.record.trouble(HELD_UP) as span:
                 span.begin_s = before_s
 
--- a/packages/testing/tests/soak/test_soak.py
+++ b/packages/testing/tests/soak/test_soak.py
@@ -22,6 +22,7 @@
     reconnecting,
     run_soak,
     stalling,
+    starving,
     succeeding,
     troubles,
 )
@@ -34,11 +35,13 @@
 
 LATER = (
     breaking.NAME,
+    breaking.HEAD_NAME,
     harmful.PART_NAME,
     *faltering.KINDS,
     stalling.STALLED,
     succeeding.SUCCEEDING,
     reconnecting.RECONNECTING,
+    starving.STARVED,
     foreign.FOREIGN,
 )
 EARLIER = [name for name in TROUBLES.names() if name not in LATER]
@@ -135,6 +138,18 @@
         assert not report.broken, str(report)
         assert report.outcomes["200"] > 50, str(report)
 
+    async def test_entry_short_of_cpu_time_answers_what_has_waited(self):
+        """Guards against an entry that closes connections with requests that have waited."""
+        report = await run_soak(20_273, 6.0, SMALL, print, [starving.STARVED])
+        assert not report.broken, str(report)
+
+    async def test_heads_that_break_off_are_no_answers(self):
+        """Guards against successes with an empty or short body, from a part of a head."""
+        size = SMALL._replace(callers=30)
+        report = await run_soak(20_274, 6.0, size, print, [breaking.HEAD_NAME], gap_s=0.6)
+        assert not report.broken, str(report)
+        assert report.outcomes["200"] > 50, str(report)
+
     async def test_odd_entries_of_another_writer_change_nothing(self):
         """Guards against an entry of another writer that ends a process, or keeps it from learning
         of what others write."""
