test_answer: let the reader catch up with all that is kept

Seen once at a load of 14: 310 > 310. The test said 'once its reader has caught up', which it now does; what is asserted is the same.

--- a/packages/sidecar/tests/test_answer.py
+++ b/packages/sidecar/tests/test_answer.py
@@ -137,7 +137,8 @@
         # A run goes on once its reader has caught up.
         last = answers[-1]
         before = appended[last.key]
-        last.mark_sent(last.chunk(0))
+        while (chunk := last.chunk(last.sent_chunks)) is not None:
+            last.mark_sent(chunk)
         await trio.testing.wait_all_tasks_blocked()
         assert appended[last.key] > before
         assert last.unsent_bytes <= JOINED_BYTES + 1000
