test_broken_link: run on the mock clock

The test that a link without an end is cut after `LAST_READ_S` failed once beside other work (load 18): 0.174 s for 0.1 within 0.01. Its fixture asked for `autojump_clock`, but pytest-trio takes a clock only from a test's own arguments, so that the tests ran on the system's clock (shown with a print of trio's clock). They name the fixture themselves now; the bound is the same.

--- a/packages/wire/tests/test_broken_link.py
+++ b/packages/wire/tests/test_broken_link.py
@@ -43,7 +43,7 @@
 
 
 @pytest.fixture
-def make_link(nursery, autojump_clock):
+def make_link(nursery):
     def make(stream):
         events = EventLog("entry-1", Incarnation("e" * 32), Clock())
         link = MuxLink(
@@ -63,7 +63,7 @@
 
 
 class TestBrokenLink:
-    async def test_frames_that_have_arrived_are_delivered(self, make_link):
+    async def test_frames_that_have_arrived_are_delivered(self, make_link, autojump_clock):
         """Guards against an answer that is lost with its link: its frames have arrived, but the
         link notices first that it can't send."""
         connection = HalfBrokenStream()
@@ -77,7 +77,7 @@
             with pytest.raises(LinkCut):
                 await stream.receive()
 
-    async def test_link_without_an_end_is_cut_soon(self, make_link):
+    async def test_link_without_an_end_is_cut_soon(self, make_link, autojump_clock):
         connection = HalfBrokenStream(has_end=False)
         link = make_link(connection)
         async with link.open_stream() as stream:
@@ -91,7 +91,7 @@
                 await stream.receive()
             assert trio.current_time() - start_s == pytest.approx(LAST_READ_S, abs=0.01)
 
-    async def test_takes_no_stream_once_a_write_has_failed(self, make_link):
+    async def test_takes_no_stream_once_a_write_has_failed(self, make_link, autojump_clock):
         """Guards against a request that is queued on a link that can't send, and is lost with it
         0.1 s later: a commit counts as one that may have arrived."""
         connection = HalfBrokenStream(has_end=False)
