Connection gate: refusals of an overloaded entry keep to the bound

What callers saw: nothing yet. While an entry was overloaded, it refused every new connection in which a request had waited, whatever the number of open ones. A refused connection stays open until its caller closes it, for up to 2 s (the rest of its request isn't parsed, so that more is expected). A crowd of callers that don't close uses up the descriptors of requests in progress, of attempts and of calls to the store.

Cause: only the refusals for the bound of connections asked whether there were resources.

Evidence: bound 8, 40 callers that send a request and don't close, 0.15 s in the accept queue: 40 connections open for 2 s (trial and test, 1 of 1 red). Change: the bound plus an eighth holds for both causes; the others are closed. After: 9 open.

--- a/packages/proxy/src/sassafrastally/proxy/connection_gate.py
+++ b/packages/proxy/src/sassafrastally/proxy/connection_gate.py
@@ -97,12 +97,12 @@
             Whether the entry stops: its callers move to others anyway, and it serves what comes.
         """
         if not is_stopping and self._overload.refuses_connections():
-            refusal, has_resources = ENTRY_BUSY, True
+            refusal = ENTRY_BUSY
         elif not self._has_room(open_connections):
             refusal = CONNECTIONS_FULL
-            has_resources = can_refuse(open_connections, self._connections.most)
         else:
             return serve
+        has_resources = can_refuse(open_connections, self._connections.most)
         is_refused, unread = self._close_unless_waited(stream, can_refuse=has_resources)
         self.log.record(refusal.code, unread, is_refused=is_refused)
         return partial(self._refuse, linger, refusal) if is_refused else None
--- a/packages/testing/tests/platform/test_turned_away.py
+++ b/packages/testing/tests/platform/test_turned_away.py
@@ -13,6 +13,7 @@
 from sassafrastally.core import UnreadInput, unread_input
 from sassafrastally.proxy import connection_gate
 from sassafrastally.proxy.caller_listener import CallerListener
+from sassafrastally.proxy.overload_monitor import OverloadMonitor
 from sassafrastally.stand_ins.platform_fleet import wait_until
 
 WAITED_S = 0.15
@@ -106,3 +107,28 @@
         listener = full_fleet.kernels[0].get("callers", CallerListener)
         listener._acceptor.open_connections = 12
         assert await answer_to(full_fleet, b"POST", WAITED_S) == b"reset"
+
+
+class TestOverloadedEntry:
+    """An entry that refuses what has waited, of callers that don't close their connections."""
+
+    async def test_refusals_keep_to_the_bound_of_connections(self, small_fleet, monkeypatch):
+        """Guards against refusals of a crowd that use up the descriptors of requests in progress:
+        each takes one until its caller has closed the connection."""
+        kernel = small_fleet.kernels[0]
+        listener = kernel.get("callers", CallerListener)
+        listener._connections.most = 8
+        overload = kernel.get("overload", OverloadMonitor)
+        monkeypatch.setattr(overload, "refuses_connections", lambda: True)
+        address = small_fleet.entry_settings(1).callers_address
+        callers = [socket.create_connection(address) for _ in range(40)]
+        for caller in callers:
+            caller.sendall(REQUEST % b"POST")
+        time.sleep(WAITED_S)
+        open_connections = []
+        for _ in range(30):
+            await trio.sleep(0.01)
+            open_connections.append(listener.open_connections)
+        for caller in callers:
+            caller.close()
+        assert max(open_connections) == 9
