Connection gate: an unexpected error ends one connection at most

What callers saw: nothing yet, no cause of such an error is known. The decision on a new connection runs in the acceptor's task and in an instrument of the event loop, a refusal in a task of the kernel's nursery. An unexpected error in any of them ended the entry with the requests of all callers, or left the instrument removed by the event loop, so that the end of the overload raised KeyError in the overload check (contained, restarted after 0.5 s). A request's own errors are contained already.

Change: an error in the decision is logged and the connection is served; one in a refusal ends this connection; an instrument that the event loop has removed isn't removed twice.

Evidence: two new tests, red on the code before (2 of 2: the entry ended by ZeroDivisionError, KeyError), green after; tests of the gate, of crowded entries and of containment pass (31).

--- a/packages/proxy/src/sassafrastally/proxy/caller_listener.py
+++ b/packages/proxy/src/sassafrastally/proxy/caller_listener.py
@@ -261,7 +261,9 @@
         if is_overloaded:
             trio.lowlevel.add_instrument(self._accepting)
         else:
-            trio.lowlevel.remove_instrument(self._accepting)
+            # The event loop has removed one that failed, and logged why.
+            with suppress(KeyError):
+                trio.lowlevel.remove_instrument(self._accepting)
 
     async def serve(self, stream: trio.abc.Stream) -> None:
         """Serve one connection until it closes."""
--- a/packages/proxy/src/sassafrastally/proxy/connection_gate.py
+++ b/packages/proxy/src/sassafrastally/proxy/connection_gate.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import time
+from contextlib import suppress
 from functools import partial
 from typing import TYPE_CHECKING
 
@@ -11,6 +12,7 @@
 
 from sassafrastally.core import unread_input
 from sassafrastally.proxy.connection_admission import Admission, can_refuse, turn_away
+from sassafrastally.proxy.containment import Containment
 from sassafrastally.proxy.cpu_overload import shed_retry_delay_s
 from sassafrastally.proxy.http_stream import ConnectionLost, HttpStream
 from sassafrastally.proxy.metrics import IDLE_CONNECTIONS_CLOSED
@@ -71,6 +73,8 @@
         self._connections = connections
         self._dialect = dialect
         self._crossing_s = crossing_s
+        self._choosing = Containment(kernel, "choice of new connections")
+        self._refusing = Containment(kernel, "refusal of a connection")
 
     def choose(
         self,
@@ -96,6 +100,19 @@
         is_stopping
             Whether the entry stops: its callers move to others anyway, and it serves what comes.
         """
+        with self._choosing:
+            return self._choose(stream, open_connections, serve, linger, is_stopping=is_stopping)
+        return serve
+
+    def _choose(
+        self,
+        stream: trio.SocketStream,
+        open_connections: int,
+        serve: Serve,
+        linger: Linger,
+        *,
+        is_stopping: bool,
+    ) -> Serve | None:
         if not is_stopping and self._overload.refuses_connections():
             refusal = ENTRY_BUSY
         elif not self._has_room(open_connections):
@@ -145,13 +162,10 @@
             (b"content-type", b"application/problem+json"),
             self._dialect.retry_after_header(delay_s),
         ]
-        try:
+        # A caller who has left isn't told.
+        with self._refusing, suppress(ConnectionLost):
             await connection.receive_bytes()
             is_for_head = connection.http.trailing_data[0].startswith(HEAD)
             body = b"" if is_for_head else refusal_body(refusal, "", "it waited to be accepted")
             await reply.send_complete(refusal.status, headers, body)
             await linger(connection)
-        except ConnectionLost:
-            return  # The caller has left.
-        finally:
-            await connection.close()
--- a/packages/testing/tests/platform/test_turned_away.py
+++ b/packages/testing/tests/platform/test_turned_away.py
@@ -132,3 +132,29 @@
         for caller in callers:
             caller.close()
         assert max(open_connections) == 9
+
+    async def test_unexpected_error_ends_no_other_connection(self, small_fleet, monkeypatch):
+        """Guards against an entry that ends, with the requests of all others, by an error in its
+        decision on one new connection or in a refusal."""
+        small_fleet.expects_errors = True
+        overload = small_fleet.kernels[0].get("overload", OverloadMonitor)
+        monkeypatch.setattr(overload, "refuses_connections", lambda: 1 / 0)
+        assert (await small_fleet.call("/look/x")).status == 200
+        monkeypatch.setattr(overload, "refuses_connections", lambda: True)
+        monkeypatch.setattr(connection_gate, "refusal_body", lambda *_: 1 / 0)
+        assert await answer_to(small_fleet, b"POST", WAITED_S) in (b"", b"reset")
+        monkeypatch.undo()
+        assert (await small_fleet.call("/look/x")).status == 200
+
+    async def test_failed_accept_between_steps_stays_alone(self, small_fleet, monkeypatch):
+        """Guards against a second error at the end of an overload: the event loop removes an
+        instrument that has failed, which then can't be removed again."""
+        kernel = small_fleet.kernels[0]
+        listener = kernel.get("callers", CallerListener)
+        on_change = kernel.get("overload", OverloadMonitor).on_change
+        monkeypatch.setattr(listener._acceptor, "accept_now", lambda: 1 / 0)
+        on_change(True)
+        await trio.sleep(0.05)
+        on_change(False)
+        monkeypatch.undo()
+        assert (await small_fleet.call("/look/x")).status == 200
