--- a/packages/testing/tests/platform/test_turned_away.py
+++ b/packages/testing/tests/platform/test_turned_away.py
@@ -13,6 +13,7 @@
 from sassafrastally.core import UnreadInput, unread_input
 from sassafrastally.proxy import connection_gate
 from sassafrastally.proxy.caller_listener import CallerListener
+from sassafrastally.proxy.overload_monitor import OverloadMonitor
 from sassafrastally.stand_ins.platform_fleet import wait_until
 
 WAITED_S = 0.15
@@ -106,3 +107,54 @@
         listener = full_fleet.kernels[0].get("callers", CallerListener)
         listener._acceptor.open_connections = 12
         assert await answer_to(full_fleet, b"POST", WAITED_S) == b"reset"
+
+
+class TestOverloadedEntry:
+    """An entry that refuses what has waited, of callers that don't close their connections."""
+
+    async def test_refusals_keep_to_the_bound_of_connections(self, small_fleet, monkeypatch):
+        """Guards against refusals of a crowd that use up the descriptors of requests in progress:
+        each takes one until its caller has closed the connection."""
+        kernel = small_fleet.kernels[0]
+        listener = kernel.get("callers", CallerListener)
+        listener._connections.most = 8
+        overload = kernel.get("overload", OverloadMonitor)
+        monkeypatch.setattr(overload, "refuses_connections", lambda: True)
+        address = small_fleet.entry_settings(1).callers_address
+        callers = [socket.create_connection(address) for _ in range(40)]
+        for caller in callers:
+            caller.sendall(REQUEST % b"POST")
+        time.sleep(WAITED_S)
+        open_connections = []
+        for _ in range(30):
+            await trio.sleep(0.01)
+            open_connections.append(listener.open_connections)
+        for caller in callers:
+            caller.close()
+        assert max(open_connections) == 9
+
+    async def test_unexpected_error_ends_no_other_connection(self, small_fleet, monkeypatch):
+        """Guards against an entry that ends, with the requests of all others, by an error in its
+        decision on one new connection or in a refusal."""
+        small_fleet.expects_errors = True
+        overload = small_fleet.kernels[0].get("overload", OverloadMonitor)
+        monkeypatch.setattr(overload, "refuses_connections", lambda: 1 / 0)
+        assert (await small_fleet.call("/look/x")).status == 200
+        monkeypatch.setattr(overload, "refuses_connections", lambda: True)
+        monkeypatch.setattr(connection_gate, "refusal_body", lambda *_: 1 / 0)
+        assert await answer_to(small_fleet, b"POST", WAITED_S) in (b"", b"reset")
+        monkeypatch.undo()
+        assert (await small_fleet.call("/look/x")).status == 200
+
+    async def test_failed_accept_between_steps_stays_alone(self, small_fleet, monkeypatch):
+        """Guards against a second error at the end of an overload: the event loop removes an
+        instrument that has failed, which then can't be removed again."""
+        kernel = small_fleet.kernels[0]
+        listener = kernel.get("callers", CallerListener)
+        on_change = kernel.get("overload", OverloadMonitor).on_change
+        monkeypatch.setattr(listener._acceptor, "accept_now", lambda: 1 / 0)
+        on_change(True)
+        await trio.sleep(0.05)
+        on_change(False)
+        monkeypatch.undo()
+        assert (await small_fleet.call("/look/x")).status == 200
