A stop signal that came during a pause counts from its begin

What callers saw: all requests in progress were cut by the kill when SIGTERM had come while the process didn't run (a paused VM, no CPU time).

Cause: the drain counted from when the process ran again. A pause of more than 0.4 s took all that is reserved before the kill.

Change: the entry knows when it last ran, from its exchange with its peers. A stop signal that is handled right after a pause is taken to have come at the begin of the pause. At most half of the stop time is given up for that. The times for which connections and requests are accepted are as before: they follow what the load balancer sees.

--- a/packages/proxy/src/sassafrastally/proxy/listening_clock.py
+++ b/packages/proxy/src/sassafrastally/proxy/listening_clock.py
@@ -46,3 +46,9 @@
         if now_s - self._resumed_s < LATE_S:
             return now_s - self._paused_s
         return now_s
+
+    def latest_pause_s(self, now_s: float) -> float:
+        """Return the length of the pause from which this entry has just resumed; 0 if from none."""
+        if now_s - self._ran_s > LATE_S:
+            return now_s - self._ran_s
+        return self._paused_s if now_s - self._resumed_s < LATE_S else 0.0
--- a/packages/proxy/src/sassafrastally/proxy/peer_table.py
+++ b/packages/proxy/src/sassafrastally/proxy/peer_table.py
@@ -92,11 +92,12 @@
         self._data_centre = data_centre
         self._peers: dict[str, Peer] = {}
         self._sums = ReceivedSums(data_centre)
-        self._listening = ListeningClock()
+        self.listening = ListeningClock()
+        """When this entry was paused."""
 
     def note_running(self, now_s: float) -> None:
         """Record that this entry runs; peers don't time out while it doesn't."""
-        self._listening.note_running(now_s)
+        self.listening.note_running(now_s)
 
     def set_overloaded(self, *, is_overloaded: bool) -> None:
         """Record whether this entry leaves duties to others that can take them."""
@@ -147,12 +148,12 @@
 
     def live(self, now_s: float) -> list[Peer]:
         """Return the entries whose own datagrams arrive."""
-        oldest_s = self._listening.listened_s(now_s) - PEER_TIMEOUT_S
+        oldest_s = self.listening.listened_s(now_s) - PEER_TIMEOUT_S
         return [peer for peer in self._peers.values() if peer.received_s > oldest_s]
 
     def members(self, now_s: float) -> set[str]:
         """Return the other entries of all data centres that may send requests to servers."""
-        oldest_s = self._listening.listened_s(now_s) - MEMBER_TIMEOUT_S
+        oldest_s = self.listening.listened_s(now_s) - MEMBER_TIMEOUT_S
         return {
             peer.host
             for peer in self._peers.values()
@@ -192,7 +193,7 @@
 
     def sums(self, now_s: float) -> dict[str, DataCentreSum]:
         """Return each other data centre's sum; with several, the one over the most entries."""
-        return self._sums.best(self._listening.listened_s(now_s))
+        return self._sums.best(self.listening.listened_s(now_s))
 
     def entries(self, now_s: float) -> int:
         """Return the number of live entries, this one included."""
@@ -320,7 +321,7 @@
         if not self.is_relay(now_s):
             return SumRoute()
         relays = (
-            self._sums.relays(self._listening.listened_s(now_s))
+            self._sums.relays(self.listening.listened_s(now_s))
             if self.has_uneven_links(now_s)
             else {}
         )
@@ -365,12 +366,12 @@
         ]
         for host in old:
             del self._peers[host]
-        self._sums.forget_old(self._listening.listened_s(now_s))
+        self._sums.forget_old(self.listening.listened_s(now_s))
         return old
 
     def _age_s(self, received_s: float, now_s: float) -> float:
         """Return the age of a datagram, without the time in which this entry didn't run."""
-        return max(0.0, self._listening.listened_s(now_s) - received_s)
+        return max(0.0, self.listening.listened_s(now_s) - received_s)
 
     def _individual_peers(self, now_s: float) -> Iterator[Peer]:
         """Return the live entries that aren't covered by a sum."""
--- a/packages/proxy/src/sassafrastally/proxy/peers.py
+++ b/packages/proxy/src/sassafrastally/proxy/peers.py
@@ -62,8 +62,7 @@
 requests and thus fewer changes at each."""
 
 DATAGRAM_LATENCY_S = 0.02
-"""Time from a routing decision until peers have its datagram, in addition to the send interval:
-network latency and scheduling in both processes."""
+"""Latency until peers have the datagram of a routing decision, in addition to the send interval."""
 
 RECEIVE_BUFFER_BYTES = 2048
 
@@ -87,6 +86,8 @@
         self._store = store
         self._ledger = ledger
         self._table = PeerTable(Member(settings.host, settings.link_mbps), settings.data_centre)
+        self.listening = self._table.listening
+        """When this entry was paused."""
         self._calls = PeerCalls(settings.peer_port, input_budget)
         self._sequence = 0
         self._is_stopping = False
--- a/packages/proxy/src/sassafrastally/proxy/signal_handling.py
+++ b/packages/proxy/src/sassafrastally/proxy/signal_handling.py
@@ -8,6 +8,7 @@
 from sassafrastally.proxy.caller_listener import CallerListener
 from sassafrastally.proxy.containment import Containment
 from sassafrastally.proxy.log_events import SettingsRejected, SettingsReloaded
+from sassafrastally.proxy.peers import Peers
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -15,6 +16,10 @@
     from sassafrastally.core import Kernel
     from sassafrastally.proxy.settings import ProxySettings
 
+MAX_PAUSE_SHARE = 0.5
+"""Share of the stop time that is given up at most for a pause in which the signal may have come: a
+longer pause tells too little of when that was."""
+
 
 class SignalHandler:
     """Stops an entry, or reloads its settings, of which the stop time takes effect.
@@ -53,10 +58,17 @@
         if not self._kernel.stopping.is_set():
             # The file may change without a signal, and the process is killed by its stop time.
             self._reload(is_requested=False)
+            stop_time_s = self._settings.bounds.stop_time_s
             listener = self._kernel.get("callers", CallerListener)
-            listener.stop_time_s = max(0.0, self._settings.bounds.stop_time_s - age_s)
+            listener.stop_time_s = max(0.0, stop_time_s - max(age_s, self._paused_s(stop_time_s)))
         self._kernel.request_stop()
 
+    def _paused_s(self, stop_time_s: float) -> float:
+        """Return the time for which a signal may have waited until this entry ran again."""
+        listening = self._kernel.get("peers", Peers).listening
+        paused_s = listening.latest_pause_s(self._kernel.clock.now_s())
+        return min(paused_s, MAX_PAUSE_SHARE * stop_time_s)
+
     def _reload(self, *, is_requested: bool = True) -> None:
         """Reload the settings; the previous ones stay in effect if they are invalid."""
         with self._containment:
--- a/packages/proxy/tests/test_listening_clock.py
+++ b/packages/proxy/tests/test_listening_clock.py
@@ -47,3 +47,16 @@
         now_s += MAX_SEND_INTERVAL_S
         clock.note_running(now_s)
         assert clock.listened_s(now_s) == now_s
+
+    def test_tells_the_pause_from_which_the_entry_has_just_resumed(self):
+        """Guards against a signal during a pause that is taken for one after it, and against a
+        pause that counts on, whichever task runs first."""
+        clock = ListeningClock()
+        assert clock.latest_pause_s(1.0) == 0.0
+        clock.note_running(1.0)
+        assert clock.latest_pause_s(1.0 + 0.9 * LATE_S) == 0.0
+        assert clock.latest_pause_s(3.0) == 2.0
+        clock.note_running(3.0)
+        assert clock.latest_pause_s(3.0) == 2.0
+        clock.note_running(3.0 + 0.9 * LATE_S)
+        assert clock.latest_pause_s(3.0 + 1.1 * LATE_S) == 0.0
