--- a/packages/core/src/sassafrastally/core/late_limits.py
+++ b/packages/core/src/sassafrastally/core/late_limits.py
@@ -25,10 +25,6 @@
 """How long is read once more after a late timer. What arrived during the pause is read at once; a
 paused VM also has to receive what the network held back, which takes a few round trips."""
 
-LAST_READ_SHARE = 0.125
-"""Share of the time until the process is killed that is spent on that. A process that was late may
-soon be so again, and has to answer what is left before."""
-
 MAX_LAST_READS = 2
 """How often is read once more if the process pauses again meanwhile. Keeps a limit within a quarter
 of a second, the delay that callers accept."""
@@ -42,13 +38,25 @@
 event of a stream takes a turn or more, so that several of them take more than one round."""
 
 
-def last_read_s(due_s: float, now_s: float) -> float:
-    """Return how long to read once more after a timer has fired; 0 if it was on time."""
-    return LAST_READ_S if now_s - due_s > LATE_TIMER_S else 0.0
+def last_read_s(due_s: float, now_s: float, reads_end_s: float = math.inf) -> float:
+    """Return how long to read once more after a timer has fired; 0 if it was on time.
+
+    Parameters
+    ----------
+    due_s
+        Time for which the timer was set.
+    now_s
+        Present time.
+    reads_end_s
+        Time from which nothing more is read, however late the timer was.
+    """
+    if now_s - due_s <= LATE_TIMER_S:
+        return 0.0
+    return max(0.0, min(LAST_READ_S, reads_end_s - now_s))
 
 
 async def deliver_received(
-    due_s: float, delivered: Callable[[], int] = lambda: 0, killed_s: float = math.inf
+    due_s: float, delivered: Callable[[], int] = lambda: 0, reads_end_s: float = math.inf
 ) -> None:
     """Let other tasks deliver what has been received, after a timer has fired.
 
@@ -58,13 +66,13 @@
         Time for which the timer was set, on trio's clock.
     delivered
         Returns how much has been delivered so far. Deliveries in a round of turns allow another.
-    killed_s
-        When the process is killed, if that is known.
+    reads_end_s
+        Time from which no late timer allows to wait for more.
     """
     for _ in range(MAX_LAST_READS):
         now_s = trio.current_time()
-        extra_s = min(last_read_s(due_s, now_s), LAST_READ_SHARE * (killed_s - now_s))
-        if extra_s <= 0:
+        extra_s = last_read_s(due_s, now_s, reads_end_s)
+        if not extra_s:
             break
         due_s = now_s + extra_s
         await trio.sleep_until(due_s)
@@ -103,15 +111,12 @@
         When the time ends, on trio's clock.
     scope
         Scope that is cancelled; a new one if ``None``.
-    killed_s
-        When the process is killed, if that is known.
     """
 
-    def __init__(
-        self, due_s: float, scope: trio.CancelScope | None = None, killed_s: float = math.inf
-    ) -> None:
+    def __init__(self, due_s: float, scope: trio.CancelScope | None = None) -> None:
         self.due_s = due_s
-        self.killed_s = killed_s
+        self.reads_end_s = math.inf
+        """Time from which the limit acts at once, however late its timer was."""
         self.scope = scope or trio.CancelScope()
         self._shortened = trio.Event()
         self._deliveries = 0
@@ -120,9 +125,8 @@
         """Record that a part of an answer has been passed on; more of it may lie ready."""
         self._deliveries += 1
 
-    def shorten(self, due_s: float, killed_s: float = math.inf) -> None:
-        """Let the time end at this time if that is earlier, before the process is killed."""
-        self.killed_s = min(self.killed_s, killed_s)
+    def shorten(self, due_s: float) -> None:
+        """Let the time end at this time if that is earlier."""
         if due_s < self.due_s:
             self.due_s = due_s
             self._shortened.set()
@@ -142,7 +146,7 @@
             self._shortened = trio.Event()
             with trio.move_on_at(self.due_s):
                 await self._shortened.wait()
-        await deliver_received(self.due_s, lambda: self._deliveries, self.killed_s)
+        await deliver_received(self.due_s, lambda: self._deliveries, self.reads_end_s)
         self.scope.cancel()
 
 
--- a/packages/proxy/src/sassafrastally/proxy/log_events/__init__.py
+++ b/packages/proxy/src/sassafrastally/proxy/log_events/__init__.py
@@ -11,6 +11,10 @@
     EvacuationUnknown,
 )
 from sassafrastally.proxy.log_events.failure_rates import ServerAvoided, ServerUsedAgain
+from sassafrastally.proxy.log_events.internal_ports import (
+    InternalAcceptFailed,
+    InternalConnectionsClosed,
+)
 from sassafrastally.proxy.log_events.knowledge import (
     CentreHeard,
     CentreSilent,
@@ -36,6 +40,7 @@
 )
 from sassafrastally.proxy.log_events.process import (
     AcceptFailed,
+    ConnectionsTurnedAway,
     EntryOverloaded,
     EntryRecovered,
     ErrorContained,
@@ -105,6 +110,7 @@
     "ConfigurationIgnored",
     "ConfigurationInForce",
     "ConnectionCrashed",
+    "ConnectionsTurnedAway",
     "ContentionBegan",
     "ContentionEnded",
     "DataCentreEvacuated",
@@ -122,6 +128,8 @@
     "FormerLifeIgnored",
     "HistoryReread",
     "IdleConnectionsClosed",
+    "InternalAcceptFailed",
+    "InternalConnectionsClosed",
     "ListenerClosed",
     "PeerFailed",
     "PeerHeard",
