--- a/packages/proxy/src/sassafrastally/proxy/http_stream.py
+++ b/packages/proxy/src/sassafrastally/proxy/http_stream.py
@@ -109,6 +109,8 @@
         """Maximum size of a header."""
         self.is_write_incomplete = False
         """Whether a write was cancelled: the peer lacks bytes that h11 counts as sent."""
+        self._has_failed_write = False
+        """Whether a write has failed, which only a reset or a timeout of the connection causes."""
         self.is_reused = False
         """Whether it has carried a response before."""
         self.received_bytes = 0
@@ -248,6 +250,9 @@
                 data = await self.stream.receive_some(RECEIVE_BYTES)
         except (trio.BrokenResourceError, trio.ClosedResourceError) as cause:
             raise ConnectionLost(f"connection reset while reading: {cause!r}") from cause
+        if not data and self._has_failed_write:
+            # The OS reports a reset once, here to the write; reads then end as after a close.
+            raise ConnectionLost("connection reset before the end of the stream")
         self.received_bytes += len(data)
         self._parsed_events = 0
         self.received_s = trio.current_time()
@@ -275,6 +280,7 @@
         try:
             await self.stream.send_all(data)
         except (trio.BrokenResourceError, trio.ClosedResourceError) as cause:
+            self._has_failed_write = True
             raise ConnectionLost(f"connection reset while sending: {cause!r}") from cause
         self.is_write_incomplete = False
 
@@ -291,6 +297,7 @@
                 return await self.stream.socket.send(data)
             await self.stream.send_all(data)
         except (OSError, trio.BrokenResourceError, trio.ClosedResourceError) as cause:
+            self._has_failed_write = True
             raise ConnectionLost(f"connection reset while sending: {cause!r}") from cause
         return len(data)
 
