--- a/packages/proxy/src/sassafrastally/proxy/caller_listener.py
+++ b/packages/proxy/src/sassafrastally/proxy/caller_listener.py
@@ -94,7 +94,7 @@
 """Part of that for the requests of connections that are accepted only then; the rest of it is their
 time to arrive."""
 
-LAST_ANSWERS_S = 0.3
+ANSWERING_S = 0.3
 """Time before the process is killed from which nothing more is read, however late the entry is: to
 answer a hundred requests takes it as long beside other busy processes."""
 
@@ -190,7 +190,7 @@
         killed_s = stop_begin_s + self.stop_time_s
         ends_s = max(stop_begin_s, killed_s - KILL_MARGIN_S)
         # A late entry needs all time from then on for answers.
-        reads_end_s = killed_s - LAST_ANSWERS_S
+        reads_end_s = killed_s - ANSWERING_S
         self.kernel.events.emit(ProcessDraining(self.open_requests, self.stop_time_s))
         self._path.services.drain.begin(ends_s, reads_end_s)
         reads_s = min(stop_begin_s + LAST_REQUEST_AFTER_SIGNAL_S, ends_s)
