--- a/packages/testing/tests/platform/test_clock_steps.py
+++ b/packages/testing/tests/platform/test_clock_steps.py
@@ -19,13 +19,16 @@
     """A time of day that jumps back and forth with each look at it; yields the looks."""
     looks = itertools.count()
     true_time, true_time_ns = time.time, time.time_ns
+    step_s = STEP_S
 
     def offset_s() -> float:
-        return STEP_S * (-1) ** next(looks)
+        return step_s * (-1) ** next(looks)
 
     monkeypatch.setattr(time, "time", lambda: true_time() + offset_s())
     monkeypatch.setattr(time, "time_ns", lambda: true_time_ns() + int(offset_s() * 1e9))
-    return looks
+    yield looks
+    # Modules that were imported meanwhile may keep the functions.
+    step_s = 0.0
 
 
 class TestSteps:
