Signal handling: a slow settings file doesn't hold up an entry

What callers saw: an entry that is asked to stop, or to reload, reads its settings in the turn of the signal. While its disk doesn't return them, it reads, answers and accepts nothing, and is killed at its stop time with all requests.

Cause: the read at SIGTERM is new with the stop time that takes effect without a restart; at SIGHUP it was there before.

Evidence: a settings file that is a pipe without a writer. Six callers that send on, stop time 8 s: the process still ran after 11 s (1 of 1 trial); the test with an idle entry is red (1 of 1, not ended after 8 s).

Change: a thread reads the settings; after 0.2 s the previous ones stay in effect and SettingsRejected says so. The time counts as part of the stop time. After: the test is green; 14 of 14 in test_entry_process and test_changed_settings.

--- a/packages/proxy/src/sassafrastally/proxy/signal_handling.py
+++ b/packages/proxy/src/sassafrastally/proxy/signal_handling.py
@@ -3,6 +3,9 @@
 from __future__ import annotations
 
 import signal
+import time
+from queue import Empty, SimpleQueue
+from threading import Thread
 from typing import TYPE_CHECKING
 
 from sassafrastally.proxy.caller_listener import CallerListener
@@ -15,6 +18,12 @@
     from sassafrastally.core import Kernel
     from sassafrastally.proxy.settings import ProxySettings
 
+READ_LIMIT_S = 0.2
+"""How long the settings may take to be read. All requests wait meanwhile, and a process that stops
+has half a second to spare."""
+
+SLOW = "the settings weren't read in time"
+
 
 class SignalHandler:
     """Stops an entry, or reloads its settings, of which the stop time takes effect.
@@ -52,7 +61,9 @@
             return
         if not self._kernel.stopping.is_set():
             # The file may change without a signal, and the process is killed by its stop time.
+            begin_s = time.monotonic()
             self._reload(is_requested=False)
+            age_s += time.monotonic() - begin_s
             listener = self._kernel.get("callers", CallerListener)
             listener.stop_time_s = max(0.0, self._settings.bounds.stop_time_s - age_s)
         self._kernel.request_stop()
@@ -60,7 +71,7 @@
     def _reload(self, *, is_requested: bool = True) -> None:
         """Reload the settings; the previous ones stay in effect if they are invalid."""
         with self._containment:
-            reloaded = self._reread()
+            reloaded = self._read()
             if isinstance(reloaded, str):
                 self._kernel.events.emit(SettingsRejected(reloaded))
                 return
@@ -68,3 +79,23 @@
             self._settings = reloaded
             if has_changed or is_requested:
                 self._kernel.events.emit(SettingsReloaded(has_changed))
+
+    def _read(self) -> ProxySettings | str:
+        """Return the settings, or an error message if they are invalid or take too long."""
+        results: SimpleQueue[ProxySettings | str | Exception] = SimpleQueue()
+
+        def read() -> None:
+            try:
+                results.put(self._reread())
+            except Exception as cause:
+                results.put(cause)  # Raised by the thread that waits.
+
+        # Not awaited by the end of the process, as a read of a file can't be cancelled.
+        Thread(target=read, name="settings", daemon=True).start()
+        try:
+            result = results.get(timeout=READ_LIMIT_S)
+        except Empty:
+            return SLOW
+        if isinstance(result, Exception):
+            raise result
+        return result
--- a/packages/testing/tests/soak/test_entry_process.py
+++ b/packages/testing/tests/soak/test_entry_process.py
@@ -52,6 +52,17 @@
         )
         assert entry.is_running
 
+    def test_stop_does_not_wait_for_its_settings_file(self, entry):
+        """Guards against an entry that neither serves nor stops until it is killed, because its
+        disk doesn't return the settings that it reads at the stop."""
+        wait_until(lambda: "ProcessStarted" in entry.log_file.read_text(), "it starts")
+        entry._settings_file.unlink()
+        os.mkfifo(entry._settings_file)
+        entry.signal(signal.SIGTERM)
+        wait_until(lambda: not entry.is_running, "it ends", STOP_TIME_S)
+        entry.note_end()
+        assert entry.exit_codes == [0]
+
 
 class EarlyCallers:
     """Callers who connect to an entry as soon as its port is open, and send at once."""
