Product's HTTP server: look for input again after it may have been read

What callers saw: a connection that has to give way is closed, without an answer, although its request has arrived and was taken from its socket.

Cause: the look before the close asks the socket. Where input is there at once, trio's receive takes it and returns it one turn of the event loop later. In that turn the socket is empty, and the connection still counts as idle: input that has been read and not delivered isn't seen.

In the server as it is, only a connection whose request is taken in the same turn can meet this; how often that happens wasn't measured.

Change: the look is repeated over two turns, and the last look comes right before the close.

--- a/packages/entry/src/sassafrastally/entry/http_connection.py
+++ b/packages/entry/src/sassafrastally/entry/http_connection.py
@@ -26,6 +26,10 @@
 UNREAD_CHECK_S = 0.005
 """Interval at which is checked whether the input of an idle connection has been read."""
 
+READ_TURNS = 2
+"""Turns of the event loop after which the reading task has got what it has taken from its socket,
+where it isn't seen any more."""
+
 
 class HttpConnection(ContainedServer):
     """Serves the requests of one connection.
@@ -161,12 +165,20 @@
                 pass
         return None
 
+    async def _may_have_request(self) -> bool:
+        """Return whether input has arrived; the last look comes right before the return."""
+        for _ in range(READ_TURNS):
+            if self.has_unread_input():
+                return True
+            await trio.lowlevel.checkpoint()
+        return self.has_unread_input()
+
     async def _idle_timeout(self) -> None:
         due_s = trio.current_time() + self.config.keep_alive_timeout
         with trio.move_on_at(min(due_s, self._gives_way_s)) as self._waiting_for_request:
             await self.context.terminated.wait()
         # A request that has arrived is read and served first.
-        while self._is_idle and self.has_unread_input():
+        while self._is_idle and await self._may_have_request():
             await trio.sleep(UNREAD_CHECK_S)
         if self._is_idle:
             if self._gives_way_s <= trio.current_time():
--- a/packages/entry/tests/test_connections.py
+++ b/packages/entry/tests/test_connections.py
@@ -269,6 +269,25 @@
             for client in clients:
                 assert (await read_until(client, b"answer")).startswith(b"HTTP/1.1 200 ")
 
+    async def test_request_that_is_just_being_read_does_not_give_way(
+        self, server: AsgiServer, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Guards against a close in the turn of the event loop in which a request has left the
+        socket, but hasn't reached the reading task."""
+        add = Connections.add
+
+        def add_and_close(connections: Connections, added: OpenConnection) -> None:
+            add(connections, added)
+            added.give_way(0.0)
+
+        monkeypatch.setattr(Connections, "add", add_and_close)
+        for _ in range(20):
+            with socket.create_connection(tuple(server.bound_address)) as client:
+                client.sendall(PLAIN)
+                client.setblocking(False)
+                stream = trio.SocketStream(trio.socket.from_stdlib_socket(client))
+                assert (await read_until(stream, b"answer")).startswith(b"HTTP/1.1 200 ")
+
     async def test_closed_ones_are_reported(self, nursery: trio.Nursery) -> None:
         """Guards against callers' connections that are closed without a line in the log."""
         reported: list[bool] = []
