Product's HTTP server: keep to the bound beside a flood of requests

What callers would see: a flood of requests that came with their connections was served however many were open, so that links and calls lacked descriptors.

Cause: each connection whose request had arrived was kept, without a look at how many requests were in progress. Change: beyond the bound and a sixteenth, with no idle connection to close, a new connection is refused with 503 if a request lies in it, 64 at a time for 0.3 s each, else closed. What is accepted in the same turn (64 at most) is served as before.

--- a/packages/entry/src/sassafrastally/entry/asgi.py
+++ b/packages/entry/src/sassafrastally/entry/asgi.py
@@ -10,7 +10,7 @@
 from hypercorn.app_wrappers import ASGIWrapper
 from hypercorn.trio.worker_context import WorkerContext
 
-from sassafrastally.core import Address, time_limit
+from sassafrastally.core import Address, time_limit, unread_input
 from sassafrastally.core.accepting import Acceptor
 from sassafrastally.core.http_patterns import use_linear_patterns
 from sassafrastally.core.late_limits import deliver_received
@@ -43,6 +43,18 @@
     return min(MAX_CONNECTIONS, descriptors // 2)
 
 
+MAX_REFUSING = 64
+"""Connections beyond the bound that are kept until their callers have a refusal."""
+
+REFUSAL_LIMIT_S = 0.3
+"""How long they are kept."""
+
+TOO_MANY_CONNECTIONS = (
+    b"HTTP/1.1 503 Service Unavailable\r\nContent-Type: text/plain\r\nContent-Length: 48\r\n"
+    b"Retry-After: 1\r\nConnection: close\r\n\r\nToo many connections. The request has not run.\r\n"
+)
+
+
 class ServerBounds(NamedTuple):
     """Limits on the connections of a server."""
 
@@ -121,6 +133,8 @@
         self._bounds = bounds
         self._on_shortage = on_shortage
         self._is_draining = False
+        self._refusing = 0
+        """Connections whose requests are being refused."""
         self._acceptor: Acceptor
         self._closed = trio.Event()
         self._scope = trio.CancelScope()
@@ -129,7 +143,7 @@
         """Serve requests; signals `task_status` once connections are accepted."""
         self._listener.listen(self._bounds.backlog)
         listener = trio.SocketListener(trio.socket.from_stdlib_socket(self._listener))
-        self._acceptor = Acceptor(listener, self._serve, self._on_shortage)
+        self._acceptor = Acceptor(listener, self._serve, self._on_shortage, self._choose)
         try:
             with self._scope:
                 async with trio.open_nursery() as connections:
@@ -161,6 +175,30 @@
         await self._closed.wait()
         return ClosedServer(accepted, unaccepted, cut)
 
+    def _choose(self, stream: trio.SocketStream) -> Callable[..., Awaitable[object]] | None:
+        """Return how to serve a new connection; ``None`` to close it."""
+        connections = self._config.connections
+        if connections.has_room():
+            return self._serve
+        connections.on_gave_way(True)
+        if not unread_input(stream).size_bytes or self._refusing >= MAX_REFUSING:
+            return None
+        return self._refuse
+
+    async def _refuse(self, stream: trio.SocketStream) -> None:
+        """Refuse a request that arrived with a connection beyond the bound."""
+        self._refusing += 1
+        try:
+            with trio.move_on_after(REFUSAL_LIMIT_S):
+                await stream.send_all(TOO_MANY_CONNECTIONS)
+                await stream.send_eof()
+                while await stream.receive_some():
+                    pass
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            return  # The caller has left.
+        finally:
+            self._refusing -= 1
+
     async def _serve(self, stream: trio.SocketStream) -> None:
         await HttpConnection(self._app, self._config, self.context, stream).run()
 
--- a/packages/entry/src/sassafrastally/entry/idle_connections.py
+++ b/packages/entry/src/sassafrastally/entry/idle_connections.py
@@ -71,6 +71,13 @@
     def __len__(self) -> int:
         return len(self._open)
 
+    def has_room(self) -> bool:
+        """Return whether a new connection may be served, if need be in place of another one."""
+        in_progress = len(self._open) - len(self._idle)
+        if in_progress < self._max_count + self._max_excess:
+            return True
+        return self._longest_idle(spares_new=False) is not None
+
     def add(self, connection: OpenConnection) -> None:
         """Add a connection, which has no request yet; close others beyond the bound."""
         while (excess := len(self._open) + 1 - self._max_count) > 0:
--- a/packages/entry/tests/test_connections.py
+++ b/packages/entry/tests/test_connections.py
@@ -210,6 +210,26 @@
             for stream in busy:
                 assert (await read_until(stream, b"answer")).startswith(b"HTTP/1.1 200 ")
 
+    async def test_flood_of_requests_keeps_to_the_bound(
+        self, server: AsgiServer, release: trio.Event
+    ) -> None:
+        """Guards against requests that take all descriptors, as each is served whose connection
+        came with it, and against a reset of those that have arrived."""
+        callers = []
+        for count in (self.MAX_CONNECTIONS + 1, 40):
+            for _ in range(count):
+                callers.append(socket.create_connection(server.bound_address))
+                callers[-1].sendall(PLAIN.replace(b"/", b"/slow", 1))
+            # Time for the server to accept them.
+            await trio.sleep(0.2)
+        release.set()
+        heads = []
+        for caller in callers:
+            caller.setblocking(False)
+            async with trio.SocketStream(trio.socket.from_stdlib_socket(caller)) as stream:
+                heads.append((await read_until(stream, b"\r\n\r\n"))[9:12])
+        assert heads == [b"200"] * (self.MAX_CONNECTIONS + 1) + [b"503"] * 40
+
     async def test_request_that_arrives_before_the_close_is_answered(
         self, server: AsgiServer, monkeypatch: pytest.MonkeyPatch
     ) -> None:
