A stopping entry tells callers who always have a request ahead before it is killed

Cause: an answer is only the last one once nothing more is there. Evidence: test_requests_sent_ahead_do_not_delay_the_end, red before (1 of 1), green after; not run again with a real process.

--- a/packages/proxy/src/sassafrastally/proxy/caller_listener.py
+++ b/packages/proxy/src/sassafrastally/proxy/caller_listener.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import traceback
 from contextlib import suppress
 from functools import partial
@@ -143,6 +144,8 @@
         self._dialect = dialect
         self._open_listener = listener
         self._stop_requested_s: float | None = None
+        self._reads_end_s = math.inf
+        """When a stopping entry reads nothing more, however late it is."""
         self._connections: CallerConnections[trio.CancelScope] = CallerConnections(
             most_caller_connections(settings.max_descriptors)
         )
@@ -190,7 +193,7 @@
         killed_s = stop_begin_s + self.stop_time_s
         ends_s = max(stop_begin_s, killed_s - KILL_MARGIN_S)
         # A late entry needs all time from then on for answers.
-        reads_end_s = killed_s - ANSWERING_S
+        self._reads_end_s = reads_end_s = killed_s - ANSWERING_S
         self.kernel.events.emit(ProcessDraining(self.open_requests, self.stop_time_s))
         self._path.services.drain.begin(ends_s, reads_end_s)
         reads_s = min(stop_begin_s + LAST_REQUEST_AFTER_SIGNAL_S, ends_s)
@@ -346,9 +349,12 @@
         """Return whether a response is the last one on its connection.
 
         A stopping entry answers the requests that are already there: their callers have sent them
-        before they could know of the stop, maybe seconds ago.
+        before they could know of the stop, maybe seconds ago. Right before it is killed, it
+        has no time for more.
         """
-        return self.is_stopping and not connection.has_unread_input()
+        if not self.is_stopping:
+            return False
+        return trio.current_time() >= self._reads_end_s or not connection.has_unread_input()
 
     async def _answer(self, connection: HttpStream, request: Request, reply: Reply) -> None:
         failure: Exception | None = None
--- a/packages/testing/tests/platform/test_stopping_entry.py
+++ b/packages/testing/tests/platform/test_stopping_entry.py
@@ -374,6 +374,24 @@
         assert answers[-1].headers["connection"] == "close"
         assert trio.current_time() - stop_s < ANSWERED_S
 
+    async def test_requests_sent_ahead_do_not_delay_the_end(self, autojump_clock, fleet_of_two):
+        """Guards against a caller who always has a request ahead, is never told of the stop and
+        keeps the process until it is killed."""
+        listener = fleet_of_two.kernels[0].get("callers", CallerListener)
+        for desk in (1, 2):
+            fleet_of_two.replicas[f"desk-{desk}"].work_s = 1.0
+        connection = await fleet_of_two.connect()
+        for _ in range(2):
+            ahead = HttpStream(connection.stream, h11.CLIENT)
+            await send_request(ahead, "POST", "/book/x", request_fields(), b"{}")
+        await trio.sleep(0.1)
+        fleet_of_two.kernels[0].request_stop()
+        await trio.sleep(0.1)
+        listener._reads_end_s = trio.current_time()
+        encode_request(connection, "POST", "/book/x", request_fields(), b"{}")
+        answer = await read_response(connection)
+        assert (answer.status, answer.headers.get("connection")) == (200, "close")
+
 
 class TestOtherChanges:
     """A stop beside other changes, at any moment."""
