Own state goes to all peers in one turn of the event loop

Peers saw: a live entry as silent (PeerSilent 1.0 to 1.3 s, PeerHeard again), each few seconds, where it is short of CPU time. They then place requests as if its own weren't there, and share its rate limits and retry budget.

Cause: each datagram was sent with a turn of the event loop of its own. With turns of 50 ms, twenty peers take 1 s, which is their time limit. Change: sent by the second handle, with one turn for all.

--- a/packages/proxy/src/sassafrastally/proxy/datagram_port.py
+++ b/packages/proxy/src/sassafrastally/proxy/datagram_port.py
@@ -2,7 +2,7 @@
 
 A turn of the event loop takes tens of milliseconds on an entry that is short of CPU time, while
 hundreds of datagrams arrive per second. If one were read a turn, they would wait for seconds, and
-the latest ones be dropped.
+the latest ones be dropped; if one were sent a turn, peers would take the entry for dead.
 """
 
 from __future__ import annotations
@@ -26,7 +26,7 @@
 
 
 class DatagramPort:
-    """Reads all waiting datagrams in one turn of the event loop."""
+    """Reads all waiting datagrams in one turn of the event loop, and sends to all hosts in one."""
 
     def __init__(self) -> None:
         self._socket = trio.socket.socket(type=trio.socket.SOCK_DGRAM)
@@ -67,4 +67,9 @@
             # The port is closed or the send buffer is full: the next datagram replaces this one,
             # and a dead peer times out.
             with suppress(OSError):
-                await self._socket.sendto(data, (host, self._port))
+                if self._handle is None:
+                    await self._socket.sendto(data, (host, self._port))
+                else:
+                    self._handle.sendto(data, (host, self._port))
+        if self._handle is not None:
+            await trio.lowlevel.checkpoint()
