--- a/packages/core/src/sassafrastally/core/__init__.py
+++ b/packages/core/src/sassafrastally/core/__init__.py
@@ -42,9 +42,9 @@
 from sassafrastally.core.log_rate import LogRate
 from sassafrastally.core.metrics import METRICS, MetricKind, counter, gauge, histogram
 from sassafrastally.core.network import Address, Network, TcpNetwork, is_ip_address
-from sassafrastally.core.own_handle import own_handle
 from sassafrastally.core.registry import Registry
 from sassafrastally.core.response_status import is_final_status
+from sassafrastally.core.second_handle import second_handle
 from sassafrastally.core.sender_time import SenderTime, read_in_time
 from sassafrastally.core.stream_end import StreamEnd, stream_end
 from sassafrastally.core.unread_input import UnreadInput, unread_input
@@ -108,9 +108,9 @@
     "is_ip_address",
     "new_incarnation",
     "new_request_id",
-    "own_handle",
     "read_in_time",
     "require_time",
+    "second_handle",
     "stamp_wall_s",
     "stream_end",
     "time_limit",
--- a/packages/core/src/sassafrastally/core/accepting.py
+++ b/packages/core/src/sassafrastally/core/accepting.py
@@ -16,7 +16,7 @@
 import trio
 
 from sassafrastally.core.accept_queue import waiting_connections
-from sassafrastally.core.own_handle import own_handle
+from sassafrastally.core.second_handle import second_handle
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -121,7 +121,7 @@
         self._listener = listener
         self._choose = choose or (lambda _: serve)
         self._on_shortage = on_shortage
-        self._queue = own_handle(listener.socket)
+        self._queue = second_handle(listener.socket)
         self._is_closed = False
         self._connections: trio.Nursery | None = None
         self._accepting = trio.CancelScope()
--- a/packages/core/src/sassafrastally/core/own_handle.py
+++ b/packages/core/src/sassafrastally/core/second_handle.py
@@ -10,7 +10,7 @@
     import trio
 
 
-def own_handle(opened: trio.socket.SocketType) -> socket.socket | None:
+def second_handle(opened: trio.socket.SocketType) -> socket.socket | None:
     """Return a second handle of a socket, whose calls don't take a turn of the event loop each.
 
     Calls that would wait raise `BlockingIOError`. ``None`` if the socket isn't one of the operating
--- a/packages/proxy/src/sassafrastally/proxy/datagram_port.py
+++ b/packages/proxy/src/sassafrastally/proxy/datagram_port.py
@@ -13,7 +13,7 @@
 
 import trio
 
-from sassafrastally.core import own_handle
+from sassafrastally.core import second_handle
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -37,7 +37,7 @@
         """Bind an address; the peers use the same port."""
         await self._socket.bind((host, port))
         self._port = port
-        self._handle = own_handle(self._socket)
+        self._handle = second_handle(self._socket)
 
     def close(self) -> None:
         """Close the port."""
--- a/packages/proxy/src/sassafrastally/proxy/peer_messages.py
+++ b/packages/proxy/src/sassafrastally/proxy/peer_messages.py
@@ -220,14 +220,9 @@
     """Decode what determines whether a later datagram replaces one; ``None`` if it is invalid."""
     try:
         message = _open_hello(data)
-        return DatagramHeader(
-            Sender(message.host, message.bootId, bool(message.entries)),
-            message.sequence,
-            has_events=any(
-                map(len, (message.crashes, message.verdicts, message.answers, message.grants))
-            )
-            or len(message.peers) > 0,
-        )
+        sender = Sender(message.host, message.bootId, bool(message.entries))
+        events = (message.crashes, message.verdicts, message.answers, message.grants, message.peers)
+        return DatagramHeader(sender, message.sequence, has_events=any(map(len, events)))
     except (codec().KjException, ValueError):
         return None
 
