--- a/packages/proxy/src/sassafrastally/proxy/datagram_port.py
+++ b/packages/proxy/src/sassafrastally/proxy/datagram_port.py
@@ -20,9 +20,9 @@
 
 RECEIVE_BUFFER_BYTES = 2048
 
-MAX_AT_ONCE = 512
-"""Maximum number of datagrams that are read in one turn, more than the socket's buffer usually
-holds."""
+MAX_AT_ONCE = 256
+"""Maximum number of datagrams that are read in one turn: as many as the socket's buffer usually
+holds. Looking at their headers takes some milliseconds."""
 
 
 class DatagramPort:
