Soak: a stream is broken off as it was to be when it began, by one trouble at a server

Without a length or chunks that is the regular end of a body, so the entry was right to call it whole; the trouble leaves this combination out on purpose.

Cause: two troubles at one server, or a stream that was still running when the next trouble began, mixed the framing of one with the end of the other: framing was read when a stream began, the way of its end when it ended.

That the case of 06:55 was this mixture isn't shown by its log, which has no line of the server; no other source of such an end is known: a crash resets bodies without framing.

The check and its bound are unchanged.

--- a/packages/testing/src/sassafrastally/testing/soak/breaking.py
+++ b/packages/testing/src/sassafrastally/testing/soak/breaking.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from contextlib import contextmanager
 from typing import TYPE_CHECKING
 
 import trio
@@ -9,13 +10,14 @@
 from sassafrastally.proxy.body_framing import BodyFraming
 from sassafrastally.stand_ins.connection_end import ConnectionEnd
 from sassafrastally.testing.soak.proxying import CutHead
-from sassafrastally.testing.soak.troubles import some_server, trouble
+from sassafrastally.testing.soak.troubles import NoServerFree, trouble
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
+    from collections.abc import Iterator, Sequence
 
     from sassafrastally.stand_ins.received_request import ReceivedRequest
-    from sassafrastally.testing.soak.fleet import SoakFleet
+    from sassafrastally.stand_ins.replica import Replica
+    from sassafrastally.testing.soak.fleet import Server, SoakFleet
     from sassafrastally.testing.soak.record import Attempt
 
 NAME = "server-breaks-off"
@@ -40,7 +42,33 @@
 @trouble(NAME)
 async def break_off(fleet: SoakFleet) -> None:
     """Let a server end its responses by length, chunks or close, whole or broken off."""
-    replica = some_server(fleet).replica
+    with breaking_server(fleet) as server:
+        await _break_off(fleet, server.replica)
+
+
+@contextmanager
+def breaking_server(fleet: SoakFleet) -> Iterator[Server]:
+    """Choose a server whose responses only this trouble breaks off.
+
+    Two at a server could end a body without framing behind an event by a close, which is whole by
+    any rule.
+    """
+    free = [
+        server
+        for server in fleet.servers
+        if not server.is_breaking_off and server.proxy.cut_head is None
+    ]
+    if not free:
+        raise NoServerFree
+    server = fleet.random.choice(free)
+    server.is_breaking_off = True
+    try:
+        yield server
+    finally:
+        server.is_breaking_off = False
+
+
+async def _break_off(fleet: SoakFleet, replica: Replica) -> None:
     framing = fleet.random.choice(list(BodyFraming))
     how = fleet.random.choice([None, *ConnectionEnd])
     # A body that only its connection ends is whole by any rule if it is closed after an event, or
@@ -63,9 +91,10 @@
 
 @trouble(HEAD_NAME)
 async def stop_in_head(fleet: SoakFleet) -> None:
-    """Let servers send a part of a head and end the connection."""
+    """Let servers send a part of a head and end the connection; not those that break off."""
+    free = [server for server in fleet.servers if not server.is_breaking_off]
     count = max(1, round(fleet.random.choice(HEAD_SHARES) * len(fleet.servers)))
-    servers = fleet.random.sample(fleet.servers, count)
+    servers = fleet.random.sample(free, min(count, len(free)))
     framing = fleet.random.choice(list(BodyFraming))
     until_s = trio.current_time() + fleet.random.uniform(1.0, 4.0)
     with fleet.record.trouble(HEAD_NAME):
--- a/packages/testing/src/sassafrastally/testing/soak/fleet.py
+++ b/packages/testing/src/sassafrastally/testing/soak/fleet.py
@@ -78,6 +78,8 @@
         self.address = address
         self.is_claimed = False
         """Whether a trouble is replacing it."""
+        self.is_breaking_off = False
+        """Whether a trouble decides where and how its responses end."""
 
 
 class SoakFleet:
