Soak: a seed decides which troubles come, and when

Cause: troubles were drawn from the source of random numbers that callers draw from too, in an order that depends on how fast they are answered. With half of the draws being "store-restored", none of five is one time in 32.

What a trouble harms is still drawn at its time.

--- a/packages/testing/src/sassafrastally/testing/soak/runner.py
+++ b/packages/testing/src/sassafrastally/testing/soak/runner.py
@@ -16,12 +16,14 @@
 from sassafrastally.testing.soak.probing import check_recovered, watch_store_calls, watch_versions
 from sassafrastally.testing.soak.promises import Judge
 from sassafrastally.testing.soak.record import HarmedSpan
+from sassafrastally.testing.soak.trouble_plan import plan_troubles
 from sassafrastally.testing.soak.troubles import TROUBLES, NoServerFree
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
 
     from sassafrastally.testing.soak.record import Broken
+    from sassafrastally.testing.soak.trouble_plan import PlannedTrouble
     from sassafrastally.testing.soak.troubles import Trouble
 
 GAP_S = 1.2
@@ -100,7 +102,8 @@
     Parameters
     ----------
     seed
-        Decides size, troubles and requests. Their times on the machine still vary.
+        Decides size, troubles and requests. What a trouble harms, and how requests follow on each
+        other, still varies with their times on the machine.
     seconds
         How long troubles are brought.
     size
@@ -122,7 +125,8 @@
         try:
             await fleet.start(size.entries, size.engines, size.plain)
             judge = Judge(fleet)
-            await _press(fleet, judge, size, seconds, tell, kinds or TROUBLES.names(), gap_s)
+            planned = plan_troubles(seed, seconds, kinds or TROUBLES.names(), gap_s)
+            await _press(fleet, judge, size, seconds, planned, tell)
             await check_recovered(fleet)
             judge.judge_ended()
             judge.judge_all()
@@ -141,9 +145,8 @@
     judge: Judge,
     size: SoakSize,
     seconds: float,
+    planned: Sequence[PlannedTrouble],
     tell: Callable[[str], object],
-    kinds: Sequence[str],
-    gap_s: float,
 ) -> None:
     """Let callers press while troubles come, and a while longer."""
     async with trio.open_nursery() as nursery:
@@ -156,19 +159,19 @@
         nursery.start_soon(fleet.scheduling.watch, fleet.entries)
         nursery.start_soon(_tell, fleet, tell)
         async with trio.open_nursery() as troubles:
-            with trio.move_on_after(seconds):
-                await _bring_troubles(fleet, troubles, kinds, gap_s)
+            begin_s = trio.current_time()
+            await _bring_troubles(fleet, troubles, planned, begin_s)
+            await trio.sleep_until(begin_s + seconds)
         await trio.sleep(SETTLE_S)
         nursery.cancel_scope.cancel()
 
 
 async def _bring_troubles(
-    fleet: SoakFleet, troubles: trio.Nursery, kinds: Sequence[str], gap_s: float
+    fleet: SoakFleet, troubles: trio.Nursery, planned: Sequence[PlannedTrouble], begin_s: float
 ) -> None:
-    while True:
-        await trio.sleep(fleet.random.expovariate(1 / gap_s))
-        chosen = TROUBLES.get(fleet.random.choice(kinds))
-        troubles.start_soon(_bring, fleet, chosen)
+    for one in planned:
+        await trio.sleep_until(begin_s + one.at_s)
+        troubles.start_soon(_bring, fleet, TROUBLES.get(one.name))
 
 
 async def _bring(fleet: SoakFleet, chosen: Trouble) -> None:
