--- a/review/stand_ins_2.py
+++ b/review/stand_ins_2.py
@@ -412,6 +412,22 @@
         self.state = "ready"
         self._beats = asyncio.create_task(self._beat())
 
+    def successor(self, replica_id: str) -> Replica:
+        """Return the next incarnation at the same address, with an id of its own."""
+        successor = Replica(
+            replica_id,
+            self.service,
+            self._host,
+            self._store,
+            self._arrivals,
+            self._work_s,
+            self._events,
+        )
+        successor.address = self.address
+        successor.deadly_part = self.deadly_part
+        successor.on_crash = self.on_crash
+        return successor
+
     def register(self) -> None:
         """Write the registration."""
         self._seq_no += 1
@@ -606,7 +622,8 @@
         self.host = host
         self.front = f"{host}:{ports[0]}"
         self.readiness = f"{host}:{ports[1]}"
-        self.started_s = 0.0
+        self.starts_s: list[float] = []
+        """When its processes were started."""
         self._internal_port = ports[2]
         self._settings = folder / f"{self.name}.json"
         self._log = folder / f"{self.name}.log"
@@ -660,7 +677,7 @@
                 stderr=log,
                 stdin=subprocess.DEVNULL,
             )
-        self.started_s = time.monotonic()
+        self.starts_s.append(time.monotonic())
 
     def kill(self) -> None:
         """Kill the process, as a loss of power does."""
