--- a/review/stand_ins_2.py
+++ b/review/stand_ins_2.py
@@ -753,20 +753,15 @@
         self, service: str, number: int, work_s: float, events: int = 0
     ) -> list[Replica]:
         """Add replicas of a service, which start with the deployment."""
-        added = [
-            Replica(
-                f"i-{service}-{one}",
-                service,
-                f"{self._hosts}.{100 + len(self.replicas) + one}",
-                self.store,
-                self.arrivals,
-                work_s,
-                events,
-            )
-            for one in range(number)
-        ]
-        self.replicas |= {replica.replica_id: replica for replica in added}
-        return added
+        ids = (f"i-{service}-{one}" for one in range(number))
+        return [self.add_replica(service, one, work_s, events) for one in ids]
+
+    def add_replica(self, service: str, replica_id: str, work_s: float, events: int = 0) -> Replica:
+        """Add a replica, which starts with the deployment."""
+        host = f"{self._hosts}.{100 + len(self.replicas)}"
+        replica = Replica(replica_id, service, host, self.store, self.arrivals, work_s, events)
+        self.replicas[replica_id] = replica
+        return replica
 
     def end(self) -> None:
         """End all processes, and remove the temporary folder unless it is to be kept."""
