--- a/review/stand_ins_2.py
+++ b/review/stand_ins_2.py
@@ -843,12 +843,17 @@
     record.write(f"begins {'with' if has_trouble else 'without'} the disruption")
 
     async def run() -> bool:
+        task = asyncio.current_task()
+        assert task is not None
+        # Its processes are ended when the script is.
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
         async with asyncio.timeout(time_s):
             return await case(record, has_trouble)
 
     try:
         is_broken = asyncio.run(run())
-    except (CaseNotRunError, OSError, TimeoutError) as cause:
+    except (Exception, asyncio.CancelledError) as cause:
+        # Not only `CaseNotRunError`: an error of the script says nothing about the rule.
         record.write(f"couldn't run: {cause!r}")
         return NOT_RUN
     record.write("the rule was broken" if is_broken else "the rule held")
