--- a/review/stand_ins_2.py
+++ b/review/stand_ins_2.py
@@ -824,6 +824,12 @@
     }
 
 
+def _report_error(loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
+    """Report an error outside of the tasks; a connection that ends with the case is none."""
+    if not isinstance(context.get("exception"), asyncio.CancelledError):
+        loop.default_exception_handler(context)
+
+
 def run_case(
     folder: Path, case: Callable[[Record, bool], Awaitable[bool]], time_s: float = 115.0
 ) -> int:
@@ -846,7 +852,9 @@
         task = asyncio.current_task()
         assert task is not None
         # Its processes are ended when the script is.
-        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, task.cancel)
+        loop.set_exception_handler(_report_error)
         async with asyncio.timeout(time_s):
             return await case(record, has_trouble)
 
