--- a/review/4/case.py
+++ b/review/4/case.py
@@ -29,6 +29,9 @@
 ENTRIES = 4
 """Machines of the class `edge` of a small deployment."""
 
+REPLICAS = 4
+"""One of them leaves: a share of 0.25, the largest of `scale_in` at the site."""
+
 DARK_S = 3.5
 """Time without power; `node_kill` of the site has as much."""
 
@@ -73,7 +76,7 @@
     """Run the case; return whether the rule was broken."""
     deployment = Deployment(record, ENTRIES)
     try:
-        leaving, *_ = deployment.add_replicas("banco", 3, WORK_S)
+        leaving, *_ = deployment.add_replicas("banco", REPLICAS, WORK_S)
         await deployment.start(
             make_configuration([make_route("valico", "non_idempotent", "banco")])
         )
