End each request with exactly one line in the log

Cause: the line was written only where the request's scope was cancelled and its limit had not acted. When the caller leaves in the same step as the limit acts, the outer cancellation passes the limit's scope and nothing is logged, nor are the attempts in flight recorded as unanswered. The same holds for a caller who leaves before there is a configuration, and for one whose reset is noticed by a write, which raises ConnectionLost past the line. Every outer cancellation counted as the caller's.

Ruled out: lines lost by the writer; the lines aren't among the records of the process either.

Change: Progress knows the route and whether the end has been logged; the outermost handler logs what isn't. The reply knows whether the caller has left; a cancellation without that is the end of the process, event 10120 (RequestCut). Attempts in flight are recorded whichever scope ends the request.

--- a/packages/proxy/src/sassafrastally/proxy/caller_listener.py
+++ b/packages/proxy/src/sassafrastally/proxy/caller_listener.py
@@ -353,7 +353,7 @@
     async def _answer(self, connection: HttpStream, request: Request, reply: Reply) -> None:
         failure: Exception | None = None
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._watch_disconnect, connection, nursery.cancel_scope)
+            nursery.start_soon(self._watch_disconnect, connection, reply, nursery.cancel_scope)
             try:
                 await self._path.answer(request, reply)
             except Exception as cause:
@@ -364,7 +364,7 @@
             raise failure
 
     async def _watch_disconnect(
-        self, connection: HttpStream, answer_scope: trio.CancelScope
+        self, connection: HttpStream, reply: Reply, answer_scope: trio.CancelScope
     ) -> None:
         """Cancel the response when the caller closes its connection.
 
@@ -379,6 +379,7 @@
         except ConnectionLost:
             is_open = False
         if not is_open:
+            reply.has_caller_left = True
             answer_scope.cancel()
 
     async def _read_request(
--- a/packages/proxy/src/sassafrastally/proxy/log_events/requests.py
+++ b/packages/proxy/src/sassafrastally/proxy/log_events/requests.py
@@ -213,6 +213,18 @@
     held_s: float
 
 
+@event(10120, "warning")
+class RequestCut(NamedTuple):
+    """A request has ended with the process, before its response was complete."""
+
+    request_id: str
+    route: str
+    attempts: int
+    held_s: float
+    sent_bytes: int
+    """Bytes of the response that were passed to the operating system."""
+
+
 @event(10065)
 class CallerDisconnected(NamedTuple):
     """The caller was disconnected because it read nothing of its response."""
--- a/packages/proxy/src/sassafrastally/proxy/path.py
+++ b/packages/proxy/src/sassafrastally/proxy/path.py
@@ -23,6 +23,7 @@
 from sassafrastally.proxy.log_events import (
     CallerDisconnected,
     CallerLeft,
+    RequestCut,
     RequestFailed,
     RequestRefused,
     StreamBroken,
@@ -78,8 +79,6 @@
 """How long after the limit a caller may go on reading a complete response, so that one that reads
 next to nothing doesn't hold it for ever. A response of 600 KB takes as long at 20 KB/s."""
 
-MISSING_ROUTE_NAME = "-"
-
 CLEANUP_INTERVAL_S = 5.0
 """Interval at which the state of removed servers is dropped. Replacing a server takes longer, so
 unused connections are kept for at most one generation of servers."""
@@ -187,7 +186,8 @@
         progress = Progress()
         try:
             await self._answer(request, reply, progress)
-        except ConnectionLost:
+        except (ConnectionLost, trio.Cancelled) as cause:
+            self._log_unanswered(request, reply, progress, cause)
             raise
         except Exception as cause:
             if reply.has_begun:
@@ -196,7 +196,7 @@
             local_reply = LocalReply(MAY_HAVE_RUN, "an unexpected error")
             if not (progress.may_have_run or progress.pending):
                 local_reply = LocalReply(INTERNAL_ERROR, "", ERROR_RETRY_AFTER_S)
-            await self._answer_locally(request, reply, local_reply, attempts=progress.attempts)
+            await self._answer_locally(request, reply, local_reply, progress)
 
     async def _answer(self, request: Request, reply: Reply, progress: Progress) -> None:
         if self._cluster_state.configuration is None:
@@ -204,19 +204,19 @@
                 await self._cluster_state.configuration_known.wait()
         configuration = self._cluster_state.configuration
         if configuration is None:
-            await self._answer_locally(
-                request, reply, LocalReply(NO_CONFIGURATION, "", NO_CONFIGURATION_RETRY_AFTER_S)
-            )
+            local_reply = LocalReply(NO_CONFIGURATION, "", NO_CONFIGURATION_RETRY_AFTER_S)
+            await self._answer_locally(request, reply, local_reply, progress)
             return
         route = self._find_route(request.facts, request.target)
         if route is None:
             detail = f"version {configuration.version}"
-            await self._answer_locally(request, reply, LocalReply(NO_ROUTE, detail))
+            await self._answer_locally(request, reply, LocalReply(NO_ROUTE, detail), progress)
             return
+        progress.route_name = route.name
         customer = find_customer(configuration, route, request.facts)
         if isinstance(customer, UnknownKey):
             detail = f"version {configuration.version}"
-            await self._answer_locally(request, reply, LocalReply(UNKNOWN_KEY, detail), route.name)
+            await self._answer_locally(request, reply, LocalReply(UNKNOWN_KEY, detail), progress)
             return
         await self._answer_before_deadline(request, reply, progress, configuration, route, customer)
 
@@ -231,7 +231,7 @@
     ) -> None:
         is_new = request.facts.last_event_id is None
         if is_new and route.kind is RouteKind.STREAM and (shed := self._overload.shed_reply()):
-            await self._answer_locally(request, reply, shed, route.name)
+            await self._answer_locally(request, reply, shed, progress)
             return
         service = choose_service(route.shares, self.kernel.random.random())
         homes = home_data_centres(
@@ -250,29 +250,27 @@
         except CallerBlocked as cause:
             CALLERS_BLOCKED.add(1)
             request_id = request.facts.request_id
+            progress.has_final_line = True
             self.kernel.events.emit(CallerDisconnected(request_id, route.name, cause.detail))
             self._record_unanswered(task, progress)
             raise
 
     async def _answer_in_time(self, task: RequestTask, reply: Reply, progress: Progress) -> None:
-        request, route = task.request, task.route
+        request = task.request
         answerer = self._request_handler(task, reply, progress)
         local_reply: LocalReply | None = None
         late_s = 0.0
-        with self.services.drain.limit(task.deadline_s, self._nursery) as limit:
-            reply.limit = limit
-            try:
-                local_reply = await answerer.run()
-            except trio.Cancelled:
-                if not limit.scope.cancel_called:
-                    held_s = self.kernel.clock.now_s() - request.arrived_s
-                    self.kernel.events.emit(
-                        CallerLeft(request.facts.request_id, route.name, held_s)
-                    )
-                    self._record_unanswered(task, progress)
-                raise
-            finally:
-                answerer.release()
+        try:
+            with self.services.drain.limit(task.deadline_s, self._nursery) as limit:
+                reply.limit = limit
+                try:
+                    local_reply = await answerer.run()
+                finally:
+                    answerer.release()
+        except trio.Cancelled:
+            # The caller has left, or the process ends; the limit may have acted at the same time.
+            self._record_unanswered(task, progress)
+            raise
         if reply.has_ended:
             return
         if limit.has_acted or (local_reply is not None and limit.is_due):
@@ -292,10 +290,8 @@
             request,
             reply,
             local_reply,
-            route.name,
-            progress.attempts,
+            progress,
             fingerprint_text(task.fingerprint),
-            progress.waited_s,
             late_s,
         )
 
@@ -322,6 +318,7 @@
         late_s: float,
     ) -> None:
         REQUESTS.add(1, {"outcome": "broken"})
+        progress.has_final_line = True
         self.kernel.events.emit(
             StreamBroken(
                 task.request.facts.request_id,
@@ -334,18 +331,35 @@
             )
         )
 
+    def _log_unanswered(
+        self, request: Request, reply: Reply, progress: Progress, cause: BaseException
+    ) -> None:
+        """Log the end of a request that isn't answered, unless its end has been logged."""
+        if progress.has_final_line:
+            return
+        progress.has_final_line = True
+        request_id, route_name = request.facts.request_id, progress.route_name
+        held_s = round(self.kernel.clock.now_s() - request.arrived_s, 4)
+        if reply.has_caller_left or isinstance(cause, ConnectionLost):
+            self.kernel.events.emit(CallerLeft(request_id, route_name, held_s))
+        else:
+            attempts, sent_bytes = progress.attempts, reply.sent_bytes
+            self.kernel.events.emit(
+                RequestCut(request_id, route_name, attempts, held_s, sent_bytes)
+            )
+
     async def _answer_locally(
         self,
         request: Request,
         reply: Reply,
         local_reply: LocalReply,
-        route_name: str = MISSING_ROUTE_NAME,
-        attempts: int = 0,
+        progress: Progress,
         fingerprint: str = "",
-        waited_s: float = 0.0,
         late_s: float = 0.0,
     ) -> None:
         """Send a local reply: a refusal, or a failure of a request that may have run."""
+        progress.has_final_line = True
+        route_name, attempts = progress.route_name, progress.attempts
         REFUSALS.add(1, {"code": local_reply.refusal.code})
         held_s = round(self.kernel.clock.now_s() - request.arrived_s, 4)
         request_id = request.facts.request_id
@@ -369,7 +383,7 @@
                     held_s,
                     local_reply.detail,
                     fingerprint,
-                    round(waited_s, 4),
+                    round(progress.waited_s, 4),
                 )
             )
         await self._send(request, reply, local_reply)
--- a/packages/proxy/src/sassafrastally/proxy/reply.py
+++ b/packages/proxy/src/sassafrastally/proxy/reply.py
@@ -72,6 +72,8 @@
         self.has_begun = False
         """Whether the caller may have got a part of the response."""
         self.has_ended = False
+        self.has_caller_left = False
+        """Whether the caller has closed its connection."""
         self.sent_bytes = 0
         """Bytes passed to the operating system."""
         self._unsent: _Unsent | None = None
--- a/packages/proxy/src/sassafrastally/proxy/request_log.py
+++ b/packages/proxy/src/sassafrastally/proxy/request_log.py
@@ -47,6 +47,7 @@
         unfinished_bytes: int = 0,
     ) -> None:
         """Log and count a complete response."""
+        self._progress.has_final_line = True
         first_s = times.first_s or times.total_s
         count_answer(lane, first_s, times.longest_pause_s, times.total_s)
         self._emit(
--- a/packages/proxy/src/sassafrastally/proxy/task.py
+++ b/packages/proxy/src/sassafrastally/proxy/task.py
@@ -12,6 +12,9 @@
     from sassafrastally.proxy.open_attempt import OpenAttempt
     from sassafrastally.proxy.refusals import Refusal
 
+MISSING_ROUTE_NAME = "-"
+"""Name in the log of the route of a request for which none is known."""
+
 MAX_LOGGED_PARTS = 8
 """Maximum number of prompt parts that a log line names."""
 
@@ -82,6 +85,9 @@
     """Progress of a request; also read after its deadline has passed."""
 
     def __init__(self) -> None:
+        self.route_name = MISSING_ROUTE_NAME
+        self.has_final_line = False
+        """Whether the end of the request has been logged; each request has one such line."""
         self.attempts = 0
         """Number of attempts started."""
         self.sent: list[str] = []
