Log what a stopping entry had estimated for a request that it cuts

Cause: the estimate is compared with the time left and dropped.

Ruled out: reading it from RequestPlaced, whose prediction has neither the reserve nor the time to write the response, and is 0 for plain services.

Change: the estimate by which a request may go on is kept with its attempt; if the end of the drain cuts a request whose attempt is in flight, event 10121 (AcceptedRequestCut) tells the time needed, the time left and the time taken. At most one line for each request that is open at the end of a stop.

--- a/packages/proxy/src/sassafrastally/proxy/drain.py
+++ b/packages/proxy/src/sassafrastally/proxy/drain.py
@@ -9,7 +9,7 @@
 
 import math
 from contextlib import contextmanager
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 import trio
 
@@ -24,6 +24,16 @@
 know of requests that other entries send to the same servers meanwhile."""
 
 
+class DrainEstimate(NamedTuple):
+    """Why a stopping entry has sent a request to a server."""
+
+    made_s: float
+    needed_s: float
+    """Time that the response probably takes."""
+    left_s: float
+    """Time until the end of the drain."""
+
+
 class Drain:
     """The end of a stopping entry's work, and the requests that it limits."""
 
--- a/packages/proxy/src/sassafrastally/proxy/log_events/__init__.py
+++ b/packages/proxy/src/sassafrastally/proxy/log_events/__init__.py
@@ -61,6 +61,7 @@
     RequestQuarantined,
 )
 from sassafrastally.proxy.log_events.requests import (
+    AcceptedRequestCut,
     AttemptBroken,
     AttemptClosed,
     AttemptFailed,
@@ -102,6 +103,7 @@
 
 __all__ = [
     "AcceptFailed",
+    "AcceptedRequestCut",
     "AttemptBroken",
     "AttemptClosed",
     "AttemptFailed",
--- a/packages/proxy/src/sassafrastally/proxy/log_events/requests.py
+++ b/packages/proxy/src/sassafrastally/proxy/log_events/requests.py
@@ -225,6 +225,20 @@
     """Bytes of the response that were passed to the operating system."""
 
 
+@event(10121, "warning")
+class AcceptedRequestCut(NamedTuple):
+    """A stopping entry has cut a request that it had sent to a server as there was time."""
+
+    request_id: str
+    route: str
+    needed_s: float
+    """Time that the response should have taken."""
+    left_s: float
+    """Time until the end of the drain when it was sent."""
+    took_s: float
+    """Time from then on until it was cut."""
+
+
 @event(10065)
 class CallerDisconnected(NamedTuple):
     """The caller was disconnected because it read nothing of its response."""
--- a/packages/proxy/src/sassafrastally/proxy/path.py
+++ b/packages/proxy/src/sassafrastally/proxy/path.py
@@ -21,6 +21,7 @@
 from sassafrastally.proxy.ignored_fields import IgnoredFieldLog
 from sassafrastally.proxy.input_excess_log import InputExcessLog
 from sassafrastally.proxy.log_events import (
+    AcceptedRequestCut,
     CallerDisconnected,
     CallerLeft,
     RequestCut,
@@ -280,6 +281,8 @@
             if reply.can_complete and await _forward_late(answerer):
                 return
             has_stopped = self.kernel.clock.now_s() < task.deadline_s
+            if has_stopped:
+                self._log_missed_estimate(request, progress)
             local_reply = answerer.stopped_reply() if has_stopped else _deadline_exceeded(progress)
         if local_reply is None:
             return
@@ -331,6 +334,18 @@
             )
         )
 
+    def _log_missed_estimate(self, request: Request, progress: Progress) -> None:
+        """Log that the time for a response that a stopping entry has accepted was too short."""
+        estimate = progress.drain_estimate
+        if estimate is None or not progress.pending:
+            return
+        took_s = self.kernel.clock.now_s() - estimate.made_s
+        needed_s, left_s = round(estimate.needed_s, 3), round(estimate.left_s, 3)
+        request_id, route_name = request.facts.request_id, progress.route_name
+        self.kernel.events.emit(
+            AcceptedRequestCut(request_id, route_name, needed_s, left_s, round(took_s, 3))
+        )
+
     def _log_unanswered(
         self, request: Request, reply: Reply, progress: Progress, cause: BaseException
     ) -> None:
--- a/packages/proxy/src/sassafrastally/proxy/request_handler.py
+++ b/packages/proxy/src/sassafrastally/proxy/request_handler.py
@@ -7,6 +7,7 @@
 
 from sassafrastally.proxy.attempt_records import AttemptRecords
 from sassafrastally.proxy.backpressure import CallKind
+from sassafrastally.proxy.drain import DrainEstimate
 from sassafrastally.proxy.evacuation import Unavailability
 from sassafrastally.proxy.failover_decision import (
     Obstacle,
@@ -195,9 +196,10 @@
         if not drain.is_stopping:
             return None
         needed_s = drain.needed_s(self._task.route.name, first_s, self._declared_s)
+        left_s = max(0.0, drain.ends_s - now_s)
         if drain.can_complete(needed_s, now_s):
+            self.progress.next_estimate = DrainEstimate(now_s, needed_s, left_s)
             return None
-        left_s = max(0.0, drain.ends_s - now_s)
         return self._reply_stopping(f"{left_s:.1f} s are left, a response takes {needed_s:.1f} s")
 
     def _lateness_reason(self, plan: Placement, patience_s: float, *, is_new: bool) -> str:
@@ -306,9 +308,7 @@
     def _begin_attempt(
         self, server: BackendServer, wait: ServerWait, helpers: Sequence[BackendServer] = ()
     ) -> OpenAttempt:
-        self.progress.attempts += 1
-        self.progress.sent.append(server.incarnation_id)
-        self.progress.tried.add(server.incarnation_id)
+        self.progress.begin(server.incarnation_id)
         self._services.backpressure.count_request(server, CallKind.ATTEMPT)
         self._services.fleet_view.failures.record_sent(server)
         for helper in helpers:
--- a/packages/proxy/src/sassafrastally/proxy/task.py
+++ b/packages/proxy/src/sassafrastally/proxy/task.py
@@ -8,6 +8,7 @@
 
 if TYPE_CHECKING:
     from sassafrastally.proxy.attempt import Request
+    from sassafrastally.proxy.drain import DrainEstimate
     from sassafrastally.proxy.model import Configuration, Customer, Route
     from sassafrastally.proxy.open_attempt import OpenAttempt
     from sassafrastally.proxy.refusals import Refusal
@@ -88,6 +89,10 @@
         self.route_name = MISSING_ROUTE_NAME
         self.has_final_line = False
         """Whether the end of the request has been logged; each request has one such line."""
+        self.drain_estimate: DrainEstimate | None = None
+        """With what a stopping entry has sent its latest attempt."""
+        self.next_estimate: DrainEstimate | None = None
+        """Latest estimate by which there is time for a response."""
         self.attempts = 0
         """Number of attempts started."""
         self.sent: list[str] = []
@@ -115,6 +120,13 @@
         """Those that answered, but another run than the caller gets. They may resume its stream,
         as the attempts of a route are limited to a number of servers."""
 
+    def begin(self, incarnation_id: str) -> None:
+        """Note that an attempt begins at a server."""
+        self.attempts += 1
+        self.drain_estimate = self.next_estimate
+        self.sent.append(incarnation_id)
+        self.tried.add(incarnation_id)
+
     def end(self, attempt: OpenAttempt) -> None:
         """Note that an attempt has ended."""
         if attempt in self.pending:
