Log callers' connections that are closed with something left on them

What operators saw: nothing.

Cause: neither the wait for the last response nor the close of a connection looks at what is left.

Ruled out: RequestAnswered as evidence of delivery, since it is written when the operating system has taken the bytes; the idle count of IdleConnectionsClosed, which is made before the close.

Change: when a connection is closed that isn't gone already, the log sums up unacknowledged bytes and bytes between two requests that weren't read, or discarded while it waited, with the IDs of the first requests concerned: event 10122 (ConnectionsCut), at most once a second, and a metric. The rest of a request that was refused early is left out, as it is discarded on purpose. Nothing waits for it: it is two calls to the operating system for each connection.

--- a/packages/proxy/src/sassafrastally/proxy/caller_listener.py
+++ b/packages/proxy/src/sassafrastally/proxy/caller_listener.py
@@ -15,6 +15,7 @@
 from sassafrastally.proxy.attempt import Request
 from sassafrastally.proxy.caller_connections import CallerConnections, most_caller_connections
 from sassafrastally.proxy.cluster_state import ClusterState
+from sassafrastally.proxy.connection_end_log import ConnectionEndLog
 from sassafrastally.proxy.connection_gate import ConnectionGate
 from sassafrastally.proxy.cpu_overload import read_until, sleep_until_read
 from sassafrastally.proxy.early_listener import BACKLOG
@@ -143,6 +144,8 @@
             self._settings.bounds.crossing_s,
         )
         self._gate.log.start(nursery)
+        self._ends = ConnectionEndLog(self.kernel.events.emit)
+        self._ends.start(nursery)
         self._acceptor = Acceptor(
             await self._listener(), self.serve, self._note_shortage, self._choose
         )
@@ -287,6 +290,7 @@
                 ConnectionCrashed(traceback.format_exc(limit=MAX_TRACEBACK_FRAMES))
             )
         finally:
+            self._ends.record(connection, is_stopping=self.is_stopping)
             await connection.close()
 
     async def _linger(self, connection: HttpStream) -> None:
@@ -336,6 +340,7 @@
         if isinstance(request, BadRequest):
             await self._reject(reply, request)
             return False
+        connection.request_id = request.facts.request_id
         await self._answer(connection, request, reply)
         return reply.has_ended and _can_continue(connection)
 
--- a/packages/proxy/src/sassafrastally/proxy/http_stream.py
+++ b/packages/proxy/src/sassafrastally/proxy/http_stream.py
@@ -114,6 +114,10 @@
         """Number of bytes received so far, with headers and framing."""
         self.account = InputAccount(InputBudget())
         """Where the bytes of incomplete events are counted."""
+        self.discarded_bytes = 0
+        """Number of bytes received after its last response, which nothing has read."""
+        self.request_id = ""
+        """ID of the latest request that was read from it."""
         self.received_s = -math.inf
         """When the last bytes were received."""
         self.sender_time: SenderTime | None = None
--- a/packages/proxy/src/sassafrastally/proxy/lingering_close.py
+++ b/packages/proxy/src/sassafrastally/proxy/lingering_close.py
@@ -90,3 +90,4 @@
         if received or unacknowledged_bytes < before_bytes:
             quiet_until_s = now_s + MAX_QUIET_S
         discarded_bytes += len(received or b"")
+        connection.discarded_bytes = discarded_bytes
--- a/packages/proxy/src/sassafrastally/proxy/log_events/__init__.py
+++ b/packages/proxy/src/sassafrastally/proxy/log_events/__init__.py
@@ -41,6 +41,7 @@
 )
 from sassafrastally.proxy.log_events.process import (
     AcceptFailed,
+    ConnectionsCut,
     ConnectionsTurnedAway,
     DrainEnded,
     EntryOverloaded,
@@ -115,6 +116,7 @@
     "ConfigurationIgnored",
     "ConfigurationInForce",
     "ConnectionCrashed",
+    "ConnectionsCut",
     "ConnectionsTurnedAway",
     "ContentionBegan",
     "ContentionEnded",
--- a/packages/proxy/src/sassafrastally/proxy/log_events/process.py
+++ b/packages/proxy/src/sassafrastally/proxy/log_events/process.py
@@ -72,6 +72,25 @@
     requests: int
 
 
+@event(10122, "warning")
+class ConnectionsCut(NamedTuple):
+    """Callers' connections were closed before everything on them was done.
+
+    Written at most once a second.
+    """
+
+    is_stopping: bool
+    connections: int = 0
+    unacknowledged: int = 0
+    """Those whose caller hadn't acknowledged everything that was sent to it."""
+    most_unacknowledged_bytes: int = 0
+    unserved: int = 0
+    """Those on which bytes had arrived between two requests that weren't read, or discarded."""
+    most_unserved_bytes: int = 0
+    request_ids: tuple[str, ...] = ()
+    """IDs of the latest requests on the first of them."""
+
+
 @event(10023)
 class ReadinessChanged(NamedTuple):
     """The readiness that the process reports has changed."""
--- a/packages/proxy/src/sassafrastally/proxy/metrics.py
+++ b/packages/proxy/src/sassafrastally/proxy/metrics.py
@@ -42,6 +42,12 @@
     "1",
     "Connections at internal ports closed without a complete response, by use and cause.",
 )
+CONNECTIONS_CUT = counter(
+    "proxy.connections_cut",
+    "1",
+    "Callers' connections closed with sent bytes that weren't acknowledged, or received ones that "
+    "weren't served.",
+)
 CALLERS_BLOCKED = counter(
     "proxy.callers.blocked", "1", "Callers disconnected because they didn't read their response."
 )
