--- a/packages/proxy/src/sassafrastally/proxy/log_events/knowledge.py
+++ b/packages/proxy/src/sassafrastally/proxy/log_events/knowledge.py
@@ -156,6 +156,8 @@
 
     peers: int
     revision: int
+    confirmed_age_s: float
+    """Time since the store or a peer last confirmed the position."""
 
 
 @event(10009)
--- a/packages/proxy/src/sassafrastally/proxy/watch.py
+++ b/packages/proxy/src/sassafrastally/proxy/watch.py
@@ -156,8 +156,9 @@
         )
         if self._is_watching and not had_duty:
             self._wait_s = TAKEOVER_WAIT_S
+            age_s = min(self.kernel.clock.now_s() - self._cluster_state.confirmed_s, 1e6)
             self.kernel.events.emit(
-                WatchTakenOver(len(others), self._cluster_state.position.revision)
+                WatchTakenOver(len(others), self._cluster_state.position.revision, round(age_s, 3))
             )
             if self._lost_since_s is None:
                 self._lost_since_s = self.kernel.clock.now_s()
