Keep a removed server after an outage only if its lease may have lapsed

What callers saw: while both entries that watched the store had lost power, requests went to a server up to 2.3 s after the store had acknowledged its removal, where its drain time is 2 s; one that may run once was cut (502).

Cause: an entry that took over the watch counted that as the store's loss, and its first answer as the store's return. All removals it read then were taken for leases that had lapsed, and the servers were kept for two seconds. The same happened at all entries when any one of them had been cut off from the store.

Change: a takeover is no evidence. The store counts as returned if this entry's own call failed, if a peer says so, or if nobody heard from it for half of the time after which a record lapses; a pause of this process isn't such a gap while peers are live. In the grace period a server is kept only if its last heartbeat is old enough for its lease to have lapsed, counted from the last moment at which its record was known to be older. A restore makes that unknown again.

Two tests of test_cluster_state let a lease lapse in the moment in which it was written, which can't be; they now let the time pass, and check the same.

--- a/packages/proxy/src/sassafrastally/proxy/cluster_state.py
+++ b/packages/proxy/src/sassafrastally/proxy/cluster_state.py
@@ -29,7 +29,7 @@
 )
 from sassafrastally.proxy.rejected_documents import RejectedDocumentLog
 from sassafrastally.proxy.routes import RouteTable
-from sassafrastally.proxy.server_registry import ServerRegistry
+from sassafrastally.proxy.server_registry import UNKNOWN_S, ServerRegistry
 from sassafrastally.proxy.store import NO_POSITION
 from sassafrastally.proxy.store_records import CARRIED_OVER, StoreRecords
 from sassafrastally.proxy.work_steps import filter_in_steps
@@ -77,7 +77,8 @@
         self.routes = RouteTable(())
         """Routes of the configuration in force."""
         self.confirmed_s = float("-inf")
-        """When the store or a peer last confirmed the position."""
+        """Up to when the position was known to be the store's latest one, as the store or a peer
+        last confirmed."""
         self.configuration_known = trio.Event()
         """Set when the first configuration is known."""
         self.store_answered_s = float("-inf")
@@ -93,6 +94,8 @@
         self._configurations = ConfigurationDecoder(dialect)
         self._records = StoreRecords()
         self._lifted: Removals[str] = Removals()
+        self._records_since_s = UNKNOWN_S
+        """Earliest moment at which the records that are being applied may have been written."""
         self._failed: dict[str, FailedRecord] = {}
         """Records to apply again with the next answer, by key."""
         self.servers = ServerRegistry(
@@ -124,9 +127,18 @@
         """Version of the configuration in force; 0 until one is known."""
         return self.configuration.version if self.configuration else 0
 
-    def confirm(self, position: StorePosition) -> None:
-        """Record that the view is complete up to a position."""
-        self.confirmed_s = self.kernel.clock.now_s()
+    def confirm(self, position: StorePosition, as_of_s: float | None = None) -> None:
+        """Record that the view is complete up to a position.
+
+        Parameters
+        ----------
+        position
+            The position.
+        as_of_s
+            When the store had no later one; ``None``: now.
+        """
+        as_of_s = self.kernel.clock.now_s() if as_of_s is None else as_of_s
+        self.confirmed_s = max(self.confirmed_s, as_of_s)
         if position > self.position:
             self._records.position = position
             if self.on_newer_position is not None:
@@ -141,8 +153,18 @@
             with self._containment:
                 await self._configurations.decode_ahead(latest.value)
 
-    def replace(self, snapshot: Snapshot, source: str) -> None:
-        """Replace the view by a snapshot; of an earlier one, only a newer configuration is used."""
+    def replace(self, snapshot: Snapshot, source: str, as_of_s: float | None = None) -> None:
+        """Replace the view by a snapshot; of an earlier one, only a newer configuration is used.
+
+        Parameters
+        ----------
+        snapshot
+            All records.
+        source
+            Where they come from, for the log.
+        as_of_s
+            When they were the latest ones; ``None``: now.
+        """
         if snapshot.position < self.position:
             self._skip(snapshot.entries, snapshot.position, source)
             return
@@ -150,6 +172,8 @@
         is_restored = snapshot.position.epoch > self.position.epoch
         if is_restored:
             self._begin_epoch(snapshot.position.epoch, source)
+        # Records that are news were written after the position that was known before.
+        self._records_since_s = UNKNOWN_S if is_restored else self.confirmed_s
         present = {
             entry.key: entry for entry in snapshot.entries if self._is_relevant_key(entry.key)
         }
@@ -172,21 +196,40 @@
         self.servers.has_snapshot = True
         self._records.forget_changes(snapshot.position.revision)
         self._configurations.forget_decoded()
-        self.confirm(snapshot.position)
+        self.confirm(snapshot.position, as_of_s)
+
+    def apply(
+        self,
+        events: Iterable[KvEvent],
+        position: StorePosition,
+        source: str,
+        as_of_s: float | None = None,
+    ) -> None:
+        """Apply changes that follow the current position; those of another epoch are skipped.
 
-    def apply(self, events: Iterable[KvEvent], position: StorePosition, source: str) -> None:
-        """Apply changes that follow the current position; those of another epoch are skipped."""
+        Parameters
+        ----------
+        events
+            The changes.
+        position
+            Position up to which they are complete.
+        source
+            Where they come from, for the log.
+        as_of_s
+            When the position was the store's latest one; ``None``: now.
+        """
         if position.epoch != self.position.epoch:
             self._skip(events, position, source)
             return
         self._retry_failed()
+        self._records_since_s = self.confirmed_s
         for event in self._records.unknown_changes(events):
             if self._is_relevant_key(event.key):
                 self._records.remember_change(event)
                 self._apply_record(event, source)
         self.servers.check_evacuations()
         self._configurations.forget_decoded()
-        self.confirm(position)
+        self.confirm(position, as_of_s)
 
     async def used_events(self, events: Iterable[KvEvent]) -> list[KvEvent]:
         """Return the changes of keys that entries use, selected in steps.
@@ -216,6 +259,7 @@
             del self._failed[record.key]
 
     def _retry_failed(self) -> None:
+        self._records_since_s = UNKNOWN_S
         for failed in list(self._failed.values()):
             self._apply_record(failed.record, failed.source, may_be_copied=failed.may_be_copied)
 
@@ -225,7 +269,7 @@
                 StoreRestored(epoch, self.position.epoch, self.position.revision, source)
             )
         self._records.begin_epoch(epoch)
-        self.servers.epoch = self.servers.evacuations.epoch = epoch
+        self.servers.begin_epoch(epoch)
 
     def _skip(
         self, records: Iterable[KvEntry | KvEvent], position: StorePosition, source: str
@@ -288,9 +332,9 @@
             self.servers.drop_overwritten(self._server_id(entry.key), source)
             return
         if may_be_copied:
-            self.servers.apply_copied(server, entry.mod_revision, source)
+            self.servers.apply_copied(server, entry.mod_revision, source, self._records_since_s)
         else:
-            self.servers.apply(server, entry.mod_revision, source)
+            self.servers.apply(server, entry.mod_revision, source, self._records_since_s)
 
     def _put_configuration(self, entry: KvEntry, source: str) -> None:
         try:
--- a/packages/proxy/src/sassafrastally/proxy/server_registry.py
+++ b/packages/proxy/src/sassafrastally/proxy/server_registry.py
@@ -15,6 +15,7 @@
     Unavailability,
     find_unavailability,
 )
+from sassafrastally.proxy.lease_lapses import LeaseLapses
 from sassafrastally.proxy.load import server_hash
 from sassafrastally.proxy.log_events import (
     FormerLifeIgnored,
@@ -34,6 +35,8 @@
 """Grace period after a store outage. Backend servers whose leases expired during the outage have
 registered again within this time, as the platform specifies; until then they count as live."""
 
+UNKNOWN_S = float("-inf")
+"""Earliest moment at which a record may have been written, if it isn't known."""
 
 MAX_KEPT_INCARNATIONS = 4096
 """Maximum number of server ids whose latest incarnation is remembered, servers that have left
@@ -88,10 +91,12 @@
         """Called with each accepted record and its source."""
         self.has_snapshot = False
         """Whether the first snapshot of the servers is complete."""
-        self._registration_expiry_s = registration_expiry_s
+        self.registration_expiry_s = registration_expiry_s
+        """Time without a heartbeat after which the platform removes a server's record."""
         self._now = now
         self._emit = emit
         self._departures = Departures()
+        self._lapses = LeaseLapses(registration_expiry_s)
         self._servers: dict[str, BackendServer] = {}
         self._held: dict[str, BackendServer] = {}
         self._lapse_ends_s: dict[str, float] = {}
@@ -159,7 +164,14 @@
         is_evacuated = self.evacuations.is_evacuated
         return sum(is_evacuated(server.data_centre) for server in self._servers.values())
 
-    def apply(self, server: BackendServer, revision: int, source: str) -> None:
+    def begin_epoch(self, epoch: int) -> None:
+        """Record that the store was restored."""
+        self.epoch = self.evacuations.epoch = epoch
+        self._lapses.forget_all()
+
+    def apply(
+        self, server: BackendServer, revision: int, source: str, since_s: float = UNKNOWN_S
+    ) -> None:
         """Apply a server's record that was written in the present epoch.
 
         Parameters
@@ -168,7 +180,10 @@
             The decoded record.
         revision, source
             The record's revision and where it comes from, for the log.
+        since_s
+            Earliest moment at which the record may have been written.
         """
+        self._lapses.record_written(server.server_id, since_s)
         latest_ms = self._latest_born_ms.get(server.server_id)
         if latest_ms is not None and (server.born_ms is None or server.born_ms < latest_ms):
             # A write by a crashed server may be applied seconds later, after its next incarnation
@@ -209,14 +224,16 @@
             )
         )
 
-    def apply_copied(self, server: BackendServer, revision: int, source: str) -> None:
+    def apply_copied(
+        self, server: BackendServer, revision: int, source: str, since_s: float = UNKNOWN_S
+    ) -> None:
         """Apply a server's record that may have been written before a restore of the store.
 
         A server that was removed before the restore may be gone although its record is back. It is
         held until it writes again, or until the platform would have removed its record.
         """
         if not self._must_hold(server):
-            self.apply(server, revision, source)
+            self.apply(server, revision, source, since_s)
             return
         if server.server_id not in self._held:
             self._emit(ServerHeld(server.server_id, server.service, source))
@@ -225,8 +242,8 @@
     def remove(self, server_id: str, source: str) -> None:
         """Remove a server whose record was removed.
 
-        After an outage or a restore of the store, a server that isn't draining gets a grace period
-        to register again.
+        After an outage or a restore of the store, a server that isn't draining and whose lease may
+        have lapsed gets a grace period to register again.
         """
         held = self._held.pop(server_id, None)
         if held is not None:
@@ -234,13 +251,21 @@
         server = self._servers.get(server_id)
         if server is None:
             return
-        if self.is_in_grace_period() and not server.is_draining:
+        if self._may_return(server):
             self._lapse_ends_s[server_id] = self._grace_ends_s
             self._emit(ServerLapsed(server_id, server.service, source))
             return
         self._record_removed(server)
         self._drop(server, source)
 
+    def _may_return(self, server: BackendServer) -> bool:
+        """Return whether a server may be live although its record was removed."""
+        return (
+            self.is_in_grace_period()
+            and not server.is_draining
+            and self._lapses.may_have_lapsed(server.server_id, self._now())
+        )
+
     def drop_overwritten(self, server_id: str, source: str) -> None:
         """Drop a server whose record another writer has overwritten.
 
@@ -332,7 +357,7 @@
 
     @property
     def _hold_ends_s(self) -> float:
-        return self._grace_ends_s + self._registration_expiry_s
+        return self._grace_ends_s + self.registration_expiry_s
 
     @property
     def _grace_ends_s(self) -> float:
@@ -359,6 +384,7 @@
 
     def _drop(self, server: BackendServer, source: str) -> None:
         del self._servers[server.server_id]
+        self._lapses.forget(server.server_id)
         self._holders.forget(server)
         self._lapse_ends_s.pop(server.server_id, None)
         self._index = None
--- a/packages/proxy/src/sassafrastally/proxy/watch.py
+++ b/packages/proxy/src/sassafrastally/proxy/watch.py
@@ -10,6 +10,7 @@
 from sassafrastally.proxy.change_fetcher import CONFIGURATION_PAUSE_S
 from sassafrastally.proxy.cluster_state import ClusterState
 from sassafrastally.proxy.containment import Containment
+from sassafrastally.proxy.lease_lapses import may_lapse_leases
 from sassafrastally.proxy.log_events import (
     HistoryReread,
     StoreLost,
@@ -39,6 +40,9 @@
 """Wait of the first watch after a takeover. Its early answer tells the other entries that they
 needn't watch."""
 
+MAX_ANSWER_DELAY_S = 0.5
+"""An answer that takes this much longer than the watch's wait was given up to that time ago."""
+
 MIN_RETRY_PAUSE_S = 0.05
 MAX_RETRY_PAUSE_S = 0.5
 """Exponential backoff after failed calls, with jitter: entries must not all call a store at once
@@ -114,18 +118,22 @@
         wait_s, self._wait_s = self._wait_s, WATCH_WAIT_S
         begin_s = self.kernel.clock.now_s()
         changes = await self._store.watch(ALL_KEYS_PREFIX, known, wait_s)
-        waited_s = self.kernel.clock.now_s() - begin_s
-        self._record_recovered()
+        now_s = self.kernel.clock.now_s()
+        waited_s = now_s - begin_s
+        # An answer that is read late, after a pause of this process, says nothing about the pause.
+        as_of_s = now_s if waited_s < wait_s + MAX_ANSWER_DELAY_S else begin_s
+        self._record_answer()
         events = await self._cluster_state.used_events(changes.events)
         configuration = self._cluster_state.configuration
         self._peers.note_changes(events)
         await self._cluster_state.decode_ahead(events)
-        self._cluster_state.apply(events, changes.position, "store")
+        self._cluster_state.apply(events, changes.position, "store", as_of_s)
         if self._cluster_state.configuration is not configuration:
             await trio.sleep(CONFIGURATION_PAUSE_S)
         return changes.position <= known and waited_s < MIN_WAITED_SHARE * wait_s
 
     async def _read_snapshot(self) -> None:
+        begin_s = self.kernel.clock.now_s()
         snapshot = await self._store.read_prefix(ALL_KEYS_PREFIX)
         await self._cluster_state.decode_ahead(snapshot.entries)
         known = self._cluster_state.position
@@ -134,8 +142,8 @@
             self._lost_since_s = self.kernel.clock.now_s()
         # Before the snapshot is applied: servers whose records an outage or a restore has removed
         # get the grace period.
-        self._record_recovered()
-        self._cluster_state.replace(snapshot, "store")
+        self._record_answer()
+        self._cluster_state.replace(snapshot, "store", begin_s)
         self._peers.record_snapshot(snapshot)
         if is_first and self._peers.has_known_peers():
             await trio.sleep(PEER_DISCOVERY_WAIT_S)
@@ -144,12 +152,7 @@
         return MAX_RETRY_PAUSE_S if self._peers.is_prober() else MAX_NON_PROBER_PAUSE_S
 
     def _has_duty(self) -> bool:
-        """Return whether this entry must watch; handle a takeover.
-
-        On a takeover, the previous watchers had no recent answer, so the store may have been
-        unavailable. This entry hasn't observed an outage itself, so it records one here: servers
-        whose leases expired meanwhile must get the grace period from it too.
-        """
+        """Return whether this entry must watch; handle a takeover."""
         others = self._peers.watch_candidates()
         had_duty, self._is_watching = self._is_watching, must_watch_store(
             self._peers.own_entry, others
@@ -160,10 +163,23 @@
             self.kernel.events.emit(
                 WatchTakenOver(len(others), self._cluster_state.position.revision, round(age_s, 3))
             )
-            if self._lost_since_s is None:
-                self._lost_since_s = self.kernel.clock.now_s()
         return self._is_watching
 
+    def _unheard_since_s(self, now_s: float) -> float | None:
+        """Return since when nobody heard from the store, if leases may have lapsed meanwhile.
+
+        The entries that watched may have died during an outage that no other one has noticed. A
+        pause of this process is no such gap if peers are live: they tell when the store returned.
+        """
+        confirmed_s = self._cluster_state.confirmed_s
+        expiry_s = self._cluster_state.servers.registration_expiry_s
+        gap_s = now_s - confirmed_s
+        if gap_s == float("inf") or not may_lapse_leases(gap_s, expiry_s):
+            return None
+        if self._peers.live_count():
+            gap_s -= self._peers.listening.latest_pause_s(now_s)
+        return confirmed_s if may_lapse_leases(gap_s, expiry_s) else None
+
     def _record_lost(self, cause: KvUnavailable) -> None:
         if self._lost_since_s is not None:
             return
@@ -175,8 +191,11 @@
             StoreLost("watch", cause.detail, self._cluster_state.position.revision, round(age_s, 3))
         )
 
-    def _record_recovered(self) -> None:
+    def _record_answer(self) -> None:
+        """Record an answer of the store, before what it says is applied."""
         now_s = self.kernel.clock.now_s()
+        if self._lost_since_s is None:
+            self._lost_since_s = self._unheard_since_s(now_s)
         self._cluster_state.store_answered_s = now_s
         if self._lost_since_s is None:
             return
--- a/packages/proxy/tests/test_cluster_state.py
+++ b/packages/proxy/tests/test_cluster_state.py
@@ -151,6 +151,7 @@
         cluster_state.apply(
             [put("servers/a", "false", 1), put("servers/b", "false", 2)], at(2), "store"
         )
+        autojump_clock.jump(REGISTRATION_EXPIRY_S)
         cluster_state.servers.store_returned_s = cluster_state.kernel.clock.now_s()
         gone = [KvEvent("servers/a", None, 3), KvEvent("servers/b", None, 4)]
         cluster_state.apply(gone, at(4), "store")
@@ -165,6 +166,7 @@
         """A server's lease expires in an outage, and it registers again and leaves between two
         reads of this process. Guards against a request that fails while the server is looked up."""
         cluster_state.apply([put("servers/a", "false", 1)], at(1), "store")
+        autojump_clock.jump(REGISTRATION_EXPIRY_S)
         cluster_state.servers.store_returned_s = cluster_state.kernel.clock.now_s()
         cluster_state.apply([KvEvent("servers/a", None, 2)], at(2), "store")
         autojump_clock.jump(LAPSE_GRACE_S + 0.1)
