Follow a restarted server whose clock went back

What callers saw: a server that had started while its machine's clock was ahead crashed, and came back under its id.

Cause: each record with a lower start time than the highest one seen for the id counted as a late write of an earlier incarnation, without a limit of time.

Evidence: FormerLifeIgnored for each heartbeat until the end. Ruled out: an address that is no longer in use (the same one), and entries that don't read the records (the log names their revisions).

Change: neither the start time nor the revision decides alone. An incarnation with another start time than the present one's is followed once its records go on for one and a half heartbeat intervals without a record of the other, at once if it was ready and now drains, and at once when the present one has been silent for as long as the platform keeps a record. Incarnations that were replaced are remembered, so a late write of one that was ahead no longer counts as a restart. A record read after a gap, or in a copy of the store, confirms nothing, since others may have been written unseen. EarlierStartAccepted (10130) tells of it.

test_number_of_remembered_incarnations_is_bounded names the module into which the bound has moved; it checks the same.

--- a/packages/proxy/src/sassafrastally/proxy/log_events/knowledge.py
+++ b/packages/proxy/src/sassafrastally/proxy/log_events/knowledge.py
@@ -64,7 +64,18 @@
 
 @event(10030, "warning")
 class FormerLifeIgnored(NamedTuple):
-    """An entry describes an earlier incarnation of a restarted backend server and is ignored."""
+    """An entry seems to describe an earlier incarnation of a backend server and is ignored."""
+
+    server_id: str
+    born_ms: int | None
+    known_born_ms: int | None
+    revision: int
+    source: str
+
+
+@event(10130, "warning")
+class EarlierStartAccepted(NamedTuple):
+    """A restarted server names an earlier start than before and goes on writing; it is used."""
 
     server_id: str
     born_ms: int | None
--- a/packages/proxy/src/sassafrastally/proxy/server_registry.py
+++ b/packages/proxy/src/sassafrastally/proxy/server_registry.py
@@ -15,9 +15,11 @@
     Unavailability,
     find_unavailability,
 )
+from sassafrastally.proxy.incarnation_order import IncarnationOrder
 from sassafrastally.proxy.lease_lapses import LeaseLapses
 from sassafrastally.proxy.load import server_hash
 from sassafrastally.proxy.log_events import (
+    EarlierStartAccepted,
     FormerLifeIgnored,
     ServerGone,
     ServerHeld,
@@ -38,11 +40,6 @@
 UNKNOWN_S = float("-inf")
 """Earliest moment at which a record may have been written, if it isn't known."""
 
-MAX_KEPT_INCARNATIONS = 4096
-"""Maximum number of server ids whose latest incarnation is remembered, servers that have left
-included: some hours of replacements at 1,500 servers. A late record of an earlier incarnation
-arrives within seconds."""
-
 
 class _Index(NamedTuple):
     """Index of the live backend servers that are neither draining nor evacuated."""
@@ -100,7 +97,7 @@
         self._servers: dict[str, BackendServer] = {}
         self._held: dict[str, BackendServer] = {}
         self._lapse_ends_s: dict[str, float] = {}
-        self._latest_born_ms: dict[str, int] = {}
+        self._order = IncarnationOrder(registration_expiry_s)
         self._holders = AddressHolders()
         self._index: _Index | None = None
 
@@ -184,16 +181,19 @@
             Earliest moment at which the record may have been written.
         """
         self._lapses.record_written(server.server_id, since_s)
-        latest_ms = self._latest_born_ms.get(server.server_id)
-        if latest_ms is not None and (server.born_ms is None or server.born_ms < latest_ms):
+        known_ms = self._order.present(server.server_id)
+        if not self._order.record(server, self._now(), since_s):
             # A write by a crashed server may be applied seconds later, after its next incarnation
             # has written its first record. Accepting it would mark the new incarnation as draining
             # or set an address on which nothing listens.
             self._emit(
-                FormerLifeIgnored(server.server_id, server.born_ms, latest_ms, revision, source)
+                FormerLifeIgnored(server.server_id, server.born_ms, known_ms, revision, source)
             )
             return
-        self._remember_incarnation(server)
+        if known_ms is not None and (server.born_ms is None or server.born_ms < known_ms):
+            self._emit(
+                EarlierStartAccepted(server.server_id, server.born_ms, known_ms, revision, source)
+            )
         if self.on_registration is not None:
             self.on_registration(server, source)
         # The cold time changes with each record; kept here, each would be a change of the server.
@@ -371,14 +371,6 @@
         for server in held.values():
             self.apply(server, 0, "still registered after a restore of the store")
 
-    def _remember_incarnation(self, server: BackendServer) -> None:
-        if server.born_ms is None:
-            return
-        self._latest_born_ms.pop(server.server_id, None)
-        self._latest_born_ms[server.server_id] = server.born_ms
-        if len(self._latest_born_ms) > MAX_KEPT_INCARNATIONS:
-            del self._latest_born_ms[next(iter(self._latest_born_ms))]
-
     def _record_removed(self, server: BackendServer) -> None:
         self._departures.record_removed(server_hash(server.incarnation_id), self.epoch)
 
--- a/packages/proxy/tests/test_cluster_state.py
+++ b/packages/proxy/tests/test_cluster_state.py
@@ -209,7 +209,7 @@
         assert cluster_state.servers.of_service("s") == []
 
     async def test_number_of_remembered_incarnations_is_bounded(self, cluster_state, monkeypatch):
-        monkeypatch.setattr("sassafrastally.proxy.server_registry.MAX_KEPT_INCARNATIONS", 3)
+        monkeypatch.setattr("sassafrastally.proxy.incarnation_order.MAX_KEPT_INCARNATIONS", 3)
         for number in range(6):
             cluster_state.apply(
                 [put(f"servers/{number}", "[false, 5]", number + 1)], at(number + 1), "store"
