Count neither the wait of a watch nor an unknown heartbeat interval as an outage

Cause: the gap in which nobody heard from the store included the second for which a watch waits, and settings without an interval of heartbeats made every gap long enough.

Change: the time for which the store was asked to wait isn't part of the gap; an outage would have ended the watch. Without an interval, three heartbeats of a second are assumed.

test_containment replaces ServerRegistry.apply by a function of three parameters; it now passes on whatever it gets, and checks the same.

--- a/packages/proxy/src/sassafrastally/proxy/incarnation_order.py
+++ b/packages/proxy/src/sassafrastally/proxy/incarnation_order.py
@@ -11,6 +11,8 @@
 
 from typing import TYPE_CHECKING, NamedTuple
 
+from sassafrastally.proxy.lease_lapses import UNKNOWN_EXPIRY_S
+
 if TYPE_CHECKING:
     from sassafrastally.proxy.model import BackendServer
 
@@ -66,11 +68,11 @@
     Parameters
     ----------
     registration_expiry_s
-        Time without a heartbeat after which the platform removes a server's record.
+        Time without a heartbeat after which the platform removes a server's record; 0: unknown.
     """
 
     def __init__(self, registration_expiry_s: float) -> None:
-        self._expiry_s = registration_expiry_s
+        self._expiry_s = registration_expiry_s or UNKNOWN_EXPIRY_S
         self._orders: dict[str, _Order] = {}
 
     def present(self, server_id: str) -> int | None:
--- a/packages/proxy/src/sassafrastally/proxy/lease_lapses.py
+++ b/packages/proxy/src/sassafrastally/proxy/lease_lapses.py
@@ -9,6 +9,10 @@
 
 from __future__ import annotations
 
+UNKNOWN_EXPIRY_S = 3.0
+"""Time without a heartbeat after which a record lapses, if the settings name no interval of
+heartbeats: three of a second each, about what platforms have."""
+
 CLOCK_SLACK_S = 0.5
 """How much later than in fact a write may have been noted: datagrams and fetched changes are in
 transit, and may wait while this process is short of CPU time."""
@@ -30,9 +34,9 @@
     gap_s
         Time between the last two answers of the store to any entry known here.
     registration_expiry_s
-        Time without a heartbeat after which the platform removes a server's record.
+        Time without a heartbeat after which the platform removes a server's record; 0: unknown.
     """
-    return gap_s >= MIN_OUTAGE_SHARE * registration_expiry_s
+    return gap_s >= MIN_OUTAGE_SHARE * (registration_expiry_s or UNKNOWN_EXPIRY_S)
 
 
 class LeaseLapses:
@@ -44,11 +48,11 @@
     Parameters
     ----------
     registration_expiry_s
-        Time without a heartbeat after which the platform removes a server's record.
+        Time without a heartbeat after which the platform removes a server's record; 0: unknown.
     """
 
     def __init__(self, registration_expiry_s: float) -> None:
-        self._registration_expiry_s = registration_expiry_s
+        self._registration_expiry_s = registration_expiry_s or UNKNOWN_EXPIRY_S
         self._written_since_s: dict[str, float] = {}
 
     def record_written(self, server_id: str, since_s: float) -> None:
--- a/packages/proxy/src/sassafrastally/proxy/watch.py
+++ b/packages/proxy/src/sassafrastally/proxy/watch.py
@@ -122,7 +122,7 @@
         waited_s = now_s - begin_s
         # An answer that is read late, after a pause of this process, says nothing about the pause.
         as_of_s = now_s if waited_s < wait_s + MAX_ANSWER_DELAY_S else begin_s
-        self._record_answer()
+        self._record_answer(min(wait_s, waited_s))
         events = await self._cluster_state.used_events(changes.events)
         configuration = self._cluster_state.configuration
         self._peers.note_changes(events)
@@ -165,15 +165,16 @@
             )
         return self._is_watching
 
-    def _unheard_since_s(self, now_s: float) -> float | None:
+    def _unheard_since_s(self, now_s: float, granted_s: float) -> float | None:
         """Return since when nobody heard from the store, if leases may have lapsed meanwhile.
 
         The entries that watched may have died during an outage that no other one has noticed. A
         pause of this process is no such gap if peers are live: they tell when the store returned.
+        Nor is the wait of a watch, which an outage would have ended.
         """
         confirmed_s = self._cluster_state.confirmed_s
         expiry_s = self._cluster_state.servers.registration_expiry_s
-        gap_s = now_s - confirmed_s
+        gap_s = now_s - confirmed_s - granted_s
         if gap_s == float("inf") or not may_lapse_leases(gap_s, expiry_s):
             return None
         if self._peers.live_count():
@@ -191,11 +192,17 @@
             StoreLost("watch", cause.detail, self._cluster_state.position.revision, round(age_s, 3))
         )
 
-    def _record_answer(self) -> None:
-        """Record an answer of the store, before what it says is applied."""
+    def _record_answer(self, granted_s: float = 0.0) -> None:
+        """Record an answer of the store, before what it says is applied.
+
+        Parameters
+        ----------
+        granted_s
+            Part of the time until the answer for which the store was asked to wait.
+        """
         now_s = self.kernel.clock.now_s()
         if self._lost_since_s is None:
-            self._lost_since_s = self._unheard_since_s(now_s)
+            self._lost_since_s = self._unheard_since_s(now_s, granted_s)
         self._cluster_state.store_answered_s = now_s
         if self._lost_since_s is None:
             return
--- a/packages/testing/tests/platform/test_containment.py
+++ b/packages/testing/tests/platform/test_containment.py
@@ -180,10 +180,10 @@
         state = faulty_fleet.kernels[0].get("beliefs", ClusterState)
         apply = state.servers.apply
 
-        def apply_most(server, revision, source) -> None:
+        def apply_most(server, *args) -> None:
             if server.server_id == "odd":
                 fail()
-            apply(server, revision, source)
+            apply(server, *args)
 
         state.servers.apply = apply_most
         faulty_fleet.store.put("servers/odd", json.dumps(REGISTRATION).encode())
--- a/packages/testing/tests/platform/test_watch_gaps.py
+++ b/packages/testing/tests/platform/test_watch_gaps.py
@@ -75,10 +75,12 @@
         return [WatchCandidate(f"127.0.0.{n}", 0.1, 1000) for n in (1, 2)]
 
 
-async def follow(store: QuietStore, peers: NoPeers, until_s: float = 20.0) -> Kernel:
+async def follow(
+    store: QuietStore, peers: NoPeers, until_s: float = 20.0, expiry_s: float = EXPIRY_S
+) -> Kernel:
     """Follow a store beside peers; return the kernel with its events."""
     kernel = Kernel("vm", "here", Clock(), seed=1)
-    kernel.add(ClusterState(DIALECT, EXPIRY_S))
+    kernel.add(ClusterState(DIALECT, expiry_s))
     kernel.add(peers)
     kernel.add(StoreWatch(store))
     with trio.move_on_after(until_s):
@@ -146,3 +148,15 @@
         """Guards against taking the time before the start for an outage."""
         kernel = await follow(QuietStore(), peers(), 5.0)
         assert returned_s(kernel) == float("-inf")
+
+
+class TestQuietStore:
+    """A store in which nothing changes."""
+
+    @pytest.mark.parametrize("expiry_s", [0.0, 1.5])
+    async def test_waits_of_watches_are_no_outages(self, autojump_clock, expiry_s):
+        """Records are removed 1.5 s after a heartbeat, or the settings don't name the interval, and
+        a watch waits for a second. Guards against a grace period without end where nothing else is
+        written."""
+        kernel = await follow(QuietStore(), Watchers(0.0, 0), 30.0, expiry_s)
+        assert returned_s(kernel) < WATCHERS_END_S + TAKEOVER_S + 1.0
