After a pause, don't count what waited in the socket as news of the store

What callers may see: an entry that was frozen reads datagrams from the beginning of the freeze, and takes its view of the store for confirmed up to now. A live server whose lease lapsed meanwhile would then count as one that left, and get no requests until it registers again (two seconds at most).

Cause: the age that a datagram states was subtracted from the time at which it was read, though it may have waited for the length of the pause.

Change: it is subtracted from the time up to which this entry has listened.

--- a/packages/proxy/src/sassafrastally/proxy/peers.py
+++ b/packages/proxy/src/sassafrastally/proxy/peers.py
@@ -364,7 +364,8 @@
         if self._has_news(hello):
             self._change_fetcher.note_news()
         if hello.position == self._cluster_state.position:
-            confirmed_s = now_s - hello.confirmed_age_s
+            # After a pause, a datagram may have waited in the socket since its beginning.
+            confirmed_s = self.listening.listened_s(now_s) - hello.confirmed_age_s
             self._cluster_state.confirmed_s = max(self._cluster_state.confirmed_s, confirmed_s)
         return True
 
--- a/packages/testing/tests/platform/test_paused_entries.py
+++ b/packages/testing/tests/platform/test_paused_entries.py
@@ -5,6 +5,7 @@
 import pytest
 import trio
 
+from sassafrastally.proxy.cluster_state import ClusterState
 from sassafrastally.proxy.listening_clock import LATE_S
 from sassafrastally.proxy.load_exchange import PEER_TIMEOUT_S
 from sassafrastally.proxy.peers import Peers
@@ -50,6 +51,19 @@
         names = {one["name"] for kernel in seeded_fleet.kernels for one in kernel.events.records()}
         assert "PeerSilent" not in names
 
+    async def test_does_not_take_what_waited_in_its_socket_for_new(
+        self, autojump_clock, seeded_fleet, peers
+    ):
+        """A datagram from the beginning of the pause is read after it. Guards against a view that
+        counts as confirmed although changes were missed, by which a live server whose lease lapsed
+        in the pause would be taken for one that left."""
+        state = seeded_fleet.kernels[0].get("beliefs", ClusterState)
+        hello = peers[1].hello()._replace(sequence=1_000_000, position=state.position)
+        begin_s = trio.current_time()
+        autojump_clock.jump(5.0)
+        assert peers[0]._apply(hello)
+        assert state.confirmed_s <= begin_s
+
     @pytest.mark.parametrize("paused_s", PAUSES_S)
     async def test_notices_that_a_peer_has_ended(
         self, autojump_clock, seeded_fleet, peers, paused_s
