--- a/packages/proxy/tests/test_cluster_state.py
+++ b/packages/proxy/tests/test_cluster_state.py
@@ -151,6 +151,7 @@
         cluster_state.apply(
             [put("servers/a", "false", 1), put("servers/b", "false", 2)], at(2), "store"
         )
+        autojump_clock.jump(REGISTRATION_EXPIRY_S)
         cluster_state.servers.store_returned_s = cluster_state.kernel.clock.now_s()
         gone = [KvEvent("servers/a", None, 3), KvEvent("servers/b", None, 4)]
         cluster_state.apply(gone, at(4), "store")
@@ -165,6 +166,7 @@
         """A server's lease expires in an outage, and it registers again and leaves between two
         reads of this process. Guards against a request that fails while the server is looked up."""
         cluster_state.apply([put("servers/a", "false", 1)], at(1), "store")
+        autojump_clock.jump(REGISTRATION_EXPIRY_S)
         cluster_state.servers.store_returned_s = cluster_state.kernel.clock.now_s()
         cluster_state.apply([KvEvent("servers/a", None, 2)], at(2), "store")
         autojump_clock.jump(LAPSE_GRACE_S + 0.1)
@@ -207,7 +209,7 @@
         assert cluster_state.servers.of_service("s") == []
 
     async def test_number_of_remembered_incarnations_is_bounded(self, cluster_state, monkeypatch):
-        monkeypatch.setattr("sassafrastally.proxy.server_registry.MAX_KEPT_INCARNATIONS", 3)
+        monkeypatch.setattr("sassafrastally.proxy.incarnation_order.MAX_KEPT_INCARNATIONS", 3)
         for number in range(6):
             cluster_state.apply(
                 [put(f"servers/{number}", "[false, 5]", number + 1)], at(number + 1), "store"
