Judge prompt parts in groups and in bounded steps

Cause: for each part with new crashes, the evidence on all parts was collected again and compared with each of them, in one step of the event loop. What came along with a part was kept in a set of its own for each part, subjects were evicted one at a time, and crash counts and the explanation of crashes went through all verdicts for each part and server. Ruled out as the only cause: the judgement alone, as the other steps took 0.2 to 0.5 s.

Change: evidence is collected once for a time and state of the records, alike parts are compared as one group, and a change of a verdict is taken over. Verdicts are found by server. Attempts are cancelled once for all verdicts of a step.

--- a/packages/proxy/src/sassafrastally/proxy/crash_records.py
+++ b/packages/proxy/src/sassafrastally/proxy/crash_records.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from bisect import bisect_left
 from typing import TYPE_CHECKING, NamedTuple, TypeVar
 
 from sassafrastally.proxy.answered_subjects import NEVER_S, AnsweredSubjects
@@ -14,7 +15,7 @@
 from sassafrastally.proxy.quarantine_exchange import AnswerReport, CrashReport
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Collection, Iterable, Iterator
+    from collections.abc import Callable, Collection, Iterable
 
 CRASH_KEPT_S = 600.0
 """How long a crash counts against a subject. A harmful request is retried within seconds or
@@ -75,9 +76,21 @@
     def __init__(self) -> None:
         self.version = 0
         """Incremented with each new crash and answer."""
+        self.crash_changes = 0
+        """Incremented with each new or forgotten crash."""
+        self.changes = 0
+        """Incremented with each new or forgotten crash or answer."""
         self.answered = AnsweredSubjects()
         """Latest answers, with or without earlier crashes."""
         self._crashes: dict[int, dict[int, Crash]] = {}
+        self._has_presumed = False
+        self._presumed_at = 0
+        """Value of `crash_changes` at which `_has_presumed` was determined."""
+        self._requests_by_server: dict[int, set[int]] = {}
+        self._request_order: dict[int, int] = {}
+        """Number of each request in the order of their first crashes."""
+        self._requests_at = 0
+        """Value of `crash_changes` at which `_requests_by_server` was collected."""
         self._latest_change_s = NEVER_S
         self._turns = {True: 0, False: 0}
         """How many reports have been passed over, so that each gets its turn; by whether they are
@@ -116,11 +129,14 @@
         """
         counted = self.counted(subject, now_s, is_explained, is_certain=is_certain)
         received_s = {server: self._crashes[subject][server].received_s for server in counted}
-        for latest_s in sorted(received_s.values()):
+        ordered_s = sorted(set(received_s.values()))
+
+        def is_known_at(latest_s: float) -> bool:
             known = [at_s for server, at_s in counted.items() if received_s[server] <= latest_s]
-            if self._count(subject, known) >= crashes:
-                return latest_s
-        return float("inf")
+            return self._count(subject, known) >= crashes
+
+        first = bisect_left(ordered_s, True, key=is_known_at)
+        return ordered_s[first] if first < len(ordered_s) else float("inf")
 
     def is_latest_own(self, subject: int) -> bool:
         """Return whether this entry has observed the crash of which it learned last."""
@@ -137,6 +153,15 @@
         """Return whether a server crashed while it ran a subject."""
         return server in self._crashes.get(subject, ())
 
+    def has_presumed(self) -> bool:
+        """Return whether any crash isn't certain."""
+        if self._presumed_at != self.crash_changes:
+            self._presumed_at = self.crash_changes
+            self._has_presumed = any(
+                crash.is_presumed for known in self._crashes.values() for crash in known.values()
+            )
+        return self._has_presumed
+
     def requests_beside(self, subject: int) -> list[int]:
         """Return the other requests on servers that crashed while running a subject, latest first.
 
@@ -144,29 +169,54 @@
         """
         servers = self._crashes.get(subject, {}).keys()
         latest_s = {
-            other: max(known[server].at_s for server in common)
-            for other, known in self._crashes.items()
-            if other != subject and not is_part(other) and (common := known.keys() & servers)
+            other: max(known[server].at_s for server in known.keys() & servers)
+            for other in self.requests_on(servers)
+            if other != subject and (known := self._crashes[other])
         }
-        return sorted(latest_s, key=lambda other: -latest_s[other])
+        return sorted(latest_s, key=lambda other: (-latest_s[other], self._request_order[other]))
 
-    def parts_on(self, servers: set[int], min_crashes: int) -> list[int]:
-        """Return the parts with some crashes that ran on any of some crashed servers."""
+    def parts_on(self, servers: Collection[int], min_crashes: int) -> list[int]:
+        """Return the parts that ran on at least some number of some crashed servers."""
         return [
             subject
             for subject, known in self._crashes.items()
             if len(known) >= min_crashes
             and is_part(subject)
-            and not known.keys().isdisjoint(servers)
+            and len(known.keys() & servers) >= min_crashes
+        ]
+
+    def parts_with(self, min_crashes: int) -> list[int]:
+        """Return the parts with at least some number of crashes."""
+        return [
+            subject
+            for subject, known in self._crashes.items()
+            if len(known) >= min_crashes and is_part(subject)
         ]
 
     def is_covered_by_request(self, servers: frozenset[int]) -> bool:
         """Return whether one and the same request ran on all of some crashed servers."""
-        return any(
-            servers <= known.keys()
-            for subject, known in self._crashes.items()
-            if not is_part(subject)
-        )
+        requests = self._requests()
+        if not servers:
+            return bool(requests)
+        on_each = [requests.get(server, set()) for server in servers]
+        return bool(set.intersection(*sorted(on_each, key=len)))
+
+    def requests_on(self, servers: Collection[int]) -> set[int]:
+        """Return the requests that ran on any of some crashed servers."""
+        requests = self._requests()
+        return set().union(*(requests.get(server, ()) for server in servers))
+
+    def _requests(self) -> dict[int, set[int]]:
+        """Return the requests by the crashed servers that ran them."""
+        if self._requests_at != self.crash_changes:
+            self._requests_at = self.crash_changes
+            self._requests_by_server = {}
+            requests = [subject for subject in self._crashes if not is_part(subject)]
+            self._request_order = {subject: number for number, subject in enumerate(requests)}
+            for subject in requests:
+                for server in self._crashes[subject]:
+                    self._requests_by_server.setdefault(server, set()).add(subject)
+        return self._requests_by_server
 
     def counted(
         self,
@@ -211,6 +261,10 @@
         counted = self.counted(subject, now_s, is_explained, is_certain=is_certain)
         return self._count(subject, counted.values())
 
+    def count_times(self, subject: int, times_s: Collection[float]) -> int:
+        """Return how many crashes at some times count against a subject."""
+        return self._count(subject, times_s)
+
     def record_crash(self, subject: int, server: int, crash: Crash) -> bool:
         """Record that a server crashed while it ran a subject; return whether this is new.
 
@@ -221,6 +275,7 @@
             return False
         earlier_s = known[server].at_s if server in known else crash.at_s
         known[server] = crash._replace(at_s=min(earlier_s, crash.at_s))
+        self.crash_changes += 1
         self._record_change(crash.received_s)
         own_answered_s = self.answered.own_s(subject)
         if crash.received_s - own_answered_s < CRASH_KEPT_S:
@@ -235,21 +290,20 @@
         return True
 
     def evict_excess(self, is_protected: Callable[[int], bool]) -> None:
-        """Evict a subject with the fewest crashes if there are too many.
+        """Evict the subjects with the fewest crashes if there are too many, the oldest first.
 
         Parameters
         ----------
         is_protected
             Returns whether a subject must be kept.
         """
-        if len(self._crashes) <= MAX_CASES:
+        excess = len(self._crashes) - MAX_CASES
+        if excess <= 0:
             return
-        fewest = next((key for key in self._evictable(is_protected) if self._has_one(key)), None)
-        if fewest is None:
-            others = self._evictable(is_protected)
-            fewest = min(others, key=lambda key: len(self._crashes[key]), default=None)
-        if fewest is not None:
-            self._forget(fewest)
+        evictable = [key for key in self._crashes if not is_protected(key)]
+        evictable.sort(key=lambda key: len(self._crashes[key]))
+        for subject in evictable[:excess]:
+            self._forget(subject)
 
     def forget_old(self, now_s: float) -> None:
         """Remove subjects whose crashes no longer count."""
@@ -311,12 +365,6 @@
             return _count_separate(times_s, SAME_PART_EVENT_S)
         return len(times_s)
 
-    def _evictable(self, is_protected: Callable[[int], bool]) -> Iterator[int]:
-        return (key for key in self._crashes if not is_protected(key))
-
-    def _has_one(self, subject: int) -> bool:
-        return len(self._crashes[subject]) == 1
-
     def _first_and_turns(
         self, ranked: list[_Report], most: int, *, is_crash: bool
     ) -> tuple[_Report, ...]:
@@ -335,10 +383,13 @@
 
     def _record_change(self, received_s: float) -> None:
         self.version += 1
+        self.changes += 1
         self._latest_change_s = max(self._latest_change_s, received_s)
 
     def _forget(self, subject: int) -> None:
         del self._crashes[subject]
+        self.crash_changes += 1
+        self.changes += 1
         self.answered.forget(subject)
 
 
--- a/packages/proxy/src/sassafrastally/proxy/part_causes.py
+++ b/packages/proxy/src/sassafrastally/proxy/part_causes.py
@@ -10,13 +10,13 @@
 
 from __future__ import annotations
 
+import heapq
 from typing import TYPE_CHECKING, NamedTuple
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
 
     from sassafrastally.proxy.fingerprint import Subjects
-    from sassafrastally.proxy.verdicts import Verdict
 
 CRASHES_FOR_VERDICT = 3
 """Crashes after which a request or a part is quarantined. Two are common for requests that run
@@ -54,8 +54,6 @@
     """Their number, those that happened together counted once."""
     was_answered: bool
     """Whether an answer to a request with it had begun and gone on, before or after them."""
-    verdict: Verdict | None
-    """Verdict on it, if there is one that was reached from certain crashes."""
     carried_with: frozenset[int] | None
     """Parts that each request of this entry that crashed a server with it had, too; ``None`` if
     there was no such request."""
@@ -63,104 +61,161 @@
     """All servers that crashed with it, whether this counts against it or not."""
 
 
-def is_cause(
-    part: int,
-    evidence: Mapping[int, PartEvidence],
-    is_covered_by_request: Callable[[frozenset[int]], bool],
-) -> bool:
-    """Return whether a part is the narrowest explanation of its crashes.
+class PartGroup(NamedTuple):
+    """Parts against which the same speaks."""
 
-    Parameters
-    ----------
-    part
-        The part.
-    evidence
-        What speaks against each part with crashes.
-    is_covered_by_request
-        Returns whether one and the same request ran on all of some servers.
-    """
-    own = evidence[part]
-    if own.crashes < CRASHES_FOR_VERDICT or is_covered_by_request(own.servers):
-        return False
-    others = [one for key, one in evidence.items() if key != part]
-    explanations = [
-        one.servers & own.servers
-        for one in others
-        if one.verdict is not None
-        and part not in one.verdict.companions
-        and one.servers != own.servers
-        and not one.servers.isdisjoint(own.servers)
-    ]
-    is_explained = 0 < len(explanations) <= MAX_EXPLANATIONS
-    if is_explained and len(own.servers.difference(*explanations)) < CRASHES_FOR_VERDICT:
-        return False
-    has_narrower = any(
-        one.verdict is None
-        and one.crashes >= MIN_RIVAL_CRASHES
-        and one.servers < own.servers
-        and one.was_answered <= own.was_answered
-        and not is_covered_by_request(one.servers)
-        for one in others
-    )
-    return not has_narrower or own.crashes >= CRASHES_DESPITE_RIVALS
+    evidence: PartEvidence
+    parts: set[int]
+    open_parts: set[int]
+    """Those without a certain verdict."""
 
 
-def count_rivals(part: int, evidence: Mapping[int, PartEvidence]) -> int:
-    """Return how many other parts explain the crashes of a part as well.
+class EvidenceGroups:
+    """What speaks against parts, those alike together.
 
-    On a few servers, each crash breaks off requests with most of the parts that prompts share.
-    Blaming all of these parts would take more sound ones than harmful ones. Parts that only came
-    along with the part, in the same requests, don't count. Parts that have been answered since
-    count only beside a part that had been answered, too.
+    A prompt may have hundreds of parts, all of which meet the same crashes. Each is compared with
+    groups, not with each other part.
 
     Parameters
     ----------
-    part
-        The part.
     evidence
         What speaks against each part with crashes.
+    companions
+        Companions of the certain verdicts on some of these parts.
+    is_covered_by_request
+        Returns whether one and the same request ran on all of some servers.
     """
-    own, companions = evidence[part], companions_of(part, evidence)
-    return sum(
-        key != part
-        and key not in companions
-        and one.verdict is None
-        and (own.was_answered or one.crashes >= MIN_RIVAL_CRASHES)
-        and len((one.all_servers if own.was_answered else one.servers) & own.servers)
-        >= MIN_RIVAL_CRASHES
-        and part not in (one.carried_with or ())
-        for key, one in evidence.items()
-    )
-
-
-def companions_of(part: int, evidence: Mapping[int, PartEvidence]) -> tuple[int, ...]:
-    """Return the parts that came along with a part in all of its crashes and may be the cause.
 
-    Parameters
-    ----------
-    part
-        The part.
-    evidence
-        What speaks against each part with crashes. If this entry had no request with the part,
-        only parts with the same crashes are returned.
-    """
-    own = evidence[part]
-    carried_with = own.carried_with
-    found = (
-        key
-        for key, one in evidence.items()
-        if key != part
-        and own.was_answered >= one.was_answered
-        and (one.servers == own.servers or (carried_with is not None and one.servers > own.servers))
-        and (carried_with is None or key in carried_with)
-    )
-    return tuple(sorted(found)[:MAX_COMPANIONS])
+    def __init__(
+        self,
+        evidence: Mapping[int, PartEvidence],
+        companions: Mapping[int, tuple[int, ...]],
+        is_covered_by_request: Callable[[frozenset[int]], bool],
+    ) -> None:
+        self._evidence = evidence
+        self._is_covered = is_covered_by_request
+        self._groups: dict[PartEvidence, PartGroup] = {}
+        self._companions: dict[int, tuple[int, ...]] = {}
+        """Companions of the certain verdicts, by part."""
+        self._found: dict[PartEvidence, list[int]] = {}
+        for part, one in evidence.items():
+            group = self._groups.get(one)
+            if group is None:
+                group = self._groups[one] = PartGroup(one, set(), set())
+            group.parts.add(part)
+            group.open_parts.add(part)
+        for part, required in companions.items():
+            self.set_verdict(part, required)
+
+    def __len__(self) -> int:
+        return len(self._evidence)
+
+    def __contains__(self, part: int) -> bool:
+        return part in self._evidence
+
+    @property
+    def comparisons(self) -> int:
+        """Number of groups and verdicts with which a part is compared."""
+        return len(self._groups) + len(self._companions)
+
+    def get(self, part: int) -> PartEvidence:
+        """Return what speaks against a part."""
+        return self._evidence[part]
+
+    def set_verdict(self, part: int, companions: tuple[int, ...] | None) -> None:
+        """Set the companions of the certain verdict on a part; ``None`` if there is no verdict."""
+        if part not in self._evidence:
+            return
+        group = self._groups[self._evidence[part]]
+        if companions is None:
+            self._companions.pop(part, None)
+            group.open_parts.add(part)
+        else:
+            self._companions[part] = companions
+            group.open_parts.discard(part)
+
+    def is_cause(self, part: int) -> bool:
+        """Return whether a part is the narrowest explanation of its crashes."""
+        own = self._evidence[part]
+        if own.crashes < CRASHES_FOR_VERDICT or self._is_covered(own.servers):
+            return False
+        explanations = self._explanations(part, own)
+        is_explained = 0 < len(explanations) <= MAX_EXPLANATIONS
+        if is_explained and len(own.servers.difference(*explanations)) < CRASHES_FOR_VERDICT:
+            return False
+        return own.crashes >= CRASHES_DESPITE_RIVALS or not self._has_narrower(own)
+
+    def has_more_rivals(self, part: int, most: int) -> bool:
+        """Return whether more than some number of other parts explain a part's crashes as well.
+
+        On a few servers, each crash breaks off requests with most of the parts that prompts share.
+        Blaming all of these parts would take more sound ones than harmful ones. Parts that only
+        came along with the part, in the same requests, don't count. Parts that have been answered
+        since count only beside a part that had been answered, too.
+        """
+        own = self._evidence[part]
+        excluded = {part, *self.companions_of(part)}
+        rivals = 0
+        for one, _, open_parts in self._groups.values():
+            common = (one.all_servers if own.was_answered else one.servers) & own.servers
+            if len(common) < MIN_RIVAL_CRASHES or part in (one.carried_with or ()):
+                continue
+            if own.was_answered or one.crashes >= MIN_RIVAL_CRASHES:
+                rivals += len(open_parts) - len(excluded & open_parts)
+            if rivals > most:
+                return True
+        return False
+
+    def companions_of(self, part: int) -> tuple[int, ...]:
+        """Return the parts that came along with a part in all of its crashes and may be the cause.
+
+        If this entry had no request with the part, only parts with the same crashes are returned.
+        """
+        own = self._evidence[part]
+        if own not in self._found:
+            found = (
+                key
+                for one, parts, _ in self._groups.values()
+                if own.was_answered >= one.was_answered
+                and (
+                    one.servers == own.servers
+                    or (own.carried_with is not None and one.servers > own.servers)
+                )
+                for key in (parts if own.carried_with is None else parts & own.carried_with)
+            )
+            self._found[own] = heapq.nsmallest(MAX_COMPANIONS + 1, found)
+        return tuple([key for key in self._found[own] if key != part][:MAX_COMPANIONS])
+
+    def _explanations(self, part: int, own: PartEvidence) -> list[frozenset[int]]:
+        """Return which servers verdicts on other parts explain; no more than make a difference."""
+        found = []
+        for key, companions in self._companions.items():
+            servers = self._evidence[key].servers
+            if servers == own.servers or servers.isdisjoint(own.servers):
+                continue
+            if key != part and part not in companions:
+                found.append(servers & own.servers)
+                if len(found) > MAX_EXPLANATIONS:
+                    break
+        return found
+
+    def _has_narrower(self, own: PartEvidence) -> bool:
+        return any(
+            one.crashes >= MIN_RIVAL_CRASHES
+            and one.servers < own.servers
+            and one.was_answered <= own.was_answered
+            and len(open_parts) > 0
+            and not self._is_covered(one.servers)
+            for one, _, open_parts in self._groups.values()
+        )
 
 
 class CarriedParts:
     """Which parts came along with a part, or with a repeated request, on each crashed server."""
 
     def __init__(self) -> None:
+        self.changes = 0
+        """Incremented with each record."""
         self._with: dict[int, frozenset[int]] = {}
 
     def get(self, subject: int) -> frozenset[int] | None:
@@ -168,12 +223,21 @@
         return self._with.get(subject)
 
     def record(self, subjects: Subjects) -> None:
-        """Record a request that was on a crashed server, unless no part of it may be the cause."""
+        """Record a request that was on a crashed server, unless no part of it may be the cause.
+
+        Subjects with the same parts share one set, so that time and memory don't grow with the
+        square of the number of parts.
+        """
         if not subjects.parts:
             return
+        self.changes += 1
         present = frozenset(subjects.parts)
+        common: dict[int, tuple[frozenset[int], frozenset[int]]] = {}
+        """What each known set and the present parts have in common, by the identity of the set."""
         for subject in (subjects.fingerprint, *subjects.parts):
             known = self._with.pop(subject, present)
-            self._with[subject] = known & present
+            if id(known) not in common:
+                common[id(known)] = (known, known if known <= present else known & present)
+            self._with[subject] = common[id(known)][1]
         while len(self._with) > MAX_CARRIED:
             del self._with[next(iter(self._with))]
--- a/packages/proxy/src/sassafrastally/proxy/quarantine.py
+++ b/packages/proxy/src/sassafrastally/proxy/quarantine.py
@@ -85,9 +85,12 @@
         if not len(self._verdicts) and self.parts.due_s > now_s:
             return None
         self._update(now_s)
+        if subject not in self._verdicts and not self._verdicts.has_any(parts):
+            return None
+        present = frozenset(parts)
         for one in (subject, *parts):
             verdict = self._verdicts.get(one)
-            if verdict is not None and one != tried and verdict.covers(parts):
+            if verdict is not None and one != tried and verdict.covers(present):
                 return verdict
         return None
 
@@ -147,12 +150,23 @@
         self, subject: int, now_s: float, parts: Collection[int] = ()
     ) -> dict[int, int]:
         """Return crash counts of a request and of those that ran on the same crashed servers."""
-        beside = {other: None for one in (subject, *parts) for other in self._beside(one, now_s)}
+        counts = {one: self.crash_count(one, now_s) for one in (subject, *parts)}
+        beside: dict[int, None] = {}
+        seen: set[frozenset[int]] = set()
+        for one, count in counts.items():
+            servers = frozenset(self._cases.servers(one)) if count or one == subject else None
+            if servers and servers not in seen:
+                seen.add(servers)
+                beside.update(dict.fromkeys(self._cases.requests_beside(one)))
         crashes = {
-            other: self.crash_count(other, now_s) for other in beside if other not in self._verdicts
+            other: self.crash_count(other, now_s)
+            for other in beside
+            if other != subject and other not in self._verdicts
         }
-        suspects = {other: count for other, count in crashes.items() if count and other != subject}
-        return {subject: self.crash_count(subject, now_s, parts), **suspects}
+        suspects = {other: count for other, count in crashes.items() if count}
+        was_answered = self._cases.answered.was_answered
+        own = max(counts[one] for one in counts if one == subject or not was_answered(one))
+        return {subject: own, **suspects}
 
     def record_crash(
         self,
@@ -183,7 +197,8 @@
         """
         self._update(now_s)
         crash = Crash(now_s - age_s, now_s, is_own, is_presumed)
-        verdicts = self._judge([subject], now_s) if self._add(subject, server, crash) else []
+        added = [subject] if self._add(subject, server, crash) else []
+        verdicts = self._judge(added, now_s)
         return verdicts[0] if verdicts else None
 
     def record_crashed_run(
@@ -307,8 +322,11 @@
         ]
 
     def judge_settled(self, now_s: float) -> list[LateVerdict]:
-        """Judge the parts whose records have settled; return the verdicts since the last call."""
-        self._update(now_s)
+        """Judge parts whose records have settled, as many as fit in a step of the event loop.
+
+        Returns the verdicts since the last call.
+        """
+        self._update(now_s, is_step=True)
         late, self._late = self._late, []
         return late
 
@@ -318,9 +336,19 @@
         self._cases.forget_old(now_s)
         return self._verdicts.pop_lifted()
 
-    def _update(self, now_s: float) -> None:
-        """End the verdicts that expire, and judge the parts whose records have settled."""
-        for due_s, part in self.parts.pop_due(now_s):
+    def _update(self, now_s: float, *, is_step: bool = False) -> None:
+        """End the verdicts that expire, and judge the parts whose records have settled.
+
+        Parameters
+        ----------
+        now_s
+            Present time.
+        is_step
+            Whether nothing else is done in this step of the event loop. Many parts are judged in
+            such steps only.
+        """
+        may_judge = self.parts.due_s <= now_s and (is_step or self.parts.may_judge_at_once())
+        for due_s, part in self.parts.pop_due(now_s) if may_judge else ():
             self._verdicts.end_due(due_s)
             if self._verdicts.ended(part) is not None:
                 continue  # Only a further crash brings a verdict back.
@@ -332,7 +360,6 @@
         """Record a crash; return whether it is new."""
         if not self._cases.record_crash(subject, server, crash):
             return False
-        self._cases.evict_excess(lambda key: key == subject or key in self._verdicts)
         verdict = self._verdicts.certain(subject)
         if verdict and not crash.is_presumed and is_trial_crash(verdict.since_s, crash.at_s):
             self._verdicts.end_trials(subject)
@@ -340,11 +367,19 @@
 
     def _judge(self, subjects: Iterable[int], now_s: float) -> list[Verdict]:
         """Return the new verdicts on subjects with new crashes, the narrowest explanation first."""
-        ranked = sorted(subjects, key=lambda one: (is_part(one), len(self._cases.servers(one))))
-        verdicts = (
-            self._judge_part(one, now_s) if is_part(one) else self._judge_request(one, now_s)
-            for one in ranked
-        )
+        new = list(subjects)
+        if new:
+            self._cases.evict_excess(lambda key: key == new[-1] or key in self._verdicts)
+        ranked = sorted(new, key=lambda one: (is_part(one), len(self._cases.servers(one))))
+        may_judge_at_once = self.parts.may_judge_at_once()
+        verdicts = []
+        for one in ranked:
+            if not is_part(one):
+                verdicts.append(self._judge_request(one, now_s))
+            elif may_judge_at_once or self._verdicts.ended(one) or self._verdicts.certain(one):
+                verdicts.append(self._judge_part(one, now_s))
+            elif len(self._cases.servers(one)) >= CRASHES_FOR_VERDICT:
+                self.parts.judge_later(one, now_s)
         return [verdict for verdict in verdicts if verdict is not None]
 
     def _judge_request(self, subject: int, now_s: float) -> Verdict | None:
@@ -384,11 +419,6 @@
             companions=finding.companions,
         )
 
-    def _beside(self, subject: int, now_s: float) -> list[int]:
-        if is_part(subject) and not self.crash_count(subject, now_s, [subject]):
-            return []
-        return self._cases.requests_beside(subject)
-
     def _count_crashes(self, subject: int, now_s: float, *, is_certain: bool) -> int:
         if subject not in self._cases:
             return 0
--- a/packages/proxy/src/sassafrastally/proxy/quarantine_service.py
+++ b/packages/proxy/src/sassafrastally/proxy/quarantine_service.py
@@ -24,7 +24,6 @@
 from sassafrastally.proxy.peers import Peers
 from sassafrastally.proxy.quarantine import Quarantine
 from sassafrastally.proxy.quarantine_records import decode_record, encode_record
-from sassafrastally.proxy.verdicts import NEVER_S
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
@@ -174,6 +173,8 @@
         )
         for verdict in verdicts:
             self._record_verdict(verdict, "own", self._now_s)
+        if verdicts:
+            self._notify_verdict()
         self._has_crash.set()
         self._peers.send_now()
 
@@ -211,8 +212,11 @@
         """Apply a peer's records; return whether any of them is new."""
         before = self._quarantine.version
         quarantined = self._quarantined()
-        for verdict in self._quarantine.apply(report, self._now_s):
+        verdicts = self._quarantine.apply(report, self._now_s)
+        for verdict in verdicts:
             self._record_verdict(verdict, "peer", self._peer_verdict_due_s())
+        if verdicts:
+            self._notify_verdict()
         if report.crashes:
             self._has_crash.set()
         answered = (answer.subject for answer in report.answers)
@@ -257,6 +261,9 @@
         if not verdict.is_presumed:
             self._due_s[verdict.subject] = due_s
             self._news.set()
+
+    def _notify_verdict(self) -> None:
+        """Let others know that there are new verdicts, once for all of a step."""
         if self.on_verdict is not None:
             self.on_verdict()
 
@@ -297,6 +304,7 @@
         verdict = self._quarantine.apply_verdict(received, self._now_s)
         if verdict is not None:
             self._record_verdict(verdict, "store", self._now_s)
+            self._notify_verdict()
 
     async def _record(self) -> None:
         """Write verdict records to the store when due, and remove those of lifted verdicts."""
@@ -341,17 +349,19 @@
     async def _judge_settled(self) -> None:
         """Judge parts as soon as other entries have told about their crashes."""
         while True:
-            for verdict, is_own in self._quarantine.judge_settled(self._now_s):
+            self._has_crash = trio.Event()
+            late = self._quarantine.judge_settled(self._now_s)
+            if late:
+                self._notify_verdict()
+                self._peers.send_now()
+            for verdict, is_own in late:
                 source = "own" if is_own else "peer"
                 record_due_s = self._now_s if is_own else self._peer_verdict_due_s()
                 self._record_verdict(verdict, source, record_due_s)
-                self._peers.send_now()
+                await trio.lowlevel.checkpoint()
             due_s = self._quarantine.parts.due_s
-            if due_s == NEVER_S:
-                self._has_crash = trio.Event()
+            with trio.move_on_after(max(0.0, due_s - self._now_s)):
                 await self._has_crash.wait()
-            else:
-                await trio.sleep(max(0.0, due_s - self._now_s))
 
     async def _clean_up(self) -> None:
         while True:
--- a/packages/proxy/src/sassafrastally/proxy/verdicts.py
+++ b/packages/proxy/src/sassafrastally/proxy/verdicts.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import heapq
 from collections import Counter
 from typing import TYPE_CHECKING, NamedTuple
 
@@ -99,6 +100,8 @@
         """Incremented with each new verdict and each one that covers more."""
         self.on_review: Callable[[float], None] = lambda _now_s: None
         """Called with the present time when the verdicts have been reviewed."""
+        self.on_change: Callable[[int], None] = lambda _subject: None
+        """Called with the subject of each verdict that is new, has ended or covers more."""
         self._cases = cases
         self._verdicts: dict[int, Verdict] = {}
         self._ended: dict[int, Verdict] = {}
@@ -106,6 +109,14 @@
         self._lifted: list[Lifted] = []
         """Ended verdicts not yet returned by `pop_lifted`."""
         self._lifted_s: dict[int, float] = {}
+        self._changes = 0
+        self._indexed_at = (-1, -1)
+        """Numbers of changes of verdicts and crashes at which the two following were collected."""
+        self._blamed_on: dict[int, set[int]] = {}
+        """Parts with a certain verdict, by the servers that crashed with them."""
+        self._explaining_on: dict[tuple[int, bool], tuple[tuple[int, float], ...]] = {}
+        """The two subjects that have a certain verdict, in force or ended, for longest, and since
+        when, by the servers that crashed with them and by whether they are parts."""
         self._review_due_s = NEVER_S
         self._next_end_s = NEVER_S
         """No verdict expires before this time; checked with each request."""
@@ -119,6 +130,10 @@
     def __iter__(self) -> Iterator[Verdict]:
         return iter(self._verdicts.values())
 
+    def has_any(self, subjects: Collection[int]) -> bool:
+        """Return whether there is a verdict on any of some subjects."""
+        return not self._verdicts.keys().isdisjoint(subjects)
+
     def get(self, subject: int) -> Verdict | None:
         """Return the verdict on a subject, if any."""
         return self._verdicts.get(subject)
@@ -134,7 +149,8 @@
 
     def forget_ended(self, subject: int) -> None:
         """Forget an ended verdict, so that one more crash doesn't bring it back."""
-        self._ended.pop(subject, None)
+        if self._ended.pop(subject, None) is not None:
+            self._record_change(subject)
 
     def was_just_lifted(self, subject: int, now_s: float) -> bool:
         """Return whether a verdict ended so recently that peers may still send it."""
@@ -144,10 +160,13 @@
         """Add a verdict, which replaces an earlier one on its subject."""
         self._verdicts[verdict.subject] = verdict
         self.version += 1
+        self._record_change(verdict.subject)
         self._review_due_s = verdict.since_s + VERDICT_SETTLED_S
         self._next_end_s = min(self._next_end_s, verdict.until_s)
         if len(self._verdicts) > MAX_VERDICTS:
-            del self._verdicts[min(self._verdicts.values(), key=_until_s).subject]
+            dropped = min(self._verdicts.values(), key=_until_s).subject
+            del self._verdicts[dropped]
+            self._record_change(dropped)
 
     def record_trial(self, subject: int, now_s: float) -> None:
         """Record that this entry tries a request with a part."""
@@ -166,6 +185,7 @@
     def remove(self, subject: int, now_s: float) -> None:
         """Remove a verdict that has proved wrong."""
         del self._verdicts[subject]
+        self._record_change(subject)
         self._record_lifted(subject, now_s)
 
     def pop_lifted(self) -> list[Lifted]:
@@ -190,6 +210,7 @@
         if companions != verdict.companions:
             self._verdicts[part] = verdict._replace(companions=companions, changed_s=now_s)
             self.version += 1
+            self._record_change(part)
 
     def end_due(self, now_s: float) -> None:
         """End the verdicts that expire, and review the others if that is due."""
@@ -228,13 +249,11 @@
 
     def is_explained_by_parts(self, part: int) -> bool:
         """Return whether other quarantined parts explain all crashes of a part."""
-        explained = {
-            server
-            for verdict in self._verdicts.values()
-            if verdict.subject != part and is_part(verdict.subject) and not verdict.is_presumed
-            for server in self._cases.servers(verdict.subject)
-        }
-        return self._cases.servers(part) <= explained
+        self._index()
+        return all(
+            len(self._blamed_on.get(server, ())) > self._is_blamed_on(part, server)
+            for server in self._cases.servers(part)
+        )
 
     def news(self, now_s: float, *, is_full: bool) -> tuple[VerdictReport, ...]:
         """Return the verdicts to send to peers, the latest first; if `is_full`, older ones too."""
@@ -272,12 +291,14 @@
             servers = self._cases.servers(key)
             if servers and servers <= explained:
                 verdict = self._verdicts.pop(key)
+                self._record_change(key)
                 self._record_lifted(key, now_s)
                 self._lifted.append(Lifted(verdict, "other subjects explain its crashes"))
 
     def end(self, verdict: Verdict, now_s: float) -> None:
         """End a verdict; one more crash brings it back, unless it was presumed."""
         del self._verdicts[verdict.subject]
+        self._record_change(verdict.subject)
         if verdict.is_presumed:
             return
         self._ended[verdict.subject] = verdict
@@ -299,15 +320,39 @@
 
         A harmful request doesn't explain the crashes of a part: it may be harmful because of it.
         """
-        return any(
-            verdict.subject != subject
-            and is_part(verdict.subject) >= is_part(subject)
-            and not verdict.is_presumed
-            and now_s - verdict.since_s >= VERDICT_SETTLED_S
-            and self._cases.has_crashed(server, verdict.subject)
-            for verdicts in (self._verdicts, self._ended)
-            for verdict in verdicts.values()
-        )
+        self._index()
+        settled_s = now_s - VERDICT_SETTLED_S
+        for blames_part in (True,) if is_part(subject) else (True, False):
+            for key, since_s in self._explaining_on.get((server, blames_part), ()):
+                if key != subject and since_s <= settled_s:
+                    return True
+        return False
+
+    def _is_blamed_on(self, part: int, server: int) -> bool:
+        return part in self._blamed_on.get(server, ())
+
+    def _record_change(self, subject: int) -> None:
+        self._changes += 1
+        self.on_change(subject)
+
+    def _index(self) -> None:
+        """Collect which verdicts have crashes of which servers."""
+        state = (self._changes, self._cases.crash_changes)
+        if state == self._indexed_at:
+            return
+        self._indexed_at = state
+        self._blamed_on, self._explaining_on = {}, {}
+        since_s: dict[tuple[int, bool], dict[int, float]] = {}
+        for verdicts in (self._ended, self._verdicts):
+            for subject, verdict in verdicts.items():
+                for server in () if verdict.is_presumed else self._cases.servers(subject):
+                    found = since_s.setdefault((server, is_part(subject)), {})
+                    found[subject] = min(verdict.since_s, found.get(subject, NEVER_S))
+                    if is_part(subject) and verdicts is self._verdicts:
+                        self._blamed_on.setdefault(server, set()).add(subject)
+        for key, found in since_s.items():
+            earliest = heapq.nsmallest(2, found.items(), key=lambda item: item[1])
+            self._explaining_on[key] = tuple(earliest)
 
 
 def _until_s(verdict: Verdict) -> float:
