A next process waits for the ports of the one that stops

What callers saw: if a supervisor started the next process while the one before it still drained, connections were reset, up to 1.9 s after whole requests had been sent on them, at each start of the next process until the old one had ended.

Cause: the callers' port opens first and is free 2.6 s after the stop signal; the ports for peers, readiness and metrics are free only at the end of the drain. The next process opened the first, met the others in use and ended with an error.

Change: a port in use is tried each 20 ms, for the stop time and a second; callers are served meanwhile. It is then free, or another program's, and the start fails as before. Until it has its port a process sends no datagrams: that would bind its socket to another one.

--- a/packages/proxy/src/sassafrastally/proxy/caller_listener.py
+++ b/packages/proxy/src/sassafrastally/proxy/caller_listener.py
@@ -44,6 +44,7 @@
 from sassafrastally.proxy.model import RequestLimits
 from sassafrastally.proxy.overload_monitor import OverloadMonitor
 from sassafrastally.proxy.path import RequestPath
+from sassafrastally.proxy.port_takeover import open_when_free
 from sassafrastally.proxy.refusals import (
     BODIES_FULL,
     HEADER_TOO_LARGE,
@@ -143,6 +144,12 @@
             self._settings.bounds.crossing_s,
         )
         self._gate.log.start(nursery)
+        stop_time_s = self._settings.bounds.stop_time_s
+        await open_when_free(partial(self._accept, nursery), nursery, stop_time_s)
+
+    async def _accept(self, nursery: trio.Nursery) -> None:
+        if self.is_stopping:
+            return
         self._acceptor = Acceptor(
             await self._listener(), self.serve, self._note_shortage, self._choose
         )
--- a/packages/proxy/src/sassafrastally/proxy/datagram_port.py
+++ b/packages/proxy/src/sassafrastally/proxy/datagram_port.py
@@ -32,12 +32,14 @@
         self._socket = trio.socket.socket(type=trio.socket.SOCK_DGRAM)
         self._port = 0
         self._handle: socket.socket | None = None
+        self._is_open = trio.Event()
 
     async def open(self, host: str, port: int) -> None:
         """Bind an address; the peers use the same port."""
         await self._socket.bind((host, port))
         self._port = port
         self._handle = second_handle(self._socket)
+        self._is_open.set()
 
     def close(self) -> None:
         """Close the port."""
@@ -47,6 +49,7 @@
 
     async def receive(self) -> list[bytes]:
         """Wait for datagrams; return those that have arrived, oldest first."""
+        await self._is_open.wait()
         if self._handle is None:
             data, _ = await self._socket.recvfrom(RECEIVE_BUFFER_BYTES)
             return [data]
@@ -63,6 +66,10 @@
 
     async def send(self, hosts: Iterable[str], data: bytes) -> None:
         """Send a datagram to hosts; those that can't take it get the next one."""
+        if not self._is_open.is_set():
+            # Sending would bind another port, and the process that has this one sends its own.
+            await trio.lowlevel.checkpoint()
+            return
         for host in hosts:
             # The port is closed or the send buffer is full: the next datagram replaces this one,
             # and a dead peer times out.
--- a/packages/proxy/src/sassafrastally/proxy/internal_endpoints.py
+++ b/packages/proxy/src/sassafrastally/proxy/internal_endpoints.py
@@ -4,12 +4,13 @@
 
 import math
 from contextlib import suppress
+from functools import partial
 from typing import TYPE_CHECKING, ClassVar
 
 import h11
 import trio
 
-from sassafrastally.core import Acceptor, Service
+from sassafrastally.core import Acceptor, Address, Service
 from sassafrastally.core.late_limits import deliver_received
 from sassafrastally.core.metrics import hold_values
 from sassafrastally.proxy.backpressure import Backpressure
@@ -31,6 +32,7 @@
 )
 from sassafrastally.proxy.overload_monitor import OverloadMonitor
 from sassafrastally.proxy.path import RequestPath
+from sassafrastally.proxy.port_takeover import open_when_free
 from sassafrastally.proxy.quarantine_service import QuarantineService
 from sassafrastally.proxy.reply import Reply
 
@@ -88,10 +90,14 @@
         self._queue = self.kernel.get("path", RequestPath).services.queue
         hold_values()
         host = self._settings.host
-        ready = self._settings.readiness_address
-        await self._listen(nursery, ready.host, ready.port, self._handle_readiness)
-        await self._listen(nursery, host, self._settings.peer_port, self._handle_peer_changes)
-        await self._listen(nursery, host, self._settings.metrics_port, self._handle_metrics)
+        handlers: dict[Address, EndpointHandler] = {
+            self._settings.readiness_address: self._handle_readiness,
+            Address(host, self._settings.peer_port): self._handle_peer_changes,
+            Address(host, self._settings.metrics_port): self._handle_metrics,
+        }
+        for address, handler in handlers.items():
+            listen = partial(self._listen, nursery, address, handler)
+            await open_when_free(listen, nursery, self._settings.bounds.stop_time_s)
 
     async def finish(self) -> None:
         """Answer the calls that are waiting at the ports, and close these."""
@@ -162,11 +168,11 @@
         }
 
     async def _listen(
-        self, nursery: trio.Nursery, host: str, port: int, handler: EndpointHandler
+        self, nursery: trio.Nursery, address: Address, handler: EndpointHandler
     ) -> None:
-        listeners = await trio.open_tcp_listeners(port, host=host)
-        containment = Containment(self.kernel, f"call at port {port}")
-        log = InternalConnectionLog(self.kernel, port)
+        listeners = await trio.open_tcp_listeners(address.port, host=address.host)
+        containment = Containment(self.kernel, f"call at port {address.port}")
+        log = InternalConnectionLog(self.kernel, address.port)
         endpoint = Endpoint(handler, self._connections, log.record_close)
 
         async def serve(stream: trio.abc.Stream) -> None:
--- a/packages/proxy/src/sassafrastally/proxy/peers.py
+++ b/packages/proxy/src/sassafrastally/proxy/peers.py
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 from contextlib import suppress
+from functools import partial
 from typing import TYPE_CHECKING, ClassVar
 
 import trio
@@ -36,6 +37,7 @@
 from sassafrastally.proxy.peer_calls import PeerCalls
 from sassafrastally.proxy.peer_messages import Hello, decode_hello, encode_hello
 from sassafrastally.proxy.peer_table import PeerTable
+from sassafrastally.proxy.port_takeover import open_when_free
 from sassafrastally.proxy.quarantine_exchange import (
     EMPTY_REPORT,
     NullQuarantineExchange,
@@ -116,7 +118,8 @@
         self._cluster_state.servers.on_announcement = self._ledger.note_change
         self._boot_id = self.kernel.random.getrandbits(64)
         self._port = DatagramPort()
-        await self._port.open(self._settings.host, self._settings.peer_port)
+        open_port = partial(self._port.open, self._settings.host, self._settings.peer_port)
+        await open_when_free(open_port, nursery, self._settings.bounds.stop_time_s)
         self._change_fetcher = ChangeFetcher(
             self.kernel, self._cluster_state, self._sources, self._defers_to_relays
         )
--- /dev/null
+++ b/packages/proxy/src/sassafrastally/proxy/port_takeover.py
@@ -0,0 +1,62 @@
+"""Opens ports that the process before this one may still have.
+
+A supervisor may start a process while the one before it still drains, with the same ports. The
+callers' port is free seconds before the others. A process that ended over those would reset all
+callers whose connections wait in its accept queue.
+"""
+
+from __future__ import annotations
+
+import errno
+from typing import TYPE_CHECKING
+
+import trio
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+TRY_INTERVAL_S = 0.02
+"""Interval at which a port in use is tried: callers are refused meanwhile."""
+
+END_TIME_S = 1.0
+"""Time for the end of a process after it has been killed."""
+
+
+async def open_when_free(
+    open_port: Callable[[], Awaitable[object]], nursery: trio.Nursery, stop_time_s: float
+) -> None:
+    """Open a port now, or in the background once another process has released it.
+
+    Parameters
+    ----------
+    open_port
+        Opens the port.
+    nursery
+        Runs the task that waits for the port.
+    stop_time_s
+        Time that a process has to stop. A port that is in use for longer isn't that of the process
+        before this one; the task then raises the error.
+
+    Raises
+    ------
+    OSError
+        If the port can't be opened for another reason.
+    """
+    due_s = trio.current_time() + stop_time_s + END_TIME_S
+    if not await _try_to_open(open_port, due_s):
+        nursery.start_soon(_keep_trying, open_port, due_s)
+
+
+async def _keep_trying(open_port: Callable[[], Awaitable[object]], due_s: float) -> None:
+    while not await _try_to_open(open_port, due_s):
+        await trio.sleep(TRY_INTERVAL_S)
+
+
+async def _try_to_open(open_port: Callable[[], Awaitable[object]], due_s: float) -> bool:
+    try:
+        await open_port()
+    except OSError as cause:
+        if cause.errno != errno.EADDRINUSE or trio.current_time() >= due_s:
+            raise
+        return False
+    return True
