A late upload is begun at a stopping entry only if its longest response fits

What callers saw: a stream that began and was cut at the end of the drain, although its request was complete later than 3 s after the stop signal, when an entry should refuse what it can't complete.

Cause: whether a response fits into the drain is predicted from nine in ten of the latest ones of the route. A longer one is cut. Operators excuse that for requests that were sent until 3 s after the signal and are still at work at the end, and for no others; uploads that are in progress when idle connections are closed come later.

Evidence: test_late_uploads_of_a_stop with a real process, 64 short responses, then an upload that is complete at 3.4 s: a 200 without its end at 7.407 s; 7.412 s on and 7.509 s on.

Ruled out: plain requests, which have an answer of the entry at the end, 502.

Change: a request that is complete only when new connections are no longer accepted needs the declared size, on engines as slow as any in the latest responses. It is refused as not run otherwise. Once it may have run, the prediction is as before.

--- a/packages/proxy/src/sassafrastally/proxy/caller_listener.py
+++ b/packages/proxy/src/sassafrastally/proxy/caller_listener.py
@@ -206,7 +206,9 @@
         plan = plan_stop(self._stop_begin_s, self.stop_time_s, open_requests)
         # A late entry needs all time from then on for answers.
         self._reads_end_s = plan.reads_end_s
-        self._path.services.drain.begin(plan.ends_s, plan.reads_end_s)
+        # From then on, callers have had time to move, and new connections are refused.
+        whole_after_s = plan.reads_s - FIRST_REQUEST_S
+        self._path.services.drain.begin(plan.ends_s, plan.reads_end_s, whole_after_s)
         return plan
 
     def _emit_drain_ended(self, plan: StopPlan) -> None:
--- a/packages/proxy/src/sassafrastally/proxy/drain.py
+++ b/packages/proxy/src/sassafrastally/proxy/drain.py
@@ -33,6 +33,7 @@
         self.ends_s = math.inf
         """When responses must be complete; infinite unless the entry is stopping."""
         self._reads_end_s = math.inf
+        self._whole_after_s = math.inf
         self._limits: set[TimeLimit] = set()
         self._readings: set[trio.CancelScope] = set()
 
@@ -46,7 +47,9 @@
         """Whether the time for responses is over."""
         return trio.current_time() >= self.ends_s
 
-    def begin(self, ends_s: float, reads_end_s: float = math.inf) -> None:
+    def begin(
+        self, ends_s: float, reads_end_s: float = math.inf, whole_after_s: float = math.inf
+    ) -> None:
         """Begin the drain, which limits all requests in progress and those that still arrive.
 
         Parameters
@@ -55,8 +58,11 @@
             When responses must be complete.
         reads_end_s
             When an entry that is late at that time stops reading what has arrived meanwhile.
+        whole_after_s
+            A response to a request that is complete later isn't to be cut at the end.
         """
         self.ends_s = ends_s
+        self._whole_after_s = whole_after_s
         self._reads_end_s = reads_end_s
         for limit in self._limits:
             limit.reads_end_s = reads_end_s
@@ -64,8 +70,13 @@
         for scope in self._readings:
             scope.deadline = min(scope.deadline, ends_s)
 
-    def needed_s(self, route: str, first_s: float, declared_s: float) -> float:
-        """Return the time that a response probably takes.
+    def needed_s(
+        self, route: str, first_s: float, declared_s: float, complete_s: float = -math.inf
+    ) -> float:
+        """Return the time that a response probably takes, or takes at most if it may not be cut.
+
+        Operators don't expect answers of servers that are at work until the end, but to requests
+        that a stopping entry reads when its callers have had time to move. These are uploads.
 
         Parameters
         ----------
@@ -75,8 +86,13 @@
             Predicted time to the response or its first event.
         declared_s
             Predicted time of a response of the declared size after its first event.
+        complete_s
+            When the request was complete.
         """
-        writing_s = self.response_lengths.expected_s(route, declared_s)
+        if complete_s > self._whole_after_s:
+            writing_s = self.response_lengths.longest_s(route, declared_s)
+        else:
+            writing_s = self.response_lengths.expected_s(route, declared_s)
         return first_s * (1 + FIRST_EVENT_RESERVE) + writing_s
 
     def can_complete(self, needed_s: float, now_s: float) -> bool:
--- a/packages/proxy/src/sassafrastally/proxy/request.py
+++ b/packages/proxy/src/sassafrastally/proxy/request.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING, NamedTuple
 
 if TYPE_CHECKING:
@@ -18,3 +19,6 @@
     body: bytes
     facts: RequestMetadata
     arrived_s: float
+    """When its first bytes were received."""
+    complete_s: float = -math.inf
+    """When it was read as a whole; some time before if that doesn't matter."""
--- a/packages/proxy/src/sassafrastally/proxy/request_handler.py
+++ b/packages/proxy/src/sassafrastally/proxy/request_handler.py
@@ -8,11 +8,7 @@
 from sassafrastally.proxy.attempt_records import AttemptRecords
 from sassafrastally.proxy.backpressure import CallKind
 from sassafrastally.proxy.evacuation import Unavailability
-from sassafrastally.proxy.failover_decision import (
-    Obstacle,
-    SuccessorFacts,
-    successor_obstacle,
-)
+from sassafrastally.proxy.failover_decision import Obstacle, SuccessorFacts, successor_obstacle
 from sassafrastally.proxy.fingerprint import fingerprint_text
 from sassafrastally.proxy.model import AttemptParameters, Helper
 from sassafrastally.proxy.open_attempt import OpenAttempt
@@ -194,7 +190,9 @@
         drain, now_s = self._services.drain, self._clock.now_s()
         if not drain.is_stopping:
             return None
-        needed_s = drain.needed_s(self._task.route.name, first_s, self._declared_s)
+        # A response that has begun would be cut now, and not maybe later.
+        complete_s = -math.inf if self.progress.may_have_run else self._task.request.complete_s
+        needed_s = drain.needed_s(self._task.route.name, first_s, self._declared_s, complete_s)
         if drain.can_complete(needed_s, now_s):
             return None
         left_s = max(0.0, drain.ends_s - now_s)
--- a/packages/proxy/src/sassafrastally/proxy/request_reader.py
+++ b/packages/proxy/src/sassafrastally/proxy/request_reader.py
@@ -197,7 +197,8 @@
         except DocumentInvalid as cause:
             return BadRequest(MALFORMED, cause.detail)
         body = bytes(self._body)
-        return Request(head.method, head.target, headers, body, facts, self._arrived_s)
+        now_s = trio.current_time()
+        return Request(head.method, head.target, headers, body, facts, self._arrived_s, now_s)
 
     def _body_too_large(self) -> BadRequest:
         return BadRequest(BODY_TOO_LARGE, f"over {self._limits.body_bytes} bytes")
--- a/packages/proxy/src/sassafrastally/proxy/response_lengths.py
+++ b/packages/proxy/src/sassafrastally/proxy/response_lengths.py
@@ -49,3 +49,7 @@
         if not shares:
             return declared_s
         return shares[min(int(QUANTILE * len(shares)), len(shares) - 1)] * declared_s
+
+    def longest_s(self, route: str, declared_s: float) -> float:
+        """Return the time of a response of the declared size, on servers as slow as any lately."""
+        return declared_s * max(1.0, max(self._shares.get(route, ()), default=0.0))
