--- a/packages/proxy/src/sassafrastally/proxy/caller_listener.py
+++ b/packages/proxy/src/sassafrastally/proxy/caller_listener.py
@@ -45,6 +45,7 @@
 from sassafrastally.proxy.model import RequestLimits
 from sassafrastally.proxy.overload_monitor import OverloadMonitor
 from sassafrastally.proxy.path import RequestPath
+from sassafrastally.proxy.port_takeover import open_when_free
 from sassafrastally.proxy.refusals import (
     BODIES_FULL,
     HEADER_TOO_LARGE,
@@ -146,6 +147,12 @@
         self._gate.log.start(nursery)
         self._ends = ConnectionEndLog(self.kernel.events.emit)
         self._ends.start(nursery)
+        stop_time_s = self._settings.bounds.stop_time_s
+        await open_when_free(partial(self._accept, nursery), nursery, stop_time_s)
+
+    async def _accept(self, nursery: trio.Nursery) -> None:
+        if self.is_stopping:
+            return
         self._acceptor = Acceptor(
             await self._listener(), self.serve, self._note_shortage, self._choose
         )
@@ -202,7 +209,9 @@
         plan = plan_stop(self._stop_begin_s, self.stop_time_s, open_requests)
         # A late entry needs all time from then on for answers.
         self._reads_end_s = plan.reads_end_s
-        self._path.services.drain.begin(plan.ends_s, plan.reads_end_s)
+        # From then on, callers have had time to move, and new connections are refused.
+        whole_after_s = plan.reads_s - FIRST_REQUEST_S
+        self._path.services.drain.begin(plan.ends_s, plan.reads_end_s, whole_after_s)
         return plan
 
     def _emit_drain_ended(self, plan: StopPlan) -> None:
