Answer all open requests in one turn at the end of a drain

Callers of a stopping entry with a hundred requests that no server answers got their 502 after the kill, or a closed connection, where the entry had a tenth of a processor: TestLastAnswers, and the lag scene stop-unanswered.

Cause: the end of the drain was a limit of each request. Each had a task of its own that waited sixteen turns for deliveries; then all tasks unwound in lockstep, so that no answer was written before all had had a dozen turns: 0.07 s of processor time for a hundred, and the first answer came after 0.04 to 0.05 s of it. Ruled out: the callers' own lag (0.017 to 0.13 s in these runs), and a late notice of the end (3 to 6 ms in DrainEnded).

Now the drain waits once for what has been received, and then writes the answers of all requests without a response in one turn, before their tasks run: first those that no server has got. The tasks are cancelled in that turn, so that "not run" stays true: none of them passes another checkpoint. What isn't written as a whole, responses that have begun and failures that are kept go on as before.

--- a/packages/core/src/sassafrastally/core/late_limits.py
+++ b/packages/core/src/sassafrastally/core/late_limits.py
@@ -146,6 +146,10 @@
             self._shortened = trio.Event()
             with trio.move_on_at(self.due_s):
                 await self._shortened.wait()
+        await self.act()
+
+    async def act(self) -> None:
+        """Wait for what has been received; then cancel the scope."""
         await deliver_received(self.due_s, lambda: self._deliveries, self.reads_end_s)
         self.scope.cancel()
 
--- a/packages/proxy/src/sassafrastally/proxy/drain.py
+++ b/packages/proxy/src/sassafrastally/proxy/drain.py
@@ -13,6 +13,8 @@
 
 import trio
 
+from sassafrastally.core.late_limits import deliver_received
+from sassafrastally.proxy.last_answers import send_last_answers
 from sassafrastally.proxy.response_lengths import ResponseLengths
 from sassafrastally.proxy.time_limit import TimeLimit
 
@@ -34,6 +36,9 @@
         """When responses must be complete; infinite unless the entry is stopping."""
         self._reads_end_s = math.inf
         self._limits: set[TimeLimit] = set()
+        self._nursery: trio.Nursery | None = None
+        self._has_moved = trio.Event()
+        self._is_watched = False
         self._readings: set[trio.CancelScope] = set()
 
     @property
@@ -56,13 +61,37 @@
         reads_end_s
             When an entry that is late at that time stops reading what has arrived meanwhile.
         """
-        self.ends_s = ends_s
+        self.ends_s = ends_s = min(ends_s, self.ends_s)
         self._reads_end_s = reads_end_s
         for limit in self._limits:
             limit.reads_end_s = reads_end_s
             limit.shorten(ends_s)
         for scope in self._readings:
             scope.deadline = min(scope.deadline, ends_s)
+        self._has_moved.set()
+        if self._limits:
+            self._watch()
+
+    def _watch(self) -> None:
+        """Start the task that ends all requests at the end of the drain."""
+        if not self._is_watched and self._nursery is not None:
+            self._is_watched = True
+            self._nursery.start_soon(self._end_requests)
+
+    async def _end_requests(self) -> None:
+        while not self.has_ended:
+            self._has_moved = trio.Event()
+            with trio.move_on_at(self.ends_s):
+                await self._has_moved.wait()
+        await deliver_received(self.ends_s, self._deliveries, self._reads_end_s)
+        answers = [limit.last_answer for limit in self._limits]
+        send_last_answers(answer for answer in answers if answer is not None)
+        # In the same turn: no task sends a request to a server that was refused as not run.
+        for limit in self._limits:
+            limit.scope.cancel()
+
+    def _deliveries(self) -> int:
+        return sum(limit.deliveries for limit in self._limits)
 
     def needed_s(self, route: str, first_s: float, declared_s: float) -> float:
         """Return the time that a response probably takes.
@@ -94,11 +123,15 @@
         nursery
             Runs the task that waits for it.
         """
-        limit = TimeLimit(min(deadline_s, self.ends_s))
+        limit = TimeLimit(deadline_s)
         limit.reads_end_s = self._reads_end_s
+        limit.shorten(self.ends_s)
         if limit.due_s <= trio.current_time():
             limit.scope.cancel()  # Nothing is in progress that could still be delivered.
         self._limits.add(limit)
+        self._nursery = nursery
+        if self.is_stopping:
+            self._watch()
         nursery.start_soon(limit.watch)
         try:
             with limit.scope:
--- a/packages/proxy/src/sassafrastally/proxy/engine_failures.py
+++ b/packages/proxy/src/sassafrastally/proxy/engine_failures.py
@@ -52,6 +52,10 @@
         """Drop the references to their user after the last attempt, as `OverlappingAttempts`."""
         del self._has_others, self._receive, self._claims_successor
 
+    def has_kept(self) -> bool:
+        """Return whether a failure is kept that may be forwarded."""
+        return self.kept is not None
+
     @property
     def kept(self) -> BufferedResponse | None:
         """The failure that is forwarded unless another attempt succeeds."""
--- a/packages/proxy/src/sassafrastally/proxy/http_stream.py
+++ b/packages/proxy/src/sassafrastally/proxy/http_stream.py
@@ -4,6 +4,7 @@
 
 import fcntl
 import math
+import os
 import select
 import socket
 import struct
@@ -337,6 +338,18 @@
             raise ConnectionLost(f"connection reset while sending: {cause!r}") from cause
         return len(data)
 
+    def send_at_once(self, data: bytes) -> int:
+        """Send bytes that h11 has encoded as far as the socket takes them; return how many.
+
+        A failure is left to the next write.
+        """
+        if not isinstance(self.stream, trio.SocketStream) or self.stream.socket.fileno() == CLOSED:
+            return 0
+        try:
+            return os.write(self.stream.socket.fileno(), data)
+        except OSError:
+            return 0
+
     def send_buffered_bytes(self) -> int:
         """Return how many sent bytes the peer hasn't acknowledged; 0 if that isn't known."""
         if not isinstance(self.stream, trio.SocketStream):
--- a/packages/proxy/src/sassafrastally/proxy/path.py
+++ b/packages/proxy/src/sassafrastally/proxy/path.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from functools import partial
 from typing import TYPE_CHECKING, ClassVar
 
 import trio
@@ -20,11 +21,16 @@
 from sassafrastally.proxy.http_stream import ConnectionLost
 from sassafrastally.proxy.ignored_fields import IgnoredFieldLog
 from sassafrastally.proxy.input_excess_log import InputExcessLog
+from sassafrastally.proxy.last_answers import LastAnswer
+from sassafrastally.proxy.local_replies import (
+    UNHANDLED,
+    Handled,
+    encode_local_reply,
+    local_reply_event,
+)
 from sassafrastally.proxy.log_events import (
     CallerDisconnected,
     CallerLeft,
-    RequestFailed,
-    RequestRefused,
     StreamBroken,
 )
 from sassafrastally.proxy.metrics import CALLERS_BLOCKED, REFUSALS, REQUESTS
@@ -42,7 +48,6 @@
     NOT_SENT_IN_TIME,
     UNKNOWN_KEY,
     Refusal,
-    refusal_body,
 )
 from sassafrastally.proxy.reply import CallerBlocked
 from sassafrastally.proxy.request_services import RequestServices
@@ -54,7 +59,7 @@
 
 if TYPE_CHECKING:
     from sassafrastally.proxy.attempt import AttemptSender, Request
-    from sassafrastally.proxy.dialect import Dialect, Headers
+    from sassafrastally.proxy.dialect import Dialect
     from sassafrastally.proxy.model import Configuration, Customer, RequestMetadata, Route
     from sassafrastally.proxy.reply import Reply
     from sassafrastally.proxy.retry_budget import RetryBudget
@@ -78,8 +83,6 @@
 """How long after the limit a caller may go on reading a complete response, so that one that reads
 next to nothing doesn't hold it for ever. A response of 600 KB takes as long at 20 KB/s."""
 
-MISSING_ROUTE_NAME = "-"
-
 CLEANUP_INTERVAL_S = 5.0
 """Interval at which the state of removed servers is dropped. Replacing a server takes longer, so
 unused connections are kept for at most one generation of servers."""
@@ -196,7 +199,8 @@
             local_reply = LocalReply(MAY_HAVE_RUN, "an unexpected error")
             if not (progress.may_have_run or progress.pending):
                 local_reply = LocalReply(INTERNAL_ERROR, "", ERROR_RETRY_AFTER_S)
-            await self._answer_locally(request, reply, local_reply, attempts=progress.attempts)
+            handled = UNHANDLED._replace(attempts=progress.attempts)
+            await self._answer_locally(request, reply, local_reply, handled)
 
     async def _answer(self, request: Request, reply: Reply, progress: Progress) -> None:
         if self._cluster_state.configuration is None:
@@ -216,7 +220,9 @@
         customer = find_customer(configuration, route, request.facts)
         if isinstance(customer, UnknownKey):
             detail = f"version {configuration.version}"
-            await self._answer_locally(request, reply, LocalReply(UNKNOWN_KEY, detail), route.name)
+            await self._answer_locally(
+                request, reply, LocalReply(UNKNOWN_KEY, detail), Handled(route.name)
+            )
             return
         await self._answer_before_deadline(request, reply, progress, configuration, route, customer)
 
@@ -231,7 +237,7 @@
     ) -> None:
         is_new = request.facts.last_event_id is None
         if is_new and route.kind is RouteKind.STREAM and (shed := self._overload.shed_reply()):
-            await self._answer_locally(request, reply, shed, route.name)
+            await self._answer_locally(request, reply, shed, Handled(route.name))
             return
         service = choose_service(route.shares, self.kernel.random.random())
         homes = home_data_centres(
@@ -261,6 +267,9 @@
         late_s = 0.0
         with self.services.drain.limit(task.deadline_s, self._nursery) as limit:
             reply.limit = limit
+            limit.last_answer = LastAnswer(
+                progress.may_be_running, partial(self._send_last, task, reply, progress, answerer)
+            )
             try:
                 local_reply = await answerer.run()
             except trio.Cancelled:
@@ -273,6 +282,9 @@
                 raise
             finally:
                 answerer.release()
+        if reply.was_sent_at_once:
+            self._record_unanswered(task, progress)
+            await reply.send_rest()
         if reply.has_ended:
             return
         if limit.has_acted or (local_reply is not None and limit.is_due):
@@ -281,23 +293,41 @@
             reply.write_timeout_s = min(reply.write_timeout_s, READ_PAUSE_S)
             if reply.can_complete and await _forward_late(answerer):
                 return
-            has_stopped = self.kernel.clock.now_s() < task.deadline_s
-            local_reply = answerer.stopped_reply() if has_stopped else _deadline_exceeded(progress)
+            local_reply = self._late_reply(task, progress, answerer)
         if local_reply is None:
             return
         if reply.has_begun:
             self._record_broken_stream(task, progress, local_reply, reply.sent_bytes, late_s)
             return
-        await self._answer_locally(
-            request,
-            reply,
-            local_reply,
-            route.name,
-            progress.attempts,
-            fingerprint_text(task.fingerprint),
-            progress.waited_s,
-            late_s,
-        )
+        handled = _handled(task, progress, late_s)
+        await self._answer_locally(request, reply, local_reply, handled)
+
+    def _send_last(
+        self,
+        task: RequestTask,
+        reply: Reply,
+        progress: Progress,
+        handler: StreamingRequestHandler | PlainRequestHandler,
+    ) -> None:
+        """Send the answer to a request that is open at the end of the drain, without a wait."""
+        if reply.has_begun or handler.has_kept():
+            return
+        with self._errors:
+            local_reply = self._late_reply(task, progress, handler)
+            reply.send_at_once(*encode_local_reply(self._dialect, task.request, local_reply))
+            late_s = round(self.kernel.clock.now_s() - reply.limit.due_s, 4)
+            handled = _handled(task, progress, late_s)
+            self._record_local_reply(task.request, local_reply, handled)
+
+    def _late_reply(
+        self,
+        task: RequestTask,
+        progress: Progress,
+        handler: StreamingRequestHandler | PlainRequestHandler,
+    ) -> LocalReply:
+        """Return the local reply at the limit of a request, or at the end of the drain."""
+        has_stopped = self.kernel.clock.now_s() < task.deadline_s
+        return handler.stopped_reply() if has_stopped else _deadline_exceeded(progress)
 
     def _request_handler(
         self, task: RequestTask, reply: Reply, progress: Progress
@@ -339,47 +369,18 @@
         request: Request,
         reply: Reply,
         local_reply: LocalReply,
-        route_name: str = MISSING_ROUTE_NAME,
-        attempts: int = 0,
-        fingerprint: str = "",
-        waited_s: float = 0.0,
-        late_s: float = 0.0,
+        handled: Handled = UNHANDLED,
     ) -> None:
         """Send a local reply: a refusal, or a failure of a request that may have run."""
-        REFUSALS.add(1, {"code": local_reply.refusal.code})
-        held_s = round(self.kernel.clock.now_s() - request.arrived_s, 4)
-        request_id = request.facts.request_id
-        status = local_reply.refusal.status
-        if local_reply.refusal in (MAY_HAVE_RUN, NO_ANSWER_IN_TIME):
-            detail = f"{local_reply.refusal.code}: {local_reply.detail}"
-            self.kernel.events.emit(
-                RequestFailed(request_id, route_name, status, attempts, held_s, detail, late_s)
-            )
-        else:
-            code = local_reply.refusal.code
-            retry_after_s = round(local_reply.retry_after_s or 0.0, 3)
-            self.kernel.events.emit(
-                RequestRefused(
-                    request_id,
-                    route_name,
-                    code,
-                    status,
-                    retry_after_s,
-                    attempts,
-                    held_s,
-                    local_reply.detail,
-                    fingerprint,
-                    round(waited_s, 4),
-                )
-            )
-        await self._send(request, reply, local_reply)
+        self._record_local_reply(request, local_reply, handled)
+        await reply.send_complete(*encode_local_reply(self._dialect, request, local_reply))
 
-    async def _send(self, request: Request, reply: Reply, local_reply: LocalReply) -> None:
-        headers: Headers = [(b"content-type", b"application/problem+json")]
-        if local_reply.retry_after_s is not None:
-            headers.append(self._dialect.retry_after_header(local_reply.retry_after_s))
-        body = refusal_body(local_reply.refusal, request.facts.request_id, local_reply.detail)
-        await reply.send_complete(local_reply.refusal.status, headers, body)
+    def _record_local_reply(
+        self, request: Request, local_reply: LocalReply, handled: Handled
+    ) -> None:
+        REFUSALS.add(1, {"code": local_reply.refusal.code})
+        now_s = self.kernel.clock.now_s()
+        self.kernel.events.emit(local_reply_event(request, local_reply, handled, now_s))
 
 
 async def _forward_late(handler: StreamingRequestHandler | PlainRequestHandler) -> bool:
@@ -402,6 +403,11 @@
     )
 
 
+def _handled(task: RequestTask, progress: Progress, late_s: float) -> Handled:
+    fingerprint = fingerprint_text(task.fingerprint)
+    return Handled(task.route.name, progress.attempts, fingerprint, progress.waited_s, late_s)
+
+
 def _deadline_exceeded(progress: Progress) -> LocalReply:
     """Return the local reply for a request whose deadline has passed.
 
--- a/packages/proxy/src/sassafrastally/proxy/plain_request.py
+++ b/packages/proxy/src/sassafrastally/proxy/plain_request.py
@@ -96,6 +96,10 @@
             return None
         return self._local_reply()
 
+    def has_kept(self) -> bool:
+        """Return whether there is something for `forward_kept`."""
+        return self._response is not None or self._failed is not None
+
     async def forward_kept(self) -> bool:
         """Forward the response or the failure that a server has answered, if any."""
         kept = self._response or self._failed
--- a/packages/proxy/src/sassafrastally/proxy/reply.py
+++ b/packages/proxy/src/sassafrastally/proxy/reply.py
@@ -80,6 +80,8 @@
         """The write that was cancelled."""
         self._is_encoded = False
         """Whether the end of a response of unknown length is encoded."""
+        self.was_sent_at_once = False
+        """Whether the response was sent by `send_at_once`, a rest of it perhaps not yet."""
         self.has_rest = False
         """Whether the rest of a stream is kept that is whole."""
         self._header: h11.Response | None = None
@@ -103,6 +105,18 @@
         await self._write_whole(self._unsent, is_complete=True)
         self.has_ended = True
 
+    def send_at_once(self, status: int, headers: Headers, body: bytes) -> None:
+        """Send a response with a complete body as far as its connection takes it without a wait.
+
+        The rest, if any, is kept for `send_rest`.
+        """
+        self._unsent = _Unsent(self._encode_complete(status, headers, body))
+        self.was_sent_at_once = True
+        written = self._connection.send_at_once(self._unsent.piece)
+        self.sent_bytes += written
+        self._unsent.remove(written)
+        self.has_ended = not self._unsent.piece
+
     def _encode_complete(self, status: int, headers: Headers, body: bytes) -> list[bytes]:
         length = str(len(body)).encode()
         if self.is_for_head:
--- a/packages/proxy/src/sassafrastally/proxy/streaming_request.py
+++ b/packages/proxy/src/sassafrastally/proxy/streaming_request.py
@@ -105,6 +105,7 @@
         self._failures = EngineFailures(
             reply, self._attempts, self._records, self._claims_successor
         )
+        self.has_kept = self._failures.has_kept
         self._record_late_stream: Callable[[], None] = lambda: None
         """Records a stream whose rest is sent after the limit."""
         self._awaits_budget = False
--- a/packages/proxy/src/sassafrastally/proxy/task.py
+++ b/packages/proxy/src/sassafrastally/proxy/task.py
@@ -109,6 +109,10 @@
         """Those that answered, but another run than the caller gets. They may resume its stream,
         as the attempts of a route are limited to a number of servers."""
 
+    def may_be_running(self) -> bool:
+        """Return whether an attempt may have run, or is in flight."""
+        return self.may_have_run or bool(self.pending)
+
     def end(self, attempt: OpenAttempt) -> None:
         """Note that an attempt has ended."""
         if attempt in self.pending:
