--- a/packages/proxy/src/sassafrastally/proxy/path.py
+++ b/packages/proxy/src/sassafrastally/proxy/path.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from functools import partial
 from typing import TYPE_CHECKING, ClassVar
 
 import trio
@@ -20,15 +21,14 @@
 from sassafrastally.proxy.http_stream import ConnectionLost
 from sassafrastally.proxy.ignored_fields import IgnoredFieldLog
 from sassafrastally.proxy.input_excess_log import InputExcessLog
-from sassafrastally.proxy.log_events import (
-    AcceptedRequestCut,
-    CallerDisconnected,
-    CallerLeft,
-    RequestCut,
-    RequestFailed,
-    RequestRefused,
-    StreamBroken,
+from sassafrastally.proxy.last_answers import LastAnswer
+from sassafrastally.proxy.local_replies import (
+    encode_local_reply,
+    local_reply_event,
+    missed_estimate_event,
+    unanswered_event,
 )
+from sassafrastally.proxy.log_events import CallerDisconnected, StreamBroken
 from sassafrastally.proxy.metrics import CALLERS_BLOCKED, REFUSALS, REQUESTS
 from sassafrastally.proxy.model import RouteKind
 from sassafrastally.proxy.overload_monitor import OverloadMonitor
@@ -44,7 +44,6 @@
     NOT_SENT_IN_TIME,
     UNKNOWN_KEY,
     Refusal,
-    refusal_body,
 )
 from sassafrastally.proxy.reply import CallerBlocked
 from sassafrastally.proxy.request_services import RequestServices
@@ -56,7 +55,7 @@
 
 if TYPE_CHECKING:
     from sassafrastally.proxy.attempt import AttemptSender, Request
-    from sassafrastally.proxy.dialect import Dialect, Headers
+    from sassafrastally.proxy.dialect import Dialect
     from sassafrastally.proxy.model import Configuration, Customer, RequestMetadata, Route
     from sassafrastally.proxy.reply import Reply
     from sassafrastally.proxy.retry_budget import RetryBudget
@@ -264,6 +263,10 @@
         try:
             with self.services.drain.limit(task.deadline_s, self._nursery) as limit:
                 reply.limit = limit
+                limit.last_answer = LastAnswer(
+                    progress.may_be_running,
+                    partial(self._send_last, task, reply, progress, answerer),
+                )
                 try:
                     local_reply = await answerer.run()
                 finally:
@@ -272,6 +275,9 @@
             # The caller has left, or the process ends; the limit may have acted at the same time.
             self._record_unanswered(task, progress)
             raise
+        if reply.was_sent_at_once:
+            self._record_unanswered(task, progress)
+            await reply.send_rest()
         if reply.has_ended:
             return
         if limit.has_acted or (local_reply is not None and limit.is_due):
@@ -280,23 +286,44 @@
             reply.write_timeout_s = min(reply.write_timeout_s, READ_PAUSE_S)
             if reply.can_complete and await _forward_late(answerer):
                 return
-            has_stopped = self.kernel.clock.now_s() < task.deadline_s
-            if has_stopped:
-                self._log_missed_estimate(request, progress)
-            local_reply = answerer.stopped_reply() if has_stopped else _deadline_exceeded(progress)
+            local_reply = self._late_reply(task, progress, answerer)
         if local_reply is None:
             return
         if reply.has_begun:
             self._record_broken_stream(task, progress, local_reply, reply.sent_bytes, late_s)
             return
-        await self._answer_locally(
-            request,
-            reply,
-            local_reply,
-            progress,
-            fingerprint_text(task.fingerprint),
-            late_s,
-        )
+        fingerprint = fingerprint_text(task.fingerprint)
+        await self._answer_locally(request, reply, local_reply, progress, fingerprint, late_s)
+
+    def _send_last(
+        self,
+        task: RequestTask,
+        reply: Reply,
+        progress: Progress,
+        handler: StreamingRequestHandler | PlainRequestHandler,
+    ) -> None:
+        """Send the answer to a request that is open at the end of the drain, without a wait."""
+        if reply.has_begun or handler.has_kept():
+            return
+        with self._errors:
+            local_reply = self._late_reply(task, progress, handler)
+            reply.send_at_once(*encode_local_reply(self._dialect, task.request, local_reply))
+            late_s = round(self.kernel.clock.now_s() - reply.limit.due_s, 4)
+            fingerprint = fingerprint_text(task.fingerprint)
+            self._record_local_reply(task.request, local_reply, progress, fingerprint, late_s)
+
+    def _late_reply(
+        self,
+        task: RequestTask,
+        progress: Progress,
+        handler: StreamingRequestHandler | PlainRequestHandler,
+    ) -> LocalReply:
+        """Return the local reply at the limit of a request, or at the end of the drain."""
+        now_s = self.kernel.clock.now_s()
+        has_stopped = now_s < task.deadline_s
+        if has_stopped and (event := missed_estimate_event(task.request, progress, now_s)):
+            self.kernel.events.emit(event)
+        return handler.stopped_reply() if has_stopped else _deadline_exceeded(progress)
 
     def _request_handler(
         self, task: RequestTask, reply: Reply, progress: Progress
@@ -334,18 +361,6 @@
             )
         )
 
-    def _log_missed_estimate(self, request: Request, progress: Progress) -> None:
-        """Log that the time for a response that a stopping entry has accepted was too short."""
-        estimate = progress.drain_estimate
-        if estimate is None or not progress.pending:
-            return
-        took_s = self.kernel.clock.now_s() - estimate.made_s
-        needed_s, left_s = round(estimate.needed_s, 3), round(estimate.left_s, 3)
-        request_id, route_name = request.facts.request_id, progress.route_name
-        self.kernel.events.emit(
-            AcceptedRequestCut(request_id, route_name, needed_s, left_s, round(took_s, 3))
-        )
-
     def _log_unanswered(
         self, request: Request, reply: Reply, progress: Progress, cause: BaseException
     ) -> None:
@@ -353,15 +368,12 @@
         if progress.has_final_line:
             return
         progress.has_final_line = True
-        request_id, route_name = request.facts.request_id, progress.route_name
-        held_s = round(self.kernel.clock.now_s() - request.arrived_s, 4)
-        if reply.has_caller_left or isinstance(cause, ConnectionLost):
-            self.kernel.events.emit(CallerLeft(request_id, route_name, held_s))
-        else:
-            attempts, sent_bytes = progress.attempts, reply.sent_bytes
-            self.kernel.events.emit(
-                RequestCut(request_id, route_name, attempts, held_s, sent_bytes)
-            )
+        now_s = self.kernel.clock.now_s()
+        has_caller_left = reply.has_caller_left or isinstance(cause, ConnectionLost)
+        event = unanswered_event(
+            request, progress, reply.sent_bytes, now_s, has_caller_left=has_caller_left
+        )
+        self.kernel.events.emit(event)
 
     async def _answer_locally(
         self,
@@ -373,42 +385,23 @@
         late_s: float = 0.0,
     ) -> None:
         """Send a local reply: a refusal, or a failure of a request that may have run."""
+        self._record_local_reply(request, local_reply, progress, fingerprint, late_s)
+        await reply.send_complete(*encode_local_reply(self._dialect, request, local_reply))
+
+    def _record_local_reply(
+        self,
+        request: Request,
+        local_reply: LocalReply,
+        progress: Progress,
+        fingerprint: str,
+        late_s: float,
+    ) -> None:
         progress.has_final_line = True
-        route_name, attempts = progress.route_name, progress.attempts
         REFUSALS.add(1, {"code": local_reply.refusal.code})
-        held_s = round(self.kernel.clock.now_s() - request.arrived_s, 4)
-        request_id = request.facts.request_id
-        status = local_reply.refusal.status
-        if local_reply.refusal in (MAY_HAVE_RUN, NO_ANSWER_IN_TIME):
-            detail = f"{local_reply.refusal.code}: {local_reply.detail}"
-            self.kernel.events.emit(
-                RequestFailed(request_id, route_name, status, attempts, held_s, detail, late_s)
-            )
-        else:
-            code = local_reply.refusal.code
-            retry_after_s = round(local_reply.retry_after_s or 0.0, 3)
-            self.kernel.events.emit(
-                RequestRefused(
-                    request_id,
-                    route_name,
-                    code,
-                    status,
-                    retry_after_s,
-                    attempts,
-                    held_s,
-                    local_reply.detail,
-                    fingerprint,
-                    round(progress.waited_s, 4),
-                )
-            )
-        await self._send(request, reply, local_reply)
-
-    async def _send(self, request: Request, reply: Reply, local_reply: LocalReply) -> None:
-        headers: Headers = [(b"content-type", b"application/problem+json")]
-        if local_reply.retry_after_s is not None:
-            headers.append(self._dialect.retry_after_header(local_reply.retry_after_s))
-        body = refusal_body(local_reply.refusal, request.facts.request_id, local_reply.detail)
-        await reply.send_complete(local_reply.refusal.status, headers, body)
+        now_s = self.kernel.clock.now_s()
+        self.kernel.events.emit(
+            local_reply_event(request, local_reply, progress, fingerprint, now_s, late_s)
+        )
 
 
 async def _forward_late(handler: StreamingRequestHandler | PlainRequestHandler) -> bool:
--- a/packages/proxy/src/sassafrastally/proxy/task.py
+++ b/packages/proxy/src/sassafrastally/proxy/task.py
@@ -127,6 +127,10 @@
         self.sent.append(incarnation_id)
         self.tried.add(incarnation_id)
 
+    def may_be_running(self) -> bool:
+        """Return whether an attempt may have run, or is in flight."""
+        return self.may_have_run or bool(self.pending)
+
     def end(self, attempt: OpenAttempt) -> None:
         """Note that an attempt has ended."""
         if attempt in self.pending:
