Test: a server that breaks off once its host has acknowledged the request

The server answers an upload that is still being written, ends its sending side, reads all but the last 1,000 bytes and resets the connection 60 or 100 ms later. Its host has acknowledged all by then, which takes up to 40 ms.

--- a/packages/testing/tests/platform/test_early_responses.py
+++ b/packages/testing/tests/platform/test_early_responses.py
@@ -27,6 +27,9 @@
 SHORT_BODY = b"x" * 20_000
 """Fits into them, but not into the receive buffer of a server that reads nothing."""
 
+UNREAD_BYTES = 1000
+"""Fit into that buffer."""
+
 LIMITS = {
     "maxHeaderBytes": 4096,
     "maxBodyBytes": 2 * len(LONG_BODY),
@@ -170,6 +173,29 @@
         answer = await self._call(fleet, path, prompt, SHORT_BODY)
         assert answer.status == 502 or not answer.is_whole
 
+    @pytest.mark.parametrize("pause_s", [0.06, 0.1])
+    async def test_end_without_framing_does_not_count_right_before_a_reset(
+        self, fleet, serve, path, prompt, pause_s
+    ):
+        """Guards against taking a part for the whole when the server's host has just acknowledged
+        the request, of which the server reads no more: its reset is still to come."""
+        script = Script(
+            RESPONSES[BodyFraming.CLOSE], ConnectionEnd.RESET, False, pause_s, True, UNREAD_BYTES
+        )
+        await serve(script)
+        answer = await self._call(fleet, path, prompt)
+        assert answer.status == 502 or not answer.is_whole
+
+    async def test_end_without_framing_counts_if_the_server_reads_on(
+        self, fleet, serve, path, prompt
+    ):
+        """Guards against a failure for a whole response that its server sends before it has read
+        the request, as it then reads the rest."""
+        response = RESPONSES[BodyFraming.CLOSE]
+        await serve(Script(response, ConnectionEnd.SILENCE, False, 0.0, True, 0))
+        answer = await self._call(fleet, path, prompt)
+        assert (answer.status, answer.body, answer.is_whole) == (200, EVENT, True)
+
     async def test_end_without_framing_counts_once_the_server_has_the_request(
         self, fleet, serve, path, prompt
     ):
