The end of an early response without framing counts 0.1 s after the request's

What callers saw: a 200 with a part of its body as if it were whole, seldom, on routes with uploads.

Cause: a server that answers an upload which is still being written, ends its sending side and resets is told from one that has finished by the reset, if it has come by the time its host has acknowledged the request. The host acknowledges what the server doesn't read, after up to 40 ms; the reset may follow that.

Ruled out: the order of the two looks, at the reset and at what is unacknowledged. A reset leaves the latter above zero, by reading.

Change: if the response began before the host had the whole request, its end counts only 0.1 s after the acknowledgement. Other responses aren't delayed. A reset later than that still isn't told from a regular end.

--- a/packages/proxy/src/sassafrastally/proxy/answer.py
+++ b/packages/proxy/src/sassafrastally/proxy/answer.py
@@ -34,6 +34,11 @@
 """A server that has sent nothing for this share of the limit is silent, rather than busy with an
 event that never ends."""
 
+RESET_TIME_S = 0.1
+"""Time in which a server that answers before it has the request resets its connection after its
+host has acknowledged the rest, if it has broken off: it ends its sending side and closes in two
+steps, between which a busy machine may keep it waiting for some tens of milliseconds."""
+
 NO_EVENT_DETAIL = "bytes kept coming, but no event was complete before the timeout"
 
 TIMEOUT_DETAIL = "no data arrived before the timeout"
@@ -103,6 +108,8 @@
         self._connection = connection
         self._lacks_content = requires_content(self.status, framing)
         """Whether the body may not end yet."""
+        is_early = framing is BodyFraming.CLOSE and connection.is_sending
+        self._reset_time_s = RESET_TIME_S if is_early else 0.0
         self._has_ended = False
         """Whether the end of the body has been read."""
 
@@ -157,7 +164,7 @@
     async def _require_delivered(self) -> None:
         """Wait until the server's host has the request: a reset may follow the end."""
         try:
-            await self._connection.require_delivered()
+            await self._connection.require_delivered(self._reset_time_s)
         except ConnectionLost as cause:
             raise AttemptUnknown(f"response interrupted: {cause}") from cause
 
--- a/packages/proxy/src/sassafrastally/proxy/http_stream.py
+++ b/packages/proxy/src/sassafrastally/proxy/http_stream.py
@@ -295,17 +295,31 @@
         """Note that a write that was begun has ended, or has failed."""
         self._write_ended.set()
 
-    async def require_delivered(self) -> None:
+    @property
+    def is_sending(self) -> bool:
+        """Whether the host of the peer lacks a part of what is being sent."""
+        return not self._write_ended.is_set() or self.send_buffered_bytes() > 0
+
+    async def require_delivered(self, reset_time_s: float = 0.0) -> None:
         """Wait until the host of the peer has all that was sent.
 
+        Parameters
+        ----------
+        reset_time_s
+            How long to wait for a reset after that.
+
         Raises
         ------
         ConnectionLost
             If the connection is reset instead, or was reset after the end of the stream.
         """
         await self._write_ended.wait()
+        due_s = math.inf
         while not self._has_failed_write and not is_reset(self.stream):
-            if not self.send_buffered_bytes():
+            now_s = trio.current_time()
+            if due_s == math.inf and not self.send_buffered_bytes():
+                due_s = now_s + reset_time_s
+            if now_s >= due_s:
                 return
             await trio.sleep(DELIVERY_CHECK_S)
         raise ConnectionLost(RESET_DETAIL)
