A failed write of the log doesn't end the log

What operators saw: a process whose standard output once takes no bytes, as its disk is full or its reader has set the pipe to non-blocking, writes no line for the rest of its life. Nothing tells what it does, and its requests go on.

Cause: the error ended the writer's thread.

Evidence: the test writes three lines, the first two of which fail: none of them was written before.

Change: a failed write drops its lines, which are counted and reported.

Result: the test passes; lines are written again, and two are reported as dropped.

--- a/packages/core/src/sassafrastally/core/log_writer.py
+++ b/packages/core/src/sassafrastally/core/log_writer.py
@@ -44,7 +44,7 @@
 
     def __init__(self, write: Callable[[bytes], object] | None = None) -> None:
         self.dropped = 0
-        """Lines dropped because the queue was full."""
+        """Lines dropped because the queue was full or a write failed."""
         self.sampled_out = 0
         """Lines about successes dropped by the rate limit."""
         self._write = write or (lambda data: os.write(1, data))
@@ -96,9 +96,14 @@
         missing = self._loss_record()
         data = "".join([*lines, missing]).encode()
         view = memoryview(data)
-        while view:
-            written = self._write(bytes(view))
-            view = view[written if isinstance(written, int) else len(view) :]
+        try:
+            while view:
+                written = self._write(bytes(view))
+                view = view[written if isinstance(written, int) else len(view) :]
+        except OSError:
+            # A full disk, or a pipe that is full and non-blocking or has no reader: the thread goes
+            # on, as there may be room for later lines.
+            self.dropped += bytes(view).count(b"\n") - bool(missing)
 
     def _loss_record(self) -> str:
         """Return a log line with the drop counts if they changed since the last one."""
--- a/packages/core/tests/test_log_writer.py
+++ b/packages/core/tests/test_log_writer.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import errno
 import json
 import threading
 import time
@@ -44,6 +45,31 @@
         assert missing[-1]["dropped"] == writer.dropped
 
 
+class TestFailedWrites:
+    """Standard output that takes no bytes for a while."""
+
+    def test_lines_are_written_again_after_it_takes_some(self):
+        """Guards against a process without a log for the rest of its life after one failed write,
+        of a full disk or a pipe that its reader has set to non-blocking."""
+        written: list[bytes] = []
+        failures = [OSError(errno.ENOSPC, "full"), BlockingIOError(errno.EAGAIN, "full")]
+
+        def write(data: bytes) -> int:
+            if failures:
+                raise failures.pop()
+            written.append(data)
+            return len(data)
+
+        writer = LogWriter(write)
+        for count in range(3):
+            writer.write(f"line {count}\n")
+            time.sleep(0.15)
+        lines = b"".join(written).decode().splitlines()
+        assert "line 2" in lines
+        missing = [json.loads(line) for line in lines if "LogLinesMissing" in line]
+        assert missing[-1]["dropped"] == writer.dropped == 2
+
+
 class TestSampling:
     """Rate limit of lines about successes."""
 
