--- a/packages/testing/tests/soak/test_overlapping_processes.py
+++ b/packages/testing/tests/soak/test_overlapping_processes.py
@@ -139,3 +139,29 @@
             while not entry.note_end():
                 await trio.sleep(0.01)
             await trio.sleep(RESTART_S)
+
+    async def test_can_be_stopped_while_it_has_none_of_its_ports(self, tmp_path, own_host):
+        """Guards against a process that waits for its ports and not for signals, so that it has to
+        be killed, or that opens a port after it was asked to stop."""
+        async with platform_fleet() as fleet:
+            (await fleet.add_replica("desk", "desk")).work_s = HELD_S
+            first = EntryProcess(1, own_host, tmp_path, 22_000, fleet.store_address)
+            following = EntryProcess(1, own_host, tmp_path, 22_000, fleet.store_address)
+            following.log_file = tmp_path / "following.log"
+            try:
+                first.start()
+                with trio.fail_after(20.0):
+                    while not first.accepts_callers():
+                        await trio.sleep(0.05)
+                    following.start()
+                    while "ProcessStarted" not in following.log_file.read_text():
+                        await trio.sleep(0.05)
+                    following.signal(signal.SIGTERM)
+                    while not following.note_end():
+                        await trio.sleep(0.05)
+                assert following.exit_codes == [0]
+                assert first.is_running
+                assert first.accepts_callers()
+            finally:
+                first.kill()
+                following.kill()
