Test of a refused connection: its request has begun when the entry accepts it

Cause, traced by a line at each choice of a connection: the caller is a thread that connects and then sends. If the entry has a turn between the two, it finds an empty connection beyond its bound and closes it unread, as it is to do; the caller's send fails. So the test measured when its own thread got a processor.

Ruled out: the limits of the wait for the body (1 s, 16 MB), which the entry applies only after it has refused the request, and which the trace doesn't reach.

Change: the caller connects and sends its header in the thread of the event loop, which leaves the entry no turn in between. As strict as before: the body still waits for the entry, the refusal and its text are checked as they were.

--- a/packages/entry/tests/test_slow_entry.py
+++ b/packages/entry/tests/test_slow_entry.py
@@ -59,10 +59,21 @@
         await trio.lowlevel.checkpoint()
 
 
-def hand_over(address: Address, target: bytes) -> bytes:
-    """Send a whole request at once, then return the response."""
-    with socket.create_connection((address.host, address.port), timeout=20.0) as caller:
-        caller.sendall(HEAD % (target, BODY_BYTES) + bytes(BODY_BYTES))
+def begin_request(address: Address, target: bytes) -> socket.socket:
+    """Return a connection on which the header of a request is sent.
+
+    Called in the thread of the event loop, it leaves the entry no turn between the connect and the
+    header.
+    """
+    caller = socket.create_connection((address.host, address.port), timeout=20.0)
+    caller.sendall(HEAD % (target, BODY_BYTES))
+    return caller
+
+
+def hand_over(caller: socket.socket) -> bytes:
+    """Send the body at once, then return the response."""
+    with caller:
+        caller.sendall(bytes(BODY_BYTES))
         response = b""
         while part := caller.recv(65_536):
             response += part
@@ -76,7 +87,7 @@
         """Guards against a refusal that is lost with its connection, which is closed while the body
         still waits for the entry: its caller gets a reset and can't tell whether it ran."""
         nursery.start_soon(take_cpu_time)
-        send = partial(hand_over, server.bound_address, b"refused")
+        send = partial(hand_over, begin_request(server.bound_address, b"refused"))
         with trio.fail_after(20):
             response = await trio.to_thread.run_sync(send)
         assert response.startswith(b"HTTP/1.1 413")
@@ -119,7 +130,8 @@
                 await stream.send_all(b"GET /held HTTP/1.1\r\nHost: a\r\n\r\n")
             await trio.sleep(0.1)
             nursery.start_soon(take_cpu_time)
-            send = partial(hand_over, address, b"refused")
+            # An empty connection beyond the bound is closed unread, and gets no refusal.
+            send = partial(hand_over, begin_request(address, b"refused"))
             with trio.fail_after(20):
                 response = await trio.to_thread.run_sync(send)
         assert response.startswith(b"HTTP/1.1 503")
