Soak: servers that leave beside a takeover or after a clock step, restarts in series, many parts

Cause: the soak killed entries without regard to which of them watch the store, started each life of a server under a new ID, sent a harmful part for eight seconds only, and prompts of three parts.

Change: four troubles with seeds. They are judged by the promises on drained servers and on harmful parts, which stay as strict or become stricter: the other life or the crash of a server no longer excuses requests that reach a server that drains. A new promise is that entries answer beside prompts of many parts: whether they are ready within 1 s, and requests that no engine serves within 0.7 s after their limit; it takes off what the kernel says of a missing processor, and what the soak ran late. The soak's entries allow headers of 16,384 bytes, as operators do. Older seeds draw as before.

--- a/packages/testing/src/sassafrastally/testing/soak/fleet.py
+++ b/packages/testing/src/sassafrastally/testing/soak/fleet.py
@@ -61,6 +61,8 @@
 """Customers beside the usual one."""
 
 MAX_BODY_BYTES = 4_000_000
+MAX_HEADER_BYTES = 16_384
+"""Limits of requests; the header is the operators' usual one."""
 
 GUARD_PORT = 9_999
 """Port that a soak holds as long as it uses its addresses."""
@@ -142,6 +144,8 @@
         """When entries stood still, by their numbers."""
         self.stalled_entries: set[int] = set()
         """Entries of a trouble that lets them stand still; a second one would do so for longer."""
+        self.dark_entries: set[int] = set()
+        """Entries without power, which aren't started again meanwhile."""
         self.scheduling = Scheduling()
         """What the operating system says of the entries' CPU time."""
         self.uploads: list[SentUpload] = []
@@ -196,7 +200,7 @@
         force shows from outside.
         """
         document = make_configuration(self.version)
-        document["limits"]["maxBodyBytes"] = MAX_BODY_BYTES
+        document["limits"] |= {"maxBodyBytes": MAX_BODY_BYTES, "maxHeaderBytes": MAX_HEADER_BYTES}
         own = make_route(self.route_of(self.version), "idempotent", "desk", public=True)
         document["routes"].append(own)
         add_customer(document, make_customer("ben", self.key_of(self.version)))
@@ -247,9 +251,25 @@
             if self.store.value(key) != value:
                 self.store.put(key, value)
 
-    async def begin_life(self, server: Server) -> None:
-        """Start a new life of a server at its address."""
-        server.replica = self._make_replica(server.replica.service, server.replica.data_centre)
+    async def begin_life(
+        self, server: Server, *, born_ms: int | None = None, keeps_id: bool = False
+    ) -> None:
+        """Start a new life of a server at its address.
+
+        Parameters
+        ----------
+        server
+            The server.
+        born_ms
+            When it says that this life has begun; by default, it doesn't say.
+        keeps_id
+            Whether it goes on under its ID.
+        """
+        former = server.replica
+        server.replica = self._make_replica(former.service, former.data_centre)
+        server.replica.born_ms = born_ms
+        if keeps_id:
+            server.replica.server_id = former.server_id
         await self._run_replica(server)
         await server.proxy.start(server.address.host, server.address.port, self.nursery)
 
@@ -331,6 +351,8 @@
 
     async def _restart(self, entry: EntryProcess) -> None:
         await trio.sleep(RESTART_S)
+        while entry.number in self.dark_entries:
+            await trio.sleep(LOOK_S)
         entry.start()
 
     async def _balance(self) -> None:
--- a/packages/testing/src/sassafrastally/testing/soak/promises.py
+++ b/packages/testing/src/sassafrastally/testing/soak/promises.py
@@ -18,7 +18,9 @@
     judge_beside_parts,
     judge_harmful,
 )
+from sassafrastally.testing.soak.leaving import KNOWN_BESIDE
 from sassafrastally.testing.soak.long_uploads import judge_uploads
+from sassafrastally.testing.soak.many_parts import judge_many_parts
 from sassafrastally.testing.soak.reconnecting import judge_reconnecting
 from sassafrastally.testing.soak.record import Attempt, Kind
 from sassafrastally.testing.soak.stalling import judge_stalls
@@ -127,6 +129,7 @@
             judge_successors(self._fleet, attempt, arrivals)
             judge_reconnecting(self._fleet, attempt)
             judge_starving(self._fleet, attempt)
+            judge_many_parts(self._fleet, attempt)
         is_refused = b"refusal:quarantined" in attempt.body
         if (
             not attempt.is_harmful
@@ -210,7 +213,7 @@
                 attempt = self._record.attempts.get(arrival.request_id)
                 if attempt is None:
                     continue
-                calm_s = self._record.calm_since_s(attempt.entry, arrival.at_s)
+                calm_s = self._record.calm_since_s(attempt.entry, arrival.at_s, KNOWN_BESIDE)
                 if arrival.at_s > max(drained_s, calm_s) + DRAIN_S:
                     late.append(f"{replica.server_id} after {arrival.at_s - drained_s:.2f} s")
         if late:
--- a/packages/testing/src/sassafrastally/testing/soak/proxying.py
+++ b/packages/testing/src/sassafrastally/testing/soak/proxying.py
@@ -24,6 +24,9 @@
 
 SUCCESS = b"HTTP/1.1 200 "
 
+WATCH = b"GET /kv-watch?"
+"""Begin of a call with which an entry waits for changes of the store."""
+
 REQUEST_ID = re.compile(rb"\r\nattempt-id: (\w+)\r\n", re.IGNORECASE)
 
 
@@ -62,6 +65,8 @@
         Bytes towards the target stay on the way; those back pass.
     cuts_answers
         Bytes back stay on the way; those towards the target pass.
+    watched_s
+        When a call passed last with which an entry waits for changes of the store.
     cut_head
         Ends each connection inside the head of its next answer.
     cut_successes
@@ -74,6 +79,7 @@
         self.bytes_per_s = math.inf
         self.cuts_requests = False
         self.cuts_answers = False
+        self.watched_s = -math.inf
         self.cut_head: CutHead | None = None
         self.cut_successes: Counter[str] = Counter()
         self._connections: set[_Connection] = set()
@@ -150,6 +156,8 @@
                 await trio.sleep(self.delay_s + len(data) / self.bytes_per_s)
                 while self._is_cut(connection, source):
                     await self._healed.wait()
+                if data.startswith(WATCH):
+                    self.watched_s = trio.current_time()
                 is_answer = source is connection.server and data.startswith(b"HTTP/")
                 if is_answer and self.cut_head is not None:
                     await self._end_in_head(sink, data, self.cut_head)
--- a/packages/testing/src/sassafrastally/testing/soak/record.py
+++ b/packages/testing/src/sassafrastally/testing/soak/record.py
@@ -90,6 +90,8 @@
         self.harmful_part = harmful_part
         """ID of the part of its prompt that crashes servers, if any."""
         self.content = (content or attempt_id).encode()
+        self.common_parts: tuple[str, ...] = ()
+        """IDs of further parts of its prompt."""
         self.kind = kind
         self.entry = entry
         self.events = events
@@ -114,12 +116,14 @@
 
     @property
     def parts(self) -> str | None:
-        """IDs of the parts of its prompt: one that many share, a harmful one, its own."""
+        """IDs of the parts of its prompt: one that many share, others, a harmful one, its own."""
         if not self.kind.is_stream:
             return None
         # Named by the id, since another draw would change what a seed does.
         shared = f"5a{int(self.attempt_id, 16) % SHARED_PARTS}"
-        return ",".join(filter(None, (shared, self.harmful_part, self.attempt_id)))
+        return ",".join(
+            filter(None, (shared, *self.common_parts, self.harmful_part, self.attempt_id))
+        )
 
     @property
     def target(self) -> str:
--- a/packages/testing/tests/soak/test_soak.py
+++ b/packages/testing/tests/soak/test_soak.py
@@ -19,8 +19,11 @@
     faltering,
     foreign,
     harmful,
+    leaving,
     long_uploads,
+    many_parts,
     reconnecting,
+    restarting,
     run_soak,
     stalling,
     starving,
@@ -28,6 +31,7 @@
     troubles,
 )
 from sassafrastally.testing.soak.record import Attempt, HarmedSpan, Kind, Record
+from sassafrastally.testing.soak.runner import GAP_S
 from sassafrastally.testing.soak.scheduling import Look, Scheduling
 from sassafrastally.testing.soak.troubles import TROUBLES
 
@@ -44,6 +48,10 @@
     starving.STARVED,
     long_uploads.UPLOADS,
     foreign.FOREIGN,
+    leaving.TAKEOVER,
+    leaving.CLOCK_BACK,
+    restarting.RESTARTED,
+    many_parts.MANY_PARTS,
 )
 EARLIER = [name for name in TROUBLES.names() if name not in LATER]
 USUAL = [name for name in EARLIER if name not in contention.KINDS]
@@ -168,8 +176,10 @@
 
     @pytest.mark.parametrize("known", SEEDS, ids=lambda known: str(known["number"]))
     async def test_seed_that_broke_a_promise_keeps_them(self, known):
-        kinds = EARLIER if known.get("has_all_troubles") else USUAL
-        report = await run_soak(known["number"], known["seconds"], None, print, kinds)
+        kinds = known.get("troubles") or (EARLIER if known.get("has_all_troubles") else USUAL)
+        size = SoakSize(**known["size"]) if "size" in known else None
+        gap_s = known.get("gap_s", GAP_S)
+        report = await run_soak(known["number"], known["seconds"], size, print, kinds, gap_s)
         assert not report.broken, f"{known['cause']}\n{report}"
 
 
