Log the end of a request whose response an unexpected error breaks off

What operators saw: a request whose connection a fault of the entry ends after its response has begun has no final line; ConnectionCrashed names no request.

Cause: the error is passed on to the connection, which knows no request; the line of a broken stream is written for limits and lost servers only.

Change: the handler writes StreamBroken with "an unexpected error" before it passes the error on, unless the end has been logged.

Before: test_unexpected_error_after_the_begin_of_a_response found no line.

--- a/packages/proxy/src/sassafrastally/proxy/path.py
+++ b/packages/proxy/src/sassafrastally/proxy/path.py
@@ -191,10 +191,12 @@
             self._log_unanswered(request, reply, progress, cause)
             raise
         except Exception as cause:
+            local_reply = LocalReply(MAY_HAVE_RUN, "an unexpected error")
             if reply.has_begun:
+                if not progress.has_final_line:
+                    self._record_broken(request, progress, local_reply, reply.sent_bytes)
                 raise
             self._errors.record(cause)
-            local_reply = LocalReply(MAY_HAVE_RUN, "an unexpected error")
             if not (progress.may_have_run or progress.pending):
                 local_reply = LocalReply(INTERNAL_ERROR, "", ERROR_RETRY_AFTER_S)
             await self._answer_locally(request, reply, local_reply, progress)
@@ -287,7 +289,7 @@
         if local_reply is None:
             return
         if reply.has_begun:
-            self._record_broken_stream(task, progress, local_reply, reply.sent_bytes, late_s)
+            self._record_broken(request, progress, local_reply, reply.sent_bytes, late_s)
             return
         await self._answer_locally(
             request,
@@ -312,20 +314,20 @@
         for attempt in progress.pending:
             self.services.crash_detector.record_missing_answer(attempt.server, task, attempt.answer)
 
-    def _record_broken_stream(
+    def _record_broken(
         self,
-        task: RequestTask,
+        request: Request,
         progress: Progress,
         local_reply: LocalReply,
         sent_bytes: int,
-        late_s: float,
+        late_s: float = 0.0,
     ) -> None:
         REQUESTS.add(1, {"outcome": "broken"})
         progress.has_final_line = True
         self.kernel.events.emit(
             StreamBroken(
-                task.request.facts.request_id,
-                task.route.name,
+                request.facts.request_id,
+                progress.route_name,
                 progress.attempts,
                 progress.last_event_id,
                 f"{local_reply.refusal.code}: {local_reply.detail}",
--- a/packages/testing/tests/platform/test_final_lines.py
+++ b/packages/testing/tests/platform/test_final_lines.py
@@ -7,6 +7,7 @@
 from sassafrastally.proxy.caller_listener import CallerListener
 from sassafrastally.proxy.http_stream import HttpStream
 from sassafrastally.proxy.path import RequestPath
+from sassafrastally.proxy.reply import Reply
 from sassafrastally.stand_ins.caller_requests import request_fields, send_request
 from sassafrastally.stand_ins.platform_fleet import wait_until
 
@@ -105,6 +106,23 @@
         }
         assert lines == {request_id: [name] for request_id, (_, name) in expected.items()}
 
+    async def test_unexpected_error_after_the_begin_of_a_response(self, small_fleet, monkeypatch):
+        """Guards against a request without a final line whose connection a fault of the entry
+        ends."""
+        small_fleet.expects_errors = True
+
+        async def fail(_reply):
+            raise RuntimeError("a fault")
+
+        monkeypatch.setattr(Reply, "end", fail)
+        connection = await small_fleet.connect()
+        fields = request_fields(prompt="40,3", request_id="faulty")
+        await send_request(connection, "POST", "/note/x", fields, b"{}")
+        kernel = small_fleet.kernels[0]
+        await wait_until(lambda: bool(final_lines(kernel, "faulty")))
+        assert final_lines(kernel, "faulty") == ["StreamBroken"]
+        await connection.close()
+
     async def test_request_that_the_end_of_the_process_cuts(self, small_fleet):
         """Guards against logging that its caller has left, where the entry hasn't answered it."""
         for name in ("desk-1", "desk-2"):
