Test of a crowded entry: take off the time in which its callers' process ran late

Cause, traced: the callers, the engines and the store run in the process of the test, and the time is read when that process notices the close. In 1 of 12 runs with a look each 10 ms at its own lag, at a load of 13 to 33, a connection was closed 1.158 s after its last byte, and the test's process ran late by 1.077 s of these; 0.081 s are left. The entry's figures of the kernel (0.000 s without a processor) say nothing of it. Both cases of the test, SIGHUP and SIGTERM, have the same check; the failure was seen in the other case than the one of 0.267 s, whose lag nobody had measured.

Ruled out for that trace: an entry without a processor; a stop by a signal between the look and the close, which lasts 0.3 s at most here.

Change: the part of each lag between the last byte and the end isn't counted, and nothing else: not the entry's own waits. The bound of 0.2 s stays. TestCallersLag guards against a lag at another time that would excuse a late close.

--- a/packages/testing/tests/soak/test_crowded_process.py
+++ b/packages/testing/tests/soak/test_crowded_process.py
@@ -5,7 +5,7 @@
 import math
 import signal
 from contextlib import asynccontextmanager, suppress
-from typing import NamedTuple
+from typing import TYPE_CHECKING, NamedTuple
 
 import h11
 import pytest
@@ -16,6 +16,9 @@
 from sassafrastally.stand_ins.platform_fleet import platform_fleet
 from sassafrastally.testing.soak.entry_process import EntryProcess
 
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator, Sequence
+
 CALLERS = 40
 
 SENT_AFTER_CONNECTING_S = 0.05
@@ -32,20 +35,41 @@
 FASTEST_RETRY_S = 0.02
 
 
+LOOK_S = 0.01
+"""How often is looked whether the callers' own process runs late."""
+
+
 class Ended(NamedTuple):
     """A request and its end."""
 
-    after_s: float
-    """Time from its last byte to its end."""
+    sent_s: float
+    """When its last byte was sent; infinite if it wasn't."""
+    ended_s: float
     status: int
     """0 without an answer."""
 
 
+class Lag(NamedTuple):
+    """A time in which the callers' own process ran late."""
+
+    begin_s: float
+    end_s: float
+
+
+def cut_after_s(one: Ended, lags: Sequence[Lag]) -> float:
+    """Return how long after its last byte a request was cut, by what its caller could notice."""
+    late_s = sum(
+        max(0.0, min(lag.end_s, one.ended_s) - max(lag.begin_s, one.sent_s)) for lag in lags
+    )
+    return one.ended_s - one.sent_s - late_s
+
+
 class CrowdingCallers:
     """Callers who connect to one entry for each request."""
 
     def __init__(self, entry: EntryProcess) -> None:
         self.ended: list[Ended] = []
+        self.lags: list[Lag] = []
         self.is_over = False
         self._entry = entry
 
@@ -58,6 +82,21 @@
                 retry_after_s = await self._exchange(HttpStream(stream, h11.CLIENT))
             await trio.sleep(retry_after_s)
 
+    @asynccontextmanager
+    async def watching_lag(self) -> AsyncIterator[None]:
+        """Note when this process runs late, until a look after the end of the block."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._watch_lag)
+            yield
+            await trio.sleep(2 * LOOK_S)
+            nursery.cancel_scope.cancel()
+
+    async def _watch_lag(self) -> None:
+        while True:
+            due_s = trio.current_time() + LOOK_S
+            await trio.sleep_until(due_s)
+            self.lags.append(Lag(due_s, trio.current_time()))
+
     async def _exchange(self, connection: HttpStream) -> float:
         sent_s, status, retry_after_s = math.inf, 0, FASTEST_RETRY_S
         try:
@@ -69,7 +108,7 @@
             status = answer.status if answer.is_whole else 0
             retry_after_s = float(answer.headers.get("retry-after", 0.0))
         finally:
-            self.ended.append(Ended(trio.current_time() - sent_s, status))
+            self.ended.append(Ended(sent_s, trio.current_time(), status))
             await connection.close()
         return retry_after_s
 
@@ -113,10 +152,13 @@
     @pytest.mark.parametrize("number", [signal.SIGHUP, signal.SIGTERM])
     async def test_requests_that_have_waited_are_answered(self, tmp_path, own_hosts, number):
         """Guards against an overloaded entry that closes new connections without a look at the
-        requests in them: the system resets these, however long they have waited."""
+        requests in them: the system resets these, however long they have waited.
+
+        The time in which this process was late to notice isn't counted.
+        """
         async with crowded_entry(tmp_path, own_hosts) as entry:
             callers = CrowdingCallers(entry)
-            async with trio.open_nursery() as nursery:
+            async with callers.watching_lag(), trio.open_nursery() as nursery:
                 for _ in range(CALLERS):
                     nursery.start_soon(callers.run)
                 async with trio.open_nursery() as starving:
@@ -130,5 +172,23 @@
                     starving.cancel_scope.cancel()
                 callers.is_over = True
         assert {200, 503} <= {one.status for one in callers.ended}
-        cut = [one.after_s for one in callers.ended if not one.status]
+        cut = [cut_after_s(one, callers.lags) for one in callers.ended if not one.status]
         assert not [after_s for after_s in cut if after_s > CROSSED_S]
+
+
+class TestCallersLag:
+    """What is taken off for the callers' own process."""
+
+    @pytest.mark.parametrize(
+        ("lags", "after_s"),
+        [
+            ([], 1.0),
+            ([Lag(0.0, 9.9)], 1.0),
+            ([Lag(9.5, 10.2)], 0.8),
+            ([Lag(10.1, 10.3), Lag(10.9, 15.0)], 0.7),
+            ([Lag(11.1, 15.0)], 1.0),
+        ],
+    )
+    def test_is_the_part_between_the_last_byte_and_the_end(self, lags, after_s):
+        """Guards against a check that a lag at another time excuses."""
+        assert cut_after_s(Ended(10.0, 11.0, 0), lags) == pytest.approx(after_s)
