Use a server whose machine's clock went back before it started at an address

What callers may see: a server crashes and another one starts at its address with an earlier start time. Until the crashed one's record expires, 3.6 s after its last heartbeat, requests name the crashed one, which its successor rejects, and nobody uses the successor.

Cause: of two servers at an address the one with the later start time holds it; both come from one machine's clock, but that clock may have stepped between.

Change: a server that goes on writing while the holder has been silent for one and a half heartbeat intervals holds the address. Two that both go on writing are ordered by their start as before. Before, the test found the crashed one in use; two tests say what must stay.

--- a/packages/proxy/src/sassafrastally/proxy/server_registry.py
+++ b/packages/proxy/src/sassafrastally/proxy/server_registry.py
@@ -98,7 +98,7 @@
         self._held: dict[str, BackendServer] = {}
         self._lapse_ends_s: dict[str, float] = {}
         self._order = IncarnationOrder(registration_expiry_s)
-        self._holders = AddressHolders()
+        self._holders = AddressHolders(registration_expiry_s)
         self._index: _Index | None = None
 
     def of_service(self, service: str) -> list[BackendServer]:
@@ -204,11 +204,13 @@
         known = self._servers.get(server.server_id)
         self._lapse_ends_s.pop(server.server_id, None)
         if known == server:
+            if self._holders.record(server, self._now(), since_s):
+                self._index = None
             return
         if known is not None:
             self._holders.forget(known)
         self._servers[server.server_id] = server
-        self._holders.record(server)
+        self._holders.record(server, self._now(), since_s)
         self._index = None
         if known is not None and known.incarnation_id != server.incarnation_id:
             self._record_incarnation_ended(known)
--- a/packages/proxy/tests/test_incarnation_order.py
+++ b/packages/proxy/tests/test_incarnation_order.py
@@ -14,7 +14,7 @@
 
 HEARTBEAT_S = REGISTRATION_EXPIRY_S / 3
 STEP_S = HEARTBEAT_S / 4
-"""Time between two heartbeats of different servers."""
+"""Time between two changes that others write."""
 
 AHEAD, BEHIND = 3000, 1000
 """Start times of two incarnations; the later one may have either."""
@@ -25,7 +25,7 @@
 
 
 class Follower:
-    """A view that follows one server among others."""
+    """A view that follows one server."""
 
     def __init__(self, clock, born_ms: int = AHEAD) -> None:
         kernel = Kernel("vm", "dc", Clock(), seed=1)
@@ -40,6 +40,14 @@
         born = "null" if born_ms is None else born_ms
         self._read("servers/a", f"[{str(is_draining).lower()}, {born}]")
 
+    def write_successor(self, born_ms: int) -> None:
+        """Read a record of another server at the same address."""
+        self._read("servers/b", f"[false, {born_ms}]")
+
+    def usable(self) -> set[str]:
+        """Return which of the two servers get requests."""
+        return {server.server_id for server in self.state.servers.of_service("s")}
+
     def _read(self, key: str, value: str | None) -> None:
         self.revision += 1
         encoded = None if value is None else value.encode()
@@ -50,10 +58,10 @@
         self._read("servers/a", None)
 
     def pass_time(self, duration_s: float) -> None:
-        """Let other servers write meanwhile."""
+        """Let others write meanwhile, so that the position is confirmed."""
         for _ in range(round(duration_s / STEP_S)):
             self.clock.jump(STEP_S)
-            self._read("servers/other", "false")
+            self._read("config", str(self.revision + 1))
 
     def beat(self, born_ms: int | None, count: int, *, is_draining: bool = False) -> None:
         """Let an incarnation send heartbeats."""
@@ -166,6 +174,37 @@
         assert follower.present == BEHIND
 
 
+class TestSharedAddress:
+    """Two servers with different ids register at one address."""
+
+    async def test_successor_whose_clock_went_back_is_used(self, autojump_clock):
+        """A server crashes, and another one starts at its address with an earlier start time.
+        Guards against requests that name the crashed one, which its successor rejects, until the
+        crashed one's record expires."""
+        follower = Follower(autojump_clock)
+        for _ in range(3):
+            follower.write_successor(BEHIND)
+            follower.pass_time(HEARTBEAT_S)
+        assert follower.usable() == {"b"}
+
+    async def test_servers_that_both_go_on_writing_are_ordered_by_their_start(self, autojump_clock):
+        """Guards against a holder that changes with each heartbeat."""
+        follower = Follower(autojump_clock)
+        for _ in range(4):
+            follower.write(AHEAD)
+            follower.pass_time(HEARTBEAT_S / 2)
+            follower.write_successor(BEHIND)
+            follower.pass_time(HEARTBEAT_S / 2)
+            assert follower.usable() == {"a"}
+
+    async def test_late_writes_of_the_crashed_one_change_nothing(self, autojump_clock):
+        """Guards against taking two late writes, applied together, for heartbeats."""
+        follower = Follower(autojump_clock)
+        follower.write_successor(BEHIND)
+        follower.write_successor(BEHIND)
+        assert follower.usable() == {"a"}
+
+
 class TestReplay:
     """A server that crashes and restarts again and again while its clock steps."""
 
