--- a/packages/proxy/tests/test_incarnation_order.py
+++ b/packages/proxy/tests/test_incarnation_order.py
@@ -136,6 +136,17 @@
             follower.write(BEHIND, is_draining=is_draining)
         assert follower.present == AHEAD
 
+    async def test_that_report_draining_are_corrected(self, autojump_clock):
+        """The crashed incarnation's last heartbeat and its drain report are applied together, which
+        looks like a server that leaves. Guards against a new incarnation that stays out of use."""
+        follower = Follower(autojump_clock)
+        follower.beat(AHEAD, 2)
+        follower.write(BEHIND)
+        follower.write(BEHIND, is_draining=True)
+        assert follower.present == -1
+        follower.beat(AHEAD, 4)
+        assert follower.present == AHEAD
+
     async def test_between_heartbeats_of_the_present_one_change_nothing(self, autojump_clock):
         """Guards against counting late writes that the present incarnation interrupts."""
         follower = Follower(autojump_clock)
