Don't take an incarnation for gone that couldn't write in an outage

What callers may see: the first write after an outage of the store is a late one of a crashed incarnation. The live one, which had been silent since the outage began, counted as gone, and the late address or drain state was used until some heartbeats had corrected it.

Cause: the silence of the present incarnation, or of the server that holds an address, was counted through the outage.

Change: it is counted from the return of the store at the earliest. The 3 new tests failed before. What is noted of a server's last write is also dropped when a record is removed that wasn't in use.

--- a/packages/proxy/src/sassafrastally/proxy/address_holders.py
+++ b/packages/proxy/src/sassafrastally/proxy/address_holders.py
@@ -38,7 +38,9 @@
         self._replaced: set[str] = set()
         """Incarnations whose address a server with an earlier start time holds."""
 
-    def record(self, server: BackendServer, now_s: float, since_s: float) -> bool:
+    def record(
+        self, server: BackendServer, now_s: float, since_s: float, returned_s: float
+    ) -> bool:
         """Record that a server has written its record.
 
         Returns whether it holds the address from now on although it doesn't seem to be the later.
@@ -51,13 +53,15 @@
             Present time.
         since_s
             Earliest moment at which the record may have been written.
+        returned_s
+            When the store last returned from an outage, in which no server could write.
         """
         address = server.address
         holder = self._holders.get(address)
         takes_over = server.incarnation_id in self._replaced
         self._replaced.discard(server.incarnation_id)
         if holder is not None and _is_later(holder, server):
-            if since_s - self._written_s[address] < self._silence_s:
+            if since_s - max(self._written_s[address], returned_s) < self._silence_s:
                 return False
             self._replaced.add(holder.incarnation_id)
             takes_over = True
--- a/packages/proxy/src/sassafrastally/proxy/incarnation_order.py
+++ b/packages/proxy/src/sassafrastally/proxy/incarnation_order.py
@@ -80,7 +80,9 @@
         order = self._orders.get(server_id)
         return order.present if order else None
 
-    def record(self, server: BackendServer, now_s: float, since_s: float) -> bool:
+    def record(
+        self, server: BackendServer, now_s: float, since_s: float, returned_s: float
+    ) -> bool:
         """Record that a record was read; return whether it is the present incarnation's.
 
         Parameters
@@ -91,11 +93,16 @@
             Present time.
         since_s
             Earliest moment at which the record may have been written.
+        returned_s
+            When the store last returned from an outage, in which no server could write.
         """
         order = self._orders.pop(server.server_id, None)
         if order is None:
             order = _Order(server.born_ms, now_s)
-        is_present = self._is_present(order, server, now_s, since_s)
+        silent_s = since_s - max(order.written_s, returned_s)
+        # Without an outage, the record of the present one would have been removed by then.
+        is_over = silent_s >= self._expiry_s
+        is_present = is_over or self._is_present(order, server, now_s, since_s)
         if is_present:
             order = _advance(order, server.born_ms, now_s)
         else:
@@ -114,9 +121,6 @@
         is_later = born_ms is not None and (order.present is None or born_ms > order.present)
         if is_later and born_ms not in order.former:
             return True
-        if since_s - order.written_s >= self._expiry_s:
-            # The record of the present one would have been removed by now.
-            return True
         if rival is None or rival.born_ms != born_ms:
             return False
         if server.is_draining and rival.was_ready:
--- a/packages/proxy/src/sassafrastally/proxy/server_registry.py
+++ b/packages/proxy/src/sassafrastally/proxy/server_registry.py
@@ -182,7 +182,8 @@
         """
         self._lapses.record_written(server.server_id, since_s)
         known_ms = self._order.present(server.server_id)
-        if not self._order.record(server, self._now(), since_s):
+        read = self._now(), since_s, self.store_returned_s
+        if not self._order.record(server, *read):
             # A write by a crashed server may be applied seconds later, after its next incarnation
             # has written its first record. Accepting it would mark the new incarnation as draining
             # or set an address on which nothing listens.
@@ -204,13 +205,13 @@
         known = self._servers.get(server.server_id)
         self._lapse_ends_s.pop(server.server_id, None)
         if known == server:
-            if self._holders.record(server, self._now(), since_s):
+            if self._holders.record(server, *read):
                 self._index = None
             return
         if known is not None:
             self._holders.forget(known)
         self._servers[server.server_id] = server
-        self._holders.record(server, self._now(), since_s)
+        self._holders.record(server, *read)
         self._index = None
         if known is not None and known.incarnation_id != server.incarnation_id:
             self._record_incarnation_ended(known)
@@ -252,6 +253,7 @@
             self._record_removed(held)
         server = self._servers.get(server_id)
         if server is None:
+            self._lapses.forget(server_id)
             return
         if self._may_return(server):
             self._lapse_ends_s[server_id] = self._grace_ends_s
--- a/packages/proxy/tests/test_incarnation_order.py
+++ b/packages/proxy/tests/test_incarnation_order.py
@@ -53,6 +53,12 @@
         encoded = None if value is None else value.encode()
         self.state.apply([KvEvent(key, encoded, self.revision)], at(self.revision), "store")
 
+    def outlast_outage(self) -> None:
+        """Let the store be away, and read others' changes after its return."""
+        self.clock.jump(2 * REGISTRATION_EXPIRY_S)
+        self.state.servers.store_returned_s = self.state.kernel.clock.now_s()
+        self.pass_time(STEP_S)
+
     def remove(self) -> None:
         """Read that the server's record was removed."""
         self._read("servers/a", None)
@@ -166,6 +172,18 @@
         follower.write(BEHIND, is_draining=False)
         assert follower.present == AHEAD
 
+    @pytest.mark.parametrize("is_draining", [False, True])
+    async def test_after_an_outage_do_not_count_by_the_silence_in_it(
+        self, autojump_clock, is_draining
+    ):
+        """No server could write in the outage, and the first write after it is a late one. Guards
+        against taking the present incarnation for gone, as it was silent for so long."""
+        follower = Follower(autojump_clock)
+        follower.beat(AHEAD, 2)
+        follower.outlast_outage()
+        follower.write(BEHIND, is_draining=is_draining)
+        assert follower.present == AHEAD
+
     async def test_in_a_copy_of_the_store_do_not_count(self, autojump_clock):
         """A restored store has the former incarnation's record. Guards against using it."""
         follower = Follower(autojump_clock, BEHIND)
@@ -215,6 +233,14 @@
         follower.write_successor(BEHIND)
         assert follower.usable() == {"a"}
 
+    async def test_silence_in_an_outage_does_not_count(self, autojump_clock):
+        """Guards against a late write of the crashed server, the first one after an outage, by
+        which the live one loses its address."""
+        follower = Follower(autojump_clock)
+        follower.outlast_outage()
+        follower.write_successor(BEHIND)
+        assert follower.usable() == {"a"}
+
 
 class TestReplay:
     """A server that crashes and restarts again and again while its clock steps."""
