--- a/packages/proxy/src/sassafrastally/proxy/server_registry.py
+++ b/packages/proxy/src/sassafrastally/proxy/server_registry.py
@@ -181,20 +181,9 @@
             Earliest moment at which the record may have been written.
         """
         self._lapses.record_written(server.server_id, since_s)
-        known_ms = self._order.present(server.server_id)
         read = self._now(), since_s, self.store_returned_s
-        if not self._order.record(server, *read):
-            # A write by a crashed server may be applied seconds later, after its next incarnation
-            # has written its first record. Accepting it would mark the new incarnation as draining
-            # or set an address on which nothing listens.
-            self._emit(
-                FormerLifeIgnored(server.server_id, server.born_ms, known_ms, revision, source)
-            )
+        if not self._is_present(server, revision, source, read):
             return
-        if known_ms is not None and (server.born_ms is None or server.born_ms < known_ms):
-            self._emit(
-                EarlierStartAccepted(server.server_id, server.born_ms, known_ms, revision, source)
-            )
         if self.on_registration is not None:
             self.on_registration(server, source)
         # The cold time changes with each record; kept here, each would be a change of the server.
@@ -227,6 +216,25 @@
             )
         )
 
+    def _is_present(
+        self, server: BackendServer, revision: int, source: str, read: tuple[float, float, float]
+    ) -> bool:
+        """Return whether a record is the present incarnation's, and log it if that is unusual."""
+        known_ms = self._order.present(server.server_id)
+        if not self._order.record(server, *read):
+            # A write by a crashed server may be applied seconds later, after its next incarnation
+            # has written its first record. Accepting it would mark the new incarnation as draining
+            # or set an address on which nothing listens.
+            self._emit(
+                FormerLifeIgnored(server.server_id, server.born_ms, known_ms, revision, source)
+            )
+            return False
+        if known_ms is not None and (server.born_ms is None or server.born_ms < known_ms):
+            self._emit(
+                EarlierStartAccepted(server.server_id, server.born_ms, known_ms, revision, source)
+            )
+        return True
+
     def apply_copied(
         self, server: BackendServer, revision: int, source: str, since_s: float = UNKNOWN_S
     ) -> None:
