Plan the time for last answers by the pace of the process

Callers of a stopping entry that gets a tenth of a processor got their 502 after the kill: TestLastAnswers, with 3 ms for each of a hundred requests.

Cause: the time of an answer was a constant that took a fifth of a processor for granted.

Now the drain times the turns of the event loop: how much longer they take than their processor time since the signal, and how much of the last second the loop didn't run though it had work, which also counts a stopped process. The end is planned anew every 20 ms from that, and only comes sooner; the last sixth of the stop time stays the bound, in which operators expect nothing of servers that are still at work. An entry with more than a third of a processor plans as before. DrainEnded tells the slowdown.

--- a/packages/proxy/src/sassafrastally/proxy/caller_listener.py
+++ b/packages/proxy/src/sassafrastally/proxy/caller_listener.py
@@ -16,7 +16,12 @@
 from sassafrastally.proxy.caller_connections import CallerConnections, most_caller_connections
 from sassafrastally.proxy.cluster_state import ClusterState
 from sassafrastally.proxy.connection_gate import ConnectionGate
-from sassafrastally.proxy.cpu_overload import read_until, sleep_until_read
+from sassafrastally.proxy.cpu_overload import (
+    LoopPace,
+    read_until,
+    sleep_until_read,
+    timed_turns,
+)
 from sassafrastally.proxy.early_listener import BACKLOG
 from sassafrastally.proxy.http_stream import (
     ConnectionLost,
@@ -44,21 +49,11 @@
 from sassafrastally.proxy.model import RequestLimits
 from sassafrastally.proxy.overload_monitor import OverloadMonitor
 from sassafrastally.proxy.path import RequestPath
-from sassafrastally.proxy.refusals import (
-    BODIES_FULL,
-    HEADER_TOO_LARGE,
-    MALFORMED,
-    refusal_body,
-)
+from sassafrastally.proxy.refusals import BODIES_FULL, HEADER_TOO_LARGE, MALFORMED, refusal_body
 from sassafrastally.proxy.reply import Reply
 from sassafrastally.proxy.request_reader import BadRequest, RequestReader
 from sassafrastally.proxy.slow_readers import BlockedCallers, most_buffered_bytes
-from sassafrastally.proxy.stop_plan import (
-    FIRST_REQUEST_S,
-    LAST_REQUESTS_S,
-    StopPlan,
-    plan_stop,
-)
+from sassafrastally.proxy.stop_plan import FIRST_REQUEST_S, LAST_REQUESTS_S, StopPlan, plan_stop
 
 if TYPE_CHECKING:
     import socket
@@ -82,6 +77,9 @@
 ANSWERED_CHECK_S = 0.02
 """Interval at which a stopping entry checks whether all requests are answered."""
 
+REPLAN_S = 0.02
+"""Time by which the end of the drain must come sooner for the open requests to be told again."""
+
 RETRY_BODY_AFTER_S = 1.0
 """When a caller may send a request again that was refused because of the bodies held: by then most
 of the requests that hold them are answered, or time out."""
@@ -121,12 +119,15 @@
         self._dialect = dialect
         self._open_listener = listener
         self._stop_begin_s: float | None = None
+        self._plan: StopPlan | None = None
         self._reads_end_s = math.inf
         """When a stopping entry reads nothing more, however late it is."""
         self._connections: CallerConnections[trio.CancelScope] = CallerConnections(
             most_caller_connections(settings.max_descriptors)
         )
         self._is_closing_idle = False
+        self._pace = LoopPace()
+        """Pace of the event loop while it stops."""
         self._shortages = LogRate()
         self._acceptor: Acceptor | None = None
 
@@ -168,6 +169,10 @@
         """
         self._stop_begin_s = self.kernel.clock.now_s()
         self.kernel.events.emit(ProcessDraining(self.open_requests, self.stop_time_s))
+        with timed_turns(self._pace):
+            await self._drain()
+
+    async def _drain(self) -> None:
         # How many have to be answered at the end is known once no more requests come.
         plan = self._plan_stop(0)
         if plan.reads_s >= plan.ends_s:
@@ -178,9 +183,10 @@
             # Later than planned if this entry was late: the last connections need their time.
             await sleep_until_read(max(plan.reads_s, trio.current_time() + FIRST_REQUEST_S))
             self._close_idle()
-            plan = self._plan_stop(self.open_requests)
-            waiting.deadline = plan.ends_s
-            await self._all_answered()
+            while self.open_connections:
+                plan = self._plan_stop(self.open_requests)
+                waiting.deadline = plan.ends_s
+                await trio.sleep(ANSWERED_CHECK_S)
             return
         answered_s = plan.answered_until_s(trio.current_time())
         self._emit_drain_ended(plan)
@@ -194,9 +200,13 @@
             await read_until(self._all_answered, answered_s)
 
     def _plan_stop(self, open_requests: int) -> StopPlan:
-        """Plan the stop by the requests that may be open at its end, and limit them."""
+        """Plan the stop by what may be open at its end and by the pace, and limit requests."""
         assert self._stop_begin_s is not None
-        plan = plan_stop(self._stop_begin_s, self.stop_time_s, open_requests)
+        slowdown = self._pace.slowdown(trio.current_time())
+        plan = plan_stop(self._stop_begin_s, self.stop_time_s, open_requests, slowdown)
+        if self._plan is not None and plan.ends_s > self._plan.ends_s - REPLAN_S:
+            return self._plan
+        self._plan = plan
         # A late entry needs all time from then on for answers.
         self._reads_end_s = plan.reads_end_s
         self._path.services.drain.begin(plan.ends_s, plan.reads_end_s)
@@ -205,7 +215,8 @@
     def _emit_drain_ended(self, plan: StopPlan) -> None:
         now_s = trio.current_time()
         late_s, left_s = round(now_s - plan.ends_s, 3), round(plan.killed_s - now_s, 3)
-        self.kernel.events.emit(DrainEnded(self.open_requests, late_s, left_s))
+        slowdown = round(self._pace.slowdown(now_s), 1)
+        self.kernel.events.emit(DrainEnded(self.open_requests, late_s, left_s, slowdown))
 
     @property
     def _is_closed_to_callers(self) -> bool:
--- a/packages/proxy/src/sassafrastally/proxy/cpu_overload/__init__.py
+++ b/packages/proxy/src/sassafrastally/proxy/cpu_overload/__init__.py
@@ -17,7 +17,9 @@
     sleep_until_read,
     was_late,
 )
+from sassafrastally.proxy.cpu_overload.loop_pace import LoopPace, Turn
 from sassafrastally.proxy.cpu_overload.stream_limit import StreamLimit, shed_retry_delay_s
+from sassafrastally.proxy.cpu_overload.turn_timer import timed_turns
 
 __all__ = [
     "LAST_READ_S",
@@ -25,13 +27,16 @@
     "TIMER_S",
     "WINDOW_S",
     "LagWindow",
+    "LoopPace",
     "StepTimeout",
     "StreamLimit",
+    "Turn",
     "due_after_delay_s",
     "is_crowded",
     "last_read_s",
     "read_until",
     "shed_retry_delay_s",
     "sleep_until_read",
+    "timed_turns",
     "was_late",
 ]
--- a/packages/proxy/src/sassafrastally/proxy/log_events/process.py
+++ b/packages/proxy/src/sassafrastally/proxy/log_events/process.py
@@ -24,6 +24,8 @@
     """How late the end was noticed."""
     left_s: float
     """Time until the process is killed."""
+    slowdown: float = 1.0
+    """How much longer its work took than the work's processor time while it stopped."""
 
 
 @event(10084)
--- a/packages/proxy/src/sassafrastally/proxy/stop_plan.py
+++ b/packages/proxy/src/sassafrastally/proxy/stop_plan.py
@@ -34,6 +34,10 @@
 ANSWER_S = 0.003
 """Time in which one request is answered at the end, beside other busy processes."""
 
+ANSWER_PROCESSOR_S = 0.001
+"""Processor time in which one request is answered at the end: a hundred took 0.07 s with the turns
+of their tasks, also where no answer could be written before these."""
+
 LAST_SHARE = 1 / 6
 """Largest share of the stop time that is taken from servers for answering. The operator doesn't
 expect answers of servers that are still at work in this last part of it."""
@@ -67,7 +71,20 @@
         return min(planned_s, self.killed_s - EXIT_S)
 
 
-def plan_stop(begin_s: float, stop_time_s: float, open_requests: int) -> StopPlan:
+def answer_s(slowdown: float) -> float:
+    """Return the time of one answer for the pace of the process.
+
+    Parameters
+    ----------
+    slowdown
+        How much longer its work takes than the work's processor time.
+    """
+    return max(ANSWER_S, ANSWER_PROCESSOR_S * slowdown)
+
+
+def plan_stop(
+    begin_s: float, stop_time_s: float, open_requests: int, slowdown: float = 1.0
+) -> StopPlan:
     """Return the times of a stop.
 
     Parameters
@@ -78,9 +95,11 @@
         Time from then until the process is killed.
     open_requests
         Requests that may have to be answered at the end.
+    slowdown
+        Pace of the process, as for `answer_s`.
     """
     killed_s = begin_s + stop_time_s
-    answering_s = ANSWER_S * open_requests
+    answering_s = answer_s(slowdown) * open_requests
     most_s = max(KILL_MARGIN_S, stop_time_s * LAST_SHARE)
     ends_s = max(begin_s, killed_s - min(KILL_MARGIN_S + answering_s, most_s))
     reads_end_s = max(ends_s, killed_s - max(LAST_ANSWERS_S, EXIT_S + answering_s))
--- a/packages/proxy/tests/test_stop_plan.py
+++ b/packages/proxy/tests/test_stop_plan.py
@@ -49,6 +49,27 @@
         assert plan.ends_s <= plan.killed_s == 10.0 + stop_time_s
 
 
+class TestPace:
+    """Planned stops at entries that get less of a processor."""
+
+    def test_slow_entry_ends_sooner(self):
+        """Guards against the time of a quick entry for the answers of one with a tenth of a
+        processor."""
+        plan = plan_stop(0.0, STOP_TIME_S, 60, slowdown=10.0)
+        begins_s = plan.ends_s + LONGEST_LAG_S
+        assert begins_s + 60 * 0.001 * 10.0 <= STOP_TIME_S - EXIT_S + 1e-9
+
+    def test_quick_entry_leaves_servers_as_much_as_before(self):
+        """Guards against an end that comes sooner at an entry that isn't late."""
+        assert plan_stop(0.0, STOP_TIME_S, 60, 2.0) == plan_stop(0.0, STOP_TIME_S, 60)
+
+    def test_takes_no_more_than_the_last_sixth(self):
+        """Guards against requests cut before the time in which operators expect nothing of servers
+        that are still at work."""
+        plan = plan_stop(0.0, STOP_TIME_S, 100, slowdown=100.0)
+        assert plan.ends_s == pytest.approx(STOP_TIME_S * 5 / 6)
+
+
 class TestAnsweredUntil:
     """Until when callers are waited for who don't read their answers."""
 
