Keep trials of quarantined parts beyond the process that makes them

Cause: that a trial had crashed a server, and that a trial had begun, were kept in memory only. A verdict read from the store or heard from a peer counted as untried since that moment. Entries whose turns had all passed without a request also tried at the same moment.

Change: the record in the store and the datagrams carry three values that never get less: trials begun, trials without a crash, and whether a server has crashed at one. A trial is written before it begins, against the known revision, or told to peers where the store is away; with neither there is none. A crash at a trial is written at once. Two trials without a known outcome end the trials. An entry waits ten seconds after any entry's trial. A record also says how long the verdict still lasts, so that writing it again doesn't prolong it. The store is called for trials only, at most once in two seconds an entry and part. Records and datagrams of earlier versions are understood; those versions ignore the new fields. The crash counts of the quarantine moved to a module of their own.

Ruled out: wall times in the record, as clocks differ; a count for each entry, as the total isn't bounded then.

--- a/packages/proxy/src/sassafrastally/proxy/cluster_state.py
+++ b/packages/proxy/src/sassafrastally/proxy/cluster_state.py
@@ -254,6 +254,10 @@
         """Return whether a key exists in the store, according to the local view."""
         return key in self._records
 
+    def record(self, key: str) -> KvEntry | None:
+        """Return the record of a key in the store, according to the local view."""
+        return self._records.get(key)
+
     def _put(self, entry: KvEntry, source: str, *, may_be_copied: bool) -> None:
         """Apply a record.
 
--- a/packages/proxy/src/sassafrastally/proxy/path.py
+++ b/packages/proxy/src/sassafrastally/proxy/path.py
@@ -262,6 +262,7 @@
         with self.services.drain.limit(task.deadline_s, self._nursery) as limit:
             reply.limit = limit
             try:
+                progress.tried_part = await self.services.quarantine.claim_trial(task.subjects)
                 local_reply = await answerer.run()
             except trio.Cancelled:
                 if not limit.scope.cancel_called:
--- a/packages/proxy/src/sassafrastally/proxy/peer_messages.py
+++ b/packages/proxy/src/sassafrastally/proxy/peer_messages.py
@@ -23,6 +23,7 @@
 from sassafrastally.proxy.latest_datagrams import DatagramHeader, Sender
 from sassafrastally.proxy.load import Work
 from sassafrastally.proxy.message_numbers import to_thousandths, to_uint16, to_uint32
+from sassafrastally.proxy.part_trials import MAX_TRIALS_TOLD, TrialState
 from sassafrastally.proxy.peer_schema import codec, schema
 from sassafrastally.proxy.quarantine_exchange import (
     EMPTY_REPORT,
@@ -196,6 +197,9 @@
                 "leftMs": to_thousandths(verdict.left_s),
                 "crashes": to_uint16(verdict.crashes),
                 "companions": list(verdict.companions),
+                "trialsBegun": min(verdict.trials.begun, MAX_TRIALS_TOLD),
+                "trialsWithoutCrash": min(verdict.trials.without_crash, MAX_TRIALS_TOLD),
+                "hasTrialCrashed": verdict.trials.has_crashed,
             }
             for verdict in hello.quarantine.verdicts
         ],
@@ -313,6 +317,9 @@
                 verdict.leftMs / 1000,
                 verdict.crashes,
                 tuple(verdict.companions),
+                TrialState(
+                    verdict.trialsBegun, verdict.trialsWithoutCrash, verdict.hasTrialCrashed
+                ),
             )
             for verdict in message.verdicts
         ),
--- a/packages/proxy/src/sassafrastally/proxy/peers.capnp
+++ b/packages/proxy/src/sassafrastally/proxy/peers.capnp
@@ -89,6 +89,9 @@
   leftMs @1 :UInt32;
   crashes @2 :UInt16;
   companions @3 :List(UInt64);  # keys of further prompt parts that a request must have
+  trialsBegun @4 :UInt8;      # trials of all entries, as far as the sender knows
+  trialsWithoutCrash @5 :UInt8;  # trials at which no server crashed
+  hasTrialCrashed @6 :Bool;   # a server has crashed at a trial
 }
 
 struct Answer {
--- a/packages/proxy/src/sassafrastally/proxy/quarantine.py
+++ b/packages/proxy/src/sassafrastally/proxy/quarantine.py
@@ -18,6 +18,7 @@
 
 from typing import TYPE_CHECKING
 
+from sassafrastally.proxy.crash_counts import CrashCounts
 from sassafrastally.proxy.crash_records import PRESUMED_CRASH_KEPT_S, Crash, CrashRecords
 from sassafrastally.proxy.fingerprint import is_part
 from sassafrastally.proxy.part_causes import CRASHES_FOR_VERDICT, CarriedParts
@@ -52,6 +53,7 @@
         self._cases = CrashRecords()
         self._carried = CarriedParts()
         self._verdicts = Verdicts(self._cases)
+        self._counts = CrashCounts(self._cases, self._verdicts)
         self.parts = PartJudge(self._cases, self._carried, self._verdicts)
         """Judges parts; `judge_settled` is due when it says so."""
         self._verdicts.on_review = self.parts.drop_companions
@@ -110,19 +112,33 @@
         turn
             Returns this entry's place in the order of the trials of a part.
         """
+        part = self.due_trial(subjects, now_s, turn)
+        if part is not None:
+            self.begin_trial(part, now_s)
+        return part
+
+    def due_trial(
+        self, subjects: Subjects, now_s: float, turn: Callable[[int], Turn]
+    ) -> int | None:
+        """Return the part whose trial a request may be, as `claim_trial`, which isn't begun yet."""
         verdict = self.verdict(subjects.fingerprint, now_s, subjects.parts)
         if verdict is None or not is_part(verdict.subject) or verdict.is_presumed:
             return None
         part = verdict.subject
-        if not verdict.may_be_tried or now_s < verdict.since_s + TRIAL_AFTER_S:
+        if self._verdicts.is_trial_open(part) or not verdict.trials.may_try():
             return None
-        if now_s < trial_due_s(verdict.since_s, verdict.tried_s, turn(part)):
+        if now_s < verdict.since_s + TRIAL_AFTER_S:
+            return None  # Without asking for the turn, which takes longer.
+        if now_s < trial_due_s(verdict.since_s, verdict.tried_s, verdict.trial_known_s, turn(part)):
             return None
         if self.verdict(subjects.fingerprint, now_s, subjects.parts, part) is not None:
             return None
-        self._verdicts.record_trial(part, now_s)
         return part
 
+    def begin_trial(self, part: int, now_s: float) -> None:
+        """Record that this entry tries a request with a part."""
+        self._verdicts.begin_trial(part, now_s)
+
     def verdict_on(self, subject: int, now_s: float) -> Verdict | None:
         """Return the verdict in force on a subject, whatever else it requires."""
         self._update(now_s)
@@ -134,39 +150,14 @@
         return list(self._verdicts)
 
     def crash_count(self, subject: int, now_s: float, parts: Collection[int] = ()) -> int:
-        """Return how many crashes count against a request or a part of its prompt.
-
-        Parts that have been answered before don't count: most requests on a crashed server share
-        them.
-        """
-        if not len(self._cases):
-            return 0
-        suspects = [part for part in parts if not self._cases.answered.was_answered(part)]
-        return max(
-            self._count_crashes(one, now_s, is_certain=False) for one in (subject, *suspects)
-        )
+        """Return how many crashes count against a request, as `CrashCounts.most`."""
+        return self._counts.most(subject, now_s, parts)
 
     def crash_counts_with(
         self, subject: int, now_s: float, parts: Collection[int] = ()
     ) -> dict[int, int]:
-        """Return crash counts of a request and of those that ran on the same crashed servers."""
-        counts = {one: self.crash_count(one, now_s) for one in (subject, *parts)}
-        beside: dict[int, None] = {}
-        seen: set[frozenset[int]] = set()
-        for one, count in counts.items():
-            servers = frozenset(self._cases.servers(one)) if count or one == subject else None
-            if servers and servers not in seen:
-                seen.add(servers)
-                beside.update(dict.fromkeys(self._cases.requests_beside(one)))
-        crashes = {
-            other: self.crash_count(other, now_s)
-            for other in beside
-            if other != subject and other not in self._verdicts
-        }
-        suspects = {other: count for other, count in crashes.items() if count}
-        was_answered = self._cases.answered.was_answered
-        own = max(counts[one] for one in counts if one == subject or not was_answered(one))
-        return {subject: own, **suspects}
+        """Return the crash counts of several requests, as `CrashCounts.most_beside`."""
+        return self._counts.most_beside(subject, now_s, parts)
 
     def record_crash(
         self,
@@ -259,14 +250,22 @@
         if known is not None and not known.is_presumed:
             self._verdicts.shorten(received.subject, now_s + left_s)
             self._verdicts.keep_companions(received.subject, received.companions, now_s)
+            self._verdicts.combine_trials(received.subject, received.trials, now_s)
             return None
         if left_s <= 0 or self._verdicts.was_just_lifted(received.subject, now_s):
             return None
-        if self._is_refuted(received.subject, received.crashes, now_s):
+        if self._counts.is_refuted(received.subject, received.crashes, now_s):
             return None
-        return self._quarantine(
-            received.subject, now_s, left_s, received.crashes, companions=received.companions
+        verdict = Verdict(
+            received.subject,
+            now_s,
+            now_s + left_s,
+            received.crashes,
+            companions=received.companions,
+            trials=received.trials,
         )
+        self._verdicts.add(verdict)
+        return verdict
 
     def lift(self, subject: int, now_s: float) -> bool:
         """End a verdict before it expires; return whether there was one.
@@ -322,10 +321,7 @@
         ]
 
     def judge_settled(self, now_s: float) -> list[LateVerdict]:
-        """Judge parts whose records have settled, as many as fit in a step of the event loop.
-
-        Returns the verdicts since the last call.
-        """
+        """Judge parts whose records have settled, within a step; return the verdicts since then."""
         self._update(now_s, is_step=True)
         late, self._late = self._late, []
         return late
@@ -344,8 +340,7 @@
         now_s
             Present time.
         is_step
-            Whether nothing else is done in this step of the event loop. Many parts are judged in
-            such steps only.
+            Whether this step of the event loop is for judging. Many parts are judged in these only.
         """
         may_judge = self.parts.due_s <= now_s and (is_step or self.parts.may_judge_at_once())
         for due_s, part in self.parts.pop_due(now_s) if may_judge else ():
@@ -355,6 +350,7 @@
             if (verdict := self._judge_part(part, due_s)) is not None:
                 self._late.append(LateVerdict(verdict, self._cases.is_latest_own(part)))
         self._verdicts.end_due(now_s)
+        self._verdicts.settle_trials(now_s)
 
     def _add(self, subject: int, server: int, crash: Crash) -> bool:
         """Record a crash; return whether it is new."""
@@ -362,7 +358,7 @@
             return False
         verdict = self._verdicts.certain(subject)
         if verdict and not crash.is_presumed and is_trial_crash(verdict.since_s, crash.at_s):
-            self._verdicts.end_trials(subject)
+            self._verdicts.end_trials(subject, crash.received_s)
         return True
 
     def _judge(self, subjects: Iterable[int], now_s: float) -> list[Verdict]:
@@ -370,7 +366,7 @@
         new = list(subjects)
         if new:
             self._cases.evict_excess(lambda key: key == new[-1] or key in self._verdicts)
-        ranked = sorted(new, key=lambda one: (is_part(one), len(self._cases.servers(one))))
+        ranked = sorted(new, key=lambda one: (is_part(one), self._cases.server_count(one)))
         may_judge_at_once = self.parts.may_judge_at_once()
         verdicts = []
         for one in ranked:
@@ -378,7 +374,7 @@
                 verdicts.append(self._judge_request(one, now_s))
             elif may_judge_at_once or self._verdicts.ended(one) or self._verdicts.certain(one):
                 verdicts.append(self._judge_part(one, now_s))
-            elif len(self._cases.servers(one)) >= CRASHES_FOR_VERDICT:
+            elif self._cases.server_count(one) >= CRASHES_FOR_VERDICT:
                 self.parts.judge_later(one, now_s)
         return [verdict for verdict in verdicts if verdict is not None]
 
@@ -388,7 +384,7 @@
             self._lift_refuted(known, now_s)
             return None
         enough = 1 if self._verdicts.ended(subject) else CRASHES_FOR_VERDICT
-        certain = self._count_crashes(subject, now_s, is_certain=True)
+        certain = self._counts.count(subject, now_s, is_certain=True)
         if certain >= enough:
             return self._quarantine(subject, now_s, QUARANTINE_S, certain)
         presumed = self.crash_count(subject, now_s)
@@ -405,8 +401,10 @@
         if ended := self._verdicts.ended(part):
             if self._verdicts.is_explained_by_parts(part):
                 return None
-            for_s, crashes = QUARANTINE_S, len(self._cases.servers(part))
-            return self._quarantine(part, now_s, for_s, crashes, companions=ended.companions)
+            crashes = len(self._cases.servers(part))
+            verdict = ended._replace(since_s=now_s, until_s=now_s + QUARANTINE_S, crashes=crashes)
+            self._verdicts.add(verdict)
+            return verdict
         finding = self.parts.find(part, now_s)
         if finding is None:
             return None
@@ -419,16 +417,6 @@
             companions=finding.companions,
         )
 
-    def _count_crashes(self, subject: int, now_s: float, *, is_certain: bool) -> int:
-        if subject not in self._cases:
-            return 0
-        return self._cases.count(
-            subject,
-            now_s,
-            lambda server: self._verdicts.explain(server, subject, now_s),
-            is_certain=is_certain,
-        )
-
     def _quarantine(
         self,
         subject: int,
@@ -443,17 +431,6 @@
         self._verdicts.add(verdict)
         return verdict
 
-    def _is_refuted(self, subject: int, crashes: int, now_s: float) -> bool:
-        """Return whether the crashes of a verdict are known here and too few to justify it.
-
-        An entry that has no answer to the request counts each crashed server of a rack. An entry
-        that has one counts them once.
-        """
-        if not self._cases.answered.was_answered(subject):
-            return False
-        is_all_known = len(self._cases.servers(subject)) >= crashes
-        return is_all_known and self.crash_count(subject, now_s) < CRASHES_FOR_VERDICT
-
     def _apply_answer(self, subject: int, at_s: float, now_s: float) -> None:
         """Apply an answer, which clears the request: a harmful one is never answered."""
         if not self._cases.apply_answer(subject, at_s, now_s):
@@ -467,5 +444,5 @@
             self._lift_refuted(verdict, now_s)
 
     def _lift_refuted(self, verdict: Verdict, now_s: float) -> None:
-        if self._is_refuted(verdict.subject, verdict.crashes, now_s):
+        if self._counts.is_refuted(verdict.subject, verdict.crashes, now_s):
             self._verdicts.remove(verdict.subject, now_s)
--- a/packages/proxy/src/sassafrastally/proxy/quarantine_exchange.py
+++ b/packages/proxy/src/sassafrastally/proxy/quarantine_exchange.py
@@ -4,6 +4,9 @@
 
 from typing import NamedTuple, Protocol
 
+# Runtime import: TrialState is a field type of a named tuple.
+from sassafrastally.proxy.part_trials import UNTRIED, TrialState
+
 
 class CrashReport(NamedTuple):
     """A server crashed while it ran a request, or requests with a part."""
@@ -26,6 +29,7 @@
     """Servers that crashed while running it."""
     companions: tuple[int, ...] = ()
     """Keys of further parts that a request must have."""
+    trials: TrialState = UNTRIED
 
 
 class AnswerReport(NamedTuple):
--- a/packages/proxy/src/sassafrastally/proxy/quarantine_records.py
+++ b/packages/proxy/src/sassafrastally/proxy/quarantine_records.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import json
+import math
 from typing import TYPE_CHECKING, Any
 
 from sassafrastally.proxy.fingerprint import fingerprint_text, parse_fingerprint
 from sassafrastally.proxy.part_causes import MAX_COMPANIONS
+from sassafrastally.proxy.part_trials import MAX_TRIALS_TOLD, UNTRIED, TrialState
 from sassafrastally.proxy.quarantine import QUARANTINE_S
 from sassafrastally.proxy.quarantine_exchange import VerdictReport
 
@@ -14,7 +16,7 @@
     from sassafrastally.proxy.verdicts import Verdict
 
 
-def encode_record(verdict: Verdict, seen_by: str) -> bytes:
+def encode_record(verdict: Verdict, seen_by: str, left_s: float) -> bytes:
     """Return the record of a verdict.
 
     Parameters
@@ -23,8 +25,13 @@
         The verdict.
     seen_by
         VM that writes the record.
+    left_s
+        Time until the verdict expires.
     """
     record: dict[str, Any] = {"crashes": verdict.crashes, "seen_by": seen_by}
+    record["left_s"] = math.ceil(left_s)
+    if verdict.trials != UNTRIED:
+        record["trials"] = list(verdict.trials)
     if verdict.companions:
         record["companions"] = [fingerprint_text(part) for part in verdict.companions]
     return json.dumps(record).encode()
@@ -33,7 +40,7 @@
 def decode_record(subject: int, value: bytes) -> VerdictReport:
     """Return the verdict that a record holds; raises `ValueError`.
 
-    The record doesn't say how long the verdict has been in force: clocks may differ.
+    The record doesn't say how long ago it was written: clocks may differ.
     """
     try:
         body: Any = json.loads(value)
@@ -48,4 +55,19 @@
     if not isinstance(companions, list) or len(companions) > MAX_COMPANIONS:
         raise ValueError(f"companions is not a list of at most {MAX_COMPANIONS} keys")
     keys = tuple(parse_fingerprint(str(text)) for text in companions)
-    return VerdictReport(subject, QUARANTINE_S, crashes, keys)
+    left_s = body.get("left_s", QUARANTINE_S)
+    if isinstance(left_s, bool) or not isinstance(left_s, int | float) or not left_s >= 0:
+        raise ValueError("left_s is not a number of seconds")
+    trials = _decode_trials(body.get("trials", list(UNTRIED)))
+    return VerdictReport(subject, min(left_s, QUARANTINE_S), crashes, keys, trials)
+
+
+def _decode_trials(trials: Any) -> TrialState:
+    """Return what a record says of trials; raises `ValueError`."""
+    if (
+        not isinstance(trials, list)
+        or [type(value) for value in trials] != [int, int, bool]
+        or not all(0 <= count <= MAX_TRIALS_TOLD for count in trials[:2])
+    ):
+        raise ValueError(f"trials are not two counts to {MAX_TRIALS_TOLD} and a flag")
+    return TrialState(*trials)
--- a/packages/proxy/src/sassafrastally/proxy/quarantine_service.py
+++ b/packages/proxy/src/sassafrastally/proxy/quarantine_service.py
@@ -50,6 +50,9 @@
 CLEANUP_INTERVAL_S = 5.0
 """Time between two runs that expire verdicts and drop old crashes."""
 
+CLAIM_TIME_S = 1.0
+"""How long a trial waits until it is written to the store."""
+
 MIN_RECORD_S = 5.0
 """Verdicts with less time left aren't recorded."""
 
@@ -78,6 +81,8 @@
         self._due_s: dict[int, float] = {}
         """When to write or remove the record of each subject."""
         self._news = trio.Event()
+        self._next_claim_s: dict[int, float] = {}
+        """When a trial may be claimed again, by part."""
         self._has_crash = trio.Event()
         self.on_verdict: Callable[[], None] | None = None
         """Called after each new verdict."""
@@ -113,13 +118,51 @@
         """
         return self._quarantine.verdict(subjects.fingerprint, self._now_s, subjects.parts, tried)
 
-    def claim_trial(self, subjects: Subjects) -> int | None:
-        """Return the part as whose trial a request may run; ``None`` if it may not."""
-        part = self._quarantine.claim_trial(subjects, self._now_s, self._trial_turn)
-        if part is not None:
-            self.kernel.events.emit(PromptPartTried(fingerprint_text(part)))
+    async def claim_trial(self, subjects: Subjects) -> int | None:
+        """Return the part as whose trial a request may run; ``None`` if it may not.
+
+        The trial is written to the store first, or else told to peers: should this entry end before
+        its outcome is known, it still counts.
+        """
+        if not len(self._quarantine):
+            return None
+        part = self._quarantine.due_trial(subjects, self._now_s, self._trial_turn)
+        if part is None or self._now_s < self._next_claim_s.get(part, 0.0):
+            return None
+        self._next_claim_s = {part: self._now_s + RETRY_S, **self._future_claims()}
+        if not await self._claim(part):
+            return None
+        self.kernel.events.emit(PromptPartTried(fingerprint_text(part)))
         return part
 
+    def _future_claims(self) -> dict[int, float]:
+        now_s = self._now_s
+        return {part: at_s for part, at_s in self._next_claim_s.items() if at_s > now_s}
+
+    async def _claim(self, part: int) -> bool:
+        """Begin a trial; return whether it is written to the store or told to peers."""
+        key, verdict = self._key(part), self._quarantine.verdict_on(part, self._now_s)
+        has_peers = len(self._peers.members()) > 0
+        is_written = False
+        if verdict is not None:
+            trials = verdict.trials._replace(begun=verdict.trials.begun + 1)
+            with trio.move_on_after(CLAIM_TIME_S):
+                try:
+                    await self._write(key, verdict._replace(trials=trials))
+                    is_written = True
+                except KvConflict:
+                    return False  # Another entry has claimed it.
+                except (KvUnavailable, MaybeApplied, LeaseLost) as cause:
+                    text = fingerprint_text(part)
+                    self.kernel.events.emit(QuarantineNotRecorded(text, str(cause)))
+        if self._quarantine.verdict_on(part, self._now_s) is None:
+            return False  # It was lifted meanwhile.
+        if not is_written and not has_peers:
+            return False
+        self._quarantine.begin_trial(part, self._now_s)
+        self._peers.send_now()
+        return True
+
     def _trial_turn(self, part: int) -> Turn:
         return turn_of(part, self._peers.own_entry.host, self._peers.members())
 
@@ -175,6 +218,7 @@
             self._record_verdict(verdict, "own", self._now_s)
         if verdicts:
             self._notify_verdict()
+        self._record_trial_crashes(subjects)
         self._has_crash.set()
         self._peers.send_now()
 
@@ -262,6 +306,24 @@
             self._due_s[verdict.subject] = due_s
             self._news.set()
 
+    def _record_trial_crashes(self, subjects: Subjects) -> None:
+        """Record that servers have crashed at trials, unless the store has it."""
+        for verdict in self._quarantine.verdicts(self._now_s):
+            if verdict.trials.has_crashed and verdict.subject in subjects.parts:
+                self._due_s[verdict.subject] = self._now_s
+                self._news.set()
+
+    def _is_recorded(self, verdict: Verdict) -> bool:
+        """Return whether the store has the record of a verdict, with all of its trials."""
+        record = self._cluster_state.record(self._key(verdict.subject))
+        if record is None or record.value is None:
+            return False
+        try:
+            trials = decode_record(verdict.subject, record.value).trials
+        except ValueError:
+            return True  # Of a later version, or not an entry's.
+        return trials.combined(verdict.trials) == trials
+
     def _notify_verdict(self) -> None:
         """Let others know that there are new verdicts, once for all of a step."""
         if self.on_verdict is not None:
@@ -323,8 +385,9 @@
     async def _sync_record(self, subject: int) -> None:
         key = self._key(subject)
         verdict = self._quarantine.verdict_on(subject, self._now_s)
-        should_exist = verdict is not None
-        if should_exist == self._cluster_state.has_key(key):
+        if verdict is None and not self._cluster_state.has_key(key):
+            return
+        if verdict is not None and self._is_recorded(verdict):
             return
         try:
             if verdict is None:
@@ -343,8 +406,10 @@
         if left_s < MIN_RECORD_S:
             return
         lease = await self._store.grant_lease(left_s)
-        value = encode_record(verdict, self.kernel.vm)
-        await self._store.write([KvWrite(key, value, KEY_ABSENT, lease.lease_id)], lease)
+        value = encode_record(verdict, self.kernel.vm, left_s)
+        known = self._cluster_state.record(key)
+        revision = KEY_ABSENT if known is None else known.mod_revision
+        await self._store.write([KvWrite(key, value, revision, lease.lease_id)], lease)
 
     async def _judge_settled(self) -> None:
         """Judge parts as soon as other entries have told about their crashes."""
@@ -370,7 +435,8 @@
                 self._record_lifted(lifted.verdict.subject, lifted.reason)
             for verdict in self._quarantine.verdicts(self._now_s):
                 # The record's lease may have expired early during a store outage.
-                if not self._cluster_state.has_key(self._key(verdict.subject)):
+                # Or a copy of the store lacks the latest trial.
+                if not verdict.is_presumed and not self._is_recorded(verdict):
                     self._due_s.setdefault(verdict.subject, self._peer_verdict_due_s())
                     self._news.set()
 
--- a/packages/proxy/src/sassafrastally/proxy/request_handler.py
+++ b/packages/proxy/src/sassafrastally/proxy/request_handler.py
@@ -225,13 +225,8 @@
 
     def _verdict(self) -> Verdict | None:
         """Return the verdict on the request, unless its next attempt is a trial."""
-        quarantine, progress = self._services.quarantine, self.progress
-        tried_part = None if progress.sent else progress.tried_part
-        verdict = quarantine.verdict(self._task.subjects, tried_part)
-        if verdict is None or progress.sent or progress.tried_part is not None:
-            return verdict
-        progress.tried_part = quarantine.claim_trial(self._task.subjects)
-        return verdict if progress.tried_part is None else None
+        tried_part = None if self.progress.sent else self.progress.tried_part
+        return self._services.quarantine.verdict(self._task.subjects, tried_part)
 
     def _quarantine_reply(self) -> LocalReply | None:
         """Return the local reply if the request is quarantined."""
--- a/packages/proxy/src/sassafrastally/proxy/store_records.py
+++ b/packages/proxy/src/sassafrastally/proxy/store_records.py
@@ -56,6 +56,10 @@
         """Return all records."""
         return tuple(self._entries.values())
 
+    def get(self, key: str) -> KvEntry | None:
+        """Return the record of a key, if it is known."""
+        return self._entries.get(key)
+
     def put(self, entry: KvEntry) -> None:
         """Set a record."""
         self._entries[entry.key] = entry
--- a/packages/proxy/src/sassafrastally/proxy/verdicts.py
+++ b/packages/proxy/src/sassafrastally/proxy/verdicts.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from sassafrastally.proxy.fingerprint import is_part
+from sassafrastally.proxy.part_trials import TRIAL_INTERVAL_S, UNTRIED, TrialState
 from sassafrastally.proxy.quarantine_exchange import VerdictReport
 
 if TYPE_CHECKING:
@@ -54,11 +55,13 @@
     companions: tuple[int, ...] = ()
     """Keys of further parts that a request must have: they can't be told from the part."""
     changed_s: float = float("-inf")
-    """When its companions last changed."""
+    """When its companions, or what is known of its trials, last changed."""
     tried_s: float = float("-inf")
     """When this entry last tried a request to which it applies."""
-    may_be_tried: bool = True
-    """Whether no server has crashed since the first trial was due."""
+    trial_known_s: float = float("-inf")
+    """When this entry learned of the last trial of any entry."""
+    trials: TrialState = UNTRIED
+    """What has come of the trials of all entries."""
 
     def covers(self, parts: Collection[int]) -> bool:
         """Return whether it covers a request with its subject and these parts."""
@@ -109,7 +112,13 @@
         self._lifted: list[Lifted] = []
         """Ended verdicts not yet returned by `pop_lifted`."""
         self._lifted_s: dict[int, float] = {}
+        self._open_trials_s: dict[int, float] = {}
+        """When this entry began trials whose outcome isn't known yet."""
         self._changes = 0
+        self._required: set[int] = set()
+        """Companions of all verdicts."""
+        self._required_at = 0
+        """Number of changes of verdicts at which they were collected."""
         self._indexed_at = (-1, -1)
         """Numbers of changes of verdicts and crashes at which the two following were collected."""
         self._blamed_on: dict[int, set[int]] = {}
@@ -168,13 +177,47 @@
             del self._verdicts[dropped]
             self._record_change(dropped)
 
-    def record_trial(self, subject: int, now_s: float) -> None:
+    def begin_trial(self, subject: int, now_s: float) -> None:
         """Record that this entry tries a request with a part."""
-        self._verdicts[subject] = self._verdicts[subject]._replace(tried_s=now_s)
+        verdict = self._verdicts[subject]
+        trials = verdict.trials._replace(begun=verdict.trials.begun + 1)
+        self._verdicts[subject] = verdict._replace(tried_s=now_s)
+        self._open_trials_s[subject] = now_s
+        self.combine_trials(subject, trials, now_s)
 
-    def end_trials(self, subject: int) -> None:
+    def end_trials(self, subject: int, now_s: float) -> None:
         """Let no entry try a part any more: a server has crashed at a trial."""
-        self._verdicts[subject] = self._verdicts[subject]._replace(may_be_tried=False)
+        self._open_trials_s.pop(subject, None)
+        self.combine_trials(subject, TrialState(has_crashed=True), now_s)
+
+    def combine_trials(self, subject: int, trials: TrialState, now_s: float) -> None:
+        """Add to a verdict what is known of trials."""
+        verdict = self._verdicts[subject]
+        combined = verdict.trials.combined(trials)
+        if combined != verdict.trials:
+            is_begun = combined.begun > verdict.trials.begun
+            self._verdicts[subject] = verdict._replace(
+                trials=combined,
+                changed_s=now_s,
+                trial_known_s=now_s if is_begun else verdict.trial_known_s,
+            )
+            self.version += 1
+
+    def is_trial_open(self, subject: int) -> bool:
+        """Return whether the outcome of a trial of this entry isn't known yet."""
+        return subject in self._open_trials_s
+
+    def settle_trials(self, now_s: float) -> None:
+        """End the trials of this entry at which no server has crashed for long enough."""
+        for subject, tried_s in list(self._open_trials_s.items()):
+            if now_s < tried_s + TRIAL_INTERVAL_S:
+                continue
+            del self._open_trials_s[subject]
+            verdict = self._verdicts.get(subject)
+            if verdict is not None:
+                without_crash = verdict.trials.without_crash + 1
+                trials = verdict.trials._replace(without_crash=without_crash)
+                self.combine_trials(subject, trials, now_s)
 
     def shorten(self, subject: int, until_s: float) -> None:
         """Let a verdict expire no later than at a given time."""
@@ -199,6 +242,11 @@
 
     def drop_companion(self, part: int, now_s: float) -> None:
         """Let no verdict require a part any more, as it was answered."""
+        if self._required_at != self._changes:
+            self._required_at = self._changes
+            self._required = {one for verdict in self for one in verdict.companions}
+        if part not in self._required:
+            return
         for subject in [key for key, one in self._verdicts.items() if part in one.companions]:
             kept = set(self._verdicts[subject].companions) - {part}
             self.keep_companions(subject, kept, now_s)
@@ -268,7 +316,7 @@
         ]
         latest = sorted(found, key=lambda verdict: -verdict.since_s)[:MAX_VERDICTS_SENT]
         return tuple(
-            VerdictReport(one.subject, one.until_s - now_s, one.crashes, one.companions)
+            VerdictReport(one.subject, one.until_s - now_s, one.crashes, one.companions, one.trials)
             for one in latest
         )
 
@@ -308,11 +356,11 @@
 
     def _record_lifted(self, subject: int, now_s: float) -> None:
         """Remember that a verdict has ended while peers may still send it."""
-        self._lifted_s = {
-            key: at_s
-            for key, at_s in self._lifted_s.items()
-            if now_s - at_s < LIFTED_VERDICT_KEPT_S
-        }
+        if len(self._lifted_s) >= MAX_VERDICTS:
+            kept_after_s = now_s - LIFTED_VERDICT_KEPT_S
+            self._lifted_s = {
+                key: at_s for key, at_s in self._lifted_s.items() if at_s > kept_after_s
+            }
         self._lifted_s[subject] = now_s
 
     def explain(self, server: int, subject: int, now_s: float) -> bool:
--- a/packages/proxy/tests/test_part_quarantine.py
+++ b/packages/proxy/tests/test_part_quarantine.py
@@ -393,7 +393,7 @@
         quarantine = Quarantine()
         quarantine.apply_verdict(VerdictReport(PART, 600.0, 3, (FIRST,)), 1.0)
         verdict = quarantine.verdict_on(PART, 1.0)
-        assert decode_record(PART, encode_record(verdict, "vm")).companions == (FIRST,)
+        assert decode_record(PART, encode_record(verdict, "vm", 9.0)).companions == (FIRST,)
         for value in (b"[]", b'{"crashes": 3, "companions": 1}', b'{"companions": []}'):
             with pytest.raises(ValueError, match=r"not a|missing"):
                 decode_record(PART, value)
