--- a/packages/proxy/src/sassafrastally/proxy/path.py
+++ b/packages/proxy/src/sassafrastally/proxy/path.py
@@ -270,6 +270,7 @@
                     partial(self._send_last, task, reply, progress, answerer),
                 )
                 try:
+                    progress.tried_part = await self.services.quarantine.claim_trial(task.subjects)
                     local_reply = await answerer.run()
                 finally:
                     answerer.release()
