--- a/packages/proxy/src/sassafrastally/proxy/load.py
+++ b/packages/proxy/src/sassafrastally/proxy/load.py
@@ -262,8 +262,7 @@
 
 def sum_work(works: Iterable[Work]) -> Work:
     """Return the sum of several works, field by field."""
-    columns = zip(NO_WORK, *works, strict=True)
-    return Work(*(sum(column) for column in columns))
+    return Work(*map(sum, zip(NO_WORK, *works, strict=True)))
 
 
 def merge_work(own: Mapping[str, Work], from_peers: Iterable[Mapping[int, Work]]) -> WorkView:
--- a/packages/proxy/src/sassafrastally/proxy/relays/data_centre_sum.py
+++ b/packages/proxy/src/sassafrastally/proxy/relays/data_centre_sum.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import defaultdict
 from typing import TYPE_CHECKING
 
 from sassafrastally.proxy.contention import sum_contention
@@ -79,8 +80,8 @@
 
 
 def _sum_loads(loads: Iterable[Mapping[int, Work]]) -> dict[int, Work]:
-    by_server: dict[int, list[Work]] = {}
+    by_server: defaultdict[int, list[Work]] = defaultdict(list)
     for mapping in loads:
         for key, work in mapping.items():
-            by_server.setdefault(key, []).append(work)
+            by_server[key].append(work)
     return {key: sum_work(works) for key, works in by_server.items()}
--- a/packages/proxy/src/sassafrastally/proxy/sum_exchange.py
+++ b/packages/proxy/src/sassafrastally/proxy/sum_exchange.py
@@ -77,6 +77,8 @@
                 if is_full:
                     listed_s = now_s
                 message = self._compose(is_full=is_full)
+                # Composing and encoding take some milliseconds each for hundreds of entries.
+                await trio.lowlevel.checkpoint()
                 if route.direct:
                     await self._send(route.direct, encode_hello(message))
                 if route.forwarding:
