Share the retry budget with entries that haven't been heard from yet

When all entries start again at once while attempts fail, a service gets more repeats than its budget (BUDGET): until its first datagram arrives, each entry took itself for the only one and used the budget of all.

Change: entries that the store names count, too, for as long as they do for shares of rate limits (five seconds without a sign of them). An entry that has ended makes the budget of the others smaller for as long.

--- a/packages/proxy/src/sassafrastally/proxy/fleet_view.py
+++ b/packages/proxy/src/sassafrastally/proxy/fleet_view.py
@@ -87,6 +87,11 @@
         """Number of live entries, this one included."""
         return self._peers.live_count() + 1
 
+    @property
+    def known_entries(self) -> int:
+        """Number of entries that share what all of them may send, as `PeerTable.known_entries`."""
+        return self._peers.known_count()
+
     @property
     def beliefs_age_s(self) -> float:
         """Time since the view of the servers was last confirmed."""
--- a/packages/proxy/src/sassafrastally/proxy/peer_table.py
+++ b/packages/proxy/src/sassafrastally/proxy/peer_table.py
@@ -200,6 +200,14 @@
         in_sums = sum(received.hello.entries for received in self.sums(now_s).values())
         return 1 + sum(1 for _ in self._individual_peers(now_s)) + in_sums
 
+    def known_entries(self, now_s: float) -> int:
+        """Return the number of entries, this one included, also of those not heard from yet.
+
+        The store names them to an entry that has just started. All of a fleet may have, and each
+        must not take itself for the only one.
+        """
+        return max(self.entries(now_s), 1 + len(self.members(now_s)))
+
     def effective_messages(self, now_s: float) -> list[tuple[Hello, float]]:
         """Return the messages that count, with their ages: sums and individual entries' own."""
         single = [
--- a/packages/proxy/src/sassafrastally/proxy/peers.py
+++ b/packages/proxy/src/sassafrastally/proxy/peers.py
@@ -180,6 +180,10 @@
         """Return the number of live peers."""
         return self._table.entries(self._now_s) - 1
 
+    def known_count(self) -> int:
+        """Return the number of entries as `PeerTable.known_entries`."""
+        return self._table.known_entries(self._now_s)
+
     @property
     def min_send_interval_s(self) -> float:
         """Minimum time between two datagrams."""
--- a/packages/proxy/src/sassafrastally/proxy/retries.py
+++ b/packages/proxy/src/sassafrastally/proxy/retries.py
@@ -81,7 +81,7 @@
         """Return whether the budget of all entries allows a retry now."""
         service, budget = self._task.service, self._services.budget
         now_s = self._services.kernel.clock.now_s()
-        allowance = budget.retry_allowance(service, self._services.fleet_view.entries, now_s)
+        allowance = budget.retry_allowance(service, self._services.fleet_view.known_entries, now_s)
         return budget.retry_count(service, now_s) + 1 <= allowance
 
     def charge_budget(self, *, is_logged: bool = True) -> bool:
@@ -89,7 +89,7 @@
         service = self._task.service
         now_s = self._services.kernel.clock.now_s()
         budget = self._services.budget
-        entries = self._services.fleet_view.entries
+        entries = self._services.fleet_view.known_entries
         if budget.try_spend(service, entries, now_s):
             self._unsent_charges_s.append(now_s)
             return True
