Quarantine at most sixteen of the prompt parts that can't be told apart

Cause: alike parts are compared as one group, but each was still quarantined by itself. The verdicts say the same: a request with all parts is refused by any of them.

Change: parts against which the same speaks get sixteen verdicts. The others count as no other candidates then. A request with only some of the others crashes one more server and is blamed by that; test_alike_parts shows both, and has 256 verdicts without the change.

--- a/packages/proxy/src/sassafrastally/proxy/part_causes.py
+++ b/packages/proxy/src/sassafrastally/proxy/part_causes.py
@@ -42,6 +42,11 @@
 """Maximum number of other parts that a request must have to be blamed. A quarantine datagram holds
 the companions of all verdicts."""
 
+MAX_ALIKE_VERDICTS = 16
+"""Maximum number of verdicts on parts against which the same speaks. They refuse the requests that
+have all of these parts. One with only some of the others crashes another server at most: then more
+speaks against these."""
+
 MAX_CARRIED = 1024
 """Maximum number of parts for which it is known what comes along with them."""
 
@@ -70,6 +75,16 @@
     open_parts: set[int]
     """Those without a certain verdict."""
 
+    @property
+    def is_represented(self) -> bool:
+        """Whether enough of its parts have a verdict already."""
+        return len(self.parts) - len(self.open_parts) >= MAX_ALIKE_VERDICTS
+
+    @property
+    def candidates(self) -> set[int]:
+        """Those that may be the cause without being blamed."""
+        return set() if self.is_represented else self.open_parts
+
 
 class EvidenceGroups:
     """What speaks against parts, those alike together.
@@ -146,6 +161,14 @@
             return False
         return own.crashes >= CRASHES_DESPITE_RIVALS or not self._has_narrower(own)
 
+    def is_represented(self, part: int) -> bool:
+        """Return whether enough parts against which the same speaks have a verdict already.
+
+        It answers for prompts of hundreds of parts: with a verdict on each, entries would write and
+        drop as many records as the store takes.
+        """
+        return self._groups[self._evidence[part]].is_represented
+
     def has_more_rivals(self, part: int, most: int) -> bool:
         """Return whether more than some number of other parts explain a part's crashes as well.
 
@@ -157,12 +180,13 @@
         own = self._evidence[part]
         excluded = {part, *self.companions_of(part)}
         rivals = 0
-        for one, _, open_parts in self._groups.values():
+        for one, group in self._groups.items():
             common = (one.all_servers if own.was_answered else one.servers) & own.servers
             if len(common) < MIN_RIVAL_CRASHES or part in (one.carried_with or ()):
                 continue
             if own.was_answered or one.crashes >= MIN_RIVAL_CRASHES:
-                rivals += len(open_parts) - len(excluded & open_parts)
+                candidates = group.candidates
+                rivals += len(candidates) - len(excluded & candidates)
             if rivals > most:
                 return True
         return False
@@ -205,9 +229,9 @@
             one.crashes >= MIN_RIVAL_CRASHES
             and one.servers < own.servers
             and one.was_answered <= own.was_answered
-            and len(open_parts) > 0
+            and len(group.candidates) > 0
             and not self._is_covered(one.servers)
-            for one, _, open_parts in self._groups.values()
+            for one, group in self._groups.items()
         )
 
 
--- a/packages/proxy/src/sassafrastally/proxy/part_judge.py
+++ b/packages/proxy/src/sassafrastally/proxy/part_judge.py
@@ -138,7 +138,7 @@
             if not self._has_settled(part, requests, now_s, is_certain=not is_presumed):
                 continue
             groups = self._group(requests, now_s, is_certain=not is_presumed)
-            if not groups.is_cause(part):
+            if groups.is_represented(part) or not groups.is_cause(part):
                 continue
             own = groups.get(part)
             crashes = len(own.servers) if own.was_answered else own.crashes
