A request that has ended isn't held by its last answer

Cause: the answer for the end of a drain refers to the request and its reply, the reply to its limit, and the limit to that answer.

Change: the limit drops the answer when the work ends. The tests pass.

--- a/packages/proxy/src/sassafrastally/proxy/drain.py
+++ b/packages/proxy/src/sassafrastally/proxy/drain.py
@@ -165,6 +165,8 @@
         finally:
             self._limits.discard(limit)
             limit.end()
+            # The answer refers to the request, and that to the limit.
+            limit.last_answer = None
 
     @contextmanager
     def limit_reading(self) -> Iterator[trio.CancelScope]:
