--- a/packages/testing/src/sassafrastally/testing/soak/long_uploads.py
+++ b/packages/testing/src/sassafrastally/testing/soak/long_uploads.py
@@ -164,10 +164,13 @@
         if upload.handed_over_s is None
         else (f"{upload.handed_over_s - upload.connected_s:.3f} s")
     )
+    begin_s, end_s = upload.connected_s, upload.ended_s
+    own_lag_s = fleet.record.own_lag_s(begin_s, end_s)
+    lags = describe_lags(fleet.scheduling, own_lag_s, sent.entry, begin_s, end_s)
     fleet.record.note_broken(
         promise,
         f"upload {upload.request_id} ({sent.kind.value}) at entry {sent.entry}, begun "
         f"{upload.connected_s - fleet.record.begin_s:.2f} s: status {upload.status} after "
         f"{upload.ended_s - upload.connected_s:.3f} s, handed over: {handed_over}; {detail}; "
-        f"{describe_lags(fleet, sent.entry, upload.connected_s, upload.ended_s)}",
+        f"{lags}",
     )
--- a/packages/testing/src/sassafrastally/testing/soak/promises.py
+++ b/packages/testing/src/sassafrastally/testing/soak/promises.py
@@ -195,7 +195,10 @@
         beside = "; ".join(self._record.names_during(attempt.sent_s, attempt.ended_s))
         waited_s = self._fleet.scheduling.waited_s(attempt.entry, attempt.limit_s, attempt.ended_s)
         if took_s - waited_s > attempt.time_left_s + LATE_S:
-            seen = describe_lags(self._fleet, attempt.entry, attempt.limit_s, attempt.ended_s)
+            own_lag_s = self._record.own_lag_s(attempt.limit_s, attempt.ended_s)
+            seen = describe_lags(
+                self._fleet.scheduling, own_lag_s, attempt.entry, attempt.limit_s, attempt.ended_s
+            )
             detail = f"{took_s:.2f} s, beside {beside or 'nothing'}; after its limit {seen}"
             self._break("in time", attempt, detail)
         elif may_break_off(attempt, arrivals):
--- a/packages/testing/src/sassafrastally/testing/soak/scheduling.py
+++ b/packages/testing/src/sassafrastally/testing/soak/scheduling.py
@@ -10,7 +10,6 @@
 
 if TYPE_CHECKING:
     from sassafrastally.testing.soak.entry_process import EntryProcess
-    from sassafrastally.testing.soak.fleet import SoakFleet
 
 LOOK_S = 0.05
 
@@ -78,8 +77,9 @@
         )
 
 
-def describe_lags(fleet: SoakFleet, entry: int, begin_s: float, end_s: float) -> str:
+def describe_lags(
+    scheduling: Scheduling, own_lag_s: float, entry: int, begin_s: float, end_s: float
+) -> str:
     """Return how an entry, and the soak itself, were scheduled in a time."""
-    own_lag_s = fleet.record.own_lag_s(begin_s, end_s)
-    seen = fleet.scheduling.describe(entry, begin_s, end_s)
+    seen = scheduling.describe(entry, begin_s, end_s)
     return f"{seen}; the soak itself ran late by {own_lag_s:.3f} s"
