--- a/packages/proxy/src/sassafrastally/proxy/caller_listener.py
+++ b/packages/proxy/src/sassafrastally/proxy/caller_listener.py
@@ -17,12 +17,7 @@
 from sassafrastally.proxy.cluster_state import ClusterState
 from sassafrastally.proxy.connection_end_log import ConnectionEndLog
 from sassafrastally.proxy.connection_gate import ConnectionGate
-from sassafrastally.proxy.cpu_overload import (
-    LoopPace,
-    read_until,
-    sleep_until_read,
-    timed_turns,
-)
+from sassafrastally.proxy.cpu_overload import LoopPace, read_until, sleep_until_read, timed_turns
 from sassafrastally.proxy.early_listener import BACKLOG
 from sassafrastally.proxy.http_stream import (
     ConnectionLost,
@@ -55,7 +50,13 @@
 from sassafrastally.proxy.reply import Reply
 from sassafrastally.proxy.request_reader import BadRequest, RequestReader
 from sassafrastally.proxy.slow_readers import BlockedCallers, most_buffered_bytes
-from sassafrastally.proxy.stop_plan import FIRST_REQUEST_S, LAST_REQUESTS_S, StopPlan, plan_stop
+from sassafrastally.proxy.stop_plan import (
+    FIRST_REQUEST_S,
+    LAST_REQUESTS_S,
+    REPLAN_S,
+    StopPlan,
+    plan_stop,
+)
 
 if TYPE_CHECKING:
     import socket
@@ -79,9 +80,6 @@
 ANSWERED_CHECK_S = 0.02
 """Interval at which a stopping entry checks whether all requests are answered."""
 
-REPLAN_S = 0.02
-"""Time by which the end of the drain must come sooner for the open requests to be told again."""
-
 RETRY_BODY_AFTER_S = 1.0
 """When a caller may send a request again that was refused because of the bodies held: by then most
 of the requests that hold them are answered, or time out."""
@@ -362,7 +360,7 @@
             return False
         connection.request_id = request.facts.request_id
         await self._answer(connection, request, reply)
-        return reply.has_ended and _can_continue(connection)
+        return reply.has_ended and connection.has_finished_exchange
 
     def _is_last(self, connection: HttpStream) -> bool:
         """Return whether a response is the last one on its connection.
@@ -454,8 +452,3 @@
         if rejected.retry_after_s:
             headers.append(self._dialect.retry_after_header(rejected.retry_after_s))
         await reply.send_complete(rejected.refusal.status, headers, body)
-
-
-def _can_continue(connection: HttpStream) -> bool:
-    http = connection.http
-    return http.our_state is h11.DONE and http.their_state is h11.DONE
--- a/packages/proxy/src/sassafrastally/proxy/http_stream.py
+++ b/packages/proxy/src/sassafrastally/proxy/http_stream.py
@@ -10,16 +10,15 @@
 import struct
 import sys
 import termios
-from typing import TYPE_CHECKING
 
 import h11
 import trio
 
-from sassafrastally.core import SHORTAGES, SenderTime, is_final_status
+from sassafrastally.core import SenderTime, is_final_status
 from sassafrastally.core.http_patterns import use_linear_patterns
+from sassafrastally.proxy.connecting import connect
 from sassafrastally.proxy.connection_errors import ConnectionLost, InputTooLong
 from sassafrastally.proxy.connection_state import is_reset
-from sassafrastally.proxy.cpu_overload import StepTimeout
 from sassafrastally.proxy.input_limits import (
     MAX_HEAD_BYTES,
     MAX_INTERIM_BYTES,
@@ -35,9 +34,6 @@
 )
 from sassafrastally.proxy.socket_options import enable_keepalive, limit_send_buffer
 
-if TYPE_CHECKING:
-    from sassafrastally.core import Address
-
 __all__ = [
     "CLOSED",
     "LINGER_OFF",
@@ -378,6 +374,11 @@
         buffered = fcntl.ioctl(descriptor, termios.TIOCOUTQ, bytes(4))
         return int.from_bytes(buffered, sys.byteorder)
 
+    @property
+    def has_finished_exchange(self) -> bool:
+        """Whether the request and its response are complete, so that another one may follow."""
+        return self.http.our_state is h11.DONE and self.http.their_state is h11.DONE
+
     def has_unread_input(self) -> bool:
         """Return whether unexpected bytes or the end of the stream can be read from the socket."""
         return bool(self.http.trailing_data[0]) or self.is_readable()
@@ -415,50 +416,3 @@
     """Raise `h11.RemoteProtocolError` for a response with a status that h11 accepts only."""
     if isinstance(event, h11.Response) and not is_final_status(event.status_code):
         raise h11.RemoteProtocolError(f"no response has the status {event.status_code}")
-
-
-async def connect(
-    address: Address, time_limit_s: float, *, receive_buffer_bytes: int = 0
-) -> trio.abc.Stream:
-    """Open a TCP connection.
-
-    Parameters
-    ----------
-    address
-        Address to connect to.
-    time_limit_s
-        Longest time until the connection is established.
-    receive_buffer_bytes
-        Size of the receive buffer; 0 for the OS's default.
-
-    Raises
-    ------
-    ConnectionLost
-        If the connection can't be established in time.
-    """
-
-    async def open_socket() -> trio.socket.SocketType:
-        sock = trio.socket.socket()
-        try:
-            if receive_buffer_bytes:
-                sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer_bytes)
-            await sock.connect((address.host, address.port))
-        except BaseException:
-            sock.close()
-            raise
-        return sock
-
-    try:
-        sock = await StepTimeout(time_limit_s).read(open_socket)
-    except (OSError, trio.TooSlowError) as cause:
-        failure = ConnectionLost(f"failed to connect to {address}: {cause!r}")
-        failure.is_refused = isinstance(cause, ConnectionRefusedError)
-        failure.is_own_shortage = isinstance(cause, OSError) and cause.errno in SHORTAGES
-        raise failure from cause
-    stream = trio.SocketStream(sock)
-    try:
-        enable_keepalive(stream)
-    except ConnectionLost:
-        sock.close()
-        raise
-    return stream
--- a/packages/proxy/src/sassafrastally/proxy/stop_plan.py
+++ b/packages/proxy/src/sassafrastally/proxy/stop_plan.py
@@ -52,6 +52,9 @@
 LAST_REQUESTS_S = 0.15
 """Time for the requests of connections that are accepted only at the end of the drain."""
 
+REPLAN_S = 0.02
+"""Time by which the end of the drain must come sooner for the open requests to be told again."""
+
 
 class StopPlan(NamedTuple):
     """Times of a stop."""
