The wait of a watch that was open when its entry ended is no outage

Cause: the gap runs from the last confirmation, up to a second before the watchers' end, as their watch waits so long for a change. With the second until the takeover it was longer than half of the time after which a record lapses. An outage that is over at a takeover is shorter than two seconds, and lapses no lease.

Change: the wait of the watch that was open is taken off, as that of the entry's own first watch is. test_while_a_watch_was_open_is_no_return failed before (StoreRegained, away_s 2.101); an outage that only the watchers noticed still counts.

--- a/packages/proxy/src/sassafrastally/proxy/watch.py
+++ b/packages/proxy/src/sassafrastally/proxy/watch.py
@@ -74,6 +74,8 @@
         self._lost_since_s: float | None = None
         self._is_watching = True
         self._wait_s = WATCH_WAIT_S
+        self._former_wait_s = 0.0
+        """Wait of the watch that was open when its entry ended, until the first answer since."""
 
     async def start(self, nursery: trio.Nursery) -> None:
         """Look up the services used and start following the store."""
@@ -122,7 +124,8 @@
         waited_s = now_s - begin_s
         # An answer that is read late, after a pause of this process, says nothing about the pause.
         as_of_s = now_s if waited_s < wait_s + MAX_ANSWER_DELAY_S else begin_s
-        self._record_answer(min(wait_s, waited_s))
+        self._record_answer(min(wait_s, waited_s) + self._former_wait_s)
+        self._former_wait_s = 0.0
         events = await self._cluster_state.used_events(changes.events)
         configuration = self._cluster_state.configuration
         self._peers.note_changes(events)
@@ -158,7 +161,7 @@
             self._peers.own_entry, others
         )
         if self._is_watching and not had_duty:
-            self._wait_s = TAKEOVER_WAIT_S
+            self._wait_s, self._former_wait_s = TAKEOVER_WAIT_S, WATCH_WAIT_S
             age_s = min(self.kernel.clock.now_s() - self._cluster_state.confirmed_s, 1e6)
             self.kernel.events.emit(
                 WatchTakenOver(len(others), self._cluster_state.position.revision, round(age_s, 3))
--- a/packages/testing/tests/platform/test_watch_gaps.py
+++ b/packages/testing/tests/platform/test_watch_gaps.py
@@ -108,6 +108,12 @@
         assert StoreRegained.__name__ not in names(kernel)
         assert returned_s(kernel) == float("-inf")
 
+    async def test_while_a_watch_was_open_is_no_return(self, autojump_clock):
+        """The watchers die near the end of the wait of their watch. Guards against counting that
+        wait as time in which the store was away."""
+        kernel = await follow(QuietStore(), Watchers(WATCHERS_END_S - 0.9))
+        assert returned_s(kernel) == float("-inf")
+
     async def test_after_an_outage_that_only_the_watchers_noticed_is_one(self, autojump_clock):
         """The store goes away, the watchers die, and it is back before the takeover. Guards against
         dropping live servers whose leases lapsed in an outage that no live entry has seen."""
