Count a trial of a quarantined part once, and none that reaches no server

What callers saw: requests with a sound part that had been taken for harmful were refused for 600 s, until its verdict ended.

Cause: a trial is written to the store before it is begun, and its record came back from there while it was being written; the entry then counted it again. And a request was a trial before it was known whether it could be placed: one that a stopping entry refused, that found no server, or whose caller left during the write stayed a trial without an outcome. Two such trials end all trials.

Change: the trial that is begun is the one that was written. A stopping entry begins none, and one whose request has reached no server is settled at once, also if its caller leaves.

--- a/packages/proxy/src/sassafrastally/proxy/fingerprint.py
+++ b/packages/proxy/src/sassafrastally/proxy/fingerprint.py
@@ -14,7 +14,10 @@
 import hashlib
 import re
 from functools import lru_cache
-from typing import NamedTuple
+from typing import TYPE_CHECKING, NamedTuple
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
 
 DIGEST_BYTES = 8
 """Length of a fingerprint. At a million requests per second, a chance collision occurs once in
@@ -79,6 +82,11 @@
     return f"{subject:016x}"
 
 
+def fingerprint_texts(fingerprints: Iterable[int]) -> tuple[str, ...]:
+    """Return the texts of several fingerprints."""
+    return tuple(fingerprint_text(one) for one in fingerprints)
+
+
 def parse_fingerprint(text: str) -> int:
     """Parse the text of a fingerprint or a part key; raises `ValueError`."""
     if not _TEXT.fullmatch(text):
--- a/packages/proxy/src/sassafrastally/proxy/part_trials.py
+++ b/packages/proxy/src/sassafrastally/proxy/part_trials.py
@@ -53,6 +53,10 @@
     has_crashed: bool = False
     """Whether a server has crashed at a trial."""
 
+    def with_another(self) -> TrialState:
+        """Return the state with one more trial."""
+        return self._replace(begun=self.begun + 1)
+
     def may_try(self) -> bool:
         """Return whether there may be a further trial."""
         return not self.has_crashed and self.begun - self.without_crash < MAX_OPEN_TRIALS
--- a/packages/proxy/src/sassafrastally/proxy/path.py
+++ b/packages/proxy/src/sassafrastally/proxy/path.py
@@ -270,10 +270,12 @@
                     partial(self._send_last, task, reply, progress, answerer),
                 )
                 try:
-                    progress.tried_part = await self.services.quarantine.claim_trial(task.subjects)
+                    await self._claim_trial(task, progress)
                     local_reply = await answerer.run()
                 finally:
                     answerer.release()
+                    if progress.tried_part is not None and not progress.sent:
+                        self.services.quarantine.abandon_trial(progress.tried_part)
         except trio.Cancelled:
             # The caller has left, or the process ends; the limit may have acted at the same time.
             self._record_unanswered(task, progress)
@@ -298,6 +300,14 @@
         fingerprint = fingerprint_text(task.fingerprint)
         await self._answer_locally(request, reply, local_reply, progress, fingerprint, late_s)
 
+    async def _claim_trial(self, task: RequestTask, progress: Progress) -> None:
+        """Let a request be the trial of a quarantined part, if one is due.
+
+        A stopping entry would end before the outcome is known.
+        """
+        if not self.services.drain.is_stopping:
+            progress.tried_part = await self.services.quarantine.claim_trial(task.subjects)
+
     def _send_last(
         self,
         task: RequestTask,
--- a/packages/proxy/src/sassafrastally/proxy/quarantine.py
+++ b/packages/proxy/src/sassafrastally/proxy/quarantine.py
@@ -25,18 +25,13 @@
 from sassafrastally.proxy.part_judge import PartJudge
 from sassafrastally.proxy.part_trials import TRIAL_AFTER_S, Turn, is_trial_crash, trial_due_s
 from sassafrastally.proxy.quarantine_exchange import EMPTY_REPORT, QuarantineReport, VerdictReport
-from sassafrastally.proxy.verdicts import (
-    REPORTS_FRESH_S,
-    LateVerdict,
-    Lifted,
-    Verdict,
-    Verdicts,
-)
+from sassafrastally.proxy.verdicts import REPORTS_FRESH_S, LateVerdict, Lifted, Verdict, Verdicts
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Collection, Iterable
 
     from sassafrastally.proxy.fingerprint import Subjects
+    from sassafrastally.proxy.part_trials import TrialState
 
 QUARANTINE_S = 600.0
 """How long a request is quarantined. A wrong verdict expires within this time; when a right one
@@ -98,6 +93,17 @@
 
     def claim_trial(
         self, subjects: Subjects, now_s: float, turn: Callable[[int], Turn]
+    ) -> int | None:
+        """Begin the trial of a part for a request, and return the part, as `due_trial`."""
+        part = self.due_trial(subjects, now_s, turn)
+        if part is not None:
+            verdict = self._verdicts.get(part)
+            assert verdict is not None
+            self.begin_trial(part, verdict.trials.with_another(), now_s)
+        return part
+
+    def due_trial(
+        self, subjects: Subjects, now_s: float, turn: Callable[[int], Turn]
     ) -> int | None:
         """Return the part as whose trial a request may run; ``None`` if it may not.
 
@@ -112,15 +118,6 @@
         turn
             Returns this entry's place in the order of the trials of a part.
         """
-        part = self.due_trial(subjects, now_s, turn)
-        if part is not None:
-            self.begin_trial(part, now_s)
-        return part
-
-    def due_trial(
-        self, subjects: Subjects, now_s: float, turn: Callable[[int], Turn]
-    ) -> int | None:
-        """Return the part whose trial a request may be, as `claim_trial`, which isn't begun yet."""
         verdict = self.verdict(subjects.fingerprint, now_s, subjects.parts)
         if verdict is None or not is_part(verdict.subject) or verdict.is_presumed:
             return None
@@ -135,9 +132,13 @@
             return None
         return part
 
-    def begin_trial(self, part: int, now_s: float) -> None:
-        """Record that this entry tries a request with a part."""
-        self._verdicts.begin_trial(part, now_s)
+    def begin_trial(self, part: int, trials: TrialState, now_s: float) -> None:
+        """Record that this entry tries a request with a part, as `Verdicts.begin_trial`."""
+        self._verdicts.begin_trial(part, trials, now_s)
+
+    def abandon_trial(self, part: int, now_s: float) -> None:
+        """End a trial of this entry whose request has reached no server."""
+        self._verdicts.abandon_trial(part, now_s)
 
     def verdict_on(self, subject: int, now_s: float) -> Verdict | None:
         """Return the verdict in force on a subject, whatever else it requires."""
--- a/packages/proxy/src/sassafrastally/proxy/quarantine_records.py
+++ b/packages/proxy/src/sassafrastally/proxy/quarantine_records.py
@@ -71,3 +71,12 @@
     ):
         raise ValueError(f"trials are not two counts to {MAX_TRIALS_TOLD} and a flag")
     return TrialState(*trials)
+
+
+def has_all_trials(subject: int, value: bytes, trials: TrialState) -> bool:
+    """Return whether a record tells of some trials, or can't be decoded, and so isn't replaced."""
+    try:
+        recorded = decode_record(subject, value).trials
+    except ValueError:
+        return True  # Of a later version, or not an entry's.
+    return recorded.combined(trials) == recorded
--- a/packages/proxy/src/sassafrastally/proxy/quarantine_service.py
+++ b/packages/proxy/src/sassafrastally/proxy/quarantine_service.py
@@ -10,7 +10,12 @@
 from sassafrastally.core.kv import KvConflict, KvWrite
 from sassafrastally.proxy.cluster_state import ClusterState
 from sassafrastally.proxy.containment import Containment
-from sassafrastally.proxy.fingerprint import fingerprint_text, is_part, parse_fingerprint
+from sassafrastally.proxy.fingerprint import (
+    fingerprint_text,
+    fingerprint_texts,
+    is_part,
+    parse_fingerprint,
+)
 from sassafrastally.proxy.load import server_hash
 from sassafrastally.proxy.log_events import (
     DocumentRejected,
@@ -20,10 +25,10 @@
     QuarantineNotRecorded,
     RequestQuarantined,
 )
-from sassafrastally.proxy.part_trials import Turn, turn_of
+from sassafrastally.proxy.part_trials import UNTRIED, Turn, turn_of
 from sassafrastally.proxy.peers import Peers
 from sassafrastally.proxy.quarantine import Quarantine
-from sassafrastally.proxy.quarantine_records import decode_record, encode_record
+from sassafrastally.proxy.quarantine_records import decode_record, encode_record, has_all_trials
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
@@ -107,15 +112,7 @@
         return len(self._quarantine)
 
     def verdict(self, subjects: Subjects, tried: int | None = None) -> Verdict | None:
-        """Return the verdict on a request or on a part of its prompt, if one is in force.
-
-        Parameters
-        ----------
-        subjects
-            The request and the parts of its prompt.
-        tried
-            Part whose verdict doesn't apply, as the request is its trial.
-        """
+        """Return the verdict on a request or a part of its prompt, as `Quarantine.verdict`."""
         return self._quarantine.verdict(subjects.fingerprint, self._now_s, subjects.parts, tried)
 
     async def claim_trial(self, subjects: Subjects) -> int | None:
@@ -129,23 +126,23 @@
         part = self._quarantine.due_trial(subjects, self._now_s, self._trial_turn)
         if part is None or self._now_s < self._next_claim_s.get(part, 0.0):
             return None
-        self._next_claim_s = {part: self._now_s + RETRY_S, **self._future_claims()}
-        if not await self._claim(part):
-            return None
+        now_s = self._now_s
+        self._next_claim_s = {key: at_s for key, at_s in self._next_claim_s.items() if at_s > now_s}
+        self._next_claim_s[part] = now_s + RETRY_S
+        # The caller may leave meanwhile: what the store has by then has to be settled.
+        with trio.CancelScope(shield=True):
+            if not await self._claim(part):
+                return None
         self.kernel.events.emit(PromptPartTried(fingerprint_text(part)))
         return part
 
-    def _future_claims(self) -> dict[int, float]:
-        now_s = self._now_s
-        return {part: at_s for part, at_s in self._next_claim_s.items() if at_s > now_s}
-
     async def _claim(self, part: int) -> bool:
         """Begin a trial; return whether it is written to the store or told to peers."""
         key, verdict = self._key(part), self._quarantine.verdict_on(part, self._now_s)
         has_peers = len(self._peers.members()) > 0
         is_written = False
+        trials = UNTRIED if verdict is None else verdict.trials.with_another()
         if verdict is not None:
-            trials = verdict.trials._replace(begun=verdict.trials.begun + 1)
             with trio.move_on_after(CLAIM_TIME_S):
                 try:
                     await self._write(key, verdict._replace(trials=trials))
@@ -159,10 +156,18 @@
             return False  # It was lifted meanwhile.
         if not is_written and not has_peers:
             return False
-        self._quarantine.begin_trial(part, self._now_s)
+        self._quarantine.begin_trial(part, trials, self._now_s)
         self._peers.send_now()
         return True
 
+    def abandon_trial(self, part: int) -> None:
+        """End a trial whose request has reached no server."""
+        self._quarantine.abandon_trial(part, self._now_s)
+        if self._quarantine.verdict_on(part, self._now_s) is not None:
+            self._due_s[part] = self._now_s
+            self._news.set()
+        self._peers.send_now()
+
     def _trial_turn(self, part: int) -> Turn:
         return turn_of(part, self._peers.own_entry.host, self._peers.members())
 
@@ -297,7 +302,12 @@
         if is_part(verdict.subject):
             self.kernel.events.emit(
                 PromptPartQuarantined(
-                    text, _texts(verdict.companions), crashes, for_s, source, *self._basis(verdict)
+                    text,
+                    fingerprint_texts(verdict.companions),
+                    crashes,
+                    for_s,
+                    source,
+                    *self._basis(verdict),
                 )
             )
         else:
@@ -318,21 +328,17 @@
         record = self._cluster_state.record(self._key(verdict.subject))
         if record is None or record.value is None:
             return False
-        try:
-            trials = decode_record(verdict.subject, record.value).trials
-        except ValueError:
-            return True  # Of a later version, or not an entry's.
-        return trials.combined(verdict.trials) == trials
+        return has_all_trials(verdict.subject, record.value, verdict.trials)
 
     def _notify_verdict(self) -> None:
-        """Let others know that there are new verdicts, once for all of a step."""
+        """Tell that there are new verdicts, once for all of a step."""
         if self.on_verdict is not None:
             self.on_verdict()
 
     def _basis(self, verdict: Verdict) -> tuple[tuple[str, ...], float]:
         """Return the logged basis of a verdict on a part."""
         basis = self._quarantine.parts.basis(verdict.subject, self._now_s)
-        return _texts(basis.beside), round(basis.latest_record_age_s, 3)
+        return fingerprint_texts(basis.beside), round(basis.latest_record_age_s, 3)
 
     def _record_lifted(self, subject: int, reason: str) -> None:
         self._due_s.pop(subject, None)
@@ -439,8 +445,3 @@
                 if not verdict.is_presumed and not self._is_recorded(verdict):
                     self._due_s.setdefault(verdict.subject, self._peer_verdict_due_s())
                     self._news.set()
-
-
-def _texts(parts: tuple[int, ...]) -> tuple[str, ...]:
-    """Return the texts of the keys of parts."""
-    return tuple(fingerprint_text(part) for part in parts)
--- a/packages/proxy/src/sassafrastally/proxy/verdicts.py
+++ b/packages/proxy/src/sassafrastally/proxy/verdicts.py
@@ -177,10 +177,19 @@
             del self._verdicts[dropped]
             self._record_change(dropped)
 
-    def begin_trial(self, subject: int, now_s: float) -> None:
-        """Record that this entry tries a request with a part."""
+    def begin_trial(self, subject: int, trials: TrialState, now_s: float) -> None:
+        """Record that this entry tries a request with a part.
+
+        Parameters
+        ----------
+        subject
+            The part.
+        trials
+            What is known of its trials, with this one. Other entries may have told of it already.
+        now_s
+            Present time.
+        """
         verdict = self._verdicts[subject]
-        trials = verdict.trials._replace(begun=verdict.trials.begun + 1)
         self._verdicts[subject] = verdict._replace(tried_s=now_s)
         self._open_trials_s[subject] = now_s
         self.combine_trials(subject, trials, now_s)
@@ -203,6 +212,11 @@
             )
             self.version += 1
 
+    def abandon_trial(self, subject: int, now_s: float) -> None:
+        """End a trial of this entry whose request has reached no server."""
+        if self._open_trials_s.pop(subject, None) is not None and subject in self._verdicts:
+            self._settle_trial(subject, now_s)
+
     def is_trial_open(self, subject: int) -> bool:
         """Return whether the outcome of a trial of this entry isn't known yet."""
         return subject in self._open_trials_s
@@ -213,11 +227,13 @@
             if now_s < tried_s + TRIAL_INTERVAL_S:
                 continue
             del self._open_trials_s[subject]
-            verdict = self._verdicts.get(subject)
-            if verdict is not None:
-                without_crash = verdict.trials.without_crash + 1
-                trials = verdict.trials._replace(without_crash=without_crash)
-                self.combine_trials(subject, trials, now_s)
+            if subject in self._verdicts:
+                self._settle_trial(subject, now_s)
+
+    def _settle_trial(self, subject: int, now_s: float) -> None:
+        trials = self._verdicts[subject].trials
+        trials = trials._replace(without_crash=trials.without_crash + 1)
+        self.combine_trials(subject, trials, now_s)
 
     def shorten(self, subject: int, until_s: float) -> None:
         """Let a verdict expire no later than at a given time."""
--- a/packages/testing/tests/platform/test_trials_after_restarts.py
+++ b/packages/testing/tests/platform/test_trials_after_restarts.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import json
+
 import pytest
 import trio
 
@@ -113,3 +115,53 @@
             await restarts.ask()
             await trio.sleep(0.02)
         assert fleet.store.revision - before <= 8
+
+
+def trials_begun(store) -> int:
+    """Return how many trials the records of the quarantine count."""
+    keys = [key for key in sorted(store.keys()) if key.startswith("quarantine/")]
+    records = [json.loads(store.value(key)) for key in keys]
+    return sum(record.get("trials", [0])[0] for record in records)
+
+
+class TestCountedTrials:
+    """Guards against a part that no entry may try any more, as trials were counted that were none:
+    a sound part would be refused until its verdict ends."""
+
+    @pytest.mark.parametrize("seed", range(1, 7))
+    async def test_one_trial_counts_once(self, autojump_clock, seeded_fleet):
+        """The record of a trial comes back from the store while it is being written."""
+        fleet = seeded_fleet
+        await start_fleet(fleet, ENTRIES)
+        restarts = Restarts(fleet, kills_all=False, kill_after_s=0.0)
+        await restarts.quarantine()
+        before = len(arrivals_with_part(fleet))
+        for _ in range(60):
+            await restarts.ask()
+            await trio.sleep(0.5)
+        assert trials_begun(fleet.store) == len(arrivals_with_part(fleet)) - before == 1
+
+    @pytest.mark.parametrize("seed", [1, 2])
+    async def test_request_that_reaches_no_server_is_no_trial(self, autojump_clock, seeded_fleet):
+        """No server is there when the first trials are due."""
+        fleet = seeded_fleet
+        await start_fleet(fleet, ENTRIES)
+        restarts = Restarts(fleet, kills_all=False, kill_after_s=0.0)
+        await restarts.quarantine()
+        records = {
+            key: fleet.store.value(key)
+            for key in sorted(fleet.store.keys())
+            if key.startswith("servers/") and "engine" in key
+        }
+        for key in records:
+            fleet.store.remove(key)
+        for _ in range(100):
+            await restarts.ask()
+            await trio.sleep(0.5)
+        for key, value in records.items():
+            fleet.store.put(key, value)
+        before = len(arrivals_with_part(fleet))
+        for _ in range(60):
+            await restarts.ask()
+            await trio.sleep(0.5)
+        assert len(arrivals_with_part(fleet)) == before + 1
