Changes fetched from a peer confirm the view as of the peer's own confirmation

Cause, by reading of the review: an entry that fetched changes counted its view as confirmed at the time of the fetch, however long ago the peer had heard from the store. A gap in which leases may have lapsed looked shorter, and records younger than they may be, so that a live server whose lease had lapsed would count as one that left. No caller was seen to suffer from it.

Change: a source carries up to when the store had told the peer everything, as its datagram says. test_its_changes_are_no_news_of_the_store failed without it.

--- a/packages/proxy/src/sassafrastally/proxy/change_fetcher.py
+++ b/packages/proxy/src/sassafrastally/proxy/change_fetcher.py
@@ -98,6 +98,8 @@
     position: StorePosition
     configuration_version: int
     calls: CallClient
+    confirmed_s: float | None = None
+    """Up to when the store had told it everything, as its latest datagram says."""
 
 
 def choose_source(
@@ -215,9 +217,10 @@
         with self._containment:
             await self._cluster_state.decode_ahead(delta.entries or events)
             if delta.entries is not None:
-                self._cluster_state.replace(Snapshot(delta.entries, delta.position), name)
+                snapshot = Snapshot(delta.entries, delta.position)
+                self._cluster_state.replace(snapshot, name, source.confirmed_s)
             else:
-                self._cluster_state.apply(events, delta.position, name)
+                self._cluster_state.apply(events, delta.position, name, source.confirmed_s)
         if has_news(source.position, source.configuration_version, self._cluster_state):
             self._leave_out(source, "its answer doesn't bring what its datagrams promise")
         else:
--- a/packages/proxy/src/sassafrastally/proxy/peers.py
+++ b/packages/proxy/src/sassafrastally/proxy/peers.py
@@ -317,8 +317,8 @@
         """Return the live peers that know a later position or a newer configuration."""
         own_centre = self._settings.data_centre
         newer = [
-            hello
-            for hello, _ in self._table.effective_messages(self._now_s)
+            (hello, self._now_s - age_s - hello.confirmed_age_s)
+            for hello, age_s in self._table.effective_messages(self._now_s)
             if self._has_news(hello)
         ]
         return [
@@ -328,8 +328,9 @@
                 position=hello.position,
                 configuration_version=hello.configuration_version,
                 calls=self._calls.client(hello.host),
+                confirmed_s=confirmed_s,
             )
-            for hello in newer
+            for hello, confirmed_s in newer
         ]
 
     def _has_news(self, hello: Hello) -> bool:
--- a/packages/proxy/tests/test_change_fetcher.py
+++ b/packages/proxy/tests/test_change_fetcher.py
@@ -165,3 +165,28 @@
         assert 1 <= len(calls) <= 3
         assert set(calls) == {CHANGES_BOUNDS}
         assert [record["name"] for record in kernel.events.records()] == ["PeerFailed"]
+
+
+class TestOldView:
+    """A peer that has changes of a store of which it hasn't heard for some seconds."""
+
+    async def test_its_changes_are_no_news_of_the_store(self, autojump_clock, nursery):
+        """Guards against a view that counts as confirmed at the time of the fetch: a gap in which
+        leases lapsed would look like none, and live servers like ones that left."""
+        kernel = Kernel("vm", "dc", Clock(), seed=1)
+        state = kernel.add(ClusterState(PlainDialect(), REGISTRATION_EXPIRY_S))
+        await trio.sleep(10.0)
+        heard_s = trio.current_time() - 4.0
+
+        async def exchange(*_arguments):
+            await trio.sleep(0.001)
+            return CallResponse(200, [], encode_delta(Delta(None, (), StorePosition(0, 5))))
+
+        peer = SimpleNamespace(exchange=exchange)
+        source = Source("a", True, StorePosition(0, 5), 0, peer, heard_s)
+        fetcher = ChangeFetcher(kernel, state, lambda: [source], lambda: False)
+        nursery.start_soon(fetcher.run)
+        fetcher.note_news()
+        await trio.sleep(1.0)
+        assert state.position == StorePosition(0, 5)
+        assert state.confirmed_s == heard_s
