A port that stays in use ends a process with a drain, and a line in the log

Cause: the wait for a port of the process before this one ended with an error in the kernel's nursery, while callers were served.

--- a/packages/proxy/src/sassafrastally/proxy/caller_listener.py
+++ b/packages/proxy/src/sassafrastally/proxy/caller_listener.py
@@ -146,8 +146,7 @@
         self._gate.log.start(nursery)
         self._ends = ConnectionEndLog(self.kernel.events.emit)
         self._ends.start(nursery)
-        stop_time_s = self._settings.bounds.stop_time_s
-        await open_when_free(partial(self._accept, nursery), nursery, stop_time_s)
+        await open_when_free(partial(self._accept, nursery), self.kernel, nursery, self.stop_time_s)
 
     async def _accept(self, nursery: trio.Nursery) -> None:
         if self.is_stopping:
@@ -332,15 +331,12 @@
             return False
         self.open_requests += 1
         try:
-            return await self._serve_begun_request(connection)
+            with self._requests.account() as account:
+                connection.charge(account)
+                return await self._serve_accounted(connection, account)
         finally:
             self.open_requests -= 1
 
-    async def _serve_begun_request(self, connection: HttpStream) -> bool:
-        with self._requests.account() as account:
-            connection.charge(account)
-            return await self._serve_accounted(connection, account)
-
     async def _serve_accounted(self, connection: HttpStream, account: InputAccount) -> bool:
         reply = Reply(connection, partial(self._is_last, connection), self.blocked_callers)
         try:
--- a/packages/proxy/src/sassafrastally/proxy/internal_endpoints.py
+++ b/packages/proxy/src/sassafrastally/proxy/internal_endpoints.py
@@ -97,7 +97,7 @@
         }
         for address, handler in handlers.items():
             listen = partial(self._listen, nursery, address, handler)
-            await open_when_free(listen, nursery, self._settings.bounds.stop_time_s)
+            await open_when_free(listen, self.kernel, nursery, self._settings.bounds.stop_time_s)
 
     async def finish(self) -> None:
         """Answer the calls that are waiting at the ports, and close these."""
--- a/packages/proxy/src/sassafrastally/proxy/log_events/process.py
+++ b/packages/proxy/src/sassafrastally/proxy/log_events/process.py
@@ -74,6 +74,15 @@
     requests: int
 
 
+@event(10123, "warning")
+class PortInUse(NamedTuple):
+    """Another process has a port of this one, maybe the one before it, which still stops."""
+
+    cause: str
+    is_given_up: bool
+    """Whether this process stops, as the port wasn't released in time."""
+
+
 @event(10122, "warning")
 class ConnectionsCut(NamedTuple):
     """Callers' connections were closed before everything on them was done.
--- a/packages/proxy/src/sassafrastally/proxy/peers.py
+++ b/packages/proxy/src/sassafrastally/proxy/peers.py
@@ -119,7 +119,7 @@
         self._boot_id = self.kernel.random.getrandbits(64)
         self._port = DatagramPort()
         open_port = partial(self._port.open, self._settings.host, self._settings.peer_port)
-        await open_when_free(open_port, nursery, self._settings.bounds.stop_time_s)
+        await open_when_free(open_port, self.kernel, nursery, self._settings.bounds.stop_time_s)
         self._change_fetcher = ChangeFetcher(
             self.kernel, self._cluster_state, self._sources, self._defers_to_relays
         )
--- a/packages/proxy/src/sassafrastally/proxy/port_takeover.py
+++ b/packages/proxy/src/sassafrastally/proxy/port_takeover.py
@@ -12,9 +12,13 @@
 
 import trio
 
+from sassafrastally.proxy.log_events import PortInUse
+
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
+    from sassafrastally.core import Kernel
+
 TRY_INTERVAL_S = 0.02
 """Interval at which a port in use is tried: callers are refused meanwhile."""
 
@@ -23,7 +27,10 @@
 
 
 async def open_when_free(
-    open_port: Callable[[], Awaitable[object]], nursery: trio.Nursery, stop_time_s: float
+    open_port: Callable[[], Awaitable[object]],
+    kernel: Kernel,
+    nursery: trio.Nursery,
+    stop_time_s: float,
 ) -> None:
     """Open a port now, or in the background once another process has released it.
 
@@ -31,11 +38,13 @@
     ----------
     open_port
         Opens the port.
+    kernel
+        Log; it is asked to stop if the port stays in use.
     nursery
         Runs the task that waits for the port.
     stop_time_s
         Time that a process has to stop. A port that is in use for longer isn't that of the process
-        before this one; the task then raises the error.
+        before this one. Callers are served by then, so the process drains before it ends.
 
     Raises
     ------
@@ -43,20 +52,28 @@
         If the port can't be opened for another reason.
     """
     due_s = trio.current_time() + stop_time_s + END_TIME_S
-    if not await _try_to_open(open_port, due_s):
-        nursery.start_soon(_keep_trying, open_port, due_s)
+    if (cause := await _try_to_open(open_port)) is not None:
+        kernel.events.emit(PortInUse(str(cause), is_given_up=False))
+        nursery.start_soon(_keep_trying, open_port, kernel, due_s)
 
 
-async def _keep_trying(open_port: Callable[[], Awaitable[object]], due_s: float) -> None:
-    while not await _try_to_open(open_port, due_s):
+async def _keep_trying(
+    open_port: Callable[[], Awaitable[object]], kernel: Kernel, due_s: float
+) -> None:
+    while (cause := await _try_to_open(open_port)) is not None:
+        if trio.current_time() >= due_s:
+            kernel.events.emit(PortInUse(str(cause), is_given_up=True))
+            kernel.request_stop()
+            return
         await trio.sleep(TRY_INTERVAL_S)
 
 
-async def _try_to_open(open_port: Callable[[], Awaitable[object]], due_s: float) -> bool:
+async def _try_to_open(open_port: Callable[[], Awaitable[object]]) -> OSError | None:
+    """Open a port; return the error if it is in use."""
     try:
         await open_port()
     except OSError as cause:
-        if cause.errno != errno.EADDRINUSE or trio.current_time() >= due_s:
+        if cause.errno != errno.EADDRINUSE:
             raise
-        return False
-    return True
+        return cause
+    return None
