A task whose request was answered at the end of a drain sends nothing more

Change: a reply that was sent at once lets the cancellation act before anything else. test_ends_the_task_that_has_another_one_ready failed before, both cases.

--- a/packages/proxy/src/sassafrastally/proxy/reply.py
+++ b/packages/proxy/src/sassafrastally/proxy/reply.py
@@ -102,6 +102,7 @@
 
         After a cancellation, the same response may be sent again, which goes on where it was cut.
         """
+        await self._end_if_answered()
         if self._unsent is None:
             self._unsent = _Unsent(self._encode_complete(status, headers, body))
         await self._write_whole(self._unsent, is_complete=True)
@@ -192,12 +193,18 @@
 
     async def _send(self, *events: h11.Event) -> None:
         """Send events as a whole, as `_write_whole`."""
+        await self._end_if_answered()
         if self._header is not None:
             self._note_begin()
             events, self._header = (self._header, *events), None
         unsent = _Unsent(self._connection.encode_parts(*events))
         await self._write_whole(unsent, is_complete=isinstance(events[-1], h11.EndOfMessage))
 
+    async def _end_if_answered(self) -> None:
+        """Let the cancellation act that comes with `send_at_once`, before anything else is sent."""
+        if self.was_sent_at_once:
+            await trio.lowlevel.checkpoint_if_cancelled()
+
     async def _write_whole(self, unsent: _Unsent, *, is_complete: bool) -> None:
         """Write bytes as a whole; raises `CallerBlocked` if the caller doesn't read them.
 
--- a/packages/proxy/tests/test_last_answers.py
+++ b/packages/proxy/tests/test_last_answers.py
@@ -132,6 +132,20 @@
         assert received.startswith(b"HTTP/1.1 502")
         assert received.endswith(b"\r\n\r\ntext")
 
+    @pytest.mark.parametrize("is_stream", [False, True])
+    async def test_ends_the_task_that_has_another_one_ready(self, is_stream):
+        """Guards against an error, or a request that counts as answered twice, when a server's
+        response is delivered in the same turn."""
+        ours, theirs = socket.socketpair()
+        reply = await self._reply(ours)
+        await reply.begin(200, [])
+        reply.send_at_once(502, [], b"text")
+        with trio.CancelScope() as scope:
+            scope.cancel()
+            await (reply.send(b"other") if is_stream else reply.send_complete(200, [], b"other"))
+        assert scope.cancelled_caught
+        theirs.close()
+
     async def test_goes_on_where_its_connection_took_no_more(self):
         """Guards against a response that is cut since its caller reads slowly."""
         ours, theirs = socket.socketpair()
