--- a/packages/proxy/benchmarks/step_cases_exchange.py
+++ b/packages/proxy/benchmarks/step_cases_exchange.py
@@ -18,7 +18,7 @@
 from sassafrastally.proxy.store import Snapshot, StorePosition
 from sassafrastally.proxy.store_watchers import WatchCandidate
 from sassafrastally.proxy.verdicts import MAX_VERDICTS
-from sassafrastally.stand_ins.documents import make_configuration, make_route
+from sassafrastally.stand_ins.documents import make_configuration, make_route, make_server_record
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
@@ -70,20 +70,8 @@
 
 
 def _servers(first: int) -> list[KvEntry]:
-    record = {
-        "service": "desk",
-        "address": "10.0.0.1:80",
-        "zone": "z",
-        "version": "v1",
-        "slots": 6,
-        "state": "ready",
-        "coldLeftMs": 0,
-        "seqNo": first,
-    }
-    return [
-        KvEntry(f"servers/s-{number}", json.dumps(record).encode(), first + number)
-        for number in range(SERVERS)
-    ]
+    record = make_server_record("desk", first)
+    return [KvEntry(f"servers/s-{number}", record, first + number) for number in range(SERVERS)]
 
 
 @case("snapshot of all servers", f"{SERVERS} records of servers, {MAX_VERDICTS} of verdicts")
@@ -149,7 +137,7 @@
 
 @case("peers", f"{ENTRIES} entries that send the loads of 150 of {SERVERS} servers each")
 def peers() -> Iterator[Callable[[], object]]:
-    """Datagrams of all entries of a data centre, and what is asked of their table."""
+    """Datagrams of all entries of a data centre, and the lookups in their table."""
     table = PeerTable(Member("10.0.9.9", 100), "here")
     for number in range(ENTRIES):
         loads = {
--- a/packages/proxy/tests/test_step_times.py
+++ b/packages/proxy/tests/test_step_times.py
@@ -16,7 +16,7 @@
 
 
 class TestStepTimes:
-    """Guards against an entry that stands still because somebody sends much of something."""
+    """Guards against an entry that stands still over the largest legal input."""
 
     @pytest.mark.parametrize("name", step_times.CASES)
     def test_no_step_takes_long(self, name):
--- a/packages/testing/src/sassafrastally/testing/soak/proxying.py
+++ b/packages/testing/src/sassafrastally/testing/soak/proxying.py
@@ -10,6 +10,7 @@
 import trio
 
 from sassafrastally.proxy.http_stream import LINGER_ZERO
+from sassafrastally.stand_ins.metadata_store import WATCH_CALL
 
 if TYPE_CHECKING:
     from sassafrastally.core import Address
@@ -24,9 +25,6 @@
 
 SUCCESS = b"HTTP/1.1 200 "
 
-WATCH = b"GET /kv-watch?"
-"""Begin of a call with which an entry waits for changes of the store."""
-
 REQUEST_ID = re.compile(rb"\r\nattempt-id: (\w+)\r\n", re.IGNORECASE)
 
 
@@ -156,7 +154,7 @@
                 await trio.sleep(self.delay_s + len(data) / self.bytes_per_s)
                 while self._is_cut(connection, source):
                     await self._healed.wait()
-                if data.startswith(WATCH):
+                if data.startswith(WATCH_CALL):
                     self.watched_s = trio.current_time()
                 is_answer = source is connection.server and data.startswith(b"HTTP/")
                 if is_answer and self.cut_head is not None:
--- a/packages/testing/tests/soak/test_late_uploads_of_a_stop.py
+++ b/packages/testing/tests/soak/test_late_uploads_of_a_stop.py
@@ -96,7 +96,7 @@
         assert upload.ended_s < ANSWERED_S
 
     async def _play(self, folder, host, monkeypatch, tokens: int) -> Upload:
-        """Stop an entry while an upload is under way, after many short responses of its route."""
+        """Stop an entry during an upload, after many short responses of its route."""
         share = USUAL_SHARE
         event_range = Replica._event_range
 
