--- a/packages/proxy/src/sassafrastally/proxy/part_trials.py
+++ b/packages/proxy/src/sassafrastally/proxy/part_trials.py
@@ -38,7 +38,7 @@
 luck. Callers' operators allow three requests with a harmful part after its fifth crash."""
 
 MAX_TRIALS_TOLD = 255
-"""Maximum number of trials that a datagram tells of; in the time of a verdict there are fewer."""
+"""Maximum number of trials in a datagram; there are fewer while a verdict is in force."""
 
 
 class TrialState(NamedTuple):
--- a/packages/proxy/src/sassafrastally/proxy/port_takeover.py
+++ b/packages/proxy/src/sassafrastally/proxy/port_takeover.py
@@ -39,7 +39,7 @@
     open_port
         Opens the port.
     kernel
-        Log; it is asked to stop if the port stays in use.
+        Writes the log, and stops the process if the port stays in use.
     nursery
         Runs the task that waits for the port.
     stop_time_s
--- a/packages/proxy/src/sassafrastally/proxy/quarantine_records.py
+++ b/packages/proxy/src/sassafrastally/proxy/quarantine_records.py
@@ -74,7 +74,7 @@
 
 
 def has_all_trials(subject: int, value: bytes, trials: TrialState) -> bool:
-    """Return whether a record tells of some trials, or can't be decoded, and so isn't replaced."""
+    """Return whether a record includes some trials; also if it can't be decoded."""
     try:
         recorded = decode_record(subject, value).trials
     except ValueError:
--- a/packages/proxy/src/sassafrastally/proxy/verdicts.py
+++ b/packages/proxy/src/sassafrastally/proxy/verdicts.py
@@ -185,7 +185,7 @@
         subject
             The part.
         trials
-            What is known of its trials, with this one. Other entries may have told of it already.
+            Its trials, including this one, which peers may have reported already.
         now_s
             Present time.
         """
--- a/packages/proxy/tests/test_incarnation_order.py
+++ b/packages/proxy/tests/test_incarnation_order.py
@@ -89,7 +89,7 @@
     async def test_incarnation_that_goes_on_writing_is_the_present_one(
         self, autojump_clock, born_ms
     ):
-        """Guards against ignoring a restarted server for good, its draining too."""
+        """Guards against ignoring all records of a restarted server, including its draining."""
         follower = Follower(autojump_clock)
         follower.beat(AHEAD, 2)
         follower.beat(born_ms, round(MAX_CONFIRMATION_S / HEARTBEAT_S) + 1)
--- a/packages/proxy/tests/test_part_trials.py
+++ b/packages/proxy/tests/test_part_trials.py
@@ -133,7 +133,7 @@
         assert 1 <= len(fleet.tries) <= MAX_LATE_REQUESTS
 
     def test_trials_are_known_without_the_store(self):
-        """Guards against trials that only the store tells of, while it is away."""
+        """Guards against trials that peers don't learn of during an outage of the store."""
         fleet = TrialFleet(has_store=False)
         for second in range(300):
             now_s = BEGIN_S + 1.0 + second
--- a/packages/proxy/tests/test_stop_plan.py
+++ b/packages/proxy/tests/test_stop_plan.py
@@ -64,8 +64,8 @@
         assert plan_stop(0.0, STOP_TIME_S, 60, 2.0) == plan_stop(0.0, STOP_TIME_S, 60)
 
     def test_takes_no_more_than_the_last_sixth(self):
-        """Guards against requests cut before the time in which operators expect nothing of servers
-        that are still at work."""
+        """Guards against cutting requests before the last sixth of the stop time, in which
+        operators don't expect responses."""
         plan = plan_stop(0.0, STOP_TIME_S, 100, slowdown=100.0)
         assert plan.ends_s == pytest.approx(STOP_TIME_S * 5 / 6)
 
--- a/packages/testing/tests/platform/test_connection_ends.py
+++ b/packages/testing/tests/platform/test_connection_ends.py
@@ -1,4 +1,4 @@
-"""What the log tells of connections that an entry closes with something left, on real sockets."""
+"""Log lines about connections that are closed with unacknowledged or unread bytes."""
 
 from __future__ import annotations
 
--- a/packages/testing/tests/platform/test_drain_estimates.py
+++ b/packages/testing/tests/platform/test_drain_estimates.py
@@ -1,4 +1,4 @@
-"""What the log tells of a response for which a stopping entry saw enough time, on real sockets."""
+"""Log lines about requests that a draining entry accepted and cut."""
 
 from __future__ import annotations
 
